--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,20 @@
+import prettier from 'eslint-config-prettier';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', 'node_modules/**', 'scripts/**', '*.config.*'] },
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  prettier,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      // Numbers in log lines and error texts need no conversion by hand.
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+    },
+  },
+);
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Benchmarks. */
+export {};
--- /dev/null
+++ b/packages/bramleykeel/src/index.ts
@@ -0,0 +1,3 @@
+/** The daemons as a library, for programs that start them themselves. */
+export { startControl, initializeControl } from '@bramleykeel/control';
+export { startEntry } from '@bramleykeel/entry';
--- /dev/null
+++ b/packages/bramleykeelctl/src/control-call.ts
@@ -0,0 +1,74 @@
+/** Calls to control over HTTP, tried at each member in turn. */
+
+export interface ControlAccess {
+  readonly addresses: readonly string[];
+  readonly token: string;
+}
+
+export type CallOutcome =
+  | { readonly kind: 'ok'; readonly result: unknown }
+  | {
+      readonly kind: 'refused';
+      readonly code: string;
+      readonly message: string;
+      readonly detail: unknown;
+    }
+  | { readonly kind: 'unreachable'; readonly message: string };
+
+const CALL_TIMEOUT_MS = 70_000;
+const TRY_TIMEOUT_MS = 5_000;
+const ROUNDS = 20;
+const ROUND_DELAY_MS = 250;
+
+/**
+ * Calls a method, moving on to the next member when one does not answer or knows no leader. Calls
+ * that change something carry an operation id, so that a resend is answered and not carried out twice.
+ *
+ * @example
+ * await callControl(access, 'settings/list', {});
+ */
+export async function callControl(
+  access: ControlAccess,
+  method: string,
+  params: unknown,
+): Promise<CallOutcome> {
+  let last: CallOutcome = { kind: 'unreachable', message: 'no control address was given' };
+  for (let round = 0; round < ROUNDS; round += 1) {
+    for (const address of access.addresses) {
+      const outcome = await callMember(address, access.token, method, params);
+      const isFinal = outcome.kind === 'ok' || isRefusal(outcome);
+      if (isFinal) return outcome;
+      last = outcome;
+    }
+    await new Promise((resolve) => setTimeout(resolve, ROUND_DELAY_MS));
+  }
+  return last;
+}
+
+function isRefusal(outcome: CallOutcome): boolean {
+  return outcome.kind === 'refused' && outcome.code !== 'unavailable';
+}
+
+async function callMember(
+  address: string,
+  token: string,
+  method: string,
+  params: unknown,
+): Promise<CallOutcome> {
+  const timeoutMs = method === 'settings/await' ? CALL_TIMEOUT_MS : TRY_TIMEOUT_MS;
+  try {
+    const response = await fetch(`http://${address}/v1/${method}`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
+      body: JSON.stringify(params),
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    const body = (await response.json()) as unknown;
+    if (response.ok) return { kind: 'ok', result: body };
+    const { code, message, detail } = body as { code?: string; message: string; detail?: unknown };
+    return { kind: 'refused', code: code ?? 'bad-request', message, detail };
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return { kind: 'unreachable', message: `${address}: ${reason}` };
+  }
+}
--- /dev/null
+++ b/packages/bramleykeelctl/src/index.ts
@@ -0,0 +1,3 @@
+/** The operators' client as a library. */
+export * from './control-call.js';
+export * from './settings-commands.js';
--- /dev/null
+++ b/packages/control/src/admin/admin-http.ts
@@ -0,0 +1,77 @@
+/** HTTP interface for operators: one JSON call per request, answered through the leader. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { splitAddress } from '@bramleykeel/core';
+import type { CallAnswer } from './operator-calls.js';
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+const STATUS_CODES = {
+  'bad-request': 400,
+  denied: 403,
+  'not-found': 404,
+  conflict: 409,
+  unavailable: 503,
+} as const;
+
+/** Listens for `POST /v1/METHOD` with the operator's token as bearer token. */
+export function listenForOperators(
+  address: string,
+  answerCall: (call: unknown) => Promise<CallAnswer>,
+): Promise<Server> {
+  const server = createServer((request, response) => {
+    void handle(request, response, answerCall);
+  });
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      resolve(server);
+    });
+  });
+}
+
+async function handle(
+  request: IncomingMessage,
+  response: ServerResponse,
+  answerCall: (call: unknown) => Promise<CallAnswer>,
+): Promise<void> {
+  const method = /^\/v1\/([a-z-]+\/[a-z-]+)$/.exec(request.url ?? '')?.[1];
+  if (request.method !== 'POST' || method === undefined) {
+    send(response, 404, { message: 'expected POST /v1/PART/VERB' });
+    return;
+  }
+  const body = await readBody(request);
+  if (body === undefined) {
+    send(response, 400, { message: 'expected a JSON body of at most 4 MiB' });
+    return;
+  }
+  const token = /^Bearer (.+)$/.exec(request.headers.authorization ?? '')?.[1] ?? '';
+  const answer = await answerCall({ method, params: body, token });
+  if (answer.kind === 'ok') {
+    send(response, 200, answer.result);
+    return;
+  }
+  const { code, message, detail } = answer;
+  send(response, STATUS_CODES[code], { code, message, detail });
+}
+
+function send(response: ServerResponse, statusCode: number, body: unknown): void {
+  response.statusCode = statusCode;
+  response.setHeader('content-type', 'application/json');
+  response.end(JSON.stringify(body));
+}
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let totalBytes = 0;
+  try {
+    for await (const chunk of request) {
+      totalBytes += (chunk as Buffer).length;
+      if (totalBytes > MAX_BODY_BYTES) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/control/src/admin/operator-calls.ts
@@ -0,0 +1,231 @@
+/** Calls of operators: checked against their token and answered by the leader from confirmed state. */
+import {
+  BOOTSTRAP_OPERATOR,
+  checkSetting,
+  type ControlState,
+  isSecretFor,
+  listAssignments,
+  listGroups,
+  listSettings,
+  type OperatorSetting,
+  type SettingChange,
+} from '@bramleykeel/core';
+import type { LinkPeer } from '@bramleykeel/link';
+import { z } from 'zod';
+import {
+  awaitRound,
+  describeEntries,
+  isInForce,
+  type LeaderService,
+} from '../leader/leader-service.js';
+
+export type CallAnswer =
+  | { readonly kind: 'ok'; readonly result: unknown }
+  | {
+      readonly kind: 'error';
+      readonly code: 'bad-request' | 'denied' | 'conflict' | 'unavailable' | 'not-found';
+      readonly message: string;
+      readonly detail?: unknown;
+    };
+
+const callSchema = z.strictObject({
+  method: z.string(),
+  params: z.unknown(),
+  token: z.string().max(200),
+});
+
+export type OperatorCall = z.infer<typeof callSchema>;
+
+const applySchema = z.strictObject({
+  operationId: z.string().min(8).max(100),
+  baseRevision: z.int().nonnegative().nullable(),
+  changes: z.array(z.strictObject({ path: z.string().max(200), value: z.unknown() })),
+});
+
+const awaitSchema = z.strictObject({
+  revision: z.int().nonnegative(),
+  timeoutMs: z.int().positive().max(60_000),
+});
+
+const forgetSchema = z.strictObject({ group: z.string(), server: z.string() });
+
+const IN_FORCE_POLL_MS = 20;
+const STATUS_TIMEOUT_MS = 1_000;
+
+/** Answers one call on the leader. */
+export async function answerOperatorCall(
+  service: LeaderService,
+  bootstrapTokenSha256Hex: string,
+  raw: unknown,
+): Promise<CallAnswer> {
+  const parsed = callSchema.safeParse(raw);
+  if (!parsed.success) return failure('bad-request', z.prettifyError(parsed.error));
+  const { method, params, token } = parsed.data;
+  if (!(await awaitRound(service))) {
+    return failure('unavailable', 'the control leader changed; try again');
+  }
+  const operator = findOperator(service.driver.control(), bootstrapTokenSha256Hex, token);
+  if (operator === undefined) return failure('denied', 'the operator token was not accepted');
+  switch (method) {
+    case 'settings/list':
+      return listCall(service.driver.control());
+    case 'settings/apply':
+      return applyCall(service, operator, params);
+    case 'settings/await':
+      return awaitCall(service, params);
+    case 'settings/history':
+      return { kind: 'ok', result: service.driver.control().history };
+    case 'status/get':
+      return { kind: 'ok', result: await describeStatus(service) };
+    case 'server/forget':
+      return forgetCall(service, operator, params);
+    default:
+      return failure('not-found', `unknown method ${method}`);
+  }
+}
+
+function failure(
+  code: Extract<CallAnswer, { kind: 'error' }>['code'],
+  message: string,
+  detail?: unknown,
+): CallAnswer {
+  return { kind: 'error', code, message, detail };
+}
+
+function findOperator(
+  control: ControlState,
+  bootstrapTokenSha256Hex: string,
+  token: string,
+): string | undefined {
+  if (isSecretFor(token, bootstrapTokenSha256Hex)) return BOOTSTRAP_OPERATOR;
+  const found = listSettings(control).find(({ path, value }) => {
+    if (!path.startsWith('operators/')) return false;
+    return isSecretFor(token, (value as OperatorSetting).tokenSha256Hex);
+  });
+  return found?.path.slice('operators/'.length);
+}
+
+function listCall(control: ControlState): CallAnswer {
+  const settings = listSettings(control);
+  return { kind: 'ok', result: { revision: control.settingsRevision, settings } };
+}
+
+async function applyCall(
+  service: LeaderService,
+  operator: string,
+  params: unknown,
+): Promise<CallAnswer> {
+  const parsed = applySchema.safeParse(params);
+  if (!parsed.success) return failure('bad-request', z.prettifyError(parsed.error));
+  const { operationId, baseRevision } = parsed.data;
+  const changes: SettingChange[] = [];
+  for (const { path, value } of parsed.data.changes) {
+    if (value === null) {
+      changes.push({ path, value });
+      continue;
+    }
+    const checked = checkSetting(path, value);
+    if (checked.isLeft()) {
+      const reason = checked
+        .swap()
+        .map((problem) => problem.reason)
+        .orDefault('');
+      return failure('bad-request', `${path}: ${reason}`);
+    }
+    checked.ifRight((valid) => changes.push({ path, value: valid }));
+  }
+  const result = await service.driver.propose({
+    kind: 'settings/apply',
+    operationId: operationId as never,
+    operator,
+    baseRevision,
+    changes,
+    wallClockMs: Date.now(),
+  });
+  if (!result) {
+    const message = 'the control leader changed; resend with the same operation id';
+    return failure('unavailable', message);
+  }
+  if (result.kind === 'conflict') {
+    const message = `the settings are at revision ${result.revision}; nothing was changed`;
+    return failure('conflict', message, result);
+  }
+  if (result.kind === 'rejected') {
+    return failure('bad-request', `${result.path}: ${result.reason}`);
+  }
+  return { kind: 'ok', result };
+}
+
+async function awaitCall(service: LeaderService, params: unknown): Promise<CallAnswer> {
+  const parsed = awaitSchema.safeParse(params);
+  if (!parsed.success) return failure('bad-request', z.prettifyError(parsed.error));
+  const { revision, timeoutMs } = parsed.data;
+  const startedAtMs = performance.now();
+  while (performance.now() - startedAtMs < timeoutMs) {
+    if (service.driver.raft.role !== 'leader') break;
+    if (isInForce(service, revision)) {
+      const tookMs = Math.round(performance.now() - startedAtMs);
+      return { kind: 'ok', result: { isInForce: true, tookMs } };
+    }
+    await delay(IN_FORCE_POLL_MS);
+  }
+  return { kind: 'ok', result: { isInForce: false, entries: describeEntries(service) } };
+}
+
+async function forgetCall(
+  service: LeaderService,
+  operator: string,
+  params: unknown,
+): Promise<CallAnswer> {
+  const parsed = forgetSchema.safeParse(params);
+  if (!parsed.success) return failure('bad-request', z.prettifyError(parsed.error));
+  if (operator !== BOOTSTRAP_OPERATOR) {
+    return failure('denied', 'only the operator bootstrap may remove a server from a group');
+  }
+  const { group, server } = parsed.data;
+  const result = await service.driver.propose({
+    kind: 'group/forget',
+    group: group as never,
+    server: server as never,
+  });
+  if (result?.kind === 'superseded') return failure('conflict', result.reason);
+  if (!result) return failure('unavailable', 'the control leader changed; try again');
+  return { kind: 'ok', result };
+}
+
+async function describeStatus(service: LeaderService) {
+  const { raft } = service.driver;
+  const control = service.driver.control();
+  const reports = await Promise.all(
+    [...service.watchers].map(async ([peer, { incarnation }]) => {
+      return { incarnation, report: await askEntry(peer) };
+    }),
+  );
+  return {
+    control: {
+      leader: raft.selfId,
+      term: raft.currentTerm,
+      commitIndex: raft.commitIndex,
+      members: Object.fromEntries(
+        [...raft.progress].map(([id, { matchIndex, lastReplyMs, hasRegressed }]) => {
+          const silentMs = Math.round(performance.now() - lastReplyMs);
+          return [id, { matchIndex, silentMs, hasRegressed }];
+        }),
+      ),
+    },
+    settingsRevision: control.settingsRevision,
+    entries: describeEntries(service),
+    groups: listGroups(control),
+    assignments: listAssignments(control),
+    reports,
+  };
+}
+
+async function askEntry(peer: LinkPeer): Promise<unknown> {
+  const answer = await peer.request('status/get', {}, STATUS_TIMEOUT_MS);
+  return answer.orDefault(null);
+}
+
+function delay(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/control/src/app.ts
@@ -0,0 +1,141 @@
+/** Methods that a control member answers over links, registered by name. */
+import {
+  type ControlCommand,
+  type Incarnation,
+  type LeaseRenewal,
+  type MemberId,
+  type RaftMessage,
+  type Resource,
+} from '@bramleykeel/core';
+import { type LinkPeer, type Log, probeAddress } from '@bramleykeel/link';
+import { z } from 'zod';
+import { answerOperatorCall, type CallAnswer } from './admin/operator-calls.js';
+import {
+  endEntry,
+  type LeaderService,
+  releaseResource,
+  requestResource,
+  takeRenewal,
+} from './leader/leader-service.js';
+import type { LogDriver } from './log-driver.js';
+import { handleJoin, type JoinRequest } from './member-join.js';
+
+export interface ControlApp {
+  readonly driver: LogDriver;
+  readonly log: Log;
+  readonly bootstrapTokenSha256Hex: string;
+  /** The leader service while this member leads and its term is open; `undefined` otherwise. */
+  readonly leader: () => LeaderService | undefined;
+}
+
+type Handler = (app: ControlApp, peer: LinkPeer, params: unknown) => unknown;
+
+const PROBE_TIMEOUT_MS = 500;
+
+const name = z.string().min(1).max(100);
+const renewalSchema = z.object({
+  entryId: name,
+  incarnation: name,
+  linkAddress: name,
+  zone: name,
+  isStopping: z.boolean(),
+  knownIndex: z.int().nonnegative(),
+  settingsRevision: z.int().nonnegative(),
+});
+const resourceSchema = z.object({
+  resource: z.string().regex(/^(group|customer)\/.+$/),
+  zone: name.optional(),
+});
+const releaseSchema = z.object({ resource: name, epoch: z.int(), incarnation: name });
+const endedSchema = z.object({ incarnation: name });
+const suspectSchema = z.object({ incarnation: name, linkAddress: name });
+const joinSchema = z.object({ id: name, diskId: name });
+
+/** Commands that owners may propose; settings go through operators' calls only. */
+const OWNER_COMMANDS = new Set(['group/observe', 'primary/propose', 'primary/commit']);
+
+const HANDLERS: Readonly<Record<string, Handler>> = {
+  'lease/renew': (app, peer, params) => {
+    const leader = app.leader();
+    const renewal = renewalSchema.parse(params) as LeaseRenewal;
+    if (!leader) return notLeader(app);
+    return takeRenewal(leader, peer, renewal);
+  },
+  'resource/request': (app, _peer, params) => {
+    const { resource, zone } = resourceSchema.parse(params);
+    const leader = app.leader();
+    return leader ? requestResource(leader, resource as Resource, zone) : false;
+  },
+  'resource/release': (app, _peer, params) => {
+    const { resource, epoch, incarnation } = releaseSchema.parse(params);
+    const leader = app.leader();
+    if (!leader) return false;
+    return releaseResource(leader, resource as Resource, epoch, incarnation as Incarnation);
+  },
+  'entry/ended': (app, _peer, params) => {
+    const { incarnation } = endedSchema.parse(params);
+    const leader = app.leader();
+    if (leader) endEntry(leader, incarnation as Incarnation, 'it has handed everything over');
+    return leader !== undefined;
+  },
+  'entry/suspect': (app, _peer, params) => {
+    const { incarnation, linkAddress } = suspectSchema.parse(params);
+    return probeSuspect(app, incarnation as Incarnation, linkAddress);
+  },
+  'control/propose': (app, _peer, params) => {
+    const command = params as ControlCommand;
+    if (!OWNER_COMMANDS.has(command.kind)) throw new Error(`${command.kind} is not for owners`);
+    if (!app.leader()) return { kind: 'superseded', reason: 'this member does not lead' };
+    return app.driver.propose(command).then((result) => {
+      return result ?? { kind: 'superseded', reason: 'the control leader changed' };
+    });
+  },
+  'member/join': (app, _peer, params) =>
+    handleJoin(app.driver, joinSchema.parse(params) as JoinRequest, app.log),
+  'operator/call': (app, _peer, params) => callLeader(app, params),
+};
+
+/** Answers a request from a link. */
+export function handleRequest(
+  app: ControlApp,
+  peer: LinkPeer,
+  method: string,
+  params: unknown,
+): unknown {
+  const handler = HANDLERS[method];
+  if (!handler) throw new Error(`unknown method ${method}`);
+  return handler(app, peer, params);
+}
+
+/** Takes an event from a link: only messages of the log protocol. */
+export function handleNotify(app: ControlApp, method: string, params: unknown): void {
+  if (method !== 'log/message') return;
+  const { from, message } = params as { from: MemberId; message: RaftMessage<ControlCommand> };
+  app.driver.step({ kind: 'message', from, message });
+}
+
+/** Answers an operator's call when this member leads. */
+export function callLeader(app: ControlApp, call: unknown): Promise<CallAnswer> {
+  const leader = app.leader();
+  if (leader) return answerOperatorCall(leader, app.bootstrapTokenSha256Hex, call);
+  const message = 'no control leader is known at the moment; try again';
+  return Promise.resolve({ kind: 'error', code: 'unavailable', message });
+}
+
+function notLeader(app: ControlApp) {
+  return { kind: 'not-leader', leaderId: app.driver.raft.leaderId ?? null };
+}
+
+/** A suspected entry is ended at once if nothing listens at its address any more. */
+export async function probeSuspect(
+  app: ControlApp,
+  incarnation: Incarnation,
+  linkAddress: string,
+): Promise<boolean> {
+  if (!app.leader()) return false;
+  const result = await probeAddress(linkAddress, PROBE_TIMEOUT_MS);
+  const leader = app.leader();
+  if (result !== 'refused' || !leader) return false;
+  endEntry(leader, incarnation, 'its address refuses connections');
+  return true;
+}
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,4 @@
+/** The control member: replicated settings, leases and assignments. */
+export * from './control-daemon.js';
+export * from './storage/control-storage.js';
+export * from './storage/record-file.js';
--- /dev/null
+++ b/packages/control/src/storage/control-storage.ts
@@ -0,0 +1,193 @@
+/** The data folder of a control member: identity, snapshot and log. */
+import { randomUUID } from 'node:crypto';
+import { mkdirSync } from 'node:fs';
+import { join } from 'node:path';
+import {
+  brandAs,
+  type ControlCommand,
+  type DiskId,
+  type DurableRaftState,
+  type LogEntry,
+  type MemberId,
+  type Membership,
+  type Snapshot,
+} from '@bramleykeel/core';
+import { type Either, Left, Right } from 'purify-ts';
+import {
+  appendRecord,
+  closeRecordFile,
+  type CorruptFile,
+  decodeRecords,
+  encodeRecord,
+  openRecordFile,
+  readFileIfThere,
+  type RecordFile,
+  type RecoveredRecords,
+  replaceFile,
+} from './record-file.js';
+
+type Entry = LogEntry<ControlCommand>;
+
+type LogRecord =
+  | { readonly kind: 'vote'; readonly term: number; readonly votedFor: MemberId | null }
+  | { readonly kind: 'entries'; readonly entries: readonly Entry[] };
+
+interface IdentityRecord {
+  readonly kind: 'identity';
+  readonly diskId: DiskId;
+}
+
+export interface ControlStorage {
+  readonly folder: string;
+  readonly diskId: DiskId;
+  log: RecordFile;
+  vote: { term: number; votedFor: MemberId | null };
+}
+
+export interface OpenedStorage {
+  readonly storage: ControlStorage;
+  readonly durable: DurableRaftState<ControlCommand>;
+  readonly snapshot: Snapshot;
+  readonly tornBytes: number;
+}
+
+const EMPTY_SNAPSHOT: Snapshot = { index: 0, term: 0, membership: {}, data: new Uint8Array() };
+
+/** The disk id of a member that was there when the cluster was set up. */
+export function initialDiskId(member: string): DiskId {
+  return brandAs<DiskId>(`initial-${member}`);
+}
+
+/**
+ * Prepares the folder of a first member of a new cluster. Refuses a folder that is in use, so that
+ * it cannot be mistaken for the repair of a lost disk.
+ */
+export function initializeFolder(
+  folder: string,
+  member: string,
+  membership: Membership,
+): Either<'already-initialized', void> {
+  mkdirSync(folder, { recursive: true });
+  if (readFileIfThere(identityFile(folder))) return Left('already-initialized');
+  replaceFile(snapshotFile(folder), encodeRecord({ ...EMPTY_SNAPSHOT, membership }));
+  const identity: IdentityRecord = { kind: 'identity', diskId: initialDiskId(member) };
+  replaceFile(identityFile(folder), encodeRecord(identity));
+  return Right(undefined);
+}
+
+/**
+ * Opens the data folder and recovers what it holds. An empty folder gets a new identity: its member
+ * has to be admitted by the others before it votes.
+ */
+export function openStorage(folder: string): Either<CorruptFile, OpenedStorage> {
+  mkdirSync(folder, { recursive: true });
+  return readIdentity(folder).chain((diskId) =>
+    readSnapshot(folder).chain((snapshot) =>
+      readRecords(logFile(folder)).map((recovered) => {
+        const log = openRecordFile(logFile(folder), recovered.intactBytes);
+        const durable = replayLog(recovered.records as readonly LogRecord[], snapshot);
+        const vote = { term: durable.currentTerm, votedFor: durable.votedFor ?? null };
+        const storage: ControlStorage = { folder, diskId, log, vote };
+        return { storage, durable, snapshot, tornBytes: recovered.tornBytes };
+      }),
+    ),
+  );
+}
+
+function readIdentity(folder: string): Either<CorruptFile, DiskId> {
+  const file = identityFile(folder);
+  return readRecords(file).chain(({ records }) => {
+    const [identity] = records as readonly IdentityRecord[];
+    if (identity) return Right(identity.diskId);
+    if (readFileIfThere(file)) return Left({ kind: 'corrupt-file', file, offsetBytes: 0 });
+    const diskId = brandAs<DiskId>(randomUUID());
+    replaceFile(file, encodeRecord({ kind: 'identity', diskId } satisfies IdentityRecord));
+    return Right(diskId);
+  });
+}
+
+/** A snapshot is written whole before it is renamed, so a damaged one is corrupt, never torn. */
+function readSnapshot(folder: string): Either<CorruptFile, Snapshot> {
+  const file = snapshotFile(folder);
+  return readRecords(file).chain(({ records, tornBytes }) => {
+    if (tornBytes > 0) return Left({ kind: 'corrupt-file', file, offsetBytes: 0 });
+    const [snapshot] = records as readonly Snapshot[];
+    return Right(snapshot ?? EMPTY_SNAPSHOT);
+  });
+}
+
+function readRecords(file: string): Either<CorruptFile, RecoveredRecords> {
+  return decodeRecords(file, readFileIfThere(file) ?? Buffer.alloc(0));
+}
+
+function replayLog(
+  records: readonly LogRecord[],
+  snapshot: Snapshot,
+): DurableRaftState<ControlCommand> {
+  let currentTerm = snapshot.term;
+  let votedFor: MemberId | undefined;
+  let entries: Entry[] = [];
+  for (const record of records) {
+    if (record.kind === 'vote') {
+      currentTerm = record.term;
+      votedFor = record.votedFor ?? undefined;
+      continue;
+    }
+    const fresh = record.entries.filter((entry) => entry.index > snapshot.index);
+    const [first] = fresh;
+    if (!first) continue;
+    entries = entries.filter((entry) => entry.index < first.index);
+    entries.push(...fresh);
+  }
+  const { index, term, membership } = snapshot;
+  return { currentTerm, votedFor, snapshot: { index, term, membership }, entries };
+}
+
+/** Syncs the term and the vote before any message about them may leave. */
+export function persistVote(
+  storage: ControlStorage,
+  term: number,
+  votedFor: MemberId | undefined,
+): void {
+  storage.vote = { term, votedFor: votedFor ?? null };
+  appendRecord(storage.log, { kind: 'vote', ...storage.vote } satisfies LogRecord);
+}
+
+/** Syncs new entries; they replace everything from the first one's index on. */
+export function persistEntries(storage: ControlStorage, entries: readonly Entry[]): void {
+  appendRecord(storage.log, { kind: 'entries', entries } satisfies LogRecord);
+}
+
+/**
+ * Saves a snapshot, then rewrites the log without what the snapshot holds. A crash between the two
+ * leaves entries that recovery skips.
+ */
+export function persistSnapshot(
+  storage: ControlStorage,
+  snapshot: Snapshot,
+  remaining: readonly Entry[],
+): void {
+  replaceFile(snapshotFile(storage.folder), encodeRecord(snapshot));
+  const records: LogRecord[] = [{ kind: 'vote', ...storage.vote }];
+  if (remaining.length > 0) records.push({ kind: 'entries', entries: remaining });
+  const content = Buffer.concat(records.map(encodeRecord));
+  closeRecordFile(storage.log);
+  replaceFile(storage.log.file, content);
+  storage.log = openRecordFile(storage.log.file, content.length);
+}
+
+export function closeStorage(storage: ControlStorage): void {
+  closeRecordFile(storage.log);
+}
+
+function identityFile(folder: string): string {
+  return join(folder, 'identity');
+}
+
+function snapshotFile(folder: string): string {
+  return join(folder, 'snapshot');
+}
+
+function logFile(folder: string): string {
+  return join(folder, 'log');
+}
--- /dev/null
+++ b/packages/core/src/control-log/raft.ts
@@ -0,0 +1,97 @@
+/**
+ * The consensus protocol of the control log as a plain function of state, event and time:
+ * Raft with pre-vote, check-quorum, single-member membership changes and confirmed rounds.
+ */
+import { match } from 'ts-pattern';
+import type { MemberId } from '../types/ids.js';
+import { startElection, handleVoteReply, handleVoteRequest } from './election.js';
+import type { RaftState } from './raft-state.js';
+import { mayVote, termAt } from './raft-state.js';
+import {
+  appendAsLeader,
+  broadcastAppend,
+  handleAppend,
+  handleAppendReply,
+  handleInstallSnapshot,
+  hasLostQuorum,
+} from './replication.js';
+import { becomeFollower } from './roles.js';
+import type { RaftEffect, RaftEvent, RaftMessage, SnapshotMeta } from './types.js';
+
+/**
+ * Advances the state by one event and returns the effects to carry out, in order.
+ *
+ * @param nowMs monotonic time in milliseconds
+ * @example
+ * const effects = stepRaft(state, { kind: 'tick' }, performance.now());
+ */
+export function stepRaft<Command>(
+  state: RaftState<Command>,
+  event: RaftEvent<Command>,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  return match(event)
+    .returnType<RaftEffect<Command>[]>()
+    .with({ kind: 'tick' }, () => handleTick(state, nowMs))
+    .with({ kind: 'message' }, ({ from, message }) => handleMessage(state, from, message, nowMs))
+    .with({ kind: 'propose' }, ({ payloads }) => appendAsLeader(state, payloads, nowMs))
+    .with({ kind: 'snapshot-saved' }, ({ snapshot }) => compactLog(state, snapshot))
+    .exhaustive();
+}
+
+function handleTick<Command>(state: RaftState<Command>, nowMs: number): RaftEffect<Command>[] {
+  if (state.role === 'leader') {
+    if (hasLostQuorum(state, nowMs)) return becomeFollower(state, state.currentTerm, nowMs);
+    if (nowMs >= state.heartbeatDueMs) return broadcastAppend(state, nowMs);
+    return [];
+  }
+  if (nowMs < state.electionDeadlineMs || !mayVote(state)) return [];
+  return startElection(state, true, nowMs);
+}
+
+function handleMessage<Command>(
+  state: RaftState<Command>,
+  from: MemberId,
+  message: RaftMessage<Command>,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  const effects = adoptNewerTerm(state, message, nowMs);
+  const handled = match(message)
+    .returnType<RaftEffect<Command>[]>()
+    .with({ kind: 'vote-request' }, (request) => handleVoteRequest(state, from, request, nowMs))
+    .with({ kind: 'vote-reply' }, (reply) => handleVoteReply(state, from, reply, nowMs))
+    .with({ kind: 'append' }, (request) => handleAppend(state, from, request, nowMs))
+    .with({ kind: 'append-reply' }, (reply) => handleAppendReply(state, from, reply, nowMs))
+    .with({ kind: 'install-snapshot' }, (request) =>
+      handleInstallSnapshot(state, from, request, nowMs),
+    )
+    .exhaustive();
+  return [...effects, ...handled];
+}
+
+/**
+ * Pre-votes and vote requests do not raise the term here: a granted pre-vote never does, and a vote
+ * request only once it passes the leader-contact check, so that a returning member cannot disturb a
+ * leader. A refused pre-vote does, or the member with the longest log could be left behind in term.
+ */
+function adoptNewerTerm<Command>(
+  state: RaftState<Command>,
+  message: RaftMessage<Command>,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  if (message.term <= state.currentTerm) return [];
+  if (message.kind === 'vote-request') return [];
+  if (message.kind === 'vote-reply' && message.isPreVote && message.isGranted) return [];
+  return becomeFollower(state, message.term, nowMs);
+}
+
+function compactLog<Command>(
+  state: RaftState<Command>,
+  snapshot: SnapshotMeta,
+): RaftEffect<Command>[] {
+  if (snapshot.index <= state.snapshot.index) return [];
+  if (termAt(state, snapshot.index) === undefined) return [];
+  state.entries = state.entries.slice(snapshot.index - state.snapshot.index);
+  state.snapshot = snapshot;
+  return [];
+}
--- /dev/null
+++ b/packages/core/src/control-log/replication.ts
@@ -0,0 +1,271 @@
+/** Replication of the control log: appending, matching, committing and catching up. */
+import type { MemberId } from '../types/ids.js';
+import type { RaftState } from './raft-state.js';
+import {
+  entryAt,
+  lastIndexOf,
+  membershipOf,
+  peersOf,
+  quorumSize,
+  resetElectionDeadline,
+  termAt,
+  votersOf,
+} from './raft-state.js';
+import { becomeFollower, ensureProgress } from './roles.js';
+import type { LogEntry, LogPayload, RaftEffect, RaftMessage } from './types.js';
+
+type AppendRequest<Command> = Extract<RaftMessage<Command>, { kind: 'append' }>;
+type AppendReply<Command> = Extract<RaftMessage<Command>, { kind: 'append-reply' }>;
+type SnapshotRequest<Command> = Extract<RaftMessage<Command>, { kind: 'install-snapshot' }>;
+
+/** Entries sent to one member in one message at most. */
+const MAX_ENTRIES_PER_APPEND = 256;
+
+/** Appends payloads to the leader's own log and sends them on. Does nothing on other roles. */
+export function appendAsLeader<Command>(
+  state: RaftState<Command>,
+  payloads: readonly LogPayload<Command>[],
+  nowMs: number,
+): RaftEffect<Command>[] {
+  if (state.role !== 'leader' || payloads.length === 0) return [];
+  const firstIndex = lastIndexOf(state) + 1;
+  const entries = payloads.map((payload, offset) => ({
+    index: firstIndex + offset,
+    term: state.currentTerm,
+    payload,
+  }));
+  state.entries.push(...entries);
+  return [
+    { kind: 'persist-entries', entries },
+    ...advanceCommit(state),
+    ...broadcastAppend(state, nowMs),
+  ];
+}
+
+/** Starts a round: one append (possibly empty) or snapshot to every other member. */
+export function broadcastAppend<Command>(
+  state: RaftState<Command>,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  state.round += 1;
+  state.roundStartsMs.set(state.round, nowMs);
+  state.heartbeatDueMs = nowMs + state.timing.heartbeatMs;
+  const sends = peersOf(state).map((peer) => sendAppend(state, peer, nowMs));
+  return [...sends, ...confirmRounds(state)];
+}
+
+function sendAppend<Command>(
+  state: RaftState<Command>,
+  peer: MemberId,
+  nowMs: number,
+): RaftEffect<Command> {
+  const progress = ensureProgress(state, peer, nowMs);
+  const previousIndex = progress.nextIndex - 1;
+  const previousTerm = termAt(state, previousIndex);
+  if (previousTerm === undefined) return { kind: 'send-snapshot', to: peer, round: state.round };
+  const start = previousIndex - state.snapshot.index;
+  const entries = state.entries.slice(start, start + MAX_ENTRIES_PER_APPEND);
+  const message: AppendRequest<Command> = {
+    kind: 'append',
+    term: state.currentTerm,
+    previousIndex,
+    previousTerm,
+    entries,
+    commitIndex: state.commitIndex,
+    round: state.round,
+  };
+  return { kind: 'send', to: peer, message };
+}
+
+/** A leader that has not heard from a quorum for an election timeout must not go on leading. */
+export function hasLostQuorum<Command>(state: RaftState<Command>, nowMs: number): boolean {
+  const voters = votersOf(state);
+  const limitMs = state.timing.electionTimeoutMaxMs;
+  const reachable = voters.filter((voter) => {
+    if (voter === state.selfId) return true;
+    const progress = state.progress.get(voter);
+    return progress !== undefined && nowMs - progress.lastReplyMs < limitMs;
+  });
+  return reachable.length < quorumSize(voters.length);
+}
+
+export function handleAppend<Command>(
+  state: RaftState<Command>,
+  from: MemberId,
+  request: AppendRequest<Command>,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  if (request.term < state.currentTerm) {
+    return [replyToAppend(state, from, request.round, false, lastIndexOf(state))];
+  }
+  const effects = acceptLeader(state, from, nowMs);
+  if (!matchesLog(state, request)) {
+    const hint = Math.min(lastIndexOf(state), request.previousIndex - 1);
+    effects.push(replyToAppend(state, from, request.round, false, hint));
+    return effects;
+  }
+  effects.push(...mergeEntries(state, request.entries));
+  const matchIndex = request.previousIndex + request.entries.length;
+  effects.push(replyToAppend(state, from, request.round, true, matchIndex));
+  effects.push(...commitUpTo(state, Math.min(request.commitIndex, matchIndex)));
+  return effects;
+}
+
+function acceptLeader<Command>(
+  state: RaftState<Command>,
+  from: MemberId,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  const effects = state.role === 'follower' ? [] : becomeFollower(state, state.currentTerm, nowMs);
+  state.leaderId = from;
+  state.leaderContactMs = nowMs;
+  resetElectionDeadline(state, nowMs);
+  return effects;
+}
+
+function matchesLog<Command>(state: RaftState<Command>, request: AppendRequest<Command>): boolean {
+  if (request.previousIndex < state.snapshot.index) return true;
+  return termAt(state, request.previousIndex) === request.previousTerm;
+}
+
+/** Adds entries that are new; a conflicting suffix is replaced from its first differing entry. */
+function mergeEntries<Command>(
+  state: RaftState<Command>,
+  entries: readonly LogEntry<Command>[],
+): RaftEffect<Command>[] {
+  const fresh = entries.filter((entry) => entry.index > state.snapshot.index);
+  const firstNew = fresh.findIndex((entry) => termAt(state, entry.index) !== entry.term);
+  if (firstNew < 0) return [];
+  const added = fresh.slice(firstNew);
+  const [first] = added;
+  if (!first) return [];
+  state.entries.length = first.index - state.snapshot.index - 1;
+  state.entries.push(...added);
+  return [{ kind: 'persist-entries', entries: added }];
+}
+
+function replyToAppend<Command>(
+  state: RaftState<Command>,
+  to: MemberId,
+  round: number,
+  isAccepted: boolean,
+  matchIndex: number,
+): RaftEffect<Command> {
+  const message: AppendReply<Command> = {
+    kind: 'append-reply',
+    term: state.currentTerm,
+    isAccepted,
+    matchIndex,
+    round,
+    diskId: state.diskId,
+  };
+  return { kind: 'send', to, message };
+}
+
+export function handleInstallSnapshot<Command>(
+  state: RaftState<Command>,
+  from: MemberId,
+  request: SnapshotRequest<Command>,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  if (request.term < state.currentTerm) {
+    return [replyToAppend(state, from, request.round, false, lastIndexOf(state))];
+  }
+  const effects = acceptLeader(state, from, nowMs);
+  const { snapshot } = request;
+  if (snapshot.index > state.commitIndex) {
+    state.entries = [];
+    state.snapshot = {
+      index: snapshot.index,
+      term: snapshot.term,
+      membership: snapshot.membership,
+    };
+    state.commitIndex = snapshot.index;
+    effects.push({ kind: 'restore-snapshot', snapshot });
+  }
+  effects.push(replyToAppend(state, from, request.round, true, snapshot.index));
+  return effects;
+}
+
+export function handleAppendReply<Command>(
+  state: RaftState<Command>,
+  from: MemberId,
+  reply: AppendReply<Command>,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  if (state.role !== 'leader' || reply.term !== state.currentTerm) return [];
+  const progress = ensureProgress(state, from, nowMs);
+  const effects: RaftEffect<Command>[] = [];
+  if (progress.diskId !== reply.diskId) {
+    progress.diskId = reply.diskId;
+    progress.matchIndex = 0;
+    progress.hasRegressed = false;
+  }
+  if (reply.matchIndex < progress.matchIndex && !reply.isAccepted && !progress.hasRegressed) {
+    progress.hasRegressed = true;
+    effects.push({ kind: 'member-regressed', member: from });
+  }
+  progress.lastReplyMs = nowMs;
+  progress.confirmedRound = Math.max(progress.confirmedRound, reply.round);
+  if (reply.isAccepted) {
+    progress.matchIndex = Math.max(progress.matchIndex, reply.matchIndex);
+    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+  } else {
+    progress.nextIndex = Math.max(1, reply.matchIndex + 1);
+  }
+  effects.push(...advanceCommit(state), ...confirmRounds(state));
+  const needsMore = !reply.isAccepted || progress.nextIndex <= lastIndexOf(state);
+  if (needsMore) effects.push(sendAppend(state, from, nowMs));
+  return effects;
+}
+
+/** A reply counts only from the disk that the log knows, and never after that disk went back. */
+function countsForQuorum<Command>(state: RaftState<Command>, member: MemberId): boolean {
+  const progress = state.progress.get(member);
+  if (!progress || progress.hasRegressed) return false;
+  return membershipOf(state)[member]?.diskId === progress.diskId;
+}
+
+function advanceCommit<Command>(state: RaftState<Command>): RaftEffect<Command>[] {
+  const voters = votersOf(state);
+  const matched = voters
+    .map((voter) => {
+      if (voter === state.selfId) return lastIndexOf(state);
+      return countsForQuorum(state, voter) ? (state.progress.get(voter)?.matchIndex ?? 0) : 0;
+    })
+    .sort((left, right) => right - left);
+  const candidate = matched[quorumSize(voters.length) - 1] ?? 0;
+  if (termAt(state, candidate) !== state.currentTerm) return [];
+  return commitUpTo(state, candidate);
+}
+
+function commitUpTo<Command>(state: RaftState<Command>, index: number): RaftEffect<Command>[] {
+  if (index <= state.commitIndex) return [];
+  const applied: LogEntry<Command>[] = [];
+  for (let next = state.commitIndex + 1; next <= index; next += 1) {
+    const entry = entryAt(state, next);
+    if (entry) applied.push(entry);
+  }
+  state.commitIndex = index;
+  return [{ kind: 'apply', entries: applied }];
+}
+
+/** A round is confirmed once a quorum has answered it: no newer leader was elected before it. */
+function confirmRounds<Command>(state: RaftState<Command>): RaftEffect<Command>[] {
+  const voters = votersOf(state);
+  const rounds = voters
+    .map((voter) => {
+      if (voter === state.selfId) return state.round;
+      return countsForQuorum(state, voter) ? (state.progress.get(voter)?.confirmedRound ?? 0) : 0;
+    })
+    .sort((left, right) => right - left);
+  const confirmed = rounds[quorumSize(voters.length) - 1] ?? 0;
+  if (confirmed <= state.confirmedRound) return [];
+  const startedAtMs = state.roundStartsMs.get(confirmed);
+  state.confirmedRound = confirmed;
+  for (const round of state.roundStartsMs.keys()) {
+    if (round <= confirmed) state.roundStartsMs.delete(round);
+  }
+  if (startedAtMs === undefined) return [];
+  return [{ kind: 'round-confirmed', round: confirmed, startedAtMs }];
+}
--- /dev/null
+++ b/packages/core/src/control-state/control-state.ts
@@ -0,0 +1,250 @@
+/** The replicated state machine of control: a plain reducer over committed commands. */
+import { match } from 'ts-pattern';
+import { checkSetting, isInSubtree } from '../settings/paths.js';
+import type { GroupName } from '../types/ids.js';
+import type {
+  ApplyResult,
+  ControlCommand,
+  ControlRecord,
+  GroupRecord,
+  HistoryItem,
+  RememberedOperation,
+  SettingChange,
+  StoredRecord,
+} from './types.js';
+import { assignmentOf, groupRecordOf, operatorSetting, settingAt } from './views.js';
+
+/** Results of operations are kept this long, so that a late resend gets its first answer. */
+const OPERATION_MEMORY_MS = 30 * 24 * 60 * 60 * 1000;
+const HISTORY_LIMIT = 5_000;
+const MAX_CHANGES_PER_APPLY = 1_000;
+
+/** The operator name of the bootstrap token in the members' settings files: the whole tree. */
+export const BOOTSTRAP_OPERATOR = 'bootstrap';
+
+export interface ControlState {
+  appliedIndex: number;
+  settingsRevision: number;
+  readonly records: Map<string, StoredRecord>;
+  readonly operations: Map<string, RememberedOperation>;
+  history: HistoryItem[];
+}
+
+export function createControlState(): ControlState {
+  return {
+    appliedIndex: 0,
+    settingsRevision: 0,
+    records: new Map(),
+    operations: new Map(),
+    history: [],
+  };
+}
+
+/**
+ * Applies one committed command. Every member computes the same result from the same log.
+ *
+ * @param index log index of the command; becomes the revision of an accepted settings change
+ * @example
+ * applyCommand(state, 12, { kind: 'group/observe', group, server });
+ */
+export function applyCommand(
+  state: ControlState,
+  index: number,
+  command: ControlCommand,
+): ApplyResult {
+  state.appliedIndex = index;
+  return match(command)
+    .returnType<ApplyResult>()
+    .with({ kind: 'settings/apply' }, (apply) => applySettingsOnce(state, index, apply))
+    .with({ kind: 'owner/assign' }, (assign) => applyAssign(state, index, assign))
+    .with({ kind: 'group/observe' }, ({ group, server }) => {
+      const record = groupRecordOf(state, group);
+      if (record.servers.includes(server)) return { kind: 'done' };
+      return putGroup(state, index, { ...record, servers: [...record.servers, server] });
+    })
+    .with({ kind: 'group/forget' }, ({ group, server }) => {
+      const record = groupRecordOf(state, group);
+      if (record.primary === server) {
+        return { kind: 'superseded', reason: 'the server is the primary of its group' };
+      }
+      const servers = record.servers.filter((known) => known !== server);
+      return putGroup(state, index, { ...record, servers });
+    })
+    .with({ kind: 'primary/propose' }, (propose) => applyPropose(state, index, propose))
+    .with({ kind: 'primary/commit' }, (commit) => applyPrimary(state, index, commit))
+    .exhaustive();
+}
+
+type CommandOf<Kind extends ControlCommand['kind']> = Extract<ControlCommand, { kind: Kind }>;
+
+function applySettingsOnce(
+  state: ControlState,
+  index: number,
+  command: CommandOf<'settings/apply'>,
+): ApplyResult {
+  forgetOldOperations(state, command.wallClockMs);
+  const fingerprint = JSON.stringify([command.operator, command.baseRevision, command.changes]);
+  const known = state.operations.get(command.operationId);
+  if (known) {
+    if (known.fingerprint === fingerprint) return known.result;
+    return { kind: 'rejected', path: '', reason: 'operation id was used for another change' };
+  }
+  const result = applySettings(state, index, command);
+  const { wallClockMs } = command;
+  state.operations.set(command.operationId, { result, fingerprint, wallClockMs });
+  return result;
+}
+
+function applySettings(
+  state: ControlState,
+  index: number,
+  command: CommandOf<'settings/apply'>,
+): ApplyResult {
+  const problem = findProblem(state, command);
+  if (problem) return problem;
+  const isStale = command.baseRevision !== null && command.baseRevision !== state.settingsRevision;
+  const paths = command.changes.map((change) => change.path);
+  if (isStale) {
+    return { kind: 'conflict', revision: state.settingsRevision, current: readPaths(state, paths) };
+  }
+  const previous = readPaths(state, paths);
+  for (const { path, value } of command.changes) {
+    const record: ControlRecord =
+      value === null ? { kind: 'removed' } : { kind: 'setting', path, value };
+    putRecord(state, index, `settings/${path}`, record);
+  }
+  state.settingsRevision = index;
+  const { operator, operationId, wallClockMs, changes } = command;
+  state.history.push({ revision: index, operator, operationId, wallClockMs, changes, previous });
+  if (state.history.length > HISTORY_LIMIT) state.history = state.history.slice(-HISTORY_LIMIT);
+  return { kind: 'accepted', revision: index };
+}
+
+function findProblem(
+  state: ControlState,
+  command: CommandOf<'settings/apply'>,
+): ApplyResult | undefined {
+  const { changes, operator } = command;
+  if (changes.length === 0) return { kind: 'rejected', path: '', reason: 'no changes given' };
+  if (changes.length > MAX_CHANGES_PER_APPLY) {
+    const reason = `more than ${MAX_CHANGES_PER_APPLY} changes at once`;
+    return { kind: 'rejected', path: '', reason };
+  }
+  for (const { path, value } of changes) {
+    if (!mayChange(state, operator, path)) {
+      const reason = `operator ${operator} does not own this subtree`;
+      return { kind: 'rejected', path, reason };
+    }
+    const rejection = checkChange(state, path, value, changes);
+    if (rejection !== undefined) return { kind: 'rejected', path, reason: rejection };
+  }
+  return undefined;
+}
+
+function checkChange(
+  state: ControlState,
+  path: string,
+  value: unknown,
+  changes: readonly SettingChange[],
+): string | undefined {
+  if (value === null) {
+    return settingAt(state, path) === undefined ? 'nothing stands at this path' : undefined;
+  }
+  const checked = checkSetting(path, value);
+  if (checked.isLeft())
+    return checked
+      .swap()
+      .map((problem) => problem.reason)
+      .extract() as string;
+  const customer = /^keys\/([^/]+)\//.exec(path)?.[1];
+  if (customer === undefined) return undefined;
+  const isCreated = changes.some(
+    (change) => change.path === `customers/${customer}` && change.value !== null,
+  );
+  if (isCreated || settingAt(state, `customers/${customer}`) !== undefined) return undefined;
+  return `customer ${customer} does not exist`;
+}
+
+function mayChange(state: ControlState, operator: string, path: string): boolean {
+  if (operator === BOOTSTRAP_OPERATOR) return true;
+  const setting = operatorSetting(state, operator);
+  return setting?.subtrees.some((prefix) => isInSubtree(path, prefix)) ?? false;
+}
+
+function readPaths(state: ControlState, paths: readonly string[]): SettingChange[] {
+  return paths.map((path) => ({ path, value: settingAt(state, path) ?? null }));
+}
+
+function applyAssign(
+  state: ControlState,
+  index: number,
+  command: CommandOf<'owner/assign'>,
+): ApplyResult {
+  const { assignment } = command;
+  const current = assignmentOf(state, assignment.resource);
+  if (assignment.epoch !== (current?.epoch ?? 0) + 1) {
+    return { kind: 'superseded', reason: 'the resource was assigned meanwhile' };
+  }
+  putRecord(state, index, assignment.resource, { kind: 'assignment', assignment });
+  return { kind: 'done' };
+}
+
+function applyPropose(
+  state: ControlState,
+  index: number,
+  command: CommandOf<'primary/propose'>,
+): ApplyResult {
+  const rejection = checkOwnerEpoch(state, command.group, command.ownerEpoch);
+  if (rejection) return rejection;
+  const record = groupRecordOf(state, command.group);
+  if (command.term <= record.proposedTerm) {
+    return { kind: 'superseded', reason: `term ${record.proposedTerm} was proposed already` };
+  }
+  return putGroup(state, index, { ...record, proposedTerm: command.term });
+}
+
+function applyPrimary(
+  state: ControlState,
+  index: number,
+  command: CommandOf<'primary/commit'>,
+): ApplyResult {
+  const rejection = checkOwnerEpoch(state, command.group, command.ownerEpoch);
+  if (rejection) return rejection;
+  const record = groupRecordOf(state, command.group);
+  const { term, server } = command;
+  const isFirst = record.primary === undefined && record.proposedTerm === 0;
+  if (!isFirst && term !== record.proposedTerm) {
+    return { kind: 'superseded', reason: `term ${record.proposedTerm} is the one under way` };
+  }
+  if (record.term === term && record.primary !== server) {
+    return { kind: 'superseded', reason: `term ${term} has a primary already` };
+  }
+  const servers = record.servers.includes(server) ? record.servers : [...record.servers, server];
+  return putGroup(state, index, { ...record, servers, term, proposedTerm: term, primary: server });
+}
+
+function checkOwnerEpoch(
+  state: ControlState,
+  group: GroupName,
+  ownerEpoch: number,
+): ApplyResult | undefined {
+  const epoch = assignmentOf(state, `group/${group}`)?.epoch ?? 0;
+  if (epoch === ownerEpoch) return undefined;
+  return { kind: 'superseded', reason: `owner epoch ${ownerEpoch} is over, ${epoch} holds` };
+}
+
+function putGroup(state: ControlState, index: number, record: GroupRecord): ApplyResult {
+  putRecord(state, index, `groups/${record.group}`, { kind: 'group', record });
+  return { kind: 'done' };
+}
+
+function putRecord(state: ControlState, index: number, key: string, record: ControlRecord): void {
+  state.records.set(key, { record, modifiedIndex: index });
+}
+
+function forgetOldOperations(state: ControlState, nowWallClockMs: number): void {
+  for (const [id, operation] of state.operations) {
+    if (nowWallClockMs - operation.wallClockMs < OPERATION_MEMORY_MS) return;
+    state.operations.delete(id);
+  }
+}
--- /dev/null
+++ b/packages/core/src/failover/failover.ts
@@ -0,0 +1,311 @@
+/**
+ * The change of primary as a plain function of state, event and context. The group's owner runs it:
+ * suspicion, a term proposed through control, a fence at a quorum, the longest log, promotion.
+ */
+import { match } from 'ts-pattern';
+import type { GroupRecord } from '../control-state/types.js';
+import { coverQuorum } from '../confirm/quorum-cover.js';
+import type { ServerName } from '../types/ids.js';
+import { comparePositions, coversMark } from '../types/position.js';
+import type { Announcement, FencePromise } from '../types/target.js';
+import type {
+  FailoverContext,
+  FailoverEffect,
+  FailoverEvent,
+  FailoverPhase,
+  FailoverState,
+  ProbeResult,
+} from './types.js';
+
+/** Refused connections in a row that prove a primary dead. */
+const REFUSALS_FOR_PROOF = 2;
+/** How long a group without any primary is watched before the system chooses one, in milliseconds. */
+const ADOPTION_PATIENCE_MS = 3_000;
+
+/** Starts from what control has recorded: a change left half-way by an earlier owner is run anew. */
+export function createFailoverState(record: GroupRecord, nowMs: number): FailoverState {
+  const phase: FailoverPhase =
+    record.primary === undefined && record.proposedTerm === 0
+      ? { kind: 'adopting', sinceMs: nowMs }
+      : { kind: 'steady' };
+  return { phase, failingSinceMs: undefined, refusedCount: 0, followSentMs: new Map() };
+}
+
+/** Tells whether writes may be routed to the recorded primary. */
+export function acceptsWrites(state: FailoverState, record: GroupRecord): boolean {
+  return state.phase.kind === 'steady' && record.proposedTerm === record.term;
+}
+
+/**
+ * Advances the change of primary by one event and returns the commands to send.
+ *
+ * @example
+ * const effects = stepFailover(state, { kind: 'probed', result: 'refused' }, context);
+ */
+export function stepFailover(
+  state: FailoverState,
+  event: FailoverEvent,
+  context: FailoverContext,
+): FailoverEffect[] {
+  return match(event)
+    .returnType<FailoverEffect[]>()
+    .with({ kind: 'tick' }, () => handleTick(state, context))
+    .with({ kind: 'probed' }, ({ result }) => handleProbe(state, result, context))
+    .with({ kind: 'proposed' }, ({ term, isAccepted }) =>
+      handleProposed(state, term, isAccepted, context),
+    )
+    .with({ kind: 'promised' }, ({ promise }) => handlePromise(state, promise, context))
+    .with({ kind: 'committed' }, ({ term, isAccepted }) =>
+      handleCommitted(state, term, isAccepted, context),
+    )
+    .exhaustive();
+}
+
+function handleTick(state: FailoverState, context: FailoverContext): FailoverEffect[] {
+  const { phase } = state;
+  return match(phase)
+    .returnType<FailoverEffect[]>()
+    .with({ kind: 'adopting' }, ({ sinceMs }) => adoptPrimary(state, sinceMs, context))
+    .with({ kind: 'steady' }, () => watchSteady(state, context))
+    .with({ kind: 'draining' }, ({ sinceMs }) => watchDrain(state, sinceMs, context))
+    .with({ kind: 'proposing' }, ({ sentAtMs, term }) =>
+      isResendDue(sentAtMs, context) ? startChange(state, term, context) : [],
+    )
+    .with({ kind: 'fencing' }, (fencing) => {
+      if (!isResendDue(fencing.sentAtMs, context)) return [];
+      state.phase = { ...fencing, sentAtMs: context.nowMs };
+      return fenceAll(fencing.term, fencing.promises, context);
+    })
+    .with({ kind: 'committing' }, (committing) => {
+      if (!isResendDue(committing.sentAtMs, context)) return [];
+      state.phase = { ...committing, sentAtMs: context.nowMs };
+      return [{ kind: 'commit', term: committing.term, server: committing.server }];
+    })
+    .with({ kind: 'promoting' }, (promoting) => watchPromotion(state, promoting, context))
+    .exhaustive();
+}
+
+function isResendDue(sentAtMs: number, context: FailoverContext): boolean {
+  return context.nowMs - sentAtMs >= context.timing.resendMs;
+}
+
+function adoptPrimary(
+  state: FailoverState,
+  sinceMs: number,
+  context: FailoverContext,
+): FailoverEffect[] {
+  const { nowMs } = context;
+  const [claimant] = announcementsOf(context)
+    .filter((announcement) => announcement.role === 'primary')
+    .sort((left, right) => right.term - left.term);
+  if (claimant) {
+    const { term, server } = claimant;
+    state.phase = { kind: 'committing', term, server, sentAtMs: nowMs };
+    return [{ kind: 'commit', term, server }];
+  }
+  const isPatient = nowMs - sinceMs < ADOPTION_PATIENCE_MS;
+  if (isPatient || context.view.servers.size < 2) return [];
+  return startChange(state, 1, context);
+}
+
+function watchSteady(state: FailoverState, context: FailoverContext): FailoverEffect[] {
+  const { record, view, nowMs } = context;
+  if (record.proposedTerm > record.term)
+    return startChange(state, record.proposedTerm + 1, context);
+  if (record.primary === undefined) {
+    state.phase = { kind: 'adopting', sinceMs: nowMs };
+    return [];
+  }
+  const primary = view.servers.get(record.primary)?.announcement;
+  const hasLostRole = primary?.role === 'replica' && primary.term >= record.term;
+  if (hasLostRole) return startChange(state, record.term + 1, context);
+  if (primary?.isLeaving === true && replacements(context).length > 0) {
+    state.phase = { kind: 'draining', sinceMs: nowMs };
+    return [];
+  }
+  if (isPrimaryLost(state, context)) return startChange(state, record.term + 1, context);
+  return followLaggards(state, record.primary, context);
+}
+
+function isPrimaryLost(state: FailoverState, context: FailoverContext): boolean {
+  const { failingSinceMs } = state;
+  if (failingSinceMs === undefined) return false;
+  if (state.refusedCount >= REFUSALS_FOR_PROOF) return true;
+  return context.nowMs - failingSinceMs >= context.timing.suspectAfterMs;
+}
+
+/** Servers that still follow an older term, or claim a role they no longer have, are told to follow. */
+function followLaggards(
+  state: FailoverState,
+  primary: ServerName,
+  context: FailoverContext,
+): FailoverEffect[] {
+  const { record, nowMs } = context;
+  const effects: FailoverEffect[] = [];
+  for (const { server, term, role } of announcementsOf(context)) {
+    if (server === primary) continue;
+    if (term >= record.term && role === 'replica') continue;
+    const sentAtMs = state.followSentMs.get(server) ?? Number.NEGATIVE_INFINITY;
+    if (!isResendDue(sentAtMs, context)) continue;
+    state.followSentMs.set(server, nowMs);
+    effects.push({ kind: 'follow', server, term: record.term, primary });
+  }
+  return effects;
+}
+
+function watchDrain(
+  state: FailoverState,
+  sinceMs: number,
+  context: FailoverContext,
+): FailoverEffect[] {
+  const { record, view, nowMs, timing } = context;
+  const primary = record.primary && view.servers.get(record.primary)?.announcement;
+  if (!primary?.isLeaving && !isPrimaryLost(state, context)) {
+    state.phase = { kind: 'steady' };
+    return [];
+  }
+  const isCaughtUp =
+    primary !== undefined &&
+    context.runningWrites === 0 &&
+    replacements(context).some(({ position }) => coversMark(position, primary.position));
+  const isOverdue = nowMs - sinceMs >= timing.drainTimeoutMs;
+  if (!isCaughtUp && !isOverdue) return [];
+  return startChange(state, record.term + 1, context);
+}
+
+function replacements(context: FailoverContext): Announcement[] {
+  const { record } = context;
+  return announcementsOf(context).filter(
+    ({ server, isLeaving, term }) =>
+      server !== record.primary && !isLeaving && term === record.term,
+  );
+}
+
+function startChange(
+  state: FailoverState,
+  term: number,
+  context: FailoverContext,
+): FailoverEffect[] {
+  const next = Math.max(term, context.record.proposedTerm + 1);
+  state.phase = { kind: 'proposing', term: next, sentAtMs: context.nowMs };
+  return [{ kind: 'propose', term: next }];
+}
+
+function handleProbe(
+  state: FailoverState,
+  result: ProbeResult,
+  context: FailoverContext,
+): FailoverEffect[] {
+  if (result === 'answered') {
+    state.failingSinceMs = undefined;
+    state.refusedCount = 0;
+    return [];
+  }
+  state.failingSinceMs ??= context.nowMs;
+  state.refusedCount = result === 'refused' ? state.refusedCount + 1 : 0;
+  return handleTick(state, context);
+}
+
+function handleProposed(
+  state: FailoverState,
+  term: number,
+  isAccepted: boolean,
+  context: FailoverContext,
+): FailoverEffect[] {
+  if (state.phase.kind !== 'proposing' || state.phase.term !== term) return [];
+  if (!isAccepted) {
+    state.phase = { kind: 'steady' };
+    return [];
+  }
+  state.phase = { kind: 'fencing', term, promises: new Map(), sentAtMs: context.nowMs };
+  return fenceAll(term, new Map(), context);
+}
+
+function fenceAll(
+  term: number,
+  promises: ReadonlyMap<ServerName, FencePromise>,
+  context: FailoverContext,
+): FailoverEffect[] {
+  return context.record.servers
+    .filter((server) => context.view.servers.has(server) && !promises.has(server))
+    .map((server) => ({ kind: 'fence', server, term }));
+}
+
+function handlePromise(
+  state: FailoverState,
+  promise: FencePromise,
+  context: FailoverContext,
+): FailoverEffect[] {
+  const { phase } = state;
+  if (phase.kind !== 'fencing') return [];
+  if (promise.promisedTerm > phase.term)
+    return startChange(state, promise.promisedTerm + 1, context);
+  if (promise.promisedTerm !== phase.term) return [];
+  if (!context.record.servers.includes(promise.server)) return [];
+  const promises = new Map(phase.promises).set(promise.server, promise);
+  state.phase = { ...phase, promises };
+  if (promises.size < coverQuorum(context.record.servers.length)) return [];
+  const chosen = choosePrimary([...promises.values()], context);
+  if (!chosen) return [];
+  const { term } = phase;
+  state.phase = { kind: 'committing', term, server: chosen, sentAtMs: context.nowMs };
+  return [{ kind: 'commit', term, server: chosen }];
+}
+
+/** The longest log wins; among equals one that stays, then by name, so that the choice is stable. */
+function choosePrimary(
+  promises: readonly FencePromise[],
+  context: FailoverContext,
+): ServerName | undefined {
+  const isLeaving = (server: ServerName) =>
+    context.view.servers.get(server)?.announcement.isLeaving === true ? 1 : 0;
+  const ranked = [...promises].sort(
+    (left, right) =>
+      comparePositions(right.position, left.position) ||
+      isLeaving(left.server) - isLeaving(right.server) ||
+      (left.server < right.server ? -1 : 1),
+  );
+  return ranked[0]?.server;
+}
+
+function handleCommitted(
+  state: FailoverState,
+  term: number,
+  isAccepted: boolean,
+  context: FailoverContext,
+): FailoverEffect[] {
+  const { phase } = state;
+  if (phase.kind !== 'committing' || phase.term !== term) return [];
+  if (!isAccepted) {
+    state.phase = { kind: 'steady' };
+    return [];
+  }
+  const { nowMs } = context;
+  const { server } = phase;
+  state.phase = { kind: 'promoting', term, server, sinceMs: nowMs, sentAtMs: nowMs };
+  return [{ kind: 'promote', server, term }];
+}
+
+function watchPromotion(
+  state: FailoverState,
+  promoting: Extract<FailoverPhase, { kind: 'promoting' }>,
+  context: FailoverContext,
+): FailoverEffect[] {
+  const { term, server, sinceMs, sentAtMs } = promoting;
+  const { nowMs, timing } = context;
+  const announcement = context.view.servers.get(server)?.announcement;
+  if (announcement?.role === 'primary' && announcement.term === term) {
+    state.phase = { kind: 'steady' };
+    state.failingSinceMs = undefined;
+    state.refusedCount = 0;
+    return followLaggards(state, server, context);
+  }
+  if (nowMs - sinceMs >= timing.promoteTimeoutMs) return startChange(state, term + 1, context);
+  if (nowMs - sentAtMs < timing.resendMs) return [];
+  state.phase = { ...promoting, sentAtMs: nowMs };
+  return [{ kind: 'promote', server, term }];
+}
+
+function announcementsOf(context: FailoverContext): Announcement[] {
+  return [...context.view.servers.values()].map((server) => server.announcement);
+}
--- /dev/null
+++ b/packages/core/src/lease/entry-leases.ts
@@ -0,0 +1,131 @@
+/**
+ * Leases of entries, as the control leader sees them: one lease for each incarnation covers every
+ * resource assigned to it, so that renewals do not grow with the number of groups and customers.
+ */
+import type { Assignment } from '../control-state/types.js';
+import type { EntryId, Incarnation } from '../types/ids.js';
+
+export interface LeaseTiming {
+  readonly leaseMs: number;
+  /** Added before a resource is given to another entry, for clocks that run at different speeds. */
+  readonly driftMarginMs: number;
+}
+
+export interface EntryLease {
+  readonly entryId: EntryId;
+  readonly incarnation: Incarnation;
+  readonly linkAddress: string;
+  readonly zone: string;
+  readonly isStopping: boolean;
+  readonly settingsRevision: number;
+  readonly expiresAtMs: number;
+}
+
+export interface EntryLeases {
+  readonly timing: LeaseTiming;
+  readonly leaderSinceMs: number;
+  readonly leases: Map<Incarnation, EntryLease>;
+  /** Incarnations known to be over: proven dead, expired, or stopped after handing over. */
+  readonly ended: Set<Incarnation>;
+}
+
+/** Starts with no knowledge: a new leader waits out what earlier leaders may have granted. */
+export function createEntryLeases(timing: LeaseTiming, leaderSinceMs: number): EntryLeases {
+  return { timing, leaderSinceMs, leases: new Map(), ended: new Set() };
+}
+
+/**
+ * Records a renewal; the lease runs from `nowMs`, the time of the leader's answer. An incarnation
+ * that has ended stays so: its process has to come back under a new one.
+ */
+export function renewLease(
+  state: EntryLeases,
+  renewal: Omit<EntryLease, 'expiresAtMs'>,
+  nowMs: number,
+): 'renewed' | 'ended' {
+  if (state.ended.has(renewal.incarnation)) return 'ended';
+  endEarlierAtAddress(state, renewal);
+  const expiresAtMs = nowMs + state.timing.leaseMs;
+  state.leases.set(renewal.incarnation, { ...renewal, expiresAtMs });
+  return 'renewed';
+}
+
+/** Only one process can be bound to an address, so earlier incarnations there are over. */
+function endEarlierAtAddress(state: EntryLeases, renewal: Omit<EntryLease, 'expiresAtMs'>): void {
+  if (state.leases.has(renewal.incarnation)) return;
+  for (const lease of state.leases.values()) {
+    if (lease.linkAddress === renewal.linkAddress) endIncarnation(state, lease.incarnation);
+  }
+}
+
+/** Records that an incarnation can neither run nor acknowledge anything any more. */
+export function endIncarnation(state: EntryLeases, incarnation: Incarnation): void {
+  state.ended.add(incarnation);
+  state.leases.delete(incarnation);
+}
+
+/** Tells whether the holder of an assignment may still act on it. */
+export function mayHolderAct(state: EntryLeases, assignment: Assignment, nowMs: number): boolean {
+  if (state.ended.has(assignment.incarnation)) return false;
+  const lease = state.leases.get(assignment.incarnation);
+  const { leaseMs, driftMarginMs } = state.timing;
+  if (lease) return nowMs < lease.expiresAtMs + driftMarginMs;
+  return nowMs < state.leaderSinceMs + leaseMs + driftMarginMs;
+}
+
+/** Ends every incarnation whose lease has run out, margin included. Returns the ended ones. */
+export function endExpiredLeases(state: EntryLeases, nowMs: number): Incarnation[] {
+  const expired = [...state.leases.values()]
+    .filter((lease) => nowMs >= lease.expiresAtMs + state.timing.driftMarginMs)
+    .map((lease) => lease.incarnation);
+  for (const incarnation of expired) endIncarnation(state, incarnation);
+  return expired;
+}
+
+/** Entries that can take on a resource now. */
+export function liveEntries(state: EntryLeases, nowMs: number): EntryLease[] {
+  return [...state.leases.values()].filter(
+    (lease) => nowMs < lease.expiresAtMs && !lease.isStopping,
+  );
+}
+
+/**
+ * Chooses the entry for a resource: the wanted zone first, then the one with the fewest resources.
+ *
+ * @example
+ * chooseHolder(leases, listAssignments(state), { zone: 'erdenet-a', excluded: undefined }, nowMs);
+ */
+export function chooseHolder(
+  state: EntryLeases,
+  assignments: readonly Assignment[],
+  wish: { readonly zone: string | undefined; readonly excluded: Incarnation | undefined },
+  nowMs: number,
+): EntryLease | undefined {
+  const held = new Map<Incarnation, number>();
+  for (const { incarnation } of assignments)
+    held.set(incarnation, (held.get(incarnation) ?? 0) + 1);
+  const candidates = liveEntries(state, nowMs).filter(
+    (lease) => lease.incarnation !== wish.excluded,
+  );
+  const zoneRank = (lease: EntryLease) => (lease.zone === wish.zone ? 0 : 1);
+  return candidates.sort(
+    (left, right) =>
+      zoneRank(left) - zoneRank(right) ||
+      (held.get(left.incarnation) ?? 0) - (held.get(right.incarnation) ?? 0) ||
+      (left.entryId < right.entryId ? -1 : 1),
+  )[0];
+}
+
+/**
+ * Resources whose holder is over. The holders are marked as ended at the same time, so that none of
+ * them can renew its lease while the reassignment is still on its way through the log.
+ */
+export function takeOrphans(
+  state: EntryLeases,
+  assignments: readonly Assignment[],
+  nowMs: number,
+): Assignment[] {
+  const orphans = assignments.filter((assignment) => !mayHolderAct(state, assignment, nowMs));
+  for (const { incarnation } of orphans) endIncarnation(state, incarnation);
+  return orphans;
+}
--- /dev/null
+++ b/packages/core/src/queue/fair-queue.ts
@@ -0,0 +1,184 @@
+/**
+ * Queue of requests at a group's owner, shared fairly between customers by measured slot time.
+ *
+ * Each customer has a virtual time that grows by the slot time it was given. The customer with the
+ * lowest virtual time goes next. One that comes back after a pause starts at the time of those that
+ * are being served, so a pause earns no credit, and a debt is kept.
+ */
+import type { CustomerName } from '../types/ids.js';
+
+export interface QueuedItem<Item> {
+  readonly item: Item;
+  readonly customer: CustomerName;
+  deadlineMs: number;
+}
+
+interface CustomerQueue<Item> {
+  readonly customer: CustomerName;
+  virtualMs: number;
+  runningCount: number;
+  /** Estimated slot time of one request, charged ahead and corrected when it ends. */
+  estimateMs: number;
+  lastActiveMs: number;
+  items: QueuedItem<Item>[];
+}
+
+export interface FairQueue<Item> {
+  readonly maxWaitingPerCustomer: number;
+  readonly customers: Map<CustomerName, CustomerQueue<Item>>;
+  virtualMs: number;
+}
+
+/** Slot time assumed for a customer that was never measured, in milliseconds. */
+const INITIAL_ESTIMATE_MS = 1;
+/** Weight of the newest measurement in the estimate. */
+const ESTIMATE_GAIN = 0.2;
+/** Customers with nothing waiting or running are forgotten after this time, in milliseconds. */
+const FORGET_AFTER_MS = 60_000;
+
+export function createFairQueue<Item>(maxWaitingPerCustomer: number): FairQueue<Item> {
+  return { maxWaitingPerCustomer, customers: new Map(), virtualMs: 0 };
+}
+
+/**
+ * Adds a request at the end of its customer's queue; refuses when that queue is full.
+ *
+ * @example
+ * enqueue(queue, { item, customer, deadlineMs: nowMs + 2_000 }, nowMs); // 'queued'
+ */
+export function enqueue<Item>(
+  queue: FairQueue<Item>,
+  queued: QueuedItem<Item>,
+  nowMs: number,
+): 'queued' | 'full' {
+  const customer = customerQueue(queue, queued.customer);
+  if (customer.items.length >= queue.maxWaitingPerCustomer) return 'full';
+  const isIdle = customer.items.length === 0 && customer.runningCount === 0;
+  if (isIdle) customer.virtualMs = Math.max(customer.virtualMs, queue.virtualMs);
+  customer.lastActiveMs = nowMs;
+  customer.items.push(queued);
+  return 'queued';
+}
+
+/**
+ * Takes the next request that `canStart` accepts: customers by virtual time, each in its own order.
+ * The customer is charged its estimate at once; {@link finish} corrects it.
+ */
+export function dequeue<Item>(
+  queue: FairQueue<Item>,
+  canStart: (item: Item, customer: CustomerName) => boolean,
+): QueuedItem<Item> | undefined {
+  const waiting = [...queue.customers.values()]
+    .filter((customer) => customer.items.length > 0)
+    .sort((left, right) => left.virtualMs - right.virtualMs);
+  for (const customer of waiting) {
+    const position = customer.items.findIndex(({ item }) => canStart(item, customer.customer));
+    if (position < 0) continue;
+    const [taken] = customer.items.splice(position, 1);
+    if (!taken) continue;
+    queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
+    customer.virtualMs += customer.estimateMs;
+    customer.runningCount += 1;
+    return taken;
+  }
+  return undefined;
+}
+
+/** Charges a request that was started without waiting in the queue, as those of open transactions. */
+export function startUnqueued<Item>(queue: FairQueue<Item>, customerName: CustomerName): void {
+  const customer = customerQueue(queue, customerName);
+  customer.virtualMs += customer.estimateMs;
+  customer.runningCount += 1;
+}
+
+/** Records the end of a request and replaces the charged estimate by the slot time it really took. */
+export function finish<Item>(
+  queue: FairQueue<Item>,
+  customerName: CustomerName,
+  usedMs: number,
+  nowMs: number,
+): void {
+  const customer = customerQueue(queue, customerName);
+  customer.runningCount = Math.max(0, customer.runningCount - 1);
+  customer.virtualMs += usedMs - customer.estimateMs;
+  customer.estimateMs += ESTIMATE_GAIN * (usedMs - customer.estimateMs);
+  customer.lastActiveMs = nowMs;
+}
+
+/** Removes and returns the requests whose deadline has passed: none of them was run. */
+export function takeExpired<Item>(queue: FairQueue<Item>, nowMs: number): QueuedItem<Item>[] {
+  const expired: QueuedItem<Item>[] = [];
+  for (const customer of queue.customers.values()) {
+    const isExpired = (queued: QueuedItem<Item>) => queued.deadlineMs <= nowMs;
+    if (!customer.items.some(isExpired)) continue;
+    expired.push(...customer.items.filter(isExpired));
+    customer.items = customer.items.filter((queued) => !isExpired(queued));
+  }
+  forgetIdleCustomers(queue, nowMs);
+  return expired;
+}
+
+/** Moves the deadlines of all waiting requests to `deadlineMs` at least, for example during a failover. */
+export function extendDeadlines<Item>(queue: FairQueue<Item>, deadlineMs: number): void {
+  for (const customer of queue.customers.values()) {
+    for (const queued of customer.items) {
+      queued.deadlineMs = Math.max(queued.deadlineMs, deadlineMs);
+    }
+  }
+}
+
+/** Removes and returns everything that waits and matches, for example when its caller went away. */
+export function removeWaiting<Item>(
+  queue: FairQueue<Item>,
+  isRemoved: (item: Item) => boolean,
+): QueuedItem<Item>[] {
+  const removed: QueuedItem<Item>[] = [];
+  for (const customer of queue.customers.values()) {
+    removed.push(...customer.items.filter(({ item }) => isRemoved(item)));
+    customer.items = customer.items.filter(({ item }) => !isRemoved(item));
+  }
+  return removed;
+}
+
+/** Number of waiting requests over all customers. */
+export function waitingCount<Item>(queue: FairQueue<Item>): number {
+  let count = 0;
+  for (const customer of queue.customers.values()) count += customer.items.length;
+  return count;
+}
+
+/** Tells whether any customer but `customer` was active since `sinceMs`. */
+export function hasOtherActive<Item>(
+  queue: FairQueue<Item>,
+  customer: CustomerName,
+  sinceMs: number,
+): boolean {
+  for (const other of queue.customers.values()) {
+    if (other.customer !== customer && other.lastActiveMs >= sinceMs) return true;
+  }
+  return false;
+}
+
+function customerQueue<Item>(queue: FairQueue<Item>, customer: CustomerName): CustomerQueue<Item> {
+  const known = queue.customers.get(customer);
+  if (known) return known;
+  const created: CustomerQueue<Item> = {
+    customer,
+    virtualMs: queue.virtualMs,
+    runningCount: 0,
+    estimateMs: INITIAL_ESTIMATE_MS,
+    lastActiveMs: Number.NEGATIVE_INFINITY,
+    items: [],
+  };
+  queue.customers.set(customer, created);
+  return created;
+}
+
+function forgetIdleCustomers<Item>(queue: FairQueue<Item>, nowMs: number): void {
+  for (const [name, customer] of queue.customers) {
+    const isBusy = customer.items.length > 0 || customer.runningCount > 0;
+    const hasDebt = customer.virtualMs > queue.virtualMs;
+    if (isBusy || hasDebt || nowMs - customer.lastActiveMs < FORGET_AFTER_MS) continue;
+    queue.customers.delete(name);
+  }
+}
--- /dev/null
+++ b/packages/core/src/route/choose-server.ts
@@ -0,0 +1,80 @@
+/** The routing decision: which server of a group a request goes to. */
+import type { ServerName } from '../types/ids.js';
+import { coversMark, type LogPosition } from '../types/position.js';
+import type { GroupView, ServerView } from './server-view.js';
+
+export type Intent = 'read' | 'write';
+
+export interface RouteRequest {
+  readonly intent: Intent;
+  /** The position that the answer must not be behind. */
+  readonly mark: LogPosition;
+  /** How stale a replica may be, in milliseconds; `null` when only the mark counts. */
+  readonly readAgeAllowanceMs: number | null;
+  readonly waitedMs: number;
+}
+
+/** The part of an owner's state that routing looks at. */
+export interface RouteContext {
+  readonly view: GroupView;
+  readonly primary: ServerName | undefined;
+  readonly term: number;
+  readonly nowMs: number;
+  /** Announcements older than this make a replica ineligible, in milliseconds. */
+  readonly staleAnnouncementMs: number;
+  /** How long a read waits for a replica to catch up before it goes to the primary. */
+  readonly replicaWaitMs: number;
+  readonly isUsable: (server: ServerName) => boolean;
+  readonly freeSlots: (server: ServerName) => number;
+}
+
+export type Route =
+  | { readonly kind: 'run'; readonly server: ServerName }
+  /** An eligible server exists, but its slots are taken or it is about to catch up. */
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'no-primary' };
+
+/**
+ * Chooses a server. Reads go to the replica with the most free slots among those that cover the mark
+ * and are fresh enough; lagging replicas are waited for briefly; then the primary serves.
+ *
+ * @example
+ * chooseServer({ intent: 'read', mark, readAgeAllowanceMs: null, waitedMs: 0 }, context);
+ */
+export function chooseServer(request: RouteRequest, context: RouteContext): Route {
+  if (request.intent === 'write') return routeToPrimary(context);
+  const replicas = [...context.view.servers.values()].filter((server) =>
+    isServingReplica(server, context),
+  );
+  const eligible = replicas.filter((server) => mayServeRead(server, request, context));
+  const free = eligible.filter(({ server }) => context.freeSlots(server) > 0);
+  const [best] = free.sort(
+    (left, right) => context.freeSlots(right.server) - context.freeSlots(left.server),
+  );
+  if (best) return { kind: 'run', server: best.server };
+  const isWorthWaiting = eligible.length > 0 || replicas.length > 0;
+  if (isWorthWaiting && request.waitedMs < context.replicaWaitMs) return { kind: 'wait' };
+  return routeToPrimary(context);
+}
+
+function routeToPrimary(context: RouteContext): Route {
+  const { primary } = context;
+  if (primary === undefined || !context.isUsable(primary)) return { kind: 'no-primary' };
+  if (context.freeSlots(primary) <= 0) return { kind: 'wait' };
+  return { kind: 'run', server: primary };
+}
+
+/** A replica serves only in the group's present term: an older one may hold writes that were lost. */
+function isServingReplica(server: ServerView, context: RouteContext): boolean {
+  const { announcement } = server;
+  if (server.server === context.primary || announcement.role !== 'replica') return false;
+  if (announcement.term !== context.term || announcement.isLeaving) return false;
+  if (context.nowMs - server.heardAtMs > context.staleAnnouncementMs) return false;
+  return context.isUsable(server.server);
+}
+
+function mayServeRead(server: ServerView, request: RouteRequest, context: RouteContext): boolean {
+  if (!coversMark(server.announcement.position, request.mark)) return false;
+  const allowanceMs = request.readAgeAllowanceMs;
+  return allowanceMs === null || context.nowMs - server.currentAtMs <= allowanceMs;
+}
--- /dev/null
+++ b/packages/core/src/route/server-view.ts
@@ -0,0 +1,78 @@
+/** What a group's owner knows of its servers from their announcements. */
+import type { Incarnation, ServerName } from '../types/ids.js';
+import { comparePositions, type LogPosition } from '../types/position.js';
+import type { Announcement } from '../types/target.js';
+
+export interface ServerView {
+  readonly server: ServerName;
+  announcement: Announcement;
+  heardAtMs: number;
+  /** Latest time at which this server was known to have all that the primary had. */
+  currentAtMs: number;
+}
+
+/** A primary position together with the time at which it was heard. */
+interface PrimarySample {
+  readonly heardAtMs: number;
+  readonly position: LogPosition;
+}
+
+export interface GroupView {
+  readonly servers: Map<ServerName, ServerView>;
+  primarySamples: PrimarySample[];
+}
+
+const MAX_PRIMARY_SAMPLES = 512;
+
+export function createGroupView(): GroupView {
+  return { servers: new Map(), primarySamples: [] };
+}
+
+/**
+ * Takes in an announcement. Late ones (same incarnation, lower sequence) are ignored.
+ *
+ * @returns whether the view has changed
+ */
+export function recordAnnouncement(
+  view: GroupView,
+  announcement: Announcement,
+  nowMs: number,
+): boolean {
+  const known = view.servers.get(announcement.server);
+  if (known && isOutdated(known.announcement, announcement)) return false;
+  const currentAtMs = known?.currentAtMs ?? Number.NEGATIVE_INFINITY;
+  const { server } = announcement;
+  view.servers.set(server, { server, announcement, heardAtMs: nowMs, currentAtMs });
+  if (announcement.role === 'primary') addPrimarySample(view, announcement.position, nowMs);
+  updateCurrency(view, server);
+  return true;
+}
+
+function isOutdated(known: Announcement, next: Announcement): boolean {
+  return known.incarnation === next.incarnation && next.sequence <= known.sequence;
+}
+
+function addPrimarySample(view: GroupView, position: LogPosition, nowMs: number): void {
+  view.primarySamples.push({ heardAtMs: nowMs, position });
+  if (view.primarySamples.length > MAX_PRIMARY_SAMPLES) view.primarySamples.shift();
+}
+
+/** A server is current as of the newest primary sample that its own position covers. */
+function updateCurrency(view: GroupView, server: ServerName): void {
+  const known = view.servers.get(server);
+  if (!known) return;
+  for (let index = view.primarySamples.length - 1; index >= 0; index -= 1) {
+    const sample = view.primarySamples[index];
+    if (!sample) continue;
+    if (comparePositions(known.announcement.position, sample.position) < 0) continue;
+    known.currentAtMs = Math.max(known.currentAtMs, sample.heardAtMs);
+    return;
+  }
+}
+
+/** Removes a server that has left or died for good. */
+export function forgetServer(view: GroupView, server: ServerName, incarnation: Incarnation): void {
+  if (view.servers.get(server)?.announcement.incarnation === incarnation) {
+    view.servers.delete(server);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/accept/startup.ts
@@ -0,0 +1,176 @@
+/** The opening of a caller's connection: encryption, cancel requests, key and group. */
+import type { Socket } from 'node:net';
+import { type SecureContext, TLSSocket } from 'node:tls';
+import {
+  brandAs,
+  type CustomerName,
+  type GroupName,
+  type Refusal,
+  refuse,
+} from '@bramleykeel/core';
+import {
+  buildCleartextPasswordRequest,
+  CLIENT,
+  createMessageFramer,
+  frameMessages,
+  type MessageFramer,
+  readStartupPacket,
+  readText,
+  type WireMessage,
+} from '@bramleykeel/postgres-wire';
+import type { AcceptedKey } from '../authenticate/key-index.js';
+import { buildRefusal } from './caller-output.js';
+
+/** What the entry knows about who may connect where. */
+export interface AccessRules {
+  readonly isKnownGroup: (group: GroupName) => boolean;
+  readonly hasFreshSettings: () => boolean;
+  readonly isKnownCustomer: (customer: CustomerName) => boolean;
+  readonly findKey: (customer: CustomerName, secret: string) => AcceptedKey | undefined;
+  /** The customer that callers without a key run as, if the group's route is open to all. */
+  readonly openCustomer: (group: GroupName) => CustomerName | undefined;
+}
+
+export interface Admitted {
+  readonly socket: Socket;
+  readonly framer: MessageFramer;
+  readonly customer: CustomerName;
+  readonly group: GroupName;
+  readonly key: AcceptedKey | undefined;
+  readonly parameters: ReadonlyMap<string, string>;
+}
+
+export type StartupOutcome =
+  | { readonly kind: 'admitted'; readonly admitted: Admitted }
+  | { readonly kind: 'cancel'; readonly processId: number; readonly secretKey: number }
+  | { readonly kind: 'refused'; readonly refusal: Refusal }
+  | { readonly kind: 'gone' };
+
+export interface StartupOptions {
+  readonly secureContext: SecureContext | undefined;
+  readonly maxMessageBytes: number;
+  readonly timeoutMs: number;
+  readonly rules: AccessRules;
+}
+
+/** Time before a wrong key is answered, so that guessing is slow. */
+const WRONG_KEY_DELAY_MS = 100;
+const ENCRYPTION_ACCEPTED = 'S';
+const ENCRYPTION_REFUSED = 'N';
+
+/** Runs the startup of one connection to its outcome. A refused caller has been told already. */
+export async function runStartup(
+  plainSocket: Socket,
+  options: StartupOptions,
+): Promise<StartupOutcome> {
+  let socket = plainSocket;
+  let framer = createMessageFramer(options.maxMessageBytes, true);
+  const timer = setTimeout(() => plainSocket.destroy(), options.timeoutMs);
+  try {
+    for (;;) {
+      const first = await readMessage(socket, framer);
+      if (!first) return { kind: 'gone' };
+      const packet = readStartupPacket(first);
+      switch (packet.kind) {
+        case 'ssl-request':
+          if (!options.secureContext) {
+            socket.write(ENCRYPTION_REFUSED);
+            break;
+          }
+          socket.write(ENCRYPTION_ACCEPTED);
+          socket = new TLSSocket(socket, { isServer: true, secureContext: options.secureContext });
+          socket.on('error', () => undefined);
+          framer = createMessageFramer(options.maxMessageBytes, true);
+          break;
+        case 'gss-request':
+          socket.write(ENCRYPTION_REFUSED);
+          break;
+        case 'cancel':
+          socket.end();
+          return packet;
+        case 'malformed':
+          return refuseStartup(socket, refuse('bad-startup'));
+        case 'startup':
+          framer.isStartup = false;
+          return await authenticate(socket, framer, packet.parameters, options.rules);
+      }
+    }
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+async function authenticate(
+  socket: Socket,
+  framer: MessageFramer,
+  parameters: ReadonlyMap<string, string>,
+  rules: AccessRules,
+): Promise<StartupOutcome> {
+  const customer = brandAs<CustomerName>(parameters.get('user') ?? '');
+  const group = brandAs<GroupName>(parameters.get('database') ?? customer);
+  const encoding = parameters.get('client_encoding') ?? 'UTF8';
+  if (!/^'?utf-?8'?$/i.test(encoding)) {
+    return refuseStartup(socket, refuse('bad-startup', 'only client_encoding UTF8 is supported'));
+  }
+  const openCustomer = rules.openCustomer(group);
+  if (openCustomer !== undefined && !rules.isKnownCustomer(customer)) {
+    return admitted({ socket, framer, customer: openCustomer, group, key: undefined, parameters });
+  }
+  socket.write(buildCleartextPasswordRequest());
+  const answer = await readMessage(socket, framer);
+  if (!answer) return { kind: 'gone' };
+  if (answer.type !== CLIENT.password) return refuseStartup(socket, refuse('bad-startup'));
+  if (!rules.hasFreshSettings()) return refuseStartup(socket, refuse('settings-lease-expired'));
+  const key = rules.findKey(customer, readText(answer));
+  if (!key) {
+    await delay(WRONG_KEY_DELAY_MS);
+    return refuseStartup(socket, refuse('key-rejected'));
+  }
+  if (!rules.isKnownGroup(group)) return refuseStartup(socket, refuse('unknown-group', group));
+  return admitted({ socket, framer, customer, group, key, parameters });
+}
+
+function admitted(value: Admitted): StartupOutcome {
+  return { kind: 'admitted', admitted: value };
+}
+
+function refuseStartup(socket: Socket, refusal: Refusal): StartupOutcome {
+  socket.end(buildRefusal(refusal, true));
+  return { kind: 'refused', refusal };
+}
+
+/** Reads one message; bytes behind it stay in the framer. */
+function readMessage(socket: Socket, framer: MessageFramer): Promise<WireMessage | undefined> {
+  return new Promise((resolve) => {
+    const finish = (message: WireMessage | undefined) => {
+      socket.off('data', take);
+      socket.off('close', gone);
+      socket.pause();
+      resolve(message);
+    };
+    const gone = () => {
+      finish(undefined);
+    };
+    const take = (chunk: Buffer) => {
+      const framed = frameMessages(framer, chunk);
+      if (framed.kind !== 'messages') {
+        socket.destroy();
+        finish(undefined);
+        return;
+      }
+      const [first, ...others] = framed.messages;
+      if (!first) return;
+      const rest = [...others.map(({ frame }) => frame), framer.rest];
+      framer.rest = Buffer.concat(rest);
+      finish(first);
+    };
+    socket.on('data', take);
+    socket.on('close', gone);
+    socket.resume();
+    if (framer.rest.length > 0) take(Buffer.alloc(0));
+  });
+}
+
+function delay(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The entry daemon: callers in front, owners of database groups behind. */
+export * from './entry-daemon.js';
--- /dev/null
+++ b/packages/entry/src/owner/failover-runner.ts
@@ -0,0 +1,121 @@
+/** Carries out the change of primary: probes, commands to servers and proposals to control. */
+import {
+  type ApplyResult,
+  type FailoverContext,
+  type FailoverEffect,
+  type FailoverEvent,
+  type FailoverTiming,
+  stepFailover,
+  type TargetCommand,
+} from '@bramleykeel/core';
+import { match } from 'ts-pattern';
+import { probeServer, sendCommand } from '../target/target-commands.js';
+import { settleAcknowledgements } from './acknowledge.js';
+import type { GroupOwner } from './owner-state.js';
+import { extendForFailover } from './scheduler.js';
+
+const RESEND_MS = 300;
+const PROMOTE_TIMEOUT_MS = 2_000;
+const DRAIN_TIMEOUT_MS = 3_000;
+const COMMAND_TIMEOUT_MS = 1_000;
+/** Time between two probes of a primary that has just failed one, in milliseconds. */
+const SUSPECT_PROBE_MS = 50;
+
+/** Feeds one event to the decision and carries out what it asks for. */
+export function advanceFailover(owner: GroupOwner, event: FailoverEvent): void {
+  if (owner.isClosed || !owner.environment.holdsLease()) return;
+  const before = owner.failover.phase.kind;
+  for (const effect of stepFailover(owner.failover, event, createContext(owner))) {
+    void carryOut(owner, effect);
+  }
+  const after = owner.failover.phase.kind;
+  if (before === after) return;
+  owner.environment.log(`change of primary of ${owner.group}: ${before} to ${after}`);
+  if (before === 'steady') {
+    owner.environment.counters.count('failover.started');
+    extendForFailover(owner);
+  }
+  settleAcknowledgements(owner);
+  owner.dispatch.schedule(owner);
+}
+
+function createContext(owner: GroupOwner): FailoverContext {
+  const timing: FailoverTiming = {
+    suspectAfterMs: owner.environment.settings.targets.suspectAfterMs,
+    resendMs: RESEND_MS,
+    promoteTimeoutMs: PROMOTE_TIMEOUT_MS,
+    drainTimeoutMs: DRAIN_TIMEOUT_MS,
+  };
+  const record = owner.environment.groupRecord();
+  const primaryPool = record.primary && owner.pools.get(record.primary);
+  const runningWrites = primaryPool ? primaryPool.inUse.size : 0;
+  return { record, view: owner.view, timing, runningWrites, nowMs: performance.now() };
+}
+
+async function carryOut(owner: GroupOwner, effect: FailoverEffect): Promise<void> {
+  const { group, epoch: ownerEpoch } = owner;
+  await match(effect)
+    .with({ kind: 'propose' }, async ({ term }) => {
+      const command = { kind: 'primary/propose', group, ownerEpoch, term } as const;
+      const isAccepted = isDone(await owner.environment.propose(command));
+      advanceFailover(owner, { kind: 'proposed', term, isAccepted });
+    })
+    .with({ kind: 'commit' }, async ({ term, server }) => {
+      const command = { kind: 'primary/commit', group, ownerEpoch, term, server } as const;
+      const isAccepted = isDone(await owner.environment.propose(command));
+      if (isAccepted) owner.environment.log(`${server} is the primary of ${group}, term ${term}`);
+      advanceFailover(owner, { kind: 'committed', term, isAccepted });
+    })
+    .with({ kind: 'fence' }, async ({ server, term }) => {
+      const promise = await command(owner, server, { kind: 'fence', term });
+      if (promise) advanceFailover(owner, { kind: 'promised', promise });
+    })
+    .with({ kind: 'promote' }, async ({ server, term }) => {
+      await command(owner, server, { kind: 'promote', term });
+    })
+    .with({ kind: 'follow' }, async ({ server, term, primary }) => {
+      const primaryCommandUrl = owner.view.servers.get(primary)?.announcement.commandUrl;
+      if (primaryCommandUrl === undefined) return;
+      await command(owner, server, { kind: 'follow', term, primaryCommandUrl });
+    })
+    .exhaustive();
+}
+
+function isDone(result: ApplyResult): boolean {
+  return result.kind === 'done';
+}
+
+async function command(
+  owner: GroupOwner,
+  server: Parameters<typeof sendCommand>[0],
+  targetCommand: TargetCommand,
+) {
+  const url = owner.view.servers.get(server)?.announcement.commandUrl;
+  if (url === undefined) return undefined;
+  return sendCommand(server, url, targetCommand, COMMAND_TIMEOUT_MS);
+}
+
+/** Probes the recorded primary when the next probe is due. */
+export async function probePrimary(owner: GroupOwner): Promise<void> {
+  const { primary } = owner.environment.groupRecord();
+  const announcement = primary && owner.view.servers.get(primary)?.announcement;
+  if (owner.failover.phase.kind !== 'steady' && owner.failover.phase.kind !== 'draining') return;
+  const { probeEveryMs, suspectAfterMs } = owner.environment.settings.targets;
+  const isSuspected = owner.failover.failingSinceMs !== undefined;
+  const everyMs = isSuspected ? SUSPECT_PROBE_MS : probeEveryMs;
+  const nowMs = performance.now();
+  if (nowMs - owner.lastProbeMs < everyMs) return;
+  owner.lastProbeMs = nowMs;
+  if (!announcement) {
+    noteUnheardPrimary(owner, primary);
+    return;
+  }
+  const result = await probeServer(announcement.address, suspectAfterMs / 2);
+  advanceFailover(owner, { kind: 'probed', result });
+}
+
+/** A recorded primary that never announced itself to this owner counts as silent. */
+function noteUnheardPrimary(owner: GroupOwner, primary: string | undefined): void {
+  if (primary === undefined) return;
+  advanceFailover(owner, { kind: 'probed', result: 'silent' });
+}
--- /dev/null
+++ b/packages/entry/src/owner/owner-app.ts
@@ -0,0 +1,198 @@
+/** What an owner does with the messages of entries. */
+import {
+  type FateQuery,
+  latestPosition,
+  refuse,
+  removeWaiting,
+  type RequestFate,
+  type SessionId,
+  type ToOwnerMessage,
+  ZERO_POSITION,
+} from '@bramleykeel/core';
+import { match } from 'ts-pattern';
+import { discardConnection } from '../target/target-pool.js';
+import type { AnswerChannel } from './answer-channel.js';
+import { createAnswerFilter } from './answer-filter.js';
+import type { GroupOwner, OwnerRequest, OwnerSession } from './owner-state.js';
+import { endRequest } from './request-end.js';
+import { cancelRequest, rollBack, sendChunk, WINDOW_BYTES } from './request-run.js';
+import { submit } from './scheduler.js';
+
+/** How long an owner can say what became of a request, in milliseconds. */
+const FATE_MEMORY_MS = 60_000;
+
+/** Takes one message of an entry that came over `channel`. */
+export function handleEntryMessage(
+  owner: GroupOwner,
+  channel: AnswerChannel,
+  message: ToOwnerMessage,
+): void {
+  match(message)
+    .with({ kind: 'session/open' }, (open) => {
+      openSession(owner, channel, open);
+    })
+    .with({ kind: 'request/start' }, (start) => {
+      startRequest(owner, channel, start);
+    })
+    .with({ kind: 'request/more' }, ({ session, number, chunk }) => {
+      const request = owner.sessions.get(session)?.request;
+      if (request?.number !== number) return;
+      if (request.stage === 'running' && request.running) {
+        sendChunk(owner, request, request.running, chunk);
+      } else request.chunks.push(chunk);
+    })
+    .with({ kind: 'request/credit' }, ({ session, bytes }) => {
+      takeCredit(owner, session, bytes);
+    })
+    .with({ kind: 'request/cancel' }, ({ session, number }) => {
+      const request = owner.sessions.get(session)?.request;
+      if (request?.number === number) cancelRequest(owner, request);
+    })
+    .with({ kind: 'session/close' }, ({ session }) => {
+      closeSession(owner, session);
+    })
+    .exhaustive();
+}
+
+type MessageOf<Kind extends ToOwnerMessage['kind']> = Extract<ToOwnerMessage, { kind: Kind }>;
+
+function openSession(
+  owner: GroupOwner,
+  channel: AnswerChannel,
+  open: MessageOf<'session/open'>,
+): void {
+  if (owner.sessions.has(open.session) || owner.revoked.has(open.session)) return;
+  // A session that is not known here may have written elsewhere, so it starts at its customer's mark.
+  const fallback = owner.customerMarks.get(open.customer) ?? ZERO_POSITION;
+  const session: OwnerSession = {
+    id: open.session,
+    channel,
+    customer: open.customer,
+    mark: open.mark ? latestPosition(open.mark, ZERO_POSITION) : fallback,
+    pinned: undefined,
+    pinnedSinceMs: 0,
+    request: undefined,
+    unacknowledgedBytes: 0,
+    isClosing: false,
+  };
+  owner.sessions.set(session.id, session);
+}
+
+function startRequest(
+  owner: GroupOwner,
+  channel: AnswerChannel,
+  start: MessageOf<'request/start'>,
+): void {
+  const session = owner.sessions.get(start.session);
+  if (!session || session.request || owner.isClosed) {
+    const refusal = refuse('owner-lost-before-start');
+    const { session: id, number } = start;
+    const end = { kind: 'request/end', session: id, number, status: 'idle' } as const;
+    channel.send({ ...end, mark: ZERO_POSITION, refusal, isFromReplica: false });
+    return;
+  }
+  const request: OwnerRequest = {
+    session,
+    number: start.number,
+    intent: start.intent,
+    readAgeAllowanceMs: start.readAgeAllowanceMs,
+    settings: start.settings,
+    settingEffect: start.settingEffect,
+    chunks: [start.chunk],
+    firstChunks: [start.chunk],
+    enqueuedAtMs: performance.now(),
+    stage: 'queued',
+    mayCommit: start.chunk.mayCommit,
+    hasForwarded: false,
+    attempts: 0,
+    filter: createAnswerFilter(),
+    slot: undefined,
+    running: undefined,
+  };
+  session.request = request;
+  submit(owner, request);
+}
+
+function takeCredit(owner: GroupOwner, id: SessionId, bytes: number): void {
+  const session = owner.sessions.get(id);
+  if (!session) return;
+  session.unacknowledgedBytes = Math.max(0, session.unacknowledgedBytes - bytes);
+  const connection = session.request?.running?.connection;
+  if (!connection || session.unacknowledgedBytes > WINDOW_BYTES / 2) return;
+  if (connection.socket.isPaused()) {
+    connection.lastHeardMs = performance.now();
+    connection.socket.resume();
+  }
+}
+
+/** Ends a session: what waits is dropped, what runs is cancelled, an open transaction rolled back. */
+export function closeSession(owner: GroupOwner, id: SessionId): void {
+  const session = owner.sessions.get(id);
+  if (!session) return;
+  owner.sessions.delete(id);
+  session.isClosing = true;
+  dropWaiting(owner, session);
+  const { request, pinned } = session;
+  if (request?.running && request.stage === 'running') {
+    request.running.connection.socket.resume();
+    cancelRequest(owner, request);
+    return;
+  }
+  if (!pinned) return;
+  session.pinned = undefined;
+  void rollBack(owner, pinned);
+}
+
+function dropWaiting(owner: GroupOwner, session: OwnerSession): boolean {
+  const { request } = session;
+  if (request?.stage !== 'queued') return false;
+  removeWaiting(owner.queue, (waiting) => waiting === request);
+  const position = owner.pinnedWaiting.indexOf(request);
+  if (position >= 0) owner.pinnedWaiting.splice(position, 1);
+  endRequest(owner, request, 'idle', refuse('owner-lost-before-start'));
+  return true;
+}
+
+/** Ends all sessions that came over a channel that is gone. */
+export function closeChannel(owner: GroupOwner, channel: AnswerChannel): void {
+  for (const session of owner.sessions.values()) {
+    if (session.channel === channel) closeSession(owner, session.id);
+  }
+}
+
+/**
+ * Says what became of a request whose link broke. `not-started` is a promise: the session is revoked,
+ * so nothing of it that should still arrive is run.
+ */
+export function answerFate(owner: GroupOwner, query: FateQuery): RequestFate {
+  owner.revoked.set(query.session, performance.now());
+  closeSession(owner, query.session);
+  const touched = owner.touched.get(query.session);
+  const isTouched = touched !== undefined && touched.number >= query.number;
+  return isTouched ? 'may-have-run' : 'not-started';
+}
+
+/** Forgets sessions that no entry can ask about any more. */
+export function forgetOldFates(owner: GroupOwner): void {
+  const limitMs = performance.now() - FATE_MEMORY_MS;
+  for (const [id, revokedAtMs] of owner.revoked) {
+    if (revokedAtMs < limitMs) owner.revoked.delete(id);
+  }
+  for (const [id, { atMs }] of owner.touched) {
+    if (atMs < limitMs && !owner.sessions.has(id)) owner.touched.delete(id);
+  }
+}
+
+/** Closes connections of transactions that were left open without a statement for too long. */
+export function endIdleTransactions(owner: GroupOwner): void {
+  const { idleTransactionMs } = owner.environment.settings.requests;
+  const nowMs = performance.now();
+  for (const session of owner.sessions.values()) {
+    const { pinned } = session;
+    if (!pinned || session.request || nowMs - session.pinnedSinceMs < idleTransactionMs) continue;
+    session.pinned = undefined;
+    discardConnection(pinned.pool, pinned.connection);
+    const refusal = refuse('transaction-lost', 'the transaction was idle for too long');
+    session.channel.send({ kind: 'session/lost', session: session.id, refusal });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -0,0 +1,196 @@
+/** The groups that this entry owns, kept in line with control's assignments. */
+import {
+  type Announcement,
+  brandAs,
+  type FateQuery,
+  type GroupName,
+  groupRecordOf,
+  groupSetting,
+  listAssignments,
+  type RequestFate,
+  type ToOwnerMessage,
+  type ApplyResult,
+  type ControlCommand,
+  type EntrySettings,
+} from '@bramleykeel/core';
+import { type Counters, createLog } from '@bramleykeel/link';
+import type { ControlClient } from '../control/control-client.js';
+import type { AnswerChannel } from './answer-channel.js';
+import {
+  closeGroupOwner,
+  drainGroupOwner,
+  handleRecordChange,
+  startGroupOwner,
+  takeAnnouncement,
+} from './group-owner.js';
+import { answerFate, closeChannel, handleEntryMessage } from './owner-app.js';
+import type { GroupOwner } from './owner-state.js';
+
+export interface OwnerRegistry {
+  readonly owners: Map<GroupName, GroupOwner>;
+  readonly settings: EntrySettings;
+  readonly control: ControlClient;
+  readonly counters: Counters;
+}
+
+const GROUP_RESOURCE = /^group\/(.+)$/;
+const PROPOSE_RETRY_MS = 50;
+
+export function createOwnerRegistry(
+  settings: EntrySettings,
+  control: ControlClient,
+  counters: Counters,
+): OwnerRegistry {
+  return { owners: new Map(), settings, control, counters };
+}
+
+/** Starts owners for groups that were assigned to this entry and closes those that were not. */
+export function reconcileOwners(registry: OwnerRegistry): void {
+  const assigned = new Map<GroupName, number>();
+  for (const { resource, incarnation, epoch } of listAssignments(registry.control)) {
+    const name = GROUP_RESOURCE.exec(resource)?.[1];
+    if (name === undefined || incarnation !== registry.control.incarnation()) continue;
+    assigned.set(brandAs<GroupName>(name), epoch);
+  }
+  for (const [group, owner] of registry.owners) {
+    if (assigned.get(group) === owner.epoch) {
+      handleRecordChange(owner);
+      continue;
+    }
+    closeGroupOwner(owner);
+    registry.owners.delete(group);
+  }
+  for (const [group, epoch] of assigned) {
+    if (!registry.owners.has(group)) startOwner(registry, group, epoch);
+  }
+}
+
+function startOwner(registry: OwnerRegistry, group: GroupName, epoch: number): void {
+  const { control, settings, counters } = registry;
+  const owner = startGroupOwner(group, epoch, {
+    settings,
+    counters,
+    log: createLog('owner'),
+    holdsLease: () => control.heldEpoch(`group/${group}`) === epoch,
+    groupRecord: () => groupRecordOf(control, group),
+    groupSetting: () => groupSetting(control, group),
+    propose: (command) => propose(control, command),
+  });
+  registry.owners.set(group, owner);
+}
+
+/** A proposal without an answer counts as superseded: the owner looks at the record and goes on. */
+async function propose(control: ControlClient, command: ControlCommand): Promise<ApplyResult> {
+  const answer = await control.call('control/propose', command);
+  if (answer.isLeft()) await delay(PROPOSE_RETRY_MS);
+  const unanswered: ApplyResult = { kind: 'superseded', reason: 'control did not answer' };
+  return answer.map((result) => result as ApplyResult).orDefault(unanswered);
+}
+
+/** The owner of a group under an epoch, if this entry is that owner now. */
+export function findOwner(
+  registry: OwnerRegistry,
+  group: GroupName,
+  epoch: number,
+): GroupOwner | undefined {
+  const owner = registry.owners.get(group);
+  return owner?.epoch === epoch && !owner.isClosed ? owner : undefined;
+}
+
+/** Hands an entry's message to the owner; an unknown owner drops it and says so. */
+export function deliverToOwner(
+  registry: OwnerRegistry,
+  channel: AnswerChannel,
+  group: GroupName,
+  epoch: number,
+  message: ToOwnerMessage,
+): void {
+  const owner = findOwner(registry, group, epoch);
+  if (owner) {
+    handleEntryMessage(owner, channel, message);
+    return;
+  }
+  if (message.kind !== 'request/start') return;
+  const { session, number } = message;
+  channel.send({
+    kind: 'request/end',
+    session,
+    number,
+    status: 'idle',
+    mark: { term: 0, offset: 0 },
+    refusal: {
+      outcome: 'not-run',
+      reason: 'owner-lost-before-start',
+      sqlState: '57P03',
+      message: 'not run: this entry does not own the group',
+    },
+    isFromReplica: false,
+  });
+}
+
+/** An owner that this entry no longer is has closed its connections; what it ran is not known. */
+export function answerFateQuery(
+  registry: OwnerRegistry,
+  group: GroupName,
+  query: FateQuery,
+): RequestFate {
+  const owner = registry.owners.get(group);
+  return owner ? answerFate(owner, query) : 'may-have-run';
+}
+
+export function deliverAnnouncement(registry: OwnerRegistry, announcement: Announcement): boolean {
+  const owner = registry.owners.get(announcement.group);
+  if (!owner) return false;
+  takeAnnouncement(owner, announcement);
+  return true;
+}
+
+/** A channel to another entry is gone. */
+export function dropChannel(registry: OwnerRegistry, channel: AnswerChannel): void {
+  for (const owner of registry.owners.values()) closeChannel(owner, channel);
+}
+
+/** Hands all groups over to other entries, each once its running requests have ended. */
+export async function handOverAll(registry: OwnerRegistry, graceMs: number): Promise<void> {
+  await Promise.all(
+    [...registry.owners.values()].map(async (owner) => {
+      await drainGroupOwner(owner, graceMs);
+      const { group, epoch } = owner;
+      closeGroupOwner(owner);
+      registry.owners.delete(group);
+      const incarnation = registry.control.incarnation();
+      const release = { resource: `group/${group}`, epoch, incarnation };
+      await registry.control.call('resource/release', release);
+    }),
+  );
+}
+
+/** Closes everything at once, after the lease was lost for good. */
+export function closeAllOwners(registry: OwnerRegistry): void {
+  for (const owner of registry.owners.values()) closeGroupOwner(owner);
+  registry.owners.clear();
+}
+
+/** What the operators' status shows of the groups owned here. */
+export function describeOwners(registry: OwnerRegistry) {
+  return [...registry.owners.values()].map((owner) => ({
+    group: owner.group,
+    epoch: owner.epoch,
+    phase: owner.failover.phase.kind,
+    sessions: owner.sessions.size,
+    servers: [...owner.view.servers.values()].map(({ server, announcement, heardAtMs }) => ({
+      server,
+      role: announcement.role,
+      term: announcement.term,
+      position: `${announcement.position.term}/${announcement.position.offset}`,
+      zone: announcement.zone,
+      isLeaving: announcement.isLeaving,
+      heardMsAgo: Math.round(performance.now() - heardAtMs),
+      running: owner.pools.get(server)?.runningCount ?? 0,
+    })),
+  }));
+}
+
+function delay(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/entry/src/owner/request-end.ts
@@ -0,0 +1,32 @@
+/** The end of a request: held-back bytes or a refusal, then the status and the session's mark. */
+import type { Refusal, TransactionStatus } from '@bramleykeel/core';
+import type { GroupOwner, OwnerRequest } from './owner-state.js';
+
+/** Ends a request towards its entry. The last CommandComplete is passed on only without a refusal. */
+export function endRequest(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  status: TransactionStatus,
+  refusal: Refusal | null,
+): void {
+  if (request.stage === 'ended') return;
+  const { session, number, filter } = request;
+  request.stage = 'ended';
+  if (session.request === request) session.request = undefined;
+  if (refusal) owner.environment.counters.count(`refusal.${refusal.reason}`);
+  else forwardBytes(request, filter.held);
+  filter.held = [];
+  const isFromReplica = request.running?.isOnReplica ?? false;
+  const end = { kind: 'request/end', session: session.id, number, status } as const;
+  session.channel.send({ ...end, mark: session.mark, refusal, isFromReplica });
+}
+
+/** Sends answer bytes to the entry; a closing session gets nothing any more. */
+export function forwardBytes(request: OwnerRequest, frames: readonly Buffer[]): void {
+  const { session, number } = request;
+  if (frames.length === 0 || session.isClosing) return;
+  const bytes = frames.length === 1 ? (frames[0] ?? Buffer.alloc(0)) : Buffer.concat(frames);
+  request.hasForwarded = true;
+  session.unacknowledgedBytes += bytes.length;
+  session.channel.send({ kind: 'request/data', session: session.id, number, bytes });
+}
--- /dev/null
+++ b/packages/entry/src/owner/request-run.ts
@@ -0,0 +1,313 @@
+/** Runs a request on a target connection and follows its answer to the end. */
+import {
+  type PendingWrite,
+  type Refusal,
+  refuse,
+  type RequestChunk,
+  type TransactionStatus,
+} from '@bramleykeel/core';
+import type { WireMessage } from '@bramleykeel/postgres-wire';
+import { serialize } from 'pg-protocol';
+import {
+  cancelRunning,
+  runInternalQuery,
+  type TargetConnection,
+} from '../target/target-connection.js';
+import { discardConnection, isStillWorking, releaseConnection } from '../target/target-pool.js';
+import { awaitAcknowledgement } from './acknowledge.js';
+import { createAnswerFilter, filterAnswer } from './answer-filter.js';
+import type { GroupOwner, OwnerRequest, RunningRequest } from './owner-state.js';
+import { endRequest, forwardBytes } from './request-end.js';
+import { freeSlot } from './slots.js';
+
+/** Bytes on their way to a caller above which the target connection is paused. */
+export const WINDOW_BYTES = 256 * 1024;
+const SETTINGS_TIMEOUT_MS = 2_000;
+/** SQLSTATE of a write on a server that only reads: nothing of the statement ran. */
+const READ_ONLY_SQLSTATE = '25006';
+/** Times that a request is moved to another server after an attempt that ran nothing. */
+const MAX_ATTEMPTS = 4;
+
+/** Brings the connection into the session's state, then sends the request's messages. */
+export async function startOnConnection(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  running: RunningRequest,
+): Promise<void> {
+  const { connection } = running;
+  request.running = running;
+  if (!(await applySettings(connection, request.settings))) {
+    abandonBeforeStart(owner, request);
+    return;
+  }
+  if (request.session.isClosing || !owner.environment.holdsLease()) {
+    abandonBeforeStart(owner, request);
+    return;
+  }
+  request.stage = 'running';
+  connection.consumer = {
+    onMessages: (messages) => {
+      takeAnswer(owner, request, messages);
+    },
+    onLost: () => {
+      handleConnectionLost(owner, request, refuse('target-connection-lost'));
+    },
+  };
+  for (const chunk of request.chunks.splice(0)) sendChunk(owner, request, running, chunk);
+}
+
+/** Sends one chunk, preceded by the Parse messages of statements the connection does not have. */
+export function sendChunk(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  running: RunningRequest,
+  chunk: RequestChunk,
+): void {
+  const { connection } = running;
+  const { filter } = request;
+  const { session, number } = request;
+  owner.touched.set(session.id, { number, atMs: performance.now() });
+  request.mayCommit ||= chunk.mayCommit;
+  for (const { name, parseMessage } of chunk.statements) {
+    if (connection.prepared.has(name)) continue;
+    filter.expected.push({ kind: 'parse', isHidden: true, statement: name });
+    connection.socket.write(parseMessage);
+  }
+  filter.expected.push(...chunk.expected);
+  running.lastSentMs = performance.now();
+  connection.socket.write(chunk.messages);
+}
+
+/** Makes the connection's session settings those of the request's session. */
+async function applySettings(
+  connection: TargetConnection,
+  wanted: Readonly<Record<string, string>>,
+): Promise<boolean> {
+  const statements: string[] = [];
+  for (const name of connection.settings.keys()) {
+    if (!(name in wanted)) statements.push(`RESET ${name}`);
+  }
+  for (const [name, text] of Object.entries(wanted)) {
+    if (connection.settings.get(name) !== text) statements.push(text);
+  }
+  if (statements.length === 0) return true;
+  const outcome = await runInternalQuery(connection, statements.join('; '), SETTINGS_TIMEOUT_MS);
+  connection.settings = new Map(Object.entries(wanted));
+  return outcome.kind === 'done' && outcome.status === 'idle';
+}
+
+/** The connection could not be prepared: nothing of the request was sent, so it may go elsewhere. */
+function abandonBeforeStart(owner: GroupOwner, request: OwnerRequest): void {
+  const { running } = request;
+  if (!running) return;
+  discardConnection(running.pool, running.connection);
+  freeSlot(owner, request);
+  owner.dispatch.requeue(owner, request);
+}
+
+function takeAnswer(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  messages: readonly WireMessage[],
+): void {
+  const { running, session } = request;
+  if (!running) return;
+  const { connection } = running;
+  const answer = filterAnswer(request.filter, messages);
+  for (const { statement, exists } of answer.statementChanges) {
+    if (exists) connection.prepared.add(statement);
+    else connection.prepared.delete(statement);
+  }
+  if (answer.wantsCopyData) {
+    connection.socket.write(serialize.copyFail('COPY is not supported through the proxy'));
+  }
+  const isRetried = !request.hasForwarded && mayRetryElsewhere(request);
+  if (!isRetried) forwardBytes(request, answer.forward);
+  if (session.unacknowledgedBytes > WINDOW_BYTES) connection.socket.pause();
+  if (answer.status !== undefined) handleReady(owner, request, running, answer.status);
+}
+
+/** A refused write ran nothing, so a request on its own may be sent to the primary instead. */
+function mayRetryElsewhere(request: OwnerRequest): boolean {
+  const isRefused = request.filter.firstSqlState === READ_ONLY_SQLSTATE;
+  return isRefused && request.session.pinned === undefined && request.attempts < MAX_ATTEMPTS;
+}
+
+function handleReady(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  running: RunningRequest,
+  status: TransactionStatus,
+): void {
+  const isRetried = !request.hasForwarded && mayRetryElsewhere(request) && status === 'idle';
+  noteSettingEffect(request, running.connection);
+  updatePin(owner, request, running, status);
+  freeSlot(owner, request);
+  if (isRetried) {
+    owner.environment.counters.count('retry.refused-as-read-only');
+    request.intent = 'write';
+    request.filter = createAnswerFilter();
+    restoreChunks(request);
+    owner.dispatch.requeue(owner, request);
+    return;
+  }
+  finishAnswer(owner, request, running, status);
+  owner.dispatch.schedule(owner);
+}
+
+function finishAnswer(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  running: RunningRequest,
+  status: TransactionStatus,
+): void {
+  const { position } = request.filter;
+  if (!position) {
+    endRequest(owner, request, status, null);
+    return;
+  }
+  const { coverTimeoutMs } = owner.environment.settings.requests;
+  const write: PendingWrite = {
+    mark: position,
+    term: running.term,
+    deadlineMs: performance.now() + coverTimeoutMs,
+    needsQuorum: owner.environment.groupSetting().acknowledgement === 'quorum',
+  };
+  awaitAcknowledgement(owner, request, write, status);
+}
+
+function noteSettingEffect(request: OwnerRequest, connection: TargetConnection): void {
+  const { settingEffect, filter } = request;
+  if (!settingEffect || filter.firstSqlState !== undefined) return;
+  const { name, text } = settingEffect;
+  if (name === null) connection.settings.clear();
+  else if (text === null) connection.settings.delete(name);
+  else connection.settings.set(name, text);
+}
+
+/** A connection stays with its session while a transaction is open, and goes back to the pool after. */
+function updatePin(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  running: RunningRequest,
+  status: TransactionStatus,
+): void {
+  const { session } = request;
+  const { connection, pool, server } = running;
+  connection.consumer = undefined;
+  if (status === 'idle') {
+    session.pinned = undefined;
+    releaseConnection(pool, connection);
+    return;
+  }
+  if (session.isClosing) {
+    void rollBack(owner, { connection, pool, server });
+    return;
+  }
+  if (!session.pinned) session.pinnedSinceMs = performance.now();
+  session.pinned = { connection, pool, server };
+  connection.consumer = {
+    onMessages: () => undefined,
+    onLost: () => {
+      handlePinLost(owner, request);
+    },
+  };
+}
+
+function handlePinLost(owner: GroupOwner, request: OwnerRequest): void {
+  const { session } = request;
+  const { pinned } = session;
+  session.pinned = undefined;
+  if (pinned) discardConnection(pinned.pool, pinned.connection);
+  if (session.isClosing) return;
+  const refusal = refuse('transaction-lost');
+  owner.environment.counters.count(`refusal.${refusal.reason}`);
+  session.channel.send({ kind: 'session/lost', session: session.id, refusal });
+}
+
+/** Rolls back an abandoned transaction; a connection that does not answer is closed instead. */
+export async function rollBack(
+  owner: GroupOwner,
+  pinned: { connection: TargetConnection; pool: RunningRequest['pool']; server: unknown },
+): Promise<void> {
+  const { connection, pool } = pinned;
+  owner.environment.counters.count('transaction.rolled-back');
+  const outcome = await runInternalQuery(connection, 'ROLLBACK', SETTINGS_TIMEOUT_MS);
+  if (outcome.kind === 'done' && outcome.status === 'idle') releaseConnection(pool, connection);
+  else discardConnection(pool, connection);
+  owner.dispatch.schedule(owner);
+}
+
+/** Ends or moves a request whose connection is gone. */
+export function handleConnectionLost(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  lostRefusal: Refusal,
+): void {
+  const { running, session } = request;
+  if (!running || request.stage !== 'running') return;
+  discardConnection(running.pool, running.connection);
+  const wasInTransaction = session.pinned !== undefined;
+  session.pinned = undefined;
+  freeSlot(owner, request);
+  const isHarmless = !request.mayCommit && !wasInTransaction && request.intent === 'read';
+  if (isHarmless && !request.hasForwarded && request.attempts < MAX_ATTEMPTS) {
+    owner.environment.counters.count('retry.read-connection-lost');
+    request.filter = createAnswerFilter();
+    restoreChunks(request);
+    owner.dispatch.requeue(owner, request);
+    return;
+  }
+  request.filter.held = [];
+  const isRolledBack = wasInTransaction && !request.mayCommit;
+  const refusal = isRolledBack ? refuse('transaction-lost') : lostRefusal;
+  endRequest(owner, request, 'idle', refusal);
+  owner.dispatch.schedule(owner);
+}
+
+function restoreChunks(request: OwnerRequest): void {
+  request.chunks.splice(0, request.chunks.length, ...request.firstChunks);
+}
+
+/**
+ * Looks for answers that are overdue. Over a new connection the target is asked whether it still
+ * works on the request; if not, the old connection has gone silent and its answer will never come.
+ */
+export function checkSilence(owner: GroupOwner): void {
+  const nowMs = performance.now();
+  const { silentAfterMs } = owner.environment.settings.targets;
+  for (const session of owner.sessions.values()) {
+    const { request } = session;
+    const running = request?.running;
+    if (!request || !running || request.stage !== 'running' || running.isCheckingSilence) continue;
+    if (session.unacknowledgedBytes > 0) continue;
+    const quietSinceMs = Math.max(running.lastSentMs, running.connection.lastHeardMs);
+    if (nowMs - quietSinceMs >= silentAfterMs) void checkRunning(owner, request, running);
+  }
+}
+
+async function checkRunning(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  running: RunningRequest,
+): Promise<void> {
+  running.isCheckingSilence = true;
+  const heardBeforeMs = running.connection.lastHeardMs;
+  const state = await isStillWorking(running.pool, running.connection.processId);
+  running.isCheckingSilence = false;
+  running.lastSentMs = performance.now();
+  const hasAnswered = running.connection.lastHeardMs !== heardBeforeMs;
+  if (state !== 'idle' || hasAnswered || request.running !== running) return;
+  owner.environment.log(`connection to ${running.server} has gone silent; closing it`);
+  owner.environment.counters.count('target.connection-silent');
+  handleConnectionLost(owner, request, refuse('target-silent'));
+}
+
+/** Cancels what a session runs, if it still is the request that was meant. */
+export function cancelRequest(owner: GroupOwner, request: OwnerRequest): void {
+  const { running } = request;
+  if (request.stage !== 'running' || !running) return;
+  if (running.connection.consumer === undefined) return;
+  owner.environment.counters.count('request.cancelled');
+  cancelRunning(running.connection);
+}
--- /dev/null
+++ b/packages/entry/src/owner/scheduler.ts
@@ -0,0 +1,213 @@
+/** Starts waiting requests: fair between customers, routed by mark and age, within slots. */
+import {
+  acceptsWrites,
+  chooseServer,
+  comparePositions,
+  dequeue,
+  enqueue,
+  extendDeadlines,
+  hasOtherActive,
+  type LogPosition,
+  refuse,
+  type Route,
+  type RouteContext,
+  type ServerName,
+  startUnqueued,
+  takeExpired,
+} from '@bramleykeel/core';
+import type { TargetConnection } from '../target/target-connection.js';
+import { acquireConnection, freeSlots, type TargetPool } from '../target/target-pool.js';
+import type { GroupOwner, OwnerRequest, RunningRequest } from './owner-state.js';
+import { endRequest } from './request-end.js';
+import { startOnConnection } from './request-run.js';
+import { freeSlot, runningOf, takeSlot } from './slots.js';
+
+/** A server that refused a connection is left alone for this time, in milliseconds. */
+const UNUSABLE_MS = 200;
+/** A customer may fill every slot of a server only while no other was active for this time. */
+const ALONE_AFTER_MS = 10_000;
+
+/** Puts a new request into its customer's queue. */
+export function submit(owner: GroupOwner, request: OwnerRequest): void {
+  if (request.session.pinned) {
+    owner.pinnedWaiting.push(request);
+    schedule(owner);
+    return;
+  }
+  if (owner.isStopping) {
+    endRequest(owner, request, 'idle', refuse('owner-stopping'));
+    return;
+  }
+  addToQueue(owner, request);
+  schedule(owner);
+}
+
+function addToQueue(owner: GroupOwner, request: OwnerRequest): void {
+  const { queueTimeoutMs, failoverWaitMs } = owner.environment.settings.requests;
+  const { customer } = request.session;
+  const hasPrimary = primaryForWrites(owner) !== undefined;
+  const waitMs = hasPrimary ? queueTimeoutMs : failoverWaitMs;
+  const deadlineMs = request.enqueuedAtMs + waitMs;
+  request.stage = 'queued';
+  const outcome = enqueue(owner.queue, { item: request, customer, deadlineMs }, performance.now());
+  if (outcome === 'full') endRequest(owner, request, 'idle', refuse('queue-full'));
+}
+
+/** Puts back a request of which nothing was run. */
+export function requeue(owner: GroupOwner, request: OwnerRequest): void {
+  request.running = undefined;
+  if (request.session.isClosing) {
+    endRequest(owner, request, 'idle', refuse('owner-stopping'));
+    return;
+  }
+  addToQueue(owner, request);
+  setImmediate(() => {
+    schedule(owner);
+  });
+}
+
+/** Gives waiting requests the longer time that a change of primary may take. */
+export function extendForFailover(owner: GroupOwner): void {
+  const { failoverWaitMs } = owner.environment.settings.requests;
+  extendDeadlines(owner.queue, performance.now() + failoverWaitMs);
+}
+
+/** The primary that writes may go to, or `undefined` while it is being changed. */
+export function primaryForWrites(owner: GroupOwner): ServerName | undefined {
+  const record = owner.environment.groupRecord();
+  return acceptsWrites(owner.failover, record) ? record.primary : undefined;
+}
+
+/** Starts everything that can start now. */
+export function schedule(owner: GroupOwner): void {
+  if (owner.isClosed || !owner.environment.holdsLease()) return;
+  startPinned(owner);
+  const context = createRouteContext(owner);
+  for (;;) {
+    let chosen: ServerName | undefined;
+    const queued = dequeue(owner.queue, (request) => {
+      const route = routeRequest(owner, request, context);
+      if (route.kind !== 'run') return false;
+      if (isAtCustomerLimit(owner, request, route.server)) return false;
+      chosen = route.server;
+      return true;
+    });
+    if (!queued || chosen === undefined) return;
+    void start(owner, queued.item, chosen);
+  }
+}
+
+function startPinned(owner: GroupOwner): void {
+  const waiting = owner.pinnedWaiting.splice(0);
+  for (const request of waiting) {
+    const { pinned } = request.session;
+    if (!pinned) {
+      endRequest(owner, request, 'idle', refuse('transaction-lost'));
+      continue;
+    }
+    if (pinned.pool.runningCount >= pinned.pool.slots) {
+      owner.pinnedWaiting.push(request);
+      continue;
+    }
+    startUnqueued(owner.queue, request.session.customer);
+    takeSlot(owner, request, pinned);
+    const running = createRunning(owner, pinned.server, pinned.pool, pinned.connection);
+    void startOnConnection(owner, request, running);
+  }
+}
+
+/** Expires waiting requests; none of them was run. */
+export function expireWaiting(owner: GroupOwner): void {
+  const reason = primaryForWrites(owner) === undefined ? 'no-primary' : 'queue-timeout';
+  for (const { item } of takeExpired(owner.queue, performance.now())) {
+    const isAhead = isMarkAhead(owner, item.session.mark);
+    endRequest(owner, item, 'idle', refuse(isAhead ? 'mark-ahead-of-group' : reason));
+  }
+}
+
+function createRouteContext(owner: GroupOwner): RouteContext {
+  const record = owner.environment.groupRecord();
+  const nowMs = performance.now();
+  return {
+    view: owner.view,
+    primary: primaryForWrites(owner),
+    term: record.term,
+    nowMs,
+    staleAnnouncementMs: owner.environment.settings.targets.staleAnnouncementMs,
+    replicaWaitMs: owner.environment.settings.requests.replicaWaitMs,
+    isUsable: (server) => {
+      if (server === record.primary && primaryForWrites(owner) === undefined) return false;
+      return owner.pools.has(server) && (owner.unusableUntilMs.get(server) ?? 0) <= nowMs;
+    },
+    freeSlots: (server) => {
+      const pool = owner.pools.get(server);
+      return pool ? freeSlots(pool) : 0;
+    },
+  };
+}
+
+function routeRequest(owner: GroupOwner, request: OwnerRequest, context: RouteContext): Route {
+  const { session, readAgeAllowanceMs } = request;
+  const base = owner.baseMark;
+  const isAhead = isMarkAhead(owner, session.mark);
+  if (isAhead) return { kind: 'wait' };
+  // Without a base mark nothing is known of earlier writes, so only the primary can serve.
+  const intent = base === undefined ? 'write' : request.intent;
+  const mark = latest(session.mark, base);
+  const waitedMs = context.nowMs - request.enqueuedAtMs;
+  return chooseServer({ intent, mark, readAgeAllowanceMs, waitedMs }, context);
+}
+
+function latest(mark: LogPosition, base: LogPosition | undefined): LogPosition {
+  return base && comparePositions(base, mark) > 0 ? base : mark;
+}
+
+/** A mark past everything that was ever seen of the group was not given out by this system. */
+function isMarkAhead(owner: GroupOwner, mark: LogPosition): boolean {
+  return owner.baseMark !== undefined && comparePositions(mark, owner.highestSeen) > 0;
+}
+
+/** One slot of each server is kept for the others while more than one customer is active. */
+function isAtCustomerLimit(owner: GroupOwner, request: OwnerRequest, server: ServerName): boolean {
+  const pool = owner.pools.get(server);
+  if (!pool || pool.slots < 2) return false;
+  const { customer } = request.session;
+  if (runningOf(owner, request, server) < pool.slots - 1) return false;
+  return hasOtherActive(owner.queue, customer, performance.now() - ALONE_AFTER_MS);
+}
+
+async function start(owner: GroupOwner, request: OwnerRequest, server: ServerName): Promise<void> {
+  const pool = owner.pools.get(server);
+  if (!pool) return;
+  request.stage = 'acquiring';
+  request.attempts += 1;
+  takeSlot(owner, request, { server, pool });
+  const acquired = await acquireConnection(pool);
+  if (acquired.kind === 'failed') {
+    owner.unusableUntilMs.set(server, performance.now() + UNUSABLE_MS);
+    owner.environment.counters.count(`retry.connect-${acquired.failure.kind}`);
+    freeSlot(owner, request);
+    requeue(owner, request);
+    return;
+  }
+  await startOnConnection(owner, request, createRunning(owner, server, pool, acquired.connection));
+}
+
+function createRunning(
+  owner: GroupOwner,
+  server: ServerName,
+  pool: TargetPool,
+  connection: TargetConnection,
+): RunningRequest {
+  const record = owner.environment.groupRecord();
+  const nowMs = performance.now();
+  return {
+    server,
+    pool,
+    connection,
+    isOnReplica: server !== record.primary,
+    term: record.term,
+    lastSentMs: nowMs,
+    isCheckingSilence: false,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/target/announce-server.ts
@@ -0,0 +1,62 @@
+/** Takes announcements of targets over HTTP and hands them on. */
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import { type Announcement, announcementSchema, splitAddress } from '@bramleykeel/core';
+import type { Counters } from '@bramleykeel/link';
+import { z } from 'zod';
+
+const MAX_BODY_BYTES = 16_384;
+
+/** Listens for `PUT /announce`; `token` is asked for as bearer token when it is set. */
+export function listenForAnnouncements(
+  address: string,
+  token: string | undefined,
+  counters: Counters,
+  onAnnouncement: (announcement: Announcement) => void,
+): Promise<Server> {
+  const server = createServer((request, response) => {
+    void answer(request).then(({ statusCode, body }) => {
+      response.statusCode = statusCode;
+      response.setHeader('content-type', 'application/json');
+      response.end(JSON.stringify(body));
+    });
+  });
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      resolve(server);
+    });
+  });
+
+  async function answer(request: IncomingMessage) {
+    if (request.method !== 'PUT' || request.url !== '/announce') {
+      return { statusCode: 404, body: { message: 'expected PUT /announce' } };
+    }
+    if (token !== undefined && request.headers.authorization !== `Bearer ${token}`) {
+      counters.count('refusal.announcement-token');
+      return { statusCode: 403, body: { message: 'the announcement token was not accepted' } };
+    }
+    const parsed = announcementSchema.safeParse(await readBody(request));
+    if (!parsed.success) {
+      counters.count('refusal.announcement-malformed');
+      return { statusCode: 400, body: { message: z.prettifyError(parsed.error) } };
+    }
+    onAnnouncement(parsed.data);
+    return { statusCode: 200, body: {} };
+  }
+}
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let totalBytes = 0;
+  try {
+    for await (const chunk of request) {
+      totalBytes += (chunk as Buffer).length;
+      if (totalBytes > MAX_BODY_BYTES) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/target/target-commands.ts
@@ -0,0 +1,88 @@
+/** Commands to targets and probes of them, over the addresses that they announced. */
+import { request } from 'node:http';
+import { createConnection } from 'node:net';
+import {
+  fenceAnswerSchema,
+  type FencePromise,
+  type ProbeResult,
+  type ServerName,
+  splitAddress,
+  type TargetCommand,
+} from '@bramleykeel/core';
+import { buildSslRequest } from '@bramleykeel/postgres-wire';
+
+/**
+ * Sends a command; every target answers with its promised term and the end of its log.
+ *
+ * @returns `undefined` when no valid answer came in time
+ */
+export async function sendCommand(
+  server: ServerName,
+  commandUrl: string,
+  command: TargetCommand,
+  timeoutMs: number,
+): Promise<FencePromise | undefined> {
+  const text = await postJson(`${commandUrl}/command`, command, timeoutMs);
+  if (text === undefined) return undefined;
+  const parsed = fenceAnswerSchema.safeParse(parseJson(text));
+  if (!parsed.success) return undefined;
+  return { server, ...parsed.data };
+}
+
+function postJson(url: string, body: unknown, timeoutMs: number): Promise<string | undefined> {
+  return new Promise((resolve) => {
+    const fail = () => {
+      clearTimeout(timer);
+      resolve(undefined);
+    };
+    const headers = { 'content-type': 'application/json', connection: 'close' };
+    const outgoing = request(url, { method: 'POST', headers }, (incoming) => {
+      const chunks: Buffer[] = [];
+      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+      incoming.on('error', fail);
+      incoming.on('end', () => {
+        clearTimeout(timer);
+        resolve(incoming.statusCode === 200 ? Buffer.concat(chunks).toString('utf8') : undefined);
+      });
+    });
+    const timer = setTimeout(() => outgoing.destroy(new Error('timeout')), timeoutMs);
+    outgoing.on('error', fail);
+    outgoing.end(JSON.stringify(body));
+  });
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Probes a server with an SSL request, which any PostgreSQL server answers with one byte before
+ * authentication: it costs no slot, and a frozen process does not answer it.
+ */
+export function probeServer(address: string, timeoutMs: number): Promise<ProbeResult> {
+  return new Promise((resolve) => {
+    const socket = createConnection(splitAddress(address));
+    const finish = (result: ProbeResult) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(result);
+    };
+    const timer = setTimeout(() => {
+      finish('silent');
+    }, timeoutMs);
+    socket.once('connect', () => socket.write(buildSslRequest()));
+    socket.once('data', () => {
+      finish('answered');
+    });
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      finish(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
+    });
+    socket.once('end', () => {
+      finish('silent');
+    });
+  });
+}
--- /dev/null
+++ b/packages/entry/src/target/target-pool.ts
@@ -0,0 +1,173 @@
+/** Connections and slots of one target server, as its group's owner uses them. */
+import type { Announcement, LogPosition } from '@bramleykeel/core';
+import {
+  closeConnection,
+  type ConnectFailure,
+  connectTarget,
+  runInternalQuery,
+  type TargetConnection,
+  type TargetCredentials,
+} from './target-connection.js';
+
+export interface PoolOptions {
+  readonly credentials: TargetCredentials;
+  readonly connectTimeoutMs: number;
+  /** Connections unused for this long are checked before they are used again. */
+  readonly idleCheckMs: number;
+}
+
+interface IdleConnection {
+  readonly connection: TargetConnection;
+  readonly sinceMs: number;
+}
+
+export interface TargetPool {
+  readonly options: PoolOptions;
+  readonly address: string;
+  slots: number;
+  maxConnections: number;
+  runningCount: number;
+  openingCount: number;
+  readonly idle: IdleConnection[];
+  readonly inUse: Set<TargetConnection>;
+  isClosed: boolean;
+  /** Called with the log position that a new connection reported. */
+  onPosition: (position: LogPosition) => void;
+  /** Called when a connection attempt failed. */
+  onConnectFailed: (failure: ConnectFailure) => void;
+}
+
+/**
+ * An owner uses half of a server's connections: the other half is left to an earlier owner whose
+ * connections the server may not have closed yet, so that both together stay within the limit.
+ */
+const OWNER_SHARE = 0.5;
+const IDLE_CHECK_TIMEOUT_MS = 400;
+
+export function ownerConnectionLimit(announcedConnections: number): number {
+  return Math.max(1, Math.floor(announcedConnections * OWNER_SHARE));
+}
+
+export function createTargetPool(announcement: Announcement, options: PoolOptions): TargetPool {
+  return {
+    options,
+    address: announcement.address,
+    slots: announcement.slots,
+    maxConnections: ownerConnectionLimit(announcement.connections),
+    runningCount: 0,
+    openingCount: 0,
+    idle: [],
+    inUse: new Set(),
+    isClosed: false,
+    onPosition: () => undefined,
+    onConnectFailed: () => undefined,
+  };
+}
+
+/** Takes over changed limits from a newer announcement. */
+export function updateLimits(pool: TargetPool, announcement: Announcement): void {
+  pool.slots = announcement.slots;
+  pool.maxConnections = ownerConnectionLimit(announcement.connections);
+}
+
+function openConnections(pool: TargetPool): number {
+  return pool.idle.length + pool.inUse.size + pool.openingCount;
+}
+
+/** Requests that could start on the server now: free slots, as far as connections allow. */
+export function freeSlots(pool: TargetPool): number {
+  const spareConnections = pool.maxConnections - openConnections(pool) + pool.idle.length;
+  return Math.min(pool.slots - pool.runningCount, spareConnections);
+}
+
+export type AcquireOutcome =
+  | { readonly kind: 'acquired'; readonly connection: TargetConnection }
+  | { readonly kind: 'failed'; readonly failure: ConnectFailure };
+
+/** Takes a connection: an idle one, checked if it was idle for long, or a new one. */
+export async function acquireConnection(pool: TargetPool): Promise<AcquireOutcome> {
+  for (let idle = pool.idle.pop(); idle; idle = pool.idle.pop()) {
+    const { connection, sinceMs } = idle;
+    if (connection.isClosed) continue;
+    pool.inUse.add(connection);
+    const isFresh = performance.now() - sinceMs < pool.options.idleCheckMs;
+    if (isFresh || (await answersCheck(connection))) return { kind: 'acquired', connection };
+    discardConnection(pool, connection);
+  }
+  return openConnection(pool);
+}
+
+/** An empty query is answered by any live server without running anything. */
+async function answersCheck(connection: TargetConnection): Promise<boolean> {
+  const outcome = await runInternalQuery(connection, '', IDLE_CHECK_TIMEOUT_MS);
+  return outcome.kind === 'done' && outcome.status === 'idle';
+}
+
+async function openConnection(pool: TargetPool): Promise<AcquireOutcome> {
+  pool.openingCount += 1;
+  const { credentials, connectTimeoutMs } = pool.options;
+  const outcome = await connectTarget(pool.address, credentials, connectTimeoutMs);
+  pool.openingCount -= 1;
+  if (outcome.kind === 'failed') {
+    pool.onConnectFailed(outcome.failure);
+    return outcome;
+  }
+  const { connection, position } = outcome;
+  if (pool.isClosed) {
+    closeConnection(connection);
+    return { kind: 'failed', failure: { kind: 'lost' } };
+  }
+  if (position) pool.onPosition(position);
+  pool.inUse.add(connection);
+  return { kind: 'acquired', connection };
+}
+
+/** Gives back a connection that is idle and owes no answer. */
+export function releaseConnection(pool: TargetPool, connection: TargetConnection): void {
+  pool.inUse.delete(connection);
+  connection.consumer = undefined;
+  if (connection.isClosed || pool.isClosed) {
+    closeConnection(connection);
+    return;
+  }
+  pool.idle.push({ connection, sinceMs: performance.now() });
+}
+
+/** Closes a connection whose state is not known, or that is no longer wanted. */
+export function discardConnection(pool: TargetPool, connection: TargetConnection): void {
+  pool.inUse.delete(connection);
+  closeConnection(connection);
+}
+
+/** Opens connections ahead of need, one at a time, up to the number of slots. */
+export async function warmPool(pool: TargetPool): Promise<void> {
+  const wanted = Math.min(pool.slots, pool.maxConnections);
+  if (pool.isClosed || pool.openingCount > 0 || openConnections(pool) >= wanted) return;
+  const outcome = await openConnection(pool);
+  if (outcome.kind === 'acquired') releaseConnection(pool, outcome.connection);
+}
+
+/** Closes idle connections at once; those in use are closed by their requests. */
+export function closePool(pool: TargetPool): void {
+  pool.isClosed = true;
+  for (const { connection } of pool.idle.splice(0)) closeConnection(connection);
+}
+
+/**
+ * Asks over a new connection whether the target still works on a request of another one. A target
+ * that is idle there has answered already: that connection has lost track of its answer.
+ */
+export async function isStillWorking(
+  pool: TargetPool,
+  processId: number,
+): Promise<'working' | 'idle' | 'unreachable'> {
+  const { credentials, connectTimeoutMs } = pool.options;
+  const outcome = await connectTarget(pool.address, credentials, connectTimeoutMs);
+  if (outcome.kind === 'failed') return 'unreachable';
+  const { connection } = outcome;
+  const text = `SELECT state FROM pg_stat_activity WHERE pid = ${processId}`;
+  const answer = await runInternalQuery(connection, text, connectTimeoutMs);
+  closeConnection(connection);
+  if (answer.kind !== 'done') return 'unreachable';
+  return answer.rows[0] === 'active' ? 'working' : 'idle';
+}
--- /dev/null
+++ b/packages/link/src/index.ts
@@ -0,0 +1,8 @@
+/** Links between the system's processes, with counters and logs. */
+export * from './frame-codec.js';
+export * from './link-peer.js';
+export * from './link-server.js';
+export * from './link-client.js';
+export * from './probe-address.js';
+export * from './counters.js';
+export * from './logger.js';
--- /dev/null
+++ b/packages/link/src/link-client.ts
@@ -0,0 +1,96 @@
+/** Opens links to other processes and keeps them open. */
+import { createConnection } from 'node:net';
+import { splitAddress } from '@bramleykeel/core';
+import { type LinkHandlers, type LinkOptions, type LinkPeer, runLink } from './link-peer.js';
+
+export type LinkConnectFailure = 'refused' | 'silent' | 'failed';
+
+export interface LinkClient {
+  /** The open link, or `undefined` while there is none. */
+  readonly current: () => LinkPeer | undefined;
+  readonly stop: () => void;
+}
+
+export interface LinkClientOptions extends LinkOptions {
+  readonly connectTimeoutMs: number;
+  readonly reconnectMinMs: number;
+  readonly reconnectMaxMs: number;
+}
+
+export const DEFAULT_RECONNECT = {
+  connectTimeoutMs: 1_000,
+  reconnectMinMs: 50,
+  reconnectMaxMs: 1_000,
+} as const;
+
+export interface LinkClientHandlers extends LinkHandlers {
+  readonly onConnectFailed?: (failure: LinkConnectFailure) => void;
+}
+
+/**
+ * Connects to `address` and reconnects with exponential delay until stopped.
+ *
+ * @example
+ * const client = keepLink('127.0.0.1:7001', options, handlers);
+ */
+export function keepLink(
+  address: string,
+  options: LinkClientOptions,
+  handlers: LinkClientHandlers,
+): LinkClient {
+  const { host, port } = splitAddress(address);
+  let peer: LinkPeer | undefined;
+  let open: LinkPeer | undefined;
+  let isStopped = false;
+  let delayMs = options.reconnectMinMs;
+  let timer: NodeJS.Timeout | undefined;
+  const linkHandlers: LinkHandlers = {
+    ...handlers,
+    onOpen: (opened) => {
+      open = opened;
+      delayMs = options.reconnectMinMs;
+      handlers.onOpen?.(opened);
+    },
+    onClose: (closed, reason) => {
+      if (open === closed) open = undefined;
+      handlers.onClose?.(closed, reason);
+      reconnectLater();
+    },
+  };
+  connect();
+  return { current: () => open, stop };
+
+  function connect(): void {
+    const socket = createConnection({ host, port });
+    let isConnected = false;
+    const connectTimer = setTimeout(() => {
+      socket.destroy();
+      handlers.onConnectFailed?.('silent');
+      reconnectLater();
+    }, options.connectTimeoutMs);
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      if (isConnected) return;
+      clearTimeout(connectTimer);
+      handlers.onConnectFailed?.(error.code === 'ECONNREFUSED' ? 'refused' : 'failed');
+      reconnectLater();
+    });
+    socket.once('connect', () => {
+      isConnected = true;
+      clearTimeout(connectTimer);
+      peer = runLink(socket, 'client', options, linkHandlers);
+    });
+  }
+
+  function reconnectLater(): void {
+    if (isStopped) return;
+    clearTimeout(timer);
+    timer = setTimeout(connect, delayMs);
+    delayMs = Math.min(delayMs * 2, options.reconnectMaxMs);
+  }
+
+  function stop(): void {
+    isStopped = true;
+    clearTimeout(timer);
+    peer?.close('link is no longer needed');
+  }
+}
--- /dev/null
+++ b/packages/link/src/link-peer.ts
@@ -0,0 +1,240 @@
+/** One authenticated link between two of the system's processes: requests, replies and events. */
+import type { Socket } from 'node:net';
+import { type Either, Left, Right } from 'purify-ts';
+import { createFrameDecoder, decodeFrames, encodeFrame } from './frame-codec.js';
+import { createNonce, createProof, isProofValid, type LinkSide } from './link-auth.js';
+
+/** Why a request over a link has no answer. Only `not-sent` says that it was not received. */
+export type LinkError =
+  | { readonly kind: 'not-sent' }
+  | { readonly kind: 'closed' }
+  | { readonly kind: 'timeout' }
+  | { readonly kind: 'remote'; readonly message: string };
+
+export interface LinkPeer {
+  readonly remoteAddress: string;
+  /** Sends a request and waits for its answer, `timeoutMs` at most. */
+  readonly request: (
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ) => Promise<Either<LinkError, unknown>>;
+  /** Sends an event; returns whether the link was open. */
+  readonly notify: (method: string, params: unknown) => boolean;
+  readonly close: (reason: string) => void;
+  readonly isOpen: () => boolean;
+  /** Bytes accepted for sending that the kernel has not taken yet. */
+  readonly pendingBytes: () => number;
+}
+
+export interface LinkHandlers {
+  readonly onRequest: (peer: LinkPeer, method: string, params: unknown) => unknown;
+  readonly onNotify: (peer: LinkPeer, method: string, params: unknown) => void;
+  readonly onOpen?: (peer: LinkPeer) => void;
+  readonly onClose?: (peer: LinkPeer, reason: string) => void;
+}
+
+export interface LinkOptions {
+  readonly secret: string;
+  /** A ping is sent when nothing else was sent for this time. */
+  readonly pingEveryMs: number;
+  /** A link on which nothing arrives for this time is closed as silent. */
+  readonly silentAfterMs: number;
+}
+
+export const DEFAULT_LINK_TIMING = { pingEveryMs: 400, silentAfterMs: 2_000 } as const;
+
+/** Frame kinds on the wire; the first element of each frame. */
+const FRAME = { hello: 0, proof: 1, request: 2, reply: 3, failure: 4, event: 5, ping: 6 } as const;
+
+interface PendingRequest {
+  readonly resolve: (outcome: Either<LinkError, unknown>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/**
+ * Runs the link protocol on a connected socket.
+ *
+ * @example
+ * const peer = runLink(socket, 'client', { secret, ...DEFAULT_LINK_TIMING }, handlers);
+ */
+export function runLink(
+  socket: Socket,
+  side: LinkSide,
+  options: LinkOptions,
+  handlers: LinkHandlers,
+): LinkPeer {
+  const decoder = createFrameDecoder();
+  const pending = new Map<number, PendingRequest>();
+  const ownNonce = createNonce();
+  let otherNonce: Uint8Array | undefined;
+  let nextRequestId = 1;
+  let phase: 'hello' | 'proof' | 'open' | 'closed' = 'hello';
+  let lastReceivedMs = performance.now();
+  let lastSentMs = performance.now();
+
+  const peer: LinkPeer = {
+    remoteAddress: `${socket.remoteAddress ?? '?'}:${socket.remotePort ?? 0}`,
+    request: sendRequest,
+    notify,
+    close,
+    isOpen: () => phase === 'open',
+    pendingBytes: () => socket.writableLength,
+  };
+
+  const pingTimer = setInterval(checkLiveness, Math.min(options.pingEveryMs, 200));
+  socket.setNoDelay(true);
+  socket.on('data', receive);
+  socket.on('error', () => undefined);
+  socket.on('close', () => {
+    finish('connection closed');
+  });
+  write([FRAME.hello, ownNonce]);
+  return peer;
+
+  function write(frame: readonly unknown[]): void {
+    lastSentMs = performance.now();
+    socket.write(encodeFrame(frame));
+  }
+
+  function sendRequest(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Either<LinkError, unknown>> {
+    if (phase !== 'open') return Promise.resolve(Left({ kind: 'not-sent' }));
+    const id = nextRequestId;
+    nextRequestId += 1;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        settle(id, Left({ kind: 'timeout' }));
+      }, timeoutMs);
+      pending.set(id, { resolve, timer });
+      write([FRAME.request, id, method, params]);
+    });
+  }
+
+  function settle(id: number, outcome: Either<LinkError, unknown>): void {
+    const waiting = pending.get(id);
+    if (!waiting) return;
+    pending.delete(id);
+    clearTimeout(waiting.timer);
+    waiting.resolve(outcome);
+  }
+
+  function notify(method: string, params: unknown): boolean {
+    if (phase !== 'open') return false;
+    write([FRAME.event, method, params]);
+    return true;
+  }
+
+  function close(reason: string): void {
+    socket.destroy();
+    finish(reason);
+  }
+
+  function finish(reason: string): void {
+    if (phase === 'closed') return;
+    const wasOpen = phase === 'open';
+    phase = 'closed';
+    clearInterval(pingTimer);
+    for (const id of [...pending.keys()]) settle(id, Left({ kind: 'closed' }));
+    if (wasOpen || side === 'client') handlers.onClose?.(peer, reason);
+  }
+
+  /**
+   * Silence is judged only when this process itself ran on time: after a freeze, bytes that already
+   * wait in the socket are read first.
+   */
+  function checkLiveness(): void {
+    const nowMs = performance.now();
+    if (nowMs - lastReceivedMs > options.silentAfterMs) {
+      setImmediate(() => {
+        if (performance.now() - lastReceivedMs > options.silentAfterMs) close('peer is silent');
+      });
+      return;
+    }
+    if (phase === 'open' && nowMs - lastSentMs >= options.pingEveryMs) write([FRAME.ping]);
+  }
+
+  function receive(chunk: Buffer): void {
+    lastReceivedMs = performance.now();
+    const decoded = decodeFrames(decoder, chunk);
+    if (decoded.kind === 'malformed') {
+      close(decoded.reason);
+      return;
+    }
+    for (const value of decoded.values) {
+      if (phase === 'closed') return;
+      if (!Array.isArray(value)) {
+        close('frame is not a list');
+        return;
+      }
+      receiveFrame(value as unknown[]);
+    }
+  }
+
+  function receiveFrame(frame: unknown[]): void {
+    if (phase === 'hello') receiveHello(frame);
+    else if (phase === 'proof') receiveProof(frame);
+    else receiveOpen(frame);
+  }
+
+  function receiveHello(frame: unknown[]): void {
+    const [kind, nonce] = frame;
+    if (kind !== FRAME.hello || !(nonce instanceof Uint8Array)) {
+      close('peer did not start with a hello');
+      return;
+    }
+    otherNonce = nonce;
+    phase = 'proof';
+    write([FRAME.proof, proofOf(side)]);
+  }
+
+  function receiveProof(frame: unknown[]): void {
+    const otherSide: LinkSide = side === 'client' ? 'server' : 'client';
+    if (frame[0] !== FRAME.proof || !isProofValid(frame[1], proofOf(otherSide))) {
+      close('peer does not know the link secret');
+      return;
+    }
+    phase = 'open';
+    handlers.onOpen?.(peer);
+  }
+
+  function proofOf(prover: LinkSide): Buffer {
+    const other = otherNonce ?? new Uint8Array();
+    const [clientNonce, serverNonce] = side === 'client' ? [ownNonce, other] : [other, ownNonce];
+    return createProof(options.secret, prover, clientNonce, serverNonce);
+  }
+
+  function receiveOpen(frame: unknown[]): void {
+    switch (frame[0]) {
+      case FRAME.ping:
+        return;
+      case FRAME.event:
+        handlers.onNotify(peer, String(frame[1]), frame[2]);
+        return;
+      case FRAME.request:
+        void answer(Number(frame[1]), String(frame[2]), frame[3]);
+        return;
+      case FRAME.reply:
+        settle(Number(frame[1]), Right(frame[2]));
+        return;
+      case FRAME.failure:
+        settle(Number(frame[1]), Left({ kind: 'remote', message: String(frame[2]) }));
+        return;
+      default:
+        close('unknown frame kind');
+    }
+  }
+
+  async function answer(id: number, method: string, params: unknown): Promise<void> {
+    try {
+      const result = await handlers.onRequest(peer, method, params);
+      if (phase === 'open') write([FRAME.reply, id, result]);
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      if (phase === 'open') write([FRAME.failure, id, message]);
+    }
+  }
+}
--- /dev/null
+++ b/packages/link/src/link-server.ts
@@ -0,0 +1,58 @@
+/** Accepts links from other processes of the system. */
+import { createServer, type Server } from 'node:net';
+import { splitAddress } from '@bramleykeel/core';
+import { type LinkHandlers, type LinkOptions, type LinkPeer, runLink } from './link-peer.js';
+
+export interface LinkServer {
+  readonly peers: ReadonlySet<LinkPeer>;
+  readonly close: () => Promise<void>;
+}
+
+/**
+ * Listens on `address` and runs the link protocol on every connection.
+ *
+ * @example
+ * const server = await listenForLinks('127.0.0.1:7001', options, handlers);
+ */
+export async function listenForLinks(
+  address: string,
+  options: LinkOptions,
+  handlers: LinkHandlers,
+): Promise<LinkServer> {
+  const peers = new Set<LinkPeer>();
+  const server = createServer((socket) => {
+    runLink(socket, 'server', options, {
+      ...handlers,
+      onOpen: (peer) => {
+        peers.add(peer);
+        handlers.onOpen?.(peer);
+      },
+      onClose: (peer, reason) => {
+        peers.delete(peer);
+        handlers.onClose?.(peer, reason);
+      },
+    });
+  });
+  await listen(server, address);
+  return {
+    peers,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        for (const peer of peers) peer.close('server is closing');
+      }),
+  };
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/postgres-wire/src/classify-statement.ts
@@ -0,0 +1,225 @@
+/** Classification of statements: where each may run, and which are refused and why. */
+import {
+  childNode,
+  nodeList,
+  type ParsedStatement,
+  parseStatements,
+  stringValue,
+  type SyntaxNode,
+  walkNodes,
+} from './syntax.js';
+
+export type StatementClass =
+  | { readonly kind: 'read' }
+  | { readonly kind: 'write' }
+  | { readonly kind: 'begin'; readonly isReadOnly: boolean }
+  /** COMMIT, ROLLBACK and savepoints: free of rate, run where the transaction is. */
+  | { readonly kind: 'transaction-control' }
+  | { readonly kind: 'set-session'; readonly name: string; readonly text: string }
+  | { readonly kind: 'set-local' }
+  | { readonly kind: 'reset'; readonly name: string | null }
+  | { readonly kind: 'show'; readonly name: string }
+  | { readonly kind: 'unsupported'; readonly reason: string };
+
+/** Classification of a whole query text. */
+export interface TextClass {
+  readonly statements: readonly StatementClass[];
+}
+
+/** Functions that write although they are called from a SELECT. */
+const WRITING_FUNCTIONS = new Set([
+  'nextval',
+  'setval',
+  'pg_notify',
+  'txid_current',
+  'pg_current_xact_id',
+  'pg_advisory_xact_lock',
+  'pg_try_advisory_xact_lock',
+  'pg_advisory_xact_lock_shared',
+  'pg_try_advisory_xact_lock_shared',
+]);
+
+/** Session-level advisory locks outlive a transaction, so they cannot be held on a shared connection. */
+const SESSION_LOCK_FUNCTION = /^pg_(try_)?advisory_(lock|unlock)/;
+
+const WRITING_NODES = new Set(['InsertStmt', 'UpdateStmt', 'DeleteStmt', 'MergeStmt']);
+
+const UNSUPPORTED_KINDS: Readonly<Record<string, string>> = {
+  CopyStmt: 'COPY is not supported; use INSERT or SELECT',
+  ListenStmt: 'LISTEN needs a connection of its own',
+  UnlistenStmt: 'UNLISTEN needs a connection of its own',
+  PrepareStmt: 'PREPARE is not supported; use protocol-level prepared statements',
+  ExecuteStmt: 'EXECUTE is not supported; use protocol-level prepared statements',
+  DeallocateStmt: 'DEALLOCATE is not supported; close protocol-level statements instead',
+  DiscardStmt: 'DISCARD is not supported; RESET ALL clears session settings',
+  LoadStmt: 'LOAD changes one target process only',
+};
+
+/** Settings that decide whose rights a statement runs with belong to the system. */
+const RESERVED_SETTINGS = new Set(['role', 'session_authorization']);
+
+/** Creates a classifier that remembers the newest `capacity` texts. */
+export function createClassifier(capacity: number): (text: string) => TextClass {
+  const remembered = new Map<string, TextClass>();
+  return (text) => {
+    const known = remembered.get(text);
+    if (known) {
+      remembered.delete(text);
+      remembered.set(text, known);
+      return known;
+    }
+    const classified = classifyText(text);
+    remembered.set(text, classified);
+    if (remembered.size > capacity) {
+      const [oldest] = remembered.keys();
+      if (oldest !== undefined) remembered.delete(oldest);
+    }
+    return classified;
+  };
+}
+
+/**
+ * Classifies a query text. A text that the grammar refuses is sent to the primary as it is, so that
+ * the caller gets the target's own error.
+ *
+ * @example
+ * classifyText('SELECT 1').statements; // [{ kind: 'read' }]
+ */
+export function classifyText(text: string): TextClass {
+  const parsed = parseStatements(text);
+  if (!parsed) return { statements: [{ kind: 'write' }] };
+  const statements = parsed.map(classifyStatement);
+  const hasSessionChange = statements.some(
+    ({ kind }) => kind === 'set-session' || kind === 'reset',
+  );
+  if (statements.length > 1 && hasSessionChange) {
+    const reason = 'SET and RESET have to be sent on their own, or as SET LOCAL';
+    return { statements: [{ kind: 'unsupported', reason }] };
+  }
+  return { statements };
+}
+
+function classifyStatement(statement: ParsedStatement): StatementClass {
+  const { kind, node } = statement;
+  const reason = UNSUPPORTED_KINDS[kind];
+  if (reason !== undefined) return { kind: 'unsupported', reason };
+  switch (kind) {
+    case 'SelectStmt':
+      return classifySelect(node);
+    case 'TransactionStmt':
+      return classifyTransaction(node);
+    case 'VariableSetStmt':
+      return classifySet(statement);
+    case 'VariableShowStmt':
+      return { kind: 'show', name: settingName(node) };
+    case 'ExplainStmt':
+      return hasOption(node, 'analyze') ? { kind: 'write' } : { kind: 'read' };
+    case 'CreateStmt':
+    case 'CreateTableAsStmt':
+      return refuseTemporary(node) ?? { kind: 'write' };
+    case 'DeclareCursorStmt':
+      return classifyCursor(node);
+    case 'FetchStmt':
+    case 'ClosePortalStmt':
+      return { kind: 'read' };
+    default:
+      return findRefusedFunction(node) ?? { kind: 'write' };
+  }
+}
+
+function classifySelect(node: SyntaxNode): StatementClass {
+  let isWriting = false;
+  walkNodes({ SelectStmt: node }, (kind, child) => {
+    if (WRITING_NODES.has(kind) || kind === 'LockingClause') isWriting = true;
+    if (child['intoClause']) isWriting = true;
+    if (kind === 'FuncCall' && WRITING_FUNCTIONS.has(functionName(child))) isWriting = true;
+  });
+  const refused = findRefusedFunction({ SelectStmt: node }) ?? refuseTemporary(node);
+  if (refused) return refused;
+  return isWriting ? { kind: 'write' } : { kind: 'read' };
+}
+
+function findRefusedFunction(node: SyntaxNode): StatementClass | undefined {
+  let found: string | undefined;
+  walkNodes(node, (kind, child) => {
+    if (kind !== 'FuncCall') return;
+    const name = functionName(child);
+    if (SESSION_LOCK_FUNCTION.test(name)) found = name;
+    if (name === 'set_config') found = name;
+  });
+  if (found === undefined) return undefined;
+  const advice = found === 'set_config' ? 'use SET' : 'use the transaction-level lock functions';
+  return { kind: 'unsupported', reason: `${found} changes session state; ${advice}` };
+}
+
+function functionName(call: SyntaxNode): string {
+  return stringValue(nodeList(call['funcname']).at(-1)) ?? '';
+}
+
+function classifyTransaction(node: SyntaxNode): StatementClass {
+  const kind = node['kind'];
+  if (kind === 'TRANS_STMT_PREPARE' || kind === 'TRANS_STMT_COMMIT_PREPARED') {
+    return { kind: 'unsupported', reason: 'two-phase commit is not supported' };
+  }
+  if (kind !== 'TRANS_STMT_BEGIN' && kind !== 'TRANS_STMT_START') {
+    return { kind: 'transaction-control' };
+  }
+  return { kind: 'begin', isReadOnly: hasOption(node, 'transaction_read_only') };
+}
+
+/** Looks for a DefElem of that name whose argument is not zero or false. */
+function hasOption(node: SyntaxNode, name: string): boolean {
+  return nodeList(node['options']).some((option) => {
+    const element = childNode(option, 'DefElem');
+    if (element?.['defname'] !== name) return false;
+    const constant = childNode(element, 'arg') && JSON.stringify(element['arg']);
+    return !/"ival":\{\}|"false"|"off"/.test(constant ?? '');
+  });
+}
+
+function classifySet({ node, text }: ParsedStatement): StatementClass {
+  const kind = node['kind'];
+  const name = settingName(node);
+  if (RESERVED_SETTINGS.has(name)) {
+    return { kind: 'unsupported', reason: `${name} is set by the system` };
+  }
+  if (kind === 'VAR_RESET_ALL') return { kind: 'reset', name: null };
+  if (kind === 'VAR_RESET' || kind === 'VAR_SET_DEFAULT') {
+    return node['is_local'] ? { kind: 'set-local' } : { kind: 'reset', name };
+  }
+  if (node['is_local']) return { kind: 'set-local' };
+  if (kind === 'VAR_SET_MULTI') {
+    if (name === 'transaction') return { kind: 'set-local' };
+    return { kind: 'unsupported', reason: 'set default_transaction_* parameters instead' };
+  }
+  return { kind: 'set-session', name, text };
+}
+
+function settingName(node: SyntaxNode): string {
+  const name = node['name'];
+  return typeof name === 'string' ? name.toLowerCase() : '';
+}
+
+function refuseTemporary(node: SyntaxNode): StatementClass | undefined {
+  let isTemporary = false;
+  const relation = childNode(node, 'relation');
+  if (relation?.['relpersistence'] === 't') isTemporary = true;
+  const into = childNode(node, 'into') ?? childNode(node, 'intoClause');
+  if (into && childNode(into, 'rel')?.['relpersistence'] === 't') isTemporary = true;
+  if (!isTemporary) return undefined;
+  return {
+    kind: 'unsupported',
+    reason: 'temporary tables are not supported on shared connections',
+  };
+}
+
+/** Bit that the grammar sets for DECLARE ... WITH HOLD. */
+const CURSOR_HOLD_BIT = 0x20;
+
+function classifyCursor(node: SyntaxNode): StatementClass {
+  const options = node['options'];
+  if (typeof options === 'number' && (options & CURSOR_HOLD_BIT) !== 0) {
+    return { kind: 'unsupported', reason: 'cursors WITH HOLD outlive their transaction' };
+  }
+  return { kind: 'read' };
+}
--- /dev/null
+++ b/packages/postgres-wire/src/client-message-builders.ts
@@ -0,0 +1,51 @@
+/** Builds the client messages that the proxy writes anew on the way to a target. */
+import { serialize } from 'pg-protocol';
+import { Writer } from 'pg-protocol/dist/buffer-writer.js';
+import type { BindMessage, ParseMessage } from './client-messages.js';
+import { CLIENT } from './message-types.js';
+
+/** A Parse message under another statement name; text and types stay as they were. */
+export function buildParse(message: ParseMessage, name: string): Buffer {
+  const writer = new Writer();
+  writer.addCString(name).addCString(message.text).add(message.parameterTypes);
+  return writer.flush(CLIENT.parse);
+}
+
+/** A Bind message for another statement name; portal and values stay as they were. */
+export function buildBind(message: BindMessage, statement: string): Buffer {
+  const writer = new Writer(message.rest.length + 256);
+  writer.addCString(message.portal).addCString(statement).add(message.rest);
+  return writer.flush(CLIENT.bind);
+}
+
+export function buildDescribeStatement(name: string): Buffer {
+  return serialize.describe({ type: 'S', name });
+}
+
+export function buildCloseStatement(name: string): Buffer {
+  return serialize.close({ type: 'S', name });
+}
+
+export function buildQuery(text: string): Buffer {
+  return serialize.query(text);
+}
+
+export function buildStartup(parameters: Record<string, string>): Buffer {
+  return serialize.startup(parameters);
+}
+
+export function buildPassword(password: string): Buffer {
+  return serialize.password(password);
+}
+
+export function buildTerminate(): Buffer {
+  return serialize.end();
+}
+
+export function buildCancel(processId: number, secretKey: number): Buffer {
+  return serialize.cancel(processId, secretKey);
+}
+
+export function buildSslRequest(): Buffer {
+  return serialize.requestSsl();
+}
--- /dev/null
+++ b/packages/postgres-wire/src/index.ts
@@ -0,0 +1,8 @@
+/** PostgreSQL v3 messages and statement classification. */
+export * from './message-framer.js';
+export * from './message-types.js';
+export * from './client-messages.js';
+export * from './client-message-builders.js';
+export * from './server-messages.js';
+export * from './syntax.js';
+export * from './classify-statement.js';
--- /dev/null
+++ b/packages/test-support/src/stand-in/bind-values.ts
@@ -0,0 +1,31 @@
+/** Reads the parameter values of a Bind message; only text format is taken. */
+import type { SqlValue } from './expressions.js';
+import { SqlFailure } from './sql-failure.js';
+
+/** `rest` is everything of the Bind message after its two names. */
+export function readBindValues(rest: Buffer): SqlValue[] {
+  let offset = 0;
+  const readInt16 = () => {
+    offset += 2;
+    return rest.readInt16BE(offset - 2);
+  };
+  const readInt32 = () => {
+    offset += 4;
+    return rest.readInt32BE(offset - 4);
+  };
+  const formatCount = readInt16();
+  const formats = Array.from({ length: formatCount }, readInt16);
+  const valueCount = readInt16();
+  const values = Array.from({ length: valueCount }, () => {
+    const lengthBytes = readInt32();
+    if (lengthBytes < 0) return null;
+    offset += lengthBytes;
+    return rest.toString('utf8', offset - lengthBytes, offset);
+  });
+  const resultFormatCount = readInt16();
+  const resultFormats = Array.from({ length: resultFormatCount }, readInt16);
+  if (formats.includes(1) || resultFormats.includes(1)) {
+    throw new SqlFailure('0A000', 'the stand-in does not support binary format');
+  }
+  return values;
+}
--- /dev/null
+++ b/packages/test-support/src/stand-in/stand-in-server.ts
@@ -0,0 +1,155 @@
+/** Wires one stand-in server: PostgreSQL port, command port, replication and announcements. */
+import { randomUUID } from 'node:crypto';
+import { createServer as createHttpServer, type IncomingMessage } from 'node:http';
+import { createServer as createTcpServer, type Server } from 'node:net';
+import { splitAddress, type TargetCommand } from '@bramleykeel/core';
+import { loadSyntax } from '@bramleykeel/postgres-wire';
+import { startAnnouncer } from './announcer.js';
+import { type ConnectionHost, serveConnection } from './connection.js';
+import { awaitForReplica, replicate, type ReplicationFaults } from './replication.js';
+import { createStandInServer, promote, runCommand } from './server-state.js';
+import { createSlots } from './slots.js';
+import { appendEntry, lastEntry, openStorage, saveTerms } from './storage.js';
+
+export interface StandInOptions {
+  readonly group: string;
+  readonly server: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly commandAddress: string;
+  readonly announceUrls: readonly string[];
+  readonly announceToken: string | undefined;
+  readonly announceEveryMs: number;
+  readonly dataFolder: string | undefined;
+  readonly isFirstPrimary: boolean;
+  /** Command address of the primary to follow at first. */
+  readonly followUrl: string | undefined;
+  readonly lagMs: number;
+  readonly slots: number;
+  readonly connections: number;
+  readonly connectCostMs: number;
+  readonly statementCostMs: number;
+  readonly password: string;
+  /** Statements that create the tables of a new primary. */
+  readonly createsBookings: boolean;
+}
+
+interface Faults extends ReplicationFaults {
+  areAnnouncementsPaused: boolean;
+}
+
+/** Starts the server; resolves once both ports are open. */
+export async function startStandIn(options: StandInOptions): Promise<void> {
+  await loadSyntax();
+  const storage = openStorage(options.dataFolder);
+  const server = createStandInServer(storage);
+  const faults: Faults = { isReplicationPaused: false, areAnnouncementsPaused: false };
+  const isNew = storage.terms.term === 0;
+  if (isNew && options.isFirstPrimary) {
+    promote(server, 1);
+    if (options.createsBookings) createBookings();
+  }
+  if (isNew && !options.isFirstPrimary) {
+    saveTerms(storage, { promisedTerm: 1, term: 1 });
+    server.primaryCommandUrl = options.followUrl;
+  }
+  const host: ConnectionHost = {
+    server,
+    slots: createSlots(options.slots),
+    password: options.password,
+    maxConnections: options.connections,
+    connectCostMs: options.connectCostMs,
+    statementCostMs: options.statementCostMs,
+    connections: new Map(),
+    nextProcessId: 1_000,
+  };
+  const tcpServer = createTcpServer((socket) => {
+    serveConnection(socket, host);
+  });
+  await listen(tcpServer, options.address);
+  const httpServer = createHttpServer((request, response) => {
+    void answerCommand(request).then((answer) => {
+      response.setHeader('content-type', 'application/json');
+      response.end(JSON.stringify(answer ?? null));
+    });
+  });
+  await listen(httpServer, options.commandAddress);
+  void replicate(server, options.lagMs, faults);
+  const incarnation = randomUUID();
+  let sequence = 0;
+  const announcer = startAnnouncer({
+    urls: options.announceUrls,
+    token: options.announceToken,
+    everyMs: options.announceEveryMs,
+    coalesceMs: 1,
+    createAnnouncement,
+    isPaused: () => faults.areAnnouncementsPaused,
+  });
+  storage.onChange = announcer.announceSoon;
+  server.onRoleChange = announcer.announceSoon;
+
+  function createAnnouncement() {
+    sequence += 1;
+    return {
+      group: options.group,
+      server: options.server,
+      incarnation,
+      sequence,
+      address: options.address,
+      commandUrl: `http://${options.commandAddress}`,
+      zone: options.zone,
+      role: server.role,
+      term: storage.terms.term,
+      position: lastEntry(storage),
+      slots: options.slots,
+      connections: options.connections,
+      isLeaving: server.isLeaving,
+    };
+  }
+
+  function createBookings(): void {
+    const columns = ['id', 'lens'].map((name) => ({ name, typeId: 25 }));
+    const table = { name: 'bookings', columns, primaryKey: 'id' };
+    const { term, offset } = lastEntry(storage);
+    const changes = [{ kind: 'create', table } as const];
+    appendEntry(storage, { term, offset: offset + 1, committedAtMs: Date.now(), changes });
+  }
+
+  async function answerCommand(request: IncomingMessage): Promise<unknown> {
+    const url = new URL(request.url ?? '/', 'http://stand-in');
+    const body = await readBody(request);
+    switch (`${request.method ?? ''} ${url.pathname}`) {
+      case 'GET /log': {
+        const after = Number(url.searchParams.get('after') ?? '0');
+        return awaitForReplica(server, after, Number(url.searchParams.get('term') ?? '0'));
+      }
+      case 'GET /entries':
+        return { role: server.role, terms: storage.terms, entries: storage.entries };
+      case 'POST /command':
+        return runCommand(server, JSON.parse(body) as TargetCommand);
+      case 'POST /faults':
+        Object.assign(faults, JSON.parse(body));
+        return faults;
+      case 'POST /leave':
+        server.isLeaving = true;
+        announcer.announceSoon();
+        return { isLeaving: true };
+      default:
+        return { error: 'unknown command' };
+    }
+  }
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['packages/*/src/**/*.test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 2,
+  },
+});
