--- a/packages/bramleykeelctl/src/control-call.ts
+++ b/packages/bramleykeelctl/src/control-call.ts
@@ -63,7 +63,7 @@
       body: JSON.stringify(params),
       signal: AbortSignal.timeout(timeoutMs),
     });
-    const body = (await response.json()) as unknown;
+    const body = await response.json();
     if (response.ok) return { kind: 'ok', result: body };
     const { code, message, detail } = body as { code?: string; message: string; detail?: unknown };
     return { kind: 'refused', code: code ?? 'bad-request', message, detail };
--- a/packages/bramleykeelctl/src/main.ts
+++ b/packages/bramleykeelctl/src/main.ts
@@ -30,8 +30,8 @@
 }
 
 function accessFrom(options: CommonOptions): ControlAccess {
-  const addresses = options.control ?? process.env['BRAMLEYKEEL_CONTROL'];
-  const file = options['token-file'] ?? process.env['BRAMLEYKEEL_TOKEN_FILE'];
+  const addresses = options.control ?? process.env.BRAMLEYKEEL_CONTROL;
+  const file = options['token-file'] ?? process.env.BRAMLEYKEEL_TOKEN_FILE;
   if (addresses === undefined || file === undefined) {
     process.stderr.write(
       'give --control and --token-file, or set BRAMLEYKEEL_CONTROL and BRAMLEYKEEL_TOKEN_FILE\n',
--- a/packages/control/src/control-daemon.ts
+++ b/packages/control/src/control-daemon.ts
@@ -1,6 +1,6 @@
 /** Wires the parts of a control member: storage, log, links, leader duties and the operators' port. */
 import {
-  brandAs,
+  toMemberId,
   type ControlMemberAddress,
   type ControlSettings,
   entryAt,
@@ -72,7 +72,7 @@
  */
 export async function startControl(settings: ControlSettings): Promise<ControlDaemon> {
   const { control, timing } = settings;
-  const selfId = brandAs<MemberId>(control.id);
+  const selfId = toMemberId(control.id);
   const log = createLog('control');
   const counters = createCounters('control', settings.statsd);
   const self = settings.members.find(({ id }) => id === control.id);
@@ -128,7 +128,7 @@
       { ...linkOptions, ...DEFAULT_RECONNECT, reconnectMaxMs: 300 },
       { onRequest: () => undefined, onNotify: () => undefined },
     );
-    links.set(brandAs<MemberId>(member.id), link);
+    links.set(toMemberId(member.id), link);
   }
   const timers = [
     setInterval(() => {
--- a/packages/control/src/storage/control-storage.ts
+++ b/packages/control/src/storage/control-storage.ts
@@ -3,7 +3,7 @@
 import { mkdirSync } from 'node:fs';
 import { join } from 'node:path';
 import {
-  brandAs,
+  toDiskId,
   type ControlCommand,
   type DiskId,
   type DurableRaftState,
@@ -55,7 +55,7 @@
 
 /** The disk id of a member that was there when the cluster was set up. */
 export function initialDiskId(member: string): DiskId {
-  return brandAs<DiskId>(`initial-${member}`);
+  return toDiskId(`initial-${member}`);
 }
 
 /**
@@ -100,7 +100,7 @@
     const [identity] = records as readonly IdentityRecord[];
     if (identity) return Right(identity.diskId);
     if (readFileIfThere(file)) return Left({ kind: 'corrupt-file', file, offsetBytes: 0 });
-    const diskId = brandAs<DiskId>(randomUUID());
+    const diskId = toDiskId(randomUUID());
     replaceFile(file, encodeRecord({ kind: 'identity', diskId } satisfies IdentityRecord));
     return Right(diskId);
   });
--- a/packages/core/src/admit/token-bucket.ts
+++ b/packages/core/src/admit/token-bucket.ts
@@ -15,12 +15,22 @@
 /** The longest time an entry may hold on to drawn tokens, in milliseconds. */
 export const MAX_GRANT_LIFETIME_MS = 250;
 
+/** The smallest burst of any customer, in tokens. */
+const MIN_BURST = 2;
+/** The smallest burst as a time at the customer's rate, in seconds: tokens must outlive their way. */
+const MIN_BURST_SECONDS = 0.1;
+
+/** The smallest burst that a customer of this rate may have: with less, tokens would expire underway. */
+export function smallestBurst(ratePerSecond: number): number {
+  return Math.max(MIN_BURST, Math.ceil(ratePerSecond * MIN_BURST_SECONDS) + 1);
+}
+
 /**
  * How long drawn tokens stay valid at an entry. Short enough that what flows in meanwhile is at most
- * half the burst: the bucket is made smaller by that amount, and must not become empty.
+ * half of what the burst is above one: the bucket is made smaller by that amount.
  */
 export function grantLifetimeMs(limit: RateLimit): number {
-  const halfBurstMs = (limit.burst / (2 * limit.ratePerSecond)) * 1000;
+  const halfBurstMs = ((limit.burst - 1) / (2 * limit.ratePerSecond)) * 1000;
   return Math.min(MAX_GRANT_LIFETIME_MS, halfBurstMs);
 }
 
--- /dev/null
+++ b/packages/core/src/confirm/quorum-cover.test.ts
@@ -0,0 +1,99 @@
+import { describe, expect, it } from 'vitest';
+import { createGroupView } from '../route/server-view.js';
+import { toServerName } from '../types/ids.js';
+import type { Announcement } from '../types/target.js';
+import { type ConfirmContext, confirmWrite, type PendingWrite } from './quorum-cover.js';
+
+const MEMBERS = ['p', 'r1', 'r2'].map(toServerName);
+
+function contextOf(
+  positions: Record<string, { term: number; offset: number; follows?: number }>,
+  fields: Partial<ConfirmContext> = {},
+): ConfirmContext {
+  const view = createGroupView();
+  for (const [name, { term, offset, follows }] of Object.entries(positions)) {
+    const server = toServerName(name);
+    const announcement = { term: follows ?? 3, position: { term, offset } } as Announcement;
+    view.servers.set(server, { server, announcement, heardAtMs: 0, currentAtMs: 0 });
+  }
+  return {
+    view,
+    members: MEMBERS,
+    primary: toServerName('p'),
+    term: 3,
+    nowMs: 0,
+    holdsLease: true,
+    highestTerm: 3,
+    ...fields,
+  };
+}
+
+const WRITE: PendingWrite = {
+  mark: { term: 3, offset: 50 },
+  term: 3,
+  deadlineMs: 100,
+  needsQuorum: true,
+};
+const COVERED = { r1: { term: 3, offset: 50 } };
+
+describe('confirmWrite', () => {
+  const CASES: readonly [string, ConfirmContext, PendingWrite, string][] = [
+    ['one replica holds it', contextOf(COVERED), WRITE, 'acknowledge'],
+    ['no replica holds it yet', contextOf({ r1: { term: 3, offset: 49 } }), WRITE, 'wait'],
+    ['a longer log of an older term', contextOf({ r1: { term: 2, offset: 99 } }), WRITE, 'wait'],
+    [
+      'a replica that follows an older term',
+      contextOf({ r1: { term: 3, offset: 50, follows: 2 } }),
+      WRITE,
+      'wait',
+    ],
+    ['a server that is no member', contextOf({ x: { term: 3, offset: 50 } }), WRITE, 'wait'],
+    ['the time is up', contextOf({}, { nowMs: 100 }), WRITE, 'not-covered'],
+    [
+      'the lease is over although it is covered',
+      contextOf(COVERED, { holdsLease: false }),
+      WRITE,
+      'superseded',
+    ],
+    ['a newer term was proposed', contextOf(COVERED, { highestTerm: 4 }), WRITE, 'superseded'],
+    [
+      'the group has moved on',
+      contextOf(COVERED, { term: 4, highestTerm: 4 }),
+      WRITE,
+      'superseded',
+    ],
+    [
+      'the primary wrote it in another term',
+      contextOf(COVERED),
+      { ...WRITE, mark: { term: 2, offset: 1 } },
+      'superseded',
+    ],
+    [
+      'the group asks for the primary only',
+      contextOf({}),
+      { ...WRITE, needsQuorum: false },
+      'acknowledge',
+    ],
+    [
+      'the primary only, but the lease is over',
+      contextOf({}, { holdsLease: false }),
+      { ...WRITE, needsQuorum: false },
+      'superseded',
+    ],
+    [
+      'a group of one server',
+      contextOf({}, { members: MEMBERS.slice(0, 1) }),
+      WRITE,
+      'acknowledge',
+    ],
+    [
+      'five members, one replica',
+      contextOf(COVERED, { members: ['p', 'r1', 'r2', 'r3', 'r4'].map(toServerName) }),
+      WRITE,
+      'wait',
+    ],
+  ];
+  it.each(CASES)('%s', (_name, context, write, expected) => {
+    expect(confirmWrite(write, context)).toBe(expected);
+  });
+});
--- a/packages/core/src/confirm/quorum-cover.ts
+++ b/packages/core/src/confirm/quorum-cover.ts
@@ -28,7 +28,7 @@
   for (const member of context.members) {
     if (member === context.primary) continue;
     const announcement = context.view.servers.get(member)?.announcement;
-    if (announcement === undefined || announcement.term !== context.term) continue;
+    if (announcement?.term !== context.term) continue;
     if (coversMark(announcement.position, mark)) holders += 1;
   }
   return holders >= coverQuorum(context.members.length);
--- /dev/null
+++ b/packages/core/src/control-log/raft-harness.test-support.ts
@@ -0,0 +1,248 @@
+/** A few control members in one process, with a network whose messages the test holds in its hand. */
+import { type DiskId, toDiskId, toMemberId, type MemberId } from '../types/ids.js';
+import { stepRaft } from './raft.js';
+import { createRaftState, type RaftState } from './raft-state.js';
+import type {
+  LogEntry,
+  Membership,
+  RaftEffect,
+  RaftEvent,
+  RaftMessage,
+  Snapshot,
+} from './types.js';
+
+export type Command = string;
+
+export interface Disk {
+  term: number;
+  votedFor: MemberId | undefined;
+  snapshot: Snapshot;
+  entries: LogEntry<Command>[];
+  readonly diskId: DiskId;
+}
+
+export interface Envelope {
+  readonly from: MemberId;
+  readonly to: MemberId;
+  readonly message: RaftMessage<Command>;
+}
+
+export interface Member {
+  readonly id: MemberId;
+  disk: Disk;
+  state: RaftState<Command>;
+  isUp: boolean;
+  applied: string[];
+  confirmedRounds: number;
+}
+
+export interface Harness {
+  readonly members: Map<MemberId, Member>;
+  readonly network: Envelope[];
+  readonly cutLinks: Set<string>;
+  /** Who led in each term, to show that there is never a second one. */
+  readonly leaders: Map<number, MemberId>;
+  nowMs: number;
+  readonly randomUnit: () => number;
+}
+
+export const TIMING = { heartbeatMs: 100, electionTimeoutMinMs: 500, electionTimeoutMaxMs: 1_000 };
+
+export function firstMembership(ids: readonly string[]): Membership {
+  return Object.fromEntries(
+    ids.map((id) => [
+      id,
+      { address: id, adminAddress: id, diskId: toDiskId(`initial-${id}`), isVoter: true },
+    ]),
+  );
+}
+
+export function createHarness(ids: readonly string[], randomUnit: () => number): Harness {
+  const harness: Harness = {
+    members: new Map(),
+    network: [],
+    cutLinks: new Set(),
+    leaders: new Map(),
+    nowMs: 0,
+    randomUnit,
+  };
+  const membership = firstMembership(ids);
+  for (const id of ids) {
+    const snapshot = { index: 0, term: 0, membership, data: new Uint8Array() };
+    const disk = { term: 0, votedFor: undefined, snapshot, entries: [] };
+    startMember(harness, toMemberId(id), { ...disk, diskId: toDiskId(`initial-${id}`) });
+  }
+  return harness;
+}
+
+/** Starts, or restarts, a member from a disk. */
+export function startMember(harness: Harness, id: MemberId, disk: Disk): Member {
+  const identity = {
+    selfId: id,
+    diskId: disk.diskId,
+    timing: TIMING,
+    randomUnit: harness.randomUnit,
+  };
+  const { term: currentTerm, votedFor, snapshot, entries } = disk;
+  const durable = { currentTerm, votedFor, snapshot, entries };
+  const member: Member = {
+    id,
+    disk,
+    state: createRaftState<Command>(identity, durable, harness.nowMs),
+    isUp: true,
+    applied: restoreApplied(snapshot),
+    confirmedRounds: 0,
+  };
+  harness.members.set(id, member);
+  return member;
+}
+
+export function emptyDisk(diskId: string): Disk {
+  const snapshot = { index: 0, term: 0, membership: {}, data: new Uint8Array() };
+  return { term: 0, votedFor: undefined, snapshot, entries: [], diskId: toDiskId(diskId) };
+}
+
+function restoreApplied(snapshot: Snapshot): string[] {
+  if (snapshot.data.length === 0) return [];
+  return JSON.parse(Buffer.from(snapshot.data).toString()) as string[];
+}
+
+export function memberOf(harness: Harness, id: string): Member {
+  const member = harness.members.get(toMemberId(id));
+  if (!member) throw new Error(`no member ${id}`);
+  return member;
+}
+
+/** Steps one member and carries out what it asks for. */
+export function step(harness: Harness, member: Member, event: RaftEvent<Command>): void {
+  if (!member.isUp) return;
+  for (const effect of stepRaft(member.state, event, harness.nowMs)) {
+    carryOut(harness, member, effect);
+  }
+}
+
+function carryOut(harness: Harness, member: Member, effect: RaftEffect<Command>): void {
+  const { disk, state } = member;
+  switch (effect.kind) {
+    case 'persist-vote':
+      disk.term = effect.term;
+      disk.votedFor = effect.votedFor;
+      break;
+    case 'persist-entries': {
+      const first = effect.entries[0]?.index ?? 0;
+      disk.entries = [...disk.entries.filter(({ index }) => index < first), ...effect.entries];
+      break;
+    }
+    case 'restore-snapshot':
+      disk.snapshot = effect.snapshot;
+      disk.entries = [];
+      member.applied = restoreApplied(effect.snapshot);
+      break;
+    case 'send':
+      harness.network.push({ from: member.id, to: effect.to, message: effect.message });
+      break;
+    case 'send-snapshot': {
+      const { term, snapshot } = { term: state.currentTerm, snapshot: takeSnapshot(member) };
+      const message = { kind: 'install-snapshot', term, snapshot, round: effect.round } as const;
+      harness.network.push({ from: member.id, to: effect.to, message });
+      break;
+    }
+    case 'apply':
+      for (const { payload } of effect.entries) {
+        member.applied.push(payload.kind === 'command' ? payload.command : `(${payload.kind})`);
+      }
+      break;
+    case 'role-changed':
+      if (effect.role === 'leader') noteLeader(harness, state.currentTerm, member.id);
+      break;
+    case 'round-confirmed':
+      member.confirmedRounds += 1;
+      break;
+    case 'member-regressed':
+      break;
+  }
+}
+
+function noteLeader(harness: Harness, term: number, id: MemberId): void {
+  const known = harness.leaders.get(term);
+  if (known !== undefined && known !== id) throw new Error(`two leaders in term ${term}`);
+  harness.leaders.set(term, id);
+}
+
+function takeSnapshot(member: Member): Snapshot {
+  const { state, applied, disk } = member;
+  const index = state.commitIndex;
+  const term =
+    index === state.snapshot.index
+      ? state.snapshot.term
+      : (state.entries[index - state.snapshot.index - 1]?.term ?? 0);
+  const newest = disk.entries.filter(
+    (entry) => entry.index <= index && entry.payload.kind === 'membership',
+  );
+  const payload = newest.at(-1)?.payload;
+  const membership =
+    payload?.kind === 'membership' ? payload.membership : state.snapshot.membership;
+  return { index, term, membership, data: Buffer.from(JSON.stringify(applied)) };
+}
+
+/** Replaces what is committed at a member by a snapshot, on disk as well. */
+export function compact(harness: Harness, member: Member): void {
+  const snapshot = takeSnapshot(member);
+  const { index, term, membership } = snapshot;
+  step(harness, member, { kind: 'snapshot-saved', snapshot: { index, term, membership } });
+  member.disk.snapshot = snapshot;
+  member.disk.entries = member.disk.entries.filter((entry) => entry.index > index);
+}
+
+/** Delivers the oldest message, or drops it when its link is cut or its receiver is down. */
+export function deliverNext(harness: Harness): boolean {
+  const envelope = harness.network.shift();
+  if (!envelope) return false;
+  const { from, to, message } = envelope;
+  if (harness.cutLinks.has(`${from}>${to}`)) return true;
+  const receiver = harness.members.get(to);
+  if (receiver) step(harness, receiver, { kind: 'message', from, message });
+  return true;
+}
+
+/** Lets time pass in ticks, delivering everything after each. */
+export function run(harness: Harness, durationMs: number): void {
+  const untilMs = harness.nowMs + durationMs;
+  while (harness.nowMs < untilMs) {
+    harness.nowMs += 20;
+    for (const member of harness.members.values()) step(harness, member, { kind: 'tick' });
+    while (deliverNext(harness));
+  }
+}
+
+/** Cuts a member off from all others, without either side being told. */
+export function isolate(harness: Harness, id: string): void {
+  for (const other of harness.members.keys()) {
+    harness.cutLinks.add(`${id}>${other}`);
+    harness.cutLinks.add(`${other}>${id}`);
+  }
+}
+
+export function heal(harness: Harness): void {
+  harness.cutLinks.clear();
+}
+
+export function leaderOf(harness: Harness): Member | undefined {
+  const leaders = [...harness.members.values()].filter(
+    ({ isUp, state }) => isUp && state.role === 'leader',
+  );
+  return leaders.sort((left, right) => right.state.currentTerm - left.state.currentTerm)[0];
+}
+
+export function propose(harness: Harness, member: Member, command: Command): void {
+  step(harness, member, { kind: 'propose', payloads: [{ kind: 'command', command }] });
+}
+
+/** A generator of numbers in [0, 1) with a fixed seed. */
+export function seededRandom(seed: number): () => number {
+  let state = seed >>> 0;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
--- /dev/null
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -0,0 +1,204 @@
+import { describe, expect, it } from 'vitest';
+import type { CustomerSetting } from '../settings/paths.js';
+import {
+  toEntryId,
+  toGroupName,
+  toIncarnation,
+  toOperationId,
+  toServerName,
+} from '../types/ids.js';
+import {
+  applyCommand,
+  BOOTSTRAP_OPERATOR,
+  type ControlState,
+  createControlState,
+} from './control-state.js';
+import { exportControlState, importControlState } from './snapshot.js';
+import type { ControlCommand, SettingChange } from './types.js';
+import { assignmentOf, customerSetting, groupRecordOf, recordsSince } from './views.js';
+
+const RATE: CustomerSetting = { ratePerSecond: 100, burst: 50, readAgeAllowanceMs: null };
+const GROUP = toGroupName('bookings');
+
+function applyOf(
+  operationId: string,
+  baseRevision: number | null,
+  changes: readonly SettingChange[],
+  operator = BOOTSTRAP_OPERATOR,
+  wallClockMs = 1_000,
+): ControlCommand {
+  const id = toOperationId(operationId);
+  return { kind: 'settings/apply', operationId: id, operator, baseRevision, changes, wallClockMs };
+}
+
+function stateWithCustomer(): ControlState {
+  const state = createControlState();
+  applyCommand(state, 1, applyOf('first', 0, [{ path: 'customers/acme', value: RATE }]));
+  return state;
+}
+
+function assign(epoch: number, entry: string): ControlCommand {
+  const assignment = {
+    resource: 'group/bookings' as const,
+    epoch,
+    entryId: toEntryId(entry),
+    incarnation: toIncarnation(`${entry}-1`),
+    linkAddress: '127.0.0.1:1',
+  };
+  return { kind: 'owner/assign', assignment };
+}
+
+describe('settings', () => {
+  it('accepts one of two changes made against the same revision and shows the other what won', () => {
+    const state = stateWithCustomer();
+    const slower = { ...RATE, ratePerSecond: 10 };
+    const faster = { ...RATE, ratePerSecond: 300 };
+    const won = applyCommand(
+      state,
+      2,
+      applyOf('left', 1, [{ path: 'customers/acme', value: slower }]),
+    );
+    const lost = applyCommand(
+      state,
+      3,
+      applyOf('right', 1, [{ path: 'customers/acme', value: faster }]),
+    );
+    expect(won).toEqual({ kind: 'accepted', revision: 2 });
+    expect(lost).toEqual({
+      kind: 'conflict',
+      revision: 2,
+      current: [{ path: 'customers/acme', value: slower }],
+    });
+    expect(customerSetting(state, 'acme')).toEqual(slower);
+  });
+
+  it('answers a resend with the first result, also after other changes and from a snapshot', () => {
+    const state = stateWithCustomer();
+    const change = applyOf('resent', 1, [
+      { path: 'customers/acme', value: { ...RATE, burst: 19 } },
+    ]);
+    const first = applyCommand(state, 2, change);
+    applyCommand(state, 3, applyOf('between', 2, [{ path: 'customers/acme', value: RATE }]));
+    const restored = importControlState(structuredClone(exportControlState(state)));
+    for (const holder of [state, restored]) {
+      expect(applyCommand(holder, 4, change)).toEqual(first);
+      expect(customerSetting(holder, 'acme')).toEqual(RATE);
+    }
+  });
+
+  it('refuses an operation id that was used for another change', () => {
+    const state = stateWithCustomer();
+    const result = applyCommand(
+      state,
+      2,
+      applyOf('first', 1, [{ path: 'customers/b', value: RATE }]),
+    );
+    expect(result.kind).toBe('rejected');
+  });
+
+  it('forgets results after 30 days and not before', () => {
+    const state = stateWithCustomer();
+    const day = 24 * 60 * 60 * 1_000;
+    const again = (wallClockMs: number) =>
+      applyCommand(
+        state,
+        9,
+        applyOf(
+          'first',
+          0,
+          [{ path: 'customers/acme', value: RATE }],
+          BOOTSTRAP_OPERATOR,
+          wallClockMs,
+        ),
+      );
+    expect(again(1_000 + 29 * day)).toEqual({ kind: 'accepted', revision: 1 });
+    expect(again(1_000 + 31 * day).kind).toBe('conflict');
+  });
+
+  const REFUSED: readonly [string, SettingChange, string][] = [
+    ['an unknown path', { path: 'custmers/a', value: RATE }, 'did you mean customers'],
+    [
+      'a rate of zero',
+      { path: 'customers/a', value: { ...RATE, ratePerSecond: 0 } },
+      'ratePerSecond',
+    ],
+    [
+      'a burst too small for the rate',
+      { path: 'customers/a', value: { ...RATE, burst: 10 } },
+      'burst: expected',
+    ],
+    [
+      'a key of no customer',
+      { path: 'keys/nobody/k', value: { sha256Hex: 'a'.repeat(64) } },
+      'nobody',
+    ],
+    ['a hash that is too short', { path: 'keys/acme/k', value: { sha256Hex: 'ab' } }, '64'],
+    ['removing what is not there', { path: 'customers/none', value: null }, 'nothing stands'],
+  ];
+  it.each(REFUSED)(
+    'refuses %s with path and reason, and changes nothing',
+    (_name, change, reason) => {
+      const state = stateWithCustomer();
+      const good = { path: 'customers/good', value: RATE };
+      const result = applyCommand(state, 2, applyOf('bad', 1, [good, change]));
+      expect(result).toMatchObject({ kind: 'rejected', path: change.path });
+      expect(result.kind === 'rejected' && result.reason).toContain(reason);
+      expect(customerSetting(state, 'good')).toBeUndefined();
+      expect(state.settingsRevision).toBe(1);
+    },
+  );
+
+  it('lets an operator change its own subtree only', () => {
+    const state = stateWithCustomer();
+    const operator = { tokenSha256Hex: 'a'.repeat(64), subtrees: ['customers/acme', 'keys/acme'] };
+    applyCommand(state, 2, applyOf('op', 1, [{ path: 'operators/ann', value: operator }]));
+    const own = [{ path: 'customers/acme', value: { ...RATE, burst: 25 } }];
+    const foreign = [{ path: 'customers/acme2', value: RATE }];
+    expect(applyCommand(state, 3, applyOf('x1', 2, own, 'ann')).kind).toBe('accepted');
+    expect(applyCommand(state, 4, applyOf('x2', 3, foreign, 'ann')).kind).toBe('rejected');
+    expect(applyCommand(state, 5, applyOf('x3', 3, own, 'nobody')).kind).toBe('rejected');
+  });
+});
+
+describe('assignments and groups', () => {
+  it('takes an assignment only with the next epoch', () => {
+    const state = createControlState();
+    expect(applyCommand(state, 1, assign(1, 'e1')).kind).toBe('done');
+    expect(applyCommand(state, 2, assign(1, 'e2')).kind).toBe('superseded');
+    expect(applyCommand(state, 3, assign(2, 'e2')).kind).toBe('done');
+    expect(assignmentOf(state, 'group/bookings')?.entryId).toBe('e2');
+  });
+
+  it('takes one primary a term, and only from the owner of the present epoch', () => {
+    const state = createControlState();
+    applyCommand(state, 1, assign(1, 'e1'));
+    const commit = (index: number, ownerEpoch: number, term: number, server: string) =>
+      applyCommand(state, index, {
+        kind: 'primary/commit',
+        group: GROUP,
+        ownerEpoch,
+        term,
+        server: toServerName(server),
+      }).kind;
+    const propose = (index: number, ownerEpoch: number, term: number) =>
+      applyCommand(state, index, { kind: 'primary/propose', group: GROUP, ownerEpoch, term }).kind;
+    expect(commit(2, 1, 1, 's1')).toBe('done');
+    expect(commit(3, 1, 1, 's2')).toBe('superseded');
+    expect(propose(4, 9, 2)).toBe('superseded');
+    expect(propose(5, 1, 2)).toBe('done');
+    expect(propose(6, 1, 2)).toBe('superseded');
+    expect(commit(7, 1, 1, 's1')).toBe('superseded');
+    expect(commit(8, 1, 2, 's2')).toBe('done');
+    expect(groupRecordOf(state, GROUP)).toMatchObject({ primary: 's2', term: 2, proposedTerm: 2 });
+  });
+
+  it('hands out what changed since an index, removals included, and no operators', () => {
+    const state = stateWithCustomer();
+    const operator = { tokenSha256Hex: 'a'.repeat(64), subtrees: [] };
+    applyCommand(state, 2, applyOf('o', 1, [{ path: 'operators/ann', value: operator }]));
+    applyCommand(state, 3, applyOf('r', 2, [{ path: 'customers/acme', value: null }]));
+    expect(recordsSince(state, 1).map(({ key, stored }) => [key, stored.record.kind])).toEqual([
+      ['settings/customers/acme', 'removed'],
+    ]);
+  });
+});
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -155,7 +155,7 @@
     return checked
       .swap()
       .map((problem) => problem.reason)
-      .extract() as string;
+      .extract();
   const customer = /^keys\/([^/]+)\//.exec(path)?.[1];
   if (customer === undefined) return undefined;
   const isCreated = changes.some(
--- /dev/null
+++ b/packages/core/src/lease/entry-leases.test.ts
@@ -0,0 +1,102 @@
+import { describe, expect, it } from 'vitest';
+import type { Assignment } from '../control-state/types.js';
+import { toEntryId, toIncarnation } from '../types/ids.js';
+import {
+  chooseHolder,
+  createEntryLeases,
+  endExpiredLeases,
+  endIncarnation,
+  mayHolderAct,
+  renewLease,
+  takeOrphans,
+} from './entry-leases.js';
+
+const TIMING = { leaseMs: 2_500, driftMarginMs: 250 };
+
+function renewal(entry: string, incarnation: string, port = 1, zone = 'zone-a') {
+  return {
+    entryId: toEntryId(entry),
+    incarnation: toIncarnation(incarnation),
+    linkAddress: `127.0.0.1:${port}`,
+    zone,
+    isStopping: false,
+    settingsRevision: 0,
+  };
+}
+
+function held(incarnation: string, resource: Assignment['resource'] = 'group/g'): Assignment {
+  const entryId = toEntryId('e');
+  return { resource, epoch: 1, entryId, incarnation: toIncarnation(incarnation), linkAddress: 'x' };
+}
+
+describe('mayHolderAct', () => {
+  const leases = () => {
+    const state = createEntryLeases(TIMING, 0);
+    renewLease(state, renewal('e1', 'i1'), 10_000);
+    return state;
+  };
+  const CASES: readonly [string, string, number, boolean][] = [
+    ['a live lease', 'i1', 12_000, true],
+    ['a lease inside the drift margin', 'i1', 12_749, true],
+    ['a lease past the drift margin', 'i1', 12_750, false],
+    ['a holder unknown to a new leader', 'i0', 2_749, true],
+    ['a holder unknown to a leader that waited one lease', 'i0', 2_750, false],
+  ];
+  it.each(CASES)('%s', (_name, incarnation, nowMs, expected) => {
+    expect(mayHolderAct(leases(), held(incarnation), nowMs)).toBe(expected);
+  });
+
+  it('says no at once for an incarnation that is proven dead', () => {
+    const state = leases();
+    endIncarnation(state, toIncarnation('i1'));
+    expect(mayHolderAct(state, held('i1'), 10_001)).toBe(false);
+  });
+
+  it('says no at once when a newer incarnation is bound to the same address', () => {
+    const state = leases();
+    renewLease(state, renewal('e1', 'i2'), 10_100);
+    expect(mayHolderAct(state, held('i1'), 10_100)).toBe(false);
+  });
+
+  it('waits for the lease when the same entry id comes from another address', () => {
+    const state = leases();
+    renewLease(state, renewal('e1', 'i2', 2), 10_100);
+    expect(mayHolderAct(state, held('i1'), 10_200)).toBe(true);
+  });
+});
+
+describe('reassignment', () => {
+  it('lets no ended holder renew while its resource is on the way to another', () => {
+    const state = createEntryLeases(TIMING, 0);
+    renewLease(state, renewal('e1', 'i1'), 0);
+    const orphans = takeOrphans(state, [held('i1')], 60_000);
+    expect(orphans).toHaveLength(1);
+    expect(renewLease(state, renewal('e1', 'i1'), 60_001)).toBe('ended');
+  });
+
+  it('ends a lease that has run out even if it holds nothing', () => {
+    const state = createEntryLeases(TIMING, 0);
+    renewLease(state, renewal('e1', 'i1'), 0);
+    expect(endExpiredLeases(state, 2_749)).toEqual([]);
+    expect(endExpiredLeases(state, 2_750)).toEqual(['i1']);
+  });
+
+  it('chooses the wanted zone first, then the entry with the fewest resources', () => {
+    const state = createEntryLeases(TIMING, 0);
+    renewLease(state, renewal('e1', 'i1', 1, 'zone-a'), 0);
+    renewLease(state, renewal('e2', 'i2', 2, 'zone-b'), 0);
+    renewLease(state, renewal('e3', 'i3', 3, 'zone-b'), 0);
+    renewLease(state, { ...renewal('e4', 'i4', 4, 'zone-b'), isStopping: true }, 0);
+    const assignments = [held('i2', 'group/x')];
+    const choose = (zone: string | undefined, excluded?: string) =>
+      chooseHolder(
+        state,
+        assignments,
+        { zone, excluded: excluded === undefined ? undefined : toIncarnation(excluded) },
+        1,
+      )?.entryId;
+    expect(choose('zone-b')).toBe('e3');
+    expect(choose('zone-b', 'i3')).toBe('e2');
+    expect(choose('zone-z')).toBe('e1');
+  });
+});
--- a/packages/core/src/settings/paths.ts
+++ b/packages/core/src/settings/paths.ts
@@ -1,18 +1,24 @@
 /** The settings tree: the kinds of path it has and the schema of the value at each. */
 import { type Either, Left, Right } from 'purify-ts';
 import { z } from 'zod';
+import { smallestBurst } from '../admit/token-bucket.js';
 import { nearestName } from '../shared/nearest-name.js';
 
 const NAME = '[a-z0-9][a-z0-9_-]{0,62}';
 
-export const customerSchema = z.strictObject({
-  /** Sustained statements per second over all instances together. */
-  ratePerSecond: z.number().positive().max(10_000_000),
-  /** Statements that may come at once above the rate. */
-  burst: z.int().positive().max(10_000_000),
-  /** How stale a replica read may be, in milliseconds; `null` asks for the session mark only. */
-  readAgeAllowanceMs: z.number().nonnegative().nullable().default(null),
-});
+export const customerSchema = z
+  .strictObject({
+    /** Sustained statements per second over all instances together. */
+    ratePerSecond: z.number().positive().max(10_000_000),
+    /** Statements that may come at once above the rate. */
+    burst: z.int().positive().max(10_000_000),
+    /** How stale a replica read may be, in milliseconds; `null` asks for the session mark only. */
+    readAgeAllowanceMs: z.number().nonnegative().nullable().default(null),
+  })
+  .refine(({ ratePerSecond, burst }) => burst >= smallestBurst(ratePerSecond), {
+    path: ['burst'],
+    error: 'expected at least 2, and a tenth of the rate plus one',
+  });
 
 export const keySchema = z.strictObject({
   sha256Hex: z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 lower-case hex digits'),
--- a/packages/core/src/types/ids.ts
+++ b/packages/core/src/types/ids.ts
@@ -16,11 +16,43 @@
 export type OperationId = Branded<string, 'OperationId'>;
 
 /**
- * Brands a plain value that was already validated.
+ * Each of these brands a plain value that was already validated.
  *
  * @example
- * const group = brandAs<GroupName>('bookings');
+ * const group = toGroupName('bookings');
  */
-export function brandAs<Target extends Branded<string, string>>(value: string): Target {
-  return value as Target;
+export function toMemberId(value: string): MemberId {
+  return value as MemberId;
+}
+
+export function toEntryId(value: string): EntryId {
+  return value as EntryId;
+}
+
+export function toIncarnation(value: string): Incarnation {
+  return value as Incarnation;
+}
+
+export function toDiskId(value: string): DiskId {
+  return value as DiskId;
+}
+
+export function toGroupName(value: string): GroupName {
+  return value as GroupName;
+}
+
+export function toServerName(value: string): ServerName {
+  return value as ServerName;
+}
+
+export function toCustomerName(value: string): CustomerName {
+  return value as CustomerName;
+}
+
+export function toSessionId(value: string): SessionId {
+  return value as SessionId;
+}
+
+export function toOperationId(value: string): OperationId {
+  return value as OperationId;
 }
--- a/packages/dev-launcher/src/cluster.ts
+++ b/packages/dev-launcher/src/cluster.ts
@@ -67,7 +67,7 @@
   function start(name: string): Promise<void> {
     const child = spawn(process.execPath, [...argumentsOf(name)], {
       stdio: ['ignore', 'pipe', 'pipe'],
-      env: { ...process.env, DEBUG: process.env['DEBUG'] ?? 'bramleykeel:*' },
+      env: { ...process.env, DEBUG: process.env.DEBUG ?? 'bramleykeel:*' },
     });
     processes.set(name, child);
     return new Promise((resolve, reject) => {
@@ -161,7 +161,7 @@
         body: JSON.stringify(params),
         signal: AbortSignal.timeout(30_000),
       });
-      const body = (await response.json()) as unknown;
+      const body = await response.json();
       if (response.ok) return body;
       lastProblem = JSON.stringify(body);
       if (response.status !== 503) throw new Error(`${method} was refused: ${lastProblem}`);
--- a/packages/entry/src/accept/caller-registry.ts
+++ b/packages/entry/src/accept/caller-registry.ts
@@ -3,7 +3,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { SecureContext } from 'node:tls';
 import {
-  brandAs,
+  toSessionId,
   type FromOwnerMessage,
   parsePosition,
   refuse,
@@ -109,8 +109,9 @@
       environment.counters.count(`refusal.${outcome.refusal.reason}`);
       return;
     case 'cancel':
-      cancelLocal(registry, outcome.processId, outcome.secretKey) ||
+      if (!cancelLocal(registry, outcome.processId, outcome.secretKey)) {
         registry.options.onForeignCancel(outcome.processId, outcome.secretKey);
+      }
       return;
     case 'admitted':
       startSession(registry, outcome.admitted);
@@ -123,7 +124,7 @@
   const number = registry.nextSession;
   registry.nextSession += 1;
   const session: CallerSession = {
-    id: brandAs<SessionId>(`${sessionPrefix}:${number}`),
+    id: toSessionId(`${sessionPrefix}:${number}`),
     environment,
     socket,
     customer: admitted.customer,
--- a/packages/entry/src/accept/startup.ts
+++ b/packages/entry/src/accept/startup.ts
@@ -2,7 +2,8 @@
 import type { Socket } from 'node:net';
 import { type SecureContext, TLSSocket } from 'node:tls';
 import {
-  brandAs,
+  toCustomerName,
+  toGroupName,
   type CustomerName,
   type GroupName,
   type Refusal,
@@ -106,8 +107,8 @@
   parameters: ReadonlyMap<string, string>,
   rules: AccessRules,
 ): Promise<StartupOutcome> {
-  const customer = brandAs<CustomerName>(parameters.get('user') ?? '');
-  const group = brandAs<GroupName>(parameters.get('database') ?? customer);
+  const customer = toCustomerName(parameters.get('user') ?? '');
+  const group = toGroupName(parameters.get('database') ?? customer);
   const encoding = parameters.get('client_encoding') ?? 'UTF8';
   if (!/^'?utf-?8'?$/i.test(encoding)) {
     return refuseStartup(socket, refuse('bad-startup', 'only client_encoding UTF8 is supported'));
--- a/packages/entry/src/authenticate/key-index.ts
+++ b/packages/entry/src/authenticate/key-index.ts
@@ -1,6 +1,6 @@
 /** The keys in force, by customer, kept up to date from control's records. */
 import {
-  brandAs,
+  toCustomerName,
   type CustomerName,
   isSecretFor,
   type KeySetting,
@@ -22,7 +22,7 @@
     const match = /^settings\/keys\/([^/]+)\/([^/]+)$/.exec(key);
     if (!match) continue;
     const [, customer = '', keyId = ''] = match;
-    const name = brandAs<CustomerName>(customer);
+    const name = toCustomerName(customer);
     const known = index.keys.get(name) ?? new Map<string, KeySetting>();
     index.keys.set(name, known);
     if (known.has(keyId)) hasWithdrawn = true;
--- a/packages/entry/src/control/control-client.ts
+++ b/packages/entry/src/control/control-client.ts
@@ -3,8 +3,8 @@
 import {
   type Assignment,
   assignmentOf,
-  brandAs,
-  type EntryId,
+  toEntryId,
+  toIncarnation,
   type EntrySettings,
   type Incarnation,
   type LeaseRenewal,
@@ -157,7 +157,7 @@
 
   async function renewWith(peer: LinkPeer): Promise<void> {
     const renewal: LeaseRenewal = {
-      entryId: brandAs<EntryId>(settings.entry.id),
+      entryId: toEntryId(settings.entry.id),
       incarnation,
       linkAddress: settings.entry.linkAddress,
       zone: settings.entry.zone,
@@ -220,5 +220,5 @@
 }
 
 function createIncarnation(): Incarnation {
-  return brandAs<Incarnation>(randomUUID());
+  return toIncarnation(randomUUID());
 }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -15,8 +15,7 @@
   type TokenDraw,
   type TokenGrant,
   type ToOwnerMessage,
-  brandAs,
-  type CustomerName,
+  toCustomerName,
 } from '@bramleykeel/core';
 import {
   createCounters,
@@ -80,12 +79,13 @@
   const channels = new Map<LinkPeer, AnswerChannel>();
   const requestedAtMs = new Map<string, number>();
   let isStopping = false;
-  let callers: CallerRegistry | undefined;
+  // Set last: events that come before the first caller have nobody to go to.
+  const running: { callers: CallerRegistry | undefined } = { callers: undefined };
 
   const localChannel: AnswerChannel = {
     send: (message) => {
       queueMicrotask(() => {
-        if (callers) dispatchAnswer(callers, message);
+        if (running.callers) dispatchAnswer(running.callers, message);
       });
     },
   };
@@ -100,14 +100,14 @@
       const hasWithdrawn = updateKeyIndex(keyIndex, deltas);
       reconcileOwners(owners);
       links.refresh();
-      if (!hasWithdrawn || !callers) return;
-      closeWithdrawn(callers, ({ customer, key }) => {
+      if (!hasWithdrawn || !running.callers) return;
+      closeWithdrawn(running.callers, ({ customer, key }) => {
         return key !== undefined && isKeyInForce(keyIndex, customer, key);
       });
     },
     onStatusRequest: () => ({
       entryId: entry.id,
-      callers: callers?.sessions.size ?? 0,
+      callers: running.callers?.sessions.size ?? 0,
       owners: describeOwners(owners),
       counters: counters.totals(),
     }),
@@ -133,7 +133,7 @@
       void control.call('entry/suspect', { incarnation, linkAddress });
     },
     onPortLost: (port) => {
-      if (callers) dispatchPortLost(callers, port);
+      if (running.callers) dispatchPortLost(running.callers, port);
     },
     onNotify: takeLinkEvent,
   });
@@ -148,7 +148,7 @@
     counters,
     routeAnnouncement,
   );
-  callers = await listenForCallers({
+  running.callers = await listenForCallers({
     address: entry.callerAddress,
     maxCallers: entry.maxCallers,
     secureContext: readSecureContext(),
@@ -174,7 +174,7 @@
       findKey: (customer, secret) => findKey(keyIndex, customer, secret),
       openCustomer: (group) => {
         const name = groupSetting(control, group).openToAllAs;
-        return name === null ? undefined : brandAs<CustomerName>(name);
+        return name === null ? undefined : toCustomerName(name);
       },
     },
     onForeignCancel: (processId, secretKey) => {
@@ -222,14 +222,14 @@
         return;
       }
       case 'owner/answer':
-        if (callers) dispatchAnswer(callers, params as FromOwnerMessage);
+        if (running.callers) dispatchAnswer(running.callers, params as FromOwnerMessage);
         return;
       case 'target/announcement':
         deliverAnnouncement(owners, params as Announcement);
         return;
       case 'caller/cancel': {
         const { processId, secretKey } = params as { processId: number; secretKey: number };
-        if (callers) cancelLocal(callers, processId, secretKey);
+        if (running.callers) cancelLocal(running.callers, processId, secretKey);
         return;
       }
       default:
@@ -302,7 +302,7 @@
     isStopping = true;
     log(`entry ${entry.id} is stopping`);
     control.startStopping();
-    if (callers) stopAccepting(callers);
+    if (running.callers) stopAccepting(running.callers);
     announceServer.close();
     announceServer.closeAllConnections();
     await handOverAll(owners, requests.stopGraceMs);
@@ -317,10 +317,10 @@
   }
 
   async function awaitCallers(untilMs: number): Promise<number> {
-    const open = () => callers?.sessions.size ?? 0;
+    const open = () => running.callers?.sessions.size ?? 0;
     while (open() > 0 && performance.now() < untilMs) await delay(STOP_POLL_MS);
     const cutSessions = open();
-    for (const session of callers?.sessions.values() ?? []) session.socket.destroy();
+    for (const session of running.callers?.sessions.values() ?? []) session.socket.destroy();
     return cutSessions;
   }
 }
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -1,7 +1,7 @@
 /** The groups that this entry owns, kept in line with control's assignments. */
 import {
   type Announcement,
-  brandAs,
+  toGroupName,
   type FateQuery,
   type GroupName,
   groupRecordOf,
@@ -50,7 +50,7 @@
   for (const { resource, incarnation, epoch } of listAssignments(registry.control)) {
     const name = GROUP_RESOURCE.exec(resource)?.[1];
     if (name === undefined || incarnation !== registry.control.incarnation()) continue;
-    assigned.set(brandAs<GroupName>(name), epoch);
+    assigned.set(toGroupName(name), epoch);
   }
   for (const [group, owner] of registry.owners) {
     if (assigned.get(group) === owner.epoch) {
--- a/packages/postgres-wire/src/classify-statement.ts
+++ b/packages/postgres-wire/src/classify-statement.ts
@@ -128,15 +128,19 @@
 }
 
 function classifySelect(node: SyntaxNode): StatementClass {
-  let isWriting = false;
-  walkNodes({ SelectStmt: node }, (kind, child) => {
-    if (WRITING_NODES.has(kind) || kind === 'LockingClause') isWriting = true;
-    if (child['intoClause']) isWriting = true;
-    if (kind === 'FuncCall' && WRITING_FUNCTIONS.has(functionName(child))) isWriting = true;
-  });
   const refused = findRefusedFunction({ SelectStmt: node }) ?? refuseTemporary(node);
   if (refused) return refused;
-  return isWriting ? { kind: 'write' } : { kind: 'read' };
+  return containsWrite({ SelectStmt: node }) ? { kind: 'write' } : { kind: 'read' };
+}
+
+function containsWrite(node: SyntaxNode): boolean {
+  const found = new Set<string>();
+  walkNodes(node, (kind, child) => {
+    if (WRITING_NODES.has(kind) || kind === 'LockingClause') found.add(kind);
+    if (child.intoClause) found.add('IntoClause');
+    if (kind === 'FuncCall' && WRITING_FUNCTIONS.has(functionName(child))) found.add(kind);
+  });
+  return found.size > 0;
 }
 
 function findRefusedFunction(node: SyntaxNode): StatementClass | undefined {
@@ -153,11 +157,11 @@
 }
 
 function functionName(call: SyntaxNode): string {
-  return stringValue(nodeList(call['funcname']).at(-1)) ?? '';
+  return stringValue(nodeList(call.funcname).at(-1)) ?? '';
 }
 
 function classifyTransaction(node: SyntaxNode): StatementClass {
-  const kind = node['kind'];
+  const kind = node.kind;
   if (kind === 'TRANS_STMT_PREPARE' || kind === 'TRANS_STMT_COMMIT_PREPARED') {
     return { kind: 'unsupported', reason: 'two-phase commit is not supported' };
   }
@@ -169,25 +173,25 @@
 
 /** Looks for a DefElem of that name whose argument is not zero or false. */
 function hasOption(node: SyntaxNode, name: string): boolean {
-  return nodeList(node['options']).some((option) => {
+  return nodeList(node.options).some((option) => {
     const element = childNode(option, 'DefElem');
-    if (element?.['defname'] !== name) return false;
-    const constant = childNode(element, 'arg') && JSON.stringify(element['arg']);
+    if (element?.defname !== name) return false;
+    const constant = childNode(element, 'arg') && JSON.stringify(element.arg);
     return !/"ival":\{\}|"false"|"off"/.test(constant ?? '');
   });
 }
 
 function classifySet({ node, text }: ParsedStatement): StatementClass {
-  const kind = node['kind'];
+  const kind = node.kind;
   const name = settingName(node);
   if (RESERVED_SETTINGS.has(name)) {
     return { kind: 'unsupported', reason: `${name} is set by the system` };
   }
   if (kind === 'VAR_RESET_ALL') return { kind: 'reset', name: null };
   if (kind === 'VAR_RESET' || kind === 'VAR_SET_DEFAULT') {
-    return node['is_local'] ? { kind: 'set-local' } : { kind: 'reset', name };
+    return node.is_local ? { kind: 'set-local' } : { kind: 'reset', name };
   }
-  if (node['is_local']) return { kind: 'set-local' };
+  if (node.is_local) return { kind: 'set-local' };
   if (kind === 'VAR_SET_MULTI') {
     if (name === 'transaction') return { kind: 'set-local' };
     return { kind: 'unsupported', reason: 'set default_transaction_* parameters instead' };
@@ -196,16 +200,16 @@
 }
 
 function settingName(node: SyntaxNode): string {
-  const name = node['name'];
+  const name = node.name;
   return typeof name === 'string' ? name.toLowerCase() : '';
 }
 
 function refuseTemporary(node: SyntaxNode): StatementClass | undefined {
   let isTemporary = false;
   const relation = childNode(node, 'relation');
-  if (relation?.['relpersistence'] === 't') isTemporary = true;
+  if (relation?.relpersistence === 't') isTemporary = true;
   const into = childNode(node, 'into') ?? childNode(node, 'intoClause');
-  if (into && childNode(into, 'rel')?.['relpersistence'] === 't') isTemporary = true;
+  if (into && childNode(into, 'rel')?.relpersistence === 't') isTemporary = true;
   if (!isTemporary) return undefined;
   return {
     kind: 'unsupported',
@@ -217,7 +221,7 @@
 const CURSOR_HOLD_BIT = 0x20;
 
 function classifyCursor(node: SyntaxNode): StatementClass {
-  const options = node['options'];
+  const options = node.options;
   if (typeof options === 'number' && (options & CURSOR_HOLD_BIT) !== 0) {
     return { kind: 'unsupported', reason: 'cursors WITH HOLD outlive their transaction' };
   }
--- a/packages/postgres-wire/src/syntax.ts
+++ b/packages/postgres-wire/src/syntax.ts
@@ -78,6 +78,6 @@
 /** A text value inside a String node: `{ String: { sval } }`. */
 export function stringValue(node: SyntaxNode | undefined): string | undefined {
   const holder = node && childNode(node, 'String');
-  const text = holder?.['sval'];
+  const text = holder?.sval;
   return typeof text === 'string' ? text : undefined;
 }
--- a/packages/test-support/src/stand-in/announcer.ts
+++ b/packages/test-support/src/stand-in/announcer.ts
@@ -20,16 +20,15 @@
 /** Starts announcing; a url that does not answer is replaced by the next one. */
 export function startAnnouncer(options: AnnouncerOptions): Announcer {
   let urlIndex = 0;
-  let isSending = false;
-  let isWanted = false;
+  const state = { isSending: false, isWanted: false };
   let timer: NodeJS.Timeout | undefined;
   setInterval(announceSoon, options.everyMs);
   announceSoon();
   return { announceSoon };
 
   function announceSoon(): void {
-    isWanted = true;
-    if (timer !== undefined || isSending) return;
+    state.isWanted = true;
+    if (timer !== undefined || state.isSending) return;
     timer = setTimeout(() => {
       timer = undefined;
       void sendNow();
@@ -38,19 +37,23 @@
 
   async function sendNow(): Promise<void> {
     if (options.isPaused()) return;
-    isSending = true;
-    isWanted = false;
+    state.isSending = true;
+    state.isWanted = false;
     const isSent = await sendOnce();
-    isSending = false;
+    state.isSending = false;
     if (!isSent) urlIndex += 1;
-    if (isWanted || !isSent) announceSoon();
+    if (!isSent || wasWantedMeanwhile()) announceSoon();
+  }
+
+  function wasWantedMeanwhile(): boolean {
+    return state.isWanted;
   }
 
   async function sendOnce(): Promise<boolean> {
     const url = options.urls[urlIndex % options.urls.length];
     if (url === undefined) return true;
     const headers: Record<string, string> = {};
-    if (options.token !== undefined) headers['authorization'] = `Bearer ${options.token}`;
+    if (options.token !== undefined) headers.authorization = `Bearer ${options.token}`;
     const body = options.createAnnouncement();
     const answer = await requestJson('PUT', url, body, REQUEST_TIMEOUT_MS, headers);
     return answer !== undefined;
--- a/packages/test-support/src/stand-in/connection.ts
+++ b/packages/test-support/src/stand-in/connection.ts
@@ -344,14 +344,16 @@
 ): Promise<number | 'suspended'> {
   const { result } = running;
   if (!result) return 0;
-  let isCancelled = false;
-  connection.cancelRunning = () => (isCancelled = true);
+  const cancellation = { isCancelled: false };
+  connection.cancelRunning = () => (cancellation.isCancelled = true);
   let sent = 0;
   for (;;) {
     if (maxRows > 0 && sent >= maxRows) return 'suspended';
     const next = result.rows.next();
     if (next.done) break;
-    if (isCancelled) throw new SqlFailure('57014', 'canceling statement due to user request');
+    if (cancellation.isCancelled) {
+      throw new SqlFailure('57014', 'canceling statement due to user request');
+    }
     sent += 1;
     await send(connection.output, buildDataRow(next.value));
   }
@@ -381,7 +383,7 @@
   { node }: ParsedStatement,
 ): Promise<void> {
   const { output } = connection;
-  switch (node['kind']) {
+  switch (node.kind) {
     case 'TRANS_STMT_BEGIN':
     case 'TRANS_STMT_START':
       connection.transaction ??= createTransaction();
--- a/packages/test-support/src/stand-in/expressions.ts
+++ b/packages/test-support/src/stand-in/expressions.ts
@@ -15,21 +15,21 @@
 export function evaluateValue(node: SyntaxNode, parameters: readonly SqlValue[]): SqlValue {
   const [kind, body] = firstEntry(node);
   if (kind === 'A_Const') return constantValue(body);
-  if (kind === 'ParamRef') return parameters[Number(body['number']) - 1] ?? null;
+  if (kind === 'ParamRef') return parameters[Number(body.number) - 1] ?? null;
   if (kind === 'TypeCast') return evaluateValue(childNode(body, 'arg') ?? {}, parameters);
   throw unsupported(`the expression ${kind}`);
 }
 
 function constantValue(body: SyntaxNode): SqlValue {
-  if (body['isnull']) return null;
-  const text = childNode(body, 'sval')?.['sval'];
+  if (body.isnull) return null;
+  const text = childNode(body, 'sval')?.sval;
   if (childNode(body, 'sval')) return typeof text === 'string' ? text : '';
   const integer = childNode(body, 'ival');
-  if (integer) return String(integer['ival'] ?? 0);
-  const decimal = childNode(body, 'fval')?.['fval'];
+  if (integer) return typeof integer.ival === 'number' ? String(integer.ival) : '0';
+  const decimal = childNode(body, 'fval')?.fval;
   if (typeof decimal === 'string') return decimal;
   const truth = childNode(body, 'boolval');
-  if (truth) return truth['boolval'] ? 't' : 'f';
+  if (truth) return truth.boolval ? 't' : 'f';
   throw unsupported('this constant');
 }
 
@@ -43,7 +43,7 @@
 }
 
 export function typeIdOf(typeName: SyntaxNode): number {
-  const name = stringValue(nodeList(typeName['names']).at(-1));
+  const name = stringValue(nodeList(typeName.names).at(-1));
   if (name === 'int4' || name === 'int2') return TYPE_IDS.int4;
   if (name === 'int8') return TYPE_IDS.int8;
   if (name === 'bool') return TYPE_IDS.bool;
@@ -62,13 +62,11 @@
 ): Equality[] {
   if (!where) return [];
   const [kind, body] = firstEntry(where);
-  if (kind === 'BoolExpr' && body['boolop'] === 'AND_EXPR') {
-    return nodeList(body['args']).flatMap((part) => readEqualities(part, parameters));
+  if (kind === 'BoolExpr' && body.boolop === 'AND_EXPR') {
+    return nodeList(body.args).flatMap((part) => readEqualities(part, parameters));
   }
   const isEquality =
-    kind === 'A_Expr' &&
-    body['kind'] === 'AEXPR_OP' &&
-    stringValue(nodeList(body['name'])[0]) === '=';
+    kind === 'A_Expr' && body.kind === 'AEXPR_OP' && stringValue(nodeList(body.name)[0]) === '=';
   if (!isEquality) throw unsupported('conditions other than equality');
   const left = childNode(body, 'lexpr') ?? {};
   const right = childNode(body, 'rexpr') ?? {};
@@ -84,7 +82,7 @@
 
 export function columnName(node: SyntaxNode): string | undefined {
   const reference = childNode(node, 'ColumnRef');
-  return reference && stringValue(nodeList(reference['fields']).at(-1));
+  return reference && stringValue(nodeList(reference.fields).at(-1));
 }
 
 export function firstEntry(node: SyntaxNode): [string, SyntaxNode] {
--- a/packages/test-support/src/stand-in/select.ts
+++ b/packages/test-support/src/stand-in/select.ts
@@ -47,9 +47,7 @@
 }
 
 export function runSelect(node: SyntaxNode, context: QueryContext): ResultSet {
-  const targets = nodeList(node['targetList']).map(
-    (target) => childNode(target, 'ResTarget') ?? {},
-  );
+  const targets = nodeList(node.targetList).map((target) => childNode(target, 'ResTarget') ?? {});
   const [only] = targets;
   const call = only && childNode(childNode(only, 'val') ?? {}, 'FuncCall');
   if (call && targets.length === 1) {
@@ -68,16 +66,15 @@
   node: SyntaxNode,
   context: QueryContext,
 ): ResultSet | undefined {
-  const name = stringValue(nodeList(call['funcname']).at(-1)) ?? '';
-  const label = typeof target['name'] === 'string' ? target['name'] : name;
+  const name = stringValue(nodeList(call.funcname).at(-1)) ?? '';
+  const label = typeof target.name === 'string' ? target.name : name;
   if (name === 'count') {
     const source = readSource(node, context);
-    let count = 0;
-    for (const _row of selectRows(node, source, context)) count += 1;
-    return singleRow(label, TYPE_IDS.int8, String(count), 0);
+    const { length } = [...selectRows(node, source, context)];
+    return singleRow(label, TYPE_IDS.int8, String(length), 0);
   }
   if (name === 'pg_sleep') {
-    const [argument] = nodeList(call['args']);
+    const [argument] = nodeList(call.args);
     const seconds = Number(argument ? evaluateValue(argument, context.parameters) : 0);
     return singleRow(label, TYPE_IDS.text, '', seconds * 1_000);
   }
@@ -95,12 +92,12 @@
 }
 
 function readSource(node: SyntaxNode, context: QueryContext): Source {
-  const from = nodeList(node['fromClause']);
+  const from = nodeList(node.fromClause);
   if (from.length === 0) return { columns: [], rows: () => [{}] };
   const [first] = from;
   if (from.length > 1 || !first) throw unsupported('joins');
   const [kind, body] = firstEntry(first);
-  if (kind === 'RangeVar') return tableSource(String(body['relname']), context);
+  if (kind === 'RangeVar') return tableSource(String(body.relname), context);
   if (kind === 'RangeFunction') return seriesSource(body, context);
   throw unsupported(kind);
 }
@@ -120,11 +117,11 @@
 }
 
 function seriesSource(body: SyntaxNode, context: QueryContext): Source {
-  const list = childNode(nodeList(body['functions'])[0] ?? {}, 'List');
-  const call = childNode(nodeList(list?.['items'])[0] ?? {}, 'FuncCall');
-  const name = call && stringValue(nodeList(call['funcname']).at(-1));
+  const list = childNode(nodeList(body.functions)[0] ?? {}, 'List');
+  const call = childNode(nodeList(list?.items)[0] ?? {}, 'FuncCall');
+  const name = call && stringValue(nodeList(call.funcname).at(-1));
   if (!call || name !== 'generate_series') throw unsupported('this function in FROM');
-  const alias = childNode(body, 'alias')?.['aliasname'];
+  const alias = childNode(body, 'alias')?.aliasname;
   const column = typeof alias === 'string' ? alias : 'generate_series';
   return {
     columns: [{ name: column, typeId: TYPE_IDS.int4 }],
@@ -133,7 +130,7 @@
 }
 
 function seriesRows(call: SyntaxNode, context: QueryContext, column: string) {
-  const [first, last] = nodeList(call['args']).map((argument) =>
+  const [first, last] = nodeList(call.args).map((argument) =>
     Number(evaluateValue(argument, context.parameters)),
   );
   return function* (): Generator<Row> {
@@ -156,13 +153,13 @@
 }
 
 function orderRows(node: SyntaxNode, source: Source): Iterable<Row> {
-  const keys = nodeList(node['sortClause']).map((item) => childNode(item, 'SortBy') ?? {});
+  const keys = nodeList(node.sortClause).map((item) => childNode(item, 'SortBy') ?? {});
   if (keys.length === 0) return source.rows();
   const comparators = keys.map((key) => {
     const column = columnName(childNode(key, 'node') ?? {});
     const definition = source.columns.find(({ name }) => name === column);
     if (!definition) throw new SqlFailure('42703', `column "${column ?? '?'}" does not exist`);
-    const direction = key['sortby_dir'] === 'SORTBY_DESC' ? -1 : 1;
+    const direction = key.sortby_dir === 'SORTBY_DESC' ? -1 : 1;
     return (left: Row, right: Row) => direction * compareValues(left, right, definition);
   });
   return [...source.rows()].sort((left, right) => {
@@ -184,11 +181,11 @@
 
 function outputColumns(target: SyntaxNode, source: Source, context: QueryContext): OutputColumn[] {
   const value = childNode(target, 'val') ?? {};
-  const fields = nodeList(childNode(value, 'ColumnRef')?.['fields']);
+  const fields = nodeList(childNode(value, 'ColumnRef')?.fields);
   if (fields.some((field) => 'A_Star' in field)) {
     return source.columns.map(({ name, typeId }) => columnOutput(name, typeId, name));
   }
-  const label = typeof target['name'] === 'string' ? target['name'] : undefined;
+  const label = typeof target.name === 'string' ? target.name : undefined;
   const column = columnName(value);
   if (column !== undefined) {
     const known = source.columns.find(({ name }) => name === column);
--- a/packages/test-support/src/stand-in/statements.ts
+++ b/packages/test-support/src/stand-in/statements.ts
@@ -52,8 +52,8 @@
   };
   switch (kind) {
     case 'SelectStmt':
-      if (nodeList(node['valuesLists']).length > 0) throw unsupported('VALUES');
-      if (nodeList(node['lockingClause']).length > 0) requirePrimary(context.server);
+      if (nodeList(node.valuesLists).length > 0) throw unsupported('VALUES');
+      if (nodeList(node.lockingClause).length > 0) requirePrimary(context.server);
       return { tag: 'SELECT', result: runSelect(node, query) };
     case 'InsertStmt':
       return runInsert(node, context, query);
@@ -66,7 +66,7 @@
     case 'VariableSetStmt':
       return runSet(node, context);
     case 'VariableShowStmt':
-      return runShow(String(node['name']).toLowerCase(), context);
+      return runShow(String(node.name).toLowerCase(), context);
     default:
       throw unsupported(kind);
   }
@@ -78,7 +78,7 @@
 }
 
 function requireTable(relation: SyntaxNode | undefined, context: StatementContext) {
-  const name = String(relation?.['relname']);
+  const name = String(relation?.relname);
   const definition = findTable(context.server.storage, context.transaction, name);
   if (!definition) throw new SqlFailure('42P01', `relation "${name}" does not exist`);
   return definition;
@@ -91,13 +91,13 @@
 ): StatementResult {
   requirePrimary(context.server);
   const table = requireTable(childNode(node, 'relation'), context);
-  const named = nodeList(node['cols']).map((column) => childNode(column, 'ResTarget')?.['name']);
+  const named = nodeList(node.cols).map((column) => childNode(column, 'ResTarget')?.name);
   const names = named.length > 0 ? named.map(String) : table.columns.map(({ name }) => name);
   const select = childNode(childNode(node, 'selectStmt') ?? {}, 'SelectStmt');
-  const lists = nodeList(select?.['valuesLists']);
+  const lists = nodeList(select?.valuesLists);
   if (lists.length === 0) throw unsupported('INSERT without VALUES');
   const rows = lists.map((list) => {
-    const values = nodeList(childNode(list, 'List')?.['items']);
+    const values = nodeList(childNode(list, 'List')?.items);
     return readRow(table, names, values, query.parameters);
   });
   for (const row of rows) insertRow(table, row, context);
@@ -150,10 +150,10 @@
 ): StatementResult {
   requirePrimary(context.server);
   const table = requireTable(childNode(node, 'relation'), context);
-  const assignments = nodeList(node['targetList']).map((target) => {
+  const assignments = nodeList(node.targetList).map((target) => {
     const assignment = childNode(target, 'ResTarget') ?? {};
     const value = evaluateValue(childNode(assignment, 'val') ?? {}, query.parameters);
-    return [String(assignment['name']), value] as const;
+    return [String(assignment.name), value] as const;
   });
   const changed: Row[] = [];
   for (const [key, row] of matchingRows(node, table, context, query)) {
@@ -203,27 +203,27 @@
   query: QueryContext,
 ): ResultSet | undefined {
   const clause = childNode(node, 'returningClause');
-  const targets = nodeList(clause?.['exprs'] ?? node['returningList']);
+  const targets = nodeList(clause?.exprs ?? node.returningList);
   if (targets.length === 0) return undefined;
   return runReturning(targets, table.columns, rows, query);
 }
 
 function runCreate(node: SyntaxNode, context: StatementContext): StatementResult {
   requirePrimary(context.server);
-  const name = String(childNode(node, 'relation')?.['relname']);
+  const name = String(childNode(node, 'relation')?.relname);
   if (findTable(context.server.storage, context.transaction, name)) {
-    if (node['if_not_exists']) return { tag: 'CREATE TABLE', result: undefined };
+    if (node.if_not_exists) return { tag: 'CREATE TABLE', result: undefined };
     throw new SqlFailure('42P07', `relation "${name}" already exists`);
   }
   const columns: Column[] = [];
   let primaryKey: string | null = null;
-  for (const element of nodeList(node['tableElts'])) {
+  for (const element of nodeList(node.tableElts)) {
     const definition = childNode(element, 'ColumnDef');
     if (!definition) throw unsupported('table constraints');
-    const column = String(definition['colname']);
+    const column = String(definition.colname);
     columns.push({ name: column, typeId: typeIdOf(childNode(definition, 'typeName') ?? {}) });
-    const isKey = nodeList(definition['constraints']).some(
-      (constraint) => childNode(constraint, 'Constraint')?.['contype'] === 'CONSTR_PRIMARY',
+    const isKey = nodeList(definition.constraints).some(
+      (constraint) => childNode(constraint, 'Constraint')?.contype === 'CONSTR_PRIMARY',
     );
     if (isKey) primaryKey = column;
   }
@@ -232,13 +232,13 @@
 }
 
 function runSet(node: SyntaxNode, context: StatementContext): StatementResult {
-  const name = String(node['name']).toLowerCase();
-  if (node['kind'] === 'VAR_RESET_ALL') context.settings.clear();
-  else if (node['kind'] === 'VAR_SET_VALUE') {
-    const values = nodeList(node['args']).map((value) => evaluateValue(value, []) ?? '');
+  const name = String(node.name).toLowerCase();
+  if (node.kind === 'VAR_RESET_ALL') context.settings.clear();
+  else if (node.kind === 'VAR_SET_VALUE') {
+    const values = nodeList(node.args).map((value) => evaluateValue(value, []) ?? '');
     context.settings.set(name, values.join(', '));
   } else context.settings.delete(name);
-  const isReset = node['kind'] === 'VAR_RESET' || node['kind'] === 'VAR_RESET_ALL';
+  const isReset = node.kind === 'VAR_RESET' || node.kind === 'VAR_RESET_ALL';
   return { tag: isReset ? 'RESET' : 'SET', result: undefined };
 }
 
@@ -272,7 +272,7 @@
   };
   if (kind === 'SelectStmt') return runSelect(node, query).columns;
   if (kind === 'VariableShowStmt') {
-    return [{ name: String(node['name']).toLowerCase(), typeId: TYPE_IDS.text }];
+    return [{ name: String(node.name).toLowerCase(), typeId: TYPE_IDS.text }];
   }
   const hasReturning = kind === 'InsertStmt' || kind === 'UpdateStmt' || kind === 'DeleteStmt';
   if (!hasReturning) return undefined;
--- /dev/null
+++ b/scripts/check-known-red.mjs
@@ -0,0 +1,25 @@
+// Compares the failed tests of a run with KNOWN-RED.txt, whose entries start with `test: <full name>`.
+import { existsSync, readFileSync } from 'node:fs';
+
+const [testStatus = '1', reportFile = ''] = process.argv.slice(2);
+const list = existsSync('KNOWN-RED.txt') ? readFileSync('KNOWN-RED.txt', 'utf8') : '';
+const known = [...list.matchAll(/^test: (.+)$/gm)].map((match) => match[1].trim());
+if (known.length > 0) console.log(`KNOWN-RED.txt:\n${list}`);
+if (!existsSync(reportFile)) {
+  console.error('the tests left no report');
+  process.exit(1);
+}
+const report = JSON.parse(readFileSync(reportFile, 'utf8'));
+const tests = report.testResults.flatMap((file) => file.assertionResults);
+const failed = tests.filter((test) => test.status === 'failed').map((test) => test.fullName);
+const brokenFiles = report.testResults.filter(
+  (file) =>
+    file.status === 'failed' && file.assertionResults.every((test) => test.status !== 'failed'),
+);
+const unknown = failed.filter((name) => !known.includes(name));
+const unexpected = known.filter((name) => !failed.includes(name));
+for (const name of unknown) console.error(`failed and not listed: ${name}`);
+for (const name of unexpected) console.error(`listed in KNOWN-RED.txt but did not fail: ${name}`);
+for (const file of brokenFiles) console.error(`could not be run: ${file.name}`);
+const isExplained = testStatus === '0' || (failed.length > 0 && brokenFiles.length === 0);
+process.exit(unknown.length === 0 && unexpected.length === 0 && isExplained ? 0 : 1);
