--- a/packages/bramleykeelctl/src/status-page.ts
+++ b/packages/bramleykeelctl/src/status-page.ts
@@ -29,9 +29,13 @@
     readonly leader: string;
     readonly term: number;
     readonly commitIndex: number;
-    readonly members: Readonly<
-      Record<string, { matchIndex: number; silentMs: number; hasRegressed: boolean }>
-    >;
+    readonly members: readonly {
+      readonly id: string;
+      readonly isVoter: boolean;
+      readonly matchIndex: number;
+      readonly silentMs: number;
+      readonly hasRegressed: boolean;
+    }[];
   };
   readonly settingsRevision: number;
   readonly entries: readonly {
@@ -65,9 +69,10 @@
   const lines = [
     `control: leader ${control.leader}, term ${control.term}, log at ${control.commitIndex}`,
   ];
-  for (const [member, { matchIndex, silentMs, hasRegressed }] of Object.entries(control.members)) {
+  for (const { id, isVoter, matchIndex, silentMs, hasRegressed } of control.members) {
     const note = hasRegressed ? ', lost confirmed entries: replace its data folder' : '';
-    lines.push(`  ${member}: log at ${matchIndex}, heard ${silentMs} ms ago${note}`);
+    const role = isVoter ? '' : ', without a vote';
+    lines.push(`  ${id}: log at ${matchIndex}, heard ${silentMs} ms ago${role}${note}`);
   }
   lines.push(`settings: revision ${status.settingsRevision}`);
   for (const entry of status.entries) lines.push(formatEntry(status, entry));
--- a/packages/control/src/admin/operator-calls.ts
+++ b/packages/control/src/admin/operator-calls.ts
@@ -8,7 +8,9 @@
   listGroups,
   listSettings,
   type OperatorSetting,
+  membershipOf,
   type SettingChange,
+  toMemberId,
 } from '@bramleykeel/core';
 import type { LinkPeer } from '@bramleykeel/link';
 import { z } from 'zod';
@@ -206,12 +208,7 @@
       leader: raft.selfId,
       term: raft.currentTerm,
       commitIndex: raft.commitIndex,
-      members: Object.fromEntries(
-        [...raft.progress].map(([id, { matchIndex, lastReplyMs, hasRegressed }]) => {
-          const silentMs = Math.round(performance.now() - lastReplyMs);
-          return [id, { matchIndex, silentMs, hasRegressed }];
-        }),
-      ),
+      members: describeMembers(service),
     },
     settingsRevision: control.settingsRevision,
     entries: describeEntries(service),
@@ -221,6 +218,22 @@
   };
 }
 
+function describeMembers({ driver }: LeaderService) {
+  const { raft } = driver;
+  return Object.entries(membershipOf(raft)).map(([id, { isVoter, diskId }]) => {
+    const progress = raft.progress.get(toMemberId(id));
+    const silentMs = progress ? Math.round(performance.now() - progress.lastReplyMs) : 0;
+    return {
+      id,
+      isVoter,
+      diskId,
+      matchIndex: progress?.matchIndex ?? raft.commitIndex,
+      silentMs,
+      hasRegressed: progress?.hasRegressed ?? false,
+    };
+  });
+}
+
 async function askEntry(peer: LinkPeer): Promise<unknown> {
   const answer = await peer.request('status/get', {}, STATUS_TIMEOUT_MS);
   return answer.orDefault(null);
--- a/packages/core/src/settings/daemon-settings.test.ts
+++ b/packages/core/src/settings/daemon-settings.test.ts
@@ -24,7 +24,7 @@
 describe('settings file', () => {
   it('fills in defaults', () => {
     const settings = checkSettingsText('entry.toml', GOOD, entrySettingsSchema).unsafeCoerce();
-    expect(settings.timing.leaseMs).toBe(2_500);
+    expect(settings.timing.leaseMs).toBe(2_000);
     expect(settings.targets.user).toBe('bramleykeel');
   });
 
--- a/packages/core/src/settings/daemon-settings.ts
+++ b/packages/core/src/settings/daemon-settings.ts
@@ -24,13 +24,13 @@
 
 /** Timing shared by control and entries; all of them in milliseconds. */
 const timingSchema = z.strictObject({
-  leaseMs: durationMs(2_500),
-  driftMarginMs: durationMs(250),
+  leaseMs: durationMs(2_000),
+  driftMarginMs: durationMs(200),
   settingsLeaseMs: durationMs(5_000),
-  renewEveryMs: durationMs(500),
+  renewEveryMs: durationMs(300),
   heartbeatMs: durationMs(100),
-  electionTimeoutMinMs: durationMs(500),
-  electionTimeoutMaxMs: durationMs(1_000),
+  electionTimeoutMinMs: durationMs(400),
+  electionTimeoutMaxMs: durationMs(800),
 });
 
 export const controlSettingsSchema = z.strictObject({
--- a/packages/dev-launcher/src/main.ts
+++ b/packages/dev-launcher/src/main.ts
@@ -7,7 +7,7 @@
 import { hideBin } from 'yargs/helpers';
 import { callAnyMember, type Cluster, startCluster } from './cluster.js';
 import { type ClusterOptions, planCluster, requiredPorts } from './cluster-plan.js';
-import { findFreePorts } from './free-ports.js';
+import { reservePorts } from './free-ports.js';
 
 const options = await yargs(hideBin(process.argv))
   .scriptName('npm start --')
@@ -48,7 +48,7 @@
 const basePort = options['base-port'];
 const ports =
   basePort === undefined
-    ? await findFreePorts(count)
+    ? await reservePorts(count)
     : Array.from({ length: count }, (_, index) => basePort + index);
 const plan = planCluster({ ...sizes, ports });
 const cluster = await startCluster(plan);
--- a/packages/entry/src/accept/caller-registry.ts
+++ b/packages/entry/src/accept/caller-registry.ts
@@ -50,6 +50,8 @@
 }
 
 const STARTUP_TIMEOUT_MS = 5_000;
+/** A session unused for this long is not about to send its next request. */
+const IDLE_BEFORE_CLOSE_MS = 500;
 const KEEP_ALIVE_DELAY_MS = 10_000;
 const SERVER_PARAMETERS: Readonly<Record<string, string>> = {
   server_version: '16.0 (bramleykeel)',
@@ -144,6 +146,7 @@
     nextNumber: 1,
     isPreparing: false,
     isSkipping: false,
+    lastActiveMs: performance.now(),
     isClosed: false,
   };
   registry.sessions.set(session.id, session);
@@ -222,15 +225,20 @@
   }
 }
 
-/** Stops accepting, and ends every session that is between transactions. */
+/** Stops accepting; sessions that are in use end with the answer to their next request. */
 export function stopAccepting(registry: CallerRegistry): void {
   registry.server.close();
+}
+
+/** Ends the sessions that were not used lately: a caller that is about to send is not cut off. */
+export function closeIdle(registry: CallerRegistry): void {
   for (const session of registry.sessions.values()) closeIfIdle(session);
 }
 
 function closeIfIdle(session: CallerSession): void {
   const isIdle = session.status === 'idle' && !session.request && !session.isPreparing;
-  if (!isIdle || session.inbox.length > 0) return;
+  if (!isIdle || session.inbox.length > 0 || session.isClosed) return;
+  if (performance.now() - session.lastActiveMs < IDLE_BEFORE_CLOSE_MS) return;
   endWithRefusal(session, refuse('owner-stopping', 'this entry is stopping; connect again'));
 }
 
--- a/packages/entry/src/accept/caller-session.ts
+++ b/packages/entry/src/accept/caller-session.ts
@@ -340,14 +340,18 @@
     return;
   }
   session.status = end.status;
+  session.lastActiveMs = performance.now();
+  // Written as one piece, so that a caller sees a goodbye before it can send its next request.
+  session.socket.cork();
   if (refusal) session.socket.write(buildRefusal(refusal, false));
   else noteSuccess(session, request, end);
   if (request.replacedBy && !request.isRefusalSent) sendRefusal(session, request.replacedBy);
   finishExchange(session, request.isComplete);
-  if (session.environment.isStopping() && session.status === 'idle') {
+  const hasMoreInput = session.inbox.length > 0;
+  if (session.environment.isStopping() && session.status === 'idle' && !hasMoreInput) {
     endWithRefusal(session, refuse('owner-stopping', 'this entry is stopping; connect again'));
-    return;
   }
+  session.socket.uncork();
   setImmediate(processInbox, session);
 }
 
--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -70,5 +70,6 @@
   isPreparing: boolean;
   /** After an error, messages are dropped until Sync. */
   isSkipping: boolean;
+  lastActiveMs: number;
   isClosed: boolean;
 }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -11,11 +11,13 @@
   type FromOwnerMessage,
   type GroupName,
   groupSetting,
+  type RecordDelta,
   type Resource,
   type TokenDraw,
   type TokenGrant,
   type ToOwnerMessage,
   toCustomerName,
+  toGroupName,
 } from '@bramleykeel/core';
 import {
   createCounters,
@@ -28,6 +30,7 @@
 import {
   cancelLocal,
   type CallerRegistry,
+  closeIdle,
   closeWithdrawn,
   dispatchAnswer,
   dispatchPortLost,
@@ -53,6 +56,11 @@
   type OwnerRegistry,
   reconcileOwners,
 } from './owner/owner-registry.js';
+import {
+  cacheAnnouncement,
+  createAnnouncementCache,
+  recentAnnouncements,
+} from './target/announcement-cache.js';
 import { listenForAnnouncements } from './target/announce-server.js';
 
 export interface EntryDaemon {
@@ -63,6 +71,9 @@
 const CLASSIFIER_TEXTS = 5_000;
 const DRAW_TIMEOUT_MS = 300;
 const STOP_POLL_MS = 20;
+/** How often and how soon a new owner that cannot be reached yet is tried again. */
+const INFORM_ATTEMPTS = 50;
+const INFORM_RETRY_MS = 10;
 
 /**
  * Starts an entry.
@@ -76,6 +87,7 @@
   await loadSyntax();
   const keyIndex = createKeyIndex();
   const homes = createRateHomes();
+  const announcements = createAnnouncementCache();
   const channels = new Map<LinkPeer, AnswerChannel>();
   const requestedAtMs = new Map<string, number>();
   let isStopping = false;
@@ -100,6 +112,7 @@
       const hasWithdrawn = updateKeyIndex(keyIndex, deltas);
       reconcileOwners(owners);
       links.refresh();
+      informNewOwners(deltas);
       if (!hasWithdrawn || !running.callers) return;
       closeWithdrawn(running.callers, ({ customer, key }) => {
         return key !== undefined && isKeyInForce(keyIndex, customer, key);
@@ -278,7 +291,32 @@
     void control.call('resource/request', { resource, zone });
   }
 
+  /** A group's new owner learns about its servers from the entries that they announce themselves to. */
+  function informNewOwners(deltas: readonly RecordDelta[]): void {
+    for (const { stored } of deltas) {
+      if (stored.record.kind !== 'assignment') continue;
+      const group = /^group\/(.+)$/.exec(stored.record.assignment.resource)?.[1];
+      if (group !== undefined) informOwner(toGroupName(group), INFORM_ATTEMPTS);
+    }
+  }
+
+  function informOwner(group: GroupName, attempts: number): void {
+    const recent = recentAnnouncements(announcements, group, performance.now());
+    const assignment = assignmentOf(control, `group/${group}`);
+    if (recent.length === 0 || !assignment) return;
+    const isReached = recent.every((announcement) => {
+      if (deliverAnnouncement(owners, announcement)) return true;
+      const peer = links.linkTo(assignment.linkAddress);
+      return peer?.notify('target/announcement', announcement) ?? false;
+    });
+    if (isReached || attempts <= 1) return;
+    setTimeout(() => {
+      informOwner(group, attempts - 1);
+    }, INFORM_RETRY_MS);
+  }
+
   function routeAnnouncement(announcement: Announcement): void {
+    cacheAnnouncement(announcements, announcement, performance.now());
     if (deliverAnnouncement(owners, announcement)) return;
     const resource: Resource = `group/${announcement.group}`;
     const assignment = assignmentOf(control, resource);
@@ -318,7 +356,10 @@
 
   async function awaitCallers(untilMs: number): Promise<number> {
     const open = () => running.callers?.sessions.size ?? 0;
-    while (open() > 0 && performance.now() < untilMs) await delay(STOP_POLL_MS);
+    while (open() > 0 && performance.now() < untilMs) {
+      if (running.callers) closeIdle(running.callers);
+      await delay(STOP_POLL_MS);
+    }
     const cutSessions = open();
     for (const session of running.callers?.sessions.values() ?? []) session.socket.destroy();
     return cutSessions;
--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -18,7 +18,7 @@
 import { advanceFailover, probePrimary } from './failover-runner.js';
 import { closeSession, endIdleTransactions, forgetOldFates } from './owner-app.js';
 import { createGroupOwner, type GroupOwner, type OwnerEnvironment } from './owner-state.js';
-import { checkSilence } from './request-run.js';
+import { checkSilence, dropSuperseded } from './request-run.js';
 import { expireWaiting, requeue, schedule } from './scheduler.js';
 
 const SCHEDULE_EVERY_MS = 10;
@@ -103,6 +103,11 @@
 
 /** Looks at everything again after control has changed the group's record or settings. */
 export function handleRecordChange(owner: GroupOwner): void {
+  const { term } = owner.environment.groupRecord();
+  if (term > owner.seenTerm) {
+    owner.seenTerm = term;
+    dropSuperseded(owner);
+  }
   settleAcknowledgements(owner);
   advanceFailover(owner, { kind: 'tick' });
   schedule(owner);
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -71,6 +71,7 @@
     mark: open.mark ? latestPosition(open.mark, ZERO_POSITION) : fallback,
     pinned: undefined,
     pinnedSinceMs: 0,
+    isPinnedToReplica: false,
     request: undefined,
     unacknowledgedBytes: 0,
     isClosing: false,
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -54,6 +54,8 @@
   mark: LogPosition;
   pinned: PinnedConnection | undefined;
   pinnedSinceMs: number;
+  /** Whether the open transaction runs on a replica, as a read-only one may. */
+  isPinnedToReplica: boolean;
   request: OwnerRequest | undefined;
   /** Bytes sent to the entry that it has not passed on to the caller yet. */
   unacknowledgedBytes: number;
@@ -129,6 +131,8 @@
   readonly runningByCustomer: Map<string, number>;
   failover: FailoverState;
   lastProbeMs: number;
+  /** The term that running requests were last compared with. */
+  seenTerm: number;
   isStopping: boolean;
   isClosed: boolean;
   timers: NodeJS.Timeout[];
@@ -161,6 +165,7 @@
     runningByCustomer: new Map(),
     failover: createFailoverState(environment.groupRecord(), performance.now()),
     lastProbeMs: 0,
+    seenTerm: environment.groupRecord().term,
     isStopping: false,
     isClosed: false,
     timers: [],
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -16,7 +16,7 @@
 import { discardConnection, isStillWorking, releaseConnection } from '../target/target-pool.js';
 import { awaitAcknowledgement } from './acknowledge.js';
 import { createAnswerFilter, filterAnswer } from './answer-filter.js';
-import type { GroupOwner, OwnerRequest, RunningRequest } from './owner-state.js';
+import type { GroupOwner, OwnerRequest, OwnerSession, RunningRequest } from './owner-state.js';
 import { endRequest, forwardBytes } from './request-end.js';
 import { freeSlot } from './slots.js';
 
@@ -206,16 +206,17 @@
   }
   if (!session.pinned) session.pinnedSinceMs = performance.now();
   session.pinned = { connection, pool, server };
+  session.isPinnedToReplica = running.isOnReplica;
   connection.consumer = {
     onMessages: () => undefined,
     onLost: () => {
-      handlePinLost(owner, request);
+      losePin(owner, session);
     },
   };
 }
 
-function handlePinLost(owner: GroupOwner, request: OwnerRequest): void {
-  const { session } = request;
+/** The connection of an open transaction is gone between two statements. */
+function losePin(owner: GroupOwner, session: OwnerSession): void {
   const { pinned } = session;
   session.pinned = undefined;
   if (pinned) discardConnection(pinned.pool, pinned.connection);
@@ -269,6 +270,24 @@
   request.chunks.splice(0, request.chunks.length, ...request.firstChunks);
 }
 
+/**
+ * Ends what runs on a primary that was superseded: it may be frozen, and never answer. Its open
+ * transactions cannot commit any more, because a quorum has promised to take nothing of its term.
+ */
+export function dropSuperseded(owner: GroupOwner): void {
+  const { primary, term } = owner.environment.groupRecord();
+  for (const session of owner.sessions.values()) {
+    const { request, pinned } = session;
+    const running = request?.stage === 'running' ? request.running : undefined;
+    if (request && running) {
+      const isOutdated = running.term < term && !running.isOnReplica && running.server !== primary;
+      if (isOutdated) handleConnectionLost(owner, request, refuse('acknowledgement-superseded'));
+    } else if (pinned && pinned.server !== primary && !session.isPinnedToReplica) {
+      losePin(owner, session);
+    }
+  }
+}
+
 /**
  * Looks for answers that are overdue. Over a new connection the target is asked whether it still
  * works on the request; if not, the old connection has gone silent and its answer will never come.
@@ -297,7 +316,10 @@
   running.isCheckingSilence = false;
   running.lastSentMs = performance.now();
   const hasAnswered = running.connection.lastHeardMs !== heardBeforeMs;
-  if (state !== 'idle' || hasAnswered || request.running !== running) return;
+  if (hasAnswered || request.running !== running) return;
+  // An unreachable primary is for the change of primary to judge; reads need not wait for a replica.
+  const isLost = state === 'idle' || (state === 'unreachable' && running.isOnReplica);
+  if (!isLost) return;
   owner.environment.log(`connection to ${running.server} has gone silent; closing it`);
   owner.environment.counters.count('target.connection-silent');
   handleConnectionLost(owner, request, refuse('target-silent'));
--- /dev/null
+++ b/packages/entry/src/target/announcement-cache.ts
@@ -0,0 +1,47 @@
+/**
+ * The newest announcement of each server that announces itself to this entry. A group's new owner
+ * gets them at once, and does not have to wait until every server announces itself again.
+ */
+import type { Announcement, GroupName, ServerName } from '@bramleykeel/core';
+
+export interface AnnouncementCache {
+  readonly groups: Map<GroupName, Map<ServerName, CachedAnnouncement>>;
+}
+
+interface CachedAnnouncement {
+  readonly announcement: Announcement;
+  readonly heardAtMs: number;
+}
+
+/** Announcements older than this say nothing about the present, in milliseconds. */
+const MAX_AGE_MS = 3_000;
+
+export function createAnnouncementCache(): AnnouncementCache {
+  return { groups: new Map() };
+}
+
+export function cacheAnnouncement(
+  cache: AnnouncementCache,
+  announcement: Announcement,
+  nowMs: number,
+): void {
+  const { group, server } = announcement;
+  const servers = cache.groups.get(group) ?? new Map<ServerName, CachedAnnouncement>();
+  cache.groups.set(group, servers);
+  servers.set(server, { announcement, heardAtMs: nowMs });
+}
+
+/** The recent announcements of a group's servers; old ones are forgotten. */
+export function recentAnnouncements(
+  cache: AnnouncementCache,
+  group: GroupName,
+  nowMs: number,
+): Announcement[] {
+  const servers = cache.groups.get(group);
+  if (!servers) return [];
+  for (const [server, { heardAtMs }] of servers) {
+    if (nowMs - heardAtMs > MAX_AGE_MS) servers.delete(server);
+  }
+  if (servers.size === 0) cache.groups.delete(group);
+  return [...servers.values()].map(({ announcement }) => announcement);
+}
