--- a/packages/dev-launcher/src/cluster-plan.ts
+++ b/packages/dev-launcher/src/cluster-plan.ts
@@ -9,6 +9,8 @@
   readonly entryCount: number;
   readonly groups: readonly string[];
   readonly serversPerGroup: number;
+  /** Whether servers announce a relay address, for tests that start relays themselves. */
+  readonly hasServerRelays: boolean;
   readonly lagMs: number;
   readonly slots: number;
   readonly connections: number;
@@ -47,6 +49,8 @@
   readonly group: string;
   readonly server: string;
   readonly address: string;
+  /** The address that the server announces: its own, or that of a relay before it. */
+  readonly announcedAddress: string;
   readonly commandAddress: string;
   readonly args: readonly string[];
 }
@@ -63,7 +67,7 @@
 
 const PORTS_PER_CONTROL = 2;
 const PORTS_PER_ENTRY = 3;
-const PORTS_PER_SERVER = 2;
+const PORTS_PER_SERVER = 3;
 
 /** Number of ports that a cluster of this size listens on. */
 export function requiredPorts(options: Omit<ClusterOptions, 'ports'>): number {
@@ -124,16 +128,19 @@
   const places = numbered(options.serversPerGroup).map((number) => ({
     server: `${group}-${number}`,
     address: nextAddress(),
+    relayAddress: nextAddress(),
     commandAddress: nextAddress(),
   }));
   const [first] = places;
-  return places.map(({ server, address, commandAddress }, index) => {
+  return places.map(({ server, address, relayAddress, commandAddress }, index) => {
+    const announcedAddress = options.hasServerRelays ? relayAddress : address;
     const role =
       index === 0 ? ['--first-primary'] : ['--follow-url', `http://${first?.commandAddress ?? ''}`];
     const { lagMs, slots, connections, connectCostMs, statementCostMs } = options;
     const args = [
       ...['--group', group, '--server', server, '--zone', zoneOf(index)],
-      ...['--address', address, '--command-address', commandAddress],
+      ...['--address', address, '--announced-address', announcedAddress],
+      ...['--command-address', commandAddress],
       ...announceUrls.flatMap((url) => ['--announce-url', url]),
       ...['--data', join(options.dataFolder, server), '--lag-ms', String(lagMs)],
       ...['--slots', String(slots), '--connections', String(connections)],
@@ -141,7 +148,7 @@
       ...['--statement-cost-ms', String(statementCostMs)],
       ...role,
     ];
-    return { group, server, address, commandAddress, args };
+    return { group, server, address, announcedAddress, commandAddress, args };
   });
 }
 
--- a/packages/dev-launcher/src/main.ts
+++ b/packages/dev-launcher/src/main.ts
@@ -33,6 +33,7 @@
   entryCount: 3,
   groups: [GROUP],
   serversPerGroup: 3,
+  hasServerRelays: false,
   lagMs: options['lag-ms'],
   slots: options.slots,
   connections: 35,
--- a/packages/entry/src/owner/answer-filter.ts
+++ b/packages/entry/src/owner/answer-filter.ts
@@ -45,10 +45,16 @@
   return { expected: [], held: [], position: undefined, firstSqlState: undefined };
 }
 
-/** Passes messages through the filter. `held` stays in the filter for the caller of this function. */
+/**
+ * Passes messages through the filter. `held` stays in the filter for the caller of this function.
+ *
+ * @param isEndSent whether the target has the end of the request. Before that nothing is committed,
+ *   and the caller may wait for the CommandComplete before it sends the end.
+ */
 export function filterAnswer(
   filter: AnswerFilter,
   messages: readonly WireMessage[],
+  isEndSent: boolean,
 ): FilteredAnswer {
   const forward: Buffer[] = [];
   const statementChanges: StatementChange[] = [];
@@ -70,7 +76,7 @@
         break;
       case SERVER.commandComplete:
         pass(message.frame);
-        filter.held = [forward.pop() ?? message.frame];
+        if (isEndSent) filter.held = [forward.pop() ?? message.frame];
         break;
       case SERVER.errorResponse:
         filter.firstSqlState ??= readSqlState(message);
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -96,6 +96,8 @@
   /** The group's term when the request was sent. */
   readonly term: number;
   lastSentMs: number;
+  /** Whether the end of the request was sent, so that ReadyForQuery is owed. */
+  isEndSent: boolean;
   isCheckingSilence: boolean;
 }
 
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -75,6 +75,7 @@
   }
   filter.expected.push(...chunk.expected);
   running.lastSentMs = performance.now();
+  running.isEndSent = chunk.isFinal;
   connection.socket.write(chunk.messages);
 }
 
@@ -113,7 +114,7 @@
   const { running, session } = request;
   if (!running) return;
   const { connection } = running;
-  const answer = filterAnswer(request.filter, messages);
+  const answer = filterAnswer(request.filter, messages, running.isEndSent);
   for (const { statement, exists } of answer.statementChanges) {
     if (exists) connection.prepared.add(statement);
     else connection.prepared.delete(statement);
@@ -299,12 +300,17 @@
     const { request } = session;
     const running = request?.running;
     if (!request || !running || request.stage !== 'running' || running.isCheckingSilence) continue;
-    if (session.unacknowledgedBytes > 0) continue;
+    if (session.unacknowledgedBytes > 0 || !isAnswerOwed(running)) continue;
     const quietSinceMs = Math.max(running.lastSentMs, running.connection.lastHeardMs);
     if (nowMs - quietSinceMs >= silentAfterMs) void checkRunning(owner, request, running);
   }
 }
 
+/** After a Flush was answered the target waits for the caller, as with a cursor that is read slowly. */
+function isAnswerOwed({ isEndSent, connection, lastSentMs }: RunningRequest): boolean {
+  return isEndSent || connection.lastHeardMs <= lastSentMs;
+}
+
 async function checkRunning(
   owner: GroupOwner,
   request: OwnerRequest,
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -208,6 +208,7 @@
     isOnReplica: server !== record.primary,
     term: record.term,
     lastSentMs: nowMs,
+    isEndSent: false,
     isCheckingSilence: false,
   };
 }
--- a/packages/system-tests/src/test-cluster.ts
+++ b/packages/system-tests/src/test-cluster.ts
@@ -6,6 +6,7 @@
   callAnyMember,
   type Cluster,
   type ClusterOptions,
+  type ClusterPlan,
   reservePorts,
   planCluster,
   requiredPorts,
@@ -28,6 +29,7 @@
   entryCount: 3,
   groups: [GROUP],
   serversPerGroup: 3,
+  hasServerRelays: false,
   lagMs: 10,
   slots: 5,
   connections: 35,
@@ -64,11 +66,14 @@
 /** Starts a cluster and waits until its group has a primary and all entries are known. */
 export async function startTestCluster(
   sizes: Partial<Omit<ClusterOptions, 'ports' | 'dataFolder'>> = {},
+  beforeStart: (plan: ClusterPlan) => Promise<void> = () => Promise.resolve(),
 ): Promise<TestCluster> {
   const dataFolder = mkdtempSync(join(tmpdir(), 'bramleykeel-test-'));
   const options = { ...DEFAULT_SIZES, ...sizes, dataFolder };
   const ports = await reservePorts(requiredPorts(options));
-  const cluster = await startCluster(planCluster({ ...options, ports }));
+  const plan = planCluster({ ...options, ports });
+  await beforeStart(plan);
+  const cluster = await startCluster(plan);
   await waitFor('a primary and all entries', async () => {
     const { groups, entries } = await statusOf(cluster);
     const hasPrimaries = groups.length === options.groups.length && groups.every(isSteady);
--- a/packages/system-tests/src/write-ledger.ts
+++ b/packages/system-tests/src/write-ledger.ts
@@ -52,7 +52,8 @@
 
 async function runWorker(cluster: Cluster, ledger: Ledger, worker: number): Promise<void> {
   let entryIndex = worker;
-  while (ledger.isRunning) {
+  const isRunning = () => ledger.isRunning;
+  while (isRunning()) {
     entryIndex += 1;
     const client = await connect(cluster, entryIndex % cluster.plan.entries.length).catch(
       () => undefined,
@@ -63,7 +64,7 @@
     }
     for (let turn = 0; turn < WRITES_PER_CONNECTION; turn += 1) {
       const isAlive = await writeOnce(client, ledger, (worker + turn) % 3 === 0);
-      if (!isAlive || !ledger.isRunning) break;
+      if (!isAlive || !isRunning()) break;
       if (turn % 5 === 4) await readBack(cluster, ledger, entryIndex + 1);
     }
     void client.end().catch(() => undefined);
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -2,3 +2,4 @@
 export * from './stand-in/stand-in-server.js';
 export * from './stand-in/http-json.js';
 export type { StandInLogEntry } from './stand-in/storage.js';
+export * from './tcp-relay.js';
--- a/packages/test-support/src/stand-in-main.ts
+++ b/packages/test-support/src/stand-in-main.ts
@@ -11,6 +11,7 @@
   .option('server', { type: 'string', demandOption: true })
   .option('zone', { type: 'string', default: 'zone-a' })
   .option('address', { type: 'string', demandOption: true })
+  .option('announced-address', { type: 'string' })
   .option('command-address', { type: 'string', demandOption: true })
   .option('announce-url', { type: 'string', array: true, default: [] as string[] })
   .option('announce-token', { type: 'string' })
@@ -32,6 +33,7 @@
   server: options.server,
   zone: options.zone,
   address: options.address,
+  announcedAddress: options['announced-address'] ?? options.address,
   commandAddress: options['command-address'],
   announceUrls: options['announce-url'],
   announceToken: options['announce-token'],
--- a/packages/test-support/src/stand-in/stand-in-server.ts
+++ b/packages/test-support/src/stand-in/stand-in-server.ts
@@ -16,6 +16,8 @@
   readonly server: string;
   readonly zone: string;
   readonly address: string;
+  /** The address that is announced, when a relay stands before the server. */
+  readonly announcedAddress: string;
   readonly commandAddress: string;
   readonly announceUrls: readonly string[];
   readonly announceToken: string | undefined;
@@ -95,7 +97,7 @@
       server: options.server,
       incarnation,
       sequence,
-      address: options.address,
+      address: options.announcedAddress,
       commandUrl: `http://${options.commandAddress}`,
       zone: options.zone,
       role: server.role,
