--- /dev/null
+++ b/packages/entry/src/owner/answer-filter.test.ts
@@ -0,0 +1,76 @@
+import {
+  buildCommandComplete,
+  buildDataRow,
+  buildEmptyMessage,
+  buildErrorResponse,
+  buildParameterStatus,
+  buildReadyForQuery,
+  SERVER,
+  type WireMessage,
+} from '@bramleykeel/postgres-wire';
+import { describe, expect, it } from 'vitest';
+import { type AnswerFilter, createAnswerFilter, filterAnswer } from './answer-filter.js';
+
+function wire(frame: Buffer): WireMessage {
+  return { type: frame[0] ?? 0, frame };
+}
+
+function pass(filter: AnswerFilter, frames: readonly Buffer[], isEndSent = true): string {
+  const { forward } = filterAnswer(filter, frames.map(wire), isEndSent);
+  return forward.map((frame) => String.fromCharCode(frame[0] ?? 0)).join('');
+}
+
+const ROW = buildDataRow(['1']);
+const COMPLETE = buildCommandComplete('SELECT 1');
+const READY = buildReadyForQuery('idle');
+const PARSED = buildEmptyMessage(SERVER.parseComplete);
+const CLOSED = buildEmptyMessage(SERVER.closeComplete);
+
+describe('filterAnswer', () => {
+  const CASES: readonly [string, readonly Buffer[], string, number][] = [
+    ['keeps the last CommandComplete back', [ROW, COMPLETE, READY], 'D', 1],
+    ['lets go of one that was not the last', [COMPLETE, ROW, COMPLETE, READY], 'CD', 1],
+    ['never shows the log position', [buildParameterStatus('log_position', '2/7'), READY], '', 0],
+    ['shows other parameters', [buildParameterStatus('TimeZone', 'UTC'), READY], 'S', 0],
+    ['drops notifications', [buildEmptyMessage(SERVER.notificationResponse), READY], '', 0],
+  ];
+  it.each(CASES)('%s', (_name, frames, forwarded, heldCount) => {
+    const filter = createAnswerFilter();
+    expect(pass(filter, frames)).toBe(forwarded);
+    expect(filter.held).toHaveLength(heldCount);
+  });
+
+  it('passes a CommandComplete on before the end of the request was sent', () => {
+    expect(pass(createAnswerFilter(), [ROW, COMPLETE], false)).toBe('DC');
+  });
+
+  it('hides what the proxy asked for itself and notes it in order', () => {
+    const filter = createAnswerFilter();
+    filter.expected = [
+      { kind: 'close', isHidden: true, statement: 'bk_1' },
+      { kind: 'parse', isHidden: false, statement: 'bk_1' },
+    ];
+    const answer = filterAnswer(filter, [CLOSED, PARSED].map(wire), true);
+    expect(answer.forward).toEqual([PARSED]);
+    expect(answer.statementChanges).toEqual([
+      { statement: 'bk_1', exists: false },
+      { statement: 'bk_1', exists: true },
+    ]);
+  });
+
+  it('expects nothing more of a request after an error, and keeps the first SQLSTATE', () => {
+    const filter = createAnswerFilter();
+    filter.expected = [{ kind: 'parse', isHidden: true, statement: 'bk_1' }];
+    const error = (sqlState: string) =>
+      buildErrorResponse({ severity: 'ERROR', sqlState, message: 'm' });
+    pass(filter, [error('23505'), error('25P02'), READY]);
+    expect(filter).toMatchObject({ expected: [], firstSqlState: '23505' });
+  });
+
+  it('notes the position that a commit has reached, and the status at the end', () => {
+    const filter = createAnswerFilter();
+    const frames = [buildParameterStatus('log_position', '2/7'), COMPLETE, READY].map(wire);
+    expect(filterAnswer(filter, frames, true).status).toBe('idle');
+    expect(filter.position).toEqual({ term: 2, offset: 7 });
+  });
+});
--- a/packages/postgres-wire/src/syntax.ts
+++ b/packages/postgres-wire/src/syntax.ts
@@ -24,6 +24,8 @@
  * // ['TransactionStmt', 'SelectStmt']
  */
 export function parseStatements(text: string): ParsedStatement[] | undefined {
+  // The parser reports an empty text as an error; PostgreSQL answers it with EmptyQueryResponse.
+  if (text.trim() === '') return [];
   try {
     const result = parseSync(text);
     return (result.stmts ?? []).map((raw) => toStatement(text, raw as RawStatement));
