--- a/packages/bench/src/bench-cluster.ts
+++ b/packages/bench/src/bench-cluster.ts
@@ -1,4 +1,5 @@
 /** Clusters for experiments, with settings close to the users' own sizes. */
+import { setTimeout as delay } from 'node:timers/promises';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -121,6 +122,4 @@
   return cluster.processes.get(name)?.pid ?? 0;
 }
 
-export function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
+export { delay };
--- a/packages/bench/src/failover-experiment.ts
+++ b/packages/bench/src/failover-experiment.ts
@@ -30,6 +30,11 @@
   },
 };
 
+interface WriterState {
+  isRunning: boolean;
+  readonly failures: string[];
+}
+
 const WRITERS = 6;
 const WARM_UP_MS = 800;
 const RETRY_MS = 5;
@@ -39,11 +44,11 @@
   const rows = [];
   for (const [fault, cause] of Object.entries(FAULTS)) {
     const gapsMs: number[] = [];
-    let failedWrites = 0;
+    const failures: Record<string, number> = {};
     for (let repeat = 0; repeat < repeats; repeat += 1) {
       const measured = await withCluster({}, (cluster) => measureGap(cluster, cause));
       gapsMs.push(measured.gapMs);
-      failedWrites += measured.failedWrites;
+      for (const code of measured.failures) failures[code] = (failures[code] ?? 0) + 1;
     }
     gapsMs.sort((left, right) => left - right);
     const medianMs = gapsMs[Math.floor(gapsMs.length / 2)];
@@ -53,7 +58,7 @@
       minMs: gapsMs[0],
       medianMs,
       maxMs: gapsMs.at(-1),
-      failedWrites,
+      failures: JSON.stringify(failures),
     });
   }
   return rows;
@@ -62,10 +67,10 @@
 async function measureGap(
   cluster: Cluster,
   cause: (cluster: Cluster, names: FaultNames) => void,
-): Promise<{ gapMs: number; failedWrites: number }> {
+): Promise<{ gapMs: number; failures: readonly string[] }> {
   const names = await findNames(cluster);
   const acknowledgedMs: number[] = [];
-  const state = { isRunning: true, failedWrites: 0 };
+  const state: WriterState = { isRunning: true, failures: [] };
   // Callers come through the entries that are not the owner, as a balancer would send them after a fault.
   const entries = cluster.plan.entries.flatMap(({ id }, index) =>
     id === names.owner ? [] : [index],
@@ -79,7 +84,7 @@
   await delay(WATCH_MS);
   state.isRunning = false;
   await Promise.all(writers);
-  return { gapMs: longestGap(acknowledgedMs, faultMs), failedWrites: state.failedWrites };
+  return { gapMs: longestGap(acknowledgedMs, faultMs), failures: state.failures };
 }
 
 async function findNames(cluster: Cluster): Promise<FaultNames> {
@@ -93,7 +98,7 @@
   entry: number,
   writer: number,
   acknowledgedMs: number[],
-  state: { readonly isRunning: boolean; failedWrites: number },
+  state: WriterState,
 ): Promise<void> {
   const pool = poolFor(cluster, entry, 'tuulgan', 1);
   const isRunning = () => state.isRunning;
@@ -102,7 +107,7 @@
       await pool.query('INSERT INTO bookings VALUES ($1, $2)', [`w${writer}-${number}`, 'x']);
       acknowledgedMs.push(performance.now());
     } catch (error) {
-      if (error instanceof pg.DatabaseError) state.failedWrites += 1;
+      if (error instanceof pg.DatabaseError) state.failures.push(error.code ?? '');
       await delay(RETRY_MS);
     }
   }
--- a/packages/control/src/admin/admin-http.ts
+++ b/packages/control/src/admin/admin-http.ts
@@ -1,6 +1,7 @@
 /** HTTP interface for operators: one JSON call per request, answered through the leader. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { splitAddress } from '@bramleykeel/core';
+import { readJsonBody } from '@bramleykeel/link';
 import type { CallAnswer } from './operator-calls.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -40,7 +41,7 @@
     send(response, 404, { message: 'expected POST /v1/PART/VERB' });
     return;
   }
-  const body = await readBody(request);
+  const body = await readJsonBody(request, MAX_BODY_BYTES);
   if (body === undefined) {
     send(response, 400, { message: 'expected a JSON body of at most 4 MiB' });
     return;
@@ -60,18 +61,3 @@
   response.setHeader('content-type', 'application/json');
   response.end(JSON.stringify(body));
 }
-
-async function readBody(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let totalBytes = 0;
-  try {
-    for await (const chunk of request) {
-      totalBytes += (chunk as Buffer).length;
-      if (totalBytes > MAX_BODY_BYTES) return undefined;
-      chunks.push(chunk as Buffer);
-    }
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/control/src/admin/operator-calls.ts
+++ b/packages/control/src/admin/operator-calls.ts
@@ -1,4 +1,5 @@
 /** Calls of operators: checked against their token and answered by the leader from confirmed state. */
+import { setTimeout as delay } from 'node:timers/promises';
 import {
   BOOTSTRAP_OPERATOR,
   checkSetting,
@@ -238,7 +239,3 @@
   const answer = await peer.request('status/get', {}, STATUS_TIMEOUT_MS);
   return answer.orDefault(null);
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/core/src/control-state/control-state.test.ts
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -148,6 +148,17 @@
     },
   );
 
+  it('removes a customer only together with its keys', () => {
+    const state = stateWithCustomer();
+    const key = { path: 'keys/acme/k', value: { sha256Hex: 'a'.repeat(64) } };
+    applyCommand(state, 2, applyOf('k', 1, [key]));
+    const removal = { path: 'customers/acme', value: null };
+    const alone = applyCommand(state, 3, applyOf('r1', 2, [removal]));
+    expect(alone).toMatchObject({ kind: 'rejected', path: 'customers/acme' });
+    const both = applyCommand(state, 4, applyOf('r2', 2, [removal, { ...key, value: null }]));
+    expect(both.kind).toBe('accepted');
+  });
+
   it('lets an operator change its own subtree only', () => {
     const state = stateWithCustomer();
     const operator = { tokenSha256Hex: 'a'.repeat(64), subtrees: ['customers/acme', 'keys/acme'] };
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -12,7 +12,13 @@
   SettingChange,
   StoredRecord,
 } from './types.js';
-import { assignmentOf, groupRecordOf, operatorSetting, settingAt } from './views.js';
+import {
+  assignmentOf,
+  customerKeyPaths,
+  groupRecordOf,
+  operatorSetting,
+  settingAt,
+} from './views.js';
 
 /** Results of operations are kept this long, so that a late resend gets its first answer. */
 const OPERATION_MEMORY_MS = 30 * 24 * 60 * 60 * 1000;
@@ -147,9 +153,7 @@
   value: unknown,
   changes: readonly SettingChange[],
 ): string | undefined {
-  if (value === null) {
-    return settingAt(state, path) === undefined ? 'nothing stands at this path' : undefined;
-  }
+  if (value === null) return checkRemoval(state, path, changes);
   const checked = checkSetting(path, value);
   if (checked.isLeft())
     return checked
@@ -165,6 +169,21 @@
   return `customer ${customer} does not exist`;
 }
 
+function checkRemoval(
+  state: ControlState,
+  path: string,
+  changes: readonly SettingChange[],
+): string | undefined {
+  if (settingAt(state, path) === undefined) return 'nothing stands at this path';
+  const customer = /^customers\/(.+)$/.exec(path)?.[1];
+  if (customer === undefined) return undefined;
+  const removed = new Set(
+    changes.filter((change) => change.value === null).map((each) => each.path),
+  );
+  const keptKey = customerKeyPaths(state, customer).find((keyPath) => !removed.has(keyPath));
+  return keptKey === undefined ? undefined : `${keptKey} has to be withdrawn first`;
+}
+
 function mayChange(state: ControlState, operator: string, path: string): boolean {
   if (operator === BOOTSTRAP_OPERATOR) return true;
   const setting = operatorSetting(state, operator);
--- a/packages/core/src/control-state/views.ts
+++ b/packages/core/src/control-state/views.ts
@@ -3,7 +3,6 @@
 import type {
   CustomerSetting,
   GroupSetting,
-  KeySetting,
   OperatorSetting,
   SettingValue,
 } from '../settings/paths.js';
@@ -54,15 +53,12 @@
   return found.sort((left, right) => (left.path < right.path ? -1 : 1));
 }
 
-/** The keys of one customer, by key id. */
-export function customerKeys(
-  holder: RecordHolder,
-  customer: string,
-): { keyId: string; key: KeySetting }[] {
+/** The paths of one customer's keys. */
+export function customerKeyPaths(holder: RecordHolder, customer: string): string[] {
   const prefix = `keys/${customer}/`;
   return listSettings(holder)
-    .filter(({ path }) => path.startsWith(prefix))
-    .map(({ path, value }) => ({ keyId: path.slice(prefix.length), key: value as KeySetting }));
+    .map(({ path }) => path)
+    .filter((path) => path.startsWith(prefix));
 }
 
 export function assignmentOf(holder: RecordHolder, resource: Resource): Assignment | undefined {
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -100,6 +100,8 @@
 export type RequestFate = 'not-started' | 'may-have-run';
 
 export interface FateQuery {
+  /** The owner's epoch that the request was sent under: no other owner can know about it. */
+  readonly ownerEpoch: number;
   readonly session: SessionId;
   readonly number: number;
 }
--- a/packages/entry/src/accept/caller-registry.ts
+++ b/packages/entry/src/accept/caller-registry.ts
@@ -17,13 +17,8 @@
 } from '@bramleykeel/postgres-wire';
 import type { OwnerPort } from '../locate/owner-port.js';
 import { buildRefusal, endWithRefusal, sendReady, SESSION_PARAMETER } from './caller-output.js';
-import {
-  closeSession,
-  handlePortLost,
-  processInbox,
-  takeAnswer,
-  takeInput,
-} from './caller-session.js';
+import { handlePortLost, takeAnswer } from './caller-request.js';
+import { closeSession, processInbox, takeInput } from './caller-session.js';
 import type { CallerEnvironment, CallerSession } from './caller-state.js';
 import { createCallerStatements } from './chunk-builder.js';
 import { type AccessRules, type Admitted, runStartup } from './startup.js';
@@ -148,8 +143,12 @@
     isSkipping: false,
     unreturnedCreditBytes: 0,
     lastActiveMs: performance.now(),
+    continueInput: () => undefined,
     isClosed: false,
   };
+  session.continueInput = () => {
+    processInbox(session);
+  };
   registry.sessions.set(session.id, session);
   registry.byProcessId.set(session.processId, session);
   socket.on('data', (chunk: Buffer) => {
--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -73,5 +73,7 @@
   /** Bytes that the caller has taken and the owner was not told of yet. */
   unreturnedCreditBytes: number;
   lastActiveMs: number;
+  /** Goes on with input that waits; called when a request has ended. */
+  continueInput: () => void;
   isClosed: boolean;
 }
--- a/packages/entry/src/accept/startup.ts
+++ b/packages/entry/src/accept/startup.ts
@@ -1,4 +1,5 @@
 /** The opening of a caller's connection: encryption, cancel requests, key and group. */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Socket } from 'node:net';
 import { type SecureContext, TLSSocket } from 'node:tls';
 import {
@@ -171,7 +172,3 @@
     if (framer.rest.length > 0) take(Buffer.alloc(0));
   });
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/entry/src/admit/rate-client.ts
+++ b/packages/entry/src/admit/rate-client.ts
@@ -1,4 +1,5 @@
 /** Admission of requests by rate: tokens are drawn from the customer's home a little ahead of demand. */
+import { setTimeout as delay } from 'node:timers/promises';
 import {
   type CustomerName,
   type Refusal,
@@ -156,7 +157,3 @@
     first.resolve(refuse(tokens.hasReachedHome ? 'rate-exceeded' : 'rate-home-unreachable'));
   }
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- /dev/null
+++ b/packages/entry/src/admit/rate-draw.ts
@@ -0,0 +1,46 @@
+/** Draws of rate tokens between entries: sent to a customer's home, and answered by it. */
+import {
+  assignmentOf,
+  customerSetting,
+  type Resource,
+  type TokenDraw,
+  type TokenGrant,
+} from '@bramleykeel/core';
+import type { ControlClient } from '../control/control-client.js';
+import type { EntryLinks } from '../locate/owner-locator.js';
+import { answerDraw, type RateHomes } from './rate-home.js';
+
+export interface RateDraws {
+  readonly homes: RateHomes;
+  readonly control: ControlClient;
+  readonly links: () => EntryLinks;
+  readonly requestResource: (resource: Resource, zone: string | undefined) => void;
+}
+
+const DRAW_TIMEOUT_MS = 300;
+
+/** Answers a draw, if this entry is the customer's home. */
+export function answerDrawHere(draws: RateDraws, draw: TokenDraw): TokenGrant | undefined {
+  const setting = customerSetting(draws.control, draw.customer);
+  const heldEpoch = draws.control.heldEpoch(`customer/${draw.customer}`);
+  return answerDraw(draws.homes, draw, setting, heldEpoch, performance.now());
+}
+
+/** Draws tokens from the customer's home; `undefined` when it cannot be reached now. */
+export async function drawFromHome(
+  draws: RateDraws,
+  draw: Omit<TokenDraw, 'epoch'>,
+): Promise<TokenGrant | undefined> {
+  const resource: Resource = `customer/${draw.customer}`;
+  const assignment = assignmentOf(draws.control, resource);
+  if (!assignment) {
+    draws.requestResource(resource, undefined);
+    return undefined;
+  }
+  const request: TokenDraw = { ...draw, epoch: assignment.epoch };
+  if (assignment.incarnation === draws.control.incarnation()) return answerDrawHere(draws, request);
+  const peer = draws.links().linkTo(assignment.linkAddress);
+  if (!peer) return undefined;
+  const answer = await peer.request('rate/draw', request, DRAW_TIMEOUT_MS);
+  return (answer.orDefault(null) as TokenGrant | null) ?? undefined;
+}
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,23 +1,15 @@
 /** Wires the parts of an entry along the path of a request. */
+import { setTimeout as delay } from 'node:timers/promises';
 import { randomUUID } from 'node:crypto';
 import { readFileSync } from 'node:fs';
 import { createSecureContext } from 'node:tls';
 import {
-  type Announcement,
-  assignmentOf,
   customerSetting,
   type EntrySettings,
-  type FateQuery,
-  type FromOwnerMessage,
-  type GroupName,
   groupSetting,
   type RecordDelta,
   type Resource,
-  type TokenDraw,
-  type TokenGrant,
-  type ToOwnerMessage,
   toCustomerName,
-  toGroupName,
 } from '@bramleykeel/core';
 import {
   createCounters,
@@ -28,7 +20,6 @@
 } from '@bramleykeel/link';
 import { createClassifier, loadSyntax } from '@bramleykeel/postgres-wire';
 import {
-  cancelLocal,
   type CallerRegistry,
   closeIdle,
   closeWithdrawn,
@@ -37,8 +28,12 @@
   listenForCallers,
   stopAccepting,
 } from './accept/caller-registry.js';
+import type { CallerEnvironment } from './accept/caller-state.js';
+import type { AccessRules } from './accept/startup.js';
 import { createRateClient } from './admit/rate-client.js';
-import { answerDraw, createRateHomes } from './admit/rate-home.js';
+import { drawFromHome, type RateDraws } from './admit/rate-draw.js';
+import { createRateHomes } from './admit/rate-home.js';
+import { type EntryApp, handleEvent, handleLinkClosed, handleRequest } from './app.js';
 import { createKeyIndex, findKey, isKeyInForce, updateKeyIndex } from './authenticate/key-index.js';
 import { type ControlClient, startControlClient } from './control/control-client.js';
 import { createEntryLinks, type EntryLinks } from './locate/owner-locator.js';
@@ -50,18 +45,18 @@
   deliverAnnouncement,
   deliverToOwner,
   describeOwners,
-  dropChannel,
   findOwner,
   handOverAll,
   type OwnerRegistry,
   reconcileOwners,
 } from './owner/owner-registry.js';
-import {
-  cacheAnnouncement,
-  createAnnouncementCache,
-  recentAnnouncements,
-} from './target/announcement-cache.js';
 import { listenForAnnouncements } from './target/announce-server.js';
+import { createAnnouncementCache } from './target/announcement-cache.js';
+import {
+  type AnnouncementRouter,
+  informNewOwners,
+  routeAnnouncement,
+} from './target/announcement-router.js';
 
 export interface EntryDaemon {
   /** Hands everything over, lets running requests end, and resolves with what was cut. */
@@ -69,55 +64,41 @@
 }
 
 const CLASSIFIER_TEXTS = 5_000;
-const DRAW_TIMEOUT_MS = 300;
 const STOP_POLL_MS = 20;
-/** How often and how soon a new owner that cannot be reached yet is tried again. */
-const INFORM_ATTEMPTS = 50;
-const INFORM_RETRY_MS = 10;
 
 /**
  * Starts an entry.
  *
  * @throws when an address is taken or a certificate cannot be read
+ * @example
+ * const daemon = await startEntry(settings);
+ * await daemon.stop();
  */
 export async function startEntry(settings: EntrySettings): Promise<EntryDaemon> {
   const { entry, requests, timing } = settings;
   const log = createLog('entry');
   const counters = createCounters('entry', settings.statsd);
   await loadSyntax();
+  const secureContext = readSecureContext(settings);
   const keyIndex = createKeyIndex();
-  const homes = createRateHomes();
-  const announcements = createAnnouncementCache();
-  const channels = new Map<LinkPeer, AnswerChannel>();
-  const requestedAtMs = new Map<string, number>();
-  let isStopping = false;
+  const requestedAtMs = new Map<Resource, number>();
   // Set last: events that come before the first caller have nobody to go to.
   const running: { callers: CallerRegistry | undefined } = { callers: undefined };
-
-  const localChannel: AnswerChannel = {
-    send: (message) => {
-      queueMicrotask(() => {
-        if (running.callers) dispatchAnswer(running.callers, message);
-      });
-    },
-  };
+  let isStopping = false;
 
   const linkServer = await listenForLinks(
     entry.linkAddress,
     { secret: settings.link.secret, ...DEFAULT_LINK_TIMING },
-    { onRequest: answerLinkRequest, onNotify: takeLinkEvent, onClose: forgetPeer },
+    {
+      onRequest: (_peer, method, params) => handleRequest(app, method, params),
+      onNotify: takeEvent,
+      onClose: (peer) => {
+        handleLinkClosed(app, peer);
+      },
+    },
   );
   const control: ControlClient = startControlClient(settings, log, {
-    onRecords: (deltas) => {
-      const hasWithdrawn = updateKeyIndex(keyIndex, deltas);
-      reconcileOwners(owners);
-      links.refresh();
-      informNewOwners(deltas);
-      if (!hasWithdrawn || !running.callers) return;
-      closeWithdrawn(running.callers, ({ customer, key }) => {
-        return key !== undefined && isKeyInForce(keyIndex, customer, key);
-      });
-    },
+    onRecords: takeRecords,
     onStatusRequest: () => ({
       entryId: entry.id,
       callers: running.callers?.sessions.size ?? 0,
@@ -130,57 +111,99 @@
     },
   });
   const owners: OwnerRegistry = createOwnerRegistry(settings, control, counters);
-  const links: EntryLinks = createEntryLinks({
-    records: control.records,
-    linkSecret: settings.link.secret,
-    ownIncarnation: control.incarnation,
-    ownsLocally: (group, epoch) => findOwner(owners, group, epoch) !== undefined,
-    sendLocally: (group, epoch, message) => {
-      deliverToOwner(owners, localChannel, group, epoch, message);
-    },
-    askLocalFate: (group, query) => answerFateQuery(owners, group, query),
-    requestResource: (resource) => {
-      requestResource(resource, undefined);
-    },
-    reportSuspect: (incarnation, linkAddress) => {
-      void control.call('entry/suspect', { incarnation, linkAddress });
-    },
-    onPortLost: (port) => {
-      if (running.callers) dispatchPortLost(running.callers, port);
-    },
-    onNotify: takeLinkEvent,
-  });
-  const rates = createRateClient({
-    rateWaitMs: requests.rateWaitMs,
-    homeWaitMs: requests.failoverWaitMs,
-    draw: drawTokens,
-  });
+  const draws: RateDraws = {
+    homes: createRateHomes(),
+    control,
+    links: () => links,
+    requestResource,
+  };
+  const app: EntryApp = {
+    counters,
+    owners,
+    draws,
+    channels: new Map(),
+    callers: () => running.callers,
+  };
+  const links: EntryLinks = createLinks();
+  const router: AnnouncementRouter = {
+    cache: createAnnouncementCache(),
+    control,
+    links: () => links,
+    deliverLocally: (announcement) => deliverAnnouncement(owners, announcement),
+    requestResource,
+  };
   const announceServer = await listenForAnnouncements(
     entry.announceAddress,
     settings.targets.announceToken,
     counters,
-    routeAnnouncement,
+    (announcement) => {
+      routeAnnouncement(router, announcement);
+    },
   );
   running.callers = await listenForCallers({
     address: entry.callerAddress,
     maxCallers: entry.maxCallers,
-    secureContext: readSecureContext(),
+    secureContext,
     sessionPrefix: randomUUID().slice(0, 13),
-    environment: {
+    environment: createCallerEnvironment(),
+    rules: createAccessRules(),
+    onForeignCancel: forwardCancel,
+  });
+  log(`entry ${entry.id} serves callers at ${entry.callerAddress}`);
+  return { stop };
+
+  function createLinks(): EntryLinks {
+    const localChannel: AnswerChannel = {
+      send: (message) => {
+        queueMicrotask(() => {
+          if (running.callers) dispatchAnswer(running.callers, message);
+        });
+      },
+    };
+    return createEntryLinks({
+      records: control.records,
+      linkSecret: settings.link.secret,
+      ownIncarnation: control.incarnation,
+      ownsLocally: (group, epoch) => findOwner(owners, group, epoch) !== undefined,
+      sendLocally: (group, epoch, message) => {
+        deliverToOwner(owners, localChannel, group, epoch, message);
+      },
+      askLocalFate: (group, query) => answerFateQuery(owners, group, query),
+      requestResource: (resource) => {
+        requestResource(resource, undefined);
+      },
+      reportSuspect: (incarnation, linkAddress) => {
+        void control.call('entry/suspect', { incarnation, linkAddress });
+      },
+      onPortLost: (port) => {
+        if (running.callers) dispatchPortLost(running.callers, port);
+      },
+      onNotify: takeEvent,
+    });
+  }
+
+  function createCallerEnvironment(): CallerEnvironment {
+    return {
       counters,
       log: createLog('caller'),
       locator: links,
-      rates,
+      rates: createRateClient({
+        rateWaitMs: requests.rateWaitMs,
+        homeWaitMs: requests.failoverWaitMs,
+        draw: (draw) => drawFromHome(draws, draw),
+      }),
       classify: createClassifier(CLASSIFIER_TEXTS),
       maxMessageBytes: entry.maxMessageBytes,
       failoverWaitMs: requests.failoverWaitMs,
       hasFreshSettings: control.hasFreshSettings,
-      readAgeAllowanceMs: (customer) => {
-        return customerSetting(control, customer)?.readAgeAllowanceMs ?? null;
-      },
+      readAgeAllowanceMs: (customer) =>
+        customerSetting(control, customer)?.readAgeAllowanceMs ?? null,
       isStopping: () => isStopping,
-    },
-    rules: {
+    };
+  }
+
+  function createAccessRules(): AccessRules {
+    return {
       isKnownGroup: (group) => control.records.has(`groups/${group}`),
       hasFreshSettings: control.hasFreshSettings,
       isKnownCustomer: (customer) => customerSetting(control, customer) !== undefined,
@@ -189,99 +212,22 @@
         const name = groupSetting(control, group).openToAllAs;
         return name === null ? undefined : toCustomerName(name);
       },
-    },
-    onForeignCancel: (processId, secretKey) => {
-      forwardCancel(processId, secretKey);
-    },
-  });
-  log(`entry ${entry.id} serves callers at ${entry.callerAddress}`);
-  return { stop };
-
-  function readSecureContext() {
-    const { tlsCertificateFile, tlsKeyFile } = entry;
-    if (tlsCertificateFile === undefined || tlsKeyFile === undefined) return undefined;
-    return createSecureContext({
-      cert: readFileSync(tlsCertificateFile),
-      key: readFileSync(tlsKeyFile),
-    });
-  }
-
-  function channelOf(peer: LinkPeer): AnswerChannel {
-    const known = channels.get(peer);
-    if (known) return known;
-    const created: AnswerChannel = {
-      send: (message) => peer.notify('owner/answer', message),
     };
-    channels.set(peer, created);
-    return created;
-  }
-
-  function forgetPeer(peer: LinkPeer): void {
-    const channel = channels.get(peer);
-    if (!channel) return;
-    channels.delete(peer);
-    dropChannel(owners, channel);
   }
 
-  function takeLinkEvent(peer: LinkPeer, method: string, params: unknown): void {
-    switch (method) {
-      case 'owner/message': {
-        const { group, epoch, message } = params as {
-          group: GroupName;
-          epoch: number;
-          message: ToOwnerMessage;
-        };
-        deliverToOwner(owners, channelOf(peer), group, epoch, message);
-        return;
-      }
-      case 'owner/answer':
-        if (running.callers) dispatchAnswer(running.callers, params as FromOwnerMessage);
-        return;
-      case 'target/announcement':
-        deliverAnnouncement(owners, params as Announcement);
-        return;
-      case 'caller/cancel': {
-        const { processId, secretKey } = params as { processId: number; secretKey: number };
-        if (running.callers) cancelLocal(running.callers, processId, secretKey);
-        return;
-      }
-      default:
-        counters.count('refusal.unknown-link-event');
-    }
+  function takeEvent(peer: LinkPeer, method: string, params: unknown): void {
+    handleEvent(app, peer, method, params);
   }
 
-  function answerLinkRequest(_peer: LinkPeer, method: string, params: unknown): unknown {
-    switch (method) {
-      case 'request/fate': {
-        const { group, query } = params as { group: GroupName; query: FateQuery };
-        return answerFateQuery(owners, group, query);
-      }
-      case 'rate/draw':
-        return answerDrawHere(params as TokenDraw) ?? null;
-      default:
-        throw new Error(`unknown method ${method}`);
-    }
-  }
-
-  function answerDrawHere(draw: TokenDraw): TokenGrant | undefined {
-    const setting = customerSetting(control, draw.customer);
-    const heldEpoch = control.heldEpoch(`customer/${draw.customer}`);
-    return answerDraw(homes, draw, setting, heldEpoch, performance.now());
-  }
-
-  async function drawTokens(draw: Omit<TokenDraw, 'epoch'>): Promise<TokenGrant | undefined> {
-    const resource: Resource = `customer/${draw.customer}`;
-    const assignment = assignmentOf(control, resource);
-    if (!assignment) {
-      requestResource(resource, undefined);
-      return undefined;
-    }
-    const request: TokenDraw = { ...draw, epoch: assignment.epoch };
-    if (assignment.incarnation === control.incarnation()) return answerDrawHere(request);
-    const peer = links.linkTo(assignment.linkAddress);
-    if (!peer) return undefined;
-    const answer = await peer.request('rate/draw', request, DRAW_TIMEOUT_MS);
-    return (answer.orDefault(null) as TokenGrant | null) ?? undefined;
+  function takeRecords(deltas: readonly RecordDelta[]): void {
+    const hasWithdrawn = updateKeyIndex(keyIndex, deltas);
+    reconcileOwners(owners);
+    links.refresh();
+    informNewOwners(router, deltas);
+    if (!hasWithdrawn || !running.callers) return;
+    closeWithdrawn(running.callers, ({ customer, key }) => {
+      return key !== undefined && isKeyInForce(keyIndex, customer, key);
+    });
   }
 
   function requestResource(resource: Resource, zone: string | undefined): void {
@@ -291,41 +237,7 @@
     void control.call('resource/request', { resource, zone });
   }
 
-  /** A group's new owner learns about its servers from the entries that they announce themselves to. */
-  function informNewOwners(deltas: readonly RecordDelta[]): void {
-    for (const { stored } of deltas) {
-      if (stored.record.kind !== 'assignment') continue;
-      const group = /^group\/(.+)$/.exec(stored.record.assignment.resource)?.[1];
-      if (group !== undefined) informOwner(toGroupName(group), INFORM_ATTEMPTS);
-    }
-  }
-
-  function informOwner(group: GroupName, attempts: number): void {
-    const recent = recentAnnouncements(announcements, group, performance.now());
-    const assignment = assignmentOf(control, `group/${group}`);
-    if (recent.length === 0 || !assignment) return;
-    const isReached = recent.every((announcement) => {
-      if (deliverAnnouncement(owners, announcement)) return true;
-      const peer = links.linkTo(assignment.linkAddress);
-      return peer?.notify('target/announcement', announcement) ?? false;
-    });
-    if (isReached || attempts <= 1) return;
-    setTimeout(() => {
-      informOwner(group, attempts - 1);
-    }, INFORM_RETRY_MS);
-  }
-
-  function routeAnnouncement(announcement: Announcement): void {
-    cacheAnnouncement(announcements, announcement, performance.now());
-    if (deliverAnnouncement(owners, announcement)) return;
-    const resource: Resource = `group/${announcement.group}`;
-    const assignment = assignmentOf(control, resource);
-    const peer = assignment && links.linkTo(assignment.linkAddress);
-    if (peer?.notify('target/announcement', announcement)) return;
-    const zone = announcement.role === 'primary' ? announcement.zone : undefined;
-    requestResource(resource, zone);
-  }
-
+  /** A cancel request may come to any entry; those that hold a resource are asked. */
   function forwardCancel(processId: number, secretKey: number): void {
     const addresses = new Set<string>();
     for (const { record } of control.records.values()) {
@@ -366,6 +278,11 @@
   }
 }
 
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
+function readSecureContext({ entry }: EntrySettings) {
+  const { tlsCertificateFile, tlsKeyFile } = entry;
+  if (tlsCertificateFile === undefined || tlsKeyFile === undefined) return undefined;
+  return createSecureContext({
+    cert: readFileSync(tlsCertificateFile),
+    key: readFileSync(tlsKeyFile),
+  });
 }
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -1,4 +1,5 @@
 /** Finds the owner of each group from control's assignments and keeps links to other entries. */
+import { setTimeout as delay } from 'node:timers/promises';
 import {
   type Assignment,
   assignmentOf,
@@ -53,13 +54,17 @@
 
 const AWAIT_POLL_MS = 10;
 const REQUEST_EVERY_MS = 200;
-const FATE_TIMEOUT_MS = 1_500;
+/** An owner that does not answer sooner is frozen or gone: its callers should not wait for it. */
+const FATE_TIMEOUT_MS = 500;
 const FATE_POLL_MS = 50;
+/** How long answers of a superseded owner are waited for. */
+const SUPERSEDED_GRACE_MS = 250;
 
 export function createEntryLinks(options: LocatorOptions): EntryLinks {
   const links = new Map<string, LinkClient>();
   const refusedAtMs = new Map<string, number>();
   const ports = new Map<GroupName, KnownPort>();
+  const supersededPorts = new Set<KnownPort>();
   const waiters = new Map<GroupName, PortWaiter[]>();
   const requestedAtMs = new Map<Resource, number>();
   const timer = setInterval(serveWaiters, AWAIT_POLL_MS);
@@ -157,21 +162,33 @@
   }
 
   function losePorts(isLost: (port: KnownPort) => boolean): void {
-    for (const [group, port] of ports) {
-      if (port.isLost || !isLost(port)) continue;
-      port.isLost = true;
-      ports.delete(group);
-      options.onPortLost(port);
+    for (const port of [...ports.values(), ...supersededPorts]) {
+      if (isLost(port)) losePort(port);
     }
   }
 
-  /** A port under an epoch that is over is lost, whatever its link does. */
+  function losePort(port: KnownPort): void {
+    if (port.isLost) return;
+    port.isLost = true;
+    supersededPorts.delete(port);
+    if (ports.get(port.group) === port) ports.delete(port.group);
+    options.onPortLost(port);
+  }
+
+  /**
+   * A port under an epoch that is over takes no new request. Answers that an owner sent before it
+   * handed over may still be on their way, so the port is lost only a moment later.
+   */
   function refresh(): void {
-    losePorts((port) => {
-      const assignment = assignmentOf(options, `group/${port.group}`);
-      if (assignment?.epoch !== port.epoch) return true;
-      return port.isLocal && !options.ownsLocally(port.group, port.epoch);
-    });
+    for (const [group, port] of ports) {
+      const isPresent = assignmentOf(options, `group/${group}`)?.epoch === port.epoch;
+      if (isPresent && (!port.isLocal || port.isOpen())) continue;
+      ports.delete(group);
+      supersededPorts.add(port);
+      setTimeout(() => {
+        losePort(port);
+      }, SUPERSEDED_GRACE_MS);
+    }
     serveWaiters();
   }
 
@@ -218,7 +235,3 @@
     for (const link of links.values()) link.stop();
   }
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/entry/src/owner/acknowledge.ts
+++ b/packages/entry/src/owner/acknowledge.ts
@@ -8,15 +8,9 @@
   type TransactionStatus,
 } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
-import type { GroupOwner, OwnerRequest } from './owner-state.js';
+import type { GroupOwner, OwnerRequest, PendingAcknowledgement } from './owner-state.js';
 import { endRequest } from './request-end.js';
 
-export interface PendingAcknowledgement {
-  readonly request: OwnerRequest;
-  readonly write: PendingWrite;
-  readonly status: TransactionStatus;
-}
-
 /** Starts the confirmation of a request that has written; it may end at once. */
 export function awaitAcknowledgement(
   owner: GroupOwner,
--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -1,4 +1,5 @@
 /** Lifecycle of a group's owner: it starts with a lease, and ends with it or with a handover. */
+import { setTimeout as delay } from 'node:timers/promises';
 import {
   type Announcement,
   type GroupName,
@@ -138,7 +139,3 @@
   }
   owner.environment.log(`this entry no longer owns ${owner.group}`);
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- /dev/null
+++ b/packages/entry/src/owner/owner-app.test.ts
@@ -0,0 +1,141 @@
+import {
+  entrySettingsSchema,
+  type FromOwnerMessage,
+  groupSchema,
+  type RequestChunk,
+  toCustomerName,
+  toGroupName,
+  toSessionId,
+} from '@bramleykeel/core';
+import { createCounters } from '@bramleykeel/link';
+import { describe, expect, it } from 'vitest';
+import { answerFate, closeSession, handleEntryMessage } from './owner-app.js';
+import { createGroupOwner, type GroupOwner } from './owner-state.js';
+
+const GROUP = toGroupName('g');
+const SESSION = toSessionId('e1:1');
+const CHUNK: RequestChunk = {
+  messages: new Uint8Array(),
+  statements: [],
+  expected: [],
+  isFinal: true,
+  mayCommit: true,
+};
+
+function createOwner(): GroupOwner {
+  const member = { id: 'c', linkAddress: '127.0.0.1:1', adminAddress: '127.0.0.1:2' };
+  const settings = entrySettingsSchema.parse({
+    entry: {
+      id: 'e1',
+      zone: 'z',
+      callerAddress: '127.0.0.1:3',
+      linkAddress: '127.0.0.1:4',
+      announceAddress: '127.0.0.1:5',
+    },
+    members: [member],
+    link: { secret: '0123456789abcdef' },
+  });
+  const environment = {
+    settings,
+    counters: createCounters('test', undefined),
+    log: () => undefined,
+    holdsLease: () => true,
+    groupRecord: () => ({
+      group: GROUP,
+      servers: [],
+      primary: undefined,
+      term: 0,
+      proposedTerm: 0,
+    }),
+    groupSetting: () => groupSchema.parse({}),
+    propose: () => Promise.resolve({ kind: 'done' as const }),
+  };
+  const dispatch = { schedule: () => undefined, requeue: () => undefined };
+  return createGroupOwner(GROUP, 7, environment, dispatch);
+}
+
+function openAndStart(owner: GroupOwner, sent: FromOwnerMessage[], number = 1): void {
+  const channel = { send: (message: FromOwnerMessage) => sent.push(message) };
+  handleEntryMessage(owner, channel, {
+    kind: 'session/open',
+    session: SESSION,
+    group: GROUP,
+    ownerEpoch: 7,
+    customer: toCustomerName('acme'),
+    readAgeAllowanceMs: null,
+    mark: null,
+  });
+  handleEntryMessage(owner, channel, {
+    kind: 'request/start',
+    session: SESSION,
+    number,
+    intent: 'write',
+    readAgeAllowanceMs: null,
+    settings: {},
+    settingEffect: null,
+    chunk: CHUNK,
+  });
+}
+
+const QUERY = { ownerEpoch: 7, session: SESSION, number: 1 };
+
+describe('answerFate', () => {
+  it('promises that a waiting request will not start, and drops it', () => {
+    const owner = createOwner();
+    openAndStart(owner, []);
+    expect(answerFate(owner, QUERY)).toBe('not-started');
+    expect([...owner.queue.customers.values()].flatMap(({ items }) => items)).toEqual([]);
+  });
+
+  it('keeps the promise for a request that arrives after the question', () => {
+    const owner = createOwner();
+    expect(answerFate(owner, QUERY)).toBe('not-started');
+    const sent: FromOwnerMessage[] = [];
+    openAndStart(owner, sent);
+    expect(sent).toMatchObject([
+      { kind: 'request/end', refusal: { reason: 'owner-lost-before-start' } },
+    ]);
+    expect(owner.sessions.size).toBe(0);
+  });
+
+  it('promises nothing once a byte may have reached a target, also after the session has closed', () => {
+    const owner = createOwner();
+    openAndStart(owner, []);
+    owner.touched.set(SESSION, { number: 1, atMs: 0 });
+    closeSession(owner, SESSION);
+    expect(answerFate(owner, QUERY)).toBe('may-have-run');
+  });
+
+  it('tells the requests of one session apart', () => {
+    const owner = createOwner();
+    owner.touched.set(SESSION, { number: 1, atMs: 0 });
+    expect(answerFate(owner, { ...QUERY, number: 2 })).toBe('not-started');
+  });
+});
+
+describe('a message for an owner', () => {
+  it('is refused as not run when the session is not known', () => {
+    const owner = createOwner();
+    const sent: FromOwnerMessage[] = [];
+    const channel = { send: (message: FromOwnerMessage) => sent.push(message) };
+    handleEntryMessage(owner, channel, {
+      kind: 'request/start',
+      session: SESSION,
+      number: 3,
+      intent: 'read',
+      readAgeAllowanceMs: null,
+      settings: {},
+      settingEffect: null,
+      chunk: CHUNK,
+    });
+    expect(sent).toMatchObject([{ number: 3, refusal: { outcome: 'not-run' } }]);
+  });
+
+  it('is refused as not run while the owner hands over', () => {
+    const owner = createOwner();
+    owner.isStopping = true;
+    const sent: FromOwnerMessage[] = [];
+    openAndStart(owner, sent);
+    expect(sent).toMatchObject([{ refusal: { reason: 'owner-stopping', outcome: 'not-run' } }]);
+  });
+});
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -19,7 +19,7 @@
 import { submit } from './scheduler.js';
 
 /** How long an owner can say what became of a request, in milliseconds. */
-const FATE_MEMORY_MS = 60_000;
+export const FATE_MEMORY_MS = 60_000;
 
 /** Takes one message of an entry that came over `channel`. */
 export function handleEntryMessage(
@@ -37,6 +37,7 @@
     .with({ kind: 'request/more' }, ({ session, number, chunk }) => {
       const request = owner.sessions.get(session)?.request;
       if (request?.number !== number) return;
+      request.allChunks.push(chunk);
       if (request.stage === 'running' && request.running) {
         sendChunk(owner, request, request.running, chunk);
       } else request.chunks.push(chunk);
@@ -100,7 +101,7 @@
     settings: start.settings,
     settingEffect: start.settingEffect,
     chunks: [start.chunk],
-    firstChunks: [start.chunk],
+    allChunks: [start.chunk],
     enqueuedAtMs: performance.now(),
     stage: 'queued',
     mayCommit: start.chunk.mayCommit,
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -1,4 +1,5 @@
 /** The groups that this entry owns, kept in line with control's assignments. */
+import { setTimeout as delay } from 'node:timers/promises';
 import {
   type Announcement,
   toGroupName,
@@ -23,11 +24,13 @@
   startGroupOwner,
   takeAnnouncement,
 } from './group-owner.js';
-import { answerFate, closeChannel, handleEntryMessage } from './owner-app.js';
+import { answerFate, closeChannel, FATE_MEMORY_MS, handleEntryMessage } from './owner-app.js';
 import type { GroupOwner } from './owner-state.js';
 
 export interface OwnerRegistry {
   readonly owners: Map<GroupName, GroupOwner>;
+  /** Closed owners that can still say what became of their requests. */
+  readonly closedOwners: Set<GroupOwner>;
   readonly settings: EntrySettings;
   readonly control: ControlClient;
   readonly counters: Counters;
@@ -41,7 +44,7 @@
   control: ControlClient,
   counters: Counters,
 ): OwnerRegistry {
-  return { owners: new Map(), settings, control, counters };
+  return { owners: new Map(), closedOwners: new Set(), settings, control, counters };
 }
 
 /** Starts owners for groups that were assigned to this entry and closes those that were not. */
@@ -57,14 +60,21 @@
       handleRecordChange(owner);
       continue;
     }
-    closeGroupOwner(owner);
-    registry.owners.delete(group);
+    retireOwner(registry, owner);
   }
   for (const [group, epoch] of assigned) {
     if (!registry.owners.has(group)) startOwner(registry, group, epoch);
   }
 }
 
+/** Closes an owner and keeps what it knows about its requests for a while. */
+function retireOwner(registry: OwnerRegistry, owner: GroupOwner): void {
+  closeGroupOwner(owner);
+  registry.owners.delete(owner.group);
+  registry.closedOwners.add(owner);
+  setTimeout(() => registry.closedOwners.delete(owner), FATE_MEMORY_MS).unref();
+}
+
 function startOwner(registry: OwnerRegistry, group: GroupName, epoch: number): void {
   const { control, settings, counters } = registry;
   const owner = startGroupOwner(group, epoch, {
@@ -128,13 +138,16 @@
   });
 }
 
-/** An owner that this entry no longer is has closed its connections; what it ran is not known. */
+/** Only the owner of the very epoch can say that it did not start a request, and never will. */
 export function answerFateQuery(
   registry: OwnerRegistry,
   group: GroupName,
   query: FateQuery,
 ): RequestFate {
-  const owner = registry.owners.get(group);
+  const candidates = [registry.owners.get(group), ...registry.closedOwners];
+  const owner = candidates.find(
+    (candidate) => candidate?.group === group && candidate.epoch === query.ownerEpoch,
+  );
   return owner ? answerFate(owner, query) : 'may-have-run';
 }
 
@@ -156,8 +169,7 @@
     [...registry.owners.values()].map(async (owner) => {
       await drainGroupOwner(owner, graceMs);
       const { group, epoch } = owner;
-      closeGroupOwner(owner);
-      registry.owners.delete(group);
+      retireOwner(registry, owner);
       const incarnation = registry.control.incarnation();
       const release = { resource: `group/${group}`, epoch, incarnation };
       await registry.control.call('resource/release', release);
@@ -167,8 +179,7 @@
 
 /** Closes everything at once, after the lease was lost for good. */
 export function closeAllOwners(registry: OwnerRegistry): void {
-  for (const owner of registry.owners.values()) closeGroupOwner(owner);
-  registry.owners.clear();
+  for (const owner of registry.owners.values()) retireOwner(registry, owner);
 }
 
 /** What the operators' status shows of the groups owned here. */
@@ -190,7 +201,3 @@
     })),
   }));
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -16,15 +16,16 @@
   type GroupView,
   type Intent,
   type LogPosition,
+  type PendingWrite,
   type RequestChunk,
   type ServerName,
   type SessionId,
   type SettingEffect,
+  type TransactionStatus,
   ZERO_POSITION,
 } from '@bramleykeel/core';
 import type { Counters, Log } from '@bramleykeel/link';
 import type { AnswerFilter } from './answer-filter.js';
-import type { PendingAcknowledgement } from './acknowledge.js';
 import type { TargetConnection } from '../target/target-connection.js';
 import type { TargetPool } from '../target/target-pool.js';
 
@@ -80,8 +81,8 @@
   filter: AnswerFilter;
   slot: HeldSlot | undefined;
   running: RunningRequest | undefined;
-  /** The chunks of the first attempt, for another one on another server. */
-  readonly firstChunks: readonly RequestChunk[];
+  /** All chunks so far, for another attempt on another server. */
+  readonly allChunks: RequestChunk[];
 }
 
 /** A slot of a server that a request occupies. */
@@ -101,6 +102,13 @@
   isCheckingSilence: boolean;
 }
 
+/** A write whose answer has come and waits to be confirmed. */
+export interface PendingAcknowledgement {
+  readonly request: OwnerRequest;
+  readonly write: PendingWrite;
+  readonly status: TransactionStatus;
+}
+
 /** Calls back into the scheduler from the parts that it starts. */
 export interface Dispatch {
   /** Starts everything that can start now. */
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -269,7 +269,7 @@
 }
 
 function restoreChunks(request: OwnerRequest): void {
-  request.chunks.splice(0, request.chunks.length, ...request.firstChunks);
+  request.chunks.splice(0, request.chunks.length, ...request.allChunks);
 }
 
 /**
--- a/packages/entry/src/target/announce-server.ts
+++ b/packages/entry/src/target/announce-server.ts
@@ -1,7 +1,7 @@
 /** Takes announcements of targets over HTTP and hands them on. */
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { type Announcement, announcementSchema, splitAddress } from '@bramleykeel/core';
-import type { Counters } from '@bramleykeel/link';
+import { type Counters, readJsonBody } from '@bramleykeel/link';
 import { z } from 'zod';
 
 const MAX_BODY_BYTES = 16_384;
@@ -36,7 +36,7 @@
       counters.count('refusal.announcement-token');
       return { statusCode: 403, body: { message: 'the announcement token was not accepted' } };
     }
-    const parsed = announcementSchema.safeParse(await readBody(request));
+    const parsed = announcementSchema.safeParse(await readJsonBody(request, MAX_BODY_BYTES));
     if (!parsed.success) {
       counters.count('refusal.announcement-malformed');
       return { statusCode: 400, body: { message: z.prettifyError(parsed.error) } };
@@ -45,18 +45,3 @@
     return { statusCode: 200, body: {} };
   }
 }
-
-async function readBody(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let totalBytes = 0;
-  try {
-    for await (const chunk of request) {
-      totalBytes += (chunk as Buffer).length;
-      if (totalBytes > MAX_BODY_BYTES) return undefined;
-      chunks.push(chunk as Buffer);
-    }
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
-  } catch {
-    return undefined;
-  }
-}
--- /dev/null
+++ b/packages/entry/src/target/announcement-router.ts
@@ -0,0 +1,64 @@
+/** Takes targets' announcements to the owner of their group, wherever that is. */
+import {
+  type Announcement,
+  assignmentOf,
+  type GroupName,
+  type RecordDelta,
+  type Resource,
+  toGroupName,
+} from '@bramleykeel/core';
+import type { ControlClient } from '../control/control-client.js';
+import type { EntryLinks } from '../locate/owner-locator.js';
+import {
+  type AnnouncementCache,
+  cacheAnnouncement,
+  recentAnnouncements,
+} from './announcement-cache.js';
+
+export interface AnnouncementRouter {
+  readonly cache: AnnouncementCache;
+  readonly control: ControlClient;
+  readonly links: () => EntryLinks;
+  /** Hands an announcement to the owner in this process; returns whether there is one. */
+  readonly deliverLocally: (announcement: Announcement) => boolean;
+  readonly requestResource: (resource: Resource, zone: string | undefined) => void;
+}
+
+/** How often and how soon a new owner that cannot be reached yet is tried again. */
+const INFORM_ATTEMPTS = 50;
+const INFORM_RETRY_MS = 10;
+const GROUP_RESOURCE = /^group\/(.+)$/;
+
+/** Passes an announcement on; a group without an owner is given one, in the primary's zone. */
+export function routeAnnouncement(router: AnnouncementRouter, announcement: Announcement): void {
+  cacheAnnouncement(router.cache, announcement, performance.now());
+  if (passOn(router, announcement)) return;
+  const zone = announcement.role === 'primary' ? announcement.zone : undefined;
+  router.requestResource(`group/${announcement.group}`, zone);
+}
+
+function passOn(router: AnnouncementRouter, announcement: Announcement): boolean {
+  if (router.deliverLocally(announcement)) return true;
+  const assignment = assignmentOf(router.control, `group/${announcement.group}`);
+  if (!assignment) return false;
+  const peer = router.links().linkTo(assignment.linkAddress);
+  return peer?.notify('target/announcement', announcement) ?? false;
+}
+
+/** A group's new owner learns about its servers from the entries that they announce themselves to. */
+export function informNewOwners(router: AnnouncementRouter, deltas: readonly RecordDelta[]): void {
+  for (const { stored } of deltas) {
+    if (stored.record.kind !== 'assignment') continue;
+    const group = GROUP_RESOURCE.exec(stored.record.assignment.resource)?.[1];
+    if (group !== undefined) informOwner(router, toGroupName(group), INFORM_ATTEMPTS);
+  }
+}
+
+function informOwner(router: AnnouncementRouter, group: GroupName, attempts: number): void {
+  const recent = recentAnnouncements(router.cache, group, performance.now());
+  const isReached = recent.every((announcement) => passOn(router, announcement));
+  if (isReached || attempts <= 1) return;
+  setTimeout(() => {
+    informOwner(router, group, attempts - 1);
+  }, INFORM_RETRY_MS);
+}
--- a/packages/entry/src/target/target-commands.ts
+++ b/packages/entry/src/target/target-commands.ts
@@ -1,14 +1,13 @@
-/** Commands to targets and probes of them, over the addresses that they announced. */
+/** Commands to targets and probes of them, at the addresses that they announced. */
 import { request } from 'node:http';
-import { createConnection } from 'node:net';
 import {
   fenceAnswerSchema,
   type FencePromise,
   type ProbeResult,
   type ServerName,
-  splitAddress,
   type TargetCommand,
 } from '@bramleykeel/core';
+import { probeAddress } from '@bramleykeel/link';
 import { buildSslRequest } from '@bramleykeel/postgres-wire';
 
 /**
@@ -64,25 +63,5 @@
  * authentication: it costs no slot, and a frozen process does not answer it.
  */
 export function probeServer(address: string, timeoutMs: number): Promise<ProbeResult> {
-  return new Promise((resolve) => {
-    const socket = createConnection(splitAddress(address));
-    const finish = (result: ProbeResult) => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(result);
-    };
-    const timer = setTimeout(() => {
-      finish('silent');
-    }, timeoutMs);
-    socket.once('connect', () => socket.write(buildSslRequest()));
-    socket.once('data', () => {
-      finish('answered');
-    });
-    socket.once('error', (error: NodeJS.ErrnoException) => {
-      finish(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
-    });
-    socket.once('end', () => {
-      finish('silent');
-    });
-  });
+  return probeAddress(address, timeoutMs, buildSslRequest());
 }
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -4,6 +4,7 @@
 export * from './link-server.js';
 export * from './link-client.js';
 export * from './probe-address.js';
+export * from './json-body.js';
 export * from './write-batch.js';
 export * from './counters.js';
 export * from './logger.js';
--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -1,5 +1,5 @@
 /** Opens links to other processes and keeps them open. */
-import { createConnection } from 'node:net';
+import { createConnection, type Socket } from 'node:net';
 import { splitAddress } from '@bramleykeel/core';
 import { type LinkHandlers, type LinkOptions, type LinkPeer, runLink } from './link-peer.js';
 
@@ -39,6 +39,7 @@
   handlers: LinkClientHandlers,
 ): LinkClient {
   const { host, port } = splitAddress(address);
+  let connecting: Socket | undefined;
   let peer: LinkPeer | undefined;
   let open: LinkPeer | undefined;
   let isStopped = false;
@@ -62,9 +63,11 @@
 
   function connect(): void {
     const socket = createConnection({ host, port });
+    connecting = socket;
     let isConnected = false;
     const connectTimer = setTimeout(() => {
       socket.destroy();
+      if (isStopped) return;
       handlers.onConnectFailed?.('silent');
       reconnectLater();
     }, options.connectTimeoutMs);
@@ -76,6 +79,7 @@
     });
     socket.once('connect', () => {
       isConnected = true;
+      connecting = undefined;
       clearTimeout(connectTimer);
       peer = runLink(socket, 'client', options, linkHandlers);
     });
@@ -91,6 +95,7 @@
   function stop(): void {
     isStopped = true;
     clearTimeout(timer);
+    connecting?.destroy();
     peer?.close('link is no longer needed');
   }
 }
--- a/packages/link/src/probe-address.ts
+++ b/packages/link/src/probe-address.ts
@@ -1,19 +1,24 @@
-/** Finds out whether anything listens at an address, without speaking any protocol. */
+/** Finds out whether anything listens at an address, and whether it answers. */
 import { createConnection } from 'node:net';
-import { splitAddress } from '@bramleykeel/core';
-
-export type AddressProbe = 'answered' | 'refused' | 'silent';
+import { type ProbeResult, splitAddress } from '@bramleykeel/core';
 
 /**
- * Tries to connect. `refused` proves that no process is bound to the address; `silent` proves nothing.
+ * Tries to connect, and sends `request` if one is given: then only a byte in return counts as an
+ * answer, because the system accepts connections for a frozen process too.
+ *
+ * `refused` proves that no process is bound to the address; `silent` proves nothing.
  *
  * @example
  * await probeAddress('127.0.0.1:7001', 500); // 'refused'
  */
-export function probeAddress(address: string, timeoutMs: number): Promise<AddressProbe> {
+export function probeAddress(
+  address: string,
+  timeoutMs: number,
+  request?: Buffer,
+): Promise<ProbeResult> {
   return new Promise((resolve) => {
     const socket = createConnection(splitAddress(address));
-    const finish = (result: AddressProbe) => {
+    const finish = (result: ProbeResult) => {
       clearTimeout(timer);
       socket.destroy();
       resolve(result);
@@ -22,10 +27,17 @@
       finish('silent');
     }, timeoutMs);
     socket.once('connect', () => {
+      if (request) socket.write(request);
+      else finish('answered');
+    });
+    socket.once('data', () => {
       finish('answered');
     });
     socket.once('error', (error: NodeJS.ErrnoException) => {
       finish(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
     });
+    socket.once('end', () => {
+      finish('silent');
+    });
   });
 }
--- a/packages/system-tests/src/test-cluster.ts
+++ b/packages/system-tests/src/test-cluster.ts
@@ -1,4 +1,5 @@
 /** Clusters of real daemons for process-level tests, on free loopback ports and a temporary folder. */
+import { setTimeout as delay } from 'node:timers/promises';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -177,12 +178,10 @@
   throw new Error(`waited ${timeoutMs} ms in vain for ${what}`);
 }
 
-export function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
-
 /** The SQLSTATE of a failed query, or the text of another error. */
 export function sqlStateOf(error: unknown): string {
   if (error instanceof pg.DatabaseError) return error.code ?? '';
   return error instanceof Error ? error.message : String(error);
 }
+
+export { delay };
--- /dev/null
+++ b/packages/test-support/src/stand-in/connection-startup.ts
@@ -0,0 +1,106 @@
+/** Startup of a connection to a stand-in server: encryption, cancel requests, password, greeting. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { TransactionStatus } from '@bramleykeel/core';
+import {
+  buildAuthenticationOk,
+  buildBackendKeyData,
+  buildCleartextPasswordRequest,
+  buildErrorResponse,
+  buildParameterStatus,
+  buildReadyForQuery,
+  CLIENT,
+  readStartupPacket,
+  readText,
+  type WireMessage,
+} from '@bramleykeel/postgres-wire';
+import { flush, send } from './connection-output.js';
+import type { StandInConnection } from './connection-state.js';
+import { lastEntry } from './storage.js';
+
+const SERVER_PARAMETERS: Readonly<Record<string, string>> = {
+  server_version: '16.0',
+  server_encoding: 'UTF8',
+  client_encoding: 'UTF8',
+  DateStyle: 'ISO, MDY',
+  integer_datetimes: 'on',
+  standard_conforming_strings: 'on',
+};
+
+export async function handleStartup(
+  connection: StandInConnection,
+  message: WireMessage,
+): Promise<void> {
+  const { host, output } = connection;
+  const packet = readStartupPacket(message);
+  switch (packet.kind) {
+    case 'ssl-request':
+    case 'gss-request':
+      output.socket.write('N');
+      return;
+    case 'cancel': {
+      const target = host.connections.get(packet.processId);
+      if (target?.secretKey === packet.secretKey) target.cancelRunning?.();
+      output.socket.destroy();
+      return;
+    }
+    case 'malformed':
+      output.socket.destroy();
+      return;
+    case 'startup':
+      if (host.connections.size >= host.maxConnections) {
+        return refuseConnection(connection, '53300', 'sorry, too many clients already');
+      }
+      host.connections.set(connection.processId, connection);
+      if (host.password === '') return finishStartup(connection);
+      connection.phase = 'password';
+      await send(output, buildCleartextPasswordRequest());
+  }
+}
+
+export async function handlePassword(
+  connection: StandInConnection,
+  message: WireMessage,
+): Promise<void> {
+  if (message.type !== CLIENT.password || readText(message) !== connection.host.password) {
+    return refuseConnection(connection, '28P01', 'password authentication failed');
+  }
+  return finishStartup(connection);
+}
+
+async function refuseConnection(
+  connection: StandInConnection,
+  sqlState: string,
+  message: string,
+): Promise<void> {
+  const fields = { severity: 'FATAL', sqlState, message } as const;
+  await send(connection.output, buildErrorResponse(fields));
+  await flush(connection.output);
+  connection.output.socket.end();
+}
+
+async function finishStartup(connection: StandInConnection): Promise<void> {
+  const { host, output } = connection;
+  await delay(host.connectCostMs);
+  connection.phase = 'ready';
+  await send(output, buildAuthenticationOk());
+  for (const [name, value] of Object.entries(SERVER_PARAMETERS)) {
+    await send(output, buildParameterStatus(name, value));
+  }
+  await sendPosition(connection);
+  await send(output, buildBackendKeyData(connection.processId, connection.secretKey));
+  await sendReady(connection);
+}
+
+async function sendPosition(connection: StandInConnection): Promise<void> {
+  const { term, offset } = lastEntry(connection.host.server.storage);
+  await send(connection.output, buildParameterStatus('log_position', `${term}/${offset}`));
+}
+
+/** Ends an exchange with the connection's transaction status. */
+export async function sendReady(connection: StandInConnection): Promise<void> {
+  let status: TransactionStatus = 'idle';
+  if (connection.isExplicit)
+    status = connection.hasFailed ? 'failed-transaction' : 'in-transaction';
+  await send(connection.output, buildReadyForQuery(status));
+  await flush(connection.output);
+}
--- a/packages/test-support/src/stand-in/connection.ts
+++ b/packages/test-support/src/stand-in/connection.ts
@@ -1,17 +1,13 @@
 /** One client connection to a stand-in server: startup, simple and extended query protocol. */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Socket } from 'node:net';
-import type { TransactionStatus } from '@bramleykeel/core';
 import {
-  buildAuthenticationOk,
-  buildBackendKeyData,
-  buildCleartextPasswordRequest,
   buildCommandComplete,
   buildDataRow,
   buildEmptyMessage,
   buildErrorResponse,
   buildParameterDescription,
   buildParameterStatus,
-  buildReadyForQuery,
   buildRowDescription,
   CLIENT,
   createMessageFramer,
@@ -22,18 +18,19 @@
   readExecute,
   readNamed,
   readParse,
-  readStartupPacket,
   readText,
   SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 import { readBindValues } from './bind-values.js';
-import { type ConnectionOutput, createOutput, flush, send } from './connection-output.js';
+import { createOutput, flush, send } from './connection-output.js';
+import { handlePassword, handleStartup, sendReady } from './connection-startup.js';
+import type { ConnectionHost, Portal, StandInConnection } from './connection-state.js';
 import type { SqlValue } from './expressions.js';
-import { commitChanges, type StandInServer } from './server-state.js';
-import { acquireSlot, releaseSlot, type Slots } from './slots.js';
+import { commitChanges } from './server-state.js';
+import { acquireSlot, releaseSlot } from './slots.js';
 import { SqlFailure } from './sql-failure.js';
-import { lastEntry, type Row } from './storage.js';
+import type { Row } from './storage.js';
 import {
   countParameters,
   describeStatement,
@@ -43,51 +40,7 @@
 } from './statements.js';
 import { createTransaction, type Transaction } from './transaction.js';
 
-export interface ConnectionHost {
-  readonly server: StandInServer;
-  readonly slots: Slots;
-  readonly password: string;
-  readonly maxConnections: number;
-  readonly connectCostMs: number;
-  readonly statementCostMs: number;
-  readonly connections: Map<number, StandInConnection>;
-  nextProcessId: number;
-}
-
-interface Portal {
-  readonly statement: ParsedStatement | undefined;
-  readonly parameters: readonly SqlValue[];
-  running: StatementResult | undefined;
-}
-
-export interface StandInConnection {
-  readonly host: ConnectionHost;
-  readonly output: ConnectionOutput;
-  readonly processId: number;
-  readonly secretKey: number;
-  readonly settings: Map<string, string>;
-  readonly statements: Map<string, { statement: ParsedStatement | undefined }>;
-  readonly portals: Map<string, Portal>;
-  transaction: Transaction | undefined;
-  isExplicit: boolean;
-  hasFailed: boolean;
-  /** After an error, extended messages are skipped until Sync. */
-  isSkipping: boolean;
-  cancelRunning: (() => void) | undefined;
-  phase: 'startup' | 'password' | 'ready';
-  isActive: boolean;
-}
-
 const MAX_MESSAGE_BYTES = 16_777_216;
-const SERVER_PARAMETERS: Readonly<Record<string, string>> = {
-  server_version: '16.0',
-  server_encoding: 'UTF8',
-  client_encoding: 'UTF8',
-  DateStyle: 'ISO, MDY',
-  integer_datetimes: 'on',
-  standard_conforming_strings: 'on',
-};
-
 /** Serves one socket until it closes. Messages are handled strictly one after another. */
 export function serveConnection(socket: Socket, host: ConnectionHost): void {
   host.nextProcessId += 1;
@@ -158,70 +111,6 @@
   }
 }
 
-async function handleStartup(connection: StandInConnection, message: WireMessage): Promise<void> {
-  const { host, output } = connection;
-  const packet = readStartupPacket(message);
-  switch (packet.kind) {
-    case 'ssl-request':
-    case 'gss-request':
-      output.socket.write('N');
-      return;
-    case 'cancel': {
-      const target = host.connections.get(packet.processId);
-      if (target?.secretKey === packet.secretKey) target.cancelRunning?.();
-      output.socket.destroy();
-      return;
-    }
-    case 'malformed':
-      output.socket.destroy();
-      return;
-    case 'startup':
-      if (host.connections.size >= host.maxConnections) {
-        return refuseConnection(connection, '53300', 'sorry, too many clients already');
-      }
-      host.connections.set(connection.processId, connection);
-      if (host.password === '') return finishStartup(connection);
-      connection.phase = 'password';
-      await send(output, buildCleartextPasswordRequest());
-  }
-}
-
-async function handlePassword(connection: StandInConnection, message: WireMessage): Promise<void> {
-  if (message.type !== CLIENT.password || readText(message) !== connection.host.password) {
-    return refuseConnection(connection, '28P01', 'password authentication failed');
-  }
-  return finishStartup(connection);
-}
-
-async function refuseConnection(
-  connection: StandInConnection,
-  sqlState: string,
-  message: string,
-): Promise<void> {
-  const fields = { severity: 'FATAL', sqlState, message } as const;
-  await send(connection.output, buildErrorResponse(fields));
-  await flush(connection.output);
-  connection.output.socket.end();
-}
-
-async function finishStartup(connection: StandInConnection): Promise<void> {
-  const { host, output } = connection;
-  await delay(host.connectCostMs);
-  connection.phase = 'ready';
-  await send(output, buildAuthenticationOk());
-  for (const [name, value] of Object.entries(SERVER_PARAMETERS)) {
-    await send(output, buildParameterStatus(name, value));
-  }
-  await sendPosition(connection);
-  await send(output, buildBackendKeyData(connection.processId, connection.secretKey));
-  await sendReady(connection);
-}
-
-async function sendPosition(connection: StandInConnection): Promise<void> {
-  const { term, offset } = lastEntry(connection.host.server.storage);
-  await send(connection.output, buildParameterStatus('log_position', `${term}/${offset}`));
-}
-
 async function handleQueryMessage(
   connection: StandInConnection,
   message: WireMessage,
@@ -449,14 +338,6 @@
   await send(connection.output, buildErrorResponse({ severity: 'ERROR', sqlState, message }));
 }
 
-async function sendReady(connection: StandInConnection): Promise<void> {
-  let status: TransactionStatus = 'idle';
-  if (connection.isExplicit)
-    status = connection.hasFailed ? 'failed-transaction' : 'in-transaction';
-  await send(connection.output, buildReadyForQuery(status));
-  await flush(connection.output);
-}
-
 async function describe(connection: StandInConnection, message: WireMessage): Promise<void> {
   const { output } = connection;
   const { target, name } = readNamed(message);
@@ -487,7 +368,3 @@
     };
   });
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/test-support/src/stand-in/replication.ts
+++ b/packages/test-support/src/stand-in/replication.ts
@@ -1,4 +1,5 @@
 /** Asynchronous replication of the stand-in: replicas poll their primary and apply with a set lag. */
+import { setTimeout as delay } from 'node:timers/promises';
 import { requestJson } from './http-json.js';
 import type { StandInServer } from './server-state.js';
 import {
@@ -102,7 +103,3 @@
   }
   return true;
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
