Judge time only after waiting input was read; watchers of the control bench are real clients

Cause: in a control bench on a busy machine the leader changed 12 s in: a member whose own process had stalled judged the election timeout before it read the heartbeats that were waiting. The bench's home-made watchers then hung, because they knew nothing of a change of leader.

Change: election ticks and probe timeouts run after the input of the same turn; the bench uses the entry's own control client. Ruled out: longer timeouts (they would lengthen every real election).

--- a/packages/bench/src/control-experiment.ts
+++ b/packages/bench/src/control-experiment.ts
@@ -1,49 +1,27 @@
 /** Slopes of control at size: real control members, and light watchers that speak the real protocol. */
-import { randomUUID } from 'node:crypto';
-import type { LeaseReply, RecordsPush } from '@bramleykeel/core';
+import { entrySettingsSchema } from '@bramleykeel/core';
 import { applySettings, callAnyMember, type Cluster } from '@bramleykeel/dev-launcher';
-import {
-  DEFAULT_LINK_TIMING,
-  DEFAULT_RECONNECT,
-  keepLink,
-  type LinkClient,
-} from '@bramleykeel/link';
+import { type ControlClient, startControlClient } from '@bramleykeel/entry';
 import { benchStatus, delay, pidOf, withCluster } from './bench-cluster.js';
 import { cpuPercent, readUsage } from './process-usage.js';
 
 const WATCHER_COUNTS = [50, 150, 300, 570];
-const RENEW_EVERY_MS = 300;
 const SETTLE_MS = 2_000;
 const CHANGES = 20;
 
-interface Watcher {
-  readonly link: LinkClient;
-  readonly timer: NodeJS.Timeout;
-  knownIndex: number;
-  settingsRevision: number;
-  receivedBytes: number;
-  sentBytes: number;
-}
-
 /** Cost of the leader and of each watcher by the number of watchers, and the time to be in force. */
 export function measureControl(durationMs: number) {
   return withCluster({ entryCount: 0, groups: [], customers: [] }, async (cluster) => {
     await fillSettings(cluster);
     const rows = [];
-    const watchers: Watcher[] = [];
+    const watchers: ControlClient[] = [];
     for (const count of WATCHER_COUNTS) {
-      const { leader } = (await benchStatus(cluster)).control;
-      const address = cluster.plan.control.find(({ id }) => id === leader)?.linkAddress ?? '';
-      while (watchers.length < count) {
-        watchers.push(startWatcher(address, cluster.plan.linkSecret, watchers.length));
-      }
+      while (watchers.length < count) watchers.push(startWatcher(cluster, watchers.length));
       await delay(SETTLE_MS);
+      const { leader } = (await benchStatus(cluster)).control;
       rows.push(await measureCount(cluster, leader, watchers, durationMs));
     }
-    for (const { link, timer } of watchers) {
-      clearInterval(timer);
-      link.stop();
-    }
+    for (const watcher of watchers) watcher.close();
     return rows;
   });
 }
@@ -60,65 +38,40 @@
   }
 }
 
-function startWatcher(address: string, secret: string, number: number): Watcher {
-  const incarnation = randomUUID();
-  const options = { secret, ...DEFAULT_LINK_TIMING, ...DEFAULT_RECONNECT };
-  const link = keepLink(address, options, {
-    onRequest: () => null,
-    onNotify: (_peer, _method, params) => {
-      take(params as RecordsPush);
-      void renew();
+/** A daemon's own client of control, without the rest of the daemon. */
+function startWatcher(cluster: Cluster, number: number): ControlClient {
+  const settings = entrySettingsSchema.parse({
+    entry: {
+      id: `watcher-${number}`,
+      zone: 'zone-a',
+      callerAddress: '127.0.0.1:1',
+      linkAddress: `127.0.0.1:${number + 1}`,
+      announceAddress: '127.0.0.1:1',
     },
-    onOpen: () => void renew(),
+    members: cluster.plan.control.map(({ id, linkAddress, adminAddress }) => {
+      return { id, linkAddress, adminAddress };
+    }),
+    link: { secret: cluster.plan.linkSecret },
+  });
+  return startControlClient(settings, () => undefined, {
+    onRecords: () => undefined,
+    onStatusRequest: () => null,
+    onLeaseEnded: () => undefined,
   });
-  const timer = setInterval(() => void renew(), RENEW_EVERY_MS);
-  const watcher: Watcher = {
-    link,
-    timer,
-    knownIndex: 0,
-    settingsRevision: 0,
-    receivedBytes: 0,
-    sentBytes: 0,
-  };
-  return watcher;
-
-  function take(push: RecordsPush): void {
-    watcher.knownIndex = Math.max(watcher.knownIndex, push.appliedIndex);
-    watcher.settingsRevision = Math.max(watcher.settingsRevision, push.settingsRevision);
-  }
-
-  async function renew(): Promise<void> {
-    const peer = link.current();
-    if (!peer) return;
-    const { knownIndex, settingsRevision } = watcher;
-    const renewal = {
-      entryId: `watcher-${number}`,
-      incarnation,
-      linkAddress: `127.0.0.1:${number + 1}`,
-      zone: 'zone-a',
-      isStopping: false,
-      knownIndex,
-      settingsRevision,
-    };
-    const answer = await peer.request('lease/renew', renewal, 2_000);
-    answer.ifRight((reply) => {
-      if ((reply as LeaseReply).kind === 'renewed') take(reply as RecordsPush);
-    });
-    const { receivedBytes, sentBytes } = peer.traffic();
-    watcher.receivedBytes = receivedBytes;
-    watcher.sentBytes = sentBytes;
-  }
 }
 
 async function measureCount(
   cluster: Cluster,
   leader: string,
-  watchers: readonly Watcher[],
+  watchers: readonly ControlClient[],
   durationMs: number,
 ) {
   const pid = pidOf(cluster, leader);
   const traffic = () =>
-    watchers.reduce((sum, each) => sum + each.receivedBytes + each.sentBytes, 0);
+    watchers.reduce((sum, watcher) => {
+      const { receivedBytes, sentBytes } = watcher.traffic();
+      return sum + receivedBytes + sentBytes;
+    }, 0);
   const before = { usage: readUsage(pid), bytes: traffic(), atMs: performance.now() };
   await delay(durationMs);
   const elapsedMs = performance.now() - before.atMs;
@@ -140,11 +93,14 @@
 }
 
 /** From sending a change until every watcher has confirmed it to control. */
-async function timeToBeInForce(cluster: Cluster, watchers: readonly Watcher[]): Promise<number> {
+async function timeToBeInForce(
+  cluster: Cluster,
+  watchers: readonly ControlClient[],
+): Promise<number> {
   const startMs = performance.now();
   const value = { ratePerSecond: 1 + Math.random(), burst: 100, readAgeAllowanceMs: null };
   const revision = await applySettings(cluster.plan, [{ path: 'customers/c0', value }]);
-  while (watchers.some(({ settingsRevision }) => settingsRevision < revision)) await delay(1);
+  while (watchers.some((watcher) => watcher.settingsRevision() < revision)) await delay(1);
   await callAnyMember(cluster.plan, 'settings/await', { revision, timeoutMs: 20_000 });
   return Math.round(performance.now() - startMs);
 }
--- a/packages/control/src/control-daemon.ts
+++ b/packages/control/src/control-daemon.ts
@@ -132,7 +132,10 @@
   }
   const timers = [
     setInterval(() => {
-      driver.step({ kind: 'tick' });
+      // After a stall, heartbeats that already wait in the sockets are read before time is judged.
+      setImmediate(() => {
+        driver.step({ kind: 'tick' });
+      });
     }, TICK_MS),
     setInterval(() => {
       if (!leader) return;
--- a/packages/entry/src/control/control-client.ts
+++ b/packages/entry/src/control/control-client.ts
@@ -38,6 +38,8 @@
   readonly heldEpoch: (resource: Resource) => number | undefined;
   /** Sends a request to the control leader. */
   readonly call: (method: string, params: unknown) => Promise<Either<LinkError, unknown>>;
+  /** Bytes exchanged with control over the present link. */
+  readonly traffic: () => { readonly receivedBytes: number; readonly sentBytes: number };
   readonly startStopping: () => void;
   readonly close: () => void;
 }
@@ -89,6 +91,7 @@
       if (!peer) return Promise.resolve(Left({ kind: 'not-sent' }));
       return peer.request(method, params, CALL_TIMEOUT_MS);
     },
+    traffic: () => link?.current()?.traffic() ?? { receivedBytes: 0, sentBytes: 0 },
     startStopping: () => {
       isStopping = true;
       void renew();
--- a/packages/link/src/probe-address.ts
+++ b/packages/link/src/probe-address.ts
@@ -23,8 +23,9 @@
       socket.destroy();
       resolve(result);
     };
+    // After a stall of this process, an answer that already waits is read before time is judged.
     const timer = setTimeout(() => {
-      finish('silent');
+      setImmediate(finish, 'silent');
     }, timeoutMs);
     socket.once('connect', () => {
       if (request) socket.write(request);
