Never run a statement of an open transaction outside of it

Cause, found by reading: when an owner's lease lapsed between taking a statement of an open transaction and sending it, the connection was dropped and the statement queued again; once the lease was renewed it would have run on its own, outside of the transaction.

Ruled out: refusing it in the queue (it must never get there; the transaction is over).

Change: the transaction ends as lost.

--- a/packages/entry/src/owner/owner-app.test.ts
+++ b/packages/entry/src/owner/owner-app.test.ts
@@ -5,12 +5,16 @@
   type RequestChunk,
   toCustomerName,
   toGroupName,
+  toServerName,
   toSessionId,
 } from '@bramleykeel/core';
 import { createCounters } from '@bramleykeel/link';
 import { describe, expect, it } from 'vitest';
 import { answerFate, closeSession, handleEntryMessage } from './owner-app.js';
 import { createGroupOwner, type GroupOwner } from './owner-state.js';
+import { startOnConnection } from './request-run.js';
+import type { TargetConnection } from '../target/target-connection.js';
+import type { TargetPool } from '../target/target-pool.js';
 
 const GROUP = toGroupName('g');
 const SESSION = toSessionId('e1:1');
@@ -113,6 +117,36 @@
   });
 });
 
+describe('a statement of an open transaction', () => {
+  it('never runs outside of it when the lease is over before it is sent', async () => {
+    const owner = createOwner();
+    const sent: FromOwnerMessage[] = [];
+    openAndStart(owner, sent);
+    const session = owner.sessions.get(SESSION);
+    const request = session?.request;
+    if (!session || !request) throw new Error('no request was started');
+    const pool = { runningCount: 1, idle: [], inUse: new Set() } as unknown as TargetPool;
+    const connection = { isClosed: true, settings: new Map() } as unknown as TargetConnection;
+    const pinned = { server: toServerName('s1'), pool, connection };
+    session.pinned = pinned;
+    const withoutLease = {
+      ...owner,
+      environment: { ...owner.environment, holdsLease: () => false },
+    };
+    const running = {
+      ...pinned,
+      isOnReplica: false,
+      term: 1,
+      lastSentMs: 0,
+      isEndSent: false,
+      isCheckingSilence: false,
+    };
+    await startOnConnection(withoutLease, request, running);
+    expect(sent).toMatchObject([{ kind: 'request/end', refusal: { reason: 'transaction-lost' } }]);
+    expect(session.pinned).toBeUndefined();
+  });
+});
+
 describe('a message for an owner', () => {
   it('is refused as not run when the session is not known', () => {
     const owner = createOwner();
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -100,10 +100,16 @@
 
 /** The connection could not be prepared: nothing of the request was sent, so it may go elsewhere. */
 function abandonBeforeStart(owner: GroupOwner, request: OwnerRequest): void {
-  const { running } = request;
+  const { running, session } = request;
   if (!running) return;
   discardConnection(running.pool, running.connection);
   freeSlot(owner, request);
+  if (session.pinned) {
+    // The transaction is gone with its connection; the statement must not run outside of it.
+    session.pinned = undefined;
+    endRequest(owner, request, 'idle', refuse('transaction-lost'));
+    return;
+  }
   owner.dispatch.requeue(owner, request);
 }
 
