Print a status line that works on a fresh clone

Cause: in a fresh clone npx bramleykeelctl asked the registry: npm links a workspace's command only if its compiled file is there at installation. Seen in a run of npm start in an empty folder.

Ruled out: committing compiled files.

--- a/packages/dev-launcher/src/main.ts
+++ b/packages/dev-launcher/src/main.ts
@@ -82,8 +82,8 @@
   lines.push(`  psql '${urls[1] ?? ''}' -c "SELECT * FROM bookings"`);
   const addresses = plan.control.map(({ adminAddress }) => adminAddress).join(',');
   const access = `--control ${addresses} --token-file ${plan.operatorTokenFile}`;
-  lines.push(`  npx bramleykeelctl status ${access}`);
-  lines.push(`  npx bramleykeelctl customers ${access}`);
+  lines.push(`  npm run --silent ctl -- status ${access}`);
+  lines.push(`  npm run --silent ctl -- customers ${access}`);
   lines.push(
     `  logs of all processes: ${join(dataFolder, 'processes.log')}`,
     'Ctrl-C stops everything.',
