--- a/packages/bench/src/failover-experiment.ts
+++ b/packages/bench/src/failover-experiment.ts
@@ -40,9 +40,11 @@
 const RETRY_MS = 5;
 const WATCH_MS = 6_000;
 
-export async function measureFailover(repeats: number) {
+/** Runs the faults whose names contain `filter`. */
+export async function measureFailover(repeats: number, filter: string) {
   const rows = [];
-  for (const [fault, cause] of Object.entries(FAULTS)) {
+  const chosen = Object.entries(FAULTS).filter(([fault]) => fault.includes(filter));
+  for (const [fault, cause] of chosen) {
     const gapsMs: number[] = [];
     const failures: Record<string, number> = {};
     for (let repeat = 0; repeat < repeats; repeat += 1) {
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -11,9 +11,15 @@
 import { measurePath } from './path-experiment.js';
 import { measureCover, measureReplicaShare } from './replica-experiment.js';
 
+interface ExperimentOptions {
+  readonly durationMs: number;
+  readonly repeats: number;
+  readonly fault: string;
+}
+
 interface Experiment {
   readonly describe: string;
-  readonly run: (options: { durationMs: number; repeats: number }) => Promise<readonly object[]>;
+  readonly run: (options: ExperimentOptions) => Promise<readonly object[]>;
 }
 
 const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
@@ -31,7 +37,7 @@
   },
   failover: {
     describe: 'failover gap for each fault, over repeated runs',
-    run: ({ repeats }) => measureFailover(repeats),
+    run: ({ repeats, fault }) => measureFailover(repeats, fault),
   },
   fairness: {
     describe: 'worst-served customer with one at ten times its rate',
@@ -62,6 +68,7 @@
   )
   .option('seconds', { type: 'number', default: 5, describe: 'time of each measurement' })
   .option('repeats', { type: 'number', default: 5, describe: 'runs of each fault' })
+  .option('fault', { type: 'string', default: '', describe: 'only faults whose name has this' })
   .option('out', { type: 'string', default: 'bench-results', describe: 'folder for JSON files' })
   .strictOptions()
   .parseAsync();
@@ -78,7 +85,8 @@
 for (const name of names) {
   const startedAt = new Date().toISOString();
   const durationMs = options.seconds * 1_000;
-  const rows = (await EXPERIMENTS[name]?.run({ durationMs, repeats: options.repeats })) ?? [];
+  const { repeats, fault } = options;
+  const rows = (await EXPERIMENTS[name]?.run({ durationMs, repeats, fault })) ?? [];
   const file = join(options.out, `${name}-${startedAt.replaceAll(':', '-')}.json`);
   writeFileSync(file, `${JSON.stringify({ name, startedAt, options, rows }, null, 2)}\n`);
   process.stdout.write(`${name} (${startedAt}), written to ${file}\n`);
