Let a leaving primary's drain wait for writes that wait for their cover

A write whose connection was given back and that waited for its quorum cover did not count as running, so the next term was proposed and superseded it.

Change: writes that wait for acknowledgement count as running.

--- a/packages/entry/src/owner/failover-runner.ts
+++ b/packages/entry/src/owner/failover-runner.ts
@@ -48,7 +48,9 @@
   };
   const record = owner.environment.groupRecord();
   const primaryPool = record.primary && owner.pools.get(record.primary);
-  const runningWrites = primaryPool ? primaryPool.inUse.size : 0;
+  // Writes that wait for their cover would be superseded by a change, so a drain waits for them too.
+  const inUseCount = primaryPool ? primaryPool.inUse.size : 0;
+  const runningWrites = inUseCount + owner.pendingAcknowledgements.size;
   return { record, view: owner.view, timing, runningWrites, nowMs: performance.now() };
 }
 
