Let control members join by address, hold a settings document, and share the entry's view of control

Cause: the users' new platform names three seeds and nothing else, so members have to be found, added and replaced at new addresses, and operators hand in whole documents under a version. A settings document is a control record; the highest version holds. The entry's view of control and its rate admission move to entry-shared and know no PostgreSQL. Ruled out: a second raft for the platform (decisions would exist twice).

--- a/packages/bench/src/control-experiment.ts
+++ b/packages/bench/src/control-experiment.ts
@@ -1,5 +1,5 @@
 /** Slopes of control at size: real control members, and light watchers that speak the real protocol. */
-import { entrySettingsSchema } from '@bramleykeel/core';
+import { timingSchema } from '@bramleykeel/core';
 import { applySettings, callAnyMember, type Cluster } from '@bramleykeel/dev-launcher';
 import { type ControlClient, startControlClient } from '@bramleykeel/entry';
 import { benchStatus, delay, pidOf, withCluster } from './bench-cluster.js';
@@ -40,20 +40,15 @@
 
 /** A daemon's own client of control, without the rest of the daemon. */
 function startWatcher(cluster: Cluster, number: number): ControlClient {
-  const settings = entrySettingsSchema.parse({
-    entry: {
-      id: `watcher-${number}`,
-      zone: 'zone-a',
-      callerAddress: '127.0.0.1:1',
-      linkAddress: `127.0.0.1:${number + 1}`,
-      announceAddress: '127.0.0.1:1',
-    },
-    members: cluster.plan.control.map(({ id, linkAddress, adminAddress }) => {
-      return { id, linkAddress, adminAddress };
-    }),
-    link: { secret: cluster.plan.linkSecret },
-  });
-  return startControlClient(settings, () => undefined, {
+  const options = {
+    entryId: `watcher-${number}`,
+    zone: 'zone-a',
+    linkAddress: `127.0.0.1:${number + 1}`,
+    linkSecret: cluster.plan.linkSecret,
+    timing: timingSchema.parse({}),
+    memberAddresses: () => cluster.plan.control.map(({ linkAddress }) => linkAddress),
+  };
+  return startControlClient(options, () => undefined, {
     onRecords: () => undefined,
     onStatusRequest: () => null,
     onLeaseEnded: () => undefined,
--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -4,6 +4,7 @@
   type Incarnation,
   type LeaseRenewal,
   type MemberId,
+  membershipOf,
   type RaftMessage,
   type Resource,
 } from '@bramleykeel/core';
@@ -17,18 +18,22 @@
   requestResource,
   takeRenewal,
 } from './leader/leader-service.js';
+import { putDocument, readDocument } from './document-calls.js';
 import type { LogDriver } from './log-driver.js';
-import { handleJoin, type JoinRequest } from './member-join.js';
+import { addressesOf, handleJoin, type JoinRequest } from './member-join.js';
 
 export interface ControlApp {
   readonly driver: LogDriver;
   readonly log: Log;
   readonly bootstrapTokenSha256Hex: string;
+  /** Whether members that the membership does not name may join, as learners at first. */
+  readonly allowsNewMembers: boolean;
   /** The leader service while this member leads and its term is open; `undefined` otherwise. */
   readonly leader: () => LeaderService | undefined;
 }
 
-type Handler = (app: ControlApp, peer: LinkPeer, params: unknown) => unknown;
+/** `peer` is `undefined` for a request of this process itself. */
+type Handler = (app: ControlApp, peer: LinkPeer | undefined, params: unknown) => unknown;
 
 const PROBE_TIMEOUT_MS = 500;
 
@@ -38,6 +43,7 @@
   incarnation: name,
   linkAddress: name,
   zone: name,
+  linkMbps: z.number().positive().optional(),
   isStopping: z.boolean(),
   knownIndex: z.int().nonnegative(),
   settingsRevision: z.int().nonnegative(),
@@ -49,7 +55,17 @@
 const releaseSchema = z.object({ resource: name, epoch: z.int(), incarnation: name });
 const endedSchema = z.object({ incarnation: name });
 const suspectSchema = z.object({ incarnation: name, linkAddress: name });
-const joinSchema = z.object({ id: name, diskId: name });
+const joinSchema = z.object({
+  id: name,
+  diskId: name,
+  address: name.optional(),
+  adminAddress: z.string().max(100).optional(),
+  isEligible: z.boolean().default(true),
+});
+const documentSchema = z.object({
+  version: z.int().nonnegative(),
+  body: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+});
 
 /** Commands that owners may propose; settings go through operators' calls only. */
 const OWNER_COMMANDS = new Set(['group/observe', 'primary/propose', 'primary/commit']);
@@ -59,6 +75,7 @@
     const leader = app.leader();
     const renewal = renewalSchema.parse(params) as LeaseRenewal;
     if (!leader) return notLeader(app);
+    if (!peer) throw new Error('a lease is renewed over a link');
     return takeRenewal(leader, peer, renewal);
   },
   'resource/request': (app, _peer, params) => {
@@ -91,14 +108,25 @@
     });
   },
   'member/join': (app, _peer, params) =>
-    handleJoin(app.driver, joinSchema.parse(params) as JoinRequest, app.log),
+    {
+    const request = joinSchema.parse(params) as JoinRequest;
+    return handleJoin(app.driver, request, app.allowsNewMembers, app.log);
+  },
+  'document/put': (app, _peer, params) => {
+    const leader = app.leader();
+    return leader ? putDocument(leader, documentSchema.parse(params)) : { kind: 'unavailable' };
+  },
+  'document/read': (app) => {
+    const leader = app.leader();
+    return leader ? readDocument(leader) : { kind: 'unavailable' };
+  },
   'operator/call': (app, _peer, params) => callLeader(app, params),
 };
 
 /** Answers a request from a link. */
 export function handleRequest(
   app: ControlApp,
-  peer: LinkPeer,
+  peer: LinkPeer | undefined,
   method: string,
   params: unknown,
 ): unknown {
@@ -123,7 +151,15 @@
 }
 
 function notLeader(app: ControlApp) {
-  return { kind: 'not-leader', leaderId: app.driver.raft.leaderId ?? null };
+  const { raft } = app.driver;
+  const membership = membershipOf(raft);
+  const leaderAddress = raft.leaderId && membership[raft.leaderId]?.address;
+  return {
+    kind: 'not-leader',
+    leaderId: raft.leaderId ?? null,
+    leaderAddress: leaderAddress ?? null,
+    memberAddresses: addressesOf(membership),
+  };
 }
 
 /** A suspected entry is ended at once if nothing listens at its address any more. */
--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -13,6 +13,7 @@
   listAssignments,
   liveEntries,
   mayHolderAct,
+  membershipOf,
   type RecordsPush,
   recordsSince,
   renewLease,
@@ -129,7 +130,10 @@
   const push = createPush(service, sinceIndex);
   service.watchers.set(peer, { incarnation, knownIndex: push.appliedIndex });
   const { leaseMs, settingsLeaseMs } = service.timing;
-  return { kind: 'renewed', leaseMs, settingsLeaseMs, ...push };
+  const memberAddresses = Object.values(membershipOf(service.driver.raft)).map(
+    ({ address }) => address,
+  );
+  return { kind: 'renewed', leaseMs, settingsLeaseMs, memberAddresses, ...push };
 }
 
 function createPush(service: LeaderService, sinceIndex: number): RecordsPush {
--- a/packages/core/src/control-log/types.ts
+++ b/packages/core/src/control-log/types.ts
@@ -7,6 +7,8 @@
   readonly adminAddress: string;
   readonly diskId: DiskId;
   readonly isVoter: boolean;
+  /** `false` for a member without a lasting disk: it is sent the log, and never votes. */
+  readonly isEligible?: boolean;
 }
 
 export type Membership = Readonly<Record<string, MemberRecord>>;
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -15,6 +15,8 @@
 import {
   assignmentOf,
   customerKeyPaths,
+  DOCUMENT_KEY,
+  documentOf,
   groupRecordOf,
   operatorSetting,
   settingAt,
@@ -62,6 +64,7 @@
   return match(command)
     .returnType<ApplyResult>()
     .with({ kind: 'settings/apply' }, (apply) => applySettingsOnce(state, index, apply))
+    .with({ kind: 'document/put' }, (put) => applyDocument(state, index, put))
     .with({ kind: 'owner/assign' }, (assign) => applyAssign(state, index, assign))
     .with({ kind: 'group/observe' }, ({ group, server }) => {
       const record = groupRecordOf(state, group);
@@ -194,6 +197,21 @@
   return paths.map((path) => ({ path, value: settingAt(state, path) ?? null }));
 }
 
+/** A document that is not newer than the one held is acknowledged and changes nothing. */
+function applyDocument(
+  state: ControlState,
+  index: number,
+  { document }: CommandOf<'document/put'>,
+): ApplyResult {
+  const current = documentOf(state);
+  if (current && document.version <= current.version) {
+    return { kind: 'accepted', revision: current.version };
+  }
+  putRecord(state, index, DOCUMENT_KEY, { kind: 'document', document });
+  state.settingsRevision = index;
+  return { kind: 'accepted', revision: document.version };
+}
+
 function applyAssign(
   state: ControlState,
   index: number,
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -25,10 +25,18 @@
   readonly proposedTerm: number;
 }
 
+/** A whole settings document that operators hand in under a version; the highest version holds. */
+export interface SettingsDocument {
+  readonly version: number;
+  /** The document as the operator sent it, in a form that belongs to the adapter that accepted it. */
+  readonly body: Uint8Array;
+}
+
 export type ControlRecord =
   | { readonly kind: 'setting'; readonly path: string; readonly value: SettingValue }
   | { readonly kind: 'assignment'; readonly assignment: Assignment }
   | { readonly kind: 'group'; readonly record: GroupRecord }
+  | { readonly kind: 'document'; readonly document: SettingsDocument }
   | { readonly kind: 'removed' };
 
 export interface StoredRecord {
@@ -53,6 +61,7 @@
       readonly changes: readonly SettingChange[];
       readonly wallClockMs: number;
     }
+  | { readonly kind: 'document/put'; readonly document: SettingsDocument }
   | { readonly kind: 'owner/assign'; readonly assignment: Assignment }
   | { readonly kind: 'group/observe'; readonly group: GroupName; readonly server: ServerName }
   | { readonly kind: 'group/forget'; readonly group: GroupName; readonly server: ServerName }
--- a/packages/core/src/control-state/views.ts
+++ b/packages/core/src/control-state/views.ts
@@ -7,7 +7,13 @@
   SettingValue,
 } from '../settings/paths.js';
 import { groupSchema } from '../settings/paths.js';
-import type { Assignment, GroupRecord, Resource, StoredRecord } from './types.js';
+import type {
+  Assignment,
+  GroupRecord,
+  Resource,
+  SettingsDocument,
+  StoredRecord,
+} from './types.js';
 
 /** Anything that holds control records: a member's state or an entry's copy of it. */
 export interface RecordHolder {
@@ -66,6 +72,15 @@
   return record?.kind === 'assignment' ? record.assignment : undefined;
 }
 
+/** Key of the record that holds the operators' settings document. */
+export const DOCUMENT_KEY = 'document';
+
+/** The newest settings document, if operators have handed in any. */
+export function documentOf(holder: RecordHolder): SettingsDocument | undefined {
+  const record = holder.records.get(DOCUMENT_KEY)?.record;
+  return record?.kind === 'document' ? record.document : undefined;
+}
+
 export function listAssignments(holder: RecordHolder): Assignment[] {
   const found: Assignment[] = [];
   for (const { record } of holder.records.values()) {
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -16,6 +16,8 @@
   readonly incarnation: Incarnation;
   readonly linkAddress: string;
   readonly zone: string;
+  /** Bandwidth of the entry's instance in Mbit/s; `undefined` when it is not known. */
+  readonly linkMbps?: number | undefined;
   readonly isStopping: boolean;
   readonly settingsRevision: number;
   readonly expiresAtMs: number;
@@ -90,7 +92,14 @@
 }
 
 /**
- * Chooses the entry for a resource: the wanted zone first, then the one with the fewest resources.
+ * Instances below this bandwidth, in Mbit/s, hold a resource only when there is no other: a group's
+ * owner passes on all of the group's traffic, some 2 Mbit/s at the largest size that is planned for.
+ */
+const MIN_HOLDER_LINK_MBPS = 20;
+
+/**
+ * Chooses the entry for a resource: enough bandwidth first, then the wanted zone, then the one with
+ * the fewest resources.
  *
  * @example
  * chooseHolder(leases, listAssignments(state), { zone: 'erdenet-a', excluded: undefined }, nowMs);
@@ -107,9 +116,12 @@
   const candidates = liveEntries(state, nowMs).filter(
     (lease) => lease.incarnation !== wish.excluded,
   );
+  const linkRank = ({ linkMbps }: EntryLease) =>
+    linkMbps === undefined || linkMbps >= MIN_HOLDER_LINK_MBPS ? 0 : 1;
   const zoneRank = (lease: EntryLease) => (lease.zone === wish.zone ? 0 : 1);
   return candidates.sort(
     (left, right) =>
+      linkRank(left) - linkRank(right) ||
       zoneRank(left) - zoneRank(right) ||
       (held.get(left.incarnation) ?? 0) - (held.get(right.incarnation) ?? 0) ||
       (left.entryId < right.entryId ? -1 : 1),
--- a/packages/core/src/settings/daemon-settings.ts
+++ b/packages/core/src/settings/daemon-settings.ts
@@ -23,7 +23,7 @@
 });
 
 /** Timing shared by control and entries; all of them in milliseconds. */
-const timingSchema = z.strictObject({
+export const timingSchema = z.strictObject({
   leaseMs: durationMs(2_000),
   driftMarginMs: durationMs(200),
   settingsLeaseMs: durationMs(5_000),
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -112,6 +112,7 @@
   readonly incarnation: Incarnation;
   readonly linkAddress: string;
   readonly zone: string;
+  readonly linkMbps?: number | undefined;
   readonly isStopping: boolean;
   /** Index up to which the entry has all control records. */
   readonly knownIndex: number;
@@ -127,9 +128,16 @@
       readonly deltas: readonly RecordDelta[];
       readonly appliedIndex: number;
       readonly settingsRevision: number;
+      /** Link addresses of all control members, so that an entry finds those added later. */
+      readonly memberAddresses?: readonly string[];
     }
   | { readonly kind: 'ended' }
-  | { readonly kind: 'not-leader'; readonly leaderId: string | null };
+  | {
+      readonly kind: 'not-leader';
+      readonly leaderId: string | null;
+      readonly leaderAddress?: string | null;
+      readonly memberAddresses?: readonly string[];
+    };
 
 /** Changed records, pushed by the leader to every entry that renews with it. */
 export interface RecordsPush {
--- a/packages/entry/src/admit/rate-draw.ts
+++ b/packages/entry-shared/src/admit/rate-draw.ts
@@ -1,19 +1,23 @@
 /** Draws of rate tokens between entries: sent to a customer's home, and answered by it. */
 import {
   assignmentOf,
-  customerSetting,
+  type CustomerName,
+  type RateLimit,
   type Resource,
   type TokenDraw,
   type TokenGrant,
 } from '@bramleykeel/core';
 import type { ControlClient } from '../control/control-client.js';
-import type { EntryLinks } from '../locate/owner-locator.js';
+import type { LinkPeer } from '@bramleykeel/link';
 import { answerDraw, type RateHomes } from './rate-home.js';
 
 export interface RateDraws {
   readonly homes: RateHomes;
   readonly control: ControlClient;
-  readonly links: () => EntryLinks;
+  /** The open link to another entry, or `undefined` while there is none. */
+  readonly linkTo: (linkAddress: string) => LinkPeer | undefined;
+  /** The customer's limit by the settings in force here; `undefined` when it is not known. */
+  readonly limitOf: (customer: CustomerName) => RateLimit | undefined;
   readonly requestResource: (resource: Resource, zone: string | undefined) => void;
 }
 
@@ -21,7 +25,7 @@
 
 /** Answers a draw, if this entry is the customer's home. */
 export function answerDrawHere(draws: RateDraws, draw: TokenDraw): TokenGrant | undefined {
-  const setting = customerSetting(draws.control, draw.customer);
+  const setting = draws.limitOf(draw.customer);
   const heldEpoch = draws.control.heldEpoch(`customer/${draw.customer}`);
   return answerDraw(draws.homes, draw, setting, heldEpoch, performance.now());
 }
@@ -39,7 +43,7 @@
   }
   const request: TokenDraw = { ...draw, epoch: assignment.epoch };
   if (assignment.incarnation === draws.control.incarnation()) return answerDrawHere(draws, request);
-  const peer = draws.links().linkTo(assignment.linkAddress);
+  const peer = draws.linkTo(assignment.linkAddress);
   if (!peer) return undefined;
   const answer = await peer.request('rate/draw', request, DRAW_TIMEOUT_MS);
   return (answer.orDefault(null) as TokenGrant | null) ?? undefined;
--- a/packages/entry/src/admit/rate-home.ts
+++ b/packages/entry-shared/src/admit/rate-home.ts
@@ -3,9 +3,9 @@
   createEmptyBucket,
   createFullBucket,
   type CustomerName,
-  type CustomerSetting,
   drawTokens,
   grantLifetimeMs,
+  type RateLimit,
   returnTokens,
   type TokenBucket,
   type TokenDraw,
@@ -34,7 +34,7 @@
 export function answerDraw(
   homes: RateHomes,
   draw: TokenDraw,
-  setting: CustomerSetting | undefined,
+  setting: RateLimit | undefined,
   heldEpoch: number | undefined,
   nowMs: number,
 ): TokenGrant | undefined {
@@ -50,7 +50,7 @@
 function bucketOf(
   homes: RateHomes,
   customer: CustomerName,
-  setting: CustomerSetting,
+  setting: RateLimit,
   epoch: number,
   nowMs: number,
 ): TokenBucket {
--- a/packages/entry/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -5,7 +5,6 @@
   assignmentOf,
   toEntryId,
   toIncarnation,
-  type EntrySettings,
   type Incarnation,
   type LeaseRenewal,
   type LeaseReply,
@@ -13,11 +12,13 @@
   type RecordsPush,
   type Resource,
   type StoredRecord,
+  type TimingSettings,
 } from '@bramleykeel/core';
 import {
   DEFAULT_LINK_TIMING,
   DEFAULT_RECONNECT,
   keepLink,
+  createSuspensionWatch,
   type LinkClient,
   type LinkError,
   type LinkPeer,
@@ -44,6 +45,18 @@
   readonly close: () => void;
 }
 
+export interface ControlClientOptions {
+  readonly entryId: string;
+  /** Where other entries reach this one. */
+  readonly linkAddress: string;
+  readonly zone: string;
+  readonly linkMbps?: number;
+  readonly linkSecret: string;
+  readonly timing: TimingSettings;
+  /** Link addresses of control members that the settings name; more are learnt from control. */
+  readonly memberAddresses: () => readonly string[];
+}
+
 export interface ControlClientHooks {
   readonly onRecords: (deltas: readonly RecordDelta[]) => void;
   readonly onStatusRequest: () => unknown;
@@ -51,29 +64,37 @@
   readonly onLeaseEnded: () => void;
 }
 
+/** Spreads the first choice of entries over the members. */
+const MAX_FIRST_INDEX = 1_000;
+/** Pause before the next member is asked while no leader is known, in milliseconds. */
+const LEADERLESS_RETRY_MS = 150;
 const CALL_TIMEOUT_MS = 2_000;
 const RENEW_TIMEOUT_MS = 800;
 const CONTROL_LINK_TIMING = { ...DEFAULT_LINK_TIMING, pingEveryMs: 500 };
 
 /** Connects to control and keeps the lease renewed. */
 export function startControlClient(
-  settings: EntrySettings,
+  options: ControlClientOptions,
   log: Log,
   hooks: ControlClientHooks,
 ): ControlClient {
   const records = new Map<string, StoredRecord>();
-  const { members, timing } = settings;
+  const { timing } = options;
+  const clock = createSuspensionWatch();
+  let learntAddresses: readonly string[] = [];
   let incarnation = createIncarnation();
   let knownIndex = 0;
   let settingsRevision = 0;
   let leaseUntilMs = Number.NEGATIVE_INFINITY;
   let settingsUntilMs = Number.NEGATIVE_INFINITY;
-  let memberIndex = Math.floor(Math.random() * members.length);
+  let memberIndex = Math.floor(Math.random() * MAX_FIRST_INDEX);
+  let memberAddress = '';
   let link: LinkClient | undefined;
+  let renewalsValidFromMs = Number.NEGATIVE_INFINITY;
   let isStopping = false;
   let isRenewing = false;
   let isRenewalWanted = false;
-  connectToMember(memberIndex);
+  connectToNextMember();
   const timer = setInterval(() => void renew(), timing.renewEveryMs);
 
   return {
@@ -81,7 +102,7 @@
     settingsRevision: () => settingsRevision,
     incarnation: () => incarnation,
     holdsLease,
-    hasFreshSettings: () => performance.now() < settingsUntilMs,
+    hasFreshSettings: () => !hasBeenSuspended() && performance.now() < settingsUntilMs,
     heldEpoch: (resource) => {
       const assignment = assignmentOf({ records }, resource);
       return isHeld(assignment) ? assignment?.epoch : undefined;
@@ -103,24 +124,41 @@
   };
 
   function holdsLease(): boolean {
-    return performance.now() < leaseUntilMs;
+    return !hasBeenSuspended() && performance.now() < leaseUntilMs;
+  }
+
+  /** After a suspension nothing that was granted earlier counts; control is asked before acting. */
+  function hasBeenSuspended(): boolean {
+    if (!clock.hasJumped()) return false;
+    log('the time of day jumped ahead of the steady clock; leases count as run out');
+    leaseUntilMs = Number.NEGATIVE_INFINITY;
+    settingsUntilMs = Number.NEGATIVE_INFINITY;
+    renewalsValidFromMs = performance.now();
+    void renew();
+    return true;
   }
 
   function isHeld(assignment: Assignment | undefined): boolean {
     return assignment?.incarnation === incarnation && holdsLease();
   }
 
-  function connectToMember(index: number): void {
+  /** Addresses from control go first: the settings may name members that are gone. */
+  function connectToNextMember(): void {
+    const addresses = [...new Set([...learntAddresses, ...options.memberAddresses()])];
+    memberIndex += 1;
+    const next = addresses[memberIndex % addresses.length];
+    if (next !== undefined) connectTo(next);
+  }
+
+  function connectTo(address: string): void {
     link?.stop();
-    memberIndex = index % members.length;
-    const member = members[memberIndex];
-    if (!member) return;
-    const options = {
-      secret: settings.link.secret,
+    memberAddress = address;
+    const linkOptions = {
+      secret: options.linkSecret,
       ...CONTROL_LINK_TIMING,
       ...DEFAULT_RECONNECT,
     };
-    const created: LinkClient = keepLink(member.linkAddress, options, {
+    const created: LinkClient = keepLink(address, linkOptions, {
       onRequest: (_peer, method) => {
         if (method === 'status/get') return hooks.onStatusRequest();
         throw new Error(`unknown method ${method}`);
@@ -130,17 +168,17 @@
       },
       onOpen: () => void renew(),
       onClose: () => {
-        if (link === created) connectToMember(memberIndex + 1);
+        if (link === created) connectToNextMember();
       },
       onConnectFailed: () => {
-        if (link === created) setTimeout(tryNextMember, DEFAULT_RECONNECT.reconnectMinMs, created);
+        if (link === created) setTimeout(leaveMember, DEFAULT_RECONNECT.reconnectMinMs, created);
       },
     });
     link = created;
   }
 
-  function tryNextMember(failed: LinkClient): void {
-    if (link === failed) connectToMember(memberIndex + 1);
+  function leaveMember(failed: LinkClient): void {
+    if (link === failed) connectToNextMember();
   }
 
   async function renew(): Promise<void> {
@@ -160,10 +198,11 @@
 
   async function renewWith(peer: LinkPeer): Promise<void> {
     const renewal: LeaseRenewal = {
-      entryId: toEntryId(settings.entry.id),
+      entryId: toEntryId(options.entryId),
       incarnation,
-      linkAddress: settings.entry.linkAddress,
-      zone: settings.entry.zone,
+      linkAddress: options.linkAddress,
+      zone: options.zone,
+      ...(options.linkMbps === undefined ? {} : { linkMbps: options.linkMbps }),
       isStopping,
       knownIndex,
       settingsRevision,
@@ -176,7 +215,7 @@
       },
       Left: (error) => {
         log(`lease renewal failed: ${error.kind}`);
-        if (link?.current() === peer) connectToMember(memberIndex + 1);
+        if (link?.current() === peer) connectToNextMember();
       },
     });
   }
@@ -184,7 +223,9 @@
   function takeReply(reply: LeaseReply, sentAtMs: number): void {
     match(reply)
       .with({ kind: 'renewed' }, (renewed) => {
+        learntAddresses = renewed.memberAddresses ?? learntAddresses;
         takePush(renewed);
+        if (sentAtMs < renewalsValidFromMs) return;
         leaseUntilMs = sentAtMs + renewed.leaseMs;
         settingsUntilMs = sentAtMs + renewed.settingsLeaseMs;
       })
@@ -195,14 +236,12 @@
         hooks.onLeaseEnded();
         isRenewalWanted = true;
       })
-      .with({ kind: 'not-leader' }, ({ leaderId }) => {
-        const known = members.findIndex(({ id }) => id === leaderId);
-        const next = known >= 0 ? known : memberIndex + 1;
-        const delayMs = known >= 0 ? 0 : DEFAULT_RECONNECT.reconnectMinMs;
+      .with({ kind: 'not-leader' }, ({ leaderAddress, memberAddresses }) => {
+        learntAddresses = memberAddresses ?? learntAddresses;
         const current = link;
-        setTimeout(() => {
-          if (link === current) connectToMember(next);
-        }, delayMs);
+        const isNew = typeof leaderAddress === 'string' && leaderAddress !== memberAddress;
+        if (isNew) connectTo(leaderAddress);
+        else if (current) setTimeout(leaveMember, LEADERLESS_RETRY_MS, current);
       })
       .exhaustive();
   }
--- a/packages/entry/src/accept/caller-session.ts
+++ b/packages/entry/src/accept/caller-session.ts
@@ -1,7 +1,7 @@
 /** The input of a caller's session: its messages become chunks, which are checked and admitted. */
 import { type Refusal, refuse } from '@bramleykeel/core';
 import { buildQuery, CLIENT, frameMessages, type WireMessage } from '@bramleykeel/postgres-wire';
-import { admit } from '../admit/rate-client.js';
+import { admit } from '@bramleykeel/entry-shared';
 import { endWithRefusal, sendReady, sendRefusal } from './caller-output.js';
 import { closeAtOwner, finishExchange, sendChunk } from './caller-request.js';
 import type { CallerSession } from './caller-state.js';
--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -10,7 +10,7 @@
 } from '@bramleykeel/core';
 import type { MessageFramer, TextClass, WireMessage } from '@bramleykeel/postgres-wire';
 import type { Counters, Log } from '@bramleykeel/link';
-import type { RateClient } from '../admit/rate-client.js';
+import type { RateClient } from '@bramleykeel/entry-shared';
 import type { AcceptedKey } from '../authenticate/key-index.js';
 import type { OwnerLocator, OwnerPort } from '../locate/owner-port.js';
 import type { BuiltChunk, CallerStatements } from './chunk-builder.js';
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -9,7 +9,7 @@
 } from '@bramleykeel/core';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
 import { type CallerRegistry, cancelLocal, dispatchAnswer } from './accept/caller-registry.js';
-import { answerDrawHere, type RateDraws } from './admit/rate-draw.js';
+import { answerDrawHere, type RateDraws } from '@bramleykeel/entry-shared';
 import type { AnswerChannel } from './owner/answer-channel.js';
 import {
   answerFateQuery,
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -18,6 +18,14 @@
   type LinkPeer,
   listenForLinks,
 } from '@bramleykeel/link';
+import {
+  type ControlClient,
+  createRateClient,
+  createRateHomes,
+  drawFromHome,
+  type RateDraws,
+  startControlClient,
+} from '@bramleykeel/entry-shared';
 import { createClassifier, loadSyntax } from '@bramleykeel/postgres-wire';
 import {
   type CallerRegistry,
@@ -30,12 +38,8 @@
 } from './accept/caller-registry.js';
 import type { CallerEnvironment } from './accept/caller-state.js';
 import type { AccessRules } from './accept/startup.js';
-import { createRateClient } from './admit/rate-client.js';
-import { drawFromHome, type RateDraws } from './admit/rate-draw.js';
-import { createRateHomes } from './admit/rate-home.js';
 import { type EntryApp, handleEvent, handleLinkClosed, handleRequest } from './app.js';
 import { createKeyIndex, findKey, isKeyInForce, updateKeyIndex } from './authenticate/key-index.js';
-import { type ControlClient, startControlClient } from './control/control-client.js';
 import { createEntryLinks, type EntryLinks } from './locate/owner-locator.js';
 import type { AnswerChannel } from './owner/answer-channel.js';
 import {
@@ -97,7 +101,15 @@
       },
     },
   );
-  const control: ControlClient = startControlClient(settings, log, {
+  const controlOptions = {
+    entryId: entry.id,
+    linkAddress: entry.linkAddress,
+    zone: entry.zone,
+    linkSecret: settings.link.secret,
+    timing,
+    memberAddresses: () => settings.members.map(({ linkAddress }) => linkAddress),
+  };
+  const control: ControlClient = startControlClient(controlOptions, log, {
     onRecords: takeRecords,
     onStatusRequest: () => ({
       entryId: entry.id,
@@ -114,7 +126,8 @@
   const draws: RateDraws = {
     homes: createRateHomes(),
     control,
-    links: () => links,
+    linkTo: (linkAddress) => links.linkTo(linkAddress),
+    limitOf: (customer) => customerSetting(control, customer),
     requestResource,
   };
   const app: EntryApp = {
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -15,7 +15,7 @@
   type EntrySettings,
 } from '@bramleykeel/core';
 import { type Counters, createLog } from '@bramleykeel/link';
-import type { ControlClient } from '../control/control-client.js';
+import type { ControlClient } from '@bramleykeel/entry-shared';
 import type { AnswerChannel } from './answer-channel.js';
 import {
   closeGroupOwner,
--- a/packages/entry/src/target/announcement-router.ts
+++ b/packages/entry/src/target/announcement-router.ts
@@ -7,7 +7,7 @@
   type Resource,
   toGroupName,
 } from '@bramleykeel/core';
-import type { ControlClient } from '../control/control-client.js';
+import type { ControlClient } from '@bramleykeel/entry-shared';
 import type { EntryLinks } from '../locate/owner-locator.js';
 import {
   type AnnouncementCache,
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -8,3 +8,4 @@
 export * from './write-batch.js';
 export * from './counters.js';
 export * from './logger.js';
+export * from './suspension-watch.js';
