Serve the users' platform: statement entries, owners, promotion, and the adapter in platform/

Cause: the new machines speak a line protocol of statements; the PostgreSQL entry forwards chunks. Change: packages/statement-entry holds sessions, owners, routing by owed position, transactions, promotion with fences and tokens; platform/ translates lines, heartbeats, documents and the promote call; deploy/ has the build, the roles and the settings template. Ruled out: per-entry shares of connections (34 for 10 instances); ports through the chunk path.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'node_modules/**', 'scripts/**', '*.config.*'] },
+  { ignores: ['**/dist/**', 'node_modules/**', 'target/**', 'scripts/**', '*.config.*'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   prettier,
--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -107,8 +107,7 @@
       return result ?? { kind: 'superseded', reason: 'the control leader changed' };
     });
   },
-  'member/join': (app, _peer, params) =>
-    {
+  'member/join': (app, _peer, params) => {
     const request = joinSchema.parse(params) as JoinRequest;
     return handleJoin(app.driver, request, app.allowsNewMembers, app.log);
   },
--- a/packages/control/src/document-calls.ts
+++ b/packages/control/src/document-calls.ts
@@ -3,8 +3,7 @@
 import { awaitRound, type LeaderService } from './leader/leader-service.js';
 
 export type DocumentPutAnswer =
-  | { readonly kind: 'accepted'; readonly version: number }
-  | { readonly kind: 'unavailable' };
+  { readonly kind: 'accepted'; readonly version: number } | { readonly kind: 'unavailable' };
 
 export type DocumentReadAnswer =
   | { readonly kind: 'found'; readonly document: SettingsDocument | null }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,5 +1,6 @@
 /** The control member: replicated settings, leases and assignments. */
 export * from './control-daemon.js';
+export * from './announcement-relay.js';
 export * from './control-member.js';
 export type { DocumentPutAnswer, DocumentReadAnswer } from './document-calls.js';
 export * from './storage/control-storage.js';
--- a/packages/core/src/control-state/views.ts
+++ b/packages/core/src/control-state/views.ts
@@ -7,13 +7,7 @@
   SettingValue,
 } from '../settings/paths.js';
 import { groupSchema } from '../settings/paths.js';
-import type {
-  Assignment,
-  GroupRecord,
-  Resource,
-  SettingsDocument,
-  StoredRecord,
-} from './types.js';
+import type { Assignment, GroupRecord, Resource, SettingsDocument, StoredRecord } from './types.js';
 
 /** Anything that holds control records: a member's state or an entry's copy of it. */
 export interface RecordHolder {
--- /dev/null
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -0,0 +1,192 @@
+/** The owner's queue: which waiting statement goes to which server, and what has waited too long. */
+import {
+  chooseTarget,
+  createFairQueue,
+  dequeue,
+  enqueue,
+  type FairQueue,
+  newestAcknowledgedAtMs,
+  owedPosition,
+  removeWaiting,
+  type ServerName,
+  type StatementOutcome,
+  takeExpired,
+  type TargetNeed,
+  type TargetView,
+  waitingCount,
+  ZERO_POSITION,
+} from '@bramleykeel/core';
+import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { runJob } from './run-job.js';
+
+const MAX_WAITING_PER_CUSTOMER = 400;
+/** What a caller is told to wait before it asks again, in milliseconds. */
+export const RETRY_AFTER_MS = 200;
+/** Reads that may miss nothing go to the primary alone while an earlier owner's commits may still end. */
+const EARLIER_OWNER_MS = 2_000;
+/** Statements of a remote zone's server that may be on their way besides those in its slots. */
+const REMOTE_AHEAD = 1;
+
+/** Takes in a statement: it runs at once if a server is free. */
+export function submitJob(owner: StatementOwner, job: Job): void {
+  if (job.transaction?.pooled) {
+    owner.pinnedWaiting.push(job);
+  } else {
+    const { customer, priority } = job.request;
+    const queued = { item: job, customer, deadlineMs: job.deadlineMs };
+    if (enqueue(queueOf(owner, priority), queued, performance.now()) === 'full') {
+      endJob(owner, job, notRun('queue-full'));
+      return;
+    }
+  }
+  dispatch(owner);
+}
+
+function queueOf(owner: StatementOwner, priority: number): FairQueue<Job> {
+  const known = owner.queues.get(priority);
+  if (known) return known;
+  const created = createFairQueue<Job>(MAX_WAITING_PER_CUSTOMER);
+  owner.queues.set(priority, created);
+  return created;
+}
+
+/** Starts whatever can run now. */
+export function dispatch(owner: StatementOwner): void {
+  if (owner.isDispatching || owner.isClosed || !owner.environment.holdsLease()) return;
+  owner.isDispatching = true;
+  startPinned(owner);
+  const priorities = [...owner.queues.keys()].sort((left, right) => left - right);
+  for (const priority of priorities) startQueued(owner, queueOf(owner, priority));
+  owner.isDispatching = false;
+}
+
+/** Statements of open transactions go first: they hold a connection while they wait. */
+function startPinned(owner: StatementOwner): void {
+  for (const job of [...owner.pinnedWaiting]) {
+    const server = job.transaction?.pooled?.server;
+    if (server && freeSlots(owner, server) <= 0) continue;
+    owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
+    void runJob(owner, job, server);
+  }
+}
+
+function startQueued(owner: StatementOwner, queue: FairQueue<Job>): void {
+  if (owner.isStopping || waitingCount(queue) === 0) return;
+  for (;;) {
+    const views = viewServers(owner);
+    if (!views.some(({ freeSlots: free, isUsable }) => isUsable && free > 0)) return;
+    let chosen: ServerName | undefined;
+    const next = dequeue(queue, (job) => {
+      chosen = chooseFor(owner, job, views);
+      return chosen !== undefined;
+    });
+    const server = chosen === undefined ? undefined : owner.servers.get(chosen);
+    if (!next || !server) return;
+    void runJob(owner, next.item, server);
+  }
+}
+
+function viewServers(owner: StatementOwner): TargetView[] {
+  const primary = primaryOf(owner);
+  return [...owner.servers.values()].map((server) => ({
+    server: server.announcement.server,
+    isPrimary: server === primary,
+    isLeaving: server.announcement.isLeaving,
+    isUsable: server.failingSinceMs === undefined,
+    isSameZone: server.announcement.zone === owner.environment.zone,
+    freeSlots: freeSlots(owner, server),
+    position: server.position,
+    laggingUntilMs: server.laggingUntilMs,
+  }));
+}
+
+function freeSlots(owner: StatementOwner, server: ServerState): number {
+  if (performance.now() < server.busyUntilMs) return 0;
+  const isLocal = server.announcement.zone === owner.environment.zone;
+  return server.announcement.slots + (isLocal ? 0 : REMOTE_AHEAD) - server.runningCount;
+}
+
+function chooseFor(
+  owner: StatementOwner,
+  { request, attempts }: Job,
+  views: readonly TargetView[],
+): ServerName | undefined {
+  const { owed } = owner;
+  if (!owed) return undefined;
+  const nowMs = performance.now();
+  const { access, transaction, consistency } = request;
+  const isRead = transaction ? transaction.isReadOnly : access === 'read';
+  const isFresh = nowMs - owner.startedAtMs < EARLIER_OWNER_MS && consistency === 'newest';
+  const need: TargetNeed = {
+    mustBePrimary: !isRead || isFresh,
+    owed: isRead ? owedPosition(owed, request, nowMs) : ZERO_POSITION,
+    owedSinceMs:
+      consistency === 'newest' ? newestAcknowledgedAtMs(owed) : nowMs - request.maxReadAgeMs,
+    mayGuess: attempts === 0,
+  };
+  return chooseTarget(views, need, nowMs);
+}
+
+/** Refuses what has waited until its time was over: none of it was run. */
+export function expireWaiting(owner: StatementOwner): void {
+  const nowMs = performance.now();
+  for (const queue of owner.queues.values()) {
+    for (const { item } of takeExpired(queue, nowMs)) {
+      endJob(owner, item, notRun(owner.leadership.kind === 'led' ? 'queue-timeout' : 'no-primary'));
+    }
+  }
+  for (const job of owner.pinnedWaiting.filter(({ deadlineMs }) => deadlineMs <= nowMs)) {
+    owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
+    void runJob(owner, job, undefined);
+  }
+}
+
+/** Puts a statement back that was not run; it keeps its deadline. */
+export function requeueJob(owner: StatementOwner, job: Job): void {
+  job.attempts += 1;
+  if (job.isEnded) return;
+  if (performance.now() >= job.deadlineMs || owner.isClosed) {
+    endJob(owner, job, notRun('queue-timeout'));
+    return;
+  }
+  const { customer, priority } = job.request;
+  const queue = queueOf(owner, priority);
+  enqueue(queue, { item: job, customer, deadlineMs: job.deadlineMs }, performance.now());
+}
+
+/** Drops everything that waits and matches, for example when its entry is gone. */
+export function dropWaiting(
+  owner: StatementOwner,
+  isDropped: (job: Job) => boolean,
+  outcome: StatementOutcome,
+): void {
+  for (const queue of owner.queues.values()) {
+    for (const { item } of removeWaiting(queue, isDropped)) endJob(owner, item, outcome);
+  }
+  for (const job of owner.pinnedWaiting.filter(isDropped)) {
+    owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
+    endJob(owner, job, outcome);
+  }
+}
+
+/** Answers a statement, once. */
+export function endJob(owner: StatementOwner, job: Job, outcome: StatementOutcome): void {
+  if (job.isEnded) return;
+  job.isEnded = true;
+  owner.environment.counters.count(
+    outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
+  );
+  job.channel.answer(job.request.number, outcome);
+}
+
+export function notRun(
+  reason: Extract<StatementOutcome, { kind: 'not-run' }>['reason'],
+): StatementOutcome {
+  return { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS };
+}
+
+/** Whether anything waits for a server. */
+export function hasWaiting(owner: StatementOwner): boolean {
+  if (owner.pinnedWaiting.length > 0) return true;
+  return [...owner.queues.values()].some((queue) => waitingCount(queue) > 0);
+}
--- /dev/null
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -0,0 +1,87 @@
+/** What an owner does with the messages of entries. */
+import type { StatementRequest } from '@bramleykeel/core';
+import { dropWaiting, endJob, notRun, submitJob } from './dispatch.js';
+import type { Job, OpenTransaction, OwnerChannel, StatementOwner } from './owner-state.js';
+import { rollBack, transactionKeyOf } from './run-job.js';
+
+export interface EntryChannel extends OwnerChannel {
+  readonly id: string;
+}
+
+/** Takes in a statement of an entry's caller. */
+export function takeStatement(
+  owner: StatementOwner,
+  channel: EntryChannel,
+  request: StatementRequest,
+): void {
+  const nowMs = performance.now();
+  const job: Job = {
+    channel,
+    request,
+    valuesKey: valuesKeyOf(request.values),
+    arrivedAtMs: nowMs,
+    deadlineMs: nowMs + request.budgetMs,
+    transaction: undefined,
+    attempts: 0,
+    isEnded: false,
+  };
+  if (request.transaction && !joinTransaction(owner, channel, job)) return;
+  if (owner.isStopping && !job.transaction?.pooled) {
+    endJob(owner, job, notRun('no-owner'));
+    return;
+  }
+  submitJob(owner, job);
+}
+
+function joinTransaction(owner: StatementOwner, channel: EntryChannel, job: Job): boolean {
+  const { transaction: ref, customer } = job.request;
+  if (!ref) return true;
+  const key = transactionKeyOf(channel.id, ref.number);
+  const known = owner.transactions.get(key);
+  if (known) {
+    job.transaction = known;
+    return true;
+  }
+  if (!ref.isFirst) {
+    endJob(owner, job, { kind: 'aborted', reason: 'the transaction was ended' });
+    return false;
+  }
+  const created: OpenTransaction = {
+    key,
+    channel,
+    isReadOnly: ref.isReadOnly,
+    customer,
+    pooled: undefined,
+    isBusy: false,
+    lastUsedMs: performance.now(),
+  };
+  owner.transactions.set(key, created);
+  job.transaction = created;
+  return true;
+}
+
+/** The caller rolled its transaction back, or left in the middle of it. */
+export function takeRollback(owner: StatementOwner, channel: EntryChannel, number: number): void {
+  const transaction = owner.transactions.get(transactionKeyOf(channel.id, number));
+  if (!transaction) return;
+  dropWaiting(owner, (job) => job.transaction === transaction, {
+    kind: 'aborted',
+    reason: 'the caller ended the transaction',
+  });
+  void rollBack(owner, transaction);
+}
+
+/** Ends everything that came over a channel that is gone. */
+export function dropEntryChannel(owner: StatementOwner, channel: EntryChannel): void {
+  dropWaiting(owner, (job) => job.channel === channel, notRun('owner-lost-before-start'));
+  for (const transaction of [...owner.transactions.values()]) {
+    if (transaction.channel === channel) void rollBack(owner, transaction);
+  }
+}
+
+/** Connections with equal values can be shared by sessions of one customer. */
+function valuesKeyOf(values: Readonly<Record<string, string>>): string {
+  const names = Object.keys(values);
+  if (names.length === 0) return '';
+  return JSON.stringify(names.sort().map((name) => [name, values[name]]));
+}
--- /dev/null
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -0,0 +1,120 @@
+/** Lifecycle of a statement group's owner: it starts with a lease and ends with it or a handover. */
+import { setTimeout as delay } from 'node:timers/promises';
+import {
+  type GroupName,
+  isNewerAnnouncement,
+  type ServerAnnouncement,
+  type ServerName,
+} from '@bramleykeel/core';
+import { dropIdle } from '../target/connection-pool.js';
+import { closeControlConnection } from '../target/server-control.js';
+import { dispatch, dropWaiting, expireWaiting, hasWaiting, notRun } from './dispatch.js';
+import {
+  createServerState,
+  createStatementOwner,
+  type OwnerEnvironment,
+  type StatementOwner,
+} from './owner-state.js';
+import { dropTransaction } from './run-job.js';
+import { forgetServer, watchPrimary } from './watch-primary.js';
+
+const EXPIRE_EVERY_MS = 25;
+const WATCH_EVERY_MS = 100;
+const HOUSEKEEPING_EVERY_MS = 500;
+const DRAIN_POLL_MS = 10;
+
+export function startStatementOwner(
+  group: GroupName,
+  epoch: number,
+  environment: OwnerEnvironment,
+): StatementOwner {
+  const owner = createStatementOwner(group, epoch, environment);
+  owner.timers = [
+    setInterval(() => {
+      if (!hasWaiting(owner)) return;
+      expireWaiting(owner);
+      dispatch(owner);
+    }, EXPIRE_EVERY_MS),
+    setInterval(() => {
+      watchPrimary(owner);
+    }, WATCH_EVERY_MS),
+    setInterval(() => {
+      endIdleTransactions(owner);
+    }, HOUSEKEEPING_EVERY_MS),
+  ];
+  environment.log(`this entry owns ${group}, epoch ${epoch}`);
+  return owner;
+}
+
+/** Takes in what a server says about itself; older words and those of an earlier life change nothing. */
+export function takeServerAnnouncement(
+  owner: StatementOwner,
+  announcement: ServerAnnouncement,
+): void {
+  const known = owner.servers.get(announcement.server);
+  if (known && !isNewerAnnouncement(announcement, known.announcement)) return;
+  const nowMs = performance.now();
+  const isRestarted = known && known.announcement.bornMs !== announcement.bornMs;
+  const isMoved = known && known.announcement.address !== announcement.address;
+  if (known && (isRestarted === true || isMoved === true)) {
+    owner.environment.log(`server ${announcement.server} of ${owner.group} has started anew`);
+    forgetServer(owner, announcement.server);
+  }
+  const current = owner.servers.get(announcement.server);
+  if (current) {
+    current.announcement = announcement;
+    current.heardAtMs = nowMs;
+  } else {
+    forgetPredecessors(owner, announcement);
+    owner.servers.set(announcement.server, createServerState(announcement, nowMs));
+    const { server, address, role } = announcement;
+    owner.environment.log(`server ${server} of ${owner.group} is at ${address}, ${role}`);
+  }
+  if (owner.leadership.kind !== 'changing') watchPrimary(owner);
+  dispatch(owner);
+}
+
+/** Only one process can be bound to an address: whoever was there before is gone. */
+function forgetPredecessors(owner: StatementOwner, { address, bornMs }: ServerAnnouncement): void {
+  for (const [name, { announcement }] of owner.servers) {
+    if (announcement.address === address && announcement.bornMs < bornMs) forgetServer(owner, name);
+  }
+}
+
+/** A server has ended as planned. */
+export function takeServerLeave(owner: StatementOwner, server: ServerName): void {
+  forgetServer(owner, server);
+}
+
+/** Takes nothing new and waits for what runs, `graceMs` at most. */
+export async function drainStatementOwner(owner: StatementOwner, graceMs: number): Promise<void> {
+  owner.isStopping = true;
+  const untilMs = performance.now() + graceMs;
+  dropWaiting(owner, (job) => job.transaction?.pooled === undefined, notRun('no-owner'));
+  while (owner.running.size + owner.transactions.size > 0 && performance.now() < untilMs) {
+    await delay(DRAIN_POLL_MS);
+  }
+}
+
+/** Ends the owner: nothing is run or acknowledged by it after this. */
+export function closeStatementOwner(owner: StatementOwner): void {
+  if (owner.isClosed) return;
+  dropWaiting(owner, () => true, notRun('no-owner'));
+  owner.isClosed = true;
+  for (const timer of owner.timers) clearInterval(timer);
+  for (const transaction of [...owner.transactions.values()]) dropTransaction(owner, transaction);
+  for (const server of owner.servers.values()) {
+    dropIdle(server, () => true);
+    closeControlConnection(server);
+  }
+  owner.environment.log(`this entry no longer owns ${owner.group}`);
+}
+
+function endIdleTransactions(owner: StatementOwner): void {
+  const limitMs = performance.now() - owner.environment.idleTransactionMs();
+  for (const transaction of [...owner.transactions.values()]) {
+    if (transaction.isBusy || transaction.lastUsedMs > limitMs) continue;
+    owner.environment.log(`transaction ${transaction.key} was idle for too long and is ended`);
+    dropTransaction(owner, transaction);
+  }
+}
--- /dev/null
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -0,0 +1,156 @@
+/** The groups that this entry owns, kept in line with control's assignments. */
+import { setTimeout as delay } from 'node:timers/promises';
+import {
+  type ApplyResult,
+  type ControlCommand,
+  type GroupName,
+  groupRecordOf,
+  listAssignments,
+  type ServerAnnouncement,
+  type ServerName,
+  type StatementSettings,
+  toGroupName,
+} from '@bramleykeel/core';
+import type { ControlClient } from '@bramleykeel/entry-shared';
+import type { Counters, Log } from '@bramleykeel/link';
+import type { OpenTarget, PromoteServer, ReadTargetStatus } from '../types/target-port.js';
+import { dropEntryChannel, type EntryChannel } from './owner-app.js';
+import {
+  closeStatementOwner,
+  drainStatementOwner,
+  startStatementOwner,
+  takeServerAnnouncement,
+  takeServerLeave,
+} from './owner-lifecycle.js';
+import type { OwnerEnvironment, StatementOwner } from './owner-state.js';
+
+export interface RegistryOptions {
+  readonly entryId: string;
+  readonly zone: string;
+  readonly log: Log;
+  readonly counters: Counters;
+  readonly control: ControlClient;
+  readonly settings: () => StatementSettings | undefined;
+  readonly openTarget: OpenTarget;
+  readonly readTargetStatus: ReadTargetStatus;
+  readonly promoteServer: PromoteServer;
+}
+
+export interface StatementOwnerRegistry {
+  readonly options: RegistryOptions;
+  readonly owners: Map<GroupName, StatementOwner>;
+  /** The newest announcements that came before this entry owned their group. */
+  readonly early: Map<ServerName, ServerAnnouncement>;
+}
+
+const GROUP_RESOURCE = /^group\/(.+)$/;
+const PROPOSE_RETRY_MS = 50;
+const DEFAULT_IDLE_TRANSACTION_MS = 10_000;
+const MAX_EARLY_ANNOUNCEMENTS = 1_000;
+
+export function createStatementOwnerRegistry(options: RegistryOptions): StatementOwnerRegistry {
+  return { options, owners: new Map(), early: new Map() };
+}
+
+/** Starts owners for groups that were assigned to this entry and closes those that were not. */
+export function reconcileStatementOwners(registry: StatementOwnerRegistry): void {
+  const { control } = registry.options;
+  const assigned = new Map<GroupName, number>();
+  for (const { resource, incarnation, epoch } of listAssignments(control)) {
+    const name = GROUP_RESOURCE.exec(resource)?.[1];
+    if (name === undefined || incarnation !== control.incarnation()) continue;
+    assigned.set(toGroupName(name), epoch);
+  }
+  for (const [group, owner] of registry.owners) {
+    if (assigned.get(group) !== owner.epoch) retireOwner(registry, owner);
+  }
+  for (const [group, epoch] of assigned) {
+    if (!registry.owners.has(group)) startOwner(registry, group, epoch);
+  }
+}
+
+function retireOwner(registry: StatementOwnerRegistry, owner: StatementOwner): void {
+  closeStatementOwner(owner);
+  registry.owners.delete(owner.group);
+}
+
+function startOwner(registry: StatementOwnerRegistry, group: GroupName, epoch: number): void {
+  const { control, settings, ...rest } = registry.options;
+  const environment: OwnerEnvironment = {
+    ...rest,
+    holdsLease: () => control.heldEpoch(`group/${group}`) === epoch,
+    groupRecord: () => groupRecordOf(control, group),
+    groupSettings: () => settings()?.groups.get(group),
+    idleTransactionMs: () => settings()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
+    propose: (command) => propose(control, command),
+  };
+  const owner = startStatementOwner(group, epoch, environment);
+  registry.owners.set(group, owner);
+  for (const announcement of registry.early.values()) {
+    if (announcement.group === group) takeServerAnnouncement(owner, announcement);
+  }
+}
+
+/** A proposal without an answer counts as superseded: the owner looks at the record and goes on. */
+async function propose(control: ControlClient, command: ControlCommand): Promise<ApplyResult> {
+  const answer = await control.call('control/propose', command);
+  if (answer.isLeft()) await delay(PROPOSE_RETRY_MS);
+  const unanswered: ApplyResult = { kind: 'superseded', reason: 'control did not answer' };
+  return answer.map((result) => result as ApplyResult).orDefault(unanswered);
+}
+
+/** The owner of a group under an epoch, if this entry is that owner now. */
+export function findStatementOwner(
+  registry: StatementOwnerRegistry,
+  group: GroupName,
+  epoch: number,
+): StatementOwner | undefined {
+  const owner = registry.owners.get(group);
+  return owner?.epoch === epoch && !owner.isClosed ? owner : undefined;
+}
+
+/** Takes in a server's announcement; returns whether this entry owns the server's group now. */
+export function deliverServerAnnouncement(
+  registry: StatementOwnerRegistry,
+  announcement: ServerAnnouncement,
+): boolean {
+  const { early, owners } = registry;
+  if (early.size >= MAX_EARLY_ANNOUNCEMENTS) early.clear();
+  early.set(announcement.server, announcement);
+  const owner = owners.get(announcement.group);
+  if (!owner?.environment.holdsLease()) return false;
+  takeServerAnnouncement(owner, announcement);
+  return true;
+}
+
+export function deliverServerLeave(registry: StatementOwnerRegistry, server: ServerName): void {
+  registry.early.delete(server);
+  for (const owner of registry.owners.values()) takeServerLeave(owner, server);
+}
+
+/** A channel to another entry is gone. */
+export function dropChannel(registry: StatementOwnerRegistry, channel: EntryChannel): void {
+  for (const owner of registry.owners.values()) dropEntryChannel(owner, channel);
+}
+
+/** Hands all groups over to other entries, each once its running statements have ended. */
+export async function handOverStatementOwners(
+  registry: StatementOwnerRegistry,
+  graceMs: number,
+): Promise<void> {
+  const { control } = registry.options;
+  await Promise.all(
+    [...registry.owners.values()].map(async (owner) => {
+      await drainStatementOwner(owner, graceMs);
+      const { group, epoch } = owner;
+      retireOwner(registry, owner);
+      const release = { resource: `group/${group}`, epoch, incarnation: control.incarnation() };
+      await control.call('resource/release', release);
+    }),
+  );
+}
+
+/** Closes everything at once, after the lease was lost for good. */
+export function closeAllStatementOwners(registry: StatementOwnerRegistry): void {
+  for (const owner of registry.owners.values()) retireOwner(registry, owner);
+}
--- /dev/null
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -0,0 +1,174 @@
+/** State of a statement group's owner: servers, connections, queue, transactions, positions. */
+import {
+  type ApplyResult,
+  type ControlCommand,
+  type CustomerName,
+  type FairQueue,
+  type GroupName,
+  type GroupRecord,
+  type LogPosition,
+  type OwedPositions,
+  type ServerAnnouncement,
+  type ServerName,
+  type StatementGroup,
+  type StatementOutcome,
+  type StatementRequest,
+  ZERO_POSITION,
+} from '@bramleykeel/core';
+import type { Counters, Log } from '@bramleykeel/link';
+import type {
+  OpenTarget,
+  PromoteServer,
+  ReadTargetStatus,
+  TargetConnection,
+} from '../types/target-port.js';
+
+/** What an owner needs from the rest of its entry. */
+export interface OwnerEnvironment {
+  readonly entryId: string;
+  readonly zone: string;
+  readonly log: Log;
+  readonly counters: Counters;
+  /** Whether this entry holds the group now, under the owner's epoch, by the steady clock. */
+  readonly holdsLease: () => boolean;
+  readonly groupRecord: () => GroupRecord;
+  readonly groupSettings: () => StatementGroup | undefined;
+  readonly idleTransactionMs: () => number;
+  readonly propose: (command: ControlCommand) => Promise<ApplyResult>;
+  readonly openTarget: OpenTarget;
+  readonly readTargetStatus: ReadTargetStatus;
+  readonly promoteServer: PromoteServer;
+}
+
+/** The way back to one entry. */
+export interface OwnerChannel {
+  readonly answer: (number: number, outcome: StatementOutcome) => void;
+}
+
+/** A connection to a server with what was set up on it. */
+export interface PooledConnection {
+  readonly connection: TargetConnection;
+  readonly server: ServerState;
+  readonly openedAtMs: number;
+  values: Readonly<Record<string, string>>;
+  valuesKey: string;
+  readonly prepared: Set<string>;
+  lastUsedMs: number;
+}
+
+export interface ServerState {
+  announcement: ServerAnnouncement;
+  heardAtMs: number;
+  readonly idle: PooledConnection[];
+  /** Connections open or being opened, idle ones included. */
+  connectionCount: number;
+  /** Statements under way: each occupies a slot. */
+  runningCount: number;
+  position: LogPosition;
+  laggingUntilMs: number;
+  busyUntilMs: number;
+  /** Set while connections to it fail. */
+  failingSinceMs: number | undefined;
+  refusedCount: number;
+  lastAnswerMs: number;
+  isProbing: boolean;
+}
+
+export interface OpenTransaction {
+  readonly key: string;
+  readonly channel: OwnerChannel;
+  readonly isReadOnly: boolean;
+  readonly customer: CustomerName;
+  pooled: PooledConnection | undefined;
+  isBusy: boolean;
+  lastUsedMs: number;
+}
+
+export interface Job {
+  readonly channel: OwnerChannel;
+  readonly request: StatementRequest;
+  readonly valuesKey: string;
+  readonly arrivedAtMs: number;
+  readonly deadlineMs: number;
+  transaction: OpenTransaction | undefined;
+  attempts: number;
+  isEnded: boolean;
+}
+
+/** Who is the primary, as far as this owner has made sure. */
+export type Leadership =
+  | { readonly kind: 'unknown'; readonly sinceMs: number }
+  | { readonly kind: 'led'; readonly server: ServerName; readonly sinceMs: number }
+  | { readonly kind: 'changing'; readonly sinceMs: number; readonly reason: string };
+
+export interface StatementOwner {
+  readonly group: GroupName;
+  readonly epoch: number;
+  readonly environment: OwnerEnvironment;
+  readonly startedAtMs: number;
+  readonly servers: Map<ServerName, ServerState>;
+  readonly queues: Map<number, FairQueue<Job>>;
+  readonly pinnedWaiting: Job[];
+  readonly transactions: Map<string, OpenTransaction>;
+  readonly running: Set<Job>;
+  leadership: Leadership;
+  /** `undefined` until a position that covers everything acknowledged earlier is known. */
+  owed: OwedPositions | undefined;
+  isStopping: boolean;
+  isClosed: boolean;
+  isDispatching: boolean;
+  lastPromotionMs: number;
+  /** Commits and writes that were outstanding for too long, lately. */
+  stalledCommits: { readonly server: ServerState; readonly atMs: number }[];
+  timers: NodeJS.Timeout[];
+}
+
+export function createStatementOwner(
+  group: GroupName,
+  epoch: number,
+  environment: OwnerEnvironment,
+): StatementOwner {
+  const nowMs = performance.now();
+  return {
+    group,
+    epoch,
+    environment,
+    startedAtMs: nowMs,
+    servers: new Map(),
+    queues: new Map(),
+    pinnedWaiting: [],
+    transactions: new Map(),
+    running: new Set(),
+    leadership: { kind: 'unknown', sinceMs: nowMs },
+    owed: undefined,
+    isStopping: false,
+    isClosed: false,
+    isDispatching: false,
+    lastPromotionMs: Number.NEGATIVE_INFINITY,
+    stalledCommits: [],
+    timers: [],
+  };
+}
+
+export function createServerState(announcement: ServerAnnouncement, nowMs: number): ServerState {
+  return {
+    announcement,
+    heardAtMs: nowMs,
+    idle: [],
+    connectionCount: 0,
+    runningCount: 0,
+    position: ZERO_POSITION,
+    laggingUntilMs: 0,
+    busyUntilMs: 0,
+    failingSinceMs: undefined,
+    refusedCount: 0,
+    lastAnswerMs: nowMs,
+    isProbing: false,
+  };
+}
+
+/** The server that statements for the primary go to now, if there is one. */
+export function primaryOf(owner: StatementOwner): ServerState | undefined {
+  const { leadership } = owner;
+  return leadership.kind === 'led' ? owner.servers.get(leadership.server) : undefined;
+}
--- /dev/null
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -0,0 +1,378 @@
+/** Wires the parts of an entry that speaks a statement-level dialect. */
+import { setTimeout as delay } from 'node:timers/promises';
+import {
+  type CustomerName,
+  documentOf,
+  type RateLimit,
+  type RecordDelta,
+  type Resource,
+  type ServerAnnouncement,
+  type ServerName,
+  type StatementRefusalReason,
+  type StatementSettings,
+  type TimingSettings,
+  type TokenDraw,
+} from '@bramleykeel/core';
+import {
+  answerDrawHere,
+  type ControlClient,
+  createRateClient,
+  createRateHomes,
+  drawFromHome,
+  type RateDraws,
+  startControlClient,
+} from '@bramleykeel/entry-shared';
+import {
+  type Counters,
+  DEFAULT_LINK_TIMING,
+  type LinkPeer,
+  listenForLinks,
+  type Log,
+} from '@bramleykeel/link';
+import {
+  type CallerSession,
+  checkStart,
+  closeSession,
+  createSession,
+  isIdle,
+  isWithdrawn,
+  type SessionEnvironment,
+} from './accept/session.js';
+import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
+import {
+  createOwnerClient,
+  loseLink,
+  loseSuperseded,
+  type OwnerClient,
+  takeOutcome,
+} from './locate/owner-client.js';
+import { type EntryChannel, takeRollback, takeStatement } from './owner/owner-app.js';
+import {
+  closeAllStatementOwners,
+  createStatementOwnerRegistry,
+  deliverServerAnnouncement,
+  deliverServerLeave,
+  dropChannel,
+  findStatementOwner,
+  handOverStatementOwners,
+  reconcileStatementOwners,
+  type StatementOwnerRegistry,
+} from './owner/owner-registry.js';
+import type { CallerPort } from './types/caller-port.js';
+import {
+  decodeOutcome,
+  decodeStatement,
+  encodeOutcome,
+  encodeStatement,
+  type OutcomeCode,
+  type StatementCode,
+} from './types/link-codec.js';
+import type { OpenTarget, PromoteServer, ReadTargetStatus } from './types/target-port.js';
+
+export interface StatementEntryOptions {
+  readonly entryId: string;
+  readonly zone: string;
+  readonly linkAddress: string;
+  readonly linkMbps?: number;
+  readonly linkSecret: string;
+  readonly timing: TimingSettings;
+  readonly memberAddresses: () => readonly string[];
+  /** How long running statements may take after a stop was ordered. */
+  readonly stopGraceMs: number;
+  /** Decodes the operators' document; `undefined` when it makes no sense to this version. */
+  readonly decodeSettings: (body: Uint8Array) => StatementSettings | undefined;
+  readonly openTarget: OpenTarget;
+  readonly readTargetStatus: ReadTargetStatus;
+  readonly promoteServer: PromoteServer;
+  readonly log: Log;
+  readonly counters: Counters;
+}
+
+export interface StatementEntry {
+  /** Starts a caller's session, or says why it may not start. */
+  readonly startSession: (
+    database: string,
+    key: string | undefined,
+    port: CallerPort,
+  ) => CallerSession | StatementRefusalReason;
+  readonly endSession: (session: CallerSession) => void;
+  /** Whether new callers should be sent here. */
+  readonly isReady: () => boolean;
+  /** Hands everything over and lets running statements end. */
+  readonly stop: () => Promise<void>;
+}
+
+const LOCAL_CHANNEL = 'local';
+/** Time over which idle sessions are closed when the entry stops, in milliseconds. */
+const CLOSE_IDLE_OVER_MS = 1_500;
+const STOP_POLL_MS = 25;
+/** An open transaction may go on for this long before its group is handed over, in milliseconds. */
+const HANDOVER_GRACE_MS = 700;
+/** A customer's tokens are waited for this long before it counts as above its rate, in milliseconds. */
+const RATE_WAIT_MS = 100;
+const HOME_WAIT_MS = 400;
+
+/**
+ * Starts an entry.
+ *
+ * @throws when the link address is taken
+ * @example
+ * const entry = await startStatementEntry(options);
+ * const session = entry.startSession('bookings', key, port);
+ */
+export async function startStatementEntry(options: StatementEntryOptions): Promise<StatementEntry> {
+  const { log, counters, timing } = options;
+  const sessions = new Set<CallerSession>();
+  const channels = new Map<LinkPeer, EntryChannel>();
+  const requestedAtMs = new Map<Resource, number>();
+  let settings: StatementSettings | undefined;
+  let isStopping = false;
+  let transactionCount = 0;
+  let channelCount = 0;
+
+  const linkServer = await listenForLinks(
+    options.linkAddress,
+    { secret: options.linkSecret, ...DEFAULT_LINK_TIMING },
+    {
+      onRequest: (_peer, method, params) => answerRequest(method, params),
+      onNotify: takeEvent,
+      onClose: (peer) => {
+        const channel = channels.get(peer);
+        channels.delete(peer);
+        if (channel) dropChannel(registry, channel);
+      },
+    },
+  );
+  const control: ControlClient = startControlClient(options, log, {
+    onRecords: takeRecords,
+    onStatusRequest: () => ({ entryId: options.entryId, counters: counters.totals() }),
+    onLeaseEnded: () => {
+      closeAllStatementOwners(registry);
+      loseSuperseded(owners);
+    },
+  });
+  const registry: StatementOwnerRegistry = createStatementOwnerRegistry({
+    ...options,
+    control,
+    settings: () => settings,
+  });
+  const links: EntryLinks = createEntryLinks({
+    linkSecret: options.linkSecret,
+    records: control.records,
+    onNotify: takeEvent,
+    onLinkLost: (linkAddress) => {
+      loseLink(owners, linkAddress);
+    },
+    onLinkOpen: () => undefined,
+    reportSuspect: (incarnation, linkAddress) => {
+      void control.call('entry/suspect', { incarnation, linkAddress });
+    },
+  });
+  const localChannel: EntryChannel = {
+    id: LOCAL_CHANNEL,
+    answer: (number, outcome) => {
+      takeOutcome(owners, number, outcome);
+    },
+  };
+  const owners: OwnerClient = createOwnerClient({
+    control,
+    links: () => links,
+    sendLocally: (group, epoch, request) => {
+      const owner = findStatementOwner(registry, group, epoch);
+      if (owner) takeStatement(owner, localChannel, request);
+      return owner !== undefined;
+    },
+    rollBackLocally: (group, epoch, transaction) => {
+      const owner = findStatementOwner(registry, group, epoch);
+      if (owner) takeRollback(owner, localChannel, transaction);
+    },
+    sendOver: ({ group, epoch, linkAddress }, request) => {
+      const code = encodeStatement(group, epoch, request);
+      return links.linkTo(linkAddress)?.notify('statement/run', code) ?? false;
+    },
+    rollBackOver: ({ group, epoch, linkAddress }, transaction) => {
+      links.linkTo(linkAddress)?.notify('statement/rollback', [group, epoch, transaction]);
+    },
+    requestResource,
+  });
+  const draws: RateDraws = {
+    homes: createRateHomes(),
+    control,
+    linkTo: (linkAddress) => links.linkTo(linkAddress),
+    limitOf: (customer) => limitOf(settings, customer),
+    requestResource,
+  };
+  const environment: SessionEnvironment = {
+    settings: () => settings,
+    hasFreshSettings: control.hasFreshSettings,
+    isStopping: () => isStopping,
+    rates: createRateClient({
+      rateWaitMs: RATE_WAIT_MS,
+      homeWaitMs: HOME_WAIT_MS,
+      draw: (draw) => drawFromHome(draws, draw),
+    }),
+    owners,
+    counters,
+    nextTransaction: () => {
+      transactionCount += 1;
+      return transactionCount;
+    },
+  };
+  const keepTimer = setInterval(() => {
+    reconcileStatementOwners(registry);
+  }, timing.renewEveryMs);
+  log(`entry ${options.entryId} listens for other entries at ${options.linkAddress}`);
+  return { startSession, endSession, isReady, stop };
+
+  function startSession(database: string, key: string | undefined, port: CallerPort) {
+    const reason = checkStart(environment, database, key);
+    if (reason !== undefined) {
+      counters.count(`refusal.${reason}`);
+      return reason;
+    }
+    const session = createSession(database, key, port, environment);
+    sessions.add(session);
+    return session;
+  }
+
+  function endSession(session: CallerSession): void {
+    sessions.delete(session);
+    closeSession(session);
+  }
+
+  function isReady(): boolean {
+    return !isStopping && settings !== undefined && control.hasFreshSettings();
+  }
+
+  function takeRecords(deltas: readonly RecordDelta[]): void {
+    if (deltas.some(({ stored }) => stored.record.kind === 'document')) takeDocument();
+    reconcileStatementOwners(registry);
+    loseSuperseded(owners);
+    links.prune();
+  }
+
+  function takeDocument(): void {
+    const document = documentOf(control);
+    const decoded = document && options.decodeSettings(document.body);
+    if (!decoded) {
+      log(
+        `settings document ${document?.version ?? '?'} cannot be read; the last one stays in force`,
+      );
+      return;
+    }
+    settings = decoded;
+    log(`settings document ${decoded.version} is in force`);
+    for (const session of sessions) {
+      if (isIdle(session) && isWithdrawn(session)) session.port.close();
+    }
+  }
+
+  function answerRequest(method: string, params: unknown): unknown {
+    switch (method) {
+      case 'rate/draw':
+        return answerDrawHere(draws, params as TokenDraw) ?? null;
+      case 'server/announce':
+        return deliverServerAnnouncement(registry, params as ServerAnnouncement);
+      case 'server/leave':
+        deliverServerLeave(registry, params as ServerName);
+        return true;
+      default:
+        throw new Error(`unknown method ${method}`);
+    }
+  }
+
+  function takeEvent(peer: LinkPeer, method: string, params: unknown): void {
+    switch (method) {
+      case 'statement/run':
+        takeRemoteStatement(peer, params as StatementCode);
+        return;
+      case 'statement/outcome': {
+        const { number, outcome } = decodeOutcome(params as OutcomeCode);
+        takeOutcome(owners, number, outcome);
+        return;
+      }
+      case 'statement/rollback': {
+        const [group, epoch, transaction] = params as [StatementCode[0], number, number];
+        const owner = findStatementOwner(registry, group, epoch);
+        if (owner) takeRollback(owner, channelOf(peer), transaction);
+        return;
+      }
+      default:
+        counters.count('refusal.unknown-link-event');
+    }
+  }
+
+  function takeRemoteStatement(peer: LinkPeer, code: StatementCode): void {
+    const { group, epoch, request } = decodeStatement(code);
+    const channel = channelOf(peer);
+    const owner = findStatementOwner(registry, group, epoch);
+    if (owner) {
+      takeStatement(owner, channel, request);
+      return;
+    }
+    // A transaction that was begun here went with its owner.
+    const isLater = request.transaction?.isFirst === false;
+    channel.answer(
+      request.number,
+      isLater
+        ? { kind: 'aborted', reason: 'the owner of the transaction has gone' }
+        : { kind: 'not-run', reason: 'no-owner', retryAfterMs: timing.renewEveryMs },
+    );
+  }
+
+  function channelOf(peer: LinkPeer): EntryChannel {
+    const known = channels.get(peer);
+    if (known) return known;
+    channelCount += 1;
+    const created: EntryChannel = {
+      id: `link-${channelCount}`,
+      answer: (number, outcome) => {
+        peer.notify('statement/outcome', encodeOutcome(number, outcome));
+      },
+    };
+    channels.set(peer, created);
+    return created;
+  }
+
+  function requestResource(resource: Resource, zone: string | undefined): void {
+    const nowMs = performance.now();
+    if (nowMs - (requestedAtMs.get(resource) ?? Number.NEGATIVE_INFINITY) < timing.renewEveryMs)
+      return;
+    requestedAtMs.set(resource, nowMs);
+    void control.call('resource/request', zone === undefined ? { resource } : { resource, zone });
+  }
+
+  async function stop(): Promise<void> {
+    isStopping = true;
+    log(`entry ${options.entryId} is stopping`);
+    control.startStopping();
+    const untilMs = performance.now() + options.stopGraceMs;
+    await Promise.all([handOverStatementOwners(registry, HANDOVER_GRACE_MS), endSessions(untilMs)]);
+    await control.call('entry/ended', { incarnation: control.incarnation() });
+    clearInterval(keepTimer);
+    control.close();
+    links.close();
+    await linkServer.close();
+    counters.close();
+    log(`entry ${options.entryId} has stopped`);
+  }
+
+  async function endSessions(untilMs: number): Promise<void> {
+    const startedAtMs = performance.now();
+    while (sessions.size > 0 && performance.now() < untilMs) {
+      const share = (performance.now() - startedAtMs) / CLOSE_IDLE_OVER_MS;
+      for (const session of sessions) {
+        if (isIdle(session) && Math.random() < share) session.port.close();
+      }
+      await delay(STOP_POLL_MS);
+    }
+    for (const session of sessions) session.port.close();
+  }
+}
+
+function limitOf(
+  settings: StatementSettings | undefined,
+  customer: CustomerName,
+): RateLimit | undefined {
+  return settings?.customers.get(customer);
+}
--- /dev/null
+++ b/packages/statement-entry/src/types/caller-port.ts
@@ -0,0 +1,49 @@
+/** What a dialect offers towards callers: their requests decoded, and a way to answer them. */
+import type { LogPosition, StatementOutcome } from '@bramleykeel/core';
+import type { ConnectionState } from './target-port.js';
+
+/** A caller's request, decoded by the dialect. */
+export type CallerRequest =
+  | { readonly kind: 'begin'; readonly isReadOnly: boolean }
+  | { readonly kind: 'commit'; readonly tag: string; readonly text: string }
+  | { readonly kind: 'rollback' }
+  | {
+      readonly kind: 'statement';
+      readonly tag: string;
+      readonly access: 'read' | 'write';
+      readonly text: string;
+    }
+  | {
+      readonly kind: 'execute';
+      readonly tag: string;
+      readonly name: string;
+      readonly argument: string;
+    }
+  | { readonly kind: 'set'; readonly name: string; readonly value: string }
+  | {
+      readonly kind: 'prepare';
+      readonly name: string;
+      readonly access: 'read' | 'write';
+      readonly shape: string;
+    }
+  | { readonly kind: 'deallocate'; readonly name: string }
+  | { readonly kind: 'malformed'; readonly reason: string };
+
+/** Why a caller's request has no result. */
+export type CallerError =
+  | Exclude<StatementOutcome, { kind: 'done' }>
+  | { readonly kind: 'malformed'; readonly reason: string }
+  | { readonly kind: 'unknown-prepared-name'; readonly name: string };
+
+/** The caller's connection, as a session sees it. */
+export interface CallerPort {
+  /** `signature` is `null` for what the system answers itself. */
+  readonly answer: (
+    rows: readonly string[],
+    signature: string | null,
+    state: ConnectionState,
+    position: LogPosition | null,
+  ) => void;
+  readonly refuse: (error: CallerError, state: ConnectionState) => void;
+  readonly close: () => void;
+}
