--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -44,6 +44,7 @@
   linkAddress: name,
   zone: name,
   linkMbps: z.number().positive().optional(),
+  isBesideControl: z.boolean().optional(),
   isStopping: z.boolean(),
   knownIndex: z.int().nonnegative(),
   settingsRevision: z.int().nonnegative(),
--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -6,6 +6,7 @@
   createEntryLeases,
   endExpiredLeases,
   endIncarnation,
+  endPredecessors,
   type EntryLeases,
   type Incarnation,
   type LeaseReply,
@@ -123,6 +124,8 @@
   const nowMs = performance.now();
   const outcome = renewLease(service.leases, renewal, nowMs);
   if (outcome === 'ended') return { kind: 'ended' };
+  const assignments = listAssignments(service.driver.control());
+  if (endPredecessors(service.leases, assignments, renewal)) reassignOrphans(service);
   const { incarnation, settingsRevision, knownIndex } = renewal;
   service.renewedAtMs.set(incarnation, { atMs: nowMs, settingsRevision });
   const watcher = service.watchers.get(peer);
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -18,6 +18,8 @@
   readonly zone: string;
   /** Bandwidth of the entry's instance in Mbit/s; `undefined` when it is not known. */
   readonly linkMbps?: number | undefined;
+  /** Whether a control member runs on the same instance: losing it should not take groups along. */
+  readonly isBesideControl?: boolean | undefined;
   readonly isStopping: boolean;
   readonly settingsRevision: number;
   readonly expiresAtMs: number;
@@ -60,6 +62,25 @@
   }
 }
 
+/**
+ * Holders of assignments whose address a newer incarnation has taken are over, also for a leader that
+ * never granted their lease.
+ */
+export function endPredecessors(
+  state: EntryLeases,
+  assignments: readonly Assignment[],
+  renewal: Pick<EntryLease, 'incarnation' | 'linkAddress'>,
+): boolean {
+  const earlier = assignments.filter(
+    ({ linkAddress, incarnation }) =>
+      linkAddress === renewal.linkAddress &&
+      incarnation !== renewal.incarnation &&
+      !state.ended.has(incarnation),
+  );
+  for (const { incarnation } of earlier) endIncarnation(state, incarnation);
+  return earlier.length > 0;
+}
+
 /** Records that an incarnation can neither run nor acknowledge anything any more. */
 export function endIncarnation(state: EntryLeases, incarnation: Incarnation): void {
   state.ended.add(incarnation);
@@ -98,8 +119,8 @@
 const MIN_HOLDER_LINK_MBPS = 20;
 
 /**
- * Chooses the entry for a resource: enough bandwidth first, then the wanted zone, then the one with
- * the fewest resources.
+ * Chooses the entry for a resource: enough bandwidth first, then the wanted zone, then an
+ * instance without a control member, then the one with the fewest resources.
  *
  * @example
  * chooseHolder(leases, listAssignments(state), { zone: 'erdenet-a', excluded: undefined }, nowMs);
@@ -123,6 +144,7 @@
     (left, right) =>
       linkRank(left) - linkRank(right) ||
       zoneRank(left) - zoneRank(right) ||
+      Number(left.isBesideControl ?? false) - Number(right.isBesideControl ?? false) ||
       (held.get(left.incarnation) ?? 0) - (held.get(right.incarnation) ?? 0) ||
       (left.entryId < right.entryId ? -1 : 1),
   )[0];
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -113,6 +113,7 @@
   readonly linkAddress: string;
   readonly zone: string;
   readonly linkMbps?: number | undefined;
+  readonly isBesideControl?: boolean | undefined;
   readonly isStopping: boolean;
   /** Index up to which the entry has all control records. */
   readonly knownIndex: number;
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -51,6 +51,7 @@
   readonly linkAddress: string;
   readonly zone: string;
   readonly linkMbps?: number;
+  readonly isBesideControl?: boolean;
   readonly linkSecret: string;
   readonly timing: TimingSettings;
   /** Link addresses of control members that the settings name; more are learnt from control. */
@@ -69,7 +70,8 @@
 /** Pause before the next member is asked while no leader is known, in milliseconds. */
 const LEADERLESS_RETRY_MS = 150;
 const CALL_TIMEOUT_MS = 2_000;
-const RENEW_TIMEOUT_MS = 800;
+/** A leader that does not answer a renewal in this time may be frozen; another member is asked. */
+const RENEW_TIMEOUT_MS = 450;
 const CONTROL_LINK_TIMING = { ...DEFAULT_LINK_TIMING, pingEveryMs: 500 };
 
 /** Connects to control and keeps the lease renewed. */
@@ -202,7 +204,8 @@
       incarnation,
       linkAddress: options.linkAddress,
       zone: options.zone,
-      ...(options.linkMbps === undefined ? {} : { linkMbps: options.linkMbps }),
+      linkMbps: options.linkMbps,
+      isBesideControl: options.isBesideControl,
       isStopping,
       knownIndex,
       settingsRevision,
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -74,6 +74,7 @@
   readonly zone: string;
   readonly linkAddress: string;
   readonly linkMbps?: number;
+  readonly isBesideControl?: boolean;
   readonly linkSecret: string;
   readonly timing: TimingSettings;
   readonly memberAddresses: () => readonly string[];
@@ -98,14 +99,20 @@
   readonly endSession: (session: CallerSession) => void;
   /** Whether new callers should be sent here. */
   readonly isReady: () => boolean;
-  /** Hands everything over and lets running statements end. */
-  readonly stop: () => Promise<void>;
+  /**
+   * Hands everything over and lets running statements end.
+   *
+   * @param stopListening called once new callers are sent elsewhere
+   */
+  readonly stop: (stopListening: () => void) => Promise<void>;
 }
 
 const LOCAL_CHANNEL = 'local';
 /** Time over which idle sessions are closed when the entry stops, in milliseconds. */
 const CLOSE_IDLE_OVER_MS = 1_500;
 const STOP_POLL_MS = 25;
+/** The balancer needs two misses, a second apart, to send callers elsewhere. In milliseconds. */
+const STILL_CALLED_MS = 2_400;
 /** An open transaction may go on for this long before its group is handed over, in milliseconds. */
 const HANDOVER_GRACE_MS = 700;
 /** A customer's tokens are waited for this long before it counts as above its rate, in milliseconds. */
@@ -342,12 +349,16 @@
     void control.call('resource/request', zone === undefined ? { resource } : { resource, zone });
   }
 
-  async function stop(): Promise<void> {
+  async function stop(stopListening: () => void): Promise<void> {
     isStopping = true;
     log(`entry ${options.entryId} is stopping`);
     control.startStopping();
     const untilMs = performance.now() + options.stopGraceMs;
-    await Promise.all([handOverStatementOwners(registry, HANDOVER_GRACE_MS), endSessions(untilMs)]);
+    setTimeout(stopListening, STILL_CALLED_MS);
+    await Promise.all([
+      handOverStatementOwners(registry, HANDOVER_GRACE_MS),
+      endSessions(performance.now() + STILL_CALLED_MS, untilMs),
+    ]);
     await control.call('entry/ended', { incarnation: control.incarnation() });
     clearInterval(keepTimer);
     control.close();
@@ -357,9 +368,11 @@
     log(`entry ${options.entryId} has stopped`);
   }
 
-  async function endSessions(untilMs: number): Promise<void> {
+  /** New callers come until the balancer has noticed, so the end is not before `notBeforeMs`. */
+  async function endSessions(notBeforeMs: number, untilMs: number): Promise<void> {
     const startedAtMs = performance.now();
-    while (sessions.size > 0 && performance.now() < untilMs) {
+    const isWanted = () => sessions.size > 0 || performance.now() < notBeforeMs;
+    while (isWanted() && performance.now() < untilMs) {
       const share = (performance.now() - startedAtMs) / CLOSE_IDLE_OVER_MS;
       for (const session of sessions) {
         if (isIdle(session) && Math.random() < share) session.port.close();
