Ask all control members at once after a frozen leader, let fenced replicas receive again, know the former primary

Cause: (1) entries whose control leader froze connected to one member after the other and lost their leases; (2) a promotion of another server does not lift a pause, so one replica never received again and commits hung whenever the other was out of reach; (3) a new owner took the unreachable primary for a replica that might still acknowledge. Ruled out: load (the failing third was one service), the members (they answered within a round trip). Change: links to all members are kept and a lost leader is looked for in parallel; paused replicas are resumed, at once and by a check every 2 s; a stall is examined before a change of primary.

--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -14,18 +14,10 @@
   type StoredRecord,
   type TimingSettings,
 } from '@bramleykeel/core';
-import {
-  DEFAULT_LINK_TIMING,
-  DEFAULT_RECONNECT,
-  keepLink,
-  createSuspensionWatch,
-  type LinkClient,
-  type LinkError,
-  type LinkPeer,
-  type Log,
-} from '@bramleykeel/link';
+import { createSuspensionWatch, type LinkError, type LinkPeer, type Log } from '@bramleykeel/link';
 import { type Either, Left } from 'purify-ts';
 import { match } from 'ts-pattern';
+import { type ControlLinks, createControlLinks } from './control-links.js';
 
 export interface ControlClient {
   readonly records: ReadonlyMap<string, StoredRecord>;
@@ -65,14 +57,13 @@
   readonly onLeaseEnded: () => void;
 }
 
-/** Spreads the first choice of entries over the members. */
-const MAX_FIRST_INDEX = 1_000;
-/** Pause before the next member is asked while no leader is known, in milliseconds. */
-const LEADERLESS_RETRY_MS = 150;
+/** Pause before members are asked again while no leader is known, in milliseconds. */
+const LEADERLESS_RETRY_MS = 100;
+/** Pause before a renewal that became due while another one was on its way, in milliseconds. */
+const RENEW_AGAIN_MS = 10;
 const CALL_TIMEOUT_MS = 2_000;
-/** A leader that does not answer a renewal in this time may be frozen; another member is asked. */
-const RENEW_TIMEOUT_MS = 450;
-const CONTROL_LINK_TIMING = { ...DEFAULT_LINK_TIMING, pingEveryMs: 500 };
+/** A leader that does not answer a renewal in this time may be frozen; the other members are asked. */
+const RENEW_TIMEOUT_MS = 350;
 
 /** Connects to control and keeps the lease renewed. */
 export function startControlClient(
@@ -84,19 +75,28 @@
   const { timing } = options;
   const clock = createSuspensionWatch();
   let learntAddresses: readonly string[] = [];
+  let leaderAddress: string | undefined;
   let incarnation = createIncarnation();
   let knownIndex = 0;
   let settingsRevision = 0;
   let leaseUntilMs = Number.NEGATIVE_INFINITY;
   let settingsUntilMs = Number.NEGATIVE_INFINITY;
-  let memberIndex = Math.floor(Math.random() * MAX_FIRST_INDEX);
-  let memberAddress = '';
-  let link: LinkClient | undefined;
   let renewalsValidFromMs = Number.NEGATIVE_INFINITY;
   let isStopping = false;
   let isRenewing = false;
   let isRenewalWanted = false;
-  connectToNextMember();
+  let isClosed = false;
+  const links: ControlLinks = createControlLinks(options.linkSecret, {
+    onRequest: (_peer, method) => {
+      if (method === 'status/get') return hooks.onStatusRequest();
+      throw new Error(`unknown method ${method}`);
+    },
+    onNotify: (_peer, method, params) => {
+      if (method === 'records/push') takePush(params as RecordsPush);
+    },
+    onOpen: () => void renew(),
+  });
+  keepMembers();
   const timer = setInterval(() => void renew(), timing.renewEveryMs);
 
   return {
@@ -110,18 +110,25 @@
       return isHeld(assignment) ? assignment?.epoch : undefined;
     },
     call: (method, params) => {
-      const peer = link?.current();
+      const peer = leaderPeer() ?? links.openPeers()[0];
       if (!peer) return Promise.resolve(Left({ kind: 'not-sent' }));
       return peer.request(method, params, CALL_TIMEOUT_MS);
     },
-    traffic: () => link?.current()?.traffic() ?? { receivedBytes: 0, sentBytes: 0 },
+    traffic: () => {
+      const each = links.openPeers().map((peer) => peer.traffic());
+      return {
+        receivedBytes: each.reduce((sum, { receivedBytes }) => sum + receivedBytes, 0),
+        sentBytes: each.reduce((sum, { sentBytes }) => sum + sentBytes, 0),
+      };
+    },
     startStopping: () => {
       isStopping = true;
       void renew();
     },
     close: () => {
+      isClosed = true;
       clearInterval(timer);
-      link?.stop();
+      links.close();
     },
   };
 
@@ -144,43 +151,14 @@
     return assignment?.incarnation === incarnation && holdsLease();
   }
 
-  /** Addresses from control go first: the settings may name members that are gone. */
-  function connectToNextMember(): void {
-    const addresses = [...new Set([...learntAddresses, ...options.memberAddresses()])];
-    memberIndex += 1;
-    const next = addresses[memberIndex % addresses.length];
-    if (next !== undefined) connectTo(next);
-  }
-
-  function connectTo(address: string): void {
-    link?.stop();
-    memberAddress = address;
-    const linkOptions = {
-      secret: options.linkSecret,
-      ...CONTROL_LINK_TIMING,
-      ...DEFAULT_RECONNECT,
-    };
-    const created: LinkClient = keepLink(address, linkOptions, {
-      onRequest: (_peer, method) => {
-        if (method === 'status/get') return hooks.onStatusRequest();
-        throw new Error(`unknown method ${method}`);
-      },
-      onNotify: (_peer, method, params) => {
-        if (method === 'records/push') takePush(params as RecordsPush);
-      },
-      onOpen: () => void renew(),
-      onClose: () => {
-        if (link === created) connectToNextMember();
-      },
-      onConnectFailed: () => {
-        if (link === created) setTimeout(leaveMember, DEFAULT_RECONNECT.reconnectMinMs, created);
-      },
-    });
-    link = created;
+  /** Addresses from control count once there are any: the settings may name members that are gone. */
+  function keepMembers(): void {
+    const named = options.memberAddresses();
+    links.keep([...new Set([...learntAddresses, ...named])]);
   }
 
-  function leaveMember(failed: LinkClient): void {
-    if (link === failed) connectToNextMember();
+  function leaderPeer(): LinkPeer | undefined {
+    return leaderAddress === undefined ? undefined : links.peerAt(leaderAddress);
   }
 
   async function renew(): Promise<void> {
@@ -188,17 +166,40 @@
       isRenewalWanted = true;
       return;
     }
-    const peer = link?.current();
-    if (!peer) return;
     isRenewing = true;
-    await renewWith(peer);
+    keepMembers();
+    const leader = leaderPeer();
+    const asked = leader ? [leader] : links.openPeers();
+    const isRenewed = await askAny(asked);
+    if (!isRenewed && leader) {
+      leaderAddress = undefined;
+      await askAny(links.openPeers().filter((peer) => peer !== leader));
+    }
     isRenewing = false;
-    if (!isRenewalWanted) return;
-    isRenewalWanted = false;
-    void renew();
+    if (isClosed) return;
+    if (isRenewalWanted) {
+      isRenewalWanted = false;
+      setTimeout(() => void renew(), RENEW_AGAIN_MS);
+    } else if (!holdsLease() && links.openPeers().length > 0) {
+      setTimeout(() => void renew(), LEADERLESS_RETRY_MS);
+    }
+  }
+
+  /** Asks several members at once; resolves as soon as one of them has renewed, or all have answered. */
+  function askAny(peers: readonly LinkPeer[]): Promise<boolean> {
+    return new Promise((resolve) => {
+      let openCount = peers.length;
+      if (openCount === 0) resolve(false);
+      for (const peer of peers) {
+        void renewWith(peer).then((isRenewed) => {
+          openCount -= 1;
+          if (isRenewed || openCount === 0) resolve(isRenewed);
+        });
+      }
+    });
   }
 
-  async function renewWith(peer: LinkPeer): Promise<void> {
+  async function renewWith(peer: LinkPeer): Promise<boolean> {
     const renewal: LeaseRenewal = {
       entryId: toEntryId(options.entryId),
       incarnation,
@@ -212,25 +213,30 @@
     };
     const sentAtMs = performance.now();
     const answer = await peer.request('lease/renew', renewal, RENEW_TIMEOUT_MS);
-    answer.caseOf({
+    return answer.caseOf({
       Right: (reply) => {
-        takeReply(reply as LeaseReply, sentAtMs);
+        // An answer to an incarnation that has ended meanwhile says nothing about the present one.
+        if (renewal.incarnation !== incarnation) return false;
+        return takeReply(reply as LeaseReply, peer, sentAtMs);
       },
       Left: (error) => {
         log(`lease renewal failed: ${error.kind}`);
-        if (link?.current() === peer) connectToNextMember();
+        return false;
       },
     });
   }
 
-  function takeReply(reply: LeaseReply, sentAtMs: number): void {
-    match(reply)
+  function takeReply(reply: LeaseReply, peer: LinkPeer, sentAtMs: number): boolean {
+    return match(reply)
+      .returnType<boolean>()
       .with({ kind: 'renewed' }, (renewed) => {
         learntAddresses = renewed.memberAddresses ?? learntAddresses;
+        leaderAddress = peer.remoteAddress;
         takePush(renewed);
-        if (sentAtMs < renewalsValidFromMs) return;
-        leaseUntilMs = sentAtMs + renewed.leaseMs;
-        settingsUntilMs = sentAtMs + renewed.settingsLeaseMs;
+        if (sentAtMs < renewalsValidFromMs) return true;
+        leaseUntilMs = Math.max(leaseUntilMs, sentAtMs + renewed.leaseMs);
+        settingsUntilMs = Math.max(settingsUntilMs, sentAtMs + renewed.settingsLeaseMs);
+        return true;
       })
       .with({ kind: 'ended' }, () => {
         log('control ended this incarnation; coming back under a new one');
@@ -238,13 +244,15 @@
         leaseUntilMs = Number.NEGATIVE_INFINITY;
         hooks.onLeaseEnded();
         isRenewalWanted = true;
+        return true;
       })
-      .with({ kind: 'not-leader' }, ({ leaderAddress, memberAddresses }) => {
+      .with({ kind: 'not-leader' }, ({ leaderAddress: named, memberAddresses }) => {
         learntAddresses = memberAddresses ?? learntAddresses;
-        const current = link;
-        const isNew = typeof leaderAddress === 'string' && leaderAddress !== memberAddress;
-        if (isNew) connectTo(leaderAddress);
-        else if (current) setTimeout(leaveMember, LEADERLESS_RETRY_MS, current);
+        if (typeof named === 'string' && named !== peer.remoteAddress) {
+          leaderAddress = named;
+          isRenewalWanted = links.peerAt(named) !== undefined;
+        }
+        return false;
       })
       .exhaustive();
   }
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -118,6 +118,7 @@
   isClosed: boolean;
   isDispatching: boolean;
   lastPromotionMs: number;
+  replicasCheckedMs: number;
   /** Commits and writes that were outstanding for too long, lately. */
   stalledCommits: { readonly server: ServerState; readonly atMs: number }[];
   timers: NodeJS.Timeout[];
@@ -145,6 +146,7 @@
     isClosed: false,
     isDispatching: false,
     lastPromotionMs: Number.NEGATIVE_INFINITY,
+    replicasCheckedMs: Number.NEGATIVE_INFINITY,
     stalledCommits: [],
     timers: [],
   };
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -33,6 +33,8 @@
 const LAGGING_PAUSE_MS = 100;
 /** Preparing a connection for a statement is given up after this time, in milliseconds. */
 const SETUP_TIMEOUT_MS = 600;
+/** A commit that is outstanding for this long may wait for a replica that cannot be reached. */
+const STALL_MS = 600;
 /** Time kept back for the answer's way to the caller, in milliseconds. */
 const ANSWER_MARGIN_MS = 5;
 const ROLLBACK_TIMEOUT_MS = 1_000;
@@ -195,9 +197,11 @@
   order: TargetOrder,
 ): Promise<TargetAnswer> {
   if (!owner.environment.holdsLease()) return { kind: 'lost' };
-  const timeoutMs = job.deadlineMs - performance.now() - ANSWER_MARGIN_MS;
+  const sentAtMs = performance.now();
+  const timeoutMs = job.deadlineMs - sentAtMs - ANSWER_MARGIN_MS;
   const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
-  if (answer.kind === 'overdue' && job.request.access !== 'read') {
+  const takenMs = performance.now() - sentAtMs;
+  if (answer.kind === 'overdue' && job.request.access !== 'read' && takenMs >= STALL_MS) {
     owner.stalledCommits.push({ server: pooled.server, atMs: performance.now() });
   }
   if (answer.kind === 'done') noteDone(pooled, answer.position);
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   chooseSuccessor,
+  comparePositions,
   createOwedPositions,
   type FencedServer,
   newestAcknowledged,
@@ -41,6 +42,8 @@
 /** Writes that run on a leaving primary may take this long before it is replaced, in milliseconds. */
 const PLANNED_DRAIN_MS = 250;
 const CHANGE_RETRY_MS = 80;
+/** Time between two looks at what the replicas receive, in milliseconds. */
+const REPLICA_CHECK_MS = 2_000;
 const PROMOTED_POLL_MS = 50;
 /** A promoted server that does not say that it leads in this time is given up, in milliseconds. */
 const PROMOTED_WITHIN_MS = 2_500;
@@ -67,6 +70,7 @@
     })
     .with({ kind: 'led' }, ({ server }) => {
       const primary = owner.servers.get(server);
+      void checkReplicas(owner);
       if (primary) void watchLed(owner, primary, false);
       else void changePrimary(owner, 'it is gone', false);
     })
@@ -167,6 +171,7 @@
   server.position = status.position;
   owner.owed = createOwedPositions(status.position, nowMs);
   owner.leadership = { kind: 'led', server: name, sinceMs: nowMs };
+  owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
   const { term, position } = status;
   owner.environment.log(
     `${name} leads ${owner.group} in term ${term} at ${position.term}.${position.offset}: ${why}`,
@@ -203,7 +208,8 @@
     return;
   }
   if (hasStalledCommits(owner, primary)) {
-    await changePrimary(owner, 'its commits are not acknowledged', false, true);
+    owner.stalledCommits = [];
+    await examineStall(owner, primary);
     return;
   }
   if (!isSuspected && primary.failingSinceMs === undefined && !isUnanswered(primary)) return;
@@ -251,6 +257,49 @@
   return owner.stalledCommits.length > 0;
 }
 
+/**
+ * Commits hang: either replicas were kept from receiving and have to be let go on, or the primary
+ * does not reach any replica, and one that this owner reaches has to take over.
+ */
+async function examineStall(owner: StatementOwner, primary: ServerState): Promise<void> {
+  const statuses = await orderAll(owner, () => ({ kind: 'status' }));
+  if (!mayAct(owner) || owner.leadership.kind !== 'led') return;
+  const own = statuses.find(({ server }) => server === primary);
+  const replicas = statuses.filter(({ server }) => server !== primary);
+  if (resumePaused(owner, replicas) || replicas.length === 0) return;
+  const isBehind = ({ status }: ServerStatus) =>
+    !own || comparePositions(status.position, own.status.position) < 0;
+  if (replicas.every(isBehind)) {
+    await changePrimary(owner, 'its commits reach no replica', false, true);
+  }
+}
+
+/** Lets replicas receive again that a fence has stopped; returns whether there were any. */
+function resumePaused(owner: StatementOwner, replicas: readonly ServerStatus[]): boolean {
+  const paused = replicas.filter(({ status }) => status.role === 'replica' && status.heldTerm > 0);
+  for (const { server } of paused) {
+    owner.environment.log(`${server.announcement.server} of ${owner.group} may receive again`);
+    void orderStatus(owner, server, { kind: 'resume' });
+  }
+  return paused.length > 0;
+}
+
+/** A replica may have been stopped by an earlier owner, or by an order that was carried out late. */
+async function checkReplicas(owner: StatementOwner): Promise<void> {
+  const { leadership } = owner;
+  if (leadership.kind !== 'led') return;
+  const nowMs = performance.now();
+  if (nowMs - owner.replicasCheckedMs < REPLICA_CHECK_MS) return;
+  owner.replicasCheckedMs = nowMs;
+  const replicas = [...owner.servers.values()].filter(
+    (server) =>
+      server.announcement.server !== leadership.server && server.failingSinceMs === undefined,
+  );
+  const asked = replicas.map((server) => orderStatus(owner, server, { kind: 'status' }));
+  const statuses = (await Promise.all(asked)).filter((status) => status !== undefined);
+  if (mayAct(owner) && owner.leadership === leadership) resumePaused(owner, statuses);
+}
+
 const verifying = new WeakSet<StatementOwner>();
 
 async function verifyLead(owner: StatementOwner, primary: ServerState): Promise<void> {
@@ -286,7 +335,7 @@
   isStalled = false,
 ): Promise<void> {
   if (owner.leadership.kind === 'changing') return;
-  const former = primaryOf(owner);
+  const former = primaryOf(owner) ?? recordedPrimary(owner);
   const sinceMs = performance.now();
   owner.leadership = { kind: 'changing', sinceMs, reason };
   owner.environment.log(`change of primary of ${owner.group} starts: ${reason}`);
@@ -307,6 +356,15 @@
   if (!owner.isClosed) owner.leadership = { kind: 'unknown', sinceMs: performance.now() };
 }
 
+/** The primary as control and the servers themselves last knew it. */
+function recordedPrimary(owner: StatementOwner): ServerState | undefined {
+  const { primary } = owner.environment.groupRecord();
+  const announced = [...owner.servers.values()].find(
+    ({ announcement }) => announcement.role === 'primary',
+  );
+  return announced ?? (primary === undefined ? undefined : owner.servers.get(primary));
+}
+
 async function awaitWrites(owner: StatementOwner, former: ServerState): Promise<void> {
   const untilMs = performance.now() + PLANNED_DRAIN_MS;
   const isWriting = () =>
