Read at a replica in the entry's own zone when the route allows for age; share announcements among members

Change: owners offer entries the replicas of their zone with a position that covers everything acknowledged when they asked; entries read there directly while the offer is younger than the route's reads may be, and fall back to the owner. Half of a replica's connections belong to such readers. Ruled out: a share of each server for each entry without an owner (primary reads, writes, fairness).

--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -19,6 +19,8 @@
 export interface AnnouncementRelay {
   /** Passes an announcement on; resolves with whether the group's owner has taken it. */
   readonly announce: (announcement: ServerAnnouncement) => Promise<boolean>;
+  /** Takes in what another member was told; returns whether it is news. */
+  readonly keep: (announcement: ServerAnnouncement) => boolean;
   /** A server has ended as planned. */
   readonly leave: (server: ServerName) => Promise<void>;
   /** Looks for owners that are new since the last call. */
@@ -31,6 +33,8 @@
 const OWNER_POLL_MS = 40;
 /** An announcement that was not renewed for this long is not handed to a new owner, in milliseconds. */
 const KEPT_MS = 5_000;
+/** What other members were told is renewed this often, in milliseconds; well within what they keep. */
+const SHARE_EVERY_MS = 2_500;
 const REQUEST_EVERY_MS = 400;
 
 interface KeptAnnouncement {
@@ -50,17 +54,15 @@
   log: Log,
 ): AnnouncementRelay {
   const kept = new Map<ServerName, KeptAnnouncement>();
+  const shared = new Map<ServerName, { role: string; isLeaving: boolean; atMs: number }>();
   const links = new Map<string, LinkClient>();
   const knownEpochs = new Map<GroupName, number>();
   const requestedAtMs = new Map<GroupName, number>();
-  return { announce, leave, refresh, close };
+  return { announce, keep, leave, refresh, close };
 
   async function announce(announcement: ServerAnnouncement): Promise<boolean> {
-    const { server, group } = announcement;
-    const known = kept.get(server);
-    if (!known || isNewerAnnouncement(announcement, known.announcement)) {
-      kept.set(server, { announcement, atMs: performance.now() });
-    }
+    const { group } = announcement;
+    if (keep(announcement)) share(announcement);
     const untilMs = performance.now() + OWNER_TIMEOUT_MS;
     for (;;) {
       const isTaken = await tell(group, 'server/announce', announcement);
@@ -70,6 +72,25 @@
     }
   }
 
+  /** Takes in an announcement of this member's or another one's; returns whether it is news. */
+  function keep(announcement: ServerAnnouncement): boolean {
+    const known = kept.get(announcement.server);
+    if (known && !isNewerAnnouncement(announcement, known.announcement)) return false;
+    kept.set(announcement.server, { announcement, atMs: performance.now() });
+    return true;
+  }
+
+  /** The other members keep it too, in case this one is lost before the group has a new owner. */
+  function share(announcement: ServerAnnouncement): void {
+    const { server, role, isLeaving } = announcement;
+    const nowMs = performance.now();
+    const known = shared.get(server);
+    const isSame = known?.role === role && known.isLeaving === isLeaving;
+    if (isSame && nowMs - known.atMs < SHARE_EVERY_MS) return;
+    shared.set(server, { role, isLeaving, atMs: nowMs });
+    member()?.tellMembers('server/keep', announcement);
+  }
+
   async function leave(server: ServerName): Promise<void> {
     const known = kept.get(server);
     kept.delete(server);
--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -52,14 +52,16 @@
   readonly isEligible: boolean;
   readonly log: Log;
   readonly counters: Counters;
-  /** Called after entries of the log were applied. */
-  readonly onApplied?: () => void;
+  /** Takes what another member tells besides the log. */
+  readonly onMemberEvent?: (method: string, params: unknown) => void;
 }
 
 export interface ControlMember {
   readonly app: ControlApp;
   /** Answers a request here while this member leads, otherwise asks the member that does. */
   readonly askLeader: (method: string, params: unknown, timeoutMs: number) => Promise<unknown>;
+  /** Tells all other members something that they may miss. */
+  readonly tellMembers: (method: string, params: unknown) => void;
   readonly stop: () => Promise<void>;
 }
 
@@ -102,7 +104,6 @@
       onApplied: () => {
         openLeaderTerm();
         if (leader) schedulePush(leader);
-        options.onApplied?.();
       },
       onRoundConfirmed: (startedAtMs) => {
         if (leader) handleRoundConfirmed(leader, startedAtMs);
@@ -119,7 +120,8 @@
   const linkServer = await listenForLinks(options.linkAddress, linkOptions, {
     onRequest: (peer, method, params) => handleRequest(app, peer, method, params),
     onNotify: (_peer, method, params) => {
-      learnAddress(params);
+      if (method === 'log/message') learnAddress(params);
+      else options.onMemberEvent?.(method, params);
       handleNotify(app, method, params);
     },
     onClose: handleLinkClosed,
@@ -141,7 +143,7 @@
     setInterval(() => void joinIfNeeded(), JOIN_EVERY_MS),
   ];
   log(`member ${selfId} listens at ${options.linkAddress}, disk ${storage.diskId}`);
-  return { app, askLeader, stop };
+  return { app, askLeader, tellMembers, stop };
 
   /** A member that has no log yet answers the leader at the address that came with its message. */
   function learnAddress(params: unknown): void {
@@ -204,6 +206,10 @@
     return answer?.orDefault(undefined);
   }
 
+  function tellMembers(method: string, params: unknown): void {
+    for (const link of links.values()) link.current()?.notify(method, params);
+  }
+
   async function joinIfNeeded(): Promise<void> {
     const record = membershipOf(driver.raft)[selfId];
     if (record?.diskId === storage.diskId) return;
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -53,6 +53,8 @@
 export interface ControlClientHooks {
   readonly onRecords: (deltas: readonly RecordDelta[]) => void;
   readonly onStatusRequest: () => unknown;
+  /** The instance may have been suspended: times that were measured before mean nothing now. */
+  readonly onSuspension?: () => void;
   /** The lease was lost; everything that was held under it must be dropped. */
   readonly onLeaseEnded: () => void;
 }
@@ -143,6 +145,7 @@
     leaseUntilMs = Number.NEGATIVE_INFINITY;
     settingsUntilMs = Number.NEGATIVE_INFINITY;
     renewalsValidFromMs = performance.now();
+    hooks.onSuspension?.();
     void renew();
     return true;
   }
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -15,6 +15,7 @@
 import type { Counters } from '@bramleykeel/link';
 import { match } from 'ts-pattern';
 import { type OwnerClient, type OwnerPort, runStatement } from '../locate/owner-client.js';
+import { type NearReads, readNear } from '../near/near-reads.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 import type { ConnectionState } from '../types/target-port.js';
 
@@ -26,6 +27,7 @@
   readonly isStopping: () => boolean;
   readonly rates: RateClient;
   readonly owners: OwnerClient;
+  readonly near: NearReads;
   readonly counters: Counters;
   readonly nextTransaction: () => number;
 }
@@ -254,8 +256,10 @@
     transaction: null,
   };
   const time = { deadlineMs: performance.now() + route.statementTimeoutMs, objectiveAtMs };
-  const { owners } = session.environment;
-  const { outcome } = await runStatement(owners, route.group, draft, undefined, time);
+  const { owners, near } = session.environment;
+  const nearOutcome = await readNear(near, route.group, draft, time.deadlineMs);
+  const outcome =
+    nearOutcome ?? (await runStatement(owners, route.group, draft, undefined, time)).outcome;
   if (outcome.kind === 'done' && access === 'write') noteMark(session, outcome.position);
   deliver(session, outcome);
 }
@@ -325,13 +329,15 @@
   key: string | undefined,
 ): Access | StatementRefusalReason {
   const settings = environment.settings();
+  // Looked at for open routes too: it notices a suspension, after which old offers mean nothing.
+  const isFresh = environment.hasFreshSettings();
   if (!settings) return 'settings-lease-expired';
   const route = settings.routes.get(database);
   if (!route) return 'unknown-database';
   const known: StatementCustomer | undefined =
     key === undefined ? undefined : settings.customerByKey.get(key);
   if (route.isOpenToAll) return { route, customer: known?.name ?? OPEN_CUSTOMER };
-  if (!environment.hasFreshSettings()) return 'settings-lease-expired';
+  if (!isFresh) return 'settings-lease-expired';
   if (!known) return 'key-rejected';
   return { route, customer: known.name };
 }
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -203,6 +203,29 @@
   }
 }
 
+/** Asks the group's owner something that changes nothing; `undefined` without an answer. */
+export async function askOwner(
+  client: OwnerClient,
+  group: GroupName,
+  question: {
+    readonly method: string;
+    readonly params: (epoch: number) => unknown;
+    readonly answerLocally: (epoch: number) => unknown;
+    readonly timeoutMs: number;
+  },
+): Promise<unknown> {
+  const port = findPort(client, group);
+  if (!port) return undefined;
+  if (port.isLocal) return question.answerLocally(port.epoch);
+  const peer = client.options.links().linkTo(port.linkAddress);
+  const answer = await peer?.request(
+    question.method,
+    question.params(port.epoch),
+    question.timeoutMs,
+  );
+  return answer?.orDefault(undefined);
+}
+
 function findPort(client: OwnerClient, group: GroupName): OwnerPort | undefined {
   const { control, links, requestResource } = client.options;
   const resource: Resource = `group/${group}`;
--- /dev/null
+++ b/packages/statement-entry/src/near/near-offer.ts
@@ -0,0 +1,59 @@
+/** What an owner tells entries that read at replicas near them. */
+import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
+import { primaryOf, sharedConnections, type StatementOwner } from '../owner/owner-state.js';
+
+export interface NearServer {
+  readonly server: ServerName;
+  readonly address: string;
+  readonly slots: number;
+}
+
+/** Replicas of one zone, and a position that covers all that was acknowledged when it was asked for. */
+export interface NearOffer {
+  readonly position: LogPosition;
+  readonly servers: readonly NearServer[];
+  /** Connections that the asking entry may have open to each of the servers. */
+  readonly maxConnections: number;
+}
+
+export interface NearQuestion {
+  readonly zone: string;
+  readonly entryId: string;
+}
+
+/** An entry that has not asked for this long reads there no more, in milliseconds. */
+const READER_GONE_AFTER_MS = 5_000;
+
+/**
+ * Answers an entry. Only an owner that holds its lease knows what is acknowledged; nobody else can
+ * acknowledge anything before that lease is over.
+ */
+export function offerNear(
+  owner: StatementOwner,
+  { zone, entryId }: NearQuestion,
+): NearOffer | undefined {
+  const primary = primaryOf(owner);
+  if (!owner.owed || !primary || owner.isStopping || !owner.environment.holdsLease()) {
+    return undefined;
+  }
+  const nowMs = performance.now();
+  owner.nearReaders.set(entryId, { zone, atMs: nowMs });
+  for (const [id, { atMs }] of owner.nearReaders) {
+    if (nowMs - atMs > READER_GONE_AFTER_MS) owner.nearReaders.delete(id);
+  }
+  const readers = [...owner.nearReaders.values()].filter((reader) => reader.zone === zone).length;
+  const servers = [...owner.servers.values()].filter(
+    (server) =>
+      server !== primary &&
+      server.announcement.zone === zone &&
+      !server.announcement.isLeaving &&
+      server.failingSinceMs === undefined,
+  );
+  return {
+    position: newestAcknowledged(owner.owed),
+    servers: servers.map(({ announcement: { server, address, slots } }) => {
+      return { server, address, slots };
+    }),
+    maxConnections: Math.max(1, Math.floor(sharedConnections(owner.environment) / 2 / readers)),
+  };
+}
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -2,6 +2,7 @@
 import type { StatementRequest } from '@bramleykeel/core';
 import { dropWaiting, endJob, notRun, submitJob } from './dispatch.js';
 import type { Job, OpenTransaction, OwnerChannel, StatementOwner } from './owner-state.js';
+import { valuesKeyOf } from '../target/connection-setup.js';
 import { rollBack, transactionKeyOf } from './run-job.js';
 
 export interface EntryChannel extends OwnerChannel {
@@ -78,10 +79,3 @@
     if (transaction.channel === channel) void rollBack(owner, transaction);
   }
 }
-
-/** Connections with equal values can be shared by sessions of one customer. */
-function valuesKeyOf(values: Readonly<Record<string, string>>): string {
-  const names = Object.keys(values);
-  if (names.length === 0) return '';
-  return JSON.stringify(names.sort().map((name) => [name, values[name]]));
-}
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -16,6 +16,7 @@
   ZERO_POSITION,
 } from '@bramleykeel/core';
 import type { Counters, Log } from '@bramleykeel/link';
+import type { PoolContext } from '../target/connection-pool.js';
 import type {
   OpenTarget,
   PromoteServer,
@@ -106,6 +107,9 @@
   readonly epoch: number;
   readonly environment: OwnerEnvironment;
   readonly startedAtMs: number;
+  readonly pools: PoolContext;
+  /** Entries that read at replicas near them, with the time when they last asked. */
+  readonly nearReaders: Map<string, { readonly zone: string; readonly atMs: number }>;
   readonly servers: Map<ServerName, ServerState>;
   readonly queues: Map<number, FairQueue<Job>>;
   readonly pinnedWaiting: Job[];
@@ -124,17 +128,46 @@
   timers: NodeJS.Timeout[];
 }
 
+/** Connections left free for an earlier owner that has not let go of all of its own. */
+const RESERVED_CONNECTIONS = 3;
+const DEFAULT_MAX_CONNECTIONS = 20;
+
+/** Connections to one server that owner and near readers may have open together. */
+export function sharedConnections(environment: OwnerEnvironment): number {
+  const cap = environment.groupSettings()?.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+  return Math.max(1, cap - RESERVED_CONNECTIONS);
+}
+
+/** Half of the connections to a server belong to the entries that read there themselves. */
+function ownConnections(
+  environment: OwnerEnvironment,
+  nearReaders: StatementOwner['nearReaders'],
+  { announcement }: ServerState,
+): number {
+  const shared = sharedConnections(environment);
+  const isShared = [...nearReaders.values()].some(({ zone }) => zone === announcement.zone);
+  return isShared ? Math.ceil(shared / 2) : shared;
+}
+
 export function createStatementOwner(
   group: GroupName,
   epoch: number,
   environment: OwnerEnvironment,
 ): StatementOwner {
   const nowMs = performance.now();
+  const nearReaders: StatementOwner['nearReaders'] = new Map();
   return {
     group,
     epoch,
     environment,
     startedAtMs: nowMs,
+    nearReaders,
+    pools: {
+      group,
+      openTarget: environment.openTarget,
+      counters: environment.counters,
+      maxConnections: (server) => ownConnections(environment, nearReaders, server),
+    },
     servers: new Map(),
     queues: new Map(),
     pinnedWaiting: [],
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -16,6 +16,12 @@
   noteFailure,
   releaseConnection,
 } from '../target/connection-pool.js';
+import {
+  type BeginOrder,
+  noteSetup,
+  setupOrders,
+  statementOrder,
+} from '../target/connection-setup.js';
 import type { TargetAnswer, TargetOrder, TargetRefusal } from '../types/target-port.js';
 import { dispatch, endJob, notRun, requeueJob } from './dispatch.js';
 import type {
@@ -71,7 +77,7 @@
 /** A statement outside of transactions, or the first one of a transaction. */
 async function runFirst(owner: StatementOwner, job: Job, server: ServerState): Promise<void> {
   const { customer } = job.request;
-  const acquired = await acquireConnection(owner, server, customer, job.valuesKey);
+  const acquired = await acquireConnection(owner.pools, server, customer, job.valuesKey);
   if (acquired.kind === 'unavailable') {
     if (server.failingSinceMs !== undefined) suspectPrimary(owner, server);
     requeueJob(owner, job);
@@ -97,7 +103,7 @@
   job: Job,
   pooled: PooledConnection,
 ): Promise<boolean> {
-  for (const order of setupOrders(owner, job, pooled, true)) {
+  for (const order of setupOrders(needOf(job), pooled, beginOf(owner, job))) {
     const timeoutMs = Math.min(SETUP_TIMEOUT_MS, job.deadlineMs - performance.now());
     const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
     if (answer.kind === 'done') {
@@ -128,51 +134,11 @@
   return true;
 }
 
-function* setupOrders(
-  owner: StatementOwner,
-  job: Job,
-  pooled: PooledConnection,
-  isFirst: boolean,
-): Generator<TargetOrder> {
-  const { values, body, transaction } = job.request;
-  if (pooled.valuesKey !== job.valuesKey) {
-    const isSubset = Object.entries(pooled.values).every(([name, value]) => values[name] === value);
-    if (!isSubset) yield { kind: 'reset' };
-    for (const [name, value] of Object.entries(values)) {
-      if (pooled.values[name] !== value) yield { kind: 'set', name, value };
-    }
-    pooled.valuesKey = job.valuesKey;
-  }
-  if (body.kind === 'prepared') {
-    const name = preparedName(body.access, body.shape);
-    const { access, shape } = body;
-    if (!pooled.prepared.has(name)) yield { kind: 'prepare', name, access, shape };
-  }
-  if (transaction && isFirst) {
-    const { isReadOnly } = transaction;
-    yield { kind: 'begin', isReadOnly, after: owedNow(owner, job) };
-  }
-}
-
-function noteSetup(pooled: PooledConnection, order: TargetOrder): void {
-  if (order.kind === 'reset') {
-    pooled.values = {};
-    pooled.prepared.clear();
-  }
-  if (order.kind === 'set') pooled.values = { ...pooled.values, [order.name]: order.value };
-  if (order.kind === 'prepare') pooled.prepared.add(order.name);
-}
-
 function noteDone(pooled: PooledConnection, position: LogPosition | null): void {
   noteAnswer(pooled.server);
   if (position) pooled.server.position = latestPosition(pooled.server.position, position);
 }
 
-/** Names of our own, by kind and shape, so that sessions share what is prepared. */
-function preparedName(access: 'read' | 'write', shape: string): string {
-  return `${access === 'read' ? 'r' : 'w'}_${shape}`;
-}
-
 function owedNow(owner: StatementOwner, job: Job): LogPosition | null {
   if (!owner.owed) return null;
   const { request } = job;
@@ -183,11 +149,20 @@
 }
 
 function orderOf(owner: StatementOwner, job: Job): TargetOrder {
-  const { tag, body, access, transaction } = job.request;
+  const { access, transaction } = job.request;
   const after = access === 'read' && !transaction ? owedNow(owner, job) : null;
-  if (body.kind === 'plain') return { kind: 'run', tag, after, text: body.text };
-  const name = preparedName(body.access, body.shape);
-  return { kind: 'execute', tag, after, name, argument: body.argument };
+  return statementOrder(job.request, after);
+}
+
+function needOf({ request: { values, body }, valuesKey }: Job) {
+  return { values, body, valuesKey };
+}
+
+function beginOf(owner: StatementOwner, job: Job): BeginOrder | undefined {
+  const { transaction } = job.request;
+  return transaction
+    ? { isReadOnly: transaction.isReadOnly, after: owedNow(owner, job) }
+    : undefined;
 }
 
 async function sendOrder(
@@ -265,7 +240,7 @@
   pooled: PooledConnection,
 ): Promise<void> {
   transaction.isBusy = true;
-  for (const order of setupOrders(owner, job, pooled, false)) {
+  for (const order of setupOrders(needOf(job), pooled, undefined)) {
     const setUp = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setUp.kind !== 'done') {
       settleInTransaction(owner, job, transaction, pooled, setUp);
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -26,7 +26,7 @@
 import { dropTransaction } from './run-job.js';
 
 /** A silent primary is given up once probes have failed for this long, in milliseconds. */
-const SILENT_FOR_MS = 900;
+const SILENT_FOR_MS = 550;
 /** Refused connections in a row that prove a process gone. */
 const REFUSALS_FOR_PROOF = 2;
 const SUSPECT_PROBE_MS = 80;
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -3,6 +3,7 @@
 import {
   type CustomerName,
   documentOf,
+  type GroupName,
   type RateLimit,
   type RecordDelta,
   type Resource,
@@ -39,7 +40,10 @@
   type SessionEnvironment,
 } from './accept/session.js';
 import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
+import { type NearOffer, type NearQuestion, offerNear } from './near/near-offer.js';
+import { createNearReads, forgetOffers, type NearReads } from './near/near-reads.js';
 import {
+  askOwner,
   createOwnerClient,
   loseLink,
   loseSuperseded,
@@ -107,6 +111,7 @@
   readonly stop: (stopListening: () => void) => Promise<void>;
 }
 
+const NEAR_TIMEOUT_MS = 400;
 const LOCAL_CHANNEL = 'local';
 /** Time over which idle sessions are closed when the entry stops, in milliseconds. */
 const CLOSE_IDLE_OVER_MS = 1_500;
@@ -153,6 +158,9 @@
   const control: ControlClient = startControlClient(options, log, {
     onRecords: takeRecords,
     onStatusRequest: () => ({ entryId: options.entryId, counters: counters.totals() }),
+    onSuspension: () => {
+      forgetOffers(near);
+    },
     onLeaseEnded: () => {
       closeAllStatementOwners(registry);
       loseSuperseded(owners);
@@ -202,6 +210,20 @@
     },
     requestResource,
   });
+  const near: NearReads = createNearReads({
+    zone: options.zone,
+    openTarget: options.openTarget,
+    counters,
+    askOwner: (group) => {
+      const question = { zone: options.zone, entryId: options.entryId };
+      return askOwner(owners, group, {
+        method: 'near/ask',
+        params: (epoch) => ({ group, epoch, question }),
+        answerLocally: (epoch) => answerNear(group, epoch, question),
+        timeoutMs: NEAR_TIMEOUT_MS,
+      }).then((offer) => (offer ?? undefined) as NearOffer | undefined);
+    },
+  });
   const draws: RateDraws = {
     homes: createRateHomes(),
     control,
@@ -219,6 +241,7 @@
       draw: (draw) => drawFromHome(draws, draw),
     }),
     owners,
+    near,
     counters,
     nextTransaction: () => {
       transactionCount += 1;
@@ -274,10 +297,29 @@
     }
   }
 
+  /** Acknowledgements that already wait in the sockets are read first: they count as given. */
+  async function answerNear(
+    group: GroupName,
+    epoch: number,
+    question: NearQuestion,
+  ): Promise<NearOffer | null> {
+    await new Promise((resolve) => setImmediate(resolve));
+    const owner = findStatementOwner(registry, group, epoch);
+    return (owner && offerNear(owner, question)) ?? null;
+  }
+
   function answerRequest(method: string, params: unknown): unknown {
     switch (method) {
       case 'rate/draw':
         return answerDrawHere(draws, params as TokenDraw) ?? null;
+      case 'near/ask': {
+        const { group, epoch, question } = params as {
+          group: GroupName;
+          epoch: number;
+          question: NearQuestion;
+        };
+        return answerNear(group, epoch, question);
+      }
       case 'server/announce':
         return deliverServerAnnouncement(registry, params as ServerAnnouncement);
       case 'server/leave':
