Serve draws of rate tokens in the order of their arrival; warm connections; a line for each statement without a result

In the first 2 s of a large site connections were opened while callers waited (p50 266 ms). Ruled out: an unreachable home (no such refusal), lost tokens (one customer only).

--- a/packages/entry-shared/src/admit/rate-draw.ts
+++ b/packages/entry-shared/src/admit/rate-draw.ts
@@ -24,10 +24,10 @@
 const DRAW_TIMEOUT_MS = 300;
 
 /** Answers a draw, if this entry is the customer's home. */
-export function answerDrawHere(draws: RateDraws, draw: TokenDraw): TokenGrant | undefined {
+export function answerDrawHere(draws: RateDraws, draw: TokenDraw): Promise<TokenGrant | undefined> {
   const setting = draws.limitOf(draw.customer);
   const heldEpoch = draws.control.heldEpoch(`customer/${draw.customer}`);
-  return answerDraw(draws.homes, draw, setting, heldEpoch, performance.now());
+  return answerDraw(draws.homes, draw, setting, heldEpoch);
 }
 
 /** Draws tokens from the customer's home; `undefined` when it cannot be reached now. */
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -59,7 +59,8 @@
     const { group, query } = params as { group: GroupName; query: FateQuery };
     return answerFateQuery(app.owners, group, query);
   },
-  'rate/draw': (app, params) => answerDrawHere(app.draws, params as TokenDraw) ?? null,
+  'rate/draw': (app, params) =>
+    answerDrawHere(app.draws, params as TokenDraw).then((grant) => grant ?? null),
 };
 
 /** Takes an event; an unknown one is counted and dropped. */
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -12,11 +12,11 @@
   toCustomerName,
 } from '@bramleykeel/core';
 import { admit, type RateClient } from '@bramleykeel/entry-shared';
-import type { Counters } from '@bramleykeel/link';
+import type { Counters, Log } from '@bramleykeel/link';
 import { match } from 'ts-pattern';
 import { type OwnerClient, type OwnerPort, runStatement } from '../locate/owner-client.js';
 import { type NearReads, readNear } from '../near/near-reads.js';
-import type { CallerPort, CallerRequest } from '../types/caller-port.js';
+import type { CallerError, CallerPort, CallerRequest } from '../types/caller-port.js';
 import type { ConnectionState } from '../types/target-port.js';
 
 /** What sessions need from the rest of their entry. */
@@ -29,6 +29,7 @@
   readonly owners: OwnerClient;
   readonly near: NearReads;
   readonly counters: Counters;
+  readonly log: Log;
   readonly nextTransaction: () => number;
 }
 
@@ -200,7 +201,7 @@
     failStatement(session, { kind: 'malformed', reason: 'a transaction is open already' });
     return;
   }
-  const access = await admitOperation(session);
+  const access = await admitOperation(session, 'BEGIN');
   if (!access) return;
   const { route, customer } = access;
   const objectiveAtMs = performance.now() + route.objectiveMs;
@@ -228,7 +229,7 @@
   session.transaction = undefined;
   session.state = 'idle';
   if (outcome.kind === 'done' && !transaction.isReadOnly) noteMark(session, outcome.position);
-  deliver(session, outcome);
+  deliver(session, outcome, tag);
 }
 
 async function runBody(
@@ -241,10 +242,10 @@
   if (transaction) {
     const outcome = await runInTransaction(session, transaction, tag, access, body);
     if (outcome.kind !== 'done') session.state = 'failed';
-    deliver(session, outcome);
+    deliver(session, outcome, tag);
     return;
   }
-  const admitted = await admitOperation(session);
+  const admitted = await admitOperation(session, tag);
   if (!admitted) return;
   const { route, customer } = admitted;
   const objectiveAtMs = performance.now() + route.objectiveMs;
@@ -261,7 +262,7 @@
   const outcome =
     nearOutcome ?? (await runStatement(owners, route.group, draft, undefined, time)).outcome;
   if (outcome.kind === 'done' && access === 'write') noteMark(session, outcome.position);
-  deliver(session, outcome);
+  deliver(session, outcome, tag);
 }
 
 async function runInTransaction(
@@ -308,18 +309,18 @@
 }
 
 /** Checks the route, the key and the rate of an operation; answers the caller when it is refused. */
-async function admitOperation(session: CallerSession): Promise<Access | undefined> {
+async function admitOperation(session: CallerSession, tag: string): Promise<Access | undefined> {
   const { environment } = session;
   const access = findAccess(environment, session.database, session.key);
   if (typeof access === 'string') {
-    refuse(session, notRun(access, RETRY_AFTER_MS));
+    refuse(session, notRun(access, RETRY_AFTER_MS), tag);
     return undefined;
   }
   if (access.customer === OPEN_CUSTOMER) return access;
   const refusal = await admit(environment.rates, access.customer, 1, undefined);
   if (!refusal) return access;
   const reason = refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
-  refuse(session, notRun(reason, RATE_RETRY_MS));
+  refuse(session, notRun(reason, RATE_RETRY_MS), `${tag} of ${access.customer}`);
   return undefined;
 }
 
@@ -350,21 +351,36 @@
   if (position) session.mark = session.mark ? latestPosition(session.mark, position) : position;
 }
 
-function deliver(session: CallerSession, outcome: StatementOutcome): void {
+function deliver(session: CallerSession, outcome: StatementOutcome, tag: string): void {
   if (session.isClosed) return;
   if (outcome.kind !== 'done') {
-    refuse(session, outcome);
+    refuse(session, outcome, tag);
     return;
   }
   session.port.answer(outcome.rows, outcome.signature, session.state, outcome.position);
 }
 
-function refuse(session: CallerSession, error: Parameters<CallerPort['refuse']>[0]): void {
-  const { counters } = session.environment;
+function refuse(
+  session: CallerSession,
+  error: Parameters<CallerPort['refuse']>[0],
+  tag = '-',
+): void {
+  const { counters, log } = session.environment;
   counters.count(error.kind === 'not-run' ? `refusal.${error.reason}` : `refusal.${error.kind}`);
+  log(`${session.database} ${tag}: ${describeError(error)}, settings ${settingsAge(session)}`);
   if (!session.isClosed) session.port.refuse(error, session.state);
 }
 
+function describeError(error: CallerError): string {
+  if (error.kind === 'not-run') return `not run, ${error.reason}`;
+  return 'reason' in error ? `${error.kind}, ${error.reason}` : error.kind;
+}
+
+function settingsAge({ environment }: CallerSession): string {
+  const version = environment.settings()?.version ?? 'none';
+  return `${version}, ${environment.hasFreshSettings() ? 'fresh' : 'lease over'}`;
+}
+
 /** A statement that cannot be run fails the transaction that it belongs to. */
 function failStatement(session: CallerSession, error: Parameters<CallerPort['refuse']>[0]): void {
   if (session.transaction) session.state = 'failed';
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -3,6 +3,7 @@
 import {
   type ApplyResult,
   type ControlCommand,
+  type CustomerName,
   type GroupName,
   groupRecordOf,
   listAssignments,
@@ -81,6 +82,7 @@
     holdsLease: () => control.heldEpoch(`group/${group}`) === epoch,
     groupRecord: () => groupRecordOf(control, group),
     groupSettings: () => settings()?.groups.get(group),
+    customers: () => customersByRate(settings()),
     idleTransactionMs: () => settings()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
     propose: (command) => propose(control, command),
   };
@@ -91,6 +93,12 @@
   }
 }
 
+function customersByRate(settings: StatementSettings | undefined): readonly CustomerName[] {
+  return [...(settings?.customers.values() ?? [])]
+    .sort((left, right) => right.ratePerSecond - left.ratePerSecond)
+    .map(({ name }) => name);
+}
+
 /** A proposal without an answer counts as superseded: the owner looks at the record and goes on. */
 async function propose(control: ControlClient, command: ControlCommand): Promise<ApplyResult> {
   const answer = await control.call('control/propose', command);
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -34,6 +34,8 @@
   readonly holdsLease: () => boolean;
   readonly groupRecord: () => GroupRecord;
   readonly groupSettings: () => StatementGroup | undefined;
+  /** Customers by the settings in force, those with the highest rates first. */
+  readonly customers: () => readonly CustomerName[];
   readonly idleTransactionMs: () => number;
   readonly propose: (command: ControlCommand) => Promise<ApplyResult>;
   readonly openTarget: OpenTarget;
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -14,6 +14,7 @@
 } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
 import { dropIdle } from '../target/connection-pool.js';
+import { warmConnections } from '../target/connection-warmup.js';
 import {
   closeControlConnection,
   orderAll,
@@ -71,6 +72,7 @@
     .with({ kind: 'led' }, ({ server }) => {
       const primary = owner.servers.get(server);
       void checkReplicas(owner);
+      void warmConnections(owner);
       if (primary) void watchLed(owner, primary, false);
       else void changePrimary(owner, 'it is gone', false);
     })
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -90,6 +90,8 @@
   readonly readTargetStatus: ReadTargetStatus;
   readonly promoteServer: PromoteServer;
   readonly log: Log;
+  /** A line for each statement that has no result. */
+  readonly callerLog: Log;
   readonly counters: Counters;
 }
 
@@ -243,6 +245,7 @@
     owners,
     near,
     counters,
+    log: options.callerLog,
     nextTransaction: () => {
       transactionCount += 1;
       return transactionCount;
@@ -311,7 +314,7 @@
   function answerRequest(method: string, params: unknown): unknown {
     switch (method) {
       case 'rate/draw':
-        return answerDrawHere(draws, params as TokenDraw) ?? null;
+        return answerDrawHere(draws, params as TokenDraw).then((grant) => grant ?? null);
       case 'near/ask': {
         const { group, epoch, question } = params as {
           group: GroupName;
