--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -128,9 +128,8 @@
   if (endPredecessors(service.leases, assignments, renewal)) reassignOrphans(service);
   const { incarnation, settingsRevision, knownIndex } = renewal;
   service.renewedAtMs.set(incarnation, { atMs: nowMs, settingsRevision });
-  const watcher = service.watchers.get(peer);
-  const sinceIndex = watcher ? Math.max(watcher.knownIndex, knownIndex) : knownIndex;
-  const push = createPush(service, sinceIndex);
+  // What an earlier reply held may never have arrived, so only the entry's own word counts here.
+  const push = createPush(service, knownIndex);
   service.watchers.set(peer, { incarnation, knownIndex: push.appliedIndex });
   const { leaseMs, settingsLeaseMs } = service.timing;
   const memberAddresses = Object.values(membershipOf(service.driver.raft)).map(
@@ -142,6 +141,7 @@
 function createPush(service: LeaderService, sinceIndex: number): RecordsPush {
   const control = service.driver.control();
   return {
+    sinceIndex,
     deltas: recordsSince(control, sinceIndex),
     appliedIndex: control.appliedIndex,
     settingsRevision: control.settingsRevision,
--- /dev/null
+++ b/packages/core/src/promotion/choose-successor.test.ts
@@ -0,0 +1,93 @@
+import { describe, expect, it } from 'vitest';
+import type { ServerName } from '../types/ids.js';
+import { chooseSuccessor, type FencedServer, type SuccessorContext } from './choose-successor.js';
+
+const name = (text: string) => text as ServerName;
+
+function fenced(server: string, offset: number, change: Partial<FencedServer> = {}): FencedServer {
+  const position = { term: 2, offset };
+  return { server: name(server), position, isLeaving: false, wasPrimary: false, ...change };
+}
+
+const base: SuccessorContext = {
+  fenced: [],
+  unfenced: [],
+  acknowledged: { term: 2, offset: 10 },
+  unfencedSilentMs: 0,
+  isQuiet: false,
+};
+
+describe('the successor of a primary', () => {
+  it.each<{ name: string; context: Partial<SuccessorContext>; expected: string }>([
+    {
+      name: 'both replicas fenced: the longer log',
+      context: { fenced: [fenced('a', 10), fenced('b', 12)] },
+      expected: 'b',
+    },
+    {
+      name: 'equal logs: one that stays',
+      context: { fenced: [fenced('a', 12, { isLeaving: true }), fenced('b', 12)] },
+      expected: 'b',
+    },
+    {
+      name: 'equal logs: always the same one',
+      context: { fenced: [fenced('b', 12), fenced('a', 12)] },
+      expected: 'a',
+    },
+    {
+      name: 'a longer log goes before one that stays',
+      context: { fenced: [fenced('a', 12, { isLeaving: true }), fenced('b', 11)] },
+      expected: 'a',
+    },
+    {
+      name: 'one replica might still acknowledge',
+      context: { fenced: [fenced('a', 12)], unfenced: [name('b')] },
+      expected: 'replica-may-acknowledge',
+    },
+    {
+      name: 'it has been silent since long before',
+      context: { fenced: [fenced('a', 12)], unfenced: [name('b')], unfencedSilentMs: 3_000 },
+      expected: 'a',
+    },
+    {
+      name: 'it has been silent for long, and the other lacks an acknowledged commit',
+      context: { fenced: [fenced('a', 9)], unfenced: [name('b')], unfencedSilentMs: 9_000 },
+      expected: 'behind-acknowledged',
+    },
+    {
+      name: 'the primary gave up its role: nothing more is acknowledged',
+      context: {
+        fenced: [fenced('a', 10), fenced('p', 12, { wasPrimary: true })],
+        unfenced: [name('b')],
+      },
+      expected: 'a',
+    },
+    {
+      name: 'only the former primary has everything',
+      context: {
+        fenced: [fenced('a', 9), fenced('p', 12, { wasPrimary: true })],
+        unfenced: [name('b')],
+      },
+      expected: 'p',
+    },
+    {
+      name: 'all replicas fenced below what the primary had reported as its own end',
+      context: { fenced: [fenced('a', 9), fenced('b', 8)] },
+      expected: 'a',
+    },
+    {
+      name: 'a planned change waits until a replica has caught up',
+      context: { fenced: [fenced('a', 9)], isQuiet: true },
+      expected: 'behind-acknowledged',
+    },
+    {
+      name: 'a planned change with a replica that has',
+      context: { fenced: [fenced('a', 10)], isQuiet: true },
+      expected: 'a',
+    },
+    { name: 'nobody answers', context: {}, expected: 'no-candidate' },
+  ])('$name: $expected', ({ context, expected }) => {
+    const choice = chooseSuccessor({ ...base, ...context });
+    expect(choice.kind === 'promote' ? choice.server : choice.reason).toBe(expected);
+  });
+});
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -126,6 +126,7 @@
       /** Validity counted from when the entry sent its renewal. */
       readonly leaseMs: number;
       readonly settingsLeaseMs: number;
+      readonly sinceIndex: number;
       readonly deltas: readonly RecordDelta[];
       readonly appliedIndex: number;
       readonly settingsRevision: number;
@@ -142,6 +143,8 @@
 
 /** Changed records, pushed by the leader to every entry that renews with it. */
 export interface RecordsPush {
+  /** Everything that changed after this index, up to `appliedIndex`, is among the deltas. */
+  readonly sinceIndex: number;
   readonly deltas: readonly RecordDelta[];
   readonly appliedIndex: number;
   readonly settingsRevision: number;
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -18,6 +18,7 @@
 import { type Either, Left } from 'purify-ts';
 import { match } from 'ts-pattern';
 import { type ControlLinks, createControlLinks } from './control-links.js';
+import { applyPush, createRecordCopy } from './record-copy.js';
 
 export interface ControlClient {
   readonly records: ReadonlyMap<string, StoredRecord>;
@@ -73,13 +74,13 @@
   log: Log,
   hooks: ControlClientHooks,
 ): ControlClient {
-  const records = new Map<string, StoredRecord>();
+  const copy = createRecordCopy();
+  const { records } = copy;
   const { timing } = options;
   const clock = createSuspensionWatch();
   let learntAddresses: readonly string[] = [];
   let leaderAddress: string | undefined;
   let incarnation = createIncarnation();
-  let knownIndex = 0;
   let settingsRevision = 0;
   let leaseUntilMs = Number.NEGATIVE_INFINITY;
   let settingsUntilMs = Number.NEGATIVE_INFINITY;
@@ -211,7 +212,7 @@
       linkMbps: options.linkMbps,
       isBesideControl: options.isBesideControl,
       isStopping,
-      knownIndex,
+      knownIndex: copy.knownIndex,
       settingsRevision,
     };
     const sentAtMs = performance.now();
@@ -260,18 +261,12 @@
       .exhaustive();
   }
 
-  /** Records only move forward: a late push never takes one back. */
   function takePush(push: RecordsPush): void {
-    const fresh = push.deltas.filter(({ key, stored }) => {
-      const known = records.get(key);
-      return !known || known.modifiedIndex < stored.modifiedIndex;
-    });
-    for (const { key, stored } of fresh) records.set(key, stored);
-    knownIndex = Math.max(knownIndex, push.appliedIndex);
+    const fresh = applyPush(copy, push);
     const hasNewSettings = push.settingsRevision > settingsRevision;
     settingsRevision = Math.max(settingsRevision, push.settingsRevision);
     if (fresh.length > 0) hooks.onRecords(fresh);
-    if (hasNewSettings) void renew();
+    if (hasNewSettings || push.sinceIndex > copy.knownIndex) void renew();
   }
 }
 
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -1,6 +1,7 @@
 /** Wires the parts of an entry that speaks a statement-level dialect. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
+  assignmentOf,
   type CustomerName,
   documentOf,
   type GroupName,
@@ -118,6 +119,8 @@
 /** Time over which idle sessions are closed when the entry stops, in milliseconds. */
 const CLOSE_IDLE_OVER_MS = 1_500;
 const STOP_POLL_MS = 25;
+/** Share of the turns in which an entry asks for a home, so that many entries do not all ask at once. */
+const HOME_REQUEST_SHARE = 0.25;
 /** The balancer needs two misses, a second apart, to send callers elsewhere. In milliseconds. */
 const STILL_CALLED_MS = 2_400;
 /** An open transaction may go on for this long before its group is handed over, in milliseconds. */
@@ -253,6 +256,7 @@
   };
   const keepTimer = setInterval(() => {
     reconcileStatementOwners(registry);
+    requestHome();
   }, timing.renewEveryMs);
   log(`entry ${options.entryId} listens for other entries at ${options.linkAddress}`);
   return { startSession, endSession, isReady, stop };
@@ -386,6 +390,15 @@
     return created;
   }
 
+  /** Customers get homes before they come, a few at a time, whichever entry asks first. */
+  function requestHome(): void {
+    if (!settings || Math.random() > HOME_REQUEST_SHARE) return;
+    const resources = [...settings.customers.keys()].map((name): Resource => `customer/${name}`);
+    const homeless = resources.filter((resource) => !assignmentOf(control, resource));
+    const next = homeless[Math.floor(Math.random() * homeless.length)];
+    if (next !== undefined) requestResource(next, undefined);
+  }
+
   function requestResource(resource: Resource, zone: string | undefined): void {
     const nowMs = performance.now();
     if (nowMs - (requestedAtMs.get(resource) ?? Number.NEGATIVE_INFINITY) < timing.renewEveryMs)
