--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,6 +14,11 @@
       '@typescript-eslint/consistent-type-imports': 'error',
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
       // Numbers in log lines and error texts need no conversion by hand.
+      // Only the adapter itself knows the users' platform.
+      'no-restricted-imports': [
+        'error',
+        { patterns: ['@bramleykeel/platform', '**/platform/**', '**/platform'] },
+      ],
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
     },
   },
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -110,8 +110,8 @@
   readonly values: Readonly<Record<string, string>>;
   /** Time left for the statement, counted from its arrival at the owner. */
   readonly budgetMs: number;
-  /** Time left until the operation's objective is missed. */
-  readonly objectiveMs: number;
+  /** Time in which it has to be sent to a server, or be refused as not run. */
+  readonly startWithinMs: number;
 }
 
 /** Why a statement was refused although nothing of it ran. */
--- a/packages/entry-shared/src/admit/rate-draw.ts
+++ b/packages/entry-shared/src/admit/rate-draw.ts
@@ -45,6 +45,32 @@
   if (assignment.incarnation === draws.control.incarnation()) return answerDrawHere(draws, request);
   const peer = draws.linkTo(assignment.linkAddress);
   if (!peer) return undefined;
-  const answer = await peer.request('rate/draw', request, DRAW_TIMEOUT_MS);
-  return (answer.orDefault(null) as TokenGrant | null) ?? undefined;
+  const answer = await peer.request('rate/draw', encodeDraw(request), DRAW_TIMEOUT_MS);
+  return decodeGrant(answer.orDefault(null) as GrantCode | null);
+}
+
+/** Draws are the most frequent messages between entries, so they are sent as short lists. */
+export type DrawCode = readonly [customer: string, epoch: number, wanted: number, returned: number];
+
+export type GrantCode = readonly [granted: number, lifetimeMs: number, retryAfterMs: number];
+
+/** Answers a draw that came over a link; `null` when this entry is not the home. */
+export async function answerDrawCode(
+  draws: RateDraws,
+  [customer, epoch, wanted, returned]: DrawCode,
+): Promise<GrantCode | null> {
+  const draw = { customer: customer as CustomerName, epoch, wanted, returned };
+  const grant = await answerDrawHere(draws, draw);
+  if (!grant) return null;
+  return [grant.granted, Math.floor(grant.lifetimeMs), Math.ceil(grant.retryAfterMs)];
+}
+
+function encodeDraw({ customer, epoch, wanted, returned }: TokenDraw): DrawCode {
+  return [customer, epoch, wanted, returned];
+}
+
+function decodeGrant(code: GrantCode | null): TokenGrant | undefined {
+  if (!code) return undefined;
+  const [granted, lifetimeMs, retryAfterMs] = code;
+  return { granted, lifetimeMs, retryAfterMs };
 }
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -4,12 +4,11 @@
   FateQuery,
   FromOwnerMessage,
   GroupName,
-  TokenDraw,
   ToOwnerMessage,
 } from '@bramleykeel/core';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
 import { type CallerRegistry, cancelLocal, dispatchAnswer } from './accept/caller-registry.js';
-import { answerDrawHere, type RateDraws } from '@bramleykeel/entry-shared';
+import { answerDrawCode, type DrawCode, type RateDraws } from '@bramleykeel/entry-shared';
 import type { AnswerChannel } from './owner/answer-channel.js';
 import {
   answerFateQuery,
@@ -59,8 +58,7 @@
     const { group, query } = params as { group: GroupName; query: FateQuery };
     return answerFateQuery(app.owners, group, query);
   },
-  'rate/draw': (app, params) =>
-    answerDrawHere(app.draws, params as TokenDraw).then((grant) => grant ?? null),
+  'rate/draw': (app, params) => answerDrawCode(app.draws, params as DrawCode),
 };
 
 /** Takes an event; an unknown one is counted and dropped. */
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -14,7 +14,12 @@
 import { admit, type RateClient } from '@bramleykeel/entry-shared';
 import type { Counters, Log } from '@bramleykeel/link';
 import { match } from 'ts-pattern';
-import { type OwnerClient, type OwnerPort, runStatement } from '../locate/owner-client.js';
+import {
+  type OwnerClient,
+  type OwnerPort,
+  runStatement,
+  statementTime,
+} from '../locate/owner-client.js';
 import { type NearReads, readNear } from '../near/near-reads.js';
 import type { CallerError, CallerPort, CallerRequest } from '../types/caller-port.js';
 import type { ConnectionState } from '../types/target-port.js';
@@ -38,7 +43,6 @@
   readonly isReadOnly: boolean;
   readonly route: StatementRoute;
   readonly customer: CustomerName;
-  readonly objectiveAtMs: number;
   /** The owner that has it; `undefined` until its first statement was sent. */
   port: OwnerPort | undefined;
 }
@@ -204,9 +208,8 @@
   const access = await admitOperation(session, 'BEGIN');
   if (!access) return;
   const { route, customer } = access;
-  const objectiveAtMs = performance.now() + route.objectiveMs;
   const number = session.environment.nextTransaction();
-  session.transaction = { number, isReadOnly, route, customer, objectiveAtMs, port: undefined };
+  session.transaction = { number, isReadOnly, route, customer, port: undefined };
   session.state = 'open';
   confirm(session);
 }
@@ -248,7 +251,6 @@
   const admitted = await admitOperation(session, tag);
   if (!admitted) return;
   const { route, customer } = admitted;
-  const objectiveAtMs = performance.now() + route.objectiveMs;
   const draft = {
     ...describeRead(session, route, customer),
     tag,
@@ -256,7 +258,7 @@
     body,
     transaction: null,
   };
-  const time = { deadlineMs: performance.now() + route.statementTimeoutMs, objectiveAtMs };
+  const time = statementTime(route.statementTimeoutMs);
   const { owners, near } = session.environment;
   const nearOutcome = await readNear(near, route.group, draft, time.deadlineMs);
   const outcome =
@@ -274,7 +276,7 @@
 ): Promise<StatementOutcome> {
   const refusal = checkKey(session);
   if (refusal) return refusal;
-  const { route, customer, number, isReadOnly, objectiveAtMs } = transaction;
+  const { route, customer, number, isReadOnly } = transaction;
   const isFirst = transaction.port === undefined;
   const draft = {
     ...describeRead(session, route, customer),
@@ -283,7 +285,7 @@
     body,
     transaction: { number, isReadOnly, isFirst },
   };
-  const time = { deadlineMs: performance.now() + route.statementTimeoutMs, objectiveAtMs };
+  const time = statementTime(route.statementTimeoutMs);
   const { owners } = session.environment;
   const result = await runStatement(owners, route.group, draft, transaction.port, time);
   transaction.port = result.port;
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -57,7 +57,26 @@
   readonly port: OwnerPort | undefined;
 }
 
-export type StatementDraft = Omit<StatementRequest, 'number' | 'budgetMs' | 'objectiveMs'>;
+export type StatementDraft = Omit<StatementRequest, 'number' | 'budgetMs' | 'startWithinMs'>;
+
+export interface StatementTime {
+  /** When the statement's answer is due. */
+  readonly deadlineMs: number;
+  /** Until when it may wait to be sent to a server. */
+  readonly startByMs: number;
+}
+
+/**
+ * Share of a statement's time that it may wait for a server. What waits longer is refused as not run,
+ * so that its caller can come back in time.
+ */
+const WAIT_SHARE = 0.45;
+
+/** The times of a statement that arrives now. */
+export function statementTime(timeoutMs: number): StatementTime {
+  const nowMs = performance.now();
+  return { deadlineMs: nowMs + timeoutMs, startByMs: nowMs + timeoutMs * WAIT_SHARE };
+}
 
 const PORT_POLL_MS = 15;
 /** The owner answers within the statement's time; its answer may take this much longer, in milliseconds. */
@@ -81,14 +100,14 @@
   group: GroupName,
   draft: StatementDraft,
   bound: OwnerPort | undefined,
-  time: { readonly deadlineMs: number; readonly objectiveAtMs: number },
+  time: StatementTime,
 ): Promise<RunResult> {
   const isBound = draft.transaction !== null && !draft.transaction.isFirst;
   for (;;) {
-    const port = isBound ? bound : await awaitPort(client, group, time.deadlineMs);
+    const port = isBound ? bound : await awaitPort(client, group, time.startByMs);
     if (!port) return { outcome: notRun('no-owner'), port: undefined };
     const outcome = await sendOnce(client, port, draft, time);
-    const isOver = performance.now() >= time.deadlineMs;
+    const isOver = performance.now() >= time.startByMs;
     if (outcome === 'not-sent') {
       if (isBound) return { outcome: aborted(), port };
       if (isOver) return { outcome: notRun('no-owner'), port };
@@ -125,7 +144,7 @@
   client: OwnerClient,
   port: OwnerPort,
   draft: StatementDraft,
-  time: { readonly deadlineMs: number; readonly objectiveAtMs: number },
+  time: StatementTime,
 ): Promise<StatementOutcome | 'owner-lost' | 'not-sent'> {
   const nowMs = performance.now();
   const number = client.nextNumber;
@@ -135,7 +154,7 @@
     ...draft,
     number,
     budgetMs,
-    objectiveMs: time.objectiveAtMs - nowMs,
+    startWithinMs: Math.max(0, time.startByMs - nowMs),
   };
   return new Promise((resolve) => {
     const timer = setTimeout(() => {
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -33,7 +33,7 @@
     owner.pinnedWaiting.push(job);
   } else {
     const { customer, priority } = job.request;
-    const queued = { item: job, customer, deadlineMs: job.deadlineMs };
+    const queued = { item: job, customer, deadlineMs: job.startByMs };
     if (enqueue(queueOf(owner, priority), queued, performance.now()) === 'full') {
       endJob(owner, job, notRun('queue-full'));
       return;
@@ -145,13 +145,13 @@
 export function requeueJob(owner: StatementOwner, job: Job): void {
   job.attempts += 1;
   if (job.isEnded) return;
-  if (performance.now() >= job.deadlineMs || owner.isClosed) {
+  if (performance.now() >= job.startByMs || owner.isClosed) {
     endJob(owner, job, notRun('queue-timeout'));
     return;
   }
   const { customer, priority } = job.request;
   const queue = queueOf(owner, priority);
-  enqueue(queue, { item: job, customer, deadlineMs: job.deadlineMs }, performance.now());
+  enqueue(queue, { item: job, customer, deadlineMs: job.startByMs }, performance.now());
 }
 
 /** Drops everything that waits and matches, for example when its entry is gone. */
@@ -170,9 +170,11 @@
 }
 
 /** Answers a statement, once. */
-export function endJob(owner: StatementOwner, job: Job, outcome: StatementOutcome): void {
+export function endJob(owner: StatementOwner, job: Job, proposed: StatementOutcome): void {
   if (job.isEnded) return;
   job.isEnded = true;
+  const isFalse = proposed.kind === 'not-run' && job.mayHaveRun;
+  const outcome: StatementOutcome = isFalse ? { kind: 'timed-out' } : proposed;
   owner.environment.counters.count(
     outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
   );
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -22,6 +22,8 @@
     valuesKey: valuesKeyOf(request.values),
     arrivedAtMs: nowMs,
     deadlineMs: nowMs + request.budgetMs,
+    startByMs: nowMs + request.startWithinMs,
+    mayHaveRun: false,
     transaction: undefined,
     attempts: 0,
     isEnded: false,
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -93,6 +93,10 @@
   readonly valuesKey: string;
   readonly arrivedAtMs: number;
   readonly deadlineMs: number;
+  /** Until when it may wait for a server. */
+  readonly startByMs: number;
+  /** Set once a server may have run it: then it is never refused as not run. */
+  mayHaveRun: boolean;
   transaction: OpenTransaction | undefined;
   attempts: number;
   isEnded: boolean;
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -222,6 +222,7 @@
     .with({ kind: 'lost' }, { kind: 'overdue' }, (broken) => {
       handleBreak(owner, pooled, broken);
       discardConnection(pooled);
+      job.mayHaveRun = true;
       if (access === 'read' && broken.kind === 'lost') requeueJob(owner, job);
       else endJob(owner, job, brokenOutcome(broken));
     })
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -13,13 +13,13 @@
   type StatementRefusalReason,
   type StatementSettings,
   type TimingSettings,
-  type TokenDraw,
 } from '@bramleykeel/core';
 import {
-  answerDrawHere,
+  answerDrawCode,
   type ControlClient,
   createRateClient,
   createRateHomes,
+  type DrawCode,
   drawFromHome,
   type RateDraws,
   startControlClient,
@@ -318,7 +318,7 @@
   function answerRequest(method: string, params: unknown): unknown {
     switch (method) {
       case 'rate/draw':
-        return answerDrawHere(draws, params as TokenDraw).then((grant) => grant ?? null);
+        return answerDrawCode(draws, params as DrawCode);
       case 'near/ask': {
         const { group, epoch, question } = params as {
           group: GroupName;
--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -28,7 +28,7 @@
   mark: PositionCode,
   values: Readonly<Record<string, string>> | null,
   budgetMs: number,
-  objectiveMs: number,
+  startWithinMs: number,
 ];
 
 export type OutcomeCode = readonly [number, ...(readonly unknown[])];
@@ -55,7 +55,7 @@
     encodePosition(request.mark),
     Object.keys(values).length > 0 ? values : null,
     Math.round(request.budgetMs),
-    Math.round(request.objectiveMs),
+    Math.round(request.startWithinMs),
   ];
 }
 
@@ -65,7 +65,7 @@
   readonly request: StatementRequest;
 } {
   const [group, epoch, number, tag, access, body, transaction, customer, priority] = code;
-  const [, , , , , , , , , consistency, maxReadAgeMs, mark, values, budgetMs, objectiveMs] = code;
+  const [, , , , , , , , , consistency, maxReadAgeMs, mark, values, budgetMs, startWithinMs] = code;
   const request: StatementRequest = {
     number,
     tag,
@@ -83,7 +83,7 @@
     mark: decodePosition(mark),
     values: values ?? {},
     budgetMs,
-    objectiveMs,
+    startWithinMs,
   };
   return { group, epoch, request };
 }
