--- /dev/null
+++ b/packages/entry-shared/src/admit/rate-home.test.ts
@@ -0,0 +1,55 @@
+import { toCustomerName } from '@bramleykeel/core';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { answerDraw, createRateHomes } from './rate-home.js';
+
+const customer = toCustomerName('tuulgan');
+const limit = { ratePerSecond: 100, burst: 20 };
+const draw = (wanted: number) => ({ customer, epoch: 2, wanted, returned: 0 });
+
+describe('the home of a customer’s rate', () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it('answers only under the epoch that it holds', async () => {
+    const homes = createRateHomes();
+    expect(await answerDraw(homes, draw(1), limit, undefined)).toBeUndefined();
+    expect(await answerDraw(homes, draw(1), limit, 3)).toBeUndefined();
+    expect(await answerDraw(homes, draw(1), undefined, 2)).toBeUndefined();
+  });
+
+  it('serves draws that have to wait in the order of their arrival', async () => {
+    const homes = createRateHomes();
+    const served: string[] = [];
+    const ask = (name: string) =>
+      answerDraw(homes, draw(1), limit, 2).then((grant) => {
+        served.push(`${name} ${grant?.granted ?? -1}`);
+      });
+    const asked = ['far', 'near', 'near again'].map(ask);
+    await vi.advanceTimersByTimeAsync(45);
+    await Promise.all(asked);
+    expect(served).toEqual(['far 1', 'near 1', 'near again 1']);
+  });
+
+  it('grants nothing, and says when to ask again, once a draw has waited long enough', async () => {
+    const homes = createRateHomes();
+    const slow = { ratePerSecond: 1, burst: 2 };
+    const asked = answerDraw(homes, draw(1), slow, 2);
+    await vi.advanceTimersByTimeAsync(60);
+    const grant = await asked;
+    expect(grant?.granted).toBe(0);
+    expect(grant?.retryAfterMs).toBeGreaterThan(800);
+  });
+
+  it('starts empty when an earlier home may just have granted everything', async () => {
+    const first = await answerDraw(createRateHomes(), { ...draw(10), epoch: 1 }, limit, 1);
+    expect(first?.granted).toBe(10);
+    const later = answerDraw(createRateHomes(), draw(10), limit, 2);
+    await vi.advanceTimersByTimeAsync(60);
+    expect((await later)?.granted).toBeLessThan(7);
+  });
+});
--- a/packages/statement-entry/src/near/near-offer.ts
+++ b/packages/statement-entry/src/near/near-offer.ts
@@ -57,3 +57,34 @@
     maxConnections: Math.max(1, Math.floor(sharedConnections(owner.environment) / 2 / readers)),
   };
 }
+
+/** Questions and offers go over links often, so they are sent as short lists. */
+export type NearQuestionCode = readonly [
+  group: string,
+  epoch: number,
+  zone: string,
+  entryId: string,
+];
+
+export type NearOfferCode = readonly [
+  term: number,
+  offset: number,
+  maxConnections: number,
+  ...servers: (readonly [server: string, address: string, slots: number])[],
+];
+
+export function encodeOffer(offer: NearOffer | undefined): NearOfferCode | null {
+  if (!offer) return null;
+  const { position, maxConnections, servers } = offer;
+  const list = servers.map(({ server, address, slots }) => [server, address, slots] as const);
+  return [position.term, position.offset, maxConnections, ...list];
+}
+
+export function decodeOffer(code: NearOfferCode | null | undefined): NearOffer | undefined {
+  if (!code) return undefined;
+  const [term, offset, maxConnections, ...list] = code;
+  const servers = list.map(([server, address, slots]) => {
+    return { server: server as ServerName, address, slots };
+  });
+  return { position: { term, offset }, maxConnections, servers };
+}
--- a/packages/statement-entry/src/near/near-reads.ts
+++ b/packages/statement-entry/src/near/near-reads.ts
@@ -53,7 +53,7 @@
 }
 
 /** An offer is renewed this often while reads come, in milliseconds. */
-const ASK_EVERY_MS = 450;
+const ASK_EVERY_MS = 650;
 /** Part of a read's allowed age that is kept back for its own way to the replica, in milliseconds. */
 const AGE_MARGIN_MS = 200;
 /** A replica whose connections failed is left to the owner's judgement for this long. */
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -13,6 +13,7 @@
   type StatementRefusalReason,
   type StatementSettings,
   type TimingSettings,
+  toGroupName,
 } from '@bramleykeel/core';
 import {
   answerDrawCode,
@@ -41,7 +42,14 @@
   type SessionEnvironment,
 } from './accept/session.js';
 import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
-import { type NearOffer, type NearQuestion, offerNear } from './near/near-offer.js';
+import {
+  decodeOffer,
+  encodeOffer,
+  type NearOfferCode,
+  type NearQuestion,
+  type NearQuestionCode,
+  offerNear,
+} from './near/near-offer.js';
 import { createNearReads, forgetOffers, type NearReads } from './near/near-reads.js';
 import {
   askOwner,
@@ -223,10 +231,10 @@
       const question = { zone: options.zone, entryId: options.entryId };
       return askOwner(owners, group, {
         method: 'near/ask',
-        params: (epoch) => ({ group, epoch, question }),
+        params: (epoch): NearQuestionCode => [group, epoch, options.zone, options.entryId],
         answerLocally: (epoch) => answerNear(group, epoch, question),
         timeoutMs: NEAR_TIMEOUT_MS,
-      }).then((offer) => (offer ?? undefined) as NearOffer | undefined);
+      }).then((code) => decodeOffer(code as NearOfferCode | null | undefined));
     },
   });
   const draws: RateDraws = {
@@ -309,10 +317,10 @@
     group: GroupName,
     epoch: number,
     question: NearQuestion,
-  ): Promise<NearOffer | null> {
+  ): Promise<NearOfferCode | null> {
     await new Promise((resolve) => setImmediate(resolve));
     const owner = findStatementOwner(registry, group, epoch);
-    return (owner && offerNear(owner, question)) ?? null;
+    return encodeOffer(owner && offerNear(owner, question));
   }
 
   function answerRequest(method: string, params: unknown): unknown {
@@ -320,12 +328,8 @@
       case 'rate/draw':
         return answerDrawCode(draws, params as DrawCode);
       case 'near/ask': {
-        const { group, epoch, question } = params as {
-          group: GroupName;
-          epoch: number;
-          question: NearQuestion;
-        };
-        return answerNear(group, epoch, question);
+        const [group, epoch, zone, entryId] = params as NearQuestionCode;
+        return answerNear(toGroupName(group), epoch, { zone, entryId });
       }
       case 'server/announce':
         return deliverServerAnnouncement(registry, params as ServerAnnouncement);
--- /dev/null
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -0,0 +1,89 @@
+import { Encoder } from 'cbor-x';
+import {
+  type StatementOutcome,
+  type StatementRequest,
+  toCustomerName,
+  toGroupName,
+} from '@bramleykeel/core';
+import { describe, expect, it } from 'vitest';
+import { decodeOffer, encodeOffer, type NearOffer } from '../near/near-offer.js';
+import {
+  decodeOutcome,
+  decodeStatement,
+  encodeOutcome,
+  encodeStatement,
+  type OutcomeCode,
+  type StatementCode,
+} from './link-codec.js';
+
+const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
+const overLink = <Value>(value: Value): Value => encoder.decode(encoder.encode(value)) as Value;
+const group = toGroupName('ledger');
+
+const plain: StatementRequest = {
+  number: 7,
+  tag: 'ab12',
+  access: 'read',
+  body: { kind: 'plain', text: 'READ lens  with blanks ' },
+  transaction: null,
+  customer: toCustomerName('tuulgan'),
+  priority: 1,
+  consistency: 'own-writes',
+  maxReadAgeMs: 2_500,
+  mark: { term: 3, offset: 1_207 },
+  values: {},
+  budgetMs: 800,
+  startWithinMs: 360,
+};
+
+describe('statements on links', () => {
+  it.each<StatementRequest>([
+    plain,
+    { ...plain, mark: null, values: { unit: 'mm' } },
+    {
+      ...plain,
+      access: 'write',
+      body: { kind: 'prepared', access: 'write', shape: 'q', argument: 'a b' },
+    },
+    { ...plain, access: 'commit', transaction: { number: 4, isReadOnly: false, isFirst: true } },
+    { ...plain, transaction: { number: 4, isReadOnly: true, isFirst: false } },
+  ])('come back as they were sent: %#', (request) => {
+    const code = overLink<StatementCode>(encodeStatement(group, 9, request));
+    expect(decodeStatement(code)).toEqual({ group, epoch: 9, request });
+  });
+
+  it.each<StatementOutcome>([
+    { kind: 'done', rows: [], signature: '-', position: null, isFromReplica: false },
+    {
+      kind: 'done',
+      rows: ['a b', '', 'c'],
+      signature: 's.1',
+      position: { term: 1, offset: 2 },
+      isFromReplica: true,
+    },
+    { kind: 'not-run', reason: 'queue-timeout', retryAfterMs: 200 },
+    { kind: 'aborted', reason: 'lost' },
+    { kind: 'failed', text: 'no' },
+    { kind: 'timed-out' },
+    { kind: 'unknown', reason: 'lost' },
+  ])('are answered as they ended: $kind', (outcome) => {
+    const code = overLink<OutcomeCode>(encodeOutcome(7, outcome));
+    expect(decodeOutcome(code)).toEqual({ number: 7, outcome });
+  });
+
+  it('carry offers to near readers, and the lack of one', () => {
+    const offer: NearOffer = {
+      position: { term: 2, offset: 5 },
+      maxConnections: 3,
+      servers: [
+        {
+          server: 'i-1' as NearOffer['servers'][number]['server'],
+          address: '127.0.0.1:1',
+          slots: 2,
+        },
+      ],
+    };
+    expect(decodeOffer(overLink(encodeOffer(offer)))).toEqual(offer);
+    expect(decodeOffer(overLink(encodeOffer(undefined)))).toBeUndefined();
+  });
+});
