--- /dev/null
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -0,0 +1,174 @@
+/** Replaces a primary: fence, choice of the successor, promotion, and the end of what waited for the former one. */
+import { setTimeout as delay } from 'node:timers/promises';
+import {
+  chooseSuccessor,
+  newestAcknowledged,
+  ZERO_POSITION,
+  type FencedServer,
+} from '@bramleykeel/core';
+import { dropIdle } from '../target/connection-pool.js';
+import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
+import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { dropTransaction } from './run-job.js';
+import { newestPrimary, lead, mayAct } from './take-over.js';
+import { orderPromotion, awaitLead } from './order-promotion.js';
+
+/** Writes that run on a leaving primary may take this long before it is replaced, in milliseconds. */
+const PLANNED_DRAIN_MS = 250;
+const CHANGE_RETRY_MS = 80;
+
+interface ChangeProgress {
+  /** Whether servers were already kept from acknowledging anything. */
+  hasFenced: boolean;
+  /** Whether a primary that answers again may simply go on. */
+  readonly isRevocable: boolean;
+}
+
+/** Replaces the primary; statements for it wait meanwhile. */
+export async function changePrimary(
+  owner: StatementOwner,
+  reason: string,
+  isPlanned: boolean,
+  isStalled = false,
+): Promise<void> {
+  if (owner.leadership.kind === 'changing') return;
+  const former = primaryOf(owner) ?? recordedPrimary(owner);
+  const sinceMs = performance.now();
+  owner.leadership = { kind: 'changing', sinceMs, reason };
+  owner.environment.log(`change of primary of ${owner.group} starts: ${reason}`);
+  owner.environment.counters.count('failover.started');
+  if (isPlanned && former) await awaitWrites(owner, former);
+  const change: ChangeProgress = { hasFenced: false, isRevocable: !isStalled };
+  while (mayAct(owner)) {
+    const promoted = await tryChange(owner, former, isPlanned, change);
+    if (promoted && mayAct(owner)) {
+      owner.lastPromotionMs = performance.now();
+      owner.stalledCommits = [];
+      lead(owner, promoted, `promoted after ${Math.round(performance.now() - sinceMs)} ms`);
+      if (former && former !== promoted.server) abandon(owner, former, isPlanned);
+      return;
+    }
+    await delay(CHANGE_RETRY_MS);
+  }
+  if (!owner.isClosed) owner.leadership = { kind: 'unknown', sinceMs: performance.now() };
+}
+
+/** The primary as control and the servers themselves last knew it. */
+function recordedPrimary(owner: StatementOwner): ServerState | undefined {
+  const { primary } = owner.environment.groupRecord();
+  const announced = [...owner.servers.values()].find(
+    ({ announcement }) => announcement.role === 'primary',
+  );
+  return announced ?? (primary === undefined ? undefined : owner.servers.get(primary));
+}
+
+async function awaitWrites(owner: StatementOwner, former: ServerState): Promise<void> {
+  const untilMs = performance.now() + PLANNED_DRAIN_MS;
+  const isWriting = () =>
+    [...owner.running].some(({ request, transaction }) => {
+      if (request.access === 'read' && !transaction) return false;
+      return transaction?.pooled === undefined || transaction.pooled.server === former;
+    });
+  while (isWriting() && performance.now() < untilMs) await delay(5);
+}
+
+async function tryChange(
+  owner: StatementOwner,
+  former: ServerState | undefined,
+  isPlanned: boolean,
+  change: ChangeProgress,
+): Promise<ServerStatus | undefined> {
+  const statuses = await orderAll(owner, () => ({ kind: 'status' }));
+  if (!mayAct(owner)) return undefined;
+  const present = newestPrimary(statuses);
+  if (present && present.server !== former) {
+    // A promotion that was ordered earlier has been carried out meanwhile.
+    const isConfirmed = await orderPromotion(owner, present.server.announcement.server);
+    return isConfirmed ? orderStatus(owner, present.server, { kind: 'status' }) : undefined;
+  }
+  if (present && !isPlanned && !change.hasFenced && change.isRevocable) return present;
+  change.hasFenced = true;
+  const fenced = isPlanned ? statuses : await fenceAll(owner, statuses);
+  if (!mayAct(owner)) return undefined;
+  const choice = chooseSuccessor(successorContext(owner, former, fenced, isPlanned));
+  if (choice.kind === 'wait') {
+    owner.environment.log(`change of primary of ${owner.group} waits: ${choice.reason}`);
+    return undefined;
+  }
+  owner.environment.log(`${choice.server} is to lead ${owner.group}: ${describe(fenced)}`);
+  const isOrdered = await orderPromotion(owner, choice.server);
+  return isOrdered ? awaitLead(owner, choice.server) : undefined;
+}
+
+function describe(statuses: readonly ServerStatus[]): string {
+  return statuses
+    .map(({ server, status: { role, position, heldTerm } }) => {
+      const name = server.announcement.server;
+      return `${name} ${role} ${position.term}.${position.offset} held ${heldTerm}`;
+    })
+    .join(', ');
+}
+
+/** Keeps every server in reach from acknowledging anything more under the present term. */
+async function fenceAll(
+  owner: StatementOwner,
+  statuses: readonly ServerStatus[],
+): Promise<ServerStatus[]> {
+  const terms = statuses.flatMap(({ status }) => [
+    status.term,
+    status.heldTerm,
+    status.position.term,
+  ]);
+  const known = owner.owed ? newestAcknowledged(owner.owed).term : 0;
+  const term = Math.max(0, known, ...terms) + 1;
+  const roles = new Map(statuses.map(({ server, status }) => [server, status.role]));
+  const answers = await orderAll(owner, (server) =>
+    roles.get(server) === 'primary' ? { kind: 'demote', term } : { kind: 'pause', term },
+  );
+  return answers.filter(({ status }) => status.role === 'replica');
+}
+
+function successorContext(
+  owner: StatementOwner,
+  former: ServerState | undefined,
+  fenced: readonly ServerStatus[],
+  isPlanned: boolean,
+) {
+  const nowMs = performance.now();
+  const reached = new Set(fenced.map(({ server }) => server));
+  const unfenced = isPlanned
+    ? []
+    : [...owner.servers.values()].filter((server) => server !== former && !reached.has(server));
+  const servers: FencedServer[] = fenced
+    .filter(({ status }) => status.role === 'replica')
+    .filter(({ server }) => !isPlanned || !server.announcement.isLeaving)
+    .map(({ server, status }) => ({
+      server: server.announcement.server,
+      position: status.position,
+      isLeaving: server.announcement.isLeaving,
+      wasPrimary: server === former,
+    }));
+  const silences = unfenced.map(({ failingSinceMs }) => nowMs - (failingSinceMs ?? nowMs));
+  return {
+    fenced: servers,
+    unfenced: unfenced.map(({ announcement }) => announcement.server),
+    acknowledged: owner.owed ? newestAcknowledged(owner.owed) : ZERO_POSITION,
+    unfencedSilentMs: Math.min(...silences, Number.MAX_SAFE_INTEGER),
+    isQuiet: isPlanned,
+  };
+}
+
+/** Ends what still waits for the former primary; one that is leaving answers for itself. */
+function abandon(owner: StatementOwner, former: ServerState, isPlanned: boolean): void {
+  dropIdle(former, () => true);
+  for (const transaction of [...owner.transactions.values()]) {
+    const isThere = transaction.pooled?.server === former;
+    if (!isThere || transaction.isReadOnly || transaction.isBusy) continue;
+    dropTransaction(owner, transaction);
+  }
+  if (isPlanned) return;
+  for (const job of owner.running) {
+    const pooled = job.transaction?.pooled;
+    if (pooled?.server === former) pooled.connection.close();
+  }
+}
--- /dev/null
+++ b/packages/statement-entry/src/owner/order-promotion.ts
@@ -0,0 +1,72 @@
+/** Lets the platform promote a server, under a token that control has committed for it. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { type ServerName } from '@bramleykeel/core';
+import { orderStatus, type ServerStatus } from '../target/server-control.js';
+import { type StatementOwner } from './owner-state.js';
+import { mayAct } from './take-over.js';
+
+/** Pause before a call without an answer is repeated, in milliseconds. */
+const PROMOTE_RETRY_MS = 80;
+const PROMOTED_POLL_MS = 50;
+/** A promoted server that does not say that it leads in this time is given up, in milliseconds. */
+const PROMOTED_WITHIN_MS = 2_500;
+/** An unanswered call to the platform is repeated this often under one token. */
+const PROMOTE_ATTEMPTS = 4;
+
+/**
+ * Orders the promotion under a token that control has committed for it. A token serves one server
+ * only, so an order that is carried out late can never undo a newer one.
+ */
+export async function orderPromotion(owner: StatementOwner, server: ServerName): Promise<boolean> {
+  const { environment, group, epoch: ownerEpoch } = owner;
+  const token = environment.groupRecord().proposedTerm + 1;
+  const proposed = await environment.propose({
+    kind: 'primary/propose',
+    group,
+    ownerEpoch,
+    term: token,
+  });
+  if (proposed.kind !== 'done' || !mayAct(owner)) {
+    environment.log(`control did not take token ${token} for ${group}: ${proposed.kind}`);
+    return false;
+  }
+  for (let attempt = 0; attempt < PROMOTE_ATTEMPTS && mayAct(owner); attempt += 1) {
+    const holder = environment.entryId;
+    const outcome = await environment.promoteServer({ group, server, holder, token });
+    environment.log(`promotion of ${server} under token ${token}: ${outcome}`);
+    if (outcome === 'accepted') {
+      void commitPrimary(owner, token, server);
+      return true;
+    }
+    if (outcome === 'refused') return false;
+    await delay(PROMOTE_RETRY_MS);
+  }
+  return false;
+}
+
+async function commitPrimary(
+  owner: StatementOwner,
+  term: number,
+  server: ServerName,
+): Promise<void> {
+  const { group, epoch: ownerEpoch } = owner;
+  const command = { kind: 'primary/commit', group, ownerEpoch, term, server } as const;
+  const result = await owner.environment.propose(command);
+  if (result.kind === 'done') return;
+  owner.environment.log(`control did not record ${server} as primary of ${group}: ${result.kind}`);
+}
+
+export async function awaitLead(
+  owner: StatementOwner,
+  name: ServerName,
+): Promise<ServerStatus | undefined> {
+  const untilMs = performance.now() + PROMOTED_WITHIN_MS;
+  while (mayAct(owner) && performance.now() < untilMs) {
+    const server = owner.servers.get(name);
+    if (!server) return undefined;
+    const answer = await orderStatus(owner, server, { kind: 'status' });
+    if (answer?.status.role === 'primary') return answer;
+    await delay(PROMOTED_POLL_MS);
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -0,0 +1,84 @@
+/** Finds the primary when an owner starts, and starts to serve from what the primary itself says. */
+import { createOwedPositions } from '@bramleykeel/core';
+import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
+import { dispatch } from './dispatch.js';
+import { type StatementOwner } from './owner-state.js';
+import { orderPromotion } from './order-promotion.js';
+import { isLost } from './watch-primary.js';
+import { changePrimary } from './change-primary.js';
+
+/** A group without any primary is watched for this long before a server is chosen, in milliseconds. */
+const ADOPTION_PATIENCE_MS = 3_000;
+
+const takingOver = new WeakSet<StatementOwner>();
+
+/** Starts to serve from what the primary itself says, so that nothing acknowledged is missed. */
+export async function takeOver(owner: StatementOwner): Promise<void> {
+  if (takingOver.has(owner) || owner.servers.size === 0) return;
+  takingOver.add(owner);
+  try {
+    const statuses = await orderAll(owner, () => ({ kind: 'status' }));
+    if (!mayAct(owner) || owner.leadership.kind !== 'unknown') return;
+    const primary = newestPrimary(statuses);
+    if (primary) await adopt(owner, primary);
+    else if (isPrimaryMissing(owner)) await changePrimary(owner, 'no server is primary', false);
+  } finally {
+    takingOver.delete(owner);
+  }
+}
+
+export function newestPrimary(statuses: readonly ServerStatus[]): ServerStatus | undefined {
+  return statuses
+    .filter(({ status }) => status.role === 'primary')
+    .sort((left, right) => right.status.term - left.status.term)[0];
+}
+
+function isPrimaryMissing(owner: StatementOwner): boolean {
+  if (owner.servers.size < 2) return false;
+  const announced = [...owner.servers.values()].find(
+    ({ announcement }) => announcement.role === 'primary',
+  );
+  if (announced?.failingSinceMs !== undefined) return isLost(announced);
+  return performance.now() - owner.startedAtMs >= ADOPTION_PATIENCE_MS;
+}
+
+/**
+ * An earlier owner may have ordered a promotion that is carried out late. A confirmation of the
+ * present primary under a higher token makes all such orders void.
+ */
+async function adopt(owner: StatementOwner, primary: ServerStatus): Promise<void> {
+  const { environment } = owner;
+  const record = environment.groupRecord();
+  const name = primary.server.announcement.server;
+  const isUnresolved = record.proposedTerm > record.term;
+  if (isUnresolved || (record.primary !== undefined && record.primary !== name)) {
+    const isConfirmed = await orderPromotion(owner, name);
+    if (!isConfirmed || !mayAct(owner)) return;
+    const again = await orderStatus(owner, primary.server, { kind: 'status' });
+    if (again?.status.role !== 'primary' || !mayAct(owner)) return;
+    lead(owner, again, 'it was confirmed');
+    return;
+  }
+  lead(owner, primary, 'it says so');
+  if (record.primary !== undefined) return;
+  const { group, epoch: ownerEpoch } = owner;
+  await environment.propose({ kind: 'primary/commit', group, ownerEpoch, term: 1, server: name });
+}
+
+export function lead(owner: StatementOwner, { server, status }: ServerStatus, why: string): void {
+  const nowMs = performance.now();
+  const name = server.announcement.server;
+  server.position = status.position;
+  owner.owed = createOwedPositions(status.position, nowMs);
+  owner.leadership = { kind: 'led', server: name, sinceMs: nowMs };
+  owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
+  const { term, position } = status;
+  owner.environment.log(
+    `${name} leads ${owner.group} in term ${term} at ${position.term}.${position.offset}: ${why}`,
+  );
+  dispatch(owner);
+}
+
+export function mayAct(owner: StatementOwner): boolean {
+  return !owner.isClosed && owner.environment.holdsLease();
+}
--- /dev/null
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -0,0 +1,52 @@
+/** Sees to it that replicas receive, and judges commits that hang. */
+import { comparePositions } from '@bramleykeel/core';
+import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
+import { type ServerState, type StatementOwner } from './owner-state.js';
+import { mayAct } from './take-over.js';
+import { changePrimary } from './change-primary.js';
+
+/** Time between two looks at what the replicas receive, in milliseconds. */
+const REPLICA_CHECK_MS = 2_000;
+
+/**
+ * Commits hang: either replicas were kept from receiving and have to be let go on, or the primary
+ * does not reach any replica, and one that this owner reaches has to take over.
+ */
+export async function examineStall(owner: StatementOwner, primary: ServerState): Promise<void> {
+  const statuses = await orderAll(owner, () => ({ kind: 'status' }));
+  if (!mayAct(owner) || owner.leadership.kind !== 'led') return;
+  const own = statuses.find(({ server }) => server === primary);
+  const replicas = statuses.filter(({ server }) => server !== primary);
+  if (resumePaused(owner, replicas) || replicas.length === 0) return;
+  const isBehind = ({ status }: ServerStatus) =>
+    !own || comparePositions(status.position, own.status.position) < 0;
+  if (replicas.every(isBehind)) {
+    await changePrimary(owner, 'its commits reach no replica', false, true);
+  }
+}
+
+/** Lets replicas receive again that a fence has stopped; returns whether there were any. */
+function resumePaused(owner: StatementOwner, replicas: readonly ServerStatus[]): boolean {
+  const paused = replicas.filter(({ status }) => status.role === 'replica' && status.heldTerm > 0);
+  for (const { server } of paused) {
+    owner.environment.log(`${server.announcement.server} of ${owner.group} may receive again`);
+    void orderStatus(owner, server, { kind: 'resume' });
+  }
+  return paused.length > 0;
+}
+
+/** A replica may have been stopped by an earlier owner, or by an order that was carried out late. */
+export async function checkReplicas(owner: StatementOwner): Promise<void> {
+  const { leadership } = owner;
+  if (leadership.kind !== 'led') return;
+  const nowMs = performance.now();
+  if (nowMs - owner.replicasCheckedMs < REPLICA_CHECK_MS) return;
+  owner.replicasCheckedMs = nowMs;
+  const replicas = [...owner.servers.values()].filter(
+    (server) =>
+      server.announcement.server !== leadership.server && server.failingSinceMs === undefined,
+  );
+  const asked = replicas.map((server) => orderStatus(owner, server, { kind: 'status' }));
+  const statuses = (await Promise.all(asked)).filter((status) => status !== undefined);
+  if (mayAct(owner) && owner.leadership === leadership) resumePaused(owner, statuses);
+}
