--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -4,23 +4,17 @@
   assignmentOf,
   type CustomerName,
   documentOf,
-  type GroupName,
   type RateLimit,
   type RecordDelta,
   type Resource,
-  type ServerAnnouncement,
-  type ServerName,
   type StatementRefusalReason,
   type StatementSettings,
   type TimingSettings,
-  toGroupName,
 } from '@bramleykeel/core';
 import {
-  answerDrawCode,
   type ControlClient,
   createRateClient,
   createRateHomes,
-  type DrawCode,
   drawFromHome,
   type RateDraws,
   startControlClient,
@@ -41,15 +35,15 @@
   isWithdrawn,
   type SessionEnvironment,
 } from './accept/session.js';
-import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
 import {
-  decodeOffer,
-  encodeOffer,
-  type NearOfferCode,
-  type NearQuestion,
-  type NearQuestionCode,
-  offerNear,
-} from './near/near-offer.js';
+  answerNear,
+  handleEvent,
+  handleLinkClosed,
+  handleRequest,
+  type StatementApp,
+} from './app.js';
+import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
+import { decodeOffer, type NearOfferCode, type NearQuestionCode } from './near/near-offer.js';
 import { createNearReads, forgetOffers, type NearReads } from './near/near-reads.js';
 import {
   askOwner,
@@ -63,23 +57,13 @@
 import {
   closeAllStatementOwners,
   createStatementOwnerRegistry,
-  deliverServerAnnouncement,
-  deliverServerLeave,
-  dropChannel,
   findStatementOwner,
   handOverStatementOwners,
   reconcileStatementOwners,
   type StatementOwnerRegistry,
 } from './owner/owner-registry.js';
 import type { CallerPort } from './types/caller-port.js';
-import {
-  decodeOutcome,
-  decodeStatement,
-  encodeOutcome,
-  encodeStatement,
-  type OutcomeCode,
-  type StatementCode,
-} from './types/link-codec.js';
+import { encodeStatement } from './types/link-codec.js';
 import type { OpenTarget, PromoteServer, ReadTargetStatus } from './types/target-port.js';
 
 export interface StatementEntryOptions {
@@ -148,23 +132,19 @@
 export async function startStatementEntry(options: StatementEntryOptions): Promise<StatementEntry> {
   const { log, counters, timing } = options;
   const sessions = new Set<CallerSession>();
-  const channels = new Map<LinkPeer, EntryChannel>();
   const requestedAtMs = new Map<Resource, number>();
   let settings: StatementSettings | undefined;
   let isStopping = false;
   let transactionCount = 0;
-  let channelCount = 0;
 
   const linkServer = await listenForLinks(
     options.linkAddress,
     { secret: options.linkSecret, ...DEFAULT_LINK_TIMING },
     {
-      onRequest: (_peer, method, params) => answerRequest(method, params),
+      onRequest: (_peer, method, params) => handleRequest(app, method, params),
       onNotify: takeEvent,
       onClose: (peer) => {
-        const channel = channels.get(peer);
-        channels.delete(peer);
-        if (channel) dropChannel(registry, channel);
+        handleLinkClosed(app, peer);
       },
     },
   );
@@ -232,7 +212,7 @@
       return askOwner(owners, group, {
         method: 'near/ask',
         params: (epoch): NearQuestionCode => [group, epoch, options.zone, options.entryId],
-        answerLocally: (epoch) => answerNear(group, epoch, question),
+        answerLocally: (epoch) => answerNear({ registry }, group, epoch, question),
         timeoutMs: NEAR_TIMEOUT_MS,
       }).then((code) => decodeOffer(code as NearOfferCode | null | undefined));
     },
@@ -244,6 +224,15 @@
     limitOf: (customer) => limitOf(settings, customer),
     requestResource,
   };
+  const app: StatementApp = {
+    counters,
+    registry,
+    owners,
+    draws,
+    channels: new Map(),
+    movedRetryMs: timing.renewEveryMs,
+    channelCount: 0,
+  };
   const environment: SessionEnvironment = {
     settings: () => settings,
     hasFreshSettings: control.hasFreshSettings,
@@ -296,6 +285,10 @@
     links.prune();
   }
 
+  function takeEvent(peer: LinkPeer, method: string, params: unknown): void {
+    handleEvent(app, peer, method, params);
+  }
+
   function takeDocument(): void {
     const document = documentOf(control);
     const decoded = document && options.decodeSettings(document.body);
@@ -312,88 +305,6 @@
     }
   }
 
-  /** Acknowledgements that already wait in the sockets are read first: they count as given. */
-  async function answerNear(
-    group: GroupName,
-    epoch: number,
-    question: NearQuestion,
-  ): Promise<NearOfferCode | null> {
-    await new Promise((resolve) => setImmediate(resolve));
-    const owner = findStatementOwner(registry, group, epoch);
-    return encodeOffer(owner && offerNear(owner, question));
-  }
-
-  function answerRequest(method: string, params: unknown): unknown {
-    switch (method) {
-      case 'rate/draw':
-        return answerDrawCode(draws, params as DrawCode);
-      case 'near/ask': {
-        const [group, epoch, zone, entryId] = params as NearQuestionCode;
-        return answerNear(toGroupName(group), epoch, { zone, entryId });
-      }
-      case 'server/announce':
-        return deliverServerAnnouncement(registry, params as ServerAnnouncement);
-      case 'server/leave':
-        deliverServerLeave(registry, params as ServerName);
-        return true;
-      default:
-        throw new Error(`unknown method ${method}`);
-    }
-  }
-
-  function takeEvent(peer: LinkPeer, method: string, params: unknown): void {
-    switch (method) {
-      case 'statement/run':
-        takeRemoteStatement(peer, params as StatementCode);
-        return;
-      case 'statement/outcome': {
-        const { number, outcome } = decodeOutcome(params as OutcomeCode);
-        takeOutcome(owners, number, outcome);
-        return;
-      }
-      case 'statement/rollback': {
-        const [group, epoch, transaction] = params as [StatementCode[0], number, number];
-        const owner = findStatementOwner(registry, group, epoch);
-        if (owner) takeRollback(owner, channelOf(peer), transaction);
-        return;
-      }
-      default:
-        counters.count('refusal.unknown-link-event');
-    }
-  }
-
-  function takeRemoteStatement(peer: LinkPeer, code: StatementCode): void {
-    const { group, epoch, request } = decodeStatement(code);
-    const channel = channelOf(peer);
-    const owner = findStatementOwner(registry, group, epoch);
-    if (owner) {
-      takeStatement(owner, channel, request);
-      return;
-    }
-    // A transaction that was begun here went with its owner.
-    const isLater = request.transaction?.isFirst === false;
-    channel.answer(
-      request.number,
-      isLater
-        ? { kind: 'aborted', reason: 'the owner of the transaction has gone' }
-        : { kind: 'not-run', reason: 'no-owner', retryAfterMs: timing.renewEveryMs },
-    );
-  }
-
-  function channelOf(peer: LinkPeer): EntryChannel {
-    const known = channels.get(peer);
-    if (known) return known;
-    channelCount += 1;
-    const created: EntryChannel = {
-      id: `link-${channelCount}`,
-      answer: (number, outcome) => {
-        peer.notify('statement/outcome', encodeOutcome(number, outcome));
-      },
-    };
-    channels.set(peer, created);
-    return created;
-  }
-
   /** Customers get homes before they come, a few at a time, whichever entry asks first. */
   function requestHome(): void {
     if (!settings || Math.random() > HOME_REQUEST_SHARE) return;
