--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -4,112 +4,22 @@
   latestPosition,
   type LogPosition,
   type StatementBody,
-  type StatementCustomer,
   type StatementOutcome,
   type StatementRefusalReason,
   type StatementRoute,
-  type StatementSettings,
-  toCustomerName,
 } from '@bramleykeel/core';
-import { admit, type RateClient } from '@bramleykeel/entry-shared';
-import type { Counters, Log } from '@bramleykeel/link';
+import { admit } from '@bramleykeel/entry-shared';
 import { match } from 'ts-pattern';
-import {
-  type OwnerClient,
-  type OwnerPort,
-  runStatement,
-  statementTime,
-} from '../locate/owner-client.js';
-import { type NearReads, readNear } from '../near/near-reads.js';
+import { runStatement, statementTime } from '../locate/owner-client.js';
+import { readNear } from '../near/near-reads.js';
+import { type Access, findAccess, OPEN_CUSTOMER } from './access.js';
+import type { CallerSession, SessionTransaction } from './session-state.js';
 import type { CallerError, CallerPort, CallerRequest } from '../types/caller-port.js';
-import type { ConnectionState } from '../types/target-port.js';
-
-/** What sessions need from the rest of their entry. */
-export interface SessionEnvironment {
-  readonly settings: () => StatementSettings | undefined;
-  /** Whether the settings are recent enough to judge keys by. */
-  readonly hasFreshSettings: () => boolean;
-  readonly isStopping: () => boolean;
-  readonly rates: RateClient;
-  readonly owners: OwnerClient;
-  readonly near: NearReads;
-  readonly counters: Counters;
-  readonly log: Log;
-  readonly nextTransaction: () => number;
-}
-
-interface SessionTransaction {
-  readonly number: number;
-  readonly isReadOnly: boolean;
-  readonly route: StatementRoute;
-  readonly customer: CustomerName;
-  /** The owner that has it; `undefined` until its first statement was sent. */
-  port: OwnerPort | undefined;
-}
 
-export interface CallerSession {
-  readonly database: string;
-  readonly key: string | undefined;
-  readonly port: CallerPort;
-  readonly environment: SessionEnvironment;
-  readonly prepared: Map<string, { readonly access: 'read' | 'write'; readonly shape: string }>;
-  values: Readonly<Record<string, string>>;
-  state: ConnectionState;
-  transaction: SessionTransaction | undefined;
-  mark: LogPosition | null;
-  readonly waiting: CallerRequest[];
-  isRunning: boolean;
-  isClosed: boolean;
-}
-
-/** What a caller is admitted with. */
-interface Access {
-  readonly route: StatementRoute;
-  readonly customer: CustomerName;
-}
-
-/** The customer's name at servers for callers of routes that are open to all. */
-const OPEN_CUSTOMER = toCustomerName('-');
 /** What a caller that was refused by rate is told to wait, in milliseconds. */
 const RATE_RETRY_MS = 500;
 const RETRY_AFTER_MS = 300;
 
-/**
- * Checks what a caller connects with.
- *
- * @returns the reason of the refusal, or `undefined` when the session may start
- */
-export function checkStart(
-  environment: SessionEnvironment,
-  database: string,
-  key: string | undefined,
-): StatementRefusalReason | undefined {
-  const access = findAccess(environment, database, key);
-  return typeof access === 'string' ? access : undefined;
-}
-
-export function createSession(
-  database: string,
-  key: string | undefined,
-  port: CallerPort,
-  environment: SessionEnvironment,
-): CallerSession {
-  return {
-    database,
-    key,
-    port,
-    environment,
-    prepared: new Map(),
-    values: {},
-    state: 'idle',
-    transaction: undefined,
-    mark: null,
-    waiting: [],
-    isRunning: false,
-    isClosed: false,
-  };
-}
-
 /** Takes in a request; requests of one session are answered in their order. */
 export function takeRequest(session: CallerSession, request: CallerRequest): void {
   if (session.isClosed) return;
@@ -144,13 +54,6 @@
   if (transaction) transaction.port?.sendRollback(transaction.number);
 }
 
-/** Whether the session's key has been withdrawn, by the settings in force here. */
-export function isWithdrawn({ environment, database, key }: CallerSession): boolean {
-  const settings = environment.settings();
-  if (!settings || settings.routes.get(database)?.isOpenToAll === true) return false;
-  return key === undefined || !settings.customerByKey.has(key);
-}
-
 function runRequest(session: CallerSession, request: CallerRequest): Promise<void> | void {
   const isEnding = request.kind === 'rollback' || request.kind === 'commit';
   if (session.state === 'failed' && !isEnding) {
@@ -326,25 +229,6 @@
   return undefined;
 }
 
-function findAccess(
-  environment: SessionEnvironment,
-  database: string,
-  key: string | undefined,
-): Access | StatementRefusalReason {
-  const settings = environment.settings();
-  // Looked at for open routes too: it notices a suspension, after which old offers mean nothing.
-  const isFresh = environment.hasFreshSettings();
-  if (!settings) return 'settings-lease-expired';
-  const route = settings.routes.get(database);
-  if (!route) return 'unknown-database';
-  const known: StatementCustomer | undefined =
-    key === undefined ? undefined : settings.customerByKey.get(key);
-  if (route.isOpenToAll) return { route, customer: known?.name ?? OPEN_CUSTOMER };
-  if (!isFresh) return 'settings-lease-expired';
-  if (!known) return 'key-rejected';
-  return { route, customer: known.name };
-}
-
 function notRun(reason: StatementRefusalReason, retryAfterMs: number) {
   return { kind: 'not-run', reason, retryAfterMs } as const;
 }
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -26,15 +26,13 @@
   listenForLinks,
   type Log,
 } from '@bramleykeel/link';
+import { checkStart, isWithdrawn } from './accept/access.js';
+import { closeSession, isIdle } from './accept/session.js';
 import {
   type CallerSession,
-  checkStart,
-  closeSession,
   createSession,
-  isIdle,
-  isWithdrawn,
   type SessionEnvironment,
-} from './accept/session.js';
+} from './accept/session-state.js';
 import {
   answerNear,
   handleEvent,
