Never call a customer above its rate because its tokens expired on their way

Grants that took longer than their lifetime left waiters without tokens, and the answer counted as the home's no. Ruled out: the home (its bucket was full), the new order of draws (nothing waited).

--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -134,8 +134,10 @@
   tokens.available = 0;
   const { customer } = tokens;
   const grant = await client.options.draw({ customer, wanted: needed + ahead, returned });
-  tokens.hasReachedHome = grant !== undefined;
-  if (!grant) return HOME_RETRY_MS;
+  // Tokens that expired on their way say nothing about the customer's rate.
+  const isInTime = grant !== undefined && performance.now() < sentAtMs + grant.lifetimeMs;
+  tokens.hasReachedHome = isInTime;
+  if (!isInTime) return HOME_RETRY_MS;
   tokens.available = grant.granted;
   tokens.lifetimeMs = grant.lifetimeMs;
   tokens.expiresAtMs = sentAtMs + grant.lifetimeMs;
