--- a/packages/statement-entry/src/near/near-reads.ts
+++ b/packages/statement-entry/src/near/near-reads.ts
@@ -23,6 +23,7 @@
   dropIdle,
   type PoolContext,
   releaseConnection,
+  retireServer,
 } from '../target/connection-pool.js';
 import { noteSetup, setupOrders, statementOrder, valuesKeyOf } from '../target/connection-setup.js';
 import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
@@ -145,7 +146,7 @@
   const offered = new Map(servers.map((server) => [`${server.server}@${server.address}`, server]));
   for (const [key, state] of known.servers) {
     if (offered.has(key)) continue;
-    dropIdle(state, () => true);
+    retireServer(state);
     known.servers.delete(key);
   }
   for (const [key, server] of offered) {
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -16,6 +16,7 @@
   waitingCount,
   ZERO_POSITION,
 } from '@bramleykeel/core';
+import { hasConnectionLeft } from '../target/connection-pool.js';
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { runJob } from './run-job.js';
 
@@ -94,7 +95,7 @@
     server: server.announcement.server,
     isPrimary: server === primary,
     isLeaving: server.announcement.isLeaving,
-    isUsable: server.failingSinceMs === undefined,
+    isUsable: server.failingSinceMs === undefined && hasConnectionLeft(owner.pools, server),
     isSameZone: server.announcement.zone === owner.environment.zone,
     freeSlots: freeSlots(server),
     position: server.position,
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -6,7 +6,7 @@
   type ServerAnnouncement,
   type ServerName,
 } from '@bramleykeel/core';
-import { dropIdle } from '../target/connection-pool.js';
+import { retireServer } from '../target/connection-pool.js';
 import { closeControlConnection } from '../target/server-control.js';
 import { dispatch, dropWaiting, expireWaiting, hasWaiting, notRun } from './dispatch.js';
 import {
@@ -104,7 +104,7 @@
   for (const timer of owner.timers) clearInterval(timer);
   for (const transaction of [...owner.transactions.values()]) dropTransaction(owner, transaction);
   for (const server of owner.servers.values()) {
-    dropIdle(server, () => true);
+    retireServer(server);
     closeControlConnection(server);
   }
   owner.environment.log(`this entry no longer owns ${owner.group}`);
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -57,6 +57,7 @@
   valuesKey: string;
   readonly prepared: Set<string>;
   lastUsedMs: number;
+  isDiscarded: boolean;
 }
 
 export interface ServerState {
@@ -65,6 +66,10 @@
   readonly idle: PooledConnection[];
   /** Connections open or being opened, idle ones included. */
   connectionCount: number;
+  /** Customers that connections were opened for, to open none for them ahead again. */
+  readonly connectedCustomers: Set<CustomerName>;
+  /** Set once nothing is kept open to it any more: it is gone, or another entry owns the group. */
+  isRetired: boolean;
   /** Statements under way: each occupies a slot. */
   runningCount: number;
   position: LogPosition;
@@ -199,6 +204,8 @@
     heardAtMs: nowMs,
     idle: [],
     connectionCount: 0,
+    connectedCustomers: new Set(),
+    isRetired: false,
     runningCount: 0,
     position: ZERO_POSITION,
     laggingUntilMs: 0,
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { type ServerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
-import { dropIdle } from '../target/connection-pool.js';
+import { retireServer } from '../target/connection-pool.js';
 import { warmConnections } from '../target/connection-warmup.js';
 import { closeControlConnection, orderAll, probeServer } from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
@@ -74,7 +74,7 @@
   if (!server) return;
   owner.environment.log(`server ${name} of ${owner.group} is gone`);
   owner.servers.delete(name);
-  dropIdle(server, () => true);
+  retireServer(server);
   closeControlConnection(server);
 }
 
