--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -9,3 +9,4 @@
 export * from './counters.js';
 export * from './logger.js';
 export * from './suspension-watch.js';
+export * from './input-deadline.js';
--- a/packages/link/src/link-peer.ts
+++ b/packages/link/src/link-peer.ts
@@ -4,6 +4,7 @@
 import { createFrameDecoder, decodeFrames, encodeFrame } from './frame-codec.js';
 import { writeBatched } from './write-batch.js';
 import { createNonce, createProof, isProofValid, type LinkSide } from './link-auth.js';
+import { startInputDeadline } from './input-deadline.js';
 
 /** Why a request over a link has no answer. Only `not-sent` says that it was not received. */
 export type LinkError =
@@ -52,7 +53,7 @@
 
 interface PendingRequest {
   readonly resolve: (outcome: Either<LinkError, unknown>) => void;
-  readonly timer: NodeJS.Timeout;
+  readonly endDeadline: () => void;
 }
 
 /**
@@ -110,10 +111,10 @@
     const id = nextRequestId;
     nextRequestId += 1;
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
+      const endDeadline = startInputDeadline(timeoutMs, () => {
         settle(id, Left({ kind: 'timeout' }));
-      }, timeoutMs);
-      pending.set(id, { resolve, timer });
+      });
+      pending.set(id, { resolve, endDeadline });
       write([FRAME.request, id, method, params]);
     });
   }
@@ -122,7 +123,7 @@
     const waiting = pending.get(id);
     if (!waiting) return;
     pending.delete(id);
-    clearTimeout(waiting.timer);
+    waiting.endDeadline();
     waiting.resolve(outcome);
   }
 
--- a/packages/link/src/probe-address.ts
+++ b/packages/link/src/probe-address.ts
@@ -1,6 +1,7 @@
 /** Finds out whether anything listens at an address, and whether it answers. */
 import { createConnection } from 'node:net';
 import { type ProbeResult, splitAddress } from '@bramleykeel/core';
+import { startInputDeadline } from './input-deadline.js';
 
 /**
  * Tries to connect, and sends `request` if one is given: then only a byte in return counts as an
@@ -19,14 +20,13 @@
   return new Promise((resolve) => {
     const socket = createConnection(splitAddress(address));
     const finish = (result: ProbeResult) => {
-      clearTimeout(timer);
+      endDeadline();
       socket.destroy();
       resolve(result);
     };
-    // After a stall of this process, an answer that already waits is read before time is judged.
-    const timer = setTimeout(() => {
-      setImmediate(finish, 'silent');
-    }, timeoutMs);
+    const endDeadline = startInputDeadline(timeoutMs, () => {
+      finish('silent');
+    });
     socket.once('connect', () => {
       if (request) socket.write(request);
       else finish('answered');
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -9,6 +9,7 @@
   type StatementRequest,
 } from '@bramleykeel/core';
 import type { ControlClient } from '@bramleykeel/entry-shared';
+import { startInputDeadline } from '@bramleykeel/link';
 import type { EntryLinks } from './entry-links.js';
 
 /** An owner under one epoch, in this process or behind a link. */
@@ -42,7 +43,7 @@
 interface PendingStatement {
   readonly port: OwnerPort;
   readonly resolve: (outcome: StatementOutcome | 'owner-lost') => void;
-  readonly timer: NodeJS.Timeout;
+  readonly endDeadline: () => void;
 }
 
 export interface OwnerClient {
@@ -157,12 +158,12 @@
     startWithinMs: Math.max(0, time.startByMs - nowMs),
   };
   return new Promise((resolve) => {
-    const timer = setTimeout(() => {
+    const endDeadline = startInputDeadline(budgetMs + ANSWER_SLACK_MS, () => {
       settle(client, number, 'owner-lost');
-    }, budgetMs + ANSWER_SLACK_MS);
-    client.pending.set(number, { port, resolve, timer });
+    });
+    client.pending.set(number, { port, resolve, endDeadline });
     if (port.send(request)) return;
-    clearTimeout(timer);
+    endDeadline();
     client.pending.delete(number);
     resolve('not-sent');
   });
@@ -176,7 +177,7 @@
   const waiting = client.pending.get(number);
   if (!waiting) return;
   client.pending.delete(number);
-  clearTimeout(waiting.timer);
+  waiting.endDeadline();
   waiting.resolve(outcome);
 }
 
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -1,6 +1,7 @@
 /** Orders of the owner's own to the servers of its group, on a connection of their own for each. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { latestPosition, toCustomerName } from '@bramleykeel/core';
+import { match } from 'ts-pattern';
 import type { ServerState, StatementOwner } from '../owner/owner-state.js';
 import type {
   TargetAnswer,
@@ -129,7 +130,7 @@
     wasSilent = answer.kind === 'overdue';
   }
   const connection = await openControl(owner, server, control, timeoutMs, startedAtMs);
-  if (!connection) return undefined;
+  if (!connection || 'kind' in connection) return connection;
   // A new connection works although the kept one was silent: idle ones of its age are dead as well.
   if (wasSilent) dropIdle(server, ({ lastUsedMs }) => lastUsedMs < startedAtMs);
   const sentAtMs = performance.now();
@@ -152,13 +153,14 @@
   server.roundTripMs = Math.min(server.roundTripMs ?? takenMs, takenMs);
 }
 
+/** A connection, or the answer of a server that turned it away; `undefined` without any. */
 async function openControl(
   owner: StatementOwner,
   server: ServerState,
   control: ControlConnection,
   timeoutMs: number,
   startedAtMs: number,
-): Promise<TargetConnection | undefined> {
+): Promise<TargetConnection | TargetAnswer | undefined> {
   const { address, server: name } = server.announcement;
   const { openTarget, counters } = owner.environment;
   const { group } = owner;
@@ -171,19 +173,30 @@
     customer: OWNER_NAME,
     timeoutMs,
   });
-  if (opened.kind !== 'open') {
-    counters.count('control.connection-failed');
-    const isTaken = opened.kind === 'refused' && opened.code === 'misrouted';
-    // A server that turns a connection away for want of room is alive, but cannot be ordered about.
-    if (opened.kind === 'failed') noteFailure(server, opened.why, startedAtMs);
-    else if (isTaken) noteFailure(server, 'unreachable', startedAtMs);
-    return undefined;
-  }
-  const { connection } = opened;
-  if (owner.isClosed || server.isRetired) {
-    connection.close();
-    return undefined;
-  }
-  control.connection = connection;
-  return connection;
+  return match(opened)
+    .returnType<TargetConnection | TargetAnswer | undefined>()
+    .with({ kind: 'open' }, ({ connection }) => {
+      if (owner.isClosed || server.isRetired) {
+        connection.close();
+        return undefined;
+      }
+      control.connection = connection;
+      return connection;
+    })
+    .with({ kind: 'refused', code: 'misrouted' }, () => {
+      noteFailure(server, 'unreachable', startedAtMs);
+      return undefined;
+    })
+    .with({ kind: 'refused' }, ({ code }) => {
+      // A server that has no room for a connection is alive, although it cannot be given orders.
+      counters.count(`control.open-${code}`);
+      noteAnswer(server);
+      return { kind: 'refused', code, state: 'idle' };
+    })
+    .with({ kind: 'failed' }, ({ why }) => {
+      counters.count(`control.open-${why}`);
+      noteFailure(server, why, startedAtMs);
+      return undefined;
+    })
+    .exhaustive();
 }
