Write logs as JSON lines on standard output, bounded and never waited for; metrics pages of both roles

Ruled out: pino's worker transports (they start threads); a line for every success (one in 64 is written, all are counted). Change: createLog writes through pino, collected to 4 KB, 512 KB waiting at most, drops counted and said; fields beside the sentences of each request's refusal, retry, broken connection and end at its owner; prom-client text at the metrics ports of the deploy file. Tests: log-writer (a flood of 20,000 lines; its report of drops failed first), metrics-server, platform 'shows refusals and times of both roles'. Not run: the share of processor time that logs take.

--- a/packages/link/src/counters.ts
+++ b/packages/link/src/counters.ts
@@ -1,6 +1,7 @@
-/** Counters and gauges over StatsD, with a local copy that status pages and tests can read. */
+/** Counters, gauges and times over StatsD, with a local copy for status pages, metrics and tests. */
 import type { StatsdSettings } from '@bramleykeel/core';
 import { StatsD } from 'hot-shots';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 export interface Counters {
   /** Adds to a counter. Names are dotted: `refusal.queue-full`, `retry.read-on-primary`. */
@@ -12,6 +13,14 @@
   readonly close: () => void;
 }
 
+export interface PagedCounters extends Counters {
+  /** Everything as text, as a metrics address shows it. */
+  readonly page: () => Promise<string>;
+}
+
+/** Upper ends of the histograms' buckets, in milliseconds: from a hop to a route's longest time. */
+const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
+
 /**
  * Creates the counters of one daemon; without StatsD settings only the local copy is kept.
  *
@@ -19,28 +28,70 @@
  * const counters = createCounters('entry', { host: '127.0.0.1', port: 8125 });
  * counters.count('refusal.queue-full');
  */
-export function createCounters(daemon: string, statsd: StatsdSettings | undefined): Counters {
+export function createCounters(daemon: string, statsd: StatsdSettings | undefined): PagedCounters {
   const totals = new Map<string, number>();
+  const gauges = new Map<string, number>();
   const client = statsd && createClient(daemon, statsd);
+  const { registry, times } = createPage(daemon, totals, gauges);
   return {
     count: (name, by = 1) => {
       totals.set(name, (totals.get(name) ?? 0) + by);
       client?.increment(name, by);
     },
     gauge: (name, value) => {
-      totals.set(name, value);
+      gauges.set(name, value);
       client?.gauge(name, value);
     },
     timing: (name, durationMs) => {
+      times.observe({ name }, durationMs);
       client?.timing(name, durationMs);
     },
-    totals: () => Object.fromEntries(totals),
+    totals: () => Object.fromEntries([...totals, ...gauges]),
+    page: () => registry.metrics(),
     close: () => {
       client?.close(() => undefined);
     },
   };
 }
 
+/** Names come from the program alone, so the labels are bounded. */
+function createPage(
+  daemon: string,
+  totals: ReadonlyMap<string, number>,
+  gauges: ReadonlyMap<string, number>,
+) {
+  const registry = new Registry();
+  registry.setDefaultLabels({ daemon });
+  const registers = [registry];
+  new Counter({
+    name: 'bramleykeel_events_total',
+    help: 'Decisions and faults by their dotted name, since the start of the process.',
+    labelNames: ['name'],
+    registers,
+    collect() {
+      this.reset();
+      for (const [name, total] of totals) this.inc({ name }, total);
+    },
+  });
+  new Gauge({
+    name: 'bramleykeel_level',
+    help: 'What the process holds now, by its dotted name.',
+    labelNames: ['name'],
+    registers,
+    collect() {
+      for (const [name, value] of gauges) this.set({ name }, value);
+    },
+  });
+  const times = new Histogram({
+    name: 'bramleykeel_time_ms',
+    help: 'Times by their dotted name, in milliseconds.',
+    labelNames: ['name'],
+    buckets: BUCKETS_MS,
+    registers,
+  });
+  return { registry, times };
+}
+
 function createClient(daemon: string, statsd: StatsdSettings): StatsD {
   return new StatsD({
     host: statsd.host,
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -10,3 +10,5 @@
 export * from './logger.js';
 export * from './suspension-watch.js';
 export * from './input-deadline.js';
+export * from './metrics-server.js';
+export type { LogFields } from './log-writer.js';
--- /dev/null
+++ b/packages/link/src/log-writer.test.ts
@@ -0,0 +1,60 @@
+import { closeSync, mkdtempSync, openSync, readFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe, expect, it } from 'vitest';
+import { createLogWriter } from './log-writer.js';
+
+function openFile(): { readonly fd: number; readonly path: string } {
+  const path = join(mkdtempSync(join(tmpdir(), 'bramleykeel-log-')), 'lines');
+  return { fd: openSync(path, 'w'), path };
+}
+
+function linesOf(path: string): Record<string, unknown>[] {
+  const lines = readFileSync(path, 'utf8').trim().split('\n');
+  return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+}
+
+describe('log lines', () => {
+  it('are one JSON object each, with time, part, sentence and what decided', () => {
+    const { fd, path } = openFile();
+    const writer = createLogWriter(fd);
+    writer.write('bramleykeel:owner', 'statement was not run', { request: 'a1', waitedMs: 45 });
+    writer.flush();
+    const [line] = linesOf(path);
+    expect(line).toMatchObject({
+      part: 'bramleykeel:owner',
+      msg: 'statement was not run',
+      request: 'a1',
+      waitedMs: 45,
+    });
+    expect(line?.time).toBeTypeOf('number');
+    closeSync(fd);
+  });
+
+  it('keep to one line whatever a caller has sent', () => {
+    const { fd, path } = openFile();
+    const writer = createLogWriter(fd);
+    writer.write('bramleykeel:caller', 'refused', { request: 'a\n{"part":"forged"}\r\n' });
+    writer.flush();
+    expect(linesOf(path)).toHaveLength(1);
+    closeSync(fd);
+  });
+
+  it('are dropped and counted, not waited for, when a reader takes none', async () => {
+    // Nothing is written before this turn ends, so all lines of a flood have to wait.
+    const { fd, path } = openFile();
+    const writer = createLogWriter(fd, { maxWaitingBytes: 8_192, collectBytes: 4_096 });
+    const startedAtMs = performance.now();
+    for (let number = 0; number < 20_000; number += 1) {
+      writer.write('bramleykeel:caller', 'statement was not run', { request: `r-${number}` });
+    }
+    const takenMs = performance.now() - startedAtMs;
+    expect(writer.droppedLines()).toBeGreaterThan(10_000);
+    expect(takenMs).toBeLessThan(2_000);
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    writer.flush();
+    const said = linesOf(path).find((line) => line.part === 'bramleykeel:log');
+    expect(said?.count).toBeGreaterThan(10_000);
+    closeSync(fd);
+  });
+});
--- /dev/null
+++ b/packages/link/src/metrics-server.ts
@@ -0,0 +1,36 @@
+/** Shows a daemon's counters and histograms as text, for whoever collects them. */
+import { createServer, type Server } from 'node:http';
+import { splitAddress } from '@bramleykeel/core';
+import type { PagedCounters } from './counters.js';
+
+/** Where the page is. */
+export const METRICS_PATH = '/metrics';
+
+/**
+ * Listens on the metrics address.
+ *
+ * @throws when the address is taken
+ * @example
+ * const server = await listenForMetrics('127.0.0.1:9102', counters);
+ */
+export async function listenForMetrics(address: string, counters: PagedCounters): Promise<Server> {
+  const server = createServer((request, response) => {
+    request.resume();
+    if (request.method !== 'GET' || request.url !== METRICS_PATH) {
+      response.writeHead(404).end();
+      return;
+    }
+    void counters.page().then((page) => {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page);
+    });
+  });
+  server.on('clientError', (_error, socket) => {
+    socket.destroy();
+  });
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return server;
+}
--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -24,6 +24,8 @@
   readonly counters: Counters;
   readonly log: Log;
   readonly nextTransaction: () => number;
+  /** Successes so far, of which few are written to the log. */
+  successCount: number;
 }
 
 export interface SessionTransaction {
@@ -48,6 +50,8 @@
   readonly waiting: CallerRequest[];
   isRunning: boolean;
   isClosed: boolean;
+  /** When the request in hand was taken up, by the steady clock. */
+  requestSinceMs: number;
 }
 
 export function createSession(
@@ -69,5 +73,6 @@
     waiting: [],
     isRunning: false,
     isClosed: false,
+    requestSinceMs: performance.now(),
   };
 }
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -14,11 +14,13 @@
 import { readNear } from '../near/near-reads.js';
 import { type Access, findAccess, OPEN_CUSTOMER } from './access.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
-import type { CallerError, CallerPort, CallerRequest } from '../types/caller-port.js';
+import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 
 /** What a caller that was refused by rate is told to wait, in milliseconds. */
 const RATE_RETRY_MS = 500;
 const RETRY_AFTER_MS = 300;
+/** One success of this many is written to the log: a few lines a second at the users' load. */
+const SUCCESS_SAMPLE = 64;
 
 /** Takes in a request; requests of one session are answered in their order. */
 export function takeRequest(session: CallerSession, request: CallerRequest): void {
@@ -30,6 +32,7 @@
 async function runWaiting(session: CallerSession): Promise<void> {
   session.isRunning = true;
   for (let next = session.waiting.shift(); next; next = session.waiting.shift()) {
+    session.requestSinceMs = performance.now();
     await runRequest(session, next);
   }
   session.isRunning = false;
@@ -225,7 +228,7 @@
   const refusal = await admit(environment.rates, access.customer, 1, undefined);
   if (!refusal) return access;
   const reason = refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
-  refuse(session, notRun(reason, RATE_RETRY_MS), `${tag} of ${access.customer}`);
+  refuse(session, notRun(reason, RATE_RETRY_MS), tag, access.customer);
   return undefined;
 }
 
@@ -243,6 +246,7 @@
     refuse(session, outcome, tag);
     return;
   }
+  noteSuccess(session, outcome.isFromReplica, tag);
   session.port.answer(outcome.rows, outcome.signature, session.state, outcome.position);
 }
 
@@ -250,21 +254,45 @@
   session: CallerSession,
   error: Parameters<CallerPort['refuse']>[0],
   tag = '-',
+  customer: CustomerName | undefined = session.transaction?.customer,
 ): void {
-  const { counters, log } = session.environment;
+  const { environment } = session;
+  const { counters, log } = environment;
   counters.count(error.kind === 'not-run' ? `refusal.${error.reason}` : `refusal.${error.kind}`);
-  log(`${session.database} ${tag}: ${describeError(error)}, settings ${settingsAge(session)}`);
+  log('the request got no result', {
+    request: tag,
+    database: session.database,
+    customer,
+    outcome: error.kind,
+    reason: 'reason' in error ? error.reason : undefined,
+    retryAfterMs: error.kind === 'not-run' ? error.retryAfterMs : undefined,
+    tookMs: tookMs(session),
+    settingsVersion: environment.settings()?.version,
+    areSettingsFresh: environment.hasFreshSettings(),
+  });
   if (!session.isClosed) session.port.refuse(error, session.state);
 }
 
-function describeError(error: CallerError): string {
-  if (error.kind === 'not-run') return `not run, ${error.reason}`;
-  return 'reason' in error ? `${error.kind}, ${error.reason}` : error.kind;
+/** Successes are counted all, and written one in many: a failed request is what somebody looks for. */
+function noteSuccess(session: CallerSession, isFromReplica: boolean, tag: string): void {
+  const { environment } = session;
+  const { counters, log } = environment;
+  const place = isFromReplica ? 'replica' : 'primary';
+  counters.count(`statement.at-${place}`);
+  counters.timing(`request.${place}`, tookMs(session));
+  environment.successCount += 1;
+  if (environment.successCount % SUCCESS_SAMPLE !== 1) return;
+  log('the request was answered', {
+    request: tag,
+    database: session.database,
+    place,
+    tookMs: tookMs(session),
+  });
 }
 
-function settingsAge({ environment }: CallerSession): string {
-  const version = environment.settings()?.version ?? 'none';
-  return `${version}, ${environment.hasFreshSettings() ? 'fresh' : 'lease over'}`;
+/** Time since the request in hand was taken up, in milliseconds. */
+function tookMs({ requestSinceMs }: Pick<CallerSession, 'requestSinceMs'>): number {
+  return Math.round(performance.now() - requestSinceMs);
 }
 
 /** A statement that cannot be run fails the transaction that it belongs to. */
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -5,6 +5,7 @@
   dequeue,
   enqueue,
   type FairQueue,
+  newestAcknowledged,
   newestAcknowledgedAtMs,
   owedPosition,
   removeWaiting,
@@ -16,6 +17,7 @@
   waitingCount,
   ZERO_POSITION,
 } from '@bramleykeel/core';
+import type { LogFields } from '@bramleykeel/link';
 import { hasConnectionLeft } from '../target/connection-pool.js';
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { runJob } from './run-job.js';
@@ -153,6 +155,7 @@
 export function requeueJob(owner: StatementOwner, job: Job): void {
   job.attempts += 1;
   if (job.isEnded) return;
+  owner.environment.log('statement goes back into the queue', describeJob(owner, job));
   if (performance.now() >= job.startByMs || owner.isClosed) {
     endJob(owner, job, notRun('queue-timeout'));
     return;
@@ -186,9 +189,44 @@
   owner.environment.counters.count(
     outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
   );
+  if (outcome.kind === 'done') owner.environment.counters.timing('owner.statement', ageOf(job));
+  else {
+    owner.environment.log('statement ends without a result', {
+      ...describeJob(owner, job),
+      outcome: outcome.kind,
+      reason: 'reason' in outcome ? outcome.reason : undefined,
+    });
+  }
   job.channel.answer(job.request.number, outcome);
 }
 
+function ageOf({ arrivedAtMs }: Job): number {
+  return Math.round(performance.now() - arrivedAtMs);
+}
+
+/** What the owner decided by. */
+function describeJob(owner: StatementOwner, job: Job): LogFields {
+  const { request, attempts, mayHaveRun, transaction } = job;
+  const { leadership } = owner;
+  const newest = owner.owed && newestAcknowledged(owner.owed);
+  return {
+    request: request.tag,
+    group: owner.group,
+    epoch: owner.epoch,
+    customer: request.customer,
+    access: request.access,
+    transaction: transaction?.key,
+    attempts,
+    mayHaveRun,
+    ageMs: ageOf(job),
+    startWithinMs: Math.round(request.startWithinMs),
+    leadership: leadership.kind,
+    leadershipSinceMs: Math.round(performance.now() - leadership.sinceMs),
+    primary: leadership.kind === 'led' ? leadership.server : undefined,
+    acknowledged: newest && `${newest.term}.${newest.offset}`,
+  };
+}
+
 export function notRun(
   reason: Extract<StatementOutcome, { kind: 'not-run' }>['reason'],
 ): StatementOutcome {
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -111,8 +111,8 @@
       noteDone(pooled, answer.position);
       continue;
     }
-    if (answer.kind === 'refused') handleRefusal(owner, pooled.server, answer.code);
-    else handleBreak(owner, pooled, answer);
+    if (answer.kind === 'refused') handleRefusal(owner, job, pooled.server, answer.code);
+    else handleBreak(owner, job, pooled, answer);
     // What was set up is not known for sure, so the connection is not used again.
     const isClean = order.kind === 'begin' && answer.kind === 'refused' && answer.state === 'idle';
     if (isClean) releaseConnection(pooled);
@@ -199,7 +199,7 @@
       endJob(owner, job, { kind: 'done', rows, signature, position, isFromReplica });
     })
     .with({ kind: 'refused' }, ({ code, state }) => {
-      handleRefusal(owner, pooled.server, code);
+      handleRefusal(owner, job, pooled.server, code);
       if (code === 'unknown-statement') pooled.prepared.clear();
       if (state === 'idle') releaseConnection(pooled);
       else discardConnection(pooled);
@@ -220,7 +220,7 @@
       endJob(owner, job, { kind: 'unknown', reason: 'the server does not know the outcome' });
     })
     .with({ kind: 'lost' }, { kind: 'overdue' }, (broken) => {
-      handleBreak(owner, pooled, broken);
+      handleBreak(owner, job, pooled, broken);
       discardConnection(pooled);
       job.mayHaveRun = true;
       if (access === 'read' && broken.kind === 'lost') requeueJob(owner, job);
@@ -275,7 +275,7 @@
       endJob(owner, job, { kind: 'done', rows, signature, position, isFromReplica });
     })
     .with({ kind: 'refused' }, ({ code }) => {
-      handleRefusal(owner, pooled.server, code);
+      handleRefusal(owner, job, pooled.server, code);
       dropTransaction(owner, transaction);
       endJob(owner, job, { kind: 'aborted', reason: code });
     })
@@ -289,7 +289,7 @@
       endJob(owner, job, isCommit ? { kind: 'unknown', reason: kind } : ended);
     })
     .with({ kind: 'lost' }, { kind: 'overdue' }, (broken) => {
-      handleBreak(owner, pooled, broken);
+      handleBreak(owner, job, pooled, broken);
       dropTransaction(owner, transaction);
       // Without its COMMIT the server rolls the transaction back when the connection is closed.
       const ended: StatementOutcome = { kind: 'aborted', reason: 'the connection was lost' };
@@ -307,17 +307,43 @@
   if (owner.owed) noteAcknowledged(owner.owed, position, performance.now());
 }
 
-function handleRefusal(owner: StatementOwner, server: ServerState, code: TargetRefusal): void {
+function handleRefusal(
+  owner: StatementOwner,
+  job: Job,
+  server: ServerState,
+  code: TargetRefusal,
+): void {
   const nowMs = performance.now();
   owner.environment.counters.count(`retry.${code}`);
+  owner.environment.log('server did not run the order', {
+    request: job.request.tag,
+    group: owner.group,
+    server: server.announcement.server,
+    code,
+    position: `${server.position.term}.${server.position.offset}`,
+    heardAgoMs: Math.round(nowMs - server.heardAtMs),
+  });
   if (code === 'busy') server.busyUntilMs = nowMs + BUSY_PAUSE_MS;
   if (code === 'lagging') server.laggingUntilMs = nowMs + LAGGING_PAUSE_MS;
   if (code === 'lagging' || code === 'read-only') suspectPrimary(owner, server);
 }
 
 /** The connection broke, or its answer is overdue: others to the same server may be dead as well. */
-function handleBreak(owner: StatementOwner, pooled: PooledConnection, broken: TargetAnswer): void {
+function handleBreak(
+  owner: StatementOwner,
+  job: Job,
+  pooled: PooledConnection,
+  broken: TargetAnswer,
+): void {
   const { server } = pooled;
+  owner.environment.log('connection to a server broke under an order', {
+    request: job.request.tag,
+    group: owner.group,
+    server: server.announcement.server,
+    how: broken.kind,
+    openForMs: Math.round(performance.now() - pooled.openedAtMs),
+    lastAnswerAgoMs: Math.round(performance.now() - server.lastAnswerMs),
+  });
   owner.environment.counters.count(`target.connection-${broken.kind}`);
   if (broken.kind === 'overdue') {
     dropIdle(server, ({ lastUsedMs }) => lastUsedMs <= pooled.lastUsedMs);
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -248,6 +248,7 @@
       transactionCount += 1;
       return transactionCount;
     },
+    successCount: 0,
   };
   const keepTimer = setInterval(() => {
     reconcileStatementOwners(registry);
