Add bramleykeelctl trace: a request's lines from all processes, with its group's decisions around it

Cause: the walk from a failed request to its cause went through ten processes' logs by hand. Change: lines of an owner carry its group and epoch; the command joins a request's own lines with those of its group from 10 s before to 1 s after.

--- a/packages/bramleykeelctl/src/index.ts
+++ b/packages/bramleykeelctl/src/index.ts
@@ -1,3 +1,4 @@
 /** The operators' client as a library. */
 export * from './control-call.js';
 export * from './settings-commands.js';
+export * from './trace.js';
--- a/packages/bramleykeelctl/src/main.ts
+++ b/packages/bramleykeelctl/src/main.ts
@@ -18,6 +18,7 @@
   type Setting,
 } from './settings-commands.js';
 import { formatStatus, type SystemStatus } from './status-page.js';
+import { formatTrace, traceRequest } from './trace.js';
 
 /** Exit statuses; they stay as they are. */
 const EXIT = { ok: 0, failed: 1, usage: 2, denied: 3, conflict: 4, unreachable: 5 } as const;
@@ -142,6 +143,22 @@
       print(options, outcome.result, formatStatus(outcome.result as SystemStatus));
     },
   )
+  .command(
+    'trace <id>',
+    'what became of a request, from the logs of all processes on standard input',
+    (command) =>
+      command
+        .positional('id', { type: 'string', demandOption: true })
+        .example('$0 trace 5c0e7a21d94b36f8 < logs', 'follow one request'),
+    (options) => {
+      const trace = traceRequest(readFileSync(0, 'utf8').split('\n'), options.id);
+      if (trace.ownCount === 0) {
+        process.stderr.write(`no line of these logs names the request ${options.id}\n`);
+        process.exit(EXIT.failed);
+      }
+      print(options, trace.lines, formatTrace(trace, options.id));
+    },
+  )
   .command(
     'get [path]',
     'show settings at or below a path',
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -79,6 +79,9 @@
   const { control, settings, ...rest } = registry.options;
   const environment: OwnerEnvironment = {
     ...rest,
+    log: (message, fields) => {
+      rest.log(message, { group, epoch, ...fields });
+    },
     holdsLease: () => control.heldEpoch(`group/${group}`) === epoch,
     groupRecord: () => groupRecordOf(control, group),
     groupSettings: () => settings()?.groups.get(group),
