Let a control member stand still while its disk refuses, instead of crashing

After a partial write a restart would have met a log with a damaged middle, and short writes were taken for whole ones. Ruled out: space (the log is far below 64 MB; the fault refuses every write).

--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -31,6 +31,7 @@
 } from './leader/leader-service.js';
 import { createLogDriver } from './log-driver.js';
 import { addressesOf, tendMembership } from './member-join.js';
+import { untilDiskTakes } from './storage/disk-refusal.js';
 import { closeStorage, openStorage } from './storage/control-storage.js';
 
 export interface ControlMemberOptions {
@@ -83,7 +84,8 @@
  */
 export async function startControlMember(options: ControlMemberOptions): Promise<ControlMember> {
   const { selfId, timing, log, counters } = options;
-  const opened = openStorage(options.dataFolder).mapLeft(({ file, offsetBytes }) => {
+  const found = await untilDiskTakes(log, () => openStorage(options.dataFolder));
+  const opened = found.mapLeft(({ file, offsetBytes }) => {
     const advice = 'move the folder away to rejoin with an empty one';
     return new Error(`${file} is corrupt at byte ${offsetBytes}; ${advice}`);
   });
--- a/packages/control/src/log-driver.ts
+++ b/packages/control/src/log-driver.ts
@@ -26,6 +26,7 @@
 import type { Log } from '@bramleykeel/link';
 import { Encoder } from 'cbor-x';
 import { match } from 'ts-pattern';
+import { DISK_RETRY_MS, diskRefusal } from './storage/disk-refusal.js';
 import {
   type OpenedStorage,
   persistEntries,
@@ -82,10 +83,45 @@
   const raft = createRaftState<Command>(identity, durable, performance.now());
   let control = restoreControl(snapshot);
   const proposals = new Map<number, Proposal>();
+  /** Effects that wait for a disk that refuses, the refused one first. */
+  let refused: readonly RaftEffect<Command>[] = [];
   return { raft, control: () => control, step, propose, proposePayload };
 
   function step(event: RaftEvent<Command>): void {
-    for (const effect of stepRaft(raft, event, performance.now())) carryOut(effect);
+    if (refused.length > 0) return;
+    carryOutAll(stepRaft(raft, event, performance.now()));
+  }
+
+  /**
+   * Nothing may follow a write that the disk refused: the member stands still, as if it were cut off,
+   * and goes on from that write once the disk takes it.
+   */
+  function carryOutAll(effects: readonly RaftEffect<Command>[]): void {
+    for (const [index, effect] of effects.entries()) {
+      try {
+        carryOut(effect);
+      } catch (error) {
+        const code = diskRefusal(error);
+        if (code === undefined) throw error;
+        const sinceMs = Math.round(performance.now());
+        options.log('the disk refused a write; this member stands still', {
+          code,
+          what: effect.kind,
+          sinceMs,
+        });
+        refused = effects.slice(index);
+        dropProposals();
+        setTimeout(goOn, DISK_RETRY_MS).unref();
+        return;
+      }
+    }
+  }
+
+  function goOn(): void {
+    const effects = refused;
+    refused = [];
+    carryOutAll(effects);
+    if (refused.length === 0) options.log('the disk takes writes again');
   }
 
   function proposePayload(payload: LogPayload<Command>): void {
@@ -93,7 +129,7 @@
   }
 
   function propose(command: Command): Promise<ApplyResult | undefined> {
-    if (raft.role !== 'leader') return Promise.resolve(undefined);
+    if (raft.role !== 'leader' || refused.length > 0) return Promise.resolve(undefined);
     const index = raft.snapshot.index + raft.entries.length + 1;
     return new Promise((resolve) => {
       proposals.set(index, { term: raft.currentTerm, resolve });
@@ -180,8 +216,15 @@
     const taken = takeSnapshot();
     const { index, term, membership } = taken;
     step({ kind: 'snapshot-saved', snapshot: { index, term, membership } });
-    persistSnapshot(storage, taken, raft.entries);
-    options.log(`log was compacted up to ${index}`);
+    try {
+      persistSnapshot(storage, taken, raft.entries);
+      options.log(`log was compacted up to ${index}`);
+    } catch (error) {
+      const code = diskRefusal(error);
+      if (code === undefined) throw error;
+      // Snapshot and log on disk are still whole; the next compaction catches up.
+      options.log('the disk refused a snapshot; the present log goes on', { code, index });
+    }
   }
 }
 
--- a/packages/control/src/storage/control-storage.ts
+++ b/packages/control/src/storage/control-storage.ts
@@ -159,8 +159,10 @@
 }
 
 /**
- * Saves a snapshot, then rewrites the log without what the snapshot holds. A crash between the two
- * leaves entries that recovery skips.
+ * Saves a snapshot, then rewrites the log without what the snapshot holds. A crash or a refusal between
+ * the two leaves the present log, whose older entries recovery skips.
+ *
+ * @throws when the disk refuses; log and snapshot still hold everything then
  */
 export function persistSnapshot(
   storage: ControlStorage,
@@ -171,9 +173,10 @@
   const records: LogRecord[] = [{ kind: 'vote', ...storage.vote }];
   if (remaining.length > 0) records.push({ kind: 'entries', entries: remaining });
   const content = Buffer.concat(records.map(encodeRecord));
-  closeRecordFile(storage.log);
   replaceFile(storage.log.file, content);
-  storage.log = openRecordFile(storage.log.file, content.length);
+  const former = storage.log;
+  storage.log = openRecordFile(former.file, content.length);
+  closeRecordFile(former);
 }
 
 export function closeStorage(storage: ControlStorage): void {
--- /dev/null
+++ b/packages/control/src/storage/disk-refusal.test.ts
@@ -0,0 +1,159 @@
+import type * as fs from 'node:fs';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { type ControlCommand, type LogEntry, toMemberId } from '@bramleykeel/core';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { createLogDriver } from '../log-driver.js';
+import {
+  closeStorage,
+  initialDiskId,
+  initializeFolder,
+  openStorage,
+  persistEntries,
+  persistSnapshot,
+} from './control-storage.js';
+import { untilDiskTakes } from './disk-refusal.js';
+
+const disk = vi.hoisted(() => ({ takesBytes: Number.POSITIVE_INFINITY }));
+
+vi.mock('node:fs', async (importActual) => {
+  const actual = await importActual<typeof fs>();
+  // A disk that fills up takes a part of the last bytes.
+  const writeSync = (descriptor: number, bytes: Buffer, offset = 0): number => {
+    if (disk.takesBytes <= 0) {
+      throw Object.assign(new Error('no space'), { code: 'ENOSPC', syscall: 'write' });
+    }
+    const taken = Math.min(disk.takesBytes, bytes.length - offset);
+    disk.takesBytes -= taken;
+    return actual.writeSync(descriptor, bytes, offset, taken);
+  };
+  return { ...actual, writeSync };
+});
+
+const self = toMemberId('a');
+const timing = {
+  heartbeatMs: 10,
+  electionTimeoutMinMs: 20,
+  electionTimeoutMaxMs: 40,
+  leaseMs: 100,
+};
+let folder = '';
+
+beforeEach(() => {
+  folder = mkdtempSync(join(tmpdir(), 'bramleykeel-disk-'));
+});
+
+afterEach(() => {
+  disk.takesBytes = Number.POSITIVE_INFINITY;
+  rmSync(folder, { recursive: true, force: true });
+});
+
+function entry(index: number): LogEntry<ControlCommand> {
+  return { index, term: 1, payload: { kind: 'noop' } };
+}
+
+function reopen() {
+  const opened = openStorage(folder).unsafeCoerce();
+  closeStorage(opened.storage);
+  return opened;
+}
+
+describe('a disk that refuses', () => {
+  it.each([0, 1, 9, 30])('leaves a whole log after it took %i bytes of a record', (bytes) => {
+    const { storage } = openStorage(folder).unsafeCoerce();
+    persistEntries(storage, [entry(1)]);
+    disk.takesBytes = bytes;
+    expect(() => {
+      persistEntries(storage, [entry(2), entry(3), entry(4)]);
+    }).toThrow('no space');
+    disk.takesBytes = Number.POSITIVE_INFINITY;
+    persistEntries(storage, [entry(2)]);
+    closeStorage(storage);
+    expect(reopen().durable.entries).toEqual([entry(1), entry(2)]);
+  });
+
+  it.each([0, 40, 80, 120])('leaves all entries after it took %i bytes of a snapshot', (bytes) => {
+    const { storage } = openStorage(folder).unsafeCoerce();
+    persistEntries(storage, [entry(1), entry(2)]);
+    disk.takesBytes = bytes;
+    const snapshot = { index: 1, term: 1, membership: {}, data: Buffer.from('one') };
+    try {
+      persistSnapshot(storage, snapshot, [entry(2)]);
+    } catch {
+      disk.takesBytes = Number.POSITIVE_INFINITY;
+    }
+    disk.takesBytes = Number.POSITIVE_INFINITY;
+    persistEntries(storage, [entry(3)]);
+    closeStorage(storage);
+    const { durable, snapshot: held } = reopen();
+    expect([held.index, ...durable.entries.map(({ index }) => index)].at(-1)).toBe(3);
+    expect(held.index + durable.entries.length).toBe(3);
+  });
+
+  it('makes a member stand still, and lets it go on by itself', async () => {
+    initializeFolder(folder, self, {
+      [self]: {
+        address: 'a:1',
+        adminAddress: 'a:2',
+        diskId: initialDiskId(self),
+        isVoter: true,
+      },
+    });
+    const opened = openStorage(folder).unsafeCoerce();
+    const hooks = {
+      send: () => undefined,
+      onRole: () => undefined,
+      onApplied: () => undefined,
+      onRoundConfirmed: () => undefined,
+    };
+    const driver = createLogDriver(
+      opened,
+      { selfId: self, timing, snapshotEveryEntries: 100, log: () => undefined },
+      hooks,
+    );
+    const ticker = setInterval(() => {
+      driver.step({ kind: 'tick' });
+    }, 5);
+    const put = (version: number) =>
+      driver.propose({
+        kind: 'document/put',
+        document: { version, body: new Uint8Array([version]) },
+      });
+    await vi.waitFor(async () => {
+      expect(await put(1)).toBeDefined();
+    });
+    disk.takesBytes = 5;
+    expect(await put(2)).toBeUndefined();
+    expect(await put(3)).toBeUndefined();
+    disk.takesBytes = Number.POSITIVE_INFINITY;
+    await vi.waitFor(async () => {
+      expect(await put(4)).toBeDefined();
+    });
+    clearInterval(ticker);
+    closeStorage(opened.storage);
+    const indexes = reopen().durable.entries.map(({ index }) => index);
+    expect(indexes).toEqual(indexes.map((_, offset) => offset + (indexes[0] ?? 0)));
+  });
+
+  it('is tried again when a member starts, and other errors are not', async () => {
+    disk.takesBytes = 3;
+    setTimeout(() => {
+      disk.takesBytes = Number.POSITIVE_INFINITY;
+    }, 60);
+    const opened = await untilDiskTakes(
+      () => undefined,
+      () => openStorage(folder),
+    );
+    closeStorage(opened.unsafeCoerce().storage);
+    await delay(1);
+    const wrong = untilDiskTakes(
+      () => undefined,
+      () => {
+        throw new Error('a fault of the program');
+      },
+    );
+    await expect(wrong).rejects.toThrow('a fault of the program');
+  });
+});
--- a/packages/control/src/storage/record-file.ts
+++ b/packages/control/src/storage/record-file.ts
@@ -90,6 +90,8 @@
   readonly file: string;
   readonly descriptor: number;
   lengthBytes: number;
+  /** Set while bytes behind `lengthBytes` may stand in the file. */
+  isTailUnsure: boolean;
 }
 
 /** Opens the file for appending, cutting off a torn tail. */
@@ -97,17 +99,30 @@
   const descriptor = openSync(file, 'a+');
   ftruncateSync(descriptor, intactBytes);
   fsyncSync(descriptor);
-  return { file, descriptor, lengthBytes: intactBytes };
+  return { file, descriptor, lengthBytes: intactBytes, isTailUnsure: false };
 }
 
-/** Appends a record and syncs it before returning. */
+/**
+ * Appends a record and syncs it before returning.
+ *
+ * @throws when the disk refuses; what of the record may stand in the file is cut off before the next
+ */
 export function appendRecord(recordFile: RecordFile, value: unknown): void {
   const bytes = encodeRecord(value);
-  writeSync(recordFile.descriptor, bytes);
+  if (recordFile.isTailUnsure) ftruncateSync(recordFile.descriptor, recordFile.lengthBytes);
+  recordFile.isTailUnsure = true;
+  writeWhole(recordFile.descriptor, bytes);
   fdatasyncSync(recordFile.descriptor);
+  recordFile.isTailUnsure = false;
   recordFile.lengthBytes += bytes.length;
 }
 
+/** A disk that is nearly full may take a part of the bytes before it refuses the rest. */
+function writeWhole(descriptor: number, bytes: Buffer): void {
+  let written = 0;
+  while (written < bytes.length) written += writeSync(descriptor, bytes, written);
+}
+
 export function closeRecordFile(recordFile: RecordFile): void {
   closeSync(recordFile.descriptor);
 }
@@ -116,9 +131,12 @@
 export function replaceFile(file: string, content: Buffer): void {
   const temporary = `${file}.new`;
   const descriptor = openSync(temporary, 'w');
-  writeSync(descriptor, content);
-  fsyncSync(descriptor);
-  closeSync(descriptor);
+  try {
+    writeWhole(descriptor, content);
+    fsyncSync(descriptor);
+  } finally {
+    closeSync(descriptor);
+  }
   renameSync(temporary, file);
   syncFolder(dirname(file));
 }
