Bound connections beside a frozen former owner; read near within a region; wait for first settings at a start

Ruled out: the queue timeouts of nyda85b (its replicas lag by more than 1.4 s until 22 s; the primary's two slots are full), entries' processor time (0.26 of 0.32 at most). Change: an owner takes half of what is not the near readers', idle connections beyond a bound that has fallen are closed; nearness is the region's; a caller waits up to 1.5 s for an entry's first settings. Tests: owner-state.test.ts, connection-pool 'beyond a bound that has fallen', platform 'lets a caller wait'.

--- a/packages/core/src/statements/choose-target.ts
+++ b/packages/core/src/statements/choose-target.ts
@@ -9,7 +9,7 @@
   readonly isLeaving: boolean;
   /** Whether connections to it work as far as is known. */
   readonly isUsable: boolean;
-  readonly isSameZone: boolean;
+  readonly isNear: boolean;
   readonly freeSlots: number;
   /** The newest position that it has reported. */
   readonly position: LogPosition;
@@ -46,7 +46,7 @@
     .filter((server) => !server.isPrimary && !server.isLeaving && hasOwed(server, need, nowMs))
     .sort(
       (left, right) =>
-        Number(right.isSameZone) - Number(left.isSameZone) || right.freeSlots - left.freeSlots,
+        Number(right.isNear) - Number(left.isNear) || right.freeSlots - left.freeSlots,
     );
   if (primary && primary.freeSlots > 1) return primary.server;
   return replicas[0]?.server ?? primary?.server;
--- a/packages/statement-entry/src/near/near-offer.ts
+++ b/packages/statement-entry/src/near/near-offer.ts
@@ -1,6 +1,6 @@
 /** What an owner tells entries that read at replicas near them. */
 import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
-import { primaryOf, sharedConnections, type StatementOwner } from '../owner/owner-state.js';
+import { nearConnections, primaryOf, type StatementOwner } from '../owner/owner-state.js';
 
 export interface NearServer {
   readonly server: ServerName;
@@ -8,7 +8,7 @@
   readonly slots: number;
 }
 
-/** Replicas of one zone, and a position that covers all that was acknowledged when it was asked for. */
+/** Replicas of one region, and a position that covers all that was acknowledged when it was asked for. */
 export interface NearOffer {
   readonly position: LogPosition;
   readonly servers: readonly NearServer[];
@@ -41,11 +41,13 @@
   for (const [id, { atMs }] of owner.nearReaders) {
     if (nowMs - atMs > READER_GONE_AFTER_MS) owner.nearReaders.delete(id);
   }
-  const readers = [...owner.nearReaders.values()].filter((reader) => reader.zone === zone).length;
+  const { regionOf } = owner.environment;
+  const isNear = (place: { readonly zone: string }) => regionOf(place.zone) === regionOf(zone);
+  const readers = [...owner.nearReaders.values()].filter(isNear).length;
   const servers = [...owner.servers.values()].filter(
     (server) =>
       server !== primary &&
-      server.announcement.zone === zone &&
+      isNear(server.announcement) &&
       !server.announcement.isLeaving &&
       server.failingSinceMs === undefined,
   );
@@ -54,7 +56,7 @@
     servers: servers.map(({ announcement: { server, address, slots } }) => {
       return { server, address, slots };
     }),
-    maxConnections: Math.max(1, Math.floor(sharedConnections(owner.environment) / 2 / readers)),
+    maxConnections: Math.max(1, Math.floor(nearConnections(owner.environment) / readers)),
   };
 }
 
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -93,12 +93,13 @@
 
 function viewServers(owner: StatementOwner): TargetView[] {
   const primary = primaryOf(owner);
+  const { regionOf, zone } = owner.environment;
   return [...owner.servers.values()].map((server) => ({
     server: server.announcement.server,
     isPrimary: server === primary,
     isLeaving: server.announcement.isLeaving,
     isUsable: server.failingSinceMs === undefined && hasConnectionLeft(owner.pools, server),
-    isSameZone: server.announcement.zone === owner.environment.zone,
+    isNear: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(server),
     position: server.position,
     laggingUntilMs: server.laggingUntilMs,
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -28,6 +28,7 @@
 export interface RegistryOptions {
   readonly entryId: string;
   readonly zone: string;
+  readonly regionOf: (zone: string) => string;
   readonly log: Log;
   readonly counters: Counters;
   readonly control: ControlClient;
--- /dev/null
+++ b/packages/statement-entry/src/owner/owner-state.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from 'vitest';
+import { offerNear } from '../near/near-offer.js';
+import { createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
+import { lead } from './take-over.js';
+import type { ServerState } from './owner-state.js';
+
+/** The bound of the fake group's service. */
+const CAP = 13;
+
+function serverOf(fake: FakeGroup, index: number): ServerState {
+  const name = fake.servers[index]?.name;
+  const server = name && fake.owner.servers.get(name);
+  if (!server) throw new Error(`the group has no server ${index}`);
+  return server;
+}
+
+function startLed(): FakeGroup {
+  const fake = createFakeGroup(3);
+  const status = {
+    role: 'primary',
+    term: 3,
+    position: { term: 3, offset: 40 },
+    heldTerm: 0,
+  } as const;
+  lead(fake.owner, { server: serverOf(fake, 0), status }, 'it says so');
+  return fake;
+}
+
+describe('connections of owners and near readers together', () => {
+  it.each([
+    { name: 'the primary', index: 0 },
+    { name: 'a replica without near readers', index: 1 },
+    { name: 'a replica with near readers', index: 2 },
+  ])('stay within the bound of $name beside a frozen former owner', ({ index }) => {
+    const fake = startLed();
+    const former = startLed();
+    const offers = ['e-1', 'e-2', 'e-3', 'e-4'].map((entryId) => {
+      const question = { zone: 'zone-2', entryId };
+      offerNear(former.owner, question);
+      return offerNear(fake.owner, question);
+    });
+    const server = serverOf(fake, index);
+    const offered = offers
+      .at(-1)
+      ?.servers.some((each) => each.server === server.announcement.server);
+    const near = offered === true ? (offers.at(-1)?.maxConnections ?? 0) * offers.length : 0;
+    const own = fake.owner.pools.maxConnections(server);
+    const formers = former.owner.pools.maxConnections(serverOf(former, index));
+    expect(own).toBeGreaterThan(0);
+    expect(own + formers + near).toBeLessThanOrEqual(CAP);
+  });
+
+  it('leave replicas of the same region to near readers, in whichever zone these are', () => {
+    const fake = startLed();
+    const regionOf = (zone: string) => (zone === 'zone-1' || zone === 'zone-1b' ? 'north' : zone);
+    Object.assign(fake.owner.environment, { regionOf });
+    const names = (zone: string) =>
+      offerNear(fake.owner, { zone, entryId: zone })?.servers.map(({ server }) => server);
+    expect(names('zone-1b')).toEqual(['i-1']);
+    expect(names('zone-1')).toEqual(['i-1']);
+    expect(names('zone-2')).toEqual(['i-2']);
+    expect(names('zone-0')).toEqual([]);
+  });
+});
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -28,6 +28,8 @@
 export interface OwnerEnvironment {
   readonly entryId: string;
   readonly zone: string;
+  /** The region of a zone; zones of a region are near to each other. */
+  readonly regionOf: (zone: string) => string;
   readonly log: Log;
   readonly counters: Counters;
   /** Whether this entry holds the group now, under the owner's epoch, by the steady clock. */
@@ -144,6 +146,13 @@
 /** Connections left free for an earlier owner that has not let go of all of its own. */
 const RESERVED_CONNECTIONS = 3;
 const DEFAULT_MAX_CONNECTIONS = 20;
+/** Share of a server's connections for the entries that read near it. */
+const NEAR_SHARE = 0.5;
+/**
+ * Share of the rest for one owner: a former one that is frozen keeps what it has open until it thaws,
+ * and the server counts that too.
+ */
+const OWN_SHARE = 0.5;
 
 /** Connections to one server that owner and near readers may have open together. */
 export function sharedConnections(environment: OwnerEnvironment): number {
@@ -151,15 +160,21 @@
   return Math.max(1, cap - RESERVED_CONNECTIONS);
 }
 
-/** Half of the connections to a server belong to the entries that read there themselves. */
+/** Connections to one server that the entries near it may have open together. */
+export function nearConnections(environment: OwnerEnvironment): number {
+  return sharedConnections(environment) * NEAR_SHARE;
+}
+
 function ownConnections(
   environment: OwnerEnvironment,
   nearReaders: StatementOwner['nearReaders'],
   { announcement }: ServerState,
 ): number {
-  const shared = sharedConnections(environment);
-  const isShared = [...nearReaders.values()].some(({ zone }) => zone === announcement.zone);
-  return isShared ? Math.ceil(shared / 2) : shared;
+  const { regionOf } = environment;
+  const region = regionOf(announcement.zone);
+  const isShared = [...nearReaders.values()].some(({ zone }) => regionOf(zone) === region);
+  const share = isShared ? (1 - NEAR_SHARE) * OWN_SHARE : OWN_SHARE;
+  return Math.max(1, Math.floor(sharedConnections(environment) * share));
 }
 
 export function createStatementOwner(
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { type ServerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
-import { retireServer } from '../target/connection-pool.js';
+import { retireServer, trimIdle } from '../target/connection-pool.js';
 import { warmConnections } from '../target/connection-warmup.js';
 import { closeControlConnection, orderAll, probeServer } from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
@@ -35,6 +35,7 @@
   if (owner.isClosed || !owner.environment.holdsLease()) return;
   forgetServers(owner);
   for (const server of owner.servers.values()) {
+    trimIdle(owner.pools, server);
     if (server.failingSinceMs !== undefined && server !== primaryOf(owner)) reprobe(owner, server);
   }
   match(owner.leadership)
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -67,6 +67,8 @@
 export interface StatementEntryOptions {
   readonly entryId: string;
   readonly zone: string;
+  /** The region of a zone; zones of a region are near to each other. */
+  readonly regionOf: (zone: string) => string;
   readonly linkAddress: string;
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
@@ -87,12 +89,15 @@
 }
 
 export interface StatementEntry {
-  /** Starts a caller's session, or says why it may not start. */
+  /**
+   * Starts a caller's session, or says why it may not start. An entry that has just started waits a
+   * moment for its first settings.
+   */
   readonly startSession: (
     database: string,
     key: string | undefined,
     port: CallerPort,
-  ) => CallerSession | StatementRefusalReason;
+  ) => Promise<CallerSession | StatementRefusalReason>;
   readonly endSession: (session: CallerSession) => void;
   /** Whether new callers should be sent here. */
   readonly isReady: () => boolean;
@@ -109,6 +114,12 @@
 /** Time over which idle sessions are closed when the entry stops, in milliseconds. */
 const CLOSE_IDLE_OVER_MS = 1_500;
 const STOP_POLL_MS = 25;
+/**
+ * A caller waits for the first settings of an entry for this long, in milliseconds: callers of the users'
+ * platform give up after 2 s, and after a loss of all instances control takes less than 1 s.
+ */
+const FIRST_SETTINGS_WAIT_MS = 1_500;
+const SETTINGS_POLL_MS = 20;
 /** Share of the turns in which an entry asks for a home, so that many entries do not all ask at once. */
 const HOME_REQUEST_SHARE = 0.25;
 /** The balancer needs two misses, a second apart, to send callers elsewhere. In milliseconds. */
@@ -257,7 +268,9 @@
   log(`entry ${options.entryId} listens for other entries at ${options.linkAddress}`);
   return { startSession, endSession, isReady, stop };
 
-  function startSession(database: string, key: string | undefined, port: CallerPort) {
+  async function startSession(database: string, key: string | undefined, port: CallerPort) {
+    const untilMs = performance.now() + FIRST_SETTINGS_WAIT_MS;
+    while (!settings && !isStopping && performance.now() < untilMs) await delay(SETTINGS_POLL_MS);
     const reason = checkStart(environment, database, key);
     if (reason !== undefined) {
       counters.count(`refusal.${reason}`);
--- a/packages/statement-entry/src/target/connection-pool.test.ts
+++ b/packages/statement-entry/src/target/connection-pool.test.ts
@@ -11,6 +11,7 @@
   type PoolContext,
   releaseConnection,
   retireServer,
+  trimIdle,
 } from './connection-pool.js';
 
 const one = toCustomerName('one');
@@ -112,6 +113,17 @@
     expect(world.server.connectionCount).toBe(2);
   });
 
+  it('beyond a bound that has fallen are closed, those in use when they come back', async () => {
+    const world = createWorld(4);
+    const taken = [await take(world), await take(world), await take(world)];
+    for (const pooled of taken.slice(0, 2)) releaseConnection(pooled);
+    const pools = { ...world.pools, maxConnections: () => 1 };
+    trimIdle(pools, world.server);
+    expect(world.open.size).toBe(1);
+    const refused = await acquireConnection(pools, world.server, other, '');
+    expect(refused.kind).toBe('unavailable');
+  });
+
   it('count once, however often they are discarded', async () => {
     const world = createWorld(2);
     const first = await take(world);
--- a/packages/statement-entry/src/target/connection-pool.ts
+++ b/packages/statement-entry/src/target/connection-pool.ts
@@ -48,14 +48,27 @@
   dropIdle(server, ({ connection }) => !connection.isOpen());
   const kept = takeIdle(server, customer, valuesKey);
   if (kept) return { kind: 'acquired', pooled: kept };
-  if (server.connectionCount >= pools.maxConnections(server)) {
+  makeRoom(pools, server);
+  if (server.connectionCount >= pools.maxConnections(server)) return { kind: 'unavailable' };
+  const pooled = await openConnection(pools, server, customer);
+  return pooled ? { kind: 'acquired', pooled } : { kind: 'unavailable' };
+}
+
+/** Closes idle connections, oldest first, until one more can be opened; the bound may have fallen. */
+function makeRoom(pools: PoolContext, server: ServerState): void {
+  while (server.idle.length > 0 && server.connectionCount >= pools.maxConnections(server)) {
     const [oldest] = server.idle;
-    if (!oldest) return { kind: 'unavailable' };
     dropIdle(server, (idle) => idle === oldest);
     pools.counters.count('target.connection-replaced');
   }
-  const pooled = await openConnection(pools, server, customer);
-  return pooled ? { kind: 'acquired', pooled } : { kind: 'unavailable' };
+}
+
+/** Closes idle connections beyond a bound that has fallen. */
+export function trimIdle(pools: PoolContext, server: ServerState): void {
+  const excess = server.connectionCount - pools.maxConnections(server);
+  if (excess <= 0) return;
+  const oldest = new Set(server.idle.slice(0, excess));
+  dropIdle(server, (idle) => oldest.has(idle));
 }
 
 function takeIdle(
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -112,6 +112,7 @@
   return {
     entryId: 'entry-1',
     zone: 'zone-0',
+    regionOf: (zone) => zone,
     log: () => undefined,
     counters: {
       count: () => undefined,
