Make one page for operations: logs, metrics, and three failed requests from id to cause

Change: the pages are merged; entries name the group of a failed request, control's lines name group, customer, incarnation and term, and the trace follows the entries that held them.

--- a/packages/bramleykeelctl/src/trace.test.ts
+++ b/packages/bramleykeelctl/src/trace.test.ts
@@ -24,6 +24,18 @@
     expect(lines.map(({ atMs }) => atMs)).toEqual([20_000, 20_400, 20_700, 20_900]);
   });
 
+  it('has the lease of an entry that held its customer', () => {
+    const home = [
+      line(5_000, { customer: 'acme', incarnation: 'one', epoch: 1 }),
+      line(19_900, { incarnation: 'one' }),
+      line(19_950, { incarnation: 'other' }),
+      line(20_000, { request: 'r1', customer: 'acme', reason: 'rate-home-unreachable' }),
+      line(20_300, { customer: 'acme', incarnation: 'two', epoch: 2 }),
+    ];
+    const { lines } = traceRequest(home, 'r1');
+    expect(lines.map(({ atMs }) => atMs)).toEqual([19_900, 20_000, 20_300]);
+  });
+
   it('is empty for a request that no process has written about', () => {
     expect(traceRequest(logs, 'r9')).toEqual({ lines: [], ownCount: 0 });
   });
--- a/packages/bramleykeelctl/src/trace.ts
+++ b/packages/bramleykeelctl/src/trace.ts
@@ -38,7 +38,8 @@
 }
 
 /**
- * Collects the lines of a request, and those of its group that name no request.
+ * Collects the lines of a request, and those that name no request but its group, its customer, or an
+ * entry that held one of them.
  *
  * @example
  * traceRequest(readFileSync(0, 'utf8').split('\n'), '5c0e7a21d94b36f8');
@@ -47,19 +48,28 @@
   const lines = [...texts].map(parseLogLine).filter((line) => line !== undefined);
   const own = lines.filter(({ fields }) => fields.request === request);
   if (own.length === 0) return { lines: [], ownCount: 0 };
-  const groups = new Set(
-    own.map(({ fields }) => fields.group).filter((name) => name !== undefined),
-  );
-  const isAbout = (group: unknown) => group !== undefined && groups.has(group);
+  const groups = namesOf(own, 'group');
+  const customers = namesOf(own, 'customer');
+  const isAbout = ({ fields }: LogLine) =>
+    groups.has(fields.group) || customers.has(fields.customer);
+  const holders = namesOf(lines.filter(isAbout), 'incarnation');
   const times = own.map(({ atMs }) => atMs);
   const fromMs = Math.min(...times) - BEFORE_MS;
   const untilMs = Math.max(...times) + AFTER_MS;
-  const isRelated = ({ fields, atMs }: LogLine) =>
-    fields.request === undefined && isAbout(fields.group) && atMs >= fromMs && atMs <= untilMs;
+  const isRelated = (line: LogLine) => {
+    const { fields, atMs } = line;
+    if (fields.request !== undefined || atMs < fromMs || atMs > untilMs) return false;
+    return isAbout(line) || holders.has(fields.incarnation);
+  };
   const found = lines.filter((line) => own.includes(line) || isRelated(line));
   return { lines: found.sort((left, right) => left.atMs - right.atMs), ownCount: own.length };
 }
 
+/** What the lines name; a line that names nothing matches none. */
+function namesOf(lines: readonly LogLine[], field: string): ReadonlySet<unknown> {
+  return new Set(lines.map(({ fields }) => fields[field]).filter((name) => name !== undefined));
+}
+
 /** Shows a trace, each line with its time from the request's first one. */
 export function formatTrace({ lines }: Trace, request: string): string {
   const first = lines.find(({ fields }) => fields.request === request);
--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -172,7 +172,7 @@
 export function reassignOrphans(service: LeaderService): void {
   const nowMs = performance.now();
   for (const incarnation of endExpiredLeases(service.leases, nowMs)) {
-    service.log(`lease of incarnation ${incarnation} has expired`);
+    service.log('the lease of an entry has expired', { incarnation });
   }
   const assignments = listAssignments(service.driver.control());
   const orphans = takeOrphans(service.leases, assignments, nowMs);
@@ -235,7 +235,13 @@
   service.assigning.delete(resource);
   if (result?.kind !== 'done') return false;
   service.released.delete(resource);
-  service.log(`${resource} is now held by ${entryId}, epoch ${epoch}`);
+  const [kind = '', name = ''] = resource.split('/');
+  service.log(`${resource} is now held by ${entryId}`, {
+    [kind]: name,
+    epoch,
+    incarnation: held.incarnation,
+    controlTerm: service.driver.raft.currentTerm,
+  });
   return true;
 }
 
--- a/packages/core/src/types/outcome.test.ts
+++ b/packages/core/src/types/outcome.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { REFUSAL_TABLE, type RefusalReason, refuse } from './outcome.js';
 
-const page = readFileSync(new URL('../../../../docs/OPERATING.md', import.meta.url), 'utf8');
+const page = readFileSync(new URL('../../../../docs/OPERATIONS.md', import.meta.url), 'utf8');
 
 const OUTCOME_BY_CLASS: readonly [RegExp, string][] = [
   [/^(53|57P03|3D000|08P01|22023)/, 'not-run'],
--- a/packages/core/src/types/outcome.ts
+++ b/packages/core/src/types/outcome.ts
@@ -51,7 +51,7 @@
   readonly message: string;
 }
 
-/** One row per reason: the table in docs/OPERATING.md is checked against this one. */
+/** One row per reason: the table in docs/OPERATIONS.md is checked against this one. */
 export const REFUSAL_TABLE: Readonly<Record<RefusalReason, RefusalTemplate>> = {
   'no-owner': notRun('57P03', 'the database group has no owner at the moment'),
   'no-primary': notRun('57P03', 'the database group has no primary at the moment'),
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -262,6 +262,7 @@
   log('the request got no result', {
     request: tag,
     database: session.database,
+    group: environment.settings()?.routes.get(session.database)?.group,
     customer,
     outcome: error.kind,
     reason: 'reason' in error ? error.reason : undefined,
