End an owner's epoch for good at a handover, and say so: what it has not answered did not run

Cause: an owner that had handed its group over was started again under the same epoch by the next look at the assignments, until control's answer came: two owners at once for that moment. Ruled out: a longer grace for late answers (the link was closed; none could come). Change: an epoch that was handed over or superseded is never started again; its owner tells the entries, after all its answers, what still runs; everything else goes to the next owner as not run.

--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -7,7 +7,7 @@
 } from '@bramleykeel/core';
 import { answerDrawCode, type DrawCode, type RateDraws } from '@bramleykeel/entry-shared';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
-import { type OwnerClient, takeOutcome } from './locate/owner-client.js';
+import { endOwner, type OwnerClient, takeOutcome } from './locate/owner-client.js';
 import {
   encodeOffer,
   type NearOfferCode,
@@ -16,6 +16,7 @@
   offerNear,
 } from './near/near-offer.js';
 import { type EntryChannel, takeRollback, takeStatement } from './owner/owner-app.js';
+import type { StatementOwner } from './owner/owner-state.js';
 import {
   deliverServerAnnouncement,
   deliverServerLeave,
@@ -42,6 +43,9 @@
   channelCount: number;
 }
 
+/** Group, epoch, and the numbers of the receiver's statements that still run. */
+type OwnerEndedCode = readonly [group: GroupName, epoch: number, running: readonly number[]];
+
 type RequestHandler = (app: StatementApp, params: unknown) => unknown;
 type EventHandler = (app: StatementApp, peer: LinkPeer, params: unknown) => void;
 
@@ -67,6 +71,10 @@
     const { number, outcome } = decodeOutcome(params as OutcomeCode);
     takeOutcome(app.owners, number, outcome);
   },
+  'owner/ended': (app, _peer, params) => {
+    const [group, epoch, running] = params as OwnerEndedCode;
+    endOwner(app.owners, group, epoch, running);
+  },
   'statement/rollback': (app, peer, params) => {
     const [group, epoch, transaction] = params as [GroupName, number, number];
     const owner = findStatementOwner(app.registry, group, epoch);
@@ -93,6 +101,17 @@
   else app.counters.count('refusal.unknown-link-event');
 }
 
+/** Tells the entries that have sent statements that an owner's epoch is over here, after all its answers. */
+export function tellOwnerEnded(app: StatementApp, owner: StatementOwner): void {
+  for (const [peer, channel] of app.channels) {
+    const running = [...owner.running]
+      .filter((job) => job.channel === channel && !job.isEnded)
+      .map(({ request }) => request.number);
+    const code: OwnerEndedCode = [owner.group, owner.epoch, running];
+    peer.notify('owner/ended', code);
+  }
+}
+
 /** A link from another entry was closed: its statements and transactions end here. */
 export function handleLinkClosed(app: StatementApp, peer: LinkPeer): void {
   const channel = app.channels.get(peer);
--- /dev/null
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -0,0 +1,121 @@
+import {
+  type GroupName,
+  type StatementRequest,
+  toCustomerName,
+  toGroupName,
+} from '@bramleykeel/core';
+import type { ControlClient } from '@bramleykeel/entry-shared';
+import { setTimeout as delay } from 'node:timers/promises';
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { EntryLinks } from './entry-links.js';
+import {
+  createOwnerClient,
+  endOwner,
+  loseLink,
+  type OwnerClient,
+  runStatement,
+  type StatementDraft,
+  statementTime,
+  takeOutcome,
+} from './owner-client.js';
+
+const group: GroupName = toGroupName('ledger');
+const done = {
+  kind: 'done',
+  rows: [],
+  signature: 's',
+  position: null,
+  isFromReplica: false,
+} as const;
+const write: StatementDraft = {
+  tag: 't',
+  access: 'write',
+  body: { kind: 'plain', text: 'WRITE x a' },
+  transaction: null,
+  customer: toCustomerName('one'),
+  priority: 1,
+  consistency: 'newest',
+  maxReadAgeMs: 0,
+  mark: null,
+  values: {},
+};
+
+describe('statements whose owner ends', () => {
+  let client: OwnerClient;
+  let epoch: number;
+  let sent: { readonly epoch: number; readonly request: StatementRequest }[];
+
+  beforeEach(() => {
+    epoch = 1;
+    sent = [];
+    const control = {
+      get records() {
+        const assignment = {
+          resource: `group/${group}`,
+          epoch,
+          incarnation: 'b',
+          linkAddress: 'b:1',
+        };
+        return new Map([[`group/${group}`, { record: { kind: 'assignment', assignment } }]]);
+      },
+      incarnation: () => 'a',
+    } as unknown as ControlClient;
+    client = createOwnerClient({
+      control,
+      links: () => ({ linkTo: () => ({}) }) as unknown as EntryLinks,
+      sendLocally: () => false,
+      rollBackLocally: () => undefined,
+      sendOver: (port, request) => {
+        sent.push({ epoch: port.epoch, request });
+        return true;
+      },
+      rollBackOver: () => undefined,
+      requestResource: () => undefined,
+    });
+  });
+
+  function run(draft: StatementDraft = write) {
+    return runStatement(client, group, draft, undefined, statementTime(1_000));
+  }
+
+  it('go to the next owner when the former one never ran them', async () => {
+    const running = run();
+    await delay(5);
+    endOwner(client, group, 1, []);
+    await delay(60);
+    expect(sent).toHaveLength(1);
+    epoch = 2;
+    await delay(60);
+    expect(sent.map((each) => each.epoch)).toEqual([1, 2]);
+    takeOutcome(client, sent[1]?.request.number ?? 0, done);
+    expect((await running).outcome).toEqual(done);
+  });
+
+  it('are waited for when they still run there', async () => {
+    const running = run();
+    await delay(5);
+    const number = sent[0]?.request.number ?? 0;
+    endOwner(client, group, 1, [number]);
+    epoch = 2;
+    await delay(40);
+    expect(sent).toHaveLength(1);
+    takeOutcome(client, number, done);
+    expect((await running).outcome).toEqual(done);
+  });
+
+  it('are unknown when the link breaks without a word of the owner', async () => {
+    const running = run();
+    await delay(5);
+    loseLink(client, 'b:1');
+    expect((await running).outcome.kind).toBe('unknown');
+    expect(sent).toHaveLength(1);
+  });
+
+  it('are refused as not run when no next owner comes in time', async () => {
+    const running = run();
+    await delay(5);
+    endOwner(client, group, 1, []);
+    expect((await running).outcome).toMatchObject({ kind: 'not-run', reason: 'no-owner' });
+    expect(sent).toHaveLength(1);
+  });
+});
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -49,6 +49,8 @@
 export interface OwnerClient {
   readonly options: OwnerClientOptions;
   readonly pending: Map<number, PendingStatement>;
+  /** The newest epoch of each group whose owner has said that it is over. */
+  readonly endedEpochs: Map<GroupName, number>;
   nextNumber: number;
 }
 
@@ -89,7 +91,7 @@
 const RETRY_AFTER_MS = 200;
 
 export function createOwnerClient(options: OwnerClientOptions): OwnerClient {
-  return { options, pending: new Map(), nextNumber: 1 };
+  return { options, pending: new Map(), endedEpochs: new Map(), nextNumber: 1 };
 }
 
 /**
@@ -186,6 +188,23 @@
   settle(client, number, outcome);
 }
 
+/**
+ * An owner's epoch is over. What it has not answered, and does not name as still running, did not run and
+ * never will: it goes to the next owner.
+ */
+export function endOwner(
+  client: OwnerClient,
+  group: GroupName,
+  epoch: number,
+  running: readonly number[],
+): void {
+  client.endedEpochs.set(group, Math.max(epoch, client.endedEpochs.get(group) ?? 0));
+  for (const [number, { port }] of [...client.pending]) {
+    const isIts = port.group === group && port.epoch === epoch;
+    if (isIts && !running.includes(number)) settle(client, number, notRun('no-owner'));
+  }
+}
+
 /** The link to an entry is gone: nothing that was sent over it will be answered. */
 export function loseLink(client: OwnerClient, linkAddress: string): void {
   losePending(client, (port) => !port.isLocal && port.linkAddress === linkAddress);
@@ -254,6 +273,8 @@
     requestResource(resource, undefined);
     return undefined;
   }
+  // Its successor is not known here yet.
+  if (assignment.epoch <= (client.endedEpochs.get(group) ?? 0)) return undefined;
   const isLocal = assignment.incarnation === control.incarnation();
   if (!isLocal && !links().linkTo(assignment.linkAddress)) {
     return undefined;
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -36,6 +36,8 @@
   readonly openTarget: OpenTarget;
   readonly readTargetStatus: ReadTargetStatus;
   readonly promoteServer: PromoteServer;
+  /** Called once an owner's epoch is over and all that did not reach a server is answered. */
+  readonly onOwnerEnded: (owner: StatementOwner) => void;
 }
 
 export interface StatementOwnerRegistry {
@@ -43,6 +45,8 @@
   readonly owners: Map<GroupName, StatementOwner>;
   /** The newest announcements that came before this entry owned their group. */
   readonly early: Map<ServerName, ServerAnnouncement>;
+  /** The newest epoch of each group that has ended for good: no owner starts under it again. */
+  readonly endedEpochs: Map<GroupName, number>;
 }
 
 const GROUP_RESOURCE = /^group\/(.+)$/;
@@ -51,7 +55,7 @@
 const MAX_EARLY_ANNOUNCEMENTS = 1_000;
 
 export function createStatementOwnerRegistry(options: RegistryOptions): StatementOwnerRegistry {
-  return { options, owners: new Map(), early: new Map() };
+  return { options, owners: new Map(), early: new Map(), endedEpochs: new Map() };
 }
 
 /** Starts owners for groups that were assigned to this entry and closes those that were not. */
@@ -64,16 +68,22 @@
     assigned.set(toGroupName(name), epoch);
   }
   for (const [group, owner] of registry.owners) {
-    if (assigned.get(group) !== owner.epoch) retireOwner(registry, owner);
+    if (assigned.get(group) !== owner.epoch) endOwner(registry, owner);
   }
   for (const [group, epoch] of assigned) {
-    if (!registry.owners.has(group)) startOwner(registry, group, epoch);
+    // What was handed over is still assigned to this entry until control's answer has come.
+    const hasEnded = epoch <= (registry.endedEpochs.get(group) ?? 0);
+    if (!registry.owners.has(group) && !hasEnded) startOwner(registry, group, epoch);
   }
 }
 
-function retireOwner(registry: StatementOwnerRegistry, owner: StatementOwner): void {
+/** Closes an owner whose epoch is over: nothing runs under it any more, whatever is still on its way. */
+function endOwner(registry: StatementOwnerRegistry, owner: StatementOwner): void {
+  const { group, epoch } = owner;
   closeStatementOwner(owner);
-  registry.owners.delete(owner.group);
+  registry.owners.delete(group);
+  registry.endedEpochs.set(group, Math.max(epoch, registry.endedEpochs.get(group) ?? 0));
+  registry.options.onOwnerEnded(owner);
 }
 
 function startOwner(registry: StatementOwnerRegistry, group: GroupName, epoch: number): void {
@@ -155,14 +165,15 @@
     [...registry.owners.values()].map(async (owner) => {
       await drainStatementOwner(owner, graceMs);
       const { group, epoch } = owner;
-      retireOwner(registry, owner);
+      endOwner(registry, owner);
       const release = { resource: `group/${group}`, epoch, incarnation: control.incarnation() };
       await control.call('resource/release', release);
     }),
   );
 }
 
-/** Closes everything at once, after the lease was lost for good. */
+/** Closes everything at once after the lease was lost; control may renew it under the same epochs. */
 export function closeAllStatementOwners(registry: StatementOwnerRegistry): void {
-  for (const owner of registry.owners.values()) retireOwner(registry, owner);
+  for (const owner of registry.owners.values()) closeStatementOwner(owner);
+  registry.owners.clear();
 }
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -39,6 +39,7 @@
   handleLinkClosed,
   handleRequest,
   type StatementApp,
+  tellOwnerEnded,
 } from './app.js';
 import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
 import { decodeOffer, type NearOfferCode, type NearQuestionCode } from './near/near-offer.js';
@@ -172,6 +173,9 @@
     ...options,
     control,
     settings: () => settings,
+    onOwnerEnded: (owner) => {
+      tellOwnerEnded(app, owner);
+    },
   });
   const links: EntryLinks = createEntryLinks({
     linkSecret: options.linkSecret,
