Keep most connections for a settled owner, start moved rate homes with the rule's slack, ask lagging replicas less often

Half of the connections is too few for 71 customers. Ruled out: a full bucket after a move (the rule allows 10% and 20 operations over 5 s, not a burst).

--- a/packages/core/src/admit/token-bucket.ts
+++ b/packages/core/src/admit/token-bucket.ts
@@ -5,6 +5,8 @@
   readonly ratePerSecond: number;
   /** Tokens that may be spent at once after a quiet time. */
   readonly burst: number;
+  /** Tokens that a home starts with when it follows on another; none unless the users' rule has room. */
+  readonly afterMove?: number;
 }
 
 export interface TokenBucket {
@@ -43,9 +45,13 @@
   return limit.burst - (limit.ratePerSecond * grantLifetimeMs(limit)) / 1000;
 }
 
-/** A bucket that starts empty: what an earlier home has granted is not known. */
-export function createEmptyBucket(nowMs: number): TokenBucket {
-  return { tokens: 0, updatedAtMs: nowMs };
+/**
+ * A bucket of a home that follows on another: what that one has granted is not known, so it is taken to
+ * be the whole burst.
+ */
+export function createMovedBucket(limit: RateLimit, nowMs: number): TokenBucket {
+  const tokens = Math.min(limit.afterMove ?? 0, bucketCapacity(limit));
+  return { tokens, updatedAtMs: nowMs };
 }
 
 /** A bucket that starts full, for a customer that has never been served before. */
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -33,6 +33,8 @@
   readonly keys: readonly string[];
   readonly ratePerSecond: number;
   readonly burst: number;
+  /** Tokens that a home of its rate starts with when it follows on another. */
+  readonly afterMove: number;
 }
 
 export interface StatementGroup {
--- a/packages/entry-shared/src/admit/rate-home.test.ts
+++ b/packages/entry-shared/src/admit/rate-home.test.ts
@@ -45,6 +45,15 @@
     expect(grant?.retryAfterMs).toBeGreaterThan(800);
   });
 
+  it('starts with what the rule allows after a move, and never with more than its bucket', async () => {
+    const first = async (afterMove: number) => {
+      const homes = createRateHomes();
+      return (await answerDraw(homes, draw(30), { ...limit, afterMove }, 2))?.granted;
+    };
+    expect(await first(6)).toBe(6);
+    expect(await first(1_000)).toBeLessThanOrEqual(20);
+  });
+
   it('starts empty when an earlier home may just have granted everything', async () => {
     const first = await answerDraw(createRateHomes(), { ...draw(10), epoch: 1 }, limit, 1);
     expect(first?.granted).toBe(10);
--- a/packages/entry-shared/src/admit/rate-home.ts
+++ b/packages/entry-shared/src/admit/rate-home.ts
@@ -1,7 +1,7 @@
 /** Homes of customers' rates on this entry: the only place where a customer's tokens come from. */
 import {
-  createEmptyBucket,
   createFullBucket,
+  createMovedBucket,
   type CustomerName,
   drawTokens,
   grantLifetimeMs,
@@ -103,7 +103,7 @@
   }
 }
 
-/** A later home starts empty, because an earlier one may just have granted the whole burst. */
+/** An earlier home may just have granted the whole burst, so a later one starts with next to nothing. */
 function homeOf(
   homes: RateHomes,
   customer: CustomerName,
@@ -113,7 +113,7 @@
 ): HomeBucket {
   const known = homes.buckets.get(customer);
   if (known?.epoch === epoch) return known;
-  const bucket = epoch === 1 ? createFullBucket(limit, nowMs) : createEmptyBucket(nowMs);
+  const bucket = epoch === 1 ? createFullBucket(limit, nowMs) : createMovedBucket(limit, nowMs);
   const created: HomeBucket = { epoch, bucket, limit, waiting: [], timer: undefined };
   homes.buckets.set(customer, created);
   return created;
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -76,6 +76,8 @@
   runningCount: number;
   position: LogPosition;
   laggingUntilMs: number;
+  /** The last pause of a replica that lags, in milliseconds; zero once it has answered a read. */
+  laggingPauseMs: number;
   busyUntilMs: number;
   /** Set while connections to it fail. */
   failingSinceMs: number | undefined;
@@ -149,10 +151,16 @@
 /** Share of a server's connections for the entries that read near it. */
 const NEAR_SHARE = 0.5;
 /**
- * Share of the rest for one owner: a former one that is frozen keeps what it has open until it thaws,
- * and the server counts that too.
+ * Part of the rest that is kept for an owner that follows on another: a former owner that is frozen keeps
+ * what it has open until it thaws, and the server counts that too. At least a quarter, and enough to keep
+ * the slots busy beside transactions that rest; at most half.
  */
-const OWN_SHARE = 0.5;
+const FOLLOWER_SHARE = 0.25;
+const FOLLOWER_MAX_SHARE = 0.5;
+const FOLLOWER_PER_SLOT = 2.5;
+const FOLLOWER_RESTING = 3;
+/** The users' freezes and cuts last 3 to 8 s; then a former owner has thawed, or its connections are gone. */
+const FORMER_OWNER_MS = 10_000;
 
 /** Connections to one server that owner and near readers may have open together. */
 export function sharedConnections(environment: OwnerEnvironment): number {
@@ -165,16 +173,23 @@
   return sharedConnections(environment) * NEAR_SHARE;
 }
 
+type OwnConnectionsContext = Pick<
+  StatementOwner,
+  'environment' | 'nearReaders' | 'startedAtMs' | 'epoch'
+>;
+
 function ownConnections(
-  environment: OwnerEnvironment,
-  nearReaders: StatementOwner['nearReaders'],
+  { environment, nearReaders, startedAtMs, epoch }: OwnConnectionsContext,
   { announcement }: ServerState,
 ): number {
   const { regionOf } = environment;
   const region = regionOf(announcement.zone);
   const isShared = [...nearReaders.values()].some(({ zone }) => regionOf(zone) === region);
-  const share = isShared ? (1 - NEAR_SHARE) * OWN_SHARE : OWN_SHARE;
-  return Math.max(1, Math.floor(sharedConnections(environment) * share));
+  const shared = sharedConnections(environment) * (isShared ? 1 - NEAR_SHARE : 1);
+  const needed = FOLLOWER_PER_SLOT * announcement.slots + FOLLOWER_RESTING;
+  const follower = Math.min(shared * FOLLOWER_MAX_SHARE, Math.max(shared * FOLLOWER_SHARE, needed));
+  const hasFormer = epoch > 1 && performance.now() - startedAtMs < FORMER_OWNER_MS;
+  return Math.max(1, Math.floor(hasFormer ? follower : shared - follower));
 }
 
 export function createStatementOwner(
@@ -184,6 +199,7 @@
 ): StatementOwner {
   const nowMs = performance.now();
   const nearReaders: StatementOwner['nearReaders'] = new Map();
+  const context = { environment, nearReaders, startedAtMs: nowMs, epoch };
   return {
     group,
     epoch,
@@ -194,7 +210,7 @@
       group,
       openTarget: environment.openTarget,
       counters: environment.counters,
-      maxConnections: (server) => ownConnections(environment, nearReaders, server),
+      maxConnections: (server) => ownConnections(context, server),
     },
     servers: new Map(),
     queues: new Map(),
@@ -224,6 +240,7 @@
     runningCount: 0,
     position: ZERO_POSITION,
     laggingUntilMs: 0,
+    laggingPauseMs: 0,
     busyUntilMs: 0,
     failingSinceMs: undefined,
     refusedCount: 0,
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -35,8 +35,12 @@
 
 /** A server that answered busy is left alone for this time, in milliseconds. */
 const BUSY_PAUSE_MS = 15;
-/** A replica that refused a position is not asked for as new a one for this time, in milliseconds. */
+/**
+ * A replica that refused a position is not asked for as new a one for this time, in milliseconds; the
+ * time doubles while it refuses again, up to the interval in which owners ask replicas how far they are.
+ */
 const LAGGING_PAUSE_MS = 100;
+const MAX_LAGGING_PAUSE_MS = 1_600;
 /** Preparing a connection for a statement is given up after this time, in milliseconds. */
 const SETUP_TIMEOUT_MS = 600;
 /** A commit that is outstanding for this long may wait for a replica that cannot be reached. */
@@ -196,6 +200,7 @@
       if (access === 'write' && position) acknowledge(owner, position);
       releaseConnection(pooled);
       const isFromReplica = isReplica(owner, pooled.server);
+      if (isFromReplica) pooled.server.laggingPauseMs = 0;
       endJob(owner, job, { kind: 'done', rows, signature, position, isFromReplica });
     })
     .with({ kind: 'refused' }, ({ code, state }) => {
@@ -324,10 +329,18 @@
     heardAgoMs: Math.round(nowMs - server.heardAtMs),
   });
   if (code === 'busy') server.busyUntilMs = nowMs + BUSY_PAUSE_MS;
-  if (code === 'lagging') server.laggingUntilMs = nowMs + LAGGING_PAUSE_MS;
+  if (code === 'lagging') pauseLagging(server, nowMs);
   if (code === 'lagging' || code === 'read-only') suspectPrimary(owner, server);
 }
 
+/** Several statements may have been on their way together: they count as one refusal. */
+function pauseLagging(server: ServerState, nowMs: number): void {
+  if (nowMs < server.laggingUntilMs) return;
+  const pauseMs = Math.max(LAGGING_PAUSE_MS, server.laggingPauseMs * 2);
+  server.laggingPauseMs = Math.min(MAX_LAGGING_PAUSE_MS, pauseMs);
+  server.laggingUntilMs = nowMs + server.laggingPauseMs;
+}
+
 /** The connection broke, or its answer is overdue: others to the same server may be dead as well. */
 function handleBreak(
   owner: StatementOwner,
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -61,7 +61,7 @@
 const group: GroupName = toGroupName('ledger');
 
 /** Creates an owner that knows `count` servers; the first one is the primary, in term 3. */
-export function createFakeGroup(count: number): FakeGroup {
+export function createFakeGroup(count: number, epoch = 1): FakeGroup {
   const servers = Array.from({ length: count }, (_, index) => createFakeServer(index));
   const fake: FakeGroup = {
     servers,
@@ -72,7 +72,7 @@
     holdsLease: true,
     owner: createStatementOwner(
       group,
-      1,
+      epoch,
       createEnvironment(() => fake),
     ),
   };
