--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -13,14 +13,13 @@
 import { runStatement, statementTime } from '../locate/owner-client.js';
 import { readNear } from '../near/near-reads.js';
 import { type Access, findAccess, OPEN_CUSTOMER } from './access.js';
+import { noteSuccess, refuse } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 
 /** What a caller that was refused by rate is told to wait, in milliseconds. */
 const RATE_RETRY_MS = 500;
 const RETRY_AFTER_MS = 300;
-/** One success of this many is written to the log: a few lines a second at the users' load. */
-const SUCCESS_SAMPLE = 64;
 
 /** Takes in a request; requests of one session are answered in their order. */
 export function takeRequest(session: CallerSession, request: CallerRequest): void {
@@ -250,52 +249,6 @@
   session.port.answer(outcome.rows, outcome.signature, session.state, outcome.position);
 }
 
-function refuse(
-  session: CallerSession,
-  error: Parameters<CallerPort['refuse']>[0],
-  tag = '-',
-  customer: CustomerName | undefined = session.transaction?.customer,
-): void {
-  const { environment } = session;
-  const { counters, log } = environment;
-  counters.count(error.kind === 'not-run' ? `refusal.${error.reason}` : `refusal.${error.kind}`);
-  log('the request got no result', {
-    request: tag,
-    database: session.database,
-    group: environment.settings()?.routes.get(session.database)?.group,
-    customer,
-    outcome: error.kind,
-    reason: 'reason' in error ? error.reason : undefined,
-    retryAfterMs: error.kind === 'not-run' ? error.retryAfterMs : undefined,
-    tookMs: tookMs(session),
-    settingsVersion: environment.settings()?.version,
-    areSettingsFresh: environment.hasFreshSettings(),
-  });
-  if (!session.isClosed) session.port.refuse(error, session.state);
-}
-
-/** Successes are counted all, and written one in many: a failed request is what somebody looks for. */
-function noteSuccess(session: CallerSession, isFromReplica: boolean, tag: string): void {
-  const { environment } = session;
-  const { counters, log } = environment;
-  const place = isFromReplica ? 'replica' : 'primary';
-  counters.count(`statement.at-${place}`);
-  counters.timing(`request.${place}`, tookMs(session));
-  environment.successCount += 1;
-  if (environment.successCount % SUCCESS_SAMPLE !== 1) return;
-  log('the request was answered', {
-    request: tag,
-    database: session.database,
-    place,
-    tookMs: tookMs(session),
-  });
-}
-
-/** Time since the request in hand was taken up, in milliseconds. */
-function tookMs({ requestSinceMs }: Pick<CallerSession, 'requestSinceMs'>): number {
-  return Math.round(performance.now() - requestSinceMs);
-}
-
 /** A statement that cannot be run fails the transaction that it belongs to. */
 function failStatement(session: CallerSession, error: Parameters<CallerPort['refuse']>[0]): void {
   if (session.transaction) session.state = 'failed';
--- a/packages/statement-entry/src/near/near-offer.ts
+++ b/packages/statement-entry/src/near/near-offer.ts
@@ -1,6 +1,7 @@
 /** What an owner tells entries that read at replicas near them. */
 import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
-import { nearConnections, primaryOf, type StatementOwner } from '../owner/owner-state.js';
+import { primaryOf, type StatementOwner } from '../owner/owner-state.js';
+import { nearConnections } from '../target/connection-budget.js';
 
 export interface NearServer {
   readonly server: ServerName;
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -9,7 +9,7 @@
 import { dropIdle } from '../target/connection-pool.js';
 import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
-import { dropTransaction } from './run-job.js';
+import { dropTransaction } from './transactions.js';
 import { newestPrimary, lead, mayAct } from './take-over.js';
 import { orderPromotion, awaitLead } from './order-promotion.js';
 
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -3,7 +3,7 @@
 import { dropWaiting, endJob, notRun, submitJob } from './dispatch.js';
 import type { Job, OpenTransaction, OwnerChannel, StatementOwner } from './owner-state.js';
 import { valuesKeyOf } from '../target/connection-setup.js';
-import { rollBack, transactionKeyOf } from './run-job.js';
+import { rollBack, transactionKeyOf } from './transactions.js';
 
 export interface EntryChannel extends OwnerChannel {
   readonly id: string;
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -15,7 +15,7 @@
   type OwnerEnvironment,
   type StatementOwner,
 } from './owner-state.js';
-import { dropTransaction } from './run-job.js';
+import { dropTransaction } from './transactions.js';
 import { forgetServer, watchPrimary } from './watch-primary.js';
 
 const EXPIRE_EVERY_MS = 25;
