Keep both outputs of daemons in the launcher's log, and take only a whole line for readiness

Change: both outputs are kept line by line, readiness is its whole line, logs are flushed at a planned stop. The test also expects that there are log lines.

--- a/packages/bramleykeel/src/run-until-signal.ts
+++ b/packages/bramleykeel/src/run-until-signal.ts
@@ -1,4 +1,5 @@
 /** Keeps a daemon running until it is told to stop. */
+import { flushLogs } from '@bramleykeel/link';
 
 const EXIT_CUT_SHORT = 3;
 
@@ -16,7 +17,10 @@
       process.exit(EXIT_CUT_SHORT);
     }
     isStopping = true;
-    void stop().then(() => process.exit(0));
+    void stop().then(() => {
+      flushLogs();
+      process.exit(0);
+    });
   };
   process.on('SIGTERM', handleSignal);
   process.on('SIGINT', handleSignal);
--- a/packages/dev-launcher/src/cluster.ts
+++ b/packages/dev-launcher/src/cluster.ts
@@ -2,6 +2,7 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { appendFileSync, existsSync } from 'node:fs';
 import { join } from 'node:path';
+import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
 import { type ClusterPlan, customerChanges } from './cluster-plan.js';
 
@@ -48,6 +49,9 @@
   return control.some(({ id }) => existsSync(join(options.dataFolder, id)));
 }
 
+/** What a process prints once it serves; its log lines stand on the same output. */
+const READY_LINE = /^(entry|control|stand-in) \S+ ready$/;
+
 /** Describes a cluster whose processes are started one by one. */
 export function createCluster(plan: ClusterPlan): Cluster {
   const processes = new Map<string, ChildProcess>();
@@ -79,11 +83,13 @@
         if (processes.get(name) === child) processes.delete(name);
         reject(new Error(`${name} ended with status ${code ?? 'none'}; see ${logFile}`));
       });
-      child.stderr.on('data', (text: Buffer) => {
-        appendFileSync(logFile, prefixLines(name, text.toString()));
-      });
-      child.stdout.on('data', (text: Buffer) => {
-        if (!text.toString().includes('ready')) return;
+      const keep = (line: string) => {
+        appendFileSync(logFile, `${name} ${line}\n`);
+      };
+      createInterface({ input: child.stderr }).on('line', keep);
+      createInterface({ input: child.stdout }).on('line', (line) => {
+        keep(line);
+        if (!READY_LINE.test(line)) return;
         clearTimeout(timer);
         resolve();
       });
@@ -119,11 +125,6 @@
   }
 }
 
-function prefixLines(name: string, text: string): string {
-  const lines = text.split('\n').filter((line) => line !== '');
-  return lines.map((line) => `${name} ${line}\n`).join('');
-}
-
 function runToEnd(args: readonly string[]): Promise<void> {
   return new Promise((resolve, reject) => {
     const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'ignore', 'inherit'] });
--- a/packages/system-tests/src/path.test.ts
+++ b/packages/system-tests/src/path.test.ts
@@ -284,6 +284,7 @@
 
   it('never shows a key to a target, and writes none to its logs', async () => {
     const logs = readFileSync(join(cluster.plan.options.dataFolder, 'processes.log'), 'utf8');
+    expect(logs).toContain('"part":"bramleykeel:entry"');
     const entries = JSON.stringify(await logOf(cluster, await primaryOf(cluster)));
     for (const key of cluster.plan.keys.values()) {
       expect(logs).not.toContain(key);
