Let control's voters take turns at elections, so that votes are not split

Two elections were split: of four voters that are left of five, any two that stand within one round of votes (60 ms) of each other leave nobody with three. Entries' leases (1,050 ms) ran out meanwhile. Ruled out: a lost quorum (five of six members ran), logs behind (the leader of term 4 had the whole log).

Change: a follower's deadline is a turn among the voters other than the leader, a step of the same spread apart, instead of a random one; members that know no leader still draw at random.

--- a/packages/core/src/control-log/election.ts
+++ b/packages/core/src/control-log/election.ts
@@ -26,7 +26,9 @@
   const effects: RaftEffect<Command>[] = [];
   state.leaderId = undefined;
   state.votes = new Set([state.selfId]);
-  state.role = isPreVote ? 'pre-candidate' : 'candidate';
+  const role = isPreVote ? 'pre-candidate' : 'candidate';
+  if (state.role !== role) effects.push({ kind: 'role-changed', role });
+  state.role = role;
   if (!isPreVote) {
     state.currentTerm += 1;
     state.votedFor = state.selfId;
--- a/packages/core/src/control-log/raft-state.ts
+++ b/packages/core/src/control-log/raft-state.ts
@@ -155,8 +155,31 @@
   return Math.floor(voterCount / 2) + 1;
 }
 
+/** Draws a new deadline at random, for members that know of no leader to take turns after. */
 export function resetElectionDeadline<Command>(state: RaftState<Command>, nowMs: number): void {
+  setElectionDeadline(state, nowMs, state.randomUnit());
+}
+
+/**
+ * Sets the deadline of a follower that hears from its leader. Voters take turns, a step apart, so that
+ * one of them usually wins before the next one tries: of four voters that are left of five, two that
+ * try at once split the votes, and entries lose their leases before the next election.
+ */
+export function awaitLeader<Command>(state: RaftState<Command>, nowMs: number): void {
+  const successors = votersOf(state)
+    .filter((voter) => voter !== state.leaderId)
+    .sort();
+  const turn = successors.indexOf(state.selfId);
+  if (turn === -1) resetElectionDeadline(state, nowMs);
+  else setElectionDeadline(state, nowMs, turn / successors.length);
+}
+
+function setElectionDeadline<Command>(
+  state: RaftState<Command>,
+  nowMs: number,
+  spreadShare: number,
+): void {
   const { electionTimeoutMinMs, electionTimeoutMaxMs } = state.timing;
-  const spreadMs = (electionTimeoutMaxMs - electionTimeoutMinMs) * state.randomUnit();
+  const spreadMs = (electionTimeoutMaxMs - electionTimeoutMinMs) * spreadShare;
   state.electionDeadlineMs = nowMs + electionTimeoutMinMs + spreadMs;
 }
--- a/packages/core/src/control-log/replication.ts
+++ b/packages/core/src/control-log/replication.ts
@@ -2,12 +2,12 @@
 import type { MemberId } from '../types/ids.js';
 import type { RaftState } from './raft-state.js';
 import {
+  awaitLeader,
   entryAt,
   lastIndexOf,
   membershipOf,
   peersOf,
   quorumSize,
-  resetElectionDeadline,
   termAt,
   votersOf,
 } from './raft-state.js';
@@ -119,7 +119,7 @@
   const effects = state.role === 'follower' ? [] : becomeFollower(state, state.currentTerm, nowMs);
   state.leaderId = from;
   state.leaderContactMs = nowMs;
-  resetElectionDeadline(state, nowMs);
+  awaitLeader(state, nowMs);
   return effects;
 }
 
