Count the wait for a former leader's leases from its last possible round

Yet each of its voters had heard from no leader for an election timeout at least, so the former leader can have confirmed no round, and granted no lease, in that time.

Change: a vote tells for how long the voter has confirmed no leader's round; a process that has just started, or has just led, counts from then. The leader's wait for unknown leases starts at the latest of its voters' times. Ruled out: a bound by the election timeout alone, which does not hold for voters that were restarted.

Tests, failing first: the bound holds in 150 random interleavings with restarts, cuts and lost messages (fails when restarts or led terms are not counted); a leader that follows on a dead one knows 500 ms and more.

--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -70,7 +70,7 @@
   log: Log,
 ): LeaderService {
   return {
-    leases: createEntryLeases(timing, performance.now()),
+    leases: createEntryLeases(timing, performance.now(), driver.raft.formerLeaderUntilMs),
     timing,
     regionOf,
     driver,
--- a/packages/core/src/control-log/election.ts
+++ b/packages/core/src/control-log/election.ts
@@ -8,6 +8,7 @@
   membershipOf,
   quorumSize,
   resetElectionDeadline,
+  silentForMs,
   votersOf,
 } from './raft-state.js';
 import { appendAsLeader } from './replication.js';
@@ -25,7 +26,7 @@
 ): RaftEffect<Command>[] {
   const effects: RaftEffect<Command>[] = [];
   state.leaderId = undefined;
-  state.votes = new Set([state.selfId]);
+  state.votes = new Map([[state.selfId, nowMs - silentForMs(state, nowMs)]]);
   const role = isPreVote ? 'pre-candidate' : 'candidate';
   if (state.role !== role) effects.push({ kind: 'role-changed', role });
   state.role = role;
@@ -72,6 +73,7 @@
     term: isGranted ? request.term : state.currentTerm,
     isGranted,
     diskId: state.diskId,
+    silentForMs: silentForMs(state, nowMs),
   };
   effects.push({ kind: 'send', to: from, message: reply });
   return effects;
@@ -87,7 +89,7 @@
   const awaitedTerm = reply.isPreVote ? state.currentTerm + 1 : state.currentTerm;
   if (state.role !== awaitedRole || !reply.isGranted || reply.term !== awaitedTerm) return [];
   if (membershipOf(state)[from]?.diskId !== reply.diskId) return [];
-  state.votes.add(from);
+  state.votes.set(from, nowMs - reply.silentForMs);
   if (!hasWonVote(state)) return [];
   return advanceElection(state, nowMs);
 }
--- a/packages/core/src/control-log/raft-harness.test-support.ts
+++ b/packages/core/src/control-log/raft-harness.test-support.ts
@@ -42,6 +42,10 @@
   readonly cutLinks: Set<string>;
   /** Who led in each term, to show that there is never a second one. */
   readonly leaders: Map<number, MemberId>;
+  /** For each term, until when its leader holds rounds of earlier leaders possible. */
+  readonly formerLeadersUntilMs: Map<number, number>;
+  /** When each round started that a leader has seen confirmed, with the leader's term. */
+  readonly confirmed: { readonly term: number; readonly startedAtMs: number }[];
   nowMs: number;
   readonly randomUnit: () => number;
 }
@@ -63,6 +67,8 @@
     network: [],
     cutLinks: new Set(),
     leaders: new Map(),
+    formerLeadersUntilMs: new Map(),
+    confirmed: [],
     nowMs: 0,
     randomUnit,
   };
@@ -153,10 +159,14 @@
       }
       break;
     case 'role-changed':
-      if (effect.role === 'leader') noteLeader(harness, state.currentTerm, member.id);
+      if (effect.role === 'leader') {
+        noteLeader(harness, state.currentTerm, member.id);
+        harness.formerLeadersUntilMs.set(state.currentTerm, state.formerLeaderUntilMs);
+      }
       break;
     case 'round-confirmed':
       member.confirmedRounds += 1;
+      harness.confirmed.push({ term: state.currentTerm, startedAtMs: effect.startedAtMs });
       break;
     case 'member-regressed':
       break;
--- a/packages/core/src/control-log/raft-state.ts
+++ b/packages/core/src/control-log/raft-state.ts
@@ -27,13 +27,20 @@
   commitIndex: number;
   electionDeadlineMs: number;
   leaderContactMs: number;
-  votes: Set<MemberId>;
+  /** When this member led for the last time; it confirmed its own rounds until then. */
+  ledUntilMs: number;
+  /** When this process began: what an earlier one answered is not remembered. */
+  readonly startedAtMs: number;
+  /** Members that voted for this one, with the time from which each has heard of no leader. */
+  votes: Map<MemberId, number>;
   progress: Map<MemberId, MemberProgress>;
   round: number;
   roundStartsMs: Map<number, number>;
   confirmedRound: number;
   heartbeatDueMs: number;
   leaderSinceMs: number;
+  /** Since when no earlier leader can have had a round confirmed, as far as this leader can tell. */
+  formerLeaderUntilMs: number;
 }
 
 /** What survives a restart. */
@@ -68,13 +75,16 @@
     commitIndex: durable.snapshot.index,
     electionDeadlineMs: 0,
     leaderContactMs: Number.NEGATIVE_INFINITY,
-    votes: new Set(),
+    ledUntilMs: Number.NEGATIVE_INFINITY,
+    startedAtMs: nowMs,
+    votes: new Map(),
     progress: new Map(),
     round: 0,
     roundStartsMs: new Map(),
     confirmedRound: 0,
     heartbeatDueMs: 0,
     leaderSinceMs: 0,
+    formerLeaderUntilMs: 0,
   };
   resetElectionDeadline(state, nowMs);
   return state;
@@ -144,6 +154,12 @@
     .filter((id) => id !== state.selfId);
 }
 
+/** For how long this member has certainly confirmed no leader's round, in milliseconds. */
+export function silentForMs<Command>(state: RaftState<Command>, nowMs: number): number {
+  const { leaderContactMs, ledUntilMs, startedAtMs } = state;
+  return Math.max(0, nowMs - Math.max(leaderContactMs, ledUntilMs, startedAtMs));
+}
+
 /** A member votes only from the disk that the log knows: a replaced disk has forgotten its votes. */
 export function mayVote<Command>(state: RaftState<Command>): boolean {
   const record = membershipOf(state)[state.selfId];
--- a/packages/core/src/control-log/raft.test.ts
+++ b/packages/core/src/control-log/raft.test.ts
@@ -18,7 +18,7 @@
   startMember,
   step,
 } from './raft-harness.test-support.js';
-import { mayVote, membershipOf } from './raft-state.js';
+import { mayVote, membershipOf, silentForMs } from './raft-state.js';
 
 const IDS = ['a', 'b', 'c'];
 
@@ -187,7 +187,8 @@
     harness.nowMs += 2_000;
     step(harness, candidate, { kind: 'tick' });
     for (const isPreVote of [true, false]) {
-      const message = { kind: 'vote-reply', isPreVote, term: 3, isGranted: true, diskId } as const;
+      const vote = { kind: 'vote-reply', isPreVote, term: 3, isGranted: true, diskId } as const;
+      const message = { ...vote, silentForMs: 2_000 };
       step(harness, candidate, { kind: 'message', from, message });
     }
     expect(candidate.state.role).toBe('leader');
@@ -198,6 +199,39 @@
     expect(candidate.applied).toEqual(['early', '(noop)']);
   });
 
+  it('knows that its predecessor has been without a quorum for an election timeout', () => {
+    const { harness, leader } = electedHarness();
+    leader.isUp = false;
+    const lostAtMs = harness.nowMs;
+    run(harness, 3_000);
+    const { leaderSinceMs = 0, formerLeaderUntilMs = 0 } = leaderOf(harness)?.state ?? {};
+    expect(formerLeaderUntilMs).toBeLessThanOrEqual(lostAtMs);
+    expect(leaderSinceMs - formerLeaderUntilMs).toBeGreaterThanOrEqual(500);
+  });
+
+  it('takes a voter that has just started, or just led, for one that may have confirmed a round', () => {
+    const { harness, leader } = electedHarness();
+    const [voter] = followersOf(harness, leader);
+    if (!voter) throw new Error('no followers');
+    harness.nowMs += 700;
+    const restarted = startMember(harness, voter.id, voter.disk);
+    expect(silentForMs(restarted.state, harness.nowMs + 30)).toBe(30);
+    step(harness, leader, {
+      kind: 'message',
+      from: voter.id,
+      message: {
+        kind: 'append-reply',
+        term: 9,
+        isAccepted: false,
+        matchIndex: 0,
+        round: 0,
+        diskId: voter.disk.diskId,
+      },
+    });
+    expect(leader.state.role).toBe('follower');
+    expect(silentForMs(leader.state, harness.nowMs + 40)).toBe(40);
+  });
+
   it('is not elected by voters that still hear from a leader', () => {
     const { harness, leader } = electedHarness();
     const [voter, other] = followersOf(harness, leader);
@@ -283,6 +317,15 @@
   });
 });
 
+/** No earlier leader ever sees a round confirmed that began after a later one held that possible. */
+function expectBoundsOnFormerLeaders(harness: Harness): void {
+  for (const [term, untilMs] of harness.formerLeadersUntilMs) {
+    const earlier = harness.confirmed.filter((round) => round.term < term);
+    const latestMs = Math.max(...earlier.map(({ startedAtMs }) => startedAtMs));
+    expect(latestMs).toBeLessThanOrEqual(untilMs);
+  }
+}
+
 describe('random interleavings', () => {
   const action = fc.oneof(
     { weight: 12, arbitrary: fc.constant({ kind: 'deliver' } as const) },
@@ -350,6 +393,7 @@
           run(harness, 10_000);
           const leader = leaderOf(harness);
           expect(leader?.applied.slice(0, longest.length)).toEqual(longest);
+          expectBoundsOnFormerLeaders(harness);
         },
       ),
       { seed: 20_261_204, numRuns: 150 },
--- a/packages/core/src/control-log/roles.ts
+++ b/packages/core/src/control-log/roles.ts
@@ -15,6 +15,7 @@
     state.votedFor = undefined;
     effects.push({ kind: 'persist-vote', term, votedFor: undefined });
   }
+  if (state.role === 'leader') state.ledUntilMs = nowMs;
   const hadOtherRole = state.role !== 'follower';
   state.role = 'follower';
   state.leaderId = undefined;
@@ -29,6 +30,8 @@
   state.role = 'leader';
   state.leaderId = state.selfId;
   state.leaderSinceMs = nowMs;
+  // A round of an earlier leader needs one of the voters that made this one leader.
+  state.formerLeaderUntilMs = Math.max(...state.votes.values());
   state.votes.clear();
   state.roundStartsMs.clear();
   state.confirmedRound = state.round;
--- a/packages/core/src/control-log/types.ts
+++ b/packages/core/src/control-log/types.ts
@@ -49,6 +49,8 @@
       readonly term: number;
       readonly isGranted: boolean;
       readonly diskId: DiskId;
+      /** For how long the voter has not heard from a leader, or not run, in milliseconds. */
+      readonly silentForMs: number;
     }
   | {
       readonly kind: 'append';
--- a/packages/core/src/lease/entry-leases.test.ts
+++ b/packages/core/src/lease/entry-leases.test.ts
@@ -47,6 +47,12 @@
     expect(mayHolderAct(leases(), held(incarnation), nowMs)).toBe(expected);
   });
 
+  it('counts the wait from when an earlier leader can have granted anything last', () => {
+    const state = createEntryLeases(TIMING, 1_000, 600);
+    expect(mayHolderAct(state, held('i0'), 3_349)).toBe(true);
+    expect(mayHolderAct(state, held('i0'), 3_350)).toBe(false);
+  });
+
   it('says no at once for an incarnation that is proven dead', () => {
     const state = leases();
     endIncarnation(state, toIncarnation('i1'));
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -28,14 +28,20 @@
 export interface EntryLeases {
   readonly timing: LeaseTiming;
   readonly leaderSinceMs: number;
+  /** When an earlier leader can have granted a lease for the last time. */
+  readonly formerGrantsUntilMs: number;
   readonly leases: Map<Incarnation, EntryLease>;
   /** Incarnations known to be over: proven dead, expired, or stopped after handing over. */
   readonly ended: Set<Incarnation>;
 }
 
 /** Starts with no knowledge: a new leader waits out what earlier leaders may have granted. */
-export function createEntryLeases(timing: LeaseTiming, leaderSinceMs: number): EntryLeases {
-  return { timing, leaderSinceMs, leases: new Map(), ended: new Set() };
+export function createEntryLeases(
+  timing: LeaseTiming,
+  leaderSinceMs: number,
+  formerGrantsUntilMs = leaderSinceMs,
+): EntryLeases {
+  return { timing, leaderSinceMs, formerGrantsUntilMs, leases: new Map(), ended: new Set() };
 }
 
 /**
@@ -93,7 +99,7 @@
   const lease = state.leases.get(assignment.incarnation);
   const { leaseMs, driftMarginMs } = state.timing;
   if (lease) return nowMs < lease.expiresAtMs + driftMarginMs;
-  return nowMs < state.leaderSinceMs + leaseMs + driftMarginMs;
+  return nowMs < state.formerGrantsUntilMs + leaseMs + driftMarginMs;
 }
 
 /** Ends every incarnation whose lease has run out, margin included. Returns the ended ones. */
