Take a replica's position from what its reads see, not from what it has received

The status row names what a replica has received, and that counted as the position that its reads cover, which also passed over the pause after a refusal. Ruled out: a fence that was not lifted (the owner saw no held term), lost answers, a full server.

Change: the position after READY is what counts, for orders of the owner's own as for statements.

--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -75,6 +75,7 @@
   isRetired: boolean;
   /** Statements under way: each occupies a slot. */
   runningCount: number;
+  /** The newest position that its reads are known to see. */
   position: LogPosition;
   laggingUntilMs: number;
   /** The last pause of a replica that lags, in milliseconds; zero once it has answered a read. */
--- a/packages/statement-entry/src/target/server-control.test.ts
+++ b/packages/statement-entry/src/target/server-control.test.ts
@@ -36,6 +36,16 @@
     expect(server.connections.size).toBe(1);
   });
 
+  it('tell what reads can see at a replica, not what it has received and applies later', async () => {
+    const [, , replica] = fake.servers;
+    const behind = replica && fake.owner.servers.get(replica.name);
+    if (!replica || !behind) throw new Error('the group has three servers');
+    replica.applied = { term: 3, offset: 12 };
+    const status = await orderStatus(fake.owner, behind, { kind: 'status' });
+    expect(status?.status.position).toEqual({ term: 3, offset: 40 });
+    expect(behind.position).toEqual({ term: 3, offset: 12 });
+  });
+
   it('are repeated while the server has no slot, and given up in time', async () => {
     server.answers.push(busy, busy);
     expect(await orderStatus(fake.owner, state, { kind: 'status' })).toBeDefined();
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -56,13 +56,14 @@
       await delay(BUSY_RETRY_MS);
       continue;
     }
-    const status =
-      answer?.kind === 'done' ? owner.environment.readTargetStatus(answer.rows) : undefined;
+    const done = answer?.kind === 'done' ? answer : undefined;
+    const status = done && owner.environment.readTargetStatus(done.rows);
     if (!status) {
       owner.environment.counters.count(`control.${answer?.kind ?? 'unreachable'}`);
       return undefined;
     }
-    server.position = latestPosition(server.position, status.position);
+    // The status names what a replica has received; its reads see what it has applied, as answers say.
+    if (done.position) server.position = latestPosition(server.position, done.position);
     return { server, status };
   }
 }
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -39,7 +39,10 @@
   readonly name: ServerName;
   role: 'primary' | 'replica';
   term: number;
+  /** What it has received, as it says when it is asked. */
   position: LogPosition;
+  /** What its reads can see, as each answer says, where that is less. */
+  applied?: LogPosition;
   heldTerm: number;
   reach: FakeReach;
   /** Answers to its next orders instead of the usual ones. */
@@ -192,7 +195,7 @@
     },
   };
   server.connections.add(connection);
-  return { kind: 'open', connection, position: server.position };
+  return { kind: 'open', connection, position: server.applied ?? server.position };
 }
 
 function answerFake(server: FakeServer, order: TargetOrder): TargetAnswer {
@@ -204,7 +207,8 @@
   if (order.kind === 'demote') server.role = 'replica';
   const { role, term, position, heldTerm } = server;
   const rows = [JSON.stringify({ role, term, position, heldTerm })];
-  return { kind: 'done', rows, signature: '-', state: 'idle', position };
+  const seen = server.applied ?? position;
+  return { kind: 'done', rows, signature: '-', state: 'idle', position: seen };
 }
 
 function pause(ms: number): Promise<void> {
--- a/packages/system-tests/src/write-ledger.ts
+++ b/packages/system-tests/src/write-ledger.ts
@@ -9,7 +9,8 @@
 interface WriteRecord {
   readonly ids: readonly string[];
   readonly outcome: WriteOutcome;
-  readonly sqlState: string;
+  /** SQLSTATE and message. */
+  readonly answer: string;
   readonly atMs: number;
 }
 
@@ -31,7 +32,8 @@
   /** Ids that were said not to have run and are in the log all the same. */
   readonly falselyNotRun: readonly string[];
   readonly staleReads: readonly string[];
-  readonly sqlStates: Readonly<Record<string, number>>;
+  /** How often each answer came that is not a success. */
+  readonly failures: Readonly<Record<string, number>>;
 }
 
 const RECONNECT_MS = 20;
@@ -83,13 +85,14 @@
     for (const id of ids) await client.query('INSERT INTO bookings VALUES ($1, $2)', [id, 'lens']);
     isCommitting = true;
     if (asTransaction) await client.query('COMMIT');
-    record(ledger, ids, 'acknowledged', '00000');
+    record(ledger, ids, 'acknowledged', 'done');
     return true;
   } catch (error) {
     const sqlState = sqlStateOf(error);
     if (sqlState.includes(NEVER_SENT)) return false;
     const isNotRun = NOT_RUN.test(sqlState) || !isCommitting;
-    record(ledger, ids, isNotRun ? 'not-run' : 'unknown', sqlState);
+    const message = error instanceof Error ? error.message : '';
+    record(ledger, ids, isNotRun ? 'not-run' : 'unknown', `${sqlState} ${message}`);
     await client.query('ROLLBACK').catch(() => undefined);
     return error instanceof pg.DatabaseError && error.severity !== 'FATAL';
   }
@@ -99,9 +102,9 @@
   ledger: Ledger,
   ids: readonly string[],
   outcome: WriteOutcome,
-  sqlState: string,
+  answer: string,
 ): void {
-  ledger.writes.push({ ids, outcome, sqlState, atMs: performance.now() });
+  ledger.writes.push({ ids, outcome, answer, atMs: performance.now() });
 }
 
 /** Reads the newest acknowledged write of the customer over a new connection to another entry. */
@@ -139,8 +142,10 @@
   }
   const idsOf = (outcome: WriteOutcome) =>
     ledger.writes.filter((write) => write.outcome === outcome).flatMap(({ ids }) => ids);
-  const sqlStates: Record<string, number> = {};
-  for (const { sqlState } of ledger.writes) sqlStates[sqlState] = (sqlStates[sqlState] ?? 0) + 1;
+  const failures: Record<string, number> = {};
+  for (const { outcome, answer } of ledger.writes) {
+    if (outcome !== 'acknowledged') failures[answer] = (failures[answer] ?? 0) + 1;
+  }
   return {
     acknowledged: idsOf('acknowledged').length,
     notRun: idsOf('not-run').length,
@@ -149,7 +154,7 @@
     doubled: [...counts].filter(([, count]) => count > 1).map(([id]) => id),
     falselyNotRun: idsOf('not-run').filter((id) => counts.has(id)),
     staleReads: ledger.staleReads,
-    sqlStates,
+    failures,
   };
 }
 
