Let a stopping owner say that its epoch is over, also between PostgreSQL entries

Cause (KNOWN-RED, seen again today: failures.test 'every entry is stopped and started again in turn', load average 20 and more; one 08007 where none is allowed): requests that were on their way to an owner while it handed over were never answered, and nobody was left to ask once its process had ended: 'may have run'. This time it was a BEGIN, which the ledger tells from the answer 08007 with two ids before the COMMIT; only a lost owner answers a BEGIN so. Ruled out: a lost acknowledgement (no write ran), a lost server (servers are not touched).

Change: after its last answer an owner that hands over sends 'owner/ended' with the sessions whose requests may still run. Entries hold the others for not started and look for the successor, as entries of statements do already.

--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -4,12 +4,15 @@
   FateQuery,
   FromOwnerMessage,
   GroupName,
+  SessionId,
   ToOwnerMessage,
 } from '@bramleykeel/core';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
 import { type CallerRegistry, cancelLocal, dispatchAnswer } from './accept/caller-registry.js';
 import { answerDrawCode, type DrawCode, type RateDraws } from '@bramleykeel/entry-shared';
+import type { EntryLinks } from './locate/owner-locator.js';
 import type { AnswerChannel } from './owner/answer-channel.js';
+import type { GroupOwner } from './owner/owner-state.js';
 import {
   answerFateQuery,
   deliverAnnouncement,
@@ -23,10 +26,14 @@
   readonly owners: OwnerRegistry;
   readonly draws: RateDraws;
   readonly channels: Map<LinkPeer, AnswerChannel>;
+  readonly links: () => EntryLinks;
   /** `undefined` until callers are listened for. */
   readonly callers: () => CallerRegistry | undefined;
 }
 
+/** Group, epoch, and the sessions whose requests may still run. */
+type OwnerEndedCode = readonly [group: GroupName, epoch: number, running: readonly SessionId[]];
+
 type EventHandler = (app: EntryApp, peer: LinkPeer, params: unknown) => void;
 type RequestHandler = (app: EntryApp, params: unknown) => unknown;
 
@@ -43,6 +50,9 @@
     const callers = app.callers();
     if (callers) dispatchAnswer(callers, params as FromOwnerMessage);
   },
+  'owner/ended': (app, _peer, params) => {
+    app.links().endOwner(...(params as OwnerEndedCode));
+  },
   'target/announcement': (app, _peer, params) => {
     deliverAnnouncement(app.owners, params as Announcement);
   },
@@ -75,6 +85,16 @@
   return handler(app, params);
 }
 
+/** Tells the entries that an owner's epoch is over here, after all its answers. */
+export function tellOwnerEnded(
+  app: EntryApp,
+  { group, epoch }: GroupOwner,
+  running: readonly SessionId[],
+): void {
+  const code: OwnerEndedCode = [group, epoch, running];
+  for (const peer of app.channels.keys()) peer.notify('owner/ended', code);
+}
+
 /** A link to another entry was closed: its sessions end here. */
 export function handleLinkClosed(app: EntryApp, peer: LinkPeer): void {
   const channel = app.channels.get(peer);
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -38,7 +38,13 @@
 } from './accept/caller-registry.js';
 import type { CallerEnvironment } from './accept/caller-state.js';
 import type { AccessRules } from './accept/startup.js';
-import { type EntryApp, handleEvent, handleLinkClosed, handleRequest } from './app.js';
+import {
+  type EntryApp,
+  handleEvent,
+  handleLinkClosed,
+  handleRequest,
+  tellOwnerEnded,
+} from './app.js';
 import { createKeyIndex, findKey, isKeyInForce, updateKeyIndex } from './authenticate/key-index.js';
 import { createEntryLinks, type EntryLinks } from './locate/owner-locator.js';
 import type { AnswerChannel } from './owner/answer-channel.js';
@@ -122,7 +128,14 @@
       links.refresh();
     },
   });
-  const owners: OwnerRegistry = createOwnerRegistry(settings, control, counters);
+  const owners: OwnerRegistry = createOwnerRegistry(
+    settings,
+    control,
+    counters,
+    (owner, running) => {
+      tellOwnerEnded(app, owner, running);
+    },
+  );
   const draws: RateDraws = {
     homes: createRateHomes(),
     control,
@@ -135,6 +148,7 @@
     owners,
     draws,
     channels: new Map(),
+    links: () => links,
     callers: () => running.callers,
   };
   const links: EntryLinks = createLinks();
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -8,6 +8,7 @@
   type Incarnation,
   type RequestFate,
   type Resource,
+  type SessionId,
   type StoredRecord,
   type ToOwnerMessage,
 } from '@bramleykeel/core';
@@ -37,6 +38,8 @@
 export interface EntryLinks extends OwnerLocator {
   /** The open link to another entry, or `undefined` while there is none. */
   readonly linkTo: (linkAddress: string) => LinkPeer | undefined;
+  /** An owner has handed over: what it has not answered, and does not name, never starts there. */
+  readonly endOwner: (group: GroupName, epoch: number, running: readonly SessionId[]) => void;
   /** Looks at assignments again after control's records have changed. */
   readonly refresh: () => void;
   readonly close: () => void;
@@ -45,6 +48,8 @@
 interface KnownPort extends OwnerPort {
   readonly linkAddress: string;
   isLost: boolean;
+  /** Set once its owner has handed over: the sessions whose requests may have run there. */
+  running?: readonly SessionId[];
 }
 
 interface PortWaiter {
@@ -65,10 +70,12 @@
   const refusedAtMs = new Map<string, number>();
   const ports = new Map<GroupName, KnownPort>();
   const supersededPorts = new Set<KnownPort>();
+  /** The newest epoch of each group whose owner has said that it is over. */
+  const endedEpochs = new Map<GroupName, number>();
   const waiters = new Map<GroupName, PortWaiter[]>();
   const requestedAtMs = new Map<Resource, number>();
   const timer = setInterval(serveWaiters, AWAIT_POLL_MS);
-  return { find, await: awaitPort, askFate, linkTo, refresh, close };
+  return { find, await: awaitPort, askFate, linkTo, endOwner, refresh, close };
 
   function find(group: GroupName): OwnerPort | undefined {
     const resource: Resource = `group/${group}`;
@@ -77,6 +84,8 @@
       requestOnce(resource);
       return undefined;
     }
+    // Its successor is not known here yet.
+    if (assignment.epoch <= (endedEpochs.get(group) ?? 0)) return undefined;
     const known = ports.get(group);
     if (known?.epoch === assignment.epoch && known.isOpen()) return known;
     const port = openPort(group, assignment);
@@ -161,6 +170,15 @@
     for (const incarnation of suspects) options.reportSuspect(incarnation, linkAddress);
   }
 
+  function endOwner(group: GroupName, epoch: number, running: readonly SessionId[]): void {
+    endedEpochs.set(group, Math.max(epoch, endedEpochs.get(group) ?? 0));
+    const isIts = (port: KnownPort) => port.group === group && port.epoch === epoch;
+    for (const port of [...ports.values(), ...supersededPorts].filter(isIts)) {
+      port.running = running;
+      losePort(port);
+    }
+  }
+
   function losePorts(isLost: (port: KnownPort) => boolean): void {
     for (const port of [...ports.values(), ...supersededPorts]) {
       if (isLost(port)) losePort(port);
@@ -214,7 +232,8 @@
   }
 
   async function askFate(lost: OwnerPort, query: FateQuery): Promise<RequestFate> {
-    const { group, linkAddress, isLocal } = lost as KnownPort;
+    const { group, linkAddress, isLocal, running } = lost as KnownPort;
+    if (running && !running.includes(query.session)) return 'not-started';
     if (isLocal) return options.askLocalFate(group, query);
     const startedAtMs = performance.now();
     while (performance.now() - startedAtMs < FATE_TIMEOUT_MS) {
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -9,6 +9,7 @@
   groupSetting,
   listAssignments,
   type RequestFate,
+  type SessionId,
   type ToOwnerMessage,
   type ApplyResult,
   type ControlCommand,
@@ -34,6 +35,8 @@
   readonly settings: EntrySettings;
   readonly control: ControlClient;
   readonly counters: Counters;
+  /** Called once an owner has handed over, with the sessions whose requests may still run. */
+  readonly onHandedOver: (owner: GroupOwner, running: readonly SessionId[]) => void;
 }
 
 const GROUP_RESOURCE = /^group\/(.+)$/;
@@ -43,8 +46,10 @@
   settings: EntrySettings,
   control: ControlClient,
   counters: Counters,
+  onHandedOver: OwnerRegistry['onHandedOver'],
 ): OwnerRegistry {
-  return { owners: new Map(), closedOwners: new Set(), settings, control, counters };
+  const owners: OwnerRegistry['owners'] = new Map();
+  return { owners, closedOwners: new Set(), settings, control, counters, onHandedOver };
 }
 
 /** Starts owners for groups that were assigned to this entry and closes those that were not. */
@@ -168,8 +173,13 @@
   await Promise.all(
     [...registry.owners.values()].map(async (owner) => {
       await drainGroupOwner(owner, graceMs);
-      const { group, epoch } = owner;
+      const { group, epoch, sessions } = owner;
+      const running = [...sessions.values()].filter(({ request }) => request?.stage === 'running');
       retireOwner(registry, owner);
+      registry.onHandedOver(
+        owner,
+        running.map(({ id }) => id),
+      );
       const incarnation = registry.control.incarnation();
       const release = { resource: `group/${group}`, epoch, incarnation };
       await registry.control.call('resource/release', release);
