Ask near replicas for the oldest position that a read may have, not for the newest offered

Cause: an entry asked a replica near it for the position of the owner's last answer, right after that answer too, when replicas that apply 60 to 360 ms late (the sites' usual lag) lack it; they refused and the read went to the owner, often in another region. One in six near reads falls into the 100 ms after an answer (they come each 650 ms). Ruled out: asking the owner less often, which would leave routes with a short age without any position.

Change: the last four offers are kept, and a read asks for the oldest that its route's age allows. Tests: positions for ages of 0.8, 1.5 and 2.5 s (two failed first).

--- a/packages/statement-entry/src/near/near-reads.test.ts
+++ b/packages/statement-entry/src/near/near-reads.test.ts
@@ -142,6 +142,25 @@
     },
   );
 
+  it.each([
+    { maxReadAgeMs: 1_500, expected: 41 },
+    { maxReadAgeMs: 2_500, expected: 40 },
+    { maxReadAgeMs: 800, expected: 42 },
+  ])(
+    'of at most $maxReadAgeMs ms ask for the oldest position that is new enough: $expected',
+    async ({ maxReadAgeMs, expected }) => {
+      for (const offset of [41, 42]) {
+        vi.advanceTimersByTime(660);
+        world.offer = world.offer && { ...world.offer, position: { term: 2, offset } };
+        await read();
+      }
+      vi.advanceTimersByTime(20);
+      world.orders.length = 0;
+      await read({ maxReadAgeMs });
+      expect(world.orders[0]).toMatchObject({ after: { term: 2, offset: expected } });
+    },
+  );
+
   it('trust no offer from before a suspension, also one that was on its way', async () => {
     forgetOffers(world.near);
     expect(await read()).toBeUndefined();
--- a/packages/statement-entry/src/near/near-reads.ts
+++ b/packages/statement-entry/src/near/near-reads.ts
@@ -41,9 +41,10 @@
   readonly group: GroupName;
   readonly pools: PoolContext;
   readonly servers: Map<string, ServerState>;
+  /** The newest offer: which servers there are, and how many connections. */
   offer: NearOffer | undefined;
-  /** When the offer in force was asked for: the position covers what was acknowledged until then. */
-  offeredSinceMs: number;
+  /** Offered positions, oldest first: each covers what was acknowledged until it was asked for. */
+  readonly positions: { readonly askedAtMs: number; readonly position: LogPosition }[];
   askedAtMs: number;
   isAsking: boolean;
 }
@@ -55,6 +56,8 @@
 
 /** An offer is renewed this often while reads come, in milliseconds. */
 const ASK_EVERY_MS = 650;
+/** Offers cover some 2.6 s: the oldest reads that the users allow are 2.5 s old. */
+const KEPT_POSITIONS = 4;
 /** Part of a read's allowed age that is kept back for its own way to the replica, in milliseconds. */
 const AGE_MARGIN_MS = 200;
 /** A replica whose connections failed is left to the owner's judgement for this long. */
@@ -73,6 +76,7 @@
 export function forgetOffers(near: NearReads): void {
   for (const group of near.groups.values()) {
     group.offer = undefined;
+    group.positions.length = 0;
     group.askedAtMs = Number.NEGATIVE_INFINITY;
   }
 }
@@ -118,7 +122,7 @@
     },
     servers: new Map(),
     offer: undefined,
-    offeredSinceMs: Number.NEGATIVE_INFINITY,
+    positions: [],
     askedAtMs: Number.NEGATIVE_INFINITY,
     isAsking: false,
   };
@@ -136,7 +140,8 @@
     // A suspension while the question was on its way has reset the time of asking.
     if (!offer || known.askedAtMs !== askedAtMs) return;
     known.offer = offer;
-    known.offeredSinceMs = askedAtMs;
+    known.positions.push({ askedAtMs, position: offer.position });
+    if (known.positions.length > KEPT_POSITIONS) known.positions.shift();
     keepServers(near, known, offer.servers);
   });
 }
@@ -164,13 +169,16 @@
   }
 }
 
-/** The position that the read is owed; `undefined` when the last offer is too old to tell. */
+/**
+ * The position that the read is owed; `undefined` when the last offer is too old to tell. The oldest one
+ * that is recent enough is asked for, because replicas lack the newest commits for a while.
+ */
 function owedPosition(known: NearGroup, draft: StatementDraft): LogPosition | undefined {
-  const { offer, offeredSinceMs } = known;
-  const ageMs = performance.now() - offeredSinceMs;
-  if (!offer || ageMs > draft.maxReadAgeMs - AGE_MARGIN_MS) return undefined;
-  if (draft.consistency !== 'own-writes' || !draft.mark) return offer.position;
-  return latestPosition(offer.position, draft.mark);
+  const sinceMs = performance.now() - (draft.maxReadAgeMs - AGE_MARGIN_MS);
+  const offered = known.positions.find(({ askedAtMs }) => askedAtMs >= sinceMs);
+  if (!offered) return undefined;
+  if (draft.consistency !== 'own-writes' || !draft.mark) return offered.position;
+  return latestPosition(offered.position, draft.mark);
 }
 
 function freeServer({ servers }: NearGroup): ServerState | undefined {
