Write servers' places down in control's log, for owners that have heard no server yet

Change: an owner writes server, address, zone and slots down when they change, at most each 2 s, under its epoch; the next owner starts from them and asks the servers themselves who leads. What a server says itself replaces them.

--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -69,7 +69,12 @@
 });
 
 /** Commands that owners may propose; settings go through operators' calls only. */
-const OWNER_COMMANDS = new Set(['group/observe', 'primary/propose', 'primary/commit']);
+const OWNER_COMMANDS = new Set([
+  'group/observe',
+  'group/places',
+  'primary/propose',
+  'primary/commit',
+]);
 
 const HANDLERS: Readonly<Record<string, Handler>> = {
   'lease/renew': (app, peer, params) => {
--- a/packages/core/src/control-state/control-state.test.ts
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -16,6 +16,7 @@
 import { exportControlState, importControlState } from './snapshot.js';
 import type { ControlCommand, SettingChange } from './types.js';
 import { assignmentOf, customerSetting, groupRecordOf, recordsSince } from './views.js';
+import type { ServerPlace } from '../statements/types.js';
 
 const RATE: CustomerSetting = { ratePerSecond: 100, burst: 50, readAgeAllowanceMs: null };
 const GROUP = toGroupName('bookings');
@@ -213,3 +214,19 @@
     ]);
   });
 });
+
+describe('places of servers', () => {
+  it.each([
+    { name: 'the present owner', ownerEpoch: 1, expected: 1 },
+    { name: 'an owner whose epoch is over', ownerEpoch: 0, expected: 0 },
+  ])('are taken from $name: $expected', ({ ownerEpoch, expected }) => {
+    const state = createControlState();
+    applyCommand(state, 1, assign(1, 'e1'));
+    const server = toServerName('i-1');
+    const place: ServerPlace = { server, address: '10.0.0.1:1', zone: 'a', slots: 2 };
+    const places = [place];
+    applyCommand(state, 2, { kind: 'group/places', group: GROUP, ownerEpoch, places });
+    const kept = importControlState(exportControlState(state));
+    expect(groupRecordOf(kept, GROUP).places ?? []).toHaveLength(expected);
+  });
+});
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -79,6 +79,10 @@
       const servers = record.servers.filter((known) => known !== server);
       return putGroup(state, index, { ...record, servers });
     })
+    .with({ kind: 'group/places' }, ({ group, ownerEpoch, places }) => {
+      const rejection = checkOwnerEpoch(state, group, ownerEpoch);
+      return rejection ?? putGroup(state, index, { ...groupRecordOf(state, group), places });
+    })
     .with({ kind: 'primary/propose' }, (propose) => applyPropose(state, index, propose))
     .with({ kind: 'primary/commit' }, (commit) => applyPrimary(state, index, commit))
     .exhaustive();
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -1,5 +1,6 @@
 /** The control state machine's records, commands and results. */
 import type { EntryId, GroupName, Incarnation, OperationId, ServerName } from '../types/ids.js';
+import type { ServerPlace } from '../statements/types.js';
 import type { SettingValue } from '../settings/paths.js';
 
 /** Something that one entry holds under the lease of its incarnation: a group or a customer's rate. */
@@ -25,6 +26,8 @@
   readonly term: number;
   /** The highest term proposed; above `term` while a change of primary is under way. */
   readonly proposedTerm: number;
+  /** Where the servers were when an owner last wrote it down, for owners that have heard none yet. */
+  readonly places?: readonly ServerPlace[];
 }
 
 /** A whole settings document that operators hand in under a version; the highest version holds. */
@@ -67,6 +70,12 @@
   | { readonly kind: 'owner/assign'; readonly assignment: Assignment }
   | { readonly kind: 'group/observe'; readonly group: GroupName; readonly server: ServerName }
   | { readonly kind: 'group/forget'; readonly group: GroupName; readonly server: ServerName }
+  | {
+      readonly kind: 'group/places';
+      readonly group: GroupName;
+      readonly ownerEpoch: number;
+      readonly places: readonly ServerPlace[];
+    }
   | {
       readonly kind: 'primary/propose';
       readonly group: GroupName;
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -55,12 +55,16 @@
 }
 
 /** A server's announcement of itself, as decoded by the adapter. */
-export interface ServerAnnouncement {
-  readonly group: GroupName;
+/** Where a server is, and how much it takes at a time. */
+export interface ServerPlace {
   readonly server: ServerName;
   readonly address: string;
   readonly zone: string;
   readonly slots: number;
+}
+
+export interface ServerAnnouncement extends ServerPlace {
+  readonly group: GroupName;
   readonly role: 'primary' | 'replica';
   readonly isLeaving: boolean;
   /** Start of the server's process, in milliseconds of the time of day; orders incarnations. */
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -15,6 +15,7 @@
   type OwnerEnvironment,
   type StatementOwner,
 } from './owner-state.js';
+import { seedServers } from './server-places.js';
 import { dropTransaction } from './transactions.js';
 import { forgetServer, watchPrimary } from './watch-primary.js';
 
@@ -29,6 +30,7 @@
   environment: OwnerEnvironment,
 ): StatementOwner {
   const owner = createStatementOwner(group, epoch, environment);
+  seedServers(owner);
   owner.timers = [
     setInterval(() => {
       if (!hasWaiting(owner)) return;
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -142,6 +142,8 @@
   isDispatching: boolean;
   lastPromotionMs: number;
   replicasCheckedMs: number;
+  /** When the servers' places were last handed to control. */
+  placesRecordedMs: number;
   /** Commits and writes that were outstanding for too long, lately. */
   stalledCommits: { readonly server: ServerState; readonly atMs: number }[];
   timers: NodeJS.Timeout[];
@@ -179,6 +181,7 @@
     isDispatching: false,
     lastPromotionMs: Number.NEGATIVE_INFINITY,
     replicasCheckedMs: Number.NEGATIVE_INFINITY,
+    placesRecordedMs: Number.NEGATIVE_INFINITY,
     stalledCommits: [],
     timers: [],
   };
--- /dev/null
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -0,0 +1,69 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
+import {
+  closeStatementOwner,
+  startStatementOwner,
+  takeServerAnnouncement,
+} from './owner-lifecycle.js';
+import type { StatementOwner } from './owner-state.js';
+import { recordPlaces } from './server-places.js';
+import { takeOver } from './take-over.js';
+
+describe('an owner that has heard no server', () => {
+  let fake: FakeGroup;
+  let next: StatementOwner;
+
+  beforeEach(() => {
+    fake = createFakeGroup(3);
+    recordPlaces(fake.owner);
+    const { group, environment } = fake.owner;
+    next = startStatementOwner(group, 2, environment);
+  });
+
+  afterEach(() => {
+    closeStatementOwner(next);
+  });
+
+  it('finds the primary at the places that its predecessor has written down', async () => {
+    await takeOver(next);
+    expect(next.leadership).toMatchObject({ kind: 'led', server: 'i-0' });
+    expect(next.servers.size).toBe(3);
+  });
+
+  it('takes what a server says of itself for newer, whatever its sequence', () => {
+    const [first] = next.servers.values();
+    if (!first) throw new Error('no server was seeded');
+    takeServerAnnouncement(next, {
+      ...first.announcement,
+      address: '10.0.0.9:1',
+      bornMs: 7,
+      sequence: 0,
+    });
+    expect(next.servers.get(first.announcement.server)?.announcement.address).toBe('10.0.0.9:1');
+  });
+
+  it('waits for the servers when none of the recorded ones leads', async () => {
+    for (const server of fake.servers) server.role = 'replica';
+    await takeOver(next);
+    expect(next.leadership.kind).toBe('unknown');
+    expect(fake.promotions).toEqual([]);
+  });
+});
+
+describe('the places of servers', () => {
+  it('are written down when they change, without those that leave, and not too often', () => {
+    vi.useFakeTimers({ toFake: ['performance'] });
+    const fake = createFakeGroup(3);
+    recordPlaces(fake.owner);
+    recordPlaces(fake.owner);
+    expect(fake.commands).toHaveLength(1);
+    const [server] = fake.owner.servers.values();
+    if (server) server.announcement = { ...server.announcement, isLeaving: true };
+    recordPlaces(fake.owner);
+    expect(fake.commands).toHaveLength(1);
+    vi.advanceTimersByTime(2_100);
+    recordPlaces(fake.owner);
+    expect(fake.record.places?.map((place) => place.server)).toEqual(['i-1', 'i-2']);
+    vi.useRealTimers();
+  });
+});
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -6,6 +6,7 @@
 import { warmConnections } from '../target/connection-warmup.js';
 import { closeControlConnection, orderAll, probeServer } from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { recordPlaces } from './server-places.js';
 import { takeOver, newestPrimary, mayAct } from './take-over.js';
 import { changePrimary } from './change-primary.js';
 import { examineStall, checkReplicas } from './watch-replicas.js';
@@ -44,6 +45,7 @@
     })
     .with({ kind: 'led' }, ({ server }) => {
       const primary = owner.servers.get(server);
+      recordPlaces(owner);
       void checkReplicas(owner);
       void warmConnections(owner);
       if (primary) void watchLed(owner, primary, false);
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -5,6 +5,7 @@
   type GroupRecord,
   type LogPosition,
   type ServerName,
+  type ServerPlace,
   toCustomerName,
   toGroupName,
 } from '@bramleykeel/core';
@@ -57,7 +58,12 @@
   readonly commands: ControlCommand[];
   readonly promotions: PromoteRequest[];
   readonly promoteOutcomes: PromoteOutcome[];
-  readonly record: { term: number; proposedTerm: number; primary: ServerName | undefined };
+  readonly record: {
+    term: number;
+    proposedTerm: number;
+    primary: ServerName | undefined;
+    places?: readonly ServerPlace[];
+  };
   holdsLease: boolean;
 }
 
@@ -135,6 +141,7 @@
     idleTransactionMs: () => 3_000,
     propose: (command) => {
       fake().commands.push(command);
+      if (command.kind === 'group/places') fake().record.places = command.places;
       if (command.kind === 'primary/propose') fake().record.proposedTerm = command.term;
       if (command.kind === 'primary/commit') {
         Object.assign(fake().record, { term: command.term, primary: command.server });
