Check all links of a process on one timer; let near readers ask an owner each second

Near readers asked owners every 650 ms, which the oldest position in force (one of the last four) does not need any more. Change: one interval for all checks of the same period; questions each 1,000 ms. Tests: one timer for all that share a period, none once all have ended; positions for ages of 0.8, 1.5 and 2.5 s.

--- a/packages/link/src/link-peer.ts
+++ b/packages/link/src/link-peer.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { type Either, Left, Right } from 'purify-ts';
 import { createFrameDecoder, decodeFrames, encodeFrame } from './frame-codec.js';
+import { everyShared } from './shared-interval.js';
 import { writeBatched } from './write-batch.js';
 import { createNonce, createProof, isProofValid, type LinkSide } from './link-auth.js';
 import { startInputDeadline } from './input-deadline.js';
@@ -87,7 +88,7 @@
     traffic: () => ({ receivedBytes: socket.bytesRead, sentBytes: socket.bytesWritten }),
   };
 
-  const pingTimer = setInterval(checkLiveness, Math.min(options.pingEveryMs, 200));
+  const stopChecks = everyShared(Math.min(options.pingEveryMs, 200), checkLiveness);
   socket.setNoDelay(true);
   socket.on('data', receive);
   socket.on('error', () => undefined);
@@ -142,7 +143,7 @@
     if (phase === 'closed') return;
     const wasOpen = phase === 'open';
     phase = 'closed';
-    clearInterval(pingTimer);
+    stopChecks();
     for (const id of [...pending.keys()]) settle(id, Left({ kind: 'closed' }));
     if (wasOpen || side === 'client') handlers.onClose?.(peer, reason);
   }
--- a/packages/statement-entry/src/near/near-reads.ts
+++ b/packages/statement-entry/src/near/near-reads.ts
@@ -54,9 +54,12 @@
   readonly groups: Map<GroupName, NearGroup>;
 }
 
-/** An offer is renewed this often while reads come, in milliseconds. */
-const ASK_EVERY_MS = 650;
-/** Offers cover some 2.6 s: the oldest reads that the users allow are 2.5 s old. */
+/**
+ * An offer is renewed this often while reads come, in milliseconds: before one is too old for reads of 1.5 s at
+ * most, less the margin below and the way to the owner, which are the users' shortest.
+ */
+const ASK_EVERY_MS = 1_000;
+/** Offers cover some 3 s: the oldest reads that the users allow are 2.5 s old. */
 const KEPT_POSITIONS = 4;
 /** Part of a read's allowed age that is kept back for its own way to the replica, in milliseconds. */
 const AGE_MARGIN_MS = 200;
