--- a/packages/core/src/control-log/raft-state.ts
+++ b/packages/core/src/control-log/raft-state.ts
@@ -90,7 +90,7 @@
     formerLeaderUntilMs: 0,
   };
   resetElectionDeadline(state, nowMs);
-  // Nobody waits for a leader that this process has ever heard; a pre-vote disturbs none that there is.
+  // This process has heard no leader yet, and a pre-vote disturbs none that there may be.
   state.electionDeadlineMs -= (state.electionDeadlineMs - nowMs) * START_SHORTER_SHARE;
   return state;
 }
--- a/packages/entry-shared/src/control/control-client.test.ts
+++ b/packages/entry-shared/src/control/control-client.test.ts
@@ -1,21 +1,12 @@
-import { createServer } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { type LeaseReply, timingSchema } from '@bramleykeel/core';
 import { DEFAULT_LINK_TIMING, listenForLinks } from '@bramleykeel/link';
+import { freeAddress } from '@bramleykeel/test-support';
 import { describe, expect, it, vi } from 'vitest';
 import { startControlClient } from './control-client.js';
 
 const SECRET = 'a-secret-for-these-tests';
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const address = server.address();
-  const port = typeof address === 'object' && address ? address.port : 0;
-  await new Promise((resolve) => server.close(resolve));
-  return `127.0.0.1:${port}`;
-}
-
 describe('an entry that starts', () => {
   it('waits for a first answer that takes long to arrive, instead of asking for it again', async () => {
     const address = await freeAddress();
--- a/packages/entry/src/locate/owner-locator.test.ts
+++ b/packages/entry/src/locate/owner-locator.test.ts
@@ -1,4 +1,3 @@
-import { createServer } from 'node:net';
 import {
   type StoredRecord,
   toEntryId,
@@ -7,6 +6,7 @@
   toSessionId,
 } from '@bramleykeel/core';
 import { DEFAULT_LINK_TIMING, type LinkServer, listenForLinks } from '@bramleykeel/link';
+import { freeAddress } from '@bramleykeel/test-support';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { createEntryLinks, type EntryLinks } from './owner-locator.js';
 import type { OwnerPort } from './owner-port.js';
@@ -16,15 +16,6 @@
 const ANSWERED = toSessionId('entry-1:1');
 const RUNNING = toSessionId('entry-1:2');
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const address = server.address();
-  const port = typeof address === 'object' && address ? address.port : 0;
-  await new Promise((resolve) => server.close(resolve));
-  return `127.0.0.1:${port}`;
-}
-
 describe('a port to an owner on another entry', () => {
   let server: LinkServer;
   let links: EntryLinks;
