--- a/packages/control/src/admin/admin-http.ts
+++ b/packages/control/src/admin/admin-http.ts
@@ -1,4 +1,4 @@
-/** HTTP interface for operators: one JSON call per request, answered through the leader. */
+/** HTTP interface for operators: one JSON call per request, answered by the leader. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { splitAddress } from '@bramleykeel/core';
 import { readJsonBody } from '@bramleykeel/link';
@@ -14,13 +14,17 @@
   unavailable: 503,
 } as const;
 
-/** Listens for `POST /v1/METHOD` with the operator's token as bearer token. */
+/**
+ * Listens for `POST /v1/METHOD` with the operator's token as bearer token.
+ *
+ * @throws when the address is in use
+ */
 export function listenForOperators(
   address: string,
   answerCall: (call: unknown) => Promise<CallAnswer>,
 ): Promise<Server> {
   const server = createServer((request, response) => {
-    void handle(request, response, answerCall);
+    void handleRequest(request, response, answerCall);
   });
   const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
@@ -31,32 +35,32 @@
   });
 }
 
-async function handle(
+async function handleRequest(
   request: IncomingMessage,
   response: ServerResponse,
   answerCall: (call: unknown) => Promise<CallAnswer>,
 ): Promise<void> {
   const method = /^\/v1\/([a-z-]+\/[a-z-]+)$/.exec(request.url ?? '')?.[1];
   if (request.method !== 'POST' || method === undefined) {
-    send(response, 404, { message: 'expected POST /v1/PART/VERB' });
+    sendJson(response, 404, { message: 'expected POST /v1/PART/VERB' });
     return;
   }
   const body = await readJsonBody(request, MAX_BODY_BYTES);
   if (body === undefined) {
-    send(response, 400, { message: 'expected a JSON body of at most 4 MiB' });
+    sendJson(response, 400, { message: 'expected a JSON body of at most 4 MiB' });
     return;
   }
   const token = /^Bearer (.+)$/.exec(request.headers.authorization ?? '')?.[1] ?? '';
   const answer = await answerCall({ method, params: body, token });
   if (answer.kind === 'ok') {
-    send(response, 200, answer.result);
+    sendJson(response, 200, answer.result);
     return;
   }
   const { code, message, detail } = answer;
-  send(response, STATUS_CODES[code], { code, message, detail });
+  sendJson(response, STATUS_CODES[code], { code, message, detail });
 }
 
-function send(response: ServerResponse, statusCode: number, body: unknown): void {
+function sendJson(response: ServerResponse, statusCode: number, body: unknown): void {
   response.statusCode = statusCode;
   response.setHeader('content-type', 'application/json');
   response.end(JSON.stringify(body));
--- a/packages/control/src/admin/operator-calls.ts
+++ b/packages/control/src/admin/operator-calls.ts
@@ -1,4 +1,4 @@
-/** Calls of operators: checked against their token and answered by the leader from confirmed state. */
+/** Operator calls: authenticated by token, and answered by the leader after confirming that it leads. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   BOOTSTRAP_OPERATOR,
@@ -16,7 +16,7 @@
 import type { LinkPeer } from '@bramleykeel/link';
 import { z } from 'zod';
 import {
-  awaitRound,
+  confirmLeadership,
   describeEntries,
   isInForce,
   type LeaderService,
@@ -55,7 +55,7 @@
 const IN_FORCE_POLL_MS = 20;
 const STATUS_TIMEOUT_MS = 1_000;
 
-/** Answers one call on the leader. */
+/** Answers one operator call on the leader. */
 export async function answerOperatorCall(
   service: LeaderService,
   bootstrapTokenSha256Hex: string,
@@ -64,24 +64,24 @@
   const parsed = callSchema.safeParse(raw);
   if (!parsed.success) return failure('bad-request', z.prettifyError(parsed.error));
   const { method, params, token } = parsed.data;
-  if (!(await awaitRound(service))) {
+  if (!(await confirmLeadership(service))) {
     return failure('unavailable', 'the control leader changed; try again');
   }
   const operator = findOperator(service.driver.control(), bootstrapTokenSha256Hex, token);
   if (operator === undefined) return failure('denied', 'the operator token was not accepted');
   switch (method) {
     case 'settings/list':
-      return listCall(service.driver.control());
+      return handleListSettings(service.driver.control());
     case 'settings/apply':
-      return applyCall(service, operator, params);
+      return handleApplySettings(service, operator, params);
     case 'settings/await':
-      return awaitCall(service, params);
+      return handleAwaitRevision(service, params);
     case 'settings/history':
       return { kind: 'ok', result: service.driver.control().history };
     case 'status/get':
       return { kind: 'ok', result: await describeStatus(service) };
     case 'server/forget':
-      return forgetCall(service, operator, params);
+      return handleForgetServer(service, operator, params);
     default:
       return failure('not-found', `unknown method ${method}`);
   }
@@ -108,12 +108,12 @@
   return found?.path.slice('operators/'.length);
 }
 
-function listCall(control: ControlState): CallAnswer {
+function handleListSettings(control: ControlState): CallAnswer {
   const settings = listSettings(control);
   return { kind: 'ok', result: { revision: control.settingsRevision, settings } };
 }
 
-async function applyCall(
+async function handleApplySettings(
   service: LeaderService,
   operator: string,
   params: unknown,
@@ -159,7 +159,7 @@
   return { kind: 'ok', result };
 }
 
-async function awaitCall(service: LeaderService, params: unknown): Promise<CallAnswer> {
+async function handleAwaitRevision(service: LeaderService, params: unknown): Promise<CallAnswer> {
   const parsed = awaitSchema.safeParse(params);
   if (!parsed.success) return failure('bad-request', z.prettifyError(parsed.error));
   const { revision, timeoutMs } = parsed.data;
@@ -175,7 +175,7 @@
   return { kind: 'ok', result: { isInForce: false, entries: describeEntries(service) } };
 }
 
-async function forgetCall(
+async function handleForgetServer(
   service: LeaderService,
   operator: string,
   params: unknown,
@@ -200,8 +200,8 @@
   const { raft } = service.driver;
   const control = service.driver.control();
   const reports = await Promise.all(
-    [...service.watchers].map(async ([peer, { incarnation }]) => {
-      return { incarnation, report: await askEntry(peer) };
+    [...service.subscribers].map(async ([peer, { incarnation }]) => {
+      return { incarnation, report: await requestEntryStatus(peer) };
     }),
   );
   return {
@@ -235,7 +235,7 @@
   });
 }
 
-async function askEntry(peer: LinkPeer): Promise<unknown> {
+async function requestEntryStatus(peer: LinkPeer): Promise<unknown> {
   const answer = await peer.request('status/get', {}, STATUS_TIMEOUT_MS);
   return answer.orDefault(null);
 }
--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -1,4 +1,7 @@
-/** Passes servers' announcements on to the owners of their groups, and keeps the newest for new owners. */
+/**
+ * Forwards server announcements to the owners of their groups, and stores the newest ones so that a
+ * new owner receives them.
+ */
 import {
   type Assignment,
   assignmentOf,
@@ -17,27 +20,27 @@
 import type { ControlMember } from './control-member.js';
 
 export interface AnnouncementRelay {
-  /** Passes an announcement on; resolves with whether the group's owner has taken it. */
+  /** Forwards an announcement; resolves with whether the group's owner has accepted it. */
   readonly announce: (announcement: ServerAnnouncement) => Promise<boolean>;
-  /** Takes in what another member was told; returns whether it is news. */
-  readonly keep: (announcement: ServerAnnouncement) => boolean;
-  /** A server has ended as planned. */
-  readonly leave: (server: ServerName) => Promise<void>;
-  /** Looks for owners that are new since the last call. */
+  /** Stores an announcement that another member received; returns whether it is newer. */
+  readonly store: (announcement: ServerAnnouncement) => boolean;
+  /** Removes a server that has shut down as planned, and informs the group's owner. */
+  readonly removeServer: (server: ServerName) => Promise<void>;
+  /** Sends stored announcements to owners that are new since the last call. */
   readonly refresh: () => void;
   readonly close: () => void;
 }
 
 const OWNER_TIMEOUT_MS = 700;
 const LEADER_TIMEOUT_MS = 500;
-const OWNER_POLL_MS = 40;
-/** An announcement that was not renewed for this long is not handed to a new owner, in milliseconds. */
-const KEPT_MS = 5_000;
-/** What other members were told is renewed this often, in milliseconds; well within what they keep. */
-const SHARE_EVERY_MS = 2_500;
-const REQUEST_EVERY_MS = 400;
+const OWNER_RETRY_INTERVAL_MS = 40;
+/** Announcements that were not renewed within this time are not sent to a new owner. */
+const ANNOUNCEMENT_RETENTION_MS = 5_000;
+/** An unchanged announcement is shared again this often, well within the retention time. */
+const SHARE_INTERVAL_MS = 2_500;
+const OWNER_REQUEST_INTERVAL_MS = 400;
 
-interface KeptAnnouncement {
+interface StoredAnnouncement {
   readonly announcement: ServerAnnouncement;
   readonly atMs: number;
 }
@@ -49,55 +52,59 @@
  * const isTaken = await relay.announce(announcement);
  */
 export function createAnnouncementRelay(
-  member: () => ControlMember | undefined,
+  getMember: () => ControlMember | undefined,
   linkSecret: string,
   log: Log,
 ): AnnouncementRelay {
-  const kept = new Map<ServerName, KeptAnnouncement>();
-  const shared = new Map<ServerName, { role: string; isLeaving: boolean; atMs: number }>();
+  const latestAnnouncements = new Map<ServerName, StoredAnnouncement>();
+  const lastShared = new Map<ServerName, { role: string; isLeaving: boolean; atMs: number }>();
   const links = new Map<string, LinkClient>();
   const knownEpochs = new Map<GroupName, number>();
   const requestedAtMs = new Map<GroupName, number>();
-  return { announce, keep, leave, refresh, close };
+  return { announce, store, removeServer, refresh, close };
 
   async function announce(announcement: ServerAnnouncement): Promise<boolean> {
     const { group } = announcement;
-    if (keep(announcement)) share(announcement);
+    if (store(announcement)) shareWithMembers(announcement);
     const untilMs = performance.now() + OWNER_TIMEOUT_MS;
     for (;;) {
-      const isTaken = await tell(group, 'server/announce', announcement);
+      const isTaken = await requestFromOwner(group, 'server/announce', announcement);
       if (isTaken || performance.now() >= untilMs) return isTaken;
       requestOwner(announcement);
-      await new Promise((resolve) => setTimeout(resolve, OWNER_POLL_MS));
+      await new Promise((resolve) => setTimeout(resolve, OWNER_RETRY_INTERVAL_MS));
     }
   }
 
-  /** Takes in an announcement of this member's or another one's; returns whether it is news. */
-  function keep(announcement: ServerAnnouncement): boolean {
-    const known = kept.get(announcement.server);
+  /** Stores an announcement unless a newer one is known; returns whether it was stored. */
+  function store(announcement: ServerAnnouncement): boolean {
+    const known = latestAnnouncements.get(announcement.server);
     if (known && !isNewerAnnouncement(announcement, known.announcement)) return false;
-    kept.set(announcement.server, { announcement, atMs: performance.now() });
+    latestAnnouncements.set(announcement.server, { announcement, atMs: performance.now() });
     return true;
   }
 
-  /** The other members keep it too, in case this one is lost before the group has a new owner. */
-  function share(announcement: ServerAnnouncement): void {
+  /** Lets the other members store it too, in case this one fails before the group has a new owner. */
+  function shareWithMembers(announcement: ServerAnnouncement): void {
     const { server, role, isLeaving } = announcement;
     const nowMs = performance.now();
-    const known = shared.get(server);
+    const known = lastShared.get(server);
     const isSame = known?.role === role && known.isLeaving === isLeaving;
-    if (isSame && nowMs - known.atMs < SHARE_EVERY_MS) return;
-    shared.set(server, { role, isLeaving, atMs: nowMs });
-    member()?.tellMembers('server/keep', announcement);
+    if (isSame && nowMs - known.atMs < SHARE_INTERVAL_MS) return;
+    lastShared.set(server, { role, isLeaving, atMs: nowMs });
+    getMember()?.notifyMembers('server/keep', announcement);
   }
 
-  async function leave(server: ServerName): Promise<void> {
-    const known = kept.get(server);
-    kept.delete(server);
-    if (known) await tell(known.announcement.group, 'server/leave', server);
+  async function removeServer(server: ServerName): Promise<void> {
+    const known = latestAnnouncements.get(server);
+    latestAnnouncements.delete(server);
+    if (known) await requestFromOwner(known.announcement.group, 'server/leave', server);
   }
 
-  async function tell(group: GroupName, method: string, params: unknown): Promise<boolean> {
+  async function requestFromOwner(
+    group: GroupName,
+    method: string,
+    params: unknown,
+  ): Promise<boolean> {
     const address = ownerOf(group)?.linkAddress;
     const peer = address === undefined ? undefined : linkTo(address).current();
     const answer = await peer?.request(method, params, OWNER_TIMEOUT_MS);
@@ -105,18 +112,19 @@
   }
 
   function ownerOf(group: GroupName): Assignment | undefined {
-    const control = member()?.app.driver.control();
+    const control = getMember()?.app.driver.control();
     return control && assignmentOf(control, `group/${group}`);
   }
 
-  /** A group without an owner gets one, in the zone of its primary. */
+  /** Requests an owner in the zone of the primary for a group that has none. */
   function requestOwner({ group, role, zone }: ServerAnnouncement): void {
     if (ownerOf(group) || role !== 'primary') return;
     const nowMs = performance.now();
-    if (nowMs - (requestedAtMs.get(group) ?? Number.NEGATIVE_INFINITY) < REQUEST_EVERY_MS) return;
+    if (nowMs - (requestedAtMs.get(group) ?? Number.NEGATIVE_INFINITY) < OWNER_REQUEST_INTERVAL_MS)
+      return;
     requestedAtMs.set(group, nowMs);
     const request = { resource: `group/${group}`, zone };
-    void member()?.askLeader('resource/request', request, LEADER_TIMEOUT_MS);
+    void getMember()?.askLeader('resource/request', request, LEADER_TIMEOUT_MS);
   }
 
   function linkTo(address: string): LinkClient {
@@ -131,10 +139,12 @@
 
   function refresh(): void {
     const nowMs = performance.now();
-    for (const [server, { atMs }] of kept) {
-      if (nowMs - atMs > KEPT_MS) kept.delete(server);
+    for (const [server, { atMs }] of latestAnnouncements) {
+      if (nowMs - atMs > ANNOUNCEMENT_RETENTION_MS) latestAnnouncements.delete(server);
     }
-    const groups = new Set([...kept.values()].map(({ announcement }) => announcement.group));
+    const groups = new Set(
+      [...latestAnnouncements.values()].map(({ announcement }) => announcement.group),
+    );
     const needed = new Set<string>();
     for (const group of groups) {
       const owner = ownerOf(group);
@@ -143,10 +153,11 @@
       if (knownEpochs.get(group) === owner.epoch || !linkTo(owner.linkAddress).current()) continue;
       knownEpochs.set(group, owner.epoch);
       log(
-        `group ${group} has owner ${owner.entryId}, epoch ${owner.epoch}; it is told of its servers`,
+        `group ${group} has owner ${owner.entryId}, epoch ${owner.epoch}; sending it the known servers`,
       );
-      for (const { announcement } of kept.values()) {
-        if (announcement.group === group) void tell(group, 'server/announce', announcement);
+      for (const { announcement } of latestAnnouncements.values()) {
+        if (announcement.group === group)
+          void requestFromOwner(group, 'server/announce', announcement);
       }
     }
     for (const [address, link] of links) {
--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -1,4 +1,4 @@
-/** Methods that a control member answers over links, registered by name. */
+/** Request handlers of a control member for link requests, by method name. */
 import {
   type ControlCommand,
   type Incarnation,
@@ -16,7 +16,7 @@
   type LeaderService,
   releaseResource,
   requestResource,
-  takeRenewal,
+  queueRenewal,
 } from './leader/leader-service.js';
 import { putDocument, readDocument } from './document-calls.js';
 import type { LogDriver } from './log-driver.js';
@@ -26,23 +26,23 @@
   readonly driver: LogDriver;
   readonly log: Log;
   readonly bootstrapTokenSha256Hex: string;
-  /** Whether members that the membership does not name may join, as learners at first. */
+  /** Whether members that are not in the membership may join, at first as learners. */
   readonly allowsNewMembers: boolean;
   /** The leader service while this member leads and its term is open; `undefined` otherwise. */
   readonly leader: () => LeaderService | undefined;
 }
 
-/** `peer` is `undefined` for a request of this process itself. */
+/** `peer` is `undefined` for requests made by this process itself. */
 type Handler = (app: ControlApp, peer: LinkPeer | undefined, params: unknown) => unknown;
 
 const PROBE_TIMEOUT_MS = 500;
 
-const name = z.string().min(1).max(100);
+const nameSchema = z.string().min(1).max(100);
 const renewalSchema = z.object({
-  entryId: name,
-  incarnation: name,
-  linkAddress: name,
-  zone: name,
+  entryId: nameSchema,
+  incarnation: nameSchema,
+  linkAddress: nameSchema,
+  zone: nameSchema,
   linkMbps: z.number().positive().optional(),
   isBesideControl: z.boolean().optional(),
   isStopping: z.boolean(),
@@ -52,15 +52,15 @@
 });
 const resourceSchema = z.object({
   resource: z.string().regex(/^(group|customer)\/.+$/),
-  zone: name.optional(),
+  zone: nameSchema.optional(),
 });
-const releaseSchema = z.object({ resource: name, epoch: z.int(), incarnation: name });
-const endedSchema = z.object({ incarnation: name });
-const suspectSchema = z.object({ incarnation: name, linkAddress: name });
+const releaseSchema = z.object({ resource: nameSchema, epoch: z.int(), incarnation: nameSchema });
+const endedSchema = z.object({ incarnation: nameSchema });
+const suspectSchema = z.object({ incarnation: nameSchema, linkAddress: nameSchema });
 const joinSchema = z.object({
-  id: name,
-  diskId: name,
-  address: name.optional(),
+  id: nameSchema,
+  diskId: nameSchema,
+  address: nameSchema.optional(),
   adminAddress: z.string().max(100).optional(),
   isEligible: z.boolean().default(true),
 });
@@ -69,7 +69,7 @@
   body: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
 });
 
-/** Commands that owners may propose; settings go through operators' calls only. */
+/** Commands that owners may propose; settings are changed through operator calls only. */
 const OWNER_COMMANDS = new Set([
   'group/observe',
   'group/places',
@@ -82,8 +82,8 @@
     const leader = app.leader();
     const renewal = renewalSchema.parse(params) as LeaseRenewal;
     if (!leader) return notLeader(app);
-    if (!peer) throw new Error('a lease is renewed over a link');
-    return takeRenewal(leader, peer, renewal);
+    if (!peer) throw new Error('lease/renew must be sent over a link');
+    return queueRenewal(leader, peer, renewal);
   },
   'resource/request': (app, _peer, params) => {
     const { resource, zone } = resourceSchema.parse(params);
@@ -99,7 +99,8 @@
   'entry/ended': (app, _peer, params) => {
     const { incarnation } = endedSchema.parse(params);
     const leader = app.leader();
-    if (leader) endEntry(leader, incarnation as Incarnation, 'it has handed everything over');
+    if (leader)
+      endEntry(leader, incarnation as Incarnation, 'it has handed over all its resources');
     return leader !== undefined;
   },
   'entry/suspect': (app, _peer, params) => {
@@ -129,7 +130,11 @@
   'operator/call': (app, _peer, params) => callLeader(app, params),
 };
 
-/** Answers a request from a link. */
+/**
+ * Answers a request from a link.
+ *
+ * @throws when the method is unknown or the parameters are invalid
+ */
 export function handleRequest(
   app: ControlApp,
   peer: LinkPeer | undefined,
@@ -141,14 +146,14 @@
   return handler(app, peer, params);
 }
 
-/** Takes an event from a link: only messages of the log protocol. */
+/** Handles a notification from a link; all but messages of the log protocol are ignored. */
 export function handleNotify(app: ControlApp, method: string, params: unknown): void {
   if (method !== 'log/message') return;
   const { from, message } = params as { from: MemberId; message: RaftMessage<ControlCommand> };
   app.driver.step({ kind: 'message', from, message });
 }
 
-/** Answers an operator's call when this member leads. */
+/** Answers an operator's call if this member leads, and fails it as unavailable otherwise. */
 export function callLeader(app: ControlApp, call: unknown): Promise<CallAnswer> {
   const leader = app.leader();
   if (leader) return answerOperatorCall(leader, app.bootstrapTokenSha256Hex, call);
@@ -168,7 +173,7 @@
   };
 }
 
-/** A suspected entry is ended at once if nothing listens at its address any more. */
+/** Ends a suspected entry at once if its address refuses connections; returns whether it did. */
 export async function probeSuspect(
   app: ControlApp,
   incarnation: Incarnation,
--- a/packages/control/src/control-daemon.ts
+++ b/packages/control/src/control-daemon.ts
@@ -1,4 +1,4 @@
-/** A control member with settings of our own: fixed members, and operators' calls over HTTP. */
+/** Control daemon configured by a settings file: fixed members, and operator calls over HTTP. */
 import {
   type ControlMemberAddress,
   type ControlSettings,
@@ -17,8 +17,8 @@
 
 const FORWARD_TIMEOUT_MS = 70_000;
 
-/** The membership that a new cluster starts with. */
-export function firstMembership(members: readonly ControlMemberAddress[]): Membership {
+/** The initial membership of a new cluster; all members are voters. */
+export function initialMembership(members: readonly ControlMemberAddress[]): Membership {
   return Object.fromEntries(
     members.map(({ id, linkAddress, adminAddress }) => [
       id,
@@ -27,16 +27,17 @@
   );
 }
 
-/** Prepares the data folder of a member of a new cluster. */
+/** Initializes the data folder of a member of a new cluster. */
 export function initializeControl(settings: ControlSettings) {
   const { control, members } = settings;
-  return initializeFolder(control.dataFolder, control.id, firstMembership(members));
+  return initializeFolder(control.dataFolder, control.id, initialMembership(members));
 }
 
 /**
  * Starts a control member.
  *
- * @throws when the data folder is corrupt or an address is taken: nothing is changed in that case
+ * @throws when the settings do not list this member, the data folder is corrupt or an address is in
+ *   use; stored data is not changed then
  */
 export async function startControl(settings: ControlSettings): Promise<ControlDaemon> {
   const { control, members } = settings;
--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -1,6 +1,7 @@
 /**
- * One control member, whatever its settings came from: storage, log, links to the other members and
- * leader duties. Addresses of the others come from the membership, and from hints until it is known.
+ * A control member, independent of where its settings come from: storage, log, links to the other
+ * members and leader tasks. Addresses of the others come from the membership and from address hints.
+ * Before the membership is known, addresses received with their messages are used as well.
  */
 import {
   type ControlCommand,
@@ -25,13 +26,13 @@
   createLeaderService,
   handleRoundConfirmed,
   type LeaderService,
-  reassignOrphans,
+  reassignOrphanedResources,
   schedulePush,
   stopLeaderService,
 } from './leader/leader-service.js';
 import { createLogDriver } from './log-driver.js';
-import { addressesOf, tendMembership } from './member-join.js';
-import { untilDiskTakes } from './storage/disk-refusal.js';
+import { addressesOf, reconcileMembership } from './member-join.js';
+import { retryOnDiskError } from './storage/disk-refusal.js';
 import { closeStorage, openStorage } from './storage/control-storage.js';
 
 export interface ControlMemberOptions {
@@ -43,54 +44,58 @@
   readonly timing: TimingSettings;
   readonly snapshotEveryEntries: number;
   readonly bootstrapTokenSha256Hex: string;
-  /** Link addresses to try besides those that the membership names. */
+  /** Link addresses to try in addition to those in the membership. */
   readonly addressHints: () => readonly string[];
-  /** Whether members that the membership does not name may join. */
+  /** Whether members that are not in the membership may join. */
   readonly allowsNewMembers: boolean;
-  /** Voters to aim for. */
+  /** Target number of voters. */
   readonly maxVoters: number;
-  /** The region of a zone, where zones are grouped. */
+  /** Returns the region of a zone; `undefined` if zones are not grouped into regions. */
   readonly regionOf?: (zone: string) => string | undefined;
-  /** Whether this member's disk lasts, so that it may vote. */
+  /** Whether this member has persistent storage; only then may it vote. */
   readonly isEligible: boolean;
   readonly log: Log;
   readonly counters: Counters;
-  /** Takes what another member tells besides the log. */
+  /** Handles notifications from other members that are not part of the log protocol. */
   readonly onMemberEvent?: (method: string, params: unknown) => void;
 }
 
 export interface ControlMember {
   readonly app: ControlApp;
-  /** Answers a request here while this member leads, otherwise asks the member that does. */
+  /**
+   * Answers a request locally if this member leads, and forwards it to the leader otherwise. Resolves
+   * with `undefined` if no leader is known or it does not answer in time.
+   */
   readonly askLeader: (method: string, params: unknown, timeoutMs: number) => Promise<unknown>;
-  /** Tells all other members something that they may miss. */
-  readonly tellMembers: (method: string, params: unknown) => void;
+  /** Sends a notification to all connected members, without a guarantee of delivery. */
+  readonly notifyMembers: (method: string, params: unknown) => void;
   readonly stop: () => Promise<void>;
 }
 
 const noRegion = (): undefined => undefined;
 
-const TICK_MS = 20;
-const LEADER_DUTIES_MS = 100;
-const JOIN_EVERY_MS = 300;
+const TICK_INTERVAL_MS = 20;
+const LEADER_MAINTENANCE_INTERVAL_MS = 100;
+const JOIN_RETRY_INTERVAL_MS = 300;
 
 /**
  * Starts a control member.
  *
- * @throws when the data folder is corrupt or the address is taken: nothing is changed in that case
+ * @throws when the data folder is corrupt or the address is in use; stored data is not changed then
  * @example
  * const member = await startControlMember(options);
  * const answer = await member.askLeader('document/read', {}, 1_000);
  */
 export async function startControlMember(options: ControlMemberOptions): Promise<ControlMember> {
   const { selfId, timing, log, counters } = options;
-  const found = await untilDiskTakes(log, () => openStorage(options.dataFolder));
-  const opened = found.mapLeft(({ file, offsetBytes }) => {
-    const advice = 'move the folder away to rejoin with an empty one';
+  const storageResult = await retryOnDiskError(log, () => openStorage(options.dataFolder));
+  const opened = storageResult.mapLeft(({ file, offsetBytes }) => {
+    const advice = 'move the data folder away to rejoin with an empty one';
     return new Error(`${file} is corrupt at byte ${offsetBytes}; ${advice}`);
   });
   const { storage, ...recovered } = opened.unsafeCoerce();
-  if (recovered.tornBytes > 0) log(`a torn tail of ${recovered.tornBytes} bytes was cut off`);
+  if (recovered.tornBytes > 0)
+    log(`discarded an incomplete write of ${recovered.tornBytes} bytes at the end of the log`);
 
   let leader: LeaderService | undefined;
   const links = new Map<string, LinkClient>();
@@ -108,7 +113,7 @@
         leader = undefined;
       },
       onApplied: () => {
-        openLeaderTerm();
+        startLeaderServiceIfReady();
         if (leader) schedulePush(leader);
       },
       onRoundConfirmed: (startedAtMs) => {
@@ -135,23 +140,23 @@
   refreshLinks();
   const timers = [
     setInterval(() => {
-      // After a stall, heartbeats that already wait in the sockets are read before time is judged.
+      // After a stall of the process, reads heartbeats buffered in the sockets before checking timeouts.
       setImmediate(() => {
         driver.step({ kind: 'tick' });
       });
-    }, TICK_MS),
+    }, TICK_INTERVAL_MS),
     setInterval(() => {
       refreshLinks();
       if (!leader) return;
-      reassignOrphans(leader);
-      tendMembership(driver, options.maxVoters, log);
-    }, LEADER_DUTIES_MS),
-    setInterval(() => void joinIfNeeded(), JOIN_EVERY_MS),
+      reassignOrphanedResources(leader);
+      reconcileMembership(driver, options.maxVoters, log);
+    }, LEADER_MAINTENANCE_INTERVAL_MS),
+    setInterval(() => void joinIfNeeded(), JOIN_RETRY_INTERVAL_MS),
   ];
   log(`member ${selfId} listens at ${options.linkAddress}, disk ${storage.diskId}`);
-  return { app, askLeader, tellMembers, stop };
+  return { app, askLeader, notifyMembers, stop };
 
-  /** A member that has no log yet answers the leader at the address that came with its message. */
+  /** Stores the sender's address, so that a member without a log yet can answer the leader. */
   function learnAddress(params: unknown): void {
     const { from, address } = params as { from?: MemberId; address?: string };
     if (from === undefined || address === undefined) return;
@@ -187,8 +192,11 @@
     linkTo(to)?.notify('log/message', { from: selfId, address: options.linkAddress, message });
   }
 
-  /** The leader serves only after its own first entry is committed: then it knows all earlier ones. */
-  function openLeaderTerm(): void {
+  /**
+   * Starts the leader service once an entry of the leader's own term is committed: only then is it
+   * known that all entries committed earlier are included.
+   */
+  function startLeaderServiceIfReady(): void {
     const { raft } = driver;
     if (leader || raft.role !== 'leader') return;
     const newest = entryAt(raft, raft.commitIndex);
@@ -197,11 +205,11 @@
   }
 
   function handleLinkClosed(peer: LinkPeer): void {
-    const watcher = leader?.watchers.get(peer);
-    if (!leader || !watcher) return;
-    leader.watchers.delete(peer);
-    const lease = leader.leases.leases.get(watcher.incarnation);
-    if (lease) void probeSuspect(app, watcher.incarnation, lease.linkAddress);
+    const subscriber = leader?.subscribers.get(peer);
+    if (!leader || !subscriber) return;
+    leader.subscribers.delete(peer);
+    const lease = leader.leases.leases.get(subscriber.incarnation);
+    if (lease) void probeSuspect(app, subscriber.incarnation, lease.linkAddress);
   }
 
   async function askLeader(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
@@ -212,7 +220,7 @@
     return answer?.orDefault(undefined);
   }
 
-  function tellMembers(method: string, params: unknown): void {
+  function notifyMembers(method: string, params: unknown): void {
     for (const link of links.values()) link.current()?.notify(method, params);
   }
 
@@ -227,8 +235,8 @@
       isEligible: options.isEligible,
     };
     for (const link of links.values()) {
-      const answer = await link.current()?.request('member/join', request, JOIN_EVERY_MS);
-      if (answer?.extract() === 'refused') log('the cluster refused this member; check its id');
+      const answer = await link.current()?.request('member/join', request, JOIN_RETRY_INTERVAL_MS);
+      if (answer?.extract() === 'refused') log('the cluster rejected this member; check its id');
     }
   }
 
--- a/packages/control/src/document-calls.ts
+++ b/packages/control/src/document-calls.ts
@@ -1,6 +1,6 @@
-/** Operators' whole settings documents: accepted under a version, read back only when surely newest. */
+/** Operators' settings documents: stored by version, and read with linearizable reads. */
 import { documentOf, type SettingsDocument } from '@bramleykeel/core';
-import { awaitRound, type LeaderService } from './leader/leader-service.js';
+import { confirmLeadership, type LeaderService } from './leader/leader-service.js';
 
 export type DocumentPutAnswer =
   { readonly kind: 'accepted'; readonly version: number } | { readonly kind: 'unavailable' };
@@ -10,8 +10,8 @@
   | { readonly kind: 'unavailable' };
 
 /**
- * Accepts a document once it is synced at a quorum. One that is not newer than the document held
- * goes through the log as well, so that its acknowledgement comes from a member that surely leads.
+ * Accepts a document once it is synced at a quorum. A document that is not newer than the stored one
+ * goes through the log as well, so that only a confirmed leader acknowledges it.
  */
 export async function putDocument(
   leader: LeaderService,
@@ -22,9 +22,9 @@
   return { kind: 'accepted', version: result.revision };
 }
 
-/** Reads the newest document after a round that a quorum has confirmed. */
+/** Reads the newest document after a quorum has confirmed that this member still leads. */
 export async function readDocument(leader: LeaderService): Promise<DocumentReadAnswer> {
-  const isConfirmed = await awaitRound(leader);
+  const isConfirmed = await confirmLeadership(leader);
   if (!isConfirmed) return { kind: 'unavailable' };
   return { kind: 'found', document: documentOf(leader.driver.control()) ?? null };
 }
--- a/packages/control/src/leader/assign-resources.ts
+++ b/packages/control/src/leader/assign-resources.ts
@@ -1,4 +1,4 @@
-/** Chooses entries for resources that have none, and writes the choice to the log. */
+/** Assigns resources without a holder to entries, and commits the assignments to the log. */
 import {
   type Assignment,
   assignmentOf,
@@ -10,49 +10,56 @@
 } from '@bramleykeel/core';
 import type { LeaderService } from './leader-service.js';
 
-/** Gives one resource to an entry; returns whether it has a holder now. */
-export async function assign(
+/** Assigns one resource to an entry; returns whether a new assignment was committed. */
+export async function assignResource(
   service: LeaderService,
   resource: Resource,
   excluded: Incarnation | undefined,
 ): Promise<boolean> {
-  const assigned = await assignAll(service, [resource], excluded);
+  const assigned = await assignResources(service, [resource], excluded);
   return assigned.length > 0;
 }
 
-/** Gives resources to entries, all with one write to the log; returns those that have a holder now. */
-export async function assignAll(
+/** Assigns resources to entries with one write to the log; returns the committed assignments. */
+export async function assignResources(
   service: LeaderService,
   resources: readonly Resource[],
   excluded: Incarnation | undefined,
 ): Promise<readonly Assignment[]> {
-  const free = resources.filter((resource) => !service.assigning.has(resource));
-  const assignments = chooseHolders(service, free, excluded);
+  const unclaimed = resources.filter((resource) => !service.resourcesBeingAssigned.has(resource));
+  const assignments = chooseHolders(service, unclaimed, excluded);
   if (assignments.length === 0) return [];
-  for (const { resource } of assignments) service.assigning.add(resource);
+  for (const { resource } of assignments) service.resourcesBeingAssigned.add(resource);
   const commands = assignments.map((assignment) => ({ kind: 'owner/assign', assignment }) as const);
   const results = await service.driver.proposeAll(commands);
-  for (const { resource } of assignments) service.assigning.delete(resource);
-  const done = assignments.filter((_assignment, index) => results[index]?.kind === 'done');
-  for (const assignment of done) noteAssigned(service, assignment);
-  return done;
+  for (const { resource } of assignments) service.resourcesBeingAssigned.delete(resource);
+  const completed = assignments.filter((_assignment, index) => results[index]?.kind === 'done');
+  for (const assignment of completed) recordAssignment(service, assignment);
+  return completed;
 }
 
-/** Those chosen already count as held, so that many resources do not all go to the same entry. */
+/** Counts holders chosen in this call as well, so that resources are spread over the entries. */
 function chooseHolders(
   service: LeaderService,
   resources: readonly Resource[],
   excluded: Incarnation | undefined,
 ): Assignment[] {
   const control = service.driver.control();
-  const isTaken = new Set(resources);
-  const held = listAssignments(control).filter(({ resource }) => !isTaken.has(resource));
+  const requested = new Set(resources);
+  const currentAssignments = listAssignments(control).filter(
+    ({ resource }) => !requested.has(resource),
+  );
   const chosen: Assignment[] = [];
   for (const resource of resources) {
     const current = assignmentOf(control, resource);
-    const wishedZone = service.zoneWishes.get(resource) ?? current?.wishedZone;
+    const wishedZone = service.preferredZones.get(resource) ?? current?.wishedZone;
     const wish: HolderWish = { zone: wishedZone, regionOf: service.regionOf, excluded };
-    const holder = chooseHolder(service.leases, [...held, ...chosen], wish, performance.now());
+    const holder = chooseHolder(
+      service.leases,
+      [...currentAssignments, ...chosen],
+      wish,
+      performance.now(),
+    );
     if (!holder) continue;
     const { entryId, incarnation, linkAddress } = holder;
     const epoch = (current?.epoch ?? 0) + 1;
@@ -62,11 +69,11 @@
   return chosen;
 }
 
-function noteAssigned(
+function recordAssignment(
   service: LeaderService,
   { resource, epoch, entryId, incarnation }: Assignment,
 ): void {
-  service.released.delete(resource);
+  service.releasedEpochs.delete(resource);
   const [kind = '', name = ''] = resource.split('/');
   service.log(`${resource} is now held by ${entryId}`, {
     [kind]: name,
--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -1,4 +1,4 @@
-/** What only the control leader does: leases, assignments, and pushing records to entries. */
+/** Tasks of the control leader: leases, assignments, and pushing records to entries. */
 import {
   assignmentOf,
   createDocumentMemory,
@@ -26,7 +26,7 @@
 } from '@bramleykeel/core';
 import type { LinkPeer, Log } from '@bramleykeel/link';
 import type { LogDriver } from '../log-driver.js';
-import { assign, assignAll } from './assign-resources.js';
+import { assignResource, assignResources } from './assign-resources.js';
 
 export interface LeaderService {
   readonly leases: EntryLeases;
@@ -34,39 +34,39 @@
   readonly regionOf: (zone: string) => string | undefined;
   readonly driver: LogDriver;
   readonly log: Log;
-  /** Zones that resources are wanted in, as far as entries have said. */
-  readonly zoneWishes: Map<Resource, string>;
-  readonly watchers: Map<LinkPeer, Watcher>;
+  /** Preferred zones of resources, as requested by entries. */
+  readonly preferredZones: Map<Resource, string>;
+  readonly subscribers: Map<LinkPeer, RecordSubscriber>;
   readonly documents: DocumentMemory;
-  readonly waitingRenewals: WaitingRenewal[];
-  readonly waitingRounds: WaitingRound[];
-  readonly assigning: Set<Resource>;
-  /** Holders that gave a resource back while no other entry could take it. */
-  readonly released: Map<Resource, number>;
-  /** Time of each incarnation's last renewal, kept until its settings lease is over for sure. */
-  readonly renewedAtMs: Map<Incarnation, { atMs: number; settingsRevision: number }>;
+  readonly pendingRenewals: PendingRenewal[];
+  readonly pendingConfirmations: PendingConfirmation[];
+  readonly resourcesBeingAssigned: Set<Resource>;
+  /** Epochs of assignments whose holder released the resource before another entry could take it. */
+  readonly releasedEpochs: Map<Resource, number>;
+  /** Last renewal of each incarnation, kept until its settings lease has certainly expired. */
+  readonly lastRenewals: Map<Incarnation, { atMs: number; settingsRevision: number }>;
   isPushScheduled: boolean;
 }
 
-export interface Watcher {
+export interface RecordSubscriber {
   readonly incarnation: Incarnation;
   knownIndex: number;
   documentIndex: number | undefined;
 }
 
-interface WaitingRenewal {
+interface PendingRenewal {
   readonly peer: LinkPeer;
   readonly renewal: LeaseRenewal;
   readonly arrivedAtMs: number;
   readonly resolve: (reply: LeaseReply) => void;
 }
 
-interface WaitingRound {
+interface PendingConfirmation {
   readonly sinceMs: number;
   readonly resolve: (isConfirmed: boolean) => void;
 }
 
-/** Created when the no-op that opens the leader's term is committed. */
+/** Creates the service; called when the no-op entry of the leader's new term is committed. */
 export function createLeaderService(
   driver: LogDriver,
   timing: TimingSettings,
@@ -79,67 +79,71 @@
     regionOf,
     driver,
     log,
-    zoneWishes: new Map(),
-    watchers: new Map(),
+    preferredZones: new Map(),
+    subscribers: new Map(),
     documents: createDocumentMemory(driver.control()),
-    waitingRenewals: [],
-    waitingRounds: [],
-    assigning: new Set(),
-    released: new Map(),
-    renewedAtMs: new Map(),
+    pendingRenewals: [],
+    pendingConfirmations: [],
+    resourcesBeingAssigned: new Set(),
+    releasedEpochs: new Map(),
+    lastRenewals: new Map(),
     isPushScheduled: false,
   };
 }
 
-/** Ends the service: everything that waits for this leader is told to look for another one. */
+/** Stops the service: pending renewals are answered `not-leader`, and confirmations fail. */
 export function stopLeaderService(service: LeaderService): void {
-  for (const { resolve } of service.waitingRenewals.splice(0)) {
+  for (const { resolve } of service.pendingRenewals.splice(0)) {
     resolve({ kind: 'not-leader', leaderId: null });
   }
-  for (const { resolve } of service.waitingRounds.splice(0)) resolve(false);
+  for (const { resolve } of service.pendingConfirmations.splice(0)) resolve(false);
 }
 
-/** Takes a renewal; it is answered once a round that started after it was confirmed by a quorum. */
-export function takeRenewal(
+/** Queues a renewal; it is answered once a quorum confirms a heartbeat round started after it. */
+export function queueRenewal(
   service: LeaderService,
   peer: LinkPeer,
   renewal: LeaseRenewal,
 ): Promise<LeaseReply> {
   return new Promise((resolve) => {
     const arrivedAtMs = performance.now();
-    service.waitingRenewals.push({ peer, renewal, arrivedAtMs, resolve });
+    service.pendingRenewals.push({ peer, renewal, arrivedAtMs, resolve });
   });
 }
 
-/** Waits until a quorum has confirmed that this member still leads: for reads of the newest state. */
-export function awaitRound(service: LeaderService): Promise<boolean> {
+/**
+ * Resolves with `true` once a quorum has confirmed that this member still leads, as linearizable reads
+ * require, and with `false` when it stops leading.
+ */
+export function confirmLeadership(service: LeaderService): Promise<boolean> {
   return new Promise((resolve) => {
-    service.waitingRounds.push({ sinceMs: performance.now(), resolve });
+    service.pendingConfirmations.push({ sinceMs: performance.now(), resolve });
   });
 }
 
-/** Answers what arrived before the confirmed round started. */
+/** Answers confirmations and renewals that arrived before the confirmed round started. */
 export function handleRoundConfirmed(service: LeaderService, startedAtMs: number): void {
-  const rounds = service.waitingRounds;
-  while (rounds[0] && rounds[0].sinceMs <= startedAtMs) rounds.shift()?.resolve(true);
-  const renewals = service.waitingRenewals;
+  const confirmations = service.pendingConfirmations;
+  while (confirmations[0] && confirmations[0].sinceMs <= startedAtMs)
+    confirmations.shift()?.resolve(true);
+  const renewals = service.pendingRenewals;
   while (renewals[0] && renewals[0].arrivedAtMs <= startedAtMs) {
     const waiting = renewals.shift();
     if (waiting) waiting.resolve(grantRenewal(service, waiting));
   }
 }
 
-function grantRenewal(service: LeaderService, { peer, renewal }: WaitingRenewal): LeaseReply {
+function grantRenewal(service: LeaderService, { peer, renewal }: PendingRenewal): LeaseReply {
   const nowMs = performance.now();
   const outcome = renewLease(service.leases, renewal, nowMs);
   if (outcome === 'ended') return { kind: 'ended' };
   const assignments = listAssignments(service.driver.control());
-  if (endPredecessors(service.leases, assignments, renewal)) reassignOrphans(service);
+  if (endPredecessors(service.leases, assignments, renewal)) reassignOrphanedResources(service);
   const { incarnation, settingsRevision } = renewal;
-  service.renewedAtMs.set(incarnation, { atMs: nowMs, settingsRevision });
-  // What an earlier reply held may never have arrived, so only the entry's own word counts here.
-  const push = pushFor(service, renewal);
-  service.watchers.set(peer, { incarnation, ...knownAfter(service, push.appliedIndex) });
+  service.lastRenewals.set(incarnation, { atMs: nowMs, settingsRevision });
+  // Earlier replies may have been lost, so only the indexes reported by the entry are relied on.
+  const push = createRecordsPush(service, renewal);
+  service.subscribers.set(peer, { incarnation, ...knownRecordsAfter(service, push.appliedIndex) });
   const { leaseMs, settingsLeaseMs } = service.timing;
   const memberAddresses = Object.values(membershipOf(service.driver.raft)).map(
     ({ address }) => address,
@@ -147,70 +151,73 @@
   return { kind: 'renewed', leaseMs, settingsLeaseMs, memberAddresses, ...push };
 }
 
-function pushFor(
+function createRecordsPush(
   service: LeaderService,
   { knownIndex, documentIndex }: Pick<LeaseRenewal, 'knownIndex' | 'documentIndex'>,
 ): RecordsPush {
   return createPush(service.documents, service.driver.control(), { knownIndex, documentIndex });
 }
 
-/** What an entry has once it has taken in everything up to `knownIndex`. */
-function knownAfter(service: LeaderService, knownIndex: number): KnownRecords {
+/** The records that an entry knows once it has applied everything up to `knownIndex`. */
+function knownRecordsAfter(service: LeaderService, knownIndex: number): KnownRecords {
   const documentIndex = service.driver.control().records.get(DOCUMENT_KEY)?.modifiedIndex;
   return { knownIndex, documentIndex };
 }
 
-/** Sends changed records to all watchers, once per turn of the event loop. */
+/** Sends changed records to all subscribers, at most once per turn of the event loop. */
 export function schedulePush(service: LeaderService): void {
   if (service.isPushScheduled) return;
   service.isPushScheduled = true;
   setImmediate(() => {
     service.isPushScheduled = false;
-    for (const [peer, watcher] of service.watchers) pushTo(service, peer, watcher);
+    for (const [peer, subscriber] of service.subscribers) pushRecords(service, peer, subscriber);
   });
 }
 
-function pushTo(service: LeaderService, peer: LinkPeer, watcher: Watcher): void {
-  const push = pushFor(service, watcher);
-  Object.assign(watcher, knownAfter(service, push.appliedIndex));
+function pushRecords(service: LeaderService, peer: LinkPeer, subscriber: RecordSubscriber): void {
+  const push = createRecordsPush(service, subscriber);
+  Object.assign(subscriber, knownRecordsAfter(service, push.appliedIndex));
   if (push.deltas.length > 0 || push.documentChange) peer.notify('records/push', push);
 }
 
-/** Ends expired leases and gives the resources of ended holders to other entries. */
-export function reassignOrphans(service: LeaderService): void {
+/** Ends expired leases, and reassigns released resources and those of ended holders. */
+export function reassignOrphanedResources(service: LeaderService): void {
   const nowMs = performance.now();
   for (const incarnation of endExpiredLeases(service.leases, nowMs)) {
-    service.log('the lease of an entry has expired', { incarnation });
+    service.log('entry lease expired', { incarnation });
   }
   const assignments = listAssignments(service.driver.control());
   const orphans = takeOrphans(service.leases, assignments, nowMs);
   const released = assignments.filter(
-    ({ resource, epoch }) => service.released.get(resource) === epoch,
+    ({ resource, epoch }) => service.releasedEpochs.get(resource) === epoch,
   );
-  const homeless = new Set([...orphans, ...released].map(({ resource }) => resource));
-  if (homeless.size > 0) void assignAll(service, [...homeless], undefined);
-  for (const [incarnation, { atMs }] of service.renewedAtMs) {
-    if (nowMs - atMs > service.timing.settingsLeaseMs * 4) service.renewedAtMs.delete(incarnation);
+  const unassigned = new Set([...orphans, ...released].map(({ resource }) => resource));
+  if (unassigned.size > 0) void assignResources(service, [...unassigned], undefined);
+  for (const [incarnation, { atMs }] of service.lastRenewals) {
+    if (nowMs - atMs > service.timing.settingsLeaseMs * 4) service.lastRenewals.delete(incarnation);
   }
 }
 
-/** Makes sure that a resource has a holder; returns whether it has one now. */
+/** Assigns a resource unless a holder may act on it; returns whether it has a holder now. */
 export async function requestResource(
   service: LeaderService,
   resource: Resource,
   zone: string | undefined,
 ): Promise<boolean> {
-  if (zone !== undefined) service.zoneWishes.set(resource, zone);
+  if (zone !== undefined) service.preferredZones.set(resource, zone);
   const current = assignmentOf(service.driver.control(), resource);
-  const isReleased = current && service.released.get(resource) === current.epoch;
+  const isReleased = current && service.releasedEpochs.get(resource) === current.epoch;
   if (current && !isReleased && mayHolderAct(service.leases, current, performance.now())) {
     return true;
   }
   if (current && !isReleased) endIncarnation(service.leases, current.incarnation);
-  return assign(service, resource, undefined);
+  return assignResource(service, resource, undefined);
 }
 
-/** A holder gives a resource back after it has stopped acting on it; another entry takes over. */
+/**
+ * Releases a resource whose holder has stopped acting on it, and assigns it to another entry; returns
+ * whether that succeeded.
+ */
 export async function releaseResource(
   service: LeaderService,
   resource: Resource,
@@ -219,34 +226,39 @@
 ): Promise<boolean> {
   const current = assignmentOf(service.driver.control(), resource);
   if (current?.epoch !== epoch || current.incarnation !== incarnation) return false;
-  service.released.set(resource, epoch);
-  return assign(service, resource, incarnation);
+  service.releasedEpochs.set(resource, epoch);
+  return assignResource(service, resource, incarnation);
 }
 
-/** Ends an incarnation that is proven dead, or has handed everything over, and reassigns at once. */
-export function endEntry(service: LeaderService, incarnation: Incarnation, why: string): void {
-  service.log(`incarnation ${incarnation} has ended: ${why}`);
+/**
+ * Ends an incarnation that is known to be dead or has handed over its resources, and reassigns its
+ * resources at once.
+ */
+export function endEntry(service: LeaderService, incarnation: Incarnation, reason: string): void {
+  service.log(`incarnation ${incarnation} has ended: ${reason}`);
   endIncarnation(service.leases, incarnation);
-  service.renewedAtMs.delete(incarnation);
-  reassignOrphans(service);
+  service.lastRenewals.delete(incarnation);
+  reassignOrphanedResources(service);
 }
 
 /**
- * Tells whether a settings revision is in force everywhere: each entry has confirmed it, or its
- * settings lease is over and it refuses keyed work. A new leader waits for leases it cannot know.
+ * Returns whether a settings revision is in force everywhere: each entry has confirmed it, or its
+ * settings lease has expired and it rejects requests that need a key. A new leader does not know the
+ * leases granted before its term, so it first waits until they have expired.
  */
 export function isInForce(service: LeaderService, revision: number): boolean {
   const nowMs = performance.now();
   const { settingsLeaseMs, driftMarginMs } = service.timing;
-  const lapseMs = settingsLeaseMs + driftMarginMs;
-  if (nowMs - service.leases.leaderSinceMs < lapseMs) return false;
-  const confirmed = [...service.renewedAtMs.values()];
-  return !confirmed.some(
-    ({ atMs, settingsRevision }) => settingsRevision < revision && nowMs - atMs < lapseMs,
+  const settingsLeaseExpiryMs = settingsLeaseMs + driftMarginMs;
+  if (nowMs - service.leases.leaderSinceMs < settingsLeaseExpiryMs) return false;
+  const renewals = [...service.lastRenewals.values()];
+  return !renewals.some(
+    ({ atMs, settingsRevision }) =>
+      settingsRevision < revision && nowMs - atMs < settingsLeaseExpiryMs,
   );
 }
 
-/** Live entries with the settings revision that each has confirmed. */
+/** Lists live entries with the settings revision that each has confirmed. */
 export function describeEntries(service: LeaderService) {
   return liveEntries(service.leases, performance.now()).map((lease) => ({
     entryId: lease.entryId,
--- a/packages/control/src/log-driver.ts
+++ b/packages/control/src/log-driver.ts
@@ -1,4 +1,4 @@
-/** Runs the control log: carries out the effects of the protocol on disk, links and state. */
+/** Runs the control log: executes the effects of the Raft protocol on disk, links and state. */
 import {
   type ApplyResult,
   applyCommand,
@@ -26,7 +26,7 @@
 import type { Log } from '@bramleykeel/link';
 import { Encoder } from 'cbor-x';
 import { match } from 'ts-pattern';
-import { DISK_RETRY_MS, diskRefusal } from './storage/disk-refusal.js';
+import { DISK_RETRY_INTERVAL_MS, diskErrorCode } from './storage/disk-refusal.js';
 import {
   type OpenedStorage,
   persistEntries,
@@ -39,7 +39,7 @@
 export interface LogDriverHooks {
   readonly send: (to: MemberId, message: RaftMessage<Command>) => void;
   readonly onRole: (role: RaftRole) => void;
-  /** Called after entries were applied, with the index they reach up to. */
+  /** Called after entries or a snapshot were applied, with the last applied index. */
   readonly onApplied: (index: number) => void;
   readonly onRoundConfirmed: (startedAtMs: number) => void;
 }
@@ -48,9 +48,16 @@
   readonly raft: RaftState<Command>;
   readonly control: () => ControlState;
   readonly step: (event: RaftEvent<Command>) => void;
-  /** Proposes a command; `undefined` when this member does not lead, or stopped leading meanwhile. */
+  /**
+   * Proposes a command and resolves with its result; `undefined` when this member does not lead,
+   * loses leadership before the command is applied, or cannot write to its disk.
+   */
   readonly propose: (command: Command) => Promise<ApplyResult | undefined>;
-  /** Proposes several commands with one write and one message to each member. */
+  /**
+   * Proposes several commands with one write and one message to each member. The list of results is
+   * empty when this member does not lead or waits for its disk; single results are `undefined` in the
+   * cases named at `propose`.
+   */
   readonly proposeAll: (
     commands: readonly Command[],
   ) => Promise<readonly (ApplyResult | undefined)[]>;
@@ -71,7 +78,7 @@
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
-/** Starts from what the storage has recovered. */
+/** Creates the driver with the state recovered from storage. */
 export function createLogDriver(
   opened: OpenedStorage,
   options: LogDriverOptions,
@@ -87,45 +94,46 @@
   const raft = createRaftState<Command>(identity, durable, performance.now());
   let control = restoreControl(snapshot);
   const proposals = new Map<number, Proposal>();
-  /** Effects that wait for a disk that refuses, the refused one first. */
-  let refused: readonly RaftEffect<Command>[] = [];
+  /** Effects held back by a failed disk write, starting with the failed one. */
+  let pendingEffects: readonly RaftEffect<Command>[] = [];
   return { raft, control: () => control, step, propose, proposeAll, proposePayload };
 
   function step(event: RaftEvent<Command>): void {
-    if (refused.length > 0) return;
-    carryOutAll(stepRaft(raft, event, performance.now()));
+    if (pendingEffects.length > 0) return;
+    executeEffects(stepRaft(raft, event, performance.now()));
   }
 
   /**
-   * Nothing may follow a write that the disk refused: the member stands still, as if it were cut off,
-   * and goes on from that write once the disk takes it.
+   * No effect may run after a failed disk write. The member stops processing events, as if it were
+   * partitioned, and retries the failed effect until the disk accepts the write.
    */
-  function carryOutAll(effects: readonly RaftEffect<Command>[]): void {
+  function executeEffects(effects: readonly RaftEffect<Command>[]): void {
     for (const [index, effect] of effects.entries()) {
       try {
-        carryOut(effect);
+        executeEffect(effect);
       } catch (error) {
-        const code = diskRefusal(error);
+        const code = diskErrorCode(error);
         if (code === undefined) throw error;
         const sinceMs = Math.round(performance.now());
-        options.log('the disk refused a write; this member stands still', {
+        options.log('disk write failed; this member is paused until the write succeeds', {
           code,
           what: effect.kind,
           sinceMs,
         });
-        refused = effects.slice(index);
-        dropProposals();
-        setTimeout(goOn, DISK_RETRY_MS).unref();
+        pendingEffects = effects.slice(index);
+        abandonProposals();
+        setTimeout(retryPendingEffects, DISK_RETRY_INTERVAL_MS).unref();
         return;
       }
     }
   }
 
-  function goOn(): void {
-    const effects = refused;
-    refused = [];
-    carryOutAll(effects);
-    if (refused.length === 0) options.log('the disk takes writes again');
+  function retryPendingEffects(): void {
+    const effects = pendingEffects;
+    pendingEffects = [];
+    executeEffects(effects);
+    if (pendingEffects.length === 0)
+      options.log('disk writes succeed again; this member has resumed');
   }
 
   function proposePayload(payload: LogPayload<Command>): void {
@@ -138,7 +146,7 @@
   }
 
   function proposeAll(commands: readonly Command[]): Promise<readonly (ApplyResult | undefined)[]> {
-    if (raft.role !== 'leader' || refused.length > 0) return Promise.resolve([]);
+    if (raft.role !== 'leader' || pendingEffects.length > 0) return Promise.resolve([]);
     const firstIndex = raft.snapshot.index + raft.entries.length + 1;
     const results = commands.map((_command, offset) => {
       return new Promise<ApplyResult | undefined>((resolve) => {
@@ -150,7 +158,7 @@
     return Promise.all(results);
   }
 
-  function carryOut(effect: RaftEffect<Command>): void {
+  function executeEffect(effect: RaftEffect<Command>): void {
     match(effect)
       .with({ kind: 'persist-vote' }, ({ term, votedFor }) => {
         persistVote(storage, term, votedFor);
@@ -161,7 +169,7 @@
       .with({ kind: 'restore-snapshot' }, ({ snapshot: received }) => {
         persistSnapshot(storage, received, []);
         control = restoreControl(received);
-        options.log(`snapshot up to ${received.index} was installed`);
+        options.log(`installed snapshot up to index ${received.index}`);
         hooks.onApplied(received.index);
       })
       .with({ kind: 'send' }, ({ to, message }) => {
@@ -176,14 +184,16 @@
       })
       .with({ kind: 'role-changed' }, ({ role }) => {
         options.log(`role is now ${role} in term ${raft.currentTerm}`);
-        if (role !== 'leader') dropProposals();
+        if (role !== 'leader') abandonProposals();
         hooks.onRole(role);
       })
       .with({ kind: 'round-confirmed' }, ({ startedAtMs }) => {
         hooks.onRoundConfirmed(startedAtMs);
       })
       .with({ kind: 'member-regressed' }, ({ member }) => {
-        options.log(`member ${member} lost entries it had confirmed; it no longer counts`);
+        options.log(
+          `member ${member} lost entries it had confirmed; it no longer counts towards a quorum`,
+        );
       })
       .exhaustive();
   }
@@ -202,7 +212,7 @@
     if (sinceSnapshot >= options.snapshotEveryEntries) compact();
   }
 
-  /** An entry of another term at the index means that the proposal was overwritten. */
+  /** Resolves the proposal at an index; if the entry has another term, it was overwritten. */
   function settleProposal(index: number, term: number, result: ApplyResult): void {
     const proposal = proposals.get(index);
     if (!proposal) return;
@@ -210,7 +220,7 @@
     proposal.resolve(proposal.term === term ? result : undefined);
   }
 
-  function dropProposals(): void {
+  function abandonProposals(): void {
     for (const { resolve } of proposals.values()) resolve(undefined);
     proposals.clear();
   }
@@ -231,12 +241,12 @@
     step({ kind: 'snapshot-saved', snapshot: { index, term, membership } });
     try {
       persistSnapshot(storage, taken, raft.entries);
-      options.log(`log was compacted up to ${index}`);
+      options.log(`compacted the log up to index ${index}`);
     } catch (error) {
-      const code = diskRefusal(error);
+      const code = diskErrorCode(error);
       if (code === undefined) throw error;
-      // Snapshot and log on disk are still whole; the next compaction catches up.
-      options.log('the disk refused a snapshot; the present log goes on', { code, index });
+      // Snapshot and log on disk are still intact; the next compaction includes these entries.
+      options.log('saving a snapshot failed; continuing with the current log', { code, index });
     }
   }
 }
--- a/packages/control/src/member-join.ts
+++ b/packages/control/src/member-join.ts
@@ -1,6 +1,6 @@
 /**
- * Changes of the membership: members with new disks, members at new addresses, and voters that are
- * gone. Each step is a single-member change, committed before the next one is made.
+ * Membership changes: members with new disks, new members, and unresponsive voters and learners.
+ * Each step changes a single member and is committed before the next one is proposed.
  */
 import {
   type DiskId,
@@ -16,25 +16,29 @@
 export interface JoinRequest {
   readonly id: MemberId;
   readonly diskId: DiskId;
-  /** Where other members reach it; only needed by a member that the membership does not name yet. */
+  /** Link address; required only if the member is not in the membership yet. */
   readonly address?: string;
   readonly adminAddress?: string;
-  /** Whether its disk lasts, so that it may vote once it has caught up. */
+  /** Whether it has persistent storage; only then may it become a voter once it has caught up. */
   readonly isEligible: boolean;
 }
 
 export type JoinAnswer = 'waiting' | 'member' | 'refused' | 'not-leader';
 
-/** A member heard from on its known disk within this time is alive: a second one is a mistake. */
-const ALIVE_WITHIN_MS = 1_000;
-/** A voter that has not answered for this long may lose its vote to a learner that has caught up. */
-const VOTER_GONE_AFTER_MS = 2_000;
-/** A learner that has not answered for this long is taken off the membership; it may join again. */
-const LEARNER_GONE_AFTER_MS = 15_000;
+/**
+ * A member that replied from its recorded disk within this time is alive. If it is a voter, a join with
+ * its id from another disk is a mistake and is refused.
+ */
+const MEMBER_ALIVE_TIMEOUT_MS = 1_000;
+/** A voter that has not replied for this long may be replaced by a learner that has caught up. */
+const VOTER_TIMEOUT_MS = 2_000;
+/** A learner that has not replied for this long is removed from the membership; it may rejoin. */
+const LEARNER_TIMEOUT_MS = 15_000;
 
 /**
- * Leader's side of a join: first the new disk is recorded without a vote, so that the member is sent
- * the log; once it has caught up it is admitted. Both are committed changes of the membership.
+ * Handles a join request on the leader. The member's new disk is first recorded as a learner, so that
+ * the log is replicated to it; `reconcileMembership` makes it a voter once it has caught up. Both
+ * steps are committed membership changes.
  */
 export function handleJoin(
   driver: LogDriver,
@@ -50,11 +54,11 @@
   const progress = raft.progress.get(request.id);
   const isOldDiskAlive =
     progress?.diskId === record.diskId &&
-    performance.now() - progress.lastReplyMs < ALIVE_WITHIN_MS &&
+    performance.now() - progress.lastReplyMs < MEMBER_ALIVE_TIMEOUT_MS &&
     record.isVoter;
   if (isOldDiskAlive && progress.matchIndex > 0) return 'refused';
   if (hasPendingMembership(raft) || !hasCommittedInTerm(driver)) return 'waiting';
-  log(`member ${request.id} has a new disk; it follows without a vote until it has caught up`);
+  log(`member ${request.id} has a new disk; adding it as a learner until it has caught up`);
   const { diskId, isEligible } = request;
   changeMember(driver, request.id, { ...record, diskId, isVoter: false, isEligible });
   return 'waiting';
@@ -64,39 +68,43 @@
   const { id, diskId, address, adminAddress = '', isEligible } = request;
   if (address === undefined) return 'refused';
   if (hasPendingMembership(driver.raft) || !hasCommittedInTerm(driver)) return 'waiting';
-  log(`member ${id} at ${address} is new; it follows without a vote until it has caught up`);
+  log(`member ${id} at ${address} is new; adding it as a learner until it has caught up`);
   changeMember(driver, id, { address, adminAddress, diskId, isVoter: false, isEligible });
   return 'waiting';
 }
 
 /**
  * Makes at most one change that brings the membership closer to `maxVoters` live voters. Called
- * regularly on the leader.
+ * periodically; does nothing on members that do not lead.
  */
-export function tendMembership(driver: LogDriver, maxVoters: number, log: Log): void {
+export function reconcileMembership(driver: LogDriver, maxVoters: number, log: Log): void {
   const { raft } = driver;
   if (raft.role !== 'leader' || hasPendingMembership(raft) || !hasCommittedInTerm(driver)) return;
   const membership = membershipOf(raft);
   const candidate = findCaughtUpLearner(driver, membership);
   const voters = Object.entries(membership).filter(([, { isVoter }]) => isVoter);
   if (candidate && voters.length < maxVoters) {
-    log(`member ${candidate} has caught up and votes`);
-    setVote(driver, membership, candidate, true);
+    log(`member ${candidate} has caught up and becomes a voter`);
+    setVoter(driver, membership, candidate, true);
     return;
   }
-  const goneVoter = voters.find(([id]) => isSilentFor(driver, id, VOTER_GONE_AFTER_MS))?.[0];
-  if (candidate && goneVoter !== undefined) {
-    log(`member ${goneVoter} does not answer; it loses its vote to ${candidate}`);
-    setVote(driver, membership, goneVoter, false);
+  const unresponsiveVoter = voters.find(([id]) =>
+    isUnresponsiveFor(driver, id, VOTER_TIMEOUT_MS),
+  )?.[0];
+  if (candidate && unresponsiveVoter !== undefined) {
+    log(
+      `member ${unresponsiveVoter} does not answer; demoting it to a learner in favour of ${candidate}`,
+    );
+    setVoter(driver, membership, unresponsiveVoter, false);
     return;
   }
-  const goneLearner = Object.entries(membership).find(
-    ([id, { isVoter }]) => !isVoter && isSilentFor(driver, id, LEARNER_GONE_AFTER_MS),
+  const unresponsiveLearner = Object.entries(membership).find(
+    ([id, { isVoter }]) => !isVoter && isUnresponsiveFor(driver, id, LEARNER_TIMEOUT_MS),
   )?.[0];
-  if (goneLearner === undefined) return;
-  log(`member ${goneLearner} has no vote and does not answer; it is taken off the membership`);
-  const rest = Object.entries(membership).filter(([id]) => id !== goneLearner);
-  driver.proposePayload({ kind: 'membership', membership: Object.fromEntries(rest) });
+  if (unresponsiveLearner === undefined) return;
+  log(`learner ${unresponsiveLearner} does not answer; removing it from the membership`);
+  const remainingMembers = Object.entries(membership).filter(([id]) => id !== unresponsiveLearner);
+  driver.proposePayload({ kind: 'membership', membership: Object.fromEntries(remainingMembers) });
 }
 
 /** Link addresses of all members. */
@@ -109,26 +117,26 @@
     const progress = raft.progress.get(id as MemberId);
     if (record.isVoter || record.isEligible === false) return false;
     if (progress?.diskId !== record.diskId) return false;
-    const isAlive = performance.now() - progress.lastReplyMs < ALIVE_WITHIN_MS;
+    const isAlive = performance.now() - progress.lastReplyMs < MEMBER_ALIVE_TIMEOUT_MS;
     return isAlive && progress.matchIndex >= raft.commitIndex;
   })?.[0];
 }
 
-function isSilentFor({ raft }: LogDriver, id: string, silentMs: number): boolean {
+function isUnresponsiveFor({ raft }: LogDriver, id: string, timeoutMs: number): boolean {
   if (id === raft.selfId) return false;
   const nowMs = performance.now();
   const lastReplyMs = raft.progress.get(id as MemberId)?.lastReplyMs ?? raft.leaderSinceMs;
-  return nowMs - Math.max(lastReplyMs, raft.leaderSinceMs) > silentMs;
+  return nowMs - Math.max(lastReplyMs, raft.leaderSinceMs) > timeoutMs;
 }
 
-/** A membership may only change once the leader has committed an entry of its own term. */
+/** The membership may only change once the leader has committed an entry of its own term. */
 function hasCommittedInTerm({ raft }: LogDriver): boolean {
   const committed = raft.entries[raft.commitIndex - raft.snapshot.index - 1];
   const term = committed?.term ?? raft.snapshot.term;
   return term === raft.currentTerm;
 }
 
-function setVote(driver: LogDriver, membership: Membership, id: string, isVoter: boolean): void {
+function setVoter(driver: LogDriver, membership: Membership, id: string, isVoter: boolean): void {
   const record = membership[id];
   if (record) changeMember(driver, id, { ...record, isVoter });
 }
--- a/packages/control/src/storage/control-storage.test.ts
+++ b/packages/control/src/storage/control-storage.test.ts
@@ -38,7 +38,7 @@
   return openStorage(folder).unsafeCoerce();
 }
 
-/** Opens, hands over, closes, and reads back what a restart would find. */
+/** Runs `use` on the opened storage, closes it, and returns what a restart recovers. */
 function reopenAfter(use: (storage: ReturnType<typeof open>['storage']) => void) {
   const { storage } = open();
   use(storage);
@@ -77,7 +77,7 @@
     );
   });
 
-  it('skips entries that a snapshot holds already, as after a crash between the two writes', () => {
+  it('skips log entries that the snapshot includes, as after a crash between the two writes', () => {
     reopenAfter((storage) => {
       persistEntries(storage, [entry(1), entry(2), entry(3)]);
     });
@@ -91,7 +91,7 @@
     expect(durable.entries).toEqual([entry(3)]);
   });
 
-  const TORN: readonly [string, (file: string) => void][] = [
+  const INCOMPLETE_WRITES: readonly [string, (file: string) => void][] = [
     [
       'cut in the last record',
       (file) => {
@@ -105,34 +105,37 @@
       },
     ],
     [
-      'followed by noise',
+      'followed by garbage bytes',
       (file) => {
         appendFileSync(file, Buffer.alloc(40, 7));
       },
     ],
   ];
-  it.each(TORN)('cuts off a tail that is %s and goes on', (_name, damage) => {
-    reopenAfter((storage) => {
-      persistEntries(storage, [entry(1)]);
-      persistEntries(storage, [entry(2)]);
-    });
-    damage(join(folder, LOG));
-    const { tornBytes, durable } = reopenAfter((storage) => {
-      persistEntries(storage, [entry(durableLength() + 1)]);
-    });
-    expect(tornBytes).toBe(0);
-    expect(durable.entries.map(({ index }) => index)).toEqual(
-      Array.from({ length: durable.entries.length }, (_, offset) => offset + 1),
-    );
+  it.each(INCOMPLETE_WRITES)(
+    'truncates the incomplete end of a log that is %s, and continues',
+    (_name, damage) => {
+      reopenAfter((storage) => {
+        persistEntries(storage, [entry(1)]);
+        persistEntries(storage, [entry(2)]);
+      });
+      damage(join(folder, LOG));
+      const { tornBytes, durable } = reopenAfter((storage) => {
+        persistEntries(storage, [entry(recoveredEntryCount() + 1)]);
+      });
+      expect(tornBytes).toBe(0);
+      expect(durable.entries.map(({ index }) => index)).toEqual(
+        Array.from({ length: durable.entries.length }, (_, offset) => offset + 1),
+      );
 
-    function durableLength(): number {
-      const opened = open();
-      closeStorage(opened.storage);
-      return opened.durable.entries.length;
-    }
-  });
+      function recoveredEntryCount(): number {
+        const opened = open();
+        closeStorage(opened.storage);
+        return opened.durable.entries.length;
+      }
+    },
+  );
 
-  const CORRUPT: readonly [string, string, (content: Buffer) => void][] = [
+  const CORRUPTIONS: readonly [string, string, (content: Buffer) => void][] = [
     [
       'a record in the middle of the log',
       LOG,
@@ -162,7 +165,7 @@
       },
     ],
   ];
-  it.each(CORRUPT)('refuses damage to %s and changes nothing', (_name, name, damage) => {
+  it.each(CORRUPTIONS)('reports corruption of %s and changes nothing', (_name, name, damage) => {
     initializeFolder(folder, 'a', {}).unsafeCoerce();
     reopenAfter((storage) => {
       for (const index of [1, 2, 3]) persistEntries(storage, [entry(index)]);
@@ -175,13 +178,13 @@
     expect(readFileSync(file)).toEqual(content);
   });
 
-  it('gives a new identity to an empty folder, and keeps it', () => {
+  it('assigns a new disk id to an empty folder, and keeps it', () => {
     const first = reopenAfter(() => undefined).storage.diskId;
     expect(first).not.toBe(initialDiskId('a'));
     expect(reopenAfter(() => undefined).storage.diskId).toBe(first);
   });
 
-  it('sets up a folder once only', () => {
+  it('initializes a folder only once', () => {
     expect(initializeFolder(folder, 'a', {}).isRight()).toBe(true);
     expect(initializeFolder(folder, 'a', {}).extract()).toBe('already-initialized');
   });
--- a/packages/control/src/storage/control-storage.ts
+++ b/packages/control/src/storage/control-storage.ts
@@ -20,7 +20,7 @@
   decodeRecords,
   encodeRecord,
   openRecordFile,
-  readFileIfThere,
+  readFileIfExists,
   type RecordFile,
   type RecoveredRecords,
   replaceFile,
@@ -53,14 +53,14 @@
 
 const EMPTY_SNAPSHOT: Snapshot = { index: 0, term: 0, membership: {}, data: new Uint8Array() };
 
-/** The disk id of a member that was there when the cluster was set up. */
+/** The disk id of a member that belongs to the initial membership of its cluster. */
 export function initialDiskId(member: string): DiskId {
   return toDiskId(`initial-${member}`);
 }
 
 /**
- * Prepares the folder of a first member of a new cluster. Refuses a folder that is in use, so that
- * it cannot be mistaken for the repair of a lost disk.
+ * Initializes the data folder of an initial member of a new cluster. Rejects a folder that is already
+ * initialized, so that this is not used to replace a lost disk.
  */
 export function initializeFolder(
   folder: string,
@@ -68,7 +68,7 @@
   membership: Membership,
 ): Either<'already-initialized', void> {
   mkdirSync(folder, { recursive: true });
-  if (readFileIfThere(identityFile(folder))) return Left('already-initialized');
+  if (readFileIfExists(identityFile(folder))) return Left('already-initialized');
   replaceFile(snapshotFile(folder), encodeRecord({ ...EMPTY_SNAPSHOT, membership }));
   const identity: IdentityRecord = { kind: 'identity', diskId: initialDiskId(member) };
   replaceFile(identityFile(folder), encodeRecord(identity));
@@ -76,8 +76,8 @@
 }
 
 /**
- * Opens the data folder and recovers what it holds. An empty folder gets a new identity: its member
- * has to be admitted by the others before it votes.
+ * Opens the data folder and recovers its state. An empty folder gets a new disk id, and its member
+ * must be admitted by the others before it votes.
  */
 export function openStorage(folder: string): Either<CorruptFile, OpenedStorage> {
   mkdirSync(folder, { recursive: true });
@@ -99,14 +99,14 @@
   return readRecords(file).chain(({ records }) => {
     const [identity] = records as readonly IdentityRecord[];
     if (identity) return Right(identity.diskId);
-    if (readFileIfThere(file)) return Left({ kind: 'corrupt-file', file, offsetBytes: 0 });
+    if (readFileIfExists(file)) return Left({ kind: 'corrupt-file', file, offsetBytes: 0 });
     const diskId = toDiskId(randomUUID());
     replaceFile(file, encodeRecord({ kind: 'identity', diskId } satisfies IdentityRecord));
     return Right(diskId);
   });
 }
 
-/** A snapshot is written whole before it is renamed, so a damaged one is corrupt, never torn. */
+/** Snapshots are replaced atomically, so a damaged one is corrupt and not an incomplete write. */
 function readSnapshot(folder: string): Either<CorruptFile, Snapshot> {
   const file = snapshotFile(folder);
   return readRecords(file).chain(({ records, tornBytes }) => {
@@ -117,7 +117,7 @@
 }
 
 function readRecords(file: string): Either<CorruptFile, RecoveredRecords> {
-  return decodeRecords(file, readFileIfThere(file) ?? Buffer.alloc(0));
+  return decodeRecords(file, readFileIfExists(file) ?? Buffer.alloc(0));
 }
 
 function replayLog(
@@ -133,17 +133,17 @@
       votedFor = record.votedFor ?? undefined;
       continue;
     }
-    const fresh = record.entries.filter((entry) => entry.index > snapshot.index);
-    const [first] = fresh;
+    const newEntries = record.entries.filter((entry) => entry.index > snapshot.index);
+    const [first] = newEntries;
     if (!first) continue;
     entries = entries.filter((entry) => entry.index < first.index);
-    entries.push(...fresh);
+    entries.push(...newEntries);
   }
   const { index, term, membership } = snapshot;
   return { currentTerm, votedFor, snapshot: { index, term, membership }, entries };
 }
 
-/** Syncs the term and the vote before any message about them may leave. */
+/** Syncs the term and the vote; must return before any message that depends on them is sent. */
 export function persistVote(
   storage: ControlStorage,
   term: number,
@@ -153,16 +153,16 @@
   appendRecord(storage.log, { kind: 'vote', ...storage.vote } satisfies LogRecord);
 }
 
-/** Syncs new entries; they replace everything from the first one's index on. */
+/** Syncs new entries; they replace all stored entries from the index of the first one on. */
 export function persistEntries(storage: ControlStorage, entries: readonly Entry[]): void {
   appendRecord(storage.log, { kind: 'entries', entries } satisfies LogRecord);
 }
 
 /**
- * Saves a snapshot, then rewrites the log without what the snapshot holds. A crash or a refusal between
- * the two leaves the present log, whose older entries recovery skips.
+ * Saves a snapshot, then rewrites the log with only the remaining entries. After a crash or a disk
+ * error between the two, recovery skips log entries that the snapshot includes.
  *
- * @throws when the disk refuses; log and snapshot still hold everything then
+ * @throws when a write fails; the log and snapshot on disk are still complete together
  */
 export function persistSnapshot(
   storage: ControlStorage,
@@ -174,9 +174,9 @@
   if (remaining.length > 0) records.push({ kind: 'entries', entries: remaining });
   const content = Buffer.concat(records.map(encodeRecord));
   replaceFile(storage.log.file, content);
-  const former = storage.log;
-  storage.log = openRecordFile(former.file, content.length);
-  closeRecordFile(former);
+  const previousLog = storage.log;
+  storage.log = openRecordFile(previousLog.file, content.length);
+  closeRecordFile(previousLog);
 }
 
 export function closeStorage(storage: ControlStorage): void {
--- a/packages/control/src/storage/disk-refusal.test.ts
+++ b/packages/control/src/storage/disk-refusal.test.ts
@@ -14,20 +14,20 @@
   persistEntries,
   persistSnapshot,
 } from './control-storage.js';
-import { untilDiskTakes } from './disk-refusal.js';
+import { retryOnDiskError } from './disk-refusal.js';
 
-const disk = vi.hoisted(() => ({ takesBytes: Number.POSITIVE_INFINITY }));
+const disk = vi.hoisted(() => ({ freeBytes: Number.POSITIVE_INFINITY }));
 
 vi.mock('node:fs', async (importActual) => {
   const actual = await importActual<typeof fs>();
-  // A disk that fills up takes a part of the last bytes.
+  // A disk that fills up writes only part of the last buffer.
   const writeSync = (descriptor: number, bytes: Buffer, offset = 0): number => {
-    if (disk.takesBytes <= 0) {
+    if (disk.freeBytes <= 0) {
       throw Object.assign(new Error('no space'), { code: 'ENOSPC', syscall: 'write' });
     }
-    const taken = Math.min(disk.takesBytes, bytes.length - offset);
-    disk.takesBytes -= taken;
-    return actual.writeSync(descriptor, bytes, offset, taken);
+    const writtenBytes = Math.min(disk.freeBytes, bytes.length - offset);
+    disk.freeBytes -= writtenBytes;
+    return actual.writeSync(descriptor, bytes, offset, writtenBytes);
   };
   return { ...actual, writeSync };
 });
@@ -46,7 +46,7 @@
 });
 
 afterEach(() => {
-  disk.takesBytes = Number.POSITIVE_INFINITY;
+  disk.freeBytes = Number.POSITIVE_INFINITY;
   rmSync(folder, { recursive: true, force: true });
 });
 
@@ -60,39 +60,42 @@
   return opened;
 }
 
-describe('a disk that refuses', () => {
-  it.each([0, 1, 9, 30])('leaves a whole log after it took %i bytes of a record', (bytes) => {
+describe('disk errors', () => {
+  it.each([0, 1, 9, 30])('leave an intact log after %i bytes of a record were written', (bytes) => {
     const { storage } = openStorage(folder).unsafeCoerce();
     persistEntries(storage, [entry(1)]);
-    disk.takesBytes = bytes;
+    disk.freeBytes = bytes;
     expect(() => {
       persistEntries(storage, [entry(2), entry(3), entry(4)]);
     }).toThrow('no space');
-    disk.takesBytes = Number.POSITIVE_INFINITY;
+    disk.freeBytes = Number.POSITIVE_INFINITY;
     persistEntries(storage, [entry(2)]);
     closeStorage(storage);
     expect(reopen().durable.entries).toEqual([entry(1), entry(2)]);
   });
 
-  it.each([0, 40, 80, 120])('leaves all entries after it took %i bytes of a snapshot', (bytes) => {
-    const { storage } = openStorage(folder).unsafeCoerce();
-    persistEntries(storage, [entry(1), entry(2)]);
-    disk.takesBytes = bytes;
-    const snapshot = { index: 1, term: 1, membership: {}, data: Buffer.from('one') };
-    try {
-      persistSnapshot(storage, snapshot, [entry(2)]);
-    } catch {
-      disk.takesBytes = Number.POSITIVE_INFINITY;
-    }
-    disk.takesBytes = Number.POSITIVE_INFINITY;
-    persistEntries(storage, [entry(3)]);
-    closeStorage(storage);
-    const { durable, snapshot: held } = reopen();
-    expect([held.index, ...durable.entries.map(({ index }) => index)].at(-1)).toBe(3);
-    expect(held.index + durable.entries.length).toBe(3);
-  });
+  it.each([0, 40, 80, 120])(
+    'preserve all entries after %i bytes of a snapshot were written',
+    (bytes) => {
+      const { storage } = openStorage(folder).unsafeCoerce();
+      persistEntries(storage, [entry(1), entry(2)]);
+      disk.freeBytes = bytes;
+      const snapshot = { index: 1, term: 1, membership: {}, data: Buffer.from('one') };
+      try {
+        persistSnapshot(storage, snapshot, [entry(2)]);
+      } catch {
+        disk.freeBytes = Number.POSITIVE_INFINITY;
+      }
+      disk.freeBytes = Number.POSITIVE_INFINITY;
+      persistEntries(storage, [entry(3)]);
+      closeStorage(storage);
+      const { durable, snapshot: held } = reopen();
+      expect([held.index, ...durable.entries.map(({ index }) => index)].at(-1)).toBe(3);
+      expect(held.index + durable.entries.length).toBe(3);
+    },
+  );
 
-  it('makes a member stand still, and lets it go on by itself', async () => {
+  it('pause a member, which resumes without a restart', async () => {
     initializeFolder(folder, self, {
       [self]: {
         address: 'a:1',
@@ -116,20 +119,20 @@
     const ticker = setInterval(() => {
       driver.step({ kind: 'tick' });
     }, 5);
-    const put = (version: number) =>
+    const putDocument = (version: number) =>
       driver.propose({
         kind: 'document/put',
         document: { version, body: new Uint8Array([version]) },
       });
     await vi.waitFor(async () => {
-      expect(await put(1)).toBeDefined();
+      expect(await putDocument(1)).toBeDefined();
     });
-    disk.takesBytes = 5;
-    expect(await put(2)).toBeUndefined();
-    expect(await put(3)).toBeUndefined();
-    disk.takesBytes = Number.POSITIVE_INFINITY;
+    disk.freeBytes = 5;
+    expect(await putDocument(2)).toBeUndefined();
+    expect(await putDocument(3)).toBeUndefined();
+    disk.freeBytes = Number.POSITIVE_INFINITY;
     await vi.waitFor(async () => {
-      expect(await put(4)).toBeDefined();
+      expect(await putDocument(4)).toBeDefined();
     });
     clearInterval(ticker);
     closeStorage(opened.storage);
@@ -137,23 +140,23 @@
     expect(indexes).toEqual(indexes.map((_, offset) => offset + (indexes[0] ?? 0)));
   });
 
-  it('is tried again when a member starts, and other errors are not', async () => {
-    disk.takesBytes = 3;
+  it('are retried when a member starts, and other errors are not', async () => {
+    disk.freeBytes = 3;
     setTimeout(() => {
-      disk.takesBytes = Number.POSITIVE_INFINITY;
+      disk.freeBytes = Number.POSITIVE_INFINITY;
     }, 60);
-    const opened = await untilDiskTakes(
+    const opened = await retryOnDiskError(
       () => undefined,
       () => openStorage(folder),
     );
     closeStorage(opened.unsafeCoerce().storage);
     await delay(1);
-    const wrong = untilDiskTakes(
+    const failingCall = retryOnDiskError(
       () => undefined,
       () => {
-        throw new Error('a fault of the program');
+        throw new Error('a programming error');
       },
     );
-    await expect(wrong).rejects.toThrow('a fault of the program');
+    await expect(failingCall).rejects.toThrow('a programming error');
   });
 });
--- a/packages/control/src/storage/disk-refusal.ts
+++ b/packages/control/src/storage/disk-refusal.ts
@@ -1,34 +1,35 @@
-/** Errors of a disk that refuses: full, failing, or read-only. They may be over in a while. */
+/** Disk errors that may be temporary: the disk is full, failing or read-only. */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Log } from '@bramleykeel/link';
 
-/** Pause before a disk that refused is tried again, in milliseconds: a fraction of an election. */
-export const DISK_RETRY_MS = 100;
+/** Delay before a failed disk operation is retried: a fraction of an election timeout. */
+export const DISK_RETRY_INTERVAL_MS = 100;
 
-/** The error's code when a system call failed; `undefined` for errors of the program. */
-export function diskRefusal(error: unknown): string | undefined {
+/** Returns the code of a failed system call, and `undefined` for any other error. */
+export function diskErrorCode(error: unknown): string | undefined {
   if (!(error instanceof Error) || !('syscall' in error) || !('code' in error)) return undefined;
   return typeof error.code === 'string' ? error.code : undefined;
 }
 
 /**
- * Repeats what a disk refuses until it takes it.
+ * Repeats an operation until it no longer fails with a disk error.
  *
- * @throws what is no refusal of a disk
+ * @throws any error that is not a disk error
  * @example
  * const opened = await untilDiskTakes(log, () => openStorage(folder));
  */
-export async function untilDiskTakes<T>(log: Log, attempt: () => T): Promise<T> {
-  let refusedSinceMs: number | undefined;
+export async function retryOnDiskError<T>(log: Log, attempt: () => T): Promise<T> {
+  let failingSinceMs: number | undefined;
   for (;;) {
     try {
       return attempt();
     } catch (error) {
-      const code = diskRefusal(error);
+      const code = diskErrorCode(error);
       if (code === undefined) throw error;
-      if (refusedSinceMs === undefined) log('the disk refuses; trying again', { code });
-      refusedSinceMs ??= performance.now();
+      if (failingSinceMs === undefined)
+        log('disk operation failed; retrying until it succeeds', { code });
+      failingSinceMs ??= performance.now();
     }
-    await delay(DISK_RETRY_MS);
+    await delay(DISK_RETRY_INTERVAL_MS);
   }
 }
--- a/packages/control/src/storage/record-file.ts
+++ b/packages/control/src/storage/record-file.ts
@@ -1,4 +1,4 @@
-/** Append-only file of checksummed records: length, CRC-32, then one CBOR value each. */
+/** Append-only file of checksummed records, each a length, a CRC-32 and one CBOR value. */
 import {
   closeSync,
   fdatasyncSync,
@@ -18,7 +18,7 @@
 const MAX_RECORD_BYTES = 256 * 1024 * 1024;
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
-/** A file that cannot be trusted: an unreadable record stands before readable ones. */
+/** A corrupt file: an unreadable record precedes readable ones. */
 export interface CorruptFile {
   readonly kind: 'corrupt-file';
   readonly file: string;
@@ -27,7 +27,7 @@
 
 export interface RecoveredRecords {
   readonly records: readonly unknown[];
-  /** Length of the intact part; anything behind it is a write that was cut short. */
+  /** Length of the intact part; any bytes after it are from an incomplete write. */
   readonly intactBytes: number;
   readonly tornBytes: number;
 }
@@ -41,8 +41,8 @@
 }
 
 /**
- * Reads all records of a file's content. A damaged record is a torn tail only if no intact record
- * follows it anywhere; otherwise the file is refused.
+ * Decodes all records of a file. An unreadable record counts as an incomplete last write only if no
+ * intact record follows it at any offset; otherwise the file is corrupt.
  */
 export function decodeRecords(
   file: string,
@@ -90,35 +90,35 @@
   readonly file: string;
   readonly descriptor: number;
   lengthBytes: number;
-  /** Set while bytes behind `lengthBytes` may stand in the file. */
-  isTailUnsure: boolean;
+  /** Set while the file may hold bytes of an unfinished write after `lengthBytes`. */
+  hasUnsyncedTail: boolean;
 }
 
-/** Opens the file for appending, cutting off a torn tail. */
+/** Opens the file for appending, and truncates it to its intact part. */
 export function openRecordFile(file: string, intactBytes: number): RecordFile {
   const descriptor = openSync(file, 'a+');
   ftruncateSync(descriptor, intactBytes);
   fsyncSync(descriptor);
-  return { file, descriptor, lengthBytes: intactBytes, isTailUnsure: false };
+  return { file, descriptor, lengthBytes: intactBytes, hasUnsyncedTail: false };
 }
 
 /**
  * Appends a record and syncs it before returning.
  *
- * @throws when the disk refuses; what of the record may stand in the file is cut off before the next
+ * @throws when the write fails; bytes of the record in the file are truncated before the next append
  */
 export function appendRecord(recordFile: RecordFile, value: unknown): void {
   const bytes = encodeRecord(value);
-  if (recordFile.isTailUnsure) ftruncateSync(recordFile.descriptor, recordFile.lengthBytes);
-  recordFile.isTailUnsure = true;
-  writeWhole(recordFile.descriptor, bytes);
+  if (recordFile.hasUnsyncedTail) ftruncateSync(recordFile.descriptor, recordFile.lengthBytes);
+  recordFile.hasUnsyncedTail = true;
+  writeFully(recordFile.descriptor, bytes);
   fdatasyncSync(recordFile.descriptor);
-  recordFile.isTailUnsure = false;
+  recordFile.hasUnsyncedTail = false;
   recordFile.lengthBytes += bytes.length;
 }
 
-/** A disk that is nearly full may take a part of the bytes before it refuses the rest. */
-function writeWhole(descriptor: number, bytes: Buffer): void {
+/** Repeats partial writes, which occur when the disk is nearly full. */
+function writeFully(descriptor: number, bytes: Buffer): void {
   let written = 0;
   while (written < bytes.length) written += writeSync(descriptor, bytes, written);
 }
@@ -127,29 +127,29 @@
   closeSync(recordFile.descriptor);
 }
 
-/** Replaces a file as a whole: written beside it, synced, renamed, folder synced. */
+/** Replaces a file atomically: writes and syncs a new file, renames it and syncs the folder. */
 export function replaceFile(file: string, content: Buffer): void {
-  const temporary = `${file}.new`;
-  const descriptor = openSync(temporary, 'w');
+  const temporaryFile = `${file}.new`;
+  const descriptor = openSync(temporaryFile, 'w');
   try {
-    writeWhole(descriptor, content);
+    writeFully(descriptor, content);
     fsyncSync(descriptor);
   } finally {
     closeSync(descriptor);
   }
-  renameSync(temporary, file);
+  renameSync(temporaryFile, file);
   syncFolder(dirname(file));
 }
 
-/** Syncs a folder, so that a rename or a new file in it lasts. */
+/** Syncs a folder, so that a rename or a new file in it is durable. */
 export function syncFolder(folder: string): void {
   const descriptor = openSync(folder, 'r');
   fsyncSync(descriptor);
   closeSync(descriptor);
 }
 
-/** Reads a whole file; `undefined` when it does not exist. */
-export function readFileIfThere(file: string): Buffer | undefined {
+/** Reads a file; `undefined` if it does not exist. */
+export function readFileIfExists(file: string): Buffer | undefined {
   try {
     return readFileSync(file);
   } catch (error) {
