Reword remaining names and comments of the control package

Renamed locals only: the relay's isTaken, untilMs and requestFromOwner to isAccepted, deadlineMs and sendRequestToOwner, and a few more. Mends an example that still named untilDiskTakes.

--- a/packages/control/src/admin/operator-calls.ts
+++ b/packages/control/src/admin/operator-calls.ts
@@ -59,9 +59,9 @@
 export async function answerOperatorCall(
   service: LeaderService,
   bootstrapTokenSha256Hex: string,
-  raw: unknown,
+  rawCall: unknown,
 ): Promise<CallAnswer> {
-  const parsed = callSchema.safeParse(raw);
+  const parsed = callSchema.safeParse(rawCall);
   if (!parsed.success) return failure('bad-request', z.prettifyError(parsed.error));
   const { method, params, token } = parsed.data;
   if (!(await confirmLeadership(service))) {
--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -49,7 +49,7 @@
  * Creates the relay of one control member.
  *
  * @example
- * const isTaken = await relay.announce(announcement);
+ * const isAccepted = await relay.announce(announcement);
  */
 export function createAnnouncementRelay(
   getMember: () => ControlMember | undefined,
@@ -66,10 +66,10 @@
   async function announce(announcement: ServerAnnouncement): Promise<boolean> {
     const { group } = announcement;
     if (store(announcement)) shareWithMembers(announcement);
-    const untilMs = performance.now() + OWNER_TIMEOUT_MS;
+    const deadlineMs = performance.now() + OWNER_TIMEOUT_MS;
     for (;;) {
-      const isTaken = await requestFromOwner(group, 'server/announce', announcement);
-      if (isTaken || performance.now() >= untilMs) return isTaken;
+      const isAccepted = await sendRequestToOwner(group, 'server/announce', announcement);
+      if (isAccepted || performance.now() >= deadlineMs) return isAccepted;
       requestOwner(announcement);
       await new Promise((resolve) => setTimeout(resolve, OWNER_RETRY_INTERVAL_MS));
     }
@@ -97,10 +97,10 @@
   async function removeServer(server: ServerName): Promise<void> {
     const known = latestAnnouncements.get(server);
     latestAnnouncements.delete(server);
-    if (known) await requestFromOwner(known.announcement.group, 'server/leave', server);
+    if (known) await sendRequestToOwner(known.announcement.group, 'server/leave', server);
   }
 
-  async function requestFromOwner(
+  async function sendRequestToOwner(
     group: GroupName,
     method: string,
     params: unknown,
@@ -157,7 +157,7 @@
       );
       for (const { announcement } of latestAnnouncements.values()) {
         if (announcement.group === group)
-          void requestFromOwner(group, 'server/announce', announcement);
+          void sendRequestToOwner(group, 'server/announce', announcement);
       }
     }
     for (const [address, link] of links) {
--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -28,7 +28,10 @@
   readonly bootstrapTokenSha256Hex: string;
   /** Whether members that are not in the membership may join, at first as learners. */
   readonly allowsNewMembers: boolean;
-  /** The leader service while this member leads and its term is open; `undefined` otherwise. */
+  /**
+   * The leader service while this member leads and has committed an entry of its own term;
+   * `undefined` otherwise.
+   */
   readonly leader: () => LeaderService | undefined;
 }
 
--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -168,14 +168,14 @@
   function refreshLinks(): void {
     const known = addressesOf(membershipOf(driver.raft));
     const learnt = known.length === 0 ? learntAddresses.values() : [];
-    const wanted = new Set([...known, ...learnt, ...options.addressHints()]);
-    wanted.delete(options.linkAddress);
+    const wantedAddresses = new Set([...known, ...learnt, ...options.addressHints()]);
+    wantedAddresses.delete(options.linkAddress);
     for (const [address, link] of links) {
-      if (wanted.has(address)) continue;
+      if (wantedAddresses.has(address)) continue;
       link.stop();
       links.delete(address);
     }
-    for (const address of wanted) {
+    for (const address of wantedAddresses) {
       if (links.has(address)) continue;
       const reconnect = { ...linkOptions, ...DEFAULT_RECONNECT, reconnectMaxMs: 300 };
       const handlers = { onRequest: () => undefined, onNotify: () => undefined };
--- a/packages/control/src/storage/disk-refusal.test.ts
+++ b/packages/control/src/storage/disk-refusal.test.ts
@@ -89,9 +89,9 @@
       disk.freeBytes = Number.POSITIVE_INFINITY;
       persistEntries(storage, [entry(3)]);
       closeStorage(storage);
-      const { durable, snapshot: held } = reopen();
-      expect([held.index, ...durable.entries.map(({ index }) => index)].at(-1)).toBe(3);
-      expect(held.index + durable.entries.length).toBe(3);
+      const { durable, snapshot: storedSnapshot } = reopen();
+      expect([storedSnapshot.index, ...durable.entries.map(({ index }) => index)].at(-1)).toBe(3);
+      expect(storedSnapshot.index + durable.entries.length).toBe(3);
     },
   );
 
--- a/packages/control/src/storage/disk-refusal.ts
+++ b/packages/control/src/storage/disk-refusal.ts
@@ -16,7 +16,7 @@
  *
  * @throws any error that is not a disk error
  * @example
- * const opened = await untilDiskTakes(log, () => openStorage(folder));
+ * const opened = await retryOnDiskError(log, () => openStorage(folder));
  */
 export async function retryOnDiskError<T>(log: Log, attempt: () => T): Promise<T> {
   let failingSinceMs: number | undefined;
