--- a/packages/control/src/leader/assign-resources.ts
+++ b/packages/control/src/leader/assign-resources.ts
@@ -3,7 +3,7 @@
   type Assignment,
   assignmentOf,
   chooseHolder,
-  type HolderWish,
+  type HolderPreference,
   type Incarnation,
   listAssignments,
   type Resource,
@@ -51,7 +51,7 @@
   for (const resource of resources) {
     const current = assignmentOf(control, resource);
     const wishedZone = service.zoneWishes.get(resource) ?? current?.wishedZone;
-    const wish: HolderWish = { zone: wishedZone, regionOf: service.regionOf, excluded };
+    const wish: HolderPreference = { zone: wishedZone, regionOf: service.regionOf, excluded };
     const holder = chooseHolder(service.leases, [...held, ...chosen], wish, performance.now());
     if (!holder) continue;
     const { entryId, incarnation, linkAddress } = holder;
--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -1,11 +1,11 @@
 /** What only the control leader does: leases, assignments, and pushing records to entries. */
 import {
   assignmentOf,
-  createDocumentMemory,
+  createDocumentCache,
   createEntryLeases,
   createPush,
   DOCUMENT_KEY,
-  type DocumentMemory,
+  type DocumentCache,
   endExpiredLeases,
   endIncarnation,
   endPredecessors,
@@ -21,7 +21,7 @@
   type RecordsPush,
   renewLease,
   type Resource,
-  takeOrphans,
+  endExpiredHolders,
   type TimingSettings,
 } from '@bramleykeel/core';
 import type { LinkPeer, Log } from '@bramleykeel/link';
@@ -37,7 +37,7 @@
   /** Zones that resources are wanted in, as far as entries have said. */
   readonly zoneWishes: Map<Resource, string>;
   readonly watchers: Map<LinkPeer, Watcher>;
-  readonly documents: DocumentMemory;
+  readonly documents: DocumentCache;
   readonly waitingRenewals: WaitingRenewal[];
   readonly waitingRounds: WaitingRound[];
   readonly assigning: Set<Resource>;
@@ -81,7 +81,7 @@
     log,
     zoneWishes: new Map(),
     watchers: new Map(),
-    documents: createDocumentMemory(driver.control()),
+    documents: createDocumentCache(driver.control()),
     waitingRenewals: [],
     waitingRounds: [],
     assigning: new Set(),
@@ -183,7 +183,7 @@
     service.log('the lease of an entry has expired', { incarnation });
   }
   const assignments = listAssignments(service.driver.control());
-  const orphans = takeOrphans(service.leases, assignments, nowMs);
+  const orphans = endExpiredHolders(service.leases, assignments, nowMs);
   const released = assignments.filter(
     ({ resource, epoch }) => service.released.get(resource) === epoch,
   );
--- a/packages/core/src/control-log/election-time.test.ts
+++ b/packages/core/src/control-log/election-time.test.ts
@@ -5,25 +5,25 @@
 import { stepRaft } from './raft.js';
 import type { RaftEvent, RaftMessage } from './types.js';
 
-/** Timing of the users' platform; regions are 12 ms apart, a sync takes 5 ms there. */
+/** Timing settings of the users' platform, where regions are 12 ms apart and a disk sync takes 5 ms. */
 const TIMING = { heartbeatMs: 100, electionTimeoutMinMs: 320, electionTimeoutMaxMs: 850 };
 const REGIONS = ['attica', 'cyclades', 'crete', 'attica', 'cyclades'];
-const ONE_WAY_MS = 12;
-const IN_REGION_MS = 0.5;
+const CROSS_REGION_LATENCY_MS = 12;
+const SAME_REGION_LATENCY_MS = 0.5;
 const SYNC_MS = 5;
 const TICK_MS = 20;
 
-interface Timed {
+interface ScheduledEvent {
   readonly atMs: number;
   readonly run: () => void;
 }
 
-/** Members whose messages and syncs take the time that they take on the platform. */
+/** Simulates members with the message latency and disk sync time of the platform. */
 function createTimedCluster(seed: number) {
   const random = seededRandom(seed);
   const ids = REGIONS.map((_region, index) => `10.${index + 1}.0.${10 + index * 7}`);
   const membership = firstMembership(ids);
-  const queue: Timed[] = [];
+  const queue: ScheduledEvent[] = [];
   const frozen = new Set<MemberId>();
   let nowMs = 0;
   const members = new Map<MemberId, RaftState<string>>();
@@ -37,18 +37,18 @@
     };
     const durable = { currentTerm: 0, votedFor: undefined, snapshot, entries: [] };
     members.set(toMemberId(id), createRaftState<string>(identity, durable, nowMs));
-    at(index * 3 + random() * TICK_MS, () => {
+    schedule(index * 3 + random() * TICK_MS, () => {
       tick(toMemberId(id));
     });
   }
 
-  function at(atMs: number, run: () => void): void {
+  function schedule(atMs: number, run: () => void): void {
     queue.push({ atMs, run });
   }
 
   function tick(id: MemberId): void {
     step(id, { kind: 'tick' });
-    at(nowMs + TICK_MS, () => {
+    schedule(nowMs + TICK_MS, () => {
       tick(id);
     });
   }
@@ -70,8 +70,9 @@
     sentAtMs: number,
   ): void {
     const regionOf = (id: MemberId) => REGIONS[ids.indexOf(id)];
-    const wayMs = regionOf(from) === regionOf(to) ? IN_REGION_MS : ONE_WAY_MS;
-    at(sentAtMs + wayMs, () => {
+    const latencyMs =
+      regionOf(from) === regionOf(to) ? SAME_REGION_LATENCY_MS : CROSS_REGION_LATENCY_MS;
+    schedule(sentAtMs + latencyMs, () => {
       step(to, { kind: 'message', from, message });
     });
   }
@@ -81,7 +82,7 @@
     return found?.[0];
   }
 
-  /** Lets time pass until there is a leader, or at most for `forMs`; returns the time it took. */
+  /** Advances the time until there is a leader, by at most `forMs`. Returns the elapsed time in milliseconds. */
   function runUntilLeader(forMs: number): number {
     const startMs = nowMs;
     run(startMs + forMs, () => leader() !== undefined);
@@ -98,13 +99,13 @@
     }
   }
 
-  /** All members lose their power, and start again one after the other within `withinMs`. */
+  /** Simulates a power loss of all members, which restart at random times within `withinMs`. */
   function restartAll(withinMs: number): void {
     const startMs = nowMs + 1_000;
     for (const [id, { currentTerm, votedFor, snapshot, entries }] of members) {
       frozen.add(id);
       const durable = { currentTerm, votedFor, snapshot, entries: [...entries] };
-      at(startMs + random() * withinMs, () => {
+      schedule(startMs + random() * withinMs, () => {
         const selfId = id;
         const diskId = toDiskId(`initial-${id}`);
         const identity = { selfId, diskId, timing: TIMING, randomUnit: random };
@@ -118,7 +119,7 @@
   return {
     restartAll,
     freeze: (id: MemberId) => frozen.add(id),
-    others: (id: MemberId) => [...members.keys()].filter((other) => other !== id),
+    otherMembers: (id: MemberId) => [...members.keys()].filter((other) => other !== id),
     leader,
     runUntilLeader,
     run,
@@ -126,8 +127,8 @@
   };
 }
 
-/** Times until another member leads after the leader was frozen, sorted. */
-function electionTimes(count: number, lostBesides: number): number[] {
+/** Sorted times, in milliseconds, from the loss of the leader until another member leads. */
+function electionTimes(count: number, additionalLosses: number): number[] {
   const times: number[] = [];
   for (let seed = 1; seed <= count; seed += 1) {
     const cluster = createTimedCluster(seed);
@@ -136,15 +137,15 @@
     const former = cluster.leader();
     if (former === undefined) throw new Error('no leader was elected');
     cluster.freeze(former);
-    for (const id of cluster.others(former).slice(0, lostBesides)) cluster.freeze(id);
+    for (const id of cluster.otherMembers(former).slice(0, additionalLosses)) cluster.freeze(id);
     times.push(cluster.runUntilLeader(20_000));
   }
   return times.sort((left, right) => left - right);
 }
 
-describe('after a loss of power everywhere', () => {
-  // Members start within 300 ms of each other; entries and callers wait for a leader meanwhile.
-  it('a leader is elected soon after the last member has started', () => {
+describe('after a power loss of all members', () => {
+  // Members start within 300 ms of each other. Entries and callers wait until there is a leader.
+  it('elects a leader soon after the last member has started', () => {
     const times: number[] = [];
     for (let seed = 1; seed <= 200; seed += 1) {
       const cluster = createTimedCluster(seed);
@@ -160,12 +161,15 @@
 });
 
 describe('the time without a leader', () => {
-  // An entry's lease lasts 1,050 ms from a renewal that may be 380 ms old: 670 ms are left for an election.
+  // An entry lease lasts 1,050 ms and the last renewal may be 380 ms old, which leaves 670 ms for an election.
   it.each([
-    { lostBesides: 0, mostMs: 450 },
-    { lostBesides: 1, mostMs: 600 },
-  ])('with $lostBesides more members lost is at most $mostMs ms', ({ lostBesides, mostMs }) => {
-    const times = electionTimes(200, lostBesides);
-    expect(times.at(-1)).toBeLessThan(mostMs);
-  });
+    { additionalLosses: 0, maxMs: 450 },
+    { additionalLosses: 1, maxMs: 600 },
+  ])(
+    'is below $maxMs ms with $additionalLosses additional members lost',
+    ({ additionalLosses, maxMs }) => {
+      const times = electionTimes(200, additionalLosses);
+      expect(times.at(-1)).toBeLessThan(maxMs);
+    },
+  );
 });
--- a/packages/core/src/control-log/election.ts
+++ b/packages/core/src/control-log/election.ts
@@ -1,4 +1,4 @@
-/** Elections of the control log: pre-vote, vote, and the change to leader. */
+/** Leader election of the control log: pre-vote, vote and the transition to leader. */
 import type { MemberId } from '../types/ids.js';
 import type { RaftState } from './raft-state.js';
 import {
@@ -18,7 +18,7 @@
 type VoteRequest<Command> = Extract<RaftMessage<Command>, { kind: 'vote-request' }>;
 type VoteReply<Command> = Extract<RaftMessage<Command>, { kind: 'vote-reply' }>;
 
-/** Asks all voters for a (pre-)vote. A real vote raises and persists the term first. */
+/** Requests a pre-vote or a vote from all voters. A vote first increments and persists the term. */
 export function startElection<Command>(
   state: RaftState<Command>,
   isPreVote: boolean,
@@ -57,11 +57,11 @@
   nowMs: number,
 ): RaftEffect<Command>[] {
   const effects: RaftEffect<Command>[] = [];
-  const isWelcome = !hasRecentLeader(state, nowMs) && mayVote(state);
-  if (isWelcome && !request.isPreVote && request.term > state.currentTerm) {
+  const canConsiderVote = !hasRecentLeader(state, nowMs) && mayVote(state);
+  if (canConsiderVote && !request.isPreVote && request.term > state.currentTerm) {
     effects.push(...becomeFollower(state, request.term, nowMs));
   }
-  const isGranted = isWelcome && canGrantVote(state, from, request);
+  const isGranted = canConsiderVote && canGrantVote(state, from, request);
   if (isGranted && !request.isPreVote) {
     state.votedFor = from;
     resetElectionDeadline(state, nowMs);
@@ -121,8 +121,8 @@
 ): boolean {
   if (request.term < state.currentTerm) return false;
   if (request.isPreVote && request.term === state.currentTerm) return false;
-  const isFree = state.votedFor === undefined || state.votedFor === from;
-  if (!request.isPreVote && !isFree) return false;
+  const hasVoteAvailable = state.votedFor === undefined || state.votedFor === from;
+  if (!request.isPreVote && !hasVoteAvailable) return false;
   const isLogCurrent =
     request.lastTerm > lastTermOf(state) ||
     (request.lastTerm === lastTermOf(state) && request.lastIndex >= lastIndexOf(state));
--- a/packages/core/src/control-log/raft-harness.test-support.ts
+++ b/packages/core/src/control-log/raft-harness.test-support.ts
@@ -1,4 +1,4 @@
-/** A few control members in one process, with a network whose messages the test holds in its hand. */
+/** Simulates control members in one process, with message delivery and time controlled by the test. */
 import { type DiskId, toDiskId, toMemberId, type MemberId } from '../types/ids.js';
 import { stepRaft } from './raft.js';
 import { createRaftState, type RaftState } from './raft-state.js';
@@ -40,11 +40,11 @@
   readonly members: Map<MemberId, Member>;
   readonly network: Envelope[];
   readonly cutLinks: Set<string>;
-  /** Who led in each term, to show that there is never a second one. */
+  /** Leader by term, to check that a term never has two leaders. */
   readonly leaders: Map<number, MemberId>;
-  /** For each term, until when its leader holds rounds of earlier leaders possible. */
+  /** By term, the leader's bound on when an earlier leader can have had a round confirmed. */
   readonly formerLeadersUntilMs: Map<number, number>;
-  /** When each round started that a leader has seen confirmed, with the leader's term. */
+  /** Confirmed rounds: the leader's term and the time at which the round started. */
   readonly confirmed: { readonly term: number; readonly startedAtMs: number }[];
   nowMs: number;
   readonly randomUnit: () => number;
@@ -81,7 +81,7 @@
   return harness;
 }
 
-/** Starts, or restarts, a member from a disk. */
+/** Starts or restarts a member from the state on its disk. */
 export function startMember(harness: Harness, id: MemberId, disk: Disk): Member {
   const identity = {
     selfId: id,
@@ -103,7 +103,7 @@
   return member;
 }
 
-export function emptyDisk(diskId: string): Disk {
+export function createEmptyDisk(diskId: string): Disk {
   const snapshot = { index: 0, term: 0, membership: {}, data: new Uint8Array() };
   return { term: 0, votedFor: undefined, snapshot, entries: [], diskId: toDiskId(diskId) };
 }
@@ -119,15 +119,15 @@
   return member;
 }
 
-/** Steps one member and carries out what it asks for. */
+/** Passes an event to a member and executes the resulting effects. */
 export function step(harness: Harness, member: Member, event: RaftEvent<Command>): void {
   if (!member.isUp) return;
   for (const effect of stepRaft(member.state, event, harness.nowMs)) {
-    carryOut(harness, member, effect);
+    applyEffect(harness, member, effect);
   }
 }
 
-function carryOut(harness: Harness, member: Member, effect: RaftEffect<Command>): void {
+function applyEffect(harness: Harness, member: Member, effect: RaftEffect<Command>): void {
   const { disk, state } = member;
   switch (effect.kind) {
     case 'persist-vote':
@@ -160,7 +160,7 @@
       break;
     case 'role-changed':
       if (effect.role === 'leader') {
-        noteLeader(harness, state.currentTerm, member.id);
+        recordLeader(harness, state.currentTerm, member.id);
         harness.formerLeadersUntilMs.set(state.currentTerm, state.formerLeaderUntilMs);
       }
       break;
@@ -173,7 +173,7 @@
   }
 }
 
-function noteLeader(harness: Harness, term: number, id: MemberId): void {
+function recordLeader(harness: Harness, term: number, id: MemberId): void {
   const known = harness.leaders.get(term);
   if (known !== undefined && known !== id) throw new Error(`two leaders in term ${term}`);
   harness.leaders.set(term, id);
@@ -195,7 +195,7 @@
   return { index, term, membership, data: Buffer.from(JSON.stringify(applied)) };
 }
 
-/** Replaces what is committed at a member by a snapshot, on disk as well. */
+/** Replaces the committed entries of a member with a snapshot, in memory and on disk. */
 export function compact(harness: Harness, member: Member): void {
   const snapshot = takeSnapshot(member);
   const { index, term, membership } = snapshot;
@@ -204,7 +204,7 @@
   member.disk.entries = member.disk.entries.filter((entry) => entry.index > index);
 }
 
-/** Delivers the oldest message, or drops it when its link is cut or its receiver is down. */
+/** Delivers the oldest message, or drops it if its link is cut or its receiver is down. Returns whether there was one. */
 export function deliverNext(harness: Harness): boolean {
   const envelope = harness.network.shift();
   if (!envelope) return false;
@@ -215,7 +215,7 @@
   return true;
 }
 
-/** Lets time pass in ticks, delivering everything after each. */
+/** Advances the time in ticks of 20 ms and delivers all messages after each tick. */
 export function run(harness: Harness, durationMs: number): void {
   const untilMs = harness.nowMs + durationMs;
   while (harness.nowMs < untilMs) {
@@ -225,7 +225,7 @@
   }
 }
 
-/** Cuts a member off from all others, without either side being told. */
+/** Silently drops all messages between a member and the others. */
 export function isolate(harness: Harness, id: string): void {
   for (const other of harness.members.keys()) {
     harness.cutLinks.add(`${id}>${other}`);
@@ -248,7 +248,7 @@
   step(harness, member, { kind: 'propose', payloads: [{ kind: 'command', command }] });
 }
 
-/** A generator of numbers in [0, 1) with a fixed seed. */
+/** Returns a seeded generator of pseudo-random numbers in [0, 1). */
 export function seededRandom(seed: number): () => number {
   let state = seed >>> 0;
   return () => {
--- a/packages/core/src/control-log/raft-state.ts
+++ b/packages/core/src/control-log/raft-state.ts
@@ -1,14 +1,14 @@
-/** State of one control member's view of the replicated log, and the queries on it. */
+/** Raft state of one control member, and queries on it. */
 import type { DiskId, MemberId } from '../types/ids.js';
 import type { LogEntry, Membership, RaftRole, RaftTiming, SnapshotMeta } from './types.js';
 
-/** What a leader knows about one other member. */
+/** The leader's replication state for one other member. */
 export interface MemberProgress {
   nextIndex: number;
   matchIndex: number;
   confirmedRound: number;
   lastReplyMs: number;
-  /** The disk that `matchIndex` was reported from. */
+  /** Identifier of the disk that `matchIndex` was reported for. */
   diskId: DiskId | undefined;
   hasRegressed: boolean;
 }
@@ -27,11 +27,11 @@
   commitIndex: number;
   electionDeadlineMs: number;
   leaderContactMs: number;
-  /** When this member led for the last time; it confirmed its own rounds until then. */
+  /** When this member last stepped down as leader; until then it confirmed its own rounds. */
   ledUntilMs: number;
-  /** When this process began: what an earlier one answered is not remembered. */
+  /** Start time of this process. Rounds that an earlier process confirmed are not persisted. */
   readonly startedAtMs: number;
-  /** Members that voted for this one, with the time from which each has heard of no leader. */
+  /** Votes received, by voter, with the time since which that voter has had no leader contact. */
   votes: Map<MemberId, number>;
   progress: Map<MemberId, MemberProgress>;
   round: number;
@@ -39,11 +39,11 @@
   confirmedRound: number;
   heartbeatDueMs: number;
   leaderSinceMs: number;
-  /** Since when no earlier leader can have had a round confirmed, as far as this leader can tell. */
+  /** Time after which no earlier leader can have had a round confirmed, derived from the votes. */
   formerLeaderUntilMs: number;
 }
 
-/** What survives a restart. */
+/** State that is persisted and survives a restart. */
 export interface DurableRaftState<Command> {
   readonly currentTerm: number;
   readonly votedFor: MemberId | undefined;
@@ -58,10 +58,10 @@
   readonly randomUnit: () => number;
 }
 
-/** Part of the first election timeout that a process which has just started does not wait. */
-const START_SHORTER_SHARE = 0.6;
+/** Fraction by which the first election timeout after a process start is shortened. */
+const INITIAL_TIMEOUT_REDUCTION = 0.6;
 
-/** Builds the in-memory state from what was read back from disk. */
+/** Builds the in-memory state from the state restored from disk. */
 export function createRaftState<Command>(
   identity: RaftIdentity,
   durable: DurableRaftState<Command>,
@@ -90,8 +90,8 @@
     formerLeaderUntilMs: 0,
   };
   resetElectionDeadline(state, nowMs);
-  // This process has heard no leader yet, and a pre-vote disturbs none that there may be.
-  state.electionDeadlineMs -= (state.electionDeadlineMs - nowMs) * START_SHORTER_SHARE;
+  // Safe to shorten: an election starts with a pre-vote, which does not disrupt an existing leader.
+  state.electionDeadlineMs -= (state.electionDeadlineMs - nowMs) * INITIAL_TIMEOUT_REDUCTION;
   return state;
 }
 
@@ -110,24 +110,24 @@
   return state.entries[index - state.snapshot.index - 1];
 }
 
-/** The term of the entry at `index`; `undefined` when compacted away or not yet present. */
+/** The term of the entry at `index`; `undefined` when it was compacted or is not present yet. */
 export function termAt<Command>(state: RaftState<Command>, index: number): number | undefined {
   if (index === state.snapshot.index) return state.snapshot.term;
   return entryAt(state, index)?.term;
 }
 
-/** The newest membership in the log, committed or not: it is in force as soon as it is appended. */
+/** The latest membership in the log. It takes effect when it is appended, before it is committed. */
 export function membershipOf<Command>(state: RaftState<Command>): Membership {
   return newestMembershipEntry(state)?.membership ?? state.snapshot.membership;
 }
 
-/** Tells whether a membership change is still waiting for its commit. */
+/** Whether the latest membership change is not committed yet. */
 export function hasPendingMembership<Command>(state: RaftState<Command>): boolean {
   const newest = newestMembershipEntry(state);
   return newest !== undefined && newest.index > state.commitIndex;
 }
 
-/** The membership as of `index`, for a snapshot taken there. */
+/** The membership as of `index`, for a snapshot at that index. */
 export function membershipAt<Command>(state: RaftState<Command>, index: number): Membership {
   return newestMembershipEntry(state, index)?.membership ?? state.snapshot.membership;
 }
@@ -145,62 +145,66 @@
   return undefined;
 }
 
-/** Voters of the newest membership. */
+/** Voters of the latest membership. */
 export function votersOf<Command>(state: RaftState<Command>): MemberId[] {
   return Object.entries(membershipOf(state))
     .filter(([, record]) => record.isVoter)
     .map(([id]) => id as MemberId);
 }
 
-/** All other members, voting or not. */
+/** All other members, voters and non-voters. */
 export function peersOf<Command>(state: RaftState<Command>): MemberId[] {
   return Object.keys(membershipOf(state))
     .map((id) => id as MemberId)
     .filter((id) => id !== state.selfId);
 }
 
-/** For how long this member has certainly confirmed no leader's round, in milliseconds. */
+/** Lower bound, in milliseconds, on the time since this member last confirmed a leader's round. */
 export function silentForMs<Command>(state: RaftState<Command>, nowMs: number): number {
   const { leaderContactMs, ledUntilMs, startedAtMs } = state;
   return Math.max(0, nowMs - Math.max(leaderContactMs, ledUntilMs, startedAtMs));
 }
 
-/** A member votes only from the disk that the log knows: a replaced disk has forgotten its votes. */
+/** A member may vote only with the disk recorded in the log: a new disk has no record of earlier votes. */
 export function mayVote<Command>(state: RaftState<Command>): boolean {
   const record = membershipOf(state)[state.selfId];
   return record !== undefined && record.isVoter && record.diskId === state.diskId;
 }
 
-/** Number of voters that make a majority. */
+/** Number of voters in a majority. */
 export function quorumSize(voterCount: number): number {
   return Math.floor(voterCount / 2) + 1;
 }
 
-/** Draws a new deadline at random, for members that know of no leader to take turns after. */
+/** Sets a random deadline, for members that know no leader from which to derive a fixed order. */
 export function resetElectionDeadline<Command>(state: RaftState<Command>, nowMs: number): void {
   setElectionDeadline(state, nowMs, state.randomUnit());
 }
 
 /**
- * Sets the deadline of a follower that hears from its leader. Voters take turns, a step apart, so that
- * one of them usually wins before the next one tries: of four voters that are left of five, two that
- * try at once split the votes, and entries lose their leases before the next election.
+ * Sets the election deadline of a follower after contact from its leader. Deadlines are staggered by
+ * member id, so that one voter usually wins before the next one starts an election. With four of five
+ * voters left, two simultaneous candidates split the vote and entry leases expire before the next
+ * election.
  */
-export function awaitLeader<Command>(state: RaftState<Command>, nowMs: number): void {
-  const successors = votersOf(state)
+export function resetStaggeredElectionDeadline<Command>(
+  state: RaftState<Command>,
+  nowMs: number,
+): void {
+  const candidates = votersOf(state)
     .filter((voter) => voter !== state.leaderId)
     .sort();
-  const turn = successors.indexOf(state.selfId);
-  if (turn === -1) resetElectionDeadline(state, nowMs);
-  else setElectionDeadline(state, nowMs, turn / successors.length);
+  const rank = candidates.indexOf(state.selfId);
+  if (rank === -1) resetElectionDeadline(state, nowMs);
+  else setElectionDeadline(state, nowMs, rank / candidates.length);
 }
 
 function setElectionDeadline<Command>(
   state: RaftState<Command>,
   nowMs: number,
-  spreadShare: number,
+  spreadFraction: number,
 ): void {
   const { electionTimeoutMinMs, electionTimeoutMaxMs } = state.timing;
-  const spreadMs = (electionTimeoutMaxMs - electionTimeoutMinMs) * spreadShare;
+  const spreadMs = (electionTimeoutMaxMs - electionTimeoutMinMs) * spreadFraction;
   state.electionDeadlineMs = nowMs + electionTimeoutMinMs + spreadMs;
 }
--- a/packages/core/src/control-log/raft.test.ts
+++ b/packages/core/src/control-log/raft.test.ts
@@ -5,7 +5,7 @@
   compact,
   createHarness,
   deliverNext,
-  emptyDisk,
+  createEmptyDisk,
   type Harness,
   heal,
   isolate,
@@ -50,7 +50,7 @@
     expect(leader.state.currentTerm).toBe(currentTerm);
   });
 
-  it('elects another leader after the first has died', () => {
+  it('elects another leader after the first one fails', () => {
     const { harness, leader } = electedHarness();
     leader.isUp = false;
     run(harness, 3_000);
@@ -58,14 +58,14 @@
     expect(leaderOf(harness)).not.toBe(leader);
   });
 
-  it('makes a leader step down that has lost its quorum', () => {
+  it('makes a leader step down after it has lost its quorum', () => {
     const { harness, leader } = electedHarness();
     isolate(harness, leader.id);
     run(harness, 1_500);
     expect(leader.state.role).not.toBe('leader');
   });
 
-  it('does not let a member that was cut off for an hour disturb the leader when it returns', () => {
+  it('keeps the leader when a member returns after an hour of isolation', () => {
     const { harness, leader } = electedHarness();
     const [cutOff] = followersOf(harness, leader);
     if (!cutOff) throw new Error('no follower');
@@ -84,7 +84,7 @@
     expect(commandsOf(cutOff)).toEqual(['while away']);
   });
 
-  it('lets the member with the longest log win although its term is behind', () => {
+  it('elects the member with the longest log even if its term is outdated', () => {
     const { harness, leader } = electedHarness();
     const [behind, longest] = followersOf(harness, leader);
     if (!behind || !longest) throw new Error('no followers');
@@ -100,7 +100,7 @@
     expect(commandsOf(behind)).toEqual(['only on two']);
   });
 
-  it('votes once a term, also across a restart', () => {
+  it('grants one vote per term, also across a restart', () => {
     const harness = createHarness(IDS, seededRandom(3));
     const voter = memberOf(harness, 'c');
     const request = {
@@ -121,7 +121,7 @@
 });
 
 describe('commit', () => {
-  it('applies commands in the same order everywhere', () => {
+  it('applies commands in the same order on all members', () => {
     const { harness, leader } = electedHarness();
     for (const command of ['one', 'two', 'three']) propose(harness, leader, command);
     run(harness, 300);
@@ -130,7 +130,7 @@
     }
   });
 
-  it('sends each command once to each member, however many are proposed at a time', () => {
+  it('sends each command once to each member when many are proposed at a time', () => {
     const { harness, leader } = electedHarness();
     for (let count = 0; count < 50; count += 1) propose(harness, leader, `c${count}`);
     const sent = harness.network.flatMap(({ message }) =>
@@ -141,7 +141,7 @@
     for (const member of harness.members.values()) expect(commandsOf(member)).toHaveLength(50);
   });
 
-  it('sends again what was lost on its way', () => {
+  it('resends entries that were lost in transit', () => {
     const { harness, leader } = electedHarness();
     propose(harness, leader, 'lost');
     harness.network.length = 0;
@@ -175,7 +175,7 @@
     expect(commandsOf(memberOf(harness, follower.id))).toHaveLength(500);
   });
 
-  it('restarts to the same state after hundreds of changes', () => {
+  it('restores the same state when all members restart after hundreds of changes', () => {
     const { harness, leader } = electedHarness();
     for (let count = 0; count < 400; count += 1) propose(harness, leader, `c${count}`);
     run(harness, 300);
@@ -198,7 +198,7 @@
 });
 
 describe('a new leader', () => {
-  it('does not count an entry of an earlier term as committed before one of its own', () => {
+  it('does not commit an entry of an earlier term before one of its own term', () => {
     const harness = createHarness(IDS, seededRandom(5));
     const first = memberOf(harness, 'a');
     first.disk.term = 2;
@@ -221,7 +221,7 @@
     expect(candidate.applied).toEqual(['early', '(noop)']);
   });
 
-  it('knows that its predecessor has been without a quorum for an election timeout', () => {
+  it('knows that its predecessor had no quorum for at least an election timeout', () => {
     const { harness, leader } = electedHarness();
     leader.isUp = false;
     const lostAtMs = harness.nowMs;
@@ -231,7 +231,7 @@
     expect(leaderSinceMs - formerLeaderUntilMs).toBeGreaterThanOrEqual(500);
   });
 
-  it('takes a voter that has just started, or just led, for one that may have confirmed a round', () => {
+  it('assumes that a voter that has just started or led may have confirmed a round', () => {
     const { harness, leader } = electedHarness();
     const [voter] = followersOf(harness, leader);
     if (!voter) throw new Error('no followers');
@@ -254,7 +254,7 @@
     expect(silentForMs(leader.state, harness.nowMs + 40)).toBe(40);
   });
 
-  it('is not elected by voters that still hear from a leader', () => {
+  it('is not elected by voters that have recent leader contact', () => {
     const { harness, leader } = electedHarness();
     const [voter, other] = followersOf(harness, leader);
     if (!voter || !other) throw new Error('no followers');
@@ -274,7 +274,7 @@
 
 describe('a member that lost its disk', () => {
   function loseDisk(harness: Harness, id: string, newDiskId: string): Member {
-    return startMember(harness, toMemberId(id), emptyDisk(newDiskId));
+    return startMember(harness, toMemberId(id), createEmptyDisk(newDiskId));
   }
 
   function changeMember(harness: Harness, id: string, newDiskId: string, isVoter: boolean): void {
@@ -282,13 +282,13 @@
     if (!leader) throw new Error('no leader');
     const record = membershipOf(leader.state)[id];
     if (!record) throw new Error(`no record of ${id}`);
-    const diskId = emptyDisk(newDiskId).diskId;
+    const diskId = createEmptyDisk(newDiskId).diskId;
     const membership = { ...membershipOf(leader.state), [id]: { ...record, diskId, isVoter } };
     step(harness, leader, { kind: 'propose', payloads: [{ kind: 'membership', membership }] });
     run(harness, 500);
   }
 
-  it('neither votes nor counts before it is admitted', () => {
+  it('does not vote or count towards a quorum before it is readmitted', () => {
     const { harness, leader } = electedHarness();
     const [lost, other] = followersOf(harness, leader);
     if (!lost || !other) throw new Error('no followers');
@@ -302,7 +302,7 @@
     expect(commandsOf(leader)).toEqual(['kept']);
   });
 
-  it('serves again after it has caught up, and a second loss right after loses nothing', () => {
+  it('votes again after catching up, and a second disk loss right afterwards loses no entries', () => {
     const { harness, leader } = electedHarness();
     const [lost, second] = followersOf(harness, leader);
     if (!lost || !second) throw new Error('no followers');
@@ -323,7 +323,7 @@
     expect(commandsOf(memberOf(harness, lost.id))).toEqual(['kept']);
   });
 
-  it('is not counted any more when its disk went back to an older state', () => {
+  it('does not count towards a quorum after its disk was restored to an older state', () => {
     const { harness, leader } = electedHarness();
     const [restored, other] = followersOf(harness, leader);
     if (!restored || !other) throw new Error('no followers');
@@ -339,7 +339,7 @@
   });
 });
 
-/** No earlier leader ever sees a round confirmed that began after a later one held that possible. */
+/** Checks that no earlier leader had a round confirmed that started after a later leader's bound. */
 function expectBoundsOnFormerLeaders(harness: Harness): void {
   for (const [term, untilMs] of harness.formerLeadersUntilMs) {
     const earlier = harness.confirmed.filter((round) => round.term < term);
--- a/packages/core/src/control-log/raft.ts
+++ b/packages/core/src/control-log/raft.ts
@@ -1,6 +1,6 @@
 /**
- * The consensus protocol of the control log as a plain function of state, event and time:
- * Raft with pre-vote, check-quorum, single-member membership changes and confirmed rounds.
+ * Consensus protocol of the control log, without I/O: Raft with pre-vote, check-quorum, single-member
+ * membership changes and quorum-confirmed rounds.
  */
 import { match } from 'ts-pattern';
 import type { MemberId } from '../types/ids.js';
@@ -19,7 +19,7 @@
 import type { RaftEffect, RaftEvent, RaftMessage, SnapshotMeta } from './types.js';
 
 /**
- * Advances the state by one event and returns the effects to carry out, in order.
+ * Processes one event, updating `state` in place, and returns the effects to execute in order.
  *
  * @param nowMs monotonic time in milliseconds
  * @example
@@ -70,9 +70,10 @@
 }
 
 /**
- * Pre-votes and vote requests do not raise the term here: a granted pre-vote never does, and a vote
- * request only once it passes the leader-contact check, so that a returning member cannot disturb a
- * leader. A refused pre-vote does, or the member with the longest log could be left behind in term.
+ * Steps down if the message has a newer term. Vote requests are excluded, so that a returning member
+ * cannot disrupt a leader: a pre-vote request never raises the term, and a vote request only after the
+ * leader-contact check. A granted pre-vote reply does not raise the term either; a rejected one does,
+ * because otherwise the member with the longest log could stay on an outdated term.
  */
 function adoptNewerTerm<Command>(
   state: RaftState<Command>,
--- a/packages/core/src/control-log/replication.ts
+++ b/packages/core/src/control-log/replication.ts
@@ -1,8 +1,8 @@
-/** Replication of the control log: appending, matching, committing and catching up. */
+/** Replication of the control log: append, log matching, commit and follower catch-up. */
 import type { MemberId } from '../types/ids.js';
 import type { RaftState } from './raft-state.js';
 import {
-  awaitLeader,
+  resetStaggeredElectionDeadline,
   entryAt,
   lastIndexOf,
   membershipOf,
@@ -18,10 +18,10 @@
 type AppendReply<Command> = Extract<RaftMessage<Command>, { kind: 'append-reply' }>;
 type SnapshotRequest<Command> = Extract<RaftMessage<Command>, { kind: 'install-snapshot' }>;
 
-/** Entries sent to one member in one message at most. */
+/** Maximum number of log entries in one append message. */
 const MAX_ENTRIES_PER_APPEND = 256;
 
-/** Appends payloads to the leader's own log and sends them on. Does nothing on other roles. */
+/** Appends payloads to the leader's log and replicates them. No-op unless this member is leader. */
 export function appendAsLeader<Command>(
   state: RaftState<Command>,
   payloads: readonly LogPayload<Command>[],
@@ -42,7 +42,7 @@
   ];
 }
 
-/** Starts a round: one append (possibly empty) or snapshot to every other member. */
+/** Starts a round: sends an append (possibly empty) or a snapshot to every other member. */
 export function broadcastAppend<Command>(
   state: RaftState<Command>,
   nowMs: number,
@@ -65,7 +65,7 @@
   if (previousTerm === undefined) return { kind: 'send-snapshot', to: peer, round: state.round };
   const start = previousIndex - state.snapshot.index;
   const entries = state.entries.slice(start, start + MAX_ENTRIES_PER_APPEND);
-  // What is on its way is not sent again; a member that did not get it refuses what follows on it.
+  // Entries in flight are not resent. A member that missed them rejects the next append.
   progress.nextIndex += entries.length;
   const message: AppendRequest<Command> = {
     kind: 'append',
@@ -79,7 +79,7 @@
   return { kind: 'send', to: peer, message };
 }
 
-/** A leader that has not heard from a quorum for an election timeout must not go on leading. */
+/** Check-quorum: a leader without replies from a quorum for an election timeout must step down. */
 export function hasLostQuorum<Command>(state: RaftState<Command>, nowMs: number): boolean {
   const voters = votersOf(state);
   const limitMs = state.timing.electionTimeoutMaxMs;
@@ -121,7 +121,7 @@
   const effects = state.role === 'follower' ? [] : becomeFollower(state, state.currentTerm, nowMs);
   state.leaderId = from;
   state.leaderContactMs = nowMs;
-  awaitLeader(state, nowMs);
+  resetStaggeredElectionDeadline(state, nowMs);
   return effects;
 }
 
@@ -130,15 +130,15 @@
   return termAt(state, request.previousIndex) === request.previousTerm;
 }
 
-/** Adds entries that are new; a conflicting suffix is replaced from its first differing entry. */
+/** Appends new entries; a conflicting suffix is replaced from the first differing entry. */
 function mergeEntries<Command>(
   state: RaftState<Command>,
   entries: readonly LogEntry<Command>[],
 ): RaftEffect<Command>[] {
-  const fresh = entries.filter((entry) => entry.index > state.snapshot.index);
-  const firstNew = fresh.findIndex((entry) => termAt(state, entry.index) !== entry.term);
+  const uncompacted = entries.filter((entry) => entry.index > state.snapshot.index);
+  const firstNew = uncompacted.findIndex((entry) => termAt(state, entry.index) !== entry.term);
   if (firstNew < 0) return [];
-  const added = fresh.slice(firstNew);
+  const added = uncompacted.slice(firstNew);
   const [first] = added;
   if (!first) return [];
   state.entries.length = first.index - state.snapshot.index - 1;
@@ -221,7 +221,7 @@
   return effects;
 }
 
-/** A reply counts only from the disk that the log knows, and never after that disk went back. */
+/** A reply counts only if it comes from the disk recorded in the log and that disk has not regressed. */
 function countsForQuorum<Command>(state: RaftState<Command>, member: MemberId): boolean {
   const progress = state.progress.get(member);
   if (!progress || progress.hasRegressed) return false;
@@ -252,7 +252,7 @@
   return [{ kind: 'apply', entries: applied }];
 }
 
-/** A round is confirmed once a quorum has answered it: no newer leader was elected before it. */
+/** A round is confirmed once a quorum replied to it: no newer leader was elected before it began. */
 function confirmRounds<Command>(state: RaftState<Command>): RaftEffect<Command>[] {
   const voters = votersOf(state);
   const rounds = voters
--- a/packages/core/src/control-log/roles.ts
+++ b/packages/core/src/control-log/roles.ts
@@ -3,7 +3,7 @@
 import { lastIndexOf, peersOf, resetElectionDeadline } from './raft-state.js';
 import type { RaftEffect } from './types.js';
 
-/** Steps down to follower; a newer term clears the vote and is persisted first. */
+/** Steps down to follower. A newer term clears the vote and is persisted first. */
 export function becomeFollower<Command>(
   state: RaftState<Command>,
   term: number,
@@ -25,12 +25,12 @@
   return effects;
 }
 
-/** Takes the leader role; the caller appends the no-op that opens the term. */
+/** Switches to the leader role. The caller must append the no-op entry that starts the term. */
 export function becomeLeader<Command>(state: RaftState<Command>, nowMs: number): void {
   state.role = 'leader';
   state.leaderId = state.selfId;
   state.leaderSinceMs = nowMs;
-  // A round of an earlier leader needs one of the voters that made this one leader.
+  // Quorums overlap: a round of an earlier leader needs at least one voter that elected this leader.
   state.formerLeaderUntilMs = Math.max(...state.votes.values());
   state.votes.clear();
   state.roundStartsMs.clear();
@@ -39,7 +39,7 @@
   for (const peer of peersOf(state)) ensureProgress(state, peer, nowMs);
 }
 
-/** Returns the progress record of a member, creating it for a member that has just joined. */
+/** Returns the progress of a member, creating it if the member has just joined. */
 export function ensureProgress<Command>(
   state: RaftState<Command>,
   member: Parameters<RaftState<Command>['progress']['get']>[0],
--- a/packages/core/src/control-log/types.ts
+++ b/packages/core/src/control-log/types.ts
@@ -1,13 +1,13 @@
 /** Types of the replicated control log: entries, membership, messages, events and effects. */
 import type { DiskId, MemberId } from '../types/ids.js';
 
-/** A control member as the log knows it. A member whose `diskId` differs has lost its disk. */
+/** A control member as recorded in the log. A member that reports another `diskId` has lost its disk. */
 export interface MemberRecord {
   readonly address: string;
   readonly adminAddress: string;
   readonly diskId: DiskId;
   readonly isVoter: boolean;
-  /** `false` for a member without a lasting disk: it is sent the log, and never votes. */
+  /** `false` for a member without persistent storage: it receives the log but never votes. */
   readonly isEligible?: boolean;
 }
 
@@ -24,7 +24,7 @@
   readonly payload: LogPayload<Command>;
 }
 
-/** A point up to which the log was replaced by state-machine data. */
+/** The log position up to which entries are replaced by state machine data. */
 export interface SnapshotMeta {
   readonly index: number;
   readonly term: number;
@@ -49,7 +49,7 @@
       readonly term: number;
       readonly isGranted: boolean;
       readonly diskId: DiskId;
-      /** For how long the voter has not heard from a leader, or not run, in milliseconds. */
+      /** Milliseconds since the voter last had leader contact, was leader or started, whichever is latest. */
       readonly silentForMs: number;
     }
   | {
@@ -65,7 +65,7 @@
       readonly kind: 'append-reply';
       readonly term: number;
       readonly isAccepted: boolean;
-      /** Last index known to match when accepted; the follower's last index otherwise. */
+      /** Last index known to match if accepted; otherwise the last index that could match. */
       readonly matchIndex: number;
       readonly round: number;
       readonly diskId: DiskId;
@@ -83,7 +83,7 @@
   | { readonly kind: 'propose'; readonly payloads: readonly LogPayload<Command>[] }
   | { readonly kind: 'snapshot-saved'; readonly snapshot: SnapshotMeta };
 
-/** Effects are carried out strictly in order; a persist effect is synced before the next one. */
+/** Effects must be executed in order, and each persist effect synced to disk before the next one. */
 export type RaftEffect<Command> =
   | {
       readonly kind: 'persist-vote';
--- a/packages/core/src/control-state/control-state.test.ts
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -50,7 +50,7 @@
 }
 
 describe('settings', () => {
-  it('accepts one of two changes made against the same revision and shows the other what won', () => {
+  it('accepts one of two changes with the same base revision and returns the current values to the other', () => {
     const state = stateWithCustomer();
     const slower = { ...RATE, ratePerSecond: 10 };
     const faster = { ...RATE, ratePerSecond: 300 };
@@ -73,7 +73,7 @@
     expect(customerSetting(state, 'acme')).toEqual(slower);
   });
 
-  it('answers a resend with the first result, also after other changes and from a snapshot', () => {
+  it('returns the original result for a retry, also after other changes and from a snapshot', () => {
     const state = stateWithCustomer();
     const change = applyOf('resent', 1, [
       { path: 'customers/acme', value: { ...RATE, burst: 19 } },
@@ -81,13 +81,13 @@
     const first = applyCommand(state, 2, change);
     applyCommand(state, 3, applyOf('between', 2, [{ path: 'customers/acme', value: RATE }]));
     const restored = importControlState(structuredClone(exportControlState(state)));
-    for (const holder of [state, restored]) {
-      expect(applyCommand(holder, 4, change)).toEqual(first);
-      expect(customerSetting(holder, 'acme')).toEqual(RATE);
+    for (const each of [state, restored]) {
+      expect(applyCommand(each, 4, change)).toEqual(first);
+      expect(customerSetting(each, 'acme')).toEqual(RATE);
     }
   });
 
-  it('refuses an operation id that was used for another change', () => {
+  it('rejects an operation id that was used for another change', () => {
     const state = stateWithCustomer();
     const result = applyCommand(
       state,
@@ -97,7 +97,7 @@
     expect(result.kind).toBe('rejected');
   });
 
-  it('forgets results after 30 days and not before', () => {
+  it('evicts results after 30 days and not before', () => {
     const state = stateWithCustomer();
     const day = 24 * 60 * 60 * 1_000;
     const again = (wallClockMs: number) =>
@@ -116,7 +116,7 @@
     expect(again(1_000 + 31 * day).kind).toBe('conflict');
   });
 
-  const REFUSED: readonly [string, SettingChange, string][] = [
+  const REJECTED_CHANGES: readonly [string, SettingChange, string][] = [
     ['an unknown path', { path: 'custmers/a', value: RATE }, 'did you mean customers'],
     [
       'a rate of zero',
@@ -129,15 +129,19 @@
       'burst: expected',
     ],
     [
-      'a key of no customer',
+      'a key of an unknown customer',
       { path: 'keys/nobody/k', value: { sha256Hex: 'a'.repeat(64) } },
       'nobody',
     ],
     ['a hash that is too short', { path: 'keys/acme/k', value: { sha256Hex: 'ab' } }, '64'],
-    ['removing what is not there', { path: 'customers/none', value: null }, 'nothing stands'],
+    [
+      'removal of a path without a value',
+      { path: 'customers/none', value: null },
+      'nothing stands',
+    ],
   ];
-  it.each(REFUSED)(
-    'refuses %s with path and reason, and changes nothing',
+  it.each(REJECTED_CHANGES)(
+    'rejects %s with path and reason, and changes nothing',
     (_name, change, reason) => {
       const state = stateWithCustomer();
       const good = { path: 'customers/good', value: RATE };
@@ -160,7 +164,7 @@
     expect(both.kind).toBe('accepted');
   });
 
-  it('lets an operator change its own subtree only', () => {
+  it('allows an operator to change only its own subtrees', () => {
     const state = stateWithCustomer();
     const operator = { tokenSha256Hex: 'a'.repeat(64), subtrees: ['customers/acme', 'keys/acme'] };
     applyCommand(state, 2, applyOf('op', 1, [{ path: 'operators/ann', value: operator }]));
@@ -173,7 +177,7 @@
 });
 
 describe('assignments and groups', () => {
-  it('takes an assignment only with the next epoch', () => {
+  it('accepts an assignment only with the next epoch', () => {
     const state = createControlState();
     expect(applyCommand(state, 1, assign(1, 'e1')).kind).toBe('done');
     expect(applyCommand(state, 2, assign(1, 'e2')).kind).toBe('superseded');
@@ -181,7 +185,7 @@
     expect(assignmentOf(state, 'group/bookings')?.entryId).toBe('e2');
   });
 
-  it('takes one primary a term, and only from the owner of the present epoch', () => {
+  it('accepts one primary per term, and only from the owner of the current epoch', () => {
     const state = createControlState();
     applyCommand(state, 1, assign(1, 'e1'));
     const commit = (index: number, ownerEpoch: number, term: number, server: string) =>
@@ -204,7 +208,7 @@
     expect(groupRecordOf(state, GROUP)).toMatchObject({ primary: 's2', term: 2, proposedTerm: 2 });
   });
 
-  it('hands out what changed since an index, removals included, and no operators', () => {
+  it('lists records changed since an index, including removals but not operators', () => {
     const state = stateWithCustomer();
     const operator = { tokenSha256Hex: 'a'.repeat(64), subtrees: [] };
     applyCommand(state, 2, applyOf('o', 1, [{ path: 'operators/ann', value: operator }]));
@@ -215,11 +219,11 @@
   });
 });
 
-describe('places of servers', () => {
+describe('server places', () => {
   it.each([
-    { name: 'the present owner', ownerEpoch: 1, expected: 1 },
-    { name: 'an owner whose epoch is over', ownerEpoch: 0, expected: 0 },
-  ])('are taken from $name: $expected', ({ ownerEpoch, expected }) => {
+    { name: 'the current owner', ownerEpoch: 1, expected: 1 },
+    { name: 'an owner with an outdated epoch', ownerEpoch: 0, expected: 0 },
+  ])('are stored if sent by $name: $expected', ({ ownerEpoch, expected }) => {
     const state = createControlState();
     applyCommand(state, 1, assign(1, 'e1'));
     const server = toServerName('i-1');
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -1,4 +1,4 @@
-/** The replicated state machine of control: a plain reducer over committed commands. */
+/** Replicated state machine of control: a reducer over committed commands. */
 import { match } from 'ts-pattern';
 import { checkSetting, isInSubtree } from '../settings/paths.js';
 import type { GroupName } from '../types/ids.js';
@@ -8,7 +8,7 @@
   ControlRecord,
   GroupRecord,
   HistoryItem,
-  RememberedOperation,
+  CompletedOperation,
   SettingChange,
   StoredRecord,
 } from './types.js';
@@ -22,19 +22,19 @@
   settingAt,
 } from './views.js';
 
-/** Results of operations are kept this long, so that a late resend gets its first answer. */
-const OPERATION_MEMORY_MS = 30 * 24 * 60 * 60 * 1000;
+/** How long results of operations are kept, so that a late retry receives the original result. */
+const OPERATION_RETENTION_MS = 30 * 24 * 60 * 60 * 1000;
 const HISTORY_LIMIT = 5_000;
 const MAX_CHANGES_PER_APPLY = 1_000;
 
-/** The operator name of the bootstrap token in the members' settings files: the whole tree. */
+/** Operator of the bootstrap token in the members' settings files; may change the whole tree. */
 export const BOOTSTRAP_OPERATOR = 'bootstrap';
 
 export interface ControlState {
   appliedIndex: number;
   settingsRevision: number;
   readonly records: Map<string, StoredRecord>;
-  readonly operations: Map<string, RememberedOperation>;
+  readonly operations: Map<string, CompletedOperation>;
   history: HistoryItem[];
 }
 
@@ -49,7 +49,7 @@
 }
 
 /**
- * Applies one committed command. Every member computes the same result from the same log.
+ * Applies one committed command. Deterministic: every member computes the same result from the same log.
  *
  * @param index log index of the command; becomes the revision of an accepted settings change
  * @example
@@ -65,7 +65,7 @@
     .returnType<ApplyResult>()
     .with({ kind: 'settings/apply' }, (apply) => applySettingsOnce(state, index, apply))
     .with({ kind: 'document/put' }, (put) => applyDocument(state, index, put))
-    .with({ kind: 'owner/assign' }, (assign) => applyAssign(state, index, assign))
+    .with({ kind: 'owner/assign' }, (assign) => applyAssignment(state, index, assign))
     .with({ kind: 'group/observe' }, ({ group, server }) => {
       const record = groupRecordOf(state, group);
       if (record.servers.includes(server)) return { kind: 'done' };
@@ -83,8 +83,8 @@
       const rejection = checkOwnerEpoch(state, group, ownerEpoch);
       return rejection ?? putGroup(state, index, { ...groupRecordOf(state, group), places });
     })
-    .with({ kind: 'primary/propose' }, (propose) => applyPropose(state, index, propose))
-    .with({ kind: 'primary/commit' }, (commit) => applyPrimary(state, index, commit))
+    .with({ kind: 'primary/propose' }, (propose) => applyPrimaryProposal(state, index, propose))
+    .with({ kind: 'primary/commit' }, (commit) => applyPrimaryCommit(state, index, commit))
     .exhaustive();
 }
 
@@ -95,11 +95,11 @@
   index: number,
   command: CommandOf<'settings/apply'>,
 ): ApplyResult {
-  forgetOldOperations(state, command.wallClockMs);
+  evictExpiredOperations(state, command.wallClockMs);
   const fingerprint = JSON.stringify([command.operator, command.baseRevision, command.changes]);
-  const known = state.operations.get(command.operationId);
-  if (known) {
-    if (known.fingerprint === fingerprint) return known.result;
+  const completed = state.operations.get(command.operationId);
+  if (completed) {
+    if (completed.fingerprint === fingerprint) return completed.result;
     return { kind: 'rejected', path: '', reason: 'operation id was used for another change' };
   }
   const result = applySettings(state, index, command);
@@ -113,8 +113,8 @@
   index: number,
   command: CommandOf<'settings/apply'>,
 ): ApplyResult {
-  const problem = findProblem(state, command);
-  if (problem) return problem;
+  const rejection = validateChanges(state, command);
+  if (rejection) return rejection;
   const isStale = command.baseRevision !== null && command.baseRevision !== state.settingsRevision;
   const paths = command.changes.map((change) => change.path);
   if (isStale) {
@@ -133,7 +133,7 @@
   return { kind: 'accepted', revision: index };
 }
 
-function findProblem(
+function validateChanges(
   state: ControlState,
   command: CommandOf<'settings/apply'>,
 ): ApplyResult | undefined {
@@ -201,7 +201,7 @@
   return paths.map((path) => ({ path, value: settingAt(state, path) ?? null }));
 }
 
-/** A document that is not newer than the one held is acknowledged and changes nothing. */
+/** A document that is not newer than the current one is accepted without any change. */
 function applyDocument(
   state: ControlState,
   index: number,
@@ -216,7 +216,7 @@
   return { kind: 'accepted', revision: document.version };
 }
 
-function applyAssign(
+function applyAssignment(
   state: ControlState,
   index: number,
   command: CommandOf<'owner/assign'>,
@@ -230,7 +230,7 @@
   return { kind: 'done' };
 }
 
-function applyPropose(
+function applyPrimaryProposal(
   state: ControlState,
   index: number,
   command: CommandOf<'primary/propose'>,
@@ -244,7 +244,7 @@
   return putGroup(state, index, { ...record, proposedTerm: command.term });
 }
 
-function applyPrimary(
+function applyPrimaryCommit(
   state: ControlState,
   index: number,
   command: CommandOf<'primary/commit'>,
@@ -283,9 +283,9 @@
   state.records.set(key, { record, modifiedIndex: index });
 }
 
-function forgetOldOperations(state: ControlState, nowWallClockMs: number): void {
+function evictExpiredOperations(state: ControlState, nowWallClockMs: number): void {
   for (const [id, operation] of state.operations) {
-    if (nowWallClockMs - operation.wallClockMs < OPERATION_MEMORY_MS) return;
+    if (nowWallClockMs - operation.wallClockMs < OPERATION_RETENTION_MS) return;
     state.operations.delete(id);
   }
 }
--- a/packages/core/src/control-state/document-change.ts
+++ b/packages/core/src/control-state/document-change.ts
@@ -1,39 +1,39 @@
 /**
- * Packed settings documents, and what changed from one to the next. Documents are large and change in a few
- * places; sent whole to every entry, a storm of changes fills narrow links for seconds.
+ * Compression of settings documents, and diffs between versions. Documents are large and change in a few
+ * places; sending frequent changes in full to every entry saturates low-bandwidth links for seconds.
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 
 /**
- * A document in terms of an earlier one: runs of its pieces by first position and count, and new text between
- * them.
+ * A diff against a base document: runs of pieces copied from the base, given by index of the first piece and
+ * count, and inserted text.
  */
 export type DocumentChange = readonly (string | readonly [first: number, count: number])[];
 
-/** Documents are cut into pieces after this character: records of JSON end with it. */
+/** Documents are split after this character, which ends JSON objects. */
 const PIECE_END = '}';
 
-/** Packs a document's text for the control log. */
+/** Compresses the text of a document for the control log. */
 export function packDocument(text: string): Uint8Array {
   return deflateRawSync(Buffer.from(text, 'utf8'));
 }
 
-/** Restores the text of a packed document. */
+/** Decompresses a document written by {@link packDocument}. */
 export function unpackDocument(body: Uint8Array): string {
   return inflateRawSync(body).toString('utf8');
 }
 
 /**
- * Says how `next` follows from `base`.
+ * Computes the diff from `base` to `next`.
  *
  * @example
  * applyDocumentChange(base, describeDocumentChange(base, next)); // next
  */
-export function describeDocumentChange(base: string, next: string): DocumentChange {
+export function diffDocuments(base: string, next: string): DocumentChange {
   const positions = new Map<string, number>();
-  for (const [position, piece] of cut(base).entries()) positions.set(piece, position);
+  for (const [position, piece] of splitIntoPieces(base).entries()) positions.set(piece, position);
   const change: (string | [number, number])[] = [];
-  for (const piece of cut(next)) {
+  for (const piece of splitIntoPieces(next)) {
     const position = positions.get(piece);
     const last = change.at(-1);
     if (position === undefined) {
@@ -48,9 +48,9 @@
   return change;
 }
 
-/** Builds the document that follows from `base`. */
+/** Applies a diff to the document `base` and returns the new document. */
 export function applyDocumentChange(base: string, change: DocumentChange): string {
-  const pieces = cut(base);
+  const pieces = splitIntoPieces(base);
   return change
     .map((part) => {
       if (typeof part === 'string') return part;
@@ -60,7 +60,7 @@
     .join('');
 }
 
-function cut(text: string): string[] {
+function splitIntoPieces(text: string): string[] {
   return text.split(PIECE_END).map((piece, index, all) => {
     return index < all.length - 1 ? piece + PIECE_END : piece;
   });
--- a/packages/core/src/control-state/record-pushes.ts
+++ b/packages/core/src/control-state/record-pushes.ts
@@ -1,38 +1,38 @@
-/** Tells entries what has changed in control's records, settings documents by what changed in them. */
+/** Builds updates of control records for entries. Settings documents are sent as diffs where possible. */
 import type { DocumentChangeDelta, RecordsPush } from '../types/link-messages.js';
 import type { ControlState } from './control-state.js';
-import { describeDocumentChange, unpackDocument } from './document-change.js';
+import { diffDocuments, unpackDocument } from './document-change.js';
 import { DOCUMENT_KEY, type RecordDelta, recordsSince } from './views.js';
 
-/** What an entry has, as far as it has said or was sent it. */
+/** The records that an entry holds, from its last renewal or the last push sent to it. */
 export interface KnownRecords {
   readonly knownIndex: number;
-  /** Log index of the settings document that it has. */
+  /** Log index of the entry's settings document. */
   readonly documentIndex: number | undefined;
 }
 
-/** Texts of the newest documents by log index, and changes between them that were told already. */
-export interface DocumentMemory {
+/** Texts of the latest documents by log index, and diffs between them that were already computed. */
+export interface DocumentCache {
   readonly texts: Map<number, string>;
   readonly changes: Map<string, DocumentChangeDelta>;
 }
 
-/** Entries lag by a few documents at most, also in a storm of changes. */
-const KEPT_DOCUMENTS = 12;
+/** Entries lag by a few documents at most, even while documents change rapidly. */
+const MAX_CACHED_DOCUMENTS = 12;
 
-/** Starts from the document in force: entries that follow from an earlier leader have it. */
-export function createDocumentMemory(control: ControlState): DocumentMemory {
-  const memory: DocumentMemory = { texts: new Map(), changes: new Map() };
+/** Starts with the current document, which entries already have from the previous leader. */
+export function createDocumentCache(control: ControlState): DocumentCache {
+  const cache: DocumentCache = { texts: new Map(), changes: new Map() };
   const stored = control.records.get(DOCUMENT_KEY);
   if (stored?.record.kind === 'document') {
-    remember(memory, stored.modifiedIndex, unpackDocument(stored.record.document.body));
+    cacheDocument(cache, stored.modifiedIndex, unpackDocument(stored.record.document.body));
   }
-  return memory;
+  return cache;
 }
 
-/** What an entry that has `known` has to be told. */
+/** Builds the update for an entry that holds `known`. */
 export function createPush(
-  memory: DocumentMemory,
+  cache: DocumentCache,
   control: ControlState,
   known: KnownRecords,
 ): RecordsPush {
@@ -43,37 +43,37 @@
     settingsRevision: control.settingsRevision,
   };
   const document = deltas.find(({ key }) => key === DOCUMENT_KEY);
-  const documentChange = document && changeOf(memory, document, known.documentIndex);
+  const documentChange = document && documentChangeFrom(cache, document, known.documentIndex);
   if (!documentChange) return { ...push, deltas };
   return { ...push, deltas: deltas.filter((delta) => delta !== document), documentChange };
 }
 
-function changeOf(
-  memory: DocumentMemory,
+function documentChangeFrom(
+  cache: DocumentCache,
   { stored }: RecordDelta,
   baseIndex: number | undefined,
 ): DocumentChangeDelta | undefined {
   const { record, modifiedIndex } = stored;
   if (record.kind !== 'document') return undefined;
   const { version, body } = record.document;
-  const text = memory.texts.get(modifiedIndex) ?? unpackDocument(body);
-  remember(memory, modifiedIndex, text);
-  const base = baseIndex === undefined ? undefined : memory.texts.get(baseIndex);
+  const text = cache.texts.get(modifiedIndex) ?? unpackDocument(body);
+  cacheDocument(cache, modifiedIndex, text);
+  const base = baseIndex === undefined ? undefined : cache.texts.get(baseIndex);
   if (baseIndex === undefined || base === undefined) return undefined;
   const key = `${baseIndex}-${modifiedIndex}`;
-  const told = memory.changes.get(key);
-  if (told) return told;
-  const change = describeDocumentChange(base, text);
+  const cached = cache.changes.get(key);
+  if (cached) return cached;
+  const change = diffDocuments(base, text);
   const delta: DocumentChangeDelta = { baseIndex, modifiedIndex, version, change };
-  memory.changes.set(key, delta);
+  cache.changes.set(key, delta);
   return delta;
 }
 
-function remember({ texts, changes }: DocumentMemory, index: number, text: string): void {
+function cacheDocument({ texts, changes }: DocumentCache, index: number, text: string): void {
   if (texts.has(index)) return;
   texts.set(index, text);
   const [oldest] = texts.keys();
-  if (texts.size <= KEPT_DOCUMENTS || oldest === undefined) return;
+  if (texts.size <= MAX_CACHED_DOCUMENTS || oldest === undefined) return;
   texts.delete(oldest);
   for (const key of changes.keys()) if (key.startsWith(`${oldest}-`)) changes.delete(key);
 }
--- a/packages/core/src/control-state/snapshot.ts
+++ b/packages/core/src/control-state/snapshot.ts
@@ -1,16 +1,16 @@
-/** Conversion of the control state to and from plain data for snapshots. */
+/** Conversion of the control state to and from serializable data for snapshots. */
 import type { ControlState } from './control-state.js';
-import type { HistoryItem, RememberedOperation, StoredRecord } from './types.js';
+import type { HistoryItem, CompletedOperation, StoredRecord } from './types.js';
 
 export interface ControlStateData {
   readonly appliedIndex: number;
   readonly settingsRevision: number;
   readonly records: readonly (readonly [string, StoredRecord])[];
-  readonly operations: readonly (readonly [string, RememberedOperation])[];
+  readonly operations: readonly (readonly [string, CompletedOperation])[];
   readonly history: readonly HistoryItem[];
 }
 
-/** Copies the state into plain data that any codec can write. */
+/** Converts the state to plain data that any codec can encode. */
 export function exportControlState(state: ControlState): ControlStateData {
   return {
     appliedIndex: state.appliedIndex,
@@ -21,7 +21,7 @@
   };
 }
 
-/** Rebuilds the state from data written by {@link exportControlState}. */
+/** Restores the state from the data of {@link exportControlState}. */
 export function importControlState(data: ControlStateData): ControlState {
   return {
     appliedIndex: data.appliedIndex,
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -1,9 +1,9 @@
-/** The control state machine's records, commands and results. */
+/** Records, commands and results of the control state machine. */
 import type { EntryId, GroupName, Incarnation, OperationId, ServerName } from '../types/ids.js';
 import type { ServerPlace } from '../statements/types.js';
 import type { SettingValue } from '../settings/paths.js';
 
-/** Something that one entry holds under the lease of its incarnation: a group or a customer's rate. */
+/** A resource held by one entry under its lease: a database group or a customer's rate limit. */
 export type Resource = `group/${string}` | `customer/${string}`;
 
 /** Which entry holds a resource. A higher epoch supersedes all lower ones. */
@@ -13,27 +13,27 @@
   readonly entryId: EntryId;
   readonly incarnation: Incarnation;
   readonly linkAddress: string;
-  /** The zone that the resource is wanted in, kept for leaders that come later. */
+  /** Preferred zone of the resource, stored so that later leaders know it. */
   readonly wishedZone?: string | undefined;
 }
 
-/** What control knows of a database group: its servers, its primary and the term under way. */
+/** The state of a database group in control: its servers, primary and terms. */
 export interface GroupRecord {
   readonly group: GroupName;
   readonly servers: readonly ServerName[];
   readonly primary: ServerName | undefined;
-  /** The term whose primary was committed. */
+  /** Term of the last committed primary. */
   readonly term: number;
-  /** The highest term proposed; above `term` while a change of primary is under way. */
+  /** The highest proposed term; greater than `term` while a change of primary is in progress. */
   readonly proposedTerm: number;
-  /** Where the servers were when an owner last wrote it down, for owners that have heard none yet. */
+  /** Last server locations stored by an owner, for new owners that have no announcements yet. */
   readonly places?: readonly ServerPlace[];
 }
 
-/** A whole settings document that operators hand in under a version; the highest version holds. */
+/** A complete settings document submitted by operators. The highest version is in force. */
 export interface SettingsDocument {
   readonly version: number;
-  /** The document as the operator sent it, in a form that belongs to the adapter that accepted it. */
+  /** The submitted document, encoded by the adapter that accepted it. */
   readonly body: Uint8Array;
 }
 
@@ -46,7 +46,7 @@
 
 export interface StoredRecord {
   readonly record: ControlRecord;
-  /** Log index of the command that wrote it. */
+  /** Log index of the command that wrote the record. */
   readonly modifiedIndex: number;
 }
 
@@ -61,7 +61,7 @@
       readonly kind: 'settings/apply';
       readonly operationId: OperationId;
       readonly operator: string;
-      /** `null` applies whatever the revision is. */
+      /** `null` applies the changes regardless of the current revision. */
       readonly baseRevision: number | null;
       readonly changes: readonly SettingChange[];
       readonly wallClockMs: number;
@@ -95,7 +95,7 @@
   | {
       readonly kind: 'conflict';
       readonly revision: number;
-      /** What stands now at the paths that the refused change named. */
+      /** Current values at the paths of the rejected changes. */
       readonly current: readonly SettingChange[];
     }
   | { readonly kind: 'rejected'; readonly path: string; readonly reason: string }
@@ -108,11 +108,11 @@
   readonly operationId: OperationId;
   readonly wallClockMs: number;
   readonly changes: readonly SettingChange[];
-  /** Values before the change, for rolling forward to an earlier revision. */
+  /** Values before the change, for restoring an earlier revision with a new change. */
   readonly previous: readonly SettingChange[];
 }
 
-export interface RememberedOperation {
+export interface CompletedOperation {
   readonly result: ApplyResult;
   readonly fingerprint: string;
   readonly wallClockMs: number;
--- a/packages/core/src/control-state/views.ts
+++ b/packages/core/src/control-state/views.ts
@@ -1,4 +1,4 @@
-/** Typed reads of the control records, shared by control members and watching entries. */
+/** Typed read access to control records, used by control members and entries. */
 import type { GroupName } from '../types/ids.js';
 import type {
   CustomerSetting,
@@ -9,98 +9,92 @@
 import { groupSchema } from '../settings/paths.js';
 import type { Assignment, GroupRecord, Resource, SettingsDocument, StoredRecord } from './types.js';
 
-/** Anything that holds control records: a member's state or an entry's copy of it. */
-export interface RecordHolder {
+/** A set of control records: a member's state or an entry's copy of it. */
+export interface RecordStore {
   readonly records: ReadonlyMap<string, StoredRecord>;
 }
 
-/** A changed record on its way to a watching entry. */
+/** A changed record, as sent to entries. */
 export interface RecordDelta {
   readonly key: string;
   readonly stored: StoredRecord;
 }
 
-export function settingAt(holder: RecordHolder, path: string): SettingValue | undefined {
-  const record = holder.records.get(`settings/${path}`)?.record;
+export function settingAt(store: RecordStore, path: string): SettingValue | undefined {
+  const record = store.records.get(`settings/${path}`)?.record;
   return record?.kind === 'setting' ? record.value : undefined;
 }
 
-export function customerSetting(
-  holder: RecordHolder,
-  customer: string,
-): CustomerSetting | undefined {
-  return settingAt(holder, `customers/${customer}`) as CustomerSetting | undefined;
+export function customerSetting(store: RecordStore, customer: string): CustomerSetting | undefined {
+  return settingAt(store, `customers/${customer}`) as CustomerSetting | undefined;
 }
 
-export function operatorSetting(
-  holder: RecordHolder,
-  operator: string,
-): OperatorSetting | undefined {
-  return settingAt(holder, `operators/${operator}`) as OperatorSetting | undefined;
+export function operatorSetting(store: RecordStore, operator: string): OperatorSetting | undefined {
+  return settingAt(store, `operators/${operator}`) as OperatorSetting | undefined;
 }
 
-export function groupSetting(holder: RecordHolder, group: GroupName): GroupSetting {
-  const found = settingAt(holder, `groups/${group}`) as GroupSetting | undefined;
+export function groupSetting(store: RecordStore, group: GroupName): GroupSetting {
+  const found = settingAt(store, `groups/${group}`) as GroupSetting | undefined;
   return found ?? groupSchema.parse({});
 }
 
-/** All settings, as path and value, in path order. */
-export function listSettings(holder: RecordHolder): { path: string; value: SettingValue }[] {
+/** All settings, sorted by path. */
+export function listSettings(store: RecordStore): { path: string; value: SettingValue }[] {
   const found: { path: string; value: SettingValue }[] = [];
-  for (const { record } of holder.records.values()) {
+  for (const { record } of store.records.values()) {
     if (record.kind === 'setting') found.push({ path: record.path, value: record.value });
   }
   return found.sort((left, right) => (left.path < right.path ? -1 : 1));
 }
 
-/** The paths of one customer's keys. */
-export function customerKeyPaths(holder: RecordHolder, customer: string): string[] {
+/** Paths of the keys of one customer. */
+export function customerKeyPaths(store: RecordStore, customer: string): string[] {
   const prefix = `keys/${customer}/`;
-  return listSettings(holder)
+  return listSettings(store)
     .map(({ path }) => path)
     .filter((path) => path.startsWith(prefix));
 }
 
-export function assignmentOf(holder: RecordHolder, resource: Resource): Assignment | undefined {
-  const record = holder.records.get(resource)?.record;
+export function assignmentOf(store: RecordStore, resource: Resource): Assignment | undefined {
+  const record = store.records.get(resource)?.record;
   return record?.kind === 'assignment' ? record.assignment : undefined;
 }
 
 /** Key of the record that holds the operators' settings document. */
 export const DOCUMENT_KEY = 'document';
 
-/** The newest settings document, if operators have handed in any. */
-export function documentOf(holder: RecordHolder): SettingsDocument | undefined {
-  const record = holder.records.get(DOCUMENT_KEY)?.record;
+/** The current settings document, if operators have submitted one. */
+export function documentOf(store: RecordStore): SettingsDocument | undefined {
+  const record = store.records.get(DOCUMENT_KEY)?.record;
   return record?.kind === 'document' ? record.document : undefined;
 }
 
-export function listAssignments(holder: RecordHolder): Assignment[] {
+export function listAssignments(store: RecordStore): Assignment[] {
   const found: Assignment[] = [];
-  for (const { record } of holder.records.values()) {
+  for (const { record } of store.records.values()) {
     if (record.kind === 'assignment') found.push(record.assignment);
   }
   return found;
 }
 
-export function groupRecordOf(holder: RecordHolder, group: GroupName): GroupRecord {
-  const record = holder.records.get(`groups/${group}`)?.record;
+export function groupRecordOf(store: RecordStore, group: GroupName): GroupRecord {
+  const record = store.records.get(`groups/${group}`)?.record;
   if (record?.kind === 'group') return record.record;
   return { group, servers: [], primary: undefined, term: 0, proposedTerm: 0 };
 }
 
-export function listGroups(holder: RecordHolder): GroupRecord[] {
+export function listGroups(store: RecordStore): GroupRecord[] {
   const found: GroupRecord[] = [];
-  for (const { record } of holder.records.values()) {
+  for (const { record } of store.records.values()) {
     if (record.kind === 'group') found.push(record.record);
   }
   return found;
 }
 
-/** Records written after `sinceIndex`, removals included. Operators' records stay with control. */
-export function recordsSince(holder: RecordHolder, sinceIndex: number): RecordDelta[] {
+/** Records written after `sinceIndex`, including removals. Operator records are not sent to entries. */
+export function recordsSince(store: RecordStore, sinceIndex: number): RecordDelta[] {
   const deltas: RecordDelta[] = [];
-  for (const [key, stored] of holder.records) {
+  for (const [key, stored] of store.records) {
     if (stored.modifiedIndex <= sinceIndex) continue;
     if (key.startsWith('settings/operators/')) continue;
     deltas.push({ key, stored });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,4 @@
-/** The decisions and protocols of bramleykeel, without any input or output of their own. */
+/** Protocols and decision logic of bramleykeel, without I/O. */
 export * from './types/ids.js';
 export * from './types/position.js';
 export * from './types/target.js';
--- a/packages/core/src/lease/entry-leases.test.ts
+++ b/packages/core/src/lease/entry-leases.test.ts
@@ -9,7 +9,7 @@
   endPredecessors,
   mayHolderAct,
   renewLease,
-  takeOrphans,
+  endExpiredHolders,
 } from './entry-leases.js';
 
 const TIMING = { leaseMs: 2_500, driftMarginMs: 250 };
@@ -25,7 +25,10 @@
   };
 }
 
-function held(incarnation: string, resource: Assignment['resource'] = 'group/g'): Assignment {
+function assignmentTo(
+  incarnation: string,
+  resource: Assignment['resource'] = 'group/g',
+): Assignment {
   const entryId = toEntryId('e');
   return { resource, epoch: 1, entryId, incarnation: toIncarnation(incarnation), linkAddress: 'x' };
 }
@@ -39,62 +42,62 @@
   const CASES: readonly [string, string, number, boolean][] = [
     ['a live lease', 'i1', 12_000, true],
     ['a lease inside the drift margin', 'i1', 12_749, true],
-    ['a lease past the drift margin', 'i1', 12_750, false],
+    ['a lease after the drift margin', 'i1', 12_750, false],
     ['a holder unknown to a new leader', 'i0', 2_749, true],
     ['a holder unknown to a leader that waited one lease', 'i0', 2_750, false],
   ];
   it.each(CASES)('%s', (_name, incarnation, nowMs, expected) => {
-    expect(mayHolderAct(leases(), held(incarnation), nowMs)).toBe(expected);
+    expect(mayHolderAct(leases(), assignmentTo(incarnation), nowMs)).toBe(expected);
   });
 
-  it('counts the wait from when an earlier leader can have granted anything last', () => {
+  it('starts the wait at the latest time at which an earlier leader can have granted a lease', () => {
     const state = createEntryLeases(TIMING, 1_000, 600);
-    expect(mayHolderAct(state, held('i0'), 3_349)).toBe(true);
-    expect(mayHolderAct(state, held('i0'), 3_350)).toBe(false);
+    expect(mayHolderAct(state, assignmentTo('i0'), 3_349)).toBe(true);
+    expect(mayHolderAct(state, assignmentTo('i0'), 3_350)).toBe(false);
   });
 
-  it('says no at once for an incarnation that is proven dead', () => {
+  it('returns false immediately for an incarnation that is proven dead', () => {
     const state = leases();
     endIncarnation(state, toIncarnation('i1'));
-    expect(mayHolderAct(state, held('i1'), 10_001)).toBe(false);
+    expect(mayHolderAct(state, assignmentTo('i1'), 10_001)).toBe(false);
   });
 
-  it('says no at once when a newer incarnation is bound to the same address', () => {
+  it('returns false immediately when a newer incarnation uses the same address', () => {
     const state = leases();
     renewLease(state, renewal('e1', 'i2'), 10_100);
-    expect(mayHolderAct(state, held('i1'), 10_100)).toBe(false);
+    expect(mayHolderAct(state, assignmentTo('i1'), 10_100)).toBe(false);
   });
 
-  it('waits for the lease when the same entry id comes from another address', () => {
+  it('waits for the lease to expire when the same entry id renews from another address', () => {
     const state = leases();
     renewLease(state, renewal('e1', 'i2', 2), 10_100);
-    expect(mayHolderAct(state, held('i1'), 10_200)).toBe(true);
+    expect(mayHolderAct(state, assignmentTo('i1'), 10_200)).toBe(true);
   });
 });
 
 describe('reassignment', () => {
-  it('lets no ended holder renew while its resource is on the way to another', () => {
+  it('rejects renewals of an ended holder while its resource is being reassigned', () => {
     const state = createEntryLeases(TIMING, 0);
     renewLease(state, renewal('e1', 'i1'), 0);
-    const orphans = takeOrphans(state, [held('i1')], 60_000);
-    expect(orphans).toHaveLength(1);
+    const orphaned = endExpiredHolders(state, [assignmentTo('i1')], 60_000);
+    expect(orphaned).toHaveLength(1);
     expect(renewLease(state, renewal('e1', 'i1'), 60_001)).toBe('ended');
   });
 
-  it('ends a lease that has run out even if it holds nothing', () => {
+  it('ends an expired lease even if it holds no resources', () => {
     const state = createEntryLeases(TIMING, 0);
     renewLease(state, renewal('e1', 'i1'), 0);
     expect(endExpiredLeases(state, 2_749)).toEqual([]);
     expect(endExpiredLeases(state, 2_750)).toEqual(['i1']);
   });
 
-  it('chooses the wanted zone first, then the entry with the fewest resources', () => {
+  it('chooses the preferred zone first, then the entry with the fewest resources', () => {
     const state = createEntryLeases(TIMING, 0);
     renewLease(state, renewal('e1', 'i1', 1, 'zone-a'), 0);
     renewLease(state, renewal('e2', 'i2', 2, 'zone-b'), 0);
     renewLease(state, renewal('e3', 'i3', 3, 'zone-b'), 0);
     renewLease(state, { ...renewal('e4', 'i4', 4, 'zone-b'), isStopping: true }, 0);
-    const assignments = [held('i2', 'group/x')];
+    const assignments = [assignmentTo('i2', 'group/x')];
     const choose = (zone: string | undefined, excluded?: string) =>
       chooseHolder(
         state,
@@ -122,41 +125,41 @@
 
   it.each([
     {
-      name: 'the wanted zone',
+      name: 'the preferred zone',
       entries: [entry('a', 'near-b'), entry('b', 'near-a')],
       expected: 'b',
     },
     {
-      name: 'else a zone of its region',
+      name: 'otherwise a zone of the same region',
       entries: [entry('a', 'far-a'), entry('b', 'near-b')],
       expected: 'b',
     },
-    { name: 'else any', entries: [entry('a', 'far-a')], expected: 'a' },
+    { name: 'otherwise any zone', entries: [entry('a', 'far-a')], expected: 'a' },
     {
-      name: 'enough bandwidth before the zone',
+      name: 'sufficient bandwidth before the zone',
       entries: [entry('a', 'near-a', { linkMbps: 2 } as object), entry('b', 'far-a')],
       expected: 'b',
     },
     {
-      name: 'within a zone, an instance without control',
+      name: 'within a zone, an instance without a control member',
       entries: [entry('a', 'near-a', { isBesideControl: true } as object), entry('b', 'near-a')],
       expected: 'b',
     },
     {
-      name: 'the zone before an instance without control',
+      name: 'the zone before an instance without a control member',
       entries: [entry('a', 'near-a', { isBesideControl: true } as object), entry('b', 'far-a')],
       expected: 'a',
     },
   ])('is chosen by: $name', ({ entries, expected }) => {
     const state = createEntryLeases(TIMING, 0);
     for (const each of entries) renewLease(state, each, 1_000);
-    const wish = { zone: 'near-a', regionOf, excluded: undefined };
-    expect(chooseHolder(state, [], wish, 1_000)?.entryId).toBe(expected);
+    const preference = { zone: 'near-a', regionOf, excluded: undefined };
+    expect(chooseHolder(state, [], preference, 1_000)?.entryId).toBe(expected);
   });
 
-  it('is over once a newer incarnation has its address, also for a leader that granted it nothing', () => {
+  it('ends once a newer incarnation uses its address, even if this leader granted it no lease', () => {
     const state = createEntryLeases(TIMING, 0);
-    const earlier = { ...held('i0'), linkAddress: '127.0.0.1:1' };
+    const earlier = { ...assignmentTo('i0'), linkAddress: '127.0.0.1:1' };
     expect(mayHolderAct(state, earlier, 100)).toBe(true);
     expect(endPredecessors(state, [earlier], renewal('e1', 'i1'))).toBe(true);
     expect(mayHolderAct(state, earlier, 100)).toBe(false);
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -1,13 +1,13 @@
 /**
- * Leases of entries, as the control leader sees them: one lease for each incarnation covers every
- * resource assigned to it, so that renewals do not grow with the number of groups and customers.
+ * Entry leases as tracked by the control leader. One lease per incarnation covers all resources
+ * assigned to it, so that the number of renewals does not grow with groups and customers.
  */
 import type { Assignment } from '../control-state/types.js';
 import type { EntryId, Incarnation } from '../types/ids.js';
 
 export interface LeaseTiming {
   readonly leaseMs: number;
-  /** Added before a resource is given to another entry, for clocks that run at different speeds. */
+  /** Additional wait before a resource is reassigned, to allow for clock drift. */
   readonly driftMarginMs: number;
 }
 
@@ -16,9 +16,9 @@
   readonly incarnation: Incarnation;
   readonly linkAddress: string;
   readonly zone: string;
-  /** Bandwidth of the entry's instance in Mbit/s; `undefined` when it is not known. */
+  /** Bandwidth of the entry's instance in Mbit/s; `undefined` if unknown. */
   readonly linkMbps?: number | undefined;
-  /** Whether a control member runs on the same instance: losing it should not take groups along. */
+  /** Whether a control member runs on the same instance, whose loss should not affect groups as well. */
   readonly isBesideControl?: boolean | undefined;
   readonly isStopping: boolean;
   readonly settingsRevision: number;
@@ -28,14 +28,14 @@
 export interface EntryLeases {
   readonly timing: LeaseTiming;
   readonly leaderSinceMs: number;
-  /** When an earlier leader can have granted a lease for the last time. */
+  /** Latest time at which an earlier leader can have granted a lease. */
   readonly formerGrantsUntilMs: number;
   readonly leases: Map<Incarnation, EntryLease>;
-  /** Incarnations known to be over: proven dead, expired, or stopped after handing over. */
+  /** Incarnations that have ended: proven dead, expired, or stopped after a handover. */
   readonly ended: Set<Incarnation>;
 }
 
-/** Starts with no knowledge: a new leader waits out what earlier leaders may have granted. */
+/** Starts without leases. A new leader waits until leases granted by earlier leaders have expired. */
 export function createEntryLeases(
   timing: LeaseTiming,
   leaderSinceMs: number,
@@ -45,8 +45,8 @@
 }
 
 /**
- * Records a renewal; the lease runs from `nowMs`, the time of the leader's answer. An incarnation
- * that has ended stays so: its process has to come back under a new one.
+ * Records a renewal. The lease runs from `nowMs`, the time of the leader's reply. An ended incarnation
+ * cannot renew; its process must register under a new one.
  */
 export function renewLease(
   state: EntryLeases,
@@ -54,14 +54,17 @@
   nowMs: number,
 ): 'renewed' | 'ended' {
   if (state.ended.has(renewal.incarnation)) return 'ended';
-  endEarlierAtAddress(state, renewal);
+  endEarlierIncarnationsAtAddress(state, renewal);
   const expiresAtMs = nowMs + state.timing.leaseMs;
   state.leases.set(renewal.incarnation, { ...renewal, expiresAtMs });
   return 'renewed';
 }
 
-/** Only one process can be bound to an address, so earlier incarnations there are over. */
-function endEarlierAtAddress(state: EntryLeases, renewal: Omit<EntryLease, 'expiresAtMs'>): void {
+/** Only one process can be bound to an address, so earlier incarnations at the address have ended. */
+function endEarlierIncarnationsAtAddress(
+  state: EntryLeases,
+  renewal: Omit<EntryLease, 'expiresAtMs'>,
+): void {
   if (state.leases.has(renewal.incarnation)) return;
   for (const lease of state.leases.values()) {
     if (lease.linkAddress === renewal.linkAddress) endIncarnation(state, lease.incarnation);
@@ -69,8 +72,8 @@
 }
 
 /**
- * Holders of assignments whose address a newer incarnation has taken are over, also for a leader that
- * never granted their lease.
+ * Ends the assignment holders whose address is now used by a newer incarnation, including holders
+ * whose lease this leader did not grant. Returns whether any were ended.
  */
 export function endPredecessors(
   state: EntryLeases,
@@ -87,13 +90,13 @@
   return earlier.length > 0;
 }
 
-/** Records that an incarnation can neither run nor acknowledge anything any more. */
+/** Records that an incarnation can no longer run or acknowledge requests. */
 export function endIncarnation(state: EntryLeases, incarnation: Incarnation): void {
   state.ended.add(incarnation);
   state.leases.delete(incarnation);
 }
 
-/** Tells whether the holder of an assignment may still act on it. */
+/** Whether the holder of an assignment may still act on it. */
 export function mayHolderAct(state: EntryLeases, assignment: Assignment, nowMs: number): boolean {
   if (state.ended.has(assignment.incarnation)) return false;
   const lease = state.leases.get(assignment.incarnation);
@@ -102,7 +105,7 @@
   return nowMs < state.formerGrantsUntilMs + leaseMs + driftMarginMs;
 }
 
-/** Ends every incarnation whose lease has run out, margin included. Returns the ended ones. */
+/** Ends all incarnations whose lease and drift margin have expired, and returns them. */
 export function endExpiredLeases(state: EntryLeases, nowMs: number): Incarnation[] {
   const expired = [...state.leases.values()]
     .filter((lease) => nowMs >= lease.expiresAtMs + state.timing.driftMarginMs)
@@ -111,30 +114,30 @@
   return expired;
 }
 
-/** Entries that can take on a resource now. */
+/** Entries that can be assigned resources. */
 export function liveEntries(state: EntryLeases, nowMs: number): EntryLease[] {
   return [...state.leases.values()].filter(
     (lease) => nowMs < lease.expiresAtMs && !lease.isStopping,
   );
 }
 
-/** Where a resource is wanted. */
-export interface HolderWish {
+/** Placement preference for a resource. */
+export interface HolderPreference {
   readonly zone: string | undefined;
-  /** The region of a zone, where zones are grouped: another zone of the region is the next best. */
+  /** Region of a zone, if zones are grouped; other zones of the region are the second choice. */
   readonly regionOf?: (zone: string) => string | undefined;
   readonly excluded: Incarnation | undefined;
 }
 
 /**
- * Instances below this bandwidth, in Mbit/s, hold a resource only when there is no other: a group's
- * owner passes on all of the group's traffic, some 2 Mbit/s at the largest size that is planned for.
+ * Instances with less bandwidth, in Mbit/s, are assigned resources only if there is no other instance:
+ * the owner relays all traffic of a group, about 2 Mbit/s at the largest planned size.
  */
 const MIN_HOLDER_LINK_MBPS = 20;
 
 /**
- * Chooses the entry for a resource: enough bandwidth first, then the wanted zone, then an
- * instance without a control member, then the one with the fewest resources.
+ * Chooses the entry for a resource, by sufficient bandwidth, then preferred zone, then absence of a
+ * control member on the instance, then fewest resources. Ties are broken by entry id.
  *
  * @example
  * chooseHolder(leases, listAssignments(state), { zone: 'erdenet-a', excluded: undefined }, nowMs);
@@ -142,42 +145,43 @@
 export function chooseHolder(
   state: EntryLeases,
   assignments: readonly Assignment[],
-  wish: HolderWish,
+  preference: HolderPreference,
   nowMs: number,
 ): EntryLease | undefined {
-  const held = new Map<Incarnation, number>();
+  const resourceCounts = new Map<Incarnation, number>();
   for (const { incarnation } of assignments)
-    held.set(incarnation, (held.get(incarnation) ?? 0) + 1);
+    resourceCounts.set(incarnation, (resourceCounts.get(incarnation) ?? 0) + 1);
   const candidates = liveEntries(state, nowMs).filter(
-    (lease) => lease.incarnation !== wish.excluded,
+    (lease) => lease.incarnation !== preference.excluded,
   );
   const linkRank = ({ linkMbps }: EntryLease) =>
     linkMbps === undefined || linkMbps >= MIN_HOLDER_LINK_MBPS ? 0 : 1;
   const zoneRank = ({ zone }: EntryLease) => {
-    if (zone === wish.zone) return 0;
-    const region = wish.zone === undefined ? undefined : wish.regionOf?.(wish.zone);
-    return region !== undefined && region === wish.regionOf?.(zone) ? 1 : 2;
+    if (zone === preference.zone) return 0;
+    const region =
+      preference.zone === undefined ? undefined : preference.regionOf?.(preference.zone);
+    return region !== undefined && region === preference.regionOf?.(zone) ? 1 : 2;
   };
   return candidates.sort(
     (left, right) =>
       linkRank(left) - linkRank(right) ||
       zoneRank(left) - zoneRank(right) ||
       Number(left.isBesideControl ?? false) - Number(right.isBesideControl ?? false) ||
-      (held.get(left.incarnation) ?? 0) - (held.get(right.incarnation) ?? 0) ||
+      (resourceCounts.get(left.incarnation) ?? 0) - (resourceCounts.get(right.incarnation) ?? 0) ||
       (left.entryId < right.entryId ? -1 : 1),
   )[0];
 }
 
 /**
- * Resources whose holder is over. The holders are marked as ended at the same time, so that none of
- * them can renew its lease while the reassignment is still on its way through the log.
+ * Returns the assignments whose holder may no longer act, and ends these holders, so that none can
+ * renew its lease before the reassignment is committed.
  */
-export function takeOrphans(
+export function endExpiredHolders(
   state: EntryLeases,
   assignments: readonly Assignment[],
   nowMs: number,
 ): Assignment[] {
-  const orphans = assignments.filter((assignment) => !mayHolderAct(state, assignment, nowMs));
-  for (const { incarnation } of orphans) endIncarnation(state, incarnation);
-  return orphans;
+  const orphaned = assignments.filter((assignment) => !mayHolderAct(state, assignment, nowMs));
+  for (const { incarnation } of orphaned) endIncarnation(state, incarnation);
+  return orphaned;
 }
--- a/packages/core/src/settings/daemon-settings.test.ts
+++ b/packages/core/src/settings/daemon-settings.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { checkSettingsText, entrySettingsSchema, formatSettingsError } from './daemon-settings.js';
 
-const GOOD = `
+const VALID_SETTINGS = `
 [entry]
 id = "e1"
 zone = "zone-a"
@@ -23,32 +23,39 @@
 
 describe('settings file', () => {
   it('fills in defaults', () => {
-    const settings = checkSettingsText('entry.toml', GOOD, entrySettingsSchema).unsafeCoerce();
+    const settings = checkSettingsText(
+      'entry.toml',
+      VALID_SETTINGS,
+      entrySettingsSchema,
+    ).unsafeCoerce();
     expect(settings.timing.leaseMs).toBe(2_000);
     expect(settings.targets.user).toBe('bramleykeel');
   });
 
-  const BAD: readonly [string, string, string][] = [
+  const INVALID_SETTINGS: readonly [string, string, string][] = [
     ['broken TOML', '[entry', 'entry.toml: Invalid TOML'],
     [
       'an unknown key',
-      GOOD.replace('zone =', 'zoen ='),
+      VALID_SETTINGS.replace('zone =', 'zoen ='),
       'entry.zoen: unknown key; did you mean zone?',
     ],
     [
       'an unknown key below a default',
-      `${GOOD}[timing]\nleaseM = 1`,
+      `${VALID_SETTINGS}[timing]\nleaseM = 1`,
       'timing.leaseM: unknown key; did you mean leaseMs?',
     ],
     [
-      'a host name as address',
-      GOOD.replace('127.0.0.1:2', 'localhost:2'),
+      'a host name as the address',
+      VALID_SETTINGS.replace('127.0.0.1:2', 'localhost:2'),
       'entry.linkAddress: expected IP:PORT',
     ],
-    ['a missing part', GOOD.replace(/\[link\][^[]*/, ''), 'link:'],
-    ['a wrong type', `${GOOD}[timing]\nleaseMs = "long"`, 'timing.leaseMs:'],
+    ['a missing section', VALID_SETTINGS.replace(/\[link\][^[]*/, ''), 'link:'],
+    ['a wrong type', `${VALID_SETTINGS}[timing]\nleaseMs = "long"`, 'timing.leaseMs:'],
   ];
-  it.each(BAD)('names file, key and expectation for %s', (_name, text, expected) => {
-    expect(problemOf(text)).toContain(expected);
-  });
+  it.each(INVALID_SETTINGS)(
+    'reports file, key and expected value for %s',
+    (_name, text, expected) => {
+      expect(problemOf(text)).toContain(expected);
+    },
+  );
 });
--- a/packages/core/src/settings/daemon-settings.ts
+++ b/packages/core/src/settings/daemon-settings.ts
@@ -1,4 +1,4 @@
-/** Settings files of the daemons: TOML, checked before anything is opened. */
+/** TOML settings files of the daemons, validated before any socket or data file is opened. */
 import { readFileSync } from 'node:fs';
 import { type Either, Left, Right } from 'purify-ts';
 import { parse as parseToml } from 'smol-toml';
@@ -22,7 +22,7 @@
   port: z.int().positive().max(65_535).default(8125),
 });
 
-/** Timing shared by control and entries; all of them in milliseconds. */
+/** Timing settings shared by control and entries, in milliseconds. */
 export const timingSchema = z.strictObject({
   leaseMs: durationMs(2_000),
   driftMarginMs: durationMs(200),
@@ -37,7 +37,7 @@
   control: z.strictObject({
     id: nameSchema,
     dataFolder: z.string().min(1),
-    /** SHA-256 of the token of the operator `bootstrap`, who owns the whole tree. */
+    /** SHA-256 of the token of the operator `bootstrap`, who may change the whole tree. */
     bootstrapTokenSha256Hex: z
       .string()
       .regex(/^[0-9a-f]{64}$/, 'expected 64 lower-case hex digits'),
@@ -73,7 +73,7 @@
       probeEveryMs: durationMs(250),
       suspectAfterMs: durationMs(1_000),
       staleAnnouncementMs: durationMs(3_000),
-      /** Token that targets must present with each announcement, when set. */
+      /** If set, targets must send this token with each announcement. */
       announceToken: z.string().min(8).optional(),
     })
     .prefault({}),
@@ -100,14 +100,14 @@
 export type ControlMemberAddress = z.infer<typeof controlMemberSchema>;
 export type StatsdSettings = z.infer<typeof statsdSchema>;
 
-/** A settings file that cannot be used: which file, which key, what was expected. */
+/** An invalid settings file; each problem names the key and the expected value. */
 export interface SettingsFileError {
   readonly file: string;
   readonly problems: readonly string[];
 }
 
 /**
- * Reads and checks a settings file.
+ * Reads and validates a settings file.
  *
  * @example
  * readSettingsFile('entry.toml', entrySettingsSchema); // Right(settings) or Left(error)
@@ -119,7 +119,7 @@
   return readText(file).chain((text) => checkSettingsText(file, text, schema));
 }
 
-/** Checks the text of a settings file; `file` is only used to name it in errors. */
+/** Validates the text of a settings file; `file` is used only in error messages. */
 export function checkSettingsText<Schema extends z.ZodType>(
   file: string,
   text: string,
@@ -136,7 +136,7 @@
   return Left({ file, problems: parsed.error.issues.flatMap((issue) => describe(issue, schema)) });
 }
 
-/** Writes a settings error as the lines that the daemons print before they exit with status 2. */
+/** Formats a settings error as the lines that the daemons print before they exit with status 2. */
 export function formatSettingsError(error: SettingsFileError): string {
   return error.problems.map((problem) => `${error.file}: ${problem}`).join('\n');
 }
@@ -163,7 +163,7 @@
   });
 }
 
-/** The keys that the schema knows at `path`; optional and default wrappers are looked through. */
+/** The keys that the schema defines at `path`, inside optional and default wrappers. */
 function knownKeys(schema: z.ZodType, path: readonly string[]): string[] {
   let current: unknown = unwrap(schema);
   for (const step of path) {
--- a/packages/core/src/settings/paths.ts
+++ b/packages/core/src/settings/paths.ts
@@ -1,4 +1,4 @@
-/** The settings tree: the kinds of path it has and the schema of the value at each. */
+/** The settings tree: the supported paths and the schema of the value at each. */
 import { type Either, Left, Right } from 'purify-ts';
 import { z } from 'zod';
 import { smallestBurst } from '../admit/token-bucket.js';
@@ -8,11 +8,11 @@
 
 export const customerSchema = z
   .strictObject({
-    /** Sustained statements per second over all instances together. */
+    /** Sustained rate in statements per second, summed over all instances. */
     ratePerSecond: z.number().positive().max(10_000_000),
-    /** Statements that may come at once above the rate. */
+    /** Number of statements that may exceed the rate in a burst. */
     burst: z.int().positive().max(10_000_000),
-    /** How stale a replica read may be, in milliseconds; `null` asks for the session mark only. */
+    /** Maximum staleness of replica reads, in milliseconds; `null` requires only the session mark. */
     readAgeAllowanceMs: z.number().nonnegative().nullable().default(null),
   })
   .refine(({ ratePerSecond, burst }) => burst >= smallestBurst(ratePerSecond), {
@@ -25,9 +25,9 @@
 });
 
 export const groupSchema = z.strictObject({
-  /** `quorum`: a write is acknowledged once most servers have it; `primary`: at once. */
+  /** `quorum`: writes are acknowledged once a majority of servers has them; `primary`: immediately. */
   acknowledgement: z.enum(['quorum', 'primary']).default('quorum'),
-  /** Customer that callers without a key run as, when the route is open to all. */
+  /** Customer used for callers without a key, if the route is open to all. */
   openToAllAs: z
     .string()
     .regex(new RegExp(`^${NAME}$`))
@@ -60,7 +60,7 @@
   { form: 'operators/NAME', pattern: new RegExp(`^operators/${NAME}$`), schema: operatorSchema },
 ];
 
-/** A setting that was refused: where, and what was expected. */
+/** A rejected setting: its path and the expected value. */
 export interface SettingProblem {
   readonly path: string;
   readonly reason: string;
@@ -80,7 +80,7 @@
   return Left({ path, reason: describeIssues(parsed.error) });
 }
 
-/** Writes the first schema problem as `key: what was expected`. */
+/** Formats all schema problems as `key: message`, separated by `; `. */
 export function describeIssues(error: z.ZodError): string {
   return error.issues
     .map((issue) => {
@@ -98,7 +98,7 @@
   return `unknown path, expected one of ${forms.join(', ')}${hint}`;
 }
 
-/** Tells whether `path` lies in the subtree `prefix`, on whole path segments. */
+/** Whether `path` is in the subtree `prefix`, compared by whole path segments. */
 export function isInSubtree(path: string, prefix: string): boolean {
   if (prefix === '') return true;
   return path === prefix || path.startsWith(`${prefix}/`);
--- a/packages/core/src/shared/address.ts
+++ b/packages/core/src/shared/address.ts
@@ -6,7 +6,7 @@
 }
 
 /**
- * Splits `IP:PORT`; IPv6 addresses stand in brackets.
+ * Splits `IP:PORT`. IPv6 addresses must be in brackets.
  *
  * @example
  * splitAddress('127.0.0.1:5432'); // { host: '127.0.0.1', port: 5432 }
--- a/packages/core/src/shared/key-hash.ts
+++ b/packages/core/src/shared/key-hash.ts
@@ -1,7 +1,7 @@
-/** Hashing of callers' keys and operators' tokens: random 256-bit values, so one plain hash is enough. */
+/** Hashing of caller keys and operator tokens. They are random 256-bit values, so a plain hash suffices. */
 import { createHash, randomBytes, timingSafeEqual } from 'node:crypto';
 
-/** Returns a new random secret as 43 URL-safe characters. */
+/** Creates a random 256-bit secret, encoded as 43 URL-safe characters. */
 export function createSecret(): string {
   return randomBytes(32).toString('base64url');
 }
--- a/packages/core/src/shared/nearest-name.ts
+++ b/packages/core/src/shared/nearest-name.ts
@@ -1,9 +1,9 @@
-/** Spelling hints for unknown names. */
+/** Spelling suggestions for unknown names. */
 
 const MAX_HINT_DISTANCE = 3;
 
 /**
- * Returns the known name closest to `name`, if one is close enough to be a likely slip.
+ * Returns the known name with the smallest edit distance to `name`, if it is a likely misspelling.
  *
  * @example
  * nearestName('custmers', ['customers', 'keys']); // 'customers'
--- a/packages/core/src/types/ids.ts
+++ b/packages/core/src/types/ids.ts
@@ -1,8 +1,8 @@
-/** Branded identifiers, so that one kind of id cannot be passed where another is expected. */
+/** Branded identifier types, so that one kind of id cannot be passed as another. */
 
 declare const brand: unique symbol;
 
-/** A value of type `Value` that carries the name of its kind in the type system only. */
+/** A nominal subtype of `Value`; the brand exists only at compile time. */
 export type Branded<Value, Name extends string> = Value & { readonly [brand]: Name };
 
 export type MemberId = Branded<string, 'MemberId'>;
@@ -16,7 +16,7 @@
 export type OperationId = Branded<string, 'OperationId'>;
 
 /**
- * Each of these brands a plain value that was already validated.
+ * The functions below brand a string that was already validated; they perform no checks.
  *
  * @example
  * const group = toGroupName('bookings');
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -1,4 +1,4 @@
-/** Messages between the system's own processes, over length-framed CBOR. */
+/** Messages between processes of the proxy, encoded as length-prefixed CBOR frames. */
 import type { DocumentChange } from '../control-state/document-change.js';
 import type { RecordDelta } from '../control-state/views.js';
 import type { Intent } from '../route/choose-server.js';
@@ -11,31 +11,31 @@
 
 /** A named prepared statement that a request refers to. */
 export interface StatementDefinition {
-  /** Name on target connections: the same for the same text and parameter types. */
+  /** Name on target connections, derived from the text and the parameter types. */
   readonly name: string;
   /** The Parse message that creates it. */
   readonly parseMessage: Uint8Array;
 }
 
-/** How the answer to one message of a request is treated on its way back. */
+/** How the response to one message of a request is handled before it is returned to the caller. */
 export type ExpectedAnswer =
   | { readonly kind: 'parse'; readonly isHidden: boolean; readonly statement: string }
   | { readonly kind: 'close'; readonly isHidden: boolean; readonly statement: string };
 
-/** Messages of a caller up to a Sync, a Query or a Flush. */
+/** Messages of a caller up to and including a Sync, Query or Flush. */
 export interface RequestChunk {
   readonly messages: Uint8Array;
   /** Statements that must exist on the target connection before the messages are sent. */
   readonly statements: readonly StatementDefinition[];
-  /** ParseComplete and CloseComplete answers in order, with those to leave out. */
+  /** Expected ParseComplete and CloseComplete responses in order, including those hidden from the caller. */
   readonly expected: readonly ExpectedAnswer[];
   /** Whether the chunk ends the request (Sync or Query), so that ReadyForQuery follows. */
   readonly isFinal: boolean;
-  /** Whether running the chunk may make changes last: a write on its own, or the end of a transaction. */
+  /** Whether the chunk may commit changes: a write outside a transaction, or the end of a transaction. */
   readonly mayCommit: boolean;
 }
 
-/** A session setting that a request makes or clears when it succeeds. */
+/** A session setting that a request sets or clears if it succeeds. */
 export interface SettingEffect {
   /** `null` clears all session settings. */
   readonly name: string | null;
@@ -43,7 +43,7 @@
   readonly text: string | null;
 }
 
-/** What an entry sends to the owner of a group. */
+/** Messages from an entry to the owner of a group. */
 export type ToOwnerMessage =
   | {
       readonly kind: 'session/open';
@@ -52,7 +52,7 @@
       readonly ownerEpoch: number;
       readonly customer: CustomerName;
       readonly readAgeAllowanceMs: number | null;
-      /** The mark the caller brought along, if it did. */
+      /** The session mark supplied by the caller, if any. */
       readonly mark: LogPosition | null;
     }
   | {
@@ -61,7 +61,7 @@
       readonly number: number;
       readonly intent: Intent;
       readonly readAgeAllowanceMs: number | null;
-      /** Session settings by name, each as the SET statement that makes it. */
+      /** SET statements of the session settings, by setting name. */
       readonly settings: Readonly<Record<string, string>>;
       readonly settingEffect: SettingEffect | null;
       readonly chunk: RequestChunk;
@@ -76,7 +76,7 @@
   | { readonly kind: 'request/cancel'; readonly session: SessionId; readonly number: number }
   | { readonly kind: 'session/close'; readonly session: SessionId };
 
-/** What an owner sends back to an entry. */
+/** Messages from the owner of a group to an entry. */
 export type FromOwnerMessage =
   | {
       readonly kind: 'request/data';
@@ -90,18 +90,18 @@
       readonly number: number;
       readonly status: TransactionStatus;
       readonly mark: LogPosition;
-      /** Set when the system itself ended the request; the caller gets this as its error. */
+      /** Set if the proxy itself ended the request; returned to the caller as the error. */
       readonly refusal: Refusal | null;
-      /** Whether a replica served it. */
+      /** Whether the request was executed on a replica. */
       readonly isFromReplica: boolean;
     }
   | { readonly kind: 'session/lost'; readonly session: SessionId; readonly refusal: Refusal };
 
-/** The answer to an entry that asks what became of a request after a link broke. */
-export type RequestFate = 'not-started' | 'may-have-run';
+/** Response to a {@link RequestStatusQuery}, sent by an entry after its link to the owner broke. */
+export type RequestStatus = 'not-started' | 'may-have-run';
 
-export interface FateQuery {
-  /** The owner's epoch that the request was sent under: no other owner can know about it. */
+export interface RequestStatusQuery {
+  /** Epoch of the owner that the request was sent to; no other owner knows the request. */
   readonly ownerEpoch: number;
   readonly session: SessionId;
   readonly number: number;
@@ -116,9 +116,9 @@
   readonly linkMbps?: number | undefined;
   readonly isBesideControl?: boolean | undefined;
   readonly isStopping: boolean;
-  /** Index up to which the entry has all control records. */
+  /** Log index up to which the entry has all control records. */
   readonly knownIndex: number;
-  /** Log index of the settings document that the entry has; changes can be told against it. */
+  /** Log index of the entry's settings document, used as the base of diffs. */
   readonly documentIndex?: number | undefined;
   readonly settingsRevision: number;
 }
@@ -126,7 +126,7 @@
 export type LeaseReply =
   | {
       readonly kind: 'renewed';
-      /** Validity counted from when the entry sent its renewal. */
+      /** Validity in milliseconds, counted from when the entry sent its renewal. */
       readonly leaseMs: number;
       readonly settingsLeaseMs: number;
       readonly sinceIndex: number;
@@ -134,7 +134,7 @@
       readonly documentChange?: DocumentChangeDelta;
       readonly appliedIndex: number;
       readonly settingsRevision: number;
-      /** Link addresses of all control members, so that an entry finds those added later. */
+      /** Link addresses of all control members, so that entries discover members added later. */
       readonly memberAddresses?: readonly string[];
     }
   | { readonly kind: 'ended' }
@@ -145,7 +145,7 @@
       readonly memberAddresses?: readonly string[];
     };
 
-/** A settings document in terms of an earlier one. */
+/** A settings document, as a diff against an earlier one. */
 export interface DocumentChangeDelta {
   readonly baseIndex: number;
   readonly modifiedIndex: number;
@@ -153,30 +153,30 @@
   readonly change: DocumentChange;
 }
 
-/** Changed records, pushed by the leader to every entry that renews with it. */
+/** Changed records, pushed by the leader to every entry with a lease. */
 export interface RecordsPush {
-  /** Everything that changed after this index, up to `appliedIndex`, is among the deltas. */
+  /** The deltas contain all changes after this index, up to `appliedIndex`. */
   readonly sinceIndex: number;
   readonly deltas: readonly RecordDelta[];
-  /** Stands for the settings document among the deltas where the entry has an earlier one. */
+  /** Replaces the settings document in the deltas if the entry has an earlier version of it. */
   readonly documentChange?: DocumentChangeDelta;
   readonly appliedIndex: number;
   readonly settingsRevision: number;
 }
 
-/** A draw of rate tokens from a customer's home. */
+/** A request for rate tokens, sent to the entry that holds the customer's rate limit. */
 export interface TokenDraw {
   readonly customer: CustomerName;
   readonly epoch: number;
   readonly wanted: number;
-  /** Tokens of an earlier draw that were not spent in time. */
+  /** Tokens of an earlier grant that were not used before it expired. */
   readonly returned: number;
 }
 
 export interface TokenGrant {
   readonly granted: number;
-  /** Validity counted from when the draw was sent. */
+  /** Validity in milliseconds, counted from when the request was sent. */
   readonly lifetimeMs: number;
-  /** When to ask again if nothing, or too little, was granted. */
+  /** Delay in milliseconds before the next request if fewer tokens than wanted were granted. */
   readonly retryAfterMs: number;
 }
--- a/packages/core/src/types/outcome.test.ts
+++ b/packages/core/src/types/outcome.test.ts
@@ -14,14 +14,14 @@
 describe('refusals', () => {
   const reasons = Object.keys(REFUSAL_TABLE) as RefusalReason[];
 
-  it.each(reasons)('%s stands in the operators’ page with its SQLSTATE', (reason) => {
+  it.each(reasons)('%s is listed in OPERATIONS.md with its SQLSTATE', (reason) => {
     const row = page.split('\n').find((line) => line.startsWith(`| \`${reason}\``));
     expect(row).toContain(REFUSAL_TABLE[reason].sqlState);
   });
 
-  it.each(reasons)('the SQLSTATE of %s alone tells its outcome', (reason) => {
+  it.each(reasons)('the SQLSTATE of %s alone identifies its outcome', (reason) => {
     const { sqlState, outcome } = refuse(reason);
-    const told = OUTCOME_BY_CLASS.find(([pattern]) => pattern.test(sqlState))?.[1];
-    expect(told).toBe(outcome);
+    const outcomeOfClass = OUTCOME_BY_CLASS.find(([pattern]) => pattern.test(sqlState))?.[1];
+    expect(outcomeOfClass).toBe(outcome);
   });
 });
--- a/packages/core/src/types/outcome.ts
+++ b/packages/core/src/types/outcome.ts
@@ -1,16 +1,16 @@
-/** Outcomes that callers can tell apart by SQLSTATE alone. */
+/** Outcomes of refused or failed requests, which callers can distinguish by SQLSTATE alone. */
 
 /**
- * A refusal or failure produced by the system itself, never by a target.
+ * Outcome of a request that was refused or failed in the proxy itself, not on a target.
  *
- * - `not-run`: nothing of the request reached a target.
- * - `outcome-unknown`: the request may have run.
- * - `withdrawn`: the key was refused or withdrawn; nothing further runs.
- * - `unsupported`: the statement was refused before it reached a target.
+ * - `not-run`: no part of the request reached a target.
+ * - `outcome-unknown`: the request may have been executed.
+ * - `withdrawn`: the key was rejected or withdrawn; no further requests are executed.
+ * - `unsupported`: the statement was rejected before it was sent to a target.
  */
 export type OutcomeKind = 'not-run' | 'outcome-unknown' | 'withdrawn' | 'unsupported';
 
-/** The stable reasons, used as counter names and in the operators' page. */
+/** Stable reason codes, used as counter names and in the operations manual. */
 export type RefusalReason =
   | 'no-owner'
   | 'no-primary'
@@ -51,12 +51,14 @@
   readonly message: string;
 }
 
-/** One row per reason: the table in docs/OPERATIONS.md is checked against this one. */
+/** SQLSTATE and message by reason. A test checks that docs/OPERATIONS.md lists each reason with its SQLSTATE. */
 export const REFUSAL_TABLE: Readonly<Record<RefusalReason, RefusalTemplate>> = {
   'no-owner': notRun('57P03', 'the database group has no owner at the moment'),
   'no-primary': notRun('57P03', 'the database group has no primary at the moment'),
   'owner-lost-before-start': notRun('57P03', 'the group owner was lost before the request started'),
-  'owner-lost-after-start': unknown('the group owner was lost while the request was running'),
+  'owner-lost-after-start': unknownOutcome(
+    'the group owner was lost while the request was running',
+  ),
   'owner-stopping': notRun('57P03', 'the group owner is handing over'),
   'queue-full': notRun('53400', 'the customer has too many requests waiting'),
   'queue-timeout': notRun('53400', 'the request waited too long for a server'),
@@ -67,10 +69,12 @@
   'key-withdrawn': withdrawn('28000', 'the key was withdrawn'),
   'unknown-group': { outcome: 'not-run', sqlState: '3D000', message: 'no such database group' },
   'target-connect-failed': notRun('53300', 'no connection to the server could be opened'),
-  'target-connection-lost': unknown('the connection to the server was lost during the request'),
-  'target-silent': unknown('the server stopped answering during the request'),
-  'acknowledgement-not-covered': unknown('the write was not confirmed by a quorum in time'),
-  'acknowledgement-superseded': unknown('the primary was superseded while the write ran'),
+  'target-connection-lost': unknownOutcome(
+    'the connection to the server was lost during the request',
+  ),
+  'target-silent': unknownOutcome('the server stopped answering during the request'),
+  'acknowledgement-not-covered': unknownOutcome('the write was not confirmed by a quorum in time'),
+  'acknowledgement-superseded': unknownOutcome('the primary was superseded while the write ran'),
   'transaction-lost': notRun('57P03', 'the transaction was lost; it has been rolled back'),
   'unsupported-statement': {
     outcome: 'unsupported',
@@ -88,7 +92,7 @@
 };
 
 /**
- * Builds the refusal for a reason, with an optional hint on what to do next.
+ * Builds the refusal for a reason, with an optional hint for the caller.
  *
  * @example
  * refuse('queue-full').sqlState; // '53400'
@@ -102,7 +106,7 @@
   return { outcome: 'not-run', sqlState, message: `not run: ${message}` };
 }
 
-function unknown(message: string): RefusalTemplate {
+function unknownOutcome(message: string): RefusalTemplate {
   return { outcome: 'outcome-unknown', sqlState: '08007', message: `outcome unknown: ${message}` };
 }
 
--- a/packages/core/src/types/position.ts
+++ b/packages/core/src/types/position.ts
@@ -1,6 +1,6 @@
 /** Log positions of a database group: ordered by term first, then by offset. */
 
-/** A point in a group's replicated log. Both parts are counts without unit. */
+/** A position in the replicated log of a group. Both fields are counters without a unit. */
 export interface LogPosition {
   readonly term: number;
   readonly offset: number;
@@ -19,7 +19,7 @@
 }
 
 /**
- * Tells whether a log that ends at `position` contains everything up to `mark`.
+ * Whether a log that ends at `position` contains everything up to `mark`.
  *
  * @example
  * coversMark({ term: 1, offset: 9 }, { term: 1, offset: 9 }); // true
@@ -33,13 +33,13 @@
   return comparePositions(left, right) >= 0 ? left : right;
 }
 
-/** Writes a position as `term/offset`, the form used on the wire and in settings. */
+/** Formats a position as `term/offset`, as used on the wire and in settings. */
 export function formatPosition(position: LogPosition): string {
   return `${position.term}/${position.offset}`;
 }
 
 /**
- * Reads `term/offset`; returns `undefined` for any other text.
+ * Parses `term/offset`; returns `undefined` for any other text.
  *
  * @example
  * parsePosition('2/17'); // { term: 2, offset: 17 }
--- a/packages/core/src/types/target.ts
+++ b/packages/core/src/types/target.ts
@@ -1,4 +1,4 @@
-/** What targets announce about themselves, and the commands the system gives them. */
+/** Announcements sent by targets, and commands sent to targets. */
 import { z } from 'zod';
 import type { GroupName, Incarnation, ServerName } from './ids.js';
 import type { LogPosition } from './position.js';
@@ -9,7 +9,7 @@
   offset: z.int().nonnegative(),
 });
 
-/** The JSON body of an announcement, as sent by a target over HTTP. */
+/** JSON body of an announcement that a target sends over HTTP. */
 export const announcementSchema = z.strictObject({
   group: nameSchema.transform((value) => value as GroupName),
   server: nameSchema.transform((value) => value as ServerName),
@@ -23,7 +23,7 @@
   commandUrl: z.url({ protocol: /^http$/ }),
   zone: z.string().min(1).max(64),
   role: z.enum(['primary', 'replica']),
-  /** The term whose primary this server is, or follows. */
+  /** Term of the primary that this server is or follows. */
   term: z.int().nonnegative(),
   position: positionSchema,
   slots: z.int().positive().max(10_000),
@@ -33,7 +33,7 @@
 
 export type Announcement = z.infer<typeof announcementSchema>;
 
-/** The answer of a target to a fence command. */
+/** Response of a target to a fence command. */
 export const fenceAnswerSchema = z.object({
   promisedTerm: z.int().nonnegative(),
   position: positionSchema,
@@ -45,7 +45,7 @@
   | { readonly kind: 'promote'; readonly term: number }
   | { readonly kind: 'follow'; readonly term: number; readonly primaryCommandUrl: string };
 
-/** A target's promise to take nothing below `promisedTerm`, with the end of its log. */
+/** A target's promise to reject all terms below `promisedTerm`, with the end of its log. */
 export interface FencePromise {
   readonly server: ServerName;
   readonly promisedTerm: number;
--- a/packages/entry-shared/src/control/record-pushes.test.ts
+++ b/packages/entry-shared/src/control/record-pushes.test.ts
@@ -1,8 +1,8 @@
 import {
   applyCommand,
-  createDocumentMemory,
+  createDocumentCache,
   createPush,
-  type DocumentMemory,
+  type DocumentCache,
   type ControlState,
   createControlState,
   documentOf,
@@ -17,7 +17,7 @@
 
 describe('pushes of settings documents', () => {
   let control: ControlState;
-  let memory: DocumentMemory;
+  let memory: DocumentCache;
   let index: number;
   const copy = createRecordCopy();
 
@@ -40,7 +40,7 @@
     copy.records.clear();
     copy.knownIndex = 0;
     put(1);
-    memory = createDocumentMemory(control);
+    memory = createDocumentCache(control);
     applyPush(copy, push());
   });
 
@@ -70,7 +70,7 @@
 
   it('are whole for an entry whose document is not remembered, as under a new leader', () => {
     put(2);
-    memory = createDocumentMemory(control);
+    memory = createDocumentCache(control);
     const sent = push();
     expect(sent.documentChange).toBeUndefined();
     applyPush(copy, sent);
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -1,7 +1,7 @@
 /** Events and requests that an entry takes from other entries, registered by name. */
 import type {
   Announcement,
-  FateQuery,
+  RequestStatusQuery,
   FromOwnerMessage,
   GroupName,
   SessionId,
@@ -65,7 +65,7 @@
 
 const REQUEST_HANDLERS: Readonly<Record<string, RequestHandler>> = {
   'request/fate': (app, params) => {
-    const { group, query } = params as { group: GroupName; query: FateQuery };
+    const { group, query } = params as { group: GroupName; query: RequestStatusQuery };
     return answerFateQuery(app.owners, group, query);
   },
   'rate/draw': (app, params) => answerDrawCode(app.draws, params as DrawCode),
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -3,10 +3,10 @@
 import {
   type Assignment,
   assignmentOf,
-  type FateQuery,
+  type RequestStatusQuery,
   type GroupName,
   type Incarnation,
-  type RequestFate,
+  type RequestStatus,
   type Resource,
   type SessionId,
   type StoredRecord,
@@ -28,7 +28,7 @@
   /** Whether this entry acts as the group's owner under that epoch. */
   readonly ownsLocally: (group: GroupName, epoch: number) => boolean;
   readonly sendLocally: (group: GroupName, epoch: number, message: ToOwnerMessage) => void;
-  readonly askLocalFate: (group: GroupName, query: FateQuery) => RequestFate;
+  readonly askLocalFate: (group: GroupName, query: RequestStatusQuery) => RequestStatus;
   readonly requestResource: (resource: Resource) => void;
   readonly reportSuspect: (incarnation: Incarnation, linkAddress: string) => void;
   readonly onPortLost: (port: OwnerPort) => void;
@@ -231,7 +231,7 @@
     }
   }
 
-  async function askFate(lost: OwnerPort, query: FateQuery): Promise<RequestFate> {
+  async function askFate(lost: OwnerPort, query: RequestStatusQuery): Promise<RequestStatus> {
     const { group, linkAddress, isLocal, running } = lost as KnownPort;
     if (running && !running.includes(query.session)) return 'not-started';
     if (isLocal) return options.askLocalFate(group, query);
@@ -241,7 +241,7 @@
       if (peer) {
         const params = { group, query };
         const answer = await peer.request('request/fate', params, FATE_TIMEOUT_MS);
-        return answer.map((fate) => fate as RequestFate).orDefault('may-have-run');
+        return answer.map((fate) => fate as RequestStatus).orDefault('may-have-run');
       }
       if ((refusedAtMs.get(linkAddress) ?? 0) >= startedAtMs) return 'may-have-run';
       await delay(FATE_POLL_MS);
--- a/packages/entry/src/locate/owner-port.ts
+++ b/packages/entry/src/locate/owner-port.ts
@@ -1,5 +1,10 @@
 /** The way from a caller's session to the owner of its group, in this process or over a link. */
-import type { FateQuery, GroupName, RequestFate, ToOwnerMessage } from '@bramleykeel/core';
+import type {
+  RequestStatusQuery,
+  GroupName,
+  RequestStatus,
+  ToOwnerMessage,
+} from '@bramleykeel/core';
 
 export interface OwnerPort {
   readonly group: GroupName;
@@ -17,5 +22,5 @@
   /** Waits for an owner, `timeoutMs` at most. */
   readonly await: (group: GroupName, timeoutMs: number) => Promise<OwnerPort | undefined>;
   /** Asks what became of a request after its port was lost. */
-  readonly askFate: (lost: OwnerPort, query: FateQuery) => Promise<RequestFate>;
+  readonly askFate: (lost: OwnerPort, query: RequestStatusQuery) => Promise<RequestStatus>;
 }
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -1,10 +1,10 @@
 /** What an owner does with the messages of entries. */
 import {
-  type FateQuery,
+  type RequestStatusQuery,
   latestPosition,
   refuse,
   removeWaiting,
-  type RequestFate,
+  type RequestStatus,
   type SessionId,
   type ToOwnerMessage,
   ZERO_POSITION,
@@ -166,7 +166,7 @@
  * Says what became of a request whose link broke. `not-started` is a promise: the session is revoked,
  * so nothing of it that should still arrive is run.
  */
-export function answerFate(owner: GroupOwner, query: FateQuery): RequestFate {
+export function answerFate(owner: GroupOwner, query: RequestStatusQuery): RequestStatus {
   owner.revoked.set(query.session, performance.now());
   closeSession(owner, query.session);
   const touched = owner.touched.get(query.session);
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -3,12 +3,12 @@
 import {
   type Announcement,
   toGroupName,
-  type FateQuery,
+  type RequestStatusQuery,
   type GroupName,
   groupRecordOf,
   groupSetting,
   listAssignments,
-  type RequestFate,
+  type RequestStatus,
   type SessionId,
   type ToOwnerMessage,
   type ApplyResult,
@@ -147,8 +147,8 @@
 export function answerFateQuery(
   registry: OwnerRegistry,
   group: GroupName,
-  query: FateQuery,
-): RequestFate {
+  query: RequestStatusQuery,
+): RequestStatus {
   const candidates = [registry.owners.get(group), ...registry.closedOwners];
   const owner = candidates.find(
     (candidate) => candidate?.group === group && candidate.epoch === query.ownerEpoch,
