--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -3,7 +3,7 @@
   assignmentOf,
   createDocumentCache,
   createEntryLeases,
-  createPush,
+  createRecordsPush,
   DOCUMENT_KEY,
   type DocumentCache,
   endExpiredLeases,
@@ -151,7 +151,10 @@
   service: LeaderService,
   { knownIndex, documentIndex }: Pick<LeaseRenewal, 'knownIndex' | 'documentIndex'>,
 ): RecordsPush {
-  return createPush(service.documents, service.driver.control(), { knownIndex, documentIndex });
+  return createRecordsPush(service.documents, service.driver.control(), {
+    knownIndex,
+    documentIndex,
+  });
 }
 
 /** What an entry has once it has taken in everything up to `knownIndex`. */
--- a/packages/core/src/control-log/election-time.test.ts
+++ b/packages/core/src/control-log/election-time.test.ts
@@ -82,7 +82,7 @@
     return found?.[0];
   }
 
-  /** Advances the time until there is a leader, by at most `forMs`. Returns the elapsed time in milliseconds. */
+  /** Runs until there is a leader, for at most `forMs`. Returns the elapsed time in milliseconds. */
   function runUntilLeader(forMs: number): number {
     const startMs = nowMs;
     run(startMs + forMs, () => leader() !== undefined);
@@ -161,7 +161,7 @@
 });
 
 describe('the time without a leader', () => {
-  // An entry lease lasts 1,050 ms and the last renewal may be 380 ms old, which leaves 670 ms for an election.
+  // An entry lease lasts 1,050 ms and its last renewal may be 380 ms old: 670 ms remain for an election.
   it.each([
     { additionalLosses: 0, maxMs: 450 },
     { additionalLosses: 1, maxMs: 600 },
--- a/packages/core/src/control-log/raft-harness.test-support.ts
+++ b/packages/core/src/control-log/raft-harness.test-support.ts
@@ -204,7 +204,10 @@
   member.disk.entries = member.disk.entries.filter((entry) => entry.index > index);
 }
 
-/** Delivers the oldest message, or drops it if its link is cut or its receiver is down. Returns whether there was one. */
+/**
+ * Delivers the oldest message, or drops it if its link is cut or its receiver is down. Returns whether
+ * there was a message.
+ */
 export function deliverNext(harness: Harness): boolean {
   const envelope = harness.network.shift();
   if (!envelope) return false;
--- a/packages/core/src/control-state/control-state.test.ts
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -50,7 +50,7 @@
 }
 
 describe('settings', () => {
-  it('accepts one of two changes with the same base revision and returns the current values to the other', () => {
+  it('accepts one of two changes with the same base revision and returns the conflict to the other', () => {
     const state = stateWithCustomer();
     const slower = { ...RATE, ratePerSecond: 10 };
     const faster = { ...RATE, ratePerSecond: 300 };
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -64,7 +64,7 @@
   return match(command)
     .returnType<ApplyResult>()
     .with({ kind: 'settings/apply' }, (apply) => applySettingsOnce(state, index, apply))
-    .with({ kind: 'document/put' }, (put) => applyDocument(state, index, put))
+    .with({ kind: 'document/put' }, (put) => applyDocumentPut(state, index, put))
     .with({ kind: 'owner/assign' }, (assign) => applyAssignment(state, index, assign))
     .with({ kind: 'group/observe' }, ({ group, server }) => {
       const record = groupRecordOf(state, group);
@@ -202,7 +202,7 @@
 }
 
 /** A document that is not newer than the current one is accepted without any change. */
-function applyDocument(
+function applyDocumentPut(
   state: ControlState,
   index: number,
   { document }: CommandOf<'document/put'>,
--- a/packages/core/src/control-state/record-pushes.ts
+++ b/packages/core/src/control-state/record-pushes.ts
@@ -31,7 +31,7 @@
 }
 
 /** Builds the update for an entry that holds `known`. */
-export function createPush(
+export function createRecordsPush(
   cache: DocumentCache,
   control: ControlState,
   known: KnownRecords,
--- a/packages/core/src/settings/daemon-settings.ts
+++ b/packages/core/src/settings/daemon-settings.ts
@@ -133,7 +133,10 @@
   }
   const parsed = schema.safeParse(tree);
   if (parsed.success) return Right(parsed.data);
-  return Left({ file, problems: parsed.error.issues.flatMap((issue) => describe(issue, schema)) });
+  return Left({
+    file,
+    problems: parsed.error.issues.flatMap((issue) => describeIssue(issue, schema)),
+  });
 }
 
 /** Formats a settings error as the lines that the daemons print before they exit with status 2. */
@@ -150,7 +153,7 @@
   }
 }
 
-function describe(issue: z.core.$ZodIssue, schema: z.ZodType): string[] {
+function describeIssue(issue: z.core.$ZodIssue, schema: z.ZodType): string[] {
   const path = issue.path.map(String);
   if (issue.code !== 'unrecognized_keys') {
     return [`${path.join('.') || '(top level)'}: ${issue.message}`];
@@ -165,15 +168,15 @@
 
 /** The keys that the schema defines at `path`, inside optional and default wrappers. */
 function knownKeys(schema: z.ZodType, path: readonly string[]): string[] {
-  let current: unknown = unwrap(schema);
+  let current: unknown = unwrapSchema(schema);
   for (const step of path) {
-    if (current instanceof z.ZodObject) current = unwrap(current.shape[step]);
-    else if (current instanceof z.ZodArray) current = unwrap(current.element);
+    if (current instanceof z.ZodObject) current = unwrapSchema(current.shape[step]);
+    else if (current instanceof z.ZodArray) current = unwrapSchema(current.element);
   }
   return current instanceof z.ZodObject ? Object.keys(current.shape) : [];
 }
 
-function unwrap(schema: unknown): unknown {
+function unwrapSchema(schema: unknown): unknown {
   let current = schema;
   while (
     current instanceof z.ZodDefault ||
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -165,7 +165,7 @@
 }
 
 /** A request for rate tokens, sent to the entry that holds the customer's rate limit. */
-export interface TokenDraw {
+export interface TokenRequest {
   readonly customer: CustomerName;
   readonly epoch: number;
   readonly wanted: number;
--- a/packages/core/src/types/outcome.ts
+++ b/packages/core/src/types/outcome.ts
@@ -51,7 +51,7 @@
   readonly message: string;
 }
 
-/** SQLSTATE and message by reason. A test checks that docs/OPERATIONS.md lists each reason with its SQLSTATE. */
+/** Refusals by reason. A test checks that docs/OPERATIONS.md lists each reason with its SQLSTATE. */
 export const REFUSAL_TABLE: Readonly<Record<RefusalReason, RefusalTemplate>> = {
   'no-owner': notRun('57P03', 'the database group has no owner at the moment'),
   'no-primary': notRun('57P03', 'the database group has no primary at the moment'),
--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -4,7 +4,7 @@
   type CustomerName,
   type Refusal,
   refuse,
-  type TokenDraw,
+  type TokenRequest,
   type TokenGrant,
 } from '@bramleykeel/core';
 
@@ -14,7 +14,7 @@
   /** How long a request waits while the home cannot be reached. */
   readonly homeWaitMs: number;
   /** Sends a draw to the customer's home; `undefined` when it cannot be reached now. */
-  readonly draw: (draw: Omit<TokenDraw, 'epoch'>) => Promise<TokenGrant | undefined>;
+  readonly draw: (draw: Omit<TokenRequest, 'epoch'>) => Promise<TokenGrant | undefined>;
 }
 
 interface Waiter {
--- a/packages/entry-shared/src/admit/rate-draw.ts
+++ b/packages/entry-shared/src/admit/rate-draw.ts
@@ -4,7 +4,7 @@
   type CustomerName,
   type RateLimit,
   type Resource,
-  type TokenDraw,
+  type TokenRequest,
   type TokenGrant,
 } from '@bramleykeel/core';
 import type { ControlClient } from '../control/control-client.js';
@@ -24,7 +24,10 @@
 const DRAW_TIMEOUT_MS = 300;
 
 /** Answers a draw, if this entry is the customer's home. */
-export function answerDrawHere(draws: RateDraws, draw: TokenDraw): Promise<TokenGrant | undefined> {
+export function answerDrawHere(
+  draws: RateDraws,
+  draw: TokenRequest,
+): Promise<TokenGrant | undefined> {
   const setting = draws.limitOf(draw.customer);
   const heldEpoch = draws.control.heldEpoch(`customer/${draw.customer}`);
   return answerDraw(draws.homes, draw, setting, heldEpoch);
@@ -33,7 +36,7 @@
 /** Draws tokens from the customer's home; `undefined` when it cannot be reached now. */
 export async function drawFromHome(
   draws: RateDraws,
-  draw: Omit<TokenDraw, 'epoch'>,
+  draw: Omit<TokenRequest, 'epoch'>,
 ): Promise<TokenGrant | undefined> {
   const resource: Resource = `customer/${draw.customer}`;
   const assignment = assignmentOf(draws.control, resource);
@@ -41,7 +44,7 @@
     draws.requestResource(resource, undefined);
     return undefined;
   }
-  const request: TokenDraw = { ...draw, epoch: assignment.epoch };
+  const request: TokenRequest = { ...draw, epoch: assignment.epoch };
   if (assignment.incarnation === draws.control.incarnation()) return answerDrawHere(draws, request);
   const peer = draws.linkTo(assignment.linkAddress);
   if (!peer) return undefined;
@@ -65,7 +68,7 @@
   return [grant.granted, Math.floor(grant.lifetimeMs), Math.ceil(grant.retryAfterMs)];
 }
 
-function encodeDraw({ customer, epoch, wanted, returned }: TokenDraw): DrawCode {
+function encodeDraw({ customer, epoch, wanted, returned }: TokenRequest): DrawCode {
   return [customer, epoch, wanted, returned];
 }
 
--- a/packages/entry-shared/src/admit/rate-home.ts
+++ b/packages/entry-shared/src/admit/rate-home.ts
@@ -8,7 +8,7 @@
   type RateLimit,
   returnTokens,
   type TokenBucket,
-  type TokenDraw,
+  type TokenRequest,
   type TokenGrant,
   waitForTokensMs,
 } from '@bramleykeel/core';
@@ -50,7 +50,7 @@
  */
 export async function answerDraw(
   homes: RateHomes,
-  draw: TokenDraw,
+  draw: TokenRequest,
   limit: RateLimit | undefined,
   heldEpoch: number | undefined,
 ): Promise<TokenGrant | undefined> {
--- a/packages/entry-shared/src/control/record-pushes.test.ts
+++ b/packages/entry-shared/src/control/record-pushes.test.ts
@@ -1,7 +1,7 @@
 import {
   applyCommand,
   createDocumentCache,
-  createPush,
+  createRecordsPush,
   type DocumentCache,
   type ControlState,
   createControlState,
@@ -30,7 +30,7 @@
   /** What an entry with the copy is sent now. */
   const push = () => {
     const known = { knownIndex: copy.knownIndex, documentIndex: documentIndexOf(copy) };
-    return createPush(memory, control, known);
+    return createRecordsPush(memory, control, known);
   };
   const textHeld = () => unpackDocument(documentOf(copy)?.body ?? new Uint8Array());
 
@@ -59,7 +59,7 @@
     put(2);
     push();
     put(3);
-    const afterLost = createPush(memory, control, { knownIndex: 2, documentIndex: 2 });
+    const afterLost = createRecordsPush(memory, control, { knownIndex: 2, documentIndex: 2 });
     expect(applyPush(copy, afterLost)).toEqual([]);
     expect(copy.knownIndex).toBe(1);
     expect(textHeld()).toBe(textOf(1));
