--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -1,11 +1,11 @@
 /** Tasks of the control leader: leases, assignments, and pushing records to entries. */
 import {
   assignmentOf,
-  createDocumentMemory,
+  createDocumentCache,
   createEntryLeases,
-  createPush,
+  createRecordsPush,
   DOCUMENT_KEY,
-  type DocumentMemory,
+  type DocumentCache,
   endExpiredLeases,
   endIncarnation,
   endPredecessors,
@@ -21,7 +21,7 @@
   type RecordsPush,
   renewLease,
   type Resource,
-  takeOrphans,
+  endExpiredHolders,
   type TimingSettings,
 } from '@bramleykeel/core';
 import type { LinkPeer, Log } from '@bramleykeel/link';
@@ -37,7 +37,7 @@
   /** Preferred zones of resources, as requested by entries. */
   readonly preferredZones: Map<Resource, string>;
   readonly subscribers: Map<LinkPeer, RecordSubscriber>;
-  readonly documents: DocumentMemory;
+  readonly documents: DocumentCache;
   readonly pendingRenewals: PendingRenewal[];
   readonly pendingConfirmations: PendingConfirmation[];
   readonly resourcesBeingAssigned: Set<Resource>;
@@ -81,7 +81,7 @@
     log,
     preferredZones: new Map(),
     subscribers: new Map(),
-    documents: createDocumentMemory(driver.control()),
+    documents: createDocumentCache(driver.control()),
     pendingRenewals: [],
     pendingConfirmations: [],
     resourcesBeingAssigned: new Set(),
@@ -142,7 +142,7 @@
   const { incarnation, settingsRevision } = renewal;
   service.lastRenewals.set(incarnation, { atMs: nowMs, settingsRevision });
   // Earlier replies may have been lost, so only the indexes reported by the entry are relied on.
-  const push = createRecordsPush(service, renewal);
+  const push = createSubscriberPush(service, renewal);
   service.subscribers.set(peer, { incarnation, ...knownRecordsAfter(service, push.appliedIndex) });
   const { leaseMs, settingsLeaseMs } = service.timing;
   const memberAddresses = Object.values(membershipOf(service.driver.raft)).map(
@@ -151,11 +151,14 @@
   return { kind: 'renewed', leaseMs, settingsLeaseMs, memberAddresses, ...push };
 }
 
-function createRecordsPush(
+function createSubscriberPush(
   service: LeaderService,
   { knownIndex, documentIndex }: Pick<LeaseRenewal, 'knownIndex' | 'documentIndex'>,
 ): RecordsPush {
-  return createPush(service.documents, service.driver.control(), { knownIndex, documentIndex });
+  return createRecordsPush(service.documents, service.driver.control(), {
+    knownIndex,
+    documentIndex,
+  });
 }
 
 /** The records that an entry knows once it has applied everything up to `knownIndex`. */
@@ -175,7 +178,7 @@
 }
 
 function pushRecords(service: LeaderService, peer: LinkPeer, subscriber: RecordSubscriber): void {
-  const push = createRecordsPush(service, subscriber);
+  const push = createSubscriberPush(service, subscriber);
   Object.assign(subscriber, knownRecordsAfter(service, push.appliedIndex));
   if (push.deltas.length > 0 || push.documentChange) peer.notify('records/push', push);
 }
@@ -187,7 +190,7 @@
     service.log('entry lease expired', { incarnation });
   }
   const assignments = listAssignments(service.driver.control());
-  const orphans = takeOrphans(service.leases, assignments, nowMs);
+  const orphans = endExpiredHolders(service.leases, assignments, nowMs);
   const released = assignments.filter(
     ({ resource, epoch }) => service.releasedEpochs.get(resource) === epoch,
   );
--- a/packages/entry-shared/src/control/record-pushes.test.ts
+++ b/packages/entry-shared/src/control/record-pushes.test.ts
@@ -1,8 +1,8 @@
 import {
   applyCommand,
-  createDocumentMemory,
-  createPush,
-  type DocumentMemory,
+  createDocumentCache,
+  createRecordsPush,
+  type DocumentCache,
   type ControlState,
   createControlState,
   documentOf,
@@ -17,7 +17,7 @@
 
 describe('pushes of settings documents', () => {
   let control: ControlState;
-  let memory: DocumentMemory;
+  let memory: DocumentCache;
   let index: number;
   const copy = createRecordCopy();
 
@@ -30,7 +30,7 @@
   /** What an entry with the copy is sent now. */
   const push = () => {
     const known = { knownIndex: copy.knownIndex, documentIndex: documentIndexOf(copy) };
-    return createPush(memory, control, known);
+    return createRecordsPush(memory, control, known);
   };
   const textHeld = () => unpackDocument(documentOf(copy)?.body ?? new Uint8Array());
 
@@ -40,7 +40,7 @@
     copy.records.clear();
     copy.knownIndex = 0;
     put(1);
-    memory = createDocumentMemory(control);
+    memory = createDocumentCache(control);
     applyPush(copy, push());
   });
 
@@ -59,7 +59,7 @@
     put(2);
     push();
     put(3);
-    const afterLost = createPush(memory, control, { knownIndex: 2, documentIndex: 2 });
+    const afterLost = createRecordsPush(memory, control, { knownIndex: 2, documentIndex: 2 });
     expect(applyPush(copy, afterLost)).toEqual([]);
     expect(copy.knownIndex).toBe(1);
     expect(textHeld()).toBe(textOf(1));
@@ -70,7 +70,7 @@
 
   it('are whole for an entry whose document is not remembered, as under a new leader', () => {
     put(2);
-    memory = createDocumentMemory(control);
+    memory = createDocumentCache(control);
     const sent = push();
     expect(sent.documentChange).toBeUndefined();
     applyPush(copy, sent);
