--- a/packages/core/src/admit/token-bucket.test.ts
+++ b/packages/core/src/admit/token-bucket.test.ts
@@ -14,7 +14,7 @@
 } from './token-bucket.js';
 
 describe('token bucket', () => {
-  it('never grants more than it holds, and tells when there is more', () => {
+  it('never grants more than it holds, and returns the wait for more', () => {
     const limit = { ratePerSecond: 100, burst: 100 };
     const bucket = createFullBucket(limit, 0);
     expect(drawTokens(bucket, limit, 1_000, 0)).toBe(Math.floor(bucketCapacity(limit)));
@@ -37,8 +37,8 @@
     }
   });
 
-  /** Several entries draw, hold on to tokens and spend them up to the last moment; homes come and go. */
-  it('keeps every window of every interleaving within burst plus rate', () => {
+  /** Random sequences of draws, returns and late spending, with changes of the home in between. */
+  it('keeps the tokens spent in any window within burst plus rate times window', () => {
     const limitArbitrary = fc
       .record({
         ratePerSecond: fc.integer({ min: 1, max: 2_000 }),
@@ -96,7 +96,7 @@
   return spent.sort((left, right) => left.atMs - right.atMs);
 }
 
-/** By how much the worst window goes above burst plus rate times window. */
+/** The largest excess of any window over burst plus rate times window, in tokens. */
 function worstExcess(limit: RateLimit, spent: readonly Spending[]): number {
   let worst = Number.NEGATIVE_INFINITY;
   for (let first = 0; first < spent.length; first += 1) {
--- a/packages/core/src/admit/token-bucket.ts
+++ b/packages/core/src/admit/token-bucket.ts
@@ -1,11 +1,11 @@
-/** The token bucket of one customer, kept at the customer's home. */
+/** Token bucket for a customer's rate limit, kept by the one entry that is the customer's home. */
 
 export interface RateLimit {
-  /** Tokens that flow in, per second. */
+  /** Tokens added per second. */
   readonly ratePerSecond: number;
-  /** Tokens that may be spent at once after a quiet time. */
+  /** Maximum number of tokens that may be spent at once after an idle period. */
   readonly burst: number;
-  /** Tokens that a home starts with when it follows on another; none unless the users' rule has room. */
+  /** Tokens that a new home starts with; default 0. More needs a rate rule that tolerates the excess. */
   readonly afterMove?: number;
 }
 
@@ -14,22 +14,22 @@
   updatedAtMs: number;
 }
 
-/** The longest time an entry may hold on to drawn tokens, in milliseconds. */
+/** The longest time for which an entry may keep drawn tokens, in milliseconds. */
 export const MAX_GRANT_LIFETIME_MS = 250;
 
 /** The smallest burst of any customer, in tokens. */
 const MIN_BURST = 2;
-/** The smallest burst as a time at the customer's rate, in seconds: tokens must outlive their way. */
+/** The smallest burst, as seconds at the customer's rate; tokens must not expire in transit. */
 const MIN_BURST_SECONDS = 0.1;
 
-/** The smallest burst that a customer of this rate may have: with less, tokens would expire underway. */
+/** The smallest burst allowed at this rate, in tokens; with less, tokens would expire in transit. */
 export function smallestBurst(ratePerSecond: number): number {
   return Math.max(MIN_BURST, Math.ceil(ratePerSecond * MIN_BURST_SECONDS) + 1);
 }
 
 /**
- * How long drawn tokens stay valid at an entry. Short enough that what flows in meanwhile is at most
- * half of what the burst is above one: the bucket is made smaller by that amount.
+ * How long drawn tokens stay valid at an entry, in milliseconds. Limited so that the refill during
+ * this time is at most half of `burst - 1`, because {@link bucketCapacity} is reduced by that refill.
  */
 export function grantLifetimeMs(limit: RateLimit): number {
   const halfBurstMs = ((limit.burst - 1) / (2 * limit.ratePerSecond)) * 1000;
@@ -37,24 +37,24 @@
 }
 
 /**
- * Size of the bucket at the home. Tokens may be spent up to one grant lifetime after they were
- * drawn, so the size is reduced by what flows in during that time: over any window, what is spent
- * stays within burst plus rate times window.
+ * Capacity of the bucket at the home, in tokens. Tokens may be spent up to one grant lifetime after
+ * they were drawn, so the capacity is reduced by the refill during that time. This keeps the tokens
+ * spent in any window within burst plus rate times window.
  */
 export function bucketCapacity(limit: RateLimit): number {
   return limit.burst - (limit.ratePerSecond * grantLifetimeMs(limit)) / 1000;
 }
 
 /**
- * A bucket of a home that follows on another: what that one has granted is not known, so it is taken to
- * be the whole burst.
+ * Creates the bucket of a home that takes over from another. The tokens granted by the previous home
+ * are unknown, so the whole burst is assumed spent and the bucket starts with `afterMove` tokens.
  */
 export function createMovedBucket(limit: RateLimit, nowMs: number): TokenBucket {
   const tokens = Math.min(limit.afterMove ?? 0, bucketCapacity(limit));
   return { tokens, updatedAtMs: nowMs };
 }
 
-/** A bucket that starts full, for a customer that has never been served before. */
+/** Creates a full bucket, for a customer that has not been served before. */
 export function createFullBucket(limit: RateLimit, nowMs: number): TokenBucket {
   return { tokens: bucketCapacity(limit), updatedAtMs: nowMs };
 }
@@ -77,7 +77,7 @@
   return taken;
 }
 
-/** Puts tokens back that an entry did not spend before they expired. */
+/** Returns tokens to the bucket that an entry did not spend before they expired. */
 export function returnTokens(
   bucket: TokenBucket,
   limit: RateLimit,
@@ -88,7 +88,7 @@
   bucket.tokens = Math.min(bucketCapacity(limit), bucket.tokens + count);
 }
 
-/** Milliseconds until `wanted` tokens are there; zero when they are there now. */
+/** Milliseconds until `wanted` tokens are available; zero if they already are. */
 export function waitForTokensMs(
   bucket: TokenBucket,
   limit: RateLimit,
--- a/packages/core/src/confirm/quorum-cover.test.ts
+++ b/packages/core/src/confirm/quorum-cover.test.ts
@@ -14,7 +14,7 @@
   for (const [name, { term, offset, follows }] of Object.entries(positions)) {
     const server = toServerName(name);
     const announcement = { term: follows ?? 3, position: { term, offset } } as Announcement;
-    view.servers.set(server, { server, announcement, heardAtMs: 0, currentAtMs: 0 });
+    view.servers.set(server, { server, announcement, heardAtMs: 0, upToDateAtMs: 0 });
   }
   return {
     view,
@@ -48,16 +48,16 @@
       'wait',
     ],
     ['a server that is no member', contextOf({ x: { term: 3, offset: 50 } }), WRITE, 'wait'],
-    ['the time is up', contextOf({}, { nowMs: 100 }), WRITE, 'not-covered'],
+    ['the deadline has passed', contextOf({}, { nowMs: 100 }), WRITE, 'not-covered'],
     [
-      'the lease is over although it is covered',
+      'a quorum has it, but the lease has expired',
       contextOf(COVERED, { holdsLease: false }),
       WRITE,
       'superseded',
     ],
     ['a newer term was proposed', contextOf(COVERED, { highestTerm: 4 }), WRITE, 'superseded'],
     [
-      'the group has moved on',
+      'the group is in a newer term',
       contextOf(COVERED, { term: 4, highestTerm: 4 }),
       WRITE,
       'superseded',
@@ -69,13 +69,13 @@
       'superseded',
     ],
     [
-      'the group asks for the primary only',
+      'the group does not require a quorum',
       contextOf({}),
       { ...WRITE, needsQuorum: false },
       'acknowledge',
     ],
     [
-      'the primary only, but the lease is over',
+      'no quorum is required, but the lease has expired',
       contextOf({}, { holdsLease: false }),
       { ...WRITE, needsQuorum: false },
       'superseded',
--- a/packages/core/src/confirm/quorum-cover.ts
+++ b/packages/core/src/confirm/quorum-cover.ts
@@ -1,9 +1,9 @@
-/** Quorum cover of writes: a write is acknowledged once most servers of its group hold it. */
+/** Quorum acknowledgement: a write is acknowledged once a majority of the group's servers have it. */
 import type { GroupView } from '../route/server-view.js';
 import type { ServerName } from '../types/ids.js';
 import { coversMark, type LogPosition } from '../types/position.js';
 
-export interface CoverContext {
+export interface QuorumContext {
   readonly view: GroupView;
   /** All servers of the group that control has recorded, reachable or not. */
   readonly members: readonly ServerName[];
@@ -11,19 +11,19 @@
   readonly term: number;
 }
 
-/** Number of servers that must hold a write. */
-export function coverQuorum(memberCount: number): number {
+/** Number of servers that must have a write before it is acknowledged. */
+export function writeQuorumSize(memberCount: number): number {
   return Math.floor(memberCount / 2) + 1;
 }
 
 /**
- * Tells whether a write that ended at `mark` is held by a quorum. The primary counts through its own
- * answer; a replica counts through what it announced in the same term.
+ * Returns whether a quorum has the write that ended at `mark`. The primary always counts because it
+ * answered the write; a replica counts if it announced a covering position in the same term.
  *
  * @example
  * isCovered({ term: 1, offset: 7 }, context);
  */
-export function isCovered(mark: LogPosition, context: CoverContext): boolean {
+export function isHeldByQuorum(mark: LogPosition, context: QuorumContext): boolean {
   let holders = 1;
   for (const member of context.members) {
     if (member === context.primary) continue;
@@ -31,10 +31,10 @@
     if (announcement?.term !== context.term) continue;
     if (coversMark(announcement.position, mark)) holders += 1;
   }
-  return holders >= coverQuorum(context.members.length);
+  return holders >= writeQuorumSize(context.members.length);
 }
 
-export type ConfirmVerdict = 'acknowledge' | 'wait' | 'superseded' | 'not-covered';
+export type ConfirmDecision = 'acknowledge' | 'wait' | 'superseded' | 'not-covered';
 
 export interface PendingWrite {
   readonly mark: LogPosition;
@@ -43,21 +43,22 @@
   readonly needsQuorum: boolean;
 }
 
-export interface ConfirmContext extends CoverContext {
+export interface ConfirmContext extends QuorumContext {
   readonly nowMs: number;
   readonly holdsLease: boolean;
-  /** The highest term that control or a target is known to have moved to. */
+  /** The highest term known from control or from a target. */
   readonly highestTerm: number;
 }
 
 /**
- * Decides on the acknowledgement of a write whose answer has come: only under a lease that still
- * holds now, in the term the write ran in, and with the cover that the group's settings ask for.
+ * Decides whether a write that the primary has answered may be acknowledged to the caller. This
+ * requires a lease that is still valid, the term in which the write ran, and a quorum if the group's
+ * settings ask for one.
  */
-export function confirmWrite(write: PendingWrite, context: ConfirmContext): ConfirmVerdict {
+export function confirmWrite(write: PendingWrite, context: ConfirmContext): ConfirmDecision {
   if (!context.holdsLease) return 'superseded';
   if (context.term !== write.term || context.highestTerm > write.term) return 'superseded';
   if (write.mark.term !== write.term) return 'superseded';
-  if (!write.needsQuorum || isCovered(write.mark, context)) return 'acknowledge';
+  if (!write.needsQuorum || isHeldByQuorum(write.mark, context)) return 'acknowledge';
   return context.nowMs >= write.deadlineMs ? 'not-covered' : 'wait';
 }
--- a/packages/core/src/failover/failover.test.ts
+++ b/packages/core/src/failover/failover.test.ts
@@ -14,8 +14,8 @@
   drainTimeoutMs: 3_000,
 };
 
-/** A group of three servers in term 1 whose owner is under test. */
-interface Scene {
+/** Failover state of a group with three servers in term 1. */
+interface TestGroup {
   record: GroupRecord;
   readonly state: FailoverState;
   readonly context: () => FailoverContext;
@@ -26,7 +26,7 @@
   readonly step: (event: FailoverEvent) => string[];
 }
 
-function createScene(record: Partial<GroupRecord> = {}): Scene {
+function createTestGroup(record: Partial<GroupRecord> = {}): TestGroup {
   const view = createGroupView();
   const servers = ['s1', 's2', 's3'].map(toServerName);
   const full: GroupRecord = {
@@ -37,26 +37,26 @@
     proposedTerm: 1,
     ...record,
   };
-  const scene: Scene = {
+  const testGroup: TestGroup = {
     record: full,
     state: createFailoverState(full, 0),
     nowMs: 0,
     runningWrites: 0,
     sequence: 0,
     context: () => ({
-      record: scene.record,
+      record: testGroup.record,
       view,
       timing: TIMING,
-      runningWrites: scene.runningWrites,
-      nowMs: scene.nowMs,
+      runningWrites: testGroup.runningWrites,
+      nowMs: testGroup.nowMs,
     }),
     announce: (server, fields = {}) => {
-      scene.sequence += 1;
+      testGroup.sequence += 1;
       const announcement: Announcement = {
         group: GROUP,
         server: toServerName(server),
         incarnation: toIncarnation('i1'),
-        sequence: scene.sequence,
+        sequence: testGroup.sequence,
         address: '127.0.0.1:1',
         commandUrl: 'http://127.0.0.1:1',
         zone: 'z',
@@ -68,30 +68,30 @@
         isLeaving: false,
         ...fields,
       };
-      recordAnnouncement(view, announcement, scene.nowMs);
+      recordAnnouncement(view, announcement, testGroup.nowMs);
     },
     step: (event) =>
-      stepFailover(scene.state, event, scene.context()).map((effect) => {
+      stepFailover(testGroup.state, event, testGroup.context()).map((effect) => {
         const server = 'server' in effect ? ` ${effect.server}` : '';
         return `${effect.kind}${server} ${effect.term}`;
       }),
   };
-  for (const server of ['s1', 's2', 's3']) scene.announce(server);
-  return scene;
+  for (const server of ['s1', 's2', 's3']) testGroup.announce(server);
+  return testGroup;
 }
 
-function refused(scene: Scene): string[] {
-  return [1, 2].flatMap(() => scene.step({ kind: 'probed', result: 'refused' }));
+function probeRefusedTwice(testGroup: TestGroup): string[] {
+  return [1, 2].flatMap(() => testGroup.step({ kind: 'probed', result: 'refused' }));
 }
 
 function promise(
-  scene: Scene,
+  testGroup: TestGroup,
   server: string,
   term: number,
   offset: number,
   logTerm = 1,
 ): string[] {
-  return scene.step({
+  return testGroup.step({
     kind: 'promised',
     promise: {
       server: toServerName(server),
@@ -101,155 +101,162 @@
   });
 }
 
-function startFencing(scene: Scene, term = 2): string[] {
-  refused(scene);
-  scene.record = { ...scene.record, proposedTerm: term };
-  return scene.step({ kind: 'proposed', term, isAccepted: true });
+function startFencing(testGroup: TestGroup, term = 2): string[] {
+  probeRefusedTwice(testGroup);
+  testGroup.record = { ...testGroup.record, proposedTerm: term };
+  return testGroup.step({ kind: 'proposed', term, isAccepted: true });
 }
 
-describe('suspicion', () => {
+describe('failure detection', () => {
   it('proposes the next term after two refused connections', () => {
-    expect(refused(createScene())).toEqual(['propose 2']);
+    expect(probeRefusedTwice(createTestGroup())).toEqual(['propose 2']);
   });
 
-  it('takes one refused connection back when the next is answered', () => {
-    const scene = createScene();
-    scene.step({ kind: 'probed', result: 'refused' });
-    scene.step({ kind: 'probed', result: 'answered' });
-    expect(scene.step({ kind: 'probed', result: 'refused' })).toEqual([]);
+  it('resets the count of refused connections when a probe is answered', () => {
+    const testGroup = createTestGroup();
+    testGroup.step({ kind: 'probed', result: 'refused' });
+    testGroup.step({ kind: 'probed', result: 'answered' });
+    expect(testGroup.step({ kind: 'probed', result: 'refused' })).toEqual([]);
   });
 
-  it('gives up a silent primary after the suspicion time and not before', () => {
-    const scene = createScene();
-    scene.step({ kind: 'probed', result: 'silent' });
-    scene.nowMs = 999;
-    expect(scene.step({ kind: 'probed', result: 'silent' })).toEqual([]);
-    scene.nowMs = 1_000;
-    expect(scene.step({ kind: 'probed', result: 'silent' })).toEqual(['propose 2']);
+  it('replaces a silent primary after suspectAfterMs and not before', () => {
+    const testGroup = createTestGroup();
+    testGroup.step({ kind: 'probed', result: 'silent' });
+    testGroup.nowMs = 999;
+    expect(testGroup.step({ kind: 'probed', result: 'silent' })).toEqual([]);
+    testGroup.nowMs = 1_000;
+    expect(testGroup.step({ kind: 'probed', result: 'silent' })).toEqual(['propose 2']);
   });
 
   it('replaces a primary that came back as a replica', () => {
-    const scene = createScene();
-    scene.announce('s1', { role: 'replica', incarnation: toIncarnation('i2') });
-    expect(scene.step({ kind: 'tick' })).toEqual(['propose 2']);
+    const testGroup = createTestGroup();
+    testGroup.announce('s1', { role: 'replica', incarnation: toIncarnation('i2') });
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['propose 2']);
   });
 });
 
 describe('fence and promotion', () => {
-  it('stops writes from the proposal on', () => {
-    const scene = createScene();
-    expect(acceptsWrites(scene.state, scene.record)).toBe(true);
-    refused(scene);
-    expect(acceptsWrites(scene.state, scene.record)).toBe(false);
+  it('stops writes once a term is proposed', () => {
+    const testGroup = createTestGroup();
+    expect(acceptsWrites(testGroup.state, testGroup.record)).toBe(true);
+    probeRefusedTwice(testGroup);
+    expect(acceptsWrites(testGroup.state, testGroup.record)).toBe(false);
   });
 
-  it('fences every server and promotes the longest log of a quorum', () => {
-    const scene = createScene();
-    expect(startFencing(scene)).toEqual(['fence s1 2', 'fence s2 2', 'fence s3 2']);
-    expect(promise(scene, 's2', 2, 10)).toEqual([]);
-    expect(promise(scene, 's3', 2, 12)).toEqual(['commit s3 2']);
-    expect(scene.step({ kind: 'committed', term: 2, isAccepted: true })).toEqual(['promote s3 2']);
+  it('fences every server and promotes the one with the longest log of a quorum', () => {
+    const testGroup = createTestGroup();
+    expect(startFencing(testGroup)).toEqual(['fence s1 2', 'fence s2 2', 'fence s3 2']);
+    expect(promise(testGroup, 's2', 2, 10)).toEqual([]);
+    expect(promise(testGroup, 's3', 2, 12)).toEqual(['commit s3 2']);
+    expect(testGroup.step({ kind: 'committed', term: 2, isAccepted: true })).toEqual([
+      'promote s3 2',
+    ]);
   });
 
   it('compares the terms of logs before their lengths', () => {
-    const scene = createScene();
-    startFencing(scene);
-    promise(scene, 's2', 2, 99, 0);
-    expect(promise(scene, 's3', 2, 1, 1)).toEqual(['commit s3 2']);
+    const testGroup = createTestGroup();
+    startFencing(testGroup);
+    promise(testGroup, 's2', 2, 99, 0);
+    expect(promise(testGroup, 's3', 2, 1, 1)).toEqual(['commit s3 2']);
   });
 
-  it('waits with fewer promises than a quorum and asks again', () => {
-    const scene = createScene();
-    startFencing(scene);
-    promise(scene, 's2', 2, 10);
-    scene.nowMs = 300;
-    expect(scene.step({ kind: 'tick' })).toEqual(['fence s1 2', 'fence s3 2']);
-    expect(scene.state.phase.kind).toBe('fencing');
+  it('waits for a quorum of promises and resends the fence commands', () => {
+    const testGroup = createTestGroup();
+    startFencing(testGroup);
+    promise(testGroup, 's2', 2, 10);
+    testGroup.nowMs = 300;
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['fence s1 2', 'fence s3 2']);
+    expect(testGroup.state.phase.kind).toBe('fencing');
   });
 
-  it('counts a server that promises twice once, and one that is no member never', () => {
-    const scene = createScene();
-    startFencing(scene);
-    promise(scene, 's2', 2, 10);
-    expect(promise(scene, 's2', 2, 10)).toEqual([]);
-    expect(promise(scene, 'x', 2, 10)).toEqual([]);
+  it('counts repeated promises of a server once and ignores servers outside the group', () => {
+    const testGroup = createTestGroup();
+    startFencing(testGroup);
+    promise(testGroup, 's2', 2, 10);
+    expect(promise(testGroup, 's2', 2, 10)).toEqual([]);
+    expect(promise(testGroup, 'x', 2, 10)).toEqual([]);
   });
 
-  it('goes above a newer term that a server has promised to somebody else', () => {
-    const scene = createScene();
-    startFencing(scene);
-    expect(promise(scene, 's2', 7, 10)).toEqual(['propose 8']);
+  it('proposes a term above a newer one that a server has promised elsewhere', () => {
+    const testGroup = createTestGroup();
+    startFencing(testGroup);
+    expect(promise(testGroup, 's2', 7, 10)).toEqual(['propose 8']);
   });
 
-  it('starts again with a higher term when the promoted server is lost as well', () => {
-    const scene = createScene();
-    startFencing(scene);
-    promise(scene, 's2', 2, 11);
-    promise(scene, 's3', 2, 10);
-    scene.step({ kind: 'committed', term: 2, isAccepted: true });
-    scene.record = { ...scene.record, primary: toServerName('s2'), term: 2, proposedTerm: 2 };
-    scene.nowMs = 2_000;
-    expect(scene.step({ kind: 'tick' })).toEqual(['propose 3']);
+  it('proposes a higher term when the promoted server fails as well', () => {
+    const testGroup = createTestGroup();
+    startFencing(testGroup);
+    promise(testGroup, 's2', 2, 11);
+    promise(testGroup, 's3', 2, 10);
+    testGroup.step({ kind: 'committed', term: 2, isAccepted: true });
+    testGroup.record = {
+      ...testGroup.record,
+      primary: toServerName('s2'),
+      term: 2,
+      proposedTerm: 2,
+    };
+    testGroup.nowMs = 2_000;
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['propose 3']);
   });
 
-  it('runs a change anew that an earlier owner left half-way', () => {
-    const scene = createScene({ proposedTerm: 4 });
-    expect(acceptsWrites(scene.state, scene.record)).toBe(false);
-    expect(scene.step({ kind: 'tick' })).toEqual(['propose 5']);
+  it('restarts a change that an earlier owner left unfinished', () => {
+    const testGroup = createTestGroup({ proposedTerm: 4 });
+    expect(acceptsWrites(testGroup.state, testGroup.record)).toBe(false);
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['propose 5']);
   });
 
-  it('does nothing with the answer to an older proposal', () => {
-    const scene = createScene();
-    refused(scene);
-    expect(scene.step({ kind: 'proposed', term: 1, isAccepted: true })).toEqual([]);
+  it('ignores the answer to an older proposal', () => {
+    const testGroup = createTestGroup();
+    probeRefusedTwice(testGroup);
+    expect(testGroup.step({ kind: 'proposed', term: 1, isAccepted: true })).toEqual([]);
   });
 
   it('tells servers of an older term to follow, and the old primary when it returns', () => {
-    const scene = createScene({ primary: toServerName('s2'), term: 2, proposedTerm: 2 });
-    scene.announce('s2', { role: 'primary', term: 2 });
-    scene.announce('s3', { term: 2 });
-    expect(scene.step({ kind: 'tick' })).toEqual(['follow s1 2']);
-    expect(scene.step({ kind: 'tick' })).toEqual([]);
+    const testGroup = createTestGroup({ primary: toServerName('s2'), term: 2, proposedTerm: 2 });
+    testGroup.announce('s2', { role: 'primary', term: 2 });
+    testGroup.announce('s3', { term: 2 });
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['follow s1 2']);
+    expect(testGroup.step({ kind: 'tick' })).toEqual([]);
   });
 });
 
 describe('a leaving primary', () => {
-  it('is drained, and replaced once a replica has all of it and no write runs', () => {
-    const scene = createScene();
-    scene.announce('s1', { isLeaving: true, position: { term: 1, offset: 12 } });
-    scene.runningWrites = 1;
-    expect(scene.step({ kind: 'tick' })).toEqual([]);
-    expect(acceptsWrites(scene.state, scene.record)).toBe(false);
-    scene.announce('s2', { position: { term: 1, offset: 12 } });
-    expect(scene.step({ kind: 'tick' })).toEqual([]);
-    scene.runningWrites = 0;
-    expect(scene.step({ kind: 'tick' })).toEqual(['propose 2']);
-  });
-
-  it('is not chosen again among logs of the same length', () => {
-    const scene = createScene();
-    scene.announce('s1', { isLeaving: true });
-    scene.step({ kind: 'tick' });
-    scene.step({ kind: 'tick' });
-    scene.record = { ...scene.record, proposedTerm: 2 };
-    scene.step({ kind: 'proposed', term: 2, isAccepted: true });
-    promise(scene, 's1', 2, 10);
-    expect(promise(scene, 's2', 2, 10)).toEqual(['commit s2 2']);
+  it('is drained, and replaced once a replica has caught up and no write is running', () => {
+    const testGroup = createTestGroup();
+    testGroup.announce('s1', { isLeaving: true, position: { term: 1, offset: 12 } });
+    testGroup.runningWrites = 1;
+    expect(testGroup.step({ kind: 'tick' })).toEqual([]);
+    expect(acceptsWrites(testGroup.state, testGroup.record)).toBe(false);
+    testGroup.announce('s2', { position: { term: 1, offset: 12 } });
+    expect(testGroup.step({ kind: 'tick' })).toEqual([]);
+    testGroup.runningWrites = 0;
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['propose 2']);
+  });
+
+  it('is not chosen again if another server has an equally long log', () => {
+    const testGroup = createTestGroup();
+    testGroup.announce('s1', { isLeaving: true });
+    testGroup.step({ kind: 'tick' });
+    testGroup.step({ kind: 'tick' });
+    testGroup.record = { ...testGroup.record, proposedTerm: 2 };
+    testGroup.step({ kind: 'proposed', term: 2, isAccepted: true });
+    promise(testGroup, 's1', 2, 10);
+    expect(promise(testGroup, 's2', 2, 10)).toEqual(['commit s2 2']);
   });
 });
 
 describe('a new group', () => {
   it('adopts the primary of the highest term', () => {
-    const scene = createScene({ primary: undefined, term: 0, proposedTerm: 0 });
-    scene.announce('s3', { role: 'primary', term: 3 });
-    expect(scene.step({ kind: 'tick' })).toEqual(['commit s3 3']);
+    const testGroup = createTestGroup({ primary: undefined, term: 0, proposedTerm: 0 });
+    testGroup.announce('s3', { role: 'primary', term: 3 });
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['commit s3 3']);
   });
 
-  it('chooses one itself when none claims to be the primary for a while', () => {
-    const scene = createScene({ primary: undefined, term: 0, proposedTerm: 0 });
-    scene.announce('s1', { role: 'replica' });
-    expect(scene.step({ kind: 'tick' })).toEqual([]);
-    scene.nowMs = 3_000;
-    expect(scene.step({ kind: 'tick' })).toEqual(['propose 1']);
+  it('chooses a primary after the timeout if no server announces itself as one', () => {
+    const testGroup = createTestGroup({ primary: undefined, term: 0, proposedTerm: 0 });
+    testGroup.announce('s1', { role: 'replica' });
+    expect(testGroup.step({ kind: 'tick' })).toEqual([]);
+    testGroup.nowMs = 3_000;
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['propose 1']);
   });
 });
--- a/packages/core/src/failover/failover.ts
+++ b/packages/core/src/failover/failover.ts
@@ -1,10 +1,11 @@
 /**
- * The change of primary as a plain function of state, event and context. The group's owner runs it:
- * suspicion, a term proposed through control, a fence at a quorum, the longest log, promotion.
+ * State machine for changing the primary of a group, run by the group's owner. When the primary fails
+ * or leaves, the owner proposes a new term through control, fences a quorum of servers, and promotes
+ * the server with the longest log among them. Performs no I/O: it returns the commands to send.
  */
 import { match } from 'ts-pattern';
 import type { GroupRecord } from '../control-state/types.js';
-import { coverQuorum } from '../confirm/quorum-cover.js';
+import { writeQuorumSize } from '../confirm/quorum-cover.js';
 import type { ServerName } from '../types/ids.js';
 import { comparePositions, coversMark } from '../types/position.js';
 import type { Announcement, FencePromise } from '../types/target.js';
@@ -17,12 +18,15 @@
   ProbeResult,
 } from './types.js';
 
-/** Refused connections in a row that prove a primary dead. */
-const REFUSALS_FOR_PROOF = 2;
-/** How long a group without any primary is watched before the system chooses one, in milliseconds. */
-const ADOPTION_PATIENCE_MS = 3_000;
+/** Consecutive refused connections after which the primary is considered dead. */
+const REFUSED_CONNECTION_THRESHOLD = 2;
+/** How long a group without a primary waits for one to announce itself, in milliseconds. */
+const ADOPTION_TIMEOUT_MS = 3_000;
 
-/** Starts from what control has recorded: a change left half-way by an earlier owner is run anew. */
+/**
+ * Creates the state from the record in control. A change that an earlier owner left unfinished is
+ * restarted with a new term on the next tick.
+ */
 export function createFailoverState(record: GroupRecord, nowMs: number): FailoverState {
   const phase: FailoverPhase =
     record.primary === undefined && record.proposedTerm === 0
@@ -31,7 +35,7 @@
   return { phase, failingSinceMs: undefined, refusedCount: 0, followSentMs: new Map() };
 }
 
-/** Tells whether writes may be routed to the recorded primary. */
+/** Returns whether writes may be routed to the recorded primary. */
 export function acceptsWrites(state: FailoverState, record: GroupRecord): boolean {
   return state.phase.kind === 'steady' && record.proposedTerm === record.term;
 }
@@ -69,7 +73,7 @@
     .with({ kind: 'steady' }, () => watchSteady(state, context))
     .with({ kind: 'draining' }, ({ sinceMs }) => watchDrain(state, sinceMs, context))
     .with({ kind: 'proposing' }, ({ sentAtMs, term }) =>
-      isResendDue(sentAtMs, context) ? startChange(state, term, context) : [],
+      isResendDue(sentAtMs, context) ? proposeTerm(state, term, context) : [],
     )
     .with({ kind: 'fencing' }, (fencing) => {
       if (!isResendDue(fencing.sentAtMs, context)) return [];
@@ -95,47 +99,47 @@
   context: FailoverContext,
 ): FailoverEffect[] {
   const { nowMs } = context;
-  const [claimant] = announcementsOf(context)
+  const [announcedPrimary] = announcementsOf(context)
     .filter((announcement) => announcement.role === 'primary')
     .sort((left, right) => right.term - left.term);
-  if (claimant) {
-    const { term, server } = claimant;
+  if (announcedPrimary) {
+    const { term, server } = announcedPrimary;
     state.phase = { kind: 'committing', term, server, sentAtMs: nowMs };
     return [{ kind: 'commit', term, server }];
   }
-  const isPatient = nowMs - sinceMs < ADOPTION_PATIENCE_MS;
-  if (isPatient || context.view.servers.size < 2) return [];
-  return startChange(state, 1, context);
+  const isWithinTimeout = nowMs - sinceMs < ADOPTION_TIMEOUT_MS;
+  if (isWithinTimeout || context.view.servers.size < 2) return [];
+  return proposeTerm(state, 1, context);
 }
 
 function watchSteady(state: FailoverState, context: FailoverContext): FailoverEffect[] {
   const { record, view, nowMs } = context;
   if (record.proposedTerm > record.term)
-    return startChange(state, record.proposedTerm + 1, context);
+    return proposeTerm(state, record.proposedTerm + 1, context);
   if (record.primary === undefined) {
     state.phase = { kind: 'adopting', sinceMs: nowMs };
     return [];
   }
   const primary = view.servers.get(record.primary)?.announcement;
   const hasLostRole = primary?.role === 'replica' && primary.term >= record.term;
-  if (hasLostRole) return startChange(state, record.term + 1, context);
-  if (primary?.isLeaving === true && replacements(context).length > 0) {
+  if (hasLostRole) return proposeTerm(state, record.term + 1, context);
+  if (primary?.isLeaving === true && findReplacements(context).length > 0) {
     state.phase = { kind: 'draining', sinceMs: nowMs };
     return [];
   }
-  if (isPrimaryLost(state, context)) return startChange(state, record.term + 1, context);
-  return followLaggards(state, record.primary, context);
+  if (isPrimaryLost(state, context)) return proposeTerm(state, record.term + 1, context);
+  return followOutdatedServers(state, record.primary, context);
 }
 
 function isPrimaryLost(state: FailoverState, context: FailoverContext): boolean {
   const { failingSinceMs } = state;
   if (failingSinceMs === undefined) return false;
-  if (state.refusedCount >= REFUSALS_FOR_PROOF) return true;
+  if (state.refusedCount >= REFUSED_CONNECTION_THRESHOLD) return true;
   return context.nowMs - failingSinceMs >= context.timing.suspectAfterMs;
 }
 
-/** Servers that still follow an older term, or claim a role they no longer have, are told to follow. */
-function followLaggards(
+/** Sends `follow` to servers that follow an older term or wrongly announce themselves as primary. */
+function followOutdatedServers(
   state: FailoverState,
   primary: ServerName,
   context: FailoverContext,
@@ -167,13 +171,13 @@
   const isCaughtUp =
     primary !== undefined &&
     context.runningWrites === 0 &&
-    replacements(context).some(({ position }) => coversMark(position, primary.position));
+    findReplacements(context).some(({ position }) => coversMark(position, primary.position));
   const isOverdue = nowMs - sinceMs >= timing.drainTimeoutMs;
   if (!isCaughtUp && !isOverdue) return [];
-  return startChange(state, record.term + 1, context);
+  return proposeTerm(state, record.term + 1, context);
 }
 
-function replacements(context: FailoverContext): Announcement[] {
+function findReplacements(context: FailoverContext): Announcement[] {
   const { record } = context;
   return announcementsOf(context).filter(
     ({ server, isLeaving, term }) =>
@@ -181,7 +185,7 @@
   );
 }
 
-function startChange(
+function proposeTerm(
   state: FailoverState,
   term: number,
   context: FailoverContext,
@@ -239,12 +243,12 @@
   const { phase } = state;
   if (phase.kind !== 'fencing') return [];
   if (promise.promisedTerm > phase.term)
-    return startChange(state, promise.promisedTerm + 1, context);
+    return proposeTerm(state, promise.promisedTerm + 1, context);
   if (promise.promisedTerm !== phase.term) return [];
   if (!context.record.servers.includes(promise.server)) return [];
   const promises = new Map(phase.promises).set(promise.server, promise);
   state.phase = { ...phase, promises };
-  if (promises.size < coverQuorum(context.record.servers.length)) return [];
+  if (promises.size < writeQuorumSize(context.record.servers.length)) return [];
   const chosen = choosePrimary([...promises.values()], context);
   if (!chosen) return [];
   const { term } = phase;
@@ -252,7 +256,10 @@
   return [{ kind: 'commit', term, server: chosen }];
 }
 
-/** The longest log wins; among equals one that stays, then by name, so that the choice is stable. */
+/**
+ * Prefers the longest log, then servers that are not leaving, then the lowest name, which makes the
+ * choice deterministic.
+ */
 function choosePrimary(
   promises: readonly FencePromise[],
   context: FailoverContext,
@@ -298,9 +305,9 @@
     state.phase = { kind: 'steady' };
     state.failingSinceMs = undefined;
     state.refusedCount = 0;
-    return followLaggards(state, server, context);
+    return followOutdatedServers(state, server, context);
   }
-  if (nowMs - sinceMs >= timing.promoteTimeoutMs) return startChange(state, term + 1, context);
+  if (nowMs - sinceMs >= timing.promoteTimeoutMs) return proposeTerm(state, term + 1, context);
   if (nowMs - sentAtMs < timing.resendMs) return [];
   state.phase = { ...promoting, sentAtMs: nowMs };
   return [{ kind: 'promote', server, term }];
--- a/packages/core/src/failover/types.ts
+++ b/packages/core/src/failover/types.ts
@@ -1,17 +1,17 @@
-/** Types of the change-of-primary decision. */
+/** Types of the failover state machine. */
 import type { GroupRecord } from '../control-state/types.js';
 import type { GroupView } from '../route/server-view.js';
 import type { ServerName } from '../types/ids.js';
 import type { FencePromise } from '../types/target.js';
 
-/** What a probe of a server's address has shown. */
+/** Result of a connection attempt to a server's address. */
 export type ProbeResult = 'answered' | 'refused' | 'silent';
 
 export type FailoverPhase =
-  /** No primary was ever recorded: waiting for one to announce itself. */
+  /** No primary has been recorded yet; waits for a server to announce itself as one. */
   | { readonly kind: 'adopting'; readonly sinceMs: number }
   | { readonly kind: 'steady' }
-  /** A leaving primary takes no new writes while a replica catches up with it. */
+  /** The primary is leaving: it gets no new writes while a replica catches up. */
   | { readonly kind: 'draining'; readonly sinceMs: number }
   | { readonly kind: 'proposing'; readonly term: number; readonly sentAtMs: number }
   | {
@@ -36,9 +36,11 @@
 
 export interface FailoverState {
   phase: FailoverPhase;
-  /** Start of the present run of failed probes of the primary; `undefined` while it answers. */
+  /** Time of the first of the current consecutive failed probes; `undefined` while the primary answers. */
   failingSinceMs: number | undefined;
+  /** Number of consecutive refused probes. */
   refusedCount: number;
+  /** When `follow` was last sent to each server. */
   readonly followSentMs: Map<ServerName, number>;
 }
 
@@ -62,11 +64,11 @@
     };
 
 export interface FailoverTiming {
-  /** A primary that is silent this long is given up. */
+  /** A primary that has not answered for this long is replaced. */
   readonly suspectAfterMs: number;
-  /** Commands without an answer are sent again after this time. */
+  /** Unanswered commands are sent again after this time. */
   readonly resendMs: number;
-  /** A promoted server that does not announce itself in this time is given up. */
+  /** A promoted server that has not announced itself as primary within this time is replaced. */
   readonly promoteTimeoutMs: number;
   /** A leaving primary is replaced after this time even if no replica has caught up. */
   readonly drainTimeoutMs: number;
--- a/packages/core/src/promotion/choose-successor.test.ts
+++ b/packages/core/src/promotion/choose-successor.test.ts
@@ -14,10 +14,10 @@
   unfenced: [],
   acknowledged: { term: 2, offset: 10 },
   unfencedSilentMs: 0,
-  isQuiet: false,
+  hasStoppedWrites: false,
 };
 
-describe('the successor of a primary', () => {
+describe('chooseSuccessor', () => {
   it.each<{ name: string; context: Partial<SuccessorContext>; expected: string }>([
     {
       name: 'both replicas fenced: the longer log',
@@ -25,17 +25,17 @@
       expected: 'b',
     },
     {
-      name: 'equal logs: one that stays',
+      name: 'equal logs: the replica that is not leaving',
       context: { fenced: [fenced('a', 12, { isLeaving: true }), fenced('b', 12)] },
       expected: 'b',
     },
     {
-      name: 'equal logs: always the same one',
+      name: 'equal logs: the lowest name',
       context: { fenced: [fenced('b', 12), fenced('a', 12)] },
       expected: 'a',
     },
     {
-      name: 'a longer log goes before one that stays',
+      name: 'a longer log is preferred to a replica that is not leaving',
       context: { fenced: [fenced('a', 12, { isLeaving: true }), fenced('b', 11)] },
       expected: 'a',
     },
@@ -45,12 +45,12 @@
       expected: 'replica-may-acknowledge',
     },
     {
-      name: 'it has been silent since long before',
+      name: 'the unfenced replica has been silent for the timeout',
       context: { fenced: [fenced('a', 12)], unfenced: [name('b')], unfencedSilentMs: 3_000 },
       expected: 'a',
     },
     {
-      name: 'it has been silent for long, and the other lacks an acknowledged commit',
+      name: 'the unfenced replica is silent, but the other lacks an acknowledged commit',
       context: { fenced: [fenced('a', 9)], unfenced: [name('b')], unfencedSilentMs: 9_000 },
       expected: 'behind-acknowledged',
     },
@@ -63,7 +63,7 @@
       expected: 'a',
     },
     {
-      name: 'only the former primary has everything',
+      name: 'only the former primary has every acknowledged commit',
       context: {
         fenced: [fenced('a', 9), fenced('p', 12, { wasPrimary: true })],
         unfenced: [name('b')],
@@ -71,21 +71,21 @@
       expected: 'p',
     },
     {
-      name: 'all replicas fenced below what the primary had reported as its own end',
+      name: 'all replicas fenced behind the end of the log that the primary had reported',
       context: { fenced: [fenced('a', 9), fenced('b', 8)] },
       expected: 'a',
     },
     {
       name: 'a planned change waits until a replica has caught up',
-      context: { fenced: [fenced('a', 9)], isQuiet: true },
+      context: { fenced: [fenced('a', 9)], hasStoppedWrites: true },
       expected: 'behind-acknowledged',
     },
     {
-      name: 'a planned change with a replica that has',
-      context: { fenced: [fenced('a', 10)], isQuiet: true },
+      name: 'a planned change with a replica that has caught up',
+      context: { fenced: [fenced('a', 10)], hasStoppedWrites: true },
       expected: 'a',
     },
-    { name: 'nobody answers', context: {}, expected: 'no-candidate' },
+    { name: 'no server answers', context: {}, expected: 'no-candidate' },
   ])('$name: $expected', ({ context, expected }) => {
     const choice = chooseSuccessor({ ...base, ...context });
     expect(choice.kind === 'promote' ? choice.server : choice.reason).toBe(expected);
--- a/packages/core/src/promotion/choose-successor.ts
+++ b/packages/core/src/promotion/choose-successor.ts
@@ -1,29 +1,29 @@
 /**
- * Which server may take over as primary of a group whose platform carries out promotions. A commit
- * counts as acknowledged once one replica has received it, so a log that every acknowledged commit
- * must be in is the longest one among the replicas that can no longer acknowledge anything.
+ * Chooses the next primary of a group whose promotions are carried out by the platform. A commit is
+ * acknowledged once one replica has received it. Once no replica can acknowledge further commits, the
+ * longest log among them therefore contains every acknowledged commit.
  */
 import type { ServerName } from '../types/ids.js';
 import { comparePositions, coversMark, type LogPosition } from '../types/position.js';
 
-/** What a server has answered to the order that keeps it from acknowledging further commits. */
+/** A server's answer to the command that stops it from acknowledging further commits. */
 export interface FencedServer {
   readonly server: ServerName;
   readonly position: LogPosition;
   readonly isLeaving: boolean;
-  /** The primary itself, which has given up its role. */
+  /** Whether this is the former primary, which has given up its role. */
   readonly wasPrimary: boolean;
 }
 
 export interface SuccessorContext {
   readonly fenced: readonly FencedServer[];
-  /** Replicas that might still acknowledge commits: known, not fenced, not proven gone. */
+  /** Known replicas that are neither fenced nor confirmed gone, so they may still acknowledge commits. */
   readonly unfenced: readonly ServerName[];
-  /** The newest position that the owner has seen acknowledged. */
+  /** The newest position that the owner has recorded as acknowledged. */
   readonly acknowledged: LogPosition;
-  /** Whether nothing was written any more, so that replicas catch up with all that was acknowledged. */
-  readonly isQuiet: boolean;
-  /** How long the unfenced replicas have been out of reach, in milliseconds. */
+  /** Whether writes stopped before the change, so that replicas reach the acknowledged position. */
+  readonly hasStoppedWrites: boolean;
+  /** How long the unfenced replicas have been unreachable, in milliseconds. */
   readonly unfencedSilentMs: number;
 }
 
@@ -35,19 +35,19 @@
     };
 
 /**
- * A replica out of reach for this long before the primary was lost had no part in the primary's
- * last acknowledgements that reached callers, in milliseconds.
+ * A replica that has been unreachable for this long before the primary was lost cannot have taken part
+ * in the last acknowledgements that reached callers, in milliseconds.
  */
-const UNFENCED_PATIENCE_MS = 3_000;
+const UNFENCED_TIMEOUT_MS = 3_000;
 
 /**
- * Chooses the successor, or says what has to be waited for.
+ * Chooses the successor, or returns the reason to wait.
  *
  * @example
  * chooseSuccessor({ fenced, unfenced: [], acknowledged, unfencedSilentMs: 0 });
  */
 export function chooseSuccessor(context: SuccessorContext): SuccessorChoice {
-  const { fenced, unfenced, acknowledged, unfencedSilentMs, isQuiet } = context;
+  const { fenced, unfenced, acknowledged, unfencedSilentMs, hasStoppedWrites } = context;
   const demoted = fenced.find(({ wasPrimary }) => wasPrimary);
   const candidates = fenced
     .filter(({ wasPrimary }) => !wasPrimary)
@@ -58,21 +58,21 @@
         (left.server < right.server ? -1 : 1),
     );
   const [best] = candidates;
-  // A primary that gave up its role acknowledges nothing more, whatever the others could receive.
-  const isSettled = unfenced.length === 0 || demoted !== undefined;
+  // A demoted primary acknowledges no further commits, even if unfenced replicas could receive them.
+  const hasStoppedAcknowledging = unfenced.length === 0 || demoted !== undefined;
   const hasAcknowledged = best !== undefined && coversMark(best.position, acknowledged);
   if (best && hasAcknowledged) {
-    if (isSettled || unfencedSilentMs >= UNFENCED_PATIENCE_MS) {
+    if (hasStoppedAcknowledging || unfencedSilentMs >= UNFENCED_TIMEOUT_MS) {
       return { kind: 'promote', server: best.server };
     }
     return { kind: 'wait', reason: 'replica-may-acknowledge' };
   }
-  // With every replica fenced, the longest log holds all that any of them can have acknowledged. What
-  // the owner saw beyond it was the end of the primary's own log, not an acknowledgement.
-  if (best && unfenced.length === 0 && !isQuiet && !demoted) {
+  // With every replica fenced, the longest log contains everything that a replica has acknowledged. A
+  // newer position recorded by the owner was the end of the primary's own log, not an acknowledgement.
+  if (best && unfenced.length === 0 && !hasStoppedWrites && !demoted) {
     return { kind: 'promote', server: best.server };
   }
-  // No replica has everything: the old primary itself does, if it is in reach.
+  // No replica has every acknowledged commit; the former primary has, if it is reachable.
   if (demoted && coversMark(demoted.position, acknowledged)) {
     return { kind: 'promote', server: demoted.server };
   }
--- a/packages/core/src/queue/fair-queue.test.ts
+++ b/packages/core/src/queue/fair-queue.test.ts
@@ -6,7 +6,7 @@
   enqueue,
   extendDeadlines,
   type FairQueue,
-  finish,
+  recordFinished,
   hasOtherActive,
   removeWaiting,
   startUnqueued,
@@ -28,7 +28,7 @@
   }
 }
 
-/** Serves one request at a time; each customer's requests take their own slot time. */
+/** Serves one request at a time; `costMs` gives the slot time of each customer's requests. */
 function serve(queue: FairQueue<string>, costMs: Record<string, number>, untilMs: number) {
   const usedMs: Record<string, number> = {};
   let nowMs = 0;
@@ -38,7 +38,7 @@
     const cost = costMs[next.customer] ?? 1;
     nowMs += cost;
     usedMs[next.customer] = (usedMs[next.customer] ?? 0) + cost;
-    finish(queue, next.customer, cost, nowMs);
+    recordFinished(queue, next.customer, cost, nowMs);
   }
   return usedMs;
 }
@@ -53,13 +53,13 @@
     expect(usedMs.greedy).toBeGreaterThanOrEqual(2_400);
   });
 
-  it('serves a customer that comes after a long pause next, but gives no credit for the pause', () => {
+  it('serves a customer that returns after a long pause next, but gives no credit for the pause', () => {
     const queue = createFairQueue<string>(100_000);
     fill(queue, GREEDY, 2_000, 0);
     serve(queue, { greedy: 10 }, 1_000);
     fill(queue, BENCH, 2_000, 1_000);
     expect(dequeue(queue, () => true)?.customer).toBe(BENCH);
-    finish(queue, BENCH, 10, 1_010);
+    recordFinished(queue, BENCH, 10, 1_010);
     const usedMs = serve(queue, { greedy: 10, bench: 10 }, 400);
     expect(Math.abs((usedMs.bench ?? 0) - (usedMs.greedy ?? 0))).toBeLessThanOrEqual(20);
   });
@@ -72,22 +72,22 @@
       fill(queue, GREEDY, 1, turn);
       const next = dequeue(queue, () => true);
       order.push(next?.customer ?? '');
-      finish(queue, next?.customer ?? BENCH, next?.customer === GREEDY ? 100 : 10, turn);
+      recordFinished(queue, next?.customer ?? BENCH, next?.customer === GREEDY ? 100 : 10, turn);
     }
     const greedyTurns = order.filter((customer) => customer === 'greedy').length;
     expect(greedyTurns).toBeLessThanOrEqual(3);
   });
 
-  it('charges requests that were started without waiting', () => {
+  it('charges requests that bypass the queue', () => {
     const queue = createFairQueue<string>(100);
     fill(queue, GREEDY, 1, 0);
     fill(queue, BENCH, 1, 0);
     startUnqueued(queue, GREEDY);
-    finish(queue, GREEDY, 500, 0);
+    recordFinished(queue, GREEDY, 500, 0);
     expect(dequeue(queue, () => true)?.customer).toBe(BENCH);
   });
 
-  it('refuses more than the bound of one customer and leaves others alone', () => {
+  it('refuses requests above the limit of one customer without affecting others', () => {
     const queue = createFairQueue<string>(3);
     fill(queue, GREEDY, 3, 0);
     const more = { item: 'x', customer: GREEDY, deadlineMs: 1 };
@@ -95,7 +95,7 @@
     expect(enqueue(queue, { ...more, customer: BENCH }, 0)).toBe('queued');
   });
 
-  it('passes over a customer none of whose requests can start', () => {
+  it('skips a customer none of whose requests can start', () => {
     const queue = createFairQueue<string>(10);
     fill(queue, GREEDY, 2, 0);
     fill(queue, BENCH, 2, 0);
@@ -114,7 +114,7 @@
     expect(waitingCount(queue)).toBe(0);
   });
 
-  it('knows whether another customer was active lately', () => {
+  it('reports whether another customer has been active recently', () => {
     const queue = createFairQueue<string>(10);
     fill(queue, BENCH, 1, 500);
     expect(hasOtherActive(queue, GREEDY, 400)).toBe(true);
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -1,9 +1,9 @@
 /**
- * Queue of requests at a group's owner, shared fairly between customers by measured slot time.
+ * Request queue of a group's owner, with fair queueing between customers by measured slot time.
  *
- * Each customer has a virtual time that grows by the slot time it was given. The customer with the
- * lowest virtual time goes next. One that comes back after a pause starts at the time of those that
- * are being served, so a pause earns no credit, and a debt is kept.
+ * Each customer has a virtual time that increases by the slot time it has used. The customer with the
+ * lowest virtual time is served next. A customer that returns after a pause continues at the queue's
+ * virtual time or its own, whichever is later: a pause earns no credit and does not clear a debt.
  */
 import type { CustomerName } from '../types/ids.js';
 
@@ -17,7 +17,7 @@
   readonly customer: CustomerName;
   virtualMs: number;
   runningCount: number;
-  /** Estimated slot time of one request, charged ahead and corrected when it ends. */
+  /** Estimated slot time of one request, charged at its start and corrected at its end. */
   estimateMs: number;
   lastActiveMs: number;
   items: QueuedItem<Item>[];
@@ -29,12 +29,12 @@
   virtualMs: number;
 }
 
-/** Slot time assumed for a customer that was never measured, in milliseconds. */
+/** Slot time assumed before the first measurement of a customer, in milliseconds. */
 const INITIAL_ESTIMATE_MS = 1;
 /** Weight of the newest measurement in the estimate. */
 const ESTIMATE_GAIN = 0.2;
-/** Customers with nothing waiting or running are forgotten after this time, in milliseconds. */
-const FORGET_AFTER_MS = 60_000;
+/** Customers with nothing waiting or running are removed after this time, in milliseconds. */
+const IDLE_CUSTOMER_RETENTION_MS = 60_000;
 
 export function createFairQueue<Item>(maxWaitingPerCustomer: number): FairQueue<Item> {
   return { maxWaitingPerCustomer, customers: new Map(), virtualMs: 0 };
@@ -62,7 +62,7 @@
 
 /**
  * Takes the next request that `canStart` accepts: customers by virtual time, each in its own order.
- * The customer is charged its estimate at once; {@link finish} corrects it.
+ * The customer is charged its estimate at once; {@link recordFinished} corrects it.
  */
 export function dequeue<Item>(
   queue: FairQueue<Item>,
@@ -84,15 +84,15 @@
   return undefined;
 }
 
-/** Charges a request that was started without waiting in the queue, as those of open transactions. */
+/** Charges a request that bypassed the queue, such as one in an open transaction. */
 export function startUnqueued<Item>(queue: FairQueue<Item>, customerName: CustomerName): void {
   const customer = customerQueue(queue, customerName);
   customer.virtualMs += customer.estimateMs;
   customer.runningCount += 1;
 }
 
-/** Records the end of a request and replaces the charged estimate by the slot time it really took. */
-export function finish<Item>(
+/** Records the end of a request and replaces the charged estimate with the measured slot time. */
+export function recordFinished<Item>(
   queue: FairQueue<Item>,
   customerName: CustomerName,
   usedMs: number,
@@ -105,7 +105,7 @@
   customer.lastActiveMs = nowMs;
 }
 
-/** Removes and returns the requests whose deadline has passed: none of them was run. */
+/** Removes and returns waiting requests whose deadline has passed; none of them has been started. */
 export function takeExpired<Item>(queue: FairQueue<Item>, nowMs: number): QueuedItem<Item>[] {
   const expired: QueuedItem<Item>[] = [];
   for (const customer of queue.customers.values()) {
@@ -114,11 +114,11 @@
     expired.push(...customer.items.filter(isExpired));
     customer.items = customer.items.filter((queued) => !isExpired(queued));
   }
-  forgetIdleCustomers(queue, nowMs);
+  removeIdleCustomers(queue, nowMs);
   return expired;
 }
 
-/** Moves the deadlines of all waiting requests to `deadlineMs` at least, for example during a failover. */
+/** Extends the deadlines of all waiting requests to at least `deadlineMs`, e.g. during a failover. */
 export function extendDeadlines<Item>(queue: FairQueue<Item>, deadlineMs: number): void {
   for (const customer of queue.customers.values()) {
     for (const queued of customer.items) {
@@ -127,7 +127,7 @@
   }
 }
 
-/** Removes and returns everything that waits and matches, for example when its caller went away. */
+/** Removes and returns the waiting requests that match, e.g. those of a disconnected caller. */
 export function removeWaiting<Item>(
   queue: FairQueue<Item>,
   isRemoved: (item: Item) => boolean,
@@ -140,14 +140,14 @@
   return removed;
 }
 
-/** Number of waiting requests over all customers. */
+/** Number of waiting requests of all customers. */
 export function waitingCount<Item>(queue: FairQueue<Item>): number {
   let count = 0;
   for (const customer of queue.customers.values()) count += customer.items.length;
   return count;
 }
 
-/** Tells whether any customer but `customer` was active since `sinceMs`. */
+/** Returns whether any customer other than `customer` has been active since `sinceMs`. */
 export function hasOtherActive<Item>(
   queue: FairQueue<Item>,
   customer: CustomerName,
@@ -174,11 +174,11 @@
   return created;
 }
 
-function forgetIdleCustomers<Item>(queue: FairQueue<Item>, nowMs: number): void {
+function removeIdleCustomers<Item>(queue: FairQueue<Item>, nowMs: number): void {
   for (const [name, customer] of queue.customers) {
     const isBusy = customer.items.length > 0 || customer.runningCount > 0;
     const hasDebt = customer.virtualMs > queue.virtualMs;
-    if (isBusy || hasDebt || nowMs - customer.lastActiveMs < FORGET_AFTER_MS) continue;
+    if (isBusy || hasDebt || nowMs - customer.lastActiveMs < IDLE_CUSTOMER_RETENTION_MS) continue;
     queue.customers.delete(name);
   }
 }
--- a/packages/core/src/route/choose-server.test.ts
+++ b/packages/core/src/route/choose-server.test.ts
@@ -79,25 +79,25 @@
     },
     { name: 'passes over a leaving replica', replica: { isLeaving: true }, expected: 'p' },
     {
-      name: 'passes over a replica that was not heard for long',
+      name: 'passes over a replica whose last announcement is stale',
       context: { nowMs: 4_000 },
       expected: 'p',
     },
     {
-      name: 'passes over a replica that is older than the allowance',
+      name: 'passes over a replica that is staler than allowed',
       request: { readAgeAllowanceMs: 100, waitedMs: 20 },
       replica: { position: { term: 2, offset: 100 } },
       context: { nowMs: 2_000 },
       expected: 'p',
     },
     {
-      name: 'takes a replica within the allowance',
+      name: 'takes a replica within the allowed staleness',
       request: { readAgeAllowanceMs: 5_000 },
       context: { nowMs: 2_000 },
       expected: 'r',
     },
     {
-      name: 'holds to the mark even within the allowance',
+      name: 'requires the mark even within the allowed staleness',
       replica: { position: { term: 2, offset: 99 } },
       request: { readAgeAllowanceMs: 5_000, waitedMs: 20 },
       expected: 'p',
@@ -108,7 +108,7 @@
       expected: 'wait',
     },
     {
-      name: 'says so when there is no primary for a write',
+      name: 'reports a missing primary for a write',
       request: { intent: 'write' },
       context: { primary: undefined },
       expected: 'no-primary',
@@ -145,7 +145,7 @@
 });
 
 describe('recordAnnouncement', () => {
-  it('ignores one that came late', () => {
+  it('ignores an announcement that arrives out of order', () => {
     const view = createGroupView();
     recordAnnouncement(view, announce('r', { sequence: 5 }), 0);
     const late = announce('r', { sequence: 4, position: { term: 2, offset: 999 } });
@@ -153,14 +153,14 @@
     expect(view.servers.get(toServerName('r'))?.announcement.position.offset).toBe(100);
   });
 
-  it('takes a lower sequence of a new incarnation', () => {
+  it('accepts a lower sequence from a new incarnation', () => {
     const view = createGroupView();
     recordAnnouncement(view, announce('r', { sequence: 5 }), 0);
     const restarted = announce('r', { sequence: 1, incarnation: toIncarnation('i2') });
     expect(recordAnnouncement(view, restarted, 1)).toBe(true);
   });
 
-  it('dates a replica by the newest primary position that it covers', () => {
+  it('takes the up-to-date time from the newest primary position that a replica covers', () => {
     const view = createGroupView();
     recordAnnouncement(
       view,
@@ -173,6 +173,6 @@
       200,
     );
     recordAnnouncement(view, announce('r', { position: { term: 2, offset: 15 } }), 300);
-    expect(view.servers.get(toServerName('r'))?.currentAtMs).toBe(100);
+    expect(view.servers.get(toServerName('r'))?.upToDateAtMs).toBe(100);
   });
 });
--- a/packages/core/src/route/choose-server.ts
+++ b/packages/core/src/route/choose-server.ts
@@ -1,4 +1,4 @@
-/** The routing decision: which server of a group a request goes to. */
+/** Chooses the server of a group that runs a request. */
 import type { ServerName } from '../types/ids.js';
 import { coversMark, type LogPosition } from '../types/position.js';
 import type { GroupView, ServerView } from './server-view.js';
@@ -7,14 +7,14 @@
 
 export interface RouteRequest {
   readonly intent: Intent;
-  /** The position that the answer must not be behind. */
+  /** The log position that the server must have reached. */
   readonly mark: LogPosition;
-  /** How stale a replica may be, in milliseconds; `null` when only the mark counts. */
+  /** Maximum staleness of a replica, in milliseconds; `null` for no limit beyond the mark. */
   readonly readAgeAllowanceMs: number | null;
   readonly waitedMs: number;
 }
 
-/** The part of an owner's state that routing looks at. */
+/** The part of an owner's state that routing depends on. */
 export interface RouteContext {
   readonly view: GroupView;
   readonly primary: ServerName | undefined;
@@ -22,7 +22,7 @@
   readonly nowMs: number;
   /** Announcements older than this make a replica ineligible, in milliseconds. */
   readonly staleAnnouncementMs: number;
-  /** How long a read waits for a replica to catch up before it goes to the primary. */
+  /** How long a read waits for a replica before it goes to the primary, in milliseconds. */
   readonly replicaWaitMs: number;
   readonly isUsable: (server: ServerName) => boolean;
   readonly freeSlots: (server: ServerName) => number;
@@ -30,13 +30,14 @@
 
 export type Route =
   | { readonly kind: 'run'; readonly server: ServerName }
-  /** An eligible server exists, but its slots are taken or it is about to catch up. */
+  /** No server can run the request now: its slots are taken, or a replica still has to catch up. */
   | { readonly kind: 'wait' }
   | { readonly kind: 'no-primary' };
 
 /**
- * Chooses a server. Reads go to the replica with the most free slots among those that cover the mark
- * and are fresh enough; lagging replicas are waited for briefly; then the primary serves.
+ * Chooses a server. A read goes to the replica with the most free slots among those that cover the
+ * mark and are within the allowed staleness. If there is none, the read waits for up to
+ * `replicaWaitMs` and then goes to the primary. Writes always go to the primary.
  *
  * @example
  * chooseServer({ intent: 'read', mark, readAgeAllowanceMs: null, waitedMs: 0 }, context);
@@ -64,7 +65,7 @@
   return { kind: 'run', server: primary };
 }
 
-/** A replica serves only in the group's present term: an older one may hold writes that were lost. */
+/** Replicas of an older term are excluded: their logs may contain writes that the group has lost. */
 function isServingReplica(server: ServerView, context: RouteContext): boolean {
   const { announcement } = server;
   if (server.server === context.primary || announcement.role !== 'replica') return false;
@@ -76,5 +77,5 @@
 function mayServeRead(server: ServerView, request: RouteRequest, context: RouteContext): boolean {
   if (!coversMark(server.announcement.position, request.mark)) return false;
   const allowanceMs = request.readAgeAllowanceMs;
-  return allowanceMs === null || context.nowMs - server.currentAtMs <= allowanceMs;
+  return allowanceMs === null || context.nowMs - server.upToDateAtMs <= allowanceMs;
 }
--- a/packages/core/src/route/server-view.ts
+++ b/packages/core/src/route/server-view.ts
@@ -1,4 +1,4 @@
-/** What a group's owner knows of its servers from their announcements. */
+/** State of a group's servers as known to the owner from their announcements. */
 import type { Incarnation, ServerName } from '../types/ids.js';
 import { comparePositions, type LogPosition } from '../types/position.js';
 import type { Announcement } from '../types/target.js';
@@ -7,11 +7,11 @@
   readonly server: ServerName;
   announcement: Announcement;
   heardAtMs: number;
-  /** Latest time at which this server was known to have all that the primary had. */
-  currentAtMs: number;
+  /** Latest time at which this server was known to have the primary's whole log. */
+  upToDateAtMs: number;
 }
 
-/** A primary position together with the time at which it was heard. */
+/** A position announced by the primary, with the time at which it was received. */
 interface PrimarySample {
   readonly heardAtMs: number;
   readonly position: LogPosition;
@@ -29,7 +29,7 @@
 }
 
 /**
- * Takes in an announcement. Late ones (same incarnation, lower sequence) are ignored.
+ * Records an announcement. One that is not newer (same incarnation, no higher sequence) is ignored.
  *
  * @returns whether the view has changed
  */
@@ -40,11 +40,11 @@
 ): boolean {
   const known = view.servers.get(announcement.server);
   if (known && isOutdated(known.announcement, announcement)) return false;
-  const currentAtMs = known?.currentAtMs ?? Number.NEGATIVE_INFINITY;
+  const upToDateAtMs = known?.upToDateAtMs ?? Number.NEGATIVE_INFINITY;
   const { server } = announcement;
-  view.servers.set(server, { server, announcement, heardAtMs: nowMs, currentAtMs });
+  view.servers.set(server, { server, announcement, heardAtMs: nowMs, upToDateAtMs });
   if (announcement.role === 'primary') addPrimarySample(view, announcement.position, nowMs);
-  updateCurrency(view, server);
+  updateUpToDateTime(view, server);
   return true;
 }
 
@@ -57,20 +57,20 @@
   if (view.primarySamples.length > MAX_PRIMARY_SAMPLES) view.primarySamples.shift();
 }
 
-/** A server is current as of the newest primary sample that its own position covers. */
-function updateCurrency(view: GroupView, server: ServerName): void {
+/** A server is up to date as of the newest primary sample that its own position covers. */
+function updateUpToDateTime(view: GroupView, server: ServerName): void {
   const known = view.servers.get(server);
   if (!known) return;
   for (let index = view.primarySamples.length - 1; index >= 0; index -= 1) {
     const sample = view.primarySamples[index];
     if (!sample) continue;
     if (comparePositions(known.announcement.position, sample.position) < 0) continue;
-    known.currentAtMs = Math.max(known.currentAtMs, sample.heardAtMs);
+    known.upToDateAtMs = Math.max(known.upToDateAtMs, sample.heardAtMs);
     return;
   }
 }
 
-/** Removes a server that has left or died for good. */
+/** Removes a server that has left or failed permanently, unless a newer incarnation has announced. */
 export function forgetServer(view: GroupView, server: ServerName, incarnation: Incarnation): void {
   if (view.servers.get(server)?.announcement.incarnation === incarnation) {
     view.servers.delete(server);
--- a/packages/core/src/statements/choose-target.test.ts
+++ b/packages/core/src/statements/choose-target.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import type { ServerName } from '../types/ids.js';
-import { chooseTarget, type TargetNeed, type TargetView } from './choose-target.js';
+import { chooseTarget, type TargetRequirements, type TargetView } from './choose-target.js';
 
-const owed = { term: 1, offset: 50 };
+const requiredPosition = { term: 1, offset: 50 };
 
 function view(server: string, change: Partial<TargetView> = {}): TargetView {
   return {
@@ -10,20 +10,25 @@
     isPrimary: false,
     isLeaving: false,
     isUsable: true,
-    isNear: false,
+    isInSameRegion: false,
     freeSlots: 2,
-    position: owed,
+    position: requiredPosition,
     laggingUntilMs: 0,
     ...change,
   };
 }
 
-const read: TargetNeed = { mustBePrimary: false, owed, owedSinceMs: 0, mayGuess: true };
-const write: TargetNeed = { ...read, mustBePrimary: true };
+const read: TargetRequirements = {
+  mustBePrimary: false,
+  requiredPosition,
+  requiredSinceMs: 0,
+  mayAssumeCaughtUp: true,
+};
+const write: TargetRequirements = { ...read, mustBePrimary: true };
 const primary = view('p', { isPrimary: true });
 const behind = { term: 1, offset: 49 };
 
-describe('the server for a statement', () => {
+describe('chooseTarget', () => {
   it.each([
     {
       name: 'a write goes to the primary',
@@ -50,63 +55,63 @@
       expected: undefined,
     },
     {
-      name: 'a read goes to the primary with slots to spare',
+      name: 'a read goes to a primary with more than one free slot',
       servers: [view('r'), primary],
       need: read,
       expected: 'p',
     },
     {
-      name: 'a read leaves the last slot to writes',
+      name: 'a read leaves the last free slot of the primary to writes',
       servers: [view('r'), view('p', { isPrimary: true, freeSlots: 1 })],
       need: read,
       expected: 'r',
     },
     {
-      name: 'a read takes the last slot when no replica can',
+      name: 'a read takes the last free slot of the primary when no replica has one',
       servers: [view('r', { freeSlots: 0 }), view('p', { isPrimary: true, freeSlots: 1 })],
       need: read,
       expected: 'p',
     },
     {
-      name: 'a read goes to a replica without a primary',
+      name: 'a read goes to a replica when there is no primary',
       servers: [view('r')],
       need: read,
       expected: 'r',
     },
     {
-      name: 'a replica nearby is preferred',
-      servers: [view('a', { freeSlots: 5 }), view('b', { isNear: true })],
+      name: 'a replica in the same region is preferred',
+      servers: [view('a', { freeSlots: 5 }), view('b', { isInSameRegion: true })],
       need: read,
       expected: 'b',
     },
     {
-      name: 'a leaving replica gets nothing',
+      name: 'a leaving replica gets no reads',
       servers: [view('r', { isLeaving: true })],
       need: read,
       expected: undefined,
     },
     {
-      name: 'a replica behind the owed position gets nothing new',
+      name: 'a replica behind a recently acknowledged position is not chosen',
       servers: [view('r', { position: behind })],
-      need: { ...read, owedSinceMs: 990 },
+      need: { ...read, requiredSinceMs: 990 },
       expected: undefined,
     },
     {
-      name: 'a replica probably has what is older',
+      name: 'a replica is assumed to have a position acknowledged longer ago',
       servers: [view('r', { position: behind })],
-      need: { ...read, owedSinceMs: 800 },
+      need: { ...read, requiredSinceMs: 800 },
       expected: 'r',
     },
     {
-      name: 'a replica that refused lately is not asked to guess',
+      name: 'a replica that recently refused a read as lagging is not assumed to have caught up',
       servers: [view('r', { position: behind, laggingUntilMs: 2_000 })],
       need: read,
       expected: undefined,
     },
     {
-      name: 'a statement that was refused once is not guessed for',
+      name: 'no replica is assumed to have caught up for a statement that may not assume it',
       servers: [view('r', { position: behind })],
-      need: { ...read, mayGuess: false },
+      need: { ...read, mayAssumeCaughtUp: false },
       expected: undefined,
     },
   ])('$name', ({ servers, need, expected }) => {
--- a/packages/core/src/statements/choose-target.ts
+++ b/packages/core/src/statements/choose-target.ts
@@ -1,59 +1,65 @@
-/** Which server of a group runs a statement now. */
+/** Chooses the server of a group that runs a statement. */
 import type { ServerName } from '../types/ids.js';
 import { coversMark, type LogPosition } from '../types/position.js';
 
-/** What the owner knows about one server when it chooses. */
+/** What the owner knows about a server. */
 export interface TargetView {
   readonly server: ServerName;
   readonly isPrimary: boolean;
   readonly isLeaving: boolean;
-  /** Whether connections to it work as far as is known. */
+  /** Whether connections to the server are believed to work. */
   readonly isUsable: boolean;
-  readonly isNear: boolean;
+  readonly isInSameRegion: boolean;
   readonly freeSlots: number;
-  /** The newest position that it has reported. */
+  /** The newest log position that the server has reported. */
   readonly position: LogPosition;
-  /** A replica that refused a position lately is not asked for as new a one again at once. */
+  /** Until this time a replica that refused a statement as lagging is not assumed to have caught up. */
   readonly laggingUntilMs: number;
 }
 
-export interface TargetNeed {
+export interface TargetRequirements {
   readonly mustBePrimary: boolean;
-  /** Set for reads: the position that the server's log has to contain. */
-  readonly owed: LogPosition;
-  /** When the owed position was acknowledged. */
-  readonly owedSinceMs: number;
-  /** Whether replicas may be asked for positions that they have not reported yet. */
-  readonly mayGuess: boolean;
+  /** For reads: the position that the server's log must have reached. */
+  readonly requiredPosition: LogPosition;
+  /** When the required position was acknowledged. */
+  readonly requiredSinceMs: number;
+  /** Whether a replica may be assumed to have a position that it has not reported yet. */
+  readonly mayAssumeCaughtUp: boolean;
 }
 
-/** A replica usually has what was acknowledged this long ago, in milliseconds. */
-const USUAL_LAG_MS = 150;
+/** Replicas usually have commits that were acknowledged at least this long ago, in milliseconds. */
+const TYPICAL_LAG_MS = 150;
 
 /**
- * Chooses a server with a free slot: the primary while it has slots to spare, else a replica that has
- * the owed position, or is likely to. `undefined` when the statement has to wait.
+ * Chooses a server with a free slot. Reads go to the primary while it has more than one free slot, so
+ * that the last one stays available to writes, and otherwise to a replica that has, or probably has,
+ * the required position. Replicas in the same region are preferred. Returns `undefined` if the
+ * statement has to wait.
  */
 export function chooseTarget(
   servers: readonly TargetView[],
-  need: TargetNeed,
+  need: TargetRequirements,
   nowMs: number,
 ): ServerName | undefined {
   const free = servers.filter(({ isUsable, freeSlots }) => isUsable && freeSlots > 0);
   const primary = free.find(({ isPrimary }) => isPrimary);
   if (need.mustBePrimary) return primary?.server;
   const replicas = free
-    .filter((server) => !server.isPrimary && !server.isLeaving && hasOwed(server, need, nowMs))
+    .filter(
+      (server) =>
+        !server.isPrimary && !server.isLeaving && hasRequiredPosition(server, need, nowMs),
+    )
     .sort(
       (left, right) =>
-        Number(right.isNear) - Number(left.isNear) || right.freeSlots - left.freeSlots,
+        Number(right.isInSameRegion) - Number(left.isInSameRegion) ||
+        right.freeSlots - left.freeSlots,
     );
   if (primary && primary.freeSlots > 1) return primary.server;
   return replicas[0]?.server ?? primary?.server;
 }
 
-function hasOwed(server: TargetView, need: TargetNeed, nowMs: number): boolean {
-  if (coversMark(server.position, need.owed)) return true;
-  if (!need.mayGuess || nowMs < server.laggingUntilMs) return false;
-  return nowMs - need.owedSinceMs >= USUAL_LAG_MS;
+function hasRequiredPosition(server: TargetView, need: TargetRequirements, nowMs: number): boolean {
+  if (coversMark(server.position, need.requiredPosition)) return true;
+  if (!need.mayAssumeCaughtUp || nowMs < server.laggingUntilMs) return false;
+  return nowMs - need.requiredSinceMs >= TYPICAL_LAG_MS;
 }
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -1,27 +1,27 @@
 /**
- * Statement-level requests: one statement of a caller at a time, with its values and prepared names
- * carried along, between an entry and the owner of the group.
+ * Types of statement-level requests between an entry and the owner of a group. Each request carries
+ * one statement of a caller, with its session values and prepared statement.
  */
 import type { CustomerName, GroupName, ServerName } from '../types/ids.js';
 import type { LogPosition } from '../types/position.js';
 
 /**
- * What a read may miss.
+ * Which commits a read is guaranteed to see.
  *
- * - `newest`: nothing that was acknowledged before it.
- * - `bounded-age`: what was acknowledged less than `maxReadAgeMs` before it.
- * - `own-writes`: the same, but never a commit of its own session.
+ * - `newest`: every commit acknowledged before the read.
+ * - `bounded-age`: every commit acknowledged at least `maxReadAgeMs` before the read.
+ * - `own-writes`: as `bounded-age`, and every commit of the read's own session.
  */
 export type ReadConsistency = 'newest' | 'bounded-age' | 'own-writes';
 
-/** Where a database name leads, and under which terms. */
+/** The group behind a database name, with the consistency and limits that apply. */
 export interface StatementRoute {
   readonly name: string;
   readonly group: GroupName;
   readonly consistency: ReadConsistency;
   readonly maxReadAgeMs: number;
   readonly statementTimeoutMs: number;
-  /** Time in which a whole operation should be answered. */
+  /** Target response time of a whole operation, in milliseconds. */
   readonly objectiveMs: number;
   /** Zero is the highest priority. */
   readonly priority: number;
@@ -33,7 +33,7 @@
   readonly keys: readonly string[];
   readonly ratePerSecond: number;
   readonly burst: number;
-  /** Tokens that a home of its rate starts with when it follows on another. */
+  /** Tokens that a new home of the customer's rate limit starts with when it takes over from another. */
   readonly afterMove: number;
 }
 
@@ -44,7 +44,7 @@
   readonly isSynchronous: boolean;
 }
 
-/** An operators' document, decoded into what entries decide by. */
+/** Settings of the entries, decoded from an operators' document. */
 export interface StatementSettings {
   readonly version: number;
   readonly routes: ReadonlyMap<string, StatementRoute>;
@@ -54,8 +54,7 @@
   readonly idleTransactionMs: number;
 }
 
-/** A server's announcement of itself, as decoded by the adapter. */
-/** Where a server is, and how much it takes at a time. */
+/** Address, zone and capacity of a server. */
 export interface ServerPlace {
   readonly server: ServerName;
   readonly address: string;
@@ -63,16 +62,17 @@
   readonly slots: number;
 }
 
+/** A server's announcement of itself, as decoded by the adapter. */
 export interface ServerAnnouncement extends ServerPlace {
   readonly group: GroupName;
   readonly role: 'primary' | 'replica';
   readonly isLeaving: boolean;
-  /** Start of the server's process, in milliseconds of the time of day; orders incarnations. */
+  /** Wall-clock start time of the server's process, in milliseconds; orders its incarnations. */
   readonly bornMs: number;
   readonly sequence: number;
 }
 
-/** Whether `next` was said after `known` by the same server. */
+/** Returns whether `next` is newer than `known`, an announcement of the same server. */
 export function isNewerAnnouncement(next: ServerAnnouncement, known: ServerAnnouncement): boolean {
   if (next.bornMs !== known.bornMs) return next.bornMs > known.bornMs;
   return next.sequence > known.sequence;
@@ -80,7 +80,7 @@
 
 export type StatementAccess = 'read' | 'write' | 'commit';
 
-/** What a caller's statement says, in the dialect's own text. */
+/** Content of a caller's statement, in the syntax of its protocol. */
 export type StatementBody =
   | { readonly kind: 'plain'; readonly text: string }
   | {
@@ -94,7 +94,7 @@
   /** Unique at the entry that the caller is connected to. */
   readonly number: number;
   readonly isReadOnly: boolean;
-  /** Whether nothing of the transaction was sent to the owner before. */
+  /** Whether this is the first statement of the transaction sent to the owner. */
   readonly isFirst: boolean;
 }
 
@@ -114,13 +114,13 @@
   readonly mark: LogPosition | null;
   /** Session values by name. */
   readonly values: Readonly<Record<string, string>>;
-  /** Time left for the statement, counted from its arrival at the owner. */
+  /** Time left for the statement from its arrival at the owner, in milliseconds. */
   readonly budgetMs: number;
-  /** Time in which it has to be sent to a server, or be refused as not run. */
+  /** Time within which it must be sent to a server or refused as not run, in milliseconds. */
   readonly startWithinMs: number;
 }
 
-/** Why a statement was refused although nothing of it ran. */
+/** Why a statement was refused before it ran. */
 export type StatementRefusalReason =
   | 'no-owner'
   | 'no-primary'
@@ -136,12 +136,12 @@
   | 'unsupported-statement';
 
 /**
- * What became of a statement.
+ * Outcome of a statement.
  *
- * - `done`: the server ran it; `signature` is the server's own.
- * - `not-run`: nothing of it ran, and nothing of its transaction is kept.
- * - `aborted`: its transaction is over and nothing of it is kept.
- * - `failed`: the server ran it and reported a failure.
+ * - `done`: the server ran it; `signature` is passed on from the server.
+ * - `not-run`: it did not run, and its transaction, if any, is not committed.
+ * - `aborted`: its transaction has ended and was rolled back.
+ * - `failed`: the server ran it and reported an error.
  * - `timed-out`, `unknown`: it may have run.
  */
 export type StatementOutcome =
@@ -149,7 +149,7 @@
       readonly kind: 'done';
       readonly rows: readonly string[];
       readonly signature: string;
-      /** Position of the server's log after the statement. */
+      /** Log position of the server after the statement. */
       readonly position: LogPosition | null;
       readonly isFromReplica: boolean;
     }
--- a/packages/entry/src/owner/slots.ts
+++ b/packages/entry/src/owner/slots.ts
@@ -1,5 +1,5 @@
 /** Slots of target servers that requests occupy, and what their customers are charged for them. */
-import { finish } from '@bramleykeel/core';
+import { recordFinished } from '@bramleykeel/core';
 import type { TargetPool } from '../target/target-pool.js';
 import type { GroupOwner, OwnerRequest, PinnedConnection } from './owner-state.js';
 
@@ -23,7 +23,7 @@
   slot.pool.runningCount -= 1;
   countRunning(owner, request, -1);
   request.slot = undefined;
-  finish(owner.queue, session.customer, nowMs - slot.sinceMs, nowMs);
+  recordFinished(owner.queue, session.customer, nowMs - slot.sinceMs, nowMs);
 }
 
 /** Requests of a customer that run on a server now. */
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -154,7 +154,7 @@
     unfenced: unfenced.map(({ announcement }) => announcement.server),
     acknowledged: owner.owed ? newestAcknowledged(owner.owed) : ZERO_POSITION,
     unfencedSilentMs: Math.min(...silences, Number.MAX_SAFE_INTEGER),
-    isQuiet: isPlanned,
+    hasStoppedWrites: isPlanned,
   };
 }
 
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -7,12 +7,12 @@
   type FairQueue,
   newestAcknowledged,
   newestAcknowledgedAtMs,
-  owedPosition,
+  requiredPosition,
   removeWaiting,
   type ServerName,
   type StatementOutcome,
   takeExpired,
-  type TargetNeed,
+  type TargetRequirements,
   type TargetView,
   waitingCount,
   ZERO_POSITION,
@@ -99,7 +99,7 @@
     isPrimary: server === primary,
     isLeaving: server.announcement.isLeaving,
     isUsable: server.failingSinceMs === undefined && hasConnectionLeft(owner.pools, server),
-    isNear: regionOf(server.announcement.zone) === regionOf(zone),
+    isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(server),
     position: server.position,
     laggingUntilMs: server.laggingUntilMs,
@@ -128,12 +128,12 @@
   const { access, transaction, consistency } = request;
   const isRead = transaction ? transaction.isReadOnly : access === 'read';
   const isFresh = nowMs - owner.startedAtMs < EARLIER_OWNER_MS && consistency === 'newest';
-  const need: TargetNeed = {
+  const need: TargetRequirements = {
     mustBePrimary: !isRead || isFresh,
-    owed: isRead ? owedPosition(owed, request, nowMs) : ZERO_POSITION,
-    owedSinceMs:
+    requiredPosition: isRead ? requiredPosition(owed, request, nowMs) : ZERO_POSITION,
+    requiredSinceMs:
       consistency === 'newest' ? newestAcknowledgedAtMs(owed) : nowMs - request.maxReadAgeMs,
-    mayGuess: attempts === 0,
+    mayAssumeCaughtUp: attempts === 0,
   };
   return chooseTarget(views, need, nowMs);
 }
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -7,7 +7,7 @@
   type GroupName,
   type GroupRecord,
   type LogPosition,
-  type OwedPositions,
+  type AcknowledgedPositions,
   type ServerAnnouncement,
   type ServerName,
   type StatementGroup,
@@ -136,7 +136,7 @@
   readonly running: Set<Job>;
   leadership: Leadership;
   /** `undefined` until a position that covers everything acknowledged earlier is known. */
-  owed: OwedPositions | undefined;
+  owed: AcknowledgedPositions | undefined;
   isStopping: boolean;
   isClosed: boolean;
   isDispatching: boolean;
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -1,5 +1,5 @@
 /** Runs one statement on one server, or on its transaction's own connection. */
-import { finish, type LogPosition, owedPosition } from '@bramleykeel/core';
+import { recordFinished, type LogPosition, requiredPosition } from '@bramleykeel/core';
 import {
   acquireConnection,
   discardConnection,
@@ -57,7 +57,7 @@
     if (server) server.runningCount -= 1;
     const queue = owner.queues.get(job.request.priority);
     const nowMs = performance.now();
-    if (queue && server) finish(queue, job.request.customer, nowMs - startedAtMs, nowMs);
+    if (queue && server) recordFinished(queue, job.request.customer, nowMs - startedAtMs, nowMs);
     dispatch(owner);
   }
 }
@@ -132,7 +132,7 @@
   const isRead = request.transaction ? request.transaction.isReadOnly : request.access === 'read';
   // A transaction that may write sees everything; the position also keeps it off a superseded primary.
   const read = isRead ? request : { ...request, consistency: 'newest' as const };
-  return owedPosition(owner.owed, read, performance.now());
+  return requiredPosition(owner.owed, read, performance.now());
 }
 
 function orderOf(owner: StatementOwner, job: Job): TargetOrder {
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -2,7 +2,7 @@
 import {
   latestPosition,
   type LogPosition,
-  noteAcknowledged,
+  recordAcknowledged,
   type StatementOutcome,
 } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
@@ -138,7 +138,7 @@
 }
 
 function acknowledge(owner: StatementOwner, position: LogPosition): void {
-  if (owner.owed) noteAcknowledged(owner.owed, position, performance.now());
+  if (owner.owed) recordAcknowledged(owner.owed, position, performance.now());
 }
 
 /** Notes a success, and how far the server's log reaches. */
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -1,5 +1,5 @@
 /** Finds the primary when an owner starts, and starts to serve from what the primary itself says. */
-import { createOwedPositions } from '@bramleykeel/core';
+import { createAcknowledgedPositions } from '@bramleykeel/core';
 import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
 import { dispatch } from './dispatch.js';
 import { type StatementOwner } from './owner-state.js';
@@ -69,7 +69,7 @@
   const nowMs = performance.now();
   const name = server.announcement.server;
   server.position = status.position;
-  owner.owed = createOwedPositions(status.position, nowMs);
+  owner.owed = createAcknowledgedPositions(status.position, nowMs);
   owner.leadership = { kind: 'led', server: name, sinceMs: nowMs };
   owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
   const { term, position } = status;
