--- a/packages/core/src/statements/choose-target.test.ts
+++ b/packages/core/src/statements/choose-target.test.ts
@@ -33,88 +33,88 @@
     {
       name: 'a write goes to the primary',
       servers: [view('r'), primary],
-      need: write,
+      requirements: write,
       expected: 'p',
     },
     {
       name: 'a write waits while the primary is full',
       servers: [view('r'), view('p', { isPrimary: true, freeSlots: 0 })],
-      need: write,
+      requirements: write,
       expected: undefined,
     },
     {
       name: 'a write waits while there is no primary',
       servers: [view('r')],
-      need: write,
+      requirements: write,
       expected: undefined,
     },
     {
       name: 'a write waits while the primary is unusable',
       servers: [view('p', { isPrimary: true, isUsable: false })],
-      need: write,
+      requirements: write,
       expected: undefined,
     },
     {
       name: 'a read goes to a primary with more than one free slot',
       servers: [view('r'), primary],
-      need: read,
+      requirements: read,
       expected: 'p',
     },
     {
       name: 'a read leaves the last free slot of the primary to writes',
       servers: [view('r'), view('p', { isPrimary: true, freeSlots: 1 })],
-      need: read,
+      requirements: read,
       expected: 'r',
     },
     {
       name: 'a read takes the last free slot of the primary when no replica has one',
       servers: [view('r', { freeSlots: 0 }), view('p', { isPrimary: true, freeSlots: 1 })],
-      need: read,
+      requirements: read,
       expected: 'p',
     },
     {
       name: 'a read goes to a replica when there is no primary',
       servers: [view('r')],
-      need: read,
+      requirements: read,
       expected: 'r',
     },
     {
       name: 'a replica in the same region is preferred',
       servers: [view('a', { freeSlots: 5 }), view('b', { isInSameRegion: true })],
-      need: read,
+      requirements: read,
       expected: 'b',
     },
     {
       name: 'a leaving replica gets no reads',
       servers: [view('r', { isLeaving: true })],
-      need: read,
+      requirements: read,
       expected: undefined,
     },
     {
       name: 'a replica behind a recently acknowledged position is not chosen',
       servers: [view('r', { position: behind })],
-      need: { ...read, requiredSinceMs: 990 },
+      requirements: { ...read, requiredSinceMs: 990 },
       expected: undefined,
     },
     {
       name: 'a replica is assumed to have a position acknowledged longer ago',
       servers: [view('r', { position: behind })],
-      need: { ...read, requiredSinceMs: 800 },
+      requirements: { ...read, requiredSinceMs: 800 },
       expected: 'r',
     },
     {
       name: 'a replica that recently refused a read as lagging is not assumed to have caught up',
       servers: [view('r', { position: behind, laggingUntilMs: 2_000 })],
-      need: read,
+      requirements: read,
       expected: undefined,
     },
     {
       name: 'no replica is assumed to have caught up for a statement that may not assume it',
       servers: [view('r', { position: behind })],
-      need: { ...read, mayAssumeCaughtUp: false },
+      requirements: { ...read, mayAssumeCaughtUp: false },
       expected: undefined,
     },
-  ])('$name', ({ servers, need, expected }) => {
-    expect(chooseTarget(servers, need, 1_000)).toBe(expected);
+  ])('$name', ({ servers, requirements, expected }) => {
+    expect(chooseTarget(servers, requirements, 1_000)).toBe(expected);
   });
 });
--- a/packages/core/src/statements/choose-target.ts
+++ b/packages/core/src/statements/choose-target.ts
@@ -13,7 +13,7 @@
   readonly freeSlots: number;
   /** The newest log position that the server has reported. */
   readonly position: LogPosition;
-  /** Until this time a replica that refused a statement as lagging is not assumed to have caught up. */
+  /** Time until which a replica that refused a read as lagging is not assumed to have caught up. */
   readonly laggingUntilMs: number;
 }
 
@@ -38,16 +38,16 @@
  */
 export function chooseTarget(
   servers: readonly TargetView[],
-  need: TargetRequirements,
+  requirements: TargetRequirements,
   nowMs: number,
 ): ServerName | undefined {
   const free = servers.filter(({ isUsable, freeSlots }) => isUsable && freeSlots > 0);
   const primary = free.find(({ isPrimary }) => isPrimary);
-  if (need.mustBePrimary) return primary?.server;
+  if (requirements.mustBePrimary) return primary?.server;
   const replicas = free
     .filter(
       (server) =>
-        !server.isPrimary && !server.isLeaving && hasRequiredPosition(server, need, nowMs),
+        !server.isPrimary && !server.isLeaving && hasRequiredPosition(server, requirements, nowMs),
     )
     .sort(
       (left, right) =>
@@ -58,8 +58,12 @@
   return replicas[0]?.server ?? primary?.server;
 }
 
-function hasRequiredPosition(server: TargetView, need: TargetRequirements, nowMs: number): boolean {
-  if (coversMark(server.position, need.requiredPosition)) return true;
-  if (!need.mayAssumeCaughtUp || nowMs < server.laggingUntilMs) return false;
-  return nowMs - need.requiredSinceMs >= TYPICAL_LAG_MS;
+function hasRequiredPosition(
+  server: TargetView,
+  requirements: TargetRequirements,
+  nowMs: number,
+): boolean {
+  if (coversMark(server.position, requirements.requiredPosition)) return true;
+  if (!requirements.mayAssumeCaughtUp || nowMs < server.laggingUntilMs) return false;
+  return nowMs - requirements.requiredSinceMs >= TYPICAL_LAG_MS;
 }
