Rename identifiers of the statement owner

Uses terms of the field: setPrimary, isActiveOwner, handleStalledCommits, handleBrokenConnection, settleStatement, recordServerPlaces, removeServer, acceptStatement, applyServerAnnouncement, and module-private names.

--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -15,7 +15,7 @@
   type NearQuestionCode,
   offerNear,
 } from './near/near-offer.js';
-import { type EntryChannel, takeRollback, takeStatement } from './owner/owner-app.js';
+import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
 import type { StatementOwner } from './owner/owner-state.js';
 import {
   deliverServerAnnouncement,
@@ -78,7 +78,7 @@
   'statement/rollback': (app, peer, params) => {
     const [group, epoch, transaction] = params as [GroupName, number, number];
     const owner = findStatementOwner(app.registry, group, epoch);
-    if (owner) takeRollback(owner, channelOf(app, peer), transaction);
+    if (owner) acceptRollback(owner, channelOf(app, peer), transaction);
   },
 };
 
@@ -136,7 +136,7 @@
   const channel = channelOf(app, peer);
   const owner = findStatementOwner(app.registry, group, epoch);
   if (owner) {
-    takeStatement(owner, channel, request);
+    acceptStatement(owner, channel, request);
     return;
   }
   // A transaction that was begun here went with its owner.
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -10,8 +10,8 @@
 import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { dropTransaction } from './transactions.js';
-import { newestPrimary, lead, mayAct } from './take-over.js';
-import { orderPromotion, awaitLead } from './order-promotion.js';
+import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
+import { orderPromotion, awaitPrimaryRole } from './order-promotion.js';
 
 /** Writes that run on a leaving primary may take this long before it is replaced, in milliseconds. */
 const PLANNED_DRAIN_MS = 250;
@@ -37,15 +37,15 @@
   owner.leadership = { kind: 'changing', sinceMs, reason };
   owner.environment.log(`change of primary of ${owner.group} starts: ${reason}`);
   owner.environment.counters.count('failover.started');
-  if (isPlanned && former) await awaitWrites(owner, former);
+  if (isPlanned && former) await drainWrites(owner, former);
   const change: ChangeProgress = { hasFenced: false, isRevocable: !isStalled };
-  while (mayAct(owner)) {
+  while (isActiveOwner(owner)) {
     const promoted = await tryChange(owner, former, isPlanned, change);
-    if (promoted && mayAct(owner)) {
+    if (promoted && isActiveOwner(owner)) {
       owner.lastPromotionMs = performance.now();
       owner.stalledCommits = [];
-      lead(owner, promoted, `promoted after ${Math.round(performance.now() - sinceMs)} ms`);
-      if (former && former !== promoted.server) abandon(owner, former, isPlanned);
+      setPrimary(owner, promoted, `promoted after ${Math.round(performance.now() - sinceMs)} ms`);
+      if (former && former !== promoted.server) endFormerPrimaryWork(owner, former, isPlanned);
       return;
     }
     await delay(CHANGE_RETRY_MS);
@@ -62,7 +62,7 @@
   return announced ?? (primary === undefined ? undefined : owner.servers.get(primary));
 }
 
-async function awaitWrites(owner: StatementOwner, former: ServerState): Promise<void> {
+async function drainWrites(owner: StatementOwner, former: ServerState): Promise<void> {
   const untilMs = performance.now() + PLANNED_DRAIN_MS;
   const isWriting = () =>
     [...owner.running].some(({ request, transaction }) => {
@@ -79,7 +79,7 @@
   change: ChangeProgress,
 ): Promise<ServerStatus | undefined> {
   const statuses = await orderAll(owner, () => ({ kind: 'status' }));
-  if (!mayAct(owner)) return undefined;
+  if (!isActiveOwner(owner)) return undefined;
   const present = newestPrimary(statuses);
   if (present && present.server !== former) {
     // A promotion that was ordered earlier has been carried out meanwhile.
@@ -89,18 +89,18 @@
   if (present && !isPlanned && !change.hasFenced && change.isRevocable) return present;
   change.hasFenced = true;
   const fenced = isPlanned ? statuses : await fenceAll(owner, statuses);
-  if (!mayAct(owner)) return undefined;
+  if (!isActiveOwner(owner)) return undefined;
   const choice = chooseSuccessor(successorContext(owner, former, fenced, isPlanned));
   if (choice.kind === 'wait') {
     owner.environment.log(`change of primary of ${owner.group} waits: ${choice.reason}`);
     return undefined;
   }
-  owner.environment.log(`${choice.server} is to lead ${owner.group}: ${describe(fenced)}`);
+  owner.environment.log(`${choice.server} is to lead ${owner.group}: ${describeStatuses(fenced)}`);
   const isOrdered = await orderPromotion(owner, choice.server);
-  return isOrdered ? awaitLead(owner, choice.server) : undefined;
+  return isOrdered ? awaitPrimaryRole(owner, choice.server) : undefined;
 }
 
-function describe(statuses: readonly ServerStatus[]): string {
+function describeStatuses(statuses: readonly ServerStatus[]): string {
   return statuses
     .map(({ server, status: { role, position, heldTerm } }) => {
       const name = server.announcement.server;
@@ -159,11 +159,15 @@
 }
 
 /** Ends what still waits for the former primary; one that is leaving answers for itself. */
-function abandon(owner: StatementOwner, former: ServerState, isPlanned: boolean): void {
+function endFormerPrimaryWork(
+  owner: StatementOwner,
+  former: ServerState,
+  isPlanned: boolean,
+): void {
   dropIdle(former, () => true);
   for (const transaction of [...owner.transactions.values()]) {
-    const isThere = transaction.pooled?.server === former;
-    if (!isThere || transaction.isReadOnly || transaction.isBusy) continue;
+    const isOnFormer = transaction.pooled?.server === former;
+    if (!isOnFormer || transaction.isReadOnly || transaction.isBusy) continue;
     dropTransaction(owner, transaction);
   }
   if (isPlanned) return;
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -26,11 +26,11 @@
 /** What a caller is told to wait before it asks again, in milliseconds. */
 export const RETRY_AFTER_MS = 200;
 /** Reads that may miss nothing go to the primary alone while an earlier owner's commits may still end. */
-const EARLIER_OWNER_MS = 2_000;
+const FORMER_OWNER_COMMIT_MS = 2_000;
 /** Statements take about this long at a server, in milliseconds: the sites' means are 3 to 55. */
-const USUAL_WORK_MS = 15;
+const TYPICAL_STATEMENT_MS = 15;
 /** Statements on their way beyond a server's slots are at most this many times the slots. */
-const MAX_AHEAD_SHARE = 2;
+const MAX_PIPELINED_PER_SLOT = 2;
 
 /** Takes in a statement: it runs at once if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
@@ -109,12 +109,15 @@
 function freeSlots(server: ServerState): number {
   if (performance.now() < server.busyUntilMs) return 0;
   const { slots } = server.announcement;
-  return slots + aheadOf(server) - server.runningCount;
+  return slots + pipelineAllowance(server) - server.runningCount;
 }
 
 /** Statements that may be on their way to or from a distant server while its slots are busy. */
-function aheadOf({ announcement: { slots }, roundTripMs = 0 }: ServerState): number {
-  return Math.min(slots * MAX_AHEAD_SHARE, Math.floor((slots * roundTripMs) / USUAL_WORK_MS));
+function pipelineAllowance({ announcement: { slots }, roundTripMs = 0 }: ServerState): number {
+  return Math.min(
+    slots * MAX_PIPELINED_PER_SLOT,
+    Math.floor((slots * roundTripMs) / TYPICAL_STATEMENT_MS),
+  );
 }
 
 function chooseFor(
@@ -127,9 +130,10 @@
   const nowMs = performance.now();
   const { access, transaction, consistency } = request;
   const isRead = transaction ? transaction.isReadOnly : access === 'read';
-  const isFresh = nowMs - owner.startedAtMs < EARLIER_OWNER_MS && consistency === 'newest';
+  const mayMissFormerCommits =
+    nowMs - owner.startedAtMs < FORMER_OWNER_COMMIT_MS && consistency === 'newest';
   const need: TargetNeed = {
-    mustBePrimary: !isRead || isFresh,
+    mustBePrimary: !isRead || mayMissFormerCommits,
     owed: isRead ? owedPosition(owed, request, nowMs) : ZERO_POSITION,
     owedSinceMs:
       consistency === 'newest' ? newestAcknowledgedAtMs(owed) : nowMs - request.maxReadAgeMs,
@@ -185,8 +189,8 @@
 export function endJob(owner: StatementOwner, job: Job, proposed: StatementOutcome): void {
   if (job.isEnded) return;
   job.isEnded = true;
-  const isFalse = proposed.kind === 'not-run' && job.mayHaveRun;
-  const outcome: StatementOutcome = isFalse ? { kind: 'timed-out' } : proposed;
+  const contradictsExecution = proposed.kind === 'not-run' && job.mayHaveRun;
+  const outcome: StatementOutcome = contradictsExecution ? { kind: 'timed-out' } : proposed;
   owner.environment.counters.count(
     outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
   );
--- a/packages/statement-entry/src/owner/order-promotion.ts
+++ b/packages/statement-entry/src/owner/order-promotion.ts
@@ -3,7 +3,7 @@
 import { type ServerName } from '@bramleykeel/core';
 import { orderStatus, type ServerStatus } from '../target/server-control.js';
 import { type StatementOwner } from './owner-state.js';
-import { mayAct } from './take-over.js';
+import { isActiveOwner } from './take-over.js';
 
 /** Pause before a call without an answer is repeated, in milliseconds. */
 const PROMOTE_RETRY_MS = 80;
@@ -26,11 +26,11 @@
     ownerEpoch,
     term: token,
   });
-  if (proposed.kind !== 'done' || !mayAct(owner)) {
+  if (proposed.kind !== 'done' || !isActiveOwner(owner)) {
     environment.log(`control did not take token ${token} for ${group}: ${proposed.kind}`);
     return false;
   }
-  for (let attempt = 0; attempt < PROMOTE_ATTEMPTS && mayAct(owner); attempt += 1) {
+  for (let attempt = 0; attempt < PROMOTE_ATTEMPTS && isActiveOwner(owner); attempt += 1) {
     const holder = environment.entryId;
     const outcome = await environment.promoteServer({ group, server, holder, token });
     environment.log(`promotion of ${server} under token ${token}: ${outcome}`);
@@ -56,12 +56,12 @@
   owner.environment.log(`control did not record ${server} as primary of ${group}: ${result.kind}`);
 }
 
-export async function awaitLead(
+export async function awaitPrimaryRole(
   owner: StatementOwner,
   name: ServerName,
 ): Promise<ServerStatus | undefined> {
   const untilMs = performance.now() + PROMOTED_WITHIN_MS;
-  while (mayAct(owner) && performance.now() < untilMs) {
+  while (isActiveOwner(owner) && performance.now() < untilMs) {
     const server = owner.servers.get(name);
     if (!server) return undefined;
     const answer = await orderStatus(owner, server, { kind: 'status' });
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -10,7 +10,7 @@
 }
 
 /** Takes in a statement of an entry's caller. */
-export function takeStatement(
+export function acceptStatement(
   owner: StatementOwner,
   channel: EntryChannel,
   request: StatementRequest,
@@ -64,7 +64,7 @@
 }
 
 /** The caller rolled its transaction back, or left in the middle of it. */
-export function takeRollback(owner: StatementOwner, channel: EntryChannel, number: number): void {
+export function acceptRollback(owner: StatementOwner, channel: EntryChannel, number: number): void {
   const transaction = owner.transactions.get(transactionKeyOf(channel.id, number));
   if (!transaction) return;
   dropWaiting(owner, (job) => job.transaction === transaction, {
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -15,9 +15,9 @@
   type OwnerEnvironment,
   type StatementOwner,
 } from './owner-state.js';
-import { seedServers } from './server-places.js';
+import { loadRecordedServers } from './server-places.js';
 import { dropTransaction } from './transactions.js';
-import { forgetServer, watchPrimary } from './watch-primary.js';
+import { removeServer, watchPrimary } from './watch-primary.js';
 
 const EXPIRE_EVERY_MS = 25;
 const WATCH_EVERY_MS = 100;
@@ -30,7 +30,7 @@
   environment: OwnerEnvironment,
 ): StatementOwner {
   const owner = createStatementOwner(group, epoch, environment);
-  seedServers(owner);
+  loadRecordedServers(owner);
   owner.timers = [
     setInterval(() => {
       if (!hasWaiting(owner)) return;
@@ -49,7 +49,7 @@
 }
 
 /** Takes in what a server says about itself; older words and those of an earlier life change nothing. */
-export function takeServerAnnouncement(
+export function applyServerAnnouncement(
   owner: StatementOwner,
   announcement: ServerAnnouncement,
 ): void {
@@ -60,14 +60,14 @@
   const isMoved = known && known.announcement.address !== announcement.address;
   if (known && (isRestarted === true || isMoved === true)) {
     owner.environment.log(`server ${announcement.server} of ${owner.group} has started anew`);
-    forgetServer(owner, announcement.server);
+    removeServer(owner, announcement.server);
   }
   const current = owner.servers.get(announcement.server);
   if (current) {
     current.announcement = announcement;
     current.heardAtMs = nowMs;
   } else {
-    forgetPredecessors(owner, announcement);
+    removeFormerServers(owner, announcement);
     owner.servers.set(announcement.server, createServerState(announcement, nowMs));
     const { server, address, role } = announcement;
     owner.environment.log(`server ${server} of ${owner.group} is at ${address}, ${role}`);
@@ -77,15 +77,15 @@
 }
 
 /** Only one process can be bound to an address: whoever was there before is gone. */
-function forgetPredecessors(owner: StatementOwner, { address, bornMs }: ServerAnnouncement): void {
+function removeFormerServers(owner: StatementOwner, { address, bornMs }: ServerAnnouncement): void {
   for (const [name, { announcement }] of owner.servers) {
-    if (announcement.address === address && announcement.bornMs < bornMs) forgetServer(owner, name);
+    if (announcement.address === address && announcement.bornMs < bornMs) removeServer(owner, name);
   }
 }
 
 /** A server has ended as planned. */
-export function takeServerLeave(owner: StatementOwner, server: ServerName): void {
-  forgetServer(owner, server);
+export function handleServerLeave(owner: StatementOwner, server: ServerName): void {
+  removeServer(owner, server);
 }
 
 /** Takes nothing new and waits for what runs, `graceMs` at most. */
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -20,8 +20,8 @@
   closeStatementOwner,
   drainStatementOwner,
   startStatementOwner,
-  takeServerAnnouncement,
-  takeServerLeave,
+  applyServerAnnouncement,
+  handleServerLeave,
 } from './owner-lifecycle.js';
 import type { OwnerEnvironment, StatementOwner } from './owner-state.js';
 
@@ -44,7 +44,7 @@
   readonly options: RegistryOptions;
   readonly owners: Map<GroupName, StatementOwner>;
   /** The newest announcements that came before this entry owned their group. */
-  readonly early: Map<ServerName, ServerAnnouncement>;
+  readonly earlyAnnouncements: Map<ServerName, ServerAnnouncement>;
   /** The newest epoch of each group that has ended for good: no owner starts under it again. */
   readonly endedEpochs: Map<GroupName, number>;
 }
@@ -55,7 +55,7 @@
 const MAX_EARLY_ANNOUNCEMENTS = 1_000;
 
 export function createStatementOwnerRegistry(options: RegistryOptions): StatementOwnerRegistry {
-  return { options, owners: new Map(), early: new Map(), endedEpochs: new Map() };
+  return { options, owners: new Map(), earlyAnnouncements: new Map(), endedEpochs: new Map() };
 }
 
 /** Starts owners for groups that were assigned to this entry and closes those that were not. */
@@ -102,8 +102,8 @@
   };
   const owner = startStatementOwner(group, epoch, environment);
   registry.owners.set(group, owner);
-  for (const announcement of registry.early.values()) {
-    if (announcement.group === group) takeServerAnnouncement(owner, announcement);
+  for (const announcement of registry.earlyAnnouncements.values()) {
+    if (announcement.group === group) applyServerAnnouncement(owner, announcement);
   }
 }
 
@@ -136,18 +136,18 @@
   registry: StatementOwnerRegistry,
   announcement: ServerAnnouncement,
 ): boolean {
-  const { early, owners } = registry;
-  if (early.size >= MAX_EARLY_ANNOUNCEMENTS) early.clear();
-  early.set(announcement.server, announcement);
+  const { earlyAnnouncements, owners } = registry;
+  if (earlyAnnouncements.size >= MAX_EARLY_ANNOUNCEMENTS) earlyAnnouncements.clear();
+  earlyAnnouncements.set(announcement.server, announcement);
   const owner = owners.get(announcement.group);
   if (!owner?.environment.holdsLease()) return false;
-  takeServerAnnouncement(owner, announcement);
+  applyServerAnnouncement(owner, announcement);
   return true;
 }
 
 export function deliverServerLeave(registry: StatementOwnerRegistry, server: ServerName): void {
-  registry.early.delete(server);
-  for (const owner of registry.owners.values()) takeServerLeave(owner, server);
+  registry.earlyAnnouncements.delete(server);
+  for (const owner of registry.owners.values()) handleServerLeave(owner, server);
 }
 
 /** A channel to another entry is gone. */
--- a/packages/statement-entry/src/owner/owner-state.test.ts
+++ b/packages/statement-entry/src/owner/owner-state.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { offerNear } from '../near/near-offer.js';
 import { createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
-import { lead } from './take-over.js';
+import { setPrimary } from './take-over.js';
 import type { ServerState } from './owner-state.js';
 
 /** The bound of the fake group's service. */
@@ -22,7 +22,7 @@
     position: { term: 3, offset: 40 },
     heldTerm: 0,
   } as const;
-  lead(fake.owner, { server: serverOf(fake, 0), status }, 'it says so');
+  setPrimary(fake.owner, { server: serverOf(fake, 0), status }, 'it says so');
   return fake;
 }
 
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -22,18 +22,18 @@
   StatementOwner,
 } from './owner-state.js';
 import {
-  handleBreak,
+  handleBrokenConnection,
   handleRefusal,
-  noteDone,
-  settleAlone,
-  settleInTransaction,
+  noteSuccess,
+  settleStatement,
+  settleTransactionStatement,
 } from './settle-answer.js';
 import { suspectPrimary } from './watch-primary.js';
 
 /** Preparing a connection for a statement is given up after this time, in milliseconds. */
 const SETUP_TIMEOUT_MS = 600;
 /** A commit that is outstanding for this long may wait for a replica that cannot be reached. */
-const STALL_MS = 600;
+const STALLED_WRITE_MS = 600;
 /** Time kept back for the answer's way to the caller, in milliseconds. */
 const ANSWER_MARGIN_MS = 5;
 
@@ -49,8 +49,9 @@
   if (server) server.runningCount += 1;
   try {
     if (transaction?.pooled) await runInTransaction(owner, job, transaction, transaction.pooled);
-    else if (job.request.transaction && !job.request.transaction.isFirst) endLost(owner, job);
-    else if (server) await runFirst(owner, job, server);
+    else if (job.request.transaction && !job.request.transaction.isFirst)
+      endWithoutTransaction(owner, job);
+    else if (server) await runOnPooledConnection(owner, job, server);
     else endJob(owner, job, notRun('queue-timeout'));
   } finally {
     owner.running.delete(job);
@@ -62,12 +63,16 @@
   }
 }
 
-function endLost(owner: StatementOwner, job: Job): void {
+function endWithoutTransaction(owner: StatementOwner, job: Job): void {
   endJob(owner, job, { kind: 'aborted', reason: 'the transaction was ended' });
 }
 
 /** A statement outside of transactions, or the first one of a transaction. */
-async function runFirst(owner: StatementOwner, job: Job, server: ServerState): Promise<void> {
+async function runOnPooledConnection(
+  owner: StatementOwner,
+  job: Job,
+  server: ServerState,
+): Promise<void> {
   const { customer } = job.request;
   const acquired = await acquireConnection(owner.pools, server, customer, job.valuesKey);
   if (acquired.kind === 'unavailable') {
@@ -83,10 +88,10 @@
   }
   const isReady = await prepareConnection(owner, job, pooled);
   if (!isReady) return;
-  const sent = orderOf(owner, job);
+  const sent = buildOrder(owner, job);
   const answer = await sendOrder(owner, job, pooled, sent);
-  if (job.transaction) settleInTransaction(owner, job, job.transaction, pooled, answer);
-  else settleAlone(owner, job, pooled, answer);
+  if (job.transaction) settleTransactionStatement(owner, job, job.transaction, pooled, answer);
+  else settleStatement(owner, job, pooled, answer);
 }
 
 /** Brings the connection to the session's values and prepared names, and opens the transaction. */
@@ -95,19 +100,20 @@
   job: Job,
   pooled: PooledConnection,
 ): Promise<boolean> {
-  for (const order of setupOrders(needOf(job), pooled, beginOf(owner, job))) {
+  for (const order of setupOrders(setupNeedOf(job), pooled, beginOrderOf(owner, job))) {
     const timeoutMs = Math.min(SETUP_TIMEOUT_MS, job.deadlineMs - performance.now());
     const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
     if (answer.kind === 'done') {
       noteSetup(pooled, order);
-      noteDone(pooled, answer.position);
+      noteSuccess(pooled, answer.position);
       continue;
     }
     if (answer.kind === 'refused') handleRefusal(owner, job, pooled.server, answer.code);
-    else handleBreak(owner, job, pooled, answer);
+    else handleBrokenConnection(owner, job, pooled, answer);
     // What was set up is not known for sure, so the connection is not used again.
-    const isClean = order.kind === 'begin' && answer.kind === 'refused' && answer.state === 'idle';
-    if (isClean) releaseConnection(pooled);
+    const isReusable =
+      order.kind === 'begin' && answer.kind === 'refused' && answer.state === 'idle';
+    if (isReusable) releaseConnection(pooled);
     else discardConnection(pooled);
     requeueJob(owner, job);
     return false;
@@ -117,7 +123,7 @@
   const transaction = owner.transactions.get(transactionKey(job));
   if (!transaction || job.isEnded) {
     discardConnection(pooled);
-    endLost(owner, job);
+    endWithoutTransaction(owner, job);
     return false;
   }
   transaction.pooled = pooled;
@@ -126,7 +132,7 @@
   return true;
 }
 
-function owedNow(owner: StatementOwner, job: Job): LogPosition | null {
+function requiredPosition(owner: StatementOwner, job: Job): LogPosition | null {
   if (!owner.owed) return null;
   const { request } = job;
   const isRead = request.transaction ? request.transaction.isReadOnly : request.access === 'read';
@@ -135,20 +141,20 @@
   return owedPosition(owner.owed, read, performance.now());
 }
 
-function orderOf(owner: StatementOwner, job: Job): TargetOrder {
+function buildOrder(owner: StatementOwner, job: Job): TargetOrder {
   const { access, transaction } = job.request;
-  const after = access === 'read' && !transaction ? owedNow(owner, job) : null;
+  const after = access === 'read' && !transaction ? requiredPosition(owner, job) : null;
   return statementOrder(job.request, after);
 }
 
-function needOf({ request: { values, body }, valuesKey }: Job) {
+function setupNeedOf({ request: { values, body }, valuesKey }: Job) {
   return { values, body, valuesKey };
 }
 
-function beginOf(owner: StatementOwner, job: Job): BeginOrder | undefined {
+function beginOrderOf(owner: StatementOwner, job: Job): BeginOrder | undefined {
   const { transaction } = job.request;
   return transaction
-    ? { isReadOnly: transaction.isReadOnly, after: owedNow(owner, job) }
+    ? { isReadOnly: transaction.isReadOnly, after: requiredPosition(owner, job) }
     : undefined;
 }
 
@@ -163,10 +169,10 @@
   const timeoutMs = job.deadlineMs - sentAtMs - ANSWER_MARGIN_MS;
   const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
   const takenMs = performance.now() - sentAtMs;
-  if (answer.kind === 'overdue' && job.request.access !== 'read' && takenMs >= STALL_MS) {
+  if (answer.kind === 'overdue' && job.request.access !== 'read' && takenMs >= STALLED_WRITE_MS) {
     owner.stalledCommits.push({ server: pooled.server, atMs: performance.now() });
   }
-  if (answer.kind === 'done') noteDone(pooled, answer.position);
+  if (answer.kind === 'done') noteSuccess(pooled, answer.position);
   else if (answer.kind !== 'lost' && answer.kind !== 'overdue') noteAnswer(pooled.server);
   return answer;
 }
@@ -178,16 +184,16 @@
   pooled: PooledConnection,
 ): Promise<void> {
   transaction.isBusy = true;
-  for (const order of setupOrders(needOf(job), pooled, undefined)) {
+  for (const order of setupOrders(setupNeedOf(job), pooled, undefined)) {
     const setUp = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setUp.kind !== 'done') {
-      settleInTransaction(owner, job, transaction, pooled, setUp);
+      settleTransactionStatement(owner, job, transaction, pooled, setUp);
       return;
     }
     noteSetup(pooled, order);
   }
-  const answer = await sendOrder(owner, job, pooled, orderOf(owner, job));
-  settleInTransaction(owner, job, transaction, pooled, answer);
+  const answer = await sendOrder(owner, job, pooled, buildOrder(owner, job));
+  settleTransactionStatement(owner, job, transaction, pooled, answer);
 }
 
 function transactionKey(job: Job): string {
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -3,10 +3,10 @@
 import {
   closeStatementOwner,
   startStatementOwner,
-  takeServerAnnouncement,
+  applyServerAnnouncement,
 } from './owner-lifecycle.js';
 import type { StatementOwner } from './owner-state.js';
-import { recordPlaces } from './server-places.js';
+import { recordServerPlaces } from './server-places.js';
 import { takeOver } from './take-over.js';
 
 describe('an owner that has heard no server', () => {
@@ -15,7 +15,7 @@
 
   beforeEach(() => {
     fake = createFakeGroup(3);
-    recordPlaces(fake.owner);
+    recordServerPlaces(fake.owner);
     const { group, environment } = fake.owner;
     next = startStatementOwner(group, 2, environment);
   });
@@ -33,7 +33,7 @@
   it('takes what a server says of itself for newer, whatever its sequence', () => {
     const [first] = next.servers.values();
     if (!first) throw new Error('no server was seeded');
-    takeServerAnnouncement(next, {
+    applyServerAnnouncement(next, {
       ...first.announcement,
       address: '10.0.0.9:1',
       bornMs: 7,
@@ -54,15 +54,15 @@
   it('are written down when they change, without those that leave, and not too often', () => {
     vi.useFakeTimers({ toFake: ['performance'] });
     const fake = createFakeGroup(3);
-    recordPlaces(fake.owner);
-    recordPlaces(fake.owner);
+    recordServerPlaces(fake.owner);
+    recordServerPlaces(fake.owner);
     expect(fake.commands).toHaveLength(1);
     const [server] = fake.owner.servers.values();
     if (server) server.announcement = { ...server.announcement, isLeaving: true };
-    recordPlaces(fake.owner);
+    recordServerPlaces(fake.owner);
     expect(fake.commands).toHaveLength(1);
     vi.advanceTimersByTime(2_100);
-    recordPlaces(fake.owner);
+    recordServerPlaces(fake.owner);
     expect(fake.record.places?.map((place) => place.server)).toEqual(['i-1', 'i-2']);
     vi.useRealTimers();
   });
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -6,10 +6,10 @@
 import { createServerState, type StatementOwner } from './owner-state.js';
 
 /** Places are written down at most this often, in milliseconds: servers that flap should not fill the log. */
-const RECORD_EVERY_MS = 2_000;
+const MIN_RECORD_INTERVAL_MS = 2_000;
 
 /** Starts from the recorded places; whatever a server says itself is newer, and replaces them. */
-export function seedServers(owner: StatementOwner): void {
+export function loadRecordedServers(owner: StatementOwner): void {
   const nowMs = performance.now();
   const places = owner.environment.groupRecord().places ?? [];
   for (const place of places) {
@@ -28,9 +28,9 @@
 }
 
 /** Writes the servers' places down when they differ from what is recorded. */
-export function recordPlaces(owner: StatementOwner): void {
+export function recordServerPlaces(owner: StatementOwner): void {
   const nowMs = performance.now();
-  if (nowMs - owner.placesRecordedMs < RECORD_EVERY_MS) return;
+  if (nowMs - owner.placesRecordedMs < MIN_RECORD_INTERVAL_MS) return;
   const { environment, group, epoch: ownerEpoch } = owner;
   const places = [...owner.servers.values()]
     .filter(({ announcement }) => !announcement.isLeaving)
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -35,7 +35,7 @@
 const MAX_LAGGING_PAUSE_MS = 1_600;
 
 /** The answer to a statement outside of transactions. */
-export function settleAlone(
+export function settleStatement(
   owner: StatementOwner,
   job: Job,
   pooled: PooledConnection,
@@ -44,7 +44,7 @@
   const { access } = job.request;
   match(answer)
     .with({ kind: 'done' }, ({ rows, signature, position }) => {
-      if (access === 'write' && position) acknowledge(owner, position);
+      if (access === 'write' && position) recordAcknowledged(owner, position);
       releaseConnection(pooled);
       const isFromReplica = isReplica(owner, pooled.server);
       if (isFromReplica) pooled.server.laggingPauseMs = 0;
@@ -72,7 +72,7 @@
       endJob(owner, job, { kind: 'unknown', reason: 'the server does not know the outcome' });
     })
     .with({ kind: 'lost' }, { kind: 'overdue' }, (broken) => {
-      handleBreak(owner, job, pooled, broken);
+      handleBrokenConnection(owner, job, pooled, broken);
       discardConnection(pooled);
       job.mayHaveRun = true;
       if (access === 'read' && broken.kind === 'lost') requeueJob(owner, job);
@@ -82,7 +82,7 @@
 }
 
 /** The answer to a statement of a transaction: any that is not a success ends it. */
-export function settleInTransaction(
+export function settleTransactionStatement(
   owner: StatementOwner,
   job: Job,
   transaction: OpenTransaction,
@@ -96,7 +96,7 @@
   match(answer)
     .with({ kind: 'done' }, ({ rows, signature, position, state }) => {
       if (isCommit) {
-        if (!transaction.isReadOnly && position) acknowledge(owner, position);
+        if (!transaction.isReadOnly && position) recordAcknowledged(owner, position);
         owner.transactions.delete(transaction.key);
         if (state === 'idle') releaseConnection(pooled);
         else discardConnection(pooled);
@@ -118,7 +118,7 @@
       endJob(owner, job, isCommit ? { kind: 'unknown', reason: kind } : ended);
     })
     .with({ kind: 'lost' }, { kind: 'overdue' }, (broken) => {
-      handleBreak(owner, job, pooled, broken);
+      handleBrokenConnection(owner, job, pooled, broken);
       dropTransaction(owner, transaction);
       // Without its COMMIT the server rolls the transaction back when the connection is closed.
       const ended: StatementOutcome = { kind: 'aborted', reason: 'the connection was lost' };
@@ -137,12 +137,12 @@
   return leadership.kind !== 'led' || leadership.server !== server.announcement.server;
 }
 
-function acknowledge(owner: StatementOwner, position: LogPosition): void {
+function recordAcknowledged(owner: StatementOwner, position: LogPosition): void {
   if (owner.owed) noteAcknowledged(owner.owed, position, performance.now());
 }
 
 /** Notes a success, and how far the server's log reaches. */
-export function noteDone(pooled: PooledConnection, position: LogPosition | null): void {
+export function noteSuccess(pooled: PooledConnection, position: LogPosition | null): void {
   noteAnswer(pooled.server);
   if (position) pooled.server.position = latestPosition(pooled.server.position, position);
 }
@@ -178,7 +178,7 @@
 }
 
 /** The connection broke, or its answer is overdue: others to the same server may be dead as well. */
-export function handleBreak(
+export function handleBrokenConnection(
   owner: StatementOwner,
   job: Job,
   pooled: PooledConnection,
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -8,7 +8,7 @@
 import { changePrimary } from './change-primary.js';
 
 /** A group without any primary is watched for this long before a server is chosen, in milliseconds. */
-const ADOPTION_PATIENCE_MS = 3_000;
+const MISSING_PRIMARY_WAIT_MS = 3_000;
 
 const takingOver = new WeakSet<StatementOwner>();
 
@@ -18,9 +18,9 @@
   takingOver.add(owner);
   try {
     const statuses = await orderAll(owner, () => ({ kind: 'status' }));
-    if (!mayAct(owner) || owner.leadership.kind !== 'unknown') return;
+    if (!isActiveOwner(owner) || owner.leadership.kind !== 'unknown') return;
     const primary = newestPrimary(statuses);
-    if (primary) await adopt(owner, primary);
+    if (primary) await adoptPrimary(owner, primary);
     else if (isPrimaryMissing(owner)) await changePrimary(owner, 'no server is primary', false);
   } finally {
     takingOver.delete(owner);
@@ -39,33 +39,37 @@
     ({ announcement }) => announcement.role === 'primary',
   );
   if (announced?.failingSinceMs !== undefined) return isLost(announced);
-  return performance.now() - owner.startedAtMs >= ADOPTION_PATIENCE_MS;
+  return performance.now() - owner.startedAtMs >= MISSING_PRIMARY_WAIT_MS;
 }
 
 /**
  * An earlier owner may have ordered a promotion that is carried out late. A confirmation of the
  * present primary under a higher token makes all such orders void.
  */
-async function adopt(owner: StatementOwner, primary: ServerStatus): Promise<void> {
+async function adoptPrimary(owner: StatementOwner, primary: ServerStatus): Promise<void> {
   const { environment } = owner;
   const record = environment.groupRecord();
   const name = primary.server.announcement.server;
   const isUnresolved = record.proposedTerm > record.term;
   if (isUnresolved || (record.primary !== undefined && record.primary !== name)) {
     const isConfirmed = await orderPromotion(owner, name);
-    if (!isConfirmed || !mayAct(owner)) return;
+    if (!isConfirmed || !isActiveOwner(owner)) return;
     const again = await orderStatus(owner, primary.server, { kind: 'status' });
-    if (again?.status.role !== 'primary' || !mayAct(owner)) return;
-    lead(owner, again, 'it was confirmed');
+    if (again?.status.role !== 'primary' || !isActiveOwner(owner)) return;
+    setPrimary(owner, again, 'it was confirmed');
     return;
   }
-  lead(owner, primary, 'it says so');
+  setPrimary(owner, primary, 'it says so');
   if (record.primary !== undefined) return;
   const { group, epoch: ownerEpoch } = owner;
   await environment.propose({ kind: 'primary/commit', group, ownerEpoch, term: 1, server: name });
 }
 
-export function lead(owner: StatementOwner, { server, status }: ServerStatus, why: string): void {
+export function setPrimary(
+  owner: StatementOwner,
+  { server, status }: ServerStatus,
+  why: string,
+): void {
   const nowMs = performance.now();
   const name = server.announcement.server;
   server.position = status.position;
@@ -79,6 +83,6 @@
   dispatch(owner);
 }
 
-export function mayAct(owner: StatementOwner): boolean {
+export function isActiveOwner(owner: StatementOwner): boolean {
   return !owner.isClosed && owner.environment.holdsLease();
 }
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -6,35 +6,35 @@
 import { warmConnections } from '../target/connection-warmup.js';
 import { closeControlConnection, orderAll, probeServer } from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
-import { recordPlaces } from './server-places.js';
-import { takeOver, newestPrimary, mayAct } from './take-over.js';
+import { recordServerPlaces } from './server-places.js';
+import { takeOver, newestPrimary, isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
-import { examineStall, checkReplicas } from './watch-replicas.js';
+import { handleStalledCommits, checkReplicas } from './watch-replicas.js';
 
 /** A silent primary is given up once probes have failed for this long, in milliseconds. */
-const SILENT_FOR_MS = 550;
+const PROBE_FAILURE_TIMEOUT_MS = 550;
 /** Refused connections in a row that prove a process gone. */
-const REFUSALS_FOR_PROOF = 2;
+const REFUSALS_PROVING_EXIT = 2;
 const SUSPECT_PROBE_MS = 80;
 const IDLE_PROBE_MS = 500;
 /** An answer that is outstanding for this long makes the owner probe the server, in milliseconds. */
 const UNANSWERED_PROBE_MS = 500;
 /** Commits that hang for this long while the server answers otherwise: its replicas are out of reach. */
-const COMMIT_STALL_MS = 1_500;
+const STALLED_WRITE_WINDOW_MS = 1_500;
 /** Time between two changes of primary because of stalled commits, in milliseconds. */
-const STALL_CHANGE_EVERY_MS = 6_000;
+const MIN_STALL_CHANGE_INTERVAL_MS = 6_000;
 /** A server that is not heard of for this long, and not reached, is forgotten, in milliseconds. */
-const FORGET_AFTER_MS = 12_000;
+const REMOVE_AFTER_MS = 12_000;
 
 /** Looks at a server again at once if it is the primary. */
 export function suspectPrimary(owner: StatementOwner, server: ServerState): void {
-  if (primaryOf(owner) === server && !server.isProbing) void watchLed(owner, server, true);
+  if (primaryOf(owner) === server && !server.isProbing) void checkPrimary(owner, server, true);
 }
 
 /** Called regularly. */
 export function watchPrimary(owner: StatementOwner): void {
   if (owner.isClosed || !owner.environment.holdsLease()) return;
-  forgetServers(owner);
+  removeStaleServers(owner);
   for (const server of owner.servers.values()) {
     trimIdle(owner.pools, server);
     if (server.failingSinceMs !== undefined && server !== primaryOf(owner)) reprobe(owner, server);
@@ -45,10 +45,10 @@
     })
     .with({ kind: 'led' }, ({ server }) => {
       const primary = owner.servers.get(server);
-      recordPlaces(owner);
+      recordServerPlaces(owner);
       void checkReplicas(owner);
       void warmConnections(owner);
-      if (primary) void watchLed(owner, primary, false);
+      if (primary) void checkPrimary(owner, primary, false);
       else void changePrimary(owner, 'it is gone', false);
     })
     .with({ kind: 'changing' }, () => undefined)
@@ -62,17 +62,17 @@
   void probeServer(owner, server);
 }
 
-function forgetServers(owner: StatementOwner): void {
+function removeStaleServers(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const [name, server] of owner.servers) {
     const isGone =
-      nowMs - server.heardAtMs > FORGET_AFTER_MS && server.failingSinceMs !== undefined;
-    if (isGone) forgetServer(owner, name);
+      nowMs - server.heardAtMs > REMOVE_AFTER_MS && server.failingSinceMs !== undefined;
+    if (isGone) removeServer(owner, name);
   }
 }
 
 /** Takes a server out of the group: it left, or was not heard of for long. */
-export function forgetServer(owner: StatementOwner, name: ServerName): void {
+export function removeServer(owner: StatementOwner, name: ServerName): void {
   const server = owner.servers.get(name);
   if (!server) return;
   owner.environment.log(`server ${name} of ${owner.group} is gone`);
@@ -82,7 +82,7 @@
 }
 
 /** Decides from announcements, outstanding answers and probes whether the primary has to be replaced. */
-async function watchLed(
+async function checkPrimary(
   owner: StatementOwner,
   primary: ServerState,
   isSuspected: boolean,
@@ -102,19 +102,19 @@
       server.heardAtMs > leadership.sinceMs,
   );
   if (saysReplica || rival) {
-    await verifyLead(owner, primary);
+    await verifyPrimary(owner, primary);
     return;
   }
   if (hasStalledCommits(owner, primary)) {
     owner.stalledCommits = [];
-    await examineStall(owner, primary);
+    await handleStalledCommits(owner, primary);
     return;
   }
   if (!isSuspected && primary.failingSinceMs === undefined && !isUnanswered(primary)) return;
   if (primary.isProbing) return;
   const isAlive = await probeServer(owner, primary);
   if (isAlive) {
-    if (isSuspected) await verifyLead(owner, primary);
+    if (isSuspected) await verifyPrimary(owner, primary);
     return;
   }
   if (isLost(primary)) {
@@ -122,7 +122,7 @@
     return;
   }
   await delay(SUSPECT_PROBE_MS);
-  if (mayAct(owner)) await watchLed(owner, primary, false);
+  if (isActiveOwner(owner)) await checkPrimary(owner, primary, false);
 }
 
 function hasSuccessor(owner: StatementOwner, primary: ServerState): boolean {
@@ -135,8 +135,8 @@
 /** Whether failed connections prove that the server is gone, or have failed for long enough. */
 export function isLost({ failingSinceMs, refusedCount }: ServerState): boolean {
   if (failingSinceMs === undefined) return false;
-  if (refusedCount >= REFUSALS_FOR_PROOF) return true;
-  return performance.now() - failingSinceMs >= SILENT_FOR_MS;
+  if (refusedCount >= REFUSALS_PROVING_EXIT) return true;
+  return performance.now() - failingSinceMs >= PROBE_FAILURE_TIMEOUT_MS;
 }
 
 function isUnanswered(primary: ServerState): boolean {
@@ -149,21 +149,21 @@
 
 function hasStalledCommits(owner: StatementOwner, primary: ServerState): boolean {
   const nowMs = performance.now();
-  if (nowMs - owner.lastPromotionMs < STALL_CHANGE_EVERY_MS) return false;
+  if (nowMs - owner.lastPromotionMs < MIN_STALL_CHANGE_INTERVAL_MS) return false;
   owner.stalledCommits = owner.stalledCommits.filter(
-    ({ server, atMs }) => server === primary && nowMs - atMs < COMMIT_STALL_MS,
+    ({ server, atMs }) => server === primary && nowMs - atMs < STALLED_WRITE_WINDOW_MS,
   );
   return owner.stalledCommits.length > 0;
 }
 
 const verifying = new WeakSet<StatementOwner>();
 
-async function verifyLead(owner: StatementOwner, primary: ServerState): Promise<void> {
+async function verifyPrimary(owner: StatementOwner, primary: ServerState): Promise<void> {
   if (verifying.has(owner)) return;
   verifying.add(owner);
   const statuses = await orderAll(owner, () => ({ kind: 'status' }));
   verifying.delete(owner);
-  if (!mayAct(owner) || owner.leadership.kind !== 'led') return;
+  if (!isActiveOwner(owner) || owner.leadership.kind !== 'led') return;
   const newest = newestPrimary(statuses);
   if (newest?.server === primary) return;
   const own = statuses.find(({ server }) => server === primary);
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -2,22 +2,25 @@
 import { comparePositions } from '@bramleykeel/core';
 import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
 import { type ServerState, type StatementOwner } from './owner-state.js';
-import { mayAct } from './take-over.js';
+import { isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
 
 /** Time between two looks at what the replicas receive, in milliseconds. */
-const REPLICA_CHECK_MS = 2_000;
+const REPLICA_CHECK_INTERVAL_MS = 2_000;
 
 /**
  * Commits hang: either replicas were kept from receiving and have to be let go on, or the primary
  * does not reach any replica, and one that this owner reaches has to take over.
  */
-export async function examineStall(owner: StatementOwner, primary: ServerState): Promise<void> {
+export async function handleStalledCommits(
+  owner: StatementOwner,
+  primary: ServerState,
+): Promise<void> {
   const statuses = await orderAll(owner, () => ({ kind: 'status' }));
-  if (!mayAct(owner) || owner.leadership.kind !== 'led') return;
+  if (!isActiveOwner(owner) || owner.leadership.kind !== 'led') return;
   const own = statuses.find(({ server }) => server === primary);
   const replicas = statuses.filter(({ server }) => server !== primary);
-  if (resumePaused(owner, replicas) || replicas.length === 0) return;
+  if (resumePausedReplicas(owner, replicas) || replicas.length === 0) return;
   const isBehind = ({ status }: ServerStatus) =>
     !own || comparePositions(status.position, own.status.position) < 0;
   if (replicas.every(isBehind)) {
@@ -26,7 +29,7 @@
 }
 
 /** Lets replicas receive again that a fence has stopped; returns whether there were any. */
-function resumePaused(owner: StatementOwner, replicas: readonly ServerStatus[]): boolean {
+function resumePausedReplicas(owner: StatementOwner, replicas: readonly ServerStatus[]): boolean {
   const paused = replicas.filter(({ status }) => status.role === 'replica' && status.heldTerm > 0);
   for (const { server } of paused) {
     owner.environment.log(`${server.announcement.server} of ${owner.group} may receive again`);
@@ -40,7 +43,7 @@
   const { leadership } = owner;
   if (leadership.kind !== 'led') return;
   const nowMs = performance.now();
-  if (nowMs - owner.replicasCheckedMs < REPLICA_CHECK_MS) return;
+  if (nowMs - owner.replicasCheckedMs < REPLICA_CHECK_INTERVAL_MS) return;
   owner.replicasCheckedMs = nowMs;
   const replicas = [...owner.servers.values()].filter(
     (server) =>
@@ -48,5 +51,6 @@
   );
   const asked = replicas.map((server) => orderStatus(owner, server, { kind: 'status' }));
   const statuses = (await Promise.all(asked)).filter((status) => status !== undefined);
-  if (mayAct(owner) && owner.leadership === leadership) resumePaused(owner, statuses);
+  if (isActiveOwner(owner) && owner.leadership === leadership)
+    resumePausedReplicas(owner, statuses);
 }
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -52,7 +52,7 @@
   type OwnerClient,
   takeOutcome,
 } from './locate/owner-client.js';
-import { type EntryChannel, takeRollback, takeStatement } from './owner/owner-app.js';
+import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
 import {
   closeAllStatementOwners,
   createStatementOwnerRegistry,
@@ -200,12 +200,12 @@
     links: () => links,
     sendLocally: (group, epoch, request) => {
       const owner = findStatementOwner(registry, group, epoch);
-      if (owner) takeStatement(owner, localChannel, request);
+      if (owner) acceptStatement(owner, localChannel, request);
       return owner !== undefined;
     },
     rollBackLocally: (group, epoch, transaction) => {
       const owner = findStatementOwner(registry, group, epoch);
-      if (owner) takeRollback(owner, localChannel, transaction);
+      if (owner) acceptRollback(owner, localChannel, transaction);
     },
     sendOver: ({ group, epoch, linkAddress }, request) => {
       const code = encodeStatement(group, epoch, request);
