--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -1,4 +1,4 @@
-/** Replaces a primary: fence, choice of the successor, promotion, and the end of what waited for the former one. */
+/** Replaces the primary: fences servers, promotes a successor, and ends work on the former primary. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   chooseSuccessor,
@@ -13,18 +13,18 @@
 import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
 import { orderPromotion, awaitPrimaryRole } from './order-promotion.js';
 
-/** Writes that run on a leaving primary may take this long before it is replaced, in milliseconds. */
+/** Time that running writes get to finish before a leaving primary is replaced. */
 const PLANNED_DRAIN_MS = 250;
 const CHANGE_RETRY_MS = 80;
 
 interface ChangeProgress {
-  /** Whether servers were already kept from acknowledging anything. */
+  /** Whether servers may already have been fenced. */
   hasFenced: boolean;
-  /** Whether a primary that answers again may simply go on. */
+  /** Whether the change is cancelled if the primary answers again before the fence. */
   readonly isRevocable: boolean;
 }
 
-/** Replaces the primary; statements for it wait meanwhile. */
+/** Replaces the primary; statements that need the primary wait in the queue meanwhile. */
 export async function changePrimary(
   owner: StatementOwner,
   reason: string,
@@ -53,7 +53,7 @@
   if (!owner.isClosed) owner.leadership = { kind: 'unknown', sinceMs: performance.now() };
 }
 
-/** The primary as control and the servers themselves last knew it. */
+/** The announced primary, or else the one recorded in control. */
 function recordedPrimary(owner: StatementOwner): ServerState | undefined {
   const { primary } = owner.environment.groupRecord();
   const announced = [...owner.servers.values()].find(
@@ -82,7 +82,7 @@
   if (!isActiveOwner(owner)) return undefined;
   const present = newestPrimary(statuses);
   if (present && present.server !== former) {
-    // A promotion that was ordered earlier has been carried out meanwhile.
+    // An earlier promotion order was carried out in the meantime.
     const isConfirmed = await orderPromotion(owner, present.server.announcement.server);
     return isConfirmed ? orderStatus(owner, present.server, { kind: 'status' }) : undefined;
   }
@@ -95,7 +95,9 @@
     owner.environment.log(`change of primary of ${owner.group} waits: ${choice.reason}`);
     return undefined;
   }
-  owner.environment.log(`${choice.server} is to lead ${owner.group}: ${describeStatuses(fenced)}`);
+  owner.environment.log(
+    `${choice.server} chosen as primary of ${owner.group}: ${describeStatuses(fenced)}`,
+  );
   const isOrdered = await orderPromotion(owner, choice.server);
   return isOrdered ? awaitPrimaryRole(owner, choice.server) : undefined;
 }
@@ -109,7 +111,7 @@
     .join(', ');
 }
 
-/** Keeps every server in reach from acknowledging anything more under the present term. */
+/** Fences every reachable server, so that it acknowledges nothing more under the current term. */
 async function fenceAll(
   owner: StatementOwner,
   statuses: readonly ServerStatus[],
@@ -158,7 +160,7 @@
   };
 }
 
-/** Ends what still waits for the former primary; one that is leaving answers for itself. */
+/** Ends work on the former primary; in a planned change its running statements may finish. */
 function endFormerPrimaryWork(
   owner: StatementOwner,
   former: ServerState,
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -1,4 +1,4 @@
-/** The owner's queue: which waiting statement goes to which server, and what has waited too long. */
+/** The owner's queue: assigns waiting statements to servers and expires those that waited too long. */
 import {
   chooseTarget,
   createFairQueue,
@@ -23,16 +23,16 @@
 import { runJob } from './run-job.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
-/** What a caller is told to wait before it asks again, in milliseconds. */
+/** Retry delay sent with refusals. */
 export const RETRY_AFTER_MS = 200;
-/** Reads that may miss nothing go to the primary alone while an earlier owner's commits may still end. */
+/** `newest` reads go only to the primary while commits of a former owner may still finish. */
 const FORMER_OWNER_COMMIT_MS = 2_000;
-/** Statements take about this long at a server, in milliseconds: the sites' means are 3 to 55. */
+/** Typical run time of a statement on a server; the means of the sites are 3 to 55 ms. */
 const TYPICAL_STATEMENT_MS = 15;
-/** Statements on their way beyond a server's slots are at most this many times the slots. */
+/** Limit of statements sent beyond a server's slots, as a multiple of the slots. */
 const MAX_PIPELINED_PER_SLOT = 2;
 
-/** Takes in a statement: it runs at once if a server is free. */
+/** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
   if (job.transaction?.pooled) {
     owner.pinnedWaiting.push(job);
@@ -55,7 +55,7 @@
   return created;
 }
 
-/** Starts whatever can run now. */
+/** Starts all waiting statements that a server can run now. */
 export function dispatch(owner: StatementOwner): void {
   if (owner.isDispatching || owner.isClosed || !owner.environment.holdsLease()) return;
   owner.isDispatching = true;
@@ -65,7 +65,7 @@
   owner.isDispatching = false;
 }
 
-/** Statements of open transactions go first: they hold a connection while they wait. */
+/** Statements of open transactions go first because they hold a connection while they wait. */
 function startPinned(owner: StatementOwner): void {
   for (const job of [...owner.pinnedWaiting]) {
     const server = job.transaction?.pooled?.server;
@@ -112,7 +112,7 @@
   return slots + pipelineAllowance(server) - server.runningCount;
 }
 
-/** Statements that may be on their way to or from a distant server while its slots are busy. */
+/** Extra statements that may be in transit to or from a distant server while its slots are busy. */
 function pipelineAllowance({ announcement: { slots }, roundTripMs = 0 }: ServerState): number {
   return Math.min(
     slots * MAX_PIPELINED_PER_SLOT,
@@ -142,7 +142,7 @@
   return chooseTarget(views, need, nowMs);
 }
 
-/** Refuses what has waited until its time was over: none of it was run. */
+/** Ends waiting statements whose deadline has passed; none of them was run. */
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
@@ -156,11 +156,11 @@
   }
 }
 
-/** Puts a statement back that was not run; it keeps its deadline. */
+/** Returns a statement to the queue under its original deadline. */
 export function requeueJob(owner: StatementOwner, job: Job): void {
   job.attempts += 1;
   if (job.isEnded) return;
-  owner.environment.log('statement goes back into the queue', describeJob(owner, job));
+  owner.environment.log('statement requeued', describeJob(owner, job));
   if (performance.now() >= job.startByMs || owner.isClosed) {
     endJob(owner, job, notRun('queue-timeout'));
     return;
@@ -170,7 +170,7 @@
   enqueue(queue, { item: job, customer, deadlineMs: job.startByMs }, performance.now());
 }
 
-/** Drops everything that waits and matches, for example when its entry is gone. */
+/** Ends matching waiting statements with `outcome`, for example after their channel has closed. */
 export function dropWaiting(
   owner: StatementOwner,
   isDropped: (job: Job) => boolean,
@@ -185,7 +185,7 @@
   }
 }
 
-/** Answers a statement, once. */
+/** Answers a statement; later calls do nothing. One that may have run is never answered as `not-run`. */
 export function endJob(owner: StatementOwner, job: Job, proposed: StatementOutcome): void {
   if (job.isEnded) return;
   job.isEnded = true;
@@ -196,7 +196,7 @@
   );
   if (outcome.kind === 'done') owner.environment.counters.timing('owner.statement', ageOf(job));
   else {
-    owner.environment.log('statement ends without a result', {
+    owner.environment.log('statement ended without a result', {
       ...describeJob(owner, job),
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
@@ -209,7 +209,7 @@
   return Math.round(performance.now() - arrivedAtMs);
 }
 
-/** What the owner decided by. */
+/** Log fields with the state that the decision depends on. */
 function describeJob(owner: StatementOwner, job: Job): LogFields {
   const { request, attempts, mayHaveRun, transaction } = job;
   const { leadership } = owner;
@@ -238,7 +238,7 @@
   return { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS };
 }
 
-/** Whether anything waits for a server. */
+/** Whether any statement is waiting for a server. */
 export function hasWaiting(owner: StatementOwner): boolean {
   if (owner.pinnedWaiting.length > 0) return true;
   return [...owner.queues.values()].some((queue) => waitingCount(queue) > 0);
--- a/packages/statement-entry/src/owner/order-promotion.ts
+++ b/packages/statement-entry/src/owner/order-promotion.ts
@@ -1,21 +1,21 @@
-/** Lets the platform promote a server, under a token that control has committed for it. */
+/** Requests the promotion of a server from the platform. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { type ServerName } from '@bramleykeel/core';
 import { orderStatus, type ServerStatus } from '../target/server-control.js';
 import { type StatementOwner } from './owner-state.js';
 import { isActiveOwner } from './take-over.js';
 
-/** Pause before a call without an answer is repeated, in milliseconds. */
+/** Pause before an unanswered call is repeated. */
 const PROMOTE_RETRY_MS = 80;
 const PROMOTED_POLL_MS = 50;
-/** A promoted server that does not say that it leads in this time is given up, in milliseconds. */
+/** Time in which a promoted server has to report the role of primary. */
 const PROMOTED_WITHIN_MS = 2_500;
-/** An unanswered call to the platform is repeated this often under one token. */
+/** Calls to the platform under one token, including repeats of unanswered ones. */
 const PROMOTE_ATTEMPTS = 4;
 
 /**
- * Orders the promotion under a token that control has committed for it. A token serves one server
- * only, so an order that is carried out late can never undo a newer one.
+ * Requests the promotion under a token that control has committed. A token is valid for one server only,
+ * so an order that is carried out late cannot undo a newer one. Returns whether the platform accepted.
  */
 export async function orderPromotion(owner: StatementOwner, server: ServerName): Promise<boolean> {
   const { environment, group, epoch: ownerEpoch } = owner;
@@ -27,7 +27,7 @@
     term: token,
   });
   if (proposed.kind !== 'done' || !isActiveOwner(owner)) {
-    environment.log(`control did not take token ${token} for ${group}: ${proposed.kind}`);
+    environment.log(`control did not commit token ${token} for ${group}: ${proposed.kind}`);
     return false;
   }
   for (let attempt = 0; attempt < PROMOTE_ATTEMPTS && isActiveOwner(owner); attempt += 1) {
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -1,4 +1,4 @@
-/** What an owner does with the messages of entries. */
+/** Handles the messages that entries send to an owner. */
 import type { StatementRequest } from '@bramleykeel/core';
 import { dropWaiting, endJob, notRun, submitJob } from './dispatch.js';
 import type { Job, OpenTransaction, OwnerChannel, StatementOwner } from './owner-state.js';
@@ -9,7 +9,7 @@
   readonly id: string;
 }
 
-/** Takes in a statement of an entry's caller. */
+/** Accepts a statement from a caller of an entry. */
 export function acceptStatement(
   owner: StatementOwner,
   channel: EntryChannel,
@@ -63,7 +63,7 @@
   return true;
 }
 
-/** The caller rolled its transaction back, or left in the middle of it. */
+/** Rolls a transaction back because its caller asked for it or has disconnected. */
 export function acceptRollback(owner: StatementOwner, channel: EntryChannel, number: number): void {
   const transaction = owner.transactions.get(transactionKeyOf(channel.id, number));
   if (!transaction) return;
@@ -74,7 +74,7 @@
   void rollBack(owner, transaction);
 }
 
-/** Ends everything that came over a channel that is gone. */
+/** Ends waiting statements and open transactions of a closed channel. */
 export function dropEntryChannel(owner: StatementOwner, channel: EntryChannel): void {
   dropWaiting(owner, (job) => job.channel === channel, notRun('owner-lost-before-start'));
   for (const transaction of [...owner.transactions.values()]) {
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -1,4 +1,4 @@
-/** Lifecycle of a statement group's owner: it starts with a lease and ends with it or a handover. */
+/** Lifecycle of the owner of a statement group: starts with a lease, ends with its loss or a handover. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type GroupName,
@@ -48,7 +48,7 @@
   return owner;
 }
 
-/** Takes in what a server says about itself; older words and those of an earlier life change nothing. */
+/** Applies an announcement of a server, unless it is older than the known one or from an earlier process. */
 export function applyServerAnnouncement(
   owner: StatementOwner,
   announcement: ServerAnnouncement,
@@ -59,7 +59,9 @@
   const isRestarted = known && known.announcement.bornMs !== announcement.bornMs;
   const isMoved = known && known.announcement.address !== announcement.address;
   if (known && (isRestarted === true || isMoved === true)) {
-    owner.environment.log(`server ${announcement.server} of ${owner.group} has started anew`);
+    owner.environment.log(
+      `server ${announcement.server} of ${owner.group} has restarted or changed its address`,
+    );
     removeServer(owner, announcement.server);
   }
   const current = owner.servers.get(announcement.server);
@@ -76,19 +78,19 @@
   dispatch(owner);
 }
 
-/** Only one process can be bound to an address: whoever was there before is gone. */
+/** Only one process can be bound to an address, so earlier servers at the same address have ended. */
 function removeFormerServers(owner: StatementOwner, { address, bornMs }: ServerAnnouncement): void {
   for (const [name, { announcement }] of owner.servers) {
     if (announcement.address === address && announcement.bornMs < bornMs) removeServer(owner, name);
   }
 }
 
-/** A server has ended as planned. */
+/** Removes a server after its planned shutdown. */
 export function handleServerLeave(owner: StatementOwner, server: ServerName): void {
   removeServer(owner, server);
 }
 
-/** Takes nothing new and waits for what runs, `graceMs` at most. */
+/** Stops accepting statements and waits up to `graceMs` for running statements and open transactions. */
 export async function drainStatementOwner(owner: StatementOwner, graceMs: number): Promise<void> {
   owner.isStopping = true;
   const untilMs = performance.now() + graceMs;
@@ -98,7 +100,7 @@
   }
 }
 
-/** Ends the owner: nothing is run or acknowledged by it after this. */
+/** Closes the owner; it runs and acknowledges nothing afterwards. */
 export function closeStatementOwner(owner: StatementOwner): void {
   if (owner.isClosed) return;
   dropWaiting(owner, () => true, notRun('no-owner'));
@@ -116,7 +118,7 @@
   const limitMs = performance.now() - owner.environment.idleTransactionMs();
   for (const transaction of [...owner.transactions.values()]) {
     if (transaction.isBusy || transaction.lastUsedMs > limitMs) continue;
-    owner.environment.log(`transaction ${transaction.key} was idle for too long and is ended`);
+    owner.environment.log(`transaction ${transaction.key} ended: idle timeout exceeded`);
     dropTransaction(owner, transaction);
   }
 }
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -1,4 +1,4 @@
-/** The groups that this entry owns, kept in line with control's assignments. */
+/** Owners of the groups assigned to this entry, reconciled with control's assignments. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type ApplyResult,
@@ -36,16 +36,16 @@
   readonly openTarget: OpenTarget;
   readonly readTargetStatus: ReadTargetStatus;
   readonly promoteServer: PromoteServer;
-  /** Called once an owner's epoch is over and all that did not reach a server is answered. */
+  /** Called when an epoch has ended and all statements that did not reach a server are answered. */
   readonly onOwnerEnded: (owner: StatementOwner) => void;
 }
 
 export interface StatementOwnerRegistry {
   readonly options: RegistryOptions;
   readonly owners: Map<GroupName, StatementOwner>;
-  /** The newest announcements that came before this entry owned their group. */
+  /** The newest announcement of each server, kept for owners that start later. */
   readonly earlyAnnouncements: Map<ServerName, ServerAnnouncement>;
-  /** The newest epoch of each group that has ended for good: no owner starts under it again. */
+  /** The newest ended epoch of each group; no owner starts under it or an older one again. */
   readonly endedEpochs: Map<GroupName, number>;
 }
 
@@ -71,13 +71,13 @@
     if (assigned.get(group) !== owner.epoch) endOwner(registry, owner);
   }
   for (const [group, epoch] of assigned) {
-    // What was handed over is still assigned to this entry until control's answer has come.
+    // A group that was handed over stays assigned to this entry until control has answered.
     const hasEnded = epoch <= (registry.endedEpochs.get(group) ?? 0);
     if (!registry.owners.has(group) && !hasEnded) startOwner(registry, group, epoch);
   }
 }
 
-/** Closes an owner whose epoch is over: nothing runs under it any more, whatever is still on its way. */
+/** Closes an owner whose epoch has ended, and keeps late messages from starting it again. */
 function endOwner(registry: StatementOwnerRegistry, owner: StatementOwner): void {
   const { group, epoch } = owner;
   closeStatementOwner(owner);
@@ -113,7 +113,7 @@
     .map(({ name }) => name);
 }
 
-/** A proposal without an answer counts as superseded: the owner looks at the record and goes on. */
+/** An unanswered proposal counts as superseded; the owner then continues from the current record. */
 async function propose(control: ControlClient, command: ControlCommand): Promise<ApplyResult> {
   const answer = await control.call('control/propose', command);
   if (answer.isLeft()) await delay(PROPOSE_RETRY_MS);
@@ -131,7 +131,7 @@
   return owner?.epoch === epoch && !owner.isClosed ? owner : undefined;
 }
 
-/** Takes in a server's announcement; returns whether this entry owns the server's group now. */
+/** Handles a server announcement; returns whether this entry currently owns the server's group. */
 export function deliverServerAnnouncement(
   registry: StatementOwnerRegistry,
   announcement: ServerAnnouncement,
@@ -150,12 +150,12 @@
   for (const owner of registry.owners.values()) handleServerLeave(owner, server);
 }
 
-/** A channel to another entry is gone. */
+/** Ends the work of a closed channel to another entry. */
 export function dropChannel(registry: StatementOwnerRegistry, channel: EntryChannel): void {
   for (const owner of registry.owners.values()) dropEntryChannel(owner, channel);
 }
 
-/** Hands all groups over to other entries, each once its running statements have ended. */
+/** Hands all groups over to other entries, each after its statements have ended or `graceMs` has passed. */
 export async function handOverStatementOwners(
   registry: StatementOwnerRegistry,
   graceMs: number,
@@ -172,7 +172,7 @@
   );
 }
 
-/** Closes everything at once after the lease was lost; control may renew it under the same epochs. */
+/** Closes all owners after a lost lease; their epochs do not end, because control may renew the lease. */
 export function closeAllStatementOwners(registry: StatementOwnerRegistry): void {
   for (const owner of registry.owners.values()) closeStatementOwner(owner);
   registry.owners.clear();
--- a/packages/statement-entry/src/owner/owner-state.test.ts
+++ b/packages/statement-entry/src/owner/owner-state.test.ts
@@ -4,7 +4,7 @@
 import { setPrimary } from './take-over.js';
 import type { ServerState } from './owner-state.js';
 
-/** The bound of the fake group's service. */
+/** Connection limit of the fake group. */
 const CAP = 13;
 
 function serverOf(fake: FakeGroup, index: number): ServerState {
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -1,4 +1,4 @@
-/** State of a statement group's owner: servers, connections, queue, transactions, positions. */
+/** State of the owner of a statement group. */
 import {
   type ApplyResult,
   type ControlCommand,
@@ -29,15 +29,15 @@
 export interface OwnerEnvironment {
   readonly entryId: string;
   readonly zone: string;
-  /** The region of a zone; zones of a region are near to each other. */
+  /** The region of a zone. */
   readonly regionOf: (zone: string) => string;
   readonly log: Log;
   readonly counters: Counters;
-  /** Whether this entry holds the group now, under the owner's epoch, by the steady clock. */
+  /** Whether this entry holds the group's lease under the owner's epoch, by the monotonic clock. */
   readonly holdsLease: () => boolean;
   readonly groupRecord: () => GroupRecord;
   readonly groupSettings: () => StatementGroup | undefined;
-  /** Customers by the settings in force, those with the highest rates first. */
+  /** Customers in the current settings, in descending order of rate. */
   readonly customers: () => readonly CustomerName[];
   readonly idleTransactionMs: () => number;
   readonly propose: (command: ControlCommand) => Promise<ApplyResult>;
@@ -46,12 +46,12 @@
   readonly promoteServer: PromoteServer;
 }
 
-/** The way back to one entry. */
+/** Returns outcomes to one entry. */
 export interface OwnerChannel {
   readonly answer: (number: number, outcome: StatementOutcome) => void;
 }
 
-/** A connection to a server with what was set up on it. */
+/** A connection to a server and the session state set up on it. */
 export interface PooledConnection {
   readonly connection: TargetConnection;
   readonly server: ServerState;
@@ -67,25 +67,25 @@
   announcement: ServerAnnouncement;
   heardAtMs: number;
   readonly idle: PooledConnection[];
-  /** Connections open or being opened, idle ones included. */
+  /** Open connections, including idle ones and those being opened. */
   connectionCount: number;
-  /** Customers that connections were opened for, to open none for them ahead again. */
+  /** Customers with a connection opened before; warm-up opens none for them. */
   readonly connectedCustomers: Set<CustomerName>;
-  /** Set once nothing is kept open to it any more: it is gone, or another entry owns the group. */
+  /** Set once no connections are kept: the server was removed, or the owner closed. */
   isRetired: boolean;
-  /** Statements under way: each occupies a slot. */
+  /** Running statements; each occupies a slot. */
   runningCount: number;
-  /** The newest position that its reads are known to see. */
+  /** The newest log position that reads on this server are known to see. */
   position: LogPosition;
   laggingUntilMs: number;
-  /** The last pause of a replica that lags, in milliseconds; zero once it has answered a read. */
+  /** The last pause after a refusal because of lag; zero once the server has answered a read as a replica. */
   laggingPauseMs: number;
   busyUntilMs: number;
-  /** Set while connections to it fail. */
+  /** Start of the current run of connection failures, if any. */
   failingSinceMs: number | undefined;
   refusedCount: number;
   lastAnswerMs: number;
-  /** The shortest time in which it has answered an order of the owner's own, in milliseconds. */
+  /** The shortest response time to an order of the owner itself. */
   roundTripMs: number | undefined;
   isProbing: boolean;
 }
@@ -106,16 +106,16 @@
   readonly valuesKey: string;
   readonly arrivedAtMs: number;
   readonly deadlineMs: number;
-  /** Until when it may wait for a server. */
+  /** Latest time to start on a server. */
   readonly startByMs: number;
-  /** Set once a server may have run it: then it is never refused as not run. */
+  /** Set once a server may have run the statement; it is then never answered as `not-run`. */
   mayHaveRun: boolean;
   transaction: OpenTransaction | undefined;
   attempts: number;
   isEnded: boolean;
 }
 
-/** Who is the primary, as far as this owner has made sure. */
+/** The primary as verified by this owner. */
 export type Leadership =
   | { readonly kind: 'unknown'; readonly sinceMs: number }
   | { readonly kind: 'led'; readonly server: ServerName; readonly sinceMs: number }
@@ -127,7 +127,7 @@
   readonly environment: OwnerEnvironment;
   readonly startedAtMs: number;
   readonly pools: PoolContext;
-  /** Entries that read at replicas near them, with the time when they last asked. */
+  /** Entries that read from nearby replicas, with the time of their last request. */
   readonly nearReaders: Map<string, { readonly zone: string; readonly atMs: number }>;
   readonly servers: Map<ServerName, ServerState>;
   readonly queues: Map<number, FairQueue<Job>>;
@@ -135,16 +135,16 @@
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
   leadership: Leadership;
-  /** `undefined` until a position that covers everything acknowledged earlier is known. */
+  /** `undefined` until a position that covers all earlier acknowledged writes is known. */
   owed: OwedPositions | undefined;
   isStopping: boolean;
   isClosed: boolean;
   isDispatching: boolean;
   lastPromotionMs: number;
   replicasCheckedMs: number;
-  /** When the servers' places were last handed to control. */
+  /** When the servers' addresses were last proposed to control. */
   placesRecordedMs: number;
-  /** Commits and writes that were outstanding for too long, lately. */
+  /** Writes and commits whose answers were recently overdue. */
   stalledCommits: { readonly server: ServerState; readonly atMs: number }[];
   timers: NodeJS.Timeout[];
 }
@@ -208,7 +208,7 @@
   };
 }
 
-/** The server that statements for the primary go to now, if there is one. */
+/** The verified primary, if there is one. */
 export function primaryOf(owner: StatementOwner): ServerState | undefined {
   const { leadership } = owner;
   return leadership.kind === 'led' ? owner.servers.get(leadership.server) : undefined;
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -1,4 +1,4 @@
-/** Runs one statement on one server, or on its transaction's own connection. */
+/** Runs a statement on a pooled connection or on the connection of its transaction. */
 import { finish, type LogPosition, owedPosition } from '@bramleykeel/core';
 import {
   acquireConnection,
@@ -30,14 +30,14 @@
 } from './settle-answer.js';
 import { suspectPrimary } from './watch-primary.js';
 
-/** Preparing a connection for a statement is given up after this time, in milliseconds. */
+/** Timeout of each order that prepares a connection for a statement. */
 const SETUP_TIMEOUT_MS = 600;
-/** A commit that is outstanding for this long may wait for a replica that cannot be reached. */
+/** A write or commit that is unanswered for this long may be waiting for an unreachable replica. */
 const STALLED_WRITE_MS = 600;
-/** Time kept back for the answer's way to the caller, in milliseconds. */
+/** Part of the deadline reserved for returning the answer to the caller. */
 const ANSWER_MARGIN_MS = 5;
 
-/** Runs a statement on `server`, or on its transaction's own connection. */
+/** Runs a statement on `server`, or on the connection of its transaction if that has one. */
 export async function runJob(
   owner: StatementOwner,
   job: Job,
@@ -67,7 +67,7 @@
   endJob(owner, job, { kind: 'aborted', reason: 'the transaction was ended' });
 }
 
-/** A statement outside of transactions, or the first one of a transaction. */
+/** Runs a statement outside of transactions, or the first one of a transaction. */
 async function runOnPooledConnection(
   owner: StatementOwner,
   job: Job,
@@ -94,7 +94,7 @@
   else settleStatement(owner, job, pooled, answer);
 }
 
-/** Brings the connection to the session's values and prepared names, and opens the transaction. */
+/** Sets up the session's values and prepared statements on the connection, and opens the transaction. */
 async function prepareConnection(
   owner: StatementOwner,
   job: Job,
@@ -110,7 +110,7 @@
     }
     if (answer.kind === 'refused') handleRefusal(owner, job, pooled.server, answer.code);
     else handleBrokenConnection(owner, job, pooled, answer);
-    // What was set up is not known for sure, so the connection is not used again.
+    // Unless only BEGIN was refused, the state of the connection is uncertain and it cannot be reused.
     const isReusable =
       order.kind === 'begin' && answer.kind === 'refused' && answer.state === 'idle';
     if (isReusable) releaseConnection(pooled);
@@ -136,7 +136,7 @@
   if (!owner.owed) return null;
   const { request } = job;
   const isRead = request.transaction ? request.transaction.isReadOnly : request.access === 'read';
-  // A transaction that may write sees everything; the position also keeps it off a superseded primary.
+  // Transactions that may write must see all commits; this also keeps them off a superseded primary.
   const read = isRead ? request : { ...request, consistency: 'newest' as const };
   return owedPosition(owner.owed, read, performance.now());
 }
@@ -198,6 +198,7 @@
 
 function transactionKey(job: Job): string {
   const key = job.transaction?.key;
-  if (key === undefined) throw new Error('a statement of a transaction came without it');
+  if (key === undefined)
+    throw new Error('statement has a transaction reference but no transaction');
   return key;
 }
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -9,7 +9,7 @@
 import { recordServerPlaces } from './server-places.js';
 import { takeOver } from './take-over.js';
 
-describe('an owner that has heard no server', () => {
+describe('an owner that has received no announcement', () => {
   let fake: FakeGroup;
   let next: StatementOwner;
 
@@ -24,13 +24,13 @@
     closeStatementOwner(next);
   });
 
-  it('finds the primary at the places that its predecessor has written down', async () => {
+  it('finds the primary at the addresses that its predecessor has recorded', async () => {
     await takeOver(next);
     expect(next.leadership).toMatchObject({ kind: 'led', server: 'i-0' });
     expect(next.servers.size).toBe(3);
   });
 
-  it('takes what a server says of itself for newer, whatever its sequence', () => {
+  it('prefers an announcement to the recorded address, whatever its sequence', () => {
     const [first] = next.servers.values();
     if (!first) throw new Error('no server was seeded');
     applyServerAnnouncement(next, {
@@ -42,7 +42,7 @@
     expect(next.servers.get(first.announcement.server)?.announcement.address).toBe('10.0.0.9:1');
   });
 
-  it('waits for the servers when none of the recorded ones leads', async () => {
+  it('waits when no recorded server is primary', async () => {
     for (const server of fake.servers) server.role = 'replica';
     await takeOver(next);
     expect(next.leadership.kind).toBe('unknown');
@@ -50,8 +50,8 @@
   });
 });
 
-describe('the places of servers', () => {
-  it('are written down when they change, without those that leave, and not too often', () => {
+describe('the recorded addresses of servers', () => {
+  it('are updated when they change, without leaving servers, and at a limited rate', () => {
     vi.useFakeTimers({ toFake: ['performance'] });
     const fake = createFakeGroup(3);
     recordServerPlaces(fake.owner);
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -1,14 +1,15 @@
 /**
- * Where a group's servers are, written down in control's log: an owner that starts after all of control was
- * lost knows of no announcement, and would serve nothing until the servers announce themselves again.
+ * Records the addresses of a group's servers in the control log. An owner that starts after all control
+ * members were lost has received no announcements, and without the record could not serve until the servers
+ * announce themselves again.
  */
 import type { ServerAnnouncement, ServerPlace } from '@bramleykeel/core';
 import { createServerState, type StatementOwner } from './owner-state.js';
 
-/** Places are written down at most this often, in milliseconds: servers that flap should not fill the log. */
+/** Limits the log entries written when servers appear and disappear repeatedly. */
 const MIN_RECORD_INTERVAL_MS = 2_000;
 
-/** Starts from the recorded places; whatever a server says itself is newer, and replaces them. */
+/** Adds the recorded servers; any announcement by a server counts as newer and replaces its record. */
 export function loadRecordedServers(owner: StatementOwner): void {
   const nowMs = performance.now();
   const places = owner.environment.groupRecord().places ?? [];
@@ -17,17 +18,17 @@
     owner.servers.set(place.server, createServerState(announcementOf(owner, place), nowMs));
   }
   if (places.length === 0) return;
-  owner.environment.log('starts from the places that control has written down', {
+  owner.environment.log('loaded the recorded server addresses from control', {
     servers: places.map(({ server, address }) => `${server}@${address}`).join(' '),
   });
 }
 
-/** Who leads is asked of the servers themselves, so a recorded one counts as a replica until it says more. */
+/** The servers themselves are asked for their role; until then a recorded one counts as a replica. */
 function announcementOf({ group }: StatementOwner, place: ServerPlace): ServerAnnouncement {
   return { ...place, group, role: 'replica', isLeaving: false, bornMs: 0, sequence: 0 };
 }
 
-/** Writes the servers' places down when they differ from what is recorded. */
+/** Records the servers' addresses in control if they have changed. */
 export function recordServerPlaces(owner: StatementOwner): void {
   const nowMs = performance.now();
   if (nowMs - owner.placesRecordedMs < MIN_RECORD_INTERVAL_MS) return;
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -1,4 +1,4 @@
-/** Judges a server's answer to a statement: what its caller is told, and what becomes of the connection. */
+/** Maps a server's answer to the outcome for the caller, and releases or discards the connection. */
 import {
   latestPosition,
   type LogPosition,
@@ -25,16 +25,16 @@
 import { dropTransaction } from './transactions.js';
 import { suspectPrimary } from './watch-primary.js';
 
-/** A server that answered busy is left alone for this time, in milliseconds. */
+/** A server that answered `busy` gets no statements for this long. */
 const BUSY_PAUSE_MS = 15;
 /**
- * A replica that refused a position is not asked for as new a one for this time, in milliseconds; the
- * time doubles while it refuses again, up to the interval in which owners ask replicas how far they are.
+ * A replica that refused a read because it lags gets no reads of such new positions for this long. The pause
+ * doubles with each further refusal, up to the interval at which owners ask replicas for their position.
  */
 const LAGGING_PAUSE_MS = 100;
 const MAX_LAGGING_PAUSE_MS = 1_600;
 
-/** The answer to a statement outside of transactions. */
+/** Handles the answer to a statement outside of transactions. */
 export function settleStatement(
   owner: StatementOwner,
   job: Job,
@@ -81,7 +81,7 @@
     .exhaustive();
 }
 
-/** The answer to a statement of a transaction: any that is not a success ends it. */
+/** Handles the answer to a statement of a transaction; any answer but success ends the transaction. */
 export function settleTransactionStatement(
   owner: StatementOwner,
   job: Job,
@@ -120,7 +120,7 @@
     .with({ kind: 'lost' }, { kind: 'overdue' }, (broken) => {
       handleBrokenConnection(owner, job, pooled, broken);
       dropTransaction(owner, transaction);
-      // Without its COMMIT the server rolls the transaction back when the connection is closed.
+      // The server rolls back an uncommitted transaction when the connection is closed.
       const ended: StatementOutcome = { kind: 'aborted', reason: 'the connection was lost' };
       endJob(owner, job, isCommit ? brokenOutcome(broken) : ended);
     })
@@ -141,13 +141,13 @@
   if (owner.owed) noteAcknowledged(owner.owed, position, performance.now());
 }
 
-/** Notes a success, and how far the server's log reaches. */
+/** Records a successful answer and the log position that it reports. */
 export function noteSuccess(pooled: PooledConnection, position: LogPosition | null): void {
   noteAnswer(pooled.server);
   if (position) pooled.server.position = latestPosition(pooled.server.position, position);
 }
 
-/** Notes what a refusal says about the server. */
+/** Logs and counts a refusal, and updates the state of the server. */
 export function handleRefusal(
   owner: StatementOwner,
   job: Job,
@@ -156,7 +156,7 @@
 ): void {
   const nowMs = performance.now();
   owner.environment.counters.count(`retry.${code}`);
-  owner.environment.log('server did not run the order', {
+  owner.environment.log('server refused the order', {
     request: job.request.tag,
     group: owner.group,
     server: server.announcement.server,
@@ -169,7 +169,7 @@
   if (code === 'lagging' || code === 'read-only') suspectPrimary(owner, server);
 }
 
-/** Several statements may have been on their way together: they count as one refusal. */
+/** Refusals during a pause belong to statements sent before it, and do not extend it. */
 function pauseLagging(server: ServerState, nowMs: number): void {
   if (nowMs < server.laggingUntilMs) return;
   const pauseMs = Math.max(LAGGING_PAUSE_MS, server.laggingPauseMs * 2);
@@ -177,7 +177,7 @@
   server.laggingUntilMs = nowMs + server.laggingPauseMs;
 }
 
-/** The connection broke, or its answer is overdue: others to the same server may be dead as well. */
+/** Handles a lost connection or an overdue answer; other connections to the server may be dead as well. */
 export function handleBrokenConnection(
   owner: StatementOwner,
   job: Job,
@@ -185,7 +185,7 @@
   broken: TargetAnswer,
 ): void {
   const { server } = pooled;
-  owner.environment.log('connection to a server broke under an order', {
+  owner.environment.log('connection to server lost or answer overdue', {
     request: job.request.tag,
     group: owner.group,
     server: server.announcement.server,
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -1,4 +1,4 @@
-/** Finds the primary when an owner starts, and starts to serve from what the primary itself says. */
+/** Finds the primary when an owner starts. */
 import { createOwedPositions } from '@bramleykeel/core';
 import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
 import { dispatch } from './dispatch.js';
@@ -7,12 +7,12 @@
 import { isLost } from './watch-primary.js';
 import { changePrimary } from './change-primary.js';
 
-/** A group without any primary is watched for this long before a server is chosen, in milliseconds. */
+/** Time after the start of an owner before a group without a primary gets a new one. */
 const MISSING_PRIMARY_WAIT_MS = 3_000;
 
 const takingOver = new WeakSet<StatementOwner>();
 
-/** Starts to serve from what the primary itself says, so that nothing acknowledged is missed. */
+/** Starts serving from the position that the primary reports, which covers all acknowledged writes. */
 export async function takeOver(owner: StatementOwner): Promise<void> {
   if (takingOver.has(owner) || owner.servers.size === 0) return;
   takingOver.add(owner);
@@ -43,8 +43,8 @@
 }
 
 /**
- * An earlier owner may have ordered a promotion that is carried out late. A confirmation of the
- * present primary under a higher token makes all such orders void.
+ * A promotion ordered by an earlier owner may be carried out late. Confirming the current primary under a
+ * higher token invalidates all such orders.
  */
 async function adoptPrimary(owner: StatementOwner, primary: ServerStatus): Promise<void> {
   const { environment } = owner;
@@ -78,7 +78,7 @@
   owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
   const { term, position } = status;
   owner.environment.log(
-    `${name} leads ${owner.group} in term ${term} at ${position.term}.${position.offset}: ${why}`,
+    `${name} is primary of ${owner.group} in term ${term} at ${position.term}.${position.offset}: ${why}`,
   );
   dispatch(owner);
 }
--- a/packages/statement-entry/src/owner/transactions.ts
+++ b/packages/statement-entry/src/owner/transactions.ts
@@ -1,15 +1,15 @@
-/** Ends of transactions that are not committed. */
+/** Ends transactions without committing them. */
 import { discardConnection, releaseConnection } from '../target/connection-pool.js';
 import type { OpenTransaction, StatementOwner } from './owner-state.js';
 
 const ROLLBACK_TIMEOUT_MS = 1_000;
 
-/** Transactions are numbered by the entry of their caller, so its channel is part of the key. */
+/** Each entry numbers its own transactions, so the key includes the entry's channel. */
 export function transactionKeyOf(channelId: string, number: number): string {
   return `${channelId}/${number}`;
 }
 
-/** Ends a transaction without its commit; the server rolls it back when the connection closes. */
+/** Closes the connection of a transaction; the server then rolls the transaction back. */
 export function dropTransaction(owner: StatementOwner, transaction: OpenTransaction): void {
   owner.transactions.delete(transaction.key);
   const { pooled } = transaction;
@@ -17,7 +17,7 @@
   if (pooled) discardConnection(pooled);
 }
 
-/** Rolls a transaction back and keeps its connection, if nothing runs on it. */
+/** Rolls a transaction back and returns its connection to the pool, unless a statement is running on it. */
 export async function rollBack(owner: StatementOwner, transaction: OpenTransaction): Promise<void> {
   owner.transactions.delete(transaction.key);
   const { pooled } = transaction;
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -1,4 +1,4 @@
-/** Watches the group's primary: announcements, outstanding answers and probes decide whether it is lost. */
+/** Monitors the primary by announcements, outstanding answers and probes, and replaces it if it is lost. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { type ServerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
@@ -11,27 +11,27 @@
 import { changePrimary } from './change-primary.js';
 import { handleStalledCommits, checkReplicas } from './watch-replicas.js';
 
-/** A silent primary is given up once probes have failed for this long, in milliseconds. */
+/** A server that does not answer counts as lost once connections have failed for this long. */
 const PROBE_FAILURE_TIMEOUT_MS = 550;
-/** Refused connections in a row that prove a process gone. */
+/** Consecutive refused connections that prove that the server process has ended. */
 const REFUSALS_PROVING_EXIT = 2;
 const SUSPECT_PROBE_MS = 80;
 const IDLE_PROBE_MS = 500;
-/** An answer that is outstanding for this long makes the owner probe the server, in milliseconds. */
+/** The primary is probed once an answer has been outstanding for this long. */
 const UNANSWERED_PROBE_MS = 500;
-/** Commits that hang for this long while the server answers otherwise: its replicas are out of reach. */
+/** A stalled write counts for this long as a sign that the primary cannot reach its replicas. */
 const STALLED_WRITE_WINDOW_MS = 1_500;
-/** Time between two changes of primary because of stalled commits, in milliseconds. */
+/** Stalled commits cause no further change of primary for this long after a promotion. */
 const MIN_STALL_CHANGE_INTERVAL_MS = 6_000;
-/** A server that is not heard of for this long, and not reached, is forgotten, in milliseconds. */
+/** An unreachable server is removed once it has sent no announcement for this long. */
 const REMOVE_AFTER_MS = 12_000;
 
-/** Looks at a server again at once if it is the primary. */
+/** Checks the server immediately if it is the primary. */
 export function suspectPrimary(owner: StatementOwner, server: ServerState): void {
   if (primaryOf(owner) === server && !server.isProbing) void checkPrimary(owner, server, true);
 }
 
-/** Called regularly. */
+/** Periodic check of the primary and the other servers; does nothing without the lease. */
 export function watchPrimary(owner: StatementOwner): void {
   if (owner.isClosed || !owner.environment.holdsLease()) return;
   removeStaleServers(owner);
@@ -71,17 +71,17 @@
   }
 }
 
-/** Takes a server out of the group: it left, or was not heard of for long. */
+/** Removes a server from the group and closes its connections. */
 export function removeServer(owner: StatementOwner, name: ServerName): void {
   const server = owner.servers.get(name);
   if (!server) return;
-  owner.environment.log(`server ${name} of ${owner.group} is gone`);
+  owner.environment.log(`server ${name} of ${owner.group} removed`);
   owner.servers.delete(name);
   retireServer(server);
   closeControlConnection(server);
 }
 
-/** Decides from announcements, outstanding answers and probes whether the primary has to be replaced. */
+/** Checks whether the primary has to be replaced. */
 async function checkPrimary(
   owner: StatementOwner,
   primary: ServerState,
@@ -132,7 +132,7 @@
   );
 }
 
-/** Whether failed connections prove that the server is gone, or have failed for long enough. */
+/** Whether connections were refused repeatedly, or have failed for the probe failure timeout. */
 export function isLost({ failingSinceMs, refusedCount }: ServerState): boolean {
   if (failingSinceMs === undefined) return false;
   if (refusedCount >= REFUSALS_PROVING_EXIT) return true;
@@ -168,7 +168,9 @@
   if (newest?.server === primary) return;
   const own = statuses.find(({ server }) => server === primary);
   if (newest && newest.status.term > (own?.status.term ?? 0)) {
-    owner.environment.log(`${newest.server.announcement.server} leads ${owner.group} instead`);
+    owner.environment.log(
+      `${newest.server.announcement.server} is primary of ${owner.group} under a newer term`,
+    );
     owner.leadership = { kind: 'unknown', sinceMs: performance.now() };
     await takeOver(owner);
     return;
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -1,16 +1,15 @@
-/** Sees to it that replicas receive, and judges commits that hang. */
+/** Resumes replicas that a fence has paused, and handles stalled commits. */
 import { comparePositions } from '@bramleykeel/core';
 import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
 import { type ServerState, type StatementOwner } from './owner-state.js';
 import { isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
 
-/** Time between two looks at what the replicas receive, in milliseconds. */
 const REPLICA_CHECK_INTERVAL_MS = 2_000;
 
 /**
- * Commits hang: either replicas were kept from receiving and have to be let go on, or the primary
- * does not reach any replica, and one that this owner reaches has to take over.
+ * Commits stall either because replicas are paused, which then have to be resumed, or because the primary
+ * reaches no replica; then a replica that this owner reaches has to be promoted.
  */
 export async function handleStalledCommits(
   owner: StatementOwner,
@@ -28,17 +27,19 @@
   }
 }
 
-/** Lets replicas receive again that a fence has stopped; returns whether there were any. */
+/** Resumes replication on replicas that a fence has paused; returns whether there were any. */
 function resumePausedReplicas(owner: StatementOwner, replicas: readonly ServerStatus[]): boolean {
   const paused = replicas.filter(({ status }) => status.role === 'replica' && status.heldTerm > 0);
   for (const { server } of paused) {
-    owner.environment.log(`${server.announcement.server} of ${owner.group} may receive again`);
+    owner.environment.log(
+      `${server.announcement.server} of ${owner.group} is paused; resuming replication`,
+    );
     void orderStatus(owner, server, { kind: 'resume' });
   }
   return paused.length > 0;
 }
 
-/** A replica may have been stopped by an earlier owner, or by an order that was carried out late. */
+/** Resumes replicas that an earlier owner, or a pause that was carried out late, has left paused. */
 export async function checkReplicas(owner: StatementOwner): Promise<void> {
   const { leadership } = owner;
   if (leadership.kind !== 'led') return;
