--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -80,13 +80,14 @@
 ): Promise<ServerStatus | undefined> {
   const statuses = await orderAll(owner, () => ({ kind: 'status' }));
   if (!isActiveOwner(owner)) return undefined;
-  const present = newestPrimary(statuses);
-  if (present && present.server !== former) {
+  const currentPrimary = newestPrimary(statuses);
+  if (currentPrimary && currentPrimary.server !== former) {
     // An earlier promotion order was carried out in the meantime.
-    const isConfirmed = await orderPromotion(owner, present.server.announcement.server);
-    return isConfirmed ? orderStatus(owner, present.server, { kind: 'status' }) : undefined;
+    const isConfirmed = await orderPromotion(owner, currentPrimary.server.announcement.server);
+    return isConfirmed ? orderStatus(owner, currentPrimary.server, { kind: 'status' }) : undefined;
   }
-  if (present && !isPlanned && !change.hasFenced && change.isRevocable) return present;
+  if (currentPrimary && !isPlanned && !change.hasFenced && change.isRevocable)
+    return currentPrimary;
   change.hasFenced = true;
   const fenced = isPlanned ? statuses : await fenceAll(owner, statuses);
   if (!isActiveOwner(owner)) return undefined;
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -78,11 +78,11 @@
 function startQueued(owner: StatementOwner, queue: FairQueue<Job>): void {
   if (owner.isStopping || waitingCount(queue) === 0) return;
   for (;;) {
-    const views = viewServers(owner);
+    const views = listTargetViews(owner);
     if (!views.some(({ freeSlots: free, isUsable }) => isUsable && free > 0)) return;
     let chosen: ServerName | undefined;
     const next = dequeue(queue, (job) => {
-      chosen = chooseFor(owner, job, views);
+      chosen = chooseServerFor(owner, job, views);
       return chosen !== undefined;
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
@@ -91,7 +91,7 @@
   }
 }
 
-function viewServers(owner: StatementOwner): TargetView[] {
+function listTargetViews(owner: StatementOwner): TargetView[] {
   const primary = primaryOf(owner);
   const { regionOf, zone } = owner.environment;
   return [...owner.servers.values()].map((server) => ({
@@ -120,7 +120,7 @@
   );
 }
 
-function chooseFor(
+function chooseServerFor(
   owner: StatementOwner,
   { request, attempts }: Job,
   views: readonly TargetView[],
@@ -142,7 +142,7 @@
   return chooseTarget(views, need, nowMs);
 }
 
-/** Ends waiting statements whose deadline has passed; none of them was run. */
+/** Refuses expired queued statements; expired statements of open transactions are passed to `runJob`. */
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -77,7 +77,7 @@
   }
 }
 
-/** Closes an owner whose epoch has ended, and keeps late messages from starting it again. */
+/** Closes an owner whose epoch has ended; no late message can start an owner under that epoch again. */
 function endOwner(registry: StatementOwnerRegistry, owner: StatementOwner): void {
   const { group, epoch } = owner;
   closeStatementOwner(owner);
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -28,8 +28,9 @@
 /** A server that answered `busy` gets no statements for this long. */
 const BUSY_PAUSE_MS = 15;
 /**
- * A replica that refused a read because it lags gets no reads of such new positions for this long. The pause
- * doubles with each further refusal, up to the interval at which owners ask replicas for their position.
+ * A replica that refused a read because it lags gets no reads that need as new a position for this long.
+ * The pause doubles with each further refusal, up to the interval at which owners ask replicas for their
+ * position.
  */
 const LAGGING_PAUSE_MS = 100;
 const MAX_LAGGING_PAUSE_MS = 1_600;
@@ -169,7 +170,7 @@
   if (code === 'lagging' || code === 'read-only') suspectPrimary(owner, server);
 }
 
-/** Refusals during a pause belong to statements sent before it, and do not extend it. */
+/** Statements sent together may be refused together, so refusals during a pause do not extend it. */
 function pauseLagging(server: ServerState, nowMs: number): void {
   if (nowMs < server.laggingUntilMs) return;
   const pauseMs = Math.max(LAGGING_PAUSE_MS, server.laggingPauseMs * 2);
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -37,7 +37,8 @@
   removeStaleServers(owner);
   for (const server of owner.servers.values()) {
     trimIdle(owner.pools, server);
-    if (server.failingSinceMs !== undefined && server !== primaryOf(owner)) reprobe(owner, server);
+    if (server.failingSinceMs !== undefined && server !== primaryOf(owner))
+      probeFailingServer(owner, server);
   }
   match(owner.leadership)
     .with({ kind: 'unknown' }, () => {
@@ -55,7 +56,7 @@
     .exhaustive();
 }
 
-function reprobe(owner: StatementOwner, server: ServerState): void {
+function probeFailingServer(owner: StatementOwner, server: ServerState): void {
   const nowMs = performance.now();
   if (server.isProbing || nowMs - server.lastAnswerMs < IDLE_PROBE_MS) return;
   if (nowMs - (server.failingSinceMs ?? nowMs) > IDLE_PROBE_MS && Math.random() > 0.2) return;
@@ -94,14 +95,14 @@
     await changePrimary(owner, 'it is leaving', true);
     return;
   }
-  const saysReplica = announcement.role === 'replica' && heardAtMs > leadership.sinceMs;
-  const rival = [...owner.servers.values()].find(
+  const announcesReplicaRole = announcement.role === 'replica' && heardAtMs > leadership.sinceMs;
+  const otherPrimary = [...owner.servers.values()].find(
     (server) =>
       server !== primary &&
       server.announcement.role === 'primary' &&
       server.heardAtMs > leadership.sinceMs,
   );
-  if (saysReplica || rival) {
+  if (announcesReplicaRole || otherPrimary) {
     await verifyPrimary(owner, primary);
     return;
   }
@@ -143,8 +144,8 @@
   const nowMs = performance.now();
   if (nowMs - primary.lastAnswerMs < UNANSWERED_PROBE_MS) return false;
   const isWaiting = primary.runningCount > 0;
-  const isQuiet = nowMs - primary.heardAtMs > IDLE_PROBE_MS * 6;
-  return isWaiting || isQuiet;
+  const isSilent = nowMs - primary.heardAtMs > IDLE_PROBE_MS * 6;
+  return isWaiting || isSilent;
 }
 
 function hasStalledCommits(owner: StatementOwner, primary: ServerState): boolean {
