--- a/packages/statement-entry/src/owner/owner-registry.test.ts
+++ b/packages/statement-entry/src/owner/owner-registry.test.ts
@@ -51,7 +51,7 @@
     closeAllStatementOwners(registry);
   });
 
-  it('start with an assignment and end with the next one', () => {
+  it('start with an assignment and end when the group is assigned elsewhere', () => {
     expect(registry.owners.get(group)?.epoch).toBe(4);
     assigned = { epoch: 5, incarnation: 'elsewhere' };
     reconcileStatementOwners(registry);
@@ -69,7 +69,7 @@
     expect(registry.owners.get(group)?.epoch).toBe(6);
   });
 
-  it('go on under the same epoch when a lost lease is renewed, and nobody is told of an end', () => {
+  it('restart under the same epoch when a lost lease is renewed, without a call of onOwnerEnded', () => {
     closeAllStatementOwners(registry);
     expect(ended).toEqual([]);
     reconcileStatementOwners(registry);
--- a/packages/statement-entry/src/owner/owner-state.test.ts
+++ b/packages/statement-entry/src/owner/owner-state.test.ts
@@ -5,7 +5,7 @@
 import type { ServerState } from './owner-state.js';
 
 /** Connection limit of the fake group. */
-const CAP = 13;
+const MAX_CONNECTIONS = 13;
 
 function serverOf(fake: FakeGroup, index: number): ServerState {
   const name = fake.servers[index]?.name;
@@ -26,12 +26,12 @@
   return fake;
 }
 
-describe('connections of owners and near readers together', () => {
+describe('connections of owners and near readers', () => {
   it.each([
     { name: 'the primary', index: 0 },
     { name: 'a replica without near readers', index: 1 },
     { name: 'a replica with near readers', index: 2 },
-  ])('stay within the bound of $name beside a frozen former owner', ({ index }) => {
+  ])('stay within the limit of $name beside a frozen former owner', ({ index }) => {
     const fake = startLed(2);
     const former = startLed(1);
     const offers = ['e-1', 'e-2', 'e-3', 'e-4'].map((entryId) => {
@@ -43,14 +43,15 @@
     const offered = offers
       .at(-1)
       ?.servers.some((each) => each.server === server.announcement.server);
-    const near = offered === true ? (offers.at(-1)?.maxConnections ?? 0) * offers.length : 0;
-    const own = fake.owner.pools.maxConnections(server);
-    const formers = former.owner.pools.maxConnections(serverOf(former, index));
-    expect(own).toBeGreaterThan(0);
-    expect(own + formers + near).toBeLessThanOrEqual(CAP);
+    const nearReadersMax =
+      offered === true ? (offers.at(-1)?.maxConnections ?? 0) * offers.length : 0;
+    const currentOwnerMax = fake.owner.pools.maxConnections(server);
+    const formerOwnerMax = former.owner.pools.maxConnections(serverOf(former, index));
+    expect(currentOwnerMax).toBeGreaterThan(0);
+    expect(currentOwnerMax + formerOwnerMax + nearReadersMax).toBeLessThanOrEqual(MAX_CONNECTIONS);
   });
 
-  it('leave replicas of the same region to near readers, in whichever zone these are', () => {
+  it('offer replicas to near readers in any zone of the same region', () => {
     const fake = startLed(1);
     const regionOf = (zone: string) => (zone === 'zone-1' || zone === 'zone-1b' ? 'north' : zone);
     Object.assign(fake.owner.environment, { regionOf });
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -32,7 +32,7 @@
 
   it('prefers an announcement to the recorded address, whatever its sequence', () => {
     const [first] = next.servers.values();
-    if (!first) throw new Error('no server was seeded');
+    if (!first) throw new Error('no recorded server was loaded');
     applyServerAnnouncement(next, {
       ...first.announcement,
       address: '10.0.0.9:1',
