--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -1,4 +1,4 @@
-/** The owner's queue: which waiting statement goes to which server, and what has waited too long. */
+/** The owner's queue: assigns waiting statements to servers and expires those that waited too long. */
 import {
   chooseTarget,
   createFairQueue,
@@ -23,16 +23,16 @@
 import { runJob } from './run-job.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
-/** What a caller is told to wait before it asks again, in milliseconds. */
+/** Retry delay sent with refusals. */
 export const RETRY_AFTER_MS = 200;
-/** Reads that may miss nothing go to the primary alone while an earlier owner's commits may still end. */
-const EARLIER_OWNER_MS = 2_000;
-/** Statements take about this long at a server, in milliseconds: the sites' means are 3 to 55. */
-const USUAL_WORK_MS = 15;
-/** Statements on their way beyond a server's slots are at most this many times the slots. */
-const MAX_AHEAD_SHARE = 2;
-
-/** Takes in a statement: it runs at once if a server is free. */
+/** `newest` reads go only to the primary while commits of a former owner may still finish. */
+const FORMER_OWNER_COMMIT_MS = 2_000;
+/** Typical run time of a statement on a server; the means of the sites are 3 to 55 ms. */
+const TYPICAL_STATEMENT_MS = 15;
+/** Limit of statements sent beyond a server's slots, as a multiple of the slots. */
+const MAX_PIPELINED_PER_SLOT = 2;
+
+/** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
   if (job.transaction?.pooled) {
     owner.pinnedWaiting.push(job);
@@ -55,7 +55,7 @@
   return created;
 }
 
-/** Starts whatever can run now. */
+/** Starts all waiting statements that a server can run now. */
 export function dispatch(owner: StatementOwner): void {
   if (owner.isDispatching || owner.isClosed || !owner.environment.holdsLease()) return;
   owner.isDispatching = true;
@@ -65,7 +65,7 @@
   owner.isDispatching = false;
 }
 
-/** Statements of open transactions go first: they hold a connection while they wait. */
+/** Statements of open transactions go first because they hold a connection while they wait. */
 function startPinned(owner: StatementOwner): void {
   for (const job of [...owner.pinnedWaiting]) {
     const server = job.transaction?.pooled?.server;
@@ -78,11 +78,11 @@
 function startQueued(owner: StatementOwner, queue: FairQueue<Job>): void {
   if (owner.isStopping || waitingCount(queue) === 0) return;
   for (;;) {
-    const views = viewServers(owner);
+    const views = listTargetViews(owner);
     if (!views.some(({ freeSlots: free, isUsable }) => isUsable && free > 0)) return;
     let chosen: ServerName | undefined;
     const next = dequeue(queue, (job) => {
-      chosen = chooseFor(owner, job, views);
+      chosen = chooseServerFor(owner, job, views);
       return chosen !== undefined;
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
@@ -91,7 +91,7 @@
   }
 }
 
-function viewServers(owner: StatementOwner): TargetView[] {
+function listTargetViews(owner: StatementOwner): TargetView[] {
   const primary = primaryOf(owner);
   const { regionOf, zone } = owner.environment;
   return [...owner.servers.values()].map((server) => ({
@@ -109,15 +109,18 @@
 function freeSlots(server: ServerState): number {
   if (performance.now() < server.busyUntilMs) return 0;
   const { slots } = server.announcement;
-  return slots + aheadOf(server) - server.runningCount;
+  return slots + pipelineAllowance(server) - server.runningCount;
 }
 
-/** Statements that may be on their way to or from a distant server while its slots are busy. */
-function aheadOf({ announcement: { slots }, roundTripMs = 0 }: ServerState): number {
-  return Math.min(slots * MAX_AHEAD_SHARE, Math.floor((slots * roundTripMs) / USUAL_WORK_MS));
+/** Extra statements that may be in transit to or from a distant server while its slots are busy. */
+function pipelineAllowance({ announcement: { slots }, roundTripMs = 0 }: ServerState): number {
+  return Math.min(
+    slots * MAX_PIPELINED_PER_SLOT,
+    Math.floor((slots * roundTripMs) / TYPICAL_STATEMENT_MS),
+  );
 }
 
-function chooseFor(
+function chooseServerFor(
   owner: StatementOwner,
   { request, attempts }: Job,
   views: readonly TargetView[],
@@ -127,9 +130,10 @@
   const nowMs = performance.now();
   const { access, transaction, consistency } = request;
   const isRead = transaction ? transaction.isReadOnly : access === 'read';
-  const isFresh = nowMs - owner.startedAtMs < EARLIER_OWNER_MS && consistency === 'newest';
+  const mayMissFormerCommits =
+    nowMs - owner.startedAtMs < FORMER_OWNER_COMMIT_MS && consistency === 'newest';
   const need: TargetRequirements = {
-    mustBePrimary: !isRead || isFresh,
+    mustBePrimary: !isRead || mayMissFormerCommits,
     requiredPosition: isRead ? requiredPosition(owed, request, nowMs) : ZERO_POSITION,
     requiredSinceMs:
       consistency === 'newest' ? newestAcknowledgedAtMs(owed) : nowMs - request.maxReadAgeMs,
@@ -138,7 +142,7 @@
   return chooseTarget(views, need, nowMs);
 }
 
-/** Refuses what has waited until its time was over: none of it was run. */
+/** Refuses expired queued statements; expired statements of open transactions are passed to `runJob`. */
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
@@ -152,11 +156,11 @@
   }
 }
 
-/** Puts a statement back that was not run; it keeps its deadline. */
+/** Returns a statement to the queue under its original deadline. */
 export function requeueJob(owner: StatementOwner, job: Job): void {
   job.attempts += 1;
   if (job.isEnded) return;
-  owner.environment.log('statement goes back into the queue', describeJob(owner, job));
+  owner.environment.log('statement requeued', describeJob(owner, job));
   if (performance.now() >= job.startByMs || owner.isClosed) {
     endJob(owner, job, notRun('queue-timeout'));
     return;
@@ -166,7 +170,7 @@
   enqueue(queue, { item: job, customer, deadlineMs: job.startByMs }, performance.now());
 }
 
-/** Drops everything that waits and matches, for example when its entry is gone. */
+/** Ends matching waiting statements with `outcome`, for example after their channel has closed. */
 export function dropWaiting(
   owner: StatementOwner,
   isDropped: (job: Job) => boolean,
@@ -181,18 +185,18 @@
   }
 }
 
-/** Answers a statement, once. */
+/** Answers a statement; later calls do nothing. One that may have run is never answered as `not-run`. */
 export function endJob(owner: StatementOwner, job: Job, proposed: StatementOutcome): void {
   if (job.isEnded) return;
   job.isEnded = true;
-  const isFalse = proposed.kind === 'not-run' && job.mayHaveRun;
-  const outcome: StatementOutcome = isFalse ? { kind: 'timed-out' } : proposed;
+  const contradictsExecution = proposed.kind === 'not-run' && job.mayHaveRun;
+  const outcome: StatementOutcome = contradictsExecution ? { kind: 'timed-out' } : proposed;
   owner.environment.counters.count(
     outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
   );
   if (outcome.kind === 'done') owner.environment.counters.timing('owner.statement', ageOf(job));
   else {
-    owner.environment.log('statement ends without a result', {
+    owner.environment.log('statement ended without a result', {
       ...describeJob(owner, job),
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
@@ -205,7 +209,7 @@
   return Math.round(performance.now() - arrivedAtMs);
 }
 
-/** What the owner decided by. */
+/** Log fields with the state that the decision depends on. */
 function describeJob(owner: StatementOwner, job: Job): LogFields {
   const { request, attempts, mayHaveRun, transaction } = job;
   const { leadership } = owner;
@@ -234,7 +238,7 @@
   return { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS };
 }
 
-/** Whether anything waits for a server. */
+/** Whether any statement is waiting for a server. */
 export function hasWaiting(owner: StatementOwner): boolean {
   if (owner.pinnedWaiting.length > 0) return true;
   return [...owner.queues.values()].some((queue) => waitingCount(queue) > 0);
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -1,4 +1,4 @@
-/** The groups that this entry owns, kept in line with control's assignments. */
+/** Owners of the groups assigned to this entry, reconciled with control's assignments. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type ApplyResult,
@@ -20,8 +20,8 @@
   closeStatementOwner,
   drainStatementOwner,
   startStatementOwner,
-  takeServerAnnouncement,
-  takeServerLeave,
+  applyServerAnnouncement,
+  handleServerLeave,
 } from './owner-lifecycle.js';
 import type { OwnerEnvironment, StatementOwner } from './owner-state.js';
 
@@ -36,16 +36,16 @@
   readonly openTarget: OpenTarget;
   readonly readTargetStatus: ReadTargetStatus;
   readonly promoteServer: PromoteServer;
-  /** Called once an owner's epoch is over and all that did not reach a server is answered. */
+  /** Called when an epoch has ended and all statements that did not reach a server are answered. */
   readonly onOwnerEnded: (owner: StatementOwner) => void;
 }
 
 export interface StatementOwnerRegistry {
   readonly options: RegistryOptions;
   readonly owners: Map<GroupName, StatementOwner>;
-  /** The newest announcements that came before this entry owned their group. */
-  readonly early: Map<ServerName, ServerAnnouncement>;
-  /** The newest epoch of each group that has ended for good: no owner starts under it again. */
+  /** The newest announcement of each server, kept for owners that start later. */
+  readonly earlyAnnouncements: Map<ServerName, ServerAnnouncement>;
+  /** The newest ended epoch of each group; no owner starts under it or an older one again. */
   readonly endedEpochs: Map<GroupName, number>;
 }
 
@@ -55,7 +55,7 @@
 const MAX_EARLY_ANNOUNCEMENTS = 1_000;
 
 export function createStatementOwnerRegistry(options: RegistryOptions): StatementOwnerRegistry {
-  return { options, owners: new Map(), early: new Map(), endedEpochs: new Map() };
+  return { options, owners: new Map(), earlyAnnouncements: new Map(), endedEpochs: new Map() };
 }
 
 /** Starts owners for groups that were assigned to this entry and closes those that were not. */
@@ -71,13 +71,13 @@
     if (assigned.get(group) !== owner.epoch) endOwner(registry, owner);
   }
   for (const [group, epoch] of assigned) {
-    // What was handed over is still assigned to this entry until control's answer has come.
+    // A group that was handed over stays assigned to this entry until control has answered.
     const hasEnded = epoch <= (registry.endedEpochs.get(group) ?? 0);
     if (!registry.owners.has(group) && !hasEnded) startOwner(registry, group, epoch);
   }
 }
 
-/** Closes an owner whose epoch is over: nothing runs under it any more, whatever is still on its way. */
+/** Closes an owner whose epoch has ended; no late message can start an owner under that epoch again. */
 function endOwner(registry: StatementOwnerRegistry, owner: StatementOwner): void {
   const { group, epoch } = owner;
   closeStatementOwner(owner);
@@ -102,8 +102,8 @@
   };
   const owner = startStatementOwner(group, epoch, environment);
   registry.owners.set(group, owner);
-  for (const announcement of registry.early.values()) {
-    if (announcement.group === group) takeServerAnnouncement(owner, announcement);
+  for (const announcement of registry.earlyAnnouncements.values()) {
+    if (announcement.group === group) applyServerAnnouncement(owner, announcement);
   }
 }
 
@@ -113,7 +113,7 @@
     .map(({ name }) => name);
 }
 
-/** A proposal without an answer counts as superseded: the owner looks at the record and goes on. */
+/** An unanswered proposal counts as superseded; the owner then continues from the current record. */
 async function propose(control: ControlClient, command: ControlCommand): Promise<ApplyResult> {
   const answer = await control.call('control/propose', command);
   if (answer.isLeft()) await delay(PROPOSE_RETRY_MS);
@@ -131,31 +131,31 @@
   return owner?.epoch === epoch && !owner.isClosed ? owner : undefined;
 }
 
-/** Takes in a server's announcement; returns whether this entry owns the server's group now. */
+/** Handles a server announcement; returns whether this entry currently owns the server's group. */
 export function deliverServerAnnouncement(
   registry: StatementOwnerRegistry,
   announcement: ServerAnnouncement,
 ): boolean {
-  const { early, owners } = registry;
-  if (early.size >= MAX_EARLY_ANNOUNCEMENTS) early.clear();
-  early.set(announcement.server, announcement);
+  const { earlyAnnouncements, owners } = registry;
+  if (earlyAnnouncements.size >= MAX_EARLY_ANNOUNCEMENTS) earlyAnnouncements.clear();
+  earlyAnnouncements.set(announcement.server, announcement);
   const owner = owners.get(announcement.group);
   if (!owner?.environment.holdsLease()) return false;
-  takeServerAnnouncement(owner, announcement);
+  applyServerAnnouncement(owner, announcement);
   return true;
 }
 
 export function deliverServerLeave(registry: StatementOwnerRegistry, server: ServerName): void {
-  registry.early.delete(server);
-  for (const owner of registry.owners.values()) takeServerLeave(owner, server);
+  registry.earlyAnnouncements.delete(server);
+  for (const owner of registry.owners.values()) handleServerLeave(owner, server);
 }
 
-/** A channel to another entry is gone. */
+/** Ends the work of a closed channel to another entry. */
 export function dropChannel(registry: StatementOwnerRegistry, channel: EntryChannel): void {
   for (const owner of registry.owners.values()) dropEntryChannel(owner, channel);
 }
 
-/** Hands all groups over to other entries, each once its running statements have ended. */
+/** Hands all groups over to other entries, each after its statements have ended or `graceMs` has passed. */
 export async function handOverStatementOwners(
   registry: StatementOwnerRegistry,
   graceMs: number,
@@ -172,7 +172,7 @@
   );
 }
 
-/** Closes everything at once after the lease was lost; control may renew it under the same epochs. */
+/** Closes all owners after a lost lease; their epochs do not end, because control may renew the lease. */
 export function closeAllStatementOwners(registry: StatementOwnerRegistry): void {
   for (const owner of registry.owners.values()) closeStatementOwner(owner);
   registry.owners.clear();
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -1,4 +1,4 @@
-/** Finds the primary when an owner starts, and starts to serve from what the primary itself says. */
+/** Finds the primary when an owner starts. */
 import { createAcknowledgedPositions } from '@bramleykeel/core';
 import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
 import { dispatch } from './dispatch.js';
@@ -7,20 +7,20 @@
 import { isLost } from './watch-primary.js';
 import { changePrimary } from './change-primary.js';
 
-/** A group without any primary is watched for this long before a server is chosen, in milliseconds. */
-const ADOPTION_PATIENCE_MS = 3_000;
+/** Time after the start of an owner before a group without a primary gets a new one. */
+const MISSING_PRIMARY_WAIT_MS = 3_000;
 
 const takingOver = new WeakSet<StatementOwner>();
 
-/** Starts to serve from what the primary itself says, so that nothing acknowledged is missed. */
+/** Starts serving from the position that the primary reports, which covers all acknowledged writes. */
 export async function takeOver(owner: StatementOwner): Promise<void> {
   if (takingOver.has(owner) || owner.servers.size === 0) return;
   takingOver.add(owner);
   try {
     const statuses = await orderAll(owner, () => ({ kind: 'status' }));
-    if (!mayAct(owner) || owner.leadership.kind !== 'unknown') return;
+    if (!isActiveOwner(owner) || owner.leadership.kind !== 'unknown') return;
     const primary = newestPrimary(statuses);
-    if (primary) await adopt(owner, primary);
+    if (primary) await adoptPrimary(owner, primary);
     else if (isPrimaryMissing(owner)) await changePrimary(owner, 'no server is primary', false);
   } finally {
     takingOver.delete(owner);
@@ -39,33 +39,37 @@
     ({ announcement }) => announcement.role === 'primary',
   );
   if (announced?.failingSinceMs !== undefined) return isLost(announced);
-  return performance.now() - owner.startedAtMs >= ADOPTION_PATIENCE_MS;
+  return performance.now() - owner.startedAtMs >= MISSING_PRIMARY_WAIT_MS;
 }
 
 /**
- * An earlier owner may have ordered a promotion that is carried out late. A confirmation of the
- * present primary under a higher token makes all such orders void.
+ * A promotion ordered by an earlier owner may be carried out late. Confirming the current primary under a
+ * higher token invalidates all such orders.
  */
-async function adopt(owner: StatementOwner, primary: ServerStatus): Promise<void> {
+async function adoptPrimary(owner: StatementOwner, primary: ServerStatus): Promise<void> {
   const { environment } = owner;
   const record = environment.groupRecord();
   const name = primary.server.announcement.server;
   const isUnresolved = record.proposedTerm > record.term;
   if (isUnresolved || (record.primary !== undefined && record.primary !== name)) {
     const isConfirmed = await orderPromotion(owner, name);
-    if (!isConfirmed || !mayAct(owner)) return;
+    if (!isConfirmed || !isActiveOwner(owner)) return;
     const again = await orderStatus(owner, primary.server, { kind: 'status' });
-    if (again?.status.role !== 'primary' || !mayAct(owner)) return;
-    lead(owner, again, 'it was confirmed');
+    if (again?.status.role !== 'primary' || !isActiveOwner(owner)) return;
+    setPrimary(owner, again, 'it was confirmed');
     return;
   }
-  lead(owner, primary, 'it says so');
+  setPrimary(owner, primary, 'it says so');
   if (record.primary !== undefined) return;
   const { group, epoch: ownerEpoch } = owner;
   await environment.propose({ kind: 'primary/commit', group, ownerEpoch, term: 1, server: name });
 }
 
-export function lead(owner: StatementOwner, { server, status }: ServerStatus, why: string): void {
+export function setPrimary(
+  owner: StatementOwner,
+  { server, status }: ServerStatus,
+  why: string,
+): void {
   const nowMs = performance.now();
   const name = server.announcement.server;
   server.position = status.position;
@@ -74,11 +78,11 @@
   owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
   const { term, position } = status;
   owner.environment.log(
-    `${name} leads ${owner.group} in term ${term} at ${position.term}.${position.offset}: ${why}`,
+    `${name} is primary of ${owner.group} in term ${term} at ${position.term}.${position.offset}: ${why}`,
   );
   dispatch(owner);
 }
 
-export function mayAct(owner: StatementOwner): boolean {
+export function isActiveOwner(owner: StatementOwner): boolean {
   return !owner.isClosed && owner.environment.holdsLease();
 }
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -1,23 +1,25 @@
-/** Sees to it that replicas receive, and judges commits that hang. */
+/** Resumes replicas that a fence has paused, and handles stalled commits. */
 import { comparePositions } from '@bramleykeel/core';
 import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
 import { type ServerState, type StatementOwner } from './owner-state.js';
-import { mayAct } from './take-over.js';
+import { isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
 
-/** Time between two looks at what the replicas receive, in milliseconds. */
-const REPLICA_CHECK_MS = 2_000;
+const REPLICA_CHECK_INTERVAL_MS = 2_000;
 
 /**
- * Commits hang: either replicas were kept from receiving and have to be let go on, or the primary
- * does not reach any replica, and one that this owner reaches has to take over.
+ * Commits stall either because replicas are paused, which then have to be resumed, or because the primary
+ * reaches no replica; then a replica that this owner reaches has to be promoted.
  */
-export async function examineStall(owner: StatementOwner, primary: ServerState): Promise<void> {
+export async function handleStalledCommits(
+  owner: StatementOwner,
+  primary: ServerState,
+): Promise<void> {
   const statuses = await orderAll(owner, () => ({ kind: 'status' }));
-  if (!mayAct(owner) || owner.leadership.kind !== 'led') return;
+  if (!isActiveOwner(owner) || owner.leadership.kind !== 'led') return;
   const own = statuses.find(({ server }) => server === primary);
   const replicas = statuses.filter(({ server }) => server !== primary);
-  if (resumePaused(owner, replicas) || replicas.length === 0) return;
+  if (resumePausedReplicas(owner, replicas) || replicas.length === 0) return;
   const isBehind = ({ status }: ServerStatus) =>
     !own || comparePositions(status.position, own.status.position) < 0;
   if (replicas.every(isBehind)) {
@@ -25,22 +27,24 @@
   }
 }
 
-/** Lets replicas receive again that a fence has stopped; returns whether there were any. */
-function resumePaused(owner: StatementOwner, replicas: readonly ServerStatus[]): boolean {
+/** Resumes replication on replicas that a fence has paused; returns whether there were any. */
+function resumePausedReplicas(owner: StatementOwner, replicas: readonly ServerStatus[]): boolean {
   const paused = replicas.filter(({ status }) => status.role === 'replica' && status.heldTerm > 0);
   for (const { server } of paused) {
-    owner.environment.log(`${server.announcement.server} of ${owner.group} may receive again`);
+    owner.environment.log(
+      `${server.announcement.server} of ${owner.group} is paused; resuming replication`,
+    );
     void orderStatus(owner, server, { kind: 'resume' });
   }
   return paused.length > 0;
 }
 
-/** A replica may have been stopped by an earlier owner, or by an order that was carried out late. */
+/** Resumes replicas that an earlier owner, or a pause that was carried out late, has left paused. */
 export async function checkReplicas(owner: StatementOwner): Promise<void> {
   const { leadership } = owner;
   if (leadership.kind !== 'led') return;
   const nowMs = performance.now();
-  if (nowMs - owner.replicasCheckedMs < REPLICA_CHECK_MS) return;
+  if (nowMs - owner.replicasCheckedMs < REPLICA_CHECK_INTERVAL_MS) return;
   owner.replicasCheckedMs = nowMs;
   const replicas = [...owner.servers.values()].filter(
     (server) =>
@@ -48,5 +52,6 @@
   );
   const asked = replicas.map((server) => orderStatus(owner, server, { kind: 'status' }));
   const statuses = (await Promise.all(asked)).filter((status) => status !== undefined);
-  if (mayAct(owner) && owner.leadership === leadership) resumePaused(owner, statuses);
+  if (isActiveOwner(owner) && owner.leadership === leadership)
+    resumePausedReplicas(owner, statuses);
 }
