--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -135,7 +135,7 @@
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
   leadership: Leadership;
-  /** `undefined` until a position that covers all earlier acknowledged writes is existingPool. */
+  /** `undefined` until a position that covers all earlier acknowledged writes is known. */
   owed: AcknowledgedPositions | undefined;
   isStopping: boolean;
   isClosed: boolean;
