--- a/packages/entry/src/owner/acknowledge.ts
+++ b/packages/entry/src/owner/acknowledge.ts
@@ -1,4 +1,7 @@
-/** Acknowledgement of writes: kept back until the lease, the term and the quorum cover agree. */
+/**
+ * Write acknowledgement: held until the lease, the term and (if required) quorum replication are
+ * verified.
+ */
 import {
   confirmWrite,
   latestPosition,
@@ -11,7 +14,10 @@
 import type { GroupOwner, OwnerRequest, PendingAcknowledgement } from './owner-state.js';
 import { endRequest } from './request-end.js';
 
-/** Starts the confirmation of a request that has written; it may end at once. */
+/**
+ * Starts confirming a request that has written. The request ends immediately if the write is
+ * already confirmed.
+ */
 export function awaitAcknowledgement(
   owner: GroupOwner,
   request: OwnerRequest,
@@ -21,15 +27,18 @@
   request.stage = 'confirming';
   const pending = { request, write, status };
   owner.pendingAcknowledgements.add(pending);
-  settle(owner, pending);
+  evaluateAcknowledgement(owner, pending);
 }
 
-/** Looks at all waiting writes again, after an announcement, a change of the group or some time. */
-export function settleAcknowledgements(owner: GroupOwner): void {
-  for (const pending of owner.pendingAcknowledgements) settle(owner, pending);
+/**
+ * Re-evaluates all pending writes; called periodically, on announcements and when the group
+ * changes.
+ */
+export function evaluateAcknowledgements(owner: GroupOwner): void {
+  for (const pending of owner.pendingAcknowledgements) evaluateAcknowledgement(owner, pending);
 }
 
-function settle(owner: GroupOwner, pending: PendingAcknowledgement): void {
+function evaluateAcknowledgement(owner: GroupOwner, pending: PendingAcknowledgement): void {
   const record = owner.environment.groupRecord();
   const verdict = confirmWrite(pending.write, {
     view: owner.view,
--- a/packages/entry/src/owner/answer-filter.test.ts
+++ b/packages/entry/src/owner/answer-filter.test.ts
@@ -15,7 +15,7 @@
   return { type: frame[0] ?? 0, frame };
 }
 
-function pass(filter: AnswerFilter, frames: readonly Buffer[], isEndSent = true): string {
+function filterToTypes(filter: AnswerFilter, frames: readonly Buffer[], isEndSent = true): string {
   const { forward } = filterAnswer(filter, frames.map(wire), isEndSent);
   return forward.map((frame) => String.fromCharCode(frame[0] ?? 0)).join('');
 }
@@ -28,23 +28,28 @@
 
 describe('filterAnswer', () => {
   const CASES: readonly [string, readonly Buffer[], string, number][] = [
-    ['keeps the last CommandComplete back', [ROW, COMPLETE, READY], 'D', 1],
-    ['lets go of one that was not the last', [COMPLETE, ROW, COMPLETE, READY], 'CD', 1],
-    ['never shows the log position', [buildParameterStatus('log_position', '2/7'), READY], '', 0],
-    ['shows other parameters', [buildParameterStatus('TimeZone', 'UTC'), READY], 'S', 0],
+    ['holds the last CommandComplete', [ROW, COMPLETE, READY], 'D', 1],
+    ['forwards a CommandComplete that was not the last', [COMPLETE, ROW, COMPLETE, READY], 'CD', 1],
+    [
+      'does not forward the log position',
+      [buildParameterStatus('log_position', '2/7'), READY],
+      '',
+      0,
+    ],
+    ['forwards other parameters', [buildParameterStatus('TimeZone', 'UTC'), READY], 'S', 0],
     ['drops notifications', [buildEmptyMessage(SERVER.notificationResponse), READY], '', 0],
   ];
   it.each(CASES)('%s', (_name, frames, forwarded, heldCount) => {
     const filter = createAnswerFilter();
-    expect(pass(filter, frames)).toBe(forwarded);
-    expect(filter.held).toHaveLength(heldCount);
+    expect(filterToTypes(filter, frames)).toBe(forwarded);
+    expect(filter.heldFrames).toHaveLength(heldCount);
   });
 
-  it('passes a CommandComplete on before the end of the request was sent', () => {
-    expect(pass(createAnswerFilter(), [ROW, COMPLETE], false)).toBe('DC');
+  it('forwards a CommandComplete before the end of the request was sent', () => {
+    expect(filterToTypes(createAnswerFilter(), [ROW, COMPLETE], false)).toBe('DC');
   });
 
-  it('hides what the proxy asked for itself and notes it in order', () => {
+  it('hides replies to messages added by the proxy and records statement changes in order', () => {
     const filter = createAnswerFilter();
     filter.expected = [
       { kind: 'close', isHidden: true, statement: 'bk_1' },
@@ -58,16 +63,16 @@
     ]);
   });
 
-  it('expects nothing more of a request after an error, and keeps the first SQLSTATE', () => {
+  it('clears expected replies after an error and keeps the first SQLSTATE', () => {
     const filter = createAnswerFilter();
     filter.expected = [{ kind: 'parse', isHidden: true, statement: 'bk_1' }];
     const error = (sqlState: string) =>
       buildErrorResponse({ severity: 'ERROR', sqlState, message: 'm' });
-    pass(filter, [error('23505'), error('25P02'), READY]);
+    filterToTypes(filter, [error('23505'), error('25P02'), READY]);
     expect(filter).toMatchObject({ expected: [], firstSqlState: '23505' });
   });
 
-  it('notes the position that a commit has reached, and the status at the end', () => {
+  it('records the log position of a commit and returns the final status', () => {
     const filter = createAnswerFilter();
     const frames = [buildParameterStatus('log_position', '2/7'), COMPLETE, READY].map(wire);
     expect(filterAnswer(filter, frames, true).status).toBe('idle');
--- a/packages/entry/src/owner/answer-filter.ts
+++ b/packages/entry/src/owner/answer-filter.ts
@@ -1,6 +1,7 @@
 /**
- * Filter on a target's answer: leaves out what the proxy asked for itself, keeps back the last
- * CommandComplete until the write is confirmed, and notes positions, errors and the end.
+ * Filters a target's response: removes replies to messages that the proxy added, holds the last
+ * CommandComplete until the write is confirmed, and records the log position, the first error and
+ * ReadyForQuery.
  */
 import {
   type ExpectedAnswer,
@@ -18,10 +19,10 @@
 import { POSITION_PARAMETER } from '../target/target-connection.js';
 
 export interface AnswerFilter {
-  /** Answers to Parse and Close messages that are still to come, in order. */
+  /** Outstanding replies to Parse and Close messages, in order. */
   expected: ExpectedAnswer[];
-  /** The newest CommandComplete, until it is known whether it was the last one. */
-  held: Buffer[];
+  /** The most recent CommandComplete, held until it is known whether it is the last one. */
+  heldFrames: Buffer[];
   position: LogPosition | undefined;
   firstSqlState: string | undefined;
 }
@@ -33,23 +34,24 @@
 
 export interface FilteredAnswer {
   readonly forward: readonly Buffer[];
-  /** Set when ReadyForQuery has come. */
+  /** Set once ReadyForQuery has been received. */
   readonly status: TransactionStatus | undefined;
-  /** Statements that were created or closed on the connection, in order. */
+  /** Prepared statements created or closed on the connection, in order. */
   readonly statementChanges: readonly StatementChange[];
-  /** The target waits for COPY data, which is never sent. */
+  /** Whether the target waits for COPY data, which the proxy does not support. */
   readonly wantsCopyData: boolean;
 }
 
 export function createAnswerFilter(): AnswerFilter {
-  return { expected: [], held: [], position: undefined, firstSqlState: undefined };
+  return { expected: [], heldFrames: [], position: undefined, firstSqlState: undefined };
 }
 
 /**
- * Passes messages through the filter. `held` stays in the filter for the caller of this function.
+ * Passes messages through the filter. `heldFrames` stays in the filter; the calling function
+ * forwards or discards it.
  *
- * @param isEndSent whether the target has the end of the request. Before that nothing is committed,
- *   and the caller may wait for the CommandComplete before it sends the end.
+ * @param isEndSent whether the end of the request was sent to the target. Before that nothing is
+ *   committed, and the client may wait for the CommandComplete before it sends the end.
  */
 export function filterAnswer(
   filter: AnswerFilter,
@@ -68,20 +70,20 @@
         if (answer) {
           statementChanges.push({ statement: answer.statement, exists: answer.kind === 'parse' });
         }
-        if (!answer?.isHidden) pass(message.frame);
+        if (!answer?.isHidden) forwardFrame(message.frame);
         break;
       }
       case SERVER.parameterStatus:
-        if (!takePosition(filter, message)) forward.push(message.frame);
+        if (!consumePosition(filter, message)) forward.push(message.frame);
         break;
       case SERVER.commandComplete:
-        pass(message.frame);
-        if (isEndSent) filter.held = [forward.pop() ?? message.frame];
+        forwardFrame(message.frame);
+        if (isEndSent) filter.heldFrames = [forward.pop() ?? message.frame];
         break;
       case SERVER.errorResponse:
         filter.firstSqlState ??= readSqlState(message);
         filter.expected = [];
-        pass(message.frame);
+        forwardFrame(message.frame);
         break;
       case SERVER.notificationResponse:
         break;
@@ -92,19 +94,19 @@
         status = readReadyForQuery(message);
         break;
       default:
-        pass(message.frame);
+        forwardFrame(message.frame);
     }
   }
   return { forward, status, statementChanges, wantsCopyData };
 
-  function pass(frame: Buffer): void {
-    forward.push(...filter.held, frame);
-    filter.held = [];
+  function forwardFrame(frame: Buffer): void {
+    forward.push(...filter.heldFrames, frame);
+    filter.heldFrames = [];
   }
 }
 
-/** Reads a reported log position; the caller is never shown that parameter. */
-function takePosition(filter: AnswerFilter, message: WireMessage): boolean {
+/** Records a reported log position; this parameter is never forwarded to the client. */
+function consumePosition(filter: AnswerFilter, message: WireMessage): boolean {
   const { name, value } = readParameterStatus(message);
   if (name !== POSITION_PARAMETER) return false;
   filter.position = parsePosition(value) ?? filter.position;
--- a/packages/entry/src/owner/failover-runner.ts
+++ b/packages/entry/src/owner/failover-runner.ts
@@ -1,4 +1,4 @@
-/** Carries out the change of primary: probes, commands to servers and proposals to control. */
+/** Executes failover: probes the primary, sends commands to servers and proposals to control. */
 import {
   type ApplyResult,
   type FailoverContext,
@@ -10,51 +10,52 @@
 } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
 import { probeServer, sendCommand } from '../target/target-commands.js';
-import { settleAcknowledgements } from './acknowledge.js';
+import { evaluateAcknowledgements } from './acknowledge.js';
 import type { GroupOwner } from './owner-state.js';
 import { extendForFailover } from './scheduler.js';
 
-const RESEND_MS = 300;
+const COMMAND_RESEND_INTERVAL_MS = 300;
 const PROMOTE_TIMEOUT_MS = 2_000;
 const DRAIN_TIMEOUT_MS = 3_000;
 const COMMAND_TIMEOUT_MS = 1_000;
-/** Time between two probes of a primary that has just failed one, in milliseconds. */
-const SUSPECT_PROBE_MS = 50;
+/** Probe interval while the primary is suspected, that is, after a failed probe. */
+const SUSPECT_PROBE_INTERVAL_MS = 50;
 
-/** Feeds one event to the decision and carries out what it asks for. */
+/** Feeds an event to the failover state machine and executes the resulting effects. */
 export function advanceFailover(owner: GroupOwner, event: FailoverEvent): void {
   if (owner.isClosed || !owner.environment.holdsLease()) return;
   const before = owner.failover.phase.kind;
   for (const effect of stepFailover(owner.failover, event, createContext(owner))) {
-    void carryOut(owner, effect);
+    void executeEffect(owner, effect);
   }
   const after = owner.failover.phase.kind;
   if (before === after) return;
-  owner.environment.log(`change of primary of ${owner.group}: ${before} to ${after}`);
+  owner.environment.log(`failover of ${owner.group}: phase changed from ${before} to ${after}`);
   if (before === 'steady') {
     owner.environment.counters.count('failover.started');
     extendForFailover(owner);
   }
-  settleAcknowledgements(owner);
+  evaluateAcknowledgements(owner);
   owner.dispatch.schedule(owner);
 }
 
 function createContext(owner: GroupOwner): FailoverContext {
   const timing: FailoverTiming = {
     suspectAfterMs: owner.environment.settings.targets.suspectAfterMs,
-    resendMs: RESEND_MS,
+    resendMs: COMMAND_RESEND_INTERVAL_MS,
     promoteTimeoutMs: PROMOTE_TIMEOUT_MS,
     drainTimeoutMs: DRAIN_TIMEOUT_MS,
   };
   const record = owner.environment.groupRecord();
   const primaryPool = record.primary && owner.pools.get(record.primary);
-  // Writes that wait for their cover would be superseded by a change, so a drain waits for them too.
+  // A primary change would supersede writes that await quorum confirmation, so draining waits for
+  // them too.
   const inUseCount = primaryPool ? primaryPool.inUse.size : 0;
   const runningWrites = inUseCount + owner.pendingAcknowledgements.size;
   return { record, view: owner.view, timing, runningWrites, nowMs: performance.now() };
 }
 
-async function carryOut(owner: GroupOwner, effect: FailoverEffect): Promise<void> {
+async function executeEffect(owner: GroupOwner, effect: FailoverEffect): Promise<void> {
   const { group, epoch: ownerEpoch } = owner;
   await match(effect)
     .with({ kind: 'propose' }, async ({ term }) => {
@@ -97,27 +98,27 @@
   return sendCommand(server, url, targetCommand, COMMAND_TIMEOUT_MS);
 }
 
-/** Probes the recorded primary when the next probe is due. */
+/** Probes the recorded primary if the probe interval has elapsed. */
 export async function probePrimary(owner: GroupOwner): Promise<void> {
   const { primary } = owner.environment.groupRecord();
   const announcement = primary && owner.view.servers.get(primary)?.announcement;
   if (owner.failover.phase.kind !== 'steady' && owner.failover.phase.kind !== 'draining') return;
   const { probeEveryMs, suspectAfterMs } = owner.environment.settings.targets;
   const isSuspected = owner.failover.failingSinceMs !== undefined;
-  const everyMs = isSuspected ? SUSPECT_PROBE_MS : probeEveryMs;
+  const everyMs = isSuspected ? SUSPECT_PROBE_INTERVAL_MS : probeEveryMs;
   const nowMs = performance.now();
   if (nowMs - owner.lastProbeMs < everyMs) return;
   owner.lastProbeMs = nowMs;
   if (!announcement) {
-    noteUnheardPrimary(owner, primary);
+    reportUnannouncedPrimary(owner, primary);
     return;
   }
   const result = await probeServer(announcement.address, suspectAfterMs / 2);
   advanceFailover(owner, { kind: 'probed', result });
 }
 
-/** A recorded primary that never announced itself to this owner counts as silent. */
-function noteUnheardPrimary(owner: GroupOwner, primary: string | undefined): void {
+/** Treats a recorded primary that never announced itself to this owner as silent. */
+function reportUnannouncedPrimary(owner: GroupOwner, primary: string | undefined): void {
   if (primary === undefined) return;
   advanceFailover(owner, { kind: 'probed', result: 'silent' });
 }
--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -1,4 +1,4 @@
-/** Lifecycle of a group's owner: it starts with a lease, and ends with it or with a handover. */
+/** Lifecycle of a group's owner: starts when a lease is granted, ends on lease loss or handover. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type Announcement,
@@ -15,18 +15,18 @@
   updateLimits,
   warmPool,
 } from '../target/target-pool.js';
-import { settleAcknowledgements } from './acknowledge.js';
+import { evaluateAcknowledgements } from './acknowledge.js';
 import { advanceFailover, probePrimary } from './failover-runner.js';
-import { closeSession, endIdleTransactions, forgetOldFates } from './owner-app.js';
+import { closeSession, endIdleTransactions, purgeExpiredFates } from './owner-app.js';
 import { createGroupOwner, type GroupOwner, type OwnerEnvironment } from './owner-state.js';
-import { checkSilence, dropSuperseded } from './request-run.js';
+import { checkSilentConnections, terminateSuperseded } from './request-run.js';
 import { expireWaiting, requeue, schedule } from './scheduler.js';
 
-const SCHEDULE_EVERY_MS = 10;
-const DUTIES_EVERY_MS = 50;
-const HOUSEKEEPING_EVERY_MS = 1_000;
+const SCHEDULE_INTERVAL_MS = 10;
+const PERIODIC_TASKS_INTERVAL_MS = 50;
+const HOUSEKEEPING_INTERVAL_MS = 1_000;
 
-/** Starts to act as the owner of a group. */
+/** Starts the owner of a group under the given epoch. */
 export function startGroupOwner(
   group: GroupName,
   epoch: number,
@@ -38,46 +38,46 @@
       if (waitingCount(owner.queue) === 0 && owner.pinnedWaiting.length === 0) return;
       expireWaiting(owner);
       schedule(owner);
-    }, SCHEDULE_EVERY_MS),
+    }, SCHEDULE_INTERVAL_MS),
     setInterval(() => {
-      runDuties(owner);
-    }, DUTIES_EVERY_MS),
+      runPeriodicTasks(owner);
+    }, PERIODIC_TASKS_INTERVAL_MS),
     setInterval(() => {
       endIdleTransactions(owner);
-      forgetOldFates(owner);
-    }, HOUSEKEEPING_EVERY_MS),
+      purgeExpiredFates(owner);
+    }, HOUSEKEEPING_INTERVAL_MS),
   ];
-  environment.log(`this entry owns ${group}, epoch ${epoch}`);
+  environment.log(`became owner of ${group}, epoch ${epoch}`);
   return owner;
 }
 
-function runDuties(owner: GroupOwner): void {
-  settleAcknowledgements(owner);
-  checkSilence(owner);
+function runPeriodicTasks(owner: GroupOwner): void {
+  evaluateAcknowledgements(owner);
+  checkSilentConnections(owner);
   advanceFailover(owner, { kind: 'tick' });
   void probePrimary(owner);
   for (const pool of owner.pools.values()) void warmPool(pool);
 }
 
-/** Takes in an announcement of one of the group's servers. */
-export function takeAnnouncement(owner: GroupOwner, announcement: Announcement): void {
+/** Processes an announcement from one of the group's servers. */
+export function handleAnnouncement(owner: GroupOwner, announcement: Announcement): void {
   if (!recordAnnouncement(owner.view, announcement, performance.now())) return;
   owner.highestSeen = latestPosition(owner.highestSeen, announcement.position);
-  keepPool(owner, announcement);
-  observeServer(owner, announcement.server);
-  settleAcknowledgements(owner);
+  createOrUpdatePool(owner, announcement);
+  registerServer(owner, announcement.server);
+  evaluateAcknowledgements(owner);
   advanceFailover(owner, { kind: 'tick' });
   schedule(owner);
 }
 
-function keepPool(owner: GroupOwner, announcement: Announcement): void {
+function createOrUpdatePool(owner: GroupOwner, announcement: Announcement): void {
   const { server, address } = announcement;
-  const known = owner.pools.get(server);
-  if (known?.address === address) {
-    updateLimits(known, announcement);
+  const existingPool = owner.pools.get(server);
+  if (existingPool?.address === address) {
+    updateLimits(existingPool, announcement);
     return;
   }
-  if (known) closePool(known);
+  if (existingPool) closePool(existingPool);
   const { user, password, connectTimeoutMs, idleCheckMs } = owner.environment.settings.targets;
   const credentials = { user, password, database: owner.group };
   const pool = createTargetPool(announcement, { credentials, connectTimeoutMs, idleCheckMs });
@@ -96,29 +96,31 @@
   return primary !== undefined && owner.pools.get(primary) === pool;
 }
 
-/** Control keeps the list of a group's servers, so that a new owner knows what a quorum is. */
-function observeServer(owner: GroupOwner, server: ServerName): void {
+/** Registers a new server with control, whose server list lets a new owner determine the quorum. */
+function registerServer(owner: GroupOwner, server: ServerName): void {
   if (owner.environment.groupRecord().servers.includes(server)) return;
   void owner.environment.propose({ kind: 'group/observe', group: owner.group, server });
 }
 
-/** Looks at everything again after control has changed the group's record or settings. */
+/** Re-evaluates pending work after control has changed the group's record or settings. */
 export function handleRecordChange(owner: GroupOwner): void {
   const { term } = owner.environment.groupRecord();
-  if (term > owner.seenTerm) {
-    owner.seenTerm = term;
-    dropSuperseded(owner);
+  if (term > owner.lastHandledTerm) {
+    owner.lastHandledTerm = term;
+    terminateSuperseded(owner);
   }
-  settleAcknowledgements(owner);
+  evaluateAcknowledgements(owner);
   advanceFailover(owner, { kind: 'tick' });
   schedule(owner);
 }
 
-/** Stops taking new transactions and waits for what runs, `graceMs` at most. */
+/**
+ * Stops accepting new transactions and waits up to `graceMs` milliseconds for current work to end.
+ */
 export async function drainGroupOwner(owner: GroupOwner, graceMs: number): Promise<void> {
   owner.isStopping = true;
   const untilMs = performance.now() + graceMs;
-  while (isBusy(owner) && performance.now() < untilMs) await delay(SCHEDULE_EVERY_MS);
+  while (isBusy(owner) && performance.now() < untilMs) await delay(SCHEDULE_INTERVAL_MS);
 }
 
 function isBusy(owner: GroupOwner): boolean {
@@ -126,10 +128,10 @@
   return [...owner.sessions.values()].some(({ request, pinned }) => request ?? pinned);
 }
 
-/** Ends the owner: nothing is run or acknowledged by it after this. */
+/** Closes the owner. It runs and acknowledges nothing afterwards. */
 export function closeGroupOwner(owner: GroupOwner): void {
   if (owner.isClosed) return;
-  settleAcknowledgements(owner);
+  evaluateAcknowledgements(owner);
   owner.isClosed = true;
   for (const timer of owner.timers) clearInterval(timer);
   for (const id of [...owner.sessions.keys()]) closeSession(owner, id);
@@ -137,5 +139,5 @@
     closePool(pool);
     for (const connection of pool.inUse) connection.socket.destroy();
   }
-  owner.environment.log(`this entry no longer owns ${owner.group}`);
+  owner.environment.log(`stopped being owner of ${owner.group}`);
 }
--- a/packages/entry/src/owner/owner-app.test.ts
+++ b/packages/entry/src/owner/owner-app.test.ts
@@ -84,14 +84,14 @@
 const QUERY = { ownerEpoch: 7, session: SESSION, number: 1 };
 
 describe('answerFate', () => {
-  it('promises that a waiting request will not start, and drops it', () => {
+  it('guarantees that a waiting request will not start, and drops it', () => {
     const owner = createOwner();
     openAndStart(owner, []);
     expect(answerFate(owner, QUERY)).toBe('not-started');
     expect([...owner.queue.customers.values()].flatMap(({ items }) => items)).toEqual([]);
   });
 
-  it('keeps the promise for a request that arrives after the question', () => {
+  it('refuses a request that arrives after its fate query', () => {
     const owner = createOwner();
     expect(answerFate(owner, QUERY)).toBe('not-started');
     const sent: FromOwnerMessage[] = [];
@@ -102,23 +102,23 @@
     expect(owner.sessions.size).toBe(0);
   });
 
-  it('promises nothing once a byte may have reached a target, also after the session has closed', () => {
+  it('reports may-have-run once a byte may have reached a target, also after the session has closed', () => {
     const owner = createOwner();
     openAndStart(owner, []);
-    owner.touched.set(SESSION, { number: 1, atMs: 0 });
+    owner.lastSentRequests.set(SESSION, { number: 1, atMs: 0 });
     closeSession(owner, SESSION);
     expect(answerFate(owner, QUERY)).toBe('may-have-run');
   });
 
-  it('tells the requests of one session apart', () => {
+  it('distinguishes requests of the same session', () => {
     const owner = createOwner();
-    owner.touched.set(SESSION, { number: 1, atMs: 0 });
+    owner.lastSentRequests.set(SESSION, { number: 1, atMs: 0 });
     expect(answerFate(owner, { ...QUERY, number: 2 })).toBe('not-started');
   });
 });
 
 describe('a statement of an open transaction', () => {
-  it('never runs outside of it when the lease is over before it is sent', async () => {
+  it('never runs outside of it when the lease ends before the statement is sent', async () => {
     const owner = createOwner();
     const sent: FromOwnerMessage[] = [];
     openAndStart(owner, sent);
@@ -139,7 +139,7 @@
       term: 1,
       lastSentMs: 0,
       isEndSent: false,
-      isCheckingSilence: false,
+      isCheckingConnection: false,
     };
     await startOnConnection(withoutLease, request, running);
     expect(sent).toMatchObject([{ kind: 'request/end', refusal: { reason: 'transaction-lost' } }]);
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -1,4 +1,4 @@
-/** What an owner does with the messages of entries. */
+/** Handles messages that entries send to an owner. */
 import {
   type FateQuery,
   latestPosition,
@@ -16,12 +16,12 @@
 import type { GroupOwner, OwnerRequest, OwnerSession } from './owner-state.js';
 import { endRequest } from './request-end.js';
 import { cancelRequest, rollBack, sendChunk, WINDOW_BYTES } from './request-run.js';
-import { submit } from './scheduler.js';
+import { submitRequest } from './scheduler.js';
 
-/** How long an owner can say what became of a request, in milliseconds. */
-export const FATE_MEMORY_MS = 60_000;
+/** How long an owner keeps the information needed to answer fate queries. */
+export const FATE_RETENTION_MS = 60_000;
 
-/** Takes one message of an entry that came over `channel`. */
+/** Handles a message that an entry sent over `channel`. */
 export function handleEntryMessage(
   owner: GroupOwner,
   channel: AnswerChannel,
@@ -43,7 +43,7 @@
       } else request.chunks.push(chunk);
     })
     .with({ kind: 'request/credit' }, ({ session, bytes }) => {
-      takeCredit(owner, session, bytes);
+      applyCredit(owner, session, bytes);
     })
     .with({ kind: 'request/cancel' }, ({ session, number }) => {
       const request = owner.sessions.get(session)?.request;
@@ -62,8 +62,10 @@
   channel: AnswerChannel,
   open: MessageOf<'session/open'>,
 ): void {
-  if (owner.sessions.has(open.session) || owner.revoked.has(open.session)) return;
-  // A session that is not known here may have written elsewhere, so it starts at its customer's mark.
+  if (owner.sessions.has(open.session) || owner.revokedSessions.has(open.session)) return;
+  // A session new to this owner may have written through another one, so without a mark of its own
+  // it
+  // starts at its customer's mark.
   const fallback = owner.customerMarks.get(open.customer) ?? ZERO_POSITION;
   const session: OwnerSession = {
     id: open.session,
@@ -112,10 +114,10 @@
     running: undefined,
   };
   session.request = request;
-  submit(owner, request);
+  submitRequest(owner, request);
 }
 
-function takeCredit(owner: GroupOwner, id: SessionId, bytes: number): void {
+function applyCredit(owner: GroupOwner, id: SessionId, bytes: number): void {
   const session = owner.sessions.get(id);
   if (!session) return;
   session.unacknowledgedBytes = Math.max(0, session.unacknowledgedBytes - bytes);
@@ -127,7 +129,10 @@
   }
 }
 
-/** Ends a session: what waits is dropped, what runs is cancelled, an open transaction rolled back. */
+/**
+ * Closes a session: drops its queued request, cancels a running one or rolls back an open
+ * transaction.
+ */
 export function closeSession(owner: GroupOwner, id: SessionId): void {
   const session = owner.sessions.get(id);
   if (!session) return;
@@ -155,7 +160,7 @@
   return true;
 }
 
-/** Ends all sessions that came over a channel that is gone. */
+/** Closes all sessions of a disconnected channel. */
 export function closeChannel(owner: GroupOwner, channel: AnswerChannel): void {
   for (const session of owner.sessions.values()) {
     if (session.channel === channel) closeSession(owner, session.id);
@@ -163,29 +168,29 @@
 }
 
 /**
- * Says what became of a request whose link broke. `not-started` is a promise: the session is revoked,
- * so nothing of it that should still arrive is run.
+ * Reports the fate of a request whose link broke. `not-started` is a guarantee: the session is
+ * revoked, so messages of it that arrive later are not run.
  */
 export function answerFate(owner: GroupOwner, query: FateQuery): RequestFate {
-  owner.revoked.set(query.session, performance.now());
+  owner.revokedSessions.set(query.session, performance.now());
   closeSession(owner, query.session);
-  const touched = owner.touched.get(query.session);
-  const isTouched = touched !== undefined && touched.number >= query.number;
-  return isTouched ? 'may-have-run' : 'not-started';
+  const lastSent = owner.lastSentRequests.get(query.session);
+  const mayHaveRun = lastSent !== undefined && lastSent.number >= query.number;
+  return mayHaveRun ? 'may-have-run' : 'not-started';
 }
 
-/** Forgets sessions that no entry can ask about any more. */
-export function forgetOldFates(owner: GroupOwner): void {
-  const limitMs = performance.now() - FATE_MEMORY_MS;
-  for (const [id, revokedAtMs] of owner.revoked) {
-    if (revokedAtMs < limitMs) owner.revoked.delete(id);
+/** Removes fate information older than the retention period. */
+export function purgeExpiredFates(owner: GroupOwner): void {
+  const limitMs = performance.now() - FATE_RETENTION_MS;
+  for (const [id, revokedAtMs] of owner.revokedSessions) {
+    if (revokedAtMs < limitMs) owner.revokedSessions.delete(id);
   }
-  for (const [id, { atMs }] of owner.touched) {
-    if (atMs < limitMs && !owner.sessions.has(id)) owner.touched.delete(id);
+  for (const [id, { atMs }] of owner.lastSentRequests) {
+    if (atMs < limitMs && !owner.sessions.has(id)) owner.lastSentRequests.delete(id);
   }
 }
 
-/** Closes connections of transactions that were left open without a statement for too long. */
+/** Closes connections of open transactions that exceeded the idle timeout. */
 export function endIdleTransactions(owner: GroupOwner): void {
   const { idleTransactionMs } = owner.environment.settings.requests;
   const nowMs = performance.now();
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -1,4 +1,4 @@
-/** The groups that this entry owns, kept in line with control's assignments. */
+/** Registry of the groups that this entry owns, reconciled with control's assignments. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type Announcement,
@@ -23,19 +23,21 @@
   drainGroupOwner,
   handleRecordChange,
   startGroupOwner,
-  takeAnnouncement,
+  handleAnnouncement,
 } from './group-owner.js';
-import { answerFate, closeChannel, FATE_MEMORY_MS, handleEntryMessage } from './owner-app.js';
+import { answerFate, closeChannel, FATE_RETENTION_MS, handleEntryMessage } from './owner-app.js';
 import type { GroupOwner } from './owner-state.js';
 
 export interface OwnerRegistry {
   readonly owners: Map<GroupName, GroupOwner>;
-  /** Closed owners that can still say what became of their requests. */
+  /** Closed owners, kept to answer fate queries about their requests. */
   readonly closedOwners: Set<GroupOwner>;
   readonly settings: EntrySettings;
   readonly control: ControlClient;
   readonly counters: Counters;
-  /** Called once an owner has handed over, with the sessions whose requests may still run. */
+  /**
+   * Called after an owner is closed for a handover, with the sessions whose requests may still run.
+   */
   readonly onHandedOver: (owner: GroupOwner, running: readonly SessionId[]) => void;
 }
 
@@ -52,7 +54,7 @@
   return { owners, closedOwners: new Set(), settings, control, counters, onHandedOver };
 }
 
-/** Starts owners for groups that were assigned to this entry and closes those that were not. */
+/** Starts owners for groups assigned to this entry and closes owners whose assignment has ended. */
 export function reconcileOwners(registry: OwnerRegistry): void {
   const assigned = new Map<GroupName, number>();
   for (const { resource, incarnation, epoch } of listAssignments(registry.control)) {
@@ -72,12 +74,12 @@
   }
 }
 
-/** Closes an owner and keeps what it knows about its requests for a while. */
+/** Closes an owner and keeps it for `FATE_RETENTION_MS` to answer fate queries. */
 function retireOwner(registry: OwnerRegistry, owner: GroupOwner): void {
   closeGroupOwner(owner);
   registry.owners.delete(owner.group);
   registry.closedOwners.add(owner);
-  setTimeout(() => registry.closedOwners.delete(owner), FATE_MEMORY_MS).unref();
+  setTimeout(() => registry.closedOwners.delete(owner), FATE_RETENTION_MS).unref();
 }
 
 function startOwner(registry: OwnerRegistry, group: GroupName, epoch: number): void {
@@ -94,7 +96,9 @@
   registry.owners.set(group, owner);
 }
 
-/** A proposal without an answer counts as superseded: the owner looks at the record and goes on. */
+/**
+ * Treats an unanswered proposal as superseded; the owner then continues from the current record.
+ */
 async function propose(control: ControlClient, command: ControlCommand): Promise<ApplyResult> {
   const answer = await control.call('control/propose', command);
   if (answer.isLeft()) await delay(PROPOSE_RETRY_MS);
@@ -102,7 +106,7 @@
   return answer.map((result) => result as ApplyResult).orDefault(unanswered);
 }
 
-/** The owner of a group under an epoch, if this entry is that owner now. */
+/** Returns the owner of a group if this entry currently owns it under the given epoch. */
 export function findOwner(
   registry: OwnerRegistry,
   group: GroupName,
@@ -112,7 +116,10 @@
   return owner?.epoch === epoch && !owner.isClosed ? owner : undefined;
 }
 
-/** Hands an entry's message to the owner; an unknown owner drops it and says so. */
+/**
+ * Delivers an entry's message to the owner. Without a matching owner, requests are refused and
+ * other messages dropped.
+ */
 export function deliverToOwner(
   registry: OwnerRegistry,
   channel: AnswerChannel,
@@ -143,7 +150,10 @@
   });
 }
 
-/** Only the owner of the very epoch can say that it did not start a request, and never will. */
+/**
+ * Answers a fate query. Only the owner of exactly that epoch can guarantee that a request never
+ * starts.
+ */
 export function answerFateQuery(
   registry: OwnerRegistry,
   group: GroupName,
@@ -159,16 +169,19 @@
 export function deliverAnnouncement(registry: OwnerRegistry, announcement: Announcement): boolean {
   const owner = registry.owners.get(announcement.group);
   if (!owner) return false;
-  takeAnnouncement(owner, announcement);
+  handleAnnouncement(owner, announcement);
   return true;
 }
 
-/** A channel to another entry is gone. */
+/** Closes all sessions of a disconnected channel, for every owner. */
 export function dropChannel(registry: OwnerRegistry, channel: AnswerChannel): void {
   for (const owner of registry.owners.values()) closeChannel(owner, channel);
 }
 
-/** Hands all groups over to other entries, each once its running requests have ended. */
+/**
+ * Hands over all groups; each is released once its requests have ended or `graceMs` milliseconds
+ * have passed.
+ */
 export async function handOverAll(registry: OwnerRegistry, graceMs: number): Promise<void> {
   await Promise.all(
     [...registry.owners.values()].map(async (owner) => {
@@ -187,12 +200,12 @@
   );
 }
 
-/** Closes everything at once, after the lease was lost for good. */
+/** Closes all owners immediately, after the lease was permanently lost. */
 export function closeAllOwners(registry: OwnerRegistry): void {
   for (const owner of registry.owners.values()) retireOwner(registry, owner);
 }
 
-/** What the operators' status shows of the groups owned here. */
+/** Describes the groups owned by this entry for the operator status. */
 export function describeOwners(registry: OwnerRegistry) {
   return [...registry.owners.values()].map((owner) => ({
     group: owner.group,
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -29,19 +29,22 @@
 import type { TargetConnection } from '../target/target-connection.js';
 import type { TargetPool } from '../target/target-pool.js';
 
-/** What an owner needs from the rest of its entry. */
+/** Dependencies that an entry provides to its owners. */
 export interface OwnerEnvironment {
   readonly settings: EntrySettings;
   readonly counters: Counters;
   readonly log: Log;
-  /** Whether this entry holds the group now, under the owner's epoch, by the monotonic clock. */
+  /**
+   * Whether this entry currently holds the group's lease under the owner's epoch, by the monotonic
+   * clock.
+   */
   readonly holdsLease: () => boolean;
   readonly groupRecord: () => GroupRecord;
   readonly groupSetting: () => GroupSetting;
   readonly propose: (command: ControlCommand) => Promise<ApplyResult>;
 }
 
-/** A connection that belongs to one session until its transaction ends. */
+/** A connection reserved for one session until its transaction ends. */
 export interface PinnedConnection {
   readonly server: ServerName;
   readonly pool: TargetPool;
@@ -55,10 +58,10 @@
   mark: LogPosition;
   pinned: PinnedConnection | undefined;
   pinnedSinceMs: number;
-  /** Whether the open transaction runs on a replica, as a read-only one may. */
+  /** Whether the open transaction runs on a replica; only read-only transactions may. */
   isPinnedToReplica: boolean;
   request: OwnerRequest | undefined;
-  /** Bytes sent to the entry that it has not passed on to the caller yet. */
+  /** Bytes sent to the entry that it has not yet reported as delivered to the client. */
   unacknowledgedBytes: number;
   isClosing: boolean;
 }
@@ -79,14 +82,14 @@
   hasForwarded: boolean;
   attempts: number;
   filter: AnswerFilter;
-  slot: HeldSlot | undefined;
+  slot: OccupiedSlot | undefined;
   running: RunningRequest | undefined;
-  /** All chunks so far, for another attempt on another server. */
+  /** All chunks received so far, kept for a retry on another server. */
   readonly allChunks: RequestChunk[];
 }
 
-/** A slot of a server that a request occupies. */
-export interface HeldSlot {
+/** A server slot occupied by a request. */
+export interface OccupiedSlot {
   readonly server: ServerName;
   readonly pool: TargetPool;
   readonly sinceMs: number;
@@ -97,23 +100,23 @@
   /** The group's term when the request was sent. */
   readonly term: number;
   lastSentMs: number;
-  /** Whether the end of the request was sent, so that ReadyForQuery is owed. */
+  /** Whether the end of the request was sent, so that ReadyForQuery is expected. */
   isEndSent: boolean;
-  isCheckingSilence: boolean;
+  isCheckingConnection: boolean;
 }
 
-/** A write whose answer has come and waits to be confirmed. */
+/** A write whose response has been received but that is not yet confirmed. */
 export interface PendingAcknowledgement {
   readonly request: OwnerRequest;
   readonly write: PendingWrite;
   readonly status: TransactionStatus;
 }
 
-/** Calls back into the scheduler from the parts that it starts. */
-export interface Dispatch {
-  /** Starts everything that can start now. */
+/** Scheduler functions passed to modules that the scheduler itself imports. */
+export interface SchedulerCallbacks {
+  /** Starts all waiting requests that can start now. */
   readonly schedule: (owner: GroupOwner) => void;
-  /** Puts back a request of which nothing was run. */
+  /** Requeues a request of which nothing was executed. */
   readonly requeue: (owner: GroupOwner, request: OwnerRequest) => void;
 }
 
@@ -121,28 +124,36 @@
   readonly group: GroupName;
   readonly epoch: number;
   readonly environment: OwnerEnvironment;
-  readonly dispatch: Dispatch;
+  readonly dispatch: SchedulerCallbacks;
   readonly view: GroupView;
   readonly pools: Map<ServerName, TargetPool>;
   readonly unusableUntilMs: Map<ServerName, number>;
   readonly queue: FairQueue<OwnerRequest>;
-  /** Requests of open transactions: they run before new ones, on the connection they have. */
+  /**
+   * Waiting requests of open transactions. They run on their pinned connection, before new
+   * requests.
+   */
   readonly pinnedWaiting: OwnerRequest[];
   readonly sessions: Map<SessionId, OwnerSession>;
-  /** Sessions whose entry was told that nothing of them will be started any more. */
-  readonly revoked: Map<SessionId, number>;
-  /** The newest request of each session of which a byte may have reached a target. */
-  readonly touched: Map<SessionId, { readonly number: number; readonly atMs: number }>;
+  /**
+   * Sessions whose entry was told that no further request will start, with the time of revocation.
+   */
+  readonly revokedSessions: Map<SessionId, number>;
+  /** The latest request of each session of which any byte may have reached a target. */
+  readonly lastSentRequests: Map<SessionId, { readonly number: number; readonly atMs: number }>;
   readonly customerMarks: Map<CustomerName, LogPosition>;
-  /** A position at or past everything acknowledged before this owner; reads need the primary until then. */
+  /**
+   * A position at or past every write acknowledged by earlier owners. While unset, reads go to the
+   * primary.
+   */
   baseMark: LogPosition | undefined;
   highestSeen: LogPosition;
   readonly pendingAcknowledgements: Set<PendingAcknowledgement>;
   readonly runningByCustomer: Map<string, number>;
   failover: FailoverState;
   lastProbeMs: number;
-  /** The term that running requests were last compared with. */
-  seenTerm: number;
+  /** The term for which superseded requests were last terminated. */
+  lastHandledTerm: number;
   isStopping: boolean;
   isClosed: boolean;
   timers: NodeJS.Timeout[];
@@ -152,7 +163,7 @@
   group: GroupName,
   epoch: number,
   environment: OwnerEnvironment,
-  dispatch: Dispatch,
+  dispatch: SchedulerCallbacks,
 ): GroupOwner {
   const { maxWaitingPerCustomer } = environment.settings.requests;
   return {
@@ -166,8 +177,8 @@
     queue: createFairQueue(maxWaitingPerCustomer),
     pinnedWaiting: [],
     sessions: new Map(),
-    revoked: new Map(),
-    touched: new Map(),
+    revokedSessions: new Map(),
+    lastSentRequests: new Map(),
     customerMarks: new Map(),
     baseMark: undefined,
     highestSeen: ZERO_POSITION,
@@ -175,7 +186,7 @@
     runningByCustomer: new Map(),
     failover: createFailoverState(environment.groupRecord(), performance.now()),
     lastProbeMs: 0,
-    seenTerm: environment.groupRecord().term,
+    lastHandledTerm: environment.groupRecord().term,
     isStopping: false,
     isClosed: false,
     timers: [],
--- a/packages/entry/src/owner/request-end.ts
+++ b/packages/entry/src/owner/request-end.ts
@@ -1,8 +1,11 @@
-/** The end of a request: held-back bytes or a refusal, then the status and the session's mark. */
+/** Completion of a request: held bytes or a refusal, then the status and the session's mark. */
 import type { Refusal, TransactionStatus } from '@bramleykeel/core';
 import type { GroupOwner, OwnerRequest } from './owner-state.js';
 
-/** Ends a request towards its entry. The last CommandComplete is passed on only without a refusal. */
+/**
+ * Reports the end of a request to its entry. The held CommandComplete is sent only without a
+ * refusal.
+ */
 export function endRequest(
   owner: GroupOwner,
   request: OwnerRequest,
@@ -14,14 +17,14 @@
   request.stage = 'ended';
   if (session.request === request) session.request = undefined;
   if (refusal) owner.environment.counters.count(`refusal.${refusal.reason}`);
-  else forwardBytes(request, filter.held);
-  filter.held = [];
+  else forwardBytes(request, filter.heldFrames);
+  filter.heldFrames = [];
   const isFromReplica = request.running?.isOnReplica ?? false;
   const end = { kind: 'request/end', session: session.id, number, status } as const;
   session.channel.send({ ...end, mark: session.mark, refusal, isFromReplica });
 }
 
-/** Sends answer bytes to the entry; a closing session gets nothing any more. */
+/** Sends response bytes to the entry, unless the session is closing. */
 export function forwardBytes(request: OwnerRequest, frames: readonly Buffer[]): void {
   const { session, number } = request;
   if (frames.length === 0 || session.isClosing) return;
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -1,4 +1,4 @@
-/** Runs a request on a target connection and follows its answer to the end. */
+/** Runs a request on a target connection and processes the response. */
 import {
   type PendingWrite,
   type Refusal,
@@ -19,17 +19,19 @@
 import { createAnswerFilter, filterAnswer } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession, RunningRequest } from './owner-state.js';
 import { endRequest, forwardBytes } from './request-end.js';
-import { freeSlot } from './slots.js';
+import { releaseSlot } from './slots.js';
 
-/** Bytes on their way to a caller above which the target connection is paused. */
+/**
+ * Flow-control window: with more undelivered bytes per session, the target connection is paused.
+ */
 export const WINDOW_BYTES = 256 * 1024;
 const SETTINGS_TIMEOUT_MS = 2_000;
-/** SQLSTATE of a write on a server that only reads: nothing of the statement ran. */
+/** SQLSTATE of a write on a read-only server: nothing of the statement was executed. */
 const READ_ONLY_SQLSTATE = '25006';
-/** Times that a request is moved to another server after an attempt that ran nothing. */
+/** Attempts after which a refused write or a read with a lost connection is no longer retried. */
 const MAX_ATTEMPTS = 4;
 
-/** Brings the connection into the session's state, then sends the request's messages. */
+/** Applies the session settings to the connection, then sends the request's messages. */
 export async function startOnConnection(
   owner: GroupOwner,
   request: OwnerRequest,
@@ -48,7 +50,7 @@
   request.stage = 'running';
   connection.consumer = {
     onMessages: (messages) => {
-      takeAnswer(owner, request, messages);
+      handleAnswer(owner, request, messages);
     },
     onLost: () => {
       handleConnectionLost(owner, request, refuse('target-connection-lost'));
@@ -57,7 +59,7 @@
   for (const chunk of request.chunks.splice(0)) sendChunk(owner, request, running, chunk);
 }
 
-/** Sends one chunk, preceded by the Parse messages of statements the connection does not have. */
+/** Sends a chunk, preceded by Parse messages for statements not yet prepared on the connection. */
 export function sendChunk(
   owner: GroupOwner,
   request: OwnerRequest,
@@ -67,7 +69,7 @@
   const { connection } = running;
   const { filter } = request;
   const { session, number } = request;
-  owner.touched.set(session.id, { number, atMs: performance.now() });
+  owner.lastSentRequests.set(session.id, { number, atMs: performance.now() });
   request.mayCommit ||= chunk.mayCommit;
   for (const { name, parseMessage } of chunk.statements) {
     if (connection.prepared.has(name)) continue;
@@ -80,7 +82,10 @@
   writeBatched(connection.socket, chunk.messages);
 }
 
-/** Makes the connection's session settings those of the request's session. */
+/**
+ * Changes the connection's settings to those of the request's session. Returns whether this
+ * succeeded.
+ */
 async function applySettings(
   connection: TargetConnection,
   wanted: Readonly<Record<string, string>>,
@@ -98,14 +103,17 @@
   return outcome.kind === 'done' && outcome.status === 'idle';
 }
 
-/** The connection could not be prepared: nothing of the request was sent, so it may go elsewhere. */
+/**
+ * Discards a connection before anything of the request was sent, so that the request can be
+ * requeued.
+ */
 function abandonBeforeStart(owner: GroupOwner, request: OwnerRequest): void {
   const { running, session } = request;
   if (!running) return;
   discardConnection(running.pool, running.connection);
-  freeSlot(owner, request);
+  releaseSlot(owner, request);
   if (session.pinned) {
-    // The transaction is gone with its connection; the statement must not run outside of it.
+    // The transaction is lost with its connection; the statement must not run outside of it.
     session.pinned = undefined;
     endRequest(owner, request, 'idle', refuse('transaction-lost'));
     return;
@@ -113,7 +121,7 @@
   owner.dispatch.requeue(owner, request);
 }
 
-function takeAnswer(
+function handleAnswer(
   owner: GroupOwner,
   request: OwnerRequest,
   messages: readonly WireMessage[],
@@ -135,7 +143,10 @@
   if (answer.status !== undefined) handleReady(owner, request, running, answer.status);
 }
 
-/** A refused write ran nothing, so a request on its own may be sent to the primary instead. */
+/**
+ * A write refused as read-only executed nothing, so outside a transaction it may be retried on the
+ * primary.
+ */
 function mayRetryElsewhere(request: OwnerRequest): boolean {
   const isRefused = request.filter.firstSqlState === READ_ONLY_SQLSTATE;
   return isRefused && request.session.pinned === undefined && request.attempts < MAX_ATTEMPTS;
@@ -148,9 +159,9 @@
   status: TransactionStatus,
 ): void {
   const isRetried = !request.hasForwarded && mayRetryElsewhere(request) && status === 'idle';
-  noteSettingEffect(request, running.connection);
+  recordSettingEffect(request, running.connection);
   updatePin(owner, request, running, status);
-  freeSlot(owner, request);
+  releaseSlot(owner, request);
   if (isRetried) {
     owner.environment.counters.count('retry.refused-as-read-only');
     request.intent = 'write';
@@ -184,7 +195,7 @@
   awaitAcknowledgement(owner, request, write, status);
 }
 
-function noteSettingEffect(request: OwnerRequest, connection: TargetConnection): void {
+function recordSettingEffect(request: OwnerRequest, connection: TargetConnection): void {
   const { settingEffect, filter } = request;
   if (!settingEffect || filter.firstSqlState !== undefined) return;
   const { name, text } = settingEffect;
@@ -193,7 +204,10 @@
   else connection.settings.set(name, text);
 }
 
-/** A connection stays with its session while a transaction is open, and goes back to the pool after. */
+/**
+ * Pins the connection to its session while a transaction is open, and releases it to the pool
+ * afterwards.
+ */
 function updatePin(
   owner: GroupOwner,
   request: OwnerRequest,
@@ -218,13 +232,13 @@
   connection.consumer = {
     onMessages: () => undefined,
     onLost: () => {
-      losePin(owner, session);
+      handlePinnedConnectionLost(owner, session);
     },
   };
 }
 
-/** The connection of an open transaction is gone between two statements. */
-function losePin(owner: GroupOwner, session: OwnerSession): void {
+/** Handles the loss of the connection of an open transaction between two statements. */
+function handlePinnedConnectionLost(owner: GroupOwner, session: OwnerSession): void {
   const { pinned } = session;
   session.pinned = undefined;
   if (pinned) discardConnection(pinned.pool, pinned.connection);
@@ -247,7 +261,7 @@
   owner.dispatch.schedule(owner);
 }
 
-/** Ends or moves a request whose connection is gone. */
+/** Ends or requeues a request whose connection was lost. */
 export function handleConnectionLost(
   owner: GroupOwner,
   request: OwnerRequest,
@@ -258,16 +272,16 @@
   discardConnection(running.pool, running.connection);
   const wasInTransaction = session.pinned !== undefined;
   session.pinned = undefined;
-  freeSlot(owner, request);
-  const isHarmless = !request.mayCommit && !wasInTransaction && request.intent === 'read';
-  if (isHarmless && !request.hasForwarded && request.attempts < MAX_ATTEMPTS) {
+  releaseSlot(owner, request);
+  const isSafeToRetry = !request.mayCommit && !wasInTransaction && request.intent === 'read';
+  if (isSafeToRetry && !request.hasForwarded && request.attempts < MAX_ATTEMPTS) {
     owner.environment.counters.count('retry.read-connection-lost');
     request.filter = createAnswerFilter();
     restoreChunks(request);
     owner.dispatch.requeue(owner, request);
     return;
   }
-  request.filter.held = [];
+  request.filter.heldFrames = [];
   const isRolledBack = wasInTransaction && !request.mayCommit;
   const refusal = isRolledBack ? refuse('transaction-lost') : lostRefusal;
   endRequest(owner, request, 'idle', refusal);
@@ -279,10 +293,11 @@
 }
 
 /**
- * Ends what runs on a primary that was superseded: it may be frozen, and never answer. Its open
- * transactions cannot commit any more, because a quorum has promised to take nothing of its term.
+ * Terminates requests and transactions on a superseded primary, which may be frozen and never
+ * respond. Its open transactions can no longer commit, because a quorum has promised to reject its
+ * term.
  */
-export function dropSuperseded(owner: GroupOwner): void {
+export function terminateSuperseded(owner: GroupOwner): void {
   const { primary, term } = owner.environment.groupRecord();
   for (const session of owner.sessions.values()) {
     const { request, pinned } = session;
@@ -291,54 +306,59 @@
       const isOutdated = running.term < term && !running.isOnReplica && running.server !== primary;
       if (isOutdated) handleConnectionLost(owner, request, refuse('acknowledgement-superseded'));
     } else if (pinned && pinned.server !== primary && !session.isPinnedToReplica) {
-      losePin(owner, session);
+      handlePinnedConnectionLost(owner, session);
     }
   }
 }
 
 /**
- * Looks for answers that are overdue. Over a new connection the target is asked whether it still
- * works on the request; if not, the old connection has gone silent and its answer will never come.
+ * Checks connections whose response is overdue. The target is asked over a new connection whether
+ * it still works on the request; if not, the old connection is dead and the response will never
+ * arrive.
  */
-export function checkSilence(owner: GroupOwner): void {
+export function checkSilentConnections(owner: GroupOwner): void {
   const nowMs = performance.now();
   const { silentAfterMs } = owner.environment.settings.targets;
   for (const session of owner.sessions.values()) {
     const { request } = session;
     const running = request?.running;
-    if (!request || !running || request.stage !== 'running' || running.isCheckingSilence) continue;
-    if (running.connection.socket.isPaused() || !isAnswerOwed(running)) continue;
-    const quietSinceMs = Math.max(running.lastSentMs, running.connection.lastHeardMs);
-    if (nowMs - quietSinceMs >= silentAfterMs) void checkRunning(owner, request, running);
+    if (!request || !running || request.stage !== 'running' || running.isCheckingConnection)
+      continue;
+    if (running.connection.socket.isPaused() || !isAnswerPending(running)) continue;
+    const lastActivityMs = Math.max(running.lastSentMs, running.connection.lastHeardMs);
+    if (nowMs - lastActivityMs >= silentAfterMs) void checkUnresponsive(owner, request, running);
   }
 }
 
-/** After a Flush was answered the target waits for the caller, as with a cursor that is read slowly. */
-function isAnswerOwed({ isEndSent, connection, lastSentMs }: RunningRequest): boolean {
+/**
+ * After answering a Flush the target waits for the client, for example one that reads a cursor
+ * slowly.
+ */
+function isAnswerPending({ isEndSent, connection, lastSentMs }: RunningRequest): boolean {
   return isEndSent || connection.lastHeardMs <= lastSentMs;
 }
 
-async function checkRunning(
+async function checkUnresponsive(
   owner: GroupOwner,
   request: OwnerRequest,
   running: RunningRequest,
 ): Promise<void> {
-  running.isCheckingSilence = true;
-  const heardBeforeMs = running.connection.lastHeardMs;
+  running.isCheckingConnection = true;
+  const previousLastHeardMs = running.connection.lastHeardMs;
   const state = await isStillWorking(running.pool, running.connection.processId);
-  running.isCheckingSilence = false;
+  running.isCheckingConnection = false;
   running.lastSentMs = performance.now();
-  const hasAnswered = running.connection.lastHeardMs !== heardBeforeMs;
+  const hasAnswered = running.connection.lastHeardMs !== previousLastHeardMs;
   if (hasAnswered || request.running !== running) return;
-  // An unreachable primary is for the change of primary to judge; reads need not wait for a replica.
+  // Failover handles an unreachable primary; reads on an unreachable replica need not wait.
   const isLost = state === 'idle' || (state === 'unreachable' && running.isOnReplica);
   if (!isLost) return;
-  owner.environment.log(`connection to ${running.server} has gone silent; closing it`);
+  owner.environment.log(`connection to ${running.server} stopped responding; closing it`);
   owner.environment.counters.count('target.connection-silent');
   handleConnectionLost(owner, request, refuse('target-silent'));
 }
 
-/** Cancels what a session runs, if it still is the request that was meant. */
+/** Cancels a request if it is still running on its connection. */
 export function cancelRequest(owner: GroupOwner, request: OwnerRequest): void {
   const { running } = request;
   if (request.stage !== 'running' || !running) return;
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -1,4 +1,7 @@
-/** Starts waiting requests: fair between customers, routed by mark and age, within slots. */
+/**
+ * Schedules waiting requests: fair between customers, routed by mark and read age, limited by
+ * server slots.
+ */
 import {
   acceptsWrites,
   chooseServer,
@@ -20,17 +23,17 @@
 import type { GroupOwner, OwnerRequest, RunningRequest } from './owner-state.js';
 import { endRequest } from './request-end.js';
 import { startOnConnection } from './request-run.js';
-import { freeSlot, runningOf, takeSlot } from './slots.js';
+import { releaseSlot, runningCountOf, acquireSlot } from './slots.js';
 
-/** A server that refused a connection is left alone for this time, in milliseconds. */
-const UNUSABLE_MS = 200;
+/** How long a server is not used after a failed connection attempt. */
+const CONNECT_FAILURE_BACKOFF_MS = 200;
 /** Share of a server's slots that one customer may hold while another is active. */
 const CUSTOMER_SLOT_SHARE = 0.5;
-/** A customer may fill every slot of a server only while no other was active for this time. */
+/** A customer may use every slot of a server only if no other customer was active for this time. */
 const ALONE_AFTER_MS = 10_000;
 
-/** Puts a new request into its customer's queue. */
-export function submit(owner: GroupOwner, request: OwnerRequest): void {
+/** Queues a new request, or runs it on the pinned connection if its session has one. */
+export function submitRequest(owner: GroupOwner, request: OwnerRequest): void {
   if (request.session.pinned) {
     owner.pinnedWaiting.push(request);
     schedule(owner);
@@ -55,7 +58,7 @@
   if (outcome === 'full') endRequest(owner, request, 'idle', refuse('queue-full'));
 }
 
-/** Puts back a request of which nothing was run. */
+/** Requeues a request of which nothing was executed. */
 export function requeue(owner: GroupOwner, request: OwnerRequest): void {
   request.running = undefined;
   if (request.session.isClosing) {
@@ -68,19 +71,19 @@
   });
 }
 
-/** Gives waiting requests the longer time that a change of primary may take. */
+/** Extends the deadlines of waiting requests to cover a failover. */
 export function extendForFailover(owner: GroupOwner): void {
   const { failoverWaitMs } = owner.environment.settings.requests;
   extendDeadlines(owner.queue, performance.now() + failoverWaitMs);
 }
 
-/** The primary that writes may go to, or `undefined` while it is being changed. */
+/** The primary that accepts writes, or `undefined` during a failover. */
 export function primaryForWrites(owner: GroupOwner): ServerName | undefined {
   const record = owner.environment.groupRecord();
   return acceptsWrites(owner.failover, record) ? record.primary : undefined;
 }
 
-/** Starts everything that can start now. */
+/** Starts all waiting requests that can start now. */
 export function schedule(owner: GroupOwner): void {
   if (owner.isClosed || !owner.environment.holdsLease()) return;
   startPinned(owner);
@@ -95,7 +98,7 @@
       return true;
     });
     if (!queued || chosen === undefined) return;
-    void start(owner, queued.item, chosen);
+    void startRequest(owner, queued.item, chosen);
   }
 }
 
@@ -112,13 +115,13 @@
       continue;
     }
     startUnqueued(owner.queue, request.session.customer);
-    takeSlot(owner, request, pinned);
+    acquireSlot(owner, request, pinned);
     const running = createRunning(owner, pinned.server, pinned.pool, pinned.connection);
     void startOnConnection(owner, request, running);
   }
 }
 
-/** Expires waiting requests; none of them was run. */
+/** Refuses requests whose queue deadline has passed; none of them was executed. */
 export function expireWaiting(owner: GroupOwner): void {
   const reason = primaryForWrites(owner) === undefined ? 'no-primary' : 'queue-timeout';
   for (const { item } of takeExpired(owner.queue, performance.now())) {
@@ -153,46 +156,54 @@
   const base = owner.baseMark;
   const isAhead = isMarkAhead(owner, session.mark);
   if (isAhead) return { kind: 'wait' };
-  // Without a base mark nothing is known of earlier writes, so only the primary can serve.
+  // Without a base mark, earlier acknowledged writes are unknown, so only the primary can serve
+  // reads.
   const intent = base === undefined ? 'write' : request.intent;
-  const mark = latest(session.mark, base);
+  const mark = latestOrBase(session.mark, base);
   const waitedMs = context.nowMs - request.enqueuedAtMs;
   return chooseServer({ intent, mark, readAgeAllowanceMs, waitedMs }, context);
 }
 
-function latest(mark: LogPosition, base: LogPosition | undefined): LogPosition {
+function latestOrBase(mark: LogPosition, base: LogPosition | undefined): LogPosition {
   return base && comparePositions(base, mark) > 0 ? base : mark;
 }
 
-/** A mark past everything that was ever seen of the group was not given out by this system. */
+/**
+ * Whether a mark is past every position seen in the group, so that this system cannot have issued
+ * it.
+ */
 function isMarkAhead(owner: GroupOwner, mark: LogPosition): boolean {
   return owner.baseMark !== undefined && comparePositions(mark, owner.highestSeen) > 0;
 }
 
 /**
- * While more than one customer is active, none may hold more than half of a server's slots: a long
- * statement cannot be taken off its slot, so the others would wait for it however fair the queue is.
+ * While several customers are active, none may occupy more than half of a server's slots. Running
+ * statements are not preempted, so long ones would block other customers despite the fair queue.
  */
 function isAtCustomerLimit(owner: GroupOwner, request: OwnerRequest, server: ServerName): boolean {
   const pool = owner.pools.get(server);
   if (!pool || pool.slots < 2) return false;
   const { customer } = request.session;
   const limit = Math.max(1, Math.floor(pool.slots * CUSTOMER_SLOT_SHARE));
-  if (runningOf(owner, request, server) < limit) return false;
+  if (runningCountOf(owner, request, server) < limit) return false;
   return hasOtherActive(owner.queue, customer, performance.now() - ALONE_AFTER_MS);
 }
 
-async function start(owner: GroupOwner, request: OwnerRequest, server: ServerName): Promise<void> {
+async function startRequest(
+  owner: GroupOwner,
+  request: OwnerRequest,
+  server: ServerName,
+): Promise<void> {
   const pool = owner.pools.get(server);
   if (!pool) return;
   request.stage = 'acquiring';
   request.attempts += 1;
-  takeSlot(owner, request, { server, pool });
+  acquireSlot(owner, request, { server, pool });
   const acquired = await acquireConnection(pool);
   if (acquired.kind === 'failed') {
-    owner.unusableUntilMs.set(server, performance.now() + UNUSABLE_MS);
+    owner.unusableUntilMs.set(server, performance.now() + CONNECT_FAILURE_BACKOFF_MS);
     owner.environment.counters.count(`retry.connect-${acquired.failure.kind}`);
-    freeSlot(owner, request);
+    releaseSlot(owner, request);
     requeue(owner, request);
     return;
   }
@@ -215,6 +226,6 @@
     term: record.term,
     lastSentMs: nowMs,
     isEndSent: false,
-    isCheckingSilence: false,
+    isCheckingConnection: false,
   };
 }
--- a/packages/entry/src/owner/slots.ts
+++ b/packages/entry/src/owner/slots.ts
@@ -1,10 +1,10 @@
-/** Slots of target servers that requests occupy, and what their customers are charged for them. */
+/** Accounting of target server slots: occupancy per request and slot time charged per customer. */
 import { finish } from '@bramleykeel/core';
 import type { TargetPool } from '../target/target-pool.js';
 import type { GroupOwner, OwnerRequest, PinnedConnection } from './owner-state.js';
 
-/** Occupies a slot of the server for the request. */
-export function takeSlot(
+/** Acquires a slot of the server for the request. */
+export function acquireSlot(
   owner: GroupOwner,
   request: OwnerRequest,
   place: { readonly server: PinnedConnection['server']; readonly pool: TargetPool },
@@ -12,26 +12,26 @@
   const { server, pool } = place;
   pool.runningCount += 1;
   request.slot = { server, pool, sinceMs: performance.now() };
-  countRunning(owner, request, 1);
+  adjustRunningCount(owner, request, 1);
 }
 
-/** Gives the slot back and charges the customer for the time it was held. */
-export function freeSlot(owner: GroupOwner, request: OwnerRequest): void {
+/** Releases the slot and charges the customer for the time it was held. */
+export function releaseSlot(owner: GroupOwner, request: OwnerRequest): void {
   const { slot, session } = request;
   if (!slot) return;
   const nowMs = performance.now();
   slot.pool.runningCount -= 1;
-  countRunning(owner, request, -1);
+  adjustRunningCount(owner, request, -1);
   request.slot = undefined;
   finish(owner.queue, session.customer, nowMs - slot.sinceMs, nowMs);
 }
 
-/** Requests of a customer that run on a server now. */
-export function runningOf(owner: GroupOwner, request: OwnerRequest, server: string): number {
+/** Number of requests of the request's customer that occupy slots of a server. */
+export function runningCountOf(owner: GroupOwner, request: OwnerRequest, server: string): number {
   return owner.runningByCustomer.get(`${server}/${request.session.customer}`) ?? 0;
 }
 
-function countRunning(owner: GroupOwner, request: OwnerRequest, change: 1 | -1): void {
+function adjustRunningCount(owner: GroupOwner, request: OwnerRequest, change: 1 | -1): void {
   const { slot, session } = request;
   if (!slot) return;
   const key = `${slot.server}/${session.customer}`;
