--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -64,8 +64,7 @@
 ): void {
   if (owner.sessions.has(open.session) || owner.revokedSessions.has(open.session)) return;
   // A session new to this owner may have written through another one, so without a mark of its own
-  // it
-  // starts at its customer's mark.
+  // it starts at its customer's mark.
   const fallback = owner.customerMarks.get(open.customer) ?? ZERO_POSITION;
   const session: OwnerSession = {
     id: open.session,
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -116,7 +116,7 @@
 export interface SchedulerCallbacks {
   /** Starts all waiting requests that can start now. */
   readonly schedule: (owner: GroupOwner) => void;
-  /** Requeues a request of which nothing was executed. */
+  /** Requeues a request that can safely be run again. */
   readonly requeue: (owner: GroupOwner, request: OwnerRequest) => void;
 }
 
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -58,7 +58,7 @@
   if (outcome === 'full') endRequest(owner, request, 'idle', refuse('queue-full'));
 }
 
-/** Requeues a request of which nothing was executed. */
+/** Requeues a request that can safely be run again. */
 export function requeue(owner: GroupOwner, request: OwnerRequest): void {
   request.running = undefined;
   if (request.session.isClosing) {
