--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -13,7 +13,7 @@
 import {
   DEFAULT_LINK_TIMING,
   DEFAULT_RECONNECT,
-  keepLink,
+  maintainLink,
   type LinkClient,
   type Log,
 } from '@bramleykeel/link';
@@ -132,7 +132,7 @@
     if (known) return known;
     const options = { secret: linkSecret, ...DEFAULT_LINK_TIMING, ...DEFAULT_RECONNECT };
     const handlers = { onRequest: () => undefined, onNotify: () => undefined };
-    const created = keepLink(address, { ...options, reconnectMaxMs: 400 }, handlers);
+    const created = maintainLink(address, { ...options, reconnectMaxMs: 400 }, handlers);
     links.set(address, created);
     return created;
   }
--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -15,7 +15,7 @@
   type Counters,
   DEFAULT_LINK_TIMING,
   DEFAULT_RECONNECT,
-  keepLink,
+  maintainLink,
   type LinkClient,
   type LinkPeer,
   listenForLinks,
@@ -179,7 +179,7 @@
       if (links.has(address)) continue;
       const reconnect = { ...linkOptions, ...DEFAULT_RECONNECT, reconnectMaxMs: 300 };
       const handlers = { onRequest: () => undefined, onNotify: () => undefined };
-      links.set(address, keepLink(address, reconnect, handlers));
+      links.set(address, maintainLink(address, reconnect, handlers));
     }
   }
 
--- a/packages/entry-shared/src/admit/rate-client.test.ts
+++ b/packages/entry-shared/src/admit/rate-client.test.ts
@@ -5,14 +5,14 @@
 const customer = toCustomerName('tuulgan');
 const LIFETIME_MS = 250;
 
-/** A home whose answers take the given times, the last one for good. */
-function clientOf(tripMs: readonly number[], granted: number) {
+/** Creates a client whose draws are answered after the given delays; the last delay repeats. */
+function createClientWithDelays(delaysMs: readonly number[], granted: number) {
   let draws = 0;
   return createRateClient({
     rateWaitMs: 500,
     homeWaitMs: 2_000,
     draw: () => {
-      const delayMs = tripMs[Math.min(draws, tripMs.length - 1)] ?? 0;
+      const delayMs = delaysMs[Math.min(draws, delaysMs.length - 1)] ?? 0;
       draws += 1;
       const grant: TokenGrant = { granted, lifetimeMs: LIFETIME_MS, retryAfterMs: 20 };
       return new Promise((resolve) => {
@@ -22,24 +22,24 @@
   });
 }
 
-describe('admission by rate', () => {
+describe('rate admission', () => {
   it.each([
-    { name: 'the home answers at once', tripMs: [5], granted: 1, expected: undefined },
-    { name: 'the home has nothing', tripMs: [5], granted: 0, expected: 'rate-exceeded' },
+    { name: 'the home answers without delay', delaysMs: [5], granted: 1, expected: undefined },
+    { name: 'the home has no tokens', delaysMs: [5], granted: 0, expected: 'rate-exceeded' },
     {
-      name: 'tokens expired on their way at first',
-      tripMs: [300, 300, 5],
+      name: 'the first grants expire in transit',
+      delaysMs: [300, 300, 5],
       granted: 1,
       expected: undefined,
     },
     {
-      name: 'tokens always expire on their way',
-      tripMs: [300],
+      name: 'all grants expire in transit',
+      delaysMs: [300],
       granted: 1,
       expected: 'rate-home-unreachable',
     },
-  ])('when $name: $expected', async ({ tripMs, granted, expected }) => {
-    const admitted = admit(clientOf(tripMs, granted), customer, 1, undefined);
+  ])('when $name: $expected', async ({ delaysMs, granted, expected }) => {
+    const admitted = admit(createClientWithDelays(delaysMs, granted), customer, 1, undefined);
     expect((await admitted)?.reason).toBe(expected);
   });
 });
--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -1,4 +1,7 @@
-/** Admission of requests by rate: tokens are drawn from the customer's home a little ahead of demand. */
+/**
+ * Rate limiting of customers' requests. An entry draws tokens from the customer's home, the entry that holds
+ * the customer's token bucket, and draws some more than the waiting requests need.
+ */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type CustomerName,
@@ -9,11 +12,11 @@
 } from '@bramleykeel/core';
 
 export interface RateClientOptions {
-  /** How long a request waits for tokens before it counts as above the rate. */
+  /** How long a request waits for tokens before it is refused with `rate-exceeded`. */
   readonly rateWaitMs: number;
-  /** How long a request waits while the home cannot be reached. */
+  /** How long a request waits for an unreachable home before it is refused with `rate-home-unreachable`. */
   readonly homeWaitMs: number;
-  /** Sends a draw to the customer's home; `undefined` when it cannot be reached now. */
+  /** Sends a draw to the customer's home; resolves to `undefined` if the home cannot be reached. */
   readonly draw: (draw: Omit<TokenDraw, 'epoch'>) => Promise<TokenGrant | undefined>;
 }
 
@@ -25,17 +28,19 @@
 
 interface CustomerTokens {
   readonly customer: CustomerName;
+  /** Unspent tokens of the current grant. The next draw returns them to the home unless they have expired. */
   available: number;
   expiresAtMs: number;
-  /** Tokens of the present grant that may go back to the home. */
   isDrawing: boolean;
   readonly waiters: Waiter[];
-  /** Tokens spent since `windowStartMs`, and in the window before it. */
+  /** Tokens spent since `windowStartMs`. */
   spentInWindow: number;
-  spentBefore: number;
+  /** Tokens spent in the window before, or 0 if that window did not directly precede this one. */
+  spentInPreviousWindow: number;
   windowStartMs: number;
   lifetimeMs: number;
-  hasReachedHome: boolean;
+  /** Whether the last draw brought a grant that was still valid on arrival. */
+  isHomeReachable: boolean;
 }
 
 export interface RateClient {
@@ -43,10 +48,10 @@
   readonly customers: Map<CustomerName, CustomerTokens>;
 }
 
-/** Share of the demand of the last window that is drawn ahead. */
-const AHEAD_SHARE = 0.5;
+/** Share of the tokens spent in the previous window that is drawn on top of what waiting requests need. */
+const PREFETCH_SHARE = 0.5;
 const RETRY_MIN_MS = 5;
-const HOME_RETRY_MS = 30;
+const HOME_UNREACHABLE_RETRY_MS = 30;
 const DEFAULT_LIFETIME_MS = 100;
 
 export function createRateClient(options: RateClientOptions): RateClient {
@@ -54,30 +59,31 @@
 }
 
 /**
- * Takes `count` tokens of a customer, waiting for them if need be.
+ * Takes `count` tokens of a customer, waiting for them if necessary.
  *
- * @param patienceMs replaces the usual wait, for requests of open transactions
- * @returns the refusal, or `undefined` when the request may run
+ * @param maxWaitMs replaces `rateWaitMs` for requests in open transactions
+ * @returns `undefined` if the request may run at once, else a promise of the refusal, or of `undefined` once the
+ * request may run
  */
 export function admit(
   client: RateClient,
   customer: CustomerName,
   count: number,
-  patienceMs: number | undefined,
+  maxWaitMs: number | undefined,
 ): Promise<Refusal | undefined> | undefined {
-  const tokens = tokensOf(client, customer);
+  const tokens = getOrCreateTokens(client, customer);
   const nowMs = performance.now();
   if (tokens.waiters.length === 0 && spend(tokens, count, nowMs)) return undefined;
   return new Promise((resolve) => {
-    const extraMs = (patienceMs ?? client.options.rateWaitMs) - client.options.rateWaitMs;
+    const extraMs = (maxWaitMs ?? client.options.rateWaitMs) - client.options.rateWaitMs;
     tokens.waiters.push({ count, sinceMs: nowMs + extraMs, resolve });
     void drawForWaiters(client, tokens);
   });
 }
 
-function tokensOf(client: RateClient, customer: CustomerName): CustomerTokens {
-  const known = client.customers.get(customer);
-  if (known) return known;
+function getOrCreateTokens(client: RateClient, customer: CustomerName): CustomerTokens {
+  const existing = client.customers.get(customer);
+  if (existing) return existing;
   const created: CustomerTokens = {
     customer,
     available: 0,
@@ -85,10 +91,10 @@
     isDrawing: false,
     waiters: [],
     spentInWindow: 0,
-    spentBefore: 0,
+    spentInPreviousWindow: 0,
     windowStartMs: performance.now(),
     lifetimeMs: DEFAULT_LIFETIME_MS,
-    hasReachedHome: true,
+    isHomeReachable: true,
   };
   client.customers.set(customer, created);
   return created;
@@ -107,7 +113,7 @@
   const elapsedMs = nowMs - tokens.windowStartMs;
   if (elapsedMs < tokens.lifetimeMs) return;
   const isAdjacent = elapsedMs < tokens.lifetimeMs * 2;
-  tokens.spentBefore = isAdjacent ? tokens.spentInWindow : 0;
+  tokens.spentInPreviousWindow = isAdjacent ? tokens.spentInWindow : 0;
   tokens.spentInWindow = 0;
   tokens.windowStartMs = nowMs;
 }
@@ -124,20 +130,20 @@
   tokens.isDrawing = false;
 }
 
-/** Draws once and returns how long to wait before the next draw, in milliseconds. */
+/** Draws once and returns the delay before the next draw, in milliseconds. */
 async function drawOnce(client: RateClient, tokens: CustomerTokens): Promise<number> {
   const sentAtMs = performance.now();
   rollWindow(tokens, sentAtMs);
   const needed = tokens.waiters.reduce((sum, { count }) => sum + count, 0);
-  const ahead = Math.floor(tokens.spentBefore * AHEAD_SHARE);
+  const prefetched = Math.floor(tokens.spentInPreviousWindow * PREFETCH_SHARE);
   const returned = sentAtMs < tokens.expiresAtMs ? tokens.available : 0;
   tokens.available = 0;
   const { customer } = tokens;
-  const grant = await client.options.draw({ customer, wanted: needed + ahead, returned });
-  // Tokens that expired on their way say nothing about the customer's rate.
-  const isInTime = grant !== undefined && performance.now() < sentAtMs + grant.lifetimeMs;
-  tokens.hasReachedHome = isInTime;
-  if (!isInTime) return HOME_RETRY_MS;
+  const grant = await client.options.draw({ customer, wanted: needed + prefetched, returned });
+  // A grant that expired in transit says nothing about the customer's rate: treat the home as unreachable.
+  const isValid = grant !== undefined && performance.now() < sentAtMs + grant.lifetimeMs;
+  tokens.isHomeReachable = isValid;
+  if (!isValid) return HOME_UNREACHABLE_RETRY_MS;
   tokens.available = grant.granted;
   tokens.lifetimeMs = grant.lifetimeMs;
   tokens.expiresAtMs = sentAtMs + grant.lifetimeMs;
@@ -153,9 +159,9 @@
       continue;
     }
     const { rateWaitMs, homeWaitMs } = client.options;
-    const waitMs = tokens.hasReachedHome ? rateWaitMs : homeWaitMs;
+    const waitMs = tokens.isHomeReachable ? rateWaitMs : homeWaitMs;
     if (nowMs - first.sinceMs < waitMs) return;
     tokens.waiters.shift();
-    first.resolve(refuse(tokens.hasReachedHome ? 'rate-exceeded' : 'rate-home-unreachable'));
+    first.resolve(refuse(tokens.isHomeReachable ? 'rate-exceeded' : 'rate-home-unreachable'));
   }
 }
--- a/packages/entry-shared/src/admit/rate-draw.ts
+++ b/packages/entry-shared/src/admit/rate-draw.ts
@@ -1,4 +1,4 @@
-/** Draws of rate tokens between entries: sent to a customer's home, and answered by it. */
+/** Requests for rate tokens (draws) that entries send to a customer's home, and the home's answers. */
 import {
   assignmentOf,
   type CustomerName,
@@ -11,66 +11,76 @@
 import type { LinkPeer } from '@bramleykeel/link';
 import { answerDraw, type RateHomes } from './rate-home.js';
 
-export interface RateDraws {
+export interface RateDrawContext {
   readonly homes: RateHomes;
   readonly control: ControlClient;
-  /** The open link to another entry, or `undefined` while there is none. */
+  /** Returns the open link to another entry, or `undefined` while there is none. */
   readonly linkTo: (linkAddress: string) => LinkPeer | undefined;
-  /** The customer's limit by the settings in force here; `undefined` when it is not known. */
+  /** Returns the customer's limit in the settings known here; `undefined` for an unknown customer. */
   readonly limitOf: (customer: CustomerName) => RateLimit | undefined;
   readonly requestResource: (resource: Resource, zone: string | undefined) => void;
 }
 
 const DRAW_TIMEOUT_MS = 300;
 
-/** Answers a draw, if this entry is the customer's home. */
-export function answerDrawHere(draws: RateDraws, draw: TokenDraw): Promise<TokenGrant | undefined> {
-  const setting = draws.limitOf(draw.customer);
-  const heldEpoch = draws.control.heldEpoch(`customer/${draw.customer}`);
-  return answerDraw(draws.homes, draw, setting, heldEpoch);
+/** Answers a draw; resolves to `undefined` if this entry is not the customer's home. */
+export function answerDrawLocally(
+  context: RateDrawContext,
+  draw: TokenDraw,
+): Promise<TokenGrant | undefined> {
+  const setting = context.limitOf(draw.customer);
+  const heldEpoch = context.control.heldEpoch(`customer/${draw.customer}`);
+  return answerDraw(context.homes, draw, setting, heldEpoch);
 }
 
-/** Draws tokens from the customer's home; `undefined` when it cannot be reached now. */
+/** Draws tokens from the customer's home; resolves to `undefined` if the home cannot be reached. */
 export async function drawFromHome(
-  draws: RateDraws,
+  context: RateDrawContext,
   draw: Omit<TokenDraw, 'epoch'>,
 ): Promise<TokenGrant | undefined> {
   const resource: Resource = `customer/${draw.customer}`;
-  const assignment = assignmentOf(draws.control, resource);
+  const assignment = assignmentOf(context.control, resource);
   if (!assignment) {
-    draws.requestResource(resource, undefined);
+    context.requestResource(resource, undefined);
     return undefined;
   }
   const request: TokenDraw = { ...draw, epoch: assignment.epoch };
-  if (assignment.incarnation === draws.control.incarnation()) return answerDrawHere(draws, request);
-  const peer = draws.linkTo(assignment.linkAddress);
+  if (assignment.incarnation === context.control.incarnation())
+    return answerDrawLocally(context, request);
+  const peer = context.linkTo(assignment.linkAddress);
   if (!peer) return undefined;
   const answer = await peer.request('rate/draw', encodeDraw(request), DRAW_TIMEOUT_MS);
-  return decodeGrant(answer.orDefault(null) as GrantCode | null);
+  return decodeGrant(answer.orDefault(null) as EncodedGrant | null);
 }
 
-/** Draws are the most frequent messages between entries, so they are sent as short lists. */
-export type DrawCode = readonly [customer: string, epoch: number, wanted: number, returned: number];
+/** Wire form of a draw. Draws are the most frequent messages between entries, so they are sent as short arrays. */
+export type EncodedDraw = readonly [
+  customer: string,
+  epoch: number,
+  wanted: number,
+  returned: number,
+];
 
-export type GrantCode = readonly [granted: number, lifetimeMs: number, retryAfterMs: number];
+/** Wire form of a grant. */
+export type EncodedGrant = readonly [granted: number, lifetimeMs: number, retryAfterMs: number];
 
-/** Answers a draw that came over a link; `null` when this entry is not the home. */
-export async function answerDrawCode(
-  draws: RateDraws,
-  [customer, epoch, wanted, returned]: DrawCode,
-): Promise<GrantCode | null> {
+/** Answers a draw received over a link; resolves to `null` if this entry is not the customer's home. */
+export async function answerEncodedDraw(
+  context: RateDrawContext,
+  [customer, epoch, wanted, returned]: EncodedDraw,
+): Promise<EncodedGrant | null> {
   const draw = { customer: customer as CustomerName, epoch, wanted, returned };
-  const grant = await answerDrawHere(draws, draw);
+  const grant = await answerDrawLocally(context, draw);
   if (!grant) return null;
   return [grant.granted, Math.floor(grant.lifetimeMs), Math.ceil(grant.retryAfterMs)];
 }
 
-function encodeDraw({ customer, epoch, wanted, returned }: TokenDraw): DrawCode {
+function encodeDraw({ customer, epoch, wanted, returned }: TokenDraw): EncodedDraw {
   return [customer, epoch, wanted, returned];
 }
 
-function decodeGrant(code: GrantCode | null): TokenGrant | undefined {
-  if (!code) return undefined;
-  const [granted, lifetimeMs, retryAfterMs] = code;
+function decodeGrant(encoded: EncodedGrant | null): TokenGrant | undefined {
+  if (!encoded) return undefined;
+  const [granted, lifetimeMs, retryAfterMs] = encoded;
   return { granted, lifetimeMs, retryAfterMs };
 }
--- a/packages/entry-shared/src/admit/rate-home.test.ts
+++ b/packages/entry-shared/src/admit/rate-home.test.ts
@@ -6,7 +6,7 @@
 const limit = { ratePerSecond: 100, burst: 20 };
 const draw = (wanted: number) => ({ customer, epoch: 2, wanted, returned: 0 });
 
-describe('the home of a customer’s rate', () => {
+describe('rate home', () => {
   beforeEach(() => {
     vi.useFakeTimers();
   });
@@ -15,14 +15,14 @@
     vi.useRealTimers();
   });
 
-  it('answers only under the epoch that it holds', async () => {
+  it('answers draws only under the epoch it holds and with a known limit', async () => {
     const homes = createRateHomes();
     expect(await answerDraw(homes, draw(1), limit, undefined)).toBeUndefined();
     expect(await answerDraw(homes, draw(1), limit, 3)).toBeUndefined();
     expect(await answerDraw(homes, draw(1), undefined, 2)).toBeUndefined();
   });
 
-  it('serves draws that have to wait in the order of their arrival', async () => {
+  it('serves waiting draws in order of arrival', async () => {
     const homes = createRateHomes();
     const served: string[] = [];
     const ask = (name: string) =>
@@ -35,7 +35,7 @@
     expect(served).toEqual(['far 1', 'near 1', 'near again 1']);
   });
 
-  it('grants nothing, and says when to ask again, once a draw has waited long enough', async () => {
+  it('grants nothing and returns a retry delay when a draw has waited for its maximum time', async () => {
     const homes = createRateHomes();
     const slow = { ratePerSecond: 1, burst: 2 };
     const asked = answerDraw(homes, draw(1), slow, 2);
@@ -45,7 +45,7 @@
     expect(grant?.retryAfterMs).toBeGreaterThan(800);
   });
 
-  it('starts with what the rule allows after a move, and never with more than its bucket', async () => {
+  it('starts with `afterMove` tokens after a move, limited to the size of the bucket', async () => {
     const first = async (afterMove: number) => {
       const homes = createRateHomes();
       return (await answerDraw(homes, draw(30), { ...limit, afterMove }, 2))?.granted;
@@ -54,7 +54,7 @@
     expect(await first(1_000)).toBeLessThanOrEqual(20);
   });
 
-  it('starts empty when an earlier home may just have granted everything', async () => {
+  it('starts full under the first epoch and without the burst under later ones', async () => {
     const first = await answerDraw(createRateHomes(), { ...draw(10), epoch: 1 }, limit, 1);
     expect(first?.granted).toBe(10);
     const later = answerDraw(createRateHomes(), draw(10), limit, 2);
--- a/packages/entry-shared/src/admit/rate-home.ts
+++ b/packages/entry-shared/src/admit/rate-home.ts
@@ -1,4 +1,4 @@
-/** Homes of customers' rates on this entry: the only place where a customer's tokens come from. */
+/** Token buckets of the customers whose home is this entry. A customer's tokens are granted by its home alone. */
 import {
   createFullBucket,
   createMovedBucket,
@@ -13,10 +13,10 @@
   waitForTokensMs,
 } from '@bramleykeel/core';
 
-/** A draw that waits for tokens to flow in. */
+/** A draw that waits for its bucket to refill. */
 interface WaitingDraw {
   readonly wanted: number;
-  readonly untilMs: number;
+  readonly deadlineMs: number;
   readonly resolve: (granted: number) => void;
 }
 
@@ -33,20 +33,21 @@
 }
 
 /**
- * A draw waits this long for tokens, in milliseconds, and draws are served in the order of their
- * arrival: otherwise entries near the home would ask again sooner than others and get everything.
+ * How long a draw waits for tokens. Draws are queued and served in order of arrival: if they were answered
+ * at once, entries near the home would retry sooner than distant ones and take all tokens.
  */
 const DRAW_WAIT_MS = 50;
-const MIN_PAUSE_MS = 2;
+const MIN_TIMER_MS = 2;
 
 export function createRateHomes(): RateHomes {
   return { buckets: new Map() };
 }
 
 /**
- * Answers a draw. `heldEpoch` is the epoch under which this entry is the home now.
+ * Answers a draw.
  *
- * @returns `undefined` when this entry is not the home, or no longer under the epoch of the draw
+ * @param heldEpoch the epoch under which this entry is the customer's home, if it is
+ * @returns `undefined` if the limit is unknown, or if this entry is not the home under the epoch of the draw
  */
 export async function answerDraw(
   homes: RateHomes,
@@ -56,63 +57,66 @@
 ): Promise<TokenGrant | undefined> {
   if (!limit || heldEpoch === undefined || heldEpoch !== draw.epoch) return undefined;
   const nowMs = performance.now();
-  const home = homeOf(homes, draw.customer, limit, heldEpoch, nowMs);
+  const home = getOrCreateHomeBucket(homes, draw.customer, limit, heldEpoch, nowMs);
   home.limit = limit;
   if (draw.returned > 0) returnTokens(home.bucket, limit, draw.returned, nowMs);
-  const granted = await takeInTurn(home, draw.wanted);
+  const granted = await drawInOrder(home, draw.wanted);
   const retryAfterMs =
     granted >= draw.wanted ? 0 : waitForTokensMs(home.bucket, home.limit, 1, performance.now());
   return { granted, lifetimeMs: grantLifetimeMs(home.limit), retryAfterMs };
 }
 
-function takeInTurn(home: HomeBucket, wanted: number): Promise<number> | number {
+function drawInOrder(home: HomeBucket, wanted: number): Promise<number> | number {
   const nowMs = performance.now();
   if (home.waiting.length === 0) {
     const granted = drawTokens(home.bucket, home.limit, wanted, nowMs);
     if (granted > 0 || wanted === 0) return granted;
   }
   return new Promise((resolve) => {
-    home.waiting.push({ wanted, untilMs: nowMs + DRAW_WAIT_MS, resolve });
-    serveLater(home);
+    home.waiting.push({ wanted, deadlineMs: nowMs + DRAW_WAIT_MS, resolve });
+    scheduleServing(home);
   });
 }
 
-function serveLater(home: HomeBucket): void {
+function scheduleServing(home: HomeBucket): void {
   const [first] = home.waiting;
   if (home.timer || !first) return;
   const nowMs = performance.now();
-  const flowsInMs = waitForTokensMs(home.bucket, home.limit, 1, nowMs);
-  const pauseMs = Math.min(flowsInMs, first.untilMs - nowMs);
+  const refillInMs = waitForTokensMs(home.bucket, home.limit, 1, nowMs);
+  const timerMs = Math.min(refillInMs, first.deadlineMs - nowMs);
   home.timer = setTimeout(
     () => {
       home.timer = undefined;
-      serveWaiting(home);
-      serveLater(home);
+      serveWaitingDraws(home);
+      scheduleServing(home);
     },
-    Math.max(MIN_PAUSE_MS, pauseMs),
+    Math.max(MIN_TIMER_MS, timerMs),
   );
 }
 
-function serveWaiting(home: HomeBucket): void {
+function serveWaitingDraws(home: HomeBucket): void {
   for (let first = home.waiting[0]; first; first = home.waiting[0]) {
     const nowMs = performance.now();
     const granted = drawTokens(home.bucket, home.limit, first.wanted, nowMs);
-    if (granted === 0 && nowMs < first.untilMs) return;
+    if (granted === 0 && nowMs < first.deadlineMs) return;
     home.waiting.shift();
     first.resolve(granted);
   }
 }
 
-/** An earlier home may just have granted the whole burst, so a later one starts with next to nothing. */
-function homeOf(
+/**
+ * Returns the customer's bucket under an epoch. Under later epochs than the first it starts almost empty, because
+ * the earlier home may just have granted the whole burst.
+ */
+function getOrCreateHomeBucket(
   homes: RateHomes,
   customer: CustomerName,
   limit: RateLimit,
   epoch: number,
   nowMs: number,
 ): HomeBucket {
-  const known = homes.buckets.get(customer);
-  if (known?.epoch === epoch) return known;
+  const existing = homes.buckets.get(customer);
+  if (existing?.epoch === epoch) return existing;
   const bucket = epoch === 1 ? createFullBucket(limit, nowMs) : createMovedBucket(limit, nowMs);
   const created: HomeBucket = { epoch, bucket, limit, waiting: [], timer: undefined };
   homes.buckets.set(customer, created);
--- a/packages/entry-shared/src/control/control-client.test.ts
+++ b/packages/entry-shared/src/control/control-client.test.ts
@@ -7,17 +7,17 @@
 
 const SECRET = 'a-secret-for-these-tests';
 
-describe('an entry that starts', () => {
-  it('waits for a first answer that takes long to arrive, instead of asking for it again', async () => {
+describe('control client', () => {
+  it('waits for a slow first reply instead of sending the renewal again', async () => {
     const address = await freeAddress();
     let isAnswered = false;
-    let askedBefore = 0;
+    let requestsBeforeAnswer = 0;
     const server = await listenForLinks(
       address,
       { secret: SECRET, ...DEFAULT_LINK_TIMING },
       {
         onRequest: async (): Promise<LeaseReply> => {
-          if (!isAnswered) askedBefore += 1;
+          if (!isAnswered) requestsBeforeAnswer += 1;
           await delay(700);
           isAnswered = true;
           return {
@@ -56,7 +56,7 @@
       },
       { timeout: 3_000 },
     );
-    expect(askedBefore).toBe(1);
+    expect(requestsBeforeAnswer).toBe(1);
     client.close();
     await server.close();
   });
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -1,4 +1,4 @@
-/** An entry's view of control: its copy of the records, its lease, and calls to the leader. */
+/** An entry's client of control: keeps a copy of the control records, renews the lease and calls the leader. */
 import { randomUUID } from 'node:crypto';
 import {
   type Assignment,
@@ -14,7 +14,12 @@
   type StoredRecord,
   type TimingSettings,
 } from '@bramleykeel/core';
-import { createSuspensionWatch, type LinkError, type LinkPeer, type Log } from '@bramleykeel/link';
+import {
+  createSuspensionDetector,
+  type LinkError,
+  type LinkPeer,
+  type Log,
+} from '@bramleykeel/link';
 import { type Either, Left } from 'purify-ts';
 import { match } from 'ts-pattern';
 import { type ControlLinks, createControlLinks } from './control-links.js';
@@ -24,15 +29,15 @@
   readonly records: ReadonlyMap<string, StoredRecord>;
   readonly settingsRevision: () => number;
   readonly incarnation: () => Incarnation;
-  /** Whether the entry's lease holds now. */
+  /** Whether the entry holds an unexpired lease. */
   readonly holdsLease: () => boolean;
-  /** Whether the settings are recent enough to judge keys by. */
+  /** Whether the settings are recent enough to check customers' keys against. */
   readonly hasFreshSettings: () => boolean;
-  /** The epoch under which this entry holds a resource now; `undefined` when it does not. */
+  /** The epoch under which this entry holds a resource; `undefined` if it does not hold it. */
   readonly heldEpoch: (resource: Resource) => number | undefined;
-  /** Sends a request to the control leader. */
+  /** Sends a request to the control leader, or to any connected member while no leader is known. */
   readonly call: (method: string, params: unknown) => Promise<Either<LinkError, unknown>>;
-  /** Bytes exchanged with control over the present link. */
+  /** Bytes exchanged with control over the links that are open now. */
   readonly traffic: () => { readonly receivedBytes: number; readonly sentBytes: number };
   readonly startStopping: () => void;
   readonly close: () => void;
@@ -40,40 +45,40 @@
 
 export interface ControlClientOptions {
   readonly entryId: string;
-  /** Where other entries reach this one. */
+  /** Address at which other entries connect to this one. */
   readonly linkAddress: string;
   readonly zone: string;
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
   readonly linkSecret: string;
   readonly timing: TimingSettings;
-  /** Link addresses of control members that the settings name; more are learnt from control. */
+  /** Link addresses of control members from the settings file; control reports further ones. */
   readonly memberAddresses: () => readonly string[];
 }
 
 export interface ControlClientHooks {
   readonly onRecords: (deltas: readonly RecordDelta[]) => void;
   readonly onStatusRequest: () => unknown;
-  /** The instance may have been suspended: times that were measured before mean nothing now. */
+  /** The instance may have been suspended: time measurements taken before this call are invalid. */
   readonly onSuspension?: () => void;
-  /** The lease was lost; everything that was held under it must be dropped. */
+  /** The lease was lost; all resources held under it must be released. */
   readonly onLeaseEnded: () => void;
 }
 
-/** Pause before members are asked again while no leader is known, in milliseconds. */
-const LEADERLESS_RETRY_MS = 100;
-/** Pause before a renewal that became due while another one was on its way, in milliseconds. */
-const RENEW_AGAIN_MS = 10;
+/** Delay before the next renewal while the entry holds no lease. */
+const NO_LEASE_RETRY_MS = 100;
+/** Delay before a renewal that was requested while another one was in progress. */
+const QUEUED_RENEWAL_DELAY_MS = 10;
 const CALL_TIMEOUT_MS = 2_000;
-/** A leader that does not answer a renewal in this time may be frozen; the other members are asked. */
+/** A leader that does not answer within this time may be suspended, so the other members are asked too. */
 const RENEW_TIMEOUT_MS = 350;
 /**
- * The first answer holds all records, some 25 KB at 80 customers: on a link of 2 Mbit/s, between regions, that
- * alone takes a third of a second. In milliseconds.
+ * The first reply carries all records, about 25 KB at 80 customers. Transferring them over a 2 Mbit/s link between
+ * regions takes a third of a second.
  */
 const FIRST_RENEW_TIMEOUT_MS = 1_500;
 
-/** Connects to control and keeps the lease renewed. */
+/** Connects to control and renews the lease until closed. */
 export function startControlClient(
   options: ControlClientOptions,
   log: Log,
@@ -82,8 +87,8 @@
   const copy = createRecordCopy();
   const { records } = copy;
   const { timing } = options;
-  const clock = createSuspensionWatch();
-  let learntAddresses: readonly string[] = [];
+  const suspensionDetector = createSuspensionDetector();
+  let reportedAddresses: readonly string[] = [];
   let leaderAddress: string | undefined;
   let incarnation = createIncarnation();
   let settingsRevision = 0;
@@ -92,7 +97,7 @@
   let renewalsValidFromMs = Number.NEGATIVE_INFINITY;
   let isStopping = false;
   let isRenewing = false;
-  let isRenewalWanted = false;
+  let isRenewalQueued = false;
   let isClosed = false;
   const links: ControlLinks = createControlLinks(options.linkSecret, {
     onRequest: (_peer, method) => {
@@ -100,11 +105,11 @@
       throw new Error(`unknown method ${method}`);
     },
     onNotify: (_peer, method, params) => {
-      if (method === 'records/push') takePush(params as RecordsPush);
+      if (method === 'records/push') handlePush(params as RecordsPush);
     },
     onOpen: () => void renew(),
   });
-  keepMembers();
+  updateMemberLinks();
   const timer = setInterval(() => void renew(), timing.renewEveryMs);
 
   return {
@@ -112,7 +117,7 @@
     settingsRevision: () => settingsRevision,
     incarnation: () => incarnation,
     holdsLease,
-    hasFreshSettings: () => !hasBeenSuspended() && performance.now() < settingsUntilMs,
+    hasFreshSettings: () => !checkForSuspension() && performance.now() < settingsUntilMs,
     heldEpoch: (resource) => {
       const assignment = assignmentOf({ records }, resource);
       return isHeld(assignment) ? assignment?.epoch : undefined;
@@ -123,10 +128,10 @@
       return peer.request(method, params, CALL_TIMEOUT_MS);
     },
     traffic: () => {
-      const each = links.openPeers().map((peer) => peer.traffic());
+      const trafficPerLink = links.openPeers().map((peer) => peer.traffic());
       return {
-        receivedBytes: each.reduce((sum, { receivedBytes }) => sum + receivedBytes, 0),
-        sentBytes: each.reduce((sum, { sentBytes }) => sum + sentBytes, 0),
+        receivedBytes: trafficPerLink.reduce((sum, { receivedBytes }) => sum + receivedBytes, 0),
+        sentBytes: trafficPerLink.reduce((sum, { sentBytes }) => sum + sentBytes, 0),
       };
     },
     startStopping: () => {
@@ -141,13 +146,16 @@
   };
 
   function holdsLease(): boolean {
-    return !hasBeenSuspended() && performance.now() < leaseUntilMs;
+    return !checkForSuspension() && performance.now() < leaseUntilMs;
   }
 
-  /** After a suspension nothing that was granted earlier counts; control is asked before acting. */
-  function hasBeenSuspended(): boolean {
-    if (!clock.hasJumped()) return false;
-    log('the time of day jumped ahead of the steady clock; leases count as run out');
+  /**
+   * Returns whether the instance was suspended since the last call. If so, revokes the lease and the settings
+   * lease locally, ignores renewals sent before now, and renews.
+   */
+  function checkForSuspension(): boolean {
+    if (!suspensionDetector.hasWallClockJumped()) return false;
+    log('wall clock jumped ahead of the monotonic clock; treating leases as expired');
     leaseUntilMs = Number.NEGATIVE_INFINITY;
     settingsUntilMs = Number.NEGATIVE_INFINITY;
     renewalsValidFromMs = performance.now();
@@ -160,10 +168,13 @@
     return assignment?.incarnation === incarnation && holdsLease();
   }
 
-  /** Addresses from control count once there are any: the settings may name members that are gone. */
-  function keepMembers(): void {
-    const named = options.memberAddresses();
-    links.keep([...new Set([...learntAddresses, ...named])]);
+  /**
+   * Links to the configured members and to those that control reported, because the configured list may name
+   * members that have been removed. Closes all other links.
+   */
+  function updateMemberLinks(): void {
+    const configuredAddresses = options.memberAddresses();
+    links.setMembers([...new Set([...reportedAddresses, ...configuredAddresses])]);
   }
 
   function leaderPeer(): LinkPeer | undefined {
@@ -172,37 +183,37 @@
 
   async function renew(): Promise<void> {
     if (isRenewing) {
-      isRenewalWanted = true;
+      isRenewalQueued = true;
       return;
     }
     isRenewing = true;
-    keepMembers();
+    updateMemberLinks();
     const leader = leaderPeer();
-    const asked = leader ? [leader] : links.openPeers();
-    const isRenewed = await askAny(asked);
+    const candidates = leader ? [leader] : links.openPeers();
+    const isRenewed = await renewWithAny(candidates);
     if (!isRenewed && leader) {
       leaderAddress = undefined;
-      await askAny(links.openPeers().filter((peer) => peer !== leader));
+      await renewWithAny(links.openPeers().filter((peer) => peer !== leader));
     }
     isRenewing = false;
     if (isClosed) return;
-    if (isRenewalWanted) {
-      isRenewalWanted = false;
-      setTimeout(() => void renew(), RENEW_AGAIN_MS);
+    if (isRenewalQueued) {
+      isRenewalQueued = false;
+      setTimeout(() => void renew(), QUEUED_RENEWAL_DELAY_MS);
     } else if (!holdsLease() && links.openPeers().length > 0) {
-      setTimeout(() => void renew(), LEADERLESS_RETRY_MS);
+      setTimeout(() => void renew(), NO_LEASE_RETRY_MS);
     }
   }
 
-  /** Asks several members at once; resolves as soon as one of them has renewed, or all have answered. */
-  function askAny(peers: readonly LinkPeer[]): Promise<boolean> {
+  /** Sends renewals to all given members; resolves to `true` on the first success, `false` if all have failed. */
+  function renewWithAny(peers: readonly LinkPeer[]): Promise<boolean> {
     return new Promise((resolve) => {
-      let openCount = peers.length;
-      if (openCount === 0) resolve(false);
+      let outstandingCount = peers.length;
+      if (outstandingCount === 0) resolve(false);
       for (const peer of peers) {
         void renewWith(peer).then((isRenewed) => {
-          openCount -= 1;
-          if (isRenewed || openCount === 0) resolve(isRenewed);
+          outstandingCount -= 1;
+          if (isRenewed || outstandingCount === 0) resolve(isRenewed);
         });
       }
     });
@@ -225,9 +236,9 @@
     const answer = await peer.request('lease/renew', renewal, renewTimeoutMs(copy.knownIndex));
     return answer.caseOf({
       Right: (reply) => {
-        // An answer to an incarnation that has ended meanwhile says nothing about the present one.
+        // A reply to an incarnation that has ended meanwhile does not renew the current one.
         if (renewal.incarnation !== incarnation) return false;
-        return takeReply(reply as LeaseReply, peer, sentAtMs);
+        return handleReply(reply as LeaseReply, peer, sentAtMs);
       },
       Left: (error) => {
         log(`lease renewal failed: ${error.kind}`);
@@ -236,45 +247,45 @@
     });
   }
 
-  function takeReply(reply: LeaseReply, peer: LinkPeer, sentAtMs: number): boolean {
+  function handleReply(reply: LeaseReply, peer: LinkPeer, sentAtMs: number): boolean {
     return match(reply)
       .returnType<boolean>()
       .with({ kind: 'renewed' }, (renewed) => {
-        learntAddresses = renewed.memberAddresses ?? learntAddresses;
+        reportedAddresses = renewed.memberAddresses ?? reportedAddresses;
         leaderAddress = peer.remoteAddress;
-        takePush(renewed);
+        handlePush(renewed);
         if (sentAtMs < renewalsValidFromMs) return true;
         leaseUntilMs = Math.max(leaseUntilMs, sentAtMs + renewed.leaseMs);
         settingsUntilMs = Math.max(settingsUntilMs, sentAtMs + renewed.settingsLeaseMs);
         return true;
       })
       .with({ kind: 'ended' }, () => {
-        log('control ended this incarnation; coming back under a new one');
+        log('control ended this incarnation; continuing under a new one');
         incarnation = createIncarnation();
         leaseUntilMs = Number.NEGATIVE_INFINITY;
         hooks.onLeaseEnded();
-        isRenewalWanted = true;
+        isRenewalQueued = true;
         return true;
       })
-      .with({ kind: 'not-leader' }, ({ leaderAddress: named, memberAddresses }) => {
-        learntAddresses = memberAddresses ?? learntAddresses;
-        if (typeof named === 'string' && named !== peer.remoteAddress) {
-          leaderAddress = named;
-          isRenewalWanted = links.peerAt(named) !== undefined;
+      .with({ kind: 'not-leader' }, ({ leaderAddress: reportedLeader, memberAddresses }) => {
+        reportedAddresses = memberAddresses ?? reportedAddresses;
+        if (typeof reportedLeader === 'string' && reportedLeader !== peer.remoteAddress) {
+          leaderAddress = reportedLeader;
+          isRenewalQueued = links.peerAt(reportedLeader) !== undefined;
         }
         return false;
       })
       .exhaustive();
   }
 
-  function takePush(push: RecordsPush): void {
-    const fresh = applyPush(copy, push);
-    // A push that leaves something out confirms no settings: the next renewal brings what is missing.
-    const isWhole = push.appliedIndex <= copy.knownIndex;
-    const hasNewSettings = isWhole && push.settingsRevision > settingsRevision;
+  function handlePush(push: RecordsPush): void {
+    const newDeltas = applyPush(copy, push);
+    // The copy is incomplete after this push, so the settings revision is not confirmed; renewing fetches the rest.
+    const isComplete = push.appliedIndex <= copy.knownIndex;
+    const hasNewSettings = isComplete && push.settingsRevision > settingsRevision;
     if (hasNewSettings) settingsRevision = push.settingsRevision;
-    if (fresh.length > 0) hooks.onRecords(fresh);
-    if (hasNewSettings || !isWhole) void renew();
+    if (newDeltas.length > 0) hooks.onRecords(newDeltas);
+    if (hasNewSettings || !isComplete) void renew();
   }
 }
 
@@ -282,7 +293,7 @@
   return toIncarnation(randomUUID());
 }
 
-/** How long an answer is waited for by an entry that knows the records up to an index. */
+/** Time-out of a renewal by an entry whose copy of the records is complete up to `knownIndex`. */
 function renewTimeoutMs(knownIndex: number): number {
   return knownIndex === 0 ? FIRST_RENEW_TIMEOUT_MS : RENEW_TIMEOUT_MS;
 }
--- a/packages/entry-shared/src/control/control-links.ts
+++ b/packages/entry-shared/src/control/control-links.ts
@@ -1,30 +1,30 @@
-/** Links to every control member that is known, so that a new leader is found without connecting first. */
+/** Open links to all known control members, so that requests reach a new leader without connecting first. */
 import {
   DEFAULT_LINK_TIMING,
   DEFAULT_RECONNECT,
-  keepLink,
+  maintainLink,
   type LinkClient,
   type LinkHandlers,
   type LinkPeer,
 } from '@bramleykeel/link';
 
 export interface ControlLinks {
-  /** Opens links to the given members and closes all others. */
-  readonly keep: (addresses: readonly string[]) => void;
+  /** Opens links to the given addresses and closes all others. */
+  readonly setMembers: (addresses: readonly string[]) => void;
+  /** Returns the open link to a member, or `undefined` while there is none. */
   readonly peerAt: (address: string) => LinkPeer | undefined;
-  /** All open links. */
   readonly openPeers: () => LinkPeer[];
   readonly close: () => void;
 }
 
-/** Links that carry nothing else are pinged this often: a frozen member shows in renewals first. */
+/** Slower than the link defaults, because a suspended member is noticed through failed renewals first. */
 const CONTROL_LINK_TIMING = { ...DEFAULT_LINK_TIMING, pingEveryMs: 800, silentAfterMs: 2_500 };
 const CONTROL_RECONNECT = { ...DEFAULT_RECONNECT, reconnectMaxMs: 500 };
 
 export function createControlLinks(secret: string, handlers: LinkHandlers): ControlLinks {
   const links = new Map<string, LinkClient>();
   return {
-    keep: (addresses) => {
+    setMembers: (addresses) => {
       for (const [address, link] of links) {
         if (addresses.includes(address)) continue;
         link.stop();
@@ -33,7 +33,7 @@
       for (const address of addresses) {
         if (links.has(address)) continue;
         const options = { secret, ...CONTROL_LINK_TIMING, ...CONTROL_RECONNECT };
-        links.set(address, keepLink(address, options, handlers));
+        links.set(address, maintainLink(address, options, handlers));
       }
     },
     peerAt: (address) => links.get(address)?.current(),
--- a/packages/entry-shared/src/control/record-copy.test.ts
+++ b/packages/entry-shared/src/control/record-copy.test.ts
@@ -10,29 +10,32 @@
   return { sinceIndex, appliedIndex, settingsRevision: 0, deltas };
 }
 
-describe('the copy of control records', () => {
+describe('record copy', () => {
   it.each([
-    { name: 'follows on', known: 10, since: 10, applied: 12, expected: 12 },
-    { name: 'overlaps', known: 10, since: 4, applied: 12, expected: 12 },
-    { name: 'is older', known: 10, since: 2, applied: 6, expected: 10 },
+    { name: 'continues at the known index', known: 10, since: 10, applied: 12, expected: 12 },
+    { name: 'overlaps with known records', known: 10, since: 4, applied: 12, expected: 12 },
+    { name: 'ends before the known index', known: 10, since: 2, applied: 6, expected: 10 },
     {
-      name: 'leaves a gap, as after a reply that came too late',
+      name: 'leaves a gap because an earlier reply timed out',
       known: 10,
       since: 11,
       applied: 12,
       expected: 10,
     },
-  ])('knows up to $expected after a push that $name', ({ known, since, applied, expected }) => {
-    const copy = createRecordCopy();
-    copy.knownIndex = known;
-    applyPush(copy, push(since, applied, { a: applied }));
-    expect(copy.knownIndex).toBe(expected);
-  });
+  ])(
+    'is complete up to $expected after a push that $name',
+    ({ known, since, applied, expected }) => {
+      const copy = createRecordCopy();
+      copy.knownIndex = known;
+      applyPush(copy, push(since, applied, { a: applied }));
+      expect(copy.knownIndex).toBe(expected);
+    },
+  );
 
-  it('gets the records of a lost reply with the next renewal', () => {
+  it('receives the records of a lost reply with the next renewal', () => {
     const copy = createRecordCopy();
     applyPush(copy, push(0, 5, { a: 5 }));
-    // The reply with `b` (index 6) timed out here; the leader goes on from 6.
+    // The reply with `b` (index 6) timed out; the leader continues from index 6.
     applyPush(copy, push(6, 7, { c: 7 }));
     expect(copy.knownIndex).toBe(5);
     applyPush(copy, push(copy.knownIndex, 7, { b: 6, c: 7 }));
@@ -40,7 +43,7 @@
     expect(copy.knownIndex).toBe(7);
   });
 
-  it('never takes a record back', () => {
+  it('never replaces a record by an older one', () => {
     const copy = createRecordCopy();
     applyPush(copy, push(0, 9, { a: 9 }));
     expect(applyPush(copy, push(0, 9, { a: 4 }))).toEqual([]);
--- a/packages/entry-shared/src/control/record-copy.ts
+++ b/packages/entry-shared/src/control/record-copy.ts
@@ -1,4 +1,4 @@
-/** An entry's copy of control's records, and up to where it is complete. */
+/** An entry's copy of the control records and the log index up to which it is complete. */
 import {
   applyDocumentChange,
   DOCUMENT_KEY,
@@ -12,7 +12,7 @@
 
 export interface RecordCopy {
   readonly records: Map<string, StoredRecord>;
-  /** Index of the control log up to which the copy has everything. */
+  /** Index of the control log up to which the copy is complete. */
   knownIndex: number;
 }
 
@@ -21,36 +21,35 @@
 }
 
 /**
- * Takes in changed records and returns those that are news. Records only move forward: a late push
- * never takes one back. A push that does not follow on what is known leaves a gap, so it does not
- * count as knowledge of everything before it: the next renewal asks from the old index again. Nor does one
- * that changes a document which is not the one held here.
+ * Applies a push and returns the records that were newer than the copy's. A delayed push never replaces a record
+ * by an older one. `knownIndex` does not advance if the push starts after it (an earlier push was lost) or changes
+ * a document that is not the base held here: the next renewal then requests from the old index again.
  *
  * @example
- * const fresh = applyPush(copy, push);
+ * const newDeltas = applyPush(copy, push);
  */
 export function applyPush(copy: RecordCopy, push: RecordsPush): RecordDelta[] {
-  const changed = push.documentChange && restoreDocument(copy, push.documentChange);
+  const changed = push.documentChange && resolveDocumentChange(copy, push.documentChange);
   const deltas = changed ? [...push.deltas, changed] : push.deltas;
-  const fresh = deltas.filter(({ key, stored }) => {
+  const newDeltas = deltas.filter(({ key, stored }) => {
     const known = copy.records.get(key);
     return !known || known.modifiedIndex < stored.modifiedIndex;
   });
-  for (const { key, stored } of fresh) copy.records.set(key, stored);
-  const isWhole = push.documentChange === undefined || changed !== undefined;
-  if (isWhole && push.sinceIndex <= copy.knownIndex) {
+  for (const { key, stored } of newDeltas) copy.records.set(key, stored);
+  const isComplete = push.documentChange === undefined || changed !== undefined;
+  if (isComplete && push.sinceIndex <= copy.knownIndex) {
     copy.knownIndex = Math.max(copy.knownIndex, push.appliedIndex);
   }
-  return fresh;
+  return newDeltas;
 }
 
-/** The log index of the settings document that the copy holds, if it holds one. */
+/** Log index of the settings document in the copy; `undefined` if there is none. */
 export function documentIndexOf({ records }: RecordCopy): number | undefined {
   return records.get(DOCUMENT_KEY)?.modifiedIndex;
 }
 
-/** The whole document that a change leads to; `undefined` when its base is not the one held here. */
-function restoreDocument(
+/** Builds the full document from a change; `undefined` if the copy does not hold the base of the change. */
+function resolveDocumentChange(
   copy: RecordCopy,
   { baseIndex, modifiedIndex, version, change }: DocumentChangeDelta,
 ): RecordDelta | undefined {
--- a/packages/entry-shared/src/control/record-pushes.test.ts
+++ b/packages/entry-shared/src/control/record-pushes.test.ts
@@ -15,7 +15,7 @@
 const textOf = (version: number) =>
   JSON.stringify({ version, routes: Array.from({ length: 200 }, (_, index) => ({ index })) });
 
-describe('pushes of settings documents', () => {
+describe('settings document pushes', () => {
   let control: ControlState;
   let memory: DocumentMemory;
   let index: number;
@@ -27,12 +27,12 @@
     applyCommand(control, index, { kind: 'document/put', document });
   }
 
-  /** What an entry with the copy is sent now. */
+  /** Creates the push that control sends to an entry with this copy. */
   const push = () => {
     const known = { knownIndex: copy.knownIndex, documentIndex: documentIndexOf(copy) };
     return createPush(memory, control, known);
   };
-  const textHeld = () => unpackDocument(documentOf(copy)?.body ?? new Uint8Array());
+  const heldText = () => unpackDocument(documentOf(copy)?.body ?? new Uint8Array());
 
   beforeEach(() => {
     control = createControlState();
@@ -44,46 +44,46 @@
     applyPush(copy, push());
   });
 
-  it('are whole at first, and say what has changed afterwards', () => {
-    expect(textHeld()).toBe(textOf(1));
+  it('carry the full document first and only changes afterwards', () => {
+    expect(heldText()).toBe(textOf(1));
     put(2);
     const sent = push();
     expect(sent.deltas).toEqual([]);
     expect(JSON.stringify(sent).length).toBeLessThan(300);
     expect(applyPush(copy, sent)).toHaveLength(1);
-    expect(textHeld()).toBe(textOf(2));
+    expect(heldText()).toBe(textOf(2));
     expect(copy.knownIndex).toBe(2);
   });
 
-  it('are made up for when one was lost: an entry takes no change of a document it has not', () => {
+  it('are not applied when the copy lacks the base document, and the next push recovers a lost one', () => {
     put(2);
     push();
     put(3);
     const afterLost = createPush(memory, control, { knownIndex: 2, documentIndex: 2 });
     expect(applyPush(copy, afterLost)).toEqual([]);
     expect(copy.knownIndex).toBe(1);
-    expect(textHeld()).toBe(textOf(1));
+    expect(heldText()).toBe(textOf(1));
     applyPush(copy, push());
-    expect(textHeld()).toBe(textOf(3));
+    expect(heldText()).toBe(textOf(3));
     expect(copy.knownIndex).toBe(3);
   });
 
-  it('are whole for an entry whose document is not remembered, as under a new leader', () => {
+  it('carry the full document when the leader, for example a new one, does not remember the base', () => {
     put(2);
     memory = createDocumentMemory(control);
     const sent = push();
     expect(sent.documentChange).toBeUndefined();
     applyPush(copy, sent);
-    expect(textHeld()).toBe(textOf(2));
+    expect(heldText()).toBe(textOf(2));
   });
 
-  it('serve entries that lag by different documents, and remember a bounded number', () => {
+  it('bring a lagging entry up to date while the leader remembers a bounded number of documents', () => {
     for (let version = 2; version <= 40; version += 1) {
       put(version);
       push();
     }
     expect(memory.texts.size).toBeLessThanOrEqual(12);
     applyPush(copy, push());
-    expect(textHeld()).toBe(textOf(40));
+    expect(heldText()).toBe(textOf(40));
   });
 });
--- a/packages/entry-shared/src/index.ts
+++ b/packages/entry-shared/src/index.ts
@@ -1,4 +1,4 @@
-/** What every kind of entry shares: its view of control, and the admission by rates. */
+/** Code shared by all kinds of entry: the control client and the admission of requests by rate. */
 export * from './control/control-client.js';
 export * from './admit/rate-client.js';
 export * from './admit/rate-draw.js';
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -9,7 +9,11 @@
 } from '@bramleykeel/core';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
 import { type CallerRegistry, cancelLocal, dispatchAnswer } from './accept/caller-registry.js';
-import { answerDrawCode, type DrawCode, type RateDraws } from '@bramleykeel/entry-shared';
+import {
+  answerEncodedDraw,
+  type EncodedDraw,
+  type RateDrawContext,
+} from '@bramleykeel/entry-shared';
 import type { EntryLinks } from './locate/owner-locator.js';
 import type { AnswerChannel } from './owner/answer-channel.js';
 import type { GroupOwner } from './owner/owner-state.js';
@@ -24,7 +28,7 @@
 export interface EntryApp {
   readonly counters: Counters;
   readonly owners: OwnerRegistry;
-  readonly draws: RateDraws;
+  readonly draws: RateDrawContext;
   readonly channels: Map<LinkPeer, AnswerChannel>;
   readonly links: () => EntryLinks;
   /** `undefined` until callers are listened for. */
@@ -68,7 +72,7 @@
     const { group, query } = params as { group: GroupName; query: FateQuery };
     return answerFateQuery(app.owners, group, query);
   },
-  'rate/draw': (app, params) => answerDrawCode(app.draws, params as DrawCode),
+  'rate/draw': (app, params) => answerEncodedDraw(app.draws, params as EncodedDraw),
 };
 
 /** Takes an event; an unknown one is counted and dropped. */
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -23,7 +23,7 @@
   createRateClient,
   createRateHomes,
   drawFromHome,
-  type RateDraws,
+  type RateDrawContext,
   startControlClient,
 } from '@bramleykeel/entry-shared';
 import { createClassifier, loadSyntax } from '@bramleykeel/postgres-wire';
@@ -136,7 +136,7 @@
       tellOwnerEnded(app, owner, running);
     },
   );
-  const draws: RateDraws = {
+  const draws: RateDrawContext = {
     homes: createRateHomes(),
     control,
     linkTo: (linkAddress) => links.linkTo(linkAddress),
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -15,7 +15,7 @@
 import {
   DEFAULT_LINK_TIMING,
   DEFAULT_RECONNECT,
-  keepLink,
+  maintainLink,
   type LinkClient,
   type LinkPeer,
 } from '@bramleykeel/link';
@@ -138,7 +138,7 @@
     const known = links.get(linkAddress);
     if (known) return known.current();
     const timing = { ...DEFAULT_LINK_TIMING, ...DEFAULT_RECONNECT, reconnectMaxMs: 400 };
-    const client = keepLink(
+    const client = maintainLink(
       linkAddress,
       { secret: options.linkSecret, ...timing },
       {
--- a/packages/link/src/counters.ts
+++ b/packages/link/src/counters.ts
@@ -13,9 +13,9 @@
   readonly close: () => void;
 }
 
-export interface PagedCounters extends Counters {
+export interface PrometheusCounters extends Counters {
   /** Everything as text, as a metrics address shows it. */
-  readonly page: () => Promise<string>;
+  readonly renderMetrics: () => Promise<string>;
 }
 
 /** Upper ends of the histograms' buckets, in milliseconds: from a hop to a route's longest time. */
@@ -28,11 +28,14 @@
  * const counters = createCounters('entry', { host: '127.0.0.1', port: 8125 });
  * counters.count('refusal.queue-full');
  */
-export function createCounters(daemon: string, statsd: StatsdSettings | undefined): PagedCounters {
+export function createCounters(
+  daemon: string,
+  statsd: StatsdSettings | undefined,
+): PrometheusCounters {
   const totals = new Map<string, number>();
   const gauges = new Map<string, number>();
   const client = statsd && createClient(daemon, statsd);
-  const { registry, times } = createPage(daemon, totals, gauges);
+  const { registry, times } = createRegistry(daemon, totals, gauges);
   return {
     count: (name, by = 1) => {
       totals.set(name, (totals.get(name) ?? 0) + by);
@@ -47,7 +50,7 @@
       client?.timing(name, durationMs);
     },
     totals: () => Object.fromEntries([...totals, ...gauges]),
-    page: () => registry.metrics(),
+    renderMetrics: () => registry.metrics(),
     close: () => {
       client?.close(() => undefined);
     },
@@ -55,7 +58,7 @@
 }
 
 /** Names come from the program alone, so the labels are bounded. */
-function createPage(
+function createRegistry(
   daemon: string,
   totals: ReadonlyMap<string, number>,
   gauges: ReadonlyMap<string, number>,
--- a/packages/link/src/frame-codec.test.ts
+++ b/packages/link/src/frame-codec.test.ts
@@ -8,12 +8,12 @@
     const property = fc.property(
       fc.array(fc.jsonValue(), { maxLength: 6 }),
       fc.integer({ min: 1, max: 50 }),
-      (values, pieceBytes) => {
+      (values, chunkBytes) => {
         const decoder = createFrameDecoder();
         const bytes = Buffer.concat(values.map(encodeFrame));
         const decoded: unknown[] = [];
-        for (let offset = 0; offset < bytes.length; offset += pieceBytes) {
-          const result = decodeFrames(decoder, bytes.subarray(offset, offset + pieceBytes));
+        for (let offset = 0; offset < bytes.length; offset += chunkBytes) {
+          const result = decodeFrames(decoder, bytes.subarray(offset, offset + chunkBytes));
           if (result.kind === 'values') decoded.push(...result.values);
         }
         expect(JSON.stringify(decoded)).toBe(JSON.stringify(values));
--- a/packages/link/src/input-deadline.ts
+++ b/packages/link/src/input-deadline.ts
@@ -9,10 +9,10 @@
  * const endDeadline = startInputDeadline(500, () => settle('overdue'));
  * socket.once('data', () => endDeadline());
  */
-export function startInputDeadline(timeoutMs: number, onOver: () => void): () => void {
+export function startInputDeadline(timeoutMs: number, onExpired: () => void): () => void {
   let immediate: NodeJS.Immediate | undefined;
   const timer = setTimeout(() => {
-    immediate = setImmediate(onOver);
+    immediate = setImmediate(onExpired);
   }, timeoutMs);
   return () => {
     clearTimeout(timer);
--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -33,7 +33,7 @@
  * @example
  * const client = keepLink('127.0.0.1:7001', options, handlers);
  */
-export function keepLink(
+export function maintainLink(
   address: string,
   options: LinkClientOptions,
   handlers: LinkClientHandlers,
@@ -41,25 +41,25 @@
   const { host, port } = splitAddress(address);
   let connecting: Socket | undefined;
   let peer: LinkPeer | undefined;
-  let open: LinkPeer | undefined;
+  let openPeer: LinkPeer | undefined;
   let isStopped = false;
   let delayMs = options.reconnectMinMs;
   let timer: NodeJS.Timeout | undefined;
   const linkHandlers: LinkHandlers = {
     ...handlers,
     onOpen: (opened) => {
-      open = opened;
+      openPeer = opened;
       delayMs = options.reconnectMinMs;
       handlers.onOpen?.(opened);
     },
     onClose: (closed, reason) => {
-      if (open === closed) open = undefined;
+      if (openPeer === closed) openPeer = undefined;
       handlers.onClose?.(closed, reason);
-      reconnectLater();
+      scheduleReconnect();
     },
   };
   connect();
-  return { current: () => open, stop };
+  return { current: () => openPeer, stop };
 
   function connect(): void {
     const socket = createConnection({ host, port });
@@ -69,13 +69,13 @@
       socket.destroy();
       if (isStopped) return;
       handlers.onConnectFailed?.('silent');
-      reconnectLater();
+      scheduleReconnect();
     }, options.connectTimeoutMs);
     socket.once('error', (error: NodeJS.ErrnoException) => {
       if (isConnected) return;
       clearTimeout(connectTimer);
       handlers.onConnectFailed?.(error.code === 'ECONNREFUSED' ? 'refused' : 'failed');
-      reconnectLater();
+      scheduleReconnect();
     });
     socket.once('connect', () => {
       isConnected = true;
@@ -85,7 +85,7 @@
     });
   }
 
-  function reconnectLater(): void {
+  function scheduleReconnect(): void {
     if (isStopped) return;
     clearTimeout(timer);
     timer = setTimeout(connect, delayMs);
--- a/packages/link/src/link-peer.ts
+++ b/packages/link/src/link-peer.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 import { type Either, Left, Right } from 'purify-ts';
 import { createFrameDecoder, decodeFrames, encodeFrame } from './frame-codec.js';
-import { everyShared } from './shared-interval.js';
+import { setSharedInterval } from './shared-interval.js';
 import { writeBatched } from './write-batch.js';
 import { createNonce, createProof, isProofValid, type LinkSide } from './link-auth.js';
 import { startInputDeadline } from './input-deadline.js';
@@ -72,7 +72,7 @@
   const decoder = createFrameDecoder();
   const pending = new Map<number, PendingRequest>();
   const ownNonce = createNonce();
-  let otherNonce: Uint8Array | undefined;
+  let remoteNonce: Uint8Array | undefined;
   let nextRequestId = 1;
   let phase: 'hello' | 'proof' | 'open' | 'closed' = 'hello';
   let lastReceivedMs = performance.now();
@@ -88,7 +88,7 @@
     traffic: () => ({ receivedBytes: socket.bytesRead, sentBytes: socket.bytesWritten }),
   };
 
-  const stopChecks = everyShared(Math.min(options.pingEveryMs, 200), checkLiveness);
+  const stopChecks = setSharedInterval(Math.min(options.pingEveryMs, 200), checkLiveness);
   socket.setNoDelay(true);
   socket.on('data', receive);
   socket.on('error', () => undefined);
@@ -121,11 +121,11 @@
   }
 
   function settle(id: number, outcome: Either<LinkError, unknown>): void {
-    const waiting = pending.get(id);
-    if (!waiting) return;
+    const request = pending.get(id);
+    if (!request) return;
     pending.delete(id);
-    waiting.endDeadline();
-    waiting.resolve(outcome);
+    request.endDeadline();
+    request.resolve(outcome);
   }
 
   function notify(method: string, params: unknown): boolean {
@@ -183,7 +183,7 @@
   function receiveFrame(frame: unknown[]): void {
     if (phase === 'hello') receiveHello(frame);
     else if (phase === 'proof') receiveProof(frame);
-    else receiveOpen(frame);
+    else receiveMessage(frame);
   }
 
   function receiveHello(frame: unknown[]): void {
@@ -192,14 +192,14 @@
       close('peer did not start with a hello');
       return;
     }
-    otherNonce = nonce;
+    remoteNonce = nonce;
     phase = 'proof';
-    write([FRAME.proof, proofOf(side)]);
+    write([FRAME.proof, createProofOf(side)]);
   }
 
   function receiveProof(frame: unknown[]): void {
-    const otherSide: LinkSide = side === 'client' ? 'server' : 'client';
-    if (frame[0] !== FRAME.proof || !isProofValid(frame[1], proofOf(otherSide))) {
+    const remoteSide: LinkSide = side === 'client' ? 'server' : 'client';
+    if (frame[0] !== FRAME.proof || !isProofValid(frame[1], createProofOf(remoteSide))) {
       close('peer does not know the link secret');
       return;
     }
@@ -207,13 +207,13 @@
     handlers.onOpen?.(peer);
   }
 
-  function proofOf(prover: LinkSide): Buffer {
-    const other = otherNonce ?? new Uint8Array();
+  function createProofOf(prover: LinkSide): Buffer {
+    const other = remoteNonce ?? new Uint8Array();
     const [clientNonce, serverNonce] = side === 'client' ? [ownNonce, other] : [other, ownNonce];
     return createProof(options.secret, prover, clientNonce, serverNonce);
   }
 
-  function receiveOpen(frame: unknown[]): void {
+  function receiveMessage(frame: unknown[]): void {
     switch (frame[0]) {
       case FRAME.ping:
         return;
@@ -221,7 +221,7 @@
         handlers.onNotify(peer, String(frame[1]), frame[2]);
         return;
       case FRAME.request:
-        void answer(Number(frame[1]), String(frame[2]), frame[3]);
+        void answerRequest(Number(frame[1]), String(frame[2]), frame[3]);
         return;
       case FRAME.reply:
         settle(Number(frame[1]), Right(frame[2]));
@@ -234,7 +234,7 @@
     }
   }
 
-  async function answer(id: number, method: string, params: unknown): Promise<void> {
+  async function answerRequest(id: number, method: string, params: unknown): Promise<void> {
     try {
       const result = await handlers.onRequest(peer, method, params);
       if (phase === 'open') write([FRAME.reply, id, result]);
--- a/packages/link/src/log-writer.test.ts
+++ b/packages/link/src/log-writer.test.ts
@@ -9,7 +9,7 @@
   return { fd: openSync(path, 'w'), path };
 }
 
-function linesOf(path: string): Record<string, unknown>[] {
+function readLines(path: string): Record<string, unknown>[] {
   const lines = readFileSync(path, 'utf8').trim().split('\n');
   return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
 }
@@ -20,7 +20,7 @@
     const writer = createLogWriter(fd);
     writer.write('bramleykeel:owner', 'statement was not run', { request: 'a1', waitedMs: 45 });
     writer.flush();
-    const [line] = linesOf(path);
+    const [line] = readLines(path);
     expect(line).toMatchObject({
       part: 'bramleykeel:owner',
       msg: 'statement was not run',
@@ -36,14 +36,14 @@
     const writer = createLogWriter(fd);
     writer.write('bramleykeel:caller', 'refused', { request: 'a\n{"part":"forged"}\r\n' });
     writer.flush();
-    expect(linesOf(path)).toHaveLength(1);
+    expect(readLines(path)).toHaveLength(1);
     closeSync(fd);
   });
 
   it('are dropped and counted, not waited for, when a reader takes none', async () => {
     // Nothing is written before this turn ends, so all lines of a flood have to wait.
     const { fd, path } = openFile();
-    const writer = createLogWriter(fd, { maxWaitingBytes: 8_192, collectBytes: 4_096 });
+    const writer = createLogWriter(fd, { maxBufferedBytes: 8_192, minWriteBytes: 4_096 });
     const startedAtMs = performance.now();
     for (let number = 0; number < 20_000; number += 1) {
       writer.write('bramleykeel:caller', 'statement was not run', { request: `r-${number}` });
@@ -53,8 +53,8 @@
     expect(takenMs).toBeLessThan(2_000);
     await new Promise((resolve) => setTimeout(resolve, 500));
     writer.flush();
-    const said = linesOf(path).find((line) => line.part === 'bramleykeel:log');
-    expect(said?.count).toBeGreaterThan(10_000);
+    const warning = readLines(path).find((line) => line.part === 'bramleykeel:log');
+    expect(warning?.count).toBeGreaterThan(10_000);
     closeSync(fd);
   });
 });
--- a/packages/link/src/log-writer.ts
+++ b/packages/link/src/log-writer.ts
@@ -14,13 +14,13 @@
 
 export interface LogWriterLimits {
   /** What waits to be written; lines beyond it are dropped and counted. */
-  readonly maxWaitingBytes: number;
+  readonly maxBufferedBytes: number;
   /** Lines are collected up to this size, so that writing costs one system call for many. */
-  readonly collectBytes: number;
+  readonly minWriteBytes: number;
 }
 
 /** Some two thousand lines: more than an entry writes in a minute of the users' worst day. */
-const DEFAULT_LIMITS: LogWriterLimits = { maxWaitingBytes: 512 * 1024, collectBytes: 4 * 1024 };
+const DEFAULT_LIMITS: LogWriterLimits = { maxBufferedBytes: 512 * 1024, minWriteBytes: 4 * 1024 };
 const FLUSH_EVERY_MS = 200;
 
 /**
@@ -34,10 +34,10 @@
   const output = destination({
     fd,
     sync: false,
-    minLength: limits.collectBytes,
-    maxLength: limits.maxWaitingBytes,
+    minLength: limits.minWriteBytes,
+    maxLength: limits.maxBufferedBytes,
   });
-  const lines = pino({ base: null, timestamp: stdTimeFunctions.epochTime }, output);
+  const logger = pino({ base: null, timestamp: stdTimeFunctions.epochTime }, output);
   let droppedLines = 0;
   let reportedLines = 0;
   output.on('drop', () => {
@@ -48,12 +48,12 @@
     droppedLines += 1;
   });
   setInterval(() => {
-    reportDrops();
+    reportDroppedLines();
     output.flush();
   }, FLUSH_EVERY_MS).unref();
   return {
     write: (part, message, fields) => {
-      lines.info({ part, ...fields }, message);
+      logger.info({ part, ...fields }, message);
     },
     droppedLines: () => droppedLines,
     flush: () => {
@@ -67,11 +67,11 @@
   };
 
   /** Says what is missing, as soon as there is room for that line itself. */
-  function reportDrops(): void {
+  function reportDroppedLines(): void {
     const total = droppedLines;
     if (total === reportedLines) return;
     const fields = { part: 'bramleykeel:log', count: total - reportedLines };
-    lines.warn(fields, 'lines were dropped because they could not be written in time');
+    logger.warn(fields, 'lines were dropped because they could not be written in time');
     if (droppedLines === total) reportedLines = total;
     droppedLines = total;
   }
--- a/packages/link/src/metrics-server.test.ts
+++ b/packages/link/src/metrics-server.test.ts
@@ -1,10 +1,10 @@
 import type { Server } from 'node:http';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { createCounters, type PagedCounters } from './counters.js';
+import { createCounters, type PrometheusCounters } from './counters.js';
 import { listenForMetrics } from './metrics-server.js';
 
 describe('the metrics page', () => {
-  let counters: PagedCounters;
+  let counters: PrometheusCounters;
   let server: Server;
   let url: string;
 
--- a/packages/link/src/metrics-server.ts
+++ b/packages/link/src/metrics-server.ts
@@ -1,7 +1,7 @@
 /** Shows a daemon's counters and histograms as text, for whoever collects them. */
 import { createServer, type Server } from 'node:http';
 import { splitAddress } from '@bramleykeel/core';
-import type { PagedCounters } from './counters.js';
+import type { PrometheusCounters } from './counters.js';
 
 /** Where the page is. */
 export const METRICS_PATH = '/metrics';
@@ -13,14 +13,17 @@
  * @example
  * const server = await listenForMetrics('127.0.0.1:9102', counters);
  */
-export async function listenForMetrics(address: string, counters: PagedCounters): Promise<Server> {
+export async function listenForMetrics(
+  address: string,
+  counters: PrometheusCounters,
+): Promise<Server> {
   const server = createServer((request, response) => {
     request.resume();
     if (request.method !== 'GET' || request.url !== METRICS_PATH) {
       response.writeHead(404).end();
       return;
     }
-    void counters.page().then((page) => {
+    void counters.renderMetrics().then((page) => {
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page);
     });
   });
--- a/packages/link/src/shared-interval.test.ts
+++ b/packages/link/src/shared-interval.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { everyShared } from './shared-interval.js';
+import { setSharedInterval } from './shared-interval.js';
 
 describe('shared intervals', () => {
   beforeEach(() => {
@@ -13,11 +13,11 @@
   it('take one timer for all that share a period, and none once all have ended', () => {
     const counts = [0, 0, 0];
     const stops = counts.map((_count, index) =>
-      everyShared(200, () => {
+      setSharedInterval(200, () => {
         counts[index] = (counts[index] ?? 0) + 1;
       }),
     );
-    const other = everyShared(50, () => undefined);
+    const other = setSharedInterval(50, () => undefined);
     expect(vi.getTimerCount()).toBe(2);
     vi.advanceTimersByTime(400);
     expect(counts).toEqual([2, 2, 2]);
@@ -32,12 +32,12 @@
   it('go on when a check ends itself or another one', () => {
     const calls: string[] = [];
     const stopLast: { stop: () => void } = { stop: () => undefined };
-    const stopFirst = everyShared(100, () => {
+    const stopFirst = setSharedInterval(100, () => {
       calls.push('first');
       stopFirst();
       stopLast.stop();
     });
-    const stop = everyShared(100, () => calls.push('last'));
+    const stop = setSharedInterval(100, () => calls.push('last'));
     stopLast.stop = stop;
     vi.advanceTimersByTime(300);
     expect(calls.filter((call) => call === 'first')).toHaveLength(1);
--- a/packages/link/src/shared-interval.ts
+++ b/packages/link/src/shared-interval.ts
@@ -3,7 +3,7 @@
  * few times a second: one timer for all of them wakes the process as often as one.
  */
 interface SharedInterval {
-  readonly checks: Set<() => void>;
+  readonly callbacks: Set<() => void>;
   readonly timer: NodeJS.Timeout;
 }
 
@@ -16,23 +16,23 @@
  * @example
  * const stop = everyShared(200, checkLiveness);
  */
-export function everyShared(periodMs: number, check: () => void): () => void {
+export function setSharedInterval(periodMs: number, callback: () => void): () => void {
   const shared = intervals.get(periodMs) ?? startInterval(periodMs);
-  shared.checks.add(check);
+  shared.callbacks.add(callback);
   return () => {
-    shared.checks.delete(check);
-    if (shared.checks.size > 0 || intervals.get(periodMs) !== shared) return;
+    shared.callbacks.delete(callback);
+    if (shared.callbacks.size > 0 || intervals.get(periodMs) !== shared) return;
     clearInterval(shared.timer);
     intervals.delete(periodMs);
   };
 }
 
 function startInterval(periodMs: number): SharedInterval {
-  const checks = new Set<() => void>();
+  const callbacks = new Set<() => void>();
   const timer = setInterval(() => {
-    for (const check of [...checks]) check();
+    for (const callback of [...callbacks]) callback();
   }, periodMs);
-  const created = { checks, timer };
+  const created = { callbacks, timer };
   intervals.set(periodMs, created);
   return created;
 }
--- a/packages/link/src/suspension-watch.ts
+++ b/packages/link/src/suspension-detector.ts
@@ -1,8 +1,8 @@
 /** Notices that the instance was suspended: the time of day moved on, and the steady clock did not. */
 
-export interface SuspensionWatch {
+export interface SuspensionDetector {
   /** Whether the time of day has run ahead of the steady clock since the last call. */
-  readonly hasJumped: () => boolean;
+  readonly hasWallClockJumped: () => boolean;
 }
 
 /** Jumps up to this size are clock corrections, in milliseconds. */
@@ -16,14 +16,14 @@
  * const watch = createSuspensionWatch();
  * if (watch.hasJumped()) dropLeases();
  */
-export function createSuspensionWatch(
+export function createSuspensionDetector(
   wallClockMs: () => number = Date.now,
-  steadyClockMs: () => number = () => performance.now(),
-): SuspensionWatch {
-  let offsetMs = wallClockMs() - steadyClockMs();
+  monotonicClockMs: () => number = () => performance.now(),
+): SuspensionDetector {
+  let offsetMs = wallClockMs() - monotonicClockMs();
   return {
-    hasJumped: () => {
-      const nowOffsetMs = wallClockMs() - steadyClockMs();
+    hasWallClockJumped: () => {
+      const nowOffsetMs = wallClockMs() - monotonicClockMs();
       const jumpMs = nowOffsetMs - offsetMs;
       offsetMs = nowOffsetMs;
       return jumpMs > MAX_CORRECTION_MS;
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -5,7 +5,11 @@
   type ServerName,
   toGroupName,
 } from '@bramleykeel/core';
-import { answerDrawCode, type DrawCode, type RateDraws } from '@bramleykeel/entry-shared';
+import {
+  answerEncodedDraw,
+  type EncodedDraw,
+  type RateDrawContext,
+} from '@bramleykeel/entry-shared';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
 import { endOwner, type OwnerClient, takeOutcome } from './locate/owner-client.js';
 import {
@@ -36,7 +40,7 @@
   readonly counters: Counters;
   readonly registry: StatementOwnerRegistry;
   readonly owners: OwnerClient;
-  readonly draws: RateDraws;
+  readonly draws: RateDrawContext;
   readonly channels: Map<LinkPeer, EntryChannel>;
   /** What a caller is told to wait when this entry does not own its group any more, in milliseconds. */
   readonly movedRetryMs: number;
@@ -50,7 +54,7 @@
 type EventHandler = (app: StatementApp, peer: LinkPeer, params: unknown) => void;
 
 const REQUEST_HANDLERS: Readonly<Record<string, RequestHandler>> = {
-  'rate/draw': (app, params) => answerDrawCode(app.draws, params as DrawCode),
+  'rate/draw': (app, params) => answerEncodedDraw(app.draws, params as EncodedDraw),
   'near/ask': (app, params) => {
     const [group, epoch, zone, entryId] = params as NearQuestionCode;
     return answerNear(app, toGroupName(group), epoch, { zone, entryId });
--- a/packages/statement-entry/src/locate/entry-links.ts
+++ b/packages/statement-entry/src/locate/entry-links.ts
@@ -3,7 +3,7 @@
 import {
   DEFAULT_LINK_TIMING,
   DEFAULT_RECONNECT,
-  keepLink,
+  maintainLink,
   type LinkClient,
   type LinkPeer,
 } from '@bramleykeel/link';
@@ -35,7 +35,7 @@
     const known = links.get(linkAddress);
     if (known) return known.current();
     const timing = { ...DEFAULT_LINK_TIMING, ...DEFAULT_RECONNECT };
-    const client = keepLink(
+    const client = maintainLink(
       linkAddress,
       { secret: options.linkSecret, ...timing, reconnectMaxMs: RECONNECT_MAX_MS },
       {
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -16,7 +16,7 @@
   createRateClient,
   createRateHomes,
   drawFromHome,
-  type RateDraws,
+  type RateDrawContext,
   startControlClient,
 } from '@bramleykeel/entry-shared';
 import {
@@ -230,7 +230,7 @@
       }).then((code) => decodeOffer(code as NearOfferCode | null | undefined));
     },
   });
-  const draws: RateDraws = {
+  const draws: RateDrawContext = {
     homes: createRateHomes(),
     control,
     linkTo: (linkAddress) => links.linkTo(linkAddress),
