Reword comments, log messages and test titles of link

No exported names change. The log message about dropped lines is reworded; its fields stay. Test titles are reworded; their checks are unchanged.

--- a/packages/entry-shared/src/control/record-copy.test.ts
+++ b/packages/entry-shared/src/control/record-copy.test.ts
@@ -13,7 +13,7 @@
 describe('record copy', () => {
   it.each([
     { name: 'continues at the known index', known: 10, since: 10, applied: 12, expected: 12 },
-    { name: 'overlaps with known records', known: 10, since: 4, applied: 12, expected: 12 },
+    { name: 'overlaps', known: 10, since: 4, applied: 12, expected: 12 },
     { name: 'ends before the known index', known: 10, since: 2, applied: 6, expected: 10 },
     {
       name: 'leaves a gap because an earlier reply timed out',
--- a/packages/link/src/counters.ts
+++ b/packages/link/src/counters.ts
@@ -1,4 +1,4 @@
-/** Counters, gauges and times over StatsD, with a local copy for status pages, metrics and tests. */
+/** Counters, gauges and timings: sent to StatsD and kept in memory for status requests, Prometheus and tests. */
 import type { StatsdSettings } from '@bramleykeel/core';
 import { StatsD } from 'hot-shots';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
@@ -6,23 +6,25 @@
 export interface Counters {
   /** Adds to a counter. Names are dotted: `refusal.queue-full`, `retry.read-on-primary`. */
   readonly count: (name: string, by?: number) => void;
+  /** Sets a gauge. */
   readonly gauge: (name: string, value: number) => void;
+  /** Records a duration in a histogram. */
   readonly timing: (name: string, durationMs: number) => void;
-  /** Totals since the start of the process. */
+  /** Counter totals since the start of the process, and the last value of each gauge. */
   readonly totals: () => Record<string, number>;
   readonly close: () => void;
 }
 
 export interface PrometheusCounters extends Counters {
-  /** Everything as text, as a metrics address shows it. */
+  /** Renders all metrics in the Prometheus text format. */
   readonly renderMetrics: () => Promise<string>;
 }
 
-/** Upper ends of the histograms' buckets, in milliseconds: from a hop to a route's longest time. */
+/** Upper bounds of the histogram buckets: from one network hop to the longest time-out of a route. */
 const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
 /**
- * Creates the counters of one daemon; without StatsD settings only the local copy is kept.
+ * Creates the counters of one daemon. Without StatsD settings they are only kept in memory.
  *
  * @example
  * const counters = createCounters('entry', { host: '127.0.0.1', port: 8125 });
@@ -57,7 +59,7 @@
   };
 }
 
-/** Names come from the program alone, so the labels are bounded. */
+/** Metric names become label values. All of them come from the code, so the number of label values is bounded. */
 function createRegistry(
   daemon: string,
   totals: ReadonlyMap<string, number>,
--- a/packages/link/src/frame-codec.test.ts
+++ b/packages/link/src/frame-codec.test.ts
@@ -4,7 +4,7 @@
 import { createNonce, createProof, isProofValid } from './link-auth.js';
 
 describe('frame codec', () => {
-  it('reads values back whatever pieces they come in', () => {
+  it('decodes values from chunks of any size', () => {
     const property = fc.property(
       fc.array(fc.jsonValue(), { maxLength: 6 }),
       fc.integer({ min: 1, max: 50 }),
@@ -22,14 +22,14 @@
     fc.assert(property, { seed: 20_261_204, numRuns: 200 });
   });
 
-  it('refuses a frame above the limit before it has come', () => {
+  it('rejects a frame above the limit as soon as its length is received', () => {
     const decoder = createFrameDecoder(1_000);
     const header = Buffer.alloc(4);
     header.writeUInt32BE(1_001);
     expect(decodeFrames(decoder, header).kind).toBe('malformed');
   });
 
-  it('survives noise', () => {
+  it('does not throw on random bytes', () => {
     const property = fc.property(fc.uint8Array({ minLength: 1, maxLength: 200 }), (noise) => {
       const decoder = createFrameDecoder(1_000);
       expect(['values', 'malformed']).toContain(decodeFrames(decoder, Buffer.from(noise)).kind);
@@ -42,12 +42,12 @@
   const [clientNonce, serverNonce] = [createNonce(), createNonce()];
   const expected = createProof('secret', 'client', clientNonce, serverNonce);
   const CASES: readonly [string, unknown, boolean][] = [
-    ['the right proof', createProof('secret', 'client', clientNonce, serverNonce), true],
-    ['another secret', createProof('other', 'client', clientNonce, serverNonce), false],
-    ['a reflected proof', createProof('secret', 'server', clientNonce, serverNonce), false],
-    ['a replayed proof', createProof('secret', 'client', clientNonce, createNonce()), false],
-    ['no bytes', 'text', false],
-    ['too few bytes', expected.subarray(1), false],
+    ['valid proof', createProof('secret', 'client', clientNonce, serverNonce), true],
+    ['proof with another secret', createProof('other', 'client', clientNonce, serverNonce), false],
+    ['reflected proof', createProof('secret', 'server', clientNonce, serverNonce), false],
+    ['replayed proof', createProof('secret', 'client', clientNonce, createNonce()), false],
+    ['not a byte array', 'text', false],
+    ['truncated proof', expected.subarray(1), false],
   ];
   it.each(CASES)('%s', (_name, received, isValid) => {
     expect(isProofValid(received, expected)).toBe(isValid);
--- a/packages/link/src/frame-codec.ts
+++ b/packages/link/src/frame-codec.ts
@@ -1,14 +1,14 @@
-/** Length-framed CBOR: a 32-bit big-endian length, then one CBOR value. */
+/** Length-prefixed CBOR frames: a 32-bit big-endian length, then one CBOR value. */
 import { Encoder } from 'cbor-x';
 
 const LENGTH_BYTES = 4;
-/** Frames above this length are refused before anything is allocated for them. */
+/** Longer frames are rejected before memory is allocated for them. */
 export const MAX_FRAME_BYTES = 64 * 1024 * 1024;
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
 /**
- * Writes one value as a frame.
+ * Encodes one value as a frame.
  *
  * @example
  * socket.write(encodeFrame(['event', 'settings/changed', {}]));
@@ -35,7 +35,7 @@
   return { maxFrameBytes, chunks: [], bufferedBytes: 0 };
 }
 
-/** Takes in received bytes and returns the values that are complete by now. */
+/** Adds received bytes and returns the values of all frames that are now complete. */
 export function decodeFrames(decoder: FrameDecoder, chunk: Buffer): DecodedFrames {
   decoder.chunks.push(chunk);
   decoder.bufferedBytes += chunk.length;
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,4 +1,4 @@
-/** Links between the system's processes, with counters and logs. */
+/** Links between the processes of the system, metrics and logging. */
 export * from './frame-codec.js';
 export * from './link-peer.js';
 export * from './link-server.js';
@@ -8,7 +8,7 @@
 export * from './write-batch.js';
 export * from './counters.js';
 export * from './logger.js';
-export * from './suspension-detector.js';
+export * from './suspension-watch.js';
 export * from './input-deadline.js';
 export * from './metrics-server.js';
 export type { LogFields } from './log-writer.js';
--- a/packages/link/src/input-deadline.ts
+++ b/packages/link/src/input-deadline.ts
@@ -1,10 +1,11 @@
-/** Deadlines of answers that count only once everything that has already arrived was read. */
+/** Time-outs that expire only after input that has already arrived was read. */
 
 /**
- * Calls `onOver` after `timeoutMs`. After a stall of this process timers run first, although an answer
- * may have waited in its socket for long: that input is read before the time is judged.
+ * Calls `onExpired` after `timeoutMs`. When this process resumes after a stall, the event loop runs timers before
+ * it reads sockets, so an answer may already be waiting in its socket: the callback is deferred until that input
+ * was read.
  *
- * @returns ends the deadline; nothing is called after that
+ * @returns a function that cancels the time-out; `onExpired` is not called afterwards
  * @example
  * const endDeadline = startInputDeadline(500, () => settle('overdue'));
  * socket.once('data', () => endDeadline());
--- a/packages/link/src/json-body.ts
+++ b/packages/link/src/json-body.ts
@@ -1,8 +1,8 @@
-/** Bodies of HTTP requests as JSON, with a bound on their length. */
+/** Reads JSON bodies of HTTP requests up to a maximum length. */
 import type { IncomingMessage } from 'node:http';
 
 /**
- * Reads a request's body; `undefined` when it is too long, cut short, or not JSON.
+ * Reads a request's body; resolves to `undefined` if it is longer than `maxBytes`, truncated, or not JSON.
  *
  * @example
  * const body = await readJsonBody(request, 16_384);
--- a/packages/link/src/link-auth.ts
+++ b/packages/link/src/link-auth.ts
@@ -1,4 +1,4 @@
-/** Mutual proof of the shared link secret, by nonce and HMAC, before anything else is exchanged. */
+/** Mutual challenge-response authentication of links: an HMAC over both nonces under the shared link secret. */
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
 
 export type LinkSide = 'client' | 'server';
@@ -9,7 +9,7 @@
   return randomBytes(NONCE_BYTES);
 }
 
-/** The proof that `side` gives; it covers both nonces, so it cannot be replayed or reflected. */
+/** Creates the proof sent by `side`. It covers both nonces and the side, so it cannot be replayed or reflected. */
 export function createProof(
   secret: string,
   side: LinkSide,
--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -1,8 +1,9 @@
-/** Opens links to other processes and keeps them open. */
+/** Opens links to other processes and reconnects when they close. */
 import { createConnection, type Socket } from 'node:net';
 import { splitAddress } from '@bramleykeel/core';
 import { type LinkHandlers, type LinkOptions, type LinkPeer, runLink } from './link-peer.js';
 
+/** Why a connection attempt failed; `silent` means that it timed out. */
 export type LinkConnectFailure = 'refused' | 'silent' | 'failed';
 
 export interface LinkClient {
@@ -28,10 +29,10 @@
 }
 
 /**
- * Connects to `address` and reconnects with exponential delay until stopped.
+ * Connects to `address` and reconnects with exponential backoff until stopped.
  *
  * @example
- * const client = keepLink('127.0.0.1:7001', options, handlers);
+ * const client = maintainLink('127.0.0.1:7001', options, handlers);
  */
 export function maintainLink(
   address: string,
--- a/packages/link/src/link-peer.ts
+++ b/packages/link/src/link-peer.ts
@@ -1,4 +1,4 @@
-/** One authenticated link between two of the system's processes: requests, replies and events. */
+/** One authenticated link between two processes of the system: requests, replies and events. */
 import type { Socket } from 'node:net';
 import { type Either, Left, Right } from 'purify-ts';
 import { createFrameDecoder, decodeFrames, encodeFrame } from './frame-codec.js';
@@ -7,7 +7,7 @@
 import { createNonce, createProof, isProofValid, type LinkSide } from './link-auth.js';
 import { startInputDeadline } from './input-deadline.js';
 
-/** Why a request over a link has no answer. Only `not-sent` says that it was not received. */
+/** Why a request over a link has no reply. Only `not-sent` guarantees that the other side did not receive it. */
 export type LinkError =
   | { readonly kind: 'not-sent' }
   | { readonly kind: 'closed' }
@@ -16,7 +16,7 @@
 
 export interface LinkPeer {
   readonly remoteAddress: string;
-  /** Sends a request and waits for its answer, `timeoutMs` at most. */
+  /** Sends a request and waits for its reply, at most `timeoutMs`. */
   readonly request: (
     method: string,
     params: unknown,
@@ -26,9 +26,9 @@
   readonly notify: (method: string, params: unknown) => boolean;
   readonly close: (reason: string) => void;
   readonly isOpen: () => boolean;
-  /** Bytes accepted for sending that the kernel has not taken yet. */
+  /** Bytes buffered in this process that the kernel has not accepted yet. */
   readonly pendingBytes: () => number;
-  /** Bytes since the link was opened. */
+  /** Bytes exchanged since the connection was opened. */
   readonly traffic: () => { readonly receivedBytes: number; readonly sentBytes: number };
 }
 
@@ -41,9 +41,9 @@
 
 export interface LinkOptions {
   readonly secret: string;
-  /** A ping is sent when nothing else was sent for this time. */
+  /** A ping is sent when nothing was sent for this long. */
   readonly pingEveryMs: number;
-  /** A link on which nothing arrives for this time is closed as silent. */
+  /** The link is closed when nothing was received for this long. */
   readonly silentAfterMs: number;
 }
 
@@ -149,8 +149,8 @@
   }
 
   /**
-   * Silence is judged only when this process itself ran on time: after a freeze, bytes that already
-   * wait in the socket are read first.
+   * Closes a silent link and sends pings. The time since the last input is checked again after pending input was
+   * read: if this process was suspended, bytes may already be waiting in the socket.
    */
   function checkLiveness(): void {
     const nowMs = performance.now();
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -4,6 +4,7 @@
 import { type LinkHandlers, type LinkOptions, type LinkPeer, runLink } from './link-peer.js';
 
 export interface LinkServer {
+  /** Peers with an open, authenticated link. */
   readonly peers: ReadonlySet<LinkPeer>;
   readonly close: () => Promise<void>;
 }
@@ -11,6 +12,8 @@
 /**
  * Listens on `address` and runs the link protocol on every connection.
  *
+ * @throws if the address cannot be listened on
+ *
  * @example
  * const server = await listenForLinks('127.0.0.1:7001', options, handlers);
  */
--- a/packages/link/src/log-writer.test.ts
+++ b/packages/link/src/log-writer.test.ts
@@ -14,8 +14,8 @@
   return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
 }
 
-describe('log lines', () => {
-  it('are one JSON object each, with time, part, sentence and what decided', () => {
+describe('log writer', () => {
+  it('writes one JSON object per line with time, part, message and fields', () => {
     const { fd, path } = openFile();
     const writer = createLogWriter(fd);
     writer.write('bramleykeel:owner', 'statement was not run', { request: 'a1', waitedMs: 45 });
@@ -31,7 +31,7 @@
     closeSync(fd);
   });
 
-  it('keep to one line whatever a caller has sent', () => {
+  it('escapes line breaks in field values', () => {
     const { fd, path } = openFile();
     const writer = createLogWriter(fd);
     writer.write('bramleykeel:caller', 'refused', { request: 'a\n{"part":"forged"}\r\n' });
@@ -40,8 +40,8 @@
     closeSync(fd);
   });
 
-  it('are dropped and counted, not waited for, when a reader takes none', async () => {
-    // Nothing is written before this turn ends, so all lines of a flood have to wait.
+  it('drops and counts lines instead of blocking when the buffer is full', async () => {
+    // Nothing is written before this turn of the event loop ends, so all lines go to the buffer.
     const { fd, path } = openFile();
     const writer = createLogWriter(fd, { maxBufferedBytes: 8_192, minWriteBytes: 4_096 });
     const startedAtMs = performance.now();
--- a/packages/link/src/log-writer.ts
+++ b/packages/link/src/log-writer.ts
@@ -1,25 +1,25 @@
-/** Writes log lines to a file descriptor: bounded, collected, and never waited for. */
+/** Writes log lines to a file descriptor asynchronously, in batches and through a bounded buffer. */
 import { destination, pino, stdTimeFunctions } from 'pino';
 
-/** What a line says besides its sentence. Keys and secrets never go here. */
+/** Structured fields of a log line. Must not contain keys or secrets. */
 export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>;
 
 export interface LogWriter {
   readonly write: (part: string, message: string, fields?: LogFields) => void;
-  /** Lines that were dropped since the start. */
+  /** Number of lines dropped since the writer was created. */
   readonly droppedLines: () => number;
-  /** Writes what waits now; the only call that may wait. */
+  /** Writes all buffered lines; the only call that may block. */
   readonly flush: () => void;
 }
 
 export interface LogWriterLimits {
-  /** What waits to be written; lines beyond it are dropped and counted. */
+  /** Size of the buffer; lines that do not fit are dropped and counted. */
   readonly maxBufferedBytes: number;
-  /** Lines are collected up to this size, so that writing costs one system call for many. */
+  /** Lines are batched up to this size to save system calls. */
   readonly minWriteBytes: number;
 }
 
-/** Some two thousand lines: more than an entry writes in a minute of the users' worst day. */
+/** The buffer holds about two thousand lines, more than an entry logs per minute at the peak load of the users. */
 const DEFAULT_LIMITS: LogWriterLimits = { maxBufferedBytes: 512 * 1024, minWriteBytes: 4 * 1024 };
 const FLUSH_EVERY_MS = 200;
 
@@ -43,7 +43,7 @@
   output.on('drop', () => {
     droppedLines += 1;
   });
-  // Whoever read the output has gone: there is nobody left to tell.
+  // The reader of the output has closed it, so the error cannot be reported there.
   output.on('error', () => {
     droppedLines += 1;
   });
@@ -60,18 +60,18 @@
       try {
         output.flushSync();
       } catch {
-        // The descriptor takes nothing more; the process ends without these lines.
+        // The descriptor accepts no more data; the buffered lines are lost.
         droppedLines += 1;
       }
     },
   };
 
-  /** Says what is missing, as soon as there is room for that line itself. */
+  /** Logs the number of dropped lines; retries at the next flush if that line is dropped too. */
   function reportDroppedLines(): void {
     const total = droppedLines;
     if (total === reportedLines) return;
     const fields = { part: 'bramleykeel:log', count: total - reportedLines };
-    logger.warn(fields, 'lines were dropped because they could not be written in time');
+    logger.warn(fields, 'log lines dropped because the output could not keep up');
     if (droppedLines === total) reportedLines = total;
     droppedLines = total;
   }
--- a/packages/link/src/logger.ts
+++ b/packages/link/src/logger.ts
@@ -1,6 +1,6 @@
 /**
- * Logs: one JSON object a line on standard output, a short sentence each, with what decided beside it.
- * Parts are switched on with the DEBUG variable, by their fixed prefixes.
+ * Logging to standard output: one JSON object per line, with a short message and the fields that led to the logged
+ * decision. Parts are enabled by name with the DEBUG variable.
  */
 import debug from 'debug';
 import { createLogWriter, type LogFields, type LogWriter } from './log-writer.js';
@@ -10,7 +10,8 @@
 let standardOutput: LogWriter | undefined;
 
 /**
- * Creates the log of one part, shown as `bramleykeel:<part>`. Writing never waits.
+ * Creates the log function of one part, logged as `bramleykeel:<part>`. Logging never blocks. Returns a function
+ * that does nothing if the part is not enabled.
  *
  * @example
  * const log = createLog('owner');
@@ -25,12 +26,12 @@
   };
 }
 
-/** Switches all parts on, for a program whose settings leave no choice. */
+/** Enables the logs of all parts, for a program that has no setting to select them. */
 export function enableLogs(): void {
   debug.enable('bramleykeel:*');
 }
 
-/** Writes what waits, before the process ends. */
+/** Writes all buffered lines; to be called before the process exits. */
 export function flushLogs(): void {
   standardOutput?.flush();
 }
--- a/packages/link/src/metrics-server.test.ts
+++ b/packages/link/src/metrics-server.test.ts
@@ -3,7 +3,7 @@
 import { createCounters, type PrometheusCounters } from './counters.js';
 import { listenForMetrics } from './metrics-server.js';
 
-describe('the metrics page', () => {
+describe('metrics server', () => {
   let counters: PrometheusCounters;
   let server: Server;
   let url: string;
@@ -20,7 +20,7 @@
     counters.close();
   });
 
-  it('shows counters, levels and histograms by name', async () => {
+  it('serves counters, gauges and histograms by name', async () => {
     counters.count('refusal.queue-full');
     counters.count('refusal.queue-full', 2);
     counters.gauge('groups.owned', 3);
@@ -32,7 +32,7 @@
     expect(page).toMatch(/bramleykeel_time_ms_bucket\{le="10".*name="statement.primary".*\} 0/);
   });
 
-  it('counts nothing twice when it is asked again', async () => {
+  it('reports the same totals on repeated requests', async () => {
     counters.count('refusal.queue-full');
     await fetch(`${url}/metrics`);
     const page = await (await fetch(`${url}/metrics`)).text();
@@ -42,7 +42,7 @@
   it.each([
     ['another path', '/other', 'GET'],
     ['another method', '/metrics', 'POST'],
-  ])('is not found under %s', async (_name, path, method) => {
+  ])('answers 404 for %s', async (_name, path, method) => {
     expect((await fetch(`${url}${path}`, { method })).status).toBe(404);
   });
 });
--- a/packages/link/src/metrics-server.ts
+++ b/packages/link/src/metrics-server.ts
@@ -1,15 +1,14 @@
-/** Shows a daemon's counters and histograms as text, for whoever collects them. */
+/** HTTP endpoint that serves a daemon's metrics in the Prometheus text format. */
 import { createServer, type Server } from 'node:http';
 import { splitAddress } from '@bramleykeel/core';
 import type { PrometheusCounters } from './counters.js';
 
-/** Where the page is. */
 export const METRICS_PATH = '/metrics';
 
 /**
- * Listens on the metrics address.
+ * Serves `GET /metrics` on `address`.
  *
- * @throws when the address is taken
+ * @throws if the address cannot be listened on
  * @example
  * const server = await listenForMetrics('127.0.0.1:9102', counters);
  */
--- a/packages/link/src/probe-address.ts
+++ b/packages/link/src/probe-address.ts
@@ -1,13 +1,13 @@
-/** Finds out whether anything listens at an address, and whether it answers. */
+/** Checks whether a process listens at an address and whether it responds. */
 import { createConnection } from 'node:net';
 import { type ProbeResult, splitAddress } from '@bramleykeel/core';
 import { startInputDeadline } from './input-deadline.js';
 
 /**
- * Tries to connect, and sends `request` if one is given: then only a byte in return counts as an
- * answer, because the system accepts connections for a frozen process too.
+ * Tries to connect. If a `request` is given, sends it and takes only received data as an answer, because the
+ * kernel accepts connections for a suspended process too.
  *
- * `refused` proves that no process is bound to the address; `silent` proves nothing.
+ * `refused` proves that no process listens at the address; `silent` is inconclusive.
  *
  * @example
  * await probeAddress('127.0.0.1:7001', 500); // 'refused'
--- a/packages/link/src/shared-interval.test.ts
+++ b/packages/link/src/shared-interval.test.ts
@@ -10,7 +10,7 @@
     vi.useRealTimers();
   });
 
-  it('take one timer for all that share a period, and none once all have ended', () => {
+  it('use one timer per period and none once all callbacks are stopped', () => {
     const counts = [0, 0, 0];
     const stops = counts.map((_count, index) =>
       setSharedInterval(200, () => {
@@ -29,7 +29,7 @@
     expect(vi.getTimerCount()).toBe(0);
   });
 
-  it('go on when a check ends itself or another one', () => {
+  it('continue when a callback stops itself or another one', () => {
     const calls: string[] = [];
     const stopLast: { stop: () => void } = { stop: () => undefined };
     const stopFirst = setSharedInterval(100, () => {
--- a/packages/link/src/shared-interval.ts
+++ b/packages/link/src/shared-interval.ts
@@ -1,6 +1,6 @@
 /**
- * Intervals that many parts of a process share. An entry keeps dozens of links, each with something to check a
- * few times a second: one timer for all of them wakes the process as often as one.
+ * A timer shared by all callbacks with the same period. An entry has dozens of links, each with a check that runs
+ * several times a second; a shared timer wakes the process once per period for all of them.
  */
 interface SharedInterval {
   readonly callbacks: Set<() => void>;
@@ -10,11 +10,11 @@
 const intervals = new Map<number, SharedInterval>();
 
 /**
- * Calls `check` every `periodMs`, together with all others of that period.
+ * Calls `callback` every `periodMs`, on one timer with all other callbacks of that period.
  *
- * @returns ends it
+ * @returns a function that stops the calls
  * @example
- * const stop = everyShared(200, checkLiveness);
+ * const stop = setSharedInterval(200, checkLiveness);
  */
 export function setSharedInterval(periodMs: number, callback: () => void): () => void {
   const shared = intervals.get(periodMs) ?? startInterval(periodMs);
--- a/packages/link/src/suspension-detector.ts
+++ b/packages/link/src/suspension-watch.ts
@@ -1,20 +1,20 @@
-/** Notices that the instance was suspended: the time of day moved on, and the steady clock did not. */
+/** Detects that the instance was suspended: the wall clock has advanced, and the monotonic clock has not. */
 
 export interface SuspensionDetector {
-  /** Whether the time of day has run ahead of the steady clock since the last call. */
+  /** Whether the wall clock has jumped ahead of the monotonic clock since the last call. */
   readonly hasWallClockJumped: () => boolean;
 }
 
-/** Jumps up to this size are clock corrections, in milliseconds. */
+/** Jumps up to this size are taken for clock corrections. */
 const MAX_CORRECTION_MS = 150;
 
 /**
- * Watches the two clocks. A step of the time of day looks the same as a suspension; what was granted
- * for a time is then renewed once for nothing.
+ * Compares the two clocks. A forward step of the wall clock looks the same as a suspension; it costs only an
+ * unnecessary renewal of leases.
  *
  * @example
- * const watch = createSuspensionWatch();
- * if (watch.hasJumped()) dropLeases();
+ * const detector = createSuspensionDetector();
+ * if (detector.hasWallClockJumped()) dropLeases();
  */
 export function createSuspensionDetector(
   wallClockMs: () => number = Date.now,
--- a/packages/link/src/write-batch.ts
+++ b/packages/link/src/write-batch.ts
@@ -1,12 +1,12 @@
-/** Collects the writes of one turn of the event loop, so that each socket is written to once. */
+/** Batches writes within one turn of the event loop, so that each socket is written to once per turn. */
 import type { Socket } from 'node:net';
 
 const corkedSockets = new WeakSet<Socket>();
 
 /**
- * Writes to a socket together with everything else that is written to it in this turn.
+ * Writes to a socket together with all other batched writes of the current turn of the event loop.
  *
- * @param onFlushed called when the kernel has taken the bytes
+ * @param onFlushed called when the kernel has accepted the bytes
  * @example
  * writeBatched(socket, frame);
  */
