--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -61,7 +61,7 @@
 /**
  * Takes `count` tokens of a customer, waiting for them if necessary.
  *
- * @param maxWaitMs replaces `rateWaitMs` for requests in open transactions
+ * @param maxWaitMs replaces `rateWaitMs` for requests in open transactions, and changes `homeWaitMs` by as much
  * @returns `undefined` if the request may run at once, else a promise of the refusal, or of `undefined` once the
  * request may run
  */
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -39,6 +39,7 @@
   readonly call: (method: string, params: unknown) => Promise<Either<LinkError, unknown>>;
   /** Bytes exchanged with control over the links that are open now. */
   readonly traffic: () => { readonly receivedBytes: number; readonly sentBytes: number };
+  /** Reports to control, in this and all later renewals, that the entry is stopping. */
   readonly startStopping: () => void;
   readonly close: () => void;
 }
@@ -49,6 +50,7 @@
   readonly linkAddress: string;
   readonly zone: string;
   readonly linkMbps?: number;
+  /** Whether a control member runs on the same instance. */
   readonly isBesideControl?: boolean;
   readonly linkSecret: string;
   readonly timing: TimingSettings;
