--- a/packages/link/src/counters.ts
+++ b/packages/link/src/counters.ts
@@ -1,4 +1,4 @@
-/** Counters, gauges and times over StatsD, with a local copy for status pages, metrics and tests. */
+/** Counters, gauges and timings: sent to StatsD and kept in memory for status requests, Prometheus and tests. */
 import type { StatsdSettings } from '@bramleykeel/core';
 import { StatsD } from 'hot-shots';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
@@ -6,33 +6,38 @@
 export interface Counters {
   /** Adds to a counter. Names are dotted: `refusal.queue-full`, `retry.read-on-primary`. */
   readonly count: (name: string, by?: number) => void;
+  /** Sets a gauge. */
   readonly gauge: (name: string, value: number) => void;
+  /** Records a duration in a histogram. */
   readonly timing: (name: string, durationMs: number) => void;
-  /** Totals since the start of the process. */
+  /** Counter totals since the start of the process, and the last value of each gauge. */
   readonly totals: () => Record<string, number>;
   readonly close: () => void;
 }
 
-export interface PagedCounters extends Counters {
-  /** Everything as text, as a metrics address shows it. */
-  readonly page: () => Promise<string>;
+export interface PrometheusCounters extends Counters {
+  /** Renders all metrics in the Prometheus text format. */
+  readonly renderMetrics: () => Promise<string>;
 }
 
-/** Upper ends of the histograms' buckets, in milliseconds: from a hop to a route's longest time. */
+/** Upper bounds of the histogram buckets: from one network hop to the longest time-out of a route. */
 const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
 /**
- * Creates the counters of one daemon; without StatsD settings only the local copy is kept.
+ * Creates the counters of one daemon. Without StatsD settings they are only kept in memory.
  *
  * @example
  * const counters = createCounters('entry', { host: '127.0.0.1', port: 8125 });
  * counters.count('refusal.queue-full');
  */
-export function createCounters(daemon: string, statsd: StatsdSettings | undefined): PagedCounters {
+export function createCounters(
+  daemon: string,
+  statsd: StatsdSettings | undefined,
+): PrometheusCounters {
   const totals = new Map<string, number>();
   const gauges = new Map<string, number>();
   const client = statsd && createClient(daemon, statsd);
-  const { registry, times } = createPage(daemon, totals, gauges);
+  const { registry, times } = createRegistry(daemon, totals, gauges);
   return {
     count: (name, by = 1) => {
       totals.set(name, (totals.get(name) ?? 0) + by);
@@ -47,15 +52,15 @@
       client?.timing(name, durationMs);
     },
     totals: () => Object.fromEntries([...totals, ...gauges]),
-    page: () => registry.metrics(),
+    renderMetrics: () => registry.metrics(),
     close: () => {
       client?.close(() => undefined);
     },
   };
 }
 
-/** Names come from the program alone, so the labels are bounded. */
-function createPage(
+/** Metric names become label values. All of them come from the code, so the number of label values is bounded. */
+function createRegistry(
   daemon: string,
   totals: ReadonlyMap<string, number>,
   gauges: ReadonlyMap<string, number>,
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,4 +1,4 @@
-/** Links between the system's processes, with counters and logs. */
+/** Links between the processes of the system, metrics and logging. */
 export * from './frame-codec.js';
 export * from './link-peer.js';
 export * from './link-server.js';
--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -1,8 +1,9 @@
-/** Opens links to other processes and keeps them open. */
+/** Opens links to other processes and reconnects when they close. */
 import { createConnection, type Socket } from 'node:net';
 import { splitAddress } from '@bramleykeel/core';
 import { type LinkHandlers, type LinkOptions, type LinkPeer, runLink } from './link-peer.js';
 
+/** Why a connection attempt failed; `silent` means that it timed out. */
 export type LinkConnectFailure = 'refused' | 'silent' | 'failed';
 
 export interface LinkClient {
@@ -28,12 +29,12 @@
 }
 
 /**
- * Connects to `address` and reconnects with exponential delay until stopped.
+ * Connects to `address` and reconnects with exponential backoff until stopped.
  *
  * @example
- * const client = keepLink('127.0.0.1:7001', options, handlers);
+ * const client = maintainLink('127.0.0.1:7001', options, handlers);
  */
-export function keepLink(
+export function maintainLink(
   address: string,
   options: LinkClientOptions,
   handlers: LinkClientHandlers,
@@ -41,25 +42,25 @@
   const { host, port } = splitAddress(address);
   let connecting: Socket | undefined;
   let peer: LinkPeer | undefined;
-  let open: LinkPeer | undefined;
+  let openPeer: LinkPeer | undefined;
   let isStopped = false;
   let delayMs = options.reconnectMinMs;
   let timer: NodeJS.Timeout | undefined;
   const linkHandlers: LinkHandlers = {
     ...handlers,
     onOpen: (opened) => {
-      open = opened;
+      openPeer = opened;
       delayMs = options.reconnectMinMs;
       handlers.onOpen?.(opened);
     },
     onClose: (closed, reason) => {
-      if (open === closed) open = undefined;
+      if (openPeer === closed) openPeer = undefined;
       handlers.onClose?.(closed, reason);
-      reconnectLater();
+      scheduleReconnect();
     },
   };
   connect();
-  return { current: () => open, stop };
+  return { current: () => openPeer, stop };
 
   function connect(): void {
     const socket = createConnection({ host, port });
@@ -69,13 +70,13 @@
       socket.destroy();
       if (isStopped) return;
       handlers.onConnectFailed?.('silent');
-      reconnectLater();
+      scheduleReconnect();
     }, options.connectTimeoutMs);
     socket.once('error', (error: NodeJS.ErrnoException) => {
       if (isConnected) return;
       clearTimeout(connectTimer);
       handlers.onConnectFailed?.(error.code === 'ECONNREFUSED' ? 'refused' : 'failed');
-      reconnectLater();
+      scheduleReconnect();
     });
     socket.once('connect', () => {
       isConnected = true;
@@ -85,7 +86,7 @@
     });
   }
 
-  function reconnectLater(): void {
+  function scheduleReconnect(): void {
     if (isStopped) return;
     clearTimeout(timer);
     timer = setTimeout(connect, delayMs);
--- a/packages/link/src/link-peer.ts
+++ b/packages/link/src/link-peer.ts
@@ -1,13 +1,13 @@
-/** One authenticated link between two of the system's processes: requests, replies and events. */
+/** One authenticated link between two processes of the system: requests, replies and events. */
 import type { Socket } from 'node:net';
 import { type Either, Left, Right } from 'purify-ts';
 import { createFrameDecoder, decodeFrames, encodeFrame } from './frame-codec.js';
-import { everyShared } from './shared-interval.js';
+import { setSharedInterval } from './shared-interval.js';
 import { writeBatched } from './write-batch.js';
 import { createNonce, createProof, isProofValid, type LinkSide } from './link-auth.js';
 import { startInputDeadline } from './input-deadline.js';
 
-/** Why a request over a link has no answer. Only `not-sent` says that it was not received. */
+/** Why a request over a link has no reply. Only `not-sent` guarantees that the other side did not receive it. */
 export type LinkError =
   | { readonly kind: 'not-sent' }
   | { readonly kind: 'closed' }
@@ -16,7 +16,7 @@
 
 export interface LinkPeer {
   readonly remoteAddress: string;
-  /** Sends a request and waits for its answer, `timeoutMs` at most. */
+  /** Sends a request and waits for its reply, at most `timeoutMs`. */
   readonly request: (
     method: string,
     params: unknown,
@@ -26,9 +26,9 @@
   readonly notify: (method: string, params: unknown) => boolean;
   readonly close: (reason: string) => void;
   readonly isOpen: () => boolean;
-  /** Bytes accepted for sending that the kernel has not taken yet. */
+  /** Bytes buffered in this process that the kernel has not accepted yet. */
   readonly pendingBytes: () => number;
-  /** Bytes since the link was opened. */
+  /** Bytes exchanged since the connection was opened. */
   readonly traffic: () => { readonly receivedBytes: number; readonly sentBytes: number };
 }
 
@@ -41,9 +41,9 @@
 
 export interface LinkOptions {
   readonly secret: string;
-  /** A ping is sent when nothing else was sent for this time. */
+  /** A ping is sent when nothing was sent for this long. */
   readonly pingEveryMs: number;
-  /** A link on which nothing arrives for this time is closed as silent. */
+  /** The link is closed when nothing was received for this long. */
   readonly silentAfterMs: number;
 }
 
@@ -72,7 +72,7 @@
   const decoder = createFrameDecoder();
   const pending = new Map<number, PendingRequest>();
   const ownNonce = createNonce();
-  let otherNonce: Uint8Array | undefined;
+  let remoteNonce: Uint8Array | undefined;
   let nextRequestId = 1;
   let phase: 'hello' | 'proof' | 'open' | 'closed' = 'hello';
   let lastReceivedMs = performance.now();
@@ -88,7 +88,7 @@
     traffic: () => ({ receivedBytes: socket.bytesRead, sentBytes: socket.bytesWritten }),
   };
 
-  const stopChecks = everyShared(Math.min(options.pingEveryMs, 200), checkLiveness);
+  const stopChecks = setSharedInterval(Math.min(options.pingEveryMs, 200), checkLiveness);
   socket.setNoDelay(true);
   socket.on('data', receive);
   socket.on('error', () => undefined);
@@ -121,11 +121,11 @@
   }
 
   function settle(id: number, outcome: Either<LinkError, unknown>): void {
-    const waiting = pending.get(id);
-    if (!waiting) return;
+    const request = pending.get(id);
+    if (!request) return;
     pending.delete(id);
-    waiting.endDeadline();
-    waiting.resolve(outcome);
+    request.endDeadline();
+    request.resolve(outcome);
   }
 
   function notify(method: string, params: unknown): boolean {
@@ -149,8 +149,8 @@
   }
 
   /**
-   * Silence is judged only when this process itself ran on time: after a freeze, bytes that already
-   * wait in the socket are read first.
+   * Closes a silent link and sends pings. The time since the last input is checked again after pending input was
+   * read: if this process was suspended, bytes may already be waiting in the socket.
    */
   function checkLiveness(): void {
     const nowMs = performance.now();
@@ -183,7 +183,7 @@
   function receiveFrame(frame: unknown[]): void {
     if (phase === 'hello') receiveHello(frame);
     else if (phase === 'proof') receiveProof(frame);
-    else receiveOpen(frame);
+    else receiveMessage(frame);
   }
 
   function receiveHello(frame: unknown[]): void {
@@ -192,14 +192,14 @@
       close('peer did not start with a hello');
       return;
     }
-    otherNonce = nonce;
+    remoteNonce = nonce;
     phase = 'proof';
-    write([FRAME.proof, proofOf(side)]);
+    write([FRAME.proof, createProofOf(side)]);
   }
 
   function receiveProof(frame: unknown[]): void {
-    const otherSide: LinkSide = side === 'client' ? 'server' : 'client';
-    if (frame[0] !== FRAME.proof || !isProofValid(frame[1], proofOf(otherSide))) {
+    const remoteSide: LinkSide = side === 'client' ? 'server' : 'client';
+    if (frame[0] !== FRAME.proof || !isProofValid(frame[1], createProofOf(remoteSide))) {
       close('peer does not know the link secret');
       return;
     }
@@ -207,13 +207,13 @@
     handlers.onOpen?.(peer);
   }
 
-  function proofOf(prover: LinkSide): Buffer {
-    const other = otherNonce ?? new Uint8Array();
+  function createProofOf(prover: LinkSide): Buffer {
+    const other = remoteNonce ?? new Uint8Array();
     const [clientNonce, serverNonce] = side === 'client' ? [ownNonce, other] : [other, ownNonce];
     return createProof(options.secret, prover, clientNonce, serverNonce);
   }
 
-  function receiveOpen(frame: unknown[]): void {
+  function receiveMessage(frame: unknown[]): void {
     switch (frame[0]) {
       case FRAME.ping:
         return;
@@ -221,7 +221,7 @@
         handlers.onNotify(peer, String(frame[1]), frame[2]);
         return;
       case FRAME.request:
-        void answer(Number(frame[1]), String(frame[2]), frame[3]);
+        void answerRequest(Number(frame[1]), String(frame[2]), frame[3]);
         return;
       case FRAME.reply:
         settle(Number(frame[1]), Right(frame[2]));
@@ -234,7 +234,7 @@
     }
   }
 
-  async function answer(id: number, method: string, params: unknown): Promise<void> {
+  async function answerRequest(id: number, method: string, params: unknown): Promise<void> {
     try {
       const result = await handlers.onRequest(peer, method, params);
       if (phase === 'open') write([FRAME.reply, id, result]);
--- a/packages/link/src/metrics-server.ts
+++ b/packages/link/src/metrics-server.ts
@@ -1,26 +1,28 @@
-/** Shows a daemon's counters and histograms as text, for whoever collects them. */
+/** HTTP endpoint that serves a daemon's metrics in the Prometheus text format. */
 import { createServer, type Server } from 'node:http';
 import { splitAddress } from '@bramleykeel/core';
-import type { PagedCounters } from './counters.js';
+import type { PrometheusCounters } from './counters.js';
 
-/** Where the page is. */
 export const METRICS_PATH = '/metrics';
 
 /**
- * Listens on the metrics address.
+ * Serves `GET /metrics` on `address`.
  *
- * @throws when the address is taken
+ * @throws if the address cannot be listened on
  * @example
  * const server = await listenForMetrics('127.0.0.1:9102', counters);
  */
-export async function listenForMetrics(address: string, counters: PagedCounters): Promise<Server> {
+export async function listenForMetrics(
+  address: string,
+  counters: PrometheusCounters,
+): Promise<Server> {
   const server = createServer((request, response) => {
     request.resume();
     if (request.method !== 'GET' || request.url !== METRICS_PATH) {
       response.writeHead(404).end();
       return;
     }
-    void counters.page().then((page) => {
+    void counters.renderMetrics().then((page) => {
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page);
     });
   });
--- a/packages/link/src/shared-interval.test.ts
+++ b/packages/link/src/shared-interval.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { everyShared } from './shared-interval.js';
+import { setSharedInterval } from './shared-interval.js';
 
 describe('shared intervals', () => {
   beforeEach(() => {
@@ -10,14 +10,14 @@
     vi.useRealTimers();
   });
 
-  it('take one timer for all that share a period, and none once all have ended', () => {
+  it('use one timer per period and none once all callbacks are stopped', () => {
     const counts = [0, 0, 0];
     const stops = counts.map((_count, index) =>
-      everyShared(200, () => {
+      setSharedInterval(200, () => {
         counts[index] = (counts[index] ?? 0) + 1;
       }),
     );
-    const other = everyShared(50, () => undefined);
+    const other = setSharedInterval(50, () => undefined);
     expect(vi.getTimerCount()).toBe(2);
     vi.advanceTimersByTime(400);
     expect(counts).toEqual([2, 2, 2]);
@@ -29,15 +29,15 @@
     expect(vi.getTimerCount()).toBe(0);
   });
 
-  it('go on when a check ends itself or another one', () => {
+  it('continue when a callback stops itself or another one', () => {
     const calls: string[] = [];
     const stopLast: { stop: () => void } = { stop: () => undefined };
-    const stopFirst = everyShared(100, () => {
+    const stopFirst = setSharedInterval(100, () => {
       calls.push('first');
       stopFirst();
       stopLast.stop();
     });
-    const stop = everyShared(100, () => calls.push('last'));
+    const stop = setSharedInterval(100, () => calls.push('last'));
     stopLast.stop = stop;
     vi.advanceTimersByTime(300);
     expect(calls.filter((call) => call === 'first')).toHaveLength(1);
--- a/packages/link/src/shared-interval.ts
+++ b/packages/link/src/shared-interval.ts
@@ -1,38 +1,38 @@
 /**
- * Intervals that many parts of a process share. An entry keeps dozens of links, each with something to check a
- * few times a second: one timer for all of them wakes the process as often as one.
+ * A timer shared by all callbacks with the same period. An entry has dozens of links, each with a check that runs
+ * several times a second; a shared timer wakes the process once per period for all of them.
  */
 interface SharedInterval {
-  readonly checks: Set<() => void>;
+  readonly callbacks: Set<() => void>;
   readonly timer: NodeJS.Timeout;
 }
 
 const intervals = new Map<number, SharedInterval>();
 
 /**
- * Calls `check` every `periodMs`, together with all others of that period.
+ * Calls `callback` every `periodMs`, on one timer with all other callbacks of that period.
  *
- * @returns ends it
+ * @returns a function that stops the calls
  * @example
- * const stop = everyShared(200, checkLiveness);
+ * const stop = setSharedInterval(200, checkLiveness);
  */
-export function everyShared(periodMs: number, check: () => void): () => void {
+export function setSharedInterval(periodMs: number, callback: () => void): () => void {
   const shared = intervals.get(periodMs) ?? startInterval(periodMs);
-  shared.checks.add(check);
+  shared.callbacks.add(callback);
   return () => {
-    shared.checks.delete(check);
-    if (shared.checks.size > 0 || intervals.get(periodMs) !== shared) return;
+    shared.callbacks.delete(callback);
+    if (shared.callbacks.size > 0 || intervals.get(periodMs) !== shared) return;
     clearInterval(shared.timer);
     intervals.delete(periodMs);
   };
 }
 
 function startInterval(periodMs: number): SharedInterval {
-  const checks = new Set<() => void>();
+  const callbacks = new Set<() => void>();
   const timer = setInterval(() => {
-    for (const check of [...checks]) check();
+    for (const callback of [...callbacks]) callback();
   }, periodMs);
-  const created = { checks, timer };
+  const created = { callbacks, timer };
   intervals.set(periodMs, created);
   return created;
 }
