--- a/packages/statement-entry/src/accept/access.ts
+++ b/packages/statement-entry/src/accept/access.ts
@@ -1,4 +1,4 @@
-/** Whether a caller may work: its route, its key, and how fresh the settings are that say so. */
+/** Decides whether a caller is admitted, by its route, its key and the freshness of the settings. */
 import {
   type CustomerName,
   type StatementCustomer,
@@ -8,21 +8,21 @@
 } from '@bramleykeel/core';
 import type { CallerSession, SessionEnvironment } from './session-state.js';
 
-/** What a caller is admitted with. */
+/** The route and customer that a caller is admitted under. */
 export interface Access {
   readonly route: StatementRoute;
   readonly customer: CustomerName;
 }
 
-/** The customer's name at servers for callers of routes that are open to all. */
-export const OPEN_CUSTOMER = toCustomerName('-');
+/** Customer name that servers see for callers without a valid key on routes that are open to all. */
+export const ANONYMOUS_CUSTOMER = toCustomerName('-');
 
 /**
- * Checks what a caller connects with.
+ * Checks the database and key that a caller connects with.
  *
- * @returns the reason of the refusal, or `undefined` when the session may start
+ * @returns the reason for refusal, or `undefined` if the session may start
  */
-export function checkStart(
+export function checkSessionStart(
   environment: SessionEnvironment,
   database: string,
   key: string | undefined,
@@ -31,29 +31,29 @@
   return typeof access === 'string' ? access : undefined;
 }
 
-/** Whether the session's key has been withdrawn, by the settings in force here. */
-export function isWithdrawn({ environment, database, key }: CallerSession): boolean {
+/** Whether the session's key has been withdrawn, according to the settings in force on this entry. */
+export function isKeyWithdrawn({ environment, database, key }: CallerSession): boolean {
   const settings = environment.settings();
   if (!settings || settings.routes.get(database)?.isOpenToAll === true) return false;
   return key === undefined || !settings.customerByKey.has(key);
 }
 
-/** Finds the route and the customer of a caller, or why it may not work now. */
+/** Finds the route and customer of a caller; returns the reason for refusal if it is not admitted. */
 export function findAccess(
   environment: SessionEnvironment,
   database: string,
   key: string | undefined,
 ): Access | StatementRefusalReason {
   const settings = environment.settings();
-  // Looked at for open routes too: it notices a suspension, after which old offers mean nothing.
-  const isFresh = environment.hasFreshSettings();
+  // Called for open routes too: it detects a suspension, after which offers of near reads are invalid.
+  const areSettingsFresh = environment.hasFreshSettings();
   if (!settings) return 'settings-lease-expired';
   const route = settings.routes.get(database);
   if (!route) return 'unknown-database';
-  const known: StatementCustomer | undefined =
+  const customer: StatementCustomer | undefined =
     key === undefined ? undefined : settings.customerByKey.get(key);
-  if (route.isOpenToAll) return { route, customer: known?.name ?? OPEN_CUSTOMER };
-  if (!isFresh) return 'settings-lease-expired';
-  if (!known) return 'key-rejected';
-  return { route, customer: known.name };
+  if (route.isOpenToAll) return { route, customer: customer?.name ?? ANONYMOUS_CUSTOMER };
+  if (!areSettingsFresh) return 'settings-lease-expired';
+  if (!customer) return 'key-rejected';
+  return { route, customer: customer.name };
 }
--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -1,4 +1,4 @@
-/** State of one caller's session, and what it needs from its entry. */
+/** State of a caller's session, and the environment that its entry provides. */
 import type {
   CustomerName,
   LogPosition,
@@ -12,19 +12,19 @@
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 import type { ConnectionState } from '../types/target-port.js';
 
-/** What sessions need from the rest of their entry. */
+/** What sessions use from the rest of their entry. */
 export interface SessionEnvironment {
   readonly settings: () => StatementSettings | undefined;
-  /** Whether the settings are recent enough to judge keys by. */
+  /** Whether the settings are recent enough to check keys against. */
   readonly hasFreshSettings: () => boolean;
   readonly isStopping: () => boolean;
   readonly rates: RateClient;
   readonly owners: OwnerClient;
-  readonly near: NearReads;
+  readonly nearReads: NearReads;
   readonly counters: Counters;
   readonly log: Log;
-  readonly nextTransaction: () => number;
-  /** Successes so far, of which few are written to the log. */
+  readonly nextTransactionNumber: () => number;
+  /** Successful requests so far; used to log only a sample of them. */
   successCount: number;
 }
 
@@ -33,8 +33,8 @@
   readonly isReadOnly: boolean;
   readonly route: StatementRoute;
   readonly customer: CustomerName;
-  /** The owner that has it; `undefined` until its first statement was sent. */
-  port: OwnerPort | undefined;
+  /** The owner that holds the transaction; `undefined` until its first statement was sent. */
+  ownerPort: OwnerPort | undefined;
 }
 
 export interface CallerSession {
@@ -47,10 +47,10 @@
   state: ConnectionState;
   transaction: SessionTransaction | undefined;
   mark: LogPosition | null;
-  readonly waiting: CallerRequest[];
+  readonly queuedRequests: CallerRequest[];
   isRunning: boolean;
   isClosed: boolean;
-  /** When the request in hand was taken up, by the steady clock. */
+  /** When the current request was started, by the monotonic clock. */
   requestSinceMs: number;
 }
 
@@ -70,7 +70,7 @@
     state: 'idle',
     transaction: undefined,
     mark: null,
-    waiting: [],
+    queuedRequests: [],
     isRunning: false,
     isClosed: false,
     requestSinceMs: performance.now(),
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -1,4 +1,4 @@
-/** One caller's session: its values, prepared names, transaction, and one request at a time. */
+/** Runs a caller's session: its requests one at a time, its values, prepared names and transaction. */
 import {
   type CustomerName,
   latestPosition,
@@ -10,119 +10,123 @@
 } from '@bramleykeel/core';
 import { admit } from '@bramleykeel/entry-shared';
 import { match } from 'ts-pattern';
-import { runStatement, statementTime } from '../locate/owner-client.js';
-import { readNear } from '../near/near-reads.js';
-import { type Access, findAccess, OPEN_CUSTOMER } from './access.js';
-import { noteSuccess, refuse } from './report.js';
+import { runStatement, createStatementDeadlines } from '../locate/owner-client.js';
+import { tryNearRead } from '../near/near-reads.js';
+import { type Access, findAccess, ANONYMOUS_CUSTOMER } from './access.js';
+import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 
-/** What a caller that was refused by rate is told to wait, in milliseconds. */
-const RATE_RETRY_MS = 500;
+/** Retry delay sent to callers that are refused because of their rate, in milliseconds. */
+const RATE_RETRY_AFTER_MS = 500;
 const RETRY_AFTER_MS = 300;
 
-/** Takes in a request; requests of one session are answered in their order. */
-export function takeRequest(session: CallerSession, request: CallerRequest): void {
+/** Queues a request; requests of a session are answered in order. */
+export function submitRequest(session: CallerSession, request: CallerRequest): void {
   if (session.isClosed) return;
-  session.waiting.push(request);
-  if (!session.isRunning) void runWaiting(session);
+  session.queuedRequests.push(request);
+  if (!session.isRunning) void runQueuedRequests(session);
 }
 
-async function runWaiting(session: CallerSession): Promise<void> {
+async function runQueuedRequests(session: CallerSession): Promise<void> {
   session.isRunning = true;
-  for (let next = session.waiting.shift(); next; next = session.waiting.shift()) {
+  for (let next = session.queuedRequests.shift(); next; next = session.queuedRequests.shift()) {
     session.requestSinceMs = performance.now();
     await runRequest(session, next);
   }
   session.isRunning = false;
-  if (session.isClosed) endSession(session);
+  if (session.isClosed) rollBackOpenTransaction(session);
 }
 
-/** Whether the session can be closed without anybody noticing but its caller's next request. */
+/** Whether the session can be closed without interrupting a transaction or a request. */
 export function isIdle(session: CallerSession): boolean {
-  return session.state === 'idle' && !session.isRunning && session.waiting.length === 0;
+  return session.state === 'idle' && !session.isRunning && session.queuedRequests.length === 0;
 }
 
-/** The caller is gone: an open transaction is rolled back. */
+/** Closes the session and rolls back an open transaction, after a running request has ended. */
 export function closeSession(session: CallerSession): void {
   session.isClosed = true;
-  session.waiting.length = 0;
-  if (!session.isRunning) endSession(session);
+  session.queuedRequests.length = 0;
+  if (!session.isRunning) rollBackOpenTransaction(session);
 }
 
-function endSession(session: CallerSession): void {
+function rollBackOpenTransaction(session: CallerSession): void {
   const { transaction } = session;
   session.transaction = undefined;
-  if (transaction) transaction.port?.sendRollback(transaction.number);
+  if (transaction) transaction.ownerPort?.sendRollback(transaction.number);
 }
 
 function runRequest(session: CallerSession, request: CallerRequest): Promise<void> | void {
-  const isEnding = request.kind === 'rollback' || request.kind === 'commit';
-  if (session.state === 'failed' && !isEnding) {
+  const isTransactionEnd = request.kind === 'rollback' || request.kind === 'commit';
+  if (session.state === 'failed' && !isTransactionEnd) {
     session.port.refuse({ kind: 'malformed', reason: 'the transaction has failed' }, 'failed');
     return;
   }
   return match(request)
     .returnType<Promise<void> | void>()
-    .with({ kind: 'begin' }, ({ isReadOnly }) => begin(session, isReadOnly))
-    .with({ kind: 'commit' }, ({ tag, text }) => commit(session, tag, text))
+    .with({ kind: 'begin' }, ({ isReadOnly }) => beginTransaction(session, isReadOnly))
+    .with({ kind: 'commit' }, ({ tag, text }) => commitTransaction(session, tag, text))
     .with({ kind: 'rollback' }, () => {
-      if (session.transaction) endSession(session);
+      if (session.transaction) rollBackOpenTransaction(session);
       session.state = 'idle';
-      confirm(session);
+      acknowledgeRequest(session);
     })
     .with({ kind: 'statement' }, ({ tag, access, text }) =>
-      runBody(session, tag, access, { kind: 'plain', text }),
+      runStatementRequest(session, tag, access, { kind: 'plain', text }),
     )
     .with({ kind: 'execute' }, ({ tag, name, argument }) => {
       const prepared = session.prepared.get(name);
       if (!prepared) {
-        failStatement(session, { kind: 'unknown-prepared-name', name });
+        refuseStatement(session, { kind: 'unknown-prepared-name', name });
         return;
       }
-      return runBody(session, tag, prepared.access, { kind: 'prepared', ...prepared, argument });
+      return runStatementRequest(session, tag, prepared.access, {
+        kind: 'prepared',
+        ...prepared,
+        argument,
+      });
     })
     .with({ kind: 'set' }, ({ name, value }) => {
       session.values = { ...session.values, [name]: value };
-      confirm(session);
+      acknowledgeRequest(session);
     })
     .with({ kind: 'prepare' }, ({ name, access, shape }) => {
       session.prepared.set(name, { access, shape });
-      confirm(session);
+      acknowledgeRequest(session);
     })
     .with({ kind: 'deallocate' }, ({ name }) => {
       session.prepared.delete(name);
-      confirm(session);
+      acknowledgeRequest(session);
     })
     .with({ kind: 'malformed' }, (malformed) => {
-      failStatement(session, malformed);
+      refuseStatement(session, malformed);
     })
     .exhaustive();
 }
 
-/** Answers what the system carries out itself. */
-function confirm(session: CallerSession): void {
+/** Answers a request that the session handles without a server. */
+function acknowledgeRequest(session: CallerSession): void {
   session.port.answer([], null, session.state, null);
 }
 
-async function begin(session: CallerSession, isReadOnly: boolean): Promise<void> {
+async function beginTransaction(session: CallerSession, isReadOnly: boolean): Promise<void> {
   if (session.transaction) {
-    failStatement(session, { kind: 'malformed', reason: 'a transaction is open already' });
+    refuseStatement(session, { kind: 'malformed', reason: 'a transaction is open already' });
     return;
   }
   const access = await admitOperation(session, 'BEGIN');
   if (!access) return;
   const { route, customer } = access;
-  const number = session.environment.nextTransaction();
-  session.transaction = { number, isReadOnly, route, customer, port: undefined };
+  const number = session.environment.nextTransactionNumber();
+  session.transaction = { number, isReadOnly, route, customer, ownerPort: undefined };
   session.state = 'open';
-  confirm(session);
+  acknowledgeRequest(session);
 }
 
-async function commit(session: CallerSession, tag: string, text: string): Promise<void> {
+async function commitTransaction(session: CallerSession, tag: string, text: string): Promise<void> {
   const { transaction, state } = session;
   if (!transaction || state === 'failed') {
-    endSession(session);
+    rollBackOpenTransaction(session);
     session.state = 'idle';
     const aborted = { kind: 'aborted', reason: 'the transaction had failed' } as const;
     const malformed = { kind: 'malformed', reason: 'no transaction is open' } as const;
@@ -133,14 +137,14 @@
     kind: 'plain',
     text,
   });
-  if (outcome.kind !== 'done') endSession(session);
+  if (outcome.kind !== 'done') rollBackOpenTransaction(session);
   session.transaction = undefined;
   session.state = 'idle';
-  if (outcome.kind === 'done' && !transaction.isReadOnly) noteMark(session, outcome.position);
-  deliver(session, outcome, tag);
+  if (outcome.kind === 'done' && !transaction.isReadOnly) advanceMark(session, outcome.position);
+  deliverOutcome(session, outcome, tag);
 }
 
-async function runBody(
+async function runStatementRequest(
   session: CallerSession,
   tag: string,
   access: 'read' | 'write',
@@ -150,26 +154,26 @@
   if (transaction) {
     const outcome = await runInTransaction(session, transaction, tag, access, body);
     if (outcome.kind !== 'done') session.state = 'failed';
-    deliver(session, outcome, tag);
+    deliverOutcome(session, outcome, tag);
     return;
   }
   const admitted = await admitOperation(session, tag);
   if (!admitted) return;
   const { route, customer } = admitted;
   const draft = {
-    ...describeRead(session, route, customer),
+    ...commonDraftFields(session, route, customer),
     tag,
     access,
     body,
     transaction: null,
   };
-  const time = statementTime(route.statementTimeoutMs);
-  const { owners, near } = session.environment;
-  const nearOutcome = await readNear(near, route.group, draft, time.deadlineMs);
+  const deadlines = createStatementDeadlines(route.statementTimeoutMs);
+  const { owners, nearReads } = session.environment;
+  const nearOutcome = await tryNearRead(nearReads, route.group, draft, deadlines.deadlineMs);
   const outcome =
-    nearOutcome ?? (await runStatement(owners, route.group, draft, undefined, time)).outcome;
-  if (outcome.kind === 'done' && access === 'write') noteMark(session, outcome.position);
-  deliver(session, outcome, tag);
+    nearOutcome ?? (await runStatement(owners, route.group, draft, undefined, deadlines)).outcome;
+  if (outcome.kind === 'done' && access === 'write') advanceMark(session, outcome.position);
+  deliverOutcome(session, outcome, tag);
 }
 
 async function runInTransaction(
@@ -179,32 +183,32 @@
   access: 'read' | 'write' | 'commit',
   body: StatementBody,
 ): Promise<StatementOutcome> {
-  const refusal = checkKey(session);
+  const refusal = recheckKey(session);
   if (refusal) return refusal;
   const { route, customer, number, isReadOnly } = transaction;
-  const isFirst = transaction.port === undefined;
+  const isFirst = transaction.ownerPort === undefined;
   const draft = {
-    ...describeRead(session, route, customer),
+    ...commonDraftFields(session, route, customer),
     tag,
     access,
     body,
     transaction: { number, isReadOnly, isFirst },
   };
-  const time = statementTime(route.statementTimeoutMs);
+  const deadlines = createStatementDeadlines(route.statementTimeoutMs);
   const { owners } = session.environment;
-  const result = await runStatement(owners, route.group, draft, transaction.port, time);
-  transaction.port = result.port;
+  const result = await runStatement(owners, route.group, draft, transaction.ownerPort, deadlines);
+  transaction.ownerPort = result.port;
   return result.outcome;
 }
 
-/** A key that was withdrawn meanwhile ends its transactions as well. */
-function checkKey(session: CallerSession): StatementOutcome | undefined {
+/** Refuses statements of a transaction whose key has been withdrawn or can no longer be checked. */
+function recheckKey(session: CallerSession): StatementOutcome | undefined {
   const access = findAccess(session.environment, session.database, session.key);
-  const isKeyMatter = access === 'key-rejected' || access === 'settings-lease-expired';
-  return isKeyMatter ? notRun(access, RETRY_AFTER_MS) : undefined;
+  const isRefused = access === 'key-rejected' || access === 'settings-lease-expired';
+  return isRefused ? notRun(access, RETRY_AFTER_MS) : undefined;
 }
 
-function describeRead(session: CallerSession, route: StatementRoute, customer: CustomerName) {
+function commonDraftFields(session: CallerSession, route: StatementRoute, customer: CustomerName) {
   return {
     customer,
     priority: route.priority,
@@ -215,19 +219,19 @@
   };
 }
 
-/** Checks the route, the key and the rate of an operation; answers the caller when it is refused. */
+/** Checks the route, the key and the rate of an operation; on refusal it answers the caller. */
 async function admitOperation(session: CallerSession, tag: string): Promise<Access | undefined> {
   const { environment } = session;
   const access = findAccess(environment, session.database, session.key);
   if (typeof access === 'string') {
-    refuse(session, notRun(access, RETRY_AFTER_MS), tag);
+    refuseRequest(session, notRun(access, RETRY_AFTER_MS), tag);
     return undefined;
   }
-  if (access.customer === OPEN_CUSTOMER) return access;
+  if (access.customer === ANONYMOUS_CUSTOMER) return access;
   const refusal = await admit(environment.rates, access.customer, 1, undefined);
   if (!refusal) return access;
   const reason = refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
-  refuse(session, notRun(reason, RATE_RETRY_MS), tag, access.customer);
+  refuseRequest(session, notRun(reason, RATE_RETRY_AFTER_MS), tag, access.customer);
   return undefined;
 }
 
@@ -235,22 +239,22 @@
   return { kind: 'not-run', reason, retryAfterMs } as const;
 }
 
-function noteMark(session: CallerSession, position: LogPosition | null): void {
+function advanceMark(session: CallerSession, position: LogPosition | null): void {
   if (position) session.mark = session.mark ? latestPosition(session.mark, position) : position;
 }
 
-function deliver(session: CallerSession, outcome: StatementOutcome, tag: string): void {
+function deliverOutcome(session: CallerSession, outcome: StatementOutcome, tag: string): void {
   if (session.isClosed) return;
   if (outcome.kind !== 'done') {
-    refuse(session, outcome, tag);
+    refuseRequest(session, outcome, tag);
     return;
   }
-  noteSuccess(session, outcome.isFromReplica, tag);
+  recordSuccess(session, outcome.isFromReplica, tag);
   session.port.answer(outcome.rows, outcome.signature, session.state, outcome.position);
 }
 
-/** A statement that cannot be run fails the transaction that it belongs to. */
-function failStatement(session: CallerSession, error: Parameters<CallerPort['refuse']>[0]): void {
+/** Refuses a statement that cannot be run; its transaction, if any, fails. */
+function refuseStatement(session: CallerSession, error: Parameters<CallerPort['refuse']>[0]): void {
   if (session.transaction) session.state = 'failed';
-  refuse(session, error);
+  refuseRequest(session, error);
 }
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -7,13 +7,13 @@
 } from '@bramleykeel/core';
 import { answerDrawCode, type DrawCode, type RateDraws } from '@bramleykeel/entry-shared';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
-import { endOwner, type OwnerClient, takeOutcome } from './locate/owner-client.js';
+import { handleOwnerEnded, type OwnerClient, handleOutcome } from './locate/owner-client.js';
 import {
   encodeOffer,
   type NearOfferCode,
-  type NearQuestion,
-  type NearQuestionCode,
-  offerNear,
+  type NearOfferRequest,
+  type NearOfferRequestCode,
+  createNearOffer,
 } from './near/near-offer.js';
 import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
 import type { StatementOwner } from './owner/owner-state.js';
@@ -52,7 +52,7 @@
 const REQUEST_HANDLERS: Readonly<Record<string, RequestHandler>> = {
   'rate/draw': (app, params) => answerDrawCode(app.draws, params as DrawCode),
   'near/ask': (app, params) => {
-    const [group, epoch, zone, entryId] = params as NearQuestionCode;
+    const [group, epoch, zone, entryId] = params as NearOfferRequestCode;
     return answerNear(app, toGroupName(group), epoch, { zone, entryId });
   },
   'server/announce': (app, params) =>
@@ -69,11 +69,11 @@
   },
   'statement/outcome': (app, _peer, params) => {
     const { number, outcome } = decodeOutcome(params as OutcomeCode);
-    takeOutcome(app.owners, number, outcome);
+    handleOutcome(app.owners, number, outcome);
   },
   'owner/ended': (app, _peer, params) => {
     const [group, epoch, running] = params as OwnerEndedCode;
-    endOwner(app.owners, group, epoch, running);
+    handleOwnerEnded(app.owners, group, epoch, running);
   },
   'statement/rollback': (app, peer, params) => {
     const [group, epoch, transaction] = params as [GroupName, number, number];
@@ -124,11 +124,11 @@
   { registry }: Pick<StatementApp, 'registry'>,
   group: GroupName,
   epoch: number,
-  question: NearQuestion,
+  question: NearOfferRequest,
 ): Promise<NearOfferCode | null> {
   await new Promise((resolve) => setImmediate(resolve));
   const owner = findStatementOwner(registry, group, epoch);
-  return encodeOffer(owner && offerNear(owner, question));
+  return encodeOffer(owner && createNearOffer(owner, question));
 }
 
 function takeRemoteStatement(app: StatementApp, peer: LinkPeer, code: StatementCode): void {
--- a/packages/statement-entry/src/index.ts
+++ b/packages/statement-entry/src/index.ts
@@ -2,5 +2,5 @@
 export * from './statement-entry.js';
 export * from './types/caller-port.js';
 export * from './types/target-port.js';
-export { takeRequest } from './accept/session.js';
+export { submitRequest } from './accept/session.js';
 export type { CallerSession } from './accept/session-state.js';
--- a/packages/statement-entry/src/locate/entry-links.ts
+++ b/packages/statement-entry/src/locate/entry-links.ts
@@ -1,4 +1,4 @@
-/** Links to other entries, opened when they are needed and kept. */
+/** Links to other entries: opened on first use, kept until no assignment names their address. */
 import { type Incarnation, listAssignments, type StoredRecord } from '@bramleykeel/core';
 import {
   DEFAULT_LINK_TIMING,
@@ -14,13 +14,14 @@
   readonly onNotify: (peer: LinkPeer, method: string, params: unknown) => void;
   readonly onLinkLost: (linkAddress: string) => void;
   readonly onLinkOpen: () => void;
+  /** Reports an entry that may have ended: its link was closed or its address refuses connections. */
   readonly reportSuspect: (incarnation: Incarnation, linkAddress: string) => void;
 }
 
 export interface EntryLinks {
-  /** The open link to another entry, or `undefined` while there is none. */
+  /** Returns the open link to another entry; if there is none, connects and returns `undefined`. */
   readonly linkTo: (linkAddress: string) => LinkPeer | undefined;
-  /** Closes links to addresses that no assignment names any more. */
+  /** Closes links to addresses that no assignment names. */
   readonly prune: () => void;
   readonly close: () => void;
 }
@@ -32,8 +33,8 @@
   return { linkTo, prune, close };
 
   function linkTo(linkAddress: string): LinkPeer | undefined {
-    const known = links.get(linkAddress);
-    if (known) return known.current();
+    const existing = links.get(linkAddress);
+    if (existing) return existing.current();
     const timing = { ...DEFAULT_LINK_TIMING, ...DEFAULT_RECONNECT };
     const client = keepLink(
       linkAddress,
@@ -44,10 +45,10 @@
         onOpen: options.onLinkOpen,
         onClose: () => {
           options.onLinkLost(linkAddress);
-          suspectHolders(linkAddress);
+          reportSuspectsAt(linkAddress);
         },
         onConnectFailed: (failure) => {
-          if (failure === 'refused') suspectHolders(linkAddress);
+          if (failure === 'refused') reportSuspectsAt(linkAddress);
         },
       },
     );
@@ -55,17 +56,20 @@
     return undefined;
   }
 
-  function suspectHolders(linkAddress: string): void {
-    const holders = listAssignments(options)
+  function reportSuspectsAt(linkAddress: string): void {
+    const incarnations = listAssignments(options)
       .filter((assignment) => assignment.linkAddress === linkAddress)
       .map(({ incarnation }) => incarnation);
-    for (const incarnation of new Set(holders)) options.reportSuspect(incarnation, linkAddress);
+    for (const incarnation of new Set(incarnations))
+      options.reportSuspect(incarnation, linkAddress);
   }
 
   function prune(): void {
-    const needed = new Set(listAssignments(options).map(({ linkAddress }) => linkAddress));
+    const assignedAddresses = new Set(
+      listAssignments(options).map(({ linkAddress }) => linkAddress),
+    );
     for (const [address, link] of links) {
-      if (needed.has(address)) continue;
+      if (assignedAddresses.has(address)) continue;
       link.stop();
       links.delete(address);
     }
--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -10,13 +10,13 @@
 import type { EntryLinks } from './entry-links.js';
 import {
   createOwnerClient,
-  endOwner,
-  loseLink,
+  handleOwnerEnded,
+  handleLinkLost,
   type OwnerClient,
   runStatement,
   type StatementDraft,
-  statementTime,
-  takeOutcome,
+  createStatementDeadlines,
+  handleOutcome,
 } from './owner-client.js';
 
 const group: GroupName = toGroupName('ledger');
@@ -40,7 +40,7 @@
   values: {},
 };
 
-describe('statements whose owner ends', () => {
+describe('statements that are pending when their owner ends', () => {
   let client: OwnerClient;
   let epoch: number;
   let sent: { readonly epoch: number; readonly request: StatementRequest }[];
@@ -65,56 +65,56 @@
       links: () => ({ linkTo: () => ({}) }) as unknown as EntryLinks,
       sendLocally: () => false,
       rollBackLocally: () => undefined,
-      sendOver: (port, request) => {
+      sendOverLink: (port, request) => {
         sent.push({ epoch: port.epoch, request });
         return true;
       },
-      rollBackOver: () => undefined,
+      rollBackOverLink: () => undefined,
       requestResource: () => undefined,
     });
   });
 
   function run(draft: StatementDraft = write) {
-    return runStatement(client, group, draft, undefined, statementTime(1_000));
+    return runStatement(client, group, draft, undefined, createStatementDeadlines(1_000));
   }
 
-  it('go to the next owner when the former one never ran them', async () => {
+  it('are sent to the next owner if the former owner has not run them', async () => {
     const running = run();
     await delay(5);
-    endOwner(client, group, 1, []);
+    handleOwnerEnded(client, group, 1, []);
     await delay(60);
     expect(sent).toHaveLength(1);
     epoch = 2;
     await delay(60);
     expect(sent.map((each) => each.epoch)).toEqual([1, 2]);
-    takeOutcome(client, sent[1]?.request.number ?? 0, done);
+    handleOutcome(client, sent[1]?.request.number ?? 0, done);
     expect((await running).outcome).toEqual(done);
   });
 
-  it('are waited for when they still run there', async () => {
+  it('are awaited if they still run on the former owner', async () => {
     const running = run();
     await delay(5);
     const number = sent[0]?.request.number ?? 0;
-    endOwner(client, group, 1, [number]);
+    handleOwnerEnded(client, group, 1, [number]);
     epoch = 2;
     await delay(40);
     expect(sent).toHaveLength(1);
-    takeOutcome(client, number, done);
+    handleOutcome(client, number, done);
     expect((await running).outcome).toEqual(done);
   });
 
-  it('are unknown when the link breaks without a word of the owner', async () => {
+  it('have an unknown outcome if the link breaks before the owner reports its end', async () => {
     const running = run();
     await delay(5);
-    loseLink(client, 'b:1');
+    handleLinkLost(client, 'b:1');
     expect((await running).outcome.kind).toBe('unknown');
     expect(sent).toHaveLength(1);
   });
 
-  it('are refused as not run when no next owner comes in time', async () => {
+  it('are refused as not run if there is no next owner in time', async () => {
     const running = run();
     await delay(5);
-    endOwner(client, group, 1, []);
+    handleOwnerEnded(client, group, 1, []);
     expect((await running).outcome).toMatchObject({ kind: 'not-run', reason: 'no-owner' });
     expect(sent).toHaveLength(1);
   });
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -1,4 +1,4 @@
-/** Sends statements to the owners of their groups and judges what a lost owner leaves behind. */
+/** Sends statements to the owners of their groups and settles the statements of lost owners. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type Assignment,
@@ -12,13 +12,13 @@
 import { startInputDeadline } from '@bramleykeel/link';
 import type { EntryLinks } from './entry-links.js';
 
-/** An owner under one epoch, in this process or behind a link. */
+/** An owner with a given epoch, in this process or reached over a link. */
 export interface OwnerPort {
   readonly group: GroupName;
   readonly epoch: number;
   readonly linkAddress: string;
   readonly isLocal: boolean;
-  /** Hands a statement on; `false` when it certainly was not. */
+  /** Sends a statement; returns `false` if it was certainly not sent. */
   readonly send: (request: StatementRequest) => boolean;
   readonly sendRollback: (transaction: number) => void;
 }
@@ -26,14 +26,14 @@
 export interface OwnerClientOptions {
   readonly control: ControlClient;
   readonly links: () => EntryLinks;
-  /** Hands a statement to an owner in this process; `false` when there is none under that epoch. */
+  /** Passes a statement to the owner in this process; returns `false` if there is none with this epoch. */
   readonly sendLocally: (group: GroupName, epoch: number, request: StatementRequest) => boolean;
   readonly rollBackLocally: (group: GroupName, epoch: number, transaction: number) => void;
-  readonly sendOver: (
+  readonly sendOverLink: (
     port: Omit<OwnerPort, 'send' | 'sendRollback'>,
     request: StatementRequest,
   ) => boolean;
-  readonly rollBackOver: (
+  readonly rollBackOverLink: (
     port: Omit<OwnerPort, 'send' | 'sendRollback'>,
     transaction: number,
   ) => void;
@@ -43,51 +43,52 @@
 interface PendingStatement {
   readonly port: OwnerPort;
   readonly resolve: (outcome: StatementOutcome | 'owner-lost') => void;
-  readonly endDeadline: () => void;
+  readonly cancelDeadline: () => void;
 }
 
 export interface OwnerClient {
   readonly options: OwnerClientOptions;
   readonly pending: Map<number, PendingStatement>;
-  /** The newest epoch of each group whose owner has said that it is over. */
+  /** The newest epoch of each group whose end the owner has reported. */
   readonly endedEpochs: Map<GroupName, number>;
   nextNumber: number;
 }
 
 export interface RunResult {
   readonly outcome: StatementOutcome;
-  /** The owner that has the statement's transaction, when it has one. */
+  /** The owner that was tried last; it holds the statement's transaction, if there is one. */
   readonly port: OwnerPort | undefined;
 }
 
 export type StatementDraft = Omit<StatementRequest, 'number' | 'budgetMs' | 'startWithinMs'>;
 
-export interface StatementTime {
-  /** When the statement's answer is due. */
+/** Deadlines of a statement, by the monotonic clock. */
+export interface StatementDeadlines {
+  /** When the answer is due. */
   readonly deadlineMs: number;
-  /** Until when it may wait to be sent to a server. */
+  /** Latest time at which the statement may start on a server. */
   readonly startByMs: number;
 }
 
 /**
- * Share of a statement's time that it may wait for a server. What waits longer is refused as not run,
- * so that its caller can come back in time.
+ * Fraction of its timeout that a statement may wait for a server. After that it is refused as not run,
+ * which leaves the caller time to retry.
  */
-const WAIT_SHARE = 0.45;
+const MAX_WAIT_FRACTION = 0.45;
 
-/** The times of a statement that arrives now. */
-export function statementTime(timeoutMs: number): StatementTime {
+/** Deadlines of a statement that arrives now. */
+export function createStatementDeadlines(timeoutMs: number): StatementDeadlines {
   const nowMs = performance.now();
-  return { deadlineMs: nowMs + timeoutMs, startByMs: nowMs + timeoutMs * WAIT_SHARE };
+  return { deadlineMs: nowMs + timeoutMs, startByMs: nowMs + timeoutMs * MAX_WAIT_FRACTION };
 }
 
-const PORT_POLL_MS = 15;
-/** The owner answers within the statement's time; its answer may take this much longer, in milliseconds. */
-const ANSWER_SLACK_MS = 60;
-/** How long answers of a superseded owner are waited for, in milliseconds. */
+const OWNER_POLL_INTERVAL_MS = 15;
+/** Time allowed for the owner's answer to arrive after the statement's deadline, in milliseconds. */
+const ANSWER_TRANSIT_MS = 60;
+/** Time for which answers of a superseded owner are still awaited, in milliseconds. */
 const SUPERSEDED_GRACE_MS = 150;
-/** Pause before an owner that is not ready yet is asked again, in milliseconds. */
-const NOT_READY_PAUSE_MS = 25;
+/** Delay before a statement is resent after its owner was not ready, in milliseconds. */
+const NOT_READY_RETRY_MS = 25;
 const RETRY_AFTER_MS = 200;
 
 export function createOwnerClient(options: OwnerClientOptions): OwnerClient {
@@ -95,41 +96,45 @@
 }
 
 /**
- * Runs a statement at its group's owner. What has not run, and reads outside of transactions, are
- * sent again while there is time; anything else is sent once.
+ * Runs a statement through its group's owner. Statements that have not run, and reads outside
+ * transactions, are resent until `startByMs`; all others are sent once.
+ *
+ * @param transactionOwner the owner that holds the transaction, for statements after its first
  */
 export async function runStatement(
   client: OwnerClient,
   group: GroupName,
   draft: StatementDraft,
-  bound: OwnerPort | undefined,
-  time: StatementTime,
+  transactionOwner: OwnerPort | undefined,
+  deadlines: StatementDeadlines,
 ): Promise<RunResult> {
-  const isBound = draft.transaction !== null && !draft.transaction.isFirst;
+  const hasTransactionOwner = draft.transaction !== null && !draft.transaction.isFirst;
   for (;;) {
-    const port = isBound ? bound : await awaitPort(client, group, time.startByMs);
+    const port = hasTransactionOwner
+      ? transactionOwner
+      : await awaitPort(client, group, deadlines.startByMs);
     if (!port) return { outcome: notRun('no-owner'), port: undefined };
-    const outcome = await sendOnce(client, port, draft, time);
-    const isOver = performance.now() >= time.startByMs;
+    const outcome = await sendOnce(client, port, draft, deadlines);
+    const isTooLateToStart = performance.now() >= deadlines.startByMs;
     if (outcome === 'not-sent') {
-      if (isBound) return { outcome: aborted(), port };
-      if (isOver) return { outcome: notRun('no-owner'), port };
-      await delay(NOT_READY_PAUSE_MS);
+      if (hasTransactionOwner) return { outcome: aborted(), port };
+      if (isTooLateToStart) return { outcome: notRun('no-owner'), port };
+      await delay(NOT_READY_RETRY_MS);
       continue;
     }
     if (outcome === 'owner-lost') {
       const isRepeatable = draft.access === 'read' && draft.transaction === null;
-      if (!isRepeatable || isOver) return { outcome: lostOutcome(draft), port };
+      if (!isRepeatable || isTooLateToStart) return { outcome: outcomeOfOwnerLoss(draft), port };
       continue;
     }
-    const isMoved = outcome.kind === 'not-run' && outcome.reason === 'no-owner';
-    if (!isMoved || isBound || isOver) return { outcome, port };
-    await delay(NOT_READY_PAUSE_MS);
+    const hasOwnerEnded = outcome.kind === 'not-run' && outcome.reason === 'no-owner';
+    if (!hasOwnerEnded || hasTransactionOwner || isTooLateToStart) return { outcome, port };
+    await delay(NOT_READY_RETRY_MS);
   }
 }
 
-/** Before its COMMIT was sent nothing of a transaction can last. */
-function lostOutcome({ access, transaction }: StatementDraft): StatementOutcome {
+/** A transaction whose COMMIT was not sent cannot have been committed. */
+function outcomeOfOwnerLoss({ access, transaction }: StatementDraft): StatementOutcome {
   if (transaction && access !== 'commit') return aborted();
   if (!transaction && access === 'read') return { kind: 'timed-out' };
   return { kind: 'unknown', reason: 'the owner of the group was lost' };
@@ -147,52 +152,56 @@
   client: OwnerClient,
   port: OwnerPort,
   draft: StatementDraft,
-  time: StatementTime,
+  deadlines: StatementDeadlines,
 ): Promise<StatementOutcome | 'owner-lost' | 'not-sent'> {
   const nowMs = performance.now();
   const number = client.nextNumber;
   client.nextNumber += 1;
-  const budgetMs = Math.max(1, time.deadlineMs - nowMs);
+  const budgetMs = Math.max(1, deadlines.deadlineMs - nowMs);
   const request: StatementRequest = {
     ...draft,
     number,
     budgetMs,
-    startWithinMs: Math.max(0, time.startByMs - nowMs),
+    startWithinMs: Math.max(0, deadlines.startByMs - nowMs),
   };
   return new Promise((resolve) => {
-    const endDeadline = startInputDeadline(budgetMs + ANSWER_SLACK_MS, () => {
-      settle(client, number, 'owner-lost');
+    const cancelDeadline = startInputDeadline(budgetMs + ANSWER_TRANSIT_MS, () => {
+      settlePending(client, number, 'owner-lost');
     });
-    client.pending.set(number, { port, resolve, endDeadline });
+    client.pending.set(number, { port, resolve, cancelDeadline });
     if (port.send(request)) return;
-    endDeadline();
+    cancelDeadline();
     client.pending.delete(number);
     resolve('not-sent');
   });
 }
 
-function settle(
+function settlePending(
   client: OwnerClient,
   number: number,
   outcome: StatementOutcome | 'owner-lost',
 ): void {
-  const waiting = client.pending.get(number);
-  if (!waiting) return;
+  const pending = client.pending.get(number);
+  if (!pending) return;
   client.pending.delete(number);
-  waiting.endDeadline();
-  waiting.resolve(outcome);
+  pending.cancelDeadline();
+  pending.resolve(outcome);
 }
 
-/** Takes an owner's answer; one that nobody waits for any more is dropped. */
-export function takeOutcome(client: OwnerClient, number: number, outcome: StatementOutcome): void {
-  settle(client, number, outcome);
+/** Handles an owner's answer; ignored if the statement is no longer pending. */
+export function handleOutcome(
+  client: OwnerClient,
+  number: number,
+  outcome: StatementOutcome,
+): void {
+  settlePending(client, number, outcome);
 }
 
 /**
- * An owner's epoch is over. What it has not answered, and does not name as still running, did not run and
- * never will: it goes to the next owner.
+ * Handles the end of an owner's epoch. Pending statements that are not in `running` have not run and
+ * never will, so they are settled as not run and go to the next owner.
  */
-export function endOwner(
+export function handleOwnerEnded(
   client: OwnerClient,
   group: GroupName,
   epoch: number,
@@ -200,32 +209,38 @@
 ): void {
   client.endedEpochs.set(group, Math.max(epoch, client.endedEpochs.get(group) ?? 0));
   for (const [number, { port }] of [...client.pending]) {
-    const isIts = port.group === group && port.epoch === epoch;
-    if (isIts && !running.includes(number)) settle(client, number, notRun('no-owner'));
+    const wasSentToOwner = port.group === group && port.epoch === epoch;
+    if (wasSentToOwner && !running.includes(number))
+      settlePending(client, number, notRun('no-owner'));
   }
 }
 
-/** The link to an entry is gone: nothing that was sent over it will be answered. */
-export function loseLink(client: OwnerClient, linkAddress: string): void {
-  losePending(client, (port) => !port.isLocal && port.linkAddress === linkAddress);
+/** Handles a closed link; statements sent over it get no answer. */
+export function handleLinkLost(client: OwnerClient, linkAddress: string): void {
+  failPending(client, (port) => !port.isLocal && port.linkAddress === linkAddress);
 }
 
-/** Looks at outstanding statements again after assignments have changed. */
-export function loseSuperseded(client: OwnerClient): void {
-  const isOver = (port: OwnerPort) => {
+/**
+ * Checks pending statements against the current assignments. Those of superseded owners are settled as
+ * lost unless they are answered within the grace period.
+ */
+export function failSupersededStatements(client: OwnerClient): void {
+  const isSuperseded = (port: OwnerPort) => {
     const epoch = assignmentOf(client.options.control, `group/${port.group}`)?.epoch;
     return epoch !== undefined && epoch !== port.epoch;
   };
-  const numbers = [...client.pending].filter(([, { port }]) => isOver(port)).map(([key]) => key);
+  const numbers = [...client.pending]
+    .filter(([, { port }]) => isSuperseded(port))
+    .map(([key]) => key);
   if (numbers.length === 0) return;
   setTimeout(() => {
-    for (const number of numbers) settle(client, number, 'owner-lost');
+    for (const number of numbers) settlePending(client, number, 'owner-lost');
   }, SUPERSEDED_GRACE_MS);
 }
 
-function losePending(client: OwnerClient, isLost: (port: OwnerPort) => boolean): void {
+function failPending(client: OwnerClient, isAffected: (port: OwnerPort) => boolean): void {
   for (const [number, { port }] of [...client.pending]) {
-    if (isLost(port)) settle(client, number, 'owner-lost');
+    if (isAffected(port)) settlePending(client, number, 'owner-lost');
   }
 }
 
@@ -238,15 +253,15 @@
     const port = findPort(client, group);
     if (port) return port;
     if (performance.now() >= deadlineMs) return undefined;
-    await delay(PORT_POLL_MS);
+    await delay(OWNER_POLL_INTERVAL_MS);
   }
 }
 
-/** Asks the group's owner something that changes nothing; `undefined` without an answer. */
-export async function askOwner(
+/** Sends a query without side effects to the group's owner; returns `undefined` if there is no answer. */
+export async function queryOwner(
   client: OwnerClient,
   group: GroupName,
-  question: {
+  query: {
     readonly method: string;
     readonly params: (epoch: number) => unknown;
     readonly answerLocally: (epoch: number) => unknown;
@@ -255,13 +270,9 @@
 ): Promise<unknown> {
   const port = findPort(client, group);
   if (!port) return undefined;
-  if (port.isLocal) return question.answerLocally(port.epoch);
+  if (port.isLocal) return query.answerLocally(port.epoch);
   const peer = client.options.links().linkTo(port.linkAddress);
-  const answer = await peer?.request(
-    question.method,
-    question.params(port.epoch),
-    question.timeoutMs,
-  );
+  const answer = await peer?.request(query.method, query.params(port.epoch), query.timeoutMs);
   return answer?.orDefault(undefined);
 }
 
@@ -273,7 +284,7 @@
     requestResource(resource, undefined);
     return undefined;
   }
-  // Its successor is not known here yet.
+  // The owner has ended and control has not announced its successor here yet.
   if (assignment.epoch <= (client.endedEpochs.get(group) ?? 0)) return undefined;
   const isLocal = assignment.incarnation === control.incarnation();
   if (!isLocal && !links().linkTo(assignment.linkAddress)) {
@@ -288,18 +299,18 @@
   { epoch, linkAddress }: Assignment,
   isLocal: boolean,
 ): OwnerPort {
-  const place = { group, epoch, linkAddress, isLocal };
+  const location = { group, epoch, linkAddress, isLocal };
   if (!isLocal) {
     return {
-      ...place,
-      send: (request) => options.sendOver(place, request),
+      ...location,
+      send: (request) => options.sendOverLink(location, request),
       sendRollback: (transaction) => {
-        options.rollBackOver(place, transaction);
+        options.rollBackOverLink(location, transaction);
       },
     };
   }
   return {
-    ...place,
+    ...location,
     send: (request) => options.sendLocally(group, epoch, request),
     sendRollback: (transaction) => {
       options.rollBackLocally(group, epoch, transaction);
--- a/packages/statement-entry/src/near/near-offer.ts
+++ b/packages/statement-entry/src/near/near-offer.ts
@@ -1,4 +1,4 @@
-/** What an owner tells entries that read at replicas near them. */
+/** Offers of an owner to entries that read directly from replicas in their region. */
 import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
 import { primaryOf, type StatementOwner } from '../owner/owner-state.js';
 import { nearConnections } from '../target/connection-budget.js';
@@ -9,60 +9,66 @@
   readonly slots: number;
 }
 
-/** Replicas of one region, and a position that covers all that was acknowledged when it was asked for. */
+/** Replicas in one region, and a log position that includes all writes acknowledged before the request. */
 export interface NearOffer {
   readonly position: LogPosition;
   readonly servers: readonly NearServer[];
-  /** Connections that the asking entry may have open to each of the servers. */
+  /** Connections that the requesting entry may have open to each server. */
   readonly maxConnections: number;
 }
 
-export interface NearQuestion {
+export interface NearOfferRequest {
   readonly zone: string;
   readonly entryId: string;
 }
 
-/** An entry that has not asked for this long reads there no more, in milliseconds. */
-const READER_GONE_AFTER_MS = 5_000;
+/** Time without a request after which an entry no longer counts as a reader, in milliseconds. */
+const READER_EXPIRY_MS = 5_000;
 
 /**
- * Answers an entry. Only an owner that holds its lease knows what is acknowledged; nobody else can
- * acknowledge anything before that lease is over.
+ * Creates the offer for an entry; `undefined` if this owner cannot make one. The owner has to hold its
+ * lease: until the lease ends no other owner can acknowledge writes, so the position includes them all.
  */
-export function offerNear(
+export function createNearOffer(
   owner: StatementOwner,
-  { zone, entryId }: NearQuestion,
+  { zone, entryId }: NearOfferRequest,
 ): NearOffer | undefined {
   const primary = primaryOf(owner);
-  if (!owner.owed || !primary || owner.isStopping || !owner.environment.holdsLease()) {
+  if (
+    !owner.acknowledgedPositions ||
+    !primary ||
+    owner.isStopping ||
+    !owner.environment.holdsLease()
+  ) {
     return undefined;
   }
   const nowMs = performance.now();
   owner.nearReaders.set(entryId, { zone, atMs: nowMs });
   for (const [id, { atMs }] of owner.nearReaders) {
-    if (nowMs - atMs > READER_GONE_AFTER_MS) owner.nearReaders.delete(id);
+    if (nowMs - atMs > READER_EXPIRY_MS) owner.nearReaders.delete(id);
   }
   const { regionOf } = owner.environment;
-  const isNear = (place: { readonly zone: string }) => regionOf(place.zone) === regionOf(zone);
-  const readers = [...owner.nearReaders.values()].filter(isNear).length;
+  const isInSameRegion = (place: { readonly zone: string }) =>
+    regionOf(place.zone) === regionOf(zone);
+  const readerCount = [...owner.nearReaders.values()].filter(isInSameRegion).length;
   const servers = [...owner.servers.values()].filter(
     (server) =>
       server !== primary &&
-      isNear(server.announcement) &&
+      isInSameRegion(server.announcement) &&
       !server.announcement.isLeaving &&
       server.failingSinceMs === undefined,
   );
   return {
-    position: newestAcknowledged(owner.owed),
+    position: newestAcknowledged(owner.acknowledgedPositions),
     servers: servers.map(({ announcement: { server, address, slots } }) => {
       return { server, address, slots };
     }),
-    maxConnections: Math.max(1, Math.floor(nearConnections(owner.environment) / readers)),
+    maxConnections: Math.max(1, Math.floor(nearConnections(owner.environment) / readerCount)),
   };
 }
 
-/** Questions and offers go over links often, so they are sent as short lists. */
-export type NearQuestionCode = readonly [
+/** Requests and offers are sent over links frequently, so they are encoded as lists to keep messages small. */
+export type NearOfferRequestCode = readonly [
   group: string,
   epoch: number,
   zone: string,
@@ -79,14 +85,16 @@
 export function encodeOffer(offer: NearOffer | undefined): NearOfferCode | null {
   if (!offer) return null;
   const { position, maxConnections, servers } = offer;
-  const list = servers.map(({ server, address, slots }) => [server, address, slots] as const);
-  return [position.term, position.offset, maxConnections, ...list];
+  const serverCodes = servers.map(
+    ({ server, address, slots }) => [server, address, slots] as const,
+  );
+  return [position.term, position.offset, maxConnections, ...serverCodes];
 }
 
 export function decodeOffer(code: NearOfferCode | null | undefined): NearOffer | undefined {
   if (!code) return undefined;
-  const [term, offset, maxConnections, ...list] = code;
-  const servers = list.map(([server, address, slots]) => {
+  const [term, offset, maxConnections, ...serverCodes] = code;
+  const servers = serverCodes.map(([server, address, slots]) => {
     return { server: server as ServerName, address, slots };
   });
   return { position: { term, offset }, maxConnections, servers };
--- a/packages/statement-entry/src/near/near-reads.test.ts
+++ b/packages/statement-entry/src/near/near-reads.test.ts
@@ -3,7 +3,7 @@
 import type { StatementDraft } from '../locate/owner-client.js';
 import type { OpenTargetOutcome, TargetAnswer, TargetOrder } from '../types/target-port.js';
 import type { NearOffer } from './near-offer.js';
-import { createNearReads, forgetOffers, type NearReads, readNear } from './near-reads.js';
+import { createNearReads, discardOffers, type NearReads, tryNearRead } from './near-reads.js';
 
 const group = toGroupName('ledger');
 const offered: LogPosition = { term: 2, offset: 40 };
@@ -21,16 +21,16 @@
   values: {},
 };
 
-interface World {
+interface TestContext {
   readonly near: NearReads;
   readonly orders: TargetOrder[];
   readonly answers: TargetAnswer[];
   offer: NearOffer | undefined;
-  opens: OpenTargetOutcome['kind'];
-  asked: number;
+  openOutcome: OpenTargetOutcome['kind'];
+  offerRequestCount: number;
 }
 
-function createWorld(): World {
+function createContext(): TestContext {
   const done: TargetAnswer = {
     kind: 'done',
     rows: ['v'],
@@ -43,12 +43,12 @@
     address: '127.0.0.1:1',
     slots: 2,
   };
-  const world: World = {
+  const context: TestContext = {
     orders: [],
     answers: [],
     offer: { position: offered, servers: [server], maxConnections: 2 },
-    opens: 'open',
-    asked: 0,
+    openOutcome: 'open',
+    offerRequestCount: 0,
     near: createNearReads({
       zone: 'zone-a',
       counters: {
@@ -58,12 +58,12 @@
         totals: () => ({}),
         close: () => undefined,
       },
-      askOwner: () => {
-        world.asked += 1;
-        return Promise.resolve(world.offer);
+      requestOffer: () => {
+        context.offerRequestCount += 1;
+        return Promise.resolve(context.offer);
       },
       openTarget: ({ customer }) => {
-        if (world.opens === 'failed')
+        if (context.openOutcome === 'failed')
           return Promise.resolve({ kind: 'failed', why: 'unreachable' });
         let isOpen = true;
         const connection = {
@@ -73,24 +73,24 @@
             isOpen = false;
           },
           send: (order: TargetOrder) => {
-            world.orders.push(order);
-            return Promise.resolve(world.answers.shift() ?? done);
+            context.orders.push(order);
+            return Promise.resolve(context.answers.shift() ?? done);
           },
         };
         return Promise.resolve({ kind: 'open', connection, position: null });
       },
     }),
   };
-  return world;
+  return context;
 }
 
-describe('reads near the caller', () => {
-  let world: World;
+describe('near reads', () => {
+  let context: TestContext;
 
   beforeEach(async () => {
     vi.useFakeTimers({ toFake: ['performance', 'Date'] });
     vi.setSystemTime(1_000_000);
-    world = createWorld();
+    context = createContext();
     await read();
   });
 
@@ -98,47 +98,47 @@
     vi.useRealTimers();
   });
 
-  function read(change: Partial<StatementDraft> = {}, asked: GroupName = group) {
-    return readNear(world.near, asked, { ...draft, ...change }, performance.now() + 800);
+  function read(change: Partial<StatementDraft> = {}, groupToRead: GroupName = group) {
+    return tryNearRead(context.near, groupToRead, { ...draft, ...change }, performance.now() + 800);
   }
 
-  it('begin once the owner has offered a position, and ask for just that', async () => {
-    expect(world.orders).toEqual([]);
+  it('run once the owner has offered a position, and require exactly that position', async () => {
+    expect(context.orders).toEqual([]);
     expect(await read()).toMatchObject({ kind: 'done', rows: ['v'], isFromReplica: true });
-    expect(world.orders).toEqual([{ kind: 'run', tag: 't', after: offered, text: 'READ x' }]);
+    expect(context.orders).toEqual([{ kind: 'run', tag: 't', after: offered, text: 'READ x' }]);
   });
 
   it.each<{ name: string; change: Partial<StatementDraft> }>([
-    { name: 'routes whose reads may miss nothing', change: { consistency: 'newest' } },
+    { name: 'routes that require the newest data', change: { consistency: 'newest' } },
     { name: 'writes', change: { access: 'write' } },
     {
-      name: 'statements of transactions',
+      name: 'statements in transactions',
       change: { transaction: { number: 1, isReadOnly: true, isFirst: true } },
     },
-    { name: 'reads that may hardly be old', change: { maxReadAgeMs: 150 } },
-  ])('are not for $name', async ({ change }) => {
+    { name: 'reads whose allowed age is below the margin', change: { maxReadAgeMs: 150 } },
+  ])('do not apply to $name', async ({ change }) => {
     expect(await read(change)).toBeUndefined();
-    expect(world.orders).toEqual([]);
+    expect(context.orders).toEqual([]);
   });
 
-  it('see the session’s own newer commit', async () => {
+  it('require the session’s mark if it is newer than the offer', async () => {
     const mark = { term: 2, offset: 44 };
     await read({ consistency: 'own-writes', maxReadAgeMs: 2_500, mark });
-    expect(world.orders[0]).toMatchObject({ after: mark });
+    expect(context.orders[0]).toMatchObject({ after: mark });
   });
 
   it.each([
-    { maxReadAgeMs: 1_500, afterMs: 1_250, isNear: true },
-    { maxReadAgeMs: 1_500, afterMs: 1_350, isNear: false },
-    { maxReadAgeMs: 2_500, afterMs: 2_250, isNear: true },
-    { maxReadAgeMs: 2_500, afterMs: 2_350, isNear: false },
+    { maxReadAgeMs: 1_500, afterMs: 1_250, isServed: true },
+    { maxReadAgeMs: 1_500, afterMs: 1_350, isServed: false },
+    { maxReadAgeMs: 2_500, afterMs: 2_250, isServed: true },
+    { maxReadAgeMs: 2_500, afterMs: 2_350, isServed: false },
   ])(
-    'of $maxReadAgeMs ms, $afterMs ms after an offer: $isNear',
-    async ({ maxReadAgeMs, afterMs, isNear }) => {
-      world.offer = undefined;
+    'with an allowed age of $maxReadAgeMs ms, $afterMs ms after an offer, run on the replica: $isServed',
+    async ({ maxReadAgeMs, afterMs, isServed }) => {
+      context.offer = undefined;
       vi.advanceTimersByTime(afterMs);
       const outcome = await read({ maxReadAgeMs });
-      expect(outcome !== undefined).toBe(isNear);
+      expect(outcome !== undefined).toBe(isServed);
     },
   );
 
@@ -147,24 +147,24 @@
     { maxReadAgeMs: 2_500, expected: 40 },
     { maxReadAgeMs: 800, expected: 42 },
   ])(
-    'of at most $maxReadAgeMs ms ask for the oldest position that is new enough: $expected',
+    'with an allowed age of $maxReadAgeMs ms require the oldest position that is recent enough: $expected',
     async ({ maxReadAgeMs, expected }) => {
       for (const offset of [41, 42]) {
         vi.advanceTimersByTime(1_010);
-        world.offer = world.offer && { ...world.offer, position: { term: 2, offset } };
+        context.offer = context.offer && { ...context.offer, position: { term: 2, offset } };
         await read();
       }
       vi.advanceTimersByTime(20);
-      world.orders.length = 0;
+      context.orders.length = 0;
       await read({ maxReadAgeMs });
-      expect(world.orders[0]).toMatchObject({ after: { term: 2, offset: expected } });
+      expect(context.orders[0]).toMatchObject({ after: { term: 2, offset: expected } });
     },
   );
 
-  it('trust no offer from before a suspension, also one that was on its way', async () => {
-    forgetOffers(world.near);
+  it('use no offer that was requested before a suspension', async () => {
+    discardOffers(context.near);
     expect(await read()).toBeUndefined();
-    expect(world.orders).toEqual([]);
+    expect(context.orders).toEqual([]);
     expect(await read()).toBeDefined();
   });
 
@@ -175,15 +175,18 @@
     { answer: { kind: 'overdue' }, expected: undefined },
     { answer: { kind: 'timed-out', state: 'idle' }, expected: undefined },
     { answer: { kind: 'failed', text: 'no', state: 'idle' }, expected: 'failed' },
-  ])('leave it to the owner after $answer.kind: $expected', async ({ answer, expected }) => {
-    world.answers.push(answer);
-    expect((await read())?.kind).toBe(expected);
-  });
+  ])(
+    'that a replica answers with $answer.kind have the outcome $expected',
+    async ({ answer, expected }) => {
+      context.answers.push(answer);
+      expect((await read())?.kind).toBe(expected);
+    },
+  );
 
-  it('leave a replica alone for a while once its connections fail', async () => {
-    world.opens = 'failed';
+  it('avoid a replica for a while after a connection to it failed', async () => {
+    context.openOutcome = 'failed';
     expect(await read()).toBeUndefined();
-    world.opens = 'open';
+    context.openOutcome = 'open';
     expect(await read()).toBeUndefined();
     vi.advanceTimersByTime(1_600);
     await read();
--- a/packages/statement-entry/src/near/near-reads.ts
+++ b/packages/statement-entry/src/near/near-reads.ts
@@ -1,7 +1,7 @@
 /**
- * Reads that may miss what was acknowledged a moment ago go straight to a replica in the entry's own
- * zone. The owner says which position covers everything acknowledged when it was asked; that holds
- * for as long as the route's reads may be old.
+ * Runs reads of routes that allow stale data directly on a replica in the entry's region. The owner
+ * offers a log position that includes all writes acknowledged before the request; reads may use it
+ * until it is older than the route's allowed read age.
  */
 import {
   type GroupName,
@@ -33,20 +33,20 @@
   readonly zone: string;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
-  /** Asks the group's owner; `undefined` when it has nothing to offer. */
-  readonly askOwner: (group: GroupName) => Promise<NearOffer | undefined>;
+  /** Requests an offer from the group's owner; `undefined` if it makes none. */
+  readonly requestOffer: (group: GroupName) => Promise<NearOffer | undefined>;
 }
 
 interface NearGroup {
   readonly group: GroupName;
   readonly pools: PoolContext;
   readonly servers: Map<string, ServerState>;
-  /** The newest offer: which servers there are, and how many connections. */
+  /** The newest offer, for the servers and the connection limit. */
   offer: NearOffer | undefined;
-  /** Offered positions, oldest first: each covers what was acknowledged until it was asked for. */
-  readonly positions: { readonly askedAtMs: number; readonly position: LogPosition }[];
-  askedAtMs: number;
-  isAsking: boolean;
+  /** Offered positions, oldest first; each includes all writes acknowledged before its request. */
+  readonly positions: { readonly requestedAtMs: number; readonly position: LogPosition }[];
+  lastRequestMs: number;
+  isRequesting: boolean;
 }
 
 export interface NearReads {
@@ -55,41 +55,42 @@
 }
 
 /**
- * An offer is renewed this often while reads come, in milliseconds: before one is too old for reads of 1.5 s at
- * most, less the margin below and the way to the owner, which are the users' shortest.
+ * Interval at which an offer is renewed while reads arrive, in milliseconds. The users' shortest read
+ * age is 1.5 s; an offer has to be renewed before it reaches that age, less READ_AGE_MARGIN_MS and the
+ * round trip to the owner.
  */
-const ASK_EVERY_MS = 1_000;
-/** Offers cover some 3 s: the oldest reads that the users allow are 2.5 s old. */
-const KEPT_POSITIONS = 4;
-/** Part of a read's allowed age that is kept back for its own way to the replica, in milliseconds. */
-const AGE_MARGIN_MS = 200;
-/** A replica whose connections failed is left to the owner's judgement for this long. */
+const OFFER_RENEWAL_INTERVAL_MS = 1_000;
+/** Enough for about 3 s of offers; the users' longest read age is 2.5 s. */
+const MAX_KEPT_POSITIONS = 4;
+/** Part of a read's allowed age that is reserved for its transit to the replica, in milliseconds. */
+const READ_AGE_MARGIN_MS = 200;
+/** Time without direct reads after a replica's connection failed; the owner runs the reads meanwhile. */
 const FAILED_PAUSE_MS = 1_500;
 const BUSY_PAUSE_MS = 30;
 const LAGGING_PAUSE_MS = 60;
-/** Share of a statement's time that the replica gets before the owner is asked instead. */
-const TRY_SHARE = 0.5;
+/** Fraction of a statement's remaining time that the replica gets; after that the owner runs it. */
+const REPLICA_TIMEOUT_FRACTION = 0.5;
 const SETUP_TIMEOUT_MS = 300;
 
 export function createNearReads(options: NearReadsOptions): NearReads {
   return { options, groups: new Map() };
 }
 
-/** After a suspension no time that has passed can be trusted. */
-export function forgetOffers(near: NearReads): void {
+/** Discards all offers: after the process was suspended, their measured age cannot be trusted. */
+export function discardOffers(near: NearReads): void {
   for (const group of near.groups.values()) {
     group.offer = undefined;
     group.positions.length = 0;
-    group.askedAtMs = Number.NEGATIVE_INFINITY;
+    group.lastRequestMs = Number.NEGATIVE_INFINITY;
   }
 }
 
 /**
- * Runs a read at a replica nearby.
+ * Tries to run a read on a replica in the entry's region.
  *
- * @returns its outcome, or `undefined` when the owner has to run it: nothing of it is kept either way
+ * @returns the outcome, or `undefined` if the owner has to run it; the read leaves no state behind
  */
-export async function readNear(
+export async function tryNearRead(
   near: NearReads,
   group: GroupName,
   draft: StatementDraft,
@@ -98,22 +99,22 @@
   if (draft.access !== 'read' || draft.transaction || draft.consistency === 'newest') {
     return undefined;
   }
-  const known = groupOf(near, group);
-  refreshOffer(near, known);
-  const after = owedPosition(known, draft);
-  const server = after && freeServer(known);
+  const nearGroup = nearGroupOf(near, group);
+  refreshOffer(near, nearGroup);
+  const after = requiredPositionOf(nearGroup, draft);
+  const server = after && findAvailableServer(nearGroup);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
-    return await runAt(near, known, server, draft, after, deadlineMs);
+    return await runOnServer(near, nearGroup, server, draft, after, deadlineMs);
   } finally {
     server.runningCount -= 1;
   }
 }
 
-function groupOf(near: NearReads, group: GroupName): NearGroup {
-  const known = near.groups.get(group);
-  if (known) return known;
+function nearGroupOf(near: NearReads, group: GroupName): NearGroup {
+  const existing = near.groups.get(group);
+  if (existing) return existing;
   const { openTarget, counters } = near.options;
   const created: NearGroup = {
     group,
@@ -126,65 +127,70 @@
     servers: new Map(),
     offer: undefined,
     positions: [],
-    askedAtMs: Number.NEGATIVE_INFINITY,
-    isAsking: false,
+    lastRequestMs: Number.NEGATIVE_INFINITY,
+    isRequesting: false,
   };
   near.groups.set(group, created);
   return created;
 }
 
-function refreshOffer(near: NearReads, known: NearGroup): void {
-  const askedAtMs = performance.now();
-  if (known.isAsking || askedAtMs - known.askedAtMs < ASK_EVERY_MS) return;
-  known.isAsking = true;
-  known.askedAtMs = askedAtMs;
-  void near.options.askOwner(known.group).then((offer) => {
-    known.isAsking = false;
-    // A suspension while the question was on its way has reset the time of asking.
-    if (!offer || known.askedAtMs !== askedAtMs) return;
-    known.offer = offer;
-    known.positions.push({ askedAtMs, position: offer.position });
-    if (known.positions.length > KEPT_POSITIONS) known.positions.shift();
-    keepServers(near, known, offer.servers);
+function refreshOffer(near: NearReads, nearGroup: NearGroup): void {
+  const requestedAtMs = performance.now();
+  if (nearGroup.isRequesting || requestedAtMs - nearGroup.lastRequestMs < OFFER_RENEWAL_INTERVAL_MS)
+    return;
+  nearGroup.isRequesting = true;
+  nearGroup.lastRequestMs = requestedAtMs;
+  void near.options.requestOffer(nearGroup.group).then((offer) => {
+    nearGroup.isRequesting = false;
+    // Offers were discarded while this request was in progress, which reset lastRequestMs.
+    if (!offer || nearGroup.lastRequestMs !== requestedAtMs) return;
+    nearGroup.offer = offer;
+    nearGroup.positions.push({ requestedAtMs, position: offer.position });
+    if (nearGroup.positions.length > MAX_KEPT_POSITIONS) nearGroup.positions.shift();
+    updateServers(near, nearGroup, offer.servers);
   });
 }
 
-function keepServers(near: NearReads, known: NearGroup, servers: readonly NearServer[]): void {
+function updateServers(
+  near: NearReads,
+  nearGroup: NearGroup,
+  servers: readonly NearServer[],
+): void {
   const nowMs = performance.now();
   const offered = new Map(servers.map((server) => [`${server.server}@${server.address}`, server]));
-  for (const [key, state] of known.servers) {
+  for (const [key, state] of nearGroup.servers) {
     if (offered.has(key)) continue;
     retireServer(state);
-    known.servers.delete(key);
+    nearGroup.servers.delete(key);
   }
   for (const [key, server] of offered) {
-    if (known.servers.has(key)) continue;
+    if (nearGroup.servers.has(key)) continue;
     const announcement: ServerAnnouncement = {
       ...server,
-      group: known.group,
+      group: nearGroup.group,
       zone: near.options.zone,
       role: 'replica',
       isLeaving: false,
       bornMs: 0,
       sequence: 0,
     };
-    known.servers.set(key, createServerState(announcement, nowMs));
+    nearGroup.servers.set(key, createServerState(announcement, nowMs));
   }
 }
 
 /**
- * The position that the read is owed; `undefined` when the last offer is too old to tell. The oldest one
- * that is recent enough is asked for, because replicas lack the newest commits for a while.
+ * The log position that the read must see at least; `undefined` if all offers are too old. Uses the
+ * oldest position that is recent enough, because replicas receive the newest commits with a delay.
  */
-function owedPosition(known: NearGroup, draft: StatementDraft): LogPosition | undefined {
-  const sinceMs = performance.now() - (draft.maxReadAgeMs - AGE_MARGIN_MS);
-  const offered = known.positions.find(({ askedAtMs }) => askedAtMs >= sinceMs);
+function requiredPositionOf(nearGroup: NearGroup, draft: StatementDraft): LogPosition | undefined {
+  const oldestAllowedMs = performance.now() - (draft.maxReadAgeMs - READ_AGE_MARGIN_MS);
+  const offered = nearGroup.positions.find(({ requestedAtMs }) => requestedAtMs >= oldestAllowedMs);
   if (!offered) return undefined;
   if (draft.consistency !== 'own-writes' || !draft.mark) return offered.position;
   return latestPosition(offered.position, draft.mark);
 }
 
-function freeServer({ servers }: NearGroup): ServerState | undefined {
+function findAvailableServer({ servers }: NearGroup): ServerState | undefined {
   const nowMs = performance.now();
   return [...servers.values()].find(
     (server) =>
@@ -195,9 +201,9 @@
   );
 }
 
-async function runAt(
+async function runOnServer(
   near: NearReads,
-  known: NearGroup,
+  nearGroup: NearGroup,
   server: ServerState,
   draft: StatementDraft,
   after: LogPosition,
@@ -205,24 +211,27 @@
 ): Promise<StatementOutcome | undefined> {
   const valuesKey = valuesKeyOf(draft.values);
   if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
-  const acquired = await acquireConnection(known.pools, server, draft.customer, valuesKey);
+  const acquired = await acquireConnection(nearGroup.pools, server, draft.customer, valuesKey);
   if (acquired.kind === 'unavailable') return undefined;
   const { pooled } = acquired;
   for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
-    const setUp = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
-    if (setUp.kind !== 'done') {
-      fail(server, pooled);
+    const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
+    if (setupAnswer.kind !== 'done') {
+      handleBrokenConnection(server, pooled);
       return undefined;
     }
     noteSetup(pooled, order);
   }
-  const leftMs = deadlineMs - performance.now();
-  const answer = await pooled.connection.send(statementOrder(draft, after), leftMs * TRY_SHARE);
+  const remainingMs = deadlineMs - performance.now();
+  const answer = await pooled.connection.send(
+    statementOrder(draft, after),
+    remainingMs * REPLICA_TIMEOUT_FRACTION,
+  );
   near.options.counters.count(`near.${answer.kind}`);
-  return settle(server, pooled, answer);
+  return settleRead(server, pooled, answer);
 }
 
-function settle(
+function settleRead(
   server: ServerState,
   pooled: PooledConnection,
   answer: TargetAnswer,
@@ -234,7 +243,7 @@
     return { kind: 'done', rows, signature, position, isFromReplica: true };
   }
   if (answer.kind === 'lost' || answer.kind === 'overdue') {
-    fail(server, pooled);
+    handleBrokenConnection(server, pooled);
     return undefined;
   }
   if (answer.state === 'idle') releaseConnection(pooled);
@@ -247,8 +256,8 @@
   return undefined;
 }
 
-/** Connections that were opened before may be dead as well. */
-function fail(server: ServerState, pooled: PooledConnection): void {
+/** Closes the connection and the server's idle ones, which may be broken as well. */
+function handleBrokenConnection(server: ServerState, pooled: PooledConnection): void {
   server.failingSinceMs = performance.now();
   discardConnection(pooled);
   dropIdle(server, () => true);
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -122,7 +122,9 @@
     status.heldTerm,
     status.position.term,
   ]);
-  const known = owner.owed ? newestAcknowledged(owner.owed).term : 0;
+  const known = owner.acknowledgedPositions
+    ? newestAcknowledged(owner.acknowledgedPositions).term
+    : 0;
   const term = Math.max(0, known, ...terms) + 1;
   const roles = new Map(statuses.map(({ server, status }) => [server, status.role]));
   const answers = await orderAll(owner, (server) =>
@@ -155,7 +157,9 @@
   return {
     fenced: servers,
     unfenced: unfenced.map(({ announcement }) => announcement.server),
-    acknowledged: owner.owed ? newestAcknowledged(owner.owed) : ZERO_POSITION,
+    acknowledged: owner.acknowledgedPositions
+      ? newestAcknowledged(owner.acknowledgedPositions)
+      : ZERO_POSITION,
     unfencedSilentMs: Math.min(...silences, Number.MAX_SAFE_INTEGER),
     hasStoppedWrites: isPlanned,
   };
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -125,8 +125,8 @@
   { request, attempts }: Job,
   views: readonly TargetView[],
 ): ServerName | undefined {
-  const { owed } = owner;
-  if (!owed) return undefined;
+  const { acknowledgedPositions } = owner;
+  if (!acknowledgedPositions) return undefined;
   const nowMs = performance.now();
   const { access, transaction, consistency } = request;
   const isRead = transaction ? transaction.isReadOnly : access === 'read';
@@ -134,9 +134,13 @@
     nowMs - owner.startedAtMs < FORMER_OWNER_COMMIT_MS && consistency === 'newest';
   const need: TargetRequirements = {
     mustBePrimary: !isRead || mayMissFormerCommits,
-    requiredPosition: isRead ? requiredPosition(owed, request, nowMs) : ZERO_POSITION,
+    requiredPosition: isRead
+      ? requiredPosition(acknowledgedPositions, request, nowMs)
+      : ZERO_POSITION,
     requiredSinceMs:
-      consistency === 'newest' ? newestAcknowledgedAtMs(owed) : nowMs - request.maxReadAgeMs,
+      consistency === 'newest'
+        ? newestAcknowledgedAtMs(acknowledgedPositions)
+        : nowMs - request.maxReadAgeMs,
     mayAssumeCaughtUp: attempts === 0,
   };
   return chooseTarget(views, need, nowMs);
@@ -213,7 +217,7 @@
 function describeJob(owner: StatementOwner, job: Job): LogFields {
   const { request, attempts, mayHaveRun, transaction } = job;
   const { leadership } = owner;
-  const newest = owner.owed && newestAcknowledged(owner.owed);
+  const newest = owner.acknowledgedPositions && newestAcknowledged(owner.acknowledgedPositions);
   return {
     request: request.tag,
     group: owner.group,
--- a/packages/statement-entry/src/owner/owner-state.test.ts
+++ b/packages/statement-entry/src/owner/owner-state.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { offerNear } from '../near/near-offer.js';
+import { createNearOffer } from '../near/near-offer.js';
 import { createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
 import { setPrimary } from './take-over.js';
 import type { ServerState } from './owner-state.js';
@@ -22,7 +22,7 @@
     position: { term: 3, offset: 40 },
     heldTerm: 0,
   } as const;
-  setPrimary(fake.owner, { server: serverOf(fake, 0), status }, 'it says so');
+  setPrimary(fake.owner, { server: serverOf(fake, 0), status }, 'reported by the server');
   return fake;
 }
 
@@ -36,8 +36,8 @@
     const former = startLed(1);
     const offers = ['e-1', 'e-2', 'e-3', 'e-4'].map((entryId) => {
       const question = { zone: 'zone-2', entryId };
-      offerNear(former.owner, question);
-      return offerNear(fake.owner, question);
+      createNearOffer(former.owner, question);
+      return createNearOffer(fake.owner, question);
     });
     const server = serverOf(fake, index);
     const offered = offers
@@ -56,7 +56,7 @@
     const regionOf = (zone: string) => (zone === 'zone-1' || zone === 'zone-1b' ? 'north' : zone);
     Object.assign(fake.owner.environment, { regionOf });
     const names = (zone: string) =>
-      offerNear(fake.owner, { zone, entryId: zone })?.servers.map(({ server }) => server);
+      createNearOffer(fake.owner, { zone, entryId: zone })?.servers.map(({ server }) => server);
     expect(names('zone-1b')).toEqual(['i-1']);
     expect(names('zone-1')).toEqual(['i-1']);
     expect(names('zone-2')).toEqual(['i-2']);
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -136,7 +136,7 @@
   readonly running: Set<Job>;
   leadership: Leadership;
   /** `undefined` until a position that covers all earlier acknowledged writes is known. */
-  owed: AcknowledgedPositions | undefined;
+  acknowledgedPositions: AcknowledgedPositions | undefined;
   isStopping: boolean;
   isClosed: boolean;
   isDispatching: boolean;
@@ -175,7 +175,7 @@
     transactions: new Map(),
     running: new Set(),
     leadership: { kind: 'unknown', sinceMs: nowMs },
-    owed: undefined,
+    acknowledgedPositions: undefined,
     isStopping: false,
     isClosed: false,
     isDispatching: false,
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -133,12 +133,12 @@
 }
 
 function requiredPositionOf(owner: StatementOwner, job: Job): LogPosition | null {
-  if (!owner.owed) return null;
+  if (!owner.acknowledgedPositions) return null;
   const { request } = job;
   const isRead = request.transaction ? request.transaction.isReadOnly : request.access === 'read';
   // Transactions that may write must see all commits; this also keeps them off a superseded primary.
   const read = isRead ? request : { ...request, consistency: 'newest' as const };
-  return requiredPosition(owner.owed, read, performance.now());
+  return requiredPosition(owner.acknowledgedPositions, read, performance.now());
 }
 
 function buildOrder(owner: StatementOwner, job: Job): TargetOrder {
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -139,7 +139,8 @@
 }
 
 function recordCommit(owner: StatementOwner, position: LogPosition): void {
-  if (owner.owed) recordAcknowledged(owner.owed, position, performance.now());
+  if (owner.acknowledgedPositions)
+    recordAcknowledged(owner.acknowledgedPositions, position, performance.now());
 }
 
 /** Records a successful answer and the log position that it reports. */
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -21,7 +21,8 @@
     if (!isActiveOwner(owner) || owner.leadership.kind !== 'unknown') return;
     const primary = newestPrimary(statuses);
     if (primary) await adoptPrimary(owner, primary);
-    else if (isPrimaryMissing(owner)) await changePrimary(owner, 'no server is primary', false);
+    else if (isPrimaryMissing(owner))
+      await changePrimary(owner, 'no server reports the primary role', false);
   } finally {
     takingOver.delete(owner);
   }
@@ -56,10 +57,10 @@
     if (!isConfirmed || !isActiveOwner(owner)) return;
     const again = await orderStatus(owner, primary.server, { kind: 'status' });
     if (again?.status.role !== 'primary' || !isActiveOwner(owner)) return;
-    setPrimary(owner, again, 'it was confirmed');
+    setPrimary(owner, again, 'confirmed by a promotion order');
     return;
   }
-  setPrimary(owner, primary, 'it says so');
+  setPrimary(owner, primary, 'reported by the server');
   if (record.primary !== undefined) return;
   const { group, epoch: ownerEpoch } = owner;
   await environment.propose({ kind: 'primary/commit', group, ownerEpoch, term: 1, server: name });
@@ -73,7 +74,7 @@
   const nowMs = performance.now();
   const name = server.announcement.server;
   server.position = status.position;
-  owner.owed = createAcknowledgedPositions(status.position, nowMs);
+  owner.acknowledgedPositions = createAcknowledgedPositions(status.position, nowMs);
   owner.leadership = { kind: 'led', server: name, sinceMs: nowMs };
   owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
   const { term, position } = status;
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -50,7 +50,7 @@
       void checkReplicas(owner);
       void warmConnections(owner);
       if (primary) void checkPrimary(owner, primary, false);
-      else void changePrimary(owner, 'it is gone', false);
+      else void changePrimary(owner, 'the primary was removed from the group', false);
     })
     .with({ kind: 'changing' }, () => undefined)
     .exhaustive();
@@ -92,7 +92,7 @@
   if (leadership.kind !== 'led') return;
   const { announcement, heardAtMs } = primary;
   if (announcement.isLeaving && hasSuccessor(owner, primary)) {
-    await changePrimary(owner, 'it is leaving', true);
+    await changePrimary(owner, 'the primary is leaving', true);
     return;
   }
   const announcesReplicaRole = announcement.role === 'replica' && heardAtMs > leadership.sinceMs;
@@ -119,7 +119,7 @@
     return;
   }
   if (isLost(primary)) {
-    await changePrimary(owner, 'it does not answer', false);
+    await changePrimary(owner, 'the primary does not answer', false);
     return;
   }
   await delay(SUSPECT_PROBE_MS);
@@ -176,5 +176,6 @@
     await takeOver(owner);
     return;
   }
-  if (own?.status.role === 'replica') await changePrimary(owner, 'it lost its role', false);
+  if (own?.status.role === 'replica')
+    await changePrimary(owner, 'the primary became a replica', false);
 }
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -23,7 +23,7 @@
   const isBehind = ({ status }: ServerStatus) =>
     !own || comparePositions(status.position, own.status.position) < 0;
   if (replicas.every(isBehind)) {
-    await changePrimary(owner, 'its commits reach no replica', false, true);
+    await changePrimary(owner, 'commits of the primary reach no replica', false, true);
   }
 }
 
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -26,7 +26,7 @@
   listenForLinks,
   type Log,
 } from '@bramleykeel/link';
-import { checkStart, isWithdrawn } from './accept/access.js';
+import { checkSessionStart, isKeyWithdrawn } from './accept/access.js';
 import { closeSession, isIdle } from './accept/session.js';
 import {
   type CallerSession,
@@ -42,15 +42,15 @@
   tellOwnerEnded,
 } from './app.js';
 import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
-import { decodeOffer, type NearOfferCode, type NearQuestionCode } from './near/near-offer.js';
-import { createNearReads, forgetOffers, type NearReads } from './near/near-reads.js';
+import { decodeOffer, type NearOfferCode, type NearOfferRequestCode } from './near/near-offer.js';
+import { createNearReads, discardOffers, type NearReads } from './near/near-reads.js';
 import {
-  askOwner,
+  queryOwner,
   createOwnerClient,
-  loseLink,
-  loseSuperseded,
+  handleLinkLost,
+  failSupersededStatements,
   type OwnerClient,
-  takeOutcome,
+  handleOutcome,
 } from './locate/owner-client.js';
 import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
 import {
@@ -162,11 +162,11 @@
     onRecords: takeRecords,
     onStatusRequest: () => ({ entryId: options.entryId, counters: counters.totals() }),
     onSuspension: () => {
-      forgetOffers(near);
+      discardOffers(near);
     },
     onLeaseEnded: () => {
       closeAllStatementOwners(registry);
-      loseSuperseded(owners);
+      failSupersededStatements(owners);
     },
   });
   const registry: StatementOwnerRegistry = createStatementOwnerRegistry({
@@ -182,7 +182,7 @@
     records: control.records,
     onNotify: takeEvent,
     onLinkLost: (linkAddress) => {
-      loseLink(owners, linkAddress);
+      handleLinkLost(owners, linkAddress);
     },
     onLinkOpen: () => undefined,
     reportSuspect: (incarnation, linkAddress) => {
@@ -192,7 +192,7 @@
   const localChannel: EntryChannel = {
     id: LOCAL_CHANNEL,
     answer: (number, outcome) => {
-      takeOutcome(owners, number, outcome);
+      handleOutcome(owners, number, outcome);
     },
   };
   const owners: OwnerClient = createOwnerClient({
@@ -207,11 +207,11 @@
       const owner = findStatementOwner(registry, group, epoch);
       if (owner) acceptRollback(owner, localChannel, transaction);
     },
-    sendOver: ({ group, epoch, linkAddress }, request) => {
+    sendOverLink: ({ group, epoch, linkAddress }, request) => {
       const code = encodeStatement(group, epoch, request);
       return links.linkTo(linkAddress)?.notify('statement/run', code) ?? false;
     },
-    rollBackOver: ({ group, epoch, linkAddress }, transaction) => {
+    rollBackOverLink: ({ group, epoch, linkAddress }, transaction) => {
       links.linkTo(linkAddress)?.notify('statement/rollback', [group, epoch, transaction]);
     },
     requestResource,
@@ -220,11 +220,11 @@
     zone: options.zone,
     openTarget: options.openTarget,
     counters,
-    askOwner: (group) => {
+    requestOffer: (group) => {
       const question = { zone: options.zone, entryId: options.entryId };
-      return askOwner(owners, group, {
+      return queryOwner(owners, group, {
         method: 'near/ask',
-        params: (epoch): NearQuestionCode => [group, epoch, options.zone, options.entryId],
+        params: (epoch): NearOfferRequestCode => [group, epoch, options.zone, options.entryId],
         answerLocally: (epoch) => answerNear({ registry }, group, epoch, question),
         timeoutMs: NEAR_TIMEOUT_MS,
       }).then((code) => decodeOffer(code as NearOfferCode | null | undefined));
@@ -256,10 +256,10 @@
       draw: (draw) => drawFromHome(draws, draw),
     }),
     owners,
-    near,
+    nearReads: near,
     counters,
     log: options.callerLog,
-    nextTransaction: () => {
+    nextTransactionNumber: () => {
       transactionCount += 1;
       return transactionCount;
     },
@@ -275,7 +275,7 @@
   async function startSession(database: string, key: string | undefined, port: CallerPort) {
     const untilMs = performance.now() + FIRST_SETTINGS_WAIT_MS;
     while (!settings && !isStopping && performance.now() < untilMs) await delay(SETTINGS_POLL_MS);
-    const reason = checkStart(environment, database, key);
+    const reason = checkSessionStart(environment, database, key);
     if (reason !== undefined) {
       counters.count(`refusal.${reason}`);
       return reason;
@@ -297,7 +297,7 @@
   function takeRecords(deltas: readonly RecordDelta[]): void {
     if (deltas.some(({ stored }) => stored.record.kind === 'document')) takeDocument();
     reconcileStatementOwners(registry);
-    loseSuperseded(owners);
+    failSupersededStatements(owners);
     links.prune();
   }
 
@@ -317,7 +317,7 @@
     settings = decoded;
     log(`settings document ${decoded.version} is in force`);
     for (const session of sessions) {
-      if (isIdle(session) && isWithdrawn(session)) session.port.close();
+      if (isIdle(session) && isKeyWithdrawn(session)) session.port.close();
     }
   }
 
