--- a/packages/statement-entry/src/accept/access.ts
+++ b/packages/statement-entry/src/accept/access.ts
@@ -9,7 +9,7 @@
 import type { CallerSession, SessionEnvironment } from './session-state.js';
 
 /** The route and customer that a caller is admitted under. */
-export interface Access {
+export interface Admission {
   readonly route: StatementRoute;
   readonly customer: CustomerName;
 }
@@ -27,8 +27,8 @@
   database: string,
   key: string | undefined,
 ): StatementRefusalReason | undefined {
-  const access = findAccess(environment, database, key);
-  return typeof access === 'string' ? access : undefined;
+  const admission = findAdmission(environment, database, key);
+  return typeof admission === 'string' ? admission : undefined;
 }
 
 /** Whether the session's key has been withdrawn, according to the settings in force on this entry. */
@@ -39,11 +39,11 @@
 }
 
 /** Finds the route and customer of a caller; returns the reason for refusal if it is not admitted. */
-export function findAccess(
+export function findAdmission(
   environment: SessionEnvironment,
   database: string,
   key: string | undefined,
-): Access | StatementRefusalReason {
+): Admission | StatementRefusalReason {
   const settings = environment.settings();
   // Called for open routes too: it detects a suspension, after which offers of near reads are invalid.
   const areSettingsFresh = environment.hasFreshSettings();
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -12,7 +12,7 @@
 import { match } from 'ts-pattern';
 import { runStatement, createStatementDeadlines } from '../locate/owner-client.js';
 import { tryNearRead } from '../near/near-reads.js';
-import { type Access, findAccess, ANONYMOUS_CUSTOMER } from './access.js';
+import { type Admission, findAdmission, ANONYMOUS_CUSTOMER } from './access.js';
 import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
@@ -114,9 +114,9 @@
     refuseStatement(session, { kind: 'malformed', reason: 'a transaction is open already' });
     return;
   }
-  const access = await admitOperation(session, 'BEGIN');
-  if (!access) return;
-  const { route, customer } = access;
+  const admission = await admitOperation(session, 'BEGIN');
+  if (!admission) return;
+  const { route, customer } = admission;
   const number = session.environment.nextTransactionNumber();
   session.transaction = { number, isReadOnly, route, customer, ownerPort: undefined };
   session.state = 'open';
@@ -157,9 +157,9 @@
     deliverOutcome(session, outcome, tag);
     return;
   }
-  const admitted = await admitOperation(session, tag);
-  if (!admitted) return;
-  const { route, customer } = admitted;
+  const admission = await admitOperation(session, tag);
+  if (!admission) return;
+  const { route, customer } = admission;
   const draft = {
     ...commonDraftFields(session, route, customer),
     tag,
@@ -203,9 +203,9 @@
 
 /** Refuses statements of a transaction whose key has been withdrawn or can no longer be checked. */
 function recheckKey(session: CallerSession): StatementOutcome | undefined {
-  const access = findAccess(session.environment, session.database, session.key);
-  const isRefused = access === 'key-rejected' || access === 'settings-lease-expired';
-  return isRefused ? notRun(access, RETRY_AFTER_MS) : undefined;
+  const admission = findAdmission(session.environment, session.database, session.key);
+  const isRefused = admission === 'key-rejected' || admission === 'settings-lease-expired';
+  return isRefused ? notRun(admission, RETRY_AFTER_MS) : undefined;
 }
 
 function commonDraftFields(session: CallerSession, route: StatementRoute, customer: CustomerName) {
@@ -220,18 +220,18 @@
 }
 
 /** Checks the route, the key and the rate of an operation; on refusal it answers the caller. */
-async function admitOperation(session: CallerSession, tag: string): Promise<Access | undefined> {
+async function admitOperation(session: CallerSession, tag: string): Promise<Admission | undefined> {
   const { environment } = session;
-  const access = findAccess(environment, session.database, session.key);
-  if (typeof access === 'string') {
-    refuseRequest(session, notRun(access, RETRY_AFTER_MS), tag);
+  const admission = findAdmission(environment, session.database, session.key);
+  if (typeof admission === 'string') {
+    refuseRequest(session, notRun(admission, RETRY_AFTER_MS), tag);
     return undefined;
   }
-  if (access.customer === ANONYMOUS_CUSTOMER) return access;
-  const refusal = await admit(environment.rates, access.customer, 1, undefined);
-  if (!refusal) return access;
+  if (admission.customer === ANONYMOUS_CUSTOMER) return admission;
+  const refusal = await admit(environment.rates, admission.customer, 1, undefined);
+  if (!refusal) return admission;
   const reason = refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
-  refuseRequest(session, notRun(reason, RATE_RETRY_AFTER_MS), tag, access.customer);
+  refuseRequest(session, notRun(reason, RATE_RETRY_AFTER_MS), tag, admission.customer);
   return undefined;
 }
 
--- a/packages/statement-entry/src/near/near-reads.ts
+++ b/packages/statement-entry/src/near/near-reads.ts
@@ -1,7 +1,7 @@
 /**
- * Runs reads of routes that allow stale data directly on a replica in the entry's region. The owner
- * offers a log position that includes all writes acknowledged before the request; reads may use it
- * until it is older than the route's allowed read age.
+ * Near reads: reads of routes that allow stale data, run directly on a replica in the entry's region.
+ * The owner offers a log position that includes all writes acknowledged before the request; reads may
+ * use it until it is older than the route's allowed read age.
  */
 import {
   type GroupName,
