--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -1,4 +1,4 @@
-/** Requests and events that an entry takes over links, registered by name. */
+/** Handlers for the requests and events that an entry receives over links, by method name. */
 import {
   type GroupName,
   type ServerAnnouncement,
@@ -28,8 +28,8 @@
   decodeOutcome,
   decodeStatement,
   encodeOutcome,
-  type OutcomeCode,
-  type StatementCode,
+  type EncodedOutcome,
+  type EncodedStatement,
 } from './types/link-codec.js';
 
 export interface StatementApp {
@@ -38,13 +38,13 @@
   readonly owners: OwnerClient;
   readonly draws: RateDraws;
   readonly channels: Map<LinkPeer, EntryChannel>;
-  /** What a caller is told to wait when this entry does not own its group any more, in milliseconds. */
-  readonly movedRetryMs: number;
+  /** Retry delay sent to callers when this entry no longer owns the group, in milliseconds. */
+  readonly noOwnerRetryMs: number;
   channelCount: number;
 }
 
-/** Group, epoch, and the numbers of the receiver's statements that still run. */
-type OwnerEndedCode = readonly [group: GroupName, epoch: number, running: readonly number[]];
+/** Group, epoch, and the numbers of the receiver's statements that are still running. */
+type EncodedOwnerEnded = readonly [group: GroupName, epoch: number, running: readonly number[]];
 
 type RequestHandler = (app: StatementApp, params: unknown) => unknown;
 type EventHandler = (app: StatementApp, peer: LinkPeer, params: unknown) => void;
@@ -53,7 +53,7 @@
   'rate/draw': (app, params) => answerDrawCode(app.draws, params as DrawCode),
   'near/ask': (app, params) => {
     const [group, epoch, zone, entryId] = params as NearQuestionCode;
-    return answerNear(app, toGroupName(group), epoch, { zone, entryId });
+    return answerNearRequest(app, toGroupName(group), epoch, { zone, entryId });
   },
   'server/announce': (app, params) =>
     deliverServerAnnouncement(app.registry, params as ServerAnnouncement),
@@ -65,31 +65,35 @@
 
 const EVENT_HANDLERS: Readonly<Record<string, EventHandler>> = {
   'statement/run': (app, peer, params) => {
-    takeRemoteStatement(app, peer, params as StatementCode);
+    acceptRemoteStatement(app, peer, params as EncodedStatement);
   },
   'statement/outcome': (app, _peer, params) => {
-    const { number, outcome } = decodeOutcome(params as OutcomeCode);
+    const { number, outcome } = decodeOutcome(params as EncodedOutcome);
     takeOutcome(app.owners, number, outcome);
   },
   'owner/ended': (app, _peer, params) => {
-    const [group, epoch, running] = params as OwnerEndedCode;
+    const [group, epoch, running] = params as EncodedOwnerEnded;
     endOwner(app.owners, group, epoch, running);
   },
   'statement/rollback': (app, peer, params) => {
     const [group, epoch, transaction] = params as [GroupName, number, number];
     const owner = findStatementOwner(app.registry, group, epoch);
-    if (owner) acceptRollback(owner, channelOf(app, peer), transaction);
+    if (owner) acceptRollback(owner, getOrCreateChannel(app, peer), transaction);
   },
 };
 
-/** Answers a request; an unknown one fails at the asking side. */
+/**
+ * Answers a request.
+ *
+ * @throws for an unknown method; the requesting peer receives the error
+ */
 export function handleRequest(app: StatementApp, method: string, params: unknown): unknown {
   const handler = REQUEST_HANDLERS[method];
   if (!handler) throw new Error(`unknown method ${method}`);
   return handler(app, params);
 }
 
-/** Takes an event; an unknown one is counted and dropped. */
+/** Handles an event; unknown methods are counted and ignored. */
 export function handleEvent(
   app: StatementApp,
   peer: LinkPeer,
@@ -101,26 +105,32 @@
   else app.counters.count('refusal.unknown-link-event');
 }
 
-/** Tells the entries that have sent statements that an owner's epoch is over here, after all its answers. */
-export function tellOwnerEnded(app: StatementApp, owner: StatementOwner): void {
+/**
+ * Notifies the entries that have sent statements that an owner's epoch has ended on this entry. Called after
+ * all of the owner's answers have been sent.
+ */
+export function notifyOwnerEnded(app: StatementApp, owner: StatementOwner): void {
   for (const [peer, channel] of app.channels) {
     const running = [...owner.running]
       .filter((job) => job.channel === channel && !job.isEnded)
       .map(({ request }) => request.number);
-    const code: OwnerEndedCode = [owner.group, owner.epoch, running];
-    peer.notify('owner/ended', code);
+    const encoded: EncodedOwnerEnded = [owner.group, owner.epoch, running];
+    peer.notify('owner/ended', encoded);
   }
 }
 
-/** A link from another entry was closed: its statements and transactions end here. */
+/** Ends the statements and transactions of an entry whose link was closed. */
 export function handleLinkClosed(app: StatementApp, peer: LinkPeer): void {
   const channel = app.channels.get(peer);
   app.channels.delete(peer);
   if (channel) dropChannel(app.registry, channel);
 }
 
-/** Acknowledgements that already wait in the sockets are read first: they count as given. */
-export async function answerNear(
+/**
+ * Answers a request for a near-read offer. Waits for one event loop turn first, so that write acknowledgements
+ * already received on the sockets are included in the offered position.
+ */
+export async function answerNearRequest(
   { registry }: Pick<StatementApp, 'registry'>,
   group: GroupName,
   epoch: number,
@@ -131,25 +141,25 @@
   return encodeOffer(owner && offerNear(owner, question));
 }
 
-function takeRemoteStatement(app: StatementApp, peer: LinkPeer, code: StatementCode): void {
-  const { group, epoch, request } = decodeStatement(code);
-  const channel = channelOf(app, peer);
+function acceptRemoteStatement(app: StatementApp, peer: LinkPeer, encoded: EncodedStatement): void {
+  const { group, epoch, request } = decodeStatement(encoded);
+  const channel = getOrCreateChannel(app, peer);
   const owner = findStatementOwner(app.registry, group, epoch);
   if (owner) {
     acceptStatement(owner, channel, request);
     return;
   }
-  // A transaction that was begun here went with its owner.
-  const isLater = request.transaction?.isFirst === false;
+  // A transaction that was begun under the former owner ended with it.
+  const isContinuation = request.transaction?.isFirst === false;
   channel.answer(
     request.number,
-    isLater
+    isContinuation
       ? { kind: 'aborted', reason: 'the owner of the transaction has gone' }
-      : { kind: 'not-run', reason: 'no-owner', retryAfterMs: app.movedRetryMs },
+      : { kind: 'not-run', reason: 'no-owner', retryAfterMs: app.noOwnerRetryMs },
   );
 }
 
-function channelOf(app: StatementApp, peer: LinkPeer): EntryChannel {
+function getOrCreateChannel(app: StatementApp, peer: LinkPeer): EntryChannel {
   const known = app.channels.get(peer);
   if (known) return known;
   app.channelCount += 1;
--- a/packages/statement-entry/src/index.ts
+++ b/packages/statement-entry/src/index.ts
@@ -1,4 +1,4 @@
-/** Entries that speak a statement-level dialect: sessions in front, owners of groups behind. */
+/** Entry for statement-level dialects: caller sessions and group owners. */
 export * from './statement-entry.js';
 export * from './types/caller-port.js';
 export * from './types/target-port.js';
--- a/packages/statement-entry/src/near/near-offer.ts
+++ b/packages/statement-entry/src/near/near-offer.ts
@@ -1,7 +1,7 @@
 /** What an owner tells entries that read at replicas near them. */
 import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
 import { primaryOf, type StatementOwner } from '../owner/owner-state.js';
-import { nearConnections } from '../target/connection-budget.js';
+import { maxNearConnections } from '../target/connection-budget.js';
 
 export interface NearServer {
   readonly server: ServerName;
@@ -57,7 +57,7 @@
     servers: servers.map(({ announcement: { server, address, slots } }) => {
       return { server, address, slots };
     }),
-    maxConnections: Math.max(1, Math.floor(nearConnections(owner.environment) / readers)),
+    maxConnections: Math.max(1, Math.floor(maxNearConnections(owner.environment) / readers)),
   };
 }
 
--- a/packages/statement-entry/src/near/near-reads.ts
+++ b/packages/statement-entry/src/near/near-reads.ts
@@ -20,12 +20,17 @@
 import {
   acquireConnection,
   discardConnection,
-  dropIdle,
+  closeIdleConnections,
   type PoolContext,
   releaseConnection,
   retireServer,
 } from '../target/connection-pool.js';
-import { noteSetup, setupOrders, statementOrder, valuesKeyOf } from '../target/connection-setup.js';
+import {
+  recordSetup,
+  setupOrders,
+  statementOrder,
+  valuesKeyOf,
+} from '../target/connection-setup.js';
 import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
 import type { NearOffer, NearServer } from './near-offer.js';
 
@@ -214,7 +219,7 @@
       fail(server, pooled);
       return undefined;
     }
-    noteSetup(pooled, order);
+    recordSetup(pooled, order);
   }
   const leftMs = deadlineMs - performance.now();
   const answer = await pooled.connection.send(statementOrder(draft, after), leftMs * TRY_SHARE);
@@ -251,5 +256,5 @@
 function fail(server: ServerState, pooled: PooledConnection): void {
   server.failingSinceMs = performance.now();
   discardConnection(pooled);
-  dropIdle(server, () => true);
+  closeIdleConnections(server, () => true);
 }
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -6,8 +6,12 @@
   ZERO_POSITION,
   type FencedServer,
 } from '@bramleykeel/core';
-import { dropIdle } from '../target/connection-pool.js';
-import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
+import { closeIdleConnections } from '../target/connection-pool.js';
+import {
+  sendControlOrderToAll,
+  sendControlOrder,
+  type ServerStatus,
+} from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { dropTransaction } from './transactions.js';
 import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
@@ -78,13 +82,15 @@
   isPlanned: boolean,
   change: ChangeProgress,
 ): Promise<ServerStatus | undefined> {
-  const statuses = await orderAll(owner, () => ({ kind: 'status' }));
+  const statuses = await sendControlOrderToAll(owner, () => ({ kind: 'status' }));
   if (!isActiveOwner(owner)) return undefined;
   const currentPrimary = newestPrimary(statuses);
   if (currentPrimary && currentPrimary.server !== former) {
     // An earlier promotion order was carried out in the meantime.
     const isConfirmed = await orderPromotion(owner, currentPrimary.server.announcement.server);
-    return isConfirmed ? orderStatus(owner, currentPrimary.server, { kind: 'status' }) : undefined;
+    return isConfirmed
+      ? sendControlOrder(owner, currentPrimary.server, { kind: 'status' })
+      : undefined;
   }
   if (currentPrimary && !isPlanned && !change.hasFenced && change.isRevocable)
     return currentPrimary;
@@ -125,7 +131,7 @@
   const known = owner.owed ? newestAcknowledged(owner.owed).term : 0;
   const term = Math.max(0, known, ...terms) + 1;
   const roles = new Map(statuses.map(({ server, status }) => [server, status.role]));
-  const answers = await orderAll(owner, (server) =>
+  const answers = await sendControlOrderToAll(owner, (server) =>
     roles.get(server) === 'primary' ? { kind: 'demote', term } : { kind: 'pause', term },
   );
   return answers.filter(({ status }) => status.role === 'replica');
@@ -167,7 +173,7 @@
   former: ServerState,
   isPlanned: boolean,
 ): void {
-  dropIdle(former, () => true);
+  closeIdleConnections(former, () => true);
   for (const transaction of [...owner.transactions.values()]) {
     const isOnFormer = transaction.pooled?.server === former;
     if (!isOnFormer || transaction.isReadOnly || transaction.isBusy) continue;
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -18,7 +18,7 @@
   ZERO_POSITION,
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
-import { hasConnectionLeft } from '../target/connection-pool.js';
+import { hasAvailableConnection } from '../target/connection-pool.js';
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { runJob } from './run-job.js';
 
@@ -98,7 +98,7 @@
     server: server.announcement.server,
     isPrimary: server === primary,
     isLeaving: server.announcement.isLeaving,
-    isUsable: server.failingSinceMs === undefined && hasConnectionLeft(owner.pools, server),
+    isUsable: server.failingSinceMs === undefined && hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(server),
     position: server.position,
--- a/packages/statement-entry/src/owner/order-promotion.ts
+++ b/packages/statement-entry/src/owner/order-promotion.ts
@@ -1,7 +1,7 @@
 /** Requests the promotion of a server from the platform. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { type ServerName } from '@bramleykeel/core';
-import { orderStatus, type ServerStatus } from '../target/server-control.js';
+import { sendControlOrder, type ServerStatus } from '../target/server-control.js';
 import { type StatementOwner } from './owner-state.js';
 import { isActiveOwner } from './take-over.js';
 
@@ -64,7 +64,7 @@
   while (isActiveOwner(owner) && performance.now() < untilMs) {
     const server = owner.servers.get(name);
     if (!server) return undefined;
-    const answer = await orderStatus(owner, server, { kind: 'status' });
+    const answer = await sendControlOrder(owner, server, { kind: 'status' });
     if (answer?.status.role === 'primary') return answer;
     await delay(PROMOTED_POLL_MS);
   }
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -16,7 +16,7 @@
   ZERO_POSITION,
 } from '@bramleykeel/core';
 import type { Counters, Log } from '@bramleykeel/link';
-import { ownConnections } from '../target/connection-budget.js';
+import { maxOwnerConnections } from '../target/connection-budget.js';
 import type { PoolContext } from '../target/connection-pool.js';
 import type {
   OpenTarget,
@@ -167,7 +167,7 @@
       group,
       openTarget: environment.openTarget,
       counters: environment.counters,
-      maxConnections: (server) => ownConnections(context, server),
+      maxConnections: (server) => maxOwnerConnections(context, server),
     },
     servers: new Map(),
     queues: new Map(),
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -3,12 +3,12 @@
 import {
   acquireConnection,
   discardConnection,
-  noteAnswer,
+  recordAnswer,
   releaseConnection,
 } from '../target/connection-pool.js';
 import {
   type BeginOrder,
-  noteSetup,
+  recordSetup,
   setupOrders,
   statementOrder,
 } from '../target/connection-setup.js';
@@ -104,7 +104,7 @@
     const timeoutMs = Math.min(SETUP_TIMEOUT_MS, job.deadlineMs - performance.now());
     const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
     if (answer.kind === 'done') {
-      noteSetup(pooled, order);
+      recordSetup(pooled, order);
       noteSuccess(pooled, answer.position);
       continue;
     }
@@ -173,7 +173,7 @@
     owner.stalledCommits.push({ server: pooled.server, atMs: performance.now() });
   }
   if (answer.kind === 'done') noteSuccess(pooled, answer.position);
-  else if (answer.kind !== 'lost' && answer.kind !== 'overdue') noteAnswer(pooled.server);
+  else if (answer.kind !== 'lost' && answer.kind !== 'overdue') recordAnswer(pooled.server);
   return answer;
 }
 
@@ -190,7 +190,7 @@
       settleTransactionStatement(owner, job, transaction, pooled, setUp);
       return;
     }
-    noteSetup(pooled, order);
+    recordSetup(pooled, order);
   }
   const answer = await sendOrder(owner, job, pooled, buildOrder(owner, job));
   settleTransactionStatement(owner, job, transaction, pooled, answer);
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -8,9 +8,9 @@
 import { match } from 'ts-pattern';
 import {
   discardConnection,
-  dropIdle,
-  noteAnswer,
-  noteFailure,
+  closeIdleConnections,
+  recordAnswer,
+  recordFailure,
   releaseConnection,
 } from '../target/connection-pool.js';
 import type { TargetAnswer, TargetRefusal } from '../types/target-port.js';
@@ -144,7 +144,7 @@
 
 /** Records a successful answer and the log position that it reports. */
 export function noteSuccess(pooled: PooledConnection, position: LogPosition | null): void {
-  noteAnswer(pooled.server);
+  recordAnswer(pooled.server);
   if (position) pooled.server.position = latestPosition(pooled.server.position, position);
 }
 
@@ -196,8 +196,8 @@
   });
   owner.environment.counters.count(`target.connection-${broken.kind}`);
   if (broken.kind === 'overdue') {
-    dropIdle(server, ({ lastUsedMs }) => lastUsedMs <= pooled.lastUsedMs);
+    closeIdleConnections(server, ({ lastUsedMs }) => lastUsedMs <= pooled.lastUsedMs);
   }
-  if (broken.kind === 'lost') noteFailure(server, 'closed', performance.now());
+  if (broken.kind === 'lost') recordFailure(server, 'closed', performance.now());
   suspectPrimary(owner, server);
 }
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -1,6 +1,10 @@
 /** Finds the primary when an owner starts. */
 import { createAcknowledgedPositions } from '@bramleykeel/core';
-import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
+import {
+  sendControlOrderToAll,
+  sendControlOrder,
+  type ServerStatus,
+} from '../target/server-control.js';
 import { dispatch } from './dispatch.js';
 import { type StatementOwner } from './owner-state.js';
 import { orderPromotion } from './order-promotion.js';
@@ -17,7 +21,7 @@
   if (takingOver.has(owner) || owner.servers.size === 0) return;
   takingOver.add(owner);
   try {
-    const statuses = await orderAll(owner, () => ({ kind: 'status' }));
+    const statuses = await sendControlOrderToAll(owner, () => ({ kind: 'status' }));
     if (!isActiveOwner(owner) || owner.leadership.kind !== 'unknown') return;
     const primary = newestPrimary(statuses);
     if (primary) await adoptPrimary(owner, primary);
@@ -54,7 +58,7 @@
   if (isUnresolved || (record.primary !== undefined && record.primary !== name)) {
     const isConfirmed = await orderPromotion(owner, name);
     if (!isConfirmed || !isActiveOwner(owner)) return;
-    const again = await orderStatus(owner, primary.server, { kind: 'status' });
+    const again = await sendControlOrder(owner, primary.server, { kind: 'status' });
     if (again?.status.role !== 'primary' || !isActiveOwner(owner)) return;
     setPrimary(owner, again, 'it was confirmed');
     return;
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -2,9 +2,13 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { type ServerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
-import { retireServer, trimIdle } from '../target/connection-pool.js';
-import { warmConnections } from '../target/connection-warmup.js';
-import { closeControlConnection, orderAll, probeServer } from '../target/server-control.js';
+import { retireServer, closeExcessIdleConnections } from '../target/connection-pool.js';
+import { warmUpConnections } from '../target/connection-warmup.js';
+import {
+  closeControlConnection,
+  sendControlOrderToAll,
+  probeServer,
+} from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { recordServerPlaces } from './server-places.js';
 import { takeOver, newestPrimary, isActiveOwner } from './take-over.js';
@@ -36,7 +40,7 @@
   if (owner.isClosed || !owner.environment.holdsLease()) return;
   removeStaleServers(owner);
   for (const server of owner.servers.values()) {
-    trimIdle(owner.pools, server);
+    closeExcessIdleConnections(owner.pools, server);
     if (server.failingSinceMs !== undefined && server !== primaryOf(owner))
       probeFailingServer(owner, server);
   }
@@ -48,7 +52,7 @@
       const primary = owner.servers.get(server);
       recordServerPlaces(owner);
       void checkReplicas(owner);
-      void warmConnections(owner);
+      void warmUpConnections(owner);
       if (primary) void checkPrimary(owner, primary, false);
       else void changePrimary(owner, 'it is gone', false);
     })
@@ -162,7 +166,7 @@
 async function verifyPrimary(owner: StatementOwner, primary: ServerState): Promise<void> {
   if (verifying.has(owner)) return;
   verifying.add(owner);
-  const statuses = await orderAll(owner, () => ({ kind: 'status' }));
+  const statuses = await sendControlOrderToAll(owner, () => ({ kind: 'status' }));
   verifying.delete(owner);
   if (!isActiveOwner(owner) || owner.leadership.kind !== 'led') return;
   const newest = newestPrimary(statuses);
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -1,6 +1,10 @@
 /** Resumes replicas that a fence has paused, and handles stalled commits. */
 import { comparePositions } from '@bramleykeel/core';
-import { orderAll, orderStatus, type ServerStatus } from '../target/server-control.js';
+import {
+  sendControlOrderToAll,
+  sendControlOrder,
+  type ServerStatus,
+} from '../target/server-control.js';
 import { type ServerState, type StatementOwner } from './owner-state.js';
 import { isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
@@ -15,7 +19,7 @@
   owner: StatementOwner,
   primary: ServerState,
 ): Promise<void> {
-  const statuses = await orderAll(owner, () => ({ kind: 'status' }));
+  const statuses = await sendControlOrderToAll(owner, () => ({ kind: 'status' }));
   if (!isActiveOwner(owner) || owner.leadership.kind !== 'led') return;
   const own = statuses.find(({ server }) => server === primary);
   const replicas = statuses.filter(({ server }) => server !== primary);
@@ -34,7 +38,7 @@
     owner.environment.log(
       `${server.announcement.server} of ${owner.group} is paused; resuming replication`,
     );
-    void orderStatus(owner, server, { kind: 'resume' });
+    void sendControlOrder(owner, server, { kind: 'resume' });
   }
   return paused.length > 0;
 }
@@ -50,7 +54,7 @@
     (server) =>
       server.announcement.server !== leadership.server && server.failingSinceMs === undefined,
   );
-  const asked = replicas.map((server) => orderStatus(owner, server, { kind: 'status' }));
+  const asked = replicas.map((server) => sendControlOrder(owner, server, { kind: 'status' }));
   const statuses = (await Promise.all(asked)).filter((status) => status !== undefined);
   if (isActiveOwner(owner) && owner.leadership === leadership)
     resumePausedReplicas(owner, statuses);
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -1,4 +1,4 @@
-/** Wires the parts of an entry that speaks a statement-level dialect. */
+/** Assembles an entry for statement-level dialects. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   assignmentOf,
@@ -34,12 +34,12 @@
   type SessionEnvironment,
 } from './accept/session-state.js';
 import {
-  answerNear,
+  answerNearRequest,
   handleEvent,
   handleLinkClosed,
   handleRequest,
   type StatementApp,
-  tellOwnerEnded,
+  notifyOwnerEnded,
 } from './app.js';
 import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
 import { decodeOffer, type NearOfferCode, type NearQuestionCode } from './near/near-offer.js';
@@ -68,7 +68,7 @@
 export interface StatementEntryOptions {
   readonly entryId: string;
   readonly zone: string;
-  /** The region of a zone; zones of a region are near to each other. */
+  /** The region of a zone; near reads use replicas in the same region. */
   readonly regionOf: (zone: string) => string;
   readonly linkAddress: string;
   readonly linkMbps?: number;
@@ -76,23 +76,23 @@
   readonly linkSecret: string;
   readonly timing: TimingSettings;
   readonly memberAddresses: () => readonly string[];
-  /** How long running statements may take after a stop was ordered. */
+  /** Time that running statements have to finish after `stop`, in milliseconds. */
   readonly stopGraceMs: number;
-  /** Decodes the operators' document; `undefined` when it makes no sense to this version. */
+  /** Decodes the operators' settings document; `undefined` when this version cannot decode it. */
   readonly decodeSettings: (body: Uint8Array) => StatementSettings | undefined;
   readonly openTarget: OpenTarget;
   readonly readTargetStatus: ReadTargetStatus;
   readonly promoteServer: PromoteServer;
   readonly log: Log;
-  /** A line for each statement that has no result. */
+  /** Receives a line for each statement without a result, and for a sample of the others. */
   readonly callerLog: Log;
   readonly counters: Counters;
 }
 
 export interface StatementEntry {
   /**
-   * Starts a caller's session, or says why it may not start. An entry that has just started waits a
-   * moment for its first settings.
+   * Starts a caller's session, or returns the reason for refusing it. An entry that has just started
+   * waits briefly for its first settings.
    */
   readonly startSession: (
     database: string,
@@ -100,44 +100,44 @@
     port: CallerPort,
   ) => Promise<CallerSession | StatementRefusalReason>;
   readonly endSession: (session: CallerSession) => void;
-  /** Whether new callers should be sent here. */
+  /** Whether the load balancer should send new callers to this entry. */
   readonly isReady: () => boolean;
   /**
-   * Hands everything over and lets running statements end.
+   * Hands over the entry's groups and waits for running statements to finish.
    *
-   * @param stopListening called once new callers are sent elsewhere
+   * @param stopListening called once the load balancer sends new callers to other entries
    */
   readonly stop: (stopListening: () => void) => Promise<void>;
 }
 
 const NEAR_TIMEOUT_MS = 400;
-const LOCAL_CHANNEL = 'local';
-/** Time over which idle sessions are closed when the entry stops, in milliseconds. */
-const CLOSE_IDLE_OVER_MS = 1_500;
+const LOCAL_CHANNEL_ID = 'local';
+/** Period over which idle sessions are closed when the entry stops, in milliseconds. */
+const IDLE_CLOSE_SPREAD_MS = 1_500;
 const STOP_POLL_MS = 25;
 /**
- * A caller waits for the first settings of an entry for this long, in milliseconds: callers of the users'
- * platform give up after 2 s, and after a loss of all instances control takes less than 1 s.
+ * Maximum wait of a caller for an entry's first settings, in milliseconds. Callers of the users' platform
+ * give up after 2 s; after a loss of all instances control is available again within 1 s.
  */
 const FIRST_SETTINGS_WAIT_MS = 1_500;
 const SETTINGS_POLL_MS = 20;
-/** Share of the turns in which an entry asks for a home, so that many entries do not all ask at once. */
-const HOME_REQUEST_SHARE = 0.25;
-/** The balancer needs two misses, a second apart, to send callers elsewhere. In milliseconds. */
-const STILL_CALLED_MS = 2_400;
-/** An open transaction may go on for this long before its group is handed over, in milliseconds. */
+/** Probability that an entry requests a rate home in a given interval, so that not all entries do at once. */
+const HOME_REQUEST_PROBABILITY = 0.25;
+/** Time until the load balancer stops sending new callers: two failed checks, 1 s apart. In milliseconds. */
+const BALANCER_UPDATE_MS = 2_400;
+/** Time that an open transaction has to finish before its group is handed over, in milliseconds. */
 const HANDOVER_GRACE_MS = 700;
-/** A customer's tokens are waited for this long before it counts as above its rate, in milliseconds. */
+/** Maximum wait for a customer's tokens before it is refused for exceeding its rate, in milliseconds. */
 const RATE_WAIT_MS = 100;
 const HOME_WAIT_MS = 400;
 
 /**
  * Starts an entry.
  *
- * @throws when the link address is taken
+ * @throws when the link address is in use
  * @example
  * const entry = await startStatementEntry(options);
- * const session = entry.startSession('bookings', key, port);
+ * const session = await entry.startSession('bookings', key, port);
  */
 export async function startStatementEntry(options: StatementEntryOptions): Promise<StatementEntry> {
   const { log, counters, timing } = options;
@@ -152,17 +152,17 @@
     { secret: options.linkSecret, ...DEFAULT_LINK_TIMING },
     {
       onRequest: (_peer, method, params) => handleRequest(app, method, params),
-      onNotify: takeEvent,
+      onNotify: forwardEvent,
       onClose: (peer) => {
         handleLinkClosed(app, peer);
       },
     },
   );
   const control: ControlClient = startControlClient(options, log, {
-    onRecords: takeRecords,
+    onRecords: applyRecords,
     onStatusRequest: () => ({ entryId: options.entryId, counters: counters.totals() }),
     onSuspension: () => {
-      forgetOffers(near);
+      forgetOffers(nearReads);
     },
     onLeaseEnded: () => {
       closeAllStatementOwners(registry);
@@ -174,13 +174,13 @@
     control,
     settings: () => settings,
     onOwnerEnded: (owner) => {
-      tellOwnerEnded(app, owner);
+      notifyOwnerEnded(app, owner);
     },
   });
   const links: EntryLinks = createEntryLinks({
     linkSecret: options.linkSecret,
     records: control.records,
-    onNotify: takeEvent,
+    onNotify: forwardEvent,
     onLinkLost: (linkAddress) => {
       loseLink(owners, linkAddress);
     },
@@ -190,7 +190,7 @@
     },
   });
   const localChannel: EntryChannel = {
-    id: LOCAL_CHANNEL,
+    id: LOCAL_CHANNEL_ID,
     answer: (number, outcome) => {
       takeOutcome(owners, number, outcome);
     },
@@ -208,15 +208,15 @@
       if (owner) acceptRollback(owner, localChannel, transaction);
     },
     sendOver: ({ group, epoch, linkAddress }, request) => {
-      const code = encodeStatement(group, epoch, request);
-      return links.linkTo(linkAddress)?.notify('statement/run', code) ?? false;
+      const encoded = encodeStatement(group, epoch, request);
+      return links.linkTo(linkAddress)?.notify('statement/run', encoded) ?? false;
     },
     rollBackOver: ({ group, epoch, linkAddress }, transaction) => {
       links.linkTo(linkAddress)?.notify('statement/rollback', [group, epoch, transaction]);
     },
     requestResource,
   });
-  const near: NearReads = createNearReads({
+  const nearReads: NearReads = createNearReads({
     zone: options.zone,
     openTarget: options.openTarget,
     counters,
@@ -225,9 +225,9 @@
       return askOwner(owners, group, {
         method: 'near/ask',
         params: (epoch): NearQuestionCode => [group, epoch, options.zone, options.entryId],
-        answerLocally: (epoch) => answerNear({ registry }, group, epoch, question),
+        answerLocally: (epoch) => answerNearRequest({ registry }, group, epoch, question),
         timeoutMs: NEAR_TIMEOUT_MS,
-      }).then((code) => decodeOffer(code as NearOfferCode | null | undefined));
+      }).then((encoded) => decodeOffer(encoded as NearOfferCode | null | undefined));
     },
   });
   const draws: RateDraws = {
@@ -243,7 +243,7 @@
     owners,
     draws,
     channels: new Map(),
-    movedRetryMs: timing.renewEveryMs,
+    noOwnerRetryMs: timing.renewEveryMs,
     channelCount: 0,
   };
   const environment: SessionEnvironment = {
@@ -256,7 +256,7 @@
       draw: (draw) => drawFromHome(draws, draw),
     }),
     owners,
-    near,
+    near: nearReads,
     counters,
     log: options.callerLog,
     nextTransaction: () => {
@@ -265,9 +265,9 @@
     },
     successCount: 0,
   };
-  const keepTimer = setInterval(() => {
+  const reconcileTimer = setInterval(() => {
     reconcileStatementOwners(registry);
-    requestHome();
+    requestRateHome();
   }, timing.renewEveryMs);
   log(`entry ${options.entryId} listens for other entries at ${options.linkAddress}`);
   return { startSession, endSession, isReady, stop };
@@ -294,23 +294,23 @@
     return !isStopping && settings !== undefined && control.hasFreshSettings();
   }
 
-  function takeRecords(deltas: readonly RecordDelta[]): void {
-    if (deltas.some(({ stored }) => stored.record.kind === 'document')) takeDocument();
+  function applyRecords(deltas: readonly RecordDelta[]): void {
+    if (deltas.some(({ stored }) => stored.record.kind === 'document')) applyDocument();
     reconcileStatementOwners(registry);
     loseSuperseded(owners);
     links.prune();
   }
 
-  function takeEvent(peer: LinkPeer, method: string, params: unknown): void {
+  function forwardEvent(peer: LinkPeer, method: string, params: unknown): void {
     handleEvent(app, peer, method, params);
   }
 
-  function takeDocument(): void {
+  function applyDocument(): void {
     const document = documentOf(control);
     const decoded = document && options.decodeSettings(document.body);
     if (!decoded) {
       log(
-        `settings document ${document?.version ?? '?'} cannot be read; the last one stays in force`,
+        `settings document ${document?.version ?? '?'} cannot be decoded; keeping the previous settings`,
       );
       return;
     }
@@ -321,12 +321,12 @@
     }
   }
 
-  /** Customers get homes before they come, a few at a time, whichever entry asks first. */
-  function requestHome(): void {
-    if (!settings || Math.random() > HOME_REQUEST_SHARE) return;
+  /** Requests a home for a random customer without one, so that rate homes are assigned before first use. */
+  function requestRateHome(): void {
+    if (!settings || Math.random() > HOME_REQUEST_PROBABILITY) return;
     const resources = [...settings.customers.keys()].map((name): Resource => `customer/${name}`);
-    const homeless = resources.filter((resource) => !assignmentOf(control, resource));
-    const next = homeless[Math.floor(Math.random() * homeless.length)];
+    const unassigned = resources.filter((resource) => !assignmentOf(control, resource));
+    const next = unassigned[Math.floor(Math.random() * unassigned.length)];
     if (next !== undefined) requestResource(next, undefined);
   }
 
@@ -343,13 +343,13 @@
     log(`entry ${options.entryId} is stopping`);
     control.startStopping();
     const untilMs = performance.now() + options.stopGraceMs;
-    setTimeout(stopListening, STILL_CALLED_MS);
+    setTimeout(stopListening, BALANCER_UPDATE_MS);
     await Promise.all([
       handOverStatementOwners(registry, HANDOVER_GRACE_MS),
-      endSessions(performance.now() + STILL_CALLED_MS, untilMs),
+      drainSessions(performance.now() + BALANCER_UPDATE_MS, untilMs),
     ]);
     await control.call('entry/ended', { incarnation: control.incarnation() });
-    clearInterval(keepTimer);
+    clearInterval(reconcileTimer);
     control.close();
     links.close();
     await linkServer.close();
@@ -357,14 +357,17 @@
     log(`entry ${options.entryId} has stopped`);
   }
 
-  /** New callers come until the balancer has noticed, so the end is not before `notBeforeMs`. */
-  async function endSessions(notBeforeMs: number, untilMs: number): Promise<void> {
+  /**
+   * Closes sessions as they become idle, and all that remain at `untilMs`. Waits at least until
+   * `notBeforeMs`, because new callers still arrive until the load balancer has updated.
+   */
+  async function drainSessions(notBeforeMs: number, untilMs: number): Promise<void> {
     const startedAtMs = performance.now();
-    const isWanted = () => sessions.size > 0 || performance.now() < notBeforeMs;
-    while (isWanted() && performance.now() < untilMs) {
-      const share = (performance.now() - startedAtMs) / CLOSE_IDLE_OVER_MS;
+    const isWaiting = () => sessions.size > 0 || performance.now() < notBeforeMs;
+    while (isWaiting() && performance.now() < untilMs) {
+      const closeProbability = (performance.now() - startedAtMs) / IDLE_CLOSE_SPREAD_MS;
       for (const session of sessions) {
-        if (isIdle(session) && Math.random() < share) session.port.close();
+        if (isIdle(session) && Math.random() < closeProbability) session.port.close();
       }
       await delay(STOP_POLL_MS);
     }
--- a/packages/statement-entry/src/target/connection-budget.ts
+++ b/packages/statement-entry/src/target/connection-budget.ts
@@ -1,55 +1,65 @@
-/** How a server's bound on connections is shared by its owner, near readers, and a former owner. */
+/** Divides a server's connection limit between its owner, near readers, and a former or successor owner. */
 import type { OwnerEnvironment, ServerState, StatementOwner } from '../owner/owner-state.js';
 
-/** Connections left free for an earlier owner that has not let go of all of its own. */
+/** Connections left free for an earlier owner that has not closed all of its connections. */
 const RESERVED_CONNECTIONS = 3;
 const DEFAULT_MAX_CONNECTIONS = 20;
-/** Share of a server's connections for the entries that read near it. */
+/** Share of a server's connections for entries that read from nearby replicas. */
 const NEAR_SHARE = 0.5;
 /**
- * Part of the rest that is kept for an owner that follows on another: a former owner that is frozen keeps
- * what it has open until it thaws, and the server counts that too. At least a quarter, and enough to keep
- * the slots busy beside transactions that rest; at most half.
+ * Share of the remaining connections that is reserved for a successor of the owner: while a former owner's
+ * process is frozen, its connections stay open and count towards the server's limit. The reserve is at
+ * least a quarter, enough to keep all slots busy in addition to idle transactions, and at most half.
  */
-const FOLLOWER_SHARE = 0.25;
-const FOLLOWER_MAX_SHARE = 0.5;
-const FOLLOWER_PER_SLOT = 2.5;
-const FOLLOWER_RESTING = 3;
-/** The users' freezes and cuts last 3 to 8 s; then a former owner has thawed, or its connections are gone. */
-const FORMER_OWNER_MS = 10_000;
+const SUCCESSOR_SHARE = 0.25;
+const SUCCESSOR_MAX_SHARE = 0.5;
+const SUCCESSOR_CONNECTIONS_PER_SLOT = 2.5;
+const SUCCESSOR_IDLE_TRANSACTIONS = 3;
+/**
+ * Time during which a former owner may still hold connections, in milliseconds. Process freezes and network
+ * partitions at the users' site last 3 to 8 s; after that it has resumed, or its connections are closed.
+ */
+const PREDECESSOR_CONNECTIONS_MS = 10_000;
 
-/** Connections to one server that owner and near readers may have open together. */
+/** Maximum number of open connections to one server, of the owner and near readers together. */
 function sharedConnections(environment: OwnerEnvironment): number {
-  const cap = environment.groupSettings()?.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
-  return Math.max(1, cap - RESERVED_CONNECTIONS);
+  const maxConnections = environment.groupSettings()?.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+  return Math.max(1, maxConnections - RESERVED_CONNECTIONS);
 }
 
-/** Connections to one server that the entries near it may have open together. */
-export function nearConnections(environment: OwnerEnvironment): number {
+/** Maximum number of open connections to one server, of all near readers together. */
+export function maxNearConnections(environment: OwnerEnvironment): number {
   return sharedConnections(environment) * NEAR_SHARE;
 }
 
-export type OwnConnectionsContext = Pick<
+export type OwnerConnectionsContext = Pick<
   StatementOwner,
   'environment' | 'nearReaders' | 'startedAtMs' | 'epoch'
 >;
 
 /**
- * Connections to one server that an owner may have open, idle ones included.
+ * Maximum number of open connections of an owner to one server, including idle ones.
  *
  * @example
- * const most = ownConnections({ environment, nearReaders, startedAtMs, epoch }, server);
+ * const limit = maxOwnerConnections({ environment, nearReaders, startedAtMs, epoch }, server);
  */
-export function ownConnections(
-  { environment, nearReaders, startedAtMs, epoch }: OwnConnectionsContext,
+export function maxOwnerConnections(
+  { environment, nearReaders, startedAtMs, epoch }: OwnerConnectionsContext,
   { announcement }: ServerState,
 ): number {
   const { regionOf } = environment;
   const region = regionOf(announcement.zone);
-  const isShared = [...nearReaders.values()].some(({ zone }) => regionOf(zone) === region);
-  const shared = sharedConnections(environment) * (isShared ? 1 - NEAR_SHARE : 1);
-  const needed = FOLLOWER_PER_SLOT * announcement.slots + FOLLOWER_RESTING;
-  const follower = Math.min(shared * FOLLOWER_MAX_SHARE, Math.max(shared * FOLLOWER_SHARE, needed));
-  const hasFormer = epoch > 1 && performance.now() - startedAtMs < FORMER_OWNER_MS;
-  return Math.max(1, Math.floor(hasFormer ? follower : shared - follower));
+  const hasNearReaders = [...nearReaders.values()].some(({ zone }) => regionOf(zone) === region);
+  const shared = sharedConnections(environment) * (hasNearReaders ? 1 - NEAR_SHARE : 1);
+  const needed = SUCCESSOR_CONNECTIONS_PER_SLOT * announcement.slots + SUCCESSOR_IDLE_TRANSACTIONS;
+  const successorConnections = Math.min(
+    shared * SUCCESSOR_MAX_SHARE,
+    Math.max(shared * SUCCESSOR_SHARE, needed),
+  );
+  const mayHavePredecessor =
+    epoch > 1 && performance.now() - startedAtMs < PREDECESSOR_CONNECTIONS_MS;
+  return Math.max(
+    1,
+    Math.floor(mayHavePredecessor ? successorConnections : shared - successorConnections),
+  );
 }
--- a/packages/statement-entry/src/target/connection-pool.test.ts
+++ b/packages/statement-entry/src/target/connection-pool.test.ts
@@ -5,13 +5,13 @@
 import {
   acquireConnection,
   discardConnection,
-  dropIdle,
-  hasConnectionLeft,
-  noteAnswer,
+  closeIdleConnections,
+  hasAvailableConnection,
+  recordAnswer,
   type PoolContext,
   releaseConnection,
   retireServer,
-  trimIdle,
+  closeExcessIdleConnections,
 } from './connection-pool.js';
 
 const one = toCustomerName('one');
@@ -103,11 +103,11 @@
   it('never exceed the bound, and make room for another customer', async () => {
     const world = createWorld(2);
     const [first] = [await take(world), await take(world)];
-    expect(hasConnectionLeft(world.pools, world.server)).toBe(false);
+    expect(hasAvailableConnection(world.pools, world.server)).toBe(false);
     const refused = await acquireConnection(world.pools, world.server, other, '');
     expect(refused.kind).toBe('unavailable');
     releaseConnection(first);
-    expect(hasConnectionLeft(world.pools, world.server)).toBe(true);
+    expect(hasAvailableConnection(world.pools, world.server)).toBe(true);
     await take(world, other);
     expect(world.open.size).toBe(2);
     expect(world.server.connectionCount).toBe(2);
@@ -118,7 +118,7 @@
     const taken = [await take(world), await take(world), await take(world)];
     for (const pooled of taken.slice(0, 2)) releaseConnection(pooled);
     const pools = { ...world.pools, maxConnections: () => 1 };
-    trimIdle(pools, world.server);
+    closeExcessIdleConnections(pools, world.server);
     expect(world.open.size).toBe(1);
     const refused = await acquireConnection(pools, world.server, other, '');
     expect(refused.kind).toBe('unavailable');
@@ -160,7 +160,7 @@
     releaseConnection(old);
     releaseConnection(recent);
     old.lastUsedMs -= 1_000;
-    dropIdle(world.server, ({ lastUsedMs }) => lastUsedMs < recent.lastUsedMs);
+    closeIdleConnections(world.server, ({ lastUsedMs }) => lastUsedMs < recent.lastUsedMs);
     expect(world.server.idle).toEqual([recent]);
   });
 
@@ -194,7 +194,7 @@
     expect(server.failingSinceMs !== undefined).toBe(row.isFailing);
     expect(server.refusedCount).toBe(row.refusals);
     expect(server.busyUntilMs > performance.now()).toBe(row.isBusy);
-    noteAnswer(server);
+    recordAnswer(server);
     expect(server).toMatchObject({ failingSinceMs: undefined, refusedCount: 0 });
   });
 });
--- a/packages/statement-entry/src/target/connection-pool.ts
+++ b/packages/statement-entry/src/target/connection-pool.ts
@@ -1,4 +1,4 @@
-/** Connections to the servers of a group, kept for reuse and bounded for each server. */
+/** Pools connections to the servers of a group, with a connection limit for each server. */
 import { type CustomerName, type GroupName, latestPosition } from '@bramleykeel/core';
 import type { Counters } from '@bramleykeel/link';
 import { match } from 'ts-pattern';
@@ -9,7 +9,7 @@
   readonly group: GroupName;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
-  /** Connections that may be open to the server, idle ones included. */
+  /** Maximum number of open connections to the server, including idle ones. */
   readonly maxConnections: (server: ServerState) => number;
 }
 
@@ -21,23 +21,23 @@
 export type ConnectionFailure = 'unreachable' | 'silent' | 'closed';
 
 /**
- * A new connection that is not answered in this time has failed, in milliseconds: ten times what the
- * users' servers take for one, and two round trips between regions.
+ * Timeout for opening a connection, in milliseconds: ten times the connection time of the users' servers,
+ * and two round trips between regions.
  */
 const OPEN_TIMEOUT_MS = 400;
-/** A server that has no connection left is not asked for another one for this time, in milliseconds. */
-const FULL_PAUSE_MS = 40;
-/** A connection with more prepared names than this is not used again, to bound the server's memory. */
-const MAX_PREPARED = 256;
+/** Pause before a server that has reached its connection limit is asked for another one, in milliseconds. */
+const FULL_SERVER_BACKOFF_MS = 40;
+/** A connection with more prepared statements is closed instead of reused, to limit the server's memory. */
+const MAX_PREPARED_STATEMENTS = 256;
 
-/** Whether a statement of some customer could get a connection now, by one that is idle or new. */
-export function hasConnectionLeft(pools: PoolContext, server: ServerState): boolean {
+/** Whether a statement of any customer can get a connection now, by reusing, replacing or opening one. */
+export function hasAvailableConnection(pools: PoolContext, server: ServerState): boolean {
   return server.idle.length > 0 || server.connectionCount < pools.maxConnections(server);
 }
 
 /**
- * Takes an idle connection of the customer, those with the wanted values first, or opens one. At the
- * bound an idle connection of another customer makes room.
+ * Takes an idle connection of the customer, preferably one whose session values match `valuesKey`, or opens
+ * a new one. At the connection limit, closes idle connections of other customers first.
  */
 export async function acquireConnection(
   pools: PoolContext,
@@ -45,44 +45,46 @@
   customer: CustomerName,
   valuesKey: string,
 ): Promise<AcquiredConnection> {
-  dropIdle(server, ({ connection }) => !connection.isOpen());
-  const kept = takeIdle(server, customer, valuesKey);
+  closeIdleConnections(server, ({ connection }) => !connection.isOpen());
+  const kept = takeIdleConnection(server, customer, valuesKey);
   if (kept) return { kind: 'acquired', pooled: kept };
-  makeRoom(pools, server);
+  evictIdleConnections(pools, server);
   if (server.connectionCount >= pools.maxConnections(server)) return { kind: 'unavailable' };
   const pooled = await openConnection(pools, server, customer);
   return pooled ? { kind: 'acquired', pooled } : { kind: 'unavailable' };
 }
 
-/** Closes idle connections, oldest first, until one more can be opened; the bound may have fallen. */
-function makeRoom(pools: PoolContext, server: ServerState): void {
+/** Closes idle connections, oldest first, until one more may be opened. The limit may have been lowered. */
+function evictIdleConnections(pools: PoolContext, server: ServerState): void {
   while (server.idle.length > 0 && server.connectionCount >= pools.maxConnections(server)) {
     const [oldest] = server.idle;
-    dropIdle(server, (idle) => idle === oldest);
+    closeIdleConnections(server, (idle) => idle === oldest);
     pools.counters.count('target.connection-replaced');
   }
 }
 
-/** Closes idle connections beyond a bound that has fallen. */
-export function trimIdle(pools: PoolContext, server: ServerState): void {
+/** Closes idle connections in excess of the limit, which may have been lowered. */
+export function closeExcessIdleConnections(pools: PoolContext, server: ServerState): void {
   const excess = server.connectionCount - pools.maxConnections(server);
   if (excess <= 0) return;
   const oldest = new Set(server.idle.slice(0, excess));
-  dropIdle(server, (idle) => oldest.has(idle));
+  closeIdleConnections(server, (idle) => oldest.has(idle));
 }
 
-function takeIdle(
+function takeIdleConnection(
   { idle }: ServerState,
   customer: CustomerName,
   valuesKey: string,
 ): PooledConnection | undefined {
-  const isOwn = ({ connection }: PooledConnection) => connection.customer === customer;
-  const exact = idle.findLastIndex((each) => isOwn(each) && each.valuesKey === valuesKey);
-  const index = exact === -1 ? idle.findLastIndex(isOwn) : exact;
+  const isOfCustomer = ({ connection }: PooledConnection) => connection.customer === customer;
+  const exactIndex = idle.findLastIndex(
+    (each) => isOfCustomer(each) && each.valuesKey === valuesKey,
+  );
+  const index = exactIndex === -1 ? idle.findLastIndex(isOfCustomer) : exactIndex;
   return index === -1 ? undefined : idle.splice(index, 1)[0];
 }
 
-/** Opens a connection for a customer; `undefined` when the server does not take it. */
+/** Opens a connection for a customer; `undefined` if that fails or the server refuses it. */
 export async function openConnection(
   pools: PoolContext,
   server: ServerState,
@@ -103,25 +105,28 @@
   });
   return match(opened)
     .with({ kind: 'open' }, ({ connection, position }) => {
-      noteAnswer(server);
+      recordAnswer(server);
       if (position) server.position = latestPosition(server.position, position);
-      return createPooled(server, connection);
+      return createPooledConnection(server, connection);
     })
     .with({ kind: 'refused' }, ({ code }) => {
       server.connectionCount -= 1;
-      noteOpenRefusal(pools, server, code);
+      recordOpenRefusal(pools, server, code);
       return undefined;
     })
     .with({ kind: 'failed' }, ({ why }) => {
       server.connectionCount -= 1;
       pools.counters.count(`target.open-${why}`);
-      noteFailure(server, why, startedAtMs);
+      recordFailure(server, why, startedAtMs);
       return undefined;
     })
     .exhaustive();
 }
 
-function createPooled(server: ServerState, connection: TargetConnection): PooledConnection {
+function createPooledConnection(
+  server: ServerState,
+  connection: TargetConnection,
+): PooledConnection {
   const nowMs = performance.now();
   return {
     connection,
@@ -135,19 +140,19 @@
   };
 }
 
-function noteOpenRefusal(pools: PoolContext, server: ServerState, code: TargetRefusal): void {
+function recordOpenRefusal(pools: PoolContext, server: ServerState, code: TargetRefusal): void {
   const nowMs = performance.now();
   pools.counters.count(`target.open-${code}`);
-  // Another server has taken the address over: the one that was announced is gone.
-  if (code === 'misrouted') noteFailure(server, 'unreachable', nowMs);
-  else server.busyUntilMs = Math.max(server.busyUntilMs, nowMs + FULL_PAUSE_MS);
+  // Another server now uses the address, so the announced one no longer exists.
+  if (code === 'misrouted') recordFailure(server, 'unreachable', nowMs);
+  else server.busyUntilMs = Math.max(server.busyUntilMs, nowMs + FULL_SERVER_BACKOFF_MS);
 }
 
-/** Gives a connection back whose server has answered everything and holds no transaction. */
+/** Returns a connection to the pool. It must have no unanswered order and no open transaction. */
 export function releaseConnection(pooled: PooledConnection): void {
   const { server, connection, prepared } = pooled;
   if (pooled.isDiscarded) return;
-  if (server.isRetired || !connection.isOpen() || prepared.size > MAX_PREPARED) {
+  if (server.isRetired || !connection.isOpen() || prepared.size > MAX_PREPARED_STATEMENTS) {
     discardConnection(pooled);
     return;
   }
@@ -155,7 +160,7 @@
   server.idle.push(pooled);
 }
 
-/** Closes a connection that is in use: what its server still holds for it is rolled back. */
+/** Closes a connection instead of reusing it; the server rolls back its open transaction, if any. */
 export function discardConnection(pooled: PooledConnection): void {
   if (pooled.isDiscarded) return;
   pooled.isDiscarded = true;
@@ -164,36 +169,36 @@
 }
 
 /** Closes the idle connections that match. */
-export function dropIdle(
+export function closeIdleConnections(
   server: ServerState,
-  isDropped: (pooled: PooledConnection) => boolean,
+  isMatch: (pooled: PooledConnection) => boolean,
 ): void {
-  const dropped = server.idle.filter(isDropped);
-  if (dropped.length === 0) return;
-  const kept = server.idle.filter((pooled) => !dropped.includes(pooled));
+  const closed = server.idle.filter(isMatch);
+  if (closed.length === 0) return;
+  const kept = server.idle.filter((pooled) => !closed.includes(pooled));
   server.idle.splice(0, server.idle.length, ...kept);
-  for (const pooled of dropped) discardConnection(pooled);
+  for (const pooled of closed) discardConnection(pooled);
 }
 
-/** Closes what is idle, and sees to it that connections in use are closed when they come back. */
+/** Closes the idle connections; those in use are closed when they are released. */
 export function retireServer(server: ServerState): void {
   server.isRetired = true;
-  dropIdle(server, () => true);
+  closeIdleConnections(server, () => true);
 }
 
-/** The server has answered something: whatever failed before is over. */
-export function noteAnswer(server: ServerState): void {
+/** Records an answer of the server and clears its earlier failures. */
+export function recordAnswer(server: ServerState): void {
   server.failingSinceMs = undefined;
   server.refusedCount = 0;
   server.lastAnswerMs = performance.now();
 }
 
 /**
- * Notes that a connection failed.
+ * Records that a connection failed.
  *
- * @param sinceMs when the attempt began that failed, by the steady clock
+ * @param sinceMs start of the failed attempt, by the monotonic clock
  */
-export function noteFailure(server: ServerState, why: ConnectionFailure, sinceMs: number): void {
+export function recordFailure(server: ServerState, why: ConnectionFailure, sinceMs: number): void {
   server.failingSinceMs ??= sinceMs;
   if (why === 'unreachable') server.refusedCount += 1;
 }
--- a/packages/statement-entry/src/target/connection-setup.test.ts
+++ b/packages/statement-entry/src/target/connection-setup.test.ts
@@ -2,8 +2,8 @@
 import { describe, expect, it } from 'vitest';
 import type { TargetOrder } from '../types/target-port.js';
 import {
-  noteSetup,
-  type SetupNeed,
+  recordSetup,
+  type SetupRequirements,
   setupOrders,
   type SetupState,
   statementOrder,
@@ -13,7 +13,10 @@
 const plain = { kind: 'plain', text: 'READ x' } as const;
 const prepared = { kind: 'prepared', access: 'read', shape: 'by-item', argument: 'x' } as const;
 
-function need(values: Record<string, string>, body: SetupNeed['body'] = plain): SetupNeed {
+function need(
+  values: Record<string, string>,
+  body: SetupRequirements['body'] = plain,
+): SetupRequirements {
   return { values, valuesKey: valuesKeyOf(values), body };
 }
 
@@ -25,7 +28,7 @@
   it.each<{
     name: string;
     has: SetupState;
-    needs: SetupNeed;
+    needs: SetupRequirements;
     begin?: Parameters<typeof setupOrders>[2];
     expected: string[];
   }>([
@@ -96,7 +99,7 @@
 
   it('leads to just the session’s values and the statement’s name, whatever was there before', () => {
     const values = fc.dictionary(fc.constantFrom('a', 'b', 'c'), fc.constantFrom('1', '2'));
-    const body = fc.constantFrom<SetupNeed['body']>(plain, prepared);
+    const body = fc.constantFrom<SetupRequirements['body']>(plain, prepared);
     const steps = fc.array(fc.tuple(values, body), { minLength: 1, maxLength: 8 });
     fc.assert(
       fc.property(steps, (sessions) => {
@@ -105,7 +108,7 @@
         for (const [wanted, statement] of sessions) {
           for (const order of setupOrders(need(wanted, statement), state, undefined)) {
             carryOut(server, order);
-            noteSetup(state, order);
+            recordSetup(state, order);
           }
           expect(server.values).toEqual(wanted);
           expect(state.valuesKey).toBe(valuesKeyOf(wanted));
--- a/packages/statement-entry/src/target/connection-setup.ts
+++ b/packages/statement-entry/src/target/connection-setup.ts
@@ -1,27 +1,27 @@
-/** Brings a pooled connection to the values and prepared names that a session's statement needs. */
+/** Sets up the session values and prepared statements that a statement needs on a pooled connection. */
 import type { LogPosition, StatementBody } from '@bramleykeel/core';
 import type { PooledConnection } from '../owner/owner-state.js';
 import type { TargetOrder } from '../types/target-port.js';
 
 export interface BeginOrder {
   readonly isReadOnly: boolean;
-  /** The position that the server's log has to contain. */
+  /** The log position that the server must have reached. */
   readonly after: LogPosition | null;
 }
 
-/** What a statement expects of its connection. */
-export interface SetupNeed {
+/** The session values and statement body that a connection has to be set up for. */
+export interface SetupRequirements {
   readonly values: Readonly<Record<string, string>>;
-  /** From {@link valuesKeyOf}; compared instead of the values themselves. */
+  /** Result of {@link valuesKeyOf}, compared instead of the values themselves. */
   readonly valuesKey: string;
   readonly body: StatementBody;
 }
 
-/** The part of a connection that setting it up changes. */
+/** The part of a connection's state that its setup changes. */
 export type SetupState = Pick<PooledConnection, 'values' | 'valuesKey' | 'prepared'>;
 
 /**
- * A text that is the same for the same values, whatever their order.
+ * A string that is equal for equal values, regardless of their order.
  *
  * @example
  * valuesKeyOf({ unit: 'mm', zone: 'a' }) === valuesKeyOf({ zone: 'a', unit: 'mm' });
@@ -33,26 +33,27 @@
 }
 
 /**
- * The orders that prepare a connection for a statement, in turn; none when it fits as it is. Values
- * that the session does not have can only be dropped all together, with the prepared names.
+ * The orders that set up a connection for a statement, in sequence; empty if it needs no change. Values that
+ * the session does not have can only be removed by a reset, which also removes the prepared statements.
  */
 export function setupOrders(
-  { values, valuesKey, body }: SetupNeed,
+  { values, valuesKey, body }: SetupRequirements,
   connection: SetupState,
   begin: BeginOrder | undefined,
 ): TargetOrder[] {
   const orders: TargetOrder[] = [];
-  const isReset = Object.keys(connection.values).some((name) => !(name in values));
-  if (isReset) orders.push({ kind: 'reset' });
+  const isResetNeeded = Object.keys(connection.values).some((name) => !(name in values));
+  if (isResetNeeded) orders.push({ kind: 'reset' });
   if (valuesKey !== connection.valuesKey) {
     for (const [name, value] of Object.entries(values)) {
-      if (isReset || connection.values[name] !== value) orders.push({ kind: 'set', name, value });
+      if (isResetNeeded || connection.values[name] !== value)
+        orders.push({ kind: 'set', name, value });
     }
   }
   if (body.kind === 'prepared') {
     const { access, shape } = body;
     const name = preparedName(access, shape);
-    if (isReset || !connection.prepared.has(name)) {
+    if (isResetNeeded || !connection.prepared.has(name)) {
       orders.push({ kind: 'prepare', name, access, shape });
     }
   }
@@ -60,8 +61,8 @@
   return orders;
 }
 
-/** Records an order of {@link setupOrders} that the server has acknowledged. */
-export function noteSetup(connection: SetupState, order: TargetOrder): void {
+/** Updates the connection's state after the server has acknowledged an order of {@link setupOrders}. */
+export function recordSetup(connection: SetupState, order: TargetOrder): void {
   if (order.kind === 'reset') {
     connection.values = {};
     connection.valuesKey = '';
@@ -74,7 +75,7 @@
   }
 }
 
-/** The order that runs a caller's statement; `after` is the position that its read is owed. */
+/** The order that runs a caller's statement; `after` is the log position that a read has to see. */
 export function statementOrder(
   { tag, body }: { readonly tag: string; readonly body: StatementBody },
   after: LogPosition | null,
@@ -84,7 +85,7 @@
   return { kind: 'execute', tag, after, name: preparedName(access, shape), argument };
 }
 
-/** Sessions share a prepared name exactly when they mean the same statement by it. */
+/** The same statement has the same name in all sessions, and different statements have different names. */
 function preparedName(access: 'read' | 'write', shape: string): string {
   return `${access === 'read' ? 'r' : 'w'}_${encodeURIComponent(shape)}`;
 }
--- a/packages/statement-entry/src/target/connection-warmup.ts
+++ b/packages/statement-entry/src/target/connection-warmup.ts
@@ -1,31 +1,32 @@
-/** Opens connections for customers before their first statement waits for one. */
-import { hasConnectionLeft, openConnection, releaseConnection } from './connection-pool.js';
+/** Opens connections for customers in advance, so that their first statement does not wait for one. */
+import { hasAvailableConnection, openConnection, releaseConnection } from './connection-pool.js';
 import type { ServerState, StatementOwner } from '../owner/owner-state.js';
 
-/** Share of a server's connections that is opened ahead; the rest follows demand. */
-const WARM_SHARE = 0.5;
+/** Share of a server's connections that may be opened in advance; the rest are opened on demand. */
+const WARM_UP_SHARE = 0.5;
 
-const warming = new WeakSet<ServerState>();
+const serversBeingWarmed = new WeakSet<ServerState>();
 
 /**
- * Opens at most one connection to each server that has a slot to spare: opening one occupies a slot.
- * Customers with the highest rates come first.
+ * Opens at most one connection to each server that has a spare slot, because opening one occupies a slot.
+ * Starts with the customers that have the highest rates.
  */
-export async function warmConnections(owner: StatementOwner): Promise<void> {
+export async function warmUpConnections(owner: StatementOwner): Promise<void> {
   if (owner.isStopping) return;
-  await Promise.all([...owner.servers.values()].map((server) => warmServer(owner, server)));
+  await Promise.all([...owner.servers.values()].map((server) => warmUpServer(owner, server)));
 }
 
-async function warmServer(owner: StatementOwner, server: ServerState): Promise<void> {
+async function warmUpServer(owner: StatementOwner, server: ServerState): Promise<void> {
   const { announcement, connectionCount, connectedCustomers } = server;
-  const isSpare = server.runningCount + 1 < announcement.slots;
+  const hasSpareSlot = server.runningCount + 1 < announcement.slots;
   const isUsable = server.failingSinceMs === undefined && !announcement.isLeaving;
-  const limit = owner.pools.maxConnections(server) * WARM_SHARE;
-  if (!isSpare || !isUsable || warming.has(server) || connectionCount >= limit) return;
+  const limit = owner.pools.maxConnections(server) * WARM_UP_SHARE;
+  if (!hasSpareSlot || !isUsable || serversBeingWarmed.has(server) || connectionCount >= limit)
+    return;
   const next = owner.environment.customers().find((name) => !connectedCustomers.has(name));
-  if (next === undefined || !hasConnectionLeft(owner.pools, server)) return;
-  warming.add(server);
+  if (next === undefined || !hasAvailableConnection(owner.pools, server)) return;
+  serversBeingWarmed.add(server);
   const pooled = await openConnection(owner.pools, server, next);
-  warming.delete(server);
+  serversBeingWarmed.delete(server);
   if (pooled) releaseConnection(pooled);
 }
--- a/packages/statement-entry/src/target/server-control.test.ts
+++ b/packages/statement-entry/src/target/server-control.test.ts
@@ -4,11 +4,16 @@
 import {
   createFakeGroup,
   type FakeGroup,
-  type FakeReach,
+  type FakeReachability,
   type FakeServer,
 } from '../test-support/fake-group.js';
 import { acquireConnection, releaseConnection } from './connection-pool.js';
-import { closeControlConnection, orderAll, orderStatus, probeServer } from './server-control.js';
+import {
+  closeControlConnection,
+  sendControlOrderToAll,
+  sendControlOrder,
+  probeServer,
+} from './server-control.js';
 
 const busy = { kind: 'refused', code: 'busy', state: 'idle' } as const;
 
@@ -23,14 +28,14 @@
     const known = first && fake.owner.servers.get(first.name);
     if (!first || !known) throw new Error('the group has three servers');
     [server, state] = [first, known];
-    await orderStatus(fake.owner, state, { kind: 'status' });
+    await sendControlOrder(fake.owner, state, { kind: 'status' });
   });
 
   it('use one connection, one after the other', async () => {
     const statuses = await Promise.all([
-      orderStatus(fake.owner, state, { kind: 'status' }),
-      orderStatus(fake.owner, state, { kind: 'pause', term: 4 }),
-      orderStatus(fake.owner, state, { kind: 'resume' }),
+      sendControlOrder(fake.owner, state, { kind: 'status' }),
+      sendControlOrder(fake.owner, state, { kind: 'pause', term: 4 }),
+      sendControlOrder(fake.owner, state, { kind: 'resume' }),
     ]);
     expect(statuses.map((each) => each?.status.heldTerm)).toEqual([0, 4, 0]);
     expect(server.connections.size).toBe(1);
@@ -41,17 +46,17 @@
     const behind = replica && fake.owner.servers.get(replica.name);
     if (!replica || !behind) throw new Error('the group has three servers');
     replica.applied = { term: 3, offset: 12 };
-    const status = await orderStatus(fake.owner, behind, { kind: 'status' });
+    const status = await sendControlOrder(fake.owner, behind, { kind: 'status' });
     expect(status?.status.position).toEqual({ term: 3, offset: 40 });
     expect(behind.position).toEqual({ term: 3, offset: 12 });
   });
 
   it('are repeated while the server has no slot, and given up in time', async () => {
     server.answers.push(busy, busy);
-    expect(await orderStatus(fake.owner, state, { kind: 'status' })).toBeDefined();
+    expect(await sendControlOrder(fake.owner, state, { kind: 'status' })).toBeDefined();
     server.answers.push(...Array.from({ length: 200 }, () => busy));
     const startedAtMs = performance.now();
-    expect(await orderStatus(fake.owner, state, { kind: 'status' })).toBeUndefined();
+    expect(await sendControlOrder(fake.owner, state, { kind: 'status' })).toBeUndefined();
     expect(performance.now() - startedAtMs).toBeLessThan(1_000);
     expect(state.failingSinceMs).toBeUndefined();
   });
@@ -60,19 +65,19 @@
     const { pools } = fake.owner;
     const acquired = await acquireConnection(pools, state, toCustomerName('one'), '');
     if (acquired.kind === 'acquired') releaseConnection(acquired.pooled);
-    server.reach = 'old-silent';
-    expect(await orderStatus(fake.owner, state, { kind: 'status' })).toBeDefined();
+    server.reachability = 'old-silent';
+    expect(await sendControlOrder(fake.owner, state, { kind: 'status' })).toBeDefined();
     expect(state.idle).toEqual([]);
     expect(state.failingSinceMs).toBeUndefined();
   });
 
-  it.each<{ reach: FakeReach; isAlive: boolean; refusals: number }>([
+  it.each<{ reach: FakeReachability; isAlive: boolean; refusals: number }>([
     { reach: 'up', isAlive: true, refusals: 0 },
     { reach: 'refusing', isAlive: false, refusals: 1 },
     { reach: 'dark', isAlive: false, refusals: 0 },
     { reach: 'old-silent', isAlive: true, refusals: 0 },
   ])('tell whether a server that is $reach answers', async ({ reach, isAlive, refusals }) => {
-    server.reach = reach;
+    server.reachability = reach;
     const startedAtMs = performance.now();
     expect(await probeServer(fake.owner, state)).toBe(isAlive);
     expect(state.refusedCount).toBe(refusals);
@@ -82,14 +87,14 @@
 
   it('find a server alive that has no room for another connection', async () => {
     closeControlConnection(state);
-    server.reach = 'full';
+    server.reachability = 'full';
     expect(await probeServer(fake.owner, state)).toBe(true);
     expect(state.failingSinceMs).toBeUndefined();
   });
 
   it('go to all at the same time: one that is dark hides no answer of the others', async () => {
-    server.reach = 'dark';
-    const statuses = await orderAll(fake.owner, () => ({ kind: 'status' }));
+    server.reachability = 'dark';
+    const statuses = await sendControlOrderToAll(fake.owner, () => ({ kind: 'status' }));
     expect(statuses.map((each) => each.server.announcement.server)).toEqual(['i-1', 'i-2']);
   });
 });
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -1,4 +1,4 @@
-/** Orders of the owner's own to the servers of its group, on a connection of their own for each. */
+/** Sends the owner's own orders to the servers of its group, over a separate connection to each server. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { latestPosition, toCustomerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
@@ -9,50 +9,50 @@
   TargetOrder,
   TargetStatus,
 } from '../types/target-port.js';
-import { dropIdle, noteAnswer, noteFailure } from './connection-pool.js';
+import { closeIdleConnections, recordAnswer, recordFailure } from './connection-pool.js';
 
-/** What a server said about itself. */
+/** The status reported by a server. */
 export interface ServerStatus {
   readonly server: ServerState;
   readonly status: TargetStatus;
 }
 
-/** Orders that can be repeated without any further effect. */
+/** Idempotent orders. */
 export type ControlOrder = Extract<
   TargetOrder,
   { readonly kind: 'status' | 'pause' | 'resume' | 'demote' }
 >;
 
-/** The owner's own name at servers. */
-const OWNER_NAME = toCustomerName('-');
-/** An order or a new connection for it is given up after this time, in milliseconds. */
+/** Customer name under which the owner's own connections are opened. */
+const OWNER_CUSTOMER_NAME = toCustomerName('-');
+/** Timeout of an order, and of opening a connection for it, in milliseconds. */
 const ORDER_TIMEOUT_MS = 350;
-/** A server that failed lately gets only this long, so that a change of primary does not wait for it. */
-const FAILING_TIMEOUT_MS = 150;
-/** An order to a server without a free slot is repeated after this time, in milliseconds. */
+/** Timeout for a server that is failing, so that a change of primary does not wait for it. In milliseconds. */
+const FAILING_SERVER_TIMEOUT_MS = 150;
+/** Pause before an order is repeated to a server that has no free slot, in milliseconds. */
 const BUSY_RETRY_MS = 12;
-/** A server that stays busy for this long is told nothing, in milliseconds. */
-const BUSY_FOR_MS = 400;
+/** Time after which an order to a busy server is abandoned, in milliseconds. */
+const BUSY_TIMEOUT_MS = 400;
 
 interface ControlConnection {
   connection: TargetConnection | undefined;
-  /** Settles once the orders given so far are answered: a connection takes one at a time. */
-  last: Promise<unknown>;
+  /** Settles once all earlier orders are answered; a connection handles one order at a time. */
+  lastOrder: Promise<unknown>;
 }
 
-const controls = new WeakMap<ServerState, ControlConnection>();
+const controlConnections = new WeakMap<ServerState, ControlConnection>();
 
-/** Gives a server an order and reads what it says about itself; `undefined` without an answer. */
-export async function orderStatus(
+/** Sends an order to a server and returns the status in its answer; `undefined` if it does not answer. */
+export async function sendControlOrder(
   owner: StatementOwner,
   server: ServerState,
   order: ControlOrder,
 ): Promise<ServerStatus | undefined> {
-  const busyUntilMs = performance.now() + BUSY_FOR_MS;
+  const retryUntilMs = performance.now() + BUSY_TIMEOUT_MS;
   for (;;) {
-    const answer = await inTurn(server, () => sendControl(owner, server, order));
+    const answer = await runInOrder(server, () => sendOverControlConnection(owner, server, order));
     const isBusy = answer?.kind === 'refused' && answer.code === 'busy';
-    if (isBusy && performance.now() < busyUntilMs && !owner.isClosed) {
+    if (isBusy && performance.now() < retryUntilMs && !owner.isClosed) {
       await delay(BUSY_RETRY_MS);
       continue;
     }
@@ -62,85 +62,89 @@
       owner.environment.counters.count(`control.${answer?.kind ?? 'unreachable'}`);
       return undefined;
     }
-    // The status names what a replica has received; its reads see what it has applied, as answers say.
+    // The status contains the position that a replica has received; the answer contains the position that it
+    // has applied, which is what its reads see.
     if (done.position) server.position = latestPosition(server.position, done.position);
     return { server, status };
   }
 }
 
-/** Gives every server of the group its order at the same time, and returns the answers that came. */
-export async function orderAll(
+/** Sends an order to each server of the group concurrently, and returns the statuses of those that answer. */
+export async function sendControlOrderToAll(
   owner: StatementOwner,
   orderFor: (server: ServerState) => ControlOrder,
 ): Promise<ServerStatus[]> {
   const servers = [...owner.servers.values()];
-  const asked = servers.map((server) => orderStatus(owner, server, orderFor(server)));
-  return (await Promise.all(asked)).filter((status) => status !== undefined);
+  const pending = servers.map((server) => sendControlOrder(owner, server, orderFor(server)));
+  return (await Promise.all(pending)).filter((status) => status !== undefined);
 }
 
-/** Whether the server answers at all, also as busy. */
+/** Whether the server answers at all, including that it is busy. */
 export async function probeServer(owner: StatementOwner, server: ServerState): Promise<boolean> {
   if (server.isProbing) return server.failingSinceMs === undefined;
   server.isProbing = true;
   try {
-    const answer = await inTurn(server, () => sendControl(owner, server, { kind: 'status' }));
+    const answer = await runInOrder(server, () =>
+      sendOverControlConnection(owner, server, { kind: 'status' }),
+    );
     return answer !== undefined;
   } finally {
     server.isProbing = false;
   }
 }
 
-/** Closes the connection that the owner's orders to this server use. */
+/** Closes the connection for the owner's orders to this server. */
 export function closeControlConnection(server: ServerState): void {
-  const control = controls.get(server);
-  controls.delete(server);
+  const control = controlConnections.get(server);
+  controlConnections.delete(server);
   control?.connection?.close();
 }
 
-function controlOf(server: ServerState): ControlConnection {
-  const known = controls.get(server);
+function controlConnectionOf(server: ServerState): ControlConnection {
+  const known = controlConnections.get(server);
   if (known) return known;
-  const created = { connection: undefined, last: Promise.resolve() };
-  controls.set(server, created);
+  const created = { connection: undefined, lastOrder: Promise.resolve() };
+  controlConnections.set(server, created);
   return created;
 }
 
-function inTurn<T>(server: ServerState, run: () => Promise<T>): Promise<T> {
-  const control = controlOf(server);
-  const next = control.last.then(run);
-  control.last = next;
+function runInOrder<T>(server: ServerState, run: () => Promise<T>): Promise<T> {
+  const control = controlConnectionOf(server);
+  const next = control.lastOrder.then(run);
+  control.lastOrder = next;
   return next;
 }
 
-/** Sends an order; over a new connection when the kept one turns out to be dead. */
-async function sendControl(
+/** Sends an order, over a new connection if the existing one does not answer. */
+async function sendOverControlConnection(
   owner: StatementOwner,
   server: ServerState,
   order: ControlOrder,
 ): Promise<TargetAnswer | undefined> {
   const startedAtMs = performance.now();
-  const timeoutMs = server.failingSinceMs === undefined ? ORDER_TIMEOUT_MS : FAILING_TIMEOUT_MS;
-  const control = controlOf(server);
-  let wasSilent = false;
+  const timeoutMs =
+    server.failingSinceMs === undefined ? ORDER_TIMEOUT_MS : FAILING_SERVER_TIMEOUT_MS;
+  const control = controlConnectionOf(server);
+  let hasTimedOut = false;
   if (control.connection?.isOpen() === true) {
     const answer = await control.connection.send(order, timeoutMs);
     if (isAnswered(answer)) {
-      noteControlAnswer(server, startedAtMs);
+      recordControlAnswer(server, startedAtMs);
       return answer;
     }
-    wasSilent = answer.kind === 'overdue';
+    hasTimedOut = answer.kind === 'overdue';
   }
-  const connection = await openControl(owner, server, control, timeoutMs, startedAtMs);
+  const connection = await openControlConnection(owner, server, control, timeoutMs, startedAtMs);
   if (!connection || 'kind' in connection) return connection;
-  // A new connection works although the kept one was silent: idle ones of its age are dead as well.
-  if (wasSilent) dropIdle(server, ({ lastUsedMs }) => lastUsedMs < startedAtMs);
+  // The server accepts a new connection, so the old one was dead. Idle ones not used since are closed too.
+  if (hasTimedOut) closeIdleConnections(server, ({ lastUsedMs }) => lastUsedMs < startedAtMs);
   const sentAtMs = performance.now();
   const answer = await connection.send(order, timeoutMs);
   if (isAnswered(answer)) {
-    noteControlAnswer(server, sentAtMs);
+    recordControlAnswer(server, sentAtMs);
     return answer;
   }
-  noteFailure(server, answer.kind === 'overdue' ? 'silent' : 'closed', startedAtMs);
+  recordFailure(server, answer.kind === 'overdue' ? 'silent' : 'closed', startedAtMs);
   return undefined;
 }
 
@@ -148,14 +152,14 @@
   return kind !== 'lost' && kind !== 'overdue';
 }
 
-function noteControlAnswer(server: ServerState, sentAtMs: number): void {
-  noteAnswer(server);
-  const takenMs = performance.now() - sentAtMs;
-  server.roundTripMs = Math.min(server.roundTripMs ?? takenMs, takenMs);
+function recordControlAnswer(server: ServerState, sentAtMs: number): void {
+  recordAnswer(server);
+  const elapsedMs = performance.now() - sentAtMs;
+  server.roundTripMs = Math.min(server.roundTripMs ?? elapsedMs, elapsedMs);
 }
 
-/** A connection, or the answer of a server that turned it away; `undefined` without any. */
-async function openControl(
+/** Returns a connection, or the answer of a server that refused it; `undefined` if there is neither. */
+async function openControlConnection(
   owner: StatementOwner,
   server: ServerState,
   control: ControlConnection,
@@ -171,7 +175,7 @@
     address,
     group,
     server: name,
-    customer: OWNER_NAME,
+    customer: OWNER_CUSTOMER_NAME,
     timeoutMs,
   });
   return match(opened)
@@ -185,18 +189,18 @@
       return connection;
     })
     .with({ kind: 'refused', code: 'misrouted' }, () => {
-      noteFailure(server, 'unreachable', startedAtMs);
+      recordFailure(server, 'unreachable', startedAtMs);
       return undefined;
     })
     .with({ kind: 'refused' }, ({ code }) => {
-      // A server that has no room for a connection is alive, although it cannot be given orders.
+      // A server at its connection limit is alive, although it cannot be sent orders.
       counters.count(`control.open-${code}`);
-      noteAnswer(server);
+      recordAnswer(server);
       return { kind: 'refused', code, state: 'idle' };
     })
     .with({ kind: 'failed' }, ({ why }) => {
       counters.count(`control.open-${why}`);
-      noteFailure(server, why, startedAtMs);
+      recordFailure(server, why, startedAtMs);
       return undefined;
     })
     .exhaustive();
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -1,4 +1,4 @@
-/** A group of servers in memory, and an owner of it, for tests of an owner's decisions. */
+/** An in-memory group of servers and its owner, for tests of the owner. */
 import {
   type ControlCommand,
   type GroupName,
@@ -24,29 +24,29 @@
   TargetOrder,
 } from '../types/target-port.js';
 
-/** How a server behaves towards connections. */
-export type FakeReach =
+/** How a server responds to connections. */
+export type FakeReachability =
   | 'up'
-  /** Its address refuses connections, and open ones are gone. */
+  /** New connections are refused and existing ones are closed. */
   | 'refusing'
-  /** Nothing is answered, by open or new connections. */
+  /** Neither existing nor new connections are answered. */
   | 'dark'
-  /** Connections that were opened before are silent, new ones work. */
+  /** Existing connections are not answered; new ones work. */
   | 'old-silent'
-  /** It turns new connections away for want of room. */
+  /** New connections are refused because the limit is reached. */
   | 'full';
 
 export interface FakeServer {
   readonly name: ServerName;
   role: 'primary' | 'replica';
   term: number;
-  /** What it has received, as it says when it is asked. */
+  /** The log position received, as reported in the status. */
   position: LogPosition;
-  /** What its reads can see, as each answer says, where that is less. */
+  /** The log position applied, as contained in each answer; `position` if absent. */
   applied?: LogPosition;
   heldTerm: number;
-  reach: FakeReach;
-  /** Answers to its next orders instead of the usual ones. */
+  reachability: FakeReachability;
+  /** Answers to the next orders, in place of the default ones. */
   readonly answers: TargetAnswer[];
   readonly orders: TargetOrder[];
   readonly connections: Set<TargetConnection>;
@@ -110,7 +110,7 @@
     term: 3,
     position: { term: 3, offset: 40 },
     heldTerm: 0,
-    reach: 'up',
+    reachability: 'up',
     answers: [],
     orders: [],
     connections: new Set(),
@@ -151,19 +151,19 @@
     openTarget: ({ server: name, customer, timeoutMs }) => {
       const server = fake().servers.find((each) => each.name === name);
       if (!server) throw new Error(`no server ${name}`);
-      return openFake(server, customer, timeoutMs);
+      return openFakeConnection(server, customer, timeoutMs);
     },
     readTargetStatus: (rows) => JSON.parse(rows[0] ?? 'null') as undefined,
     promoteServer: (request) => {
       fake().promotions.push(request);
       const outcome = fake().promoteOutcomes.shift() ?? 'accepted';
-      if (outcome === 'accepted') promote(fake().servers, request.server);
+      if (outcome === 'accepted') promoteFakeServer(fake().servers, request.server);
       return Promise.resolve(outcome);
     },
   };
 }
 
-function promote(servers: readonly FakeServer[], name: ServerName): void {
+function promoteFakeServer(servers: readonly FakeServer[], name: ServerName): void {
   const term = Math.max(...servers.map((server) => server.term)) + 1;
   for (const server of servers) {
     if (server.name !== name) server.role = 'replica';
@@ -171,41 +171,43 @@
   }
 }
 
-async function openFake(
+async function openFakeConnection(
   server: FakeServer,
   customer: TargetConnection['customer'],
   timeoutMs: number,
 ): Promise<OpenTargetOutcome> {
-  if (server.reach === 'refusing') return { kind: 'failed', why: 'unreachable' };
-  if (server.reach === 'full') return { kind: 'refused', code: 'too-many-connections' };
-  if (server.reach === 'dark') {
-    await pause(timeoutMs);
+  if (server.reachability === 'refusing') return { kind: 'failed', why: 'unreachable' };
+  if (server.reachability === 'full') return { kind: 'refused', code: 'too-many-connections' };
+  if (server.reachability === 'dark') {
+    await sleep(timeoutMs);
     return { kind: 'failed', why: 'silent' };
   }
-  const wasOld = server.reach === 'up';
+  const wasOpenedBeforeFault = server.reachability === 'up';
   let isOpen = true;
   const connection: TargetConnection = {
     customer,
-    isOpen: () => isOpen && server.reach !== 'refusing',
+    isOpen: () => isOpen && server.reachability !== 'refusing',
     close: () => {
       isOpen = false;
       server.connections.delete(connection);
     },
     send: async (order, limitMs) => {
-      const isSilent = server.reach === 'dark' || (server.reach === 'old-silent' && wasOld);
+      const isSilent =
+        server.reachability === 'dark' ||
+        (server.reachability === 'old-silent' && wasOpenedBeforeFault);
       if (isSilent) {
-        await pause(limitMs);
+        await sleep(limitMs);
         connection.close();
         return { kind: 'overdue' };
       }
-      return connection.isOpen() ? answerFake(server, order) : { kind: 'lost' };
+      return connection.isOpen() ? answerOrder(server, order) : { kind: 'lost' };
     },
   };
   server.connections.add(connection);
   return { kind: 'open', connection, position: server.applied ?? server.position };
 }
 
-function answerFake(server: FakeServer, order: TargetOrder): TargetAnswer {
+function answerOrder(server: FakeServer, order: TargetOrder): TargetAnswer {
   server.orders.push(order);
   const answer = server.answers.shift();
   if (answer) return answer;
@@ -214,10 +216,10 @@
   if (order.kind === 'demote') server.role = 'replica';
   const { role, term, position, heldTerm } = server;
   const rows = [JSON.stringify({ role, term, position, heldTerm })];
-  const seen = server.applied ?? position;
-  return { kind: 'done', rows, signature: '-', state: 'idle', position: seen };
+  const visiblePosition = server.applied ?? position;
+  return { kind: 'done', rows, signature: '-', state: 'idle', position: visiblePosition };
 }
 
-function pause(ms: number): Promise<void> {
+function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/statement-entry/src/types/caller-port.ts
+++ b/packages/statement-entry/src/types/caller-port.ts
@@ -1,4 +1,4 @@
-/** What a dialect offers towards callers: their requests decoded, and a way to answer them. */
+/** Interface between a dialect and callers' sessions: decoded requests, and a port for answers. */
 import type { LogPosition, StatementOutcome } from '@bramleykeel/core';
 import type { ConnectionState } from './target-port.js';
 
@@ -29,15 +29,15 @@
   | { readonly kind: 'deallocate'; readonly name: string }
   | { readonly kind: 'malformed'; readonly reason: string };
 
-/** Why a caller's request has no result. */
+/** Reason why a caller's request has no result. */
 export type CallerError =
   | Exclude<StatementOutcome, { kind: 'done' }>
   | { readonly kind: 'malformed'; readonly reason: string }
   | { readonly kind: 'unknown-prepared-name'; readonly name: string };
 
-/** The caller's connection, as a session sees it. */
+/** A caller's connection as used by its session. */
 export interface CallerPort {
-  /** `signature` is `null` for what the system answers itself. */
+  /** `signature` is `null` for requests that the entry answers itself. */
   readonly answer: (
     rows: readonly string[],
     signature: string | null,
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -12,8 +12,8 @@
   decodeStatement,
   encodeOutcome,
   encodeStatement,
-  type OutcomeCode,
-  type StatementCode,
+  type EncodedOutcome,
+  type EncodedStatement,
 } from './link-codec.js';
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
@@ -48,8 +48,8 @@
     { ...plain, access: 'commit', transaction: { number: 4, isReadOnly: false, isFirst: true } },
     { ...plain, transaction: { number: 4, isReadOnly: true, isFirst: false } },
   ])('come back as they were sent: %#', (request) => {
-    const code = overLink<StatementCode>(encodeStatement(group, 9, request));
-    expect(decodeStatement(code)).toEqual({ group, epoch: 9, request });
+    const encoded = overLink<EncodedStatement>(encodeStatement(group, 9, request));
+    expect(decodeStatement(encoded)).toEqual({ group, epoch: 9, request });
   });
 
   it.each<StatementOutcome>([
@@ -67,8 +67,8 @@
     { kind: 'timed-out' },
     { kind: 'unknown', reason: 'lost' },
   ])('are answered as they ended: $kind', (outcome) => {
-    const code = overLink<OutcomeCode>(encodeOutcome(7, outcome));
-    expect(decodeOutcome(code)).toEqual({ number: 7, outcome });
+    const encoded = overLink<EncodedOutcome>(encodeOutcome(7, outcome));
+    expect(decodeOutcome(encoded)).toEqual({ number: 7, outcome });
   });
 
   it('carry offers to near readers, and the lack of one', () => {
--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -1,4 +1,4 @@
-/** Statements and outcomes on links between entries, as lists to keep messages small. */
+/** Encodes statements and outcomes for links between entries as arrays, to keep messages small. */
 import type {
   GroupName,
   LogPosition,
@@ -9,35 +9,35 @@
   StatementRequest,
 } from '@bramleykeel/core';
 
-type PositionCode = readonly [number, number] | null;
+type EncodedPosition = readonly [number, number] | null;
 
-type BodyCode = string | readonly ['read' | 'write', string, string];
+type EncodedBody = string | readonly ['read' | 'write', string, string];
 
-export type StatementCode = readonly [
+export type EncodedStatement = readonly [
   group: GroupName,
   epoch: number,
   number: number,
   tag: string,
   access: StatementAccess,
-  body: BodyCode,
+  body: EncodedBody,
   transaction: readonly [number, 0 | 1, 0 | 1] | null,
   customer: string,
   priority: number,
   consistency: ReadConsistency,
   maxReadAgeMs: number,
-  mark: PositionCode,
+  mark: EncodedPosition,
   values: Readonly<Record<string, string>> | null,
   budgetMs: number,
   startWithinMs: number,
 ];
 
-export type OutcomeCode = readonly [number, ...(readonly unknown[])];
+export type EncodedOutcome = readonly [number, ...(readonly unknown[])];
 
 export function encodeStatement(
   group: GroupName,
   epoch: number,
   request: StatementRequest,
-): StatementCode {
+): EncodedStatement {
   const { transaction, values } = request;
   const flag = (isSet: boolean) => (isSet ? 1 : 0);
   return [
@@ -59,13 +59,14 @@
   ];
 }
 
-export function decodeStatement(code: StatementCode): {
+export function decodeStatement(encoded: EncodedStatement): {
   readonly group: GroupName;
   readonly epoch: number;
   readonly request: StatementRequest;
 } {
-  const [group, epoch, number, tag, access, body, transaction, customer, priority] = code;
-  const [, , , , , , , , , consistency, maxReadAgeMs, mark, values, budgetMs, startWithinMs] = code;
+  const [group, epoch, number, tag, access, body, transaction, customer, priority] = encoded;
+  const [, , , , , , , , , consistency, maxReadAgeMs, mark, values, budgetMs, startWithinMs] =
+    encoded;
   const request: StatementRequest = {
     number,
     tag,
@@ -88,42 +89,42 @@
   return { group, epoch, request };
 }
 
-function encodeBody(body: StatementBody): BodyCode {
+function encodeBody(body: StatementBody): EncodedBody {
   return body.kind === 'plain' ? body.text : [body.access, body.shape, body.argument];
 }
 
-function decodeBody(code: BodyCode): StatementBody {
-  if (typeof code === 'string') return { kind: 'plain', text: code };
-  const [access, shape, argument] = code;
+function decodeBody(encoded: EncodedBody): StatementBody {
+  if (typeof encoded === 'string') return { kind: 'plain', text: encoded };
+  const [access, shape, argument] = encoded;
   return { kind: 'prepared', access, shape, argument };
 }
 
-function encodePosition(position: LogPosition | null): PositionCode {
+function encodePosition(position: LogPosition | null): EncodedPosition {
   return position && [position.term, position.offset];
 }
 
-function decodePosition(code: PositionCode): LogPosition | null {
-  return code && { term: code[0], offset: code[1] };
+function decodePosition(encoded: EncodedPosition): LogPosition | null {
+  return encoded && { term: encoded[0], offset: encoded[1] };
 }
 
-/** A finished statement is by far the most frequent message, so it has the shortest form. */
-export function encodeOutcome(number: number, outcome: StatementOutcome): OutcomeCode {
+/** Encodes an outcome. Kind `done`, by far the most frequent, has the shortest form. */
+export function encodeOutcome(number: number, outcome: StatementOutcome): EncodedOutcome {
   if (outcome.kind !== 'done') return [number, outcome];
   const { rows, signature, position, isFromReplica } = outcome;
   return [number, null, signature, encodePosition(position), isFromReplica ? 1 : 0, ...rows];
 }
 
-export function decodeOutcome(code: OutcomeCode): {
+export function decodeOutcome(encoded: EncodedOutcome): {
   readonly number: number;
   readonly outcome: StatementOutcome;
 } {
-  const [number, other, signature, position, isFromReplica, ...rows] = code;
-  if (other !== null) return { number, outcome: other as StatementOutcome };
+  const [number, otherOutcome, signature, position, isFromReplica, ...rows] = encoded;
+  if (otherOutcome !== null) return { number, outcome: otherOutcome as StatementOutcome };
   const outcome: StatementOutcome = {
     kind: 'done',
     rows: rows as string[],
     signature: signature as string,
-    position: decodePosition(position as PositionCode),
+    position: decodePosition(position as EncodedPosition),
     isFromReplica: isFromReplica === 1,
   };
   return { number, outcome };
--- a/packages/statement-entry/src/types/target-port.ts
+++ b/packages/statement-entry/src/types/target-port.ts
@@ -1,7 +1,7 @@
-/** What a dialect offers towards servers: connections that take one order at a time. */
+/** Interface between a dialect and servers: connections that handle one order at a time. */
 import type { CustomerName, GroupName, LogPosition, ServerName } from '@bramleykeel/core';
 
-/** An order to a server. Those with a `tag` are statements of callers; all others are our own. */
+/** An order to a server. Orders with a `tag` are callers' statements; all others are the entry's own. */
 export type TargetOrder =
   | { readonly kind: 'set'; readonly name: string; readonly value: string }
   | { readonly kind: 'reset' }
@@ -33,7 +33,7 @@
 
 export type ConnectionState = 'idle' | 'open' | 'failed';
 
-/** Why a server did not run an order. */
+/** Reason why a server did not run an order. */
 export type TargetRefusal =
   | 'busy'
   | 'lagging'
@@ -55,17 +55,17 @@
   | { readonly kind: 'refused'; readonly code: TargetRefusal; readonly state: ConnectionState }
   /** The order ran and failed. */
   | { readonly kind: 'failed'; readonly text: string; readonly state: ConnectionState }
-  /** The server gave up on it, or does not know; it may have run. */
+  /** The server timed out, or does not know the outcome; the order may have run. */
   | { readonly kind: 'timed-out'; readonly state: ConnectionState }
   | { readonly kind: 'unknown'; readonly state: ConnectionState }
-  /** The connection ended before the whole answer had come. */
+  /** The connection was closed before the complete answer arrived. */
   | { readonly kind: 'lost' }
-  /** No whole answer came in the time given; the connection is closed. */
+  /** No complete answer arrived within the timeout; the connection is closed. */
   | { readonly kind: 'overdue' };
 
 export interface TargetConnection {
   readonly customer: CustomerName;
-  /** Sends an order and waits for its whole answer, `timeoutMs` at most. */
+  /** Sends an order and waits up to `timeoutMs` for its complete answer. */
   readonly send: (order: TargetOrder, timeoutMs: number) => Promise<TargetAnswer>;
   readonly isOpen: () => boolean;
   readonly close: () => void;
@@ -86,27 +86,27 @@
       readonly position: LogPosition | null;
     }
   | { readonly kind: 'refused'; readonly code: TargetRefusal }
-  /** `refused` by the address, no answer in time, or closed while opening. */
+  /** The address refused the connection, did not answer in time, or closed it while it was being opened. */
   | { readonly kind: 'failed'; readonly why: 'unreachable' | 'silent' | 'closed' };
 
 export type OpenTarget = (request: OpenTargetRequest) => Promise<OpenTargetOutcome>;
 
-/** What a server says about itself when it is asked. */
+/** The status that a server reports. */
 export interface TargetStatus {
   readonly role: 'primary' | 'replica';
   readonly term: number;
   readonly position: LogPosition;
-  /** The newest term that it was paused or demoted under. */
+  /** The highest term in which the server was paused or demoted. */
   readonly heldTerm: number;
 }
 
-/** Reads the rows that answer a status, pause or demote order; `undefined` when they make no sense. */
+/** Parses the rows that answer a status, pause, resume or demote order; `undefined` if they are malformed. */
 export type ReadTargetStatus = (rows: readonly string[]) => TargetStatus | undefined;
 
-/** The result of asking the platform to promote a server. */
+/** The result of a request to the platform to promote a server. */
 export type PromoteOutcome =
   | 'accepted'
-  /** A higher token was seen, or the server does not run. */
+  /** The platform has seen a higher fence token, or the server is not running. */
   | 'refused'
   | 'try-later'
   | 'unanswered';
