--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -106,8 +106,8 @@
 }
 
 /**
- * Notifies the entries that have sent statements that an owner's epoch has ended on this entry. Called after
- * all of the owner's answers have been sent.
+ * Notifies the entries that have sent statements that an owner's epoch has ended on this entry. Links keep the
+ * order of messages, so the answers that the owner has given so far arrive first.
  */
 export function notifyOwnerEnded(app: StatementApp, owner: StatementOwner): void {
   for (const [peer, channel] of app.channels) {
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -358,8 +358,8 @@
   }
 
   /**
-   * Closes sessions as they become idle, and all that remain at `untilMs`. Waits at least until
-   * `notBeforeMs`, because new callers still arrive until the load balancer has updated.
+   * Closes idle sessions gradually, and all that remain at `untilMs`. Takes at least until `notBeforeMs`,
+   * because new callers arrive until the load balancer has noticed that the entry is stopping.
    */
   async function drainSessions(notBeforeMs: number, untilMs: number): Promise<void> {
     const startedAtMs = performance.now();
--- a/packages/statement-entry/src/target/connection-pool.test.ts
+++ b/packages/statement-entry/src/target/connection-pool.test.ts
@@ -17,20 +17,20 @@
 const one = toCustomerName('one');
 const other = toCustomerName('other');
 
-interface World {
+interface TestPool {
   readonly pools: PoolContext;
   readonly server: ServerState;
-  readonly open: Set<TargetConnection>;
-  opened: number;
-  /** What the next attempts meet instead of an open connection. */
+  readonly openConnections: Set<TargetConnection>;
+  openedCount: number;
+  /** Outcomes of the next attempts to open a connection; by default they succeed. */
   readonly outcomes: OpenTargetOutcome[];
 }
 
-function createWorld(maxConnections: number): World {
-  const open = new Set<TargetConnection>();
-  const world: World = {
-    open,
-    opened: 0,
+function createTestPool(maxConnections: number): TestPool {
+  const openConnections = new Set<TargetConnection>();
+  const testPool: TestPool = {
+    openConnections,
+    openedCount: 0,
     outcomes: [],
     server: createServerState(
       {
@@ -57,111 +57,111 @@
       },
       maxConnections: () => maxConnections,
       openTarget: ({ customer }) => {
-        const outcome = world.outcomes.shift();
+        const outcome = testPool.outcomes.shift();
         if (outcome) return Promise.resolve(outcome);
-        world.opened += 1;
+        testPool.openedCount += 1;
         const connection: TargetConnection = {
           customer,
-          isOpen: () => open.has(connection),
-          close: () => open.delete(connection),
+          isOpen: () => openConnections.has(connection),
+          close: () => openConnections.delete(connection),
           send: () => Promise.resolve({ kind: 'lost' }),
         };
-        open.add(connection);
+        openConnections.add(connection);
         return Promise.resolve({ kind: 'open', connection, position: { term: 1, offset: 9 } });
       },
     },
   };
-  return world;
+  return testPool;
 }
 
-async function take({ pools, server }: World, customer = one, valuesKey = '') {
+async function acquire({ pools, server }: TestPool, customer = one, valuesKey = '') {
   const acquired = await acquireConnection(pools, server, customer, valuesKey);
-  if (acquired.kind !== 'acquired') throw new Error('no connection was left');
+  if (acquired.kind !== 'acquired') throw new Error('no connection available');
   return acquired.pooled;
 }
 
-describe('connections to a server', () => {
-  it('are used again for the same customer only', async () => {
-    const world = createWorld(4);
-    const first = await take(world);
+describe('connection pool', () => {
+  it('reuses connections only for the same customer', async () => {
+    const testPool = createTestPool(4);
+    const first = await acquire(testPool);
     releaseConnection(first);
-    expect(await take(world)).toBe(first);
+    expect(await acquire(testPool)).toBe(first);
     releaseConnection(first);
-    expect(await take(world, other)).not.toBe(first);
-    expect(world.opened).toBe(2);
+    expect(await acquire(testPool, other)).not.toBe(first);
+    expect(testPool.openedCount).toBe(2);
   });
 
-  it('with the wanted values come first', async () => {
-    const world = createWorld(4);
-    const [first, second] = [await take(world), await take(world)];
+  it('prefers a connection with the required session values', async () => {
+    const testPool = createTestPool(4);
+    const [first, second] = [await acquire(testPool), await acquire(testPool)];
     first.valuesKey = 'wanted';
     releaseConnection(first);
     releaseConnection(second);
-    expect(await take(world, one, 'wanted')).toBe(first);
+    expect(await acquire(testPool, one, 'wanted')).toBe(first);
   });
 
-  it('never exceed the bound, and make room for another customer', async () => {
-    const world = createWorld(2);
-    const [first] = [await take(world), await take(world)];
-    expect(hasAvailableConnection(world.pools, world.server)).toBe(false);
-    const refused = await acquireConnection(world.pools, world.server, other, '');
+  it('keeps to the connection limit and replaces idle connections of another customer', async () => {
+    const testPool = createTestPool(2);
+    const [first] = [await acquire(testPool), await acquire(testPool)];
+    expect(hasAvailableConnection(testPool.pools, testPool.server)).toBe(false);
+    const refused = await acquireConnection(testPool.pools, testPool.server, other, '');
     expect(refused.kind).toBe('unavailable');
     releaseConnection(first);
-    expect(hasAvailableConnection(world.pools, world.server)).toBe(true);
-    await take(world, other);
-    expect(world.open.size).toBe(2);
-    expect(world.server.connectionCount).toBe(2);
+    expect(hasAvailableConnection(testPool.pools, testPool.server)).toBe(true);
+    await acquire(testPool, other);
+    expect(testPool.openConnections.size).toBe(2);
+    expect(testPool.server.connectionCount).toBe(2);
   });
 
-  it('beyond a bound that has fallen are closed, those in use when they come back', async () => {
-    const world = createWorld(4);
-    const taken = [await take(world), await take(world), await take(world)];
+  it('closes idle connections in excess of a lowered limit and opens no new ones', async () => {
+    const testPool = createTestPool(4);
+    const taken = [await acquire(testPool), await acquire(testPool), await acquire(testPool)];
     for (const pooled of taken.slice(0, 2)) releaseConnection(pooled);
-    const pools = { ...world.pools, maxConnections: () => 1 };
-    closeExcessIdleConnections(pools, world.server);
-    expect(world.open.size).toBe(1);
-    const refused = await acquireConnection(pools, world.server, other, '');
+    const pools = { ...testPool.pools, maxConnections: () => 1 };
+    closeExcessIdleConnections(pools, testPool.server);
+    expect(testPool.openConnections.size).toBe(1);
+    const refused = await acquireConnection(pools, testPool.server, other, '');
     expect(refused.kind).toBe('unavailable');
   });
 
-  it('count once, however often they are discarded', async () => {
-    const world = createWorld(2);
-    const first = await take(world);
+  it('counts a connection once if it is discarded several times', async () => {
+    const testPool = createTestPool(2);
+    const first = await acquire(testPool);
     discardConnection(first);
     discardConnection(first);
     releaseConnection(first);
-    expect(world.server.connectionCount).toBe(0);
-    expect(world.server.idle).toEqual([]);
+    expect(testPool.server.connectionCount).toBe(0);
+    expect(testPool.server.idle).toEqual([]);
   });
 
-  it('that the server closed are not used again', async () => {
-    const world = createWorld(2);
-    const first = await take(world);
+  it('does not reuse connections that the server has closed', async () => {
+    const testPool = createTestPool(2);
+    const first = await acquire(testPool);
     releaseConnection(first);
-    world.open.clear();
-    expect(await take(world)).not.toBe(first);
-    expect(world.server.connectionCount).toBe(1);
+    testPool.openConnections.clear();
+    expect(await acquire(testPool)).not.toBe(first);
+    expect(testPool.server.connectionCount).toBe(1);
   });
 
-  it('are closed when they come back after the server was given up', async () => {
-    const world = createWorld(4);
-    const [idle, busy] = [await take(world), await take(world)];
+  it('closes connections of a retired server when they are released', async () => {
+    const testPool = createTestPool(4);
+    const [idle, busy] = [await acquire(testPool), await acquire(testPool)];
     releaseConnection(idle);
-    retireServer(world.server);
-    expect([...world.open]).toEqual([busy.connection]);
+    retireServer(testPool.server);
+    expect([...testPool.openConnections]).toEqual([busy.connection]);
     releaseConnection(busy);
-    expect(world.open.size).toBe(0);
-    expect(world.server.connectionCount).toBe(0);
+    expect(testPool.openConnections.size).toBe(0);
+    expect(testPool.server.connectionCount).toBe(0);
   });
 
-  it('that have gone silent are dropped without those that were used since', async () => {
-    const world = createWorld(4);
-    const [old, recent] = [await take(world), await take(world)];
+  it('closes idle connections last used before a given time and keeps the others', async () => {
+    const testPool = createTestPool(4);
+    const [old, recent] = [await acquire(testPool), await acquire(testPool)];
     releaseConnection(old);
     releaseConnection(recent);
     old.lastUsedMs -= 1_000;
-    closeIdleConnections(world.server, ({ lastUsedMs }) => lastUsedMs < recent.lastUsedMs);
-    expect(world.server.idle).toEqual([recent]);
+    closeIdleConnections(testPool.server, ({ lastUsedMs }) => lastUsedMs < recent.lastUsedMs);
+    expect(testPool.server.idle).toEqual([recent]);
   });
 
   it.each<{ outcome: OpenTargetOutcome; isFailing: boolean; refusals: number; isBusy: boolean }>([
@@ -185,10 +185,10 @@
       refusals: 0,
       isBusy: true,
     },
-  ])('that fail with $outcome leave nothing open', async (row) => {
-    const world = createWorld(4);
-    const { pools, server } = world;
-    world.outcomes.push(row.outcome);
+  ])('keeps no connection after an attempt that fails with $outcome', async (row) => {
+    const testPool = createTestPool(4);
+    const { pools, server } = testPool;
+    testPool.outcomes.push(row.outcome);
     expect((await acquireConnection(pools, server, one, '')).kind).toBe('unavailable');
     expect(server.connectionCount).toBe(0);
     expect(server.failingSinceMs !== undefined).toBe(row.isFailing);
--- a/packages/statement-entry/src/target/connection-setup.test.ts
+++ b/packages/statement-entry/src/target/connection-setup.test.ts
@@ -13,18 +13,18 @@
 const plain = { kind: 'plain', text: 'READ x' } as const;
 const prepared = { kind: 'prepared', access: 'read', shape: 'by-item', argument: 'x' } as const;
 
-function need(
+function requirements(
   values: Record<string, string>,
   body: SetupRequirements['body'] = plain,
 ): SetupRequirements {
   return { values, valuesKey: valuesKeyOf(values), body };
 }
 
-function connection(values: Record<string, string> = {}, names: string[] = []): SetupState {
+function setupState(values: Record<string, string> = {}, names: string[] = []): SetupState {
   return { values, valuesKey: valuesKeyOf(values), prepared: new Set(names) };
 }
 
-describe('setting up a connection', () => {
+describe('connection setup', () => {
   it.each<{
     name: string;
     has: SetupState;
@@ -33,81 +33,81 @@
     expected: string[];
   }>([
     {
-      name: 'nothing for a connection that fits',
-      has: connection({ a: '1' }),
-      needs: need({ a: '1' }),
+      name: 'nothing to a connection that is set up already',
+      has: setupState({ a: '1' }),
+      needs: requirements({ a: '1' }),
       expected: [],
     },
     {
-      name: 'the values that are missing',
-      has: connection({ a: '1' }),
-      needs: need({ a: '1', b: '2' }),
+      name: 'missing values',
+      has: setupState({ a: '1' }),
+      needs: requirements({ a: '1', b: '2' }),
       expected: ['set'],
     },
     {
       name: 'a value that differs',
-      has: connection({ a: '1' }),
-      needs: need({ a: '2' }),
+      has: setupState({ a: '1' }),
+      needs: requirements({ a: '2' }),
       expected: ['set'],
     },
     {
-      name: 'a reset for a value of another session',
-      has: connection({ a: '1', z: '9' }),
-      needs: need({ a: '1' }),
+      name: 'a reset to remove a value of another session',
+      has: setupState({ a: '1', z: '9' }),
+      needs: requirements({ a: '1' }),
       expected: ['reset', 'set'],
     },
     {
       name: 'a reset for a session without values',
-      has: connection({ z: '9' }),
-      needs: need({}),
+      has: setupState({ z: '9' }),
+      needs: requirements({}),
       expected: ['reset'],
     },
     {
-      name: 'a prepared name once',
-      has: connection(),
-      needs: need({}, prepared),
+      name: 'a prepare for a missing prepared statement',
+      has: setupState(),
+      needs: requirements({}, prepared),
       expected: ['prepare'],
     },
     {
-      name: 'no prepared name twice',
-      has: connection({}, ['r_by-item']),
-      needs: need({}, prepared),
+      name: 'nothing for an existing prepared statement',
+      has: setupState({}, ['r_by-item']),
+      needs: requirements({}, prepared),
       expected: [],
     },
     {
-      name: 'a prepared name again after a reset',
-      has: connection({ z: '9' }, ['r_by-item']),
-      needs: need({}, prepared),
+      name: 'a prepare after a reset',
+      has: setupState({ z: '9' }, ['r_by-item']),
+      needs: requirements({}, prepared),
       expected: ['reset', 'prepare'],
     },
     {
-      name: 'another name for a write of the same shape',
-      has: connection({}, ['r_by-item']),
-      needs: need({}, { ...prepared, access: 'write' }),
+      name: 'a prepare for a write of the same shape as a read',
+      has: setupState({}, ['r_by-item']),
+      needs: requirements({}, { ...prepared, access: 'write' }),
       expected: ['prepare'],
     },
     {
-      name: 'the transaction last',
-      has: connection(),
-      needs: need({ a: '1' }, prepared),
+      name: 'begin last',
+      has: setupState(),
+      needs: requirements({ a: '1' }, prepared),
       begin: { isReadOnly: true, after: null },
       expected: ['set', 'prepare', 'begin'],
     },
-  ])('takes $name', ({ has, needs, begin, expected }) => {
+  ])('sends $name', ({ has, needs, begin, expected }) => {
     expect(setupOrders(needs, has, begin).map(({ kind }) => kind)).toEqual(expected);
   });
 
-  it('leads to just the session’s values and the statement’s name, whatever was there before', () => {
+  it('results in exactly the session’s values and the statement’s prepared name, whatever the previous state', () => {
     const values = fc.dictionary(fc.constantFrom('a', 'b', 'c'), fc.constantFrom('1', '2'));
     const body = fc.constantFrom<SetupRequirements['body']>(plain, prepared);
     const steps = fc.array(fc.tuple(values, body), { minLength: 1, maxLength: 8 });
     fc.assert(
       fc.property(steps, (sessions) => {
         const server = { values: {} as Record<string, string>, names: new Map<string, string>() };
-        const state = connection();
+        const state = setupState();
         for (const [wanted, statement] of sessions) {
-          for (const order of setupOrders(need(wanted, statement), state, undefined)) {
-            carryOut(server, order);
+          for (const order of setupOrders(requirements(wanted, statement), state, undefined)) {
+            applyOrder(server, order);
             recordSetup(state, order);
           }
           expect(server.values).toEqual(wanted);
@@ -120,13 +120,13 @@
     );
   });
 
-  it('gives the same key to the same values in any order, and another to others', () => {
+  it('returns equal keys for equal values in any order, and different keys for different values', () => {
     expect(valuesKeyOf({ a: '1', b: '2' })).toBe(valuesKeyOf({ b: '2', a: '1' }));
     expect(valuesKeyOf({ a: '1,b=2' })).not.toBe(valuesKeyOf({ a: '1', b: '2' }));
   });
 });
 
-function carryOut(
+function applyOrder(
   server: { values: Record<string, string>; readonly names: Map<string, string> },
   order: TargetOrder,
 ): void {
--- a/packages/statement-entry/src/target/server-control.test.ts
+++ b/packages/statement-entry/src/target/server-control.test.ts
@@ -17,7 +17,7 @@
 
 const busy = { kind: 'refused', code: 'busy', state: 'idle' } as const;
 
-describe('orders to servers', () => {
+describe('control orders to servers', () => {
   let fake: FakeGroup;
   let server: FakeServer;
   let state: ServerState;
@@ -31,7 +31,7 @@
     await sendControlOrder(fake.owner, state, { kind: 'status' });
   });
 
-  it('use one connection, one after the other', async () => {
+  it('are sent one at a time over one connection', async () => {
     const statuses = await Promise.all([
       sendControlOrder(fake.owner, state, { kind: 'status' }),
       sendControlOrder(fake.owner, state, { kind: 'pause', term: 4 }),
@@ -41,17 +41,17 @@
     expect(server.connections.size).toBe(1);
   });
 
-  it('tell what reads can see at a replica, not what it has received and applies later', async () => {
+  it('record the position that a replica has applied, not the one that it has received', async () => {
     const [, , replica] = fake.servers;
-    const behind = replica && fake.owner.servers.get(replica.name);
-    if (!replica || !behind) throw new Error('the group has three servers');
+    const laggingState = replica && fake.owner.servers.get(replica.name);
+    if (!replica || !laggingState) throw new Error('the group has three servers');
     replica.applied = { term: 3, offset: 12 };
-    const status = await sendControlOrder(fake.owner, behind, { kind: 'status' });
+    const status = await sendControlOrder(fake.owner, laggingState, { kind: 'status' });
     expect(status?.status.position).toEqual({ term: 3, offset: 40 });
-    expect(behind.position).toEqual({ term: 3, offset: 12 });
+    expect(laggingState.position).toEqual({ term: 3, offset: 12 });
   });
 
-  it('are repeated while the server has no slot, and given up in time', async () => {
+  it('are repeated while the server is busy, until a timeout', async () => {
     server.answers.push(busy, busy);
     expect(await sendControlOrder(fake.owner, state, { kind: 'status' })).toBeDefined();
     server.answers.push(...Array.from({ length: 200 }, () => busy));
@@ -61,7 +61,7 @@
     expect(state.failingSinceMs).toBeUndefined();
   });
 
-  it('reach a server whose kept connection has gone silent, and drop what is as old', async () => {
+  it('use a new connection if the existing one is silent, and close idle connections of the same age', async () => {
     const { pools } = fake.owner;
     const acquired = await acquireConnection(pools, state, toCustomerName('one'), '');
     if (acquired.kind === 'acquired') releaseConnection(acquired.pooled);
@@ -71,28 +71,31 @@
     expect(state.failingSinceMs).toBeUndefined();
   });
 
-  it.each<{ reach: FakeReachability; isAlive: boolean; refusals: number }>([
-    { reach: 'up', isAlive: true, refusals: 0 },
-    { reach: 'refusing', isAlive: false, refusals: 1 },
-    { reach: 'dark', isAlive: false, refusals: 0 },
-    { reach: 'old-silent', isAlive: true, refusals: 0 },
-  ])('tell whether a server that is $reach answers', async ({ reach, isAlive, refusals }) => {
-    server.reachability = reach;
-    const startedAtMs = performance.now();
-    expect(await probeServer(fake.owner, state)).toBe(isAlive);
-    expect(state.refusedCount).toBe(refusals);
-    // Silence counts from the question, not from the moment when it was given up.
-    if (!isAlive) expect(state.failingSinceMs).toBeLessThan(startedAtMs + 50);
-  });
+  it.each<{ reachability: FakeReachability; isAlive: boolean; refusals: number }>([
+    { reachability: 'up', isAlive: true, refusals: 0 },
+    { reachability: 'refusing', isAlive: false, refusals: 1 },
+    { reachability: 'dark', isAlive: false, refusals: 0 },
+    { reachability: 'old-silent', isAlive: true, refusals: 0 },
+  ])(
+    'probe whether a server that is $reachability answers',
+    async ({ reachability, isAlive, refusals }) => {
+      server.reachability = reachability;
+      const startedAtMs = performance.now();
+      expect(await probeServer(fake.owner, state)).toBe(isAlive);
+      expect(state.refusedCount).toBe(refusals);
+      // The failure is dated from the start of the attempt, not from its timeout.
+      if (!isAlive) expect(state.failingSinceMs).toBeLessThan(startedAtMs + 50);
+    },
+  );
 
-  it('find a server alive that has no room for another connection', async () => {
+  it('treat a server at its connection limit as alive', async () => {
     closeControlConnection(state);
     server.reachability = 'full';
     expect(await probeServer(fake.owner, state)).toBe(true);
     expect(state.failingSinceMs).toBeUndefined();
   });
 
-  it('go to all at the same time: one that is dark hides no answer of the others', async () => {
+  it('are sent to all servers concurrently, so a silent one does not block the answers of the others', async () => {
     server.reachability = 'dark';
     const statuses = await sendControlOrderToAll(fake.owner, () => ({ kind: 'status' }));
     expect(statuses.map((each) => each.server.announcement.server)).toEqual(['i-1', 'i-2']);
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -17,7 +17,7 @@
   readonly status: TargetStatus;
 }
 
-/** Idempotent orders. */
+/** Orders that the owner sends on its own behalf; all are idempotent. */
 export type ControlOrder = Extract<
   TargetOrder,
   { readonly kind: 'status' | 'pause' | 'resume' | 'demote' }
@@ -42,7 +42,7 @@
 
 const controlConnections = new WeakMap<ServerState, ControlConnection>();
 
-/** Sends an order to a server and returns the status in its answer; `undefined` if it does not answer. */
+/** Sends an order to a server and returns the status in its answer; `undefined` if there is none. */
 export async function sendControlOrder(
   owner: StatementOwner,
   server: ServerState,
@@ -136,7 +136,7 @@
   }
   const connection = await openControlConnection(owner, server, control, timeoutMs, startedAtMs);
   if (!connection || 'kind' in connection) return connection;
-  // The server accepts a new connection, so the old one was dead. Idle ones not used since are closed too.
+  // The server accepts new connections, so the old one was dead. Idle ones not used since are presumed dead too.
   if (hasTimedOut) closeIdleConnections(server, ({ lastUsedMs }) => lastUsedMs < startedAtMs);
   const sentAtMs = performance.now();
   const answer = await connection.send(order, timeoutMs);
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -17,7 +17,7 @@
 } from './link-codec.js';
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
-const overLink = <Value>(value: Value): Value => encoder.decode(encoder.encode(value)) as Value;
+const roundTrip = <Value>(value: Value): Value => encoder.decode(encoder.encode(value)) as Value;
 const group = toGroupName('ledger');
 
 const plain: StatementRequest = {
@@ -36,7 +36,7 @@
   startWithinMs: 360,
 };
 
-describe('statements on links', () => {
+describe('link codec', () => {
   it.each<StatementRequest>([
     plain,
     { ...plain, mark: null, values: { unit: 'mm' } },
@@ -47,8 +47,8 @@
     },
     { ...plain, access: 'commit', transaction: { number: 4, isReadOnly: false, isFirst: true } },
     { ...plain, transaction: { number: 4, isReadOnly: true, isFirst: false } },
-  ])('come back as they were sent: %#', (request) => {
-    const encoded = overLink<EncodedStatement>(encodeStatement(group, 9, request));
+  ])('decodes an encoded statement unchanged: %#', (request) => {
+    const encoded = roundTrip<EncodedStatement>(encodeStatement(group, 9, request));
     expect(decodeStatement(encoded)).toEqual({ group, epoch: 9, request });
   });
 
@@ -66,12 +66,12 @@
     { kind: 'failed', text: 'no' },
     { kind: 'timed-out' },
     { kind: 'unknown', reason: 'lost' },
-  ])('are answered as they ended: $kind', (outcome) => {
-    const encoded = overLink<EncodedOutcome>(encodeOutcome(7, outcome));
+  ])('decodes an encoded outcome unchanged: $kind', (outcome) => {
+    const encoded = roundTrip<EncodedOutcome>(encodeOutcome(7, outcome));
     expect(decodeOutcome(encoded)).toEqual({ number: 7, outcome });
   });
 
-  it('carry offers to near readers, and the lack of one', () => {
+  it('decodes an encoded offer to near readers, or its absence', () => {
     const offer: NearOffer = {
       position: { term: 2, offset: 5 },
       maxConnections: 3,
@@ -83,7 +83,7 @@
         },
       ],
     };
-    expect(decodeOffer(overLink(encodeOffer(offer)))).toEqual(offer);
-    expect(decodeOffer(overLink(encodeOffer(undefined)))).toBeUndefined();
+    expect(decodeOffer(roundTrip(encodeOffer(offer)))).toEqual(offer);
+    expect(decodeOffer(roundTrip(encodeOffer(undefined)))).toBeUndefined();
   });
 });
