--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -53,7 +53,7 @@
   'rate/draw': (app, params) => answerDrawCode(app.draws, params as DrawCode),
   'near/ask': (app, params) => {
     const [group, epoch, zone, entryId] = params as NearQuestionCode;
-    return answerNearRequest(app, toGroupName(group), epoch, { zone, entryId });
+    return answerNearOfferRequest(app, toGroupName(group), epoch, { zone, entryId });
   },
   'server/announce': (app, params) =>
     deliverServerAnnouncement(app.registry, params as ServerAnnouncement),
@@ -130,7 +130,7 @@
  * Answers a request for a near-read offer. Waits for one event loop turn first, so that write acknowledgements
  * already received on the sockets are included in the offered position.
  */
-export async function answerNearRequest(
+export async function answerNearOfferRequest(
   { registry }: Pick<StatementApp, 'registry'>,
   group: GroupName,
   epoch: number,
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -34,7 +34,7 @@
   type SessionEnvironment,
 } from './accept/session-state.js';
 import {
-  answerNearRequest,
+  answerNearOfferRequest,
   handleEvent,
   handleLinkClosed,
   handleRequest,
@@ -225,7 +225,7 @@
       return askOwner(owners, group, {
         method: 'near/ask',
         params: (epoch): NearQuestionCode => [group, epoch, options.zone, options.entryId],
-        answerLocally: (epoch) => answerNearRequest({ registry }, group, epoch, question),
+        answerLocally: (epoch) => answerNearOfferRequest({ registry }, group, epoch, question),
         timeoutMs: NEAR_TIMEOUT_MS,
       }).then((encoded) => decodeOffer(encoded as NearOfferCode | null | undefined));
     },
