--- a/packages/statement-entry/src/near/near-offer.ts
+++ b/packages/statement-entry/src/near/near-offer.ts
@@ -1,7 +1,7 @@
 /** Offers of an owner to entries that read directly from replicas in their region. */
 import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
 import { primaryOf, type StatementOwner } from '../owner/owner-state.js';
-import { nearConnections } from '../target/connection-budget.js';
+import { maxNearConnections } from '../target/connection-budget.js';
 
 export interface NearServer {
   readonly server: ServerName;
@@ -63,7 +63,7 @@
     servers: servers.map(({ announcement: { server, address, slots } }) => {
       return { server, address, slots };
     }),
-    maxConnections: Math.max(1, Math.floor(nearConnections(owner.environment) / readerCount)),
+    maxConnections: Math.max(1, Math.floor(maxNearConnections(owner.environment) / readerCount)),
   };
 }
 
--- a/packages/statement-entry/src/near/near-reads.ts
+++ b/packages/statement-entry/src/near/near-reads.ts
@@ -20,12 +20,17 @@
 import {
   acquireConnection,
   discardConnection,
-  dropIdle,
+  closeIdleConnections,
   type PoolContext,
   releaseConnection,
   retireServer,
 } from '../target/connection-pool.js';
-import { noteSetup, setupOrders, statementOrder, valuesKeyOf } from '../target/connection-setup.js';
+import {
+  recordSetup,
+  setupOrders,
+  statementOrder,
+  valuesKeyOf,
+} from '../target/connection-setup.js';
 import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
 import type { NearOffer, NearServer } from './near-offer.js';
 
@@ -220,7 +225,7 @@
       handleBrokenConnection(server, pooled);
       return undefined;
     }
-    noteSetup(pooled, order);
+    recordSetup(pooled, order);
   }
   const remainingMs = deadlineMs - performance.now();
   const answer = await pooled.connection.send(
@@ -260,5 +265,5 @@
 function handleBrokenConnection(server: ServerState, pooled: PooledConnection): void {
   server.failingSinceMs = performance.now();
   discardConnection(pooled);
-  dropIdle(server, () => true);
+  closeIdleConnections(server, () => true);
 }
