--- a/packages/entry/src/accept/caller-output.ts
+++ b/packages/entry/src/accept/caller-output.ts
@@ -1,4 +1,4 @@
-/** What a caller is told by the entry itself: refusals, ends of requests, and goodbyes. */
+/** Messages that the entry itself sends to callers: refusals, ReadyForQuery, session marks. */
 import { formatPosition, type LogPosition, type Refusal } from '@bramleykeel/core';
 import {
   buildErrorResponse,
@@ -8,10 +8,10 @@
 import { writeBatched } from '@bramleykeel/link';
 import type { CallerSession } from './caller-state.js';
 
-/** Name of the parameter that carries a session's mark. */
+/** Name of the parameter that carries a session's mark, its position in the group's log. */
 export const SESSION_PARAMETER = 'bramleykeel.session';
 
-/** Builds the error for a refusal; `isFatal` when the connection ends with it. */
+/** Builds the ErrorResponse for a refusal; `isFatal` if the connection is closed after it. */
 export function buildRefusal(refusal: Refusal, isFatal: boolean): Buffer {
   const { sqlState, message, reason, hint } = refusal;
   const severity = isFatal ? 'FATAL' : 'ERROR';
@@ -19,7 +19,7 @@
   return buildErrorResponse({ severity, sqlState, message, detail, ...(hint ? { hint } : {}) });
 }
 
-/** Sends an error for a request that the entry itself refused. */
+/** Counts a refusal by this entry and sends it; the connection stays open. */
 export function sendRefusal(session: CallerSession, refusal: Refusal): void {
   session.environment.counters.count(`refusal.${refusal.reason}`);
   writeBatched(session.socket, buildRefusal(refusal, false));
@@ -29,7 +29,7 @@
   writeBatched(session.socket, buildReadyForQuery(session.status));
 }
 
-/** Reports a new mark, so that the caller can carry it to another connection. */
+/** Reports a changed mark, which the caller can pass on to another connection. */
 export function reportMark(session: CallerSession, mark: LogPosition): void {
   const text = formatPosition(mark);
   if (session.mark && formatPosition(session.mark) === text) return;
@@ -38,8 +38,8 @@
 }
 
 /**
- * Ends the connection with a refusal. What was written in the same turn goes out together with it, so
- * that a caller sees the goodbye before it can send its next request.
+ * Closes the connection with a refusal. The refusal is flushed together with anything written in the
+ * same event loop turn, so the caller receives it before it can send its next request.
  */
 export function endWithRefusal(session: CallerSession, refusal: Refusal): void {
   if (session.isClosed) return;
--- a/packages/entry/src/accept/caller-registry.ts
+++ b/packages/entry/src/accept/caller-registry.ts
@@ -1,4 +1,4 @@
-/** All callers of an entry: accepting, finding by session or cancel key, closing. */
+/** Registry of an entry's callers: accepts them, finds them by session or cancel key, closes them. */
 import { randomInt } from 'node:crypto';
 import { createServer, type Server, type Socket } from 'node:net';
 import type { SecureContext } from 'node:tls';
@@ -17,22 +17,22 @@
 } from '@bramleykeel/postgres-wire';
 import type { OwnerPort } from '../locate/owner-port.js';
 import { buildRefusal, endWithRefusal, sendReady, SESSION_PARAMETER } from './caller-output.js';
-import { handlePortLost, takeAnswer } from './caller-request.js';
-import { closeSession, processInbox, takeInput } from './caller-session.js';
+import { handlePortLost, handleOwnerMessage } from './caller-request.js';
+import { closeSession, processInbox, handleInput } from './caller-session.js';
 import type { CallerEnvironment, CallerSession } from './caller-state.js';
 import { createCallerStatements } from './chunk-builder.js';
-import { type AccessRules, type Admitted, runStartup } from './startup.js';
+import { type AccessRules, type AdmittedCaller, runStartup } from './startup.js';
 
 export interface CallerRegistryOptions {
   readonly address: string;
   readonly maxCallers: number;
   readonly secureContext: SecureContext | undefined;
-  /** Prefix of session ids; unique for each start of the process. */
+  /** Prefix of session ids, unique to each start of the process. */
   readonly sessionPrefix: string;
   readonly environment: CallerEnvironment;
   readonly rules: AccessRules;
-  /** Passes on a cancel request that is not for a caller of this entry. */
-  readonly onForeignCancel: (processId: number, secretKey: number) => void;
+  /** Called for a cancel request whose key does not match a caller of this entry. */
+  readonly onUnmatchedCancel: (processId: number, secretKey: number) => void;
 }
 
 export interface CallerRegistry {
@@ -41,11 +41,11 @@
   readonly byProcessId: Map<number, CallerSession>;
   readonly server: Server;
   connectionCount: number;
-  nextSession: number;
+  nextSessionNumber: number;
 }
 
 const STARTUP_TIMEOUT_MS = 5_000;
-/** A session unused for this long is not about to send its next request. */
+/** A caller that has been idle for this long is unlikely to be about to send a request. */
 const IDLE_BEFORE_CLOSE_MS = 500;
 const KEEP_ALIVE_DELAY_MS = 10_000;
 const SERVER_PARAMETERS: Readonly<Record<string, string>> = {
@@ -56,10 +56,14 @@
   integer_datetimes: 'on',
   standard_conforming_strings: 'on',
 };
-/** Startup parameters that become session settings, as a SET would make them. */
-const CARRIED_PARAMETERS = ['datestyle', 'timezone', 'search_path', 'statement_timeout'];
+/** Startup parameters that become session settings, as if set by SET. */
+const SETTING_PARAMETERS = ['datestyle', 'timezone', 'search_path', 'statement_timeout'];
 
-/** Starts to accept callers. */
+/**
+ * Listens for callers.
+ *
+ * @throws when the address is taken
+ */
 export function listenForCallers(options: CallerRegistryOptions): Promise<CallerRegistry> {
   const server = createServer((socket) => {
     void accept(registry, socket);
@@ -70,7 +74,7 @@
     byProcessId: new Map(),
     server,
     connectionCount: 0,
-    nextSession: 1,
+    nextSessionNumber: 1,
   };
   const { host, port } = splitAddress(options.address);
   return new Promise((resolve, reject) => {
@@ -106,8 +110,8 @@
       environment.counters.count(`refusal.${outcome.refusal.reason}`);
       return;
     case 'cancel':
-      if (!cancelLocal(registry, outcome.processId, outcome.secretKey)) {
-        registry.options.onForeignCancel(outcome.processId, outcome.secretKey);
+      if (!cancelLocalRequest(registry, outcome.processId, outcome.secretKey)) {
+        registry.options.onUnmatchedCancel(outcome.processId, outcome.secretKey);
       }
       return;
     case 'admitted':
@@ -115,11 +119,11 @@
   }
 }
 
-function startSession(registry: CallerRegistry, admitted: Admitted): void {
+function startSession(registry: CallerRegistry, admitted: AdmittedCaller): void {
   const { environment, sessionPrefix } = registry.options;
   const { socket, parameters } = admitted;
-  const number = registry.nextSession;
-  registry.nextSession += 1;
+  const number = registry.nextSessionNumber;
+  registry.nextSessionNumber += 1;
   const session: CallerSession = {
     id: toSessionId(`${sessionPrefix}:${number}`),
     environment,
@@ -133,14 +137,14 @@
     inbox: [],
     inboxBytes: 0,
     statements: createCallerStatements(),
-    settings: carriedSettings(parameters),
+    settings: readStartupSettings(parameters),
     mark: parsePosition(parameters.get(SESSION_PARAMETER) ?? '') ?? null,
     status: 'idle',
     port: undefined,
     request: undefined,
-    nextNumber: 1,
+    nextRequestNumber: 1,
     isPreparing: false,
-    isSkipping: false,
+    isSkippingToSync: false,
     unreturnedCreditBytes: 0,
     lastActiveMs: performance.now(),
     continueInput: () => undefined,
@@ -152,29 +156,29 @@
   registry.sessions.set(session.id, session);
   registry.byProcessId.set(session.processId, session);
   socket.on('data', (chunk: Buffer) => {
-    takeInput(session, chunk);
+    handleInput(session, chunk);
   });
   socket.once('close', () => {
     closeSession(session);
     registry.sessions.delete(session.id);
     registry.byProcessId.delete(session.processId);
   });
-  greet(session);
+  sendStartupMessages(session);
   socket.resume();
-  takeInput(session, Buffer.alloc(0));
+  handleInput(session, Buffer.alloc(0));
 }
 
-function carriedSettings(parameters: ReadonlyMap<string, string>): Map<string, string> {
+function readStartupSettings(parameters: ReadonlyMap<string, string>): Map<string, string> {
   const settings = new Map<string, string>();
   for (const [name, value] of parameters) {
     const lowerName = name.toLowerCase();
-    if (!CARRIED_PARAMETERS.includes(lowerName)) continue;
+    if (!SETTING_PARAMETERS.includes(lowerName)) continue;
     settings.set(lowerName, `SET ${lowerName} = '${value.replaceAll("'", "''")}'`);
   }
   return settings;
 }
 
-function greet(session: CallerSession): void {
+function sendStartupMessages(session: CallerSession): void {
   const { socket } = session;
   socket.cork();
   socket.write(buildAuthenticationOk());
@@ -186,8 +190,12 @@
   socket.uncork();
 }
 
-/** Cancels what a caller of this entry runs, if the cancel key is its own. */
-export function cancelLocal(
+/**
+ * Cancels the running request of the caller with this cancel key.
+ *
+ * @returns whether the key belongs to a caller of this entry
+ */
+export function cancelLocalRequest(
   registry: CallerRegistry,
   processId: number,
   secretKey: number,
@@ -202,19 +210,19 @@
   return true;
 }
 
-/** Hands an owner's message to the session it is for. */
-export function dispatchAnswer(registry: CallerRegistry, message: FromOwnerMessage): void {
+/** Delivers an owner's message to its session. */
+export function dispatchOwnerMessage(registry: CallerRegistry, message: FromOwnerMessage): void {
   const session = registry.sessions.get(message.session);
-  if (session) takeAnswer(session, message);
+  if (session) handleOwnerMessage(session, message);
 }
 
-/** Tells all sessions that used a port that it is lost. */
+/** Handles the loss of a port in all sessions that use it. */
 export function dispatchPortLost(registry: CallerRegistry, port: OwnerPort): void {
   for (const session of registry.sessions.values()) handlePortLost(session, port);
 }
 
-/** Ends the sessions whose key is no longer in force; an open transaction is rolled back. */
-export function closeWithdrawn(
+/** Closes the sessions whose key is no longer in force; their open transactions are rolled back. */
+export function closeSessionsWithWithdrawnKeys(
   registry: CallerRegistry,
   isInForce: (session: CallerSession) => boolean,
 ): void {
@@ -225,24 +233,27 @@
   }
 }
 
-/** Stops accepting; sessions that are in use end with the answer to their next request. */
+/** Stops accepting callers. Sessions that are in use are closed when their next request ends. */
 export function stopAccepting(registry: CallerRegistry): void {
   registry.server.close();
 }
 
-/** Ends the sessions that were not used lately: a caller that is about to send is not cut off. */
-export function closeIdle(registry: CallerRegistry): void {
-  for (const session of registry.sessions.values()) closeIfIdle(session);
+/**
+ * Closes the sessions that have been idle for `IDLE_BEFORE_CLOSE_MS`. Recently active sessions stay
+ * open, because their callers may be about to send a request.
+ */
+export function closeIdleSessions(registry: CallerRegistry): void {
+  for (const session of registry.sessions.values()) closeSessionIfIdle(session);
 }
 
-function closeIfIdle(session: CallerSession): void {
+function closeSessionIfIdle(session: CallerSession): void {
   const isIdle = session.status === 'idle' && !session.request && !session.isPreparing;
   if (!isIdle || session.inbox.length > 0 || session.isClosed) return;
   if (performance.now() - session.lastActiveMs < IDLE_BEFORE_CLOSE_MS) return;
   endWithRefusal(session, refuse('owner-stopping', 'this entry is stopping; connect again'));
 }
 
-/** Goes on with sessions that have input waiting. */
-export function processAll(registry: CallerRegistry): void {
+/** Processes the buffered input of all sessions. */
+export function processAllInboxes(registry: CallerRegistry): void {
   for (const session of registry.sessions.values()) processInbox(session);
 }
--- a/packages/entry/src/accept/caller-request.ts
+++ b/packages/entry/src/accept/caller-request.ts
@@ -1,4 +1,4 @@
-/** The way of one request: to the group's owner, and its answer back, also when the owner is lost. */
+/** Sends requests to the group's owner, forwards its answers, and handles the loss of the owner. */
 import {
   type FromOwnerMessage,
   latestPosition,
@@ -19,26 +19,29 @@
 import type { CallerSession, OpenRequest } from './caller-state.js';
 import type { BuiltChunk } from './chunk-builder.js';
 
-/** Small answers need no credit of their own: what is left over is far below the owner's window. */
-const CREDIT_STEP_BYTES = 32 * 1024;
-/** Time before a request that an owner did not start is sent to the present owner. */
+/**
+ * Credit is returned to the owner in batches of at least this size. The remainder is far below the
+ * owner's window, so small answers need no credit message.
+ */
+const CREDIT_BATCH_BYTES = 32 * 1024;
+/** Delay before a request that an owner did not start is sent again, to the current owner. */
 const OWNER_RETRY_DELAY_MS = 15;
 
-/** A refusal that the caller gets in place of an answer. */
-export interface Replacement {
+/** Refusal that the caller receives instead of the answer to a request. */
+export interface AnswerReplacement {
   readonly refusal: Refusal;
   readonly isRefusalSent: boolean;
 }
 
-function replacementOf({ replacedBy, isRefusalSent }: OpenRequest): Replacement | undefined {
+function replacementOf({ replacedBy, isRefusalSent }: OpenRequest): AnswerReplacement | undefined {
   return replacedBy && { refusal: replacedBy, isRefusalSent };
 }
 
-/** Sends a chunk to the group's owner, as a new request or as more of the open one. */
+/** Sends a chunk to the group's owner, as a new request or as a continuation of the open one. */
 export async function sendChunk(
   session: CallerSession,
   built: BuiltChunk,
-  replacement?: Replacement,
+  replacement?: AnswerReplacement,
 ): Promise<void> {
   const { request } = session;
   if (request) {
@@ -52,12 +55,12 @@
   await startRequest(session, [built], deadlineMs, replacement);
 }
 
-/** Starts a request at the present owner; waits for one while there is none. */
+/** Starts a request at the current owner; waits until `deadlineMs` if the group has none. */
 async function startRequest(
   session: CallerSession,
   chunks: readonly BuiltChunk[],
   deadlineMs: number,
-  replacement?: Replacement,
+  replacement?: AnswerReplacement,
 ): Promise<void> {
   const port = await findPort(session, deadlineMs);
   if (session.isClosed) return;
@@ -69,19 +72,19 @@
   }
   const [first, ...more] = chunks;
   if (!first) return;
-  const number = session.nextNumber;
-  session.nextNumber += 1;
+  const number = session.nextRequestNumber;
+  session.nextRequestNumber += 1;
   session.request = {
     number,
     port,
     chunks: [...chunks],
     deadlineMs,
     isComplete: chunks.at(-1)?.chunk.isFinal ?? true,
-    hasForwarded: false,
+    hasForwardedAnswer: false,
     replacedBy: replacement?.refusal,
     isRefusalSent: replacement?.isRefusalSent ?? false,
   };
-  openAtOwner(session, port);
+  openSessionAtOwner(session, port);
   const wasSent = port.send({
     kind: 'request/start',
     session: session.id,
@@ -104,10 +107,10 @@
 ): Promise<OwnerPort | undefined> {
   const { locator } = session.environment;
   if (session.status !== 'idle') return session.port;
-  const found = locator.find(session.group);
+  const found = locator.findOwner(session.group);
   if (found) return found;
   session.isPreparing = true;
-  const awaited = await locator.await(session.group, deadlineMs - performance.now());
+  const awaited = await locator.awaitOwner(session.group, deadlineMs - performance.now());
   session.isPreparing = false;
   return awaited;
 }
@@ -121,8 +124,8 @@
   finishExchange(session, built.chunk.isFinal);
 }
 
-/** An owner that does not know the session yet is told about it first. */
-function openAtOwner(session: CallerSession, port: OwnerPort): void {
+/** Opens the session at the owner unless it was opened there before. */
+function openSessionAtOwner(session: CallerSession, port: OwnerPort): void {
   if (session.port === port) return;
   session.port = port;
   session.unreturnedCreditBytes = 0;
@@ -137,15 +140,15 @@
   });
 }
 
-/** Takes a message that the owner sent for this session. */
-export function takeAnswer(session: CallerSession, message: FromOwnerMessage): void {
+/** Handles a message that the owner sent for this session. */
+export function handleOwnerMessage(session: CallerSession, message: FromOwnerMessage): void {
   if (session.isClosed) return;
   if (message.kind === 'session/lost') {
     endWithRefusal(session, message.refusal);
     return;
   }
   const { request } = session;
-  // Answers to earlier requests that come late belong to nobody.
+  // Ignore late answers to earlier requests.
   if (request?.number !== message.number) return;
   if (message.kind === 'request/end') {
     endRequest(session, request, message);
@@ -153,21 +156,21 @@
   }
   const { bytes } = message;
   const { port } = request;
-  const giveCredit = () => {
+  const returnChunkCredit = () => {
     returnCredit(session, port, bytes.length);
   };
   if (request.replacedBy) {
-    giveCredit();
+    returnChunkCredit();
     return;
   }
-  request.hasForwarded = true;
-  writeBatched(session.socket, bytes, giveCredit);
+  request.hasForwardedAnswer = true;
+  writeBatched(session.socket, bytes, returnChunkCredit);
 }
 
-/** Tells the owner in larger steps how much of the answer the caller has taken. */
+/** Returns credit for answer bytes that were written to the caller, in batches. */
 function returnCredit(session: CallerSession, port: OwnerPort, bytes: number): void {
   session.unreturnedCreditBytes += bytes;
-  if (session.unreturnedCreditBytes < CREDIT_STEP_BYTES) return;
+  if (session.unreturnedCreditBytes < CREDIT_BATCH_BYTES) return;
   port.send({
     kind: 'request/credit',
     session: session.id,
@@ -181,7 +184,7 @@
 function endRequest(session: CallerSession, request: OpenRequest, end: RequestEnd): void {
   const { refusal } = end;
   session.request = undefined;
-  if (refusal && isWorthRetrying(session, request, refusal)) {
+  if (refusal && canRetry(session, request, refusal)) {
     session.environment.counters.count(`retry.${refusal.reason}`);
     session.isPreparing = true;
     setTimeout(() => {
@@ -198,7 +201,7 @@
   session.status = end.status;
   session.lastActiveMs = performance.now();
   if (refusal) writeBatched(session.socket, buildRefusal(refusal, false));
-  else noteSuccess(session, request, end);
+  else recordSuccess(session, request, end);
   if (request.replacedBy && !request.isRefusalSent) sendRefusal(session, request.replacedBy);
   finishExchange(session, request.isComplete);
   const hasMoreInput = session.inbox.length > 0;
@@ -208,7 +211,7 @@
   setImmediate(session.continueInput);
 }
 
-/** An owner that does not know the session, or is stopping, has no transaction of it any more. */
+/** Owners that are stopping or do not know the session no longer hold its open transaction. */
 function isTransactionLost(session: CallerSession, refusal: Refusal): boolean {
   if (refusal.reason === 'transaction-lost') return true;
   return session.status !== 'idle' && isOwnerGone(refusal);
@@ -218,21 +221,25 @@
   return reason === 'owner-lost-before-start' || reason === 'owner-stopping';
 }
 
-/** Says that the session is ready, unless the caller's Sync is still to come. */
+/** Sends ReadyForQuery, or skips messages up to the caller's Sync if the request is incomplete. */
 export function finishExchange(session: CallerSession, isComplete: boolean): void {
-  if (session.isSkipping) return;
+  if (session.isSkippingToSync) return;
   if (isComplete) sendReady(session);
-  else session.isSkipping = true;
+  else session.isSkippingToSync = true;
 }
 
-/** Nothing of the request was run, and none of its answer was passed on: it may go to another owner. */
-function isWorthRetrying(session: CallerSession, request: OpenRequest, refusal: Refusal): boolean {
-  if (!isOwnerGone(refusal) || request.hasForwarded || session.status !== 'idle') return false;
+/**
+ * Whether a request can be sent to another owner: nothing of it was run, and no part of its answer
+ * was forwarded. Clears the session's port to the owner that refused it.
+ */
+function canRetry(session: CallerSession, request: OpenRequest, refusal: Refusal): boolean {
+  if (!isOwnerGone(refusal) || request.hasForwardedAnswer || session.status !== 'idle')
+    return false;
   session.port = undefined;
   return performance.now() < request.deadlineMs;
 }
 
-function noteSuccess(session: CallerSession, request: OpenRequest, end: RequestEnd): void {
+function recordSuccess(session: CallerSession, request: OpenRequest, end: RequestEnd): void {
   const [first] = request.chunks;
   const { counters } = session.environment;
   if (first?.intent === 'read') counters.count(end.isFromReplica ? 'read.replica' : 'read.primary');
@@ -250,24 +257,27 @@
   const { name, text } = effect;
   if (name === null) session.settings.clear();
   else if (text === null) session.settings.delete(name);
-  else if (name === SESSION_PARAMETER) adoptMark(session, text);
+  else if (name === SESSION_PARAMETER) applySessionMark(session, text);
   else session.settings.set(name, text);
 }
 
-/** `SET bramleykeel.session = 'term/offset'`: the caller brings a mark from another connection. */
-function adoptMark(session: CallerSession, text: string): void {
+/**
+ * Applies the mark that a caller passes on from another connection with
+ * `SET bramleykeel.session = 'term/offset'`.
+ */
+function applySessionMark(session: CallerSession, text: string): void {
   const position = parsePosition(/'([^']*)'/.exec(text)?.[1] ?? '');
   if (!position) return;
   session.mark = session.mark ? latestPosition(session.mark, position) : position;
-  closeAtOwner(session);
+  closeSessionAtOwner(session);
 }
 
-export function closeAtOwner(session: CallerSession): void {
+export function closeSessionAtOwner(session: CallerSession): void {
   session.port?.send({ kind: 'session/close', session: session.id });
   session.port = undefined;
 }
 
-/** The port to the owner was lost. */
+/** Handles the loss of the port to the owner. */
 export function handlePortLost(session: CallerSession, port: OwnerPort): void {
   if (session.isClosed || session.port !== port) return;
   session.port = undefined;
@@ -292,18 +302,23 @@
   if (session.status !== 'idle') {
     session.isPreparing = false;
     const mayHaveCommitted = request.chunks.some(({ chunk }) => chunk.mayCommit);
-    const endsIt = request.chunks.some(({ endsTransaction }) => endsTransaction);
-    const isUnknown = mayHaveCommitted && endsIt;
-    endWithRefusal(session, refuse(isUnknown ? 'owner-lost-after-start' : 'transaction-lost'));
+    const hasTransactionEnd = request.chunks.some(({ endsTransaction }) => endsTransaction);
+    const isOutcomeUnknown = mayHaveCommitted && hasTransactionEnd;
+    endWithRefusal(
+      session,
+      refuse(isOutcomeUnknown ? 'owner-lost-after-start' : 'transaction-lost'),
+    );
     return;
   }
   const isRead = request.chunks.every(({ intent, chunk }) => intent === 'read' && !chunk.mayCommit);
-  const isHarmless = isRead && !request.hasForwarded;
+  const isSafeToRetry = isRead && !request.hasForwardedAnswer;
   const query = { ownerEpoch: port.epoch, session: id, number: request.number };
-  const fate = isHarmless ? 'not-started' : await environment.locator.askFate(port, query);
+  const status = isSafeToRetry
+    ? 'not-started'
+    : await environment.locator.queryRequestStatus(port, query);
   session.isPreparing = false;
   if (session.isClosed) return;
-  if (fate === 'not-started' && !request.hasForwarded) {
+  if (status === 'not-started' && !request.hasForwardedAnswer) {
     environment.counters.count('retry.owner-lost');
     await startRequest(session, request.chunks, request.deadlineMs, replacementOf(request));
     return;
--- a/packages/entry/src/accept/caller-session.ts
+++ b/packages/entry/src/accept/caller-session.ts
@@ -1,21 +1,21 @@
-/** The input of a caller's session: its messages become chunks, which are checked and admitted. */
+/** Input of a caller's session: groups messages into chunks, checks them, and applies rate limits. */
 import { type Refusal, refuse } from '@bramleykeel/core';
 import { buildQuery, CLIENT, frameMessages, type WireMessage } from '@bramleykeel/postgres-wire';
 import { admit } from '@bramleykeel/entry-shared';
 import { endWithRefusal, sendReady, sendRefusal } from './caller-output.js';
-import { closeAtOwner, finishExchange, sendChunk } from './caller-request.js';
+import { closeSessionAtOwner, finishExchange, sendChunk } from './caller-request.js';
 import type { CallerSession } from './caller-state.js';
 import { buildChunk, type BuiltChunk, endsChunk } from './chunk-builder.js';
 
-/** Input that waits to be worked on above which the caller's socket is paused. */
+/** Amount of unprocessed input above which the caller's socket is paused. */
 const INBOX_LIMIT_BYTES = 1024 * 1024;
-/** Requests of open transactions wait this long for tokens, because a refusal would end them. */
+/** Longer rate wait for requests in open transactions, because a refusal aborts the transaction. */
 const TRANSACTION_RATE_WAIT_MS = 5_000;
-/** A text that every target refuses, to abort a transaction whose statement was refused here. */
-const ABORTING_TEXT = 'refused by the proxy';
+/** Invalid query that aborts the target's transaction after one of its statements was refused here. */
+const ABORTING_QUERY_TEXT = 'refused by the proxy';
 
-/** Takes in bytes from the caller. */
-export function takeInput(session: CallerSession, bytes: Buffer): void {
+/** Handles bytes received from the caller. */
+export function handleInput(session: CallerSession, bytes: Buffer): void {
   const framed = frameMessages(session.framer, bytes);
   if (framed.kind === 'malformed') {
     endWithRefusal(session, refuse('bad-startup', 'malformed message'));
@@ -34,11 +34,11 @@
   processInbox(session);
 }
 
-/** Works on the next chunk, unless one is on its way. */
+/** Processes buffered chunks, unless the session is waiting or a complete request is running. */
 export function processInbox(session: CallerSession): void {
   while (!session.isClosed && !session.isPreparing) {
     if (session.request?.isComplete) return;
-    const messages = takeChunk(session);
+    const messages = dequeueChunk(session);
     if (!messages) return;
     if (messages.at(-1)?.type === CLIENT.terminate) {
       session.socket.end();
@@ -48,8 +48,8 @@
   }
 }
 
-/** Takes the messages up to the next Query, Sync, Flush or Terminate out of the inbox. */
-function takeChunk(session: CallerSession): WireMessage[] | undefined {
+/** Removes the messages up to the next Query, Sync, Flush or Terminate from the inbox. */
+function dequeueChunk(session: CallerSession): WireMessage[] | undefined {
   const end = session.inbox.findIndex(
     (message) => endsChunk(message) || message.type === CLIENT.terminate,
   );
@@ -67,7 +67,7 @@
 }
 
 function handleChunk(session: CallerSession, messages: readonly WireMessage[]): void {
-  if (session.isSkipping) {
+  if (session.isSkippingToSync) {
     skipChunk(session, messages);
     return;
   }
@@ -81,15 +81,15 @@
     void sendChunk(session, built);
     return;
   }
-  const patienceMs = session.status === 'idle' ? undefined : TRANSACTION_RATE_WAIT_MS;
+  const maxRateWaitMs = session.status === 'idle' ? undefined : TRANSACTION_RATE_WAIT_MS;
   const { rates } = session.environment;
-  const waiting = admit(rates, session.customer, built.tokenCount, patienceMs);
-  if (!waiting) {
+  const pendingAdmission = admit(rates, session.customer, built.tokenCount, maxRateWaitMs);
+  if (!pendingAdmission) {
     void sendChunk(session, built);
     return;
   }
   session.isPreparing = true;
-  void waiting.then((rateRefusal) => {
+  void pendingAdmission.then((rateRefusal) => {
     session.isPreparing = false;
     if (session.isClosed) return;
     if (rateRefusal) refuseChunk(session, built, rateRefusal);
@@ -99,21 +99,22 @@
 }
 
 function checkChunk(session: CallerSession, built: BuiltChunk): Refusal | undefined {
-  if (built.unsupported !== undefined) return refuse('unsupported-statement', built.unsupported);
+  if (built.unsupportedReason !== undefined)
+    return refuse('unsupported-statement', built.unsupportedReason);
   if (built.settingEffect && session.status !== 'idle') {
     const hint = 'use SET LOCAL inside a transaction';
     return refuse('unsupported-statement', hint);
   }
-  const needsKey = session.key !== undefined;
-  if (needsKey && !session.environment.hasFreshSettings()) return refuse('settings-lease-expired');
+  const hasKey = session.key !== undefined;
+  if (hasKey && !session.environment.hasFreshSettings()) return refuse('settings-lease-expired');
   return undefined;
 }
 
-/** Drops a chunk after an error; the Sync that ends it is answered. */
+/** Drops a chunk after an error. A Sync at its end is still answered. */
 function skipChunk(session: CallerSession, messages: readonly WireMessage[]): void {
   const isSync = messages.at(-1)?.type === CLIENT.sync;
   if (!isSync) return;
-  session.isSkipping = false;
+  session.isSkippingToSync = false;
   if (!session.request) {
     sendReady(session);
     return;
@@ -125,8 +126,8 @@
 }
 
 /**
- * Refuses a chunk. Outside a transaction nothing is sent on; inside one the target is made to abort
- * the transaction, so that a later COMMIT cannot keep half of it.
+ * Refuses a chunk. Outside a transaction nothing is sent to the owner. Inside one, an invalid query
+ * aborts the transaction at the target, so that a later COMMIT cannot commit only part of it.
  */
 function refuseChunk(session: CallerSession, built: BuiltChunk, refusal: Refusal): void {
   const { request } = session;
@@ -134,7 +135,7 @@
     sendRefusal(session, refusal);
     request.replacedBy ??= refusal;
     request.isRefusalSent = true;
-    session.isSkipping = true;
+    session.isSkippingToSync = true;
     if (built.chunk.isFinal) skipChunk(session, [syncMessage()]);
     return;
   }
@@ -143,10 +144,10 @@
     finishExchange(session, built.chunk.isFinal);
     return;
   }
-  const aborting: BuiltChunk = {
+  const abortingChunk: BuiltChunk = {
     ...built,
     chunk: {
-      messages: buildQuery(ABORTING_TEXT),
+      messages: buildQuery(ABORTING_QUERY_TEXT),
       statements: [],
       expected: [],
       isFinal: true,
@@ -157,18 +158,18 @@
   const isRefusalSent = !built.chunk.isFinal;
   if (isRefusalSent) {
     sendRefusal(session, refusal);
-    session.isSkipping = true;
+    session.isSkippingToSync = true;
   }
-  void sendChunk(session, aborting, { refusal, isRefusalSent });
+  void sendChunk(session, abortingChunk, { refusal, isRefusalSent });
 }
 
 function syncMessage(): WireMessage {
   return { type: CLIENT.sync, frame: Buffer.from([CLIENT.sync, 0, 0, 0, 4]) };
 }
 
-/** Ends a session from this side: the caller has gone, its key was withdrawn, or the entry stops. */
+/** Closes a session after its caller disconnected, its key was withdrawn, or the entry stops. */
 export function closeSession(session: CallerSession): void {
   if (session.isClosed) return;
   session.isClosed = true;
-  closeAtOwner(session);
+  closeSessionAtOwner(session);
 }
--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -1,4 +1,4 @@
-/** State of one caller's session at an entry. */
+/** State of a caller's session. */
 import type { Socket } from 'node:net';
 import type {
   CustomerName,
@@ -15,7 +15,7 @@
 import type { OwnerLocator, OwnerPort } from '../locate/owner-port.js';
 import type { BuiltChunk, CallerStatements } from './chunk-builder.js';
 
-/** What sessions need from the rest of the entry. */
+/** Dependencies of caller sessions on the rest of the entry. */
 export interface CallerEnvironment {
   readonly counters: Counters;
   readonly log: Log;
@@ -24,23 +24,24 @@
   readonly classify: (text: string) => TextClass;
   readonly maxMessageBytes: number;
   readonly failoverWaitMs: number;
-  /** Whether the settings are recent enough to run requests of customers with keys. */
+  /** Whether the settings lease is valid; sessions with a key are refused while it is not. */
   readonly hasFreshSettings: () => boolean;
   readonly readAgeAllowanceMs: (customer: CustomerName) => number | null;
   readonly isStopping: () => boolean;
 }
 
-/** A request that is on its way. */
+/** A request that was sent to an owner and has not ended. */
 export interface OpenRequest {
   readonly number: number;
   readonly port: OwnerPort;
-  /** Chunks sent so far, for another attempt elsewhere. */
+  /** Chunks sent so far, kept for a retry at another owner. */
   readonly chunks: BuiltChunk[];
   readonly deadlineMs: number;
-  /** Whether its last chunk was sent, so that its end can come. */
+  /** Whether the last chunk was sent, so that the request can end. */
   isComplete: boolean;
-  hasForwarded: boolean;
-  /** Set when the answer is replaced by this refusal. */
+  /** Whether any part of the answer was written to the caller. */
+  hasForwardedAnswer: boolean;
+  /** Refusal that the caller receives instead of the answer. */
   replacedBy: Refusal | undefined;
   isRefusalSent: boolean;
 }
@@ -51,7 +52,7 @@
   readonly socket: Socket;
   readonly customer: CustomerName;
   readonly group: GroupName;
-  /** `undefined` on routes that are open to all. */
+  /** `undefined` for callers without a key, on groups that are open to all. */
   readonly key: AcceptedKey | undefined;
   readonly processId: number;
   readonly secretKey: number;
@@ -59,21 +60,21 @@
   readonly inbox: WireMessage[];
   inboxBytes: number;
   readonly statements: CallerStatements;
-  /** Session settings, by name, each as the SET statement that made it. */
+  /** Session settings by name, each as the SET statement that made it. */
   readonly settings: Map<string, string>;
   mark: LogPosition | null;
   status: TransactionStatus;
   port: OwnerPort | undefined;
   request: OpenRequest | undefined;
-  nextNumber: number;
-  /** Whether a chunk is being admitted or an owner looked for. */
+  nextRequestNumber: number;
+  /** Whether a chunk waits for admission, an owner, or a retry. */
   isPreparing: boolean;
-  /** After an error, messages are dropped until Sync. */
-  isSkipping: boolean;
-  /** Bytes that the caller has taken and the owner was not told of yet. */
+  /** Whether messages are dropped up to the next Sync, after an error. */
+  isSkippingToSync: boolean;
+  /** Answer bytes written to the caller whose credit was not yet returned to the owner. */
   unreturnedCreditBytes: number;
   lastActiveMs: number;
-  /** Goes on with input that waits; called when a request has ended. */
+  /** Continues with buffered input; called when a request has ended. */
   continueInput: () => void;
   isClosed: boolean;
 }
--- a/packages/entry/src/accept/chunk-builder.test.ts
+++ b/packages/entry/src/accept/chunk-builder.test.ts
@@ -9,8 +9,8 @@
   return { type: frame[0] ?? 0, frame };
 }
 
-function build(frames: readonly Buffer[], known = createCallerStatements()): BuiltChunk {
-  return buildChunk(known, frames.map(wire), classifyText);
+function build(frames: readonly Buffer[], callerStatements = createCallerStatements()): BuiltChunk {
+  return buildChunk(callerStatements, frames.map(wire), classifyText);
 }
 
 function prepared(name: string, text: string): Buffer[] {
@@ -62,7 +62,7 @@
         tokenCount,
         mayCommit,
       ]);
-      expect(built.unsupported).toBeUndefined();
+      expect(built.unsupportedReason).toBeUndefined();
     }
   });
 
@@ -76,30 +76,37 @@
   });
 
   it('names the statements that a later chunk needs on its connection', () => {
-    const known = createCallerStatements();
-    build(prepared('p', 'SELECT 1'), known);
+    const callerStatements = createCallerStatements();
+    build(prepared('p', 'SELECT 1'), callerStatements);
     const later = build(
       [serialize.bind({ statement: 'p' }), serialize.execute({}), serialize.sync()],
-      known,
+      callerStatements,
     );
     expect(later.chunk.statements).toHaveLength(1);
     expect(later.intent).toBe('read');
   });
 
   it('creates the unnamed statement again in a later chunk, unseen by the caller', () => {
-    const known = createCallerStatements();
-    build([serialize.parse({ text: 'SELECT 1' }), serialize.sync()], known);
-    const later = build([serialize.bind({}), serialize.execute({}), serialize.sync()], known);
+    const callerStatements = createCallerStatements();
+    build([serialize.parse({ text: 'SELECT 1' }), serialize.sync()], callerStatements);
+    const later = build(
+      [serialize.bind({}), serialize.execute({}), serialize.sync()],
+      callerStatements,
+    );
     expect(later.chunk.expected).toEqual([{ kind: 'parse', isHidden: true, statement: '' }]);
     expect(later.chunk.messages[0]).toBe(CLIENT.parse);
   });
 
   it('closes only the name of the caller, never the shared statement', () => {
-    const known = createCallerStatements();
-    const shared = build(prepared('p', 'SELECT 1'), known).chunk.expected[0]?.statement ?? '';
-    const closed = build([serialize.close({ type: 'S', name: 'p' }), serialize.sync()], known);
+    const callerStatements = createCallerStatements();
+    const shared =
+      build(prepared('p', 'SELECT 1'), callerStatements).chunk.expected[0]?.statement ?? '';
+    const closed = build(
+      [serialize.close({ type: 'S', name: 'p' }), serialize.sync()],
+      callerStatements,
+    );
     expect(Buffer.from(closed.chunk.messages).toString()).not.toContain(shared);
-    expect(known.statements.has('p')).toBe(false);
+    expect(callerStatements.statements.has('p')).toBe(false);
   });
 
   it('tells which session setting a request makes or clears', () => {
--- a/packages/entry/src/accept/chunk-builder.ts
+++ b/packages/entry/src/accept/chunk-builder.ts
@@ -1,4 +1,7 @@
-/** Turns a caller's messages into request chunks: classified, with statement names made shareable. */
+/**
+ * Builds request chunks from a caller's messages: classifies their statements, and replaces prepared
+ * statement names by names that callers can share on target connections.
+ */
 import { createHash } from 'node:crypto';
 import type {
   ExpectedAnswer,
@@ -24,46 +27,46 @@
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 
-interface KnownStatement {
+interface CallerStatement {
   readonly parse: ParseMessage;
   readonly textClass: TextClass;
-  /** Name on target connections; empty for the unnamed statement. */
+  /** The statement's name on target connections; empty for the unnamed statement. */
   readonly targetName: string;
 }
 
-/** A caller's prepared statements and portals. */
+/** A caller's prepared statements and portals, by the caller's names. */
 export interface CallerStatements {
-  readonly statements: Map<string, KnownStatement>;
+  readonly statements: Map<string, CallerStatement>;
   readonly portals: Map<string, TextClass>;
 }
 
 export interface BuiltChunk {
   readonly chunk: RequestChunk;
   readonly intent: Intent;
-  /** Statements that count against the customer's rate. */
+  /** Number of statements that count against the customer's rate. */
   readonly tokenCount: number;
   readonly settingEffect: SettingEffect | null;
-  /** Why the chunk is refused; nothing of it may be sent. */
-  readonly unsupported: string | undefined;
+  /** Set if the chunk must be refused as a whole; nothing of it may be sent. */
+  readonly unsupportedReason: string | undefined;
   readonly endsTransaction: boolean;
 }
 
-/** A statement name that never exists: closing it changes nothing and is answered as usual. */
-const ABSENT_STATEMENT = 'bramleykeel_absent';
+/** Name of a statement that never exists; closing it has no effect but is answered as usual. */
+const ABSENT_STATEMENT_NAME = 'bramleykeel_absent';
 
 export function createCallerStatements(): CallerStatements {
   return { statements: new Map(), portals: new Map() };
 }
 
-/** The type bytes that end a chunk. */
+/** Whether a message is the last one of a chunk. */
 export function endsChunk({ type }: WireMessage): boolean {
   return type === CLIENT.query || type === CLIENT.sync || type === CLIENT.flush;
 }
 
-interface Draft {
+interface ChunkDraft {
   readonly output: Buffer[];
-  readonly needed: Map<string, StatementDefinition>;
-  readonly created: Set<string>;
+  readonly requiredStatements: Map<string, StatementDefinition>;
+  readonly createdStatements: Set<string>;
   readonly expected: ExpectedAnswer[];
   readonly executed: StatementClass[];
   readonly parsed: StatementClass[];
@@ -73,39 +76,39 @@
 /**
  * Builds a chunk from messages that end with a Query, Sync or Flush.
  *
- * @param classify classification of a query text
+ * @param classify classifies the statements of a query text
  */
 export function buildChunk(
-  known: CallerStatements,
+  callerStatements: CallerStatements,
   messages: readonly WireMessage[],
   classify: (text: string) => TextClass,
 ): BuiltChunk {
-  const draft: Draft = {
+  const draft: ChunkDraft = {
     output: [],
-    needed: new Map(),
-    created: new Set(),
+    requiredStatements: new Map(),
+    createdStatements: new Set(),
     expected: [],
     executed: [],
     parsed: [],
     unsupported: undefined,
   };
-  for (const message of messages) addMessage(known, draft, message, classify);
+  for (const message of messages) addMessage(callerStatements, draft, message, classify);
   const lastType = messages.at(-1)?.type;
   const isFinal = lastType === CLIENT.query || lastType === CLIENT.sync;
-  const relevant = draft.executed.length > 0 ? draft.executed : draft.parsed;
-  const refused = relevant.find((statement) => statement.kind === 'unsupported');
+  const classifiedStatements = draft.executed.length > 0 ? draft.executed : draft.parsed;
+  const refused = classifiedStatements.find((statement) => statement.kind === 'unsupported');
   return {
     chunk: {
       messages: Buffer.concat(draft.output),
-      statements: [...draft.needed.values()],
+      statements: [...draft.requiredStatements.values()],
       expected: draft.expected,
       isFinal,
       mayCommit: draft.executed.some(mayCommit),
     },
-    intent: relevant.every(isReadOnly) ? 'read' : 'write',
+    intent: classifiedStatements.every(isReadOnly) ? 'read' : 'write',
     tokenCount: draft.executed.filter(({ kind }) => kind === 'read' || kind === 'write').length,
     settingEffect: findSettingEffect(draft.executed),
-    unsupported: draft.unsupported ?? refused?.reason,
+    unsupportedReason: draft.unsupported ?? refused?.reason,
     endsTransaction: draft.executed.some(({ kind }) => kind === 'transaction-control'),
   };
 }
@@ -140,8 +143,8 @@
 }
 
 function addMessage(
-  known: CallerStatements,
-  draft: Draft,
+  callerStatements: CallerStatements,
+  draft: ChunkDraft,
   message: WireMessage,
   classify: (text: string) => TextClass,
 ): void {
@@ -151,22 +154,22 @@
       draft.output.push(message.frame);
       return;
     case CLIENT.parse:
-      addParse(known, draft, message, classify);
+      addParse(callerStatements, draft, message, classify);
       return;
     case CLIENT.bind:
-      addBind(known, draft, message);
+      addBind(callerStatements, draft, message);
       return;
     case CLIENT.describe:
-      addDescribe(known, draft, message);
+      addDescribe(callerStatements, draft, message);
       return;
     case CLIENT.execute: {
-      const portal = known.portals.get(readExecute(message).portal);
+      const portal = callerStatements.portals.get(readExecute(message).portal);
       draft.executed.push(...(portal?.statements ?? [{ kind: 'write' }]));
       draft.output.push(message.frame);
       return;
     }
     case CLIENT.close:
-      addClose(known, draft, message);
+      addClose(callerStatements, draft, message);
       return;
     case CLIENT.flush:
     case CLIENT.sync:
@@ -181,19 +184,22 @@
   }
 }
 
-/** A named statement is created anew under its shared name: a close first, so that it may exist. */
+/**
+ * Adds a Parse. A named statement may already exist on the connection under its shared name, so it is
+ * closed first; the answer to that Close is hidden from the caller.
+ */
 function addParse(
-  known: CallerStatements,
-  draft: Draft,
+  callerStatements: CallerStatements,
+  draft: ChunkDraft,
   message: WireMessage,
   classify: (text: string) => TextClass,
 ): void {
   const parse = readParse(message);
   const textClass = classify(parse.text);
-  const targetName = parse.name === '' ? '' : sharedName(parse);
-  known.statements.set(parse.name, { parse, textClass, targetName });
+  const targetName = parse.name === '' ? '' : sharedStatementName(parse);
+  callerStatements.statements.set(parse.name, { parse, textClass, targetName });
   draft.parsed.push(...textClass.statements);
-  draft.created.add(targetName);
+  draft.createdStatements.add(targetName);
   if (targetName === '') {
     draft.output.push(message.frame);
   } else {
@@ -203,39 +209,50 @@
   draft.expected.push({ kind: 'parse', isHidden: false, statement: targetName });
 }
 
-function sharedName({ text, parameterTypes }: ParseMessage): string {
+function sharedStatementName({ text, parameterTypes }: ParseMessage): string {
   const hash = createHash('sha256').update(text).update('\0').update(parameterTypes);
   return `bk_${hash.digest('hex').slice(0, 24)}`;
 }
 
-function addBind(known: CallerStatements, draft: Draft, message: WireMessage): void {
+function addBind(
+  callerStatements: CallerStatements,
+  draft: ChunkDraft,
+  message: WireMessage,
+): void {
   const bind = readBind(message);
-  const statement = known.statements.get(bind.statement);
+  const statement = callerStatements.statements.get(bind.statement);
   if (!statement) {
     draft.output.push(message.frame);
     return;
   }
-  known.portals.set(bind.portal, statement.textClass);
+  callerStatements.portals.set(bind.portal, statement.textClass);
   requireStatement(draft, statement);
   draft.output.push(buildBind(bind, statement.targetName));
 }
 
-/** Makes sure that the statement exists on the connection when the chunk refers to it. */
-function requireStatement(draft: Draft, { parse, targetName }: KnownStatement): void {
-  if (draft.created.has(targetName)) return;
+/** Ensures that a statement exists on the target connection before the chunk refers to it. */
+function requireStatement(draft: ChunkDraft, { parse, targetName }: CallerStatement): void {
+  if (draft.createdStatements.has(targetName)) return;
   if (targetName === '') {
-    // The unnamed statement is not kept by name, so it is simply created again.
+    // The unnamed statement is not tracked by name on connections, so it is created again.
     draft.output.push(buildParse(parse, ''));
     draft.expected.push({ kind: 'parse', isHidden: true, statement: '' });
-    draft.created.add('');
+    draft.createdStatements.add('');
     return;
   }
-  draft.needed.set(targetName, { name: targetName, parseMessage: buildParse(parse, targetName) });
+  draft.requiredStatements.set(targetName, {
+    name: targetName,
+    parseMessage: buildParse(parse, targetName),
+  });
 }
 
-function addDescribe(known: CallerStatements, draft: Draft, message: WireMessage): void {
+function addDescribe(
+  callerStatements: CallerStatements,
+  draft: ChunkDraft,
+  message: WireMessage,
+): void {
   const { target, name } = readNamed(message);
-  const statement = target === 'S' ? known.statements.get(name) : undefined;
+  const statement = target === 'S' ? callerStatements.statements.get(name) : undefined;
   if (!statement) {
     draft.output.push(message.frame);
     return;
@@ -244,15 +261,22 @@
   draft.output.push(buildDescribeStatement(statement.targetName));
 }
 
-/** Other callers may use the same statement, so a close only forgets the caller's own name. */
-function addClose(known: CallerStatements, draft: Draft, message: WireMessage): void {
+/**
+ * Adds a Close. Other callers may use the same statement on the target connection, so only the
+ * caller's own name is removed.
+ */
+function addClose(
+  callerStatements: CallerStatements,
+  draft: ChunkDraft,
+  message: WireMessage,
+): void {
   const { target, name } = readNamed(message);
   draft.expected.push({ kind: 'close', isHidden: false, statement: '' });
   if (target === 'P') {
-    known.portals.delete(name);
+    callerStatements.portals.delete(name);
     draft.output.push(message.frame);
     return;
   }
-  known.statements.delete(name);
-  draft.output.push(buildCloseStatement(ABSENT_STATEMENT));
+  callerStatements.statements.delete(name);
+  draft.output.push(buildCloseStatement(ABSENT_STATEMENT_NAME));
 }
--- a/packages/entry/src/accept/startup.ts
+++ b/packages/entry/src/accept/startup.ts
@@ -1,4 +1,4 @@
-/** The opening of a caller's connection: encryption, cancel requests, key and group. */
+/** Startup phase of a caller's connection: encryption, cancel requests, authentication, group. */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Socket } from 'node:net';
 import { type SecureContext, TLSSocket } from 'node:tls';
@@ -23,17 +23,17 @@
 import type { AcceptedKey } from '../authenticate/key-index.js';
 import { buildRefusal } from './caller-output.js';
 
-/** What the entry knows about who may connect where. */
+/** Lookups that decide which callers may connect to which groups. */
 export interface AccessRules {
   readonly isKnownGroup: (group: GroupName) => boolean;
   readonly hasFreshSettings: () => boolean;
   readonly isKnownCustomer: (customer: CustomerName) => boolean;
   readonly findKey: (customer: CustomerName, secret: string) => AcceptedKey | undefined;
-  /** The customer that callers without a key run as, if the group's route is open to all. */
-  readonly openCustomer: (group: GroupName) => CustomerName | undefined;
+  /** Returns the customer that callers without a key run as, if the group is open to all. */
+  readonly keylessCustomer: (group: GroupName) => CustomerName | undefined;
 }
 
-export interface Admitted {
+export interface AdmittedCaller {
   readonly socket: Socket;
   readonly framer: MessageFramer;
   readonly customer: CustomerName;
@@ -43,7 +43,7 @@
 }
 
 export type StartupOutcome =
-  | { readonly kind: 'admitted'; readonly admitted: Admitted }
+  | { readonly kind: 'admitted'; readonly admitted: AdmittedCaller }
   | { readonly kind: 'cancel'; readonly processId: number; readonly secretKey: number }
   | { readonly kind: 'refused'; readonly refusal: Refusal }
   | { readonly kind: 'gone' };
@@ -55,12 +55,12 @@
   readonly rules: AccessRules;
 }
 
-/** Time before a wrong key is answered, so that guessing is slow. */
+/** Delay before a wrong key is answered, to slow down guessing. */
 const WRONG_KEY_DELAY_MS = 100;
 const ENCRYPTION_ACCEPTED = 'S';
 const ENCRYPTION_REFUSED = 'N';
 
-/** Runs the startup of one connection to its outcome. A refused caller has been told already. */
+/** Runs the startup phase of a connection. Sends refusals to the caller itself. */
 export async function runStartup(
   plainSocket: Socket,
   options: StartupOptions,
@@ -114,9 +114,16 @@
   if (!/^'?utf-?8'?$/i.test(encoding)) {
     return refuseStartup(socket, refuse('bad-startup', 'only client_encoding UTF8 is supported'));
   }
-  const openCustomer = rules.openCustomer(group);
-  if (openCustomer !== undefined && !rules.isKnownCustomer(customer)) {
-    return admitted({ socket, framer, customer: openCustomer, group, key: undefined, parameters });
+  const keylessCustomer = rules.keylessCustomer(group);
+  if (keylessCustomer !== undefined && !rules.isKnownCustomer(customer)) {
+    return createAdmittedOutcome({
+      socket,
+      framer,
+      customer: keylessCustomer,
+      group,
+      key: undefined,
+      parameters,
+    });
   }
   socket.write(buildCleartextPasswordRequest());
   const answer = await readMessage(socket, framer);
@@ -129,10 +136,10 @@
     return refuseStartup(socket, refuse('key-rejected'));
   }
   if (!rules.isKnownGroup(group)) return refuseStartup(socket, refuse('unknown-group', group));
-  return admitted({ socket, framer, customer, group, key, parameters });
+  return createAdmittedOutcome({ socket, framer, customer, group, key, parameters });
 }
 
-function admitted(value: Admitted): StartupOutcome {
+function createAdmittedOutcome(value: AdmittedCaller): StartupOutcome {
   return { kind: 'admitted', admitted: value };
 }
 
@@ -141,19 +148,23 @@
   return { kind: 'refused', refusal };
 }
 
-/** Reads one message; bytes behind it stay in the framer. */
+/**
+ * Reads one message; bytes received after it stay in the framer.
+ *
+ * @returns `undefined` if the connection was closed or sent a malformed message
+ */
 function readMessage(socket: Socket, framer: MessageFramer): Promise<WireMessage | undefined> {
   return new Promise((resolve) => {
     const finish = (message: WireMessage | undefined) => {
-      socket.off('data', take);
-      socket.off('close', gone);
+      socket.off('data', handleData);
+      socket.off('close', handleClose);
       socket.pause();
       resolve(message);
     };
-    const gone = () => {
+    const handleClose = () => {
       finish(undefined);
     };
-    const take = (chunk: Buffer) => {
+    const handleData = (chunk: Buffer) => {
       const framed = frameMessages(framer, chunk);
       if (framed.kind !== 'messages') {
         socket.destroy();
@@ -166,9 +177,9 @@
       framer.rest = Buffer.concat(rest);
       finish(first);
     };
-    socket.on('data', take);
-    socket.on('close', gone);
+    socket.on('data', handleData);
+    socket.on('close', handleClose);
     socket.resume();
-    if (framer.rest.length > 0) take(Buffer.alloc(0));
+    if (framer.rest.length > 0) handleData(Buffer.alloc(0));
   });
 }
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -1,4 +1,4 @@
-/** Events and requests that an entry takes from other entries, registered by name. */
+/** Handlers for events and requests that other entries send over links, by method name. */
 import type {
   Announcement,
   RequestStatusQuery,
@@ -8,13 +8,17 @@
   ToOwnerMessage,
 } from '@bramleykeel/core';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
-import { type CallerRegistry, cancelLocal, dispatchAnswer } from './accept/caller-registry.js';
+import {
+  type CallerRegistry,
+  cancelLocalRequest,
+  dispatchOwnerMessage,
+} from './accept/caller-registry.js';
 import { answerDrawCode, type DrawCode, type RateDraws } from '@bramleykeel/entry-shared';
 import type { EntryLinks } from './locate/owner-locator.js';
 import type { AnswerChannel } from './owner/answer-channel.js';
 import type { GroupOwner } from './owner/owner-state.js';
 import {
-  answerFateQuery,
+  answerRequestStatusQuery,
   deliverAnnouncement,
   deliverToOwner,
   dropChannel,
@@ -27,12 +31,12 @@
   readonly draws: RateDraws;
   readonly channels: Map<LinkPeer, AnswerChannel>;
   readonly links: () => EntryLinks;
-  /** `undefined` until callers are listened for. */
+  /** Returns `undefined` until the entry listens for callers. */
   readonly callers: () => CallerRegistry | undefined;
 }
 
-/** Group, epoch, and the sessions whose requests may still run. */
-type OwnerEndedCode = readonly [group: GroupName, epoch: number, running: readonly SessionId[]];
+/** Parameters of `owner/ended`; `running` lists the sessions whose requests may still run. */
+type EncodedOwnerEnded = readonly [group: GroupName, epoch: number, running: readonly SessionId[]];
 
 type EventHandler = (app: EntryApp, peer: LinkPeer, params: unknown) => void;
 type RequestHandler = (app: EntryApp, params: unknown) => unknown;
@@ -48,10 +52,10 @@
   },
   'owner/answer': (app, _peer, params) => {
     const callers = app.callers();
-    if (callers) dispatchAnswer(callers, params as FromOwnerMessage);
+    if (callers) dispatchOwnerMessage(callers, params as FromOwnerMessage);
   },
   'owner/ended': (app, _peer, params) => {
-    app.links().endOwner(...(params as OwnerEndedCode));
+    app.links().handleOwnerEnded(...(params as EncodedOwnerEnded));
   },
   'target/announcement': (app, _peer, params) => {
     deliverAnnouncement(app.owners, params as Announcement);
@@ -59,43 +63,50 @@
   'caller/cancel': (app, _peer, params) => {
     const { processId, secretKey } = params as { processId: number; secretKey: number };
     const callers = app.callers();
-    if (callers) cancelLocal(callers, processId, secretKey);
+    if (callers) cancelLocalRequest(callers, processId, secretKey);
   },
 };
 
 const REQUEST_HANDLERS: Readonly<Record<string, RequestHandler>> = {
   'request/fate': (app, params) => {
     const { group, query } = params as { group: GroupName; query: RequestStatusQuery };
-    return answerFateQuery(app.owners, group, query);
+    return answerRequestStatusQuery(app.owners, group, query);
   },
   'rate/draw': (app, params) => answerDrawCode(app.draws, params as DrawCode),
 };
 
-/** Takes an event; an unknown one is counted and dropped. */
+/** Handles an event; events with an unknown method are counted and dropped. */
 export function handleEvent(app: EntryApp, peer: LinkPeer, method: string, params: unknown): void {
   const handler = EVENT_HANDLERS[method];
   if (handler) handler(app, peer, params);
   else app.counters.count('refusal.unknown-link-event');
 }
 
-/** Answers a request; an unknown one fails at the asking side. */
+/**
+ * Answers a request.
+ *
+ * @throws when the method is unknown; the request then fails at the peer
+ */
 export function handleRequest(app: EntryApp, method: string, params: unknown): unknown {
   const handler = REQUEST_HANDLERS[method];
   if (!handler) throw new Error(`unknown method ${method}`);
   return handler(app, params);
 }
 
-/** Tells the entries that an owner's epoch is over here, after all its answers. */
-export function tellOwnerEnded(
+/**
+ * Notifies the linked entries that this entry has ended an owner's epoch. Links keep the order of
+ * messages, so the notification arrives after all answers of that owner.
+ */
+export function notifyOwnerEnded(
   app: EntryApp,
   { group, epoch }: GroupOwner,
   running: readonly SessionId[],
 ): void {
-  const code: OwnerEndedCode = [group, epoch, running];
-  for (const peer of app.channels.keys()) peer.notify('owner/ended', code);
+  const params: EncodedOwnerEnded = [group, epoch, running];
+  for (const peer of app.channels.keys()) peer.notify('owner/ended', params);
 }
 
-/** A link to another entry was closed: its sessions end here. */
+/** Closes the sessions of an entry whose link was closed. */
 export function handleLinkClosed(app: EntryApp, peer: LinkPeer): void {
   const channel = app.channels.get(peer);
   if (!channel) return;
--- a/packages/entry/src/authenticate/key-index.ts
+++ b/packages/entry/src/authenticate/key-index.ts
@@ -1,4 +1,4 @@
-/** The keys in force, by customer, kept up to date from control's records. */
+/** Index of the keys in force by customer, updated from control's records. */
 import {
   toCustomerName,
   type CustomerName,
@@ -15,7 +15,7 @@
   return { keys: new Map() };
 }
 
-/** Takes in changed records and returns whether any key was withdrawn or replaced. */
+/** Applies changed records; returns whether any key was withdrawn or replaced. */
 export function updateKeyIndex(index: KeyIndex, deltas: readonly RecordDelta[]): boolean {
   let hasWithdrawn = false;
   for (const { key, stored } of deltas) {
@@ -23,24 +23,25 @@
     if (!match) continue;
     const [, customer = '', keyId = ''] = match;
     const name = toCustomerName(customer);
-    const known = index.keys.get(name) ?? new Map<string, KeySetting>();
-    index.keys.set(name, known);
-    if (known.has(keyId)) hasWithdrawn = true;
-    if (stored.record.kind === 'setting') known.set(keyId, stored.record.value as KeySetting);
-    else known.delete(keyId);
+    const customerKeys = index.keys.get(name) ?? new Map<string, KeySetting>();
+    index.keys.set(name, customerKeys);
+    if (customerKeys.has(keyId)) hasWithdrawn = true;
+    if (stored.record.kind === 'setting')
+      customerKeys.set(keyId, stored.record.value as KeySetting);
+    else customerKeys.delete(keyId);
   }
   return hasWithdrawn;
 }
 
-/** A key that was accepted: which one, and its hash, so that a replaced key counts as withdrawn. */
+/** An accepted key. Includes the key's hash, so that a replaced key counts as withdrawn. */
 export interface AcceptedKey {
   readonly keyId: string;
   readonly sha256Hex: string;
 }
 
 /**
- * Finds the customer's key that the presented secret belongs to. All keys are compared, so that the
- * time taken does not tell which one matched.
+ * Finds the customer's key that matches the presented secret. Always compares all keys, so that the
+ * time taken does not reveal which one matched.
  */
 export function findKey(
   index: KeyIndex,
@@ -54,7 +55,7 @@
   return found;
 }
 
-/** Tells whether an accepted key is still in force. */
+/** Returns whether an accepted key is still in force. */
 export function isKeyInForce(
   index: KeyIndex,
   customer: CustomerName,
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,4 +1,4 @@
-/** Wires the parts of an entry along the path of a request. */
+/** Creates the components of an entry and connects them. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { randomUUID } from 'node:crypto';
 import { readFileSync } from 'node:fs';
@@ -29,9 +29,9 @@
 import { createClassifier, loadSyntax } from '@bramleykeel/postgres-wire';
 import {
   type CallerRegistry,
-  closeIdle,
-  closeWithdrawn,
-  dispatchAnswer,
+  closeIdleSessions,
+  closeSessionsWithWithdrawnKeys,
+  dispatchOwnerMessage,
   dispatchPortLost,
   listenForCallers,
   stopAccepting,
@@ -43,13 +43,13 @@
   handleEvent,
   handleLinkClosed,
   handleRequest,
-  tellOwnerEnded,
+  notifyOwnerEnded,
 } from './app.js';
 import { createKeyIndex, findKey, isKeyInForce, updateKeyIndex } from './authenticate/key-index.js';
 import { createEntryLinks, type EntryLinks } from './locate/owner-locator.js';
 import type { AnswerChannel } from './owner/answer-channel.js';
 import {
-  answerFateQuery,
+  answerRequestStatusQuery,
   closeAllOwners,
   createOwnerRegistry,
   deliverAnnouncement,
@@ -69,12 +69,16 @@
 } from './target/announcement-router.js';
 
 export interface EntryDaemon {
-  /** Hands everything over, lets running requests end, and resolves with what was cut. */
+  /**
+   * Hands over all groups, waits for running requests to end, and closes all connections. Resolves
+   * with the number of sessions that were still open when the stop grace period ended.
+   */
   readonly stop: () => Promise<{ readonly cutSessions: number }>;
 }
 
-const CLASSIFIER_TEXTS = 5_000;
-const STOP_POLL_MS = 20;
+/** Number of query texts whose classification is cached. */
+const CLASSIFIER_CACHE_ENTRIES = 5_000;
+const STOP_POLL_INTERVAL_MS = 20;
 
 /**
  * Starts an entry.
@@ -92,8 +96,8 @@
   const secureContext = readSecureContext(settings);
   const keyIndex = createKeyIndex();
   const requestedAtMs = new Map<Resource, number>();
-  // Set last: events that come before the first caller have nobody to go to.
-  const running: { callers: CallerRegistry | undefined } = { callers: undefined };
+  // Set last: before the entry listens for callers, there are no sessions to deliver events to.
+  const callerRegistry: { current: CallerRegistry | undefined } = { current: undefined };
   let isStopping = false;
 
   const linkServer = await listenForLinks(
@@ -101,7 +105,7 @@
     { secret: settings.link.secret, ...DEFAULT_LINK_TIMING },
     {
       onRequest: (_peer, method, params) => handleRequest(app, method, params),
-      onNotify: takeEvent,
+      onNotify: dispatchEvent,
       onClose: (peer) => {
         handleLinkClosed(app, peer);
       },
@@ -116,10 +120,10 @@
     memberAddresses: () => settings.members.map(({ linkAddress }) => linkAddress),
   };
   const control: ControlClient = startControlClient(controlOptions, log, {
-    onRecords: takeRecords,
+    onRecords: handleRecordChanges,
     onStatusRequest: () => ({
       entryId: entry.id,
-      callers: running.callers?.sessions.size ?? 0,
+      callers: callerRegistry.current?.sessions.size ?? 0,
       owners: describeOwners(owners),
       counters: counters.totals(),
     }),
@@ -133,7 +137,7 @@
     control,
     counters,
     (owner, running) => {
-      tellOwnerEnded(app, owner, running);
+      notifyOwnerEnded(app, owner, running);
     },
   );
   const draws: RateDraws = {
@@ -149,7 +153,7 @@
     draws,
     channels: new Map(),
     links: () => links,
-    callers: () => running.callers,
+    callers: () => callerRegistry.current,
   };
   const links: EntryLinks = createLinks();
   const router: AnnouncementRouter = {
@@ -167,14 +171,14 @@
       routeAnnouncement(router, announcement);
     },
   );
-  running.callers = await listenForCallers({
+  callerRegistry.current = await listenForCallers({
     address: entry.callerAddress,
     maxCallers: entry.maxCallers,
     secureContext,
     sessionPrefix: randomUUID().slice(0, 13),
     environment: createCallerEnvironment(),
     rules: createAccessRules(),
-    onForeignCancel: forwardCancel,
+    onUnmatchedCancel: forwardCancel,
   });
   log(`entry ${entry.id} serves callers at ${entry.callerAddress}`);
   return { stop };
@@ -183,7 +187,7 @@
     const localChannel: AnswerChannel = {
       send: (message) => {
         queueMicrotask(() => {
-          if (running.callers) dispatchAnswer(running.callers, message);
+          if (callerRegistry.current) dispatchOwnerMessage(callerRegistry.current, message);
         });
       },
     };
@@ -191,11 +195,11 @@
       records: control.records,
       linkSecret: settings.link.secret,
       ownIncarnation: control.incarnation,
-      ownsLocally: (group, epoch) => findOwner(owners, group, epoch) !== undefined,
-      sendLocally: (group, epoch, message) => {
+      isLocalOwner: (group, epoch) => findOwner(owners, group, epoch) !== undefined,
+      sendToLocalOwner: (group, epoch, message) => {
         deliverToOwner(owners, localChannel, group, epoch, message);
       },
-      askLocalFate: (group, query) => answerFateQuery(owners, group, query),
+      queryLocalRequestStatus: (group, query) => answerRequestStatusQuery(owners, group, query),
       requestResource: (resource) => {
         requestResource(resource, undefined);
       },
@@ -203,9 +207,9 @@
         void control.call('entry/suspect', { incarnation, linkAddress });
       },
       onPortLost: (port) => {
-        if (running.callers) dispatchPortLost(running.callers, port);
+        if (callerRegistry.current) dispatchPortLost(callerRegistry.current, port);
       },
-      onNotify: takeEvent,
+      onNotify: dispatchEvent,
     });
   }
 
@@ -219,7 +223,7 @@
         homeWaitMs: requests.failoverWaitMs,
         draw: (draw) => drawFromHome(draws, draw),
       }),
-      classify: createClassifier(CLASSIFIER_TEXTS),
+      classify: createClassifier(CLASSIFIER_CACHE_ENTRIES),
       maxMessageBytes: entry.maxMessageBytes,
       failoverWaitMs: requests.failoverWaitMs,
       hasFreshSettings: control.hasFreshSettings,
@@ -235,24 +239,24 @@
       hasFreshSettings: control.hasFreshSettings,
       isKnownCustomer: (customer) => customerSetting(control, customer) !== undefined,
       findKey: (customer, secret) => findKey(keyIndex, customer, secret),
-      openCustomer: (group) => {
+      keylessCustomer: (group) => {
         const name = groupSetting(control, group).openToAllAs;
         return name === null ? undefined : toCustomerName(name);
       },
     };
   }
 
-  function takeEvent(peer: LinkPeer, method: string, params: unknown): void {
+  function dispatchEvent(peer: LinkPeer, method: string, params: unknown): void {
     handleEvent(app, peer, method, params);
   }
 
-  function takeRecords(deltas: readonly RecordDelta[]): void {
+  function handleRecordChanges(deltas: readonly RecordDelta[]): void {
     const hasWithdrawn = updateKeyIndex(keyIndex, deltas);
     reconcileOwners(owners);
     links.refresh();
     informNewOwners(router, deltas);
-    if (!hasWithdrawn || !running.callers) return;
-    closeWithdrawn(running.callers, ({ customer, key }) => {
+    if (!hasWithdrawn || !callerRegistry.current) return;
+    closeSessionsWithWithdrawnKeys(callerRegistry.current, ({ customer, key }) => {
       return key !== undefined && isKeyInForce(keyIndex, customer, key);
     });
   }
@@ -264,7 +268,7 @@
     void control.call('resource/request', { resource, zone });
   }
 
-  /** A cancel request may come to any entry; those that hold a resource are asked. */
+  /** Forwards a cancel request, which may arrive at any entry, to all entries that hold a resource. */
   function forwardCancel(processId: number, secretKey: number): void {
     const addresses = new Set<string>();
     for (const { record } of control.records.values()) {
@@ -279,11 +283,11 @@
     isStopping = true;
     log(`entry ${entry.id} is stopping`);
     control.startStopping();
-    if (running.callers) stopAccepting(running.callers);
+    if (callerRegistry.current) stopAccepting(callerRegistry.current);
     announceServer.close();
     announceServer.closeAllConnections();
     await handOverAll(owners, requests.stopGraceMs);
-    const cutSessions = await awaitCallers(performance.now() + requests.stopGraceMs);
+    const cutSessions = await drainCallers(performance.now() + requests.stopGraceMs);
     await control.call('entry/ended', { incarnation: control.incarnation() });
     control.close();
     links.close();
@@ -293,14 +297,14 @@
     return { cutSessions };
   }
 
-  async function awaitCallers(untilMs: number): Promise<number> {
-    const open = () => running.callers?.sessions.size ?? 0;
-    while (open() > 0 && performance.now() < untilMs) {
-      if (running.callers) closeIdle(running.callers);
-      await delay(STOP_POLL_MS);
+  async function drainCallers(deadlineMs: number): Promise<number> {
+    const countOpenSessions = () => callerRegistry.current?.sessions.size ?? 0;
+    while (countOpenSessions() > 0 && performance.now() < deadlineMs) {
+      if (callerRegistry.current) closeIdleSessions(callerRegistry.current);
+      await delay(STOP_POLL_INTERVAL_MS);
     }
-    const cutSessions = open();
-    for (const session of running.callers?.sessions.values() ?? []) session.socket.destroy();
+    const cutSessions = countOpenSessions();
+    for (const session of callerRegistry.current?.sessions.values() ?? []) session.socket.destroy();
     return cutSessions;
   }
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,3 +1,3 @@
-/** The entry daemon: callers in front, owners of database groups behind. */
+/** The entry daemon, which accepts callers and owns database groups. */
 export * from './entry-daemon.js';
 export { type ControlClient, startControlClient } from '@bramleykeel/entry-shared';
--- a/packages/entry/src/locate/owner-locator.test.ts
+++ b/packages/entry/src/locate/owner-locator.test.ts
@@ -40,17 +40,17 @@
       records,
       linkSecret: SECRET,
       ownIncarnation: () => toIncarnation('i1'),
-      ownsLocally: () => false,
-      sendLocally: () => undefined,
-      askLocalFate: () => 'may-have-run',
+      isLocalOwner: () => false,
+      sendToLocalOwner: () => undefined,
+      queryLocalRequestStatus: () => 'may-have-run',
       requestResource: () => undefined,
       reportSuspect: () => undefined,
       onPortLost: (each) => lost.push(each),
       onNotify: (_peer, _method, params) => {
-        links.endOwner(...(params as Parameters<EntryLinks['endOwner']>));
+        links.handleOwnerEnded(...(params as Parameters<EntryLinks['handleOwnerEnded']>));
       },
     });
-    const found = await links.await(GROUP, 2_000);
+    const found = await links.awaitOwner(GROUP, 2_000);
     if (!found) throw new Error('the owner was not found');
     port = found;
   });
@@ -69,7 +69,7 @@
       expect(lost).toEqual([port]);
     });
     await server.close();
-    expect(await links.askFate(port, { ownerEpoch: 4, session, number: 1 })).toBe(fate);
+    expect(await links.queryRequestStatus(port, { ownerEpoch: 4, session, number: 1 })).toBe(fate);
   });
 
   it('that has handed over is not used again; its successor is', async () => {
@@ -77,9 +77,9 @@
     await vi.waitFor(() => {
       expect(lost).toEqual([port]);
     });
-    expect(links.find(GROUP)).toBeUndefined();
+    expect(links.findOwner(GROUP)).toBeUndefined();
     assign(5, [...records.values()].map(addressOf)[0] ?? '');
-    expect((await links.await(GROUP, 2_000))?.epoch).toBe(5);
+    expect((await links.awaitOwner(GROUP, 2_000))?.epoch).toBe(5);
   });
 
   it('that was lost without a word may have run anything', async () => {
@@ -88,7 +88,7 @@
       expect(lost).toEqual([port]);
     });
     const query = { ownerEpoch: 4, session: ANSWERED, number: 1 };
-    expect(await links.askFate(port, query)).toBe('may-have-run');
+    expect(await links.queryRequestStatus(port, query)).toBe('may-have-run');
   });
 });
 
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -1,4 +1,4 @@
-/** Finds the owner of each group from control's assignments and keeps links to other entries. */
+/** Locates the owner of each group by control's assignments, and maintains links to other entries. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type Assignment,
@@ -21,14 +21,14 @@
 } from '@bramleykeel/link';
 import type { OwnerLocator, OwnerPort } from './owner-port.js';
 
-export interface LocatorOptions {
+export interface EntryLinksOptions {
   readonly records: ReadonlyMap<string, StoredRecord>;
   readonly linkSecret: string;
   readonly ownIncarnation: () => Incarnation;
-  /** Whether this entry acts as the group's owner under that epoch. */
-  readonly ownsLocally: (group: GroupName, epoch: number) => boolean;
-  readonly sendLocally: (group: GroupName, epoch: number, message: ToOwnerMessage) => void;
-  readonly askLocalFate: (group: GroupName, query: RequestStatusQuery) => RequestStatus;
+  /** Whether this entry is the group's active owner in that epoch. */
+  readonly isLocalOwner: (group: GroupName, epoch: number) => boolean;
+  readonly sendToLocalOwner: (group: GroupName, epoch: number, message: ToOwnerMessage) => void;
+  readonly queryLocalRequestStatus: (group: GroupName, query: RequestStatusQuery) => RequestStatus;
   readonly requestResource: (resource: Resource) => void;
   readonly reportSuspect: (incarnation: Incarnation, linkAddress: string) => void;
   readonly onPortLost: (port: OwnerPort) => void;
@@ -36,85 +36,100 @@
 }
 
 export interface EntryLinks extends OwnerLocator {
-  /** The open link to another entry, or `undefined` while there is none. */
+  /** Returns the open link to another entry; starts to connect and returns `undefined` if none is open. */
   readonly linkTo: (linkAddress: string) => LinkPeer | undefined;
-  /** An owner has handed over: what it has not answered, and does not name, never starts there. */
-  readonly endOwner: (group: GroupName, epoch: number, running: readonly SessionId[]) => void;
-  /** Looks at assignments again after control's records have changed. */
+  /**
+   * Handles the handover of an owner. Its unanswered requests never start there, except those of the
+   * sessions in `running`, which may have run.
+   */
+  readonly handleOwnerEnded: (
+    group: GroupName,
+    epoch: number,
+    running: readonly SessionId[],
+  ) => void;
+  /** Re-evaluates ports and waiters after control's records have changed. */
   readonly refresh: () => void;
   readonly close: () => void;
 }
 
-interface KnownPort extends OwnerPort {
+interface TrackedPort extends OwnerPort {
   readonly linkAddress: string;
   isLost: boolean;
-  /** Set once its owner has handed over: the sessions whose requests may have run there. */
-  running?: readonly SessionId[];
+  /** Set when the owner has handed over: the sessions whose requests may have run there. */
+  runningSessions?: readonly SessionId[];
 }
 
 interface PortWaiter {
-  readonly untilMs: number;
+  readonly deadlineMs: number;
   readonly resolve: (port: OwnerPort | undefined) => void;
 }
 
-const AWAIT_POLL_MS = 10;
-const REQUEST_EVERY_MS = 200;
-/** An owner that does not answer sooner is frozen or gone: its callers should not wait for it. */
-const FATE_TIMEOUT_MS = 500;
-const FATE_POLL_MS = 50;
-/** How long answers of a superseded owner are waited for. */
+const WAITER_POLL_INTERVAL_MS = 10;
+const RESOURCE_REQUEST_INTERVAL_MS = 200;
+/** An owner that takes longer is taken to be unreachable, so that callers do not wait for it. */
+const STATUS_QUERY_TIMEOUT_MS = 500;
+const LINK_POLL_INTERVAL_MS = 50;
+/** How long answers of a superseded owner are still accepted. */
 const SUPERSEDED_GRACE_MS = 250;
 
-export function createEntryLinks(options: LocatorOptions): EntryLinks {
+export function createEntryLinks(options: EntryLinksOptions): EntryLinks {
   const links = new Map<string, LinkClient>();
-  const refusedAtMs = new Map<string, number>();
-  const ports = new Map<GroupName, KnownPort>();
-  const supersededPorts = new Set<KnownPort>();
-  /** The newest epoch of each group whose owner has said that it is over. */
+  const connectRefusedAtMs = new Map<string, number>();
+  const ports = new Map<GroupName, TrackedPort>();
+  const supersededPorts = new Set<TrackedPort>();
+  /** The latest epoch of each group that its owner has reported as ended. */
   const endedEpochs = new Map<GroupName, number>();
   const waiters = new Map<GroupName, PortWaiter[]>();
   const requestedAtMs = new Map<Resource, number>();
-  const timer = setInterval(serveWaiters, AWAIT_POLL_MS);
-  return { find, await: awaitPort, askFate, linkTo, endOwner, refresh, close };
+  const timer = setInterval(resolveWaiters, WAITER_POLL_INTERVAL_MS);
+  return {
+    findOwner,
+    awaitOwner,
+    queryRequestStatus,
+    linkTo,
+    handleOwnerEnded,
+    refresh,
+    close,
+  };
 
-  function find(group: GroupName): OwnerPort | undefined {
+  function findOwner(group: GroupName): OwnerPort | undefined {
     const resource: Resource = `group/${group}`;
     const assignment = assignmentOf(options, resource);
     if (!assignment) {
-      requestOnce(resource);
+      requestResourceThrottled(resource);
       return undefined;
     }
-    // Its successor is not known here yet.
+    // The owner of this epoch has handed over, and its successor is not known here yet.
     if (assignment.epoch <= (endedEpochs.get(group) ?? 0)) return undefined;
     const known = ports.get(group);
     if (known?.epoch === assignment.epoch && known.isOpen()) return known;
     const port = openPort(group, assignment);
     if (port) ports.set(group, port);
-    else requestOnce(resource);
+    else requestResourceThrottled(resource);
     return port;
   }
 
-  function requestOnce(resource: Resource): void {
+  function requestResourceThrottled(resource: Resource): void {
     const nowMs = performance.now();
-    if (nowMs - (requestedAtMs.get(resource) ?? 0) < REQUEST_EVERY_MS) return;
+    if (nowMs - (requestedAtMs.get(resource) ?? 0) < RESOURCE_REQUEST_INTERVAL_MS) return;
     requestedAtMs.set(resource, nowMs);
     options.requestResource(resource);
   }
 
-  function openPort(group: GroupName, assignment: Assignment): KnownPort | undefined {
+  function openPort(group: GroupName, assignment: Assignment): TrackedPort | undefined {
     const { epoch, linkAddress } = assignment;
     if (assignment.incarnation === options.ownIncarnation()) {
-      if (!options.ownsLocally(group, epoch)) return undefined;
-      const port: KnownPort = {
+      if (!options.isLocalOwner(group, epoch)) return undefined;
+      const port: TrackedPort = {
         group,
         epoch,
         linkAddress,
         isLost: false,
         isLocal: true,
-        isOpen: () => !port.isLost && options.ownsLocally(group, epoch),
+        isOpen: () => !port.isLost && options.isLocalOwner(group, epoch),
         send: (message) => {
           if (!port.isOpen()) return false;
-          options.sendLocally(group, epoch, message);
+          options.sendToLocalOwner(group, epoch, message);
           return true;
         },
       };
@@ -122,7 +137,7 @@
     }
     const peer = linkTo(linkAddress);
     if (!peer) return undefined;
-    const port: KnownPort = {
+    const port: TrackedPort = {
       group,
       epoch,
       linkAddress,
@@ -144,15 +159,15 @@
       {
         onRequest: () => undefined,
         onNotify: options.onNotify,
-        onOpen: () => refusedAtMs.delete(linkAddress),
+        onOpen: () => connectRefusedAtMs.delete(linkAddress),
         onClose: () => {
-          losePorts((port) => !port.isLocal && port.linkAddress === linkAddress);
-          suspectHolder(linkAddress);
+          markPortsLost((port) => !port.isLocal && port.linkAddress === linkAddress);
+          reportSuspectHolders(linkAddress);
         },
         onConnectFailed: (failure) => {
           if (failure !== 'refused') return;
-          refusedAtMs.set(linkAddress, performance.now());
-          suspectHolder(linkAddress);
+          connectRefusedAtMs.set(linkAddress, performance.now());
+          reportSuspectHolders(linkAddress);
         },
       },
     );
@@ -160,7 +175,7 @@
     return undefined;
   }
 
-  function suspectHolder(linkAddress: string): void {
+  function reportSuspectHolders(linkAddress: string): void {
     const suspects = new Set<Incarnation>();
     for (const { record } of options.records.values()) {
       if (record.kind !== 'assignment') continue;
@@ -170,22 +185,22 @@
     for (const incarnation of suspects) options.reportSuspect(incarnation, linkAddress);
   }
 
-  function endOwner(group: GroupName, epoch: number, running: readonly SessionId[]): void {
+  function handleOwnerEnded(group: GroupName, epoch: number, running: readonly SessionId[]): void {
     endedEpochs.set(group, Math.max(epoch, endedEpochs.get(group) ?? 0));
-    const isIts = (port: KnownPort) => port.group === group && port.epoch === epoch;
-    for (const port of [...ports.values(), ...supersededPorts].filter(isIts)) {
-      port.running = running;
-      losePort(port);
+    const isMatching = (port: TrackedPort) => port.group === group && port.epoch === epoch;
+    for (const port of [...ports.values(), ...supersededPorts].filter(isMatching)) {
+      port.runningSessions = running;
+      markPortLost(port);
     }
   }
 
-  function losePorts(isLost: (port: KnownPort) => boolean): void {
+  function markPortsLost(isLost: (port: TrackedPort) => boolean): void {
     for (const port of [...ports.values(), ...supersededPorts]) {
-      if (isLost(port)) losePort(port);
+      if (isLost(port)) markPortLost(port);
     }
   }
 
-  function losePort(port: KnownPort): void {
+  function markPortLost(port: TrackedPort): void {
     if (port.isLost) return;
     port.isLost = true;
     supersededPorts.delete(port);
@@ -194,35 +209,35 @@
   }
 
   /**
-   * A port under an epoch that is over takes no new request. Answers that an owner sent before it
-   * handed over may still be on their way, so the port is lost only a moment later.
+   * Stops using ports of superseded epochs for new requests. Answers that the owner sent before it
+   * handed over may still be in transit, so such a port is lost only after `SUPERSEDED_GRACE_MS`.
    */
   function refresh(): void {
     for (const [group, port] of ports) {
-      const isPresent = assignmentOf(options, `group/${group}`)?.epoch === port.epoch;
-      if (isPresent && (!port.isLocal || port.isOpen())) continue;
+      const isCurrent = assignmentOf(options, `group/${group}`)?.epoch === port.epoch;
+      if (isCurrent && (!port.isLocal || port.isOpen())) continue;
       ports.delete(group);
       supersededPorts.add(port);
       setTimeout(() => {
-        losePort(port);
+        markPortLost(port);
       }, SUPERSEDED_GRACE_MS);
     }
-    serveWaiters();
+    resolveWaiters();
   }
 
-  function awaitPort(group: GroupName, timeoutMs: number): Promise<OwnerPort | undefined> {
+  function awaitOwner(group: GroupName, timeoutMs: number): Promise<OwnerPort | undefined> {
     return new Promise((resolve) => {
       const list = waiters.get(group) ?? [];
       waiters.set(group, list);
-      list.push({ untilMs: performance.now() + timeoutMs, resolve });
+      list.push({ deadlineMs: performance.now() + timeoutMs, resolve });
     });
   }
 
-  function serveWaiters(): void {
+  function resolveWaiters(): void {
     const nowMs = performance.now();
     for (const [group, list] of waiters) {
-      const port = find(group);
-      const isServed = (waiter: PortWaiter) => port !== undefined || waiter.untilMs <= nowMs;
+      const port = findOwner(group);
+      const isServed = (waiter: PortWaiter) => port !== undefined || waiter.deadlineMs <= nowMs;
       const waiting = list.filter((waiter) => !isServed(waiter));
       const served = list.filter(isServed);
       if (waiting.length > 0) waiters.set(group, waiting);
@@ -231,20 +246,23 @@
     }
   }
 
-  async function askFate(lost: OwnerPort, query: RequestStatusQuery): Promise<RequestStatus> {
-    const { group, linkAddress, isLocal, running } = lost as KnownPort;
+  async function queryRequestStatus(
+    lost: OwnerPort,
+    query: RequestStatusQuery,
+  ): Promise<RequestStatus> {
+    const { group, linkAddress, isLocal, runningSessions: running } = lost as TrackedPort;
     if (running && !running.includes(query.session)) return 'not-started';
-    if (isLocal) return options.askLocalFate(group, query);
+    if (isLocal) return options.queryLocalRequestStatus(group, query);
     const startedAtMs = performance.now();
-    while (performance.now() - startedAtMs < FATE_TIMEOUT_MS) {
+    while (performance.now() - startedAtMs < STATUS_QUERY_TIMEOUT_MS) {
       const peer = linkTo(linkAddress);
       if (peer) {
         const params = { group, query };
-        const answer = await peer.request('request/fate', params, FATE_TIMEOUT_MS);
-        return answer.map((fate) => fate as RequestStatus).orDefault('may-have-run');
+        const answer = await peer.request('request/fate', params, STATUS_QUERY_TIMEOUT_MS);
+        return answer.map((status) => status as RequestStatus).orDefault('may-have-run');
       }
-      if ((refusedAtMs.get(linkAddress) ?? 0) >= startedAtMs) return 'may-have-run';
-      await delay(FATE_POLL_MS);
+      if ((connectRefusedAtMs.get(linkAddress) ?? 0) >= startedAtMs) return 'may-have-run';
+      await delay(LINK_POLL_INTERVAL_MS);
     }
     return 'may-have-run';
   }
--- a/packages/entry/src/locate/owner-port.ts
+++ b/packages/entry/src/locate/owner-port.ts
@@ -1,4 +1,4 @@
-/** The way from a caller's session to the owner of its group, in this process or over a link. */
+/** Ports through which caller sessions reach a group's owner, in this process or over a link. */
 import type {
   RequestStatusQuery,
   GroupName,
@@ -11,16 +11,19 @@
   readonly epoch: number;
   readonly isLocal: boolean;
   readonly isOpen: () => boolean;
-  /** Returns whether the message was handed on; if not, the owner has not got it. */
+  /** Sends a message. Returns `false` if it was not sent; the owner then never receives it. */
   readonly send: (message: ToOwnerMessage) => boolean;
 }
 
-/** Finds owners and asks them about the past. */
+/** Locates owners and queries them for the status of requests. */
 export interface OwnerLocator {
-  /** The open port to the group's present owner, if there is one now. */
-  readonly find: (group: GroupName) => OwnerPort | undefined;
-  /** Waits for an owner, `timeoutMs` at most. */
-  readonly await: (group: GroupName, timeoutMs: number) => Promise<OwnerPort | undefined>;
-  /** Asks what became of a request after its port was lost. */
-  readonly askFate: (lost: OwnerPort, query: RequestStatusQuery) => Promise<RequestStatus>;
+  /** Returns the open port to the group's current owner, if there is one. */
+  readonly findOwner: (group: GroupName) => OwnerPort | undefined;
+  /** Waits up to `timeoutMs` for an owner; resolves with `undefined` if there is none by then. */
+  readonly awaitOwner: (group: GroupName, timeoutMs: number) => Promise<OwnerPort | undefined>;
+  /** Queries the owner for whether a request has started, after its port was lost. */
+  readonly queryRequestStatus: (
+    lost: OwnerPort,
+    query: RequestStatusQuery,
+  ) => Promise<RequestStatus>;
 }
--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -17,7 +17,7 @@
 } from '../target/target-pool.js';
 import { evaluateAcknowledgements } from './acknowledge.js';
 import { advanceFailover, probePrimary } from './failover-runner.js';
-import { closeSession, endIdleTransactions, purgeExpiredFates } from './owner-app.js';
+import { closeSession, endIdleTransactions, purgeExpiredRequestStatuses } from './owner-app.js';
 import { createGroupOwner, type GroupOwner, type OwnerEnvironment } from './owner-state.js';
 import { checkSilentConnections, terminateSuperseded } from './request-run.js';
 import { expireWaiting, requeue, schedule } from './scheduler.js';
@@ -44,7 +44,7 @@
     }, PERIODIC_TASKS_INTERVAL_MS),
     setInterval(() => {
       endIdleTransactions(owner);
-      purgeExpiredFates(owner);
+      purgeExpiredRequestStatuses(owner);
     }, HOUSEKEEPING_INTERVAL_MS),
   ];
   environment.log(`became owner of ${group}, epoch ${epoch}`);
--- a/packages/entry/src/owner/owner-app.test.ts
+++ b/packages/entry/src/owner/owner-app.test.ts
@@ -10,7 +10,7 @@
 } from '@bramleykeel/core';
 import { createCounters } from '@bramleykeel/link';
 import { describe, expect, it } from 'vitest';
-import { answerFate, closeSession, handleEntryMessage } from './owner-app.js';
+import { requestStatusOf, closeSession, handleEntryMessage } from './owner-app.js';
 import { createGroupOwner, type GroupOwner } from './owner-state.js';
 import { startOnConnection } from './request-run.js';
 import type { TargetConnection } from '../target/target-connection.js';
@@ -87,13 +87,13 @@
   it('guarantees that a waiting request will not start, and drops it', () => {
     const owner = createOwner();
     openAndStart(owner, []);
-    expect(answerFate(owner, QUERY)).toBe('not-started');
+    expect(requestStatusOf(owner, QUERY)).toBe('not-started');
     expect([...owner.queue.customers.values()].flatMap(({ items }) => items)).toEqual([]);
   });
 
   it('refuses a request that arrives after its fate query', () => {
     const owner = createOwner();
-    expect(answerFate(owner, QUERY)).toBe('not-started');
+    expect(requestStatusOf(owner, QUERY)).toBe('not-started');
     const sent: FromOwnerMessage[] = [];
     openAndStart(owner, sent);
     expect(sent).toMatchObject([
@@ -107,13 +107,13 @@
     openAndStart(owner, []);
     owner.lastSentRequests.set(SESSION, { number: 1, atMs: 0 });
     closeSession(owner, SESSION);
-    expect(answerFate(owner, QUERY)).toBe('may-have-run');
+    expect(requestStatusOf(owner, QUERY)).toBe('may-have-run');
   });
 
   it('distinguishes requests of the same session', () => {
     const owner = createOwner();
     owner.lastSentRequests.set(SESSION, { number: 1, atMs: 0 });
-    expect(answerFate(owner, { ...QUERY, number: 2 })).toBe('not-started');
+    expect(requestStatusOf(owner, { ...QUERY, number: 2 })).toBe('not-started');
   });
 });
 
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -19,7 +19,7 @@
 import { submitRequest } from './scheduler.js';
 
 /** How long an owner keeps the information needed to answer fate queries. */
-export const FATE_RETENTION_MS = 60_000;
+export const REQUEST_STATUS_RETENTION_MS = 60_000;
 
 /** Handles a message that an entry sent over `channel`. */
 export function handleEntryMessage(
@@ -170,7 +170,7 @@
  * Reports the fate of a request whose link broke. `not-started` is a guarantee: the session is
  * revoked, so messages of it that arrive later are not run.
  */
-export function answerFate(owner: GroupOwner, query: RequestStatusQuery): RequestStatus {
+export function requestStatusOf(owner: GroupOwner, query: RequestStatusQuery): RequestStatus {
   owner.revokedSessions.set(query.session, performance.now());
   closeSession(owner, query.session);
   const lastSent = owner.lastSentRequests.get(query.session);
@@ -179,8 +179,8 @@
 }
 
 /** Removes fate information older than the retention period. */
-export function purgeExpiredFates(owner: GroupOwner): void {
-  const limitMs = performance.now() - FATE_RETENTION_MS;
+export function purgeExpiredRequestStatuses(owner: GroupOwner): void {
+  const limitMs = performance.now() - REQUEST_STATUS_RETENTION_MS;
   for (const [id, revokedAtMs] of owner.revokedSessions) {
     if (revokedAtMs < limitMs) owner.revokedSessions.delete(id);
   }
--- a/packages/entry/src/owner/owner-registry.test.ts
+++ b/packages/entry/src/owner/owner-registry.test.ts
@@ -1,6 +1,6 @@
 import { toGroupName, toSessionId } from '@bramleykeel/core';
 import { describe, expect, it } from 'vitest';
-import { answerFateQuery, type OwnerRegistry } from './owner-registry.js';
+import { answerRequestStatusQuery, type OwnerRegistry } from './owner-registry.js';
 import type { GroupOwner } from './owner-state.js';
 
 const GROUP = toGroupName('g');
@@ -40,6 +40,6 @@
       closedOwners: new Set(closed),
     } as unknown as OwnerRegistry;
     const query = { ownerEpoch: 3, session: SESSION, number: 5 };
-    expect(answerFateQuery(registry, GROUP, query)).toBe(expected);
+    expect(answerRequestStatusQuery(registry, GROUP, query)).toBe(expected);
   });
 });
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -25,7 +25,12 @@
   startGroupOwner,
   handleAnnouncement,
 } from './group-owner.js';
-import { answerFate, closeChannel, FATE_RETENTION_MS, handleEntryMessage } from './owner-app.js';
+import {
+  requestStatusOf,
+  closeChannel,
+  REQUEST_STATUS_RETENTION_MS,
+  handleEntryMessage,
+} from './owner-app.js';
 import type { GroupOwner } from './owner-state.js';
 
 export interface OwnerRegistry {
@@ -79,7 +84,7 @@
   closeGroupOwner(owner);
   registry.owners.delete(owner.group);
   registry.closedOwners.add(owner);
-  setTimeout(() => registry.closedOwners.delete(owner), FATE_RETENTION_MS).unref();
+  setTimeout(() => registry.closedOwners.delete(owner), REQUEST_STATUS_RETENTION_MS).unref();
 }
 
 function startOwner(registry: OwnerRegistry, group: GroupName, epoch: number): void {
@@ -154,7 +159,7 @@
  * Answers a fate query. Only the owner of exactly that epoch can guarantee that a request never
  * starts.
  */
-export function answerFateQuery(
+export function answerRequestStatusQuery(
   registry: OwnerRegistry,
   group: GroupName,
   query: RequestStatusQuery,
@@ -163,7 +168,7 @@
   const owner = candidates.find(
     (candidate) => candidate?.group === group && candidate.epoch === query.ownerEpoch,
   );
-  return owner ? answerFate(owner, query) : 'may-have-run';
+  return owner ? requestStatusOf(owner, query) : 'may-have-run';
 }
 
 export function deliverAnnouncement(registry: OwnerRegistry, announcement: Announcement): boolean {
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -14,7 +14,11 @@
   runInternalQuery,
   type TargetConnection,
 } from '../target/target-connection.js';
-import { discardConnection, isStillWorking, releaseConnection } from '../target/target-pool.js';
+import {
+  discardConnection,
+  checkServerActivity,
+  releaseConnection,
+} from '../target/target-pool.js';
 import { awaitAcknowledgement } from './acknowledge.js';
 import { createAnswerFilter, filterAnswer } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession, RunningRequest } from './owner-state.js';
@@ -345,7 +349,7 @@
 ): Promise<void> {
   running.isCheckingConnection = true;
   const previousLastHeardMs = running.connection.lastHeardMs;
-  const state = await isStillWorking(running.pool, running.connection.processId);
+  const state = await checkServerActivity(running.pool, running.connection.processId);
   running.isCheckingConnection = false;
   running.lastSentMs = performance.now();
   const hasAnswered = running.connection.lastHeardMs !== previousLastHeardMs;
--- a/packages/entry/src/target/announce-server.ts
+++ b/packages/entry/src/target/announce-server.ts
@@ -1,4 +1,4 @@
-/** Takes announcements of targets over HTTP and hands them on. */
+/** HTTP server that receives the announcements of targets. */
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { type Announcement, announcementSchema, splitAddress } from '@bramleykeel/core';
 import { type Counters, readJsonBody } from '@bramleykeel/link';
@@ -6,7 +6,11 @@
 
 const MAX_BODY_BYTES = 16_384;
 
-/** Listens for `PUT /announce`; `token` is asked for as bearer token when it is set. */
+/**
+ * Listens for `PUT /announce`; requests need `token` as bearer token if it is set.
+ *
+ * @throws when the address is taken
+ */
 export function listenForAnnouncements(
   address: string,
   token: string | undefined,
@@ -14,7 +18,7 @@
   onAnnouncement: (announcement: Announcement) => void,
 ): Promise<Server> {
   const server = createServer((request, response) => {
-    void answer(request).then(({ statusCode, body }) => {
+    void handleRequest(request).then(({ statusCode, body }) => {
       response.statusCode = statusCode;
       response.setHeader('content-type', 'application/json');
       response.end(JSON.stringify(body));
@@ -28,7 +32,7 @@
     });
   });
 
-  async function answer(request: IncomingMessage) {
+  async function handleRequest(request: IncomingMessage) {
     if (request.method !== 'PUT' || request.url !== '/announce') {
       return { statusCode: 404, body: { message: 'expected PUT /announce' } };
     }
--- a/packages/entry/src/target/announcement-cache.ts
+++ b/packages/entry/src/target/announcement-cache.ts
@@ -1,6 +1,6 @@
 /**
- * The newest announcement of each server that announces itself to this entry. A group's new owner
- * gets them at once, and does not have to wait until every server announces itself again.
+ * Cache of the latest announcement of each server that announces itself to this entry. A group's new
+ * owner receives them immediately instead of waiting for every server to announce itself again.
  */
 import type { Announcement, GroupName, ServerName } from '@bramleykeel/core';
 
@@ -10,10 +10,10 @@
 
 interface CachedAnnouncement {
   readonly announcement: Announcement;
-  readonly heardAtMs: number;
+  readonly receivedAtMs: number;
 }
 
-/** Announcements older than this say nothing about the present, in milliseconds. */
+/** Age from which an announcement no longer describes the current state of its server. */
 const MAX_AGE_MS = 3_000;
 
 export function createAnnouncementCache(): AnnouncementCache {
@@ -28,10 +28,10 @@
   const { group, server } = announcement;
   const servers = cache.groups.get(group) ?? new Map<ServerName, CachedAnnouncement>();
   cache.groups.set(group, servers);
-  servers.set(server, { announcement, heardAtMs: nowMs });
+  servers.set(server, { announcement, receivedAtMs: nowMs });
 }
 
-/** The recent announcements of a group's servers; old ones are forgotten. */
+/** Returns the recent announcements of a group's servers and removes expired ones. */
 export function recentAnnouncements(
   cache: AnnouncementCache,
   group: GroupName,
@@ -39,7 +39,7 @@
 ): Announcement[] {
   const servers = cache.groups.get(group);
   if (!servers) return [];
-  for (const [server, { heardAtMs }] of servers) {
+  for (const [server, { receivedAtMs: heardAtMs }] of servers) {
     if (nowMs - heardAtMs > MAX_AGE_MS) servers.delete(server);
   }
   if (servers.size === 0) cache.groups.delete(group);
--- a/packages/entry/src/target/announcement-router.ts
+++ b/packages/entry/src/target/announcement-router.ts
@@ -1,4 +1,4 @@
-/** Takes targets' announcements to the owner of their group, wherever that is. */
+/** Routes targets' announcements to the owner of their group, in this process or over a link. */
 import {
   type Announcement,
   assignmentOf,
@@ -19,25 +19,28 @@
   readonly cache: AnnouncementCache;
   readonly control: ControlClient;
   readonly links: () => EntryLinks;
-  /** Hands an announcement to the owner in this process; returns whether there is one. */
+  /** Delivers an announcement to the owner in this process; returns whether there is one. */
   readonly deliverLocally: (announcement: Announcement) => boolean;
   readonly requestResource: (resource: Resource, zone: string | undefined) => void;
 }
 
-/** How often and how soon a new owner that cannot be reached yet is tried again. */
+/** Attempts to reach a new owner, `INFORM_RETRY_INTERVAL_MS` apart. */
 const INFORM_ATTEMPTS = 50;
-const INFORM_RETRY_MS = 10;
+const INFORM_RETRY_INTERVAL_MS = 10;
 const GROUP_RESOURCE = /^group\/(.+)$/;
 
-/** Passes an announcement on; a group without an owner is given one, in the primary's zone. */
+/**
+ * Forwards an announcement to the group's owner. If the owner cannot be reached, requests an owner for
+ * the group, in the zone of its primary if the primary announced itself.
+ */
 export function routeAnnouncement(router: AnnouncementRouter, announcement: Announcement): void {
   cacheAnnouncement(router.cache, announcement, performance.now());
-  if (passOn(router, announcement)) return;
+  if (forwardAnnouncement(router, announcement)) return;
   const zone = announcement.role === 'primary' ? announcement.zone : undefined;
   router.requestResource(`group/${announcement.group}`, zone);
 }
 
-function passOn(router: AnnouncementRouter, announcement: Announcement): boolean {
+function forwardAnnouncement(router: AnnouncementRouter, announcement: Announcement): boolean {
   if (router.deliverLocally(announcement)) return true;
   const assignment = assignmentOf(router.control, `group/${announcement.group}`);
   if (!assignment) return false;
@@ -45,7 +48,7 @@
   return peer?.notify('target/announcement', announcement) ?? false;
 }
 
-/** A group's new owner learns about its servers from the entries that they announce themselves to. */
+/** Sends the cached announcements of a group's servers to the owner of a new assignment. */
 export function informNewOwners(router: AnnouncementRouter, deltas: readonly RecordDelta[]): void {
   for (const { stored } of deltas) {
     if (stored.record.kind !== 'assignment') continue;
@@ -56,9 +59,9 @@
 
 function informOwner(router: AnnouncementRouter, group: GroupName, attempts: number): void {
   const recent = recentAnnouncements(router.cache, group, performance.now());
-  const isReached = recent.every((announcement) => passOn(router, announcement));
+  const isReached = recent.every((announcement) => forwardAnnouncement(router, announcement));
   if (isReached || attempts <= 1) return;
   setTimeout(() => {
     informOwner(router, group, attempts - 1);
-  }, INFORM_RETRY_MS);
+  }, INFORM_RETRY_INTERVAL_MS);
 }
--- a/packages/entry/src/target/target-commands.ts
+++ b/packages/entry/src/target/target-commands.ts
@@ -1,4 +1,4 @@
-/** Commands to targets and probes of them, at the addresses that they announced. */
+/** Sends commands and probes to targets, at the addresses that they announced. */
 import { request } from 'node:http';
 import {
   fenceAnswerSchema,
@@ -11,9 +11,9 @@
 import { buildSslRequest } from '@bramleykeel/postgres-wire';
 
 /**
- * Sends a command; every target answers with its promised term and the end of its log.
+ * Sends a command to a target, which answers with its promised term and the end of its log.
  *
- * @returns `undefined` when no valid answer came in time
+ * @returns `undefined` if there was no valid answer within `timeoutMs`
  */
 export async function sendCommand(
   server: ServerName,
@@ -60,7 +60,7 @@
 
 /**
  * Probes a server with an SSL request, which any PostgreSQL server answers with one byte before
- * authentication: it costs no slot, and a frozen process does not answer it.
+ * authentication. It takes no slot, and a hung process does not answer it.
  */
 export function probeServer(address: string, timeoutMs: number): Promise<ProbeResult> {
   return probeAddress(address, timeoutMs, buildSslRequest());
--- a/packages/entry/src/target/target-connection.ts
+++ b/packages/entry/src/target/target-connection.ts
@@ -1,4 +1,4 @@
-/** One connection to a target: startup, then whatever request or check it was taken for. */
+/** Connections to targets: startup, internal queries and cancel requests. */
 import { createConnection, type Socket } from 'node:net';
 import {
   type LogPosition,
@@ -28,7 +28,7 @@
   readonly database: string;
 }
 
-/** Takes the messages of the request that the connection serves at the moment. */
+/** Receives the messages that answer the connection's current request. */
 export interface AnswerConsumer {
   readonly onMessages: (messages: readonly WireMessage[]) => void;
   readonly onLost: () => void;
@@ -39,12 +39,12 @@
   readonly address: string;
   processId: number;
   secretKey: number;
-  /** Statement names that exist on the connection. */
+  /** Names of the prepared statements that exist on the connection. */
   readonly prepared: Set<string>;
-  /** Session settings in force, by name, each as the SET statement that made it. */
+  /** Current session settings by name, each as the SET statement that made it. */
   settings: Map<string, string>;
   consumer: AnswerConsumer | undefined;
-  /** Time of the last received byte. */
+  /** Time at which data was last received. */
   lastHeardMs: number;
   isClosed: boolean;
 }
@@ -69,7 +69,7 @@
 const AUTHENTICATION_OK = 0;
 const AUTHENTICATION_CLEARTEXT = 3;
 
-/** Name of the parameter that targets report their log position with. */
+/** Name of the parameter in which targets report their log position. */
 export const POSITION_PARAMETER = 'log_position';
 
 /**
@@ -174,7 +174,7 @@
   });
 }
 
-/** Closes a connection for good; its consumer is told at most once. */
+/** Closes a connection; its consumer is not notified. */
 export function closeConnection(connection: TargetConnection): void {
   if (connection.isClosed) return;
   connection.isClosed = true;
@@ -189,7 +189,10 @@
   | { readonly kind: 'lost' }
   | { readonly kind: 'timeout' };
 
-/** Runs an internal query on a connection that nothing else uses; rows are their first column. */
+/**
+ * Runs an internal query on a connection that no request uses. The outcome holds the first column of
+ * each row.
+ */
 export function runInternalQuery(
   connection: TargetConnection,
   text: string,
@@ -231,7 +234,7 @@
   return lengthBytes < 0 ? '' : frame.toString('utf8', 11, 11 + lengthBytes);
 }
 
-/** Sends a cancel request for whatever the connection runs at the moment. */
+/** Sends a cancel request for the statement that the connection currently runs. */
 export function cancelRunning(connection: TargetConnection): void {
   const socket = createConnection(splitAddress(connection.address));
   socket.on('error', () => undefined);
--- a/packages/entry/src/target/target-pool.ts
+++ b/packages/entry/src/target/target-pool.ts
@@ -1,4 +1,4 @@
-/** Connections and slots of one target server, as its group's owner uses them. */
+/** Connection pool and slots of one target server, used by the owner of its group. */
 import type { Announcement, LogPosition } from '@bramleykeel/core';
 import {
   closeConnection,
@@ -12,13 +12,13 @@
 export interface PoolOptions {
   readonly credentials: TargetCredentials;
   readonly connectTimeoutMs: number;
-  /** Connections unused for this long are checked before they are used again. */
+  /** Connections that were idle for this long are checked before they are used again. */
   readonly idleCheckMs: number;
 }
 
 interface IdleConnection {
   readonly connection: TargetConnection;
-  readonly sinceMs: number;
+  readonly idleSinceMs: number;
 }
 
 export interface TargetPool {
@@ -38,14 +38,14 @@
 }
 
 /**
- * An owner uses half of a server's connections: the other half is left to an earlier owner whose
- * connections the server may not have closed yet, so that both together stay within the limit.
+ * An owner uses half of a server's connections. The other half is left for connections of a previous
+ * owner that the server may not have closed yet, so that both owners together stay within the limit.
  */
-const OWNER_SHARE = 0.5;
+const OWNER_CONNECTION_SHARE = 0.5;
 const IDLE_CHECK_TIMEOUT_MS = 400;
 
 export function ownerConnectionLimit(announcedConnections: number): number {
-  return Math.max(1, Math.floor(announcedConnections * OWNER_SHARE));
+  return Math.max(1, Math.floor(announcedConnections * OWNER_CONNECTION_SHARE));
 }
 
 export function createTargetPool(announcement: Announcement, options: PoolOptions): TargetPool {
@@ -64,7 +64,7 @@
   };
 }
 
-/** Takes over changed limits from a newer announcement. */
+/** Applies the limits of a newer announcement. */
 export function updateLimits(pool: TargetPool, announcement: Announcement): void {
   pool.slots = announcement.slots;
   pool.maxConnections = ownerConnectionLimit(announcement.connections);
@@ -74,7 +74,7 @@
   return pool.idle.length + pool.inUse.size + pool.openingCount;
 }
 
-/** Requests that could start on the server now: free slots, as far as connections allow. */
+/** Number of requests that could start on the server now, limited by slots and connections. */
 export function freeSlots(pool: TargetPool): number {
   const spareConnections = pool.maxConnections - openConnections(pool) + pool.idle.length;
   return Math.min(pool.slots - pool.runningCount, spareConnections);
@@ -84,21 +84,21 @@
   | { readonly kind: 'acquired'; readonly connection: TargetConnection }
   | { readonly kind: 'failed'; readonly failure: ConnectFailure };
 
-/** Takes a connection: an idle one, checked if it was idle for long, or a new one. */
+/** Acquires an idle connection, checked if it was idle for `idleCheckMs`, or opens a new one. */
 export async function acquireConnection(pool: TargetPool): Promise<AcquireOutcome> {
   for (let idle = pool.idle.pop(); idle; idle = pool.idle.pop()) {
-    const { connection, sinceMs } = idle;
+    const { connection, idleSinceMs: sinceMs } = idle;
     if (connection.isClosed) continue;
     pool.inUse.add(connection);
     const isFresh = performance.now() - sinceMs < pool.options.idleCheckMs;
-    if (isFresh || (await answersCheck(connection))) return { kind: 'acquired', connection };
+    if (isFresh || (await passesIdleCheck(connection))) return { kind: 'acquired', connection };
     discardConnection(pool, connection);
   }
   return openConnection(pool);
 }
 
-/** An empty query is answered by any live server without running anything. */
-async function answersCheck(connection: TargetConnection): Promise<boolean> {
+/** Checks a connection with an empty query, which a live server answers without running anything. */
+async function passesIdleCheck(connection: TargetConnection): Promise<boolean> {
   const outcome = await runInternalQuery(connection, '', IDLE_CHECK_TIMEOUT_MS);
   return outcome.kind === 'done' && outcome.status === 'idle';
 }
@@ -122,7 +122,7 @@
   return { kind: 'acquired', connection };
 }
 
-/** Gives back a connection that is idle and owes no answer. */
+/** Returns a connection to the pool; it must be idle with no answer outstanding. */
 export function releaseConnection(pool: TargetPool, connection: TargetConnection): void {
   pool.inUse.delete(connection);
   connection.consumer = undefined;
@@ -130,34 +130,34 @@
     closeConnection(connection);
     return;
   }
-  pool.idle.push({ connection, sinceMs: performance.now() });
+  pool.idle.push({ connection, idleSinceMs: performance.now() });
 }
 
-/** Closes a connection whose state is not known, or that is no longer wanted. */
+/** Closes a connection that is in an unknown state or no longer needed. */
 export function discardConnection(pool: TargetPool, connection: TargetConnection): void {
   pool.inUse.delete(connection);
   closeConnection(connection);
 }
 
-/** Opens connections ahead of need, one at a time, up to the number of slots. */
+/** Opens one connection in advance, unless one is opening or there are as many as slots. */
 export async function warmPool(pool: TargetPool): Promise<void> {
-  const wanted = Math.min(pool.slots, pool.maxConnections);
-  if (pool.isClosed || pool.openingCount > 0 || openConnections(pool) >= wanted) return;
+  const targetCount = Math.min(pool.slots, pool.maxConnections);
+  if (pool.isClosed || pool.openingCount > 0 || openConnections(pool) >= targetCount) return;
   const outcome = await openConnection(pool);
   if (outcome.kind === 'acquired') releaseConnection(pool, outcome.connection);
 }
 
-/** Closes idle connections at once; those in use are closed by their requests. */
+/** Closes the pool and its idle connections; connections in use are closed by their requests. */
 export function closePool(pool: TargetPool): void {
   pool.isClosed = true;
   for (const { connection } of pool.idle.splice(0)) closeConnection(connection);
 }
 
 /**
- * Asks over a new connection whether the target still works on a request of another one. A target
- * that is idle there has answered already: that connection has lost track of its answer.
+ * Queries over a new connection whether the server is still running a request of the connection with
+ * the given `processId`. `idle` means that it has already answered and the answer was lost.
  */
-export async function isStillWorking(
+export async function checkServerActivity(
   pool: TargetPool,
   processId: number,
 ): Promise<'working' | 'idle' | 'unreachable'> {
