Reword tests and remaining names of the entry daemon

Test titles say what is checked; ANSWERED and RUNNING become IDLE_SESSION and RUNNING_SESSION. CallerStatement, accept and hasWithdrawn become PreparedStatement, acceptCaller and hasWithdrawnKey. No behaviour changes.

--- a/packages/entry/src/accept/caller-output.ts
+++ b/packages/entry/src/accept/caller-output.ts
@@ -38,8 +38,8 @@
 }
 
 /**
- * Closes the connection with a refusal. The refusal is flushed together with anything written in the
- * same event loop turn, so the caller receives it before it can send its next request.
+ * Closes the connection with a refusal. The refusal is flushed together with anything written in
+ * the same event loop turn, so the caller receives it before it can send its next request.
  */
 export function endWithRefusal(session: CallerSession, refusal: Refusal): void {
   if (session.isClosed) return;
--- a/packages/entry/src/accept/caller-registry.ts
+++ b/packages/entry/src/accept/caller-registry.ts
@@ -1,4 +1,4 @@
-/** Registry of an entry's callers: accepts them, finds them by session or cancel key, closes them. */
+/** Registry of an entry's callers: accepts, looks up by session or cancel key, and closes them. */
 import { randomInt } from 'node:crypto';
 import { createServer, type Server, type Socket } from 'node:net';
 import type { SecureContext } from 'node:tls';
@@ -66,7 +66,7 @@
  */
 export function listenForCallers(options: CallerRegistryOptions): Promise<CallerRegistry> {
   const server = createServer((socket) => {
-    void accept(registry, socket);
+    void acceptCaller(registry, socket);
   });
   const registry: CallerRegistry = {
     options,
@@ -85,7 +85,7 @@
   });
 }
 
-async function accept(registry: CallerRegistry, socket: Socket): Promise<void> {
+async function acceptCaller(registry: CallerRegistry, socket: Socket): Promise<void> {
   const { environment, maxCallers, rules, secureContext } = registry.options;
   registry.connectionCount += 1;
   socket.once('close', () => {
--- a/packages/entry/src/accept/caller-session.ts
+++ b/packages/entry/src/accept/caller-session.ts
@@ -1,4 +1,4 @@
-/** Input of a caller's session: groups messages into chunks, checks them, and applies rate limits. */
+/** Input of caller sessions: groups messages into chunks, checks them, and applies rate limits. */
 import { type Refusal, refuse } from '@bramleykeel/core';
 import { buildQuery, CLIENT, frameMessages, type WireMessage } from '@bramleykeel/postgres-wire';
 import { admit } from '@bramleykeel/entry-shared';
@@ -11,7 +11,7 @@
 const INBOX_LIMIT_BYTES = 1024 * 1024;
 /** Longer rate wait for requests in open transactions, because a refusal aborts the transaction. */
 const TRANSACTION_RATE_WAIT_MS = 5_000;
-/** Invalid query that aborts the target's transaction after one of its statements was refused here. */
+/** Invalid query that aborts the target's transaction after the entry refused a statement. */
 const ABORTING_QUERY_TEXT = 'refused by the proxy';
 
 /** Handles bytes received from the caller. */
--- a/packages/entry/src/accept/chunk-builder.test.ts
+++ b/packages/entry/src/accept/chunk-builder.test.ts
@@ -5,15 +5,15 @@
 
 beforeAll(loadSyntax);
 
-function wire(frame: Buffer): WireMessage {
+function toWireMessage(frame: Buffer): WireMessage {
   return { type: frame[0] ?? 0, frame };
 }
 
 function build(frames: readonly Buffer[], callerStatements = createCallerStatements()): BuiltChunk {
-  return buildChunk(callerStatements, frames.map(wire), classifyText);
+  return buildChunk(callerStatements, frames.map(toWireMessage), classifyText);
 }
 
-function prepared(name: string, text: string): Buffer[] {
+function extendedQuery(name: string, text: string): Buffer[] {
   return [
     serialize.parse({ name, text }),
     serialize.bind({ statement: name, values: [] }),
@@ -23,16 +23,10 @@
 }
 
 describe('buildChunk', () => {
-  const CLASSES: readonly [string, string, BuiltChunk['intent'], number, boolean][] = [
+  const CASES: readonly [string, string, BuiltChunk['intent'], number, boolean][] = [
     ['a read', 'SELECT 1', 'read', 1, false],
     ['a write', "INSERT INTO b VALUES ('1')", 'write', 1, true],
-    [
-      'a write hidden in a CTE',
-      'WITH d AS (DELETE FROM b RETURNING 1) SELECT * FROM d',
-      'write',
-      1,
-      true,
-    ],
+    ['a write in a CTE', 'WITH d AS (DELETE FROM b RETURNING 1) SELECT * FROM d', 'write', 1, true],
     ['a locking read', 'SELECT 1 FROM b FOR UPDATE', 'write', 1, true],
     [
       'a locking read below a union',
@@ -41,7 +35,7 @@
       1,
       true,
     ],
-    ['a sequence', "SELECT nextval('s')", 'write', 1, true],
+    ['a sequence function', "SELECT nextval('s')", 'write', 1, true],
     ['SELECT INTO', 'SELECT 1 INTO t', 'write', 1, true],
     ['EXPLAIN', 'EXPLAIN SELECT 1', 'read', 1, false],
     ['EXPLAIN ANALYZE', 'EXPLAIN ANALYZE DELETE FROM b', 'write', 1, true],
@@ -52,8 +46,8 @@
     ['a syntax error', 'SELEC', 'write', 1, true],
     ['nothing', '', 'read', 0, false],
   ];
-  it.each(CLASSES)('classifies %s', (_name, text, intent, tokenCount, mayCommit) => {
-    for (const frames of [[serialize.query(text)], prepared('', text)]) {
+  it.each(CASES)('classifies %s', (_name, text, intent, tokenCount, mayCommit) => {
+    for (const frames of [[serialize.query(text)], extendedQuery('', text)]) {
       const isMultiple = text.includes(';') && frames.length > 1;
       if (isMultiple) continue;
       const built = build(frames);
@@ -66,18 +60,18 @@
     }
   });
 
-  it('gives equal statements of different callers one name on target connections', () => {
+  it('gives identical statements of different callers the same name on target connections', () => {
     const [left, right, other] = ['a', 'b', 'a'].map((name, index) =>
-      build(prepared(name, index === 2 ? 'SELECT 2' : 'SELECT 1')),
+      build(extendedQuery(name, index === 2 ? 'SELECT 2' : 'SELECT 1')),
     );
     const nameOf = (built: BuiltChunk | undefined) => built?.chunk.expected[0]?.statement;
     expect(nameOf(left)).toBe(nameOf(right));
     expect(nameOf(left)).not.toBe(nameOf(other));
   });
 
-  it('names the statements that a later chunk needs on its connection', () => {
+  it('lists the prepared statements that a later chunk requires on its connection', () => {
     const callerStatements = createCallerStatements();
-    build(prepared('p', 'SELECT 1'), callerStatements);
+    build(extendedQuery('p', 'SELECT 1'), callerStatements);
     const later = build(
       [serialize.bind({ statement: 'p' }), serialize.execute({}), serialize.sync()],
       callerStatements,
@@ -86,7 +80,7 @@
     expect(later.intent).toBe('read');
   });
 
-  it('creates the unnamed statement again in a later chunk, unseen by the caller', () => {
+  it('creates the unnamed statement again in a later chunk, hidden from the caller', () => {
     const callerStatements = createCallerStatements();
     build([serialize.parse({ text: 'SELECT 1' }), serialize.sync()], callerStatements);
     const later = build(
@@ -97,10 +91,10 @@
     expect(later.chunk.messages[0]).toBe(CLIENT.parse);
   });
 
-  it('closes only the name of the caller, never the shared statement', () => {
+  it("closes only the caller's name for a statement, never the shared statement", () => {
     const callerStatements = createCallerStatements();
     const shared =
-      build(prepared('p', 'SELECT 1'), callerStatements).chunk.expected[0]?.statement ?? '';
+      build(extendedQuery('p', 'SELECT 1'), callerStatements).chunk.expected[0]?.statement ?? '';
     const closed = build(
       [serialize.close({ type: 'S', name: 'p' }), serialize.sync()],
       callerStatements,
@@ -109,7 +103,7 @@
     expect(callerStatements.statements.has('p')).toBe(false);
   });
 
-  it('tells which session setting a request makes or clears', () => {
+  it('reports the session setting that a request sets or clears', () => {
     const effectOf = (text: string) => build([serialize.query(text)]).settingEffect;
     expect(effectOf("SET TimeZone TO 'UTC'")).toEqual({
       name: 'timezone',
@@ -120,7 +114,7 @@
     expect(effectOf('SET LOCAL timezone = 1')).toBeNull();
   });
 
-  it('does not end with a Flush', () => {
+  it('does not mark a chunk that ends with Flush as final', () => {
     expect(build([serialize.parse({ text: 'SELECT 1' }), serialize.flush()]).chunk.isFinal).toBe(
       false,
     );
--- a/packages/entry/src/accept/chunk-builder.ts
+++ b/packages/entry/src/accept/chunk-builder.ts
@@ -1,6 +1,6 @@
 /**
- * Builds request chunks from a caller's messages: classifies their statements, and replaces prepared
- * statement names by names that callers can share on target connections.
+ * Builds request chunks from a caller's messages: classifies their statements, and replaces the
+ * names of prepared statements with names that callers share on target connections.
  */
 import { createHash } from 'node:crypto';
 import type {
@@ -27,7 +27,7 @@
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 
-interface CallerStatement {
+interface PreparedStatement {
   readonly parse: ParseMessage;
   readonly textClass: TextClass;
   /** The statement's name on target connections; empty for the unnamed statement. */
@@ -36,7 +36,7 @@
 
 /** A caller's prepared statements and portals, by the caller's names. */
 export interface CallerStatements {
-  readonly statements: Map<string, CallerStatement>;
+  readonly statements: Map<string, PreparedStatement>;
   readonly portals: Map<string, TextClass>;
 }
 
@@ -70,7 +70,7 @@
   readonly expected: ExpectedAnswer[];
   readonly executed: StatementClass[];
   readonly parsed: StatementClass[];
-  unsupported: string | undefined;
+  unsupportedReason: string | undefined;
 }
 
 /**
@@ -90,7 +90,7 @@
     expected: [],
     executed: [],
     parsed: [],
-    unsupported: undefined,
+    unsupportedReason: undefined,
   };
   for (const message of messages) addMessage(callerStatements, draft, message, classify);
   const lastType = messages.at(-1)?.type;
@@ -108,7 +108,7 @@
     intent: classifiedStatements.every(isReadOnly) ? 'read' : 'write',
     tokenCount: draft.executed.filter(({ kind }) => kind === 'read' || kind === 'write').length,
     settingEffect: findSettingEffect(draft.executed),
-    unsupportedReason: draft.unsupported ?? refused?.reason,
+    unsupportedReason: draft.unsupportedReason ?? refused?.reason,
     endsTransaction: draft.executed.some(({ kind }) => kind === 'transaction-control'),
   };
 }
@@ -180,13 +180,13 @@
     case CLIENT.copyFail:
       return;
     default:
-      draft.unsupported ??= 'this protocol message is not supported';
+      draft.unsupportedReason ??= 'this protocol message is not supported';
   }
 }
 
 /**
- * Adds a Parse. A named statement may already exist on the connection under its shared name, so it is
- * closed first; the answer to that Close is hidden from the caller.
+ * Adds a Parse. A named statement may already exist on the connection under its shared name, so it
+ * is closed first; the answer to that Close is hidden from the caller.
  */
 function addParse(
   callerStatements: CallerStatements,
@@ -231,7 +231,7 @@
 }
 
 /** Ensures that a statement exists on the target connection before the chunk refers to it. */
-function requireStatement(draft: ChunkDraft, { parse, targetName }: CallerStatement): void {
+function requireStatement(draft: ChunkDraft, { parse, targetName }: PreparedStatement): void {
   if (draft.createdStatements.has(targetName)) return;
   if (targetName === '') {
     // The unnamed statement is not tracked by name on connections, so it is created again.
--- a/packages/entry/src/authenticate/key-index.ts
+++ b/packages/entry/src/authenticate/key-index.ts
@@ -17,7 +17,7 @@
 
 /** Applies changed records; returns whether any key was withdrawn or replaced. */
 export function updateKeyIndex(index: KeyIndex, deltas: readonly RecordDelta[]): boolean {
-  let hasWithdrawn = false;
+  let hasWithdrawnKey = false;
   for (const { key, stored } of deltas) {
     const match = /^settings\/keys\/([^/]+)\/([^/]+)$/.exec(key);
     if (!match) continue;
@@ -25,12 +25,12 @@
     const name = toCustomerName(customer);
     const customerKeys = index.keys.get(name) ?? new Map<string, KeySetting>();
     index.keys.set(name, customerKeys);
-    if (customerKeys.has(keyId)) hasWithdrawn = true;
+    if (customerKeys.has(keyId)) hasWithdrawnKey = true;
     if (stored.record.kind === 'setting')
       customerKeys.set(keyId, stored.record.value as KeySetting);
     else customerKeys.delete(keyId);
   }
-  return hasWithdrawn;
+  return hasWithdrawnKey;
 }
 
 /** An accepted key. Includes the key's hash, so that a replaced key counts as withdrawn. */
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -251,11 +251,11 @@
   }
 
   function handleRecordChanges(deltas: readonly RecordDelta[]): void {
-    const hasWithdrawn = updateKeyIndex(keyIndex, deltas);
+    const hasWithdrawnKey = updateKeyIndex(keyIndex, deltas);
     reconcileOwners(owners);
     links.refresh();
     informNewOwners(router, deltas);
-    if (!hasWithdrawn || !callerRegistry.current) return;
+    if (!hasWithdrawnKey || !callerRegistry.current) return;
     closeSessionsWithWithdrawnKeys(callerRegistry.current, ({ customer, key }) => {
       return key !== undefined && isKeyInForce(keyIndex, customer, key);
     });
@@ -268,7 +268,7 @@
     void control.call('resource/request', { resource, zone });
   }
 
-  /** Forwards a cancel request, which may arrive at any entry, to all entries that hold a resource. */
+  /** Forwards a cancel request, which may arrive at any entry, to all holders of resources. */
   function forwardCancel(processId: number, secretKey: number): void {
     const addresses = new Set<string>();
     for (const { record } of control.records.values()) {
--- a/packages/entry/src/locate/owner-locator.test.ts
+++ b/packages/entry/src/locate/owner-locator.test.ts
@@ -13,10 +13,10 @@
 
 const SECRET = 'a-secret-for-these-tests';
 const GROUP = toGroupName('bookings');
-const ANSWERED = toSessionId('entry-1:1');
-const RUNNING = toSessionId('entry-1:2');
+const IDLE_SESSION = toSessionId('entry-1:1');
+const RUNNING_SESSION = toSessionId('entry-1:2');
 
-describe('a port to an owner on another entry', () => {
+describe('links to an owner on another entry', () => {
   let server: LinkServer;
   let links: EntryLinks;
   let port: OwnerPort;
@@ -61,18 +61,27 @@
   });
 
   it.each([
-    { name: 'what the owner never answered', session: ANSWERED, fate: 'not-started' },
-    { name: 'what still runs there', session: RUNNING, fate: 'may-have-run' },
-  ])('that has handed over and gone: $name', async ({ session, fate }) => {
-    for (const peer of server.peers) peer.notify('owner/ended', [GROUP, 4, [RUNNING]]);
-    await vi.waitFor(() => {
-      expect(lost).toEqual([port]);
-    });
-    await server.close();
-    expect(await links.queryRequestStatus(port, { ownerEpoch: 4, session, number: 1 })).toBe(fate);
-  });
+    {
+      name: 'a request that the owner has not started',
+      session: IDLE_SESSION,
+      status: 'not-started',
+    },
+    { name: 'a request that was still running', session: RUNNING_SESSION, status: 'may-have-run' },
+  ])(
+    'report $status for $name when the owner handed over and stopped',
+    async ({ session, status }) => {
+      for (const peer of server.peers) peer.notify('owner/ended', [GROUP, 4, [RUNNING_SESSION]]);
+      await vi.waitFor(() => {
+        expect(lost).toEqual([port]);
+      });
+      await server.close();
+      expect(await links.queryRequestStatus(port, { ownerEpoch: 4, session, number: 1 })).toBe(
+        status,
+      );
+    },
+  );
 
-  it('that has handed over is not used again; its successor is', async () => {
+  it('locate the successor instead of an owner that has handed over', async () => {
     for (const peer of server.peers) peer.notify('owner/ended', [GROUP, 4, []]);
     await vi.waitFor(() => {
       expect(lost).toEqual([port]);
@@ -82,12 +91,12 @@
     expect((await links.awaitOwner(GROUP, 2_000))?.epoch).toBe(5);
   });
 
-  it('that was lost without a word may have run anything', async () => {
+  it('report may-have-run when the owner was lost without a handover', async () => {
     await server.close();
     await vi.waitFor(() => {
       expect(lost).toEqual([port]);
     });
-    const query = { ownerEpoch: 4, session: ANSWERED, number: 1 };
+    const query = { ownerEpoch: 4, session: IDLE_SESSION, number: 1 };
     expect(await links.queryRequestStatus(port, query)).toBe('may-have-run');
   });
 });
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -1,4 +1,4 @@
-/** Locates the owner of each group by control's assignments, and maintains links to other entries. */
+/** Locates the owners of groups by control's assignments, and maintains links to other entries. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   type Assignment,
@@ -36,11 +36,11 @@
 }
 
 export interface EntryLinks extends OwnerLocator {
-  /** Returns the open link to another entry; starts to connect and returns `undefined` if none is open. */
+  /** Returns the open link to another entry, or `undefined` while it is being opened. */
   readonly linkTo: (linkAddress: string) => LinkPeer | undefined;
   /**
-   * Handles the handover of an owner. Its unanswered requests never start there, except those of the
-   * sessions in `running`, which may have run.
+   * Handles the handover of an owner. Its unanswered requests never start there, except those of
+   * the sessions in `running`, which may have run.
    */
   readonly handleOwnerEnded: (
     group: GroupName,
@@ -250,8 +250,8 @@
     lost: OwnerPort,
     query: RequestStatusQuery,
   ): Promise<RequestStatus> {
-    const { group, linkAddress, isLocal, runningSessions: running } = lost as TrackedPort;
-    if (running && !running.includes(query.session)) return 'not-started';
+    const { group, linkAddress, isLocal, runningSessions } = lost as TrackedPort;
+    if (runningSessions && !runningSessions.includes(query.session)) return 'not-started';
     if (isLocal) return options.queryLocalRequestStatus(group, query);
     const startedAtMs = performance.now();
     while (performance.now() - startedAtMs < STATUS_QUERY_TIMEOUT_MS) {
--- a/packages/entry/src/target/announcement-cache.ts
+++ b/packages/entry/src/target/announcement-cache.ts
@@ -1,6 +1,6 @@
 /**
- * Cache of the latest announcement of each server that announces itself to this entry. A group's new
- * owner receives them immediately instead of waiting for every server to announce itself again.
+ * Cache of the latest announcement of each server that announces itself to this entry. A group's
+ * new owner receives them immediately instead of waiting for every server to announce itself again.
  */
 import type { Announcement, GroupName, ServerName } from '@bramleykeel/core';
 
--- a/packages/entry/src/target/announcement-router.ts
+++ b/packages/entry/src/target/announcement-router.ts
@@ -30,8 +30,8 @@
 const GROUP_RESOURCE = /^group\/(.+)$/;
 
 /**
- * Forwards an announcement to the group's owner. If the owner cannot be reached, requests an owner for
- * the group, in the zone of its primary if the primary announced itself.
+ * Forwards an announcement to the group's owner. If no owner can be reached, requests one for the
+ * group, in the primary's zone if the announcement is the primary's.
  */
 export function routeAnnouncement(router: AnnouncementRouter, announcement: Announcement): void {
   cacheAnnouncement(router.cache, announcement, performance.now());
@@ -48,7 +48,7 @@
   return peer?.notify('target/announcement', announcement) ?? false;
 }
 
-/** Sends the cached announcements of a group's servers to the owner of a new assignment. */
+/** Sends the cached announcements of a group's servers to the newly assigned owner. */
 export function informNewOwners(router: AnnouncementRouter, deltas: readonly RecordDelta[]): void {
   for (const { stored } of deltas) {
     if (stored.record.kind !== 'assignment') continue;
--- a/packages/entry/src/target/target-connection.ts
+++ b/packages/entry/src/target/target-connection.ts
@@ -190,8 +190,8 @@
   | { readonly kind: 'timeout' };
 
 /**
- * Runs an internal query on a connection that no request uses. The outcome holds the first column of
- * each row.
+ * Runs an internal query on a connection that no request uses. The outcome holds the first column
+ * of each row.
  */
 export function runInternalQuery(
   connection: TargetConnection,
--- a/packages/entry/src/target/target-pool.ts
+++ b/packages/entry/src/target/target-pool.ts
@@ -38,8 +38,8 @@
 }
 
 /**
- * An owner uses half of a server's connections. The other half is left for connections of a previous
- * owner that the server may not have closed yet, so that both owners together stay within the limit.
+ * An owner uses half of a server's connections. The other half is left for connections of a
+ * previous owner that the server may not have closed yet, so that both stay within the limit.
  */
 const OWNER_CONNECTION_SHARE = 0.5;
 const IDLE_CHECK_TIMEOUT_MS = 400;
@@ -97,7 +97,7 @@
   return openConnection(pool);
 }
 
-/** Checks a connection with an empty query, which a live server answers without running anything. */
+/** Checks a connection with an empty query, which a server answers without running anything. */
 async function passesIdleCheck(connection: TargetConnection): Promise<boolean> {
   const outcome = await runInternalQuery(connection, '', IDLE_CHECK_TIMEOUT_MS);
   return outcome.kind === 'done' && outcome.status === 'idle';
@@ -154,8 +154,8 @@
 }
 
 /**
- * Queries over a new connection whether the server is still running a request of the connection with
- * the given `processId`. `idle` means that it has already answered and the answer was lost.
+ * Queries over a new connection whether the server is still running a request of the connection
+ * with the given `processId`. `idle` means that it has already answered and the answer was lost.
  */
 export async function checkServerActivity(
   pool: TargetPool,
