--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -94,8 +94,8 @@
 }
 
 /**
- * Notifies the linked entries that this entry has ended an owner's epoch. Links keep the order of
- * messages, so the notification arrives after all answers of that owner.
+ * Notifies the linked entries that an owner's epoch has ended at this entry. The notification
+ * follows all answers of that owner.
  */
 export function notifyOwnerEnded(
   app: EntryApp,
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -66,7 +66,7 @@
 
 const WAITER_POLL_INTERVAL_MS = 10;
 const RESOURCE_REQUEST_INTERVAL_MS = 200;
-/** An owner that takes longer is taken to be unreachable, so that callers do not wait for it. */
+/** An owner that does not answer within this time has hung or ended; callers do not wait for it. */
 const STATUS_QUERY_TIMEOUT_MS = 500;
 const LINK_POLL_INTERVAL_MS = 50;
 /** How long answers of a superseded owner are still accepted. */
--- a/packages/entry/src/target/announcement-cache.ts
+++ b/packages/entry/src/target/announcement-cache.ts
@@ -13,7 +13,7 @@
   readonly receivedAtMs: number;
 }
 
-/** Age from which an announcement no longer describes the current state of its server. */
+/** Announcements older than this no longer describe the current state of their server. */
 const MAX_AGE_MS = 3_000;
 
 export function createAnnouncementCache(): AnnouncementCache {
