Reword comments and names of postgres-wire

Renames: - TextClass, StatementClass, classifyText to QueryClassification, StatementClassification, classifyQuery - NamedMessage, readNamed to DescribeOrCloseMessage, readDescribeOrClose - readText to readStringPayload, readErrorText to readErrorMessage - BindMessage.rest to encodedParameters, MessageFramer.rest to bufferedInput - loadSyntax to loadParser

--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -8,7 +8,7 @@
   SessionId,
   TransactionStatus,
 } from '@bramleykeel/core';
-import type { MessageFramer, TextClass, WireMessage } from '@bramleykeel/postgres-wire';
+import type { MessageFramer, QueryClassification, WireMessage } from '@bramleykeel/postgres-wire';
 import type { Counters, Log } from '@bramleykeel/link';
 import type { RateClient } from '@bramleykeel/entry-shared';
 import type { AcceptedKey } from '../authenticate/key-index.js';
@@ -21,7 +21,7 @@
   readonly log: Log;
   readonly locator: OwnerLocator;
   readonly rates: RateClient;
-  readonly classify: (text: string) => TextClass;
+  readonly classify: (text: string) => QueryClassification;
   readonly maxMessageBytes: number;
   readonly failoverWaitMs: number;
   /** Whether the settings are recent enough to run requests of customers with keys. */
--- a/packages/entry/src/accept/chunk-builder.test.ts
+++ b/packages/entry/src/accept/chunk-builder.test.ts
@@ -1,16 +1,16 @@
-import { classifyText, CLIENT, loadSyntax, type WireMessage } from '@bramleykeel/postgres-wire';
+import { classifyQuery, CLIENT, loadParser, type WireMessage } from '@bramleykeel/postgres-wire';
 import { serialize } from 'pg-protocol';
 import { beforeAll, describe, expect, it } from 'vitest';
 import { type BuiltChunk, buildChunk, createCallerStatements } from './chunk-builder.js';
 
-beforeAll(loadSyntax);
+beforeAll(loadParser);
 
 function wire(frame: Buffer): WireMessage {
   return { type: frame[0] ?? 0, frame };
 }
 
 function build(frames: readonly Buffer[], known = createCallerStatements()): BuiltChunk {
-  return buildChunk(known, frames.map(wire), classifyText);
+  return buildChunk(known, frames.map(wire), classifyQuery);
 }
 
 function prepared(name: string, text: string): Buffer[] {
--- a/packages/entry/src/accept/chunk-builder.ts
+++ b/packages/entry/src/accept/chunk-builder.ts
@@ -16,17 +16,17 @@
   type ParseMessage,
   readBind,
   readExecute,
-  readNamed,
+  readDescribeOrClose,
   readParse,
-  readText,
-  type StatementClass,
-  type TextClass,
+  readStringPayload,
+  type StatementClassification,
+  type QueryClassification,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 
 interface KnownStatement {
   readonly parse: ParseMessage;
-  readonly textClass: TextClass;
+  readonly textClass: QueryClassification;
   /** Name on target connections; empty for the unnamed statement. */
   readonly targetName: string;
 }
@@ -34,7 +34,7 @@
 /** A caller's prepared statements and portals. */
 export interface CallerStatements {
   readonly statements: Map<string, KnownStatement>;
-  readonly portals: Map<string, TextClass>;
+  readonly portals: Map<string, QueryClassification>;
 }
 
 export interface BuiltChunk {
@@ -65,8 +65,8 @@
   readonly needed: Map<string, StatementDefinition>;
   readonly created: Set<string>;
   readonly expected: ExpectedAnswer[];
-  readonly executed: StatementClass[];
-  readonly parsed: StatementClass[];
+  readonly executed: StatementClassification[];
+  readonly parsed: StatementClassification[];
   unsupported: string | undefined;
 }
 
@@ -78,7 +78,7 @@
 export function buildChunk(
   known: CallerStatements,
   messages: readonly WireMessage[],
-  classify: (text: string) => TextClass,
+  classify: (text: string) => QueryClassification,
 ): BuiltChunk {
   const draft: Draft = {
     output: [],
@@ -110,11 +110,11 @@
   };
 }
 
-function mayCommit({ kind }: StatementClass): boolean {
+function mayCommit({ kind }: StatementClassification): boolean {
   return kind === 'write' || kind === 'transaction-control';
 }
 
-function isReadOnly(statement: StatementClass): boolean {
+function isReadOnly(statement: StatementClassification): boolean {
   switch (statement.kind) {
     case 'read':
     case 'show':
@@ -131,7 +131,7 @@
   }
 }
 
-function findSettingEffect(executed: readonly StatementClass[]): SettingEffect | null {
+function findSettingEffect(executed: readonly StatementClassification[]): SettingEffect | null {
   for (const statement of executed) {
     if (statement.kind === 'set-session') return { name: statement.name, text: statement.text };
     if (statement.kind === 'reset') return { name: statement.name, text: null };
@@ -143,11 +143,11 @@
   known: CallerStatements,
   draft: Draft,
   message: WireMessage,
-  classify: (text: string) => TextClass,
+  classify: (text: string) => QueryClassification,
 ): void {
   switch (message.type) {
     case CLIENT.query:
-      draft.executed.push(...classify(readText(message)).statements);
+      draft.executed.push(...classify(readStringPayload(message)).statements);
       draft.output.push(message.frame);
       return;
     case CLIENT.parse:
@@ -186,7 +186,7 @@
   known: CallerStatements,
   draft: Draft,
   message: WireMessage,
-  classify: (text: string) => TextClass,
+  classify: (text: string) => QueryClassification,
 ): void {
   const parse = readParse(message);
   const textClass = classify(parse.text);
@@ -234,7 +234,7 @@
 }
 
 function addDescribe(known: CallerStatements, draft: Draft, message: WireMessage): void {
-  const { target, name } = readNamed(message);
+  const { target, name } = readDescribeOrClose(message);
   const statement = target === 'S' ? known.statements.get(name) : undefined;
   if (!statement) {
     draft.output.push(message.frame);
@@ -246,7 +246,7 @@
 
 /** Other callers may use the same statement, so a close only forgets the caller's own name. */
 function addClose(known: CallerStatements, draft: Draft, message: WireMessage): void {
-  const { target, name } = readNamed(message);
+  const { target, name } = readDescribeOrClose(message);
   draft.expected.push({ kind: 'close', isHidden: false, statement: '' });
   if (target === 'P') {
     known.portals.delete(name);
--- a/packages/entry/src/accept/startup.ts
+++ b/packages/entry/src/accept/startup.ts
@@ -17,7 +17,7 @@
   frameMessages,
   type MessageFramer,
   readStartupPacket,
-  readText,
+  readStringPayload,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 import type { AcceptedKey } from '../authenticate/key-index.js';
@@ -123,7 +123,7 @@
   if (!answer) return { kind: 'gone' };
   if (answer.type !== CLIENT.password) return refuseStartup(socket, refuse('bad-startup'));
   if (!rules.hasFreshSettings()) return refuseStartup(socket, refuse('settings-lease-expired'));
-  const key = rules.findKey(customer, readText(answer));
+  const key = rules.findKey(customer, readStringPayload(answer));
   if (!key) {
     await delay(WRONG_KEY_DELAY_MS);
     return refuseStartup(socket, refuse('key-rejected'));
@@ -162,13 +162,13 @@
       }
       const [first, ...others] = framed.messages;
       if (!first) return;
-      const rest = [...others.map(({ frame }) => frame), framer.rest];
-      framer.rest = Buffer.concat(rest);
+      const rest = [...others.map(({ frame }) => frame), framer.bufferedInput];
+      framer.bufferedInput = Buffer.concat(rest);
       finish(first);
     };
     socket.on('data', take);
     socket.on('close', gone);
     socket.resume();
-    if (framer.rest.length > 0) take(Buffer.alloc(0));
+    if (framer.bufferedInput.length > 0) take(Buffer.alloc(0));
   });
 }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -26,7 +26,7 @@
   type RateDrawContext,
   startControlClient,
 } from '@bramleykeel/entry-shared';
-import { createClassifier, loadSyntax } from '@bramleykeel/postgres-wire';
+import { createClassifier, loadParser } from '@bramleykeel/postgres-wire';
 import {
   type CallerRegistry,
   closeIdle,
@@ -88,7 +88,7 @@
   const { entry, requests, timing } = settings;
   const log = createLog('entry');
   const counters = createCounters('entry', settings.statsd);
-  await loadSyntax();
+  await loadParser();
   const secureContext = readSecureContext(settings);
   const keyIndex = createKeyIndex();
   const requestedAtMs = new Map<Resource, number>();
--- a/packages/entry/src/target/target-connection.ts
+++ b/packages/entry/src/target/target-connection.ts
@@ -14,7 +14,7 @@
   buildTerminate,
   createMessageFramer,
   frameMessages,
-  readErrorText,
+  readErrorMessage,
   readParameterStatus,
   readReadyForQuery,
   readSqlState,
@@ -151,7 +151,7 @@
           connection.secretKey = message.frame.readInt32BE(9);
           return;
         case SERVER.errorResponse: {
-          const failure = { sqlState: readSqlState(message), message: readErrorText(message) };
+          const failure = { sqlState: readSqlState(message), message: readErrorMessage(message) };
           fail({ kind: 'rejected', ...failure });
           return;
         }
--- a/packages/postgres-wire/src/classify-statement.ts
+++ b/packages/postgres-wire/src/classify-statement.ts
@@ -1,4 +1,4 @@
-/** Classification of statements: where each may run, and which are refused and why. */
+/** Classifies SQL statements by how the proxy routes them, and rejects those it does not support. */
 import {
   childNode,
   nodeList,
@@ -9,11 +9,14 @@
   walkNodes,
 } from './syntax.js';
 
-export type StatementClass =
+export type StatementClassification =
   | { readonly kind: 'read' }
   | { readonly kind: 'write' }
   | { readonly kind: 'begin'; readonly isReadOnly: boolean }
-  /** COMMIT, ROLLBACK and savepoints: free of rate, run where the transaction is. */
+  /**
+   * COMMIT, ROLLBACK and savepoint commands. They are exempt from rate limits and run on the connection
+   * that holds the transaction.
+   */
   | { readonly kind: 'transaction-control' }
   | { readonly kind: 'set-session'; readonly name: string; readonly text: string }
   | { readonly kind: 'set-local' }
@@ -21,12 +24,12 @@
   | { readonly kind: 'show'; readonly name: string }
   | { readonly kind: 'unsupported'; readonly reason: string };
 
-/** Classification of a whole query text. */
-export interface TextClass {
-  readonly statements: readonly StatementClass[];
+/** Classification of every statement in a query string. */
+export interface QueryClassification {
+  readonly statements: readonly StatementClassification[];
 }
 
-/** Functions that write although they are called from a SELECT. */
+/** Functions that require the primary even when they are called from a SELECT. */
 const WRITING_FUNCTIONS = new Set([
   'nextval',
   'setval',
@@ -39,12 +42,12 @@
   'pg_try_advisory_xact_lock_shared',
 ]);
 
-/** Session-level advisory locks outlive a transaction, so they cannot be held on a shared connection. */
-const SESSION_LOCK_FUNCTION = /^pg_(try_)?advisory_(lock|unlock)/;
+/** Session-level advisory locks outlive the transaction, so they would leak on a shared connection. */
+const SESSION_LOCK_FUNCTION_PATTERN = /^pg_(try_)?advisory_(lock|unlock)/;
 
-const WRITING_NODES = new Set(['InsertStmt', 'UpdateStmt', 'DeleteStmt', 'MergeStmt']);
+const WRITING_NODE_KINDS = new Set(['InsertStmt', 'UpdateStmt', 'DeleteStmt', 'MergeStmt']);
 
-const UNSUPPORTED_KINDS: Readonly<Record<string, string>> = {
+const UNSUPPORTED_STATEMENT_REASONS: Readonly<Record<string, string>> = {
   CopyStmt: 'COPY is not supported; use INSERT or SELECT',
   ListenStmt: 'LISTEN needs a connection of its own',
   UnlistenStmt: 'UNLISTEN needs a connection of its own',
@@ -55,37 +58,37 @@
   LoadStmt: 'LOAD changes one target process only',
 };
 
-/** Settings that decide whose rights a statement runs with belong to the system. */
+/** Settings that select the role a statement runs as; only the proxy sets them. */
 const RESERVED_SETTINGS = new Set(['role', 'session_authorization']);
 
-/** Creates a classifier that remembers the newest `capacity` texts. */
-export function createClassifier(capacity: number): (text: string) => TextClass {
-  const remembered = new Map<string, TextClass>();
+/** Creates a classifier with an LRU cache of `capacity` query strings. */
+export function createClassifier(capacity: number): (text: string) => QueryClassification {
+  const cache = new Map<string, QueryClassification>();
   return (text) => {
-    const known = remembered.get(text);
-    if (known) {
-      remembered.delete(text);
-      remembered.set(text, known);
-      return known;
+    const cached = cache.get(text);
+    if (cached) {
+      cache.delete(text);
+      cache.set(text, cached);
+      return cached;
     }
-    const classified = classifyText(text);
-    remembered.set(text, classified);
-    if (remembered.size > capacity) {
-      const [oldest] = remembered.keys();
-      if (oldest !== undefined) remembered.delete(oldest);
+    const classification = classifyQuery(text);
+    cache.set(text, classification);
+    if (cache.size > capacity) {
+      const [oldest] = cache.keys();
+      if (oldest !== undefined) cache.delete(oldest);
     }
-    return classified;
+    return classification;
   };
 }
 
 /**
- * Classifies a query text. A text that the grammar refuses is sent to the primary as it is, so that
- * the caller gets the target's own error.
+ * Classifies a query string. A string that fails to parse counts as a write and is forwarded unchanged
+ * to the primary, so that the caller receives the target's own error message.
  *
  * @example
  * classifyText('SELECT 1').statements; // [{ kind: 'read' }]
  */
-export function classifyText(text: string): TextClass {
+export function classifyQuery(text: string): QueryClassification {
   const parsed = parseStatements(text);
   if (!parsed) return { statements: [{ kind: 'write' }] };
   const statements = parsed.map(classifyStatement);
@@ -99,9 +102,9 @@
   return { statements };
 }
 
-function classifyStatement(statement: ParsedStatement): StatementClass {
+function classifyStatement(statement: ParsedStatement): StatementClassification {
   const { kind, node } = statement;
-  const reason = UNSUPPORTED_KINDS[kind];
+  const reason = UNSUPPORTED_STATEMENT_REASONS[kind];
   if (reason !== undefined) return { kind: 'unsupported', reason };
   switch (kind) {
     case 'SelectStmt':
@@ -116,19 +119,19 @@
       return hasOption(node, 'analyze') ? { kind: 'write' } : { kind: 'read' };
     case 'CreateStmt':
     case 'CreateTableAsStmt':
-      return refuseTemporary(node) ?? { kind: 'write' };
+      return rejectTemporaryTable(node) ?? { kind: 'write' };
     case 'DeclareCursorStmt':
       return classifyCursor(node);
     case 'FetchStmt':
     case 'ClosePortalStmt':
       return { kind: 'read' };
     default:
-      return findRefusedFunction(node) ?? { kind: 'write' };
+      return rejectSessionFunction(node) ?? { kind: 'write' };
   }
 }
 
-function classifySelect(node: SyntaxNode): StatementClass {
-  const refused = findRefusedFunction({ SelectStmt: node }) ?? refuseTemporary(node);
+function classifySelect(node: SyntaxNode): StatementClassification {
+  const refused = rejectSessionFunction({ SelectStmt: node }) ?? rejectTemporaryTable(node);
   if (refused) return refused;
   return containsWrite({ SelectStmt: node }) ? { kind: 'write' } : { kind: 'read' };
 }
@@ -136,19 +139,19 @@
 function containsWrite(node: SyntaxNode): boolean {
   const found = new Set<string>();
   walkNodes(node, (kind, child) => {
-    if (WRITING_NODES.has(kind) || kind === 'LockingClause') found.add(kind);
+    if (WRITING_NODE_KINDS.has(kind) || kind === 'LockingClause') found.add(kind);
     if (child.intoClause) found.add('IntoClause');
     if (kind === 'FuncCall' && WRITING_FUNCTIONS.has(functionName(child))) found.add(kind);
   });
   return found.size > 0;
 }
 
-function findRefusedFunction(node: SyntaxNode): StatementClass | undefined {
+function rejectSessionFunction(node: SyntaxNode): StatementClassification | undefined {
   let found: string | undefined;
   walkNodes(node, (kind, child) => {
     if (kind !== 'FuncCall') return;
     const name = functionName(child);
-    if (SESSION_LOCK_FUNCTION.test(name)) found = name;
+    if (SESSION_LOCK_FUNCTION_PATTERN.test(name)) found = name;
     if (name === 'set_config') found = name;
   });
   if (found === undefined) return undefined;
@@ -160,7 +163,7 @@
   return stringValue(nodeList(call.funcname).at(-1)) ?? '';
 }
 
-function classifyTransaction(node: SyntaxNode): StatementClass {
+function classifyTransaction(node: SyntaxNode): StatementClassification {
   const kind = node.kind;
   if (kind === 'TRANS_STMT_PREPARE' || kind === 'TRANS_STMT_COMMIT_PREPARED') {
     return { kind: 'unsupported', reason: 'two-phase commit is not supported' };
@@ -171,7 +174,7 @@
   return { kind: 'begin', isReadOnly: hasOption(node, 'transaction_read_only') };
 }
 
-/** Looks for a DefElem of that name whose argument is not zero or false. */
+/** Whether the statement has a DefElem with this name whose value is not zero, false or off. */
 function hasOption(node: SyntaxNode, name: string): boolean {
   return nodeList(node.options).some((option) => {
     const element = childNode(option, 'DefElem');
@@ -181,7 +184,7 @@
   });
 }
 
-function classifySet({ node, text }: ParsedStatement): StatementClass {
+function classifySet({ node, text }: ParsedStatement): StatementClassification {
   const kind = node.kind;
   const name = settingName(node);
   if (RESERVED_SETTINGS.has(name)) {
@@ -204,7 +207,7 @@
   return typeof name === 'string' ? name.toLowerCase() : '';
 }
 
-function refuseTemporary(node: SyntaxNode): StatementClass | undefined {
+function rejectTemporaryTable(node: SyntaxNode): StatementClassification | undefined {
   let isTemporary = false;
   const relation = childNode(node, 'relation');
   if (relation?.relpersistence === 't') isTemporary = true;
@@ -217,12 +220,12 @@
   };
 }
 
-/** Bit that the grammar sets for DECLARE ... WITH HOLD. */
-const CURSOR_HOLD_BIT = 0x20;
+/** PostgreSQL's CURSOR_OPT_HOLD flag, which the parser sets for DECLARE ... WITH HOLD. */
+const CURSOR_OPT_HOLD = 0x20;
 
-function classifyCursor(node: SyntaxNode): StatementClass {
+function classifyCursor(node: SyntaxNode): StatementClassification {
   const options = node.options;
-  if (typeof options === 'number' && (options & CURSOR_HOLD_BIT) !== 0) {
+  if (typeof options === 'number' && (options & CURSOR_OPT_HOLD) !== 0) {
     return { kind: 'unsupported', reason: 'cursors WITH HOLD outlive their transaction' };
   }
   return { kind: 'read' };
--- a/packages/postgres-wire/src/client-message-builders.ts
+++ b/packages/postgres-wire/src/client-message-builders.ts
@@ -1,20 +1,20 @@
-/** Builds the client messages that the proxy writes anew on the way to a target. */
+/** Builds the client messages that the proxy sends to targets. */
 import { serialize } from 'pg-protocol';
 import { Writer } from 'pg-protocol/dist/buffer-writer.js';
 import type { BindMessage, ParseMessage } from './client-messages.js';
 import { CLIENT } from './message-types.js';
 
-/** A Parse message under another statement name; text and types stay as they were. */
+/** Builds a copy of a Parse message with a different statement name. */
 export function buildParse(message: ParseMessage, name: string): Buffer {
   const writer = new Writer();
   writer.addCString(name).addCString(message.text).add(message.parameterTypes);
   return writer.flush(CLIENT.parse);
 }
 
-/** A Bind message for another statement name; portal and values stay as they were. */
+/** Builds a copy of a Bind message with a different statement name. */
 export function buildBind(message: BindMessage, statement: string): Buffer {
-  const writer = new Writer(message.rest.length + 256);
-  writer.addCString(message.portal).addCString(statement).add(message.rest);
+  const writer = new Writer(message.encodedParameters.length + 256);
+  writer.addCString(message.portal).addCString(statement).add(message.encodedParameters);
   return writer.flush(CLIENT.bind);
 }
 
--- a/packages/postgres-wire/src/client-messages.ts
+++ b/packages/postgres-wire/src/client-messages.ts
@@ -1,4 +1,4 @@
-/** Reads the client messages that the proxy and the stand-in look into. */
+/** Parses the client messages whose contents the proxy or the stand-in server needs. */
 import { BufferReader } from 'pg-protocol/dist/buffer-reader.js';
 import type { WireMessage } from './message-framer.js';
 
@@ -15,7 +15,7 @@
   | { readonly kind: 'cancel'; readonly processId: number; readonly secretKey: number }
   | { readonly kind: 'malformed' };
 
-/** Reads the first packet of a connection. */
+/** Parses a startup packet: StartupMessage, SSLRequest, GSSENCRequest or CancelRequest. */
 export function readStartupPacket({ frame }: WireMessage): StartupPacket {
   if (frame.length < 8) return { kind: 'malformed' };
   const requestCode = frame.readInt32BE(4);
@@ -43,19 +43,19 @@
 export interface ParseMessage {
   readonly name: string;
   readonly text: string;
-  /** Parameter count and type ids exactly as received. */
+  /** Encoded parameter count and type OIDs, as received. */
   readonly parameterTypes: Buffer;
 }
 
 export interface BindMessage {
   readonly portal: string;
   readonly statement: string;
-  /** Everything after the two names, exactly as received. */
-  readonly rest: Buffer;
+  /** Encoded parameter formats, parameter values and result formats, as received. */
+  readonly encodedParameters: Buffer;
 }
 
-export interface NamedMessage {
-  /** `S` for a prepared statement, `P` for a portal. */
+export interface DescribeOrCloseMessage {
+  /** Kind of object named: `S` for a prepared statement, `P` for a portal. */
   readonly target: 'S' | 'P';
   readonly name: string;
 }
@@ -78,11 +78,11 @@
   const portal = reader.cstring();
   const statement = reader.cstring();
   const consumedBytes = Buffer.byteLength(portal) + Buffer.byteLength(statement) + 2;
-  return { portal, statement, rest: frame.subarray(HEADER_BYTES + consumedBytes) };
+  return { portal, statement, encodedParameters: frame.subarray(HEADER_BYTES + consumedBytes) };
 }
 
-/** Reads a Describe or a Close message. */
-export function readNamed({ frame }: WireMessage): NamedMessage {
+/** Parses a Describe or Close message; the two have the same layout. */
+export function readDescribeOrClose({ frame }: WireMessage): DescribeOrCloseMessage {
   const reader = openReader(frame);
   const target = reader.byte() === 'S'.charCodeAt(0) ? 'S' : 'P';
   return { target, name: reader.cstring() };
@@ -93,8 +93,8 @@
   return { portal: reader.cstring(), maxRows: reader.int32() };
 }
 
-/** Reads the text of a Query message, or the password of a password message. */
-export function readText({ frame }: WireMessage): string {
+/** Reads the string in a Query or PasswordMessage message. */
+export function readStringPayload({ frame }: WireMessage): string {
   return openReader(frame).cstring();
 }
 
--- a/packages/postgres-wire/src/index.ts
+++ b/packages/postgres-wire/src/index.ts
@@ -1,4 +1,4 @@
-/** PostgreSQL v3 messages and statement classification. */
+/** PostgreSQL wire protocol 3 messages, and classification of SQL statements. */
 export * from './message-framer.js';
 export * from './message-types.js';
 export * from './client-messages.js';
--- a/packages/postgres-wire/src/message-framer.ts
+++ b/packages/postgres-wire/src/message-framer.ts
@@ -1,6 +1,6 @@
-/** Splits a PostgreSQL v3 byte stream into messages, with a bound on the length of each. */
+/** Splits a PostgreSQL protocol 3 byte stream into messages, and limits the length of each. */
 
-/** One message: its type byte (0 for startup packets) and the whole frame as received. */
+/** One message: its type byte (0 for startup packets) and the complete frame, header included. */
 export interface WireMessage {
   readonly type: number;
   readonly frame: Buffer;
@@ -13,16 +13,17 @@
 
 export interface MessageFramer {
   readonly maxMessageBytes: number;
-  /** The first packets of a connection carry no type byte. */
+  /** Whether startup packets are expected, which have no type byte. */
   isStartup: boolean;
-  /** Neighbouring messages of this type are returned as one, for streams of rows. */
+  /** Consecutive messages of this type are returned as one; used for data rows of large results. */
   readonly mergedType: number | undefined;
-  rest: Buffer;
+  /** Received bytes that are not yet returned as messages. */
+  bufferedInput: Buffer;
 }
 
 const TYPE_BYTES = 1;
 const LENGTH_BYTES = 4;
-/** Startup packets are short; anything longer is not a PostgreSQL client. */
+/** PostgreSQL itself rejects longer startup packets. */
 const MAX_STARTUP_BYTES = 10_000;
 
 export function createMessageFramer(
@@ -30,22 +31,23 @@
   isStartup: boolean,
   mergedType?: number,
 ): MessageFramer {
-  return { maxMessageBytes, isStartup, mergedType, rest: Buffer.alloc(0) };
+  return { maxMessageBytes, isStartup, mergedType, bufferedInput: Buffer.alloc(0) };
 }
 
 /**
- * Takes in bytes and returns the complete messages. While `isStartup` is set, at most one packet is
- * returned at a time, because the next one may be of the other form.
+ * Appends received bytes and returns the complete messages. While `isStartup` is set, returns at most
+ * one packet per call, because the next packet may already be a message with a type byte.
  *
  * @example
  * const framer = createMessageFramer(16_777_216, false);
  * frameMessages(framer, chunk); // { kind: 'messages', messages: [...] }
  */
 export function frameMessages(framer: MessageFramer, chunk: Buffer): FramingResult {
-  const input = framer.rest.length === 0 ? chunk : Buffer.concat([framer.rest, chunk]);
+  const input =
+    framer.bufferedInput.length === 0 ? chunk : Buffer.concat([framer.bufferedInput, chunk]);
   const messages: WireMessage[] = [];
   let offset = 0;
-  let mergedFrom = -1;
+  let mergeStart = -1;
   for (;;) {
     const headerBytes = framer.isStartup ? LENGTH_BYTES : TYPE_BYTES + LENGTH_BYTES;
     if (input.length - offset < headerBytes) break;
@@ -56,15 +58,15 @@
     const end = offset + headerBytes - LENGTH_BYTES + lengthBytes;
     if (end > input.length) break;
     const type = framer.isStartup ? 0 : (input[offset] ?? 0);
-    if (type === framer.mergedType && mergedFrom >= 0) {
-      messages[messages.length - 1] = { type, frame: input.subarray(mergedFrom, end) };
+    if (type === framer.mergedType && mergeStart >= 0) {
+      messages[messages.length - 1] = { type, frame: input.subarray(mergeStart, end) };
     } else {
       messages.push({ type, frame: input.subarray(offset, end) });
-      mergedFrom = type === framer.mergedType ? offset : -1;
+      mergeStart = type === framer.mergedType ? offset : -1;
     }
     offset = end;
     if (framer.isStartup) break;
   }
-  framer.rest = input.subarray(offset);
+  framer.bufferedInput = input.subarray(offset);
   return { kind: 'messages', messages };
 }
--- a/packages/postgres-wire/src/message-types.ts
+++ b/packages/postgres-wire/src/message-types.ts
@@ -1,44 +1,44 @@
-/** Type bytes of PostgreSQL v3 messages. */
+/** Type bytes of PostgreSQL protocol 3 messages. */
 
-const code = (letter: string): number => letter.charCodeAt(0);
+const typeByte = (letter: string): number => letter.charCodeAt(0);
 
-/** Messages that a client sends. */
+/** Type bytes of the messages that a client sends. */
 export const CLIENT = {
-  bind: code('B'),
-  close: code('C'),
-  copyData: code('d'),
-  copyDone: code('c'),
-  copyFail: code('f'),
-  describe: code('D'),
-  execute: code('E'),
-  flush: code('H'),
-  functionCall: code('F'),
-  parse: code('P'),
-  password: code('p'),
-  query: code('Q'),
-  sync: code('S'),
-  terminate: code('X'),
+  bind: typeByte('B'),
+  close: typeByte('C'),
+  copyData: typeByte('d'),
+  copyDone: typeByte('c'),
+  copyFail: typeByte('f'),
+  describe: typeByte('D'),
+  execute: typeByte('E'),
+  flush: typeByte('H'),
+  functionCall: typeByte('F'),
+  parse: typeByte('P'),
+  password: typeByte('p'),
+  query: typeByte('Q'),
+  sync: typeByte('S'),
+  terminate: typeByte('X'),
 } as const;
 
-/** Messages that a server sends. */
+/** Type bytes of the messages that a server sends. */
 export const SERVER = {
-  authentication: code('R'),
-  backendKeyData: code('K'),
-  bindComplete: code('2'),
-  closeComplete: code('3'),
-  commandComplete: code('C'),
-  copyInResponse: code('G'),
-  copyOutResponse: code('H'),
-  dataRow: code('D'),
-  emptyQueryResponse: code('I'),
-  errorResponse: code('E'),
-  noData: code('n'),
-  noticeResponse: code('N'),
-  notificationResponse: code('A'),
-  parameterDescription: code('t'),
-  parameterStatus: code('S'),
-  parseComplete: code('1'),
-  portalSuspended: code('s'),
-  readyForQuery: code('Z'),
-  rowDescription: code('T'),
+  authentication: typeByte('R'),
+  backendKeyData: typeByte('K'),
+  bindComplete: typeByte('2'),
+  closeComplete: typeByte('3'),
+  commandComplete: typeByte('C'),
+  copyInResponse: typeByte('G'),
+  copyOutResponse: typeByte('H'),
+  dataRow: typeByte('D'),
+  emptyQueryResponse: typeByte('I'),
+  errorResponse: typeByte('E'),
+  noData: typeByte('n'),
+  noticeResponse: typeByte('N'),
+  notificationResponse: typeByte('A'),
+  parameterDescription: typeByte('t'),
+  parameterStatus: typeByte('S'),
+  parseComplete: typeByte('1'),
+  portalSuspended: typeByte('s'),
+  readyForQuery: typeByte('Z'),
+  rowDescription: typeByte('T'),
 } as const;
--- a/packages/postgres-wire/src/server-messages.ts
+++ b/packages/postgres-wire/src/server-messages.ts
@@ -1,4 +1,4 @@
-/** Builds server messages, and reads those that the proxy looks into. */
+/** Builds server messages, and parses those whose contents the proxy needs. */
 import { BufferReader } from 'pg-protocol/dist/buffer-reader.js';
 import { Writer } from 'pg-protocol/dist/buffer-writer.js';
 import type { TransactionStatus } from '@bramleykeel/core';
@@ -23,14 +23,16 @@
   return new Writer().addInt32(processId).addInt32(secretKey).flush(SERVER.backendKeyData);
 }
 
-const STATUS_LETTERS: Readonly<Record<TransactionStatus, string>> = {
+const TRANSACTION_STATUS_LETTERS: Readonly<Record<TransactionStatus, string>> = {
   idle: 'I',
   'in-transaction': 'T',
   'failed-transaction': 'E',
 };
 
 export function buildReadyForQuery(status: TransactionStatus): Buffer {
-  return new Writer().add(Buffer.from(STATUS_LETTERS[status])).flush(SERVER.readyForQuery);
+  return new Writer()
+    .add(Buffer.from(TRANSACTION_STATUS_LETTERS[status]))
+    .flush(SERVER.readyForQuery);
 }
 
 export function readReadyForQuery({ frame }: WireMessage): TransactionStatus {
@@ -47,28 +49,28 @@
   readonly hint?: string;
 }
 
-/** Builds an ErrorResponse; both severity fields are set, as newer clients expect. */
+/** Builds an ErrorResponse with both severity fields: localized (S) and non-localized (V). */
 export function buildErrorResponse(fields: ErrorFields): Buffer {
   const writer = new Writer();
-  const add = (letter: string, text: string | undefined) => {
+  const addField = (letter: string, text: string | undefined) => {
     if (text !== undefined) writer.add(Buffer.from(letter)).addCString(text);
   };
-  add('S', fields.severity);
-  add('V', fields.severity);
-  add('C', fields.sqlState);
-  add('M', fields.message);
-  add('D', fields.detail);
-  add('H', fields.hint);
+  addField('S', fields.severity);
+  addField('V', fields.severity);
+  addField('C', fields.sqlState);
+  addField('M', fields.message);
+  addField('D', fields.detail);
+  addField('H', fields.hint);
   return writer.add(Buffer.from([0])).flush(SERVER.errorResponse);
 }
 
-/** The SQLSTATE of an ErrorResponse. */
+/** Reads the SQLSTATE of an ErrorResponse. */
 export function readSqlState({ frame }: WireMessage): string {
   return readErrorField(frame, 'C');
 }
 
-/** The text of an ErrorResponse. */
-export function readErrorText({ frame }: WireMessage): string {
+/** Reads the primary message of an ErrorResponse. */
+export function readErrorMessage({ frame }: WireMessage): string {
   return readErrorField(frame, 'M');
 }
 
@@ -88,6 +90,7 @@
   return { name: reader.cstring(), value: reader.cstring() };
 }
 
+/** Builds a message that has no body, such as ParseComplete. */
 export function buildEmptyMessage(type: number): Buffer {
   return new Writer(HEADER_BYTES).flush(type);
 }
@@ -110,7 +113,7 @@
   return writer.flush(SERVER.rowDescription);
 }
 
-/** A DataRow in text format; `null` is SQL NULL. */
+/** Builds a DataRow in text format; `null` stands for SQL NULL. */
 export function buildDataRow(values: readonly (string | null)[]): Buffer {
   const writer = new Writer().addInt16(values.length);
   for (const value of values) {
--- a/packages/postgres-wire/src/syntax.ts
+++ b/packages/postgres-wire/src/syntax.ts
@@ -1,30 +1,30 @@
-/** PostgreSQL's own grammar, loaded once, and walks over its syntax trees. */
+/** Parses SQL with PostgreSQL's own parser (libpg-query), and helpers to read its syntax trees. */
 import { loadModule, parseSync } from 'libpg-query';
 
-/** A node of the syntax tree as libpg-query writes it: `{ SelectStmt: {...} }`. */
+/** A node of the syntax tree in libpg-query's JSON form, such as `{ SelectStmt: {...} }`. */
 export type SyntaxNode = Readonly<Record<string, unknown>>;
 
 export interface ParsedStatement {
   readonly kind: string;
   readonly node: SyntaxNode;
-  /** The statement's own text, without its semicolon. */
+  /** Source text of this statement only, without the semicolon. */
   readonly text: string;
 }
 
-/** Loads the grammar; has to be awaited once before {@link parseStatements}. */
-export async function loadSyntax(): Promise<void> {
+/** Loads the parser module. Must have resolved before the first call of {@link parseStatements}. */
+export async function loadParser(): Promise<void> {
   await loadModule();
 }
 
 /**
- * Parses a query text; `undefined` when the grammar refuses it.
+ * Parses a query string; returns `undefined` if it has a syntax error.
  *
  * @example
  * parseStatements('BEGIN; SELECT 1')?.map((statement) => statement.kind);
  * // ['TransactionStmt', 'SelectStmt']
  */
 export function parseStatements(text: string): ParsedStatement[] | undefined {
-  // The parser reports an empty text as an error; PostgreSQL answers it with EmptyQueryResponse.
+  // libpg-query rejects an empty string, but PostgreSQL answers it with EmptyQueryResponse.
   if (text.trim() === '') return [];
   try {
     const result = parseSync(text);
@@ -45,11 +45,11 @@
   const bytes = Buffer.from(text, 'utf8');
   const start = raw.stmt_location ?? 0;
   const end = raw.stmt_len ? start + raw.stmt_len : bytes.length;
-  const own = bytes.subarray(start, end).toString('utf8').trim();
-  return { kind, node: node as SyntaxNode, text: own };
+  const statementText = bytes.subarray(start, end).toString('utf8').trim();
+  return { kind, node: node as SyntaxNode, text: statementText };
 }
 
-/** Calls `visit` for every named node at or below `value`. */
+/** Calls `visit` for each node with a kind, such as `SelectStmt`, in the tree below `value`. */
 export function walkNodes(value: unknown, visit: (kind: string, node: SyntaxNode) => void): void {
   if (Array.isArray(value)) {
     for (const item of value) walkNodes(item, visit);
@@ -66,20 +66,20 @@
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
-/** Reads a list of nodes; anything else is an empty list. */
+/** Returns the nodes in `value`, or an empty list if `value` is not an array. */
 export function nodeList(value: unknown): SyntaxNode[] {
   return Array.isArray(value) ? value.filter(isNode) : [];
 }
 
-/** The child of `node` under `key`, when it is a node. */
+/** Returns `node[key]` if it is a node. */
 export function childNode(node: SyntaxNode, key: string): SyntaxNode | undefined {
   const child = node[key];
   return isNode(child) ? child : undefined;
 }
 
-/** A text value inside a String node: `{ String: { sval } }`. */
+/** Returns the text of a String node, `{ String: { sval } }`. */
 export function stringValue(node: SyntaxNode | undefined): string | undefined {
-  const holder = node && childNode(node, 'String');
-  const text = holder?.sval;
+  const stringNode = node && childNode(node, 'String');
+  const text = stringNode?.sval;
   return typeof text === 'string' ? text : undefined;
 }
--- a/packages/test-support/src/stand-in/connection-startup.ts
+++ b/packages/test-support/src/stand-in/connection-startup.ts
@@ -10,7 +10,7 @@
   buildReadyForQuery,
   CLIENT,
   readStartupPacket,
-  readText,
+  readStringPayload,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 import { flush, send } from './connection-output.js';
@@ -61,7 +61,7 @@
   connection: StandInConnection,
   message: WireMessage,
 ): Promise<void> {
-  if (message.type !== CLIENT.password || readText(message) !== connection.host.password) {
+  if (message.type !== CLIENT.password || readStringPayload(message) !== connection.host.password) {
     return refuseConnection(connection, '28P01', 'password authentication failed');
   }
   return finishStartup(connection);
--- a/packages/test-support/src/stand-in/connection.ts
+++ b/packages/test-support/src/stand-in/connection.ts
@@ -16,9 +16,9 @@
   parseStatements,
   readBind,
   readExecute,
-  readNamed,
+  readDescribeOrClose,
   readParse,
-  readText,
+  readStringPayload,
   SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
@@ -118,7 +118,7 @@
   const { output } = connection;
   switch (message.type) {
     case CLIENT.query:
-      await runSimpleQuery(connection, readText(message));
+      await runSimpleQuery(connection, readStringPayload(message));
       return;
     case CLIENT.parse: {
       const { name, text } = readParse(message);
@@ -134,7 +134,7 @@
       const bind = readBind(message);
       const known = connection.statements.get(bind.statement);
       if (!known) throw new SqlFailure('26000', `prepared statement does not exist`);
-      const parameters = readBindValues(bind.rest);
+      const parameters = readBindValues(bind.encodedParameters);
       connection.portals.set(bind.portal, {
         statement: known.statement,
         parameters,
@@ -149,7 +149,7 @@
       return executePortal(connection, portal, maxRows);
     }
     case CLIENT.close: {
-      const { target, name } = readNamed(message);
+      const { target, name } = readDescribeOrClose(message);
       if (target === 'S') connection.statements.delete(name);
       else connection.portals.delete(name);
       return send(output, buildEmptyMessage(SERVER.closeComplete));
@@ -340,7 +340,7 @@
 
 async function describe(connection: StandInConnection, message: WireMessage): Promise<void> {
   const { output } = connection;
-  const { target, name } = readNamed(message);
+  const { target, name } = readDescribeOrClose(message);
   const known = target === 'S' ? connection.statements.get(name) : connection.portals.get(name);
   if (!known) throw new SqlFailure('26000', 'statement or portal does not exist');
   const { statement } = known;
--- a/packages/test-support/src/stand-in/stand-in-server.ts
+++ b/packages/test-support/src/stand-in/stand-in-server.ts
@@ -3,7 +3,7 @@
 import { createServer as createHttpServer, type IncomingMessage } from 'node:http';
 import { createServer as createTcpServer, type Server } from 'node:net';
 import { splitAddress, type TargetCommand } from '@bramleykeel/core';
-import { loadSyntax } from '@bramleykeel/postgres-wire';
+import { loadParser } from '@bramleykeel/postgres-wire';
 import { startAnnouncer } from './announcer.js';
 import { serveConnection } from './connection.js';
 import type { ConnectionHost } from './connection-state.js';
@@ -43,7 +43,7 @@
 
 /** Starts the server; resolves once both ports are open. */
 export async function startStandIn(options: StandInOptions): Promise<void> {
-  await loadSyntax();
+  await loadParser();
   const storage = openStorage(options.dataFolder);
   const server = createStandInServer(storage);
   const faults: Faults = { isReplicationPaused: false, areAnnouncementsPaused: false };
