Reword comments, help texts and names of bramleykeelctl and bramleykeel

Renames: - status-page.ts to format-status.ts - isOutcome to isCallOutcome, changesBackTo to changesToRestore - ApplyOptions.isWaiting and waitMs to isWaitRequested and waitTimeoutMs - Trace.ownCount to requestLineCount (in memory only)

Results that bramleykeelctl prints are unchanged. Descriptions of commands and options, and messages of bramleykeel init and of a forced stop, are reworded.

--- a/packages/bramleykeel/src/main.ts
+++ b/packages/bramleykeel/src/main.ts
@@ -40,7 +40,8 @@
   process.stdout.write(`entry ${settings.entry.id} ready\n`);
   await runUntilSignal(async () => {
     const { cutSessions } = await daemon.stop();
-    if (cutSessions > 0) process.stderr.write(`${cutSessions} sessions were cut\n`);
+    if (cutSessions > 0)
+      process.stderr.write(`${cutSessions} sessions were still open and have been closed\n`);
   });
 }
 
@@ -57,11 +58,11 @@
   initializeControl(settings).caseOf({
     Left: () => {
       fail(
-        `${settings.control.dataFolder} is in use; a member that lost its disk must not be set up anew`,
+        `${settings.control.dataFolder} is initialized already; do not use init to replace a lost disk`,
       );
     },
     Right: () => {
-      process.stdout.write(`${settings.control.dataFolder} is ready for a new cluster\n`);
+      process.stdout.write(`initialized ${settings.control.dataFolder} for a new cluster\n`);
     },
   });
 }
@@ -74,7 +75,7 @@
 const checkOption = {
   type: 'boolean',
   default: false,
-  describe: 'check the settings and exit',
+  describe: 'validate the settings file and exit',
 } as const;
 
 await yargs(hideBin(process.argv))
@@ -82,18 +83,18 @@
   .usage('$0 <command>\n\nA database proxy with session consistency.')
   .command(
     'entry',
-    'serve callers, and own database groups',
+    'run an entry, which serves callers and owns database groups',
     (command) =>
       command
         .option('settings', settingsOption)
         .option('check', checkOption)
         .example('$0 entry --settings entry-1.toml', 'start an entry')
-        .example('$0 entry --settings entry-1.toml --check', 'only check the file'),
+        .example('$0 entry --settings entry-1.toml --check', 'only validate the file'),
     ({ settings, check }) => runEntry(settings, check),
   )
   .command(
     'control',
-    'keep the replicated settings, leases and assignments',
+    'run a control member, which replicates settings, leases and assignments',
     (command) =>
       command
         .option('settings', settingsOption)
@@ -103,16 +104,16 @@
   )
   .command(
     'init',
-    'prepare the data folder of a control member of a new cluster, once',
+    'initialize the data folder of a control member, once, for a new cluster',
     (command) =>
       command
         .option('settings', settingsOption)
-        .example('$0 init --settings control-1.toml', 'before the very first start'),
+        .example('$0 init --settings control-1.toml', 'before the first start'),
     ({ settings }) => {
       runInit(settings);
     },
   )
-  .demandCommand(1, 'name a command: entry, control or init')
+  .demandCommand(1, 'a command is required: entry, control or init')
   .strict()
   .help()
   .parseAsync();
--- a/packages/bramleykeel/src/run-until-signal.ts
+++ b/packages/bramleykeel/src/run-until-signal.ts
@@ -1,10 +1,11 @@
-/** Keeps a daemon running until it is told to stop. */
+/** Runs a daemon until a signal stops it. */
 import { flushLogs } from '@bramleykeel/link';
 
-const EXIT_CUT_SHORT = 3;
+const EXIT_FORCED = 3;
 
 /**
- * Waits for SIGTERM or SIGINT, stops the daemon and exits. A second signal ends it at once.
+ * Waits for SIGTERM or SIGINT, stops the daemon and exits with status 0. A second signal exits at once
+ * with status 3.
  *
  * @example
  * await runUntilSignal(() => daemon.stop());
@@ -13,8 +14,10 @@
   let isStopping = false;
   const handleSignal = (signal: string) => {
     if (isStopping) {
-      process.stderr.write(`second ${signal}: stopping at once, running requests are cut\n`);
-      process.exit(EXIT_CUT_SHORT);
+      process.stderr.write(
+        `received a second ${signal}; exiting at once and aborting running requests\n`,
+      );
+      process.exit(EXIT_FORCED);
     }
     isStopping = true;
     void stop().then(() => {
--- a/packages/bramleykeelctl/src/control-call.ts
+++ b/packages/bramleykeelctl/src/control-call.ts
@@ -1,4 +1,4 @@
-/** Calls to control over HTTP, tried at each member in turn. */
+/** Calls control over HTTP, with failover between its members. */
 
 export interface ControlAccess {
   readonly addresses: readonly string[];
@@ -15,14 +15,16 @@
     }
   | { readonly kind: 'unreachable'; readonly message: string };
 
-const CALL_TIMEOUT_MS = 70_000;
-const TRY_TIMEOUT_MS = 5_000;
-const ROUNDS = 20;
+/** Longer than the 60 s that control accepts as the timeout of `settings/await`. */
+const AWAIT_REVISION_TIMEOUT_MS = 70_000;
+const REQUEST_TIMEOUT_MS = 5_000;
+/** Number of times that all members are tried. */
+const MAX_ROUNDS = 20;
 const ROUND_DELAY_MS = 250;
 
 /**
- * Calls a method, moving on to the next member when one does not answer or knows no leader. Calls
- * that change something carry an operation id, so that a resend is answered and not carried out twice.
+ * Calls a method and tries the next member if one does not answer or knows no leader. Changes to
+ * settings carry an operation id, so that a retry is answered but not applied a second time.
  *
  * @example
  * await callControl(access, 'settings/list', {});
@@ -32,20 +34,20 @@
   method: string,
   params: unknown,
 ): Promise<CallOutcome> {
-  let last: CallOutcome = { kind: 'unreachable', message: 'no control address was given' };
-  for (let round = 0; round < ROUNDS; round += 1) {
+  let lastOutcome: CallOutcome = { kind: 'unreachable', message: 'no control address was given' };
+  for (let round = 0; round < MAX_ROUNDS; round += 1) {
     for (const address of access.addresses) {
       const outcome = await callMember(address, access.token, method, params);
-      const isFinal = outcome.kind === 'ok' || isRefusal(outcome);
+      const isFinal = outcome.kind === 'ok' || isFinalRefusal(outcome);
       if (isFinal) return outcome;
-      last = outcome;
+      lastOutcome = outcome;
     }
     await new Promise((resolve) => setTimeout(resolve, ROUND_DELAY_MS));
   }
-  return last;
+  return lastOutcome;
 }
 
-function isRefusal(outcome: CallOutcome): boolean {
+function isFinalRefusal(outcome: CallOutcome): boolean {
   return outcome.kind === 'refused' && outcome.code !== 'unavailable';
 }
 
@@ -55,7 +57,7 @@
   method: string,
   params: unknown,
 ): Promise<CallOutcome> {
-  const timeoutMs = method === 'settings/await' ? CALL_TIMEOUT_MS : TRY_TIMEOUT_MS;
+  const timeoutMs = method === 'settings/await' ? AWAIT_REVISION_TIMEOUT_MS : REQUEST_TIMEOUT_MS;
   try {
     const response = await fetch(`http://${address}/v1/${method}`, {
       method: 'POST',
--- a/packages/bramleykeelctl/src/status-page.ts
+++ b/packages/bramleykeelctl/src/format-status.ts
@@ -1,4 +1,4 @@
-/** The status of the whole system as text. */
+/** Formats the system status as text. */
 
 interface ServerStatus {
   readonly server: string;
@@ -63,7 +63,7 @@
   }[];
 }
 
-/** Writes the status as lines for a terminal. */
+/** Formats the status for a terminal, without a trailing newline. */
 export function formatStatus(status: SystemStatus): string {
   const { control } = status;
   const lines = [
@@ -81,23 +81,24 @@
 }
 
 function formatEntry(status: SystemStatus, entry: SystemStatus['entries'][number]): string {
-  const report = reportOf(status, entry.incarnation);
+  const report = findReport(status, entry.incarnation);
   const callers = report ? `${report.callers} callers` : 'no report';
   const stopping = entry.isStopping ? ', stopping' : '';
   const revision = `settings revision ${entry.settingsRevision}`;
   return `entry ${entry.entryId} (${entry.zone}): ${callers}, ${revision}${stopping}`;
 }
 
-function reportOf(status: SystemStatus, incarnation: string): EntryReport | undefined {
+function findReport(status: SystemStatus, incarnation: string): EntryReport | undefined {
   return status.reports.find((item) => item.incarnation === incarnation)?.report ?? undefined;
 }
 
 function formatGroup(status: SystemStatus, group: SystemStatus['groups'][number]): string[] {
-  const holder = status.assignments.find(({ resource }) => resource === `group/${group.group}`);
-  const owner = holder ? `owner ${holder.entryId} (epoch ${holder.epoch})` : 'no owner';
-  const change = group.proposedTerm > group.term ? `, change to term ${group.proposedTerm}` : '';
+  const assignment = status.assignments.find(({ resource }) => resource === `group/${group.group}`);
+  const owner = assignment ? `owner ${assignment.entryId} (epoch ${assignment.epoch})` : 'no owner';
+  const termChange =
+    group.proposedTerm > group.term ? `, change to term ${group.proposedTerm}` : '';
   const lines = [
-    `group ${group.group}: primary ${group.primary ?? 'none'}, term ${group.term}${change}, ${owner}`,
+    `group ${group.group}: primary ${group.primary ?? 'none'}, term ${group.term}${termChange}, ${owner}`,
   ];
   const report = status.reports
     .flatMap((item) => item.report?.owners ?? [])
--- a/packages/bramleykeelctl/src/main.ts
+++ b/packages/bramleykeelctl/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** The operators' command line: `bramleykeelctl`. */
+/** Command line for operators: `bramleykeelctl`. */
 import { readFileSync } from 'node:fs';
 import { createSecret, hashSecret } from '@bramleykeel/core';
 import yargs, { type Argv } from 'yargs';
@@ -8,21 +8,22 @@
 import {
   applyChanges,
   type ApplyOptions,
-  changesBackTo,
+  changesToRestore,
   diffSettings,
   type HistoryItem,
-  isOutcome,
+  isCallOutcome,
   listSettings,
   parseAssignments,
   readSettingsTree,
   type Setting,
 } from './settings-commands.js';
-import { formatStatus, type SystemStatus } from './status-page.js';
+import { formatStatus, type SystemStatus } from './format-status.js';
 import { formatTrace, traceRequest } from './trace.js';
 
-/** Exit statuses; they stay as they are. */
-const EXIT = { ok: 0, failed: 1, usage: 2, denied: 3, conflict: 4, unreachable: 5 } as const;
-const DEFAULT_WAIT_MS = 30_000;
+/** Exit statuses. Scripts rely on them, so the values must not change. */
+const EXIT_STATUS = { ok: 0, failed: 1, usage: 2, denied: 3, conflict: 4, unreachable: 5 } as const;
+/** Limit for `--wait`. */
+const WAIT_TIMEOUT_MS = 30_000;
 
 interface CommonOptions {
   readonly control: string | undefined;
@@ -30,14 +31,14 @@
   readonly json: boolean;
 }
 
-function accessFrom(options: CommonOptions): ControlAccess {
+function readControlAccess(options: CommonOptions): ControlAccess {
   const addresses = options.control ?? process.env.BRAMLEYKEEL_CONTROL;
   const file = options['token-file'] ?? process.env.BRAMLEYKEEL_TOKEN_FILE;
   if (addresses === undefined || file === undefined) {
     process.stderr.write(
       'give --control and --token-file, or set BRAMLEYKEEL_CONTROL and BRAMLEYKEEL_TOKEN_FILE\n',
     );
-    process.exit(EXIT.usage);
+    process.exit(EXIT_STATUS.usage);
   }
   return { addresses: addresses.split(','), token: readFileSync(file, 'utf8').trim() };
 }
@@ -46,20 +47,20 @@
   process.stdout.write(options.json ? `${JSON.stringify(value)}\n` : `${text}\n`);
 }
 
-/** Ends the command with the outcome's message, what to do next, and its exit status. */
-function exitWith(outcome: CallOutcome): never {
-  if (outcome.kind === 'ok') process.exit(EXIT.ok);
+/** Prints the error message of an outcome with a hint, and exits with the matching status. */
+function exitWithOutcome(outcome: CallOutcome): never {
+  if (outcome.kind === 'ok') process.exit(EXIT_STATUS.ok);
   if (outcome.kind === 'unreachable') {
     process.stderr.write(`control cannot be reached: ${outcome.message}\n`);
     process.stderr.write('check --control, and that a quorum of members runs\n');
-    process.exit(EXIT.unreachable);
+    process.exit(EXIT_STATUS.unreachable);
   }
   process.stderr.write(`${outcome.message}\n`);
-  if (outcome.code === 'denied') process.exit(EXIT.denied);
-  if (outcome.code !== 'conflict') process.exit(EXIT.failed);
+  if (outcome.code === 'denied') process.exit(EXIT_STATUS.denied);
+  if (outcome.code !== 'conflict') process.exit(EXIT_STATUS.failed);
   process.stderr.write(`${JSON.stringify(outcome.detail)}\n`);
   process.stderr.write('look at what stands now, then apply again\n');
-  process.exit(EXIT.conflict);
+  process.exit(EXIT_STATUS.conflict);
 }
 
 async function apply(
@@ -70,10 +71,10 @@
   const applyOptions: ApplyOptions = {
     operationId: options['operation-id'],
     baseRevision: options.revision,
-    isWaiting: options.wait,
-    waitMs: DEFAULT_WAIT_MS,
+    isWaitRequested: options.wait,
+    waitTimeoutMs: WAIT_TIMEOUT_MS,
   };
-  return applyChanges(accessFrom(options), changes, applyOptions);
+  return applyChanges(readControlAccess(options), changes, applyOptions);
 }
 
 interface ApplyFlags {
@@ -81,26 +82,26 @@
   readonly wait: boolean;
 }
 
-function finishApply(options: CommonOptions, outcome: CallOutcome): void {
-  if (outcome.kind !== 'ok') exitWith(outcome);
+function reportApplyOutcome(options: CommonOptions, outcome: CallOutcome): void {
+  if (outcome.kind !== 'ok') exitWithOutcome(outcome);
   const result = outcome.result as { revision?: number; isInForce?: boolean; tookMs?: number };
   const revision =
     result.revision === undefined ? 'nothing to change' : `revision ${result.revision}`;
-  const force = describeForce(result);
-  print(options, result, `${revision}${force}`);
-  if (result.isInForce === false) process.exit(EXIT.failed);
+  const inForce = describeInForce(result);
+  print(options, result, `${revision}${inForce}`);
+  if (result.isInForce === false) process.exit(EXIT_STATUS.failed);
 }
 
-function describeForce({ isInForce, tookMs }: { isInForce?: boolean; tookMs?: number }): string {
+function describeInForce({ isInForce, tookMs }: { isInForce?: boolean; tookMs?: number }): string {
   if (isInForce === undefined) return '';
   return isInForce
     ? `, in force everywhere after ${tookMs ?? 0} ms`
     : ', not in force everywhere yet';
 }
 
-async function present(options: CommonOptions): Promise<readonly Setting[]> {
-  const list = await listSettings(accessFrom(options));
-  if (isOutcome(list)) exitWith(list);
+async function fetchSettings(options: CommonOptions): Promise<readonly Setting[]> {
+  const list = await listSettings(readControlAccess(options));
+  if (isCallOutcome(list)) exitWithOutcome(list);
   return list.settings;
 }
 
@@ -110,15 +111,18 @@
 
 function withApplyFlags<Options>(command: Argv<Options>) {
   return command
-    .option('revision', { type: 'number', describe: 'the revision the change was made against' })
+    .option('revision', {
+      type: 'number',
+      describe: 'fail if the settings are no longer at this revision',
+    })
     .option('operation-id', {
       type: 'string',
-      describe: 'the same id again resends a change safely',
+      describe: 'id of the change; resending with the same id never applies it twice',
     })
     .option('wait', {
       type: 'boolean',
       default: false,
-      describe: 'return once in force everywhere',
+      describe: 'wait until the change is in force on all entries',
     });
 }
 
@@ -126,35 +130,37 @@
 
 await yargs(hideBin(process.argv))
   .scriptName('bramleykeelctl')
-  .usage('$0 <command>\n\nSettings, keys and status of a bramleykeel system.')
+  .usage(
+    '$0 <command>\n\nManages the settings and keys of a bramleykeel system, and shows its status.',
+  )
   .option('control', {
     type: 'string',
-    describe: "operators' addresses of control members: IP:PORT,IP:PORT",
+    describe: 'operator addresses of the control members: IP:PORT,IP:PORT',
   })
-  .option('token-file', { type: 'string', describe: "file that holds the operator's token" })
+  .option('token-file', { type: 'string', describe: 'file that contains the operator token' })
   .option('json', { type: 'boolean', default: false, describe: 'print JSON' })
   .command(
     'status',
-    'entries, owners, primaries, lag and settings revision',
+    'show control members, entries, group owners, primaries, log positions and settings revision',
     (command) => command,
     async (options) => {
-      const outcome = await callControl(accessFrom(options), 'status/get', {});
-      if (outcome.kind !== 'ok') exitWith(outcome);
+      const outcome = await callControl(readControlAccess(options), 'status/get', {});
+      if (outcome.kind !== 'ok') exitWithOutcome(outcome);
       print(options, outcome.result, formatStatus(outcome.result as SystemStatus));
     },
   )
   .command(
     'trace <id>',
-    'what became of a request, from the logs of all processes on standard input',
+    'show the log lines of a request and its group; reads logs from standard input',
     (command) =>
       command
         .positional('id', { type: 'string', demandOption: true })
-        .example('$0 trace 5c0e7a21d94b36f8 < logs', 'follow one request'),
+        .example('$0 trace 5c0e7a21d94b36f8 < logs', 'trace one request'),
     (options) => {
       const trace = traceRequest(readFileSync(0, 'utf8').split('\n'), options.id);
-      if (trace.ownCount === 0) {
+      if (trace.requestLineCount === 0) {
         process.stderr.write(`no line of these logs names the request ${options.id}\n`);
-        process.exit(EXIT.failed);
+        process.exit(EXIT_STATUS.failed);
       }
       print(options, trace.lines, formatTrace(trace, options.id));
     },
@@ -165,11 +171,11 @@
     (command) => command.positional('path', { type: 'string', default: '' }),
     async (options) => {
       const { path } = options;
-      const found = (await present(options)).filter(
+      const found = (await fetchSettings(options)).filter(
         (setting) => path === '' || setting.path === path || setting.path.startsWith(`${path}/`),
       );
       print(options, found, found.map(formatSetting).join('\n'));
-      if (found.length === 0) process.exit(EXIT.failed);
+      if (found.length === 0) process.exit(EXIT_STATUS.failed);
     },
   )
   .command(
@@ -179,14 +185,14 @@
       withApplyFlags(command)
         .positional('path', { type: 'string', demandOption: true })
         .positional('values', { type: 'string', array: true, demandOption: true })
-        .example('$0 set customers/acme ratePerSecond=200 burst=100 --wait', 'change a rate'),
+        .example('$0 set customers/acme ratePerSecond=200 burst=100 --wait', 'change a rate limit'),
     async (options) => {
-      const current = (await present(options)).find(({ path }) => path === options.path);
+      const current = (await fetchSettings(options)).find(({ path }) => path === options.path);
       const value = {
         ...(current?.value as object | undefined),
         ...parseAssignments(options.values),
       };
-      finishApply(options, await apply(options, [{ path: options.path, value }]));
+      reportApplyOutcome(options, await apply(options, [{ path: options.path, value }]));
     },
   )
   .command(
@@ -194,27 +200,27 @@
     'remove a setting',
     (command) => withApplyFlags(command).positional('path', { type: 'string', demandOption: true }),
     async (options) => {
-      finishApply(options, await apply(options, [{ path: options.path, value: null }]));
+      reportApplyOutcome(options, await apply(options, [{ path: options.path, value: null }]));
     },
   )
   .command(
     'apply <file>',
-    'apply a TOML file of settings',
+    'apply settings from a TOML file',
     (command) =>
       withApplyFlags(command)
         .positional('file', { type: 'string', demandOption: true })
         .option('prune', {
           type: 'boolean',
           default: false,
-          describe: 'remove what the file does not name',
+          describe: 'also remove settings that the file lacks, within its top-level tables',
         }),
     async (options) => {
       const changes = diffSettings(
-        await present(options),
+        await fetchSettings(options),
         readSettingsTree(options.file),
         options.prune,
       );
-      finishApply(options, await apply(options, changes));
+      reportApplyOutcome(options, await apply(options, changes));
     },
   )
   .command(
@@ -226,7 +232,7 @@
         .option('prune', { type: 'boolean', default: false }),
     async (options) => {
       const changes = diffSettings(
-        await present(options),
+        await fetchSettings(options),
         readSettingsTree(options.file),
         options.prune,
       );
@@ -235,11 +241,11 @@
   )
   .command(
     'history',
-    'accepted changes, oldest first',
+    'list accepted changes, oldest first',
     (command) => command,
     async (options) => {
-      const outcome = await callControl(accessFrom(options), 'settings/history', {});
-      if (outcome.kind !== 'ok') exitWith(outcome);
+      const outcome = await callControl(readControlAccess(options), 'settings/history', {});
+      if (outcome.kind !== 'ok') exitWithOutcome(outcome);
       const items = outcome.result as readonly HistoryItem[];
       const lines = items.map(({ revision, operator, wallClockMs, changes }) => {
         const paths = changes.map(({ path }) => path).join(' ');
@@ -250,18 +256,18 @@
   )
   .command(
     'restore <to>',
-    'bring back the values of an earlier revision, as a new revision',
+    'restore the settings of an earlier revision, as a new revision',
     (command) => withApplyFlags(command).positional('to', { type: 'number', demandOption: true }),
     async (options) => {
-      const outcome = await callControl(accessFrom(options), 'settings/history', {});
-      if (outcome.kind !== 'ok') exitWith(outcome);
-      const changes = changesBackTo(outcome.result as readonly HistoryItem[], options.to);
-      finishApply(options, await apply(options, changes));
+      const outcome = await callControl(readControlAccess(options), 'settings/history', {});
+      if (outcome.kind !== 'ok') exitWithOutcome(outcome);
+      const changes = changesToRestore(outcome.result as readonly HistoryItem[], options.to);
+      reportApplyOutcome(options, await apply(options, changes));
     },
   )
   .command(
     'key-give <customer> [id]',
-    'give a customer a new key; it is shown once',
+    'create a key for a customer; the key is shown only once',
     (command) =>
       withApplyFlags(command)
         .positional('customer', { type: 'string', demandOption: true })
@@ -271,28 +277,28 @@
       const id = options.id ?? hashSecret(key).slice(0, NEW_KEY_ID_LENGTH);
       const path = `keys/${options.customer}/${id}`;
       const outcome = await apply(options, [{ path, value: { sha256Hex: hashSecret(key) } }]);
-      if (outcome.kind !== 'ok') exitWith(outcome);
+      if (outcome.kind !== 'ok') exitWithOutcome(outcome);
       print(options, { id, key, ...(outcome.result as object) }, `key ${id}: ${key}`);
     },
   )
   .command(
     'key-withdraw <customer> <id>',
-    'withdraw a key, also from open connections',
+    'withdraw a key and close the connections that use it',
     (command) =>
       withApplyFlags(command)
         .positional('customer', { type: 'string', demandOption: true })
         .positional('id', { type: 'string', demandOption: true }),
     async (options) => {
       const path = `keys/${options.customer}/${options.id}`;
-      finishApply(options, await apply(options, [{ path, value: null }]));
+      reportApplyOutcome(options, await apply(options, [{ path, value: null }]));
     },
   )
   .command(
     'customers',
-    'customers with their rates and keys',
+    'list customers with their rate limits and key ids',
     (command) => command,
     async (options) => {
-      const settings = await present(options);
+      const settings = await fetchSettings(options);
       const customers = settings.filter(({ path }) => path.startsWith('customers/'));
       const lines = customers.map(({ path, value }) => {
         const name = path.slice('customers/'.length);
@@ -305,24 +311,27 @@
   )
   .command(
     'forget-server <group> <server>',
-    'remove a server that is gone for good, so that it no longer counts for a quorum',
+    'remove a permanently lost server from its group, so that quorums no longer include it',
     (command) =>
       command
         .positional('group', { type: 'string', demandOption: true })
         .positional('server', { type: 'string', demandOption: true }),
     async (options) => {
       const { group, server } = options;
-      const outcome = await callControl(accessFrom(options), 'server/forget', { group, server });
-      if (outcome.kind !== 'ok') exitWith(outcome);
+      const outcome = await callControl(readControlAccess(options), 'server/forget', {
+        group,
+        server,
+      });
+      if (outcome.kind !== 'ok') exitWithOutcome(outcome);
       print(options, outcome.result, `${server} no longer belongs to ${group}`);
     },
   )
-  .demandCommand(1, 'name a command')
+  .demandCommand(1, 'a command is required')
   .strict()
   .help()
   .fail((message: string | null, error: unknown) => {
     const text = message ?? (error instanceof Error ? error.message : String(error));
     process.stderr.write(`${text}\n`);
-    process.exit(EXIT.usage);
+    process.exit(EXIT_STATUS.usage);
   })
   .parseAsync();
--- a/packages/bramleykeelctl/src/settings-commands.ts
+++ b/packages/bramleykeelctl/src/settings-commands.ts
@@ -1,4 +1,4 @@
-/** What the commands on settings do, apart from printing. */
+/** Reads, compares and changes system settings. */
 import { randomUUID } from 'node:crypto';
 import { readFileSync } from 'node:fs';
 import { parse as parseToml } from 'smol-toml';
@@ -24,10 +24,11 @@
 
 export interface ApplyOptions {
   readonly operationId: string | undefined;
-  /** `undefined` reads the present revision first. */
+  /** Revision that the changes apply to; `undefined` uses the current revision. */
   readonly baseRevision: number | undefined;
-  readonly isWaiting: boolean;
-  readonly waitMs: number;
+  /** Whether to wait until the changes are in force on all entries. */
+  readonly isWaitRequested: boolean;
+  readonly waitTimeoutMs: number;
 }
 
 export async function listSettings(access: ControlAccess): Promise<SettingsList | CallOutcome> {
@@ -35,11 +36,14 @@
   return outcome.kind === 'ok' ? (outcome.result as SettingsList) : outcome;
 }
 
-export function isOutcome(value: object): value is CallOutcome {
+export function isCallOutcome(value: object): value is CallOutcome {
   return 'kind' in value;
 }
 
-/** Applies changes against a revision; with `isWaiting` returns once they are in force everywhere. */
+/**
+ * Applies changes and, if requested, waits until they are in force on all entries. If that takes longer
+ * than `waitTimeoutMs`, the result has `isInForce: false`.
+ */
 export async function applyChanges(
   access: ControlAccess,
   changes: readonly Setting[],
@@ -48,33 +52,34 @@
   let { baseRevision } = options;
   if (baseRevision === undefined) {
     const list = await listSettings(access);
-    if (isOutcome(list)) return list;
+    if (isCallOutcome(list)) return list;
     baseRevision = list.revision;
   }
   const operationId = options.operationId ?? randomUUID();
   const params = { operationId, baseRevision, changes };
   const applied = await callControl(access, 'settings/apply', params);
-  if (applied.kind !== 'ok' || !options.isWaiting) return applied;
+  if (applied.kind !== 'ok' || !options.isWaitRequested) return applied;
   const { revision } = applied.result as { revision: number };
-  const waited = await callControl(access, 'settings/await', {
+  const awaited = await callControl(access, 'settings/await', {
     revision,
-    timeoutMs: options.waitMs,
+    timeoutMs: options.waitTimeoutMs,
   });
-  if (waited.kind !== 'ok') return waited;
-  return { kind: 'ok', result: { ...(applied.result as object), ...(waited.result as object) } };
+  if (awaited.kind !== 'ok') return awaited;
+  return { kind: 'ok', result: { ...(applied.result as object), ...(awaited.result as object) } };
 }
 
-/** Reads a TOML file of settings: a table per path, as in `[customers.acme]`. */
+/** Reads a TOML file of settings that has one table per path, such as `[customers.acme]`. */
 export function readSettingsTree(file: string): Setting[] {
   const tree = parseToml(readFileSync(file, 'utf8')) as Record<string, unknown>;
   return Object.entries(tree).flatMap(([root, children]) => flatten(root, children));
 }
 
-const DEPTH: Readonly<Record<string, number>> = { keys: 2 };
+/** Number of path segments below the root; 1 for roots that are not listed. */
+const PATH_DEPTH_BY_ROOT: Readonly<Record<string, number>> = { keys: 2 };
 
 function flatten(root: string, children: unknown): Setting[] {
   let level: Setting[] = [{ path: root, value: children }];
-  for (let depth = 0; depth < (DEPTH[root] ?? 1); depth += 1) {
+  for (let depth = 0; depth < (PATH_DEPTH_BY_ROOT[root] ?? 1); depth += 1) {
     level = level.flatMap(({ path, value }) =>
       Object.entries(value as Record<string, unknown>).map(([name, child]) => ({
         path: `${path}/${name}`,
@@ -85,26 +90,29 @@
   return level;
 }
 
-/** The changes that turn `present` into `wanted`, within the roots that `wanted` names. */
+/**
+ * Returns the changes that turn `current` into `desired`. With `removesMissing`, these include removals
+ * of settings that are not in `desired`, limited to roots that occur in `desired`.
+ */
 export function diffSettings(
-  present: readonly Setting[],
-  wanted: readonly Setting[],
+  current: readonly Setting[],
+  desired: readonly Setting[],
   removesMissing: boolean,
 ): Setting[] {
-  const presentByPath = new Map(present.map(({ path, value }) => [path, value]));
-  const changes = wanted.filter(({ path, value }) => {
-    return canonical(presentByPath.get(path)) !== canonical(value);
+  const currentByPath = new Map(current.map(({ path, value }) => [path, value]));
+  const changes = desired.filter(({ path, value }) => {
+    return toCanonicalJson(currentByPath.get(path)) !== toCanonicalJson(value);
   });
   if (!removesMissing) return changes;
-  const roots = new Set(wanted.map(({ path }) => path.split('/')[0]));
-  const wantedPaths = new Set(wanted.map(({ path }) => path));
-  const removed = present
-    .filter(({ path }) => roots.has(path.split('/')[0]) && !wantedPaths.has(path))
+  const roots = new Set(desired.map(({ path }) => path.split('/')[0]));
+  const desiredPaths = new Set(desired.map(({ path }) => path));
+  const removed = current
+    .filter(({ path }) => roots.has(path.split('/')[0]) && !desiredPaths.has(path))
     .map(({ path }) => ({ path, value: null }));
   return [...changes, ...removed];
 }
 
-function canonical(value: unknown): string {
+function toCanonicalJson(value: unknown): string {
   if (value === undefined || value === null) return 'null';
   const entries = Object.entries(value as Record<string, unknown>).sort(([left], [right]) =>
     left < right ? -1 : 1,
@@ -112,8 +120,8 @@
   return JSON.stringify(entries);
 }
 
-/** The changes that bring back the values of an earlier revision, as a new revision. */
-export function changesBackTo(history: readonly HistoryItem[], revision: number): Setting[] {
+/** Returns the changes that restore the values of an earlier revision; `history` is oldest first. */
+export function changesToRestore(history: readonly HistoryItem[], revision: number): Setting[] {
   const earlier = new Map<string, unknown>();
   const later = history.filter((item) => item.revision > revision);
   for (const item of later) {
@@ -124,13 +132,17 @@
   return [...earlier].map(([path, value]) => ({ path, value }));
 }
 
-/** Parses `name=value` words; numbers, booleans and `null` are taken as such, lists as JSON. */
-export function parseAssignments(words: readonly string[]): Record<string, unknown> {
+/**
+ * Parses `name=value` arguments. A value that is valid JSON is parsed as such, any other is a string.
+ *
+ * @throws when an argument is not of this form
+ */
+export function parseAssignments(args: readonly string[]): Record<string, unknown> {
   return Object.fromEntries(
-    words.map((word) => {
-      const equals = word.indexOf('=');
-      if (equals < 1) throw new Error(`${word}: expected NAME=VALUE`);
-      return [word.slice(0, equals), parseValue(word.slice(equals + 1))];
+    args.map((arg) => {
+      const separatorIndex = arg.indexOf('=');
+      if (separatorIndex < 1) throw new Error(`${arg}: expected NAME=VALUE`);
+      return [arg.slice(0, separatorIndex), parseValue(arg.slice(separatorIndex + 1))];
     }),
   );
 }
--- a/packages/bramleykeelctl/src/trace.ts
+++ b/packages/bramleykeelctl/src/trace.ts
@@ -1,8 +1,8 @@
-/** Finds, in the logs of all processes, what became of one request and what its owner believed then. */
+/** Extracts the log lines of one request, and those that show the state of its group at that time. */
 
 export interface LogLine {
   readonly atMs: number;
-  /** What stands before the object: the name of the process, if whoever collects logs adds it. */
+  /** Text before the JSON object, such as a process name that a log collector added. */
   readonly from: string;
   readonly part: string;
   readonly message: string;
@@ -10,17 +10,18 @@
 }
 
 export interface Trace {
-  /** Lines of the request itself and, in order of time, lines of its group around it. */
+  /** Lines of the request and related lines around it, ordered by time. */
   readonly lines: readonly LogLine[];
-  readonly ownCount: number;
+  /** Number of lines that belong to the request itself. */
+  readonly requestLineCount: number;
 }
 
-/** Beliefs that decided a request are older than it by this much at most, in milliseconds. */
-const BEFORE_MS = 10_000;
-/** What happened to the group just after explains what was under way, in milliseconds. */
-const AFTER_MS = 1_000;
+/** The state that affects a request was logged at most this long before it. */
+const CONTEXT_BEFORE_MS = 10_000;
+/** Lines logged within this time after a request show which changes were in progress during it. */
+const CONTEXT_AFTER_MS = 1_000;
 
-/** Reads one line; `undefined` for lines that are not ours. */
+/** Parses one log line; returns `undefined` if bramleykeel did not write it or it is truncated. */
 export function parseLogLine(text: string): LogLine | undefined {
   const start = text.indexOf('{"level"');
   if (start === -1) return undefined;
@@ -28,7 +29,7 @@
   try {
     value = JSON.parse(text.slice(start));
   } catch {
-    // A line that was cut when its process was killed.
+    // A process that is killed while it writes leaves a truncated line.
     return undefined;
   }
   const { level, time, part, msg, ...fields } = value as Record<string, unknown>;
@@ -38,39 +39,42 @@
 }
 
 /**
- * Collects the lines of a request, and those that name no request but its group, its customer, or an
- * entry that held one of them.
+ * Collects the lines of a request, and related lines: those of no request that name its group, its
+ * customer, or the incarnation of an entry that held one of them.
  *
  * @example
  * traceRequest(readFileSync(0, 'utf8').split('\n'), '5c0e7a21d94b36f8');
  */
-export function traceRequest(texts: Iterable<string>, request: string): Trace {
-  const lines = [...texts].map(parseLogLine).filter((line) => line !== undefined);
-  const own = lines.filter(({ fields }) => fields.request === request);
-  if (own.length === 0) return { lines: [], ownCount: 0 };
-  const groups = namesOf(own, 'group');
-  const customers = namesOf(own, 'customer');
-  const isAbout = ({ fields }: LogLine) =>
+export function traceRequest(logTexts: Iterable<string>, request: string): Trace {
+  const lines = [...logTexts].map(parseLogLine).filter((line) => line !== undefined);
+  const requestLines = lines.filter(({ fields }) => fields.request === request);
+  if (requestLines.length === 0) return { lines: [], requestLineCount: 0 };
+  const groups = collectFieldValues(requestLines, 'group');
+  const customers = collectFieldValues(requestLines, 'customer');
+  const isOfGroupOrCustomer = ({ fields }: LogLine) =>
     groups.has(fields.group) || customers.has(fields.customer);
-  const holders = namesOf(lines.filter(isAbout), 'incarnation');
-  const times = own.map(({ atMs }) => atMs);
-  const fromMs = Math.min(...times) - BEFORE_MS;
-  const untilMs = Math.max(...times) + AFTER_MS;
+  const incarnations = collectFieldValues(lines.filter(isOfGroupOrCustomer), 'incarnation');
+  const times = requestLines.map(({ atMs }) => atMs);
+  const fromMs = Math.min(...times) - CONTEXT_BEFORE_MS;
+  const untilMs = Math.max(...times) + CONTEXT_AFTER_MS;
   const isRelated = (line: LogLine) => {
     const { fields, atMs } = line;
     if (fields.request !== undefined || atMs < fromMs || atMs > untilMs) return false;
-    return isAbout(line) || holders.has(fields.incarnation);
+    return isOfGroupOrCustomer(line) || incarnations.has(fields.incarnation);
+  };
+  const found = lines.filter((line) => requestLines.includes(line) || isRelated(line));
+  return {
+    lines: found.sort((left, right) => left.atMs - right.atMs),
+    requestLineCount: requestLines.length,
   };
-  const found = lines.filter((line) => own.includes(line) || isRelated(line));
-  return { lines: found.sort((left, right) => left.atMs - right.atMs), ownCount: own.length };
 }
 
-/** What the lines name; a line that names nothing matches none. */
-function namesOf(lines: readonly LogLine[], field: string): ReadonlySet<unknown> {
+/** Returns the values of a field; `undefined` is left out so that lines without the field never match. */
+function collectFieldValues(lines: readonly LogLine[], field: string): ReadonlySet<unknown> {
   return new Set(lines.map(({ fields }) => fields[field]).filter((name) => name !== undefined));
 }
 
-/** Shows a trace, each line with its time from the request's first one. */
+/** Formats a trace; times are relative to the first line of the request, whose lines are marked `*`. */
 export function formatTrace({ lines }: Trace, request: string): string {
   const first = lines.find(({ fields }) => fields.request === request);
   return lines
