--- a/packages/entry/src/accept/chunk-builder.test.ts
+++ b/packages/entry/src/accept/chunk-builder.test.ts
@@ -1,16 +1,16 @@
-import { classifyText, CLIENT, loadSyntax, type WireMessage } from '@bramleykeel/postgres-wire';
+import { classifyQuery, CLIENT, loadParser, type WireMessage } from '@bramleykeel/postgres-wire';
 import { serialize } from 'pg-protocol';
 import { beforeAll, describe, expect, it } from 'vitest';
 import { type BuiltChunk, buildChunk, createCallerStatements } from './chunk-builder.js';
 
-beforeAll(loadSyntax);
+beforeAll(loadParser);
 
 function toWireMessage(frame: Buffer): WireMessage {
   return { type: frame[0] ?? 0, frame };
 }
 
 function build(frames: readonly Buffer[], callerStatements = createCallerStatements()): BuiltChunk {
-  return buildChunk(callerStatements, frames.map(toWireMessage), classifyText);
+  return buildChunk(callerStatements, frames.map(toWireMessage), classifyQuery);
 }
 
 function extendedQuery(name: string, text: string): Buffer[] {
--- a/packages/entry/src/accept/chunk-builder.ts
+++ b/packages/entry/src/accept/chunk-builder.ts
@@ -19,17 +19,17 @@
   type ParseMessage,
   readBind,
   readExecute,
-  readNamed,
+  readDescribeOrClose,
   readParse,
-  readText,
-  type StatementClass,
-  type TextClass,
+  readStringPayload,
+  type StatementClassification,
+  type QueryClassification,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 
 interface PreparedStatement {
   readonly parse: ParseMessage;
-  readonly textClass: TextClass;
+  readonly textClass: QueryClassification;
   /** The statement's name on target connections; empty for the unnamed statement. */
   readonly targetName: string;
 }
@@ -37,7 +37,7 @@
 /** A caller's prepared statements and portals, by the caller's names. */
 export interface CallerStatements {
   readonly statements: Map<string, PreparedStatement>;
-  readonly portals: Map<string, TextClass>;
+  readonly portals: Map<string, QueryClassification>;
 }
 
 export interface BuiltChunk {
@@ -68,8 +68,8 @@
   readonly requiredStatements: Map<string, StatementDefinition>;
   readonly createdStatements: Set<string>;
   readonly expected: ExpectedAnswer[];
-  readonly executed: StatementClass[];
-  readonly parsed: StatementClass[];
+  readonly executed: StatementClassification[];
+  readonly parsed: StatementClassification[];
   unsupportedReason: string | undefined;
 }
 
@@ -81,7 +81,7 @@
 export function buildChunk(
   callerStatements: CallerStatements,
   messages: readonly WireMessage[],
-  classify: (text: string) => TextClass,
+  classify: (text: string) => QueryClassification,
 ): BuiltChunk {
   const draft: ChunkDraft = {
     output: [],
@@ -113,11 +113,11 @@
   };
 }
 
-function mayCommit({ kind }: StatementClass): boolean {
+function mayCommit({ kind }: StatementClassification): boolean {
   return kind === 'write' || kind === 'transaction-control';
 }
 
-function isReadOnly(statement: StatementClass): boolean {
+function isReadOnly(statement: StatementClassification): boolean {
   switch (statement.kind) {
     case 'read':
     case 'show':
@@ -134,7 +134,7 @@
   }
 }
 
-function findSettingEffect(executed: readonly StatementClass[]): SettingEffect | null {
+function findSettingEffect(executed: readonly StatementClassification[]): SettingEffect | null {
   for (const statement of executed) {
     if (statement.kind === 'set-session') return { name: statement.name, text: statement.text };
     if (statement.kind === 'reset') return { name: statement.name, text: null };
@@ -146,11 +146,11 @@
   callerStatements: CallerStatements,
   draft: ChunkDraft,
   message: WireMessage,
-  classify: (text: string) => TextClass,
+  classify: (text: string) => QueryClassification,
 ): void {
   switch (message.type) {
     case CLIENT.query:
-      draft.executed.push(...classify(readText(message)).statements);
+      draft.executed.push(...classify(readStringPayload(message)).statements);
       draft.output.push(message.frame);
       return;
     case CLIENT.parse:
@@ -192,7 +192,7 @@
   callerStatements: CallerStatements,
   draft: ChunkDraft,
   message: WireMessage,
-  classify: (text: string) => TextClass,
+  classify: (text: string) => QueryClassification,
 ): void {
   const parse = readParse(message);
   const textClass = classify(parse.text);
@@ -251,7 +251,7 @@
   draft: ChunkDraft,
   message: WireMessage,
 ): void {
-  const { target, name } = readNamed(message);
+  const { target, name } = readDescribeOrClose(message);
   const statement = target === 'S' ? callerStatements.statements.get(name) : undefined;
   if (!statement) {
     draft.output.push(message.frame);
@@ -270,7 +270,7 @@
   draft: ChunkDraft,
   message: WireMessage,
 ): void {
-  const { target, name } = readNamed(message);
+  const { target, name } = readDescribeOrClose(message);
   draft.expected.push({ kind: 'close', isHidden: false, statement: '' });
   if (target === 'P') {
     callerStatements.portals.delete(name);
