--- a/packages/entry-shared/src/control/control-client.test.ts
+++ b/packages/entry-shared/src/control/control-client.test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { type LeaseReply, timingSchema } from '@bramleykeel/core';
 import { DEFAULT_LINK_TIMING, listenForLinks } from '@bramleykeel/link';
-import { freeAddress } from '@bramleykeel/test-support';
+import { findFreeAddress } from '@bramleykeel/test-support';
 import { describe, expect, it, vi } from 'vitest';
 import { startControlClient } from './control-client.js';
 
@@ -9,7 +9,7 @@
 
 describe('control client', () => {
   it('waits for a slow first reply instead of sending the renewal again', async () => {
-    const address = await freeAddress();
+    const address = await findFreeAddress();
     let isAnswered = false;
     let requestsBeforeAnswer = 0;
     const server = await listenForLinks(
--- a/packages/entry/src/locate/owner-locator.test.ts
+++ b/packages/entry/src/locate/owner-locator.test.ts
@@ -6,7 +6,7 @@
   toSessionId,
 } from '@bramleykeel/core';
 import { DEFAULT_LINK_TIMING, type LinkServer, listenForLinks } from '@bramleykeel/link';
-import { freeAddress } from '@bramleykeel/test-support';
+import { findFreeAddress } from '@bramleykeel/test-support';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { createEntryLinks, type EntryLinks } from './owner-locator.js';
 import type { OwnerPort } from './owner-port.js';
@@ -32,7 +32,7 @@
 
   beforeEach(async () => {
     lost.length = 0;
-    const address = await freeAddress();
+    const address = await findFreeAddress();
     const handlers = { onRequest: () => undefined, onNotify: () => undefined };
     server = await listenForLinks(address, { secret: SECRET, ...DEFAULT_LINK_TIMING }, handlers);
     assign(4, address);
--- a/packages/test-support/src/free-address.ts
+++ b/packages/test-support/src/free-address.ts
@@ -1,13 +1,13 @@
-/** A loopback address that nothing listens at, for tests of links that start their own listeners. */
+/** Finds an unused loopback address, for tests that start their own listeners. */
 import { createServer } from 'node:net';
 
 /**
- * Finds a free port by listening on one for a moment.
+ * Returns `127.0.0.1:PORT` with a free port, found by briefly listening on port 0.
  *
  * @example
- * const server = await listenForLinks(await freeAddress(), options, handlers);
+ * const server = await listenForLinks(await findFreeAddress(), options, handlers);
  */
-export async function freeAddress(): Promise<string> {
+export async function findFreeAddress(): Promise<string> {
   const server = createServer();
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const address = server.address();
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -1,4 +1,6 @@
-/** Small fakes at the interfaces, for development and tests. */
+/**
+ * Test doubles for external interfaces: a stand-in database server, a TCP relay and HTTP helpers.
+ */
 export * from './stand-in/stand-in-server.js';
 export * from './stand-in/http-json.js';
 export type { StandInLogEntry } from './stand-in/storage.js';
--- a/packages/test-support/src/stand-in-main.ts
+++ b/packages/test-support/src/stand-in-main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Command line of one stand-in database server, for development and tests. */
+/** Command-line entry point of a stand-in database server for development and tests. */
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { startStandIn } from './stand-in/stand-in-server.js';
@@ -37,7 +37,7 @@
   commandAddress: options['command-address'],
   announceUrls: options['announce-url'],
   announceToken: options['announce-token'],
-  announceEveryMs: options['announce-every-ms'],
+  announceIntervalMs: options['announce-every-ms'],
   dataFolder: options.data,
   isFirstPrimary: options['first-primary'],
   followUrl: options['follow-url'],
@@ -47,6 +47,6 @@
   connectCostMs: options['connect-cost-ms'],
   statementCostMs: options['statement-cost-ms'],
   password: options.password,
-  createsBookings: options.bookings,
+  createsBookingsTable: options.bookings,
 });
 process.stdout.write(`stand-in ${options.server} ready\n`);
--- a/packages/test-support/src/stand-in/announcer.ts
+++ b/packages/test-support/src/stand-in/announcer.ts
@@ -1,55 +1,55 @@
-/** Announces a stand-in server to the system: on change, and at least once per interval. */
+/** Announces a stand-in server to the entries: after each change and at a fixed interval. */
 import { requestJson } from './http-json.js';
 
 export interface AnnouncerOptions {
   readonly urls: readonly string[];
   readonly token: string | undefined;
-  readonly everyMs: number;
-  /** Changes within this time go into one announcement. */
-  readonly coalesceMs: number;
+  readonly intervalMs: number;
+  /** Changes within this delay are combined into one announcement. */
+  readonly coalesceDelayMs: number;
   readonly createAnnouncement: () => unknown;
   readonly isPaused: () => boolean;
 }
 
 export interface Announcer {
-  readonly announceSoon: () => void;
+  readonly scheduleAnnouncement: () => void;
 }
 
 const REQUEST_TIMEOUT_MS = 500;
 
-/** Starts announcing; a url that does not answer is replaced by the next one. */
+/** Starts announcing. After a failed request the next URL in the list is used. */
 export function startAnnouncer(options: AnnouncerOptions): Announcer {
   let urlIndex = 0;
-  const state = { isSending: false, isWanted: false };
+  const state = { isSending: false, isRequested: false };
   let timer: NodeJS.Timeout | undefined;
-  setInterval(announceSoon, options.everyMs);
-  announceSoon();
-  return { announceSoon };
+  setInterval(scheduleAnnouncement, options.intervalMs);
+  scheduleAnnouncement();
+  return { scheduleAnnouncement };
 
-  function announceSoon(): void {
-    state.isWanted = true;
+  function scheduleAnnouncement(): void {
+    state.isRequested = true;
     if (timer !== undefined || state.isSending) return;
     timer = setTimeout(() => {
       timer = undefined;
-      void sendNow();
-    }, options.coalesceMs);
+      void sendRequested();
+    }, options.coalesceDelayMs);
   }
 
-  async function sendNow(): Promise<void> {
+  async function sendRequested(): Promise<void> {
     if (options.isPaused()) return;
     state.isSending = true;
-    state.isWanted = false;
-    const isSent = await sendOnce();
+    state.isRequested = false;
+    const isSent = await putAnnouncement();
     state.isSending = false;
     if (!isSent) urlIndex += 1;
-    if (!isSent || wasWantedMeanwhile()) announceSoon();
+    if (!isSent || wasRequestedMeanwhile()) scheduleAnnouncement();
   }
 
-  function wasWantedMeanwhile(): boolean {
-    return state.isWanted;
+  function wasRequestedMeanwhile(): boolean {
+    return state.isRequested;
   }
 
-  async function sendOnce(): Promise<boolean> {
+  async function putAnnouncement(): Promise<boolean> {
     const url = options.urls[urlIndex % options.urls.length];
     if (url === undefined) return true;
     const headers: Record<string, string> = {};
--- a/packages/test-support/src/stand-in/bind-values.ts
+++ b/packages/test-support/src/stand-in/bind-values.ts
@@ -1,8 +1,13 @@
-/** Reads the parameter values of a Bind message; only text format is taken. */
+/** Reads the parameter values of a Bind message; only the text format is supported. */
 import type { SqlValue } from './expressions.js';
-import { SqlFailure } from './sql-failure.js';
+import { SqlError } from './sql-error.js';
 
-/** `rest` is everything of the Bind message after its two names. */
+/**
+ * Reads the parameter values from `rest`, the part of a Bind message after the portal and statement
+ * names.
+ *
+ * @throws SqlError (0A000) if a parameter or result column is in binary format
+ */
 export function readBindValues(rest: Buffer): SqlValue[] {
   let offset = 0;
   const readInt16 = () => {
@@ -25,7 +30,7 @@
   const resultFormatCount = readInt16();
   const resultFormats = Array.from({ length: resultFormatCount }, readInt16);
   if (formats.includes(1) || resultFormats.includes(1)) {
-    throw new SqlFailure('0A000', 'the stand-in does not support binary format');
+    throw new SqlError('0A000', 'the stand-in does not support binary format');
   }
   return values;
 }
--- a/packages/test-support/src/stand-in/connection-output.ts
+++ b/packages/test-support/src/stand-in/connection-output.ts
@@ -1,43 +1,46 @@
-/** Buffered output of one stand-in connection, with back-pressure. */
+/** Buffered output of one stand-in connection, with backpressure. */
 import type { Socket } from 'node:net';
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import { setImmediate as yieldToEventLoop } from 'node:timers/promises';
 
-const FLUSH_BYTES = 16_384;
+const FLUSH_THRESHOLD_BYTES = 16_384;
 
 export interface ConnectionOutput {
   readonly socket: Socket;
-  pending: Buffer[];
+  pendingMessages: Buffer[];
   pendingBytes: number;
 }
 
 export function createOutput(socket: Socket): ConnectionOutput {
-  return { socket, pending: [], pendingBytes: 0 };
+  return { socket, pendingMessages: [], pendingBytes: 0 };
 }
 
-/** Adds a message; a full buffer is written and waited for. */
+/**
+ * Buffers a message. Once the buffer reaches the threshold, writes it and waits for the socket to
+ * drain.
+ */
 export async function send(output: ConnectionOutput, message: Buffer): Promise<void> {
-  output.pending.push(message);
+  output.pendingMessages.push(message);
   output.pendingBytes += message.length;
-  if (output.pendingBytes < FLUSH_BYTES) return;
+  if (output.pendingBytes < FLUSH_THRESHOLD_BYTES) return;
   await flush(output);
-  // Other connections get their turn, as they would from a server with a process for each.
-  await nextTurn();
+  // Lets other connections proceed, as on a server that runs one process per connection.
+  await yieldToEventLoop();
 }
 
 export async function flush(output: ConnectionOutput): Promise<void> {
   if (output.pendingBytes === 0) return;
   const { socket } = output;
-  const bytes = Buffer.concat(output.pending);
-  output.pending = [];
+  const bytes = Buffer.concat(output.pendingMessages);
+  output.pendingMessages = [];
   output.pendingBytes = 0;
   if (socket.destroyed || socket.write(bytes)) return;
   await new Promise<void>((resolve) => {
-    const done = () => {
-      socket.off('drain', done);
-      socket.off('close', done);
+    const onWritable = () => {
+      socket.off('drain', onWritable);
+      socket.off('close', onWritable);
       resolve();
     };
-    socket.once('drain', done);
-    socket.once('close', done);
+    socket.once('drain', onWritable);
+    socket.once('close', onWritable);
   });
 }
--- a/packages/test-support/src/stand-in/connection-startup.ts
+++ b/packages/test-support/src/stand-in/connection-startup.ts
@@ -1,4 +1,7 @@
-/** Startup of a connection to a stand-in server: encryption, cancel requests, password, greeting. */
+/**
+ * Startup of a connection to a stand-in server: encryption and cancel requests, password, server
+ * parameters.
+ */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { TransactionStatus } from '@bramleykeel/core';
 import {
@@ -30,7 +33,7 @@
   connection: StandInConnection,
   message: WireMessage,
 ): Promise<void> {
-  const { host, output } = connection;
+  const { serverContext, output } = connection;
   const packet = readStartupPacket(message);
   switch (packet.kind) {
     case 'ssl-request':
@@ -38,8 +41,8 @@
       output.socket.write('N');
       return;
     case 'cancel': {
-      const target = host.connections.get(packet.processId);
-      if (target?.secretKey === packet.secretKey) target.cancelRunning?.();
+      const target = serverContext.connections.get(packet.processId);
+      if (target?.secretKey === packet.secretKey) target.cancelStatement?.();
       output.socket.destroy();
       return;
     }
@@ -47,11 +50,11 @@
       output.socket.destroy();
       return;
     case 'startup':
-      if (host.connections.size >= host.maxConnections) {
+      if (serverContext.connections.size >= serverContext.maxConnections) {
         return refuseConnection(connection, '53300', 'sorry, too many clients already');
       }
-      host.connections.set(connection.processId, connection);
-      if (host.password === '') return finishStartup(connection);
+      serverContext.connections.set(connection.processId, connection);
+      if (serverContext.password === '') return finishStartup(connection);
       connection.phase = 'password';
       await send(output, buildCleartextPasswordRequest());
   }
@@ -61,7 +64,7 @@
   connection: StandInConnection,
   message: WireMessage,
 ): Promise<void> {
-  if (message.type !== CLIENT.password || readText(message) !== connection.host.password) {
+  if (message.type !== CLIENT.password || readText(message) !== connection.serverContext.password) {
     return refuseConnection(connection, '28P01', 'password authentication failed');
   }
   return finishStartup(connection);
@@ -79,8 +82,8 @@
 }
 
 async function finishStartup(connection: StandInConnection): Promise<void> {
-  const { host, output } = connection;
-  await delay(host.connectCostMs);
+  const { serverContext, output } = connection;
+  await delay(serverContext.connectCostMs);
   connection.phase = 'ready';
   await send(output, buildAuthenticationOk());
   for (const [name, value] of Object.entries(SERVER_PARAMETERS)) {
@@ -92,15 +95,15 @@
 }
 
 async function sendPosition(connection: StandInConnection): Promise<void> {
-  const { term, offset } = lastEntry(connection.host.server.storage);
+  const { term, offset } = lastEntry(connection.serverContext.server.storage);
   await send(connection.output, buildParameterStatus('log_position', `${term}/${offset}`));
 }
 
-/** Ends an exchange with the connection's transaction status. */
+/** Sends ReadyForQuery with the transaction status of the connection, and flushes the output. */
 export async function sendReady(connection: StandInConnection): Promise<void> {
   let status: TransactionStatus = 'idle';
-  if (connection.isExplicit)
-    status = connection.hasFailed ? 'failed-transaction' : 'in-transaction';
+  if (connection.isInExplicitTransaction)
+    status = connection.hasTransactionFailed ? 'failed-transaction' : 'in-transaction';
   await send(connection.output, buildReadyForQuery(status));
   await flush(connection.output);
 }
--- a/packages/test-support/src/stand-in/connection-state.ts
+++ b/packages/test-support/src/stand-in/connection-state.ts
@@ -7,7 +7,8 @@
 import type { StatementResult } from './statements.js';
 import type { Transaction } from './transaction.js';
 
-export interface ConnectionHost {
+/** State and limits shared by all connections to one stand-in server. */
+export interface ServerContext {
   readonly server: StandInServer;
   readonly slots: Slots;
   readonly password: string;
@@ -21,11 +22,12 @@
 export interface Portal {
   readonly statement: ParsedStatement | undefined;
   readonly parameters: readonly SqlValue[];
-  running: StatementResult | undefined;
+  /** Result of the started statement; kept while the portal is suspended. */
+  execution: StatementResult | undefined;
 }
 
 export interface StandInConnection {
-  readonly host: ConnectionHost;
+  readonly serverContext: ServerContext;
   readonly output: ConnectionOutput;
   readonly processId: number;
   readonly secretKey: number;
@@ -33,11 +35,12 @@
   readonly statements: Map<string, { statement: ParsedStatement | undefined }>;
   readonly portals: Map<string, Portal>;
   transaction: Transaction | undefined;
-  isExplicit: boolean;
-  hasFailed: boolean;
-  /** After an error, extended messages are skipped until Sync. */
-  isSkipping: boolean;
-  cancelRunning: (() => void) | undefined;
+  isInExplicitTransaction: boolean;
+  hasTransactionFailed: boolean;
+  /** Set after an error in the extended query protocol: messages are skipped until Sync. */
+  isSkippingUntilSync: boolean;
+  cancelStatement: (() => void) | undefined;
   phase: 'startup' | 'password' | 'ready';
+  /** Whether the connection is processing messages; reported as the state in pg_stat_activity. */
   isActive: boolean;
 }
--- a/packages/test-support/src/stand-in/connection.ts
+++ b/packages/test-support/src/stand-in/connection.ts
@@ -25,11 +25,11 @@
 import { readBindValues } from './bind-values.js';
 import { createOutput, flush, send } from './connection-output.js';
 import { handlePassword, handleStartup, sendReady } from './connection-startup.js';
-import type { ConnectionHost, Portal, StandInConnection } from './connection-state.js';
+import type { Portal, ServerContext, StandInConnection } from './connection-state.js';
 import type { SqlValue } from './expressions.js';
 import { commitChanges } from './server-state.js';
 import { acquireSlot, releaseSlot } from './slots.js';
-import { SqlFailure } from './sql-failure.js';
+import { SqlError } from './sql-error.js';
 import type { Row } from './storage.js';
 import {
   countParameters,
@@ -41,33 +41,34 @@
 import { createTransaction, type Transaction } from './transaction.js';
 
 const MAX_MESSAGE_BYTES = 16_777_216;
-/** Serves one socket until it closes. Messages are handled strictly one after another. */
-export function serveConnection(socket: Socket, host: ConnectionHost): void {
-  host.nextProcessId += 1;
+
+/** Serves one socket until it closes. Messages are processed sequentially. */
+export function serveConnection(socket: Socket, serverContext: ServerContext): void {
+  serverContext.nextProcessId += 1;
   const connection: StandInConnection = {
-    host,
+    serverContext,
     output: createOutput(socket),
-    processId: host.nextProcessId,
+    processId: serverContext.nextProcessId,
     secretKey: Math.floor(Math.random() * 2 ** 31),
     settings: new Map(),
     statements: new Map(),
     portals: new Map(),
     transaction: undefined,
-    isExplicit: false,
-    hasFailed: false,
-    isSkipping: false,
-    cancelRunning: undefined,
+    isInExplicitTransaction: false,
+    hasTransactionFailed: false,
+    isSkippingUntilSync: false,
+    cancelStatement: undefined,
     phase: 'startup',
     isActive: false,
   };
   const framer = createMessageFramer(MAX_MESSAGE_BYTES, true);
   const queue: WireMessage[] = [];
-  let isBusy = false;
+  let isProcessing = false;
   socket.setNoDelay(true);
   socket.on('error', () => undefined);
   socket.on('close', () => {
-    host.connections.delete(connection.processId);
-    connection.cancelRunning?.();
+    serverContext.connections.delete(connection.processId);
+    connection.cancelStatement?.();
   });
   socket.on('data', (chunk) => {
     const framed = frameMessages(framer, chunk);
@@ -76,12 +77,12 @@
       return;
     }
     queue.push(...framed.messages);
-    void drainQueue();
+    void processQueue();
   });
 
-  async function drainQueue(): Promise<void> {
-    if (isBusy) return;
-    isBusy = true;
+  async function processQueue(): Promise<void> {
+    if (isProcessing) return;
+    isProcessing = true;
     connection.isActive = connection.phase === 'ready';
     for (let message = queue.shift(); message; message = queue.shift()) {
       await handleMessage(connection, message);
@@ -89,7 +90,7 @@
     }
     await flush(connection.output);
     connection.isActive = false;
-    isBusy = false;
+    isProcessing = false;
   }
 }
 
@@ -101,13 +102,13 @@
     return;
   }
   if (message.type === CLIENT.sync) return handleSync(connection);
-  if (connection.isSkipping) return;
+  if (connection.isSkippingUntilSync) return;
   try {
     await handleQueryMessage(connection, message);
   } catch (error) {
-    await reportFailure(connection, error);
+    await sendError(connection, error);
     if (message.type === CLIENT.query) await sendReady(connection);
-    else connection.isSkipping = true;
+    else connection.isSkippingUntilSync = true;
   }
 }
 
@@ -123,27 +124,27 @@
     case CLIENT.parse: {
       const { name, text } = readParse(message);
       if (name !== '' && connection.statements.has(name)) {
-        throw new SqlFailure('42P05', `prepared statement "${name}" already exists`);
+        throw new SqlError('42P05', `prepared statement "${name}" already exists`);
       }
-      const [statement, another] = parseText(text);
-      if (another) throw new SqlFailure('42601', 'cannot insert multiple commands');
+      const [statement, extraStatement] = parseQueryText(text);
+      if (extraStatement) throw new SqlError('42601', 'cannot insert multiple commands');
       connection.statements.set(name, { statement });
       return send(output, buildEmptyMessage(SERVER.parseComplete));
     }
     case CLIENT.bind: {
       const bind = readBind(message);
-      const known = connection.statements.get(bind.statement);
-      if (!known) throw new SqlFailure('26000', `prepared statement does not exist`);
+      const preparedStatement = connection.statements.get(bind.statement);
+      if (!preparedStatement) throw new SqlError('26000', `prepared statement does not exist`);
       const parameters = readBindValues(bind.rest);
       connection.portals.set(bind.portal, {
-        statement: known.statement,
+        statement: preparedStatement.statement,
         parameters,
-        running: undefined,
+        execution: undefined,
       });
       return send(output, buildEmptyMessage(SERVER.bindComplete));
     }
     case CLIENT.describe:
-      return describe(connection, message);
+      return handleDescribe(connection, message);
     case CLIENT.execute: {
       const { portal, maxRows } = readExecute(message);
       return executePortal(connection, portal, maxRows);
@@ -157,27 +158,30 @@
     case CLIENT.flush:
       return flush(output);
     default:
-      throw new SqlFailure('08P01', 'unexpected message');
+      throw new SqlError('08P01', 'unexpected message');
   }
 }
 
-function parseText(text: string): ParsedStatement[] {
+function parseQueryText(text: string): ParsedStatement[] {
   const statements = parseStatements(text);
-  if (!statements) throw new SqlFailure('42601', `syntax error in "${text.slice(0, 80)}"`);
+  if (!statements) throw new SqlError('42601', `syntax error in "${text.slice(0, 80)}"`);
   return statements;
 }
 
 async function runSimpleQuery(connection: StandInConnection, text: string): Promise<void> {
-  const statements = parseText(text);
+  const statements = parseQueryText(text);
   if (statements.length === 0) {
     await send(connection.output, buildEmptyMessage(SERVER.emptyQueryResponse));
   }
   for (const [index, statement] of statements.entries()) {
     const isLast = index === statements.length - 1;
-    const portal: Portal = { statement, parameters: [], running: undefined };
-    await runPortal(connection, portal, 0, { describesRows: true, commitsNow: isLast });
+    const portal: Portal = { statement, parameters: [], execution: undefined };
+    await runPortal(connection, portal, 0, {
+      sendsRowDescription: true,
+      commitsBeforeCompletion: isLast,
+    });
   }
-  await commitImplicit(connection);
+  await commitImplicitTransaction(connection);
   await sendReady(connection);
 }
 
@@ -187,87 +191,98 @@
   maxRows: number,
 ): Promise<void> {
   const portal = connection.portals.get(name);
-  if (!portal) throw new SqlFailure('34000', `portal "${name}" does not exist`);
+  if (!portal) throw new SqlError('34000', `portal "${name}" does not exist`);
   if (!portal.statement)
     return send(connection.output, buildEmptyMessage(SERVER.emptyQueryResponse));
-  await runPortal(connection, portal, maxRows, { describesRows: false, commitsNow: false });
+  await runPortal(connection, portal, maxRows, {
+    sendsRowDescription: false,
+    commitsBeforeCompletion: false,
+  });
 }
 
 async function runPortal(
   connection: StandInConnection,
   portal: Portal,
   maxRows: number,
-  mode: { readonly describesRows: boolean; readonly commitsNow: boolean },
+  mode: { readonly sendsRowDescription: boolean; readonly commitsBeforeCompletion: boolean },
 ): Promise<void> {
   const { statement } = portal;
   if (!statement) return;
-  if (statement.kind === 'TransactionStmt') return controlTransaction(connection, statement);
-  if (connection.hasFailed) {
-    throw new SqlFailure('25P02', 'current transaction is aborted, commands ignored');
+  if (statement.kind === 'TransactionStmt') return executeTransactionControl(connection, statement);
+  if (connection.hasTransactionFailed) {
+    throw new SqlError('25P02', 'current transaction is aborted, commands ignored');
   }
-  const { host, output } = connection;
-  await acquireSlot(host.slots);
+  const { serverContext, output } = connection;
+  await acquireSlot(serverContext.slots);
   try {
-    if (host.statementCostMs > 0) await delay(host.statementCostMs);
-    portal.running ??= runStatement(statement, contextOf(connection, portal.parameters));
-    const { result, tag } = portal.running;
-    if (result && result.sleepMs > 0) await sleepCancellable(connection, result.sleepMs);
-    if (result && mode.describesRows) await send(output, buildRowDescription(result.columns));
-    const sent = await sendRows(connection, portal.running, maxRows);
+    if (serverContext.statementCostMs > 0) await delay(serverContext.statementCostMs);
+    portal.execution ??= runStatement(
+      statement,
+      createStatementContext(connection, portal.parameters),
+    );
+    const { resultSet, tag } = portal.execution;
+    if (resultSet && resultSet.sleepMs > 0) await sleepCancellable(connection, resultSet.sleepMs);
+    if (resultSet && mode.sendsRowDescription)
+      await send(output, buildRowDescription(resultSet.columns));
+    const sent = await sendRows(connection, portal.execution, maxRows);
     if (sent === 'suspended') {
       await send(output, buildEmptyMessage(SERVER.portalSuspended));
       return;
     }
-    if (mode.commitsNow) await commitImplicit(connection);
-    const isCounted = tag === 'SELECT';
-    await send(output, buildCommandComplete(isCounted ? `SELECT ${sent}` : tag));
+    if (mode.commitsBeforeCompletion) await commitImplicitTransaction(connection);
+    const hasRowCount = tag === 'SELECT';
+    await send(output, buildCommandComplete(hasRowCount ? `SELECT ${sent}` : tag));
   } finally {
-    releaseSlot(host.slots);
+    releaseSlot(serverContext.slots);
   }
 }
 
+/**
+ * Sends up to `maxRows` rows (0: all) and returns their number, or `suspended` if the limit was
+ * reached.
+ */
 async function sendRows(
   connection: StandInConnection,
-  running: StatementResult,
+  execution: StatementResult,
   maxRows: number,
 ): Promise<number | 'suspended'> {
-  const { result } = running;
-  if (!result) return 0;
+  const { resultSet } = execution;
+  if (!resultSet) return 0;
   const cancellation = { isCancelled: false };
-  connection.cancelRunning = () => (cancellation.isCancelled = true);
+  connection.cancelStatement = () => (cancellation.isCancelled = true);
   let sent = 0;
   for (;;) {
     if (maxRows > 0 && sent >= maxRows) return 'suspended';
-    const next = result.rows.next();
+    const next = resultSet.rows.next();
     if (next.done) break;
     if (cancellation.isCancelled) {
-      throw new SqlFailure('57014', 'canceling statement due to user request');
+      throw new SqlError('57014', 'canceling statement due to user request');
     }
     sent += 1;
     await send(connection.output, buildDataRow(next.value));
   }
-  connection.cancelRunning = undefined;
+  connection.cancelStatement = undefined;
   return sent;
 }
 
-function contextOf(
+function createStatementContext(
   connection: StandInConnection,
   parameters: readonly SqlValue[],
 ): StatementContext {
   connection.transaction ??= createTransaction();
-  const { host, transaction, settings } = connection;
-  const listActivity = () => activityOf(host);
-  return { server: host.server, transaction, settings, parameters, listActivity };
+  const { serverContext, transaction, settings } = connection;
+  const listActivity = () => listConnectionActivity(serverContext);
+  return { server: serverContext.server, transaction, settings, parameters, listActivity };
 }
 
-function activityOf(host: ConnectionHost): Row[] {
-  return [...host.connections.values()].map(({ processId, isActive }) => ({
+function listConnectionActivity(serverContext: ServerContext): Row[] {
+  return [...serverContext.connections.values()].map(({ processId, isActive }) => ({
     pid: String(processId),
     state: isActive ? 'active' : 'idle',
   }));
 }
 
-async function controlTransaction(
+async function executeTransactionControl(
   connection: StandInConnection,
   { node }: ParsedStatement,
 ): Promise<void> {
@@ -276,81 +291,81 @@
     case 'TRANS_STMT_BEGIN':
     case 'TRANS_STMT_START':
       connection.transaction ??= createTransaction();
-      connection.isExplicit = true;
+      connection.isInExplicitTransaction = true;
       return send(output, buildCommandComplete('BEGIN'));
     case 'TRANS_STMT_COMMIT': {
-      const tag = connection.hasFailed ? 'ROLLBACK' : 'COMMIT';
-      const transaction = connection.hasFailed ? undefined : connection.transaction;
-      endTransaction(connection);
-      await commit(connection, transaction);
+      const tag = connection.hasTransactionFailed ? 'ROLLBACK' : 'COMMIT';
+      const transaction = connection.hasTransactionFailed ? undefined : connection.transaction;
+      clearTransaction(connection);
+      await commitTransaction(connection, transaction);
       return send(output, buildCommandComplete(tag));
     }
     case 'TRANS_STMT_ROLLBACK':
-      endTransaction(connection);
+      clearTransaction(connection);
       return send(output, buildCommandComplete('ROLLBACK'));
     default:
-      throw new SqlFailure('0A000', 'the stand-in does not support savepoints');
+      throw new SqlError('0A000', 'the stand-in does not support savepoints');
   }
 }
 
-function endTransaction(connection: StandInConnection): void {
+function clearTransaction(connection: StandInConnection): void {
   connection.transaction = undefined;
-  connection.isExplicit = false;
-  connection.hasFailed = false;
+  connection.isInExplicitTransaction = false;
+  connection.hasTransactionFailed = false;
 }
 
-async function commitImplicit(connection: StandInConnection): Promise<void> {
-  if (connection.isExplicit) return;
+async function commitImplicitTransaction(connection: StandInConnection): Promise<void> {
+  if (connection.isInExplicitTransaction) return;
   const { transaction } = connection;
-  endTransaction(connection);
-  await commit(connection, transaction);
+  clearTransaction(connection);
+  await commitTransaction(connection, transaction);
 }
 
-async function commit(
+async function commitTransaction(
   connection: StandInConnection,
   transaction: Transaction | undefined,
 ): Promise<void> {
   if (!transaction || transaction.changes.length === 0) return;
-  const position = commitChanges(connection.host.server, transaction.changes);
+  const position = commitChanges(connection.serverContext.server, transaction.changes);
   await send(connection.output, buildParameterStatus('log_position', position));
 }
 
 async function handleSync(connection: StandInConnection): Promise<void> {
-  connection.isSkipping = false;
+  connection.isSkippingUntilSync = false;
   try {
-    if (connection.hasFailed && !connection.isExplicit) endTransaction(connection);
-    await commitImplicit(connection);
+    if (connection.hasTransactionFailed && !connection.isInExplicitTransaction)
+      clearTransaction(connection);
+    await commitImplicitTransaction(connection);
   } catch (error) {
-    await reportFailure(connection, error);
+    await sendError(connection, error);
   }
-  if (!connection.isExplicit) connection.portals.clear();
+  if (!connection.isInExplicitTransaction) connection.portals.clear();
   await sendReady(connection);
 }
 
-async function reportFailure(connection: StandInConnection, error: unknown): Promise<void> {
-  const failure =
-    error instanceof SqlFailure
-      ? error
-      : new SqlFailure('XX000', `internal error: ${String(error)}`);
-  if (connection.isExplicit) connection.hasFailed = true;
-  else endTransaction(connection);
-  const { sqlState, message } = failure;
+async function sendError(connection: StandInConnection, error: unknown): Promise<void> {
+  const sqlError =
+    error instanceof SqlError ? error : new SqlError('XX000', `internal error: ${String(error)}`);
+  if (connection.isInExplicitTransaction) connection.hasTransactionFailed = true;
+  else clearTransaction(connection);
+  const { sqlState, message } = sqlError;
   await send(connection.output, buildErrorResponse({ severity: 'ERROR', sqlState, message }));
 }
 
-async function describe(connection: StandInConnection, message: WireMessage): Promise<void> {
+async function handleDescribe(connection: StandInConnection, message: WireMessage): Promise<void> {
   const { output } = connection;
   const { target, name } = readNamed(message);
-  const known = target === 'S' ? connection.statements.get(name) : connection.portals.get(name);
-  if (!known) throw new SqlFailure('26000', 'statement or portal does not exist');
-  const { statement } = known;
+  const described = target === 'S' ? connection.statements.get(name) : connection.portals.get(name);
+  if (!described) throw new SqlError('26000', 'statement or portal does not exist');
+  const { statement } = described;
   const parameterCount = countParameters(statement?.node);
   if (target === 'S') {
     const types = Array.from({ length: parameterCount }, () => 25);
     await send(output, buildParameterDescription(types));
   }
   const placeholders = Array.from({ length: parameterCount }, () => '0');
-  const columns = statement && describeStatement(statement, contextOf(connection, placeholders));
+  const columns =
+    statement && describeStatement(statement, createStatementContext(connection, placeholders));
   if (!columns) return send(output, buildEmptyMessage(SERVER.noData));
   return send(output, buildRowDescription(columns));
 }
@@ -358,13 +373,13 @@
 function sleepCancellable(connection: StandInConnection, sleepMs: number): Promise<void> {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => {
-      connection.cancelRunning = undefined;
+      connection.cancelStatement = undefined;
       resolve();
     }, sleepMs);
-    connection.cancelRunning = () => {
+    connection.cancelStatement = () => {
       clearTimeout(timer);
-      connection.cancelRunning = undefined;
-      reject(new SqlFailure('57014', 'canceling statement due to user request'));
+      connection.cancelStatement = undefined;
+      reject(new SqlError('57014', 'canceling statement due to user request'));
     };
   });
 }
--- a/packages/test-support/src/stand-in/http-json.ts
+++ b/packages/test-support/src/stand-in/http-json.ts
@@ -1,9 +1,12 @@
-/** Small JSON requests over HTTP with kept-alive connections. */
+/** JSON requests over HTTP with persistent connections. */
 import { Agent, request } from 'node:http';
 
 const agent = new Agent({ keepAlive: true, maxSockets: 16 });
 
-/** Sends a request; `undefined` when it failed, timed out or was refused. */
+/**
+ * Sends a request; resolves to `undefined` on failure, time-out, an HTTP status of 300 or above, or
+ * invalid JSON.
+ */
 export function requestJson(
   method: 'GET' | 'POST' | 'PUT',
   url: string,
@@ -16,7 +19,7 @@
       resolve(undefined);
     };
     const text = body === undefined ? '' : JSON.stringify(body);
-    const outgoing = request(
+    const outgoingRequest = request(
       url,
       {
         method,
@@ -27,19 +30,19 @@
           'content-length': Buffer.byteLength(text),
         },
       },
-      (incoming) => {
+      (response) => {
         const chunks: Buffer[] = [];
-        incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
-        incoming.on('error', fail);
-        incoming.on('end', () => {
-          const isOk = (incoming.statusCode ?? 500) < 300;
-          resolve(isOk ? parseJson(Buffer.concat(chunks).toString('utf8')) : undefined);
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', fail);
+        response.on('end', () => {
+          const isSuccess = (response.statusCode ?? 500) < 300;
+          resolve(isSuccess ? parseJson(Buffer.concat(chunks).toString('utf8')) : undefined);
         });
       },
     );
-    outgoing.setTimeout(timeoutMs, () => outgoing.destroy());
-    outgoing.on('error', fail);
-    outgoing.end(text);
+    outgoingRequest.setTimeout(timeoutMs, () => outgoingRequest.destroy());
+    outgoingRequest.on('error', fail);
+    outgoingRequest.end(text);
   });
 }
 
--- a/packages/test-support/src/stand-in/replication.ts
+++ b/packages/test-support/src/stand-in/replication.ts
@@ -1,4 +1,7 @@
-/** Asynchronous replication of the stand-in: replicas poll their primary and apply with a set lag. */
+/**
+ * Asynchronous replication of the stand-in: replicas long-poll their primary and apply entries
+ * after a set lag.
+ */
 import { setTimeout as delay } from 'node:timers/promises';
 import { requestJson } from './http-json.js';
 import type { StandInServer } from './server-state.js';
@@ -10,11 +13,12 @@
   truncateLog,
 } from './storage.js';
 
+/** Replication faults that tests inject through POST /faults. */
 export interface ReplicationFaults {
   isReplicationPaused: boolean;
 }
 
-export type ReplicationAnswer =
+export type ReplicationResponse =
   | {
       readonly kind: 'entries';
       readonly term: number;
@@ -23,41 +27,43 @@
   | { readonly kind: 'diverged' }
   | { readonly kind: 'not-primary' };
 
-const MAX_ENTRIES_PER_ANSWER = 500;
-const POLL_MS = 2;
-const LONG_POLL_MS = 100;
-const RETRY_MS = 50;
+const MAX_ENTRIES_PER_RESPONSE = 500;
+const POLL_INTERVAL_MS = 2;
+const LONG_POLL_TIMEOUT_MS = 100;
+const RETRY_DELAY_MS = 50;
 
-/** Answers a replica that has everything up to `offset`, written in `term`. */
-export function readForReplica(
+/**
+ * Returns the entries after `offset` for a replica whose last entry has this `offset` and `term`.
+ */
+export function readLogEntries(
   server: StandInServer,
   offset: number,
   term: number,
-): ReplicationAnswer {
+): ReplicationResponse {
   if (server.role !== 'primary') return { kind: 'not-primary' };
-  const hasSameLog = offset === 0 || entryAtOffset(server.storage, offset)?.term === term;
-  if (!hasSameLog) return { kind: 'diverged' };
-  const entries = server.storage.entries.slice(offset, offset + MAX_ENTRIES_PER_ANSWER);
+  const isLogMatching = offset === 0 || entryAtOffset(server.storage, offset)?.term === term;
+  if (!isLogMatching) return { kind: 'diverged' };
+  const entries = server.storage.entries.slice(offset, offset + MAX_ENTRIES_PER_RESPONSE);
   return { kind: 'entries', term: server.storage.terms.term, entries };
 }
 
-/** Like {@link readForReplica}, but waits a little for new entries. */
-export async function awaitForReplica(
+/** Like {@link readLogEntries}, but waits up to `LONG_POLL_TIMEOUT_MS` for new entries. */
+export async function waitForLogEntries(
   server: StandInServer,
   offset: number,
   term: number,
-): Promise<ReplicationAnswer> {
-  const untilMs = Date.now() + LONG_POLL_MS;
+): Promise<ReplicationResponse> {
+  const deadlineMs = Date.now() + LONG_POLL_TIMEOUT_MS;
   for (;;) {
-    const answer = readForReplica(server, offset, term);
-    const isEmpty = answer.kind === 'entries' && answer.entries.length === 0;
-    if (!isEmpty || Date.now() >= untilMs) return answer;
-    await delay(POLL_MS);
+    const response = readLogEntries(server, offset, term);
+    const isEmpty = response.kind === 'entries' && response.entries.length === 0;
+    if (!isEmpty || Date.now() >= deadlineMs) return response;
+    await delay(POLL_INTERVAL_MS);
   }
 }
 
-/** Runs the replica side until the process ends. */
-export async function replicate(
+/** Pulls entries from the primary while this server is a replica; never returns. */
+export async function runReplication(
   server: StandInServer,
   lagMs: number,
   faults: ReplicationFaults,
@@ -65,15 +71,15 @@
   for (;;) {
     const isIdle = server.role !== 'replica' || server.primaryCommandUrl === undefined;
     if (isIdle || faults.isReplicationPaused) {
-      await delay(RETRY_MS);
+      await delay(RETRY_DELAY_MS);
       continue;
     }
-    const isOk = await pullOnce(server, lagMs, faults);
-    if (!isOk) await delay(RETRY_MS);
+    const hasSucceeded = await pullEntries(server, lagMs, faults);
+    if (!hasSucceeded) await delay(RETRY_DELAY_MS);
   }
 }
 
-async function pullOnce(
+async function pullEntries(
   server: StandInServer,
   lagMs: number,
   faults: ReplicationFaults,
@@ -82,14 +88,15 @@
   const { term } = storage.terms;
   const last = lastEntry(storage);
   const url = `${primaryCommandUrl ?? ''}/log?after=${last.offset}&term=${last.term}`;
-  const answer = (await requestJson('GET', url, undefined, 2_000)) as ReplicationAnswer | undefined;
-  if (!answer || answer.kind === 'not-primary') return false;
-  if (answer.kind === 'diverged') {
+  const response = (await requestJson('GET', url, undefined, 2_000)) as
+    ReplicationResponse | undefined;
+  if (!response || response.kind === 'not-primary') return false;
+  if (response.kind === 'diverged') {
     truncateLog(storage, last.offset - 1);
     return true;
   }
-  if (answer.term !== term) return false;
-  for (const entry of answer.entries) {
+  if (response.term !== term) return false;
+  for (const entry of response.entries) {
     const dueInMs = entry.committedAtMs + lagMs - Date.now();
     if (dueInMs > 0) await delay(dueInMs);
     const mayApply =
--- a/packages/test-support/src/stand-in/server-state.ts
+++ b/packages/test-support/src/stand-in/server-state.ts
@@ -1,6 +1,6 @@
 /** Role, terms and commits of one stand-in server. */
 import type { TargetCommand } from '@bramleykeel/core';
-import { SqlFailure } from './sql-failure.js';
+import { SqlError } from './sql-error.js';
 import { appendEntry, lastEntry, type RowChange, saveTerms, type Storage } from './storage.js';
 
 export interface StandInServer {
@@ -22,33 +22,37 @@
   };
 }
 
-/** Tells whether the server may commit: it is the primary, and no newer term was promised. */
+/** Returns whether the server may commit: it is the primary and has not promised a newer term. */
 export function mayCommit(server: StandInServer): boolean {
   const { term, promisedTerm } = server.storage.terms;
   return server.role === 'primary' && promisedTerm <= term;
 }
 
-/** Commits changes as one log entry and returns its position as `term/offset`. */
+/**
+ * Commits changes as one log entry and returns its position as `term/offset`.
+ *
+ * @throws SqlError if the server may not commit (25006) or a key exists already (23505)
+ */
 export function commitChanges(server: StandInServer, changes: readonly RowChange[]): string {
   if (!mayCommit(server)) {
-    throw new SqlFailure('25006', 'cannot execute a write in a read-only transaction');
+    throw new SqlError('25006', 'cannot execute a write in a read-only transaction');
   }
-  rejectDuplicates(server.storage, changes);
-  return appendNext(server, changes);
+  rejectDuplicateKeys(server.storage, changes);
+  return appendNextEntry(server, changes);
 }
 
-function rejectDuplicates(storage: Storage, changes: readonly RowChange[]): void {
+function rejectDuplicateKeys(storage: Storage, changes: readonly RowChange[]): void {
   for (const change of changes) {
     if (change.kind !== 'insert') continue;
     if (!storage.tables.get(change.table)?.rows.has(change.key)) continue;
-    throw new SqlFailure(
+    throw new SqlError(
       '23505',
       `duplicate key value violates unique constraint of ${change.table}`,
     );
   }
 }
 
-function appendNext(server: StandInServer, changes: readonly RowChange[]): string {
+function appendNextEntry(server: StandInServer, changes: readonly RowChange[]): string {
   const { storage } = server;
   const { term } = storage.terms;
   const offset = lastEntry(storage).offset + 1;
@@ -56,8 +60,11 @@
   return `${term}/${offset}`;
 }
 
-/** Carries out a command; the answer always shows the promised term and the end of the log. */
-export function runCommand(server: StandInServer, command: TargetCommand) {
+/**
+ * Executes a command, unless its term is older than the promised term. The response always contains
+ * the promised term and the position of the last log entry.
+ */
+export function executeCommand(server: StandInServer, command: TargetCommand) {
   const { storage } = server;
   const { promisedTerm, term } = storage.terms;
   if (command.term >= promisedTerm) {
@@ -79,12 +86,14 @@
   return { promisedTerm: storage.terms.promisedTerm, position: lastEntry(storage) };
 }
 
-/** Takes the primary role; a repeated command for the same term changes nothing. */
+/**
+ * Takes the primary role in a term; has no effect if the server is already primary in this term.
+ */
 export function promote(server: StandInServer, term: number): void {
   if (server.role === 'primary' && server.storage.terms.term === term) return;
   saveTerms(server.storage, { promisedTerm: term, term });
   server.role = 'primary';
   server.primaryCommandUrl = undefined;
-  appendNext(server, []);
+  appendNextEntry(server, []);
   server.onRoleChange();
 }
--- a/packages/test-support/src/stand-in/slots.ts
+++ b/packages/test-support/src/stand-in/slots.ts
@@ -1,24 +1,24 @@
-/** A counting semaphore for the statements that a stand-in server runs at a time. */
+/** A counting semaphore that limits how many statements a stand-in server runs concurrently. */
 
 export interface Slots {
-  free: number;
-  readonly waiting: (() => void)[];
+  freeCount: number;
+  readonly waiters: (() => void)[];
 }
 
 export function createSlots(count: number): Slots {
-  return { free: count, waiting: [] };
+  return { freeCount: count, waiters: [] };
 }
 
 export function acquireSlot(slots: Slots): Promise<void> {
-  if (slots.free > 0) {
-    slots.free -= 1;
+  if (slots.freeCount > 0) {
+    slots.freeCount -= 1;
     return Promise.resolve();
   }
-  return new Promise((resolve) => slots.waiting.push(resolve));
+  return new Promise((resolve) => slots.waiters.push(resolve));
 }
 
 export function releaseSlot(slots: Slots): void {
-  const next = slots.waiting.shift();
+  const next = slots.waiters.shift();
   if (next) next();
-  else slots.free += 1;
+  else slots.freeCount += 1;
 }
--- a/packages/test-support/src/stand-in/sql-failure.ts
+++ b/packages/test-support/src/stand-in/sql-error.ts
@@ -1,5 +1,5 @@
-/** An error that a statement of the stand-in ends with. */
-export class SqlFailure extends Error {
+/** An error that the stand-in reports to the client with an SQLSTATE code. */
+export class SqlError extends Error {
   readonly sqlState: string;
 
   constructor(sqlState: string, message: string) {
--- a/packages/test-support/src/stand-in/stand-in-server.ts
+++ b/packages/test-support/src/stand-in/stand-in-server.ts
@@ -1,4 +1,4 @@
-/** Wires one stand-in server: PostgreSQL port, command port, replication and announcements. */
+/** Starts one stand-in server: PostgreSQL port, command port, replication and announcements. */
 import { randomUUID } from 'node:crypto';
 import { createServer as createHttpServer, type IncomingMessage } from 'node:http';
 import { createServer as createTcpServer, type Server } from 'node:net';
@@ -6,9 +6,9 @@
 import { loadSyntax } from '@bramleykeel/postgres-wire';
 import { startAnnouncer } from './announcer.js';
 import { serveConnection } from './connection.js';
-import type { ConnectionHost } from './connection-state.js';
-import { awaitForReplica, replicate, type ReplicationFaults } from './replication.js';
-import { createStandInServer, promote, runCommand } from './server-state.js';
+import type { ServerContext } from './connection-state.js';
+import { type ReplicationFaults, runReplication, waitForLogEntries } from './replication.js';
+import { createStandInServer, executeCommand, promote } from './server-state.js';
 import { createSlots } from './slots.js';
 import { appendEntry, lastEntry, openStorage, saveTerms } from './storage.js';
 
@@ -17,15 +17,15 @@
   readonly server: string;
   readonly zone: string;
   readonly address: string;
-  /** The address that is announced, when a relay stands before the server. */
+  /** The address to announce; differs from `address` if clients connect through a relay. */
   readonly announcedAddress: string;
   readonly commandAddress: string;
   readonly announceUrls: readonly string[];
   readonly announceToken: string | undefined;
-  readonly announceEveryMs: number;
+  readonly announceIntervalMs: number;
   readonly dataFolder: string | undefined;
   readonly isFirstPrimary: boolean;
-  /** Command address of the primary to follow at first. */
+  /** Command URL of the primary to follow on the first start. */
   readonly followUrl: string | undefined;
   readonly lagMs: number;
   readonly slots: number;
@@ -33,30 +33,30 @@
   readonly connectCostMs: number;
   readonly statementCostMs: number;
   readonly password: string;
-  /** Statements that create the tables of a new primary. */
-  readonly createsBookings: boolean;
+  /** Whether a new first primary creates the `bookings` table. */
+  readonly createsBookingsTable: boolean;
 }
 
 interface Faults extends ReplicationFaults {
   areAnnouncementsPaused: boolean;
 }
 
-/** Starts the server; resolves once both ports are open. */
+/** Starts the server; resolves once both ports are listening. */
 export async function startStandIn(options: StandInOptions): Promise<void> {
   await loadSyntax();
   const storage = openStorage(options.dataFolder);
   const server = createStandInServer(storage);
   const faults: Faults = { isReplicationPaused: false, areAnnouncementsPaused: false };
-  const isNew = storage.terms.term === 0;
-  if (isNew && options.isFirstPrimary) {
+  const isNewStorage = storage.terms.term === 0;
+  if (isNewStorage && options.isFirstPrimary) {
     promote(server, 1);
-    if (options.createsBookings) createBookings();
+    if (options.createsBookingsTable) createBookingsTable();
   }
-  if (isNew && !options.isFirstPrimary) {
+  if (isNewStorage && !options.isFirstPrimary) {
     saveTerms(storage, { promisedTerm: 1, term: 1 });
     server.primaryCommandUrl = options.followUrl;
   }
-  const host: ConnectionHost = {
+  const serverContext: ServerContext = {
     server,
     slots: createSlots(options.slots),
     password: options.password,
@@ -67,29 +67,29 @@
     nextProcessId: 1_000,
   };
   const tcpServer = createTcpServer((socket) => {
-    serveConnection(socket, host);
+    serveConnection(socket, serverContext);
   });
   await listen(tcpServer, options.address);
   const httpServer = createHttpServer((request, response) => {
-    void answerCommand(request).then((answer) => {
+    void handleCommandRequest(request).then((result) => {
       response.setHeader('content-type', 'application/json');
-      response.end(JSON.stringify(answer ?? null));
+      response.end(JSON.stringify(result ?? null));
     });
   });
   await listen(httpServer, options.commandAddress);
-  void replicate(server, options.lagMs, faults);
+  void runReplication(server, options.lagMs, faults);
   const incarnation = randomUUID();
   let sequence = 0;
   const announcer = startAnnouncer({
     urls: options.announceUrls,
     token: options.announceToken,
-    everyMs: options.announceEveryMs,
-    coalesceMs: 1,
+    intervalMs: options.announceIntervalMs,
+    coalesceDelayMs: 1,
     createAnnouncement,
     isPaused: () => faults.areAnnouncementsPaused,
   });
-  storage.onChange = announcer.announceSoon;
-  server.onRoleChange = announcer.announceSoon;
+  storage.onChange = announcer.scheduleAnnouncement;
+  server.onRoleChange = announcer.scheduleAnnouncement;
 
   function createAnnouncement() {
     sequence += 1;
@@ -110,7 +110,7 @@
     };
   }
 
-  function createBookings(): void {
+  function createBookingsTable(): void {
     const columns = ['id', 'lens'].map((name) => ({ name, typeId: 25 }));
     const table = { name: 'bookings', columns, primaryKey: 'id' };
     const { term, offset } = lastEntry(storage);
@@ -118,24 +118,24 @@
     appendEntry(storage, { term, offset: offset + 1, committedAtMs: Date.now(), changes });
   }
 
-  async function answerCommand(request: IncomingMessage): Promise<unknown> {
+  async function handleCommandRequest(request: IncomingMessage): Promise<unknown> {
     const url = new URL(request.url ?? '/', 'http://stand-in');
     const body = await readBody(request);
     switch (`${request.method ?? ''} ${url.pathname}`) {
       case 'GET /log': {
         const after = Number(url.searchParams.get('after') ?? '0');
-        return awaitForReplica(server, after, Number(url.searchParams.get('term') ?? '0'));
+        return waitForLogEntries(server, after, Number(url.searchParams.get('term') ?? '0'));
       }
       case 'GET /entries':
         return { role: server.role, terms: storage.terms, entries: storage.entries };
       case 'POST /command':
-        return runCommand(server, JSON.parse(body) as TargetCommand);
+        return executeCommand(server, JSON.parse(body) as TargetCommand);
       case 'POST /faults':
         Object.assign(faults, JSON.parse(body));
         return faults;
       case 'POST /leave':
         server.isLeaving = true;
-        announcer.announceSoon();
+        announcer.scheduleAnnouncement();
         return { isLeaving: true };
       default:
         return { error: 'unknown command' };
--- a/packages/test-support/src/stand-in/storage.ts
+++ b/packages/test-support/src/stand-in/storage.ts
@@ -1,4 +1,6 @@
-/** The stand-in's tables, replicated log and term state, kept in memory and in an optional folder. */
+/**
+ * Tables, replicated log and terms of the stand-in, in memory and optionally persisted in a folder.
+ */
 import { appendFileSync, existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
@@ -43,11 +45,11 @@
   entries: StandInLogEntry[];
   tables: Map<string, Table>;
   terms: TermState;
-  /** Called after each change of the log or the terms. */
+  /** Called after each change to the log or the terms. */
   onChange: () => void;
 }
 
-/** Opens the storage; what an earlier process of the same folder committed is read back. */
+/** Opens the storage and loads the log and terms persisted in the folder, if any. */
 export function openStorage(folder: string | undefined): Storage {
   const storage: Storage = {
     folder,
@@ -75,7 +77,7 @@
   return last ? { term: last.term, offset: last.offset } : { term: 0, offset: 0 };
 }
 
-/** The entry at a log offset; offsets start at 1 and have no gaps. */
+/** Returns the entry at a log offset. Offsets start at 1 and are contiguous. */
 export function entryAtOffset(storage: Storage, offset: number): StandInLogEntry | undefined {
   return storage.entries[offset - 1];
 }
@@ -96,7 +98,7 @@
   storage.onChange();
 }
 
-/** Cuts the log after `offset` and builds the tables anew: a diverged tail is dropped. */
+/** Discards the log entries after `offset`, to remove a diverged tail, and rebuilds the tables. */
 export function truncateLog(storage: Storage, offset: number): void {
   const kept = storage.entries.slice(0, offset);
   storage.entries = [];
--- a/packages/test-support/src/stand-in/transaction.ts
+++ b/packages/test-support/src/stand-in/transaction.ts
@@ -1,4 +1,7 @@
-/** Transactions of the stand-in: changes are held back and seen only by their own connection. */
+/**
+ * Transactions of the stand-in: uncommitted changes are buffered and visible only to their own
+ * connection.
+ */
 import type { Row, RowChange, Storage, TableDefinition } from './storage.js';
 
 export interface Transaction {
@@ -20,19 +23,22 @@
   return storage.tables.get(name)?.definition;
 }
 
-/** The rows of a table as the transaction sees them: committed ones under its own changes. */
+/**
+ * Returns the rows of a table visible to the transaction: committed rows with its own changes
+ * applied.
+ */
 export function visibleRows(
   storage: Storage,
   transaction: Transaction,
   table: string,
 ): Map<string, Row> {
   const committed = storage.tables.get(table)?.rows ?? new Map<string, Row>();
-  const own = transaction.changes.filter(
+  const ownChanges = transaction.changes.filter(
     (change) => change.kind !== 'create' && change.table === table,
   );
-  if (own.length === 0) return committed;
+  if (ownChanges.length === 0) return committed;
   const rows = new Map(committed);
-  for (const change of own) {
+  for (const change of ownChanges) {
     if (change.kind === 'create') continue;
     if (change.kind === 'delete') rows.delete(change.key);
     else rows.set(change.key, change.row);
--- a/packages/test-support/src/tcp-relay.ts
+++ b/packages/test-support/src/tcp-relay.ts
@@ -1,42 +1,44 @@
-/** A TCP relay whose open connections can be made to go silent while new ones work. */
+/**
+ * A TCP relay that can stop forwarding on its open connections while new connections keep working.
+ */
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import { splitAddress } from '@bramleykeel/core';
 
 export interface TcpRelay {
-  /** Swallows everything on the connections that are open now, without closing them. */
+  /** Discards all further data on the currently open connections, without closing them. */
   readonly silenceOpenConnections: () => void;
   readonly connectionCount: () => number;
   readonly close: () => Promise<void>;
 }
 
-interface RelayedPair {
-  readonly near: Socket;
-  readonly far: Socket;
+interface RelayedConnection {
+  readonly clientSocket: Socket;
+  readonly targetSocket: Socket;
   isSilent: boolean;
 }
 
-/** Listens on `address` and passes every connection on to `target`. */
+/** Listens on `address` and forwards each connection to `target`. */
 export async function startTcpRelay(address: string, target: string): Promise<TcpRelay> {
-  const pairs = new Set<RelayedPair>();
-  const server = createServer((near) => {
-    const far = createConnection(splitAddress(target));
-    const pair: RelayedPair = { near, far, isSilent: false };
-    pairs.add(pair);
-    passOn(pair, near, far);
-    passOn(pair, far, near);
-    near.on('close', () => pairs.delete(pair));
+  const connections = new Set<RelayedConnection>();
+  const server = createServer((clientSocket) => {
+    const targetSocket = createConnection(splitAddress(target));
+    const connection: RelayedConnection = { clientSocket, targetSocket, isSilent: false };
+    connections.add(connection);
+    forwardData(connection, clientSocket, targetSocket);
+    forwardData(connection, targetSocket, clientSocket);
+    clientSocket.on('close', () => connections.delete(connection));
   });
   await listen(server, address);
   return {
     silenceOpenConnections: () => {
-      for (const pair of pairs) pair.isSilent = true;
+      for (const connection of connections) connection.isSilent = true;
     },
-    connectionCount: () => pairs.size,
+    connectionCount: () => connections.size,
     close: () =>
       new Promise((resolve) => {
-        for (const { near, far } of pairs) {
-          near.destroy();
-          far.destroy();
+        for (const { clientSocket, targetSocket } of connections) {
+          clientSocket.destroy();
+          targetSocket.destroy();
         }
         server.close(() => {
           resolve();
@@ -45,13 +47,13 @@
   };
 }
 
-function passOn(pair: RelayedPair, from: Socket, to: Socket): void {
+function forwardData(connection: RelayedConnection, from: Socket, to: Socket): void {
   from.on('error', () => undefined);
   from.on('data', (chunk) => {
-    if (!pair.isSilent) to.write(chunk);
+    if (!connection.isSilent) to.write(chunk);
   });
   from.on('close', () => {
-    if (!pair.isSilent) to.destroy();
+    if (!connection.isSilent) to.destroy();
   });
 }
 
