Reword comments and names of the dev-launcher package

Renamed exports: requiredPorts to requiredPortCount and customerChanges to createCustomerChanges. Local names: hasEarlierCluster to hasExistingMemberData, argumentsOf to processArguments, runToEnd to runToCompletion, stopOne to stopProcess, numbered to numbersUpTo, zoneOf to zoneForIndex, listenOn to tryListen.

--- a/packages/bench/src/bench-cluster.ts
+++ b/packages/bench/src/bench-cluster.ts
@@ -8,7 +8,7 @@
   type Cluster,
   type ClusterOptions,
   planCluster,
-  requiredPorts,
+  requiredPortCount,
   reservePorts,
   startCluster,
 } from '@bramleykeel/dev-launcher';
@@ -53,7 +53,7 @@
 ): Promise<Result> {
   const dataFolder = mkdtempSync(join(tmpdir(), 'bramleykeel-bench-'));
   const options = { ...DEFAULT_SIZES, ...sizes, dataFolder };
-  const ports = await reservePorts(requiredPorts(options));
+  const ports = await reservePorts(requiredPortCount(options));
   const cluster = await startCluster(planCluster({ ...options, ports }));
   try {
     await awaitService(cluster);
--- a/packages/dev-launcher/src/cluster-plan.ts
+++ b/packages/dev-launcher/src/cluster-plan.ts
@@ -1,4 +1,4 @@
-/** Plan of a development cluster: addresses, settings files and customers, before anything starts. */
+/** Plans a development cluster before it starts: addresses, settings files and customers. */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { createSecret, hashSecret } from '@bramleykeel/core';
@@ -9,7 +9,7 @@
   readonly entryCount: number;
   readonly groups: readonly string[];
   readonly serversPerGroup: number;
-  /** Whether servers announce a relay address, for tests that start relays themselves. */
+  /** Whether servers announce the address of a relay. The caller has to start the relays. */
   readonly hasServerRelays: boolean;
   readonly lagMs: number;
   readonly slots: number;
@@ -17,9 +17,9 @@
   readonly connectCostMs: number;
   readonly statementCostMs: number;
   readonly customers: readonly CustomerPlan[];
-  /** TOML added to every entry's settings file. */
+  /** TOML appended to the settings file of each entry. */
   readonly extraEntryToml: string;
-  /** Ports to use, one for each listener, from {@link requiredPorts} on. */
+  /** Ports to use, one per listener; {@link requiredPortCount} returns how many are needed. */
   readonly ports: readonly number[];
 }
 
@@ -49,7 +49,7 @@
   readonly group: string;
   readonly server: string;
   readonly address: string;
-  /** The address that the server announces: its own, or that of a relay before it. */
+  /** The address that the server announces: its own, or that of the relay in front of it. */
   readonly announcedAddress: string;
   readonly commandAddress: string;
   readonly args: readonly string[];
@@ -63,59 +63,65 @@
   readonly operatorTokenFile: string;
   readonly operatorToken: string;
   readonly linkSecret: string;
+  /** API keys by customer name. */
   readonly keys: ReadonlyMap<string, string>;
 }
 
-const PORTS_PER_CONTROL = 2;
+const PORTS_PER_CONTROL_MEMBER = 2;
 const PORTS_PER_ENTRY = 3;
 const PORTS_PER_SERVER = 3;
 
-/** Number of ports that a cluster of this size listens on. */
-export function requiredPorts(options: Omit<ClusterOptions, 'ports'>): number {
+/** Returns the number of ports that a cluster of this size needs. */
+export function requiredPortCount(options: Omit<ClusterOptions, 'ports'>): number {
   const servers = options.groups.length * options.serversPerGroup;
   return (
-    options.controlCount * PORTS_PER_CONTROL +
+    options.controlCount * PORTS_PER_CONTROL_MEMBER +
     options.entryCount * PORTS_PER_ENTRY +
     servers * PORTS_PER_SERVER
   );
 }
 
-/** Writes all settings files below the data folder and returns the plan. */
+/**
+ * Creates the data folder, writes the operator token and all settings files to it and returns the
+ * plan.
+ */
 export function planCluster(options: ClusterOptions): ClusterPlan {
   const ports = [...options.ports];
-  const nextAddress = () => `127.0.0.1:${ports.shift() ?? 0}`;
+  const takeNextAddress = () => `127.0.0.1:${ports.shift() ?? 0}`;
   mkdirSync(options.dataFolder, { recursive: true });
   const linkSecret = createSecret();
   const operatorToken = createSecret();
   const operatorTokenFile = join(options.dataFolder, 'operator-token');
   writeFileSync(operatorTokenFile, `${operatorToken}\n`, { mode: 0o600 });
-  const control = numbered(options.controlCount).map((number) => ({
+  const control = numbersUpTo(options.controlCount).map((number) => ({
     id: `control-${number}`,
-    linkAddress: nextAddress(),
-    adminAddress: nextAddress(),
+    linkAddress: takeNextAddress(),
+    adminAddress: takeNextAddress(),
     settingsFile: join(options.dataFolder, `control-${number}.toml`),
   }));
-  const entries = numbered(options.entryCount).map((number) => {
-    const callerAddress = nextAddress();
+  const entries = numbersUpTo(options.entryCount).map((number) => {
+    const callerAddress = takeNextAddress();
     return {
       id: `entry-${number}`,
       callerPort: Number(callerAddress.split(':')[1]),
-      linkAddress: nextAddress(),
-      announceAddress: nextAddress(),
+      linkAddress: takeNextAddress(),
+      announceAddress: takeNextAddress(),
       settingsFile: join(options.dataFolder, `entry-${number}.toml`),
     };
   });
-  const shared = [membersToml(control), `[link]\nsecret = "${linkSecret}"\n`].join('\n');
+  const shared = [formatMembersToml(control), `[link]\nsecret = "${linkSecret}"\n`].join('\n');
   for (const member of control) {
-    const own = controlToml(member, options.dataFolder, hashSecret(operatorToken));
+    const own = formatControlToml(member, options.dataFolder, hashSecret(operatorToken));
     writeFileSync(member.settingsFile, `${own}\n${shared}`);
   }
   for (const [index, entry] of entries.entries()) {
-    const own = entryToml(entry, zoneOf(index));
+    const own = formatEntryToml(entry, zoneForIndex(index));
     writeFileSync(entry.settingsFile, `${own}\n${shared}\n${options.extraEntryToml}`);
   }
-  const urls = entries.map(({ announceAddress }) => `http://${announceAddress}/announce`);
-  const servers = options.groups.flatMap((group) => planGroup(group, options, urls, nextAddress));
+  const announceUrls = entries.map(({ announceAddress }) => `http://${announceAddress}/announce`);
+  const servers = options.groups.flatMap((group) =>
+    planGroup(group, options, announceUrls, takeNextAddress),
+  );
   const keys = new Map(options.customers.map(({ name }) => [name, createSecret()]));
   return { options, control, entries, servers, operatorTokenFile, operatorToken, linkSecret, keys };
 }
@@ -124,22 +130,24 @@
   group: string,
   options: ClusterOptions,
   announceUrls: readonly string[],
-  nextAddress: () => string,
+  takeNextAddress: () => string,
 ): ServerPlan[] {
-  const places = numbered(options.serversPerGroup).map((number) => ({
+  const serverAddresses = numbersUpTo(options.serversPerGroup).map((number) => ({
     server: `${group}-${number}`,
-    address: nextAddress(),
-    relayAddress: nextAddress(),
-    commandAddress: nextAddress(),
+    address: takeNextAddress(),
+    relayAddress: takeNextAddress(),
+    commandAddress: takeNextAddress(),
   }));
-  const [first] = places;
-  return places.map(({ server, address, relayAddress, commandAddress }, index) => {
+  const [firstServer] = serverAddresses;
+  return serverAddresses.map(({ server, address, relayAddress, commandAddress }, index) => {
     const announcedAddress = options.hasServerRelays ? relayAddress : address;
-    const role =
-      index === 0 ? ['--first-primary'] : ['--follow-url', `http://${first?.commandAddress ?? ''}`];
+    const roleArgs =
+      index === 0
+        ? ['--first-primary']
+        : ['--follow-url', `http://${firstServer?.commandAddress ?? ''}`];
     const { lagMs, slots, connections, connectCostMs, statementCostMs } = options;
     const args = [
-      ...['--group', group, '--server', server, '--zone', zoneOf(index)],
+      ...['--group', group, '--server', server, '--zone', zoneForIndex(index)],
       ...['--address', address, '--announced-address', announcedAddress],
       ...['--command-address', commandAddress],
       ...announceUrls.flatMap((url) => ['--announce-url', url]),
@@ -147,14 +155,14 @@
       ...['--slots', String(slots), '--connections', String(connections)],
       ...['--connect-cost-ms', String(connectCostMs)],
       ...['--statement-cost-ms', String(statementCostMs)],
-      ...role,
+      ...roleArgs,
     ];
     return { group, server, address, announcedAddress, commandAddress, args };
   });
 }
 
-/** Settings that give each customer of the plan its rate and key. */
-export function customerChanges(plan: ClusterPlan) {
+/** Returns the settings changes that set the rate and key of each customer in the plan. */
+export function createCustomerChanges(plan: ClusterPlan) {
   return plan.options.customers.flatMap(({ name, ...rate }) => {
     const sha256Hex = hashSecret(plan.keys.get(name) ?? '');
     return [
@@ -164,7 +172,11 @@
   });
 }
 
-function controlToml(member: ControlPlan, dataFolder: string, tokenSha256Hex: string): string {
+function formatControlToml(
+  member: ControlPlan,
+  dataFolder: string,
+  tokenSha256Hex: string,
+): string {
   return [
     '[control]',
     `id = "${member.id}"`,
@@ -174,7 +186,7 @@
   ].join('\n');
 }
 
-function entryToml(entry: EntryPlan, zone: string): string {
+function formatEntryToml(entry: EntryPlan, zone: string): string {
   return [
     '[entry]',
     `id = "${entry.id}"`,
@@ -186,7 +198,7 @@
   ].join('\n');
 }
 
-function membersToml(members: readonly ControlPlan[]): string {
+function formatMembersToml(members: readonly ControlPlan[]): string {
   return members
     .map(({ id, linkAddress, adminAddress }) =>
       [
@@ -200,10 +212,10 @@
     .join('\n');
 }
 
-function zoneOf(index: number): string {
+function zoneForIndex(index: number): string {
   return `zone-${String.fromCharCode('a'.charCodeAt(0) + (index % 3))}`;
 }
 
-function numbered(count: number): number[] {
+function numbersUpTo(count: number): number[] {
   return Array.from({ length: count }, (_, index) => index + 1);
 }
--- a/packages/dev-launcher/src/cluster.ts
+++ b/packages/dev-launcher/src/cluster.ts
@@ -4,91 +4,94 @@
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
-import { type ClusterPlan, customerChanges } from './cluster-plan.js';
+import { type ClusterPlan, createCustomerChanges } from './cluster-plan.js';
 
 export interface Cluster {
   readonly plan: ClusterPlan;
   readonly processes: Map<string, ChildProcess>;
-  /** Starts a process of the plan by its name, as `entry-1`, `control-2` or `bookings-3`. */
+  /** Starts a process of the plan by name, such as `entry-1`, `control-2` or `bookings-3`. */
   readonly start: (name: string) => Promise<void>;
   readonly signal: (name: string, signal: NodeJS.Signals) => void;
-  /** Waits until a process has ended; returns its exit status. */
+  /** Waits until a process has exited; returns its exit status. */
   readonly awaitExit: (name: string) => Promise<number | null>;
   readonly stopAll: () => Promise<void>;
 }
 
 const READY_TIMEOUT_MS = 15_000;
 const STOP_TIMEOUT_MS = 15_000;
-const CALL_RETRY_MS = 100;
-const CALL_ATTEMPTS = 150;
+const CALL_RETRY_DELAY_MS = 100;
+const MAX_CALL_ATTEMPTS = 150;
 
-function packageFile(file: string): string {
+function resolvePackageFile(file: string): string {
   return fileURLToPath(new URL(`../../${file}`, import.meta.url));
 }
 
-const DAEMON = packageFile('bramleykeel/dist/main.js');
-const STAND_IN = packageFile('test-support/dist/stand-in-main.js');
+const DAEMON_SCRIPT = resolvePackageFile('bramleykeel/dist/main.js');
+const STAND_IN_SCRIPT = resolvePackageFile('test-support/dist/stand-in-main.js');
 
-/** Starts everything and gives the customers their rates and keys. */
+/** Starts all processes of the plan and applies the customers' rates and keys. */
 export async function startCluster(plan: ClusterPlan): Promise<Cluster> {
   const cluster = createCluster(plan);
-  if (!hasEarlierCluster(plan)) {
+  if (!hasExistingMemberData(plan)) {
     for (const { settingsFile } of plan.control) {
-      await runToEnd([DAEMON, 'init', '--settings', settingsFile]);
+      await runToCompletion([DAEMON_SCRIPT, 'init', '--settings', settingsFile]);
     }
   }
   await Promise.all(plan.control.map(({ id }) => cluster.start(id)));
   await Promise.all(plan.entries.map(({ id }) => cluster.start(id)));
   await Promise.all(plan.servers.map(({ server }) => cluster.start(server)));
-  if (plan.options.customers.length > 0) await applySettings(plan, customerChanges(plan));
+  if (plan.options.customers.length > 0) await applySettings(plan, createCustomerChanges(plan));
   return cluster;
 }
 
-/** Only a whole new cluster is set up: a member whose folder alone is missing has lost its disk. */
-function hasEarlierCluster({ options, control }: ClusterPlan): boolean {
+/**
+ * Returns whether any control member has a data folder. Only a new cluster, in which none has one,
+ * is initialised: a member whose folder alone is missing has lost its disk.
+ */
+function hasExistingMemberData({ options, control }: ClusterPlan): boolean {
   return control.some(({ id }) => existsSync(join(options.dataFolder, id)));
 }
 
-/** What a process prints once it serves; its log lines stand on the same output. */
+/** Line that a process prints to stdout once it is ready; stdout may contain log lines too. */
 const READY_LINE = /^(entry|control|stand-in) \S+ ready$/;
 
-/** Describes a cluster whose processes are started one by one. */
+/** Creates a cluster without starting its processes. */
 export function createCluster(plan: ClusterPlan): Cluster {
   const processes = new Map<string, ChildProcess>();
   const logFile = join(plan.options.dataFolder, 'processes.log');
   return { plan, processes, start, signal, awaitExit, stopAll };
 
-  function argumentsOf(name: string): readonly string[] {
+  function processArguments(name: string): readonly string[] {
     const member = plan.control.find(({ id }) => id === name);
-    if (member) return [DAEMON, 'control', '--settings', member.settingsFile];
+    if (member) return [DAEMON_SCRIPT, 'control', '--settings', member.settingsFile];
     const entry = plan.entries.find(({ id }) => id === name);
-    if (entry) return [DAEMON, 'entry', '--settings', entry.settingsFile];
+    if (entry) return [DAEMON_SCRIPT, 'entry', '--settings', entry.settingsFile];
     const server = plan.servers.find((candidate) => candidate.server === name);
-    if (server) return [STAND_IN, ...server.args];
-    throw new Error(`no process is named ${name}`);
+    if (server) return [STAND_IN_SCRIPT, ...server.args];
+    throw new Error(`the plan has no process named ${name}`);
   }
 
   function start(name: string): Promise<void> {
-    const child = spawn(process.execPath, [...argumentsOf(name)], {
+    const child = spawn(process.execPath, [...processArguments(name)], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, DEBUG: process.env.DEBUG ?? 'bramleykeel:*' },
     });
     processes.set(name, child);
     return new Promise((resolve, reject) => {
       const timer = setTimeout(() => {
-        reject(new Error(`${name} did not get ready in time; see ${logFile}`));
+        reject(new Error(`${name} was not ready in time; see ${logFile}`));
       }, READY_TIMEOUT_MS);
       child.once('exit', (code) => {
         clearTimeout(timer);
         if (processes.get(name) === child) processes.delete(name);
-        reject(new Error(`${name} ended with status ${code ?? 'none'}; see ${logFile}`));
+        reject(new Error(`${name} exited with status ${code ?? 'none'}; see ${logFile}`));
       });
-      const keep = (line: string) => {
+      const appendToLog = (line: string) => {
         appendFileSync(logFile, `${name} ${line}\n`);
       };
-      createInterface({ input: child.stderr }).on('line', keep);
+      createInterface({ input: child.stderr }).on('line', appendToLog);
       createInterface({ input: child.stdout }).on('line', (line) => {
-        keep(line);
+        appendToLog(line);
         if (!READY_LINE.test(line)) return;
         clearTimeout(timer);
         resolve();
@@ -96,8 +99,8 @@
     });
   }
 
-  function signal(name: string, name_: NodeJS.Signals): void {
-    processes.get(name)?.kill(name_);
+  function signal(name: string, signalName: NodeJS.Signals): void {
+    processes.get(name)?.kill(signalName);
   }
 
   function awaitExit(name: string): Promise<number | null> {
@@ -109,33 +112,38 @@
   async function stopAll(): Promise<void> {
     const groups = [plan.entries.map(({ id }) => id), plan.control.map(({ id }) => id)];
     for (const names of [...groups, plan.servers.map(({ server }) => server)]) {
-      await Promise.all(names.map(stopOne));
+      await Promise.all(names.map(stopProcess));
     }
   }
 
-  async function stopOne(name: string): Promise<void> {
+  async function stopProcess(name: string): Promise<void> {
     const child = processes.get(name);
     if (!child) return;
-    const ended = awaitExit(name);
+    const exited = awaitExit(name);
     child.kill('SIGCONT');
     child.kill('SIGTERM');
     const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS);
-    await ended;
+    await exited;
     clearTimeout(timer);
   }
 }
 
-function runToEnd(args: readonly string[]): Promise<void> {
+function runToCompletion(args: readonly string[]): Promise<void> {
   return new Promise((resolve, reject) => {
     const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'ignore', 'inherit'] });
     child.once('exit', (code) => {
       if (code === 0) resolve();
-      else reject(new Error(`${args.join(' ')} ended with status ${code ?? 'none'}`));
+      else reject(new Error(`${args.join(' ')} exited with status ${code ?? 'none'}`));
     });
   });
 }
 
-/** Applies settings through any control member, waiting for a leader to be elected. */
+/**
+ * Applies settings through any control member, retrying until a leader is elected.
+ *
+ * @returns the new settings revision
+ * @throws if the change is refused, or no member has answered after all attempts
+ */
 export async function applySettings(
   plan: ClusterPlan,
   changes: readonly { readonly path: string; readonly value: unknown }[],
@@ -146,14 +154,18 @@
   return result.revision;
 }
 
-/** Calls an operators' method at the members in turn until one answers. */
+/**
+ * Calls an operator method on the control members in turn until one answers.
+ *
+ * @throws if the call is refused, or no member has answered after all attempts
+ */
 export async function callAnyMember(
   plan: ClusterPlan,
   method: string,
   params: unknown,
 ): Promise<unknown> {
-  let lastProblem = '';
-  for (let attempt = 0; attempt < CALL_ATTEMPTS; attempt += 1) {
+  let lastError = '';
+  for (let attempt = 0; attempt < MAX_CALL_ATTEMPTS; attempt += 1) {
     const member = plan.control[attempt % plan.control.length];
     try {
       const response = await fetch(`http://${member?.adminAddress ?? ''}/v1/${method}`, {
@@ -164,13 +176,13 @@
       });
       const body = await response.json();
       if (response.ok) return body;
-      lastProblem = JSON.stringify(body);
-      if (response.status !== 503) throw new Error(`${method} was refused: ${lastProblem}`);
+      lastError = JSON.stringify(body);
+      if (response.status !== 503) throw new Error(`${method} was refused: ${lastError}`);
     } catch (error) {
       if (error instanceof Error && error.message.startsWith(method)) throw error;
-      lastProblem = String(error);
+      lastError = String(error);
     }
-    await new Promise((resolve) => setTimeout(resolve, CALL_RETRY_MS));
+    await new Promise((resolve) => setTimeout(resolve, CALL_RETRY_DELAY_MS));
   }
-  throw new Error(`${method} got no answer: ${lastProblem}`);
+  throw new Error(`${method} got no answer: ${lastError}`);
 }
--- a/packages/dev-launcher/src/free-ports.ts
+++ b/packages/dev-launcher/src/free-ports.ts
@@ -1,39 +1,40 @@
 /**
- * Ports for development clusters on loopback. They come from below the range that the system takes
- * outgoing ports from, in blocks that a process holds on to by listening on the block's first port.
+ * Allocates loopback ports for development clusters, below the ephemeral port range of the system.
+ * A process reserves a block of ports by listening on the first port of the block.
  */
 import { createServer, type Server } from 'node:net';
 
 const FIRST_PORT = 12_000;
-const BLOCK_PORTS = 100;
+const PORTS_PER_BLOCK = 100;
 const BLOCK_COUNT = 200;
 
 /**
- * Reserves `count` ports for as long as this process runs.
+ * Reserves `count` ports until this process exits.
  *
- * @throws when no block is left, or the machine uses ports of each block for something else
+ * @throws if fewer than `count` ports are free in the blocks that no other process has reserved
  * @example
  * const ports = await reservePorts(21);
  */
 export async function reservePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
   const firstBlock = process.pid % BLOCK_COUNT;
-  for (let step = 0; step < BLOCK_COUNT && ports.length < count; step += 1) {
-    const block = (firstBlock + step) % BLOCK_COUNT;
-    ports.push(...(await reserveBlock(FIRST_PORT + block * BLOCK_PORTS)));
+  for (let blockOffset = 0; blockOffset < BLOCK_COUNT && ports.length < count; blockOffset += 1) {
+    const block = (firstBlock + blockOffset) % BLOCK_COUNT;
+    ports.push(...(await reservePortBlock(FIRST_PORT + block * PORTS_PER_BLOCK)));
   }
-  if (ports.length < count) throw new Error(`fewer than ${count} ports are free`);
+  if (ports.length < count)
+    throw new Error(`fewer than ${count} development cluster ports are free`);
   return ports.slice(0, count);
 }
 
-/** The free ports of a block, or none when another process holds it. */
-async function reserveBlock(firstPort: number): Promise<number[]> {
-  const holder = await listenOn(firstPort);
-  if (!holder) return [];
-  holder.unref();
+/** Reserves a block and returns its free ports; empty if another process has reserved the block. */
+async function reservePortBlock(firstPort: number): Promise<number[]> {
+  const blockServer = await tryListen(firstPort);
+  if (!blockServer) return [];
+  blockServer.unref();
   const ports: number[] = [];
-  for (let port = firstPort + 1; port < firstPort + BLOCK_PORTS; port += 1) {
-    const server = await listenOn(port);
+  for (let port = firstPort + 1; port < firstPort + PORTS_PER_BLOCK; port += 1) {
+    const server = await tryListen(port);
     if (!server) continue;
     ports.push(port);
     await closeServer(server);
@@ -41,7 +42,7 @@
   return ports;
 }
 
-function listenOn(port: number): Promise<Server | undefined> {
+function tryListen(port: number): Promise<Server | undefined> {
   return new Promise((resolve) => {
     const server = createServer();
     server.once('error', () => {
--- a/packages/dev-launcher/src/index.ts
+++ b/packages/dev-launcher/src/index.ts
@@ -1,4 +1,4 @@
-/** Development clusters, also for benchmarks and process-level tests. */
+/** Development clusters, also used by benchmarks and process-level tests. */
 export * from './cluster.js';
 export * from './cluster-plan.js';
 export * from './free-ports.js';
--- a/packages/dev-launcher/src/main.ts
+++ b/packages/dev-launcher/src/main.ts
@@ -1,12 +1,12 @@
 #!/usr/bin/env node
-/** `npm start`: a whole development cluster on loopback, until Ctrl-C. */
+/** `npm start`: runs a complete development cluster on loopback until Ctrl-C. */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { callAnyMember, type Cluster, startCluster } from './cluster.js';
-import { type ClusterOptions, planCluster, requiredPorts } from './cluster-plan.js';
+import { type ClusterOptions, planCluster, requiredPortCount } from './cluster-plan.js';
 import { reservePorts } from './free-ports.js';
 
 const options = await yargs(hideBin(process.argv))
@@ -14,20 +14,20 @@
   .strict()
   .option('base-port', {
     type: 'number',
-    describe: 'first of the ports to use; free ones if left out',
+    describe: 'first port to use; free ports are chosen if omitted',
   })
-  .option('data', { type: 'string', describe: 'data folder; a temporary one if left out' })
+  .option('data', { type: 'string', describe: 'data folder; a temporary folder if omitted' })
   .option('lag-ms', { type: 'number', default: 20, describe: 'replication lag of the replicas' })
   .option('slots', { type: 'number', default: 5 })
   .example('$0 --base-port 6000', 'entries at ports 6006, 6009 and 6012')
   .parseAsync();
 
 const GROUP = 'bookings';
-const SETTLE_POLL_MS = 50;
+const STATUS_POLL_INTERVAL_MS = 50;
 
 const isTemporary = options.data === undefined;
 const dataFolder = options.data ?? mkdtempSync(join(tmpdir(), 'bramleykeel-'));
-const sizes: Omit<ClusterOptions, 'ports'> = {
+const clusterOptions: Omit<ClusterOptions, 'ports'> = {
   dataFolder,
   controlCount: 3,
   entryCount: 3,
@@ -45,20 +45,20 @@
   ],
   extraEntryToml: '',
 };
-const count = requiredPorts(sizes);
+const portCount = requiredPortCount(clusterOptions);
 const basePort = options['base-port'];
 const ports =
   basePort === undefined
-    ? await reservePorts(count)
-    : Array.from({ length: count }, (_, index) => basePort + index);
-const plan = planCluster({ ...sizes, ports });
+    ? await reservePorts(portCount)
+    : Array.from({ length: portCount }, (_, index) => basePort + index);
+const plan = planCluster({ ...clusterOptions, ports });
 const cluster = await startCluster(plan);
 process.once('SIGINT', () => void stop(cluster));
 process.once('SIGTERM', () => void stop(cluster));
-await awaitPrimary();
-printAccess();
+await waitUntilServing();
+printConnectionDetails();
 
-async function awaitPrimary(): Promise<void> {
+async function waitUntilServing(): Promise<void> {
   for (;;) {
     const status = (await callAnyMember(plan, 'status/get', {})) as {
       groups: { primary?: string }[];
@@ -66,11 +66,11 @@
     };
     const hasPrimary = status.groups.some(({ primary }) => primary !== undefined);
     if (hasPrimary && status.entries.length === plan.entries.length) return;
-    await new Promise((resolve) => setTimeout(resolve, SETTLE_POLL_MS));
+    await new Promise((resolve) => setTimeout(resolve, STATUS_POLL_INTERVAL_MS));
   }
 }
 
-function printAccess(): void {
+function printConnectionDetails(): void {
   const lines = [...plan.keys].map(([name, key]) => `customer ${name} ${key}`);
   const [first] = plan.keys;
   const [customer, key] = first ?? ['', ''];
@@ -91,9 +91,9 @@
   process.stdout.write(`${lines.join('\n')}\n`);
 }
 
-async function stop(running: Cluster): Promise<void> {
+async function stop(runningCluster: Cluster): Promise<void> {
   process.stdout.write('stopping\n');
-  await running.stopAll();
+  await runningCluster.stopAll();
   if (isTemporary) rmSync(dataFolder, { recursive: true, force: true });
   process.stdout.write('stopped\n');
   process.exit(0);
--- a/packages/system-tests/src/test-cluster.ts
+++ b/packages/system-tests/src/test-cluster.ts
@@ -10,7 +10,7 @@
   type ClusterPlan,
   reservePorts,
   planCluster,
-  requiredPorts,
+  requiredPortCount,
   startCluster,
 } from '@bramleykeel/dev-launcher';
 import { requestJson, type StandInLogEntry } from '@bramleykeel/test-support';
@@ -71,7 +71,7 @@
 ): Promise<TestCluster> {
   const dataFolder = mkdtempSync(join(tmpdir(), 'bramleykeel-test-'));
   const options = { ...DEFAULT_SIZES, ...sizes, dataFolder };
-  const ports = await reservePorts(requiredPorts(options));
+  const ports = await reservePorts(requiredPortCount(options));
   const plan = planCluster({ ...options, ports });
   await beforeStart(plan);
   const cluster = await startCluster(plan);
--- a/packages/test-support/src/stand-in/connection-state.ts
+++ b/packages/test-support/src/stand-in/connection-state.ts
@@ -13,7 +13,9 @@
   readonly slots: Slots;
   readonly password: string;
   readonly maxConnections: number;
+  /** Simulated time to open a connection. */
   readonly connectCostMs: number;
+  /** Simulated execution time of each statement. */
   readonly statementCostMs: number;
   readonly connections: Map<number, StandInConnection>;
   nextProcessId: number;
