Reword comments, help texts and names of the bench

Help texts of the experiments and options are reworded; names of experiments, faults and result fields are unchanged.

--- a/packages/bench/src/control-experiment.ts
+++ b/packages/bench/src/control-experiment.ts
@@ -1,44 +1,50 @@
-/** Slopes of control at size: real control members, and light watchers that speak the real protocol. */
+/**
+ * Cost of the control service by the number of connected daemons: real control members, and watchers
+ * that use the daemons' control client without running the rest of a daemon.
+ */
 import { timingSchema } from '@bramleykeel/core';
 import { applySettings, callAnyMember, type Cluster } from '@bramleykeel/dev-launcher';
 import { type ControlClient, startControlClient } from '@bramleykeel/entry';
-import { benchStatus, delay, pidOf, withCluster } from './bench-cluster.js';
+import { fetchStatus, delay, processIdOf, withCluster } from './bench-cluster.js';
 import { cpuPercent, readUsage } from './process-usage.js';
 
 const WATCHER_COUNTS = [50, 150, 300, 570];
-const SETTLE_MS = 2_000;
-const CHANGES = 20;
+const SETTLE_TIME_MS = 2_000;
+const MEASURED_CHANGES = 20;
 
-/** Cost of the leader and of each watcher by the number of watchers, and the time to be in force. */
+/** Measures the load of the control leader, the traffic of a watcher and the time to apply changes. */
 export function measureControl(durationMs: number) {
   return withCluster({ entryCount: 0, groups: [], customers: [] }, async (cluster) => {
-    await fillSettings(cluster);
+    await createCustomerRecords(cluster);
     const rows = [];
     const watchers: ControlClient[] = [];
     for (const count of WATCHER_COUNTS) {
       while (watchers.length < count) watchers.push(startWatcher(cluster, watchers.length));
-      await delay(SETTLE_MS);
-      const { leader } = (await benchStatus(cluster)).control;
-      rows.push(await measureCount(cluster, leader, watchers, durationMs));
+      await delay(SETTLE_TIME_MS);
+      const { leader } = (await fetchStatus(cluster)).control;
+      rows.push(await measureWithWatchers(cluster, leader, watchers, durationMs));
     }
     for (const watcher of watchers) watcher.close();
     return rows;
   });
 }
 
-/** As many records as at the target size: 710 groups with an owner would come on top of these. */
-async function fillSettings(cluster: Cluster): Promise<void> {
-  const rate = { ratePerSecond: 100, burst: 100, readAgeAllowanceMs: null };
+/**
+ * Creates 710 customer records, as many as at the target size. The 710 groups with an owner of that size
+ * are not created; they would come on top.
+ */
+async function createCustomerRecords(cluster: Cluster): Promise<void> {
+  const limits = { ratePerSecond: 100, burst: 100, readAgeAllowanceMs: null };
   for (let batch = 0; batch < 2; batch += 1) {
     const changes = Array.from({ length: 355 }, (_, index) => ({
       path: `customers/c${batch * 355 + index}`,
-      value: rate,
+      value: limits,
     }));
     await applySettings(cluster.plan, changes);
   }
 }
 
-/** A daemon's own client of control, without the rest of the daemon. */
+/** Starts a daemon's control client without the rest of the daemon. */
 function startWatcher(cluster: Cluster, number: number): ControlClient {
   const options = {
     entryId: `watcher-${number}`,
@@ -55,26 +61,26 @@
   });
 }
 
-async function measureCount(
+async function measureWithWatchers(
   cluster: Cluster,
   leader: string,
   watchers: readonly ControlClient[],
   durationMs: number,
 ) {
-  const pid = pidOf(cluster, leader);
-  const traffic = () =>
+  const pid = processIdOf(cluster, leader);
+  const sumTrafficBytes = () =>
     watchers.reduce((sum, watcher) => {
       const { receivedBytes, sentBytes } = watcher.traffic();
       return sum + receivedBytes + sentBytes;
     }, 0);
-  const before = { usage: readUsage(pid), bytes: traffic(), atMs: performance.now() };
+  const before = { usage: readUsage(pid), bytes: sumTrafficBytes(), atMs: performance.now() };
   await delay(durationMs);
   const elapsedMs = performance.now() - before.atMs;
   const usage = readUsage(pid);
-  const bytesPerSecond = ((traffic() - before.bytes) / elapsedMs) * 1_000;
+  const bytesPerSecond = ((sumTrafficBytes() - before.bytes) / elapsedMs) * 1_000;
   const inForceMs: number[] = [];
-  for (let change = 0; change < CHANGES; change += 1) {
-    inForceMs.push(await timeToBeInForce(cluster, watchers));
+  for (let change = 0; change < MEASURED_CHANGES; change += 1) {
+    inForceMs.push(await measureTimeInForceMs(cluster, watchers));
   }
   inForceMs.sort((left, right) => left - right);
   return {
@@ -87,8 +93,8 @@
   };
 }
 
-/** From sending a change until every watcher has confirmed it to control. */
-async function timeToBeInForce(
+/** Time from sending a change until every watcher has confirmed it to control. */
+async function measureTimeInForceMs(
   cluster: Cluster,
   watchers: readonly ControlClient[],
 ): Promise<number> {
--- a/packages/bench/src/failover-experiment.ts
+++ b/packages/bench/src/failover-experiment.ts
@@ -1,14 +1,14 @@
-/** Failover gap: last acknowledged write before a fault to the first one after it, over repeated runs. */
+/** Longest time without an acknowledged write after a fault, over repeated runs. */
 import type { Cluster } from '@bramleykeel/dev-launcher';
 import pg from 'pg';
-import { benchStatus, delay, GROUP, poolFor, withCluster } from './bench-cluster.js';
+import { fetchStatus, delay, GROUP, createPool, withCluster } from './bench-cluster.js';
 
-interface FaultNames {
+interface ProcessNames {
   readonly primary: string;
   readonly owner: string;
 }
 
-const FAULTS: Readonly<Record<string, (cluster: Cluster, names: FaultNames) => void>> = {
+const FAULTS: Readonly<Record<string, (cluster: Cluster, names: ProcessNames) => void>> = {
   'primary killed': (cluster, { primary }) => {
     cluster.signal(primary, 'SIGKILL');
   },
@@ -35,16 +35,16 @@
   readonly failures: string[];
 }
 
-const WRITERS = 6;
+const WRITER_COUNT = 6;
 const WARM_UP_MS = 800;
-const RETRY_MS = 5;
-const WATCH_MS = 6_000;
+const RETRY_DELAY_MS = 5;
+const OBSERVATION_MS = 6_000;
 
-/** Runs the faults whose names contain `filter`. */
+/** Measures the faults whose names contain `filter`, `repeats` times each on a new cluster. */
 export async function measureFailover(repeats: number, filter: string) {
   const rows = [];
-  const chosen = Object.entries(FAULTS).filter(([fault]) => fault.includes(filter));
-  for (const [fault, cause] of chosen) {
+  const selectedFaults = Object.entries(FAULTS).filter(([fault]) => fault.includes(filter));
+  for (const [fault, cause] of selectedFaults) {
     const gapsMs: number[] = [];
     const failures: Record<string, number> = {};
     for (let repeat = 0; repeat < repeats; repeat += 1) {
@@ -68,41 +68,41 @@
 
 async function measureGap(
   cluster: Cluster,
-  cause: (cluster: Cluster, names: FaultNames) => void,
+  cause: (cluster: Cluster, names: ProcessNames) => void,
 ): Promise<{ gapMs: number; failures: readonly string[] }> {
-  const names = await findNames(cluster);
+  const names = await findProcessNames(cluster);
   const acknowledgedMs: number[] = [];
   const state: WriterState = { isRunning: true, failures: [] };
-  // Callers come through the entries that are not the owner, as a balancer would send them after a fault.
+  // Callers use the entries other than the owner, as a load balancer would route them after a fault.
   const entries = cluster.plan.entries.flatMap(({ id }, index) =>
     id === names.owner ? [] : [index],
   );
-  const writers = Array.from({ length: WRITERS }, (_, writer) =>
-    write(cluster, entries[writer % entries.length] ?? 0, writer, acknowledgedMs, state),
+  const writers = Array.from({ length: WRITER_COUNT }, (_, writer) =>
+    runWriter(cluster, entries[writer % entries.length] ?? 0, writer, acknowledgedMs, state),
   );
   await delay(WARM_UP_MS);
   const faultMs = performance.now();
   cause(cluster, names);
-  await delay(WATCH_MS);
+  await delay(OBSERVATION_MS);
   state.isRunning = false;
   await Promise.all(writers);
-  return { gapMs: longestGap(acknowledgedMs, faultMs), failures: state.failures };
+  return { gapMs: longestGapMs(acknowledgedMs, faultMs), failures: state.failures };
 }
 
-async function findNames(cluster: Cluster): Promise<FaultNames> {
-  const { groups, assignments } = await benchStatus(cluster);
+async function findProcessNames(cluster: Cluster): Promise<ProcessNames> {
+  const { groups, assignments } = await fetchStatus(cluster);
   const owner = assignments.find(({ resource }) => resource === `group/${GROUP}`)?.entryId ?? '';
   return { owner, primary: groups[0]?.primary ?? '' };
 }
 
-async function write(
+async function runWriter(
   cluster: Cluster,
   entry: number,
   writer: number,
   acknowledgedMs: number[],
   state: WriterState,
 ): Promise<void> {
-  const pool = poolFor(cluster, entry, 'tuulgan', 1);
+  const pool = createPool(cluster, entry, 'tuulgan', 1);
   const isRunning = () => state.isRunning;
   for (let number = 0; isRunning(); number += 1) {
     try {
@@ -110,18 +110,19 @@
       acknowledgedMs.push(performance.now());
     } catch (error) {
       if (error instanceof pg.DatabaseError) state.failures.push(error.code ?? '');
-      await delay(RETRY_MS);
+      await delay(RETRY_DELAY_MS);
     }
   }
   await pool.end();
 }
 
-function longestGap(times: readonly number[], faultMs: number): number {
-  const sorted = [...times].sort((left, right) => left - right);
-  let longest = 0;
-  for (let index = 1; index < sorted.length; index += 1) {
-    const end = sorted[index] ?? 0;
-    if (end > faultMs) longest = Math.max(longest, end - (sorted[index - 1] ?? end));
+/** Longest time between successive acknowledgements, counting only gaps that end after the fault. */
+function longestGapMs(timesMs: readonly number[], faultMs: number): number {
+  const sortedMs = [...timesMs].sort((left, right) => left - right);
+  let longestMs = 0;
+  for (let index = 1; index < sortedMs.length; index += 1) {
+    const end = sortedMs[index] ?? 0;
+    if (end > faultMs) longestMs = Math.max(longestMs, end - (sortedMs[index - 1] ?? end));
   }
-  return Math.round(longest);
+  return Math.round(longestMs);
 }
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** `npm run bench -- NAME`: runs an experiment, prints its rows and writes them to a JSON file. */
+/** `npm run bench -- NAMES`: runs experiments, prints their rows and writes them to JSON files. */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import yargs from 'yargs';
@@ -9,7 +9,7 @@
 import { measureFailover } from './failover-experiment.js';
 import { measureFairness, measureHomeLoss } from './fairness-experiment.js';
 import { measurePath } from './path-experiment.js';
-import { measureCover, measureReplicaShare } from './replica-experiment.js';
+import { measureQuorumAcknowledgement, measureReplicaShare } from './replica-experiment.js';
 
 interface ExperimentOptions {
   readonly durationMs: number;
@@ -24,31 +24,32 @@
 
 const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
   path: {
-    describe: 'cost of the path, as ratios to a direct connection',
+    describe: 'cost of the proxy: throughput relative to a direct connection',
     run: ({ durationMs }) => measurePath(durationMs),
   },
   replicas: {
-    describe: 'share of reads on replicas by replication lag',
+    describe: 'share of reads answered by replicas, by replication lag',
     run: ({ durationMs }) => measureReplicaShare(durationMs),
   },
   cover: {
-    describe: 'cost of quorum-covered acknowledgement',
-    run: ({ durationMs }) => measureCover(durationMs),
+    describe: 'write latency with acknowledgement by a quorum and by the primary alone',
+    run: ({ durationMs }) => measureQuorumAcknowledgement(durationMs),
   },
   failover: {
-    describe: 'failover gap for each fault, over repeated runs',
+    describe: 'time without acknowledged writes after each fault, over repeated runs',
     run: ({ repeats, fault }) => measureFailover(repeats, fault),
   },
   fairness: {
-    describe: 'worst-served customer with one at ten times its rate',
+    describe: 'service of customers within their rate while another sends ten times its rate',
     run: ({ durationMs }) => measureFairness(durationMs),
   },
   'home-loss': {
-    describe: 'wrongful refusals at 90% of the rate, and when the home is killed',
+    describe:
+      'refusals at 90% of the rate, without a fault and when the entry that keeps the rate is killed',
     run: ({ durationMs }) => measureHomeLoss(durationMs),
   },
   control: {
-    describe: 'cost of control by the number of watching daemons',
+    describe: 'cost of the control service by the number of connected daemons',
     run: ({ durationMs }) => measureControl(durationMs),
   },
   connections: {
@@ -66,10 +67,18 @@
       ...Object.entries(EXPERIMENTS).map(([name, { describe }]) => `  ${name}: ${describe}`),
     ].join('\n'),
   )
-  .option('seconds', { type: 'number', default: 5, describe: 'time of each measurement' })
-  .option('repeats', { type: 'number', default: 5, describe: 'runs of each fault' })
-  .option('fault', { type: 'string', default: '', describe: 'only faults whose name has this' })
-  .option('out', { type: 'string', default: 'bench-results', describe: 'folder for JSON files' })
+  .option('seconds', { type: 'number', default: 5, describe: 'duration of each measurement' })
+  .option('repeats', { type: 'number', default: 5, describe: 'runs of each fault (failover only)' })
+  .option('fault', {
+    type: 'string',
+    default: '',
+    describe: 'run only faults whose name contains this (failover only)',
+  })
+  .option('out', {
+    type: 'string',
+    default: 'bench-results',
+    describe: 'folder for the JSON files',
+  })
   .strictOptions()
   .parseAsync();
 
--- a/packages/bench/src/open-loop.ts
+++ b/packages/bench/src/open-loop.ts
@@ -1,6 +1,7 @@
 /**
- * Open-loop load: requests start by the clock, whether earlier ones have ended or not, and latency
- * counts from the intended start, so that a stall is not hidden by the requests it held back.
+ * Load generators. Open-loop load starts requests on schedule whether or not earlier ones have ended,
+ * and measures latency from the scheduled start, so that a stall also counts for the requests it delays
+ * (no coordinated omission). Closed-loop load measures throughput.
  */
 import { build, type Histogram } from 'hdr-histogram-js';
 import type { Pool } from 'pg';
@@ -8,20 +9,22 @@
 export interface LoadOptions {
   readonly ratePerSecond: number;
   readonly durationMs: number;
-  /** Runs one request; the number tells requests apart. */
+  /** Runs one request, given its sequence number from 0. */
   readonly run: (number: number) => Promise<void>;
 }
 
 export interface LoadResult {
   readonly started: number;
   readonly succeeded: number;
+  /** Number of failures by error code, or by error text where there is no code. */
   readonly failures: Readonly<Record<string, number>>;
+  /** Latency of the successful requests, in microseconds. */
   readonly latency: Histogram;
 }
 
-const MICROSECONDS = 1_000;
+const MICROSECONDS_PER_MS = 1_000;
 
-/** Starts requests at a steady rate and waits for all of them. */
+/** Starts requests at a constant rate for the given time and waits until all have ended. */
 export async function runOpenLoop(options: LoadOptions): Promise<LoadResult> {
   const latency = build({ numberOfSignificantValueDigits: 3 });
   const failures: Record<string, number> = {};
@@ -32,19 +35,19 @@
   for (;;) {
     const elapsedMs = performance.now() - startMs;
     if (elapsedMs >= options.durationMs) break;
-    const due = Math.floor((elapsedMs / 1_000) * options.ratePerSecond) + 1;
-    for (; started < due; started += 1) pending.push(runOne(started));
+    const dueCount = Math.floor((elapsedMs / 1_000) * options.ratePerSecond) + 1;
+    for (; started < dueCount; started += 1) pending.push(runRequest(started));
     await new Promise((resolve) => setTimeout(resolve, 1));
   }
   await Promise.all(pending);
   return { started, succeeded, failures, latency };
 
-  async function runOne(number: number): Promise<void> {
+  async function runRequest(number: number): Promise<void> {
     const intendedMs = startMs + (number / options.ratePerSecond) * 1_000;
     try {
       await options.run(number);
       succeeded += 1;
-      latency.recordValue(Math.round((performance.now() - intendedMs) * MICROSECONDS));
+      latency.recordValue(Math.round((performance.now() - intendedMs) * MICROSECONDS_PER_MS));
     } catch (error) {
       const code = (error as { code?: string }).code ?? String(error);
       failures[code] = (failures[code] ?? 0) + 1;
@@ -52,7 +55,7 @@
   }
 }
 
-/** Closed-loop throughput: `workers` requests at a time for the given time. */
+/** Runs a query in `workers` parallel loops for the given time; latency is in microseconds. */
 export async function runClosedLoop(
   pool: Pool,
   text: string,
@@ -67,7 +70,7 @@
       while (performance.now() - startMs < durationMs) {
         const sentMs = performance.now();
         await pool.query(text);
-        latency.recordValue(Math.round((performance.now() - sentMs) * MICROSECONDS));
+        latency.recordValue(Math.round((performance.now() - sentMs) * MICROSECONDS_PER_MS));
         count += 1;
       }
     }),
@@ -75,7 +78,7 @@
   return { perSecond: (count / (performance.now() - startMs)) * 1_000, latency };
 }
 
-/** A percentile in milliseconds. */
+/** A percentile in milliseconds, rounded to 0.01 ms, of a histogram in microseconds. */
 export function percentileMs(latency: Histogram, percentile: number): number {
   return Math.round(latency.getValueAtPercentile(percentile) / 10) / 100;
 }
--- a/packages/bench/src/process-usage.ts
+++ b/packages/bench/src/process-usage.ts
@@ -1,4 +1,4 @@
-/** Processor time and memory of processes, as the operating system accounts for them. */
+/** Reads processor time and memory of processes from Linux's `/proc`. */
 import { readFileSync } from 'node:fs';
 
 export interface ProcessUsage {
@@ -8,11 +8,12 @@
 
 const CLOCK_TICK_MS = 10;
 const PAGE_BYTES = 4_096;
+// Indexes of the fields of /proc/PID/stat that follow the command name.
 const USER_TIME_FIELD = 11;
 const SYSTEM_TIME_FIELD = 12;
 const RESIDENT_PAGES_FIELD = 21;
 
-/** Reads the usage of a running process since its start. */
+/** Reads a running process's processor time since its start and its current resident memory. */
 export function readUsage(pid: number): ProcessUsage {
   const text = readFileSync(`/proc/${pid}/stat`, 'utf8');
   const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
--- a/packages/bench/src/replica-experiment.ts
+++ b/packages/bench/src/replica-experiment.ts
@@ -1,23 +1,22 @@
-/** Share of reads on replicas by replication lag, and the cost of quorum-covered acknowledgement. */
+/** Share of reads answered by replicas, and write latency with quorum acknowledgement, by lag. */
 import { applySettings } from '@bramleykeel/dev-launcher';
-import { counterTotal, delay, poolFor, withCluster, GROUP } from './bench-cluster.js';
+import { sumCounter, delay, createPool, withCluster, GROUP } from './bench-cluster.js';
 import { percentileMs, runOpenLoop } from './open-loop.js';
 
-const LAGS_MS = [5, 20, 100, 500];
+const REPLICATION_LAGS_MS = [5, 20, 100, 500];
 const RATE_PER_SECOND = 200;
-/** One request in this many is a write. */
-const WRITE_EVERY = 10;
+const REQUESTS_PER_WRITE = 10;
 
-/** Reads of sessions that write now and then, through all entries. */
+/** Measures where reads are answered under a load of reads and some writes through all entries. */
 export async function measureReplicaShare(durationMs: number) {
   const rows = [];
-  for (const lagMs of LAGS_MS) {
+  for (const lagMs of REPLICATION_LAGS_MS) {
     rows.push(
       await withCluster({ lagMs }, async (cluster) => {
-        const pools = [0, 1, 2].map((entry) => poolFor(cluster, entry, 'tuulgan', 40));
+        const pools = [0, 1, 2].map((entry) => createPool(cluster, entry, 'tuulgan', 40));
         const run = async (number: number) => {
           const pool = pools[number % pools.length];
-          if (number % WRITE_EVERY === 0) {
+          if (number % REQUESTS_PER_WRITE === 0) {
             await pool?.query('INSERT INTO bookings VALUES ($1, $2)', [`r${number}`, 'x']);
           } else await pool?.query('SELECT lens FROM bookings WHERE id = $1', [`r${number - 30}`]);
         };
@@ -37,8 +36,8 @@
 
         async function readCounters() {
           return {
-            replica: await counterTotal(cluster, 'read.replica'),
-            primary: await counterTotal(cluster, 'read.primary'),
+            replica: await sumCounter(cluster, 'read.replica'),
+            primary: await sumCounter(cluster, 'read.primary'),
           };
         }
       }),
@@ -47,13 +46,13 @@
   return rows;
 }
 
-/** Latency of single writes with and without quorum cover, in one run. */
-export async function measureCover(durationMs: number) {
+/** Measures write latency with acknowledgement by a quorum and by the primary alone. */
+export async function measureQuorumAcknowledgement(durationMs: number) {
   const rows = [];
-  for (const lagMs of LAGS_MS.slice(0, 3)) {
+  for (const lagMs of REPLICATION_LAGS_MS.slice(0, 3)) {
     rows.push(
       await withCluster({ lagMs }, async (cluster) => {
-        const pool = poolFor(cluster, 0, 'tuulgan', 60);
+        const pool = createPool(cluster, 0, 'tuulgan', 60);
         const measured: Record<string, unknown> = { lagMs };
         for (const acknowledgement of ['quorum', 'primary'] as const) {
           const value = { acknowledgement, openToAllAs: null };
