--- a/packages/bench/src/control-experiment.ts
+++ b/packages/bench/src/control-experiment.ts
@@ -1,6 +1,6 @@
 /**
- * Cost of the control service by the number of connected daemons: real control members, and watchers
- * that use the daemons' control client without running the rest of a daemon.
+ * Cost of the control service by the number of connected daemons. The control members are real; the
+ * daemons are watchers that run only a daemon's control client.
  */
 import { timingSchema } from '@bramleykeel/core';
 import { applySettings, callAnyMember, type Cluster } from '@bramleykeel/dev-launcher';
@@ -12,7 +12,7 @@
 const SETTLE_TIME_MS = 2_000;
 const MEASURED_CHANGES = 20;
 
-/** Measures the load of the control leader, the traffic of a watcher and the time to apply changes. */
+/** Measures the leader's load, the traffic per watcher and the time until changes are in force. */
 export function measureControl(durationMs: number) {
   return withCluster({ entryCount: 0, groups: [], customers: [] }, async (cluster) => {
     await createCustomerRecords(cluster);
@@ -30,8 +30,8 @@
 }
 
 /**
- * Creates 710 customer records, as many as at the target size. The 710 groups with an owner of that size
- * are not created; they would come on top.
+ * Creates 710 customer records, as many as at the target size. The records of the 710 groups with an
+ * owner would come on top of these; they are not created.
  */
 async function createCustomerRecords(cluster: Cluster): Promise<void> {
   const limits = { ratePerSecond: 100, burst: 100, readAgeAllowanceMs: null };
--- a/packages/bench/src/failover-experiment.ts
+++ b/packages/bench/src/failover-experiment.ts
@@ -44,11 +44,11 @@
 export async function measureFailover(repeats: number, filter: string) {
   const rows = [];
   const selectedFaults = Object.entries(FAULTS).filter(([fault]) => fault.includes(filter));
-  for (const [fault, cause] of selectedFaults) {
+  for (const [fault, inject] of selectedFaults) {
     const gapsMs: number[] = [];
     const failures: Record<string, number> = {};
     for (let repeat = 0; repeat < repeats; repeat += 1) {
-      const measured = await withCluster({}, (cluster) => measureGap(cluster, cause));
+      const measured = await withCluster({}, (cluster) => measureGap(cluster, inject));
       gapsMs.push(measured.gapMs);
       for (const code of measured.failures) failures[code] = (failures[code] ?? 0) + 1;
     }
@@ -68,7 +68,7 @@
 
 async function measureGap(
   cluster: Cluster,
-  cause: (cluster: Cluster, names: ProcessNames) => void,
+  inject: (cluster: Cluster, names: ProcessNames) => void,
 ): Promise<{ gapMs: number; failures: readonly string[] }> {
   const names = await findProcessNames(cluster);
   const acknowledgedMs: number[] = [];
@@ -82,7 +82,7 @@
   );
   await delay(WARM_UP_MS);
   const faultMs = performance.now();
-  cause(cluster, names);
+  inject(cluster, names);
   await delay(OBSERVATION_MS);
   state.isRunning = false;
   await Promise.all(writers);
--- a/packages/bench/src/fairness-experiment.ts
+++ b/packages/bench/src/fairness-experiment.ts
@@ -1,6 +1,6 @@
 /**
  * Service of seven customers within their rates while another sends far above its own: the worst p99
- * latency and served share, and wrongful refusals, that is failed requests of customers within their rate.
+ * latency and served share, and wrongful refusals, that is failed requests of the seven customers.
  */
 import { spawn } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
@@ -108,7 +108,7 @@
   return result;
 }
 
-/** Reads large results in a separate process, so that parsing them does not delay the measurement. */
+/** Reads large results in a separate process, so that parsing does not delay the measurement. */
 function runBulkReads(cluster: Cluster, customer: string, durationMs: number): Promise<void> {
   const file = fileURLToPath(new URL('bulk-puller.js', import.meta.url));
   const url = callerUrl(cluster, 1, customer);
--- a/packages/bench/src/open-loop.ts
+++ b/packages/bench/src/open-loop.ts
@@ -1,7 +1,7 @@
 /**
  * Load generators. Open-loop load starts requests on schedule whether or not earlier ones have ended,
- * and measures latency from the scheduled start, so that a stall also counts for the requests it delays
- * (no coordinated omission). Closed-loop load measures throughput.
+ * and measures latency from the scheduled start, so that a stall also counts for the requests that it
+ * delays (no coordinated omission). Closed-loop load measures throughput.
  */
 import { build, type Histogram } from 'hdr-histogram-js';
 import type { Pool } from 'pg';
--- a/packages/system-tests/src/failures.test.ts
+++ b/packages/system-tests/src/failures.test.ts
@@ -2,13 +2,20 @@
 import { join } from 'node:path';
 import type { Cluster } from '@bramleykeel/dev-launcher';
 import { describe, expect, it } from 'vitest';
-import { delay, ownerOf, primaryOf, startTestCluster, statusOf, waitFor } from './test-cluster.js';
-import { closeLedger, type Ledger, startLedger } from './write-ledger.js';
+import {
+  delay,
+  findOwner,
+  findPrimary,
+  startTestCluster,
+  fetchStatus,
+  waitFor,
+} from './test-cluster.js';
+import { closeLedger, type WriteLedger, startLedger } from './write-ledger.js';
 
 const WORKERS = 4;
 const WRITES_PER_PHASE = 40;
 
-interface Names {
+interface ProcessNames {
   readonly primary: string;
   readonly owner: string;
   readonly leader: string;
@@ -16,41 +23,41 @@
 
 interface Fault {
   readonly name: string;
-  readonly cause: (cluster: Cluster, names: Names) => Promise<void>;
-  /** Brings back what was lost, after service has resumed without it. */
-  readonly repair?: (cluster: Cluster, names: Names) => Promise<void>;
-  /** Whether no request at all may be refused or left unknown. */
+  readonly inject: (cluster: Cluster, names: ProcessNames) => Promise<void>;
+  /** Restores the processes, once writes are acknowledged again without them. */
+  readonly repair?: (cluster: Cluster, names: ProcessNames) => Promise<void>;
+  /** Whether the change is planned, so that no write may be refused or have an unknown outcome. */
   readonly isPlanned?: boolean;
 }
 
-function kill(cluster: Cluster, name: string): Promise<unknown> {
+function killProcess(cluster: Cluster, name: string): Promise<unknown> {
   const ended = cluster.awaitExit(name);
   cluster.signal(name, 'SIGKILL');
   return ended;
 }
 
-async function replacePrimary(cluster: Cluster, lost: string): Promise<string> {
-  let next = lost;
-  await waitFor(`another primary than ${lost}`, async () => {
-    next = await primaryOf(cluster);
-    return next !== lost && next !== '';
+async function waitForNewPrimary(cluster: Cluster, previousPrimary: string): Promise<string> {
+  let newPrimary = previousPrimary;
+  await waitFor(`a primary other than ${previousPrimary}`, async () => {
+    newPrimary = await findPrimary(cluster);
+    return newPrimary !== previousPrimary && newPrimary !== '';
   });
-  return next;
+  return newPrimary;
 }
 
 const FAULTS: readonly Fault[] = [
   {
-    name: 'the primary is killed and returns with a log that nobody else has',
-    cause: async (cluster, { primary }) => {
-      await kill(cluster, primary);
+    name: 'the primary is killed and restarts with log entries that no other server has',
+    inject: async (cluster, { primary }) => {
+      await killProcess(cluster, primary);
     },
     repair: (cluster, { primary }) => cluster.start(primary),
   },
   {
-    name: 'the primary freezes and goes on after it was superseded',
-    cause: async (cluster, { primary }) => {
+    name: 'the primary is suspended and resumes after it was superseded',
+    inject: async (cluster, { primary }) => {
       cluster.signal(primary, 'SIGSTOP');
-      await replacePrimary(cluster, primary);
+      await waitForNewPrimary(cluster, primary);
     },
     repair: (cluster, { primary }) => {
       cluster.signal(primary, 'SIGCONT');
@@ -59,16 +66,16 @@
   },
   {
     name: 'the owner is killed',
-    cause: async (cluster, { owner }) => {
-      await kill(cluster, owner);
+    inject: async (cluster, { owner }) => {
+      await killProcess(cluster, owner);
     },
     repair: (cluster, { owner }) => cluster.start(owner),
   },
   {
-    name: 'the owner freezes and goes on after its lease',
-    cause: async (cluster, { owner }) => {
+    name: 'the owner is suspended and resumes after its lease has expired',
+    inject: async (cluster, { owner }) => {
       cluster.signal(owner, 'SIGSTOP');
-      await waitFor('another owner', async () => (await ownerOf(cluster)) !== owner);
+      await waitFor('another owner', async () => (await findOwner(cluster)) !== owner);
     },
     repair: (cluster, { owner }) => {
       cluster.signal(owner, 'SIGCONT');
@@ -76,49 +83,49 @@
     },
   },
   {
-    name: 'owner and primary are killed together',
-    cause: async (cluster, { owner, primary }) => {
-      await Promise.all([kill(cluster, owner), kill(cluster, primary)]);
+    name: 'the owner and the primary are killed at the same time',
+    inject: async (cluster, { owner, primary }) => {
+      await Promise.all([killProcess(cluster, owner), killProcess(cluster, primary)]);
     },
     repair: async (cluster, { owner, primary }) => {
       await Promise.all([cluster.start(owner), cluster.start(primary)]);
     },
   },
   {
-    name: 'the new primary is killed as soon as it was chosen',
-    cause: async (cluster, { primary }) => {
-      await kill(cluster, primary);
+    name: 'the new primary is killed as soon as it has been promoted',
+    inject: async (cluster, { primary }) => {
+      await killProcess(cluster, primary);
       await cluster.start(primary);
-      const second = await replacePrimary(cluster, primary);
-      await kill(cluster, second);
-      await replacePrimary(cluster, second);
+      const second = await waitForNewPrimary(cluster, primary);
+      await killProcess(cluster, second);
+      await waitForNewPrimary(cluster, second);
       await cluster.start(second);
     },
   },
   {
-    name: 'two of three servers are lost for a while',
-    cause: async (cluster, { primary }) => {
+    name: 'two of three servers are down for 1.5 s',
+    inject: async (cluster, { primary }) => {
       const others = cluster.plan.servers.filter(({ server }) => server !== primary);
       const second = others[0]?.server ?? '';
-      await Promise.all([kill(cluster, primary), kill(cluster, second)]);
+      await Promise.all([killProcess(cluster, primary), killProcess(cluster, second)]);
       await delay(1_500);
       await Promise.all([cluster.start(primary), cluster.start(second)]);
     },
   },
   {
-    name: 'the control leader is killed and loses its disk, then a second member is killed',
-    cause: async (cluster, { leader }) => {
-      await kill(cluster, leader);
+    name: 'the control leader restarts with an empty disk, then the current leader is killed',
+    inject: async (cluster, { leader }) => {
+      await killProcess(cluster, leader);
       rmSync(join(cluster.plan.options.dataFolder, leader), { recursive: true });
       await waitFor('another control leader', async () => {
-        return (await statusOf(cluster)).control.leader !== leader;
+        return (await fetchStatus(cluster)).control.leader !== leader;
       });
       await cluster.start(leader);
       await waitFor('the member to vote again', () => isVotingAgain(cluster, leader));
-      const second = (await statusOf(cluster)).control.leader;
-      await kill(cluster, second);
-      await waitFor('a leader of the other two', async () => {
-        return (await statusOf(cluster)).control.leader !== second;
+      const second = (await fetchStatus(cluster)).control.leader;
+      await killProcess(cluster, second);
+      await waitFor('a new control leader elected by the other two members', async () => {
+        return (await fetchStatus(cluster)).control.leader !== second;
       });
       await cluster.start(second);
     },
@@ -126,70 +133,74 @@
   {
     name: 'every entry is stopped and started again in turn',
     isPlanned: true,
-    cause: async (cluster) => {
+    inject: async (cluster) => {
       for (const { id } of cluster.plan.entries) {
         const ended = cluster.awaitExit(id);
         cluster.signal(id, 'SIGTERM');
         expect(await ended).toBe(0);
         await cluster.start(id);
         await waitFor(`${id} to hold a lease`, async () => {
-          return (await statusOf(cluster)).entries.some(({ entryId }) => entryId === id);
+          return (await fetchStatus(cluster)).entries.some(({ entryId }) => entryId === id);
         });
       }
     },
   },
   {
-    name: 'the primary announces that it leaves',
+    name: 'the primary announces that it is leaving',
     isPlanned: true,
-    cause: async (cluster, { primary }) => {
+    inject: async (cluster, { primary }) => {
       const place = cluster.plan.servers.find(({ server }) => server === primary);
       await fetch(`http://${place?.commandAddress ?? ''}/leave`, { method: 'POST' });
-      await replacePrimary(cluster, primary);
+      await waitForNewPrimary(cluster, primary);
     },
   },
 ];
 
-/** A member votes again once the others have admitted its new disk. */
+/** Whether the others have admitted the member's new disk, so that it votes again. */
 async function isVotingAgain(cluster: Cluster, member: string): Promise<boolean> {
-  const { control } = await statusOf(cluster);
+  const { control } = await fetchStatus(cluster);
   const record = control.members.find(({ id }) => id === member);
   return record !== undefined && record.isVoter && !record.diskId.startsWith('initial-');
 }
 
-function acknowledgedCount(ledger: Ledger): number {
+function acknowledgedCount(ledger: WriteLedger): number {
   return ledger.writes.filter(({ outcome }) => outcome === 'acknowledged').length;
 }
 
-async function awaitMoreWrites(ledger: Ledger): Promise<void> {
-  const wanted = acknowledgedCount(ledger) + WRITES_PER_PHASE;
-  await waitFor('more acknowledged writes', () => acknowledgedCount(ledger) >= wanted, 30_000);
+async function waitForMoreWrites(ledger: WriteLedger): Promise<void> {
+  const requiredCount = acknowledgedCount(ledger) + WRITES_PER_PHASE;
+  await waitFor(
+    'more acknowledged writes',
+    () => acknowledgedCount(ledger) >= requiredCount,
+    30_000,
+  );
 }
 
 describe.concurrent(
   'no write is lost, doubled or wrongly reported, and no read is stale, when',
   () => {
     it.each(FAULTS.map((fault) => [fault.name, fault] as const))('%s', async (_name, fault) => {
-      const { cause, repair, isPlanned } = fault;
+      const { inject, repair, isPlanned } = fault;
       const { cluster, remove } = await startTestCluster();
       try {
-        const { control } = await statusOf(cluster);
-        const names: Names = {
-          primary: await primaryOf(cluster),
-          owner: await ownerOf(cluster),
+        const { control } = await fetchStatus(cluster);
+        const names: ProcessNames = {
+          primary: await findPrimary(cluster),
+          owner: await findOwner(cluster),
           leader: control.leader,
         };
         const ledger = startLedger(cluster, WORKERS);
-        await awaitMoreWrites(ledger);
-        await cause(cluster, names);
-        await awaitMoreWrites(ledger);
+        await waitForMoreWrites(ledger);
+        await inject(cluster, names);
+        await waitForMoreWrites(ledger);
         await repair?.(cluster, names);
-        await awaitMoreWrites(ledger);
+        await waitForMoreWrites(ledger);
         const summary = await closeLedger(cluster, ledger);
-        // Named in full, so that a failure that shows once says which SQLSTATE it was.
-        const all = JSON.stringify(summary);
-        const never = { lost: [], doubled: [], falselyNotRun: [], staleReads: [] };
-        expect(summary, all).toMatchObject(never);
-        if (isPlanned) expect(summary, all).toMatchObject({ notRun: 0, unknown: 0 });
+        // The whole summary goes into the message, so that a rare failure shows its SQLSTATEs.
+        const summaryText = JSON.stringify(summary);
+        const noViolations = { lost: [], doubled: [], falselyNotRun: [], staleReads: [] };
+        expect(summary, summaryText).toMatchObject(noViolations);
+        if (isPlanned) expect(summary, summaryText).toMatchObject({ notRun: 0, unknown: 0 });
       } finally {
         await remove();
       }
--- a/packages/system-tests/src/path.test.ts
+++ b/packages/system-tests/src/path.test.ts
@@ -12,40 +12,41 @@
   CUSTOMER,
   delay,
   GROUP,
-  logOf,
+  fetchServerLog,
   OTHER_CUSTOMER,
-  primaryOf,
+  findPrimary,
   sqlStateOf,
   startTestCluster,
   type TestCluster,
-  urlOf,
+  callerUrl,
   waitFor,
   withClient,
 } from './test-cluster.js';
 
-let running: TestCluster;
+let testCluster: TestCluster;
 let cluster: Cluster;
 
 beforeAll(async () => {
-  running = await startTestCluster({ lagMs: 30 });
-  cluster = running.cluster;
+  testCluster = await startTestCluster({ lagMs: 30 });
+  cluster = testCluster.cluster;
 });
 
-afterAll(() => running.remove());
+afterAll(() => testCluster.remove());
 
-/** Sends a cancel request for a client's running query over a connection of its own. */
+/** Sends a cancel request for a client's running query over a separate connection. */
 function sendCancel(client: pg.Client): void {
   const { processID, secretKey } = client as unknown as { processID: number; secretKey: number };
   const socket = createConnection(client.port, client.host);
   socket.once('connect', () => socket.end(serialize.cancel(processID, secretKey)));
 }
 
-async function failureOf(action: Promise<unknown>): Promise<string> {
+/** SQLSTATE or message of the error that the action fails with, or 'no error'. */
+async function sqlStateOfFailure(action: Promise<unknown>): Promise<string> {
   return action.then(() => 'no error', sqlStateOf);
 }
 
 describe('a caller', () => {
-  it('reads on another entry what it has just committed', async () => {
+  it('reads its committed write through another entry', async () => {
     const [first, second] = await Promise.all([connect(cluster, 0), connect(cluster, 1)]);
     for (let number = 0; number < 20; number += 1) {
       const id = `roam-${number}`;
@@ -60,7 +61,7 @@
     await Promise.all([first.end(), second.end()]);
   });
 
-  it('carries its mark to a connection of another customer name, and gets no stale answer', async () => {
+  it('gets no stale read after passing its mark to a connection of another customer', async () => {
     const marks: string[] = [];
     const writer = await connect(cluster, 0);
     writer.on('parameterStatus' as 'notice', (message: unknown) => {
@@ -82,25 +83,25 @@
     await Promise.all([writer.end(), reader.end()]);
   });
 
-  it('gets a clear error for a mark that the group has never reached', async () => {
+  it('gets an error for a mark that the group has never reached', async () => {
     await withClient(cluster, 0, async (client) => {
       await client.query("SET bramleykeel.session = '99/1'");
-      expect(await failureOf(client.query('SELECT count(*) FROM bookings'))).toBe('22023');
+      expect(await sqlStateOfFailure(client.query('SELECT count(*) FROM bookings'))).toBe('22023');
     });
   });
 
-  it('uses named prepared statements on whichever connection it is given', async () => {
+  it('uses a named prepared statement on any server connection', async () => {
     await withClient(cluster, 0, async (client) => {
       await client.query('INSERT INTO bookings VALUES ($1, $2)', ['prepared', 'zoom']);
       const query = { name: 'find', text: 'SELECT lens FROM bookings WHERE id = $1' };
-      for (let turn = 0; turn < 20; turn += 1) {
+      for (let repeat = 0; repeat < 20; repeat += 1) {
         const { rows } = await client.query({ ...query, values: ['prepared'] });
         expect(rows).toEqual([{ lens: 'zoom' }]);
       }
     });
   });
 
-  it('runs many connections at once, each getting its own answer', async () => {
+  it('gets its own answer on each of 200 concurrent connections', async () => {
     const clients = await Promise.all(
       Array.from({ length: 200 }, (_, index) => connect(cluster, index % 3)),
     );
@@ -114,7 +115,7 @@
     await Promise.all(clients.map((client) => client.end()));
   });
 
-  it('reads a large result slowly with a cursor', async () => {
+  it('reads a large result through a cursor with a pause', async () => {
     await withClient(cluster, 2, async (client) => {
       const cursor = client.query(
         new Cursor<{ g: number }>('SELECT * FROM generate_series(1, 100000) g'),
@@ -128,20 +129,20 @@
     });
   });
 
-  it('gets errors of the target as they are', async () => {
+  it('gets the errors of the target unchanged', async () => {
     await withClient(cluster, 1, async (client) => {
       await client.query("INSERT INTO bookings VALUES ('twice', 'a')");
       const again = client.query("INSERT INTO bookings VALUES ('twice', 'b')");
-      expect(await failureOf(again)).toBe('23505');
-      expect(await failureOf(client.query('SELECT nothing FROM bookings'))).toBe('42703');
-      expect(await failureOf(client.query('SELEC 1'))).toBe('42601');
+      expect(await sqlStateOfFailure(again)).toBe('23505');
+      expect(await sqlStateOfFailure(client.query('SELECT nothing FROM bookings'))).toBe('42703');
+      expect(await sqlStateOfFailure(client.query('SELEC 1'))).toBe('42601');
     });
   });
 
-  it('cancels its own statement and no other', async () => {
+  it('cancels its own statement only', async () => {
     const [sleeper, bystander] = await Promise.all([connect(cluster, 0), connect(cluster, 0)]);
-    const slept = failureOf(sleeper.query('SELECT pg_sleep(30)'));
-    const unharmed = failureOf(bystander.query('SELECT pg_sleep(0.6)'));
+    const slept = sqlStateOfFailure(sleeper.query('SELECT pg_sleep(30)'));
+    const unharmed = sqlStateOfFailure(bystander.query('SELECT pg_sleep(0.6)'));
     await delay(200);
     sendCancel(sleeper);
     expect(await slept).toBe('57014');
@@ -149,7 +150,7 @@
     await Promise.all([sleeper.end(), bystander.end()]);
   });
 
-  it('retries a write that hides in a read on the primary', async () => {
+  it('gets an answer to SELECT FOR UPDATE, which only the primary can run', async () => {
     await withClient(cluster, 1, async (client) => {
       await client.query("INSERT INTO bookings VALUES ('locked', 'a')");
       const { rowCount } = await client.query(
@@ -172,42 +173,42 @@
     ['two-phase commit', "PREPARE TRANSACTION 'x'"],
     ['SET among other statements', 'SET timezone = 1; SELECT 1'],
   ];
-  it.each(REFUSED)('%s is refused and the session goes on', async (_name, text) => {
+  it.each(REFUSED)('refuses %s and keeps the session usable', async (_name, text) => {
     await withClient(cluster, 0, async (client) => {
-      expect(await failureOf(client.query(text))).toBe('0A000');
+      expect(await sqlStateOfFailure(client.query(text))).toBe('0A000');
       const { rows } = await client.query('SELECT 1 AS one');
       expect(rows).toEqual([{ one: 1 }]);
     });
   });
 
-  it('SET is carried to every connection and to no other session', async () => {
+  it('SET applies to every connection of the session and to no other session', async () => {
     await withClient(cluster, 0, async (client) => {
       await client.query("SET timezone = 'Asia/Ulaanbaatar'");
-      for (let turn = 0; turn < 10; turn += 1) {
+      for (let repeat = 0; repeat < 10; repeat += 1) {
         const { rows } = await client.query<{ timezone: string }>('SHOW timezone');
         expect(rows).toEqual([{ timezone: 'Asia/Ulaanbaatar' }]);
       }
       await withClient(cluster, 0, async (other) => {
-        expect(await failureOf(other.query('SHOW timezone'))).toBe('42704');
+        expect(await sqlStateOfFailure(other.query('SHOW timezone'))).toBe('42704');
       });
       await client.query('RESET timezone');
-      expect(await failureOf(client.query('SHOW timezone'))).toBe('42704');
+      expect(await sqlStateOfFailure(client.query('SHOW timezone'))).toBe('42704');
     });
   });
 
-  it('a refusal inside a transaction aborts it, so that no half of it is kept', async () => {
+  it('a refusal inside a transaction aborts the whole transaction', async () => {
     await withClient(cluster, 1, async (client) => {
       await client.query('BEGIN');
       await client.query("INSERT INTO bookings VALUES ('half', 'a')");
-      expect(await failureOf(client.query('LISTEN x'))).toBe('0A000');
-      expect(await failureOf(client.query('SELECT 1'))).toBe('25P02');
+      expect(await sqlStateOfFailure(client.query('LISTEN x'))).toBe('0A000');
+      expect(await sqlStateOfFailure(client.query('SELECT 1'))).toBe('25P02');
       await client.query('COMMIT');
       const { rowCount } = await client.query("SELECT id FROM bookings WHERE id = 'half'");
       expect(rowCount).toBe(0);
     });
   });
 
-  it('transactions of many sessions never mix', async () => {
+  it('concurrent transactions of many sessions are kept apart', async () => {
     await Promise.all(
       Array.from({ length: 24 }, async (_, number) => {
         await withClient(cluster, number % 3, async (client) => {
@@ -220,7 +221,7 @@
         });
       }),
     );
-    const log = await logOf(cluster, await primaryOf(cluster));
+    const log = await fetchServerLog(cluster, await findPrimary(cluster));
     const mixed = log
       .map(({ changes }) => changes.flatMap((change) => ('key' in change ? [change.key] : [])))
       .filter((keys) => keys.some((key) => key.startsWith('mix-')));
@@ -233,26 +234,26 @@
 });
 
 describe('keys and customers', () => {
-  it('refuses a wrong key, an unknown customer and an unknown group', async () => {
-    const url = urlOf(cluster, 0);
+  it('are refused if the key is wrong or the customer or group is unknown', async () => {
+    const url = callerUrl(cluster, 0);
     const wrongKey = new pg.Client({ connectionString: url.replace(/:[^:@]+@/, ':wrong@') });
-    expect(await failureOf(wrongKey.connect())).toBe('28P01');
+    expect(await sqlStateOfFailure(wrongKey.connect())).toBe('28P01');
     const unknown = new pg.Client({ connectionString: url.replace(CUSTOMER, 'nobody') });
-    expect(await failureOf(unknown.connect())).toBe('28P01');
+    expect(await sqlStateOfFailure(unknown.connect())).toBe('28P01');
     const noGroup = new pg.Client({ connectionString: url.replace(`/${GROUP}`, '/nowhere') });
-    expect(await failureOf(noGroup.connect())).toBe('3D000');
+    expect(await sqlStateOfFailure(noGroup.connect())).toBe('3D000');
   });
 
-  it('closes open connections of a withdrawn key and rolls back what they had open', async () => {
+  it('open connections of a withdrawn key are closed and their transactions rolled back', async () => {
     const secret = 'a-key-that-is-withdrawn-later';
     const path = `keys/${CUSTOMER}/second`;
     await applySettings(cluster.plan, [{ path, value: { sha256Hex: hashSecret(secret) } }]);
-    const connectionString = urlOf(cluster, 2).replace(/:[^:@]+@/, `:${secret}@`);
+    const connectionString = callerUrl(cluster, 2).replace(/:[^:@]+@/, `:${secret}@`);
     let client = new pg.Client({ connectionString });
     await waitFor('the key to work', async () => {
       client = new pg.Client({ connectionString });
       client.on('error', () => undefined);
-      return (await failureOf(client.connect())) === 'no error';
+      return (await sqlStateOfFailure(client.connect())) === 'no error';
     });
     await client.query('BEGIN');
     await client.query("INSERT INTO bookings VALUES ('withdrawn', 'a')");
@@ -260,32 +261,32 @@
     await applySettings(cluster.plan, [{ path, value: null }]);
     await ended;
     const again = new pg.Client({ connectionString });
-    expect(await failureOf(again.connect())).toBe('28P01');
+    expect(await sqlStateOfFailure(again.connect())).toBe('28P01');
     await withClient(cluster, 0, async (other) => {
       const { rowCount } = await other.query("SELECT id FROM bookings WHERE id = 'withdrawn'");
       expect(rowCount).toBe(0);
     });
   });
 
-  it('runs callers without a key only where a route is open to all', async () => {
-    const connectionString = urlOf(cluster, 0).replace(/\/\/[^@]+@/, '//anyone:@');
+  it('callers without a key are admitted only while the group is open to all', async () => {
+    const connectionString = callerUrl(cluster, 0).replace(/\/\/[^@]+@/, '//anyone:@');
     const closed = new pg.Client({ connectionString });
-    expect(await failureOf(closed.connect())).toBe('28P01');
+    expect(await sqlStateOfFailure(closed.connect())).toBe('28P01');
     const value = { acknowledgement: 'quorum', openToAllAs: OTHER_CUSTOMER };
     await applySettings(cluster.plan, [{ path: `groups/${GROUP}`, value }]);
     await waitFor('the route to open', async () => {
       const open = new pg.Client({ connectionString });
-      const outcome = await failureOf(open.connect().then(() => open.query('SELECT 1')));
+      const outcome = await sqlStateOfFailure(open.connect().then(() => open.query('SELECT 1')));
       void open.end().catch(() => undefined);
       return outcome === 'no error';
     });
     await applySettings(cluster.plan, [{ path: `groups/${GROUP}`, value: null }]);
   });
 
-  it('never shows a key to a target, and writes none to its logs', async () => {
+  it('keys never appear in a server’s log or in the process logs', async () => {
     const logs = readFileSync(join(cluster.plan.options.dataFolder, 'processes.log'), 'utf8');
     expect(logs).toContain('"part":"bramleykeel:entry"');
-    const entries = JSON.stringify(await logOf(cluster, await primaryOf(cluster)));
+    const entries = JSON.stringify(await fetchServerLog(cluster, await findPrimary(cluster)));
     for (const key of cluster.plan.keys.values()) {
       expect(logs).not.toContain(key);
       expect(entries).not.toContain(key);
@@ -294,7 +295,7 @@
 });
 
 describe('settings', () => {
-  it('lets one of two racing operators win, and answers resends through any member alike', async () => {
+  it('accept one of two conflicting changes, and repeat the answer to a resend on any member', async () => {
     const { revision } = (await callAnyMember(cluster.plan, 'settings/list', {})) as {
       revision: number;
     };
@@ -320,7 +321,7 @@
     }
   });
 
-  it('refuses a token that is not an operator’s', async () => {
+  it('are refused without a valid operator token', async () => {
     const address = cluster.plan.control[0]?.adminAddress ?? '';
     const response = await fetch(`http://${address}/v1/settings/list`, {
       method: 'POST',
@@ -332,7 +333,7 @@
 });
 
 describe('rates', () => {
-  it('admits no customer above rate and burst, counted over all entries', async () => {
+  it('limit a customer to its rate and burst, summed over all entries', async () => {
     const name = 'limited';
     const secret = 'the-key-of-the-limited-customer';
     const limit = { ratePerSecond: 50, burst: 20, readAgeAllowanceMs: null };
@@ -341,7 +342,7 @@
       { path: `keys/${name}/k`, value: { sha256Hex: hashSecret(secret) } },
     ]);
     const urls = [0, 1, 2].map((index) =>
-      urlOf(cluster, index).replace(/\/\/[^@]+@/, `//${name}:${secret}@`),
+      callerUrl(cluster, index).replace(/\/\/[^@]+@/, `//${name}:${secret}@`),
     );
     const admittedMs: number[] = [];
     const untilMs = performance.now() + 3_000;
@@ -352,10 +353,10 @@
         client.on('error', () => undefined);
         await waitFor(
           'the customer',
-          async () => (await failureOf(client.connect())) === 'no error',
+          async () => (await sqlStateOfFailure(client.connect())) === 'no error',
         );
         while (performance.now() < untilMs) {
-          const outcome = await failureOf(client.query('SELECT 1'));
+          const outcome = await sqlStateOfFailure(client.query('SELECT 1'));
           if (outcome === 'no error') admittedMs.push(performance.now());
           else refusals.add(outcome);
         }
--- a/packages/system-tests/src/silent-connections.test.ts
+++ b/packages/system-tests/src/silent-connections.test.ts
@@ -3,8 +3,8 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import {
   connect,
-  logOf,
-  primaryOf,
+  fetchServerLog,
+  findPrimary,
   sqlStateOf,
   startTestCluster,
   type TestCluster,
@@ -12,27 +12,27 @@
 } from './test-cluster.js';
 import { closeLedger, startLedger } from './write-ledger.js';
 
-let running: TestCluster;
+let testCluster: TestCluster;
 let cluster: Cluster;
 const relays = new Map<string, TcpRelay>();
 
 beforeAll(async () => {
-  running = await startTestCluster({ hasServerRelays: true }, async (plan) => {
+  testCluster = await startTestCluster({ hasServerRelays: true }, async (plan) => {
     for (const { server, address, announcedAddress } of plan.servers) {
       relays.set(server, await startTcpRelay(announcedAddress, address));
     }
   });
-  cluster = running.cluster;
+  cluster = testCluster.cluster;
 });
 
 afterAll(async () => {
-  await running.remove();
+  await testCluster.remove();
   await Promise.all([...relays.values()].map((relay) => relay.close()));
 });
 
-describe('connections to targets that went silent while new ones work', () => {
-  it('are found before an idle one is used again', async () => {
-    const primary = await primaryOf(cluster);
+describe('open connections to servers that go silent while new connections work', () => {
+  it('are detected before an idle one is reused', async () => {
+    const primary = await findPrimary(cluster);
     await withClient(cluster, 0, (client) =>
       client.query("INSERT INTO bookings VALUES ('a', 'a')"),
     );
@@ -43,11 +43,11 @@
       const { rowCount } = await client.query("SELECT id FROM bookings WHERE id = 'b'");
       expect(rowCount).toBe(1);
     });
-    expect(await primaryOf(cluster)).toBe(primary);
+    expect(await findPrimary(cluster)).toBe(primary);
   });
 
-  it('end a running write as unknown and a running read with its answer', async () => {
-    const primary = await primaryOf(cluster);
+  it('fail an open transaction with 57P03 and answer a running read', async () => {
+    const primary = await findPrimary(cluster);
     const [writer, reader] = await Promise.all([connect(cluster, 0), connect(cluster, 1)]);
     await writer.query('BEGIN');
     const slept = writer.query('SELECT pg_sleep(0.3)').then(() => 'answered', sqlStateOf);
@@ -56,14 +56,14 @@
     for (const relay of relays.values()) relay.silenceOpenConnections();
     expect(await slept).toBe('57P03');
     expect(await read).toBe('answered');
-    expect(await primaryOf(cluster)).toBe(primary);
+    expect(await findPrimary(cluster)).toBe(primary);
     void writer.end().catch(() => undefined);
     await reader.end();
   });
 
-  it('lose and double nothing while writes run, time and again', async () => {
+  it('cause no lost, doubled or wrongly reported write and no stale read, even repeatedly', async () => {
     const ledger = startLedger(cluster, 4);
-    for (let turn = 0; turn < 3; turn += 1) {
+    for (let round = 0; round < 3; round += 1) {
       await new Promise((resolve) => setTimeout(resolve, 700));
       for (const relay of relays.values()) relay.silenceOpenConnections();
     }
@@ -71,6 +71,6 @@
     const summary = await closeLedger(cluster, ledger);
     expect(summary).toMatchObject({ lost: [], doubled: [], falselyNotRun: [], staleReads: [] });
     expect(summary.acknowledged).toBeGreaterThan(0);
-    expect((await logOf(cluster, await primaryOf(cluster))).length).toBeGreaterThan(0);
+    expect((await fetchServerLog(cluster, await findPrimary(cluster))).length).toBeGreaterThan(0);
   });
 });
--- a/packages/system-tests/src/soak.ts
+++ b/packages/system-tests/src/soak.ts
@@ -1,14 +1,22 @@
 #!/usr/bin/env node
-/** `npm run soak -- --seed N`: random faults on a real cluster, with a ledger of every write. */
+/**
+ * `npm run soak -- --seed N`: injects random faults into a cluster under a write load and checks every
+ * write against the log. Exits with 1 if a write was lost, doubled or wrongly reported, if a read was
+ * stale, or if no write was acknowledged.
+ */
 import type { Cluster } from '@bramleykeel/dev-launcher';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { delay, ownerOf, primaryOf, startTestCluster, statusOf } from './test-cluster.js';
+import { delay, findOwner, findPrimary, startTestCluster, fetchStatus } from './test-cluster.js';
 import { closeLedger, startLedger } from './write-ledger.js';
 
 const options = await yargs(hideBin(process.argv))
   .scriptName('npm run soak --')
-  .option('seed', { type: 'number', default: 1, describe: 'decides the faults and their times' })
+  .option('seed', {
+    type: 'number',
+    default: 1,
+    describe: 'seed for the choice and timing of faults',
+  })
   .option('minutes', { type: 'number', default: 2 })
   .option('workers', { type: 'number', default: 6 })
   .strict()
@@ -17,7 +25,7 @@
 const MAX_PAUSE_MS = 3_000;
 const MAX_OUTAGE_MS = 4_000;
 
-/** A generator of numbers in [0, 1) with a fixed seed. */
+/** Creates a seeded generator of numbers in [0, 1) (a linear congruential generator). */
 function createRandom(seed: number): () => number {
   let state = seed >>> 0;
   return () => {
@@ -28,28 +36,28 @@
 
 const random = createRandom(options.seed);
 
-type Choice = (cluster: Cluster) => Promise<string>;
+type ProcessSelector = (cluster: Cluster) => Promise<string>;
 
-function anyOf(names: readonly string[]): string {
+function pickRandom(names: readonly string[]): string {
   return names[Math.floor(random() * names.length)] ?? '';
 }
 
-const CHOICES: readonly Choice[] = [
-  (cluster) => primaryOf(cluster),
-  (cluster) => ownerOf(cluster),
-  async (cluster) => (await statusOf(cluster)).control.leader,
-  (cluster) => Promise.resolve(anyOf(cluster.plan.servers.map(({ server }) => server))),
-  (cluster) => Promise.resolve(anyOf(cluster.plan.entries.map(({ id }) => id))),
-  (cluster) => Promise.resolve(anyOf(cluster.plan.control.map(({ id }) => id))),
+const PROCESS_SELECTORS: readonly ProcessSelector[] = [
+  (cluster) => findPrimary(cluster),
+  (cluster) => findOwner(cluster),
+  async (cluster) => (await fetchStatus(cluster)).control.leader,
+  (cluster) => Promise.resolve(pickRandom(cluster.plan.servers.map(({ server }) => server))),
+  (cluster) => Promise.resolve(pickRandom(cluster.plan.entries.map(({ id }) => id))),
+  (cluster) => Promise.resolve(pickRandom(cluster.plan.control.map(({ id }) => id))),
 ];
 
 const SIGNALS = ['SIGKILL', 'SIGSTOP', 'SIGTERM'] as const;
 
-/** Brings one fault about, waits, and repairs it. */
-async function bringFault(cluster: Cluster): Promise<void> {
-  const choose = CHOICES[Math.floor(random() * CHOICES.length)];
+/** Kills, suspends or stops a random process, waits, and brings it back. */
+async function injectFault(cluster: Cluster): Promise<void> {
+  const selectProcess = PROCESS_SELECTORS[Math.floor(random() * PROCESS_SELECTORS.length)];
   const signal = SIGNALS[Math.floor(random() * SIGNALS.length)] ?? 'SIGKILL';
-  const name = (await choose?.(cluster)) ?? '';
+  const name = (await selectProcess?.(cluster)) ?? '';
   if (!cluster.processes.has(name)) return;
   process.stdout.write(`${signal} ${name}\n`);
   const ended = signal === 'SIGSTOP' ? Promise.resolve() : cluster.awaitExit(name);
@@ -65,10 +73,10 @@
 
 const { cluster, remove } = await startTestCluster();
 const ledger = startLedger(cluster, options.workers);
-const untilMs = performance.now() + options.minutes * 60_000;
-while (performance.now() < untilMs) {
+const deadlineMs = performance.now() + options.minutes * 60_000;
+while (performance.now() < deadlineMs) {
   await delay(random() * MAX_PAUSE_MS);
-  await bringFault(cluster);
+  await injectFault(cluster);
 }
 await delay(MAX_OUTAGE_MS);
 const summary = await closeLedger(cluster, ledger);
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,4 @@
-// Bundles the program for the users' platform into one file, straight from the sources.
+// Bundles platform/src/main.ts and its workspace packages into one file, from TypeScript sources.
 import { readdirSync } from 'node:fs';
 import { build } from 'esbuild';
 
@@ -11,7 +11,7 @@
   ]),
 );
 
-/** The schema library brings its messages in some fifty languages; reading them costs start-up time. */
+/** Leaves out zod's non-English messages (some fifty languages); parsing them slows down start-up. */
 const englishOnly = {
   name: 'english-only',
   setup: ({ onLoad }) => {
