--- a/packages/bench/src/fairness-experiment.ts
+++ b/packages/bench/src/fairness-experiment.ts
@@ -128,15 +128,15 @@
   const customers = [{ name: 'tuulgan', ratePerSecond: 200, burst: 200, readAgeAllowanceMs: null }];
   return withCluster({ customers }, async (cluster) => {
     const rate = 200 * COMPLIANT_RATE_SHARE;
-    const quiet = await runLoad(cluster, 'tuulgan', rate, durationMs);
-    const started = runLoad(cluster, 'tuulgan', rate, durationMs);
+    const baseline = await runLoad(cluster, 'tuulgan', rate, durationMs);
+    const pendingLoad = runLoad(cluster, 'tuulgan', rate, durationMs);
     await delay(durationMs / 2);
     const home = await findHomeEntry(cluster);
     cluster.signal(home, 'SIGKILL');
-    const lost = await started;
+    const withFault = await pendingLoad;
     return [
-      { phase: 'no fault', refused: quiet.failures, of: quiet.started },
-      { phase: `home ${home} killed`, refused: lost.failures, of: lost.started },
+      { phase: 'no fault', refused: baseline.failures, of: baseline.started },
+      { phase: `home ${home} killed`, refused: withFault.failures, of: withFault.started },
     ];
   });
 }
--- a/packages/system-tests/src/failures.test.ts
+++ b/packages/system-tests/src/failures.test.ts
@@ -149,8 +149,8 @@
     name: 'the primary announces that it is leaving',
     isPlanned: true,
     inject: async (cluster, { primary }) => {
-      const place = cluster.plan.servers.find(({ server }) => server === primary);
-      await fetch(`http://${place?.commandAddress ?? ''}/leave`, { method: 'POST' });
+      const plannedServer = cluster.plan.servers.find(({ server }) => server === primary);
+      await fetch(`http://${plannedServer?.commandAddress ?? ''}/leave`, { method: 'POST' });
       await waitForNewPrimary(cluster, primary);
     },
   },
--- a/packages/system-tests/src/path.test.ts
+++ b/packages/system-tests/src/path.test.ts
@@ -352,7 +352,7 @@
         const client = new pg.Client({ connectionString: urls[worker % 3] });
         client.on('error', () => undefined);
         await waitFor(
-          'the customer',
+          'the new customer to be admitted',
           async () => (await sqlStateOfFailure(client.connect())) === 'no error',
         );
         while (performance.now() < untilMs) {
--- a/packages/system-tests/src/test-cluster.ts
+++ b/packages/system-tests/src/test-cluster.ts
@@ -168,8 +168,8 @@
   cluster: Cluster,
   server: string,
 ): Promise<readonly StandInLogEntry[]> {
-  const place = cluster.plan.servers.find((candidate) => candidate.server === server);
-  const url = `http://${place?.commandAddress ?? ''}/entries`;
+  const plannedServer = cluster.plan.servers.find((candidate) => candidate.server === server);
+  const url = `http://${plannedServer?.commandAddress ?? ''}/entries`;
   const answer = await requestJson('GET', url, undefined, 5_000);
   return (answer as { entries: StandInLogEntry[] } | undefined)?.entries ?? [];
 }
