--- a/packages/bramleykeelctl/src/main.ts
+++ b/packages/bramleykeelctl/src/main.ts
@@ -20,7 +20,7 @@
 import { formatStatus, type SystemStatus } from './format-status.js';
 import { formatTrace, traceRequest } from './trace.js';
 
-/** Exit statuses. Scripts rely on them, so the values must not change. */
+/** Exit statuses; their values must not change. */
 const EXIT_STATUS = { ok: 0, failed: 1, usage: 2, denied: 3, conflict: 4, unreachable: 5 } as const;
 /** Limit for `--wait`. */
 const WAIT_TIMEOUT_MS = 30_000;
--- a/packages/postgres-wire/src/classify-statement.ts
+++ b/packages/postgres-wire/src/classify-statement.ts
@@ -86,7 +86,7 @@
  * to the primary, so that the caller receives the target's own error message.
  *
  * @example
- * classifyText('SELECT 1').statements; // [{ kind: 'read' }]
+ * classifyQuery('SELECT 1').statements; // [{ kind: 'read' }]
  */
 export function classifyQuery(text: string): QueryClassification {
   const parsed = parseStatements(text);
@@ -131,8 +131,8 @@
 }
 
 function classifySelect(node: SyntaxNode): StatementClassification {
-  const refused = rejectSessionFunction({ SelectStmt: node }) ?? rejectTemporaryTable(node);
-  if (refused) return refused;
+  const rejection = rejectSessionFunction({ SelectStmt: node }) ?? rejectTemporaryTable(node);
+  if (rejection) return rejection;
   return containsWrite({ SelectStmt: node }) ? { kind: 'write' } : { kind: 'read' };
 }
 
--- a/packages/postgres-wire/src/message-framer.ts
+++ b/packages/postgres-wire/src/message-framer.ts
@@ -23,7 +23,7 @@
 
 const TYPE_BYTES = 1;
 const LENGTH_BYTES = 4;
-/** PostgreSQL itself rejects longer startup packets. */
+/** Startup packets are short; a longer one does not come from a PostgreSQL client. */
 const MAX_STARTUP_BYTES = 10_000;
 
 export function createMessageFramer(
--- a/packages/postgres-wire/src/server-messages.ts
+++ b/packages/postgres-wire/src/server-messages.ts
@@ -49,7 +49,10 @@
   readonly hint?: string;
 }
 
-/** Builds an ErrorResponse with both severity fields: localized (S) and non-localized (V). */
+/**
+ * Builds an ErrorResponse with both severity fields, localized (S) and non-localized (V), as newer
+ * clients expect.
+ */
 export function buildErrorResponse(fields: ErrorFields): Buffer {
   const writer = new Writer();
   const addField = (letter: string, text: string | undefined) => {
