--- a/packages/bench/src/failover-experiment.ts
+++ b/packages/bench/src/failover-experiment.ts
@@ -1,4 +1,7 @@
-/** Longest time without an acknowledged write after a fault, over repeated runs. */
+/**
+ * Failover gap: the longest time between two acknowledged writes of which the second comes after the
+ * fault, over repeated runs.
+ */
 import type { Cluster } from '@bramleykeel/dev-launcher';
 import pg from 'pg';
 import { fetchStatus, delay, GROUP, createPool, withCluster } from './bench-cluster.js';
--- a/packages/bramleykeelctl/src/trace.test.ts
+++ b/packages/bramleykeelctl/src/trace.test.ts
@@ -24,7 +24,7 @@
     expect(lines.map(({ atMs }) => atMs)).toEqual([20_000, 20_400, 20_700, 20_900]);
   });
 
-  it('contains lines of an entry incarnation that held its customer', () => {
+  it('contains lines of the entry incarnation that its customer was assigned to', () => {
     const rateHomeLogs = [
       formatLogLine(5_000, { customer: 'acme', incarnation: 'one', epoch: 1 }),
       formatLogLine(19_900, { incarnation: 'one' }),
--- a/packages/bramleykeelctl/src/trace.ts
+++ b/packages/bramleykeelctl/src/trace.ts
@@ -40,7 +40,7 @@
 
 /**
  * Collects the lines of a request, and related lines: those of no request that name its group, its
- * customer, or the incarnation of an entry that held one of them.
+ * customer, or the incarnation of an entry that one of them was assigned to.
  *
  * @example
  * traceRequest(readFileSync(0, 'utf8').split('\n'), '5c0e7a21d94b36f8');
--- a/packages/dev-launcher/src/cluster.ts
+++ b/packages/dev-launcher/src/cluster.ts
@@ -46,7 +46,7 @@
 
 /**
  * Returns whether any control member has a data folder. Only a new cluster, in which none has one,
- * is initialised: a member whose folder alone is missing has lost its disk.
+ * is initialized: a member whose folder alone is missing has lost its disk.
  */
 function hasExistingMemberData({ options, control }: ClusterPlan): boolean {
   return control.some(({ id }) => existsSync(join(options.dataFolder, id)));
--- a/packages/system-tests/src/path.test.ts
+++ b/packages/system-tests/src/path.test.ts
@@ -274,7 +274,7 @@
     expect(await sqlStateOfFailure(closed.connect())).toBe('28P01');
     const value = { acknowledgement: 'quorum', openToAllAs: OTHER_CUSTOMER };
     await applySettings(cluster.plan, [{ path: `groups/${GROUP}`, value }]);
-    await waitFor('the route to open', async () => {
+    await waitFor('the group to be open to all', async () => {
       const open = new pg.Client({ connectionString });
       const outcome = await sqlStateOfFailure(open.connect().then(() => open.query('SELECT 1')));
       void open.end().catch(() => undefined);
@@ -345,7 +345,7 @@
       callerUrl(cluster, index).replace(/\/\/[^@]+@/, `//${name}:${secret}@`),
     );
     const admittedMs: number[] = [];
-    const untilMs = performance.now() + 3_000;
+    const deadlineMs = performance.now() + 3_000;
     const refusals = new Set<string>();
     await Promise.all(
       Array.from({ length: 12 }, async (_, worker) => {
@@ -355,7 +355,7 @@
           'the new customer to be admitted',
           async () => (await sqlStateOfFailure(client.connect())) === 'no error',
         );
-        while (performance.now() < untilMs) {
+        while (performance.now() < deadlineMs) {
           const outcome = await sqlStateOfFailure(client.query('SELECT 1'));
           if (outcome === 'no error') admittedMs.push(performance.now());
           else refusals.add(outcome);
--- a/packages/system-tests/src/test-cluster.ts
+++ b/packages/system-tests/src/test-cluster.ts
@@ -152,12 +152,12 @@
 export async function withClient<Result>(
   cluster: Cluster,
   entryIndex: number,
-  use: (client: pg.Client) => Promise<Result>,
+  action: (client: pg.Client) => Promise<Result>,
   customer = CUSTOMER,
 ): Promise<Result> {
   const client = await connect(cluster, entryIndex, customer);
   try {
-    return await use(client);
+    return await action(client);
   } finally {
     void client.end().catch(() => undefined);
   }
@@ -180,8 +180,8 @@
   condition: () => Promise<boolean> | boolean,
   timeoutMs = 20_000,
 ): Promise<void> {
-  const untilMs = performance.now() + timeoutMs;
-  while (performance.now() < untilMs) {
+  const deadlineMs = performance.now() + timeoutMs;
+  while (performance.now() < deadlineMs) {
     if (await condition()) return;
     await delay(20);
   }
--- a/packages/system-tests/src/write-ledger.ts
+++ b/packages/system-tests/src/write-ledger.ts
@@ -126,7 +126,7 @@
   ledger.writes.push({ ids, outcome, answer, atMs: performance.now() });
 }
 
-/** Reads the newest acknowledged write over a new connection to another entry. */
+/** Reads the customer's newest acknowledged write over a new connection to another entry. */
 async function readBack(cluster: Cluster, ledger: WriteLedger, entryIndex: number): Promise<void> {
   const newest = ledger.writes.findLast(({ outcome }) => outcome === 'acknowledged');
   const id = newest?.ids[0];
--- a/packages/test-support/src/stand-in/server-state.ts
+++ b/packages/test-support/src/stand-in/server-state.ts
@@ -87,7 +87,7 @@
 }
 
 /**
- * Takes the primary role in a term; has no effect if the server is already primary in this term.
+ * Makes the server primary in `term`; has no effect if it is already primary in this term.
  */
 export function promote(server: StandInServer, term: number): void {
   if (server.role === 'primary' && server.storage.terms.term === term) return;
