--- a/packages/bench/src/connections-experiment.ts
+++ b/packages/bench/src/connections-experiment.ts
@@ -1,6 +1,6 @@
 /**
  * Memory and processor time of an entry by its number of idle connections, and of the group owner
- * without caller connections. With no connections, an entry costs only what control requires.
+ * without caller connections. With no connections, the result is its cost for control alone.
  */
 import { createConnection, type Socket } from 'node:net';
 import { serialize } from 'pg-protocol';
--- a/packages/test-support/src/stand-in/announcer.ts
+++ b/packages/test-support/src/stand-in/announcer.ts
@@ -31,11 +31,11 @@
     if (timer !== undefined || state.isSending) return;
     timer = setTimeout(() => {
       timer = undefined;
-      void sendRequested();
+      void sendPendingAnnouncement();
     }, options.coalesceDelayMs);
   }
 
-  async function sendRequested(): Promise<void> {
+  async function sendPendingAnnouncement(): Promise<void> {
     if (options.isPaused()) return;
     state.isSending = true;
     state.isRequested = false;
