Reword remaining comments and names of the statement entry

Put back the units and reasons that doc comments had lost, and use one word for one thing:

- NearOfferCode -> EncodedNearOffer
- NearOfferRequestCode -> EncodedNearOfferRequest
- NEAR_TIMEOUT_MS -> NEAR_OFFER_TIMEOUT_MS
- noteSuccess -> recordSuccessfulAnswer
- ServerState.heardAtMs -> lastAnnouncementMs
- setupNeedOf -> setupRequirementsOf
- PROMOTED_WITHIN_MS -> PROMOTED_ROLE_TIMEOUT_MS
- PREDECESSOR_CONNECTIONS_MS -> FORMER_OWNER_CONNECTIONS_MS
- locals and parameters question, known, need, asked, own, again

--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -14,9 +14,9 @@
 import { handleOwnerEnded, type OwnerClient, handleOutcome } from './locate/owner-client.js';
 import {
   encodeOffer,
-  type NearOfferCode,
+  type EncodedNearOffer,
   type NearOfferRequest,
-  type NearOfferRequestCode,
+  type EncodedNearOfferRequest,
   createNearOffer,
 } from './near/near-offer.js';
 import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
@@ -56,7 +56,7 @@
 const REQUEST_HANDLERS: Readonly<Record<string, RequestHandler>> = {
   'rate/draw': (app, params) => answerEncodedDraw(app.draws, params as EncodedDraw),
   'near/ask': (app, params) => {
-    const [group, epoch, zone, entryId] = params as NearOfferRequestCode;
+    const [group, epoch, zone, entryId] = params as EncodedNearOfferRequest;
     return answerNearOfferRequest(app, toGroupName(group), epoch, { zone, entryId });
   },
   'server/announce': (app, params) =>
@@ -138,11 +138,11 @@
   { registry }: Pick<StatementApp, 'registry'>,
   group: GroupName,
   epoch: number,
-  question: NearOfferRequest,
-): Promise<NearOfferCode | null> {
+  request: NearOfferRequest,
+): Promise<EncodedNearOffer | null> {
   await new Promise((resolve) => setImmediate(resolve));
   const owner = findStatementOwner(registry, group, epoch);
-  return encodeOffer(owner && createNearOffer(owner, question));
+  return encodeOffer(owner && createNearOffer(owner, request));
 }
 
 function acceptRemoteStatement(app: StatementApp, peer: LinkPeer, encoded: EncodedStatement): void {
@@ -164,8 +164,8 @@
 }
 
 function getOrCreateChannel(app: StatementApp, peer: LinkPeer): EntryChannel {
-  const known = app.channels.get(peer);
-  if (known) return known;
+  const existing = app.channels.get(peer);
+  if (existing) return existing;
   app.channelCount += 1;
   const created: EntryChannel = {
     id: `link-${app.channelCount}`,
--- a/packages/statement-entry/src/near/near-offer.ts
+++ b/packages/statement-entry/src/near/near-offer.ts
@@ -68,33 +68,33 @@
 }
 
 /** Requests and offers are sent over links frequently, so they are encoded as lists to keep messages small. */
-export type NearOfferRequestCode = readonly [
+export type EncodedNearOfferRequest = readonly [
   group: string,
   epoch: number,
   zone: string,
   entryId: string,
 ];
 
-export type NearOfferCode = readonly [
+export type EncodedNearOffer = readonly [
   term: number,
   offset: number,
   maxConnections: number,
   ...servers: (readonly [server: string, address: string, slots: number])[],
 ];
 
-export function encodeOffer(offer: NearOffer | undefined): NearOfferCode | null {
+export function encodeOffer(offer: NearOffer | undefined): EncodedNearOffer | null {
   if (!offer) return null;
   const { position, maxConnections, servers } = offer;
-  const serverCodes = servers.map(
+  const encodedServers = servers.map(
     ({ server, address, slots }) => [server, address, slots] as const,
   );
-  return [position.term, position.offset, maxConnections, ...serverCodes];
+  return [position.term, position.offset, maxConnections, ...encodedServers];
 }
 
-export function decodeOffer(code: NearOfferCode | null | undefined): NearOffer | undefined {
-  if (!code) return undefined;
-  const [term, offset, maxConnections, ...serverCodes] = code;
-  const servers = serverCodes.map(([server, address, slots]) => {
+export function decodeOffer(encoded: EncodedNearOffer | null | undefined): NearOffer | undefined {
+  if (!encoded) return undefined;
+  const [term, offset, maxConnections, ...encodedServers] = encoded;
+  const servers = encodedServers.map(([server, address, slots]) => {
     return { server: server as ServerName, address, slots };
   });
   return { position: { term, offset }, maxConnections, servers };
--- a/packages/statement-entry/src/near/near-reads.test.ts
+++ b/packages/statement-entry/src/near/near-reads.test.ts
@@ -22,7 +22,7 @@
 };
 
 interface TestContext {
-  readonly near: NearReads;
+  readonly nearReads: NearReads;
   readonly orders: TargetOrder[];
   readonly answers: TargetAnswer[];
   offer: NearOffer | undefined;
@@ -49,7 +49,7 @@
     offer: { position: offered, servers: [server], maxConnections: 2 },
     openOutcome: 'open',
     offerRequestCount: 0,
-    near: createNearReads({
+    nearReads: createNearReads({
       zone: 'zone-a',
       counters: {
         count: () => undefined,
@@ -99,7 +99,12 @@
   });
 
   function read(change: Partial<StatementDraft> = {}, groupToRead: GroupName = group) {
-    return tryNearRead(context.near, groupToRead, { ...draft, ...change }, performance.now() + 800);
+    return tryNearRead(
+      context.nearReads,
+      groupToRead,
+      { ...draft, ...change },
+      performance.now() + 800,
+    );
   }
 
   it('run once the owner has offered a position, and require exactly that position', async () => {
@@ -162,7 +167,7 @@
   );
 
   it('use no offer that was requested before a suspension', async () => {
-    discardOffers(context.near);
+    discardOffers(context.nearReads);
     expect(await read()).toBeUndefined();
     expect(context.orders).toEqual([]);
     expect(await read()).toBeDefined();
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -17,7 +17,7 @@
 import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
 import { orderPromotion, awaitPrimaryRole } from './order-promotion.js';
 
-/** Time that running writes get to finish before a leaving primary is replaced. */
+/** Time that running writes get to finish before a leaving primary is replaced, in milliseconds. */
 const PLANNED_DRAIN_MS = 250;
 const CHANGE_RETRY_MS = 80;
 
@@ -57,7 +57,7 @@
   if (!owner.isClosed) owner.leadership = { kind: 'unknown', sinceMs: performance.now() };
 }
 
-/** The announced primary, or else the one recorded in control. */
+/** The last known primary: the one that announced the role, or else the one recorded in control. */
 function recordedPrimary(owner: StatementOwner): ServerState | undefined {
   const { primary } = owner.environment.groupRecord();
   const announced = [...owner.servers.values()].find(
@@ -128,10 +128,10 @@
     status.heldTerm,
     status.position.term,
   ]);
-  const known = owner.acknowledgedPositions
+  const acknowledgedTerm = owner.acknowledgedPositions
     ? newestAcknowledged(owner.acknowledgedPositions).term
     : 0;
-  const term = Math.max(0, known, ...terms) + 1;
+  const term = Math.max(0, acknowledgedTerm, ...terms) + 1;
   const roles = new Map(statuses.map(({ server, status }) => [server, status.role]));
   const answers = await sendControlOrderToAll(owner, (server) =>
     roles.get(server) === 'primary' ? { kind: 'demote', term } : { kind: 'pause', term },
@@ -159,14 +159,16 @@
       isLeaving: server.announcement.isLeaving,
       wasPrimary: server === former,
     }));
-  const silences = unfenced.map(({ failingSinceMs }) => nowMs - (failingSinceMs ?? nowMs));
+  const failureDurationsMs = unfenced.map(
+    ({ failingSinceMs }) => nowMs - (failingSinceMs ?? nowMs),
+  );
   return {
     fenced: servers,
     unfenced: unfenced.map(({ announcement }) => announcement.server),
     acknowledged: owner.acknowledgedPositions
       ? newestAcknowledged(owner.acknowledgedPositions)
       : ZERO_POSITION,
-    unfencedSilentMs: Math.min(...silences, Number.MAX_SAFE_INTEGER),
+    unfencedSilentMs: Math.min(...failureDurationsMs, Number.MAX_SAFE_INTEGER),
     hasStoppedWrites: isPlanned,
   };
 }
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -23,11 +23,14 @@
 import { runJob } from './run-job.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
-/** Retry delay sent with refusals. */
+/** Retry delay sent to callers with refusals, in milliseconds. */
 export const RETRY_AFTER_MS = 200;
-/** `newest` reads go only to the primary while commits of a former owner may still finish. */
+/**
+ * Time after the start of an owner in which commits of a former owner may still finish, in milliseconds. Until
+ * then `newest` reads go only to the primary.
+ */
 const FORMER_OWNER_COMMIT_MS = 2_000;
-/** Typical run time of a statement on a server; the means of the sites are 3 to 55 ms. */
+/** Typical run time of a statement on a server, in milliseconds; the means of the sites are 3 to 55 ms. */
 const TYPICAL_STATEMENT_MS = 15;
 /** Limit of statements sent beyond a server's slots, as a multiple of the slots. */
 const MAX_PIPELINED_PER_SLOT = 2;
@@ -48,8 +51,8 @@
 }
 
 function queueOf(owner: StatementOwner, priority: number): FairQueue<Job> {
-  const known = owner.queues.get(priority);
-  if (known) return known;
+  const existing = owner.queues.get(priority);
+  if (existing) return existing;
   const created = createFairQueue<Job>(MAX_WAITING_PER_CUSTOMER);
   owner.queues.set(priority, created);
   return created;
@@ -132,7 +135,7 @@
   const isRead = transaction ? transaction.isReadOnly : access === 'read';
   const mayMissFormerCommits =
     nowMs - owner.startedAtMs < FORMER_OWNER_COMMIT_MS && consistency === 'newest';
-  const need: TargetRequirements = {
+  const requirements: TargetRequirements = {
     mustBePrimary: !isRead || mayMissFormerCommits,
     requiredPosition: isRead
       ? requiredPosition(acknowledgedPositions, request, nowMs)
@@ -143,10 +146,13 @@
         : nowMs - request.maxReadAgeMs,
     mayAssumeCaughtUp: attempts === 0,
   };
-  return chooseTarget(views, need, nowMs);
+  return chooseTarget(views, requirements, nowMs);
 }
 
-/** Refuses expired queued statements; expired statements of open transactions are passed to `runJob`. */
+/**
+ * Refuses queued statements whose wait has expired as not run (`endJob` corrects this for those that may have
+ * run). Expired statements of open transactions are passed to `runJob`.
+ */
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
@@ -160,7 +166,7 @@
   }
 }
 
-/** Returns a statement to the queue under its original deadline. */
+/** Returns a statement to the queue under its original deadline, or ends it if that has passed or the owner is closed. */
 export function requeueJob(owner: StatementOwner, job: Job): void {
   job.attempts += 1;
   if (job.isEnded) return;
--- a/packages/statement-entry/src/owner/order-promotion.ts
+++ b/packages/statement-entry/src/owner/order-promotion.ts
@@ -1,21 +1,23 @@
-/** Requests the promotion of a server from the platform. */
+/** Requests the promotion of a server from the platform, under a token that control has committed for it. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { type ServerName } from '@bramleykeel/core';
 import { sendControlOrder, type ServerStatus } from '../target/server-control.js';
 import { type StatementOwner } from './owner-state.js';
 import { isActiveOwner } from './take-over.js';
 
-/** Pause before an unanswered call is repeated. */
+/** Pause before an unanswered call is repeated, in milliseconds. */
 const PROMOTE_RETRY_MS = 80;
 const PROMOTED_POLL_MS = 50;
-/** Time in which a promoted server has to report the role of primary. */
-const PROMOTED_WITHIN_MS = 2_500;
+/** Time in which a promoted server has to report the primary role, in milliseconds. */
+const PROMOTED_ROLE_TIMEOUT_MS = 2_500;
 /** Calls to the platform under one token, including repeats of unanswered ones. */
 const PROMOTE_ATTEMPTS = 4;
 
 /**
  * Requests the promotion under a token that control has committed. A token is valid for one server only,
- * so an order that is carried out late cannot undo a newer one. Returns whether the platform accepted.
+ * so an order that is carried out late cannot undo a newer one.
+ *
+ * @returns whether the platform accepted the order
  */
 export async function orderPromotion(owner: StatementOwner, server: ServerName): Promise<boolean> {
   const { environment, group, epoch: ownerEpoch } = owner;
@@ -60,7 +62,7 @@
   owner: StatementOwner,
   name: ServerName,
 ): Promise<ServerStatus | undefined> {
-  const untilMs = performance.now() + PROMOTED_WITHIN_MS;
+  const untilMs = performance.now() + PROMOTED_ROLE_TIMEOUT_MS;
   while (isActiveOwner(owner) && performance.now() < untilMs) {
     const server = owner.servers.get(name);
     if (!server) return undefined;
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -40,9 +40,9 @@
   const { transaction: ref, customer } = job.request;
   if (!ref) return true;
   const key = transactionKeyOf(channel.id, ref.number);
-  const known = owner.transactions.get(key);
-  if (known) {
-    job.transaction = known;
+  const existing = owner.transactions.get(key);
+  if (existing) {
+    job.transaction = existing;
     return true;
   }
   if (!ref.isFirst) {
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -53,12 +53,12 @@
   owner: StatementOwner,
   announcement: ServerAnnouncement,
 ): void {
-  const known = owner.servers.get(announcement.server);
-  if (known && !isNewerAnnouncement(announcement, known.announcement)) return;
+  const existing = owner.servers.get(announcement.server);
+  if (existing && !isNewerAnnouncement(announcement, existing.announcement)) return;
   const nowMs = performance.now();
-  const isRestarted = known && known.announcement.bornMs !== announcement.bornMs;
-  const isMoved = known && known.announcement.address !== announcement.address;
-  if (known && (isRestarted === true || isMoved === true)) {
+  const isRestarted = existing && existing.announcement.bornMs !== announcement.bornMs;
+  const isMoved = existing && existing.announcement.address !== announcement.address;
+  if (existing && (isRestarted === true || isMoved === true)) {
     owner.environment.log(
       `server ${announcement.server} of ${owner.group} has restarted or changed its address`,
     );
@@ -67,7 +67,7 @@
   const current = owner.servers.get(announcement.server);
   if (current) {
     current.announcement = announcement;
-    current.heardAtMs = nowMs;
+    current.lastAnnouncementMs = nowMs;
   } else {
     removeFormerServers(owner, announcement);
     owner.servers.set(announcement.server, createServerState(announcement, nowMs));
--- a/packages/statement-entry/src/owner/owner-state.test.ts
+++ b/packages/statement-entry/src/owner/owner-state.test.ts
@@ -14,7 +14,7 @@
   return server;
 }
 
-function startLed(epoch: number): FakeGroup {
+function startOwnerWithPrimary(epoch: number): FakeGroup {
   const fake = createFakeGroup(3, epoch);
   const status = {
     role: 'primary',
@@ -32,12 +32,12 @@
     { name: 'a replica without near readers', index: 1 },
     { name: 'a replica with near readers', index: 2 },
   ])('stay within the limit of $name beside a frozen former owner', ({ index }) => {
-    const fake = startLed(2);
-    const former = startLed(1);
+    const fake = startOwnerWithPrimary(2);
+    const former = startOwnerWithPrimary(1);
     const offers = ['e-1', 'e-2', 'e-3', 'e-4'].map((entryId) => {
-      const question = { zone: 'zone-2', entryId };
-      createNearOffer(former.owner, question);
-      return createNearOffer(fake.owner, question);
+      const request = { zone: 'zone-2', entryId };
+      createNearOffer(former.owner, request);
+      return createNearOffer(fake.owner, request);
     });
     const server = serverOf(fake, index);
     const offered = offers
@@ -52,7 +52,7 @@
   });
 
   it('offer replicas to near readers in any zone of the same region', () => {
-    const fake = startLed(1);
+    const fake = startOwnerWithPrimary(1);
     const regionOf = (zone: string) => (zone === 'zone-1' || zone === 'zone-1b' ? 'north' : zone);
     Object.assign(fake.owner.environment, { regionOf });
     const names = (zone: string) =>
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -1,4 +1,4 @@
-/** State of the owner of a statement group. */
+/** State of the owner of a statement group: servers, connections, queues, transactions and log positions. */
 import {
   type ApplyResult,
   type ControlCommand,
@@ -29,7 +29,7 @@
 export interface OwnerEnvironment {
   readonly entryId: string;
   readonly zone: string;
-  /** The region of a zone. */
+  /** The region of a zone; zones of one region are near each other. */
   readonly regionOf: (zone: string) => string;
   readonly log: Log;
   readonly counters: Counters;
@@ -65,7 +65,8 @@
 
 export interface ServerState {
   announcement: ServerAnnouncement;
-  heardAtMs: number;
+  /** When the last announcement arrived; for a server loaded from a record, when it was loaded. */
+  lastAnnouncementMs: number;
   readonly idle: PooledConnection[];
   /** Open connections, including idle ones and those being opened. */
   connectionCount: number;
@@ -78,14 +79,14 @@
   /** The newest log position that reads on this server are known to see. */
   position: LogPosition;
   laggingUntilMs: number;
-  /** The last pause after a refusal because of lag; zero once the server has answered a read as a replica. */
+  /** The last pause after a refusal because of lag, in milliseconds; zero once a replica has answered a read. */
   laggingPauseMs: number;
   busyUntilMs: number;
   /** Start of the current run of connection failures, if any. */
   failingSinceMs: number | undefined;
   refusedCount: number;
   lastAnswerMs: number;
-  /** The shortest response time to an order of the owner itself. */
+  /** The shortest response time to an order of the owner itself, in milliseconds. */
   roundTripMs: number | undefined;
   isProbing: boolean;
 }
@@ -190,7 +191,7 @@
 export function createServerState(announcement: ServerAnnouncement, nowMs: number): ServerState {
   return {
     announcement,
-    heardAtMs: nowMs,
+    lastAnnouncementMs: nowMs,
     idle: [],
     connectionCount: 0,
     connectedCustomers: new Set(),
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -24,17 +24,17 @@
 import {
   handleBrokenConnection,
   handleRefusal,
-  noteSuccess,
+  recordSuccessfulAnswer,
   settleStatement,
   settleTransactionStatement,
 } from './settle-answer.js';
 import { suspectPrimary } from './watch-primary.js';
 
-/** Timeout of each order that prepares a connection for a statement. */
+/** Timeout of each order that prepares a connection for a statement, in milliseconds. */
 const SETUP_TIMEOUT_MS = 600;
-/** A write or commit that is unanswered for this long may be waiting for an unreachable replica. */
+/** A write or commit unanswered for this long may be waiting for an unreachable replica. In milliseconds. */
 const STALLED_WRITE_MS = 600;
-/** Part of the deadline reserved for returning the answer to the caller. */
+/** Part of the deadline reserved for returning the answer to the caller, in milliseconds. */
 const ANSWER_MARGIN_MS = 5;
 
 /** Runs a statement on `server`, or on the connection of its transaction if that has one. */
@@ -88,8 +88,8 @@
   }
   const isReady = await prepareConnection(owner, job, pooled);
   if (!isReady) return;
-  const sent = buildOrder(owner, job);
-  const answer = await sendOrder(owner, job, pooled, sent);
+  const order = buildOrder(owner, job);
+  const answer = await sendOrder(owner, job, pooled, order);
   if (job.transaction) settleTransactionStatement(owner, job, job.transaction, pooled, answer);
   else settleStatement(owner, job, pooled, answer);
 }
@@ -100,12 +100,12 @@
   job: Job,
   pooled: PooledConnection,
 ): Promise<boolean> {
-  for (const order of setupOrders(setupNeedOf(job), pooled, beginOrderOf(owner, job))) {
+  for (const order of setupOrders(setupRequirementsOf(job), pooled, beginOrderOf(owner, job))) {
     const timeoutMs = Math.min(SETUP_TIMEOUT_MS, job.deadlineMs - performance.now());
     const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
     if (answer.kind === 'done') {
       recordSetup(pooled, order);
-      noteSuccess(pooled, answer.position);
+      recordSuccessfulAnswer(pooled, answer.position);
       continue;
     }
     if (answer.kind === 'refused') handleRefusal(owner, job, pooled.server, answer.code);
@@ -147,7 +147,7 @@
   return statementOrder(job.request, after);
 }
 
-function setupNeedOf({ request: { values, body }, valuesKey }: Job) {
+function setupRequirementsOf({ request: { values, body }, valuesKey }: Job) {
   return { values, body, valuesKey };
 }
 
@@ -168,11 +168,11 @@
   const sentAtMs = performance.now();
   const timeoutMs = job.deadlineMs - sentAtMs - ANSWER_MARGIN_MS;
   const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
-  const takenMs = performance.now() - sentAtMs;
-  if (answer.kind === 'overdue' && job.request.access !== 'read' && takenMs >= STALLED_WRITE_MS) {
+  const elapsedMs = performance.now() - sentAtMs;
+  if (answer.kind === 'overdue' && job.request.access !== 'read' && elapsedMs >= STALLED_WRITE_MS) {
     owner.stalledCommits.push({ server: pooled.server, atMs: performance.now() });
   }
-  if (answer.kind === 'done') noteSuccess(pooled, answer.position);
+  if (answer.kind === 'done') recordSuccessfulAnswer(pooled, answer.position);
   else if (answer.kind !== 'lost' && answer.kind !== 'overdue') recordAnswer(pooled.server);
   return answer;
 }
@@ -184,10 +184,10 @@
   pooled: PooledConnection,
 ): Promise<void> {
   transaction.isBusy = true;
-  for (const order of setupOrders(setupNeedOf(job), pooled, undefined)) {
-    const setUp = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
-    if (setUp.kind !== 'done') {
-      settleTransactionStatement(owner, job, transaction, pooled, setUp);
+  for (const order of setupOrders(setupRequirementsOf(job), pooled, undefined)) {
+    const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
+    if (setupAnswer.kind !== 'done') {
+      settleTransactionStatement(owner, job, transaction, pooled, setupAnswer);
       return;
     }
     recordSetup(pooled, order);
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -24,7 +24,7 @@
     closeStatementOwner(next);
   });
 
-  it('finds the primary at the addresses that its predecessor has recorded', async () => {
+  it('finds the primary at the addresses that the former owner has recorded', async () => {
     await takeOver(next);
     expect(next.leadership).toMatchObject({ kind: 'led', server: 'i-0' });
     expect(next.servers.size).toBe(3);
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -6,7 +6,10 @@
 import type { ServerAnnouncement, ServerPlace } from '@bramleykeel/core';
 import { createServerState, type StatementOwner } from './owner-state.js';
 
-/** Limits the log entries written when servers appear and disappear repeatedly. */
+/**
+ * Minimum time between two records, in milliseconds, so that servers that appear and disappear repeatedly do not
+ * fill the control log.
+ */
 const MIN_RECORD_INTERVAL_MS = 2_000;
 
 /** Adds the recorded servers; any announcement by a server counts as newer and replaces its record. */
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -25,12 +25,12 @@
 import { dropTransaction } from './transactions.js';
 import { suspectPrimary } from './watch-primary.js';
 
-/** A server that answered `busy` gets no statements for this long. */
+/** A server that answered `busy` gets no statements for this long, in milliseconds. */
 const BUSY_PAUSE_MS = 15;
 /**
- * A replica that refused a read because it lags gets no reads that need as new a position for this long.
- * The pause doubles with each further refusal, up to the interval at which owners ask replicas for their
- * position.
+ * A replica that refused a read because it lags gets no reads that require as new a position for this long, in
+ * milliseconds. The pause doubles with each further refusal, up to the interval at which owners request the
+ * status of replicas.
  */
 const LAGGING_PAUSE_MS = 100;
 const MAX_LAGGING_PAUSE_MS = 1_600;
@@ -144,7 +144,10 @@
 }
 
 /** Records a successful answer and the log position that it reports. */
-export function noteSuccess(pooled: PooledConnection, position: LogPosition | null): void {
+export function recordSuccessfulAnswer(
+  pooled: PooledConnection,
+  position: LogPosition | null,
+): void {
   recordAnswer(pooled.server);
   if (position) pooled.server.position = latestPosition(pooled.server.position, position);
 }
@@ -164,7 +167,7 @@
     server: server.announcement.server,
     code,
     position: `${server.position.term}.${server.position.offset}`,
-    heardAgoMs: Math.round(nowMs - server.heardAtMs),
+    heardAgoMs: Math.round(nowMs - server.lastAnnouncementMs),
   });
   if (code === 'busy') server.busyUntilMs = nowMs + BUSY_PAUSE_MS;
   if (code === 'lagging') pauseLagging(server, nowMs);
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -1,4 +1,4 @@
-/** Finds the primary when an owner starts. */
+/** Finds the primary when an owner starts, and starts serving from the position that it reports. */
 import { createAcknowledgedPositions } from '@bramleykeel/core';
 import {
   sendControlOrderToAll,
@@ -11,7 +11,7 @@
 import { isLost } from './watch-primary.js';
 import { changePrimary } from './change-primary.js';
 
-/** Time after the start of an owner before a group without a primary gets a new one. */
+/** Time after the start of an owner before a group without a primary gets a new one, in milliseconds. */
 const MISSING_PRIMARY_WAIT_MS = 3_000;
 
 const takingOver = new WeakSet<StatementOwner>();
@@ -59,9 +59,9 @@
   if (isUnresolved || (record.primary !== undefined && record.primary !== name)) {
     const isConfirmed = await orderPromotion(owner, name);
     if (!isConfirmed || !isActiveOwner(owner)) return;
-    const again = await sendControlOrder(owner, primary.server, { kind: 'status' });
-    if (again?.status.role !== 'primary' || !isActiveOwner(owner)) return;
-    setPrimary(owner, again, 'confirmed by a promotion order');
+    const confirmed = await sendControlOrder(owner, primary.server, { kind: 'status' });
+    if (confirmed?.status.role !== 'primary' || !isActiveOwner(owner)) return;
+    setPrimary(owner, confirmed, 'confirmed by a promotion order');
     return;
   }
   setPrimary(owner, primary, 'reported by the server');
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -15,19 +15,22 @@
 import { changePrimary } from './change-primary.js';
 import { handleStalledCommits, checkReplicas } from './watch-replicas.js';
 
-/** A server that does not answer counts as lost once connections have failed for this long. */
+/** A server that does not answer counts as lost once connections have failed for this long, in milliseconds. */
 const PROBE_FAILURE_TIMEOUT_MS = 550;
 /** Consecutive refused connections that prove that the server process has ended. */
 const REFUSALS_PROVING_EXIT = 2;
 const SUSPECT_PROBE_MS = 80;
 const IDLE_PROBE_MS = 500;
-/** The primary is probed once an answer has been outstanding for this long. */
+/** The primary is probed once an answer has been outstanding for this long, in milliseconds. */
 const UNANSWERED_PROBE_MS = 500;
-/** A stalled write counts for this long as a sign that the primary cannot reach its replicas. */
+/**
+ * A write that stalls while the server answers other orders is a sign that the primary cannot reach its
+ * replicas. It counts for this long, in milliseconds.
+ */
 const STALLED_WRITE_WINDOW_MS = 1_500;
-/** Stalled commits cause no further change of primary for this long after a promotion. */
+/** Stalled commits cause no further change of primary for this long after a promotion, in milliseconds. */
 const MIN_STALL_CHANGE_INTERVAL_MS = 6_000;
-/** An unreachable server is removed once it has sent no announcement for this long. */
+/** An unreachable server is removed once it has sent no announcement for this long, in milliseconds. */
 const REMOVE_AFTER_MS = 12_000;
 
 /** Checks the server immediately if it is the primary. */
@@ -70,13 +73,13 @@
 function removeStaleServers(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const [name, server] of owner.servers) {
-    const isGone =
-      nowMs - server.heardAtMs > REMOVE_AFTER_MS && server.failingSinceMs !== undefined;
-    if (isGone) removeServer(owner, name);
+    const isStale =
+      nowMs - server.lastAnnouncementMs > REMOVE_AFTER_MS && server.failingSinceMs !== undefined;
+    if (isStale) removeServer(owner, name);
   }
 }
 
-/** Removes a server from the group and closes its connections. */
+/** Removes a server that has left, was replaced, restarted or became unreachable, and closes its connections. */
 export function removeServer(owner: StatementOwner, name: ServerName): void {
   const server = owner.servers.get(name);
   if (!server) return;
@@ -86,7 +89,7 @@
   closeControlConnection(server);
 }
 
-/** Checks whether the primary has to be replaced. */
+/** Decides from announcements, outstanding answers and probes whether the primary has to be replaced. */
 async function checkPrimary(
   owner: StatementOwner,
   primary: ServerState,
@@ -94,17 +97,18 @@
 ): Promise<void> {
   const { leadership } = owner;
   if (leadership.kind !== 'led') return;
-  const { announcement, heardAtMs } = primary;
+  const { announcement, lastAnnouncementMs } = primary;
   if (announcement.isLeaving && hasSuccessor(owner, primary)) {
     await changePrimary(owner, 'the primary is leaving', true);
     return;
   }
-  const announcesReplicaRole = announcement.role === 'replica' && heardAtMs > leadership.sinceMs;
+  const announcesReplicaRole =
+    announcement.role === 'replica' && lastAnnouncementMs > leadership.sinceMs;
   const otherPrimary = [...owner.servers.values()].find(
     (server) =>
       server !== primary &&
       server.announcement.role === 'primary' &&
-      server.heardAtMs > leadership.sinceMs,
+      server.lastAnnouncementMs > leadership.sinceMs,
   );
   if (announcesReplicaRole || otherPrimary) {
     await verifyPrimary(owner, primary);
@@ -137,7 +141,10 @@
   );
 }
 
-/** Whether connections were refused repeatedly, or have failed for the probe failure timeout. */
+/**
+ * Whether the server counts as lost: refused connections prove that its process has ended, or connections have
+ * failed for `PROBE_FAILURE_TIMEOUT_MS`.
+ */
 export function isLost({ failingSinceMs, refusedCount }: ServerState): boolean {
   if (failingSinceMs === undefined) return false;
   if (refusedCount >= REFUSALS_PROVING_EXIT) return true;
@@ -148,7 +155,7 @@
   const nowMs = performance.now();
   if (nowMs - primary.lastAnswerMs < UNANSWERED_PROBE_MS) return false;
   const isWaiting = primary.runningCount > 0;
-  const isSilent = nowMs - primary.heardAtMs > IDLE_PROBE_MS * 6;
+  const isSilent = nowMs - primary.lastAnnouncementMs > IDLE_PROBE_MS * 6;
   return isWaiting || isSilent;
 }
 
@@ -171,8 +178,8 @@
   if (!isActiveOwner(owner) || owner.leadership.kind !== 'led') return;
   const newest = newestPrimary(statuses);
   if (newest?.server === primary) return;
-  const own = statuses.find(({ server }) => server === primary);
-  if (newest && newest.status.term > (own?.status.term ?? 0)) {
+  const primaryStatus = statuses.find(({ server }) => server === primary);
+  if (newest && newest.status.term > (primaryStatus?.status.term ?? 0)) {
     owner.environment.log(
       `${newest.server.announcement.server} is primary of ${owner.group} under a newer term`,
     );
@@ -180,6 +187,6 @@
     await takeOver(owner);
     return;
   }
-  if (own?.status.role === 'replica')
+  if (primaryStatus?.status.role === 'replica')
     await changePrimary(owner, 'the primary became a replica', false);
 }
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -21,11 +21,11 @@
 ): Promise<void> {
   const statuses = await sendControlOrderToAll(owner, () => ({ kind: 'status' }));
   if (!isActiveOwner(owner) || owner.leadership.kind !== 'led') return;
-  const own = statuses.find(({ server }) => server === primary);
+  const primaryStatus = statuses.find(({ server }) => server === primary);
   const replicas = statuses.filter(({ server }) => server !== primary);
   if (resumePausedReplicas(owner, replicas) || replicas.length === 0) return;
   const isBehind = ({ status }: ServerStatus) =>
-    !own || comparePositions(status.position, own.status.position) < 0;
+    !primaryStatus || comparePositions(status.position, primaryStatus.status.position) < 0;
   if (replicas.every(isBehind)) {
     await changePrimary(owner, 'commits of the primary reach no replica', false, true);
   }
@@ -54,8 +54,8 @@
     (server) =>
       server.announcement.server !== leadership.server && server.failingSinceMs === undefined,
   );
-  const asked = replicas.map((server) => sendControlOrder(owner, server, { kind: 'status' }));
-  const statuses = (await Promise.all(asked)).filter((status) => status !== undefined);
+  const pending = replicas.map((server) => sendControlOrder(owner, server, { kind: 'status' }));
+  const statuses = (await Promise.all(pending)).filter((status) => status !== undefined);
   if (isActiveOwner(owner) && owner.leadership === leadership)
     resumePausedReplicas(owner, statuses);
 }
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -42,7 +42,11 @@
   notifyOwnerEnded,
 } from './app.js';
 import { createEntryLinks, type EntryLinks } from './locate/entry-links.js';
-import { decodeOffer, type NearOfferCode, type NearOfferRequestCode } from './near/near-offer.js';
+import {
+  decodeOffer,
+  type EncodedNearOffer,
+  type EncodedNearOfferRequest,
+} from './near/near-offer.js';
 import { createNearReads, discardOffers, type NearReads } from './near/near-reads.js';
 import {
   queryOwner,
@@ -68,7 +72,7 @@
 export interface StatementEntryOptions {
   readonly entryId: string;
   readonly zone: string;
-  /** The region of a zone; near reads use replicas in the same region. */
+  /** The region of a zone; zones of one region are near each other, and near reads stay within it. */
   readonly regionOf: (zone: string) => string;
   readonly linkAddress: string;
   readonly linkMbps?: number;
@@ -110,7 +114,7 @@
   readonly stop: (stopListening: () => void) => Promise<void>;
 }
 
-const NEAR_TIMEOUT_MS = 400;
+const NEAR_OFFER_TIMEOUT_MS = 400;
 const LOCAL_CHANNEL_ID = 'local';
 /** Period over which idle sessions are closed when the entry stops, in milliseconds. */
 const IDLE_CLOSE_SPREAD_MS = 1_500;
@@ -121,7 +125,7 @@
  */
 const FIRST_SETTINGS_WAIT_MS = 1_500;
 const SETTINGS_POLL_MS = 20;
-/** Probability that an entry requests a rate home in a given interval, so that not all entries do at once. */
+/** Probability that an entry requests a rate home in a renewal interval, so that not all entries do at once. */
 const HOME_REQUEST_PROBABILITY = 0.25;
 /** Time until the load balancer stops sending new callers: two failed checks, 1 s apart. In milliseconds. */
 const BALANCER_UPDATE_MS = 2_400;
@@ -221,13 +225,13 @@
     openTarget: options.openTarget,
     counters,
     requestOffer: (group) => {
-      const question = { zone: options.zone, entryId: options.entryId };
+      const offerRequest = { zone: options.zone, entryId: options.entryId };
       return queryOwner(owners, group, {
         method: 'near/ask',
-        params: (epoch): NearOfferRequestCode => [group, epoch, options.zone, options.entryId],
-        answerLocally: (epoch) => answerNearOfferRequest({ registry }, group, epoch, question),
-        timeoutMs: NEAR_TIMEOUT_MS,
-      }).then((encoded) => decodeOffer(encoded as NearOfferCode | null | undefined));
+        params: (epoch): EncodedNearOfferRequest => [group, epoch, options.zone, options.entryId],
+        answerLocally: (epoch) => answerNearOfferRequest({ registry }, group, epoch, offerRequest),
+        timeoutMs: NEAR_OFFER_TIMEOUT_MS,
+      }).then((encoded) => decodeOffer(encoded as EncodedNearOffer | null | undefined));
     },
   });
   const draws: RateDrawContext = {
@@ -321,7 +325,10 @@
     }
   }
 
-  /** Requests a home for a random customer without one, so that rate homes are assigned before first use. */
+  /**
+   * Requests a rate home for a random customer without one. Homes are thus assigned before first use, a few at a
+   * time, by whichever entry requests them first.
+   */
   function requestRateHome(): void {
     if (!settings || Math.random() > HOME_REQUEST_PROBABILITY) return;
     const resources = [...settings.customers.keys()].map((name): Resource => `customer/${name}`);
--- a/packages/statement-entry/src/target/connection-budget.ts
+++ b/packages/statement-entry/src/target/connection-budget.ts
@@ -1,7 +1,7 @@
 /** Divides a server's connection limit between its owner, near readers, and a former or successor owner. */
 import type { OwnerEnvironment, ServerState, StatementOwner } from '../owner/owner-state.js';
 
-/** Connections left free for an earlier owner that has not closed all of its connections. */
+/** Connections left free for a former owner that has not closed all of its connections. */
 const RESERVED_CONNECTIONS = 3;
 const DEFAULT_MAX_CONNECTIONS = 20;
 /** Share of a server's connections for entries that read from nearby replicas. */
@@ -19,7 +19,7 @@
  * Time during which a former owner may still hold connections, in milliseconds. Process freezes and network
  * partitions at the users' site last 3 to 8 s; after that it has resumed, or its connections are closed.
  */
-const PREDECESSOR_CONNECTIONS_MS = 10_000;
+const FORMER_OWNER_CONNECTIONS_MS = 10_000;
 
 /** Maximum number of open connections to one server, of the owner and near readers together. */
 function sharedConnections(environment: OwnerEnvironment): number {
@@ -56,10 +56,10 @@
     shared * SUCCESSOR_MAX_SHARE,
     Math.max(shared * SUCCESSOR_SHARE, needed),
   );
-  const mayHavePredecessor =
-    epoch > 1 && performance.now() - startedAtMs < PREDECESSOR_CONNECTIONS_MS;
+  const mayHaveFormerOwner =
+    epoch > 1 && performance.now() - startedAtMs < FORMER_OWNER_CONNECTIONS_MS;
   return Math.max(
     1,
-    Math.floor(mayHavePredecessor ? successorConnections : shared - successorConnections),
+    Math.floor(mayHaveFormerOwner ? successorConnections : shared - successorConnections),
   );
 }
--- a/packages/statement-entry/src/target/connection-pool.test.ts
+++ b/packages/statement-entry/src/target/connection-pool.test.ts
@@ -115,8 +115,8 @@
 
   it('closes idle connections in excess of a lowered limit and opens no new ones', async () => {
     const testPool = createTestPool(4);
-    const taken = [await acquire(testPool), await acquire(testPool), await acquire(testPool)];
-    for (const pooled of taken.slice(0, 2)) releaseConnection(pooled);
+    const acquired = [await acquire(testPool), await acquire(testPool), await acquire(testPool)];
+    for (const pooled of acquired.slice(0, 2)) releaseConnection(pooled);
     const pools = { ...testPool.pools, maxConnections: () => 1 };
     closeExcessIdleConnections(pools, testPool.server);
     expect(testPool.openConnections.size).toBe(1);
--- a/packages/statement-entry/src/target/connection-pool.ts
+++ b/packages/statement-entry/src/target/connection-pool.ts
@@ -46,8 +46,8 @@
   valuesKey: string,
 ): Promise<AcquiredConnection> {
   closeIdleConnections(server, ({ connection }) => !connection.isOpen());
-  const kept = takeIdleConnection(server, customer, valuesKey);
-  if (kept) return { kind: 'acquired', pooled: kept };
+  const reusable = takeIdleConnection(server, customer, valuesKey);
+  if (reusable) return { kind: 'acquired', pooled: reusable };
   evictIdleConnections(pools, server);
   if (server.connectionCount >= pools.maxConnections(server)) return { kind: 'unavailable' };
   const pooled = await openConnection(pools, server, customer);
--- a/packages/statement-entry/src/target/server-control.test.ts
+++ b/packages/statement-entry/src/target/server-control.test.ts
@@ -25,9 +25,9 @@
   beforeEach(async () => {
     fake = createFakeGroup(3);
     const [first] = fake.servers;
-    const known = first && fake.owner.servers.get(first.name);
-    if (!first || !known) throw new Error('the group has three servers');
-    [server, state] = [first, known];
+    const firstState = first && fake.owner.servers.get(first.name);
+    if (!first || !firstState) throw new Error('the group has three servers');
+    [server, state] = [first, firstState];
     await sendControlOrder(fake.owner, state, { kind: 'status' });
   });
 
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -101,8 +101,8 @@
 }
 
 function controlConnectionOf(server: ServerState): ControlConnection {
-  const known = controlConnections.get(server);
-  if (known) return known;
+  const existing = controlConnections.get(server);
+  if (existing) return existing;
   const created = { connection: undefined, lastOrder: Promise.resolve() };
   controlConnections.set(server, created);
   return created;
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -71,7 +71,7 @@
     expect(decodeOutcome(encoded)).toEqual({ number: 7, outcome });
   });
 
-  it('decodes an encoded offer to near readers, or its absence', () => {
+  it('decodes an encoded near-read offer, or its absence, unchanged', () => {
     const offer: NearOffer = {
       position: { term: 2, offset: 5 },
       maxConnections: 3,
--- a/packages/statement-entry/src/types/target-port.ts
+++ b/packages/statement-entry/src/types/target-port.ts
@@ -96,7 +96,7 @@
   readonly role: 'primary' | 'replica';
   readonly term: number;
   readonly position: LogPosition;
-  /** The highest term in which the server was paused or demoted. */
+  /** The newest term under which the server was paused or demoted. */
   readonly heldTerm: number;
 }
 
