Name the last known primary and sets of owners plainly

- recordedPrimary -> lastKnownPrimary
- verifying -> ownersBeingVerified, takingOver -> ownersTakingOver
- needed -> neededConnections
- log: 'held N' -> 'held term N'

--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -36,7 +36,7 @@
   isStalled = false,
 ): Promise<void> {
   if (owner.leadership.kind === 'changing') return;
-  const former = primaryOf(owner) ?? recordedPrimary(owner);
+  const former = primaryOf(owner) ?? lastKnownPrimary(owner);
   const sinceMs = performance.now();
   owner.leadership = { kind: 'changing', sinceMs, reason };
   owner.environment.log(`change of primary of ${owner.group} starts: ${reason}`);
@@ -57,8 +57,8 @@
   if (!owner.isClosed) owner.leadership = { kind: 'unknown', sinceMs: performance.now() };
 }
 
-/** The last known primary: the one that announced the role, or else the one recorded in control. */
-function recordedPrimary(owner: StatementOwner): ServerState | undefined {
+/** The server that announced the primary role, or else the primary recorded in control. */
+function lastKnownPrimary(owner: StatementOwner): ServerState | undefined {
   const { primary } = owner.environment.groupRecord();
   const announced = [...owner.servers.values()].find(
     ({ announcement }) => announcement.role === 'primary',
@@ -113,7 +113,7 @@
   return statuses
     .map(({ server, status: { role, position, heldTerm } }) => {
       const name = server.announcement.server;
-      return `${name} ${role} ${position.term}.${position.offset} held ${heldTerm}`;
+      return `${name} ${role} ${position.term}.${position.offset} held term ${heldTerm}`;
     })
     .join(', ');
 }
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -26,7 +26,7 @@
   });
 }
 
-/** The servers themselves are asked for their role; until then a recorded one counts as a replica. */
+/** A recorded server counts as a replica until the server itself has reported its role. */
 function announcementOf({ group }: StatementOwner, place: ServerPlace): ServerAnnouncement {
   return { ...place, group, role: 'replica', isLeaving: false, bornMs: 0, sequence: 0 };
 }
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -14,12 +14,12 @@
 /** Time after the start of an owner before a group without a primary gets a new one, in milliseconds. */
 const MISSING_PRIMARY_WAIT_MS = 3_000;
 
-const takingOver = new WeakSet<StatementOwner>();
+const ownersTakingOver = new WeakSet<StatementOwner>();
 
 /** Starts serving from the position that the primary reports, which covers all acknowledged writes. */
 export async function takeOver(owner: StatementOwner): Promise<void> {
-  if (takingOver.has(owner) || owner.servers.size === 0) return;
-  takingOver.add(owner);
+  if (ownersTakingOver.has(owner) || owner.servers.size === 0) return;
+  ownersTakingOver.add(owner);
   try {
     const statuses = await sendControlOrderToAll(owner, () => ({ kind: 'status' }));
     if (!isActiveOwner(owner) || owner.leadership.kind !== 'unknown') return;
@@ -28,7 +28,7 @@
     else if (isPrimaryMissing(owner))
       await changePrimary(owner, 'no server reports the primary role', false);
   } finally {
-    takingOver.delete(owner);
+    ownersTakingOver.delete(owner);
   }
 }
 
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -168,13 +168,13 @@
   return owner.stalledCommits.length > 0;
 }
 
-const verifying = new WeakSet<StatementOwner>();
+const ownersBeingVerified = new WeakSet<StatementOwner>();
 
 async function verifyPrimary(owner: StatementOwner, primary: ServerState): Promise<void> {
-  if (verifying.has(owner)) return;
-  verifying.add(owner);
+  if (ownersBeingVerified.has(owner)) return;
+  ownersBeingVerified.add(owner);
   const statuses = await sendControlOrderToAll(owner, () => ({ kind: 'status' }));
-  verifying.delete(owner);
+  ownersBeingVerified.delete(owner);
   if (!isActiveOwner(owner) || owner.leadership.kind !== 'led') return;
   const newest = newestPrimary(statuses);
   if (newest?.server === primary) return;
--- a/packages/statement-entry/src/target/connection-budget.ts
+++ b/packages/statement-entry/src/target/connection-budget.ts
@@ -51,10 +51,11 @@
   const region = regionOf(announcement.zone);
   const hasNearReaders = [...nearReaders.values()].some(({ zone }) => regionOf(zone) === region);
   const shared = sharedConnections(environment) * (hasNearReaders ? 1 - NEAR_SHARE : 1);
-  const needed = SUCCESSOR_CONNECTIONS_PER_SLOT * announcement.slots + SUCCESSOR_IDLE_TRANSACTIONS;
+  const neededConnections =
+    SUCCESSOR_CONNECTIONS_PER_SLOT * announcement.slots + SUCCESSOR_IDLE_TRANSACTIONS;
   const successorConnections = Math.min(
     shared * SUCCESSOR_MAX_SHARE,
-    Math.max(shared * SUCCESSOR_SHARE, needed),
+    Math.max(shared * SUCCESSOR_SHARE, neededConnections),
   );
   const mayHaveFormerOwner =
     epoch > 1 && performance.now() - startedAtMs < FORMER_OWNER_CONNECTIONS_MS;
--- a/packages/statement-entry/src/target/connection-pool.ts
+++ b/packages/statement-entry/src/target/connection-pool.ts
@@ -25,7 +25,7 @@
  * and two round trips between regions.
  */
 const OPEN_TIMEOUT_MS = 400;
-/** Pause before a server that has reached its connection limit is asked for another one, in milliseconds. */
+/** Pause after a server refused a connection because its limit is reached, in milliseconds. */
 const FULL_SERVER_BACKOFF_MS = 40;
 /** A connection with more prepared statements is closed instead of reused, to limit the server's memory. */
 const MAX_PREPARED_STATEMENTS = 256;
