Move the connection budget test beside its subject

owner/owner-state.test.ts -> target/connection-budget.test.ts: it tests the division of a server's connections between owners and near readers. Only its imports change.

--- a/packages/statement-entry/src/owner/owner-state.test.ts
+++ b/packages/statement-entry/src/target/connection-budget.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { createNearOffer } from '../near/near-offer.js';
 import { createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
-import { setPrimary } from './take-over.js';
-import type { ServerState } from './owner-state.js';
+import { setPrimary } from '../owner/take-over.js';
+import type { ServerState } from '../owner/owner-state.js';
 
 /** Connection limit of the fake group. */
 const MAX_CONNECTIONS = 13;
