--- a/packages/statement-entry/src/target/connection-setup.test.ts
+++ b/packages/statement-entry/src/target/connection-setup.test.ts
@@ -97,7 +97,7 @@
     expect(setupOrders(needs, has, begin).map(({ kind }) => kind)).toEqual(expected);
   });
 
-  it('results in exactly the session’s values and the statement’s prepared name', () => {
+  it('results in exactly the session’s values and the statement’s prepared name, whatever was set up before', () => {
     const values = fc.dictionary(fc.constantFrom('a', 'b', 'c'), fc.constantFrom('1', '2'));
     const body = fc.constantFrom<SetupRequirements['body']>(plain, prepared);
     const steps = fc.array(fc.tuple(values, body), { minLength: 1, maxLength: 8 });
