--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -8,7 +8,7 @@
 export * from './write-batch.js';
 export * from './counters.js';
 export * from './logger.js';
-export * from './suspension-watch.js';
+export * from './suspension-detector.js';
 export * from './input-deadline.js';
 export * from './metrics-server.js';
 export type { LogFields } from './log-writer.js';
