Reword remaining comments and names of the entry and links

Renames hasForwarded of owner requests to hasForwardedAnswer, as in caller sessions, dispatch of the group owner to scheduler and textClass to classification, and locals such as known, taken and lost.

--- a/packages/entry-shared/src/admit/rate-home.test.ts
+++ b/packages/entry-shared/src/admit/rate-home.test.ts
@@ -25,22 +25,22 @@
   it('serves waiting draws in order of arrival', async () => {
     const homes = createRateHomes();
     const served: string[] = [];
-    const ask = (name: string) =>
+    const sendDraw = (name: string) =>
       answerDraw(homes, draw(1), limit, 2).then((grant) => {
         served.push(`${name} ${grant?.granted ?? -1}`);
       });
-    const asked = ['far', 'near', 'near again'].map(ask);
+    const pendingDraws = ['far', 'near', 'near again'].map(sendDraw);
     await vi.advanceTimersByTimeAsync(45);
-    await Promise.all(asked);
+    await Promise.all(pendingDraws);
     expect(served).toEqual(['far 1', 'near 1', 'near again 1']);
   });
 
   it('grants nothing and returns a retry delay when a draw has waited for its maximum time', async () => {
     const homes = createRateHomes();
     const slow = { ratePerSecond: 1, burst: 2 };
-    const asked = answerDraw(homes, draw(1), slow, 2);
+    const pendingDraw = answerDraw(homes, draw(1), slow, 2);
     await vi.advanceTimersByTimeAsync(60);
-    const grant = await asked;
+    const grant = await pendingDraw;
     expect(grant?.granted).toBe(0);
     expect(grant?.retryAfterMs).toBeGreaterThan(800);
   });
@@ -54,7 +54,7 @@
     expect(await first(1_000)).toBeLessThanOrEqual(20);
   });
 
-  it('starts full under the first epoch and without the burst under later ones', async () => {
+  it('starts full under the first epoch and without the burst, which an earlier home may have granted, under later ones', async () => {
     const first = await answerDraw(createRateHomes(), { ...draw(10), epoch: 1 }, limit, 1);
     expect(first?.granted).toBe(10);
     const later = answerDraw(createRateHomes(), draw(10), limit, 2);
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -171,8 +171,8 @@
   }
 
   /**
-   * Links to the configured members and to those that control reported, because the configured list may name
-   * members that have been removed. Closes all other links.
+   * Sets the linked members to those that control reported and those in the settings file. Once control has
+   * reported addresses they are included, because the settings file may name members that have been removed.
    */
   function updateMemberLinks(): void {
     const configuredAddresses = options.memberAddresses();
--- a/packages/entry-shared/src/control/control-links.ts
+++ b/packages/entry-shared/src/control/control-links.ts
@@ -17,7 +17,10 @@
   readonly close: () => void;
 }
 
-/** Slower than the link defaults, because a suspended member is noticed through failed renewals first. */
+/**
+ * Pings and silence checks of links that carry nothing else. They are slower than the link defaults, because a
+ * suspended member is noticed through failed renewals first.
+ */
 const CONTROL_LINK_TIMING = { ...DEFAULT_LINK_TIMING, pingEveryMs: 800, silentAfterMs: 2_500 };
 const CONTROL_RECONNECT = { ...DEFAULT_RECONNECT, reconnectMaxMs: 500 };
 
--- a/packages/entry-shared/src/control/record-copy.ts
+++ b/packages/entry-shared/src/control/record-copy.ts
@@ -32,8 +32,8 @@
   const changed = push.documentChange && resolveDocumentChange(copy, push.documentChange);
   const deltas = changed ? [...push.deltas, changed] : push.deltas;
   const newDeltas = deltas.filter(({ key, stored }) => {
-    const known = copy.records.get(key);
-    return !known || known.modifiedIndex < stored.modifiedIndex;
+    const existing = copy.records.get(key);
+    return !existing || existing.modifiedIndex < stored.modifiedIndex;
   });
   for (const { key, stored } of newDeltas) copy.records.set(key, stored);
   const isComplete = push.documentChange === undefined || changed !== undefined;
@@ -53,11 +53,11 @@
   copy: RecordCopy,
   { baseIndex, modifiedIndex, version, change }: DocumentChangeDelta,
 ): RecordDelta | undefined {
-  const held = copy.records.get(DOCUMENT_KEY);
-  if (held?.record.kind !== 'document') return undefined;
-  if (held.modifiedIndex === modifiedIndex) return { key: DOCUMENT_KEY, stored: held };
-  if (held.modifiedIndex !== baseIndex) return undefined;
-  const text = applyDocumentChange(unpackDocument(held.record.document.body), change);
+  const current = copy.records.get(DOCUMENT_KEY);
+  if (current?.record.kind !== 'document') return undefined;
+  if (current.modifiedIndex === modifiedIndex) return { key: DOCUMENT_KEY, stored: current };
+  if (current.modifiedIndex !== baseIndex) return undefined;
+  const text = applyDocumentChange(unpackDocument(current.record.document.body), change);
   const document = { version, body: packDocument(text) };
   return { key: DOCUMENT_KEY, stored: { record: { kind: 'document', document }, modifiedIndex } };
 }
--- a/packages/entry-shared/src/control/record-pushes.test.ts
+++ b/packages/entry-shared/src/control/record-pushes.test.ts
@@ -17,7 +17,7 @@
 
 describe('settings document pushes', () => {
   let control: ControlState;
-  let memory: DocumentCache;
+  let documentCache: DocumentCache;
   let index: number;
   const copy = createRecordCopy();
 
@@ -29,10 +29,10 @@
 
   /** Creates the push that control sends to an entry with this copy. */
   const push = () => {
-    const known = { knownIndex: copy.knownIndex, documentIndex: documentIndexOf(copy) };
-    return createRecordsPush(memory, control, known);
+    const renewalState = { knownIndex: copy.knownIndex, documentIndex: documentIndexOf(copy) };
+    return createRecordsPush(documentCache, control, renewalState);
   };
-  const heldText = () => unpackDocument(documentOf(copy)?.body ?? new Uint8Array());
+  const copiedText = () => unpackDocument(documentOf(copy)?.body ?? new Uint8Array());
 
   beforeEach(() => {
     control = createControlState();
@@ -40,18 +40,18 @@
     copy.records.clear();
     copy.knownIndex = 0;
     put(1);
-    memory = createDocumentCache(control);
+    documentCache = createDocumentCache(control);
     applyPush(copy, push());
   });
 
   it('carry the full document first and only changes afterwards', () => {
-    expect(heldText()).toBe(textOf(1));
+    expect(copiedText()).toBe(textOf(1));
     put(2);
     const sent = push();
     expect(sent.deltas).toEqual([]);
     expect(JSON.stringify(sent).length).toBeLessThan(300);
     expect(applyPush(copy, sent)).toHaveLength(1);
-    expect(heldText()).toBe(textOf(2));
+    expect(copiedText()).toBe(textOf(2));
     expect(copy.knownIndex).toBe(2);
   });
 
@@ -59,31 +59,34 @@
     put(2);
     push();
     put(3);
-    const afterLost = createRecordsPush(memory, control, { knownIndex: 2, documentIndex: 2 });
+    const afterLost = createRecordsPush(documentCache, control, {
+      knownIndex: 2,
+      documentIndex: 2,
+    });
     expect(applyPush(copy, afterLost)).toEqual([]);
     expect(copy.knownIndex).toBe(1);
-    expect(heldText()).toBe(textOf(1));
+    expect(copiedText()).toBe(textOf(1));
     applyPush(copy, push());
-    expect(heldText()).toBe(textOf(3));
+    expect(copiedText()).toBe(textOf(3));
     expect(copy.knownIndex).toBe(3);
   });
 
-  it('carry the full document when the leader, for example a new one, does not remember the base', () => {
+  it('carry the full document when the leader, for example a new one, no longer caches the base', () => {
     put(2);
-    memory = createDocumentCache(control);
+    documentCache = createDocumentCache(control);
     const sent = push();
     expect(sent.documentChange).toBeUndefined();
     applyPush(copy, sent);
-    expect(heldText()).toBe(textOf(2));
+    expect(copiedText()).toBe(textOf(2));
   });
 
-  it('bring a lagging entry up to date while the leader remembers a bounded number of documents', () => {
+  it('bring a lagging entry up to date while the leader caches a bounded number of documents', () => {
     for (let version = 2; version <= 40; version += 1) {
       put(version);
       push();
     }
-    expect(memory.texts.size).toBeLessThanOrEqual(12);
+    expect(documentCache.texts.size).toBeLessThanOrEqual(12);
     applyPush(copy, push());
-    expect(heldText()).toBe(textOf(40));
+    expect(copiedText()).toBe(textOf(40));
   });
 });
--- a/packages/entry/src/accept/caller-request.ts
+++ b/packages/entry/src/accept/caller-request.ts
@@ -277,7 +277,7 @@
   session.port = undefined;
 }
 
-/** Handles the loss of the port to the owner. */
+/** Handles the loss of the port to the owner; ignored if the session no longer uses that port. */
 export function handlePortLost(session: CallerSession, port: OwnerPort): void {
   if (session.isClosed || session.port !== port) return;
   session.port = undefined;
--- a/packages/entry/src/accept/caller-session.ts
+++ b/packages/entry/src/accept/caller-session.ts
@@ -11,7 +11,10 @@
 const INBOX_LIMIT_BYTES = 1024 * 1024;
 /** Longer rate wait for requests in open transactions, because a refusal aborts the transaction. */
 const TRANSACTION_RATE_WAIT_MS = 5_000;
-/** Invalid query that aborts the target's transaction after the entry refused a statement. */
+/**
+ * Query that every target rejects. It aborts the target's transaction after the entry refused a
+ * statement.
+ */
 const ABORTING_QUERY_TEXT = 'refused by the proxy';
 
 /** Handles bytes received from the caller. */
@@ -60,10 +63,10 @@
     if (session.inboxBytes > INBOX_LIMIT_BYTES) session.socket.resume();
     return undefined;
   }
-  const taken = session.inbox.splice(0, end + 1);
-  for (const { frame } of taken) session.inboxBytes -= frame.length;
+  const messages = session.inbox.splice(0, end + 1);
+  for (const { frame } of messages) session.inboxBytes -= frame.length;
   if (session.inboxBytes <= INBOX_LIMIT_BYTES) session.socket.resume();
-  return taken;
+  return messages;
 }
 
 function handleChunk(session: CallerSession, messages: readonly WireMessage[]): void {
--- a/packages/entry/src/accept/chunk-builder.ts
+++ b/packages/entry/src/accept/chunk-builder.ts
@@ -29,7 +29,7 @@
 
 interface PreparedStatement {
   readonly parse: ParseMessage;
-  readonly textClass: QueryClassification;
+  readonly classification: QueryClassification;
   /** The statement's name on target connections; empty for the unnamed statement. */
   readonly targetName: string;
 }
@@ -46,7 +46,7 @@
   /** Number of statements that count against the customer's rate. */
   readonly tokenCount: number;
   readonly settingEffect: SettingEffect | null;
-  /** Set if the chunk must be refused as a whole; nothing of it may be sent. */
+  /** Reason why the chunk must be refused as a whole, if it must; nothing of it may be sent. */
   readonly unsupportedReason: string | undefined;
   readonly endsTransaction: boolean;
 }
@@ -96,7 +96,7 @@
   const lastType = messages.at(-1)?.type;
   const isFinal = lastType === CLIENT.query || lastType === CLIENT.sync;
   const classifiedStatements = draft.executed.length > 0 ? draft.executed : draft.parsed;
-  const refused = classifiedStatements.find((statement) => statement.kind === 'unsupported');
+  const unsupported = classifiedStatements.find((statement) => statement.kind === 'unsupported');
   return {
     chunk: {
       messages: Buffer.concat(draft.output),
@@ -108,7 +108,7 @@
     intent: classifiedStatements.every(isReadOnly) ? 'read' : 'write',
     tokenCount: draft.executed.filter(({ kind }) => kind === 'read' || kind === 'write').length,
     settingEffect: findSettingEffect(draft.executed),
-    unsupportedReason: draft.unsupportedReason ?? refused?.reason,
+    unsupportedReason: draft.unsupportedReason ?? unsupported?.reason,
     endsTransaction: draft.executed.some(({ kind }) => kind === 'transaction-control'),
   };
 }
@@ -195,10 +195,10 @@
   classify: (text: string) => QueryClassification,
 ): void {
   const parse = readParse(message);
-  const textClass = classify(parse.text);
+  const classification = classify(parse.text);
   const targetName = parse.name === '' ? '' : sharedStatementName(parse);
-  callerStatements.statements.set(parse.name, { parse, textClass, targetName });
-  draft.parsed.push(...textClass.statements);
+  callerStatements.statements.set(parse.name, { parse, classification, targetName });
+  draft.parsed.push(...classification.statements);
   draft.createdStatements.add(targetName);
   if (targetName === '') {
     draft.output.push(message.frame);
@@ -225,7 +225,7 @@
     draft.output.push(message.frame);
     return;
   }
-  callerStatements.portals.set(bind.portal, statement.textClass);
+  callerStatements.portals.set(bind.portal, statement.classification);
   requireStatement(draft, statement);
   draft.output.push(buildBind(bind, statement.targetName));
 }
--- a/packages/entry/src/accept/startup.ts
+++ b/packages/entry/src/accept/startup.ts
@@ -126,11 +126,11 @@
     });
   }
   socket.write(buildCleartextPasswordRequest());
-  const answer = await readMessage(socket, framer);
-  if (!answer) return { kind: 'gone' };
-  if (answer.type !== CLIENT.password) return refuseStartup(socket, refuse('bad-startup'));
+  const passwordMessage = await readMessage(socket, framer);
+  if (!passwordMessage) return { kind: 'gone' };
+  if (passwordMessage.type !== CLIENT.password) return refuseStartup(socket, refuse('bad-startup'));
   if (!rules.hasFreshSettings()) return refuseStartup(socket, refuse('settings-lease-expired'));
-  const key = rules.findKey(customer, readStringPayload(answer));
+  const key = rules.findKey(customer, readStringPayload(passwordMessage));
   if (!key) {
     await delay(WRONG_KEY_DELAY_MS);
     return refuseStartup(socket, refuse('key-rejected'));
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -119,8 +119,8 @@
 }
 
 function channelOf(app: EntryApp, peer: LinkPeer): AnswerChannel {
-  const known = app.channels.get(peer);
-  if (known) return known;
+  const existing = app.channels.get(peer);
+  if (existing) return existing;
   const created: AnswerChannel = { send: (message) => peer.notify('owner/answer', message) };
   app.channels.set(peer, created);
   return created;
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -66,10 +66,10 @@
 
 const WAITER_POLL_INTERVAL_MS = 10;
 const RESOURCE_REQUEST_INTERVAL_MS = 200;
-/** An owner that does not answer within this time has hung or ended; callers do not wait for it. */
+/** An owner that does not answer within this time hangs or has ended; callers do not wait longer. */
 const STATUS_QUERY_TIMEOUT_MS = 500;
 const LINK_POLL_INTERVAL_MS = 50;
-/** How long answers of a superseded owner are still accepted. */
+/** How long answers of a superseded owner are waited for. */
 const SUPERSEDED_GRACE_MS = 250;
 
 export function createEntryLinks(options: EntryLinksOptions): EntryLinks {
@@ -101,8 +101,8 @@
     }
     // The owner of this epoch has handed over, and its successor is not known here yet.
     if (assignment.epoch <= (endedEpochs.get(group) ?? 0)) return undefined;
-    const known = ports.get(group);
-    if (known?.epoch === assignment.epoch && known.isOpen()) return known;
+    const existing = ports.get(group);
+    if (existing?.epoch === assignment.epoch && existing.isOpen()) return existing;
     const port = openPort(group, assignment);
     if (port) ports.set(group, port);
     else requestResourceThrottled(resource);
@@ -150,8 +150,8 @@
   }
 
   function linkTo(linkAddress: string): LinkPeer | undefined {
-    const known = links.get(linkAddress);
-    if (known) return known.current();
+    const existing = links.get(linkAddress);
+    if (existing) return existing.current();
     const timing = { ...DEFAULT_LINK_TIMING, ...DEFAULT_RECONNECT, reconnectMaxMs: 400 };
     const client = maintainLink(
       linkAddress,
@@ -247,10 +247,10 @@
   }
 
   async function queryRequestStatus(
-    lost: OwnerPort,
+    lostPort: OwnerPort,
     query: RequestStatusQuery,
   ): Promise<RequestStatus> {
-    const { group, linkAddress, isLocal, runningSessions } = lost as TrackedPort;
+    const { group, linkAddress, isLocal, runningSessions } = lostPort as TrackedPort;
     if (runningSessions && !runningSessions.includes(query.session)) return 'not-started';
     if (isLocal) return options.queryLocalRequestStatus(group, query);
     const startedAtMs = performance.now();
--- a/packages/entry/src/locate/owner-port.ts
+++ b/packages/entry/src/locate/owner-port.ts
@@ -23,7 +23,7 @@
   readonly awaitOwner: (group: GroupName, timeoutMs: number) => Promise<OwnerPort | undefined>;
   /** Queries the owner for whether a request has started, after its port was lost. */
   readonly queryRequestStatus: (
-    lost: OwnerPort,
+    lostPort: OwnerPort,
     query: RequestStatusQuery,
   ) => Promise<RequestStatus>;
 }
--- a/packages/entry/src/owner/acknowledge.ts
+++ b/packages/entry/src/owner/acknowledge.ts
@@ -67,8 +67,8 @@
   const { session } = pending.request;
   const { mark } = pending.write;
   session.mark = latestPosition(session.mark, mark);
-  const known = owner.customerMarks.get(session.customer) ?? mark;
-  owner.customerMarks.set(session.customer, latestPosition(known, mark));
+  const previousMark = owner.customerMarks.get(session.customer) ?? mark;
+  owner.customerMarks.set(session.customer, latestPosition(previousMark, mark));
   owner.highestSeen = latestPosition(owner.highestSeen, mark);
   finish(owner, pending, null);
 }
--- a/packages/entry/src/owner/answer-filter.test.ts
+++ b/packages/entry/src/owner/answer-filter.test.ts
@@ -49,7 +49,7 @@
     expect(filterToTypes(createAnswerFilter(), [ROW, COMPLETE], false)).toBe('DC');
   });
 
-  it('hides replies to messages added by the proxy and records statement changes in order', () => {
+  it('hides answers to messages added by the proxy and records statement changes in order', () => {
     const filter = createAnswerFilter();
     filter.expected = [
       { kind: 'close', isHidden: true, statement: 'bk_1' },
@@ -63,7 +63,7 @@
     ]);
   });
 
-  it('clears expected replies after an error and keeps the first SQLSTATE', () => {
+  it('clears expected answers after an error and keeps the first SQLSTATE', () => {
     const filter = createAnswerFilter();
     filter.expected = [{ kind: 'parse', isHidden: true, statement: 'bk_1' }];
     const error = (sqlState: string) =>
--- a/packages/entry/src/owner/answer-filter.ts
+++ b/packages/entry/src/owner/answer-filter.ts
@@ -1,5 +1,5 @@
 /**
- * Filters a target's response: removes replies to messages that the proxy added, holds the last
+ * Filters a target's answer: removes answers to messages that the proxy added, holds the last
  * CommandComplete until the write is confirmed, and records the log position, the first error and
  * ReadyForQuery.
  */
@@ -19,7 +19,7 @@
 import { POSITION_PARAMETER } from '../target/target-connection.js';
 
 export interface AnswerFilter {
-  /** Outstanding replies to Parse and Close messages, in order. */
+  /** Outstanding answers to Parse and Close messages, in order. */
   expected: ExpectedAnswer[];
   /** The most recent CommandComplete, held until it is known whether it is the last one. */
   heldFrames: Buffer[];
@@ -51,7 +51,7 @@
  * forwards or discards it.
  *
  * @param isEndSent whether the end of the request was sent to the target. Before that nothing is
- *   committed, and the client may wait for the CommandComplete before it sends the end.
+ *   committed, and the caller may wait for the CommandComplete before it sends the end.
  */
 export function filterAnswer(
   filter: AnswerFilter,
@@ -105,7 +105,7 @@
   }
 }
 
-/** Records a reported log position; this parameter is never forwarded to the client. */
+/** Records a reported log position; this parameter is never forwarded to the caller. */
 function consumePosition(filter: AnswerFilter, message: WireMessage): boolean {
   const { name, value } = readParameterStatus(message);
   if (name !== POSITION_PARAMETER) return false;
--- a/packages/entry/src/owner/failover-runner.ts
+++ b/packages/entry/src/owner/failover-runner.ts
@@ -36,7 +36,7 @@
     extendForFailover(owner);
   }
   evaluateAcknowledgements(owner);
-  owner.dispatch.schedule(owner);
+  owner.scheduler.schedule(owner);
 }
 
 function createContext(owner: GroupOwner): FailoverContext {
@@ -70,16 +70,16 @@
       advanceFailover(owner, { kind: 'committed', term, isAccepted });
     })
     .with({ kind: 'fence' }, async ({ server, term }) => {
-      const promise = await command(owner, server, { kind: 'fence', term });
+      const promise = await sendToServer(owner, server, { kind: 'fence', term });
       if (promise) advanceFailover(owner, { kind: 'promised', promise });
     })
     .with({ kind: 'promote' }, async ({ server, term }) => {
-      await command(owner, server, { kind: 'promote', term });
+      await sendToServer(owner, server, { kind: 'promote', term });
     })
     .with({ kind: 'follow' }, async ({ server, term, primary }) => {
       const primaryCommandUrl = owner.view.servers.get(primary)?.announcement.commandUrl;
       if (primaryCommandUrl === undefined) return;
-      await command(owner, server, { kind: 'follow', term, primaryCommandUrl });
+      await sendToServer(owner, server, { kind: 'follow', term, primaryCommandUrl });
     })
     .exhaustive();
 }
@@ -88,7 +88,7 @@
   return result.kind === 'done';
 }
 
-async function command(
+async function sendToServer(
   owner: GroupOwner,
   server: Parameters<typeof sendCommand>[0],
   targetCommand: TargetCommand,
@@ -105,9 +105,9 @@
   if (owner.failover.phase.kind !== 'steady' && owner.failover.phase.kind !== 'draining') return;
   const { probeEveryMs, suspectAfterMs } = owner.environment.settings.targets;
   const isSuspected = owner.failover.failingSinceMs !== undefined;
-  const everyMs = isSuspected ? SUSPECT_PROBE_INTERVAL_MS : probeEveryMs;
+  const intervalMs = isSuspected ? SUSPECT_PROBE_INTERVAL_MS : probeEveryMs;
   const nowMs = performance.now();
-  if (nowMs - owner.lastProbeMs < everyMs) return;
+  if (nowMs - owner.lastProbeMs < intervalMs) return;
   owner.lastProbeMs = nowMs;
   if (!announcement) {
     reportUnannouncedPrimary(owner, primary);
--- a/packages/entry/src/owner/owner-app.test.ts
+++ b/packages/entry/src/owner/owner-app.test.ts
@@ -54,8 +54,8 @@
     groupSetting: () => groupSchema.parse({}),
     propose: () => Promise.resolve({ kind: 'done' as const }),
   };
-  const dispatch = { schedule: () => undefined, requeue: () => undefined };
-  return createGroupOwner(GROUP, 7, environment, dispatch);
+  const scheduler = { schedule: () => undefined, requeue: () => undefined };
+  return createGroupOwner(GROUP, 7, environment, scheduler);
 }
 
 function openAndStart(owner: GroupOwner, sent: FromOwnerMessage[], number = 1): void {
@@ -83,7 +83,7 @@
 
 const QUERY = { ownerEpoch: 7, session: SESSION, number: 1 };
 
-describe('answerFate', () => {
+describe('requestStatusOf', () => {
   it('guarantees that a waiting request will not start, and drops it', () => {
     const owner = createOwner();
     openAndStart(owner, []);
@@ -91,7 +91,7 @@
     expect([...owner.queue.customers.values()].flatMap(({ items }) => items)).toEqual([]);
   });
 
-  it('refuses a request that arrives after its fate query', () => {
+  it('refuses a request that arrives after its status query', () => {
     const owner = createOwner();
     expect(requestStatusOf(owner, QUERY)).toBe('not-started');
     const sent: FromOwnerMessage[] = [];
@@ -148,7 +148,7 @@
 });
 
 describe('a message for an owner', () => {
-  it('is refused as not run when the session is not known', () => {
+  it('is refused as not run when the session is unknown', () => {
     const owner = createOwner();
     const sent: FromOwnerMessage[] = [];
     const channel = { send: (message: FromOwnerMessage) => sent.push(message) };
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -18,7 +18,7 @@
 import { cancelRequest, rollBack, sendChunk, WINDOW_BYTES } from './request-run.js';
 import { submitRequest } from './scheduler.js';
 
-/** How long an owner keeps the information needed to answer fate queries. */
+/** How long an owner keeps what it needs to answer request status queries. */
 export const REQUEST_STATUS_RETENTION_MS = 60_000;
 
 /** Handles a message that an entry sent over `channel`. */
@@ -106,7 +106,7 @@
     enqueuedAtMs: performance.now(),
     stage: 'queued',
     mayCommit: start.chunk.mayCommit,
-    hasForwarded: false,
+    hasForwardedAnswer: false,
     attempts: 0,
     filter: createAnswerFilter(),
     slot: undefined,
@@ -167,7 +167,7 @@
 }
 
 /**
- * Reports the fate of a request whose link broke. `not-started` is a guarantee: the session is
+ * Reports the status of a request whose link broke. `not-started` is a guarantee: the session is
  * revoked, so messages of it that arrive later are not run.
  */
 export function requestStatusOf(owner: GroupOwner, query: RequestStatusQuery): RequestStatus {
@@ -178,7 +178,7 @@
   return mayHaveRun ? 'may-have-run' : 'not-started';
 }
 
-/** Removes fate information older than the retention period. */
+/** Removes what is kept for request status queries once it is older than the retention period. */
 export function purgeExpiredRequestStatuses(owner: GroupOwner): void {
   const limitMs = performance.now() - REQUEST_STATUS_RETENTION_MS;
   for (const [id, revokedAtMs] of owner.revokedSessions) {
@@ -189,7 +189,7 @@
   }
 }
 
-/** Closes connections of open transactions that exceeded the idle timeout. */
+/** Closes connections of open transactions without a statement for longer than `idleTransactionMs`. */
 export function endIdleTransactions(owner: GroupOwner): void {
   const { idleTransactionMs } = owner.environment.settings.requests;
   const nowMs = performance.now();
--- a/packages/entry/src/owner/owner-registry.test.ts
+++ b/packages/entry/src/owner/owner-registry.test.ts
@@ -19,7 +19,7 @@
   } as unknown as GroupOwner;
 }
 
-describe('answerFateQuery', () => {
+describe('answerRequestStatusQuery', () => {
   const CASES: readonly [string, GroupOwner | undefined, readonly GroupOwner[], string][] = [
     ['the current owner, not started', createOwner(3, undefined), [], 'not-started'],
     ['the current owner, started', createOwner(3, 5), [], 'may-have-run'],
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -35,7 +35,7 @@
 
 export interface OwnerRegistry {
   readonly owners: Map<GroupName, GroupOwner>;
-  /** Closed owners, kept to answer fate queries about their requests. */
+  /** Closed owners, kept to answer status queries about their requests. */
   readonly closedOwners: Set<GroupOwner>;
   readonly settings: EntrySettings;
   readonly control: ControlClient;
@@ -79,7 +79,7 @@
   }
 }
 
-/** Closes an owner and keeps it for `FATE_RETENTION_MS` to answer fate queries. */
+/** Closes an owner and keeps it for `REQUEST_STATUS_RETENTION_MS` to answer status queries. */
 function retireOwner(registry: OwnerRegistry, owner: GroupOwner): void {
   closeGroupOwner(owner);
   registry.owners.delete(owner.group);
@@ -156,8 +156,8 @@
 }
 
 /**
- * Answers a fate query. Only the owner of exactly that epoch can guarantee that a request never
- * starts.
+ * Answers a request status query. Only the owner of exactly the queried epoch can guarantee that a
+ * request was not started and never will be; without it the answer is `may-have-run`.
  */
 export function answerRequestStatusQuery(
   registry: OwnerRegistry,
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -61,7 +61,7 @@
   /** Whether the open transaction runs on a replica; only read-only transactions may. */
   isPinnedToReplica: boolean;
   request: OwnerRequest | undefined;
-  /** Bytes sent to the entry that it has not yet reported as delivered to the client. */
+  /** Bytes sent to the entry that it has not yet reported as delivered to the caller. */
   unacknowledgedBytes: number;
   isClosing: boolean;
 }
@@ -79,7 +79,7 @@
   readonly enqueuedAtMs: number;
   stage: RequestStage;
   mayCommit: boolean;
-  hasForwarded: boolean;
+  hasForwardedAnswer: boolean;
   attempts: number;
   filter: AnswerFilter;
   slot: OccupiedSlot | undefined;
@@ -105,7 +105,7 @@
   isCheckingConnection: boolean;
 }
 
-/** A write whose response has been received but that is not yet confirmed. */
+/** A write whose answer has been received but that is not yet confirmed. */
 export interface PendingAcknowledgement {
   readonly request: OwnerRequest;
   readonly write: PendingWrite;
@@ -124,7 +124,7 @@
   readonly group: GroupName;
   readonly epoch: number;
   readonly environment: OwnerEnvironment;
-  readonly dispatch: SchedulerCallbacks;
+  readonly scheduler: SchedulerCallbacks;
   readonly view: GroupView;
   readonly pools: Map<ServerName, TargetPool>;
   readonly unusableUntilMs: Map<ServerName, number>;
@@ -163,14 +163,14 @@
   group: GroupName,
   epoch: number,
   environment: OwnerEnvironment,
-  dispatch: SchedulerCallbacks,
+  scheduler: SchedulerCallbacks,
 ): GroupOwner {
   const { maxWaitingPerCustomer } = environment.settings.requests;
   return {
     group,
     epoch,
     environment,
-    dispatch,
+    scheduler,
     view: createGroupView(),
     pools: new Map(),
     unusableUntilMs: new Map(),
--- a/packages/entry/src/owner/request-end.ts
+++ b/packages/entry/src/owner/request-end.ts
@@ -24,12 +24,12 @@
   session.channel.send({ ...end, mark: session.mark, refusal, isFromReplica });
 }
 
-/** Sends response bytes to the entry, unless the session is closing. */
+/** Sends answer bytes to the entry, unless the session is closing. */
 export function forwardBytes(request: OwnerRequest, frames: readonly Buffer[]): void {
   const { session, number } = request;
   if (frames.length === 0 || session.isClosing) return;
   const bytes = frames.length === 1 ? (frames[0] ?? Buffer.alloc(0)) : Buffer.concat(frames);
-  request.hasForwarded = true;
+  request.hasForwardedAnswer = true;
   session.unacknowledgedBytes += bytes.length;
   session.channel.send({ kind: 'request/data', session: session.id, number, bytes });
 }
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -1,4 +1,4 @@
-/** Runs a request on a target connection and processes the response. */
+/** Runs a request on a target connection and processes the answer. */
 import {
   type PendingWrite,
   type Refusal,
@@ -26,7 +26,8 @@
 import { releaseSlot } from './slots.js';
 
 /**
- * Flow-control window: with more undelivered bytes per session, the target connection is paused.
+ * Flow-control window of a session: with more answer bytes not yet delivered to the caller, the
+ * target connection is paused.
  */
 export const WINDOW_BYTES = 256 * 1024;
 const SETTINGS_TIMEOUT_MS = 2_000;
@@ -92,18 +93,18 @@
  */
 async function applySettings(
   connection: TargetConnection,
-  wanted: Readonly<Record<string, string>>,
+  sessionSettings: Readonly<Record<string, string>>,
 ): Promise<boolean> {
   const statements: string[] = [];
   for (const name of connection.settings.keys()) {
-    if (!(name in wanted)) statements.push(`RESET ${name}`);
+    if (!(name in sessionSettings)) statements.push(`RESET ${name}`);
   }
-  for (const [name, text] of Object.entries(wanted)) {
+  for (const [name, text] of Object.entries(sessionSettings)) {
     if (connection.settings.get(name) !== text) statements.push(text);
   }
   if (statements.length === 0) return true;
   const outcome = await runInternalQuery(connection, statements.join('; '), SETTINGS_TIMEOUT_MS);
-  connection.settings = new Map(Object.entries(wanted));
+  connection.settings = new Map(Object.entries(sessionSettings));
   return outcome.kind === 'done' && outcome.status === 'idle';
 }
 
@@ -122,7 +123,7 @@
     endRequest(owner, request, 'idle', refuse('transaction-lost'));
     return;
   }
-  owner.dispatch.requeue(owner, request);
+  owner.scheduler.requeue(owner, request);
 }
 
 function handleAnswer(
@@ -141,7 +142,7 @@
   if (answer.wantsCopyData) {
     connection.socket.write(serialize.copyFail('COPY is not supported through the proxy'));
   }
-  const isRetried = !request.hasForwarded && mayRetryElsewhere(request);
+  const isRetried = !request.hasForwardedAnswer && mayRetryElsewhere(request);
   if (!isRetried) forwardBytes(request, answer.forward);
   if (session.unacknowledgedBytes > WINDOW_BYTES) connection.socket.pause();
   if (answer.status !== undefined) handleReady(owner, request, running, answer.status);
@@ -162,7 +163,7 @@
   running: RunningRequest,
   status: TransactionStatus,
 ): void {
-  const isRetried = !request.hasForwarded && mayRetryElsewhere(request) && status === 'idle';
+  const isRetried = !request.hasForwardedAnswer && mayRetryElsewhere(request) && status === 'idle';
   recordSettingEffect(request, running.connection);
   updatePin(owner, request, running, status);
   releaseSlot(owner, request);
@@ -171,11 +172,11 @@
     request.intent = 'write';
     request.filter = createAnswerFilter();
     restoreChunks(request);
-    owner.dispatch.requeue(owner, request);
+    owner.scheduler.requeue(owner, request);
     return;
   }
   finishAnswer(owner, request, running, status);
-  owner.dispatch.schedule(owner);
+  owner.scheduler.schedule(owner);
 }
 
 function finishAnswer(
@@ -262,7 +263,7 @@
   const outcome = await runInternalQuery(connection, 'ROLLBACK', SETTINGS_TIMEOUT_MS);
   if (outcome.kind === 'done' && outcome.status === 'idle') releaseConnection(pool, connection);
   else discardConnection(pool, connection);
-  owner.dispatch.schedule(owner);
+  owner.scheduler.schedule(owner);
 }
 
 /** Ends or requeues a request whose connection was lost. */
@@ -278,18 +279,18 @@
   session.pinned = undefined;
   releaseSlot(owner, request);
   const isSafeToRetry = !request.mayCommit && !wasInTransaction && request.intent === 'read';
-  if (isSafeToRetry && !request.hasForwarded && request.attempts < MAX_ATTEMPTS) {
+  if (isSafeToRetry && !request.hasForwardedAnswer && request.attempts < MAX_ATTEMPTS) {
     owner.environment.counters.count('retry.read-connection-lost');
     request.filter = createAnswerFilter();
     restoreChunks(request);
-    owner.dispatch.requeue(owner, request);
+    owner.scheduler.requeue(owner, request);
     return;
   }
   request.filter.heldFrames = [];
   const isRolledBack = wasInTransaction && !request.mayCommit;
   const refusal = isRolledBack ? refuse('transaction-lost') : lostRefusal;
   endRequest(owner, request, 'idle', refusal);
-  owner.dispatch.schedule(owner);
+  owner.scheduler.schedule(owner);
 }
 
 function restoreChunks(request: OwnerRequest): void {
@@ -297,8 +298,8 @@
 }
 
 /**
- * Terminates requests and transactions on a superseded primary, which may be frozen and never
- * respond. Its open transactions can no longer commit, because a quorum has promised to reject its
+ * Terminates requests and transactions on a superseded primary, which may hang and never
+ * answer. Its open transactions can no longer commit, because a quorum has promised to reject its
  * term.
  */
 export function terminateSuperseded(owner: GroupOwner): void {
@@ -316,9 +317,9 @@
 }
 
 /**
- * Checks connections whose response is overdue. The target is asked over a new connection whether
- * it still works on the request; if not, the old connection is dead and the response will never
- * arrive.
+ * Checks connections whose answer is overdue. The target is queried over a new connection whether
+ * it still works on the request; if not, the old connection no longer delivers data and the answer
+ * will never arrive.
  */
 export function checkSilentConnections(owner: GroupOwner): void {
   const nowMs = performance.now();
@@ -335,8 +336,8 @@
 }
 
 /**
- * After answering a Flush the target waits for the client, for example one that reads a cursor
- * slowly.
+ * Whether the target still has to send data. After answering a Flush it waits for the caller, for
+ * example one that reads a cursor slowly.
  */
 function isAnswerPending({ isEndSent, connection, lastSentMs }: RunningRequest): boolean {
   return isEndSent || connection.lastHeardMs <= lastSentMs;
--- a/packages/entry/src/target/announcement-cache.ts
+++ b/packages/entry/src/target/announcement-cache.ts
@@ -39,8 +39,8 @@
 ): Announcement[] {
   const servers = cache.groups.get(group);
   if (!servers) return [];
-  for (const [server, { receivedAtMs: heardAtMs }] of servers) {
-    if (nowMs - heardAtMs > MAX_AGE_MS) servers.delete(server);
+  for (const [server, { receivedAtMs }] of servers) {
+    if (nowMs - receivedAtMs > MAX_AGE_MS) servers.delete(server);
   }
   if (servers.size === 0) cache.groups.delete(group);
   return [...servers.values()].map(({ announcement }) => announcement);
--- a/packages/entry/src/target/target-pool.ts
+++ b/packages/entry/src/target/target-pool.ts
@@ -87,17 +87,17 @@
 /** Acquires an idle connection, checked if it was idle for `idleCheckMs`, or opens a new one. */
 export async function acquireConnection(pool: TargetPool): Promise<AcquireOutcome> {
   for (let idle = pool.idle.pop(); idle; idle = pool.idle.pop()) {
-    const { connection, idleSinceMs: sinceMs } = idle;
+    const { connection, idleSinceMs } = idle;
     if (connection.isClosed) continue;
     pool.inUse.add(connection);
-    const isFresh = performance.now() - sinceMs < pool.options.idleCheckMs;
+    const isFresh = performance.now() - idleSinceMs < pool.options.idleCheckMs;
     if (isFresh || (await passesIdleCheck(connection))) return { kind: 'acquired', connection };
     discardConnection(pool, connection);
   }
   return openConnection(pool);
 }
 
-/** Checks a connection with an empty query, which a server answers without running anything. */
+/** Checks a connection with an empty query, which any live server answers without running anything. */
 async function passesIdleCheck(connection: TargetConnection): Promise<boolean> {
   const outcome = await runInternalQuery(connection, '', IDLE_CHECK_TIMEOUT_MS);
   return outcome.kind === 'done' && outcome.status === 'idle';
@@ -139,10 +139,13 @@
   closeConnection(connection);
 }
 
-/** Opens one connection in advance, unless one is opening or there are as many as slots. */
+/**
+ * Opens one connection in advance, up to the number of slots and within the connection limit. Does
+ * nothing while another one is opening.
+ */
 export async function warmPool(pool: TargetPool): Promise<void> {
-  const targetCount = Math.min(pool.slots, pool.maxConnections);
-  if (pool.isClosed || pool.openingCount > 0 || openConnections(pool) >= targetCount) return;
+  const desiredCount = Math.min(pool.slots, pool.maxConnections);
+  if (pool.isClosed || pool.openingCount > 0 || openConnections(pool) >= desiredCount) return;
   const outcome = await openConnection(pool);
   if (outcome.kind === 'acquired') releaseConnection(pool, outcome.connection);
 }
--- a/packages/link/src/frame-codec.ts
+++ b/packages/link/src/frame-codec.ts
@@ -66,12 +66,12 @@
 function takeBytes(decoder: FrameDecoder, count: number): Buffer {
   const [first] = decoder.chunks;
   const source = first && first.length >= count ? first : joinChunks(decoder);
-  const taken = source.subarray(0, count);
+  const bytes = source.subarray(0, count);
   const rest = source.subarray(count);
   if (rest.length > 0) decoder.chunks[0] = rest;
   else decoder.chunks.shift();
   decoder.bufferedBytes -= count;
-  return taken;
+  return bytes;
 }
 
 function joinChunks(decoder: FrameDecoder): Buffer {
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -13,7 +13,6 @@
  * Listens on `address` and runs the link protocol on every connection.
  *
  * @throws if the address cannot be listened on
- *
  * @example
  * const server = await listenForLinks('127.0.0.1:7001', options, handlers);
  */
--- a/packages/link/src/log-writer.test.ts
+++ b/packages/link/src/log-writer.test.ts
@@ -48,9 +48,9 @@
     for (let number = 0; number < 20_000; number += 1) {
       writer.write('bramleykeel:caller', 'statement was not run', { request: `r-${number}` });
     }
-    const takenMs = performance.now() - startedAtMs;
+    const durationMs = performance.now() - startedAtMs;
     expect(writer.droppedLines()).toBeGreaterThan(10_000);
-    expect(takenMs).toBeLessThan(2_000);
+    expect(durationMs).toBeLessThan(2_000);
     await new Promise((resolve) => setTimeout(resolve, 500));
     writer.flush();
     const warning = readLines(path).find((line) => line.part === 'bramleykeel:log');
--- a/packages/link/src/metrics-server.ts
+++ b/packages/link/src/metrics-server.ts
@@ -22,8 +22,8 @@
       response.writeHead(404).end();
       return;
     }
-    void counters.renderMetrics().then((page) => {
-      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page);
+    void counters.renderMetrics().then((metrics) => {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(metrics);
     });
   });
   server.on('clientError', (_error, socket) => {
--- a/packages/link/src/suspension-detector.ts
+++ b/packages/link/src/suspension-detector.ts
@@ -5,7 +5,7 @@
   readonly hasWallClockJumped: () => boolean;
 }
 
-/** Jumps up to this size are taken for clock corrections. */
+/** Jumps up to this size are treated as clock corrections. */
 const MAX_CORRECTION_MS = 150;
 
 /**
