Mend doc comments and remaining names of the entry packages

Renames lastHeardMs of target connections to lastReceivedMs, as in links, sinceMs of occupied slots to occupiedSinceMs, channelOf to getOrCreateChannel and retry and interval constants to one pattern.

--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -50,8 +50,8 @@
 
 /** Share of the tokens spent in the previous window that is drawn on top of what waiting requests need. */
 const PREFETCH_SHARE = 0.5;
-const RETRY_MIN_MS = 5;
-const HOME_UNREACHABLE_RETRY_MS = 30;
+const MIN_RETRY_DELAY_MS = 5;
+const HOME_UNREACHABLE_RETRY_DELAY_MS = 30;
 const DEFAULT_LIFETIME_MS = 100;
 
 export function createRateClient(options: RateClientOptions): RateClient {
@@ -143,11 +143,11 @@
   // A grant that expired in transit says nothing about the customer's rate: treat the home as unreachable.
   const isValid = grant !== undefined && performance.now() < sentAtMs + grant.lifetimeMs;
   tokens.isHomeReachable = isValid;
-  if (!isValid) return HOME_UNREACHABLE_RETRY_MS;
+  if (!isValid) return HOME_UNREACHABLE_RETRY_DELAY_MS;
   tokens.available = grant.granted;
   tokens.lifetimeMs = grant.lifetimeMs;
   tokens.expiresAtMs = sentAtMs + grant.lifetimeMs;
-  return grant.granted >= needed ? 0 : Math.max(RETRY_MIN_MS, grant.retryAfterMs);
+  return grant.granted >= needed ? 0 : Math.max(MIN_RETRY_DELAY_MS, grant.retryAfterMs);
 }
 
 function serveWaiters(client: RateClient, tokens: CustomerTokens): void {
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -35,7 +35,7 @@
   readonly hasFreshSettings: () => boolean;
   /** The epoch under which this entry holds a resource; `undefined` if it does not hold it. */
   readonly heldEpoch: (resource: Resource) => number | undefined;
-  /** Sends a request to the control leader, or to any connected member while no leader is known. */
+  /** Sends a request to the control leader, or to another connected member while there is no link to the leader. */
   readonly call: (method: string, params: unknown) => Promise<Either<LinkError, unknown>>;
   /** Bytes exchanged with control over the links that are open now. */
   readonly traffic: () => { readonly receivedBytes: number; readonly sentBytes: number };
@@ -63,12 +63,12 @@
   readonly onStatusRequest: () => unknown;
   /** The instance may have been suspended: time measurements taken before this call are invalid. */
   readonly onSuspension?: () => void;
-  /** The lease was lost; all resources held under it must be released. */
+  /** The lease was lost; everything held under it must be dropped. */
   readonly onLeaseEnded: () => void;
 }
 
 /** Delay before the next renewal while the entry holds no lease. */
-const NO_LEASE_RETRY_MS = 100;
+const NO_LEASE_RETRY_DELAY_MS = 100;
 /** Delay before a renewal that was requested while another one was in progress. */
 const QUEUED_RENEWAL_DELAY_MS = 10;
 const CALL_TIMEOUT_MS = 2_000;
@@ -203,7 +203,7 @@
       isRenewalQueued = false;
       setTimeout(() => void renew(), QUEUED_RENEWAL_DELAY_MS);
     } else if (!holdsLease() && links.openPeers().length > 0) {
-      setTimeout(() => void renew(), NO_LEASE_RETRY_MS);
+      setTimeout(() => void renew(), NO_LEASE_RETRY_DELAY_MS);
     }
   }
 
@@ -282,7 +282,7 @@
 
   function handlePush(push: RecordsPush): void {
     const newDeltas = applyPush(copy, push);
-    // The copy is incomplete after this push, so the settings revision is not confirmed; renewing fetches the rest.
+    // A push that leaves the copy incomplete does not confirm the settings revision; renewing fetches the rest.
     const isComplete = push.appliedIndex <= copy.knownIndex;
     const hasNewSettings = isComplete && push.settingsRevision > settingsRevision;
     if (hasNewSettings) settingsRevision = push.settingsRevision;
--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -24,7 +24,7 @@
   readonly classify: (text: string) => QueryClassification;
   readonly maxMessageBytes: number;
   readonly failoverWaitMs: number;
-  /** Whether the settings lease is valid; sessions with a key are refused while it is not. */
+  /** Whether the settings lease is valid; requests of callers with a key are refused otherwise. */
   readonly hasFreshSettings: () => boolean;
   readonly readAgeAllowanceMs: (customer: CustomerName) => number | null;
   readonly isStopping: () => boolean;
@@ -67,7 +67,7 @@
   port: OwnerPort | undefined;
   request: OpenRequest | undefined;
   nextRequestNumber: number;
-  /** Whether a chunk waits for admission, an owner, or a retry. */
+  /** Whether a chunk waits for admission, an owner, a retry, or the status of a lost request. */
   isPreparing: boolean;
   /** Whether messages are dropped up to the next Sync, after an error. */
   isSkippingToSync: boolean;
--- a/packages/entry/src/app.ts
+++ b/packages/entry/src/app.ts
@@ -52,7 +52,7 @@
       epoch: number;
       message: ToOwnerMessage;
     };
-    deliverToOwner(app.owners, channelOf(app, peer), group, epoch, message);
+    deliverToOwner(app.owners, getOrCreateChannel(app, peer), group, epoch, message);
   },
   'owner/answer': (app, _peer, params) => {
     const callers = app.callers();
@@ -118,7 +118,7 @@
   dropChannel(app.owners, channel);
 }
 
-function channelOf(app: EntryApp, peer: LinkPeer): AnswerChannel {
+function getOrCreateChannel(app: EntryApp, peer: LinkPeer): AnswerChannel {
   const existing = app.channels.get(peer);
   if (existing) return existing;
   const created: AnswerChannel = { send: (message) => peer.notify('owner/answer', message) };
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -95,7 +95,7 @@
   await loadParser();
   const secureContext = readSecureContext(settings);
   const keyIndex = createKeyIndex();
-  const requestedAtMs = new Map<Resource, number>();
+  const resourceRequestedAtMs = new Map<Resource, number>();
   // Set last: before the entry listens for callers, there are no sessions to deliver events to.
   const callerRegistry: { current: CallerRegistry | undefined } = { current: undefined };
   let isStopping = false;
@@ -263,8 +263,8 @@
 
   function requestResource(resource: Resource, zone: string | undefined): void {
     const nowMs = performance.now();
-    if (nowMs - (requestedAtMs.get(resource) ?? 0) < timing.heartbeatMs) return;
-    requestedAtMs.set(resource, nowMs);
+    if (nowMs - (resourceRequestedAtMs.get(resource) ?? 0) < timing.heartbeatMs) return;
+    resourceRequestedAtMs.set(resource, nowMs);
     void control.call('resource/request', { resource, zone });
   }
 
--- a/packages/entry/src/locate/owner-locator.ts
+++ b/packages/entry/src/locate/owner-locator.ts
@@ -80,7 +80,7 @@
   /** The latest epoch of each group that its owner has reported as ended. */
   const endedEpochs = new Map<GroupName, number>();
   const waiters = new Map<GroupName, PortWaiter[]>();
-  const requestedAtMs = new Map<Resource, number>();
+  const resourceRequestedAtMs = new Map<Resource, number>();
   const timer = setInterval(resolveWaiters, WAITER_POLL_INTERVAL_MS);
   return {
     findOwner,
@@ -111,8 +111,8 @@
 
   function requestResourceThrottled(resource: Resource): void {
     const nowMs = performance.now();
-    if (nowMs - (requestedAtMs.get(resource) ?? 0) < RESOURCE_REQUEST_INTERVAL_MS) return;
-    requestedAtMs.set(resource, nowMs);
+    if (nowMs - (resourceRequestedAtMs.get(resource) ?? 0) < RESOURCE_REQUEST_INTERVAL_MS) return;
+    resourceRequestedAtMs.set(resource, nowMs);
     options.requestResource(resource);
   }
 
--- a/packages/entry/src/owner/answer-filter.ts
+++ b/packages/entry/src/owner/answer-filter.ts
@@ -105,7 +105,10 @@
   }
 }
 
-/** Records a reported log position; this parameter is never forwarded to the caller. */
+/**
+ * Records a reported log position, which is never forwarded to the caller. Returns whether the
+ * message reported one.
+ */
 function consumePosition(filter: AnswerFilter, message: WireMessage): boolean {
   const { name, value } = readParameterStatus(message);
   if (name !== POSITION_PARAMETER) return false;
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -123,7 +123,7 @@
   const connection = session.request?.running?.connection;
   if (!connection || session.unacknowledgedBytes > WINDOW_BYTES / 2) return;
   if (connection.socket.isPaused()) {
-    connection.lastHeardMs = performance.now();
+    connection.lastReceivedMs = performance.now();
     connection.socket.resume();
   }
 }
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -47,7 +47,7 @@
 }
 
 const GROUP_RESOURCE = /^group\/(.+)$/;
-const PROPOSE_RETRY_MS = 50;
+const PROPOSE_RETRY_DELAY_MS = 50;
 
 export function createOwnerRegistry(
   settings: EntrySettings,
@@ -106,7 +106,7 @@
  */
 async function propose(control: ControlClient, command: ControlCommand): Promise<ApplyResult> {
   const answer = await control.call('control/propose', command);
-  if (answer.isLeft()) await delay(PROPOSE_RETRY_MS);
+  if (answer.isLeft()) await delay(PROPOSE_RETRY_DELAY_MS);
   const unanswered: ApplyResult = { kind: 'superseded', reason: 'control did not answer' };
   return answer.map((result) => result as ApplyResult).orDefault(unanswered);
 }
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -92,7 +92,7 @@
 export interface OccupiedSlot {
   readonly server: ServerName;
   readonly pool: TargetPool;
-  readonly sinceMs: number;
+  readonly occupiedSinceMs: number;
 }
 
 export interface RunningRequest extends PinnedConnection {
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -330,7 +330,7 @@
     if (!request || !running || request.stage !== 'running' || running.isCheckingConnection)
       continue;
     if (running.connection.socket.isPaused() || !isAnswerPending(running)) continue;
-    const lastActivityMs = Math.max(running.lastSentMs, running.connection.lastHeardMs);
+    const lastActivityMs = Math.max(running.lastSentMs, running.connection.lastReceivedMs);
     if (nowMs - lastActivityMs >= silentAfterMs) void checkUnresponsive(owner, request, running);
   }
 }
@@ -340,7 +340,7 @@
  * example one that reads a cursor slowly.
  */
 function isAnswerPending({ isEndSent, connection, lastSentMs }: RunningRequest): boolean {
-  return isEndSent || connection.lastHeardMs <= lastSentMs;
+  return isEndSent || connection.lastReceivedMs <= lastSentMs;
 }
 
 async function checkUnresponsive(
@@ -349,11 +349,11 @@
   running: RunningRequest,
 ): Promise<void> {
   running.isCheckingConnection = true;
-  const previousLastHeardMs = running.connection.lastHeardMs;
+  const previousLastReceivedMs = running.connection.lastReceivedMs;
   const state = await checkServerActivity(running.pool, running.connection.processId);
   running.isCheckingConnection = false;
   running.lastSentMs = performance.now();
-  const hasAnswered = running.connection.lastHeardMs !== previousLastHeardMs;
+  const hasAnswered = running.connection.lastReceivedMs !== previousLastReceivedMs;
   if (hasAnswered || request.running !== running) return;
   // Failover handles an unreachable primary; reads on an unreachable replica need not wait.
   const isLost = state === 'idle' || (state === 'unreachable' && running.isOnReplica);
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -30,7 +30,7 @@
 /** Share of a server's slots that one customer may hold while another is active. */
 const CUSTOMER_SLOT_SHARE = 0.5;
 /** A customer may use every slot of a server only if no other customer was active for this time. */
-const ALONE_AFTER_MS = 10_000;
+const SOLE_CUSTOMER_AFTER_MS = 10_000;
 
 /** Queues a new request, or runs it on the pinned connection if its session has one. */
 export function submitRequest(owner: GroupOwner, request: OwnerRequest): void {
@@ -186,7 +186,7 @@
   const { customer } = request.session;
   const limit = Math.max(1, Math.floor(pool.slots * CUSTOMER_SLOT_SHARE));
   if (runningCountOf(owner, request, server) < limit) return false;
-  return hasOtherActive(owner.queue, customer, performance.now() - ALONE_AFTER_MS);
+  return hasOtherActive(owner.queue, customer, performance.now() - SOLE_CUSTOMER_AFTER_MS);
 }
 
 async function startRequest(
--- a/packages/entry/src/owner/slots.ts
+++ b/packages/entry/src/owner/slots.ts
@@ -11,7 +11,7 @@
 ): void {
   const { server, pool } = place;
   pool.runningCount += 1;
-  request.slot = { server, pool, sinceMs: performance.now() };
+  request.slot = { server, pool, occupiedSinceMs: performance.now() };
   adjustRunningCount(owner, request, 1);
 }
 
@@ -23,7 +23,7 @@
   slot.pool.runningCount -= 1;
   adjustRunningCount(owner, request, -1);
   request.slot = undefined;
-  recordFinished(owner.queue, session.customer, nowMs - slot.sinceMs, nowMs);
+  recordFinished(owner.queue, session.customer, nowMs - slot.occupiedSinceMs, nowMs);
 }
 
 /** Number of requests of the request's customer that occupy slots of a server. */
--- a/packages/entry/src/target/announcement-router.ts
+++ b/packages/entry/src/target/announcement-router.ts
@@ -59,8 +59,8 @@
 
 function informOwner(router: AnnouncementRouter, group: GroupName, attempts: number): void {
   const recent = recentAnnouncements(router.cache, group, performance.now());
-  const isReached = recent.every((announcement) => forwardAnnouncement(router, announcement));
-  if (isReached || attempts <= 1) return;
+  const areAllForwarded = recent.every((announcement) => forwardAnnouncement(router, announcement));
+  if (areAllForwarded || attempts <= 1) return;
   setTimeout(() => {
     informOwner(router, group, attempts - 1);
   }, INFORM_RETRY_INTERVAL_MS);
--- a/packages/entry/src/target/target-connection.ts
+++ b/packages/entry/src/target/target-connection.ts
@@ -44,8 +44,8 @@
   /** Current session settings by name, each as the SET statement that made it. */
   settings: Map<string, string>;
   consumer: AnswerConsumer | undefined;
-  /** Time at which data was last received. */
-  lastHeardMs: number;
+  /** Time at which data was last received, or reading from a paused connection was resumed. */
+  lastReceivedMs: number;
   isClosed: boolean;
 }
 
@@ -94,7 +94,7 @@
       prepared: new Set(),
       settings: new Map(),
       consumer: undefined,
-      lastHeardMs: performance.now(),
+      lastReceivedMs: performance.now(),
       isClosed: false,
     };
     let position: LogPosition | undefined;
@@ -119,7 +119,7 @@
       consumer?.onLost();
     });
     socket.on('data', (chunk) => {
-      connection.lastHeardMs = performance.now();
+      connection.lastReceivedMs = performance.now();
       const framed = frameMessages(framer, chunk);
       if (framed.kind !== 'messages') {
         socket.destroy();
--- a/packages/link/src/counters.ts
+++ b/packages/link/src/counters.ts
@@ -6,7 +6,6 @@
 export interface Counters {
   /** Adds to a counter. Names are dotted: `refusal.queue-full`, `retry.read-on-primary`. */
   readonly count: (name: string, by?: number) => void;
-  /** Sets a gauge. */
   readonly gauge: (name: string, value: number) => void;
   /** Records a duration in a histogram. */
   readonly timing: (name: string, durationMs: number) => void;
--- a/packages/link/src/log-writer.ts
+++ b/packages/link/src/log-writer.ts
@@ -21,7 +21,7 @@
 
 /** The buffer holds about two thousand lines, more than an entry logs per minute at the peak load of the users. */
 const DEFAULT_LIMITS: LogWriterLimits = { maxBufferedBytes: 512 * 1024, minWriteBytes: 4 * 1024 };
-const FLUSH_EVERY_MS = 200;
+const FLUSH_INTERVAL_MS = 200;
 
 /**
  * Creates a writer on an open descriptor.
@@ -50,7 +50,7 @@
   setInterval(() => {
     reportDroppedLines();
     output.flush();
-  }, FLUSH_EVERY_MS).unref();
+  }, FLUSH_INTERVAL_MS).unref();
   return {
     write: (part, message, fields) => {
       logger.info({ part, ...fields }, message);
--- a/packages/link/src/probe-address.ts
+++ b/packages/link/src/probe-address.ts
@@ -4,7 +4,7 @@
 import { startInputDeadline } from './input-deadline.js';
 
 /**
- * Tries to connect. If a `request` is given, sends it and takes only received data as an answer, because the
+ * Tries to connect. If a `request` is given, sends it and counts only received data as an answer, because the
  * kernel accepts connections for a suspended process too.
  *
  * `refused` proves that no process listens at the address; `silent` is inconclusive.
