--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -124,7 +124,7 @@
       return;
     requestedAtMs.set(group, nowMs);
     const request = { resource: `group/${group}`, zone };
-    void getMember()?.askLeader('resource/request', request, LEADER_TIMEOUT_MS);
+    void getMember()?.requestFromLeader('resource/request', request, LEADER_TIMEOUT_MS);
   }
 
   function linkTo(address: string): LinkClient {
--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -130,7 +130,7 @@
     const leader = app.leader();
     return leader ? readDocument(leader) : { kind: 'unavailable' };
   },
-  'operator/call': (app, _peer, params) => callLeader(app, params),
+  'operator/call': (app, _peer, params) => answerCallAsLeader(app, params),
 };
 
 /**
@@ -157,7 +157,7 @@
 }
 
 /** Answers an operator's call if this member leads, and fails it as unavailable otherwise. */
-export function callLeader(app: ControlApp, call: unknown): Promise<CallAnswer> {
+export function answerCallAsLeader(app: ControlApp, call: unknown): Promise<CallAnswer> {
   const leader = app.leader();
   if (leader) return answerOperatorCall(leader, app.bootstrapTokenSha256Hex, call);
   const message = 'no control leader is known at the moment; try again';
--- a/packages/control/src/control-daemon.ts
+++ b/packages/control/src/control-daemon.ts
@@ -60,7 +60,7 @@
     counters: createCounters('control', settings.statsd),
   });
   const adminServer = await listenForOperators(self.adminAddress, async (call) => {
-    const answer = await member.askLeader('operator/call', call, FORWARD_TIMEOUT_MS);
+    const answer = await member.requestFromLeader('operator/call', call, FORWARD_TIMEOUT_MS);
     const message = 'the control leader did not answer; resend with the same operation id';
     const unavailable: CallAnswer = { kind: 'error', code: 'unavailable', message };
     return (answer as CallAnswer | undefined) ?? unavailable;
--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -66,7 +66,11 @@
    * Answers a request locally if this member leads, and forwards it to the leader otherwise. Resolves
    * with `undefined` if no leader is known or it does not answer in time.
    */
-  readonly askLeader: (method: string, params: unknown, timeoutMs: number) => Promise<unknown>;
+  readonly requestFromLeader: (
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ) => Promise<unknown>;
   /** Sends a notification to all connected members, without a guarantee of delivery. */
   readonly notifyMembers: (method: string, params: unknown) => void;
   readonly stop: () => Promise<void>;
@@ -84,7 +88,7 @@
  * @throws when the data folder is corrupt or the address is in use; stored data is not changed then
  * @example
  * const member = await startControlMember(options);
- * const answer = await member.askLeader('document/read', {}, 1_000);
+ * const answer = await member.requestFromLeader('document/read', {}, 1_000);
  */
 export async function startControlMember(options: ControlMemberOptions): Promise<ControlMember> {
   const { selfId, timing, log, counters } = options;
@@ -154,7 +158,7 @@
     setInterval(() => void joinIfNeeded(), JOIN_RETRY_INTERVAL_MS),
   ];
   log(`member ${selfId} listens at ${options.linkAddress}, disk ${storage.diskId}`);
-  return { app, askLeader, notifyMembers, stop };
+  return { app, requestFromLeader, notifyMembers, stop };
 
   /** Stores the sender's address, so that a member without a log yet can answer the leader. */
   function learnAddress(params: unknown): void {
@@ -212,7 +216,11 @@
     if (lease) void probeSuspect(app, subscriber.incarnation, lease.linkAddress);
   }
 
-  async function askLeader(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
+  async function requestFromLeader(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
     const { leaderId } = driver.raft;
     if (leader) return handleRequest(app, undefined, method, params);
     const peer = leaderId === undefined ? undefined : linkTo(leaderId);
--- a/packages/control/src/leader/assign-resources.ts
+++ b/packages/control/src/leader/assign-resources.ts
@@ -52,19 +52,25 @@
   const chosen: Assignment[] = [];
   for (const resource of resources) {
     const current = assignmentOf(control, resource);
-    const wishedZone = service.preferredZones.get(resource) ?? current?.wishedZone;
-    const wish: HolderPreference = { zone: wishedZone, regionOf: service.regionOf, excluded };
+    const preferredZone = service.preferredZones.get(resource) ?? current?.wishedZone;
+    const preference: HolderPreference = {
+      zone: preferredZone,
+      regionOf: service.regionOf,
+      excluded,
+    };
     const holder = chooseHolder(
       service.leases,
       [...currentAssignments, ...chosen],
-      wish,
+      preference,
       performance.now(),
     );
     if (!holder) continue;
     const { entryId, incarnation, linkAddress } = holder;
     const epoch = (current?.epoch ?? 0) + 1;
     const assignment = { resource, epoch, entryId, incarnation, linkAddress };
-    chosen.push(wishedZone === undefined ? assignment : { ...assignment, wishedZone });
+    chosen.push(
+      preferredZone === undefined ? assignment : { ...assignment, wishedZone: preferredZone },
+    );
   }
   return chosen;
 }
--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -37,7 +37,7 @@
   /** Preferred zones of resources, as requested by entries. */
   readonly preferredZones: Map<Resource, string>;
   readonly subscribers: Map<LinkPeer, RecordSubscriber>;
-  readonly documents: DocumentCache;
+  readonly documentCache: DocumentCache;
   readonly pendingRenewals: PendingRenewal[];
   readonly pendingConfirmations: PendingConfirmation[];
   readonly resourcesBeingAssigned: Set<Resource>;
@@ -62,7 +62,7 @@
 }
 
 interface PendingConfirmation {
-  readonly sinceMs: number;
+  readonly arrivedAtMs: number;
   readonly resolve: (isConfirmed: boolean) => void;
 }
 
@@ -81,7 +81,7 @@
     log,
     preferredZones: new Map(),
     subscribers: new Map(),
-    documents: createDocumentCache(driver.control()),
+    documentCache: createDocumentCache(driver.control()),
     pendingRenewals: [],
     pendingConfirmations: [],
     resourcesBeingAssigned: new Set(),
@@ -117,19 +117,19 @@
  */
 export function confirmLeadership(service: LeaderService): Promise<boolean> {
   return new Promise((resolve) => {
-    service.pendingConfirmations.push({ sinceMs: performance.now(), resolve });
+    service.pendingConfirmations.push({ arrivedAtMs: performance.now(), resolve });
   });
 }
 
 /** Answers confirmations and renewals that arrived before the confirmed round started. */
 export function handleRoundConfirmed(service: LeaderService, startedAtMs: number): void {
   const confirmations = service.pendingConfirmations;
-  while (confirmations[0] && confirmations[0].sinceMs <= startedAtMs)
+  while (confirmations[0] && confirmations[0].arrivedAtMs <= startedAtMs)
     confirmations.shift()?.resolve(true);
   const renewals = service.pendingRenewals;
   while (renewals[0] && renewals[0].arrivedAtMs <= startedAtMs) {
-    const waiting = renewals.shift();
-    if (waiting) waiting.resolve(grantRenewal(service, waiting));
+    const pending = renewals.shift();
+    if (pending) pending.resolve(grantRenewal(service, pending));
   }
 }
 
@@ -155,7 +155,7 @@
   service: LeaderService,
   { knownIndex, documentIndex }: Pick<LeaseRenewal, 'knownIndex' | 'documentIndex'>,
 ): RecordsPush {
-  return createRecordsPush(service.documents, service.driver.control(), {
+  return createRecordsPush(service.documentCache, service.driver.control(), {
     knownIndex,
     documentIndex,
   });
@@ -190,11 +190,11 @@
     service.log('entry lease expired', { incarnation });
   }
   const assignments = listAssignments(service.driver.control());
-  const orphans = endExpiredHolders(service.leases, assignments, nowMs);
+  const orphaned = endExpiredHolders(service.leases, assignments, nowMs);
   const released = assignments.filter(
     ({ resource, epoch }) => service.releasedEpochs.get(resource) === epoch,
   );
-  const unassigned = new Set([...orphans, ...released].map(({ resource }) => resource));
+  const unassigned = new Set([...orphaned, ...released].map(({ resource }) => resource));
   if (unassigned.size > 0) void assignResources(service, [...unassigned], undefined);
   for (const [incarnation, { atMs }] of service.lastRenewals) {
     if (nowMs - atMs > service.timing.settingsLeaseMs * 4) service.lastRenewals.delete(incarnation);
--- a/packages/control/src/log-driver.ts
+++ b/packages/control/src/log-driver.ts
@@ -236,11 +236,11 @@
   }
 
   function compact(): void {
-    const taken = takeSnapshot();
-    const { index, term, membership } = taken;
+    const newSnapshot = takeSnapshot();
+    const { index, term, membership } = newSnapshot;
     step({ kind: 'snapshot-saved', snapshot: { index, term, membership } });
     try {
-      persistSnapshot(storage, taken, raft.entries);
+      persistSnapshot(storage, newSnapshot, raft.entries);
       options.log(`compacted the log up to index ${index}`);
     } catch (error) {
       const code = diskErrorCode(error);
--- a/packages/core/src/admit/token-bucket.ts
+++ b/packages/core/src/admit/token-bucket.ts
@@ -5,7 +5,10 @@
   readonly ratePerSecond: number;
   /** Maximum number of tokens that may be spent at once after an idle period. */
   readonly burst: number;
-  /** Tokens that a new home starts with; default 0. More needs a rate rule that tolerates the excess. */
+  /**
+   * Tokens that a home starts with when it takes over from another; default 0. Set only if the rate
+   * rule tolerates the excess.
+   */
   readonly afterMove?: number;
 }
 
@@ -60,7 +63,7 @@
 }
 
 /**
- * Takes up to `wanted` whole tokens and returns how many were taken.
+ * Draws up to `wanted` whole tokens and returns how many were drawn.
  *
  * @example
  * drawTokens(bucket, { ratePerSecond: 100, burst: 50 }, 3, nowMs); // 0 to 3
@@ -72,9 +75,9 @@
   nowMs: number,
 ): number {
   refill(bucket, limit, nowMs);
-  const taken = Math.min(wanted, Math.floor(bucket.tokens));
-  bucket.tokens -= taken;
-  return taken;
+  const drawn = Math.min(wanted, Math.floor(bucket.tokens));
+  bucket.tokens -= drawn;
+  return drawn;
 }
 
 /** Returns tokens to the bucket that an entry did not spend before they expired. */
--- a/packages/core/src/confirm/quorum-cover.test.ts
+++ b/packages/core/src/confirm/quorum-cover.test.ts
@@ -34,11 +34,11 @@
   deadlineMs: 100,
   needsQuorum: true,
 };
-const COVERED = { r1: { term: 3, offset: 50 } };
+const HELD_BY_ONE_REPLICA = { r1: { term: 3, offset: 50 } };
 
 describe('confirmWrite', () => {
   const CASES: readonly [string, ConfirmContext, PendingWrite, string][] = [
-    ['one replica holds it', contextOf(COVERED), WRITE, 'acknowledge'],
+    ['one replica holds it', contextOf(HELD_BY_ONE_REPLICA), WRITE, 'acknowledge'],
     ['no replica holds it yet', contextOf({ r1: { term: 3, offset: 49 } }), WRITE, 'wait'],
     ['a longer log of an older term', contextOf({ r1: { term: 2, offset: 99 } }), WRITE, 'wait'],
     [
@@ -51,20 +51,25 @@
     ['the deadline has passed', contextOf({}, { nowMs: 100 }), WRITE, 'not-covered'],
     [
       'a quorum has it, but the lease has expired',
-      contextOf(COVERED, { holdsLease: false }),
+      contextOf(HELD_BY_ONE_REPLICA, { holdsLease: false }),
+      WRITE,
+      'superseded',
+    ],
+    [
+      'a newer term was proposed',
+      contextOf(HELD_BY_ONE_REPLICA, { highestTerm: 4 }),
       WRITE,
       'superseded',
     ],
-    ['a newer term was proposed', contextOf(COVERED, { highestTerm: 4 }), WRITE, 'superseded'],
     [
       'the group is in a newer term',
-      contextOf(COVERED, { term: 4, highestTerm: 4 }),
+      contextOf(HELD_BY_ONE_REPLICA, { term: 4, highestTerm: 4 }),
       WRITE,
       'superseded',
     ],
     [
       'the primary wrote it in another term',
-      contextOf(COVERED),
+      contextOf(HELD_BY_ONE_REPLICA),
       { ...WRITE, mark: { term: 2, offset: 1 } },
       'superseded',
     ],
@@ -88,7 +93,7 @@
     ],
     [
       'five members, one replica',
-      contextOf(COVERED, { members: ['p', 'r1', 'r2', 'r3', 'r4'].map(toServerName) }),
+      contextOf(HELD_BY_ONE_REPLICA, { members: ['p', 'r1', 'r2', 'r3', 'r4'].map(toServerName) }),
       WRITE,
       'wait',
     ],
--- a/packages/core/src/control-log/election-time.test.ts
+++ b/packages/core/src/control-log/election-time.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { type MemberId, toDiskId, toMemberId } from '../types/ids.js';
-import { firstMembership, seededRandom } from './raft-harness.test-support.js';
+import { initialMembership, seededRandom } from './raft-harness.test-support.js';
 import { createRaftState, type RaftState } from './raft-state.js';
 import { stepRaft } from './raft.js';
 import type { RaftEvent, RaftMessage } from './types.js';
@@ -22,7 +22,7 @@
 function createTimedCluster(seed: number) {
   const random = seededRandom(seed);
   const ids = REGIONS.map((_region, index) => `10.${index + 1}.0.${10 + index * 7}`);
-  const membership = firstMembership(ids);
+  const membership = initialMembership(ids);
   const queue: ScheduledEvent[] = [];
   const frozen = new Set<MemberId>();
   let nowMs = 0;
--- a/packages/core/src/control-log/raft-harness.test-support.ts
+++ b/packages/core/src/control-log/raft-harness.test-support.ts
@@ -52,7 +52,7 @@
 
 export const TIMING = { heartbeatMs: 100, electionTimeoutMinMs: 500, electionTimeoutMaxMs: 1_000 };
 
-export function firstMembership(ids: readonly string[]): Membership {
+export function initialMembership(ids: readonly string[]): Membership {
   return Object.fromEntries(
     ids.map((id) => [
       id,
@@ -72,7 +72,7 @@
     nowMs: 0,
     randomUnit,
   };
-  const membership = firstMembership(ids);
+  const membership = initialMembership(ids);
   for (const id of ids) {
     const snapshot = { index: 0, term: 0, membership, data: new Uint8Array() };
     const disk = { term: 0, votedFor: undefined, snapshot, entries: [] };
--- a/packages/core/src/control-log/raft-state.ts
+++ b/packages/core/src/control-log/raft-state.ts
@@ -90,7 +90,8 @@
     formerLeaderUntilMs: 0,
   };
   resetElectionDeadline(state, nowMs);
-  // Safe to shorten: an election starts with a pre-vote, which does not disrupt an existing leader.
+  // Safe to shorten: this process has had no leader contact yet, and an election starts with a
+  // pre-vote, which does not disrupt a leader that may exist.
   state.electionDeadlineMs -= (state.electionDeadlineMs - nowMs) * INITIAL_TIMEOUT_REDUCTION;
   return state;
 }
--- a/packages/core/src/control-state/control-state.test.ts
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -230,7 +230,7 @@
     const place: ServerPlace = { server, address: '10.0.0.1:1', zone: 'a', slots: 2 };
     const places = [place];
     applyCommand(state, 2, { kind: 'group/places', group: GROUP, ownerEpoch, places });
-    const kept = importControlState(exportControlState(state));
-    expect(groupRecordOf(kept, GROUP).places ?? []).toHaveLength(expected);
+    const restored = importControlState(exportControlState(state));
+    expect(groupRecordOf(restored, GROUP).places ?? []).toHaveLength(expected);
   });
 });
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -26,7 +26,7 @@
   readonly term: number;
   /** The highest proposed term; greater than `term` while a change of primary is in progress. */
   readonly proposedTerm: number;
-  /** Last server locations stored by an owner, for new owners that have no announcements yet. */
+  /** Places of the servers as last stored by an owner, for owners without announcements yet. */
   readonly places?: readonly ServerPlace[];
 }
 
--- a/packages/core/src/failover/failover.test.ts
+++ b/packages/core/src/failover/failover.test.ts
@@ -211,7 +211,7 @@
     expect(testGroup.step({ kind: 'proposed', term: 1, isAccepted: true })).toEqual([]);
   });
 
-  it('tells servers of an older term to follow, and the old primary when it returns', () => {
+  it('sends `follow` to servers of an older term, including a former primary that returns', () => {
     const testGroup = createTestGroup({ primary: toServerName('s2'), term: 2, proposedTerm: 2 });
     testGroup.announce('s2', { role: 'primary', term: 2 });
     testGroup.announce('s3', { term: 2 });
--- a/packages/core/src/failover/failover.ts
+++ b/packages/core/src/failover/failover.ts
@@ -20,7 +20,10 @@
 
 /** Consecutive refused connections after which the primary is considered dead. */
 const REFUSED_CONNECTION_THRESHOLD = 2;
-/** How long a group without a primary waits for one to announce itself, in milliseconds. */
+/**
+ * How long the owner of a group without a primary waits for one to announce itself, in milliseconds;
+ * after that it chooses one itself.
+ */
 const ADOPTION_TIMEOUT_MS = 3_000;
 
 /**
@@ -128,7 +131,7 @@
     return [];
   }
   if (isPrimaryLost(state, context)) return proposeTerm(state, record.term + 1, context);
-  return followOutdatedServers(state, record.primary, context);
+  return sendFollowCommands(state, record.primary, context);
 }
 
 function isPrimaryLost(state: FailoverState, context: FailoverContext): boolean {
@@ -139,7 +142,7 @@
 }
 
 /** Sends `follow` to servers that follow an older term or wrongly announce themselves as primary. */
-function followOutdatedServers(
+function sendFollowCommands(
   state: FailoverState,
   primary: ServerName,
   context: FailoverContext,
@@ -264,12 +267,12 @@
   promises: readonly FencePromise[],
   context: FailoverContext,
 ): ServerName | undefined {
-  const isLeaving = (server: ServerName) =>
+  const leavingRank = (server: ServerName) =>
     context.view.servers.get(server)?.announcement.isLeaving === true ? 1 : 0;
   const ranked = [...promises].sort(
     (left, right) =>
       comparePositions(right.position, left.position) ||
-      isLeaving(left.server) - isLeaving(right.server) ||
+      leavingRank(left.server) - leavingRank(right.server) ||
       (left.server < right.server ? -1 : 1),
   );
   return ranked[0]?.server;
@@ -305,7 +308,7 @@
     state.phase = { kind: 'steady' };
     state.failingSinceMs = undefined;
     state.refusedCount = 0;
-    return followOutdatedServers(state, server, context);
+    return sendFollowCommands(state, server, context);
   }
   if (nowMs - sinceMs >= timing.promoteTimeoutMs) return proposeTerm(state, term + 1, context);
   if (nowMs - sentAtMs < timing.resendMs) return [];
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -18,7 +18,10 @@
   readonly zone: string;
   /** Bandwidth of the entry's instance in Mbit/s; `undefined` if unknown. */
   readonly linkMbps?: number | undefined;
-  /** Whether a control member runs on the same instance, whose loss should not affect groups as well. */
+  /**
+   * Whether a control member runs on the same instance. Other entries are preferred as holders, so that
+   * the loss of such an instance does not affect groups as well.
+   */
   readonly isBesideControl?: boolean | undefined;
   readonly isStopping: boolean;
   readonly settingsRevision: number;
--- a/packages/core/src/queue/fair-queue.test.ts
+++ b/packages/core/src/queue/fair-queue.test.ts
@@ -10,7 +10,7 @@
   hasOtherActive,
   removeWaiting,
   startUnqueued,
-  takeExpired,
+  removeExpired,
   waitingCount,
 } from './fair-queue.js';
 
@@ -107,9 +107,9 @@
     const queue = createFairQueue<string>(10);
     enqueue(queue, { item: 'soon', customer: BENCH, deadlineMs: 100 }, 0);
     enqueue(queue, { item: 'later', customer: BENCH, deadlineMs: 900 }, 0);
-    expect(takeExpired(queue, 100).map(({ item }) => item)).toEqual(['soon']);
+    expect(removeExpired(queue, 100).map(({ item }) => item)).toEqual(['soon']);
     extendDeadlines(queue, 2_000);
-    expect(takeExpired(queue, 1_500)).toEqual([]);
+    expect(removeExpired(queue, 1_500)).toEqual([]);
     expect(removeWaiting(queue, (item) => item === 'later')).toHaveLength(1);
     expect(waitingCount(queue)).toBe(0);
   });
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -74,12 +74,12 @@
   for (const customer of waiting) {
     const position = customer.items.findIndex(({ item }) => canStart(item, customer.customer));
     if (position < 0) continue;
-    const [taken] = customer.items.splice(position, 1);
-    if (!taken) continue;
+    const [next] = customer.items.splice(position, 1);
+    if (!next) continue;
     queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
     customer.virtualMs += customer.estimateMs;
     customer.runningCount += 1;
-    return taken;
+    return next;
   }
   return undefined;
 }
@@ -106,7 +106,7 @@
 }
 
 /** Removes and returns waiting requests whose deadline has passed; none of them has been started. */
-export function takeExpired<Item>(queue: FairQueue<Item>, nowMs: number): QueuedItem<Item>[] {
+export function removeExpired<Item>(queue: FairQueue<Item>, nowMs: number): QueuedItem<Item>[] {
   const expired: QueuedItem<Item>[] = [];
   for (const customer of queue.customers.values()) {
     const isExpired = (queued: QueuedItem<Item>) => queued.deadlineMs <= nowMs;
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -97,7 +97,7 @@
     }
   | { readonly kind: 'session/lost'; readonly session: SessionId; readonly refusal: Refusal };
 
-/** Response to a {@link RequestStatusQuery}, sent by an entry after its link to the owner broke. */
+/** Response to a {@link RequestStatusQuery}, which an entry sends after its link to the owner broke. */
 export type RequestStatus = 'not-started' | 'may-have-run';
 
 export interface RequestStatusQuery {
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -16,7 +16,7 @@
   type RouteContext,
   type ServerName,
   startUnqueued,
-  takeExpired,
+  removeExpired,
 } from '@bramleykeel/core';
 import type { TargetConnection } from '../target/target-connection.js';
 import { acquireConnection, freeSlots, type TargetPool } from '../target/target-pool.js';
@@ -124,7 +124,7 @@
 /** Refuses requests whose queue deadline has passed; none of them was executed. */
 export function expireWaiting(owner: GroupOwner): void {
   const reason = primaryForWrites(owner) === undefined ? 'no-primary' : 'queue-timeout';
-  for (const { item } of takeExpired(owner.queue, performance.now())) {
+  for (const { item } of removeExpired(owner.queue, performance.now())) {
     const isAhead = isMarkAhead(owner, item.session.mark);
     endRequest(owner, item, 'idle', refuse(isAhead ? 'mark-ahead-of-group' : reason));
   }
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -11,7 +11,7 @@
   removeWaiting,
   type ServerName,
   type StatementOutcome,
-  takeExpired,
+  removeExpired,
   type TargetRequirements,
   type TargetView,
   waitingCount,
@@ -150,7 +150,7 @@
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
-    for (const { item } of takeExpired(queue, nowMs)) {
+    for (const { item } of removeExpired(queue, nowMs)) {
       endJob(owner, item, notRun(owner.leadership.kind === 'led' ? 'queue-timeout' : 'no-primary'));
     }
   }
