Rename files after what they contain

statements/owed-positions is now acknowledged-positions, confirm/quorum-cover write-quorum, control's storage/disk-refusal disk-errors. Imports follow.

--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -32,7 +32,7 @@
 } from './leader/leader-service.js';
 import { createLogDriver } from './log-driver.js';
 import { addressesOf, reconcileMembership } from './member-join.js';
-import { retryOnDiskError } from './storage/disk-refusal.js';
+import { retryOnDiskError } from './storage/disk-errors.js';
 import { closeStorage, openStorage } from './storage/control-storage.js';
 
 export interface ControlMemberOptions {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,4 +5,4 @@
 export type { DocumentPutAnswer, DocumentReadAnswer } from './document-calls.js';
 export * from './storage/control-storage.js';
 export * from './storage/record-file.js';
-export * from './storage/disk-refusal.js';
+export * from './storage/disk-errors.js';
--- a/packages/control/src/log-driver.ts
+++ b/packages/control/src/log-driver.ts
@@ -26,7 +26,7 @@
 import type { Log } from '@bramleykeel/link';
 import { Encoder } from 'cbor-x';
 import { match } from 'ts-pattern';
-import { DISK_RETRY_INTERVAL_MS, diskErrorCode } from './storage/disk-refusal.js';
+import { DISK_RETRY_INTERVAL_MS, diskErrorCode } from './storage/disk-errors.js';
 import {
   type OpenedStorage,
   persistEntries,
--- a/packages/control/src/storage/disk-refusal.test.ts
+++ b/packages/control/src/storage/disk-errors.test.ts
@@ -14,7 +14,7 @@
   persistEntries,
   persistSnapshot,
 } from './control-storage.js';
-import { retryOnDiskError } from './disk-refusal.js';
+import { retryOnDiskError } from './disk-errors.js';
 
 const disk = vi.hoisted(() => ({ freeBytes: Number.POSITIVE_INFINITY }));
 
--- a/packages/core/src/confirm/quorum-cover.test.ts
+++ b/packages/core/src/confirm/write-quorum.test.ts
@@ -2,7 +2,7 @@
 import { createGroupView } from '../route/server-view.js';
 import { toServerName } from '../types/ids.js';
 import type { Announcement } from '../types/target.js';
-import { type ConfirmContext, confirmWrite, type PendingWrite } from './quorum-cover.js';
+import { type ConfirmContext, confirmWrite, type PendingWrite } from './write-quorum.js';
 
 const MEMBERS = ['p', 'r1', 'r2'].map(toServerName);
 
--- a/packages/core/src/failover/failover.ts
+++ b/packages/core/src/failover/failover.ts
@@ -5,7 +5,7 @@
  */
 import { match } from 'ts-pattern';
 import type { GroupRecord } from '../control-state/types.js';
-import { writeQuorumSize } from '../confirm/quorum-cover.js';
+import { writeQuorumSize } from '../confirm/write-quorum.js';
 import type { ServerName } from '../types/ids.js';
 import { comparePositions, coversMark } from '../types/position.js';
 import type { Announcement, FencePromise } from '../types/target.js';
--- a/packages/core/src/statements/owed-positions.test.ts
+++ b/packages/core/src/statements/acknowledged-positions.test.ts
@@ -5,7 +5,7 @@
   recordAcknowledged,
   type AcknowledgedPositions,
   requiredPosition,
-} from './owed-positions.js';
+} from './acknowledged-positions.js';
 
 const at = (offset: number, term = 3) => ({ term, offset });
 
