--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -77,8 +77,8 @@
 
   /** Stores an announcement unless a newer one is known; returns whether it was stored. */
   function store(announcement: ServerAnnouncement): boolean {
-    const known = latestAnnouncements.get(announcement.server);
-    if (known && !isNewerAnnouncement(announcement, known.announcement)) return false;
+    const current = latestAnnouncements.get(announcement.server);
+    if (current && !isNewerAnnouncement(announcement, current.announcement)) return false;
     latestAnnouncements.set(announcement.server, { announcement, atMs: performance.now() });
     return true;
   }
@@ -87,17 +87,17 @@
   function shareWithMembers(announcement: ServerAnnouncement): void {
     const { server, role, isLeaving } = announcement;
     const nowMs = performance.now();
-    const known = lastShared.get(server);
-    const isSame = known?.role === role && known.isLeaving === isLeaving;
-    if (isSame && nowMs - known.atMs < SHARE_INTERVAL_MS) return;
+    const last = lastShared.get(server);
+    const isSame = last?.role === role && last.isLeaving === isLeaving;
+    if (isSame && nowMs - last.atMs < SHARE_INTERVAL_MS) return;
     lastShared.set(server, { role, isLeaving, atMs: nowMs });
     getMember()?.notifyMembers('server/keep', announcement);
   }
 
   async function removeServer(server: ServerName): Promise<void> {
-    const known = latestAnnouncements.get(server);
+    const latest = latestAnnouncements.get(server);
     latestAnnouncements.delete(server);
-    if (known) await sendRequestToOwner(known.announcement.group, 'server/leave', server);
+    if (latest) await sendRequestToOwner(latest.announcement.group, 'server/leave', server);
   }
 
   async function sendRequestToOwner(
@@ -128,8 +128,8 @@
   }
 
   function linkTo(address: string): LinkClient {
-    const known = links.get(address);
-    if (known) return known;
+    const existing = links.get(address);
+    if (existing) return existing;
     const options = { secret: linkSecret, ...DEFAULT_LINK_TIMING, ...DEFAULT_RECONNECT };
     const handlers = { onRequest: () => undefined, onNotify: () => undefined };
     const created = maintainLink(address, { ...options, reconnectMaxMs: 400 }, handlers);
--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -48,7 +48,7 @@
   readonly addressHints: () => readonly string[];
   /** Whether members that are not in the membership may join. */
   readonly allowsNewMembers: boolean;
-  /** Target number of voters. */
+  /** Desired number of voters. */
   readonly maxVoters: number;
   /** Returns the region of a zone; `undefined` if zones are not grouped into regions. */
   readonly regionOf?: (zone: string) => string | undefined;
--- a/packages/core/src/control-log/roles.ts
+++ b/packages/core/src/control-log/roles.ts
@@ -45,8 +45,8 @@
   member: Parameters<RaftState<Command>['progress']['get']>[0],
   nowMs: number,
 ) {
-  const known = state.progress.get(member);
-  if (known) return known;
+  const existing = state.progress.get(member);
+  if (existing) return existing;
   const created = {
     nextIndex: lastIndexOf(state) + 1,
     matchIndex: 0,
--- a/packages/core/src/control-state/record-pushes.ts
+++ b/packages/core/src/control-state/record-pushes.ts
@@ -4,7 +4,7 @@
 import { diffDocuments, unpackDocument } from './document-change.js';
 import { DOCUMENT_KEY, type RecordDelta, recordsSince } from './views.js';
 
-/** The records that an entry holds, from its last renewal or the last push sent to it. */
+/** The records that an entry has, as reported by its last renewal or sent to it since. */
 export interface KnownRecords {
   readonly knownIndex: number;
   /** Log index of the entry's settings document. */
@@ -30,7 +30,7 @@
   return cache;
 }
 
-/** Builds the update for an entry that holds `known`. */
+/** Builds the update for an entry that has the records `known`. */
 export function createRecordsPush(
   cache: DocumentCache,
   control: ControlState,
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -41,7 +41,8 @@
 }
 
 /**
- * Adds a request at the end of its customer's queue; refuses when that queue is full.
+ * Adds a request at the end of its customer's queue, or returns `'full'` without adding it if that
+ * queue has reached its limit.
  *
  * @example
  * enqueue(queue, { item, customer, deadlineMs: nowMs + 2_000 }, nowMs); // 'queued'
@@ -160,8 +161,8 @@
 }
 
 function customerQueue<Item>(queue: FairQueue<Item>, customer: CustomerName): CustomerQueue<Item> {
-  const known = queue.customers.get(customer);
-  if (known) return known;
+  const existing = queue.customers.get(customer);
+  if (existing) return existing;
   const created: CustomerQueue<Item> = {
     customer,
     virtualMs: queue.virtualMs,
--- a/packages/core/src/route/server-view.ts
+++ b/packages/core/src/route/server-view.ts
@@ -38,9 +38,9 @@
   announcement: Announcement,
   nowMs: number,
 ): boolean {
-  const known = view.servers.get(announcement.server);
-  if (known && isOutdated(known.announcement, announcement)) return false;
-  const upToDateAtMs = known?.upToDateAtMs ?? Number.NEGATIVE_INFINITY;
+  const current = view.servers.get(announcement.server);
+  if (current && isOutdated(current.announcement, announcement)) return false;
+  const upToDateAtMs = current?.upToDateAtMs ?? Number.NEGATIVE_INFINITY;
   const { server } = announcement;
   view.servers.set(server, { server, announcement, heardAtMs: nowMs, upToDateAtMs });
   if (announcement.role === 'primary') addPrimarySample(view, announcement.position, nowMs);
@@ -48,8 +48,8 @@
   return true;
 }
 
-function isOutdated(known: Announcement, next: Announcement): boolean {
-  return known.incarnation === next.incarnation && next.sequence <= known.sequence;
+function isOutdated(current: Announcement, next: Announcement): boolean {
+  return current.incarnation === next.incarnation && next.sequence <= current.sequence;
 }
 
 function addPrimarySample(view: GroupView, position: LogPosition, nowMs: number): void {
@@ -59,13 +59,13 @@
 
 /** A server is up to date as of the newest primary sample that its own position covers. */
 function updateUpToDateTime(view: GroupView, server: ServerName): void {
-  const known = view.servers.get(server);
-  if (!known) return;
+  const current = view.servers.get(server);
+  if (!current) return;
   for (let index = view.primarySamples.length - 1; index >= 0; index -= 1) {
     const sample = view.primarySamples[index];
     if (!sample) continue;
-    if (comparePositions(known.announcement.position, sample.position) < 0) continue;
-    known.upToDateAtMs = Math.max(known.upToDateAtMs, sample.heardAtMs);
+    if (comparePositions(current.announcement.position, sample.position) < 0) continue;
+    current.upToDateAtMs = Math.max(current.upToDateAtMs, sample.heardAtMs);
     return;
   }
 }
--- a/packages/core/src/settings/daemon-settings.ts
+++ b/packages/core/src/settings/daemon-settings.ts
@@ -84,6 +84,7 @@
       /** How long a request waits while its group has no primary or no owner. */
       failoverWaitMs: durationMs(8_000),
       replicaWaitMs: durationMs(20),
+      /** How long a write waits for a quorum before its outcome is reported as unknown. */
       coverTimeoutMs: durationMs(5_000),
       rateWaitMs: durationMs(500),
       idleTransactionMs: durationMs(60_000),
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -21,7 +21,7 @@
   readonly consistency: ReadConsistency;
   readonly maxReadAgeMs: number;
   readonly statementTimeoutMs: number;
-  /** Target response time of a whole operation, in milliseconds. */
+  /** Response time objective for a whole operation, in milliseconds. */
   readonly objectiveMs: number;
   /** Zero is the highest priority. */
   readonly priority: number;
@@ -72,10 +72,13 @@
   readonly sequence: number;
 }
 
-/** Returns whether `next` is newer than `known`, an announcement of the same server. */
-export function isNewerAnnouncement(next: ServerAnnouncement, known: ServerAnnouncement): boolean {
-  if (next.bornMs !== known.bornMs) return next.bornMs > known.bornMs;
-  return next.sequence > known.sequence;
+/** Returns whether `next` is newer than `current`, an announcement of the same server. */
+export function isNewerAnnouncement(
+  next: ServerAnnouncement,
+  current: ServerAnnouncement,
+): boolean {
+  if (next.bornMs !== current.bornMs) return next.bornMs > current.bornMs;
+  return next.sequence > current.sequence;
 }
 
 export type StatementAccess = 'read' | 'write' | 'commit';
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -17,7 +17,7 @@
   readonly parseMessage: Uint8Array;
 }
 
-/** How the response to one message of a request is handled before it is returned to the caller. */
+/** How the answer to one message of a request is handled before it is returned to the caller. */
 export type ExpectedAnswer =
   | { readonly kind: 'parse'; readonly isHidden: boolean; readonly statement: string }
   | { readonly kind: 'close'; readonly isHidden: boolean; readonly statement: string };
@@ -27,7 +27,7 @@
   readonly messages: Uint8Array;
   /** Statements that must exist on the target connection before the messages are sent. */
   readonly statements: readonly StatementDefinition[];
-  /** Expected ParseComplete and CloseComplete responses in order, including those hidden from the caller. */
+  /** Expected ParseComplete and CloseComplete answers in order, including those hidden from the caller. */
   readonly expected: readonly ExpectedAnswer[];
   /** Whether the chunk ends the request (Sync or Query), so that ReadyForQuery follows. */
   readonly isFinal: boolean;
@@ -97,7 +97,7 @@
     }
   | { readonly kind: 'session/lost'; readonly session: SessionId; readonly refusal: Refusal };
 
-/** Response to a {@link RequestStatusQuery}, which an entry sends after its link to the owner broke. */
+/** Answer to a {@link RequestStatusQuery}, which an entry sends after its link to the owner broke. */
 export type RequestStatus = 'not-started' | 'may-have-run';
 
 export interface RequestStatusQuery {
--- a/packages/core/src/types/target.ts
+++ b/packages/core/src/types/target.ts
@@ -33,7 +33,7 @@
 
 export type Announcement = z.infer<typeof announcementSchema>;
 
-/** Response of a target to a fence command. */
+/** Answer of a target to a fence command. */
 export const fenceAnswerSchema = z.object({
   promisedTerm: z.int().nonnegative(),
   position: positionSchema,
