Correct doc comments and examples of core

Examples name the functions that exist; chooseServer says when a read does not wait. endPredecessors is now endEarlierHoldersAtAddress, hasOtherActive hasOtherActiveCustomer.

--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -8,7 +8,7 @@
   type DocumentCache,
   endExpiredLeases,
   endIncarnation,
-  endPredecessors,
+  endEarlierHoldersAtAddress,
   type EntryLeases,
   type Incarnation,
   type KnownRecords,
@@ -138,7 +138,8 @@
   const outcome = renewLease(service.leases, renewal, nowMs);
   if (outcome === 'ended') return { kind: 'ended' };
   const assignments = listAssignments(service.driver.control());
-  if (endPredecessors(service.leases, assignments, renewal)) reassignOrphanedResources(service);
+  if (endEarlierHoldersAtAddress(service.leases, assignments, renewal))
+    reassignOrphanedResources(service);
   const { incarnation, settingsRevision } = renewal;
   service.lastRenewals.set(incarnation, { atMs: nowMs, settingsRevision });
   // Earlier replies may have been lost, so only the indexes reported by the entry are relied on.
--- a/packages/core/src/confirm/write-quorum.ts
+++ b/packages/core/src/confirm/write-quorum.ts
@@ -21,7 +21,7 @@
  * answered the write; a replica counts if it announced a covering position in the same term.
  *
  * @example
- * isCovered({ term: 1, offset: 7 }, context);
+ * isHeldByQuorum({ term: 1, offset: 7 }, context);
  */
 export function isHeldByQuorum(mark: LogPosition, context: QuorumContext): boolean {
   let holders = 1;
--- a/packages/core/src/control-state/document-change.ts
+++ b/packages/core/src/control-state/document-change.ts
@@ -27,7 +27,7 @@
  * Computes the diff from `base` to `next`.
  *
  * @example
- * applyDocumentChange(base, describeDocumentChange(base, next)); // next
+ * applyDocumentChange(base, diffDocuments(base, next)); // next
  */
 export function diffDocuments(base: string, next: string): DocumentChange {
   const positions = new Map<string, number>();
--- a/packages/core/src/control-state/record-pushes.ts
+++ b/packages/core/src/control-state/record-pushes.ts
@@ -20,7 +20,7 @@
 /** Entries lag by a few documents at most, even while documents change rapidly. */
 const MAX_CACHED_DOCUMENTS = 12;
 
-/** Starts with the current document, which entries already have from the previous leader. */
+/** Starts with the current document, which entries may already have from an earlier leader. */
 export function createDocumentCache(control: ControlState): DocumentCache {
   const cache: DocumentCache = { texts: new Map(), changes: new Map() };
   const stored = control.records.get(DOCUMENT_KEY);
--- a/packages/core/src/lease/entry-leases.test.ts
+++ b/packages/core/src/lease/entry-leases.test.ts
@@ -6,7 +6,7 @@
   createEntryLeases,
   endExpiredLeases,
   endIncarnation,
-  endPredecessors,
+  endEarlierHoldersAtAddress,
   mayHolderAct,
   renewLease,
   endExpiredHolders,
@@ -161,8 +161,8 @@
     const state = createEntryLeases(TIMING, 0);
     const earlier = { ...assignmentTo('i0'), linkAddress: '127.0.0.1:1' };
     expect(mayHolderAct(state, earlier, 100)).toBe(true);
-    expect(endPredecessors(state, [earlier], renewal('e1', 'i1'))).toBe(true);
+    expect(endEarlierHoldersAtAddress(state, [earlier], renewal('e1', 'i1'))).toBe(true);
     expect(mayHolderAct(state, earlier, 100)).toBe(false);
-    expect(endPredecessors(state, [earlier], renewal('e1', 'i1'))).toBe(false);
+    expect(endEarlierHoldersAtAddress(state, [earlier], renewal('e1', 'i1'))).toBe(false);
   });
 });
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -78,7 +78,7 @@
  * Ends the assignment holders whose address is now used by a newer incarnation, including holders
  * whose lease this leader did not grant. Returns whether any were ended.
  */
-export function endPredecessors(
+export function endEarlierHoldersAtAddress(
   state: EntryLeases,
   assignments: readonly Assignment[],
   renewal: Pick<EntryLease, 'incarnation' | 'linkAddress'>,
--- a/packages/core/src/promotion/choose-successor.ts
+++ b/packages/core/src/promotion/choose-successor.ts
@@ -44,7 +44,7 @@
  * Chooses the successor, or returns the reason to wait.
  *
  * @example
- * chooseSuccessor({ fenced, unfenced: [], acknowledged, unfencedSilentMs: 0 });
+ * chooseSuccessor({ fenced, unfenced, acknowledged, hasStoppedWrites: false, unfencedSilentMs: 0 });
  */
 export function chooseSuccessor(context: SuccessorContext): SuccessorChoice {
   const { fenced, unfenced, acknowledged, unfencedSilentMs, hasStoppedWrites } = context;
--- a/packages/core/src/queue/fair-queue.test.ts
+++ b/packages/core/src/queue/fair-queue.test.ts
@@ -7,7 +7,7 @@
   extendDeadlines,
   type FairQueue,
   recordFinished,
-  hasOtherActive,
+  hasOtherActiveCustomer,
   removeWaiting,
   startUnqueued,
   removeExpired,
@@ -117,8 +117,8 @@
   it('reports whether another customer has been active recently', () => {
     const queue = createFairQueue<string>(10);
     fill(queue, BENCH, 1, 500);
-    expect(hasOtherActive(queue, GREEDY, 400)).toBe(true);
-    expect(hasOtherActive(queue, GREEDY, 501)).toBe(false);
-    expect(hasOtherActive(queue, BENCH, 0)).toBe(false);
+    expect(hasOtherActiveCustomer(queue, GREEDY, 400)).toBe(true);
+    expect(hasOtherActiveCustomer(queue, GREEDY, 501)).toBe(false);
+    expect(hasOtherActiveCustomer(queue, BENCH, 0)).toBe(false);
   });
 });
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -149,7 +149,7 @@
 }
 
 /** Returns whether any customer other than `customer` has been active since `sinceMs`. */
-export function hasOtherActive<Item>(
+export function hasOtherActiveCustomer<Item>(
   queue: FairQueue<Item>,
   customer: CustomerName,
   sinceMs: number,
--- a/packages/core/src/route/choose-server.ts
+++ b/packages/core/src/route/choose-server.ts
@@ -36,8 +36,9 @@
 
 /**
  * Chooses a server. A read goes to the replica with the most free slots among those that cover the
- * mark and are within the allowed staleness. If there is none, the read waits for up to
- * `replicaWaitMs` and then goes to the primary. Writes always go to the primary.
+ * mark and are within the allowed staleness. If none of these has a free slot, the read waits for up to
+ * `replicaWaitMs` for a replica that lags or is busy, and then goes to the primary; without any usable
+ * replica it goes there at once. Writes always go to the primary.
  *
  * @example
  * chooseServer({ intent: 'read', mark, readAgeAllowanceMs: null, waitedMs: 0 }, context);
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -141,7 +141,7 @@
 /**
  * Outcome of a statement.
  *
- * - `done`: the server ran it; `signature` is passed on from the server.
+ * - `done`: the server ran it; `signature` is the one that the server returned.
  * - `not-run`: it did not run, and its transaction, if any, is not committed.
  * - `aborted`: its transaction has ended and was rolled back.
  * - `failed`: the server ran it and reported an error.
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -11,7 +11,7 @@
 
 /** A named prepared statement that a request refers to. */
 export interface StatementDefinition {
-  /** Name on target connections, derived from the text and the parameter types. */
+  /** Name on target connections; the same for the same text and parameter types. */
   readonly name: string;
   /** The Parse message that creates it. */
   readonly parseMessage: Uint8Array;
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -9,7 +9,7 @@
   dequeue,
   enqueue,
   extendDeadlines,
-  hasOtherActive,
+  hasOtherActiveCustomer,
   type LogPosition,
   refuse,
   type Route,
@@ -186,7 +186,7 @@
   const { customer } = request.session;
   const limit = Math.max(1, Math.floor(pool.slots * CUSTOMER_SLOT_SHARE));
   if (runningCountOf(owner, request, server) < limit) return false;
-  return hasOtherActive(owner.queue, customer, performance.now() - ALONE_AFTER_MS);
+  return hasOtherActiveCustomer(owner.queue, customer, performance.now() - ALONE_AFTER_MS);
 }
 
 async function startRequest(
