--- a/packages/control/src/log-driver.ts
+++ b/packages/control/src/log-driver.ts
@@ -26,7 +26,7 @@
 import type { Log } from '@bramleykeel/link';
 import { Encoder } from 'cbor-x';
 import { match } from 'ts-pattern';
-import { DISK_RETRY_INTERVAL_MS, diskErrorCode } from './storage/disk-refusal.js';
+import { DISK_RETRY_INTERVAL_MS, diskErrorCode } from './storage/disk-errors.js';
 import {
   type OpenedStorage,
   persistEntries,
@@ -236,11 +236,11 @@
   }
 
   function compact(): void {
-    const taken = takeSnapshot();
-    const { index, term, membership } = taken;
+    const newSnapshot = takeSnapshot();
+    const { index, term, membership } = newSnapshot;
     step({ kind: 'snapshot-saved', snapshot: { index, term, membership } });
     try {
-      persistSnapshot(storage, taken, raft.entries);
+      persistSnapshot(storage, newSnapshot, raft.entries);
       options.log(`compacted the log up to index ${index}`);
     } catch (error) {
       const code = diskErrorCode(error);
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -18,7 +18,10 @@
   readonly zone: string;
   /** Bandwidth of the entry's instance in Mbit/s; `undefined` if unknown. */
   readonly linkMbps?: number | undefined;
-  /** Whether a control member runs on the same instance, whose loss should not affect groups as well. */
+  /**
+   * Whether a control member runs on the same instance. Other entries are preferred as holders, so that
+   * the loss of such an instance does not affect groups as well.
+   */
   readonly isBesideControl?: boolean | undefined;
   readonly isStopping: boolean;
   readonly settingsRevision: number;
@@ -75,7 +78,7 @@
  * Ends the assignment holders whose address is now used by a newer incarnation, including holders
  * whose lease this leader did not grant. Returns whether any were ended.
  */
-export function endPredecessors(
+export function endEarlierHoldersAtAddress(
   state: EntryLeases,
   assignments: readonly Assignment[],
   renewal: Pick<EntryLease, 'incarnation' | 'linkAddress'>,
--- a/packages/core/src/queue/fair-queue.test.ts
+++ b/packages/core/src/queue/fair-queue.test.ts
@@ -7,10 +7,10 @@
   extendDeadlines,
   type FairQueue,
   recordFinished,
-  hasOtherActive,
+  hasOtherActiveCustomer,
   removeWaiting,
   startUnqueued,
-  takeExpired,
+  removeExpired,
   waitingCount,
 } from './fair-queue.js';
 
@@ -107,9 +107,9 @@
     const queue = createFairQueue<string>(10);
     enqueue(queue, { item: 'soon', customer: BENCH, deadlineMs: 100 }, 0);
     enqueue(queue, { item: 'later', customer: BENCH, deadlineMs: 900 }, 0);
-    expect(takeExpired(queue, 100).map(({ item }) => item)).toEqual(['soon']);
+    expect(removeExpired(queue, 100).map(({ item }) => item)).toEqual(['soon']);
     extendDeadlines(queue, 2_000);
-    expect(takeExpired(queue, 1_500)).toEqual([]);
+    expect(removeExpired(queue, 1_500)).toEqual([]);
     expect(removeWaiting(queue, (item) => item === 'later')).toHaveLength(1);
     expect(waitingCount(queue)).toBe(0);
   });
@@ -117,8 +117,8 @@
   it('reports whether another customer has been active recently', () => {
     const queue = createFairQueue<string>(10);
     fill(queue, BENCH, 1, 500);
-    expect(hasOtherActive(queue, GREEDY, 400)).toBe(true);
-    expect(hasOtherActive(queue, GREEDY, 501)).toBe(false);
-    expect(hasOtherActive(queue, BENCH, 0)).toBe(false);
+    expect(hasOtherActiveCustomer(queue, GREEDY, 400)).toBe(true);
+    expect(hasOtherActiveCustomer(queue, GREEDY, 501)).toBe(false);
+    expect(hasOtherActiveCustomer(queue, BENCH, 0)).toBe(false);
   });
 });
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -41,7 +41,8 @@
 }
 
 /**
- * Adds a request at the end of its customer's queue; refuses when that queue is full.
+ * Adds a request at the end of its customer's queue, or returns `'full'` without adding it if that
+ * queue has reached its limit.
  *
  * @example
  * enqueue(queue, { item, customer, deadlineMs: nowMs + 2_000 }, nowMs); // 'queued'
@@ -74,12 +75,12 @@
   for (const customer of waiting) {
     const position = customer.items.findIndex(({ item }) => canStart(item, customer.customer));
     if (position < 0) continue;
-    const [taken] = customer.items.splice(position, 1);
-    if (!taken) continue;
+    const [next] = customer.items.splice(position, 1);
+    if (!next) continue;
     queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
     customer.virtualMs += customer.estimateMs;
     customer.runningCount += 1;
-    return taken;
+    return next;
   }
   return undefined;
 }
@@ -106,7 +107,7 @@
 }
 
 /** Removes and returns waiting requests whose deadline has passed; none of them has been started. */
-export function takeExpired<Item>(queue: FairQueue<Item>, nowMs: number): QueuedItem<Item>[] {
+export function removeExpired<Item>(queue: FairQueue<Item>, nowMs: number): QueuedItem<Item>[] {
   const expired: QueuedItem<Item>[] = [];
   for (const customer of queue.customers.values()) {
     const isExpired = (queued: QueuedItem<Item>) => queued.deadlineMs <= nowMs;
@@ -148,7 +149,7 @@
 }
 
 /** Returns whether any customer other than `customer` has been active since `sinceMs`. */
-export function hasOtherActive<Item>(
+export function hasOtherActiveCustomer<Item>(
   queue: FairQueue<Item>,
   customer: CustomerName,
   sinceMs: number,
@@ -160,8 +161,8 @@
 }
 
 function customerQueue<Item>(queue: FairQueue<Item>, customer: CustomerName): CustomerQueue<Item> {
-  const known = queue.customers.get(customer);
-  if (known) return known;
+  const existing = queue.customers.get(customer);
+  if (existing) return existing;
   const created: CustomerQueue<Item> = {
     customer,
     virtualMs: queue.virtualMs,
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -9,14 +9,14 @@
   dequeue,
   enqueue,
   extendDeadlines,
-  hasOtherActive,
+  hasOtherActiveCustomer,
   type LogPosition,
   refuse,
   type Route,
   type RouteContext,
   type ServerName,
   startUnqueued,
-  takeExpired,
+  removeExpired,
 } from '@bramleykeel/core';
 import type { TargetConnection } from '../target/target-connection.js';
 import { acquireConnection, freeSlots, type TargetPool } from '../target/target-pool.js';
@@ -124,7 +124,7 @@
 /** Refuses requests whose queue deadline has passed; none of them was executed. */
 export function expireWaiting(owner: GroupOwner): void {
   const reason = primaryForWrites(owner) === undefined ? 'no-primary' : 'queue-timeout';
-  for (const { item } of takeExpired(owner.queue, performance.now())) {
+  for (const { item } of removeExpired(owner.queue, performance.now())) {
     const isAhead = isMarkAhead(owner, item.session.mark);
     endRequest(owner, item, 'idle', refuse(isAhead ? 'mark-ahead-of-group' : reason));
   }
@@ -186,7 +186,7 @@
   const { customer } = request.session;
   const limit = Math.max(1, Math.floor(pool.slots * CUSTOMER_SLOT_SHARE));
   if (runningCountOf(owner, request, server) < limit) return false;
-  return hasOtherActive(owner.queue, customer, performance.now() - SOLE_CUSTOMER_AFTER_MS);
+  return hasOtherActiveCustomer(owner.queue, customer, performance.now() - SOLE_CUSTOMER_AFTER_MS);
 }
 
 async function startRequest(
