--- a/review/stand-in/cluster.mjs
+++ b/review/stand-in/cluster.mjs
@@ -264,3 +264,17 @@
   const started = await ask(key === undefined ? `START ${database}` : `START ${database} ${key}`);
   return started[0]?.startsWith('READY I') ? session : undefined;
 }
+
+/** Waits until a database is served by all entries. */
+export async function awaitService(cluster, database, key) {
+  for (const node of cluster.nodes) {
+    for (let attempt = 0; ; attempt += 1) {
+      const session = await openSession(node.front, database, key);
+      const answer = await session?.query(`warm-${node.name}-${attempt}`, 'READ warm');
+      session?.close();
+      if (answer?.isDone) break;
+      if (attempt > 100) throw new Error(`${node.name} does not serve ${database}`);
+      await delay(100);
+    }
+  }
+}
