--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,20 +1,26 @@
-/* eslint-disable @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-member-access, @typescript-eslint/no-unsafe-return, @typescript-eslint/restrict-plus-operands -- plain JavaScript without types */
+/* eslint-disable @typescript-eslint/no-unnecessary-condition, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-member-access, @typescript-eslint/no-unsafe-return -- plain JavaScript without types */
 import { setTimeout as delay } from 'node:timers/promises';
-import { configure, openSession, send, startCluster } from '../stand-in/cluster.mjs';
+import { configure, openSession, sendToControl, startCluster } from '../stand-in/cluster.mjs';
 import {
   addServer,
   announce,
   closeService,
   createConfig,
   createService,
+  endDeafness,
+  holds,
   startPlatform,
 } from '../stand-in/database.mjs';
 import { runCase } from '../stand-in/case.mjs';
 
 const ZONES = { 'ub-a': 'ulaanbaatar', 'erd-a': 'erdenet', 'dkh-a': 'darkhan' };
-const HEARTBEAT_MS = 1_200;
-const PLAY_MS = 30_000;
-const RESTART_MS = 1_000;
+const SESSIONS = 20;
+const DRAIN_MS = 7_000;
+const PLAY_AFTER_MS = 4_000;
+const DEAF_BEFORE_END_MS = 1_000;
+const DEAF_MS = 6_000;
+const DARK_AFTER_END_MS = 200;
+const DARK_MS = 7_000;
 
 await runCase(import.meta.dirname, async ({ record, isTroubled, atEnd }) => {
   const zones = Object.keys(ZONES);
@@ -30,56 +36,85 @@
   });
   const platform = await startPlatform(cluster.platformAddress, [service], record);
   atEnd(() => platform.close());
+  const servers = [];
+  const stopBeats = [];
   for (const [index, zone] of zones.entries()) {
-    const server = await addServer(service, `i-${zone}`, zone, `${cluster.prefix}.${100 + index}`);
-    atEnd(announce(cluster, server));
+    const id = ['i-primary', 'i-one', 'i-two'][index];
+    const server = await addServer(service, id, zone, `${cluster.prefix}.${100 + index}`);
+    stopBeats.push(announce(cluster, server));
+    atEnd(stopBeats[index]);
+    servers.push(server);
   }
+  const [primary, deaf, leaving] = servers;
   await configure(cluster, createConfig(7, [service]));
-  const ends = new Map();
-  cluster.onOwnEnd = ({ node, role }) => {
-    const key = `${node.name}/${role}`;
-    ends.set(key, (ends.get(key) ?? 0) + 1);
-    // The platform starts a process that has ended again after a short delay.
-    setTimeout(() => cluster.startProcess(node, role, false), RESTART_MS);
-  };
 
-  // Another writer: what it sends names no service of the configuration, and a line break came into it.
-  const foreign = {
-    Service: 'no\nsuch',
-    Addr: `${cluster.prefix}.120:9`,
-    Zone: 'ub-a',
-    Version: 'v1',
-    Slots: 5,
-    State: 'ready',
-    ColdLeftMs: 0,
-    DbRole: 'primary',
-    born: Date.now(),
+  const broken = [];
+  /** Writes of transactions whose COMMIT was answered with success, with the time of the answer. */
+  const acknowledged = new Map();
+  service.onPromoted = (server) => {
+    const lost = [...acknowledged].filter(([id]) => !holds(server, id));
+    for (const [id, at] of lost)
+      record(
+        `write ${id}, acknowledged ${Math.round(performance.now() - at)} ms ago, is not there`,
+      );
+    if (lost.length > 0)
+      broken.push(`LOST: ${server.id} was promoted without ${lost.length} acknowledged writes`);
   };
-  const endMs = performance.now() + PLAY_MS;
-  const counts = { done: 0, other: 0 };
-  const callers = (async () => {
-    for (let number = 0; performance.now() < endMs; number += 1) {
-      const node = cluster.nodes[number % cluster.nodes.length];
+
+  let isOver = false;
+  let number = 0;
+  const runSession = async (index) => {
+    const node = cluster.nodes[index % cluster.nodes.length];
+    while (!isOver) {
       const session = await openSession(node.front, 'huvo11a-primary', 'key-of-crew');
-      const answer = await session?.query(`r${number}`, 'READ a');
-      counts[answer?.isDone ? 'done' : 'other'] += 1;
-      session?.close();
-      await delay(50);
-    }
-  })();
-  for (let next = 0; performance.now() < endMs; next += 1) {
-    if (isTroubled) {
-      const node = cluster.core[next % cluster.core.length];
-      const body = { ...foreign, Seq: next };
-      const { status } = await send(node.control, 'PUT', '/-/instances/i-other', body);
-      record(`heartbeat of another writer to ${node.name}: ${status === 0 ? 'no answer' : status}`);
+      while (session?.isClosed() === false && !isOver) {
+        const id = `w${(number += 1)}`;
+        const answer = await session.query(id, `WRITE item-${index} ${id}`);
+        if (answer.isDone) acknowledged.set(id, performance.now());
+        await delay(answer.isDone ? 100 + Math.random() * 100 : 300);
+      }
+      await delay(100);
     }
-    await delay(HEARTBEAT_MS);
+  };
+  const sessions = Array.from({ length: SESSIONS }, (_each, index) => runSession(index));
+  await delay(PLAY_AFTER_MS);
+  record(`planned: ${leaving.id} announces that it is leaving`);
+  leaving.state = 'draining';
+  leaving.beat();
+  await delay(DRAIN_MS + 500 - DEAF_BEFORE_END_MS);
+  if (isTroubled) {
+    record(`${deaf.id} receives nothing for ${DEAF_MS} ms`);
+    deaf.isDeaf = true;
+    setTimeout(() => {
+      endDeafness(deaf);
+    }, DEAF_MS);
+  }
+  await delay(DEAF_BEFORE_END_MS);
+  record(`${leaving.id} ends, and its log with it`);
+  stopBeats[servers.indexOf(leaving)]();
+  service.servers.splice(service.servers.indexOf(leaving), 1);
+  leaving.isDark = true;
+  await sendToControl(cluster, 'DELETE', `/-/instances/${leaving.id}`);
+  leaving.listener.close();
+  for (const { socket } of leaving.connections) {
+    socket.destroy();
+  }
+  if (isTroubled) {
+    await delay(DARK_AFTER_END_MS);
+    record(`${primary.id} goes dark for ${DARK_MS} ms`);
+    primary.isDark = true;
+    setTimeout(() => {
+      record(`${primary.id} is back with its log`);
+      for (const { socket } of primary.connections) {
+        socket.destroy();
+      }
+      primary.isDark = false;
+      primary.beat();
+    }, DARK_MS);
   }
-  await callers;
-  record(`reads: ${counts.done} answered, ${counts.other} refused or not answered`);
-  const affected = [...ends].filter(([, count]) => count >= 3);
-  for (const [name, count] of ends) record(`${name} ended by itself ${count} times`);
-  if (affected.length < cluster.core.length / 2) return [];
-  return [`Fault: ${affected.length} of ${cluster.core.length} core machines ended three times`];
+  await delay(DARK_MS + 1_000);
+  isOver = true;
+  await Promise.all(sessions);
+  record(`${acknowledged.size} writes were acknowledged`);
+  return broken;
 });
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,6 +1,6 @@
-/* eslint-disable @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-member-access, @typescript-eslint/no-unsafe-return -- plain JavaScript without types */
+/* eslint-disable @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-member-access, @typescript-eslint/no-unsafe-return, @typescript-eslint/restrict-plus-operands -- plain JavaScript without types */
 import { setTimeout as delay } from 'node:timers/promises';
-import { awaitService, configure, openSession, startCluster } from '../stand-in/cluster.mjs';
+import { configure, openSession, send, startCluster } from '../stand-in/cluster.mjs';
 import {
   addServer,
   announce,
@@ -12,10 +12,16 @@
 import { runCase } from '../stand-in/case.mjs';
 
 const ZONES = { 'ub-a': 'ulaanbaatar', 'erd-a': 'erdenet', 'dkh-a': 'darkhan' };
+const HEARTBEAT_MS = 1_200;
+const PLAY_MS = 30_000;
+const RESTART_MS = 1_000;
 
 await runCase(import.meta.dirname, async ({ record, isTroubled, atEnd }) => {
   const zones = Object.keys(ZONES);
-  const machines = zones.map((zone) => ({ name: `front-${zone}-1`, zone, isCore: true }));
+  const machines = zones.flatMap((zone) => [
+    { name: `front-${zone}-1`, zone, isCore: true },
+    { name: `front-${zone}-2`, zone, isCore: false },
+  ]);
   const cluster = await startCluster(machines, ZONES, record);
   atEnd(cluster.stop);
   const service = createService('huvo11a', record);
@@ -29,37 +35,51 @@
     atEnd(announce(cluster, server));
   }
   await configure(cluster, createConfig(7, [service]));
-  await awaitService(cluster, 'huvo11a-primary', 'key-of-crew');
-
-  /** The texts of the statements that clients have sent, by id. */
-  const sent = new Map();
-  const broken = [];
-  service.onRun = ({ server, id, text }) => {
-    record(`${server.id} runs ${id} ${JSON.stringify(text)}`);
-    const sentText = sent.get(id);
-    if (sentText === undefined) broken.push(`UNASKED: ${id} runs, which no client sent`);
-    else if (sentText !== text) broken.push(`UNASKED: ${id} runs with changed text`);
+  const ends = new Map();
+  cluster.onOwnEnd = ({ node, role }) => {
+    const key = `${node.name}/${role}`;
+    ends.set(key, (ends.get(key) ?? 0) + 1);
+    // The platform starts a process that has ended again after a short delay.
+    setTimeout(() => cluster.startProcess(node, role, false), RESTART_MS);
   };
 
-  // The last field of a message extends to the end of the line, which CR LF ends: it may hold a line feed.
-  const lineFeed = isTroubled ? '\n' : ' ';
-  const notes = [
-    ['q1', `WRITE lens-7 returned${lineFeed}scratch on the rim`],
-    ['q2', 'READ lens-7'],
-    ['q3', `WRITE lens-8 see note${lineFeed}QUERY q9 WRITE lens-9 sold`],
-    ['q4', 'READ lens-9'],
-  ];
-  for (const node of cluster.nodes) {
-    for (const [id, text] of notes) {
-      const ownId = `${node.zone}-${id}`;
+  // Another writer: what it sends names no service of the configuration, and a line break came into it.
+  const foreign = {
+    Service: 'no\nsuch',
+    Addr: `${cluster.prefix}.120:9`,
+    Zone: 'ub-a',
+    Version: 'v1',
+    Slots: 5,
+    State: 'ready',
+    ColdLeftMs: 0,
+    DbRole: 'primary',
+    born: Date.now(),
+  };
+  const endMs = performance.now() + PLAY_MS;
+  const counts = { done: 0, other: 0 };
+  const callers = (async () => {
+    for (let number = 0; performance.now() < endMs; number += 1) {
+      const node = cluster.nodes[number % cluster.nodes.length];
       const session = await openSession(node.front, 'huvo11a-primary', 'key-of-crew');
-      sent.set(ownId, text);
-      record(`a client sends QUERY ${ownId} ${JSON.stringify(text)}`);
-      const answer = await session.query(ownId, text);
-      record(`${ownId} is answered with ${answer.text}`);
-      await delay(100);
-      session.close();
+      const answer = await session?.query(`r${number}`, 'READ a');
+      counts[answer?.isDone ? 'done' : 'other'] += 1;
+      session?.close();
+      await delay(50);
+    }
+  })();
+  for (let next = 0; performance.now() < endMs; next += 1) {
+    if (isTroubled) {
+      const node = cluster.core[next % cluster.core.length];
+      const body = { ...foreign, Seq: next };
+      const { status } = await send(node.control, 'PUT', '/-/instances/i-other', body);
+      record(`heartbeat of another writer to ${node.name}: ${status === 0 ? 'no answer' : status}`);
     }
+    await delay(HEARTBEAT_MS);
   }
-  return broken;
+  await callers;
+  record(`reads: ${counts.done} answered, ${counts.other} refused or not answered`);
+  const affected = [...ends].filter(([, count]) => count >= 3);
+  for (const [name, count] of ends) record(`${name} ended by itself ${count} times`);
+  if (affected.length < cluster.core.length / 2) return [];
+  return [`Fault: ${affected.length} of ${cluster.core.length} core machines ended three times`];
 });
--- a/review/stand-in/case.mjs
+++ b/review/stand-in/case.mjs
@@ -19,7 +19,10 @@
   };
   const isTroubled = process.env.TROUBLE !== '0';
   record(`TROUBLE=${isTroubled ? '1' : '0'}`);
+  let isFinishing = false;
   const finish = async (code, text) => {
+    if (isFinishing) return;
+    isFinishing = true;
     record(text);
     for (const step of clean.reverse()) await step();
     mkdirSync(folder, { recursive: true });
@@ -27,6 +30,11 @@
     process.stdout.write(`${text}\n`);
     process.exit(code);
   };
+  // Nothing that a script has started may outlive it.
+  process.on('uncaughtException', (error) => void finish(2, `the case failed: ${error.stack}`));
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.on(signal, () => void finish(2, `the case was ended by ${signal}`));
+  }
   const timer = setTimeout(() => void finish(2, 'the case did not end in time'), LIMIT_MS);
   try {
     const broken = await play({ record, isTroubled, atEnd: (step) => clean.push(step) });
