Keep the commits of replicas that are gone when the primary changes

Cause: chooseSuccessor promoted the longest log once all listed replicas were fenced. A replica that had left, had restarted or had been removed was no longer listed, so commits that only it had received were missing from the choice, although the owner had itself passed on their acknowledgements.

Ruled out: the recorded position being the end of the primary's log (then nothing that callers have as done is missing).

Change: the rule is stated once in core/promotion. What a gone replica had counts as uncovered until another one has received it; until then the longest log is not promoted, and the group waits for the primary, which leads on when it is back. Writes are refused at once while a change waits for a server. An unreachable replica is not waited for when another one reaches the acknowledged position. Silent servers are removed after 60 s instead of 12 s.

Replaced tests: 'one replica might still acknowledge' and 'the unfenced replica has been silent for the timeout' of choose-successor.test stated the old rule (waiting 3 s for a replica whose acknowledgements cannot reach callers, and giving it up then); the new tables state what each owner knows, with no timeout.

Tests: change-primary.test 'keeps the commits that only a replica had received that has left', '... restarted without its log' and '... was replaced at its address' failed before (the replica behind was promoted), as did the refusal at once and the change with an unreachable replica (not over within 3 s; 0.9 s now).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,7 @@
 export * from './statements/acknowledged-positions.js';
 export * from './statements/choose-target.js';
 export * from './promotion/choose-successor.js';
+export * from './promotion/coverage.js';
 export * from './shared/address.js';
 export * from './shared/key-hash.js';
 export * from './shared/nearest-name.js';
--- a/packages/core/src/promotion/choose-successor.test.ts
+++ b/packages/core/src/promotion/choose-successor.test.ts
@@ -1,93 +1,226 @@
 import { describe, expect, it } from 'vitest';
 import type { ServerName } from '../types/ids.js';
-import { chooseSuccessor, type FencedServer, type SuccessorContext } from './choose-successor.js';
+import {
+  chooseSuccessor,
+  type FencedServer,
+  mayAcknowledge,
+  type ReceivedAcknowledgement,
+  type SuccessorContext,
+} from './choose-successor.js';
 
 const name = (text: string) => text as ServerName;
+const at = (offset: number, term = 2) => ({ term, offset });
 
 function fenced(server: string, offset: number, change: Partial<FencedServer> = {}): FencedServer {
-  const position = { term: 2, offset };
-  return { server: name(server), position, isLeaving: false, wasPrimary: false, ...change };
+  return {
+    server: name(server),
+    position: at(offset),
+    isLeaving: false,
+    wasPrimary: false,
+    ...change,
+  };
 }
 
 const base: SuccessorContext = {
   fenced: [],
   unfenced: [],
-  acknowledged: { term: 2, offset: 10 },
-  unfencedSilentMs: 0,
-  hasStoppedWrites: false,
+  mayPrimaryReturn: true,
+  hasUncoveredCommits: false,
+  acknowledged: at(10),
+  isPlanned: false,
 };
 
+interface Case {
+  readonly name: string;
+  readonly context: Partial<SuccessorContext>;
+  readonly expected: string;
+}
+
+function check({ context, expected }: Case): void {
+  const choice = chooseSuccessor({ ...base, ...context });
+  const text = choice.kind === 'promote' ? `${choice.server} ${choice.ground}` : choice.reason;
+  expect(text).toBe(expected);
+}
+
+const wasPrimary = { wasPrimary: true };
+const isLeaving = { isLeaving: true };
+
 describe('chooseSuccessor', () => {
-  it.each<{ name: string; context: Partial<SuccessorContext>; expected: string }>([
-    {
-      name: 'both replicas fenced: the longer log',
-      context: { fenced: [fenced('a', 10), fenced('b', 12)] },
-      expected: 'b',
-    },
-    {
-      name: 'equal logs: the replica that is not leaving',
-      context: { fenced: [fenced('a', 12, { isLeaving: true }), fenced('b', 12)] },
-      expected: 'b',
-    },
-    {
-      name: 'equal logs: the lowest name',
-      context: { fenced: [fenced('b', 12), fenced('a', 12)] },
-      expected: 'a',
-    },
-    {
-      name: 'a longer log is preferred to a replica that is not leaving',
-      context: { fenced: [fenced('a', 12, { isLeaving: true }), fenced('b', 11)] },
-      expected: 'a',
-    },
-    {
-      name: 'one replica might still acknowledge',
-      context: { fenced: [fenced('a', 12)], unfenced: [name('b')] },
-      expected: 'replica-may-acknowledge',
-    },
-    {
-      name: 'the unfenced replica has been silent for the timeout',
-      context: { fenced: [fenced('a', 12)], unfenced: [name('b')], unfencedSilentMs: 3_000 },
-      expected: 'a',
-    },
-    {
-      name: 'the unfenced replica is silent, but the other lacks an acknowledged commit',
-      context: { fenced: [fenced('a', 9)], unfenced: [name('b')], unfencedSilentMs: 9_000 },
-      expected: 'behind-acknowledged',
-    },
-    {
-      name: 'the primary gave up its role: nothing more is acknowledged',
-      context: {
-        fenced: [fenced('a', 10), fenced('p', 12, { wasPrimary: true })],
-        unfenced: [name('b')],
-      },
-      expected: 'a',
-    },
-    {
-      name: 'only the former primary has every acknowledged commit',
-      context: {
-        fenced: [fenced('a', 9), fenced('p', 12, { wasPrimary: true })],
-        unfenced: [name('b')],
-      },
-      expected: 'p',
-    },
-    {
-      name: 'all replicas fenced behind the end of the log that the primary had reported',
-      context: { fenced: [fenced('a', 9), fenced('b', 8)] },
-      expected: 'a',
-    },
-    {
-      name: 'a planned change waits until a replica has caught up',
-      context: { fenced: [fenced('a', 9)], hasStoppedWrites: true },
-      expected: 'behind-acknowledged',
-    },
-    {
-      name: 'a planned change with a replica that has caught up',
-      context: { fenced: [fenced('a', 10)], hasStoppedWrites: true },
-      expected: 'a',
-    },
-    { name: 'no server answers', context: {}, expected: 'no-candidate' },
-  ])('$name: $expected', ({ context, expected }) => {
-    const choice = chooseSuccessor({ ...base, ...context });
-    expect(choice.kind === 'promote' ? choice.server : choice.reason).toBe(expected);
+  describe('of an owner that knows the acknowledged position', () => {
+    it.each<Case>([
+      {
+        name: 'takes the longer log',
+        context: { fenced: [fenced('a', 10), fenced('b', 12)] },
+        expected: 'b reaches-acknowledged',
+      },
+      {
+        name: 'takes the replica that is not leaving among equal logs',
+        context: { fenced: [fenced('a', 12, isLeaving), fenced('b', 12)] },
+        expected: 'b reaches-acknowledged',
+      },
+      {
+        name: 'takes the lowest name among equal logs',
+        context: { fenced: [fenced('b', 12), fenced('a', 12)] },
+        expected: 'a reaches-acknowledged',
+      },
+      {
+        name: 'prefers a longer log to a replica that is not leaving',
+        context: { fenced: [fenced('a', 12, isLeaving), fenced('b', 11)] },
+        expected: 'a reaches-acknowledged',
+      },
+      {
+        name: 'does not wait for an unreachable replica, because it passes on nothing further',
+        context: { fenced: [fenced('a', 12)], unfenced: [name('b')] },
+        expected: 'a reaches-acknowledged',
+      },
+      {
+        name: 'waits for an unreachable replica that may have the missing commits',
+        context: { fenced: [fenced('a', 9)], unfenced: [name('b')] },
+        expected: 'behind-acknowledged',
+      },
+      {
+        name: 'waits for it as well if the primary is known to have ended',
+        context: { fenced: [fenced('a', 9)], unfenced: [name('b')], mayPrimaryReturn: false },
+        expected: 'behind-acknowledged',
+      },
+      {
+        name: 'takes the longest log of all replicas: a newer position was the end of the primary’s log',
+        context: { fenced: [fenced('a', 9), fenced('b', 8)] },
+        expected: 'a longest-of-all',
+      },
+      {
+        name: 'waits for the primary if a replica that has left may have the missing commits',
+        context: { fenced: [fenced('a', 9)], hasUncoveredCommits: true },
+        expected: 'behind-acknowledged',
+      },
+      {
+        name: 'does not wait for commits that nobody can have any more',
+        context: { fenced: [fenced('a', 9)], hasUncoveredCommits: true, mayPrimaryReturn: false },
+        expected: 'a others-are-lost',
+      },
+    ])('$name: $expected', check);
+  });
+
+  describe('of a new owner that found no primary', () => {
+    const acknowledged = undefined;
+
+    it.each<Case>([
+      {
+        name: 'waits for an unreachable replica however long the reachable log is',
+        context: { acknowledged, fenced: [fenced('a', 99)], unfenced: [name('b')] },
+        expected: 'replica-may-acknowledge',
+      },
+      {
+        name: 'takes the longest log once all replicas are fenced',
+        context: { acknowledged, fenced: [fenced('a', 9), fenced('b', 8)] },
+        expected: 'a longest-of-all',
+      },
+      {
+        name: 'waits for the primary if a replica is known to have restarted without its log',
+        context: { acknowledged, fenced: [fenced('a', 9)], hasUncoveredCommits: true },
+        expected: 'behind-acknowledged',
+      },
+      {
+        name: 'takes the former primary, which has returned, before a shorter log',
+        context: {
+          acknowledged,
+          fenced: [fenced('a', 9), fenced('p', 12, wasPrimary)],
+          unfenced: [name('b')],
+        },
+        expected: 'p is-former-primary',
+      },
+      {
+        name: 'takes a replica with all that the former primary has',
+        context: {
+          acknowledged,
+          fenced: [fenced('a', 12), fenced('p', 12, wasPrimary)],
+          unfenced: [name('b')],
+        },
+        expected: 'a reaches-former-primary',
+      },
+      {
+        name: 'takes the longest log of all replicas before the former primary, which may not reach them',
+        context: { acknowledged, fenced: [fenced('a', 9), fenced('p', 12, wasPrimary)] },
+        expected: 'a longest-of-all',
+      },
+      { name: 'waits if no server answers', context: { acknowledged }, expected: 'no-candidate' },
+    ])('$name: $expected', check);
+  });
+
+  describe('after the primary gave up its role', () => {
+    it.each<Case>([
+      {
+        name: 'takes a replica with all acknowledged commits',
+        context: {
+          fenced: [fenced('a', 10), fenced('p', 12, wasPrimary)],
+          unfenced: [name('b')],
+        },
+        expected: 'a reaches-acknowledged',
+      },
+      {
+        name: 'takes the former primary if only that has them',
+        context: { fenced: [fenced('a', 9), fenced('p', 12, wasPrimary)], unfenced: [name('b')] },
+        expected: 'p is-former-primary',
+      },
+      {
+        name: 'takes the former primary if a replica that has left may have had more',
+        context: {
+          fenced: [fenced('a', 9), fenced('p', 12, wasPrimary)],
+          hasUncoveredCommits: true,
+        },
+        expected: 'p is-former-primary',
+      },
+    ])('$name: $expected', check);
+  });
+
+  describe('in a planned change', () => {
+    const isPlanned = true;
+
+    it.each<Case>([
+      {
+        name: 'waits until a replica has caught up, because the primary still acknowledges commits',
+        context: { isPlanned, fenced: [fenced('a', 9)] },
+        expected: 'behind-acknowledged',
+      },
+      {
+        name: 'takes a replica that has caught up',
+        context: { isPlanned, fenced: [fenced('a', 10)] },
+        expected: 'a reaches-acknowledged',
+      },
+      {
+        name: 'waits for a replica that stays',
+        context: { isPlanned, fenced: [] },
+        expected: 'no-candidate',
+      },
+    ])('$name: $expected', check);
+  });
+});
+
+describe('mayAcknowledge', () => {
+  const received: ReceivedAcknowledgement = {
+    holdsLease: true,
+    isFromPrimary: true,
+    position: at(11),
+    successorPosition: undefined,
+  };
+  const former = { isFromPrimary: false };
+
+  it.each<[string, Partial<ReceivedAcknowledgement>, boolean]>([
+    ['the primary’s commits', {}, true],
+    ['no commit after the lease has ended', { holdsLease: false }, false],
+    [
+      'the former primary’s commit that the successor has',
+      { ...former, successorPosition: at(11) },
+      true,
+    ],
+    ['no commit that the chosen successor lacks', { ...former, successorPosition: at(10) }, false],
+    ['no commit of a server that another owner has replaced', former, false],
+    [
+      'no commit without a position after the choice',
+      { ...former, position: null, successorPosition: at(99) },
+      false,
+    ],
+  ])('passes on %s', (_name, change, expected) => {
+    expect(mayAcknowledge({ ...received, ...change })).toBe(expected);
   });
 });
--- /dev/null
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -0,0 +1,194 @@
+import {
+  recordAcknowledged,
+  type ServerName,
+  type StatementAccess,
+  type StatementOutcome,
+  type StatementRequest,
+  toCustomerName,
+} from '@bramleykeel/core';
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
+import { changePrimary } from './change-primary.js';
+import { dispatch } from './dispatch.js';
+import { acceptStatement } from './owner-app.js';
+import {
+  applyServerAnnouncement,
+  closeStatementOwner,
+  handleServerLeave,
+} from './owner-lifecycle.js';
+import type { StatementOwner } from './owner-state.js';
+import { takeOver } from './take-over.js';
+import { checkReplicas } from './watch-replicas.js';
+
+const at = (offset: number) => ({ term: 3, offset });
+
+let fake: FakeGroup;
+let owner: StatementOwner;
+let primary: FakeServer;
+let near: FakeServer;
+let far: FakeServer;
+
+beforeEach(async () => {
+  fake = createFakeGroup(3);
+  ({ owner } = fake);
+  [primary, near, far] = fake.servers as [FakeServer, FakeServer, FakeServer];
+  await takeOver(owner);
+});
+
+afterEach(() => {
+  closeStatementOwner(owner);
+});
+
+function serverState({ name }: FakeServer) {
+  const server = owner.servers.get(name);
+  if (!server) throw new Error(`the owner does not know ${name}`);
+  return server;
+}
+
+/** Commits up to `offset` are acknowledged because one replica has received them, while the other is behind. */
+function acknowledgeAt(receiver: FakeServer, behind: FakeServer, offset: number): void {
+  primary.position = at(offset);
+  receiver.position = at(offset);
+  behind.position = at(41);
+  if (!owner.acknowledgedPositions) throw new Error('the owner has no primary');
+  recordAcknowledged(owner.acknowledgedPositions, at(offset), performance.now());
+}
+
+function promotedServers(): ServerName[] {
+  return fake.promotions.map(({ server }) => server);
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  const untilMs = performance.now() + 3_000;
+  while (!condition() && performance.now() < untilMs) await delay(5);
+  expect(condition()).toBe(true);
+}
+
+describe('a change of primary keeps the commits that only a replica had received', () => {
+  const ways: readonly { way: string; end: () => void }[] = [
+    {
+      way: 'left',
+      end: () => {
+        handleServerLeave(owner, far.name);
+      },
+    },
+    {
+      way: 'restarted without its log',
+      end: () => {
+        const { announcement } = serverState(far);
+        far.position = { term: 0, offset: 0 };
+        applyServerAnnouncement(owner, { ...announcement, bornMs: 2 });
+      },
+    },
+    {
+      way: 'was replaced at its address',
+      end: () => {
+        const { announcement } = serverState(far);
+        const next: FakeServer = { ...far, name: 'i-9' as ServerName, position: at(0) };
+        fake.servers.push(next);
+        applyServerAnnouncement(owner, { ...announcement, server: next.name, bornMs: 2 });
+      },
+    },
+  ];
+
+  // Guards against LOST: a replica that is behind was promoted after the other one had left.
+  it.each(ways)('that has $way', async ({ end }) => {
+    acknowledgeAt(far, near, 50);
+    end();
+    primary.reachability = 'dark';
+    void changePrimary(owner, 'the primary does not answer', false);
+    await delay(1_200);
+    expect(promotedServers()).toEqual([]);
+    primary.reachability = 'up';
+    await until(() => owner.leadership.kind === 'led');
+    expect(owner.leadership).toMatchObject({ server: primary.name });
+    expect(promotedServers()).toEqual([]);
+  });
+
+  it('and waits for nothing once the other replica has them too', async () => {
+    acknowledgeAt(far, near, 50);
+    handleServerLeave(owner, far.name);
+    near.position = at(50);
+    await delay(1_050);
+    await checkReplicas(owner);
+    primary.position = at(51);
+    if (owner.acknowledgedPositions)
+      recordAcknowledged(owner.acknowledgedPositions, at(51), performance.now());
+    primary.reachability = 'dark';
+    void changePrimary(owner, 'the primary does not answer', false);
+    await until(() => owner.leadership.kind === 'led');
+    expect(promotedServers()).toEqual([near.name]);
+  });
+
+  it('and refuses writes at once while it waits for a server', async () => {
+    acknowledgeAt(far, near, 50);
+    handleServerLeave(owner, far.name);
+    primary.reachability = 'dark';
+    void changePrimary(owner, 'the primary does not answer', false);
+    await delay(1_000);
+    const caller = openCaller();
+    const startedAtMs = performance.now();
+    const outcome = await caller.run('write', 'WRITE x 1', null);
+    expect(outcome).toMatchObject({ kind: 'not-run', reason: 'no-primary' });
+    expect(performance.now() - startedAtMs).toBeLessThan(100);
+    primary.reachability = 'up';
+    await until(() => owner.leadership.kind === 'led');
+  });
+
+  it('and does not wait for an unreachable replica if another one has all of them', async () => {
+    near.position = at(50);
+    acknowledgeAt(near, far, 50);
+    far.reachability = 'dark';
+    primary.reachability = 'dark';
+    const startedAtMs = performance.now();
+    void changePrimary(owner, 'the primary does not answer', false);
+    await until(() => owner.leadership.kind === 'led');
+    expect(promotedServers()).toEqual([near.name]);
+    expect(performance.now() - startedAtMs).toBeLessThan(2_000);
+  });
+});
+
+interface TestCaller {
+  readonly run: (
+    access: StatementAccess,
+    text: string,
+    transaction: StatementRequest['transaction'],
+  ) => Promise<StatementOutcome>;
+}
+
+let nextNumber = 1;
+
+function openCaller(): TestCaller {
+  const waiting = new Map<number, (outcome: StatementOutcome) => void>();
+  const channel = {
+    id: 'caller',
+    answer: (number: number, outcome: StatementOutcome) => waiting.get(number)?.(outcome),
+  };
+  return {
+    run: (access, text, transaction) => {
+      const number = nextNumber;
+      nextNumber += 1;
+      const request: StatementRequest = {
+        number,
+        tag: `t${number}`,
+        access,
+        body: { kind: 'plain', text },
+        transaction,
+        customer: toCustomerName('one'),
+        priority: 1,
+        consistency: 'newest',
+        maxReadAgeMs: 0,
+        mark: null,
+        values: {},
+        budgetMs: 4_000,
+        startWithinMs: 2_000,
+      };
+      return new Promise((resolve) => {
+        waiting.set(number, resolve);
+        acceptStatement(owner, channel, request);
+        dispatch(owner);
+      });
+    },
+  };
+}
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -2,9 +2,12 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   chooseSuccessor,
+  coversMark,
+  hasUncoveredCommits,
+  type LogPosition,
   newestAcknowledged,
+  type SuccessorContext,
   ZERO_POSITION,
-  type FencedServer,
 } from '@bramleykeel/core';
 import { closeIdleConnections } from '../target/connection-pool.js';
 import {
@@ -12,20 +15,37 @@
   sendControlOrder,
   type ServerStatus,
 } from '../target/server-control.js';
-import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import {
+  type ChangingLeadership,
+  primaryOf,
+  type ServerState,
+  type StatementOwner,
+} from './owner-state.js';
 import { dropTransaction } from './transactions.js';
 import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
 import { orderPromotion, awaitPrimaryRole } from './order-promotion.js';
 
 /** Time that running writes get to finish before a leaving primary is replaced, in milliseconds. */
 const PLANNED_DRAIN_MS = 250;
+const DRAIN_POLL_MS = 5;
 const CHANGE_RETRY_MS = 80;
+/** Interval at which a change that keeps waiting for the same reason is logged, in milliseconds. */
+const WAIT_LOG_INTERVAL_MS = 1_000;
+/** A change that still finds no successor after this time waits for a server to return, in milliseconds. */
+const BLOCKED_AFTER_MS = 500;
 
-interface ChangeProgress {
-  /** Whether servers may already have been fenced. */
-  hasFenced: boolean;
+interface PrimaryChange {
+  readonly former: ServerState | undefined;
+  /** Whether the primary leaves as planned; it keeps its role until the successor takes over. */
+  readonly isPlanned: boolean;
   /** Whether the change is cancelled if the primary answers again before the fence. */
   readonly isRevocable: boolean;
+  /** Whether servers may already have been fenced. */
+  hasFenced: boolean;
+  /** Servers that were told to give up the primary role, with the end of their logs before. */
+  readonly demoted: Map<ServerState, LogPosition>;
+  /** The reason to wait that was logged last, and when. */
+  loggedWait: { readonly reason: string; readonly atMs: number } | undefined;
 }
 
 /** Replaces the primary; statements that need the primary wait in the queue meanwhile. */
@@ -38,19 +58,29 @@
   if (owner.leadership.kind === 'changing') return;
   const former = primaryOf(owner) ?? lastKnownPrimary(owner);
   const sinceMs = performance.now();
-  owner.leadership = { kind: 'changing', sinceMs, reason };
+  owner.leadership = {
+    kind: 'changing',
+    sinceMs,
+    reason,
+    former: former?.announcement.server,
+    chosenPosition: undefined,
+    isBlocked: false,
+  };
   owner.environment.log(`change of primary of ${owner.group} starts: ${reason}`);
   owner.environment.counters.count('failover.started');
-  if (isPlanned && former) await drainWrites(owner, former);
-  const change: ChangeProgress = { hasFenced: false, isRevocable: !isStalled };
+  const change: PrimaryChange = {
+    former,
+    isPlanned,
+    isRevocable: !isStalled,
+    hasFenced: false,
+    demoted: new Map(),
+    loggedWait: undefined,
+  };
+  if (isPlanned && former) await waitWhile(() => isWriting(owner, former), PLANNED_DRAIN_MS);
   while (isActiveOwner(owner)) {
-    const promoted = await tryChange(owner, former, isPlanned, change);
+    const promoted = await tryChange(owner, change);
     if (promoted && isActiveOwner(owner)) {
-      owner.lastPromotionMs = performance.now();
-      owner.releasedByReader.clear();
-      owner.stalledCommits = [];
-      setPrimary(owner, promoted, `promoted after ${Math.round(performance.now() - sinceMs)} ms`);
-      if (former && former !== promoted.server) endFormerPrimaryWork(owner, former, isPlanned);
+      finishChange(owner, change, promoted, sinceMs);
       return;
     }
     await delay(CHANGE_RETRY_MS);
@@ -58,6 +88,22 @@
   if (!owner.isClosed) owner.leadership = { kind: 'unknown', sinceMs: performance.now() };
 }
 
+function finishChange(
+  owner: StatementOwner,
+  { former, isPlanned, hasFenced }: PrimaryChange,
+  promoted: ServerStatus,
+  sinceMs: number,
+): void {
+  const elapsedMs = performance.now() - sinceMs;
+  owner.lastPromotionMs = performance.now();
+  owner.releasedByReader.clear();
+  owner.stalledCommits = [];
+  owner.environment.counters.timing('failover.duration', Math.round(elapsedMs));
+  setPrimary(owner, promoted, `promoted after ${Math.round(elapsedMs)} ms`);
+  if (former && former !== promoted.server)
+    endFormerPrimaryWork(owner, former, isPlanned && !hasFenced);
+}
+
 /** The server that announced the primary role, or else the primary recorded in control. */
 function lastKnownPrimary(owner: StatementOwner): ServerState | undefined {
   const { primary } = owner.environment.groupRecord();
@@ -67,49 +113,104 @@
   return announced ?? (primary === undefined ? undefined : owner.servers.get(primary));
 }
 
-async function drainWrites(owner: StatementOwner, former: ServerState): Promise<void> {
-  const untilMs = performance.now() + PLANNED_DRAIN_MS;
-  const isWriting = () =>
-    [...owner.running].some(({ request, transaction }) => {
-      if (request.access === 'read' && !transaction) return false;
-      return transaction?.pooled === undefined || transaction.pooled.server === former;
-    });
-  while (isWriting() && performance.now() < untilMs) await delay(5);
+function updateChange(owner: StatementOwner, update: Partial<ChangingLeadership>): void {
+  const { leadership } = owner;
+  if (leadership.kind === 'changing') owner.leadership = { ...leadership, ...update };
+}
+
+async function waitWhile(condition: () => boolean, maxMs: number): Promise<void> {
+  const untilMs = performance.now() + maxMs;
+  while (condition() && performance.now() < untilMs) await delay(DRAIN_POLL_MS);
+}
+
+function isWriting(owner: StatementOwner, former: ServerState): boolean {
+  return [...owner.running].some(({ request, transaction }) => {
+    if (request.access === 'read' && !transaction) return false;
+    return transaction?.pooled === undefined || transaction.pooled.server === former;
+  });
 }
 
 async function tryChange(
   owner: StatementOwner,
-  former: ServerState | undefined,
-  isPlanned: boolean,
-  change: ChangeProgress,
+  change: PrimaryChange,
 ): Promise<ServerStatus | undefined> {
+  const { former } = change;
   const statuses = await sendControlOrderToAll(owner, () => ({ kind: 'status' }));
   if (!isActiveOwner(owner)) return undefined;
   const currentPrimary = newestPrimary(statuses);
   if (currentPrimary && currentPrimary.server !== former) {
     // An earlier promotion order was carried out in the meantime.
     const isConfirmed = await orderPromotion(owner, currentPrimary.server.announcement.server);
-    return isConfirmed
-      ? sendControlOrder(owner, currentPrimary.server, { kind: 'status' })
-      : undefined;
+    if (!isConfirmed) return undefined;
+    const confirmed = await sendControlOrder(owner, currentPrimary.server, { kind: 'status' });
+    return confirmed?.status.role === 'primary' ? confirmed : undefined;
   }
-  if (currentPrimary && !isPlanned && !change.hasFenced && change.isRevocable)
-    return currentPrimary;
-  change.hasFenced = true;
-  const fenced = isPlanned ? statuses : await fenceAll(owner, statuses);
+  if (currentPrimary && mayLeadOn(owner, change, currentPrimary)) return currentPrimary;
+  const isPlanned = change.isPlanned && !change.hasFenced && currentPrimary !== undefined;
+  const fenced = isPlanned ? statuses : await fenceAll(owner, statuses, change);
   if (!isActiveOwner(owner)) return undefined;
-  const choice = chooseSuccessor(successorContext(owner, former, fenced, isPlanned));
+  const context = successorContext(owner, change, fenced, isPlanned);
+  const choice = chooseSuccessor(context);
   if (choice.kind === 'wait') {
-    owner.environment.log(`change of primary of ${owner.group} waits: ${choice.reason}`);
+    reportWait(owner, change, choice.reason, context);
     return undefined;
   }
-  owner.environment.log(
-    `${choice.server} chosen as primary of ${owner.group}: ${describeStatuses(fenced)}`,
-  );
+  owner.environment.log(`${choice.server} chosen as primary of ${owner.group}`, {
+    ground: choice.ground,
+    servers: describeStatuses(fenced),
+    ...describeContext(context),
+  });
+  updateChange(owner, {
+    chosenPosition: choice.position,
+    isBlocked: false,
+  });
   const isOrdered = await orderPromotion(owner, choice.server);
   return isOrdered ? awaitPrimaryRole(owner, choice.server) : undefined;
 }
 
+/** Whether the primary answers again, and neither it was told to give up its role nor was a successor chosen. */
+function mayLeadOn(
+  { leadership, acknowledgedPositions }: StatementOwner,
+  { isPlanned, isRevocable, demoted }: PrimaryChange,
+  { server, status }: ServerStatus,
+): boolean {
+  const hasChosen = leadership.kind === 'changing' && leadership.chosenPosition !== undefined;
+  if (isPlanned || !isRevocable || hasChosen || demoted.has(server)) return false;
+  return (
+    !acknowledgedPositions || coversMark(status.position, newestAcknowledged(acknowledgedPositions))
+  );
+}
+
+function reportWait(
+  owner: StatementOwner,
+  change: PrimaryChange,
+  reason: string,
+  context: SuccessorContext,
+): void {
+  const { leadership } = owner;
+  if (leadership.kind !== 'changing') return;
+  const nowMs = performance.now();
+  const waitedMs = Math.round(nowMs - leadership.sinceMs);
+  if (waitedMs >= BLOCKED_AFTER_MS) updateChange(owner, { isBlocked: true });
+  const { loggedWait } = change;
+  if (loggedWait?.reason === reason && nowMs - loggedWait.atMs < WAIT_LOG_INTERVAL_MS) return;
+  change.loggedWait = { reason, atMs: nowMs };
+  owner.environment.log(`change of primary of ${owner.group} waits: ${reason}`, {
+    waitedMs,
+    ...describeContext(context),
+  });
+}
+
+function describeContext(context: SuccessorContext) {
+  const { unfenced, mayPrimaryReturn, hasUncoveredCommits: isUncovered, acknowledged } = context;
+  return {
+    unfenced: unfenced.join(' '),
+    mayPrimaryReturn,
+    hasUncoveredCommits: isUncovered,
+    acknowledged: acknowledged && `${acknowledged.term}.${acknowledged.offset}`,
+  };
+}
+
 function describeStatuses(statuses: readonly ServerStatus[]): string {
   return statuses
     .map(({ server, status: { role, position, heldTerm } }) => {
@@ -123,7 +224,9 @@
 async function fenceAll(
   owner: StatementOwner,
   statuses: readonly ServerStatus[],
+  change: PrimaryChange,
 ): Promise<ServerStatus[]> {
+  change.hasFenced = true;
   const terms = statuses.flatMap(({ status }) => [
     status.term,
     status.heldTerm,
@@ -133,44 +236,48 @@
     ? newestAcknowledged(owner.acknowledgedPositions).term
     : 0;
   const term = Math.max(0, acknowledgedTerm, ...terms) + 1;
-  const roles = new Map(statuses.map(({ server, status }) => [server, status.role]));
+  for (const { server, status } of statuses)
+    if (status.role === 'primary') change.demoted.set(server, status.position);
+  const primaries = new Set(
+    statuses.filter(({ status }) => status.role === 'primary').map(({ server }) => server),
+  );
   const answers = await sendControlOrderToAll(owner, (server) =>
-    roles.get(server) === 'primary' ? { kind: 'demote', term } : { kind: 'pause', term },
+    primaries.has(server) ? { kind: 'demote', term } : { kind: 'pause', term },
   );
   return answers.filter(({ status }) => status.role === 'replica');
 }
 
 function successorContext(
   owner: StatementOwner,
-  former: ServerState | undefined,
+  { former, demoted }: PrimaryChange,
   fenced: readonly ServerStatus[],
   isPlanned: boolean,
-) {
-  const nowMs = performance.now();
+): SuccessorContext {
   const reached = new Set(fenced.map(({ server }) => server));
-  const unfenced = isPlanned
-    ? []
-    : [...owner.servers.values()].filter((server) => server !== former && !reached.has(server));
-  const servers: FencedServer[] = fenced
-    .filter(({ status }) => status.role === 'replica')
-    .filter(({ server }) => !isPlanned || !server.announcement.isLeaving)
-    .map(({ server, status }) => ({
-      server: server.announcement.server,
-      position: status.position,
-      isLeaving: server.announcement.isLeaving,
-      wasPrimary: server === former,
-    }));
-  const failureDurationsMs = unfenced.map(
-    ({ failingSinceMs }) => nowMs - (failingSinceMs ?? nowMs),
-  );
+  const unreached = [...owner.servers.values()].filter((server) => !reached.has(server));
   return {
-    fenced: servers,
-    unfenced: unfenced.map(({ announcement }) => announcement.server),
+    fenced: fenced
+      .filter(({ status }) => status.role === 'replica')
+      .filter(({ server }) => !isPlanned || !server.announcement.isLeaving)
+      .map(({ server, status }) => {
+        const endAsPrimary = demoted.get(server);
+        return {
+          server: server.announcement.server,
+          position: status.position,
+          isLeaving: server.announcement.isLeaving,
+          // A server whose log has become shorter has lost it in a restart.
+          wasPrimary: endAsPrimary !== undefined && coversMark(status.position, endAsPrimary),
+        };
+      }),
+    unfenced: unreached
+      .filter((server) => server !== former)
+      .map(({ announcement }) => announcement.server),
+    mayPrimaryReturn: former !== undefined && unreached.includes(former),
+    hasUncoveredCommits: hasUncoveredCommits(owner.coverage),
     acknowledged: owner.acknowledgedPositions
       ? newestAcknowledged(owner.acknowledgedPositions)
       : ZERO_POSITION,
-    unfencedSilentMs: Math.min(...failureDurationsMs, Number.MAX_SAFE_INTEGER),
-    hasStoppedWrites: isPlanned,
+    isPlanned,
   };
 }
 
@@ -181,14 +288,19 @@
   isPlanned: boolean,
 ): void {
   closeIdleConnections(former, () => true);
-  for (const transaction of [...owner.transactions.values()]) {
-    const isOnFormer = transaction.pooled?.server === former;
-    if (!isOnFormer || transaction.isReadOnly || transaction.isBusy) continue;
-    dropTransaction(owner, transaction);
-  }
+  endOpenTransactions(owner, former);
   if (isPlanned) return;
   for (const job of owner.running) {
     const pooled = job.transaction?.pooled;
     if (pooled?.server === former) pooled.connection.close();
   }
 }
+
+/** Ends transactions that could not commit on the former primary any more, so that their callers start them again. */
+function endOpenTransactions(owner: StatementOwner, former: ServerState): void {
+  for (const transaction of [...owner.transactions.values()]) {
+    const isOnFormer = transaction.pooled?.server === former;
+    if (!isOnFormer || transaction.isReadOnly || transaction.isBusy) continue;
+    dropTransaction(owner, transaction);
+  }
+}
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -24,7 +24,9 @@
 
 const MAX_WAITING_PER_CUSTOMER = 400;
 /** Retry delay sent to callers with refusals, in milliseconds. */
-export const RETRY_AFTER_MS = 200;
+const RETRY_AFTER_MS = 200;
+/** The same while a change of primary waits for a server to return, which takes seconds. In milliseconds. */
+const BLOCKED_RETRY_AFTER_MS = 1_000;
 /**
  * Time after the start of an owner in which commits of a former owner may still finish, in milliseconds. Until
  * then `newest` reads go only to the primary.
@@ -37,6 +39,10 @@
 
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
+  if (isBlocked(owner) && isForPrimary(job)) {
+    endJob(owner, job, notRun('no-primary', BLOCKED_RETRY_AFTER_MS));
+    return;
+  }
   if (job.transaction?.pooled) {
     owner.pinnedWaiting.push(job);
   } else {
@@ -58,6 +64,17 @@
   return created;
 }
 
+/** Whether a change of primary waits for a server to return, so that waiting statements would only expire. */
+function isBlocked({ leadership }: StatementOwner): boolean {
+  return leadership.kind === 'changing' && leadership.isBlocked;
+}
+
+/** Whether a statement or its transaction can only start on the primary. */
+function isForPrimary({ request, transaction }: Job): boolean {
+  if (transaction?.pooled) return false;
+  return request.transaction ? !request.transaction.isReadOnly : request.access !== 'read';
+}
+
 /** Starts all waiting statements that a server can run now. */
 export function dispatch(owner: StatementOwner): void {
   if (owner.isDispatching || owner.isClosed || !owner.environment.holdsLease()) return;
@@ -158,6 +175,9 @@
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
+    const blocked = isBlocked(owner) ? removeWaiting(queue, isForPrimary) : [];
+    for (const { item } of blocked)
+      endJob(owner, item, notRun('no-primary', BLOCKED_RETRY_AFTER_MS));
     for (const { item } of removeExpired(queue, nowMs)) {
       endJob(owner, item, notRun(owner.leadership.kind === 'led' ? 'queue-timeout' : 'no-primary'));
     }
@@ -246,8 +266,9 @@
 
 export function notRun(
   reason: Extract<StatementOutcome, { kind: 'not-run' }>['reason'],
+  retryAfterMs = RETRY_AFTER_MS,
 ): StatementOutcome {
-  return { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS };
+  return { kind: 'not-run', reason, retryAfterMs };
 }
 
 /** Whether any statement is waiting for a server. */
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -5,6 +5,7 @@
   isNewerAnnouncement,
   type ServerAnnouncement,
   type ServerName,
+  withdrawDeparture,
 } from '@bramleykeel/core';
 import { retireServer } from '../target/connection-pool.js';
 import { closeControlConnection } from '../target/server-control.js';
@@ -73,6 +74,7 @@
     current.lastAnnouncementMs = nowMs;
   } else {
     removeFormerServers(owner, announcement);
+    withdrawDeparture(owner.coverage, (place) => isSameProcess(place, announcement));
     owner.servers.set(announcement.server, createServerState(announcement, nowMs));
     const { server, address, role } = announcement;
     owner.environment.log(`server ${server} of ${owner.group} is at ${address}, ${role}`);
@@ -81,6 +83,14 @@
   dispatch(owner);
 }
 
+/** Whether a server that counted as gone has announced itself again, as after a late notice of its end. */
+function isSameProcess(
+  place: ServerAnnouncement,
+  { server, address, bornMs }: ServerAnnouncement,
+): boolean {
+  return place.server === server && place.address === address && place.bornMs === bornMs;
+}
+
 /** Only one process can be bound to an address, so earlier servers at the same address have ended. */
 function removeFormerServers(owner: StatementOwner, { address, bornMs }: ServerAnnouncement): void {
   for (const [name, { announcement }] of owner.servers) {
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -3,6 +3,8 @@
   type ApplyResult,
   type Assignment,
   type ControlCommand,
+  type Coverage,
+  createCoverage,
   type CustomerName,
   type FairQueue,
   type FormerHolder,
@@ -98,6 +100,8 @@
   failingSinceMs: number | undefined;
   refusedCount: number;
   lastAnswerMs: number;
+  /** Whether it has answered this owner, or control has it on record; other writers may announce what does not exist. */
+  isVerified: boolean;
   /** The shortest response time to an order of the owner itself, in milliseconds. */
   roundTripMs: number | undefined;
   isProbing: boolean;
@@ -131,8 +135,25 @@
 /** The primary as verified by this owner. */
 export type Leadership =
   | { readonly kind: 'unknown'; readonly sinceMs: number }
-  | { readonly kind: 'led'; readonly server: ServerName; readonly sinceMs: number }
-  | { readonly kind: 'changing'; readonly sinceMs: number; readonly reason: string };
+  | {
+      readonly kind: 'led';
+      readonly server: ServerName;
+      readonly sinceMs: number;
+      /** What the server held when it was chosen; `undefined` if this owner has not promoted it. */
+      readonly chosenPosition: LogPosition | undefined;
+    }
+  | ChangingLeadership;
+
+export interface ChangingLeadership {
+  readonly kind: 'changing';
+  readonly sinceMs: number;
+  readonly reason: string;
+  readonly former: ServerName | undefined;
+  /** What the successor holds; `undefined` until one is chosen. */
+  readonly chosenPosition: LogPosition | undefined;
+  /** Whether no successor can be chosen before another server returns. */
+  readonly isBlocked: boolean;
+}
 
 export interface StatementOwner {
   readonly group: GroupName;
@@ -145,6 +166,8 @@
   /** Servers to which readers had connections before a promotion, and have closed them. */
   readonly releasedByReader: Set<ServerName>;
   readonly servers: Map<ServerName, ServerState>;
+  /** Whether the group's replicas hold all commits that former ones may have acknowledged. */
+  readonly coverage: Coverage<ServerAnnouncement>;
   readonly queues: Map<number, FairQueue<Job>>;
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
@@ -186,6 +209,7 @@
       maxConnections: (server) => maxOwnerConnections(owner, server),
     },
     servers: new Map(),
+    coverage: createCoverage(),
     queues: new Map(),
     pinnedWaiting: [],
     transactions: new Map(),
@@ -222,6 +246,7 @@
     failingSinceMs: undefined,
     refusedCount: 0,
     lastAnswerMs: nowMs,
+    isVerified: false,
     roundTripMs: undefined,
     isProbing: false,
   };
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -1,5 +1,9 @@
 /** Finds the primary when an owner starts, and starts serving from the position that it reports. */
-import { createAcknowledgedPositions, type ServerName } from '@bramleykeel/core';
+import {
+  createAcknowledgedPositions,
+  recordPrimaryStart,
+  type ServerName,
+} from '@bramleykeel/core';
 import { answeredStatuses, sendControlOrder, type ServerStatus } from '../target/server-control.js';
 import { dispatch } from './dispatch.js';
 import { type StatementOwner } from './owner-state.js';
@@ -55,11 +59,12 @@
 
 function isPrimaryMissing(owner: StatementOwner): boolean {
   if (owner.servers.size < 2) return false;
+  const waitedMs = performance.now() - owner.startedAtMs;
   const announced = [...owner.servers.values()].find(
     ({ announcement }) => announcement.role === 'primary',
   );
   if (announced?.failingSinceMs !== undefined) return isLost(announced);
-  return performance.now() - owner.startedAtMs >= MISSING_PRIMARY_WAIT_MS;
+  return waitedMs >= MISSING_PRIMARY_WAIT_MS;
 }
 
 /**
@@ -94,7 +99,10 @@
   const name = server.announcement.server;
   server.position = status.position;
   owner.acknowledgedPositions = createAcknowledgedPositions(status.position, nowMs);
-  owner.leadership = { kind: 'led', server: name, sinceMs: nowMs };
+  const { leadership } = owner;
+  const chosenPosition = leadership.kind === 'changing' ? leadership.chosenPosition : undefined;
+  owner.leadership = { kind: 'led', server: name, sinceMs: nowMs, chosenPosition };
+  recordPrimaryStart(owner.coverage, status.position, nowMs);
   owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
   const { term, position } = status;
   owner.environment.log(
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -1,6 +1,6 @@
 /** Monitors the primary by announcements, outstanding answers and probes, and replaces it if it is lost. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { type ServerName } from '@bramleykeel/core';
+import { recordDeparture, type ServerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
 import { retireServer, closeExcessIdleConnections } from '../target/connection-pool.js';
 import { mayReaderUse } from '../target/connection-budget.js';
@@ -31,8 +31,13 @@
 const STALLED_WRITE_WINDOW_MS = 1_500;
 /** Stalled commits cause no further change of primary for this long after a promotion, in milliseconds. */
 const MIN_STALL_CHANGE_INTERVAL_MS = 6_000;
-/** An unreachable server is removed once it has sent no announcement for this long, in milliseconds. */
-const REMOVE_AFTER_MS = 12_000;
+/**
+ * An unreachable server that has sent no announcement for this long, in milliseconds, is taken to be lost for good.
+ * Until then a change of primary may have to wait for the commits in its log.
+ */
+const LOST_FOR_GOOD_MS = 60_000;
+/** The same for a server that has never answered, in milliseconds. */
+const NEVER_REACHED_MS = 12_000;
 
 /** Checks the server immediately if it is the primary. */
 export function suspectPrimary(owner: StatementOwner, server: ServerState): void {
@@ -88,8 +93,9 @@
 function removeStaleServers(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const [name, server] of owner.servers) {
+    const limitMs = server.isVerified ? LOST_FOR_GOOD_MS : NEVER_REACHED_MS;
     const isStale =
-      nowMs - server.lastAnnouncementMs > REMOVE_AFTER_MS && server.failingSinceMs !== undefined;
+      nowMs - server.lastAnnouncementMs > limitMs && server.failingSinceMs !== undefined;
     if (isStale) removeServer(owner, name);
   }
 }
@@ -100,10 +106,21 @@
   if (!server) return;
   owner.environment.log(`server ${name} of ${owner.group} removed`);
   owner.servers.delete(name);
+  if (!isLastPrimary(owner, name))
+    recordDeparture(owner.coverage, server.announcement, performance.now());
   retireServer(server);
   closeControlConnection(server);
 }
 
+/** Whether the server is the primary that leads or led last; its commits are acknowledged by others. */
+function isLastPrimary({ leadership }: StatementOwner, name: ServerName): boolean {
+  return match(leadership)
+    .with({ kind: 'led' }, ({ server }) => server === name)
+    .with({ kind: 'changing' }, ({ former }) => former === name)
+    .with({ kind: 'unknown' }, () => false)
+    .exhaustive();
+}
+
 /** Decides from announcements, outstanding answers and probes whether the primary has to be replaced. */
 async function checkPrimary(
   owner: StatementOwner,
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -1,6 +1,13 @@
 /** Resumes replicas that a fence has paused, and handles stalled commits. */
-import { comparePositions } from '@bramleykeel/core';
 import {
+  comparePositions,
+  hasUncoveredCommits,
+  needsPrimaryPosition,
+  recordPrimaryPosition,
+  recordReplicaPosition,
+} from '@bramleykeel/core';
+import {
+  answeredStatuses,
   sendControlOrderToAll,
   sendControlOrder,
   type ServerStatus,
@@ -10,6 +17,8 @@
 import { changePrimary } from './change-primary.js';
 
 const REPLICA_CHECK_INTERVAL_MS = 2_000;
+/** Interval while replicas may lack commits that only a former one had received, in milliseconds. */
+const COVERAGE_CHECK_INTERVAL_MS = 250;
 
 /**
  * Commits stall either because replicas are paused, which then have to be resumed, or because the primary
@@ -43,19 +52,37 @@
   return paused.length > 0;
 }
 
-/** Resumes replicas that an earlier owner, or a pause that was carried out late, has left paused. */
+/**
+ * Resumes replicas that an earlier owner, or a pause that was carried out late, has left paused, and follows whether the
+ * replicas have all commits that former ones may have acknowledged.
+ */
 export async function checkReplicas(owner: StatementOwner): Promise<void> {
-  const { leadership } = owner;
+  const { leadership, coverage } = owner;
   if (leadership.kind !== 'led') return;
   const nowMs = performance.now();
-  if (nowMs - owner.replicasCheckedMs < REPLICA_CHECK_INTERVAL_MS) return;
+  const intervalMs = hasUncoveredCommits(coverage)
+    ? COVERAGE_CHECK_INTERVAL_MS
+    : REPLICA_CHECK_INTERVAL_MS;
+  if (nowMs - owner.replicasCheckedMs < intervalMs) return;
   owner.replicasCheckedMs = nowMs;
+  const primary = owner.servers.get(leadership.server);
+  if (primary && needsPrimaryPosition(coverage)) {
+    const answer = await sendControlOrder(owner, primary, { kind: 'status' });
+    if (owner.leadership !== leadership) return;
+    if (answer?.status.role === 'primary')
+      recordPrimaryPosition(coverage, answer.status.position, nowMs, performance.now());
+  }
+  const requestedAtMs = performance.now();
   const replicas = [...owner.servers.values()].filter(
-    (server) =>
-      server.announcement.server !== leadership.server && server.failingSinceMs === undefined,
+    (server) => server !== primary && server.failingSinceMs === undefined,
   );
   const pending = replicas.map((server) => sendControlOrder(owner, server, { kind: 'status' }));
-  const statuses = (await Promise.all(pending)).filter((status) => status !== undefined);
-  if (isActiveOwner(owner) && owner.leadership === leadership)
-    resumePausedReplicas(owner, statuses);
+  const statuses = await answeredStatuses(pending);
+  if (!isActiveOwner(owner) || owner.leadership !== leadership) return;
+  resumePausedReplicas(owner, statuses);
+  for (const { server, status } of statuses) {
+    const isPresent = owner.servers.get(server.announcement.server) === server;
+    if (isPresent && status.role === 'replica')
+      recordReplicaPosition(coverage, status.position, requestedAtMs);
+  }
 }
--- a/packages/statement-entry/src/target/connection-pool.ts
+++ b/packages/statement-entry/src/target/connection-pool.ts
@@ -188,6 +188,7 @@
 
 /** Records an answer of the server and clears its earlier failures. */
 export function recordAnswer(server: ServerState): void {
+  server.isVerified = true;
   server.failingSinceMs = undefined;
   server.refusedCount = 0;
   server.lastAnswerMs = performance.now();
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -50,6 +50,8 @@
   /** Connections of other processes. */
   otherConnections: number;
   reachability: FakeReachability;
+  /** How long callers' statements run, in milliseconds. */
+  statementMs: number;
   /** Answers to the next orders, in place of the default ones. */
   readonly answers: TargetAnswer[];
   readonly orders: TargetOrder[];
@@ -124,6 +126,7 @@
     heldTerm: 0,
     otherConnections: 0,
     reachability: 'up',
+    statementMs: 0,
     answers: [],
     orders: [],
     connections: new Set(),
@@ -216,7 +219,10 @@
         connection.close();
         return { kind: 'overdue' };
       }
-      return connection.isOpen() ? answerOrder(server, order) : { kind: 'lost' };
+      if (!connection.isOpen()) return { kind: 'lost' };
+      const answer = answerOrder(server, order);
+      if (order.kind === 'run' && server.statementMs > 0) await sleep(server.statementMs);
+      return connection.isOpen() ? answer : { kind: 'lost' };
     },
   };
   server.connections.add(connection);
