Pass on no commit that the chosen successor lacks

Cause: a planned change fences nothing, and the choice of the successor assumed that writes had stopped. Statements and COMMITs of open transactions still went to the former primary until the promotion took effect, and their acknowledgements were passed on although only another replica had received them.

Ruled out: a wrong choice; the chosen replica held everything acknowledged until then.

Change: open transactions get the 250 ms that they had, then their statements are held, and they are aborted at the choice. A primary that still runs a commit 150 ms later is fenced like a failed one. An acknowledgement that arrives after the choice is passed on only if the successor holds the commit, and none is without the lease (mayAcknowledge in core); the outcome is unknown otherwise.

Tests: change-primary.test 'passes on no commit of an open transaction after the choice of the successor' and 'fences a primary that still runs a commit, and passes on none that the successor lacks' failed before: the outcome was 'done'.

--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -149,6 +149,49 @@
   });
 });
 
+describe('a planned change of primary', () => {
+  const transaction = { number: 1, isReadOnly: false };
+
+  // Guards against LOST: the former primary acknowledged commits that the chosen successor did not have.
+  it('passes on no commit of an open transaction after the choice of the successor', async () => {
+    const caller = openCaller();
+    await caller.run('write', 'WRITE x 1', { ...transaction, isFirst: true });
+    fake.promoteOutcomes.push('try-later', 'try-later', 'accepted');
+    void changePrimary(owner, 'the primary is leaving', true);
+    await until(() => fake.promotions.length > 0);
+    const outcome = await caller.run('commit', 'COMMIT', { ...transaction, isFirst: false });
+    expect(outcome.kind).toBe('aborted');
+    expect(primary.orders).not.toContainEqual(expect.objectContaining({ text: 'COMMIT' }));
+    await until(() => owner.leadership.kind === 'led');
+  });
+
+  // Guards against LOST: a commit that was running during the choice was acknowledged after it.
+  it('fences a primary that still runs a commit, and passes on none that the successor lacks', async () => {
+    const caller = openCaller();
+    await caller.run('write', 'WRITE x 1', { ...transaction, isFirst: true });
+    primary.statementMs = 900;
+    primary.position = at(41);
+    const commit = caller.run('commit', 'COMMIT', { ...transaction, isFirst: false });
+    const change = changePrimary(owner, 'the primary is leaving', true);
+    expect(await commit).toMatchObject({ kind: 'unknown' });
+    await change;
+    expect(primary.orders).toContainEqual(expect.objectContaining({ kind: 'demote' }));
+    expect(promotedServers()).toEqual([near.name]);
+  });
+
+  it('lets open transactions commit before the choice', async () => {
+    const caller = openCaller();
+    await caller.run('write', 'WRITE x 1', { ...transaction, isFirst: true });
+    primary.statementMs = 60;
+    const commit = caller.run('commit', 'COMMIT', { ...transaction, isFirst: false });
+    const change = changePrimary(owner, 'the primary is leaving', true);
+    expect(await commit).toMatchObject({ kind: 'done' });
+    await change;
+    expect(promotedServers()).toEqual([near.name]);
+    expect(primary.orders).not.toContainEqual(expect.objectContaining({ kind: 'demote' }));
+  });
+});
+
 interface TestCaller {
   readonly run: (
     access: StatementAccess,
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -25,8 +25,10 @@
 import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
 import { orderPromotion, awaitPrimaryRole } from './order-promotion.js';
 
-/** Time that running writes get to finish before a leaving primary is replaced, in milliseconds. */
+/** Time that open transactions get to commit before a leaving primary is replaced, in milliseconds. */
 const PLANNED_DRAIN_MS = 250;
+/** Time that commits then get to end before the leaving primary is fenced like a failed one, in milliseconds. */
+const PLANNED_COMMIT_MS = 150;
 const DRAIN_POLL_MS = 5;
 const CHANGE_RETRY_MS = 80;
 /** Interval at which a change that keeps waiting for the same reason is logged, in milliseconds. */
@@ -63,6 +65,7 @@
     sinceMs,
     reason,
     former: former?.announcement.server,
+    holdsTransactions: false,
     chosenPosition: undefined,
     isBlocked: false,
   };
@@ -76,7 +79,7 @@
     demoted: new Map(),
     loggedWait: undefined,
   };
-  if (isPlanned && former) await waitWhile(() => isWriting(owner, former), PLANNED_DRAIN_MS);
+  if (isPlanned && former) await drainPrimary(owner, former);
   while (isActiveOwner(owner)) {
     const promoted = await tryChange(owner, change);
     if (promoted && isActiveOwner(owner)) {
@@ -118,6 +121,13 @@
   if (leadership.kind === 'changing') owner.leadership = { ...leadership, ...update };
 }
 
+/** Lets open transactions commit, then holds those that remain while their running commits end. */
+async function drainPrimary(owner: StatementOwner, former: ServerState): Promise<void> {
+  await waitWhile(() => isWriting(owner, former), PLANNED_DRAIN_MS);
+  updateChange(owner, { holdsTransactions: true });
+  await waitWhile(() => isCommitting(owner, former), PLANNED_COMMIT_MS);
+}
+
 async function waitWhile(condition: () => boolean, maxMs: number): Promise<void> {
   const untilMs = performance.now() + maxMs;
   while (condition() && performance.now() < untilMs) await delay(DRAIN_POLL_MS);
@@ -130,6 +140,14 @@
   });
 }
 
+/** Whether a commit is running on the primary, so that it may still be acknowledged. */
+function isCommitting(owner: StatementOwner, former: ServerState): boolean {
+  return [...owner.running].some(({ request, transaction }) => {
+    if (transaction === undefined) return request.access === 'write';
+    return request.access === 'commit' && transaction.pooled?.server === former;
+  });
+}
+
 async function tryChange(
   owner: StatementOwner,
   change: PrimaryChange,
@@ -146,7 +164,11 @@
     return confirmed?.status.role === 'primary' ? confirmed : undefined;
   }
   if (currentPrimary && mayLeadOn(owner, change, currentPrimary)) return currentPrimary;
-  const isPlanned = change.isPlanned && !change.hasFenced && currentPrimary !== undefined;
+  const isPlanned =
+    change.isPlanned &&
+    !change.hasFenced &&
+    currentPrimary !== undefined &&
+    !isCommitting(owner, currentPrimary.server);
   const fenced = isPlanned ? statuses : await fenceAll(owner, statuses, change);
   if (!isActiveOwner(owner)) return undefined;
   const context = successorContext(owner, change, fenced, isPlanned);
@@ -162,8 +184,10 @@
   });
   updateChange(owner, {
     chosenPosition: choice.position,
+    holdsTransactions: true,
     isBlocked: false,
   });
+  if (former) endOpenTransactions(owner, former);
   const isOrdered = await orderPromotion(owner, choice.server);
   return isOrdered ? awaitPrimaryRole(owner, choice.server) : undefined;
 }
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -89,12 +89,18 @@
 function startPinned(owner: StatementOwner): void {
   for (const job of [...owner.pinnedWaiting]) {
     const server = job.transaction?.pooled?.server;
-    if (server && freeSlots(server) <= 0) continue;
+    if (server && (freeSlots(server) <= 0 || isHeld(owner, job, server))) continue;
     owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
     void runJob(owner, job, server);
   }
 }
 
+/** Whether a statement waits because its transaction cannot commit any more on a primary that is replaced. */
+function isHeld({ leadership }: StatementOwner, job: Job, server: ServerState): boolean {
+  if (leadership.kind !== 'changing' || job.transaction?.isReadOnly === true) return false;
+  return leadership.holdsTransactions && server.announcement.server === leadership.former;
+}
+
 function startQueued(owner: StatementOwner, queue: FairQueue<Job>): void {
   if (owner.isStopping || waitingCount(queue) === 0) return;
   for (;;) {
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -149,6 +149,8 @@
   readonly sinceMs: number;
   readonly reason: string;
   readonly former: ServerName | undefined;
+  /** Whether open transactions on the former primary start no further statements. */
+  readonly holdsTransactions: boolean;
   /** What the successor holds; `undefined` until one is chosen. */
   readonly chosenPosition: LogPosition | undefined;
   /** Whether no successor can be chosen before another server returns. */
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -2,6 +2,7 @@
 import {
   latestPosition,
   type LogPosition,
+  mayAcknowledge,
   recordAcknowledged,
   type StatementOutcome,
 } from '@bramleykeel/core';
@@ -45,7 +46,11 @@
   const { access } = job.request;
   match(answer)
     .with({ kind: 'done' }, ({ rows, signature, position }) => {
-      if (access === 'write' && position) recordCommit(owner, position);
+      if (access === 'write' && !acknowledgeCommit(owner, pooled.server, position)) {
+        discardConnection(pooled);
+        endJob(owner, job, unconfirmedOutcome());
+        return;
+      }
       releaseConnection(pooled);
       const isFromReplica = isReplica(owner, pooled.server);
       if (isFromReplica) pooled.server.laggingPauseMs = 0;
@@ -97,8 +102,12 @@
   match(answer)
     .with({ kind: 'done' }, ({ rows, signature, position, state }) => {
       if (isCommit) {
-        if (!transaction.isReadOnly && position) recordCommit(owner, position);
         owner.transactions.delete(transaction.key);
+        if (!transaction.isReadOnly && !acknowledgeCommit(owner, pooled.server, position)) {
+          discardConnection(pooled);
+          endJob(owner, job, unconfirmedOutcome());
+          return;
+        }
         if (state === 'idle') releaseConnection(pooled);
         else discardConnection(pooled);
       }
@@ -138,9 +147,42 @@
   return leadership.kind !== 'led' || leadership.server !== server.announcement.server;
 }
 
-function recordCommit(owner: StatementOwner, position: LogPosition): void {
-  if (owner.acknowledgedPositions)
-    recordAcknowledged(owner.acknowledgedPositions, position, performance.now());
+/**
+ * Records the acknowledgement of a commit; returns whether it may be passed on. Otherwise the commit may be rolled back by
+ * a change of primary.
+ */
+function acknowledgeCommit(
+  owner: StatementOwner,
+  server: ServerState,
+  position: LogPosition | null,
+): boolean {
+  const { leadership, acknowledgedPositions, environment } = owner;
+  const isPassedOn = mayAcknowledge({
+    holdsLease: environment.holdsLease(),
+    isFromPrimary: isFromPrimary(owner, server),
+    position,
+    successorPosition: leadership.kind === 'unknown' ? undefined : leadership.chosenPosition,
+  });
+  if (!isPassedOn) environment.counters.count('commit.unconfirmed');
+  else if (position && acknowledgedPositions)
+    recordAcknowledged(acknowledgedPositions, position, performance.now());
+  return isPassedOn;
+}
+
+/** Whether commits of the server count: it leads, or did when a change began that has no successor yet. */
+function isFromPrimary({ leadership, servers }: StatementOwner, server: ServerState): boolean {
+  const name = match(leadership)
+    .with({ kind: 'led' }, (led) => led.server)
+    .with({ kind: 'changing' }, ({ former, chosenPosition }) =>
+      chosenPosition === undefined ? former : undefined,
+    )
+    .with({ kind: 'unknown' }, () => undefined)
+    .exhaustive();
+  return name !== undefined && servers.get(name) === server;
+}
+
+function unconfirmedOutcome(): StatementOutcome {
+  return { kind: 'unknown', reason: 'the primary was replaced before the commit was confirmed' };
 }
 
 /** Records a successful answer and the log position that it reports. */
