Promote without a known position only what must hold all commits

Cause: an owner that starts without a primary knows no acknowledged position; that was passed on as position 0.0, which every log covers, and an unreachable replica was given up 3 s after the owner's first attempt. A replica that the owner did not know counted as fenced, and control's record left out servers that were leaving.

Ruled out: the length of the time-out; any other one has the same fault.

Change: without a known position, all replicas on record have to be fenced, or the former primary's end has to be reached. The record keeps servers that are leaving, and those that are gone until their commits are covered, with their start times. A replica counts as fenced only if it holds the change's term. An accepted promotion of an earlier owner gets a second to take effect before the present primary is confirmed against it.

Replaced tests: server-places.test 'without leaving servers' stated that the record drops servers that still acknowledge commits; it now states that they stay until they are gone and covered. 'keeps a server ... at the recorded address' announces the start time that is on record; one without a start time is kept as before, by a test of its own.

Tests: change-primary.test 'waits for an unreachable replica, also one that was leaving', 'waits for the primary if a replica has restarted since the record' and 'promotes the longest log once all replicas are fenced' failed before.

--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -60,6 +60,8 @@
   readonly address: string;
   readonly zone: string;
   readonly slots: number;
+  /** Wall-clock start time of the server's process, in milliseconds; tells its incarnations apart. */
+  readonly bornMs?: number;
 }
 
 /** A server's announcement of itself, as decoded by the adapter. */
@@ -67,7 +69,6 @@
   readonly group: GroupName;
   readonly role: 'primary' | 'replica';
   readonly isLeaving: boolean;
-  /** Wall-clock start time of the server's process, in milliseconds; orders its incarnations. */
   readonly bornMs: number;
   readonly sequence: number;
 }
--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -16,8 +16,10 @@
   applyServerAnnouncement,
   closeStatementOwner,
   handleServerLeave,
+  startStatementOwner,
 } from './owner-lifecycle.js';
 import type { StatementOwner } from './owner-state.js';
+import { recordServerPlaces } from './server-places.js';
 import { takeOver } from './take-over.js';
 import { checkReplicas } from './watch-replicas.js';
 
@@ -192,6 +194,49 @@
   });
 });
 
+describe('a new owner that finds no primary', () => {
+  beforeEach(() => {
+    acknowledgeAt(near, far, 50);
+    const leaving = serverState(near);
+    leaving.announcement = { ...leaving.announcement, isLeaving: true };
+    recordServerPlaces(owner);
+    Object.assign(fake.record, { primary: primary.name, term: 3, proposedTerm: 3 });
+    closeStatementOwner(owner);
+    primary.reachability = 'dark';
+  });
+
+  // Guards against LOST: an unreachable replica was given up although the owner knew no acknowledged position.
+  it('waits for an unreachable replica, also one that was leaving', async () => {
+    near.reachability = 'dark';
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    await delay(7_000);
+    expect(promotedServers()).toEqual([]);
+    near.reachability = 'up';
+    await until(() => owner.leadership.kind === 'led');
+    expect(promotedServers()).toEqual([near.name]);
+  }, 15_000);
+
+  it('waits for the primary if a replica has restarted since the record', async () => {
+    near.position = { term: 0, offset: 0 };
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    const { announcement } = serverState(near);
+    applyServerAnnouncement(owner, { ...announcement, bornMs: 2, sequence: 1 });
+    await delay(5_000);
+    expect(promotedServers()).toEqual([]);
+    primary.reachability = 'up';
+    await until(() => owner.leadership.kind === 'led');
+    expect(owner.leadership).toMatchObject({ server: primary.name });
+    expect(promotedServers()).toEqual([]);
+  }, 15_000);
+
+  it('promotes the longest log once all replicas are fenced', async () => {
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    await delay(3_500);
+    await until(() => owner.leadership.kind === 'led');
+    expect(promotedServers()).toEqual([near.name]);
+  }, 15_000);
+});
+
 interface TestCaller {
   readonly run: (
     access: StatementAccess,
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -7,7 +7,6 @@
   type LogPosition,
   newestAcknowledged,
   type SuccessorContext,
-  ZERO_POSITION,
 } from '@bramleykeel/core';
 import { closeIdleConnections } from '../target/connection-pool.js';
 import {
@@ -58,7 +57,7 @@
   isStalled = false,
 ): Promise<void> {
   if (owner.leadership.kind === 'changing') return;
-  const former = primaryOf(owner) ?? lastKnownPrimary(owner);
+  const former = primaryOf(owner) ?? recordedPrimary(owner);
   const sinceMs = performance.now();
   owner.leadership = {
     kind: 'changing',
@@ -107,13 +106,15 @@
     endFormerPrimaryWork(owner, former, isPlanned && !hasFenced);
 }
 
-/** The server that announced the primary role, or else the primary recorded in control. */
-function lastKnownPrimary(owner: StatementOwner): ServerState | undefined {
-  const { primary } = owner.environment.groupRecord();
-  const announced = [...owner.servers.values()].find(
-    ({ announcement }) => announcement.role === 'primary',
-  );
-  return announced ?? (primary === undefined ? undefined : owner.servers.get(primary));
+/**
+ * The primary that control has on record. While a promotion is unresolved it may be another server, so that none can be
+ * taken for it.
+ */
+function recordedPrimary(owner: StatementOwner): ServerState | undefined {
+  const { primary, term, proposedTerm } = owner.environment.groupRecord();
+  if (proposedTerm > term) return undefined;
+  if (primary !== undefined) return owner.servers.get(primary);
+  return [...owner.servers.values()].find(({ announcement }) => announcement.role === 'primary');
 }
 
 function updateChange(owner: StatementOwner, update: Partial<ChangingLeadership>): void {
@@ -268,7 +269,10 @@
   const answers = await sendControlOrderToAll(owner, (server) =>
     primaries.has(server) ? { kind: 'demote', term } : { kind: 'pause', term },
   );
-  return answers.filter(({ status }) => status.role === 'replica');
+  return answers.filter(
+    ({ server, status }) =>
+      status.role === 'replica' && (status.heldTerm >= term || primaries.has(server)),
+  );
 }
 
 function successorContext(
@@ -298,9 +302,7 @@
       .map(({ announcement }) => announcement.server),
     mayPrimaryReturn: former !== undefined && unreached.includes(former),
     hasUncoveredCommits: hasUncoveredCommits(owner.coverage),
-    acknowledged: owner.acknowledgedPositions
-      ? newestAcknowledged(owner.acknowledgedPositions)
-      : ZERO_POSITION,
+    acknowledged: owner.acknowledgedPositions && newestAcknowledged(owner.acknowledgedPositions),
     isPlanned,
   };
 }
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -5,6 +5,7 @@
   isNewerAnnouncement,
   type ServerAnnouncement,
   type ServerName,
+  type ServerPlace,
   withdrawDeparture,
 } from '@bramleykeel/core';
 import { retireServer } from '../target/connection-pool.js';
@@ -84,10 +85,7 @@
 }
 
 /** Whether a server that counted as gone has announced itself again, as after a late notice of its end. */
-function isSameProcess(
-  place: ServerAnnouncement,
-  { server, address, bornMs }: ServerAnnouncement,
-): boolean {
+function isSameProcess(place: ServerPlace, { server, address, bornMs }: ServerPlace): boolean {
   return place.server === server && place.address === address && place.bornMs === bornMs;
 }
 
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -14,6 +14,7 @@
   type AcknowledgedPositions,
   type ServerAnnouncement,
   type ServerName,
+  type ServerPlace,
   type StatementGroup,
   type StatementOutcome,
   type StatementRequest,
@@ -169,7 +170,7 @@
   readonly releasedByReader: Set<ServerName>;
   readonly servers: Map<ServerName, ServerState>;
   /** Whether the group's replicas hold all commits that former ones may have acknowledged. */
-  readonly coverage: Coverage<ServerAnnouncement>;
+  readonly coverage: Coverage<ServerPlace>;
   readonly queues: Map<number, FairQueue<Job>>;
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -1,9 +1,11 @@
+import { recordPrimaryPosition, recordReplicaPosition, type ServerName } from '@bramleykeel/core';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
 import {
   closeStatementOwner,
   startStatementOwner,
   applyServerAnnouncement,
+  handleServerLeave,
 } from './owner-lifecycle.js';
 import type { StatementOwner } from './owner-state.js';
 import { recordServerPlaces } from './server-places.js';
@@ -67,7 +69,7 @@
     const [first] = next.servers.values();
     if (!first) throw new Error('no recorded server was loaded');
     const openCount = first.connectionCount;
-    const announced = { ...first.announcement, bornMs: 7, sequence: 1 };
+    const announced = { ...first.announcement, sequence: 0 };
     applyServerAnnouncement(next, announced);
     expect(next.servers.get(announced.server)).toBe(first);
     expect(first.isRetired).toBe(false);
@@ -77,6 +79,18 @@
     expect(first.isRetired).toBe(true);
   });
 
+  it('keeps a server whose start time is not on record', () => {
+    fake.record.places = fake.record.places?.map(({ server, address, zone, slots }) => {
+      return { server, address, zone, slots };
+    });
+    closeStatementOwner(next);
+    next = startStatementOwner(fake.owner.group, 3, fake.owner.environment);
+    const [first] = next.servers.values();
+    if (!first) throw new Error('no recorded server was loaded');
+    applyServerAnnouncement(next, { ...first.announcement, bornMs: 7, sequence: 1 });
+    expect(next.servers.get(first.announcement.server)).toBe(first);
+  });
+
   it('waits when no recorded server is primary', async () => {
     for (const server of fake.servers) server.role = 'replica';
     await takeOver(next);
@@ -86,19 +100,53 @@
 });
 
 describe('the recorded addresses of servers', () => {
-  it('are updated when they change, without leaving servers, and at a limited rate', () => {
+  let fake: FakeGroup;
+
+  beforeEach(() => {
     vi.useFakeTimers({ toFake: ['performance'] });
-    const fake = createFakeGroup(3);
+    fake = createFakeGroup(3);
+    recordServerPlaces(fake.owner);
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function recordedServers(): string[] | undefined {
+    vi.advanceTimersByTime(2_100);
     recordServerPlaces(fake.owner);
+    return fake.record.places?.map(({ server }) => server);
+  }
+
+  it('are updated when they change, at a limited rate', () => {
     recordServerPlaces(fake.owner);
     expect(fake.commands).toHaveLength(1);
     const [server] = fake.owner.servers.values();
-    if (server) server.announcement = { ...server.announcement, isLeaving: true };
+    if (server) server.announcement = { ...server.announcement, zone: 'elsewhere' };
     recordServerPlaces(fake.owner);
     expect(fake.commands).toHaveLength(1);
-    vi.advanceTimersByTime(2_100);
-    recordServerPlaces(fake.owner);
-    expect(fake.record.places?.map((place) => place.server)).toEqual(['i-1', 'i-2']);
-    vi.useRealTimers();
+    expect(recordedServers()).toEqual(['i-0', 'i-1', 'i-2']);
+    expect(fake.record.places?.[0]?.zone).toBe('elsewhere');
+  });
+
+  it('include servers that are leaving, and those whose commits the others may lack', () => {
+    const server = fake.owner.servers.get('i-2' as ServerName);
+    if (server) server.announcement = { ...server.announcement, isLeaving: true };
+    expect(recordedServers()).toEqual(['i-0', 'i-1', 'i-2']);
+    handleServerLeave(fake.owner, 'i-2' as ServerName);
+    expect(recordedServers()).toEqual(['i-0', 'i-1', 'i-2']);
+    const { coverage } = fake.owner;
+    const position = { term: 3, offset: 50 };
+    recordPrimaryPosition(coverage, position, performance.now(), performance.now());
+    recordReplicaPosition(coverage, position, performance.now());
+    expect(recordedServers()).toEqual(['i-0', 'i-1']);
+  });
+
+  it('name the former incarnation of a server that has restarted without its log', () => {
+    const server = fake.owner.servers.get('i-2' as ServerName);
+    if (!server) throw new Error('the group has no third server');
+    applyServerAnnouncement(fake.owner, { ...server.announcement, bornMs: 2 });
+    recordedServers();
+    expect(fake.record.places?.[2]).toMatchObject({ server: 'i-2', bornMs: 1 });
   });
 });
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -3,8 +3,8 @@
  * members were lost has received no announcements, and without the record could not serve until the servers
  * announce themselves again.
  */
-import type { ServerAnnouncement, ServerPlace } from '@bramleykeel/core';
-import { createServerState, type StatementOwner } from './owner-state.js';
+import { type ServerAnnouncement, type ServerPlace, uncoveredPlaces } from '@bramleykeel/core';
+import { createServerState, type ServerState, type StatementOwner } from './owner-state.js';
 
 /**
  * Minimum time between two records, in milliseconds, so that servers that appear and disappear repeatedly do not
@@ -12,7 +12,7 @@
  */
 const MIN_RECORD_INTERVAL_MS = 2_000;
 
-/** Start time of a server that is known from the record only; any announcement counts as newer. */
+/** Start time of a server whose record has none; any announcement counts as newer. */
 export const UNKNOWN_BORN_MS = 0;
 
 /**
@@ -24,7 +24,8 @@
   const places = owner.environment.groupRecord().places ?? [];
   for (const place of places) {
     if (owner.servers.has(place.server)) continue;
-    owner.servers.set(place.server, createServerState(announcementOf(owner, place), nowMs));
+    const server = createServerState(announcementOf(owner, place), nowMs);
+    owner.servers.set(place.server, { ...server, isVerified: true });
   }
   if (places.length === 0) return;
   owner.environment.log('loaded the recorded server addresses from control', {
@@ -34,27 +35,30 @@
 
 /** A recorded server counts as a replica until the server itself has reported its role. */
 function announcementOf({ group }: StatementOwner, place: ServerPlace): ServerAnnouncement {
-  return {
-    ...place,
-    group,
-    role: 'replica',
-    isLeaving: false,
-    bornMs: UNKNOWN_BORN_MS,
-    sequence: 0,
-  };
+  const { bornMs = UNKNOWN_BORN_MS } = place;
+  return { ...place, group, role: 'replica', isLeaving: false, bornMs, sequence: -1 };
 }
 
-/** Records the servers' addresses in control if they have changed. */
+/** Where a server is, and which of its incarnations is meant. */
+export function placeOf({ announcement }: ServerState): ServerPlace {
+  const { server, address, zone, slots, bornMs } = announcement;
+  return { server, address, zone, slots, bornMs };
+}
+
+/**
+ * Records the servers' addresses in control if they have changed. Servers that are leaving acknowledge commits until they
+ * are gone, and those that are gone stay recorded while the others may lack their commits: an owner that finds no primary
+ * has to know of them.
+ */
 export function recordServerPlaces(owner: StatementOwner): void {
   const nowMs = performance.now();
   if (nowMs - owner.placesRecordedMs < MIN_RECORD_INTERVAL_MS) return;
   const { environment, group, epoch: ownerEpoch } = owner;
-  const places = [...owner.servers.values()]
-    .filter(({ announcement }) => !announcement.isLeaving)
-    .map(({ announcement: { server, address, zone, slots } }): ServerPlace => {
-      return { server, address, zone, slots };
-    })
-    .sort((left, right) => (left.server < right.server ? -1 : 1));
+  const present = [...owner.servers.values()].map(placeOf);
+  const byName = new Map(
+    [...present, ...uncoveredPlaces(owner.coverage)].map((place) => [place.server, place]),
+  );
+  const places = [...byName.values()].sort((left, right) => (left.server < right.server ? -1 : 1));
   const recorded = environment.groupRecord().places ?? [];
   if (places.length === 0 || JSON.stringify(places) === JSON.stringify(recorded)) return;
   owner.placesRecordedMs = nowMs;
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -1,4 +1,5 @@
 /** Finds the primary when an owner starts, and starts serving from the position that it reports. */
+import { setTimeout as delay } from 'node:timers/promises';
 import {
   createAcknowledgedPositions,
   recordPrimaryStart,
@@ -14,6 +15,9 @@
 /** Time after the start of an owner before a group without a primary gets a new one, in milliseconds. */
 const MISSING_PRIMARY_WAIT_MS = 3_000;
 
+/** Time in which the platform carries out a promotion that it has accepted, in milliseconds. */
+const PROMOTION_EFFECT_MS = 1_000;
+
 const ownersTakingOver = new WeakSet<StatementOwner>();
 
 /** Starts serving from the position that the primary reports, which covers all acknowledged writes. */
@@ -60,6 +64,9 @@
 function isPrimaryMissing(owner: StatementOwner): boolean {
   if (owner.servers.size < 2) return false;
   const waitedMs = performance.now() - owner.startedAtMs;
+  // Without a record of the group's servers, some may not have announced themselves yet.
+  const isMembershipKnown = owner.environment.groupRecord().places !== undefined;
+  if (!isMembershipKnown && waitedMs < MISSING_PRIMARY_WAIT_MS) return false;
   const announced = [...owner.servers.values()].find(
     ({ announcement }) => announcement.role === 'primary',
   );
@@ -78,7 +85,10 @@
   const isUnresolved = record.proposedTerm > record.term;
   if (isUnresolved || (record.primary !== undefined && record.primary !== name)) {
     const isConfirmed = await orderPromotion(owner, name);
-    if (!isConfirmed || !isActiveOwner(owner)) return;
+    if (!isConfirmed) return;
+    // An earlier owner's order may have been accepted and not be in effect yet.
+    await delay(PROMOTION_EFFECT_MS);
+    if (!isActiveOwner(owner)) return;
     const confirmed = await sendControlOrder(owner, primary.server, { kind: 'status' });
     if (confirmed?.status.role !== 'primary' || !isActiveOwner(owner)) return;
     setPrimary(owner, confirmed, 'confirmed by a promotion order');
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -11,7 +11,7 @@
   probeServer,
 } from '../target/server-control.js';
 import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
-import { recordServerPlaces } from './server-places.js';
+import { placeOf, recordServerPlaces } from './server-places.js';
 import { takeOver, newestPrimary, isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
 import { handleStalledCommits, checkReplicas } from './watch-replicas.js';
@@ -107,7 +107,7 @@
   owner.environment.log(`server ${name} of ${owner.group} removed`);
   owner.servers.delete(name);
   if (!isLastPrimary(owner, name))
-    recordDeparture(owner.coverage, server.announcement, performance.now());
+    recordDeparture(owner.coverage, placeOf(server), performance.now());
   retireServer(server);
   closeControlConnection(server);
 }
