--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -49,11 +49,15 @@
 /**
  * Creates the relay of one control member.
  *
+ * @param isConfiguredGroup whether operators have configured a group; others get no owner, because other writers may
+ * announce servers of any name
+ *
  * @example
  * const isAccepted = await relay.announce(announcement);
  */
 export function createAnnouncementRelay(
   getMember: () => ControlMember | undefined,
+  isConfiguredGroup: (group: GroupName) => boolean,
   linkSecret: string,
   log: Log,
 ): AnnouncementRelay {
@@ -120,7 +124,7 @@
   /** Requests an owner in the zone of the primary for a group that has none. */
   function requestOwner(announcement: ServerAnnouncement): void {
     const { group, role, zone } = announcement;
-    if (ownerOf(group) || role !== 'primary') return;
+    if (ownerOf(group) || role !== 'primary' || !isConfiguredGroup(group)) return;
     const nowMs = performance.now();
     if (nowMs - (requestedAtMs.get(group) ?? Number.NEGATIVE_INFINITY) < OWNER_REQUEST_INTERVAL_MS)
       return;
--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -55,6 +55,11 @@
 const NOTHING_KNOWN = { knownIndex: 0, documentIndex: undefined };
 
 const nameSchema = z.string().min(1).max(100);
+/** The name of a group and of a region, or of a customer, after the kind of the resource. */
+const resourceNameSchema = z
+  .string()
+  .regex(/^(group|customer|reader)\/./)
+  .max(300);
 const renewalSchema = z.object({
   entryId: nameSchema,
   incarnation: nameSchema,
@@ -76,12 +81,12 @@
   z.int().nonnegative(),
 ]);
 const resourceSchema = z.object({
-  resource: z.string().regex(/^(group|customer|reader)\/.+$/),
+  resource: resourceNameSchema,
   zone: nameSchema.optional(),
   isHeavy: z.boolean().optional(),
 });
 const releaseSchema = z.object({
-  resource: nameSchema,
+  resource: resourceNameSchema,
   epoch: z.int(),
   incarnation: nameSchema,
   isHeavy: z.boolean().optional(),
--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -66,7 +66,7 @@
   readonly app: ControlApp;
   /**
    * Answers a request locally if this member leads, and forwards it to the leader otherwise. Resolves
-   * with `undefined` if no leader is known or it does not answer in time.
+   * with `undefined` if no leader is known, it does not answer in time, or it rejects the request.
    */
   readonly requestFromLeader: (
     method: string,
@@ -125,6 +125,12 @@
       onRoundConfirmed: (startedAtMs) => {
         if (leader) handleRoundConfirmed(leader, startedAtMs);
       },
+      onBroken: (error) => {
+        // Thrown where nobody can handle it: the process has to end, whatever the caller does with the error.
+        setImmediate(() => {
+          throw error;
+        });
+      },
     },
   );
   const app: ControlApp = {
@@ -238,12 +244,21 @@
     timeoutMs: number,
   ): Promise<unknown> {
     const { leaderId } = driver.raft;
-    if (leader) return handleRequest(app, undefined, method, params);
+    if (leader) return answerLocally(method, params);
     const peer = leaderId === undefined ? undefined : linkTo(leaderId);
     const answer = await peer?.request(method, params, timeoutMs);
     return answer?.orDefault(undefined);
   }
 
+  async function answerLocally(method: string, params: unknown): Promise<unknown> {
+    try {
+      return await handleRequest(app, undefined, method, params);
+    } catch (error) {
+      log('request of this process rejected', { method, error: String(error) });
+      return undefined;
+    }
+  }
+
   function notifyMembers(method: string, params: unknown): void {
     for (const link of links.values()) link.current()?.notify(method, params);
   }
--- a/packages/control/src/log-driver.ts
+++ b/packages/control/src/log-driver.ts
@@ -43,6 +43,8 @@
   /** Called after entries or a snapshot were applied, with the last applied index. */
   readonly onApplied: (index: number) => void;
   readonly onRoundConfirmed: (startedAtMs: number) => void;
+  /** Called when an event was handled in part only; nothing of the log may be used afterwards. */
+  readonly onBroken: (error: unknown) => void;
 }
 
 export interface LogDriver {
@@ -109,8 +111,13 @@
 
   function step(event: RaftEvent<Command>): void {
     if (pendingEffects.length > 0) return;
-    executeEffects(stepRaft(raft, event, performance.now()));
-    if (event.kind === 'tick' && pendingEffects.length === 0) compactIfDue();
+    try {
+      executeEffects(stepRaft(raft, event, performance.now()));
+      if (event.kind === 'tick' && pendingEffects.length === 0) compactIfDue();
+    } catch (error) {
+      hooks.onBroken(error);
+      throw error;
+    }
   }
 
   /**
--- a/packages/control/src/storage/disk-errors.test.ts
+++ b/packages/control/src/storage/disk-errors.test.ts
@@ -144,6 +144,7 @@
       onRole: () => undefined,
       onApplied: () => undefined,
       onRoundConfirmed: () => undefined,
+      onBroken: () => undefined,
     };
     const driver = createLogDriver(
       opened,
--- a/packages/link/src/unexpected-errors.ts
+++ b/packages/link/src/unexpected-errors.ts
@@ -4,8 +4,7 @@
 
 /**
  * Logs and counts rejected promises that nobody handles, instead of ending the process with all its callers. Register
- * it once the process has started: a failed start has to end. Not for control members: what follows from a half-done
- * change of their log must not leave the process.
+ * it once the process has started: a failed start has to end. A control member whose log breaks ends all the same.
  *
  * @returns a function that ends this
  *
--- a/packages/statement-entry/src/target/server-control.test.ts
+++ b/packages/statement-entry/src/target/server-control.test.ts
@@ -51,6 +51,21 @@
     expect(laggingState.position).toEqual({ term: 3, offset: 12 });
   });
 
+  it('go on to all servers after one of them could not be sent', async () => {
+    const { environment } = fake.owner;
+    const { openTarget } = environment;
+    Object.assign(environment, {
+      openTarget: (request: Parameters<typeof openTarget>[0]) => {
+        if (request.server === 'i-1') throw new RangeError('port should be below 65536');
+        return openTarget(request);
+      },
+    });
+    const statuses = await sendControlOrderToAll(fake.owner, () => ({ kind: 'status' }));
+    expect(statuses.map((status) => status.server.announcement.server)).toEqual(['i-0', 'i-2']);
+    Object.assign(environment, { openTarget });
+    expect(await sendControlOrderToAll(fake.owner, () => ({ kind: 'status' }))).toHaveLength(3);
+  });
+
   it('are repeated while the server is busy, until a timeout', async () => {
     server.answers.push(busy, busy);
     expect(await sendControlOrder(fake.owner, state, { kind: 'status' })).toBeDefined();
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -50,7 +50,7 @@
 ): Promise<ServerStatus | undefined> {
   const retryUntilMs = performance.now() + BUSY_TIMEOUT_MS;
   for (;;) {
-    const answer = await runInOrder(server, () => sendOverControlConnection(owner, server, order));
+    const answer = await runInOrder(owner, server, order);
     const isBusy = answer?.kind === 'refused' && answer.code === 'busy';
     if (isBusy && performance.now() < retryUntilMs && !owner.isClosed) {
       await delay(BUSY_RETRY_MS);
@@ -93,9 +93,7 @@
   if (server.isProbing) return server.failingSinceMs === undefined;
   server.isProbing = true;
   try {
-    const answer = await runInOrder(server, () =>
-      sendOverControlConnection(owner, server, { kind: 'status' }),
-    );
+    const answer = await runInOrder(owner, server, { kind: 'status' });
     return answer !== undefined;
   } finally {
     server.isProbing = false;
@@ -117,9 +115,25 @@
   return created;
 }
 
-function runInOrder<T>(server: ServerState, run: () => Promise<T>): Promise<T> {
+/** An error costs the order that it occurred in, and neither the later ones nor those of other servers. */
+function runInOrder(
+  owner: StatementOwner,
+  server: ServerState,
+  order: ControlOrder,
+): Promise<TargetAnswer | undefined> {
   const control = controlConnectionOf(server);
-  const next = control.lastOrder.then(run);
+  const next = control.lastOrder
+    .then(() => sendOverControlConnection(owner, server, order))
+    .catch((error: unknown) => {
+      const { log, counters } = owner.environment;
+      counters.count('control.unexpected-error');
+      log('order to a server failed', {
+        server: server.announcement.server,
+        order: order.kind,
+        error: String(error),
+      });
+      return undefined;
+    });
   control.lastOrder = next;
   return next;
 }
