Answer what a stopping entry has read, and finish what runs at a stopping owner

Cause: an entry closed all sessions at 0.7 of the time until SIGKILL, also those whose statement had just been sent, and then its links, which the owner took for a lost caller. An owner in the same way closed the connections of running commits 700 ms after SIGTERM, and waited that long even for transactions that it had refused.

Evidence: reproduced with nine entries and 54 callers on: a READ sent 4,141 ms after SIGTERM closed after 68 ms, another after 45 ms, at the same 4.2 s at which the entry ended; in the users' log the owner's 'connection to server lost' comes 58 ms after the server's last answer.

Ruled out: the server, and the lease (its renewal failed because the entry had closed its own links).

Change: phases for what may start and what may end (session-drain.ts); whatever is left is answered as unknown, or as aborted in a transaction without COMMIT. An owner holds statements of open transactions after their 700 ms and waits up to a second for those at a server.

--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -13,12 +13,22 @@
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 import type { ConnectionState } from '../types/target-port.js';
 
+/**
+ * Phase of an entry's stop.
+ *
+ * - `serving`: as before; an entry that does not stop is in this phase.
+ * - `committing`: new work is refused and open transactions end, but a COMMIT still runs.
+ * - `answering`: nothing new runs, and running statements are waited for.
+ * - `over`: what still runs gets no more time.
+ */
+export type StopPhase = 'serving' | 'committing' | 'answering' | 'over';
+
 /** What sessions use from the rest of their entry. */
 export interface SessionEnvironment {
   readonly settings: () => StatementSettings | undefined;
   /** Whether the settings are recent enough to check keys against. */
   readonly hasFreshSettings: () => boolean;
-  readonly isStopping: () => boolean;
+  readonly stopPhase: () => StopPhase;
   readonly rates: RateClient;
   readonly waits: () => AdmissionWaits;
   readonly owners: OwnerClient;
@@ -51,6 +61,8 @@
   mark: LogPosition | null;
   readonly queuedRequests: CallerRequest[];
   isRunning: boolean;
+  /** The request that runs, or ran last. */
+  runningRequest: CallerRequest | undefined;
   isClosed: boolean;
   /** When the current request was started, by the monotonic clock. */
   requestSinceMs: number;
@@ -74,6 +86,7 @@
     mark: null,
     queuedRequests: [],
     isRunning: false,
+    runningRequest: undefined,
     isClosed: false,
     requestSinceMs: performance.now(),
   };
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -36,6 +36,7 @@
   session.isRunning = true;
   for (let next = session.queuedRequests.shift(); next; next = session.queuedRequests.shift()) {
     session.requestSinceMs = performance.now();
+    session.runningRequest = next;
     await runRequest(session, next);
   }
   session.isRunning = false;
@@ -44,7 +45,32 @@
 
 /** Whether the session can be closed without interrupting a transaction or a request. */
 export function isIdle(session: CallerSession): boolean {
-  return session.state === 'idle' && !session.isRunning && session.queuedRequests.length === 0;
+  return session.state === 'idle' && isUnused(session);
+}
+
+/** Whether no request of the session waits for an answer. */
+export function isUnused(session: CallerSession): boolean {
+  return !session.isRunning && session.queuedRequests.length === 0;
+}
+
+/**
+ * Answers the requests of a session that must end now. The outcome of a running one is unknown, unless it is a statement of a
+ * transaction whose COMMIT was not sent.
+ */
+export function abandonRequests(session: CallerSession): void {
+  const { isRunning, runningRequest, queuedRequests, port } = session;
+  if (session.isClosed) return;
+  if (isRunning) {
+    const isInTransaction = session.state === 'open' && runningRequest?.kind !== 'commit';
+    session.state = isInTransaction ? 'failed' : 'idle';
+    const kind = isInTransaction ? 'aborted' : 'unknown';
+    refuseRequest(session, { kind, reason: 'the entry stops' });
+  }
+  session.isClosed = true;
+  queuedRequests.forEach(() => {
+    port.refuse(notRun('entry-stopping', RETRY_AFTER_MS), session.state);
+  });
+  queuedRequests.length = 0;
 }
 
 /** Closes the session and rolls back an open transaction, after a running request has ended. */
@@ -189,7 +215,7 @@
   access: 'read' | 'write' | 'commit',
   body: StatementBody,
 ): Promise<StatementOutcome> {
-  const refusal = recheckKey(session);
+  const refusal = recheckKey(session) ?? refuseAtStop(session, access);
   if (refusal) return refusal;
   const { route, customer, number, isReadOnly } = transaction;
   const isFirst = transaction.ownerPort === undefined;
@@ -218,6 +244,16 @@
   return isRefused ? notRun(admission, RETRY_AFTER_MS) : undefined;
 }
 
+/** Ends a transaction that would not be over before the entry has stopped. */
+function refuseAtStop(
+  { environment }: CallerSession,
+  access: 'read' | 'write' | 'commit',
+): StatementOutcome | undefined {
+  const phase = environment.stopPhase();
+  if (phase === 'serving' || (phase === 'committing' && access === 'commit')) return undefined;
+  return { kind: 'aborted', reason: 'the entry stops' };
+}
+
 function commonDraftFields(session: CallerSession, route: StatementRoute, customer: CustomerName) {
   return {
     customer,
@@ -232,6 +268,10 @@
 /** Checks the route, the key and the rate of an operation; on refusal it answers the caller. */
 async function admitOperation(session: CallerSession, tag: string): Promise<Admission | undefined> {
   const { environment } = session;
+  if (environment.stopPhase() !== 'serving') {
+    refuseRequest(session, notRun('entry-stopping', RETRY_AFTER_MS), tag);
+    return undefined;
+  }
   const admission = findAdmission(environment, session.database, session.key);
   if (typeof admission === 'string') {
     refuseRequest(session, notRun(admission, RETRY_AFTER_MS), tag);
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -3,7 +3,7 @@
 import { dropWaiting, endJob, notRun, submitJob } from './dispatch.js';
 import type { Job, OpenTransaction, OwnerChannel, StatementOwner } from './owner-state.js';
 import { valuesKeyOf } from '../target/connection-setup.js';
-import { rollBack, transactionKeyOf } from './transactions.js';
+import { dropTransaction, rollBack, transactionKeyOf } from './transactions.js';
 
 export interface EntryChannel extends OwnerChannel {
   readonly id: string;
@@ -29,14 +29,22 @@
     isEnded: false,
   };
   if (request.transaction && !joinTransaction(owner, channel, job)) return;
-  if (owner.isStopping && !job.transaction?.pooled) {
-    endJob(owner, job, notRun('no-owner'));
+  if (owner.isFinishing || (owner.isStopping && !job.transaction?.pooled)) {
+    refuseAtHandover(owner, job);
     return;
   }
   owner.acceptedCount += 1;
   submitJob(owner, job);
 }
 
+/** Work that has begun nothing yet runs under the next owner; a transaction that is open ends. */
+function refuseAtHandover(owner: StatementOwner, job: Job): void {
+  const isOpen = job.transaction?.pooled !== undefined;
+  if (job.transaction) dropTransaction(owner, job.transaction);
+  const reason = 'the group is handed over';
+  endJob(owner, job, isOpen ? { kind: 'aborted', reason } : notRun('no-owner'));
+}
+
 function joinTransaction(owner: StatementOwner, channel: EntryChannel, job: Job): boolean {
   const { transaction: ref, customer } = job.request;
   if (!ref) return true;
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -25,6 +25,8 @@
 const WATCH_EVERY_MS = 100;
 const HOUSEKEEPING_EVERY_MS = 500;
 const DRAIN_POLL_MS = 10;
+/** Time that running statements get after the grace of transactions, in milliseconds; the group waits meanwhile. */
+const FINISH_MS = 1_000;
 
 export function startStatementOwner(
   group: GroupName,
@@ -101,7 +103,10 @@
   removeServer(owner, server);
 }
 
-/** Stops accepting statements and waits up to `graceMs` for running statements and open transactions. */
+/**
+ * Stops accepting statements and waits up to `graceMs` for open transactions. Those that remain end; statements that have
+ * reached a server are waited for a little longer, because their outcome would be unknown otherwise.
+ */
 export async function drainStatementOwner(owner: StatementOwner, graceMs: number): Promise<void> {
   owner.isStopping = true;
   const untilMs = performance.now() + graceMs;
@@ -109,6 +114,16 @@
   while (owner.running.size + owner.transactions.size > 0 && performance.now() < untilMs) {
     await delay(DRAIN_POLL_MS);
   }
+  owner.isFinishing = true;
+  for (const transaction of [...owner.transactions.values()])
+    if (!transaction.isBusy) dropTransaction(owner, transaction);
+  // A first statement has begun nothing yet, and runs under the next owner.
+  dropWaiting(owner, ({ request }) => request.transaction?.isFirst === false, {
+    kind: 'aborted',
+    reason: 'the group is handed over',
+  });
+  const finishedByMs = performance.now() + FINISH_MS;
+  while (owner.running.size > 0 && performance.now() < finishedByMs) await delay(DRAIN_POLL_MS);
 }
 
 /** Closes the owner; it runs and acknowledges nothing afterwards. */
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -181,6 +181,8 @@
   /** `undefined` until a position that covers all earlier acknowledged writes is known. */
   acknowledgedPositions: AcknowledgedPositions | undefined;
   isStopping: boolean;
+  /** Whether statements of open transactions start no longer either, because the group is about to be handed over. */
+  isFinishing: boolean;
   isClosed: boolean;
   isDispatching: boolean;
   lastPromotionMs: number;
@@ -221,6 +223,7 @@
     leadership: { kind: 'unknown', sinceMs: nowMs },
     acknowledgedPositions: undefined,
     isStopping: false,
+    isFinishing: false,
     isClosed: false,
     isDispatching: false,
     lastPromotionMs: Number.NEGATIVE_INFINITY,
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -25,6 +25,7 @@
 import { type Counters, type LinkPeer, listenForLinks, type Log } from '@bramleykeel/link';
 import { checkSessionStart, isKeyWithdrawn } from './accept/access.js';
 import { closeSession, isIdle } from './accept/session.js';
+import { drainSessions, stopPhaseAt, type StopSchedule } from './accept/session-drain.js';
 import {
   type CallerSession,
   createSession,
@@ -89,7 +90,7 @@
   readonly linkSecret: string;
   readonly timing: TimingSettings;
   readonly memberAddresses: () => readonly string[];
-  /** Time that running statements have to finish after `stop`, in milliseconds. */
+  /** Time from `stop` until the process is killed, in milliseconds. */
   readonly stopGraceMs: number;
   /** Decodes the operators' settings document; `undefined` when this version cannot decode it. */
   readonly decodeSettings: (body: Uint8Array) => StatementSettings | undefined;
@@ -126,9 +127,6 @@
 const READER_OFFER_TIMEOUT_MS = 400;
 const READER_RELEASE_TIMEOUT_MS = 300;
 const LOCAL_CHANNEL_ID = 'local';
-/** Period over which idle sessions are closed when the entry stops, in milliseconds. */
-const IDLE_CLOSE_SPREAD_MS = 1_500;
-const STOP_POLL_MS = 25;
 /**
  * Maximum wait of a caller for an entry's first settings, in milliseconds. Callers of the users' platform
  * give up after 2 s; after a loss of all instances control is available again within 1 s.
@@ -139,6 +137,8 @@
 const HOME_REQUEST_PROBABILITY = 0.25;
 /** Time until the load balancer stops sending new callers: two failed checks, 1 s apart. In milliseconds. */
 const BALANCER_UPDATE_MS = 2_400;
+/** Control finds out by itself if the notice of the end does not arrive. In milliseconds. */
+const ENDED_NOTICE_TIMEOUT_MS = 200;
 /** Time that an open transaction has to finish before its group is handed over, in milliseconds. */
 const HANDOVER_GRACE_MS = 700;
 /** Maximum wait for a customer's tokens before it is refused for exceeding its rate, in milliseconds. */
@@ -158,7 +158,7 @@
   const sessions = new Set<CallerSession>();
   const requestedAtMs = new Map<Resource, number>();
   let settings: StatementSettings | undefined;
-  let isStopping = false;
+  let stopSchedule: StopSchedule | undefined;
   let transactionCount = 0;
 
   const linkServer = await listenForLinks(
@@ -293,7 +293,7 @@
   const environment: SessionEnvironment = {
     settings: () => settings,
     hasFreshSettings: control.hasFreshSettings,
-    isStopping: () => isStopping,
+    stopPhase: () => (stopSchedule ? stopPhaseAt(stopSchedule, performance.now()) : 'serving'),
     rates: createRateClient({
       rateWaitMs: RATE_WAIT_MS,
       homeWaitMs: () => waits().homeMs,
@@ -318,15 +318,16 @@
   const stopRelief = startInstanceRelief({
     registry,
     linkMbps: options.linkMbps,
-    isStopping: () => isStopping,
+    isStopping: () => stopSchedule !== undefined,
   });
   log(`entry ${options.entryId} listens for other entries at ${options.linkAddress}`);
   return { startSession, endSession, isReady, stop };
 
   async function startSession(database: string, key: string | undefined, port: CallerPort) {
     const untilMs = performance.now() + FIRST_SETTINGS_WAIT_MS;
-    while (!settings && !isStopping && performance.now() < untilMs) await delay(SETTINGS_POLL_MS);
-    const reason = checkSessionStart(environment, database, key);
+    while (!settings && !stopSchedule && performance.now() < untilMs) await delay(SETTINGS_POLL_MS);
+    const isRefused = environment.stopPhase() !== 'serving';
+    const reason = isRefused ? 'entry-stopping' : checkSessionStart(environment, database, key);
     if (reason !== undefined) {
       counters.count(`refusal.${reason}`);
       return reason;
@@ -346,7 +347,7 @@
   }
 
   function isReady(): boolean {
-    return !isStopping && settings !== undefined && control.hasFreshSettings();
+    return !stopSchedule && settings !== undefined && control.hasFreshSettings();
   }
 
   function applyRecords(deltas: readonly RecordDelta[]): void {
@@ -398,17 +399,18 @@
   }
 
   async function stop(stopListening: () => void): Promise<void> {
-    isStopping = true;
+    const startedAtMs = performance.now();
+    stopSchedule = { startedAtMs, graceMs: options.stopGraceMs };
     log(`entry ${options.entryId} is stopping`);
     control.startStopping();
-    const untilMs = performance.now() + options.stopGraceMs;
     setTimeout(stopListening, BALANCER_UPDATE_MS);
     await Promise.all([
       handOverStatementOwners(registry, HANDOVER_GRACE_MS),
       handOverReaders(replicaReads, HANDOVER_GRACE_MS, releaseReader),
-      drainSessions(performance.now() + BALANCER_UPDATE_MS, untilMs),
+      drainSessions(sessions, stopSchedule, startedAtMs + BALANCER_UPDATE_MS),
     ]);
-    await control.call('entry/ended', { incarnation: control.incarnation() });
+    const ended = control.call('entry/ended', { incarnation: control.incarnation() });
+    await Promise.race([ended, delay(ENDED_NOTICE_TIMEOUT_MS)]);
     clearInterval(reconcileTimer);
     stopRelief();
     control.close();
@@ -425,23 +427,6 @@
     const incarnation = control.incarnation();
     await control.call('resource/release', { resource, epoch, incarnation });
   }
-
-  /**
-   * Closes idle sessions gradually, and all that remain at `untilMs`. Takes at least until `notBeforeMs`,
-   * because new callers arrive until the load balancer has noticed that the entry is stopping.
-   */
-  async function drainSessions(notBeforeMs: number, untilMs: number): Promise<void> {
-    const startedAtMs = performance.now();
-    const isWaiting = () => sessions.size > 0 || performance.now() < notBeforeMs;
-    while (isWaiting() && performance.now() < untilMs) {
-      const closeProbability = (performance.now() - startedAtMs) / IDLE_CLOSE_SPREAD_MS;
-      for (const session of sessions) {
-        if (isIdle(session) && Math.random() < closeProbability) session.port.close();
-      }
-      await delay(STOP_POLL_MS);
-    }
-    for (const session of sessions) session.port.close();
-  }
 }
 
 function limitOf(
