--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,5 +33,6 @@
 export * from './promotion/choose-successor.js';
 export * from './promotion/coverage.js';
 export * from './shared/address.js';
+export * from './shared/bounded-json.js';
 export * from './shared/key-hash.js';
 export * from './shared/nearest-name.js';
--- a/packages/link/src/json-body.ts
+++ b/packages/link/src/json-body.ts
@@ -1,8 +1,10 @@
 /** Reads JSON bodies of HTTP requests up to a maximum length. */
 import type { IncomingMessage } from 'node:http';
+import { parseBoundedJson } from '@bramleykeel/core';
 
 /**
- * Reads a request's body; resolves to `undefined` if it is longer than `maxBytes`, truncated, or not JSON.
+ * Reads a request's body; resolves to `undefined` if it is longer than `maxBytes`, truncated, nested too
+ * deeply, or not JSON.
  *
  * @example
  * const body = await readJsonBody(request, 16_384);
@@ -16,7 +18,7 @@
       if (totalBytes > maxBytes) return undefined;
       chunks.push(chunk as Buffer);
     }
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+    return parseBoundedJson(Buffer.concat(chunks).toString('utf8')).toMaybe().extract();
   } catch {
     return undefined;
   }
