Count no server that has lost its log toward the quorum of a fence

Cause: the quorum that acknowledged a commit and the quorum of a fence meet in a server that has the commit, unless that server has lost its log in between. A restart with an empty disk was not noticed.

Change: the owner remembers where the lost log ended, and counts the server again once it reports at least that much. An owner that starts after the restart cannot tell; that stays open (docs/incidents/lost-log-counted-for-the-fence.md).

Ruled out: forget-server and servers that join: quorums of the smaller and the larger group meet, except where a group grows from one server to three before the new ones have caught up, which stays open as well.

Test: failover.test 'does not count a server that has lost its log in a restart, until it has caught up' failed before.

--- a/packages/core/src/confirm/write-quorum.test.ts
+++ b/packages/core/src/confirm/write-quorum.test.ts
@@ -14,7 +14,13 @@
   for (const [name, { term, offset, follows }] of Object.entries(positions)) {
     const server = toServerName(name);
     const announcement = { term: follows ?? 3, position: { term, offset } } as Announcement;
-    view.servers.set(server, { server, announcement, heardAtMs: 0, upToDateAtMs: 0 });
+    view.servers.set(server, {
+      server,
+      announcement,
+      heardAtMs: 0,
+      upToDateAtMs: 0,
+      lostLogEnd: undefined,
+    });
   }
   return {
     view,
--- a/packages/core/src/failover/failover.test.ts
+++ b/packages/core/src/failover/failover.test.ts
@@ -177,6 +177,31 @@
     expect(promise(testGroup, 'x', 2, 10)).toEqual([]);
   });
 
+  // Guards against lost commits: the quorum that acknowledged one included the server that has lost its log since.
+  it('does not count a server that has lost its log in a restart, until it has caught up', () => {
+    const testGroup = createTestGroup();
+    const i2 = { incarnation: toIncarnation('i2') };
+    testGroup.announce('s2', { ...i2, position: { term: 0, offset: 0 } });
+    startFencing(testGroup);
+    promise(testGroup, 's3', 2, 4);
+    expect(promise(testGroup, 's2', 2, 0, 0)).toEqual([]);
+    expect(promise(testGroup, 's2', 2, 10)).toEqual(['commit s2 2']);
+    const other = createTestGroup();
+    other.announce('s2', { ...i2, position: { term: 0, offset: 0 } });
+    other.announce('s2', { ...i2, position: { term: 1, offset: 10 } });
+    startFencing(other);
+    promise(other, 's3', 2, 4);
+    expect(promise(other, 's2', 2, 9)).toEqual(['commit s2 2']);
+  });
+
+  it('counts a server that has kept its log in a restart', () => {
+    const testGroup = createTestGroup();
+    testGroup.announce('s2', { incarnation: toIncarnation('i2') });
+    startFencing(testGroup);
+    promise(testGroup, 's3', 2, 4);
+    expect(promise(testGroup, 's2', 2, 10)).toEqual(['commit s2 2']);
+  });
+
   it('proposes a term above a newer one that a server has promised elsewhere', () => {
     const testGroup = createTestGroup();
     startFencing(testGroup);
--- a/packages/core/src/failover/failover.ts
+++ b/packages/core/src/failover/failover.ts
@@ -249,6 +249,9 @@
     return proposeTerm(state, promise.promisedTerm + 1, context);
   if (promise.promisedTerm !== phase.term) return [];
   if (!context.record.servers.includes(promise.server)) return [];
+  // The quorums that acknowledged its lost commits would meet this one in nobody who has them.
+  const lostLogEnd = context.view.servers.get(promise.server)?.lostLogEnd;
+  if (lostLogEnd && !coversMark(promise.position, lostLogEnd)) return [];
   const promises = new Map(phase.promises).set(promise.server, promise);
   state.phase = { ...phase, promises };
   if (promises.size < writeQuorumSize(context.record.servers.length)) return [];
--- a/packages/core/src/route/server-view.ts
+++ b/packages/core/src/route/server-view.ts
@@ -9,6 +9,11 @@
   heardAtMs: number;
   /** Latest time at which this server was known to have the primary's whole log. */
   upToDateAtMs: number;
+  /**
+   * Where the log ended that the server has lost in a restart, until it has caught up; `undefined` otherwise. Commits
+   * that count on its copy may be gone.
+   */
+  readonly lostLogEnd: LogPosition | undefined;
 }
 
 /** A position announced by the primary, with the time at which it was received. */
@@ -42,12 +47,22 @@
   if (current && isOutdated(current.announcement, announcement)) return false;
   const upToDateAtMs = current?.upToDateAtMs ?? Number.NEGATIVE_INFINITY;
   const { server } = announcement;
-  view.servers.set(server, { server, announcement, heardAtMs: nowMs, upToDateAtMs });
+  const lostLogEnd = current && lostLogEndAfter(current, announcement);
+  view.servers.set(server, { server, announcement, heardAtMs: nowMs, upToDateAtMs, lostLogEnd });
   if (announcement.role === 'primary') addPrimarySample(view, announcement.position, nowMs);
   updateUpToDateTime(view, server);
   return true;
 }
 
+/** A process that starts with a shorter log than the one before it has lost the rest. */
+function lostLogEndAfter(
+  { announcement: former, lostLogEnd }: ServerView,
+  { incarnation, position }: Announcement,
+): LogPosition | undefined {
+  const end = incarnation === former.incarnation ? lostLogEnd : (lostLogEnd ?? former.position);
+  return end && comparePositions(position, end) < 0 ? end : undefined;
+}
+
 function isOutdated(current: Announcement, next: Announcement): boolean {
   return current.incarnation === next.incarnation && next.sequence <= current.sequence;
 }
