Pass on late acknowledgements only under the leadership that was replaced

Callers would have seen: a commit answered as done that is not in the log of the primary, after two changes of primary in a row.

Cause: an acknowledgement from a server that no longer leads was compared with what the newest successor held, also if its leadership had ended one change earlier, whose log went another way. While two orders to promote were open, the second choice alone was the limit.

Change: a commit is bound to the leadership under which it was sent; only the one that was replaced last is compared with the successor. The limit is the shortest log among the servers whose promotion may still be carried out, and nothing if another owner's order was.

--- a/packages/core/src/promotion/choose-successor.ts
+++ b/packages/core/src/promotion/choose-successor.ts
@@ -121,7 +121,10 @@
   readonly isFromPrimary: boolean;
   /** Log position of the server after the commit; `null` if it reported none. */
   readonly position: LogPosition | null;
-  /** What the chosen successor, or the primary that replaced the server, held when it was chosen. */
+  /**
+   * What the chosen successor, or the primary that replaced the server, held when it was chosen; `undefined` if the commit
+   * was sent before the leadership that was replaced.
+   */
   readonly successorPosition: LogPosition | undefined;
 }
 
--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -194,6 +194,40 @@
   });
 });
 
+describe('acknowledgements that arrive late', () => {
+  // Guards against LOST: a commit of the last primary but one was passed on after the next change.
+  it('are not passed on after two changes of primary', async () => {
+    const caller = openCaller();
+    const transaction = { number: 1, isReadOnly: false };
+    await caller.run('write', 'WRITE x 1', { ...transaction, isFirst: true });
+    primary.position = at(41);
+    primary.statementMs = 1_800;
+    const commit = caller.run('commit', 'COMMIT', { ...transaction, isFirst: false });
+    await changePrimary(owner, 'the primary is leaving', true);
+    serverState(near).position = near.position;
+    const second = changePrimary(owner, 'the next one is leaving', true);
+    expect(await commit).toMatchObject({ kind: 'unknown' });
+    await second;
+  });
+
+  it('are passed on up to what each server holds whose promotion may still be carried out', async () => {
+    near.position = at(41);
+    far.position = at(45);
+    primary.position = at(41);
+    fake.promoteOutcomes.push('refused');
+    const change = changePrimary(owner, 'the primary is leaving', true);
+    await until(() => fake.promotions.length > 0);
+    expect(owner.leadership).toMatchObject({ chosenPosition: at(45) });
+    far.position = at(43);
+    fake.promoteOutcomes.push('refused');
+    await until(() => fake.promotions.length > 1);
+    expect(owner.leadership).toMatchObject({ chosenPosition: at(43) });
+    far.position = at(47);
+    await change;
+    expect(owner.leadership).toMatchObject({ kind: 'led', chosenPosition: at(43) });
+  });
+});
+
 describe('a new owner that finds no primary', () => {
   beforeEach(() => {
     acknowledgeAt(near, far, 50);
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -2,11 +2,13 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   chooseSuccessor,
+  comparePositions,
   coversMark,
   hasUncoveredCommits,
   type LogPosition,
   newestAcknowledged,
   type SuccessorContext,
+  ZERO_POSITION,
 } from '@bramleykeel/core';
 import { closeIdleConnections } from '../target/connection-pool.js';
 import {
@@ -158,7 +160,8 @@
   if (!isActiveOwner(owner)) return undefined;
   const currentPrimary = newestPrimary(statuses);
   if (currentPrimary && currentPrimary.server !== former) {
-    // An earlier promotion order was carried out in the meantime.
+    // An earlier promotion order was carried out in the meantime; what that server holds of the former term is unknown.
+    updateChange(owner, { chosenPosition: ZERO_POSITION });
     const isConfirmed = await orderPromotion(owner, currentPrimary.server.announcement.server);
     if (!isConfirmed) return undefined;
     const confirmed = await sendControlOrder(owner, currentPrimary.server, { kind: 'status' });
@@ -184,7 +187,7 @@
     ...describeContext(context),
   });
   updateChange(owner, {
-    chosenPosition: choice.position,
+    chosenPosition: earliestChoice(owner, choice.position),
     holdsTransactions: true,
     isBlocked: false,
   });
@@ -193,6 +196,12 @@
   return isOrdered ? awaitPrimaryRole(owner, choice.server) : undefined;
 }
 
+/** An order for a server chosen before may still be carried out, so the shorter log limits what is passed on. */
+function earliestChoice({ leadership }: StatementOwner, position: LogPosition): LogPosition {
+  const former = leadership.kind === 'changing' ? leadership.chosenPosition : undefined;
+  return former && comparePositions(former, position) < 0 ? former : position;
+}
+
 /** Whether the primary answers again, and neither it was told to give up its role nor was a successor chosen. */
 function mayLeadOn(
   { leadership, acknowledgedPositions }: StatementOwner,
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -128,6 +128,8 @@
   readonly startByMs: number;
   /** Set once a server may have run the statement; it is then never answered as `not-run`. */
   mayHaveRun: boolean;
+  /** The leadership under which its commit was sent to the primary; `undefined` if it was not. */
+  committedUnder: number | undefined;
   transaction: OpenTransaction | undefined;
   attempts: number;
   isEnded: boolean;
@@ -178,6 +180,10 @@
   /** Number of statements accepted under this epoch. */
   acceptedCount: number;
   leadership: Leadership;
+  /** Counts the primaries that this owner has had; a primary that leads on in its term is not counted again. */
+  leadershipNumber: number;
+  /** Term of the primary that leads or led last. */
+  leadershipTerm: number | undefined;
   /** `undefined` until a position that covers all earlier acknowledged writes is known. */
   acknowledgedPositions: AcknowledgedPositions | undefined;
   isStopping: boolean;
@@ -221,6 +227,8 @@
     running: new Set(),
     acceptedCount: 0,
     leadership: { kind: 'unknown', sinceMs: nowMs },
+    leadershipNumber: 0,
+    leadershipTerm: undefined,
     acknowledgedPositions: undefined,
     isStopping: false,
     isFinishing: false,
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -24,6 +24,7 @@
 import {
   handleBrokenConnection,
   handleRefusal,
+  leadershipNumberOf,
   recordSuccessfulAnswer,
   settleStatement,
   settleTransactionStatement,
@@ -165,6 +166,9 @@
   order: TargetOrder,
 ): Promise<TargetAnswer> {
   if (!owner.environment.holdsLease()) return { kind: 'lost' };
+  const { access, transaction } = job.request;
+  if (access === 'commit' || (access === 'write' && !transaction))
+    job.committedUnder = leadershipNumberOf(owner, pooled.server);
   const sentAtMs = performance.now();
   const timeoutMs = job.deadlineMs - sentAtMs - ANSWER_MARGIN_MS;
   const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -46,7 +46,7 @@
   const { access } = job.request;
   match(answer)
     .with({ kind: 'done' }, ({ rows, signature, position }) => {
-      if (access === 'write' && !acknowledgeCommit(owner, pooled.server, position)) {
+      if (access === 'write' && !acknowledgeCommit(owner, job, position)) {
         discardConnection(pooled);
         endJob(owner, job, unconfirmedOutcome());
         return;
@@ -103,7 +103,7 @@
     .with({ kind: 'done' }, ({ rows, signature, position, state }) => {
       if (isCommit) {
         owner.transactions.delete(transaction.key);
-        if (!transaction.isReadOnly && !acknowledgeCommit(owner, pooled.server, position)) {
+        if (!transaction.isReadOnly && !acknowledgeCommit(owner, job, position)) {
           discardConnection(pooled);
           endJob(owner, job, unconfirmedOutcome());
           return;
@@ -153,15 +153,19 @@
  */
 function acknowledgeCommit(
   owner: StatementOwner,
-  server: ServerState,
+  { committedUnder }: Job,
   position: LogPosition | null,
 ): boolean {
-  const { leadership, acknowledgedPositions, environment } = owner;
+  const { leadership, leadershipNumber, acknowledgedPositions, environment } = owner;
+  const isUnderThis = committedUnder === leadershipNumber;
+  const hasSuccessor = leadership.kind === 'changing' && leadership.chosenPosition !== undefined;
+  const wasReplaced = hasSuccessor ? isUnderThis : committedUnder === leadershipNumber - 1;
   const isPassedOn = mayAcknowledge({
     holdsLease: environment.holdsLease(),
-    isFromPrimary: isFromPrimary(owner, server),
+    isFromPrimary: isUnderThis && leadership.kind !== 'unknown' && !hasSuccessor,
     position,
-    successorPosition: leadership.kind === 'unknown' ? undefined : leadership.chosenPosition,
+    successorPosition:
+      wasReplaced && leadership.kind !== 'unknown' ? leadership.chosenPosition : undefined,
   });
   if (!isPassedOn) environment.counters.count('commit.unconfirmed');
   else if (position && acknowledgedPositions)
@@ -169,16 +173,17 @@
   return isPassedOn;
 }
 
-/** Whether commits of the server count: it leads, or did when a change began that has no successor yet. */
-function isFromPrimary({ leadership, servers }: StatementOwner, server: ServerState): boolean {
-  const name = match(leadership)
+/** The leadership under which a commit that is sent to the server counts; `undefined` if the server does not lead. */
+export function leadershipNumberOf(
+  { leadership, leadershipNumber, servers }: StatementOwner,
+  server: ServerState,
+): number | undefined {
+  const leader = match(leadership)
     .with({ kind: 'led' }, (led) => led.server)
-    .with({ kind: 'changing' }, ({ former, chosenPosition }) =>
-      chosenPosition === undefined ? former : undefined,
-    )
+    .with({ kind: 'changing' }, ({ former }) => former)
     .with({ kind: 'unknown' }, () => undefined)
     .exhaustive();
-  return name !== undefined && servers.get(name) === server;
+  return leader !== undefined && servers.get(leader) === server ? leadershipNumber : undefined;
 }
 
 function unconfirmedOutcome(): StatementOutcome {
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -111,6 +111,9 @@
   owner.acknowledgedPositions = createAcknowledgedPositions(status.position, nowMs);
   const { leadership } = owner;
   const chosenPosition = leadership.kind === 'changing' ? leadership.chosenPosition : undefined;
+  // Within one term no other server can have led in between.
+  if (status.term !== owner.leadershipTerm) owner.leadershipNumber += 1;
+  owner.leadershipTerm = status.term;
   owner.leadership = { kind: 'led', server: name, sinceMs: nowMs, chosenPosition };
   recordPrimaryStart(owner.coverage, status.position, nowMs);
   owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
