Start nothing on a leaving server that was promoted for its log

Cause: with the primary cut off, the leaving former primary had the longest log and was promoted. It was replaced at once, but the statements that had waited for a primary were started on it first.

Ruled out: choosing another server that reaches the acknowledged position (the longer log may hold commits whose acknowledgement was on its way); late heartbeats (the owner knew that it leaves).

Change: a leaving primary that can be replaced starts no statement; the queue waits for the change that follows at once.

Test: change-primary.test 'is promoted for its log, and replaced before any statement starts' failed before.

--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -194,6 +194,29 @@
   });
 });
 
+describe('a leaving server with the longest log', () => {
+  // Guards against DRAIN: statements that had waited for a primary went to one that was about to end.
+  it('is promoted for its log, and replaced before any statement starts', async () => {
+    const state = serverState(near);
+    state.announcement = { ...state.announcement, isLeaving: true };
+    near.position = at(50);
+    far.position = at(45);
+    primary.reachability = 'dark';
+    const change = changePrimary(owner, 'the primary does not answer', false);
+    const caller = openCaller();
+    const write = caller.run('write', 'WRITE x 1', null);
+    await change;
+    expect(owner.leadership).toMatchObject({ kind: 'led', server: near.name });
+    dispatch(owner);
+    far.position = at(50);
+    const next = changePrimary(owner, 'the primary is leaving', true);
+    expect(await write).toMatchObject({ kind: 'done' });
+    await next;
+    expect(promotedServers()).toEqual([near.name, far.name]);
+    expect(near.orders).not.toContainEqual(expect.objectContaining({ kind: 'run' }));
+  });
+});
+
 describe('acknowledgements that arrive late', () => {
   // Guards against LOST: a commit of the last primary but one was passed on after the next change.
   it('are not passed on after two changes of primary', async () => {
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -19,7 +19,13 @@
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
 import { hasAvailableConnection } from '../target/connection-pool.js';
-import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import {
+  isToBeReplaced,
+  type Job,
+  primaryOf,
+  type ServerState,
+  type StatementOwner,
+} from './owner-state.js';
 import { runJob } from './run-job.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
@@ -122,7 +128,8 @@
   const { regionOf, zone } = owner.environment;
   return [...owner.servers.values()].map((server) => ({
     server: server.announcement.server,
-    isPrimary: server === primary,
+    // One that was promoted for its log while it leaves may be past the time in which it takes statements.
+    isPrimary: server === primary && !isToBeReplaced(owner, server),
     isLeaving: server.announcement.isLeaving,
     isUsable: server.failingSinceMs === undefined && hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -271,3 +271,12 @@
   const { leadership } = owner;
   return leadership.kind === 'led' ? owner.servers.get(leadership.server) : undefined;
 }
+
+/** Whether a server is leaving while another one could lead. As primary it is replaced at once and starts nothing more. */
+export function isToBeReplaced({ servers }: StatementOwner, server: ServerState): boolean {
+  if (!server.announcement.isLeaving) return false;
+  return [...servers.values()].some(
+    (other) =>
+      other !== server && !other.announcement.isLeaving && other.failingSinceMs === undefined,
+  );
+}
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -10,7 +10,7 @@
   sendControlOrderToAll,
   probeServer,
 } from '../target/server-control.js';
-import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { isToBeReplaced, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { placeOf, recordServerPlaces } from './server-places.js';
 import { takeOver, newestPrimary, isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
@@ -130,7 +130,7 @@
   const { leadership } = owner;
   if (leadership.kind !== 'led') return;
   const { announcement, lastAnnouncementMs } = primary;
-  if (announcement.isLeaving && hasSuccessor(owner, primary)) {
+  if (isToBeReplaced(owner, primary)) {
     await changePrimary(owner, 'the primary is leaving', true);
     return;
   }
@@ -166,13 +166,6 @@
   if (isActiveOwner(owner)) await checkPrimary(owner, primary, false);
 }
 
-function hasSuccessor(owner: StatementOwner, primary: ServerState): boolean {
-  return [...owner.servers.values()].some(
-    (server) =>
-      server !== primary && !server.announcement.isLeaving && server.failingSinceMs === undefined,
-  );
-}
-
 /**
  * Whether the server counts as lost: refused connections prove that its process has ended, or connections have
  * failed for `PROBE_FAILURE_TIMEOUT_MS`.
