End a transaction whose key has moved to another customer

Cause: statements of an open transaction were checked for a key that is known, and not for whose it is.

Change: such a transaction is aborted; nothing of it is kept.

--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -215,7 +215,7 @@
   access: 'read' | 'write' | 'commit',
   body: StatementBody,
 ): Promise<StatementOutcome> {
-  const refusal = recheckKey(session) ?? refuseAtStop(session, access);
+  const refusal = recheckKey(session, transaction) ?? refuseAtStop(session, access);
   if (refusal) return refusal;
   const { route, customer, number, isReadOnly } = transaction;
   const isFirst = transaction.ownerPort === undefined;
@@ -237,11 +237,19 @@
   return createStatementDeadlines(route.statementTimeoutMs, environment.waits().statementShare);
 }
 
-/** Refuses statements of a transaction whose key has been withdrawn or can no longer be checked. */
-function recheckKey(session: CallerSession): StatementOutcome | undefined {
-  const admission = findAdmission(session.environment, session.database, session.key);
-  const isRefused = admission === 'key-rejected' || admission === 'settings-lease-expired';
-  return isRefused ? notRun(admission, RETRY_AFTER_MS) : undefined;
+/**
+ * Refuses statements of a transaction whose key has been withdrawn or can no longer be checked, and ends a transaction whose key
+ * belongs to another customer now.
+ */
+function recheckKey(
+  { environment, database, key }: CallerSession,
+  { customer }: SessionTransaction,
+): StatementOutcome | undefined {
+  const admission = findAdmission(environment, database, key);
+  if (admission === 'key-rejected' || admission === 'settings-lease-expired')
+    return notRun(admission, RETRY_AFTER_MS);
+  const hasMoved = typeof admission !== 'string' && admission.customer !== customer;
+  return hasMoved ? { kind: 'aborted', reason: 'the key has another owner now' } : undefined;
 }
 
 /** Ends a transaction that would not be over before the entry has stopped. */
