Reset connections with values that are named like properties of objects

Cause: 'name in values' holds for inherited properties, so that the connection was not reset.

Test: connection-setup.test 'a reset to remove a value named like a property of objects' failed before.

--- a/packages/statement-entry/src/target/connection-setup.test.ts
+++ b/packages/statement-entry/src/target/connection-setup.test.ts
@@ -56,6 +56,13 @@
       needs: requirements({ a: '1' }),
       expected: ['reset', 'set'],
     },
+    {
+      // Guards against PINNED: every object inherits a property of this name.
+      name: 'a reset to remove a value named like a property of objects',
+      has: setupState({ constructor: '1' }),
+      needs: requirements({}),
+      expected: ['reset'],
+    },
     {
       name: 'a reset for a session without values',
       has: setupState({ z: '9' }),
--- a/packages/statement-entry/src/target/connection-setup.ts
+++ b/packages/statement-entry/src/target/connection-setup.ts
@@ -42,7 +42,7 @@
   begin: BeginOrder | undefined,
 ): TargetOrder[] {
   const orders: TargetOrder[] = [];
-  const isResetNeeded = Object.keys(connection.values).some((name) => !(name in values));
+  const isResetNeeded = Object.keys(connection.values).some((name) => !Object.hasOwn(values, name));
   if (isResetNeeded) orders.push({ kind: 'reset' });
   if (valuesKey !== connection.valuesKey) {
     for (const [name, value] of Object.entries(values)) {
