Refuse waiting requests in time, however late the next token comes

Cause: the entry slept until the home's next token, 1,000 s at that rate, before it looked at its waiting requests again.

Change: it sleeps until the first of them has waited for as long as it may.

Test: rate-client.test 'refuses a request in time, however late the next token comes' failed before (no answer in 5 s).

--- a/packages/entry-shared/src/admit/rate-client.test.ts
+++ b/packages/entry-shared/src/admit/rate-client.test.ts
@@ -6,7 +6,7 @@
 const LIFETIME_MS = 250;
 
 /** Creates a client whose draws are answered after the given delays; the last delay repeats. */
-function createClientWithDelays(delaysMs: readonly number[], granted: number) {
+function createClientWithDelays(delaysMs: readonly number[], granted: number, retryAfterMs = 20) {
   let draws = 0;
   return createRateClient({
     rateWaitMs: 500,
@@ -14,7 +14,7 @@
     draw: () => {
       const delayMs = delaysMs[Math.min(draws, delaysMs.length - 1)] ?? 0;
       draws += 1;
-      const grant: TokenGrant = { granted, lifetimeMs: LIFETIME_MS, retryAfterMs: 20 };
+      const grant: TokenGrant = { granted, lifetimeMs: LIFETIME_MS, retryAfterMs };
       return new Promise((resolve) => {
         setTimeout(resolve, delayMs, grant);
       });
@@ -42,4 +42,12 @@
     const admitted = admit(createClientWithDelays(delaysMs, granted), customer, 1, undefined);
     expect((await admitted)?.reason).toBe(expected);
   });
+
+  // Guards against requests without an answer: a rate of zero has its next token in 1,000 s.
+  it('refuses a request in time, however late the next token comes', async () => {
+    const startedAtMs = performance.now();
+    const client = createClientWithDelays([5], 0, 1_000_000);
+    expect((await admit(client, customer, 1, undefined))?.reason).toBe('rate-exceeded');
+    expect(performance.now() - startedAtMs).toBeLessThan(1_000);
+  });
 });
--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -124,12 +124,21 @@
   while (tokens.waiters.length > 0) {
     const retryAfterMs = await drawOnce(client, tokens);
     serveWaiters(client, tokens);
-    if (tokens.waiters.length > 0 && retryAfterMs > 0) await delay(retryAfterMs);
+    const patienceMs = timeToNextRefusalMs(client, tokens);
+    if (tokens.waiters.length > 0 && retryAfterMs > 0)
+      await delay(Math.max(MIN_RETRY_DELAY_MS, Math.min(retryAfterMs, patienceMs)));
     serveWaiters(client, tokens);
   }
   tokens.isDrawing = false;
 }
 
+/** Time until the first waiter has waited for as long as it may, in milliseconds. */
+function timeToNextRefusalMs({ options }: RateClient, tokens: CustomerTokens): number {
+  const waitMs = tokens.isHomeReachable ? options.rateWaitMs : options.homeWaitMs();
+  const [first] = tokens.waiters;
+  return first ? first.sinceMs + waitMs - performance.now() : 0;
+}
+
 /** Draws once and returns the delay before the next draw, in milliseconds. */
 async function drawOnce(client: RateClient, tokens: CustomerTokens): Promise<number> {
   const sentAtMs = performance.now();
