--- a/packages/core/src/promotion/coverage.ts
+++ b/packages/core/src/promotion/coverage.ts
@@ -77,9 +77,9 @@
   position: LogPosition,
   requestedAtMs: number,
 ): void {
-  coverage.gaps = coverage.gaps.filter(
-    ({ end, endKnownMs }) => !end || requestedAtMs < endKnownMs || !coversMark(position, end),
-  );
+  const isClosed = ({ end, endKnownMs }: Gap<Place>) =>
+    end !== undefined && requestedAtMs >= endKnownMs && coversMark(position, end);
+  coverage.gaps = coverage.gaps.filter((gap) => !isClosed(gap));
 }
 
 /** Whether the present replicas may lack an acknowledged commit. */
