Close links that are being opened when a process stops

Cause: the link server closed the links that were authenticated and waited for all connections. One that another process was opening at that moment was authenticated right afterwards, and its pings kept it open.

Evidence: the entry was still there four minutes later with one connection, at its link port, and no listener (read through the inspector).

Change: all connections are closed, whatever their phase, and those accepted while the server closes.

Test: link-server.test 'closes while a connection has not been authenticated yet' failed before (still open after 1 s).

--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -22,8 +22,11 @@
   handlers: LinkHandlers,
 ): Promise<LinkServer> {
   const peers = new Set<LinkPeer>();
+  /** All connections, including those that are not authenticated yet; each of them keeps the server from closing. */
+  const connections = new Set<LinkPeer>();
+  let isClosing = false;
   const server = createServer((socket) => {
-    runLink(socket, 'server', options, {
+    const connection = runLink(socket, 'server', options, {
       ...handlers,
       onOpen: (peer) => {
         peers.add(peer);
@@ -34,6 +37,9 @@
         handlers.onClose?.(peer, reason);
       },
     });
+    connections.add(connection);
+    socket.once('close', () => connections.delete(connection));
+    if (isClosing) connection.close('server is closing');
   });
   await listen(server, address);
   return {
@@ -43,7 +49,8 @@
         server.close(() => {
           resolve();
         });
-        for (const peer of peers) peer.close('server is closing');
+        isClosing = true;
+        for (const connection of connections) connection.close('server is closing');
       }),
   };
 }
