--- a/packages/statement-entry/src/accept/session-drain.ts
+++ b/packages/statement-entry/src/accept/session-drain.ts
@@ -35,6 +35,11 @@
   return share < ANSWERING_SHARE ? 'answering' : 'over';
 }
 
+/** When the phase begins in which nothing new runs, by the monotonic clock. */
+export function lastStartOf({ startedAtMs, graceMs }: StopSchedule): number {
+  return startedAtMs + graceMs * COMMITTING_SHARE;
+}
+
 /**
  * Closes idle sessions, first gradually, then at once; those with a transaction are closed when they have heard that it is
  * over. What still runs at the end is answered as unknown. Takes at least until `notBeforeMs`, because new callers arrive
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -64,7 +64,8 @@
     const isInTransaction = session.state === 'open' && runningRequest?.kind !== 'commit';
     session.state = isInTransaction ? 'failed' : 'idle';
     const kind = isInTransaction ? 'aborted' : 'unknown';
-    refuseRequest(session, { kind, reason: 'the entry stops' });
+    const tag = runningRequest && 'tag' in runningRequest ? runningRequest.tag : undefined;
+    refuseRequest(session, { kind, reason: 'the entry stops' }, tag);
   }
   session.isClosed = true;
   queuedRequests.forEach(() => {
--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -43,10 +43,12 @@
 describe('statements that are pending when their owner ends', () => {
   let client: OwnerClient;
   let epoch: number;
+  let lastStartMs: number;
   let sent: { readonly epoch: number; readonly request: StatementRequest }[];
 
   beforeEach(() => {
     epoch = 1;
+    lastStartMs = Number.POSITIVE_INFINITY;
     sent = [];
     const control = {
       get records() {
@@ -71,6 +73,7 @@
       },
       rollBackOverLink: () => undefined,
       requestResource: () => undefined,
+      lastStartMs: () => lastStartMs,
     });
   });
 
@@ -118,4 +121,15 @@
     expect((await running).outcome).toMatchObject({ kind: 'not-run', reason: 'no-owner' });
     expect(sent).toHaveLength(1);
   });
+
+  // Guards against LOST: they waited for an owner until the end of the stop, which answered them as unknown.
+  it('are refused as not run once their entry stops and starts nothing more', async () => {
+    const running = run();
+    await delay(5);
+    handleOwnerEnded(client, group, 1, []);
+    const stoppedAtMs = performance.now();
+    lastStartMs = stoppedAtMs + 50;
+    expect((await running).outcome).toMatchObject({ kind: 'not-run', reason: 'no-owner' });
+    expect(performance.now() - stoppedAtMs).toBeLessThan(300);
+  });
 });
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -38,6 +38,8 @@
     transaction: number,
   ) => void;
   readonly requestResource: (resource: Resource, zone: string | undefined) => void;
+  /** Latest time at which a statement may start, by the monotonic clock; infinite unless the entry stops. */
+  readonly lastStartMs: () => number;
 }
 
 interface PendingStatement {
@@ -96,7 +98,7 @@
 
 /**
  * Runs a statement through its group's owner. Statements that have not run, and reads outside
- * transactions, are resent until `startByMs`; all others are sent once.
+ * transactions, are resent until `startByMs`, or until the entry starts nothing more; all others are sent once.
  *
  * @param transactionOwner the owner that holds the transaction, for statements after its first
  */
@@ -108,13 +110,14 @@
   deadlines: StatementDeadlines,
 ): Promise<RunResult> {
   const hasTransactionOwner = draft.transaction !== null && !draft.transaction.isFirst;
+  // The entry may begin to stop while the statement waits.
+  const startByMs = () => Math.min(deadlines.startByMs, client.options.lastStartMs());
   for (;;) {
-    const port = hasTransactionOwner
-      ? transactionOwner
-      : await awaitPort(client, group, deadlines.startByMs);
+    const port = hasTransactionOwner ? transactionOwner : await awaitPort(client, group, startByMs);
     if (!port) return { outcome: notRun('no-owner'), port: undefined };
-    const outcome = await sendOnce(client, port, draft, deadlines);
-    const isTooLateToStart = performance.now() >= deadlines.startByMs;
+    const { deadlineMs } = deadlines;
+    const outcome = await sendOnce(client, port, draft, { deadlineMs, startByMs: startByMs() });
+    const isTooLateToStart = performance.now() >= startByMs();
     if (outcome === 'not-sent') {
       if (hasTransactionOwner) return { outcome: aborted(), port };
       if (isTooLateToStart) return { outcome: notRun('no-owner'), port };
@@ -246,12 +249,12 @@
 async function awaitPort(
   client: OwnerClient,
   group: GroupName,
-  deadlineMs: number,
+  untilMs: () => number,
 ): Promise<OwnerPort | undefined> {
   for (;;) {
     const port = findPort(client, group);
     if (port) return port;
-    if (performance.now() >= deadlineMs) return undefined;
+    if (performance.now() >= untilMs()) return undefined;
     await delay(OWNER_POLL_INTERVAL_MS);
   }
 }
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -25,7 +25,12 @@
 import { type Counters, type LinkPeer, listenForLinks, type Log } from '@bramleykeel/link';
 import { checkSessionStart, isKeyWithdrawn } from './accept/access.js';
 import { closeSession, isIdle } from './accept/session.js';
-import { drainSessions, stopPhaseAt, type StopSchedule } from './accept/session-drain.js';
+import {
+  drainSessions,
+  lastStartOf,
+  stopPhaseAt,
+  type StopSchedule,
+} from './accept/session-drain.js';
 import {
   type CallerSession,
   createSession,
@@ -240,6 +245,7 @@
       links.linkTo(linkAddress)?.notify('statement/rollback', [group, epoch, transaction]);
     },
     requestResource,
+    lastStartMs: () => (stopSchedule ? lastStartOf(stopSchedule) : Number.POSITIVE_INFINITY),
   });
   const region = options.regionOf(options.zone);
   const readerOf = (group: GroupName) => readerResource(group, region);
