Carry session values between entries as a list, so that __proto__ keeps its name

Cause: values travelled as a CBOR map, and decoding one into an object renames that key.

Ruled out: the session and the pooled connection, which copy values as own properties (connection-setup.test 'a value that is named __proto__' passed before).

Change: links carry values as name-value pairs.

Test: link-codec.test 'keeps a value that is named __proto__' failed before (the name was '__proto_').

--- a/packages/statement-entry/src/target/connection-setup.test.ts
+++ b/packages/statement-entry/src/target/connection-setup.test.ts
@@ -63,6 +63,12 @@
       needs: requirements({}),
       expected: ['reset'],
     },
+    {
+      name: 'a value that is named __proto__',
+      has: setupState(),
+      needs: requirements({ ['__proto__']: '1' }),
+      expected: ['set'],
+    },
     {
       name: 'a reset for a session without values',
       has: setupState({ z: '9' }),
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -52,6 +52,16 @@
     expect(decodeStatement(encoded)).toEqual({ group, epoch: 9, request });
   });
 
+  // Guards against PINNED: a value of this name reached servers under another one.
+  it('keeps a value that is named __proto__', () => {
+    const request = { ...plain, values: { unit: 'mm', ['__proto__']: 'a b' } };
+    const encoded = roundTrip<EncodedStatement>(encodeStatement(group, 9, request));
+    expect(Object.entries(decodeStatement(encoded).request.values)).toEqual([
+      ['unit', 'mm'],
+      ['__proto__', 'a b'],
+    ]);
+  });
+
   it.each<StatementOutcome>([
     { kind: 'done', rows: [], signature: '-', position: null, isFromReplica: false },
     {
--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -13,6 +13,9 @@
 
 type EncodedBody = string | readonly ['read' | 'write', string, string];
 
+/** A list, because CBOR maps do not keep every name: `__proto__` is renamed when an object is decoded. */
+type EncodedValues = readonly (readonly [name: string, value: string])[];
+
 export type EncodedStatement = readonly [
   group: GroupName,
   epoch: number,
@@ -26,7 +29,7 @@
   consistency: ReadConsistency,
   maxReadAgeMs: number,
   mark: EncodedPosition,
-  values: Readonly<Record<string, string>> | null,
+  values: EncodedValues | null,
   budgetMs: number,
   startWithinMs: number,
 ];
@@ -53,7 +56,7 @@
     request.consistency,
     request.maxReadAgeMs,
     encodePosition(request.mark),
-    Object.keys(values).length > 0 ? values : null,
+    Object.keys(values).length > 0 ? Object.entries(values) : null,
     Math.round(request.budgetMs),
     Math.round(request.startWithinMs),
   ];
@@ -82,7 +85,7 @@
     consistency,
     maxReadAgeMs,
     mark: decodePosition(mark),
-    values: values ?? {},
+    values: Object.fromEntries(values ?? []),
     budgetMs,
     startWithinMs,
   };
