Record which primary the replicas have caught up with, for the next owner

Callers would have seen: a commit that was answered as done is gone after a change of owner and of primary (LOST).

Cause: an owner knows what a new primary alone has until a replica has received it, but kept that in memory. The next owner took the replicas on record to hold everything together and promoted the longest log among them.

With a primary that is only dark, a test of the owner loses the commit although the primary returns.

Ruled out: departures of replicas, which are on record until they are covered.

Change: the owner records the covered term with the places of the servers. Without that record, or with an unresolved promotion, the next owner starts with a gap and needs the former primary, or its end.

In 'a new owner that finds no primary' the replicas are checked before the owner is replaced, as an owner does each 250 ms; without it these tests would wait for the primary, which the new test demands.

--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -79,9 +79,10 @@
       const servers = record.servers.filter((known) => known !== server);
       return putGroup(state, index, { ...record, servers });
     })
-    .with({ kind: 'group/places' }, ({ group, ownerEpoch, places }) => {
+    .with({ kind: 'group/places' }, ({ group, ownerEpoch, places, coveredTerm }) => {
       const rejection = checkOwnerEpoch(state, group, ownerEpoch);
-      return rejection ?? putGroup(state, index, { ...groupRecordOf(state, group), places });
+      const record = groupRecordOf(state, group);
+      return rejection ?? putGroup(state, index, { ...record, places, coveredTerm });
     })
     .with({ kind: 'primary/propose' }, (propose) => applyPrimaryProposal(state, index, propose))
     .with({ kind: 'primary/commit' }, (commit) => applyPrimaryCommit(state, index, commit))
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -49,6 +49,8 @@
   readonly proposedTerm: number;
   /** Places of the servers as last stored by an owner, for owners without announcements yet. */
   readonly places?: readonly ServerPlace[];
+  /** The last term of whose primary the replicas among `places` are known to have all commits with which it started. */
+  readonly coveredTerm?: number | undefined;
 }
 
 /** A complete settings document submitted by operators. The highest version is in force. */
@@ -96,6 +98,7 @@
       readonly group: GroupName;
       readonly ownerEpoch: number;
       readonly places: readonly ServerPlace[];
+      readonly coveredTerm?: number | undefined;
     }
   | {
       readonly kind: 'primary/propose';
--- a/packages/core/src/control-state/views.ts
+++ b/packages/core/src/control-state/views.ts
@@ -83,6 +83,16 @@
   return { group, servers: [], primary: undefined, term: 0, proposedTerm: 0 };
 }
 
+/** Whether the replicas on record have all commits with which the primary on record started to lead. */
+export function isPrimaryCovered({
+  primary,
+  term,
+  proposedTerm,
+  coveredTerm,
+}: GroupRecord): boolean {
+  return primary !== undefined && proposedTerm === term && coveredTerm === term;
+}
+
 export function listGroups(store: RecordStore): GroupRecord[] {
   const found: GroupRecord[] = [];
   for (const { record } of store.records.values()) {
--- a/packages/core/src/promotion/acknowledged-commits.test.ts
+++ b/packages/core/src/promotion/acknowledged-commits.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { toServerName } from '../types/ids.js';
-import { latestPosition, type LogPosition } from '../types/position.js';
+import { comparePositions, latestPosition, type LogPosition } from '../types/position.js';
 import { chooseSuccessor, type FencedServer, mayAcknowledge } from './choose-successor.js';
 import {
   createCoverage,
@@ -15,7 +15,8 @@
 /**
  * A group of servers and its owners under random orders of events: commits, replication, servers that go dark, fall deaf,
  * leave, restart without their log or are added, owners that are replaced, changes of primary in single steps, and answers
- * that arrive late. Checked at each promotion: every commit that a caller has as done is in the log of the successor.
+ * that arrive late. Checked at each promotion: every commit that a caller has as done is in the log of the successor, or in no
+ * log any more if the owner takes it for lost.
  */
 
 interface Server {
@@ -38,6 +39,14 @@
   readonly position: LogPosition;
 }
 
+interface Successor {
+  readonly server: Server;
+  /** The shortest log among the servers that were chosen in this change, whose promotion may still be carried out. */
+  readonly position: LogPosition;
+  /** Whether the owner takes it that commits which it lacks are lost for good. */
+  readonly othersAreLost: boolean;
+}
+
 interface Owner {
   readonly epoch: number;
   /** The servers that it knows, including those that have left without its knowledge. */
@@ -47,7 +56,7 @@
   leader: Server | undefined;
   former: Server | undefined;
   demoted: Set<Server>;
-  chosen: { readonly server: Server; readonly position: LogPosition } | undefined;
+  chosen: Successor | undefined;
   inherited: LogPosition | undefined;
   leadership: number;
 }
@@ -74,6 +83,7 @@
   let nextCommit = 1;
   let nextProcess = 1;
   let promotionCount = 0;
+  let doneCount = 0;
   let epochCount = 0;
   const answers: Answer[] = [];
   const done = new Set<number>();
@@ -82,6 +92,8 @@
   let recorded = new Map<string, Server>();
   let primary: Server | undefined;
   let recordedPrimary: Server | undefined;
+  /** The primary on record, once replicas are recorded to have all commits with which it started. */
+  let coveredPrimary: Server | undefined;
   let owner: Owner;
 
   const addServer = (name: string): Server => {
@@ -108,7 +120,7 @@
     const started: Owner = {
       epoch: epochCount,
       servers: new Map(recorded),
-      coverage: createCoverage(),
+      coverage: createCoverage(coveredPrimary !== undefined && coveredPrimary === recordedPrimary),
       ...{ acknowledged: undefined, leader: undefined, former: undefined },
       ...{ demoted: new Set<Server>(), chosen: undefined, inherited: undefined, leadership: 0 },
     };
@@ -134,6 +146,7 @@
   function record(): void {
     if (!owner.leader) return;
     recorded = new Map(owner.servers);
+    if (!hasUncoveredCommits(owner.coverage)) coveredPrimary = owner.leader;
     for (const { place } of owner.coverage.gaps) if (place) recorded.set(place.name, place);
   }
 
@@ -171,15 +184,17 @@
     if (!mayAcknowledge({ holdsLease: true, isFromPrimary, position, successorPosition })) return;
     if (owner.acknowledged) owner.acknowledged = latestPosition(owner.acknowledged, position);
     done.add(answer.commit);
+    doneCount += 1;
   }
 
-  function lead(server: Server): void {
+  function lead(server: Server, isNewTerm: boolean): void {
     owner.leader = server;
     owner.leadership += 1;
     owner.inherited = owner.chosen?.position;
     Object.assign(owner, { former: undefined, chosen: undefined, demoted: new Set() });
     owner.acknowledged = endOf(server);
     recordedPrimary = server;
+    if (isNewTerm) coveredPrimary = undefined;
     recordPrimaryStart(owner.coverage, endOf(server), nowMs);
     for (const other of servers) other.isHeld = false;
   }
@@ -188,7 +203,7 @@
     if (owner.leader || !primary || !isReachable(primary)) return;
     if (owner.servers.get(primary.name) !== primary) return;
     if (owner.former || owner.chosen || owner.demoted.size > 0) return;
-    lead(primary);
+    lead(primary, false);
   }
 
   function startChange(): void {
@@ -202,7 +217,8 @@
   }
 
   function fenceAndChoose(isPlanned: boolean): void {
-    if (owner.leader || owner.chosen) return;
+    const { chosen } = owner;
+    if (owner.leader || (chosen && isAlive(chosen.server))) return;
     const reached = [...owner.servers.values()].filter(isReachable);
     const leads = primary !== undefined && reached.includes(primary);
     const plans = isPlanned && leads && running.length === 0 && answers.length === 0;
@@ -229,14 +245,18 @@
       isPlanned: plans,
     });
     const server = choice.kind === 'promote' ? owner.servers.get(choice.server) : undefined;
-    // Nobody may have the missing commits any more, so that this choice is allowed to lose them.
-    if (choice.kind !== 'promote' || choice.ground === 'others-are-lost' || !server) return;
-    owner.chosen = { server, position: choice.position };
+    if (choice.kind !== 'promote' || !server) return;
+    const isShorter = !chosen || comparePositions(choice.position, chosen.position) < 0;
+    const { position } = isShorter ? choice : chosen;
+    owner.chosen = { server, position, othersAreLost: choice.ground === 'others-are-lost' };
   }
 
   function promote(): void {
     if (!owner.chosen || !isReachable(owner.chosen.server)) return;
-    const { server } = owner.chosen;
+    const { server, othersAreLost } = owner.chosen;
+    for (const id of done) {
+      if (othersAreLost && !servers.some(({ log }) => log.includes(id))) done.delete(id);
+    }
     const lost = [...done].filter((each) => !server.log.includes(each));
     expect(lost, `seed ${seed}: ${server.name} is promoted without commits`).toEqual([]);
     promotionCount += 1;
@@ -245,7 +265,7 @@
     running.length = 0;
     for (const other of servers)
       if (other !== server) other.log = other.log.filter((id) => server.log.includes(id));
-    lead(server);
+    lead(server, true);
   }
 
   function check(): void {
@@ -259,15 +279,18 @@
     }
   }
 
-  function endServer(isRestarted: boolean): void {
-    const server = pick(servers.filter((each) => each !== primary && !each.isDark));
-    if (!server) return;
+  /** A server ends with its log; another process starts under its name, or a new server joins. */
+  function endServer(server: Server | undefined, isRestarted: boolean): void {
+    if (!server || server.isDark) return;
     servers.splice(servers.indexOf(server), 1);
+    if (server === primary) primary = undefined;
     const next = addServer(isRestarted ? server.name : `s${nextProcess}`);
     if (!isRestarted) removeServer(owner, server);
     announce(owner, next);
   }
 
+  const pickReplica = () => pick(servers.filter((each) => each !== primary && !each.isDark));
+
   const events: readonly (readonly [weight: number, event: () => void])[] = [
     [12, commit],
     [14, replicate],
@@ -297,13 +320,27 @@
     [
       1,
       () => {
-        endServer(true);
+        endServer(pickReplica(), true);
+      },
+    ],
+    [
+      1,
+      () => {
+        endServer(pickReplica(), false);
+      },
+    ],
+    [
+      1,
+      () => {
+        endServer(primary, random() < 0.5);
       },
     ],
     [
       1,
       () => {
-        endServer(false);
+        // Servers that have ended count as lost for good after a long silence.
+        for (const server of owner.servers.values())
+          if (!isAlive(server)) removeServer(owner, server);
       },
     ],
     [2, startChange],
@@ -335,7 +372,7 @@
     const event = events.find(([weight]) => (left -= weight) < 0);
     event?.[1]();
   }
-  return { promotionCount, doneCount: done.size };
+  return { promotionCount, doneCount };
 }
 
 const SEEDS = Number(process.env.SEEDS ?? 1_000);
--- a/packages/core/src/promotion/choose-successor.ts
+++ b/packages/core/src/promotion/choose-successor.ts
@@ -10,7 +10,8 @@
  *    - or the end of the longest log among all replicas that may have received a commit that no other one has. None of
  *      these may still acknowledge commits: each has to be fenced.
  * 2. A replica that left, restarted or was removed still counts among them, until another one is known to have
- *    received what it had (`Coverage`). So does one that the owner cannot reach.
+ *    received what it had (`Coverage`). So does one that the owner cannot reach, and what a primary had at its start until
+ *    a replica is known to have it; the owner records that, because the next one cannot tell.
  * 3. Once a successor is chosen, the owner passes on no acknowledgement of a commit that the successor lacks, and
  *    without its lease none at all (`mayAcknowledge`).
  *
--- a/packages/core/src/promotion/coverage.test.ts
+++ b/packages/core/src/promotion/coverage.test.ts
@@ -96,13 +96,13 @@
       isUncovered: false,
     },
   ])('$name: uncovered $isUncovered', ({ steps, isUncovered }) => {
-    const coverage = createCoverage<string>();
+    const coverage = createCoverage<string>(true);
     for (const step of steps) step(coverage);
     expect(hasUncoveredCommits(coverage)).toBe(isUncovered);
   });
 
   it('asks for the position of the primary and names the replicas that are gone', () => {
-    const coverage = createCoverage<string>();
+    const coverage = createCoverage<string>(true);
     leaves('a', 0)(coverage);
     expect(needsPrimaryPosition(coverage)).toBe(true);
     primaryReports(50, 1_000)(coverage);
--- a/packages/core/src/promotion/coverage.ts
+++ b/packages/core/src/promotion/coverage.ts
@@ -7,7 +7,7 @@
 
 /** Something that left commits behind which the present replicas may lack. */
 interface Gap<Place> {
-  /** The replica that is gone; `undefined` for what a new primary had at its start. */
+  /** The replica that is gone; `undefined` for what a primary had at its start. */
   readonly place: Place | undefined;
   readonly sinceMs: number;
   /** The commits end here at the latest; `undefined` until the primary has reported its position since. */
@@ -22,9 +22,16 @@
 /** A server that is about to exit may acknowledge commits for this long after its notice, in milliseconds. */
 const EXIT_MARGIN_MS = 1_000;
 
-/** Creates the state of an owner that starts; what replicas hold becomes known once it has a primary. */
-export function createCoverage<Place>(): Coverage<Place> {
-  return { gaps: [] };
+/**
+ * Creates the state of an owner that starts.
+ *
+ * @param isCovered whether a former owner has recorded that the replicas have all commits with which the present primary
+ * started to lead; otherwise only that primary may have some of them
+ */
+export function createCoverage<Place>(isCovered: boolean): Coverage<Place> {
+  if (isCovered) return { gaps: [] };
+  const sinceMs = Number.NEGATIVE_INFINITY;
+  return { gaps: [{ place: undefined, sinceMs, end: undefined, endKnownMs: Number.NaN }] };
 }
 
 /** Records that a replica is gone, with its log. */
--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -252,12 +252,13 @@
 });
 
 describe('a new owner that finds no primary', () => {
-  beforeEach(() => {
+  beforeEach(async () => {
     acknowledgeAt(near, far, 50);
     const leaving = serverState(near);
     leaving.announcement = { ...leaving.announcement, isLeaving: true };
-    recordServerPlaces(owner);
     Object.assign(fake.record, { primary: primary.name, term: 3, proposedTerm: 3 });
+    await checkReplicas(owner);
+    recordServerPlaces(owner);
     closeStatementOwner(owner);
     primary.reachability = 'dark';
   });
@@ -286,6 +287,18 @@
     expect(promotedServers()).toEqual([]);
   }, 15_000);
 
+  // Guards against LOST: the replicas were taken to have all commits, though the primary was promoted for those it alone had.
+  it('waits for the primary if replicas are not known to have what it started with', async () => {
+    Object.assign(fake.record, { term: 4, proposedTerm: 4 });
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    await delay(5_000);
+    expect(promotedServers()).toEqual([]);
+    primary.reachability = 'up';
+    await until(() => owner.leadership.kind === 'led');
+    expect(owner.leadership).toMatchObject({ server: primary.name });
+    expect(promotedServers()).toEqual([]);
+  }, 15_000);
+
   it('promotes the longest log once all replicas are fenced', async () => {
     owner = startStatementOwner(owner.group, 2, owner.environment);
     await delay(3_500);
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -9,6 +9,7 @@
   type FairQueue,
   type FormerHolder,
   type GroupName,
+  isPrimaryCovered,
   type GroupRecord,
   type LogPosition,
   type AcknowledgedPositions,
@@ -195,6 +196,8 @@
   replicasCheckedMs: number;
   /** When the servers' addresses were last proposed to control. */
   placesRecordedMs: number;
+  /** The covered term that was last proposed to control with them. */
+  proposedCoveredTerm: number | undefined;
   /** Writes and commits whose answers were recently overdue. */
   stalledCommits: { readonly server: ServerState; readonly atMs: number }[];
   timers: NodeJS.Timeout[];
@@ -220,7 +223,7 @@
       maxConnections: (server) => maxOwnerConnections(owner, server),
     },
     servers: new Map(),
-    coverage: createCoverage(),
+    coverage: createCoverage(isPrimaryCovered(environment.groupRecord())),
     queues: new Map(),
     pinnedWaiting: [],
     transactions: new Map(),
@@ -237,6 +240,7 @@
     lastPromotionMs: Number.NEGATIVE_INFINITY,
     replicasCheckedMs: Number.NEGATIVE_INFINITY,
     placesRecordedMs: Number.NEGATIVE_INFINITY,
+    proposedCoveredTerm: undefined,
     stalledCommits: [],
     timers: [],
   };
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -10,6 +10,7 @@
 import type { StatementOwner } from './owner-state.js';
 import { recordServerPlaces } from './server-places.js';
 import { takeOver } from './take-over.js';
+import { checkReplicas } from './watch-replicas.js';
 
 describe('an owner that has received no announcement', () => {
   let fake: FakeGroup;
@@ -129,6 +130,22 @@
     expect(fake.record.places?.[0]?.zone).toBe('elsewhere');
   });
 
+  // Guards against LOST: the next owner took the replicas to have what only the primary had.
+  it('say at once that replicas have what the primary started with', async () => {
+    Object.assign(fake.record, { primary: 'i-0', term: 4, proposedTerm: 4 });
+    const coveredTerms = () =>
+      fake.commands.flatMap((command) => {
+        return command.kind === 'group/places' ? [command.coveredTerm] : [];
+      });
+    await takeOver(fake.owner);
+    recordServerPlaces(fake.owner);
+    expect(coveredTerms()).toEqual([undefined]);
+    await checkReplicas(fake.owner);
+    recordServerPlaces(fake.owner);
+    recordServerPlaces(fake.owner);
+    expect(coveredTerms()).toEqual([undefined, 4]);
+  });
+
   it('include servers that are leaving, and those whose commits the others may lack', () => {
     const server = fake.owner.servers.get('i-2' as ServerName);
     if (server) server.announcement = { ...server.announcement, isLeaving: true };
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -3,7 +3,13 @@
  * members were lost has received no announcements, and without the record could not serve until the servers
  * announce themselves again.
  */
-import { type ServerAnnouncement, type ServerPlace, uncoveredPlaces } from '@bramleykeel/core';
+import {
+  type GroupRecord,
+  hasUncoveredCommits,
+  type ServerAnnouncement,
+  type ServerPlace,
+  uncoveredPlaces,
+} from '@bramleykeel/core';
 import { createServerState, type ServerState, type StatementOwner } from './owner-state.js';
 
 /**
@@ -48,19 +54,34 @@
 /**
  * Records the servers' addresses in control if they have changed. Servers that are leaving acknowledge commits until they
  * are gone, and those that are gone stay recorded while the others may lack their commits: an owner that finds no primary
- * has to know of them.
+ * has to know of them. For the same reason it is recorded, at once, when a replica has all that the primary started with.
  */
 export function recordServerPlaces(owner: StatementOwner): void {
   const nowMs = performance.now();
-  if (nowMs - owner.placesRecordedMs < MIN_RECORD_INTERVAL_MS) return;
   const { environment, group, epoch: ownerEpoch } = owner;
+  const record = environment.groupRecord();
+  const coveredTerm = coveredTermOf(owner, record);
+  const isNewlyCovered =
+    coveredTerm !== record.coveredTerm && coveredTerm !== owner.proposedCoveredTerm;
+  if (!isNewlyCovered && nowMs - owner.placesRecordedMs < MIN_RECORD_INTERVAL_MS) return;
   const present = [...owner.servers.values()].map(placeOf);
   const byName = new Map(
     [...present, ...uncoveredPlaces(owner.coverage)].map((place) => [place.server, place]),
   );
   const places = [...byName.values()].sort((left, right) => (left.server < right.server ? -1 : 1));
-  const recorded = environment.groupRecord().places ?? [];
-  if (places.length === 0 || JSON.stringify(places) === JSON.stringify(recorded)) return;
+  const isSame = JSON.stringify(places) === JSON.stringify(record.places ?? []);
+  if (places.length === 0 || (isSame && coveredTerm === record.coveredTerm)) return;
   owner.placesRecordedMs = nowMs;
-  void environment.propose({ kind: 'group/places', group, ownerEpoch, places });
+  owner.proposedCoveredTerm = coveredTerm;
+  void environment.propose({ kind: 'group/places', group, ownerEpoch, places, coveredTerm });
+}
+
+/** The term to record as covered; the one on record until that is known of the present primary. */
+function coveredTermOf(
+  { leadership, coverage }: StatementOwner,
+  { primary, term, proposedTerm, coveredTerm }: GroupRecord,
+): number | undefined {
+  const isOnRecord =
+    leadership.kind === 'led' && leadership.server === primary && proposedTerm === term;
+  return isOnRecord && !hasUncoveredCommits(coverage) ? term : coveredTerm;
 }
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -69,6 +69,7 @@
     proposedTerm: number;
     primary: ServerName | undefined;
     places?: readonly ServerPlace[];
+    coveredTerm?: number | undefined;
   };
   holdsLease: boolean;
   formerOwner: FormerHolder;
@@ -78,12 +79,14 @@
   readerReleases: boolean;
 }
 
+type FakeState = Omit<FakeGroup, 'owner'>;
+
 const group: GroupName = toGroupName('ledger');
 
 /** Creates an owner that knows `count` servers; the first one is the primary, in term 3. */
 export function createFakeGroup(count: number, epoch = 1): FakeGroup {
   const servers = Array.from({ length: count }, (_, index) => createFakeServer(index));
-  const fake: FakeGroup = {
+  const state: FakeState = {
     servers,
     commands: [],
     promotions: [],
@@ -93,12 +96,13 @@
     formerOwner: { epoch, heldForMs: 0, endedForMs: 0, hasReleased: false },
     readers: new Map(),
     readerReleases: true,
-    owner: createStatementOwner(
-      group,
-      epoch,
-      createEnvironment(() => fake),
-    ),
   };
+  const owner = createStatementOwner(
+    group,
+    epoch,
+    createEnvironment(() => state),
+  );
+  const fake: FakeGroup = Object.assign(state, { owner });
   const nowMs = performance.now();
   for (const [index, { name, role }] of servers.entries()) {
     const announcement = {
@@ -133,7 +137,7 @@
   };
 }
 
-function createEnvironment(fake: () => FakeGroup): OwnerEnvironment {
+function createEnvironment(fake: () => FakeState): OwnerEnvironment {
   return {
     entryId: 'entry-1',
     zone: 'zone-0',
@@ -160,7 +164,10 @@
     idleTransactionMs: () => 3_000,
     propose: (command) => {
       fake().commands.push(command);
-      if (command.kind === 'group/places') fake().record.places = command.places;
+      if (command.kind === 'group/places') {
+        const { places, coveredTerm } = command;
+        Object.assign(fake().record, { places, coveredTerm });
+      }
       if (command.kind === 'primary/propose') fake().record.proposedTerm = command.term;
       if (command.kind === 'primary/commit') {
         Object.assign(fake().record, { term: command.term, primary: command.server });
