--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -61,6 +61,16 @@
   return fake.promotions.map(({ server }) => server);
 }
 
+/** The group promotes nobody while its primary is dark, and the primary leads on once it is back. */
+async function expectWaitForPrimary(durationMs: number): Promise<void> {
+  await delay(durationMs);
+  expect(promotedServers()).toEqual([]);
+  primary.reachability = 'up';
+  await until(() => owner.leadership.kind === 'led');
+  expect(owner.leadership).toMatchObject({ server: primary.name });
+  expect(promotedServers()).toEqual([]);
+}
+
 async function until(condition: () => boolean): Promise<void> {
   const untilMs = performance.now() + 3_000;
   while (!condition() && performance.now() < untilMs) await delay(5);
@@ -100,12 +110,7 @@
     end();
     primary.reachability = 'dark';
     void changePrimary(owner, 'the primary does not answer', false);
-    await delay(1_200);
-    expect(promotedServers()).toEqual([]);
-    primary.reachability = 'up';
-    await until(() => owner.leadership.kind === 'led');
-    expect(owner.leadership).toMatchObject({ server: primary.name });
-    expect(promotedServers()).toEqual([]);
+    await expectWaitForPrimary(1_200);
   });
 
   it('and waits for nothing once the other replica has them too', async () => {
@@ -279,24 +284,14 @@
     owner = startStatementOwner(owner.group, 2, owner.environment);
     const { announcement } = serverState(near);
     applyServerAnnouncement(owner, { ...announcement, bornMs: 2, sequence: 1 });
-    await delay(5_000);
-    expect(promotedServers()).toEqual([]);
-    primary.reachability = 'up';
-    await until(() => owner.leadership.kind === 'led');
-    expect(owner.leadership).toMatchObject({ server: primary.name });
-    expect(promotedServers()).toEqual([]);
+    await expectWaitForPrimary(5_000);
   }, 15_000);
 
   // Guards against LOST: the replicas were taken to have all commits, though the primary was promoted for those it alone had.
   it('waits for the primary if replicas are not known to have what it started with', async () => {
     Object.assign(fake.record, { term: 4, proposedTerm: 4 });
     owner = startStatementOwner(owner.group, 2, owner.environment);
-    await delay(5_000);
-    expect(promotedServers()).toEqual([]);
-    primary.reachability = 'up';
-    await until(() => owner.leadership.kind === 'led');
-    expect(owner.leadership).toMatchObject({ server: primary.name });
-    expect(promotedServers()).toEqual([]);
+    await expectWaitForPrimary(5_000);
   }, 15_000);
 
   it('promotes the longest log once all replicas are fenced', async () => {
