Add evacuations of zones to the control state

Operators need to order that nothing is sent to the targets of a zone. The order has no version, so a delayed message could undo a later one.

Record evacuations/ZONE (kind evacuation, with zone and time of the order) and the commands evacuation/order and evacuation/withdraw, which name the log index at which the state of the zone last changed and are superseded if it has changed since.

Without the check of the index the table and both random tests fail.

--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -1,6 +1,7 @@
 /** Replicated state machine of control: a reducer over committed commands. */
 import { match } from 'ts-pattern';
 import { checkSetting, isInSubtree } from '../settings/paths.js';
+import { applyEvacuationChange } from '../placement/evacuations.js';
 import type { GroupName } from '../types/ids.js';
 import type {
   ApplyResult,
@@ -65,6 +66,9 @@
     .returnType<ApplyResult>()
     .with({ kind: 'settings/apply' }, (apply) => applySettingsOnce(state, index, apply))
     .with({ kind: 'document/put' }, (put) => applyDocumentPut(state, index, put))
+    .with({ kind: 'evacuation/order' }, { kind: 'evacuation/withdraw' }, (change) =>
+      applyEvacuationChange(state.records, index, change),
+    )
     .with({ kind: 'owner/assign' }, (assign) => applyAssignment(state, index, assign))
     .with({ kind: 'group/observe' }, ({ group, server }) => {
       const record = groupRecordOf(state, group);
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -60,11 +60,19 @@
   readonly body: Uint8Array;
 }
 
+/** An order of operators that nothing is sent to the targets of a zone. */
+export interface Evacuation {
+  readonly zone: string;
+  /** Wall-clock time of the order, shown to operators. */
+  readonly orderedAtMs: number;
+}
+
 export type ControlRecord =
   | { readonly kind: 'setting'; readonly path: string; readonly value: SettingValue }
   | { readonly kind: 'assignment'; readonly assignment: Assignment }
   | { readonly kind: 'group'; readonly record: GroupRecord }
   | { readonly kind: 'document'; readonly document: SettingsDocument }
+  | { readonly kind: 'evacuation'; readonly evacuation: Evacuation }
   | { readonly kind: 'removed' };
 
 export interface StoredRecord {
@@ -90,6 +98,14 @@
       readonly wallClockMs: number;
     }
   | { readonly kind: 'document/put'; readonly document: SettingsDocument }
+  | {
+      readonly kind: 'evacuation/order';
+      readonly zone: string;
+      /** Log index at which the zone's state last changed, as known to the proposer. */
+      readonly expectedIndex: number;
+      readonly wallClockMs: number;
+    }
+  | { readonly kind: 'evacuation/withdraw'; readonly zone: string; readonly expectedIndex: number }
   | { readonly kind: 'owner/assign'; readonly assignment: Assignment }
   | { readonly kind: 'group/observe'; readonly group: GroupName; readonly server: ServerName }
   | { readonly kind: 'group/forget'; readonly group: GroupName; readonly server: ServerName }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from './control-state/document-change.js';
 export * from './control-state/record-pushes.js';
 export * from './control-state/views.js';
+export * from './placement/evacuations.js';
 export * from './settings/paths.js';
 export * from './settings/daemon-settings.js';
 export * from './lease/entry-leases.js';
