Let evacuation calls that change nothing supersede earlier messages

An order that is acknowledged again left the index of the zone as it was. A withdrawal that was proposed before it, and whose caller had given up, could then still be applied and undo the acknowledged order.

Each accepted order or withdrawal now updates the index. The record, and so the time of the order, stays as it is.

Verified: vitest on packages/core/src/placement and control-state (39 passed); four of the new tests fail on the code before.

--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -101,7 +101,7 @@
   | {
       readonly kind: 'evacuation/order';
       readonly zone: string;
-      /** Log index at which the zone's state last changed, as known to the proposer. */
+      /** Log index of the last order or withdrawal of the zone, as known to the proposer; 0 if there was none. */
       readonly expectedIndex: number;
       readonly wallClockMs: number;
     }
--- a/packages/core/src/placement/evacuations.ts
+++ b/packages/core/src/placement/evacuations.ts
@@ -2,6 +2,7 @@
 import type {
   ApplyResult,
   ControlCommand,
+  ControlRecord,
   Evacuation,
   StoredRecord,
 } from '../control-state/types.js';
@@ -45,8 +46,8 @@
 }
 
 /**
- * Log index at which the evacuation of a zone was last ordered or withdrawn; 0 if it never was. A change is
- * accepted only if it names this index.
+ * Log index of the last order or withdrawal of a zone; 0 if there was none. A change is accepted only if it names
+ * this index.
  *
  * @example
  * const expectedIndex = evacuationIndexOf(control, 'ub-a');
@@ -57,9 +58,10 @@
 }
 
 /**
- * Applies a committed order or withdrawal. A command that was proposed before the last change of the zone is
+ * Applies a committed order or withdrawal. A command that was proposed before the last one of the zone is
  * superseded, so that a delayed message cannot undo a later call. A command that asks for the present state is
- * accepted and leaves the record and its index as they are.
+ * accepted as well and keeps the time of the order; only the index is updated, because delayed messages that were
+ * proposed before this call must not undo it either.
  *
  * @param index log index of the command
  */
@@ -73,14 +75,18 @@
   if (changedIndex !== expectedIndex) {
     return { kind: 'superseded', reason: `the evacuation of ${zone} changed at ${changedIndex}` };
   }
-  const key = evacuationKey(zone);
-  const isEvacuated = records.get(key)?.record.kind === 'evacuation';
-  const isOrder = command.kind === 'evacuation/order';
-  if (isEvacuated === isOrder) return { kind: 'done' };
-  // The record of a withdrawn order stays as removed: its index rejects delayed orders.
-  const record = isOrder
-    ? { kind: 'evacuation' as const, evacuation: { zone, orderedAtMs: command.wallClockMs } }
-    : { kind: 'removed' as const };
-  records.set(key, { record, modifiedIndex: index });
+  const record = recordAfter(records.get(evacuationKey(zone))?.record, command);
+  records.set(evacuationKey(zone), { record, modifiedIndex: index });
   return { kind: 'done' };
 }
+
+/** The record of a withdrawn order stays as removed: its index rejects delayed orders. */
+function recordAfter(
+  current: ControlRecord | undefined,
+  command: EvacuationCommand,
+): ControlRecord {
+  if (command.kind === 'evacuation/withdraw') return { kind: 'removed' };
+  if (current?.kind === 'evacuation') return current;
+  const { zone, wallClockMs } = command;
+  return { kind: 'evacuation', evacuation: { zone, orderedAtMs: wallClockMs } };
+}
