Order and withdraw evacuations over HTTP at any control member

Operators of the statement dialect had no call to evacuate a zone.

POST and DELETE /-/evacuations/ZONE order and withdraw, GET /-/evacuations lists. A member asks the leader for the index of the zone (evacuation/index), checks that the caller is still connected, and proposes the change with that index (evacuation/change); a superseded change starts again with a fresh index within 850 ms. A body, an unknown zone and other methods get 4xx with a text; 503 without a leader in time. The check of the connection waits three turns of the event loop, because a suspended process handles the answer of the leader before the end of the connection. Records reach entries with the existing pushes.

A test in entry-shared shows the records in the first copy, in pushes and after a lost link.

--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -25,6 +25,12 @@
 } from './leader/leader-service.js';
 import { type RecordsSource, recordsUpdateFor } from './leader/packed-records.js';
 import { putDocument, readDocument } from './document-calls.js';
+import {
+  changeEvacuation,
+  type EvacuationChange,
+  readEvacuationIndex,
+  readEvacuations,
+} from './evacuation-calls.js';
 import type { LogDriver } from './log-driver.js';
 import { addressesOf, handleJoin, type JoinRequest } from './member-join.js';
 
@@ -105,6 +111,13 @@
   body: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
 });
 
+const evacuationIndexSchema = z.object({ zone: nameSchema });
+const evacuationChangeSchema = z.object({
+  zone: nameSchema,
+  isOrdered: z.boolean(),
+  expectedIndex: z.int().nonnegative(),
+});
+
 /** Commands that owners may propose; settings are changed through operator calls only. */
 const OWNER_COMMANDS = new Set([
   'group/observe',
@@ -174,6 +187,20 @@
     const leader = app.leader();
     return leader ? readDocument(leader) : { kind: 'unavailable' };
   },
+  'evacuation/index': (app, _peer, params) => {
+    const { zone } = evacuationIndexSchema.parse(params);
+    const leader = app.leader();
+    return leader ? readEvacuationIndex(leader, zone) : { kind: 'unavailable' };
+  },
+  'evacuation/change': (app, _peer, params) => {
+    const change: EvacuationChange = evacuationChangeSchema.parse(params);
+    const leader = app.leader();
+    return leader ? changeEvacuation(leader, change) : { kind: 'unavailable' };
+  },
+  'evacuation/list': (app) => {
+    const leader = app.leader();
+    return leader ? readEvacuations(leader) : { kind: 'unavailable' };
+  },
   'operator/call': (app, _peer, params) => answerCallAsLeader(app, params),
 };
 
--- a/packages/entry-shared/src/control/record-pushes.test.ts
+++ b/packages/entry-shared/src/control/record-pushes.test.ts
@@ -7,6 +7,8 @@
   createControlState,
   documentOf,
   packDocument,
+  evacuatedZones,
+  evacuationIndexOf,
   unpackDocument,
 } from '@bramleykeel/core';
 import { beforeEach, describe, expect, it } from 'vitest';
@@ -90,3 +92,44 @@
     expect(copiedText()).toBe(textOf(40));
   });
 });
+
+describe('evacuations', () => {
+  const control = createControlState();
+  const cache = createDocumentCache(control);
+
+  function change(zone: string, isOrdered: boolean): void {
+    const expectedIndex = evacuationIndexOf(control, zone);
+    const index = control.appliedIndex + 1;
+    applyCommand(
+      control,
+      index,
+      isOrdered
+        ? { kind: 'evacuation/order', zone, expectedIndex, wallClockMs: 1_000 }
+        : { kind: 'evacuation/withdraw', zone, expectedIndex },
+    );
+  }
+
+  const pushTo = ({ knownIndex }: { knownIndex: number }) =>
+    createRecordsPush(cache, control, { knownIndex, documentIndex: undefined });
+
+  it('reach an entry with its first copy, with pushes and with the reply after a lost link', () => {
+    change('zone-a', true);
+    change('zone-b', true);
+    change('zone-b', false);
+    const copy = createRecordCopy();
+    applyPush(copy, pushTo({ knownIndex: 0 }));
+    expect([...evacuatedZones(copy)]).toEqual(['zone-a']);
+    change('zone-c', true);
+    applyPush(copy, pushTo(copy));
+    expect([...evacuatedZones(copy)]).toEqual(['zone-a', 'zone-c']);
+    // Pushes that are sent while the link is down are lost; the next reply starts at what the entry has.
+    change('zone-a', false);
+    const lost = pushTo(copy);
+    change('zone-b', true);
+    applyPush(copy, pushTo(copy));
+    expect([...evacuatedZones(copy)]).toEqual(['zone-b', 'zone-c']);
+    applyPush(copy, lost);
+    expect([...evacuatedZones(copy)]).toEqual(['zone-b', 'zone-c']);
+    expect(copy.knownIndex).toBe(control.appliedIndex);
+  });
+});
