Evacuate zones in the PostgreSQL dialect

Its operators had no call for it, and its owners knew no evacuated zones.

Operator calls evacuation/index, evacuation/order and evacuation/withdraw (the last two name the index, so that a delayed call cannot undo a later one), allowed to bootstrap and to operators with the subtree evacuations/ZONE; status/get lists the evacuations. bramleykeelctl has the commands evacuations and evacuate [--withdraw], and shows the list in status.

Owners start nothing at an evacuated target and open no connections there in advance. A primary there is drained and replaced by a server outside, if one is announced; the fence waits up to 600 ms for a server outside while the best server that has promised is inside, and the longest log still goes first. If every announced target is evacuated, requests are refused at once as no-primary. Transactions that are still open after 3 s are aborted.

--- a/packages/bramleykeelctl/src/format-status.ts
+++ b/packages/bramleykeelctl/src/format-status.ts
@@ -1,4 +1,5 @@
 /** Formats the system status as text. */
+import { describeEvacuations, formatEvacuation } from './evacuation-commands.js';
 
 interface ServerStatus {
   readonly server: string;
@@ -8,6 +9,8 @@
   readonly zone: string;
   readonly isLeaving: boolean;
   readonly heardMsAgo: number;
+  /** Number of statements that run at the server. */
+  readonly running: number;
 }
 
 interface OwnerStatus {
@@ -45,6 +48,9 @@
     readonly settingsRevision: number;
     readonly isStopping: boolean;
   }[];
+  /** Absent in the answer of members of earlier versions. */
+  readonly evacuations?:
+    readonly { readonly zone: string; readonly orderedAtMs: number }[] | undefined;
   readonly groups: readonly {
     readonly group: string;
     readonly primary?: string;
@@ -75,6 +81,7 @@
     lines.push(`  ${id}: log at ${matchIndex}, heard ${silentMs} ms ago${role}${note}`);
   }
   lines.push(`settings: revision ${status.settingsRevision}`);
+  for (const evacuation of describeEvacuations(status)) lines.push(...formatEvacuation(evacuation));
   for (const entry of status.entries) lines.push(formatEntry(status, entry));
   for (const group of status.groups) lines.push(...formatGroup(status, group));
   return lines.join('\n');
--- a/packages/control/src/admin/admin-http.ts
+++ b/packages/control/src/admin/admin-http.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { splitAddress } from '@bramleykeel/core';
 import { readJsonBody } from '@bramleykeel/link';
-import type { CallAnswer } from './operator-calls.js';
+import type { CallAnswer } from './call-answer.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
--- a/packages/control/src/admin/operator-calls.ts
+++ b/packages/control/src/admin/operator-calls.ts
@@ -6,6 +6,7 @@
   type ControlState,
   isSecretFor,
   listAssignments,
+  listEvacuations,
   listGroups,
   listSettings,
   type OperatorSetting,
@@ -15,6 +16,8 @@
 } from '@bramleykeel/core';
 import type { LinkPeer } from '@bramleykeel/link';
 import { z } from 'zod';
+import { type CallAnswer, failure } from './call-answer.js';
+import { handleEvacuationChange, handleEvacuationIndex } from './evacuation-operator-calls.js';
 import {
   confirmLeadership,
   describeEntries,
@@ -22,15 +25,6 @@
   type LeaderService,
 } from '../leader/leader-service.js';
 
-export type CallAnswer =
-  | { readonly kind: 'ok'; readonly result: unknown }
-  | {
-      readonly kind: 'error';
-      readonly code: 'bad-request' | 'denied' | 'conflict' | 'unavailable' | 'not-found';
-      readonly message: string;
-      readonly detail?: unknown;
-    };
-
 const callSchema = z.strictObject({
   method: z.string(),
   params: z.unknown(),
@@ -80,6 +74,12 @@
       return { kind: 'ok', result: service.driver.control().history };
     case 'status/get':
       return { kind: 'ok', result: await describeStatus(service) };
+    case 'evacuation/index':
+      return handleEvacuationIndex(service, params);
+    case 'evacuation/order':
+      return handleEvacuationChange(service, operator, params, true);
+    case 'evacuation/withdraw':
+      return handleEvacuationChange(service, operator, params, false);
     case 'server/forget':
       return handleForgetServer(service, operator, params);
     default:
@@ -87,14 +87,6 @@
   }
 }
 
-function failure(
-  code: Extract<CallAnswer, { kind: 'error' }>['code'],
-  message: string,
-  detail?: unknown,
-): CallAnswer {
-  return { kind: 'error', code, message, detail };
-}
-
 function findOperator(
   control: ControlState,
   bootstrapTokenSha256Hex: string,
@@ -213,6 +205,7 @@
     },
     settingsRevision: control.settingsRevision,
     entries: describeEntries(service),
+    evacuations: listEvacuations(control),
     groups: listGroups(control),
     assignments: listAssignments(control),
     reports,
--- a/packages/control/src/app.ts
+++ b/packages/control/src/app.ts
@@ -12,7 +12,8 @@
 } from '@bramleykeel/core';
 import { type LinkPeer, type Log, probeAddress } from '@bramleykeel/link';
 import { z } from 'zod';
-import { answerOperatorCall, type CallAnswer } from './admin/operator-calls.js';
+import type { CallAnswer } from './admin/call-answer.js';
+import { answerOperatorCall } from './admin/operator-calls.js';
 import {
   endEntry,
   type LeaderService,
--- a/packages/control/src/control-daemon.ts
+++ b/packages/control/src/control-daemon.ts
@@ -7,7 +7,7 @@
 } from '@bramleykeel/core';
 import { createCounters, createLog } from '@bramleykeel/link';
 import { listenForOperators } from './admin/admin-http.js';
-import type { CallAnswer } from './admin/operator-calls.js';
+import type { CallAnswer } from './admin/call-answer.js';
 import { startControlMember } from './control-member.js';
 import { initialDiskId, initializeFolder } from './storage/control-storage.js';
 
--- a/packages/core/src/failover/failover.ts
+++ b/packages/core/src/failover/failover.ts
@@ -25,6 +25,11 @@
  * after that it chooses one itself.
  */
 const ADOPTION_TIMEOUT_MS = 3_000;
+/**
+ * How long a fence waits, in milliseconds, for the promise of a server outside the evacuated zones while the best
+ * server that has promised is inside one; two resends of the fence command.
+ */
+const OUTSIDE_PROMISE_WAIT_MS = 600;
 
 /**
  * Creates the state from the record in control. A change that an earlier owner left unfinished is
@@ -79,7 +84,8 @@
       isResendDue(sentAtMs, context) ? proposeTerm(state, term, context) : [],
     )
     .with({ kind: 'fencing' }, (fencing) => {
-      if (!isResendDue(fencing.sentAtMs, context)) return [];
+      const effects = commitIfFenced(state, fencing, context);
+      if (effects.length > 0 || !isResendDue(fencing.sentAtMs, context)) return effects;
       state.phase = { ...fencing, sentAtMs: context.nowMs };
       return fenceAll(fencing.term, fencing.promises, context);
     })
@@ -126,7 +132,7 @@
   const primary = view.servers.get(record.primary)?.announcement;
   const hasLostRole = primary?.role === 'replica' && primary.term >= record.term;
   if (hasLostRole) return proposeTerm(state, record.term + 1, context);
-  if (primary?.isLeaving === true && findReplacements(context).length > 0) {
+  if (primary && mustBeReplaced(primary, context) && findReplacements(context).length > 0) {
     state.phase = { kind: 'draining', sinceMs: nowMs };
     return [];
   }
@@ -167,7 +173,7 @@
 ): FailoverEffect[] {
   const { record, view, nowMs, timing } = context;
   const primary = record.primary && view.servers.get(record.primary)?.announcement;
-  if (!primary?.isLeaving && !isPrimaryLost(state, context)) {
+  if (!isDrainDue(primary, context) && !isPrimaryLost(state, context)) {
     state.phase = { kind: 'steady' };
     return [];
   }
@@ -180,12 +186,39 @@
   return proposeTerm(state, record.term + 1, context);
 }
 
+/** Whether a planned change of primary goes on; it is given up if the reason for it has gone. */
+function isDrainDue(primary: Announcement | undefined, context: FailoverContext): boolean {
+  if (!primary || !mustBeReplaced(primary, context)) return false;
+  return primary.isLeaving || findReplacements(context).length > 0;
+}
+
+function mustBeReplaced(primary: Announcement, context: FailoverContext): boolean {
+  return primary.isLeaving || context.evacuatedZones.has(primary.zone);
+}
+
+/**
+ * Servers to which a planned change may move the primary: outside the evacuated zones, or anywhere if the primary is
+ * leaving and there is no server outside.
+ */
 function findReplacements(context: FailoverContext): Announcement[] {
-  const { record } = context;
-  return announcementsOf(context).filter(
+  const { record, view, evacuatedZones } = context;
+  const candidates = announcementsOf(context).filter(
     ({ server, isLeaving, term }) =>
       server !== record.primary && !isLeaving && term === record.term,
   );
+  if (evacuatedZones.size === 0) return candidates;
+  const outside = candidates.filter(({ server }) => isReachableOutside(server, context));
+  const primary = record.primary && view.servers.get(record.primary)?.announcement;
+  return outside.length === 0 && primary?.isLeaving === true ? candidates : outside;
+}
+
+function isReachableOutside(
+  server: ServerName,
+  { view, evacuatedZones, timing, nowMs }: FailoverContext,
+): boolean {
+  const known = view.servers.get(server);
+  if (!known || evacuatedZones.has(known.announcement.zone)) return false;
+  return nowMs - known.heardAtMs <= timing.staleAnnouncementMs;
 }
 
 function proposeTerm(
@@ -224,7 +257,8 @@
     state.phase = { kind: 'steady' };
     return [];
   }
-  state.phase = { kind: 'fencing', term, promises: new Map(), sentAtMs: context.nowMs };
+  const { nowMs } = context;
+  state.phase = { kind: 'fencing', term, promises: new Map(), sinceMs: nowMs, sentAtMs: nowMs };
   return fenceAll(term, new Map(), context);
 }
 
@@ -253,25 +287,52 @@
   const lostLogEnd = context.view.servers.get(promise.server)?.lostLogEnd;
   if (lostLogEnd && !coversMark(promise.position, lostLogEnd)) return [];
   const promises = new Map(phase.promises).set(promise.server, promise);
-  state.phase = { ...phase, promises };
+  const fencing = { ...phase, promises };
+  state.phase = fencing;
+  return commitIfFenced(state, fencing, context);
+}
+
+/** Chooses the next primary once a quorum has promised. */
+function commitIfFenced(
+  state: FailoverState,
+  fencing: Extract<FailoverPhase, { kind: 'fencing' }>,
+  context: FailoverContext,
+): FailoverEffect[] {
+  const { term, promises } = fencing;
   if (promises.size < writeQuorumSize(context.record.servers.length)) return [];
   const chosen = choosePrimary([...promises.values()], context);
-  if (!chosen) return [];
-  const { term } = phase;
+  if (!chosen || awaitsPromiseOutside(fencing, chosen, context)) return [];
   state.phase = { kind: 'committing', term, server: chosen, sentAtMs: context.nowMs };
   return [{ kind: 'commit', term, server: chosen }];
 }
 
+/** Whether a server outside the evacuated zones may still promise in time, while the best one so far is inside. */
+function awaitsPromiseOutside(
+  { promises, sinceMs }: Extract<FailoverPhase, { kind: 'fencing' }>,
+  chosen: ServerName,
+  context: FailoverContext,
+): boolean {
+  const { record, view, evacuatedZones, nowMs } = context;
+  const zone = view.servers.get(chosen)?.announcement.zone;
+  if (zone === undefined || !evacuatedZones.has(zone)) return false;
+  if (nowMs - sinceMs >= OUTSIDE_PROMISE_WAIT_MS) return false;
+  return record.servers.some(
+    (server) => !promises.has(server) && isReachableOutside(server, context),
+  );
+}
+
 /**
- * Prefers the longest log, then servers that are not leaving, then the lowest name, which makes the
- * choice deterministic.
+ * Prefers the longest log, then servers that are not leaving and outside the evacuated zones, then the
+ * lowest name, which makes the choice deterministic.
  */
 function choosePrimary(
   promises: readonly FencePromise[],
   context: FailoverContext,
 ): ServerName | undefined {
-  const leavingRank = (server: ServerName) =>
-    context.view.servers.get(server)?.announcement.isLeaving === true ? 1 : 0;
+  const leavingRank = (server: ServerName) => {
+    const announcement = context.view.servers.get(server)?.announcement;
+    return announcement && mustBeReplaced(announcement, context) ? 1 : 0;
+  };
   const ranked = [...promises].sort(
     (left, right) =>
       comparePositions(right.position, left.position) ||
--- a/packages/core/src/failover/types.ts
+++ b/packages/core/src/failover/types.ts
@@ -11,13 +11,14 @@
   /** No primary has been recorded yet; waits for a server to announce itself as one. */
   | { readonly kind: 'adopting'; readonly sinceMs: number }
   | { readonly kind: 'steady' }
-  /** The primary is leaving: it gets no new writes while a replica catches up. */
+  /** The primary is leaving or in an evacuated zone: it gets no new writes while a replica catches up. */
   | { readonly kind: 'draining'; readonly sinceMs: number }
   | { readonly kind: 'proposing'; readonly term: number; readonly sentAtMs: number }
   | {
       readonly kind: 'fencing';
       readonly term: number;
       readonly promises: ReadonlyMap<ServerName, FencePromise>;
+      readonly sinceMs: number;
       readonly sentAtMs: number;
     }
   | {
@@ -70,8 +71,10 @@
   readonly resendMs: number;
   /** A promoted server that has not announced itself as primary within this time is replaced. */
   readonly promoteTimeoutMs: number;
-  /** A leaving primary is replaced after this time even if no replica has caught up. */
+  /** A draining primary is replaced after this time even if no replica has caught up. */
   readonly drainTimeoutMs: number;
+  /** A server that has not announced itself for this long does not replace a primary in an evacuated zone. */
+  readonly staleAnnouncementMs: number;
 }
 
 export interface FailoverContext {
@@ -79,5 +82,6 @@
   readonly view: GroupView;
   readonly timing: FailoverTiming;
   readonly runningWrites: number;
+  readonly evacuatedZones: ReadonlySet<string>;
   readonly nowMs: number;
 }
--- a/packages/entry/src/owner/failover-runner.ts
+++ b/packages/entry/src/owner/failover-runner.ts
@@ -45,6 +45,7 @@
     resendMs: COMMAND_RESEND_INTERVAL_MS,
     promoteTimeoutMs: PROMOTE_TIMEOUT_MS,
     drainTimeoutMs: DRAIN_TIMEOUT_MS,
+    staleAnnouncementMs: owner.environment.settings.targets.staleAnnouncementMs,
   };
   const record = owner.environment.groupRecord();
   const primaryPool = record.primary && owner.pools.get(record.primary);
@@ -52,7 +53,9 @@
   // them too.
   const inUseCount = primaryPool ? primaryPool.inUse.size : 0;
   const runningWrites = inUseCount + owner.pendingAcknowledgements.size;
-  return { record, view: owner.view, timing, runningWrites, nowMs: performance.now() };
+  const evacuatedZones = owner.environment.evacuatedZones();
+  const nowMs = performance.now();
+  return { record, view: owner.view, timing, runningWrites, evacuatedZones, nowMs };
 }
 
 async function executeEffect(owner: GroupOwner, effect: FailoverEffect): Promise<void> {
--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -16,6 +16,7 @@
   warmPool,
 } from '../target/target-pool.js';
 import { evaluateAcknowledgements } from './acknowledge.js';
+import { abortEvacuatedTransactions, isEvacuated, trackEvacuations } from './evacuated-targets.js';
 import { advanceFailover, probePrimary } from './failover-runner.js';
 import { closeSession, endIdleTransactions, purgeExpiredRequestStatuses } from './owner-app.js';
 import { createGroupOwner, type GroupOwner, type OwnerEnvironment } from './owner-state.js';
@@ -33,6 +34,7 @@
   environment: OwnerEnvironment,
 ): GroupOwner {
   const owner = createGroupOwner(group, epoch, environment, { schedule, requeue });
+  trackEvacuations(owner);
   owner.timers = [
     setInterval(() => {
       if (waitingCount(owner.queue) === 0 && owner.pinnedWaiting.length === 0) return;
@@ -54,9 +56,10 @@
 function runPeriodicTasks(owner: GroupOwner): void {
   evaluateAcknowledgements(owner);
   checkSilentConnections(owner);
+  abortEvacuatedTransactions(owner);
   advanceFailover(owner, { kind: 'tick' });
   void probePrimary(owner);
-  for (const pool of owner.pools.values()) void warmPool(pool);
+  for (const [server, pool] of owner.pools) if (!isEvacuated(owner, server)) void warmPool(pool);
 }
 
 /** Processes an announcement from one of the group's servers. */
@@ -102,8 +105,9 @@
   void owner.environment.propose({ kind: 'group/observe', group: owner.group, server });
 }
 
-/** Re-evaluates pending work after control has changed the group's record or settings. */
+/** Re-evaluates pending work after control has changed the group's record, settings or evacuations. */
 export function handleRecordChange(owner: GroupOwner): void {
+  trackEvacuations(owner);
   const { term } = owner.environment.groupRecord();
   if (term > owner.lastHandledTerm) {
     owner.lastHandledTerm = term;
--- a/packages/entry/src/owner/owner-app.test.ts
+++ b/packages/entry/src/owner/owner-app.test.ts
@@ -52,6 +52,7 @@
       proposedTerm: 0,
     }),
     groupSetting: () => groupSchema.parse({}),
+    evacuatedZones: () => new Set<string>(),
     propose: () => Promise.resolve({ kind: 'done' as const }),
   };
   const scheduler = { schedule: () => undefined, requeue: () => undefined };
--- a/packages/entry/src/owner/owner-registry.ts
+++ b/packages/entry/src/owner/owner-registry.ts
@@ -14,6 +14,7 @@
   type ApplyResult,
   type ControlCommand,
   type EntrySettings,
+  evacuatedZones,
 } from '@bramleykeel/core';
 import { type Counters, createLog } from '@bramleykeel/link';
 import type { ControlClient } from '@bramleykeel/entry-shared';
@@ -44,6 +45,8 @@
    * Called after an owner is closed for a handover, with the sessions whose requests may still run.
    */
   readonly onHandedOver: (owner: GroupOwner, running: readonly SessionId[]) => void;
+  /** The evacuated zones as of the last change of records. */
+  evacuatedZones: ReadonlySet<string>;
 }
 
 const GROUP_RESOURCE = /^group\/(.+)$/;
@@ -56,11 +59,20 @@
   onHandedOver: OwnerRegistry['onHandedOver'],
 ): OwnerRegistry {
   const owners: OwnerRegistry['owners'] = new Map();
-  return { owners, closedOwners: new Set(), settings, control, counters, onHandedOver };
+  return {
+    owners,
+    closedOwners: new Set(),
+    settings,
+    control,
+    counters,
+    onHandedOver,
+    evacuatedZones: new Set(),
+  };
 }
 
 /** Starts owners for groups assigned to this entry and closes owners whose assignment has ended. */
 export function reconcileOwners(registry: OwnerRegistry): void {
+  registry.evacuatedZones = evacuatedZones(registry.control);
   const assigned = new Map<GroupName, number>();
   for (const { resource, incarnation, epoch } of listAssignments(registry.control)) {
     const name = GROUP_RESOURCE.exec(resource)?.[1];
@@ -96,6 +108,7 @@
     holdsLease: () => control.heldEpoch(`group/${group}`) === epoch,
     groupRecord: () => groupRecordOf(control, group),
     groupSetting: () => groupSetting(control, group),
+    evacuatedZones: () => registry.evacuatedZones,
     propose: (command) => propose(control, command),
   });
   registry.owners.set(group, owner);
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -41,6 +41,8 @@
   readonly holdsLease: () => boolean;
   readonly groupRecord: () => GroupRecord;
   readonly groupSetting: () => GroupSetting;
+  /** Zones to whose targets nothing may be sent. */
+  readonly evacuatedZones: () => ReadonlySet<string>;
   readonly propose: (command: ControlCommand) => Promise<ApplyResult>;
 }
 
@@ -141,6 +143,9 @@
   readonly revokedSessions: Map<SessionId, number>;
   /** The latest request of each session of which any byte may have reached a target. */
   readonly lastSentRequests: Map<SessionId, { readonly number: number; readonly atMs: number }>;
+  /** When this owner learnt of each evacuation in force. */
+  readonly evacuatedSinceMs: Map<string, number>;
+  readonly startedAtMs: number;
   readonly customerMarks: Map<CustomerName, LogPosition>;
   /**
    * A position at or past every write acknowledged by earlier owners. While unset, reads go to the
@@ -179,6 +184,8 @@
     sessions: new Map(),
     revokedSessions: new Map(),
     lastSentRequests: new Map(),
+    evacuatedSinceMs: new Map(),
+    startedAtMs: performance.now(),
     customerMarks: new Map(),
     baseMark: undefined,
     highestSeen: ZERO_POSITION,
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -20,6 +20,7 @@
   releaseConnection,
 } from '../target/target-pool.js';
 import { awaitAcknowledgement } from './acknowledge.js';
+import { isEvacuated } from './evacuated-targets.js';
 import { createAnswerFilter, filterAnswer } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession, RunningRequest } from './owner-state.js';
 import { endRequest, forwardBytes } from './request-end.js';
@@ -48,7 +49,8 @@
     abandonBeforeStart(owner, request);
     return;
   }
-  if (request.session.isClosing || !owner.environment.holdsLease()) {
+  const isBarred = request.session.pinned === undefined && isEvacuated(owner, running.server);
+  if (request.session.isClosing || isBarred || !owner.environment.holdsLease()) {
     abandonBeforeStart(owner, request);
     return;
   }
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -20,6 +20,7 @@
 } from '@bramleykeel/core';
 import type { TargetConnection } from '../target/target-connection.js';
 import { acquireConnection, freeSlots, type TargetPool } from '../target/target-pool.js';
+import { hasOnlyEvacuatedTargets, isEvacuated } from './evacuated-targets.js';
 import type { GroupOwner, OwnerRequest, RunningRequest } from './owner-state.js';
 import { endRequest } from './request-end.js';
 import { startOnConnection } from './request-run.js';
@@ -48,6 +49,10 @@
 }
 
 function addToQueue(owner: GroupOwner, request: OwnerRequest): void {
+  if (hasOnlyEvacuatedTargets(owner)) {
+    endRequest(owner, request, 'idle', refuse('no-primary'));
+    return;
+  }
   const { queueTimeoutMs, failoverWaitMs } = owner.environment.settings.requests;
   const { customer } = request.session;
   const hasPrimary = primaryForWrites(owner) !== undefined;
@@ -77,10 +82,12 @@
   extendDeadlines(owner.queue, performance.now() + failoverWaitMs);
 }
 
-/** The primary that accepts writes, or `undefined` during a failover. */
+/** The primary that accepts writes, or `undefined` during a failover and while its zone is evacuated. */
 export function primaryForWrites(owner: GroupOwner): ServerName | undefined {
   const record = owner.environment.groupRecord();
-  return acceptsWrites(owner.failover, record) ? record.primary : undefined;
+  const { primary } = record;
+  if (primary === undefined || isEvacuated(owner, primary)) return undefined;
+  return acceptsWrites(owner.failover, record) ? primary : undefined;
 }
 
 /** Starts all waiting requests that can start now. */
@@ -121,10 +128,13 @@
   }
 }
 
-/** Refuses requests whose queue deadline has passed; none of them was executed. */
+/** Refuses requests that cannot be served or whose queue deadline has passed; none of them was executed. */
 export function expireWaiting(owner: GroupOwner): void {
   const reason = primaryForWrites(owner) === undefined ? 'no-primary' : 'queue-timeout';
-  for (const { item } of removeExpired(owner.queue, performance.now())) {
+  const expiredBeforeMs = hasOnlyEvacuatedTargets(owner)
+    ? Number.POSITIVE_INFINITY
+    : performance.now();
+  for (const { item } of removeExpired(owner.queue, expiredBeforeMs)) {
     const isAhead = isMarkAhead(owner, item.session.mark);
     endRequest(owner, item, 'idle', refuse(isAhead ? 'mark-ahead-of-group' : reason));
   }
@@ -142,6 +152,7 @@
     replicaWaitMs: owner.environment.settings.requests.replicaWaitMs,
     isUsable: (server) => {
       if (server === record.primary && primaryForWrites(owner) === undefined) return false;
+      if (isEvacuated(owner, server)) return false;
       return owner.pools.has(server) && (owner.unusableUntilMs.get(server) ?? 0) <= nowMs;
     },
     freeSlots: (server) => {
