Start nothing on servers in evacuated zones

Operators order that nothing more is sent to the servers of a zone; owners and readers of the statement dialect have to follow the order.

An owner starts no statement on such a server, opens no connections to it in advance and leaves it out of its offers, which now name the zone of each server. Readers check the zones themselves. A primary there is replaced by a planned change; its successor is outside the evacuated zones. In an unplanned change a server in a suitable zone is preferred if it is known to hold all acknowledged commits, otherwise the log decides. If no server elsewhere can lead, what needs the primary is refused at once; if all servers are evacuated, everything is. If the order is withdrawn while a change waits, and neither a fence nor a choice has happened, the primary leads on.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,6 +33,8 @@
 export * from './statements/choose-target.js';
 export * from './promotion/choose-successor.js';
 export * from './promotion/coverage.js';
+export * from './placement/leader-placement.js';
+export * from './placement/evacuation-grace.js';
 export * from './shared/address.js';
 export * from './shared/bounded-json.js';
 export * from './shared/key-hash.js';
--- a/packages/core/src/promotion/acknowledged-commits.test.ts
+++ b/packages/core/src/promotion/acknowledged-commits.test.ts
@@ -233,6 +233,7 @@
         return {
           ...{ server: toServerName(server.name), position: endOf(server), isLeaving: false },
           wasPrimary: owner.demoted.has(server),
+          placement: 'suitable' as const,
         };
       });
     const unreached = [...owner.servers.values()].filter((server) => !reached.includes(server));
--- a/packages/core/src/promotion/choose-successor.test.ts
+++ b/packages/core/src/promotion/choose-successor.test.ts
@@ -17,6 +17,7 @@
     position: at(offset),
     isLeaving: false,
     wasPrimary: false,
+    placement: 'suitable',
     ...change,
   };
 }
@@ -44,6 +45,8 @@
 
 const wasPrimary = { wasPrimary: true };
 const isLeaving = { isLeaving: true };
+const isEvacuated = { placement: 'evacuated' as const };
+const isOutsideHomes = { placement: 'outside-homes' as const };
 
 describe('chooseSuccessor', () => {
   describe('of an owner that knows the acknowledged position', () => {
@@ -173,6 +176,54 @@
     ])('$name: $expected', check);
   });
 
+  describe('among servers whose zones do not all suit the primary', () => {
+    it.each<Case>([
+      {
+        name: 'prefers a suitable zone to a longer log if both reach the acknowledged position',
+        context: { fenced: [fenced('a', 12, isEvacuated), fenced('b', 11)] },
+        expected: 'b reaches-acknowledged',
+      },
+      {
+        name: 'prefers a zone outside the homes to an evacuated one',
+        context: { fenced: [fenced('a', 12, isEvacuated), fenced('b', 11, isOutsideHomes)] },
+        expected: 'b reaches-acknowledged',
+      },
+      {
+        name: 'takes the safe log, also in an evacuated zone',
+        context: { fenced: [fenced('a', 12, isEvacuated), fenced('b', 9)] },
+        expected: 'a reaches-acknowledged',
+      },
+      // Guards against LOST: a suitable server was taken for the longest of all although another log is longer.
+      {
+        name: 'takes the longest log of all if the acknowledged position is unknown',
+        context: {
+          acknowledged: undefined,
+          fenced: [fenced('a', 12, isEvacuated), fenced('b', 9)],
+        },
+        expected: 'a longest-of-all',
+      },
+      {
+        name: 'takes the longest log of all if no server reaches the acknowledged position',
+        context: { fenced: [fenced('a', 9, isOutsideHomes), fenced('b', 8)] },
+        expected: 'a longest-of-all',
+      },
+      {
+        name: 'waits for an unreachable replica rather than for a zone',
+        context: { fenced: [fenced('b', 9)], unfenced: [name('a')] },
+        expected: 'behind-acknowledged',
+      },
+      {
+        name: 'takes a replica with all that the former primary has, in a suitable zone',
+        context: {
+          acknowledged: undefined,
+          fenced: [fenced('a', 12, isEvacuated), fenced('b', 12), fenced('p', 12, wasPrimary)],
+          unfenced: [name('c')],
+        },
+        expected: 'b reaches-former-primary',
+      },
+    ])('$name: $expected', check);
+  });
+
   describe('in a planned change', () => {
     const isPlanned = true;
 
--- a/packages/core/src/promotion/choose-successor.ts
+++ b/packages/core/src/promotion/choose-successor.ts
@@ -18,6 +18,7 @@
  * If no server qualifies, the group waits for those that may return with the missing commits. Servers that are
  * known to have ended, and those that the owner has removed after a long silence, are not waited for.
  */
+import type { LeaderPlacement } from '../placement/leader-placement.js';
 import type { ServerName } from '../types/ids.js';
 import { comparePositions, coversMark, type LogPosition } from '../types/position.js';
 
@@ -29,6 +30,7 @@
   readonly isLeaving: boolean;
   /** Whether it was the primary until it gave up its role in this change. */
   readonly wasPrimary: boolean;
+  readonly placement: LeaderPlacement;
 }
 
 export interface SuccessorContext {
@@ -65,8 +67,12 @@
       readonly reason: 'no-candidate' | 'behind-acknowledged' | 'replica-may-acknowledge';
     };
 
+/** Places of a successor, best first. */
+const PLACEMENTS = ['suitable', 'outside-homes', 'evacuated'] as const;
+
 /**
- * Chooses the successor, or returns the reason to wait.
+ * Chooses the successor, or returns the reason to wait. A server whose zone suits the primary is preferred to one with a
+ * longer log if it is known to hold all acknowledged commits; otherwise the log decides alone.
  *
  * @example
  * const choice = chooseSuccessor({ ...context, acknowledged: { term: 2, offset: 10 } });
@@ -75,10 +81,12 @@
 export function chooseSuccessor(context: SuccessorContext): SuccessorChoice {
   const { fenced, unfenced, acknowledged, isPlanned } = context;
   const demoted = fenced.find(({ wasPrimary }) => wasPrimary);
-  const best = longestLog(fenced.filter(({ wasPrimary }) => !wasPrimary));
-  if (best) {
-    const ground = groundFor(best, demoted, context);
-    if (ground) return promote(best, ground);
+  const candidates = fenced.filter(({ wasPrimary }) => !wasPrimary);
+  const best = longestLog(candidates);
+  for (const placement of PLACEMENTS) {
+    const placed = longestLog(candidates.filter((server) => server.placement === placement));
+    const ground = placed && groundFor(placed, placed === best, demoted, context);
+    if (ground) return promote(placed, ground);
   }
   if (isPlanned) return { kind: 'wait', reason: best ? 'behind-acknowledged' : 'no-candidate' };
   if (demoted && (!acknowledged || coversMark(demoted.position, acknowledged)))
@@ -96,13 +104,15 @@
 
 function groundFor(
   { position }: FencedServer,
+  isLongest: boolean,
   demoted: FencedServer | undefined,
   { acknowledged, unfenced, hasUncoveredCommits, isPlanned }: SuccessorContext,
 ): SuccessorGround | undefined {
   if (acknowledged && coversMark(position, acknowledged)) return 'reaches-acknowledged';
   if (isPlanned) return undefined;
   if (demoted && coversMark(position, demoted.position)) return 'reaches-former-primary';
-  return unfenced.length === 0 && !hasUncoveredCommits ? 'longest-of-all' : undefined;
+  const isLongestOfAll = isLongest && unfenced.length === 0 && !hasUncoveredCommits;
+  return isLongestOfAll ? 'longest-of-all' : undefined;
 }
 
 /** Prefers the longest log, then servers that are not leaving, then the lowest name. */
--- a/packages/statement-entry/src/near/reader-offer.ts
+++ b/packages/statement-entry/src/near/reader-offer.ts
@@ -1,11 +1,13 @@
 /** Offers of an owner to the readers of its group, which run reads at the replicas of their region. */
 import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
 import { primaryOf, type StatementOwner } from '../owner/owner-state.js';
+import { isEvacuated } from '../owner/placement.js';
 
 export interface NearServer {
   readonly server: ServerName;
   readonly address: string;
   readonly slots: number;
+  readonly zone: string;
 }
 
 /** Replicas in one region, and a log position that includes all writes acknowledged before the request. */
@@ -42,13 +44,14 @@
       server !== primary &&
       environment.regionOf(server.announcement.zone) === region &&
       !server.announcement.isLeaving &&
+      !isEvacuated(owner, server) &&
       server.failingSinceMs === undefined &&
       server.connectionCount <= pools.maxConnections(server),
   );
   return {
     position: newestAcknowledged(acknowledgedPositions),
-    servers: servers.map(({ announcement: { server, address, slots } }) => {
-      return { server, address, slots };
+    servers: servers.map(({ announcement: { server, address, slots, zone: serverZone } }) => {
+      return { server, address, slots, zone: serverZone };
     }),
   };
 }
@@ -64,14 +67,14 @@
 export type EncodedReaderOffer = readonly [
   term: number,
   offset: number,
-  ...servers: (readonly [server: string, address: string, slots: number])[],
+  ...servers: (readonly [server: string, address: string, slots: number, zone: string])[],
 ];
 
 export function encodeOffer(offer: ReaderOffer | undefined): EncodedReaderOffer | null {
   if (!offer) return null;
   const { position, servers } = offer;
   const encodedServers = servers.map(
-    ({ server, address, slots }) => [server, address, slots] as const,
+    ({ server, address, slots, zone }) => [server, address, slots, zone] as const,
   );
   return [position.term, position.offset, ...encodedServers];
 }
@@ -81,8 +84,8 @@
 ): ReaderOffer | undefined {
   if (!encoded) return undefined;
   const [term, offset, ...encodedServers] = encoded;
-  const servers = encodedServers.map(([server, address, slots]) => {
-    return { server: server as ServerName, address, slots };
+  const servers = encodedServers.map(([server, address, slots, zone]) => {
+    return { server: server as ServerName, address, slots, zone };
   });
   return { position: { term, offset }, servers };
 }
--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -47,6 +47,7 @@
   openedCount: number;
   openOutcome: OpenTargetOutcome['kind'];
   offerRequestCount: number;
+  evacuatedZones: ReadonlySet<string>;
 }
 
 function createContext(): TestContext {
@@ -61,6 +62,7 @@
     server: 'i-1' as ReaderOffer['servers'][number]['server'],
     address: '127.0.0.1:1',
     slots: 2,
+    zone: 'zone-a',
   };
   const context: TestContext = {
     orders: [],
@@ -72,8 +74,9 @@
     openedCount: 0,
     openOutcome: 'open',
     offerRequestCount: 0,
+    evacuatedZones: new Set(),
     reads: createReplicaReads({
-      zone: 'zone-a',
+      evacuatedZones: () => context.evacuatedZones,
       counters: {
         count: () => undefined,
         gauge: () => undefined,
@@ -251,6 +254,22 @@
     expect(await read()).toBeUndefined();
   });
 
+  // Guards against reads that reach an evacuated server until the owner's next offer.
+  it('use no server in an evacuated zone, also one that is on offer', async () => {
+    context.evacuatedZones = new Set(['zone-a']);
+    expect(await read()).toBeUndefined();
+    expect(context.openedCount).toBe(0);
+    context.evacuatedZones = new Set(['zone-b']);
+    expect(await read()).toMatchObject({ kind: 'done' });
+  });
+
+  it('do not start if the zone was evacuated while the connection was being opened', async () => {
+    const outcome = read();
+    context.evacuatedZones = new Set(['zone-a']);
+    expect(await outcome).toBeUndefined();
+    expect(context.orders).toEqual([]);
+  });
+
   it('are handed over at a planned stop, with all connections closed before', async () => {
     await read();
     const openAtRelease: number[] = [];
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -40,7 +40,8 @@
 import { mayReadAtReplica } from './reader-client.js';
 
 export interface ReplicaReadsOptions {
-  readonly zone: string;
+  /** Zones on whose servers nothing starts. */
+  readonly evacuatedZones: () => ReadonlySet<string>;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
   /** Requests an offer from the group's owner; `undefined` if it makes none. */
@@ -118,7 +119,7 @@
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(readGroup);
+  const server = after && findAvailableServer(reads, readGroup);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
@@ -216,15 +217,11 @@
     }
     readGroup.positions.push({ requestedAtMs, position: offer.position });
     if (readGroup.positions.length > MAX_KEPT_POSITIONS) readGroup.positions.shift();
-    updateServers(reads, readGroup, offer.servers);
+    updateServers(readGroup, offer.servers);
   });
 }
 
-function updateServers(
-  reads: ReplicaReads,
-  readGroup: ReadGroup,
-  servers: readonly NearServer[],
-): void {
+function updateServers(readGroup: ReadGroup, servers: readonly NearServer[]): void {
   const nowMs = performance.now();
   const offered = new Map(servers.map((server) => [`${server.server}@${server.address}`, server]));
   for (const [key, state] of readGroup.servers) {
@@ -237,7 +234,6 @@
     const announcement: ServerAnnouncement = {
       ...server,
       group: readGroup.group,
-      zone: reads.options.zone,
       role: 'replica',
       isLeaving: false,
       bornMs: 0,
@@ -259,11 +255,12 @@
   return latestPosition(offered.position, draft.mark);
 }
 
-function findAvailableServer({ servers }: ReadGroup): ServerState | undefined {
+function findAvailableServer(reads: ReplicaReads, { servers }: ReadGroup): ServerState | undefined {
   const nowMs = performance.now();
   return [...servers.values()].find(
     (server) =>
       !server.isRetired &&
+      !isEvacuated(reads, server) &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
       nowMs >= server.busyUntilMs &&
       nowMs >= server.laggingUntilMs &&
@@ -271,6 +268,10 @@
   );
 }
 
+function isEvacuated({ options }: ReplicaReads, { announcement }: ServerState): boolean {
+  return options.evacuatedZones().has(announcement.zone);
+}
+
 async function runOnServer(
   reads: ReplicaReads,
   readGroup: ReadGroup,
@@ -284,6 +285,11 @@
   const acquired = await acquireConnection(readGroup.pools, server, draft.customer, valuesKey);
   if (acquired.kind === 'unavailable') return undefined;
   const { pooled } = acquired;
+  // The order may have arrived while the connection was being opened.
+  if (isEvacuated(reads, server)) {
+    releaseConnection(pooled);
+    return undefined;
+  }
   for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
     const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setupAnswer.kind !== 'done') {
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -22,6 +22,7 @@
   type ServerState,
   type StatementOwner,
 } from './owner-state.js';
+import { placementOf } from './placement.js';
 import { dropTransaction } from './transactions.js';
 import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
 import { orderPromotion, awaitPrimaryRole } from './order-promotion.js';
@@ -41,6 +42,8 @@
   readonly former: ServerState | undefined;
   /** Whether the primary leaves as planned; it keeps its role until the successor takes over. */
   readonly isPlanned: boolean;
+  /** Whether the primary is replaced only because of its place, so that a withdrawn order cancels the change. */
+  readonly isForPlacement: boolean;
   /** Whether the change is cancelled if the primary answers again before the fence. */
   readonly isRevocable: boolean;
   /** Whether servers may already have been fenced. */
@@ -75,6 +78,7 @@
   const change: PrimaryChange = {
     former,
     isPlanned,
+    isForPlacement: isPlanned && former !== undefined && isMisplaced(owner, former),
     isRevocable: !isStalled,
     hasFenced: false,
     demoted: new Map(),
@@ -204,17 +208,25 @@
 
 /** Whether the primary answers again, and neither it was told to give up its role nor was a successor chosen. */
 function mayLeadOn(
-  { leadership, acknowledgedPositions }: StatementOwner,
-  { isPlanned, isRevocable, demoted }: PrimaryChange,
+  owner: StatementOwner,
+  { isPlanned, isForPlacement, isRevocable, hasFenced, demoted }: PrimaryChange,
   { server, status }: ServerStatus,
 ): boolean {
+  const { leadership, acknowledgedPositions } = owner;
   const hasChosen = leadership.kind === 'changing' && leadership.chosenPosition !== undefined;
-  if (isPlanned || !isRevocable || hasChosen || demoted.has(server)) return false;
+  if (!isRevocable || hasChosen || demoted.has(server)) return false;
+  const isWithdrawn = isForPlacement && !hasFenced && !isMisplaced(owner, server);
+  if (isPlanned && !isWithdrawn) return false;
   return (
     !acknowledgedPositions || coversMark(status.position, newestAcknowledged(acknowledgedPositions))
   );
 }
 
+/** Whether a server that stays is no place for the primary. */
+function isMisplaced(owner: StatementOwner, server: ServerState): boolean {
+  return !server.announcement.isLeaving && placementOf(owner, server) !== 'suitable';
+}
+
 function reportWait(
   owner: StatementOwner,
   change: PrimaryChange,
@@ -225,7 +237,8 @@
   if (leadership.kind !== 'changing') return;
   const nowMs = performance.now();
   const waitedMs = Math.round(nowMs - leadership.sinceMs);
-  if (waitedMs >= BLOCKED_AFTER_MS) updateChange(owner, { isBlocked: true });
+  const isNoPlaceLeft = change.isForPlacement && reason === 'no-candidate';
+  if (waitedMs >= BLOCKED_AFTER_MS || isNoPlaceLeft) updateChange(owner, { isBlocked: true });
   const { loggedWait } = change;
   if (loggedWait?.reason === reason && nowMs - loggedWait.atMs < WAIT_LOG_INTERVAL_MS) return;
   change.loggedWait = { reason, atMs: nowMs };
@@ -295,7 +308,7 @@
   return {
     fenced: fenced
       .filter(({ status }) => status.role === 'replica')
-      .filter(({ server }) => !isPlanned || !server.announcement.isLeaving)
+      .filter(({ server }) => !isPlanned || maySucceedAsPlanned(owner, former, server))
       .map(({ server, status }) => {
         const endAsPrimary = demoted.get(server);
         return {
@@ -303,6 +316,7 @@
           position: status.position,
           isLeaving: server.announcement.isLeaving,
           // A server whose log has become shorter has lost it in a restart.
+          placement: placementOf(owner, server),
           wasPrimary: endAsPrimary !== undefined && coversMark(status.position, endAsPrimary),
         };
       }),
@@ -316,6 +330,19 @@
   };
 }
 
+/** A primary that works is not replaced by one that would have to be replaced again. */
+function maySucceedAsPlanned(
+  owner: StatementOwner,
+  former: ServerState | undefined,
+  server: ServerState,
+): boolean {
+  const placement = placementOf(owner, server);
+  if (server.announcement.isLeaving || placement === 'evacuated') return false;
+  const isMove =
+    former?.announcement.isLeaving === false && placementOf(owner, former) === 'outside-homes';
+  return !isMove || placement === 'suitable';
+}
+
 /** Ends work on the former primary; in a planned change its running statements may finish. */
 function endFormerPrimaryWork(
   owner: StatementOwner,
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -19,14 +19,16 @@
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
 import { hasAvailableConnection } from '../target/connection-pool.js';
+import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import {
+  isEvacuated,
+  isGraceOver,
   isToBeReplaced,
-  type Job,
-  primaryOf,
-  type ServerState,
-  type StatementOwner,
-} from './owner-state.js';
+  isWhollyEvacuated,
+  lacksPlaceForPrimary,
+} from './placement.js';
 import { runJob } from './run-job.js';
+import { dropTransaction } from './transactions.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
 /** Retry delay sent to callers with refusals, in milliseconds. */
@@ -45,7 +47,7 @@
 
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
-  if (isBlocked(owner) && isForPrimary(job)) {
+  if (isRefusedAtOnce(owner, job)) {
     endJob(owner, job, notRun('no-primary', BLOCKED_RETRY_AFTER_MS));
     return;
   }
@@ -70,9 +72,23 @@
   return created;
 }
 
-/** Whether a change of primary waits for a server to return, so that waiting statements would only expire. */
-function isBlocked({ leadership }: StatementOwner): boolean {
-  return leadership.kind === 'changing' && leadership.isBlocked;
+/** Whether a statement would only expire, because no server may run it before another returns or an order is withdrawn. */
+function isRefusedAtOnce(owner: StatementOwner, job: Job): boolean {
+  if (job.transaction?.pooled) return false;
+  if (isBlocked(owner) && isForPrimary(job)) return true;
+  return owner.environment.evacuatedZones().size > 0 && isWhollyEvacuated(owner);
+}
+
+/** Whether some statements may have to be refused at once. */
+function mayRefuseAtOnce(owner: StatementOwner): boolean {
+  return isBlocked(owner) || owner.environment.evacuatedZones().size > 0;
+}
+
+/** Whether no server can lead before another one returns or an evacuation is withdrawn. */
+function isBlocked(owner: StatementOwner): boolean {
+  const { leadership } = owner;
+  if (leadership.kind === 'changing') return leadership.isBlocked;
+  return leadership.kind === 'led' && lacksPlaceForPrimary(owner);
 }
 
 /** Whether a statement or its transaction can only start on the primary. */
@@ -94,7 +110,11 @@
 /** Statements of open transactions go first because they hold a connection while they wait. */
 function startPinned(owner: StatementOwner): void {
   for (const job of [...owner.pinnedWaiting]) {
-    const server = job.transaction?.pooled?.server;
+    let server = job.transaction?.pooled?.server;
+    if (server && job.transaction && isGraceOver(owner, server)) {
+      dropTransaction(owner, job.transaction);
+      server = undefined;
+    }
     if (server && (freeSlots(server) <= 0 || isHeld(owner, job, server))) continue;
     owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
     void runJob(owner, job, server);
@@ -131,7 +151,10 @@
     // One that was promoted for its log while it leaves may be past the time in which it takes statements.
     isPrimary: server === primary && !isToBeReplaced(owner, server),
     isLeaving: server.announcement.isLeaving,
-    isUsable: server.failingSinceMs === undefined && hasAvailableConnection(owner.pools, server),
+    isUsable:
+      server.failingSinceMs === undefined &&
+      !isEvacuated(owner, server) &&
+      hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(server),
     connectedCustomers: new Set(server.idle.map(({ connection }) => connection.customer)),
@@ -188,7 +211,9 @@
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
-    const blocked = isBlocked(owner) ? removeWaiting(queue, isForPrimary) : [];
+    const blocked = mayRefuseAtOnce(owner)
+      ? removeWaiting(queue, (job) => isRefusedAtOnce(owner, job))
+      : [];
     for (const { item } of blocked)
       endJob(owner, item, notRun('no-primary', BLOCKED_RETRY_AFTER_MS));
     for (const { item } of removeExpired(queue, nowMs)) {
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -33,6 +33,7 @@
   readonly entryId: string;
   readonly zone: string;
   readonly regionOf: (zone: string) => string;
+  readonly evacuatedZones: () => ReadonlySet<string>;
   readonly log: Log;
   readonly counters: Counters;
   readonly control: ControlClient;
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -37,6 +37,8 @@
   readonly zone: string;
   /** The region of a zone; zones of one region are near each other. */
   readonly regionOf: (zone: string) => string;
+  /** Zones on whose servers nothing starts. */
+  readonly evacuatedZones: () => ReadonlySet<string>;
   readonly log: Log;
   readonly counters: Counters;
   /** Whether this entry holds the group's lease under the owner's epoch, by the monotonic clock. */
@@ -178,6 +180,8 @@
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
+  /** When this owner has learnt of the evacuation of each zone. */
+  readonly evacuationsLearntAtMs: Map<string, number>;
   /** Number of statements accepted under this epoch. */
   acceptedCount: number;
   leadership: Leadership;
@@ -228,6 +232,7 @@
     pinnedWaiting: [],
     transactions: new Map(),
     running: new Set(),
+    evacuationsLearntAtMs: new Map(),
     acceptedCount: 0,
     leadership: { kind: 'unknown', sinceMs: nowMs },
     leadershipNumber: 0,
@@ -275,12 +280,3 @@
   const { leadership } = owner;
   return leadership.kind === 'led' ? owner.servers.get(leadership.server) : undefined;
 }
-
-/** Whether a server is leaving while another one could lead. As primary it is replaced at once and starts nothing more. */
-export function isToBeReplaced({ servers }: StatementOwner, server: ServerState): boolean {
-  if (!server.announcement.isLeaving) return false;
-  return [...servers.values()].some(
-    (other) =>
-      other !== server && !other.announcement.isLeaving && other.failingSinceMs === undefined,
-  );
-}
--- /dev/null
+++ b/packages/statement-entry/src/owner/placement.ts
@@ -0,0 +1,92 @@
+/** Where the servers of a group may be used, by the evacuations that its owner knows. */
+import {
+  canLead,
+  isEvacuationGraceOver,
+  type LeaderCandidate,
+  type LeaderPlacement,
+  leaderPlacement,
+  type PlacementRules,
+  type PlannedChangeReason,
+  plannedChangeReason,
+  recordEvacuations,
+} from '@bramleykeel/core';
+import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { dropTransaction } from './transactions.js';
+
+function rulesOf({ environment }: StatementOwner): PlacementRules {
+  const { regionOf, evacuatedZones } = environment;
+  return { evacuatedZones: evacuatedZones(), homes: undefined, regionOf };
+}
+
+function candidateOf({ announcement, failingSinceMs }: ServerState): LeaderCandidate {
+  const { zone, isLeaving } = announcement;
+  return { zone, isLeaving, isFailing: failingSinceMs !== undefined };
+}
+
+function candidatesBeside({ servers }: StatementOwner, server: ServerState): LeaderCandidate[] {
+  return [...servers.values()].filter((other) => other !== server).map(candidateOf);
+}
+
+/** How well a server's zone suits the primary of its group. */
+export function placementOf(owner: StatementOwner, server: ServerState): LeaderPlacement {
+  return leaderPlacement(server.announcement.zone, rulesOf(owner));
+}
+
+/** Whether nothing starts on a server, because its zone is evacuated. */
+export function isEvacuated({ environment }: StatementOwner, server: ServerState): boolean {
+  return environment.evacuatedZones().has(server.announcement.zone);
+}
+
+/** Why the primary is to be replaced as planned now, if it is. */
+export function plannedReasonFor(
+  owner: StatementOwner,
+  primary: ServerState,
+): PlannedChangeReason | undefined {
+  return plannedChangeReason(
+    candidateOf(primary),
+    candidatesBeside(owner, primary),
+    rulesOf(owner),
+  );
+}
+
+/** Whether a server is leaving or evacuated while another one could lead. As primary it is replaced at once. */
+export function isToBeReplaced(owner: StatementOwner, server: ServerState): boolean {
+  const reason = plannedReasonFor(owner, server);
+  return reason === 'leaving' || reason === 'evacuated';
+}
+
+/** Whether the primary is evacuated and no other server could lead, so that nothing that needs a primary can start. */
+export function lacksPlaceForPrimary(owner: StatementOwner): boolean {
+  const primary = primaryOf(owner);
+  if (!primary || !isEvacuated(owner, primary)) return false;
+  const rules = rulesOf(owner);
+  return !candidatesBeside(owner, primary).some((other) => canLead(other, rules));
+}
+
+/** Whether all servers of the group are in evacuated zones. */
+export function isWhollyEvacuated(owner: StatementOwner): boolean {
+  const servers = [...owner.servers.values()];
+  return servers.length > 0 && servers.every((server) => isEvacuated(owner, server));
+}
+
+/** Whether open transactions on a server start no further statements. */
+export function isGraceOver(owner: StatementOwner, server: ServerState): boolean {
+  const { zone } = server.announcement;
+  return isEvacuationGraceOver(owner.evacuationsLearntAtMs, zone, performance.now());
+}
+
+/**
+ * Follows the evacuations, and aborts the transactions that are still open in evacuated zones after their grace. A
+ * statement that has been sent may finish first.
+ */
+export function followEvacuations(owner: StatementOwner): void {
+  const { environment, evacuationsLearntAtMs } = owner;
+  recordEvacuations(evacuationsLearntAtMs, environment.evacuatedZones(), performance.now());
+  if (evacuationsLearntAtMs.size === 0) return;
+  for (const transaction of [...owner.transactions.values()]) {
+    const { pooled, isBusy, key } = transaction;
+    if (!pooled || isBusy || !isGraceOver(owner, pooled.server)) continue;
+    environment.log(`transaction ${key} aborted: the zone of its server is evacuated`);
+    dropTransaction(owner, transaction);
+  }
+}
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -21,6 +21,7 @@
   ServerState,
   StatementOwner,
 } from './owner-state.js';
+import { isEvacuated } from './placement.js';
 import {
   handleBrokenConnection,
   handleRefusal,
@@ -87,6 +88,12 @@
     if (!job.isEnded) endJob(owner, job, notRun('no-owner'));
     return;
   }
+  // The order may have arrived while the connection was being opened.
+  if (isEvacuated(owner, server)) {
+    releaseConnection(pooled);
+    requeueJob(owner, job);
+    return;
+  }
   const isReady = await prepareConnection(owner, job, pooled);
   if (!isReady) return;
   const order = buildOrder(owner, job);
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -1,6 +1,6 @@
 /** Monitors the primary by announcements, outstanding answers and probes, and replaces it if it is lost. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { recordDeparture, type ServerName } from '@bramleykeel/core';
+import { type PlannedChangeReason, recordDeparture, type ServerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
 import { retireServer, closeExcessIdleConnections } from '../target/connection-pool.js';
 import { mayReaderUse } from '../target/connection-budget.js';
@@ -10,7 +10,8 @@
   sendControlOrderToAll,
   probeServer,
 } from '../target/server-control.js';
-import { isToBeReplaced, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { plannedReasonFor } from './placement.js';
 import { placeOf, recordServerPlaces } from './server-places.js';
 import { takeOver, newestPrimary, isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
@@ -39,6 +40,12 @@
 /** The same for a server that has never answered, in milliseconds. */
 const NEVER_REACHED_MS = 12_000;
 
+const PLANNED_REASON_TEXTS: Readonly<Record<PlannedChangeReason, string>> = {
+  leaving: 'the primary is leaving',
+  evacuated: 'the zone of the primary is evacuated',
+  'outside-homes': 'the primary is outside the home regions of its routes',
+};
+
 /** Checks the server immediately if it is the primary. */
 export function suspectPrimary(owner: StatementOwner, server: ServerState): void {
   if (primaryOf(owner) === server && !server.isProbing) void checkPrimary(owner, server, true);
@@ -130,8 +137,9 @@
   const { leadership } = owner;
   if (leadership.kind !== 'led') return;
   const { announcement, lastAnnouncementMs } = primary;
-  if (isToBeReplaced(owner, primary)) {
-    await changePrimary(owner, 'the primary is leaving', true);
+  const plannedReason = plannedReasonFor(owner, primary);
+  if (plannedReason !== undefined) {
+    await changePrimary(owner, PLANNED_REASON_TEXTS[plannedReason], true);
     return;
   }
   const announcesReplicaRole =
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -6,6 +6,8 @@
   assignmentOf,
   type CustomerName,
   documentOf,
+  evacuatedZones,
+  evacuationKey,
   type GroupName,
   type RateLimit,
   type RecordDelta,
@@ -163,6 +165,7 @@
   const sessions = new Set<CallerSession>();
   const requestedAtMs = new Map<Resource, number>();
   let settings: StatementSettings | undefined;
+  let evacuated: ReadonlySet<string> = new Set();
   let stopSchedule: StopSchedule | undefined;
   let transactionCount = 0;
 
@@ -193,6 +196,7 @@
     ...options,
     control,
     settings: () => settings,
+    evacuatedZones: () => evacuated,
     releaseFromReader: async ({ incarnation, linkAddress }, group, server) => {
       if (incarnation === control.incarnation()) return releaseServer(replicaReads, group, server);
       const peer = links.linkTo(linkAddress);
@@ -250,7 +254,7 @@
   const region = options.regionOf(options.zone);
   const readerOf = (group: GroupName) => readerResource(group, region);
   const replicaReads: ReplicaReads = createReplicaReads({
-    zone: options.zone,
+    evacuatedZones: () => evacuated,
     openTarget: options.openTarget,
     counters,
     formerReader: (group) => control.formerHolder(readerOf(group)),
@@ -358,6 +362,8 @@
 
   function applyRecords(deltas: readonly RecordDelta[]): void {
     if (deltas.some(({ stored }) => stored.record.kind === 'document')) applyDocument();
+    if (deltas.some(({ key }) => key.startsWith(evacuationKey(''))))
+      evacuated = evacuatedZones(control);
     reconcileStatementOwners(registry);
     closeEndedReaders(replicaReads);
     failSupersededStatements(owners);
--- a/packages/statement-entry/src/target/connection-warmup.ts
+++ b/packages/statement-entry/src/target/connection-warmup.ts
@@ -1,6 +1,7 @@
 /** Opens connections for customers in advance, so that their first statement does not wait for one. */
 import { hasAvailableConnection, openConnection, releaseConnection } from './connection-pool.js';
 import type { ServerState, StatementOwner } from '../owner/owner-state.js';
+import { isEvacuated } from '../owner/placement.js';
 
 /** Share of a server's connections that may be opened in advance; the rest are opened on demand. */
 const WARM_UP_SHARE = 0.5;
@@ -19,7 +20,8 @@
 async function warmUpServer(owner: StatementOwner, server: ServerState): Promise<void> {
   const { announcement, connectionCount, connectedCustomers } = server;
   const hasSpareSlot = server.runningCount + 1 < announcement.slots;
-  const isUsable = server.failingSinceMs === undefined && !announcement.isLeaving;
+  const isUsable =
+    server.failingSinceMs === undefined && !announcement.isLeaving && !isEvacuated(owner, server);
   const limit = owner.pools.maxConnections(server) * WARM_UP_SHARE;
   if (!hasSpareSlot || !isUsable || serversBeingWarmed.has(server) || connectionCount >= limit)
     return;
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -73,6 +73,8 @@
   };
   holdsLease: boolean;
   formerOwner: FormerHolder;
+  /** Zones on whose servers nothing starts; server `i-N` is in `zone-N`. */
+  evacuatedZones: ReadonlySet<string>;
   /** Readers by region. */
   readonly readers: Map<string, Assignment>;
   /** Whether readers close their connections when asked to. */
@@ -94,6 +96,7 @@
     record: { term: 0, proposedTerm: 0, primary: undefined },
     holdsLease: true,
     formerOwner: { epoch, heldForMs: 0, endedForMs: 0, hasReleased: false },
+    evacuatedZones: new Set(),
     readers: new Map(),
     readerReleases: true,
   };
@@ -142,6 +145,7 @@
     entryId: 'entry-1',
     zone: 'zone-0',
     regionOf: (zone) => zone,
+    evacuatedZones: () => fake().evacuatedZones,
     log: () => undefined,
     counters: {
       count: () => undefined,
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -89,6 +89,7 @@
           server: 'i-1' as ReaderOffer['servers'][number]['server'],
           address: '127.0.0.1:1',
           slots: 2,
+          zone: 'zone-a',
         },
       ],
     };
