Limit the requests to servers that have just started

A server reports in its heartbeat for how long it is still cold. Until then it may get only as many requests in a second as its service's configuration allows.

Reads use a cold server only if no other has a free slot. Readers get no offer of cold servers, and use a server whose connection broke only after an offer that they requested afterwards. The first second of a new owner counts as used up unless the former one has ended that long ago. Groups without a rate are used as before.

--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -62,7 +62,10 @@
   log: Log,
 ): AnnouncementRelay {
   const latestAnnouncements = new Map<ServerName, StoredAnnouncement>();
-  const lastShared = new Map<ServerName, { role: string; isLeaving: boolean; atMs: number }>();
+  const lastShared = new Map<
+    ServerName,
+    { role: string; isLeaving: boolean; isCold: boolean; atMs: number }
+  >();
   const links = new Map<string, LinkClient>();
   const knownEpochs = new Map<GroupName, number>();
   const requestedAtMs = new Map<GroupName, number>();
@@ -91,11 +94,12 @@
   /** Lets the other members store it too, in case this one fails before the group has a new owner. */
   function shareWithMembers(announcement: ServerAnnouncement): void {
     const { server, role, isLeaving } = announcement;
+    const isCold = announcement.coldLeftMs !== undefined;
     const nowMs = performance.now();
     const last = lastShared.get(server);
-    const isSame = last?.role === role && last.isLeaving === isLeaving;
+    const isSame = last?.role === role && last.isLeaving === isLeaving && last.isCold === isCold;
     if (isSame && nowMs - last.atMs < SHARE_INTERVAL_MS) return;
-    lastShared.set(server, { role, isLeaving, atMs: nowMs });
+    lastShared.set(server, { role, isLeaving, isCold, atMs: nowMs });
     getMember()?.notifyMembers('server/keep', announcement);
   }
 
--- a/packages/core/src/placement/evacuation-grace.test.ts
+++ b/packages/core/src/placement/evacuation-grace.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { isEvacuationGraceOver, recordEvacuations } from './evacuation-grace.js';
 
+const bounds = { evacuationMs: 5_000 };
+
 describe('the grace of open transactions in an evacuated zone', () => {
   it.each([
     { name: 'runs from when the order was learnt of', afterMs: 2_999, isOver: false },
@@ -9,8 +11,8 @@
     const learntAtMs = new Map<string, number>();
     recordEvacuations(learntAtMs, new Set(['a1']), 100);
     recordEvacuations(learntAtMs, new Set(['a1', 'a2']), 2_000);
-    expect(isEvacuationGraceOver(learntAtMs, 'a1', 100 + afterMs)).toBe(isOver);
-    expect(isEvacuationGraceOver(learntAtMs, 'b1', 100 + afterMs)).toBe(false);
+    expect(isEvacuationGraceOver(learntAtMs, 'a1', 100 + afterMs, bounds)).toBe(isOver);
+    expect(isEvacuationGraceOver(learntAtMs, 'b1', 100 + afterMs, bounds)).toBe(false);
   });
 
   // Guards against transactions that are aborted at once by the second of two orders.
@@ -19,7 +21,7 @@
     recordEvacuations(learntAtMs, new Set(['a1']), 0);
     recordEvacuations(learntAtMs, new Set(), 1_000);
     recordEvacuations(learntAtMs, new Set(['a1']), 2_000);
-    expect(isEvacuationGraceOver(learntAtMs, 'a1', 4_000)).toBe(false);
-    expect(isEvacuationGraceOver(learntAtMs, 'a1', 5_000)).toBe(true);
+    expect(isEvacuationGraceOver(learntAtMs, 'a1', 4_000, bounds)).toBe(false);
+    expect(isEvacuationGraceOver(learntAtMs, 'a1', 5_000, bounds)).toBe(true);
   });
 });
--- a/packages/core/src/placement/evacuation-grace.ts
+++ b/packages/core/src/placement/evacuation-grace.ts
@@ -1,10 +1,12 @@
 /** The time that open transactions in an evacuated zone have to end. */
 
+import type { PlacementBounds } from './placement-bounds.js';
+
 /**
- * Time from when an owner has learnt of an evacuation until it aborts the open transactions in that zone, in
- * milliseconds. The order has to be in force 5 s after its acknowledgement; the rest is for its way to the owner.
+ * Part of the time within which an evacuation has to be in force that open transactions get, from when their owner has
+ * learnt of the order; 3 s of 5 s. The rest is for the order's way to the owner.
  */
-export const EVACUATION_GRACE_MS = 3_000;
+const GRACE_SHARE = 0.6;
 
 /**
  * Follows which zones are evacuated.
@@ -26,13 +28,14 @@
  * Whether open transactions in a zone start no further statements.
  *
  * @example
- * isEvacuationGraceOver(new Map([['ub-a', 1_000]]), 'ub-a', 4_000); // true
+ * isEvacuationGraceOver(new Map([['ub-a', 1_000]]), 'ub-a', 4_000, { evacuationMs: 5_000 }); // true
  */
 export function isEvacuationGraceOver(
   learntAtMs: ReadonlyMap<string, number>,
   zone: string,
   nowMs: number,
+  { evacuationMs }: Pick<PlacementBounds, 'evacuationMs'>,
 ): boolean {
   const sinceMs = learntAtMs.get(zone);
-  return sinceMs !== undefined && nowMs - sinceMs >= EVACUATION_GRACE_MS;
+  return sinceMs !== undefined && nowMs - sinceMs >= evacuationMs * GRACE_SHARE;
 }
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -42,6 +42,8 @@
   readonly maxConnections: number;
   /** Whether a commit is acknowledged only once a replica has received it. */
   readonly isSynchronous: boolean;
+  /** Requests that a server may get in a second while it is cold; zero without a limit. */
+  readonly coldRatePerSecond: number;
 }
 
 /** Settings of the entries, decoded from an operators' document. */
@@ -71,6 +73,8 @@
   readonly isLeaving: boolean;
   readonly bornMs: number;
   readonly sequence: number;
+  /** For how long the server was still cold when it sent the announcement, in milliseconds; absent if it was not. */
+  readonly coldLeftMs?: number;
 }
 
 /** Returns whether `next` is newer than `current`, an announcement of the same server. */
--- a/packages/statement-entry/src/near/reader-offer.ts
+++ b/packages/statement-entry/src/near/reader-offer.ts
@@ -1,7 +1,7 @@
 /** Offers of an owner to the readers of its group, which run reads at the replicas of their region. */
 import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
 import { primaryOf, type StatementOwner } from '../owner/owner-state.js';
-import { isEvacuated } from '../owner/placement.js';
+import { isCold, isEvacuated } from '../owner/placement.js';
 
 export interface NearServer {
   readonly server: ServerName;
@@ -45,6 +45,7 @@
       environment.regionOf(server.announcement.zone) === region &&
       !server.announcement.isLeaving &&
       !isEvacuated(owner, server) &&
+      !isCold(owner, server) &&
       server.failingSinceMs === undefined &&
       server.connectionCount <= pools.maxConnections(server),
   );
--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -48,6 +48,7 @@
   openOutcome: OpenTargetOutcome['kind'];
   offerRequestCount: number;
   evacuatedZones: ReadonlySet<string>;
+  mayBeCold: boolean;
 }
 
 function createContext(): TestContext {
@@ -75,8 +76,10 @@
     openOutcome: 'open',
     offerRequestCount: 0,
     evacuatedZones: new Set(),
+    mayBeCold: false,
     reads: createReplicaReads({
       evacuatedZones: () => context.evacuatedZones,
+      mayBeCold: () => context.mayBeCold,
       counters: {
         count: () => undefined,
         gauge: () => undefined,
@@ -263,6 +266,29 @@
     expect(await read()).toMatchObject({ kind: 'done' });
   });
 
+  // Guards against reads at a server that has restarted and is cold, which its owner limits.
+  it('use a server whose connection broke only after an offer that was requested afterwards', async () => {
+    context.mayBeCold = true;
+    context.answers.push({ kind: 'lost' });
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    const { offer } = context;
+    context.offer = undefined;
+    vi.advanceTimersByTime(1_600);
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    context.offer = offer;
+    vi.advanceTimersByTime(300);
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    expect(await read({ maxReadAgeMs: 9_000 })).toMatchObject({ kind: 'done' });
+  });
+
+  it('use it after the pause without one if no server is limited while it is cold', async () => {
+    context.answers.push({ kind: 'lost' });
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    context.offer = undefined;
+    vi.advanceTimersByTime(1_600);
+    expect(await read({ maxReadAgeMs: 9_000 })).toMatchObject({ kind: 'done' });
+  });
+
   it('do not start if the zone was evacuated while the connection was being opened', async () => {
     const outcome = read();
     context.evacuatedZones = new Set(['zone-a']);
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -42,6 +42,8 @@
 export interface ReplicaReadsOptions {
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
+  /** Whether the group's servers are limited while they are cold. */
+  readonly mayBeCold: (group: GroupName) => boolean;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
   /** Requests an offer from the group's owner; `undefined` if it makes none. */
@@ -56,6 +58,8 @@
   readonly group: GroupName;
   readonly pools: PoolContext;
   readonly servers: Map<string, ServerState>;
+  /** When connections to a server broke, unless an offer that was requested later lists the server again. */
+  readonly brokenAtMs: Map<ServerState, number>;
   /** Offered positions, oldest first; each includes all writes acknowledged before its request. */
   readonly positions: { readonly requestedAtMs: number; readonly position: LogPosition }[];
   lastRequestMs: number;
@@ -186,6 +190,7 @@
       maxConnections: ({ announcement: { slots } }) => maxConnections(reads, group, slots),
     },
     servers: new Map(),
+    brokenAtMs: new Map(),
     positions: [],
     lastRequestMs: Number.NEGATIVE_INFINITY,
     isRequesting: false,
@@ -217,18 +222,25 @@
     }
     readGroup.positions.push({ requestedAtMs, position: offer.position });
     if (readGroup.positions.length > MAX_KEPT_POSITIONS) readGroup.positions.shift();
-    updateServers(readGroup, offer.servers);
+    updateServers(readGroup, offer.servers, requestedAtMs);
   });
 }
 
-function updateServers(readGroup: ReadGroup, servers: readonly NearServer[]): void {
+function updateServers(
+  readGroup: ReadGroup,
+  servers: readonly NearServer[],
+  requestedAtMs: number,
+): void {
   const nowMs = performance.now();
   const offered = new Map(servers.map((server) => [`${server.server}@${server.address}`, server]));
   for (const [key, state] of readGroup.servers) {
     if (offered.has(key)) continue;
     retireServer(state);
     readGroup.servers.delete(key);
+    readGroup.brokenAtMs.delete(state);
   }
+  for (const [state, atMs] of readGroup.brokenAtMs)
+    if (state.isRetired || atMs < requestedAtMs) readGroup.brokenAtMs.delete(state);
   for (const [key, server] of offered) {
     if (readGroup.servers.get(key)?.isRetired === false) continue;
     const announcement: ServerAnnouncement = {
@@ -255,12 +267,18 @@
   return latestPosition(offered.position, draft.mark);
 }
 
-function findAvailableServer(reads: ReplicaReads, { servers }: ReadGroup): ServerState | undefined {
+function findAvailableServer(
+  reads: ReplicaReads,
+  { group, servers, brokenAtMs }: ReadGroup,
+): ServerState | undefined {
+  const mayBeCold = reads.options.mayBeCold(group);
   const nowMs = performance.now();
   return [...servers.values()].find(
     (server) =>
       !server.isRetired &&
       !isEvacuated(reads, server) &&
+      // It may have restarted, and its owner does not offer it while it is cold.
+      !(mayBeCold && brokenAtMs.has(server)) &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
       nowMs >= server.busyUntilMs &&
       nowMs >= server.laggingUntilMs &&
@@ -283,7 +301,10 @@
   const valuesKey = valuesKeyOf(draft.values);
   if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
   const acquired = await acquireConnection(readGroup.pools, server, draft.customer, valuesKey);
-  if (acquired.kind === 'unavailable') return undefined;
+  if (acquired.kind === 'unavailable') {
+    recordIfBroken(readGroup, server);
+    return undefined;
+  }
   const { pooled } = acquired;
   // The order may have arrived while the connection was being opened.
   if (isEvacuated(reads, server)) {
@@ -293,7 +314,7 @@
   for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
     const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setupAnswer.kind !== 'done') {
-      handleBrokenConnection(server, pooled);
+      handleBrokenConnection(readGroup, server, pooled);
       return undefined;
     }
     recordSetup(pooled, order);
@@ -304,10 +325,11 @@
     remainingMs * REPLICA_TIMEOUT_FRACTION,
   );
   reads.options.counters.count(`near.${answer.kind}`);
-  return settleRead(server, pooled, answer);
+  return settleRead(readGroup, server, pooled, answer);
 }
 
 function settleRead(
+  readGroup: ReadGroup,
   server: ServerState,
   pooled: PooledConnection,
   answer: TargetAnswer,
@@ -319,7 +341,7 @@
     return { kind: 'done', rows, signature, position, isFromReplica: true };
   }
   if (answer.kind === 'lost' || answer.kind === 'overdue') {
-    handleBrokenConnection(server, pooled);
+    handleBrokenConnection(readGroup, server, pooled);
     return undefined;
   }
   if (answer.state === 'idle') releaseConnection(pooled);
@@ -332,9 +354,18 @@
   return undefined;
 }
 
+function recordIfBroken({ brokenAtMs }: ReadGroup, server: ServerState): void {
+  if (server.failingSinceMs !== undefined) brokenAtMs.set(server, performance.now());
+}
+
 /** Closes the connection and the server's idle ones, which may be broken as well. */
-function handleBrokenConnection(server: ServerState, pooled: PooledConnection): void {
+function handleBrokenConnection(
+  { brokenAtMs }: ReadGroup,
+  server: ServerState,
+  pooled: PooledConnection,
+): void {
   server.failingSinceMs = performance.now();
+  brokenAtMs.set(server, server.failingSinceMs);
   discardConnection(pooled);
   closeIdleConnections(server, () => true);
 }
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -21,11 +21,15 @@
 import { hasAvailableConnection } from '../target/connection-pool.js';
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import {
+  coldAllowanceOf,
+  isCold,
   isEvacuated,
   isGraceOver,
   isToBeReplaced,
   isWhollyEvacuated,
   lacksPlaceForPrimary,
+  recordStart,
+  requestCountOf,
 } from './placement.js';
 import { runJob } from './run-job.js';
 import { dropTransaction } from './transactions.js';
@@ -115,8 +119,9 @@
       dropTransaction(owner, job.transaction);
       server = undefined;
     }
-    if (server && (freeSlots(server) <= 0 || isHeld(owner, job, server))) continue;
+    if (server && (freeSlots(owner, server) <= 0 || isHeld(owner, job, server))) continue;
     owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
+    if (server) recordStart(owner, server, job);
     void runJob(owner, job, server);
   }
 }
@@ -139,6 +144,7 @@
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
     if (!next || !server) return;
+    recordStart(owner, server, next.item);
     void runJob(owner, next.item, server);
   }
 }
@@ -156,17 +162,18 @@
       !isEvacuated(owner, server) &&
       hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
-    freeSlots: freeSlots(server),
+    freeSlots: freeSlots(owner, server),
     connectedCustomers: new Set(server.idle.map(({ connection }) => connection.customer)),
     position: server.position,
     laggingUntilMs: server.laggingUntilMs,
   }));
 }
 
-function freeSlots(server: ServerState): number {
+function freeSlots(owner: StatementOwner, server: ServerState): number {
   if (performance.now() < server.busyUntilMs) return 0;
   const { slots } = server.announcement;
-  return slots + pipelineAllowance(server) - server.runningCount;
+  const free = slots + pipelineAllowance(server) - server.runningCount;
+  return Math.min(free, coldAllowanceOf(owner, server));
 }
 
 /** Extra statements that may be in transit to or from a distant server while its slots are busy. */
@@ -179,9 +186,10 @@
 
 function chooseServerFor(
   owner: StatementOwner,
-  { request, attempts }: Job,
+  job: Job,
   views: readonly TargetView[],
 ): ServerName | undefined {
+  const { request, attempts } = job;
   const { acknowledgedPositions } = owner;
   if (!acknowledgedPositions) return undefined;
   const nowMs = performance.now();
@@ -201,7 +209,28 @@
         : nowMs - request.maxReadAgeMs,
     mayAssumeCaughtUp: attempts === 0,
   };
-  return chooseTarget(views, requirements, nowMs);
+  return chooseTarget(viewsFor(owner, job, views), requirements, nowMs);
+}
+
+/** Servers that may run a statement. Reads use cold ones only if no other has a free slot. */
+function viewsFor(
+  owner: StatementOwner,
+  job: Job,
+  views: readonly TargetView[],
+): readonly TargetView[] {
+  const isAnyCold = [...owner.servers.values()].some((server) => isCold(owner, server));
+  if (!isAnyCold) return views;
+  const count = requestCountOf(job);
+  const allowed = views.filter(({ server }) => {
+    const state = owner.servers.get(server);
+    return state && coldAllowanceOf(owner, state) >= count;
+  });
+  if (isForPrimary(job)) return allowed;
+  const warm = allowed.filter(({ server, freeSlots: free, isUsable }) => {
+    const state = owner.servers.get(server);
+    return state && !isCold(owner, state) && free > 0 && isUsable;
+  });
+  return warm.length > 0 ? warm : allowed;
 }
 
 /**
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -77,6 +77,7 @@
   if (current) {
     current.announcement = announcement;
     current.lastAnnouncementMs = nowMs;
+    current.coldUntilMs = nowMs + (announcement.coldLeftMs ?? 0);
   } else {
     removeFormerServers(owner, announcement);
     withdrawDeparture(owner.coverage, (place) => isSameProcess(place, announcement));
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -9,6 +9,7 @@
   type GroupName,
   groupRecordOf,
   listAssignments,
+  type PlacementBounds,
   type Resource,
   type ServerAnnouncement,
   type ServerName,
@@ -34,6 +35,7 @@
   readonly zone: string;
   readonly regionOf: (zone: string) => string;
   readonly evacuatedZones: () => ReadonlySet<string>;
+  readonly placementBounds: PlacementBounds;
   readonly log: Log;
   readonly counters: Counters;
   readonly control: ControlClient;
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -12,6 +12,7 @@
   isPrimaryCovered,
   type GroupRecord,
   type LogPosition,
+  type PlacementBounds,
   type AcknowledgedPositions,
   type ServerAnnouncement,
   type ServerName,
@@ -39,6 +40,7 @@
   readonly regionOf: (zone: string) => string;
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
+  readonly placementBounds: PlacementBounds;
   readonly log: Log;
   readonly counters: Counters;
   /** Whether this entry holds the group's lease under the owner's epoch, by the monotonic clock. */
@@ -109,6 +111,10 @@
   /** The shortest response time to an order of the owner itself, in milliseconds. */
   roundTripMs: number | undefined;
   isProbing: boolean;
+  /** Until when the server is cold, by the monotonic clock. */
+  coldUntilMs: number;
+  /** Start times of the requests that count towards its limit while it is cold. */
+  readonly coldStartsMs: number[];
 }
 
 export interface OpenTransaction {
@@ -272,6 +278,8 @@
     isVerified: false,
     roundTripMs: undefined,
     isProbing: false,
+    coldUntilMs: nowMs + (announcement.coldLeftMs ?? 0),
+    coldStartsMs: [],
   };
 }
 
--- a/packages/statement-entry/src/owner/placement.ts
+++ b/packages/statement-entry/src/owner/placement.ts
@@ -1,6 +1,9 @@
 /** Where the servers of a group may be used, by the evacuations that its owner knows. */
 import {
   canLead,
+  COLD_WINDOW_MS,
+  coldAllowance,
+  coldLimit,
   isEvacuationGraceOver,
   type LeaderCandidate,
   type LeaderPlacement,
@@ -8,9 +11,10 @@
   type PlacementRules,
   type PlannedChangeReason,
   plannedChangeReason,
+  recordColdStarts,
   recordEvacuations,
 } from '@bramleykeel/core';
-import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { dropTransaction } from './transactions.js';
 
 function rulesOf({ environment }: StatementOwner): PlacementRules {
@@ -71,8 +75,40 @@
 
 /** Whether open transactions on a server start no further statements. */
 export function isGraceOver(owner: StatementOwner, server: ServerState): boolean {
+  const { environment, evacuationsLearntAtMs } = owner;
   const { zone } = server.announcement;
-  return isEvacuationGraceOver(owner.evacuationsLearntAtMs, zone, performance.now());
+  const nowMs = performance.now();
+  return isEvacuationGraceOver(evacuationsLearntAtMs, zone, nowMs, environment.placementBounds);
+}
+
+/** Whether the number of requests to a server is limited because it has just started. */
+export function isCold({ environment }: StatementOwner, { coldUntilMs }: ServerState): boolean {
+  if (performance.now() >= coldUntilMs) return false;
+  return (environment.groupSettings()?.coldRatePerSecond ?? 0) > 0;
+}
+
+/** How many requests a server may get now because of its limit while it is cold; infinite without one. */
+export function coldAllowanceOf(owner: StatementOwner, server: ServerState): number {
+  if (!isCold(owner, server)) return Number.POSITIVE_INFINITY;
+  const { environment, startedAtMs, epoch } = owner;
+  const nowMs = performance.now();
+  // What a former owner has sent in its last second counts as well.
+  const formerEndedForMs = environment.formerOwner()?.endedForMs ?? 0;
+  if (epoch > 1 && nowMs - startedAtMs + formerEndedForMs < COLD_WINDOW_MS) return 0;
+  const ratePerSecond = environment.groupSettings()?.coldRatePerSecond ?? 0;
+  const limit = coldLimit(ratePerSecond, environment.placementBounds);
+  return coldAllowance(server.coldStartsMs, limit, nowMs);
+}
+
+/** The requests that a statement causes: the first of a transaction is sent after a BEGIN. */
+export function requestCountOf({ request: { transaction } }: Pick<Job, 'request'>): number {
+  return transaction?.isFirst === true ? 2 : 1;
+}
+
+/** Counts the requests of a statement that starts on a server towards its limit while it is cold. */
+export function recordStart(owner: StatementOwner, server: ServerState, job: Job): void {
+  if (isCold(owner, server))
+    recordColdStarts(server.coldStartsMs, requestCountOf(job), performance.now());
 }
 
 /**
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -8,7 +8,9 @@
   documentOf,
   evacuatedZones,
   evacuationKey,
+  DEFAULT_PLACEMENT_BOUNDS,
   type GroupName,
+  type PlacementBounds,
   type RateLimit,
   type RecordDelta,
   type Resource,
@@ -91,6 +93,8 @@
   readonly zone: string;
   /** The region of a zone; zones of one region are near each other, and near reads stay within it. */
   readonly regionOf: (zone: string) => string;
+  /** Bounds on evacuations and cold servers; the defaults if absent. */
+  readonly placementBounds?: PlacementBounds;
   readonly linkAddress: string;
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
@@ -197,6 +201,7 @@
     control,
     settings: () => settings,
     evacuatedZones: () => evacuated,
+    placementBounds: options.placementBounds ?? DEFAULT_PLACEMENT_BOUNDS,
     releaseFromReader: async ({ incarnation, linkAddress }, group, server) => {
       if (incarnation === control.incarnation()) return releaseServer(replicaReads, group, server);
       const peer = links.linkTo(linkAddress);
@@ -255,6 +260,7 @@
   const readerOf = (group: GroupName) => readerResource(group, region);
   const replicaReads: ReplicaReads = createReplicaReads({
     evacuatedZones: () => evacuated,
+    mayBeCold: (group) => (settings?.groups.get(group)?.coldRatePerSecond ?? 0) > 0,
     openTarget: options.openTarget,
     counters,
     formerReader: (group) => control.formerHolder(readerOf(group)),
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -2,6 +2,7 @@
 import {
   type Assignment,
   type ControlCommand,
+  DEFAULT_PLACEMENT_BOUNDS,
   type FormerHolder,
   type GroupName,
   type GroupRecord,
@@ -75,6 +76,7 @@
   formerOwner: FormerHolder;
   /** Zones on whose servers nothing starts; server `i-N` is in `zone-N`. */
   evacuatedZones: ReadonlySet<string>;
+  coldRatePerSecond: number;
   /** Readers by region. */
   readonly readers: Map<string, Assignment>;
   /** Whether readers close their connections when asked to. */
@@ -97,6 +99,7 @@
     holdsLease: true,
     formerOwner: { epoch, heldForMs: 0, endedForMs: 0, hasReleased: false },
     evacuatedZones: new Set(),
+    coldRatePerSecond: 0,
     readers: new Map(),
     readerReleases: true,
   };
@@ -146,6 +149,7 @@
     zone: 'zone-0',
     regionOf: (zone) => zone,
     evacuatedZones: () => fake().evacuatedZones,
+    placementBounds: DEFAULT_PLACEMENT_BOUNDS,
     log: () => undefined,
     counters: {
       count: () => undefined,
@@ -163,7 +167,12 @@
       servers: fake().servers.map(({ name }) => name),
       ...fake().record,
     }),
-    groupSettings: () => ({ group, maxConnections: 13, isSynchronous: true }),
+    groupSettings: () => ({
+      group,
+      maxConnections: 13,
+      isSynchronous: true,
+      coldRatePerSecond: fake().coldRatePerSecond,
+    }),
     customers: () => [toCustomerName('one'), toCustomerName('other')],
     idleTransactionMs: () => 3_000,
     propose: (command) => {
