--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -47,6 +47,8 @@
   openedCount: number;
   openOutcome: OpenTargetOutcome['kind'];
   offerRequestCount: number;
+  evacuatedZones: ReadonlySet<string>;
+  mayBeCold: boolean;
 }
 
 function createContext(): TestContext {
@@ -61,6 +63,7 @@
     server: 'i-1' as ReaderOffer['servers'][number]['server'],
     address: '127.0.0.1:1',
     slots: 2,
+    zone: 'zone-a',
   };
   const context: TestContext = {
     orders: [],
@@ -72,8 +75,11 @@
     openedCount: 0,
     openOutcome: 'open',
     offerRequestCount: 0,
+    evacuatedZones: new Set(),
+    mayBeCold: false,
     reads: createReplicaReads({
-      zone: 'zone-a',
+      evacuatedZones: () => context.evacuatedZones,
+      mayBeCold: () => context.mayBeCold,
       counters: {
         count: () => undefined,
         gauge: () => undefined,
@@ -251,6 +257,45 @@
     expect(await read()).toBeUndefined();
   });
 
+  // Guards against reads that reach an evacuated server until the owner's next offer.
+  it('use no server in an evacuated zone, also one that is on offer', async () => {
+    context.evacuatedZones = new Set(['zone-a']);
+    expect(await read()).toBeUndefined();
+    expect(context.openedCount).toBe(0);
+    context.evacuatedZones = new Set(['zone-b']);
+    expect(await read()).toMatchObject({ kind: 'done' });
+  });
+
+  // Guards against reads at a server that has restarted and is cold, which its owner limits.
+  it('use a server whose connection broke only after an offer that was requested afterwards', async () => {
+    context.mayBeCold = true;
+    context.answers.push({ kind: 'lost' });
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    const { offer } = context;
+    context.offer = undefined;
+    vi.advanceTimersByTime(1_600);
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    context.offer = offer;
+    vi.advanceTimersByTime(300);
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    expect(await read({ maxReadAgeMs: 9_000 })).toMatchObject({ kind: 'done' });
+  });
+
+  it('use it after the pause without one if no server is limited while it is cold', async () => {
+    context.answers.push({ kind: 'lost' });
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    context.offer = undefined;
+    vi.advanceTimersByTime(1_600);
+    expect(await read({ maxReadAgeMs: 9_000 })).toMatchObject({ kind: 'done' });
+  });
+
+  it('do not start if the zone was evacuated while the connection was being opened', async () => {
+    const outcome = read();
+    context.evacuatedZones = new Set(['zone-a']);
+    expect(await outcome).toBeUndefined();
+    expect(context.orders).toEqual([]);
+  });
+
   it('are handed over at a planned stop, with all connections closed before', async () => {
     await read();
     const openAtRelease: number[] = [];
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -40,7 +40,10 @@
 import { mayReadAtReplica } from './reader-client.js';
 
 export interface ReplicaReadsOptions {
-  readonly zone: string;
+  /** Zones on whose servers nothing starts. */
+  readonly evacuatedZones: () => ReadonlySet<string>;
+  /** Whether the group's servers are limited while they are cold. */
+  readonly mayBeCold: (group: GroupName) => boolean;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
   /** Requests an offer from the group's owner; `undefined` if it makes none. */
@@ -55,6 +58,8 @@
   readonly group: GroupName;
   readonly pools: PoolContext;
   readonly servers: Map<string, ServerState>;
+  /** When connections to a server broke, unless an offer that was requested later lists the server again. */
+  readonly brokenAtMs: Map<ServerState, number>;
   /** Offered positions, oldest first; each includes all writes acknowledged before its request. */
   readonly positions: { readonly requestedAtMs: number; readonly position: LogPosition }[];
   lastRequestMs: number;
@@ -118,7 +123,7 @@
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(readGroup);
+  const server = after && findAvailableServer(reads, readGroup);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
@@ -185,6 +190,7 @@
       maxConnections: ({ announcement: { slots } }) => maxConnections(reads, group, slots),
     },
     servers: new Map(),
+    brokenAtMs: new Map(),
     positions: [],
     lastRequestMs: Number.NEGATIVE_INFINITY,
     isRequesting: false,
@@ -216,14 +222,14 @@
     }
     readGroup.positions.push({ requestedAtMs, position: offer.position });
     if (readGroup.positions.length > MAX_KEPT_POSITIONS) readGroup.positions.shift();
-    updateServers(reads, readGroup, offer.servers);
+    updateServers(readGroup, offer.servers, requestedAtMs);
   });
 }
 
 function updateServers(
-  reads: ReplicaReads,
   readGroup: ReadGroup,
   servers: readonly NearServer[],
+  requestedAtMs: number,
 ): void {
   const nowMs = performance.now();
   const offered = new Map(servers.map((server) => [`${server.server}@${server.address}`, server]));
@@ -231,13 +237,15 @@
     if (offered.has(key)) continue;
     retireServer(state);
     readGroup.servers.delete(key);
+    readGroup.brokenAtMs.delete(state);
   }
+  for (const [state, atMs] of readGroup.brokenAtMs)
+    if (state.isRetired || atMs < requestedAtMs) readGroup.brokenAtMs.delete(state);
   for (const [key, server] of offered) {
     if (readGroup.servers.get(key)?.isRetired === false) continue;
     const announcement: ServerAnnouncement = {
       ...server,
       group: readGroup.group,
-      zone: reads.options.zone,
       role: 'replica',
       isLeaving: false,
       bornMs: 0,
@@ -259,11 +267,18 @@
   return latestPosition(offered.position, draft.mark);
 }
 
-function findAvailableServer({ servers }: ReadGroup): ServerState | undefined {
+function findAvailableServer(
+  reads: ReplicaReads,
+  { group, servers, brokenAtMs }: ReadGroup,
+): ServerState | undefined {
+  const mayBeCold = reads.options.mayBeCold(group);
   const nowMs = performance.now();
   return [...servers.values()].find(
     (server) =>
       !server.isRetired &&
+      !isEvacuated(reads, server) &&
+      // It may have restarted, and its owner does not offer it while it is cold.
+      !(mayBeCold && brokenAtMs.has(server)) &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
       nowMs >= server.busyUntilMs &&
       nowMs >= server.laggingUntilMs &&
@@ -271,6 +286,10 @@
   );
 }
 
+function isEvacuated({ options }: ReplicaReads, { announcement }: ServerState): boolean {
+  return options.evacuatedZones().has(announcement.zone);
+}
+
 async function runOnServer(
   reads: ReplicaReads,
   readGroup: ReadGroup,
@@ -282,12 +301,20 @@
   const valuesKey = valuesKeyOf(draft.values);
   if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
   const acquired = await acquireConnection(readGroup.pools, server, draft.customer, valuesKey);
-  if (acquired.kind === 'unavailable') return undefined;
+  if (acquired.kind === 'unavailable') {
+    recordIfBroken(readGroup, server);
+    return undefined;
+  }
   const { pooled } = acquired;
+  // The order may have arrived while the connection was being opened.
+  if (isEvacuated(reads, server)) {
+    releaseConnection(pooled);
+    return undefined;
+  }
   for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
     const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setupAnswer.kind !== 'done') {
-      handleBrokenConnection(server, pooled);
+      handleBrokenConnection(readGroup, server, pooled);
       return undefined;
     }
     recordSetup(pooled, order);
@@ -298,10 +325,11 @@
     remainingMs * REPLICA_TIMEOUT_FRACTION,
   );
   reads.options.counters.count(`near.${answer.kind}`);
-  return settleRead(server, pooled, answer);
+  return settleRead(readGroup, server, pooled, answer);
 }
 
 function settleRead(
+  readGroup: ReadGroup,
   server: ServerState,
   pooled: PooledConnection,
   answer: TargetAnswer,
@@ -313,7 +341,7 @@
     return { kind: 'done', rows, signature, position, isFromReplica: true };
   }
   if (answer.kind === 'lost' || answer.kind === 'overdue') {
-    handleBrokenConnection(server, pooled);
+    handleBrokenConnection(readGroup, server, pooled);
     return undefined;
   }
   if (answer.state === 'idle') releaseConnection(pooled);
@@ -326,9 +354,18 @@
   return undefined;
 }
 
+function recordIfBroken({ brokenAtMs }: ReadGroup, server: ServerState): void {
+  if (server.failingSinceMs !== undefined) brokenAtMs.set(server, performance.now());
+}
+
 /** Closes the connection and the server's idle ones, which may be broken as well. */
-function handleBrokenConnection(server: ServerState, pooled: PooledConnection): void {
+function handleBrokenConnection(
+  { brokenAtMs }: ReadGroup,
+  server: ServerState,
+  pooled: PooledConnection,
+): void {
   server.failingSinceMs = performance.now();
+  brokenAtMs.set(server, server.failingSinceMs);
   discardConnection(pooled);
   closeIdleConnections(server, () => true);
 }
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -12,6 +12,7 @@
   isPrimaryCovered,
   type GroupRecord,
   type LogPosition,
+  type PlacementBounds,
   type AcknowledgedPositions,
   type ServerAnnouncement,
   type ServerName,
@@ -37,6 +38,9 @@
   readonly zone: string;
   /** The region of a zone; zones of one region are near each other. */
   readonly regionOf: (zone: string) => string;
+  /** Zones on whose servers nothing starts. */
+  readonly evacuatedZones: () => ReadonlySet<string>;
+  readonly placementBounds: PlacementBounds;
   readonly log: Log;
   readonly counters: Counters;
   /** Whether this entry holds the group's lease under the owner's epoch, by the monotonic clock. */
@@ -107,6 +111,10 @@
   /** The shortest response time to an order of the owner itself, in milliseconds. */
   roundTripMs: number | undefined;
   isProbing: boolean;
+  /** Until when the server is cold, by the monotonic clock. */
+  coldUntilMs: number;
+  /** Start times of the requests that count towards its limit while it is cold. */
+  readonly coldStartsMs: number[];
 }
 
 export interface OpenTransaction {
@@ -178,6 +186,8 @@
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
+  /** When this owner has learnt of the evacuation of each zone. */
+  readonly evacuationsLearntAtMs: Map<string, number>;
   /** Number of statements accepted under this epoch. */
   acceptedCount: number;
   leadership: Leadership;
@@ -228,6 +238,7 @@
     pinnedWaiting: [],
     transactions: new Map(),
     running: new Set(),
+    evacuationsLearntAtMs: new Map(),
     acceptedCount: 0,
     leadership: { kind: 'unknown', sinceMs: nowMs },
     leadershipNumber: 0,
@@ -267,6 +278,8 @@
     isVerified: false,
     roundTripMs: undefined,
     isProbing: false,
+    coldUntilMs: nowMs + (announcement.coldLeftMs ?? 0),
+    coldStartsMs: [],
   };
 }
 
@@ -275,12 +288,3 @@
   const { leadership } = owner;
   return leadership.kind === 'led' ? owner.servers.get(leadership.server) : undefined;
 }
-
-/** Whether a server is leaving while another one could lead. As primary it is replaced at once and starts nothing more. */
-export function isToBeReplaced({ servers }: StatementOwner, server: ServerState): boolean {
-  if (!server.announcement.isLeaving) return false;
-  return [...servers.values()].some(
-    (other) =>
-      other !== server && !other.announcement.isLeaving && other.failingSinceMs === undefined,
-  );
-}
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -6,7 +6,11 @@
   assignmentOf,
   type CustomerName,
   documentOf,
+  evacuatedZones,
+  evacuationKey,
+  DEFAULT_PLACEMENT_BOUNDS,
   type GroupName,
+  type PlacementBounds,
   type RateLimit,
   type RecordDelta,
   type Resource,
@@ -89,6 +93,8 @@
   readonly zone: string;
   /** The region of a zone; zones of one region are near each other, and near reads stay within it. */
   readonly regionOf: (zone: string) => string;
+  /** Bounds on evacuations and cold servers; the defaults if absent. */
+  readonly placementBounds?: PlacementBounds;
   readonly linkAddress: string;
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
@@ -163,6 +169,7 @@
   const sessions = new Set<CallerSession>();
   const requestedAtMs = new Map<Resource, number>();
   let settings: StatementSettings | undefined;
+  let evacuated: ReadonlySet<string> = new Set();
   let stopSchedule: StopSchedule | undefined;
   let transactionCount = 0;
 
@@ -193,6 +200,8 @@
     ...options,
     control,
     settings: () => settings,
+    evacuatedZones: () => evacuated,
+    placementBounds: options.placementBounds ?? DEFAULT_PLACEMENT_BOUNDS,
     releaseFromReader: async ({ incarnation, linkAddress }, group, server) => {
       if (incarnation === control.incarnation()) return releaseServer(replicaReads, group, server);
       const peer = links.linkTo(linkAddress);
@@ -250,7 +259,8 @@
   const region = options.regionOf(options.zone);
   const readerOf = (group: GroupName) => readerResource(group, region);
   const replicaReads: ReplicaReads = createReplicaReads({
-    zone: options.zone,
+    evacuatedZones: () => evacuated,
+    mayBeCold: (group) => (settings?.groups.get(group)?.coldRatePerSecond ?? 0) > 0,
     openTarget: options.openTarget,
     counters,
     formerReader: (group) => control.formerHolder(readerOf(group)),
@@ -358,6 +368,8 @@
 
   function applyRecords(deltas: readonly RecordDelta[]): void {
     if (deltas.some(({ stored }) => stored.record.kind === 'document')) applyDocument();
+    if (deltas.some(({ key }) => key.startsWith(evacuationKey(''))))
+      evacuated = evacuatedZones(control);
     reconcileStatementOwners(registry);
     closeEndedReaders(replicaReads);
     failSupersededStatements(owners);
