--- a/packages/test-support/src/stand-in/server-state.ts
+++ b/packages/test-support/src/stand-in/server-state.ts
@@ -4,6 +4,7 @@
 import { appendEntry, lastEntry, type RowChange, saveTerms, type Storage } from './storage.js';
 
 export interface StandInServer {
+  readonly name: string;
   readonly storage: Storage;
   role: 'primary' | 'replica';
   /** Command address of the primary that this replica follows. */
@@ -12,8 +13,9 @@
   onRoleChange: () => void;
 }
 
-export function createStandInServer(storage: Storage): StandInServer {
+export function createStandInServer(name: string, storage: Storage): StandInServer {
   return {
+    name,
     storage,
     role: 'replica',
     primaryCommandUrl: undefined,
--- a/packages/test-support/src/stand-in/stand-in-server.ts
+++ b/packages/test-support/src/stand-in/stand-in-server.ts
@@ -45,7 +45,7 @@
 export async function startStandIn(options: StandInOptions): Promise<void> {
   await loadParser();
   const storage = openStorage(options.dataFolder);
-  const server = createStandInServer(storage);
+  const server = createStandInServer(options.server, storage);
   const faults: Faults = { isReplicationPaused: false, areAnnouncementsPaused: false };
   const isNewStorage = storage.terms.term === 0;
   if (isNewStorage && options.isFirstPrimary) {
--- a/packages/test-support/src/stand-in/statements.ts
+++ b/packages/test-support/src/stand-in/statements.ts
@@ -257,6 +257,7 @@
   const builtIn: Readonly<Record<string, string>> = {
     log_position: `${position.term}/${position.offset}`,
     server_version: '16.0',
+    server_name: context.server.name,
     server_role: context.server.role,
     transaction_read_only: context.server.role === 'primary' ? 'off' : 'on',
   };
