--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -7,10 +7,14 @@
   type ControlCommand,
   createDocumentCache,
   entryAt,
+  type GroupName,
+  kindOf,
   type MemberId,
   membershipOf,
   type RaftMessage,
+  type Resource,
   type TimingSettings,
+  toGroupName,
 } from '@bramleykeel/core';
 import {
   type Counters,
@@ -54,6 +58,8 @@
   readonly maxVoters: number;
   /** Returns the region of a zone; `undefined` if zones are not grouped into regions. */
   readonly regionOf?: (zone: string) => string | undefined;
+  /** Home regions that the restricted routes of a group have in common, by the operators' document. */
+  readonly homeRegionsOf?: (group: GroupName) => readonly string[] | undefined;
   /** Whether this member has persistent storage; only then may it vote. */
   readonly isEligible: boolean;
   readonly log: Log;
@@ -222,12 +228,17 @@
    * Starts the leader service once an entry of the leader's own term is committed: only then is it
    * known that all entries committed earlier are included.
    */
+  function homesOf(resource: Resource): readonly string[] | undefined {
+    if (kindOf(resource) !== 'group') return undefined;
+    return options.homeRegionsOf?.(toGroupName(resource.slice('group/'.length)));
+  }
+
   function startLeaderServiceIfReady(): void {
     const { raft } = driver;
     if (leader || raft.role !== 'leader') return;
     const newest = entryAt(raft, raft.commitIndex);
     if (newest?.term !== raft.currentTerm) return;
-    leader = createLeaderService(driver, timing, options.regionOf ?? noRegion, log);
+    leader = createLeaderService(driver, timing, options.regionOf ?? noRegion, log, homesOf);
   }
 
   function handleLinkClosed(peer: LinkPeer): void {
--- a/packages/control/src/leader/assign-resources.ts
+++ b/packages/control/src/leader/assign-resources.ts
@@ -61,6 +61,7 @@
       kind: kindOf(resource),
       zone: preferredZone,
       regionOf: service.regionOf,
+      homes: service.homesOf(resource),
       excluded,
       isHeavy,
     };
@@ -71,13 +72,13 @@
       performance.now(),
     );
     if (!holder) continue;
-    const { entryId, incarnation, linkAddress } = holder;
+    const { entryId, incarnation, linkAddress, zone } = holder;
     const epoch = (current?.epoch ?? 0) + 1;
     const formerEndedForMs =
       current && holderEndedForMs(service.leases, current, performance.now());
     const isHandedOver = current && service.releasedEpochs.get(resource) === current.epoch;
     chosen.push({
-      ...{ resource, epoch, entryId, incarnation, linkAddress },
+      ...{ resource, epoch, entryId, incarnation, linkAddress, zone },
       leaseMs: leaseMsOf(service.timing, holder),
       ...(preferredZone === undefined ? {} : { wishedZone: preferredZone }),
       ...(formerEndedForMs === undefined ? {} : { formerEndedForMs }),
--- a/packages/control/src/leader/leader-service.test.ts
+++ b/packages/control/src/leader/leader-service.test.ts
@@ -17,6 +17,7 @@
   createLeaderService,
   endEntry,
   handleRoundConfirmed,
+  type LeaderService,
   queueRenewal,
   queueRepeatedRenewal,
   releaseResource,
@@ -33,7 +34,7 @@
   electionTimeoutMaxMs: 850,
 };
 
-function createService() {
+function createService(homesOf?: LeaderService['homesOf']) {
   const control: ControlState = createControlState();
   const steps: string[] = [];
   const driver = {
@@ -59,6 +60,7 @@
       timing,
       () => undefined,
       () => undefined,
+      homesOf,
     ),
     steps,
   };
@@ -201,6 +203,25 @@
   });
 });
 
+describe('a group with home regions', () => {
+  it('is owned in one of them, and the assignment names the zone of its owner', async () => {
+    const { service } = createService((resource) =>
+      resource === 'group/ledger' ? ['erdenet'] : undefined,
+    );
+    const replies = ['ub-a', 'erdenet'].map((zone, index) =>
+      queueRenewal(service, peer, { ...renewal(index), zone }),
+    );
+    handleRoundConfirmed(service, performance.now());
+    await Promise.all(replies);
+    const zoneOf = (resource: 'group/ledger' | 'group/other') =>
+      assignmentOf(service.driver.control(), resource)?.zone;
+    await requestResource(service, { resource: 'group/ledger', zone: 'ub-a' });
+    await requestResource(service, { resource: 'group/other', zone: 'ub-a' });
+    expect(zoneOf('group/ledger')).toBe('erdenet');
+    expect(zoneOf('group/other')).toBe('ub-a');
+  });
+});
+
 describe('renewals of entries that read their first copy from a member', () => {
   it('grant the lease without records and without confirming settings', async () => {
     const { service } = createService();
--- a/packages/control/src/leader/leader-service.ts
+++ b/packages/control/src/leader/leader-service.ts
@@ -33,6 +33,8 @@
   readonly leases: EntryLeases;
   readonly timing: TimingSettings;
   readonly regionOf: (zone: string) => string | undefined;
+  /** Regions in which the holder of a resource has to be, if any can. */
+  readonly homesOf: (resource: Resource) => readonly string[] | undefined;
   readonly driver: LogDriver;
   readonly log: Log;
   /** Preferred zones of resources, as requested by entries. */
@@ -87,11 +89,13 @@
   timing: TimingSettings,
   regionOf: (zone: string) => string | undefined,
   log: Log,
+  homesOf: LeaderService['homesOf'] = () => undefined,
 ): LeaderService {
   return {
     leases: createEntryLeases(timing, performance.now(), driver.raft.formerLeaderUntilMs),
     timing,
     regionOf,
+    homesOf,
     driver,
     log,
     preferredZones: new Map(),
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -23,6 +23,8 @@
   readonly entryId: EntryId;
   readonly incarnation: Incarnation;
   readonly linkAddress: string;
+  /** Zone of the holder; absent in assignments of former versions. */
+  readonly zone?: string | undefined;
   /** Preferred zone of the resource, stored so that later leaders know it. */
   readonly wishedZone?: string | undefined;
   /**
--- a/packages/core/src/lease/entry-leases.test.ts
+++ b/packages/core/src/lease/entry-leases.test.ts
@@ -193,6 +193,36 @@
     expect(chooseHolder(state, [], preference, 1_000)?.entryId).toBe(expected);
   });
 
+  it.each([
+    {
+      name: 'a home before the preferred zone',
+      entries: [entry('a', 'near-a'), entry('b', 'far-b')],
+      expected: 'b',
+    },
+    {
+      name: 'the preferred zone within the homes',
+      entries: [entry('a', 'far-b'), entry('b', 'far-a')],
+      expected: 'b',
+    },
+    {
+      name: 'a zone outside if no entry is in a home',
+      entries: [entry('a', 'near-a')],
+      expected: 'a',
+    },
+  ])('of a group with homes is chosen by: $name', ({ entries, expected }) => {
+    const state = createEntryLeases(TIMING, 0);
+    for (const each of entries) renewLease(state, each, 1_000);
+    const zone = expected === 'b' && entries[0]?.zone === 'far-b' ? 'far-a' : 'near-a';
+    const preference = {
+      kind: 'group',
+      zone,
+      homes: ['far'],
+      regionOf,
+      excluded: undefined,
+    } as const;
+    expect(chooseHolder(state, [], preference, 1_000)?.entryId).toBe(expected);
+  });
+
   it('ends once a newer incarnation uses its address, even if this leader granted it no lease', () => {
     const state = createEntryLeases(TIMING, 0);
     const earlier = { ...assignmentTo('i0'), linkAddress: '127.0.0.1:1' };
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -3,6 +3,7 @@
  * assigned to it, so that the number of renewals does not grow with groups and customers.
  */
 import { type Assignment, kindOf, type ResourceKind } from '../control-state/types.js';
+import { isHome } from '../placement/home-regions.js';
 import type { EntryId, Incarnation } from '../types/ids.js';
 
 export interface LeaseTiming {
@@ -189,6 +190,8 @@
   readonly zone: string | undefined;
   /** Region of a zone, if zones are grouped; other zones of the region are the second choice. */
   readonly regionOf?: (zone: string) => string | undefined;
+  /** Regions in which the holder should be before all else; `undefined` without a limit. */
+  readonly homes?: readonly string[] | undefined;
   readonly excluded: Incarnation | undefined;
   /** Whether the resource is a group that is too heavy for narrow instances. */
   readonly isHeavy?: boolean;
@@ -211,7 +214,7 @@
  * - Groups that are too heavy for narrow instances go to wide ones, of any zone if need be.
  * - Homes of rates and readers are on narrow instances of any zone, many to each.
  *
- * After that count the preferred zone, absence of a control member on the instance, and number of resources; ties are
+ * A group with home regions is owned in one of them, if there is an entry. After that count the preferred zone, absence of a control member on the instance, and number of resources; ties are
  * broken by entry id.
  *
  * @example
@@ -266,9 +269,14 @@
   const controlRank = lease.isBesideControl === true ? 1 : 0;
   const loadRank = rankLoad(lease, preference.kind, held);
   const prefersZone = preference.kind === 'group' && preference.isHeavy !== true;
+  const homeRank = isInHomes(lease.zone, preference) ? 0 : 1;
   return prefersZone
-    ? [zoneRank, widthRank, controlRank, loadRank]
-    : [widthRank, zoneRank, controlRank, loadRank];
+    ? [homeRank, zoneRank, widthRank, controlRank, loadRank]
+    : [homeRank, widthRank, zoneRank, controlRank, loadRank];
+}
+
+function isInHomes(zone: string, { homes, regionOf }: HolderPreference): boolean {
+  return isHome(homes, regionOf?.(zone) ?? zone);
 }
 
 function rankZone(zone: string, { zone: preferred, regionOf }: HolderPreference): number {
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -3,6 +3,7 @@
  * one statement of a caller, with its session values and prepared statement.
  */
 import type { CustomerName, GroupName, ServerName } from '../types/ids.js';
+import type { Homes } from '../placement/home-regions.js';
 import type { LogPosition } from '../types/position.js';
 
 /**
@@ -26,6 +27,8 @@
   /** Zero is the highest priority. */
   readonly priority: number;
   readonly isOpenToAll: boolean;
+  /** Regions in which its statements may run; empty without a limit. */
+  readonly homeRegions: readonly string[];
 }
 
 export interface StatementCustomer {
@@ -35,6 +38,8 @@
   readonly burst: number;
   /** Tokens that a new home of the customer's rate limit starts with when it takes over from another. */
   readonly afterMove: number;
+  /** Regions in which its statements may run; empty without a limit. */
+  readonly homeRegions: readonly string[];
 }
 
 export interface StatementGroup {
@@ -126,12 +131,15 @@
   readonly budgetMs: number;
   /** Time within which it must be sent to a server or refused as not run, in milliseconds. */
   readonly startWithinMs: number;
+  /** Regions in which it may run, and through whose processes it may pass. */
+  readonly homes: Homes;
 }
 
 /** Why a statement was refused before it ran. */
 export type StatementRefusalReason =
   | 'no-owner'
   | 'no-primary'
+  | 'no-home-server'
   | 'owner-lost-before-start'
   | 'queue-full'
   | 'queue-timeout'
--- a/packages/statement-entry/src/accept/access.ts
+++ b/packages/statement-entry/src/accept/access.ts
@@ -1,11 +1,14 @@
 /** Decides whether a caller is admitted, by its route, its key and the freshness of the settings. */
 import {
   type CustomerName,
+  effectiveHomes,
+  type Homes,
   type StatementCustomer,
   type StatementRefusalReason,
   type StatementRoute,
   toCustomerName,
 } from '@bramleykeel/core';
+import { match } from 'ts-pattern';
 import type { CallerSession, SessionEnvironment } from './session-state.js';
 
 /** The route and customer that a caller is admitted under. */
@@ -31,6 +34,27 @@
   return typeof admission === 'string' ? admission : undefined;
 }
 
+/**
+ * The homes of a caller's statements, by the settings in force on this entry; the reason for refusal if its route and
+ * customer have none in common.
+ */
+export function findHomes(
+  environment: SessionEnvironment,
+  database: string,
+  customer: CustomerName,
+): Homes | StatementRefusalReason {
+  const settings = environment.settings();
+  const route = settings?.routes.get(database);
+  if (!route) return null;
+  const homes = effectiveHomes(route, settings?.customers.get(customer));
+  return match(homes)
+    .returnType<Homes | StatementRefusalReason>()
+    .with({ kind: 'anywhere' }, () => null)
+    .with({ kind: 'regions' }, ({ regions }) => regions)
+    .with({ kind: 'none' }, () => 'no-home-server')
+    .exhaustive();
+}
+
 /** Whether the session's key has been withdrawn, according to the settings in force on this entry. */
 export function isKeyWithdrawn({ environment, database, key }: CallerSession): boolean {
   const settings = environment.settings();
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -1,6 +1,7 @@
 /** Runs a caller's session: its requests one at a time, its values, prepared names and transaction. */
 import {
   type CustomerName,
+  type Homes,
   latestPosition,
   type LogPosition,
   type StatementBody,
@@ -16,7 +17,7 @@
   type StatementDeadlines,
 } from '../locate/owner-client.js';
 import { runNearest } from '../near/reader-client.js';
-import { type Admission, findAdmission, ANONYMOUS_CUSTOMER } from './access.js';
+import { type Admission, findAdmission, findHomes, ANONYMOUS_CUSTOMER } from './access.js';
 import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
@@ -191,8 +192,13 @@
   const admission = await admitOperation(session, tag);
   if (!admission) return;
   const { route, customer } = admission;
+  const homes = findHomes(session.environment, session.database, customer);
+  if (typeof homes === 'string') {
+    refuseRequest(session, notRun(homes, RETRY_AFTER_MS), tag, customer);
+    return;
+  }
   const draft = {
-    ...commonDraftFields(session, route, customer),
+    ...commonDraftFields(session, route, customer, homes),
     tag,
     access,
     body,
@@ -220,8 +226,10 @@
   if (refusal) return refusal;
   const { route, customer, number, isReadOnly } = transaction;
   const isFirst = transaction.ownerPort === undefined;
+  const homes = findHomes(session.environment, session.database, customer);
+  if (typeof homes === 'string') return notRun(homes, RETRY_AFTER_MS);
   const draft = {
-    ...commonDraftFields(session, route, customer),
+    ...commonDraftFields(session, route, customer, homes),
     tag,
     access,
     body,
@@ -263,8 +271,14 @@
   return { kind: 'aborted', reason: 'the entry stops' };
 }
 
-function commonDraftFields(session: CallerSession, route: StatementRoute, customer: CustomerName) {
+function commonDraftFields(
+  session: CallerSession,
+  route: StatementRoute,
+  customer: CustomerName,
+  homes: Homes,
+) {
   return {
+    homes,
     customer,
     priority: route.priority,
     consistency: route.consistency,
@@ -286,6 +300,11 @@
     refuseRequest(session, notRun(admission, RETRY_AFTER_MS), tag);
     return undefined;
   }
+  const homes = findHomes(environment, session.database, admission.customer);
+  if (typeof homes === 'string') {
+    refuseRequest(session, notRun(homes, RETRY_AFTER_MS), tag, admission.customer);
+    return undefined;
+  }
   if (admission.customer === ANONYMOUS_CUSTOMER) return admission;
   const refusal = await admit(environment.rates, admission.customer, 1, undefined);
   if (!refusal) return admission;
--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -38,24 +38,30 @@
   maxReadAgeMs: 0,
   mark: null,
   values: {},
+  homes: null,
 };
 
 describe('statements that are pending when their owner ends', () => {
   let client: OwnerClient;
   let epoch: number;
   let lastStartMs: number;
+  let ownerZone: string | undefined;
+  let ownerIncarnation: string;
   let sent: { readonly epoch: number; readonly request: StatementRequest }[];
 
   beforeEach(() => {
     epoch = 1;
     lastStartMs = Number.POSITIVE_INFINITY;
+    ownerZone = 'ub';
+    ownerIncarnation = 'b';
     sent = [];
     const control = {
       get records() {
         const assignment = {
+          ...(ownerZone === undefined ? {} : { zone: ownerZone }),
           resource: `group/${group}`,
           epoch,
-          incarnation: 'b',
+          incarnation: ownerIncarnation,
           linkAddress: 'b:1',
         };
         return new Map([[`group/${group}`, { record: { kind: 'assignment', assignment } }]]);
@@ -63,9 +69,13 @@
       incarnation: () => 'a',
     } as unknown as ControlClient;
     client = createOwnerClient({
+      regionOf: (zone) => zone,
       control,
       links: () => ({ linkTo: () => ({}) }) as unknown as EntryLinks,
-      sendLocally: () => false,
+      sendLocally: (_group, sentEpoch, request) => {
+        sent.push({ epoch: sentEpoch, request });
+        return true;
+      },
       rollBackLocally: () => undefined,
       sendOverLink: (port, request) => {
         sent.push({ epoch: port.epoch, request });
@@ -81,6 +91,42 @@
     return runStatement(client, group, draft, undefined, createStatementDeadlines(1_000, 0.45));
   }
 
+  // Guards against content that passes through a region that is no home.
+  it.each([
+    { homes: null, zone: undefined, holder: 'b', isSent: true },
+    { homes: ['ub'], zone: 'ub', holder: 'b', isSent: true },
+    { homes: ['erdenet'], zone: 'ub', holder: 'b', isSent: false },
+    { homes: ['ub'], zone: undefined, holder: 'b', isSent: false },
+    { homes: ['erdenet'], zone: 'ub', holder: 'a', isSent: true },
+  ])(
+    'with the homes $homes and an owner in $zone at entry $holder are sent: $isSent',
+    async ({ homes, zone, holder, isSent }) => {
+      ownerZone = zone;
+      ownerIncarnation = holder;
+      const running = run({ ...write, homes });
+      await delay(5);
+      expect(sent).toHaveLength(isSent ? 1 : 0);
+      if (isSent) handleOutcome(client, sent[0]?.request.number ?? 0, done);
+      const { outcome, port } = await running;
+      if (isSent) expect(outcome).toEqual(done);
+      else expect(outcome).toMatchObject({ kind: 'not-run', reason: 'no-home-server' });
+      expect(port !== undefined).toBe(isSent);
+    },
+  );
+
+  it('end their transaction if its owner is no home any more', async () => {
+    const transaction = { number: 1, isReadOnly: false, isFirst: true };
+    const first = run({ ...write, transaction, homes: ['ub'] });
+    await delay(5);
+    handleOutcome(client, sent[0]?.request.number ?? 0, done);
+    const { port } = await first;
+    const draft = { ...write, transaction: { ...transaction, isFirst: false }, homes: ['erdenet'] };
+    const deadlines = createStatementDeadlines(1_000, 0.45);
+    const next = await runStatement(client, group, draft, port, deadlines);
+    expect(next.outcome).toMatchObject({ kind: 'aborted' });
+    expect(sent).toHaveLength(1);
+  });
+
   it('are sent to the next owner if the former owner has not run them', async () => {
     const running = run();
     await delay(5);
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -4,6 +4,7 @@
   type Assignment,
   assignmentOf,
   type GroupName,
+  mayForward,
   type Resource,
   type StatementOutcome,
   type StatementRequest,
@@ -18,6 +19,8 @@
   readonly epoch: number;
   readonly linkAddress: string;
   readonly isLocal: boolean;
+  /** Zone of the owner; `undefined` if it is not on record. */
+  readonly zone: string | undefined;
   /** Sends a statement; returns `false` if it was certainly not sent. */
   readonly send: (request: StatementRequest) => boolean;
   readonly sendRollback: (transaction: number) => void;
@@ -26,6 +29,7 @@
 export interface OwnerClientOptions {
   readonly control: ControlClient;
   readonly links: () => EntryLinks;
+  readonly regionOf: (zone: string) => string;
   /** Passes a statement to the owner in this process; returns `false` if there is none with this epoch. */
   readonly sendLocally: (group: GroupName, epoch: number, request: StatementRequest) => boolean;
   readonly rollBackLocally: (group: GroupName, epoch: number, transaction: number) => void;
@@ -115,6 +119,10 @@
   for (;;) {
     const port = hasTransactionOwner ? transactionOwner : await awaitPort(client, group, startByMs);
     if (!port) return { outcome: notRun('no-owner'), port: undefined };
+    if (!mayForward(draft.homes, port, client.options.regionOf)) {
+      const outcome = hasTransactionOwner ? aborted() : notRun('no-home-server');
+      return { outcome, port: hasTransactionOwner ? port : undefined };
+    }
     const { deadlineMs } = deadlines;
     const outcome = await sendOnce(client, port, draft, { deadlineMs, startByMs: startByMs() });
     const isTooLateToStart = performance.now() >= startByMs();
@@ -146,7 +154,7 @@
   return { kind: 'aborted', reason: 'the owner of the transaction was lost' };
 }
 
-function notRun(reason: 'no-owner'): StatementOutcome {
+function notRun(reason: 'no-owner' | 'no-home-server'): StatementOutcome {
   return { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS };
 }
 
@@ -298,10 +306,10 @@
 function createPort(
   { options }: OwnerClient,
   group: GroupName,
-  { epoch, linkAddress }: Assignment,
+  { epoch, linkAddress, zone }: Assignment,
   isLocal: boolean,
 ): OwnerPort {
-  const location = { group, epoch, linkAddress, isLocal };
+  const location = { group, epoch, linkAddress, isLocal, zone };
   if (!isLocal) {
     return {
       ...location,
--- a/packages/statement-entry/src/near/locate-reader.ts
+++ b/packages/statement-entry/src/near/locate-reader.ts
@@ -13,7 +13,12 @@
 
 export type ReaderLocation =
   | { readonly kind: 'here'; readonly epoch: number }
-  | { readonly kind: 'elsewhere'; readonly epoch: number; readonly linkAddress: string };
+  | {
+      readonly kind: 'elsewhere';
+      readonly epoch: number;
+      readonly linkAddress: string;
+      readonly zone: string | undefined;
+    };
 
 export interface ReaderLocatorOptions {
   readonly control: RecordStore & {
@@ -55,7 +60,7 @@
     requestResource(resource, replica.zone);
     return undefined;
   }
-  const { epoch, incarnation, linkAddress } = assignment;
-  if (incarnation !== control.incarnation()) return { kind: 'elsewhere', epoch, linkAddress };
+  const { epoch, incarnation, linkAddress, zone } = assignment;
+  if (incarnation !== control.incarnation()) return { kind: 'elsewhere', epoch, linkAddress, zone };
   return control.heldEpoch(resource) === epoch ? { kind: 'here', epoch } : undefined;
 }
--- a/packages/statement-entry/src/near/reader-client.test.ts
+++ b/packages/statement-entry/src/near/reader-client.test.ts
@@ -17,6 +17,7 @@
   maxReadAgeMs: 1_500,
   mark: null,
   values: {},
+  homes: null,
 };
 const done = (signature: string): StatementOutcome => {
   return { kind: 'done', rows: [], signature, position: null, isFromReplica: true };
@@ -37,6 +38,7 @@
     answerAfterMs: 1,
     answer: done('reader'),
     client: createReaderClient({
+      regionOf: (zone) => zone,
       counters: {
         count: () => undefined,
         gauge: () => undefined,
@@ -57,7 +59,7 @@
   return test;
 }
 
-const elsewhere = { kind: 'elsewhere', epoch: 1, linkAddress: 'a:1' } as const;
+const elsewhere = { kind: 'elsewhere', epoch: 1, linkAddress: 'a:1', zone: 'zone-a' } as const;
 
 function run(test: TestClient, draft = read, atOwner = done('owner'), budgetMs = BUDGET_MS) {
   const deadlineMs = performance.now() + budgetMs;
@@ -88,6 +90,18 @@
     expect(test.sent).toEqual([]);
   });
 
+  // Guards against content that passes through a region that is no home.
+  it.each([
+    { homes: ['zone-a'], reader: elsewhere, expected: 'reader' },
+    { homes: ['zone-b'], reader: elsewhere, expected: 'owner' },
+    { homes: ['zone-a'], reader: { ...elsewhere, zone: undefined }, expected: 'owner' },
+    { homes: ['zone-b'], reader: { kind: 'here', epoch: 1 } as const, expected: 'reader' },
+  ])('with the homes $homes run at the $expected', async ({ homes, reader, expected }) => {
+    const test = createTestClient(reader);
+    expect(await run(test, { ...read, homes })).toEqual(done(expected));
+    if (expected === 'owner') expect(test.sent).toEqual([]);
+  });
+
   it('run at the owner as well when the reader is late', async () => {
     const test = createTestClient(elsewhere);
     test.answerAfterMs = BUDGET_MS;
--- a/packages/statement-entry/src/near/reader-client.ts
+++ b/packages/statement-entry/src/near/reader-client.ts
@@ -4,7 +4,7 @@
  * transactions may be repeated.
  */
 import { setTimeout as delay } from 'node:timers/promises';
-import type { GroupName, StatementOutcome } from '@bramleykeel/core';
+import { type GroupName, mayForward, type StatementOutcome } from '@bramleykeel/core';
 import type { Counters } from '@bramleykeel/link';
 import type { StatementDraft } from '../locate/owner-client.js';
 import type { ReaderLocation } from './locate-reader.js';
@@ -12,6 +12,7 @@
 type RemoteReader = Extract<ReaderLocation, { readonly kind: 'elsewhere' }>;
 
 export interface ReaderClientOptions {
+  readonly regionOf: (zone: string) => string;
   readonly counters: Counters;
   readonly locateReader: (group: GroupName) => ReaderLocation | undefined;
   /** Runs a read as the reader; `undefined` if it cannot be run here now. */
@@ -72,6 +73,8 @@
   if (!reader) return runAtOwner();
   if (reader.kind === 'here')
     return (await options.runHere(group, draft, deadlineMs)) ?? runAtOwner();
+  const { zone } = reader;
+  if (!mayForward(draft.homes, { isLocal: false, zone }, options.regionOf)) return runAtOwner();
   if (isSilent(client, reader)) {
     options.counters.count('near.reader-silent');
     return runAtOwner();
--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -33,6 +33,7 @@
   maxReadAgeMs: 1_500,
   mark: null,
   values: {},
+  homes: null,
 };
 
 interface TestContext {
@@ -78,6 +79,7 @@
     evacuatedZones: new Set(),
     mayBeCold: false,
     reads: createReplicaReads({
+      regionOf: (zone) => zone,
       evacuatedZones: () => context.evacuatedZones,
       mayBeCold: () => context.mayBeCold,
       counters: {
@@ -289,6 +291,14 @@
     expect(await read({ maxReadAgeMs: 9_000 })).toMatchObject({ kind: 'done' });
   });
 
+  it.each([
+    { homes: ['zone-a'], isServed: true },
+    { homes: ['zone-b'], isServed: false },
+  ])('with the homes $homes run on the replica: $isServed', async ({ homes, isServed }) => {
+    const outcome = await read({ homes });
+    expect(outcome !== undefined).toBe(isServed);
+  });
+
   it('do not start if the zone was evacuated while the connection was being opened', async () => {
     const outcome = read();
     context.evacuatedZones = new Set(['zone-a']);
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -9,6 +9,8 @@
   connectionLimit,
   type FormerHolder,
   type GroupName,
+  type Homes,
+  isHome,
   latestPosition,
   type LogPosition,
   type ServerAnnouncement,
@@ -40,6 +42,7 @@
 import { mayReadAtReplica } from './reader-client.js';
 
 export interface ReplicaReadsOptions {
+  readonly regionOf: (zone: string) => string;
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
   /** Whether the group's servers are limited while they are cold. */
@@ -123,7 +126,7 @@
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(reads, readGroup);
+  const server = after && findAvailableServer(reads, readGroup, draft.homes);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
@@ -270,6 +273,7 @@
 function findAvailableServer(
   reads: ReplicaReads,
   { group, servers, brokenAtMs }: ReadGroup,
+  homes: Homes,
 ): ServerState | undefined {
   const mayBeCold = reads.options.mayBeCold(group);
   const nowMs = performance.now();
@@ -277,6 +281,7 @@
     (server) =>
       !server.isRetired &&
       !isEvacuated(reads, server) &&
+      isHome(homes, reads.options.regionOf(server.announcement.zone)) &&
       // It may have restarted, and its owner does not offer it while it is cold.
       !(mayBeCold && brokenAtMs.has(server)) &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -334,6 +334,7 @@
         maxReadAgeMs: 0,
         mark: null,
         values: {},
+        homes: null,
         budgetMs: 4_000,
         startWithinMs: 2_000,
       };
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -31,6 +31,8 @@
 const PLANNED_DRAIN_MS = 250;
 /** Time that commits then get to end before the leaving primary is fenced like a failed one, in milliseconds. */
 const PLANNED_COMMIT_MS = 150;
+/** The same for a primary that is replaced for its place alone; longer than the users' statements run. */
+const PLACEMENT_COMMIT_MS = 2_000;
 const DRAIN_POLL_MS = 5;
 const CHANGE_RETRY_MS = 80;
 /** Interval at which a change that keeps waiting for the same reason is logged, in milliseconds. */
@@ -172,6 +174,7 @@
     return confirmed?.status.role === 'primary' ? confirmed : undefined;
   }
   if (currentPrimary && mayLeadOn(owner, change, currentPrimary)) return currentPrimary;
+  if (currentPrimary && mayAwaitCommits(owner, change, currentPrimary)) return undefined;
   const isPlanned =
     change.isPlanned &&
     !change.hasFenced &&
@@ -200,6 +203,18 @@
   return isOrdered ? awaitPrimaryRole(owner, choice.server) : undefined;
 }
 
+/** A primary that is replaced for its place alone is not fenced while its commits end, which were sent before. */
+function mayAwaitCommits(
+  owner: StatementOwner,
+  { isForPlacement, hasFenced }: PrimaryChange,
+  { server }: ServerStatus,
+): boolean {
+  const waitedMs = performance.now() - owner.leadership.sinceMs;
+  return (
+    isForPlacement && !hasFenced && waitedMs < PLACEMENT_COMMIT_MS && isCommitting(owner, server)
+  );
+}
+
 /** An order for a server chosen before may still be carried out, so the shorter log limits what is passed on. */
 function earliestChoice({ leadership }: StatementOwner, position: LogPosition): LogPosition {
   const former = leadership.kind === 'changing' ? leadership.chosenPosition : undefined;
@@ -215,13 +230,19 @@
   const { leadership, acknowledgedPositions } = owner;
   const hasChosen = leadership.kind === 'changing' && leadership.chosenPosition !== undefined;
   if (!isRevocable || hasChosen || demoted.has(server)) return false;
-  const isWithdrawn = isForPlacement && !hasFenced && !isMisplaced(owner, server);
-  if (isPlanned && !isWithdrawn) return false;
+  const isCancelled = !isMisplaced(owner, server) || isMovePostponed(owner, server);
+  if (isPlanned && (!isForPlacement || hasFenced || !isCancelled)) return false;
   return (
     !acknowledgedPositions || coversMark(status.position, newestAcknowledged(acknowledgedPositions))
   );
 }
 
+/** A primary outside its homes serves the other routes, so it leads on if no server in a home is ready to follow it. */
+function isMovePostponed(owner: StatementOwner, primary: ServerState): boolean {
+  const waitedMs = performance.now() - owner.leadership.sinceMs;
+  return placementOf(owner, primary) === 'outside-homes' && waitedMs >= BLOCKED_AFTER_MS;
+}
+
 /** Whether a server that stays is no place for the primary. */
 function isMisplaced(owner: StatementOwner, server: ServerState): boolean {
   return !server.announcement.isLeaving && placementOf(owner, server) !== 'suitable';
@@ -237,7 +258,9 @@
   if (leadership.kind !== 'changing') return;
   const nowMs = performance.now();
   const waitedMs = Math.round(nowMs - leadership.sinceMs);
-  const isNoPlaceLeft = change.isForPlacement && reason === 'no-candidate';
+  const isEvacuatedPrimary =
+    change.former !== undefined && placementOf(owner, change.former) === 'evacuated';
+  const isNoPlaceLeft = change.isForPlacement && isEvacuatedPrimary && reason === 'no-candidate';
   if (waitedMs >= BLOCKED_AFTER_MS || isNoPlaceLeft) updateChange(owner, { isBlocked: true });
   const { loggedWait } = change;
   if (loggedWait?.reason === reason && nowMs - loggedWait.atMs < WAIT_LOG_INTERVAL_MS) return;
--- a/packages/statement-entry/src/owner/cold-servers.test.ts
+++ b/packages/statement-entry/src/owner/cold-servers.test.ts
@@ -72,6 +72,7 @@
     maxReadAgeMs: 1_500,
     mark: null,
     values: {},
+    homes: null,
     budgetMs: 6_000,
     startWithinMs: 5_000,
     ...change,
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -25,8 +25,10 @@
   isCold,
   isEvacuated,
   isGraceOver,
+  isHomeOf,
   isToBeReplaced,
   isWhollyEvacuated,
+  lacksHomeServer,
   lacksPlaceForPrimary,
   recordStart,
   requestCountOf,
@@ -51,8 +53,10 @@
 
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
-  if (isRefusedAtOnce(owner, job)) {
-    endJob(owner, job, notRun('no-primary', BLOCKED_RETRY_AFTER_MS));
+  if (job.request.homes) owner.hasRestrictedStatements = true;
+  const refusal = immediateRefusal(owner, job);
+  if (refusal) {
+    endJob(owner, job, notRun(refusal, BLOCKED_RETRY_AFTER_MS));
     return;
   }
   if (job.transaction?.pooled) {
@@ -76,16 +80,22 @@
   return created;
 }
 
-/** Whether a statement would only expire, because no server may run it before another returns or an order is withdrawn. */
-function isRefusedAtOnce(owner: StatementOwner, job: Job): boolean {
-  if (job.transaction?.pooled) return false;
-  if (isBlocked(owner) && isForPrimary(job)) return true;
-  return owner.environment.evacuatedZones().size > 0 && isWhollyEvacuated(owner);
+/** Why a statement would only expire: no server may run it before another returns or an order is withdrawn. */
+function immediateRefusal(
+  owner: StatementOwner,
+  job: Job,
+): 'no-primary' | 'no-home-server' | undefined {
+  if (job.transaction?.pooled) return undefined;
+  if (isBlocked(owner) && isForPrimary(job)) return 'no-primary';
+  if (owner.environment.evacuatedZones().size > 0 && isWhollyEvacuated(owner)) return 'no-primary';
+  const isUnplaced = lacksHomeServer(owner, job.request.homes, isForPrimary(job));
+  return isUnplaced ? 'no-home-server' : undefined;
 }
 
 /** Whether some statements may have to be refused at once. */
 function mayRefuseAtOnce(owner: StatementOwner): boolean {
-  return isBlocked(owner) || owner.environment.evacuatedZones().size > 0;
+  const hasOrders = owner.environment.evacuatedZones().size > 0;
+  return isBlocked(owner) || hasOrders || owner.hasRestrictedStatements;
 }
 
 /** Whether no server can lead before another one returns or an evacuation is withdrawn. */
@@ -115,7 +125,7 @@
 function startPinned(owner: StatementOwner): void {
   for (const job of [...owner.pinnedWaiting]) {
     let server = job.transaction?.pooled?.server;
-    if (server && job.transaction && isGraceOver(owner, server)) {
+    if (server && job.transaction && mustLeave(owner, job, server)) {
       dropTransaction(owner, job.transaction);
       server = undefined;
     }
@@ -126,6 +136,11 @@
   }
 }
 
+/** Whether a transaction may not go on where it is open. */
+function mustLeave(owner: StatementOwner, job: Job, server: ServerState): boolean {
+  return isGraceOver(owner, server) || !isHomeOf(owner, job.request.homes, server);
+}
+
 /** Whether a statement waits because its transaction cannot commit any more on a primary that is replaced. */
 function isHeld({ leadership }: StatementOwner, job: Job, server: ServerState): boolean {
   if (leadership.kind !== 'changing' || job.transaction?.isReadOnly === true) return false;
@@ -219,13 +234,14 @@
   views: readonly TargetView[],
 ): readonly TargetView[] {
   const isAnyCold = [...owner.servers.values()].some((server) => isCold(owner, server));
-  if (!isAnyCold) return views;
+  const { homes } = job.request;
+  if (!isAnyCold && homes === null) return views;
   const count = requestCountOf(job);
   const allowed = views.filter(({ server }) => {
     const state = owner.servers.get(server);
-    return state && coldAllowanceOf(owner, state) >= count;
+    return state && isHomeOf(owner, homes, state) && coldAllowanceOf(owner, state) >= count;
   });
-  if (isForPrimary(job)) return allowed;
+  if (!isAnyCold || isForPrimary(job)) return allowed;
   const warm = allowed.filter(({ server, freeSlots: free, isUsable }) => {
     const state = owner.servers.get(server);
     return state && !isCold(owner, state) && free > 0 && isUsable;
@@ -241,10 +257,12 @@
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
     const blocked = mayRefuseAtOnce(owner)
-      ? removeWaiting(queue, (job) => isRefusedAtOnce(owner, job))
+      ? removeWaiting(queue, (job) => immediateRefusal(owner, job) !== undefined)
       : [];
-    for (const { item } of blocked)
-      endJob(owner, item, notRun('no-primary', BLOCKED_RETRY_AFTER_MS));
+    for (const { item } of blocked) {
+      const reason = immediateRefusal(owner, item) ?? 'no-primary';
+      endJob(owner, item, notRun(reason, BLOCKED_RETRY_AFTER_MS));
+    }
     for (const { item } of removeExpired(queue, nowMs)) {
       endJob(owner, item, notRun(owner.leadership.kind === 'led' ? 'queue-timeout' : 'no-primary'));
     }
--- a/packages/statement-entry/src/owner/evacuated-zones.test.ts
+++ b/packages/statement-entry/src/owner/evacuated-zones.test.ts
@@ -57,6 +57,7 @@
     maxReadAgeMs: 1_500,
     mark: null,
     values: {},
+    homes: null,
     budgetMs: 4_000,
     startWithinMs: 2_000,
     ...change,
--- /dev/null
+++ b/packages/statement-entry/src/owner/home-regions.test.ts
@@ -0,0 +1,202 @@
+import {
+  type Homes,
+  recordAcknowledged,
+  type StatementAccess,
+  type StatementCustomer,
+  type StatementOutcome,
+  type StatementRequest,
+  type StatementRoute,
+  type StatementSettings,
+  toCustomerName,
+  toGroupName,
+} from '@bramleykeel/core';
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { findHomes } from '../accept/access.js';
+import type { SessionEnvironment } from '../accept/session-state.js';
+import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
+import { dispatch } from './dispatch.js';
+import { acceptStatement } from './owner-app.js';
+import { closeStatementOwner } from './owner-lifecycle.js';
+import type { StatementOwner } from './owner-state.js';
+import { takeOver } from './take-over.js';
+import { watchPrimary } from './watch-primary.js';
+
+// Each zone of the fake group is a region of its own: server `i-N` is in `zone-N`, and `i-0` is the primary.
+let fake: FakeGroup;
+let owner: StatementOwner;
+let nextNumber = 1;
+
+const customer = toCustomerName('one');
+
+beforeEach(async () => {
+  fake = createFakeGroup(3);
+  ({ owner } = fake);
+  await takeOver(owner);
+  for (const { orders } of fake.servers) orders.length = 0;
+});
+
+afterEach(() => {
+  closeStatementOwner(owner);
+});
+
+function run(
+  access: StatementAccess,
+  homes: Homes,
+  change: Partial<StatementRequest> = {},
+): Promise<StatementOutcome> {
+  const number = nextNumber;
+  nextNumber += 1;
+  const request: StatementRequest = {
+    number,
+    tag: `t${number}`,
+    access,
+    body: { kind: 'plain', text: access },
+    transaction: null,
+    customer,
+    priority: 1,
+    consistency: 'bounded-age',
+    maxReadAgeMs: 1_500,
+    mark: null,
+    values: {},
+    homes,
+    budgetMs: 4_000,
+    startWithinMs: 2_000,
+    ...change,
+  };
+  return new Promise((resolve) => {
+    const answer = (_number: number, outcome: StatementOutcome) => {
+      resolve(outcome);
+    };
+    acceptStatement(owner, { id: 'caller', answer }, request);
+    dispatch(owner);
+  });
+}
+
+function ranAt(): string {
+  return fake.servers
+    .filter(({ orders }) => orders.some(({ kind }) => kind === 'run'))
+    .map(({ name }) => name)
+    .join(' ');
+}
+
+function homesFrom(routeHomes: readonly string[], customerHomes: readonly string[]) {
+  const route = { group: toGroupName('ledger'), homeRegions: routeHomes } as StatementRoute;
+  const settings = {
+    routes: new Map([['database', route]]),
+    customers: new Map([[customer, { homeRegions: customerHomes } as StatementCustomer]]),
+  } as unknown as StatementSettings;
+  const environment = { settings: () => settings } as unknown as SessionEnvironment;
+  return findHomes(environment, 'database', customer);
+}
+
+async function expectRefusalAtOnce(outcome: Promise<StatementOutcome>): Promise<void> {
+  const startedAtMs = performance.now();
+  expect(await outcome).toMatchObject({ kind: 'not-run', reason: 'no-home-server' });
+  expect(performance.now() - startedAtMs).toBeLessThan(100);
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  const untilMs = performance.now() + 3_000;
+  while (!condition() && performance.now() < untilMs) await delay(5);
+  expect(condition()).toBe(true);
+}
+
+interface Case {
+  readonly name: string;
+  readonly route?: readonly string[];
+  readonly customer?: readonly string[];
+  readonly access: 'read' | 'write';
+  /** The servers at which statements ran, or the reason for a refusal. */
+  readonly expected: string;
+  /** The same after the route's homes have changed while the statement runs in a transaction. */
+  readonly changedTo?: readonly string[];
+}
+
+describe('a statement with home regions', () => {
+  it.each<Case>([
+    { name: 'neither', access: 'write', expected: 'i-0' },
+    { name: 'route alone', route: ['zone-1'], access: 'read', expected: 'i-1' },
+    { name: 'route alone', route: ['zone-0', 'zone-1'], access: 'write', expected: 'i-0' },
+    { name: 'route alone', route: ['zone-1'], access: 'write', expected: 'no-home-server' },
+    { name: 'customer alone', customer: ['zone-2'], access: 'read', expected: 'i-2' },
+    { name: 'customer alone', customer: ['zone-2'], access: 'write', expected: 'no-home-server' },
+    {
+      ...{ name: 'both', route: ['zone-0', 'zone-1'], customer: ['zone-1', 'zone-2'] },
+      ...{ access: 'read', expected: 'i-1' },
+    },
+    {
+      ...{ name: 'none in common', route: ['zone-0'], customer: ['zone-1'] },
+      ...{ access: 'read', expected: 'no-home-server' },
+    },
+    { name: 'no server there', route: ['zone-9'], access: 'read', expected: 'no-home-server' },
+    {
+      ...{ name: 'change in flight, still a home', route: ['zone-0'], access: 'write' },
+      ...{ changedTo: ['zone-0', 'zone-2'], expected: 'i-0' },
+    },
+    {
+      ...{ name: 'change in flight, no home any more', route: ['zone-0'], access: 'write' },
+      ...{ changedTo: ['zone-1'], expected: 'aborted' },
+    },
+  ])(
+    'of $name, $access: $expected',
+    async ({ route = [], access, expected, changedTo, ...rest }) => {
+      const homes = homesFrom(route, rest.customer ?? []);
+      if (typeof homes === 'string') {
+        expect(homes).toBe(expected);
+        return;
+      }
+      const ref = { number: 1, isReadOnly: false };
+      const first = changedTo ? { transaction: { ...ref, isFirst: true } } : {};
+      let outcome = await run(access, homes, first);
+      if (changedTo) {
+        expect(outcome).toMatchObject({ kind: 'done' });
+        const changed = homesFrom(changedTo, []) as Homes;
+        outcome = await run(access, changed, { transaction: { ...ref, isFirst: false } });
+      }
+      if (outcome.kind === 'done') expect(ranAt()).toBe(expected);
+      else expect(outcome.kind === 'not-run' ? outcome.reason : outcome.kind).toBe(expected);
+    },
+  );
+
+  it('is refused at once, and sent nowhere else, if the only home region is lost', async () => {
+    const [, near] = fake.servers as [FakeServer, FakeServer, FakeServer];
+    const state = owner.servers.get(near.name);
+    if (state) Object.assign(state, { failingSinceMs: performance.now() - 1_000 });
+    await expectRefusalAtOnce(run('read', ['zone-1']));
+    expect(ranAt()).toBe('');
+    expect(await run('read', null)).toMatchObject({ kind: 'done' });
+  });
+});
+
+describe('the primary of a group with homes', () => {
+  it('is moved into a home, and not again within 10 s', async () => {
+    fake.homeRegions = ['zone-1'];
+    watchPrimary(owner);
+    await until(() => owner.leadership.kind === 'led');
+    expect(owner.leadership).toMatchObject({ server: 'i-1' });
+    expect(await run('write', ['zone-1'])).toMatchObject({ kind: 'done' });
+    fake.homeRegions = ['zone-2'];
+    watchPrimary(owner);
+    await delay(50);
+    expect(owner.leadership).toMatchObject({ kind: 'led', server: 'i-1' });
+    expect(await run('write', null)).toMatchObject({ kind: 'done' });
+  });
+
+  // Guards against an outage of the other routes while a lagging server in a home catches up.
+  it('leads on outside while no server in a home is ready to follow it', async () => {
+    const [primary, near] = fake.servers as [FakeServer, FakeServer, FakeServer];
+    primary.position = { term: 3, offset: 60 };
+    if (owner.acknowledgedPositions)
+      recordAcknowledged(owner.acknowledgedPositions, primary.position, performance.now());
+    near.position = { term: 3, offset: 50 };
+    fake.homeRegions = ['zone-1'];
+    watchPrimary(owner);
+    await until(() => owner.leadership.kind === 'changing');
+    const write = run('write', null);
+    await until(() => owner.leadership.kind === 'led');
+    expect(owner.leadership).toMatchObject({ server: primary.name });
+    expect(fake.promotions).toEqual([]);
+    expect(await write).toMatchObject({ kind: 'done' });
+  });
+});
--- a/packages/statement-entry/src/owner/owner-handover.test.ts
+++ b/packages/statement-entry/src/owner/owner-handover.test.ts
@@ -45,7 +45,14 @@
         ...{ number, tag: `t${number}`, access, body: { kind: 'plain', text: access } },
         transaction: { number: transactionNumber, isReadOnly: false, isFirst },
         ...{ customer: toCustomerName('one'), priority: 1, consistency: 'newest' },
-        ...{ maxReadAgeMs: 0, mark: null, values: {}, budgetMs: 4_000, startWithinMs: 2_000 },
+        ...{
+          maxReadAgeMs: 0,
+          mark: null,
+          homes: null,
+          values: {},
+          budgetMs: 4_000,
+          startWithinMs: 2_000,
+        },
       },
     );
     return outcome;
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -8,6 +8,7 @@
   type CustomerName,
   type GroupName,
   groupRecordOf,
+  homesOfGroups,
   listAssignments,
   type PlacementBounds,
   type Resource,
@@ -131,6 +132,7 @@
     },
     groupRecord: () => groupRecordOf(control, group),
     groupSettings: () => settings()?.groups.get(group),
+    homeRegions: () => homeRegionsOf(settings(), group),
     customers: () => customersByRate(settings()),
     idleTransactionMs: () => settings()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
     propose: (command) => propose(control, command),
@@ -150,6 +152,19 @@
     .map(({ name }) => name);
 }
 
+const groupHomes = new WeakMap<StatementSettings, ReadonlyMap<GroupName, readonly string[]>>();
+
+/** The homes of a group by the settings, which are read for each decision and therefore worked out once. */
+function homeRegionsOf(
+  settings: StatementSettings | undefined,
+  group: GroupName,
+): readonly string[] | undefined {
+  if (!settings) return undefined;
+  const homes = groupHomes.get(settings) ?? homesOfGroups(settings.routes.values());
+  groupHomes.set(settings, homes);
+  return homes.get(group);
+}
+
 /** An unanswered proposal counts as superseded; the owner then continues from the current record. */
 async function propose(control: ControlClient, command: ControlCommand): Promise<ApplyResult> {
   const answer = await control.call('control/propose', command);
@@ -221,16 +236,28 @@
     .filter(({ group, isStopping }) => !isStopping && !isHeavy(group))
     .sort((left, right) => right.acceptedCount - left.acceptedCount);
   if (!busiest) return;
-  const { group, epoch, acceptedCount } = busiest;
-  const incarnation = control.incarnation();
+  const { acceptedCount } = busiest;
   busiest.environment.log('the group has outgrown this instance', { acceptedCount });
-  await drainStatementOwner(busiest, graceMs);
-  endOwner(registry, busiest);
+  await handOverGroup(registry, busiest, graceMs, { isHeavy: true });
+}
+
+/** Hands one group over while this entry goes on, after its statements have ended or `graceMs` has passed. */
+export async function handOverGroup(
+  registry: StatementOwnerRegistry,
+  owner: StatementOwner,
+  graceMs: number,
+  reason: { readonly isHeavy?: boolean },
+): Promise<void> {
+  const { control } = registry.options;
+  const { group, epoch } = owner;
+  const incarnation = control.incarnation();
+  await drainStatementOwner(owner, graceMs);
+  endOwner(registry, owner);
   // Nobody else owns the group before control has the release, so it is repeated.
   const isAssignedHere = () =>
     assignmentOf(control, `group/${group}`)?.epoch === epoch &&
     control.incarnation() === incarnation;
-  while (isAssignedHere() && !(await release(registry, busiest, { isHeavy: true })))
+  while (isAssignedHere() && !(await release(registry, owner, reason)))
     await delay(RELEASE_RETRY_MS, undefined, { ref: false });
 }
 
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -32,6 +32,11 @@
   TargetConnection,
 } from '../types/target-port.js';
 
+/** A server that does not answer counts as lost once connections have failed for this long, in milliseconds. */
+const PROBE_FAILURE_TIMEOUT_MS = 550;
+/** Consecutive refused connections that prove that the server process has ended. */
+const REFUSALS_PROVING_EXIT = 2;
+
 /** What an owner needs from the rest of its entry. */
 export interface OwnerEnvironment {
   readonly entryId: string;
@@ -41,6 +46,8 @@
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
   readonly placementBounds: PlacementBounds;
+  /** Regions in which the primary should be; `undefined` without a limit, or if the routes contradict each other. */
+  readonly homeRegions: () => readonly string[] | undefined;
   readonly log: Log;
   readonly counters: Counters;
   /** Whether this entry holds the group's lease under the owner's epoch, by the monotonic clock. */
@@ -203,6 +210,10 @@
   isClosed: boolean;
   isDispatching: boolean;
   lastPromotionMs: number;
+  /** When a change last began that only moves the primary into a home region. */
+  homeChangeMs: number;
+  /** Whether it has accepted statements that are limited to some regions. */
+  hasRestrictedStatements: boolean;
   replicasCheckedMs: number;
   /** When the servers' addresses were last proposed to control. */
   placesRecordedMs: number;
@@ -249,6 +260,8 @@
     isClosed: false,
     isDispatching: false,
     lastPromotionMs: Number.NEGATIVE_INFINITY,
+    homeChangeMs: Number.NEGATIVE_INFINITY,
+    hasRestrictedStatements: false,
     replicasCheckedMs: Number.NEGATIVE_INFINITY,
     placesRecordedMs: Number.NEGATIVE_INFINITY,
     proposedCoveredTerm: undefined,
@@ -288,3 +301,13 @@
   const { leadership } = owner;
   return leadership.kind === 'led' ? owner.servers.get(leadership.server) : undefined;
 }
+
+/**
+ * Whether the server counts as lost: refused connections prove that its process has ended, or connections have
+ * failed for `PROBE_FAILURE_TIMEOUT_MS`.
+ */
+export function isLost({ failingSinceMs, refusedCount }: ServerState): boolean {
+  if (failingSinceMs === undefined) return false;
+  if (refusedCount >= REFUSALS_PROVING_EXIT) return true;
+  return performance.now() - failingSinceMs >= PROBE_FAILURE_TIMEOUT_MS;
+}
--- a/packages/statement-entry/src/owner/placement.ts
+++ b/packages/statement-entry/src/owner/placement.ts
@@ -1,10 +1,13 @@
-/** Where the servers of a group may be used, by the evacuations that its owner knows. */
+/** Where the servers of a group may be used, by the orders and homes that its owner knows. */
 import {
   canLead,
   COLD_WINDOW_MS,
   coldAllowance,
   coldLimit,
+  HOME_CHANGE_INTERVAL_MS,
+  type Homes,
   isEvacuationGraceOver,
+  isHome,
   type LeaderCandidate,
   type LeaderPlacement,
   leaderPlacement,
@@ -14,12 +17,18 @@
   recordColdStarts,
   recordEvacuations,
 } from '@bramleykeel/core';
-import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import {
+  isLost,
+  type Job,
+  primaryOf,
+  type ServerState,
+  type StatementOwner,
+} from './owner-state.js';
 import { dropTransaction } from './transactions.js';
 
 function rulesOf({ environment }: StatementOwner): PlacementRules {
-  const { regionOf, evacuatedZones } = environment;
-  return { evacuatedZones: evacuatedZones(), homes: undefined, regionOf };
+  const { regionOf, evacuatedZones, homeRegions } = environment;
+  return { evacuatedZones: evacuatedZones(), homes: homeRegions(), regionOf };
 }
 
 function candidateOf({ announcement, failingSinceMs }: ServerState): LeaderCandidate {
@@ -46,15 +55,15 @@
   owner: StatementOwner,
   primary: ServerState,
 ): PlannedChangeReason | undefined {
-  return plannedChangeReason(
-    candidateOf(primary),
-    candidatesBeside(owner, primary),
-    rulesOf(owner),
-  );
+  const others = candidatesBeside(owner, primary);
+  const reason = plannedChangeReason(candidateOf(primary), others, rulesOf(owner));
+  const isTooSoon = performance.now() - owner.homeChangeMs < HOME_CHANGE_INTERVAL_MS;
+  return reason === 'outside-homes' && isTooSoon ? undefined : reason;
 }
 
 /** Whether a server is leaving or evacuated while another one could lead. As primary it is replaced at once. */
 export function isToBeReplaced(owner: StatementOwner, server: ServerState): boolean {
+  if (!server.announcement.isLeaving && !isEvacuated(owner, server)) return false;
   const reason = plannedReasonFor(owner, server);
   return reason === 'leaving' || reason === 'evacuated';
 }
@@ -73,6 +82,25 @@
   return servers.length > 0 && servers.every((server) => isEvacuated(owner, server));
 }
 
+/** Whether a server is in a home of a statement. */
+export function isHomeOf({ environment }: StatementOwner, homes: Homes, server: ServerState) {
+  return homes === null || isHome(homes, environment.regionOf(server.announcement.zone));
+}
+
+/**
+ * Whether no server may run a statement because of its homes: none that is there can be used, or the statement needs the
+ * primary, which is elsewhere.
+ */
+export function lacksHomeServer(owner: StatementOwner, homes: Homes, isForPrimary: boolean) {
+  if (homes === null || owner.servers.size === 0 || owner.leadership.kind === 'unknown')
+    return false;
+  const isUsable = (server: ServerState) =>
+    isHomeOf(owner, homes, server) && !isEvacuated(owner, server) && !isLost(server);
+  if (![...owner.servers.values()].some(isUsable)) return true;
+  const primary = primaryOf(owner);
+  return isForPrimary && primary !== undefined && !isHomeOf(owner, homes, primary);
+}
+
 /** Whether open transactions on a server start no further statements. */
 export function isGraceOver(owner: StatementOwner, server: ServerState): boolean {
   const { environment, evacuationsLearntAtMs } = owner;
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -7,9 +7,8 @@
 } from '@bramleykeel/core';
 import { answeredStatuses, sendControlOrder, type ServerStatus } from '../target/server-control.js';
 import { dispatch } from './dispatch.js';
-import { type StatementOwner } from './owner-state.js';
+import { isLost, type StatementOwner } from './owner-state.js';
 import { orderPromotion } from './order-promotion.js';
-import { isLost } from './watch-primary.js';
 import { changePrimary } from './change-primary.js';
 
 /** Time after the start of an owner before a group without a primary gets a new one, in milliseconds. */
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -10,17 +10,13 @@
   sendControlOrderToAll,
   probeServer,
 } from '../target/server-control.js';
-import { primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { isLost, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { plannedReasonFor } from './placement.js';
 import { placeOf, recordServerPlaces } from './server-places.js';
 import { takeOver, newestPrimary, isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
 import { handleStalledCommits, checkReplicas } from './watch-replicas.js';
 
-/** A server that does not answer counts as lost once connections have failed for this long, in milliseconds. */
-const PROBE_FAILURE_TIMEOUT_MS = 550;
-/** Consecutive refused connections that prove that the server process has ended. */
-const REFUSALS_PROVING_EXIT = 2;
 const SUSPECT_PROBE_MS = 80;
 const IDLE_PROBE_MS = 500;
 /** The primary is probed once an answer has been outstanding for this long, in milliseconds. */
@@ -139,6 +135,7 @@
   const { announcement, lastAnnouncementMs } = primary;
   const plannedReason = plannedReasonFor(owner, primary);
   if (plannedReason !== undefined) {
+    if (plannedReason === 'outside-homes') owner.homeChangeMs = performance.now();
     await changePrimary(owner, PLANNED_REASON_TEXTS[plannedReason], true);
     return;
   }
@@ -174,16 +171,6 @@
   if (isActiveOwner(owner)) await checkPrimary(owner, primary, false);
 }
 
-/**
- * Whether the server counts as lost: refused connections prove that its process has ended, or connections have
- * failed for `PROBE_FAILURE_TIMEOUT_MS`.
- */
-export function isLost({ failingSinceMs, refusedCount }: ServerState): boolean {
-  if (failingSinceMs === undefined) return false;
-  if (refusedCount >= REFUSALS_PROVING_EXIT) return true;
-  return performance.now() - failingSinceMs >= PROBE_FAILURE_TIMEOUT_MS;
-}
-
 function isUnanswered(primary: ServerState): boolean {
   const nowMs = performance.now();
   if (nowMs - primary.lastAnswerMs < UNANSWERED_PROBE_MS) return false;
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -10,13 +10,10 @@
   evacuationKey,
   DEFAULT_PLACEMENT_BOUNDS,
   type GroupName,
-  type PlacementBounds,
   type RateLimit,
   type RecordDelta,
   type Resource,
-  type StatementRefusalReason,
   type StatementSettings,
-  type TimingSettings,
 } from '@bramleykeel/core';
 import {
   type ControlClient,
@@ -26,7 +23,7 @@
   type RateDrawContext,
   startControlClient,
 } from '@bramleykeel/entry-shared';
-import { type Counters, type LinkPeer, listenForLinks, type Log } from '@bramleykeel/link';
+import { type LinkPeer, listenForLinks } from '@bramleykeel/link';
 import { checkSessionStart, isKeyWithdrawn } from './accept/access.js';
 import { closeSession, isIdle } from './accept/session.js';
 import {
@@ -73,6 +70,7 @@
   type OwnerClient,
   handleOutcome,
 } from './locate/owner-client.js';
+import { handOverMisplacedGroups } from './owner/home-handover.js';
 import { startInstanceRelief } from './owner/instance-relief.js';
 import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
 import {
@@ -86,54 +84,7 @@
 import type { CallerPort } from './types/caller-port.js';
 import { DEFAULT_MAX_CONNECTIONS } from './target/connection-budget.js';
 import { decodeOutcome, type EncodedOutcome, encodeStatement } from './types/link-codec.js';
-import type { OpenTarget, PromoteServer, ReadTargetStatus } from './types/target-port.js';
-
-export interface StatementEntryOptions {
-  readonly entryId: string;
-  readonly zone: string;
-  /** The region of a zone; zones of one region are near each other, and near reads stay within it. */
-  readonly regionOf: (zone: string) => string;
-  /** Bounds on evacuations and cold servers; the defaults if absent. */
-  readonly placementBounds?: PlacementBounds;
-  readonly linkAddress: string;
-  readonly linkMbps?: number;
-  readonly isBesideControl?: boolean;
-  readonly linkSecret: string;
-  readonly timing: TimingSettings;
-  readonly memberAddresses: () => readonly string[];
-  /** Time from `stop` until the process is killed, in milliseconds. */
-  readonly stopGraceMs: number;
-  /** Decodes the operators' settings document; `undefined` when this version cannot decode it. */
-  readonly decodeSettings: (body: Uint8Array) => StatementSettings | undefined;
-  readonly openTarget: OpenTarget;
-  readonly readTargetStatus: ReadTargetStatus;
-  readonly promoteServer: PromoteServer;
-  readonly log: Log;
-  /** Receives a line for each statement without a result, and for a sample of the others. */
-  readonly callerLog: Log;
-  readonly counters: Counters;
-}
-
-export interface StatementEntry {
-  /**
-   * Starts a caller's session, or returns the reason for refusing it. An entry that has just started
-   * waits briefly for its first settings.
-   */
-  readonly startSession: (
-    database: string,
-    key: string | undefined,
-    port: CallerPort,
-  ) => Promise<CallerSession | StatementRefusalReason>;
-  readonly endSession: (session: CallerSession) => void;
-  /** Whether the load balancer should send new callers to this entry. */
-  readonly isReady: () => boolean;
-  /**
-   * Hands over the entry's groups and waits for running statements to finish.
-   *
-   * @param stopListening called once the load balancer sends new callers to other entries
-   */
-  readonly stop: (stopListening: () => void) => Promise<void>;
-}
+import type { StatementEntry, StatementEntryOptions } from './types/entry-options.js';
 
 const READER_OFFER_TIMEOUT_MS = 400;
 const READER_RELEASE_TIMEOUT_MS = 300;
@@ -237,6 +188,7 @@
   const owners: OwnerClient = createOwnerClient({
     control,
     links: () => links,
+    regionOf: options.regionOf,
     sendLocally: (group, epoch, request) => {
       const owner = findStatementOwner(registry, group, epoch);
       if (owner) acceptStatement(owner, localChannel, request);
@@ -259,6 +211,7 @@
   const region = options.regionOf(options.zone);
   const readerOf = (group: GroupName) => readerResource(group, region);
   const replicaReads: ReplicaReads = createReplicaReads({
+    regionOf: options.regionOf,
     evacuatedZones: () => evacuated,
     mayBeCold: (group) => (settings?.groups.get(group)?.coldRatePerSecond ?? 0) > 0,
     openTarget: options.openTarget,
@@ -277,6 +230,7 @@
     },
   });
   const readers = createReaderClient({
+    regionOf: options.regionOf,
     counters,
     locateReader: (group) =>
       locateReader({ control, region, regionOf: options.regionOf, requestResource }, group),
@@ -329,6 +283,7 @@
   const reconcileTimer = setInterval(() => {
     reconcileStatementOwners(registry);
     closeEndedReaders(replicaReads);
+    if (!stopSchedule) handOverMisplacedGroups(registry);
     requestRateHome();
   }, timing.renewEveryMs);
   const stopRelief = startInstanceRelief({
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -77,6 +77,8 @@
   /** Zones on whose servers nothing starts; server `i-N` is in `zone-N`. */
   evacuatedZones: ReadonlySet<string>;
   coldRatePerSecond: number;
+  /** Regions in which the primary should be; each zone is its own region. */
+  homeRegions: readonly string[] | undefined;
   /** Readers by region. */
   readonly readers: Map<string, Assignment>;
   /** Whether readers close their connections when asked to. */
@@ -100,6 +102,7 @@
     formerOwner: { epoch, heldForMs: 0, endedForMs: 0, hasReleased: false },
     evacuatedZones: new Set(),
     coldRatePerSecond: 0,
+    homeRegions: undefined,
     readers: new Map(),
     readerReleases: true,
   };
@@ -150,6 +153,7 @@
     regionOf: (zone) => zone,
     evacuatedZones: () => fake().evacuatedZones,
     placementBounds: DEFAULT_PLACEMENT_BOUNDS,
+    homeRegions: () => fake().homeRegions,
     log: () => undefined,
     counters: {
       count: () => undefined,
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -32,6 +32,7 @@
   maxReadAgeMs: 2_500,
   mark: { term: 3, offset: 1_207 },
   values: {},
+  homes: null,
   budgetMs: 800,
   startWithinMs: 360,
 };
@@ -40,6 +41,7 @@
   it.each<StatementRequest>([
     plain,
     { ...plain, mark: null, values: { unit: 'mm' } },
+    { ...plain, homes: ['ub', 'erdenet'] },
     {
       ...plain,
       access: 'write',
--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -1,6 +1,7 @@
 /** Encodes statements and outcomes for links between entries as arrays, to keep messages small. */
 import type {
   GroupName,
+  Homes,
   LogPosition,
   ReadConsistency,
   StatementAccess,
@@ -32,6 +33,7 @@
   values: EncodedValues | null,
   budgetMs: number,
   startWithinMs: number,
+  homes: Homes,
 ];
 
 export type EncodedOutcome = readonly [number, ...(readonly unknown[])];
@@ -59,6 +61,7 @@
     Object.keys(values).length > 0 ? Object.entries(values) : null,
     Math.round(request.budgetMs),
     Math.round(request.startWithinMs),
+    request.homes,
   ];
 }
 
@@ -68,8 +71,24 @@
   readonly request: StatementRequest;
 } {
   const [group, epoch, number, tag, access, body, transaction, customer, priority] = encoded;
-  const [, , , , , , , , , consistency, maxReadAgeMs, mark, values, budgetMs, startWithinMs] =
-    encoded;
+  const [
+    ,
+    ,
+    ,
+    ,
+    ,
+    ,
+    ,
+    ,
+    ,
+    consistency,
+    maxReadAgeMs,
+    mark,
+    values,
+    budgetMs,
+    startWithinMs,
+    homes,
+  ] = encoded;
   const request: StatementRequest = {
     number,
     tag,
@@ -88,6 +107,7 @@
     values: Object.fromEntries(values ?? []),
     budgetMs,
     startWithinMs,
+    homes,
   };
   return { group, epoch, request };
 }
