Return rate tokens of operations that reached no target

An outcome not-run says whether an order was sent to a server for the operation. If none was, the session gives the token back: into its own grant while that is valid, else with the next draw under the number of the draw that it came from. The home credits at most what the bucket could have held at all times since that draw; crediting up to the size of the bucket breaks the limit. A transaction's token comes back if none of its statements reached a server. A read that a reader has tried keeps its token.

--- a/packages/core/src/admit/token-bucket.test.ts
+++ b/packages/core/src/admit/token-bucket.test.ts
@@ -95,7 +95,8 @@
     const lifetimeMs = grantLifetimeMs(limit);
     const delayMs = lifetimeMs * action.spendDelayShare;
     if (granted > returned) spent.push({ atMs: nowMs + delayMs, count: granted - returned });
-    if (returned > 0) returnTokens(bucket, limit, returned, nowMs);
+    if (returned > 0)
+      returnTokens(bucket, limit, { drawNumber: bucket.drawNumber, count: returned }, nowMs);
   }
   return spent.sort((left, right) => left.atMs - right.atMs);
 }
--- a/packages/core/src/admit/token-bucket.ts
+++ b/packages/core/src/admit/token-bucket.ts
@@ -15,11 +15,30 @@
 export interface TokenBucket {
   tokens: number;
   updatedAtMs: number;
+  /** Number of the newest draw that took tokens; draws are numbered from 1. */
+  drawNumber: number;
+  /**
+   * Levels before draws, oldest first, without those that a later draw found as high. They limit what a returned
+   * token may add: the bucket must not hold more than it would hold if the token had not been drawn.
+   */
+  peaks: LevelPeak[];
+  /** Tokens of draws before this one are no longer credited. */
+  oldestCreditedDraw: number;
+}
+
+/** The level of a bucket right before a draw. */
+export interface LevelPeak {
+  readonly drawNumber: number;
+  readonly atMs: number;
+  level: number;
 }
 
 /** The longest time for which an entry may keep drawn tokens, in milliseconds. */
 export const MAX_GRANT_LIFETIME_MS = 250;
 
+/** Time for which draws are remembered; tokens returned later are lost. Statement timeouts are 0.8 to 2 s. In milliseconds. */
+export const RETURN_LIFETIME_MS = 3_000;
+
 /** The smallest burst of any customer, in tokens. */
 const MIN_BURST = 2;
 /** The smallest burst, as seconds at the customer's rate; tokens must not expire in transit. */
@@ -62,16 +81,21 @@
 ): TokenBucket {
   const refilled = (formerEndedForMs / 1000) * limit.ratePerSecond;
   const tokens = Math.min((limit.afterMove ?? 0) + refilled, bucketCapacity(limit));
-  return { tokens, updatedAtMs: nowMs };
+  return createBucket(tokens, nowMs);
 }
 
 /** Creates a full bucket, for a customer that has not been served before. */
 export function createFullBucket(limit: RateLimit, nowMs: number): TokenBucket {
-  return { tokens: bucketCapacity(limit), updatedAtMs: nowMs };
+  return createBucket(bucketCapacity(limit), nowMs);
+}
+
+function createBucket(tokens: number, nowMs: number): TokenBucket {
+  return { tokens, updatedAtMs: nowMs, drawNumber: 0, peaks: [], oldestCreditedDraw: 0 };
 }
 
 /**
- * Draws up to `wanted` whole tokens and returns how many were drawn.
+ * Draws up to `wanted` whole tokens and returns how many were drawn. If any were, the number of the draw is the
+ * bucket's `drawNumber` then.
  *
  * @example
  * drawTokens(bucket, { ratePerSecond: 100, burst: 50 }, 3, nowMs); // 0 to 3
@@ -84,19 +108,54 @@
 ): number {
   refill(bucket, limit, nowMs);
   const drawn = Math.min(wanted, Math.floor(bucket.tokens));
+  if (drawn <= 0) return 0;
+  recordPeak(bucket, nowMs);
   bucket.tokens -= drawn;
   return drawn;
 }
 
-/** Returns tokens to the bucket that an entry did not spend before they expired. */
+/**
+ * Returns tokens of an earlier draw that no operation has used. Credits at most what the bucket could have held at
+ * all times since that draw, so that the level is as if the tokens had never been drawn. Crediting them in full
+ * would allow a burst of returned tokens on top of a burst of refilled ones.
+ *
+ * @returns the number of tokens credited
+ * @example
+ * const drawn = drawTokens(bucket, limit, 5, nowMs);
+ * returnTokens(bucket, limit, { drawNumber: bucket.drawNumber, count: drawn }, nowMs + 20); // 5
+ */
 export function returnTokens(
   bucket: TokenBucket,
   limit: RateLimit,
-  count: number,
+  { drawNumber, count }: { readonly drawNumber: number; readonly count: number },
   nowMs: number,
-): void {
+): number {
   refill(bucket, limit, nowMs);
-  bucket.tokens = Math.min(bucketCapacity(limit), bucket.tokens + count);
+  forgetOldDraws(bucket, nowMs);
+  if (drawNumber < 1 || drawNumber < bucket.oldestCreditedDraw) return 0;
+  const later = bucket.peaks.filter((peak) => peak.drawNumber > drawNumber);
+  const highest = Math.max(bucket.tokens, ...later.map(({ level }) => level));
+  const credited = Math.max(0, Math.min(count, bucketCapacity(limit) - highest));
+  for (const peak of later) peak.level += credited;
+  bucket.tokens += credited;
+  return credited;
+}
+
+function recordPeak(bucket: TokenBucket, nowMs: number): void {
+  forgetOldDraws(bucket, nowMs);
+  const { peaks, tokens } = bucket;
+  bucket.drawNumber += 1;
+  while ((peaks.at(-1)?.level ?? Number.POSITIVE_INFINITY) <= tokens) peaks.pop();
+  peaks.push({ drawNumber: bucket.drawNumber, atMs: nowMs, level: tokens });
+}
+
+function forgetOldDraws(bucket: TokenBucket, nowMs: number): void {
+  const { peaks } = bucket;
+  for (let first = peaks[0]; first; first = peaks[0]) {
+    if (nowMs - first.atMs <= RETURN_LIFETIME_MS) return;
+    bucket.oldestCreditedDraw = first.drawNumber;
+    peaks.shift();
+  }
 }
 
 /** Milliseconds until `wanted` tokens are available; zero if they already are. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export * from './lease/entry-leases.js';
 export * from './admit/token-bucket.js';
 export * from './admit/connection-limits.js';
+export * from './overload/entry-tokens.js';
 export * from './queue/fair-queue.js';
 export * from './route/server-view.js';
 export * from './route/choose-server.js';
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -161,6 +161,8 @@
       readonly kind: 'not-run';
       readonly reason: StatementRefusalReason;
       readonly retryAfterMs: number;
+      /** Set if certainly no part of it was sent to a target; its rate token is returned then. */
+      readonly reachedNoTarget?: boolean;
     }
   | { readonly kind: 'aborted'; readonly reason: string }
   | { readonly kind: 'failed'; readonly text: string }
--- a/packages/core/src/types/link-messages.ts
+++ b/packages/core/src/types/link-messages.ts
@@ -198,12 +198,23 @@
   readonly customer: CustomerName;
   readonly epoch: number;
   readonly wanted: number;
-  /** Tokens of an earlier grant that were not used before it expired. */
-  readonly returned: number;
+  /** Tokens of earlier grants that no operation has used. */
+  readonly returned: readonly ReturnedTokens[];
+}
+
+/** Tokens of one grant that no operation has used; each is returned at most once. */
+export interface ReturnedTokens {
+  /** The epoch of the home that granted them; another one cannot credit them. */
+  readonly epoch: number;
+  readonly drawNumber: number;
+  readonly count: number;
 }
 
 export interface TokenGrant {
   readonly granted: number;
+  /** The epoch of the home, and its number of the draw; zero if nothing was granted, or by homes of earlier versions. */
+  readonly epoch: number;
+  readonly drawNumber: number;
   /** Validity in milliseconds, counted from when the request was sent. */
   readonly lifetimeMs: number;
   /** Delay in milliseconds before the next request if fewer tokens than wanted were granted. */
--- a/packages/entry-shared/src/admit/cold-start.test.ts
+++ b/packages/entry-shared/src/admit/cold-start.test.ts
@@ -16,7 +16,13 @@
 async function play(ageAtStartMs: number, homeFromMs: number): Promise<readonly string[]> {
   const startedAtMs = performance.now() - ageAtStartMs;
   const ageMs = () => performance.now() - startedAtMs;
-  const grant: TokenGrant = { granted: 100, lifetimeMs: 250, retryAfterMs: 20 };
+  const grant: TokenGrant = {
+    granted: 100,
+    epoch: 1,
+    drawNumber: 1,
+    lifetimeMs: 250,
+    retryAfterMs: 20,
+  };
   const client = createRateClient({
     rateWaitMs: 100,
     homeWaitMs: () => admissionWaitsAt(ageMs()).homeMs,
--- a/packages/entry-shared/src/admit/rate-client.test.ts
+++ b/packages/entry-shared/src/admit/rate-client.test.ts
@@ -14,7 +14,13 @@
     draw: () => {
       const delayMs = delaysMs[Math.min(draws, delaysMs.length - 1)] ?? 0;
       draws += 1;
-      const grant: TokenGrant = { granted, lifetimeMs: LIFETIME_MS, retryAfterMs };
+      const grant: TokenGrant = {
+        granted,
+        epoch: 1,
+        drawNumber: draws,
+        lifetimeMs: LIFETIME_MS,
+        retryAfterMs,
+      };
       return new Promise((resolve) => {
         setTimeout(resolve, delayMs, grant);
       });
--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -4,11 +4,18 @@
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
+  acceptGrant,
+  createEntryTokens,
   type CustomerName,
+  type EntryTokens,
   type Refusal,
   refuse,
+  refundTokens,
+  spendTokens,
+  takeReturns,
   type TokenRequest,
   type TokenGrant,
+  type TokenSource,
 } from '@bramleykeel/core';
 
 export interface RateClientOptions {
@@ -20,17 +27,25 @@
   readonly draw: (draw: Omit<TokenRequest, 'epoch'>) => Promise<TokenGrant | undefined>;
 }
 
+/** Tokens taken for an operation; see {@link returnReceipt}. */
+export interface TokenReceipt {
+  readonly kind: 'taken';
+  readonly customer: CustomerName;
+  readonly source: TokenSource;
+  readonly count: number;
+}
+
+export type TokenDecision = TokenReceipt | { readonly kind: 'refused'; readonly refusal: Refusal };
+
 interface Waiter {
   readonly count: number;
   readonly sinceMs: number;
-  readonly resolve: (refusal: Refusal | undefined) => void;
+  readonly resolve: (decision: TokenDecision) => void;
 }
 
 interface CustomerTokens {
   readonly customer: CustomerName;
-  /** Unspent tokens of the current grant. The next draw returns them to the home unless they have expired. */
-  available: number;
-  expiresAtMs: number;
+  readonly tokens: EntryTokens;
   isDrawing: boolean;
   readonly waiters: Waiter[];
   /** Tokens spent since `windowStartMs`. */
@@ -71,23 +86,52 @@
   count: number,
   maxWaitMs: number | undefined,
 ): Promise<Refusal | undefined> | undefined {
-  const tokens = getOrCreateTokens(client, customer);
+  const decision = takeTokens(client, customer, count, maxWaitMs);
+  if (decision instanceof Promise)
+    return decision.then((later) => (later.kind === 'refused' ? later.refusal : undefined));
+  return undefined;
+}
+
+/**
+ * As {@link admit}, for operations whose tokens come back if they reach no target.
+ *
+ * @example
+ * const decision = await takeTokens(client, customer, 1, undefined);
+ * if (decision.kind === 'taken') returnReceipt(client, decision); // the operation was refused later
+ */
+export function takeTokens(
+  client: RateClient,
+  customer: CustomerName,
+  count: number,
+  maxWaitMs: number | undefined,
+): Promise<TokenDecision> | TokenReceipt {
+  const state = getOrCreateTokens(client, customer);
   const nowMs = performance.now();
-  if (tokens.waiters.length === 0 && spend(tokens, count, nowMs)) return undefined;
+  const source = state.waiters.length === 0 ? spend(state, count, nowMs) : undefined;
+  if (source) return { kind: 'taken', customer, source, count };
   return new Promise((resolve) => {
     const extraMs = (maxWaitMs ?? client.options.rateWaitMs) - client.options.rateWaitMs;
-    tokens.waiters.push({ count, sinceMs: nowMs + extraMs, resolve });
-    void drawForWaiters(client, tokens);
+    state.waiters.push({ count, sinceMs: nowMs + extraMs, resolve });
+    void drawForWaiters(client, state);
   });
 }
 
+/**
+ * Gives back the tokens of an operation that certainly reached no target. They can be spent again at this entry
+ * while their grant is valid; after that the next draw returns them to the home. Call it once for a receipt.
+ */
+export function returnReceipt(client: RateClient, receipt: TokenReceipt): void {
+  const state = getOrCreateTokens(client, receipt.customer);
+  refundTokens(state.tokens, receipt.source, receipt.count, performance.now());
+  serveWaiters(client, state);
+}
+
 function getOrCreateTokens(client: RateClient, customer: CustomerName): CustomerTokens {
   const existing = client.customers.get(customer);
   if (existing) return existing;
   const created: CustomerTokens = {
     customer,
-    available: 0,
-    expiresAtMs: 0,
+    tokens: createEntryTokens(),
     isDrawing: false,
     waiters: [],
     spentInWindow: 0,
@@ -100,13 +144,12 @@
   return created;
 }
 
-function spend(tokens: CustomerTokens, count: number, nowMs: number): boolean {
-  if (nowMs >= tokens.expiresAtMs) tokens.available = 0;
-  if (tokens.available < count) return false;
-  tokens.available -= count;
-  rollWindow(tokens, nowMs);
-  tokens.spentInWindow += count;
-  return true;
+function spend(state: CustomerTokens, count: number, nowMs: number): TokenSource | undefined {
+  const source = spendTokens(state.tokens, count, nowMs);
+  if (!source) return undefined;
+  rollWindow(state, nowMs);
+  state.spentInWindow += count;
+  return source;
 }
 
 function rollWindow(tokens: CustomerTokens, nowMs: number): void {
@@ -140,37 +183,42 @@
 }
 
 /** Draws once and returns the delay before the next draw, in milliseconds. */
-async function drawOnce(client: RateClient, tokens: CustomerTokens): Promise<number> {
+async function drawOnce(client: RateClient, state: CustomerTokens): Promise<number> {
   const sentAtMs = performance.now();
-  rollWindow(tokens, sentAtMs);
-  const needed = tokens.waiters.reduce((sum, { count }) => sum + count, 0);
-  const prefetched = Math.floor(tokens.spentInPreviousWindow * PREFETCH_SHARE);
-  const returned = sentAtMs < tokens.expiresAtMs ? tokens.available : 0;
-  tokens.available = 0;
-  const { customer } = tokens;
+  rollWindow(state, sentAtMs);
+  const needed = state.waiters.reduce((sum, { count }) => sum + count, 0);
+  const prefetched = Math.floor(state.spentInPreviousWindow * PREFETCH_SHARE);
+  const returned = takeReturns(state.tokens, sentAtMs);
+  const { customer } = state;
   const grant = await client.options.draw({ customer, wanted: needed + prefetched, returned });
   // A grant that expired in transit says nothing about the customer's rate: treat the home as unreachable.
   const isValid = grant !== undefined && performance.now() < sentAtMs + grant.lifetimeMs;
-  tokens.isHomeReachable = isValid;
+  state.isHomeReachable = isValid;
+  if (!grant) return HOME_UNREACHABLE_RETRY_DELAY_MS;
+  const { granted, epoch, drawNumber, lifetimeMs } = grant;
+  const source = { epoch, drawNumber, sentAtMs, expiresAtMs: sentAtMs + lifetimeMs };
+  // Without new tokens the former grant stays current: tokens that come back to it can still be spent.
+  if (granted > 0) acceptGrant(state.tokens, source, granted);
   if (!isValid) return HOME_UNREACHABLE_RETRY_DELAY_MS;
-  tokens.available = grant.granted;
-  tokens.lifetimeMs = grant.lifetimeMs;
-  tokens.expiresAtMs = sentAtMs + grant.lifetimeMs;
-  return grant.granted >= needed ? 0 : Math.max(MIN_RETRY_DELAY_MS, grant.retryAfterMs);
+  state.lifetimeMs = lifetimeMs;
+  return granted >= needed ? 0 : Math.max(MIN_RETRY_DELAY_MS, grant.retryAfterMs);
 }
 
-function serveWaiters(client: RateClient, tokens: CustomerTokens): void {
+function serveWaiters(client: RateClient, state: CustomerTokens): void {
   const nowMs = performance.now();
-  for (let first = tokens.waiters[0]; first; first = tokens.waiters[0]) {
-    if (spend(tokens, first.count, nowMs)) {
-      tokens.waiters.shift();
-      first.resolve(undefined);
+  const { customer, waiters } = state;
+  for (let first = waiters[0]; first; first = waiters[0]) {
+    const source = spend(state, first.count, nowMs);
+    if (source) {
+      waiters.shift();
+      first.resolve({ kind: 'taken', customer, source, count: first.count });
       continue;
     }
     const { rateWaitMs, homeWaitMs } = client.options;
-    const waitMs = tokens.isHomeReachable ? rateWaitMs : homeWaitMs();
+    const waitMs = state.isHomeReachable ? rateWaitMs : homeWaitMs();
     if (nowMs - first.sinceMs < waitMs) return;
-    tokens.waiters.shift();
-    first.resolve(refuse(tokens.isHomeReachable ? 'rate-exceeded' : 'rate-home-unreachable'));
+    waiters.shift();
+    const reason = state.isHomeReachable ? 'rate-exceeded' : 'rate-home-unreachable';
+    first.resolve({ kind: 'refused', refusal: refuse(reason) });
   }
 }
--- a/packages/entry-shared/src/admit/rate-draw.ts
+++ b/packages/entry-shared/src/admit/rate-draw.ts
@@ -4,6 +4,7 @@
   type CustomerName,
   type RateLimit,
   type Resource,
+  type ReturnedTokens,
   type TokenRequest,
   type TokenGrant,
 } from '@bramleykeel/core';
@@ -47,13 +48,15 @@
     context.requestResource(resource, undefined);
     return undefined;
   }
-  const request: TokenRequest = { ...draw, epoch: assignment.epoch };
+  const { epoch } = assignment;
+  const returned = draw.returned.filter((each) => each.epoch === epoch);
+  const request: TokenRequest = { ...draw, epoch, returned };
   if (assignment.incarnation === context.control.incarnation())
     return answerDrawLocally(context, request);
   const peer = context.linkTo(assignment.linkAddress);
   if (!peer) return undefined;
   const answer = await peer.request('rate/draw', encodeDraw(request), DRAW_TIMEOUT_MS);
-  return decodeGrant(answer.orDefault(null) as EncodedGrant | null);
+  return decodeGrant(epoch, answer.orDefault(null) as EncodedGrant | null);
 }
 
 /** Wire form of a draw. Draws are the most frequent messages between entries, so they are sent as short arrays. */
@@ -61,29 +64,53 @@
   customer: string,
   epoch: number,
   wanted: number,
-  returned: number,
+  /**
+   * Number and count of each returned draw, one after the other. Homes of earlier versions ignore it; entries of
+   * earlier versions send a count without the draw, which cannot be credited exactly and is ignored.
+   */
+  returned: readonly number[] | number,
 ];
 
-/** Wire form of a grant. */
-export type EncodedGrant = readonly [granted: number, lifetimeMs: number, retryAfterMs: number];
+/** Wire form of a grant; homes of earlier versions leave out the number of the draw. */
+export type EncodedGrant = readonly [
+  granted: number,
+  lifetimeMs: number,
+  retryAfterMs: number,
+  drawNumber?: number,
+];
 
 /** Answers a draw received over a link; resolves to `null` if this entry is not the customer's home. */
 export async function answerEncodedDraw(
   context: RateDrawContext,
   [customer, epoch, wanted, returned]: EncodedDraw,
 ): Promise<EncodedGrant | null> {
-  const draw = { customer: customer as CustomerName, epoch, wanted, returned };
+  const draw = {
+    customer: customer as CustomerName,
+    epoch,
+    wanted,
+    returned: decodeReturned(epoch, returned),
+  };
   const grant = await answerDrawLocally(context, draw);
   if (!grant) return null;
-  return [grant.granted, Math.floor(grant.lifetimeMs), Math.ceil(grant.retryAfterMs)];
+  const { granted, lifetimeMs, retryAfterMs, drawNumber } = grant;
+  return [granted, Math.floor(lifetimeMs), Math.ceil(retryAfterMs), drawNumber];
 }
 
 function encodeDraw({ customer, epoch, wanted, returned }: TokenRequest): EncodedDraw {
-  return [customer, epoch, wanted, returned];
+  return [customer, epoch, wanted, returned.flatMap((each) => [each.drawNumber, each.count])];
+}
+
+function decodeReturned(epoch: number, encoded: EncodedDraw[3]): ReturnedTokens[] {
+  if (typeof encoded === 'number') return [];
+  const returned: ReturnedTokens[] = [];
+  for (let index = 0; index + 1 < encoded.length; index += 2) {
+    returned.push({ epoch, drawNumber: encoded[index] ?? 0, count: encoded[index + 1] ?? 0 });
+  }
+  return returned;
 }
 
-function decodeGrant(encoded: EncodedGrant | null): TokenGrant | undefined {
+function decodeGrant(epoch: number, encoded: EncodedGrant | null): TokenGrant | undefined {
   if (!encoded) return undefined;
-  const [granted, lifetimeMs, retryAfterMs] = encoded;
-  return { granted, lifetimeMs, retryAfterMs };
+  const [granted, lifetimeMs, retryAfterMs, drawNumber = 0] = encoded;
+  return { granted, epoch, drawNumber, lifetimeMs, retryAfterMs };
 }
--- a/packages/entry-shared/src/admit/rate-home.test.ts
+++ b/packages/entry-shared/src/admit/rate-home.test.ts
@@ -5,7 +5,7 @@
 const customer = toCustomerName('tuulgan');
 const limit = { ratePerSecond: 100, burst: 20 };
 const held = (epoch: number, formerHomeEndedForMs = 0) => ({ epoch, formerHomeEndedForMs });
-const draw = (wanted: number) => ({ customer, epoch: 2, wanted, returned: 0 });
+const draw = (wanted: number) => ({ customer, epoch: 2, wanted, returned: [] });
 
 describe('rate home', () => {
   beforeEach(() => {
--- a/packages/entry-shared/src/admit/rate-home.ts
+++ b/packages/entry-shared/src/admit/rate-home.ts
@@ -13,11 +13,16 @@
   waitForTokensMs,
 } from '@bramleykeel/core';
 
+interface Drawn {
+  readonly granted: number;
+  readonly drawNumber: number;
+}
+
 /** A draw that waits for its bucket to refill. */
 interface WaitingDraw {
   readonly wanted: number;
   readonly deadlineMs: number;
-  readonly resolve: (granted: number) => void;
+  readonly resolve: (drawn: Drawn) => void;
 }
 
 interface HomeBucket {
@@ -65,18 +70,21 @@
   const nowMs = performance.now();
   const home = getOrCreateHomeBucket(homes, draw.customer, limit, held, nowMs);
   home.limit = limit;
-  if (draw.returned > 0) returnTokens(home.bucket, limit, draw.returned, nowMs);
-  const granted = await drawInOrder(home, draw.wanted);
+  for (const returned of draw.returned) {
+    if (returned.epoch === home.epoch) returnTokens(home.bucket, limit, returned, nowMs);
+  }
+  const { granted, drawNumber } = await drawInOrder(home, draw.wanted);
   const retryAfterMs =
     granted >= draw.wanted ? 0 : waitForTokensMs(home.bucket, home.limit, 1, performance.now());
-  return { granted, lifetimeMs: grantLifetimeMs(home.limit), retryAfterMs };
+  const lifetimeMs = grantLifetimeMs(home.limit);
+  return { granted, epoch: home.epoch, drawNumber, lifetimeMs, retryAfterMs };
 }
 
-function drawInOrder(home: HomeBucket, wanted: number): Promise<number> | number {
+function drawInOrder(home: HomeBucket, wanted: number): Promise<Drawn> | Drawn {
   const nowMs = performance.now();
   if (home.waiting.length === 0) {
-    const granted = drawTokens(home.bucket, home.limit, wanted, nowMs);
-    if (granted > 0 || wanted === 0) return granted;
+    const drawn = drawNow(home, wanted, nowMs);
+    if (drawn.granted > 0 || wanted === 0) return drawn;
   }
   return new Promise((resolve) => {
     home.waiting.push({ wanted, deadlineMs: nowMs + DRAW_WAIT_MS, resolve });
@@ -84,6 +92,11 @@
   });
 }
 
+function drawNow(home: HomeBucket, wanted: number, nowMs: number): Drawn {
+  const granted = drawTokens(home.bucket, home.limit, wanted, nowMs);
+  return { granted, drawNumber: granted > 0 ? home.bucket.drawNumber : 0 };
+}
+
 function scheduleServing(home: HomeBucket): void {
   const [first] = home.waiting;
   if (home.timer || !first) return;
@@ -103,10 +116,10 @@
 function serveWaitingDraws(home: HomeBucket): void {
   for (let first = home.waiting[0]; first; first = home.waiting[0]) {
     const nowMs = performance.now();
-    const granted = drawTokens(home.bucket, home.limit, first.wanted, nowMs);
-    if (granted === 0 && nowMs < first.deadlineMs) return;
+    const drawn = drawNow(home, first.wanted, nowMs);
+    if (drawn.granted === 0 && nowMs < first.deadlineMs) return;
     home.waiting.shift();
-    first.resolve(granted);
+    first.resolve(drawn);
   }
 }
 
--- a/packages/statement-entry/src/accept/access.ts
+++ b/packages/statement-entry/src/accept/access.ts
@@ -9,7 +9,7 @@
 import type { CallerSession, SessionEnvironment } from './session-state.js';
 
 /** The route and customer that a caller is admitted under. */
-export interface Admission {
+export interface CallerAccess {
   readonly route: StatementRoute;
   readonly customer: CustomerName;
 }
@@ -43,7 +43,7 @@
   environment: SessionEnvironment,
   database: string,
   key: string | undefined,
-): Admission | StatementRefusalReason {
+): CallerAccess | StatementRefusalReason {
   const settings = environment.settings();
   // Called for open routes too: it detects a suspension, after which offers of near reads are invalid.
   const areSettingsFresh = environment.hasFreshSettings();
--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -6,7 +6,7 @@
   StatementRoute,
   StatementSettings,
 } from '@bramleykeel/core';
-import type { RateClient } from '@bramleykeel/entry-shared';
+import type { RateClient, TokenReceipt } from '@bramleykeel/entry-shared';
 import type { Counters, Log } from '@bramleykeel/link';
 import type { OwnerClient, OwnerPort } from '../locate/owner-client.js';
 import type { ReaderClient } from '../near/reader-client.js';
@@ -45,6 +45,9 @@
   readonly isReadOnly: boolean;
   readonly route: StatementRoute;
   readonly customer: CustomerName;
+  /** Its rate token; it is returned at the end unless a statement may have reached a target. */
+  readonly token: TokenReceipt | undefined;
+  mayHaveReachedTarget: boolean;
   /** The owner that holds the transaction; `undefined` until its first statement was sent. */
   ownerPort: OwnerPort | undefined;
 }
--- /dev/null
+++ b/packages/statement-entry/src/accept/session.test.ts
@@ -0,0 +1,198 @@
+import {
+  type StatementOutcome,
+  type StatementRequest,
+  type StatementRoute,
+  type StatementSettings,
+  toCustomerName,
+  toGroupName,
+} from '@bramleykeel/core';
+import { type ControlClient, createRateClient } from '@bramleykeel/entry-shared';
+import { setTimeout as delay } from 'node:timers/promises';
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { EntryLinks } from '../locate/entry-links.js';
+import { createOwnerClient, handleOutcome, type OwnerClient } from '../locate/owner-client.js';
+import { createReaderClient } from '../near/reader-client.js';
+import type { CallerPort, CallerRequest } from '../types/caller-port.js';
+import { closeSession, submitRequest } from './session.js';
+import { type CallerSession, createSession, type SessionEnvironment } from './session-state.js';
+
+const group = toGroupName('ledger');
+const customer = {
+  name: toCustomerName('tuulgan'),
+  keys: ['key'],
+  ratePerSecond: 1,
+  burst: 2,
+  afterMove: 0,
+};
+const route: StatementRoute = {
+  name: 'bookings',
+  group,
+  consistency: 'newest',
+  maxReadAgeMs: 0,
+  statementTimeoutMs: 1_000,
+  objectiveMs: 400,
+  priority: 0,
+  isOpenToAll: false,
+};
+const settings: StatementSettings = {
+  version: 1,
+  routes: new Map([['bookings', route]]),
+  groups: new Map(),
+  customers: new Map([[customer.name, customer]]),
+  customerByKey: new Map([['key', customer]]),
+  idleTransactionMs: 1_000,
+};
+const done: StatementOutcome = {
+  kind: 'done',
+  rows: [],
+  signature: 's',
+  position: null,
+  isFromReplica: false,
+};
+const untouched: StatementOutcome = {
+  kind: 'not-run',
+  reason: 'queue-timeout',
+  retryAfterMs: 200,
+  reachedNoTarget: true,
+};
+const write: CallerRequest = { kind: 'statement', tag: 't', access: 'write', text: 'WRITE x a' };
+const commit: CallerRequest = { kind: 'commit', tag: 't', text: 'COMMIT' };
+const GRANTED = 10;
+
+const counters = {
+  count: () => undefined,
+  gauge: () => undefined,
+  timing: () => undefined,
+  totals: () => ({}),
+  close: () => undefined,
+};
+
+describe('the rate token of an operation', () => {
+  let session: CallerSession;
+  let environment: SessionEnvironment;
+  let owners: OwnerClient;
+  /** Answers to the next statements; later ones stay unanswered. */
+  let outcomes: StatementOutcome[];
+  let sent: StatementRequest[];
+  let refusals: string[];
+
+  beforeEach(() => {
+    outcomes = [];
+    sent = [];
+    refusals = [];
+    const assignment = {
+      resource: `group/${group}`,
+      epoch: 1,
+      incarnation: 'a',
+      linkAddress: 'a:1',
+    };
+    owners = createOwnerClient({
+      control: {
+        records: new Map([[`group/${group}`, { record: { kind: 'assignment', assignment } }]]),
+        incarnation: () => 'a',
+      } as unknown as ControlClient,
+      links: () => ({}) as EntryLinks,
+      sendLocally: (_group, _epoch, request) => {
+        sent.push(request);
+        const outcome = outcomes.shift();
+        if (outcome)
+          setImmediate(() => {
+            handleOutcome(owners, request.number, outcome);
+          });
+        return true;
+      },
+      rollBackLocally: () => undefined,
+      sendOverLink: () => false,
+      rollBackOverLink: () => undefined,
+      requestResource: () => undefined,
+      lastStartMs: () => Number.POSITIVE_INFINITY,
+    });
+    environment = {
+      settings: () => settings,
+      hasFreshSettings: () => true,
+      stopPhase: () => 'serving',
+      rates: createRateClient({
+        rateWaitMs: 100,
+        homeWaitMs: () => 100,
+        draw: () =>
+          Promise.resolve({
+            granted: GRANTED,
+            epoch: 1,
+            drawNumber: 1,
+            lifetimeMs: 60_000,
+            retryAfterMs: 0,
+          }),
+      }),
+      waits: () => ({ homeMs: 100, statementShare: 0.45 }),
+      owners,
+      readers: createReaderClient({
+        counters,
+        locateReader: () => undefined,
+        runHere: () => Promise.resolve(undefined),
+        sendToReader: () => Promise.resolve(undefined),
+      }),
+      counters,
+      log: () => undefined,
+      nextTransactionNumber: () => 1,
+      successCount: 0,
+    };
+    const port: CallerPort = {
+      answer: () => undefined,
+      refuse: (error) => {
+        refusals.push(error.kind);
+      },
+      close: () => undefined,
+    };
+    session = createSession('bookings', 'key', port, environment);
+  });
+
+  async function run(...requests: readonly CallerRequest[]): Promise<void> {
+    for (const request of requests) submitRequest(session, request);
+    await delay(30);
+  }
+
+  /** Tokens spent so far, of the one grant that the home has made. */
+  function spent(): number {
+    return GRANTED - (environment.rates.customers.get(customer.name)?.tokens.available ?? GRANTED);
+  }
+
+  it.each<{ name: string; outcome: StatementOutcome; expected: number }>([
+    { name: 'comes back if it reached no target', outcome: untouched, expected: 0 },
+    {
+      name: 'stays spent if a target has refused it',
+      outcome: { kind: 'not-run', reason: 'queue-timeout', retryAfterMs: 200 },
+      expected: 1,
+    },
+    { name: 'stays spent if it may have run', outcome: { kind: 'timed-out' }, expected: 1 },
+    { name: 'stays spent if it ran', outcome: done, expected: 1 },
+  ])('$name', async ({ outcome, expected }) => {
+    outcomes.push(outcome);
+    await run(write);
+    expect(spent()).toBe(expected);
+  });
+
+  it('of a transaction comes back if none of its statements reached a target', async () => {
+    outcomes.push(untouched);
+    await run({ kind: 'begin', isReadOnly: false }, write);
+    expect(spent()).toBe(1);
+    await run({ kind: 'rollback' });
+    expect(spent()).toBe(0);
+  });
+
+  it('of a transaction stays spent if one statement reached a target and a later one did not', async () => {
+    outcomes.push(done, untouched);
+    await run({ kind: 'begin', isReadOnly: false }, write, write, { kind: 'rollback' });
+    expect(refusals).toEqual(['not-run']);
+    expect(spent()).toBe(1);
+  });
+
+  it('of a transaction comes back once if its COMMIT alone was refused, or its caller leaves', async () => {
+    outcomes.push(untouched);
+    await run({ kind: 'begin', isReadOnly: false }, commit);
+    expect(spent()).toBe(0);
+    await run({ kind: 'begin', isReadOnly: false });
+    closeSession(session);
+    closeSession(session);
+    expect(spent()).toBe(0);
+  });
+});
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -8,7 +8,7 @@
   type StatementRefusalReason,
   type StatementRoute,
 } from '@bramleykeel/core';
-import { admit } from '@bramleykeel/entry-shared';
+import { returnReceipt, takeTokens, type TokenReceipt } from '@bramleykeel/entry-shared';
 import { match } from 'ts-pattern';
 import {
   createStatementDeadlines,
@@ -16,7 +16,7 @@
   type StatementDeadlines,
 } from '../locate/owner-client.js';
 import { runNearest } from '../near/reader-client.js';
-import { type Admission, findAdmission, ANONYMOUS_CUSTOMER } from './access.js';
+import { ANONYMOUS_CUSTOMER, type CallerAccess, findAdmission } from './access.js';
 import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
@@ -25,6 +25,11 @@
 const RATE_RETRY_AFTER_MS = 500;
 const RETRY_AFTER_MS = 300;
 
+/** An admitted operation; callers without a key have no rate, so their operations have no token. */
+interface Admission extends CallerAccess {
+  readonly token: TokenReceipt | undefined;
+}
+
 /** Queues a request; requests of a session are answered in order. */
 export function submitRequest(session: CallerSession, request: CallerRequest): void {
   if (session.isClosed) return;
@@ -84,7 +89,19 @@
 function rollBackOpenTransaction(session: CallerSession): void {
   const { transaction } = session;
   session.transaction = undefined;
-  if (transaction) transaction.ownerPort?.sendRollback(transaction.number);
+  if (!transaction) return;
+  transaction.ownerPort?.sendRollback(transaction.number);
+  if (!transaction.mayHaveReachedTarget) returnToken(session, transaction.token);
+}
+
+function returnToken({ environment }: CallerSession, token: TokenReceipt | undefined): void {
+  if (!token) return;
+  environment.counters.count('rate.token-returned');
+  returnReceipt(environment.rates, token);
+}
+
+function hasReachedNoTarget(outcome: StatementOutcome): boolean {
+  return outcome.kind === 'not-run' && outcome.reachedNoTarget === true;
 }
 
 function runRequest(session: CallerSession, request: CallerRequest): Promise<void> | void {
@@ -147,9 +164,14 @@
   }
   const admission = await admitOperation(session, 'BEGIN');
   if (!admission) return;
-  const { route, customer } = admission;
   const number = session.environment.nextTransactionNumber();
-  session.transaction = { number, isReadOnly, route, customer, ownerPort: undefined };
+  session.transaction = {
+    ...admission,
+    number,
+    isReadOnly,
+    mayHaveReachedTarget: false,
+    ownerPort: undefined,
+  };
   session.state = 'open';
   acknowledgeRequest(session);
 }
@@ -205,6 +227,7 @@
     const result = await runStatement(owners, group, draft, undefined, deadlines);
     return result.outcome;
   });
+  if (hasReachedNoTarget(outcome)) returnToken(session, admission.token);
   if (outcome.kind === 'done' && access === 'write') advanceMark(session, outcome.position);
   deliverOutcome(session, outcome, tag);
 }
@@ -231,6 +254,7 @@
   const { owners } = session.environment;
   const result = await runStatement(owners, route.group, draft, transaction.ownerPort, deadlines);
   transaction.ownerPort = result.port;
+  if (!hasReachedNoTarget(result.outcome)) transaction.mayHaveReachedTarget = true;
   return result.outcome;
 }
 
@@ -286,10 +310,11 @@
     refuseRequest(session, notRun(admission, RETRY_AFTER_MS), tag);
     return undefined;
   }
-  if (admission.customer === ANONYMOUS_CUSTOMER) return admission;
-  const refusal = await admit(environment.rates, admission.customer, 1, undefined);
-  if (!refusal) return admission;
-  const reason = refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
+  if (admission.customer === ANONYMOUS_CUSTOMER) return { ...admission, token: undefined };
+  const decision = await takeTokens(environment.rates, admission.customer, 1, undefined);
+  if (decision.kind === 'taken') return { ...admission, token: decision };
+  const reason =
+    decision.refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
   refuseRequest(session, notRun(reason, RATE_RETRY_AFTER_MS), tag, admission.customer);
   return undefined;
 }
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -171,7 +171,12 @@
     request.number,
     isContinuation
       ? { kind: 'aborted', reason: 'the owner of the transaction has gone' }
-      : { kind: 'not-run', reason: 'no-owner', retryAfterMs: app.noOwnerRetryMs },
+      : {
+          kind: 'not-run',
+          reason: 'no-owner',
+          retryAfterMs: app.noOwnerRetryMs,
+          reachedNoTarget: true,
+        },
   );
 }
 
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -112,25 +112,30 @@
   const hasTransactionOwner = draft.transaction !== null && !draft.transaction.isFirst;
   // The entry may begin to stop while the statement waits.
   const startByMs = () => Math.min(deadlines.startByMs, client.options.lastStartMs());
+  let reachedNoTarget = true;
   for (;;) {
     const port = hasTransactionOwner ? transactionOwner : await awaitPort(client, group, startByMs);
-    if (!port) return { outcome: notRun('no-owner'), port: undefined };
+    if (!port) return { outcome: notRun(reachedNoTarget), port: undefined };
     const { deadlineMs } = deadlines;
     const outcome = await sendOnce(client, port, draft, { deadlineMs, startByMs: startByMs() });
     const isTooLateToStart = performance.now() >= startByMs();
     if (outcome === 'not-sent') {
       if (hasTransactionOwner) return { outcome: aborted(), port };
-      if (isTooLateToStart) return { outcome: notRun('no-owner'), port };
+      if (isTooLateToStart) return { outcome: notRun(reachedNoTarget), port };
       await delay(NOT_READY_RETRY_MS);
       continue;
     }
     if (outcome === 'owner-lost') {
+      reachedNoTarget = false;
       const isRepeatable = draft.access === 'read' && draft.transaction === null;
       if (!isRepeatable || isTooLateToStart) return { outcome: outcomeOfOwnerLoss(draft), port };
       continue;
     }
-    const hasOwnerEnded = outcome.kind === 'not-run' && outcome.reason === 'no-owner';
-    if (!hasOwnerEnded || hasTransactionOwner || isTooLateToStart) return { outcome, port };
+    if (outcome.kind !== 'not-run') return { outcome, port };
+    reachedNoTarget &&= outcome.reachedNoTarget === true;
+    const hasOwnerEnded = outcome.reason === 'no-owner';
+    if (!hasOwnerEnded || hasTransactionOwner || isTooLateToStart)
+      return { outcome: { ...outcome, reachedNoTarget }, port };
     await delay(NOT_READY_RETRY_MS);
   }
 }
@@ -146,8 +151,8 @@
   return { kind: 'aborted', reason: 'the owner of the transaction was lost' };
 }
 
-function notRun(reason: 'no-owner'): StatementOutcome {
-  return { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS };
+function notRun(reachedNoTarget: boolean): StatementOutcome {
+  return { kind: 'not-run', reason: 'no-owner', retryAfterMs: RETRY_AFTER_MS, reachedNoTarget };
 }
 
 function sendOnce(
@@ -201,7 +206,7 @@
 
 /**
  * Handles the end of an owner's epoch. Pending statements that are not in `running` have not run and
- * never will, so they are settled as not run and go to the next owner.
+ * never will, so they are settled as not run and go to the next owner. A target may have refused them.
  */
 export function handleOwnerEnded(
   client: OwnerClient,
@@ -212,8 +217,7 @@
   client.endedEpochs.set(group, Math.max(epoch, client.endedEpochs.get(group) ?? 0));
   for (const [number, { port }] of [...client.pending]) {
     const wasSentToOwner = port.group === group && port.epoch === epoch;
-    if (wasSentToOwner && !running.includes(number))
-      settlePending(client, number, notRun('no-owner'));
+    if (wasSentToOwner && !running.includes(number)) settlePending(client, number, notRun(false));
   }
 }
 
--- a/packages/statement-entry/src/near/reader-client.ts
+++ b/packages/statement-entry/src/near/reader-client.ts
@@ -71,7 +71,7 @@
   const reader = mayReadAtReplica(draft) ? options.locateReader(group) : undefined;
   if (!reader) return runAtOwner();
   if (reader.kind === 'here')
-    return (await options.runHere(group, draft, deadlineMs)) ?? runAtOwner();
+    return (await options.runHere(group, draft, deadlineMs)) ?? withoutReach(await runAtOwner());
   if (isSilent(client, reader)) {
     options.counters.count('near.reader-silent');
     return runAtOwner();
@@ -85,11 +85,16 @@
   );
   const first = await Promise.race([pending, late]);
   repeatTimer.abort();
-  if (first !== 'late') return first ?? runAtOwner();
+  if (first !== 'late') return first ?? withoutReach(await runAtOwner());
   options.counters.count('near.repeated-at-owner');
   return firstResult(pending, runAtOwner());
 }
 
+/** The reader may have sent the read to a replica that refused it. */
+function withoutReach(outcome: StatementOutcome): StatementOutcome {
+  return outcome.kind === 'not-run' ? { ...outcome, reachedNoTarget: false } : outcome;
+}
+
 /** A refusal as not run would be wrong while the reader may still run the read. */
 async function firstResult(
   atReader: Promise<StatementOutcome | undefined>,
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -235,7 +235,9 @@
   if (job.isEnded) return;
   job.isEnded = true;
   const contradictsExecution = proposed.kind === 'not-run' && job.mayHaveRun;
-  const outcome: StatementOutcome = contradictsExecution ? { kind: 'timed-out' } : proposed;
+  const outcome = contradictsExecution
+    ? ({ kind: 'timed-out' } as const)
+    : withReach(job, proposed);
   owner.environment.counters.count(
     outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
   );
@@ -250,6 +252,11 @@
   job.channel.answer(job.request.number, outcome);
 }
 
+function withReach({ hasReachedTarget }: Job, outcome: StatementOutcome): StatementOutcome {
+  const isUntouched = outcome.kind === 'not-run' && !hasReachedTarget;
+  return isUntouched ? { ...outcome, reachedNoTarget: true } : outcome;
+}
+
 function ageOf({ arrivedAtMs }: Job): number {
   return Math.round(performance.now() - arrivedAtMs);
 }
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -24,6 +24,7 @@
     deadlineMs: nowMs + request.budgetMs,
     startByMs: nowMs + request.startWithinMs,
     mayHaveRun: false,
+    hasReachedTarget: false,
     committedUnder: undefined,
     transaction: undefined,
     attempts: 0,
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -129,6 +129,8 @@
   readonly startByMs: number;
   /** Set once a server may have run the statement; it is then never answered as `not-run`. */
   mayHaveRun: boolean;
+  /** Set once an order was sent to a server on its behalf; its rate token is not returned then. */
+  hasReachedTarget: boolean;
   /** The leadership under which its commit was sent to the primary; `undefined` if it was not. */
   committedUnder: number | undefined;
   transaction: OpenTransaction | undefined;
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -102,6 +102,7 @@
   pooled: PooledConnection,
 ): Promise<boolean> {
   for (const order of setupOrders(setupRequirementsOf(job), pooled, beginOrderOf(owner, job))) {
+    job.hasReachedTarget = true;
     const timeoutMs = Math.min(SETUP_TIMEOUT_MS, job.deadlineMs - performance.now());
     const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
     if (answer.kind === 'done') {
@@ -169,6 +170,7 @@
   const { access, transaction } = job.request;
   if (access === 'commit' || (access === 'write' && !transaction))
     job.committedUnder = leadershipNumberOf(owner, pooled.server);
+  job.hasReachedTarget = true;
   const sentAtMs = performance.now();
   const timeoutMs = job.deadlineMs - sentAtMs - ANSWER_MARGIN_MS;
   const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
