Withdraw the waiting statement of a caller that disconnects

A statement whose caller had gone kept its place in the owner's queue and then ran at a server for nobody.

A closed session withdraws its statement at the owner (event statement/withdraw: group, epoch, number), sends nothing more, and gives back the token of an operation that was still waiting for its rate. The owner drops the statement from its queue; one that is being prepared is not sent, one that a server refused as busy is not repeated, and one that a server runs finishes and leaves its connection in the pool.

--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -137,6 +137,8 @@
   | 'key-rejected'
   | 'unknown-database'
   | 'entry-stopping'
+  /** Its caller has disconnected. */
+  | 'withdrawn'
   | 'unsupported-statement';
 
 /**
--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -8,7 +8,12 @@
 } from '@bramleykeel/core';
 import type { RateClient, TokenReceipt } from '@bramleykeel/entry-shared';
 import type { Counters, Log } from '@bramleykeel/link';
-import type { OwnerClient, OwnerPort } from '../locate/owner-client.js';
+import {
+  createStatementCaller,
+  type OwnerClient,
+  type OwnerPort,
+  type StatementCaller,
+} from '../locate/owner-client.js';
 import type { ReaderClient } from '../near/reader-client.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 import type { ConnectionState } from '../types/target-port.js';
@@ -66,6 +71,7 @@
   isRunning: boolean;
   /** The request that runs, or ran last. */
   runningRequest: CallerRequest | undefined;
+  readonly caller: StatementCaller;
   isClosed: boolean;
   /** When the current request was started, by the monotonic clock. */
   requestSinceMs: number;
@@ -90,6 +96,7 @@
     queuedRequests: [],
     isRunning: false,
     runningRequest: undefined,
+    caller: createStatementCaller(),
     isClosed: false,
     requestSinceMs: performance.now(),
   };
--- a/packages/statement-entry/src/accept/session.test.ts
+++ b/packages/statement-entry/src/accept/session.test.ts
@@ -67,18 +67,20 @@
   close: () => undefined,
 };
 
-describe('the rate token of an operation', () => {
+describe('a session', () => {
   let session: CallerSession;
   let environment: SessionEnvironment;
   let owners: OwnerClient;
   /** Answers to the next statements; later ones stay unanswered. */
   let outcomes: StatementOutcome[];
   let sent: StatementRequest[];
+  let withdrawn: number[];
   let refusals: string[];
 
   beforeEach(() => {
     outcomes = [];
     sent = [];
+    withdrawn = [];
     refusals = [];
     const assignment = {
       resource: `group/${group}`,
@@ -102,6 +104,10 @@
         return true;
       },
       rollBackLocally: () => undefined,
+      withdrawLocally: (_group, _epoch, number) => {
+        withdrawn.push(number);
+      },
+      withdrawOverLink: () => undefined,
       sendOverLink: () => false,
       rollBackOverLink: () => undefined,
       requestResource: () => undefined,
@@ -157,21 +163,29 @@
   }
 
   it.each<{ name: string; outcome: StatementOutcome; expected: number }>([
-    { name: 'comes back if it reached no target', outcome: untouched, expected: 0 },
     {
-      name: 'stays spent if a target has refused it',
+      name: 'gets its token back for an operation that reached no target',
+      outcome: untouched,
+      expected: 0,
+    },
+    {
+      name: 'spends a token if a target has refused the operation',
       outcome: { kind: 'not-run', reason: 'queue-timeout', retryAfterMs: 200 },
       expected: 1,
     },
-    { name: 'stays spent if it may have run', outcome: { kind: 'timed-out' }, expected: 1 },
-    { name: 'stays spent if it ran', outcome: done, expected: 1 },
+    {
+      name: 'spends a token if the operation may have run',
+      outcome: { kind: 'timed-out' },
+      expected: 1,
+    },
+    { name: 'spends a token if the operation ran', outcome: done, expected: 1 },
   ])('$name', async ({ outcome, expected }) => {
     outcomes.push(outcome);
     await run(write);
     expect(spent()).toBe(expected);
   });
 
-  it('of a transaction comes back if none of its statements reached a target', async () => {
+  it('gets the token of a transaction back if none of its statements reached a target', async () => {
     outcomes.push(untouched);
     await run({ kind: 'begin', isReadOnly: false }, write);
     expect(spent()).toBe(1);
@@ -179,14 +193,14 @@
     expect(spent()).toBe(0);
   });
 
-  it('of a transaction stays spent if one statement reached a target and a later one did not', async () => {
+  it('spends the token of a transaction if one statement reached a target and a later one did not', async () => {
     outcomes.push(done, untouched);
     await run({ kind: 'begin', isReadOnly: false }, write, write, { kind: 'rollback' });
     expect(refusals).toEqual(['not-run']);
     expect(spent()).toBe(1);
   });
 
-  it('of a transaction comes back once if its COMMIT alone was refused, or its caller leaves', async () => {
+  it('gets the token of a transaction back once if its COMMIT alone was refused, or its caller leaves', async () => {
     outcomes.push(untouched);
     await run({ kind: 'begin', isReadOnly: false }, commit);
     expect(spent()).toBe(0);
@@ -195,4 +209,23 @@
     closeSession(session);
     expect(spent()).toBe(0);
   });
+
+  // Guards against work at servers for callers that have gone: their statements waited until they ran.
+  it('withdraws the statement that waits at the owner when its caller leaves, and sends no other', async () => {
+    await run(write, write);
+    closeSession(session);
+    expect(withdrawn).toEqual(sent.map(({ number }) => number));
+    handleOutcome(owners, withdrawn[0] ?? 0, { ...untouched, reason: 'withdrawn' });
+    await delay(30);
+    expect(sent).toHaveLength(1);
+    expect(spent()).toBe(0);
+  });
+
+  it('does not resend the statement of a caller that has left to the next owner', async () => {
+    await run(write);
+    closeSession(session);
+    handleOutcome(owners, withdrawn[0] ?? 0, { ...untouched, reason: 'no-owner' });
+    await delay(60);
+    expect(sent).toHaveLength(1);
+  });
 });
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -14,6 +14,7 @@
   createStatementDeadlines,
   runStatement,
   type StatementDeadlines,
+  withdrawCaller,
 } from '../locate/owner-client.js';
 import { runNearest } from '../near/reader-client.js';
 import { ANONYMOUS_CUSTOMER, type CallerAccess, findAdmission } from './access.js';
@@ -79,9 +80,13 @@
   queuedRequests.length = 0;
 }
 
-/** Closes the session and rolls back an open transaction, after a running request has ended. */
+/**
+ * Closes the session of a caller that has disconnected: withdraws its waiting statement, and rolls back an open
+ * transaction after a running request has ended.
+ */
 export function closeSession(session: CallerSession): void {
   session.isClosed = true;
+  withdrawCaller(session.caller);
   session.queuedRequests.length = 0;
   if (!session.isRunning) rollBackOpenTransaction(session);
 }
@@ -224,7 +229,7 @@
   const { owners, readers } = session.environment;
   const { group } = route;
   const outcome = await runNearest(readers, group, draft, deadlines.deadlineMs, async () => {
-    const result = await runStatement(owners, group, draft, undefined, deadlines);
+    const result = await runStatement(owners, group, draft, undefined, deadlines, session.caller);
     return result.outcome;
   });
   if (hasReachedNoTarget(outcome)) returnToken(session, admission.token);
@@ -251,8 +256,10 @@
     transaction: { number, isReadOnly, isFirst },
   };
   const deadlines = deadlinesOf(session, route);
-  const { owners } = session.environment;
-  const result = await runStatement(owners, route.group, draft, transaction.ownerPort, deadlines);
+  const { environment, caller } = session;
+  const { ownerPort } = transaction;
+  const { owners } = environment;
+  const result = await runStatement(owners, route.group, draft, ownerPort, deadlines, caller);
   transaction.ownerPort = result.port;
   if (!hasReachedNoTarget(result.outcome)) transaction.mayHaveReachedTarget = true;
   return result.outcome;
@@ -312,6 +319,10 @@
   }
   if (admission.customer === ANONYMOUS_CUSTOMER) return { ...admission, token: undefined };
   const decision = await takeTokens(environment.rates, admission.customer, 1, undefined);
+  if (decision.kind === 'taken' && session.isClosed) {
+    returnToken(session, decision);
+    return undefined;
+  }
   if (decision.kind === 'taken') return { ...admission, token: decision };
   const reason =
     decision.refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -20,7 +20,12 @@
   type ReaderOfferRequest,
 } from './near/reader-offer.js';
 import { readAtReplica, releaseServer, type ReplicaReads } from './near/replica-reads.js';
-import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
+import {
+  acceptRollback,
+  acceptStatement,
+  acceptWithdrawal,
+  type EntryChannel,
+} from './owner/owner-app.js';
 import type { StatementOwner } from './owner/owner-state.js';
 import {
   deliverServerAnnouncement,
@@ -91,6 +96,11 @@
     const [group, epoch, running] = params as EncodedOwnerEnded;
     handleOwnerEnded(app.owners, group, epoch, running);
   },
+  'statement/withdraw': (app, peer, params) => {
+    const [group, epoch, number] = params as [GroupName, number, number];
+    const owner = findStatementOwner(app.registry, group, epoch);
+    if (owner) acceptWithdrawal(owner, getOrCreateChannel(app, peer), number);
+  },
   'statement/rollback': (app, peer, params) => {
     const [group, epoch, transaction] = params as [GroupName, number, number];
     const owner = findStatementOwner(app.registry, group, epoch);
--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -72,6 +72,8 @@
         return true;
       },
       rollBackOverLink: () => undefined,
+      withdrawLocally: () => undefined,
+      withdrawOverLink: () => undefined,
       requestResource: () => undefined,
       lastStartMs: () => lastStartMs,
     });
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -12,15 +12,20 @@
 import { startInputDeadline } from '@bramleykeel/link';
 import type { EntryLinks } from './entry-links.js';
 
-/** An owner with a given epoch, in this process or reached over a link. */
-export interface OwnerPort {
+export interface OwnerLocation {
   readonly group: GroupName;
   readonly epoch: number;
   readonly linkAddress: string;
   readonly isLocal: boolean;
+}
+
+/** An owner with a given epoch, in this process or reached over a link. */
+export interface OwnerPort extends OwnerLocation {
   /** Sends a statement; returns `false` if it was certainly not sent. */
   readonly send: (request: StatementRequest) => boolean;
   readonly sendRollback: (transaction: number) => void;
+  /** Tells the owner that the caller of a statement has gone. */
+  readonly sendWithdrawal: (number: number) => void;
 }
 
 export interface OwnerClientOptions {
@@ -29,14 +34,10 @@
   /** Passes a statement to the owner in this process; returns `false` if there is none with this epoch. */
   readonly sendLocally: (group: GroupName, epoch: number, request: StatementRequest) => boolean;
   readonly rollBackLocally: (group: GroupName, epoch: number, transaction: number) => void;
-  readonly sendOverLink: (
-    port: Omit<OwnerPort, 'send' | 'sendRollback'>,
-    request: StatementRequest,
-  ) => boolean;
-  readonly rollBackOverLink: (
-    port: Omit<OwnerPort, 'send' | 'sendRollback'>,
-    transaction: number,
-  ) => void;
+  readonly withdrawLocally: (group: GroupName, epoch: number, number: number) => void;
+  readonly sendOverLink: (port: OwnerLocation, request: StatementRequest) => boolean;
+  readonly rollBackOverLink: (port: OwnerLocation, transaction: number) => void;
+  readonly withdrawOverLink: (port: OwnerLocation, number: number) => void;
   readonly requestResource: (resource: Resource, zone: string | undefined) => void;
   /** Latest time at which a statement may start, by the monotonic clock; infinite unless the entry stops. */
   readonly lastStartMs: () => number;
@@ -62,6 +63,23 @@
   readonly port: OwnerPort | undefined;
 }
 
+/** The caller of a session's statements, which run one at a time. */
+export interface StatementCaller {
+  isGone: boolean;
+  /** The statement that an owner has and has not answered. */
+  pending: { readonly port: OwnerPort; readonly number: number } | undefined;
+}
+
+export function createStatementCaller(): StatementCaller {
+  return { isGone: false, pending: undefined };
+}
+
+/** Withdraws the statement of a caller that has disconnected, unless a server runs it already. */
+export function withdrawCaller(caller: StatementCaller): void {
+  caller.isGone = true;
+  caller.pending?.port.sendWithdrawal(caller.pending.number);
+}
+
 export type StatementDraft = Omit<StatementRequest, 'number' | 'budgetMs' | 'startWithinMs'>;
 
 /** Deadlines of a statement, by the monotonic clock. */
@@ -98,7 +116,8 @@
 
 /**
  * Runs a statement through its group's owner. Statements that have not run, and reads outside
- * transactions, are resent until `startByMs`, or until the entry starts nothing more; all others are sent once.
+ * transactions, are resent until `startByMs`, or until the entry starts nothing more or the caller has gone; all
+ * others are sent once.
  *
  * @param transactionOwner the owner that holds the transaction, for statements after its first
  */
@@ -108,16 +127,22 @@
   draft: StatementDraft,
   transactionOwner: OwnerPort | undefined,
   deadlines: StatementDeadlines,
+  caller: StatementCaller = createStatementCaller(),
 ): Promise<RunResult> {
   const hasTransactionOwner = draft.transaction !== null && !draft.transaction.isFirst;
   // The entry may begin to stop while the statement waits.
-  const startByMs = () => Math.min(deadlines.startByMs, client.options.lastStartMs());
+  const startByMs = () =>
+    caller.isGone
+      ? Number.NEGATIVE_INFINITY
+      : Math.min(deadlines.startByMs, client.options.lastStartMs());
   let reachedNoTarget = true;
   for (;;) {
     const port = hasTransactionOwner ? transactionOwner : await awaitPort(client, group, startByMs);
-    if (!port) return { outcome: notRun(reachedNoTarget), port: undefined };
+    if (!port || caller.isGone) return { outcome: notRun(reachedNoTarget), port };
     const { deadlineMs } = deadlines;
-    const outcome = await sendOnce(client, port, draft, { deadlineMs, startByMs: startByMs() });
+    const sendDeadlines = { deadlineMs, startByMs: startByMs() };
+    const outcome = await sendOnce(client, port, draft, sendDeadlines, caller);
+    caller.pending = undefined;
     const isTooLateToStart = performance.now() >= startByMs();
     if (outcome === 'not-sent') {
       if (hasTransactionOwner) return { outcome: aborted(), port };
@@ -160,6 +185,7 @@
   port: OwnerPort,
   draft: StatementDraft,
   deadlines: StatementDeadlines,
+  caller: StatementCaller,
 ): Promise<StatementOutcome | 'owner-lost' | 'not-sent'> {
   const nowMs = performance.now();
   const number = client.nextNumber;
@@ -171,6 +197,7 @@
     budgetMs,
     startWithinMs: Math.max(0, deadlines.startByMs - nowMs),
   };
+  caller.pending = { port, number };
   return new Promise((resolve) => {
     const cancelDeadline = startInputDeadline(budgetMs + ANSWER_TRANSIT_MS, () => {
       settlePending(client, number, 'owner-lost');
@@ -313,6 +340,9 @@
       sendRollback: (transaction) => {
         options.rollBackOverLink(location, transaction);
       },
+      sendWithdrawal: (number) => {
+        options.withdrawOverLink(location, number);
+      },
     };
   }
   return {
@@ -321,5 +351,8 @@
     sendRollback: (transaction) => {
       options.rollBackLocally(group, epoch, transaction);
     },
+    sendWithdrawal: (number) => {
+      options.withdrawLocally(group, epoch, number);
+    },
   };
 }
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -205,6 +205,10 @@
 export function requeueJob(owner: StatementOwner, job: Job): void {
   job.attempts += 1;
   if (job.isEnded) return;
+  if (job.isWithdrawn) {
+    endJob(owner, job, notRun('withdrawn'));
+    return;
+  }
   owner.environment.log('statement requeued', describeJob(owner, job));
   if (performance.now() >= job.startByMs || owner.isClosed) {
     endJob(owner, job, notRun('queue-timeout'));
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -28,6 +28,7 @@
     committedUnder: undefined,
     transaction: undefined,
     attempts: 0,
+    isWithdrawn: false,
     isEnded: false,
   };
   if (request.transaction && !joinTransaction(owner, channel, job)) return;
@@ -74,6 +75,20 @@
   return true;
 }
 
+/**
+ * Drops a statement whose caller has disconnected, so that its place goes to another one. A statement that a server
+ * runs already finishes, and its connection stays in the pool.
+ */
+export function acceptWithdrawal(
+  owner: StatementOwner,
+  channel: EntryChannel,
+  number: number,
+): void {
+  const isMeant = (job: Job) => job.channel === channel && job.request.number === number;
+  dropWaiting(owner, isMeant, notRun('withdrawn'));
+  for (const job of owner.running) if (isMeant(job)) job.isWithdrawn = true;
+}
+
 /** Rolls a transaction back because its caller asked for it or has disconnected. */
 export function acceptRollback(owner: StatementOwner, channel: EntryChannel, number: number): void {
   const transaction = owner.transactions.get(transactionKeyOf(channel.id, number));
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -135,6 +135,8 @@
   committedUnder: number | undefined;
   transaction: OpenTransaction | undefined;
   attempts: number;
+  /** Whether its caller has disconnected; it is not sent to a server any more. */
+  isWithdrawn: boolean;
   isEnded: boolean;
 }
 
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -82,9 +82,9 @@
     return;
   }
   const { pooled } = acquired;
-  if (!owner.environment.holdsLease() || job.isEnded) {
+  if (!owner.environment.holdsLease() || job.isEnded || job.isWithdrawn) {
     releaseConnection(pooled);
-    if (!job.isEnded) endJob(owner, job, notRun('no-owner'));
+    if (!job.isEnded) endJob(owner, job, notRun(job.isWithdrawn ? 'withdrawn' : 'no-owner'));
     return;
   }
   const isReady = await prepareConnection(owner, job, pooled);
@@ -121,7 +121,12 @@
     return false;
   }
   const ref = job.request.transaction;
-  if (!ref) return true;
+  if (!ref) {
+    if (!job.isWithdrawn) return true;
+    releaseConnection(pooled);
+    endJob(owner, job, notRun('withdrawn'));
+    return false;
+  }
   const transaction = owner.transactions.get(transactionKey(job));
   if (!transaction || job.isEnded) {
     discardConnection(pooled);
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -70,7 +70,12 @@
   handleOutcome,
 } from './locate/owner-client.js';
 import { startInstanceRelief } from './owner/instance-relief.js';
-import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
+import {
+  acceptRollback,
+  acceptStatement,
+  acceptWithdrawal,
+  type EntryChannel,
+} from './owner/owner-app.js';
 import {
   closeAllStatementOwners,
   createStatementOwnerRegistry,
@@ -237,6 +242,10 @@
       const owner = findStatementOwner(registry, group, epoch);
       if (owner) acceptRollback(owner, localChannel, transaction);
     },
+    withdrawLocally: (group, epoch, number) => {
+      const owner = findStatementOwner(registry, group, epoch);
+      if (owner) acceptWithdrawal(owner, localChannel, number);
+    },
     sendOverLink: ({ group, epoch, linkAddress }, request) => {
       const encoded = encodeStatement(group, epoch, request);
       return links.linkTo(linkAddress)?.notify('statement/run', encoded) ?? false;
@@ -244,6 +253,9 @@
     rollBackOverLink: ({ group, epoch, linkAddress }, transaction) => {
       links.linkTo(linkAddress)?.notify('statement/rollback', [group, epoch, transaction]);
     },
+    withdrawOverLink: ({ group, epoch, linkAddress }, number) => {
+      links.linkTo(linkAddress)?.notify('statement/withdraw', [group, epoch, number]);
+    },
     requestResource,
     lastStartMs: () => (stopSchedule ? lastStartOf(stopSchedule) : Number.POSITIVE_INFINITY),
   });
