Answer that a statement may have run only if a byte may have reached a server

Statements were answered as unknown or timed-out that had never left the owner's queue: after a lost link, after the end of a lease, after a COMMIT whose preparation failed, and whenever a reader was late or had no result. Callers then cannot retry. The opposite fault existed too: a read that was repeated after a lost link and refused then said not-run, though the first owner may have run it.

After a lost link to an owner whose epoch continues, the entry asks it (request statement/fate) which statements have not started. Readers say whether nothing was sent, a replica refused the read, or it may have run. An order is not sent on a closed connection or without the lease, and its statement is repeated or has not run. A stopping entry answers a write that no owner has as not run.

--- a/packages/statement-entry/src/accept/session.test.ts
+++ b/packages/statement-entry/src/accept/session.test.ts
@@ -134,8 +134,8 @@
       readers: createReaderClient({
         counters,
         locateReader: () => undefined,
-        runHere: () => Promise.resolve(undefined),
-        sendToReader: () => Promise.resolve(undefined),
+        runHere: () => Promise.resolve('not-sent'),
+        sendToReader: () => Promise.resolve('not-sent'),
       }),
       counters,
       log: () => undefined,
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -61,7 +61,7 @@
 
 /**
  * Answers the requests of a session that must end now. The outcome of a running one is unknown, unless it is a statement of a
- * transaction whose COMMIT was not sent.
+ * transaction whose COMMIT was not sent, or a write that no owner has.
  */
 export function abandonRequests(session: CallerSession): void {
   const { isRunning, runningRequest, queuedRequests, port } = session;
@@ -71,7 +71,11 @@
     session.state = isInTransaction ? 'failed' : 'idle';
     const kind = isInTransaction ? 'aborted' : 'unknown';
     const tag = runningRequest && 'tag' in runningRequest ? runningRequest.tag : undefined;
-    refuseRequest(session, { kind, reason: 'the entry stops' }, tag);
+    const isUnsent = !isInTransaction && isUnsentWrite(session);
+    const error = isUnsent
+      ? notRun('entry-stopping', RETRY_AFTER_MS)
+      : ({ kind, reason: 'the entry stops' } as const);
+    refuseRequest(session, error, tag);
   }
   session.isClosed = true;
   queuedRequests.forEach(() => {
@@ -80,6 +84,14 @@
   queuedRequests.length = 0;
 }
 
+/** Whether the running request is a write that no owner has; reads may be at a reader. It is not sent any more. */
+function isUnsentWrite({ caller, runningRequest, prepared }: CallerSession): boolean {
+  if (caller.pending || !runningRequest) return false;
+  caller.isGone = true;
+  if (runningRequest.kind === 'statement') return runningRequest.access === 'write';
+  return runningRequest.kind === 'execute' && prepared.get(runningRequest.name)?.access === 'write';
+}
+
 /**
  * Closes the session of a caller that has disconnected: withdraws its waiting statement, and rolls back an open
  * transaction after a running request has ended.
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -12,6 +12,8 @@
 } from '@bramleykeel/entry-shared';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
 import { handleOwnerEnded, type OwnerClient, handleOutcome } from './locate/owner-client.js';
+import { decodeFateStatements, type EncodedFateRequest } from './locate/statement-fate.js';
+import { createReadAttempt, encodeMissingResult, missingResultOf } from './near/read-attempt.js';
 import {
   createReaderOffer,
   type EncodedReaderOffer,
@@ -25,6 +27,7 @@
   acceptStatement,
   acceptWithdrawal,
   type EntryChannel,
+  settleFates,
 } from './owner/owner-app.js';
 import type { StatementOwner } from './owner/owner-state.js';
 import {
@@ -69,8 +72,16 @@
   'reader/run': async ({ replicaReads }, params) => {
     const { group, request } = decodeStatement(params as EncodedStatement);
     const deadlineMs = performance.now() + request.budgetMs;
-    const outcome = await readAtReplica(replicaReads, group, request, deadlineMs);
-    return outcome ? encodeOutcome(request.number, outcome) : null;
+    const attempt = createReadAttempt();
+    const outcome = await readAtReplica(replicaReads, group, request, deadlineMs, attempt);
+    if (outcome) return encodeOutcome(request.number, outcome);
+    return encodeMissingResult(missingResultOf(attempt));
+  },
+  'statement/fate': ({ registry }, params) => {
+    const request = params as EncodedFateRequest;
+    const [group, epoch, sentWithinMs] = request;
+    const owner = findStatementOwner(registry, group, epoch);
+    return (owner && settleFates(owner, decodeFateStatements(request), sentWithinMs)) ?? null;
   },
   'reader/release': ({ replicaReads }, params) => {
     const [group, server] = params as readonly [GroupName, ServerName];
--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -5,6 +5,8 @@
   toGroupName,
 } from '@bramleykeel/core';
 import type { ControlClient } from '@bramleykeel/entry-shared';
+import type { LinkError } from '@bramleykeel/link';
+import { type Either, Left, Right } from 'purify-ts';
 import { setTimeout as delay } from 'node:timers/promises';
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { EntryLinks } from './entry-links.js';
@@ -44,12 +46,23 @@
   let client: OwnerClient;
   let epoch: number;
   let lastStartMs: number;
+  /** The owner's answer to `statement/fate`; by default it gives none. */
+  let fate: Either<LinkError, readonly number[] | null>;
+  let fateRequests: unknown[];
+  const peer = {
+    request: (method: string, params: unknown) => {
+      fateRequests.push([method, params]);
+      return Promise.resolve(fate);
+    },
+  };
   let sent: { readonly epoch: number; readonly request: StatementRequest }[];
 
   beforeEach(() => {
     epoch = 1;
     lastStartMs = Number.POSITIVE_INFINITY;
     sent = [];
+    fate = Left({ kind: 'timeout' });
+    fateRequests = [];
     const control = {
       get records() {
         const assignment = {
@@ -64,7 +77,7 @@
     } as unknown as ControlClient;
     client = createOwnerClient({
       control,
-      links: () => ({ linkTo: () => ({}) }) as unknown as EntryLinks,
+      links: () => ({ linkTo: () => peer }) as unknown as EntryLinks,
       sendLocally: () => false,
       rollBackLocally: () => undefined,
       sendOverLink: (port, request) => {
@@ -116,6 +129,91 @@
     expect(sent).toHaveLength(1);
   });
 
+  const lastNumber = () => sent.at(-1)?.request.number ?? 0;
+
+  it('are sent again after a lost link if the owner has not started them and promises not to', async () => {
+    const running = run();
+    await delay(5);
+    fate = Right([lastNumber()]);
+    handleLinkLost(client, 'b:1');
+    await delay(60);
+    expect(fateRequests).toEqual([
+      ['statement/fate', [group, 1, expect.any(Number), 1, write.tag]],
+    ]);
+    expect(sent).toHaveLength(2);
+    handleOutcome(client, lastNumber(), done);
+    expect((await running).outcome).toEqual(done);
+  });
+
+  it.each([
+    { name: 'has started them', answer: Right([]) },
+    { name: 'has restarted', answer: Right(null) },
+    { name: 'does not answer', answer: Left({ kind: 'timeout' } as const) },
+  ])('have an unknown outcome after a lost link if the owner $name', async ({ answer }) => {
+    const running = run();
+    await delay(5);
+    fate = answer;
+    handleLinkLost(client, 'b:1');
+    expect((await running).outcome.kind).toBe('unknown');
+    expect(sent).toHaveLength(1);
+  });
+
+  it('have an unknown outcome after a lost link if the epoch of the owner has ended', async () => {
+    const running = run();
+    await delay(5);
+    epoch = 2;
+    fate = Right([1]);
+    handleLinkLost(client, 'b:1');
+    expect((await running).outcome.kind).toBe('unknown');
+    expect(fateRequests).toEqual([]);
+  });
+
+  it.each<{ name: string; change: Partial<StatementDraft>; expected: string }>([
+    {
+      name: 'the first of a transaction',
+      change: { transaction: { number: 1, isReadOnly: false, isFirst: true } },
+      expected: 'not-run',
+    },
+    {
+      name: 'a COMMIT',
+      change: {
+        access: 'commit',
+        transaction: { number: 1, isReadOnly: false, isFirst: true },
+      },
+      expected: 'not-run',
+    },
+    { name: 'a read that is too late to repeat', change: { access: 'read' }, expected: 'not-run' },
+  ])(
+    'have not run if the owner says so when it is too late: $name',
+    async ({ change, expected }) => {
+      const running = runStatement(client, group, { ...write, ...change }, undefined, {
+        ...createStatementDeadlines(1_000, 0.45),
+        startByMs: performance.now() + 1,
+      });
+      await delay(5);
+      fate = Right([lastNumber()]);
+      handleLinkLost(client, 'b:1');
+      expect((await running).outcome.kind).toBe(expected);
+    },
+  );
+
+  // Guards against `not-run` for a read that the lost owner may have run.
+  it('may have run if they are reads that were repeated after a lost link and refused then', async () => {
+    const running = run({ ...write, access: 'read' });
+    await delay(5);
+    handleLinkLost(client, 'b:1');
+    await delay(5);
+    expect(sent).toHaveLength(2);
+    handleOutcome(client, lastNumber(), {
+      kind: 'not-run',
+      reason: 'queue-timeout',
+      retryAfterMs: 200,
+      reachedNoTarget: true,
+    });
+    expect((await running).outcome).toEqual({ kind: 'timed-out' });
+    expect(fateRequests).toEqual([]);
+  });
+
   it('are refused as not run if there is no next owner in time', async () => {
     const running = run();
     await delay(5);
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -6,11 +6,13 @@
   type GroupName,
   type Resource,
   type StatementOutcome,
+  type StatementRefusalReason,
   type StatementRequest,
 } from '@bramleykeel/core';
 import type { ControlClient } from '@bramleykeel/entry-shared';
 import { startInputDeadline } from '@bramleykeel/link';
 import type { EntryLinks } from './entry-links.js';
+import { askFates, isFateNeeded, type SentStatement } from './statement-fate.js';
 
 export interface OwnerLocation {
   readonly group: GroupName;
@@ -43,8 +45,10 @@
   readonly lastStartMs: () => number;
 }
 
-interface PendingStatement {
+interface PendingStatement extends SentStatement {
   readonly port: OwnerPort;
+  /** Whether the owner has to be asked what became of the statement if the link to it breaks. */
+  readonly isFateNeeded: () => boolean;
   readonly resolve: (outcome: StatementOutcome | 'owner-lost') => void;
   readonly cancelDeadline: () => void;
 }
@@ -136,9 +140,14 @@
       ? Number.NEGATIVE_INFINITY
       : Math.min(deadlines.startByMs, client.options.lastStartMs());
   let reachedNoTarget = true;
+  let mayHaveRun = false;
+  const refused = (reason: StatementRefusalReason, retryAfterMs = RETRY_AFTER_MS) =>
+    mayHaveRun
+      ? ({ kind: 'timed-out' } as const)
+      : ({ kind: 'not-run', reason, retryAfterMs, reachedNoTarget } as const);
   for (;;) {
     const port = hasTransactionOwner ? transactionOwner : await awaitPort(client, group, startByMs);
-    if (!port || caller.isGone) return { outcome: notRun(reachedNoTarget), port };
+    if (!port || caller.isGone) return { outcome: refused('no-owner'), port };
     const { deadlineMs } = deadlines;
     const sendDeadlines = { deadlineMs, startByMs: startByMs() };
     const outcome = await sendOnce(client, port, draft, sendDeadlines, caller);
@@ -146,12 +155,12 @@
     const isTooLateToStart = performance.now() >= startByMs();
     if (outcome === 'not-sent') {
       if (hasTransactionOwner) return { outcome: aborted(), port };
-      if (isTooLateToStart) return { outcome: notRun(reachedNoTarget), port };
+      if (isTooLateToStart) return { outcome: refused('no-owner'), port };
       await delay(NOT_READY_RETRY_MS);
       continue;
     }
     if (outcome === 'owner-lost') {
-      reachedNoTarget = false;
+      mayHaveRun = true;
       const isRepeatable = draft.access === 'read' && draft.transaction === null;
       if (!isRepeatable || isTooLateToStart) return { outcome: outcomeOfOwnerLoss(draft), port };
       continue;
@@ -160,7 +169,7 @@
     reachedNoTarget &&= outcome.reachedNoTarget === true;
     const hasOwnerEnded = outcome.reason === 'no-owner';
     if (!hasOwnerEnded || hasTransactionOwner || isTooLateToStart)
-      return { outcome: { ...outcome, reachedNoTarget }, port };
+      return { outcome: refused(outcome.reason, outcome.retryAfterMs), port };
     await delay(NOT_READY_RETRY_MS);
   }
 }
@@ -202,7 +211,11 @@
     const cancelDeadline = startInputDeadline(budgetMs + ANSWER_TRANSIT_MS, () => {
       settlePending(client, number, 'owner-lost');
     });
-    client.pending.set(number, { port, resolve, cancelDeadline });
+    const canStart = () => !caller.isGone && performance.now() < deadlines.startByMs;
+    client.pending.set(number, {
+      ...{ number, tag: draft.tag, sentAtMs: nowMs, port, resolve, cancelDeadline },
+      isFateNeeded: () => isFateNeeded(draft, canStart()),
+    });
     if (port.send(request)) return;
     cancelDeadline();
     client.pending.delete(number);
@@ -248,9 +261,34 @@
   }
 }
 
-/** Handles a closed link; statements sent over it get no answer. */
+/**
+ * Handles a closed link; statements sent over it get no answer. While the owner's epoch continues, the owner is asked
+ * which of them have not started.
+ */
 export function handleLinkLost(client: OwnerClient, linkAddress: string): void {
-  failPending(client, (port) => !port.isLocal && port.linkAddress === linkAddress);
+  const asked = new Map<string, PendingStatement[]>();
+  for (const pending of [...client.pending.values()]) {
+    const { port, number } = pending;
+    if (port.isLocal || port.linkAddress !== linkAddress) continue;
+    if (!pending.isFateNeeded()) {
+      settlePending(client, number, 'owner-lost');
+      continue;
+    }
+    const owner = `${port.group} ${port.epoch}`;
+    asked.set(owner, [...(asked.get(owner) ?? []), pending]);
+  }
+  for (const statements of asked.values()) void settleByFate(client, statements);
+}
+
+async function settleByFate(
+  client: OwnerClient,
+  statements: readonly PendingStatement[],
+): Promise<void> {
+  const [first] = statements;
+  if (!first) return;
+  const notStarted = new Set(await askFates(client.options, first.port, statements));
+  for (const { number } of statements)
+    settlePending(client, number, notStarted.has(number) ? notRun(true) : 'owner-lost');
 }
 
 /**
@@ -271,12 +309,6 @@
   }, SUPERSEDED_GRACE_MS);
 }
 
-function failPending(client: OwnerClient, isAffected: (port: OwnerPort) => boolean): void {
-  for (const [number, { port }] of [...client.pending]) {
-    if (isAffected(port)) settlePending(client, number, 'owner-lost');
-  }
-}
-
 async function awaitPort(
   client: OwnerClient,
   group: GroupName,
--- a/packages/statement-entry/src/near/reader-client.test.ts
+++ b/packages/statement-entry/src/near/reader-client.test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, it } from 'vitest';
 import type { StatementDraft } from '../locate/owner-client.js';
 import type { ReaderLocation } from './locate-reader.js';
+import type { MissingResult } from './read-attempt.js';
 import { createReaderClient, type ReaderClient, runNearest } from './reader-client.js';
 
 const group = toGroupName('ledger');
@@ -28,7 +29,7 @@
   readonly client: ReaderClient;
   readonly sent: number[];
   answerAfterMs: number;
-  answer: StatementOutcome | undefined;
+  answer: StatementOutcome | MissingResult;
 }
 
 function createTestClient(reader: ReaderLocation | undefined): TestClient {
@@ -50,7 +51,7 @@
         test.sent.push(performance.now());
         const { answer, answerAfterMs } = test;
         await delay(Math.min(answerAfterMs, budgetMs));
-        return answerAfterMs < budgetMs ? answer : undefined;
+        return answerAfterMs < budgetMs ? answer : 'unknown';
       },
     }),
   };
@@ -71,7 +72,7 @@
   ])('run there, or at the owner if the reader cannot run them: $name', async ({ reader }) => {
     const test = createTestClient(reader);
     expect(await run(test)).toEqual(done('reader'));
-    test.answer = undefined;
+    test.answer = 'refused';
     expect(await run(test)).toEqual(done('owner'));
   });
 
@@ -108,6 +109,25 @@
     expect(await run(test, read, notRun)).toEqual({ kind: 'timed-out' });
   });
 
+  it.each<{ answer: MissingResult; expected: StatementOutcome }>([
+    { answer: 'not-sent', expected: { ...notRun, reachedNoTarget: true } },
+    { answer: 'refused', expected: { ...notRun, reachedNoTarget: false } },
+    { answer: 'unknown', expected: { kind: 'timed-out' } },
+  ])(
+    'are refused with what is certain if the owner refuses them too: $answer at the reader',
+    async ({ answer, expected }) => {
+      const atOwner = { ...notRun, reachedNoTarget: true };
+      for (const answerAfterMs of [1, BUDGET_MS * 0.7]) {
+        const test = createTestClient(elsewhere);
+        Object.assign(test, { answer, answerAfterMs });
+        expect(await run(test, read, atOwner)).toEqual(expected);
+      }
+      const here = createTestClient({ kind: 'here', epoch: 1 });
+      here.answer = answer;
+      expect(await run(here, read, atOwner)).toEqual(expected);
+    },
+  );
+
   it('go to the owner at once while the reader answers none, as when it is frozen', async () => {
     const test = createTestClient(elsewhere);
     test.answerAfterMs = 600;
--- a/packages/statement-entry/src/near/reader-client.ts
+++ b/packages/statement-entry/src/near/reader-client.ts
@@ -8,25 +8,26 @@
 import type { Counters } from '@bramleykeel/link';
 import type { StatementDraft } from '../locate/owner-client.js';
 import type { ReaderLocation } from './locate-reader.js';
+import type { MissingResult } from './read-attempt.js';
 
 type RemoteReader = Extract<ReaderLocation, { readonly kind: 'elsewhere' }>;
 
 export interface ReaderClientOptions {
   readonly counters: Counters;
   readonly locateReader: (group: GroupName) => ReaderLocation | undefined;
-  /** Runs a read as the reader; `undefined` if it cannot be run here now. */
+  /** Runs a read as the reader. */
   readonly runHere: (
     group: GroupName,
     draft: StatementDraft,
     deadlineMs: number,
-  ) => Promise<StatementOutcome | undefined>;
-  /** Sends a read to the reader; `undefined` if it was not run there, or if no answer came within `budgetMs`. */
+  ) => Promise<StatementOutcome | MissingResult>;
+  /** Sends a read to the reader; `unknown` if no answer came within `budgetMs`. */
   readonly sendToReader: (
     reader: RemoteReader,
     group: GroupName,
     draft: StatementDraft,
     budgetMs: number,
-  ) => Promise<StatementOutcome | undefined>;
+  ) => Promise<StatementOutcome | MissingResult>;
 }
 
 /** Reads that wait for the answer of a reader. */
@@ -70,8 +71,10 @@
   const { options } = client;
   const reader = mayReadAtReplica(draft) ? options.locateReader(group) : undefined;
   if (!reader) return runAtOwner();
-  if (reader.kind === 'here')
-    return (await options.runHere(group, draft, deadlineMs)) ?? withoutReach(await runAtOwner());
+  if (reader.kind === 'here') {
+    const result = await options.runHere(group, draft, deadlineMs);
+    return typeof result === 'string' ? afterMissing(result, await runAtOwner()) : result;
+  }
   if (isSilent(client, reader)) {
     options.counters.count('near.reader-silent');
     return runAtOwner();
@@ -85,27 +88,28 @@
   );
   const first = await Promise.race([pending, late]);
   repeatTimer.abort();
-  if (first !== 'late') return first ?? withoutReach(await runAtOwner());
+  if (typeof first !== 'string') return first;
+  if (first !== 'late') return afterMissing(first, await runAtOwner());
   options.counters.count('near.repeated-at-owner');
   return firstResult(pending, runAtOwner());
 }
 
-/** The reader may have sent the read to a replica that refused it. */
-function withoutReach(outcome: StatementOutcome): StatementOutcome {
-  return outcome.kind === 'not-run' ? { ...outcome, reachedNoTarget: false } : outcome;
+/** The outcome at the owner after the reader had no result: a read that a replica may have run is not `not-run`. */
+function afterMissing(result: MissingResult, atOwner: StatementOutcome): StatementOutcome {
+  if (atOwner.kind !== 'not-run' || result === 'not-sent') return atOwner;
+  return result === 'unknown' ? { kind: 'timed-out' } : { ...atOwner, reachedNoTarget: false };
 }
 
-/** A refusal as not run would be wrong while the reader may still run the read. */
+/** The first result of a read that the reader has not answered in time and the owner runs as well. */
 async function firstResult(
-  atReader: Promise<StatementOutcome | undefined>,
+  atReader: Promise<StatementOutcome | MissingResult>,
   atOwner: Promise<StatementOutcome>,
 ): Promise<StatementOutcome> {
-  const resultAtReader = atReader.then((outcome) => outcome ?? atOwner);
+  const resultAtReader = atReader.then(async (result) =>
+    typeof result === 'string' ? afterMissing(result, await atOwner) : result,
+  );
   const first = await Promise.race([resultAtReader, atOwner]);
-  if (first.kind === 'done') return first;
-  const second = await resultAtReader;
-  if (second.kind === 'done') return second;
-  return first.kind === 'not-run' ? { kind: 'timed-out' } : first;
+  return first.kind === 'done' ? first : resultAtReader;
 }
 
 function isSilent({ waitingAt }: ReaderClient, { linkAddress }: RemoteReader): boolean {
@@ -119,7 +123,7 @@
   group: GroupName,
   draft: StatementDraft,
   budgetMs: number,
-): Promise<StatementOutcome | undefined> {
+): Promise<StatementOutcome | MissingResult> {
   const { linkAddress } = reader;
   const sentAtMs = performance.now();
   const waiting = waitingAt.get(linkAddress) ?? { count: 0, sinceMs: sentAtMs };
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -36,6 +36,7 @@
   valuesKeyOf,
 } from '../target/connection-setup.js';
 import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
+import { createReadAttempt, type ReadAttempt } from './read-attempt.js';
 import type { NearServer, ReaderOffer } from './reader-offer.js';
 import { mayReadAtReplica } from './reader-client.js';
 
@@ -105,6 +106,7 @@
 /**
  * Tries to run a read at a replica of the region, as the group's reader.
  *
+ * @param attempt records how far the read got
  * @returns the outcome, or `undefined` if the owner has to run it; the read leaves no state behind
  */
 export async function readAtReplica(
@@ -112,6 +114,7 @@
   group: GroupName,
   draft: StatementDraft,
   deadlineMs: number,
+  attempt: ReadAttempt = createReadAttempt(),
 ): Promise<StatementOutcome | undefined> {
   if (!mayReadAtReplica(draft) || reads.isStopping) return undefined;
   if (!reads.options.formerReader(group)) return undefined;
@@ -122,7 +125,7 @@
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
-    return await runOnServer(reads, readGroup, server, draft, after, deadlineMs);
+    return await runOnServer(reads, readGroup, server, draft, after, deadlineMs, attempt);
   } finally {
     server.runningCount -= 1;
   }
@@ -278,12 +281,14 @@
   draft: StatementDraft,
   after: LogPosition,
   deadlineMs: number,
+  attempt: ReadAttempt,
 ): Promise<StatementOutcome | undefined> {
   const valuesKey = valuesKeyOf(draft.values);
   if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
   const acquired = await acquireConnection(readGroup.pools, server, draft.customer, valuesKey);
   if (acquired.kind === 'unavailable') return undefined;
   const { pooled } = acquired;
+  attempt.hasReachedTarget = true;
   for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
     const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setupAnswer.kind !== 'done') {
@@ -293,10 +298,12 @@
     recordSetup(pooled, order);
   }
   const remainingMs = deadlineMs - performance.now();
+  attempt.mayHaveRun = true;
   const answer = await pooled.connection.send(
     statementOrder(draft, after),
     remainingMs * REPLICA_TIMEOUT_FRACTION,
   );
+  attempt.mayHaveRun = answer.kind !== 'refused';
   reads.options.counters.count(`near.${answer.kind}`);
   return settleRead(server, pooled, answer);
 }
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -1,5 +1,10 @@
 /** Handles the messages that entries send to an owner. */
-import type { StatementRequest } from '@bramleykeel/core';
+import {
+  fateKeyOf,
+  isPromisedNotToStart,
+  promiseNotStarted,
+  type StatementRequest,
+} from '@bramleykeel/core';
 import { dropWaiting, endJob, notRun, submitJob } from './dispatch.js';
 import type { Job, OpenTransaction, OwnerChannel, StatementOwner } from './owner-state.js';
 import { valuesKeyOf } from '../target/connection-setup.js';
@@ -31,6 +36,10 @@
     isWithdrawn: false,
     isEnded: false,
   };
+  if (isPromisedNotToStart(owner.fates, fateKeyOf(request.number, request.tag))) {
+    endJob(owner, job, notRun('owner-lost-before-start'));
+    return;
+  }
   if (request.transaction && !joinTransaction(owner, channel, job)) return;
   if (owner.isFinishing || (owner.isStopping && !job.transaction?.pooled)) {
     refuseAtHandover(owner, job);
@@ -89,6 +98,27 @@
   for (const job of owner.running) if (isMeant(job)) job.isWithdrawn = true;
 }
 
+/**
+ * Tells an entry whose link broke which of its statements have not started, and drops those.
+ *
+ * @param sentWithinMs time within which the entry has sent all of them, including that of this message
+ * @returns the numbers that have not started; `undefined` if this owner has not run for as long
+ */
+export function settleFates(
+  owner: StatementOwner,
+  statements: readonly (readonly [number: number, tag: string])[],
+  sentWithinMs: number,
+): readonly number[] | undefined {
+  const nowMs = performance.now();
+  if (nowMs - owner.startedAtMs < sentWithinMs) return undefined;
+  const keyed = new Map(statements.map(([number, tag]) => [fateKeyOf(number, tag), number]));
+  const notStarted = new Set(promiseNotStarted(owner.fates, [...keyed.keys()], nowMs));
+  const isMeant = ({ request }: Job) => notStarted.has(fateKeyOf(request.number, request.tag));
+  dropWaiting(owner, isMeant, notRun('owner-lost-before-start'));
+  for (const job of owner.running) if (isMeant(job)) job.isWithdrawn = true;
+  return [...notStarted].flatMap((key) => keyed.get(key) ?? []);
+}
+
 /** Rolls a transaction back because its caller asked for it or has disconnected. */
 export function acceptRollback(owner: StatementOwner, channel: EntryChannel, number: number): void {
   const transaction = owner.transactions.get(transactionKeyOf(channel.id, number));
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -5,17 +5,21 @@
   type ControlCommand,
   type Coverage,
   createCoverage,
+  createStatementFates,
   type CustomerName,
   type FairQueue,
   type FormerHolder,
   type GroupName,
+  fateKeyOf,
   isPrimaryCovered,
   type GroupRecord,
   type LogPosition,
+  recordStarted,
   type AcknowledgedPositions,
   type ServerAnnouncement,
   type ServerName,
   type ServerPlace,
+  type StatementFates,
   type StatementGroup,
   type StatementOutcome,
   type StatementRequest,
@@ -182,6 +186,7 @@
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
+  readonly fates: StatementFates;
   /** Number of statements accepted under this epoch. */
   acceptedCount: number;
   leadership: Leadership;
@@ -232,6 +237,7 @@
     pinnedWaiting: [],
     transactions: new Map(),
     running: new Set(),
+    fates: createStatementFates(nowMs),
     acceptedCount: 0,
     leadership: { kind: 'unknown', sinceMs: nowMs },
     leadershipNumber: 0,
@@ -274,6 +280,13 @@
   };
 }
 
+/** Records that an order is sent to a server on behalf of a statement. */
+export function markReached({ fates }: StatementOwner, job: Job): void {
+  if (job.hasReachedTarget) return;
+  job.hasReachedTarget = true;
+  recordStarted(fates, fateKeyOf(job.request.number, job.request.tag), performance.now());
+}
+
 /** The verified primary, if there is one. */
 export function primaryOf(owner: StatementOwner): ServerState | undefined {
   const { leadership } = owner;
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -14,12 +14,13 @@
 } from '../target/connection-setup.js';
 import type { TargetAnswer, TargetOrder } from '../types/target-port.js';
 import { dispatch, endJob, notRun, requeueJob } from './dispatch.js';
-import type {
-  Job,
-  OpenTransaction,
-  PooledConnection,
-  ServerState,
-  StatementOwner,
+import {
+  type Job,
+  markReached,
+  type OpenTransaction,
+  type PooledConnection,
+  type ServerState,
+  type StatementOwner,
 } from './owner-state.js';
 import {
   handleBrokenConnection,
@@ -29,6 +30,7 @@
   settleStatement,
   settleTransactionStatement,
 } from './settle-answer.js';
+import { dropTransaction } from './transactions.js';
 import { suspectPrimary } from './watch-primary.js';
 
 /** Timeout of each order that prepares a connection for a statement, in milliseconds. */
@@ -91,7 +93,8 @@
   if (!isReady) return;
   const order = buildOrder(owner, job);
   const answer = await sendOrder(owner, job, pooled, order);
-  if (job.transaction) settleTransactionStatement(owner, job, job.transaction, pooled, answer);
+  if (answer === 'not-sent') endUnsent(owner, job, pooled);
+  else if (job.transaction) settleTransactionStatement(owner, job, job.transaction, pooled, answer);
   else settleStatement(owner, job, pooled, answer);
 }
 
@@ -102,7 +105,7 @@
   pooled: PooledConnection,
 ): Promise<boolean> {
   for (const order of setupOrders(setupRequirementsOf(job), pooled, beginOrderOf(owner, job))) {
-    job.hasReachedTarget = true;
+    markReached(owner, job);
     const timeoutMs = Math.min(SETUP_TIMEOUT_MS, job.deadlineMs - performance.now());
     const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
     if (answer.kind === 'done') {
@@ -170,12 +173,12 @@
   job: Job,
   pooled: PooledConnection,
   order: TargetOrder,
-): Promise<TargetAnswer> {
-  if (!owner.environment.holdsLease()) return { kind: 'lost' };
+): Promise<TargetAnswer | 'not-sent'> {
+  if (!owner.environment.holdsLease() || !pooled.connection.isOpen()) return 'not-sent';
   const { access, transaction } = job.request;
   if (access === 'commit' || (access === 'write' && !transaction))
     job.committedUnder = leadershipNumberOf(owner, pooled.server);
-  job.hasReachedTarget = true;
+  markReached(owner, job);
   const sentAtMs = performance.now();
   const timeoutMs = job.deadlineMs - sentAtMs - ANSWER_MARGIN_MS;
   const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
@@ -188,6 +191,19 @@
   return answer;
 }
 
+/** Ends or repeats a statement that was not sent: the lease or the connection was lost before. */
+function endUnsent(owner: StatementOwner, job: Job, pooled: PooledConnection): void {
+  if (!pooled.connection.isOpen()) handleBrokenConnection(owner, job, pooled, { kind: 'lost' });
+  discardConnection(pooled);
+  if (job.transaction) {
+    dropTransaction(owner, job.transaction);
+    endJob(owner, job, { kind: 'aborted', reason: 'the connection was lost' });
+    return;
+  }
+  if (owner.environment.holdsLease()) requeueJob(owner, job);
+  else endJob(owner, job, notRun('no-owner'));
+}
+
 async function runInTransaction(
   owner: StatementOwner,
   job: Job,
@@ -196,15 +212,17 @@
 ): Promise<void> {
   transaction.isBusy = true;
   for (const order of setupOrders(setupRequirementsOf(job), pooled, undefined)) {
+    markReached(owner, job);
     const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setupAnswer.kind !== 'done') {
-      settleTransactionStatement(owner, job, transaction, pooled, setupAnswer);
+      settleTransactionStatement(owner, job, transaction, pooled, setupAnswer, false);
       return;
     }
     recordSetup(pooled, order);
   }
   const answer = await sendOrder(owner, job, pooled, buildOrder(owner, job));
-  settleTransactionStatement(owner, job, transaction, pooled, answer);
+  if (answer === 'not-sent') endUnsent(owner, job, pooled);
+  else settleTransactionStatement(owner, job, transaction, pooled, answer);
 }
 
 function transactionKey(job: Job): string {
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -87,17 +87,21 @@
     .exhaustive();
 }
 
-/** Handles the answer to a statement of a transaction; any answer but success ends the transaction. */
+/**
+ * Handles the answer to a statement of a transaction; any answer but success ends the transaction.
+ *
+ * @param isCommit whether the answer is that to COMMIT; one to an order before it leaves nothing committed
+ */
 export function settleTransactionStatement(
   owner: StatementOwner,
   job: Job,
   transaction: OpenTransaction,
   pooled: PooledConnection,
   answer: TargetAnswer,
+  isCommit = job.request.access === 'commit',
 ): void {
   transaction.isBusy = false;
   transaction.lastUsedMs = performance.now();
-  const isCommit = job.request.access === 'commit';
   const isFromReplica = isReplica(owner, pooled.server);
   match(answer)
     .with({ kind: 'done' }, ({ rows, signature, position, state }) => {
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -9,6 +9,7 @@
   type GroupName,
   type RateLimit,
   type RecordDelta,
+  type StatementOutcome,
   type Resource,
   type StatementRefusalReason,
   type StatementSettings,
@@ -46,6 +47,12 @@
 } from './app.js';
 import { createEntryLinks, ENTRY_LINK_TIMING, type EntryLinks } from './locate/entry-links.js';
 import { locateReader, readerResource } from './near/locate-reader.js';
+import {
+  createReadAttempt,
+  decodeMissingResult,
+  type MissingResult,
+  missingResultOf,
+} from './near/read-attempt.js';
 import { createReaderClient } from './near/reader-client.js';
 import {
   decodeOffer,
@@ -282,13 +289,23 @@
     counters,
     locateReader: (group) =>
       locateReader({ control, region, regionOf: options.regionOf, requestResource }, group),
-    runHere: (group, draft, deadlineMs) => readAtReplica(replicaReads, group, draft, deadlineMs),
+    runHere: async (group, draft, deadlineMs) => {
+      const attempt = createReadAttempt();
+      const outcome = await readAtReplica(replicaReads, group, draft, deadlineMs, attempt);
+      return outcome ?? missingResultOf(attempt);
+    },
     sendToReader: async ({ epoch, linkAddress }, group, draft, budgetMs) => {
       const request = { ...draft, number: 0, budgetMs, startWithinMs: 0 };
       const encoded = encodeStatement(group, epoch, request);
       const answer = await links.linkTo(linkAddress)?.request('reader/run', encoded, budgetMs);
-      const outcome = answer?.orDefault(null) as EncodedOutcome | null | undefined;
-      return outcome ? decodeOutcome(outcome).outcome : undefined;
+      if (answer === undefined) return 'not-sent';
+      return answer.caseOf<StatementOutcome | MissingResult>({
+        Left: ({ kind }) => (kind === 'not-sent' ? 'not-sent' : 'unknown'),
+        Right: (reply) =>
+          Array.isArray(reply)
+            ? decodeOutcome(reply as unknown as EncodedOutcome).outcome
+            : decodeMissingResult(reply),
+      });
     },
   });
   const draws: RateDrawContext = {
