--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -277,6 +277,10 @@
 export function requeueJob(owner: StatementOwner, job: Job): void {
   job.attempts += 1;
   if (job.isEnded) return;
+  if (job.isWithdrawn) {
+    endJob(owner, job, notRun('withdrawn'));
+    return;
+  }
   owner.environment.log('statement requeued', describeJob(owner, job));
   if (performance.now() >= job.startByMs || owner.isClosed) {
     endJob(owner, job, notRun('queue-timeout'));
@@ -307,7 +311,9 @@
   if (job.isEnded) return;
   job.isEnded = true;
   const contradictsExecution = proposed.kind === 'not-run' && job.mayHaveRun;
-  const outcome: StatementOutcome = contradictsExecution ? { kind: 'timed-out' } : proposed;
+  const outcome = contradictsExecution
+    ? ({ kind: 'timed-out' } as const)
+    : withReach(job, proposed);
   owner.environment.counters.count(
     outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
   );
@@ -322,6 +328,11 @@
   job.channel.answer(job.request.number, outcome);
 }
 
+function withReach({ hasReachedTarget }: Job, outcome: StatementOutcome): StatementOutcome {
+  const isUntouched = outcome.kind === 'not-run' && !hasReachedTarget;
+  return isUntouched ? { ...outcome, reachedNoTarget: true } : outcome;
+}
+
 function ageOf({ arrivedAtMs }: Job): number {
   return Math.round(performance.now() - arrivedAtMs);
 }
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -5,18 +5,22 @@
   type ControlCommand,
   type Coverage,
   createCoverage,
+  createStatementFates,
   type CustomerName,
   type FairQueue,
   type FormerHolder,
   type GroupName,
+  fateKeyOf,
   isPrimaryCovered,
   type GroupRecord,
   type LogPosition,
   type PlacementBounds,
+  recordStarted,
   type AcknowledgedPositions,
   type ServerAnnouncement,
   type ServerName,
   type ServerPlace,
+  type StatementFates,
   type StatementGroup,
   type StatementOutcome,
   type StatementRequest,
@@ -144,10 +148,14 @@
   readonly startByMs: number;
   /** Set once a server may have run the statement; it is then never answered as `not-run`. */
   mayHaveRun: boolean;
+  /** Set once an order was sent to a server on its behalf; its rate token is not returned then. */
+  hasReachedTarget: boolean;
   /** The leadership under which its commit was sent to the primary; `undefined` if it was not. */
   committedUnder: number | undefined;
   transaction: OpenTransaction | undefined;
   attempts: number;
+  /** Whether its caller has disconnected; it is not sent to a server any more. */
+  isWithdrawn: boolean;
   isEnded: boolean;
 }
 
@@ -195,6 +203,7 @@
   readonly running: Set<Job>;
   /** When this owner has learnt of the evacuation of each zone. */
   readonly evacuationsLearntAtMs: Map<string, number>;
+  readonly fates: StatementFates;
   /** Number of statements accepted under this epoch. */
   acceptedCount: number;
   leadership: Leadership;
@@ -250,6 +259,7 @@
     transactions: new Map(),
     running: new Set(),
     evacuationsLearntAtMs: new Map(),
+    fates: createStatementFates(nowMs),
     acceptedCount: 0,
     leadership: { kind: 'unknown', sinceMs: nowMs },
     leadershipNumber: 0,
@@ -296,6 +306,13 @@
   };
 }
 
+/** Records that an order is sent to a server on behalf of a statement. */
+export function markReached({ fates }: StatementOwner, job: Job): void {
+  if (job.hasReachedTarget) return;
+  job.hasReachedTarget = true;
+  recordStarted(fates, fateKeyOf(job.request.number, job.request.tag), performance.now());
+}
+
 /** The verified primary, if there is one. */
 export function primaryOf(owner: StatementOwner): ServerState | undefined {
   const { leadership } = owner;
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -12,6 +12,7 @@
   type GroupName,
   type RateLimit,
   type RecordDelta,
+  type StatementOutcome,
   type Resource,
   type StatementSettings,
 } from '@bramleykeel/core';
@@ -47,6 +48,12 @@
 } from './app.js';
 import { createEntryLinks, ENTRY_LINK_TIMING, type EntryLinks } from './locate/entry-links.js';
 import { locateReader, readerResource } from './near/locate-reader.js';
+import {
+  createReadAttempt,
+  decodeMissingResult,
+  type MissingResult,
+  missingResultOf,
+} from './near/read-attempt.js';
 import { createReaderClient } from './near/reader-client.js';
 import {
   decodeOffer,
@@ -72,7 +79,12 @@
 } from './locate/owner-client.js';
 import { handOverMisplacedGroups } from './owner/home-handover.js';
 import { startInstanceRelief } from './owner/instance-relief.js';
-import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
+import {
+  acceptRollback,
+  acceptStatement,
+  acceptWithdrawal,
+  type EntryChannel,
+} from './owner/owner-app.js';
 import {
   closeAllStatementOwners,
   createStatementOwnerRegistry,
@@ -198,6 +210,10 @@
       const owner = findStatementOwner(registry, group, epoch);
       if (owner) acceptRollback(owner, localChannel, transaction);
     },
+    withdrawLocally: (group, epoch, number) => {
+      const owner = findStatementOwner(registry, group, epoch);
+      if (owner) acceptWithdrawal(owner, localChannel, number);
+    },
     sendOverLink: ({ group, epoch, linkAddress }, request) => {
       const encoded = encodeStatement(group, epoch, request);
       return links.linkTo(linkAddress)?.notify('statement/run', encoded) ?? false;
@@ -205,6 +221,9 @@
     rollBackOverLink: ({ group, epoch, linkAddress }, transaction) => {
       links.linkTo(linkAddress)?.notify('statement/rollback', [group, epoch, transaction]);
     },
+    withdrawOverLink: ({ group, epoch, linkAddress }, number) => {
+      links.linkTo(linkAddress)?.notify('statement/withdraw', [group, epoch, number]);
+    },
     requestResource,
     lastStartMs: () => (stopSchedule ? lastStartOf(stopSchedule) : Number.POSITIVE_INFINITY),
   });
@@ -234,13 +253,23 @@
     counters,
     locateReader: (group) =>
       locateReader({ control, region, regionOf: options.regionOf, requestResource }, group),
-    runHere: (group, draft, deadlineMs) => readAtReplica(replicaReads, group, draft, deadlineMs),
+    runHere: async (group, draft, deadlineMs) => {
+      const attempt = createReadAttempt();
+      const outcome = await readAtReplica(replicaReads, group, draft, deadlineMs, attempt);
+      return outcome ?? missingResultOf(attempt);
+    },
     sendToReader: async ({ epoch, linkAddress }, group, draft, budgetMs) => {
       const request = { ...draft, number: 0, budgetMs, startWithinMs: 0 };
       const encoded = encodeStatement(group, epoch, request);
       const answer = await links.linkTo(linkAddress)?.request('reader/run', encoded, budgetMs);
-      const outcome = answer?.orDefault(null) as EncodedOutcome | null | undefined;
-      return outcome ? decodeOutcome(outcome).outcome : undefined;
+      if (answer === undefined) return 'not-sent';
+      return answer.caseOf<StatementOutcome | MissingResult>({
+        Left: ({ kind }) => (kind === 'not-sent' ? 'not-sent' : 'unknown'),
+        Right: (reply) =>
+          Array.isArray(reply)
+            ? decodeOutcome(reply as unknown as EncodedOutcome).outcome
+            : decodeMissingResult(reply),
+      });
     },
   });
   const draws: RateDrawContext = {
