--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -54,6 +54,11 @@
     expect(decodeStatement(encoded)).toEqual({ group, epoch: 9, request });
   });
 
+  it('decodes a statement of a former version, which names no homes', () => {
+    const encoded = encodeStatement(group, 9, plain).slice(0, -1) as unknown as EncodedStatement;
+    expect(decodeStatement(roundTrip(encoded)).request.homes).toBeNull();
+  });
+
   // Guards against PINNED: a value of this name reached servers under another one.
   it('keeps a value that is named __proto__', () => {
     const request = { ...plain, values: { unit: 'mm', ['__proto__']: 'a b' } };
--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -33,7 +33,8 @@
   values: EncodedValues | null,
   budgetMs: number,
   startWithinMs: number,
-  homes: Homes,
+  /** Absent in messages of former versions. */
+  homes?: Homes,
 ];
 
 export type EncodedOutcome = readonly [number, ...(readonly unknown[])];
@@ -107,7 +108,7 @@
     values: Object.fromEntries(values ?? []),
     budgetMs,
     startWithinMs,
-    homes,
+    homes: homes ?? null,
   };
   return { group, epoch, request };
 }
