--- a/packages/statement-entry/src/owner/statement-fates.test.ts
+++ b/packages/statement-entry/src/owner/statement-fates.test.ts
@@ -1,6 +1,6 @@
 import { type StatementOutcome, type StatementRequest, toCustomerName } from '@bramleykeel/core';
 import { setTimeout as delay } from 'node:timers/promises';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
 import { acceptStatement, dropEntryChannel, type EntryChannel, settleFates } from './owner-app.js';
 import { closeStatementOwner } from './owner-lifecycle.js';
@@ -44,6 +44,17 @@
     });
   }
 
+  /** Waits for an answer, however slow the machine is. */
+  const answered = (number: number) =>
+    vi.waitFor(
+      () => {
+        const outcome = outcomes.get(number);
+        if (!outcome) throw new Error(`statement ${number} is not answered`);
+        return outcome;
+      },
+      { timeout: 20_000, interval: 5 },
+    );
+
   const ranTexts = () =>
     primary.orders.flatMap((order) => (order.kind === 'run' ? order.text : []));
   const fatesOf = (...numbers: readonly number[]) =>
@@ -54,19 +65,24 @@
     );
 
   it('names those that wait or never arrived, and does not start them later', async () => {
+    primary.statementMs = 1_000;
     for (const number of [1, 2, 3, 4]) send(number);
-    await delay(STATEMENT_MS / 3);
+    await vi.waitFor(() => {
+      expect(ranTexts()).toEqual(['1', '2']);
+    });
     expect(fatesOf(1, 2, 3, 5)).toEqual([3, 5]);
     send(5);
     expect(outcomes.get(5)).toMatchObject({ kind: 'not-run', reachedNoTarget: true });
-    await delay(STATEMENT_MS * 3);
+    expect((await answered(4)).kind).toBe('done');
     expect(ranTexts()).toEqual(['1', '2', '4']);
   });
 
   it('does not name those that have ended, or that a server has refused', async () => {
     primary.answers.push({ kind: 'refused', code: 'busy', state: 'idle' });
     send(1);
-    await delay(STATEMENT_MS / 3);
+    await vi.waitFor(() => {
+      expect(primary.orders).toHaveLength(1);
+    });
     expect(fatesOf(1)).toEqual([]);
     await delay(STATEMENT_MS * 2);
     dropEntryChannel(fake.owner, channel);
@@ -81,8 +97,7 @@
   it('is that they have not run if its lease ends before they are sent', async () => {
     send(1);
     fake.holdsLease = false;
-    await delay(STATEMENT_MS / 3);
-    expect(outcomes.get(1)).toMatchObject({ kind: 'not-run', reason: 'no-owner' });
+    expect(await answered(1)).toMatchObject({ kind: 'not-run', reason: 'no-owner' });
     expect(ranTexts()).toEqual([]);
   });
 
@@ -97,12 +112,10 @@
       });
     };
     sendInTransaction(1, 'write', true);
-    await delay(STATEMENT_MS * 2);
-    expect(outcomes.get(1)?.kind).toBe('done');
+    expect((await answered(1)).kind).toBe('done');
     primary.answers.push({ kind: 'unknown', state: 'idle' });
     sendInTransaction(2, 'commit', false);
-    await delay(STATEMENT_MS);
-    expect(outcomes.get(2)?.kind).toBe('aborted');
+    expect((await answered(2)).kind).toBe('aborted');
     expect(ranTexts()).toEqual(['write']);
   });
 });
--- a/packages/statement-entry/src/owner/withdrawal.test.ts
+++ b/packages/statement-entry/src/owner/withdrawal.test.ts
@@ -1,6 +1,6 @@
 import { type StatementOutcome, type StatementRequest, toCustomerName } from '@bramleykeel/core';
 import { setTimeout as delay } from 'node:timers/promises';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
 import { acceptStatement, acceptWithdrawal, type EntryChannel } from './owner-app.js';
 import { closeStatementOwner } from './owner-lifecycle.js';
@@ -50,6 +50,17 @@
     });
   }
 
+  /** Waits for an answer, however slow the machine is. */
+  const answered = (number: number) =>
+    vi.waitFor(
+      () => {
+        const outcome = outcomes.get(number);
+        if (!outcome) throw new Error(`statement ${number} is not answered`);
+        return outcome;
+      },
+      { timeout: 20_000, interval: 5 },
+    );
+
   const ranTexts = () =>
     primary.orders.flatMap((order) => (order.kind === 'run' ? order.text : []));
 
@@ -63,9 +74,8 @@
       reachedNoTarget: true,
     });
     acceptWithdrawal(fake.owner, { ...channel, id: 'link-2' }, 4);
-    await delay(STATEMENT_MS * 3);
+    expect((await answered(4)).kind).toBe('done');
     expect(ranTexts()).toEqual(['1', '2', '4']);
-    expect(outcomes.get(4)?.kind).toBe('done');
   });
 
   it('finishes if a server runs it, and leaves a clean connection in the pool', async () => {
@@ -73,30 +83,29 @@
     await delay(STATEMENT_MS / 3);
     const before = new Set(primary.connections);
     acceptWithdrawal(fake.owner, channel, 1);
-    await delay(STATEMENT_MS);
-    expect(outcomes.get(1)?.kind).toBe('done');
+    expect((await answered(1)).kind).toBe('done');
     send(2);
-    await delay(STATEMENT_MS * 2);
+    await answered(2);
     expect(primary.connections).toEqual(before);
   });
 
   it('is not sent while its connection is being opened, nor again after a server was busy', async () => {
     send(1);
     acceptWithdrawal(fake.owner, channel, 1);
-    await delay(STATEMENT_MS / 3);
-    expect(outcomes.get(1)).toMatchObject({ kind: 'not-run', reachedNoTarget: true });
+    expect(await answered(1)).toMatchObject({ kind: 'not-run', reachedNoTarget: true });
     primary.answers.push({ kind: 'refused', code: 'busy', state: 'idle' });
     send(2);
-    await delay(STATEMENT_MS / 3);
+    await vi.waitFor(() => {
+      expect(fake.owner.running.size).toBe(0);
+    });
     acceptWithdrawal(fake.owner, channel, 2);
-    await delay(STATEMENT_MS * 2);
-    expect(outcomes.get(2)).toEqual({ kind: 'not-run', reason: 'withdrawn', retryAfterMs: 200 });
+    expect(await answered(2)).toEqual({ kind: 'not-run', reason: 'withdrawn', retryAfterMs: 200 });
     expect(ranTexts()).toEqual(['2']);
   });
 
   it('that waits for its transaction is dropped, and the transaction stays until it is rolled back', async () => {
     send(1, { number: 7, isReadOnly: false, isFirst: true });
-    await delay(STATEMENT_MS * 2);
+    await answered(1);
     send(2);
     send(3);
     send(4, { number: 7, isReadOnly: false, isFirst: false });
