Tell callers that exceed their rate when a token is expected

All of them were told 500 ms, whatever the customer's rate. Those of a customer with a high rate lost time, and callers that were refused together returned together.

The entry knows from the home's last answer when the next token comes. The PostgreSQL dialect does not send such times and is unchanged.

Verified: rate-returns.test.ts, rate-client.test.ts; the tests of core/overload, entry-shared/admit and statement-entry/accept pass (40). System tests did not run to an end on the loaded machine.

--- a/packages/entry-shared/src/admit/rate-client.test.ts
+++ b/packages/entry-shared/src/admit/rate-client.test.ts
@@ -1,6 +1,6 @@
 import { toCustomerName, type TokenGrant } from '@bramleykeel/core';
 import { describe, expect, it } from 'vitest';
-import { admit, createRateClient } from './rate-client.js';
+import { admit, createRateClient, takeTokens } from './rate-client.js';
 
 const customer = toCustomerName('tuulgan');
 const LIFETIME_MS = 250;
@@ -49,6 +49,21 @@
     expect((await admitted)?.reason).toBe(expected);
   });
 
+  it('tells each refused caller the time of another token', async () => {
+    const exhausted = createClientWithDelays([1], 0, 300);
+    const options = { ...exhausted.options, ratePerSecond: () => 10 };
+    const client = createRateClient(options);
+    const decisions = await Promise.all(
+      [1, 2, 3].map(() => Promise.resolve(takeTokens(client, customer, 1, undefined))),
+    );
+    const [first = 0, second = 0, third = 0] = decisions.map((decision) =>
+      decision.kind === 'refused' ? decision.retryAfterMs : undefined,
+    );
+    expect(first).toBeLessThanOrEqual(300);
+    expect(second - first).toBeGreaterThanOrEqual(99);
+    expect(third - second).toBeGreaterThanOrEqual(99);
+  });
+
   // Guards against requests without an answer: a rate of zero has its next token in 1,000 s.
   it('refuses a request in time, however late the next token comes', async () => {
     const startedAtMs = performance.now();
--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -6,8 +6,11 @@
 import {
   acceptGrant,
   createEntryTokens,
+  createRateReturns,
   type CustomerName,
   type EntryTokens,
+  promiseRateReturn,
+  type RateReturns,
   type Refusal,
   refuse,
   refundTokens,
@@ -23,6 +26,8 @@
   readonly rateWaitMs: number;
   /** How long a request waits for an unreachable home before it is refused with `rate-home-unreachable`. */
   readonly homeWaitMs: () => number;
+  /** The customer's rate, from which callers that exceed it are told when to return. */
+  readonly ratePerSecond?: (customer: CustomerName) => number | undefined;
   /** Sends a draw to the customer's home; resolves to `undefined` if the home cannot be reached. */
   readonly draw: (draw: Omit<TokenRequest, 'epoch'>) => Promise<TokenGrant | undefined>;
 }
@@ -35,7 +40,14 @@
   readonly count: number;
 }
 
-export type TokenDecision = TokenReceipt | { readonly kind: 'refused'; readonly refusal: Refusal };
+export type TokenDecision =
+  | TokenReceipt
+  | {
+      readonly kind: 'refused';
+      readonly refusal: Refusal;
+      /** When a token is expected, if the rate was exceeded. */
+      readonly retryAfterMs: number | undefined;
+    };
 
 interface Waiter {
   readonly count: number;
@@ -46,6 +58,9 @@
 interface CustomerTokens {
   readonly customer: CustomerName;
   readonly tokens: EntryTokens;
+  readonly returns: RateReturns;
+  /** When the home expects its next token, by the monotonic clock. */
+  refillAtMs: number;
   isDrawing: boolean;
   readonly waiters: Waiter[];
   /** Tokens spent since `windowStartMs`. */
@@ -132,6 +147,8 @@
   const created: CustomerTokens = {
     customer,
     tokens: createEntryTokens(),
+    returns: createRateReturns(),
+    refillAtMs: 0,
     isDrawing: false,
     waiters: [],
     spentInWindow: 0,
@@ -201,9 +218,24 @@
   if (granted > 0) acceptGrant(state.tokens, source, granted);
   if (!isValid) return HOME_UNREACHABLE_RETRY_DELAY_MS;
   state.lifetimeMs = lifetimeMs;
+  state.refillAtMs = performance.now() + grant.retryAfterMs;
   return granted >= needed ? 0 : Math.max(MIN_RETRY_DELAY_MS, grant.retryAfterMs);
 }
 
+function refuseWaiter(
+  { options }: RateClient,
+  { customer, isHomeReachable, refillAtMs, returns }: CustomerTokens,
+  nowMs: number,
+): TokenDecision {
+  const reason = isHomeReachable ? 'rate-exceeded' : 'rate-home-unreachable';
+  const ratePerSecond = isHomeReachable ? options.ratePerSecond?.(customer) : undefined;
+  const retryAfterMs =
+    ratePerSecond === undefined
+      ? undefined
+      : promiseRateReturn(returns, { refillAtMs, ratePerSecond }, nowMs);
+  return { kind: 'refused', refusal: refuse(reason), retryAfterMs };
+}
+
 function serveWaiters(client: RateClient, state: CustomerTokens): void {
   const nowMs = performance.now();
   const { customer, waiters } = state;
@@ -218,7 +250,6 @@
     const waitMs = state.isHomeReachable ? rateWaitMs : homeWaitMs();
     if (nowMs - first.sinceMs < waitMs) return;
     waiters.shift();
-    const reason = state.isHomeReachable ? 'rate-exceeded' : 'rate-home-unreachable';
-    first.resolve({ kind: 'refused', refusal: refuse(reason) });
+    first.resolve(refuseWaiter(client, state, nowMs));
   }
 }
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -23,7 +23,7 @@
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 
-/** Retry delay sent to callers that are refused because of their rate, in milliseconds. */
+/** Retry delay sent to callers whose rate cannot be checked, in milliseconds. */
 const RATE_RETRY_AFTER_MS = 500;
 const RETRY_AFTER_MS = 300;
 
@@ -357,7 +357,8 @@
   if (decision.kind === 'taken') return { ...admission, token: decision };
   const reason =
     decision.refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
-  refuseRequest(session, notRun(reason, RATE_RETRY_AFTER_MS), tag, admission.customer);
+  const retryAfterMs = decision.retryAfterMs ?? RATE_RETRY_AFTER_MS;
+  refuseRequest(session, notRun(reason, retryAfterMs), tag, admission.customer);
   return undefined;
 }
 
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -296,6 +296,7 @@
     rates: createRateClient({
       rateWaitMs: RATE_WAIT_MS,
       homeWaitMs: () => waits().homeMs,
+      ratePerSecond: (customer) => limitOf(settings, customer)?.ratePerSecond,
       draw: (draw) => drawFromHome(draws, draw),
     }),
     waits,
