--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,8 @@
 export * from './queue/fair-queue.js';
 export * from './route/server-view.js';
 export * from './route/choose-server.js';
+export * from './route/server-load.js';
+export * from './route/even-load.js';
 export * from './confirm/write-quorum.js';
 export * from './failover/types.js';
 export * from './failover/failover.js';
