Distribute reads by least expected delay at owners and readers

Reason: a reader sent all it could to its first replica, and an owner to the primary while that had two free slots.

Change: owners and readers measure the answers of each server (target/measured-order.ts) and choose by even-load.ts. Offers and requests for offers carry the statements that the owner and the reader run on each replica; entries of earlier versions ignore them. Read consistency, connections, regions and the primary's last slot keep their precedence. A replica without connections of a customer gets one once that saves more work than the 12 ms it costs.

Not measured on a deployment.

--- a/packages/core/src/route/even-load.ts
+++ b/packages/core/src/route/even-load.ts
@@ -18,6 +18,8 @@
   readonly candidate: Candidate;
   /** Estimated number of statements of other processes on the server. */
   readonly othersRunning: number;
+  /** Work of the server per slot, including the read, if it ran all its statements in turn. */
+  readonly workMs: number;
   /** Expected time until a statement sent now is started. */
   readonly waitMs: number;
   /** Expected time until it is answered. */
@@ -26,8 +28,12 @@
   readonly share: number;
 }
 
+/** Time to open a connection to a server, which occupies one of its slots meanwhile. In milliseconds. */
+export const NEW_CONNECTION_MS = 12;
 /** Service time of all candidates before any answer, in milliseconds; only its equality matters. */
 const UNMEASURED_SERVICE_MS = 15;
+/** Lower bound of a measured service time, which can be zero when the round trip is subtracted. In milliseconds. */
+const MIN_SERVICE_MS = 0.5;
 /** Servers whose statements would start within this time of each other are near ties, in milliseconds. */
 const NEAR_TIE_MS = 5;
 /** Weight of a server without a free slot, in slots, so that near ties with waiting are distributed as well. */
@@ -36,7 +42,9 @@
 /**
  * Estimates the delay of a read at each candidate. Candidates that would start it at nearly the same time share
  * the reads in proportion to the statements that their free slots run in a unit of time; choosers with the same
- * stale information therefore don't all send to the same server.
+ * stale information therefore don't all send to the same server. What a candidate costs besides its load is
+ * set against the work that it saves; otherwise a server without connections would stay without them while the
+ * others still have free slots.
  *
  * @example
  * expectedDelays([{ slots: 4, running: 1, others: undefined, serviceMs: 18, extraMs: 0 }], nowMs);
@@ -46,14 +54,17 @@
   nowMs: number,
 ): readonly ExpectedDelay<Candidate>[] {
   const typicalMs = meanServiceMs(candidates);
-  const estimates = candidates.map((candidate) => {
-    const serviceMs = candidate.serviceMs ?? typicalMs;
-    const othersRunning = estimateOthers(candidate.others, serviceMs, nowMs);
+  const works = candidates.map((candidate) => workOf(candidate, typicalMs, nowMs));
+  const leastWorkMs = Math.min(
+    ...works.filter((_, index) => candidates[index]?.extraMs === 0).map(({ workMs }) => workMs),
+  );
+  const estimates = works.map(({ candidate, serviceMs, othersRunning, workMs }) => {
     const free = candidate.slots - candidate.running - othersRunning;
     const slotMs = serviceMs / Math.max(1, candidate.slots);
-    const waitMs = Math.max(0, 1 - free) * slotMs + candidate.extraMs;
+    const savedMs = Number.isFinite(leastWorkMs) ? Math.max(0, leastWorkMs - workMs) : 0;
+    const waitMs = Math.max(0, 1 - free) * slotMs + Math.max(0, candidate.extraMs - savedMs);
     const weight = Math.max(FULL_SERVER_WEIGHT, free) / serviceMs;
-    return { candidate, othersRunning, waitMs, delayMs: waitMs + serviceMs, weight };
+    return { candidate, othersRunning, workMs, waitMs, delayMs: waitMs + serviceMs, weight };
   });
   const leastMs = Math.min(...estimates.map(({ waitMs }) => waitMs));
   const isNearTie = ({ waitMs }: { readonly waitMs: number }) => waitMs <= leastMs + NEAR_TIE_MS;
@@ -87,6 +98,18 @@
   return last;
 }
 
+function workOf<Candidate extends LoadCandidate>(
+  candidate: Candidate,
+  typicalMs: number,
+  nowMs: number,
+) {
+  const serviceMs = Math.max(MIN_SERVICE_MS, candidate.serviceMs ?? typicalMs);
+  const othersRunning = estimateOthers(candidate.others, serviceMs, nowMs);
+  const occupied = candidate.running + othersRunning + 1;
+  const workMs = (occupied * serviceMs) / Math.max(1, candidate.slots);
+  return { candidate, serviceMs, othersRunning, workMs };
+}
+
 /**
  * Estimates how many statements of others run now. Those that ran at the last message have ended after a few
  * service times; from then on their mean number is more likely.
--- a/packages/core/src/route/server-load.ts
+++ b/packages/core/src/route/server-load.ts
@@ -116,6 +116,11 @@
   addToCount(load.failures, failure, 1, nowMs);
 }
 
+/** Records that a server refused a statement before running it, which is neither a failure nor a service time. */
+export function recordRefused(load: ServerLoad, access: LoadAccess, nowMs: number): void {
+  addToCount(load.unanswered, access, -1, nowMs);
+}
+
 /** Records the number of statements that other processes reported to run on the server. */
 export function recordOthers(load: ServerLoad, running: number, nowMs: number): void {
   const former = load.others;
--- a/packages/core/src/statements/choose-target.ts
+++ b/packages/core/src/statements/choose-target.ts
@@ -1,4 +1,6 @@
 /** Chooses the server of a group that runs a statement. */
+import { chooseLeastDelay, expectedDelays, type LoadCandidate } from '../route/even-load.js';
+import type { OtherStatements } from '../route/server-load.js';
 import type { CustomerName, ServerName } from '../types/ids.js';
 import { coversMark, type LogPosition } from '../types/position.js';
 
@@ -11,6 +13,12 @@
   readonly isUsable: boolean;
   readonly isInSameRegion: boolean;
   readonly freeSlots: number;
+  /** Statements of the owner on the server. */
+  readonly runningCount: number;
+  /** Statements of the reader in the server's region, as it last reported them. */
+  readonly others: OtherStatements | undefined;
+  /** Measured service time of reads; `undefined` before the first answer. */
+  readonly serviceMs: number | undefined;
   /** Customers that have an idle connection to the server; opening another one occupies a slot. */
   readonly connectedCustomers: ReadonlySet<CustomerName>;
   /** The newest log position that the server has reported. */
@@ -30,41 +38,66 @@
   readonly mayAssumeCaughtUp: boolean;
 }
 
+/** A read goes to the primary instead of a replica if its work per slot is below this fraction of the replica's. */
+const CLEARLY_LESS_WORK = 0.7;
 /** Replicas usually have commits that were acknowledged at least this long ago, in milliseconds. */
 const TYPICAL_LAG_MS = 150;
 
 /**
- * Chooses a server with a free slot. Reads go to the primary while it has more than one free slot, so
- * that the last one stays available to writes, and otherwise to a replica that has, or probably has,
- * the required position. Replicas to which the customer has a connection are preferred, then those in
- * the same region. A read takes the primary's last slot if it has a connection there alone. Returns
- * `undefined` if the statement has to wait.
+ * Chooses a server with a free slot. A read goes to a replica that has, or probably has, the required position:
+ * to those to which the customer has a connection, then to those in the same region, and among these by the least
+ * expected delay. It goes to the primary if no replica may run it, if that has clearly less work or is nearer, or if
+ * it has a connection there alone; the primary's last free slot stays available to writes except in the first and
+ * the last case. Returns `undefined` if the statement has to wait.
+ *
+ * @param randomUnit a random number in [0, 1), which decides between servers with nearly the same delay
  */
 export function chooseTarget(
   servers: readonly TargetView[],
   requirements: TargetRequirements,
   nowMs: number,
+  randomUnit: number,
 ): ServerName | undefined {
   const free = servers.filter(({ isUsable, freeSlots }) => isUsable && freeSlots > 0);
   const primary = free.find(({ isPrimary }) => isPrimary);
   if (requirements.mustBePrimary) return primary?.server;
-  const isConnected = ({ connectedCustomers }: TargetView) =>
-    connectedCustomers.has(requirements.customer);
-  const replicas = free
-    .filter(
-      (server) =>
-        !server.isPrimary && !server.isLeaving && hasRequiredPosition(server, requirements, nowMs),
-    )
-    .sort(
-      (left, right) =>
-        Number(isConnected(right)) - Number(isConnected(left)) ||
-        Number(right.isInSameRegion) - Number(left.isInSameRegion) ||
-        right.freeSlots - left.freeSlots,
-    );
-  if (primary && primary.freeSlots > 1) return primary.server;
-  const [best] = replicas;
-  if (primary && best && isConnected(primary) && !isConnected(best)) return primary.server;
-  return best?.server ?? primary?.server;
+  const eligible = free.filter(
+    (server) =>
+      !server.isPrimary && !server.isLeaving && hasRequiredPosition(server, requirements, nowMs),
+  );
+  const rankOf = ({ connectedCustomers, isInSameRegion }: TargetView) =>
+    2 * Number(connectedCustomers.has(requirements.customer)) + Number(isInSameRegion);
+  const bestRank = Math.max(...eligible.map(rankOf));
+  const replicas = eligible.filter((server) => rankOf(server) === bestRank);
+  const [replica] = replicas;
+  if (!replica) return primary?.server;
+  if (primary && isPrimaryPreferred(primary, replicas, requirements, nowMs)) return primary.server;
+  const candidates = replicas.map(loadCandidateOf);
+  return chooseLeastDelay(candidates, nowMs, randomUnit)?.server;
+}
+
+/** Whether a read goes to the primary although replicas, equal in connection and region, could run it. */
+function isPrimaryPreferred(
+  primary: TargetView,
+  replicas: readonly TargetView[],
+  { customer }: TargetRequirements,
+  nowMs: number,
+): boolean {
+  const isConnected = ({ connectedCustomers }: TargetView) => connectedCustomers.has(customer);
+  const [replica] = replicas;
+  if (!replica || (isConnected(primary) && !isConnected(replica))) return true;
+  if (primary.freeSlots <= 1) return false;
+  if (primary.isInSameRegion !== replica.isInSameRegion) return primary.isInSameRegion;
+  if (isConnected(primary) !== isConnected(replica)) return false;
+  const delays = expectedDelays([primary, ...replicas].map(loadCandidateOf), nowMs);
+  const [primaryWorkMs = 0, ...replicaWorksMs] = delays.map(({ workMs }) => workMs);
+  return primaryWorkMs < CLEARLY_LESS_WORK * Math.min(...replicaWorksMs);
+}
+
+function loadCandidateOf(view: TargetView): LoadCandidate & Pick<TargetView, 'server'> {
+  const { server, freeSlots, runningCount, others, serviceMs } = view;
+  const slots = freeSlots + runningCount;
+  return { server, slots, running: runningCount, others, serviceMs, extraMs: 0 };
 }
 
 function hasRequiredPosition(
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -58,8 +58,9 @@
 const REQUEST_HANDLERS: Readonly<Record<string, RequestHandler>> = {
   'rate/draw': (app, params) => answerEncodedDraw(app.draws, params as EncodedDraw),
   'reader/ask': (app, params) => {
-    const [group, epoch, zone, entryId] = params as EncodedReaderOfferRequest;
-    return answerOfferRequest(app, toGroupName(group), epoch, { zone, entryId });
+    const [group, epoch, zone, entryId, readerRunning] = params as EncodedReaderOfferRequest;
+    const request = { zone, entryId, readerRunning };
+    return answerOfferRequest(app, toGroupName(group), epoch, request);
   },
   'reader/run': async ({ replicaReads }, params) => {
     const { group, request } = decodeStatement(params as EncodedStatement);
--- a/packages/statement-entry/src/near/reader-offer.ts
+++ b/packages/statement-entry/src/near/reader-offer.ts
@@ -1,11 +1,18 @@
 /** Offers of an owner to the readers of its group, which run reads at the replicas of their region. */
-import { type LogPosition, newestAcknowledged, type ServerName } from '@bramleykeel/core';
+import {
+  type LogPosition,
+  newestAcknowledged,
+  recordOthers,
+  type ServerName,
+} from '@bramleykeel/core';
 import { primaryOf, type StatementOwner } from '../owner/owner-state.js';
 
 export interface NearServer {
   readonly server: ServerName;
   readonly address: string;
   readonly slots: number;
+  /** Statements of the owner on the server; `undefined` in offers of earlier versions. */
+  readonly ownerRunning?: number | undefined;
 }
 
 /** Replicas in one region, and a log position that includes all writes acknowledged before the request. */
@@ -17,8 +24,12 @@
 export interface ReaderOfferRequest {
   readonly zone: string;
   readonly entryId: string;
+  /** Statements of the reader on each server; `undefined` in requests of earlier versions. */
+  readonly readerRunning?: RunningCounts | undefined;
 }
 
+export type RunningCounts = readonly (readonly [server: ServerName, running: number])[];
+
 /**
  * Creates the offer for a reader; `undefined` if this owner cannot make one. The owner has to hold its
  * lease: until the lease ends no other owner can acknowledge writes, so the position includes them all.
@@ -26,7 +37,7 @@
  */
 export function createReaderOffer(
   owner: StatementOwner,
-  { zone, entryId }: ReaderOfferRequest,
+  { zone, entryId, readerRunning = [] }: ReaderOfferRequest,
 ): ReaderOffer | undefined {
   const { environment, acknowledgedPositions, pools } = owner;
   const primary = primaryOf(owner);
@@ -37,6 +48,7 @@
   const reader = environment.readerIn(region);
   if (reader && reader.entryId !== entryId) return undefined;
   owner.readerRegions.add(region);
+  recordReaderCounts(owner, region, readerRunning);
   const servers = [...owner.servers.values()].filter(
     (server) =>
       server !== primary &&
@@ -47,31 +59,48 @@
   );
   return {
     position: newestAcknowledged(acknowledgedPositions),
-    servers: servers.map(({ announcement: { server, address, slots } }) => {
-      return { server, address, slots };
+    servers: servers.map(({ announcement: { server, address, slots }, runningCount }) => {
+      return { server, address, slots, ownerRunning: runningCount };
     }),
   };
 }
 
+/** A reader reports on the replicas of its region only, so that each replica has one reader. */
+function recordReaderCounts(
+  { servers, environment }: StatementOwner,
+  region: string,
+  counts: RunningCounts,
+): void {
+  const nowMs = performance.now();
+  for (const [name, running] of counts) {
+    const server = servers.get(name);
+    if (!server || environment.regionOf(server.announcement.zone) !== region) continue;
+    recordOthers(server.load, running, nowMs);
+  }
+}
+
 /** Requests and offers are sent over links frequently, so they are encoded as lists to keep messages small. */
 export type EncodedReaderOfferRequest = readonly [
   group: string,
   epoch: number,
   zone: string,
   entryId: string,
+  readerRunning?: RunningCounts,
 ];
 
 export type EncodedReaderOffer = readonly [
   term: number,
   offset: number,
-  ...servers: (readonly [server: string, address: string, slots: number])[],
+  ...servers: (readonly [server: string, address: string, slots: number, ownerRunning?: number])[],
 ];
 
 export function encodeOffer(offer: ReaderOffer | undefined): EncodedReaderOffer | null {
   if (!offer) return null;
   const { position, servers } = offer;
-  const encodedServers = servers.map(
-    ({ server, address, slots }) => [server, address, slots] as const,
+  const encodedServers = servers.map(({ server, address, slots, ownerRunning }) =>
+    ownerRunning === undefined
+      ? ([server, address, slots] as const)
+      : ([server, address, slots, ownerRunning] as const),
   );
   return [position.term, position.offset, ...encodedServers];
 }
@@ -81,8 +110,8 @@
 ): ReaderOffer | undefined {
   if (!encoded) return undefined;
   const [term, offset, ...encodedServers] = encoded;
-  const servers = encodedServers.map(([server, address, slots]) => {
-    return { server: server as ServerName, address, slots };
+  const servers = encodedServers.map(([server, address, slots, ownerRunning]) => {
+    return { server: server as ServerName, address, slots, ownerRunning };
   });
   return { position: { term, offset }, servers };
 }
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -6,11 +6,15 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   areFormerConnectionsClosed,
+  chooseLeastDelay,
   connectionLimit,
+  type CustomerName,
   type FormerHolder,
   type GroupName,
   latestPosition,
   type LogPosition,
+  NEW_CONNECTION_MS,
+  recordOthers,
   type ServerAnnouncement,
   type StatementOutcome,
 } from '@bramleykeel/core';
@@ -35,16 +39,23 @@
   statementOrder,
   valuesKeyOf,
 } from '../target/connection-setup.js';
+import { sendMeasured } from '../target/measured-order.js';
 import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
-import type { NearServer, ReaderOffer } from './reader-offer.js';
+import type { NearServer, ReaderOffer, RunningCounts } from './reader-offer.js';
 import { mayReadAtReplica } from './reader-client.js';
 
 export interface ReplicaReadsOptions {
   readonly zone: string;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
-  /** Requests an offer from the group's owner; `undefined` if it makes none. */
-  readonly requestOffer: (group: GroupName) => Promise<ReaderOffer | undefined>;
+  /**
+   * Requests an offer from the group's owner, with the statements that run here on each server; `undefined` if it
+   * makes none.
+   */
+  readonly requestOffer: (
+    group: GroupName,
+    running: RunningCounts,
+  ) => Promise<ReaderOffer | undefined>;
   /** The former reader of the group in this region; `undefined` while this entry does not hold the role. */
   readonly formerReader: (group: GroupName) => FormerHolder | undefined;
   /** Maximum number of connections to one server of the group, of all callers together. */
@@ -118,7 +129,7 @@
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(readGroup);
+  const server = after && findAvailableServer(readGroup, draft.customer);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
@@ -206,7 +217,7 @@
     return;
   readGroup.isRequesting = true;
   readGroup.lastRequestMs = requestedAtMs;
-  void reads.options.requestOffer(readGroup.group).then((offer) => {
+  void reads.options.requestOffer(readGroup.group, runningCountsOf(readGroup)).then((offer) => {
     readGroup.isRequesting = false;
     // Offers were discarded while this request was in progress, which reset lastRequestMs.
     if (readGroup.lastRequestMs !== requestedAtMs) return;
@@ -220,6 +231,12 @@
   });
 }
 
+function runningCountsOf({ servers }: ReadGroup): RunningCounts {
+  return [...servers.values()].map(
+    ({ announcement: { server }, runningCount }) => [server, runningCount] as const,
+  );
+}
+
 function updateServers(
   reads: ReplicaReads,
   readGroup: ReadGroup,
@@ -233,9 +250,10 @@
     readGroup.servers.delete(key);
   }
   for (const [key, server] of offered) {
-    if (readGroup.servers.get(key)?.isRetired === false) continue;
+    const { ownerRunning, ...place } = server;
+    const existing = readGroup.servers.get(key);
     const announcement: ServerAnnouncement = {
-      ...server,
+      ...place,
       group: readGroup.group,
       zone: reads.options.zone,
       role: 'replica',
@@ -243,7 +261,9 @@
       bornMs: 0,
       sequence: 0,
     };
-    readGroup.servers.set(key, createServerState(announcement, nowMs));
+    const state = existing?.isRetired === false ? existing : createServerState(announcement, nowMs);
+    readGroup.servers.set(key, state);
+    if (ownerRunning !== undefined) recordOthers(state.load, ownerRunning, nowMs);
   }
 }
 
@@ -259,9 +279,12 @@
   return latestPosition(offered.position, draft.mark);
 }
 
-function findAvailableServer({ servers }: ReadGroup): ServerState | undefined {
+function findAvailableServer(
+  { servers }: ReadGroup,
+  customer: CustomerName,
+): ServerState | undefined {
   const nowMs = performance.now();
-  return [...servers.values()].find(
+  const available = [...servers.values()].filter(
     (server) =>
       !server.isRetired &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
@@ -269,6 +292,19 @@
       nowMs >= server.laggingUntilMs &&
       (server.failingSinceMs === undefined || nowMs - server.failingSinceMs > FAILED_PAUSE_MS),
   );
+  const candidates = available.map((server) => ({
+    server,
+    slots: server.announcement.slots,
+    running: server.runningCount,
+    others: server.load.others,
+    serviceMs: server.load.service.get('read')?.meanMs,
+    extraMs: hasIdleConnection(server, customer) ? 0 : NEW_CONNECTION_MS,
+  }));
+  return chooseLeastDelay(candidates, nowMs, Math.random())?.server;
+}
+
+function hasIdleConnection({ idle }: ServerState, customer: CustomerName): boolean {
+  return idle.some(({ connection }) => connection.customer === customer);
 }
 
 async function runOnServer(
@@ -293,8 +329,10 @@
     recordSetup(pooled, order);
   }
   const remainingMs = deadlineMs - performance.now();
-  const answer = await pooled.connection.send(
+  const answer = await sendMeasured(
+    pooled,
     statementOrder(draft, after),
+    'read',
     remainingMs * REPLICA_TIMEOUT_FRACTION,
   );
   reads.options.counters.count(`near.${answer.kind}`);
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -134,6 +134,9 @@
     isUsable: server.failingSinceMs === undefined && hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(server),
+    runningCount: server.runningCount,
+    others: server.load.others,
+    serviceMs: server.load.service.get('read')?.meanMs,
     connectedCustomers: new Set(server.idle.map(({ connection }) => connection.customer)),
     position: server.position,
     laggingUntilMs: server.laggingUntilMs,
@@ -178,7 +181,7 @@
         : nowMs - request.maxReadAgeMs,
     mayAssumeCaughtUp: attempts === 0,
   };
-  return chooseTarget(views, requirements, nowMs);
+  return chooseTarget(views, requirements, nowMs, Math.random());
 }
 
 /**
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -5,6 +5,7 @@
   type ControlCommand,
   type Coverage,
   createCoverage,
+  createServerLoad,
   type CustomerName,
   type FairQueue,
   type FormerHolder,
@@ -14,6 +15,7 @@
   type LogPosition,
   type AcknowledgedPositions,
   type ServerAnnouncement,
+  type ServerLoad,
   type ServerName,
   type ServerPlace,
   type StatementGroup,
@@ -107,6 +109,8 @@
   /** The shortest response time to an order of the owner itself, in milliseconds. */
   roundTripMs: number | undefined;
   isProbing: boolean;
+  /** What this process has measured from answers of the server. */
+  readonly load: ServerLoad;
 }
 
 export interface OpenTransaction {
@@ -267,6 +271,7 @@
     isVerified: false,
     roundTripMs: undefined,
     isProbing: false,
+    load: createServerLoad(),
   };
 }
 
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -12,6 +12,7 @@
   setupOrders,
   statementOrder,
 } from '../target/connection-setup.js';
+import { sendMeasured } from '../target/measured-order.js';
 import type { TargetAnswer, TargetOrder } from '../types/target-port.js';
 import { dispatch, endJob, notRun, requeueJob } from './dispatch.js';
 import type {
@@ -171,7 +172,12 @@
     job.committedUnder = leadershipNumberOf(owner, pooled.server);
   const sentAtMs = performance.now();
   const timeoutMs = job.deadlineMs - sentAtMs - ANSWER_MARGIN_MS;
-  const answer = await pooled.connection.send(order, Math.max(1, timeoutMs));
+  const answer = await sendMeasured(
+    pooled,
+    order,
+    access === 'read' ? 'read' : 'write',
+    Math.max(1, timeoutMs),
+  );
   const elapsedMs = performance.now() - sentAtMs;
   if (answer.kind === 'overdue' && job.request.access !== 'read' && elapsedMs >= STALLED_WRITE_MS) {
     owner.stalledCommits.push({ server: pooled.server, atMs: performance.now() });
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -256,11 +256,14 @@
     formerReader: (group) => control.formerHolder(readerOf(group)),
     maxServerConnections: (group) =>
       settings?.groups.get(group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
-    requestOffer: (group) => {
-      const offerRequest = { zone: options.zone, entryId: options.entryId };
+    requestOffer: (group, readerRunning) => {
+      const { zone, entryId } = options;
+      const offerRequest = { zone, entryId, readerRunning };
       return queryOwner(owners, group, {
         method: 'reader/ask',
-        params: (epoch): EncodedReaderOfferRequest => [group, epoch, options.zone, options.entryId],
+        params: (epoch): EncodedReaderOfferRequest => {
+          return [group, epoch, zone, entryId, readerRunning];
+        },
         answerLocally: (epoch) => answerOfferRequest({ registry }, group, epoch, offerRequest),
         timeoutMs: READER_OFFER_TIMEOUT_MS,
       }).then((encoded) => decodeOffer(encoded as EncodedReaderOffer | null | undefined));
--- a/packages/statement-entry/src/target/connection-budget.test.ts
+++ b/packages/statement-entry/src/target/connection-budget.test.ts
@@ -108,6 +108,24 @@
     expect(names('zone-0')).toEqual([]);
   });
 
+  // Guards against owner and reader sending to the same replica because neither knows what the other runs there.
+  it('contain the statements of the owner on each replica, and tell it those of the reader', () => {
+    const fake = startOwnerWithPrimary(1);
+    serverOf(fake, 1).runningCount = 2;
+    const offer = createReaderOffer(fake.owner, {
+      zone: 'zone-1',
+      entryId: 'reader',
+      readerRunning: [
+        [serverOf(fake, 1).announcement.server, 3],
+        [serverOf(fake, 2).announcement.server, 4],
+      ],
+    });
+    expect(offer?.servers).toMatchObject([{ server: 'i-1', ownerRunning: 2 }]);
+    expect(serverOf(fake, 1).load.others).toMatchObject({ running: 3 });
+    // It is in another region.
+    expect(serverOf(fake, 2).load.others).toBeUndefined();
+  });
+
   it('are made to the region’s reader alone', () => {
     const fake = startOwnerWithPrimary(1);
     fake.readers.set('zone-1', { entryId: 'reader' } as Assignment);
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -90,6 +90,12 @@
           address: '127.0.0.1:1',
           slots: 2,
         },
+        {
+          server: 'i-2' as ReaderOffer['servers'][number]['server'],
+          address: '127.0.0.1:2',
+          slots: 2,
+          ownerRunning: 3,
+        },
       ],
     };
     expect(decodeOffer(roundTrip(encodeOffer(offer)))).toEqual(offer);
