Set servers aside for reads that answer them badly

Reason: a server that fails reads answers fast, so that the choice by expected delay sends it more of them. One that hangs or slows down on one path only was used until its connections broke.

Change: set-aside.ts and server-health.ts decide from the reads of each process alone: fewer reads in proportion to the failures above those of the peers, none above one half, probes after a pause that doubles, return in steps, never more than half of a group out at once. Owner and reader use them (target/judge-servers.ts), with counters and one log line for each decision.

Not measured on a deployment.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,6 +26,8 @@
 export * from './route/choose-server.js';
 export * from './route/server-load.js';
 export * from './route/even-load.js';
+export * from './route/server-health.js';
+export * from './route/set-aside.js';
 export * from './confirm/write-quorum.js';
 export * from './failover/types.js';
 export * from './failover/failover.js';
--- a/packages/core/src/route/server-load.ts
+++ b/packages/core/src/route/server-load.ts
@@ -67,14 +67,24 @@
   return { service: new Map(), unanswered: new Map(), failures: new Map(), others: undefined };
 }
 
+/**
+ * The service time of a statement. A server with more statements than slots works on them in turn, so that the time
+ * is scaled to what the statement would have taken alone.
+ *
+ * @example
+ * serviceTimeOf({ elapsedMs: 40, occupied: 8, slots: 4 }); // 20
+ */
+export function serviceTimeOf({ elapsedMs, occupied, slots }: ServedStatement): number {
+  return (elapsedMs * slots) / Math.max(slots, occupied);
+}
+
 /** Records that a statement was sent. Each is followed by one `recordServed` or `recordFailed`. */
 export function recordSent(load: ServerLoad, access: LoadAccess, nowMs: number): void {
   addToCount(load.unanswered, access, 1, nowMs);
 }
 
 /**
- * Records an answer. A server with more statements than slots works on them in turn, so that the time is scaled
- * to what the statement would have taken alone.
+ * Records an answer.
  *
  * @example
  * recordServed(load, 'read', { elapsedMs: 18, occupied: 2, slots: 4 }, performance.now());
@@ -82,11 +92,11 @@
 export function recordServed(
   load: ServerLoad,
   access: LoadAccess,
-  { elapsedMs, occupied, slots }: ServedStatement,
+  served: ServedStatement,
   nowMs: number,
 ): void {
   addToCount(load.unanswered, access, -1, nowMs);
-  const sampleMs = (elapsedMs * slots) / Math.max(slots, occupied);
+  const sampleMs = serviceTimeOf(served);
   const former = load.service.get(access);
   if (!former) {
     const first = { meanMs: sampleMs, spreadMs: sampleMs / 2, sampleCount: 1, atMs: nowMs };
--- a/packages/core/src/statements/choose-target.test.ts
+++ b/packages/core/src/statements/choose-target.test.ts
@@ -12,6 +12,7 @@
     isLeaving: false,
     isUsable: true,
     isInSameRegion: false,
+    takesRead: true,
     freeSlots: 2,
     runningCount: 0,
     others: undefined,
@@ -168,6 +169,33 @@
       requirements: read,
       expected: undefined,
     },
+    {
+      name: 'a replica that is set aside gets no reads',
+      servers: [view('a', { takesRead: false }), view('b', { isInSameRegion: false })],
+      requirements: read,
+      expected: 'b',
+    },
+    {
+      name: 'a read goes to no primary that is set aside while a replica can run it',
+      servers: [
+        view('r', { runningCount: 2 }),
+        view('p', { isPrimary: true, isInSameRegion: true, takesRead: false }),
+      ],
+      requirements: read,
+      expected: 'r',
+    },
+    {
+      name: 'a read goes to a primary that is set aside if no replica can run it',
+      servers: [view('p', { isPrimary: true, takesRead: false })],
+      requirements: read,
+      expected: 'p',
+    },
+    {
+      name: 'a write goes to a primary that is set aside',
+      servers: [view('r'), view('p', { isPrimary: true, takesRead: false })],
+      requirements: write,
+      expected: 'p',
+    },
     {
       name: 'a replica behind a recently acknowledged position is not chosen',
       servers: [view('r', { position: behind })],
--- a/packages/core/src/statements/choose-target.ts
+++ b/packages/core/src/statements/choose-target.ts
@@ -12,6 +12,8 @@
   /** Whether connections to the server are believed to work. */
   readonly isUsable: boolean;
   readonly isInSameRegion: boolean;
+  /** Whether it takes this read, as far as its health is concerned; writes have no alternative. */
+  readonly takesRead: boolean;
   readonly freeSlots: number;
   /** Statements of the owner on the server. */
   readonly runningCount: number;
@@ -63,7 +65,10 @@
   if (requirements.mustBePrimary) return primary?.server;
   const eligible = free.filter(
     (server) =>
-      !server.isPrimary && !server.isLeaving && hasRequiredPosition(server, requirements, nowMs),
+      !server.isPrimary &&
+      !server.isLeaving &&
+      server.takesRead &&
+      hasRequiredPosition(server, requirements, nowMs),
   );
   const rankOf = ({ connectedCustomers, isInSameRegion }: TargetView) =>
     2 * Number(connectedCustomers.has(requirements.customer)) + Number(isInSameRegion);
@@ -71,7 +76,8 @@
   const replicas = eligible.filter((server) => rankOf(server) === bestRank);
   const [replica] = replicas;
   if (!replica) return primary?.server;
-  if (primary && isPrimaryPreferred(primary, replicas, requirements, nowMs)) return primary.server;
+  if (primary?.takesRead === true && isPrimaryPreferred(primary, replicas, requirements, nowMs))
+    return primary.server;
   const candidates = replicas.map(loadCandidateOf);
   return chooseLeastDelay(candidates, nowMs, randomUnit)?.server;
 }
--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -46,9 +46,12 @@
   openCount: number;
   openedCount: number;
   openOutcome: OpenTargetOutcome['kind'];
+  readonly logged: string[];
   offerRequestCount: number;
   /** Time that servers take for an order, in milliseconds. */
   answerMs: number;
+  /** Address of a server that fails all statements. */
+  failingAddress: string | undefined;
   /** Addresses of the opened connections. */
   readonly openedAddresses: string[];
   /** Counts in the last request for an offer. */
@@ -77,12 +80,17 @@
     openCount: 0,
     openedCount: 0,
     openOutcome: 'open',
+    logged: [],
     offerRequestCount: 0,
     answerMs: 0,
+    failingAddress: undefined,
     openedAddresses: [],
     requestedWith: [],
     reads: createReplicaReads({
       zone: 'zone-a',
+      log: (message) => {
+        context.logged.push(message);
+      },
       counters: {
         count: () => undefined,
         gauge: () => undefined,
@@ -114,7 +122,9 @@
           send: (order: TargetOrder) => {
             context.orders.push(order);
             vi.advanceTimersByTime(context.answerMs);
-            return Promise.resolve(context.answers.shift() ?? done);
+            const failed: TargetAnswer = { kind: 'failed', text: 'no', state: 'idle' };
+            const answer = address === context.failingAddress ? failed : done;
+            return Promise.resolve(context.answers.shift() ?? answer);
           },
         };
         return Promise.resolve({ kind: 'open', connection, position: null });
@@ -278,6 +288,19 @@
     expect(new Set(context.openedAddresses)).toEqual(new Set(['127.0.0.1:1']));
   });
 
+  // Guards against a replica whose answers fail and that gets half of the reads because it answers fast.
+  it('are withheld from a replica that fails them, with a log line', async () => {
+    offerTwoServers(0);
+    context.answerMs = 1;
+    await renewOffer();
+    context.failingAddress = '127.0.0.1:2';
+    for (let index = 0; index < 200; index += 1)
+      await read({ customer: toCustomerName(`customer-${index}`) });
+    const opened = context.openedAddresses.filter((address) => address === '127.0.0.1:2').length;
+    expect(opened).toBeLessThan(40);
+    expect(context.logged).toContain('server set aside');
+  });
+
   it('report the statements that run on each replica with the request for an offer', async () => {
     const reading = read();
     await renewOffer();
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -17,8 +17,9 @@
   recordOthers,
   type ServerAnnouncement,
   type StatementOutcome,
+  takesRead,
 } from '@bramleykeel/core';
-import type { Counters } from '@bramleykeel/link';
+import type { Counters, Log } from '@bramleykeel/link';
 import type { StatementDraft } from '../locate/owner-client.js';
 import {
   createServerState,
@@ -39,6 +40,7 @@
   statementOrder,
   valuesKeyOf,
 } from '../target/connection-setup.js';
+import { judgeServers } from '../target/judge-servers.js';
 import { sendMeasured } from '../target/measured-order.js';
 import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
 import type { NearServer, ReaderOffer, RunningCounts } from './reader-offer.js';
@@ -48,6 +50,7 @@
   readonly zone: string;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
+  readonly log: Log;
   /**
    * Requests an offer from the group's owner, with the statements that run here on each server; `undefined` if it
    * makes none.
@@ -129,7 +132,7 @@
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(readGroup, draft.customer);
+  const server = after && findAvailableServer(reads, readGroup, draft.customer);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
@@ -280,13 +283,16 @@
 }
 
 function findAvailableServer(
-  { servers }: ReadGroup,
+  { options: { counters, log } }: ReplicaReads,
+  { group, servers }: ReadGroup,
   customer: CustomerName,
 ): ServerState | undefined {
+  judgeServers(servers.values(), { group, path: 'reader', counters, log });
   const nowMs = performance.now();
   const available = [...servers.values()].filter(
     (server) =>
       !server.isRetired &&
+      takesRead(server.health, server.runningCount, Math.random()) &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
       nowMs >= server.busyUntilMs &&
       nowMs >= server.laggingUntilMs &&
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -12,6 +12,7 @@
   type ServerName,
   type StatementOutcome,
   removeExpired,
+  takesRead,
   type TargetRequirements,
   type TargetView,
   waitingCount,
@@ -19,6 +20,7 @@
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
 import { hasAvailableConnection } from '../target/connection-pool.js';
+import { judgeServers } from '../target/judge-servers.js';
 import {
   isToBeReplaced,
   type Job,
@@ -125,7 +127,8 @@
 
 function listTargetViews(owner: StatementOwner): TargetView[] {
   const primary = primaryOf(owner);
-  const { regionOf, zone } = owner.environment;
+  const { regionOf, zone, counters, log } = owner.environment;
+  judgeServers(owner.servers.values(), { group: owner.group, path: 'owner', counters, log });
   return [...owner.servers.values()].map((server) => ({
     server: server.announcement.server,
     // One that was promoted for its log while it leaves may be past the time in which it takes statements.
@@ -133,6 +136,7 @@
     isLeaving: server.announcement.isLeaving,
     isUsable: server.failingSinceMs === undefined && hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
+    takesRead: takesRead(server.health, server.runningCount, Math.random()),
     freeSlots: freeSlots(server),
     runningCount: server.runningCount,
     others: server.load.others,
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -5,6 +5,7 @@
   type ControlCommand,
   type Coverage,
   createCoverage,
+  createServerHealth,
   createServerLoad,
   type CustomerName,
   type FairQueue,
@@ -15,6 +16,7 @@
   type LogPosition,
   type AcknowledgedPositions,
   type ServerAnnouncement,
+  type ServerHealth,
   type ServerLoad,
   type ServerName,
   type ServerPlace,
@@ -111,6 +113,8 @@
   isProbing: boolean;
   /** What this process has measured from answers of the server. */
   readonly load: ServerLoad;
+  /** How the server answered reads of this process. */
+  readonly health: ServerHealth;
 }
 
 export interface OpenTransaction {
@@ -272,6 +276,7 @@
     roundTripMs: undefined,
     isProbing: false,
     load: createServerLoad(),
+    health: createServerHealth(),
   };
 }
 
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -253,6 +253,7 @@
     zone: options.zone,
     openTarget: options.openTarget,
     counters,
+    log,
     formerReader: (group) => control.formerHolder(readerOf(group)),
     maxServerConnections: (group) =>
       settings?.groups.get(group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
