--- a/packages/control/src/admin/operator-calls.ts
+++ b/packages/control/src/admin/operator-calls.ts
@@ -21,6 +21,7 @@
   isInForce,
   type LeaderService,
 } from '../leader/leader-service.js';
+import { answerExplainCall } from './explain-call.js';
 
 export type CallAnswer =
   | { readonly kind: 'ok'; readonly result: unknown }
@@ -80,6 +81,8 @@
       return { kind: 'ok', result: service.driver.control().history };
     case 'status/get':
       return { kind: 'ok', result: await describeStatus(service) };
+    case 'explain/request':
+      return answerExplainCall(service, params);
     case 'server/forget':
       return handleForgetServer(service, operator, params);
     default:
--- a/packages/core/src/admit/token-bucket.ts
+++ b/packages/core/src/admit/token-bucket.ts
@@ -111,9 +111,14 @@
   return missing <= 0 ? 0 : (missing / limit.ratePerSecond) * 1000;
 }
 
-function refill(bucket: TokenBucket, limit: RateLimit, nowMs: number): void {
+/** The tokens that a bucket has at a time, without drawing any. */
+export function tokensAt(bucket: TokenBucket, limit: RateLimit, nowMs: number): number {
   const elapsedMs = Math.max(0, nowMs - bucket.updatedAtMs);
   const inflow = (elapsedMs / 1000) * limit.ratePerSecond;
-  bucket.tokens = Math.min(bucketCapacity(limit), bucket.tokens + inflow);
+  return Math.min(bucketCapacity(limit), bucket.tokens + inflow);
+}
+
+function refill(bucket: TokenBucket, limit: RateLimit, nowMs: number): void {
+  bucket.tokens = tokensAt(bucket, limit, nowMs);
   bucket.updatedAtMs = Math.max(bucket.updatedAtMs, nowMs);
 }
--- a/packages/core/src/route/choose-server.ts
+++ b/packages/core/src/route/choose-server.ts
@@ -28,6 +28,17 @@
   readonly freeSlots: (server: ServerName) => number;
 }
 
+/** Why a server is not given a read. */
+export type ReadExclusion =
+  | 'is-primary'
+  | 'not-a-replica'
+  | 'older-term'
+  | 'leaving'
+  | 'announcement-too-old'
+  | 'unusable'
+  | 'behind-mark'
+  | 'too-stale';
+
 export type Route =
   | { readonly kind: 'run'; readonly server: ServerName }
   /** No server can run the request now: its slots are taken, or a replica still has to catch up. */
@@ -45,10 +56,12 @@
  */
 export function chooseServer(request: RouteRequest, context: RouteContext): Route {
   if (request.intent === 'write') return routeToPrimary(context);
-  const replicas = [...context.view.servers.values()].filter((server) =>
-    isServingReplica(server, context),
+  const replicas = [...context.view.servers.values()].filter(
+    (server) => servingExclusion(server, context) === undefined,
+  );
+  const eligible = replicas.filter(
+    (server) => readExclusion(server, request, context) === undefined,
   );
-  const eligible = replicas.filter((server) => mayServeRead(server, request, context));
   const free = eligible.filter(({ server }) => context.freeSlots(server) > 0);
   const [best] = free.sort(
     (left, right) => context.freeSlots(right.server) - context.freeSlots(left.server),
@@ -66,17 +79,32 @@
   return { kind: 'run', server: primary };
 }
 
-/** Replicas of an older term are excluded: their logs may contain writes that the group has lost. */
-function isServingReplica(server: ServerView, context: RouteContext): boolean {
-  const { announcement } = server;
-  if (server.server === context.primary || announcement.role !== 'replica') return false;
-  if (announcement.term !== context.term || announcement.isLeaving) return false;
-  if (context.nowMs - server.heardAtMs > context.staleAnnouncementMs) return false;
-  return context.isUsable(server.server);
+/**
+ * Why a server does not run a read as a replica; `undefined` if it may, once it has a free slot.
+ *
+ * @example
+ * readExclusion(server, request, context); // 'behind-mark'
+ */
+export function readExclusion(
+  server: ServerView,
+  { mark, readAgeAllowanceMs }: RouteRequest,
+  context: RouteContext,
+): ReadExclusion | undefined {
+  const exclusion = servingExclusion(server, context);
+  if (exclusion !== undefined) return exclusion;
+  if (!coversMark(server.announcement.position, mark)) return 'behind-mark';
+  const isRecent =
+    readAgeAllowanceMs === null || context.nowMs - server.upToDateAtMs <= readAgeAllowanceMs;
+  return isRecent ? undefined : 'too-stale';
 }
 
-function mayServeRead(server: ServerView, request: RouteRequest, context: RouteContext): boolean {
-  if (!coversMark(server.announcement.position, request.mark)) return false;
-  const allowanceMs = request.readAgeAllowanceMs;
-  return allowanceMs === null || context.nowMs - server.upToDateAtMs <= allowanceMs;
+/** Replicas of an older term are excluded: their logs may contain writes that the group has lost. */
+function servingExclusion(server: ServerView, context: RouteContext): ReadExclusion | undefined {
+  const { announcement } = server;
+  if (server.server === context.primary) return 'is-primary';
+  if (announcement.role !== 'replica') return 'not-a-replica';
+  if (announcement.term !== context.term) return 'older-term';
+  if (announcement.isLeaving) return 'leaving';
+  if (context.nowMs - server.heardAtMs > context.staleAnnouncementMs) return 'announcement-too-old';
+  return context.isUsable(server.server) ? undefined : 'unusable';
 }
--- a/packages/core/src/statements/choose-target.ts
+++ b/packages/core/src/statements/choose-target.ts
@@ -45,6 +45,15 @@
 /** Replicas usually have commits that were acknowledged at least this long ago, in milliseconds. */
 const TYPICAL_LAG_MS = 150;
 
+/** Why a server is not given a statement. */
+export type TargetExclusion =
+  | 'unusable'
+  | 'no-free-slot'
+  | 'only-the-primary-runs-it'
+  | 'leaving'
+  | 'set-aside'
+  | 'behind-required-position';
+
 /**
  * Chooses a server with a free slot. A read goes to a replica that has, or probably has, the required position:
  * to those to which the customer has a connection, then to those in the same region, and among these by the least
@@ -60,26 +69,52 @@
   nowMs: number,
   randomUnit: number,
 ): ServerName | undefined {
-  const free = servers.filter(({ isUsable, freeSlots }) => isUsable && freeSlots > 0);
-  const primary = free.find(({ isPrimary }) => isPrimary);
-  if (requirements.mustBePrimary) return primary?.server;
-  const eligible = free.filter(
-    (server) =>
-      !server.isPrimary &&
-      !server.isLeaving &&
-      server.takesRead &&
-      hasRequiredPosition(server, requirements, nowMs),
+  const candidates = candidateTargets(servers, requirements, nowMs).map(loadCandidateOf);
+  return chooseLeastDelay(candidates, nowMs, randomUnit)?.server;
+}
+
+/** The servers among which the least expected delay decides; none if the statement has to wait. */
+export function candidateTargets(
+  servers: readonly TargetView[],
+  requirements: TargetRequirements,
+  nowMs: number,
+): readonly TargetView[] {
+  const primary = servers.find(
+    (server) => server.isPrimary && server.isUsable && server.freeSlots > 0,
+  );
+  const onlyPrimary = primary ? [primary] : [];
+  const eligible = servers.filter(
+    (server) => !server.isPrimary && targetExclusion(server, requirements, nowMs) === undefined,
   );
   const rankOf = ({ connectedCustomers, isInSameRegion }: TargetView) =>
     2 * Number(connectedCustomers.has(requirements.customer)) + Number(isInSameRegion);
   const bestRank = Math.max(...eligible.map(rankOf));
   const replicas = eligible.filter((server) => rankOf(server) === bestRank);
-  const [replica] = replicas;
-  if (!replica) return primary?.server;
-  if (primary?.takesRead === true && isPrimaryPreferred(primary, replicas, requirements, nowMs))
-    return primary.server;
-  const candidates = replicas.map(loadCandidateOf);
-  return chooseLeastDelay(candidates, nowMs, randomUnit)?.server;
+  if (replicas.length === 0) return onlyPrimary;
+  const isPreferred =
+    primary?.takesRead === true && isPrimaryPreferred(primary, replicas, requirements, nowMs);
+  return isPreferred ? onlyPrimary : replicas;
+}
+
+/**
+ * Why a server may not run a statement now; `undefined` if it may. A primary that is set aside for reads may run
+ * those that no replica may run, so that it is not excluded.
+ *
+ * @example
+ * targetExclusion(view, requirements, performance.now()); // 'no-free-slot'
+ */
+export function targetExclusion(
+  server: TargetView,
+  requirements: TargetRequirements,
+  nowMs: number,
+): TargetExclusion | undefined {
+  if (!server.isUsable) return 'unusable';
+  if (requirements.mustBePrimary && !server.isPrimary) return 'only-the-primary-runs-it';
+  if (server.freeSlots <= 0) return 'no-free-slot';
+  if (server.isPrimary) return undefined;
+  if (server.isLeaving) return 'leaving';
+  if (!server.takesRead) return 'set-aside';
+  return hasRequiredPosition(server, requirements, nowMs) ? undefined : 'behind-required-position';
 }
 
 /** Whether a read goes to the primary although replicas, equal in connection and region, could run it. */
@@ -100,7 +135,8 @@
   return primaryWorkMs < CLEARLY_LESS_WORK * Math.min(...replicaWorksMs);
 }
 
-function loadCandidateOf(view: TargetView): LoadCandidate & Pick<TargetView, 'server'> {
+/** What the choice by least expected delay takes of a server. */
+export function loadCandidateOf(view: TargetView): LoadCandidate & Pick<TargetView, 'server'> {
   const { server, freeSlots, runningCount, others, serviceMs } = view;
   const slots = freeSlots + runningCount;
   return { server, slots, running: runningCount, others, serviceMs, extraMs: 0 };
--- a/packages/entry-shared/src/admit/rate-home.ts
+++ b/packages/entry-shared/src/admit/rate-home.ts
@@ -7,6 +7,7 @@
   grantLifetimeMs,
   type RateLimit,
   returnTokens,
+  tokensAt,
   type TokenBucket,
   type TokenRequest,
   type TokenGrant,
@@ -72,6 +73,28 @@
   return { granted, lifetimeMs: grantLifetimeMs(home.limit), retryAfterMs };
 }
 
+/** State of a customer's bucket. */
+export interface RateHomeState {
+  readonly epoch: number;
+  readonly limit: RateLimit;
+  /** Tokens in the bucket now; `null` before the first draw. */
+  readonly tokens: number | null;
+  readonly waitingDraws: number;
+}
+
+/** Describes the bucket of a customer whose home is this entry, without drawing from it. */
+export function describeRateHome(
+  { buckets }: RateHomes,
+  customer: CustomerName,
+  limit: RateLimit,
+  epoch: number,
+): RateHomeState {
+  const home = buckets.get(customer);
+  if (home?.epoch !== epoch) return { epoch, limit, tokens: null, waitingDraws: 0 };
+  const tokens = tokensAt(home.bucket, limit, performance.now());
+  return { epoch, limit, tokens, waitingDraws: home.waiting.length };
+}
+
 function drawInOrder(home: HomeBucket, wanted: number): Promise<number> | number {
   const nowMs = performance.now();
   if (home.waiting.length === 0) {
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -71,9 +71,14 @@
   readonly memberAddresses: () => readonly string[];
 }
 
+/** Method names of questions about decisions. */
+export type ExplainPart = 'explain/choice' | 'explain/rate';
+
 export interface ControlClientHooks {
   readonly onRecords: (deltas: readonly RecordDelta[]) => void;
   readonly onStatusRequest: () => unknown;
+  /** Answers a question of control about a decision of this entry; `undefined` if it cannot. */
+  readonly onExplainRequest?: (part: ExplainPart, params: unknown) => unknown;
   /** The instance may have been suspended: time measurements taken before this call are invalid. */
   readonly onSuspension?: () => void;
   /** The lease was lost; everything held under it must be dropped. */
@@ -126,8 +131,10 @@
   /** The first copy until the leader has confirmed it: the member that sent it may have been cut off. */
   let unconfirmedCopy: RecordsPush | undefined;
   const links: ControlLinks = createControlLinks(options.linkSecret, {
-    onRequest: (_peer, method) => {
+    onRequest: (_peer, method, params) => {
       if (method === 'status/get') return hooks.onStatusRequest();
+      if (method === 'explain/choice' || method === 'explain/rate')
+        return hooks.onExplainRequest?.(method, params);
       throw new Error(`unknown method ${method}`);
     },
     onNotify: (_peer, method, params) => {
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -24,7 +24,9 @@
   createRateClient,
   createRateHomes,
   drawFromHome,
+  type ExplainPart,
   type RateDrawContext,
+  describeRateHome,
   startControlClient,
 } from '@bramleykeel/entry-shared';
 import { createClassifier, loadParser } from '@bramleykeel/postgres-wire';
@@ -61,6 +63,7 @@
   type OwnerRegistry,
   reconcileOwners,
 } from './owner/owner-registry.js';
+import { type ExplainRequest, explainRequest } from './owner/explain-request.js';
 import { listenForAnnouncements } from './target/announce-server.js';
 import { createAnnouncementCache } from './target/announcement-cache.js';
 import {
@@ -130,6 +133,7 @@
       owners: describeOwners(owners),
       counters: counters.totals(),
     }),
+    onExplainRequest: explain,
     onLeaseEnded: () => {
       closeAllOwners(owners);
       links.refresh();
@@ -187,6 +191,15 @@
   const endSurviving = surviveUnhandledRejections(log, counters);
   return { stop };
 
+  function explain(part: ExplainPart, params: unknown): unknown {
+    if (part === 'explain/choice') return explainRequest(owners, params as ExplainRequest);
+    const { customer } = params as Pick<ExplainRequest, 'customer'>;
+    const limit = customerSetting(control, customer);
+    const epoch = control.heldEpoch(`customer/${customer}`);
+    if (!limit || epoch === undefined) return undefined;
+    return describeRateHome(draws.homes, customer, limit, epoch);
+  }
+
   function createLinks(): EntryLinks {
     const localChannel: AnswerChannel = {
       send: (message) => {
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -6,6 +6,7 @@
   acceptsWrites,
   chooseServer,
   comparePositions,
+  type CustomerName,
   dequeue,
   enqueue,
   extendDeadlines,
@@ -14,6 +15,7 @@
   refuse,
   type Route,
   type RouteContext,
+  type RouteRequest,
   type ServerName,
   startUnqueued,
   removeExpired,
@@ -93,7 +95,7 @@
     const queued = dequeue(owner.queue, (request) => {
       const route = routeRequest(owner, request, context);
       if (route.kind !== 'run') return false;
-      if (isAtCustomerLimit(owner, request, route.server)) return false;
+      if (isAtCustomerLimit(owner, request.session.customer, route.server)) return false;
       chosen = route.server;
       return true;
     });
@@ -130,7 +132,8 @@
   }
 }
 
-function createRouteContext(owner: GroupOwner): RouteContext {
+/** The state that routing depends on, now. */
+export function createRouteContext(owner: GroupOwner): RouteContext {
   const record = owner.environment.groupRecord();
   const nowMs = performance.now();
   return {
@@ -152,16 +155,24 @@
 }
 
 function routeRequest(owner: GroupOwner, request: OwnerRequest, context: RouteContext): Route {
-  const { session, readAgeAllowanceMs } = request;
+  const { session, intent, readAgeAllowanceMs } = request;
+  const waitedMs = context.nowMs - request.enqueuedAtMs;
+  const { mark } = session;
+  const routed = toRouteRequest(owner, { intent, mark, readAgeAllowanceMs, waitedMs });
+  return routed ? chooseServer(routed, context) : { kind: 'wait' };
+}
+
+/**
+ * The request as it is routed, with the writes that the owner knows to be acknowledged; `undefined` if it has to
+ * wait because its mark is past every position seen in the group.
+ */
+export function toRouteRequest(owner: GroupOwner, request: RouteRequest): RouteRequest | undefined {
+  if (isMarkAhead(owner, request.mark)) return undefined;
   const base = owner.baseMark;
-  const isAhead = isMarkAhead(owner, session.mark);
-  if (isAhead) return { kind: 'wait' };
   // Without a base mark, earlier acknowledged writes are unknown, so only the primary can serve
   // reads.
   const intent = base === undefined ? 'write' : request.intent;
-  const mark = latestOrBase(session.mark, base);
-  const waitedMs = context.nowMs - request.enqueuedAtMs;
-  return chooseServer({ intent, mark, readAgeAllowanceMs, waitedMs }, context);
+  return { ...request, intent, mark: latestOrBase(request.mark, base) };
 }
 
 function latestOrBase(mark: LogPosition, base: LogPosition | undefined): LogPosition {
@@ -180,12 +191,15 @@
  * While several customers are active, none may occupy more than half of a server's slots. Running
  * statements are not preempted, so long ones would block other customers despite the fair queue.
  */
-function isAtCustomerLimit(owner: GroupOwner, request: OwnerRequest, server: ServerName): boolean {
+export function isAtCustomerLimit(
+  owner: GroupOwner,
+  customer: CustomerName,
+  server: ServerName,
+): boolean {
   const pool = owner.pools.get(server);
   if (!pool || pool.slots < 2) return false;
-  const { customer } = request.session;
   const limit = Math.max(1, Math.floor(pool.slots * CUSTOMER_SLOT_SHARE));
-  if (runningCountOf(owner, request, server) < limit) return false;
+  if (runningCountOf(owner, customer, server) < limit) return false;
   return hasOtherActiveCustomer(owner.queue, customer, performance.now() - SOLE_CUSTOMER_AFTER_MS);
 }
 
--- a/packages/entry/src/owner/slots.ts
+++ b/packages/entry/src/owner/slots.ts
@@ -1,5 +1,5 @@
 /** Accounting of target server slots: occupancy per request and slot time charged per customer. */
-import { recordFinished } from '@bramleykeel/core';
+import { type CustomerName, recordFinished } from '@bramleykeel/core';
 import type { TargetPool } from '../target/target-pool.js';
 import type { GroupOwner, OwnerRequest, PinnedConnection } from './owner-state.js';
 
@@ -26,9 +26,9 @@
   recordFinished(owner.queue, session.customer, nowMs - slot.occupiedSinceMs, nowMs);
 }
 
-/** Number of requests of the request's customer that occupy slots of a server. */
-export function runningCountOf(owner: GroupOwner, request: OwnerRequest, server: string): number {
-  return owner.runningByCustomer.get(`${server}/${request.session.customer}`) ?? 0;
+/** Number of requests of a customer that occupy slots of a server. */
+export function runningCountOf(owner: GroupOwner, customer: CustomerName, server: string): number {
+  return owner.runningByCustomer.get(`${server}/${customer}`) ?? 0;
 }
 
 function adjustRunningCount(owner: GroupOwner, request: OwnerRequest, change: 1 | -1): void {
