--- a/packages/control/src/admin/operator-calls.ts
+++ b/packages/control/src/admin/operator-calls.ts
@@ -24,6 +24,7 @@
   isInForce,
   type LeaderService,
 } from '../leader/leader-service.js';
+import { answerExplainCall } from './explain-call.js';
 
 const callSchema = z.strictObject({
   method: z.string(),
@@ -80,6 +81,8 @@
       return handleEvacuationChange(service, operator, params, true);
     case 'evacuation/withdraw':
       return handleEvacuationChange(service, operator, params, false);
+    case 'explain/request':
+      return answerExplainCall(service, params);
     case 'server/forget':
       return handleForgetServer(service, operator, params);
     default:
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -6,17 +6,21 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   areFormerConnectionsClosed,
+  chooseLeastDelay,
   connectionLimit,
+  type CustomerName,
   type FormerHolder,
   type GroupName,
-  type Homes,
   isHome,
   latestPosition,
   type LogPosition,
+  NEW_CONNECTION_MS,
+  recordOthers,
   type ServerAnnouncement,
   type StatementOutcome,
+  takesRead,
 } from '@bramleykeel/core';
-import type { Counters } from '@bramleykeel/link';
+import type { Counters, Log } from '@bramleykeel/link';
 import type { StatementDraft } from '../locate/owner-client.js';
 import {
   createServerState,
@@ -37,9 +41,11 @@
   statementOrder,
   valuesKeyOf,
 } from '../target/connection-setup.js';
+import { judgeServers } from '../target/judge-servers.js';
+import { sendMeasured } from '../target/measured-order.js';
 import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
 import { createReadAttempt, type ReadAttempt } from './read-attempt.js';
-import type { NearServer, ReaderOffer } from './reader-offer.js';
+import type { NearServer, ReaderOffer, RunningCounts } from './reader-offer.js';
 import { mayReadAtReplica } from './reader-client.js';
 
 export interface ReplicaReadsOptions {
@@ -50,8 +56,15 @@
   readonly mayBeCold: (group: GroupName) => boolean;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
-  /** Requests an offer from the group's owner; `undefined` if it makes none. */
-  readonly requestOffer: (group: GroupName) => Promise<ReaderOffer | undefined>;
+  readonly log: Log;
+  /**
+   * Requests an offer from the group's owner, with the statements that run here on each server; `undefined` if it
+   * makes none.
+   */
+  readonly requestOffer: (
+    group: GroupName,
+    running: RunningCounts,
+  ) => Promise<ReaderOffer | undefined>;
   /** The former reader of the group in this region; `undefined` while this entry does not hold the role. */
   readonly formerReader: (group: GroupName) => FormerHolder | undefined;
   /** Maximum number of connections to one server of the group, of all callers together. */
@@ -129,7 +142,7 @@
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(reads, readGroup, draft.homes);
+  const server = after && findAvailableServer(reads, readGroup, draft);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
@@ -218,7 +231,7 @@
     return;
   readGroup.isRequesting = true;
   readGroup.lastRequestMs = requestedAtMs;
-  void reads.options.requestOffer(readGroup.group).then((offer) => {
+  void reads.options.requestOffer(readGroup.group, runningCountsOf(readGroup)).then((offer) => {
     readGroup.isRequesting = false;
     // Offers were discarded while this request was in progress, which reset lastRequestMs.
     if (readGroup.lastRequestMs !== requestedAtMs) return;
@@ -232,6 +245,12 @@
   });
 }
 
+function runningCountsOf({ servers }: ReadGroup): RunningCounts {
+  return [...servers.values()].map(
+    ({ announcement: { server }, runningCount }) => [server, runningCount] as const,
+  );
+}
+
 function updateServers(
   readGroup: ReadGroup,
   servers: readonly NearServer[],
@@ -248,16 +267,19 @@
   for (const [state, atMs] of readGroup.brokenAtMs)
     if (state.isRetired || atMs < requestedAtMs) readGroup.brokenAtMs.delete(state);
   for (const [key, server] of offered) {
-    if (readGroup.servers.get(key)?.isRetired === false) continue;
+    const { ownerRunning, ...place } = server;
+    const existing = readGroup.servers.get(key);
     const announcement: ServerAnnouncement = {
-      ...server,
+      ...place,
       group: readGroup.group,
       role: 'replica',
       isLeaving: false,
       bornMs: 0,
       sequence: 0,
     };
-    readGroup.servers.set(key, createServerState(announcement, nowMs));
+    const state = existing?.isRetired === false ? existing : createServerState(announcement, nowMs);
+    readGroup.servers.set(key, state);
+    if (ownerRunning !== undefined) recordOthers(state.load, ownerRunning, nowMs);
   }
 }
 
@@ -276,22 +298,38 @@
 function findAvailableServer(
   reads: ReplicaReads,
   { group, servers, brokenAtMs }: ReadGroup,
-  homes: Homes,
+  { customer, homes }: Pick<StatementDraft, 'customer' | 'homes'>,
 ): ServerState | undefined {
-  const mayBeCold = reads.options.mayBeCold(group);
+  const { counters, log, mayBeCold, regionOf } = reads.options;
+  const isColdPossible = mayBeCold(group);
+  judgeServers(servers.values(), { group, path: 'reader', counters, log });
   const nowMs = performance.now();
-  return [...servers.values()].find(
+  const available = [...servers.values()].filter(
     (server) =>
       !server.isRetired &&
       !isEvacuated(reads, server) &&
-      isHome(homes, reads.options.regionOf(server.announcement.zone)) &&
+      isHome(homes, regionOf(server.announcement.zone)) &&
       // It may have restarted, and its owner does not offer it while it is cold.
-      !(mayBeCold && brokenAtMs.has(server)) &&
+      !(isColdPossible && brokenAtMs.has(server)) &&
+      takesRead(server.health, server.runningCount, Math.random()) &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
       nowMs >= server.busyUntilMs &&
       nowMs >= server.laggingUntilMs &&
       (server.failingSinceMs === undefined || nowMs - server.failingSinceMs > FAILED_PAUSE_MS),
   );
+  const candidates = available.map((server) => ({
+    server,
+    slots: server.announcement.slots,
+    running: server.runningCount,
+    others: server.load.others,
+    serviceMs: server.load.service.get('read')?.meanMs,
+    extraMs: hasIdleConnection(server, customer) ? 0 : NEW_CONNECTION_MS,
+  }));
+  return chooseLeastDelay(candidates, nowMs, Math.random())?.server;
+}
+
+function hasIdleConnection({ idle }: ServerState, customer: CustomerName): boolean {
+  return idle.some(({ connection }) => connection.customer === customer);
 }
 
 function isEvacuated({ options }: ReplicaReads, { announcement }: ServerState): boolean {
@@ -331,8 +369,10 @@
   }
   const remainingMs = deadlineMs - performance.now();
   attempt.mayHaveRun = true;
-  const answer = await pooled.connection.send(
+  const answer = await sendMeasured(
+    pooled,
     statementOrder(draft, after),
+    'read',
     remainingMs * REPLICA_TIMEOUT_FRACTION,
   );
   attempt.mayHaveRun = answer.kind !== 'refused';
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -12,6 +12,7 @@
   type ServerName,
   type StatementOutcome,
   removeExpired,
+  takesRead,
   type TargetRequirements,
   type TargetView,
   waitingCount,
@@ -19,6 +20,7 @@
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
 import { hasAvailableConnection } from '../target/connection-pool.js';
+import { judgeServers } from '../target/judge-servers.js';
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import {
   coldAllowanceOf,
@@ -166,7 +168,8 @@
 
 function listTargetViews(owner: StatementOwner): TargetView[] {
   const primary = primaryOf(owner);
-  const { regionOf, zone } = owner.environment;
+  const { regionOf, zone, counters, log } = owner.environment;
+  judgeServers(owner.servers.values(), { group: owner.group, path: 'owner', counters, log });
   return [...owner.servers.values()].map((server) => ({
     server: server.announcement.server,
     // One that was promoted for its log while it leaves may be past the time in which it takes statements.
@@ -178,6 +181,10 @@
       hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(owner, server),
+    takesRead: takesRead(server.health, server.runningCount, Math.random()),
+    runningCount: server.runningCount,
+    others: server.load.others,
+    serviceMs: server.load.service.get('read')?.meanMs,
     connectedCustomers: new Set(server.idle.map(({ connection }) => connection.customer)),
     position: server.position,
     laggingUntilMs: server.laggingUntilMs,
@@ -224,7 +231,7 @@
         : nowMs - request.maxReadAgeMs,
     mayAssumeCaughtUp: attempts === 0,
   };
-  return chooseTarget(viewsFor(owner, job, views), requirements, nowMs);
+  return chooseTarget(viewsFor(owner, job, views), requirements, nowMs, Math.random());
 }
 
 /** Servers that may run a statement. Reads use cold ones only if no other has a free slot. */
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -6,6 +6,8 @@
   type Coverage,
   createCoverage,
   createStatementFates,
+  createServerHealth,
+  createServerLoad,
   type CustomerName,
   type FairQueue,
   type FormerHolder,
@@ -18,6 +20,8 @@
   recordStarted,
   type AcknowledgedPositions,
   type ServerAnnouncement,
+  type ServerHealth,
+  type ServerLoad,
   type ServerName,
   type ServerPlace,
   type StatementFates,
@@ -126,6 +130,10 @@
   coldUntilMs: number;
   /** Start times of the requests that count towards its limit while it is cold. */
   readonly coldStartsMs: number[];
+  /** What this process has measured from answers of the server. */
+  readonly load: ServerLoad;
+  /** How the server answered reads of this process. */
+  readonly health: ServerHealth;
 }
 
 export interface OpenTransaction {
@@ -303,6 +311,8 @@
     isProbing: false,
     coldUntilMs: nowMs + (announcement.coldLeftMs ?? 0),
     coldStartsMs: [],
+    load: createServerLoad(),
+    health: createServerHealth(),
   };
 }
 
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -98,6 +98,13 @@
           slots: 2,
           zone: 'zone-a',
         },
+        {
+          server: 'i-2' as ReaderOffer['servers'][number]['server'],
+          address: '127.0.0.1:2',
+          slots: 2,
+          zone: 'zone-a',
+          ownerRunning: 3,
+        },
       ],
     };
     expect(decodeOffer(roundTrip(encodeOffer(offer)))).toEqual(offer);
