Distribute reads evenly only where the settings ask for it

The new distribution of reads and the setting aside of servers applied to every deployment. Offers and requests for offers carry running counts only with 'even'.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,6 +39,7 @@
 export * from './statements/types.js';
 export * from './statements/acknowledged-positions.js';
 export * from './statements/choose-target.js';
+export * from './statements/choose-nearest.js';
 export * from './statements/explain-target.js';
 export * from './promotion/choose-successor.js';
 export * from './promotion/coverage.js';
--- a/packages/statement-entry/src/near/reader-offer.ts
+++ b/packages/statement-entry/src/near/reader-offer.ts
@@ -61,11 +61,18 @@
       server.failingSinceMs === undefined &&
       server.connectionCount <= pools.maxConnections(server),
   );
+  const isEven = environment.readDistribution === 'even';
   return {
     position: newestAcknowledged(acknowledgedPositions),
     servers: servers.map(
       ({ announcement: { server, address, slots, zone: serverZone }, runningCount }) => {
-        return { server, address, slots, zone: serverZone, ownerRunning: runningCount };
+        return {
+          server,
+          address,
+          slots,
+          zone: serverZone,
+          ownerRunning: isEven ? runningCount : undefined,
+        };
       },
     ),
   };
--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -95,6 +95,7 @@
     reads: createReplicaReads({
       regionOf: (zone) => zone,
       evacuatedZones: () => context.evacuatedZones,
+      readDistribution: 'even',
       mayBeCold: () => context.mayBeCold,
       log: (message) => {
         context.logged.push(message);
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -15,6 +15,7 @@
   latestPosition,
   type LogPosition,
   NEW_CONNECTION_MS,
+  type ReadDistribution,
   recordOthers,
   type ServerAnnouncement,
   type StatementOutcome,
@@ -52,6 +53,7 @@
   readonly regionOf: (zone: string) => string;
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
+  readonly readDistribution: ReadDistribution;
   /** Whether the group's servers are limited while they are cold. */
   readonly mayBeCold: (group: GroupName) => boolean;
   readonly openTarget: OpenTarget;
@@ -231,7 +233,8 @@
     return;
   readGroup.isRequesting = true;
   readGroup.lastRequestMs = requestedAtMs;
-  void reads.options.requestOffer(readGroup.group, runningCountsOf(readGroup)).then((offer) => {
+  const running = reads.options.readDistribution === 'even' ? runningCountsOf(readGroup) : [];
+  void reads.options.requestOffer(readGroup.group, running).then((offer) => {
     readGroup.isRequesting = false;
     // Offers were discarded while this request was in progress, which reset lastRequestMs.
     if (readGroup.lastRequestMs !== requestedAtMs) return;
@@ -300,9 +303,10 @@
   { group, servers, brokenAtMs }: ReadGroup,
   { customer, homes }: Pick<StatementDraft, 'customer' | 'homes'>,
 ): ServerState | undefined {
-  const { counters, log, mayBeCold, regionOf } = reads.options;
+  const { counters, log, mayBeCold, regionOf, readDistribution } = reads.options;
+  const isEven = readDistribution === 'even';
   const isColdPossible = mayBeCold(group);
-  judgeServers(servers.values(), { group, path: 'reader', counters, log });
+  if (isEven) judgeServers(servers.values(), { group, path: 'reader', counters, log });
   const nowMs = performance.now();
   const available = [...servers.values()].filter(
     (server) =>
@@ -311,12 +315,13 @@
       isHome(homes, regionOf(server.announcement.zone)) &&
       // It may have restarted, and its owner does not offer it while it is cold.
       !(isColdPossible && brokenAtMs.has(server)) &&
-      takesRead(server.health, server.runningCount, Math.random()) &&
+      (!isEven || takesRead(server.health, server.runningCount, Math.random())) &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
       nowMs >= server.busyUntilMs &&
       nowMs >= server.laggingUntilMs &&
       (server.failingSinceMs === undefined || nowMs - server.failingSinceMs > FAILED_PAUSE_MS),
   );
+  if (!isEven) return available[0];
   const candidates = available.map((server) => ({
     server,
     slots: server.announcement.slots,
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -1,5 +1,6 @@
 /** The owner's queue: assigns waiting statements to servers and expires those that waited too long. */
 import {
+  chooseNearestTarget,
   chooseTarget,
   createFairQueue,
   dequeue,
@@ -19,6 +20,7 @@
   ZERO_POSITION,
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
+import { match } from 'ts-pattern';
 import { hasAvailableConnection } from '../target/connection-pool.js';
 import { judgeServers } from '../target/judge-servers.js';
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
@@ -168,8 +170,10 @@
 
 function listTargetViews(owner: StatementOwner): TargetView[] {
   const primary = primaryOf(owner);
-  const { regionOf, zone, counters, log } = owner.environment;
-  judgeServers(owner.servers.values(), { group: owner.group, path: 'owner', counters, log });
+  const { regionOf, zone, counters, log, readDistribution } = owner.environment;
+  const isEven = readDistribution === 'even';
+  if (isEven)
+    judgeServers(owner.servers.values(), { group: owner.group, path: 'owner', counters, log });
   return [...owner.servers.values()].map((server) => ({
     server: server.announcement.server,
     // One that was promoted for its log while it leaves may be past the time in which it takes statements.
@@ -181,7 +185,7 @@
       hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(owner, server),
-    takesRead: takesRead(server.health, server.runningCount, Math.random()),
+    takesRead: !isEven || takesRead(server.health, server.runningCount, Math.random()),
     runningCount: server.runningCount,
     others: server.load.others,
     serviceMs: server.load.service.get('read')?.meanMs,
@@ -231,7 +235,11 @@
         : nowMs - request.maxReadAgeMs,
     mayAssumeCaughtUp: attempts === 0,
   };
-  return chooseTarget(viewsFor(owner, job, views), requirements, nowMs, Math.random());
+  const allowed = viewsFor(owner, job, views);
+  return match(owner.environment.readDistribution)
+    .with('nearest', () => chooseNearestTarget(allowed, requirements, nowMs))
+    .with('even', () => chooseTarget(allowed, requirements, nowMs, Math.random()))
+    .exhaustive();
 }
 
 /** Servers that may run a statement. Reads use cold ones only if no other has a free slot. */
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -11,6 +11,7 @@
   homesOfGroups,
   listAssignments,
   type PlacementBounds,
+  type ReadDistribution,
   type Resource,
   type ServerAnnouncement,
   type ServerName,
@@ -37,6 +38,7 @@
   readonly regionOf: (zone: string) => string;
   readonly evacuatedZones: () => ReadonlySet<string>;
   readonly placementBounds: PlacementBounds;
+  readonly readDistribution: ReadDistribution;
   readonly log: Log;
   readonly counters: Counters;
   readonly control: ControlClient;
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -17,6 +17,7 @@
   type GroupRecord,
   type LogPosition,
   type PlacementBounds,
+  type ReadDistribution,
   recordStarted,
   type AcknowledgedPositions,
   type ServerAnnouncement,
@@ -53,6 +54,7 @@
   readonly regionOf: (zone: string) => string;
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
+  readonly readDistribution: ReadDistribution;
   readonly placementBounds: PlacementBounds;
   /** Regions in which the primary should be; `undefined` without a limit, or if the routes contradict each other. */
   readonly homeRegions: () => readonly string[] | undefined;
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -127,7 +127,7 @@
  * const session = await entry.startSession('bookings', key, port);
  */
 export async function startStatementEntry(options: StatementEntryOptions): Promise<StatementEntry> {
-  const { log, counters, timing } = options;
+  const { log, counters, timing, readDistribution = 'nearest' } = options;
   const startedAtMs = performance.now();
   const sessions = new Set<CallerSession>();
   const requestedAtMs = new Map<Resource, number>();
@@ -164,6 +164,7 @@
     control,
     settings: () => settings,
     evacuatedZones: () => evacuated,
+    readDistribution,
     placementBounds: options.placementBounds ?? DEFAULT_PLACEMENT_BOUNDS,
     releaseFromReader: async ({ incarnation, linkAddress }, group, server) => {
       if (incarnation === control.incarnation()) return releaseServer(replicaReads, group, server);
@@ -232,6 +233,7 @@
   const replicaReads: ReplicaReads = createReplicaReads({
     regionOf: options.regionOf,
     evacuatedZones: () => evacuated,
+    readDistribution,
     mayBeCold: (group) => (settings?.groups.get(group)?.coldRatePerSecond ?? 0) > 0,
     openTarget: options.openTarget,
     counters,
@@ -245,7 +247,8 @@
       return queryOwner(owners, group, {
         method: 'reader/ask',
         params: (epoch): EncodedReaderOfferRequest => {
-          return [group, epoch, zone, entryId, readerRunning];
+          const request = [group, epoch, zone, entryId] as const;
+          return readerRunning.length > 0 ? [...request, readerRunning] : request;
         },
         answerLocally: (epoch) => answerOfferRequest({ registry }, group, epoch, offerRequest),
         timeoutMs: READER_OFFER_TIMEOUT_MS,
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -152,6 +152,7 @@
     zone: 'zone-0',
     regionOf: (zone) => zone,
     evacuatedZones: () => fake().evacuatedZones,
+    readDistribution: 'even',
     placementBounds: DEFAULT_PLACEMENT_BOUNDS,
     homeRegions: () => fake().homeRegions,
     log: () => undefined,
--- a/packages/statement-entry/src/types/entry-options.ts
+++ b/packages/statement-entry/src/types/entry-options.ts
@@ -1,6 +1,7 @@
 /** What an entry for statement-level dialects is started with, and what it offers its adapter. */
 import type {
   PlacementBounds,
+  ReadDistribution,
   StatementRefusalReason,
   StatementSettings,
   TimingSettings,
@@ -17,6 +18,8 @@
   readonly regionOf: (zone: string) => string;
   /** Bounds on evacuations and cold servers; the defaults if absent. */
   readonly placementBounds?: PlacementBounds;
+  /** How reads are distributed over the servers that may run them; `nearest` if absent. */
+  readonly readDistribution?: ReadDistribution;
   readonly linkAddress: string;
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
