Test processes against clients that do not behave

Reason: clients that send much, in fragments, without reading or only half-way can end a process. Change: tests start real processes with a heap of 64 MB and one crowd of each kind: callers of the statement dialect, control's HTTP, readiness, metrics, links, and callers of the PostgreSQL entry. They check that the process lives, that resident memory stays below 154 MB (250 MB less a heap of 160 MB is left beside the heap in production; 64 MB of heap here) and descriptors below 600, and that an ordinary request is answered afterwards. They form a vitest project of their own with one worker, which runs after the others.

--- a/packages/dev-launcher/src/cluster-plan.ts
+++ b/packages/dev-launcher/src/cluster-plan.ts
@@ -19,6 +19,8 @@
   readonly customers: readonly CustomerPlan[];
   /** TOML appended to the settings file of each entry. */
   readonly extraEntryToml: string;
+  /** Options of Node.js for the daemons, such as limits of the heap. */
+  readonly daemonNodeOptions?: readonly string[];
   /** Ports to use, one per listener; {@link requiredPortCount} returns how many are needed. */
   readonly ports: readonly number[];
 }
--- a/packages/dev-launcher/src/cluster.ts
+++ b/packages/dev-launcher/src/cluster.ts
@@ -62,10 +62,11 @@
   return { plan, processes, start, signal, awaitExit, stopAll };
 
   function processArguments(name: string): readonly string[] {
+    const daemon = [...(plan.options.daemonNodeOptions ?? []), DAEMON_SCRIPT];
     const member = plan.control.find(({ id }) => id === name);
-    if (member) return [DAEMON_SCRIPT, 'control', '--settings', member.settingsFile];
+    if (member) return [...daemon, 'control', '--settings', member.settingsFile];
     const entry = plan.entries.find(({ id }) => id === name);
-    if (entry) return [DAEMON_SCRIPT, 'entry', '--settings', entry.settingsFile];
+    if (entry) return [...daemon, 'entry', '--settings', entry.settingsFile];
     const server = plan.servers.find((candidate) => candidate.server === name);
     if (server) return [STAND_IN_SCRIPT, ...server.args];
     throw new Error(`the plan has no process named ${name}`);
--- a/packages/dev-launcher/src/index.ts
+++ b/packages/dev-launcher/src/index.ts
@@ -2,3 +2,5 @@
 export * from './cluster.js';
 export * from './cluster-plan.js';
 export * from './free-ports.js';
+export * from './process-usage.js';
+export * from './client-crowd.js';
