Bound what clients make a process hold

Reason: callers of the statement dialect, control's HTTP, metrics and links could end a process or fill its memory. Change: packages/core/src/limits has a byte budget per process (a quarter of the heap's limit) and decides whom to pause, refuse and close; a byte accumulator makes reading linear however fragmented. Callers: read-ahead, unsent answers, session state, time-outs, connections by descriptors. Control's HTTP, readiness and metrics: connections, requests, bodies. Links: 1 KiB a frame and 5 s before authentication, 32 MiB after. PostgreSQL entry: linear framing, 10,000 bytes before the key. Buffers are collected sooner, since V8 waits for 64 MB of them.

--- a/packages/control/src/control-member.ts
+++ b/packages/control/src/control-member.ts
@@ -43,6 +43,8 @@
   readonly adminAddress: string;
   readonly dataFolder: string;
   readonly linkSecret: string;
+  /** Descriptors that the process may have open; the limit of the system if absent. */
+  readonly maxDescriptors?: number | undefined;
   readonly timing: TimingSettings;
   readonly snapshotEveryEntries: number;
   readonly bootstrapTokenSha256Hex: string;
@@ -141,7 +143,14 @@
     recordsSource: createRecordsSource(createDocumentCache(driver.control()), driver.control),
     leader: () => leader,
   };
-  const linkServer = await listenForLinks(options.linkAddress, linkOptions, {
+  const serverOptions = {
+    ...linkOptions,
+    maxDescriptors: options.maxDescriptors,
+    onTooMany: () => {
+      counters.count('limit.link-connections');
+    },
+  };
+  const linkServer = await listenForLinks(options.linkAddress, serverOptions, {
     onRequest: (peer, method, params) => handleRequest(app, peer, method, params),
     onNotify: (_peer, method, params) => {
       if (method === 'log/message') learnAddress(params);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,8 @@
 export * from './control-log/types.js';
 export * from './admit/cold-start.js';
 export * from './lease/hot-partition.js';
+export * from './limits/byte-accumulator.js';
+export * from './limits/byte-budget.js';
 export * from './control-log/compaction.js';
 export * from './control-log/raft.js';
 export * from './control-log/raft-state.js';
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -137,6 +137,7 @@
   | 'key-rejected'
   | 'unknown-database'
   | 'entry-stopping'
+  | 'memory-pressure'
   | 'unsupported-statement';
 
 /**
--- a/packages/entry/src/accept/startup.ts
+++ b/packages/entry/src/accept/startup.ts
@@ -11,6 +11,7 @@
   refuse,
 } from '@bramleykeel/core';
 import {
+  bufferedBytesOf,
   buildCleartextPasswordRequest,
   CLIENT,
   createMessageFramer,
@@ -18,6 +19,7 @@
   type MessageFramer,
   readStartupPacket,
   readStringPayload,
+  returnMessages,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 import type { AcceptedKey } from '../authenticate/key-index.js';
@@ -57,6 +59,8 @@
 
 /** Delay before a wrong key is answered, to slow down guessing. */
 const WRONG_KEY_DELAY_MS = 100;
+/** Longest message of a caller that has not given its key yet. */
+const MAX_PASSWORD_BYTES = 10_000;
 const ENCRYPTION_ACCEPTED = 'S';
 const ENCRYPTION_REFUSED = 'N';
 
@@ -126,7 +130,10 @@
     });
   }
   socket.write(buildCleartextPasswordRequest());
+  const { maxMessageBytes } = framer;
+  framer.maxMessageBytes = MAX_PASSWORD_BYTES;
   const passwordMessage = await readMessage(socket, framer);
+  framer.maxMessageBytes = maxMessageBytes;
   if (!passwordMessage) return { kind: 'gone' };
   if (passwordMessage.type !== CLIENT.password) return refuseStartup(socket, refuse('bad-startup'));
   if (!rules.hasFreshSettings()) return refuseStartup(socket, refuse('settings-lease-expired'));
@@ -173,13 +180,12 @@
       }
       const [first, ...others] = framed.messages;
       if (!first) return;
-      const rest = [...others.map(({ frame }) => frame), framer.bufferedInput];
-      framer.bufferedInput = Buffer.concat(rest);
+      returnMessages(framer, others);
       finish(first);
     };
     socket.on('data', handleData);
     socket.on('close', handleClose);
     socket.resume();
-    if (framer.bufferedInput.length > 0) handleData(Buffer.alloc(0));
+    if (bufferedBytesOf(framer) > 0) handleData(Buffer.alloc(0));
   });
 }
--- a/packages/link/src/frame-codec.ts
+++ b/packages/link/src/frame-codec.ts
@@ -2,8 +2,11 @@
 import { Encoder } from 'cbor-x';
 
 const LENGTH_BYTES = 4;
-/** Longer frames are rejected before memory is allocated for them. */
-export const MAX_FRAME_BYTES = 64 * 1024 * 1024;
+/**
+ * Longer frames are rejected before memory is allocated for them. The longest that the system sends are chunks of
+ * requests of up to 16 MiB; a longer one would not fit a heap of 160 MB together with its decoded value.
+ */
+export const MAX_FRAME_BYTES = 32 * 1024 * 1024;
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
@@ -26,7 +29,7 @@
   | { readonly kind: 'malformed'; readonly reason: string };
 
 export interface FrameDecoder {
-  readonly maxFrameBytes: number;
+  maxFrameBytes: number;
   chunks: Buffer[];
   bufferedBytes: number;
 }
@@ -35,12 +38,21 @@
   return { maxFrameBytes, chunks: [], bufferedBytes: 0 };
 }
 
-/** Adds received bytes and returns the values of all frames that are now complete. */
-export function decodeFrames(decoder: FrameDecoder, chunk: Buffer): DecodedFrames {
-  decoder.chunks.push(chunk);
+/**
+ * Adds received bytes and returns the values of the frames that are now complete, at most `maxFrames` of them.
+ *
+ * @example
+ * decodeFrames(decoder, chunk); // { kind: 'values', values: [...] }
+ */
+export function decodeFrames(
+  decoder: FrameDecoder,
+  chunk: Buffer,
+  maxFrames = Number.POSITIVE_INFINITY,
+): DecodedFrames {
+  if (chunk.length > 0) decoder.chunks.push(chunk);
   decoder.bufferedBytes += chunk.length;
   const values: unknown[] = [];
-  while (decoder.bufferedBytes >= LENGTH_BYTES) {
+  while (decoder.bufferedBytes >= LENGTH_BYTES && values.length < maxFrames) {
     const length = peekLength(decoder);
     if (length > decoder.maxFrameBytes) {
       return { kind: 'malformed', reason: `frame of ${length} bytes is above the limit` };
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -15,3 +15,8 @@
 export * from './metrics-server.js';
 export type { LogFields } from './log-writer.js';
 export * from './unexpected-errors.js';
+export * from './process-limits.js';
+export * from './bounded-connections.js';
+export * from './bounded-http.js';
+export * from './body-budget.js';
+export * from './buffer-collector.js';
--- a/packages/link/src/link-peer.ts
+++ b/packages/link/src/link-peer.ts
@@ -1,7 +1,7 @@
 /** One authenticated link between two processes of the system: requests, replies and events. */
 import type { Socket } from 'node:net';
 import { type Either, Left, Right } from 'purify-ts';
-import { createFrameDecoder, decodeFrames, encodeFrame } from './frame-codec.js';
+import { createFrameDecoder, decodeFrames, encodeFrame, MAX_FRAME_BYTES } from './frame-codec.js';
 import { setSharedInterval } from './shared-interval.js';
 import { writeBatched } from './write-batch.js';
 import { createNonce, createProof, isProofValid, type LinkSide } from './link-auth.js';
@@ -52,6 +52,12 @@
 /** Frame kinds on the wire; the first element of each frame. */
 const FRAME = { hello: 0, proof: 1, request: 2, reply: 3, failure: 4, event: 5, ping: 6 } as const;
 
+const NO_BYTES = Buffer.alloc(0);
+/** Longest frame of a peer that is not authenticated yet; a hello and a proof have fewer than 64 bytes. */
+const MAX_HANDSHAKE_FRAME_BYTES = 1_024;
+/** Time from connect to the end of authentication, in milliseconds. */
+const HANDSHAKE_TIMEOUT_MS = 5_000;
+
 interface PendingRequest {
   readonly resolve: (outcome: Either<LinkError, unknown>) => void;
   readonly endDeadline: () => void;
@@ -69,13 +75,14 @@
   options: LinkOptions,
   handlers: LinkHandlers,
 ): LinkPeer {
-  const decoder = createFrameDecoder();
+  const decoder = createFrameDecoder(MAX_HANDSHAKE_FRAME_BYTES);
   const pending = new Map<number, PendingRequest>();
   const ownNonce = createNonce();
   let remoteNonce: Uint8Array | undefined;
   let nextRequestId = 1;
   let phase: 'hello' | 'proof' | 'open' | 'closed' = 'hello';
-  let lastReceivedMs = performance.now();
+  const connectedMs = performance.now();
+  let lastReceivedMs = connectedMs;
   let lastSentMs = performance.now();
 
   const peer: LinkPeer = {
@@ -160,24 +167,46 @@
       });
       return;
     }
+    if (isAuthenticating() && nowMs - connectedMs > HANDSHAKE_TIMEOUT_MS) {
+      setImmediate(() => {
+        if (isAuthenticating()) close('peer did not authenticate in time');
+      });
+      return;
+    }
     if (phase === 'open' && nowMs - lastSentMs >= options.pingEveryMs) write([FRAME.ping]);
   }
 
+  function isAuthenticating(): boolean {
+    return phase === 'hello' || phase === 'proof';
+  }
+
+  /** Frames are decoded one at a time until the peer is authenticated, since longer ones may follow its proof. */
   function receive(chunk: Buffer): void {
     lastReceivedMs = performance.now();
-    const decoded = decodeFrames(decoder, chunk);
+    let input = chunk;
+    while (isAuthenticating()) {
+      if (!receiveFrames(input, 1)) return;
+      input = NO_BYTES;
+    }
+    receiveFrames(input, Number.POSITIVE_INFINITY);
+  }
+
+  /** Returns whether any frame was complete. */
+  function receiveFrames(input: Buffer, maxFrames: number): boolean {
+    const decoded = decodeFrames(decoder, input, maxFrames);
     if (decoded.kind === 'malformed') {
       close(decoded.reason);
-      return;
+      return false;
     }
     for (const value of decoded.values) {
-      if (phase === 'closed') return;
+      if (phase === 'closed') return false;
       if (!Array.isArray(value)) {
         close('frame is not a list');
-        return;
+        return false;
       }
       receiveFrame(value as unknown[]);
     }
+    return decoded.values.length > 0;
   }
 
   function receiveFrame(frame: unknown[]): void {
@@ -204,6 +233,7 @@
       return;
     }
     phase = 'open';
+    decoder.maxFrameBytes = MAX_FRAME_BYTES;
     handlers.onOpen?.(peer);
   }
 
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -1,6 +1,8 @@
 /** Accepts links from other processes of the system. */
 import { createServer, type Server } from 'node:net';
 import { splitAddress } from '@bramleykeel/core';
+import { boundConnections } from './bounded-connections.js';
+import { readProcessLimits } from './process-limits.js';
 import { type LinkHandlers, type LinkOptions, type LinkPeer, runLink } from './link-peer.js';
 
 export interface LinkServer {
@@ -9,6 +11,16 @@
   readonly close: () => Promise<void>;
 }
 
+export interface LinkServerOptions extends LinkOptions {
+  /** Descriptors that the process may have open; the limit of the system if absent. */
+  readonly maxDescriptors?: number | undefined;
+  /** Called for each connection that is closed because too many are not authenticated. */
+  readonly onTooMany?: () => void;
+}
+
+/** Part of the descriptors for connections that are not authenticated yet, in an instant in which all peers reconnect. */
+const UNAUTHENTICATED_SHARE = 0.25;
+
 /**
  * Listens on `address` and runs the link protocol on every connection.
  *
@@ -18,9 +30,10 @@
  */
 export async function listenForLinks(
   address: string,
-  options: LinkOptions,
+  options: LinkServerOptions,
   handlers: LinkHandlers,
 ): Promise<LinkServer> {
+  const { maxDescriptors } = readProcessLimits(options);
   const peers = new Set<LinkPeer>();
   /** All connections, including those that are not authenticated yet; each of them keeps the server from closing. */
   const connections = new Set<LinkPeer>();
@@ -30,6 +43,7 @@
       ...handlers,
       onOpen: (peer) => {
         peers.add(peer);
+        unauthenticated.release(socket);
         handlers.onOpen?.(peer);
       },
       onClose: (peer, reason) => {
@@ -38,9 +52,20 @@
       },
     });
     connections.add(connection);
-    socket.once('close', () => connections.delete(connection));
+    socket.once('close', () => {
+      connections.delete(connection);
+      unauthenticated.release(socket);
+    });
     if (isClosing) connection.close('server is closing');
   });
+  const unauthenticated = boundConnections(
+    server,
+    Math.floor(maxDescriptors * UNAUTHENTICATED_SHARE),
+    (socket) => {
+      options.onTooMany?.();
+      socket.destroy();
+    },
+  );
   await listen(server, address);
   return {
     peers,
--- a/packages/link/src/metrics-server.ts
+++ b/packages/link/src/metrics-server.ts
@@ -1,10 +1,15 @@
 /** HTTP endpoint that serves a daemon's metrics in the Prometheus text format. */
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import { splitAddress } from '@bramleykeel/core';
+import { createBoundedHttpServer } from './bounded-http.js';
 import type { PrometheusCounters } from './counters.js';
 
 export const METRICS_PATH = '/metrics';
 
+/** Metrics are read by a few collectors only. */
+const MAX_CONNECTIONS = 64;
+const MAX_REQUESTS = 4;
+
 /**
  * Serves `GET /metrics` on `address`.
  *
@@ -16,7 +21,13 @@
   address: string,
   counters: PrometheusCounters,
 ): Promise<Server> {
-  const server = createServer((request, response) => {
+  const bounds = {
+    maxConnections: MAX_CONNECTIONS,
+    maxRequests: MAX_REQUESTS,
+    counters,
+    name: 'metrics',
+  };
+  const server = createBoundedHttpServer(bounds, (request, response) => {
     request.resume();
     if (request.method !== 'GET' || request.url !== METRICS_PATH) {
       response.writeHead(404).end();
@@ -26,9 +37,6 @@
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(metrics);
     });
   });
-  server.on('clientError', (_error, socket) => {
-    socket.destroy();
-  });
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/packages/postgres-wire/src/message-framer.ts
+++ b/packages/postgres-wire/src/message-framer.ts
@@ -1,4 +1,10 @@
 /** Splits a PostgreSQL protocol 3 byte stream into messages, and limits the length of each. */
+import {
+  appendBytes,
+  type ByteAccumulator,
+  createAccumulator,
+  takeAllBytes,
+} from '@bramleykeel/core';
 
 /** One message: its type byte (0 for startup packets) and the complete frame, header included. */
 export interface WireMessage {
@@ -12,13 +18,15 @@
   | { readonly kind: 'malformed' };
 
 export interface MessageFramer {
-  readonly maxMessageBytes: number;
+  maxMessageBytes: number;
   /** Whether startup packets are expected, which have no type byte. */
   isStartup: boolean;
   /** Consecutive messages of this type are returned as one; used for data rows of large results. */
   readonly mergedType: number | undefined;
   /** Received bytes that are not yet returned as messages. */
-  bufferedInput: Buffer;
+  readonly received: ByteAccumulator;
+  /** Number of received bytes below which no further message can be complete. */
+  neededBytes: number;
 }
 
 const TYPE_BYTES = 1;
@@ -31,7 +39,21 @@
   isStartup: boolean,
   mergedType?: number,
 ): MessageFramer {
-  return { maxMessageBytes, isStartup, mergedType, bufferedInput: Buffer.alloc(0) };
+  const received = createAccumulator();
+  return { maxMessageBytes, isStartup, mergedType, received, neededBytes: 0 };
+}
+
+/** Number of bytes of memory that the framer holds. */
+export function bufferedBytesOf({ received }: MessageFramer): number {
+  return received.bytes;
+}
+
+/** Puts messages back, to be returned again before later bytes. */
+export function returnMessages(framer: MessageFramer, messages: readonly WireMessage[]): void {
+  const rest = takeAllBytes(framer.received);
+  for (const { frame } of messages) appendBytes(framer.received, frame);
+  appendBytes(framer.received, rest);
+  framer.neededBytes = 0;
 }
 
 /**
@@ -43,9 +65,13 @@
  * frameMessages(framer, chunk); // { kind: 'messages', messages: [...] }
  */
 export function frameMessages(framer: MessageFramer, chunk: Buffer): FramingResult {
-  const input =
-    framer.bufferedInput.length === 0 ? chunk : Buffer.concat([framer.bufferedInput, chunk]);
+  const { received } = framer;
   const messages: WireMessage[] = [];
+  if (received.bytes > 0) appendBytes(received, chunk);
+  if (received.bytes > 0 && received.bytes < framer.neededBytes)
+    return { kind: 'messages', messages };
+  const input = received.bytes > 0 ? takeAllBytes(received) : chunk;
+  framer.neededBytes = 0;
   let offset = 0;
   let mergeStart = -1;
   for (;;) {
@@ -56,7 +82,10 @@
     const limitBytes = framer.isStartup ? MAX_STARTUP_BYTES : framer.maxMessageBytes;
     if (lengthBytes > limitBytes) return { kind: 'too-large', lengthBytes, limitBytes };
     const end = offset + headerBytes - LENGTH_BYTES + lengthBytes;
-    if (end > input.length) break;
+    if (end > input.length) {
+      framer.neededBytes = end - offset;
+      break;
+    }
     const type = framer.isStartup ? 0 : (input[offset] ?? 0);
     if (type === framer.mergedType && mergeStart >= 0) {
       messages[messages.length - 1] = { type, frame: input.subarray(mergeStart, end) };
@@ -67,6 +96,6 @@
     offset = end;
     if (framer.isStartup) break;
   }
-  framer.bufferedInput = input.subarray(offset);
+  appendBytes(received, input.subarray(offset));
   return { kind: 'messages', messages };
 }
--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -56,6 +56,8 @@
   readonly environment: SessionEnvironment;
   readonly prepared: Map<string, { readonly access: 'read' | 'write'; readonly shape: string }>;
   values: Readonly<Record<string, string>>;
+  /** Bytes of `values` and `prepared`. */
+  stateBytes: number;
   state: ConnectionState;
   transaction: SessionTransaction | undefined;
   mark: LogPosition | null;
@@ -81,6 +83,7 @@
     environment,
     prepared: new Map(),
     values: {},
+    stateBytes: 0,
     state: 'idle',
     transaction: undefined,
     mark: null,
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -19,11 +19,21 @@
 import { type Admission, findAdmission, ANONYMOUS_CUSTOMER } from './access.js';
 import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
+import {
+  dropPrepared,
+  MAX_SESSION_STATE_BYTES,
+  prepareStatement,
+  setValue,
+} from './session-values.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 
 /** Retry delay sent to callers that are refused because of their rate, in milliseconds. */
 const RATE_RETRY_AFTER_MS = 500;
 const RETRY_AFTER_MS = 300;
+const STATE_TOO_LARGE = {
+  kind: 'malformed',
+  reason: `a session keeps at most ${MAX_SESSION_STATE_BYTES} bytes of values and prepared statements`,
+} as const;
 
 /** Queues a request; requests of a session are answered in order. */
 export function submitRequest(session: CallerSession, request: CallerRequest): void {
@@ -38,6 +48,7 @@
     session.requestSinceMs = performance.now();
     session.runningRequest = next;
     await runRequest(session, next);
+    session.port.endRequest();
   }
   session.isRunning = false;
   if (session.isClosed) rollBackOpenTransaction(session);
@@ -118,20 +129,21 @@
       });
     })
     .with({ kind: 'set' }, ({ name, value }) => {
-      session.values = { ...session.values, [name]: value };
-      acknowledgeRequest(session);
+      acknowledgeState(session, setValue(session, name, value));
     })
     .with({ kind: 'prepare' }, ({ name, access, shape }) => {
-      session.prepared.set(name, { access, shape });
-      acknowledgeRequest(session);
+      acknowledgeState(session, prepareStatement(session, name, { access, shape }));
     })
     .with({ kind: 'deallocate' }, ({ name }) => {
-      session.prepared.delete(name);
+      dropPrepared(session, name);
       acknowledgeRequest(session);
     })
     .with({ kind: 'malformed' }, (malformed) => {
       refuseStatement(session, malformed);
     })
+    .with({ kind: 'overloaded' }, () => {
+      refuseStatement(session, notRun('memory-pressure', RETRY_AFTER_MS));
+    })
     .exhaustive();
 }
 
@@ -140,6 +152,11 @@
   session.port.answer([], null, session.state, null);
 }
 
+function acknowledgeState(session: CallerSession, isKept: boolean): void {
+  if (isKept) acknowledgeRequest(session);
+  else refuseStatement(session, STATE_TOO_LARGE);
+}
+
 async function beginTransaction(session: CallerSession, isReadOnly: boolean): Promise<void> {
   if (session.transaction) {
     refuseStatement(session, { kind: 'malformed', reason: 'a transaction is open already' });
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -93,6 +93,8 @@
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
   readonly linkSecret: string;
+  /** Descriptors that the process may have open; the limit of the system if absent. */
+  readonly maxDescriptors?: number | undefined;
   readonly timing: TimingSettings;
   readonly memberAddresses: () => readonly string[];
   /** Time from `stop` until the process is killed, in milliseconds. */
@@ -168,7 +170,14 @@
 
   const linkServer = await listenForLinks(
     options.linkAddress,
-    { secret: options.linkSecret, ...ENTRY_LINK_TIMING },
+    {
+      secret: options.linkSecret,
+      ...ENTRY_LINK_TIMING,
+      maxDescriptors: options.maxDescriptors,
+      onTooMany: () => {
+        counters.count('limit.link-connections');
+      },
+    },
     {
       onRequest: (_peer, method, params) => handleRequest(app, method, params),
       onNotify: forwardEvent,
--- a/packages/statement-entry/src/types/caller-port.ts
+++ b/packages/statement-entry/src/types/caller-port.ts
@@ -27,7 +27,9 @@
       readonly shape: string;
     }
   | { readonly kind: 'deallocate'; readonly name: string }
-  | { readonly kind: 'malformed'; readonly reason: string };
+  | { readonly kind: 'malformed'; readonly reason: string }
+  /** A request that is not run because clients have used up the memory that the entry has for them. */
+  | { readonly kind: 'overloaded' };
 
 /** Reason why a caller's request has no result. */
 export type CallerError =
@@ -46,4 +48,8 @@
   ) => void;
   readonly refuse: (error: CallerError, state: ConnectionState) => void;
   readonly close: () => void;
+  /** Called after each request of the session has ended, in their order. */
+  readonly endRequest: () => void;
+  /** Called with the number of bytes of values and prepared statements that the session keeps. */
+  readonly keepState: (bytes: number) => void;
 }
