--- a/packages/bramleykeelctl/src/main.ts
+++ b/packages/bramleykeelctl/src/main.ts
@@ -17,6 +17,13 @@
   readSettingsTree,
   type Setting,
 } from './settings-commands.js';
+import {
+  changeEvacuation,
+  describeEvacuations,
+  formatEvacuation,
+  unreportedEntries,
+} from './evacuation-commands.js';
+import { type Explanation, formatExplanation, parseMark } from './format-explanation.js';
 import { formatStatus, type SystemStatus } from './format-status.js';
 import { formatTrace, traceRequest } from './trace.js';
 
@@ -165,6 +172,31 @@
       print(options, trace.lines, formatTrace(trace, options.id));
     },
   )
+  .command(
+    'explain <database>',
+    'show where a request would go now and why, without sending it',
+    (command) =>
+      command
+        .positional('database', { type: 'string', demandOption: true })
+        .option('customer', { type: 'string', demandOption: true })
+        .option('access', { choices: ['read', 'write'] as const, demandOption: true })
+        .option('mark', { type: 'string', describe: 'session mark as TERM.OFFSET' })
+        .option('max-age-ms', { type: 'number', describe: 'allowed staleness of a read' })
+        .example('$0 explain bookings --customer acme --access read', 'explain a read'),
+    async (options) => {
+      const { database, customer, access, mark } = options;
+      const position = mark === undefined ? null : parseMark(mark);
+      if (position === undefined) {
+        process.stderr.write('give --mark as TERM.OFFSET, such as 3.1207\n');
+        process.exit(EXIT_STATUS.usage);
+      }
+      const maxAgeMs = options['max-age-ms'] ?? null;
+      const params = { database, customer, access, mark: position, maxAgeMs };
+      const outcome = await callControl(readControlAccess(options), 'explain/request', params);
+      if (outcome.kind !== 'ok') exitWithOutcome(outcome);
+      print(options, outcome.result, formatExplanation(outcome.result as Explanation));
+    },
+  )
   .command(
     'get [path]',
     'show settings at or below a path',
@@ -309,6 +341,37 @@
       print(options, customers, lines.join('\n'));
     },
   )
+  .command(
+    'evacuations',
+    'list the evacuated zones, and the servers in each that still run statements or are primary',
+    (command) => command,
+    async (options) => {
+      const outcome = await callControl(readControlAccess(options), 'status/get', {});
+      if (outcome.kind !== 'ok') exitWithOutcome(outcome);
+      const status = outcome.result as SystemStatus;
+      const evacuations = describeEvacuations(status);
+      const lines = evacuations.flatMap(formatEvacuation);
+      const unreported = unreportedEntries(status);
+      if (unreported.length > 0) lines.push(`without a report from ${unreported.join(', ')}`);
+      print(options, evacuations, lines.length === 0 ? 'no zone is evacuated' : lines.join('\n'));
+    },
+  )
+  .command(
+    'evacuate <zone>',
+    'order that nothing more is sent to the servers of a zone, or withdraw that order',
+    (command) =>
+      command
+        .positional('zone', { type: 'string', demandOption: true })
+        .option('withdraw', { type: 'boolean', default: false, describe: 'withdraw the order' })
+        .example('$0 evacuate ub-a', 'send nothing more to the servers in ub-a'),
+    async (options) => {
+      const { zone, withdraw } = options;
+      const outcome = await changeEvacuation(readControlAccess(options), zone, !withdraw);
+      if (outcome.kind !== 'ok') exitWithOutcome(outcome);
+      const text = withdraw ? 'is no longer evacuated' : 'is evacuated';
+      print(options, outcome.result, `${zone} ${text}`);
+    },
+  )
   .command(
     'forget-server <group> <server>',
     'remove a permanently lost server from its group, so that quorums no longer include it',
--- a/packages/control/src/admin/operator-calls.ts
+++ b/packages/control/src/admin/operator-calls.ts
@@ -6,6 +6,7 @@
   type ControlState,
   isSecretFor,
   listAssignments,
+  listEvacuations,
   listGroups,
   listSettings,
   type OperatorSetting,
@@ -15,21 +16,15 @@
 } from '@bramleykeel/core';
 import type { LinkPeer } from '@bramleykeel/link';
 import { z } from 'zod';
+import { type CallAnswer, failure } from './call-answer.js';
+import { handleEvacuationChange, handleEvacuationIndex } from './evacuation-operator-calls.js';
 import {
   confirmLeadership,
   describeEntries,
   isInForce,
   type LeaderService,
 } from '../leader/leader-service.js';
-
-export type CallAnswer =
-  | { readonly kind: 'ok'; readonly result: unknown }
-  | {
-      readonly kind: 'error';
-      readonly code: 'bad-request' | 'denied' | 'conflict' | 'unavailable' | 'not-found';
-      readonly message: string;
-      readonly detail?: unknown;
-    };
+import { answerExplainCall } from './explain-call.js';
 
 const callSchema = z.strictObject({
   method: z.string(),
@@ -80,6 +75,14 @@
       return { kind: 'ok', result: service.driver.control().history };
     case 'status/get':
       return { kind: 'ok', result: await describeStatus(service) };
+    case 'evacuation/index':
+      return handleEvacuationIndex(service, params);
+    case 'evacuation/order':
+      return handleEvacuationChange(service, operator, params, true);
+    case 'evacuation/withdraw':
+      return handleEvacuationChange(service, operator, params, false);
+    case 'explain/request':
+      return answerExplainCall(service, params);
     case 'server/forget':
       return handleForgetServer(service, operator, params);
     default:
@@ -87,14 +90,6 @@
   }
 }
 
-function failure(
-  code: Extract<CallAnswer, { kind: 'error' }>['code'],
-  message: string,
-  detail?: unknown,
-): CallAnswer {
-  return { kind: 'error', code, message, detail };
-}
-
 function findOperator(
   control: ControlState,
   bootstrapTokenSha256Hex: string,
@@ -213,6 +208,7 @@
     },
     settingsRevision: control.settingsRevision,
     entries: describeEntries(service),
+    evacuations: listEvacuations(control),
     groups: listGroups(control),
     assignments: listAssignments(control),
     reports,
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -3,6 +3,7 @@
  * one statement of a caller, with its session values and prepared statement.
  */
 import type { CustomerName, GroupName, ServerName } from '../types/ids.js';
+import type { Homes } from '../placement/home-regions.js';
 import type { LogPosition } from '../types/position.js';
 
 /**
@@ -26,6 +27,8 @@
   /** Zero is the highest priority. */
   readonly priority: number;
   readonly isOpenToAll: boolean;
+  /** Regions in which its statements may run; empty without a limit. */
+  readonly homeRegions: readonly string[];
 }
 
 export interface StatementCustomer {
@@ -35,6 +38,8 @@
   readonly burst: number;
   /** Tokens that a new home of the customer's rate limit starts with when it takes over from another. */
   readonly afterMove: number;
+  /** Regions in which its statements may run; empty without a limit. */
+  readonly homeRegions: readonly string[];
 }
 
 export interface StatementGroup {
@@ -42,6 +47,8 @@
   readonly maxConnections: number;
   /** Whether a commit is acknowledged only once a replica has received it. */
   readonly isSynchronous: boolean;
+  /** Requests that a server may get in a second while it is cold; zero without a limit. */
+  readonly coldRatePerSecond: number;
 }
 
 /** Settings of the entries, decoded from an operators' document. */
@@ -71,6 +78,8 @@
   readonly isLeaving: boolean;
   readonly bornMs: number;
   readonly sequence: number;
+  /** For how long the server was still cold when it sent the announcement, in milliseconds; absent if it was not. */
+  readonly coldLeftMs?: number;
 }
 
 /** Returns whether `next` is newer than `current`, an announcement of the same server. */
@@ -122,12 +131,15 @@
   readonly budgetMs: number;
   /** Time within which it must be sent to a server or refused as not run, in milliseconds. */
   readonly startWithinMs: number;
+  /** Regions in which it may run, and through whose processes it may pass. */
+  readonly homes: Homes;
 }
 
 /** Why a statement was refused before it ran. */
 export type StatementRefusalReason =
   | 'no-owner'
   | 'no-primary'
+  | 'no-home-server'
   | 'owner-lost-before-start'
   | 'queue-full'
   | 'queue-timeout'
@@ -138,6 +150,8 @@
   | 'unknown-database'
   | 'entry-stopping'
   | 'memory-pressure'
+  /** Its caller has disconnected. */
+  | 'withdrawn'
   | 'unsupported-statement';
 
 /**
@@ -162,6 +176,8 @@
       readonly kind: 'not-run';
       readonly reason: StatementRefusalReason;
       readonly retryAfterMs: number;
+      /** Set if certainly no part of it was sent to a target; its rate token is returned then. */
+      readonly reachedNoTarget?: boolean;
     }
   | { readonly kind: 'aborted'; readonly reason: string }
   | { readonly kind: 'failed'; readonly text: string }
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -6,6 +6,7 @@
   acceptsWrites,
   chooseServer,
   comparePositions,
+  type CustomerName,
   dequeue,
   enqueue,
   extendDeadlines,
@@ -14,12 +15,14 @@
   refuse,
   type Route,
   type RouteContext,
+  type RouteRequest,
   type ServerName,
   startUnqueued,
   removeExpired,
 } from '@bramleykeel/core';
 import type { TargetConnection } from '../target/target-connection.js';
 import { acquireConnection, freeSlots, type TargetPool } from '../target/target-pool.js';
+import { hasOnlyEvacuatedTargets, isEvacuated } from './evacuated-targets.js';
 import type { GroupOwner, OwnerRequest, RunningRequest } from './owner-state.js';
 import { endRequest } from './request-end.js';
 import { startOnConnection } from './request-run.js';
@@ -48,6 +51,10 @@
 }
 
 function addToQueue(owner: GroupOwner, request: OwnerRequest): void {
+  if (hasOnlyEvacuatedTargets(owner)) {
+    endRequest(owner, request, 'idle', refuse('no-primary'));
+    return;
+  }
   const { queueTimeoutMs, failoverWaitMs } = owner.environment.settings.requests;
   const { customer } = request.session;
   const hasPrimary = primaryForWrites(owner) !== undefined;
@@ -77,10 +84,12 @@
   extendDeadlines(owner.queue, performance.now() + failoverWaitMs);
 }
 
-/** The primary that accepts writes, or `undefined` during a failover. */
+/** The primary that accepts writes, or `undefined` during a failover and while its zone is evacuated. */
 export function primaryForWrites(owner: GroupOwner): ServerName | undefined {
   const record = owner.environment.groupRecord();
-  return acceptsWrites(owner.failover, record) ? record.primary : undefined;
+  const { primary } = record;
+  if (primary === undefined || isEvacuated(owner, primary)) return undefined;
+  return acceptsWrites(owner.failover, record) ? primary : undefined;
 }
 
 /** Starts all waiting requests that can start now. */
@@ -93,7 +102,7 @@
     const queued = dequeue(owner.queue, (request) => {
       const route = routeRequest(owner, request, context);
       if (route.kind !== 'run') return false;
-      if (isAtCustomerLimit(owner, request, route.server)) return false;
+      if (isAtCustomerLimit(owner, request.session.customer, route.server)) return false;
       chosen = route.server;
       return true;
     });
@@ -121,16 +130,20 @@
   }
 }
 
-/** Refuses requests whose queue deadline has passed; none of them was executed. */
+/** Refuses requests that cannot be served or whose queue deadline has passed; none of them was executed. */
 export function expireWaiting(owner: GroupOwner): void {
   const reason = primaryForWrites(owner) === undefined ? 'no-primary' : 'queue-timeout';
-  for (const { item } of removeExpired(owner.queue, performance.now())) {
+  const expiredBeforeMs = hasOnlyEvacuatedTargets(owner)
+    ? Number.POSITIVE_INFINITY
+    : performance.now();
+  for (const { item } of removeExpired(owner.queue, expiredBeforeMs)) {
     const isAhead = isMarkAhead(owner, item.session.mark);
     endRequest(owner, item, 'idle', refuse(isAhead ? 'mark-ahead-of-group' : reason));
   }
 }
 
-function createRouteContext(owner: GroupOwner): RouteContext {
+/** The state that routing depends on, now. */
+export function createRouteContext(owner: GroupOwner): RouteContext {
   const record = owner.environment.groupRecord();
   const nowMs = performance.now();
   return {
@@ -142,6 +155,7 @@
     replicaWaitMs: owner.environment.settings.requests.replicaWaitMs,
     isUsable: (server) => {
       if (server === record.primary && primaryForWrites(owner) === undefined) return false;
+      if (isEvacuated(owner, server)) return false;
       return owner.pools.has(server) && (owner.unusableUntilMs.get(server) ?? 0) <= nowMs;
     },
     freeSlots: (server) => {
@@ -152,16 +166,24 @@
 }
 
 function routeRequest(owner: GroupOwner, request: OwnerRequest, context: RouteContext): Route {
-  const { session, readAgeAllowanceMs } = request;
+  const { session, intent, readAgeAllowanceMs } = request;
+  const waitedMs = context.nowMs - request.enqueuedAtMs;
+  const { mark } = session;
+  const routed = toRouteRequest(owner, { intent, mark, readAgeAllowanceMs, waitedMs });
+  return routed ? chooseServer(routed, context) : { kind: 'wait' };
+}
+
+/**
+ * The request as it is routed, with the writes that the owner knows to be acknowledged; `undefined` if it has to
+ * wait because its mark is past every position seen in the group.
+ */
+export function toRouteRequest(owner: GroupOwner, request: RouteRequest): RouteRequest | undefined {
+  if (isMarkAhead(owner, request.mark)) return undefined;
   const base = owner.baseMark;
-  const isAhead = isMarkAhead(owner, session.mark);
-  if (isAhead) return { kind: 'wait' };
   // Without a base mark, earlier acknowledged writes are unknown, so only the primary can serve
   // reads.
   const intent = base === undefined ? 'write' : request.intent;
-  const mark = latestOrBase(session.mark, base);
-  const waitedMs = context.nowMs - request.enqueuedAtMs;
-  return chooseServer({ intent, mark, readAgeAllowanceMs, waitedMs }, context);
+  return { ...request, intent, mark: latestOrBase(request.mark, base) };
 }
 
 function latestOrBase(mark: LogPosition, base: LogPosition | undefined): LogPosition {
@@ -180,12 +202,15 @@
  * While several customers are active, none may occupy more than half of a server's slots. Running
  * statements are not preempted, so long ones would block other customers despite the fair queue.
  */
-function isAtCustomerLimit(owner: GroupOwner, request: OwnerRequest, server: ServerName): boolean {
+export function isAtCustomerLimit(
+  owner: GroupOwner,
+  customer: CustomerName,
+  server: ServerName,
+): boolean {
   const pool = owner.pools.get(server);
   if (!pool || pool.slots < 2) return false;
-  const { customer } = request.session;
   const limit = Math.max(1, Math.floor(pool.slots * CUSTOMER_SLOT_SHARE));
-  if (runningCountOf(owner, request, server) < limit) return false;
+  if (runningCountOf(owner, customer, server) < limit) return false;
   return hasOtherActiveCustomer(owner.queue, customer, performance.now() - SOLE_CUSTOMER_AFTER_MS);
 }
 
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -1,6 +1,7 @@
 /** Runs a caller's session: its requests one at a time, its values, prepared names and transaction. */
 import {
   type CustomerName,
+  type Homes,
   latestPosition,
   type LogPosition,
   type StatementBody,
@@ -8,15 +9,16 @@
   type StatementRefusalReason,
   type StatementRoute,
 } from '@bramleykeel/core';
-import { admit } from '@bramleykeel/entry-shared';
+import { returnReceipt, takeTokens, type TokenReceipt } from '@bramleykeel/entry-shared';
 import { match } from 'ts-pattern';
 import {
   createStatementDeadlines,
   runStatement,
   type StatementDeadlines,
+  withdrawCaller,
 } from '../locate/owner-client.js';
 import { runNearest } from '../near/reader-client.js';
-import { type Admission, findAdmission, ANONYMOUS_CUSTOMER } from './access.js';
+import { ANONYMOUS_CUSTOMER, type CallerAccess, findAdmission, findHomes } from './access.js';
 import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import {
@@ -27,7 +29,7 @@
 } from './session-values.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 
-/** Retry delay sent to callers that are refused because of their rate, in milliseconds. */
+/** Retry delay sent to callers whose rate cannot be checked, in milliseconds. */
 const RATE_RETRY_AFTER_MS = 500;
 const RETRY_AFTER_MS = 300;
 const STATE_TOO_LARGE = {
@@ -35,6 +37,11 @@
   reason: `a session keeps at most ${MAX_SESSION_STATE_BYTES} bytes of values and prepared statements`,
 } as const;
 
+/** An admitted operation; callers without a key have no rate, so their operations have no token. */
+interface Admission extends CallerAccess {
+  readonly token: TokenReceipt | undefined;
+}
+
 /** Queues a request; requests of a session are answered in order. */
 export function submitRequest(session: CallerSession, request: CallerRequest): void {
   if (session.isClosed) return;
@@ -66,7 +73,7 @@
 
 /**
  * Answers the requests of a session that must end now. The outcome of a running one is unknown, unless it is a statement of a
- * transaction whose COMMIT was not sent.
+ * transaction whose COMMIT was not sent, or a write that no owner has.
  */
 export function abandonRequests(session: CallerSession): void {
   const { isRunning, runningRequest, queuedRequests, port } = session;
@@ -76,7 +83,11 @@
     session.state = isInTransaction ? 'failed' : 'idle';
     const kind = isInTransaction ? 'aborted' : 'unknown';
     const tag = runningRequest && 'tag' in runningRequest ? runningRequest.tag : undefined;
-    refuseRequest(session, { kind, reason: 'the entry stops' }, tag);
+    const isUnsent = !isInTransaction && isUnsentWrite(session);
+    const error = isUnsent
+      ? notRun('entry-stopping', RETRY_AFTER_MS)
+      : ({ kind, reason: 'the entry stops' } as const);
+    refuseRequest(session, error, tag);
   }
   session.isClosed = true;
   queuedRequests.forEach(() => {
@@ -85,9 +96,21 @@
   queuedRequests.length = 0;
 }
 
-/** Closes the session and rolls back an open transaction, after a running request has ended. */
+/** Whether the running request is a write that no owner has; reads may be at a reader. It is not sent any more. */
+function isUnsentWrite({ caller, runningRequest, prepared }: CallerSession): boolean {
+  if (caller.pending || !runningRequest) return false;
+  caller.isGone = true;
+  if (runningRequest.kind === 'statement') return runningRequest.access === 'write';
+  return runningRequest.kind === 'execute' && prepared.get(runningRequest.name)?.access === 'write';
+}
+
+/**
+ * Closes the session of a caller that has disconnected: withdraws its waiting statement, and rolls back an open
+ * transaction after a running request has ended.
+ */
 export function closeSession(session: CallerSession): void {
   session.isClosed = true;
+  withdrawCaller(session.caller);
   session.queuedRequests.length = 0;
   if (!session.isRunning) rollBackOpenTransaction(session);
 }
@@ -95,7 +118,19 @@
 function rollBackOpenTransaction(session: CallerSession): void {
   const { transaction } = session;
   session.transaction = undefined;
-  if (transaction) transaction.ownerPort?.sendRollback(transaction.number);
+  if (!transaction) return;
+  transaction.ownerPort?.sendRollback(transaction.number);
+  if (!transaction.mayHaveReachedTarget) returnToken(session, transaction.token);
+}
+
+function returnToken({ environment }: CallerSession, token: TokenReceipt | undefined): void {
+  if (!token) return;
+  environment.counters.count('rate.token-returned');
+  returnReceipt(environment.rates, token);
+}
+
+function hasReachedNoTarget(outcome: StatementOutcome): boolean {
+  return outcome.kind === 'not-run' && outcome.reachedNoTarget === true;
 }
 
 function runRequest(session: CallerSession, request: CallerRequest): Promise<void> | void {
@@ -164,9 +199,14 @@
   }
   const admission = await admitOperation(session, 'BEGIN');
   if (!admission) return;
-  const { route, customer } = admission;
   const number = session.environment.nextTransactionNumber();
-  session.transaction = { number, isReadOnly, route, customer, ownerPort: undefined };
+  session.transaction = {
+    ...admission,
+    number,
+    isReadOnly,
+    mayHaveReachedTarget: false,
+    ownerPort: undefined,
+  };
   session.state = 'open';
   acknowledgeRequest(session);
 }
@@ -208,8 +248,13 @@
   const admission = await admitOperation(session, tag);
   if (!admission) return;
   const { route, customer } = admission;
+  const homes = findHomes(session.environment, session.database, customer);
+  if (typeof homes === 'string') {
+    refuseRequest(session, notRun(homes, RETRY_AFTER_MS), tag, customer);
+    return;
+  }
   const draft = {
-    ...commonDraftFields(session, route, customer),
+    ...commonDraftFields(session, route, customer, homes),
     tag,
     access,
     body,
@@ -219,9 +264,10 @@
   const { owners, readers } = session.environment;
   const { group } = route;
   const outcome = await runNearest(readers, group, draft, deadlines.deadlineMs, async () => {
-    const result = await runStatement(owners, group, draft, undefined, deadlines);
+    const result = await runStatement(owners, group, draft, undefined, deadlines, session.caller);
     return result.outcome;
   });
+  if (hasReachedNoTarget(outcome)) returnToken(session, admission.token);
   if (outcome.kind === 'done' && access === 'write') advanceMark(session, outcome.position);
   deliverOutcome(session, outcome, tag);
 }
@@ -237,17 +283,22 @@
   if (refusal) return refusal;
   const { route, customer, number, isReadOnly } = transaction;
   const isFirst = transaction.ownerPort === undefined;
+  const homes = findHomes(session.environment, session.database, customer);
+  if (typeof homes === 'string') return notRun(homes, RETRY_AFTER_MS);
   const draft = {
-    ...commonDraftFields(session, route, customer),
+    ...commonDraftFields(session, route, customer, homes),
     tag,
     access,
     body,
     transaction: { number, isReadOnly, isFirst },
   };
   const deadlines = deadlinesOf(session, route);
-  const { owners } = session.environment;
-  const result = await runStatement(owners, route.group, draft, transaction.ownerPort, deadlines);
+  const { environment, caller } = session;
+  const { ownerPort } = transaction;
+  const { owners } = environment;
+  const result = await runStatement(owners, route.group, draft, ownerPort, deadlines, caller);
   transaction.ownerPort = result.port;
+  if (!hasReachedNoTarget(result.outcome)) transaction.mayHaveReachedTarget = true;
   return result.outcome;
 }
 
@@ -280,8 +331,14 @@
   return { kind: 'aborted', reason: 'the entry stops' };
 }
 
-function commonDraftFields(session: CallerSession, route: StatementRoute, customer: CustomerName) {
+function commonDraftFields(
+  session: CallerSession,
+  route: StatementRoute,
+  customer: CustomerName,
+  homes: Homes,
+) {
   return {
+    homes,
     customer,
     priority: route.priority,
     consistency: route.consistency,
@@ -303,11 +360,22 @@
     refuseRequest(session, notRun(admission, RETRY_AFTER_MS), tag);
     return undefined;
   }
-  if (admission.customer === ANONYMOUS_CUSTOMER) return admission;
-  const refusal = await admit(environment.rates, admission.customer, 1, undefined);
-  if (!refusal) return admission;
-  const reason = refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
-  refuseRequest(session, notRun(reason, RATE_RETRY_AFTER_MS), tag, admission.customer);
+  const homes = findHomes(environment, session.database, admission.customer);
+  if (typeof homes === 'string') {
+    refuseRequest(session, notRun(homes, RETRY_AFTER_MS), tag, admission.customer);
+    return undefined;
+  }
+  if (admission.customer === ANONYMOUS_CUSTOMER) return { ...admission, token: undefined };
+  const decision = await takeTokens(environment.rates, admission.customer, 1, undefined);
+  if (decision.kind === 'taken' && session.isClosed) {
+    returnToken(session, decision);
+    return undefined;
+  }
+  if (decision.kind === 'taken') return { ...admission, token: decision };
+  const reason =
+    decision.refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
+  const retryAfterMs = decision.retryAfterMs ?? RATE_RETRY_AFTER_MS;
+  refuseRequest(session, notRun(reason, retryAfterMs), tag, admission.customer);
   return undefined;
 }
 
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -12,6 +12,8 @@
 } from '@bramleykeel/entry-shared';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
 import { handleOwnerEnded, type OwnerClient, handleOutcome } from './locate/owner-client.js';
+import { decodeFateStatements, type EncodedFateRequest } from './locate/statement-fate.js';
+import { createReadAttempt, encodeMissingResult, missingResultOf } from './near/read-attempt.js';
 import {
   createReaderOffer,
   type EncodedReaderOffer,
@@ -20,7 +22,13 @@
   type ReaderOfferRequest,
 } from './near/reader-offer.js';
 import { readAtReplica, releaseServer, type ReplicaReads } from './near/replica-reads.js';
-import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
+import {
+  acceptRollback,
+  acceptStatement,
+  acceptWithdrawal,
+  type EntryChannel,
+  settleFates,
+} from './owner/owner-app.js';
 import type { StatementOwner } from './owner/owner-state.js';
 import {
   deliverServerAnnouncement,
@@ -58,14 +66,23 @@
 const REQUEST_HANDLERS: Readonly<Record<string, RequestHandler>> = {
   'rate/draw': (app, params) => answerEncodedDraw(app.draws, params as EncodedDraw),
   'reader/ask': (app, params) => {
-    const [group, epoch, zone, entryId] = params as EncodedReaderOfferRequest;
-    return answerOfferRequest(app, toGroupName(group), epoch, { zone, entryId });
+    const [group, epoch, zone, entryId, readerRunning] = params as EncodedReaderOfferRequest;
+    const request = { zone, entryId, readerRunning };
+    return answerOfferRequest(app, toGroupName(group), epoch, request);
   },
   'reader/run': async ({ replicaReads }, params) => {
     const { group, request } = decodeStatement(params as EncodedStatement);
     const deadlineMs = performance.now() + request.budgetMs;
-    const outcome = await readAtReplica(replicaReads, group, request, deadlineMs);
-    return outcome ? encodeOutcome(request.number, outcome) : null;
+    const attempt = createReadAttempt();
+    const outcome = await readAtReplica(replicaReads, group, request, deadlineMs, attempt);
+    if (outcome) return encodeOutcome(request.number, outcome);
+    return encodeMissingResult(missingResultOf(attempt));
+  },
+  'statement/fate': ({ registry }, params) => {
+    const request = params as EncodedFateRequest;
+    const [group, epoch, sentWithinMs] = request;
+    const owner = findStatementOwner(registry, group, epoch);
+    return (owner && settleFates(owner, decodeFateStatements(request), sentWithinMs)) ?? null;
   },
   'reader/release': ({ replicaReads }, params) => {
     const [group, server] = params as readonly [GroupName, ServerName];
@@ -91,6 +108,11 @@
     const [group, epoch, running] = params as EncodedOwnerEnded;
     handleOwnerEnded(app.owners, group, epoch, running);
   },
+  'statement/withdraw': (app, peer, params) => {
+    const [group, epoch, number] = params as [GroupName, number, number];
+    const owner = findStatementOwner(app.registry, group, epoch);
+    if (owner) acceptWithdrawal(owner, getOrCreateChannel(app, peer), number);
+  },
   'statement/rollback': (app, peer, params) => {
     const [group, epoch, transaction] = params as [GroupName, number, number];
     const owner = findStatementOwner(app.registry, group, epoch);
@@ -171,7 +193,12 @@
     request.number,
     isContinuation
       ? { kind: 'aborted', reason: 'the owner of the transaction has gone' }
-      : { kind: 'not-run', reason: 'no-owner', retryAfterMs: app.noOwnerRetryMs },
+      : {
+          kind: 'not-run',
+          reason: 'no-owner',
+          retryAfterMs: app.noOwnerRetryMs,
+          reachedNoTarget: true,
+        },
   );
 }
 
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -4,46 +4,55 @@
   type Assignment,
   assignmentOf,
   type GroupName,
+  mayForward,
   type Resource,
   type StatementOutcome,
+  type StatementRefusalReason,
   type StatementRequest,
 } from '@bramleykeel/core';
 import type { ControlClient } from '@bramleykeel/entry-shared';
 import { startInputDeadline } from '@bramleykeel/link';
 import type { EntryLinks } from './entry-links.js';
+import { askFates, isFateNeeded, type SentStatement } from './statement-fate.js';
 
-/** An owner with a given epoch, in this process or reached over a link. */
-export interface OwnerPort {
+export interface OwnerLocation {
   readonly group: GroupName;
   readonly epoch: number;
   readonly linkAddress: string;
   readonly isLocal: boolean;
+  /** Zone of the owner; `undefined` if it is not on record. */
+  readonly zone: string | undefined;
+}
+
+/** An owner with a given epoch, in this process or reached over a link. */
+export interface OwnerPort extends OwnerLocation {
   /** Sends a statement; returns `false` if it was certainly not sent. */
   readonly send: (request: StatementRequest) => boolean;
   readonly sendRollback: (transaction: number) => void;
+  /** Tells the owner that the caller of a statement has gone. */
+  readonly sendWithdrawal: (number: number) => void;
 }
 
 export interface OwnerClientOptions {
   readonly control: ControlClient;
   readonly links: () => EntryLinks;
+  readonly regionOf: (zone: string) => string;
   /** Passes a statement to the owner in this process; returns `false` if there is none with this epoch. */
   readonly sendLocally: (group: GroupName, epoch: number, request: StatementRequest) => boolean;
   readonly rollBackLocally: (group: GroupName, epoch: number, transaction: number) => void;
-  readonly sendOverLink: (
-    port: Omit<OwnerPort, 'send' | 'sendRollback'>,
-    request: StatementRequest,
-  ) => boolean;
-  readonly rollBackOverLink: (
-    port: Omit<OwnerPort, 'send' | 'sendRollback'>,
-    transaction: number,
-  ) => void;
+  readonly withdrawLocally: (group: GroupName, epoch: number, number: number) => void;
+  readonly sendOverLink: (port: OwnerLocation, request: StatementRequest) => boolean;
+  readonly rollBackOverLink: (port: OwnerLocation, transaction: number) => void;
+  readonly withdrawOverLink: (port: OwnerLocation, number: number) => void;
   readonly requestResource: (resource: Resource, zone: string | undefined) => void;
   /** Latest time at which a statement may start, by the monotonic clock; infinite unless the entry stops. */
   readonly lastStartMs: () => number;
 }
 
-interface PendingStatement {
+interface PendingStatement extends SentStatement {
   readonly port: OwnerPort;
+  /** Whether the owner has to be asked what became of the statement if the link to it breaks. */
+  readonly isFateNeeded: () => boolean;
   readonly resolve: (outcome: StatementOutcome | 'owner-lost') => void;
   readonly cancelDeadline: () => void;
 }
@@ -62,6 +71,23 @@
   readonly port: OwnerPort | undefined;
 }
 
+/** The caller of a session's statements, which run one at a time. */
+export interface StatementCaller {
+  isGone: boolean;
+  /** The statement that an owner has and has not answered. */
+  pending: { readonly port: OwnerPort; readonly number: number } | undefined;
+}
+
+export function createStatementCaller(): StatementCaller {
+  return { isGone: false, pending: undefined };
+}
+
+/** Withdraws the statement of a caller that has disconnected, unless a server runs it already. */
+export function withdrawCaller(caller: StatementCaller): void {
+  caller.isGone = true;
+  caller.pending?.port.sendWithdrawal(caller.pending.number);
+}
+
 export type StatementDraft = Omit<StatementRequest, 'number' | 'budgetMs' | 'startWithinMs'>;
 
 /** Deadlines of a statement, by the monotonic clock. */
@@ -98,7 +124,8 @@
 
 /**
  * Runs a statement through its group's owner. Statements that have not run, and reads outside
- * transactions, are resent until `startByMs`, or until the entry starts nothing more; all others are sent once.
+ * transactions, are resent until `startByMs`, or until the entry starts nothing more or the caller has gone; all
+ * others are sent once.
  *
  * @param transactionOwner the owner that holds the transaction, for statements after its first
  */
@@ -108,29 +135,49 @@
   draft: StatementDraft,
   transactionOwner: OwnerPort | undefined,
   deadlines: StatementDeadlines,
+  caller: StatementCaller = createStatementCaller(),
 ): Promise<RunResult> {
   const hasTransactionOwner = draft.transaction !== null && !draft.transaction.isFirst;
   // The entry may begin to stop while the statement waits.
-  const startByMs = () => Math.min(deadlines.startByMs, client.options.lastStartMs());
+  const startByMs = () =>
+    caller.isGone
+      ? Number.NEGATIVE_INFINITY
+      : Math.min(deadlines.startByMs, client.options.lastStartMs());
+  let reachedNoTarget = true;
+  let mayHaveRun = false;
+  const refused = (reason: StatementRefusalReason, retryAfterMs = RETRY_AFTER_MS) =>
+    mayHaveRun
+      ? ({ kind: 'timed-out' } as const)
+      : ({ kind: 'not-run', reason, retryAfterMs, reachedNoTarget } as const);
   for (;;) {
     const port = hasTransactionOwner ? transactionOwner : await awaitPort(client, group, startByMs);
-    if (!port) return { outcome: notRun('no-owner'), port: undefined };
+    if (!port || caller.isGone) return { outcome: refused('no-owner'), port };
+    if (!mayForward(draft.homes, port, client.options.regionOf)) {
+      const outcome = hasTransactionOwner ? aborted() : refused('no-home-server');
+      return { outcome, port: hasTransactionOwner ? port : undefined };
+    }
     const { deadlineMs } = deadlines;
-    const outcome = await sendOnce(client, port, draft, { deadlineMs, startByMs: startByMs() });
+    const sendDeadlines = { deadlineMs, startByMs: startByMs() };
+    const outcome = await sendOnce(client, port, draft, sendDeadlines, caller);
+    caller.pending = undefined;
     const isTooLateToStart = performance.now() >= startByMs();
     if (outcome === 'not-sent') {
       if (hasTransactionOwner) return { outcome: aborted(), port };
-      if (isTooLateToStart) return { outcome: notRun('no-owner'), port };
+      if (isTooLateToStart) return { outcome: refused('no-owner'), port };
       await delay(NOT_READY_RETRY_MS);
       continue;
     }
     if (outcome === 'owner-lost') {
+      mayHaveRun = true;
       const isRepeatable = draft.access === 'read' && draft.transaction === null;
       if (!isRepeatable || isTooLateToStart) return { outcome: outcomeOfOwnerLoss(draft), port };
       continue;
     }
-    const hasOwnerEnded = outcome.kind === 'not-run' && outcome.reason === 'no-owner';
-    if (!hasOwnerEnded || hasTransactionOwner || isTooLateToStart) return { outcome, port };
+    if (outcome.kind !== 'not-run') return { outcome, port };
+    reachedNoTarget &&= outcome.reachedNoTarget === true;
+    const hasOwnerEnded = outcome.reason === 'no-owner';
+    if (!hasOwnerEnded || hasTransactionOwner || isTooLateToStart)
+      return { outcome: refused(outcome.reason, outcome.retryAfterMs), port };
     await delay(NOT_READY_RETRY_MS);
   }
 }
@@ -146,8 +193,8 @@
   return { kind: 'aborted', reason: 'the owner of the transaction was lost' };
 }
 
-function notRun(reason: 'no-owner'): StatementOutcome {
-  return { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS };
+function notRun(reachedNoTarget: boolean): StatementOutcome {
+  return { kind: 'not-run', reason: 'no-owner', retryAfterMs: RETRY_AFTER_MS, reachedNoTarget };
 }
 
 function sendOnce(
@@ -155,6 +202,7 @@
   port: OwnerPort,
   draft: StatementDraft,
   deadlines: StatementDeadlines,
+  caller: StatementCaller,
 ): Promise<StatementOutcome | 'owner-lost' | 'not-sent'> {
   const nowMs = performance.now();
   const number = client.nextNumber;
@@ -166,11 +214,16 @@
     budgetMs,
     startWithinMs: Math.max(0, deadlines.startByMs - nowMs),
   };
+  caller.pending = { port, number };
   return new Promise((resolve) => {
     const cancelDeadline = startInputDeadline(budgetMs + ANSWER_TRANSIT_MS, () => {
       settlePending(client, number, 'owner-lost');
     });
-    client.pending.set(number, { port, resolve, cancelDeadline });
+    const canStart = () => !caller.isGone && performance.now() < deadlines.startByMs;
+    client.pending.set(number, {
+      ...{ number, tag: draft.tag, sentAtMs: nowMs, port, resolve, cancelDeadline },
+      isFateNeeded: () => isFateNeeded(draft, canStart()),
+    });
     if (port.send(request)) return;
     cancelDeadline();
     client.pending.delete(number);
@@ -201,7 +254,7 @@
 
 /**
  * Handles the end of an owner's epoch. Pending statements that are not in `running` have not run and
- * never will, so they are settled as not run and go to the next owner.
+ * never will, so they are settled as not run and go to the next owner. A target may have refused them.
  */
 export function handleOwnerEnded(
   client: OwnerClient,
@@ -212,14 +265,38 @@
   client.endedEpochs.set(group, Math.max(epoch, client.endedEpochs.get(group) ?? 0));
   for (const [number, { port }] of [...client.pending]) {
     const wasSentToOwner = port.group === group && port.epoch === epoch;
-    if (wasSentToOwner && !running.includes(number))
-      settlePending(client, number, notRun('no-owner'));
+    if (wasSentToOwner && !running.includes(number)) settlePending(client, number, notRun(false));
   }
 }
 
-/** Handles a closed link; statements sent over it get no answer. */
+/**
+ * Handles a closed link; statements sent over it get no answer. While the owner's epoch continues, the owner is asked
+ * which of them have not started.
+ */
 export function handleLinkLost(client: OwnerClient, linkAddress: string): void {
-  failPending(client, (port) => !port.isLocal && port.linkAddress === linkAddress);
+  const asked = new Map<string, PendingStatement[]>();
+  for (const pending of [...client.pending.values()]) {
+    const { port, number } = pending;
+    if (port.isLocal || port.linkAddress !== linkAddress) continue;
+    if (!pending.isFateNeeded()) {
+      settlePending(client, number, 'owner-lost');
+      continue;
+    }
+    const owner = `${port.group} ${port.epoch}`;
+    asked.set(owner, [...(asked.get(owner) ?? []), pending]);
+  }
+  for (const statements of asked.values()) void settleByFate(client, statements);
+}
+
+async function settleByFate(
+  client: OwnerClient,
+  statements: readonly PendingStatement[],
+): Promise<void> {
+  const [first] = statements;
+  if (!first) return;
+  const notStarted = new Set(await askFates(client.options, first.port, statements));
+  for (const { number } of statements)
+    settlePending(client, number, notStarted.has(number) ? notRun(true) : 'owner-lost');
 }
 
 /**
@@ -240,12 +317,6 @@
   }, SUPERSEDED_GRACE_MS);
 }
 
-function failPending(client: OwnerClient, isAffected: (port: OwnerPort) => boolean): void {
-  for (const [number, { port }] of [...client.pending]) {
-    if (isAffected(port)) settlePending(client, number, 'owner-lost');
-  }
-}
-
 async function awaitPort(
   client: OwnerClient,
   group: GroupName,
@@ -298,10 +369,10 @@
 function createPort(
   { options }: OwnerClient,
   group: GroupName,
-  { epoch, linkAddress }: Assignment,
+  { epoch, linkAddress, zone }: Assignment,
   isLocal: boolean,
 ): OwnerPort {
-  const location = { group, epoch, linkAddress, isLocal };
+  const location = { group, epoch, linkAddress, isLocal, zone };
   if (!isLocal) {
     return {
       ...location,
@@ -309,6 +380,9 @@
       sendRollback: (transaction) => {
         options.rollBackOverLink(location, transaction);
       },
+      sendWithdrawal: (number) => {
+        options.withdrawOverLink(location, number);
+      },
     };
   }
   return {
@@ -317,5 +391,8 @@
     sendRollback: (transaction) => {
       options.rollBackLocally(group, epoch, transaction);
     },
+    sendWithdrawal: (number) => {
+      options.withdrawLocally(group, epoch, number);
+    },
   };
 }
--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -8,7 +8,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { StatementDraft } from '../locate/owner-client.js';
 import type { OpenTargetOutcome, TargetAnswer, TargetOrder } from '../types/target-port.js';
-import type { ReaderOffer } from './reader-offer.js';
+import type { ReaderOffer, RunningCounts } from './reader-offer.js';
 import {
   closeEndedReaders,
   createReplicaReads,
@@ -33,6 +33,7 @@
   maxReadAgeMs: 1_500,
   mark: null,
   values: {},
+  homes: null,
 };
 
 interface TestContext {
@@ -46,7 +47,18 @@
   openCount: number;
   openedCount: number;
   openOutcome: OpenTargetOutcome['kind'];
+  readonly logged: string[];
   offerRequestCount: number;
+  evacuatedZones: ReadonlySet<string>;
+  mayBeCold: boolean;
+  /** Time that servers take for an order, in milliseconds. */
+  answerMs: number;
+  /** Address of a server that fails all statements. */
+  failingAddress: string | undefined;
+  /** Addresses of the opened connections. */
+  readonly openedAddresses: string[];
+  /** Counts in the last request for an offer. */
+  requestedWith: RunningCounts;
 }
 
 function createContext(): TestContext {
@@ -61,6 +73,7 @@
     server: 'i-1' as ReaderOffer['servers'][number]['server'],
     address: '127.0.0.1:1',
     slots: 2,
+    zone: 'zone-a',
   };
   const context: TestContext = {
     orders: [],
@@ -71,9 +84,21 @@
     openCount: 0,
     openedCount: 0,
     openOutcome: 'open',
+    logged: [],
     offerRequestCount: 0,
+    evacuatedZones: new Set(),
+    mayBeCold: false,
+    answerMs: 0,
+    failingAddress: undefined,
+    openedAddresses: [],
+    requestedWith: [],
     reads: createReplicaReads({
-      zone: 'zone-a',
+      regionOf: (zone) => zone,
+      evacuatedZones: () => context.evacuatedZones,
+      mayBeCold: () => context.mayBeCold,
+      log: (message) => {
+        context.logged.push(message);
+      },
       counters: {
         count: () => undefined,
         gauge: () => undefined,
@@ -83,16 +108,18 @@
       },
       formerReader: () => context.former,
       maxServerConnections: () => context.maxServerConnections,
-      requestOffer: () => {
+      requestOffer: (_group, running) => {
         context.offerRequestCount += 1;
+        context.requestedWith = running;
         return Promise.resolve(context.offer);
       },
-      openTarget: ({ customer }) => {
+      openTarget: ({ customer, address }) => {
         if (context.openOutcome === 'failed')
           return Promise.resolve({ kind: 'failed', why: 'unreachable' });
         let isOpen = true;
         context.openCount += 1;
         context.openedCount += 1;
+        context.openedAddresses.push(address);
         const connection = {
           customer,
           isOpen: () => isOpen,
@@ -102,7 +129,10 @@
           },
           send: (order: TargetOrder) => {
             context.orders.push(order);
-            return Promise.resolve(context.answers.shift() ?? done);
+            vi.advanceTimersByTime(context.answerMs);
+            const failed: TargetAnswer = { kind: 'failed', text: 'no', state: 'idle' };
+            const answer = address === context.failingAddress ? failed : done;
+            return Promise.resolve(context.answers.shift() ?? answer);
           },
         };
         return Promise.resolve({ kind: 'open', connection, position: null });
@@ -244,6 +274,60 @@
     expect(context.openCount).toBe(expected);
   });
 
+  // Guards against a reader that sends all it can to the first replica.
+  it('are distributed over the replicas evenly', async () => {
+    offerTwoServers(0);
+    context.answerMs = 1;
+    await renewOffer();
+    for (let index = 0; index < 400; index += 1)
+      await read({ customer: toCustomerName(`customer-${index}`) });
+    const first = context.openedAddresses.filter((address) => address === '127.0.0.1:1').length;
+    expect(first / context.openedAddresses.length).toBeGreaterThan(0.35);
+    expect(first / context.openedAddresses.length).toBeLessThan(0.65);
+  });
+
+  it('leave a replica out that the owner keeps busy', async () => {
+    offerTwoServers(8);
+    context.answerMs = 20;
+    await renewOffer();
+    context.openedAddresses.length = 0;
+    for (let index = 0; index < 20; index += 1)
+      await read({ customer: toCustomerName(`customer-${index}`) });
+    expect(new Set(context.openedAddresses)).toEqual(new Set(['127.0.0.1:1']));
+  });
+
+  // Guards against a replica whose answers fail and that gets half of the reads because it answers fast.
+  it('are withheld from a replica that fails them, with a log line', async () => {
+    offerTwoServers(0);
+    context.answerMs = 1;
+    await renewOffer();
+    context.failingAddress = '127.0.0.1:2';
+    for (let index = 0; index < 200; index += 1)
+      await read({ customer: toCustomerName(`customer-${index}`) });
+    const opened = context.openedAddresses.filter((address) => address === '127.0.0.1:2').length;
+    expect(opened).toBeLessThan(40);
+    expect(context.logged).toContain('server set aside');
+  });
+
+  it('report the statements that run on each replica with the request for an offer', async () => {
+    const reading = read();
+    await renewOffer();
+    await reading;
+    expect(context.requestedWith).toEqual([['i-1', 1]]);
+  });
+
+  function offerTwoServers(ownerRunning: number): void {
+    const [first] = context.offer?.servers ?? [];
+    if (!first || !context.offer) throw new Error('no offer');
+    const second = { ...first, server: 'i-2' as typeof first.server, address: '127.0.0.1:2' };
+    context.offer = { ...context.offer, servers: [first, { ...second, ownerRunning }] };
+  }
+
+  async function renewOffer(): Promise<void> {
+    vi.advanceTimersByTime(1_010);
+    await read();
+  }
+
   it('close the connections to a server that became the primary', async () => {
     await read();
     expect(releaseServer(context.reads, group, 'i-1')).toBe(true);
@@ -251,6 +335,53 @@
     expect(await read()).toBeUndefined();
   });
 
+  // Guards against reads that reach an evacuated server until the owner's next offer.
+  it('use no server in an evacuated zone, also one that is on offer', async () => {
+    context.evacuatedZones = new Set(['zone-a']);
+    expect(await read()).toBeUndefined();
+    expect(context.openedCount).toBe(0);
+    context.evacuatedZones = new Set(['zone-b']);
+    expect(await read()).toMatchObject({ kind: 'done' });
+  });
+
+  // Guards against reads at a server that has restarted and is cold, which its owner limits.
+  it('use a server whose connection broke only after an offer that was requested afterwards', async () => {
+    context.mayBeCold = true;
+    context.answers.push({ kind: 'lost' });
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    const { offer } = context;
+    context.offer = undefined;
+    vi.advanceTimersByTime(1_600);
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    context.offer = offer;
+    vi.advanceTimersByTime(300);
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    expect(await read({ maxReadAgeMs: 9_000 })).toMatchObject({ kind: 'done' });
+  });
+
+  it('use it after the pause without one if no server is limited while it is cold', async () => {
+    context.answers.push({ kind: 'lost' });
+    expect(await read({ maxReadAgeMs: 9_000 })).toBeUndefined();
+    context.offer = undefined;
+    vi.advanceTimersByTime(1_600);
+    expect(await read({ maxReadAgeMs: 9_000 })).toMatchObject({ kind: 'done' });
+  });
+
+  it.each([
+    { homes: ['zone-a'], isServed: true },
+    { homes: ['zone-b'], isServed: false },
+  ])('with the homes $homes run on the replica: $isServed', async ({ homes, isServed }) => {
+    const outcome = await read({ homes });
+    expect(outcome !== undefined).toBe(isServed);
+  });
+
+  it('do not start if the zone was evacuated while the connection was being opened', async () => {
+    const outcome = read();
+    context.evacuatedZones = new Set(['zone-a']);
+    expect(await outcome).toBeUndefined();
+    expect(context.orders).toEqual([]);
+  });
+
   it('are handed over at a planned stop, with all connections closed before', async () => {
     await read();
     const openAtRelease: number[] = [];
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -6,15 +6,21 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   areFormerConnectionsClosed,
+  chooseLeastDelay,
   connectionLimit,
+  type CustomerName,
   type FormerHolder,
   type GroupName,
+  isHome,
   latestPosition,
   type LogPosition,
+  NEW_CONNECTION_MS,
+  recordOthers,
   type ServerAnnouncement,
   type StatementOutcome,
+  takesRead,
 } from '@bramleykeel/core';
-import type { Counters } from '@bramleykeel/link';
+import type { Counters, Log } from '@bramleykeel/link';
 import type { StatementDraft } from '../locate/owner-client.js';
 import {
   createServerState,
@@ -35,16 +41,30 @@
   statementOrder,
   valuesKeyOf,
 } from '../target/connection-setup.js';
+import { judgeServers } from '../target/judge-servers.js';
+import { sendMeasured } from '../target/measured-order.js';
 import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
-import type { NearServer, ReaderOffer } from './reader-offer.js';
+import { createReadAttempt, type ReadAttempt } from './read-attempt.js';
+import type { NearServer, ReaderOffer, RunningCounts } from './reader-offer.js';
 import { mayReadAtReplica } from './reader-client.js';
 
 export interface ReplicaReadsOptions {
-  readonly zone: string;
+  readonly regionOf: (zone: string) => string;
+  /** Zones on whose servers nothing starts. */
+  readonly evacuatedZones: () => ReadonlySet<string>;
+  /** Whether the group's servers are limited while they are cold. */
+  readonly mayBeCold: (group: GroupName) => boolean;
   readonly openTarget: OpenTarget;
   readonly counters: Counters;
-  /** Requests an offer from the group's owner; `undefined` if it makes none. */
-  readonly requestOffer: (group: GroupName) => Promise<ReaderOffer | undefined>;
+  readonly log: Log;
+  /**
+   * Requests an offer from the group's owner, with the statements that run here on each server; `undefined` if it
+   * makes none.
+   */
+  readonly requestOffer: (
+    group: GroupName,
+    running: RunningCounts,
+  ) => Promise<ReaderOffer | undefined>;
   /** The former reader of the group in this region; `undefined` while this entry does not hold the role. */
   readonly formerReader: (group: GroupName) => FormerHolder | undefined;
   /** Maximum number of connections to one server of the group, of all callers together. */
@@ -55,6 +75,8 @@
   readonly group: GroupName;
   readonly pools: PoolContext;
   readonly servers: Map<string, ServerState>;
+  /** When connections to a server broke, unless an offer that was requested later lists the server again. */
+  readonly brokenAtMs: Map<ServerState, number>;
   /** Offered positions, oldest first; each includes all writes acknowledged before its request. */
   readonly positions: { readonly requestedAtMs: number; readonly position: LogPosition }[];
   lastRequestMs: number;
@@ -105,6 +127,7 @@
 /**
  * Tries to run a read at a replica of the region, as the group's reader.
  *
+ * @param attempt records how far the read got
  * @returns the outcome, or `undefined` if the owner has to run it; the read leaves no state behind
  */
 export async function readAtReplica(
@@ -112,17 +135,18 @@
   group: GroupName,
   draft: StatementDraft,
   deadlineMs: number,
+  attempt: ReadAttempt = createReadAttempt(),
 ): Promise<StatementOutcome | undefined> {
   if (!mayReadAtReplica(draft) || reads.isStopping) return undefined;
   if (!reads.options.formerReader(group)) return undefined;
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(readGroup);
+  const server = after && findAvailableServer(reads, readGroup, draft);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
-    return await runOnServer(reads, readGroup, server, draft, after, deadlineMs);
+    return await runOnServer(reads, readGroup, server, draft, after, deadlineMs, attempt);
   } finally {
     server.runningCount -= 1;
   }
@@ -185,6 +209,7 @@
       maxConnections: ({ announcement: { slots } }) => maxConnections(reads, group, slots),
     },
     servers: new Map(),
+    brokenAtMs: new Map(),
     positions: [],
     lastRequestMs: Number.NEGATIVE_INFINITY,
     isRequesting: false,
@@ -206,7 +231,7 @@
     return;
   readGroup.isRequesting = true;
   readGroup.lastRequestMs = requestedAtMs;
-  void reads.options.requestOffer(readGroup.group).then((offer) => {
+  void reads.options.requestOffer(readGroup.group, runningCountsOf(readGroup)).then((offer) => {
     readGroup.isRequesting = false;
     // Offers were discarded while this request was in progress, which reset lastRequestMs.
     if (readGroup.lastRequestMs !== requestedAtMs) return;
@@ -216,14 +241,20 @@
     }
     readGroup.positions.push({ requestedAtMs, position: offer.position });
     if (readGroup.positions.length > MAX_KEPT_POSITIONS) readGroup.positions.shift();
-    updateServers(reads, readGroup, offer.servers);
+    updateServers(readGroup, offer.servers, requestedAtMs);
   });
 }
 
+function runningCountsOf({ servers }: ReadGroup): RunningCounts {
+  return [...servers.values()].map(
+    ({ announcement: { server }, runningCount }) => [server, runningCount] as const,
+  );
+}
+
 function updateServers(
-  reads: ReplicaReads,
   readGroup: ReadGroup,
   servers: readonly NearServer[],
+  requestedAtMs: number,
 ): void {
   const nowMs = performance.now();
   const offered = new Map(servers.map((server) => [`${server.server}@${server.address}`, server]));
@@ -231,19 +262,24 @@
     if (offered.has(key)) continue;
     retireServer(state);
     readGroup.servers.delete(key);
+    readGroup.brokenAtMs.delete(state);
   }
+  for (const [state, atMs] of readGroup.brokenAtMs)
+    if (state.isRetired || atMs < requestedAtMs) readGroup.brokenAtMs.delete(state);
   for (const [key, server] of offered) {
-    if (readGroup.servers.get(key)?.isRetired === false) continue;
+    const { ownerRunning, ...place } = server;
+    const existing = readGroup.servers.get(key);
     const announcement: ServerAnnouncement = {
-      ...server,
+      ...place,
       group: readGroup.group,
-      zone: reads.options.zone,
       role: 'replica',
       isLeaving: false,
       bornMs: 0,
       sequence: 0,
     };
-    readGroup.servers.set(key, createServerState(announcement, nowMs));
+    const state = existing?.isRetired === false ? existing : createServerState(announcement, nowMs);
+    readGroup.servers.set(key, state);
+    if (ownerRunning !== undefined) recordOthers(state.load, ownerRunning, nowMs);
   }
 }
 
@@ -259,16 +295,45 @@
   return latestPosition(offered.position, draft.mark);
 }
 
-function findAvailableServer({ servers }: ReadGroup): ServerState | undefined {
+function findAvailableServer(
+  reads: ReplicaReads,
+  { group, servers, brokenAtMs }: ReadGroup,
+  { customer, homes }: Pick<StatementDraft, 'customer' | 'homes'>,
+): ServerState | undefined {
+  const { counters, log, mayBeCold, regionOf } = reads.options;
+  const isColdPossible = mayBeCold(group);
+  judgeServers(servers.values(), { group, path: 'reader', counters, log });
   const nowMs = performance.now();
-  return [...servers.values()].find(
+  const available = [...servers.values()].filter(
     (server) =>
       !server.isRetired &&
+      !isEvacuated(reads, server) &&
+      isHome(homes, regionOf(server.announcement.zone)) &&
+      // It may have restarted, and its owner does not offer it while it is cold.
+      !(isColdPossible && brokenAtMs.has(server)) &&
+      takesRead(server.health, server.runningCount, Math.random()) &&
       server.runningCount < server.announcement.slots * READS_PER_SLOT &&
       nowMs >= server.busyUntilMs &&
       nowMs >= server.laggingUntilMs &&
       (server.failingSinceMs === undefined || nowMs - server.failingSinceMs > FAILED_PAUSE_MS),
   );
+  const candidates = available.map((server) => ({
+    server,
+    slots: server.announcement.slots,
+    running: server.runningCount,
+    others: server.load.others,
+    serviceMs: server.load.service.get('read')?.meanMs,
+    extraMs: hasIdleConnection(server, customer) ? 0 : NEW_CONNECTION_MS,
+  }));
+  return chooseLeastDelay(candidates, nowMs, Math.random())?.server;
+}
+
+function hasIdleConnection({ idle }: ServerState, customer: CustomerName): boolean {
+  return idle.some(({ connection }) => connection.customer === customer);
+}
+
+function isEvacuated({ options }: ReplicaReads, { announcement }: ServerState): boolean {
+  return options.evacuatedZones().has(announcement.zone);
 }
 
 async function runOnServer(
@@ -278,30 +343,45 @@
   draft: StatementDraft,
   after: LogPosition,
   deadlineMs: number,
+  attempt: ReadAttempt,
 ): Promise<StatementOutcome | undefined> {
   const valuesKey = valuesKeyOf(draft.values);
   if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
   const acquired = await acquireConnection(readGroup.pools, server, draft.customer, valuesKey);
-  if (acquired.kind === 'unavailable') return undefined;
+  if (acquired.kind === 'unavailable') {
+    recordIfBroken(readGroup, server);
+    return undefined;
+  }
   const { pooled } = acquired;
+  // The order may have arrived while the connection was being opened.
+  if (isEvacuated(reads, server)) {
+    releaseConnection(pooled);
+    return undefined;
+  }
+  attempt.hasReachedTarget = true;
   for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
     const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setupAnswer.kind !== 'done') {
-      handleBrokenConnection(server, pooled);
+      handleBrokenConnection(readGroup, server, pooled);
       return undefined;
     }
     recordSetup(pooled, order);
   }
   const remainingMs = deadlineMs - performance.now();
-  const answer = await pooled.connection.send(
+  attempt.mayHaveRun = true;
+  const answer = await sendMeasured(
+    pooled,
     statementOrder(draft, after),
+    'read',
     remainingMs * REPLICA_TIMEOUT_FRACTION,
   );
+  attempt.mayHaveRun = answer.kind !== 'refused';
   reads.options.counters.count(`near.${answer.kind}`);
-  return settleRead(server, pooled, answer);
+  return settleRead(readGroup, server, pooled, answer);
 }
 
 function settleRead(
+  readGroup: ReadGroup,
   server: ServerState,
   pooled: PooledConnection,
   answer: TargetAnswer,
@@ -313,7 +393,7 @@
     return { kind: 'done', rows, signature, position, isFromReplica: true };
   }
   if (answer.kind === 'lost' || answer.kind === 'overdue') {
-    handleBrokenConnection(server, pooled);
+    handleBrokenConnection(readGroup, server, pooled);
     return undefined;
   }
   if (answer.state === 'idle') releaseConnection(pooled);
@@ -326,9 +406,18 @@
   return undefined;
 }
 
+function recordIfBroken({ brokenAtMs }: ReadGroup, server: ServerState): void {
+  if (server.failingSinceMs !== undefined) brokenAtMs.set(server, performance.now());
+}
+
 /** Closes the connection and the server's idle ones, which may be broken as well. */
-function handleBrokenConnection(server: ServerState, pooled: PooledConnection): void {
+function handleBrokenConnection(
+  { brokenAtMs }: ReadGroup,
+  server: ServerState,
+  pooled: PooledConnection,
+): void {
   server.failingSinceMs = performance.now();
+  brokenAtMs.set(server, server.failingSinceMs);
   discardConnection(pooled);
   closeIdleConnections(server, () => true);
 }
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -22,6 +22,7 @@
   type ServerState,
   type StatementOwner,
 } from './owner-state.js';
+import { placementOf } from './placement.js';
 import { dropTransaction } from './transactions.js';
 import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
 import { orderPromotion, awaitPrimaryRole } from './order-promotion.js';
@@ -30,6 +31,8 @@
 const PLANNED_DRAIN_MS = 250;
 /** Time that commits then get to end before the leaving primary is fenced like a failed one, in milliseconds. */
 const PLANNED_COMMIT_MS = 150;
+/** The same for a primary that is replaced for its place alone; longer than the users' statements run. */
+const PLACEMENT_COMMIT_MS = 2_000;
 const DRAIN_POLL_MS = 5;
 const CHANGE_RETRY_MS = 80;
 /** Interval at which a change that keeps waiting for the same reason is logged, in milliseconds. */
@@ -41,6 +44,8 @@
   readonly former: ServerState | undefined;
   /** Whether the primary leaves as planned; it keeps its role until the successor takes over. */
   readonly isPlanned: boolean;
+  /** Whether the primary is replaced only because of its place, so that a withdrawn order cancels the change. */
+  readonly isForPlacement: boolean;
   /** Whether the change is cancelled if the primary answers again before the fence. */
   readonly isRevocable: boolean;
   /** Whether servers may already have been fenced. */
@@ -75,6 +80,7 @@
   const change: PrimaryChange = {
     former,
     isPlanned,
+    isForPlacement: isPlanned && former !== undefined && isMisplaced(owner, former),
     isRevocable: !isStalled,
     hasFenced: false,
     demoted: new Map(),
@@ -168,6 +174,7 @@
     return confirmed?.status.role === 'primary' ? confirmed : undefined;
   }
   if (currentPrimary && mayLeadOn(owner, change, currentPrimary)) return currentPrimary;
+  if (currentPrimary && mayAwaitCommits(owner, change, currentPrimary)) return undefined;
   const isPlanned =
     change.isPlanned &&
     !change.hasFenced &&
@@ -196,6 +203,18 @@
   return isOrdered ? awaitPrimaryRole(owner, choice.server) : undefined;
 }
 
+/** A primary that is replaced for its place alone is not fenced while its commits end, which were sent before. */
+function mayAwaitCommits(
+  owner: StatementOwner,
+  { isForPlacement, hasFenced }: PrimaryChange,
+  { server }: ServerStatus,
+): boolean {
+  const waitedMs = performance.now() - owner.leadership.sinceMs;
+  return (
+    isForPlacement && !hasFenced && waitedMs < PLACEMENT_COMMIT_MS && isCommitting(owner, server)
+  );
+}
+
 /** An order for a server chosen before may still be carried out, so the shorter log limits what is passed on. */
 function earliestChoice({ leadership }: StatementOwner, position: LogPosition): LogPosition {
   const former = leadership.kind === 'changing' ? leadership.chosenPosition : undefined;
@@ -204,17 +223,31 @@
 
 /** Whether the primary answers again, and neither it was told to give up its role nor was a successor chosen. */
 function mayLeadOn(
-  { leadership, acknowledgedPositions }: StatementOwner,
-  { isPlanned, isRevocable, demoted }: PrimaryChange,
+  owner: StatementOwner,
+  { isPlanned, isForPlacement, isRevocable, hasFenced, demoted }: PrimaryChange,
   { server, status }: ServerStatus,
 ): boolean {
+  const { leadership, acknowledgedPositions } = owner;
   const hasChosen = leadership.kind === 'changing' && leadership.chosenPosition !== undefined;
-  if (isPlanned || !isRevocable || hasChosen || demoted.has(server)) return false;
+  if (!isRevocable || hasChosen || demoted.has(server)) return false;
+  const isCancelled = !isMisplaced(owner, server) || isMovePostponed(owner, server);
+  if (isPlanned && (!isForPlacement || hasFenced || !isCancelled)) return false;
   return (
     !acknowledgedPositions || coversMark(status.position, newestAcknowledged(acknowledgedPositions))
   );
 }
 
+/** A primary outside its homes serves the other routes, so it leads on if no server in a home is ready to follow it. */
+function isMovePostponed(owner: StatementOwner, primary: ServerState): boolean {
+  const waitedMs = performance.now() - owner.leadership.sinceMs;
+  return placementOf(owner, primary) === 'outside-homes' && waitedMs >= BLOCKED_AFTER_MS;
+}
+
+/** Whether a server that stays is no place for the primary. */
+function isMisplaced(owner: StatementOwner, server: ServerState): boolean {
+  return !server.announcement.isLeaving && placementOf(owner, server) !== 'suitable';
+}
+
 function reportWait(
   owner: StatementOwner,
   change: PrimaryChange,
@@ -225,7 +258,10 @@
   if (leadership.kind !== 'changing') return;
   const nowMs = performance.now();
   const waitedMs = Math.round(nowMs - leadership.sinceMs);
-  if (waitedMs >= BLOCKED_AFTER_MS) updateChange(owner, { isBlocked: true });
+  const isEvacuatedPrimary =
+    change.former !== undefined && placementOf(owner, change.former) === 'evacuated';
+  const isNoPlaceLeft = change.isForPlacement && isEvacuatedPrimary && reason === 'no-candidate';
+  if (waitedMs >= BLOCKED_AFTER_MS || isNoPlaceLeft) updateChange(owner, { isBlocked: true });
   const { loggedWait } = change;
   if (loggedWait?.reason === reason && nowMs - loggedWait.atMs < WAIT_LOG_INTERVAL_MS) return;
   change.loggedWait = { reason, atMs: nowMs };
@@ -295,7 +331,7 @@
   return {
     fenced: fenced
       .filter(({ status }) => status.role === 'replica')
-      .filter(({ server }) => !isPlanned || !server.announcement.isLeaving)
+      .filter(({ server }) => !isPlanned || maySucceedAsPlanned(owner, former, server))
       .map(({ server, status }) => {
         const endAsPrimary = demoted.get(server);
         return {
@@ -303,6 +339,7 @@
           position: status.position,
           isLeaving: server.announcement.isLeaving,
           // A server whose log has become shorter has lost it in a restart.
+          placement: placementOf(owner, server),
           wasPrimary: endAsPrimary !== undefined && coversMark(status.position, endAsPrimary),
         };
       }),
@@ -316,6 +353,19 @@
   };
 }
 
+/** A primary that works is not replaced by one that would have to be replaced again. */
+function maySucceedAsPlanned(
+  owner: StatementOwner,
+  former: ServerState | undefined,
+  server: ServerState,
+): boolean {
+  const placement = placementOf(owner, server);
+  if (server.announcement.isLeaving || placement === 'evacuated') return false;
+  const isMove =
+    former?.announcement.isLeaving === false && placementOf(owner, former) === 'outside-homes';
+  return !isMove || placement === 'suitable';
+}
+
 /** Ends work on the former primary; in a planned change its running statements may finish. */
 function endFormerPrimaryWork(
   owner: StatementOwner,
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -12,6 +12,7 @@
   type ServerName,
   type StatementOutcome,
   removeExpired,
+  takesRead,
   type TargetRequirements,
   type TargetView,
   waitingCount,
@@ -19,14 +20,23 @@
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
 import { hasAvailableConnection } from '../target/connection-pool.js';
+import { judgeServers } from '../target/judge-servers.js';
+import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import {
+  coldAllowanceOf,
+  isCold,
+  isEvacuated,
+  isGraceOver,
+  isHomeOf,
   isToBeReplaced,
-  type Job,
-  primaryOf,
-  type ServerState,
-  type StatementOwner,
-} from './owner-state.js';
+  isWhollyEvacuated,
+  lacksHomeServer,
+  lacksPlaceForPrimary,
+  recordStart,
+  requestCountOf,
+} from './placement.js';
 import { runJob } from './run-job.js';
+import { dropTransaction } from './transactions.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
 /** Retry delay sent to callers with refusals, in milliseconds. */
@@ -45,8 +55,10 @@
 
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
-  if (isBlocked(owner) && isForPrimary(job)) {
-    endJob(owner, job, notRun('no-primary', BLOCKED_RETRY_AFTER_MS));
+  if (job.request.homes) owner.hasRestrictedStatements = true;
+  const refusal = immediateRefusal(owner, job);
+  if (refusal) {
+    endJob(owner, job, notRun(refusal, BLOCKED_RETRY_AFTER_MS));
     return;
   }
   if (job.transaction?.pooled) {
@@ -70,9 +82,29 @@
   return created;
 }
 
-/** Whether a change of primary waits for a server to return, so that waiting statements would only expire. */
-function isBlocked({ leadership }: StatementOwner): boolean {
-  return leadership.kind === 'changing' && leadership.isBlocked;
+/** Why a statement would only expire: no server may run it before another returns or an order is withdrawn. */
+function immediateRefusal(
+  owner: StatementOwner,
+  job: Job,
+): 'no-primary' | 'no-home-server' | undefined {
+  if (job.transaction?.pooled) return undefined;
+  if (isBlocked(owner) && isForPrimary(job)) return 'no-primary';
+  if (owner.environment.evacuatedZones().size > 0 && isWhollyEvacuated(owner)) return 'no-primary';
+  const isUnplaced = lacksHomeServer(owner, job.request.homes, isForPrimary(job));
+  return isUnplaced ? 'no-home-server' : undefined;
+}
+
+/** Whether some statements may have to be refused at once. */
+function mayRefuseAtOnce(owner: StatementOwner): boolean {
+  const hasOrders = owner.environment.evacuatedZones().size > 0;
+  return isBlocked(owner) || hasOrders || owner.hasRestrictedStatements;
+}
+
+/** Whether no server can lead before another one returns or an evacuation is withdrawn. */
+function isBlocked(owner: StatementOwner): boolean {
+  const { leadership } = owner;
+  if (leadership.kind === 'changing') return leadership.isBlocked;
+  return leadership.kind === 'led' && lacksPlaceForPrimary(owner);
 }
 
 /** Whether a statement or its transaction can only start on the primary. */
@@ -94,13 +126,23 @@
 /** Statements of open transactions go first because they hold a connection while they wait. */
 function startPinned(owner: StatementOwner): void {
   for (const job of [...owner.pinnedWaiting]) {
-    const server = job.transaction?.pooled?.server;
-    if (server && (freeSlots(server) <= 0 || isHeld(owner, job, server))) continue;
+    let server = job.transaction?.pooled?.server;
+    if (server && job.transaction && mustLeave(owner, job, server)) {
+      dropTransaction(owner, job.transaction);
+      server = undefined;
+    }
+    if (server && (freeSlots(owner, server) <= 0 || isHeld(owner, job, server))) continue;
     owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
+    if (server) recordStart(owner, server, job);
     void runJob(owner, job, server);
   }
 }
 
+/** Whether a transaction may not go on where it is open. */
+function mustLeave(owner: StatementOwner, job: Job, server: ServerState): boolean {
+  return isGraceOver(owner, server) || !isHomeOf(owner, job.request.homes, server);
+}
+
 /** Whether a statement waits because its transaction cannot commit any more on a primary that is replaced. */
 function isHeld({ leadership }: StatementOwner, job: Job, server: ServerState): boolean {
   if (leadership.kind !== 'changing' || job.transaction?.isReadOnly === true) return false;
@@ -119,31 +161,41 @@
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
     if (!next || !server) return;
+    recordStart(owner, server, next.item);
     void runJob(owner, next.item, server);
   }
 }
 
 function listTargetViews(owner: StatementOwner): TargetView[] {
   const primary = primaryOf(owner);
-  const { regionOf, zone } = owner.environment;
+  const { regionOf, zone, counters, log } = owner.environment;
+  judgeServers(owner.servers.values(), { group: owner.group, path: 'owner', counters, log });
   return [...owner.servers.values()].map((server) => ({
     server: server.announcement.server,
     // One that was promoted for its log while it leaves may be past the time in which it takes statements.
     isPrimary: server === primary && !isToBeReplaced(owner, server),
     isLeaving: server.announcement.isLeaving,
-    isUsable: server.failingSinceMs === undefined && hasAvailableConnection(owner.pools, server),
+    isUsable:
+      server.failingSinceMs === undefined &&
+      !isEvacuated(owner, server) &&
+      hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
-    freeSlots: freeSlots(server),
+    freeSlots: freeSlots(owner, server),
+    takesRead: takesRead(server.health, server.runningCount, Math.random()),
+    runningCount: server.runningCount,
+    others: server.load.others,
+    serviceMs: server.load.service.get('read')?.meanMs,
     connectedCustomers: new Set(server.idle.map(({ connection }) => connection.customer)),
     position: server.position,
     laggingUntilMs: server.laggingUntilMs,
   }));
 }
 
-function freeSlots(server: ServerState): number {
+function freeSlots(owner: StatementOwner, server: ServerState): number {
   if (performance.now() < server.busyUntilMs) return 0;
   const { slots } = server.announcement;
-  return slots + pipelineAllowance(server) - server.runningCount;
+  const free = slots + pipelineAllowance(server) - server.runningCount;
+  return Math.min(free, coldAllowanceOf(owner, server));
 }
 
 /** Extra statements that may be in transit to or from a distant server while its slots are busy. */
@@ -156,9 +208,10 @@
 
 function chooseServerFor(
   owner: StatementOwner,
-  { request, attempts }: Job,
+  job: Job,
   views: readonly TargetView[],
 ): ServerName | undefined {
+  const { request, attempts } = job;
   const { acknowledgedPositions } = owner;
   if (!acknowledgedPositions) return undefined;
   const nowMs = performance.now();
@@ -178,7 +231,29 @@
         : nowMs - request.maxReadAgeMs,
     mayAssumeCaughtUp: attempts === 0,
   };
-  return chooseTarget(views, requirements, nowMs);
+  return chooseTarget(viewsFor(owner, job, views), requirements, nowMs, Math.random());
+}
+
+/** Servers that may run a statement. Reads use cold ones only if no other has a free slot. */
+function viewsFor(
+  owner: StatementOwner,
+  job: Job,
+  views: readonly TargetView[],
+): readonly TargetView[] {
+  const isAnyCold = [...owner.servers.values()].some((server) => isCold(owner, server));
+  const { homes } = job.request;
+  if (!isAnyCold && homes === null) return views;
+  const count = requestCountOf(job);
+  const allowed = views.filter(({ server }) => {
+    const state = owner.servers.get(server);
+    return state && isHomeOf(owner, homes, state) && coldAllowanceOf(owner, state) >= count;
+  });
+  if (!isAnyCold || isForPrimary(job)) return allowed;
+  const warm = allowed.filter(({ server, freeSlots: free, isUsable }) => {
+    const state = owner.servers.get(server);
+    return state && !isCold(owner, state) && free > 0 && isUsable;
+  });
+  return warm.length > 0 ? warm : allowed;
 }
 
 /**
@@ -188,9 +263,13 @@
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
   for (const queue of owner.queues.values()) {
-    const blocked = isBlocked(owner) ? removeWaiting(queue, isForPrimary) : [];
-    for (const { item } of blocked)
-      endJob(owner, item, notRun('no-primary', BLOCKED_RETRY_AFTER_MS));
+    const blocked = mayRefuseAtOnce(owner)
+      ? removeWaiting(queue, (job) => immediateRefusal(owner, job) !== undefined)
+      : [];
+    for (const { item } of blocked) {
+      const reason = immediateRefusal(owner, item) ?? 'no-primary';
+      endJob(owner, item, notRun(reason, BLOCKED_RETRY_AFTER_MS));
+    }
     for (const { item } of removeExpired(queue, nowMs)) {
       endJob(owner, item, notRun(owner.leadership.kind === 'led' ? 'queue-timeout' : 'no-primary'));
     }
@@ -205,6 +284,10 @@
 export function requeueJob(owner: StatementOwner, job: Job): void {
   job.attempts += 1;
   if (job.isEnded) return;
+  if (job.isWithdrawn) {
+    endJob(owner, job, notRun('withdrawn'));
+    return;
+  }
   owner.environment.log('statement requeued', describeJob(owner, job));
   if (performance.now() >= job.startByMs || owner.isClosed) {
     endJob(owner, job, notRun('queue-timeout'));
@@ -235,7 +318,9 @@
   if (job.isEnded) return;
   job.isEnded = true;
   const contradictsExecution = proposed.kind === 'not-run' && job.mayHaveRun;
-  const outcome: StatementOutcome = contradictsExecution ? { kind: 'timed-out' } : proposed;
+  const outcome = contradictsExecution
+    ? ({ kind: 'timed-out' } as const)
+    : withReach(job, proposed);
   owner.environment.counters.count(
     outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
   );
@@ -250,6 +335,11 @@
   job.channel.answer(job.request.number, outcome);
 }
 
+function withReach({ hasReachedTarget }: Job, outcome: StatementOutcome): StatementOutcome {
+  const isUntouched = outcome.kind === 'not-run' && !hasReachedTarget;
+  return isUntouched ? { ...outcome, reachedNoTarget: true } : outcome;
+}
+
 function ageOf({ arrivedAtMs }: Job): number {
   return Math.round(performance.now() - arrivedAtMs);
 }
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -5,17 +5,26 @@
   type ControlCommand,
   type Coverage,
   createCoverage,
+  createStatementFates,
+  createServerHealth,
+  createServerLoad,
   type CustomerName,
   type FairQueue,
   type FormerHolder,
   type GroupName,
+  fateKeyOf,
   isPrimaryCovered,
   type GroupRecord,
   type LogPosition,
+  type PlacementBounds,
+  recordStarted,
   type AcknowledgedPositions,
   type ServerAnnouncement,
+  type ServerHealth,
+  type ServerLoad,
   type ServerName,
   type ServerPlace,
+  type StatementFates,
   type StatementGroup,
   type StatementOutcome,
   type StatementRequest,
@@ -31,12 +40,22 @@
   TargetConnection,
 } from '../types/target-port.js';
 
+/** A server that does not answer counts as lost once connections have failed for this long, in milliseconds. */
+const PROBE_FAILURE_TIMEOUT_MS = 550;
+/** Consecutive refused connections that prove that the server process has ended. */
+const REFUSALS_PROVING_EXIT = 2;
+
 /** What an owner needs from the rest of its entry. */
 export interface OwnerEnvironment {
   readonly entryId: string;
   readonly zone: string;
   /** The region of a zone; zones of one region are near each other. */
   readonly regionOf: (zone: string) => string;
+  /** Zones on whose servers nothing starts. */
+  readonly evacuatedZones: () => ReadonlySet<string>;
+  readonly placementBounds: PlacementBounds;
+  /** Regions in which the primary should be; `undefined` without a limit, or if the routes contradict each other. */
+  readonly homeRegions: () => readonly string[] | undefined;
   readonly log: Log;
   readonly counters: Counters;
   /** Whether this entry holds the group's lease under the owner's epoch, by the monotonic clock. */
@@ -107,6 +126,14 @@
   /** The shortest response time to an order of the owner itself, in milliseconds. */
   roundTripMs: number | undefined;
   isProbing: boolean;
+  /** Until when the server is cold, by the monotonic clock. */
+  coldUntilMs: number;
+  /** Start times of the requests that count towards its limit while it is cold. */
+  readonly coldStartsMs: number[];
+  /** What this process has measured from answers of the server. */
+  readonly load: ServerLoad;
+  /** How the server answered reads of this process. */
+  readonly health: ServerHealth;
 }
 
 export interface OpenTransaction {
@@ -129,10 +156,14 @@
   readonly startByMs: number;
   /** Set once a server may have run the statement; it is then never answered as `not-run`. */
   mayHaveRun: boolean;
+  /** Set once an order was sent to a server on its behalf; its rate token is not returned then. */
+  hasReachedTarget: boolean;
   /** The leadership under which its commit was sent to the primary; `undefined` if it was not. */
   committedUnder: number | undefined;
   transaction: OpenTransaction | undefined;
   attempts: number;
+  /** Whether its caller has disconnected; it is not sent to a server any more. */
+  isWithdrawn: boolean;
   isEnded: boolean;
 }
 
@@ -178,6 +209,9 @@
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
+  /** When this owner has learnt of the evacuation of each zone. */
+  readonly evacuationsLearntAtMs: Map<string, number>;
+  readonly fates: StatementFates;
   /** Number of statements accepted under this epoch. */
   acceptedCount: number;
   leadership: Leadership;
@@ -193,6 +227,10 @@
   isClosed: boolean;
   isDispatching: boolean;
   lastPromotionMs: number;
+  /** When a change last began that only moves the primary into a home region. */
+  homeChangeMs: number;
+  /** Whether it has accepted statements that are limited to some regions. */
+  hasRestrictedStatements: boolean;
   replicasCheckedMs: number;
   /** When the servers' addresses were last proposed to control. */
   placesRecordedMs: number;
@@ -228,6 +266,8 @@
     pinnedWaiting: [],
     transactions: new Map(),
     running: new Set(),
+    evacuationsLearntAtMs: new Map(),
+    fates: createStatementFates(nowMs),
     acceptedCount: 0,
     leadership: { kind: 'unknown', sinceMs: nowMs },
     leadershipNumber: 0,
@@ -238,6 +278,8 @@
     isClosed: false,
     isDispatching: false,
     lastPromotionMs: Number.NEGATIVE_INFINITY,
+    homeChangeMs: Number.NEGATIVE_INFINITY,
+    hasRestrictedStatements: false,
     replicasCheckedMs: Number.NEGATIVE_INFINITY,
     placesRecordedMs: Number.NEGATIVE_INFINITY,
     proposedCoveredTerm: undefined,
@@ -267,20 +309,32 @@
     isVerified: false,
     roundTripMs: undefined,
     isProbing: false,
+    coldUntilMs: nowMs + (announcement.coldLeftMs ?? 0),
+    coldStartsMs: [],
+    load: createServerLoad(),
+    health: createServerHealth(),
   };
 }
 
+/** Records that an order is sent to a server on behalf of a statement. */
+export function markReached({ fates }: StatementOwner, job: Job): void {
+  if (job.hasReachedTarget) return;
+  job.hasReachedTarget = true;
+  recordStarted(fates, fateKeyOf(job.request.number, job.request.tag), performance.now());
+}
+
 /** The verified primary, if there is one. */
 export function primaryOf(owner: StatementOwner): ServerState | undefined {
   const { leadership } = owner;
   return leadership.kind === 'led' ? owner.servers.get(leadership.server) : undefined;
 }
 
-/** Whether a server is leaving while another one could lead. As primary it is replaced at once and starts nothing more. */
-export function isToBeReplaced({ servers }: StatementOwner, server: ServerState): boolean {
-  if (!server.announcement.isLeaving) return false;
-  return [...servers.values()].some(
-    (other) =>
-      other !== server && !other.announcement.isLeaving && other.failingSinceMs === undefined,
-  );
+/**
+ * Whether the server counts as lost: refused connections prove that its process has ended, or connections have
+ * failed for `PROBE_FAILURE_TIMEOUT_MS`.
+ */
+export function isLost({ failingSinceMs, refusedCount }: ServerState): boolean {
+  if (failingSinceMs === undefined) return false;
+  if (refusedCount >= REFUSALS_PROVING_EXIT) return true;
+  return performance.now() - failingSinceMs >= PROBE_FAILURE_TIMEOUT_MS;
 }
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -1,6 +1,6 @@
 /** Monitors the primary by announcements, outstanding answers and probes, and replaces it if it is lost. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { recordDeparture, type ServerName } from '@bramleykeel/core';
+import { type PlannedChangeReason, recordDeparture, type ServerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
 import { retireServer, closeExcessIdleConnections } from '../target/connection-pool.js';
 import { mayReaderUse } from '../target/connection-budget.js';
@@ -10,16 +10,13 @@
   sendControlOrderToAll,
   probeServer,
 } from '../target/server-control.js';
-import { isToBeReplaced, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { isLost, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { plannedReasonFor } from './placement.js';
 import { placeOf, recordServerPlaces } from './server-places.js';
 import { takeOver, newestPrimary, isActiveOwner } from './take-over.js';
 import { changePrimary } from './change-primary.js';
 import { handleStalledCommits, checkReplicas } from './watch-replicas.js';
 
-/** A server that does not answer counts as lost once connections have failed for this long, in milliseconds. */
-const PROBE_FAILURE_TIMEOUT_MS = 550;
-/** Consecutive refused connections that prove that the server process has ended. */
-const REFUSALS_PROVING_EXIT = 2;
 const SUSPECT_PROBE_MS = 80;
 const IDLE_PROBE_MS = 500;
 /** The primary is probed once an answer has been outstanding for this long, in milliseconds. */
@@ -39,6 +36,12 @@
 /** The same for a server that has never answered, in milliseconds. */
 const NEVER_REACHED_MS = 12_000;
 
+const PLANNED_REASON_TEXTS: Readonly<Record<PlannedChangeReason, string>> = {
+  leaving: 'the primary is leaving',
+  evacuated: 'the zone of the primary is evacuated',
+  'outside-homes': 'the primary is outside the home regions of its routes',
+};
+
 /** Checks the server immediately if it is the primary. */
 export function suspectPrimary(owner: StatementOwner, server: ServerState): void {
   if (primaryOf(owner) === server && !server.isProbing) void checkPrimary(owner, server, true);
@@ -130,8 +133,10 @@
   const { leadership } = owner;
   if (leadership.kind !== 'led') return;
   const { announcement, lastAnnouncementMs } = primary;
-  if (isToBeReplaced(owner, primary)) {
-    await changePrimary(owner, 'the primary is leaving', true);
+  const plannedReason = plannedReasonFor(owner, primary);
+  if (plannedReason !== undefined) {
+    if (plannedReason === 'outside-homes') owner.homeChangeMs = performance.now();
+    await changePrimary(owner, PLANNED_REASON_TEXTS[plannedReason], true);
     return;
   }
   const announcesReplicaRole =
@@ -166,16 +171,6 @@
   if (isActiveOwner(owner)) await checkPrimary(owner, primary, false);
 }
 
-/**
- * Whether the server counts as lost: refused connections prove that its process has ended, or connections have
- * failed for `PROBE_FAILURE_TIMEOUT_MS`.
- */
-export function isLost({ failingSinceMs, refusedCount }: ServerState): boolean {
-  if (failingSinceMs === undefined) return false;
-  if (refusedCount >= REFUSALS_PROVING_EXIT) return true;
-  return performance.now() - failingSinceMs >= PROBE_FAILURE_TIMEOUT_MS;
-}
-
 function isUnanswered(primary: ServerState): boolean {
   const nowMs = performance.now();
   if (nowMs - primary.lastAnswerMs < UNANSWERED_PROBE_MS) return false;
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -6,13 +6,15 @@
   assignmentOf,
   type CustomerName,
   documentOf,
+  evacuatedZones,
+  evacuationKey,
+  DEFAULT_PLACEMENT_BOUNDS,
   type GroupName,
   type RateLimit,
   type RecordDelta,
+  type StatementOutcome,
   type Resource,
-  type StatementRefusalReason,
   type StatementSettings,
-  type TimingSettings,
 } from '@bramleykeel/core';
 import {
   type ControlClient,
@@ -22,7 +24,7 @@
   type RateDrawContext,
   startControlClient,
 } from '@bramleykeel/entry-shared';
-import { type Counters, type LinkPeer, listenForLinks, type Log } from '@bramleykeel/link';
+import { type LinkPeer, listenForLinks } from '@bramleykeel/link';
 import { checkSessionStart, isKeyWithdrawn } from './accept/access.js';
 import { closeSession, isIdle } from './accept/session.js';
 import {
@@ -46,6 +48,12 @@
 } from './app.js';
 import { createEntryLinks, ENTRY_LINK_TIMING, type EntryLinks } from './locate/entry-links.js';
 import { locateReader, readerResource } from './near/locate-reader.js';
+import {
+  createReadAttempt,
+  decodeMissingResult,
+  type MissingResult,
+  missingResultOf,
+} from './near/read-attempt.js';
 import { createReaderClient } from './near/reader-client.js';
 import {
   decodeOffer,
@@ -69,8 +77,14 @@
   type OwnerClient,
   handleOutcome,
 } from './locate/owner-client.js';
+import { handOverMisplacedGroups } from './owner/home-handover.js';
 import { startInstanceRelief } from './owner/instance-relief.js';
-import { type EntryChannel, acceptRollback, acceptStatement } from './owner/owner-app.js';
+import {
+  acceptRollback,
+  acceptStatement,
+  acceptWithdrawal,
+  type EntryChannel,
+} from './owner/owner-app.js';
 import {
   closeAllStatementOwners,
   createStatementOwnerRegistry,
@@ -82,54 +96,7 @@
 import type { CallerPort } from './types/caller-port.js';
 import { DEFAULT_MAX_CONNECTIONS } from './target/connection-budget.js';
 import { decodeOutcome, type EncodedOutcome, encodeStatement } from './types/link-codec.js';
-import type { OpenTarget, PromoteServer, ReadTargetStatus } from './types/target-port.js';
-
-export interface StatementEntryOptions {
-  readonly entryId: string;
-  readonly zone: string;
-  /** The region of a zone; zones of one region are near each other, and near reads stay within it. */
-  readonly regionOf: (zone: string) => string;
-  readonly linkAddress: string;
-  readonly linkMbps?: number;
-  readonly isBesideControl?: boolean;
-  readonly linkSecret: string;
-  /** Descriptors that the process may have open; the limit of the system if absent. */
-  readonly maxDescriptors?: number | undefined;
-  readonly timing: TimingSettings;
-  readonly memberAddresses: () => readonly string[];
-  /** Time from `stop` until the process is killed, in milliseconds. */
-  readonly stopGraceMs: number;
-  /** Decodes the operators' settings document; `undefined` when this version cannot decode it. */
-  readonly decodeSettings: (body: Uint8Array) => StatementSettings | undefined;
-  readonly openTarget: OpenTarget;
-  readonly readTargetStatus: ReadTargetStatus;
-  readonly promoteServer: PromoteServer;
-  readonly log: Log;
-  /** Receives a line for each statement without a result, and for a sample of the others. */
-  readonly callerLog: Log;
-  readonly counters: Counters;
-}
-
-export interface StatementEntry {
-  /**
-   * Starts a caller's session, or returns the reason for refusing it. An entry that has just started
-   * waits briefly for its first settings.
-   */
-  readonly startSession: (
-    database: string,
-    key: string | undefined,
-    port: CallerPort,
-  ) => Promise<CallerSession | StatementRefusalReason>;
-  readonly endSession: (session: CallerSession) => void;
-  /** Whether the load balancer should send new callers to this entry. */
-  readonly isReady: () => boolean;
-  /**
-   * Hands over the entry's groups and waits for running statements to finish.
-   *
-   * @param stopListening called once the load balancer sends new callers to other entries
-   */
-  readonly stop: (stopListening: () => void) => Promise<void>;
-}
+import type { StatementEntry, StatementEntryOptions } from './types/entry-options.js';
 
 const READER_OFFER_TIMEOUT_MS = 400;
 const READER_RELEASE_TIMEOUT_MS = 300;
@@ -165,6 +132,7 @@
   const sessions = new Set<CallerSession>();
   const requestedAtMs = new Map<Resource, number>();
   let settings: StatementSettings | undefined;
+  let evacuated: ReadonlySet<string> = new Set();
   let stopSchedule: StopSchedule | undefined;
   let transactionCount = 0;
 
@@ -202,6 +170,8 @@
     ...options,
     control,
     settings: () => settings,
+    evacuatedZones: () => evacuated,
+    placementBounds: options.placementBounds ?? DEFAULT_PLACEMENT_BOUNDS,
     releaseFromReader: async ({ incarnation, linkAddress }, group, server) => {
       if (incarnation === control.incarnation()) return releaseServer(replicaReads, group, server);
       const peer = links.linkTo(linkAddress);
@@ -237,6 +207,7 @@
   const owners: OwnerClient = createOwnerClient({
     control,
     links: () => links,
+    regionOf: options.regionOf,
     sendLocally: (group, epoch, request) => {
       const owner = findStatementOwner(registry, group, epoch);
       if (owner) acceptStatement(owner, localChannel, request);
@@ -246,6 +217,10 @@
       const owner = findStatementOwner(registry, group, epoch);
       if (owner) acceptRollback(owner, localChannel, transaction);
     },
+    withdrawLocally: (group, epoch, number) => {
+      const owner = findStatementOwner(registry, group, epoch);
+      if (owner) acceptWithdrawal(owner, localChannel, number);
+    },
     sendOverLink: ({ group, epoch, linkAddress }, request) => {
       const encoded = encodeStatement(group, epoch, request);
       return links.linkTo(linkAddress)?.notify('statement/run', encoded) ?? false;
@@ -253,39 +228,59 @@
     rollBackOverLink: ({ group, epoch, linkAddress }, transaction) => {
       links.linkTo(linkAddress)?.notify('statement/rollback', [group, epoch, transaction]);
     },
+    withdrawOverLink: ({ group, epoch, linkAddress }, number) => {
+      links.linkTo(linkAddress)?.notify('statement/withdraw', [group, epoch, number]);
+    },
     requestResource,
     lastStartMs: () => (stopSchedule ? lastStartOf(stopSchedule) : Number.POSITIVE_INFINITY),
   });
   const region = options.regionOf(options.zone);
   const readerOf = (group: GroupName) => readerResource(group, region);
   const replicaReads: ReplicaReads = createReplicaReads({
-    zone: options.zone,
+    regionOf: options.regionOf,
+    evacuatedZones: () => evacuated,
+    mayBeCold: (group) => (settings?.groups.get(group)?.coldRatePerSecond ?? 0) > 0,
     openTarget: options.openTarget,
     counters,
+    log,
     formerReader: (group) => control.formerHolder(readerOf(group)),
     maxServerConnections: (group) =>
       settings?.groups.get(group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
-    requestOffer: (group) => {
-      const offerRequest = { zone: options.zone, entryId: options.entryId };
+    requestOffer: (group, readerRunning) => {
+      const { zone, entryId } = options;
+      const offerRequest = { zone, entryId, readerRunning };
       return queryOwner(owners, group, {
         method: 'reader/ask',
-        params: (epoch): EncodedReaderOfferRequest => [group, epoch, options.zone, options.entryId],
+        params: (epoch): EncodedReaderOfferRequest => {
+          return [group, epoch, zone, entryId, readerRunning];
+        },
         answerLocally: (epoch) => answerOfferRequest({ registry }, group, epoch, offerRequest),
         timeoutMs: READER_OFFER_TIMEOUT_MS,
       }).then((encoded) => decodeOffer(encoded as EncodedReaderOffer | null | undefined));
     },
   });
   const readers = createReaderClient({
+    regionOf: options.regionOf,
     counters,
     locateReader: (group) =>
       locateReader({ control, region, regionOf: options.regionOf, requestResource }, group),
-    runHere: (group, draft, deadlineMs) => readAtReplica(replicaReads, group, draft, deadlineMs),
+    runHere: async (group, draft, deadlineMs) => {
+      const attempt = createReadAttempt();
+      const outcome = await readAtReplica(replicaReads, group, draft, deadlineMs, attempt);
+      return outcome ?? missingResultOf(attempt);
+    },
     sendToReader: async ({ epoch, linkAddress }, group, draft, budgetMs) => {
       const request = { ...draft, number: 0, budgetMs, startWithinMs: 0 };
       const encoded = encodeStatement(group, epoch, request);
       const answer = await links.linkTo(linkAddress)?.request('reader/run', encoded, budgetMs);
-      const outcome = answer?.orDefault(null) as EncodedOutcome | null | undefined;
-      return outcome ? decodeOutcome(outcome).outcome : undefined;
+      if (answer === undefined) return 'not-sent';
+      return answer.caseOf<StatementOutcome | MissingResult>({
+        Left: ({ kind }) => (kind === 'not-sent' ? 'not-sent' : 'unknown'),
+        Right: (reply) =>
+          Array.isArray(reply)
+            ? decodeOutcome(reply as unknown as EncodedOutcome).outcome
+            : decodeMissingResult(reply),
+      });
     },
   });
   const draws: RateDrawContext = {
@@ -312,6 +307,7 @@
     rates: createRateClient({
       rateWaitMs: RATE_WAIT_MS,
       homeWaitMs: () => waits().homeMs,
+      ratePerSecond: (customer) => limitOf(settings, customer)?.ratePerSecond,
       draw: (draw) => drawFromHome(draws, draw),
     }),
     waits,
@@ -328,6 +324,7 @@
   const reconcileTimer = setInterval(() => {
     reconcileStatementOwners(registry);
     closeEndedReaders(replicaReads);
+    if (!stopSchedule) handOverMisplacedGroups(registry);
     requestRateHome();
   }, timing.renewEveryMs);
   const stopRelief = startInstanceRelief({
@@ -367,6 +364,8 @@
 
   function applyRecords(deltas: readonly RecordDelta[]): void {
     if (deltas.some(({ stored }) => stored.record.kind === 'document')) applyDocument();
+    if (deltas.some(({ key }) => key.startsWith(evacuationKey(''))))
+      evacuated = evacuatedZones(control);
     reconcileStatementOwners(registry);
     closeEndedReaders(replicaReads);
     failSupersededStatements(owners);
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -32,6 +32,7 @@
   maxReadAgeMs: 2_500,
   mark: { term: 3, offset: 1_207 },
   values: {},
+  homes: null,
   budgetMs: 800,
   startWithinMs: 360,
 };
@@ -40,6 +41,7 @@
   it.each<StatementRequest>([
     plain,
     { ...plain, mark: null, values: { unit: 'mm' } },
+    { ...plain, homes: ['ub', 'erdenet'] },
     {
       ...plain,
       access: 'write',
@@ -52,6 +54,11 @@
     expect(decodeStatement(encoded)).toEqual({ group, epoch: 9, request });
   });
 
+  it('decodes a statement of a former version, which names no homes', () => {
+    const encoded = encodeStatement(group, 9, plain).slice(0, -1) as unknown as EncodedStatement;
+    expect(decodeStatement(roundTrip(encoded)).request.homes).toBeNull();
+  });
+
   // Guards against PINNED: a value of this name reached servers under another one.
   it('keeps a value that is named __proto__', () => {
     const request = { ...plain, values: { unit: 'mm', ['__proto__']: 'a b' } };
@@ -89,6 +96,14 @@
           server: 'i-1' as ReaderOffer['servers'][number]['server'],
           address: '127.0.0.1:1',
           slots: 2,
+          zone: 'zone-a',
+        },
+        {
+          server: 'i-2' as ReaderOffer['servers'][number]['server'],
+          address: '127.0.0.1:2',
+          slots: 2,
+          zone: 'zone-a',
+          ownerRunning: 3,
         },
       ],
     };
