Give callers that the bound on connections closes a reason of their own

They read memory-pressure, which sent operators to the byte budget. The bound and messages that are too long now leave a log line, at most one of each in a second.

--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -150,6 +150,7 @@
   | 'unknown-database'
   | 'entry-stopping'
   | 'memory-pressure'
+  | 'too-many-connections'
   /** Its caller has disconnected. */
   | 'withdrawn'
   | 'unsupported-statement';
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -10,6 +10,7 @@
 export * from './packed-value.js';
 export * from './counters.js';
 export * from './logger.js';
+export * from './limited-log.js';
 export * from './suspension-detector.js';
 export * from './input-deadline.js';
 export * from './metrics-server.js';
