--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -149,6 +149,8 @@
   | 'key-rejected'
   | 'unknown-database'
   | 'entry-stopping'
+  | 'memory-pressure'
+  | 'too-many-connections'
   /** Its caller has disconnected. */
   | 'withdrawn'
   | 'unsupported-statement';
--- a/packages/statement-entry/src/accept/session.test.ts
+++ b/packages/statement-entry/src/accept/session.test.ts
@@ -152,6 +152,8 @@
         refusals.push(error.kind);
       },
       close: () => undefined,
+      endRequest: () => undefined,
+      keepState: () => undefined,
     };
     session = createSession('bookings', 'key', port, environment);
   });
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -138,7 +138,14 @@
 
   const linkServer = await listenForLinks(
     options.linkAddress,
-    { secret: options.linkSecret, ...ENTRY_LINK_TIMING },
+    {
+      secret: options.linkSecret,
+      ...ENTRY_LINK_TIMING,
+      maxDescriptors: options.maxDescriptors,
+      onTooMany: () => {
+        counters.count('limit.link-connections');
+      },
+    },
     {
       onRequest: (_peer, method, params) => handleRequest(app, method, params),
       onNotify: forwardEvent,
--- a/packages/statement-entry/src/types/entry-options.ts
+++ b/packages/statement-entry/src/types/entry-options.ts
@@ -24,6 +24,8 @@
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
   readonly linkSecret: string;
+  /** Descriptors that the process may have open; the limit of the system if absent. */
+  readonly maxDescriptors?: number | undefined;
   readonly timing: TimingSettings;
   readonly memberAddresses: () => readonly string[];
   /** Time from `stop` until the process is killed, in milliseconds. */
