Bound what callers make a PostgreSQL entry hold

Callers of an entry share a byte budget, and their number is bounded by descriptors as well as by entry.maxCallers. A connection above the bound replaces the one that has been idle longest in its startup phase.

The next request of a session now waits until the previous one is open at its owner. Before, requests that arrived in one read overwrote each other and all answers but the last were lost; pipelined-requests.test.ts failed without this.

--- a/packages/core/src/settings/daemon-settings.ts
+++ b/packages/core/src/settings/daemon-settings.ts
@@ -63,6 +63,14 @@
     tlsCertificateFile: z.string().optional(),
     tlsKeyFile: z.string().optional(),
   }),
+  limits: z
+    .strictObject({
+      /** Descriptors that the process may have open; the limit of the system if absent. */
+      maxDescriptors: z.int().positive().optional(),
+      /** Megabytes that callers may make the process hold. */
+      budgetMb: z.number().positive().optional(),
+    })
+    .prefault({}),
   members: z.array(controlMemberSchema).min(1).max(7),
   link: z.strictObject({ secret: z.string().min(16).max(256) }),
   targets: z
--- a/packages/core/src/types/outcome.ts
+++ b/packages/core/src/types/outcome.ts
@@ -35,6 +35,7 @@
   | 'mark-ahead-of-group'
   | 'message-too-large'
   | 'too-many-callers'
+  | 'memory-pressure'
   | 'bad-startup';
 
 export interface Refusal {
@@ -88,6 +89,10 @@
   },
   'message-too-large': notRun('53400', 'the message is larger than the limit'),
   'too-many-callers': notRun('53300', 'this entry has too many open connections'),
+  'memory-pressure': notRun(
+    '53200',
+    'clients have used up the memory that this entry has for them',
+  ),
   'bad-startup': { outcome: 'not-run', sqlState: '08P01', message: 'malformed startup message' },
 };
 
--- /dev/null
+++ b/packages/entry/src/accept/caller-limits.ts
@@ -0,0 +1,141 @@
+/** Limits that the callers of an entry share, and what the sessions of callers report to them. */
+import {
+  assignCustomer,
+  type BudgetAccount,
+  type BudgetHolder,
+  type ByteBudget,
+  createByteBudget,
+  createHolder,
+  enforceBudget,
+  mustPause,
+  mustRefuse,
+  refuse,
+  releaseHolder,
+  setHeld,
+} from '@bramleykeel/core';
+import {
+  type BufferCollector,
+  createBufferCollector,
+  limitLog,
+  type Log,
+  type ProcessLimits,
+} from '@bramleykeel/link';
+import { bufferedBytesOf, dropReceived } from '@bramleykeel/postgres-wire';
+import { buildRefusal } from './caller-output.js';
+import type { CallerSession } from './caller-state.js';
+
+export interface CallerLimits {
+  readonly budget: ByteBudget;
+  readonly collector: BufferCollector;
+  readonly maxConnections: number;
+  readonly limitedLog: Log;
+}
+
+/** Part of the descriptors that callers may use; the others are for targets, peers, control and operators. */
+const CALLERS_SHARE_OF_DESCRIPTORS = 0.85;
+/** Unprocessed input above which the socket of a caller whose request runs is not read from. */
+const MAX_WAITING_BYTES = 256 * 1024;
+/** Unsent bytes of answers above which no further request of a caller is taken. */
+const MAX_UNSENT_BYTES = 256 * 1024;
+/** A request is held as messages and in the socket to its target. */
+const COPIES_OF_REQUEST = 2;
+
+/** Creates the limits that all callers of an entry share. */
+export function createCallerLimits(
+  { budgetBytes, maxDescriptors }: ProcessLimits,
+  maxCallers: number,
+  log: Log,
+): CallerLimits {
+  const byDescriptors = Math.floor(maxDescriptors * CALLERS_SHARE_OF_DESCRIPTORS);
+  return {
+    budget: createByteBudget(budgetBytes),
+    collector: createBufferCollector(),
+    maxConnections: Math.min(maxCallers, byDescriptors),
+    limitedLog: limitLog(log),
+  };
+}
+
+/** Creates the account of a session; `close` is called when the session is closed to keep the budget. */
+export function createCallerHolder(
+  { budget }: CallerLimits,
+  customer: string,
+  close: (reason: string) => void,
+): BudgetHolder {
+  const holder = createHolder(close);
+  assignCustomer(budget, holder, customer);
+  return holder;
+}
+
+/** Whether a request of the session runs or waits, so that further input is not processed yet. */
+function isBusy({ isPreparing, request }: CallerSession): boolean {
+  return isPreparing || (request?.isComplete ?? false);
+}
+
+/** Whether the answers that the caller has not read are few enough to take its next request. */
+export function mayTakeRequest({ socket }: CallerSession): boolean {
+  return socket.writableLength < MAX_UNSENT_BYTES;
+}
+
+/** Whether a new request is refused as not run; in a transaction, a refusal would abort it. */
+export function mustRefuseRequest({
+  environment,
+  holder,
+  request,
+  status,
+}: CallerSession): boolean {
+  return status === 'idle' && !request && mustRefuse(environment.limits.budget, holder);
+}
+
+/**
+ * Reports what the session holds, closes sessions if the budget is exceeded, and decides whether the session's socket
+ * is read from.
+ */
+export function updateHeld(session: CallerSession): void {
+  if (session.isClosed) return;
+  const { environment, holder, socket } = session;
+  const { budget } = environment.limits;
+  const isWaiting = isBusy(session) || !mayTakeRequest(session);
+  if (!session.request && !session.isPreparing) session.takenBytes = 0;
+  const receivedBytes = bufferedBytesOf(session.framer);
+  hold('input', receivedBytes + (isWaiting ? 0 : session.inboxBytes));
+  hold('queued', (isWaiting ? session.inboxBytes : 0) + session.takenBytes * COPIES_OF_REQUEST);
+  hold('unsent', socket.writableLength);
+  enforceBudget(budget);
+  if (isWaiting && (hasMuchInput() || mustPause(budget, holder))) socket.pause();
+  else socket.resume();
+
+  function hold(account: BudgetAccount, bytes: number): void {
+    setHeld(budget, holder, account, bytes, performance.now());
+  }
+
+  function hasMuchInput(): boolean {
+    return receivedBytes + session.inboxBytes > MAX_WAITING_BYTES;
+  }
+}
+
+/** Removes a session that has ended from the budget, and frees its input. */
+export function releaseHeld(session: CallerSession): void {
+  const { collector, budget } = session.environment.limits;
+  collector.countDropped(bufferedBytesOf(session.framer) + session.inboxBytes + session.takenBytes);
+  dropReceived(session.framer);
+  session.inbox.length = 0;
+  session.inboxBytes = 0;
+  releaseHolder(budget, session.holder);
+}
+
+/** Closes the socket of a session to keep the budget; a caller without a request in progress is told that nothing ran. */
+export function closeSocketForBudget(session: CallerSession, reason: string): void {
+  const { socket, environment, customer, group } = session;
+  environment.counters.count(`limit.${reason}`);
+  environment.limits.limitedLog('connection of a caller closed to keep the budget', {
+    ...{ reason, customer, group, inputBytes: bufferedBytesOf(session.framer) },
+    ...{ inboxBytes: session.inboxBytes, unsentBytes: socket.writableLength },
+  });
+  if (isBusy(session) || session.request || socket.writableLength > 0) {
+    socket.destroy();
+    return;
+  }
+  environment.counters.count('refusal.memory-pressure');
+  socket.write(buildRefusal(refuse('memory-pressure'), true));
+  socket.destroySoon();
+}
--- a/packages/entry/src/accept/caller-registry.ts
+++ b/packages/entry/src/accept/caller-registry.ts
@@ -10,6 +10,7 @@
   type SessionId,
   splitAddress,
 } from '@bramleykeel/core';
+import { type BoundedConnections, boundConnections } from '@bramleykeel/link';
 import {
   buildAuthenticationOk,
   buildBackendKeyData,
@@ -18,6 +19,7 @@
 import type { OwnerPort } from '../locate/owner-port.js';
 import { buildRefusal, endWithRefusal, sendReady, SESSION_PARAMETER } from './caller-output.js';
 import { handlePortLost, handleOwnerMessage } from './caller-request.js';
+import { closeSocketForBudget, createCallerHolder, updateHeld } from './caller-limits.js';
 import { closeSession, processInbox, handleInput } from './caller-session.js';
 import type { CallerEnvironment, CallerSession } from './caller-state.js';
 import { createCallerStatements } from './chunk-builder.js';
@@ -25,7 +27,6 @@
 
 export interface CallerRegistryOptions {
   readonly address: string;
-  readonly maxCallers: number;
   readonly secureContext: SecureContext | undefined;
   /** Prefix of session ids, unique to each start of the process. */
   readonly sessionPrefix: string;
@@ -40,7 +41,7 @@
   readonly sessions: Map<SessionId, CallerSession>;
   readonly byProcessId: Map<number, CallerSession>;
   readonly server: Server;
-  connectionCount: number;
+  readonly bounded: BoundedConnections;
   nextSessionNumber: number;
 }
 
@@ -66,14 +67,19 @@
  */
 export function listenForCallers(options: CallerRegistryOptions): Promise<CallerRegistry> {
   const server = createServer((socket) => {
-    void acceptCaller(registry, socket);
+    // Connections above the bound have been closed.
+    if (!socket.writableEnded && !socket.destroyed) void acceptCaller(registry, socket);
+  });
+  const { environment } = options;
+  const bounded = boundConnections(server, environment.limits.maxConnections, (socket) => {
+    closeAboveBound(environment, socket);
   });
   const registry: CallerRegistry = {
     options,
     sessions: new Map(),
     byProcessId: new Map(),
     server,
-    connectionCount: 0,
+    bounded,
     nextSessionNumber: 1,
   };
   const { host, port } = splitAddress(options.address);
@@ -85,20 +91,29 @@
   });
 }
 
+/** Closes a connection that was not authenticated; one that has sent something may be encrypted, and is told nothing. */
+function closeAboveBound({ counters, limits }: CallerEnvironment, socket: Socket): void {
+  counters.count('refusal.too-many-callers');
+  limits.limitedLog('connection of a caller closed by the bound on connections', {
+    maxConnections: limits.maxConnections,
+  });
+  socket.on('error', () => undefined);
+  if (socket.bytesRead > 0) {
+    socket.destroy();
+    return;
+  }
+  socket.write(buildRefusal(refuse('too-many-callers'), true));
+  socket.destroySoon();
+}
+
 async function acceptCaller(registry: CallerRegistry, socket: Socket): Promise<void> {
-  const { environment, maxCallers, rules, secureContext } = registry.options;
-  registry.connectionCount += 1;
+  const { environment, rules, secureContext } = registry.options;
   socket.once('close', () => {
-    registry.connectionCount -= 1;
+    registry.bounded.release(socket);
   });
   socket.on('error', () => undefined);
   socket.setNoDelay(true);
   socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
-  if (registry.connectionCount > maxCallers) {
-    environment.counters.count('refusal.too-many-callers');
-    socket.end(buildRefusal(refuse('too-many-callers'), true));
-    return;
-  }
   const { maxMessageBytes } = environment;
   const options = { secureContext, maxMessageBytes, timeoutMs: STARTUP_TIMEOUT_MS, rules };
   const outcome = await runStartup(socket, options);
@@ -115,6 +130,7 @@
       }
       return;
     case 'admitted':
+      registry.bounded.setIdle(socket, false);
       startSession(registry, outcome.admitted);
   }
 }
@@ -136,6 +152,11 @@
     framer: admitted.framer,
     inbox: [],
     inboxBytes: 0,
+    takenBytes: 0,
+    holder: createCallerHolder(environment.limits, admitted.customer, (reason) => {
+      closeSocketForBudget(session, reason);
+      closeSession(session);
+    }),
     statements: createCallerStatements(),
     settings: readStartupSettings(parameters),
     mark: parsePosition(parameters.get(SESSION_PARAMETER) ?? '') ?? null,
@@ -152,12 +173,16 @@
   };
   session.continueInput = () => {
     processInbox(session);
+    updateHeld(session);
   };
   registry.sessions.set(session.id, session);
   registry.byProcessId.set(session.processId, session);
   socket.on('data', (chunk: Buffer) => {
+    environment.limits.collector.countReceived(chunk.length);
     handleInput(session, chunk);
   });
+  // Requests wait while much of their answers is unsent.
+  socket.on('drain', session.continueInput);
   socket.once('close', () => {
     closeSession(session);
     registry.sessions.delete(session.id);
@@ -255,5 +280,5 @@
 
 /** Processes the buffered input of all sessions. */
 export function processAllInboxes(registry: CallerRegistry): void {
-  for (const session of registry.sessions.values()) processInbox(session);
+  for (const session of registry.sessions.values()) session.continueInput();
 }
--- a/packages/entry/src/accept/caller-request.ts
+++ b/packages/entry/src/accept/caller-request.ts
@@ -62,7 +62,10 @@
   deadlineMs: number,
   replacement?: AnswerReplacement,
 ): Promise<void> {
+  // The next request of the session waits until this one is open.
+  session.isPreparing = true;
   const port = await findPort(session, deadlineMs);
+  session.isPreparing = false;
   if (session.isClosed) return;
   if (!port) {
     const [first] = chunks;
@@ -99,6 +102,7 @@
     port.send({ kind: 'request/more', session: session.id, number, chunk });
   }
   if (!wasSent) handlePortLost(session, port);
+  session.continueInput();
 }
 
 async function findPort(
@@ -109,10 +113,7 @@
   if (session.status !== 'idle') return session.port;
   const found = locator.findOwner(session.group);
   if (found) return found;
-  session.isPreparing = true;
-  const awaited = await locator.awaitOwner(session.group, deadlineMs - performance.now());
-  session.isPreparing = false;
-  return awaited;
+  return locator.awaitOwner(session.group, deadlineMs - performance.now());
 }
 
 function refuseWithoutOwner(session: CallerSession, built: BuiltChunk): void {
--- a/packages/entry/src/accept/caller-session.ts
+++ b/packages/entry/src/accept/caller-session.ts
@@ -3,12 +3,11 @@
 import { buildQuery, CLIENT, frameMessages, type WireMessage } from '@bramleykeel/postgres-wire';
 import { admit } from '@bramleykeel/entry-shared';
 import { endWithRefusal, sendReady, sendRefusal } from './caller-output.js';
+import { mayTakeRequest, mustRefuseRequest, releaseHeld, updateHeld } from './caller-limits.js';
 import { closeSessionAtOwner, finishExchange, sendChunk } from './caller-request.js';
 import type { CallerSession } from './caller-state.js';
 import { buildChunk, type BuiltChunk, endsChunk } from './chunk-builder.js';
 
-/** Amount of unprocessed input above which the caller's socket is paused. */
-const INBOX_LIMIT_BYTES = 1024 * 1024;
 /** Longer rate wait for requests in open transactions, because a refusal aborts the transaction. */
 const TRANSACTION_RATE_WAIT_MS = 5_000;
 /**
@@ -19,6 +18,7 @@
 
 /** Handles bytes received from the caller. */
 export function handleInput(session: CallerSession, bytes: Buffer): void {
+  if (session.isClosed || session.socket.writableEnded) return;
   const framed = frameMessages(session.framer, bytes);
   if (framed.kind === 'malformed') {
     endWithRefusal(session, refuse('bad-startup', 'malformed message'));
@@ -26,6 +26,11 @@
   }
   if (framed.kind === 'too-large') {
     const hint = `${framed.lengthBytes} bytes, at most ${framed.limitBytes} are taken`;
+    const { lengthBytes, limitBytes } = framed;
+    session.environment.limits.limitedLog(
+      'connection of a caller closed for a message that is too long',
+      { lengthBytes, limitBytes },
+    );
     endWithRefusal(session, refuse('message-too-large', hint));
     return;
   }
@@ -33,14 +38,14 @@
     session.inbox.push(message);
     session.inboxBytes += message.frame.length;
   }
-  if (session.inboxBytes > INBOX_LIMIT_BYTES) session.socket.pause();
   processInbox(session);
+  updateHeld(session);
 }
 
 /** Processes buffered chunks, unless the session is waiting or a complete request is running. */
 export function processInbox(session: CallerSession): void {
   while (!session.isClosed && !session.isPreparing) {
-    if (session.request?.isComplete) return;
+    if (session.request?.isComplete || !mayTakeRequest(session)) return;
     const messages = dequeueChunk(session);
     if (!messages) return;
     if (messages.at(-1)?.type === CLIENT.terminate) {
@@ -60,12 +65,13 @@
     if (session.inboxBytes > session.environment.maxMessageBytes) {
       endWithRefusal(session, refuse('message-too-large', 'send Sync more often'));
     }
-    if (session.inboxBytes > INBOX_LIMIT_BYTES) session.socket.resume();
     return undefined;
   }
   const messages = session.inbox.splice(0, end + 1);
-  for (const { frame } of messages) session.inboxBytes -= frame.length;
-  if (session.inboxBytes <= INBOX_LIMIT_BYTES) session.socket.resume();
+  for (const { frame } of messages) {
+    session.inboxBytes -= frame.length;
+    session.takenBytes += frame.length;
+  }
   return messages;
 }
 
@@ -97,7 +103,7 @@
     if (session.isClosed) return;
     if (rateRefusal) refuseChunk(session, built, rateRefusal);
     else void sendChunk(session, built);
-    processInbox(session);
+    session.continueInput();
   });
 }
 
@@ -108,6 +114,7 @@
     const hint = 'use SET LOCAL inside a transaction';
     return refuse('unsupported-statement', hint);
   }
+  if (mustRefuseRequest(session)) return refuse('memory-pressure');
   const hasKey = session.key !== undefined;
   if (hasKey && !session.environment.hasFreshSettings()) return refuse('settings-lease-expired');
   return undefined;
@@ -175,4 +182,5 @@
   if (session.isClosed) return;
   session.isClosed = true;
   closeSessionAtOwner(session);
+  releaseHeld(session);
 }
--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -1,6 +1,7 @@
 /** State of a caller's session. */
 import type { Socket } from 'node:net';
 import type {
+  BudgetHolder,
   CustomerName,
   GroupName,
   LogPosition,
@@ -13,6 +14,7 @@
 import type { RateClient } from '@bramleykeel/entry-shared';
 import type { AcceptedKey } from '../authenticate/key-index.js';
 import type { OwnerLocator, OwnerPort } from '../locate/owner-port.js';
+import type { CallerLimits } from './caller-limits.js';
 import type { BuiltChunk, CallerStatements } from './chunk-builder.js';
 
 /** Dependencies of caller sessions on the rest of the entry. */
@@ -23,6 +25,7 @@
   readonly rates: RateClient;
   readonly classify: (text: string) => QueryClassification;
   readonly maxMessageBytes: number;
+  readonly limits: CallerLimits;
   readonly failoverWaitMs: number;
   /** Whether the settings lease is valid; requests of callers with a key are refused otherwise. */
   readonly hasFreshSettings: () => boolean;
@@ -63,6 +66,10 @@
   readonly framer: MessageFramer;
   readonly inbox: WireMessage[];
   inboxBytes: number;
+  /** Bytes of the messages of requests that wait or run. */
+  takenBytes: number;
+  /** What the session holds, for the byte budget of the entry. */
+  readonly holder: BudgetHolder;
   readonly statements: CallerStatements;
   /** Session settings by name, each as the SET statement that made it. */
   readonly settings: Map<string, string>;
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -17,6 +17,7 @@
   DEFAULT_LINK_TIMING,
   type LinkPeer,
   listenForLinks,
+  readProcessLimits,
   surviveUnhandledRejections,
 } from '@bramleykeel/link';
 import {
@@ -39,6 +40,7 @@
   listenForCallers,
   stopAccepting,
 } from './accept/caller-registry.js';
+import { createCallerLimits } from './accept/caller-limits.js';
 import type { CallerEnvironment } from './accept/caller-state.js';
 import type { AccessRules } from './accept/startup.js';
 import {
@@ -108,7 +110,11 @@
 
   const linkServer = await listenForLinks(
     entry.linkAddress,
-    { secret: settings.link.secret, ...DEFAULT_LINK_TIMING },
+    {
+      secret: settings.link.secret,
+      ...DEFAULT_LINK_TIMING,
+      maxDescriptors: settings.limits.maxDescriptors,
+    },
     {
       onRequest: (_peer, method, params) => handleRequest(app, method, params),
       onNotify: dispatchEvent,
@@ -180,7 +186,6 @@
   );
   callerRegistry.current = await listenForCallers({
     address: entry.callerAddress,
-    maxCallers: entry.maxCallers,
     secureContext,
     sessionPrefix: randomUUID().slice(0, 13),
     environment: createCallerEnvironment(),
@@ -242,6 +247,11 @@
       }),
       classify: createClassifier(CLASSIFIER_CACHE_ENTRIES),
       maxMessageBytes: entry.maxMessageBytes,
+      limits: createCallerLimits(
+        readProcessLimits(settings.limits),
+        entry.maxCallers,
+        createLog('limits'),
+      ),
       failoverWaitMs: requests.failoverWaitMs,
       hasFreshSettings: control.hasFreshSettings,
       readAgeAllowanceMs: (customer) =>
--- a/packages/postgres-wire/src/message-framer.ts
+++ b/packages/postgres-wire/src/message-framer.ts
@@ -2,6 +2,7 @@
 import {
   appendBytes,
   type ByteAccumulator,
+  clearBytes,
   createAccumulator,
   takeAllBytes,
 } from '@bramleykeel/core';
@@ -48,6 +49,11 @@
   return received.bytes;
 }
 
+/** Frees the bytes that are not returned as messages; the framer is not used afterwards. */
+export function dropReceived({ received }: MessageFramer): void {
+  clearBytes(received);
+}
+
 /** Puts messages back, to be returned again before later bytes. */
 export function returnMessages(framer: MessageFramer, messages: readonly WireMessage[]): void {
   const rest = takeAllBytes(framer.received);
--- a/packages/system-tests/src/client-limits/postgres-callers.test.ts
+++ b/packages/system-tests/src/client-limits/postgres-callers.test.ts
@@ -32,7 +32,7 @@
 const LOGIN_WAIT_MS = 3_000;
 
 /** Limits lowered for the tests, as TOML. */
-const LIMITS_TOML = '';
+const LIMITS_TOML = '[limits]\nmaxDescriptors = 600';
 
 interface Kind {
   readonly name: string;
