Keep long query texts out of the classifier's cache

The cache is bounded by entries, so 5,000 texts of 16 MiB could be kept. Memory of requests that have ended is collected sooner.

--- a/packages/entry/src/accept/caller-limits.ts
+++ b/packages/entry/src/accept/caller-limits.ts
@@ -93,9 +93,12 @@
 export function updateHeld(session: CallerSession): void {
   if (session.isClosed) return;
   const { environment, holder, socket } = session;
-  const { budget } = environment.limits;
+  const { budget, collector } = environment.limits;
   const isWaiting = isBusy(session) || !mayTakeRequest(session);
-  if (!session.request && !session.isPreparing) session.takenBytes = 0;
+  if (!session.request && !session.isPreparing) {
+    collector.countDropped(session.takenBytes * COPIES_OF_REQUEST);
+    session.takenBytes = 0;
+  }
   const receivedBytes = bufferedBytesOf(session.framer);
   hold('input', receivedBytes + (isWaiting ? 0 : session.inboxBytes));
   hold('queued', (isWaiting ? session.inboxBytes : 0) + session.takenBytes * COPIES_OF_REQUEST);
--- a/packages/postgres-wire/src/classify-statement.ts
+++ b/packages/postgres-wire/src/classify-statement.ts
@@ -61,6 +61,9 @@
 /** Settings that select the role a statement runs as; only the proxy sets them. */
 const RESERVED_SETTINGS = new Set(['role', 'session_authorization']);
 
+/** Longer query strings are not cached: they rarely occur twice, and 5,000 of the longest would take 80 GB. */
+const MAX_CACHED_LENGTH = 4_096;
+
 /** Creates a classifier with an LRU cache of `capacity` query strings. */
 export function createClassifier(capacity: number): (text: string) => QueryClassification {
   const cache = new Map<string, QueryClassification>();
@@ -72,6 +75,7 @@
       return cached;
     }
     const classification = classifyQuery(text);
+    if (text.length > MAX_CACHED_LENGTH) return classification;
     cache.set(text, classification);
     if (cache.size > capacity) {
       const [oldest] = cache.keys();
