--- /dev/null
+++ b/packages/core/src/overload/start-forecast.ts
@@ -0,0 +1,121 @@
+/** Predicts when a statement that waits for a server would start. */
+import type { LoadAccess, ServiceTime } from '../route/server-load.js';
+
+/** A server as the forecast sees it. */
+export interface ForecastServer {
+  readonly slots: number;
+  /** Statements that may be sent to it now; not positive while it has more than it may have. */
+  readonly freePlaces: number;
+  readonly service: ReadonlyMap<LoadAccess, ServiceTime>;
+}
+
+/** Statements that start before the one in question, and the servers that may run them. */
+export interface WaitingAhead<Server extends ForecastServer = ForecastServer> {
+  readonly servers: readonly Server[];
+  readonly access: LoadAccess;
+  readonly count: number;
+}
+
+export interface ForecastRequest<Server extends ForecastServer = ForecastServer> {
+  /** Servers that may run the statement. */
+  readonly servers: readonly Server[];
+  readonly access: LoadAccess;
+  /** All priorities that are served before it, and what is ahead of it in its own. */
+  readonly ahead: readonly WaitingAhead<Server>[];
+  /** Part of the starts that goes to less urgent statements while some of them wait. */
+  readonly lesserShare: number;
+}
+
+export interface StartForecast {
+  /** Time until the statement starts, in milliseconds. */
+  readonly startInMs: number;
+  /** Mean service time of such a statement on the servers that may run it. */
+  readonly serviceMs: number;
+}
+
+/** Below this number of answers of a server, its service time is not known well enough to refuse statements. */
+export const MIN_FORECAST_SAMPLES = 20;
+
+/**
+ * Predicts when a statement would start: work ahead of it is distributed over the servers that may run it, so that
+ * all of them would be free at the same time, and the statement takes the first free place. Returns `undefined` if no
+ * server may run it, or if one of them has answered fewer than `MIN_FORECAST_SAMPLES` statements.
+ *
+ * @example
+ * const primary = { slots: 4, freePlaces: 0, service: load.service }; // mean of writes: 6 ms
+ * const ahead = [{ servers: [primary], access: 'write', count: 40 }] as const;
+ * forecastStart({ servers: [primary], access: 'write', ahead, lesserShare: 0 }); // startInMs: 61.5
+ */
+export function forecastStart<Server extends ForecastServer>({
+  servers,
+  access,
+  ahead,
+  lesserShare,
+}: ForecastRequest<Server>): StartForecast | undefined {
+  const isMeasured = servers.every((server) => sampleCountOf(server) >= MIN_FORECAST_SAMPLES);
+  if (servers.length === 0 || !isMeasured) return undefined;
+  const levels = new Map<Server, number>();
+  // Work that few servers may run is placed first, because the rest can avoid those servers.
+  const restrictedFirst = [...ahead].sort(
+    (left, right) => left.servers.length - right.servers.length,
+  );
+  for (const work of restrictedFirst) placeWork(levels, work);
+  const startInMs = Math.min(...servers.map((server) => levelOf(levels, server)));
+  const serviceMs = meanServiceMs(servers, access);
+  return { startInMs: Math.max(0, startInMs) / (1 - lesserShare), serviceMs };
+}
+
+/** Raises the lowest levels until the work is placed, as water fills vessels. */
+function placeWork<Server extends ForecastServer>(
+  levels: Map<Server, number>,
+  { servers, access, count }: WaitingAhead<Server>,
+): void {
+  const workMs = count * meanServiceMs(servers, access);
+  if (workMs <= 0) return;
+  const byLevel = [...servers].sort(
+    (left, right) => levelOf(levels, left) - levelOf(levels, right),
+  );
+  let slots = 0;
+  let filledMs = 0;
+  let commonLevel = 0;
+  const filled: Server[] = [];
+  for (const server of byLevel) {
+    const level = levelOf(levels, server);
+    if (filled.length > 0 && level >= commonLevel) break;
+    filled.push(server);
+    slots += server.slots;
+    filledMs += level * server.slots;
+    commonLevel = (filledMs + workMs) / Math.max(1, slots);
+  }
+  for (const server of filled) levels.set(server, commonLevel);
+}
+
+/** Time until a server has a free place, in milliseconds; negative with several free places. */
+function levelOf<Server extends ForecastServer>(
+  levels: ReadonlyMap<Server, number>,
+  server: Server,
+): number {
+  const { slots, freePlaces } = server;
+  return levels.get(server) ?? ((1 - freePlaces) * meanOfAll(server)) / Math.max(1, slots);
+}
+
+function meanServiceMs(servers: readonly ForecastServer[], access: LoadAccess): number {
+  if (servers.length === 0) return 0;
+  const means = servers.map((server) => server.service.get(access)?.meanMs ?? meanOfAll(server));
+  return means.reduce((sum, mean) => sum + mean, 0) / means.length;
+}
+
+/** Mean service time over both kinds of access, weighted by their samples. */
+function meanOfAll({ service }: ForecastServer): number {
+  let weightedMs = 0;
+  let sampleCount = 0;
+  for (const measured of service.values()) {
+    weightedMs += measured.meanMs * measured.sampleCount;
+    sampleCount += measured.sampleCount;
+  }
+  return sampleCount === 0 ? 0 : weightedMs / sampleCount;
+}
+
+function sampleCountOf({ service }: ForecastServer): number {
+  return [...service.values()].reduce((sum, { sampleCount }) => sum + sampleCount, 0);
+}
--- /dev/null
+++ b/packages/core/src/overload/waiting-ahead.ts
@@ -0,0 +1,37 @@
+/** Which waiting statements start before another one. */
+import type { FairQueue } from '../queue/fair-queue.js';
+import type { CustomerName } from '../types/ids.js';
+
+/**
+ * Calls `visit` for each waiting statement that a fair queue serves before the next one of `customer`: its own, and
+ * those of other customers as far as their virtual times are lower.
+ *
+ * @param ownCount how many of the customer's own statements are ahead; all that wait if absent
+ * @example
+ * visitAhead(queue, customer, (job) => { count += 1; });
+ */
+export function visitAhead<Item>(
+  queue: FairQueue<Item>,
+  customer: CustomerName,
+  visit: (item: Item) => void,
+  ownCount = Number.POSITIVE_INFINITY,
+): void {
+  const own = queue.customers.get(customer);
+  const ownItems = own?.items.slice(0, ownCount) ?? [];
+  const isIdle = !own || (own.items.length === 0 && own.runningCount === 0);
+  const ownVirtualMs = own?.virtualMs ?? queue.virtualMs;
+  // A customer that returns after a pause continues at the queue's virtual time.
+  const sinceMs = isIdle ? Math.max(ownVirtualMs, queue.virtualMs) : ownVirtualMs;
+  const untilMs = sinceMs + ownItems.length * (own?.estimateMs ?? 0);
+  for (const { item } of ownItems) visit(item);
+  for (const other of queue.customers.values()) {
+    if (other === own || other.items.length === 0) continue;
+    const earlierMs = untilMs - other.virtualMs;
+    if (earlierMs < 0) continue;
+    const count = Math.floor(earlierMs / Math.max(MIN_ESTIMATE_MS, other.estimateMs)) + 1;
+    for (const { item } of other.items.slice(0, count)) visit(item);
+  }
+}
+
+/** Estimates of customers without measurements may be close to zero. */
+const MIN_ESTIMATE_MS = 0.1;
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -77,14 +77,46 @@
     if (position < 0) continue;
     const [next] = customer.items.splice(position, 1);
     if (!next) continue;
-    queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
-    customer.virtualMs += customer.estimateMs;
-    customer.runningCount += 1;
+    chargeStart(queue, customer);
     return next;
   }
   return undefined;
 }
 
+/**
+ * Takes the request with the earliest deadline after `nowMs` that `canStart` accepts, from any of the queues and
+ * regardless of virtual times; it is charged as by {@link dequeue}.
+ *
+ * @example
+ * dequeueEarliest([queue, other], nowMs, () => true);
+ */
+export function dequeueEarliest<Item>(
+  queues: readonly FairQueue<Item>[],
+  nowMs: number,
+  canStart: (item: Item, customer: CustomerName) => boolean,
+): QueuedItem<Item> | undefined {
+  const candidates = queues.flatMap((queue) =>
+    [...queue.customers.values()].flatMap((customer) => {
+      const [first] = customer.items.filter(({ deadlineMs }) => deadlineMs > nowMs);
+      return first ? [{ queue, customer, first }] : [];
+    }),
+  );
+  candidates.sort((left, right) => left.first.deadlineMs - right.first.deadlineMs);
+  for (const { queue, customer, first } of candidates) {
+    if (!canStart(first.item, customer.customer)) continue;
+    customer.items.splice(customer.items.indexOf(first), 1);
+    chargeStart(queue, customer);
+    return first;
+  }
+  return undefined;
+}
+
+function chargeStart<Item>(queue: FairQueue<Item>, customer: CustomerQueue<Item>): void {
+  queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
+  customer.virtualMs += customer.estimateMs;
+  customer.runningCount += 1;
+}
+
 /** Charges a request that bypassed the queue, such as one in an open transaction. */
 export function startUnqueued<Item>(queue: FairQueue<Item>, customerName: CustomerName): void {
   const customer = customerQueue(queue, customerName);
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -1,41 +1,28 @@
 /** The owner's queue: assigns waiting statements to servers and expires those that waited too long. */
 import {
-  chooseTarget,
   createFairQueue,
   dequeue,
   enqueue,
   type FairQueue,
   newestAcknowledged,
-  newestAcknowledgedAtMs,
-  requiredPosition,
   removeWaiting,
   type ServerName,
   type StatementOutcome,
   removeExpired,
-  takesRead,
-  type TargetRequirements,
-  type TargetView,
   waitingCount,
-  ZERO_POSITION,
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
-import { hasAvailableConnection } from '../target/connection-pool.js';
-import { judgeServers } from '../target/judge-servers.js';
-import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import type { Job, ServerState, StatementOwner } from './owner-state.js';
 import {
-  coldAllowanceOf,
-  isCold,
-  isEvacuated,
   isGraceOver,
   isHomeOf,
-  isToBeReplaced,
   isWhollyEvacuated,
   lacksHomeServer,
   lacksPlaceForPrimary,
   recordStart,
-  requestCountOf,
 } from './placement.js';
 import { runJob } from './run-job.js';
+import { chooseServerFor, freeSlots, isForPrimary, listTargetViews } from './server-choice.js';
 import { dropTransaction } from './transactions.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
@@ -43,15 +30,6 @@
 const RETRY_AFTER_MS = 200;
 /** The same while a change of primary waits for a server to return, which takes seconds. In milliseconds. */
 const BLOCKED_RETRY_AFTER_MS = 1_000;
-/**
- * Time after the start of an owner in which commits of a former owner may still finish, in milliseconds. Until
- * then `newest` reads go only to the primary.
- */
-const FORMER_OWNER_COMMIT_MS = 2_000;
-/** Typical run time of a statement on a server, in milliseconds; the means of the sites are 3 to 55 ms. */
-const TYPICAL_STATEMENT_MS = 15;
-/** Limit of statements sent beyond a server's slots, as a multiple of the slots. */
-const MAX_PIPELINED_PER_SLOT = 2;
 
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
@@ -107,12 +85,6 @@
   return leadership.kind === 'led' && lacksPlaceForPrimary(owner);
 }
 
-/** Whether a statement or its transaction can only start on the primary. */
-function isForPrimary({ request, transaction }: Job): boolean {
-  if (transaction?.pooled) return false;
-  return request.transaction ? !request.transaction.isReadOnly : request.access !== 'read';
-}
-
 /** Starts all waiting statements that a server can run now. */
 export function dispatch(owner: StatementOwner): void {
   if (owner.isDispatching || owner.isClosed || !owner.environment.holdsLease()) return;
@@ -166,96 +138,6 @@
   }
 }
 
-function listTargetViews(owner: StatementOwner): TargetView[] {
-  const primary = primaryOf(owner);
-  const { regionOf, zone, counters, log } = owner.environment;
-  judgeServers(owner.servers.values(), { group: owner.group, path: 'owner', counters, log });
-  return [...owner.servers.values()].map((server) => ({
-    server: server.announcement.server,
-    // One that was promoted for its log while it leaves may be past the time in which it takes statements.
-    isPrimary: server === primary && !isToBeReplaced(owner, server),
-    isLeaving: server.announcement.isLeaving,
-    isUsable:
-      server.failingSinceMs === undefined &&
-      !isEvacuated(owner, server) &&
-      hasAvailableConnection(owner.pools, server),
-    isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
-    freeSlots: freeSlots(owner, server),
-    takesRead: takesRead(server.health, server.runningCount, Math.random()),
-    runningCount: server.runningCount,
-    others: server.load.others,
-    serviceMs: server.load.service.get('read')?.meanMs,
-    connectedCustomers: new Set(server.idle.map(({ connection }) => connection.customer)),
-    position: server.position,
-    laggingUntilMs: server.laggingUntilMs,
-  }));
-}
-
-function freeSlots(owner: StatementOwner, server: ServerState): number {
-  if (performance.now() < server.busyUntilMs) return 0;
-  const { slots } = server.announcement;
-  const free = slots + pipelineAllowance(server) - server.runningCount;
-  return Math.min(free, coldAllowanceOf(owner, server));
-}
-
-/** Extra statements that may be in transit to or from a distant server while its slots are busy. */
-function pipelineAllowance({ announcement: { slots }, roundTripMs = 0 }: ServerState): number {
-  return Math.min(
-    slots * MAX_PIPELINED_PER_SLOT,
-    Math.floor((slots * roundTripMs) / TYPICAL_STATEMENT_MS),
-  );
-}
-
-function chooseServerFor(
-  owner: StatementOwner,
-  job: Job,
-  views: readonly TargetView[],
-): ServerName | undefined {
-  const { request, attempts } = job;
-  const { acknowledgedPositions } = owner;
-  if (!acknowledgedPositions) return undefined;
-  const nowMs = performance.now();
-  const { access, transaction, consistency } = request;
-  const isRead = transaction ? transaction.isReadOnly : access === 'read';
-  const mayMissFormerCommits =
-    nowMs - owner.startedAtMs < FORMER_OWNER_COMMIT_MS && consistency === 'newest';
-  const requirements: TargetRequirements = {
-    customer: request.customer,
-    mustBePrimary: !isRead || mayMissFormerCommits,
-    requiredPosition: isRead
-      ? requiredPosition(acknowledgedPositions, request, nowMs)
-      : ZERO_POSITION,
-    requiredSinceMs:
-      consistency === 'newest'
-        ? newestAcknowledgedAtMs(acknowledgedPositions)
-        : nowMs - request.maxReadAgeMs,
-    mayAssumeCaughtUp: attempts === 0,
-  };
-  return chooseTarget(viewsFor(owner, job, views), requirements, nowMs, Math.random());
-}
-
-/** Servers that may run a statement. Reads use cold ones only if no other has a free slot. */
-function viewsFor(
-  owner: StatementOwner,
-  job: Job,
-  views: readonly TargetView[],
-): readonly TargetView[] {
-  const isAnyCold = [...owner.servers.values()].some((server) => isCold(owner, server));
-  const { homes } = job.request;
-  if (!isAnyCold && homes === null) return views;
-  const count = requestCountOf(job);
-  const allowed = views.filter(({ server }) => {
-    const state = owner.servers.get(server);
-    return state && isHomeOf(owner, homes, state) && coldAllowanceOf(owner, state) >= count;
-  });
-  if (!isAnyCold || isForPrimary(job)) return allowed;
-  const warm = allowed.filter(({ server, freeSlots: free, isUsable }) => {
-    const state = owner.servers.get(server);
-    return state && !isCold(owner, state) && free > 0 && isUsable;
-  });
-  return warm.length > 0 ? warm : allowed;
-}
-
 /**
  * Refuses queued statements whose wait has expired as not run (`endJob` corrects this for those that may have
  * run). Expired statements of open transactions are passed to `runJob`.
