--- a/packages/core/src/overload/admission.ts
+++ b/packages/core/src/overload/admission.ts
@@ -11,8 +11,7 @@
 }
 
 export type StartVerdict =
-  | { readonly kind: 'wait' }
-  | { readonly kind: 'refuse'; readonly retryAfterMs: number };
+  { readonly kind: 'wait' } | { readonly kind: 'refuse'; readonly retryAfterMs: number };
 
 /**
  * A forecast has to be beyond the time left by this factor before a statement is refused, since service times
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -77,7 +77,8 @@
     if (position < 0) continue;
     const [next] = customer.items.splice(position, 1);
     if (!next) continue;
-    chargeStart(queue, customer);
+    queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
+    chargeStart(customer);
     return next;
   }
   return undefined;
@@ -97,22 +98,22 @@
 ): QueuedItem<Item> | undefined {
   const candidates = queues.flatMap((queue) =>
     [...queue.customers.values()].flatMap((customer) => {
-      const [first] = customer.items.filter(({ deadlineMs }) => deadlineMs > nowMs);
-      return first ? [{ queue, customer, first }] : [];
+      const first = customer.items.find(({ deadlineMs }) => deadlineMs > nowMs);
+      return first ? [{ customer, first }] : [];
     }),
   );
   candidates.sort((left, right) => left.first.deadlineMs - right.first.deadlineMs);
-  for (const { queue, customer, first } of candidates) {
+  for (const { customer, first } of candidates) {
     if (!canStart(first.item, customer.customer)) continue;
     customer.items.splice(customer.items.indexOf(first), 1);
-    chargeStart(queue, customer);
+    // The queue's virtual time stays, because customers with lower ones still wait.
+    chargeStart(customer);
     return first;
   }
   return undefined;
 }
 
-function chargeStart<Item>(queue: FairQueue<Item>, customer: CustomerQueue<Item>): void {
-  queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
+function chargeStart<Item>(customer: CustomerQueue<Item>): void {
   customer.virtualMs += customer.estimateMs;
   customer.runningCount += 1;
 }
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -133,6 +133,8 @@
   readonly startWithinMs: number;
   /** Regions in which it may run, and through whose processes it may pass. */
   readonly homes: Homes;
+  /** Response time objective of its route, in milliseconds; absent without overload control. */
+  readonly objectiveMs?: number;
 }
 
 /** Why a statement was refused before it ran. */
@@ -140,6 +142,7 @@
   | 'no-owner'
   | 'no-primary'
   | 'no-home-server'
+  | 'overloaded'
   | 'owner-lost-before-start'
   | 'queue-full'
   | 'queue-timeout'
--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -41,6 +41,8 @@
   readonly counters: Counters;
   readonly log: Log;
   readonly nextTransactionNumber: () => number;
+  /** Whether statements carry the objective of their route, by which owners admit them. */
+  readonly overloadControl?: boolean;
   /** Successful requests so far; used to log only a sample of them. */
   successCount: number;
 }
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -328,6 +328,7 @@
     maxReadAgeMs: route.maxReadAgeMs,
     mark: session.mark,
     values: session.values,
+    ...(session.environment.overloadControl === true && { objectiveMs: route.objectiveMs }),
   };
 }
 
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -5,13 +5,16 @@
   enqueue,
   type FairQueue,
   newestAcknowledged,
+  type QueuedItem,
   removeWaiting,
   type ServerName,
   type StatementOutcome,
   removeExpired,
+  takeNext,
   waitingCount,
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
+import { judgeArrival, recordWait, removeLate } from './admission.js';
 import type { Job, ServerState, StatementOwner } from './owner-state.js';
 import {
   isGraceOver,
@@ -44,6 +47,11 @@
   } else {
     const { customer, priority } = job.request;
     const queued = { item: job, customer, deadlineMs: job.startByMs };
+    const verdict = isOverloadControlled(owner) ? judgeArrival(owner, job) : undefined;
+    if (verdict?.kind === 'refuse') {
+      endOverloaded(owner, job, verdict.retryAfterMs);
+      return;
+    }
     if (enqueue(queueOf(owner, priority), queued, performance.now()) === 'full') {
       endJob(owner, job, notRun('queue-full'));
       return;
@@ -55,11 +63,25 @@
 function queueOf(owner: StatementOwner, priority: number): FairQueue<Job> {
   const existing = owner.queues.get(priority);
   if (existing) return existing;
-  const created = createFairQueue<Job>(MAX_WAITING_PER_CUSTOMER);
+  // Under overload control the predicted wait limits what waits.
+  const maxWaiting = isOverloadControlled(owner)
+    ? Number.POSITIVE_INFINITY
+    : MAX_WAITING_PER_CUSTOMER;
+  const created = createFairQueue<Job>(maxWaiting);
   owner.queues.set(priority, created);
   return created;
 }
 
+function isOverloadControlled({ environment }: StatementOwner): boolean {
+  return environment.overloadControl === true;
+}
+
+function endOverloaded(owner: StatementOwner, job: Job, retryAfterMs: number): void {
+  const { counters } = owner.environment;
+  counters.count(`refusal.overloaded.priority-${job.request.priority}`);
+  endJob(owner, job, notRun('overloaded', retryAfterMs));
+}
+
 /** Why a statement would only expire: no server may run it before another returns or an order is withdrawn. */
 function immediateRefusal(
   owner: StatementOwner,
@@ -90,8 +112,19 @@
   if (owner.isDispatching || owner.isClosed || !owner.environment.holdsLease()) return;
   owner.isDispatching = true;
   startPinned(owner);
-  const priorities = [...owner.queues.keys()].sort((left, right) => left - right);
-  for (const priority of priorities) startQueued(owner, queueOf(owner, priority));
+  if (isOverloadControlled(owner)) {
+    if (hasWaiting(owner)) {
+      startQueued(owner, (canStart) =>
+        takeNext(owner.startOrder, owner.queues, performance.now(), canStart),
+      );
+    }
+  } else {
+    const priorities = [...owner.queues.keys()].sort((left, right) => left - right);
+    for (const priority of priorities) {
+      const queue = queueOf(owner, priority);
+      if (waitingCount(queue) > 0) startQueued(owner, (canStart) => dequeue(queue, canStart));
+    }
+  }
   owner.isDispatching = false;
 }
 
@@ -121,19 +154,24 @@
   return leadership.holdsTransactions && server.announcement.server === leadership.former;
 }
 
-function startQueued(owner: StatementOwner, queue: FairQueue<Job>): void {
-  if (owner.isStopping || waitingCount(queue) === 0) return;
+/** @param take takes the next waiting statement that can start */
+function startQueued(
+  owner: StatementOwner,
+  take: (canStart: (job: Job) => boolean) => QueuedItem<Job> | undefined,
+): void {
+  if (owner.isStopping) return;
   for (;;) {
     const views = listTargetViews(owner);
     if (!views.some(({ freeSlots: free, isUsable }) => isUsable && free > 0)) return;
     let chosen: ServerName | undefined;
-    const next = dequeue(queue, (job) => {
+    const next = take((job) => {
       chosen = chooseServerFor(owner, job, views);
       return chosen !== undefined;
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
     if (!next || !server) return;
     recordStart(owner, server, next.item);
+    if (isOverloadControlled(owner)) recordWait(owner, next.item);
     void runJob(owner, next.item, server);
   }
 }
@@ -144,6 +182,9 @@
  */
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
+  if (isOverloadControlled(owner)) {
+    for (const { job, retryAfterMs } of removeLate(owner)) endOverloaded(owner, job, retryAfterMs);
+  }
   for (const queue of owner.queues.values()) {
     const blocked = mayRefuseAtOnce(owner)
       ? removeWaiting(queue, (job) => immediateRefusal(owner, job) !== undefined)
@@ -242,6 +283,8 @@
     mayHaveRun,
     ageMs: ageOf(job),
     startWithinMs: Math.round(request.startWithinMs),
+    priority: isOverloadControlled(owner) ? request.priority : undefined,
+    predictedWaitMs: job.predictedWaitMs,
     leadership: leadership.kind,
     leadershipSinceMs: Math.round(performance.now() - leadership.sinceMs),
     primary: leadership.kind === 'led' ? leadership.server : undefined,
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -37,6 +37,8 @@
   readonly regionOf: (zone: string) => string;
   readonly evacuatedZones: () => ReadonlySet<string>;
   readonly placementBounds: PlacementBounds;
+  /** Whether statements that cannot start in time are refused at once. */
+  readonly overloadControl?: boolean;
   readonly log: Log;
   readonly counters: Counters;
   readonly control: ControlClient;
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -8,6 +8,7 @@
   createStatementFates,
   createServerHealth,
   createServerLoad,
+  createStartOrder,
   type CustomerName,
   type FairQueue,
   type FormerHolder,
@@ -24,6 +25,7 @@
   type ServerLoad,
   type ServerName,
   type ServerPlace,
+  type StartOrder,
   type StatementFates,
   type StatementGroup,
   type StatementOutcome,
@@ -54,6 +56,8 @@
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
   readonly placementBounds: PlacementBounds;
+  /** Whether statements that cannot start in time are refused at once. */
+  readonly overloadControl?: boolean;
   /** Regions in which the primary should be; `undefined` without a limit, or if the routes contradict each other. */
   readonly homeRegions: () => readonly string[] | undefined;
   readonly log: Log;
@@ -162,6 +166,10 @@
   committedUnder: number | undefined;
   transaction: OpenTransaction | undefined;
   attempts: number;
+  /** Whether no replica could run it when it was judged last; set under overload control. */
+  isOnlyForPrimary?: boolean;
+  /** The forecast of its wait on arrival, in milliseconds; set under overload control. */
+  predictedWaitMs?: number;
   /** Whether its caller has disconnected; it is not sent to a server any more. */
   isWithdrawn: boolean;
   isEnded: boolean;
@@ -206,6 +214,8 @@
   /** Whether the group's replicas hold all commits that former ones may have acknowledged. */
   readonly coverage: Coverage<ServerPlace>;
   readonly queues: Map<number, FairQueue<Job>>;
+  /** Order of priorities under overload control. */
+  readonly startOrder: StartOrder;
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
@@ -263,6 +273,7 @@
     servers: new Map(),
     coverage: createCoverage(isPrimaryCovered(environment.groupRecord())),
     queues: new Map(),
+    startOrder: createStartOrder(),
     pinnedWaiting: [],
     transactions: new Map(),
     running: new Set(),
--- a/packages/statement-entry/src/owner/server-choice.ts
+++ b/packages/statement-entry/src/owner/server-choice.ts
@@ -118,7 +118,7 @@
 }
 
 /** Servers that may run a statement. Reads use cold ones only if no other has a free slot. */
-function viewsFor(
+export function viewsFor(
   owner: StatementOwner,
   job: Job,
   views: readonly TargetView[],
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -308,6 +308,7 @@
     readers,
     counters,
     log: options.callerLog,
+    overloadControl: options.overloadControl ?? false,
     nextTransactionNumber: () => {
       transactionCount += 1;
       return transactionCount;
--- a/packages/statement-entry/src/types/entry-options.ts
+++ b/packages/statement-entry/src/types/entry-options.ts
@@ -17,6 +17,8 @@
   readonly regionOf: (zone: string) => string;
   /** Bounds on evacuations and cold servers; the defaults if absent. */
   readonly placementBounds?: PlacementBounds;
+  /** Whether owners refuse at once what they cannot start in time; false if absent. */
+  readonly overloadControl?: boolean;
   readonly linkAddress: string;
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -42,6 +42,7 @@
     plain,
     { ...plain, mark: null, values: { unit: 'mm' } },
     { ...plain, homes: ['ub', 'erdenet'] },
+    { ...plain, homes: null, objectiveMs: 400 },
     {
       ...plain,
       access: 'write',
@@ -54,6 +55,10 @@
     expect(decodeStatement(encoded)).toEqual({ group, epoch: 9, request });
   });
 
+  it('sends no objective without overload control, so that the message stays as it was', () => {
+    expect(encodeStatement(group, 9, plain)).toHaveLength(16);
+  });
+
   it('decodes a statement of a former version, which names no homes', () => {
     const encoded = encodeStatement(group, 9, plain).slice(0, -1) as unknown as EncodedStatement;
     expect(decodeStatement(roundTrip(encoded)).request.homes).toBeNull();
--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -35,6 +35,8 @@
   startWithinMs: number,
   /** Absent in messages of former versions. */
   homes?: Homes,
+  /** Absent without overload control, and in messages of former versions. */
+  objectiveMs?: number,
 ];
 
 export type EncodedOutcome = readonly [number, ...(readonly unknown[])];
@@ -63,6 +65,7 @@
     Math.round(request.budgetMs),
     Math.round(request.startWithinMs),
     request.homes,
+    ...(request.objectiveMs === undefined ? ([] as const) : ([request.objectiveMs] as const)),
   ];
 }
 
@@ -89,6 +92,7 @@
     budgetMs,
     startWithinMs,
     homes,
+    objectiveMs,
   ] = encoded;
   const request: StatementRequest = {
     number,
@@ -109,6 +113,7 @@
     budgetMs,
     startWithinMs,
     homes: homes ?? null,
+    ...(objectiveMs !== undefined && { objectiveMs }),
   };
   return { group, epoch, request };
 }
