--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,6 +23,7 @@
 export * from './admit/token-bucket.js';
 export * from './admit/connection-limits.js';
 export * from './overload/admission.js';
+export * from './overload/arrival-rates.js';
 export * from './overload/entry-tokens.js';
 export * from './overload/rate-returns.js';
 export * from './overload/start-forecast.js';
--- a/packages/core/src/overload/admission.ts
+++ b/packages/core/src/overload/admission.ts
@@ -13,11 +13,10 @@
 export type StartVerdict =
   { readonly kind: 'wait' } | { readonly kind: 'refuse'; readonly retryAfterMs: number };
 
-/**
- * A forecast has to be beyond the time left by this factor before a statement is refused, since service times
- * vary and waiting statements are withdrawn.
- */
-const CLEARLY_LATER = 1.25;
+/** A statement is refused on arrival if its forecast is beyond this part of the time left. */
+const ARRIVAL_PART = 1;
+/** The same for one that has waited already, which is refused only if it certainly comes too late. */
+const WAITING_PART = 1.25;
 /** Retry times are spread by up to this part, so that refused callers do not return together. */
 const RETRY_SPREAD = 1 / 3;
 const MIN_RETRY_AFTER_MS = 50;
@@ -56,7 +55,9 @@
   if (!forecast) return { kind: 'wait' };
   const { startInMs, serviceMs } = forecast;
   const leftMs = latestUsefulStartMs(limits, serviceMs) - nowMs;
-  const isInTime = leftMs > 0 && startInMs <= leftMs * CLEARLY_LATER;
+  const isArrival = nowMs <= limits.arrivedAtMs;
+  const limitMs = isArrival ? leftMs * ARRIVAL_PART : leftMs * WAITING_PART + serviceMs;
+  const isInTime = leftMs > 0 && startInMs <= limitMs;
   // A statement that a server may start now is served even though it will be late.
   if (isInTime || startInMs <= 0) return { kind: 'wait' };
   return { kind: 'refuse', retryAfterMs: retryAfterOf(startInMs, randomUnit) };
--- a/packages/core/src/overload/start-forecast.ts
+++ b/packages/core/src/overload/start-forecast.ts
@@ -14,6 +14,8 @@
   readonly servers: readonly Server[];
   readonly access: LoadAccess;
   readonly count: number;
+  /** Such statements that arrive per millisecond and also start before the one in question; zero if absent. */
+  readonly arrivingPerMs?: number;
 }
 
 export interface ForecastRequest<Server extends ForecastServer = ForecastServer> {
@@ -24,6 +26,11 @@
   readonly ahead: readonly WaitingAhead<Server>[];
   /** Part of the starts that goes to less urgent statements while some of them wait. */
   readonly lesserShare: number;
+  /**
+   * Its priority's part of the starts, however many more urgent statements arrive, and the statements of its priority
+   * with earlier deadlines, which use that part before it; absent without one.
+   */
+  readonly guaranteed?: { readonly share: number; readonly countAhead: number };
 }
 
 export interface StartForecast {
@@ -35,6 +42,8 @@
 
 /** Below this number of answers of a server, its service time is not known well enough to refuse statements. */
 export const MIN_FORECAST_SAMPLES = 20;
+/** What arrives during the wait extends it; this many passes reach 94% of the wait at half load. */
+const ARRIVAL_PASSES = 4;
 
 /**
  * Predicts when a statement would start: work ahead of it is distributed over the servers that may run it, so that
@@ -51,18 +60,48 @@
   access,
   ahead,
   lesserShare,
+  guaranteed,
 }: ForecastRequest<Server>): StartForecast | undefined {
   const isMeasured = servers.every((server) => sampleCountOf(server) >= MIN_FORECAST_SAMPLES);
   if (servers.length === 0 || !isMeasured) return undefined;
-  const levels = new Map<Server, number>();
   // Work that few servers may run is placed first, because the rest can avoid those servers.
   const restrictedFirst = [...ahead].sort(
     (left, right) => left.servers.length - right.servers.length,
   );
-  for (const work of restrictedFirst) placeWork(levels, work);
-  const startInMs = Math.min(...servers.map((server) => levelOf(levels, server)));
-  const serviceMs = meanServiceMs(servers, access);
-  return { startInMs: Math.max(0, startInMs) / (1 - lesserShare), serviceMs };
+  let startInMs = 0;
+  for (let pass = 0; pass < ARRIVAL_PASSES; pass += 1) {
+    const formerMs = startInMs;
+    startInMs = Math.max(0, lowestLevel(servers, restrictedFirst, startInMs)) / (1 - lesserShare);
+    if (startInMs - formerMs < 1) break;
+  }
+  const latestMs = guaranteed ? latestByShare(servers, guaranteed) : Number.POSITIVE_INFINITY;
+  return { startInMs: Math.min(startInMs, latestMs), serviceMs: meanServiceMs(servers, access) };
+}
+
+/** Time until the priority's part of the starts reaches the statement. */
+function latestByShare(
+  servers: readonly ForecastServer[],
+  { share, countAhead }: { readonly share: number; readonly countAhead: number },
+): number {
+  const startsPerMs = servers.reduce(
+    (sum, server) => sum + server.slots / Math.max(1, meanOfAll(server)),
+    0,
+  );
+  return startsPerMs > 0 ? (countAhead + 1) / (share * startsPerMs) : Number.POSITIVE_INFINITY;
+}
+
+/** Time until one of the servers has a place, with what arrives within `withinMs`. */
+function lowestLevel<Server extends ForecastServer>(
+  servers: readonly Server[],
+  ahead: readonly WaitingAhead<Server>[],
+  withinMs: number,
+): number {
+  const levels = new Map<Server, number>();
+  for (const work of ahead) {
+    const count = work.count + (work.arrivingPerMs ?? 0) * withinMs;
+    placeWork(levels, { ...work, count });
+  }
+  return Math.min(...servers.map((server) => levelOf(levels, server)));
 }
 
 /** Raises the lowest levels until the work is placed, as water fills vessels. */
--- a/packages/core/src/overload/start-order.ts
+++ b/packages/core/src/overload/start-order.ts
@@ -1,10 +1,9 @@
 /** Order in which waiting statements of several priorities start. */
 import { dequeue, dequeueEarliest, type FairQueue, type QueuedItem } from '../queue/fair-queue.js';
-import type { CustomerName } from '../types/ids.js';
 
 export interface StartOrder {
-  /** Starts so far. */
-  startCount: number;
+  /** Starts of more urgent statements since the last one of a priority, while some of that priority waited. */
+  readonly passedOver: Map<number, number>;
 }
 
 /** One start in this many goes to a less urgent statement, so that none of them waits without end. */
@@ -13,14 +12,17 @@
 export const LESSER_SHARE = 1 / LESSER_EVERY;
 
 export function createStartOrder(): StartOrder {
-  return { startCount: 0 };
+  return { passedOver: new Map() };
 }
 
 /**
- * Takes the next statement that `canStart` accepts. The most urgent priority goes first; every eighth start goes to
- * the less urgent statement with the least time left, among those that can still be met.
+ * Takes the next statement that `canStart` accepts. The most urgent priority goes first. A priority that was passed
+ * over seven times is due: the statement with the least time left goes first then, among those of all due priorities
+ * that can still be met.
  *
  * @param queues the queues by priority; zero is the most urgent one
+ * @param canStart `isDue` tells that the statement would go before more urgent ones, so that it should not take a
+ *   server that only they need
  * @example
  * takeNext(order, queues, nowMs, (job) => chooseServer(job) !== undefined);
  */
@@ -28,37 +30,61 @@
   order: StartOrder,
   queues: ReadonlyMap<number, FairQueue<Item>>,
   nowMs: number,
-  canStart: (item: Item, customer: CustomerName) => boolean,
+  canStart: (item: Item, isDue: boolean) => boolean,
 ): QueuedItem<Item> | undefined {
-  const byPriority = [...queues.entries()].sort(([left], [right]) => left - right);
-  const inOrder = byPriority.map(([, queue]) => queue);
-  const next = takeLesser(order, inOrder, nowMs, canStart) ?? takeFirst(inOrder, canStart);
-  if (next) order.startCount += 1;
+  const waiting = [...queues]
+    .filter(([, queue]) => hasWaitingItems(queue))
+    .sort(([left], [right]) => left - right);
+  let taken: number | undefined;
+  const canStartOf =
+    (priority: number, isDue: boolean) =>
+    (item: Item): boolean => {
+      const isTaken = canStart(item, isDue);
+      if (isTaken) taken = priority;
+      return isTaken;
+    };
+  const due = waiting.filter(([priority]) => passedOver(order, priority) >= LESSER_EVERY - 1);
+  const next =
+    dequeueEarliest(
+      due.map(([priority, queue]) => ({ queue, canStart: canStartOf(priority, true) })),
+      nowMs,
+    ) ??
+    takeFirst(
+      waiting.map(([priority, queue]) => ({ queue, canStart: canStartOf(priority, false) })),
+    );
+  if (taken === undefined) return undefined;
+  recordStart(
+    order,
+    waiting.map(([priority]) => priority),
+    taken,
+  );
   return next;
 }
 
-function takeLesser<Item>(
-  { startCount }: StartOrder,
-  inOrder: readonly FairQueue<Item>[],
-  nowMs: number,
-  canStart: (item: Item, customer: CustomerName) => boolean,
-): QueuedItem<Item> | undefined {
-  if (startCount % LESSER_EVERY !== LESSER_EVERY - 1) return undefined;
-  const waiting = inOrder.filter(hasWaitingItems);
-  return dequeueEarliest(waiting.slice(1), nowMs, canStart);
+interface Source<Item> {
+  readonly queue: FairQueue<Item>;
+  readonly canStart: (item: Item) => boolean;
 }
 
-function takeFirst<Item>(
-  inOrder: readonly FairQueue<Item>[],
-  canStart: (item: Item, customer: CustomerName) => boolean,
-): QueuedItem<Item> | undefined {
-  for (const queue of inOrder) {
+function takeFirst<Item>(sources: readonly Source<Item>[]): QueuedItem<Item> | undefined {
+  for (const { queue, canStart } of sources) {
     const next = dequeue(queue, canStart);
     if (next) return next;
   }
   return undefined;
 }
 
+function recordStart(order: StartOrder, waiting: readonly number[], taken: number): void {
+  order.passedOver.set(taken, 0);
+  for (const priority of waiting) {
+    if (priority > taken) order.passedOver.set(priority, passedOver(order, priority) + 1);
+  }
+}
+
+function passedOver(order: StartOrder, priority: number): number {
+  return order.passedOver.get(priority) ?? 0;
+}
+
 function hasWaitingItems<Item>({ customers }: FairQueue<Item>): boolean {
   for (const { items } of customers.values()) if (items.length > 0) return true;
   return false;
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -85,25 +85,27 @@
 }
 
 /**
- * Takes the request with the earliest deadline after `nowMs` that `canStart` accepts, from any of the queues and
- * regardless of virtual times; it is charged as by {@link dequeue}.
+ * Takes the request with the earliest deadline after `nowMs` that can start, from any of the queues and regardless of
+ * virtual times; it is charged as by {@link dequeue}.
  *
  * @example
- * dequeueEarliest([queue, other], nowMs, () => true);
+ * dequeueEarliest([{ queue, canStart: () => true }], nowMs);
  */
 export function dequeueEarliest<Item>(
-  queues: readonly FairQueue<Item>[],
+  sources: readonly {
+    readonly queue: FairQueue<Item>;
+    readonly canStart: (item: Item, customer: CustomerName) => boolean;
+  }[],
   nowMs: number,
-  canStart: (item: Item, customer: CustomerName) => boolean,
 ): QueuedItem<Item> | undefined {
-  const candidates = queues.flatMap((queue) =>
+  const candidates = sources.flatMap(({ queue, canStart }) =>
     [...queue.customers.values()].flatMap((customer) => {
       const first = customer.items.find(({ deadlineMs }) => deadlineMs > nowMs);
-      return first ? [{ customer, first }] : [];
+      return first ? [{ customer, first, canStart }] : [];
     }),
   );
   candidates.sort((left, right) => left.first.deadlineMs - right.first.deadlineMs);
-  for (const { customer, first } of candidates) {
+  for (const { customer, first, canStart } of candidates) {
     if (!canStart(first.item, customer.customer)) continue;
     customer.items.splice(customer.items.indexOf(first), 1);
     // The queue's virtual time stays, because customers with lower ones still wait.
--- a/packages/statement-entry/src/owner/admission.test.ts
+++ b/packages/statement-entry/src/owner/admission.test.ts
@@ -10,11 +10,10 @@
 
 describe('admission by the predicted wait', () => {
   let fake: FakeGroup;
-  const outcomes = new Map<number, { outcome: StatementOutcome; afterMs: number }>();
-  const sentAtMs = new Map<number, number>();
+  let outcomes: Map<number, { outcome: StatementOutcome }>;
 
   async function start(overloadControl: boolean): Promise<void> {
-    outcomes.clear();
+    outcomes = new Map();
     fake = createFakeGroup(1);
     Object.assign(fake.owner.environment, { overloadControl });
     await takeOver(fake.owner);
@@ -28,12 +27,12 @@
   });
 
   function send(number: number, fields: Partial<StatementRequest> = {}): void {
-    sentAtMs.set(number, performance.now());
+    // Statements of a former test may still end.
+    const ownOutcomes = outcomes;
     const channel = {
       id: 'link-1',
       answer: (answered: number, outcome: StatementOutcome) => {
-        const afterMs = performance.now() - (sentAtMs.get(answered) ?? 0);
-        outcomes.set(answered, { outcome, afterMs });
+        ownOutcomes.set(answered, { outcome });
       },
     };
     acceptStatement(fake.owner, channel, {
--- a/packages/statement-entry/src/owner/admission.ts
+++ b/packages/statement-entry/src/owner/admission.ts
@@ -1,5 +1,6 @@
 /** Admission of statements by the predicted wait, under overload control. */
 import {
+  type ArrivalKind,
   type FairQueue,
   type ForecastServer,
   forecastStart,
@@ -7,6 +8,8 @@
   judgeStart,
   LESSER_SHARE,
   type LoadAccess,
+  moreUrgentPerMs,
+  recordArrival,
   removeWaiting,
   type StartForecast,
   type StartLimits,
@@ -36,7 +39,12 @@
   const views = listTargetViews(owner);
   const forecast = forecastOf(owner, job, views, undefined);
   if (forecast) job.predictedWaitMs = Math.round(forecast.startInMs);
-  return judgeStart(limitsOf(job), forecast, performance.now(), Math.random());
+  // The time of arrival, so that it is judged as an arrival.
+  const verdict = judgeStart(limitsOf(job), forecast, job.arrivedAtMs, Math.random());
+  const { priority } = job.request;
+  if (verdict.kind === 'wait')
+    recordArrival(owner.arrivalRates, priority, kindOf(job), job.arrivedAtMs);
+  return verdict;
 }
 
 /**
@@ -64,6 +72,18 @@
   return [...late].map(([job, retryAfterMs]) => ({ job, retryAfterMs }));
 }
 
+/**
+ * Servers for a statement that goes before more urgent ones: not the primary if replicas may run it, because urgent
+ * writes need the primary.
+ */
+export function withoutNeededPrimary(
+  job: Job,
+  views: readonly TargetView[],
+): readonly TargetView[] {
+  const mayAvoid = !isForPrimary(job) && job.isOnlyForPrimary === false;
+  return mayAvoid ? views.filter(({ isPrimary }) => !isPrimary) : views;
+}
+
 /** Counts the wait of a statement that starts, and by how much the forecast on its arrival was wrong. */
 export function recordWait(owner: StatementOwner, job: Job): void {
   const { counters } = owner.environment;
@@ -88,18 +108,27 @@
   const servers = eligibleServers(owner, job, views);
   job.isOnlyForPrimary = servers.every(({ isPrimary }) => isPrimary);
   const ahead = countAhead(owner, job, ownCount);
+  const { priority } = job.request;
+  const perMs = (kind: ArrivalKind) =>
+    moreUrgentPerMs(owner.arrivalRates, priority, kind, performance.now());
   const known = listKnown(owner, views);
   const primary = known.filter(({ isPrimary }) => isPrimary);
   const work: WaitingAhead<KnownServer>[] = [
-    { servers: primary, access: 'write', count: ahead.write },
-    { servers: primary, access: 'read', count: ahead.primaryRead },
-    { servers: known, access: 'read', count: ahead.read },
+    { servers: primary, access: 'write', count: ahead.write, arrivingPerMs: perMs('write') },
+    {
+      ...{ servers: primary, access: 'read', count: ahead['primary-read'] },
+      arrivingPerMs: perMs('primary-read'),
+    },
+    { servers: known, access: 'read', count: ahead.read, arrivingPerMs: perMs('read') },
   ];
   return forecastStart({
     servers: known.filter(({ server }) => servers.some((view) => view.server === server)),
     access: accessOf(job),
-    ahead: work.filter(({ count, servers: { length } }) => count > 0 && length > 0),
+    ahead: work.filter(({ servers: { length } }) => length > 0),
     lesserShare: hasLesserWaiting(owner, job) ? LESSER_SHARE : 0,
+    ...(isPassedOver(owner, priority) && {
+      guaranteed: { share: LESSER_SHARE, countAhead: countEarlier(owner, job) },
+    }),
   });
 }
 
@@ -127,11 +156,9 @@
 }
 
 function countAhead(owner: StatementOwner, job: Job, ownCount: number | undefined) {
-  const counts = { write: 0, primaryRead: 0, read: 0 };
+  const counts: Record<ArrivalKind, number> = { write: 0, 'primary-read': 0, read: 0 };
   const count = (waiting: Job): void => {
-    if (accessOf(waiting) === 'write') counts.write += 1;
-    else if (waiting.isOnlyForPrimary === true) counts.primaryRead += 1;
-    else counts.read += 1;
+    counts[kindOf(waiting)] += 1;
   };
   for (const pinned of owner.pinnedWaiting) count(pinned);
   const { customer, priority } = job.request;
@@ -142,6 +169,23 @@
   return counts;
 }
 
+/** Waiting statements of the same priority with earlier deadlines. */
+function countEarlier(owner: StatementOwner, job: Job): number {
+  const queue = owner.queues.get(job.request.priority);
+  let count = 0;
+  if (queue) {
+    visitAll(queue, ({ startByMs }) => {
+      if (startByMs < job.startByMs) count += 1;
+    });
+  }
+  return count;
+}
+
+/** Whether statements of more urgent priorities may go before those of this one, which has a part of the starts then. */
+function isPassedOver(owner: StatementOwner, priority: number): boolean {
+  return [...owner.queues.keys()].some((other) => other < priority);
+}
+
 function visitAll(queue: FairQueue<Job>, visit: (job: Job) => void): void {
   for (const { items } of queue.customers.values()) for (const { item } of items) visit(item);
 }
@@ -152,6 +196,11 @@
   );
 }
 
+function kindOf(job: Job): ArrivalKind {
+  if (isForPrimary(job)) return 'write';
+  return job.isOnlyForPrimary === true ? 'primary-read' : 'read';
+}
+
 function accessOf(job: Job): LoadAccess {
   return isForPrimary(job) ? 'write' : 'read';
 }
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -14,7 +14,7 @@
   waitingCount,
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
-import { judgeArrival, recordWait, removeLate } from './admission.js';
+import { judgeArrival, recordWait, removeLate, withoutNeededPrimary } from './admission.js';
 import type { Job, ServerState, StatementOwner } from './owner-state.js';
 import {
   isGraceOver,
@@ -122,7 +122,8 @@
     const priorities = [...owner.queues.keys()].sort((left, right) => left - right);
     for (const priority of priorities) {
       const queue = queueOf(owner, priority);
-      if (waitingCount(queue) > 0) startQueued(owner, (canStart) => dequeue(queue, canStart));
+      if (waitingCount(queue) > 0)
+        startQueued(owner, (canStart) => dequeue(queue, (job) => canStart(job)));
     }
   }
   owner.isDispatching = false;
@@ -157,15 +158,16 @@
 /** @param take takes the next waiting statement that can start */
 function startQueued(
   owner: StatementOwner,
-  take: (canStart: (job: Job) => boolean) => QueuedItem<Job> | undefined,
+  take: (canStart: (job: Job, isDue?: boolean) => boolean) => QueuedItem<Job> | undefined,
 ): void {
   if (owner.isStopping) return;
   for (;;) {
     const views = listTargetViews(owner);
     if (!views.some(({ freeSlots: free, isUsable }) => isUsable && free > 0)) return;
     let chosen: ServerName | undefined;
-    const next = take((job) => {
-      chosen = chooseServerFor(owner, job, views);
+    const next = take((job, isDue = false): boolean => {
+      const allowed = isDue ? withoutNeededPrimary(job, views) : views;
+      chosen = chooseServerFor(owner, job, allowed);
       return chosen !== undefined;
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -1,9 +1,11 @@
 /** State of the owner of a statement group: servers, connections, queues, transactions and log positions. */
 import {
   type ApplyResult,
+  type ArrivalRates,
   type Assignment,
   type ControlCommand,
   type Coverage,
+  createArrivalRates,
   createCoverage,
   createStatementFates,
   createServerHealth,
@@ -216,6 +218,8 @@
   readonly queues: Map<number, FairQueue<Job>>;
   /** Order of priorities under overload control. */
   readonly startOrder: StartOrder;
+  /** Admitted statements under overload control. */
+  readonly arrivalRates: ArrivalRates;
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
@@ -274,6 +278,7 @@
     coverage: createCoverage(isPrimaryCovered(environment.groupRecord())),
     queues: new Map(),
     startOrder: createStartOrder(),
+    arrivalRates: createArrivalRates(),
     pinnedWaiting: [],
     transactions: new Map(),
     running: new Set(),
