--- a/packages/statement-entry/src/accept/session.test.ts
+++ b/packages/statement-entry/src/accept/session.test.ts
@@ -189,6 +189,15 @@
     expect(spent()).toBe(expected);
   });
 
+  it('tells the owner the objective only under overload control, so that messages stay as they were', async () => {
+    outcomes.push(done, done);
+    await run(write);
+    expect(sent[0]).not.toHaveProperty('objectiveMs');
+    Object.assign(environment, { overloadControl: true });
+    await run(write);
+    expect(sent[1]?.objectiveMs).toBe(400);
+  });
+
   it('gets the token of a transaction back if none of its statements reached a target', async () => {
     outcomes.push(untouched);
     await run({ kind: 'begin', isReadOnly: false }, write);
