--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -78,13 +78,48 @@
     const [next] = customer.items.splice(position, 1);
     if (!next) continue;
     queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
-    customer.virtualMs += customer.estimateMs;
-    customer.runningCount += 1;
+    chargeStart(customer);
     return next;
   }
   return undefined;
 }
 
+/**
+ * Takes the request with the earliest deadline after `nowMs` that can start, from any of the queues and regardless of
+ * virtual times; it is charged as by {@link dequeue}.
+ *
+ * @example
+ * dequeueEarliest([{ queue, canStart: () => true }], nowMs);
+ */
+export function dequeueEarliest<Item>(
+  sources: readonly {
+    readonly queue: FairQueue<Item>;
+    readonly canStart: (item: Item, customer: CustomerName) => boolean;
+  }[],
+  nowMs: number,
+): QueuedItem<Item> | undefined {
+  const candidates = sources.flatMap(({ queue, canStart }) =>
+    [...queue.customers.values()].flatMap((customer) => {
+      const first = customer.items.find(({ deadlineMs }) => deadlineMs > nowMs);
+      return first ? [{ customer, first, canStart }] : [];
+    }),
+  );
+  candidates.sort((left, right) => left.first.deadlineMs - right.first.deadlineMs);
+  for (const { customer, first, canStart } of candidates) {
+    if (!canStart(first.item, customer.customer)) continue;
+    customer.items.splice(customer.items.indexOf(first), 1);
+    // The queue's virtual time stays, because customers with lower ones still wait.
+    chargeStart(customer);
+    return first;
+  }
+  return undefined;
+}
+
+function chargeStart<Item>(customer: CustomerQueue<Item>): void {
+  customer.virtualMs += customer.estimateMs;
+  customer.runningCount += 1;
+}
+
 /** Charges a request that bypassed the queue, such as one in an open transaction. */
 export function startUnqueued<Item>(queue: FairQueue<Item>, customerName: CustomerName): void {
   const customer = customerQueue(queue, customerName);
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -1,43 +1,31 @@
 /** The owner's queue: assigns waiting statements to servers and expires those that waited too long. */
 import {
-  chooseNearestTarget,
-  chooseTarget,
   createFairQueue,
   dequeue,
   enqueue,
   type FairQueue,
   newestAcknowledged,
-  newestAcknowledgedAtMs,
-  requiredPosition,
+  type QueuedItem,
   removeWaiting,
   type ServerName,
   type StatementOutcome,
   removeExpired,
-  takesRead,
-  type TargetRequirements,
-  type TargetView,
+  takeNext,
   waitingCount,
-  ZERO_POSITION,
 } from '@bramleykeel/core';
 import type { LogFields } from '@bramleykeel/link';
-import { match } from 'ts-pattern';
-import { hasAvailableConnection } from '../target/connection-pool.js';
-import { judgeServers } from '../target/judge-servers.js';
-import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { judgeArrival, recordWait, removeLate, withoutNeededPrimary } from './admission.js';
+import type { Job, ServerState, StatementOwner } from './owner-state.js';
 import {
-  coldAllowanceOf,
-  isCold,
-  isEvacuated,
   isGraceOver,
   isHomeOf,
-  isToBeReplaced,
   isWhollyEvacuated,
   lacksHomeServer,
   lacksPlaceForPrimary,
   recordStart,
-  requestCountOf,
 } from './placement.js';
 import { runJob } from './run-job.js';
+import { chooseServerFor, freeSlots, isForPrimary, listTargetViews } from './server-choice.js';
 import { dropTransaction } from './transactions.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
@@ -45,15 +33,6 @@
 const RETRY_AFTER_MS = 200;
 /** The same while a change of primary waits for a server to return, which takes seconds. In milliseconds. */
 const BLOCKED_RETRY_AFTER_MS = 1_000;
-/**
- * Time after the start of an owner in which commits of a former owner may still finish, in milliseconds. Until
- * then `newest` reads go only to the primary.
- */
-const FORMER_OWNER_COMMIT_MS = 2_000;
-/** Typical run time of a statement on a server, in milliseconds; the means of the sites are 3 to 55 ms. */
-const TYPICAL_STATEMENT_MS = 15;
-/** Limit of statements sent beyond a server's slots, as a multiple of the slots. */
-const MAX_PIPELINED_PER_SLOT = 2;
 
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
@@ -68,6 +47,11 @@
   } else {
     const { customer, priority } = job.request;
     const queued = { item: job, customer, deadlineMs: job.startByMs };
+    const verdict = isOverloadControlled(owner) ? judgeArrival(owner, job) : undefined;
+    if (verdict?.kind === 'refuse') {
+      endOverloaded(owner, job, verdict.retryAfterMs);
+      return;
+    }
     if (enqueue(queueOf(owner, priority), queued, performance.now()) === 'full') {
       endJob(owner, job, notRun('queue-full'));
       return;
@@ -79,11 +63,25 @@
 function queueOf(owner: StatementOwner, priority: number): FairQueue<Job> {
   const existing = owner.queues.get(priority);
   if (existing) return existing;
-  const created = createFairQueue<Job>(MAX_WAITING_PER_CUSTOMER);
+  // Under overload control the predicted wait limits what waits.
+  const maxWaiting = isOverloadControlled(owner)
+    ? Number.POSITIVE_INFINITY
+    : MAX_WAITING_PER_CUSTOMER;
+  const created = createFairQueue<Job>(maxWaiting);
   owner.queues.set(priority, created);
   return created;
 }
 
+function isOverloadControlled({ environment }: StatementOwner): boolean {
+  return environment.overloadControl === true;
+}
+
+function endOverloaded(owner: StatementOwner, job: Job, retryAfterMs: number): void {
+  const { counters } = owner.environment;
+  counters.count(`refusal.overloaded.priority-${job.request.priority}`);
+  endJob(owner, job, notRun('overloaded', retryAfterMs));
+}
+
 /** Why a statement would only expire: no server may run it before another returns or an order is withdrawn. */
 function immediateRefusal(
   owner: StatementOwner,
@@ -109,19 +107,25 @@
   return leadership.kind === 'led' && lacksPlaceForPrimary(owner);
 }
 
-/** Whether a statement or its transaction can only start on the primary. */
-function isForPrimary({ request, transaction }: Job): boolean {
-  if (transaction?.pooled) return false;
-  return request.transaction ? !request.transaction.isReadOnly : request.access !== 'read';
-}
-
 /** Starts all waiting statements that a server can run now. */
 export function dispatch(owner: StatementOwner): void {
   if (owner.isDispatching || owner.isClosed || !owner.environment.holdsLease()) return;
   owner.isDispatching = true;
   startPinned(owner);
-  const priorities = [...owner.queues.keys()].sort((left, right) => left - right);
-  for (const priority of priorities) startQueued(owner, queueOf(owner, priority));
+  if (isOverloadControlled(owner)) {
+    if (hasWaiting(owner)) {
+      startQueued(owner, (canStart) =>
+        takeNext(owner.startOrder, owner.queues, performance.now(), canStart),
+      );
+    }
+  } else {
+    const priorities = [...owner.queues.keys()].sort((left, right) => left - right);
+    for (const priority of priorities) {
+      const queue = queueOf(owner, priority);
+      if (waitingCount(queue) > 0)
+        startQueued(owner, (canStart) => dequeue(queue, (job) => canStart(job)));
+    }
+  }
   owner.isDispatching = false;
 }
 
@@ -151,125 +155,38 @@
   return leadership.holdsTransactions && server.announcement.server === leadership.former;
 }
 
-function startQueued(owner: StatementOwner, queue: FairQueue<Job>): void {
-  if (owner.isStopping || waitingCount(queue) === 0) return;
+/** @param take takes the next waiting statement that can start */
+function startQueued(
+  owner: StatementOwner,
+  take: (canStart: (job: Job, isDue?: boolean) => boolean) => QueuedItem<Job> | undefined,
+): void {
+  if (owner.isStopping) return;
   for (;;) {
     const views = listTargetViews(owner);
     if (!views.some(({ freeSlots: free, isUsable }) => isUsable && free > 0)) return;
     let chosen: ServerName | undefined;
-    const next = dequeue(queue, (job) => {
-      chosen = chooseServerFor(owner, job, views);
+    const next = take((job, isDue = false): boolean => {
+      const allowed = isDue ? withoutNeededPrimary(job, views) : views;
+      chosen = chooseServerFor(owner, job, allowed);
       return chosen !== undefined;
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
     if (!next || !server) return;
     recordStart(owner, server, next.item);
+    if (isOverloadControlled(owner)) recordWait(owner, next.item);
     void runJob(owner, next.item, server);
   }
 }
 
-function listTargetViews(owner: StatementOwner): TargetView[] {
-  const primary = primaryOf(owner);
-  const { regionOf, zone, counters, log, readDistribution } = owner.environment;
-  const isEven = readDistribution === 'even';
-  if (isEven)
-    judgeServers(owner.servers.values(), { group: owner.group, path: 'owner', counters, log });
-  return [...owner.servers.values()].map((server) => ({
-    server: server.announcement.server,
-    // One that was promoted for its log while it leaves may be past the time in which it takes statements.
-    isPrimary: server === primary && !isToBeReplaced(owner, server),
-    isLeaving: server.announcement.isLeaving,
-    isUsable:
-      server.failingSinceMs === undefined &&
-      !isEvacuated(owner, server) &&
-      hasAvailableConnection(owner.pools, server),
-    isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
-    freeSlots: freeSlots(owner, server),
-    takesRead: !isEven || takesRead(server.health, server.runningCount, Math.random()),
-    runningCount: server.runningCount,
-    others: server.load.others,
-    serviceMs: server.load.service.get('read')?.meanMs,
-    connectedCustomers: new Set(server.idle.map(({ connection }) => connection.customer)),
-    position: server.position,
-    laggingUntilMs: server.laggingUntilMs,
-  }));
-}
-
-function freeSlots(owner: StatementOwner, server: ServerState): number {
-  if (performance.now() < server.busyUntilMs) return 0;
-  const { slots } = server.announcement;
-  const free = slots + pipelineAllowance(server) - server.runningCount;
-  return Math.min(free, coldAllowanceOf(owner, server));
-}
-
-/** Extra statements that may be in transit to or from a distant server while its slots are busy. */
-function pipelineAllowance({ announcement: { slots }, roundTripMs = 0 }: ServerState): number {
-  return Math.min(
-    slots * MAX_PIPELINED_PER_SLOT,
-    Math.floor((slots * roundTripMs) / TYPICAL_STATEMENT_MS),
-  );
-}
-
-function chooseServerFor(
-  owner: StatementOwner,
-  job: Job,
-  views: readonly TargetView[],
-): ServerName | undefined {
-  const { request, attempts } = job;
-  const { acknowledgedPositions } = owner;
-  if (!acknowledgedPositions) return undefined;
-  const nowMs = performance.now();
-  const { access, transaction, consistency } = request;
-  const isRead = transaction ? transaction.isReadOnly : access === 'read';
-  const mayMissFormerCommits =
-    nowMs - owner.startedAtMs < FORMER_OWNER_COMMIT_MS && consistency === 'newest';
-  const requirements: TargetRequirements = {
-    customer: request.customer,
-    mustBePrimary: !isRead || mayMissFormerCommits,
-    requiredPosition: isRead
-      ? requiredPosition(acknowledgedPositions, request, nowMs)
-      : ZERO_POSITION,
-    requiredSinceMs:
-      consistency === 'newest'
-        ? newestAcknowledgedAtMs(acknowledgedPositions)
-        : nowMs - request.maxReadAgeMs,
-    mayAssumeCaughtUp: attempts === 0,
-  };
-  const allowed = viewsFor(owner, job, views);
-  return match(owner.environment.readDistribution)
-    .with('nearest', () => chooseNearestTarget(allowed, requirements, nowMs))
-    .with('even', () => chooseTarget(allowed, requirements, nowMs, Math.random()))
-    .exhaustive();
-}
-
-/** Servers that may run a statement. Reads use cold ones only if no other has a free slot. */
-function viewsFor(
-  owner: StatementOwner,
-  job: Job,
-  views: readonly TargetView[],
-): readonly TargetView[] {
-  const isAnyCold = [...owner.servers.values()].some((server) => isCold(owner, server));
-  const { homes } = job.request;
-  if (!isAnyCold && homes === null) return views;
-  const count = requestCountOf(job);
-  const allowed = views.filter(({ server }) => {
-    const state = owner.servers.get(server);
-    return state && isHomeOf(owner, homes, state) && coldAllowanceOf(owner, state) >= count;
-  });
-  if (!isAnyCold || isForPrimary(job)) return allowed;
-  const warm = allowed.filter(({ server, freeSlots: free, isUsable }) => {
-    const state = owner.servers.get(server);
-    return state && !isCold(owner, state) && free > 0 && isUsable;
-  });
-  return warm.length > 0 ? warm : allowed;
-}
-
 /**
  * Refuses queued statements whose wait has expired as not run (`endJob` corrects this for those that may have
  * run). Expired statements of open transactions are passed to `runJob`.
  */
 export function expireWaiting(owner: StatementOwner): void {
   const nowMs = performance.now();
+  if (isOverloadControlled(owner)) {
+    for (const { job, retryAfterMs } of removeLate(owner)) endOverloaded(owner, job, retryAfterMs);
+  }
   for (const queue of owner.queues.values()) {
     const blocked = mayRefuseAtOnce(owner)
       ? removeWaiting(queue, (job) => immediateRefusal(owner, job) !== undefined)
@@ -368,6 +285,8 @@
     mayHaveRun,
     ageMs: ageOf(job),
     startWithinMs: Math.round(request.startWithinMs),
+    priority: isOverloadControlled(owner) ? request.priority : undefined,
+    predictedWaitMs: job.predictedWaitMs,
     leadership: leadership.kind,
     leadershipSinceMs: Math.round(performance.now() - leadership.sinceMs),
     primary: leadership.kind === 'led' ? leadership.server : undefined,
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -39,6 +39,8 @@
   readonly evacuatedZones: () => ReadonlySet<string>;
   readonly placementBounds: PlacementBounds;
   readonly readDistribution: ReadDistribution;
+  /** Whether statements that cannot start in time are refused at once. */
+  readonly overloadControl?: boolean;
   readonly log: Log;
   readonly counters: Counters;
   readonly control: ControlClient;
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -1,13 +1,16 @@
 /** State of the owner of a statement group: servers, connections, queues, transactions and log positions. */
 import {
   type ApplyResult,
+  type ArrivalRates,
   type Assignment,
   type ControlCommand,
   type Coverage,
+  createArrivalRates,
   createCoverage,
   createStatementFates,
   createServerHealth,
   createServerLoad,
+  createStartOrder,
   type CustomerName,
   type FairQueue,
   type FormerHolder,
@@ -25,6 +28,7 @@
   type ServerLoad,
   type ServerName,
   type ServerPlace,
+  type StartOrder,
   type StatementFates,
   type StatementGroup,
   type StatementOutcome,
@@ -56,6 +60,8 @@
   readonly evacuatedZones: () => ReadonlySet<string>;
   readonly readDistribution: ReadDistribution;
   readonly placementBounds: PlacementBounds;
+  /** Whether statements that cannot start in time are refused at once. */
+  readonly overloadControl?: boolean;
   /** Regions in which the primary should be; `undefined` without a limit, or if the routes contradict each other. */
   readonly homeRegions: () => readonly string[] | undefined;
   readonly log: Log;
@@ -164,6 +170,10 @@
   committedUnder: number | undefined;
   transaction: OpenTransaction | undefined;
   attempts: number;
+  /** Whether no replica could run it when it was judged last; set under overload control. */
+  isOnlyForPrimary?: boolean;
+  /** The forecast of its wait on arrival, in milliseconds; set under overload control. */
+  predictedWaitMs?: number;
   /** Whether its caller has disconnected; it is not sent to a server any more. */
   isWithdrawn: boolean;
   isEnded: boolean;
@@ -208,6 +218,10 @@
   /** Whether the group's replicas hold all commits that former ones may have acknowledged. */
   readonly coverage: Coverage<ServerPlace>;
   readonly queues: Map<number, FairQueue<Job>>;
+  /** Order of priorities under overload control. */
+  readonly startOrder: StartOrder;
+  /** Admitted statements under overload control. */
+  readonly arrivalRates: ArrivalRates;
   readonly pinnedWaiting: Job[];
   readonly transactions: Map<string, OpenTransaction>;
   readonly running: Set<Job>;
@@ -265,6 +279,8 @@
     servers: new Map(),
     coverage: createCoverage(isPrimaryCovered(environment.groupRecord())),
     queues: new Map(),
+    startOrder: createStartOrder(),
+    arrivalRates: createArrivalRates(),
     pinnedWaiting: [],
     transactions: new Map(),
     running: new Set(),
--- a/packages/statement-entry/src/types/entry-options.ts
+++ b/packages/statement-entry/src/types/entry-options.ts
@@ -20,6 +20,8 @@
   readonly placementBounds?: PlacementBounds;
   /** How reads are distributed over the servers that may run them; `nearest` if absent. */
   readonly readDistribution?: ReadDistribution;
+  /** Whether owners refuse at once what they cannot start in time; false if absent. */
+  readonly overloadControl?: boolean;
   readonly linkAddress: string;
   readonly linkMbps?: number;
   readonly isBesideControl?: boolean;
