--- a/packages/core/src/overload/admission.test-support.ts
+++ b/packages/core/src/overload/admission.test-support.ts
@@ -5,6 +5,7 @@
 import { seededRandom } from '../control-log/raft-harness.test-support.js';
 import {
   createFairQueue,
+  createShareClock,
   enqueue,
   type FairQueue,
   recordFinished,
@@ -113,8 +114,12 @@
   const random = seededRandom(pattern.seed);
   const order = createStartOrder();
   const rates = createArrivalRates();
+  const clock = createShareClock();
   const queues = new Map(
-    KINDS.map((_, priority) => [priority, createFairQueue<Statement>(Infinity)]),
+    KINDS.map((_, priority) => [
+      priority,
+      createFairQueue<Statement>(Number.POSITIVE_INFINITY, clock),
+    ]),
   );
   const servers = [0, 1, 2].map((index) => createServer(index === 0));
   const kinds = KINDS.map(createResult);
--- a/packages/core/src/overload/waiting-ahead.test.ts
+++ b/packages/core/src/overload/waiting-ahead.test.ts
@@ -1,5 +1,12 @@
 import { describe, expect, it } from 'vitest';
-import { createFairQueue, enqueue, recordFinished, startUnqueued } from '../queue/fair-queue.js';
+import {
+  createFairQueue,
+  createShareClock,
+  dequeue,
+  enqueue,
+  recordFinished,
+  startUnqueued,
+} from '../queue/fair-queue.js';
 import { toCustomerName } from '../types/ids.js';
 import { visitAhead } from './waiting-ahead.js';
 
@@ -29,6 +36,18 @@
     expect(countAhead(queue, light)).toBeLessThanOrEqual(2);
   });
 
+  it('are more for a customer that has used slots in another queue of the clock', () => {
+    const clock = createShareClock();
+    const [urgent, lesser] = [1, 2].map(() => createFairQueue<string>(400, clock));
+    if (!urgent || !lesser) throw new Error('no queues');
+    enqueue(urgent, { item: 'long', customer: heavy, deadlineMs: 1_000 }, 0);
+    dequeue(urgent, () => true);
+    recordFinished(urgent, heavy, 500, 0);
+    for (const customer of [heavy, light])
+      enqueue(lesser, { item: customer, customer, deadlineMs: 1_000 }, 0);
+    expect(dequeue(lesser, () => true)?.customer).toBe(light);
+  });
+
   it('are for one that waits only those before it', () => {
     expect(countAhead(createQueue(100), heavy, 3)).toBe(3);
   });
--- a/packages/core/src/overload/waiting-ahead.ts
+++ b/packages/core/src/overload/waiting-ahead.ts
@@ -1,5 +1,5 @@
 /** Which waiting statements start before another one. */
-import type { FairQueue } from '../queue/fair-queue.js';
+import { type FairQueue, isShareIdle } from '../queue/fair-queue.js';
 import type { CustomerName } from '../types/ids.js';
 
 /**
@@ -18,15 +18,17 @@
 ): void {
   const own = queue.customers.get(customer);
   const ownItems = own?.items.slice(0, ownCount) ?? [];
-  const isIdle = !own || (own.items.length === 0 && own.runningCount === 0);
-  const ownVirtualMs = own?.virtualMs ?? queue.virtualMs;
+  const { virtualMs, shares } = queue.clock;
+  const share = shares.get(customer);
+  const ownVirtualMs = share?.virtualMs ?? virtualMs;
   // A customer that returns after a pause continues at the queue's virtual time.
-  const sinceMs = isIdle ? Math.max(ownVirtualMs, queue.virtualMs) : ownVirtualMs;
+  const isIdle = !share || isShareIdle(share);
+  const sinceMs = isIdle ? Math.max(ownVirtualMs, virtualMs) : ownVirtualMs;
   const untilMs = sinceMs + ownItems.length * (own?.estimateMs ?? 0);
   for (const { item } of ownItems) visit(item);
   for (const other of queue.customers.values()) {
     if (other === own || other.items.length === 0) continue;
-    const earlierMs = untilMs - other.virtualMs;
+    const earlierMs = untilMs - other.share.virtualMs;
     if (earlierMs < 0) continue;
     const count = Math.floor(earlierMs / Math.max(MIN_ESTIMATE_MS, other.estimateMs)) + 1;
     for (const { item } of other.items.slice(0, count)) visit(item);
--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -13,9 +13,21 @@
   deadlineMs: number;
 }
 
+/** A customer's virtual time, in one queue or in several that share a clock. */
+interface CustomerShare {
+  virtualMs: number;
+  readonly queues: { readonly items: readonly unknown[]; readonly runningCount: number }[];
+}
+
+/** Virtual times of a queue, or of several queues whose customers share them. */
+export interface ShareClock {
+  virtualMs: number;
+  readonly shares: Map<CustomerName, CustomerShare>;
+}
+
 interface CustomerQueue<Item> {
   readonly customer: CustomerName;
-  virtualMs: number;
+  readonly share: CustomerShare;
   runningCount: number;
   /** Estimated slot time of one request, charged at its start and corrected at its end. */
   estimateMs: number;
@@ -26,7 +38,7 @@
 export interface FairQueue<Item> {
   readonly maxWaitingPerCustomer: number;
   readonly customers: Map<CustomerName, CustomerQueue<Item>>;
-  virtualMs: number;
+  readonly clock: ShareClock;
 }
 
 /** Slot time assumed before the first measurement of a customer, in milliseconds. */
@@ -36,8 +48,16 @@
 /** Customers with nothing waiting or running are removed after this time, in milliseconds. */
 const IDLE_CUSTOMER_RETENTION_MS = 60_000;
 
-export function createFairQueue<Item>(maxWaitingPerCustomer: number): FairQueue<Item> {
-  return { maxWaitingPerCustomer, customers: new Map(), virtualMs: 0 };
+export function createShareClock(): ShareClock {
+  return { virtualMs: 0, shares: new Map() };
+}
+
+/** @param clock shared with other queues if a customer's slot time in them counts here as well */
+export function createFairQueue<Item>(
+  maxWaitingPerCustomer: number,
+  clock: ShareClock = createShareClock(),
+): FairQueue<Item> {
+  return { maxWaitingPerCustomer, customers: new Map(), clock };
 }
 
 /**
@@ -54,8 +74,8 @@
 ): 'queued' | 'full' {
   const customer = customerQueue(queue, queued.customer);
   if (customer.items.length >= queue.maxWaitingPerCustomer) return 'full';
-  const isIdle = customer.items.length === 0 && customer.runningCount === 0;
-  if (isIdle) customer.virtualMs = Math.max(customer.virtualMs, queue.virtualMs);
+  const { share } = customer;
+  if (isShareIdle(share)) share.virtualMs = Math.max(share.virtualMs, queue.clock.virtualMs);
   customer.lastActiveMs = nowMs;
   customer.items.push(queued);
   return 'queued';
@@ -71,13 +91,13 @@
 ): QueuedItem<Item> | undefined {
   const waiting = [...queue.customers.values()]
     .filter((customer) => customer.items.length > 0)
-    .sort((left, right) => left.virtualMs - right.virtualMs);
+    .sort((left, right) => left.share.virtualMs - right.share.virtualMs);
   for (const customer of waiting) {
     const position = customer.items.findIndex(({ item }) => canStart(item, customer.customer));
     if (position < 0) continue;
     const [next] = customer.items.splice(position, 1);
     if (!next) continue;
-    queue.virtualMs = Math.max(queue.virtualMs, customer.virtualMs);
+    queue.clock.virtualMs = Math.max(queue.clock.virtualMs, customer.share.virtualMs);
     chargeStart(customer);
     return next;
   }
@@ -115,15 +135,20 @@
   return undefined;
 }
 
+/** Whether a customer has nothing waiting or running in any queue of the clock. */
+export function isShareIdle({ queues }: CustomerShare): boolean {
+  return queues.every(({ items, runningCount }) => items.length === 0 && runningCount === 0);
+}
+
 function chargeStart<Item>(customer: CustomerQueue<Item>): void {
-  customer.virtualMs += customer.estimateMs;
+  customer.share.virtualMs += customer.estimateMs;
   customer.runningCount += 1;
 }
 
 /** Charges a request that bypassed the queue, such as one in an open transaction. */
 export function startUnqueued<Item>(queue: FairQueue<Item>, customerName: CustomerName): void {
   const customer = customerQueue(queue, customerName);
-  customer.virtualMs += customer.estimateMs;
+  customer.share.virtualMs += customer.estimateMs;
   customer.runningCount += 1;
 }
 
@@ -136,7 +161,7 @@
 ): void {
   const customer = customerQueue(queue, customerName);
   customer.runningCount = Math.max(0, customer.runningCount - 1);
-  customer.virtualMs += usedMs - customer.estimateMs;
+  customer.share.virtualMs += usedMs - customer.estimateMs;
   customer.estimateMs += ESTIMATE_GAIN * (usedMs - customer.estimateMs);
   customer.lastActiveMs = nowMs;
 }
@@ -200,21 +225,33 @@
   if (existing) return existing;
   const created: CustomerQueue<Item> = {
     customer,
-    virtualMs: queue.virtualMs,
+    share: shareOf(queue.clock, customer),
     runningCount: 0,
     estimateMs: INITIAL_ESTIMATE_MS,
     lastActiveMs: Number.NEGATIVE_INFINITY,
     items: [],
   };
+  created.share.queues.push(created);
   queue.customers.set(customer, created);
   return created;
 }
 
+function shareOf({ shares, virtualMs }: ShareClock, customer: CustomerName): CustomerShare {
+  const existing = shares.get(customer);
+  if (existing) return existing;
+  const created: CustomerShare = { virtualMs, queues: [] };
+  shares.set(customer, created);
+  return created;
+}
+
 function removeIdleCustomers<Item>(queue: FairQueue<Item>, nowMs: number): void {
   for (const [name, customer] of queue.customers) {
     const isBusy = customer.items.length > 0 || customer.runningCount > 0;
-    const hasDebt = customer.virtualMs > queue.virtualMs;
+    const { share } = customer;
+    const hasDebt = share.virtualMs > queue.clock.virtualMs;
     if (isBusy || hasDebt || nowMs - customer.lastActiveMs < IDLE_CUSTOMER_RETENTION_MS) continue;
     queue.customers.delete(name);
+    share.queues.splice(share.queues.indexOf(customer), 1);
+    if (share.queues.length === 0) queue.clock.shares.delete(name);
   }
 }
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -64,10 +64,9 @@
   const existing = owner.queues.get(priority);
   if (existing) return existing;
   // Under overload control the predicted wait limits what waits.
-  const maxWaiting = isOverloadControlled(owner)
-    ? Number.POSITIVE_INFINITY
-    : MAX_WAITING_PER_CUSTOMER;
-  const created = createFairQueue<Job>(maxWaiting);
+  const created = isOverloadControlled(owner)
+    ? createFairQueue<Job>(Number.POSITIVE_INFINITY, owner.shareClock)
+    : createFairQueue<Job>(MAX_WAITING_PER_CUSTOMER);
   owner.queues.set(priority, created);
   return created;
 }
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -10,6 +10,7 @@
   createStatementFates,
   createServerHealth,
   createServerLoad,
+  createShareClock,
   createStartOrder,
   type CustomerName,
   type FairQueue,
@@ -27,6 +28,7 @@
   type ServerLoad,
   type ServerName,
   type ServerPlace,
+  type ShareClock,
   type StartOrder,
   type StatementFates,
   type StatementGroup,
@@ -216,6 +218,8 @@
   /** Whether the group's replicas hold all commits that former ones may have acknowledged. */
   readonly coverage: Coverage<ServerPlace>;
   readonly queues: Map<number, FairQueue<Job>>;
+  /** Slot time of the customers over all priorities under overload control. */
+  readonly shareClock: ShareClock;
   /** Order of priorities under overload control. */
   readonly startOrder: StartOrder;
   /** Admitted statements under overload control. */
@@ -277,6 +281,7 @@
     servers: new Map(),
     coverage: createCoverage(isPrimaryCovered(environment.groupRecord())),
     queues: new Map(),
+    shareClock: createShareClock(),
     startOrder: createStartOrder(),
     arrivalRates: createArrivalRates(),
     pinnedWaiting: [],
