Look for a server once for all waiting statements with the same requirements

With hundreds of waiting statements each start and each answer looked for a server for every one of them. The result is now kept for a pass over the queue, by what the statements require. A statement that finds nothing waiting is admitted without a forecast.

--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -25,7 +25,13 @@
   recordStart,
 } from './placement.js';
 import { runJob } from './run-job.js';
-import { chooseServerFor, freeSlots, isForPrimary, listTargetViews } from './server-choice.js';
+import {
+  chooseServerFor,
+  requirementsKeyOf,
+  freeSlots,
+  isForPrimary,
+  listTargetViews,
+} from './server-choice.js';
 import { dropTransaction } from './transactions.js';
 
 const MAX_WAITING_PER_CUSTOMER = 400;
@@ -47,7 +53,9 @@
   } else {
     const { customer, priority } = job.request;
     const queued = { item: job, customer, deadlineMs: job.startByMs };
-    const verdict = isOverloadControlled(owner) ? judgeArrival(owner, job) : undefined;
+    // With nothing waiting it starts at once, or is the next to start.
+    const isToBeJudged = isOverloadControlled(owner) && hasWaiting(owner);
+    const verdict = isToBeJudged ? judgeArrival(owner, job) : undefined;
     if (verdict?.kind === 'refuse') {
       endOverloaded(owner, job, verdict.retryAfterMs);
       return;
@@ -164,9 +172,14 @@
     const views = listTargetViews(owner);
     if (!views.some(({ freeSlots: free, isUsable }) => isUsable && free > 0)) return;
     let chosen: ServerName | undefined;
+    // In a long queue most statements wait for the same reason, so that it is found once for all of them.
+    const withoutServer = new Set<string>();
     const next = take((job, isDue = false): boolean => {
+      const key = requirementsKeyOf(job, isDue);
+      if (withoutServer.has(key)) return false;
       const allowed = isDue ? withoutNeededPrimary(job, views) : views;
       chosen = chooseServerFor(owner, job, allowed);
+      if (chosen === undefined) withoutServer.add(key);
       return chosen !== undefined;
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
--- a/packages/statement-entry/src/owner/server-choice.ts
+++ b/packages/statement-entry/src/owner/server-choice.ts
@@ -99,6 +99,18 @@
     .exhaustive();
 }
 
+/**
+ * Statements with the same key may run on the same servers: if none of these has a free slot for one of them, none has
+ * for the others.
+ */
+export function requirementsKeyOf({ request, attempts }: Job, isDue: boolean): string {
+  const { access, transaction, consistency, maxReadAgeMs, mark, homes } = request;
+  const isFirstTry = attempts === 0;
+  const position = mark ? `${mark.term}.${mark.offset}` : '';
+  const kind = transaction ? `${transaction.isReadOnly} ${transaction.isFirst}` : access;
+  return `${kind} ${consistency} ${maxReadAgeMs} ${position} ${isFirstTry} ${isDue} ${homes?.join() ?? ''}`;
+}
+
 /** What a statement requires of its server; `undefined` until the acknowledged positions are known. */
 export function requirementsOf(
   owner: StatementOwner,
