--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -35,6 +35,8 @@
   readonly hasFreshSettings: () => boolean;
   readonly stopPhase: () => StopPhase;
   readonly rates: RateClient;
+  /** Whether tokens of operations that reached no target are returned; only overload control limits what waits then. */
+  readonly returnsTokens: boolean;
   readonly waits: () => AdmissionWaits;
   readonly owners: OwnerClient;
   readonly readers: ReaderClient;
--- a/packages/statement-entry/src/accept/session.test.ts
+++ b/packages/statement-entry/src/accept/session.test.ts
@@ -120,6 +120,7 @@
       settings: () => settings,
       hasFreshSettings: () => true,
       stopPhase: () => 'serving',
+      returnsTokens: true,
       rates: createRateClient({
         rateWaitMs: 100,
         homeWaitMs: () => 100,
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -124,7 +124,7 @@
 }
 
 function returnToken({ environment }: CallerSession, token: TokenReceipt | undefined): void {
-  if (!token) return;
+  if (!token || !environment.returnsTokens) return;
   environment.counters.count('rate.token-returned');
   returnReceipt(environment.rates, token);
 }
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -307,6 +307,7 @@
     settings: () => settings,
     hasFreshSettings: control.hasFreshSettings,
     stopPhase: () => (stopSchedule ? stopPhaseAt(stopSchedule, performance.now()) : 'serving'),
+    returnsTokens: options.overloadControl === true,
     rates: createRateClient({
       rateWaitMs: RATE_WAIT_MS,
       homeWaitMs: () => waits().homeMs,
