Explain the choice of a server by nearness, and by parts of reads

explainTarget assumed that reads are distributed by load and that it is known whether each server takes the read. The owner draws that at random for a server that gets a part of its reads, and deployments choose by nearness unless they ask for even load. explainChoice covers both. It weighs all cases of the random draws instead of sampling them, so that the shares are exact; above 6 such servers the rest count as taking all reads, which bounds the work to 64 cases.

Also separates what an explanation needs without a change of state: copyServerHealth, takeShareOf and isQueueFull, which enqueue uses itself.

--- a/packages/core/src/queue/fair-queue.ts
+++ b/packages/core/src/queue/fair-queue.ts
@@ -72,8 +72,8 @@
   queued: QueuedItem<Item>,
   nowMs: number,
 ): 'queued' | 'full' {
+  if (isQueueFull(queue, queued.customer)) return 'full';
   const customer = customerQueue(queue, queued.customer);
-  if (customer.items.length >= queue.maxWaitingPerCustomer) return 'full';
   const { share } = customer;
   if (isShareIdle(share)) share.virtualMs = Math.max(share.virtualMs, queue.clock.virtualMs);
   customer.lastActiveMs = nowMs;
@@ -81,6 +81,12 @@
   return 'queued';
 }
 
+/** Whether a customer has as many waiting requests as it may have. */
+export function isQueueFull<Item>(queue: FairQueue<Item>, customer: CustomerName): boolean {
+  const waiting = queue.customers.get(customer)?.items.length ?? 0;
+  return waiting >= queue.maxWaitingPerCustomer;
+}
+
 /**
  * Takes the next request that `canStart` accepts: customers by virtual time, each in its own order.
  * The customer is charged its estimate at once; {@link recordFinished} corrects it.
--- a/packages/core/src/route/server-health.ts
+++ b/packages/core/src/route/server-health.ts
@@ -85,6 +85,25 @@
   };
 }
 
+/** A copy that can be evaluated without changing the original. */
+export function copyServerHealth(health: ServerHealth): ServerHealth {
+  const buckets = health.buckets.map(({ startMs, counts }) => ({
+    startMs,
+    counts: new Map(counts),
+  }));
+  return { ...health, buckets, pending: new Set(health.pending) };
+}
+
+/**
+ * Probability with which `takesRead` accepts a read now.
+ *
+ * @example
+ * takeShareOf(server.health, server.runningCount); // 0.05 for a server that is probed and runs nothing
+ */
+export function takeShareOf(health: ServerHealth, running: number): number {
+  return takesRead(health, running, 0) ? Math.min(1, health.share) : 0;
+}
+
 /** Records that a statement was sent; the result is passed to `recordEnded`. */
 export function recordPending(health: ServerHealth, nowMs: number): PendingStatement {
   const statement = { sentAtMs: nowMs };
--- a/packages/core/src/statements/explain-target.ts
+++ b/packages/core/src/statements/explain-target.ts
@@ -1,6 +1,8 @@
 /** Explains the choice of a server for a statement, with the functions that make it. */
+import { match } from 'ts-pattern';
 import { type ExpectedDelay, expectedDelays } from '../route/even-load.js';
 import type { ServerName } from '../types/ids.js';
+import { chooseNearestTarget, type ReadDistribution } from './choose-nearest.js';
 import {
   candidateTargets,
   loadCandidateOf,
@@ -21,6 +23,80 @@
   readonly delay: Omit<ExpectedDelay<ReturnType<typeof loadCandidateOf>>, 'candidate'> | undefined;
 }
 
+/** What an explanation needs to know besides the servers. */
+export interface ChoiceQuestion {
+  readonly readDistribution: ReadDistribution;
+  readonly requirements: TargetRequirements;
+  readonly nowMs: number;
+  /** Probability with which each server takes a read, as far as its health is concerned; 1 if absent. */
+  readonly takeShares: ReadonlyMap<ServerName, number>;
+}
+
+/** Each server whose part of its reads is chosen at random doubles the number of cases; further ones count as taking all. */
+const MAX_RANDOM_SERVERS = 6;
+
+/**
+ * Gives each server's probability of being chosen now, and the reason against those without one. Less than 1 in total is
+ * the probability that the statement starts at once.
+ *
+ * @param servers as for the choice itself; their `takesRead` is replaced
+ * @example
+ * explainChoice(views, { readDistribution: 'even', requirements, nowMs, takeShares: new Map() });
+ */
+export function explainChoice(
+  servers: readonly TargetView[],
+  question: ChoiceQuestion,
+): readonly TargetExplanation[] {
+  return match(question.readDistribution)
+    .with('nearest', () => explainNearest(servers, question))
+    .with('even', () => explainEven(servers, question))
+    .exhaustive();
+}
+
+function explainNearest(
+  servers: readonly TargetView[],
+  { requirements, nowMs }: ChoiceQuestion,
+): readonly TargetExplanation[] {
+  const chosen = chooseNearestTarget(servers, requirements, nowMs);
+  return servers.map((view) => {
+    const isChosen = view.server === chosen;
+    const reason = isChosen ? undefined : reasonAgainst(view, requirements, nowMs, undefined);
+    return { server: view.server, share: Number(isChosen), reason, view, delay: undefined };
+  });
+}
+
+/** Weighs the explanations of all cases that differ in which servers take the read. */
+function explainEven(
+  servers: readonly TargetView[],
+  { requirements, nowMs, takeShares }: ChoiceQuestion,
+): readonly TargetExplanation[] {
+  const shareOf = ({ server }: TargetView) => takeShares.get(server) ?? 1;
+  const random = servers
+    .filter((view) => shareOf(view) > 0 && shareOf(view) < 1)
+    .slice(0, MAX_RANDOM_SERVERS);
+  const totals = new Map<ServerName, number>();
+  for (let refusing = 0; refusing < 2 ** random.length; refusing += 1) {
+    const isRefusing = (view: TargetView) => {
+      const index = random.indexOf(view);
+      return index >= 0 && (refusing & (1 << index)) !== 0;
+    };
+    const weight = random.reduce(
+      (product, view) => product * (isRefusing(view) ? 1 - shareOf(view) : shareOf(view)),
+      1,
+    );
+    const views = servers.map((view) => {
+      return { ...view, takesRead: shareOf(view) > 0 && !isRefusing(view) };
+    });
+    for (const { server, share } of explainTarget(views, requirements, nowMs))
+      totals.set(server, (totals.get(server) ?? 0) + weight * share);
+  }
+  const taking = servers.map((view) => ({ ...view, takesRead: shareOf(view) > 0 }));
+  return explainTarget(taking, requirements, nowMs).map((explained) => {
+    const share = totals.get(explained.server) ?? 0;
+    return { ...explained, share, reason: share > 0 ? undefined : explained.reason };
+  });
+}
+
 /**
  * Gives each server's probability of being chosen by `chooseTarget`, and the reason against those without one.
  *
