--- a/packages/statement-entry/src/owner/admission.ts
+++ b/packages/statement-entry/src/owner/admission.ts
@@ -35,18 +35,27 @@
 type KnownServer = ForecastServer & Pick<TargetView, 'server' | 'isPrimary'>;
 
 /** Forecasts the start of a statement that arrives, and judges whether that is in time. */
-export function judgeArrival(owner: StatementOwner, job: Job): StartVerdict {
-  const views = listTargetViews(owner);
-  const forecast = forecastOf(owner, job, views, undefined);
+export function judgeArrival(owner: StatementOwner, job: Job, random: () => number): StartVerdict {
+  const views = listTargetViews(owner, random);
+  const forecast = forecastArrival(owner, job, views);
   if (forecast) job.predictedWaitMs = Math.round(forecast.startInMs);
   // The time of arrival, so that it is judged as an arrival.
-  const verdict = judgeStart(limitsOf(job), forecast, job.arrivedAtMs, Math.random());
+  const verdict = judgeStart(limitsOf(job), forecast, job.arrivedAtMs, random());
   const { priority } = job.request;
   if (verdict.kind === 'wait')
     recordArrival(owner.arrivalRates, priority, kindOf(job), job.arrivedAtMs);
   return verdict;
 }
 
+/** Forecasts the start of a statement that would arrive now, without counting it; `undefined` if that is unknown. */
+export function forecastArrival(
+  owner: StatementOwner,
+  job: Job,
+  views: readonly TargetView[],
+): StartForecast | undefined {
+  return forecastOf(owner, job, views, undefined);
+}
+
 /**
  * Removes and returns the waiting statements that can no longer start in time. Only those that have waited for a
  * part of their objective are judged again, the oldest of each customer first.
--- /dev/null
+++ b/packages/statement-entry/src/owner/create-job.ts
@@ -0,0 +1,24 @@
+/** Creates the owner's state of a statement. */
+import type { StatementRequest } from '@bramleykeel/core';
+import { valuesKeyOf } from '../target/connection-setup.js';
+import type { Job, OwnerChannel } from './owner-state.js';
+
+/** The state of a statement that arrives now. */
+export function createJob(channel: OwnerChannel, request: StatementRequest): Job {
+  const nowMs = performance.now();
+  return {
+    channel,
+    request,
+    valuesKey: valuesKeyOf(request.values),
+    arrivedAtMs: nowMs,
+    deadlineMs: nowMs + request.budgetMs,
+    startByMs: nowMs + request.startWithinMs,
+    mayHaveRun: false,
+    hasReachedTarget: false,
+    committedUnder: undefined,
+    transaction: undefined,
+    attempts: 0,
+    isWithdrawn: false,
+    isEnded: false,
+  };
+}
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -4,6 +4,7 @@
   dequeue,
   enqueue,
   type FairQueue,
+  isQueueFull,
   newestAcknowledged,
   type QueuedItem,
   removeWaiting,
@@ -40,12 +41,22 @@
 /** The same while a change of primary waits for a server to return, which takes seconds. In milliseconds. */
 const BLOCKED_RETRY_AFTER_MS = 1_000;
 
+/** Why a statement is not queued, and when its caller may try again. */
+export interface ArrivalRefusal {
+  readonly reason: 'no-primary' | 'no-home-server' | 'overloaded' | 'queue-full';
+  readonly retryAfterMs: number;
+}
+
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
   if (job.request.homes) owner.hasRestrictedStatements = true;
-  const refusal = immediateRefusal(owner, job);
+  const refusal = refusalOnArrival(owner, job);
+  if (refusal?.reason === 'overloaded') {
+    endOverloaded(owner, job, refusal.retryAfterMs);
+    return;
+  }
   if (refusal) {
-    endJob(owner, job, notRun(refusal, BLOCKED_RETRY_AFTER_MS));
+    endJob(owner, job, notRun(refusal.reason, refusal.retryAfterMs));
     return;
   }
   if (job.transaction?.pooled) {
@@ -53,21 +64,36 @@
   } else {
     const { customer, priority } = job.request;
     const queued = { item: job, customer, deadlineMs: job.startByMs };
-    // With nothing waiting it starts at once, or is the next to start.
-    const isToBeJudged = isOverloadControlled(owner) && hasWaiting(owner);
-    const verdict = isToBeJudged ? judgeArrival(owner, job) : undefined;
-    if (verdict?.kind === 'refuse') {
-      endOverloaded(owner, job, verdict.retryAfterMs);
-      return;
-    }
-    if (enqueue(queueOf(owner, priority), queued, performance.now()) === 'full') {
-      endJob(owner, job, notRun('queue-full'));
-      return;
-    }
+    enqueue(queueOf(owner, priority), queued, performance.now());
   }
   dispatch(owner);
 }
 
+/**
+ * Whether an arriving statement is refused at once. Counts it as an arrival if it is judged by its predicted wait and
+ * admitted.
+ *
+ * @param random as for `listTargetViews`
+ */
+export function refusalOnArrival(
+  owner: StatementOwner,
+  job: Job,
+  random: () => number = Math.random,
+): ArrivalRefusal | undefined {
+  const reason = immediateRefusal(owner, job);
+  if (reason) return { reason, retryAfterMs: BLOCKED_RETRY_AFTER_MS };
+  if (job.transaction?.pooled) return undefined;
+  // With nothing waiting it starts at once, or is the next to start.
+  const isToBeJudged = isOverloadControlled(owner) && hasWaiting(owner);
+  const verdict = isToBeJudged ? judgeArrival(owner, job, random) : undefined;
+  if (verdict?.kind === 'refuse')
+    return { reason: 'overloaded', retryAfterMs: verdict.retryAfterMs };
+  const { customer, priority } = job.request;
+  const queue = owner.queues.get(priority);
+  const isFull = queue !== undefined && isQueueFull(queue, customer);
+  return isFull ? { reason: 'queue-full', retryAfterMs: RETRY_AFTER_MS } : undefined;
+}
+
 function queueOf(owner: StatementOwner, priority: number): FairQueue<Job> {
   const existing = owner.queues.get(priority);
   if (existing) return existing;
@@ -79,7 +105,7 @@
   return created;
 }
 
-function isOverloadControlled({ environment }: StatementOwner): boolean {
+export function isOverloadControlled({ environment }: StatementOwner): boolean {
   return environment.overloadControl === true;
 }
 
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -5,9 +5,9 @@
   promiseNotStarted,
   type StatementRequest,
 } from '@bramleykeel/core';
+import { createJob } from './create-job.js';
 import { dropWaiting, endJob, notRun, submitJob } from './dispatch.js';
 import type { Job, OpenTransaction, OwnerChannel, StatementOwner } from './owner-state.js';
-import { valuesKeyOf } from '../target/connection-setup.js';
 import { dropTransaction, rollBack, transactionKeyOf } from './transactions.js';
 
 export interface EntryChannel extends OwnerChannel {
@@ -20,28 +20,13 @@
   channel: EntryChannel,
   request: StatementRequest,
 ): void {
-  const nowMs = performance.now();
-  const job: Job = {
-    channel,
-    request,
-    valuesKey: valuesKeyOf(request.values),
-    arrivedAtMs: nowMs,
-    deadlineMs: nowMs + request.budgetMs,
-    startByMs: nowMs + request.startWithinMs,
-    mayHaveRun: false,
-    hasReachedTarget: false,
-    committedUnder: undefined,
-    transaction: undefined,
-    attempts: 0,
-    isWithdrawn: false,
-    isEnded: false,
-  };
+  const job = createJob(channel, request);
   if (isPromisedNotToStart(owner.fates, fateKeyOf(request.number, request.tag))) {
     endJob(owner, job, notRun('owner-lost-before-start'));
     return;
   }
   if (request.transaction && !joinTransaction(owner, channel, job)) return;
-  if (owner.isFinishing || (owner.isStopping && !job.transaction?.pooled)) {
+  if (isHandingOver(owner, job)) {
     refuseAtHandover(owner, job);
     return;
   }
@@ -49,6 +34,11 @@
   submitJob(owner, job);
 }
 
+/** Whether a statement comes too late for this owner, because its group is handed over. */
+export function isHandingOver(owner: StatementOwner, job: Job): boolean {
+  return owner.isFinishing || (owner.isStopping && !job.transaction?.pooled);
+}
+
 /** Work that has begun nothing yet runs under the next owner; a transaction that is open ends. */
 function refuseAtHandover(owner: StatementOwner, job: Job): void {
   const isOpen = job.transaction?.pooled !== undefined;
--- a/packages/statement-entry/src/owner/server-choice.ts
+++ b/packages/statement-entry/src/owner/server-choice.ts
@@ -39,8 +39,15 @@
   return request.transaction ? !request.transaction.isReadOnly : request.access !== 'read';
 }
 
-/** The servers of the group as the choice of a server for a statement sees them. */
-export function listTargetViews(owner: StatementOwner): TargetView[] {
+/**
+ * The servers of the group as the choice of a server for a statement sees them.
+ *
+ * @param random decides which servers take a part of their reads only; random numbers in [0, 1)
+ */
+export function listTargetViews(
+  owner: StatementOwner,
+  random: () => number = Math.random,
+): TargetView[] {
   const primary = primaryOf(owner);
   const { regionOf, zone, counters, log, readDistribution } = owner.environment;
   const isEven = readDistribution === 'even';
@@ -57,7 +64,7 @@
       hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(owner, server),
-    takesRead: !isEven || takesRead(server.health, server.runningCount, Math.random()),
+    takesRead: !isEven || takesRead(server.health, server.runningCount, random()),
     runningCount: server.runningCount,
     others: server.load.others,
     serviceMs: server.load.service.get('read')?.meanMs,
