Explain what a reader would do with a read

Reads that need not see the newest commits go to the reader of the region first, so that the owner's part alone would name the wrong server for them. explainRead runs the reader's choice on a copy of its state.

--- a/packages/core/src/statements/explain-target.ts
+++ b/packages/core/src/statements/explain-target.ts
@@ -71,29 +71,44 @@
   { requirements, nowMs, takeShares }: ChoiceQuestion,
 ): readonly TargetExplanation[] {
   const shareOf = ({ server }: TargetView) => takeShares.get(server) ?? 1;
+  const totals = new Map<ServerName, number>();
+  for (const { taking, weight } of casesOfTaking(servers, shareOf)) {
+    const views = servers.map((view) => ({ ...view, takesRead: taking.has(view) }));
+    for (const { server, share } of explainTarget(views, requirements, nowMs))
+      totals.set(server, (totals.get(server) ?? 0) + weight * share);
+  }
+  const views = servers.map((view) => ({ ...view, takesRead: shareOf(view) > 0 }));
+  return explainTarget(views, requirements, nowMs).map((explained) => {
+    const share = totals.get(explained.server) ?? 0;
+    return { ...explained, share, reason: share > 0 ? undefined : explained.reason };
+  });
+}
+
+/**
+ * The cases that differ in which servers take a read, and the probability of each.
+ *
+ * @param shareOf probability with which a server takes a read
+ * @example
+ * for (const { taking, weight } of casesOfTaking(servers, ({ health }) => health.share)) count(taking, weight);
+ */
+export function casesOfTaking<Server>(
+  servers: readonly Server[],
+  shareOf: (server: Server) => number,
+): readonly { readonly taking: ReadonlySet<Server>; readonly weight: number }[] {
   const random = servers
-    .filter((view) => shareOf(view) > 0 && shareOf(view) < 1)
+    .filter((server) => shareOf(server) > 0 && shareOf(server) < 1)
     .slice(0, MAX_RANDOM_SERVERS);
-  const totals = new Map<ServerName, number>();
-  for (let refusing = 0; refusing < 2 ** random.length; refusing += 1) {
-    const isRefusing = (view: TargetView) => {
-      const index = random.indexOf(view);
+  return Array.from({ length: 2 ** random.length }, (_, refusing) => {
+    const isRefusing = (server: Server) => {
+      const index = random.indexOf(server);
       return index >= 0 && (refusing & (1 << index)) !== 0;
     };
+    const taking = servers.filter((server) => shareOf(server) > 0 && !isRefusing(server));
     const weight = random.reduce(
-      (product, view) => product * (isRefusing(view) ? 1 - shareOf(view) : shareOf(view)),
+      (product, server) => product * (isRefusing(server) ? 1 - shareOf(server) : shareOf(server)),
       1,
     );
-    const views = servers.map((view) => {
-      return { ...view, takesRead: shareOf(view) > 0 && !isRefusing(view) };
-    });
-    for (const { server, share } of explainTarget(views, requirements, nowMs))
-      totals.set(server, (totals.get(server) ?? 0) + weight * share);
-  }
-  const taking = servers.map((view) => ({ ...view, takesRead: shareOf(view) > 0 }));
-  return explainTarget(taking, requirements, nowMs).map((explained) => {
-    const share = totals.get(explained.server) ?? 0;
-    return { ...explained, share, reason: share > 0 ? undefined : explained.reason };
+    return { taking: new Set(taking), weight };
   });
 }
 
--- a/packages/statement-entry/src/near/reader-client.ts
+++ b/packages/statement-entry/src/near/reader-client.ts
@@ -53,10 +53,42 @@
 }
 
 /** Whether a statement may run at a replica that lacks the newest commits. */
-export function mayReadAtReplica({ access, transaction, consistency }: StatementDraft): boolean {
+export function mayReadAtReplica({
+  access,
+  transaction,
+  consistency,
+}: Pick<StatementDraft, 'access' | 'transaction' | 'consistency'>): boolean {
   return access === 'read' && !transaction && consistency !== 'newest';
 }
 
+/** Where a statement is sent first, and why to the owner if it may run at a replica. */
+export type NearestPlace =
+  | {
+      readonly kind: 'owner';
+      readonly reason: 'not-a-near-read' | 'no-reader' | 'reader-not-a-home' | 'reader-silent';
+    }
+  | { readonly kind: 'reader'; readonly reader: ReaderLocation };
+
+/** Decides where a statement is sent first. */
+export function nearestPlaceFor(
+  client: Pick<ReaderClient, 'waitingAt'> & {
+    readonly options: Pick<ReaderClientOptions, 'locateReader' | 'regionOf'>;
+  },
+  group: GroupName,
+  draft: Pick<StatementDraft, 'access' | 'transaction' | 'consistency' | 'homes'>,
+): NearestPlace {
+  const { options } = client;
+  if (!mayReadAtReplica(draft)) return { kind: 'owner', reason: 'not-a-near-read' };
+  const reader = options.locateReader(group);
+  if (!reader) return { kind: 'owner', reason: 'no-reader' };
+  if (reader.kind === 'here') return { kind: 'reader', reader };
+  const { zone } = reader;
+  if (!mayForward(draft.homes, { isLocal: false, zone }, options.regionOf))
+    return { kind: 'owner', reason: 'reader-not-a-home' };
+  if (isSilent(client, reader)) return { kind: 'owner', reason: 'reader-silent' };
+  return { kind: 'reader', reader };
+}
+
 /**
  * Runs a statement at the nearest place that may run it.
  *
@@ -70,18 +102,16 @@
   runAtOwner: () => Promise<StatementOutcome>,
 ): Promise<StatementOutcome> {
   const { options } = client;
-  const reader = mayReadAtReplica(draft) ? options.locateReader(group) : undefined;
-  if (!reader) return runAtOwner();
+  const place = nearestPlaceFor(client, group, draft);
+  if (place.kind === 'owner') {
+    if (place.reason === 'reader-silent') options.counters.count('near.reader-silent');
+    return runAtOwner();
+  }
+  const { reader } = place;
   if (reader.kind === 'here') {
     const result = await options.runHere(group, draft, deadlineMs);
     return typeof result === 'string' ? afterMissing(result, await runAtOwner()) : result;
   }
-  const { zone } = reader;
-  if (!mayForward(draft.homes, { isLocal: false, zone }, options.regionOf)) return runAtOwner();
-  if (isSilent(client, reader)) {
-    options.counters.count('near.reader-silent');
-    return runAtOwner();
-  }
   const remainingMs = deadlineMs - performance.now();
   const pending = sendToReader(client, reader, group, draft, remainingMs);
   const repeatTimer = new AbortController();
@@ -115,7 +145,10 @@
   return first.kind === 'done' ? first : resultAtReader;
 }
 
-function isSilent({ waitingAt }: ReaderClient, { linkAddress }: RemoteReader): boolean {
+function isSilent(
+  { waitingAt }: Pick<ReaderClient, 'waitingAt'>,
+  { linkAddress }: RemoteReader,
+): boolean {
   const waiting = waitingAt.get(linkAddress);
   return waiting !== undefined && performance.now() - waiting.sinceMs > SILENT_READER_MS;
 }
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -6,22 +6,13 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   areFormerConnectionsClosed,
-  chooseLeastDelay,
   connectionLimit,
-  type CustomerName,
-  type FormerHolder,
   type GroupName,
-  isHome,
-  latestPosition,
   type LogPosition,
-  NEW_CONNECTION_MS,
-  type ReadDistribution,
   recordOthers,
   type ServerAnnouncement,
   type StatementOutcome,
-  takesRead,
 } from '@bramleykeel/core';
-import type { Counters, Log } from '@bramleykeel/link';
 import type { StatementDraft } from '../locate/owner-client.js';
 import {
   createServerState,
@@ -32,7 +23,6 @@
   acquireConnection,
   discardConnection,
   closeIdleConnections,
-  type PoolContext,
   releaseConnection,
   retireServer,
 } from '../target/connection-pool.js';
@@ -42,58 +32,19 @@
   statementOrder,
   valuesKeyOf,
 } from '../target/connection-setup.js';
-import { judgeServers } from '../target/judge-servers.js';
 import { sendMeasured } from '../target/measured-order.js';
-import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
+import type { TargetAnswer } from '../types/target-port.js';
+import { findAvailableServer, isEvacuated, requiredPositionOf } from './choose-replica.js';
 import { createReadAttempt, type ReadAttempt } from './read-attempt.js';
-import type { NearServer, ReaderOffer, RunningCounts } from './reader-offer.js';
+import type { ReadGroup, ReplicaReads, ReplicaReadsOptions } from './read-group.js';
+import type { NearServer, RunningCounts } from './reader-offer.js';
 import { mayReadAtReplica } from './reader-client.js';
 
-export interface ReplicaReadsOptions {
-  readonly regionOf: (zone: string) => string;
-  /** Zones on whose servers nothing starts. */
-  readonly evacuatedZones: () => ReadonlySet<string>;
-  readonly readDistribution: ReadDistribution;
-  /** Whether the group's servers are limited while they are cold. */
-  readonly mayBeCold: (group: GroupName) => boolean;
-  readonly openTarget: OpenTarget;
-  readonly counters: Counters;
-  readonly log: Log;
-  /**
-   * Requests an offer from the group's owner, with the statements that run here on each server; `undefined` if it
-   * makes none.
-   */
-  readonly requestOffer: (
-    group: GroupName,
-    running: RunningCounts,
-  ) => Promise<ReaderOffer | undefined>;
-  /** The former reader of the group in this region; `undefined` while this entry does not hold the role. */
-  readonly formerReader: (group: GroupName) => FormerHolder | undefined;
-  /** Maximum number of connections to one server of the group, of all callers together. */
-  readonly maxServerConnections: (group: GroupName) => number;
-}
-
-interface ReadGroup {
-  readonly group: GroupName;
-  readonly pools: PoolContext;
-  readonly servers: Map<string, ServerState>;
-  /** When connections to a server broke, unless an offer that was requested later lists the server again. */
-  readonly brokenAtMs: Map<ServerState, number>;
-  /** Offered positions, oldest first; each includes all writes acknowledged before its request. */
-  readonly positions: { readonly requestedAtMs: number; readonly position: LogPosition }[];
-  lastRequestMs: number;
-  isRequesting: boolean;
-}
-
-export interface ReplicaReads {
-  readonly options: ReplicaReadsOptions;
-  readonly groups: Map<GroupName, ReadGroup>;
-  isStopping: boolean;
-}
+export type { ReplicaReads } from './read-group.js';
 
 /**
  * Interval at which an offer is renewed while reads arrive, in milliseconds. The users' shortest read
- * age is 1.5 s; an offer has to be renewed before it reaches that age, less READ_AGE_MARGIN_MS and the
+ * age is 1.5 s; an offer has to be renewed before it reaches that age, less the margin for a read's transit and the
  * round trip to the owner.
  */
 const OFFER_RENEWAL_INTERVAL_MS = 1_000;
@@ -101,15 +52,9 @@
 const NO_OFFER_RETRY_MS = 200;
 /** Enough for about 3 s of offers; the users' longest read age is 2.5 s. */
 const MAX_KEPT_POSITIONS = 4;
-/** Part of a read's allowed age that is reserved for its transit to the replica, in milliseconds. */
-const READ_AGE_MARGIN_MS = 200;
-/** Time without direct reads after a replica's connection failed; the owner runs the reads meanwhile. */
-const FAILED_PAUSE_MS = 1_500;
 const BUSY_PAUSE_MS = 30;
 const LAGGING_PAUSE_MS = 60;
 const HANDOVER_POLL_MS = 10;
-/** Reads sent to a replica at a time, as a multiple of its slots; the others are run by the owner. */
-const READS_PER_SLOT = 2;
 /** Fraction of a statement's remaining time that the replica gets; after that the owner runs it. */
 const REPLICA_TIMEOUT_FRACTION = 0.5;
 const SETUP_TIMEOUT_MS = 300;
@@ -286,61 +231,6 @@
   }
 }
 
-/**
- * The log position that the read must see at least; `undefined` if all offers are too old. Uses the
- * oldest position that is recent enough, because replicas receive the newest commits with a delay.
- */
-function requiredPositionOf(readGroup: ReadGroup, draft: StatementDraft): LogPosition | undefined {
-  const oldestAllowedMs = performance.now() - (draft.maxReadAgeMs - READ_AGE_MARGIN_MS);
-  const offered = readGroup.positions.find(({ requestedAtMs }) => requestedAtMs >= oldestAllowedMs);
-  if (!offered) return undefined;
-  if (draft.consistency !== 'own-writes' || !draft.mark) return offered.position;
-  return latestPosition(offered.position, draft.mark);
-}
-
-function findAvailableServer(
-  reads: ReplicaReads,
-  { group, servers, brokenAtMs }: ReadGroup,
-  { customer, homes }: Pick<StatementDraft, 'customer' | 'homes'>,
-): ServerState | undefined {
-  const { counters, log, mayBeCold, regionOf, readDistribution } = reads.options;
-  const isEven = readDistribution === 'even';
-  const isColdPossible = mayBeCold(group);
-  if (isEven) judgeServers(servers.values(), { group, path: 'reader', counters, log });
-  const nowMs = performance.now();
-  const available = [...servers.values()].filter(
-    (server) =>
-      !server.isRetired &&
-      !isEvacuated(reads, server) &&
-      isHome(homes, regionOf(server.announcement.zone)) &&
-      // It may have restarted, and its owner does not offer it while it is cold.
-      !(isColdPossible && brokenAtMs.has(server)) &&
-      (!isEven || takesRead(server.health, server.runningCount, Math.random())) &&
-      server.runningCount < server.announcement.slots * READS_PER_SLOT &&
-      nowMs >= server.busyUntilMs &&
-      nowMs >= server.laggingUntilMs &&
-      (server.failingSinceMs === undefined || nowMs - server.failingSinceMs > FAILED_PAUSE_MS),
-  );
-  if (!isEven) return available[0];
-  const candidates = available.map((server) => ({
-    server,
-    slots: server.announcement.slots,
-    running: server.runningCount,
-    others: server.load.others,
-    serviceMs: server.load.service.get('read')?.meanMs,
-    extraMs: hasIdleConnection(server, customer) ? 0 : NEW_CONNECTION_MS,
-  }));
-  return chooseLeastDelay(candidates, nowMs, Math.random())?.server;
-}
-
-function hasIdleConnection({ idle }: ServerState, customer: CustomerName): boolean {
-  return idle.some(({ connection }) => connection.customer === customer);
-}
-
-function isEvacuated({ options }: ReplicaReads, { announcement }: ServerState): boolean {
-  return options.evacuatedZones().has(announcement.zone);
-}
-
 async function runOnServer(
   reads: ReplicaReads,
   readGroup: ReadGroup,
--- a/packages/statement-entry/src/owner/snapshot-owner.ts
+++ b/packages/statement-entry/src/owner/snapshot-owner.ts
@@ -3,7 +3,8 @@
 import type { Counters } from '@bramleykeel/link';
 import type { ServerState, StatementOwner } from './owner-state.js';
 
-const SILENT_COUNTERS: Counters = {
+/** Counters of decisions that are made for an explanation only. */
+export const SILENT_COUNTERS: Counters = {
   count: () => undefined,
   gauge: () => undefined,
   timing: () => undefined,
--- a/packages/statement-entry/src/types/explanation.ts
+++ b/packages/statement-entry/src/types/explanation.ts
@@ -42,6 +42,7 @@
 
 /** Why a reader does not choose a server. */
 export type ReaderTargetReason =
+  | 'no-recent-offer'
   | 'retired'
   | 'evacuated'
   | 'not-a-home'
