Let operators ask an entry of the statement dialect where a statement would go

The entry answers from its own state (route, homes, admission, rate), and asks owner and reader over the existing links, by the requests statement/explain and reader/explain. It uses what sessions use: the admission of a customer, the fields and deadlines of a draft, the place to which a statement goes first, and the assignment of the owner have functions of their own now. It neither requests an owner or a reader from control nor draws tokens; it opens a link to the owner or the reader if there is none.

Ruled out: the readiness address, which load balancers ask and which answers any path; the address of control, whose members know no targets; a port of its own, which deployments would have to open. The page shares the bounds of the metrics server (64 connections, 4 requests), and explains 2 statements at a time, so that metrics are served beside them.

--- a/packages/entry-shared/src/admit/rate-client.ts
+++ b/packages/entry-shared/src/admit/rate-client.ts
@@ -141,6 +141,45 @@
   serveWaiters(client, state);
 }
 
+/** A customer's rate as this entry knows it. */
+export interface RateState {
+  /** Whether an operation would get its tokens at once, without asking the home. */
+  readonly isTakenAtOnce: boolean;
+  readonly tokens: number;
+  /** For how long the tokens may still be spent; `null` without a grant. */
+  readonly grantLeftMs: number | null;
+  readonly grantAgoMs: number | null;
+  readonly waitingCount: number;
+  /** Whether the last draw brought a grant. */
+  readonly isHomeReachable: boolean;
+}
+
+/**
+ * Describes a customer's rate without spending or drawing.
+ *
+ * @param count tokens of the operation that is asked about
+ */
+export function describeRate(
+  { customers }: RateClient,
+  customer: CustomerName,
+  count: number,
+): RateState {
+  const state = customers.get(customer);
+  const nowMs = performance.now();
+  const tokens = { ...(state?.tokens ?? createEntryTokens()) };
+  const { source, available } = tokens;
+  const waitingCount = state?.waiters.length ?? 0;
+  const isSpent = waitingCount === 0 && spendTokens(tokens, count, nowMs) !== undefined;
+  return {
+    isTakenAtOnce: isSpent,
+    tokens: available,
+    grantLeftMs: source ? Math.max(0, Math.round(source.expiresAtMs - nowMs)) : null,
+    grantAgoMs: source ? Math.round(nowMs - source.sentAtMs) : null,
+    waitingCount,
+    isHomeReachable: state?.isHomeReachable ?? true,
+  };
+}
+
 function getOrCreateTokens(client: RateClient, customer: CustomerName): CustomerTokens {
   const existing = client.customers.get(customer);
   if (existing) return existing;
--- a/packages/link/src/metrics-server.test.ts
+++ b/packages/link/src/metrics-server.test.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createCounters, type PrometheusCounters } from './counters.js';
-import { listenForMetrics } from './metrics-server.js';
+import { listenForMetrics, type Page } from './metrics-server.js';
 
 describe('metrics server', () => {
   let counters: PrometheusCounters;
@@ -45,4 +45,27 @@
   ])('answers 404 for %s', async (_name, path, method) => {
     expect((await fetch(`${url}${path}`, { method })).status).toBe(404);
   });
+
+  // Guards against a page whose failure leaves the request open, or ends the process.
+  it('serves further pages with their search parameters, and answers 500 if one fails', async () => {
+    const pages = new Map<string, Page>([
+      [
+        '/-/echo',
+        (search) => {
+          if (search.get('fail') === '1') return Promise.reject(new Error('failed'));
+          const body = search.get('text') ?? '';
+          return Promise.resolve({ status: 404, contentType: 'text/plain', body });
+        },
+      ],
+    ]);
+    const other = await listenForMetrics('127.0.0.1:0', counters, pages);
+    const address = other.address();
+    const base = `http://127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
+    const echoed = await fetch(`${base}/-/echo?text=a%20b`);
+    expect([echoed.status, await echoed.text()]).toEqual([404, 'a b']);
+    expect((await fetch(`${base}/-/echo?fail=1`)).status).toBe(500);
+    expect((await fetch(`${base}/metrics`)).status).toBe(200);
+    expect((await fetch(`${base}/-/echo`, { method: 'POST' })).status).toBe(404);
+    other.close();
+  });
 });
--- a/packages/statement-entry/src/accept/access.ts
+++ b/packages/statement-entry/src/accept/access.ts
@@ -6,6 +6,7 @@
   type StatementCustomer,
   type StatementRefusalReason,
   type StatementRoute,
+  type StatementSettings,
   toCustomerName,
 } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
@@ -39,7 +40,7 @@
  * customer have none in common.
  */
 export function findHomes(
-  environment: SessionEnvironment,
+  environment: Pick<SessionEnvironment, 'settings'>,
   database: string,
   customer: CustomerName,
 ): Homes | StatementRefusalReason {
@@ -67,6 +68,17 @@
   environment: SessionEnvironment,
   database: string,
   key: string | undefined,
+): CallerAccess | StatementRefusalReason {
+  return admitCustomer(environment, database, ({ customerByKey }) =>
+    key === undefined ? undefined : customerByKey.get(key),
+  );
+}
+
+/** As {@link findAdmission}, for a customer that is found in the settings by `findCustomer`. */
+export function admitCustomer(
+  environment: Pick<SessionEnvironment, 'settings' | 'hasFreshSettings'>,
+  database: string,
+  findCustomer: (settings: StatementSettings) => StatementCustomer | undefined,
 ): CallerAccess | StatementRefusalReason {
   const settings = environment.settings();
   // Called for open routes too: it detects a suspension, after which offers of near reads are invalid.
@@ -74,8 +86,7 @@
   if (!settings) return 'settings-lease-expired';
   const route = settings.routes.get(database);
   if (!route) return 'unknown-database';
-  const customer: StatementCustomer | undefined =
-    key === undefined ? undefined : settings.customerByKey.get(key);
+  const customer = findCustomer(settings);
   if (route.isOpenToAll) return { route, customer: customer?.name ?? ANONYMOUS_CUSTOMER };
   if (!areSettingsFresh) return 'settings-lease-expired';
   if (!customer) return 'key-rejected';
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -1,24 +1,17 @@
 /** Runs a caller's session: its requests one at a time, its values, prepared names and transaction. */
 import {
-  type CustomerName,
-  type Homes,
   latestPosition,
   type LogPosition,
   type StatementBody,
   type StatementOutcome,
   type StatementRefusalReason,
-  type StatementRoute,
 } from '@bramleykeel/core';
 import { returnReceipt, takeTokens, type TokenReceipt } from '@bramleykeel/entry-shared';
 import { match } from 'ts-pattern';
-import {
-  createStatementDeadlines,
-  runStatement,
-  type StatementDeadlines,
-  withdrawCaller,
-} from '../locate/owner-client.js';
+import { runStatement, withdrawCaller } from '../locate/owner-client.js';
 import { runNearest } from '../near/reader-client.js';
 import { ANONYMOUS_CUSTOMER, type CallerAccess, findAdmission, findHomes } from './access.js';
+import { commonDraftFields, deadlinesOf } from './draft.js';
 import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import {
@@ -255,12 +248,13 @@
   }
   const draft = {
     ...commonDraftFields(session, route, customer, homes),
+    values: session.values,
     tag,
     access,
     body,
     transaction: null,
   };
-  const deadlines = deadlinesOf(session, route);
+  const deadlines = deadlinesOf(session.environment, route);
   const { owners, readers } = session.environment;
   const { group } = route;
   const outcome = await runNearest(readers, group, draft, deadlines.deadlineMs, async () => {
@@ -287,12 +281,13 @@
   if (typeof homes === 'string') return notRun(homes, RETRY_AFTER_MS);
   const draft = {
     ...commonDraftFields(session, route, customer, homes),
+    values: session.values,
     tag,
     access,
     body,
     transaction: { number, isReadOnly, isFirst },
   };
-  const deadlines = deadlinesOf(session, route);
+  const deadlines = deadlinesOf(session.environment, route);
   const { environment, caller } = session;
   const { ownerPort } = transaction;
   const { owners } = environment;
@@ -302,10 +297,6 @@
   return result.outcome;
 }
 
-function deadlinesOf({ environment }: CallerSession, route: StatementRoute): StatementDeadlines {
-  return createStatementDeadlines(route.statementTimeoutMs, environment.waits().statementShare);
-}
-
 /**
  * Refuses statements of a transaction whose key has been withdrawn or can no longer be checked, and ends a transaction whose key
  * belongs to another customer now.
@@ -331,24 +322,6 @@
   return { kind: 'aborted', reason: 'the entry stops' };
 }
 
-function commonDraftFields(
-  session: CallerSession,
-  route: StatementRoute,
-  customer: CustomerName,
-  homes: Homes,
-) {
-  return {
-    homes,
-    customer,
-    priority: route.priority,
-    consistency: route.consistency,
-    maxReadAgeMs: route.maxReadAgeMs,
-    mark: session.mark,
-    values: session.values,
-    ...(session.environment.overloadControl === true && { objectiveMs: route.objectiveMs }),
-  };
-}
-
 /** Checks the route, the key and the rate of an operation; on refusal it answers the caller. */
 async function admitOperation(session: CallerSession, tag: string): Promise<Admission | undefined> {
   const { environment } = session;
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -11,8 +11,10 @@
   type RateDrawContext,
 } from '@bramleykeel/entry-shared';
 import type { Counters, LinkPeer } from '@bramleykeel/link';
+import type { EncodedQuestion } from './explain/explain-at-entry.js';
 import { handleOwnerEnded, type OwnerClient, handleOutcome } from './locate/owner-client.js';
 import { decodeFateStatements, type EncodedFateRequest } from './locate/statement-fate.js';
+import { explainRead } from './near/explain-read.js';
 import { createReadAttempt, encodeMissingResult, missingResultOf } from './near/read-attempt.js';
 import {
   createReaderOffer,
@@ -22,6 +24,7 @@
   type ReaderOfferRequest,
 } from './near/reader-offer.js';
 import { readAtReplica, releaseServer, type ReplicaReads } from './near/replica-reads.js';
+import { explainStatement } from './owner/explain-statement.js';
 import {
   acceptRollback,
   acceptStatement,
@@ -84,6 +87,15 @@
     const owner = findStatementOwner(registry, group, epoch);
     return (owner && settleFates(owner, decodeFateStatements(request), sentWithinMs)) ?? null;
   },
+  'statement/explain': ({ registry }, params) => {
+    const [group, epoch, question] = params as EncodedQuestion;
+    const owner = findStatementOwner(registry, toGroupName(group), epoch);
+    return owner ? explainStatement(owner, question) : null;
+  },
+  'reader/explain': ({ replicaReads }, params) => {
+    const [group, , question] = params as EncodedQuestion;
+    return explainRead(replicaReads, toGroupName(group), question);
+  },
   'reader/release': ({ replicaReads }, params) => {
     const [group, server] = params as readonly [GroupName, ServerName];
     return releaseServer(replicaReads, group, server);
--- a/packages/statement-entry/src/index.ts
+++ b/packages/statement-entry/src/index.ts
@@ -1,6 +1,7 @@
 /** Entry for statement-level dialects: caller sessions and group owners. */
 export * from './statement-entry.js';
 export * from './types/entry-options.js';
+export * from './types/explanation.js';
 export * from './types/caller-port.js';
 export * from './types/target-port.js';
 export { submitRequest } from './accept/session.js';
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -352,13 +352,12 @@
 function findPort(client: OwnerClient, group: GroupName): OwnerPort | undefined {
   const { control, links, requestResource } = client.options;
   const resource: Resource = `group/${group}`;
-  const assignment = assignmentOf(control, resource);
-  if (!assignment) {
+  if (!assignmentOf(control, resource)) {
     requestResource(resource, undefined);
     return undefined;
   }
-  // The owner has ended and control has not announced its successor here yet.
-  if (assignment.epoch <= (client.endedEpochs.get(group) ?? 0)) return undefined;
+  const assignment = findOwnerAssignment(client, group);
+  if (!assignment) return undefined;
   const isLocal = assignment.incarnation === control.incarnation();
   if (!isLocal && !links().linkTo(assignment.linkAddress)) {
     return undefined;
@@ -366,6 +365,17 @@
   return createPort(client, group, assignment, isLocal);
 }
 
+/** The assignment of a group's owner; `undefined` if there is none, or if that owner has ended. */
+export function findOwnerAssignment(
+  { options, endedEpochs }: OwnerClient,
+  group: GroupName,
+): Assignment | undefined {
+  const assignment = assignmentOf(options.control, `group/${group}`);
+  // The owner has ended and control has not announced its successor here yet.
+  const hasEnded = assignment && assignment.epoch <= (endedEpochs.get(group) ?? 0);
+  return hasEnded === true ? undefined : assignment;
+}
+
 function createPort(
   { options }: OwnerClient,
   group: GroupName,
--- a/packages/statement-entry/src/near/explain-read.ts
+++ b/packages/statement-entry/src/near/explain-read.ts
@@ -51,18 +51,12 @@
   const nowMs = performance.now();
   const offer = usableOfferOf(readGroup, question);
   const required = requiredPositionOf(readGroup, question);
-  const servers = explainReplicas(reads, readGroup, question, nowMs);
+  const servers = explainReplicas(reads, readGroup, question, required !== undefined, nowMs);
   const facts = {
     required: required ?? null,
     offerAgoMs: offer ? Math.round(nowMs - offer.requestedAtMs) : null,
   };
-  if (!required) {
-    const reason = 'no offer of the owner is recent enough';
-    const withoutChoice = servers.map((server) => {
-      return { ...server, share: 0, reason: server.reason ?? ('no-recent-offer' as const) };
-    });
-    return { ...facts, reason, servers: withoutChoice };
-  }
+  if (!required) return { ...facts, reason: 'no offer of the owner is recent enough', servers };
   const isRun = servers.some(({ share }) => share > 0);
   return { ...facts, reason: isRun ? null : 'no replica of the region may run it now', servers };
 }
@@ -83,21 +77,23 @@
   reads: ReplicaReads,
   readGroup: ReadGroup,
   question: StatementQuestion,
+  hasOffer: boolean,
   nowMs: number,
 ): readonly ExplainedTarget<ReaderTargetReason>[] {
   const { regionOf, readDistribution } = reads.options;
   const servers = [...readGroup.servers.values()];
   const isEven = readDistribution === 'even';
   if (isEven) judgeServers(servers, { ...SILENT, group: readGroup.group, path: 'reader' });
-  const available = listAvailable(reads, readGroup, question, TAKES_ALL);
+  const available = hasOffer ? listAvailable(reads, readGroup, question, TAKES_ALL) : [];
   const shares = isEven
     ? evenShares(available, question, nowMs)
     : new Map(available.slice(0, 1).map((server) => [server, 1]));
   const delays = isEven ? delaysOf(available, question, nowMs) : [];
+  const unchosen = isEven ? 'longer-delay' : 'another-is-preferred';
+  const reasonOfRest = hasOffer ? unchosen : 'no-recent-offer';
   return servers.map((server) => {
     const share = shares.get(server) ?? 0;
     const exclusion = replicaExclusion(reads, readGroup, question, server, TAKES_ALL);
-    const without = isEven ? ('longer-delay' as const) : ('another-is-preferred' as const);
     const delay = delays.find(({ candidate }) => candidate.server === server);
     const { slots } = server.announcement;
     const context = {
@@ -109,7 +105,7 @@
       ...describeTarget(server, question.customer, regionOf, nowMs),
       isPrimary: false,
       share,
-      reason: share > 0 ? null : (exclusion ?? without),
+      reason: share > 0 ? null : (exclusion ?? reasonOfRest),
       standing: describeStanding(server, context, isEven, nowMs),
       freeSlots: Math.max(0, slots - server.runningCount),
       expected: delay ? { waitMs: delay.waitMs, delayMs: delay.delayMs } : null,
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -46,6 +46,11 @@
   type StatementApp,
   notifyOwnerEnded,
 } from './app.js';
+import {
+  type EncodedQuestion,
+  explainAtEntry,
+  type ExplainMethod,
+} from './explain/explain-at-entry.js';
 import { createEntryLinks, ENTRY_LINK_TIMING, type EntryLinks } from './locate/entry-links.js';
 import { locateReader, readerResource } from './near/locate-reader.js';
 import {
@@ -96,6 +101,7 @@
 import type { CallerPort } from './types/caller-port.js';
 import { DEFAULT_MAX_CONNECTIONS } from './target/connection-budget.js';
 import { decodeOutcome, type EncodedOutcome, encodeStatement } from './types/link-codec.js';
+import type { ExplainAnswer, ExplainRequest } from './types/explanation.js';
 import type { StatementEntry, StatementEntryOptions } from './types/entry-options.js';
 
 const READER_OFFER_TIMEOUT_MS = 400;
@@ -338,7 +344,15 @@
     isStopping: () => stopSchedule !== undefined,
   });
   log(`entry ${options.entryId} listens for other entries at ${options.linkAddress}`);
-  return { startSession, endSession, isReady, stop };
+  return { startSession, endSession, explain, isReady, stop };
+
+  function explain(request: ExplainRequest): Promise<ExplainAnswer> {
+    const answerLocally = (method: ExplainMethod, params: EncodedQuestion) =>
+      handleRequest(app, method, params);
+    const { entryId, zone, regionOf } = options;
+    const ownState = { control, environment, draws, links, answerLocally };
+    return explainAtEntry({ entryId, zone, regionOf, ...ownState }, request);
+  }
 
   async function startSession(database: string, key: string | undefined, port: CallerPort) {
     const untilMs = performance.now() + FIRST_SETTINGS_WAIT_MS;
--- a/packages/statement-entry/src/types/entry-options.ts
+++ b/packages/statement-entry/src/types/entry-options.ts
@@ -9,6 +9,7 @@
 import type { Counters, Log } from '@bramleykeel/link';
 import type { CallerSession } from '../accept/session-state.js';
 import type { CallerPort } from './caller-port.js';
+import type { ExplainAnswer, ExplainRequest } from './explanation.js';
 import type { OpenTarget, PromoteServer, ReadTargetStatus } from './target-port.js';
 
 export interface StatementEntryOptions {
@@ -54,6 +55,8 @@
     port: CallerPort,
   ) => Promise<CallerSession | StatementRefusalReason>;
   readonly endSession: (session: CallerSession) => void;
+  /** Explains where a statement would go from this entry now, without sending it. */
+  readonly explain: (request: ExplainRequest) => Promise<ExplainAnswer>;
   /** Whether the load balancer should send new callers to this entry. */
   readonly isReady: () => boolean;
   /**
--- a/packages/statement-entry/src/types/explanation.ts
+++ b/packages/statement-entry/src/types/explanation.ts
@@ -4,14 +4,36 @@
  */
 import type {
   HealthStage,
+  Homes,
   LoadAccess,
   LoadFailure,
   LogPosition,
+  RateLimit,
   ReadDistribution,
   StatementRefusalReason,
   StatementRequest,
+  StatementRoute,
   TargetExclusion,
 } from '@bramleykeel/core';
+import type { RateHomeState, RateState } from '@bramleykeel/entry-shared';
+
+/** An operator's question to an entry. */
+export interface ExplainRequest {
+  readonly database: string;
+  readonly customer: string;
+  readonly access: 'read' | 'write';
+  /** The newest commit of the session; `null` for a session without one. */
+  readonly mark: LogPosition | null;
+  /** Replaces the allowed age of the route; `null` leaves it. */
+  readonly maxAgeMs: number | null;
+}
+
+export type ExplainFailure =
+  'unknown-database' | 'unknown-customer' | 'no-settings' | 'no-owner' | 'owner-unreachable';
+
+export type ExplainAnswer =
+  | { readonly kind: 'explained'; readonly explanation: StatementExplanation }
+  | { readonly kind: 'failed'; readonly failure: ExplainFailure; readonly message: string };
 
 /** What a statement without content is asked about: what its entry would send with it. */
 export type StatementQuestion = Pick<
@@ -171,3 +193,62 @@
   readonly offerAgoMs: number | null;
   readonly servers: readonly ExplainedTarget<ReaderTargetReason>[];
 }
+
+/** Where a read goes before the owner. */
+export interface ExplainedReader {
+  /** `null` if the group has no reader in the region of the asked entry. */
+  readonly entryId: string | null;
+  readonly epoch: number | null;
+  /** Why it is passed over before it is asked; `null` if the read is sent to it. */
+  readonly reason: string | null;
+  /** Its own part; `null` if it is passed over or does not answer. */
+  readonly part: ReaderExplanation | null;
+  /** Age of its part when the entry had it; `null` without one. */
+  readonly answeredInMs: number | null;
+}
+
+/** The whole explanation, as the asked entry gives it. */
+export interface StatementExplanation {
+  readonly dialect: 'statement';
+  readonly database: string;
+  readonly customer: string;
+  readonly access: 'read' | 'write';
+  readonly entry: {
+    readonly entryId: string;
+    readonly zone: string;
+    readonly region: string;
+    readonly settingsVersion: number;
+    readonly hasFreshSettings: boolean;
+  };
+  readonly route: StatementRoute;
+  /** The mark and the age that the statement is sent with. */
+  readonly mark: LogPosition | null;
+  readonly maxReadAgeMs: number;
+  readonly homes: Homes;
+  /** Why the entry would refuse it; `null` if it is admitted, once it has its rate token. */
+  readonly refusal: StatementRefusalReason | null;
+  /** `null` for callers without a key, who have no rate. */
+  readonly rate: {
+    readonly limit: Pick<RateLimit, 'ratePerSecond' | 'burst'>;
+    readonly atEntry: RateState;
+    /** `null` if no entry is the home of the rate. */
+    readonly home: {
+      readonly entryId: string;
+      readonly epoch: number;
+      /** `null` unless the asked entry is the home. */
+      readonly state: Pick<RateHomeState, 'tokens' | 'waitingDraws'> | null;
+    } | null;
+  } | null;
+  /** `null` if the statement may not miss the newest commits, and goes to the owner. */
+  readonly reader: ExplainedReader | null;
+  readonly owner: {
+    readonly entryId: string;
+    readonly epoch: number;
+    readonly zone: string | null;
+    /** Age of the owner's part when the entry had it. */
+    readonly answeredInMs: number;
+    readonly part: OwnerExplanation;
+  };
+  /** Which process would choose the server. */
+  readonly decidedBy: 'entry' | 'reader' | 'owner';
+}
