--- a/packages/statement-entry/src/owner/server-choice.ts
+++ b/packages/statement-entry/src/owner/server-choice.ts
@@ -39,17 +39,28 @@
   return request.transaction ? !request.transaction.isReadOnly : request.access !== 'read';
 }
 
-/** The servers of the group as the choice of a server for a statement sees them. */
-export function listTargetViews(owner: StatementOwner): TargetView[] {
+/**
+ * The servers of the group as the choice of a server for a statement sees them.
+ *
+ * @param random decides which servers take a part of their reads only; random numbers in [0, 1)
+ */
+export function listTargetViews(
+  owner: StatementOwner,
+  random: () => number = Math.random,
+): TargetView[] {
   const { readDistribution, counters, log } = owner.environment;
   if (readDistribution === 'even') {
     judgeServers(owner.servers.values(), { group: owner.group, path: 'owner', counters, log });
   }
-  return Array.from(owner.servers.values(), (server) => targetViewOf(owner, server));
+  return Array.from(owner.servers.values(), (server) => targetViewOf(owner, server, random));
 }
 
 /** One server as the choice of a server for a statement sees it. */
-export function targetViewOf(owner: StatementOwner, server: ServerState): TargetView {
+export function targetViewOf(
+  owner: StatementOwner,
+  server: ServerState,
+  random: () => number = Math.random,
+): TargetView {
   const { regionOf, zone, readDistribution } = owner.environment;
   const isEven = readDistribution === 'even';
   return {
@@ -63,7 +74,7 @@
       hasAvailableConnection(owner.pools, server),
     isInSameRegion: regionOf(server.announcement.zone) === regionOf(zone),
     freeSlots: freeSlots(owner, server),
-    takesRead: !isEven || takesRead(server.health, server.runningCount, Math.random()),
+    takesRead: !isEven || takesRead(server.health, server.runningCount, random()),
     runningCount: server.runningCount,
     others: server.load.others,
     serviceMs: server.load.service.get('read')?.meanMs,
