Take lines out of received chunks without copies of small rests

Cause: each line taken from a chunk of several lines copied the rest into a buffer of its own, two of the three lines of a server's answer; and each append, search and take made up to two further views. Ruled out: a copy of each chunk on arrival; chunks of sockets own their memory and are kept.

Buffers of at most 512 bytes are kept for any rest of them, and views are made only where needed. A rest of a larger buffer is copied as before.

--- a/packages/core/src/limits/byte-accumulator.ts
+++ b/packages/core/src/limits/byte-accumulator.ts
@@ -13,6 +13,8 @@
 /** Larger fragments are kept as they are; smaller ones are copied together, since each buffer has a fixed cost. */
 const MIN_PIECE_BYTES = 4 * 1024;
 const MAX_PIECE_BYTES = 64 * 1024;
+/** A buffer of at most this size is kept for any rest of it: a new buffer costs about as much as this memory. */
+const MAX_KEPT_PIECE_BYTES = 512;
 
 export function createAccumulator(): ByteAccumulator {
   return { pieces: [], firstOffset: 0, lastBytes: 0, bytes: 0 };
@@ -25,7 +27,8 @@
  * appendBytes(accumulator, Buffer.from('abc'));
  */
 export function appendBytes(accumulator: ByteAccumulator, chunk: Buffer): void {
-  const rest = chunk.subarray(fillLastPiece(accumulator, chunk));
+  const filledBytes = fillLastPiece(accumulator, chunk);
+  const rest = filledBytes === 0 ? chunk : chunk.subarray(filledBytes);
   if (rest.length === 0) return;
   const mayKeep = rest.length >= MIN_PIECE_BYTES || accumulator.bytes === 0;
   // A part of a larger buffer would keep all of that buffer in memory.
@@ -55,10 +58,13 @@
 
 /** Returns the position of the first `value` at or after `from`, or -1. */
 export function indexOfByte(accumulator: ByteAccumulator, value: number, from: number): number {
+  const { pieces, lastBytes } = accumulator;
   let position = -accumulator.firstOffset;
-  for (const [index, piece] of accumulator.pieces.entries()) {
-    const isLast = index === accumulator.pieces.length - 1;
-    const used = isLast ? piece.subarray(0, accumulator.lastBytes) : piece;
+  let index = 0;
+  for (const piece of pieces) {
+    index += 1;
+    const isPartlyUsed = index === pieces.length && lastBytes < piece.length;
+    const used = isPartlyUsed ? piece.subarray(0, lastBytes) : piece;
     if (position + used.length > from) {
       const found = used.indexOf(value, Math.max(0, from - position));
       if (found >= 0 && position + found >= 0) return position + found;
@@ -76,16 +82,17 @@
  */
 export function takeBytes(accumulator: ByteAccumulator, count: number): Buffer {
   const [first] = accumulator.pieces;
-  const isInFirst =
-    first && accumulator.firstOffset + count <= usedBytesOfFirst(accumulator, first);
-  const joined = isInFirst ? undefined : joinPieces(accumulator);
-  const source = joined ?? first?.subarray(accumulator.firstOffset) ?? Buffer.alloc(0);
-  if (joined) {
-    accumulator.pieces.splice(0, accumulator.pieces.length, joined);
-    accumulator.firstOffset = 0;
-    accumulator.lastBytes = joined.length;
+  const { firstOffset } = accumulator;
+  if (first && firstOffset + count <= usedBytesOfFirst(accumulator, first)) {
+    const taken = first.subarray(firstOffset, firstOffset + count);
+    dropFromFirst(accumulator, count);
+    return taken;
   }
-  const taken = source.subarray(0, count);
+  const joined = joinPieces(accumulator);
+  accumulator.pieces.splice(0, accumulator.pieces.length, joined);
+  accumulator.firstOffset = 0;
+  accumulator.lastBytes = joined.length;
+  const taken = joined.subarray(0, count);
   dropFromFirst(accumulator, taken.length);
   return taken;
 }
@@ -132,7 +139,7 @@
     return;
   }
   // A small rest must not keep a large buffer in memory. Each byte is copied once on average.
-  if (accumulator.bytes * 2 >= first.length) return;
+  if (first.length <= MAX_KEPT_PIECE_BYTES || accumulator.bytes * 2 >= first.length) return;
   const rest = first.subarray(accumulator.firstOffset, accumulator.lastBytes);
   pieces[0] = copyOf({ ...accumulator, bytes: 0 }, rest);
   accumulator.firstOffset = 0;
