Do less for messages of callers that keep to one request at a time

The budget's shares are examined only above the smaller of its bounds. Limits and what is closed when are unchanged.

--- a/packages/core/src/limits/byte-budget.ts
+++ b/packages/core/src/limits/byte-budget.ts
@@ -143,6 +143,8 @@
 export function chooseToClose(
   budget: ByteBudget,
 ): { readonly holder: BudgetHolder; readonly reason: CloseReason } | undefined {
+  // Checked with each message; the share of unknown callers is the smaller bound.
+  if (budget.totalBytes <= budget.limitBytes * UNKNOWN_SHARE) return undefined;
   const unknownBytes = budget.bytesByCustomer.get(undefined) ?? 0;
   if (unknownBytes > budget.limitBytes * UNKNOWN_SHARE) {
     const holder = largestHolderOf(budget, undefined);
