Do less for statements while placement, even load and overload control are off

Cause: each statement composed a key of its requirements and two of its fate, looked for cold servers by a list and the clock for each server, combined limits of regions that were not set, and measured its answer by a pattern with eight closures. An owner examined all servers again after the last waiting statement.

The keys are composed only if a statement found no server, or if the fate may be asked for: an entry asks over links only, so that statements of the owner's own entry need none. Choices and limits are unchanged.

Tests of statement-entry, core/overload (statement fates) and core/placement: passed.

--- a/packages/core/src/overload/statement-fates.ts
+++ b/packages/core/src/overload/statement-fates.ts
@@ -54,10 +54,14 @@
   return notStarted;
 }
 
+/** Whether any statement has to be dropped if it arrives now; promises are rare. */
+export function hasPromises({ promised }: StatementFates): boolean {
+  return promised.current.size + promised.former.size > 0;
+}
+
 /** Whether a statement that arrives now has to be dropped. */
-export function isPromisedNotToStart({ promised }: StatementFates, key: string): boolean {
-  if (promised.current.size + promised.former.size === 0) return false;
-  return isIn(promised, key);
+export function isPromisedNotToStart(fates: StatementFates, key: string): boolean {
+  return hasPromises(fates) && isIn(fates.promised, key);
 }
 
 function isIn({ current, former }: RecentKeys, key: string): boolean {
--- a/packages/core/src/placement/home-regions.ts
+++ b/packages/core/src/placement/home-regions.ts
@@ -14,10 +14,15 @@
 /** Regions that a statement is limited to; `null` without a limit. */
 export type Homes = readonly string[] | null;
 
+const ANYWHERE: EffectiveHomes = { kind: 'anywhere' };
+
 /** The limits that apply to a statement, combined: a region has to be a home of both. */
 export function effectiveHomes(route: HomeLimit, customer: HomeLimit | undefined): EffectiveHomes {
+  const isLimited =
+    route.homeRegions.length > 0 || (customer !== undefined && customer.homeRegions.length > 0);
+  if (!isLimited) return ANYWHERE;
   const common = commonHomes(customer ? [route, customer] : [route]);
-  if (common === undefined) return { kind: 'anywhere' };
+  if (common === undefined) return ANYWHERE;
   return common.length === 0 ? { kind: 'none' } : { kind: 'regions', regions: common };
 }
 
--- a/packages/statement-entry/src/accept/access.ts
+++ b/packages/statement-entry/src/accept/access.ts
@@ -8,7 +8,6 @@
   type StatementRoute,
   toCustomerName,
 } from '@bramleykeel/core';
-import { match } from 'ts-pattern';
 import type { CallerSession, SessionEnvironment } from './session-state.js';
 
 /** The route and customer that a caller is admitted under. */
@@ -47,12 +46,15 @@
   const route = settings?.routes.get(database);
   if (!route) return null;
   const homes = effectiveHomes(route, settings?.customers.get(customer));
-  return match(homes)
-    .returnType<Homes | StatementRefusalReason>()
-    .with({ kind: 'anywhere' }, () => null)
-    .with({ kind: 'regions' }, ({ regions }) => regions)
-    .with({ kind: 'none' }, () => 'no-home-server')
-    .exhaustive();
+  // Runs for each statement, where pattern matching by closures is measurable.
+  switch (homes.kind) {
+    case 'anywhere':
+      return null;
+    case 'regions':
+      return homes.regions;
+    case 'none':
+      return 'no-home-server';
+  }
 }
 
 /** Whether the session's key has been withdrawn, according to the settings in force on this entry. */
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -120,17 +120,20 @@
   owner.isDispatching = true;
   startPinned(owner);
   if (isOverloadControlled(owner)) {
-    if (hasWaiting(owner)) {
-      startQueued(owner, (canStart) =>
-        takeNext(owner.startOrder, owner.queues, performance.now(), canStart),
-      );
-    }
+    startQueued(
+      owner,
+      () => hasWaiting(owner),
+      (canStart) => takeNext(owner.startOrder, owner.queues, performance.now(), canStart),
+    );
   } else {
     const priorities = [...owner.queues.keys()].sort((left, right) => left - right);
     for (const priority of priorities) {
       const queue = queueOf(owner, priority);
-      if (waitingCount(queue) > 0)
-        startQueued(owner, (canStart) => dequeue(queue, (job) => canStart(job)));
+      startQueued(
+        owner,
+        () => waitingCount(queue) > 0,
+        (canStart) => dequeue(queue, (job) => canStart(job)),
+      );
     }
   }
   owner.isDispatching = false;
@@ -162,24 +165,27 @@
   return leadership.holdsTransactions && server.announcement.server === leadership.former;
 }
 
-/** @param take takes the next waiting statement that can start */
+/**
+ * @param isAnyLeft whether statements wait; without any, the servers need not be examined
+ * @param take takes the next waiting statement that can start
+ */
 function startQueued(
   owner: StatementOwner,
+  isAnyLeft: () => boolean,
   take: (canStart: (job: Job, isDue?: boolean) => boolean) => QueuedItem<Job> | undefined,
 ): void {
   if (owner.isStopping) return;
-  for (;;) {
+  while (isAnyLeft()) {
     const views = listTargetViews(owner);
     if (!views.some(({ freeSlots: free, isUsable }) => isUsable && free > 0)) return;
     let chosen: ServerName | undefined;
     // In a long queue most statements wait for the same reason, so that it is found once for all of them.
     const withoutServer = new Set<string>();
     const next = take((job, isDue = false): boolean => {
-      const key = requirementsKeyOf(job, isDue);
-      if (withoutServer.has(key)) return false;
+      if (withoutServer.size > 0 && withoutServer.has(requirementsKeyOf(job, isDue))) return false;
       const allowed = isDue ? withoutNeededPrimary(job, views) : views;
       chosen = chooseServerFor(owner, job, allowed);
-      if (chosen === undefined) withoutServer.add(key);
+      if (chosen === undefined) withoutServer.add(requirementsKeyOf(job, isDue));
       return chosen !== undefined;
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -1,6 +1,7 @@
 /** Handles the messages that entries send to an owner. */
 import {
   fateKeyOf,
+  hasPromises,
   isPromisedNotToStart,
   promiseNotStarted,
   type StatementRequest,
@@ -36,7 +37,9 @@
     isWithdrawn: false,
     isEnded: false,
   };
-  if (isPromisedNotToStart(owner.fates, fateKeyOf(request.number, request.tag))) {
+  // Checked first, because composing the key of each statement takes time.
+  const mayBePromised = hasPromises(owner.fates);
+  if (mayBePromised && isPromisedNotToStart(owner.fates, fateKeyOf(request.number, request.tag))) {
     endJob(owner, job, notRun('owner-lost-before-start'));
     return;
   }
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -89,6 +89,8 @@
 
 /** Returns outcomes to one entry. */
 export interface OwnerChannel {
+  /** Whether it is within this process: its entry never asks which statements have started. False if absent. */
+  readonly isLocal?: boolean;
   readonly answer: (number: number, outcome: StatementOutcome) => void;
 }
 
@@ -343,6 +345,7 @@
 export function markReached({ fates }: StatementOwner, job: Job): void {
   if (job.hasReachedTarget) return;
   job.hasReachedTarget = true;
+  if (job.channel.isLocal === true) return;
   recordStarted(fates, fateKeyOf(job.request.number, job.request.tag), performance.now());
 }
 
--- a/packages/statement-entry/src/owner/placement.ts
+++ b/packages/statement-entry/src/owner/placement.ts
@@ -110,16 +110,23 @@
 }
 
 /** Whether the number of requests to a server is limited because it has just started. */
-export function isCold({ environment }: StatementOwner, { coldUntilMs }: ServerState): boolean {
-  if (performance.now() >= coldUntilMs) return false;
+export function isCold(
+  { environment }: StatementOwner,
+  { coldUntilMs }: ServerState,
+  nowMs = performance.now(),
+): boolean {
+  if (nowMs >= coldUntilMs) return false;
   return (environment.groupSettings()?.coldRatePerSecond ?? 0) > 0;
 }
 
 /** How many requests a server may get now because of its limit while it is cold; infinite without one. */
-export function coldAllowanceOf(owner: StatementOwner, server: ServerState): number {
-  if (!isCold(owner, server)) return Number.POSITIVE_INFINITY;
+export function coldAllowanceOf(
+  owner: StatementOwner,
+  server: ServerState,
+  nowMs = performance.now(),
+): number {
+  if (!isCold(owner, server, nowMs)) return Number.POSITIVE_INFINITY;
   const { environment, startedAtMs, epoch } = owner;
-  const nowMs = performance.now();
   // What a former owner has sent in its last second counts as well.
   const formerEndedForMs = environment.formerOwner()?.endedForMs ?? 0;
   if (epoch > 1 && nowMs - startedAtMs + formerEndedForMs < COLD_WINDOW_MS) return 0;
--- a/packages/statement-entry/src/owner/server-choice.ts
+++ b/packages/statement-entry/src/owner/server-choice.ts
@@ -10,7 +10,6 @@
   type TargetView,
   ZERO_POSITION,
 } from '@bramleykeel/core';
-import { match } from 'ts-pattern';
 import { hasAvailableConnection } from '../target/connection-pool.js';
 import { judgeServers } from '../target/judge-servers.js';
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
@@ -61,7 +60,10 @@
     runningCount: server.runningCount,
     others: server.load.others,
     serviceMs: server.load.service.get('read')?.meanMs,
-    connectedCustomers: new Set(server.idle.map(({ connection }) => connection.customer)),
+    // Most choices do not need it, because the primary has slots to spare.
+    get connectedCustomers() {
+      return new Set(server.idle.map(({ connection }) => connection.customer));
+    },
     position: server.position,
     laggingUntilMs: server.laggingUntilMs,
   }));
@@ -69,10 +71,11 @@
 
 /** Number of statements that may be sent to a server now. */
 export function freeSlots(owner: StatementOwner, server: ServerState): number {
-  if (performance.now() < server.busyUntilMs) return 0;
+  const nowMs = performance.now();
+  if (nowMs < server.busyUntilMs) return 0;
   const { slots } = server.announcement;
   const free = slots + pipelineAllowance(server) - server.runningCount;
-  return Math.min(free, coldAllowanceOf(owner, server));
+  return Math.min(free, coldAllowanceOf(owner, server, nowMs));
 }
 
 /** Extra statements that may be in transit to or from a distant server while its slots are busy. */
@@ -93,10 +96,13 @@
   const requirements = requirementsOf(owner, job, nowMs);
   if (!requirements) return undefined;
   const allowed = viewsFor(owner, job, views);
-  return match(owner.environment.readDistribution)
-    .with('nearest', () => chooseNearestTarget(allowed, requirements, nowMs))
-    .with('even', () => chooseTarget(allowed, requirements, nowMs, Math.random()))
-    .exhaustive();
+  // Runs for each statement, where pattern matching by closures is measurable.
+  switch (owner.environment.readDistribution) {
+    case 'nearest':
+      return chooseNearestTarget(allowed, requirements, nowMs);
+    case 'even':
+      return chooseTarget(allowed, requirements, nowMs, Math.random());
+  }
 }
 
 /**
@@ -137,13 +143,19 @@
   };
 }
 
+function isAnyServerCold(owner: StatementOwner): boolean {
+  const nowMs = performance.now();
+  for (const server of owner.servers.values()) if (isCold(owner, server, nowMs)) return true;
+  return false;
+}
+
 /** Servers that may run a statement. Reads use cold ones only if no other has a free slot. */
 export function viewsFor(
   owner: StatementOwner,
   job: Job,
   views: readonly TargetView[],
 ): readonly TargetView[] {
-  const isAnyCold = [...owner.servers.values()].some((server) => isCold(owner, server));
+  const isAnyCold = isAnyServerCold(owner);
   const { homes } = job.request;
   if (!isAnyCold && homes === null) return views;
   const count = requestCountOf(job);
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -201,6 +201,7 @@
   });
   const localChannel: EntryChannel = {
     id: LOCAL_CHANNEL_ID,
+    isLocal: true,
     answer: (number, outcome) => {
       handleOutcome(owners, number, outcome);
     },
--- a/packages/statement-entry/src/target/measured-order.ts
+++ b/packages/statement-entry/src/target/measured-order.ts
@@ -13,7 +13,6 @@
   recordServed,
   serviceTimeOf,
 } from '@bramleykeel/core';
-import { match } from 'ts-pattern';
 import type { PooledConnection } from '../owner/owner-state.js';
 import type { TargetAnswer, TargetOrder } from '../types/target-port.js';
 
@@ -38,36 +37,39 @@
   const pending = access === 'read' ? recordPending(health, sentAtMs) : undefined;
   const answer = await connection.send(order, timeoutMs);
   const nowMs = performance.now();
-  const end = (evidence: Evidence | undefined) => {
-    if (pending) recordEnded(health, pending, evidence, nowMs);
-  };
-  const fail = (failure: LoadFailure, isEvidence = true) => {
+  if (answer.kind === 'done') {
+    const elapsedMs = Math.max(0, nowMs - sentAtMs - (server.roundTripMs ?? 0));
+    const served = { elapsedMs, occupied, slots };
+    recordServed(load, access, served, nowMs);
+    if (pending) recordEnded(health, pending, classifyServed(health, serviceTimeOf(served)), nowMs);
+    return answer;
+  }
+  let evidence: Evidence | undefined;
+  if (answer.kind === 'refused') {
+    recordRefused(load, access, nowMs);
+    if (answer.code === 'busy' && occupied <= slots) evidence = 'misreported';
+  } else {
+    const failure = failureOf(answer);
     recordFailed(load, access, failure, nowMs);
-    end(isEvidence ? failure : undefined);
-  };
-  match(answer)
-    .with({ kind: 'done' }, () => {
-      const elapsedMs = Math.max(0, nowMs - sentAtMs - (server.roundTripMs ?? 0));
-      const served = { elapsedMs, occupied, slots };
-      recordServed(load, access, served, nowMs);
-      if (pending) end(classifyServed(health, serviceTimeOf(served)));
-    })
-    .with({ kind: 'refused' }, ({ code }) => {
-      recordRefused(load, access, nowMs);
-      end(code === 'busy' && occupied <= slots ? 'misreported' : undefined);
-    })
-    .with({ kind: 'failed' }, () => {
-      fail('error');
-    })
-    .with({ kind: 'timed-out' }, { kind: 'unknown' }, () => {
-      fail('timeout');
-    })
-    .with({ kind: 'overdue' }, () => {
-      fail('mute', isOverdueEvidence(health, nowMs - sentAtMs));
-    })
-    .with({ kind: 'lost' }, () => {
-      fail('reset');
-    })
-    .exhaustive();
+    const isEvidence = failure !== 'mute' || isOverdueEvidence(health, nowMs - sentAtMs);
+    if (isEvidence) evidence = failure;
+  }
+  if (pending) recordEnded(health, pending, evidence, nowMs);
   return answer;
 }
+
+function failureOf({
+  kind,
+}: Exclude<TargetAnswer, { readonly kind: 'done' | 'refused' }>): LoadFailure {
+  switch (kind) {
+    case 'failed':
+      return 'error';
+    case 'timed-out':
+    case 'unknown':
+      return 'timeout';
+    case 'overdue':
+      return 'mute';
+    case 'lost':
+      return 'reset';
+  }
+}
