Use plain switches where each statement or message is handled

Requests of sessions, answers and orders of servers, leadership, and events of the control log are told apart by switches, which ESLint checks for exhaustiveness. Rare decisions keep patterns.

Tests of statement-entry, core/control-log, core/control-state, platform/src/wire and platform.test.ts: passed.

--- a/packages/core/src/control-log/raft.ts
+++ b/packages/core/src/control-log/raft.ts
@@ -2,7 +2,6 @@
  * Consensus protocol of the control log, without I/O: Raft with pre-vote, check-quorum, single-member
  * membership changes and quorum-confirmed rounds.
  */
-import { match } from 'ts-pattern';
 import type { MemberId } from '../types/ids.js';
 import {
   advanceWonPreVote,
@@ -36,17 +35,21 @@
   event: RaftEvent<Command>,
   nowMs: number,
 ): RaftEffect<Command>[] {
-  return match(event)
-    .returnType<RaftEffect<Command>[]>()
-    .with({ kind: 'tick' }, () => handleTick(state, nowMs))
-    .with({ kind: 'peer-reachable' }, ({ peer }) => handlePeerReachable(state, peer, nowMs))
-    .with({ kind: 'start-round' }, () => {
+  // A plain switch, because this runs for each tick and message and patterns allocate a closure for each case.
+  switch (event.kind) {
+    case 'tick':
+      return handleTick(state, nowMs);
+    case 'peer-reachable':
+      return handlePeerReachable(state, event.peer, nowMs);
+    case 'start-round':
       return state.role === 'leader' ? broadcastAppend(state, nowMs) : [];
-    })
-    .with({ kind: 'message' }, ({ from, message }) => handleMessage(state, from, message, nowMs))
-    .with({ kind: 'propose' }, ({ payloads }) => appendAsLeader(state, payloads, nowMs))
-    .with({ kind: 'snapshot-saved' }, ({ snapshot }) => compactLog(state, snapshot))
-    .exhaustive();
+    case 'message':
+      return handleMessage(state, event.from, event.message, nowMs);
+    case 'propose':
+      return appendAsLeader(state, event.payloads, nowMs);
+    case 'snapshot-saved':
+      return compactLog(state, event.snapshot);
+  }
 }
 
 function handleTick<Command>(state: RaftState<Command>, nowMs: number): RaftEffect<Command>[] {
@@ -67,17 +70,28 @@
   nowMs: number,
 ): RaftEffect<Command>[] {
   const effects = adoptNewerTerm(state, message, nowMs);
-  const handled = match(message)
-    .returnType<RaftEffect<Command>[]>()
-    .with({ kind: 'vote-request' }, (request) => handleVoteRequest(state, from, request, nowMs))
-    .with({ kind: 'vote-reply' }, (reply) => handleVoteReply(state, from, reply, nowMs))
-    .with({ kind: 'append' }, (request) => handleAppend(state, from, request, nowMs))
-    .with({ kind: 'append-reply' }, (reply) => handleAppendReply(state, from, reply, nowMs))
-    .with({ kind: 'install-snapshot' }, (request) =>
-      handleInstallSnapshot(state, from, request, nowMs),
-    )
-    .exhaustive();
-  return [...effects, ...handled];
+  const handled = handleCurrentMessage(state, from, message, nowMs);
+  return effects.length > 0 ? [...effects, ...handled] : handled;
+}
+
+function handleCurrentMessage<Command>(
+  state: RaftState<Command>,
+  from: MemberId,
+  message: RaftMessage<Command>,
+  nowMs: number,
+): RaftEffect<Command>[] {
+  switch (message.kind) {
+    case 'vote-request':
+      return handleVoteRequest(state, from, message, nowMs);
+    case 'vote-reply':
+      return handleVoteReply(state, from, message, nowMs);
+    case 'append':
+      return handleAppend(state, from, message, nowMs);
+    case 'append-reply':
+      return handleAppendReply(state, from, message, nowMs);
+    case 'install-snapshot':
+      return handleInstallSnapshot(state, from, message, nowMs);
+  }
 }
 
 /**
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -10,7 +10,6 @@
   type StatementRoute,
 } from '@bramleykeel/core';
 import { returnReceipt, takeTokens, type TokenReceipt } from '@bramleykeel/entry-shared';
-import { match } from 'ts-pattern';
 import {
   createStatementDeadlines,
   runStatement,
@@ -139,47 +138,54 @@
     session.port.refuse({ kind: 'malformed', reason: 'the transaction has failed' }, 'failed');
     return;
   }
-  return match(request)
-    .returnType<Promise<void> | void>()
-    .with({ kind: 'begin' }, ({ isReadOnly }) => beginTransaction(session, isReadOnly))
-    .with({ kind: 'commit' }, ({ tag, text }) => commitTransaction(session, tag, text))
-    .with({ kind: 'rollback' }, () => {
+  // A plain switch, because this runs for each statement and patterns allocate a closure for each case.
+  switch (request.kind) {
+    case 'begin':
+      return beginTransaction(session, request.isReadOnly);
+    case 'commit':
+      return commitTransaction(session, request.tag, request.text);
+    case 'rollback':
       if (session.transaction) rollBackOpenTransaction(session);
       session.state = 'idle';
       acknowledgeRequest(session);
-    })
-    .with({ kind: 'statement' }, ({ tag, access, text }) =>
-      runStatementRequest(session, tag, access, { kind: 'plain', text }),
-    )
-    .with({ kind: 'execute' }, ({ tag, name, argument }) => {
-      const prepared = session.prepared.get(name);
-      if (!prepared) {
-        refuseStatement(session, { kind: 'unknown-prepared-name', name });
-        return;
-      }
-      return runStatementRequest(session, tag, prepared.access, {
-        kind: 'prepared',
-        ...prepared,
-        argument,
-      });
-    })
-    .with({ kind: 'set' }, ({ name, value }) => {
-      acknowledgeState(session, setValue(session, name, value));
-    })
-    .with({ kind: 'prepare' }, ({ name, access, shape }) => {
+      return;
+    case 'statement': {
+      const { tag, access, text } = request;
+      return runStatementRequest(session, tag, access, { kind: 'plain', text });
+    }
+    case 'execute':
+      return runPrepared(session, request);
+    case 'set':
+      acknowledgeState(session, setValue(session, request.name, request.value));
+      return;
+    case 'prepare': {
+      const { name, access, shape } = request;
       acknowledgeState(session, prepareStatement(session, name, { access, shape }));
-    })
-    .with({ kind: 'deallocate' }, ({ name }) => {
-      dropPrepared(session, name);
+      return;
+    }
+    case 'deallocate':
+      dropPrepared(session, request.name);
       acknowledgeRequest(session);
-    })
-    .with({ kind: 'malformed' }, (malformed) => {
-      refuseStatement(session, malformed);
-    })
-    .with({ kind: 'overloaded' }, () => {
+      return;
+    case 'malformed':
+      refuseStatement(session, request);
+      return;
+    case 'overloaded':
       refuseStatement(session, notRun('memory-pressure', RETRY_AFTER_MS));
-    })
-    .exhaustive();
+  }
+}
+
+function runPrepared(
+  session: CallerSession,
+  { tag, name, argument }: Extract<CallerRequest, { readonly kind: 'execute' }>,
+): Promise<void> | void {
+  const prepared = session.prepared.get(name);
+  if (!prepared) {
+    refuseStatement(session, { kind: 'unknown-prepared-name', name });
+    return;
+  }
+  const body = { kind: 'prepared', ...prepared, argument } as const;
+  return runStatementRequest(session, tag, prepared.access, body);
 }
 
 /** Answers a request that the session handles without a server. */
@@ -367,7 +373,8 @@
     return undefined;
   }
   if (admission.customer === ANONYMOUS_CUSTOMER) return { ...admission, token: undefined };
-  const decision = await takeTokens(environment.rates, admission.customer, 1, undefined);
+  const taking = takeTokens(environment.rates, admission.customer, 1, undefined);
+  const decision = taking instanceof Promise ? await taking : taking;
   if (decision.kind === 'taken' && session.isClosed) {
     returnToken(session, decision);
     return undefined;
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -4,9 +4,9 @@
   type LogPosition,
   mayAcknowledge,
   recordAcknowledged,
+  type ServerName,
   type StatementOutcome,
 } from '@bramleykeel/core';
-import { match } from 'ts-pattern';
 import {
   discardConnection,
   closeIdleConnections,
@@ -18,6 +18,7 @@
 import { endJob, requeueJob } from './dispatch.js';
 import type {
   Job,
+  Leadership,
   OpenTransaction,
   PooledConnection,
   ServerState,
@@ -44,8 +45,10 @@
   answer: TargetAnswer,
 ): void {
   const { access } = job.request;
-  match(answer)
-    .with({ kind: 'done' }, ({ rows, signature, position }) => {
+  // A plain switch, because this runs for each statement and patterns allocate a closure for each case.
+  switch (answer.kind) {
+    case 'done': {
+      const { rows, signature, position } = answer;
       if (access === 'write' && !acknowledgeCommit(owner, job, position)) {
         discardConnection(pooled);
         endJob(owner, job, unconfirmedOutcome());
@@ -55,36 +58,39 @@
       const isFromReplica = isReplica(owner, pooled.server);
       if (isFromReplica) pooled.server.laggingPauseMs = 0;
       endJob(owner, job, { kind: 'done', rows, signature, position, isFromReplica });
-    })
-    .with({ kind: 'refused' }, ({ code, state }) => {
+      return;
+    }
+    case 'refused': {
+      const { code, state } = answer;
       handleRefusal(owner, job, pooled.server, code);
       if (code === 'unknown-statement') pooled.prepared.clear();
       if (state === 'idle') releaseConnection(pooled);
       else discardConnection(pooled);
       if (code === 'malformed') endJob(owner, job, { kind: 'failed', text: 'malformed statement' });
       else requeueJob(owner, job);
-    })
-    .with({ kind: 'failed' }, ({ text, state }) => {
-      if (state === 'idle') releaseConnection(pooled);
+      return;
+    }
+    case 'failed':
+      if (answer.state === 'idle') releaseConnection(pooled);
       else discardConnection(pooled);
-      endJob(owner, job, { kind: 'failed', text });
-    })
-    .with({ kind: 'timed-out' }, () => {
+      endJob(owner, job, { kind: 'failed', text: answer.text });
+      return;
+    case 'timed-out':
       discardConnection(pooled);
       endJob(owner, job, { kind: 'timed-out' });
-    })
-    .with({ kind: 'unknown' }, () => {
+      return;
+    case 'unknown':
       discardConnection(pooled);
       endJob(owner, job, { kind: 'unknown', reason: 'the server does not know the outcome' });
-    })
-    .with({ kind: 'lost' }, { kind: 'overdue' }, (broken) => {
-      handleBrokenConnection(owner, job, pooled, broken);
+      return;
+    case 'lost':
+    case 'overdue':
+      handleBrokenConnection(owner, job, pooled, answer);
       discardConnection(pooled);
       job.mayHaveRun = true;
-      if (access === 'read' && broken.kind === 'lost') requeueJob(owner, job);
-      else endJob(owner, job, brokenOutcome(broken));
-    })
-    .exhaustive();
+      if (access === 'read' && answer.kind === 'lost') requeueJob(owner, job);
+      else endJob(owner, job, brokenOutcome(answer));
+  }
 }
 
 /**
@@ -103,8 +109,9 @@
   transaction.isBusy = false;
   transaction.lastUsedMs = performance.now();
   const isFromReplica = isReplica(owner, pooled.server);
-  match(answer)
-    .with({ kind: 'done' }, ({ rows, signature, position, state }) => {
+  switch (answer.kind) {
+    case 'done': {
+      const { rows, signature, position, state } = answer;
       if (isCommit) {
         owner.transactions.delete(transaction.key);
         if (!transaction.isReadOnly && !acknowledgeCommit(owner, job, position)) {
@@ -116,29 +123,34 @@
         else discardConnection(pooled);
       }
       endJob(owner, job, { kind: 'done', rows, signature, position, isFromReplica });
-    })
-    .with({ kind: 'refused' }, ({ code }) => {
-      handleRefusal(owner, job, pooled.server, code);
+      return;
+    }
+    case 'refused':
+      handleRefusal(owner, job, pooled.server, answer.code);
       dropTransaction(owner, transaction);
-      endJob(owner, job, { kind: 'aborted', reason: code });
-    })
-    .with({ kind: 'failed' }, ({ text }) => {
+      endJob(owner, job, { kind: 'aborted', reason: answer.code });
+      return;
+    case 'failed':
       dropTransaction(owner, transaction);
-      endJob(owner, job, { kind: 'failed', text });
-    })
-    .with({ kind: 'timed-out' }, { kind: 'unknown' }, ({ kind }) => {
+      endJob(owner, job, { kind: 'failed', text: answer.text });
+      return;
+    case 'timed-out':
+    case 'unknown': {
+      const { kind } = answer;
       dropTransaction(owner, transaction);
       const ended: StatementOutcome = { kind: 'aborted', reason: kind };
       endJob(owner, job, isCommit ? { kind: 'unknown', reason: kind } : ended);
-    })
-    .with({ kind: 'lost' }, { kind: 'overdue' }, (broken) => {
-      handleBrokenConnection(owner, job, pooled, broken);
+      return;
+    }
+    case 'lost':
+    case 'overdue': {
+      handleBrokenConnection(owner, job, pooled, answer);
       dropTransaction(owner, transaction);
       // The server rolls back an uncommitted transaction when the connection is closed.
       const ended: StatementOutcome = { kind: 'aborted', reason: 'the connection was lost' };
-      endJob(owner, job, isCommit ? brokenOutcome(broken) : ended);
-    })
-    .exhaustive();
+      endJob(owner, job, isCommit ? brokenOutcome(answer) : ended);
+    }
+  }
 }
 
 function brokenOutcome(broken: TargetAnswer): StatementOutcome {
@@ -182,14 +194,21 @@
   { leadership, leadershipNumber, servers }: StatementOwner,
   server: ServerState,
 ): number | undefined {
-  const leader = match(leadership)
-    .with({ kind: 'led' }, (led) => led.server)
-    .with({ kind: 'changing' }, ({ former }) => former)
-    .with({ kind: 'unknown' }, () => undefined)
-    .exhaustive();
+  const leader = leaderOf(leadership);
   return leader !== undefined && servers.get(leader) === server ? leadershipNumber : undefined;
 }
 
+function leaderOf(leadership: Leadership): ServerName | undefined {
+  switch (leadership.kind) {
+    case 'led':
+      return leadership.server;
+    case 'changing':
+      return leadership.former;
+    case 'unknown':
+      return undefined;
+  }
+}
+
 function unconfirmedOutcome(): StatementOutcome {
   return { kind: 'unknown', reason: 'the primary was replaced before the commit was confirmed' };
 }
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -56,21 +56,23 @@
     if (server.failingSinceMs !== undefined && server !== primaryOf(owner))
       probeFailingServer(owner, server);
   }
-  match(owner.leadership)
-    .with({ kind: 'unknown' }, () => {
+  const { leadership } = owner;
+  switch (leadership.kind) {
+    case 'unknown':
       void takeOver(owner);
-    })
-    .with({ kind: 'led' }, ({ server }) => {
-      const primary = owner.servers.get(server);
+      return;
+    case 'led': {
+      const primary = owner.servers.get(leadership.server);
       recordServerPlaces(owner);
       void checkReplicas(owner);
       void warmUpConnections(owner);
       if (primary && mayReaderUse(owner, primary)) void releaseFromReader(owner, primary);
       if (primary) void checkPrimary(owner, primary, false);
       else void changePrimary(owner, 'the primary was removed from the group', false);
-    })
-    .with({ kind: 'changing' }, () => undefined)
-    .exhaustive();
+      return;
+    }
+    case 'changing':
+  }
 }
 
 /** Takes over the connections of a server that was promoted from its region's reader. */
