Split sessions and reads at replicas by responsibility

Admission of operations and return of their tokens move to accept/admit-operation.ts, the run of a read on a replica's connection and what its answer says about the replica to near/run-on-replica.ts.

--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -6,10 +6,8 @@
   type LogPosition,
   type StatementBody,
   type StatementOutcome,
-  type StatementRefusalReason,
   type StatementRoute,
 } from '@bramleykeel/core';
-import { returnReceipt, takeTokens, type TokenReceipt } from '@bramleykeel/entry-shared';
 import {
   createStatementDeadlines,
   runStatement,
@@ -17,7 +15,14 @@
   withdrawCaller,
 } from '../locate/owner-client.js';
 import { runNearest } from '../near/reader-client.js';
-import { ANONYMOUS_CUSTOMER, type CallerAccess, findAdmission, findHomes } from './access.js';
+import { findAdmission, findHomes } from './access.js';
+import {
+  admitOperation,
+  hasReachedNoTarget,
+  notRun,
+  RETRY_AFTER_MS,
+  returnToken,
+} from './admit-operation.js';
 import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
 import {
@@ -28,19 +33,11 @@
 } from './session-values.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 
-/** Retry delay sent to callers whose rate cannot be checked, in milliseconds. */
-const RATE_RETRY_AFTER_MS = 500;
-const RETRY_AFTER_MS = 300;
 const STATE_TOO_LARGE = {
   kind: 'malformed',
   reason: `a session keeps at most ${MAX_SESSION_STATE_BYTES} bytes of values and prepared statements`,
 } as const;
 
-/** An admitted operation; callers without a key have no rate, so their operations have no token. */
-interface Admission extends CallerAccess {
-  readonly token: TokenReceipt | undefined;
-}
-
 /** Queues a request; requests of a session are answered in order. */
 export function submitRequest(session: CallerSession, request: CallerRequest): void {
   if (session.isClosed) return;
@@ -122,16 +119,6 @@
   if (!transaction.mayHaveReachedTarget) returnToken(session, transaction.token);
 }
 
-function returnToken({ environment }: CallerSession, token: TokenReceipt | undefined): void {
-  if (!token || !environment.returnsTokens) return;
-  environment.counters.count('rate.token-returned');
-  returnReceipt(environment.rates, token);
-}
-
-function hasReachedNoTarget(outcome: StatementOutcome): boolean {
-  return outcome.kind === 'not-run' && outcome.reachedNoTarget === true;
-}
-
 function runRequest(session: CallerSession, request: CallerRequest): Promise<void> | void {
   const isTransactionEnd = request.kind === 'rollback' || request.kind === 'commit';
   if (session.state === 'failed' && !isTransactionEnd) {
@@ -355,42 +342,6 @@
   };
 }
 
-/** Checks the route, the key and the rate of an operation; on refusal it answers the caller. */
-async function admitOperation(session: CallerSession, tag: string): Promise<Admission | undefined> {
-  const { environment } = session;
-  if (environment.stopPhase() !== 'serving') {
-    refuseRequest(session, notRun('entry-stopping', RETRY_AFTER_MS), tag);
-    return undefined;
-  }
-  const admission = findAdmission(environment, session.database, session.key);
-  if (typeof admission === 'string') {
-    refuseRequest(session, notRun(admission, RETRY_AFTER_MS), tag);
-    return undefined;
-  }
-  const homes = findHomes(environment, session.database, admission.customer);
-  if (typeof homes === 'string') {
-    refuseRequest(session, notRun(homes, RETRY_AFTER_MS), tag, admission.customer);
-    return undefined;
-  }
-  if (admission.customer === ANONYMOUS_CUSTOMER) return { ...admission, token: undefined };
-  const taking = takeTokens(environment.rates, admission.customer, 1, undefined);
-  const decision = taking instanceof Promise ? await taking : taking;
-  if (decision.kind === 'taken' && session.isClosed) {
-    returnToken(session, decision);
-    return undefined;
-  }
-  if (decision.kind === 'taken') return { ...admission, token: decision };
-  const reason =
-    decision.refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
-  const retryAfterMs = decision.retryAfterMs ?? RATE_RETRY_AFTER_MS;
-  refuseRequest(session, notRun(reason, retryAfterMs), tag, admission.customer);
-  return undefined;
-}
-
-function notRun(reason: StatementRefusalReason, retryAfterMs: number) {
-  return { kind: 'not-run', reason, retryAfterMs } as const;
-}
-
 function advanceMark(session: CallerSession, position: LogPosition | null): void {
   if (position) session.mark = session.mark ? latestPosition(session.mark, position) : position;
 }
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -23,31 +23,14 @@
 } from '@bramleykeel/core';
 import type { Counters, Log } from '@bramleykeel/link';
 import type { StatementDraft } from '../locate/owner-client.js';
-import {
-  createServerState,
-  type PooledConnection,
-  type ServerState,
-} from '../owner/owner-state.js';
-import {
-  acquireConnection,
-  discardConnection,
-  closeIdleConnections,
-  type PoolContext,
-  releaseConnection,
-  retireServer,
-} from '../target/connection-pool.js';
-import {
-  recordSetup,
-  setupOrders,
-  statementOrder,
-  valuesKeyOf,
-} from '../target/connection-setup.js';
+import { createServerState, type ServerState } from '../owner/owner-state.js';
+import { retireServer } from '../target/connection-pool.js';
 import { judgeServers } from '../target/judge-servers.js';
-import { sendMeasured } from '../target/measured-order.js';
-import type { OpenTarget, TargetAnswer } from '../types/target-port.js';
+import type { OpenTarget } from '../types/target-port.js';
 import { createReadAttempt, type ReadAttempt } from './read-attempt.js';
 import type { NearServer, ReaderOffer, RunningCounts } from './reader-offer.js';
 import { mayReadAtReplica } from './reader-client.js';
+import { type ReplicaPlace, runOnReplica } from './run-on-replica.js';
 
 export interface ReplicaReadsOptions {
   readonly regionOf: (zone: string) => string;
@@ -73,12 +56,9 @@
   readonly maxServerConnections: (group: GroupName) => number;
 }
 
-interface ReadGroup {
+interface ReadGroup extends ReplicaPlace {
   readonly group: GroupName;
-  readonly pools: PoolContext;
   readonly servers: Map<string, ServerState>;
-  /** When connections to a server broke, unless an offer that was requested later lists the server again. */
-  readonly brokenAtMs: Map<ServerState, number>;
   /** Offered positions, oldest first; each includes all writes acknowledged before its request. */
   readonly positions: { readonly requestedAtMs: number; readonly position: LogPosition }[];
   lastRequestMs: number;
@@ -105,14 +85,9 @@
 const READ_AGE_MARGIN_MS = 200;
 /** Time without direct reads after a replica's connection failed; the owner runs the reads meanwhile. */
 const FAILED_PAUSE_MS = 1_500;
-const BUSY_PAUSE_MS = 30;
-const LAGGING_PAUSE_MS = 60;
 const HANDOVER_POLL_MS = 10;
 /** Reads sent to a replica at a time, as a multiple of its slots; the others are run by the owner. */
 const READS_PER_SLOT = 2;
-/** Fraction of a statement's remaining time that the replica gets; after that the owner runs it. */
-const REPLICA_TIMEOUT_FRACTION = 0.5;
-const SETUP_TIMEOUT_MS = 300;
 
 export function createReplicaReads(options: ReplicaReadsOptions): ReplicaReads {
   return { options, groups: new Map(), isStopping: false };
@@ -148,7 +123,7 @@
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
-    return await runOnServer(reads, readGroup, server, draft, after, deadlineMs, attempt);
+    return await runOnReplica(readGroup, server, draft, after, deadlineMs, attempt);
   } finally {
     server.runningCount -= 1;
   }
@@ -212,6 +187,7 @@
     },
     servers: new Map(),
     brokenAtMs: new Map(),
+    isEvacuated: ({ announcement }) => reads.options.evacuatedZones().has(announcement.zone),
     positions: [],
     lastRequestMs: Number.NEGATIVE_INFINITY,
     isRequesting: false,
@@ -300,7 +276,7 @@
 
 function findAvailableServer(
   reads: ReplicaReads,
-  { group, servers, brokenAtMs }: ReadGroup,
+  { group, servers, brokenAtMs, isEvacuated }: ReadGroup,
   { customer, homes }: Pick<StatementDraft, 'customer' | 'homes'>,
 ): ServerState | undefined {
   const { counters, log, mayBeCold, regionOf, readDistribution } = reads.options;
@@ -311,7 +287,7 @@
   const available = [...servers.values()].filter(
     (server) =>
       !server.isRetired &&
-      !isEvacuated(reads, server) &&
+      !isEvacuated(server) &&
       isHome(homes, regionOf(server.announcement.zone)) &&
       // It may have restarted, and its owner does not offer it while it is cold.
       !(isColdPossible && brokenAtMs.has(server)) &&
@@ -336,93 +312,3 @@
 function hasIdleConnection({ idle }: ServerState, customer: CustomerName): boolean {
   return idle.some(({ connection }) => connection.customer === customer);
 }
-
-function isEvacuated({ options }: ReplicaReads, { announcement }: ServerState): boolean {
-  return options.evacuatedZones().has(announcement.zone);
-}
-
-async function runOnServer(
-  reads: ReplicaReads,
-  readGroup: ReadGroup,
-  server: ServerState,
-  draft: StatementDraft,
-  after: LogPosition,
-  deadlineMs: number,
-  attempt: ReadAttempt,
-): Promise<StatementOutcome | undefined> {
-  const valuesKey = valuesKeyOf(draft.values);
-  if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
-  const acquired = await acquireConnection(readGroup.pools, server, draft.customer, valuesKey);
-  if (acquired.kind === 'unavailable') {
-    recordIfBroken(readGroup, server);
-    return undefined;
-  }
-  const { pooled } = acquired;
-  // The order may have arrived while the connection was being opened.
-  if (isEvacuated(reads, server)) {
-    releaseConnection(pooled);
-    return undefined;
-  }
-  attempt.hasReachedTarget = true;
-  for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
-    const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
-    if (setupAnswer.kind !== 'done') {
-      handleBrokenConnection(readGroup, server, pooled);
-      return undefined;
-    }
-    recordSetup(pooled, order);
-  }
-  const remainingMs = deadlineMs - performance.now();
-  attempt.mayHaveRun = true;
-  const answer = await sendMeasured(
-    pooled,
-    statementOrder(draft, after),
-    'read',
-    remainingMs * REPLICA_TIMEOUT_FRACTION,
-  );
-  attempt.mayHaveRun = answer.kind !== 'refused';
-  reads.options.counters.count(`near.${answer.kind}`);
-  return settleRead(readGroup, server, pooled, answer);
-}
-
-function settleRead(
-  readGroup: ReadGroup,
-  server: ServerState,
-  pooled: PooledConnection,
-  answer: TargetAnswer,
-): StatementOutcome | undefined {
-  const nowMs = performance.now();
-  if (answer.kind === 'done') {
-    releaseConnection(pooled);
-    const { rows, signature, position } = answer;
-    return { kind: 'done', rows, signature, position, isFromReplica: true };
-  }
-  if (answer.kind === 'lost' || answer.kind === 'overdue') {
-    handleBrokenConnection(readGroup, server, pooled);
-    return undefined;
-  }
-  if (answer.state === 'idle') releaseConnection(pooled);
-  else discardConnection(pooled);
-  if (answer.kind === 'failed') return { kind: 'failed', text: answer.text };
-  if (answer.kind !== 'refused') return undefined;
-  if (answer.code === 'busy') server.busyUntilMs = nowMs + BUSY_PAUSE_MS;
-  if (answer.code === 'lagging') server.laggingUntilMs = nowMs + LAGGING_PAUSE_MS;
-  if (answer.code === 'unknown-statement') pooled.prepared.clear();
-  return undefined;
-}
-
-function recordIfBroken({ brokenAtMs }: ReadGroup, server: ServerState): void {
-  if (server.failingSinceMs !== undefined) brokenAtMs.set(server, performance.now());
-}
-
-/** Closes the connection and the server's idle ones, which may be broken as well. */
-function handleBrokenConnection(
-  { brokenAtMs }: ReadGroup,
-  server: ServerState,
-  pooled: PooledConnection,
-): void {
-  server.failingSinceMs = performance.now();
-  brokenAtMs.set(server, server.failingSinceMs);
-  discardConnection(pooled);
-  closeIdleConnections(server, () => true);
-}
