--- a/packages/link/src/buffer-collector.ts
+++ b/packages/link/src/buffer-collector.ts
@@ -68,13 +68,14 @@
   }
 }
 
-/** The function is only defined in contexts that are created while the option is set. */
+type CollectGarbage = (options?: { readonly type: 'minor' }) => void;
+
 function findHeap(): Heap {
-  setFlagsFromString('--expose-gc');
-  const collect = runInNewContext('gc') as (options?: { readonly type: 'minor' }) => void;
-  setFlagsFromString('--no-expose-gc');
+  let collect: CollectGarbage | undefined;
   return {
     collect: (generation) => {
+      // Looked for when it is first needed, because creating a context takes 2 ms of each start.
+      collect ??= findCollector();
       // V8 11.3 (Node.js 20) collects young objects only for any options, `{ type: 'major' }` among them.
       if (generation === 'all') collect();
       else collect({ type: 'minor' });
@@ -82,3 +83,11 @@
     readExternalBytes: () => getHeapStatistics().external_memory,
   };
 }
+
+/** The function is only defined in contexts that are created while the option is set. */
+function findCollector(): CollectGarbage {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as CollectGarbage;
+  setFlagsFromString('--no-expose-gc');
+  return collect;
+}
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -4,13 +4,17 @@
   type LogPosition,
   type StatementBody,
   type StatementOutcome,
-  type StatementRefusalReason,
 } from '@bramleykeel/core';
-import { returnReceipt, takeTokens, type TokenReceipt } from '@bramleykeel/entry-shared';
-import { match } from 'ts-pattern';
 import { runStatement, withdrawCaller } from '../locate/owner-client.js';
 import { runNearest } from '../near/reader-client.js';
-import { ANONYMOUS_CUSTOMER, type CallerAccess, findAdmission, findHomes } from './access.js';
+import { findAdmission, findHomes } from './access.js';
+import {
+  admitOperation,
+  hasReachedNoTarget,
+  notRun,
+  RETRY_AFTER_MS,
+  returnToken,
+} from './admit-operation.js';
 import { commonDraftFields, deadlinesOf } from './draft.js';
 import { recordSuccess, refuseRequest } from './report.js';
 import type { CallerSession, SessionTransaction } from './session-state.js';
@@ -22,19 +26,11 @@
 } from './session-values.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 
-/** Retry delay sent to callers whose rate cannot be checked, in milliseconds. */
-const RATE_RETRY_AFTER_MS = 500;
-const RETRY_AFTER_MS = 300;
 const STATE_TOO_LARGE = {
   kind: 'malformed',
   reason: `a session keeps at most ${MAX_SESSION_STATE_BYTES} bytes of values and prepared statements`,
 } as const;
 
-/** An admitted operation; callers without a key have no rate, so their operations have no token. */
-interface Admission extends CallerAccess {
-  readonly token: TokenReceipt | undefined;
-}
-
 /** Queues a request; requests of a session are answered in order. */
 export function submitRequest(session: CallerSession, request: CallerRequest): void {
   if (session.isClosed) return;
@@ -116,63 +112,60 @@
   if (!transaction.mayHaveReachedTarget) returnToken(session, transaction.token);
 }
 
-function returnToken({ environment }: CallerSession, token: TokenReceipt | undefined): void {
-  if (!token || !environment.returnsTokens) return;
-  environment.counters.count('rate.token-returned');
-  returnReceipt(environment.rates, token);
-}
-
-function hasReachedNoTarget(outcome: StatementOutcome): boolean {
-  return outcome.kind === 'not-run' && outcome.reachedNoTarget === true;
-}
-
 function runRequest(session: CallerSession, request: CallerRequest): Promise<void> | void {
   const isTransactionEnd = request.kind === 'rollback' || request.kind === 'commit';
   if (session.state === 'failed' && !isTransactionEnd) {
     session.port.refuse({ kind: 'malformed', reason: 'the transaction has failed' }, 'failed');
     return;
   }
-  return match(request)
-    .returnType<Promise<void> | void>()
-    .with({ kind: 'begin' }, ({ isReadOnly }) => beginTransaction(session, isReadOnly))
-    .with({ kind: 'commit' }, ({ tag, text }) => commitTransaction(session, tag, text))
-    .with({ kind: 'rollback' }, () => {
+  // A plain switch, because this runs for each statement and patterns allocate a closure for each case.
+  switch (request.kind) {
+    case 'begin':
+      return beginTransaction(session, request.isReadOnly);
+    case 'commit':
+      return commitTransaction(session, request.tag, request.text);
+    case 'rollback':
       if (session.transaction) rollBackOpenTransaction(session);
       session.state = 'idle';
       acknowledgeRequest(session);
-    })
-    .with({ kind: 'statement' }, ({ tag, access, text }) =>
-      runStatementRequest(session, tag, access, { kind: 'plain', text }),
-    )
-    .with({ kind: 'execute' }, ({ tag, name, argument }) => {
-      const prepared = session.prepared.get(name);
-      if (!prepared) {
-        refuseStatement(session, { kind: 'unknown-prepared-name', name });
-        return;
-      }
-      return runStatementRequest(session, tag, prepared.access, {
-        kind: 'prepared',
-        ...prepared,
-        argument,
-      });
-    })
-    .with({ kind: 'set' }, ({ name, value }) => {
-      acknowledgeState(session, setValue(session, name, value));
-    })
-    .with({ kind: 'prepare' }, ({ name, access, shape }) => {
+      return;
+    case 'statement': {
+      const { tag, access, text } = request;
+      return runStatementRequest(session, tag, access, { kind: 'plain', text });
+    }
+    case 'execute':
+      return runPrepared(session, request);
+    case 'set':
+      acknowledgeState(session, setValue(session, request.name, request.value));
+      return;
+    case 'prepare': {
+      const { name, access, shape } = request;
       acknowledgeState(session, prepareStatement(session, name, { access, shape }));
-    })
-    .with({ kind: 'deallocate' }, ({ name }) => {
-      dropPrepared(session, name);
+      return;
+    }
+    case 'deallocate':
+      dropPrepared(session, request.name);
       acknowledgeRequest(session);
-    })
-    .with({ kind: 'malformed' }, (malformed) => {
-      refuseStatement(session, malformed);
-    })
-    .with({ kind: 'overloaded' }, () => {
+      return;
+    case 'malformed':
+      refuseStatement(session, request);
+      return;
+    case 'overloaded':
       refuseStatement(session, notRun('memory-pressure', RETRY_AFTER_MS));
-    })
-    .exhaustive();
+  }
+}
+
+function runPrepared(
+  session: CallerSession,
+  { tag, name, argument }: Extract<CallerRequest, { readonly kind: 'execute' }>,
+): Promise<void> | void {
+  const prepared = session.prepared.get(name);
+  if (!prepared) {
+    refuseStatement(session, { kind: 'unknown-prepared-name', name });
+    return;
+  }
+  const body = { kind: 'prepared', ...prepared, argument } as const;
+  return runStatementRequest(session, tag, prepared.access, body);
 }
 
 /** Answers a request that the session handles without a server. */
@@ -322,41 +315,6 @@
   return { kind: 'aborted', reason: 'the entry stops' };
 }
 
-/** Checks the route, the key and the rate of an operation; on refusal it answers the caller. */
-async function admitOperation(session: CallerSession, tag: string): Promise<Admission | undefined> {
-  const { environment } = session;
-  if (environment.stopPhase() !== 'serving') {
-    refuseRequest(session, notRun('entry-stopping', RETRY_AFTER_MS), tag);
-    return undefined;
-  }
-  const admission = findAdmission(environment, session.database, session.key);
-  if (typeof admission === 'string') {
-    refuseRequest(session, notRun(admission, RETRY_AFTER_MS), tag);
-    return undefined;
-  }
-  const homes = findHomes(environment, session.database, admission.customer);
-  if (typeof homes === 'string') {
-    refuseRequest(session, notRun(homes, RETRY_AFTER_MS), tag, admission.customer);
-    return undefined;
-  }
-  if (admission.customer === ANONYMOUS_CUSTOMER) return { ...admission, token: undefined };
-  const decision = await takeTokens(environment.rates, admission.customer, 1, undefined);
-  if (decision.kind === 'taken' && session.isClosed) {
-    returnToken(session, decision);
-    return undefined;
-  }
-  if (decision.kind === 'taken') return { ...admission, token: decision };
-  const reason =
-    decision.refusal.reason === 'rate-exceeded' ? 'rate-exceeded' : 'rate-home-unreachable';
-  const retryAfterMs = decision.retryAfterMs ?? RATE_RETRY_AFTER_MS;
-  refuseRequest(session, notRun(reason, retryAfterMs), tag, admission.customer);
-  return undefined;
-}
-
-function notRun(reason: StatementRefusalReason, retryAfterMs: number) {
-  return { kind: 'not-run', reason, retryAfterMs } as const;
-}
-
 function advanceMark(session: CallerSession, position: LogPosition | null): void {
   if (position) session.mark = session.mark ? latestPosition(session.mark, position) : position;
 }
--- a/packages/statement-entry/src/near/explain-read.test.ts
+++ b/packages/statement-entry/src/near/explain-read.test.ts
@@ -71,6 +71,7 @@
     positions: [{ requestedAtMs: nowMs - offerAgeMs, position: { term: 3, offset: 40 } }],
     lastRequestMs: nowMs,
     isRequesting: false,
+    isEvacuated: () => false,
   };
   for (const [index, each] of servers.entries()) {
     const server = createServerState(
--- a/packages/statement-entry/src/near/read-group.ts
+++ b/packages/statement-entry/src/near/read-group.ts
@@ -2,9 +2,9 @@
 import type { FormerHolder, GroupName, LogPosition, ReadDistribution } from '@bramleykeel/core';
 import type { Counters, Log } from '@bramleykeel/link';
 import type { ServerState } from '../owner/owner-state.js';
-import type { PoolContext } from '../target/connection-pool.js';
 import type { OpenTarget } from '../types/target-port.js';
 import type { ReaderOffer, RunningCounts } from './reader-offer.js';
+import type { ReplicaPlace } from './run-on-replica.js';
 
 export interface ReplicaReadsOptions {
   readonly regionOf: (zone: string) => string;
@@ -30,12 +30,9 @@
   readonly maxServerConnections: (group: GroupName) => number;
 }
 
-export interface ReadGroup {
+export interface ReadGroup extends ReplicaPlace {
   readonly group: GroupName;
-  readonly pools: PoolContext;
   readonly servers: Map<string, ServerState>;
-  /** When connections to a server broke, unless an offer that was requested later lists the server again. */
-  readonly brokenAtMs: Map<ServerState, number>;
   /** Offered positions, oldest first; each includes all writes acknowledged before its request. */
   readonly positions: { readonly requestedAtMs: number; readonly position: LogPosition }[];
   lastRequestMs: number;
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -8,37 +8,19 @@
   areFormerConnectionsClosed,
   connectionLimit,
   type GroupName,
-  type LogPosition,
   recordOthers,
   type ServerAnnouncement,
   type StatementOutcome,
 } from '@bramleykeel/core';
 import type { StatementDraft } from '../locate/owner-client.js';
-import {
-  createServerState,
-  type PooledConnection,
-  type ServerState,
-} from '../owner/owner-state.js';
-import {
-  acquireConnection,
-  discardConnection,
-  closeIdleConnections,
-  releaseConnection,
-  retireServer,
-} from '../target/connection-pool.js';
-import {
-  recordSetup,
-  setupOrders,
-  statementOrder,
-  valuesKeyOf,
-} from '../target/connection-setup.js';
-import { sendMeasured } from '../target/measured-order.js';
-import type { TargetAnswer } from '../types/target-port.js';
+import { createServerState, type ServerState } from '../owner/owner-state.js';
+import { retireServer } from '../target/connection-pool.js';
 import { findAvailableServer, isEvacuated, requiredPositionOf } from './choose-replica.js';
 import { createReadAttempt, type ReadAttempt } from './read-attempt.js';
 import type { ReadGroup, ReplicaReads, ReplicaReadsOptions } from './read-group.js';
 import type { NearServer, RunningCounts } from './reader-offer.js';
 import { mayReadAtReplica } from './reader-client.js';
+import { runOnReplica } from './run-on-replica.js';
 
 export type { ReplicaReads } from './read-group.js';
 
@@ -52,12 +34,7 @@
 const NO_OFFER_RETRY_MS = 200;
 /** Enough for about 3 s of offers; the users' longest read age is 2.5 s. */
 const MAX_KEPT_POSITIONS = 4;
-const BUSY_PAUSE_MS = 30;
-const LAGGING_PAUSE_MS = 60;
 const HANDOVER_POLL_MS = 10;
-/** Fraction of a statement's remaining time that the replica gets; after that the owner runs it. */
-const REPLICA_TIMEOUT_FRACTION = 0.5;
-const SETUP_TIMEOUT_MS = 300;
 
 export function createReplicaReads(options: ReplicaReadsOptions): ReplicaReads {
   return { options, groups: new Map(), isStopping: false };
@@ -93,7 +70,7 @@
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
-    return await runOnServer(reads, readGroup, server, draft, after, deadlineMs, attempt);
+    return await runOnReplica(readGroup, server, draft, after, deadlineMs, attempt);
   } finally {
     server.runningCount -= 1;
   }
@@ -157,6 +134,7 @@
     },
     servers: new Map(),
     brokenAtMs: new Map(),
+    isEvacuated: (server) => isEvacuated(reads, server),
     positions: [],
     lastRequestMs: Number.NEGATIVE_INFINITY,
     isRequesting: false,
@@ -230,89 +208,3 @@
     if (ownerRunning !== undefined) recordOthers(state.load, ownerRunning, nowMs);
   }
 }
-
-async function runOnServer(
-  reads: ReplicaReads,
-  readGroup: ReadGroup,
-  server: ServerState,
-  draft: StatementDraft,
-  after: LogPosition,
-  deadlineMs: number,
-  attempt: ReadAttempt,
-): Promise<StatementOutcome | undefined> {
-  const valuesKey = valuesKeyOf(draft.values);
-  if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
-  const acquired = await acquireConnection(readGroup.pools, server, draft.customer, valuesKey);
-  if (acquired.kind === 'unavailable') {
-    recordIfBroken(readGroup, server);
-    return undefined;
-  }
-  const { pooled } = acquired;
-  // The order may have arrived while the connection was being opened.
-  if (isEvacuated(reads, server)) {
-    releaseConnection(pooled);
-    return undefined;
-  }
-  attempt.hasReachedTarget = true;
-  for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
-    const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
-    if (setupAnswer.kind !== 'done') {
-      handleBrokenConnection(readGroup, server, pooled);
-      return undefined;
-    }
-    recordSetup(pooled, order);
-  }
-  const remainingMs = deadlineMs - performance.now();
-  attempt.mayHaveRun = true;
-  const answer = await sendMeasured(
-    pooled,
-    statementOrder(draft, after),
-    'read',
-    remainingMs * REPLICA_TIMEOUT_FRACTION,
-  );
-  attempt.mayHaveRun = answer.kind !== 'refused';
-  reads.options.counters.count(`near.${answer.kind}`);
-  return settleRead(readGroup, server, pooled, answer);
-}
-
-function settleRead(
-  readGroup: ReadGroup,
-  server: ServerState,
-  pooled: PooledConnection,
-  answer: TargetAnswer,
-): StatementOutcome | undefined {
-  const nowMs = performance.now();
-  if (answer.kind === 'done') {
-    releaseConnection(pooled);
-    const { rows, signature, position } = answer;
-    return { kind: 'done', rows, signature, position, isFromReplica: true };
-  }
-  if (answer.kind === 'lost' || answer.kind === 'overdue') {
-    handleBrokenConnection(readGroup, server, pooled);
-    return undefined;
-  }
-  if (answer.state === 'idle') releaseConnection(pooled);
-  else discardConnection(pooled);
-  if (answer.kind === 'failed') return { kind: 'failed', text: answer.text };
-  if (answer.kind !== 'refused') return undefined;
-  if (answer.code === 'busy') server.busyUntilMs = nowMs + BUSY_PAUSE_MS;
-  if (answer.code === 'lagging') server.laggingUntilMs = nowMs + LAGGING_PAUSE_MS;
-  if (answer.code === 'unknown-statement') pooled.prepared.clear();
-  return undefined;
-}
-
-function recordIfBroken({ brokenAtMs }: ReadGroup, server: ServerState): void {
-  if (server.failingSinceMs !== undefined) brokenAtMs.set(server, performance.now());
-}
-
-/** Closes the connection and the server's idle ones, which may be broken as well. */
-function handleBrokenConnection(
-  { brokenAtMs }: ReadGroup,
-  server: ServerState,
-  pooled: PooledConnection,
-): void {
-  server.failingSinceMs = performance.now();
-  brokenAtMs.set(server, server.failingSinceMs);
-  discardConnection(pooled);
-  closeIdleConnections(server, () => true);
-}
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -1,6 +1,7 @@
 /** Handles the messages that entries send to an owner. */
 import {
   fateKeyOf,
+  hasPromises,
   isPromisedNotToStart,
   promiseNotStarted,
   type StatementRequest,
@@ -21,7 +22,9 @@
   request: StatementRequest,
 ): void {
   const job = createJob(channel, request);
-  if (isPromisedNotToStart(owner.fates, fateKeyOf(request.number, request.tag))) {
+  // Checked first, because composing the key of each statement takes time.
+  const mayBePromised = hasPromises(owner.fates);
+  if (mayBePromised && isPromisedNotToStart(owner.fates, fateKeyOf(request.number, request.tag))) {
     endJob(owner, job, notRun('owner-lost-before-start'));
     return;
   }
