Complete a change of primary for an evacuation whose owner is lost after its fence

Cause: with equally long logs the next owner took the server with the lowest name, also in the evacuated zone, because only that one counted as the longest. The planned change that followed then waited for replicas that the former owner had paused; replicas were resumed only while a primary leads and no change runs.

Change: any server whose log is as long as the longest counts as such, so that its zone decides. A planned change that waits for replicas resumes paused ones; nothing of it has been fenced. Ruled out: the other three moments (drain, order to promote that is carried out late, promotion without an answer) were completed without a change.

--- a/packages/core/src/promotion/choose-successor.test.ts
+++ b/packages/core/src/promotion/choose-successor.test.ts
@@ -193,6 +193,15 @@
         context: { fenced: [fenced('a', 12, isEvacuated), fenced('b', 9)] },
         expected: 'a reaches-acknowledged',
       },
+      // Guards against a second change of primary, after the next owner has chosen by name among equal logs.
+      {
+        name: 'prefers a suitable zone among equally long logs if the acknowledged position is unknown',
+        context: {
+          acknowledged: undefined,
+          fenced: [fenced('a', 12, isEvacuated), fenced('b', 12)],
+        },
+        expected: 'b longest-of-all',
+      },
       // Guards against LOST: a suitable server was taken for the longest of all although another log is longer.
       {
         name: 'takes the longest log of all if the acknowledged position is unknown',
--- a/packages/core/src/promotion/choose-successor.ts
+++ b/packages/core/src/promotion/choose-successor.ts
@@ -85,7 +85,8 @@
   const best = longestLog(candidates);
   for (const placement of PLACEMENTS) {
     const placed = longestLog(candidates.filter((server) => server.placement === placement));
-    const ground = placed && groundFor(placed, placed === best, demoted, context);
+    const isLongest = placed && best && comparePositions(placed.position, best.position) === 0;
+    const ground = placed && groundFor(placed, isLongest === true, demoted, context);
     if (ground) return promote(placed, ground);
   }
   if (isPlanned) return { kind: 'wait', reason: best ? 'behind-acknowledged' : 'no-candidate' };
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -12,6 +12,7 @@
 } from '@bramleykeel/core';
 import { closeIdleConnections } from '../target/connection-pool.js';
 import {
+  resumePausedReplicas,
   sendControlOrderToAll,
   sendControlOrder,
   type ServerStatus,
@@ -186,6 +187,8 @@
   const choice = chooseSuccessor(context);
   if (choice.kind === 'wait') {
     reportWait(owner, change, choice.reason, context);
+    // The pause of a former owner's fence keeps replicas from following a primary that still leads.
+    if (isPlanned) resumePausedReplicas(owner, fenced);
     return undefined;
   }
   owner.environment.log(`${choice.server} chosen as primary of ${owner.group}`, {
--- a/packages/statement-entry/src/owner/evacuated-zones.test.ts
+++ b/packages/statement-entry/src/owner/evacuated-zones.test.ts
@@ -177,6 +177,18 @@
     expect(await run('write')).toMatchObject({ kind: 'done' });
   });
 
+  // Guards against a planned change that waits for ever for replicas that a former owner has paused.
+  it('resumes replicas that were left paused while it waits for one to follow the primary', async () => {
+    for (const server of [near, far]) Object.assign(server, { heldTerm: 4, position: at(30) });
+    evacuate('zone-0');
+    watchPrimary(owner);
+    await until(() => near.heldTerm === 0 && far.heldTerm === 0);
+    expect(owner.leadership.kind).toBe('changing');
+    far.position = at(40);
+    await until(() => owner.leadership.kind === 'led');
+    expect(owner.leadership).toMatchObject({ server: far.name });
+  });
+
   it('replaces a primary that was promoted for its log in an evacuated zone', async () => {
     primary.position = at(50);
     near.position = at(50);
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -8,6 +8,7 @@
 } from '@bramleykeel/core';
 import {
   answeredStatuses,
+  resumePausedReplicas,
   sendControlOrderToAll,
   sendControlOrder,
   type ServerStatus,
@@ -40,18 +41,6 @@
   }
 }
 
-/** Resumes replication on replicas that a fence has paused; returns whether there were any. */
-function resumePausedReplicas(owner: StatementOwner, replicas: readonly ServerStatus[]): boolean {
-  const paused = replicas.filter(({ status }) => status.role === 'replica' && status.heldTerm > 0);
-  for (const { server } of paused) {
-    owner.environment.log(
-      `${server.announcement.server} of ${owner.group} is paused; resuming replication`,
-    );
-    void sendControlOrder(owner, server, { kind: 'resume' });
-  }
-  return paused.length > 0;
-}
-
 /**
  * Resumes replicas that an earlier owner, or a pause that was carried out late, has left paused, and follows whether the
  * replicas have all commits that former ones may have acknowledged.
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -81,6 +81,21 @@
   return answeredStatuses(pending);
 }
 
+/** Resumes replication on replicas that a fence has paused; returns whether there were any. */
+export function resumePausedReplicas(
+  owner: StatementOwner,
+  statuses: readonly ServerStatus[],
+): boolean {
+  const paused = statuses.filter(({ status }) => status.role === 'replica' && status.heldTerm > 0);
+  for (const { server } of paused) {
+    owner.environment.log(
+      `${server.announcement.server} of ${owner.group} is paused; resuming replication`,
+    );
+    void sendControlOrder(owner, server, { kind: 'resume' });
+  }
+  return paused.length > 0;
+}
+
 /** Waits for all orders and returns the statuses in their answers. */
 export async function answeredStatuses(
   pending: Iterable<Promise<ServerStatus | undefined>>,
