Judge waiting statements and open transactions by the homes in force where they wait

Cause: a statement carried the homes that its caller's entry had worked out, and was sent by them however long it waited; an open transaction was checked only when its next statement came.

Change: while the settings limit anything, a statement also names its caller's database. Owner and reader work its homes out again once their settings change, at each choice of a server and before it is sent, and refuse at once what no server may run. Idle transactions on a server that is no home any more are aborted. Without limits messages stay as they were. Ruled out: the entry telling owners of each waiting statement, which does not reach readers; the owner's settings alone, which may be older than the sender's, so both apply on arrival.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -53,6 +53,7 @@
 export * from './placement/leader-placement.js';
 export * from './placement/evacuation-grace.js';
 export * from './placement/cold-limit.js';
+export * from './placement/current-homes.js';
 export * from './placement/home-regions.js';
 export * from './placement/placement-bounds.js';
 export * from './shared/address.js';
--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -135,6 +135,8 @@
   readonly homes: Homes;
   /** Response time objective of its route, in milliseconds; absent without overload control. */
   readonly objectiveMs?: number;
+  /** The database that its caller named; absent while no route or customer is limited to some regions. */
+  readonly database?: string;
 }
 
 /** Why a statement was refused before it ran. */
--- a/packages/statement-entry/src/accept/session.test.ts
+++ b/packages/statement-entry/src/accept/session.test.ts
@@ -91,6 +91,7 @@
       linkAddress: 'a:1',
     };
     owners = createOwnerClient({
+      homeRules: () => undefined,
       regionOf: (zone) => zone,
       control: {
         records: new Map([[`group/${group}`, { record: { kind: 'assignment', assignment } }]]),
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -1,6 +1,7 @@
 /** Runs a caller's session: its requests one at a time, its values, prepared names and transaction. */
 import {
   type CustomerName,
+  homeRulesOf,
   type Homes,
   latestPosition,
   type LogPosition,
@@ -346,6 +347,10 @@
     mark: session.mark,
     values: session.values,
     ...(session.environment.overloadControl === true && { objectiveMs: route.objectiveMs }),
+    // Where the statement waits, its homes are judged again once the settings change there.
+    ...(homeRulesOf(session.environment.settings())?.isLimited === true && {
+      database: session.database,
+    }),
   };
 }
 
--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -83,6 +83,7 @@
     } as unknown as ControlClient;
     client = createOwnerClient({
       regionOf: (zone) => zone,
+      homeRules: () => undefined,
       control,
       links: () => ({ linkTo: () => peer }) as unknown as EntryLinks,
       sendLocally: (_group, sentEpoch, request) => {
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -4,7 +4,9 @@
   type Assignment,
   assignmentOf,
   type GroupName,
+  type HomeRules,
   mayForward,
+  withHomesInForce,
   type Resource,
   type StatementOutcome,
   type StatementRefusalReason,
@@ -37,6 +39,7 @@
   readonly control: ControlClient;
   readonly links: () => EntryLinks;
   readonly regionOf: (zone: string) => string;
+  readonly homeRules: () => HomeRules | undefined;
   /** Passes a statement to the owner in this process; returns `false` if there is none with this epoch. */
   readonly sendLocally: (group: GroupName, epoch: number, request: StatementRequest) => boolean;
   readonly rollBackLocally: (group: GroupName, epoch: number, transaction: number) => void;
@@ -152,13 +155,14 @@
   for (;;) {
     const port = hasTransactionOwner ? transactionOwner : await awaitPort(client, group, startByMs);
     if (!port || caller.isGone) return { outcome: refused('no-owner'), port };
-    if (!mayForward(draft.homes, port, client.options.regionOf)) {
+    const current = withHomesInForce(draft, group, client.options.homeRules());
+    if (!mayForward(current.homes, port, client.options.regionOf)) {
       const outcome = hasTransactionOwner ? aborted() : refused('no-home-server');
       return { outcome, port: hasTransactionOwner ? port : undefined };
     }
     const { deadlineMs } = deadlines;
     const sendDeadlines = { deadlineMs, startByMs: startByMs() };
-    const outcome = await sendOnce(client, port, draft, sendDeadlines, caller);
+    const outcome = await sendOnce(client, port, current, sendDeadlines, caller);
     caller.pending = undefined;
     const isTooLateToStart = performance.now() >= startByMs();
     if (outcome === 'not-sent') {
--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -1,6 +1,7 @@
 import {
   type FormerHolder,
   type GroupName,
+  type HomeRules,
   type LogPosition,
   toCustomerName,
   toGroupName,
@@ -50,6 +51,7 @@
   readonly logged: string[];
   offerRequestCount: number;
   evacuatedZones: ReadonlySet<string>;
+  homeRules: HomeRules | undefined;
   mayBeCold: boolean;
   /** Time that servers take for an order, in milliseconds. */
   answerMs: number;
@@ -87,6 +89,7 @@
     logged: [],
     offerRequestCount: 0,
     evacuatedZones: new Set(),
+    homeRules: undefined,
     mayBeCold: false,
     answerMs: 0,
     failingAddress: undefined,
@@ -95,6 +98,7 @@
     reads: createReplicaReads({
       regionOf: (zone) => zone,
       evacuatedZones: () => context.evacuatedZones,
+      homeRules: () => context.homeRules,
       readDistribution: 'even',
       mayBeCold: () => context.mayBeCold,
       log: (message) => {
@@ -383,6 +387,14 @@
     expect(context.orders).toEqual([]);
   });
 
+  // Guards against reads that are sent where they may not run any more.
+  it('do not start if the homes were changed while the connection was being opened', async () => {
+    const outcome = read({ database: 'bookings' });
+    context.homeRules = { isLimited: true, homesOf: () => ['zone-b'] };
+    expect(await outcome).toBeUndefined();
+    expect(context.orders).toEqual([]);
+  });
+
   it('are handed over at a planned stop, with all connections closed before', async () => {
     await read();
     const openAtRelease: number[] = [];
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -11,6 +11,10 @@
   type CustomerName,
   type FormerHolder,
   type GroupName,
+  createHomesClaim,
+  type HomeRules,
+  homesInForce,
+  homesSubjectOf,
   isHome,
   latestPosition,
   type LogPosition,
@@ -53,6 +57,8 @@
   readonly regionOf: (zone: string) => string;
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
+  /** The homes of statements by the settings in force here; `undefined` without settings. */
+  readonly homeRules: () => HomeRules | undefined;
   readonly readDistribution: ReadDistribution;
   /** Whether the group's servers are limited while they are cold. */
   readonly mayBeCold: (group: GroupName) => boolean;
@@ -139,16 +145,21 @@
   deadlineMs: number,
   attempt: ReadAttempt = createReadAttempt(),
 ): Promise<StatementOutcome | undefined> {
+  const { homeRules, regionOf } = reads.options;
   if (!mayReadAtReplica(draft) || reads.isStopping) return undefined;
   if (!reads.options.formerReader(group)) return undefined;
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(reads, readGroup, draft);
+  const homesClaim = createHomesClaim(homesSubjectOf(group, draft), draft.homes);
+  const isHomeNow = ({ announcement }: ServerState) =>
+    isHome(homesInForce(homesClaim, homeRules()), regionOf(announcement.zone));
+  const server = after && findAvailableServer(reads, readGroup, draft.customer, isHomeNow);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
-    return await runOnServer(reads, readGroup, server, draft, after, deadlineMs, attempt);
+    const read = { draft, isHomeNow, after, deadlineMs, attempt };
+    return await runOnServer(reads, readGroup, server, read);
   } finally {
     server.runningCount -= 1;
   }
@@ -301,9 +312,10 @@
 function findAvailableServer(
   reads: ReplicaReads,
   { group, servers, brokenAtMs }: ReadGroup,
-  { customer, homes }: Pick<StatementDraft, 'customer' | 'homes'>,
+  customer: CustomerName,
+  isHomeNow: (server: ServerState) => boolean,
 ): ServerState | undefined {
-  const { counters, log, mayBeCold, regionOf, readDistribution } = reads.options;
+  const { counters, log, mayBeCold, readDistribution } = reads.options;
   const isEven = readDistribution === 'even';
   const isColdPossible = mayBeCold(group);
   if (isEven) judgeServers(servers.values(), { group, path: 'reader', counters, log });
@@ -312,7 +324,7 @@
     (server) =>
       !server.isRetired &&
       !isEvacuated(reads, server) &&
-      isHome(homes, regionOf(server.announcement.zone)) &&
+      isHomeNow(server) &&
       // It may have restarted, and its owner does not offer it while it is cold.
       !(isColdPossible && brokenAtMs.has(server)) &&
       (!isEven || takesRead(server.health, server.runningCount, Math.random())) &&
@@ -341,14 +353,20 @@
   return options.evacuatedZones().has(announcement.zone);
 }
 
+interface ReplicaRead {
+  readonly draft: StatementDraft;
+  /** Whether the read may run on a server by the homes in force. */
+  readonly isHomeNow: (server: ServerState) => boolean;
+  readonly after: LogPosition;
+  readonly deadlineMs: number;
+  readonly attempt: ReadAttempt;
+}
+
 async function runOnServer(
   reads: ReplicaReads,
   readGroup: ReadGroup,
   server: ServerState,
-  draft: StatementDraft,
-  after: LogPosition,
-  deadlineMs: number,
-  attempt: ReadAttempt,
+  { draft, isHomeNow, after, deadlineMs, attempt }: ReplicaRead,
 ): Promise<StatementOutcome | undefined> {
   const valuesKey = valuesKeyOf(draft.values);
   if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
@@ -358,8 +376,8 @@
     return undefined;
   }
   const { pooled } = acquired;
-  // The order may have arrived while the connection was being opened.
-  if (isEvacuated(reads, server)) {
+  // An order or other homes may have arrived while the connection was being opened.
+  if (isEvacuated(reads, server) || !isHomeNow(server)) {
     releaseConnection(pooled);
     return undefined;
   }
@@ -372,6 +390,10 @@
     }
     recordSetup(pooled, order);
   }
+  if (!isHomeNow(server)) {
+    releaseConnection(pooled);
+    return undefined;
+  }
   const remainingMs = deadlineMs - performance.now();
   attempt.mayHaveRun = true;
   const answer = await sendMeasured(
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -17,6 +17,7 @@
 import { judgeArrival, recordWait, removeLate, withoutNeededPrimary } from './admission.js';
 import type { Job, ServerState, StatementOwner } from './owner-state.js';
 import {
+  homesOf,
   isGraceOver,
   isHomeOf,
   isWhollyEvacuated,
@@ -42,7 +43,7 @@
 
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
-  if (job.request.homes) owner.hasRestrictedStatements = true;
+  if (homesOf(owner, job)) owner.hasRestrictedStatements = true;
   const refusal = immediateRefusal(owner, job);
   if (refusal) {
     endJob(owner, job, notRun(refusal, BLOCKED_RETRY_AFTER_MS));
@@ -97,14 +98,16 @@
   if (job.transaction?.pooled) return undefined;
   if (isBlocked(owner) && isForPrimary(job)) return 'no-primary';
   if (owner.environment.evacuatedZones().size > 0 && isWhollyEvacuated(owner)) return 'no-primary';
-  const isUnplaced = lacksHomeServer(owner, job.request.homes, isForPrimary(job));
+  const isUnplaced = lacksHomeServer(owner, homesOf(owner, job), isForPrimary(job));
   return isUnplaced ? 'no-home-server' : undefined;
 }
 
 /** Whether some statements may have to be refused at once. */
 function mayRefuseAtOnce(owner: StatementOwner): boolean {
   const hasOrders = owner.environment.evacuatedZones().size > 0;
-  return isBlocked(owner) || hasOrders || owner.hasRestrictedStatements;
+  // A statement that waits may have become limited by a change of settings.
+  const hasLimits = owner.environment.homeRules()?.isLimited === true;
+  return isBlocked(owner) || hasOrders || hasLimits || owner.hasRestrictedStatements;
 }
 
 /** Whether no server can lead before another one returns or an evacuation is withdrawn. */
@@ -153,7 +156,7 @@
 
 /** Whether a transaction may not go on where it is open. */
 function mustLeave(owner: StatementOwner, job: Job, server: ServerState): boolean {
-  return isGraceOver(owner, server) || !isHomeOf(owner, job.request.homes, server);
+  return isGraceOver(owner, server) || !isHomeOf(owner, homesOf(owner, job), server);
 }
 
 /** Whether a statement waits because its transaction cannot commit any more on a primary that is replaced. */
@@ -175,7 +178,7 @@
     // In a long queue most statements wait for the same reason, so that it is found once for all of them.
     const withoutServer = new Set<string>();
     const next = take((job, isDue = false): boolean => {
-      const key = requirementsKeyOf(job, isDue);
+      const key = requirementsKeyOf(owner, job, isDue);
       if (withoutServer.has(key)) return false;
       const allowed = isDue ? withoutNeededPrimary(job, views) : views;
       chosen = chooseServerFor(owner, job, allowed);
--- a/packages/statement-entry/src/owner/home-regions.test.ts
+++ b/packages/statement-entry/src/owner/home-regions.test.ts
@@ -1,4 +1,5 @@
 import {
+  type HomeRules,
   type Homes,
   recordAcknowledged,
   type StatementAccess,
@@ -15,10 +16,11 @@
 import { findHomes } from '../accept/access.js';
 import type { SessionEnvironment } from '../accept/session-state.js';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
-import { dispatch } from './dispatch.js';
+import { dispatch, expireWaiting } from './dispatch.js';
 import { acceptStatement } from './owner-app.js';
 import { closeStatementOwner } from './owner-lifecycle.js';
 import type { StatementOwner } from './owner-state.js';
+import { abortMisplacedTransactions } from './placement.js';
 import { takeOver } from './take-over.js';
 import { watchPrimary } from './watch-primary.js';
 
@@ -169,6 +171,69 @@
   });
 });
 
+describe('a change of homes', () => {
+  const database = 'bookings';
+  const change = (regions: readonly string[]) => {
+    const homesOf: HomeRules['homesOf'] = (subject) =>
+      subject.database === database ? regions : null;
+    fake.homeRules = { isLimited: true, homesOf };
+  };
+
+  beforeEach(() => {
+    fake.homeRules = { isLimited: true, homesOf: () => null };
+  });
+
+  // Guards against statements that are sent by the homes with which they began to wait.
+  it('applies to statements that wait, which are refused at once where no server may run them', async () => {
+    const [primary] = fake.servers as [FakeServer];
+    primary.statementMs = 300;
+    const running = Array.from({ length: 2 }, () => run('write', null, { database }));
+    const waiting = run('write', null, { database });
+    await until(() => primary.orders.filter(({ kind }) => kind === 'run').length === 2);
+    change(['zone-1']);
+    expireWaiting(owner);
+    await expectRefusalAtOnce(waiting);
+    for (const outcome of await Promise.all(running)) expect(outcome.kind).toBe('done');
+  });
+
+  it('lets statements that wait run where they may run now', async () => {
+    const [primary, near] = fake.servers as [FakeServer, FakeServer];
+    primary.statementMs = 300;
+    const running = Array.from({ length: 2 }, () => run('write', null, { database: 'other' }));
+    const waiting = run('read', ['zone-0'], { database });
+    change(['zone-1']);
+    dispatch(owner);
+    expect(await waiting).toMatchObject({ kind: 'done' });
+    expect(near.orders.filter(({ kind }) => kind === 'run')).toHaveLength(1);
+    await Promise.all(running);
+  });
+
+  it('stops a statement whose connection is being opened', async () => {
+    const waiting = run('write', null, { database });
+    change(['zone-1']);
+    await delay(20);
+    expireWaiting(owner);
+    await expectRefusalAtOnce(waiting);
+    expect(ranAt()).toBe('');
+  });
+
+  it('aborts open transactions whose server is no home any more, once their statement has ended', async () => {
+    const ref = { number: 4, isReadOnly: false };
+    const first = { database, transaction: { ...ref, isFirst: true } };
+    expect(await run('write', null, first)).toMatchObject({ kind: 'done' });
+    const [primary] = fake.servers as [FakeServer];
+    primary.statementMs = 100;
+    const sent = run('write', null, { database, transaction: { ...ref, isFirst: false } });
+    await until(() => primary.orders.filter(({ kind }) => kind === 'run').length === 2);
+    change(['zone-1']);
+    abortMisplacedTransactions(owner);
+    expect(await sent).toMatchObject({ kind: 'done' });
+    abortMisplacedTransactions(owner);
+    expect(owner.transactions.size).toBe(0);
+    expect(primary.connections.size).toBe(1);
+  });
+});
+
 describe('the primary of a group with homes', () => {
   it('is moved into a home, and not again within 10 s', async () => {
     fake.homeRegions = ['zone-1'];
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -1,6 +1,8 @@
 /** Handles the messages that entries send to an owner. */
 import {
+  createHomesClaim,
   fateKeyOf,
+  homesSubjectOf,
   isPromisedNotToStart,
   promiseNotStarted,
   type StatementRequest,
@@ -25,6 +27,7 @@
     channel,
     request,
     valuesKey: valuesKeyOf(request.values),
+    homesClaim: createHomesClaim(homesSubjectOf(owner.group, request), request.homes),
     arrivedAtMs: nowMs,
     deadlineMs: nowMs + request.budgetMs,
     startByMs: nowMs + request.startWithinMs,
@@ -77,6 +80,7 @@
     customer,
     pooled: undefined,
     isBusy: false,
+    homesClaim: createHomesClaim(job.homesClaim.subject, job.request.homes),
     lastUsedMs: performance.now(),
   };
   owner.transactions.set(key, created);
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -17,7 +17,7 @@
   type OwnerEnvironment,
   type StatementOwner,
 } from './owner-state.js';
-import { followEvacuations } from './placement.js';
+import { abortMisplacedTransactions, followEvacuations } from './placement.js';
 import { loadRecordedServers, UNKNOWN_BORN_MS } from './server-places.js';
 import { dropTransaction } from './transactions.js';
 import { removeServer, watchPrimary } from './watch-primary.js';
@@ -44,6 +44,7 @@
     }, EXPIRE_EVERY_MS),
     setInterval(() => {
       followEvacuations(owner);
+      abortMisplacedTransactions(owner);
       watchPrimary(owner);
     }, WATCH_EVERY_MS),
     setInterval(() => {
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -19,6 +19,8 @@
   fateKeyOf,
   isPrimaryCovered,
   type GroupRecord,
+  type HomeRules,
+  type HomesClaim,
   type LogPosition,
   type PlacementBounds,
   type ReadDistribution,
@@ -66,6 +68,8 @@
   readonly overloadControl?: boolean;
   /** Regions in which the primary should be; `undefined` without a limit, or if the routes contradict each other. */
   readonly homeRegions: () => readonly string[] | undefined;
+  /** The homes of statements by the settings in force here; `undefined` without settings. */
+  readonly homeRules: () => HomeRules | undefined;
   readonly log: Log;
   readonly counters: Counters;
   /** Whether this entry holds the group's lease under the owner's epoch, by the monotonic clock. */
@@ -152,6 +156,7 @@
   readonly isReadOnly: boolean;
   readonly customer: CustomerName;
   pooled: PooledConnection | undefined;
+  readonly homesClaim: HomesClaim;
   isBusy: boolean;
   lastUsedMs: number;
 }
@@ -160,6 +165,7 @@
   readonly channel: OwnerChannel;
   readonly request: StatementRequest;
   readonly valuesKey: string;
+  readonly homesClaim: HomesClaim;
   readonly arrivedAtMs: number;
   readonly deadlineMs: number;
   /** Latest time to start on a server. */
--- a/packages/statement-entry/src/owner/placement.ts
+++ b/packages/statement-entry/src/owner/placement.ts
@@ -5,6 +5,7 @@
   coldAllowance,
   coldLimit,
   HOME_CHANGE_INTERVAL_MS,
+  homesInForce,
   type Homes,
   isEvacuationGraceOver,
   isHome,
@@ -82,6 +83,26 @@
   return servers.length > 0 && servers.every((server) => isEvacuated(owner, server));
 }
 
+/** The homes of a statement or transaction by the settings in force now. */
+export function homesOf(
+  { environment }: StatementOwner,
+  { homesClaim }: Pick<Job, 'homesClaim'>,
+): Homes {
+  return homesInForce(homesClaim, environment.homeRules());
+}
+
+/** Aborts idle transactions on servers that are no home of theirs any more, after a change of settings. */
+export function abortMisplacedTransactions(owner: StatementOwner): void {
+  const { environment } = owner;
+  if (environment.homeRules()?.isLimited !== true) return;
+  for (const transaction of [...owner.transactions.values()]) {
+    const { pooled, isBusy, key } = transaction;
+    if (!pooled || isBusy || isHomeOf(owner, homesOf(owner, transaction), pooled.server)) continue;
+    environment.log(`transaction ${key} aborted: its server is no home any more`);
+    dropTransaction(owner, transaction);
+  }
+}
+
 /** Whether a server is in a home of a statement. */
 export function isHomeOf({ environment }: StatementOwner, homes: Homes, server: ServerState) {
   return homes === null || isHome(homes, environment.regionOf(server.announcement.zone));
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -23,7 +23,7 @@
   type ServerState,
   type StatementOwner,
 } from './owner-state.js';
-import { isEvacuated } from './placement.js';
+import { homesOf, isEvacuated, isHomeOf } from './placement.js';
 import {
   handleBrokenConnection,
   handleRefusal,
@@ -91,8 +91,8 @@
     if (!job.isEnded) endJob(owner, job, notRun(job.isWithdrawn ? 'withdrawn' : 'no-owner'));
     return;
   }
-  // The order may have arrived while the connection was being opened.
-  if (isEvacuated(owner, server)) {
+  // An order or other homes may have arrived while the connection was being opened.
+  if (isEvacuated(owner, server) || !isHomeOf(owner, homesOf(owner, job), server)) {
     releaseConnection(pooled);
     requeueJob(owner, job);
     return;
@@ -183,6 +183,7 @@
   order: TargetOrder,
 ): Promise<TargetAnswer | 'not-sent'> {
   if (!owner.environment.holdsLease() || !pooled.connection.isOpen()) return 'not-sent';
+  if (!isHomeOf(owner, homesOf(owner, job), pooled.server)) return 'not-sent';
   const { access, transaction } = job.request;
   if (access === 'commit' || (access === 'write' && !transaction))
     job.committedUnder = leadershipNumberOf(owner, pooled.server);
--- a/packages/statement-entry/src/owner/server-choice.ts
+++ b/packages/statement-entry/src/owner/server-choice.ts
@@ -16,6 +16,7 @@
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import {
   coldAllowanceOf,
+  homesOf,
   isCold,
   isEvacuated,
   isHomeOf,
@@ -103,8 +104,10 @@
  * Statements with the same key may run on the same servers: if none of these has a free slot for one of them, none has
  * for the others.
  */
-export function requirementsKeyOf({ request, attempts }: Job, isDue: boolean): string {
-  const { access, transaction, consistency, maxReadAgeMs, mark, homes } = request;
+export function requirementsKeyOf(owner: StatementOwner, job: Job, isDue: boolean): string {
+  const { request, attempts } = job;
+  const { access, transaction, consistency, maxReadAgeMs, mark } = request;
+  const homes = homesOf(owner, job);
   const isFirstTry = attempts === 0;
   const position = mark ? `${mark.term}.${mark.offset}` : '';
   const kind = transaction ? `${transaction.isReadOnly} ${transaction.isFirst}` : access;
@@ -144,7 +147,7 @@
   views: readonly TargetView[],
 ): readonly TargetView[] {
   const isAnyCold = [...owner.servers.values()].some((server) => isCold(owner, server));
-  const { homes } = job.request;
+  const homes = homesOf(owner, job);
   if (!isAnyCold && homes === null) return views;
   const count = requestCountOf(job);
   const allowed = views.filter(({ server }) => {
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -10,6 +10,7 @@
   evacuationKey,
   DEFAULT_PLACEMENT_BOUNDS,
   type GroupName,
+  homeRulesOf,
   type RateLimit,
   type RecordDelta,
   type StatementOutcome,
@@ -209,6 +210,7 @@
     control,
     links: () => links,
     regionOf: options.regionOf,
+    homeRules: () => homeRulesOf(settings),
     sendLocally: (group, epoch, request) => {
       const owner = findStatementOwner(registry, group, epoch);
       if (owner) acceptStatement(owner, localChannel, request);
@@ -240,6 +242,7 @@
   const replicaReads: ReplicaReads = createReplicaReads({
     regionOf: options.regionOf,
     evacuatedZones: () => evacuated,
+    homeRules: () => homeRulesOf(settings),
     readDistribution,
     mayBeCold: (group) => (settings?.groups.get(group)?.coldRatePerSecond ?? 0) > 0,
     openTarget: options.openTarget,
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -6,6 +6,7 @@
   type FormerHolder,
   type GroupName,
   type GroupRecord,
+  type HomeRules,
   type LogPosition,
   type ServerName,
   type ServerPlace,
@@ -79,6 +80,8 @@
   coldRatePerSecond: number;
   /** Regions in which the primary should be; each zone is its own region. */
   homeRegions: readonly string[] | undefined;
+  /** The homes of statements by the settings of the owner's entry. */
+  homeRules: HomeRules | undefined;
   /** Readers by region. */
   readonly readers: Map<string, Assignment>;
   /** Whether readers close their connections when asked to. */
@@ -103,6 +106,7 @@
     evacuatedZones: new Set(),
     coldRatePerSecond: 0,
     homeRegions: undefined,
+    homeRules: undefined,
     readers: new Map(),
     readerReleases: true,
   };
@@ -155,6 +159,7 @@
     readDistribution: 'even',
     placementBounds: DEFAULT_PLACEMENT_BOUNDS,
     homeRegions: () => fake().homeRegions,
+    homeRules: () => fake().homeRules,
     log: () => undefined,
     counters: {
       count: () => undefined,
--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -43,6 +43,8 @@
     { ...plain, mark: null, values: { unit: 'mm' } },
     { ...plain, homes: ['ub', 'erdenet'] },
     { ...plain, homes: null, objectiveMs: 400 },
+    { ...plain, homes: ['ub'], database: 'bookings' },
+    { ...plain, homes: null, objectiveMs: 400, database: 'bookings' },
     {
       ...plain,
       access: 'write',
--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -36,7 +36,9 @@
   /** Absent in messages of former versions. */
   homes?: Homes,
   /** Absent without overload control, and in messages of former versions. */
-  objectiveMs?: number,
+  objectiveMs?: number | null,
+  /** Absent while no route or customer is limited to some regions, and in messages of former versions. */
+  database?: string,
 ];
 
 export type EncodedOutcome = readonly [number, ...(readonly unknown[])];
@@ -65,10 +67,18 @@
     Math.round(request.budgetMs),
     Math.round(request.startWithinMs),
     request.homes,
-    ...(request.objectiveMs === undefined ? ([] as const) : ([request.objectiveMs] as const)),
+    ...encodeOptional(request),
   ];
 }
 
+function encodeOptional({
+  objectiveMs,
+  database,
+}: StatementRequest): readonly [] | readonly [number | null] | readonly [number | null, string] {
+  if (database !== undefined) return [objectiveMs ?? null, database];
+  return objectiveMs === undefined ? [] : [objectiveMs];
+}
+
 export function decodeStatement(encoded: EncodedStatement): {
   readonly group: GroupName;
   readonly epoch: number;
@@ -93,6 +103,7 @@
     startWithinMs,
     homes,
     objectiveMs,
+    database,
   ] = encoded;
   const request: StatementRequest = {
     number,
@@ -113,7 +124,8 @@
     budgetMs,
     startWithinMs,
     homes: homes ?? null,
-    ...(objectiveMs !== undefined && { objectiveMs }),
+    ...(typeof objectiveMs === 'number' && { objectiveMs }),
+    ...(database !== undefined && { database }),
   };
   return { group, epoch, request };
 }
