List which servers of an evacuated zone still have work

Cause: GET /-/evacuations named zones and times only, so operators could not tell when a zone may be switched off.

Change: while a zone is evacuated, the announcements of its servers ask the owner for its work, which it answers in place of true; members pass it on with the announcements that they share anyway. No message is new or more frequent; without an evacuation all stay as they were. Ruled out: asking all owners for each list, and the entries' metrics, which are not known by server. Reads that readers run are not counted.

The expected lines of bramleykeelctl have the age added.

--- a/packages/bramleykeelctl/src/evacuation-commands.test.ts
+++ b/packages/bramleykeelctl/src/evacuation-commands.test.ts
@@ -46,8 +46,8 @@
 describe('the list of evacuations', () => {
   const lines = [
     'evacuated: zone-a, ordered 2026-12-06T08:00:00.000Z',
-    '  b-1: primary of bookings, 0 statements running',
-    '  b-2: replica of bookings, 3 statements running',
+    '  b-1: primary of bookings, 0 statements running, heard 10 ms ago',
+    '  b-2: replica of bookings, 3 statements running, heard 10 ms ago',
   ];
 
   it('has the servers of the zone that run statements or are primary', () => {
--- a/packages/bramleykeelctl/src/evacuation-commands.ts
+++ b/packages/bramleykeelctl/src/evacuation-commands.ts
@@ -11,6 +11,7 @@
     readonly server: string;
     readonly isPrimary: boolean;
     readonly running: number;
+    readonly heardMsAgo: number;
   }[];
 }
 
@@ -55,8 +56,8 @@
     orderedAt: new Date(orderedAtMs).toISOString(),
     servers: servers
       .filter((server) => server.zone === zone)
-      .map(({ group, server, running }) => {
-        return { group, server, running, isPrimary: primaries.get(group) === server };
+      .map(({ group, server, running, heardMsAgo }) => {
+        return { group, server, running, heardMsAgo, isPrimary: primaries.get(group) === server };
       })
       .filter(({ isPrimary, running }) => isPrimary || running > 0),
   }));
@@ -74,9 +75,9 @@
 
 /** Formats an evacuated zone for a terminal, one line for the zone and one for each server. */
 export function formatEvacuation({ zone, orderedAt, servers }: EvacuationStatus): string[] {
-  const lines = servers.map(({ group, server, isPrimary, running }) => {
+  const lines = servers.map(({ group, server, isPrimary, running, heardMsAgo }) => {
     const role = isPrimary ? 'primary' : 'replica';
-    return `  ${server}: ${role} of ${group}, ${running} statements running`;
+    return `  ${server}: ${role} of ${group}, ${running} statements running, heard ${heardMsAgo} ms ago`;
   });
   return [`evacuated: ${zone}, ordered ${orderedAt}`, ...lines];
 }
--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -5,11 +5,17 @@
 import {
   type Assignment,
   assignmentOf,
+  type BusyTarget,
+  busyTargets,
   type GroupName,
   isHeavyFromStart,
   isNewerAnnouncement,
+  isZoneEvacuated,
+  type KeptAnnouncement,
+  type KnownWork,
   type ServerAnnouncement,
   type ServerName,
+  type TargetWork,
 } from '@bramleykeel/core';
 import {
   DEFAULT_LINK_TIMING,
@@ -24,9 +30,11 @@
   /** Forwards an announcement; resolves with whether the group's owner has accepted it. */
   readonly announce: (announcement: ServerAnnouncement) => Promise<boolean>;
   /** Stores an announcement that another member received; returns whether it is newer. */
-  readonly store: (announcement: ServerAnnouncement) => boolean;
+  readonly store: (announcement: KeptAnnouncement) => boolean;
   /** Removes a server that has shut down as planned, and informs the group's owner. */
   readonly removeServer: (server: ServerName) => Promise<void>;
+  /** The servers in a zone that still have work, by what the owners of their groups have reported. */
+  readonly busyTargetsIn: (zone: string) => BusyTarget[];
   /** Sends stored announcements to owners that are new since the last call. */
   readonly refresh: () => void;
   readonly close: () => void;
@@ -37,6 +45,8 @@
 const OWNER_RETRY_INTERVAL_MS = 40;
 /** Announcements that were not renewed within this time are not sent to a new owner. */
 const ANNOUNCEMENT_RETENTION_MS = 5_000;
+/** Figures of an owner that were not renewed within this time count as unknown: two rounds of sharing. */
+const WORK_RETENTION_MS = 6_000;
 /** An unchanged announcement is shared again this often, well within the retention time. */
 const SHARE_INTERVAL_MS = 2_500;
 const OWNER_REQUEST_INTERVAL_MS = 400;
@@ -46,6 +56,11 @@
   readonly atMs: number;
 }
 
+interface ReportedWork {
+  readonly work: TargetWork;
+  readonly atMs: number;
+}
+
 /**
  * Creates the relay of one control member.
  *
@@ -62,6 +77,7 @@
   log: Log,
 ): AnnouncementRelay {
   const latestAnnouncements = new Map<ServerName, StoredAnnouncement>();
+  const reportedWork = new Map<ServerName, ReportedWork>();
   const lastShared = new Map<
     ServerName,
     { role: string; isLeaving: boolean; isCold: boolean; atMs: number }
@@ -69,14 +85,13 @@
   const links = new Map<string, LinkClient>();
   const knownEpochs = new Map<GroupName, number>();
   const requestedAtMs = new Map<GroupName, number>();
-  return { announce, store, removeServer, refresh, close };
+  return { announce, store, removeServer, busyTargetsIn, refresh, close };
 
   async function announce(announcement: ServerAnnouncement): Promise<boolean> {
-    const { group } = announcement;
     if (store(announcement)) shareWithMembers(announcement);
     const deadlineMs = performance.now() + OWNER_TIMEOUT_MS;
     for (;;) {
-      const isAccepted = await sendRequestToOwner(group, 'server/announce', announcement);
+      const isAccepted = await sendAnnouncement(announcement);
       if (isAccepted || performance.now() >= deadlineMs) return isAccepted;
       requestOwner(announcement);
       await new Promise((resolve) => setTimeout(resolve, OWNER_RETRY_INTERVAL_MS));
@@ -84,13 +99,46 @@
   }
 
   /** Stores an announcement unless a newer one is known; returns whether it was stored. */
-  function store(announcement: ServerAnnouncement): boolean {
+  function store({ work, ...announcement }: KeptAnnouncement): boolean {
     const current = latestAnnouncements.get(announcement.server);
     if (current && !isNewerAnnouncement(announcement, current.announcement)) return false;
-    latestAnnouncements.set(announcement.server, { announcement, atMs: performance.now() });
+    const nowMs = performance.now();
+    latestAnnouncements.set(announcement.server, { announcement, atMs: nowMs });
+    if (work) reportedWork.set(announcement.server, { work, atMs: nowMs - work.ageMs });
     return true;
   }
 
+  /** Sends an announcement to the group's owner, which reports its work there if the zone is evacuated. */
+  async function sendAnnouncement(announcement: ServerAnnouncement): Promise<boolean> {
+    const { group, server, zone } = announcement;
+    const control = getMember()?.app.driver.control();
+    const asksWork = control !== undefined && isZoneEvacuated(control, zone);
+    const params = asksWork ? { ...announcement, asksWork } : announcement;
+    const answer = await askOwner(group, 'server/announce', params);
+    if (typeof answer !== 'object' || answer === null) return answer === true;
+    reportedWork.set(server, { work: answer as TargetWork, atMs: performance.now() });
+    return true;
+  }
+
+  function workAt(server: ServerName): KnownWork | undefined {
+    const reported = reportedWork.get(server);
+    return reported && { ...reported.work, ageMs: performance.now() - reported.atMs };
+  }
+
+  function busyTargetsIn(zone: string): BusyTarget[] {
+    const nowMs = performance.now();
+    const inZone = [...latestAnnouncements.values()].filter(
+      ({ announcement }) => announcement.zone === zone,
+    );
+    return busyTargets(
+      inZone.map(({ announcement, atMs }) => ({
+        announcement,
+        announcedAgoMs: nowMs - atMs,
+        work: workAt(announcement.server),
+      })),
+    );
+  }
+
   /** Lets the other members store it too, in case this one fails before the group has a new owner. */
   function shareWithMembers(announcement: ServerAnnouncement): void {
     const { server, role, isLeaving } = announcement;
@@ -100,12 +148,15 @@
     const isSame = last?.role === role && last.isLeaving === isLeaving && last.isCold === isCold;
     if (isSame && nowMs - last.atMs < SHARE_INTERVAL_MS) return;
     lastShared.set(server, { role, isLeaving, isCold, atMs: nowMs });
-    getMember()?.notifyMembers('server/keep', announcement);
+    const work = workAt(server);
+    const kept: KeptAnnouncement = work ? { ...announcement, work } : announcement;
+    getMember()?.notifyMembers('server/keep', kept);
   }
 
   async function removeServer(server: ServerName): Promise<void> {
     const latest = latestAnnouncements.get(server);
     latestAnnouncements.delete(server);
+    reportedWork.delete(server);
     if (latest) await sendRequestToOwner(latest.announcement.group, 'server/leave', server);
   }
 
@@ -114,10 +165,14 @@
     method: string,
     params: unknown,
   ): Promise<boolean> {
+    return (await askOwner(group, method, params)) === true;
+  }
+
+  async function askOwner(group: GroupName, method: string, params: unknown): Promise<unknown> {
     const address = ownerOf(group)?.linkAddress;
     const peer = address === undefined ? undefined : linkTo(address).current();
     const answer = await peer?.request(method, params, OWNER_TIMEOUT_MS);
-    return answer?.orDefault(false) === true;
+    return answer?.toMaybe().extract();
   }
 
   function ownerOf(group: GroupName): Assignment | undefined {
@@ -153,6 +208,8 @@
     for (const [server, { atMs }] of latestAnnouncements) {
       if (nowMs - atMs > ANNOUNCEMENT_RETENTION_MS) latestAnnouncements.delete(server);
     }
+    for (const [server, { atMs }] of reportedWork)
+      if (nowMs - atMs > WORK_RETENTION_MS) reportedWork.delete(server);
     const groups = new Set(
       [...latestAnnouncements.values()].map(({ announcement }) => announcement.group),
     );
@@ -167,8 +224,7 @@
         `group ${group} has owner ${owner.entryId}, epoch ${owner.epoch}; sending it the known servers`,
       );
       for (const { announcement } of latestAnnouncements.values()) {
-        if (announcement.group === group)
-          void sendRequestToOwner(group, 'server/announce', announcement);
+        if (announcement.group === group) void sendAnnouncement(announcement);
       }
     }
     for (const [address, link] of links) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -55,6 +55,7 @@
 export * from './placement/cold-limit.js';
 export * from './placement/current-homes.js';
 export * from './placement/home-regions.js';
+export * from './placement/target-work.js';
 export * from './placement/placement-bounds.js';
 export * from './shared/address.js';
 export * from './shared/bounded-json.js';
--- a/packages/core/src/placement/evacuations.ts
+++ b/packages/core/src/placement/evacuations.ts
@@ -31,6 +31,11 @@
   return new Set(listEvacuations(records).map(({ zone }) => zone));
 }
 
+/** Whether one zone is evacuated; reads a single record. */
+export function isZoneEvacuated(records: RecordStore, zone: string): boolean {
+  return records.records.get(evacuationKey(zone))?.record.kind === 'evacuation';
+}
+
 /**
  * The evacuations in force, sorted by zone.
  *
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -30,6 +30,7 @@
   settleFates,
 } from './owner/owner-app.js';
 import type { StatementOwner } from './owner/owner-state.js';
+import { workAtServer } from './owner/target-work.js';
 import {
   deliverServerAnnouncement,
   deliverServerLeave,
@@ -88,8 +89,13 @@
     const [group, server] = params as readonly [GroupName, ServerName];
     return releaseServer(replicaReads, group, server);
   },
-  'server/announce': (app, params) =>
-    deliverServerAnnouncement(app.registry, params as ServerAnnouncement),
+  'server/announce': (app, params) => {
+    const { asksWork, ...announcement } = params as ServerAnnouncement & { asksWork?: boolean };
+    const isAccepted = deliverServerAnnouncement(app.registry, announcement);
+    if (!isAccepted || asksWork !== true) return isAccepted;
+    const owner = app.registry.owners.get(announcement.group);
+    return (owner && workAtServer(owner, announcement.server)) ?? true;
+  },
   'server/leave': (app, params) => {
     deliverServerLeave(app.registry, params as ServerName);
     return true;
