Let statements at an evacuated PostgreSQL primary finish, and cancel those that take too long

Cause: the drain of a primary ended after 3 s whatever it ran, and the new term cut off its statements; a write among them was reported as unknown.

Change: the drain goes on for up to 4.5 s while statements run or writes await confirmation, unless the primary leaves or fails. After 4 s the rest is cancelled; a request outside of transactions that the server says it has cancelled, and of which nothing had completed, is refused as not run. Idle transactions end after 3 s as before. Ruled out: waiting for longer, which the 5 s of an evacuation do not allow.

--- a/packages/core/src/failover/failover.test.ts
+++ b/packages/core/src/failover/failover.test.ts
@@ -12,6 +12,8 @@
   resendMs: 300,
   promoteTimeoutMs: 2_000,
   drainTimeoutMs: 3_000,
+  evacuationDrainMs: 4_500,
+  cancelLeadMs: 500,
   staleAnnouncementMs: 3_000,
 };
 
@@ -22,6 +24,7 @@
   readonly context: () => FailoverContext;
   nowMs: number;
   runningWrites: number;
+  runningStatements: number;
   evacuatedZones: ReadonlySet<string>;
   sequence: number;
   readonly announce: (server: string, fields?: Partial<Announcement>) => void;
@@ -44,6 +47,7 @@
     state: createFailoverState(full, 0),
     nowMs: 0,
     runningWrites: 0,
+    runningStatements: 0,
     evacuatedZones: new Set(),
     sequence: 0,
     context: () => ({
@@ -51,6 +55,7 @@
       view,
       timing: TIMING,
       runningWrites: testGroup.runningWrites,
+      runningStatements: testGroup.runningStatements,
       evacuatedZones: testGroup.evacuatedZones,
       nowMs: testGroup.nowMs,
     }),
@@ -305,6 +310,49 @@
     expect(testGroup.step({ kind: 'tick' })).toEqual(['propose 2']);
   });
 
+  /** Drains a primary until 3 s have passed, and returns the effects. */
+  function drain(testGroup: TestGroup, runningStatements: number): string[] {
+    Object.assign(testGroup, { runningWrites: 1, runningStatements });
+    testGroup.step({ kind: 'tick' });
+    testGroup.nowMs = 2_999;
+    testGroup.announce('s3', { zone: 'b' });
+    expect(testGroup.step({ kind: 'tick' })).toEqual([]);
+    testGroup.nowMs = 3_000;
+    return testGroup.step({ kind: 'tick' });
+  }
+
+  it('is replaced after 3 s if only idle transactions are left', () => {
+    expect(drain(createEvacuated(), 0)).toEqual(['propose 2']);
+  });
+
+  // Guards against writes of unknown outcome: they were cut off after 3 s.
+  it('finishes statements for up to 4.5 s, and those that run for longer are cancelled before', () => {
+    const testGroup = createEvacuated();
+    expect(drain(testGroup, 1)).toEqual([]);
+    testGroup.nowMs = 4_000;
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['cancel s1 1']);
+    testGroup.nowMs = 4_499;
+    expect(testGroup.step({ kind: 'tick' })).toEqual([]);
+    testGroup.nowMs = 4_500;
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['propose 2']);
+  });
+
+  it('is replaced as soon as its last statement has ended', () => {
+    const testGroup = createEvacuated();
+    expect(drain(testGroup, 1)).toEqual([]);
+    testGroup.nowMs = 3_200;
+    testGroup.runningStatements = 0;
+    expect(testGroup.step({ kind: 'tick' })).toEqual(['propose 2']);
+  });
+
+  it.each(['leaves', 'fails'])('is replaced after 3 s with statements if it %s', (end) => {
+    const testGroup = createEvacuated();
+    if (end === 'leaves') testGroup.announce('s1', { zone: 'a', isLeaving: true });
+    testGroup.step({ kind: 'tick' });
+    if (end === 'fails') Object.assign(testGroup.state, { refusedCount: 2, failingSinceMs: 0 });
+    expect(drain(testGroup, 1)).toEqual(['propose 2']);
+  });
+
   it('is followed by a server outside, also if a quorum inside has promised first', () => {
     const testGroup = createEvacuated();
     startPlannedChange(testGroup);
--- a/packages/core/src/failover/failover.ts
+++ b/packages/core/src/failover/failover.ts
@@ -79,7 +79,7 @@
     .returnType<FailoverEffect[]>()
     .with({ kind: 'adopting' }, ({ sinceMs }) => adoptPrimary(state, sinceMs, context))
     .with({ kind: 'steady' }, () => watchSteady(state, context))
-    .with({ kind: 'draining' }, ({ sinceMs }) => watchDrain(state, sinceMs, context))
+    .with({ kind: 'draining' }, (draining) => watchDrain(state, draining, context))
     .with({ kind: 'proposing' }, ({ sentAtMs, term }) =>
       isResendDue(sentAtMs, context) ? proposeTerm(state, term, context) : [],
     )
@@ -133,7 +133,7 @@
   const hasLostRole = primary?.role === 'replica' && primary.term >= record.term;
   if (hasLostRole) return proposeTerm(state, record.term + 1, context);
   if (primary && mustBeReplaced(primary, context) && findReplacements(context).length > 0) {
-    state.phase = { kind: 'draining', sinceMs: nowMs };
+    state.phase = { kind: 'draining', sinceMs: nowMs, hasCancelled: false };
     return [];
   }
   if (isPrimaryLost(state, context)) return proposeTerm(state, record.term + 1, context);
@@ -168,10 +168,11 @@
 
 function watchDrain(
   state: FailoverState,
-  sinceMs: number,
+  draining: Extract<FailoverPhase, { kind: 'draining' }>,
   context: FailoverContext,
 ): FailoverEffect[] {
   const { record, view, nowMs, timing } = context;
+  const elapsedMs = nowMs - draining.sinceMs;
   const primary = record.primary && view.servers.get(record.primary)?.announcement;
   if (!isDrainDue(primary, context) && !isPrimaryLost(state, context)) {
     state.phase = { kind: 'steady' };
@@ -181,9 +182,23 @@
     primary !== undefined &&
     context.runningWrites === 0 &&
     findReplacements(context).some(({ position }) => coversMark(position, primary.position));
-  const isOverdue = nowMs - sinceMs >= timing.drainTimeoutMs;
-  if (!isCaughtUp && !isOverdue) return [];
-  return proposeTerm(state, record.term + 1, context);
+  if (!isCaughtUp && elapsedMs < timing.drainTimeoutMs) return [];
+  const awaitsStatements = primary && mayFinishStatements(state, primary, context);
+  if (isCaughtUp || !awaitsStatements || elapsedMs >= timing.evacuationDrainMs)
+    return proposeTerm(state, record.term + 1, context);
+  if (draining.hasCancelled || elapsedMs < timing.evacuationDrainMs - timing.cancelLeadMs)
+    return [];
+  state.phase = { ...draining, hasCancelled: true };
+  return [{ kind: 'cancel', server: primary.server, term: record.term }];
+}
+
+/** Whether a drained primary runs statements, and neither leaves nor fails before they end. */
+function mayFinishStatements(
+  state: FailoverState,
+  primary: Announcement,
+  context: FailoverContext,
+): boolean {
+  return !primary.isLeaving && context.runningStatements > 0 && !isPrimaryLost(state, context);
 }
 
 /** Whether a planned change of primary goes on; it is given up if the reason for it has gone. */
--- a/packages/core/src/failover/types.ts
+++ b/packages/core/src/failover/types.ts
@@ -12,7 +12,12 @@
   | { readonly kind: 'adopting'; readonly sinceMs: number }
   | { readonly kind: 'steady' }
   /** The primary is leaving or in an evacuated zone: it gets no new writes while a replica catches up. */
-  | { readonly kind: 'draining'; readonly sinceMs: number }
+  | {
+      readonly kind: 'draining';
+      readonly sinceMs: number;
+      /** Whether the statements that still run were cancelled. */
+      readonly hasCancelled: boolean;
+    }
   | { readonly kind: 'proposing'; readonly term: number; readonly sentAtMs: number }
   | {
       readonly kind: 'fencing';
@@ -57,6 +62,8 @@
   | { readonly kind: 'commit'; readonly term: number; readonly server: ServerName }
   | { readonly kind: 'fence'; readonly server: ServerName; readonly term: number }
   | { readonly kind: 'promote'; readonly server: ServerName; readonly term: number }
+  /** Cancel the statements that still run on a server that is drained in this term. */
+  | { readonly kind: 'cancel'; readonly server: ServerName; readonly term: number }
   | {
       readonly kind: 'follow';
       readonly server: ServerName;
@@ -73,6 +80,10 @@
   readonly promoteTimeoutMs: number;
   /** A draining primary is replaced after this time even if no replica has caught up. */
   readonly drainTimeoutMs: number;
+  /** The same for one that stays and is replaced for an evacuation, while it runs statements. */
+  readonly evacuationDrainMs: number;
+  /** Statements that still run there are cancelled this long before that. */
+  readonly cancelLeadMs: number;
   /** A server that has not announced itself for this long does not replace a primary in an evacuated zone. */
   readonly staleAnnouncementMs: number;
 }
@@ -81,7 +92,10 @@
   readonly record: GroupRecord;
   readonly view: GroupView;
   readonly timing: FailoverTiming;
+  /** Connections in use at the primary, also by idle transactions, and writes that await confirmation. */
   readonly runningWrites: number;
+  /** Statements that run on a primary that is drained, and writes that await confirmation. */
+  readonly runningStatements: number;
   readonly evacuatedZones: ReadonlySet<string>;
   readonly nowMs: number;
 }
--- a/packages/entry/src/owner/answer-filter.ts
+++ b/packages/entry/src/owner/answer-filter.ts
@@ -25,6 +25,8 @@
   heldFrames: Buffer[];
   position: LogPosition | undefined;
   firstSqlState: string | undefined;
+  /** Whether any statement of the request has completed. */
+  hasCompleted: boolean;
 }
 
 export interface StatementChange {
@@ -43,7 +45,13 @@
 }
 
 export function createAnswerFilter(): AnswerFilter {
-  return { expected: [], heldFrames: [], position: undefined, firstSqlState: undefined };
+  return {
+    expected: [],
+    heldFrames: [],
+    position: undefined,
+    firstSqlState: undefined,
+    hasCompleted: false,
+  };
 }
 
 /**
@@ -77,6 +85,7 @@
         if (!consumePosition(filter, message)) forward.push(message.frame);
         break;
       case SERVER.commandComplete:
+        filter.hasCompleted = true;
         forwardFrame(message.frame);
         if (isEndSent) filter.heldFrames = [forward.pop() ?? message.frame];
         break;
--- a/packages/entry/src/owner/failover-runner.ts
+++ b/packages/entry/src/owner/failover-runner.ts
@@ -12,11 +12,16 @@
 import { probeServer, sendCommand } from '../target/target-commands.js';
 import { evaluateAcknowledgements } from './acknowledge.js';
 import type { GroupOwner } from './owner-state.js';
+import { cancelForChange, statementsOn } from './request-run.js';
 import { extendForFailover } from './scheduler.js';
 
 const COMMAND_RESEND_INTERVAL_MS = 300;
 const PROMOTE_TIMEOUT_MS = 2_000;
 const DRAIN_TIMEOUT_MS = 3_000;
+/** Leaves 0.5 s of the 5 s within which an evacuation has to be in force for the order and the change itself. */
+const EVACUATION_DRAIN_MS = 4_500;
+/** Time for the answers of cancelled statements, without which their outcome is unknown. */
+const CANCEL_LEAD_MS = 500;
 const COMMAND_TIMEOUT_MS = 1_000;
 /** Probe interval while the primary is suspected, that is, after a failed probe. */
 const SUSPECT_PROBE_INTERVAL_MS = 50;
@@ -45,6 +50,8 @@
     resendMs: COMMAND_RESEND_INTERVAL_MS,
     promoteTimeoutMs: PROMOTE_TIMEOUT_MS,
     drainTimeoutMs: DRAIN_TIMEOUT_MS,
+    evacuationDrainMs: EVACUATION_DRAIN_MS,
+    cancelLeadMs: CANCEL_LEAD_MS,
     staleAnnouncementMs: owner.environment.settings.targets.staleAnnouncementMs,
   };
   const record = owner.environment.groupRecord();
@@ -53,9 +60,15 @@
   // them too.
   const inUseCount = primaryPool ? primaryPool.inUse.size : 0;
   const runningWrites = inUseCount + owner.pendingAcknowledgements.size;
+  const isDraining = owner.failover.phase.kind === 'draining';
+  const runningStatements =
+    isDraining && record.primary !== undefined
+      ? statementsOn(owner, record.primary).length + owner.pendingAcknowledgements.size
+      : 0;
   const evacuatedZones = owner.environment.evacuatedZones();
   const nowMs = performance.now();
-  return { record, view: owner.view, timing, runningWrites, evacuatedZones, nowMs };
+  const running = { runningWrites, runningStatements };
+  return { record, view: owner.view, timing, ...running, evacuatedZones, nowMs };
 }
 
 async function executeEffect(owner: GroupOwner, effect: FailoverEffect): Promise<void> {
@@ -76,6 +89,9 @@
       const promise = await sendToServer(owner, server, { kind: 'fence', term });
       if (promise) advanceFailover(owner, { kind: 'promised', promise });
     })
+    .with({ kind: 'cancel' }, ({ server }) => {
+      for (const request of statementsOn(owner, server)) cancelForChange(owner, request);
+    })
     .with({ kind: 'promote' }, async ({ server, term }) => {
       await sendToServer(owner, server, { kind: 'promote', term });
     })
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -107,6 +107,7 @@
     stage: 'queued',
     mayCommit: start.chunk.mayCommit,
     hasForwardedAnswer: false,
+    isCancelledForChange: false,
     attempts: 0,
     filter: createAnswerFilter(),
     slot: undefined,
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -82,6 +82,8 @@
   stage: RequestStage;
   mayCommit: boolean;
   hasForwardedAnswer: boolean;
+  /** Whether it was cancelled because its server is replaced as primary. */
+  isCancelledForChange: boolean;
   attempts: number;
   filter: AnswerFilter;
   slot: OccupiedSlot | undefined;
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -4,6 +4,7 @@
   type Refusal,
   refuse,
   type RequestChunk,
+  type ServerName,
   type TransactionStatus,
 } from '@bramleykeel/core';
 import type { WireMessage } from '@bramleykeel/postgres-wire';
@@ -34,6 +35,8 @@
 const SETTINGS_TIMEOUT_MS = 2_000;
 /** SQLSTATE of a write on a read-only server: nothing of the statement was executed. */
 const READ_ONLY_SQLSTATE = '25006';
+/** SQLSTATE of a statement that was cancelled; its effects are rolled back. */
+const CANCELLED_SQLSTATE = '57014';
 /** Attempts after which a refused write or a read with a lost connection is no longer retried. */
 const MAX_ATTEMPTS = 4;
 
@@ -145,7 +148,7 @@
     connection.socket.write(serialize.copyFail('COPY is not supported through the proxy'));
   }
   const isRetried = !request.hasForwardedAnswer && mayRetryElsewhere(request);
-  if (!isRetried) forwardBytes(request, answer.forward);
+  if (!isRetried && !isUndone(request)) forwardBytes(request, answer.forward);
   if (session.unacknowledgedBytes > WINDOW_BYTES) connection.socket.pause();
   if (answer.status !== undefined) handleReady(owner, request, running, answer.status);
 }
@@ -159,6 +162,13 @@
   return isRefused && request.session.pinned === undefined && request.attempts < MAX_ATTEMPTS;
 }
 
+/** Whether a request outside of transactions was cancelled before any of its statements had completed or committed. */
+function isUndone({ isCancelledForChange, filter, session, hasForwardedAnswer }: OwnerRequest) {
+  const isCancelled = isCancelledForChange && filter.firstSqlState === CANCELLED_SQLSTATE;
+  const leftNothing = !filter.hasCompleted && !filter.position && !hasForwardedAnswer;
+  return isCancelled && leftNothing && !session.pinned;
+}
+
 function handleReady(
   owner: GroupOwner,
   request: OwnerRequest,
@@ -177,7 +187,8 @@
     owner.scheduler.requeue(owner, request);
     return;
   }
-  finishAnswer(owner, request, running, status);
+  if (isUndone(request)) endRequest(owner, request, status, refuse('no-primary'));
+  else finishAnswer(owner, request, running, status);
   owner.scheduler.schedule(owner);
 }
 
@@ -365,6 +376,19 @@
   handleConnectionLost(owner, request, refuse('target-silent'));
 }
 
+/** The requests that a server runs. */
+export function statementsOn({ sessions }: GroupOwner, server: ServerName): OwnerRequest[] {
+  return [...sessions.values()].flatMap(({ request }) =>
+    request?.stage === 'running' && request.running?.server === server ? [request] : [],
+  );
+}
+
+/** Cancels a request whose server is replaced as primary; if the server says that it did, nothing has run. */
+export function cancelForChange(owner: GroupOwner, request: OwnerRequest): void {
+  request.isCancelledForChange = true;
+  cancelRequest(owner, request);
+}
+
 /** Cancels a request if it is still running on its connection. */
 export function cancelRequest(owner: GroupOwner, request: OwnerRequest): void {
   const { running } = request;
--- a/packages/system-tests/src/evacuations.test.ts
+++ b/packages/system-tests/src/evacuations.test.ts
@@ -145,6 +145,33 @@
     await Promise.allSettled([quick.end(), slow.end()]);
   });
 
+  // Guards against writes of unknown outcome: the drain of the primary cut them off after 3 s.
+  it('lets statements that its primary runs finish for more than 3 s, and refuses longer ones as not run', async () => {
+    const zone = zoneOf(await findPrimary(cluster));
+    const [quick, slow, open] = [
+      await connect(cluster, 0),
+      await connect(cluster, 1),
+      await connect(cluster, 2),
+    ];
+    // Only the primary runs statements that lock rows.
+    const sleep = (seconds: number) => `SELECT pg_sleep(${seconds}) FROM bookings FOR UPDATE`;
+    const slept = quick.query(sleep(4)).then(() => 'done', sqlStateOf);
+    const cut = slow.query(sleep(30)).then(() => 'done', sqlStateOf);
+    await open.query('BEGIN');
+    await open.query("INSERT INTO bookings VALUES ('not-kept', '50mm')");
+    await delay(200);
+    await runCtl('evacuate', zone);
+    const acknowledgedAtMs = performance.now();
+    const waiting = write(0);
+    expect(await slept).toBe('done');
+    expect(await cut).toBe('57P03');
+    expect(performance.now() - acknowledgedAtMs).toBeLessThan(IN_FORCE_MS);
+    expect(await waiting).toBe('done');
+    expect(zoneOf(await findPrimary(cluster))).not.toBe(zone);
+    expect(await open.query('COMMIT').catch(sqlStateOf)).not.toMatchObject({ command: 'COMMIT' });
+    await Promise.allSettled([quick.end(), slow.end(), open.end()]);
+  });
+
   it('stays evacuated when all control members are killed while its primary is replaced', async () => {
     const zone = zoneOf(await findPrimary(cluster));
     const holding = await connect(cluster, 1);
