Test that the loss of any region leaves each group an owner in a home

The decisions on owners hold for each region and set of homes; nothing had to be changed. Voters are not chosen by region: control does not know the zones of its members, so that it needs more than a change of the decision.

--- a/packages/core/src/placement/losses.test.ts
+++ b/packages/core/src/placement/losses.test.ts
@@ -34,6 +34,8 @@
 
 /** Five voters over three regions, no region with a majority. */
 const VOTERS = ['a1', 'a2', 'b1', 'b2', 'c1'];
+/** Zones with an entry each. */
+const ZONES = ['a1', 'a2', 'b1', 'c1'];
 
 function elect(ids: readonly string[], seed: number): Harness {
   const harness = createHarness(ids, seededRandom(seed));
@@ -83,7 +85,7 @@
   isLost: (zone: string) => boolean,
   homes?: readonly string[],
 ): string | undefined {
-  const leases = leasesOf(['a1', 'a2', 'b1', 'c1'], isLost);
+  const leases = leasesOf(ZONES, isLost);
   expect(endExpiredHolders(leases, [owner], 10_000)).toEqual([owner]);
   const preference = { kind: 'group', zone: 'a1', regionOf, homes, excluded: undefined } as const;
   return chooseHolder(leases, [], preference, 10_000)?.zone;
@@ -146,6 +148,29 @@
     expect(nextOwnerZone(isLost, ['a', 'c'])).toBe('c1');
   });
 
+  // Guards against a group that stays without an owner, or whose content leaves its homes, for the sake of another rule.
+  it.each([
+    { lost: 'a', homes: undefined, expected: 'b' },
+    { lost: 'b', homes: undefined, expected: 'a' },
+    { lost: 'c', homes: undefined, expected: 'a' },
+    { lost: 'a', homes: ['b', 'a'], expected: 'b' },
+    { lost: 'b', homes: ['b', 'c'], expected: 'c' },
+    { lost: 'c', homes: ['b', 'c'], expected: 'b' },
+  ])('$lost leaves an owner in $expected to a group with the homes $homes', (each) => {
+    const isLostZone = (zone: string) => regionOf(zone) === each.lost;
+    const leases = leasesOf(ZONES, isLostZone);
+    endExpiredHolders(leases, [owner], 10_000);
+    const preference = { kind: 'group', zone: 'a1', regionOf, excluded: undefined } as const;
+    const next = chooseHolder(leases, [], { ...preference, homes: each.homes }, 10_000);
+    expect(next && regionOf(next.zone)).toBe(each.expected);
+  });
+
+  it('that is the only home gives the group an owner elsewhere, which may not get its content', () => {
+    const zone = nextOwnerZone(isLost, ['a']);
+    expect(zone).toBe('b1');
+    expect(mayForward(['a'], { isLocal: false, zone }, regionOf)).toBe(false);
+  });
+
   it('promotes a server elsewhere only if it has all that may be acknowledged', () => {
     expect(choose([fenced('b1', 10)], ['a2'])).toBe('b1');
     expect(choose([fenced('b1', 9)], ['a2'])).toBe('behind-acknowledged');
