Split statement-entry.ts and control-client.ts, and share the set-up of three owner tests

The tests of cold servers, evacuated zones and home regions share how they send a statement. No behaviour or check changes.

--- a/packages/entry-shared/src/admit/rate-draw.ts
+++ b/packages/entry-shared/src/admit/rate-draw.ts
@@ -8,7 +8,7 @@
   type TokenRequest,
   type TokenGrant,
 } from '@bramleykeel/core';
-import type { ControlClient } from '../control/control-client.js';
+import type { ControlClient } from '../control/control-client-types.js';
 import type { LinkPeer } from '@bramleykeel/link';
 import { answerDraw, type RateHomes } from './rate-home.js';
 
--- a/packages/entry-shared/src/control/control-client.test.ts
+++ b/packages/entry-shared/src/control/control-client.test.ts
@@ -10,7 +10,8 @@
 import { DEFAULT_LINK_TIMING, listenForLinks } from '@bramleykeel/link';
 import { findFreeAddress } from '@bramleykeel/test-support';
 import { describe, expect, it, vi } from 'vitest';
-import { type ControlClient, startControlClient } from './control-client.js';
+import type { ControlClient } from './control-client-types.js';
+import { startControlClient } from './control-client.js';
 
 const SECRET = 'a-secret-for-these-tests';
 
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -5,98 +5,42 @@
   assignmentOf,
   type CarriedRecords,
   DOCUMENT_KEY,
-  type FormerHolder,
   toEntryId,
   toIncarnation,
   type Incarnation,
-  type LeaseRenewal,
   type LeaseReply,
-  type RecordDelta,
   type RecordsPush,
-  type RepeatedRenewal,
-  type Resource,
   type ShortLeaseReply,
-  type StoredRecord,
-  type TimingSettings,
 } from '@bramleykeel/core';
-import {
-  createSuspensionDetector,
-  type LinkError,
-  type LinkPeer,
-  type Log,
-  unpackValue,
-} from '@bramleykeel/link';
-import { type Either, Left } from 'purify-ts';
+import { createSuspensionDetector, type LinkPeer, type Log } from '@bramleykeel/link';
+import { Left } from 'purify-ts';
 import { match } from 'ts-pattern';
 import { type ControlLinks, createControlLinks } from './control-links.js';
+import type {
+  ControlClient,
+  ControlClientHooks,
+  ControlClientOptions,
+} from './control-client-types.js';
+import {
+  createHeldResources,
+  formerHolderEndedForMs,
+  formerHolderOf,
+  recordAssignments,
+} from './held-resources.js';
 import { applyPush, createRecordCopy, documentIndexOf } from './record-copy.js';
-
-export interface ControlClient {
-  readonly records: ReadonlyMap<string, StoredRecord>;
-  readonly settingsRevision: () => number;
-  readonly incarnation: () => Incarnation;
-  /** Whether the entry holds an unexpired lease. */
-  readonly holdsLease: () => boolean;
-  /** Whether the settings are recent enough to check customers' keys against. */
-  readonly hasFreshSettings: () => boolean;
-  /** The epoch under which this entry holds a resource; `undefined` if it does not hold it. */
-  readonly heldEpoch: (resource: Resource) => number | undefined;
-  /**
-   * For how long the former holder of a resource that this entry holds has certainly ended, in milliseconds;
-   * 0 if that is unknown.
-   */
-  readonly formerHolderEndedForMs: (resource: Resource) => number;
-  /** What is known about the former holder of a resource that this entry holds; `undefined` if it holds none. */
-  readonly formerHolder: (resource: Resource) => FormerHolder | undefined;
-  /** Sends a request to the control leader, or to another connected member while there is no link to the leader. */
-  readonly call: (method: string, params: unknown) => Promise<Either<LinkError, unknown>>;
-  /** Bytes exchanged with control over the links that are open now. */
-  readonly traffic: () => { readonly receivedBytes: number; readonly sentBytes: number };
-  /** Reports to control, in this and all later renewals, that the entry is stopping. */
-  readonly startStopping: () => void;
-  readonly close: () => void;
-}
-
-export interface ControlClientOptions {
-  readonly entryId: string;
-  /** Address at which other entries connect to this one. */
-  readonly linkAddress: string;
-  readonly zone: string;
-  readonly linkMbps?: number;
-  /** Whether a control member runs on the same instance. */
-  readonly isBesideControl?: boolean;
-  readonly linkSecret: string;
-  readonly timing: TimingSettings;
-  /** Link addresses of control members from the settings file; control reports further ones. */
-  readonly memberAddresses: () => readonly string[];
-}
-
-/** Method names of questions about decisions. */
-export type ExplainPart = 'explain/choice' | 'explain/rate';
-
-export interface ControlClientHooks {
-  readonly onRecords: (deltas: readonly RecordDelta[]) => void;
-  readonly onStatusRequest: () => unknown;
-  /** Answers a question of control about a decision of this entry; `undefined` if it cannot. */
-  readonly onExplainRequest?: (part: ExplainPart, params: unknown) => unknown;
-  /** The instance may have been suspended: time measurements taken before this call are invalid. */
-  readonly onSuspension?: () => void;
-  /** The lease was lost; everything held under it must be dropped. */
-  readonly onLeaseEnded: () => void;
-}
+import {
+  isShortReply,
+  type KnownRecords,
+  renewTimeoutMs,
+  repeatedRenewalOf,
+  unpackRecords,
+} from './renewal-messages.js';
 
 /** Delay before the next renewal while the entry holds no lease. */
 const NO_LEASE_RETRY_DELAY_MS = 100;
 /** Delay before a renewal that was requested while another one was in progress. */
 const QUEUED_RENEWAL_DELAY_MS = 10;
 const CALL_TIMEOUT_MS = 2_000;
-/** A leader that does not answer within this time may be suspended, so the other members are asked too. */
-const RENEW_TIMEOUT_MS = 350;
-/**
- * The first reply carries all records, about 25 KB at 80 customers. Transferring them over a 2 Mbit/s link between
- * regions takes a third of a second.
- */
-const FIRST_RENEW_TIMEOUT_MS = 1_500;
 /** Longer than a member waits for what the leader has committed, and shorter than a caller waits for its session. */
 const FIRST_COPY_TIMEOUT_MS = 1_000;
 
@@ -110,8 +54,7 @@
   const { records } = copy;
   const { timing } = options;
   const suspensionDetector = createSuspensionDetector();
-  /** When the present assignment of each resource of this entry arrived. */
-  const assignedAtMs = new Map<Resource, number>();
+  const heldResources = createHeldResources();
   /** The full renewal that each member has, without what the entry knows. */
   const renewalsAt = new WeakMap<LinkPeer, string>();
   let reportedAddresses: readonly string[] = [];
@@ -158,17 +101,13 @@
       const assignment = assignmentOf({ records }, resource);
       return isHeld(assignment) ? assignment?.epoch : undefined;
     },
-    formerHolderEndedForMs,
+    formerHolderEndedForMs: (resource) =>
+      formerHolderEndedForMs(heldResources, resource, assignmentOf({ records }, resource)),
     formerHolder: (resource) => {
       const assignment = assignmentOf({ records }, resource);
-      if (!assignment || !isHeld(assignment)) return undefined;
-      const { epoch, isHandedOver = false } = assignment;
-      return {
-        epoch,
-        heldForMs: heldForMs(resource),
-        endedForMs: formerHolderEndedForMs(resource),
-        hasReleased: isHandedOver,
-      };
+      return assignment && isHeld(assignment)
+        ? formerHolderOf(heldResources, assignment)
+        : undefined;
     },
     call: (method, params) => {
       const peer = leaderPeer() ?? links.openPeers()[0];
@@ -193,16 +132,6 @@
     },
   };
 
-  function heldForMs(resource: Resource): number {
-    const nowMs = performance.now();
-    return nowMs - (assignedAtMs.get(resource) ?? nowMs);
-  }
-
-  function formerHolderEndedForMs(resource: Resource): number {
-    const endedForMs = assignmentOf({ records }, resource)?.formerEndedForMs;
-    return endedForMs === undefined ? 0 : endedForMs + heldForMs(resource);
-  }
-
   function holdsLease(): boolean {
     return !checkForSuspension() && performance.now() < leaseUntilMs;
   }
@@ -340,7 +269,7 @@
     return handleReply(renewed, peer, sentAtMs);
   }
 
-  function knownRecords(): Pick<LeaseRenewal, 'knownIndex' | 'documentIndex' | 'settingsRevision'> {
+  function knownRecords(): KnownRecords {
     if (!unconfirmedCopy) {
       const { knownIndex } = copy;
       return { knownIndex, documentIndex: documentIndexOf(copy), settingsRevision };
@@ -406,19 +335,9 @@
     handlePush(confirmed);
   }
 
-  function recordAssignmentTimes(deltas: readonly RecordDelta[]): void {
-    const nowMs = performance.now();
-    for (const { stored } of deltas) {
-      if (stored.record.kind !== 'assignment') continue;
-      const { resource, incarnation: holder } = stored.record.assignment;
-      if (holder === incarnation) assignedAtMs.set(resource, nowMs);
-      else assignedAtMs.delete(resource);
-    }
-  }
-
   function handlePush(push: RecordsPush): void {
     const newDeltas = applyPush(copy, push);
-    recordAssignmentTimes(newDeltas);
+    recordAssignments(heldResources, newDeltas, incarnation);
     // A push that leaves the copy incomplete does not confirm the settings revision; renewing fetches the rest.
     const isComplete = push.appliedIndex <= copy.knownIndex;
     const hasNewSettings = isComplete && push.settingsRevision > settingsRevision;
@@ -428,27 +347,6 @@
   }
 }
 
-function unpackRecords(carried: CarriedRecords): RecordsPush {
-  return 'packed' in carried ? (unpackValue(carried.packed) as RecordsPush) : carried;
-}
-
-function isShortReply(reply: LeaseReply | ShortLeaseReply): reply is ShortLeaseReply {
-  return Array.isArray(reply);
-}
-
-function repeatedRenewalOf({
-  knownIndex,
-  documentIndex,
-  settingsRevision,
-}: Pick<LeaseRenewal, 'knownIndex' | 'documentIndex' | 'settingsRevision'>): RepeatedRenewal {
-  return [knownIndex, documentIndex ?? null, settingsRevision];
-}
-
 function createIncarnation(): Incarnation {
   return toIncarnation(randomUUID());
 }
-
-/** Time-out of a renewal by an entry whose copy of the records is complete up to `knownIndex`. */
-function renewTimeoutMs(knownIndex: number): number {
-  return knownIndex === 0 ? FIRST_RENEW_TIMEOUT_MS : RENEW_TIMEOUT_MS;
-}
--- a/packages/statement-entry/src/owner/cold-servers.test.ts
+++ b/packages/statement-entry/src/owner/cold-servers.test.ts
@@ -1,15 +1,10 @@
-import {
-  type StatementAccess,
-  type StatementOutcome,
-  type StatementRequest,
-  toCustomerName,
-} from '@bramleykeel/core';
+import { type StatementAccess, type StatementRequest } from '@bramleykeel/core';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createReaderOffer } from '../near/reader-offer.js';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
+import { runStatementAt } from '../test-support/run-statement.js';
 import { dispatch } from './dispatch.js';
-import { acceptStatement } from './owner-app.js';
 import { applyServerAnnouncement, closeStatementOwner } from './owner-lifecycle.js';
 import type { StatementOwner } from './owner-state.js';
 import { coldAllowanceOf } from './placement.js';
@@ -19,7 +14,6 @@
 let owner: StatementOwner;
 let primary: FakeServer;
 let near: FakeServer;
-let nextNumber = 1;
 let timer: NodeJS.Timeout;
 
 async function start(epoch: number, endedForMs = 0): Promise<void> {
@@ -54,36 +48,8 @@
   applyServerAnnouncement(owner, { ...announcement, sequence, coldLeftMs });
 }
 
-function run(
-  access: StatementAccess,
-  change: Partial<StatementRequest> = {},
-): Promise<StatementOutcome> {
-  const number = nextNumber;
-  nextNumber += 1;
-  const request: StatementRequest = {
-    number,
-    tag: `t${number}`,
-    access,
-    body: { kind: 'plain', text: access },
-    transaction: null,
-    customer: toCustomerName('one'),
-    priority: 1,
-    consistency: 'bounded-age',
-    maxReadAgeMs: 1_500,
-    mark: null,
-    values: {},
-    homes: null,
-    budgetMs: 6_000,
-    startWithinMs: 5_000,
-    ...change,
-  };
-  return new Promise((resolve) => {
-    const answer = (_number: number, outcome: StatementOutcome) => {
-      resolve(outcome);
-    };
-    acceptStatement(owner, { id: 'caller', answer }, request);
-  });
-}
+const run = (access: StatementAccess, change: Partial<StatementRequest> = {}) =>
+  runStatementAt(owner, access, { budgetMs: 6_000, startWithinMs: 5_000, ...change });
 
 function requestsOf({ orders }: FakeServer): number {
   return orders.filter(({ kind }) => kind === 'run' || kind === 'begin').length;
--- a/packages/statement-entry/src/owner/evacuated-zones.test.ts
+++ b/packages/statement-entry/src/owner/evacuated-zones.test.ts
@@ -1,17 +1,11 @@
-import {
-  recordAcknowledged,
-  type StatementAccess,
-  type StatementOutcome,
-  type StatementRequest,
-  toCustomerName,
-} from '@bramleykeel/core';
+import { recordAcknowledged, type StatementAccess, type StatementRequest } from '@bramleykeel/core';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createReaderOffer } from '../near/reader-offer.js';
 import { warmUpConnections } from '../target/connection-warmup.js';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
-import { dispatch, expireWaiting } from './dispatch.js';
-import { acceptStatement } from './owner-app.js';
+import { expectRefusalAtOnce, runStatementAt, until } from '../test-support/run-statement.js';
+import { expireWaiting } from './dispatch.js';
 import { closeStatementOwner } from './owner-lifecycle.js';
 import type { StatementOwner } from './owner-state.js';
 import { followEvacuations } from './placement.js';
@@ -23,7 +17,6 @@
 let primary: FakeServer;
 let near: FakeServer;
 let far: FakeServer;
-let nextNumber = 1;
 
 const at = (offset: number) => ({ term: 3, offset });
 
@@ -39,62 +32,18 @@
   closeStatementOwner(owner);
 });
 
-function run(
-  access: StatementAccess,
-  change: Partial<StatementRequest> = {},
-): Promise<StatementOutcome> {
-  const number = nextNumber;
-  nextNumber += 1;
-  const request: StatementRequest = {
-    number,
-    tag: `t${number}`,
-    access,
-    body: { kind: 'plain', text: access },
-    transaction: null,
-    customer: toCustomerName('one'),
-    priority: 1,
-    consistency: 'bounded-age',
-    maxReadAgeMs: 1_500,
-    mark: null,
-    values: {},
-    homes: null,
-    budgetMs: 4_000,
-    startWithinMs: 2_000,
-    ...change,
-  };
-  return new Promise((resolve) => {
-    const channel = {
-      id: 'caller',
-      answer: (_number: number, end: StatementOutcome) => {
-        resolve(end);
-      },
-    };
-    acceptStatement(owner, channel, request);
-    dispatch(owner);
-  });
-}
+const run = (access: StatementAccess, change?: Partial<StatementRequest>) =>
+  runStatementAt(owner, access, change);
 
 function evacuate(...zones: readonly string[]): void {
   fake.evacuatedZones = new Set(zones);
   followEvacuations(owner);
 }
 
-async function until(condition: () => boolean): Promise<void> {
-  const untilMs = performance.now() + 3_000;
-  while (!condition() && performance.now() < untilMs) await delay(5);
-  expect(condition()).toBe(true);
-}
-
 function ranStatements({ orders }: FakeServer): number {
   return orders.filter(({ kind }) => kind === 'run' || kind === 'begin').length;
 }
 
-async function expectRefusalAtOnce(outcome: Promise<StatementOutcome>): Promise<void> {
-  const startedAtMs = performance.now();
-  expect(await outcome).toMatchObject({ kind: 'not-run', reason: 'no-primary' });
-  expect(performance.now() - startedAtMs).toBeLessThan(100);
-}
-
 describe('an owner', () => {
   it('starts no read in an evacuated zone, and keeps the primary outside', async () => {
     evacuate('zone-1');
@@ -138,7 +87,7 @@
       if (server.announcement.server === near.name)
         server.announcement = { ...server.announcement, isLeaving: true };
     watchPrimary(owner);
-    await expectRefusalAtOnce(run('write'));
+    await expectRefusalAtOnce(run('write'), 'no-primary');
     expect(owner.leadership.kind).toBe('led');
     evacuate();
     expect(await run('write')).toMatchObject({ kind: 'done' });
@@ -152,11 +101,11 @@
     const sent = Array.from({ length: 6 }, () => run('read'));
     const waiting = run('read');
     evacuate('zone-0', 'zone-1', 'zone-2');
-    await expectRefusalAtOnce(run('read'));
+    await expectRefusalAtOnce(run('read'), 'no-primary');
     const timer = setInterval(() => {
       expireWaiting(owner);
     }, 25);
-    await expectRefusalAtOnce(waiting);
+    await expectRefusalAtOnce(waiting, 'no-primary');
     const outcomes = await Promise.all(sent);
     clearInterval(timer);
     expect(outcomes.every(({ kind }) => kind === 'done' || kind === 'not-run')).toBe(true);
@@ -169,7 +118,7 @@
     watchPrimary(owner);
     await until(() => owner.leadership.kind === 'changing');
     await delay(700);
-    await expectRefusalAtOnce(run('write'));
+    await expectRefusalAtOnce(run('write'), 'no-primary');
     evacuate();
     await until(() => owner.leadership.kind === 'led');
     expect(owner.leadership).toMatchObject({ server: primary.name });
--- a/packages/statement-entry/src/owner/home-regions.test.ts
+++ b/packages/statement-entry/src/owner/home-regions.test.ts
@@ -4,11 +4,9 @@
   recordAcknowledged,
   type StatementAccess,
   type StatementCustomer,
-  type StatementOutcome,
   type StatementRequest,
   type StatementRoute,
   type StatementSettings,
-  toCustomerName,
   toGroupName,
 } from '@bramleykeel/core';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -16,8 +14,13 @@
 import { findHomes } from '../accept/access.js';
 import type { SessionEnvironment } from '../accept/session-state.js';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
+import {
+  expectRefusalAtOnce,
+  runStatementAt,
+  TEST_CUSTOMER,
+  until,
+} from '../test-support/run-statement.js';
 import { dispatch, expireWaiting } from './dispatch.js';
-import { acceptStatement } from './owner-app.js';
 import { closeStatementOwner } from './owner-lifecycle.js';
 import type { StatementOwner } from './owner-state.js';
 import { abortMisplacedTransactions } from './placement.js';
@@ -27,9 +30,6 @@
 // Each zone of the fake group is a region of its own: server `i-N` is in `zone-N`, and `i-0` is the primary.
 let fake: FakeGroup;
 let owner: StatementOwner;
-let nextNumber = 1;
-
-const customer = toCustomerName('one');
 
 beforeEach(async () => {
   fake = createFakeGroup(3);
@@ -42,38 +42,8 @@
   closeStatementOwner(owner);
 });
 
-function run(
-  access: StatementAccess,
-  homes: Homes,
-  change: Partial<StatementRequest> = {},
-): Promise<StatementOutcome> {
-  const number = nextNumber;
-  nextNumber += 1;
-  const request: StatementRequest = {
-    number,
-    tag: `t${number}`,
-    access,
-    body: { kind: 'plain', text: access },
-    transaction: null,
-    customer,
-    priority: 1,
-    consistency: 'bounded-age',
-    maxReadAgeMs: 1_500,
-    mark: null,
-    values: {},
-    homes,
-    budgetMs: 4_000,
-    startWithinMs: 2_000,
-    ...change,
-  };
-  return new Promise((resolve) => {
-    const answer = (_number: number, outcome: StatementOutcome) => {
-      resolve(outcome);
-    };
-    acceptStatement(owner, { id: 'caller', answer }, request);
-    dispatch(owner);
-  });
-}
+const run = (access: StatementAccess, homes: Homes, change: Partial<StatementRequest> = {}) =>
+  runStatementAt(owner, access, { homes, ...change });
 
 function ranAt(): string {
   return fake.servers
@@ -86,22 +56,10 @@
   const route = { group: toGroupName('ledger'), homeRegions: routeHomes } as StatementRoute;
   const settings = {
     routes: new Map([['database', route]]),
-    customers: new Map([[customer, { homeRegions: customerHomes } as StatementCustomer]]),
+    customers: new Map([[TEST_CUSTOMER, { homeRegions: customerHomes } as StatementCustomer]]),
   } as unknown as StatementSettings;
   const environment = { settings: () => settings } as unknown as SessionEnvironment;
-  return findHomes(environment, 'database', customer);
-}
-
-async function expectRefusalAtOnce(outcome: Promise<StatementOutcome>): Promise<void> {
-  const startedAtMs = performance.now();
-  expect(await outcome).toMatchObject({ kind: 'not-run', reason: 'no-home-server' });
-  expect(performance.now() - startedAtMs).toBeLessThan(100);
-}
-
-async function until(condition: () => boolean): Promise<void> {
-  const untilMs = performance.now() + 3_000;
-  while (!condition() && performance.now() < untilMs) await delay(5);
-  expect(condition()).toBe(true);
+  return findHomes(environment, 'database', TEST_CUSTOMER);
 }
 
 interface Case {
@@ -165,7 +123,7 @@
     const [, near] = fake.servers as [FakeServer, FakeServer, FakeServer];
     const state = owner.servers.get(near.name);
     if (state) Object.assign(state, { failingSinceMs: performance.now() - 1_000 });
-    await expectRefusalAtOnce(run('read', ['zone-1']));
+    await expectRefusalAtOnce(run('read', ['zone-1']), 'no-home-server');
     expect(ranAt()).toBe('');
     expect(await run('read', null)).toMatchObject({ kind: 'done' });
   });
@@ -192,7 +150,7 @@
     await until(() => primary.orders.filter(({ kind }) => kind === 'run').length === 2);
     change(['zone-1']);
     expireWaiting(owner);
-    await expectRefusalAtOnce(waiting);
+    await expectRefusalAtOnce(waiting, 'no-home-server');
     for (const outcome of await Promise.all(running)) expect(outcome.kind).toBe('done');
   });
 
@@ -213,7 +171,7 @@
     change(['zone-1']);
     await delay(20);
     expireWaiting(owner);
-    await expectRefusalAtOnce(waiting);
+    await expectRefusalAtOnce(waiting, 'no-home-server');
     expect(ranAt()).toBe('');
   });
 
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -3,7 +3,6 @@
 import {
   type AdmissionWaits,
   admissionWaitsAt,
-  assignmentOf,
   type CustomerName,
   documentOf,
   evacuatedZones,
@@ -13,8 +12,6 @@
   homeRulesOf,
   type RateLimit,
   type RecordDelta,
-  type StatementOutcome,
-  type Resource,
   type StatementSettings,
 } from '@bramleykeel/core';
 import {
@@ -48,14 +45,12 @@
   notifyOwnerEnded,
 } from './app.js';
 import { createEntryLinks, ENTRY_LINK_TIMING, type EntryLinks } from './locate/entry-links.js';
+import { createOwnerTransport } from './locate/owner-transport.js';
+import { createResourceRequests } from './locate/resource-requests.js';
 import { locateReader, readerResource } from './near/locate-reader.js';
-import {
-  createReadAttempt,
-  decodeMissingResult,
-  type MissingResult,
-  missingResultOf,
-} from './near/read-attempt.js';
+import { createReadAttempt, missingResultOf } from './near/read-attempt.js';
 import { createReaderClient } from './near/reader-client.js';
+import { createReaderTransport } from './near/reader-transport.js';
 import {
   decodeOffer,
   type EncodedReaderOffer,
@@ -80,23 +75,16 @@
 } from './locate/owner-client.js';
 import { handOverMisplacedGroups } from './owner/home-handover.js';
 import { startInstanceRelief } from './owner/instance-relief.js';
-import {
-  acceptRollback,
-  acceptStatement,
-  acceptWithdrawal,
-  type EntryChannel,
-} from './owner/owner-app.js';
+import type { EntryChannel } from './owner/owner-app.js';
 import {
   closeAllStatementOwners,
   createStatementOwnerRegistry,
-  findStatementOwner,
   handOverStatementOwners,
   reconcileStatementOwners,
   type StatementOwnerRegistry,
 } from './owner/owner-registry.js';
 import type { CallerPort } from './types/caller-port.js';
 import { DEFAULT_MAX_CONNECTIONS } from './target/connection-budget.js';
-import { decodeOutcome, type EncodedOutcome, encodeStatement } from './types/link-codec.js';
 import type { StatementEntry, StatementEntryOptions } from './types/entry-options.js';
 
 const READER_OFFER_TIMEOUT_MS = 400;
@@ -108,8 +96,6 @@
  */
 const FIRST_SETTINGS_WAIT_MS = 1_500;
 const SETTINGS_POLL_MS = 20;
-/** Probability that an entry requests a rate home in a renewal interval, so that not all entries do at once. */
-const HOME_REQUEST_PROBABILITY = 0.25;
 /** Time until the load balancer stops sending new callers: two failed checks, 1 s apart. In milliseconds. */
 const BALANCER_UPDATE_MS = 2_400;
 /** Control finds out by itself if the notice of the end does not arrive. In milliseconds. */
@@ -131,7 +117,6 @@
   const { log, counters, timing, readDistribution = 'nearest' } = options;
   const startedAtMs = performance.now();
   const sessions = new Set<CallerSession>();
-  const requestedAtMs = new Map<Resource, number>();
   let settings: StatementSettings | undefined;
   let evacuated: ReadonlySet<string> = new Set();
   let stopSchedule: StopSchedule | undefined;
@@ -167,6 +152,7 @@
       failSupersededStatements(owners);
     },
   });
+  const resources = createResourceRequests(() => control, timing.renewEveryMs);
   const registry: StatementOwnerRegistry = createStatementOwnerRegistry({
     ...options,
     control,
@@ -211,30 +197,8 @@
     links: () => links,
     regionOf: options.regionOf,
     homeRules: () => homeRulesOf(settings),
-    sendLocally: (group, epoch, request) => {
-      const owner = findStatementOwner(registry, group, epoch);
-      if (owner) acceptStatement(owner, localChannel, request);
-      return owner !== undefined;
-    },
-    rollBackLocally: (group, epoch, transaction) => {
-      const owner = findStatementOwner(registry, group, epoch);
-      if (owner) acceptRollback(owner, localChannel, transaction);
-    },
-    withdrawLocally: (group, epoch, number) => {
-      const owner = findStatementOwner(registry, group, epoch);
-      if (owner) acceptWithdrawal(owner, localChannel, number);
-    },
-    sendOverLink: ({ group, epoch, linkAddress }, request) => {
-      const encoded = encodeStatement(group, epoch, request);
-      return links.linkTo(linkAddress)?.notify('statement/run', encoded) ?? false;
-    },
-    rollBackOverLink: ({ group, epoch, linkAddress }, transaction) => {
-      links.linkTo(linkAddress)?.notify('statement/rollback', [group, epoch, transaction]);
-    },
-    withdrawOverLink: ({ group, epoch, linkAddress }, number) => {
-      links.linkTo(linkAddress)?.notify('statement/withdraw', [group, epoch, number]);
-    },
-    requestResource,
+    ...createOwnerTransport(registry, localChannel, () => links),
+    requestResource: resources.request,
     lastStartMs: () => (stopSchedule ? lastStartOf(stopSchedule) : Number.POSITIVE_INFINITY),
   });
   const region = options.regionOf(options.zone);
@@ -269,32 +233,23 @@
     regionOf: options.regionOf,
     counters,
     locateReader: (group) =>
-      locateReader({ control, region, regionOf: options.regionOf, requestResource }, group),
+      locateReader(
+        { control, region, regionOf: options.regionOf, requestResource: resources.request },
+        group,
+      ),
     runHere: async (group, draft, deadlineMs) => {
       const attempt = createReadAttempt();
       const outcome = await readAtReplica(replicaReads, group, draft, deadlineMs, attempt);
       return outcome ?? missingResultOf(attempt);
     },
-    sendToReader: async ({ epoch, linkAddress }, group, draft, budgetMs) => {
-      const request = { ...draft, number: 0, budgetMs, startWithinMs: 0 };
-      const encoded = encodeStatement(group, epoch, request);
-      const answer = await links.linkTo(linkAddress)?.request('reader/run', encoded, budgetMs);
-      if (answer === undefined) return 'not-sent';
-      return answer.caseOf<StatementOutcome | MissingResult>({
-        Left: ({ kind }) => (kind === 'not-sent' ? 'not-sent' : 'unknown'),
-        Right: (reply) =>
-          Array.isArray(reply)
-            ? decodeOutcome(reply as unknown as EncodedOutcome).outcome
-            : decodeMissingResult(reply),
-      });
-    },
+    sendToReader: createReaderTransport(() => links),
   });
   const draws: RateDrawContext = {
     homes: createRateHomes(),
     control,
     linkTo: (linkAddress) => links.linkTo(linkAddress),
     limitOf: (customer) => limitOf(settings, customer),
-    requestResource,
+    requestResource: resources.request,
   };
   const app: StatementApp = {
     counters,
@@ -333,7 +288,7 @@
     reconcileStatementOwners(registry);
     closeEndedReaders(replicaReads);
     if (!stopSchedule) handOverMisplacedGroups(registry);
-    requestRateHome();
+    resources.requestRateHome(settings);
   }, timing.renewEveryMs);
   const stopRelief = startInstanceRelief({
     registry,
@@ -400,26 +355,6 @@
     }
   }
 
-  /**
-   * Requests a rate home for a random customer without one. Homes are thus assigned before first use, a few at a
-   * time, by whichever entry requests them first.
-   */
-  function requestRateHome(): void {
-    if (!settings || Math.random() > HOME_REQUEST_PROBABILITY) return;
-    const resources = [...settings.customers.keys()].map((name): Resource => `customer/${name}`);
-    const unassigned = resources.filter((resource) => !assignmentOf(control, resource));
-    const next = unassigned[Math.floor(Math.random() * unassigned.length)];
-    if (next !== undefined) requestResource(next, undefined);
-  }
-
-  function requestResource(resource: Resource, zone: string | undefined): void {
-    const nowMs = performance.now();
-    if (nowMs - (requestedAtMs.get(resource) ?? Number.NEGATIVE_INFINITY) < timing.renewEveryMs)
-      return;
-    requestedAtMs.set(resource, nowMs);
-    void control.call('resource/request', zone === undefined ? { resource } : { resource, zone });
-  }
-
   async function stop(stopListening: () => void): Promise<void> {
     const startedAtMs = performance.now();
     stopSchedule = { startedAtMs, graceMs: options.stopGraceMs };
