--- a/packages/statement-entry/src/accept/draft.ts
+++ b/packages/statement-entry/src/accept/draft.ts
@@ -1,16 +1,23 @@
 /** What the statements of a session are sent with besides their content. */
-import type { CustomerName, Homes, LogPosition, StatementRoute } from '@bramleykeel/core';
+import {
+  type CustomerName,
+  homeRulesOf,
+  type Homes,
+  type LogPosition,
+  type StatementRoute,
+} from '@bramleykeel/core';
 import { createStatementDeadlines, type StatementDeadlines } from '../locate/owner-client.js';
 import type { SessionEnvironment } from './session-state.js';
 
 /** What a draft takes of a session. */
 export interface DraftSource {
-  readonly environment: Pick<SessionEnvironment, 'overloadControl'>;
+  readonly environment: Pick<SessionEnvironment, 'overloadControl' | 'settings'>;
+  readonly database: string;
   readonly mark: LogPosition | null;
 }
 
 export function commonDraftFields(
-  { environment, mark }: DraftSource,
+  { environment, database, mark }: DraftSource,
   route: StatementRoute,
   customer: CustomerName,
   homes: Homes,
@@ -23,6 +30,8 @@
     maxReadAgeMs: route.maxReadAgeMs,
     mark,
     ...(environment.overloadControl === true && { objectiveMs: route.objectiveMs }),
+    // Where the statement waits, its homes are judged again once the settings change there.
+    ...(homeRulesOf(environment.settings())?.isLimited === true && { database }),
   };
 }
 
--- a/packages/statement-entry/src/explain/explain-at-entry.ts
+++ b/packages/statement-entry/src/explain/explain-at-entry.ts
@@ -144,7 +144,7 @@
   );
   const homes = findHomes(environment, database, customer);
   const withoutHomes = typeof homes === 'string';
-  const source = { environment, mark };
+  const source = { environment, database, mark };
   const fields = commonDraftFields(source, route, customer, withoutHomes ? null : homes);
   const { deadlineMs, startByMs } = deadlinesOf(environment, route);
   const nowMs = performance.now();
--- a/packages/statement-entry/src/near/explain-read.test.ts
+++ b/packages/statement-entry/src/near/explain-read.test.ts
@@ -54,6 +54,7 @@
   const reads = createReplicaReads({
     regionOf: (zone) => (zone === 'zone-3' ? 'west' : 'east'),
     evacuatedZones: () => new Set(evacuated),
+    homeRules: () => undefined,
     readDistribution,
     mayBeCold: () => true,
     openTarget: () => Promise.reject(new Error('nothing is opened')),
--- a/packages/statement-entry/src/near/read-group.ts
+++ b/packages/statement-entry/src/near/read-group.ts
@@ -1,5 +1,11 @@
 /** State of the reads that an entry runs at replicas as the reader of their group. */
-import type { FormerHolder, GroupName, LogPosition, ReadDistribution } from '@bramleykeel/core';
+import type {
+  FormerHolder,
+  GroupName,
+  HomeRules,
+  LogPosition,
+  ReadDistribution,
+} from '@bramleykeel/core';
 import type { Counters, Log } from '@bramleykeel/link';
 import type { ServerState } from '../owner/owner-state.js';
 import type { OpenTarget } from '../types/target-port.js';
@@ -10,6 +16,8 @@
   readonly regionOf: (zone: string) => string;
   /** Zones on whose servers nothing starts. */
   readonly evacuatedZones: () => ReadonlySet<string>;
+  /** The homes of statements by the settings in force here; `undefined` without settings. */
+  readonly homeRules: () => HomeRules | undefined;
   readonly readDistribution: ReadDistribution;
   /** Whether the group's servers are limited while they are cold. */
   readonly mayBeCold: (group: GroupName) => boolean;
--- a/packages/statement-entry/src/near/replica-reads.ts
+++ b/packages/statement-entry/src/near/replica-reads.ts
@@ -8,6 +8,10 @@
   areFormerConnectionsClosed,
   connectionLimit,
   type GroupName,
+  createHomesClaim,
+  homesInForce,
+  homesSubjectOf,
+  isHome,
   recordOthers,
   type ServerAnnouncement,
   type StatementOutcome,
@@ -61,16 +65,23 @@
   deadlineMs: number,
   attempt: ReadAttempt = createReadAttempt(),
 ): Promise<StatementOutcome | undefined> {
+  const { homeRules, regionOf } = reads.options;
   if (!mayReadAtReplica(draft) || reads.isStopping) return undefined;
   if (!reads.options.formerReader(group)) return undefined;
   const readGroup = getOrCreateGroup(reads, group);
   refreshOffer(reads, readGroup);
   const after = requiredPositionOf(readGroup, draft);
-  const server = after && findAvailableServer(reads, readGroup, draft);
+  const homesClaim = createHomesClaim(homesSubjectOf(group, draft), draft.homes);
+  const homesNow = () => homesInForce(homesClaim, homeRules());
+  const isHomeNow = ({ announcement }: ServerState) =>
+    isHome(homesNow(), regionOf(announcement.zone));
+  const sought = { customer: draft.customer, homes: homesNow() };
+  const server = after && findAvailableServer(reads, readGroup, sought);
   if (!after || !server) return undefined;
   server.runningCount += 1;
   try {
-    return await runOnReplica(readGroup, server, draft, after, deadlineMs, attempt);
+    const read = { draft, isHomeNow, after, deadlineMs, attempt };
+    return await runOnReplica(readGroup, server, read);
   } finally {
     server.runningCount -= 1;
   }
--- a/packages/statement-entry/src/near/run-on-replica.ts
+++ b/packages/statement-entry/src/near/run-on-replica.ts
@@ -28,6 +28,17 @@
   readonly isEvacuated: (server: ServerState) => boolean;
 }
 
+export interface ReplicaRead {
+  readonly draft: StatementDraft;
+  /** Whether the read may run on a server by the homes in force. */
+  readonly isHomeNow: (server: ServerState) => boolean;
+  /** The log position that the read has to see. */
+  readonly after: LogPosition;
+  readonly deadlineMs: number;
+  /** Records how far the read got. */
+  readonly attempt: ReadAttempt;
+}
+
 const BUSY_PAUSE_MS = 30;
 const LAGGING_PAUSE_MS = 60;
 /** Fraction of a statement's remaining time that the replica gets; after that the owner runs it. */
@@ -37,17 +48,12 @@
 /**
  * Runs a read at a replica.
  *
- * @param after the log position that the read has to see
- * @param attempt records how far the read got
  * @returns `undefined` if the owner has to run it
  */
 export async function runOnReplica(
   place: ReplicaPlace,
   server: ServerState,
-  draft: StatementDraft,
-  after: LogPosition,
-  deadlineMs: number,
-  attempt: ReadAttempt,
+  { draft, isHomeNow, after, deadlineMs, attempt }: ReplicaRead,
 ): Promise<StatementOutcome | undefined> {
   const valuesKey = valuesKeyOf(draft.values);
   if (server.failingSinceMs !== undefined) server.failingSinceMs = undefined;
@@ -57,8 +63,8 @@
     return undefined;
   }
   const { pooled } = acquired;
-  // The order may have arrived while the connection was being opened.
-  if (place.isEvacuated(server)) {
+  // An order or other homes may have arrived while the connection was being opened.
+  if (place.isEvacuated(server) || !isHomeNow(server)) {
     releaseConnection(pooled);
     return undefined;
   }
@@ -71,6 +77,10 @@
     }
     recordSetup(pooled, order);
   }
+  if (!isHomeNow(server)) {
+    releaseConnection(pooled);
+    return undefined;
+  }
   const remainingMs = deadlineMs - performance.now();
   attempt.mayHaveRun = true;
   const answer = await sendMeasured(
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -19,6 +19,7 @@
 import { judgeArrival, recordWait, removeLate, withoutNeededPrimary } from './admission.js';
 import type { Job, ServerState, StatementOwner } from './owner-state.js';
 import {
+  homesOf,
   isGraceOver,
   isHomeOf,
   isWhollyEvacuated,
@@ -51,7 +52,7 @@
 
 /** Queues a statement; it runs immediately if a server is free. */
 export function submitJob(owner: StatementOwner, job: Job): void {
-  if (job.request.homes) owner.hasRestrictedStatements = true;
+  if (homesOf(owner, job)) owner.hasRestrictedStatements = true;
   const refusal = refusalOnArrival(owner, job);
   if (refusal?.reason === 'overloaded') {
     endOverloaded(owner, job, refusal.retryAfterMs);
@@ -125,14 +126,16 @@
   if (job.transaction?.pooled) return undefined;
   if (isBlocked(owner) && isForPrimary(job)) return 'no-primary';
   if (owner.environment.evacuatedZones().size > 0 && isWhollyEvacuated(owner)) return 'no-primary';
-  const isUnplaced = lacksHomeServer(owner, job.request.homes, isForPrimary(job));
+  const isUnplaced = lacksHomeServer(owner, homesOf(owner, job), isForPrimary(job));
   return isUnplaced ? 'no-home-server' : undefined;
 }
 
 /** Whether some statements may have to be refused at once. */
 function mayRefuseAtOnce(owner: StatementOwner): boolean {
   const hasOrders = owner.environment.evacuatedZones().size > 0;
-  return isBlocked(owner) || hasOrders || owner.hasRestrictedStatements;
+  // A statement that waits may have become limited by a change of settings.
+  const hasLimits = owner.environment.homeRules()?.isLimited === true;
+  return isBlocked(owner) || hasOrders || hasLimits || owner.hasRestrictedStatements;
 }
 
 /** Whether no server can lead before another one returns or an evacuation is withdrawn. */
@@ -184,7 +187,7 @@
 
 /** Whether a transaction may not go on where it is open. */
 function mustLeave(owner: StatementOwner, job: Job, server: ServerState): boolean {
-  return isGraceOver(owner, server) || !isHomeOf(owner, job.request.homes, server);
+  return isGraceOver(owner, server) || !isHomeOf(owner, homesOf(owner, job), server);
 }
 
 /** Whether a statement waits because its transaction cannot commit any more on a primary that is replaced. */
@@ -211,10 +214,11 @@
     // In a long queue most statements wait for the same reason, so that it is found once for all of them.
     const withoutServer = new Set<string>();
     const next = take((job, isDue = false): boolean => {
-      if (withoutServer.size > 0 && withoutServer.has(requirementsKeyOf(job, isDue))) return false;
+      if (withoutServer.size > 0 && withoutServer.has(requirementsKeyOf(owner, job, isDue)))
+        return false;
       const allowed = isDue ? withoutNeededPrimary(job, views) : views;
       chosen = chooseServerFor(owner, job, allowed);
-      if (chosen === undefined) withoutServer.add(requirementsKeyOf(job, isDue));
+      if (chosen === undefined) withoutServer.add(requirementsKeyOf(owner, job, isDue));
       return chosen !== undefined;
     });
     const server = chosen === undefined ? undefined : owner.servers.get(chosen);
--- a/packages/statement-entry/src/owner/explain-statement.ts
+++ b/packages/statement-entry/src/owner/explain-statement.ts
@@ -44,7 +44,7 @@
   question: StatementQuestion,
 ): OwnerExplanation {
   const owner = snapshotOwner(original);
-  const job = createJob(NO_ANSWER, requestOf(question));
+  const job = createJob(owner.group, NO_ANSWER, requestOf(question));
   const views = listTargetViews(owner, TAKES_ALL);
   const nowMs = performance.now();
   const requirements = requirementsOf(owner, job, nowMs);
--- a/packages/statement-entry/src/owner/home-regions.test.ts
+++ b/packages/statement-entry/src/owner/home-regions.test.ts
@@ -1,13 +1,12 @@
 import {
+  type HomeRules,
   type Homes,
   recordAcknowledged,
   type StatementAccess,
   type StatementCustomer,
-  type StatementOutcome,
   type StatementRequest,
   type StatementRoute,
   type StatementSettings,
-  toCustomerName,
   toGroupName,
 } from '@bramleykeel/core';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -15,19 +14,22 @@
 import { findHomes } from '../accept/access.js';
 import type { SessionEnvironment } from '../accept/session-state.js';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
-import { dispatch } from './dispatch.js';
-import { acceptStatement } from './owner-app.js';
+import {
+  expectRefusalAtOnce,
+  runStatementAt,
+  TEST_CUSTOMER,
+  until,
+} from '../test-support/run-statement.js';
+import { dispatch, expireWaiting } from './dispatch.js';
 import { closeStatementOwner } from './owner-lifecycle.js';
 import type { StatementOwner } from './owner-state.js';
+import { abortMisplacedTransactions } from './placement.js';
 import { takeOver } from './take-over.js';
 import { watchPrimary } from './watch-primary.js';
 
 // Each zone of the fake group is a region of its own: server `i-N` is in `zone-N`, and `i-0` is the primary.
 let fake: FakeGroup;
 let owner: StatementOwner;
-let nextNumber = 1;
-
-const customer = toCustomerName('one');
 
 beforeEach(async () => {
   fake = createFakeGroup(3);
@@ -40,38 +42,8 @@
   closeStatementOwner(owner);
 });
 
-function run(
-  access: StatementAccess,
-  homes: Homes,
-  change: Partial<StatementRequest> = {},
-): Promise<StatementOutcome> {
-  const number = nextNumber;
-  nextNumber += 1;
-  const request: StatementRequest = {
-    number,
-    tag: `t${number}`,
-    access,
-    body: { kind: 'plain', text: access },
-    transaction: null,
-    customer,
-    priority: 1,
-    consistency: 'bounded-age',
-    maxReadAgeMs: 1_500,
-    mark: null,
-    values: {},
-    homes,
-    budgetMs: 4_000,
-    startWithinMs: 2_000,
-    ...change,
-  };
-  return new Promise((resolve) => {
-    const answer = (_number: number, outcome: StatementOutcome) => {
-      resolve(outcome);
-    };
-    acceptStatement(owner, { id: 'caller', answer }, request);
-    dispatch(owner);
-  });
-}
+const run = (access: StatementAccess, homes: Homes, change: Partial<StatementRequest> = {}) =>
+  runStatementAt(owner, access, { homes, ...change });
 
 function ranAt(): string {
   return fake.servers
@@ -84,22 +56,10 @@
   const route = { group: toGroupName('ledger'), homeRegions: routeHomes } as StatementRoute;
   const settings = {
     routes: new Map([['database', route]]),
-    customers: new Map([[customer, { homeRegions: customerHomes } as StatementCustomer]]),
+    customers: new Map([[TEST_CUSTOMER, { homeRegions: customerHomes } as StatementCustomer]]),
   } as unknown as StatementSettings;
   const environment = { settings: () => settings } as unknown as SessionEnvironment;
-  return findHomes(environment, 'database', customer);
-}
-
-async function expectRefusalAtOnce(outcome: Promise<StatementOutcome>): Promise<void> {
-  const startedAtMs = performance.now();
-  expect(await outcome).toMatchObject({ kind: 'not-run', reason: 'no-home-server' });
-  expect(performance.now() - startedAtMs).toBeLessThan(100);
-}
-
-async function until(condition: () => boolean): Promise<void> {
-  const untilMs = performance.now() + 3_000;
-  while (!condition() && performance.now() < untilMs) await delay(5);
-  expect(condition()).toBe(true);
+  return findHomes(environment, 'database', TEST_CUSTOMER);
 }
 
 interface Case {
@@ -163,12 +123,75 @@
     const [, near] = fake.servers as [FakeServer, FakeServer, FakeServer];
     const state = owner.servers.get(near.name);
     if (state) Object.assign(state, { failingSinceMs: performance.now() - 1_000 });
-    await expectRefusalAtOnce(run('read', ['zone-1']));
+    await expectRefusalAtOnce(run('read', ['zone-1']), 'no-home-server');
     expect(ranAt()).toBe('');
     expect(await run('read', null)).toMatchObject({ kind: 'done' });
   });
 });
 
+describe('a change of homes', () => {
+  const database = 'bookings';
+  const change = (regions: readonly string[]) => {
+    const homesOf: HomeRules['homesOf'] = (subject) =>
+      subject.database === database ? regions : null;
+    fake.homeRules = { isLimited: true, homesOf };
+  };
+
+  beforeEach(() => {
+    fake.homeRules = { isLimited: true, homesOf: () => null };
+  });
+
+  // Guards against statements that are sent by the homes with which they began to wait.
+  it('applies to statements that wait, which are refused at once where no server may run them', async () => {
+    const [primary] = fake.servers as [FakeServer];
+    primary.statementMs = 300;
+    const running = Array.from({ length: 2 }, () => run('write', null, { database }));
+    const waiting = run('write', null, { database });
+    await until(() => primary.orders.filter(({ kind }) => kind === 'run').length === 2);
+    change(['zone-1']);
+    expireWaiting(owner);
+    await expectRefusalAtOnce(waiting, 'no-home-server');
+    for (const outcome of await Promise.all(running)) expect(outcome.kind).toBe('done');
+  });
+
+  it('lets statements that wait run where they may run now', async () => {
+    const [primary, near] = fake.servers as [FakeServer, FakeServer];
+    primary.statementMs = 300;
+    const running = Array.from({ length: 2 }, () => run('write', null, { database: 'other' }));
+    const waiting = run('read', ['zone-0'], { database });
+    change(['zone-1']);
+    dispatch(owner);
+    expect(await waiting).toMatchObject({ kind: 'done' });
+    expect(near.orders.filter(({ kind }) => kind === 'run')).toHaveLength(1);
+    await Promise.all(running);
+  });
+
+  it('stops a statement whose connection is being opened', async () => {
+    const waiting = run('write', null, { database });
+    change(['zone-1']);
+    await delay(20);
+    expireWaiting(owner);
+    await expectRefusalAtOnce(waiting, 'no-home-server');
+    expect(ranAt()).toBe('');
+  });
+
+  it('aborts open transactions whose server is no home any more, once their statement has ended', async () => {
+    const ref = { number: 4, isReadOnly: false };
+    const first = { database, transaction: { ...ref, isFirst: true } };
+    expect(await run('write', null, first)).toMatchObject({ kind: 'done' });
+    const [primary] = fake.servers as [FakeServer];
+    primary.statementMs = 100;
+    const sent = run('write', null, { database, transaction: { ...ref, isFirst: false } });
+    await until(() => primary.orders.filter(({ kind }) => kind === 'run').length === 2);
+    change(['zone-1']);
+    abortMisplacedTransactions(owner);
+    expect(await sent).toMatchObject({ kind: 'done' });
+    abortMisplacedTransactions(owner);
+    expect(owner.transactions.size).toBe(0);
+    expect(primary.connections.size).toBe(1);
+  });
+});
+
 describe('the primary of a group with homes', () => {
   it('is moved into a home, and not again within 10 s', async () => {
     fake.homeRegions = ['zone-1'];
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -1,5 +1,6 @@
 /** Handles the messages that entries send to an owner. */
 import {
+  createHomesClaim,
   fateKeyOf,
   hasPromises,
   isPromisedNotToStart,
@@ -21,7 +22,7 @@
   channel: EntryChannel,
   request: StatementRequest,
 ): void {
-  const job = createJob(channel, request);
+  const job = createJob(owner.group, channel, request);
   // Checked first, because composing the key of each statement takes time.
   const mayBePromised = hasPromises(owner.fates);
   if (mayBePromised && isPromisedNotToStart(owner.fates, fateKeyOf(request.number, request.tag))) {
@@ -70,6 +71,7 @@
     customer,
     pooled: undefined,
     isBusy: false,
+    homesClaim: createHomesClaim(job.homesClaim.subject, job.request.homes),
     lastUsedMs: performance.now(),
   };
   owner.transactions.set(key, created);
--- a/packages/statement-entry/src/owner/server-choice.ts
+++ b/packages/statement-entry/src/owner/server-choice.ts
@@ -15,6 +15,7 @@
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import {
   coldAllowanceOf,
+  homesOf,
   isCold,
   isEvacuated,
   isHomeOf,
@@ -126,8 +127,10 @@
  * Statements with the same key may run on the same servers: if none of these has a free slot for one of them, none has
  * for the others.
  */
-export function requirementsKeyOf({ request, attempts }: Job, isDue: boolean): string {
-  const { access, transaction, consistency, maxReadAgeMs, mark, homes } = request;
+export function requirementsKeyOf(owner: StatementOwner, job: Job, isDue: boolean): string {
+  const { request, attempts } = job;
+  const { access, transaction, consistency, maxReadAgeMs, mark } = request;
+  const homes = homesOf(owner, job);
   const isFirstTry = attempts === 0;
   const position = mark ? `${mark.term}.${mark.offset}` : '';
   const kind = transaction ? `${transaction.isReadOnly} ${transaction.isFirst}` : access;
@@ -173,7 +176,7 @@
   views: readonly TargetView[],
 ): readonly TargetView[] {
   const isAnyCold = isAnyServerCold(owner);
-  const { homes } = job.request;
+  const homes = homesOf(owner, job);
   if (!isAnyCold && homes === null) return views;
   const count = requestCountOf(job);
   const allowed = views.filter(({ server }) => {
