Avoid closures, conditional spreads and repeated lists for each statement

Cause: each statement sent to an owner kept two closures for the rare question of its fate, copied its fields by a conditional spread, and was decoded through an iterator over 17 elements; each check of a primary listed the other servers although nothing suggested a change, and stored the homes of groups again.

What the question needs is kept as fields; a suitable primary that stays is recognized first. Messages are unchanged.

Keeping the field objectiveMs as undefined was tried and dropped: session.test.ts requires that it is absent without overload control.

--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -330,7 +330,7 @@
   customer: CustomerName,
   homes: Homes,
 ) {
-  return {
+  const fields = {
     homes,
     customer,
     priority: route.priority,
@@ -338,8 +338,10 @@
     maxReadAgeMs: route.maxReadAgeMs,
     mark: session.mark,
     values: session.values,
-    ...(session.environment.overloadControl === true && { objectiveMs: route.objectiveMs }),
   };
+  // A conditional spread in the literal would cost more than both objects.
+  if (session.environment.overloadControl !== true) return fields;
+  return { ...fields, objectiveMs: route.objectiveMs };
 }
 
 function advanceMark(session: CallerSession, position: LogPosition | null): void {
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -51,8 +51,10 @@
 
 interface PendingStatement extends SentStatement {
   readonly port: OwnerPort;
-  /** Whether the owner has to be asked what became of the statement if the link to it breaks. */
-  readonly isFateNeeded: () => boolean;
+  readonly draft: StatementDraft;
+  readonly caller: StatementCaller;
+  /** Latest time to start it, by the monotonic clock. */
+  readonly startByMs: number;
   readonly resolve: (outcome: StatementOutcome | 'owner-lost') => void;
   readonly cancelDeadline: () => void;
 }
@@ -219,10 +221,16 @@
     const cancelDeadline = startInputDeadline(budgetMs + ANSWER_TRANSIT_MS, () => {
       settlePending(client, number, 'owner-lost');
     });
-    const canStart = () => !caller.isGone && performance.now() < deadlines.startByMs;
     client.pending.set(number, {
-      ...{ number, tag: draft.tag, sentAtMs: nowMs, port, resolve, cancelDeadline },
-      isFateNeeded: () => isFateNeeded(draft, canStart()),
+      number,
+      tag: draft.tag,
+      sentAtMs: nowMs,
+      port,
+      draft,
+      caller,
+      startByMs: deadlines.startByMs,
+      resolve,
+      cancelDeadline,
     });
     if (port.send(request)) return;
     cancelDeadline();
@@ -278,7 +286,8 @@
   for (const pending of [...client.pending.values()]) {
     const { port, number } = pending;
     if (port.isLocal || port.linkAddress !== linkAddress) continue;
-    if (!pending.isFateNeeded()) {
+    const canStart = !pending.caller.isGone && performance.now() < pending.startByMs;
+    if (!isFateNeeded(pending.draft, canStart)) {
       settlePending(client, number, 'owner-lost');
       continue;
     }
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -164,7 +164,9 @@
   group: GroupName,
 ): readonly string[] | undefined {
   if (!settings) return undefined;
-  const homes = groupHomes.get(settings) ?? homesOfGroups(settings.routes.values());
+  const known = groupHomes.get(settings);
+  if (known) return known.get(group);
+  const homes = homesOfGroups(settings.routes.values());
   groupHomes.set(settings, homes);
   return homes.get(group);
 }
--- a/packages/statement-entry/src/owner/placement.ts
+++ b/packages/statement-entry/src/owner/placement.ts
@@ -55,8 +55,12 @@
   owner: StatementOwner,
   primary: ServerState,
 ): PlannedChangeReason | undefined {
-  const others = candidatesBeside(owner, primary);
-  const reason = plannedChangeReason(candidateOf(primary), others, rulesOf(owner));
+  const candidate = candidateOf(primary);
+  const rules = rulesOf(owner);
+  // The usual case, checked first because this runs with each check of a primary.
+  if (!candidate.isLeaving && leaderPlacement(candidate.zone, rules) === 'suitable')
+    return undefined;
+  const reason = plannedChangeReason(candidate, candidatesBeside(owner, primary), rules);
   const isTooSoon = performance.now() - owner.homeChangeMs < HOME_CHANGE_INTERVAL_MS;
   return reason === 'outside-homes' && isTooSoon ? undefined : reason;
 }
--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -48,7 +48,7 @@
 ): EncodedStatement {
   const { transaction, values } = request;
   const flag = (isSet: boolean) => (isSet ? 1 : 0);
-  return [
+  const encoded: [...EncodedStatement] = [
     group,
     epoch,
     request.number,
@@ -65,8 +65,9 @@
     Math.round(request.budgetMs),
     Math.round(request.startWithinMs),
     request.homes,
-    ...(request.objectiveMs === undefined ? ([] as const) : ([request.objectiveMs] as const)),
   ];
+  if (request.objectiveMs !== undefined) encoded.push(request.objectiveMs);
+  return encoded;
 }
 
 export function decodeStatement(encoded: EncodedStatement): {
@@ -75,25 +76,8 @@
   readonly request: StatementRequest;
 } {
   const [group, epoch, number, tag, access, body, transaction, customer, priority] = encoded;
-  const [
-    ,
-    ,
-    ,
-    ,
-    ,
-    ,
-    ,
-    ,
-    ,
-    consistency,
-    maxReadAgeMs,
-    mark,
-    values,
-    budgetMs,
-    startWithinMs,
-    homes,
-    objectiveMs,
-  ] = encoded;
+  const { 9: consistency, 10: maxReadAgeMs, 11: mark, 12: values } = encoded;
+  const { 13: budgetMs, 14: startWithinMs, 15: homes, 16: objectiveMs } = encoded;
   const request: StatementRequest = {
     number,
     tag,
@@ -113,9 +97,9 @@
     budgetMs,
     startWithinMs,
     homes: homes ?? null,
-    ...(objectiveMs !== undefined && { objectiveMs }),
   };
-  return { group, epoch, request };
+  if (objectiveMs === undefined) return { group, epoch, request };
+  return { group, epoch, request: { ...request, objectiveMs } };
 }
 
 function encodeBody(body: StatementBody): EncodedBody {
