--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -53,8 +53,7 @@
   readonly port: OwnerPort;
   readonly draft: StatementDraft;
   readonly caller: StatementCaller;
-  /** Latest time to start it, by the monotonic clock. */
-  readonly startByMs: number;
+  readonly deadlines: StatementDeadlines;
   readonly resolve: (outcome: StatementOutcome | 'owner-lost') => void;
   readonly cancelDeadline: () => void;
 }
@@ -221,17 +220,8 @@
     const cancelDeadline = startInputDeadline(budgetMs + ANSWER_TRANSIT_MS, () => {
       settlePending(client, number, 'owner-lost');
     });
-    client.pending.set(number, {
-      number,
-      tag: draft.tag,
-      sentAtMs: nowMs,
-      port,
-      draft,
-      caller,
-      startByMs: deadlines.startByMs,
-      resolve,
-      cancelDeadline,
-    });
+    const sent = { number, tag: draft.tag, sentAtMs: nowMs, port, draft, caller };
+    client.pending.set(number, { ...sent, deadlines, resolve, cancelDeadline });
     if (port.send(request)) return;
     cancelDeadline();
     client.pending.delete(number);
@@ -286,7 +276,7 @@
   for (const pending of [...client.pending.values()]) {
     const { port, number } = pending;
     if (port.isLocal || port.linkAddress !== linkAddress) continue;
-    const canStart = !pending.caller.isGone && performance.now() < pending.startByMs;
+    const canStart = !pending.caller.isGone && performance.now() < pending.deadlines.startByMs;
     if (!isFateNeeded(pending.draft, canStart)) {
       settlePending(client, number, 'owner-lost');
       continue;
