--- a/packages/statement-entry/src/types/link-codec.ts
+++ b/packages/statement-entry/src/types/link-codec.ts
@@ -50,7 +50,7 @@
 ): EncodedStatement {
   const { transaction, values } = request;
   const flag = (isSet: boolean) => (isSet ? 1 : 0);
-  return [
+  const encoded: [...EncodedStatement] = [
     group,
     epoch,
     request.number,
@@ -67,16 +67,11 @@
     Math.round(request.budgetMs),
     Math.round(request.startWithinMs),
     request.homes,
-    ...encodeOptional(request),
   ];
-}
-
-function encodeOptional({
-  objectiveMs,
-  database,
-}: StatementRequest): readonly [] | readonly [number | null] | readonly [number | null, string] {
-  if (database !== undefined) return [objectiveMs ?? null, database];
-  return objectiveMs === undefined ? [] : [objectiveMs];
+  const { objectiveMs, database } = request;
+  if (database !== undefined) encoded.push(objectiveMs ?? null, database);
+  else if (objectiveMs !== undefined) encoded.push(objectiveMs);
+  return encoded;
 }
 
 export function decodeStatement(encoded: EncodedStatement): {
@@ -85,26 +80,8 @@
   readonly request: StatementRequest;
 } {
   const [group, epoch, number, tag, access, body, transaction, customer, priority] = encoded;
-  const [
-    ,
-    ,
-    ,
-    ,
-    ,
-    ,
-    ,
-    ,
-    ,
-    consistency,
-    maxReadAgeMs,
-    mark,
-    values,
-    budgetMs,
-    startWithinMs,
-    homes,
-    objectiveMs,
-    database,
-  ] = encoded;
+  const { 9: consistency, 10: maxReadAgeMs, 11: mark, 12: values } = encoded;
+  const { 13: budgetMs, 14: startWithinMs, 15: homes, 16: objectiveMs, 17: database } = encoded;
   const request: StatementRequest = {
     number,
     tag,
@@ -124,9 +101,9 @@
     budgetMs,
     startWithinMs,
     homes: homes ?? null,
-    ...(typeof objectiveMs === 'number' && { objectiveMs }),
-    ...(database !== undefined && { database }),
   };
+  if (typeof objectiveMs === 'number') Object.assign(request, { objectiveMs });
+  if (database !== undefined) Object.assign(request, { database });
   return { group, epoch, request };
 }
 
