Explain predicted wait, evacuations and pauses in the PostgreSQL dialect

The explanation of this dialect knew evacuated servers and those that are paused after a failed connection only as unusable, and no wait. It names both now, and predicts the wait by the forecast of the statement dialect from slot times, which the owner did not measure until now: one smoothed value for each server and kind of access, updated when a slot is released. Refusals by that forecast were ruled out: this dialect has no overload control. Which servers may run a request is found by the routing itself, asked for each server as the only one with a free slot. The refusal of an arriving request is a function of its own (queueRefusal), which the scheduler uses too.

The new fields are optional in bramleykeelctl, since entries of earlier versions leave them out.

--- a/packages/bramleykeelctl/src/format-explanation.ts
+++ b/packages/bramleykeelctl/src/format-explanation.ts
@@ -26,7 +26,10 @@
     readonly outcome:
       | { readonly kind: 'run'; readonly server: string }
       | { readonly kind: 'wait'; readonly reason: string }
-      | { readonly kind: 'no-primary' };
+      | { readonly kind: 'no-primary' }
+      | { readonly kind: 'refused'; readonly reason: string };
+    /** Absent in answers of earlier versions. */
+    readonly predictedWaitMs?: number | null;
     readonly routedAs: { readonly intent: 'read' | 'write'; readonly mark: Position } | null;
     readonly waitingRequests: number;
     readonly failoverPhase: string;
@@ -39,6 +42,18 @@
       readonly freeSlots: number;
       readonly heardAgoMs: number;
       readonly upToDateAgoMs: number | null;
+      /** Absent in answers of earlier versions, as what follows. */
+      readonly zone?: string;
+      readonly isEvacuated?: boolean;
+      readonly setAsideLeftMs?: number;
+      readonly runningCount?: number;
+      readonly service?: readonly {
+        readonly access: string;
+        readonly meanMs: number;
+        readonly spreadMs: number;
+        readonly sampleCount: number;
+        readonly ageMs: number;
+      }[];
     }[];
   };
 }
@@ -65,6 +80,7 @@
     `owner: ${owner.entryId}, epoch ${owner.epoch}, ${choice.failoverPhase}, ${choice.waitingRequests} waiting`,
     `rate: ${rate.ratePerSecond}/s, burst ${rate.burst}, ${formatHome(rate.home)}`,
     `routed as: ${formatRouted(access, choice.routedAs)}, read age: ${age}`,
+    ...formatPredictedWait(choice.predictedWaitMs),
     'servers:',
     ...servers,
   ].join('\n');
@@ -73,6 +89,7 @@
 function formatOutcome(outcome: Explanation['choice']['outcome']): string {
   if (outcome.kind === 'run') return `runs on ${outcome.server} at once`;
   if (outcome.kind === 'wait') return `waits: ${outcome.reason}`;
+  if (outcome.kind === 'refused') return `refused: ${outcome.reason}`;
   return 'waits: there is no primary';
 }
 
@@ -106,9 +123,34 @@
     `${freeSlots} free slots`,
     `heard ${Math.round(heardAgoMs)} ms ago`,
     upToDate,
+    ...formatStanding(server),
   ].join(', ');
 }
 
+function formatPredictedWait(predictedWaitMs: number | null | undefined): readonly string[] {
+  if (predictedWaitMs === undefined) return [];
+  if (predictedWaitMs === null) return ['predicted wait: unknown, too few answers or no server'];
+  return [`predicted wait: ${Math.round(predictedWaitMs)} ms`];
+}
+
+function formatStanding({
+  zone,
+  isEvacuated,
+  setAsideLeftMs = 0,
+  runningCount,
+  service = [],
+}: Explanation['choice']['servers'][number]): readonly string[] {
+  return [
+    ...(zone === undefined ? [] : [`zone ${zone}${isEvacuated === true ? ' (evacuated)' : ''}`]),
+    ...(setAsideLeftMs > 0 ? [`set aside for ${Math.round(setAsideLeftMs)} ms`] : []),
+    ...(runningCount === undefined ? [] : [`${runningCount} running`]),
+    ...service.map(({ access, meanMs, spreadMs, sampleCount, ageMs }) => {
+      const time = `${meanMs.toFixed(1)}±${spreadMs.toFixed(1)} ms`;
+      return `${access} ${time} of ${sampleCount}, ${Math.round(ageMs)} ms ago`;
+    }),
+  ];
+}
+
 function formatPosition({ term, offset }: Position): string {
   return `${term}.${offset}`;
 }
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -18,6 +18,7 @@
   type LogPosition,
   type PendingWrite,
   type RequestChunk,
+  type ServerLoad,
   type ServerName,
   type SessionId,
   type SettingEffect,
@@ -157,6 +158,8 @@
   highestSeen: LogPosition;
   readonly pendingAcknowledgements: Set<PendingAcknowledgement>;
   readonly runningByCustomer: Map<string, number>;
+  /** Measured slot times, by server. */
+  readonly loads: Map<ServerName, ServerLoad>;
   failover: FailoverState;
   lastProbeMs: number;
   /** The term for which superseded requests were last terminated. */
@@ -193,6 +196,7 @@
     highestSeen: ZERO_POSITION,
     pendingAcknowledgements: new Set(),
     runningByCustomer: new Map(),
+    loads: new Map(),
     failover: createFailoverState(environment.groupRecord(), performance.now()),
     lastProbeMs: 0,
     lastHandledTerm: environment.groupRecord().term,
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -11,6 +11,7 @@
   enqueue,
   extendDeadlines,
   hasOtherActiveCustomer,
+  isQueueFull,
   type LogPosition,
   refuse,
   type Route,
@@ -51,18 +52,27 @@
 }
 
 function addToQueue(owner: GroupOwner, request: OwnerRequest): void {
-  if (hasOnlyEvacuatedTargets(owner)) {
-    endRequest(owner, request, 'idle', refuse('no-primary'));
-    return;
-  }
   const { queueTimeoutMs, failoverWaitMs } = owner.environment.settings.requests;
   const { customer } = request.session;
+  const refusal = queueRefusal(owner, customer);
+  if (refusal) {
+    endRequest(owner, request, 'idle', refuse(refusal));
+    return;
+  }
   const hasPrimary = primaryForWrites(owner) !== undefined;
   const waitMs = hasPrimary ? queueTimeoutMs : failoverWaitMs;
   const deadlineMs = request.enqueuedAtMs + waitMs;
   request.stage = 'queued';
-  const outcome = enqueue(owner.queue, { item: request, customer, deadlineMs }, performance.now());
-  if (outcome === 'full') endRequest(owner, request, 'idle', refuse('queue-full'));
+  enqueue(owner.queue, { item: request, customer, deadlineMs }, performance.now());
+}
+
+/** Why a request of a customer is refused instead of queued; `undefined` if it is queued. */
+export function queueRefusal(
+  owner: GroupOwner,
+  customer: CustomerName,
+): 'no-primary' | 'queue-full' | undefined {
+  if (hasOnlyEvacuatedTargets(owner)) return 'no-primary';
+  return isQueueFull(owner.queue, customer) ? 'queue-full' : undefined;
 }
 
 /** Requeues a request that can safely be run again. */
--- a/packages/system-tests/src/explain.test.ts
+++ b/packages/system-tests/src/explain.test.ts
@@ -17,7 +17,13 @@
   readonly rate: { readonly home: object | null };
   readonly choice: {
     readonly outcome: { readonly kind: string; readonly server?: string };
-    readonly servers: readonly { readonly server: string; readonly reason?: string | null }[];
+    readonly predictedWaitMs: number | null;
+    readonly servers: readonly {
+      readonly server: string;
+      readonly reason?: string | null;
+      readonly zone: string;
+      readonly isEvacuated: boolean;
+    }[];
   };
 }
 
@@ -56,11 +62,19 @@
   return JSON.parse(text) as Explained;
 }
 
+async function changeEvacuation(zone: string, ...options: readonly string[]): Promise<void> {
+  const { control } = testCluster.cluster.plan;
+  const addresses = control.map(({ adminAddress }) => adminAddress).join(',');
+  const access = ['--control', addresses, '--token-file', tokenFile];
+  await run(process.execPath, [CTL, 'evacuate', zone, ...options, ...access]);
+}
+
 describe('bramleykeelctl explain', () => {
   it('sends a write to the primary, with a reason against each replica', async () => {
     const primary = await findPrimary(testCluster.cluster);
     const { choice } = await explainAsJson('--access', 'write');
     expect(choice.outcome).toEqual({ kind: 'run', server: primary });
+    expect(choice.predictedWaitMs).toBe(0);
     const others = choice.servers.filter(({ server }) => server !== primary);
     expect(others).toHaveLength(2);
     for (const { reason } of others) expect(reason).toBe('only-the-primary-runs-it');
@@ -86,6 +100,24 @@
     expect(await explain(database, customer, '--access', 'read')).toEqual({ status: 1, text });
   });
 
+  it('names the servers whose zone is evacuated', async () => {
+    const { choice } = await explainAsJson('--access', 'read');
+    const zone = choice.servers[0]?.zone ?? '';
+    await changeEvacuation(zone);
+    await waitFor('the evacuation to be explained', async () => {
+      const { servers } = (await explainAsJson('--access', 'read')).choice;
+      return servers.every((each) => each.isEvacuated === (each.zone === zone));
+    });
+    const { servers } = (await explainAsJson('--access', 'read')).choice;
+    for (const each of servers.filter(({ isEvacuated }) => isEvacuated))
+      expect(each.reason).toBe('evacuated');
+    await changeEvacuation(zone, '--withdraw');
+    await waitFor('the withdrawal to be explained', async () => {
+      const { choice: later } = await explainAsJson('--access', 'read');
+      return later.servers.every(({ isEvacuated }) => !isEvacuated);
+    });
+  });
+
   it('refuses a malformed mark as wrong usage', async () => {
     const { status } = await explain(GROUP, CUSTOMER, '--access', 'read', '--mark', '7');
     expect(status).toBe(2);
