--- a/packages/bramleykeelctl/src/format-explanation.test.ts
+++ b/packages/bramleykeelctl/src/format-explanation.test.ts
@@ -74,6 +74,33 @@
   });
 });
 
+describe('formatExplanation with the standing of servers', () => {
+  const [first, ...rest] = explanation.choice.servers;
+  const measured = { access: 'read', meanMs: 2.34, spreadMs: 1, sampleCount: 30, ageMs: 12 };
+  const standing = { zone: 'zone-a', runningCount: 2, service: [measured], setAsideLeftMs: 140.2 };
+  const servers = first ? [{ ...first, ...standing, isEvacuated: true }, ...rest] : [];
+
+  it.each([
+    { predictedWaitMs: 12.3, expected: 'predicted wait: 12 ms' },
+    { predictedWaitMs: null, expected: 'predicted wait: unknown, too few answers or no server' },
+  ])('shows $expected, and the limits on each server', ({ predictedWaitMs, expected }) => {
+    const choice = { ...explanation.choice, predictedWaitMs, servers };
+    const lines = formatExplanation({ ...explanation, choice }).split('\n');
+    expect(lines).toContain(expected);
+    expect(lines.find((line) => line.startsWith('  s1'))).toContain(
+      'zone zone-a (evacuated), set aside for 140 ms, 2 running, read 2.3±1.0 ms of 30, 12 ms ago',
+    );
+  });
+
+  it('says why a request is refused', () => {
+    const choice = {
+      ...explanation.choice,
+      outcome: { kind: 'refused', reason: 'queue-full' } as const,
+    };
+    expect(formatExplanation({ ...explanation, choice })).toContain('refused: queue-full');
+  });
+});
+
 describe('parseMark', () => {
   it.each([
     { text: '3.1207', expected: { term: 3, offset: 1207 } },
--- a/packages/statement-entry/src/explain/explain-at-entry.ts
+++ b/packages/statement-entry/src/explain/explain-at-entry.ts
@@ -20,7 +20,7 @@
 import { commonDraftFields, deadlinesOf } from '../accept/draft.js';
 import type { SessionEnvironment } from '../accept/session-state.js';
 import type { EntryLinks } from '../locate/entry-links.js';
-import { findOwnerAssignment } from '../locate/owner-client.js';
+import { findOwnerAssignment } from '../locate/find-owner.js';
 import { locateReader, readerResource } from '../near/locate-reader.js';
 import { nearestPlaceFor } from '../near/reader-client.js';
 import type {
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -15,6 +15,7 @@
 import type { ControlClient } from '@bramleykeel/entry-shared';
 import { startInputDeadline } from '@bramleykeel/link';
 import type { EntryLinks } from './entry-links.js';
+import { findOwnerAssignment } from './find-owner.js';
 import { askFates, isFateNeeded, type SentStatement } from './statement-fate.js';
 
 export interface OwnerLocation {
@@ -368,17 +369,6 @@
   return createPort(client, group, assignment, isLocal);
 }
 
-/** The assignment of a group's owner; `undefined` if there is none, or if that owner has ended. */
-export function findOwnerAssignment(
-  { options, endedEpochs }: OwnerClient,
-  group: GroupName,
-): Assignment | undefined {
-  const assignment = assignmentOf(options.control, `group/${group}`);
-  // The owner has ended and control has not announced its successor here yet.
-  const hasEnded = assignment && assignment.epoch <= (endedEpochs.get(group) ?? 0);
-  return hasEnded === true ? undefined : assignment;
-}
-
 function createPort(
   { options }: OwnerClient,
   group: GroupName,
