Neither await nor cancel reads that can be run elsewhere when an evacuated primary is drained

Cause: since statements are awaited for up to 4.5 s, a long read at the primary held up the writes of its group, and was then cancelled and refused as not run; before, it was cut off after 3 s and run at another server. Found by reading.

Change: only requests that cannot be repeated count and are cancelled.

Verified: 90 tests of evacuations, paths and the PostgreSQL entry pass. No test runs a long read at the primary outside of transactions: the stand-in's reads go to replicas.

--- a/packages/core/src/failover/types.ts
+++ b/packages/core/src/failover/types.ts
@@ -94,7 +94,7 @@
   readonly timing: FailoverTiming;
   /** Connections in use at the primary, also by idle transactions, and writes that await confirmation. */
   readonly runningWrites: number;
-  /** Statements that run on a primary that is drained, and writes that await confirmation. */
+  /** Statements on a drained primary that cannot be run elsewhere instead, and writes that await confirmation. */
   readonly runningStatements: number;
   readonly evacuatedZones: ReadonlySet<string>;
   readonly nowMs: number;
--- a/packages/entry/src/owner/failover-runner.ts
+++ b/packages/entry/src/owner/failover-runner.ts
@@ -12,7 +12,7 @@
 import { probeServer, sendCommand } from '../target/target-commands.js';
 import { evaluateAcknowledgements } from './acknowledge.js';
 import type { GroupOwner } from './owner-state.js';
-import { cancelForChange, statementsOn } from './request-run.js';
+import { cancelForChange, statementsOn } from './cancel-request.js';
 import { extendForFailover } from './scheduler.js';
 
 const COMMAND_RESEND_INTERVAL_MS = 300;
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -15,7 +15,8 @@
 import { createAnswerFilter } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession } from './owner-state.js';
 import { endRequest } from './request-end.js';
-import { cancelRequest, rollBack, sendChunk, WINDOW_BYTES } from './request-run.js';
+import { cancelRequest } from './cancel-request.js';
+import { rollBack, sendChunk, WINDOW_BYTES } from './request-run.js';
 import { submitRequest } from './scheduler.js';
 
 /** How long an owner keeps what it needs to answer request status queries. */
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -4,23 +4,19 @@
   type Refusal,
   refuse,
   type RequestChunk,
-  type ServerName,
   type TransactionStatus,
 } from '@bramleykeel/core';
 import type { WireMessage } from '@bramleykeel/postgres-wire';
 import { writeBatched } from '@bramleykeel/link';
 import { serialize } from 'pg-protocol';
-import {
-  cancelRunning,
-  runInternalQuery,
-  type TargetConnection,
-} from '../target/target-connection.js';
+import { runInternalQuery, type TargetConnection } from '../target/target-connection.js';
 import {
   discardConnection,
   checkServerActivity,
   releaseConnection,
 } from '../target/target-pool.js';
 import { awaitAcknowledgement } from './acknowledge.js';
+import { isRepeatable, isUndone } from './cancel-request.js';
 import { isEvacuated } from './evacuated-targets.js';
 import { createAnswerFilter, filterAnswer } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession, RunningRequest } from './owner-state.js';
@@ -35,8 +31,6 @@
 const SETTINGS_TIMEOUT_MS = 2_000;
 /** SQLSTATE of a write on a read-only server: nothing of the statement was executed. */
 const READ_ONLY_SQLSTATE = '25006';
-/** SQLSTATE of a statement that was cancelled; its effects are rolled back. */
-const CANCELLED_SQLSTATE = '57014';
 /** Attempts after which a refused write or a read with a lost connection is no longer retried. */
 const MAX_ATTEMPTS = 4;
 
@@ -162,13 +156,6 @@
   return isRefused && request.session.pinned === undefined && request.attempts < MAX_ATTEMPTS;
 }
 
-/** Whether a request outside of transactions was cancelled before any of its statements had completed or committed. */
-function isUndone({ isCancelledForChange, filter, session, hasForwardedAnswer }: OwnerRequest) {
-  const isCancelled = isCancelledForChange && filter.firstSqlState === CANCELLED_SQLSTATE;
-  const leftNothing = !filter.hasCompleted && !filter.position && !hasForwardedAnswer;
-  return isCancelled && leftNothing && !session.pinned;
-}
-
 function handleReady(
   owner: GroupOwner,
   request: OwnerRequest,
@@ -289,9 +276,9 @@
   if (!running || request.stage !== 'running') return;
   discardConnection(running.pool, running.connection);
   const wasInTransaction = session.pinned !== undefined;
+  const isSafeToRetry = isRepeatable(request);
   session.pinned = undefined;
   releaseSlot(owner, request);
-  const isSafeToRetry = !request.mayCommit && !wasInTransaction && request.intent === 'read';
   if (isSafeToRetry && !request.hasForwardedAnswer && request.attempts < MAX_ATTEMPTS) {
     owner.environment.counters.count('retry.read-connection-lost');
     request.filter = createAnswerFilter();
@@ -375,25 +362,3 @@
   owner.environment.counters.count('target.connection-silent');
   handleConnectionLost(owner, request, refuse('target-silent'));
 }
-
-/** The requests that a server runs. */
-export function statementsOn({ sessions }: GroupOwner, server: ServerName): OwnerRequest[] {
-  return [...sessions.values()].flatMap(({ request }) =>
-    request?.stage === 'running' && request.running?.server === server ? [request] : [],
-  );
-}
-
-/** Cancels a request whose server is replaced as primary; if the server says that it did, nothing has run. */
-export function cancelForChange(owner: GroupOwner, request: OwnerRequest): void {
-  request.isCancelledForChange = true;
-  cancelRequest(owner, request);
-}
-
-/** Cancels a request if it is still running on its connection. */
-export function cancelRequest(owner: GroupOwner, request: OwnerRequest): void {
-  const { running } = request;
-  if (request.stage !== 'running' || !running) return;
-  if (running.connection.consumer === undefined) return;
-  owner.environment.counters.count('request.cancelled');
-  cancelRunning(running.connection);
-}
