--- a/packages/statement-entry/src/accept/draft.ts
+++ b/packages/statement-entry/src/accept/draft.ts
@@ -6,7 +6,10 @@
   type LogPosition,
   type StatementRoute,
 } from '@bramleykeel/core';
-import { createStatementDeadlines, type StatementDeadlines } from '../locate/owner-client.js';
+import {
+  createStatementDeadlines,
+  type StatementDeadlines,
+} from '../locate/statement-deadlines.js';
 import type { SessionEnvironment } from './session-state.js';
 
 /** What a draft takes of a session. */
--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -17,9 +17,9 @@
   type OwnerClient,
   runStatement,
   type StatementDraft,
-  createStatementDeadlines,
   handleOutcome,
 } from './owner-client.js';
+import { createStatementDeadlines } from './statement-deadlines.js';
 
 const group: GroupName = toGroupName('ledger');
 const done = {
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -17,6 +17,7 @@
 import type { EntryLinks } from './entry-links.js';
 import { findOwnerAssignment } from './find-owner.js';
 import { askFates, isFateNeeded, type SentStatement } from './statement-fate.js';
+import type { StatementDeadlines } from './statement-deadlines.js';
 
 export interface OwnerLocation {
   readonly group: GroupName;
@@ -95,25 +96,6 @@
 
 export type StatementDraft = Omit<StatementRequest, 'number' | 'budgetMs' | 'startWithinMs'>;
 
-/** Deadlines of a statement, by the monotonic clock. */
-export interface StatementDeadlines {
-  /** When the answer is due. */
-  readonly deadlineMs: number;
-  /** Latest time at which the statement may start on a server. */
-  readonly startByMs: number;
-}
-
-/**
- * Deadlines of a statement that arrives now.
- *
- * @param waitShare fraction of its timeout that it may wait for a server; after that it is refused as not run, which
- * leaves the caller time to retry
- */
-export function createStatementDeadlines(timeoutMs: number, waitShare: number): StatementDeadlines {
-  const nowMs = performance.now();
-  return { deadlineMs: nowMs + timeoutMs, startByMs: nowMs + timeoutMs * waitShare };
-}
-
 const OWNER_POLL_INTERVAL_MS = 15;
 /** Time allowed for the owner's answer to arrive after the statement's deadline, in milliseconds. */
 const ANSWER_TRANSIT_MS = 60;
