HTTP bodies: drop what was received as soon as a connection is closed for the budget

Cause: when the budget closed a connection, its bytes left the account at once, but the chunks stayed referenced until the request had ended. That is after the sockets of all other clients were read in this turn of the event loop, and each of them may read further bodies up to the whole share. A trace saw 28 of 31 requests closed but not ended.

Now the chunks are dropped when the connection is closed, and what arrives for the request afterwards is not kept. A body whose connection was closed is not returned, so nothing runs for it.

--- a/packages/link/src/body-budget.ts
+++ b/packages/link/src/body-budget.ts
@@ -17,6 +17,14 @@
   readonly counters: Pick<Counters, 'count'>;
 }
 
+/** What was received of a body that is not complete yet. */
+interface HeldBody {
+  readonly chunks: Buffer[];
+  bytes: number;
+  /** Whether the connection was closed to keep the budget. */
+  isClosed: boolean;
+}
+
 /** All clients of HTTP are of one kind here; the largest body is given up first. */
 const CUSTOMER = 'http';
 
@@ -30,7 +38,7 @@
 /**
  * Reads a body as UTF-8. While the budget is used up, the connection with the largest body is closed.
  *
- * @returns `undefined` if the body is longer than `maxBytes`
+ * @returns `undefined` if the body is longer than `maxBytes`, or its connection was closed
  * @example
  * const body = await readBoundedBody(bodies, request, 16_384);
  */
@@ -41,29 +49,38 @@
 ): Promise<string | undefined> {
   const announcedBytes = Number(request.headers['content-length'] ?? 0);
   if (announcedBytes > maxBytes) return undefined;
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const held: HeldBody = { chunks: [], bytes: 0, isClosed: false };
+  const drop = () => {
+    held.chunks.length = 0;
+    collector.countDropped(held.bytes);
+    held.bytes = 0;
+  };
   const holder = createHolder((reason) => {
     counters.count(`limit.body-${reason}`);
+    held.isClosed = true;
     request.socket.destroy();
+    // The request ends only after all other sockets were read in this turn of the event loop.
+    drop();
   });
   holder.customer = CUSTOMER;
   try {
     for await (const chunk of request as AsyncIterable<Buffer>) {
-      length += chunk.length;
       collector.countReceived(chunk.length);
-      if (length > maxBytes) return undefined;
-      chunks.push(chunk);
-      setHeld(budget, holder, 'input', length, performance.now());
+      if (held.isClosed || held.bytes + chunk.length > maxBytes) return undefined;
+      held.chunks.push(chunk);
+      held.bytes += chunk.length;
+      setHeld(budget, holder, 'input', held.bytes, performance.now());
       enforceBudget(budget);
     }
-    const body = Buffer.concat(chunks);
-    chunks.length = 0;
-    return body.toString('utf8');
+    if (held.isClosed) return undefined;
+    const body = Buffer.concat(held.chunks);
+    held.chunks.length = 0;
+    const text = body.toString('utf8');
+    // The copy of the chunks.
+    collector.countDropped(body.length);
+    return text;
   } finally {
     releaseHolder(budget, holder);
-    chunks.length = 0;
-    // The chunks, their copy and its text.
-    collector.countDropped(length * 2);
+    drop();
   }
 }
