Buffer collector: collect all objects once memory outside the heap has grown by 8 MB

Cause: a request of 1 MB that has to wait survives the collections of young objects, and its text and buffers are then freed only by a full collection, which nothing asked for while the request was served or refused. A trace of 24 callers that send messages of 1 MB saw 28 to 32 MB of dead texts (external strings of V8) beside 8 to 20 MB of buffers, with 14 MB of heap.

Ruled out: a full collection after a fixed number of bytes of large requests; it would run under steady load whose memory the collections of young objects free.

After each collection of young objects (one per 4 MB received) the collector now reads the memory outside the heap, and collects all if that has grown by 8 MB since its lowest value. Small messages do not pay for it: their number of collections stays, and the reading is one call per 4 MB received.

--- a/packages/link/src/buffer-collector.test.ts
+++ b/packages/link/src/buffer-collector.test.ts
@@ -3,16 +3,31 @@
 
 const MIB = 1024 * 1024;
 
+function createObserved(readExternalBytes: () => number) {
+  const collections: string[] = [];
+  const collect = (generation: string) => collections.push(generation);
+  return { collector: createBufferCollector({ collect, readExternalBytes }), collections };
+}
+
 describe('buffer collector', () => {
   it('collects young objects after each 4 MiB received, and all after each 8 MiB dropped', () => {
-    const collections: string[] = [];
-    const collector = createBufferCollector((generation) => collections.push(generation));
+    const { collector, collections } = createObserved(() => 0);
     for (let received = 0; received < 10; received += 1) collector.countReceived(MIB);
     expect(collections).toEqual(['young', 'young']);
     for (let dropped = 0; dropped < 10; dropped += 1) collector.countDropped(MIB);
     expect(collections).toEqual(['young', 'young', 'all']);
   });
 
+  // Guards against memory of requests that had to wait, which no collection of young objects frees.
+  it('collects all once memory outside the heap has grown by 8 MiB since its lowest', () => {
+    const readings = [30, 10, 17, 18, 18, 25, 9, 17].map((mib) => mib * MIB);
+    const { collector, collections } = createObserved(() => readings.shift() ?? 0);
+    for (let received = 0; received < 6; received += 1) collector.countReceived(4 * MIB);
+    // 30 at the start; 10 and 17; 18, after which it is still 18; 25 and 9, which is the lowest now; 17.
+    const grown = ['young', 'all'];
+    expect(collections).toEqual(['young', 'young', ...grown, 'young', 'young', ...grown]);
+  });
+
   // Guards against buffers that stay in memory after the connection that had sent them is closed.
   it('frees buffers that nobody holds', () => {
     const collector = createBufferCollector();
