Buffer collector: no full collections for small requests and heartbeats that have ended

Cause: the PostgreSQL entry counted every request that ended as dropped, and control every body that was read whole. They are young when they end, and collections of young objects free them.

Now requests and bodies of less than 64 KB count only if they are dropped with their connection. The chunks of a large body and their copy count together, so that a document of 8 MB causes one full collection and not two.

--- a/packages/entry/src/accept/caller-limits.ts
+++ b/packages/entry/src/accept/caller-limits.ts
@@ -39,6 +39,8 @@
 const MAX_UNSENT_BYTES = 256 * 1024;
 /** A request is held as messages and in the socket to its target. */
 const COPIES_OF_REQUEST = 2;
+/** Shorter requests are young still when they end, so they do not cause full collections. */
+const MIN_DROPPED_BYTES = 64 * 1024;
 
 /** Creates the limits that all callers of an entry share. */
 export function createCallerLimits(
@@ -96,7 +98,8 @@
   const { budget, collector } = environment.limits;
   const isWaiting = isBusy(session) || !mayTakeRequest(session);
   if (!session.request && !session.isPreparing) {
-    collector.countDropped(session.takenBytes * COPIES_OF_REQUEST);
+    if (session.takenBytes >= MIN_DROPPED_BYTES)
+      collector.countDropped(session.takenBytes * COPIES_OF_REQUEST);
     session.takenBytes = 0;
   }
   const receivedBytes = bufferedBytesOf(session.framer);
--- a/packages/link/src/body-budget.ts
+++ b/packages/link/src/body-budget.ts
@@ -25,6 +25,9 @@
   isClosed: boolean;
 }
 
+/** Shorter bodies that were read whole, such as heartbeats, are young still and do not cause full collections. */
+const MIN_DROPPED_BYTES = 64 * 1024;
+
 /** All clients of HTTP are of one kind here; the largest body is given up first. */
 const CUSTOMER = 'http';
 
@@ -73,11 +76,11 @@
       enforceBudget(budget);
     }
     if (held.isClosed) return undefined;
-    const body = Buffer.concat(held.chunks);
+    const text = Buffer.concat(held.chunks).toString('utf8');
     held.chunks.length = 0;
-    const text = body.toString('utf8');
-    // The copy of the chunks.
-    collector.countDropped(body.length);
+    // The chunks and their copy.
+    if (held.bytes >= MIN_DROPPED_BYTES) collector.countDropped(held.bytes * 2);
+    held.bytes = 0;
     return text;
   } finally {
     releaseHolder(budget, holder);
