Keep the SQL parser's WebAssembly code from being optimized

Cause: the parser's code became hot with the first long statement, and V8 optimized its largest functions on the compiler's threads. The allocator kept what that took: /proc/PID/smaps showed arenas of 17 and 22 MB of such threads in a process that had parsed five statements of 4 MB, beside 8 MB of the parser's own memory. Together with the start's share this was 35 to 44 MB of resident memory that no account sees.

The text of a single statement is now only copied where it is used, for SET.

--- a/packages/postgres-wire/src/classify-statement.ts
+++ b/packages/postgres-wire/src/classify-statement.ts
@@ -188,7 +188,7 @@
   });
 }
 
-function classifySet({ node, text }: ParsedStatement): StatementClassification {
+function classifySet({ node, readText }: ParsedStatement): StatementClassification {
   const kind = node.kind;
   const name = settingName(node);
   if (RESERVED_SETTINGS.has(name)) {
@@ -203,7 +203,7 @@
     if (name === 'transaction') return { kind: 'set-local' };
     return { kind: 'unsupported', reason: 'set default_transaction_* parameters instead' };
   }
-  return { kind: 'set-session', name, text };
+  return { kind: 'set-session', name, text: readText() };
 }
 
 function settingName(node: SyntaxNode): string {
--- a/packages/postgres-wire/src/syntax.ts
+++ b/packages/postgres-wire/src/syntax.ts
@@ -1,4 +1,5 @@
 /** Parses SQL with PostgreSQL's own parser (libpg-query), and helpers to read its syntax trees. */
+import './parser-compiler.js';
 import { loadModule, parseSync } from 'libpg-query';
 
 /** A node of the syntax tree in libpg-query's JSON form, such as `{ SelectStmt: {...} }`. */
@@ -7,8 +8,8 @@
 export interface ParsedStatement {
   readonly kind: string;
   readonly node: SyntaxNode;
-  /** Source text of this statement only, without the semicolon. */
-  readonly text: string;
+  /** Returns the source text of this statement only, without the semicolon; costs a copy of the query string. */
+  readonly readText: () => string;
 }
 
 /** Loads the parser module. Must have resolved before the first call of {@link parseStatements}. */
@@ -25,7 +26,7 @@
  */
 export function parseStatements(text: string): ParsedStatement[] | undefined {
   // libpg-query rejects an empty string, but PostgreSQL answers it with EmptyQueryResponse.
-  if (text.trim() === '') return [];
+  if (!/\S/.test(text)) return [];
   try {
     const result = parseSync(text);
     return (result.stmts ?? []).map((raw) => toStatement(text, raw as RawStatement));
@@ -42,11 +43,13 @@
 
 function toStatement(text: string, raw: RawStatement): ParsedStatement {
   const [kind, node] = Object.entries(raw.stmt ?? {})[0] ?? ['', {}];
-  const bytes = Buffer.from(text, 'utf8');
-  const start = raw.stmt_location ?? 0;
-  const end = raw.stmt_len ? start + raw.stmt_len : bytes.length;
-  const statementText = bytes.subarray(start, end).toString('utf8').trim();
-  return { kind, node: node as SyntaxNode, text: statementText };
+  const readText = () => {
+    const bytes = Buffer.from(text, 'utf8');
+    const start = raw.stmt_location ?? 0;
+    const end = raw.stmt_len ? start + raw.stmt_len : bytes.length;
+    return bytes.subarray(start, end).toString('utf8').trim();
+  };
+  return { kind, node: node as SyntaxNode, readText };
 }
 
 /** Calls `visit` for each node with a kind, such as `SelectStmt`, in the tree below `value`. */
