Collect long messages of PostgreSQL callers in pieces that are used again

Cause, measured with the entry's own figures each 10 ms: beside 18 MB that the budget counted, 42 MB of buffers were alive. They were garbage that V8 had not freed yet: buffers of received bytes that had been kept until they belonged to the old generation, the buffer into which a message was joined, and its copy for the owner.

- Messages above 128 KB are copied into pieces of 64 KB that go back to a pool of at most 4 MB.
Received buffers become garbage while young, which the collections after each 4 MB free.
- A long message is passed to the owner as it is, without a copy.
- A request that has ended is counted as garbage before the next one is taken.
A caller that pipelined kept its request counted as held for as long as its next one ran.
- The bytes of a message that is not complete count twice, as they are needed twice when it is joined.

Messages shorter than 128 KB pay two comparisons. Postgres entries with a heap of 64 MB now close callers whose unfinished messages have 9.5 MB together, before 19 MB.

--- a/packages/entry/src/accept/caller-limits.ts
+++ b/packages/entry/src/accept/caller-limits.ts
@@ -20,13 +20,19 @@
   type Log,
   type ProcessLimits,
 } from '@bramleykeel/link';
-import { bufferedBytesOf, dropReceived } from '@bramleykeel/postgres-wire';
+import {
+  bufferedBytesOf,
+  createPiecePool,
+  dropReceived,
+  type PiecePool,
+} from '@bramleykeel/postgres-wire';
 import { buildRefusal } from './caller-output.js';
 import type { CallerSession } from './caller-state.js';
 
 export interface CallerLimits {
   readonly budget: ByteBudget;
   readonly collector: BufferCollector;
+  readonly piecePool: PiecePool;
   readonly maxConnections: number;
   readonly limitedLog: Log;
 }
@@ -37,6 +43,8 @@
 const MAX_WAITING_BYTES = 256 * 1024;
 /** Unsent bytes of answers above which no further request of a caller is taken. */
 const MAX_UNSENT_BYTES = 256 * 1024;
+/** A message is held in pieces, and in one buffer as soon as it is complete. */
+const COPIES_OF_INPUT = 2;
 /** A request is held as messages and in the socket to its target. */
 const COPIES_OF_REQUEST = 2;
 
@@ -47,9 +55,11 @@
   log: Log,
 ): CallerLimits {
   const byDescriptors = Math.floor(maxDescriptors * CALLERS_SHARE_OF_DESCRIPTORS);
+  const collector = createBufferCollector();
   return {
     budget: createByteBudget(budgetBytes),
-    collector: createBufferCollector(),
+    collector,
+    piecePool: createPiecePool(collector.countDropped),
     maxConnections: Math.min(maxCallers, byDescriptors),
     limitedLog: limitLog(log),
   };
@@ -86,6 +96,15 @@
   return status === 'idle' && !request && mustRefuse(environment.limits.budget, holder);
 }
 
+/** Counts the messages of a request as garbage once it has ended; called before the next one is taken. */
+export function countEndedRequest(session: CallerSession): void {
+  if (session.takenBytes === 0 || session.request || session.isPreparing) return;
+  const { collector } = session.environment.limits;
+  const endedBytes = session.takenBytes * COPIES_OF_REQUEST;
+  session.takenBytes = 0;
+  collector.countDropped(endedBytes);
+}
+
 /**
  * Reports what the session holds, closes sessions if the budget is exceeded, and decides whether the session's socket
  * is read from.
@@ -93,13 +112,10 @@
 export function updateHeld(session: CallerSession): void {
   if (session.isClosed) return;
   const { environment, holder, socket } = session;
-  const { budget, collector } = environment.limits;
+  const { budget } = environment.limits;
   const isWaiting = isBusy(session) || !mayTakeRequest(session);
-  if (!session.request && !session.isPreparing) {
-    collector.countDropped(session.takenBytes * COPIES_OF_REQUEST);
-    session.takenBytes = 0;
-  }
-  const receivedBytes = bufferedBytesOf(session.framer);
+  countEndedRequest(session);
+  const receivedBytes = bufferedBytesOf(session.framer) * COPIES_OF_INPUT;
   hold('input', receivedBytes + (isWaiting ? 0 : session.inboxBytes));
   hold('queued', (isWaiting ? session.inboxBytes : 0) + session.takenBytes * COPIES_OF_REQUEST);
   hold('unsent', socket.writableLength);
@@ -119,7 +135,7 @@
 /** Removes a session that has ended from the budget, and frees its input. */
 export function releaseHeld(session: CallerSession): void {
   const { collector, budget } = session.environment.limits;
-  collector.countDropped(bufferedBytesOf(session.framer) + session.inboxBytes + session.takenBytes);
+  collector.countDropped(session.inboxBytes + session.takenBytes * COPIES_OF_REQUEST);
   dropReceived(session.framer);
   session.inbox.length = 0;
   session.inboxBytes = 0;
--- a/packages/entry/src/accept/caller-registry.ts
+++ b/packages/entry/src/accept/caller-registry.ts
@@ -15,6 +15,7 @@
   buildAuthenticationOk,
   buildBackendKeyData,
   buildParameterStatus,
+  usePieces,
 } from '@bramleykeel/postgres-wire';
 import type { OwnerPort } from '../locate/owner-port.js';
 import { buildRefusal, endWithRefusal, sendReady, SESSION_PARAMETER } from './caller-output.js';
@@ -188,6 +189,7 @@
     registry.sessions.delete(session.id);
     registry.byProcessId.delete(session.processId);
   });
+  usePieces(session.framer, environment.limits.piecePool);
   sendStartupMessages(session);
   socket.resume();
   handleInput(session, Buffer.alloc(0));
--- a/packages/entry/src/accept/caller-session.ts
+++ b/packages/entry/src/accept/caller-session.ts
@@ -3,7 +3,13 @@
 import { buildQuery, CLIENT, frameMessages, type WireMessage } from '@bramleykeel/postgres-wire';
 import { admit } from '@bramleykeel/entry-shared';
 import { endWithRefusal, sendReady, sendRefusal } from './caller-output.js';
-import { mayTakeRequest, mustRefuseRequest, releaseHeld, updateHeld } from './caller-limits.js';
+import {
+  countEndedRequest,
+  mayTakeRequest,
+  mustRefuseRequest,
+  releaseHeld,
+  updateHeld,
+} from './caller-limits.js';
 import { closeSessionAtOwner, finishExchange, sendChunk } from './caller-request.js';
 import type { CallerSession } from './caller-state.js';
 import { buildChunk, type BuiltChunk, endsChunk } from './chunk-builder.js';
@@ -46,6 +52,7 @@
 export function processInbox(session: CallerSession): void {
   while (!session.isClosed && !session.isPreparing) {
     if (session.request?.isComplete || !mayTakeRequest(session)) return;
+    countEndedRequest(session);
     const messages = dequeueChunk(session);
     if (!messages) return;
     if (messages.at(-1)?.type === CLIENT.terminate) {
--- a/packages/entry/src/accept/chunk-builder.ts
+++ b/packages/entry/src/accept/chunk-builder.ts
@@ -51,6 +51,8 @@
   readonly endsTransaction: boolean;
 }
 
+/** Messages of this length have a buffer that holds little else. */
+const LONG_MESSAGE_BYTES = 128 * 1024;
 /** Name of a statement that never exists; closing it has no effect but is answered as usual. */
 const ABSENT_STATEMENT_NAME = 'bramleykeel_absent';
 
@@ -99,7 +101,7 @@
   const unsupported = classifiedStatements.find((statement) => statement.kind === 'unsupported');
   return {
     chunk: {
-      messages: Buffer.concat(draft.output),
+      messages: joinOutput(draft.output),
       statements: [...draft.requiredStatements.values()],
       expected: draft.expected,
       isFinal,
@@ -113,6 +115,13 @@
   };
 }
 
+/** A single long message is passed on as it is; short ones are copied, since they are parts of larger buffers. */
+function joinOutput(output: readonly Buffer[]): Buffer {
+  const [first, ...others] = output;
+  const isLongMessage = first && others.length === 0 && first.length >= LONG_MESSAGE_BYTES;
+  return isLongMessage ? first : Buffer.concat(output);
+}
+
 function mayCommit({ kind }: StatementClassification): boolean {
   return kind === 'write' || kind === 'transaction-control';
 }
--- a/packages/postgres-wire/src/index.ts
+++ b/packages/postgres-wire/src/index.ts
@@ -1,5 +1,6 @@
 /** PostgreSQL wire protocol 3 messages, and classification of SQL statements. */
 export * from './message-framer.js';
+export { createPiecePool, type PiecePool } from './long-message.js';
 export * from './message-types.js';
 export * from './client-messages.js';
 export * from './client-message-builders.js';
--- a/packages/postgres-wire/src/message-framer.ts
+++ b/packages/postgres-wire/src/message-framer.ts
@@ -6,6 +6,15 @@
   createAccumulator,
   takeAllBytes,
 } from '@bramleykeel/core';
+import {
+  addToLongMessage,
+  beginLongMessage,
+  dropLongMessage,
+  endLongMessage,
+  type LongMessage,
+  memoryOf,
+  type PiecePool,
+} from './long-message.js';
 
 /** One message: its type byte (0 for startup packets) and the complete frame, header included. */
 export interface WireMessage {
@@ -28,12 +37,18 @@
   readonly received: ByteAccumulator;
   /** Number of received bytes below which no further message can be complete. */
   neededBytes: number;
+  /** Pieces for long messages; without them, long messages are collected like short ones. */
+  piecePool: PiecePool | undefined;
+  /** A long message that has begun; `received` is empty then. */
+  longMessage: LongMessage | undefined;
 }
 
 const TYPE_BYTES = 1;
 const LENGTH_BYTES = 4;
 /** Startup packets are short; a longer one does not come from a PostgreSQL client. */
 const MAX_STARTUP_BYTES = 10_000;
+/** Longer messages are collected in pieces of a pool. Shorter ones arrive in one or two chunks. */
+const MAX_SHORT_BYTES = 128 * 1024;
 
 export function createMessageFramer(
   maxMessageBytes: number,
@@ -41,20 +56,32 @@
   mergedType?: number,
 ): MessageFramer {
   const received = createAccumulator();
-  return { maxMessageBytes, isStartup, mergedType, received, neededBytes: 0 };
+  return {
+    ...{ maxMessageBytes, isStartup, mergedType, received, neededBytes: 0 },
+    ...{ piecePool: undefined, longMessage: undefined },
+  };
+}
+
+/** Collects long messages in pieces of `pool` from now on. */
+export function usePieces(framer: MessageFramer, pool: PiecePool): void {
+  framer.piecePool = pool;
+  framer.neededBytes = 0;
 }
 
 /** Number of bytes of memory that the framer holds. */
-export function bufferedBytesOf({ received }: MessageFramer): number {
-  return received.bytes;
+export function bufferedBytesOf({ received, longMessage }: MessageFramer): number {
+  return received.bytes + (longMessage ? memoryOf(longMessage) : 0);
 }
 
 /** Frees the bytes that are not returned as messages; the framer is not used afterwards. */
-export function dropReceived({ received }: MessageFramer): void {
+export function dropReceived(framer: MessageFramer): void {
+  const { received, piecePool, longMessage } = framer;
   clearBytes(received);
+  if (piecePool && longMessage) dropLongMessage(piecePool, longMessage);
+  framer.longMessage = undefined;
 }
 
-/** Puts messages back, to be returned again before later bytes. */
+/** Puts messages back, to be returned again before later bytes. Not for a framer that uses pieces. */
 export function returnMessages(framer: MessageFramer, messages: readonly WireMessage[]): void {
   const rest = takeAllBytes(framer.received);
   for (const { frame } of messages) appendBytes(framer.received, frame);
@@ -73,10 +100,12 @@
 export function frameMessages(framer: MessageFramer, chunk: Buffer): FramingResult {
   const { received } = framer;
   const messages: WireMessage[] = [];
-  if (received.bytes > 0) appendBytes(received, chunk);
+  const rest = framer.longMessage ? continueLongMessage(framer, chunk, messages) : chunk;
+  if (framer.longMessage) return { kind: 'messages', messages };
+  if (received.bytes > 0) appendBytes(received, rest);
   if (received.bytes > 0 && received.bytes < framer.neededBytes)
     return { kind: 'messages', messages };
-  const input = received.bytes > 0 ? takeAllBytes(received) : chunk;
+  const input = received.bytes > 0 ? takeAllBytes(received) : rest;
   framer.neededBytes = 0;
   let offset = 0;
   let mergeStart = -1;
@@ -102,6 +131,27 @@
     offset = end;
     if (framer.isStartup) break;
   }
-  appendBytes(received, input.subarray(offset));
+  const { piecePool, neededBytes } = framer;
+  if (piecePool && neededBytes > MAX_SHORT_BYTES) {
+    framer.longMessage = beginLongMessage(neededBytes);
+    addToLongMessage(piecePool, framer.longMessage, input.subarray(offset));
+  } else appendBytes(received, input.subarray(offset));
   return { kind: 'messages', messages };
 }
+
+/** Adds a chunk to the long message; returns the bytes that follow it. */
+function continueLongMessage(
+  framer: MessageFramer,
+  chunk: Buffer,
+  messages: WireMessage[],
+): Buffer {
+  const { piecePool, longMessage } = framer;
+  if (!piecePool || !longMessage) return chunk;
+  const added = addToLongMessage(piecePool, longMessage, chunk);
+  if (longMessage.receivedBytes === longMessage.lengthBytes) {
+    const frame = endLongMessage(piecePool, longMessage);
+    framer.longMessage = undefined;
+    messages.push({ type: frame[0] ?? 0, frame });
+  }
+  return chunk.subarray(added);
+}
--- a/packages/system-tests/src/client-limits/postgres-callers.test.ts
+++ b/packages/system-tests/src/client-limits/postgres-callers.test.ts
@@ -196,4 +196,15 @@
       );
     },
   );
+
+  // Guards against limits that refuse a permitted message, however little the process holds.
+  it('send one message of 4 MB after another are answered each time', async () => {
+    const text = `SELECT count(*) FROM bookings -- ${'x'.repeat(4 * MIB - 64)}`;
+    await withClient(testCluster.cluster, 0, async (client) => {
+      for (let sent = 0; sent < 5; sent += 1) {
+        const { rows } = await client.query<{ count: string }>(text);
+        expect(rows).toHaveLength(1);
+      }
+    });
+  });
 });
