Bound messages in time, sessions' state and HTTP of the PostgreSQL dialect

Cause: a caller of the PostgreSQL dialect could begin a message and leave it; prepared statements, portals and settings of a session were counted nowhere, and a prepared statement kept the whole buffer it had arrived in. Operators' calls were read into memory before their token was checked, 4 MiB on each of any number of connections, and the port for announcements accepted any number of connections.

- limits.messageTimeoutMs (30 s as in the statement dialect): a caller that does not finish a message is closed, and told message-timeout (SQLSTATE 53400, did not run).
Time in which its input waits for a request does not count.
- Prepared statements, portals and settings count to the session's account.
Types of a prepared statement are copied.
- Texts of long messages count as garbage once they are classified, before only when the request ended.
The text is trimmed again where a pattern was used, since the last subject of a pattern stays in memory.

--- a/packages/control/src/admin/admin-http.ts
+++ b/packages/control/src/admin/admin-http.ts
@@ -1,10 +1,22 @@
 /** HTTP interface for operators: one JSON call per request, answered by the leader. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { splitAddress } from '@bramleykeel/core';
-import { readJsonBody } from '@bramleykeel/link';
+import {
+  type BodyBudget,
+  type Counters,
+  createBodyBudget,
+  createBoundedHttpServer,
+  type ProcessLimits,
+  readJsonBody,
+} from '@bramleykeel/link';
 import type { CallAnswer } from './call-answer.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** Part of the descriptors for operators; the others are for links, callers of metrics and files. */
+const SHARE_OF_DESCRIPTORS = 0.6;
+const MAX_CONCURRENT_REQUESTS = 1_024;
+/** Part of the budget for bodies; the rest is for their text and what is parsed from it. */
+const BODIES_SHARE_OF_BUDGET = 0.5;
 
 const STATUS_CODES = {
   'bad-request': 400,
@@ -15,16 +27,25 @@
 } as const;
 
 /**
- * Listens for `POST /v1/METHOD` with the operator's token as bearer token.
+ * Listens for `POST /v1/METHOD` with the operator's token as bearer token. Connections, requests and bodies are bounded.
  *
  * @throws when the address is in use
  */
 export function listenForOperators(
   address: string,
+  { budgetBytes, maxDescriptors }: ProcessLimits,
+  counters: Pick<Counters, 'count'>,
   answerCall: (call: unknown) => Promise<CallAnswer>,
 ): Promise<Server> {
-  const server = createServer((request, response) => {
-    void handleRequest(request, response, answerCall);
+  const bodies = createBodyBudget(budgetBytes * BODIES_SHARE_OF_BUDGET, counters);
+  const bounds = {
+    maxConnections: Math.floor(maxDescriptors * SHARE_OF_DESCRIPTORS),
+    maxRequests: MAX_CONCURRENT_REQUESTS,
+    counters,
+    name: 'operators',
+  };
+  const server = createBoundedHttpServer(bounds, (request, response) => {
+    void handleRequest(bodies, request, response, answerCall);
   });
   const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
@@ -36,6 +57,7 @@
 }
 
 async function handleRequest(
+  bodies: BodyBudget,
   request: IncomingMessage,
   response: ServerResponse,
   answerCall: (call: unknown) => Promise<CallAnswer>,
@@ -45,7 +67,7 @@
     sendJson(response, 404, { message: 'expected POST /v1/PART/VERB' });
     return;
   }
-  const body = await readJsonBody(request, MAX_BODY_BYTES);
+  const body = await readJsonBody(bodies, request, MAX_BODY_BYTES);
   if (body === undefined) {
     sendJson(response, 400, { message: 'expected a JSON body of at most 4 MiB' });
     return;
--- a/packages/control/src/control-daemon.ts
+++ b/packages/control/src/control-daemon.ts
@@ -5,7 +5,7 @@
   type Membership,
   toMemberId,
 } from '@bramleykeel/core';
-import { createCounters, createLog } from '@bramleykeel/link';
+import { createCounters, createLog, readProcessLimits } from '@bramleykeel/link';
 import { listenForOperators } from './admin/admin-http.js';
 import type { CallAnswer } from './admin/call-answer.js';
 import { startControlMember } from './control-member.js';
@@ -43,6 +43,7 @@
   const { control, members } = settings;
   const self = members.find(({ id }) => id === control.id);
   if (!self) throw new Error(`control.id: ${control.id} is not among the members`);
+  const counters = createCounters('control', settings.statsd);
   const member = await startControlMember({
     selfId: toMemberId(control.id),
     linkAddress: self.linkAddress,
@@ -57,14 +58,10 @@
     maxVoters: members.length,
     isEligible: true,
     log: createLog('control'),
-    counters: createCounters('control', settings.statsd),
-  });
-  const adminServer = await listenForOperators(self.adminAddress, async (call) => {
-    const answer = await member.requestFromLeader('operator/call', call, FORWARD_TIMEOUT_MS);
-    const message = 'the control leader did not answer; resend with the same operation id';
-    const unavailable: CallAnswer = { kind: 'error', code: 'unavailable', message };
-    return (answer as CallAnswer | undefined) ?? unavailable;
+    counters,
   });
+  const limits = readProcessLimits({});
+  const adminServer = await listenForOperators(self.adminAddress, limits, counters, answerCall);
   return {
     stop: async () => {
       adminServer.closeAllConnections();
@@ -72,4 +69,11 @@
       await member.stop();
     },
   };
+
+  async function answerCall(call: unknown): Promise<CallAnswer> {
+    const answer = await member.requestFromLeader('operator/call', call, FORWARD_TIMEOUT_MS);
+    const message = 'the control leader did not answer; resend with the same operation id';
+    const unavailable: CallAnswer = { kind: 'error', code: 'unavailable', message };
+    return (answer as CallAnswer | undefined) ?? unavailable;
+  }
 }
--- a/packages/core/src/settings/daemon-settings.ts
+++ b/packages/core/src/settings/daemon-settings.ts
@@ -69,6 +69,8 @@
       maxDescriptors: z.int().positive().optional(),
       /** Megabytes that callers may make the process hold. */
       budgetMb: z.number().positive().optional(),
+      /** Time in which a caller has to finish a message that it has begun. */
+      messageTimeoutMs: durationMs(30_000),
     })
     .prefault({}),
   members: z.array(controlMemberSchema).min(1).max(7),
--- a/packages/core/src/types/outcome.ts
+++ b/packages/core/src/types/outcome.ts
@@ -36,6 +36,7 @@
   | 'message-too-large'
   | 'too-many-callers'
   | 'memory-pressure'
+  | 'message-timeout'
   | 'bad-startup';
 
 export interface Refusal {
@@ -89,6 +90,7 @@
   },
   'message-too-large': notRun('53400', 'the message is larger than the limit'),
   'too-many-callers': notRun('53300', 'this entry has too many open connections'),
+  'message-timeout': notRun('53400', 'the message was not finished in time'),
   'memory-pressure': notRun(
     '53200',
     'clients have used up the memory that this entry has for them',
--- a/packages/entry/src/accept/caller-limits.ts
+++ b/packages/entry/src/accept/caller-limits.ts
@@ -9,6 +9,7 @@
   enforceBudget,
   mustPause,
   mustRefuse,
+  type Refusal,
   refuse,
   releaseHolder,
   setHeld,
@@ -25,6 +26,7 @@
   createPiecePool,
   dropReceived,
   type PiecePool,
+  type WireMessage,
 } from '@bramleykeel/postgres-wire';
 import { buildRefusal } from './caller-output.js';
 import type { CallerSession } from './caller-state.js';
@@ -34,6 +36,7 @@
   readonly collector: BufferCollector;
   readonly piecePool: PiecePool;
   readonly maxConnections: number;
+  readonly messageTimeoutMs: number;
   readonly limitedLog: Log;
 }
 
@@ -45,13 +48,15 @@
 const MAX_UNSENT_BYTES = 256 * 1024;
 /** A message is held in pieces, and in one buffer as soon as it is complete. */
 const COPIES_OF_INPUT = 2;
+/** Texts of shorter messages are freed with other young objects. */
+const LONG_MESSAGE_BYTES = 128 * 1024;
 /** A request is held as messages and in the socket to its target. */
 const COPIES_OF_REQUEST = 2;
 
 /** Creates the limits that all callers of an entry share. */
 export function createCallerLimits(
   { budgetBytes, maxDescriptors }: ProcessLimits,
-  maxCallers: number,
+  { maxCallers, messageTimeoutMs }: { maxCallers: number; messageTimeoutMs: number },
   log: Log,
 ): CallerLimits {
   const byDescriptors = Math.floor(maxDescriptors * CALLERS_SHARE_OF_DESCRIPTORS);
@@ -61,6 +66,7 @@
     collector,
     piecePool: createPiecePool(collector.countDropped),
     maxConnections: Math.min(maxCallers, byDescriptors),
+    messageTimeoutMs,
     limitedLog: limitLog(log),
   };
 }
@@ -96,6 +102,17 @@
   return status === 'idle' && !request && mustRefuse(environment.limits.budget, holder);
 }
 
+/** Counts the texts of long messages as garbage, and the pieces of which their frames were joined. */
+export function countClassified(
+  { environment }: CallerSession,
+  messages: readonly WireMessage[],
+): void {
+  for (const { frame } of messages) {
+    if (frame.length < LONG_MESSAGE_BYTES) continue;
+    environment.limits.collector.countDropped(frame.length * COPIES_OF_REQUEST);
+  }
+}
+
 /** Counts the messages of a request as garbage once it has ended; called before the next one is taken. */
 export function countEndedRequest(session: CallerSession): void {
   if (session.takenBytes === 0 || session.request || session.isPreparing) return;
@@ -119,6 +136,9 @@
   hold('input', receivedBytes + (isWaiting ? 0 : session.inboxBytes));
   hold('queued', (isWaiting ? session.inboxBytes : 0) + session.takenBytes * COPIES_OF_REQUEST);
   hold('unsent', socket.writableLength);
+  hold('state', session.statements.heldBytes + session.settingsBytes);
+  if (receivedBytes === 0 || isWaiting) session.messageSinceMs = 0;
+  else if (session.messageSinceMs === 0) session.messageSinceMs = performance.now();
   enforceBudget(budget);
   if (isWaiting && (hasMuchInput() || mustPause(budget, holder))) socket.pause();
   else socket.resume();
@@ -132,6 +152,18 @@
   }
 }
 
+/** Whether the session's message was not finished in time. */
+export function isOverdue({ messageSinceMs, environment }: CallerSession, nowMs: number): boolean {
+  return messageSinceMs > 0 && nowMs - messageSinceMs > environment.limits.messageTimeoutMs;
+}
+
+/** Number of bytes that settings hold. */
+export function measureSettings(settings: ReadonlyMap<string, string>): number {
+  let bytes = 0;
+  for (const [name, text] of settings) bytes += name.length + text.length;
+  return bytes;
+}
+
 /** Removes a session that has ended from the budget, and frees its input. */
 export function releaseHeld(session: CallerSession): void {
   const { collector, budget } = session.environment.limits;
@@ -144,9 +176,18 @@
 
 /** Closes the socket of a session to keep the budget; a caller without a request in progress is told that nothing ran. */
 export function closeSocketForBudget(session: CallerSession, reason: string): void {
+  closeSocket(session, reason, refuse('memory-pressure'));
+}
+
+/** Closes the socket of a session whose message was not finished in time. */
+export function closeSocketForTime(session: CallerSession): void {
+  closeSocket(session, 'message-timeout', refuse('message-timeout'));
+}
+
+function closeSocket(session: CallerSession, reason: string, refusal: Refusal): void {
   const { socket, environment, customer, group } = session;
   environment.counters.count(`limit.${reason}`);
-  environment.limits.limitedLog('connection of a caller closed to keep the budget', {
+  environment.limits.limitedLog('connection of a caller closed by a limit', {
     ...{ reason, customer, group, inputBytes: bufferedBytesOf(session.framer) },
     ...{ inboxBytes: session.inboxBytes, unsentBytes: socket.writableLength },
   });
@@ -154,7 +195,7 @@
     socket.destroy();
     return;
   }
-  environment.counters.count('refusal.memory-pressure');
-  socket.write(buildRefusal(refuse('memory-pressure'), true));
+  environment.counters.count(`refusal.${refusal.reason}`);
+  socket.write(buildRefusal(refusal, true));
   socket.destroySoon();
 }
--- a/packages/entry/src/accept/caller-registry.ts
+++ b/packages/entry/src/accept/caller-registry.ts
@@ -20,7 +20,14 @@
 import type { OwnerPort } from '../locate/owner-port.js';
 import { buildRefusal, endWithRefusal, sendReady, SESSION_PARAMETER } from './caller-output.js';
 import { handlePortLost, handleOwnerMessage } from './caller-request.js';
-import { closeSocketForBudget, createCallerHolder, updateHeld } from './caller-limits.js';
+import {
+  closeSocketForBudget,
+  closeSocketForTime,
+  createCallerHolder,
+  isOverdue,
+  measureSettings,
+  updateHeld,
+} from './caller-limits.js';
 import { closeSession, processInbox, handleInput } from './caller-session.js';
 import type { CallerEnvironment, CallerSession } from './caller-state.js';
 import { createCallerStatements } from './chunk-builder.js';
@@ -141,6 +148,7 @@
   const { socket, parameters } = admitted;
   const number = registry.nextSessionNumber;
   registry.nextSessionNumber += 1;
+  const settings = readStartupSettings(parameters);
   const session: CallerSession = {
     id: toSessionId(`${sessionPrefix}:${number}`),
     environment,
@@ -154,12 +162,14 @@
     inbox: [],
     inboxBytes: 0,
     takenBytes: 0,
+    messageSinceMs: 0,
     holder: createCallerHolder(environment.limits, admitted.customer, (reason) => {
       closeSocketForBudget(session, reason);
       closeSession(session);
     }),
     statements: createCallerStatements(),
-    settings: readStartupSettings(parameters),
+    settings,
+    settingsBytes: measureSettings(settings),
     mark: parsePosition(parameters.get(SESSION_PARAMETER) ?? '') ?? null,
     status: 'idle',
     port: undefined,
@@ -280,6 +290,16 @@
   endWithRefusal(session, refuse('owner-stopping', 'this entry is stopping; connect again'));
 }
 
+/** Closes the sessions whose message was not finished in time. */
+export function closeOverdueSessions(registry: CallerRegistry): void {
+  const nowMs = performance.now();
+  for (const session of registry.sessions.values()) {
+    if (!isOverdue(session, nowMs)) continue;
+    closeSocketForTime(session);
+    closeSession(session);
+  }
+}
+
 /** Processes the buffered input of all sessions. */
 export function processAllInboxes(registry: CallerRegistry): void {
   for (const session of registry.sessions.values()) session.continueInput();
--- a/packages/entry/src/accept/caller-request.ts
+++ b/packages/entry/src/accept/caller-request.ts
@@ -16,6 +16,7 @@
   sendRefusal,
   SESSION_PARAMETER,
 } from './caller-output.js';
+import { measureSettings } from './caller-limits.js';
 import type { CallerSession, OpenRequest } from './caller-state.js';
 import type { BuiltChunk } from './chunk-builder.js';
 
@@ -260,6 +261,7 @@
   else if (text === null) session.settings.delete(name);
   else if (name === SESSION_PARAMETER) applySessionMark(session, text);
   else session.settings.set(name, text);
+  session.settingsBytes = measureSettings(session.settings);
 }
 
 /**
--- a/packages/entry/src/accept/caller-session.ts
+++ b/packages/entry/src/accept/caller-session.ts
@@ -4,6 +4,7 @@
 import { admit } from '@bramleykeel/entry-shared';
 import { endWithRefusal, sendReady, sendRefusal } from './caller-output.js';
 import {
+  countClassified,
   countEndedRequest,
   mayTakeRequest,
   mustRefuseRequest,
@@ -88,6 +89,7 @@
     return;
   }
   const built = buildChunk(session.statements, messages, session.environment.classify);
+  countClassified(session, messages);
   const refusal = checkChunk(session, built);
   if (refusal) {
     refuseChunk(session, built, refusal);
--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -68,11 +68,15 @@
   inboxBytes: number;
   /** Bytes of the messages of requests that wait or run. */
   takenBytes: number;
+  /** When the unfinished message began, by the monotonic clock; 0 without one, and while input waits. */
+  messageSinceMs: number;
   /** What the session holds, for the byte budget of the entry. */
   readonly holder: BudgetHolder;
   readonly statements: CallerStatements;
   /** Session settings by name, each as the SET statement that made it. */
   readonly settings: Map<string, string>;
+  /** Bytes of the session's settings. */
+  settingsBytes: number;
   mark: LogPosition | null;
   status: TransactionStatus;
   port: OwnerPort | undefined;
--- a/packages/entry/src/accept/chunk-builder.test.ts
+++ b/packages/entry/src/accept/chunk-builder.test.ts
@@ -22,6 +22,25 @@
   ];
 }
 
+describe('bytes held for prepared statements', () => {
+  // Guards against statements that a caller keeps without their being counted, and counts that stay after them.
+  it('grow with each statement and portal, and end with them', () => {
+    const held = createCallerStatements();
+    const text = `SELECT '${'x'.repeat(10_000)}'`;
+    build([serialize.parse({ name: 'a', text }), serialize.sync()], held);
+    expect(held.heldBytes).toBeGreaterThan(10_000);
+    const ofOne = held.heldBytes;
+    build([serialize.parse({ name: 'a', text }), serialize.sync()], held);
+    expect(held.heldBytes).toBe(ofOne);
+    const bind = serialize.bind({ portal: 'p', statement: 'a', values: [] });
+    build([serialize.parse({ name: 'b', text }), bind, bind, serialize.sync()], held);
+    expect(held.heldBytes).toBeGreaterThan(2 * ofOne);
+    const close = ['a', 'b'].map((name) => serialize.close({ type: 'S', name }));
+    build([...close, serialize.close({ type: 'P', name: 'p' }), serialize.sync()], held);
+    expect(held.heldBytes).toBe(0);
+  });
+});
+
 describe('buildChunk', () => {
   const CASES: readonly [string, string, BuiltChunk['intent'], number, boolean][] = [
     ['a read', 'SELECT 1', 'read', 1, false],
--- a/packages/entry/src/accept/chunk-builder.ts
+++ b/packages/entry/src/accept/chunk-builder.ts
@@ -32,12 +32,15 @@
   readonly classification: QueryClassification;
   /** The statement's name on target connections; empty for the unnamed statement. */
   readonly targetName: string;
+  readonly heldBytes: number;
 }
 
 /** A caller's prepared statements and portals, by the caller's names. */
 export interface CallerStatements {
   readonly statements: Map<string, PreparedStatement>;
   readonly portals: Map<string, QueryClassification>;
+  /** Bytes that the statements and portals hold. */
+  heldBytes: number;
 }
 
 export interface BuiltChunk {
@@ -51,13 +54,15 @@
   readonly endsTransaction: boolean;
 }
 
+/** Rough size of the objects of a statement or portal beside its text. */
+const OBJECT_BYTES = 128;
 /** Messages of this length have a buffer that holds little else. */
 const LONG_MESSAGE_BYTES = 128 * 1024;
 /** Name of a statement that never exists; closing it has no effect but is answered as usual. */
 const ABSENT_STATEMENT_NAME = 'bramleykeel_absent';
 
 export function createCallerStatements(): CallerStatements {
-  return { statements: new Map(), portals: new Map() };
+  return { statements: new Map(), portals: new Map(), heldBytes: 0 };
 }
 
 /** Whether a message is the last one of a chunk. */
@@ -203,10 +208,15 @@
   message: WireMessage,
   classify: (text: string) => QueryClassification,
 ): void {
-  const parse = readParse(message);
+  const received = readParse(message);
+  // A part of the received buffer would keep all of it in memory for as long as the statement exists.
+  const parse = { ...received, parameterTypes: Buffer.from(received.parameterTypes) };
   const classification = classify(parse.text);
   const targetName = parse.name === '' ? '' : sharedStatementName(parse);
-  callerStatements.statements.set(parse.name, { parse, classification, targetName });
+  removeStatement(callerStatements, parse.name);
+  const heldBytes = OBJECT_BYTES + parse.text.length + parse.name.length;
+  callerStatements.statements.set(parse.name, { parse, classification, targetName, heldBytes });
+  callerStatements.heldBytes += heldBytes;
   draft.parsed.push(...classification.statements);
   draft.createdStatements.add(targetName);
   if (targetName === '') {
@@ -234,6 +244,7 @@
     draft.output.push(message.frame);
     return;
   }
+  if (!callerStatements.portals.has(bind.portal)) callerStatements.heldBytes += portalBytes(bind);
   callerStatements.portals.set(bind.portal, statement.classification);
   requireStatement(draft, statement);
   draft.output.push(buildBind(bind, statement.targetName));
@@ -282,10 +293,20 @@
   const { target, name } = readDescribeOrClose(message);
   draft.expected.push({ kind: 'close', isHidden: false, statement: '' });
   if (target === 'P') {
-    callerStatements.portals.delete(name);
+    if (callerStatements.portals.delete(name))
+      callerStatements.heldBytes -= portalBytes({ portal: name });
     draft.output.push(message.frame);
     return;
   }
-  callerStatements.statements.delete(name);
+  removeStatement(callerStatements, name);
   draft.output.push(buildCloseStatement(ABSENT_STATEMENT_NAME));
 }
+
+function removeStatement(callerStatements: CallerStatements, name: string): void {
+  callerStatements.heldBytes -= callerStatements.statements.get(name)?.heldBytes ?? 0;
+  callerStatements.statements.delete(name);
+}
+
+function portalBytes({ portal }: { readonly portal: string }): number {
+  return OBJECT_BYTES + portal.length;
+}
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -34,6 +34,7 @@
 import {
   type CallerRegistry,
   closeIdleSessions,
+  closeOverdueSessions,
   closeSessionsWithWithdrawnKeys,
   dispatchOwnerMessage,
   dispatchPortLost,
@@ -84,6 +85,8 @@
 
 /** Number of query texts whose classification is cached. */
 const CLASSIFIER_CACHE_ENTRIES = 5_000;
+/** How often callers are checked for messages that were not finished in time. */
+const TIMEOUT_CHECK_MS = 1_000;
 const STOP_POLL_INTERVAL_MS = 20;
 /** Last part of the time to stop, in which sessions that never pause are closed after an answer. */
 const BUSY_SESSION_CLOSE_SHARE = 0.3;
@@ -100,6 +103,7 @@
   const { entry, requests, timing } = settings;
   const log = createLog('entry');
   const counters = createCounters('entry', settings.statsd);
+  const limits = readProcessLimits(settings.limits);
   await loadParser();
   const secureContext = readSecureContext(settings);
   const keyIndex = createKeyIndex();
@@ -179,6 +183,7 @@
   const announceServer = await listenForAnnouncements(
     entry.announceAddress,
     settings.targets.announceToken,
+    limits,
     counters,
     (announcement) => {
       routeAnnouncement(router, announcement);
@@ -193,6 +198,8 @@
     onUnmatchedCancel: forwardCancel,
   });
   log(`entry ${entry.id} serves callers at ${entry.callerAddress}`);
+  // After a stall of this process, input that is waiting in sockets is read first.
+  const timeoutCheck = setInterval(() => setImmediate(closeOverdue), TIMEOUT_CHECK_MS);
   const endSurviving = surviveUnhandledRejections(log, counters);
   return { stop };
 
@@ -205,6 +212,10 @@
     return describeRateHome(draws.homes, customer, limit, epoch);
   }
 
+  function closeOverdue(): void {
+    if (callerRegistry.current) closeOverdueSessions(callerRegistry.current);
+  }
+
   function createLinks(): EntryLinks {
     const localChannel: AnswerChannel = {
       send: (message) => {
@@ -248,8 +259,8 @@
       classify: createClassifier(CLASSIFIER_CACHE_ENTRIES),
       maxMessageBytes: entry.maxMessageBytes,
       limits: createCallerLimits(
-        readProcessLimits(settings.limits),
-        entry.maxCallers,
+        limits,
+        { maxCallers: entry.maxCallers, messageTimeoutMs: settings.limits.messageTimeoutMs },
         createLog('limits'),
       ),
       failoverWaitMs: requests.failoverWaitMs,
@@ -319,6 +330,7 @@
     links.close();
     await linkServer.close();
     counters.close();
+    clearInterval(timeoutCheck);
     endSurviving();
     log(`entry ${entry.id} has stopped`);
     return { cutSessions };
--- a/packages/postgres-wire/src/syntax.ts
+++ b/packages/postgres-wire/src/syntax.ts
@@ -26,7 +26,7 @@
  */
 export function parseStatements(text: string): ParsedStatement[] | undefined {
   // libpg-query rejects an empty string, but PostgreSQL answers it with EmptyQueryResponse.
-  if (!/\S/.test(text)) return [];
+  if (text.trim() === '') return [];
   try {
     const result = parseSync(text);
     return (result.stmts ?? []).map((raw) => toStatement(text, raw as RawStatement));
