--- a/packages/statement-entry/src/index.ts
+++ b/packages/statement-entry/src/index.ts
@@ -4,5 +4,6 @@
 export * from './types/explanation.js';
 export * from './types/caller-port.js';
 export * from './types/target-port.js';
+export * from './target/match-answer.js';
 export { submitRequest } from './accept/session.js';
 export type { CallerSession } from './accept/session-state.js';
--- a/packages/statement-entry/src/target/connection-setup.test.ts
+++ b/packages/statement-entry/src/target/connection-setup.test.ts
@@ -125,7 +125,7 @@
           }
           expect(server.values).toEqual(wanted);
           expect(state.valuesKey).toBe(valuesKeyOf(wanted));
-          const run = statementOrder({ tag: 't', body: statement }, null);
+          const run = statementOrder({ tag: 't', access: 'read', body: statement }, null);
           if (run.kind === 'execute') expect(server.names.get(run.name)).toBe('read by-item');
         }
       }),
--- a/packages/statement-entry/src/target/connection-setup.ts
+++ b/packages/statement-entry/src/target/connection-setup.ts
@@ -1,5 +1,5 @@
 /** Sets up the session values and prepared statements that a statement needs on a pooled connection. */
-import type { LogPosition, StatementBody } from '@bramleykeel/core';
+import type { LogPosition, StatementAccess, StatementBody } from '@bramleykeel/core';
 import type { PooledConnection } from '../owner/owner-state.js';
 import type { TargetOrder } from '../types/target-port.js';
 
@@ -17,6 +17,13 @@
   readonly body: StatementBody;
 }
 
+/** The part of a caller's statement that is sent to a server. */
+export interface StatementOrderRequest {
+  readonly tag: string;
+  readonly access: StatementAccess;
+  readonly body: StatementBody;
+}
+
 /** The part of a connection's state that its setup changes. */
 export type SetupState = Pick<PooledConnection, 'values' | 'valuesKey' | 'prepared'>;
 
@@ -77,12 +84,15 @@
 
 /** The order that runs a caller's statement; `after` is the log position that a read has to see. */
 export function statementOrder(
-  { tag, body }: { readonly tag: string; readonly body: StatementBody },
+  { tag, access, body }: StatementOrderRequest,
   after: LogPosition | null,
 ): TargetOrder {
-  if (body.kind === 'plain') return { kind: 'run', tag, after, text: body.text };
-  const { access, shape, argument } = body;
-  return { kind: 'execute', tag, after, name: preparedName(access, shape), argument };
+  if (body.kind === 'plain') {
+    const { text } = body;
+    return access === 'commit' ? { kind: 'commit', tag, text } : { kind: 'run', tag, after, text };
+  }
+  const name = preparedName(body.access, body.shape);
+  return { kind: 'execute', tag, after, name, argument: body.argument };
 }
 
 /** The same statement has the same name in all sessions, and different statements have different names. */
--- /dev/null
+++ b/packages/statement-entry/src/target/match-answer.test.ts
@@ -0,0 +1,175 @@
+import { describe, expect, it } from 'vitest';
+import type { TargetOrder } from '../types/target-port.js';
+import {
+  type AnswerMatch,
+  createAnswerHistory,
+  matchAnswer,
+  type ReceivedAnswer,
+  recordMatch,
+} from './match-answer.js';
+
+const read: TargetOrder = { kind: 'run', tag: 't', after: null, text: 'READ x' };
+const commit: TargetOrder = { kind: 'commit', tag: 't', text: 'COMMIT' };
+const begin: TargetOrder = { kind: 'begin', isReadOnly: false, after: null };
+const set: TargetOrder = { kind: 'set', name: 'unit', value: 'mm' };
+
+function signed(signature: string, rows: string[] = [], state: 'idle' | 'open' = 'idle') {
+  return { rows, signature, isError: false, state } satisfies ReceivedAnswer;
+}
+
+const done = signed('-');
+const opened = signed('-', [], 'open');
+const busy: ReceivedAnswer = { rows: [], signature: undefined, isError: true, state: 'idle' };
+
+interface MatchCase {
+  readonly name: string;
+  readonly earlier: readonly ReceivedAnswer[];
+  readonly order: TargetOrder;
+  readonly answer: ReceivedAnswer;
+  readonly expected: AnswerMatch;
+}
+
+const status = signed('-', ['replica 3 3.7 0 0 0 1']);
+const [first, second] = [signed('s1', ['a']), signed('s2', ['b'])];
+
+const cases: readonly MatchCase[] = [
+  { name: 'a new signature', earlier: [first], order: read, answer: second, expected: 'fits' },
+  { name: 'a seen signature', earlier: [first], order: read, answer: first, expected: 'repeated' },
+  {
+    name: 'a seen signature, one of several',
+    earlier: [first, second],
+    order: read,
+    answer: first,
+    expected: 'repeated',
+  },
+  {
+    name: 'a seen signature after rows of another answer',
+    earlier: [first],
+    order: read,
+    answer: signed('s1', ['b', 'a']),
+    expected: 'foreign',
+  },
+  {
+    name: 'the late answer to an order of the proxy instead of rows',
+    earlier: [done],
+    order: read,
+    answer: done,
+    expected: 'repeated',
+  },
+  {
+    name: 'no signature for the first order of a connection',
+    earlier: [],
+    order: read,
+    answer: done,
+    expected: 'foreign',
+  },
+  {
+    name: 'a status instead of rows',
+    earlier: [status],
+    order: read,
+    answer: status,
+    expected: 'foreign',
+  },
+  { name: 'an error', earlier: [first], order: read, answer: busy, expected: 'fits' },
+  {
+    name: 'an error outside of a transaction that was begun',
+    earlier: [done, opened],
+    order: read,
+    answer: busy,
+    expected: 'foreign',
+  },
+  {
+    name: 'a result outside of a transaction that was begun',
+    earlier: [opened],
+    order: read,
+    answer: first,
+    expected: 'foreign',
+  },
+  {
+    name: 'a result in a transaction',
+    earlier: [opened],
+    order: read,
+    answer: signed('s1', ['a'], 'open'),
+    expected: 'fits',
+  },
+  {
+    name: 'a result in a transaction that nobody began',
+    earlier: [],
+    order: read,
+    answer: signed('s1', ['a'], 'open'),
+    expected: 'foreign',
+  },
+  {
+    name: 'the end of a transaction',
+    earlier: [opened],
+    order: commit,
+    answer: signed('s1'),
+    expected: 'fits',
+  },
+  {
+    name: 'a commit that ends nothing',
+    earlier: [opened],
+    order: commit,
+    answer: signed('s1', [], 'open'),
+    expected: 'foreign',
+  },
+  {
+    name: 'an error instead of the end of a transaction',
+    earlier: [opened],
+    order: commit,
+    answer: busy,
+    expected: 'fits',
+  },
+  { name: 'a begun transaction', earlier: [done], order: begin, answer: opened, expected: 'fits' },
+  {
+    name: 'the late answer to another order, for a BEGIN',
+    earlier: [done],
+    order: begin,
+    answer: done,
+    expected: 'repeated',
+  },
+  { name: 'a value', earlier: [], order: set, answer: done, expected: 'fits' },
+  {
+    name: 'the late answer to a statement, for a value',
+    earlier: [first],
+    order: set,
+    answer: first,
+    expected: 'repeated',
+  },
+  {
+    name: 'an unknown signature for a value',
+    earlier: [],
+    order: set,
+    answer: first,
+    expected: 'foreign',
+  },
+  {
+    name: 'a status',
+    earlier: [status],
+    order: { kind: 'status' },
+    answer: status,
+    expected: 'fits',
+  },
+  {
+    name: 'the late answer to another order, for a status',
+    earlier: [done],
+    order: { kind: 'status' },
+    answer: done,
+    expected: 'repeated',
+  },
+  {
+    name: 'an answer that was cut off',
+    earlier: [first],
+    order: read,
+    answer: { rows: ['a'], signature: undefined, isError: false, state: 'idle' },
+    expected: 'fits',
+  },
+];
+
+describe('the answer to an order', () => {
+  it.each(cases)('$expected: $name', ({ earlier, order, answer, expected }) => {
+    const history = createAnswerHistory();
+    for (const each of earlier) recordMatch(history, each);
+    expect(matchAnswer(history, order, answer)).toBe(expected);
+  });
+});
--- /dev/null
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -0,0 +1,151 @@
+/**
+ * Decides whether an answer can be that of the order that a connection waits for. Answers name no order, and a server may
+ * repeat one late, while the connection already waits for the answer to a later order.
+ */
+import type { ConnectionState, TargetOrder } from '../types/target-port.js';
+
+/** An answer as a server sent it. */
+export interface ReceivedAnswer {
+  readonly rows: readonly string[];
+  /** `undefined` if the answer is an error or was cut off; {@link NO_SIGNATURE} for the proxy's own orders. */
+  readonly signature: string | undefined;
+  readonly isError: boolean;
+  readonly state: ConnectionState;
+}
+
+/** What is known of the earlier answers of a connection. */
+export interface AnswerHistory {
+  /** The state that the last answer has reported. */
+  state: ConnectionState;
+  /** Whether an answer without a signature has been received. */
+  hasUnsigned: boolean;
+  /** The number of rows of each signed answer, by its signature. */
+  readonly rowCounts: Map<string, number>;
+}
+
+/**
+ * - `fits`: the answer is taken for that of the pending order;
+ * - `repeated`: an earlier answer was sent again, and that of the pending order is still to come;
+ * - `foreign`: the answer is not that of the pending order, and it is not known what the following ones belong to.
+ */
+export type AnswerMatch = 'fits' | 'repeated' | 'foreign';
+
+/** Servers answer the proxy's own orders with this in place of a signature. */
+export const NO_SIGNATURE = '-';
+/**
+ * Signed answers after which a connection is replaced, so that none is forgotten while its connection is used. A new
+ * connection then costs less than a hundredth of the work that its predecessor has carried.
+ */
+export const MAX_SIGNED_ANSWERS = 512;
+
+export function createAnswerHistory(): AnswerHistory {
+  return { state: 'idle', hasUnsigned: false, rowCounts: new Map() };
+}
+
+/**
+ * Compares an answer with the order that the connection waits for. The signature of a statement's answer is unique.
+ *
+ * @example
+ * matchAnswer(history, order, { rows: [], signature: '-', isError: false, state: 'open' }); // 'fits' for a BEGIN
+ */
+export function matchAnswer(
+  history: AnswerHistory,
+  order: TargetOrder,
+  answer: ReceivedAnswer,
+): AnswerMatch {
+  // It cannot be told from a cut-off answer which order it belongs to. It settles none.
+  if (!answer.isError && answer.signature === undefined) return 'fits';
+  switch (order.kind) {
+    case 'run':
+    case 'execute':
+      return answer.isError
+        ? matchError(history, answer)
+        : matchStatement(history, answer, history.state);
+    case 'commit':
+      return answer.isError ? 'fits' : matchStatement(history, answer, 'idle');
+    case 'set':
+    case 'reset':
+    case 'prepare':
+    case 'begin':
+    case 'rollback':
+    case 'status':
+    case 'pause':
+    case 'resume':
+    case 'demote':
+      return answer.isError ? 'fits' : matchOwnOrder(history, order, answer);
+  }
+}
+
+/** Remembers an answer that fitted its order. */
+export function recordMatch(
+  history: AnswerHistory,
+  { signature, rows, state }: ReceivedAnswer,
+): void {
+  history.state = state;
+  if (signature === undefined || signature === NO_SIGNATURE) history.hasUnsigned = true;
+  else history.rowCounts.set(copyOf(signature), rows.length);
+}
+
+/** A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. */
+function matchError({ state }: AnswerHistory, answer: ReceivedAnswer): AnswerMatch {
+  return state === 'open' && answer.state === 'idle' ? 'foreign' : 'fits';
+}
+
+function matchStatement(
+  history: AnswerHistory,
+  answer: ReceivedAnswer,
+  expectedState: ConnectionState,
+): AnswerMatch {
+  const { rows, signature = '', state } = answer;
+  if (signature === NO_SIGNATURE) return matchRepeatedOwn(history, rows.length);
+  if (history.rowCounts.has(signature)) return matchRepeatedStatement(history, answer);
+  return state === expectedState ? 'fits' : 'foreign';
+}
+
+/** An order that the proxy sends on its own behalf. */
+type OwnOrder = Exclude<TargetOrder, { readonly kind: 'run' | 'execute' | 'commit' }>;
+
+function matchOwnOrder(
+  history: AnswerHistory,
+  order: OwnOrder,
+  answer: ReceivedAnswer,
+): AnswerMatch {
+  if (answer.signature !== NO_SIGNATURE) return matchRepeatedStatement(history, answer);
+  const rowCount = answer.rows.length;
+  switch (order.kind) {
+    case 'begin':
+      if (rowCount === 0 && answer.state === 'open') return 'fits';
+      break;
+    case 'rollback':
+      if (rowCount === 0 && answer.state === 'idle') return 'fits';
+      break;
+    case 'set':
+    case 'reset':
+    case 'prepare':
+      if (rowCount === 0 && answer.state === history.state) return 'fits';
+      break;
+    case 'status':
+    case 'pause':
+    case 'resume':
+    case 'demote':
+      if (rowCount > 0) return 'fits';
+  }
+  return matchRepeatedOwn(history, rowCount);
+}
+
+function matchRepeatedOwn({ hasUnsigned }: AnswerHistory, rowCount: number): AnswerMatch {
+  return hasUnsigned && rowCount === 0 ? 'repeated' : 'foreign';
+}
+
+/** More rows than the first time are rows of the pending order's answer, which the repeated one has interrupted. */
+function matchRepeatedStatement(
+  { rowCounts }: AnswerHistory,
+  { signature = '', rows }: ReceivedAnswer,
+): AnswerMatch {
+  return rowCounts.get(signature) === rows.length ? 'repeated' : 'foreign';
+}
+
+/** A part of a received text would keep all of that text in memory. */
+function copyOf(text: string): string {
+  return Buffer.from(text, 'latin1').toString('latin1');
+}
--- a/packages/statement-entry/src/types/target-port.ts
+++ b/packages/statement-entry/src/types/target-port.ts
@@ -26,6 +26,8 @@
       readonly name: string;
       readonly argument: string;
     }
+  /** Ends the transaction of the connection. */
+  | { readonly kind: 'commit'; readonly tag: string; readonly text: string }
   | { readonly kind: 'status' }
   | { readonly kind: 'pause'; readonly term: number }
   | { readonly kind: 'resume' }
