--- a/packages/core/src/limits/byte-accumulator.test.ts
+++ b/packages/core/src/limits/byte-accumulator.test.ts
@@ -4,7 +4,8 @@
   appendBytes,
   clearBytes,
   createAccumulator,
-  indexOfByte,
+  indexOfPair,
+  lastByteOf,
   takeAllBytes,
   takeBytes,
 } from './byte-accumulator.js';
@@ -51,7 +52,11 @@
           appendBytes(accumulator, added);
           expected = Buffer.concat([expected, added]);
           const from = Math.floor(expected.length / 3);
-          expect(indexOfByte(accumulator, 99, from)).toBe(expected.indexOf(99, from));
+          for (const first of [99, 250, 0]) {
+            const pair = Buffer.from([first, (first + 1) % 251]);
+            expect(indexOfPair(accumulator, pair, from)).toBe(expected.indexOf(pair, from));
+          }
+          expect(lastByteOf(accumulator)).toBe(expected.at(-1));
           const count = Math.floor(expected.length * take);
           expect(takeBytes(accumulator, count).equals(expected.subarray(0, count))).toBe(true);
           expected = expected.subarray(count);
@@ -61,6 +66,27 @@
     );
   });
 
+  it.each([1, 2, 3, 5_000])('finds a pair of bytes in fragments of %d', (fragment) => {
+    const bytes = Buffer.from('a\rb\n\r\r\nc\r\n');
+    const accumulator = createAccumulator();
+    for (let start = 0; start < bytes.length; start += fragment)
+      appendBytes(accumulator, ownBuffer(bytes.subarray(start, start + fragment)));
+    const pair = Buffer.from('\r\n');
+    const found = Array.from(bytes, (_, from) => indexOfPair(accumulator, pair, from));
+    expect(found).toEqual(Array.from(bytes, (_, from) => bytes.indexOf(pair, from)));
+  });
+
+  // Guards against a pair that is missed because its bytes are held in two pieces.
+  it('finds a pair of bytes that two pieces share', () => {
+    const accumulator = createAccumulator();
+    const ends = ownBuffer(Buffer.concat([bytesOf(70_000), Buffer.from('\r')]));
+    appendBytes(accumulator, ends);
+    appendBytes(accumulator, ownBuffer(Buffer.concat([Buffer.from('\n'), bytesOf(70_000)])));
+    expect(accumulator.pieces).toHaveLength(2);
+    expect(indexOfPair(accumulator, Buffer.from('\r\n'), 70_000)).toBe(70_000);
+    expect(indexOfPair(accumulator, Buffer.from('\r\n'), 70_001)).toBe(-1);
+  });
+
   // Guards against a few bytes of a message that keep a whole read of 64 KB in memory.
   it('keeps no large buffer for a small rest', () => {
     const accumulator = createAccumulator();
--- a/packages/core/src/limits/byte-accumulator.ts
+++ b/packages/core/src/limits/byte-accumulator.ts
@@ -56,24 +56,37 @@
   return piece;
 }
 
-/** Returns the position of the first `value` at or after `from`, or -1. */
-export function indexOfByte(accumulator: ByteAccumulator, value: number, from: number): number {
+/**
+ * Returns the position of the first `pair` of bytes at or after `from`, or -1.
+ *
+ * @example
+ * indexOfPair(accumulator, Buffer.from('\r\n'), 0);
+ */
+export function indexOfPair(accumulator: ByteAccumulator, pair: Buffer, from: number): number {
   const { pieces, lastBytes } = accumulator;
   let position = -accumulator.firstOffset;
+  let endsWithFirst = false;
   let index = 0;
   for (const piece of pieces) {
     index += 1;
     const isPartlyUsed = index === pieces.length && lastBytes < piece.length;
     const used = isPartlyUsed ? piece.subarray(0, lastBytes) : piece;
     if (position + used.length > from) {
-      const found = used.indexOf(value, Math.max(0, from - position));
-      if (found >= 0 && position + found >= 0) return position + found;
+      if (endsWithFirst && used[0] === pair[1]) return position - 1;
+      const found = used.indexOf(pair, Math.max(0, from - position));
+      if (found >= 0) return position + found;
+      endsWithFirst = used.at(-1) === pair[0];
     }
     position += used.length;
   }
   return -1;
 }
 
+/** Returns the last byte; `undefined` if none is held. */
+export function lastByteOf({ pieces, lastBytes, bytes }: ByteAccumulator): number | undefined {
+  return bytes > 0 ? pieces.at(-1)?.[lastBytes - 1] : undefined;
+}
+
 /**
  * Removes and returns the first `count` bytes, of those that are held.
  *
