Match answers of servers to their orders by signature and state

READ y got the rows and the signature of READ x, from servers that answer twice, the second time late.

Cause: answers name no order, and a connection to a server settled its pending order with whatever answer came next. A late copy of an answer ended the next order of the pooled connection, whose own answer then ended the one after it, and so on until one came while nothing was pending. Class: replies are matched to requests by their sequence alone, over a channel that may repeat.

Change: match-answer.ts decides now, it only reported before. A signature that was seen for another statement of the connection is a copy and is dropped (with more rows than the first time it has interrupted another answer: foreign). A statement takes no answer without a signature, the proxy's own orders none with one. The state in READY has to follow from the order: a BEGIN whose refusal was taken for something else shows as a result or an error outside of the transaction, and the write in it may have been committed at once, so its caller gets UNKNOWN and no promise. A foreign answer closes its connection: reads run again, writes are unknown. An error has no signature, so its connection carries no further statement (a late copy would be a promise for a later write); control orders are idempotent and stay. Connections are replaced after 512 signed answers, so that no signature is forgotten. A copy that comes while nothing is pending is dropped as well, where the connection and an open transaction were lost before.

--- a/packages/statement-entry/src/near/run-on-replica.ts
+++ b/packages/statement-entry/src/near/run-on-replica.ts
@@ -106,6 +106,10 @@
     const { rows, signature, position } = answer;
     return { kind: 'done', rows, signature, position, isFromReplica: true };
   }
+  if (answer.kind === 'foreign') {
+    discardConnection(pooled);
+    return undefined;
+  }
   if (answer.kind === 'lost' || answer.kind === 'overdue') {
     handleBrokenConnection(place, server, pooled);
     return undefined;
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -85,10 +85,11 @@
       return;
     case 'lost':
     case 'overdue':
+    case 'foreign':
       handleBrokenConnection(owner, job, pooled, answer);
       discardConnection(pooled);
       job.mayHaveRun = true;
-      if (access === 'read' && answer.kind === 'lost') requeueJob(owner, job);
+      if (access === 'read' && answer.kind !== 'overdue') requeueJob(owner, job);
       else endJob(owner, job, brokenOutcome(answer));
   }
 }
@@ -149,12 +150,21 @@
       // The server rolls back an uncommitted transaction when the connection is closed.
       const ended: StatementOutcome = { kind: 'aborted', reason: 'the connection was lost' };
       endJob(owner, job, isCommit ? brokenOutcome(answer) : ended);
+      return;
     }
+    case 'foreign':
+      handleBrokenConnection(owner, job, pooled, answer);
+      dropTransaction(owner, transaction);
+      // Without its transaction, a write was committed at once.
+      if (transaction.isReadOnly) endJob(owner, job, { kind: 'aborted', reason: answer.kind });
+      else endJob(owner, job, brokenOutcome(answer));
   }
 }
 
 function brokenOutcome(broken: TargetAnswer): StatementOutcome {
   if (broken.kind === 'overdue') return { kind: 'timed-out' };
+  if (broken.kind === 'foreign')
+    return { kind: 'unknown', reason: 'the server sent an answer that does not fit' };
   return { kind: 'unknown', reason: 'the connection to the server was lost' };
 }
 
@@ -252,7 +262,7 @@
   server.laggingUntilMs = nowMs + server.laggingPauseMs;
 }
 
-/** Handles a lost connection or an overdue answer; other connections to the server may be dead as well. */
+/** Handles a connection that was closed; other connections to the server may be dead as well. */
 export function handleBrokenConnection(
   owner: StatementOwner,
   job: Job,
@@ -260,7 +270,7 @@
   broken: TargetAnswer,
 ): void {
   const { server } = pooled;
-  owner.environment.log('connection to server lost or answer overdue', {
+  owner.environment.log('connection to server lost, or its answer overdue or foreign', {
     request: job.request.tag,
     group: owner.group,
     server: server.announcement.server,
--- a/packages/statement-entry/src/target/match-answer.test.ts
+++ b/packages/statement-entry/src/target/match-answer.test.ts
@@ -167,9 +167,16 @@
 ];
 
 describe('the answer to an order', () => {
+  it('may have the signature of an earlier one to the same tag', () => {
+    const history = createAnswerHistory();
+    recordMatch(history, read, first);
+    expect(matchAnswer(history, read, first)).toBe('fits');
+  });
+
   it.each(cases)('$expected: $name', ({ earlier, order, answer, expected }) => {
     const history = createAnswerHistory();
-    for (const each of earlier) recordMatch(history, each);
+    for (const [index, each] of earlier.entries())
+      recordMatch(history, { ...read, tag: `earlier-${index}` }, each);
     expect(matchAnswer(history, order, answer)).toBe(expected);
   });
 });
--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -19,8 +19,10 @@
   state: ConnectionState;
   /** Whether an answer without a signature has been received. */
   hasUnsigned: boolean;
-  /** The number of rows of each signed answer, by its signature. */
-  readonly rowCounts: Map<string, number>;
+  /** Whether a statement, or an order that prepares the connection for one, was answered with an error. */
+  hasErrorOfStatement: boolean;
+  /** The statement and the number of rows of each signed answer, by its signature. */
+  readonly signed: Map<string, { readonly tag: string; readonly rowCount: number }>;
 }
 
 /**
@@ -39,7 +41,7 @@
 export const MAX_SIGNED_ANSWERS = 512;
 
 export function createAnswerHistory(): AnswerHistory {
-  return { state: 'idle', hasUnsigned: false, rowCounts: new Map() };
+  return { state: 'idle', hasUnsigned: false, hasErrorOfStatement: false, signed: new Map() };
 }
 
 /**
@@ -60,9 +62,9 @@
     case 'execute':
       return answer.isError
         ? matchError(history, answer)
-        : matchStatement(history, answer, history.state);
+        : matchStatement(history, order.tag, answer, history.state);
     case 'commit':
-      return answer.isError ? 'fits' : matchStatement(history, answer, 'idle');
+      return answer.isError ? 'fits' : matchStatement(history, order.tag, answer, 'idle');
     case 'set':
     case 'reset':
     case 'prepare':
@@ -76,14 +78,37 @@
   }
 }
 
+/** Whether an answer that came without a pending order is an earlier one that was sent again. */
+export function isRepeated(history: AnswerHistory, answer: ReceivedAnswer): boolean {
+  if (answer.isError || answer.signature === undefined) return false;
+  const isUnsigned = answer.signature === NO_SIGNATURE;
+  const { length } = answer.rows;
+  const match = isUnsigned
+    ? matchRepeatedOwn(history, length)
+    : matchRepeatedStatement(history, answer);
+  return match === 'repeated';
+}
+
+/**
+ * Whether a connection can carry another order after its last answer. An error has no signature, so a late copy of it
+ * could not be told from the answer to a later statement.
+ */
+export function isReusable(history: AnswerHistory): boolean {
+  if (history.hasErrorOfStatement) return false;
+  return history.state !== 'idle' || history.signed.size < MAX_SIGNED_ANSWERS;
+}
+
 /** Remembers an answer that fitted its order. */
 export function recordMatch(
   history: AnswerHistory,
-  { signature, rows, state }: ReceivedAnswer,
+  order: TargetOrder,
+  { signature, rows, state, isError }: ReceivedAnswer,
 ): void {
   history.state = state;
-  if (signature === undefined || signature === NO_SIGNATURE) history.hasUnsigned = true;
-  else history.rowCounts.set(copyOf(signature), rows.length);
+  if (isError && !isControlOrder(order)) history.hasErrorOfStatement = true;
+  if (signature === NO_SIGNATURE) history.hasUnsigned = true;
+  else if (signature !== undefined && 'tag' in order)
+    history.signed.set(copyOf(signature), { tag: copyOf(order.tag), rowCount: rows.length });
 }
 
 /** A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. */
@@ -93,12 +118,15 @@
 
 function matchStatement(
   history: AnswerHistory,
+  tag: string,
   answer: ReceivedAnswer,
   expectedState: ConnectionState,
 ): AnswerMatch {
   const { rows, signature = '', state } = answer;
   if (signature === NO_SIGNATURE) return matchRepeatedOwn(history, rows.length);
-  if (history.rowCounts.has(signature)) return matchRepeatedStatement(history, answer);
+  const seen = history.signed.get(signature);
+  // A caller that uses a tag again may get the same signature again.
+  if (seen && seen.tag !== tag) return matchRepeatedStatement(history, answer);
   return state === expectedState ? 'fits' : 'foreign';
 }
 
@@ -139,13 +167,18 @@
 
 /** More rows than the first time are rows of the pending order's answer, which the repeated one has interrupted. */
 function matchRepeatedStatement(
-  { rowCounts }: AnswerHistory,
+  { signed }: AnswerHistory,
   { signature = '', rows }: ReceivedAnswer,
 ): AnswerMatch {
-  return rowCounts.get(signature) === rows.length ? 'repeated' : 'foreign';
+  return signed.get(signature)?.rowCount === rows.length ? 'repeated' : 'foreign';
+}
+
+/** Control orders are idempotent, and their answers tell what they are about. */
+function isControlOrder({ kind }: TargetOrder): boolean {
+  return kind === 'status' || kind === 'pause' || kind === 'resume' || kind === 'demote';
 }
 
-/** A part of a received text would keep all of that text in memory. */
+/** A part of a received text keeps all of that text in memory; a copy does not. */
 function copyOf(text: string): string {
   return Buffer.from(text, 'latin1').toString('latin1');
 }
--- a/packages/statement-entry/src/target/measured-order.ts
+++ b/packages/statement-entry/src/target/measured-order.ts
@@ -70,6 +70,7 @@
     case 'overdue':
       return 'mute';
     case 'lost':
+    case 'foreign':
       return 'reset';
   }
 }
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -187,7 +187,7 @@
 }
 
 function isAnswered({ kind }: TargetAnswer): boolean {
-  return kind !== 'lost' && kind !== 'overdue';
+  return kind !== 'lost' && kind !== 'overdue' && kind !== 'foreign';
 }
 
 function recordControlAnswer(server: ServerState, sentAtMs: number): void {
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -251,7 +251,8 @@
       }
       if (!connection.isOpen()) return { kind: 'lost' };
       const answer = answerOrder(server, order);
-      if (order.kind === 'run' && server.statementMs > 0) await sleep(server.statementMs);
+      if ((order.kind === 'run' || order.kind === 'commit') && server.statementMs > 0)
+        await sleep(server.statementMs);
       return connection.isOpen() ? answer : { kind: 'lost' };
     },
   };
--- a/packages/statement-entry/src/types/target-port.ts
+++ b/packages/statement-entry/src/types/target-port.ts
@@ -63,12 +63,18 @@
   /** The connection was closed before the complete answer arrived. */
   | { readonly kind: 'lost' }
   /** No complete answer arrived within the timeout; the connection is closed. */
-  | { readonly kind: 'overdue' };
+  | { readonly kind: 'overdue' }
+  /**
+   * An answer arrived that is not that of the order; the connection is closed. The order may have run, also outside of the
+   * transaction that it belongs to.
+   */
+  | { readonly kind: 'foreign' };
 
 export interface TargetConnection {
   readonly customer: CustomerName;
   /** Sends an order and waits up to `timeoutMs` for its complete answer. */
   readonly send: (order: TargetOrder, timeoutMs: number) => Promise<TargetAnswer>;
+  /** Whether the connection can be sent an order, now or once the pending one is answered. */
   readonly isOpen: () => boolean;
   readonly close: () => void;
 }
