--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -76,7 +76,7 @@
   readonly endedEpochs: Map<GroupName, number>;
 }
 
-const GROUP_RESOURCE = /^group\/(.+)$/;
+const GROUP_RESOURCE = /^group\/(.+)$/s;
 const PROPOSE_RETRY_MS = 50;
 const RELEASE_RETRY_MS = 200;
 const DEFAULT_IDLE_TRANSACTION_MS = 10_000;
