Keep a write from running twice when its owner ends right after a broken link

What callers would see: a write that ran twice, or a read that ran reported as not run. Needs a link that breaks and is open again, and a handover of the group in the time before the owner has told what became of the statements of the broken link (a poll of 15 ms and one round trip).

Cause: owner/ended lists what still runs for the link that it is sent over; a statement that came over the broken link runs as one of the former channel and is not in the list, so the entry settled it as not run and sent it to the next owner.

Change: a statement whose fate is being asked is left out of handleOwnerEnded. The ended owner gives no answer to the question, and the outcome is unknown.

Ruled out: an outcome over a closed link is not sent; numbers are never reused by a process, and a restarted entry has links of its own.

--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -215,6 +215,19 @@
     expect(fateRequests).toEqual([]);
   });
 
+  // Guards against a write that runs twice: the end names what runs for the link that it comes over, not for a lost one.
+  it('have an unknown outcome if the owner reports its end over a new link before it answers for the lost one', async () => {
+    const running = run();
+    await delay(5);
+    fate = Right([]);
+    handleLinkLost(client, 'b:1');
+    handleOwnerEnded(client, group, 1, []);
+    epoch = 2;
+    await delay(60);
+    expect(sent).toHaveLength(1);
+    expect((await running).outcome.kind).toBe('unknown');
+  });
+
   it.each<{ name: string; change: Partial<StatementDraft>; expected: string }>([
     {
       name: 'the first of a transaction',
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -61,6 +61,8 @@
   readonly deadlines: StatementDeadlines;
   readonly resolve: (outcome: StatementOutcome | 'owner-lost') => void;
   readonly cancelDeadline: () => void;
+  /** Whether the link to the owner broke, so that only the owner's answer to a question can tell what became of it. */
+  isFateAsked: boolean;
 }
 
 export interface OwnerClient {
@@ -208,7 +210,8 @@
       settlePending(client, number, 'owner-lost');
     });
     const sent = { number, tag: draft.tag, sentAtMs: nowMs, port, draft, caller };
-    client.pending.set(number, { ...sent, deadlines, resolve, cancelDeadline });
+    const pending = { ...sent, deadlines, resolve, cancelDeadline, isFateAsked: false };
+    client.pending.set(number, pending);
     if (port.send(request)) return;
     cancelDeadline();
     client.pending.delete(number);
@@ -239,7 +242,8 @@
 
 /**
  * Handles the end of an owner's epoch. Pending statements that are not in `running` have not run and
- * never will, so they are settled as not run and go to the next owner. A target may have refused them.
+ * never will, so they are settled as not run and go to the next owner. A target may have refused them. `running` lacks
+ * statements that were sent over an earlier link.
  */
 export function handleOwnerEnded(
   client: OwnerClient,
@@ -248,8 +252,8 @@
   running: readonly number[],
 ): void {
   client.endedEpochs.set(group, Math.max(epoch, client.endedEpochs.get(group) ?? 0));
-  for (const [number, { port }] of [...client.pending]) {
-    const wasSentToOwner = port.group === group && port.epoch === epoch;
+  for (const [number, { port, isFateAsked }] of [...client.pending]) {
+    const wasSentToOwner = port.group === group && port.epoch === epoch && !isFateAsked;
     if (wasSentToOwner && !running.includes(number)) settlePending(client, number, notRun(false));
   }
 }
@@ -268,6 +272,7 @@
       settlePending(client, number, 'owner-lost');
       continue;
     }
+    pending.isFateAsked = true;
     const owner = `${port.group} ${port.epoch}`;
     asked.set(owner, [...(asked.get(owner) ?? []), pending]);
   }
