Name statements of a closed owner when the epoch ends under a later one

What callers would see: a write that ran twice. An entry that loses its lease closes its owners, while statements that servers run go on; when the lease is renewed, another owner starts under the same epoch. If that one ends soon (a handover or a stop) its notice lists only its own statements, and the other entries settled those of the closed owner as not run and sent them again.

Cause: the registry dropped closed owners at once, and owner/ended was composed from the one owner.

Change: the registry keeps closed owners while statements of theirs run, and passes all running statements of the epoch to onOwnerEnded.

Ruled out: settleFates answers nothing for statements that were sent before the owner began, so it has no such gap.

Evidence: the new test of owner-registry.test.ts failed before (no statement named) and passes now, 8 of 8 in the file.

--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -32,7 +32,7 @@
   type EntryChannel,
   settleFates,
 } from './owner/owner-app.js';
-import type { StatementOwner } from './owner/owner-state.js';
+import type { Job, StatementOwner } from './owner/owner-state.js';
 import { workAtServer } from './owner/target-work.js';
 import {
   deliverServerAnnouncement,
@@ -165,12 +165,16 @@
  * Notifies the entries that have sent statements that an owner's epoch has ended on this entry. Links keep the
  * order of messages, so the answers that the owner has given so far arrive first.
  */
-export function notifyOwnerEnded(app: StatementApp, owner: StatementOwner): void {
+export function notifyOwnerEnded(
+  app: StatementApp,
+  { group, epoch }: StatementOwner,
+  running: readonly Job[],
+): void {
   for (const [peer, channel] of app.channels) {
-    const running = [...owner.running]
+    const numbers = running
       .filter((job) => job.channel === channel && !job.isEnded)
       .map(({ request }) => request.number);
-    const encoded: EncodedOwnerEnded = [owner.group, owner.epoch, running];
+    const encoded: EncodedOwnerEnded = [group, epoch, numbers];
     peer.notify('owner/ended', encoded);
   }
 }
--- a/packages/statement-entry/src/owner/owner-registry.test.ts
+++ b/packages/statement-entry/src/owner/owner-registry.test.ts
@@ -10,7 +10,7 @@
 import { type Either, Left, Right } from 'purify-ts';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { createFakeGroup } from '../test-support/fake-group.js';
-import type { StatementOwner } from './owner-state.js';
+import type { Job, StatementOwner } from './owner-state.js';
 import {
   closeAllStatementOwners,
   createStatementOwnerRegistry,
@@ -35,6 +35,7 @@
   let registry: StatementOwnerRegistry;
   let assigned: { epoch: number; incarnation: string; isHeavy?: boolean };
   let ended: StatementOwner[];
+  let runningAtEnd: readonly Job[];
   let calls: string[];
   let answerCall: (params: unknown) => Either<LinkError, unknown>;
 
@@ -62,7 +63,10 @@
       control,
       settings: () => undefined,
       releaseFromReader: () => Promise.resolve(true),
-      onOwnerEnded: (owner) => ended.push(owner),
+      onOwnerEnded: (owner, running) => {
+        ended.push(owner);
+        runningAtEnd = running;
+      },
     });
     reconcileStatementOwners(registry);
   });
@@ -121,6 +125,24 @@
     expect(registry.owners.get(group)?.epoch).toBe(4);
   });
 
+  // Guards against a write that runs twice: entries send statements again that are not named as running at the end.
+  it('name statements at the end of their epoch that run since before the lease was lost', () => {
+    const job = { request: { number: 7 } } as Job;
+    const other = { request: { number: 8 } } as Job;
+    registry.owners.get(group)?.running.add(job);
+    closeAllStatementOwners(registry);
+    reconcileStatementOwners(registry);
+    registry.owners.get(group)?.running.add(other);
+    assigned = { epoch: 5, incarnation: 'elsewhere' };
+    reconcileStatementOwners(registry);
+    expect(runningAtEnd).toEqual([other, job]);
+    assigned = { epoch: 6, incarnation: 'here' };
+    reconcileStatementOwners(registry);
+    assigned = { epoch: 7, incarnation: 'elsewhere' };
+    reconcileStatementOwners(registry);
+    expect(runningAtEnd).toEqual([]);
+  });
+
   it('keep a group that control has given them although it is heavy', async () => {
     assigned = { ...assigned, isHeavy: true };
     await handOverBusiestGroup(registry, 50);
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -31,7 +31,7 @@
   applyServerAnnouncement,
   handleServerLeave,
 } from './owner-lifecycle.js';
-import type { OwnerEnvironment, StatementOwner } from './owner-state.js';
+import type { Job, OwnerEnvironment, StatementOwner } from './owner-state.js';
 
 export interface RegistryOptions {
   readonly entryId: string;
@@ -55,8 +55,12 @@
     group: GroupName,
     server: ServerName,
   ) => Promise<boolean>;
-  /** Called when an epoch has ended and all statements that did not reach a server are answered. */
-  readonly onOwnerEnded: (owner: StatementOwner) => void;
+  /**
+   * Called when an epoch has ended and all statements that did not reach a server are answered.
+   *
+   * @param running the statements of the epoch that still run
+   */
+  readonly onOwnerEnded: (owner: StatementOwner, running: readonly Job[]) => void;
 }
 
 interface EarlyAnnouncement {
@@ -67,6 +71,8 @@
 export interface StatementOwnerRegistry {
   readonly options: RegistryOptions;
   readonly owners: Map<GroupName, StatementOwner>;
+  /** Owners that were closed after a lost lease, while statements of theirs run; another may start under their epoch. */
+  readonly closedOwners: Set<StatementOwner>;
   /**
    * The newest announcement of each server, for owners that start shortly afterwards: control may send it before
    * this entry has received the assignment.
@@ -85,7 +91,13 @@
 const EARLY_ANNOUNCEMENT_RETENTION_MS = 5_000;
 
 export function createStatementOwnerRegistry(options: RegistryOptions): StatementOwnerRegistry {
-  return { options, owners: new Map(), earlyAnnouncements: new Map(), endedEpochs: new Map() };
+  return {
+    options,
+    owners: new Map(),
+    closedOwners: new Set(),
+    earlyAnnouncements: new Map(),
+    endedEpochs: new Map(),
+  };
 }
 
 /** Starts owners for groups that were assigned to this entry and closes those that were not. */
@@ -117,7 +129,18 @@
     if (announcement.group === group) registry.earlyAnnouncements.delete(server);
   }
   registry.endedEpochs.set(group, Math.max(epoch, registry.endedEpochs.get(group) ?? 0));
-  registry.options.onOwnerEnded(owner);
+  registry.options.onOwnerEnded(owner, runningUnder(registry, owner));
+}
+
+/** The statements that run under the epoch of an owner, for it or for one that a lost lease has closed. */
+function runningUnder(
+  { closedOwners }: StatementOwnerRegistry,
+  { group, epoch, running }: StatementOwner,
+): readonly Job[] {
+  const closed = [...closedOwners].filter(
+    (former) => former.group === group && former.epoch === epoch,
+  );
+  return [...running, ...closed.flatMap((former) => [...former.running])];
 }
 
 function startOwner(registry: StatementOwnerRegistry, group: GroupName, epoch: number): void {
@@ -283,6 +306,11 @@
 
 /** Closes all owners after a lost lease; their epochs do not end, because control may renew the lease. */
 export function closeAllStatementOwners(registry: StatementOwnerRegistry): void {
-  for (const owner of registry.owners.values()) closeStatementOwner(owner);
-  registry.owners.clear();
+  const { owners, closedOwners } = registry;
+  for (const former of closedOwners) if (former.running.size === 0) closedOwners.delete(former);
+  for (const owner of owners.values()) {
+    closeStatementOwner(owner);
+    if (owner.running.size > 0) closedOwners.add(owner);
+  }
+  owners.clear();
 }
--- a/packages/statement-entry/src/statement-entry.ts
+++ b/packages/statement-entry/src/statement-entry.ts
@@ -176,8 +176,8 @@
       );
       return released?.orDefault(false) === true;
     },
-    onOwnerEnded: (owner) => {
-      notifyOwnerEnded(app, owner);
+    onOwnerEnded: (owner, running) => {
+      notifyOwnerEnded(app, owner, running);
     },
   });
   const links: EntryLinks = createEntryLinks({
