Keep a link open when a message on it would be too long

What callers would see: LOST or unknown outcomes of many statements at once. An answer of more than 32 MiB (rows have up to 1 MiB each, their number has no limit) was sent between entries as one frame; the receiver closes the link for a frame above its limit, and with it all statements that wait on the link.

Cause: the limit was checked by the receiver alone.

Change: link-peer.ts does not write such a frame and says so to the sender: an event is not sent, a request is not-sent, a reply becomes a failure.

--- a/packages/link/src/frame-codec.ts
+++ b/packages/link/src/frame-codec.ts
@@ -24,6 +24,11 @@
   return frame;
 }
 
+/** Whether a decoder accepts an encoded frame. */
+export function isFrameAllowed(frame: Buffer): boolean {
+  return frame.length - LENGTH_BYTES <= MAX_FRAME_BYTES;
+}
+
 export type DecodedFrames =
   | { readonly kind: 'values'; readonly values: readonly unknown[] }
   | { readonly kind: 'malformed'; readonly reason: string };
--- a/packages/link/src/link-peer.ts
+++ b/packages/link/src/link-peer.ts
@@ -1,7 +1,13 @@
 /** One authenticated link between two processes of the system: requests, replies and events. */
 import type { Socket } from 'node:net';
 import { type Either, Left, Right } from 'purify-ts';
-import { createFrameDecoder, decodeFrames, encodeFrame, MAX_FRAME_BYTES } from './frame-codec.js';
+import {
+  createFrameDecoder,
+  decodeFrames,
+  encodeFrame,
+  isFrameAllowed,
+  MAX_FRAME_BYTES,
+} from './frame-codec.js';
 import { setSharedInterval } from './shared-interval.js';
 import { writeBatched } from './write-batch.js';
 import { createNonce, createProof, isProofValid, type LinkSide } from './link-auth.js';
@@ -22,7 +28,7 @@
     params: unknown,
     timeoutMs: number,
   ) => Promise<Either<LinkError, unknown>>;
-  /** Sends an event; returns whether the link was open. */
+  /** Sends an event; returns whether it was sent: the link was open and the event is not longer than a frame may be. */
   readonly notify: (method: string, params: unknown) => boolean;
   readonly close: (reason: string) => void;
   readonly isOpen: () => boolean;
@@ -105,9 +111,13 @@
   write([FRAME.hello, ownNonce]);
   return peer;
 
-  function write(frame: readonly unknown[]): void {
+  /** Returns whether the frame was written. The peer would close the link, with all that is pending, for a longer one. */
+  function write(frame: readonly unknown[]): boolean {
+    const encoded = encodeFrame(frame);
+    if (!isFrameAllowed(encoded)) return false;
     lastSentMs = performance.now();
-    writeBatched(socket, encodeFrame(frame));
+    writeBatched(socket, encoded);
+    return true;
   }
 
   function sendRequest(
@@ -123,7 +133,7 @@
         settle(id, Left({ kind: 'timeout' }));
       });
       pending.set(id, { resolve, endDeadline });
-      write([FRAME.request, id, method, params]);
+      if (!write([FRAME.request, id, method, params])) settle(id, Left({ kind: 'not-sent' }));
     });
   }
 
@@ -136,9 +146,7 @@
   }
 
   function notify(method: string, params: unknown): boolean {
-    if (phase !== 'open') return false;
-    write([FRAME.event, method, params]);
-    return true;
+    return phase === 'open' && write([FRAME.event, method, params]);
   }
 
   function close(reason: string): void {
@@ -267,7 +275,8 @@
   async function answerRequest(id: number, method: string, params: unknown): Promise<void> {
     try {
       const result = await handlers.onRequest(peer, method, params);
-      if (phase === 'open') write([FRAME.reply, id, result]);
+      if (phase !== 'open' || write([FRAME.reply, id, result])) return;
+      write([FRAME.failure, id, 'the reply is longer than a frame may be']);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       if (phase === 'open') write([FRAME.failure, id, message]);
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -64,6 +64,12 @@
 /** Group, epoch, and the numbers of the receiver's statements that are still running. */
 type EncodedOwnerEnded = readonly [group: GroupName, epoch: number, running: readonly number[]];
 
+/** Sent in place of an answer that no frame of a link can hold; its statement may have changed data. */
+const TOO_LONG = {
+  kind: 'unknown',
+  reason: 'the answer is too long to be passed on',
+} as const;
+
 type RequestHandler = (app: StatementApp, params: unknown) => unknown;
 type EventHandler = (app: StatementApp, peer: LinkPeer, params: unknown) => void;
 
@@ -231,7 +237,8 @@
   const created: EntryChannel = {
     id: `link-${app.channelCount}`,
     answer: (number, outcome) => {
-      peer.notify('statement/outcome', encodeOutcome(number, outcome));
+      const isSent = peer.notify('statement/outcome', encodeOutcome(number, outcome));
+      if (!isSent) peer.notify('statement/outcome', encodeOutcome(number, TOO_LONG));
     },
   };
   app.channels.set(peer, created);
