Count session values that are named like properties of all objects

What callers would see: nothing at first. After SET __proto__ a session's size was no number, so its bound of 256 KiB applied to nothing that the session kept, and the memory budget was given that size, too. For other such names the size was wrong by a little.

Cause: values[name] also finds what every object inherits.

Change: Object.hasOwn.

--- a/packages/statement-entry/src/accept/session-values.ts
+++ b/packages/statement-entry/src/accept/session-values.ts
@@ -6,7 +6,8 @@
 
 /** Sets a value; returns whether the session's bound allows it. */
 export function setValue(session: CallerSession, name: string, value: string): boolean {
-  const current = session.values[name];
+  // Every object inherits values for some names.
+  const current = Object.hasOwn(session.values, name) ? session.values[name] : undefined;
   const change = value.length - (current === undefined ? -name.length : current.length);
   if (!growState(session, change)) return false;
   session.values = { ...session.values, [name]: value };
