Test that links keep all bytes of statements and answers

Two properties over texts of all bytes, at the lengths at which CBOR changes the form of a text, and with names that objects treat in a special way; statement numbers up to the largest exact one.

--- a/packages/statement-entry/src/types/link-codec.test.ts
+++ b/packages/statement-entry/src/types/link-codec.test.ts
@@ -1,4 +1,5 @@
 import { Encoder } from 'cbor-x';
+import fc from 'fast-check';
 import {
   type StatementOutcome,
   type StatementRequest,
@@ -76,6 +77,81 @@
     ]);
   });
 
+  /** Bytes as they are held in texts, with what is likely to be changed on the way. */
+  const bytesArbitrary = fc.oneof(
+    fc.uint8Array({ maxLength: 80 }).map((bytes) => Buffer.from(bytes).toString('latin1')),
+    fc.constantFrom(
+      '',
+      '__proto__',
+      'constructor',
+      '-',
+      'null',
+      '0',
+      '\r',
+      '\n',
+      '\0',
+      '\xef\xbb\xbf',
+    ),
+    // Lengths around those at which the encoder changes the form of a text.
+    fc
+      .tuple(
+        fc.constantFrom(23, 24, 31, 32, 63, 64, 255, 256, 4_095, 4_096, 65_535, 65_536, 70_000),
+        fc.constantFrom('a', '\x7f', '\x80', '\xff', '\r'),
+        fc.constantFrom('a', '\x80', '\xff'),
+      )
+      .map(([length, text, last]) => text.repeat(length - 1) + last),
+  );
+
+  // Guards against MIXED and UNASKED: bytes of a statement or an answer that change on a link.
+  it('passes all bytes of statements on unchanged', () => {
+    const bodyArbitrary = fc.oneof(
+      fc.record({ kind: fc.constant('plain' as const), text: bytesArbitrary }),
+      fc.record({
+        kind: fc.constant('prepared' as const),
+        access: fc.constantFrom('read' as const, 'write' as const),
+        shape: bytesArbitrary,
+        argument: bytesArbitrary,
+      }),
+    );
+    const valuesArbitrary = fc.array(fc.tuple(bytesArbitrary, bytesArbitrary), { maxLength: 5 });
+    const property = fc.property(
+      fc.record({ tag: bytesArbitrary, body: bodyArbitrary, values: valuesArbitrary }),
+      fc.integer({ min: 1, max: Number.MAX_SAFE_INTEGER }),
+      (change, number) => {
+        const request = {
+          ...{ ...plain, ...change, number },
+          ...{ values: Object.fromEntries(change.values) },
+        };
+        const encoded = roundTrip<EncodedStatement>(encodeStatement(group, 9, request));
+        const decoded = decodeStatement(encoded).request;
+        expect({ ...decoded, values: Object.entries(decoded.values) }).toEqual({
+          ...{ ...request, values: Object.entries(request.values) },
+        });
+      },
+    );
+    fc.assert(property, { seed: 20_261_206, numRuns: 1_000 });
+  });
+
+  it('passes all bytes of answers on unchanged', () => {
+    const property = fc.property(
+      fc.array(bytesArbitrary, { maxLength: 20 }),
+      bytesArbitrary,
+      fc.integer({ min: 1, max: Number.MAX_SAFE_INTEGER }),
+      (rows, signature, number) => {
+        const position = { term: 1, offset: number };
+        const outcomes: StatementOutcome[] = [
+          { kind: 'done', rows, signature, position, isFromReplica: false },
+          { kind: 'failed', text: signature },
+        ];
+        for (const outcome of outcomes) {
+          const encoded = roundTrip<EncodedOutcome>(encodeOutcome(number, outcome));
+          expect(decodeOutcome(encoded)).toEqual({ number, outcome });
+        }
+      },
+    );
+    fc.assert(property, { seed: 20_261_206, numRuns: 1_000 });
+  });
+
   it.each<StatementOutcome>([
     { kind: 'done', rows: [], signature: '-', position: null, isFromReplica: false },
     {
