Keep what owners have of a caller's statements apart by number

What callers would see: 'not run, entry-stopping' for a write that an owner has and may run, so that they send it again; and a write of a caller that has gone is not withdrawn.

Cause: a read that its reader does not answer in time is sent to the owner as well. The session goes on with the first result, and the copy ends later. A caller had one place for the statement that an owner has: the end of the copy emptied it while the owner had the session's next statement, and a copy that was sent again replaced it. Class of the incident: an answer that is matched to the wrong request.

Change: a caller's statements at owners are kept by number (locate/statement-caller.ts). A stop reports a write as not run if no owner has a statement that may change data; copies of reads do not count. All of them are withdrawn when the caller disconnects.

--- a/packages/statement-entry/src/accept/session-state.ts
+++ b/packages/statement-entry/src/accept/session-state.ts
@@ -8,12 +8,8 @@
 } from '@bramleykeel/core';
 import type { RateClient, TokenReceipt } from '@bramleykeel/entry-shared';
 import type { Counters, Log } from '@bramleykeel/link';
-import {
-  createStatementCaller,
-  type OwnerClient,
-  type OwnerPort,
-  type StatementCaller,
-} from '../locate/owner-client.js';
+import type { OwnerClient, OwnerPort } from '../locate/owner-client.js';
+import { createStatementCaller, type StatementCaller } from '../locate/statement-caller.js';
 import type { ReaderClient } from '../near/reader-client.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
 import type { ConnectionState } from '../types/target-port.js';
--- a/packages/statement-entry/src/accept/session.test.ts
+++ b/packages/statement-entry/src/accept/session.test.ts
@@ -13,7 +13,7 @@
 import { createOwnerClient, handleOutcome, type OwnerClient } from '../locate/owner-client.js';
 import { createReaderClient } from '../near/reader-client.js';
 import type { CallerPort, CallerRequest } from '../types/caller-port.js';
-import { closeSession, submitRequest } from './session.js';
+import { abandonRequests, closeSession, submitRequest } from './session.js';
 import { type CallerSession, createSession, type SessionEnvironment } from './session-state.js';
 
 const group = toGroupName('ledger');
@@ -245,4 +245,45 @@
     await delay(60);
     expect(sent).toHaveLength(1);
   });
+
+  describe('after a read that its reader answered once it had been repeated at the owner', () => {
+    let copyNumber: number;
+    let writeNumber: number;
+
+    beforeEach(async () => {
+      const reader = { kind: 'elsewhere', epoch: 1, linkAddress: 'b:1', zone: 'a' } as const;
+      const nearRoute = { ...route, consistency: 'bounded-age', maxReadAgeMs: 500 } as const;
+      const nearSettings = { ...settings, routes: new Map([['bookings', nearRoute]]) };
+      Object.assign(environment, {
+        settings: () => nearSettings,
+        readers: createReaderClient({
+          ...environment.readers.options,
+          locateReader: () => reader,
+          sendToReader: () => delay(600, done),
+        }),
+      });
+      await run({ kind: 'statement', tag: 'r', access: 'read', text: 'READ x' }, write);
+      await delay(650);
+      [copyNumber = 0, writeNumber = 0] = sent.map(({ number }) => number);
+      expect(sent.map(({ access }) => access)).toEqual(['read', 'write']);
+    });
+
+    // Guards against `not-run` for a write that the owner has: the end of the copy was taken for that of the write.
+    it.each([done, { ...untouched, reason: 'no-owner' } as const])(
+      'does not take the outcome of the copy for that of a later write: $kind',
+      async (outcome) => {
+        handleOutcome(owners, copyNumber, outcome);
+        await delay(60);
+        abandonRequests(session);
+        expect(refusals).toEqual(['unknown']);
+      },
+    );
+
+    it('withdraws what waits at the owner when its caller leaves', async () => {
+      handleOutcome(owners, copyNumber, done);
+      await delay(5);
+      closeSession(session);
+      expect(withdrawn).toEqual([writeNumber]);
+    });
+  });
 });
--- a/packages/statement-entry/src/accept/session.ts
+++ b/packages/statement-entry/src/accept/session.ts
@@ -5,7 +5,8 @@
   type StatementBody,
   type StatementOutcome,
 } from '@bramleykeel/core';
-import { runStatement, withdrawCaller } from '../locate/owner-client.js';
+import { runStatement } from '../locate/owner-client.js';
+import { hasPendingChange, withdrawCaller } from '../locate/statement-caller.js';
 import { runNearest } from '../near/reader-client.js';
 import { findAdmission, findHomes } from './access.js';
 import {
@@ -87,7 +88,7 @@
 
 /** Whether the running request is a write that no owner has; reads may be at a reader. It is not sent any more. */
 function isUnsentWrite({ caller, runningRequest, prepared }: CallerSession): boolean {
-  if (caller.pending || !runningRequest) return false;
+  if (hasPendingChange(caller) || !runningRequest) return false;
   caller.isGone = true;
   if (runningRequest.kind === 'statement') return runningRequest.access === 'write';
   return runningRequest.kind === 'execute' && prepared.get(runningRequest.name)?.access === 'write';
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -17,6 +17,7 @@
 import type { EntryLinks } from './entry-links.js';
 import { findOwnerAssignment } from './find-owner.js';
 import { askFates, isFateNeeded, type SentStatement } from './statement-fate.js';
+import { createStatementCaller, type StatementCaller } from './statement-caller.js';
 import type { StatementDeadlines } from './statement-deadlines.js';
 
 export interface OwnerLocation {
@@ -79,23 +80,6 @@
   readonly port: OwnerPort | undefined;
 }
 
-/** The caller of a session's statements, which run one at a time. */
-export interface StatementCaller {
-  isGone: boolean;
-  /** The statement that an owner has and has not answered. */
-  pending: { readonly port: OwnerPort; readonly number: number } | undefined;
-}
-
-export function createStatementCaller(): StatementCaller {
-  return { isGone: false, pending: undefined };
-}
-
-/** Withdraws the statement of a caller that has disconnected, unless a server runs it already. */
-export function withdrawCaller(caller: StatementCaller): void {
-  caller.isGone = true;
-  caller.pending?.port.sendWithdrawal(caller.pending.number);
-}
-
 export type StatementDraft = Omit<StatementRequest, 'number' | 'budgetMs' | 'startWithinMs'>;
 
 const OWNER_POLL_INTERVAL_MS = 15;
@@ -149,7 +133,6 @@
     const { deadlineMs } = deadlines;
     const sendDeadlines = { deadlineMs, startByMs: startByMs() };
     const outcome = await sendOnce(client, port, current, sendDeadlines, caller);
-    caller.pending = undefined;
     const isTooLateToStart = performance.now() >= startByMs();
     if (outcome === 'not-sent') {
       if (hasTransactionOwner) return { outcome: aborted(), port };
@@ -204,8 +187,12 @@
     budgetMs,
     startWithinMs: Math.max(0, deadlines.startByMs - nowMs),
   };
-  caller.pending = { port, number };
-  return new Promise((resolve) => {
+  caller.pending.set(number, { port, access: draft.access });
+  return new Promise((settle) => {
+    const resolve = (outcome: StatementOutcome | 'owner-lost' | 'not-sent') => {
+      caller.pending.delete(number);
+      settle(outcome);
+    };
     const cancelDeadline = startInputDeadline(budgetMs + ANSWER_TRANSIT_MS, () => {
       settlePending(client, number, 'owner-lost');
     });
