--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -32,7 +32,7 @@
   type EntryChannel,
   settleFates,
 } from './owner/owner-app.js';
-import type { StatementOwner } from './owner/owner-state.js';
+import type { Job, StatementOwner } from './owner/owner-state.js';
 import { workAtServer } from './owner/target-work.js';
 import {
   deliverServerAnnouncement,
@@ -64,6 +64,12 @@
 /** Group, epoch, and the numbers of the receiver's statements that are still running. */
 type EncodedOwnerEnded = readonly [group: GroupName, epoch: number, running: readonly number[]];
 
+/** Sent in place of an answer that no frame of a link can hold; its statement may have changed data. */
+const TOO_LONG = {
+  kind: 'unknown',
+  reason: 'the answer is too long to be passed on',
+} as const;
+
 type RequestHandler = (app: StatementApp, params: unknown) => unknown;
 type EventHandler = (app: StatementApp, peer: LinkPeer, params: unknown) => void;
 
@@ -165,12 +171,16 @@
  * Notifies the entries that have sent statements that an owner's epoch has ended on this entry. Links keep the
  * order of messages, so the answers that the owner has given so far arrive first.
  */
-export function notifyOwnerEnded(app: StatementApp, owner: StatementOwner): void {
+export function notifyOwnerEnded(
+  app: StatementApp,
+  { group, epoch }: StatementOwner,
+  running: readonly Job[],
+): void {
   for (const [peer, channel] of app.channels) {
-    const running = [...owner.running]
+    const numbers = running
       .filter((job) => job.channel === channel && !job.isEnded)
       .map(({ request }) => request.number);
-    const encoded: EncodedOwnerEnded = [owner.group, owner.epoch, running];
+    const encoded: EncodedOwnerEnded = [group, epoch, numbers];
     peer.notify('owner/ended', encoded);
   }
 }
@@ -227,7 +237,8 @@
   const created: EntryChannel = {
     id: `link-${app.channelCount}`,
     answer: (number, outcome) => {
-      peer.notify('statement/outcome', encodeOutcome(number, outcome));
+      const isSent = peer.notify('statement/outcome', encodeOutcome(number, outcome));
+      if (!isSent) peer.notify('statement/outcome', encodeOutcome(number, TOO_LONG));
     },
   };
   app.channels.set(peer, created);
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -17,6 +17,7 @@
 import type { EntryLinks } from './entry-links.js';
 import { findOwnerAssignment } from './find-owner.js';
 import { askFates, isFateNeeded, type SentStatement } from './statement-fate.js';
+import { createStatementCaller, type StatementCaller } from './statement-caller.js';
 import type { StatementDeadlines } from './statement-deadlines.js';
 
 export interface OwnerLocation {
@@ -61,6 +62,8 @@
   readonly deadlines: StatementDeadlines;
   readonly resolve: (outcome: StatementOutcome | 'owner-lost') => void;
   readonly cancelDeadline: () => void;
+  /** Whether the link to the owner broke, so that only the owner's answer to a question can tell what became of it. */
+  isFateAsked: boolean;
 }
 
 export interface OwnerClient {
@@ -77,23 +80,6 @@
   readonly port: OwnerPort | undefined;
 }
 
-/** The caller of a session's statements, which run one at a time. */
-export interface StatementCaller {
-  isGone: boolean;
-  /** The statement that an owner has and has not answered. */
-  pending: { readonly port: OwnerPort; readonly number: number } | undefined;
-}
-
-export function createStatementCaller(): StatementCaller {
-  return { isGone: false, pending: undefined };
-}
-
-/** Withdraws the statement of a caller that has disconnected, unless a server runs it already. */
-export function withdrawCaller(caller: StatementCaller): void {
-  caller.isGone = true;
-  caller.pending?.port.sendWithdrawal(caller.pending.number);
-}
-
 export type StatementDraft = Omit<StatementRequest, 'number' | 'budgetMs' | 'startWithinMs'>;
 
 const OWNER_POLL_INTERVAL_MS = 15;
@@ -147,7 +133,6 @@
     const { deadlineMs } = deadlines;
     const sendDeadlines = { deadlineMs, startByMs: startByMs() };
     const outcome = await sendOnce(client, port, current, sendDeadlines, caller);
-    caller.pending = undefined;
     const isTooLateToStart = performance.now() >= startByMs();
     if (outcome === 'not-sent') {
       if (hasTransactionOwner) return { outcome: aborted(), port };
@@ -202,13 +187,18 @@
     budgetMs,
     startWithinMs: Math.max(0, deadlines.startByMs - nowMs),
   };
-  caller.pending = { port, number };
-  return new Promise((resolve) => {
+  caller.pending.set(number, { port, access: draft.access });
+  return new Promise((settle) => {
+    const resolve = (outcome: StatementOutcome | 'owner-lost' | 'not-sent') => {
+      caller.pending.delete(number);
+      settle(outcome);
+    };
     const cancelDeadline = startInputDeadline(budgetMs + ANSWER_TRANSIT_MS, () => {
       settlePending(client, number, 'owner-lost');
     });
     const sent = { number, tag: draft.tag, sentAtMs: nowMs, port, draft, caller };
-    client.pending.set(number, { ...sent, deadlines, resolve, cancelDeadline });
+    const pending = { ...sent, deadlines, resolve, cancelDeadline, isFateAsked: false };
+    client.pending.set(number, pending);
     if (port.send(request)) return;
     cancelDeadline();
     client.pending.delete(number);
@@ -239,7 +229,8 @@
 
 /**
  * Handles the end of an owner's epoch. Pending statements that are not in `running` have not run and
- * never will, so they are settled as not run and go to the next owner. A target may have refused them.
+ * never will, so they are settled as not run and go to the next owner. A target may have refused them. `running` lacks
+ * statements that were sent over an earlier link.
  */
 export function handleOwnerEnded(
   client: OwnerClient,
@@ -248,8 +239,8 @@
   running: readonly number[],
 ): void {
   client.endedEpochs.set(group, Math.max(epoch, client.endedEpochs.get(group) ?? 0));
-  for (const [number, { port }] of [...client.pending]) {
-    const wasSentToOwner = port.group === group && port.epoch === epoch;
+  for (const [number, { port, isFateAsked }] of [...client.pending]) {
+    const wasSentToOwner = port.group === group && port.epoch === epoch && !isFateAsked;
     if (wasSentToOwner && !running.includes(number)) settlePending(client, number, notRun(false));
   }
 }
@@ -268,6 +259,7 @@
       settlePending(client, number, 'owner-lost');
       continue;
     }
+    pending.isFateAsked = true;
     const owner = `${port.group} ${port.epoch}`;
     asked.set(owner, [...(asked.get(owner) ?? []), pending]);
   }
