--- /dev/null
+++ b/packages/statement-entry/src/owner/foreign-answers.test.ts
@@ -0,0 +1,132 @@
+import { hasUncoveredCommits, recordAcknowledged, type StatementAccess } from '@bramleykeel/core';
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
+import { runStatementAt } from '../test-support/run-statement.js';
+import type { TargetAnswer } from '../types/target-port.js';
+import { changePrimary } from './change-primary.js';
+import { closeStatementOwner, handleServerLeave } from './owner-lifecycle.js';
+import { takeOver } from './take-over.js';
+import { checkReplicas } from './watch-replicas.js';
+
+const done = (state: 'idle' | 'open'): TargetAnswer => ({
+  ...{ kind: 'done', rows: [], signature: '-', state, position: null },
+});
+
+let fake: FakeGroup;
+let primary: FakeServer;
+
+beforeEach(async () => {
+  fake = createFakeGroup(3);
+  [primary] = fake.servers as [FakeServer, FakeServer];
+  await takeOver(fake.owner);
+  primary.orders.length = 0;
+});
+
+afterEach(() => {
+  closeStatementOwner(fake.owner);
+});
+
+describe('answers that are not those of their orders', () => {
+  // Guards against a storm of connections: each further attempt opens one.
+  it('do not let a read be repeated without a pause', async () => {
+    primary.answers.push(...Array.from({ length: 100_000 }, () => ({ kind: 'foreign' }) as const));
+    const outcome = runStatementAt(fake.owner, 'read', {
+      consistency: 'newest',
+      startWithinMs: 200,
+    });
+    await delay(200);
+    const runs = primary.orders.filter(({ kind }) => kind === 'run').length;
+    primary.answers.length = 0;
+    await outcome;
+    expect(runs).toBeLessThan(50);
+  });
+
+  // Guards against REFUSED and TWICE: the write may have run.
+  it('leave a write with an unknown outcome, and do not let it run again', async () => {
+    primary.answers.push({ kind: 'foreign' });
+    expect((await runStatementAt(fake.owner, 'write')).kind).toBe('unknown');
+    expect(primary.orders.filter(({ kind }) => kind === 'run')).toHaveLength(1);
+  });
+
+  // Guards against REFUSED: a write whose BEGIN was refused unnoticed was committed at once.
+  it.each<StatementAccess>(['write', 'commit'])(
+    'make no promise for the %s of a transaction',
+    async (access) => {
+      const transaction = { number: 1, isReadOnly: false };
+      primary.answers.push(done('open'));
+      if (access === 'commit') {
+        primary.answers.push(done('open'));
+        await runStatementAt(fake.owner, 'write', {
+          transaction: { ...transaction, isFirst: true },
+        });
+      }
+      primary.answers.push({ kind: 'foreign' });
+      const outcome = await runStatementAt(fake.owner, access, {
+        transaction: { ...transaction, isFirst: access === 'write' },
+      });
+      expect(outcome.kind).toBe('unknown');
+    },
+  );
+
+  // Guards against LOST: the end of the commits that a replica has taken along is read from a status from before.
+  it('do not tell from an old status which commits the replicas lack', async () => {
+    const { owner } = fake;
+    const [, near] = fake.servers as [FakeServer, FakeServer];
+    const far = fake.servers[2];
+    if (!far || !owner.acknowledgedPositions) throw new Error('the group is not complete');
+    await checkReplicas(owner);
+    near.position = { term: 3, offset: 41 };
+    for (const server of [primary, far]) server.position = { term: 3, offset: 50 };
+    recordAcknowledged(owner.acknowledgedPositions, { term: 3, offset: 50 }, performance.now());
+    handleServerLeave(owner, far.name);
+    await delay(1_050);
+    owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
+    const position = { term: 3, offset: 41 };
+    const rows = [JSON.stringify({ role: 'primary', term: 3, position, heldTerm: 0 })];
+    primary.answers.push({ ...done('idle'), rows } as TargetAnswer);
+    await checkReplicas(owner);
+    expect(hasUncoveredCommits(owner.coverage)).toBe(true);
+  });
+
+  // Guards against UNKNOWN in place of a promise: the transaction was open, so that its connection's end rolls it back.
+  it('abort a transaction that was open before, as a read of it commits nothing', async () => {
+    const transaction = { number: 1, isReadOnly: false };
+    primary.answers.push(done('open'), done('open'), { kind: 'foreign' });
+    const first = await runStatementAt(fake.owner, 'write', {
+      transaction: { ...transaction, isFirst: true },
+    });
+    expect(first.kind).toBe('done');
+    const read = await runStatementAt(fake.owner, 'read', {
+      transaction: { ...transaction, isFirst: false },
+    });
+    expect(read.kind).toBe('aborted');
+  });
+
+  // Guards against STALE: reads need no more than the position in a status from before the promotion.
+  it('do not make a server primary by a status from before it was fenced', async () => {
+    const { owner } = fake;
+    primary.position = { term: 3, offset: 50 };
+    if (!owner.acknowledgedPositions) throw new Error('the owner has no primary');
+    recordAcknowledged(owner.acknowledgedPositions, { term: 3, offset: 50 }, performance.now());
+    const rows = [
+      JSON.stringify({
+        ...{ role: 'primary', term: 3, position: { term: 3, offset: 40 }, heldTerm: 0 },
+        connections: 1,
+      }),
+    ];
+    const { promoteServer } = owner.environment;
+    Object.assign(owner.environment, {
+      promoteServer: async (request: Parameters<typeof promoteServer>[0]) => {
+        const outcome = await promoteServer(request);
+        const promoted = fake.servers.find(({ name }) => name === request.server);
+        promoted?.answers.push({ ...done('idle'), rows } as TargetAnswer);
+        return outcome;
+      },
+    });
+    await changePrimary(owner, 'a test', false, true);
+    expect(owner.leadership).toMatchObject({ kind: 'led', server: primary.name });
+    const [position] = owner.acknowledgedPositions.history;
+    expect(position?.position).toEqual({ term: 3, offset: 50 });
+  });
+});
