--- a/packages/statement-entry/src/near/run-on-replica.ts
+++ b/packages/statement-entry/src/near/run-on-replica.ts
@@ -106,21 +106,15 @@
     const { rows, signature, position } = answer;
     return { kind: 'done', rows, signature, position, isFromReplica: true };
   }
-  if (answer.kind === 'foreign') {
-    discardConnection(pooled);
-    return undefined;
-  }
   if (answer.kind === 'lost' || answer.kind === 'overdue') {
     handleBrokenConnection(place, server, pooled);
     return undefined;
   }
-  if (answer.state === 'idle') releaseConnection(pooled);
-  else discardConnection(pooled);
+  discardConnection(pooled);
   if (answer.kind === 'failed') return { kind: 'failed', text: answer.text };
   if (answer.kind !== 'refused') return undefined;
   if (answer.code === 'busy') server.busyUntilMs = nowMs + BUSY_PAUSE_MS;
   if (answer.code === 'lagging') server.laggingUntilMs = nowMs + LAGGING_PAUSE_MS;
-  if (answer.code === 'unknown-statement') pooled.prepared.clear();
   return undefined;
 }
 
--- a/packages/statement-entry/src/owner/foreign-answers.test.ts
+++ b/packages/statement-entry/src/owner/foreign-answers.test.ts
@@ -5,6 +5,7 @@
 import { runStatementAt } from '../test-support/run-statement.js';
 import type { TargetAnswer } from '../types/target-port.js';
 import { changePrimary } from './change-primary.js';
+import { dispatch } from './dispatch.js';
 import { closeStatementOwner, handleServerLeave } from './owner-lifecycle.js';
 import { takeOver } from './take-over.js';
 import { checkReplicas } from './watch-replicas.js';
@@ -35,10 +36,15 @@
       consistency: 'newest',
       startWithinMs: 200,
     });
+    // The stand-in has no timers of its own.
+    const timer = setInterval(() => {
+      dispatch(fake.owner);
+    }, 5);
     await delay(200);
     const runs = primary.orders.filter(({ kind }) => kind === 'run').length;
     primary.answers.length = 0;
     await outcome;
+    clearInterval(timer);
     expect(runs).toBeLessThan(50);
   });
 
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -71,6 +71,7 @@
     customer,
     pooled: undefined,
     isBusy: false,
+    hasBegun: false,
     homesClaim: createHomesClaim(job.homesClaim.subject, job.request.homes),
     lastUsedMs: performance.now(),
   };
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -160,6 +160,8 @@
   pooled: PooledConnection | undefined;
   readonly homesClaim: HomesClaim;
   isBusy: boolean;
+  /** Whether a statement was answered in it, which shows that the server has begun it. */
+  hasBegun: boolean;
   lastUsedMs: number;
 }
 
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -123,11 +123,7 @@
     }
     if (answer.kind === 'refused') handleRefusal(owner, job, pooled.server, answer.code);
     else handleBrokenConnection(owner, job, pooled, answer);
-    // Unless only BEGIN was refused, the state of the connection is uncertain and it cannot be reused.
-    const isReusable =
-      order.kind === 'begin' && answer.kind === 'refused' && answer.state === 'idle';
-    if (isReusable) releaseConnection(pooled);
-    else discardConnection(pooled);
+    discardConnection(pooled);
     requeueJob(owner, job);
     return false;
   }
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -61,18 +61,15 @@
       return;
     }
     case 'refused': {
-      const { code, state } = answer;
+      const { code } = answer;
       handleRefusal(owner, job, pooled.server, code);
-      if (code === 'unknown-statement') pooled.prepared.clear();
-      if (state === 'idle') releaseConnection(pooled);
-      else discardConnection(pooled);
+      discardConnection(pooled);
       if (code === 'malformed') endJob(owner, job, { kind: 'failed', text: 'malformed statement' });
       else requeueJob(owner, job);
       return;
     }
     case 'failed':
-      if (answer.state === 'idle') releaseConnection(pooled);
-      else discardConnection(pooled);
+      discardConnection(pooled);
       endJob(owner, job, { kind: 'failed', text: answer.text });
       return;
     case 'timed-out':
@@ -81,15 +78,23 @@
       return;
     case 'unknown':
       discardConnection(pooled);
-      endJob(owner, job, { kind: 'unknown', reason: 'the server does not know the outcome' });
+      job.mayHaveRun = true;
+      if (access === 'read') requeueAfterPause(owner, job, pooled.server);
+      else endJob(owner, job, { kind: 'unknown', reason: 'the server does not know the outcome' });
+      return;
+    case 'foreign':
+      handleBrokenConnection(owner, job, pooled, answer);
+      discardConnection(pooled);
+      job.mayHaveRun = true;
+      if (access === 'read') requeueAfterPause(owner, job, pooled.server);
+      else endJob(owner, job, brokenOutcome(answer));
       return;
     case 'lost':
     case 'overdue':
-    case 'foreign':
       handleBrokenConnection(owner, job, pooled, answer);
       discardConnection(pooled);
       job.mayHaveRun = true;
-      if (access === 'read' && answer.kind !== 'overdue') requeueJob(owner, job);
+      if (access === 'read' && answer.kind === 'lost') requeueJob(owner, job);
       else endJob(owner, job, brokenOutcome(answer));
   }
 }
@@ -123,6 +128,7 @@
         if (state === 'idle') releaseConnection(pooled);
         else discardConnection(pooled);
       }
+      transaction.hasBegun = true;
       endJob(owner, job, { kind: 'done', rows, signature, position, isFromReplica });
       return;
     }
@@ -156,11 +162,18 @@
       handleBrokenConnection(owner, job, pooled, answer);
       dropTransaction(owner, transaction);
       // Without its transaction, a write was committed at once.
-      if (transaction.isReadOnly) endJob(owner, job, { kind: 'aborted', reason: answer.kind });
+      if (transaction.isReadOnly || (transaction.hasBegun && !isCommit))
+        endJob(owner, job, { kind: 'aborted', reason: answer.kind });
       else endJob(owner, job, brokenOutcome(answer));
   }
 }
 
+/** A server that answers in an odd way may do so again, and each attempt takes a new connection. */
+function requeueAfterPause(owner: StatementOwner, job: Job, server: ServerState): void {
+  server.busyUntilMs = Math.max(server.busyUntilMs, performance.now() + BUSY_PAUSE_MS);
+  requeueJob(owner, job);
+}
+
 function brokenOutcome(broken: TargetAnswer): StatementOutcome {
   if (broken.kind === 'overdue') return { kind: 'timed-out' };
   if (broken.kind === 'foreign')
@@ -282,6 +295,8 @@
   if (broken.kind === 'overdue') {
     closeIdleConnections(server, ({ lastUsedMs }) => lastUsedMs <= pooled.lastUsedMs);
   }
+  // The server is there, but this connection to it is out of step.
+  if (broken.kind === 'foreign') return;
   if (broken.kind === 'lost') recordFailure(server, 'closed', performance.now());
   suspectPrimary(owner, server);
 }
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -1,8 +1,10 @@
 /** Resumes replicas that a fence has paused, and handles stalled commits. */
 import {
   comparePositions,
+  coversMark,
   hasUncoveredCommits,
   needsPrimaryPosition,
+  newestAcknowledged,
   recordPrimaryPosition,
   recordReplicaPosition,
 } from '@bramleykeel/core';
@@ -58,7 +60,13 @@
   if (primary && needsPrimaryPosition(coverage)) {
     const answer = await sendControlOrder(owner, primary, { kind: 'status' });
     if (owner.leadership !== leadership) return;
-    if (answer?.status.role === 'primary')
+    const { acknowledgedPositions } = owner;
+    // A status from before the last acknowledgement may be one that the server repeats.
+    const isCurrent =
+      answer?.status.role === 'primary' &&
+      (!acknowledgedPositions ||
+        coversMark(answer.status.position, newestAcknowledged(acknowledgedPositions)));
+    if (isCurrent)
       recordPrimaryPosition(coverage, answer.status.position, nowMs, performance.now());
   }
   const requestedAtMs = performance.now();
--- a/packages/statement-entry/src/target/match-answer.test.ts
+++ b/packages/statement-entry/src/target/match-answer.test.ts
@@ -13,13 +13,20 @@
 const begin: TargetOrder = { kind: 'begin', isReadOnly: false, after: null };
 const set: TargetOrder = { kind: 'set', name: 'unit', value: 'mm' };
 
-function signed(signature: string, rows: string[] = [], state: 'idle' | 'open' = 'idle') {
-  return { rows, signature, isError: false, state } satisfies ReceivedAnswer;
+function signed(
+  signature: string,
+  rows: string[] = [],
+  state: 'idle' | 'open' = 'idle',
+  offset = 7,
+): ReceivedAnswer {
+  return { rows, signature, isError: false, state, position: { term: 3, offset } };
 }
 
 const done = signed('-');
 const opened = signed('-', [], 'open');
-const busy: ReceivedAnswer = { rows: [], signature: undefined, isError: true, state: 'idle' };
+const busy: ReceivedAnswer = {
+  ...{ rows: [], signature: undefined, isError: true, state: 'idle', position: null },
+};
 
 interface MatchCase {
   readonly name: string;
@@ -161,16 +168,38 @@
     name: 'an answer that was cut off',
     earlier: [first],
     order: read,
-    answer: { rows: ['a'], signature: undefined, isError: false, state: 'idle' },
+    answer: { ...first, signature: undefined },
     expected: 'fits',
   },
 ];
 
 describe('the answer to an order', () => {
-  it('may have the signature of an earlier one to the same tag', () => {
+  // Guards against MIXED: the statements of a transaction may have one tag, which is that of the client's attempt.
+  it('is not the one to an earlier statement with the same tag', () => {
     const history = createAnswerHistory();
     recordMatch(history, read, first);
-    expect(matchAnswer(history, read, first)).toBe('fits');
+    expect(matchAnswer(history, read, first)).toBe('repeated');
+  });
+
+  // Guards against PINNED, UNASKED and STALE: a BEGIN that was refused, or not carried out yet, counted as begun.
+  it.each([
+    { name: 'later', offset: 8, expected: 'fits' },
+    { name: 'the same', offset: 7, expected: 'foreign' },
+    { name: 'earlier', offset: 6, expected: 'foreign' },
+  ])(
+    'begins no second transaction at a position that is not later: $name',
+    ({ offset, expected }) => {
+      const history = createAnswerHistory();
+      expect(matchAnswer(history, begin, opened)).toBe('fits');
+      recordMatch(history, begin, opened);
+      recordMatch(history, { kind: 'rollback' }, done);
+      expect(matchAnswer(history, begin, signed('-', [], 'open', offset))).toBe(expected);
+    },
+  );
+
+  it('begins no transaction before the required position', () => {
+    const after = { term: 3, offset: 8 };
+    expect(matchAnswer(createAnswerHistory(), { ...begin, after }, opened)).toBe('foreign');
   });
 
   it.each(cases)('$expected: $name', ({ earlier, order, answer, expected }) => {
--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -2,6 +2,7 @@
  * Decides whether an answer can be that of the order that a connection waits for. Answers name no order, and a server may
  * repeat one late, while the connection already waits for the answer to a later order.
  */
+import { comparePositions, type LogPosition } from '@bramleykeel/core';
 import type { ConnectionState, TargetOrder } from '../types/target-port.js';
 
 /** An answer as a server sent it. */
@@ -11,6 +12,8 @@
   readonly signature: string | undefined;
   readonly isError: boolean;
   readonly state: ConnectionState;
+  /** The position of the server's log. */
+  readonly position: LogPosition | null;
 }
 
 /** What is known of the earlier answers of a connection. */
@@ -21,8 +24,12 @@
   hasUnsigned: boolean;
   /** Whether a statement, or an order that prepares the connection for one, was answered with an error. */
   hasErrorOfStatement: boolean;
-  /** The statement and the number of rows of each signed answer, by its signature. */
-  readonly signed: Map<string, { readonly tag: string; readonly rowCount: number }>;
+  /** The position in the last answer to a BEGIN; `undefined` before the first one. */
+  begunAt: LogPosition | null | undefined;
+  /** The number of rows of each signed answer, by its signature. */
+  readonly rowCounts: Map<string, number>;
+  /** The highest number of rows of an answer. */
+  maxRowCount: number;
 }
 
 /**
@@ -35,13 +42,16 @@
 /** Servers answer the proxy's own orders with this in place of a signature. */
 export const NO_SIGNATURE = '-';
 /**
- * Signed answers after which a connection is replaced, so that none is forgotten while its connection is used. A new
- * connection then costs less than a hundredth of the work that its predecessor has carried.
+ * Signed answers after which a connection is replaced, so that none is forgotten while its connection is used, but in a
+ * transaction. A new connection then costs less than a hundredth of the work that its predecessor has carried.
  */
 export const MAX_SIGNED_ANSWERS = 512;
 
 export function createAnswerHistory(): AnswerHistory {
-  return { state: 'idle', hasUnsigned: false, hasErrorOfStatement: false, signed: new Map() };
+  return {
+    ...{ state: 'idle', hasUnsigned: false, hasErrorOfStatement: false },
+    ...{ begunAt: undefined, rowCounts: new Map(), maxRowCount: 0 },
+  };
 }
 
 /**
@@ -62,9 +72,9 @@
     case 'execute':
       return answer.isError
         ? matchError(history, answer)
-        : matchStatement(history, order.tag, answer, history.state);
+        : matchStatement(history, answer, history.state);
     case 'commit':
-      return answer.isError ? 'fits' : matchStatement(history, order.tag, answer, 'idle');
+      return answer.isError ? 'fits' : matchStatement(history, answer, 'idle');
     case 'set':
     case 'reset':
     case 'prepare':
@@ -95,20 +105,37 @@
  */
 export function isReusable(history: AnswerHistory): boolean {
   if (history.hasErrorOfStatement) return false;
-  return history.state !== 'idle' || history.signed.size < MAX_SIGNED_ANSWERS;
+  return history.state !== 'idle' || history.rowCounts.size < MAX_SIGNED_ANSWERS;
+}
+
+/** Whether an answer that no order waits for may have as many rows, as a copy of an earlier one. */
+export function mayBeRepeated({ maxRowCount }: AnswerHistory, rowCount: number): boolean {
+  return rowCount <= maxRowCount;
 }
 
 /** Remembers an answer that fitted its order. */
 export function recordMatch(
   history: AnswerHistory,
   order: TargetOrder,
-  { signature, rows, state, isError }: ReceivedAnswer,
+  { signature, rows, state, isError, position }: ReceivedAnswer,
 ): void {
   history.state = state;
+  history.maxRowCount = Math.max(history.maxRowCount, rows.length);
+  if (order.kind === 'begin' && !isError) history.begunAt = position;
   if (isError && !isControlOrder(order)) history.hasErrorOfStatement = true;
   if (signature === NO_SIGNATURE) history.hasUnsigned = true;
-  else if (signature !== undefined && 'tag' in order)
-    history.signed.set(copyOf(signature), { tag: copyOf(order.tag), rowCount: rows.length });
+  else if (signature !== undefined) rememberSignature(history, signature, rows.length);
+}
+
+function rememberSignature(
+  { rowCounts }: AnswerHistory,
+  signature: string,
+  rowCount: number,
+): void {
+  rowCounts.set(copyOf(signature), rowCount);
+  // A transaction that is longer keeps its connection, and forgets its oldest answers.
+  const [oldest] = rowCounts.keys();
+  if (rowCounts.size > MAX_SIGNED_ANSWERS && oldest !== undefined) rowCounts.delete(oldest);
 }
 
 /** A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. */
@@ -118,15 +145,12 @@
 
 function matchStatement(
   history: AnswerHistory,
-  tag: string,
   answer: ReceivedAnswer,
   expectedState: ConnectionState,
 ): AnswerMatch {
   const { rows, signature = '', state } = answer;
   if (signature === NO_SIGNATURE) return matchRepeatedOwn(history, rows.length);
-  const seen = history.signed.get(signature);
-  // A caller that uses a tag again may get the same signature again.
-  if (seen && seen.tag !== tag) return matchRepeatedStatement(history, answer);
+  if (history.rowCounts.has(signature)) return matchRepeatedStatement(history, answer);
   return state === expectedState ? 'fits' : 'foreign';
 }
 
@@ -142,8 +166,8 @@
   const rowCount = answer.rows.length;
   switch (order.kind) {
     case 'begin':
-      if (rowCount === 0 && answer.state === 'open') return 'fits';
-      break;
+      if (rowCount > 0 || answer.state !== 'open') break;
+      return isBegunAnew(history, order.after, answer.position) ? 'fits' : 'foreign';
     case 'rollback':
       if (rowCount === 0 && answer.state === 'idle') return 'fits';
       break;
@@ -161,19 +185,33 @@
   return matchRepeatedOwn(history, rowCount);
 }
 
+/**
+ * Whether a BEGIN was answered at a position that it may be answered at, and no answer to an earlier one had. A statement
+ * after a BEGIN that was in fact refused would run outside of a transaction.
+ */
+function isBegunAnew(
+  { begunAt }: AnswerHistory,
+  after: LogPosition | null,
+  position: LogPosition | null,
+): boolean {
+  if (position && after && comparePositions(position, after) < 0) return false;
+  if (begunAt === undefined) return true;
+  return position !== null && begunAt !== null && comparePositions(position, begunAt) > 0;
+}
+
 function matchRepeatedOwn({ hasUnsigned }: AnswerHistory, rowCount: number): AnswerMatch {
   return hasUnsigned && rowCount === 0 ? 'repeated' : 'foreign';
 }
 
 /** More rows than the first time are rows of the pending order's answer, which the repeated one has interrupted. */
 function matchRepeatedStatement(
-  { signed }: AnswerHistory,
+  { rowCounts }: AnswerHistory,
   { signature = '', rows }: ReceivedAnswer,
 ): AnswerMatch {
-  return signed.get(signature)?.rowCount === rows.length ? 'repeated' : 'foreign';
+  return rowCounts.get(signature) === rows.length ? 'repeated' : 'foreign';
 }
 
-/** Control orders are idempotent, and their answers tell what they are about. */
+/** Control orders are idempotent, and a status that goes back is found by server-control.ts. */
 function isControlOrder({ kind }: TargetOrder): boolean {
   return kind === 'status' || kind === 'pause' || kind === 'resume' || kind === 'demote';
 }
--- a/packages/statement-entry/src/target/server-control.test.ts
+++ b/packages/statement-entry/src/target/server-control.test.ts
@@ -51,6 +51,30 @@
     expect(laggingState.position).toEqual({ term: 3, offset: 12 });
   });
 
+  // Guards against STALE and LOST: a late copy of an earlier status counted as the present one.
+  it.each([
+    { name: 'position', role: 'primary', term: 3, offset: 49 },
+    { name: 'term', role: 'primary', term: 2, offset: 60 },
+    { name: 'role', role: 'primary', term: 3, offset: 50 },
+  ])(
+    'are sent again, over a new connection, if a status goes back in its $name',
+    async (before) => {
+      Object.assign(server, { role: before.name === 'role' ? 'replica' : 'primary' });
+      server.position = { term: 3, offset: 50 };
+      await sendControlOrder(fake.owner, state, { kind: 'status' });
+      const { role, term, offset } = before;
+      const copy = { role, term, position: { term, offset }, heldTerm: 0, connections: 1 };
+      server.answers.push({
+        ...{ kind: 'done', rows: [JSON.stringify(copy)], signature: '-', state: 'idle' },
+        position: null,
+      });
+      const answer = await sendControlOrder(fake.owner, state, { kind: 'status' });
+      expect(answer?.status).toMatchObject({ term: 3, position: { term: 3, offset: 50 } });
+      expect(answer?.status.role).toBe(server.role);
+      expect(server.connections.size).toBe(1);
+    },
+  );
+
   it('go on to all servers after one of them could not be sent', async () => {
     const { environment } = fake.owner;
     const { openTarget } = environment;
