Refuse statements that cross the report of their lost transaction

What callers saw: a statement of an open transaction that was already on its way to the owner when the owner reported the transaction as lost was run on another connection, outside of the transaction, and committed on its own, while the caller's connection ended with 57P03 "the transaction was lost; it has been rolled back".

Cause: the report (session/lost) left the session at the owner, without its connection. The next request of the session then looked like one outside of a transaction. This holds for each of the three causes: idle for too long, server evacuated, connection lost.

Ruled out: the entry. It ends the session on session/lost, but cannot call back what it has sent.

Change: the owner forgets the session when it reports its transaction as lost. Requests of it that arrive later are refused as not run.

--- a/packages/entry/src/owner/evacuated-targets.ts
+++ b/packages/entry/src/owner/evacuated-targets.ts
@@ -2,6 +2,7 @@
 import { refuse, type ServerName } from '@bramleykeel/core';
 import { discardConnection } from '../target/target-pool.js';
 import type { GroupOwner, OwnerSession } from './owner-state.js';
+import { reportLostTransaction } from './request-end.js';
 
 /** How long an open transaction may continue after its zone was evacuated, in milliseconds. */
 const OPEN_TRANSACTION_GRACE_MS = 3_000;
@@ -66,5 +67,5 @@
   // A waiting statement of the session is refused by the scheduler, which finds no connection for it.
   if (request) return;
   const refusal = refuse('transaction-lost', 'the zone of its server is evacuated');
-  session.channel.send({ kind: 'session/lost', session: session.id, refusal });
+  reportLostTransaction(owner, session, refusal);
 }
--- a/packages/entry/src/owner/owner-app.test.ts
+++ b/packages/entry/src/owner/owner-app.test.ts
@@ -10,7 +10,12 @@
 } from '@bramleykeel/core';
 import { createCounters } from '@bramleykeel/link';
 import { describe, expect, it } from 'vitest';
-import { requestStatusOf, closeSession, handleEntryMessage } from './owner-app.js';
+import {
+  closeSession,
+  endIdleTransactions,
+  handleEntryMessage,
+  requestStatusOf,
+} from './owner-app.js';
 import { createGroupOwner, type GroupOwner } from './owner-state.js';
 import { startOnConnection } from './request-run.js';
 import type { TargetConnection } from '../target/target-connection.js';
@@ -59,7 +64,7 @@
   return createGroupOwner(GROUP, 7, environment, scheduler);
 }
 
-function openAndStart(owner: GroupOwner, sent: FromOwnerMessage[], number = 1): void {
+function openSession(owner: GroupOwner, sent: FromOwnerMessage[]): void {
   const channel = { send: (message: FromOwnerMessage) => sent.push(message) };
   handleEntryMessage(owner, channel, {
     kind: 'session/open',
@@ -70,6 +75,15 @@
     readAgeAllowanceMs: null,
     mark: null,
   });
+}
+
+function openAndStart(owner: GroupOwner, sent: FromOwnerMessage[], number = 1): void {
+  openSession(owner, sent);
+  start(owner, sent, number);
+}
+
+function start(owner: GroupOwner, sent: FromOwnerMessage[], number: number): void {
+  const channel = { send: (message: FromOwnerMessage) => sent.push(message) };
   handleEntryMessage(owner, channel, {
     kind: 'request/start',
     session: SESSION,
@@ -148,6 +162,26 @@
   });
 });
 
+describe('a statement that crosses the report of its lost transaction', () => {
+  // Guards against a statement of a lost transaction that is run, and committed, outside of it.
+  it('is refused as not run', () => {
+    const owner = createOwner();
+    const sent: FromOwnerMessage[] = [];
+    openSession(owner, sent);
+    const session = owner.sessions.get(SESSION);
+    if (!session) throw new Error('no session was opened');
+    const pool = { runningCount: 0, idle: [], inUse: new Set() } as unknown as TargetPool;
+    const connection = { isClosed: true } as unknown as TargetConnection;
+    session.pinned = { server: toServerName('s1'), pool, connection };
+    session.pinnedSinceMs = -owner.environment.settings.requests.idleTransactionMs;
+    endIdleTransactions(owner);
+    expect(sent).toMatchObject([{ kind: 'session/lost' }]);
+    start(owner, sent, 1);
+    expect(sent.at(-1)).toMatchObject({ kind: 'request/end', refusal: { outcome: 'not-run' } });
+    expect([...owner.queue.customers.values()].flatMap(({ items }) => items)).toEqual([]);
+  });
+});
+
 describe('a message for an owner', () => {
   it('is refused as not run when the session is unknown', () => {
     const owner = createOwner();
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -14,7 +14,7 @@
 import type { AnswerChannel } from './answer-channel.js';
 import { createAnswerFilter } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession } from './owner-state.js';
-import { endRequest } from './request-end.js';
+import { endRequest, reportLostTransaction } from './request-end.js';
 import { cancelRequest } from './cancel-request.js';
 import { rollBack, sendChunk, WINDOW_BYTES } from './request-run.js';
 import { submitRequest } from './scheduler.js';
@@ -201,6 +201,6 @@
     session.pinned = undefined;
     discardConnection(pinned.pool, pinned.connection);
     const refusal = refuse('transaction-lost', 'the transaction was idle for too long');
-    session.channel.send({ kind: 'session/lost', session: session.id, refusal });
+    reportLostTransaction(owner, session, refusal);
   }
 }
--- a/packages/entry/src/owner/request-end.ts
+++ b/packages/entry/src/owner/request-end.ts
@@ -1,6 +1,6 @@
 /** Completion of a request: held bytes or a refusal, then the status and the session's mark. */
 import type { Refusal, TransactionStatus } from '@bramleykeel/core';
-import type { GroupOwner, OwnerRequest } from './owner-state.js';
+import type { GroupOwner, OwnerRequest, OwnerSession } from './owner-state.js';
 
 /**
  * Reports the end of a request to its entry. The held CommandComplete is sent only without a
@@ -24,6 +24,19 @@
   session.channel.send({ ...end, mark: session.mark, refusal, isFromReplica });
 }
 
+/**
+ * Reports to the entry that a session's open transaction was lost between two statements, and forgets the session. A
+ * statement of it that is already on its way is then refused as not run, instead of being run outside of the transaction.
+ */
+export function reportLostTransaction(
+  owner: GroupOwner,
+  session: OwnerSession,
+  refusal: Refusal,
+): void {
+  owner.sessions.delete(session.id);
+  session.channel.send({ kind: 'session/lost', session: session.id, refusal });
+}
+
 /** Sends answer bytes to the entry, unless the session is closing. */
 export function forwardBytes(request: OwnerRequest, frames: readonly Buffer[]): void {
   const { session, number } = request;
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -20,7 +20,7 @@
 import { isEvacuated } from './evacuated-targets.js';
 import { createAnswerFilter, filterAnswer } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession, RunningRequest } from './owner-state.js';
-import { endRequest, forwardBytes } from './request-end.js';
+import { endRequest, forwardBytes, reportLostTransaction } from './request-end.js';
 import { releaseSlot } from './slots.js';
 
 /**
@@ -250,7 +250,7 @@
   if (session.isClosing) return;
   const refusal = refuse('transaction-lost');
   owner.environment.counters.count(`refusal.${refusal.reason}`);
-  session.channel.send({ kind: 'session/lost', session: session.id, refusal });
+  reportLostTransaction(owner, session, refusal);
 }
 
 /** Rolls back an abandoned transaction; a connection that does not answer is closed instead. */
