Close connections to targets on which an answer arrives that nothing asked for

Cause: target-connection.ts passed messages to the consumer, if there was one, and forgot them otherwise; the consumer of an open transaction between two statements ignored all. Messages behind the ReadyForQuery of a request or of the startup, in the same chunk, were treated in the same way, or counted to the request that had ended.

Ruled out: closing on asynchronous messages. NoticeResponse, ParameterStatus and NotificationResponse may arrive at any time and change nothing. The answer before the first ReadyForQuery stays valid when a copy follows it in the same chunk; only the connection ends.

Change: any other message without a request closes the connection, counts target.message-unexpected and writes one limited line with type, length and SQLSTATE. An open transaction on it is reported as lost. Nothing is sent on a connection that was closed between its choice and its use: the request is queued again, or its transaction reported as lost.

--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -8,6 +8,7 @@
   type ServerName,
   waitingCount,
 } from '@bramleykeel/core';
+import { limitLog } from '@bramleykeel/link';
 import {
   closePool,
   createTargetPool,
@@ -84,6 +85,15 @@
   const { user, password, connectTimeoutMs, idleCheckMs } = owner.environment.settings.targets;
   const credentials = { user, password, database: owner.group };
   const pool = createTargetPool(announcement, { credentials, connectTimeoutMs, idleCheckMs });
+  const limitedLog = limitLog(owner.environment.log);
+  pool.onOutOfStep = (report) => {
+    const { moment } = report;
+    const counter = moment === 'unused' ? 'message-unexpected' : 'answer-foreign';
+    owner.environment.counters.count(`target.${counter}`);
+    limitedLog('server sent a message that nothing asked for; closing the connection', {
+      ...{ group: owner.group, server, ...report },
+    });
+  };
   pool.onPosition = (position) => {
     owner.highestSeen = latestPosition(owner.highestSeen, position);
     if (owner.baseMark === undefined && isPrimaryPool(owner, pool)) {
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -9,7 +9,12 @@
 import type { WireMessage } from '@bramleykeel/postgres-wire';
 import { writeBatched } from '@bramleykeel/link';
 import { serialize } from 'pg-protocol';
-import { runInternalQuery, type TargetConnection } from '../target/target-connection.js';
+import { splitAtReady } from '../target/out-of-step.js';
+import {
+  checkUnrequested,
+  runInternalQuery,
+  type TargetConnection,
+} from '../target/target-connection.js';
 import {
   discardConnection,
   checkServerActivity,
@@ -47,7 +52,8 @@
     return;
   }
   const isBarred = request.session.pinned === undefined && isEvacuated(owner, running.server);
-  if (request.session.isClosing || isBarred || !owner.environment.holdsLease()) {
+  const isUnusable = isBarred || connection.isClosed;
+  if (request.session.isClosing || isUnusable || !owner.environment.holdsLease()) {
     abandonBeforeStart(owner, request);
     return;
   }
@@ -133,7 +139,8 @@
   const { running, session } = request;
   if (!running) return;
   const { connection } = running;
-  const answer = filterAnswer(request.filter, messages, running.isEndSent);
+  const received = splitAtReady(messages);
+  const answer = filterAnswer(request.filter, received.answer, running.isEndSent);
   for (const { statement, exists } of answer.statementChanges) {
     if (exists) connection.prepared.add(statement);
     else connection.prepared.delete(statement);
@@ -144,7 +151,10 @@
   const isRetried = !request.hasForwardedAnswer && mayRetryElsewhere(request);
   if (!isRetried && !isUndone(request)) forwardBytes(request, answer.forward);
   if (session.unacknowledgedBytes > WINDOW_BYTES) connection.socket.pause();
-  if (answer.status !== undefined) handleReady(owner, request, running, answer.status);
+  if (answer.status === undefined) return;
+  connection.consumer = undefined;
+  checkUnrequested(connection, received.rest);
+  handleReady(owner, request, running, answer.status);
 }
 
 /**
@@ -235,7 +245,9 @@
   session.pinned = { connection, pool, server };
   session.isPinnedToReplica = running.isOnReplica;
   connection.consumer = {
-    onMessages: () => undefined,
+    onMessages: (messages) => {
+      checkUnrequested(connection, messages);
+    },
     onLost: () => {
       handlePinnedConnectionLost(owner, session);
     },
--- /dev/null
+++ b/packages/entry/src/target/out-of-step.ts
@@ -0,0 +1,55 @@
+/** Messages that a target sends without a request for them. Answers carry no id, so a connection that got one is out of step. */
+import { readSqlState, SERVER, type WireMessage } from '@bramleykeel/postgres-wire';
+
+/** Describes the message by which a connection was found to be out of step. */
+export interface OutOfStepReport {
+  readonly address: string;
+  readonly processId: number;
+  /** Whether the connection was used by a request or an internal query. */
+  readonly moment: 'unused' | 'in-request';
+  /** Type letter of the message. */
+  readonly messageType: string;
+  readonly bytes: number;
+  /** SQLSTATE of an ErrorResponse, such as 57P01 from a server that is shut down. */
+  readonly sqlState?: string;
+}
+
+/** Describes a message without its content. */
+export function describeMessage(
+  message: WireMessage,
+): Pick<OutOfStepReport, 'messageType' | 'bytes' | 'sqlState'> {
+  const { type, frame } = message;
+  const described = { messageType: String.fromCharCode(type), bytes: frame.length };
+  return type === SERVER.errorResponse
+    ? { ...described, sqlState: readSqlState(message) }
+    : described;
+}
+
+/** Whether a target may send messages of this type at any time. */
+export function isAsynchronous({ type }: WireMessage): boolean {
+  return (
+    type === SERVER.noticeResponse ||
+    type === SERVER.parameterStatus ||
+    type === SERVER.notificationResponse
+  );
+}
+
+/**
+ * Finds the first message that may not arrive while no request uses the connection.
+ *
+ * @example
+ * findUnrequested([parameterStatus, dataRow]); // dataRow
+ */
+export function findUnrequested(messages: readonly WireMessage[]): WireMessage | undefined {
+  return messages.find((message) => !isAsynchronous(message));
+}
+
+/** Splits messages after the first ReadyForQuery. */
+export function splitAtReady(messages: readonly WireMessage[]): {
+  readonly answer: readonly WireMessage[];
+  readonly rest: readonly WireMessage[];
+} {
+  const count = messages.findIndex(({ type }) => type === SERVER.readyForQuery) + 1;
+  if (count === 0) return { answer: messages, rest: [] };
+  return { answer: messages.slice(0, count), rest: messages.slice(count) };
+}
--- a/packages/entry/src/target/target-connection.ts
+++ b/packages/entry/src/target/target-connection.ts
@@ -21,6 +21,14 @@
   SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
+import {
+  describeMessage,
+  findUnrequested,
+  type OutOfStepReport,
+  splitAtReady,
+} from './out-of-step.js';
+
+export type { OutOfStepReport } from './out-of-step.js';
 
 export interface TargetCredentials {
   readonly user: string;
@@ -31,9 +39,12 @@
 /** Receives the messages that answer the connection's current request. */
 export interface AnswerConsumer {
   readonly onMessages: (messages: readonly WireMessage[]) => void;
-  readonly onLost: () => void;
+  readonly onLost: (cause: LossCause) => void;
 }
 
+/** Why a connection was lost: its socket was closed, or its target sent what it was not asked for. */
+export type LossCause = 'closed' | 'out-of-step';
+
 export interface TargetConnection {
   readonly socket: Socket;
   readonly address: string;
@@ -47,6 +58,8 @@
   /** Time at which data was last received, or reading from a paused connection was resumed. */
   lastReceivedMs: number;
   isClosed: boolean;
+  /** Called once if the connection is closed because it is out of step. */
+  readonly onOutOfStep: (report: OutOfStepReport) => void;
 }
 
 export type ConnectFailure =
@@ -75,13 +88,15 @@
 /**
  * Opens and authenticates a connection.
  *
+ * @param onOutOfStep called if the connection is closed because the target sent what it was not asked for
  * @example
- * const outcome = await connectTarget('10.0.0.7:5432', credentials, 1_000);
+ * const outcome = await connectTarget('10.0.0.7:5432', credentials, 1_000, reportOutOfStep);
  */
 export function connectTarget(
   address: string,
   credentials: TargetCredentials,
   timeoutMs: number,
+  onOutOfStep: (report: OutOfStepReport) => void,
 ): Promise<ConnectOutcome> {
   return new Promise((resolve) => {
     const socket = createConnection(splitAddress(address));
@@ -96,6 +111,7 @@
       consumer: undefined,
       lastReceivedMs: performance.now(),
       isClosed: false,
+      onOutOfStep,
     };
     let position: LogPosition | undefined;
     let isSettled = false;
@@ -116,7 +132,7 @@
       fail({ kind: 'lost' });
       const { consumer } = connection;
       connection.consumer = undefined;
-      consumer?.onLost();
+      consumer?.onLost('closed');
     });
     socket.on('data', (chunk) => {
       connection.lastReceivedMs = performance.now();
@@ -125,10 +141,19 @@
         socket.destroy();
         return;
       }
-      if (isSettled) connection.consumer?.onMessages(framed.messages);
-      else for (const message of framed.messages) handleStartup(message);
+      if (isSettled) deliver(connection, framed.messages);
+      else receiveStartup(framed.messages);
     });
 
+    function receiveStartup(messages: readonly WireMessage[]): void {
+      const { answer, rest } = splitAtReady(messages);
+      for (const message of answer) handleStartup(message);
+      if (isSettled || answer.at(-1)?.type !== SERVER.readyForQuery) return;
+      checkUnrequested(connection, rest);
+      if (connection.isClosed) fail({ kind: 'lost' });
+      else succeed();
+    }
+
     function handleStartup(message: WireMessage): void {
       switch (message.type) {
         case SERVER.authentication: {
@@ -155,15 +180,16 @@
           fail({ kind: 'rejected', ...failure });
           return;
         }
-        case SERVER.readyForQuery:
-          isSettled = true;
-          clearTimeout(timer);
-          resolve({ kind: 'connected', connection, position });
-          return;
         default:
       }
     }
 
+    function succeed(): void {
+      isSettled = true;
+      clearTimeout(timer);
+      resolve({ kind: 'connected', connection, position });
+    }
+
     function fail(failure: ConnectFailure): void {
       if (isSettled) return;
       isSettled = true;
@@ -174,11 +200,42 @@
   });
 }
 
+function deliver(connection: TargetConnection, messages: readonly WireMessage[]): void {
+  if (connection.isClosed) return;
+  const { consumer } = connection;
+  if (consumer) consumer.onMessages(messages);
+  else checkUnrequested(connection, messages);
+}
+
+/** Closes the connection if any of the messages is an answer, which nothing has asked for. */
+export function checkUnrequested(
+  connection: TargetConnection,
+  messages: readonly WireMessage[],
+): void {
+  const unrequested = findUnrequested(messages);
+  if (unrequested) closeOutOfStep(connection, unrequested, 'unused');
+}
+
+/** Closes a connection because of a message that cannot be what its target was asked for. */
+export function closeOutOfStep(
+  connection: TargetConnection,
+  message: WireMessage,
+  moment: OutOfStepReport['moment'],
+): void {
+  if (connection.isClosed) return;
+  const { address, processId, consumer } = connection;
+  connection.isClosed = true;
+  connection.consumer = undefined;
+  connection.socket.destroy();
+  connection.onOutOfStep({ address, processId, moment, ...describeMessage(message) });
+  consumer?.onLost('out-of-step');
+}
+
 /** Closes a connection; its consumer is not notified. */
 export function closeConnection(connection: TargetConnection): void {
+  connection.consumer = undefined;
   if (connection.isClosed) return;
   connection.isClosed = true;
-  connection.consumer = undefined;
   connection.socket.end(buildTerminate());
   connection.socket.destroySoon();
 }
@@ -199,6 +256,10 @@
   timeoutMs: number,
 ): Promise<QueryOutcome> {
   return new Promise((resolve) => {
+    if (connection.isClosed) {
+      resolve({ kind: 'lost' });
+      return;
+    }
     let sqlState: string | undefined;
     const rows: string[] = [];
     const timer = setTimeout(() => {
@@ -214,7 +275,8 @@
         finish({ kind: 'lost' });
       },
       onMessages: (messages) => {
-        for (const message of messages) {
+        const { answer, rest } = splitAtReady(messages);
+        for (const message of answer) {
           if (message.type === SERVER.errorResponse) sqlState = readSqlState(message);
           if (message.type === SERVER.dataRow) rows.push(readFirstColumn(message));
           if (message.type !== SERVER.readyForQuery) continue;
@@ -222,6 +284,7 @@
           finish(
             sqlState === undefined ? { kind: 'done', status, rows } : { kind: 'error', sqlState },
           );
+          checkUnrequested(connection, rest);
         }
       },
     };
--- a/packages/entry/src/target/target-pool.ts
+++ b/packages/entry/src/target/target-pool.ts
@@ -3,7 +3,9 @@
 import {
   closeConnection,
   type ConnectFailure,
+  type ConnectOutcome,
   connectTarget,
+  type OutOfStepReport,
   runInternalQuery,
   type TargetConnection,
   type TargetCredentials,
@@ -35,6 +37,8 @@
   onPosition: (position: LogPosition) => void;
   /** Called when a connection attempt failed. */
   onConnectFailed: (failure: ConnectFailure) => void;
+  /** Called when a connection was closed because its server sent what it was not asked for. */
+  onOutOfStep: (report: OutOfStepReport) => void;
 }
 
 /**
@@ -61,6 +65,7 @@
     isClosed: false,
     onPosition: () => undefined,
     onConnectFailed: () => undefined,
+    onOutOfStep: () => undefined,
   };
 }
 
@@ -103,10 +108,16 @@
   return outcome.kind === 'done' && outcome.status === 'idle';
 }
 
+function connect(pool: TargetPool): Promise<ConnectOutcome> {
+  const { credentials, connectTimeoutMs } = pool.options;
+  return connectTarget(pool.address, credentials, connectTimeoutMs, (report) => {
+    pool.onOutOfStep(report);
+  });
+}
+
 async function openConnection(pool: TargetPool): Promise<AcquireOutcome> {
   pool.openingCount += 1;
-  const { credentials, connectTimeoutMs } = pool.options;
-  const outcome = await connectTarget(pool.address, credentials, connectTimeoutMs);
+  const outcome = await connect(pool);
   pool.openingCount -= 1;
   if (outcome.kind === 'failed') {
     pool.onConnectFailed(outcome.failure);
@@ -164,12 +175,11 @@
   pool: TargetPool,
   processId: number,
 ): Promise<'working' | 'idle' | 'unreachable'> {
-  const { credentials, connectTimeoutMs } = pool.options;
-  const outcome = await connectTarget(pool.address, credentials, connectTimeoutMs);
+  const outcome = await connect(pool);
   if (outcome.kind === 'failed') return 'unreachable';
   const { connection } = outcome;
   const text = `SELECT state FROM pg_stat_activity WHERE pid = ${processId}`;
-  const answer = await runInternalQuery(connection, text, connectTimeoutMs);
+  const answer = await runInternalQuery(connection, text, pool.options.connectTimeoutMs);
   closeConnection(connection);
   if (answer.kind !== 'done') return 'unreachable';
   return answer.rows[0] === 'active' ? 'working' : 'idle';
