Tell the answer to a request from late copies of others by an echo behind it

Once a connection was out of step, every later answer on it was wrong.

Cause: a PostgreSQL answer names no request. request-run.ts and runInternalQuery took whatever came up to the next ReadyForQuery for the answer to what they had sent last.

Ruled out: what the protocol gives by itself. Command tag, transaction status, number of ReadyForQuery and of result sets do not differ between two reads. SET application_name is a statement for each request, is refused in a failed transaction and undone by a rollback. A second Sync does not find a copy of both answers.

Change: each request and each internal query is followed in the same write by an echo: Parse of an empty statement with one parameter whose type is a new number, Describe, Sync. The server returns the number in ParameterDescription. answer-sequence.ts decides on each message: exactly one answer may precede the echo, copies equal to it do no harm (target.answer-repeated), anything else closes the connection (target.answer-foreign). The answer is held until its echo has come, up to 64 KiB, so that a read can be repeated. A write ends with 08007 and the new reason target-out-of-step, a read in a transaction with 57P03. A ParseComplete or CloseComplete that answers nothing closes the connection at once. The stand-in declares parameter types as PostgreSQL does.

No real PostgreSQL was at hand: the answer to the echo is by its protocol and source, not by a run.

--- a/packages/core/src/types/outcome.ts
+++ b/packages/core/src/types/outcome.ts
@@ -28,6 +28,7 @@
   | 'target-connect-failed'
   | 'target-connection-lost'
   | 'target-silent'
+  | 'target-out-of-step'
   | 'acknowledgement-not-covered'
   | 'acknowledgement-superseded'
   | 'transaction-lost'
@@ -75,6 +76,7 @@
     'the connection to the server was lost during the request',
   ),
   'target-silent': unknownOutcome('the server stopped answering during the request'),
+  'target-out-of-step': unknownOutcome('the server sent an answer that is not that of the request'),
   'acknowledgement-not-covered': unknownOutcome('the write was not confirmed by a quorum in time'),
   'acknowledgement-superseded': unknownOutcome('the primary was superseded while the write ran'),
   'transaction-lost': notRun('57P03', 'the transaction was lost; it has been rolled back'),
--- a/packages/entry/src/owner/answer-filter.ts
+++ b/packages/entry/src/owner/answer-filter.ts
@@ -1,26 +1,24 @@
 /**
  * Filters a target's answer: removes answers to messages that the proxy added, holds the last
- * CommandComplete until the write is confirmed, and records the log position, the first error and
- * ReadyForQuery.
+ * CommandComplete until the write is confirmed, and records the log position and the first error.
  */
-import {
-  type ExpectedAnswer,
-  type LogPosition,
-  parsePosition,
-  type TransactionStatus,
-} from '@bramleykeel/core';
+import { type ExpectedAnswer, type LogPosition, parsePosition } from '@bramleykeel/core';
 import {
   readParameterStatus,
-  readReadyForQuery,
   readSqlState,
   SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
+import { type AnswerSequence, createAnswerSequence } from '../target/answer-sequence.js';
 import { POSITION_PARAMETER } from '../target/target-connection.js';
 
 export interface AnswerFilter {
   /** Outstanding answers to Parse and Close messages, in order. */
   expected: ExpectedAnswer[];
+  readonly sequence: AnswerSequence;
+  /** Frames that are held until it is known that the answer is that of the request. */
+  unverifiedFrames: Buffer[];
+  unverifiedBytes: number;
   /** The most recent CommandComplete, held until it is known whether it is the last one. */
   heldFrames: Buffer[];
   position: LogPosition | undefined;
@@ -36,8 +34,8 @@
 
 export interface FilteredAnswer {
   readonly forward: readonly Buffer[];
-  /** Set once ReadyForQuery has been received. */
-  readonly status: TransactionStatus | undefined;
+  /** The first ParseComplete or CloseComplete that answers nothing. */
+  readonly foreign: WireMessage | undefined;
   /** Prepared statements created or closed on the connection, in order. */
   readonly statementChanges: readonly StatementChange[];
   /** Whether the target waits for COPY data, which the proxy does not support. */
@@ -47,6 +45,9 @@
 export function createAnswerFilter(): AnswerFilter {
   return {
     expected: [],
+    sequence: createAnswerSequence(),
+    unverifiedFrames: [],
+    unverifiedBytes: 0,
     heldFrames: [],
     position: undefined,
     firstSqlState: undefined,
@@ -55,7 +56,7 @@
 }
 
 /**
- * Passes messages through the filter. `heldFrames` stays in the filter; the calling function
+ * Passes the messages of an answer, without its ReadyForQuery, through the filter. `heldFrames` stays in the filter; the calling function
  * forwards or discards it.
  *
  * @param isEndSent whether the end of the request was sent to the target. Before that nothing is
@@ -68,13 +69,15 @@
 ): FilteredAnswer {
   const forward: Buffer[] = [];
   const statementChanges: StatementChange[] = [];
-  let status: TransactionStatus | undefined;
+  let foreign: WireMessage | undefined;
   let wantsCopyData = false;
   for (const message of messages) {
     switch (message.type) {
       case SERVER.parseComplete:
       case SERVER.closeComplete: {
         const answer = filter.expected.shift();
+        const kind = message.type === SERVER.parseComplete ? 'parse' : 'close';
+        if (answer?.kind !== kind) foreign ??= message;
         if (answer) {
           statementChanges.push({ statement: answer.statement, exists: answer.kind === 'parse' });
         }
@@ -99,14 +102,11 @@
       case SERVER.copyInResponse:
         wantsCopyData = true;
         break;
-      case SERVER.readyForQuery:
-        status = readReadyForQuery(message);
-        break;
       default:
         forwardFrame(message.frame);
     }
   }
-  return { forward, status, statementChanges, wantsCopyData };
+  return { forward, foreign, statementChanges, wantsCopyData };
 
   function forwardFrame(frame: Buffer): void {
     forward.push(...filter.heldFrames, frame);
--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -16,6 +16,7 @@
   updateLimits,
   warmPool,
 } from '../target/target-pool.js';
+import type { OutOfStepReport } from '../target/out-of-step.js';
 import { evaluateAcknowledgements } from './acknowledge.js';
 import { abortEvacuatedTransactions, isEvacuated, trackEvacuations } from './evacuated-targets.js';
 import { advanceFailover, probePrimary } from './failover-runner.js';
@@ -28,6 +29,12 @@
 const PERIODIC_TASKS_INTERVAL_MS = 50;
 const HOUSEKEEPING_INTERVAL_MS = 1_000;
 
+const OUT_OF_STEP_COUNTERS: Readonly<Record<OutOfStepReport['moment'], string>> = {
+  unused: 'message-unexpected',
+  'in-request': 'answer-foreign',
+  copy: 'answer-repeated',
+};
+
 /** Starts the owner of a group under the given epoch. */
 export function startGroupOwner(
   group: GroupName,
@@ -87,11 +94,9 @@
   const pool = createTargetPool(announcement, { credentials, connectTimeoutMs, idleCheckMs });
   const limitedLog = limitLog(owner.environment.log);
   pool.onOutOfStep = (report) => {
-    const { moment } = report;
-    const counter = moment === 'unused' ? 'message-unexpected' : 'answer-foreign';
-    owner.environment.counters.count(`target.${counter}`);
-    limitedLog('server sent a message that nothing asked for; closing the connection', {
-      ...{ group: owner.group, server, ...report },
+    owner.environment.counters.count(`target.${OUT_OF_STEP_COUNTERS[report.moment]}`);
+    limitedLog('server sent a message that nothing asked for', {
+      ...{ group: owner.group, server, ...report, isClosed: report.moment !== 'copy' },
     });
   };
   pool.onPosition = (position) => {
--- a/packages/entry/src/owner/request-end.ts
+++ b/packages/entry/src/owner/request-end.ts
@@ -2,6 +2,8 @@
 import type { Refusal, TransactionStatus } from '@bramleykeel/core';
 import type { GroupOwner, OwnerRequest, OwnerSession } from './owner-state.js';
 
+const MAX_UNVERIFIED_BYTES = 64 * 1024;
+
 /**
  * Reports the end of a request to its entry. The held CommandComplete is sent only without a
  * refusal.
@@ -18,7 +20,7 @@
   if (session.request === request) session.request = undefined;
   if (refusal) owner.environment.counters.count(`refusal.${refusal.reason}`);
   else forwardBytes(request, filter.heldFrames);
-  filter.heldFrames = [];
+  dropHeldAnswer(request);
   const isFromReplica = request.running?.isOnReplica ?? false;
   const end = { kind: 'request/end', session: session.id, number, status } as const;
   session.channel.send({ ...end, mark: session.mark, refusal, isFromReplica });
@@ -37,6 +39,33 @@
   session.channel.send({ kind: 'session/lost', session: session.id, refusal });
 }
 
+/** Drops what was received of an answer and not passed on. */
+export function dropHeldAnswer({ filter }: OwnerRequest): void {
+  filter.unverifiedFrames = [];
+  filter.heldFrames = [];
+}
+
+/**
+ * Passes on frames of an answer. Once the end of the request was sent, they are held until the answer is verified, but
+ * no more than `MAX_UNVERIFIED_BYTES`: larger results are passed on as they arrive.
+ */
+export function forwardUnverified(request: OwnerRequest, frames: readonly Buffer[]): void {
+  const { filter } = request;
+  filter.unverifiedFrames.push(...frames);
+  if (filter.sequence.echoNumber !== undefined) {
+    for (const { length } of frames) filter.unverifiedBytes += length;
+    if (filter.unverifiedBytes <= MAX_UNVERIFIED_BYTES) return;
+  }
+  forwardVerified(request);
+}
+
+/** Passes on the frames that were held until the answer was verified. */
+export function forwardVerified(request: OwnerRequest): void {
+  const { filter } = request;
+  forwardBytes(request, filter.unverifiedFrames);
+  filter.unverifiedFrames = [];
+}
+
 /** Sends answer bytes to the entry, unless the session is closing. */
 export function forwardBytes(request: OwnerRequest, frames: readonly Buffer[]): void {
   const { session, number } = request;
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -9,9 +9,12 @@
 import type { WireMessage } from '@bramleykeel/postgres-wire';
 import { writeBatched } from '@bramleykeel/link';
 import { serialize } from 'pg-protocol';
-import { splitAtReady } from '../target/out-of-step.js';
+import { splitAnswer } from '../target/answer-sequence.js';
 import {
   checkUnrequested,
+  closeOutOfStep,
+  endAnswer,
+  nextEcho,
   runInternalQuery,
   type TargetConnection,
 } from '../target/target-connection.js';
@@ -25,7 +28,12 @@
 import { isEvacuated } from './evacuated-targets.js';
 import { createAnswerFilter, filterAnswer } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession, RunningRequest } from './owner-state.js';
-import { endRequest, forwardBytes, reportLostTransaction } from './request-end.js';
+import {
+  endRequest,
+  forwardUnverified,
+  forwardVerified,
+  reportLostTransaction,
+} from './request-end.js';
 import { releaseSlot } from './slots.js';
 
 /**
@@ -62,8 +70,9 @@
     onMessages: (messages) => {
       handleAnswer(owner, request, messages);
     },
-    onLost: () => {
-      handleConnectionLost(owner, request, refuse('target-connection-lost'));
+    onLost: (cause) => {
+      const reason = cause === 'closed' ? 'target-connection-lost' : 'target-out-of-step';
+      handleConnectionLost(owner, request, refuse(reason));
     },
   };
   for (const chunk of request.chunks.splice(0)) sendChunk(owner, request, running, chunk);
@@ -90,6 +99,7 @@
   running.lastSentMs = performance.now();
   running.isEndSent = chunk.isFinal;
   writeBatched(connection.socket, chunk.messages);
+  if (chunk.isFinal) writeBatched(connection.socket, nextEcho(connection, filter.sequence));
 }
 
 /**
@@ -139,8 +149,14 @@
   const { running, session } = request;
   if (!running) return;
   const { connection } = running;
-  const received = splitAtReady(messages);
-  const answer = filterAnswer(request.filter, received.answer, running.isEndSent);
+  const { filter } = request;
+  const received = splitAnswer(filter.sequence, messages);
+  const answer = filterAnswer(filter, received.answer, running.isEndSent);
+  const foreign = answer.foreign ?? received.foreign;
+  if (foreign) {
+    closeOutOfStep(connection, foreign, 'in-request');
+    return;
+  }
   for (const { statement, exists } of answer.statementChanges) {
     if (exists) connection.prepared.add(statement);
     else connection.prepared.delete(statement);
@@ -149,12 +165,14 @@
     connection.socket.write(serialize.copyFail('COPY is not supported through the proxy'));
   }
   const isRetried = !request.hasForwardedAnswer && mayRetryElsewhere(request);
-  if (!isRetried && !isUndone(request)) forwardBytes(request, answer.forward);
+  const isPassedOn = !isRetried && !isUndone(request);
+  if (isPassedOn) forwardUnverified(request, answer.forward);
+  if (isPassedOn && received.isVerified) forwardVerified(request);
   if (session.unacknowledgedBytes > WINDOW_BYTES) connection.socket.pause();
-  if (answer.status === undefined) return;
-  connection.consumer = undefined;
-  checkUnrequested(connection, received.rest);
-  handleReady(owner, request, running, answer.status);
+  const { status } = filter.sequence;
+  if (!received.isVerified || status === undefined) return;
+  endAnswer(connection, filter.sequence, received.rest);
+  handleReady(owner, request, running, status);
 }
 
 /**
@@ -298,7 +316,6 @@
     owner.scheduler.requeue(owner, request);
     return;
   }
-  request.filter.heldFrames = [];
   const isRolledBack = wasInTransaction && !request.mayCommit;
   const refusal = isRolledBack ? refuse('transaction-lost') : lostRefusal;
   endRequest(owner, request, 'idle', refusal);
--- a/packages/entry/src/target/out-of-step.ts
+++ b/packages/entry/src/target/out-of-step.ts
@@ -5,9 +5,12 @@
 export interface OutOfStepReport {
   readonly address: string;
   readonly processId: number;
-  /** Whether the connection was used by a request or an internal query. */
-  readonly moment: 'unused' | 'in-request';
-  /** Type letter of the message. */
+  /**
+   * Whether the connection was used by a request or an internal query. `copy` is a copy of the answer itself, which
+   * does no harm; the connection stays open.
+   */
+  readonly moment: 'unused' | 'in-request' | 'copy';
+  /** Type letter of the message; the last one of a copy. */
   readonly messageType: string;
   readonly bytes: number;
   /** SQLSTATE of an ErrorResponse, such as 57P01 from a server that is shut down. */
--- a/packages/entry/src/target/target-connection.ts
+++ b/packages/entry/src/target/target-connection.ts
@@ -8,6 +8,7 @@
 } from '@bramleykeel/core';
 import {
   buildCancel,
+  buildEcho,
   buildPassword,
   buildQuery,
   buildStartup,
@@ -16,11 +17,11 @@
   frameMessages,
   readErrorMessage,
   readParameterStatus,
-  readReadyForQuery,
   readSqlState,
   SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
+import { type AnswerSequence, createAnswerSequence, splitAnswer } from './answer-sequence.js';
 import {
   describeMessage,
   findUnrequested,
@@ -58,7 +59,9 @@
   /** Time at which data was last received, or reading from a paused connection was resumed. */
   lastReceivedMs: number;
   isClosed: boolean;
-  /** Called once if the connection is closed because it is out of step. */
+  /** Number of the latest echo that was sent. */
+  lastEchoNumber: number;
+  /** Called when the connection is closed because it is out of step, and for copies of an answer. */
   readonly onOutOfStep: (report: OutOfStepReport) => void;
 }
 
@@ -111,6 +114,7 @@
       consumer: undefined,
       lastReceivedMs: performance.now(),
       isClosed: false,
+      lastEchoNumber: 0,
       onOutOfStep,
     };
     let position: LogPosition | undefined;
@@ -223,14 +227,28 @@
   moment: OutOfStepReport['moment'],
 ): void {
   if (connection.isClosed) return;
-  const { address, processId, consumer } = connection;
+  const { address, processId, consumer, onOutOfStep } = connection;
   connection.isClosed = true;
   connection.consumer = undefined;
   connection.socket.destroy();
-  connection.onOutOfStep({ address, processId, moment, ...describeMessage(message) });
+  onOutOfStep({ address, processId, moment, ...describeMessage(message) });
   consumer?.onLost('out-of-step');
 }
 
+/** Ends the use of a connection by a verified answer; `rest` are the messages that followed it in the same chunk. */
+export function endAnswer(
+  connection: TargetConnection,
+  { copyCount, answerBytes }: AnswerSequence,
+  rest: readonly WireMessage[],
+): void {
+  const { address, processId, onOutOfStep } = connection;
+  connection.consumer = undefined;
+  if (copyCount > 0) {
+    onOutOfStep({ address, processId, moment: 'copy', messageType: 'Z', bytes: answerBytes });
+  }
+  checkUnrequested(connection, rest);
+}
+
 /** Closes a connection; its consumer is not notified. */
 export function closeConnection(connection: TargetConnection): void {
   connection.consumer = undefined;
@@ -260,6 +278,7 @@
       resolve({ kind: 'lost' });
       return;
     }
+    const sequence = createAnswerSequence();
     let sqlState: string | undefined;
     const rows: string[] = [];
     const timer = setTimeout(() => {
@@ -275,23 +294,34 @@
         finish({ kind: 'lost' });
       },
       onMessages: (messages) => {
-        const { answer, rest } = splitAtReady(messages);
+        const { answer, foreign, isVerified, rest } = splitAnswer(sequence, messages);
         for (const message of answer) {
           if (message.type === SERVER.errorResponse) sqlState = readSqlState(message);
           if (message.type === SERVER.dataRow) rows.push(readFirstColumn(message));
-          if (message.type !== SERVER.readyForQuery) continue;
-          const status = readReadyForQuery(message);
-          finish(
-            sqlState === undefined ? { kind: 'done', status, rows } : { kind: 'error', sqlState },
-          );
-          checkUnrequested(connection, rest);
         }
+        if (foreign) closeOutOfStep(connection, foreign, 'in-request');
+        const { status } = sequence;
+        if (!isVerified || status === undefined) return;
+        endAnswer(connection, sequence, rest);
+        finish(
+          sqlState === undefined ? { kind: 'done', status, rows } : { kind: 'error', sqlState },
+        );
       },
     };
-    connection.socket.write(buildQuery(text));
+    connection.socket.write(Buffer.concat([buildQuery(text), nextEcho(connection, sequence)]));
   });
 }
 
+/**
+ * Builds the echo that follows the end of a request. The answer to the request counts once the echo has come back behind
+ * it.
+ */
+export function nextEcho(connection: TargetConnection, sequence: AnswerSequence): Buffer {
+  connection.lastEchoNumber += 1;
+  sequence.echoNumber = connection.lastEchoNumber;
+  return buildEcho(sequence.echoNumber);
+}
+
 function readFirstColumn({ frame }: WireMessage): string {
   const lengthBytes = frame.readInt32BE(7);
   return lengthBytes < 0 ? '' : frame.toString('utf8', 11, 11 + lengthBytes);
--- a/packages/postgres-wire/src/client-message-builders.ts
+++ b/packages/postgres-wire/src/client-message-builders.ts
@@ -30,6 +30,18 @@
   return serialize.query(text);
 }
 
+/**
+ * Builds messages to which a target answers with `number`: an empty statement with one parameter, whose type has that
+ * number, its description, and a Sync. They run nothing, change no transaction and are answered in a failed one.
+ * The answer is ParseComplete, ParameterDescription, NoData and ReadyForQuery.
+ *
+ * @param number from 1 to 2,147,483,647
+ */
+export function buildEcho(number: number): Buffer {
+  const parse = new Writer().addCString('').addCString('').addInt16(1).addInt32(number);
+  return Buffer.concat([parse.flush(CLIENT.parse), buildDescribeStatement(''), serialize.sync()]);
+}
+
 export function buildStartup(parameters: Record<string, string>): Buffer {
   return serialize.startup(parameters);
 }
--- a/packages/postgres-wire/src/server-messages.ts
+++ b/packages/postgres-wire/src/server-messages.ts
@@ -135,3 +135,13 @@
   for (const typeId of typeIds) writer.addInt32(typeId);
   return writer.flush(SERVER.parameterDescription);
 }
+
+/** Builds the answer of a target to an echo (buildEcho). */
+export function buildEchoAnswer(number: number, status: TransactionStatus): Buffer {
+  return Buffer.concat([
+    buildEmptyMessage(SERVER.parseComplete),
+    buildParameterDescription([number]),
+    buildEmptyMessage(SERVER.noData),
+    buildReadyForQuery(status),
+  ]);
+}
--- a/packages/test-support/src/scripted-server.ts
+++ b/packages/test-support/src/scripted-server.ts
@@ -3,9 +3,14 @@
 import {
   buildAuthenticationOk,
   buildBackendKeyData,
+  buildEmptyMessage,
+  buildParameterDescription,
   buildReadyForQuery,
+  CLIENT,
   createMessageFramer,
   frameMessages,
+  readParse,
+  SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 
@@ -20,22 +25,33 @@
 export interface Script {
   /** Sent in one write with the ReadyForQuery that ends the startup. */
   readonly afterStartup?: readonly Buffer[];
-  /** Called with each message that follows the startup packet. */
-  readonly onMessage: (message: WireMessage, socket: Socket) => void;
+  /** Returns the answer to a message that follows the startup packet. */
+  readonly onMessage: (message: WireMessage, socket: Socket) => readonly Buffer[];
+  /** Returns the answer to an echo instead of the right one. */
+  readonly onEcho?: (rightAnswer: Buffer) => Buffer;
 }
 
 const MAX_MESSAGE_BYTES = 1024 * 1024;
 
+/** What a connection has to remember to answer echoes. */
+interface EchoState {
+  /** Answer to the echo whose messages are being received. */
+  answer: Buffer[] | undefined;
+  /** The last ReadyForQuery of the script. */
+  ready: Buffer;
+}
+
 /**
- * Starts a server that accepts every startup and leaves all other answers to the script.
+ * Starts a server that accepts every startup, answers echoes, and leaves all other answers to the script.
  *
  * @example
- * const server = await startScriptedServer({ onMessage: (_message, socket) => socket.write(ready) });
+ * const server = await startScriptedServer({ onMessage: () => [buildReadyForQuery('idle')] });
  */
 export function startScriptedServer(script: Script): Promise<ScriptedServer> {
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     const framer = createMessageFramer(MAX_MESSAGE_BYTES, true);
+    const echo: EchoState = { answer: undefined, ready: buildReadyForQuery('idle') };
     sockets.add(socket);
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
@@ -46,7 +62,7 @@
         if (framer.isStartup) {
           framer.isStartup = false;
           socket.write(Buffer.concat([...STARTUP_ANSWER, ...(script.afterStartup ?? [])]));
-        } else script.onMessage(message, socket);
+        } else socket.write(Buffer.concat(answerMessage(script, echo, message, socket)));
       }
     });
   });
@@ -63,6 +79,39 @@
   });
 }
 
+function answerMessage(
+  script: Script,
+  echo: EchoState,
+  message: WireMessage,
+  socket: Socket,
+): readonly Buffer[] {
+  const number = readEchoNumber(message);
+  if (number !== undefined) {
+    echo.answer = [
+      buildEmptyMessage(SERVER.parseComplete),
+      buildParameterDescription([number]),
+      buildEmptyMessage(SERVER.noData),
+    ];
+    return [];
+  }
+  if (echo.answer && message.type === CLIENT.describe) return [];
+  if (echo.answer && message.type === CLIENT.sync) {
+    const answer = Buffer.concat([...echo.answer, echo.ready]);
+    echo.answer = undefined;
+    return [script.onEcho?.(answer) ?? answer];
+  }
+  const answer = script.onMessage(message, socket);
+  echo.ready = answer.findLast((frame) => frame[0] === SERVER.readyForQuery) ?? echo.ready;
+  return answer;
+}
+
+/** The number of an echo, if the message begins one: a Parse without a name or a text. */
+function readEchoNumber(message: WireMessage): number | undefined {
+  if (message.type !== CLIENT.parse) return undefined;
+  const { name, text, parameterTypes } = readParse(message);
+  return name === '' && text === '' ? parameterTypes.readInt32BE(2) : undefined;
+}
+
 const STARTUP_ANSWER = [
   buildAuthenticationOk(),
   buildBackendKeyData(7, 8),
--- a/packages/test-support/src/stand-in/bind-values.ts
+++ b/packages/test-support/src/stand-in/bind-values.ts
@@ -1,5 +1,5 @@
-/** Reads the parameter values of a Bind message; only the text format is supported. */
-import type { SqlValue } from './expressions.js';
+/** Reads the parameter types of a Parse and the parameter values of a Bind; only the text format is supported. */
+import { type SqlValue, TYPE_IDS } from './expressions.js';
 import { SqlError } from './sql-error.js';
 
 /**
@@ -34,3 +34,17 @@
   }
   return values;
 }
+
+/** Reads the parameter types that a Parse message declares. */
+export function readTypeIds(parameterTypes: Buffer): number[] {
+  const count = parameterTypes.readInt16BE(0);
+  return Array.from({ length: count }, (_, index) => parameterTypes.readInt32BE(2 + index * 4));
+}
+
+/** The declared types of a statement's parameters; those that are left open are text. */
+export function resolveTypeIds(declared: readonly number[], parameterCount: number): number[] {
+  const length = Math.max(declared.length, parameterCount);
+  return Array.from({ length }, (_, index) => declared[index] ?? 0).map((typeId) =>
+    typeId === 0 ? TYPE_IDS.text : typeId,
+  );
+}
--- a/packages/test-support/src/stand-in/connection-output.ts
+++ b/packages/test-support/src/stand-in/connection-output.ts
@@ -1,6 +1,7 @@
 /** Buffered output of one stand-in connection, with backpressure. */
 import type { Socket } from 'node:net';
 import { setImmediate as yieldToEventLoop } from 'node:timers/promises';
+import { type AnswerRecord, createAnswerRecord } from './repeated-answers.js';
 
 const FLUSH_THRESHOLD_BYTES = 16_384;
 
@@ -8,10 +9,14 @@
   readonly socket: Socket;
   pendingMessages: Buffer[];
   pendingBytes: number;
+  /** Answers that a fault may repeat; unused without that fault. */
+  record: AnswerRecord;
+  readonly isRecording: () => boolean;
 }
 
-export function createOutput(socket: Socket): ConnectionOutput {
-  return { socket, pendingMessages: [], pendingBytes: 0 };
+export function createOutput(socket: Socket, isRecording: () => boolean): ConnectionOutput {
+  const record = createAnswerRecord();
+  return { socket, pendingMessages: [], pendingBytes: 0, record, isRecording };
 }
 
 /**
@@ -19,6 +24,7 @@
  * drain.
  */
 export async function send(output: ConnectionOutput, message: Buffer): Promise<void> {
+  if (output.isRecording()) output.record.unfinished.push(message);
   output.pendingMessages.push(message);
   output.pendingBytes += message.length;
   if (output.pendingBytes < FLUSH_THRESHOLD_BYTES) return;
--- a/packages/test-support/src/stand-in/connection-startup.ts
+++ b/packages/test-support/src/stand-in/connection-startup.ts
@@ -18,6 +18,7 @@
 } from '@bramleykeel/postgres-wire';
 import { flush, send } from './connection-output.js';
 import type { StandInConnection } from './connection-state.js';
+import { finishAnswer, startRecording } from './repeated-answers.js';
 import { lastEntry } from './storage.js';
 
 const SERVER_PARAMETERS: Readonly<Record<string, string>> = {
@@ -94,7 +95,9 @@
   }
   await sendPosition(connection);
   await send(output, buildBackendKeyData(connection.processId, connection.secretKey));
-  await sendReady(connection);
+  await send(output, buildReadyForQuery('idle'));
+  await flush(output);
+  startRecording(connection);
 }
 
 async function sendPosition(connection: StandInConnection): Promise<void> {
@@ -108,5 +111,7 @@
   if (connection.isInExplicitTransaction)
     status = connection.hasTransactionFailed ? 'failed-transaction' : 'in-transaction';
   await send(connection.output, buildReadyForQuery(status));
+  const copy = finishAnswer(connection);
+  if (copy) await send(connection.output, copy);
   await flush(connection.output);
 }
--- a/packages/test-support/src/stand-in/connection-state.ts
+++ b/packages/test-support/src/stand-in/connection-state.ts
@@ -2,6 +2,7 @@
 import type { ParsedStatement } from '@bramleykeel/postgres-wire';
 import type { ConnectionOutput } from './connection-output.js';
 import type { SqlValue } from './expressions.js';
+import type { AnswerFaults } from './repeated-answers.js';
 import type { StandInServer } from './server-state.js';
 import type { Slots } from './slots.js';
 import type { StatementResult } from './statements.js';
@@ -19,6 +20,13 @@
   readonly statementCostMs: number;
   readonly connections: Map<number, StandInConnection>;
   nextProcessId: number;
+  readonly answerFaults: Readonly<AnswerFaults>;
+}
+
+export interface PreparedStatement {
+  readonly statement: ParsedStatement | undefined;
+  /** Parameter types that the Parse has declared; 0 leaves the type open. */
+  readonly typeIds: readonly number[];
 }
 
 export interface Portal {
@@ -34,7 +42,7 @@
   readonly processId: number;
   readonly secretKey: number;
   readonly settings: Map<string, string>;
-  readonly statements: Map<string, { statement: ParsedStatement | undefined }>;
+  readonly statements: Map<string, PreparedStatement>;
   readonly portals: Map<string, Portal>;
   transaction: Transaction | undefined;
   isInExplicitTransaction: boolean;
--- a/packages/test-support/src/stand-in/connection.ts
+++ b/packages/test-support/src/stand-in/connection.ts
@@ -22,12 +22,13 @@
   SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
-import { readBindValues } from './bind-values.js';
+import { readBindValues, readTypeIds, resolveTypeIds } from './bind-values.js';
 import { createOutput, flush, send } from './connection-output.js';
 import { handlePassword, handleStartup, sendReady } from './connection-startup.js';
 import type { Portal, ServerContext, StandInConnection } from './connection-state.js';
 import type { SqlValue } from './expressions.js';
 import { commitChanges } from './server-state.js';
+import { repeatAnswers, startRecording } from './repeated-answers.js';
 import { acquireSlot, releaseSlot } from './slots.js';
 import { SqlError } from './sql-error.js';
 import type { Row } from './storage.js';
@@ -41,13 +42,14 @@
 import { createTransaction, type Transaction } from './transaction.js';
 
 const MAX_MESSAGE_BYTES = 16_777_216;
+const REPEAT_DELAY_MS = 20;
 
 /** Serves one socket until it closes. Messages are processed sequentially. */
 export function serveConnection(socket: Socket, serverContext: ServerContext): void {
   serverContext.nextProcessId += 1;
   const connection: StandInConnection = {
     serverContext,
-    output: createOutput(socket),
+    output: createOutput(socket, () => serverContext.answerFaults.repeatsAnswers !== 'never'),
     processId: serverContext.nextProcessId,
     secretKey: Math.floor(Math.random() * 2 ** 31),
     settings: new Map(),
@@ -84,6 +86,9 @@
     if (isProcessing) return;
     isProcessing = true;
     connection.isActive = connection.phase === 'ready';
+    const { answerFaults } = serverContext;
+    if (answerFaults.repeatsAnswers === 'before-next') repeatAnswers(connection);
+    startRecording(connection);
     for (let message = queue.shift(); message; message = queue.shift()) {
       await handleMessage(connection, message);
       framer.isStartup = connection.phase === 'startup';
@@ -91,6 +96,11 @@
     await flush(connection.output);
     connection.isActive = false;
     isProcessing = false;
+    if (answerFaults.repeatsAnswers === 'while-unused') {
+      setTimeout(() => {
+        if (!isProcessing) repeatAnswers(connection);
+      }, REPEAT_DELAY_MS);
+    }
   }
 }
 
@@ -122,13 +132,14 @@
       await runSimpleQuery(connection, readStringPayload(message));
       return;
     case CLIENT.parse: {
-      const { name, text } = readParse(message);
+      const { name, text, parameterTypes } = readParse(message);
       if (name !== '' && connection.statements.has(name)) {
         throw new SqlError('42P05', `prepared statement "${name}" already exists`);
       }
       const [statement, extraStatement] = parseQueryText(text);
       if (extraStatement) throw new SqlError('42601', 'cannot insert multiple commands');
-      connection.statements.set(name, { statement });
+      const typeIds = readTypeIds(parameterTypes);
+      connection.statements.set(name, { statement, typeIds });
       return send(output, buildEmptyMessage(SERVER.parseComplete));
     }
     case CLIENT.bind: {
@@ -360,8 +371,8 @@
   const { statement } = described;
   const parameterCount = countParameters(statement?.node);
   if (target === 'S') {
-    const types = Array.from({ length: parameterCount }, () => 25);
-    await send(output, buildParameterDescription(types));
+    const { typeIds } = connection.statements.get(name) ?? { typeIds: [] };
+    await send(output, buildParameterDescription(resolveTypeIds(typeIds, parameterCount)));
   }
   const placeholders = Array.from({ length: parameterCount }, () => '0');
   const columns =
--- a/packages/test-support/src/stand-in/stand-in-server.ts
+++ b/packages/test-support/src/stand-in/stand-in-server.ts
@@ -7,6 +7,7 @@
 import { startAnnouncer } from './announcer.js';
 import { serveConnection } from './connection.js';
 import type { ServerContext } from './connection-state.js';
+import type { AnswerFaults } from './repeated-answers.js';
 import { type ReplicationFaults, runReplication, waitForLogEntries } from './replication.js';
 import { createStandInServer, executeCommand, promote } from './server-state.js';
 import { createSlots } from './slots.js';
@@ -37,7 +38,7 @@
   readonly createsBookingsTable: boolean;
 }
 
-interface Faults extends ReplicationFaults {
+interface Faults extends ReplicationFaults, AnswerFaults {
   areAnnouncementsPaused: boolean;
 }
 
@@ -46,7 +47,10 @@
   await loadParser();
   const storage = openStorage(options.dataFolder);
   const server = createStandInServer(options.server, storage);
-  const faults: Faults = { isReplicationPaused: false, areAnnouncementsPaused: false };
+  const faults: Faults = {
+    ...{ isReplicationPaused: false, areAnnouncementsPaused: false },
+    ...{ repeatsAnswers: 'never', repeatedAnswers: 'first', repeatEvery: 1 },
+  };
   const isNewStorage = storage.terms.term === 0;
   if (isNewStorage && options.isFirstPrimary) {
     promote(server, 1);
@@ -65,6 +69,7 @@
     statementCostMs: options.statementCostMs,
     connections: new Map(),
     nextProcessId: 1_000,
+    answerFaults: faults,
   };
   const tcpServer = createTcpServer((socket) => {
     serveConnection(socket, serverContext);
