End the session of a transaction whose connection is lost during one of its writes

A caller that went on ran the rest of its transaction outside of it, each statement committed on its own, and its COMMIT was answered with COMMIT although nothing of the transaction was kept.

Cause: caller-request.ts ends the session (57P03, FATAL) only for the reason transaction-lost, which owners give for reads. For a write they give the unknown outcome of one outside of a transaction.

Ruled out: that the write may be kept. Nothing of an explicit transaction is committed without its end, and the server rolls it back with the connection. A request that holds a COMMIT or another transaction command keeps the unknown outcome.

Change: an unknown outcome that ends an open transaction, for a request without transaction control, ends the session with 57P03.

Test: repeated-answers.test "ends the session of a transaction that is lost in the answer to a write" failed before (08007 instead of 57P03), and passes; the file 7 of 7, failures.test 11 of 11.

--- a/packages/entry/src/accept/caller-request.ts
+++ b/packages/entry/src/accept/caller-request.ts
@@ -196,7 +196,7 @@
     }, OWNER_RETRY_DELAY_MS);
     return;
   }
-  if (refusal && isTransactionLost(session, refusal)) {
+  if (refusal && isTransactionLost(session, request, end)) {
     endWithRefusal(session, refuse('transaction-lost'));
     return;
   }
@@ -213,10 +213,20 @@
   setImmediate(session.continueInput);
 }
 
-/** Owners that are stopping or do not know the session no longer hold its open transaction. */
-function isTransactionLost(session: CallerSession, refusal: Refusal): boolean {
-  if (refusal.reason === 'transaction-lost') return true;
-  return session.status !== 'idle' && isOwnerGone(refusal);
+/**
+ * Whether the session's open transaction was rolled back, so that its next statement must not be run. Owners that are
+ * stopping or do not know the session no longer hold it, and it does not survive the connection of a statement in it.
+ */
+function isTransactionLost(
+  session: CallerSession,
+  request: OpenRequest,
+  { refusal, status }: RequestEnd,
+): boolean {
+  if (refusal?.reason === 'transaction-lost') return true;
+  if (!refusal || session.status === 'idle') return false;
+  const isCut = refusal.outcome === 'outcome-unknown' && status === 'idle';
+  const mayHaveEnded = request.chunks.some(({ endsTransaction }) => endsTransaction);
+  return isOwnerGone(refusal) || (isCut && !mayHaveEnded);
 }
 
 function isOwnerGone({ reason }: Refusal): boolean {
--- a/packages/system-tests/src/repeated-answers.test.ts
+++ b/packages/system-tests/src/repeated-answers.test.ts
@@ -166,4 +166,23 @@
     });
     expect(seen.wrong).toEqual([]);
   });
+
+  // Guards against the rest of a lost transaction that is run, and committed, outside of it.
+  it('ends the session of a transaction that is lost in the answer to a write', async () => {
+    await setFaults({ repeatsAnswers: 'before-next', repeatedAnswers: 'first', repeatEvery: 1 });
+    const client = await connect(cluster, 0);
+    await client.query('BEGIN');
+    const insert = (id: string) => client.query(`INSERT INTO bookings VALUES ('${id}', 'new')`);
+    expect(await insert('lost-1').then(() => 'answered', sqlStateOf)).toBe(TRANSACTION_LOST);
+    expect(
+      await insert('lost-2').then(
+        () => 'answered',
+        () => 'refused',
+      ),
+    ).toBe('refused');
+    await setFaults({ repeatsAnswers: 'never' });
+    const written = await countInserts();
+    expect([written.get('lost-1'), written.get('lost-2')]).toEqual([undefined, undefined]);
+    await client.end().catch(() => undefined);
+  });
 });
