Send each command to a target on a connection of its own

What callers saw: nothing that was reported. A fence, promotion or order to follow could be counted as answered by the response to an earlier command, with the log position of that one: in a trial, term 1 was the answer to the fence of term 6. Answers with another term are not counted as promises (core/failover), which leaves a wrong position within the same term, and a command that is taken for unanswered.

Cause: postJson asks the server to close the connection, but since Node.js 19 the global agent keeps connections: if the server answers "connection: keep-alive" nevertheless, the next command uses the same one, and a response that is already in the socket ends it.

Ruled out: copies in the same write as the response. The parser drops them with the connection, or, behind a response with "connection: close", rejects the response, which counts as no answer.

Change: no agent, so that a response can only be read by the request of its connection.

--- a/packages/entry/src/target/target-commands.ts
+++ b/packages/entry/src/target/target-commands.ts
@@ -35,7 +35,8 @@
       resolve(undefined);
     };
     const headers = { 'content-type': 'application/json', connection: 'close' };
-    const outgoing = request(url, { method: 'POST', headers }, (incoming) => {
+    // The global agent keeps a connection for the next command if the server does not close it, whatever the header says.
+    const outgoing = request(url, { method: 'POST', headers, agent: false }, (incoming) => {
       const chunks: Buffer[] = [];
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
       incoming.on('error', fail);
