--- a/packages/entry/src/target/target-connection.ts
+++ b/packages/entry/src/target/target-connection.ts
@@ -8,6 +8,7 @@
 } from '@bramleykeel/core';
 import {
   buildCancel,
+  buildEcho,
   buildPassword,
   buildQuery,
   buildStartup,
@@ -16,11 +17,19 @@
   frameMessages,
   readErrorMessage,
   readParameterStatus,
-  readReadyForQuery,
   readSqlState,
   SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
+import { type AnswerSequence, createAnswerSequence, splitAnswer } from './answer-sequence.js';
+import {
+  describeMessage,
+  findUnrequested,
+  type OutOfStepReport,
+  splitAtReady,
+} from './out-of-step.js';
+
+export type { OutOfStepReport } from './out-of-step.js';
 
 export interface TargetCredentials {
   readonly user: string;
@@ -31,9 +40,12 @@
 /** Receives the messages that answer the connection's current request. */
 export interface AnswerConsumer {
   readonly onMessages: (messages: readonly WireMessage[]) => void;
-  readonly onLost: () => void;
+  readonly onLost: (cause: LossCause) => void;
 }
 
+/** Why a connection was lost: its socket was closed, or its target sent what it was not asked for. */
+export type LossCause = 'closed' | 'out-of-step';
+
 export interface TargetConnection {
   readonly socket: Socket;
   readonly address: string;
@@ -47,6 +59,10 @@
   /** Time at which data was last received, or reading from a paused connection was resumed. */
   lastReceivedMs: number;
   isClosed: boolean;
+  /** Number of the latest echo that was sent. */
+  lastEchoNumber: number;
+  /** Called when the connection is closed because it is out of step, and for copies of an answer. */
+  readonly onOutOfStep: (report: OutOfStepReport) => void;
 }
 
 export type ConnectFailure =
@@ -75,13 +91,15 @@
 /**
  * Opens and authenticates a connection.
  *
+ * @param onOutOfStep called if the connection is closed because the target sent what it was not asked for
  * @example
- * const outcome = await connectTarget('10.0.0.7:5432', credentials, 1_000);
+ * const outcome = await connectTarget('10.0.0.7:5432', credentials, 1_000, reportOutOfStep);
  */
 export function connectTarget(
   address: string,
   credentials: TargetCredentials,
   timeoutMs: number,
+  onOutOfStep: (report: OutOfStepReport) => void,
 ): Promise<ConnectOutcome> {
   return new Promise((resolve) => {
     const socket = createConnection(splitAddress(address));
@@ -96,6 +114,8 @@
       consumer: undefined,
       lastReceivedMs: performance.now(),
       isClosed: false,
+      lastEchoNumber: 0,
+      onOutOfStep,
     };
     let position: LogPosition | undefined;
     let isSettled = false;
@@ -116,7 +136,7 @@
       fail({ kind: 'lost' });
       const { consumer } = connection;
       connection.consumer = undefined;
-      consumer?.onLost();
+      consumer?.onLost('closed');
     });
     socket.on('data', (chunk) => {
       connection.lastReceivedMs = performance.now();
@@ -125,10 +145,19 @@
         socket.destroy();
         return;
       }
-      if (isSettled) connection.consumer?.onMessages(framed.messages);
-      else for (const message of framed.messages) handleStartup(message);
+      if (isSettled) deliver(connection, framed.messages);
+      else receiveStartup(framed.messages);
     });
 
+    function receiveStartup(messages: readonly WireMessage[]): void {
+      const { answer, rest } = splitAtReady(messages);
+      for (const message of answer) handleStartup(message);
+      if (isSettled || answer.at(-1)?.type !== SERVER.readyForQuery) return;
+      checkUnrequested(connection, rest);
+      if (connection.isClosed) fail({ kind: 'lost' });
+      else succeed();
+    }
+
     function handleStartup(message: WireMessage): void {
       switch (message.type) {
         case SERVER.authentication: {
@@ -155,15 +184,16 @@
           fail({ kind: 'rejected', ...failure });
           return;
         }
-        case SERVER.readyForQuery:
-          isSettled = true;
-          clearTimeout(timer);
-          resolve({ kind: 'connected', connection, position });
-          return;
         default:
       }
     }
 
+    function succeed(): void {
+      isSettled = true;
+      clearTimeout(timer);
+      resolve({ kind: 'connected', connection, position });
+    }
+
     function fail(failure: ConnectFailure): void {
       if (isSettled) return;
       isSettled = true;
@@ -174,11 +204,56 @@
   });
 }
 
+function deliver(connection: TargetConnection, messages: readonly WireMessage[]): void {
+  if (connection.isClosed) return;
+  const { consumer } = connection;
+  if (consumer) consumer.onMessages(messages);
+  else checkUnrequested(connection, messages);
+}
+
+/** Closes the connection if any of the messages is an answer, which nothing has asked for. */
+export function checkUnrequested(
+  connection: TargetConnection,
+  messages: readonly WireMessage[],
+): void {
+  const unrequested = findUnrequested(messages);
+  if (unrequested) closeOutOfStep(connection, unrequested, 'unused');
+}
+
+/** Closes a connection because of a message that cannot be what its target was asked for. */
+export function closeOutOfStep(
+  connection: TargetConnection,
+  message: WireMessage,
+  moment: OutOfStepReport['moment'],
+): void {
+  if (connection.isClosed) return;
+  const { address, processId, consumer, onOutOfStep } = connection;
+  connection.isClosed = true;
+  connection.consumer = undefined;
+  connection.socket.destroy();
+  onOutOfStep({ address, processId, moment, ...describeMessage(message) });
+  consumer?.onLost('out-of-step');
+}
+
+/** Ends the use of a connection by a verified answer; `rest` are the messages that followed it in the same chunk. */
+export function endAnswer(
+  connection: TargetConnection,
+  { copyCount, answerBytes }: AnswerSequence,
+  rest: readonly WireMessage[],
+): void {
+  const { address, processId, onOutOfStep } = connection;
+  connection.consumer = undefined;
+  if (copyCount > 0) {
+    onOutOfStep({ address, processId, moment: 'copy', messageType: 'Z', bytes: answerBytes });
+  }
+  checkUnrequested(connection, rest);
+}
+
 /** Closes a connection; its consumer is not notified. */
 export function closeConnection(connection: TargetConnection): void {
+  connection.consumer = undefined;
   if (connection.isClosed) return;
   connection.isClosed = true;
-  connection.consumer = undefined;
   connection.socket.end(buildTerminate());
   connection.socket.destroySoon();
 }
@@ -199,6 +274,11 @@
   timeoutMs: number,
 ): Promise<QueryOutcome> {
   return new Promise((resolve) => {
+    if (connection.isClosed) {
+      resolve({ kind: 'lost' });
+      return;
+    }
+    const sequence = createAnswerSequence();
     let sqlState: string | undefined;
     const rows: string[] = [];
     const timer = setTimeout(() => {
@@ -214,21 +294,34 @@
         finish({ kind: 'lost' });
       },
       onMessages: (messages) => {
-        for (const message of messages) {
+        const { answer, foreign, isVerified, rest } = splitAnswer(sequence, messages);
+        for (const message of answer) {
           if (message.type === SERVER.errorResponse) sqlState = readSqlState(message);
           if (message.type === SERVER.dataRow) rows.push(readFirstColumn(message));
-          if (message.type !== SERVER.readyForQuery) continue;
-          const status = readReadyForQuery(message);
-          finish(
-            sqlState === undefined ? { kind: 'done', status, rows } : { kind: 'error', sqlState },
-          );
         }
+        if (foreign) closeOutOfStep(connection, foreign, 'in-request');
+        const { status } = sequence;
+        if (!isVerified || status === undefined) return;
+        endAnswer(connection, sequence, rest);
+        finish(
+          sqlState === undefined ? { kind: 'done', status, rows } : { kind: 'error', sqlState },
+        );
       },
     };
-    connection.socket.write(buildQuery(text));
+    connection.socket.write(Buffer.concat([buildQuery(text), nextEcho(connection, sequence)]));
   });
 }
 
+/**
+ * Builds the echo that follows the end of a request. The answer to the request counts once the echo has come back behind
+ * it.
+ */
+export function nextEcho(connection: TargetConnection, sequence: AnswerSequence): Buffer {
+  connection.lastEchoNumber += 1;
+  sequence.echoNumber = connection.lastEchoNumber;
+  return buildEcho(sequence.echoNumber);
+}
+
 function readFirstColumn({ frame }: WireMessage): string {
   const lengthBytes = frame.readInt32BE(7);
   return lengthBytes < 0 ? '' : frame.toString('utf8', 11, 11 + lengthBytes);
