--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -55,10 +55,11 @@
 }
 
 /**
- * Compares an answer with the order that the connection waits for. The signature of a statement's answer is unique.
+ * Compares an answer with the order that the connection waits for. Each answer to a statement has a signature of its own.
  *
  * @example
- * matchAnswer(history, order, { rows: [], signature: '-', isError: false, state: 'open' }); // 'fits' for a BEGIN
+ * const answer = { rows: [], signature: '-', isError: false, state: 'open', position };
+ * matchAnswer(createAnswerHistory(), { kind: 'begin', isReadOnly: true, after: null }, answer); // 'fits'
  */
 export function matchAnswer(
   history: AnswerHistory,
@@ -133,9 +134,10 @@
   rowCount: number,
 ): void {
   rowCounts.set(copyOf(signature), rowCount);
+  if (rowCounts.size <= MAX_SIGNED_ANSWERS) return;
   // A transaction that is longer keeps its connection, and forgets its oldest answers.
   const [oldest] = rowCounts.keys();
-  if (rowCounts.size > MAX_SIGNED_ANSWERS && oldest !== undefined) rowCounts.delete(oldest);
+  if (oldest !== undefined) rowCounts.delete(oldest);
 }
 
 /** A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. */
