Let no answer within an earlier transaction begin a later one

The copy of an answer to PREPARE within a transaction settled the BEGIN of the next one, which the server had refused with LAGGING, and the statement after it ran outside of a transaction.

Change: it has to be later than that of any answer without a signature in a transaction of the connection.

--- a/packages/statement-entry/src/target/match-answer.test.ts
+++ b/packages/statement-entry/src/target/match-answer.test.ts
@@ -197,6 +197,16 @@
     },
   );
 
+  // Guards against PINNED: the copy of an answer within the first transaction counted as the begin of the second.
+  it('begins no second transaction at the position of a value that was set in the first', () => {
+    const history = createAnswerHistory();
+    recordMatch(history, begin, opened);
+    const valueSet = signed('-', [], 'open', 8);
+    recordMatch(history, set, valueSet);
+    recordMatch(history, { kind: 'rollback' }, signed('-', [], 'idle', 8));
+    expect(matchAnswer(history, begin, valueSet)).toBe('foreign');
+  });
+
   it('begins no transaction before the required position', () => {
     const after = { term: 3, offset: 8 };
     expect(matchAnswer(createAnswerHistory(), { ...begin, after }, opened)).toBe('foreign');
--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -24,8 +24,8 @@
   hasUnsigned: boolean;
   /** Whether a statement, or an order that prepares the connection for one, was answered with an error. */
   hasErrorOfStatement: boolean;
-  /** The position in the last answer to a BEGIN; `undefined` before the first one. */
-  begunAt: LogPosition | null | undefined;
+  /** The position in the last answer without a signature in a transaction; `undefined` before the first one. */
+  openAt: LogPosition | null | undefined;
   /** The number of rows of each signed answer, by its signature. */
   readonly rowCounts: Map<string, number>;
   /** The highest number of rows of an answer. */
@@ -50,7 +50,7 @@
 export function createAnswerHistory(): AnswerHistory {
   return {
     ...{ state: 'idle', hasUnsigned: false, hasErrorOfStatement: false },
-    ...{ begunAt: undefined, rowCounts: new Map(), maxRowCount: 0 },
+    ...{ openAt: undefined, rowCounts: new Map(), maxRowCount: 0 },
   };
 }
 
@@ -122,10 +122,11 @@
 ): void {
   history.state = state;
   history.maxRowCount = Math.max(history.maxRowCount, rows.length);
-  if (order.kind === 'begin' && !isError) history.begunAt = position;
   if (isError && !isControlOrder(order)) history.hasErrorOfStatement = true;
-  if (signature === NO_SIGNATURE) history.hasUnsigned = true;
-  else if (signature !== undefined) rememberSignature(history, signature, rows.length);
+  if (signature === NO_SIGNATURE) {
+    history.hasUnsigned = true;
+    if (state === 'open') history.openAt = position;
+  } else if (signature !== undefined) rememberSignature(history, signature, rows.length);
 }
 
 function rememberSignature(
@@ -188,17 +189,17 @@
 }
 
 /**
- * Whether a BEGIN was answered at a position that it may be answered at, and no answer to an earlier one had. A statement
- * after a BEGIN that was in fact refused would run outside of a transaction.
+ * Whether a BEGIN was answered at a position that it may be answered at, and that no answer which looks like it had. A
+ * statement after a BEGIN that was in fact refused would run outside of a transaction.
  */
 function isBegunAnew(
-  { begunAt }: AnswerHistory,
+  { openAt }: AnswerHistory,
   after: LogPosition | null,
   position: LogPosition | null,
 ): boolean {
   if (position && after && comparePositions(position, after) < 0) return false;
-  if (begunAt === undefined) return true;
-  return position !== null && begunAt !== null && comparePositions(position, begunAt) > 0;
+  if (openAt === undefined) return true;
+  return position !== null && openAt !== null && comparePositions(position, openAt) > 0;
 }
 
 function matchRepeatedOwn({ hasUnsigned }: AnswerHistory, rowCount: number): AnswerMatch {
