Count a second BEGIN at the same position apart from answers that do not fit

On a group without commits every further transaction of a connection was counted as target.answer-foreign, which OPERATIONS calls a server that answers in an odd way. It is target.answer-unclear now; what happens is as before (the transaction goes on over a new connection).

--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -35,9 +35,10 @@
 /**
  * - `fits`: the answer is taken for that of the pending order;
  * - `repeated`: an earlier answer was sent again, and that of the pending order is still to come;
- * - `foreign`: the answer is not that of the pending order, and it is not known what the following ones belong to.
+ * - `foreign`: the answer is not that of the pending order, and it is not known what the following ones belong to;
+ * - `unclear`: it looks like an earlier answer and may be that of the pending order as well.
  */
-export type AnswerMatch = 'fits' | 'repeated' | 'foreign';
+export type AnswerMatch = 'fits' | 'repeated' | 'foreign' | 'unclear';
 
 /** Servers answer the proxy's own orders with this in place of a signature. */
 export const NO_SIGNATURE = '-';
@@ -170,7 +171,7 @@
   switch (order.kind) {
     case 'begin':
       if (rowCount > 0 || answer.state !== 'open') break;
-      return isBegunAnew(history, order.after, answer.position) ? 'fits' : 'foreign';
+      return matchBegin(history, order.after, answer.position);
     case 'rollback':
       if (rowCount === 0 && answer.state === 'idle') return 'fits';
       break;
@@ -189,17 +190,20 @@
 }
 
 /**
- * Whether a BEGIN was answered at a position that it may be answered at, and that no answer which looks like it had. A
- * statement after a BEGIN that was in fact refused would run outside of a transaction.
+ * A BEGIN has to be answered at the required position, and at a later one than any answer that looks like it: a statement
+ * after a BEGIN that was in fact refused would run outside of a transaction.
  */
-function isBegunAnew(
+function matchBegin(
   { openAt }: AnswerHistory,
   after: LogPosition | null,
   position: LogPosition | null,
-): boolean {
-  if (position && after && comparePositions(position, after) < 0) return false;
-  if (openAt === undefined) return true;
-  return position !== null && openAt !== null && comparePositions(position, openAt) > 0;
+): AnswerMatch {
+  if (position && after && comparePositions(position, after) < 0) return 'foreign';
+  if (openAt === undefined) return 'fits';
+  if (!position || !openAt) return 'unclear';
+  const order = comparePositions(position, openAt);
+  if (order === 0) return 'unclear';
+  return order > 0 ? 'fits' : 'foreign';
 }
 
 function matchRepeatedOwn({ hasUnsigned }: AnswerHistory, rowCount: number): AnswerMatch {
