Compare a primary's status with what was acknowledged when it was asked for

Evidence: the new test of foreign-answers.test.ts failed before (uncovered for ever) and passes, 24 of 24 with change-primary.test.

--- a/packages/statement-entry/src/owner/foreign-answers.test.ts
+++ b/packages/statement-entry/src/owner/foreign-answers.test.ts
@@ -95,6 +95,23 @@
     expect(hasUncoveredCommits(owner.coverage)).toBe(true);
   });
 
+  // Guards against a change of primary that waits for ever: commits go on while the status is on its way.
+  it('are not suspected in a status that covers what was acknowledged when it was asked for', async () => {
+    const { owner } = fake;
+    const [, near, far] = fake.servers;
+    const { acknowledgedPositions } = owner;
+    if (!near || !far || !acknowledgedPositions) throw new Error('the group is not complete');
+    for (const server of fake.servers) server.position = { term: 3, offset: 50 };
+    recordAcknowledged(acknowledgedPositions, { term: 3, offset: 50 }, performance.now());
+    handleServerLeave(owner, far.name);
+    await delay(1_050);
+    owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
+    const checked = checkReplicas(owner);
+    recordAcknowledged(acknowledgedPositions, { term: 3, offset: 51 }, performance.now());
+    await checked;
+    expect(hasUncoveredCommits(owner.coverage)).toBe(false);
+  });
+
   // Guards against UNKNOWN in place of a promise: the transaction was open, so that its connection's end rolls it back.
   it('abort a transaction that was open before, as a read of it commits nothing', async () => {
     const transaction = { number: 1, isReadOnly: false };
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -58,14 +58,14 @@
   owner.replicasCheckedMs = nowMs;
   const primary = owner.servers.get(leadership.server);
   if (primary && needsPrimaryPosition(coverage)) {
+    const { acknowledgedPositions } = owner;
+    const acknowledged = acknowledgedPositions && newestAcknowledged(acknowledgedPositions);
     const answer = await sendControlOrder(owner, primary, { kind: 'status' });
     if (owner.leadership !== leadership) return;
-    const { acknowledgedPositions } = owner;
-    // A status from before the last acknowledgement may be one that the server repeats.
+    // A status that lacks what was acknowledged before it was asked for may be one that the server repeats.
     const isCurrent =
       answer?.status.role === 'primary' &&
-      (!acknowledgedPositions ||
-        coversMark(answer.status.position, newestAcknowledged(acknowledgedPositions)));
+      (!acknowledged || coversMark(answer.status.position, acknowledged));
     if (isCurrent)
       recordPrimaryPosition(coverage, answer.status.position, nowMs, performance.now());
   }
