Tell an answer that cannot be read from a connection that the server ends

The record of the incident has reads on connections that were lost 5 ms after the server's last answer, and nothing that tells who closed them: a message of a server that is unknown or too long counted as a lost connection, also for the health of the server and the watch of the primary.

--- a/packages/statement-entry/src/types/target-port.ts
+++ b/packages/statement-entry/src/types/target-port.ts
@@ -65,8 +65,8 @@
   /** No complete answer arrived within the timeout; the connection is closed. */
   | { readonly kind: 'overdue' }
   /**
-   * An answer arrived that is not that of the order; the connection is closed. The order may have run, also outside of the
-   * transaction that it belongs to.
+   * An answer arrived that is not that of the order, or cannot be read; the connection is closed. The order may have run,
+   * also outside of the transaction that it belongs to.
    */
   | { readonly kind: 'foreign' };
 
