Run a read without an answer at most three times

Callers of the incident waited for reads that ran twelve times in 406 ms, until their time was over. An owner ran a read again, without a limit but its time, whenever an answer was lost or did not fit: each run takes a slot and a new connection, and an answer that cannot be read from one server cannot be read from the others either.

A read that may have run three times, as often as a group has servers, ends as UNKNOWN now, and its caller decides. Attempts that a server refused as not run do not count. The log lines of a statement have unansweredRuns beside attempts.

--- a/packages/statement-entry/src/owner/create-job.ts
+++ b/packages/statement-entry/src/owner/create-job.ts
@@ -24,6 +24,7 @@
     committedUnder: undefined,
     transaction: undefined,
     attempts: 0,
+    unansweredRuns: 0,
     isWithdrawn: false,
     isEnded: false,
   };
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -328,7 +328,7 @@
 
 /** Log fields with the state that the decision depends on. */
 function describeJob(owner: StatementOwner, job: Job): LogFields {
-  const { request, attempts, mayHaveRun, transaction } = job;
+  const { request, attempts, unansweredRuns, mayHaveRun, transaction } = job;
   const { leadership } = owner;
   const newest = owner.acknowledgedPositions && newestAcknowledged(owner.acknowledgedPositions);
   return {
@@ -339,6 +339,7 @@
     access: request.access,
     transaction: transaction?.key,
     attempts,
+    unansweredRuns,
     mayHaveRun,
     ageMs: ageOf(job),
     startWithinMs: Math.round(request.startWithinMs),
--- a/packages/statement-entry/src/owner/foreign-answers.test.ts
+++ b/packages/statement-entry/src/owner/foreign-answers.test.ts
@@ -48,6 +48,26 @@
     expect(runs).toBeLessThan(50);
   });
 
+  // Guards against a read of the incident that ran twelve times: its answer could not be read, whichever server gave it.
+  it.each<TargetAnswer>([
+    { kind: 'foreign' },
+    { kind: 'lost' },
+    { kind: 'unknown', state: 'idle' },
+  ])('do not let a read run more often than a group has servers: $kind', async (answer) => {
+    for (const { answers, orders } of fake.servers) {
+      answers.push(...Array.from({ length: 1_000 }, () => answer));
+      orders.length = 0;
+    }
+    const timer = setInterval(() => {
+      dispatch(fake.owner);
+    }, 5);
+    const outcome = await runStatementAt(fake.owner, 'read', { startWithinMs: 400 });
+    clearInterval(timer);
+    const runs = fake.servers.flatMap(({ orders }) => orders.filter(({ kind }) => kind === 'run'));
+    expect(runs).toHaveLength(fake.servers.length);
+    expect(outcome.kind).toBe('unknown');
+  });
+
   // Guards against REFUSED and TWICE: the write may have run.
   it('leave a write with an unknown outcome, and do not let it run again', async () => {
     primary.answers.push({ kind: 'foreign' });
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -182,6 +182,8 @@
   committedUnder: number | undefined;
   transaction: OpenTransaction | undefined;
   attempts: number;
+  /** How often a server may have run it without an answer that can be passed on. */
+  unansweredRuns: number;
   /** Whether no replica could run it when it was judged last; set under overload control. */
   isOnlyForPrimary?: boolean;
   /** The forecast of its wait on arrival, in milliseconds; set under overload control. */
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -27,6 +27,8 @@
 import { dropTransaction } from './transactions.js';
 import { suspectPrimary } from './watch-primary.js';
 
+/** A primary and two replicas: a read that each of them has left without an answer is not run again. */
+const MAX_RUNS_OF_READ = 3;
 /** A server that answered `busy` gets no statements for this long, in milliseconds. */
 const BUSY_PAUSE_MS = 15;
 /**
@@ -78,23 +80,20 @@
       return;
     case 'unknown':
       discardConnection(pooled);
-      job.mayHaveRun = true;
-      if (access === 'read') requeueAfterPause(owner, job, pooled.server);
+      if (recordUnansweredRun(job)) requeueAfterPause(owner, job, pooled.server);
       else endJob(owner, job, { kind: 'unknown', reason: 'the server does not know the outcome' });
       return;
     case 'foreign':
       handleBrokenConnection(owner, job, pooled, answer);
       discardConnection(pooled);
-      job.mayHaveRun = true;
-      if (access === 'read') requeueAfterPause(owner, job, pooled.server);
+      if (recordUnansweredRun(job)) requeueAfterPause(owner, job, pooled.server);
       else endJob(owner, job, brokenOutcome(answer));
       return;
     case 'lost':
     case 'overdue':
       handleBrokenConnection(owner, job, pooled, answer);
       discardConnection(pooled);
-      job.mayHaveRun = true;
-      if (access === 'read' && answer.kind === 'lost') requeueJob(owner, job);
+      if (recordUnansweredRun(job) && answer.kind === 'lost') requeueJob(owner, job);
       else endJob(owner, job, brokenOutcome(answer));
   }
 }
@@ -168,6 +167,13 @@
   }
 }
 
+/** Counts a run without an answer; returns whether the statement may run again. */
+function recordUnansweredRun(job: Job): boolean {
+  job.mayHaveRun = true;
+  job.unansweredRuns += 1;
+  return job.request.access === 'read' && job.unansweredRuns < MAX_RUNS_OF_READ;
+}
+
 /** A server that answers in an odd way may do so again, and each attempt takes a new connection. */
 function requeueAfterPause(owner: StatementOwner, job: Job, server: ServerState): void {
   server.busyUntilMs = Math.max(server.busyUntilMs, performance.now() + BUSY_PAUSE_MS);
