Pause before another connection is prepared after an answer that does not fit

A server that answers SET, PREPARE or BEGIN with something else, or with what cannot be read, was sent a new connection at once, as often as the statement's time allowed. It is left alone for as long as after BUSY, as with an answer to a statement since.

foreign-answers.test.ts 'do not let a statement prepare one connection after another without a pause' failed before (50 or more connections in 200 ms).

--- a/packages/statement-entry/src/owner/foreign-answers.test.ts
+++ b/packages/statement-entry/src/owner/foreign-answers.test.ts
@@ -68,6 +68,21 @@
     expect(outcome.kind).toBe('unknown');
   });
 
+  // Guards against a storm of connections: the server does not answer what prepares one for a statement.
+  it('do not let a statement prepare one connection after another without a pause', async () => {
+    primary.answers.push(...Array.from({ length: 100_000 }, () => ({ kind: 'foreign' }) as const));
+    const timer = setInterval(() => {
+      dispatch(fake.owner);
+    }, 5);
+    const values = { unit: 'mm' };
+    const outcome = await runStatementAt(fake.owner, 'write', { values, startWithinMs: 200 });
+    clearInterval(timer);
+    const setups = primary.orders.filter(({ kind }) => kind === 'set').length;
+    expect(setups).toBeGreaterThan(0);
+    expect(setups).toBeLessThan(50);
+    expect(outcome.kind).toBe('not-run');
+  });
+
   // Guards against REFUSED and TWICE: the write may have run.
   it('leave a write with an unknown outcome, and do not let it run again', async () => {
     primary.answers.push({ kind: 'foreign' });
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -29,6 +29,7 @@
   handleRefusal,
   leadershipNumberOf,
   recordSuccessfulAnswer,
+  requeueAfterPause,
   settleStatement,
   settleTransactionStatement,
 } from './settle-answer.js';
@@ -124,7 +125,8 @@
     if (answer.kind === 'refused') handleRefusal(owner, job, pooled.server, answer.code);
     else handleBrokenConnection(owner, job, pooled, answer);
     discardConnection(pooled);
-    requeueJob(owner, job);
+    if (answer.kind === 'foreign') requeueAfterPause(owner, job, pooled.server);
+    else requeueJob(owner, job);
     return false;
   }
   const ref = job.request.transaction;
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -175,7 +175,7 @@
 }
 
 /** A server that answers in an odd way may do so again, and each attempt takes a new connection. */
-function requeueAfterPause(owner: StatementOwner, job: Job, server: ServerState): void {
+export function requeueAfterPause(owner: StatementOwner, job: Job, server: ServerState): void {
   server.busyUntilMs = Math.max(server.busyUntilMs, performance.now() + BUSY_PAUSE_MS);
   requeueJob(owner, job);
 }
