Let no state from before a commit be taken for the one after it

A server that repeats the READY of START between the result and the READY of a write ended the write's answer at a position from before it. The owner then took that for the newest acknowledged position, and a read on another server did not have to see the write (STALE).

Each commit that writes takes the next position of the log, so the answer to a write outside of transactions, or to a COMMIT after one, has to be at a later position than any before on the connection; otherwise the connection is closed and the outcome is unknown. Orders say for that whether they write.

--- a/packages/statement-entry/src/near/replica-reads.test.ts
+++ b/packages/statement-entry/src/near/replica-reads.test.ts
@@ -173,7 +173,9 @@
   it('run once the owner has offered a position, and require exactly that position', async () => {
     expect(context.orders).toEqual([]);
     expect(await read()).toMatchObject({ kind: 'done', rows: ['v'], isFromReplica: true });
-    expect(context.orders).toEqual([{ kind: 'run', tag: 't', after: offered, text: 'READ x' }]);
+    expect(context.orders).toEqual([
+      { kind: 'run', tag: 't', isWrite: false, after: offered, text: 'READ x' },
+    ]);
   });
 
   it.each<{ name: string; change: Partial<StatementDraft> }>([
--- a/packages/statement-entry/src/target/answer-history.test.ts
+++ b/packages/statement-entry/src/target/answer-history.test.ts
@@ -12,7 +12,9 @@
 function recordStatements(count: number, tag: string, state: ConnectionState) {
   const history = createAnswerHistory();
   for (let number = 0; number < count; number += 1) {
-    const order: TargetOrder = { kind: 'run', tag: `${number}${tag}`, after: null, text: 'READ x' };
+    const order: TargetOrder = {
+      ...{ kind: 'run', tag: `${number}${tag}`, isWrite: false, after: null, text: 'READ x' },
+    };
     recordMatch(history, order, {
       ...{ rows: [], signature: `s${number}`, isError: false, state, position: null },
     });
--- a/packages/statement-entry/src/target/connection-setup.ts
+++ b/packages/statement-entry/src/target/connection-setup.ts
@@ -89,10 +89,12 @@
 ): TargetOrder {
   if (body.kind === 'plain') {
     const { text } = body;
-    return access === 'commit' ? { kind: 'commit', tag, text } : { kind: 'run', tag, after, text };
+    if (access === 'commit') return { kind: 'commit', tag, text };
+    return { kind: 'run', tag, isWrite: access === 'write', after, text };
   }
   const name = preparedName(body.access, body.shape);
-  return { kind: 'execute', tag, after, name, argument: body.argument };
+  const isWrite = body.access === 'write';
+  return { kind: 'execute', tag, isWrite, after, name, argument: body.argument };
 }
 
 /** The same statement has the same name in all sessions, and different statements have different names. */
--- a/packages/statement-entry/src/target/match-answer.test.ts
+++ b/packages/statement-entry/src/target/match-answer.test.ts
@@ -8,7 +8,10 @@
   recordMatch,
 } from './match-answer.js';
 
-const read: TargetOrder = { kind: 'run', tag: 't', after: null, text: 'READ x' };
+const read: TargetOrder = {
+  ...{ kind: 'run', tag: 't', isWrite: false, after: null, text: 'READ x' },
+};
+const write: TargetOrder = { ...read, isWrite: true, text: 'WRITE x 1' };
 const commit: TargetOrder = { kind: 'commit', tag: 't', text: 'COMMIT' };
 const begin: TargetOrder = { kind: 'begin', isReadOnly: false, after: null };
 const set: TargetOrder = { kind: 'set', name: 'unit', value: 'mm' };
@@ -208,6 +211,28 @@
     expect(matchAnswer(history, begin, opened)).toBe('foreign');
   });
 
+  // Guards against STALE: a state from before the write counted as that after it, and reads did not have to see the write.
+  it.each([
+    { name: 'a write', earlier: [], order: write, offset: 8, expected: 'fits' },
+    { name: 'a write', earlier: [], order: write, offset: 7, expected: 'unclear' },
+    { name: 'a read', earlier: [], order: read, offset: 7, expected: 'fits' },
+    { name: 'COMMIT after a write', earlier: [write], order: commit, offset: 8, expected: 'fits' },
+    {
+      ...{ name: 'COMMIT after a write and a read', earlier: [write, read], order: commit },
+      ...{ offset: 7, expected: 'unclear' },
+    },
+    { name: 'COMMIT after a read', earlier: [read], order: commit, offset: 7, expected: 'fits' },
+  ])(
+    'to $name at $offset, after 7, is taken as $expected',
+    ({ earlier, order, offset, expected }) => {
+      const history = createAnswerHistory({ term: 3, offset: 7 });
+      if (order === commit) recordMatch(history, begin, opened);
+      for (const [index, each] of earlier.entries())
+        recordMatch(history, each, signed(`s${index}`, [], 'open'));
+      expect(matchAnswer(history, order, signed('s9', [], 'idle', offset))).toBe(expected);
+    },
+  );
+
   it('begins no transaction before the required position', () => {
     const after = { term: 3, offset: 8 };
     expect(matchAnswer(createAnswerHistory(), { ...begin, after }, opened)).toBe('foreign');
--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -2,7 +2,7 @@
  * Decides whether an answer can be that of the order that a connection waits for. Answers name no order, and a server may
  * repeat one late, while the connection already waits for the answer to a later order.
  */
-import { comparePositions, type LogPosition } from '@bramleykeel/core';
+import { comparePositions, latestPosition, type LogPosition } from '@bramleykeel/core';
 import type { ConnectionState, TargetOrder } from '../types/target-port.js';
 
 /** An answer as a server sent it. */
@@ -26,6 +26,10 @@
   hasErrorOfStatement: boolean;
   /** The position in the last answer without a signature in a transaction; `undefined` before the first one. */
   openAt: LogPosition | null | undefined;
+  /** The newest position that the server has reported. */
+  position: LogPosition | null;
+  /** Whether the open transaction has written. */
+  hasUncommittedWrite: boolean;
   /** The number of rows of each signed answer, by its signature. */
   readonly rowCounts: Map<string, number>;
   /** The highest number of rows of an answer. */
@@ -48,10 +52,12 @@
  */
 export const MAX_SIGNED_ANSWERS = 512;
 
-export function createAnswerHistory(): AnswerHistory {
+/** @param position of the server's log when the connection was opened */
+export function createAnswerHistory(position: LogPosition | null = null): AnswerHistory {
   return {
     ...{ state: 'idle', hasUnsigned: false, hasErrorOfStatement: false },
-    ...{ openAt: undefined, rowCounts: new Map(), maxRowCount: 0 },
+    ...{ openAt: undefined, position, hasUncommittedWrite: false },
+    ...{ rowCounts: new Map(), maxRowCount: 0 },
   };
 }
 
@@ -74,9 +80,9 @@
     case 'execute':
       return answer.isError
         ? matchError(history, answer)
-        : matchStatement(history, answer, history.state);
+        : matchStatement(history, order, answer, history.state);
     case 'commit':
-      return answer.isError ? 'fits' : matchStatement(history, answer, 'idle');
+      return answer.isError ? 'fits' : matchStatement(history, order, answer, 'idle');
     case 'set':
     case 'reset':
     case 'prepare':
@@ -122,6 +128,9 @@
   { signature, rows, state, isError, position }: ReceivedAnswer,
 ): void {
   history.state = state;
+  if (position) history.position = latestPosition(history.position ?? position, position);
+  const hasWritten = history.hasUncommittedWrite || (isWrite(order) && !isError);
+  history.hasUncommittedWrite = hasWritten && state !== 'idle';
   history.maxRowCount = Math.max(history.maxRowCount, rows.length);
   if (isError && !isControlOrder(order)) history.hasErrorOfStatement = true;
   if (signature === NO_SIGNATURE) {
@@ -149,17 +158,33 @@
 
 function matchStatement(
   history: AnswerHistory,
+  order: StatementOrder,
   answer: ReceivedAnswer,
   expectedState: ConnectionState,
 ): AnswerMatch {
-  const { rows, signature = '', state } = answer;
+  const { rows, signature = '', state, position } = answer;
   if (signature === NO_SIGNATURE) return matchRepeatedOwn(history, rows.length);
   if (history.rowCounts.has(signature)) return matchRepeatedStatement(history, answer);
-  return state === expectedState ? 'fits' : 'foreign';
+  if (state !== expectedState) return 'foreign';
+  const isCommitted = isWrite(order) || (order.kind === 'commit' && history.hasUncommittedWrite);
+  return isCommitted && state === 'idle' && !isAfter(position, history.position)
+    ? 'unclear'
+    : 'fits';
 }
 
+/** Each commit that writes takes the next position of the log. */
+function isAfter(position: LogPosition | null, earlier: LogPosition | null): boolean {
+  return !position || !earlier || comparePositions(position, earlier) > 0;
+}
+
+function isWrite(order: TargetOrder): boolean {
+  return (order.kind === 'run' || order.kind === 'execute') && order.isWrite;
+}
+
+/** An order that is a statement of a caller. */
+type StatementOrder = Extract<TargetOrder, { readonly kind: 'run' | 'execute' | 'commit' }>;
 /** An order that the proxy sends on its own behalf. */
-type OwnOrder = Exclude<TargetOrder, { readonly kind: 'run' | 'execute' | 'commit' }>;
+type OwnOrder = Exclude<TargetOrder, StatementOrder>;
 
 function matchOwnOrder(
   history: AnswerHistory,
--- a/packages/statement-entry/src/target/measured-order.test.ts
+++ b/packages/statement-entry/src/target/measured-order.test.ts
@@ -36,7 +36,12 @@
 
 async function measure(answer: TargetAnswer) {
   const pooled = createPooled(answer);
-  await sendMeasured(pooled, { kind: 'run', tag: 't', after: null, text: 'READ x' }, 'read', 100);
+  await sendMeasured(
+    pooled,
+    { kind: 'run', tag: 't', isWrite: false, after: null, text: 'READ x' },
+    'read',
+    100,
+  );
   return pooled.server.load;
 }
 
--- a/packages/statement-entry/src/types/target-port.ts
+++ b/packages/statement-entry/src/types/target-port.ts
@@ -16,12 +16,14 @@
   | {
       readonly kind: 'run';
       readonly tag: string;
+      readonly isWrite: boolean;
       readonly after: LogPosition | null;
       readonly text: string;
     }
   | {
       readonly kind: 'execute';
       readonly tag: string;
+      readonly isWrite: boolean;
       readonly after: LogPosition | null;
       readonly name: string;
       readonly argument: string;
