Compare a server's status with the one before where its answer is matched

A status that goes back was found by server-control.ts, but for its held term: the copy of a status from before PAUSE or DEMOTE told the owner that a replica was free to receive which it had fenced. The connection itself took any status.

matchAnswer compares statuses now, with the held term, which only RESUME or a later term lowers; server-control.ts no longer does. A status that goes back closes the connection, and the order is sent again over a new one, as before. The stand-in group's connections match statuses with the product's function, so the tests of server-control.ts and foreign-answers.test.ts hold as they are.

Without the comparison of the held term two of nine new cases of match-answer.test.ts fail.

--- a/packages/statement-entry/src/target/match-answer.test.ts
+++ b/packages/statement-entry/src/target/match-answer.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import type { TargetOrder } from '../types/target-port.js';
+import type { TargetOrder, TargetStatus } from '../types/target-port.js';
+import type { ControlOrder } from './server-control.js';
 import {
   type AnswerMatch,
   createAnswerHistory,
@@ -233,6 +234,36 @@
     },
   );
 
+  // Guards against STALE and LOST: the copy of an earlier status counted as the present one.
+  it.each<{ readonly name: string; readonly order: ControlOrder; readonly expected: AnswerMatch }>([
+    { name: 'the same', order: { kind: 'status' }, expected: 'fits' },
+    { name: 'a later position', order: { kind: 'status' }, expected: 'fits' },
+    { name: 'an earlier position', order: { kind: 'status' }, expected: 'unclear' },
+    { name: 'an earlier term', order: { kind: 'status' }, expected: 'unclear' },
+    { name: 'a later term', order: { kind: 'status' }, expected: 'fits' },
+    { name: 'an earlier held term', order: { kind: 'status' }, expected: 'unclear' },
+    { name: 'an earlier held term', order: { kind: 'pause', term: 5 }, expected: 'unclear' },
+    { name: 'an earlier held term', order: { kind: 'resume' }, expected: 'fits' },
+    { name: 'the former role', order: { kind: 'demote', term: 4 }, expected: 'unclear' },
+  ])('with $name, to $order.kind, is taken as $expected', ({ name, order, expected }) => {
+    const last: TargetStatus = {
+      ...{ role: 'replica', term: 3, position: { term: 3, offset: 7 } },
+      ...{ heldTerm: 4, connections: 1 },
+    };
+    const changes: Readonly<Record<string, Partial<TargetStatus>>> = {
+      'a later position': { position: { term: 3, offset: 8 } },
+      'an earlier position': { position: { term: 3, offset: 6 } },
+      'an earlier term': { term: 2 },
+      'a later term': { term: 4, heldTerm: 0 },
+      'an earlier held term': { heldTerm: 0 },
+      'the former role': { role: 'primary' },
+    };
+    const answerWith = (reported: TargetStatus) => ({ ...status, status: reported });
+    const history = createAnswerHistory();
+    recordMatch(history, { kind: 'demote', term: 4 }, answerWith(last));
+    expect(matchAnswer(history, order, answerWith({ ...last, ...changes[name] }))).toBe(expected);
+  });
+
   it('begins no transaction before the required position', () => {
     const after = { term: 3, offset: 8 };
     expect(matchAnswer(createAnswerHistory(), { ...begin, after }, opened)).toBe('foreign');
--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -3,7 +3,7 @@
  * repeat one late, while the connection already waits for the answer to a later order.
  */
 import { comparePositions, latestPosition, type LogPosition } from '@bramleykeel/core';
-import type { ConnectionState, TargetOrder } from '../types/target-port.js';
+import type { ConnectionState, TargetOrder, TargetStatus } from '../types/target-port.js';
 
 /** An answer as a server sent it. */
 export interface ReceivedAnswer {
@@ -14,6 +14,8 @@
   readonly state: ConnectionState;
   /** The position of the server's log. */
   readonly position: LogPosition | null;
+  /** The status in the answer to an order of the owner, if it can be read. */
+  readonly status?: TargetStatus | undefined;
 }
 
 /** What is known of the earlier answers of a connection. */
@@ -30,6 +32,8 @@
   position: LogPosition | null;
   /** Whether the open transaction has written. */
   hasUncommittedWrite: boolean;
+  /** The last status that the server has reported. */
+  status: TargetStatus | undefined;
   /** The number of rows of each signed answer, by its signature. */
   readonly rowCounts: Map<string, number>;
   /** The highest number of rows of an answer. */
@@ -57,7 +61,7 @@
   return {
     ...{ state: 'idle', hasUnsigned: false, hasErrorOfStatement: false },
     ...{ openAt: undefined, position, hasUncommittedWrite: false },
-    ...{ rowCounts: new Map(), maxRowCount: 0 },
+    ...{ status: undefined, rowCounts: new Map(), maxRowCount: 0 },
   };
 }
 
@@ -125,12 +129,13 @@
 export function recordMatch(
   history: AnswerHistory,
   order: TargetOrder,
-  { signature, rows, state, isError, position }: ReceivedAnswer,
+  { signature, rows, state, isError, position, status }: ReceivedAnswer,
 ): void {
   history.state = state;
   if (position) history.position = latestPosition(history.position ?? position, position);
   const hasWritten = history.hasUncommittedWrite || (isWrite(order) && !isError);
   history.hasUncommittedWrite = hasWritten && state !== 'idle';
+  history.status = status ?? history.status;
   history.maxRowCount = Math.max(history.maxRowCount, rows.length);
   if (isError && !isControlOrder(order)) history.hasErrorOfStatement = true;
   if (signature === NO_SIGNATURE) {
@@ -209,11 +214,29 @@
     case 'pause':
     case 'resume':
     case 'demote':
-      if (rowCount > 0) return 'fits';
+      if (rowCount > 0) return matchStatus(history, order, answer);
   }
   return matchRepeatedOwn(history, rowCount);
 }
 
+function matchStatus(
+  { status: last }: AnswerHistory,
+  { kind }: TargetOrder,
+  { status }: ReceivedAnswer,
+): AnswerMatch {
+  if (!status || !last) return 'fits';
+  const isReleased = kind === 'resume' || status.term > last.term;
+  const isBefore = isStatusBefore(status, last) || (status.heldTerm < last.heldTerm && !isReleased);
+  return isBefore ? 'unclear' : 'fits';
+}
+
+/** Within a term, a log does not become shorter, and a primary that gave up its role does not get it back. */
+function isStatusBefore(status: TargetStatus, last: TargetStatus): boolean {
+  if (status.term !== last.term) return status.term < last.term;
+  if (comparePositions(status.position, last.position) < 0) return true;
+  return status.role === 'primary' && last.role === 'replica';
+}
+
 /**
  * A BEGIN has to be answered at the required position, and at a later one than any answer that looks like it: a statement
  * after a BEGIN that was in fact refused would run outside of a transaction.
@@ -243,8 +266,8 @@
   return rowCounts.get(signature) === rows.length ? 'repeated' : 'foreign';
 }
 
-/** Control orders are idempotent, and a status that goes back is found by server-control.ts. */
-function isControlOrder({ kind }: TargetOrder): boolean {
+/** Control orders are idempotent, and a status that goes back is not taken. */
+export function isControlOrder({ kind }: TargetOrder): boolean {
   return kind === 'status' || kind === 'pause' || kind === 'resume' || kind === 'demote';
 }
 
--- a/packages/statement-entry/src/target/server-control.ts
+++ b/packages/statement-entry/src/target/server-control.ts
@@ -1,6 +1,6 @@
 /** Sends the owner's own orders to the servers of its group, over a separate connection to each server. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { comparePositions, latestPosition, toCustomerName } from '@bramleykeel/core';
+import { latestPosition, toCustomerName } from '@bramleykeel/core';
 import { match } from 'ts-pattern';
 import type { ServerState, StatementOwner } from '../owner/owner-state.js';
 import type {
@@ -36,8 +36,6 @@
 
 interface ControlConnection {
   connection: TargetConnection | undefined;
-  /** The newest status that was received over the connection. */
-  lastStatus: TargetStatus | undefined;
   /** Settles once all earlier orders are answered; a connection handles one order at a time. */
   lastOrder: Promise<unknown>;
 }
@@ -129,7 +127,6 @@
   if (existing) return existing;
   const created = {
     connection: undefined,
-    lastStatus: undefined,
     lastOrder: Promise.resolve(),
   };
   controlConnections.set(server, created);
@@ -172,7 +169,7 @@
   let hasTimedOut = false;
   if (control.connection?.isOpen() === true) {
     const answer = await control.connection.send(order, timeoutMs);
-    if (isAnswered(answer) && isNewest(owner, control, answer)) {
+    if (isAnswered(answer)) {
       recordControlAnswer(server, startedAtMs);
       return answer;
     }
@@ -184,7 +181,7 @@
   if (hasTimedOut) closeIdleConnections(server, ({ lastUsedMs }) => lastUsedMs < startedAtMs);
   const sentAtMs = performance.now();
   const answer = await connection.send(order, timeoutMs);
-  if (isAnswered(answer) && isNewest(owner, control, answer)) {
+  if (isAnswered(answer)) {
     recordControlAnswer(server, sentAtMs);
     return answer;
   }
@@ -196,37 +193,6 @@
   return kind !== 'lost' && kind !== 'overdue' && kind !== 'foreign';
 }
 
-/** Whether an answer holds no older status than the one before; a server may repeat an earlier answer late. */
-function isNewest(
-  { environment }: StatementOwner,
-  control: ControlConnection,
-  answer: TargetAnswer,
-): boolean {
-  const status = answer.kind === 'done' ? environment.readTargetStatus(answer.rows) : undefined;
-  if (!status) return true;
-  const { lastStatus } = control;
-  if (lastStatus && isBefore(status, lastStatus)) {
-    environment.counters.count('control.status-repeated');
-    environment.log('server reported an older status than before; closing the connection', {
-      ...{ status: describeStatus(status), before: describeStatus(lastStatus) },
-    });
-    return false;
-  }
-  control.lastStatus = status;
-  return true;
-}
-
-function describeStatus({ role, term, position }: TargetStatus): string {
-  return `${role} in term ${term} at ${position.term}.${position.offset}`;
-}
-
-/** Within a term, a log does not become shorter, and a primary that gave up its role does not get it back. */
-function isBefore(status: TargetStatus, last: TargetStatus): boolean {
-  if (status.term !== last.term) return status.term < last.term;
-  if (comparePositions(status.position, last.position) < 0) return true;
-  return status.role === 'primary' && last.role === 'replica';
-}
-
 function recordControlAnswer(server: ServerState, sentAtMs: number): void {
   recordAnswer(server);
   const elapsedMs = performance.now() - sentAtMs;
@@ -246,7 +212,6 @@
   const { group } = owner;
   control.connection?.close();
   control.connection = undefined;
-  control.lastStatus = undefined;
   const opened = await openTarget({
     address,
     group,
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -19,6 +19,13 @@
   type OwnerEnvironment,
   type StatementOwner,
 } from '../owner/owner-state.js';
+import {
+  type AnswerHistory,
+  createAnswerHistory,
+  isControlOrder,
+  matchAnswer,
+  recordMatch,
+} from '../target/match-answer.js';
 import type {
   OpenTargetOutcome,
   PromoteOutcome,
@@ -26,6 +33,7 @@
   TargetAnswer,
   TargetConnection,
   TargetOrder,
+  TargetStatus,
 } from '../types/target-port.js';
 
 /** How a server responds to connections. */
@@ -202,7 +210,7 @@
       if (!server) throw new Error(`no server ${name}`);
       return openFakeConnection(server, customer, timeoutMs);
     },
-    readTargetStatus: (rows) => JSON.parse(rows[0] ?? 'null') as undefined,
+    readTargetStatus: readFakeStatus,
     promoteServer: (request) => {
       fake().promotions.push(request);
       const outcome = fake().promoteOutcomes.shift() ?? 'accepted';
@@ -233,6 +241,7 @@
   }
   const wasOpenedBeforeFault = server.reachability === 'up';
   let isOpen = true;
+  const history = createAnswerHistory();
   const connection: TargetConnection = {
     customer,
     isOpen: () => isOpen && server.reachability !== 'refusing',
@@ -251,6 +260,10 @@
       }
       if (!connection.isOpen()) return { kind: 'lost' };
       const answer = answerOrder(server, order);
+      if (isControlOrder(order) && !takeStatus(history, order, answer)) {
+        connection.close();
+        return { kind: 'foreign' };
+      }
       if ((order.kind === 'run' || order.kind === 'commit') && server.statementMs > 0)
         await sleep(server.statementMs);
       return connection.isOpen() ? answer : { kind: 'lost' };
@@ -260,6 +273,21 @@
   return { kind: 'open', connection, position: server.applied ?? server.position };
 }
 
+/** Whether a status is taken for that of the order, as by a connection. */
+function takeStatus(history: AnswerHistory, order: TargetOrder, answer: TargetAnswer): boolean {
+  if (answer.kind !== 'done') return true;
+  const { rows, signature, state, position } = answer;
+  const status = readFakeStatus(rows);
+  const received = { rows, signature, isError: false, state, position, status };
+  if (matchAnswer(history, order, received) !== 'fits') return false;
+  recordMatch(history, order, received);
+  return true;
+}
+
+function readFakeStatus(rows: readonly string[]): TargetStatus | undefined {
+  return (JSON.parse(rows[0] ?? 'null') as TargetStatus | null) ?? undefined;
+}
+
 function answerOrder(server: FakeServer, order: TargetOrder): TargetAnswer {
   server.orders.push(order);
   const answer = server.answers.shift();
