Make no promise of an error that may be that of a setup before the statement

A late copy of an earlier answer to SET, RESET or PREPARE may settle a later one, whose own answer, an error, then comes for the statement. The callers of a write got a promise that nothing was kept (BUSY), and the write ran.

A connection remembers whether the last setup was answered like an earlier one, and until a statement or a BEGIN has been answered, an error does not fit: a read runs again, a write is UNKNOWN. The price is a promise fewer where a server refuses a statement right after a second setup.

--- a/packages/statement-entry/src/target/match-answer.test.ts
+++ b/packages/statement-entry/src/target/match-answer.test.ts
@@ -234,6 +234,29 @@
     },
   );
 
+  // Guards against REFUSED and TWICE: the error of a SET behind a repeated answer counted as that of the write.
+  it.each<{
+    readonly name: string;
+    readonly earlier: TargetOrder[];
+    readonly expected: AnswerMatch;
+  }>([
+    { name: 'one setup', earlier: [set], expected: 'fits' },
+    { name: 'a second setup', earlier: [set, set], expected: 'foreign' },
+    { name: 'a setup after a statement', earlier: [set, write, set], expected: 'foreign' },
+    { name: 'a statement after setups', earlier: [set, set, write], expected: 'fits' },
+    { name: 'a BEGIN after setups', earlier: [set, set, begin], expected: 'fits' },
+    { name: 'a setup after BEGIN', earlier: [begin, set], expected: 'foreign' },
+  ])('that is an error, after $name, is taken as $expected', ({ earlier, expected }) => {
+    const history = createAnswerHistory();
+    for (const [index, order] of earlier.entries()) {
+      const state = earlier.slice(0, index + 1).includes(begin) ? 'open' : 'idle';
+      recordMatch(history, order, signed(order === write ? `s${index}` : '-', [], state));
+    }
+    const error: ReceivedAnswer = { ...busy, state: earlier.includes(begin) ? 'failed' : 'idle' };
+    expect(matchAnswer(history, write, error)).toBe(expected);
+    expect(matchAnswer(history, commit, error)).toBe(expected);
+  });
+
   // Guards against STALE and LOST: the copy of an earlier status counted as the present one.
   it.each<{ readonly name: string; readonly order: ControlOrder; readonly expected: AnswerMatch }>([
     { name: 'the same', order: { kind: 'status' }, expected: 'fits' },
--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -24,6 +24,10 @@
   state: ConnectionState;
   /** Whether an answer without a signature has been received. */
   hasUnsigned: boolean;
+  /** Whether one of them was received outside of transactions. */
+  hasIdleUnsigned: boolean;
+  /** Whether the answer to the last setup may have been an earlier one, so that its own is still to come. */
+  isSetupUnproven: boolean;
   /** Whether a statement, or an order that prepares the connection for one, was answered with an error. */
   hasErrorOfStatement: boolean;
   /** The position in the last answer without a signature in a transaction; `undefined` before the first one. */
@@ -59,7 +63,8 @@
 /** @param position of the server's log when the connection was opened */
 export function createAnswerHistory(position: LogPosition | null = null): AnswerHistory {
   return {
-    ...{ state: 'idle', hasUnsigned: false, hasErrorOfStatement: false },
+    ...{ state: 'idle', hasUnsigned: false, hasIdleUnsigned: false },
+    ...{ isSetupUnproven: false, hasErrorOfStatement: false },
     ...{ openAt: undefined, position, hasUncommittedWrite: false },
     ...{ status: undefined, rowCounts: new Map(), maxRowCount: 0 },
   };
@@ -86,7 +91,8 @@
         ? matchError(history, answer)
         : matchStatement(history, order, answer, history.state);
     case 'commit':
-      return answer.isError ? 'fits' : matchStatement(history, order, answer, 'idle');
+      if (!answer.isError) return matchStatement(history, order, answer, 'idle');
+      return history.isSetupUnproven ? 'foreign' : 'fits';
     case 'set':
     case 'reset':
     case 'prepare':
@@ -138,10 +144,29 @@
   history.status = status ?? history.status;
   history.maxRowCount = Math.max(history.maxRowCount, rows.length);
   if (isError && !isControlOrder(order)) history.hasErrorOfStatement = true;
-  if (signature === NO_SIGNATURE) {
-    history.hasUnsigned = true;
-    if (state === 'open') history.openAt = position;
-  } else if (signature !== undefined) rememberSignature(history, signature, rows.length);
+  if (signature === NO_SIGNATURE) recordUnsigned(history, order, state, position);
+  else if (signature !== undefined) {
+    history.isSetupUnproven = false;
+    rememberSignature(history, signature, rows.length);
+  }
+}
+
+function recordUnsigned(
+  history: AnswerHistory,
+  { kind }: TargetOrder,
+  state: ConnectionState,
+  position: LogPosition | null,
+): void {
+  const isLikeEarlier = state === 'open' ? history.openAt !== undefined : history.hasIdleUnsigned;
+  if (kind === 'begin') history.isSetupUnproven = false;
+  else if (isSetup(kind) && isLikeEarlier) history.isSetupUnproven = true;
+  history.hasUnsigned = true;
+  if (state === 'open') history.openAt = position;
+  else history.hasIdleUnsigned = true;
+}
+
+function isSetup(kind: TargetOrder['kind']): boolean {
+  return kind === 'set' || kind === 'reset' || kind === 'prepare';
 }
 
 function rememberSignature(
@@ -156,8 +181,15 @@
   if (oldest !== undefined) rowCounts.delete(oldest);
 }
 
-/** A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. */
-function matchError({ state }: AnswerHistory, answer: ReceivedAnswer): AnswerMatch {
+/**
+ * A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. After a setup
+ * that is not proven, the error may be that of the setup, and the statement may run.
+ */
+function matchError(
+  { state, isSetupUnproven }: AnswerHistory,
+  answer: ReceivedAnswer,
+): AnswerMatch {
+  if (isSetupUnproven) return 'foreign';
   return state === 'open' && answer.state === 'idle' ? 'foreign' : 'fits';
 }
 
