Compact the members of the test harness up to what they have applied

The trace: its disk was full, so the effects of a commit were held back, and the harness compacted its log up to the commit index, with data that lacked the entry. The log driver compacts up to the applied index, which held-back effects have not advanced, so the product does not do this; the harness does the same now.

The counterexample is played in each run now; it failed before the change of the harness.

--- a/packages/core/src/control-log/full-disks.test.ts
+++ b/packages/core/src/control-log/full-disks.test.ts
@@ -31,6 +31,13 @@
   return [...harness.members.values()].every(({ applied }) => applied.includes(command));
 }
 
+/** A member restarts with a full disk, and its log is compacted while it holds back what it has not written. */
+const restarted = { member: 'c', lastsMs: 200, pauseMs: 0, isRestarted: true } as const;
+const COMPACTED_WHILE_FULL = [
+  { ...restarted, proposals: 1, compacted: 'a' },
+  { ...restarted, proposals: 0, compacted: 'c' },
+];
+
 describe('full disks, one after another', () => {
   const outage = fc.record({
     member: fc.constantFrom(...IDS, 'leader'),
@@ -69,7 +76,7 @@
         for (const { applied } of harness.members.values())
           for (const command of acknowledged) expect(applied).toContain(command);
       }),
-      { numRuns: 300 },
+      { numRuns: 300, examples: [[0, COMPACTED_WHILE_FULL]] },
     );
   });
 });
--- a/packages/core/src/control-log/raft-harness.test-support.ts
+++ b/packages/core/src/control-log/raft-harness.test-support.ts
@@ -37,6 +37,8 @@
   /** Effects from the first rejected write on, in order; no event is handled until they are executed. */
   heldBack: readonly RaftEffect<Command>[];
   applied: string[];
+  /** Index of the last entry in `applied`, up to which its log is compacted, as by the log driver. */
+  appliedIndex: number;
   confirmedRounds: number;
 }
 
@@ -103,6 +105,7 @@
     isDiskFull: false,
     heldBack: [],
     applied: restoreApplied(snapshot),
+    appliedIndex: snapshot.index,
     confirmedRounds: 0,
   };
   harness.members.set(id, member);
@@ -172,6 +175,7 @@
       disk.snapshot = effect.snapshot;
       disk.entries = [...effect.remaining];
       member.applied = restoreApplied(effect.snapshot);
+      member.appliedIndex = effect.snapshot.index;
       break;
     case 'send':
       harness.network.push({ from: member.id, to: effect.to, message: effect.message });
@@ -183,8 +187,9 @@
       break;
     }
     case 'apply':
-      for (const { payload } of effect.entries) {
+      for (const { index, payload } of effect.entries) {
         member.applied.push(payload.kind === 'command' ? payload.command : `(${payload.kind})`);
+        member.appliedIndex = index;
       }
       break;
     case 'role-changed':
@@ -209,8 +214,7 @@
 }
 
 function takeSnapshot(member: Member): Snapshot {
-  const { state, applied, disk } = member;
-  const index = state.commitIndex;
+  const { state, applied, appliedIndex: index, disk } = member;
   const term =
     index === state.snapshot.index
       ? state.snapshot.term
