Pass on refusals that cannot be those of a setup

The log shows replicas that refuse reads as LAGGING: the read runs again either way, but the replica was left alone for 15 ms as an odd one, and not for as long as it lags.

LAGGING, READONLY and NOSTMT refuse a position, a write or a prepared name; SET, RESET and PREPARE have none of them, so these errors are those of the statement. match-answer.test.ts has the case, which failed before; BUSY and others are not taken, as before.

--- a/packages/statement-entry/src/target/match-answer.test.ts
+++ b/packages/statement-entry/src/target/match-answer.test.ts
@@ -255,6 +255,8 @@
     const error: ReceivedAnswer = { ...busy, state: earlier.includes(begin) ? 'failed' : 'idle' };
     expect(matchAnswer(history, write, error)).toBe(expected);
     expect(matchAnswer(history, commit, error)).toBe(expected);
+    expect(matchAnswer(history, write, { ...error, refusal: 'busy' })).toBe(expected);
+    expect(matchAnswer(history, write, { ...error, refusal: 'lagging' })).toBe('fits');
   });
 
   // Guards against STALE and LOST: the copy of an earlier status counted as the present one.
--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -3,7 +3,12 @@
  * repeat one late, while the connection already waits for the answer to a later order.
  */
 import { comparePositions, latestPosition, type LogPosition } from '@bramleykeel/core';
-import type { ConnectionState, TargetOrder, TargetStatus } from '../types/target-port.js';
+import type {
+  ConnectionState,
+  TargetOrder,
+  TargetRefusal,
+  TargetStatus,
+} from '../types/target-port.js';
 
 /** An answer as a server sent it. */
 export interface ReceivedAnswer {
@@ -11,6 +16,8 @@
   /** `undefined` if the answer is an error or was cut off; {@link NO_SIGNATURE} for the proxy's own orders. */
   readonly signature: string | undefined;
   readonly isError: boolean;
+  /** Why nothing ran, if the error says so. */
+  readonly refusal?: TargetRefusal | undefined;
   readonly state: ConnectionState;
   /** The position of the server's log. */
   readonly position: LogPosition | null;
@@ -92,7 +99,7 @@
         : matchStatement(history, order, answer, history.state);
     case 'commit':
       if (!answer.isError) return matchStatement(history, order, answer, 'idle');
-      return history.isSetupUnproven ? 'foreign' : 'fits';
+      return mayBeOfSetup(history, answer) ? 'foreign' : 'fits';
     case 'set':
     case 'reset':
     case 'prepare':
@@ -181,16 +188,18 @@
   if (oldest !== undefined) rowCounts.delete(oldest);
 }
 
-/**
- * A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. After a setup
- * that is not proven, the error may be that of the setup, and the statement may run.
- */
-function matchError(
-  { state, isSetupUnproven }: AnswerHistory,
-  answer: ReceivedAnswer,
-): AnswerMatch {
-  if (isSetupUnproven) return 'foreign';
-  return state === 'open' && answer.state === 'idle' ? 'foreign' : 'fits';
+/** A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. */
+function matchError(history: AnswerHistory, answer: ReceivedAnswer): AnswerMatch {
+  if (mayBeOfSetup(history, answer)) return 'foreign';
+  return history.state === 'open' && answer.state === 'idle' ? 'foreign' : 'fits';
+}
+
+/** Whether an error may be that of a setup before the statement, which may then run. */
+function mayBeOfSetup({ isSetupUnproven }: AnswerHistory, { refusal }: ReceivedAnswer): boolean {
+  // These refuse a position, a write or a prepared name, which no setup has.
+  const isOfStatement =
+    refusal === 'lagging' || refusal === 'read-only' || refusal === 'unknown-statement';
+  return isSetupUnproven && !isOfStatement;
 }
 
 function matchStatement(
