Tell a message that cannot be read from a connection that the server ends, in the PostgreSQL dialect

A message of a server whose length is negative, below 4 or above 256 MB closed the connection without a line or a counter, and its request ended as target-connection-lost, as if the server had ended the connection. Callers get target-out-of-step (08007 as before); target.message-unreadable is counted and the owner logs the server, the connection and whether the message was malformed or too large. The cause: the reader destroyed the socket, and the close event reported the loss of it.

--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -19,6 +19,7 @@
   buildReadyForQuery,
   CLIENT,
   readStringPayload,
+  SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 import { type Script, type ScriptedServer, startScriptedServer } from '@bramleykeel/test-support';
@@ -28,9 +29,11 @@
 import type { GroupOwner } from './owner-state.js';
 
 const GROUP = toGroupName('g');
-const SERVER = toServerName('s1');
+const SERVER_NAME = toServerName('s1');
 const SESSION = toSessionId('e1:1');
 
+let logged: { readonly message: string; readonly fields: Record<string, unknown> }[] = [];
+
 function createEnvironment() {
   const settings = entrySettingsSchema.parse({
     entry: {
@@ -40,11 +43,19 @@
     members: [{ id: 'c', linkAddress: '127.0.0.1:1', adminAddress: '127.0.0.1:2' }],
     link: { secret: '0123456789abcdef' },
   });
-  const record = { group: GROUP, servers: [SERVER], primary: SERVER, term: 1, proposedTerm: 1 };
+  const record = {
+    group: GROUP,
+    servers: [SERVER_NAME],
+    primary: SERVER_NAME,
+    term: 1,
+    proposedTerm: 1,
+  };
   return {
     settings,
     counters: createCounters('test', undefined),
-    log: () => undefined,
+    log: (message: string, fields: Record<string, unknown> = {}) => {
+      logged.push({ message, fields });
+    },
     holdsLease: () => true,
     groupRecord: () => record,
     groupSetting: () => groupSchema.parse({}),
@@ -136,10 +147,11 @@
 });
 
 async function openSession(script: Script): Promise<TestSession> {
+  logged = [];
   const server = await startScriptedServer(script);
   const owner = startGroupOwner(GROUP, 7, createEnvironment());
   handleAnnouncement(owner, {
-    ...{ group: GROUP, server: SERVER, incarnation: toIncarnation('i1'), sequence: 1 },
+    ...{ group: GROUP, server: SERVER_NAME, incarnation: toIncarnation('i1'), sequence: 1 },
     ...{ address: server.address, commandUrl: 'http://127.0.0.1:1', zone: 'a', term: 1, slots: 1 },
     ...{ role: 'primary', connections: 10, isLeaving: false, position: { term: 1, offset: 10 } },
   });
@@ -292,3 +304,26 @@
     expect(await tested.run('SELECT y')).toMatchObject({ refusal: 'target-out-of-step' });
   });
 });
+
+// Guards against a message that cannot be read and counts as a connection that the server ended.
+describe('a message of a server whose length is not allowed', () => {
+  const NEGATIVE_LENGTH = Buffer.from([SERVER.dataRow, 0xff, 0xff, 0xff, 0xff]);
+  const TOO_LONG = Buffer.from([SERVER.dataRow, 0x7f, 0xff, 0xff, 0xff]);
+  const line = 'server sent a message that cannot be read; closing the connection';
+
+  it.each([
+    { problem: 'malformed', rest: NEGATIVE_LENGTH, intent: 'read' },
+    { problem: 'malformed', rest: NEGATIVE_LENGTH, intent: 'write' },
+    { problem: 'too-large', rest: TOO_LONG, intent: 'read' },
+    { problem: 'too-large', rest: TOO_LONG, intent: 'write' },
+  ] as const)('leaves a $intent without an answer: $problem', async ({ problem, rest, intent }) => {
+    const tested = await openSession({ onMessage: () => [buildDataRow(['a']), rest] });
+    expect(await tested.run('SELECT x', intent)).toMatchObject({
+      ...{ text: '', refusal: 'target-out-of-step', outcome: 'outcome-unknown' },
+    });
+    const counted = tested.owner.environment.counters.totals()['target.message-unreadable'];
+    expect(counted).toBeGreaterThan(0);
+    const fields = logged.find(({ message }) => message === line)?.fields;
+    expect(fields).toMatchObject({ server: SERVER_NAME, problem, moment: 'unreadable' });
+  });
+});
--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -33,6 +33,7 @@
   unused: 'message-unexpected',
   'in-request': 'answer-foreign',
   copy: 'answer-repeated',
+  unreadable: 'message-unreadable',
 };
 
 /** Starts the owner of a group under the given epoch. */
@@ -95,7 +96,11 @@
   const limitedLog = limitLog(owner.environment.log);
   pool.onOutOfStep = (report) => {
     owner.environment.counters.count(`target.${OUT_OF_STEP_COUNTERS[report.moment]}`);
-    limitedLog('server sent a message that nothing asked for', {
+    const message =
+      report.moment === 'unreadable'
+        ? 'server sent a message that cannot be read; closing the connection'
+        : 'server sent a message that nothing asked for';
+    limitedLog(message, {
       ...{ group: owner.group, server, ...report, isClosed: report.moment !== 'copy' },
     });
   };
--- a/packages/entry/src/target/out-of-step.ts
+++ b/packages/entry/src/target/out-of-step.ts
@@ -1,10 +1,20 @@
 /** Messages that a target sends without a request for them. Answers carry no id, so a connection that got one is out of step. */
-import { readSqlState, SERVER, type WireMessage } from '@bramleykeel/postgres-wire';
+import {
+  type FramingResult,
+  readSqlState,
+  SERVER,
+  type WireMessage,
+} from '@bramleykeel/postgres-wire';
 
 /** Describes the message by which a connection was found to be out of step. */
-export interface OutOfStepReport {
+export type OutOfStepReport = {
   readonly address: string;
   readonly processId: number;
+} & OutOfStepCause;
+
+export type OutOfStepCause = ReportedMessage | UnreadableMessage;
+
+export interface ReportedMessage {
   /**
    * Whether the connection was used by a request or an internal query. `copy` is a copy of the answer itself, which
    * does no harm; the connection stays open.
@@ -17,10 +27,16 @@
   readonly sqlState?: string;
 }
 
+/** A message whose length is not allowed, so that nothing after it can be read either. */
+interface UnreadableMessage {
+  readonly moment: 'unreadable';
+  readonly problem: 'malformed' | 'too-large';
+  /** Length that a message has which is too large. */
+  readonly lengthBytes?: number;
+}
+
 /** Describes a message without its content. */
-export function describeMessage(
-  message: WireMessage,
-): Pick<OutOfStepReport, 'messageType' | 'bytes' | 'sqlState'> {
+export function describeMessage(message: WireMessage): Omit<ReportedMessage, 'moment'> {
   const { type, frame } = message;
   const described = { messageType: String.fromCharCode(type), bytes: frame.length };
   return type === SERVER.errorResponse
@@ -28,6 +44,15 @@
     : described;
 }
 
+/** Describes a message that the framer rejected. */
+export function describeUnreadable(
+  framed: Exclude<FramingResult, { readonly kind: 'messages' }>,
+): UnreadableMessage {
+  const { kind: problem } = framed;
+  const length = framed.kind === 'too-large' ? { lengthBytes: framed.lengthBytes } : {};
+  return { moment: 'unreadable', problem, ...length };
+}
+
 /** Whether a target may send messages of this type at any time. */
 export function isAsynchronous({ type }: WireMessage): boolean {
   return (
--- a/packages/entry/src/target/target-connection.ts
+++ b/packages/entry/src/target/target-connection.ts
@@ -24,8 +24,11 @@
 import { type AnswerSequence, createAnswerSequence, splitAnswer } from './answer-sequence.js';
 import {
   describeMessage,
+  describeUnreadable,
   findUnrequested,
+  type OutOfStepCause,
   type OutOfStepReport,
+  type ReportedMessage,
   splitAtReady,
 } from './out-of-step.js';
 
@@ -142,7 +145,8 @@
       connection.lastReceivedMs = performance.now();
       const framed = frameMessages(framer, chunk);
       if (framed.kind !== 'messages') {
-        socket.destroy();
+        closeReported(connection, describeUnreadable(framed));
+        fail({ kind: 'lost' });
         return;
       }
       if (isSettled) deliver(connection, framed.messages);
@@ -224,14 +228,18 @@
 export function closeOutOfStep(
   connection: TargetConnection,
   message: WireMessage,
-  moment: OutOfStepReport['moment'],
+  moment: ReportedMessage['moment'],
 ): void {
+  closeReported(connection, { moment, ...describeMessage(message) });
+}
+
+function closeReported(connection: TargetConnection, cause: OutOfStepCause): void {
   if (connection.isClosed) return;
   const { address, processId, consumer, onOutOfStep } = connection;
   connection.isClosed = true;
   connection.consumer = undefined;
   connection.socket.destroy();
-  onOutOfStep({ address, processId, moment, ...describeMessage(message) });
+  onOutOfStep({ address, processId, ...cause });
   consumer?.onLost('out-of-step');
 }
 
