Run a read without an answer at most three times in the PostgreSQL dialect, and log each of these runs

A read whose connection broke, or whose answer could not be read, ran four times at its owner, and no line told so: who closed the connection and how often a request had run was only in counters of the whole process. Attempts at which no connection could be opened counted as runs as well, so that a read could also end after its first run.

Runs are counted apart from attempts and end after three, as in the users' platform (a primary and two replicas), with 08007 as before. The owner's line 'request left without an answer' has closedBy, the reason, unansweredRuns, attempts and whether the request runs again, for writes and statements of transactions too. There is no pause between the three runs: the next server can answer at once.

--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -34,7 +34,7 @@
 
 let logged: { readonly message: string; readonly fields: Record<string, unknown> }[] = [];
 
-function createEnvironment() {
+function createEnvironment(requests: Readonly<Record<string, number>>) {
   const settings = entrySettingsSchema.parse({
     entry: {
       ...{ id: 'e1', zone: 'z', callerAddress: '127.0.0.1:3', linkAddress: '127.0.0.1:4' },
@@ -42,6 +42,7 @@
     },
     members: [{ id: 'c', linkAddress: '127.0.0.1:1', adminAddress: '127.0.0.1:2' }],
     link: { secret: '0123456789abcdef' },
+    requests,
   });
   const record = {
     group: GROUP,
@@ -146,10 +147,13 @@
   session.server.close();
 });
 
-async function openSession(script: Script): Promise<TestSession> {
+async function openSession(
+  script: Script,
+  requests: Readonly<Record<string, number>> = {},
+): Promise<TestSession> {
   logged = [];
   const server = await startScriptedServer(script);
-  const owner = startGroupOwner(GROUP, 7, createEnvironment());
+  const owner = startGroupOwner(GROUP, 7, createEnvironment(requests));
   handleAnnouncement(owner, {
     ...{ group: GROUP, server: SERVER_NAME, incarnation: toIncarnation('i1'), sequence: 1 },
     ...{ address: server.address, commandUrl: 'http://127.0.0.1:1', zone: 'a', term: 1, slots: 1 },
@@ -327,3 +331,32 @@
     expect(fields).toMatchObject({ server: SERVER_NAME, problem, moment: 'unreadable' });
   });
 });
+
+// Guards against a read that runs again and again because its answer can be read from no server.
+describe('a read without an answer', () => {
+  const UNREADABLE = Buffer.from([SERVER.dataRow, 0xff, 0xff, 0xff, 0xff]);
+
+  /** Leaves queries without an answer, by an unreadable one or by the end of the connection. */
+  function leaveUnanswered(closedBy: string, onRun: () => void): Script {
+    return {
+      onMessage: (message, socket) => {
+        if (queryText(message) === undefined) return [];
+        onRun();
+        if (closedBy === 'owner') return [buildDataRow(['a']), UNREADABLE];
+        socket.destroy();
+        return [];
+      },
+    };
+  }
+
+  it.each(['owner', 'server'])('runs at most three times: closed by the %s', async (closedBy) => {
+    let runs = 0;
+    const tested = await openSession(leaveUnanswered(closedBy, () => (runs += 1)));
+    expect(await tested.run('SELECT x')).toMatchObject({ outcome: 'outcome-unknown', text: '' });
+    expect(runs).toBe(3);
+    const lines = logged.filter(({ message }) => message === 'request left without an answer');
+    expect(lines.map(({ fields }) => fields)).toMatchObject(
+      [1, 2, 3].map((count) => ({ closedBy, unansweredRuns: count, isRetried: count < 3 })),
+    );
+  });
+});
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -86,6 +86,8 @@
   /** Whether it was cancelled because its server is replaced as primary. */
   isCancelledForChange: boolean;
   attempts: number;
+  /** How often a server may have run it without an answer that can be passed on. */
+  unansweredRuns: number;
   filter: AnswerFilter;
   slot: OccupiedSlot | undefined;
   running: RunningRequest | undefined;
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -24,7 +24,7 @@
   releaseConnection,
 } from '../target/target-pool.js';
 import { awaitAcknowledgement } from './acknowledge.js';
-import { isRepeatable, isUndone } from './cancel-request.js';
+import { isUndone } from './cancel-request.js';
 import { isEvacuated } from './evacuated-targets.js';
 import { createAnswerFilter, filterAnswer } from './answer-filter.js';
 import type { GroupOwner, OwnerRequest, OwnerSession, RunningRequest } from './owner-state.js';
@@ -35,6 +35,7 @@
   reportLostTransaction,
 } from './request-end.js';
 import { releaseSlot } from './slots.js';
+import { recordUnansweredRun } from './unanswered-runs.js';
 
 /**
  * Flow-control window of a session: with more answer bytes not yet delivered to the caller, the
@@ -44,7 +45,7 @@
 const SETTINGS_TIMEOUT_MS = 2_000;
 /** SQLSTATE of a write on a read-only server: nothing of the statement was executed. */
 const READ_ONLY_SQLSTATE = '25006';
-/** Attempts after which a refused write or a read with a lost connection is no longer retried. */
+/** Attempts after which a refused write is no longer retried. */
 const MAX_ATTEMPTS = 4;
 
 /** Applies the session settings to the connection, then sends the request's messages. */
@@ -306,10 +307,10 @@
   if (!running || request.stage !== 'running') return;
   discardConnection(running.pool, running.connection);
   const wasInTransaction = session.pinned !== undefined;
-  const isSafeToRetry = isRepeatable(request);
+  const isRetried = recordUnansweredRun(owner, request, lostRefusal);
   session.pinned = undefined;
   releaseSlot(owner, request);
-  if (isSafeToRetry && !request.hasForwardedAnswer && request.attempts < MAX_ATTEMPTS) {
+  if (isRetried) {
     owner.environment.counters.count('retry.read-connection-lost');
     request.filter = createAnswerFilter();
     restoreChunks(request);
