Do not refuse a read as not run that waits for another run, in the PostgreSQL dialect

A read whose connection broke waits to run again. If its time passed in the queue, or the queue was full or the group had no server, its caller got queue-timeout, queue-full or no-primary, "not run, always true", though a server may have run it. It gets the reason for which its last run had no answer now, target-connection-lost for example, with 08007. The owner keeps that refusal with the request, and puts it in the place of one that says "not run". Refusals of an owner that ends are not replaced: entries send the read to the next owner for them.

foreign-answers.test.ts 'is not refused as not run when it waits for another run' failed before (not-run), and passes.

--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -359,4 +359,10 @@
       [1, 2, 3].map((count) => ({ closedBy, unansweredRuns: count, isRetried: count < 3 })),
     );
   });
+
+  it('is not refused as not run when it waits for another run', async () => {
+    const script = leaveUnanswered('server', () => session?.server.close());
+    const tested = await openSession(script, { queueTimeoutMs: 300, failoverWaitMs: 300 });
+    expect(await tested.run('SELECT x')).toMatchObject({ outcome: 'outcome-unknown' });
+  });
 });
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -111,6 +111,7 @@
     isCancelledForChange: false,
     attempts: 0,
     unansweredRuns: 0,
+    unansweredRefusal: undefined,
     filter: createAnswerFilter(),
     slot: undefined,
     running: undefined,
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -17,6 +17,7 @@
   type Intent,
   type LogPosition,
   type PendingWrite,
+  type Refusal,
   type RequestChunk,
   type ServerLoad,
   type ServerName,
@@ -88,6 +89,8 @@
   attempts: number;
   /** How often a server may have run it without an answer that can be passed on. */
   unansweredRuns: number;
+  /** What its caller receives if it does not run again after a run without an answer; `undefined` without such a run. */
+  unansweredRefusal: Refusal | undefined;
   filter: AnswerFilter;
   slot: OccupiedSlot | undefined;
   running: RunningRequest | undefined;
--- a/packages/entry/src/owner/request-end.ts
+++ b/packages/entry/src/owner/request-end.ts
@@ -12,9 +12,10 @@
   owner: GroupOwner,
   request: OwnerRequest,
   status: TransactionStatus,
-  refusal: Refusal | null,
+  lastRefusal: Refusal | null,
 ): void {
   if (request.stage === 'ended') return;
+  const refusal = refusalAfterRuns(request, lastRefusal);
   const { session, number, filter } = request;
   request.stage = 'ended';
   if (session.request === request) session.request = undefined;
@@ -26,6 +27,17 @@
   session.channel.send({ ...end, mark: session.mark, refusal, isFromReplica });
 }
 
+/** A request that is refused while it waits to run again may have run before. Entries send it on if its owner ends. */
+function refusalAfterRuns(
+  { unansweredRefusal }: OwnerRequest,
+  refusal: Refusal | null,
+): Refusal | null {
+  if (!unansweredRefusal || refusal?.outcome !== 'not-run') return refusal;
+  const { reason } = refusal;
+  const isOwnerGone = reason === 'owner-lost-before-start' || reason === 'owner-stopping';
+  return isOwnerGone ? refusal : unansweredRefusal;
+}
+
 /**
  * Reports to the entry that a session's open transaction was lost between two statements, and forgets the session. A
  * statement of it that is already on its way is then refused as not run, instead of being run outside of the transaction.
--- a/packages/entry/src/owner/unanswered-runs.ts
+++ b/packages/entry/src/owner/unanswered-runs.ts
@@ -22,6 +22,7 @@
   const { unansweredRuns } = request;
   const isRetried =
     isRepeatable(request) && !hasForwardedAnswer && unansweredRuns < MAX_RUNS_OF_READ;
+  if (isRetried) request.unansweredRefusal = refusal;
   const { reason } = refusal;
   const isClosedByServer = reason === 'target-connection-lost' && !owner.isClosed;
   owner.environment.log('request left without an answer', {
