Pause before another connection is prepared, in the PostgreSQL dialect

A request of a session with settings was requeued at once when its connection did not take them: the server ended the connection, answered with something else, or refused a SET. Each attempt took a new connection (170 in 300 ms where the server ended them). Where the server answered, the request did not end at all: it was started again before the timer that removes expired requests had seen it in the queue, so that neither requests.queueTimeoutMs nor anything else bounded it.

The next attempt of the request is 50 ms later, which leaves it in the queue when expired requests are removed; other requests use the server meanwhile, since a SET that one session asked for tells nothing about theirs. retry.not-prepared counts these attempts.

--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -15,6 +15,7 @@
 import {
   buildCommandComplete,
   buildDataRow,
+  buildErrorResponse,
   buildQuery,
   buildReadyForQuery,
   CLIENT,
@@ -366,3 +367,31 @@
     expect(await tested.run('SELECT x')).toMatchObject({ outcome: 'outcome-unknown' });
   });
 });
+
+// Guards against one connection after another without a pause.
+describe('a connection that cannot be prepared for a request', () => {
+  const ERROR = buildErrorResponse({ severity: 'ERROR', sqlState: '22023', message: 'no' });
+
+  it.each([
+    { name: 'the server ends it', answer: undefined },
+    { name: 'the answer cannot be read', answer: [Buffer.from([SERVER.dataRow, 0, 0, 0, 0])] },
+    { name: 'the setting is refused', answer: [ERROR, buildReadyForQuery('idle')] },
+  ])('is followed by another one after a pause: $name', async ({ answer }) => {
+    let setups = 0;
+    const script: Script = {
+      onMessage: (message, socket) => {
+        if (queryText(message) === undefined) return [];
+        setups += 1;
+        if (!answer) socket.destroy();
+        return answer ?? [];
+      },
+    };
+    const tested = await openSession(script, { queueTimeoutMs: 300, failoverWaitMs: 300 });
+    const settings = { work_mem: "SET work_mem = '1MB'" };
+    expect(await tested.run('SELECT x', 'read', settings)).toMatchObject({ outcome: 'not-run' });
+    expect(setups).toBeGreaterThan(0);
+    expect(setups).toBeLessThan(10);
+    const retries = tested.owner.environment.counters.totals()['retry.not-prepared'];
+    expect(retries).toBe(setups);
+  });
+});
--- a/packages/entry/src/owner/owner-app.ts
+++ b/packages/entry/src/owner/owner-app.ts
@@ -110,6 +110,7 @@
     hasForwardedAnswer: false,
     isCancelledForChange: false,
     attempts: 0,
+    notBeforeMs: 0,
     unansweredRuns: 0,
     unansweredRefusal: undefined,
     filter: createAnswerFilter(),
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -87,6 +87,8 @@
   /** Whether it was cancelled because its server is replaced as primary. */
   isCancelledForChange: boolean;
   attempts: number;
+  /** Time before which it is not started again, by the monotonic clock. */
+  notBeforeMs: number;
   /** How often a server may have run it without an answer that can be passed on. */
   unansweredRuns: number;
   /** What its caller receives if it does not run again after a run without an answer; `undefined` without such a run. */
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -43,6 +43,8 @@
  */
 export const WINDOW_BYTES = 256 * 1024;
 const SETTINGS_TIMEOUT_MS = 2_000;
+/** A connection that could not be prepared may not be prepared the next time either, and each attempt opens one. */
+const PREPARATION_PAUSE_MS = 50;
 /** SQLSTATE of a write on a read-only server: nothing of the statement was executed. */
 const READ_ONLY_SQLSTATE = '25006';
 /** Attempts after which a refused write is no longer retried. */
@@ -139,6 +141,8 @@
     endRequest(owner, request, 'idle', refuse('transaction-lost'));
     return;
   }
+  owner.environment.counters.count('retry.not-prepared');
+  request.notBeforeMs = performance.now() + PREPARATION_PAUSE_MS;
   owner.scheduler.requeue(owner, request);
 }
 
--- a/packages/entry/src/owner/scheduler.ts
+++ b/packages/entry/src/owner/scheduler.ts
@@ -110,6 +110,7 @@
   for (;;) {
     let chosen: ServerName | undefined;
     const queued = dequeue(owner.queue, (request) => {
+      if (request.notBeforeMs > context.nowMs) return false;
       const route = routeRequest(owner, request, context);
       if (route.kind !== 'run') return false;
       if (isAtCustomerLimit(owner, request.session.customer, route.server)) return false;
