Pause before a request is sent again that the link to its owner did not take, in the PostgreSQL dialect

An open link does not take a message that is longer than a frame may be (32 MB). The entry counted that as a lost owner: a read was sent again at once and without an end, in a loop that never returned to the event loop, so that every caller of the entry would have waited; a write asked the owner each time, which also ended its session there. Such a request needs one chunk of a caller above the frame's limit: a larger entry.maxMessageBytes, or a Parse and a Bind of 16 MB each before one Sync. This was shown at the module, not with a whole entry.

A request that was certainly not sent waits 15 ms before the next attempt, as after the refusal of an owner, and gets no-owner (57P03, not run) once requests.failoverWaitMs has passed; retry.not-sent counts the attempts. Statements of transactions end as before.

--- a/packages/entry/src/accept/caller-request.ts
+++ b/packages/entry/src/accept/caller-request.ts
@@ -102,10 +102,39 @@
   for (const { chunk } of more) {
     port.send({ kind: 'request/more', session: session.id, number, chunk });
   }
-  if (!wasSent) handlePortLost(session, port);
+  if (!wasSent) handleNotSent(session, port, session.request);
   session.continueInput();
 }
 
+/**
+ * Sends a request again that did not reach its owner: the link has just closed, or does not take what is longer than a
+ * frame may be. A transaction cannot go on without it.
+ */
+function handleNotSent(session: CallerSession, port: OwnerPort, request: OpenRequest): void {
+  if (session.status !== 'idle') {
+    handlePortLost(session, port);
+    return;
+  }
+  if (!port.isOpen()) session.port = undefined;
+  session.request = undefined;
+  if (performance.now() < request.deadlineMs) {
+    session.environment.counters.count('retry.not-sent');
+    restartAfterDelay(session, request);
+    return;
+  }
+  sendRefusal(session, refuse('no-owner'));
+  finishExchange(session, request.isComplete);
+}
+
+function restartAfterDelay(session: CallerSession, request: OpenRequest): void {
+  session.isPreparing = true;
+  setTimeout(() => {
+    session.isPreparing = false;
+    if (session.isClosed) return;
+    void startRequest(session, request.chunks, request.deadlineMs, replacementOf(request));
+  }, OWNER_RETRY_DELAY_MS);
+}
+
 async function findPort(
   session: CallerSession,
   deadlineMs: number,
@@ -188,12 +217,7 @@
   session.request = undefined;
   if (refusal && canRetry(session, request, refusal)) {
     session.environment.counters.count(`retry.${refusal.reason}`);
-    session.isPreparing = true;
-    setTimeout(() => {
-      session.isPreparing = false;
-      if (session.isClosed) return;
-      void startRequest(session, request.chunks, request.deadlineMs, replacementOf(request));
-    }, OWNER_RETRY_DELAY_MS);
+    restartAfterDelay(session, request);
     return;
   }
   if (refusal && isTransactionLost(session, request, end)) {
