Send a read to at most three owners that are lost, in the PostgreSQL dialect

A read whose owner was lost was sent to the next one as often as there was one, without a count: a read that ends its owner would have ended one after another for requests.failoverWaitMs, and longer where the next was found at once. If no owner was found, or the next one refused it, its caller got "not run, always true", though it may have run.

The entry counts the owners that may have run it. After three, as often as an owner runs a read itself, its caller gets owner-lost-after-start (08007), and also in the place of a refusal that says "not run". The line 'owner lost while a request was open' has the epoch, the count and whether the request is sent again.

caller-request.test.ts 'runs at most three times if it is a read' (500 before), 'has an unknown outcome if the next owner refuses the read' and '… if the read finds no other owner' (not run before): three of three failed, and pass. packages/entry: 141 of 141 tests.

--- a/packages/entry/src/accept/caller-request.test.ts
+++ b/packages/entry/src/accept/caller-request.test.ts
@@ -1,16 +1,20 @@
 import { PassThrough } from 'node:stream';
 import {
   type Intent,
+  type Refusal,
+  refuse,
   toCustomerName,
   toGroupName,
   toSessionId,
   type ToOwnerMessage,
+  ZERO_POSITION,
 } from '@bramleykeel/core';
 import { createCounters } from '@bramleykeel/link';
 import { buildQuery } from '@bramleykeel/postgres-wire';
+import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { OwnerPort } from '../locate/owner-port.js';
-import { sendChunk } from './caller-request.js';
+import { handleOwnerMessage, handlePortLost, sendChunk } from './caller-request.js';
 import type { CallerSession } from './caller-state.js';
 import type { BuiltChunk } from './chunk-builder.js';
 
@@ -26,6 +30,7 @@
   let output: string;
   let attempts: number;
   let hasOwner: boolean;
+  let logged: Record<string, unknown>[];
   /** What becomes of a request at its owner; returns whether it was sent. */
   let onStart: (port: OwnerPort, start: Start) => boolean;
 
@@ -46,11 +51,13 @@
     output = '';
     attempts = 0;
     hasOwner = true;
+    logged = [];
     const socket = new PassThrough();
     socket.on('data', (bytes: Buffer) => (output += bytes.toString('latin1')));
     const environment = {
       ...{ counters: createCounters('test', undefined), failoverWaitMs: FAILOVER_WAIT_MS },
-      log: () => undefined,
+      log: (message: string, fields: Record<string, unknown>) =>
+        logged.push({ message, ...fields }),
       locator: {
         findOwner: () => (hasOwner ? createPort() : undefined),
         awaitOwner: () => Promise.resolve(undefined),
@@ -76,6 +83,61 @@
     return sendChunk(session, built as unknown as BuiltChunk);
   }
 
+  function loseOwner(port: OwnerPort): boolean {
+    setImmediate(() => {
+      handlePortLost(session, port);
+    });
+    return true;
+  }
+
+  function refuseAt(refusal: Refusal, { number }: Start): boolean {
+    setImmediate(() => {
+      handleOwnerMessage(session, {
+        ...{ kind: 'request/end', session: session.id, number, status: 'idle' },
+        ...{ mark: ZERO_POSITION, refusal, isFromReplica: false },
+      });
+    });
+    return true;
+  }
+
+  // Guards against a read at which one owner after another ends.
+  it('runs at most three times if it is a read', async () => {
+    onStart = loseOwner;
+    await send('read');
+    await vi.waitFor(() => {
+      expect(output).toContain('08007');
+    });
+    await delay(50);
+    expect(attempts).toBe(3);
+    expect(output).toContain('owner-lost-after-start');
+    expect(logged).toMatchObject(
+      [1, 2, 3].map((count) => ({ ownerEpoch: 7, unansweredRuns: count, isRetried: count < 3 })),
+    );
+  });
+
+  it('has an unknown outcome if the next owner refuses the read', async () => {
+    onStart = (port, start) =>
+      attempts === 1 ? loseOwner(port) : refuseAt(refuse('queue-timeout'), start);
+    await send('read');
+    await vi.waitFor(() => {
+      expect(output).toContain('08007');
+    });
+    expect(attempts).toBe(2);
+    expect(output).not.toContain('not run');
+  });
+
+  it('has an unknown outcome if the read finds no other owner', async () => {
+    onStart = (port) => {
+      hasOwner = false;
+      return loseOwner(port);
+    };
+    await send('read');
+    await vi.waitFor(() => {
+      expect(output).toContain('08007');
+    });
+    expect(output).not.toContain('no-owner');
+  });
+
   // Guards against a loop that never yields: the link is open, and the request is longer than a frame may be.
   it.each(['read', 'write'] as const)(
     'is sent again after a pause, and refused in time, if the link does not take the %s',
--- a/packages/entry/src/accept/caller-request.ts
+++ b/packages/entry/src/accept/caller-request.ts
@@ -27,6 +27,8 @@
 const CREDIT_BATCH_BYTES = 32 * 1024;
 /** Delay before a request that an owner did not start is sent again, to the current owner. */
 const OWNER_RETRY_DELAY_MS = 15;
+/** As often as an owner runs a read itself: one that three owners have left without an answer may be what ends them. */
+const MAX_OWNERS_OF_READ = 3;
 
 /** Refusal that the caller receives instead of the answer to a request. */
 export interface AnswerReplacement {
@@ -53,16 +55,20 @@
     return;
   }
   const deadlineMs = performance.now() + session.environment.failoverWaitMs;
-  await startRequest(session, [built], deadlineMs, replacement);
+  await startRequest(session, { chunks: [built], deadlineMs, unansweredRuns: 0, replacement });
 }
 
-/** Starts a request at the current owner; waits until `deadlineMs` if the group has none. */
-async function startRequest(
-  session: CallerSession,
-  chunks: readonly BuiltChunk[],
-  deadlineMs: number,
-  replacement?: AnswerReplacement,
-): Promise<void> {
+/** What is kept of a request from one owner to the next. */
+interface StartedRequest {
+  readonly chunks: readonly BuiltChunk[];
+  readonly deadlineMs: number;
+  readonly unansweredRuns: number;
+  readonly replacement: AnswerReplacement | undefined;
+}
+
+/** Starts a request at the current owner; waits until its deadline if the group has none. */
+async function startRequest(session: CallerSession, started: StartedRequest): Promise<void> {
+  const { chunks, deadlineMs, unansweredRuns, replacement } = started;
   // The next request of the session waits until this one is open.
   session.isPreparing = true;
   const port = await findPort(session, deadlineMs);
@@ -70,7 +76,7 @@
   if (session.isClosed) return;
   if (!port) {
     const [first] = chunks;
-    if (first) refuseWithoutOwner(session, first);
+    if (first) refuseWithoutOwner(session, first, unansweredRuns);
     session.continueInput();
     return;
   }
@@ -83,6 +89,7 @@
     port,
     chunks: [...chunks],
     deadlineMs,
+    unansweredRuns,
     isComplete: chunks.at(-1)?.chunk.isFinal ?? true,
     hasForwardedAnswer: false,
     replacedBy: replacement?.refusal,
@@ -122,7 +129,7 @@
     restartAfterDelay(session, request);
     return;
   }
-  sendRefusal(session, refuse('no-owner'));
+  sendRefusal(session, refusalAfterRuns(refuse('no-owner'), request.unansweredRuns));
   finishExchange(session, request.isComplete);
 }
 
@@ -131,7 +138,7 @@
   setTimeout(() => {
     session.isPreparing = false;
     if (session.isClosed) return;
-    void startRequest(session, request.chunks, request.deadlineMs, replacementOf(request));
+    void startRequest(session, { ...request, replacement: replacementOf(request) });
   }, OWNER_RETRY_DELAY_MS);
 }
 
@@ -146,15 +153,25 @@
   return locator.awaitOwner(session.group, deadlineMs - performance.now());
 }
 
-function refuseWithoutOwner(session: CallerSession, built: BuiltChunk): void {
+function refuseWithoutOwner(
+  session: CallerSession,
+  built: BuiltChunk,
+  unansweredRuns: number,
+): void {
   if (session.status !== 'idle') {
     endWithRefusal(session, refuse('transaction-lost'));
     return;
   }
-  sendRefusal(session, refuse('no-owner'));
+  sendRefusal(session, refusalAfterRuns(refuse('no-owner'), unansweredRuns));
   finishExchange(session, built.chunk.isFinal);
 }
 
+/** A read that was refused as not run may have run at an owner before. */
+function refusalAfterRuns(refusal: Refusal, unansweredRuns: number): Refusal {
+  const isTrue = refusal.outcome !== 'not-run' || unansweredRuns === 0;
+  return isTrue ? refusal : refuse('owner-lost-after-start');
+}
+
 /** Opens the session at the owner unless it was opened there before. */
 function openSessionAtOwner(session: CallerSession, port: OwnerPort): void {
   if (session.port === port) return;
@@ -226,8 +243,10 @@
   }
   session.status = end.status;
   session.lastActiveMs = performance.now();
-  if (refusal) writeBatched(session.socket, buildRefusal(refusal, false));
-  else recordSuccess(session, request, end);
+  if (refusal) {
+    const reported = refusalAfterRuns(refusal, request.unansweredRuns);
+    writeBatched(session.socket, buildRefusal(reported, false));
+  } else recordSuccess(session, request, end);
   if (request.replacedBy && !request.isRefusalSent) sendRefusal(session, request.replacedBy);
   finishExchange(session, request.isComplete);
   const hasMoreInput = session.inbox.length > 0;
@@ -348,16 +367,27 @@
     return;
   }
   const isRead = request.chunks.every(({ intent, chunk }) => intent === 'read' && !chunk.mayCommit);
-  const isSafeToRetry = isRead && !request.hasForwardedAnswer;
+  const isRepeatable = isRead && !request.hasForwardedAnswer;
   const query = { ownerEpoch: port.epoch, session: id, number: request.number };
-  const status = isSafeToRetry
-    ? 'not-started'
+  const status = isRepeatable
+    ? 'may-have-run'
     : await environment.locator.queryRequestStatus(port, query);
   session.isPreparing = false;
   if (session.isClosed) return;
-  if (status === 'not-started' && !request.hasForwardedAnswer) {
+  const unansweredRuns = request.unansweredRuns + (isRepeatable ? 1 : 0);
+  const isRetried = isRepeatable
+    ? unansweredRuns < MAX_OWNERS_OF_READ
+    : status === 'not-started' && !request.hasForwardedAnswer;
+  environment.log('owner lost while a request was open', {
+    ...{ group: session.group, ownerEpoch: port.epoch, session: id, number: request.number },
+    ...{ status, unansweredRuns, isRetried },
+  });
+  if (isRetried) {
     environment.counters.count('retry.owner-lost');
-    await startRequest(session, request.chunks, request.deadlineMs, replacementOf(request));
+    await startRequest(session, {
+      ...request,
+      ...{ unansweredRuns, replacement: replacementOf(request) },
+    });
     return;
   }
   sendRefusal(session, refuse('owner-lost-after-start'));
--- a/packages/entry/src/accept/caller-state.ts
+++ b/packages/entry/src/accept/caller-state.ts
@@ -44,6 +44,8 @@
   /** Chunks sent so far, kept for a retry at another owner. */
   readonly chunks: BuiltChunk[];
   readonly deadlineMs: number;
+  /** How many owners may have run it without an answer; only of reads, which run again. */
+  readonly unansweredRuns: number;
   /** Whether the last chunk was sent, so that the request can end. */
   isComplete: boolean;
   /** Whether any part of the answer was written to the caller. */
