Send a read to at most three owners that are lost

An entry sent a read to the next owner as often as one was lost and the read could start: without a limit but its time, and without a pause where the next owner was there. A read that ends its owner would have ended one after another. After three lost owners, as often as an owner runs a read itself, it ends as UNKNOWN now, with the reason 'lost at 3 owners of the group'. A read whose time is over ends as before.

--- a/packages/statement-entry/src/locate/owner-client.test.ts
+++ b/packages/statement-entry/src/locate/owner-client.test.ts
@@ -176,6 +176,18 @@
     expect(sent).toHaveLength(1);
   });
 
+  // Guards against a read at which one owner after another ends.
+  it('are sent to at most three lost owners if they are reads', async () => {
+    const timer = setInterval(() => {
+      handleLinkLost(client, 'b:1');
+    }, 2);
+    const running = run({ ...write, access: 'read' });
+    const { outcome } = await running;
+    clearInterval(timer);
+    expect(sent).toHaveLength(3);
+    expect(outcome).toEqual({ kind: 'unknown', reason: 'lost at 3 owners of the group' });
+  });
+
   const lastNumber = () => sent.at(-1)?.request.number ?? 0;
 
   it('are sent again after a lost link if the owner has not started them and promises not to', async () => {
--- a/packages/statement-entry/src/locate/owner-client.ts
+++ b/packages/statement-entry/src/locate/owner-client.ts
@@ -90,6 +90,8 @@
 /** Delay before a statement is resent after its owner was not ready, in milliseconds. */
 const NOT_READY_RETRY_MS = 25;
 const RETRY_AFTER_MS = 200;
+/** As often as an owner runs a read itself: one that three owners have left without an answer may be what ends them. */
+const MAX_OWNERS_OF_READ = 3;
 
 export function createOwnerClient(options: OwnerClientOptions): OwnerClient {
   return { options, pending: new Map(), endedEpochs: new Map(), nextNumber: 1 };
@@ -97,8 +99,8 @@
 
 /**
  * Runs a statement through its group's owner. Statements that have not run, and reads outside
- * transactions, are resent until `startByMs`, or until the entry starts nothing more or the caller has gone; all
- * others are sent once.
+ * transactions, are resent until `startByMs`, or until the entry starts nothing more or the caller has gone; reads to
+ * at most three owners that are lost. All others are sent once.
  *
  * @param transactionOwner the owner that holds the transaction, for statements after its first
  */
@@ -117,9 +119,9 @@
       ? Number.NEGATIVE_INFINITY
       : Math.min(deadlines.startByMs, client.options.lastStartMs());
   let reachedNoTarget = true;
-  let mayHaveRun = false;
+  let unansweredRuns = 0;
   const refused = (reason: StatementRefusalReason, retryAfterMs = RETRY_AFTER_MS) =>
-    mayHaveRun
+    unansweredRuns > 0
       ? ({ kind: 'timed-out' } as const)
       : ({ kind: 'not-run', reason, retryAfterMs, reachedNoTarget } as const);
   for (;;) {
@@ -141,9 +143,10 @@
       continue;
     }
     if (outcome === 'owner-lost') {
-      mayHaveRun = true;
+      unansweredRuns += 1;
       const isRepeatable = draft.access === 'read' && draft.transaction === null;
       if (!isRepeatable || isTooLateToStart) return { outcome: outcomeOfOwnerLoss(draft), port };
+      if (unansweredRuns >= MAX_OWNERS_OF_READ) return { outcome: lostAt(unansweredRuns), port };
       continue;
     }
     if (outcome.kind !== 'not-run') return { outcome, port };
@@ -162,6 +165,10 @@
   return { kind: 'unknown', reason: 'the owner of the group was lost' };
 }
 
+function lostAt(ownerCount: number): StatementOutcome {
+  return { kind: 'unknown', reason: `lost at ${ownerCount} owners of the group` };
+}
+
 function aborted(): StatementOutcome {
   return { kind: 'aborted', reason: 'the owner of the transaction was lost' };
 }
