Pause before a lease is renewed again at a member that asks for a full renewal in reply to one

An entry that got 'full-renewal-needed' sent the renewal in full at once, also if the one before had been in full. A member that always answers so would have got renewals as fast as it answers; the present members answer so only to the short form. The renewal counts as failed now, with a line, and the next is 100 ms later, as after other failures.

control-client.test.ts 'pauses before it renews again at a member that always asks for the full form' failed before (1973 renewals in 0.5 s), and passes.

--- a/packages/entry-shared/src/control/control-client.test.ts
+++ b/packages/entry-shared/src/control/control-client.test.ts
@@ -104,6 +104,32 @@
     await server.close();
   });
 
+  // Guards against a renewal that is sent again at once, as often as the member answers.
+  it('pauses before it renews again at a member that always asks for the full form', async () => {
+    const address = await findFreeAddress();
+    let renewals = 0;
+    const server = await listenForLinks(
+      address,
+      { secret: SECRET, ...DEFAULT_LINK_TIMING },
+      {
+        onRequest: (_peer, method): LeaseReply => {
+          if (method === 'records/read') return unknownMethod();
+          renewals += 1;
+          return { kind: 'full-renewal-needed' };
+        },
+        onNotify: () => undefined,
+      },
+    );
+    const client = startClient([address], { renewEveryMs: 100 });
+    await vi.waitFor(() => {
+      expect(renewals).toBeGreaterThan(1);
+    });
+    await delay(500);
+    expect(renewals).toBeLessThan(30);
+    client.close();
+    await server.close();
+  });
+
   it('turns to a leader that one member names, without waiting for members that do not answer', async () => {
     const addresses = await Promise.all([findFreeAddress(), findFreeAddress(), findFreeAddress()]);
     const [, informed, leading] = addresses;
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -262,7 +262,9 @@
     }
     if (renewed.kind === 'full-renewal-needed') {
       renewalsAt.delete(peer);
-      return renewWith(peer);
+      if (isRepeated) return renewWith(peer);
+      log('member asks for a full renewal in reply to one', { member: peer.remoteAddress });
+      return false;
     }
     if (renewed.kind === 'renewed' && renewed.acceptsRepeats === true)
       renewalsAt.set(peer, renewalKey);
