Renew a lease again after a reply that cannot be read

A reply to a lease renewal of an unknown kind, or without one, threw inside the renewal, so that it never ended: every later renewal waited for it, and the entry stayed without its lease, and without work, until it was started again.

--- a/packages/entry-shared/src/control/control-client.test.ts
+++ b/packages/entry-shared/src/control/control-client.test.ts
@@ -130,6 +130,38 @@
     await server.close();
   });
 
+  // Guards against an entry without a lease: the answer of one member cannot be read.
+  it('renews again after a reply that cannot be read', async () => {
+    const address = await findFreeAddress();
+    let renewals = 0;
+    const server = await listenForLinks(
+      address,
+      { secret: SECRET, ...DEFAULT_LINK_TIMING },
+      {
+        onRequest: (_peer, method): unknown => {
+          if (method === 'records/read') return unknownMethod();
+          renewals += 1;
+          if (renewals === 1) return { kind: 'unheard-of' };
+          if (renewals === 2) return null;
+          const leases = { leaseMs: 5_000, settingsLeaseMs: 5_000 };
+          const records = { sinceIndex: 0, deltas: [], appliedIndex: 9, settingsRevision: 0 };
+          return { kind: 'renewed', ...leases, ...records, memberAddresses: [address] };
+        },
+        onNotify: () => undefined,
+      },
+    );
+    const client = startClient([address], { renewEveryMs: 100 });
+    await vi.waitFor(
+      () => {
+        expect(client.holdsLease()).toBe(true);
+      },
+      { timeout: 3_000 },
+    );
+    expect(renewals).toBeGreaterThan(2);
+    client.close();
+    await server.close();
+  });
+
   it('turns to a leader that one member names, without waiting for members that do not answer', async () => {
     const addresses = await Promise.all([findFreeAddress(), findFreeAddress(), findFreeAddress()]);
     const [, informed, leading] = addresses;
--- a/packages/entry-shared/src/control/control-client.ts
+++ b/packages/entry-shared/src/control/control-client.ts
@@ -218,15 +218,24 @@
       let outstandingCount = peers.length;
       if (outstandingCount === 0) resolve(false);
       for (const peer of peers) {
-        void renewWith(peer).then((isRenewed) => {
-          outstandingCount -= 1;
-          const isRedirected = leaderAddress !== undefined && isRenewalQueued;
-          if (isRenewed || outstandingCount === 0 || isRedirected) resolve(isRenewed);
-        });
+        void renewWith(peer)
+          .catch((error: unknown) => reportUnreadableReply(peer, error))
+          .then((isRenewed) => {
+            outstandingCount -= 1;
+            const isRedirected = leaderAddress !== undefined && isRenewalQueued;
+            if (isRenewed || outstandingCount === 0 || isRedirected) resolve(isRenewed);
+          });
       }
     });
   }
 
+  /** The renewal counts as failed; without an end of it, no other would follow. */
+  function reportUnreadableReply(peer: LinkPeer, error: unknown): boolean {
+    const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    log('reply to a lease renewal cannot be read', { member: peer.remoteAddress, error: text });
+    return false;
+  }
+
   async function renewWith(peer: LinkPeer): Promise<boolean> {
     const identity = {
       entryId: toEntryId(options.entryId),
