--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -15,10 +15,12 @@
 import {
   buildCommandComplete,
   buildDataRow,
+  buildErrorResponse,
   buildQuery,
   buildReadyForQuery,
   CLIENT,
   readStringPayload,
+  SERVER,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
 import { type Script, type ScriptedServer, startScriptedServer } from '@bramleykeel/test-support';
@@ -28,10 +30,12 @@
 import type { GroupOwner } from './owner-state.js';
 
 const GROUP = toGroupName('g');
-const SERVER = toServerName('s1');
+const SERVER_NAME = toServerName('s1');
 const SESSION = toSessionId('e1:1');
 
-function createEnvironment() {
+let logged: { readonly message: string; readonly fields: Record<string, unknown> }[] = [];
+
+function createEnvironment(requests: Readonly<Record<string, number>>) {
   const settings = entrySettingsSchema.parse({
     entry: {
       ...{ id: 'e1', zone: 'z', callerAddress: '127.0.0.1:3', linkAddress: '127.0.0.1:4' },
@@ -39,12 +43,21 @@
     },
     members: [{ id: 'c', linkAddress: '127.0.0.1:1', adminAddress: '127.0.0.1:2' }],
     link: { secret: '0123456789abcdef' },
+    requests,
   });
-  const record = { group: GROUP, servers: [SERVER], primary: SERVER, term: 1, proposedTerm: 1 };
+  const record = {
+    group: GROUP,
+    servers: [SERVER_NAME],
+    primary: SERVER_NAME,
+    term: 1,
+    proposedTerm: 1,
+  };
   return {
     settings,
     counters: createCounters('test', undefined),
-    log: () => undefined,
+    log: (message: string, fields: Record<string, unknown> = {}) => {
+      logged.push({ message, fields });
+    },
     holdsLease: () => true,
     groupRecord: () => record,
     groupSetting: () => groupSchema.parse({}),
@@ -135,11 +148,15 @@
   session.server.close();
 });
 
-async function openSession(script: Script): Promise<TestSession> {
+async function openSession(
+  script: Script,
+  requests: Readonly<Record<string, number>> = {},
+): Promise<TestSession> {
+  logged = [];
   const server = await startScriptedServer(script);
-  const owner = startGroupOwner(GROUP, 7, createEnvironment());
+  const owner = startGroupOwner(GROUP, 7, createEnvironment(requests));
   handleAnnouncement(owner, {
-    ...{ group: GROUP, server: SERVER, incarnation: toIncarnation('i1'), sequence: 1 },
+    ...{ group: GROUP, server: SERVER_NAME, incarnation: toIncarnation('i1'), sequence: 1 },
     ...{ address: server.address, commandUrl: 'http://127.0.0.1:1', zone: 'a', term: 1, slots: 1 },
     ...{ role: 'primary', connections: 10, isLeaving: false, position: { term: 1, offset: 10 } },
   });
@@ -292,3 +309,89 @@
     expect(await tested.run('SELECT y')).toMatchObject({ refusal: 'target-out-of-step' });
   });
 });
+
+// Guards against a message that cannot be read and counts as a connection that the server ended.
+describe('a message of a server whose length is not allowed', () => {
+  const NEGATIVE_LENGTH = Buffer.from([SERVER.dataRow, 0xff, 0xff, 0xff, 0xff]);
+  const TOO_LONG = Buffer.from([SERVER.dataRow, 0x7f, 0xff, 0xff, 0xff]);
+  const line = 'server sent a message that cannot be read; closing the connection';
+
+  it.each([
+    { problem: 'malformed', rest: NEGATIVE_LENGTH, intent: 'read' },
+    { problem: 'malformed', rest: NEGATIVE_LENGTH, intent: 'write' },
+    { problem: 'too-large', rest: TOO_LONG, intent: 'read' },
+    { problem: 'too-large', rest: TOO_LONG, intent: 'write' },
+  ] as const)('leaves a $intent without an answer: $problem', async ({ problem, rest, intent }) => {
+    const tested = await openSession({ onMessage: () => [buildDataRow(['a']), rest] });
+    expect(await tested.run('SELECT x', intent)).toMatchObject({
+      ...{ text: '', refusal: 'target-out-of-step', outcome: 'outcome-unknown' },
+    });
+    const counted = tested.owner.environment.counters.totals()['target.message-unreadable'];
+    expect(counted).toBeGreaterThan(0);
+    const fields = logged.find(({ message }) => message === line)?.fields;
+    expect(fields).toMatchObject({ server: SERVER_NAME, problem, moment: 'unreadable' });
+  });
+});
+
+// Guards against a read that runs again and again because its answer can be read from no server.
+describe('a read without an answer', () => {
+  const UNREADABLE = Buffer.from([SERVER.dataRow, 0xff, 0xff, 0xff, 0xff]);
+
+  /** Leaves queries without an answer, by an unreadable one or by the end of the connection. */
+  function leaveUnanswered(closedBy: string, onRun: () => void): Script {
+    return {
+      onMessage: (message, socket) => {
+        if (queryText(message) === undefined) return [];
+        onRun();
+        if (closedBy === 'owner') return [buildDataRow(['a']), UNREADABLE];
+        socket.destroy();
+        return [];
+      },
+    };
+  }
+
+  it.each(['owner', 'server'])('runs at most three times: closed by the %s', async (closedBy) => {
+    let runs = 0;
+    const tested = await openSession(leaveUnanswered(closedBy, () => (runs += 1)));
+    expect(await tested.run('SELECT x')).toMatchObject({ outcome: 'outcome-unknown', text: '' });
+    expect(runs).toBe(3);
+    const lines = logged.filter(({ message }) => message === 'request left without an answer');
+    expect(lines.map(({ fields }) => fields)).toMatchObject(
+      [1, 2, 3].map((count) => ({ closedBy, unansweredRuns: count, isRetried: count < 3 })),
+    );
+  });
+
+  it('is not refused as not run when it waits for another run', async () => {
+    const script = leaveUnanswered('server', () => session?.server.close());
+    const tested = await openSession(script, { queueTimeoutMs: 300, failoverWaitMs: 300 });
+    expect(await tested.run('SELECT x')).toMatchObject({ outcome: 'outcome-unknown' });
+  });
+});
+
+// Guards against one connection after another without a pause.
+describe('a connection that cannot be prepared for a request', () => {
+  const ERROR = buildErrorResponse({ severity: 'ERROR', sqlState: '22023', message: 'no' });
+
+  it.each([
+    { name: 'the server ends it', answer: undefined },
+    { name: 'the answer cannot be read', answer: [Buffer.from([SERVER.dataRow, 0, 0, 0, 0])] },
+    { name: 'the setting is refused', answer: [ERROR, buildReadyForQuery('idle')] },
+  ])('is followed by another one after a pause: $name', async ({ answer }) => {
+    let setups = 0;
+    const script: Script = {
+      onMessage: (message, socket) => {
+        if (queryText(message) === undefined) return [];
+        setups += 1;
+        if (!answer) socket.destroy();
+        return answer ?? [];
+      },
+    };
+    const tested = await openSession(script, { queueTimeoutMs: 300, failoverWaitMs: 300 });
+    const settings = { work_mem: "SET work_mem = '1MB'" };
+    expect(await tested.run('SELECT x', 'read', settings)).toMatchObject({ outcome: 'not-run' });
+    expect(setups).toBeGreaterThan(0);
+    expect(setups).toBeLessThan(10);
+    const retries = tested.owner.environment.counters.totals()['retry.not-prepared'];
+    expect(retries).toBe(setups);
+  });
+});
