Limit how often a statement is prepared that no server takes

Any other answer to such an order but success (an unknown code, FAILED, TIMEOUT, MALFORMED) and a refusal of a statement as NOSTMT, MISROUTED, ABORTED or TOOMANY had the statement queued again at once, without a limit but its time, each time with a new connection; writes as well as reads.

Change: a statement has three such attempts, and ends as not run then (which is true: it was not sent, or refused as not run; one that may have run before ends as timed out, as ever). BUSY, LAGGING, READONLY and lost or overdue connections do not count, nor does a foreign answer on a connection that has carried statements before. The pause is no longer needed for a bound.

Evidence, foreign-answers.test.ts: 'do not let a value be set on one connection after another' failed before with 230, 273, 171 and 397 orders in 250 ms (unknown, failed, timed-out, refused; bound 50), 'do not let a prepared write be refused on one connection after another' with 490, 'do not hold the server back if they may be the right ones on a connection used before' with a pause of 15 ms. They pass; packages/statement-entry/src: 359 of 359 tests.

--- a/packages/statement-entry/src/owner/create-job.ts
+++ b/packages/statement-entry/src/owner/create-job.ts
@@ -25,6 +25,7 @@
     transaction: undefined,
     attempts: 0,
     unansweredRuns: 0,
+    failedPreparations: 0,
     isWithdrawn: false,
     isEnded: false,
   };
--- a/packages/statement-entry/src/owner/foreign-answers.test.ts
+++ b/packages/statement-entry/src/owner/foreign-answers.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
-import { runStatementAt } from '../test-support/run-statement.js';
+import { runStatementAt, until } from '../test-support/run-statement.js';
 import type { TargetAnswer } from '../types/target-port.js';
 import { changePrimary } from './change-primary.js';
 import { dispatch } from './dispatch.js';
@@ -83,6 +83,67 @@
     expect(outcome.kind).toBe('not-run');
   });
 
+  // Guards against a storm of connections: a value or shape that no server takes is prepared for again and again.
+  it.each<TargetAnswer>([
+    { kind: 'unknown', state: 'idle' },
+    { kind: 'failed', text: 'no such value', state: 'idle' },
+    { kind: 'timed-out', state: 'idle' },
+    { kind: 'refused', code: 'malformed', state: 'idle' },
+  ])('do not let a value be set on one connection after another: $kind', async (answer) => {
+    primary.answers.push(...Array.from({ length: 100_000 }, () => answer));
+    const timer = setInterval(() => {
+      dispatch(fake.owner);
+    }, 5);
+    const outcome = runStatementAt(fake.owner, 'write', {
+      values: { unit: 'mm' },
+      startWithinMs: 200,
+    });
+    await delay(250);
+    clearInterval(timer);
+    expect(primary.orders.filter(({ kind }) => kind === 'set').length).toBeLessThan(50);
+    primary.answers.length = 0;
+    expect((await outcome).kind).not.toBe('done');
+  });
+
+  // Guards against a storm of connections: the server does not know the prepared name, however often it is prepared.
+  it('do not let a prepared write be refused on one connection after another', async () => {
+    const unknownName = { kind: 'refused', code: 'unknown-statement', state: 'idle' } as const;
+    primary.answers.push(
+      ...Array.from({ length: 20_000 }, () => [done('idle'), unknownName]).flat(),
+    );
+    const timer = setInterval(() => {
+      dispatch(fake.owner);
+    }, 5);
+    const body = { kind: 'prepared', access: 'write', shape: 'q', argument: 'x 1' } as const;
+    const outcome = runStatementAt(fake.owner, 'write', { body, startWithinMs: 200 });
+    await delay(250);
+    clearInterval(timer);
+    expect(primary.orders.filter(({ kind }) => kind === 'execute').length).toBeLessThan(50);
+    primary.answers.length = 0;
+    await outcome;
+  });
+
+  // Guards against waits on a group without commits, where the second BEGIN of each connection cannot be told from the first.
+  it('do not hold the server back if they may be the right ones on a connection used before', async () => {
+    const first = { number: 1, isReadOnly: true, isFirst: true };
+    primary.answers.push(done('open'), done('open'), done('idle'));
+    const atPrimary = { consistency: 'newest' } as const;
+    await runStatementAt(fake.owner, 'read', { ...atPrimary, transaction: first });
+    await runStatementAt(fake.owner, 'commit', {
+      ...atPrimary,
+      transaction: { ...first, isFirst: false },
+    });
+    const [server] = fake.owner.servers.values();
+    expect(server?.idle).toHaveLength(1);
+    primary.answers.push({ kind: 'foreign' }, done('open'), done('open'));
+    const second = { ...first, number: 2 };
+    const outcome = runStatementAt(fake.owner, 'read', { ...atPrimary, transaction: second });
+    await until(() => primary.orders.filter(({ kind }) => kind === 'begin').length >= 2);
+    await delay(0);
+    expect(server?.busyUntilMs).toBeLessThanOrEqual(performance.now());
+    expect((await outcome).kind).toBe('done');
+  });
+
   // Guards against REFUSED and TWICE: the write may have run.
   it('leave a write with an unknown outcome, and do not let it run again', async () => {
     primary.answers.push({ kind: 'foreign' });
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -184,6 +184,8 @@
   attempts: number;
   /** How often a server may have run it without an answer that can be passed on. */
   unansweredRuns: number;
+  /** How often a server was asked to take or prepare it and gave a reason that neither time nor another server mends. */
+  failedPreparations: number;
   /** Whether no replica could run it when it was judged last; set under overload control. */
   isOnlyForPrimary?: boolean;
   /** The forecast of its wait on arrival, in milliseconds; set under overload control. */
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -29,7 +29,7 @@
   handleRefusal,
   leadershipNumberOf,
   recordSuccessfulAnswer,
-  requeueAfterPause,
+  requeueUnprepared,
   settleStatement,
   settleTransactionStatement,
 } from './settle-answer.js';
@@ -125,8 +125,7 @@
     if (answer.kind === 'refused') handleRefusal(owner, job, pooled.server, answer.code);
     else handleBrokenConnection(owner, job, pooled, answer);
     discardConnection(pooled);
-    if (answer.kind === 'foreign') requeueAfterPause(owner, job, pooled.server);
-    else requeueJob(owner, job);
+    requeueUnprepared(owner, job, answer, pooled.lastUsedMs > pooled.openedAtMs);
     return false;
   }
   const ref = job.request.transaction;
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -15,7 +15,7 @@
   releaseConnection,
 } from '../target/connection-pool.js';
 import type { TargetAnswer, TargetRefusal } from '../types/target-port.js';
-import { endJob, requeueJob } from './dispatch.js';
+import { endJob, notRun, requeueJob } from './dispatch.js';
 import type {
   Job,
   Leadership,
@@ -27,8 +27,8 @@
 import { dropTransaction } from './transactions.js';
 import { suspectPrimary } from './watch-primary.js';
 
-/** A primary and two replicas: a read that each of them has left without an answer is not run again. */
-const MAX_RUNS_OF_READ = 3;
+/** A primary and two replicas: what each of them has left without an answer is not tried again. */
+const MAX_UNANSWERED_RUNS = 3;
 /** A server that answered `busy` gets no statements for this long, in milliseconds. */
 const BUSY_PAUSE_MS = 15;
 /**
@@ -67,7 +67,8 @@
       handleRefusal(owner, job, pooled.server, code);
       discardConnection(pooled);
       if (code === 'malformed') endJob(owner, job, { kind: 'failed', text: 'malformed statement' });
-      else requeueJob(owner, job);
+      else if (isPassing(code)) requeueJob(owner, job);
+      else requeueAfterFailedPreparation(owner, job);
       return;
     }
     case 'failed':
@@ -171,11 +172,43 @@
 function recordUnansweredRun(job: Job): boolean {
   job.mayHaveRun = true;
   job.unansweredRuns += 1;
-  return job.request.access === 'read' && job.unansweredRuns < MAX_RUNS_OF_READ;
+  return job.request.access === 'read' && job.unansweredRuns < MAX_UNANSWERED_RUNS;
+}
+
+/** Whether another server, or the same one later, may well take what was refused. */
+function isPassing(code: TargetRefusal): boolean {
+  return code === 'busy' || code === 'lagging' || code === 'read-only';
+}
+
+/**
+ * Handles the answer to an order that prepares a connection for a statement. Each further attempt takes a new connection,
+ * so that one which the servers do not carry out must not be made without a limit.
+ *
+ * @param wasUsed whether the connection has carried statements before, so that its answers are harder to tell apart
+ */
+export function requeueUnprepared(
+  owner: StatementOwner,
+  job: Job,
+  answer: TargetAnswer,
+  wasUsed: boolean,
+): void {
+  const isPassed =
+    answer.kind === 'refused'
+      ? isPassing(answer.code)
+      : answer.kind === 'lost' || answer.kind === 'overdue';
+  const isUnclear = answer.kind === 'foreign' && wasUsed;
+  if (isPassed || isUnclear) requeueJob(owner, job);
+  else requeueAfterFailedPreparation(owner, job);
+}
+
+function requeueAfterFailedPreparation(owner: StatementOwner, job: Job): void {
+  job.failedPreparations += 1;
+  if (job.failedPreparations < MAX_UNANSWERED_RUNS) requeueJob(owner, job);
+  else endJob(owner, job, notRun('queue-timeout'));
 }
 
 /** A server that answers in an odd way may do so again, and each attempt takes a new connection. */
-export function requeueAfterPause(owner: StatementOwner, job: Job, server: ServerState): void {
+function requeueAfterPause(owner: StatementOwner, job: Job, server: ServerState): void {
   server.busyUntilMs = Math.max(server.busyUntilMs, performance.now() + BUSY_PAUSE_MS);
   requeueJob(owner, job);
 }
