Take READONLY and LAGGING for what they are after a second setup

Cause, a fault of: after a setup that is not proven (the second SET of a new connection, or any setup on one used before) each error of a statement counted as foreign. READONLY and LAGGING cannot be those of the setup: outside of transactions only a write is READONLY, and only an order with AFTER can be LAGGING. So a write at a server that had lost the lead was UNKNOWN in place of queued for the next primary, which its client may not repeat; the primary was not suspected, and a read that lagged three times ended as UNKNOWN.

Change: an answer tells whether its error is one of these, and fits outside of transactions then. BUSY and the others stay as they are.

--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -11,6 +11,8 @@
   /** `undefined` if the answer is an error or was cut off; {@link NO_SIGNATURE} for the proxy's own orders. */
   readonly signature: string | undefined;
   readonly isError: boolean;
+  /** Whether it is an error that orders which prepare a connection do not get outside of transactions. */
+  readonly isErrorOfStatement?: boolean;
   readonly state: ConnectionState;
   /** The position of the server's log. */
   readonly position: LogPosition | null;
@@ -189,7 +191,7 @@
   { state, isSetupUnproven }: AnswerHistory,
   answer: ReceivedAnswer,
 ): AnswerMatch {
-  if (isSetupUnproven) return 'foreign';
+  if (isSetupUnproven && (state !== 'idle' || answer.isErrorOfStatement !== true)) return 'foreign';
   return state === 'open' && answer.state === 'idle' ? 'foreign' : 'fits';
 }
 
