Do not take a replica for broken because it answers a setup with an error

Change: an answer to a setup is settled like one to the read.

Evidence: run-on-replica.test.ts 'but does not carry it out is not taken for broken', four of four cases failed before, and pass; the two cases of a broken connection pass on both.

--- a/packages/statement-entry/src/near/run-on-replica.ts
+++ b/packages/statement-entry/src/near/run-on-replica.ts
@@ -72,7 +72,7 @@
   for (const order of setupOrders({ ...draft, valuesKey }, pooled, undefined)) {
     const setupAnswer = await pooled.connection.send(order, SETUP_TIMEOUT_MS);
     if (setupAnswer.kind !== 'done') {
-      handleBrokenConnection(place, server, pooled);
+      discardAfter(place, server, pooled, setupAnswer);
       return undefined;
     }
     recordSetup(pooled, order);
@@ -100,22 +100,31 @@
   pooled: PooledConnection,
   answer: TargetAnswer,
 ): StatementOutcome | undefined {
-  const nowMs = performance.now();
   if (answer.kind === 'done') {
     releaseConnection(pooled);
     const { rows, signature, position } = answer;
     return { kind: 'done', rows, signature, position, isFromReplica: true };
   }
+  discardAfter(place, server, pooled, answer);
+  return answer.kind === 'failed' ? { kind: 'failed', text: answer.text } : undefined;
+}
+
+/** Closes a connection after any answer but success, and records what that tells of the replica. */
+function discardAfter(
+  place: ReplicaPlace,
+  server: ServerState,
+  pooled: PooledConnection,
+  answer: TargetAnswer,
+): void {
   if (answer.kind === 'lost' || answer.kind === 'overdue') {
     handleBrokenConnection(place, server, pooled);
-    return undefined;
+    return;
   }
   discardConnection(pooled);
-  if (answer.kind === 'failed') return { kind: 'failed', text: answer.text };
-  if (answer.kind !== 'refused') return undefined;
+  if (answer.kind !== 'refused') return;
+  const nowMs = performance.now();
   if (answer.code === 'busy') server.busyUntilMs = nowMs + BUSY_PAUSE_MS;
   if (answer.code === 'lagging') server.laggingUntilMs = nowMs + LAGGING_PAUSE_MS;
-  return undefined;
 }
 
 function recordIfBroken({ brokenAtMs }: ReplicaPlace, server: ServerState): void {
