--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -15,6 +15,7 @@
 import {
   buildCommandComplete,
   buildDataRow,
+  buildErrorResponse,
   buildQuery,
   buildReadyForQuery,
   CLIENT,
@@ -292,3 +293,22 @@
     expect(await tested.run('SELECT y')).toMatchObject({ refusal: 'target-out-of-step' });
   });
 });
+
+// Guards against a storm of connections: each further attempt opens one.
+it('settings that a server refuses are not applied on one connection after another', async () => {
+  let count = 0;
+  const tested = await openSession({
+    onMessage: (message) => {
+      const text = queryText(message);
+      if (text === undefined) return [];
+      if (!text.startsWith('SET')) return answerTo(text);
+      count += 1;
+      const error = { severity: 'ERROR' as const, sqlState: '22023', message: 'invalid value' };
+      return [buildErrorResponse(error), buildReadyForQuery('idle')];
+    },
+  });
+  const ended = tested.run('SELECT x', 'read', { search_path: "SET search_path TO 'a'" });
+  expect(await ended).toMatchObject({ outcome: 'not-run', status: 'idle' });
+  expect(count).toBeGreaterThan(0);
+  expect(count).toBeLessThan(5);
+});
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -44,7 +44,7 @@
 const SETTINGS_TIMEOUT_MS = 2_000;
 /** SQLSTATE of a write on a read-only server: nothing of the statement was executed. */
 const READ_ONLY_SQLSTATE = '25006';
-/** Attempts after which a refused write or a read with a lost connection is no longer retried. */
+/** Attempts after which a refused write, refused settings or a read with a lost connection are no longer retried. */
 const MAX_ATTEMPTS = 4;
 
 /** Applies the session settings to the connection, then sends the request's messages. */
@@ -56,7 +56,8 @@
   const { connection } = running;
   request.running = running;
   if (!(await applySettings(connection, request.settings))) {
-    abandonBeforeStart(owner, request);
+    const isLastAttempt = !connection.isClosed && request.attempts >= MAX_ATTEMPTS;
+    abandonBeforeStart(owner, request, isLastAttempt);
     return;
   }
   const isBarred = request.session.pinned === undefined && isEvacuated(owner, running.server);
@@ -123,11 +124,8 @@
   return outcome.kind === 'done' && outcome.status === 'idle';
 }
 
-/**
- * Discards a connection before anything of the request was sent, so that the request can be
- * requeued.
- */
-function abandonBeforeStart(owner: GroupOwner, request: OwnerRequest): void {
+/** Discards a connection before anything of the request was sent; requeues the request or ends it as not run. */
+function abandonBeforeStart(owner: GroupOwner, request: OwnerRequest, isLastAttempt = false): void {
   const { running, session } = request;
   if (!running) return;
   discardConnection(running.pool, running.connection);
@@ -138,7 +136,12 @@
     endRequest(owner, request, 'idle', refuse('transaction-lost'));
     return;
   }
-  owner.scheduler.requeue(owner, request);
+  if (!isLastAttempt) {
+    owner.scheduler.requeue(owner, request);
+    return;
+  }
+  endRequest(owner, request, 'idle', refuse('queue-timeout'));
+  owner.scheduler.schedule(owner);
 }
 
 function handleAnswer(
