Let a read that is refused as BUSY after a second setup run again

Cause, with: BUSY of a read after a setup that is not proven counted as an answer that does not fit, and so as one of its three runs. Under load a read of a session with two values, or with a value on a connection used before, ended as UNKNOWN after three BUSY answers, where others wait for a slot; and the connection was reported as one of a server that answers in an odd way.

Change: it fits outside of transactions. If it was meant for the setup, the read runs once more, which does no harm; its connection is closed after an error either way. A write stays UNKNOWN, as its BUSY may be that of the setup.

--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -3,7 +3,12 @@
  * repeat one late, while the connection already waits for the answer to a later order.
  */
 import { comparePositions, latestPosition, type LogPosition } from '@bramleykeel/core';
-import type { ConnectionState, TargetOrder, TargetStatus } from '../types/target-port.js';
+import type {
+  ConnectionState,
+  TargetOrder,
+  TargetRefusal,
+  TargetStatus,
+} from '../types/target-port.js';
 
 /** An answer as a server sent it. */
 export interface ReceivedAnswer {
@@ -11,8 +16,8 @@
   /** `undefined` if the answer is an error or was cut off; {@link NO_SIGNATURE} for the proxy's own orders. */
   readonly signature: string | undefined;
   readonly isError: boolean;
-  /** Whether it is an error that orders which prepare a connection do not get outside of transactions. */
-  readonly isErrorOfStatement?: boolean;
+  /** Why the order was not run, if it is an error that says so. */
+  readonly refusal?: TargetRefusal | undefined;
   readonly state: ConnectionState;
   /** The position of the server's log. */
   readonly position: LogPosition | null;
@@ -90,7 +95,7 @@
     case 'run':
     case 'execute':
       return answer.isError
-        ? matchError(history, answer)
+        ? matchError(history, order, answer)
         : matchStatement(history, order, answer, history.state);
     case 'commit':
       if (!answer.isError) return matchStatement(history, order, answer, 'idle');
@@ -189,12 +194,23 @@
  */
 function matchError(
   { state, isSetupUnproven }: AnswerHistory,
+  order: StatementOrder,
   answer: ReceivedAnswer,
 ): AnswerMatch {
-  if (isSetupUnproven && (state !== 'idle' || answer.isErrorOfStatement !== true)) return 'foreign';
+  if (isSetupUnproven && (state !== 'idle' || !isRefusalOfStatement(order, answer)))
+    return 'foreign';
   return state === 'open' && answer.state === 'idle' ? 'foreign' : 'fits';
 }
 
+/**
+ * Whether a refusal outside of transactions may be taken for that of the statement after a setup. No setup is refused as
+ * READONLY or LAGGING, and a read that was refused as BUSY runs again, whichever order that was meant for.
+ */
+function isRefusalOfStatement(order: StatementOrder, { refusal }: ReceivedAnswer): boolean {
+  if (refusal === 'busy') return !isWrite(order);
+  return refusal === 'read-only' || refusal === 'lagging';
+}
+
 function matchStatement(
   history: AnswerHistory,
   order: StatementOrder,
