List that odd answers to one customer's reads hold back those of others

requeueAfterPause keeps all statements off a server for 15 ms after each answer to a read that does not fit. It bounded the connections that such reads opened; does that now by itself. A customer whose reads have such answers can so keep a primary idle for most of the time.

--- a/packages/statement-entry/src/owner/foreign-answers.test.ts
+++ b/packages/statement-entry/src/owner/foreign-answers.test.ts
@@ -1,4 +1,9 @@
-import { hasUncoveredCommits, recordAcknowledged, type StatementAccess } from '@bramleykeel/core';
+import {
+  hasUncoveredCommits,
+  recordAcknowledged,
+  type StatementAccess,
+  toCustomerName,
+} from '@bramleykeel/core';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
@@ -144,6 +149,20 @@
     expect((await outcome).kind).toBe('done');
   });
 
+  // Guards against one customer that crowds out the others by reads whose answers cannot be read.
+  it('do not hold back the statements of other customers', async () => {
+    primary.answers.push({ kind: 'foreign' });
+    const one = runStatementAt(fake.owner, 'read', { consistency: 'newest' });
+    await until(() => primary.orders.some(({ kind }) => kind === 'run'));
+    const other = runStatementAt(fake.owner, 'write', { customer: toCustomerName('other') });
+    await delay(0);
+    const isSent = primary.orders.some((order) => order.kind === 'run' && order.isWrite);
+    await delay(20);
+    dispatch(fake.owner);
+    await Promise.all([one, other]);
+    expect(isSent).toBe(true);
+  });
+
   // Guards against REFUSED and TWICE: the write may have run.
   it('leave a write with an unknown outcome, and do not let it run again', async () => {
     primary.answers.push({ kind: 'foreign' });
