--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -47,7 +47,7 @@
 const PREPARATION_PAUSE_MS = 50;
 /** SQLSTATE of a write on a read-only server: nothing of the statement was executed. */
 const READ_ONLY_SQLSTATE = '25006';
-/** Attempts after which a refused write is no longer retried. */
+/** Attempts after which a refused write or refused settings are no longer retried. */
 const MAX_ATTEMPTS = 4;
 
 /** Applies the session settings to the connection, then sends the request's messages. */
@@ -59,7 +59,8 @@
   const { connection } = running;
   request.running = running;
   if (!(await applySettings(connection, request.settings))) {
-    abandonBeforeStart(owner, request);
+    const isLastAttempt = !connection.isClosed && request.attempts >= MAX_ATTEMPTS;
+    abandonBeforeStart(owner, request, isLastAttempt);
     return;
   }
   const isBarred = request.session.pinned === undefined && isEvacuated(owner, running.server);
@@ -126,11 +127,8 @@
   return outcome.kind === 'done' && outcome.status === 'idle';
 }
 
-/**
- * Discards a connection before anything of the request was sent, so that the request can be
- * requeued.
- */
-function abandonBeforeStart(owner: GroupOwner, request: OwnerRequest): void {
+/** Discards a connection before anything of the request was sent; requeues the request or ends it as not run. */
+function abandonBeforeStart(owner: GroupOwner, request: OwnerRequest, isLastAttempt = false): void {
   const { running, session } = request;
   if (!running) return;
   discardConnection(running.pool, running.connection);
@@ -142,8 +140,13 @@
     return;
   }
   owner.environment.counters.count('retry.not-prepared');
-  request.notBeforeMs = performance.now() + PREPARATION_PAUSE_MS;
-  owner.scheduler.requeue(owner, request);
+  if (!isLastAttempt) {
+    request.notBeforeMs = performance.now() + PREPARATION_PAUSE_MS;
+    owner.scheduler.requeue(owner, request);
+    return;
+  }
+  endRequest(owner, request, 'idle', refuse('queue-timeout'));
+  owner.scheduler.schedule(owner);
 }
 
 function handleAnswer(
--- a/packages/statement-entry/src/target/match-answer.ts
+++ b/packages/statement-entry/src/target/match-answer.ts
@@ -95,11 +95,11 @@
     case 'run':
     case 'execute':
       return answer.isError
-        ? matchError(history, answer)
+        ? matchError(history, order, answer)
         : matchStatement(history, order, answer, history.state);
     case 'commit':
       if (!answer.isError) return matchStatement(history, order, answer, 'idle');
-      return mayBeOfSetup(history, answer) ? 'foreign' : 'fits';
+      return mayBeOfSetup(history, order, answer) ? 'foreign' : 'fits';
     case 'set':
     case 'reset':
     case 'prepare':
@@ -189,17 +189,31 @@
 }
 
 /** A server that is not in a transaction has refused its BEGIN, and may have run what followed outside of it. */
-function matchError(history: AnswerHistory, answer: ReceivedAnswer): AnswerMatch {
-  if (mayBeOfSetup(history, answer)) return 'foreign';
+function matchError(
+  history: AnswerHistory,
+  order: StatementOrder,
+  answer: ReceivedAnswer,
+): AnswerMatch {
+  if (mayBeOfSetup(history, order, answer)) return 'foreign';
   return history.state === 'open' && answer.state === 'idle' ? 'foreign' : 'fits';
 }
 
 /** Whether an error may be that of a setup before the statement, which may then run. */
-function mayBeOfSetup({ isSetupUnproven }: AnswerHistory, { refusal }: ReceivedAnswer): boolean {
-  // These refuse a position, a write or a prepared name, which no setup has.
-  const isOfStatement =
-    refusal === 'lagging' || refusal === 'read-only' || refusal === 'unknown-statement';
-  return isSetupUnproven && !isOfStatement;
+function mayBeOfSetup(
+  { state, isSetupUnproven }: AnswerHistory,
+  order: StatementOrder,
+  answer: ReceivedAnswer,
+): boolean {
+  return isSetupUnproven && (state !== 'idle' || !isRefusalOfStatement(order, answer));
+}
+
+/**
+ * Whether a refusal outside of transactions may be taken for that of the statement after a setup. No setup is refused for a
+ * position, a write or a prepared name, and a read that was refused as busy runs again, whichever order that was meant for.
+ */
+function isRefusalOfStatement(order: StatementOrder, { refusal }: ReceivedAnswer): boolean {
+  if (refusal === 'busy') return !isWrite(order);
+  return refusal === 'read-only' || refusal === 'lagging' || refusal === 'unknown-statement';
 }
 
 function matchStatement(
