Pause before a write is sent again to a primary that refused it as read-only

Cause: a write, or the BEGIN of a transaction that may write, that was refused as READONLY was queued again at once, and sent to the same server over a new connection for as long as the owner took it for the primary, which is until all servers have answered a status, or 350 ms. Each new connection takes a slot there.

Change: the server is left alone for 15 ms after it, as after BUSY. A statement of an open transaction does not have this effect, as its caller can cause READONLY by a write in a BEGIN READ.

--- a/packages/statement-entry/src/owner/foreign-answers.test.ts
+++ b/packages/statement-entry/src/owner/foreign-answers.test.ts
@@ -128,6 +128,26 @@
     await outcome;
   });
 
+  // Guards against a storm of connections to a primary that has lost the lead, until the owner has noticed.
+  it.each([{ inTransaction: false }, { inTransaction: true }])(
+    'do not let a write be refused as read-only on one connection after another, $inTransaction',
+    async ({ inTransaction }) => {
+      const readOnly = { kind: 'refused', code: 'read-only', state: 'idle' } as const;
+      primary.answers.push(...Array.from({ length: 100_000 }, () => readOnly));
+      const timer = setInterval(() => {
+        dispatch(fake.owner);
+      }, 5);
+      const transaction = inTransaction ? { number: 1, isReadOnly: false, isFirst: true } : null;
+      const outcome = runStatementAt(fake.owner, 'write', { transaction, startWithinMs: 200 });
+      await delay(250);
+      clearInterval(timer);
+      const attempts = primary.orders.filter(({ kind }) => kind === 'run' || kind === 'begin');
+      expect(attempts.length).toBeLessThan(50);
+      primary.answers.length = 0;
+      expect((await outcome).kind).toBe('not-run');
+    },
+  );
+
   // Guards against waits on a group without commits, where the second BEGIN of each connection cannot be told from the first.
   it('do not hold the server back if they may be the right ones on a connection used before', async () => {
     const first = { number: 1, isReadOnly: true, isFirst: true };
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -125,7 +125,7 @@
     if (answer.kind === 'refused') handleRefusal(owner, job, pooled.server, answer.code);
     else handleBrokenConnection(owner, job, pooled, answer);
     discardConnection(pooled);
-    requeueUnprepared(owner, job, answer, pooled.lastUsedMs > pooled.openedAtMs);
+    requeueUnprepared(owner, job, pooled, answer);
     return false;
   }
   const ref = job.request.transaction;
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -67,8 +67,7 @@
       handleRefusal(owner, job, pooled.server, code);
       discardConnection(pooled);
       if (code === 'malformed') endJob(owner, job, { kind: 'failed', text: 'malformed statement' });
-      else if (isPassing(code)) requeueJob(owner, job);
-      else requeueAfterFailedPreparation(owner, job);
+      else requeueRefused(owner, job, pooled.server, code);
       return;
     }
     case 'failed':
@@ -175,29 +174,36 @@
   return job.request.access === 'read' && job.unansweredRuns < MAX_UNANSWERED_RUNS;
 }
 
-/** Whether another server, or the same one later, may well take what was refused. */
-function isPassing(code: TargetRefusal): boolean {
-  return code === 'busy' || code === 'lagging' || code === 'read-only';
-}
-
 /**
  * Handles the answer to an order that prepares a connection for a statement. Each further attempt takes a new connection,
- * so that one which the servers do not carry out must not be made without a limit.
- *
- * @param wasUsed whether the connection has carried statements before, so that its answers are harder to tell apart
+ * so that one which the servers do not carry out must not be made without a limit. On a connection that has carried
+ * statements before, the right answer may look like an earlier one.
  */
 export function requeueUnprepared(
   owner: StatementOwner,
   job: Job,
+  { server, lastUsedMs, openedAtMs }: PooledConnection,
   answer: TargetAnswer,
-  wasUsed: boolean,
 ): void {
-  const isPassed =
-    answer.kind === 'refused'
-      ? isPassing(answer.code)
-      : answer.kind === 'lost' || answer.kind === 'overdue';
-  const isUnclear = answer.kind === 'foreign' && wasUsed;
-  if (isPassed || isUnclear) requeueJob(owner, job);
+  const wasUsed = lastUsedMs > openedAtMs;
+  if (answer.kind === 'refused') {
+    requeueRefused(owner, job, server, answer.code);
+    return;
+  }
+  const isBroken = answer.kind === 'lost' || answer.kind === 'overdue';
+  if (isBroken || (answer.kind === 'foreign' && wasUsed)) requeueJob(owner, job);
+  else requeueAfterFailedPreparation(owner, job);
+}
+
+function requeueRefused(
+  owner: StatementOwner,
+  job: Job,
+  server: ServerState,
+  code: TargetRefusal,
+): void {
+  // It is sent statements as the primary until the owner knows another one.
+  if (code === 'read-only') requeueAfterPause(owner, job, server);
+  else if (code === 'busy' || code === 'lagging') requeueJob(owner, job);
   else requeueAfterFailedPreparation(owner, job);
 }
 
