Refuse settings that change where a server takes a string to end

Cause, in the PostgreSQL dialect the first cause of the incident (two readers of one stream that disagree on where a message ends): the proxy parses statements with standard_conforming_strings on and in UTF-8, but let callers set that to off, and another client_encoding. SELECT '\''; SET ROLE other; --' is one read for the parser then, and three statements for the server: a reserved setting changed on a pooled connection, or a write that is neither counted as one nor kept from being run twice.

Change: both are unsupported with any other value, also as SET LOCAL and SET NAMES. Startup refused another client_encoding already.

Not tried with a real PostgreSQL.

--- a/packages/postgres-wire/src/classify-statement.ts
+++ b/packages/postgres-wire/src/classify-statement.ts
@@ -61,6 +61,15 @@
 /** Settings that select the role a statement runs as; only the proxy sets them. */
 const RESERVED_SETTINGS = new Set(['role', 'session_authorization']);
 
+/**
+ * Settings by which a server tells where a string ends, with the values that the parser here goes by. With any other one a
+ * part of what is a string here may be a statement there.
+ */
+const PARSER_SETTINGS: ReadonlyMap<string, RegExp> = new Map([
+  ['standard_conforming_strings', /^on$/i],
+  ['client_encoding', /^utf-?8$/i],
+]);
+
 /** Longer query strings are not cached: they rarely occur twice, and 5,000 of the longest would take 80 GB. */
 const MAX_CACHED_LENGTH = 4_096;
 
@@ -194,6 +203,10 @@
   if (RESERVED_SETTINGS.has(name)) {
     return { kind: 'unsupported', reason: `${name} is set by the system` };
   }
+  const parserValue = PARSER_SETTINGS.get(name);
+  if (parserValue && kind === 'VAR_SET_VALUE' && !parserValue.test(settingValue(node))) {
+    return { kind: 'unsupported', reason: `${name} cannot be changed` };
+  }
   if (kind === 'VAR_RESET_ALL') return { kind: 'reset', name: null };
   if (kind === 'VAR_RESET' || kind === 'VAR_SET_DEFAULT') {
     return node.is_local ? { kind: 'set-local' } : { kind: 'reset', name };
@@ -211,6 +224,15 @@
   return typeof name === 'string' ? name.toLowerCase() : '';
 }
 
+/** The value of a setting that is a single string or keyword; empty otherwise. */
+function settingValue({ args }: SyntaxNode): string {
+  const [value] = nodeList(args);
+  const constant = value && childNode(value, 'A_Const');
+  const text = constant?.sval;
+  const isText = typeof text === 'object' && text !== null && 'sval' in text;
+  return isText && typeof text.sval === 'string' ? text.sval : '';
+}
+
 function rejectTemporaryTable(node: SyntaxNode): StatementClassification | undefined {
   let isTemporary = false;
   const relation = childNode(node, 'relation');
