Apply each session setting also behind one that ends in a comment

Cause, in the PostgreSQL dialect: a caller's SET is kept with the comment behind it, and the settings of a session are applied to a connection in one query, joined by '; '. SET search_path = 'a' -- for reports hid the setting behind it, which counted as applied: the statements of the session ran with another value, and so did those of any session whose settings are the same, as long as the connection lived.

Change: each is on lines of its own.

Evidence: entry's foreign-answers.test.ts 'settings are applied one by one also if they end in a comment' failed before (one statement in place of two), and passes; packages/entry/src: 95 of 95 tests.

--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -19,6 +19,8 @@
   buildQuery,
   buildReadyForQuery,
   CLIENT,
+  loadParser,
+  parseStatements,
   readStringPayload,
   type WireMessage,
 } from '@bramleykeel/postgres-wire';
@@ -312,3 +314,23 @@
   expect(count).toBeGreaterThan(0);
   expect(count).toBeLessThan(5);
 });
+
+// Guards against PINNED: a comment at the end of one setting hid the next one, which counted as applied.
+it('settings are applied one by one also if they end in a comment', async () => {
+  await loadParser();
+  const applied: string[] = [];
+  const tested = await openSession({
+    onMessage: (message) => {
+      const text = queryText(message);
+      if (text === undefined) return [];
+      if (text.includes('SET')) applied.push(text);
+      return answerTo(text);
+    },
+  });
+  const settings = {
+    search_path: "SET search_path = 'a' -- for reports",
+    timezone: "SET timezone = 'UTC'",
+  };
+  await tested.run('SELECT x', 'read', settings);
+  expect(parseStatements(applied[0] ?? '')).toHaveLength(2);
+});
--- a/packages/entry/src/owner/request-run.ts
+++ b/packages/entry/src/owner/request-run.ts
@@ -103,10 +103,7 @@
   if (chunk.isFinal) writeBatched(connection.socket, nextEcho(connection, filter.sequence));
 }
 
-/**
- * Changes the connection's settings to those of the request's session. Returns whether this
- * succeeded.
- */
+/** Changes the connection's settings to those of the request's session. Returns whether this succeeded. */
 async function applySettings(
   connection: TargetConnection,
   sessionSettings: Readonly<Record<string, string>>,
@@ -119,7 +116,9 @@
     if (connection.settings.get(name) !== text) statements.push(text);
   }
   if (statements.length === 0) return true;
-  const outcome = await runInternalQuery(connection, statements.join('; '), SETTINGS_TIMEOUT_MS);
+  // A caller's SET may end in a comment, which ends with its line.
+  const text = statements.join('\n;\n');
+  const outcome = await runInternalQuery(connection, text, SETTINGS_TIMEOUT_MS);
   connection.settings = new Map(Object.entries(sessionSettings));
   return outcome.kind === 'done' && outcome.status === 'idle';
 }
