--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -29,7 +29,7 @@
 
 /** A primary and two replicas: what each of them has left without an answer is not tried again. */
 const MAX_UNANSWERED_RUNS = 3;
-/** A server that answered `busy` gets no statements for this long, in milliseconds. */
+/** A server that answered `busy`, or refused a write as read-only, gets no statements for this long, in milliseconds. */
 const BUSY_PAUSE_MS = 15;
 /**
  * A replica that refused a read because it lags gets no reads that require as new a position for this long, in
@@ -202,8 +202,9 @@
   code: TargetRefusal,
 ): void {
   // It is sent statements as the primary until the owner knows another one.
-  if (code === 'read-only') requeueAfterPause(owner, job, server);
-  else if (code === 'busy' || code === 'lagging') requeueJob(owner, job);
+  if (code === 'read-only')
+    server.busyUntilMs = Math.max(server.busyUntilMs, performance.now() + BUSY_PAUSE_MS);
+  if (code === 'read-only' || code === 'busy' || code === 'lagging') requeueJob(owner, job);
   else requeueAfterFailedPreparation(owner, job);
 }
 
