Check that a harmless copy leaves the connection open

What the check missed: foreign-answers.test 'before its echo does no harm if it is equal to the first' took the server's socket before the first request, when none was open, and `undefined?.destroyed` is not true. It could not fail.

--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -186,13 +186,15 @@
     const tested = await openSession(
       stutter((text) => (text === 'SELECT x' ? answerTo(text) : undefined)),
     );
-    const [socket] = tested.server.sockets;
     const { text, refusal } = await tested.run('SELECT x');
+    const sockets = [...tested.server.sockets];
     expect(refusal).toBeUndefined();
     expect(text.match(/row of SELECT x/g)).toHaveLength(1);
     expect(tested.closed).toEqual({ unused: 0, inRequest: 0, copies: 1 });
-    expect(socket?.destroyed).not.toBe(true);
     expect((await tested.run('SELECT y')).text).toContain('row of SELECT y');
+    expect(sockets).toHaveLength(1);
+    expect([...tested.server.sockets]).toEqual(sockets);
+    expect(sockets[0]?.destroyed).toBe(false);
   });
 
   it('ends the connection of an open transaction, which is reported as lost', async () => {
