Check that the server has repeated answers, and that transactions commit

What the check missed: the six cases of repeated-answers.test 'gives no caller a foreign answer' did not notice whether any copy was sent; setFaults ignored a request that failed.

Mutation: the stand-in repeats nothing. Before: the six cases passed. Now: 7 of 7 tests fail. The stand-in counts the copies that it sends, every second round repeats other answers, and each case needs an acknowledged insert and commit: 7 of 7 passed in three of three runs.

--- a/packages/system-tests/src/repeated-answers.test.ts
+++ b/packages/system-tests/src/repeated-answers.test.ts
@@ -15,6 +15,8 @@
 } from './test-cluster.js';
 
 const ROUNDS = 8;
+/** With the first one alone, no transaction commits in some of the cases. */
+const REPEAT_EVERY = [7, 11];
 const OUTCOME_UNKNOWN = '08007';
 const TRANSACTION_LOST = '57P03';
 const SERVER = `${GROUP}-1`;
@@ -35,9 +37,13 @@
 
 afterAll(() => testCluster.remove());
 
-async function setFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+/** Returns how many copies the server has sent so far. */
+async function setFaults(faults: Readonly<Record<string, unknown>>): Promise<number> {
   const { commandAddress } = cluster.plan.servers[0] ?? { commandAddress: '' };
-  await requestJson('POST', `http://${commandAddress}/faults`, faults, 5_000);
+  const answer = await requestJson('POST', `http://${commandAddress}/faults`, faults, 5_000);
+  const { copyCount } = (answer ?? {}) as { readonly copyCount?: number };
+  if (copyCount === undefined) throw new Error('the server did not take the faults');
+  return copyCount;
 }
 
 /** What callers saw while the server answered twice. */
@@ -138,9 +144,11 @@
   it.each(CASES)('$moment, $part, gives no caller a foreign answer', async ({ moment, part }) => {
     const seen: Observations = { wrong: [], outcomes: new Map(), inserts: new Map() };
     const client = await connect(cluster, 0);
-    await setFaults({ repeatsAnswers: moment, repeatedAnswers: part, repeatEvery: 7 });
+    const copiesBefore = await setFaults({ repeatsAnswers: 'never' });
     for (let round = 0; round < ROUNDS; round += 1) {
       const id = `${moment}-${part}-${round}`;
+      const repeatEvery = REPEAT_EVERY[round % REPEAT_EVERY.length];
+      await setFaults({ repeatsAnswers: moment, repeatedAnswers: part, repeatEvery });
       await readEach(client, seen, 'read');
       await insert(client, seen, `${id}-1`);
       await insert(client, seen, `${id}-2`);
@@ -148,9 +156,12 @@
       await delay(30);
       await runTransaction(seen, `${id}-tx`);
     }
-    await setFaults({ repeatsAnswers: 'never' });
+    const copyCount = (await setFaults({ repeatsAnswers: 'never' })) - copiesBefore;
     await client.end();
+    expect(copyCount).toBeGreaterThan(0);
     expect(seen.wrong).toEqual([]);
+    expect([...seen.inserts.values()]).toContain('answered');
+    expect([...seen.outcomes.keys()]).toContain('commit: answered');
     const written = await countInserts();
     for (const [id, outcome] of seen.inserts) {
       if (outcome === 'answered') expect([id, written.get(id)]).toEqual([id, 1]);
--- a/packages/test-support/src/stand-in/repeated-answers.ts
+++ b/packages/test-support/src/stand-in/repeated-answers.ts
@@ -24,6 +24,12 @@
 }
 
 let groupCount = 0;
+let copyCount = 0;
+
+/** Number of copies that were sent since the start of the process. */
+export function countCopies(): number {
+  return copyCount;
+}
 
 export function createAnswerRecord(): AnswerRecord {
   return { unfinished: [], finished: [], isRepeated: false };
@@ -46,7 +52,9 @@
   record.finished.push(answer);
   const { repeatsAnswers, repeatedAnswers } = serverContext.answerFaults;
   const isChosen = repeatedAnswers === 'all' || record.finished.length === 1;
-  return record.isRepeated && isChosen && repeatsAnswers === 'at-once' ? answer : undefined;
+  if (!record.isRepeated || !isChosen || repeatsAnswers !== 'at-once') return undefined;
+  copyCount += 1;
+  return answer;
 }
 
 /** Sends copies of the recorded answers. */
@@ -54,5 +62,8 @@
   const { finished, isRepeated } = output.record;
   if (phase !== 'ready' || !isRepeated || output.socket.destroyed) return;
   const isFirst = serverContext.answerFaults.repeatedAnswers === 'first';
-  for (const answer of isFirst ? finished.slice(0, 1) : finished) output.socket.write(answer);
+  for (const answer of isFirst ? finished.slice(0, 1) : finished) {
+    copyCount += 1;
+    output.socket.write(answer);
+  }
 }
--- a/packages/test-support/src/stand-in/stand-in-server.ts
+++ b/packages/test-support/src/stand-in/stand-in-server.ts
@@ -7,7 +7,7 @@
 import { startAnnouncer } from './announcer.js';
 import { serveConnection } from './connection.js';
 import type { ServerContext } from './connection-state.js';
-import type { AnswerFaults } from './repeated-answers.js';
+import { type AnswerFaults, countCopies } from './repeated-answers.js';
 import { type ReplicationFaults, runReplication, waitForLogEntries } from './replication.js';
 import { createStandInServer, executeCommand, promote } from './server-state.js';
 import { createSlots } from './slots.js';
@@ -137,7 +137,7 @@
         return executeCommand(server, JSON.parse(body) as TargetCommand);
       case 'POST /faults':
         Object.assign(faults, JSON.parse(body));
-        return faults;
+        return { ...faults, copyCount: countCopies() };
       case 'POST /leave':
         server.isLeaving = true;
         announcer.scheduleAnnouncement();
