Expect of responses that come twice what the HTTP parser does with them

'is not accepted from a response that precedes the command' accepted anything but one term.

The test now asks the parser once with a plain request, and expects the command's own response, or none, of all 40 commands by its result. The preceding response has to come back with its own term.

Mutation of target-commands: a response with `connection: close` and more data behind it is dropped. Before: 5 of 5 passed on Node.js 20.19.0. Now: 1 of 5 fails; 5 of 5 pass without the mutation. Not run on a version whose parser rejects such responses.

--- a/packages/entry/src/target/target-commands.test.ts
+++ b/packages/entry/src/target/target-commands.test.ts
@@ -1,3 +1,4 @@
+import { request } from 'node:http';
 import { createServer, type Socket } from 'node:net';
 import { toServerName } from '@bramleykeel/core';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -57,14 +58,36 @@
   return promise?.promisedTerm;
 }
 
+/**
+ * Whether the HTTP parser of this version of Node.js passes a response on that says it is the last one although more
+ * follows it in the same write; some versions reject it.
+ */
+function isAcceptedByParser(url: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const options = { method: 'POST', agent: false, headers: { connection: 'close' } };
+    const outgoing = request(url, options, (incoming) => {
+      incoming.on('error', () => {
+        resolve(false);
+      });
+      incoming.on('end', () => {
+        resolve(true);
+      });
+      incoming.resume();
+    });
+    outgoing.on('error', () => {
+      resolve(false);
+    });
+    outgoing.end(JSON.stringify({ term: 0 }));
+  });
+}
+
 // Guards against a repeated response that is taken for the answer to another command.
 describe('the response to a command', () => {
-  // The HTTP parsers of some versions of Node.js reject a response that says it is the last one if more follows it in the same write.
   const CASES = [
-    { connection: 'close', moment: 'at once', mayBeRejected: true },
-    { connection: 'keep-alive', moment: 'at once', mayBeRejected: false },
-    { connection: 'close', moment: 'late', mayBeRejected: false },
-    { connection: 'keep-alive', moment: 'late', mayBeRejected: false },
+    { connection: 'close', moment: 'at once' },
+    { connection: 'keep-alive', moment: 'at once' },
+    { connection: 'close', moment: 'late' },
+    { connection: 'keep-alive', moment: 'late' },
   ] as const;
 
   it.each(CASES)('is its own when responses come twice: $connection, $moment', async (each) => {
@@ -76,20 +99,21 @@
         setTimeout(() => socket.write(response), 5);
       }
     });
-    const expectAnswer = (term: number, answer: number | undefined) => {
-      if (answer !== undefined || !each.mayBeRejected) expect(answer).toBe(term);
-    };
-    for (let term = 1; term <= 20; term += 1) expectAnswer(term, await fence(url, term));
+    const isRejected =
+      each.connection === 'close' && each.moment === 'at once' && !(await isAcceptedByParser(url));
+    const connectionsBefore = connections();
+    const answerTo = (term: number) => (isRejected ? undefined : term);
+    for (let term = 1; term <= 20; term += 1) expect(await fence(url, term)).toBe(answerTo(term));
     const terms = Array.from({ length: 20 }, (_, index) => index + 21);
     const answers = await Promise.all(terms.map((term) => fence(url, term)));
-    for (const [index, term] of terms.entries()) expectAnswer(term, answers[index]);
-    expect(connections()).toBe(40);
+    expect(answers).toEqual(terms.map(answerTo));
+    expect(connections() - connectionsBefore).toBe(40);
   });
 
   it('is not accepted from a response that precedes the command', async () => {
     const { url } = await startHttpServer((term, socket) => {
       socket.write(responseTo(term - 1, 'keep-alive') + responseTo(term, 'keep-alive'));
     });
-    expect(await fence(url, 2)).not.toBe(2);
+    expect(await fence(url, 2)).toBe(1);
   });
 });
