Hold commits until a replica that has joined is on record

Cause: the owner recorded the servers of a group at most every two seconds. Commits that only the primary and a server without a record had received were passed on meanwhile, and the next owner waits for servers on record alone. Ruled out: the fence and the choice among the servers on record, which were right; a faster record alone, since commits would still be passed on until control has answered.

Change: a server that joins is recorded at once, one proposal at a time, and acknowledgements are held until control has answered or a replica on record reports the commit. Commands carry a number, so that one that arrives late does not undo a newer one. What may be recorded late is still limited to one record in two seconds.

--- a/packages/core/src/control-state/control-state.test.ts
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -233,4 +233,29 @@
     const restored = importControlState(exportControlState(state));
     expect(groupRecordOf(restored, GROUP).places ?? []).toHaveLength(expected);
   });
+
+  const placeOf = (name: string): ServerPlace => {
+    return { server: toServerName(name), address: '10.0.0.1:1', zone: 'a', slots: 2 };
+  };
+  const namesOf = (state: ControlState) =>
+    groupRecordOf(state, GROUP).places?.map(({ server }) => server);
+
+  // Guards against LOST: a record that arrived late took a server that had joined off the record.
+  it('are not undone by an older command of the same owner that arrives late', () => {
+    const state = createControlState();
+    applyCommand(state, 1, assign(1, 'e1'));
+    const store = (index: number, sequence: number, names: string[]) =>
+      applyCommand(state, index, {
+        ...{ kind: 'group/places', group: GROUP, ownerEpoch: 1 },
+        ...{ places: names.map(placeOf), sequence },
+      }).kind;
+    expect(store(2, 2, ['i-1', 'i-2'])).toBe('done');
+    expect(store(3, 1, ['i-1'])).toBe('superseded');
+    expect(namesOf(state)).toEqual(['i-1', 'i-2']);
+    expect(store(4, 3, ['i-1'])).toBe('done');
+    expect(namesOf(state)).toEqual(['i-1']);
+    applyCommand(state, 5, assign(2, 'e2'));
+    const next = { kind: 'group/places', group: GROUP, ownerEpoch: 2, sequence: 1 } as const;
+    expect(applyCommand(state, 6, { ...next, places: [] }).kind).toBe('done');
+  });
 });
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -83,11 +83,7 @@
       const servers = record.servers.filter((known) => known !== server);
       return putGroup(state, index, { ...record, servers });
     })
-    .with({ kind: 'group/places' }, ({ group, ownerEpoch, places, coveredTerm }) => {
-      const rejection = checkOwnerEpoch(state, group, ownerEpoch);
-      const record = groupRecordOf(state, group);
-      return rejection ?? putGroup(state, index, { ...record, places, coveredTerm });
-    })
+    .with({ kind: 'group/places' }, (stored) => applyPlaces(state, index, stored))
     .with({ kind: 'primary/propose' }, (propose) => applyPrimaryProposal(state, index, propose))
     .with({ kind: 'primary/commit' }, (commit) => applyPrimaryCommit(state, index, commit))
     .exhaustive();
@@ -235,6 +231,21 @@
   return { kind: 'done' };
 }
 
+function applyPlaces(
+  state: ControlState,
+  index: number,
+  { group, ownerEpoch, places, coveredTerm, sequence = 0 }: CommandOf<'group/places'>,
+): ApplyResult {
+  const rejection = checkOwnerEpoch(state, group, ownerEpoch);
+  if (rejection) return rejection;
+  const record = groupRecordOf(state, group);
+  const { placesFrom } = record;
+  if (placesFrom?.ownerEpoch === ownerEpoch && sequence < placesFrom.sequence)
+    return { kind: 'superseded', reason: 'newer places are on record' };
+  const stored = { ...record, places, coveredTerm, placesFrom: { ownerEpoch, sequence } };
+  return putGroup(state, index, stored);
+}
+
 function applyPrimaryProposal(
   state: ControlState,
   index: number,
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -51,6 +51,8 @@
   readonly proposedTerm: number;
   /** Places of the servers as last stored by an owner, for owners without announcements yet. */
   readonly places?: readonly ServerPlace[];
+  /** The owner that has stored them, and the number of its command; older commands of it are rejected. */
+  readonly placesFrom?: { readonly ownerEpoch: number; readonly sequence: number };
   /** The last term of whose primary the replicas among `places` are known to have all commits with which it started. */
   readonly coveredTerm?: number | undefined;
 }
@@ -116,6 +118,8 @@
       readonly group: GroupName;
       readonly ownerEpoch: number;
       readonly places: readonly ServerPlace[];
+      /** Increases with each command under an epoch, so that one that arrives late does not undo a newer one. */
+      readonly sequence?: number;
       readonly coveredTerm?: number | undefined;
     }
   | {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,6 +50,7 @@
 export * from './statements/explain-target.js';
 export * from './promotion/choose-successor.js';
 export * from './promotion/coverage.js';
+export * from './promotion/recorded-servers.js';
 export * from './placement/leader-placement.js';
 export * from './placement/evacuation-grace.js';
 export * from './placement/cold-limit.js';
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -11,6 +11,7 @@
 import { retireServer } from '../target/connection-pool.js';
 import { closeControlConnection } from '../target/server-control.js';
 import { dispatch, dropWaiting, expireWaiting, hasWaiting, notRun } from './dispatch.js';
+import { dropHeldCommits } from './hold-commits.js';
 import {
   createServerState,
   createStatementOwner,
@@ -18,7 +19,7 @@
   type StatementOwner,
 } from './owner-state.js';
 import { abortMisplacedTransactions, followEvacuations } from './placement.js';
-import { loadRecordedServers, UNKNOWN_BORN_MS } from './server-places.js';
+import { loadRecordedServers, recordServerPlaces, UNKNOWN_BORN_MS } from './server-places.js';
 import { dropTransaction } from './transactions.js';
 import { removeServer, watchPrimary } from './watch-primary.js';
 
@@ -86,6 +87,7 @@
     const { server, address, role } = announcement;
     owner.environment.log(`server ${server} of ${owner.group} is at ${address}, ${role}`);
   }
+  recordServerPlaces(owner);
   if (owner.leadership.kind !== 'changing') watchPrimary(owner);
   dispatch(owner);
 }
@@ -135,6 +137,7 @@
   if (owner.isClosed) return;
   dropWaiting(owner, () => true, notRun('no-owner'));
   owner.isClosed = true;
+  dropHeldCommits(owner);
   for (const timer of owner.timers) clearInterval(timer);
   for (const transaction of [...owner.transactions.values()]) dropTransaction(owner, transaction);
   for (const server of owner.servers.values()) {
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -9,6 +9,7 @@
   createCoverage,
   createStatementFates,
   createServerHealth,
+  createRecordedServers,
   createServerLoad,
   createShareClock,
   createStartOrder,
@@ -24,6 +25,7 @@
   type LogPosition,
   type PlacementBounds,
   type ReadDistribution,
+  type RecordedServers,
   recordStarted,
   type AcknowledgedPositions,
   type ServerAnnouncement,
@@ -192,11 +194,22 @@
   predictedWaitMs?: number;
   /** When it was judged again last while it waits; set under overload control. */
   judgedAtMs?: number;
+  /** Settles once its outcome is known; set while the acknowledgement of its commit is held. */
+  confirmation?: Promise<void>;
   /** Whether its caller has disconnected; it is not sent to a server any more. */
   isWithdrawn: boolean;
   isEnded: boolean;
 }
 
+/** A commit whose acknowledgement waits until control has servers on record. */
+export interface HeldCommit {
+  readonly position: LogPosition | null;
+  /** Servers that may be the only replicas that have received it. */
+  awaited: ReadonlySet<ServerName>;
+  /** Ends the wait; `isKnown` says whether a server on record has the commit. */
+  readonly end: (isKnown: boolean) => void;
+}
+
 /** The primary as verified by this owner. */
 export type Leadership =
   | { readonly kind: 'unknown'; readonly sinceMs: number }
@@ -235,6 +248,9 @@
   readonly servers: Map<ServerName, ServerState>;
   /** Whether the group's replicas hold all commits that former ones may have acknowledged. */
   readonly coverage: Coverage<ServerPlace>;
+  /** The servers that control has on record. */
+  readonly recordedServers: RecordedServers;
+  readonly heldCommits: Set<HeldCommit>;
   readonly queues: Map<number, FairQueue<Job>>;
   /** Slot time of the customers over all priorities under overload control. */
   readonly shareClock: ShareClock;
@@ -283,6 +299,7 @@
   environment: OwnerEnvironment,
 ): StatementOwner {
   const nowMs = performance.now();
+  const { places } = environment.groupRecord();
   const owner: StatementOwner = {
     group,
     epoch,
@@ -298,6 +315,8 @@
     },
     servers: new Map(),
     coverage: createCoverage(isPrimaryCovered(environment.groupRecord())),
+    recordedServers: createRecordedServers((places ?? []).map(({ server }) => server)),
+    heldCommits: new Set(),
     queues: new Map(),
     shareClock: createShareClock(),
     startOrder: createStartOrder(),
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -25,6 +25,7 @@
 } from './owner-state.js';
 import { homesOf, isEvacuated, isHomeOf } from './placement.js';
 import {
+  ANSWER_MARGIN_MS,
   handleBrokenConnection,
   handleRefusal,
   leadershipNumberOf,
@@ -40,8 +41,6 @@
 const SETUP_TIMEOUT_MS = 600;
 /** A write or commit unanswered for this long may be waiting for an unreachable replica. In milliseconds. */
 const STALLED_WRITE_MS = 600;
-/** Part of the deadline reserved for returning the answer to the caller, in milliseconds. */
-const ANSWER_MARGIN_MS = 5;
 
 /** Runs a statement on `server`, or on the connection of its transaction if that has one. */
 export async function runJob(
@@ -60,7 +59,9 @@
     else if (server) await runOnPooledConnection(owner, job, server);
     else endJob(owner, job, notRun('queue-timeout'));
   } finally {
-    owner.running.delete(job);
+    // A commit whose acknowledgement is held occupies no slot, but its group is not handed over before.
+    if (job.confirmation) void job.confirmation.finally(() => owner.running.delete(job));
+    else owner.running.delete(job);
     if (server) server.runningCount -= 1;
     const queue = owner.queues.get(job.request.priority);
     const nowMs = performance.now();
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -1,6 +1,11 @@
-import { recordPrimaryPosition, recordReplicaPosition, type ServerName } from '@bramleykeel/core';
+import {
+  recordPrimaryPosition,
+  recordReplicaPosition,
+  type ServerAnnouncement,
+  type ServerName,
+} from '@bramleykeel/core';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
+import { addFakeReplica, createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
 import {
   closeStatementOwner,
   startStatementOwner,
@@ -146,6 +151,39 @@
     expect(coveredTerms()).toEqual([undefined, 4]);
   });
 
+  // Guards against LOST: a replica that had joined in the last two seconds was not on record.
+  it('include a server that has joined at once, at any pace', async () => {
+    for (let round = 3; round < 8; round += 1) {
+      const { server } = joinReplica();
+      await Promise.resolve();
+      expect(fake.record.places?.map((place) => place.server)).toContain(server);
+    }
+  });
+
+  it('include servers that join while control has not answered, with its answer', async () => {
+    let release: () => void = () => undefined;
+    fake.commandGate = new Promise<void>((resolve) => {
+      release = resolve;
+    });
+    const proposals = () => fake.commands.filter(({ kind }) => kind === 'group/places');
+    const names = [joinReplica(), joinReplica(), joinReplica()].map(({ server }) => server);
+    expect(proposals()).toHaveLength(2);
+    delete fake.commandGate;
+    release();
+    await vi.waitFor(() => {
+      expect(fake.record.places?.map(({ server }) => server)).toEqual(
+        expect.arrayContaining(names),
+      );
+    });
+    expect(proposals()).toHaveLength(3);
+  });
+
+  function joinReplica(): ServerAnnouncement {
+    const announcement = addFakeReplica(fake);
+    applyServerAnnouncement(fake.owner, announcement);
+    return announcement;
+  }
+
   it('include servers that are leaving, and those whose commits the others may lack', () => {
     const server = fake.owner.servers.get('i-2' as ServerName);
     if (server) server.announcement = { ...server.announcement, isLeaving: true };
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -4,17 +4,21 @@
  * announce themselves again.
  */
 import {
+  beginRecording,
+  endRecording,
   type GroupRecord,
   hasUncoveredCommits,
   type ServerAnnouncement,
+  type ServerName,
   type ServerPlace,
   uncoveredPlaces,
 } from '@bramleykeel/core';
+import { releaseRecordedCommits, unrecordedServersOf } from './hold-commits.js';
 import { createServerState, type ServerState, type StatementOwner } from './owner-state.js';
 
 /**
- * Minimum time between two records, in milliseconds, so that servers that appear and disappear repeatedly do not
- * fill the control log.
+ * Minimum time between two records of what may be recorded late, in milliseconds, so that servers that appear and disappear
+ * repeatedly do not fill the control log.
  */
 const MIN_RECORD_INTERVAL_MS = 2_000;
 
@@ -54,26 +58,73 @@
 /**
  * Records the servers' addresses in control if they have changed. Servers that are leaving acknowledge commits until they
  * are gone, and those that are gone stay recorded while the others may lack their commits: an owner that finds no primary
- * has to know of them. For the same reason it is recorded, at once, when a replica has all that the primary started with.
+ * has to know of them. A server that has joined is recorded at once, because commits that it may have acknowledged are
+ * held until then; so is that a replica has all that the primary started with. All else is recorded at a limited rate.
  */
 export function recordServerPlaces(owner: StatementOwner): void {
-  const nowMs = performance.now();
-  const { environment, group, epoch: ownerEpoch } = owner;
-  const record = environment.groupRecord();
+  const { recordedServers } = owner;
+  if (recordedServers.proposed || owner.isClosed || !owner.environment.holdsLease()) return;
+  const record = owner.environment.groupRecord();
   const coveredTerm = coveredTermOf(owner, record);
+  const joined = unrecordedServersOf(owner);
   const isNewlyCovered =
     coveredTerm !== record.coveredTerm && coveredTerm !== owner.proposedCoveredTerm;
-  if (!isNewlyCovered && nowMs - owner.placesRecordedMs < MIN_RECORD_INTERVAL_MS) return;
-  const present = [...owner.servers.values()].map(placeOf);
-  const byName = new Map(
-    [...present, ...uncoveredPlaces(owner.coverage)].map((place) => [place.server, place]),
-  );
-  const places = [...byName.values()].sort((left, right) => (left.server < right.server ? -1 : 1));
+  const isUrgent = isNewlyCovered || joined.length > 0 || recordedServers.isUncertain;
+  const nowMs = performance.now();
+  if (!isUrgent && nowMs - owner.placesRecordedMs < MIN_RECORD_INTERVAL_MS) return;
+  const places = placesToRecord(owner);
   const isSame = JSON.stringify(places) === JSON.stringify(record.places ?? []);
-  if (places.length === 0 || (isSame && coveredTerm === record.coveredTerm)) return;
+  const isOnRecord = isSame && coveredTerm === record.coveredTerm && !recordedServers.isUncertain;
+  if (places.length === 0 || (isOnRecord && joined.length === 0)) return;
   owner.placesRecordedMs = nowMs;
   owner.proposedCoveredTerm = coveredTerm;
-  void environment.propose({ kind: 'group/places', group, ownerEpoch, places, coveredTerm });
+  void proposePlaces(owner, places, coveredTerm, joined);
+}
+
+function placesToRecord({ servers, coverage }: StatementOwner): ServerPlace[] {
+  const present = [...servers.values()].map(placeOf);
+  const byName = new Map(
+    [...present, ...uncoveredPlaces(coverage)].map((place) => [place.server, place]),
+  );
+  return [...byName.values()].sort((left, right) => (left.server < right.server ? -1 : 1));
+}
+
+/** Number of the last command of this process; the owner of an epoch never moves to another process. */
+let lastSequence = 0;
+
+function nextPlacesSequence(): number {
+  lastSequence += 1;
+  return lastSequence;
+}
+
+async function proposePlaces(
+  owner: StatementOwner,
+  places: readonly ServerPlace[],
+  coveredTerm: number | undefined,
+  joined: readonly ServerName[],
+): Promise<void> {
+  const { environment, group, epoch: ownerEpoch, recordedServers } = owner;
+  const names = places.map(({ server }) => server);
+  const startedAtMs = performance.now();
+  const sequence = nextPlacesSequence();
+  beginRecording(recordedServers, names);
+  const { kind } = await environment.propose({
+    kind: 'group/places',
+    ...{ group, ownerEpoch, places, sequence, coveredTerm },
+  });
+  endRecording(recordedServers, kind === 'done');
+  if (joined.length > 0 || kind !== 'done') {
+    environment.log('proposed the places of the servers to control', {
+      outcome: kind,
+      servers: names.join(' '),
+      joined: joined.join(' '),
+      elapsedMs: Math.round(performance.now() - startedAtMs),
+      heldCommits: owner.heldCommits.size,
+    });
+  }
+  if (kind !== 'done') return;
+  releaseRecordedCommits(owner);
+  if (unrecordedServersOf(owner).length > 0) recordServerPlaces(owner);
 }
 
 /** The term to record as covered; the one on record until that is known of the present primary. */
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -14,8 +14,9 @@
   recordFailure,
   releaseConnection,
 } from '../target/connection-pool.js';
-import type { TargetAnswer, TargetRefusal } from '../types/target-port.js';
+import type { ConnectionState, TargetAnswer, TargetRefusal } from '../types/target-port.js';
 import { endJob, notRun, requeueJob } from './dispatch.js';
+import { holdCommit } from './hold-commits.js';
 import type {
   Job,
   Leadership,
@@ -24,9 +25,12 @@
   ServerState,
   StatementOwner,
 } from './owner-state.js';
+import { recordServerPlaces } from './server-places.js';
 import { dropTransaction } from './transactions.js';
 import { suspectPrimary } from './watch-primary.js';
 
+/** Part of the deadline reserved for returning the answer to the caller, in milliseconds. */
+export const ANSWER_MARGIN_MS = 5;
 /** A primary and two replicas: what each of them has left without an answer is not tried again. */
 const MAX_UNANSWERED_RUNS = 3;
 /** A server that answered `busy`, or refused a write as read-only, gets no statements for this long, in milliseconds. */
@@ -39,6 +43,8 @@
 const LAGGING_PAUSE_MS = 100;
 const MAX_LAGGING_PAUSE_MS = 1_600;
 
+type DoneOutcome = Extract<StatementOutcome, { readonly kind: 'done' }>;
+
 /** Handles the answer to a statement outside of transactions. */
 export function settleStatement(
   owner: StatementOwner,
@@ -51,15 +57,15 @@
   switch (answer.kind) {
     case 'done': {
       const { rows, signature, position } = answer;
-      if (access === 'write' && !acknowledgeCommit(owner, job, position)) {
-        discardConnection(pooled);
-        endJob(owner, job, unconfirmedOutcome());
+      const isFromReplica = isReplica(owner, pooled.server);
+      if (isFromReplica) pooled.server.laggingPauseMs = 0;
+      const outcome = { kind: 'done', rows, signature, position, isFromReplica } as const;
+      if (access === 'write') {
+        endCommit(owner, job, pooled, outcome, 'idle');
         return;
       }
       releaseConnection(pooled);
-      const isFromReplica = isReplica(owner, pooled.server);
-      if (isFromReplica) pooled.server.laggingPauseMs = 0;
-      endJob(owner, job, { kind: 'done', rows, signature, position, isFromReplica });
+      endJob(owner, job, outcome);
       return;
     }
     case 'refused': {
@@ -117,18 +123,15 @@
   switch (answer.kind) {
     case 'done': {
       const { rows, signature, position, state } = answer;
-      if (isCommit) {
-        owner.transactions.delete(transaction.key);
-        if (!transaction.isReadOnly && !acknowledgeCommit(owner, job, position)) {
-          discardConnection(pooled);
-          endJob(owner, job, unconfirmedOutcome());
-          return;
-        }
-        if (state === 'idle') releaseConnection(pooled);
-        else discardConnection(pooled);
-      }
+      const outcome = { kind: 'done', rows, signature, position, isFromReplica } as const;
       transaction.hasBegun = true;
-      endJob(owner, job, { kind: 'done', rows, signature, position, isFromReplica });
+      if (isCommit) owner.transactions.delete(transaction.key);
+      if (isCommit && !transaction.isReadOnly) {
+        endCommit(owner, job, pooled, outcome, state);
+        return;
+      }
+      if (isCommit) releaseIfIdle(pooled, state);
+      endJob(owner, job, outcome);
       return;
     }
     case 'refused':
@@ -226,6 +229,36 @@
   return leadership.kind !== 'led' || leadership.server !== server.announcement.server;
 }
 
+/** Answers a commit, once a server on control's record is known to have it. */
+function endCommit(
+  owner: StatementOwner,
+  job: Job,
+  pooled: PooledConnection,
+  outcome: DoneOutcome,
+  state: ConnectionState,
+): void {
+  const { position } = outcome;
+  const held = holdCommit(owner, position, job.deadlineMs - ANSWER_MARGIN_MS);
+  if (held) {
+    recordServerPlaces(owner);
+    releaseIfIdle(pooled, state);
+    job.confirmation = held.then((isKnown) => {
+      const isPassedOn = isKnown && acknowledgeCommit(owner, job, position);
+      endJob(owner, job, isPassedOn ? outcome : unconfirmedOutcome());
+    });
+    return;
+  }
+  const isPassedOn = acknowledgeCommit(owner, job, position);
+  if (isPassedOn) releaseIfIdle(pooled, state);
+  else discardConnection(pooled);
+  endJob(owner, job, isPassedOn ? outcome : unconfirmedOutcome());
+}
+
+function releaseIfIdle(pooled: PooledConnection, state: ConnectionState): void {
+  if (state === 'idle') releaseConnection(pooled);
+  else discardConnection(pooled);
+}
+
 /**
  * Records the acknowledgement of a commit; returns whether it may be passed on. Otherwise the commit may be rolled back by
  * a change of primary.
@@ -273,7 +306,7 @@
 }
 
 function unconfirmedOutcome(): StatementOutcome {
-  return { kind: 'unknown', reason: 'the primary was replaced before the commit was confirmed' };
+  return { kind: 'unknown', reason: 'the commit was not confirmed' };
 }
 
 /** Records a successful answer and the log position that it reports. */
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -56,6 +56,7 @@
     if (server.failingSinceMs !== undefined && server !== primaryOf(owner))
       probeFailingServer(owner, server);
   }
+  recordServerPlaces(owner);
   const { leadership } = owner;
   switch (leadership.kind) {
     case 'unknown':
@@ -63,7 +64,6 @@
       return;
     case 'led': {
       const primary = owner.servers.get(leadership.server);
-      recordServerPlaces(owner);
       void checkReplicas(owner);
       void warmUpConnections(owner);
       if (primary && mayReaderUse(owner, primary)) void releaseFromReader(owner, primary);
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -8,6 +8,7 @@
   type GroupRecord,
   type HomeRules,
   type LogPosition,
+  type ServerAnnouncement,
   type ServerName,
   type ServerPlace,
   toCustomerName,
@@ -72,6 +73,8 @@
   readonly owner: StatementOwner;
   readonly servers: FakeServer[];
   readonly commands: ControlCommand[];
+  /** Control neither applies nor answers commands until this has settled; at once if absent. */
+  commandGate?: Promise<unknown>;
   readonly promotions: PromoteRequest[];
   readonly promoteOutcomes: PromoteOutcome[];
   readonly record: {
@@ -142,6 +145,17 @@
   return fake;
 }
 
+/** Adds a replica to the group, and returns its first announcement; the owner does not know it yet. */
+export function addFakeReplica(fake: FakeGroup): ServerAnnouncement {
+  const index = fake.servers.length;
+  const server = createFakeServer(index);
+  fake.servers.push(server);
+  return {
+    ...{ group, server: server.name, address: `10.0.0.${index}:1`, zone: `zone-${index}` },
+    ...{ slots: 2, role: 'replica', isLeaving: false, bornMs: 1, sequence: 1 },
+  };
+}
+
 function createFakeServer(index: number): FakeServer {
   return {
     name: `i-${index}` as ServerName,
@@ -193,8 +207,10 @@
     }),
     customers: () => [toCustomerName('one'), toCustomerName('other')],
     idleTransactionMs: () => 3_000,
-    propose: (command) => {
+    propose: async (command) => {
       fake().commands.push(command);
+      const { commandGate } = fake();
+      if (commandGate) await commandGate;
       if (command.kind === 'group/places') {
         const { places, coveredTerm } = command;
         Object.assign(fake().record, { places, coveredTerm });
@@ -203,7 +219,7 @@
       if (command.kind === 'primary/commit') {
         Object.assign(fake().record, { term: command.term, primary: command.server });
       }
-      return Promise.resolve({ kind: 'done' } as Awaited<ReturnType<OwnerEnvironment['propose']>>);
+      return { kind: 'done' };
     },
     openTarget: ({ server: name, customer, timeoutMs }) => {
       const server = fake().servers.find((each) => each.name === name);
