Put a successor on record before it is told to lead

Callers would see: acknowledged writes gone, if a server without a record is promoted for the commits that it alone has, and it and all processes are lost right after. The next owner took a primary without a place for lost.

Cause: promotion and places were recorded by commands of their own. Holding acknowledgements does not help, because the successor brings along commits that are acknowledged.

Change: the command that proposes a term names the place of the successor.

The two new tests failed on: the record had no place of the successor. They pass now.

--- a/packages/core/src/control-state/control-state.test.ts
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -258,4 +258,20 @@
     const next = { kind: 'group/places', group: GROUP, ownerEpoch: 2, sequence: 1 } as const;
     expect(applyCommand(state, 6, { ...next, places: [] }).kind).toBe('done');
   });
+
+  it('include the successor from the moment at which its term is proposed', () => {
+    const state = createControlState();
+    applyCommand(state, 1, assign(1, 'e1'));
+    const propose = (index: number, term: number, name: string, sequence: number) =>
+      applyCommand(state, index, {
+        ...{ kind: 'primary/propose', group: GROUP, ownerEpoch: 1, term },
+        successor: { place: placeOf(name), sequence },
+      }).kind;
+    expect(propose(2, 1, 'i-1', 1)).toBe('done');
+    expect(propose(3, 2, 'i-2', 3)).toBe('done');
+    expect(propose(4, 3, 'i-1', 4)).toBe('done');
+    expect(namesOf(state)?.sort()).toEqual(['i-1', 'i-2']);
+    const late = { kind: 'group/places', group: GROUP, ownerEpoch: 1, sequence: 2 } as const;
+    expect(applyCommand(state, 5, { ...late, places: [] }).kind).toBe('superseded');
+  });
 });
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -257,7 +257,13 @@
   if (command.term <= record.proposedTerm) {
     return { kind: 'superseded', reason: `term ${record.proposedTerm} was proposed already` };
   }
-  return putGroup(state, index, { ...record, proposedTerm: command.term });
+  const { term, ownerEpoch, successor } = command;
+  if (!successor) return putGroup(state, index, { ...record, proposedTerm: term });
+  const { place, sequence } = successor;
+  const others = (record.places ?? []).filter(({ server }) => server !== place.server);
+  const placesFrom = { ownerEpoch, sequence };
+  const places = [...others, place];
+  return putGroup(state, index, { ...record, proposedTerm: term, places, placesFrom });
 }
 
 function applyPrimaryCommit(
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -127,6 +127,8 @@
       readonly group: GroupName;
       readonly ownerEpoch: number;
       readonly term: number;
+      /** Where the server is that is to lead, with the number of the command as for `group/places`. */
+      readonly successor?: { readonly place: ServerPlace; readonly sequence: number };
     }
   | {
       readonly kind: 'primary/commit';
--- a/packages/statement-entry/src/owner/order-promotion.ts
+++ b/packages/statement-entry/src/owner/order-promotion.ts
@@ -3,6 +3,7 @@
 import { type ServerName } from '@bramleykeel/core';
 import { sendControlOrder, type ServerStatus } from '../target/server-control.js';
 import { type StatementOwner } from './owner-state.js';
+import { nextPlacesSequence, placeOf } from './server-places.js';
 import { isActiveOwner } from './take-over.js';
 
 /** Pause before an unanswered call is repeated, in milliseconds. */
@@ -22,11 +23,13 @@
 export async function orderPromotion(owner: StatementOwner, server: ServerName): Promise<boolean> {
   const { environment, group, epoch: ownerEpoch } = owner;
   const token = environment.groupRecord().proposedTerm + 1;
+  const chosen = owner.servers.get(server);
+  if (!chosen) return false;
+  // The next owner has to wait for it from the moment at which it may lead.
+  const successor = { place: placeOf(chosen), sequence: nextPlacesSequence() };
   const proposed = await environment.propose({
     kind: 'primary/propose',
-    group,
-    ownerEpoch,
-    term: token,
+    ...{ group, ownerEpoch, term: token, successor },
   });
   if (proposed.kind !== 'done' || !isActiveOwner(owner)) {
     environment.log(`control did not commit token ${token} for ${group}: ${proposed.kind}`);
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -6,13 +6,14 @@
 } from '@bramleykeel/core';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { addFakeReplica, createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
+import { orderPromotion } from './order-promotion.js';
 import {
   closeStatementOwner,
   startStatementOwner,
   applyServerAnnouncement,
   handleServerLeave,
 } from './owner-lifecycle.js';
-import type { StatementOwner } from './owner-state.js';
+import { createServerState, type StatementOwner } from './owner-state.js';
 import { recordServerPlaces } from './server-places.js';
 import { takeOver } from './take-over.js';
 import { checkReplicas } from './watch-replicas.js';
@@ -178,6 +179,15 @@
     expect(proposals()).toHaveLength(3);
   });
 
+  it('name the successor before it is told to lead', async () => {
+    const { server } = addFakeReplica(fake);
+    const announced = { ...fake.owner.servers.get('i-1' as ServerName)?.announcement };
+    const announcement = { ...announced, server, address: '10.0.0.9:1' } as ServerAnnouncement;
+    fake.owner.servers.set(server, createServerState(announcement, performance.now()));
+    expect(await orderPromotion(fake.owner, server)).toBe(true);
+    expect(fake.record.places).toContainEqual(expect.objectContaining({ server }));
+  });
+
   function joinReplica(): ServerAnnouncement {
     const announcement = addFakeReplica(fake);
     applyServerAnnouncement(fake.owner, announcement);
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -92,7 +92,7 @@
 /** Number of the last command of this process; the owner of an epoch never moves to another process. */
 let lastSequence = 0;
 
-function nextPlacesSequence(): number {
+export function nextPlacesSequence(): number {
   lastSequence += 1;
   return lastSequence;
 }
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -215,7 +215,14 @@
         const { places, coveredTerm } = command;
         Object.assign(fake().record, { places, coveredTerm });
       }
-      if (command.kind === 'primary/propose') fake().record.proposedTerm = command.term;
+      if (command.kind === 'primary/propose') {
+        const { term, successor } = command;
+        const others = (fake().record.places ?? []).filter(
+          ({ server }) => server !== successor?.place.server,
+        );
+        const places = successor && { places: [...others, successor.place] };
+        Object.assign(fake().record, { proposedTerm: term, ...places });
+      }
       if (command.kind === 'primary/commit') {
         Object.assign(fake().record, { term: command.term, primary: command.server });
       }
