Wait for the primary if all processes were lost and a replica may be unknown

Cause: a replica takes part in commits from its start. If all processes are lost before its announcement has reached anybody, the next owner takes the servers on record for all, and promotes the longest of their logs. Ruled out: a faster record, because nobody knows of the server; the position of a commit as evidence, because it may include later commits.

Change: without an acknowledged position the longest log is promoted only by an owner that knows all replicas: it has led a primary, or a control member says so that such an owner has told and that has run since. After the loss of the owner alone the members say so. After the loss of all processes the owner needs the primary, for a minute at most.

Two tests of change-primary.test.ts started an owner as after the loss of the owner alone without saying so; they now pass it the word of a member. The expectations are the same.

--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -50,12 +50,28 @@
 /** An unchanged announcement is shared again this often, well within the retention time. */
 const SHARE_INTERVAL_MS = 2_500;
 const OWNER_REQUEST_INTERVAL_MS = 400;
+/** Interval at which an owner that has not taken over what this member knows is sent it again. */
+const INTRODUCTION_INTERVAL_MS = 500;
+/** After a pause of this length, in milliseconds, announcements to other members may have been missed. */
+const MAX_REFRESH_GAP_MS = 2_000;
 
 interface StoredAnnouncement {
   readonly announcement: ServerAnnouncement;
   readonly atMs: number;
 }
 
+/** What the owner of a group under an epoch has taken over from this member. */
+interface Introduction {
+  readonly epoch: number;
+  atMs: number;
+  hasServers: boolean;
+  hasMembership: boolean;
+}
+
+function createIntroduction(epoch: number): Introduction {
+  return { epoch, atMs: Number.NEGATIVE_INFINITY, hasServers: false, hasMembership: false };
+}
+
 interface ReportedWork {
   readonly work: TargetWork;
   readonly atMs: number;
@@ -83,8 +99,11 @@
     { role: string; isLeaving: boolean; isCold: boolean; atMs: number }
   >();
   const links = new Map<string, LinkClient>();
-  const knownEpochs = new Map<GroupName, number>();
   const requestedAtMs = new Map<GroupName, number>();
+  /** Groups of whose servers this member has received all announcements since an owner knew all of them. */
+  const knownGroups = new Set<GroupName>();
+  const introductions = new Map<GroupName, Introduction>();
+  let refreshedAtMs = performance.now();
   return { announce, store, removeServer, busyTargetsIn, refresh, close };
 
   async function announce(announcement: ServerAnnouncement): Promise<boolean> {
@@ -153,6 +172,34 @@
     getMember()?.notifyMembers('server/keep', kept);
   }
 
+  /**
+   * Sends a new owner the known servers, and says whether these are all. After the loss of the owner and of all members nobody
+   * can tell, until an owner has led a primary again and the members have learnt from it that it knows all servers.
+   */
+  async function introduceServers(group: GroupName, { epoch, entryId }: Assignment): Promise<void> {
+    const nowMs = performance.now();
+    const last = introductions.get(group);
+    const current = last?.epoch === epoch ? last : createIntroduction(epoch);
+    if (current.hasMembership && knownGroups.has(group)) return;
+    if (nowMs - current.atMs < INTRODUCTION_INTERVAL_MS) return;
+    if (current !== last)
+      log(`group ${group} has owner ${entryId}, epoch ${epoch}; sending it the known servers`);
+    current.atMs = nowMs;
+    introductions.set(group, current);
+    if (!current.hasServers) {
+      const pending = [...latestAnnouncements.values()]
+        .filter(({ announcement }) => announcement.group === group)
+        .map(({ announcement }) => sendAnnouncement(announcement));
+      current.hasServers = (await Promise.all(pending)).every((isAccepted) => isAccepted);
+    }
+    if (!current.hasServers) return;
+    const params = [group, epoch, knownGroups.has(group)];
+    const isKnown = await askOwner(group, 'group/membership', params);
+    if (isKnown !== true || ownerOf(group)?.epoch !== epoch) return;
+    knownGroups.add(group);
+    current.hasMembership = true;
+  }
+
   async function removeServer(server: ServerName): Promise<void> {
     const latest = latestAnnouncements.get(server);
     latestAnnouncements.delete(server);
@@ -205,6 +252,8 @@
 
   function refresh(): void {
     const nowMs = performance.now();
+    if (nowMs - refreshedAtMs > MAX_REFRESH_GAP_MS) knownGroups.clear();
+    refreshedAtMs = nowMs;
     for (const [server, { atMs }] of latestAnnouncements) {
       if (nowMs - atMs > ANNOUNCEMENT_RETENTION_MS) latestAnnouncements.delete(server);
     }
@@ -218,14 +267,8 @@
       const owner = ownerOf(group);
       if (!owner) continue;
       needed.add(owner.linkAddress);
-      if (knownEpochs.get(group) === owner.epoch || !linkTo(owner.linkAddress).current()) continue;
-      knownEpochs.set(group, owner.epoch);
-      log(
-        `group ${group} has owner ${owner.entryId}, epoch ${owner.epoch}; sending it the known servers`,
-      );
-      for (const { announcement } of latestAnnouncements.values()) {
-        if (announcement.group === group) void sendAnnouncement(announcement);
-      }
+      if (!linkTo(owner.linkAddress).current()) continue;
+      void introduceServers(group, owner);
     }
     for (const [address, link] of links) {
       if (needed.has(address)) continue;
--- a/packages/core/src/placement/losses.test.ts
+++ b/packages/core/src/placement/losses.test.ts
@@ -106,6 +106,7 @@
     unfenced: unfenced.map(toServerName),
     mayPrimaryReturn: true,
     hasUncoveredCommits: false,
+    isMembershipKnown: true,
     acknowledged: at(10),
     isPlanned: false,
   });
--- a/packages/core/src/promotion/acknowledged-commits.test.ts
+++ b/packages/core/src/promotion/acknowledged-commits.test.ts
@@ -10,12 +10,16 @@
   recordPrimaryPosition,
   recordPrimaryStart,
   recordReplicaPosition,
+  uncoveredPlaces,
 } from './coverage.js';
+import { createRecordedServers, unrecordedServers } from './recorded-servers.js';
 
 /**
  * A group of servers and its owners under random orders of events: commits, replication, servers that go dark, fall deaf,
- * leave, restart without their log or are added, owners that are replaced, changes of primary in single steps, and answers
- * that arrive late. Checked at each promotion: every commit that a caller has as done is in the log of the successor, or in no
+ * leave, restart without their log or are added, owners that are replaced, losses of all processes at any moment, records that
+ * are made late, changes of primary in single steps, and answers that arrive late. A server acknowledges commits from its start,
+ * before the owner knows it; unless all processes are lost, the owner has its announcement before it chooses a
+ * successor. Checked at each promotion: every commit that a caller has as done is in the log of the successor, or in no
  * log any more if the owner takes it for lost.
  */
 
@@ -28,6 +32,8 @@
   isDark: boolean;
   isDeaf: boolean;
   isHeld: boolean;
+  /** Whether it took part in commits before any process had its announcement. */
+  wasUnknown: boolean;
 }
 
 interface Answer {
@@ -52,6 +58,7 @@
   /** The servers that it knows, including those that have left without its knowledge. */
   readonly servers: Map<string, Server>;
   readonly coverage: ReturnType<typeof createCoverage<Server>>;
+  isMembershipKnown: boolean;
   acknowledged: LogPosition | undefined;
   leader: Server | undefined;
   former: Server | undefined;
@@ -74,7 +81,13 @@
   };
 }
 
-function play(seed: number, steps: number) {
+interface PlayOptions {
+  readonly steps: number;
+  /** How often owners are lost right after a server has joined, in comparison to other events. */
+  readonly lossWeight: number;
+}
+
+function play(seed: number, { steps, lossWeight }: PlayOptions) {
   const random = createRandom(seed);
   const pick = <T>(items: readonly T[]): T | undefined =>
     items[Math.floor(random() * items.length)];
@@ -94,12 +107,13 @@
   let recordedPrimary: Server | undefined;
   /** The primary on record, once replicas are recorded to have all commits with which it started. */
   let coveredPrimary: Server | undefined;
+  let isMembershipKnownToMembers = true;
   let owner: Owner;
 
   const addServer = (name: string): Server => {
     const server: Server = {
       ...{ name, process: nextProcess, log: [] },
-      ...{ isDark: false, isDeaf: false, isHeld: false },
+      ...{ isDark: false, isDeaf: false, isHeld: false, wasUnknown: false },
     };
     nextProcess += 1;
     servers.push(server);
@@ -113,18 +127,27 @@
   [primary] = servers;
   recordedPrimary = primary;
   recorded = new Map(servers.map((server) => [server.name, server]));
-  owner = startOwner();
+  owner = startOwner(false);
 
-  function startOwner(): Owner {
+  /**
+   * Starts an owner with what control has on record, and what the members that are left have heard. One that has passed an
+   * announcement to the former owner may be lost before the others have it.
+   */
+  function startOwner(areMembersLost: boolean): Owner {
     epochCount += 1;
     const started: Owner = {
       epoch: epochCount,
       servers: new Map(recorded),
       coverage: createCoverage(coveredPrimary !== undefined && coveredPrimary === recordedPrimary),
+      isMembershipKnown: !areMembersLost && isMembershipKnownToMembers,
       ...{ acknowledged: undefined, leader: undefined, former: undefined },
       ...{ demoted: new Set<Server>(), chosen: undefined, inherited: undefined, leadership: 0 },
     };
-    for (const server of servers) announce(started, server);
+    isMembershipKnownToMembers = started.isMembershipKnown;
+    for (const server of servers) {
+      const isKnownToMembers = !areMembersLost && (server.wasUnknown || random() < 0.5);
+      if (isReachable(server) || isKnownToMembers) announce(started, server);
+    }
     return started;
   }
 
@@ -144,12 +167,19 @@
   }
 
   function record(): void {
-    if (!owner.leader) return;
     recorded = new Map(owner.servers);
-    if (!hasUncoveredCommits(owner.coverage)) coveredPrimary = owner.leader;
+    if (owner.leader && !hasUncoveredCommits(owner.coverage)) coveredPrimary = owner.leader;
     for (const { place } of owner.coverage.gaps) if (place) recorded.set(place.name, place);
   }
 
+  /** Whether a commit that was answered now may be on servers alone of which control has no record. */
+  function isHeld(): boolean {
+    const names = (places: Iterable<Server>) => [...places].map(({ name }) => toServerName(name));
+    const onRecord = createRecordedServers(names(recorded.values()));
+    const departed = uncoveredPlaces(owner.coverage);
+    return unrecordedServers(onRecord, names([...owner.servers.values(), ...departed])).length > 0;
+  }
+
   /** Appends a commit; answers wait for a replica. */
   const running: Omit<Answer, 'position'>[] = [];
   function commit(): void {
@@ -160,8 +190,7 @@
     nextCommit += 1;
   }
 
-  function replicate(): void {
-    const replica = pick(servers.filter((server) => server !== primary));
+  function replicate(replica = pick(servers.filter((server) => server !== primary))): void {
     if (!replica || primary?.isDark !== false) return;
     if (replica.isDark || replica.isDeaf || replica.isHeld) return;
     replica.log = [...primary.log];
@@ -173,6 +202,11 @@
   }
 
   function deliverAnswer(): void {
+    if (isHeld()) {
+      // A held commit has the owner record the servers; control takes its time.
+      if (random() < 0.5) record();
+      return;
+    }
     const answer = answers.splice(Math.floor(random() * answers.length), 1)[0];
     if (answer?.owner !== owner.epoch) return;
     const isUnderThis = answer.leadership === owner.leadership;
@@ -193,6 +227,8 @@
     owner.inherited = owner.chosen?.position;
     Object.assign(owner, { former: undefined, chosen: undefined, demoted: new Set() });
     owner.acknowledged = endOf(server);
+    owner.isMembershipKnown = true;
+    isMembershipKnownToMembers = true;
     recordedPrimary = server;
     if (isNewTerm) coveredPrimary = undefined;
     recordPrimaryStart(owner.coverage, endOf(server), nowMs);
@@ -219,6 +255,9 @@
   function fenceAndChoose(isPlanned: boolean): void {
     const { chosen } = owner;
     if (owner.leader || (chosen && isAlive(chosen.server))) return;
+    for (const server of servers)
+      if (isReachable(server) || (owner.isMembershipKnown && server.wasUnknown))
+        announce(owner, server);
     const reached = [...owner.servers.values()].filter(isReachable);
     const leads = primary !== undefined && reached.includes(primary);
     const plans = isPlanned && leads && running.length === 0 && answers.length === 0;
@@ -242,6 +281,7 @@
       unfenced: unreached.filter((s) => s !== owner.former).map(({ name }) => toServerName(name)),
       mayPrimaryReturn: owner.former !== undefined && unreached.includes(owner.former),
       hasUncoveredCommits: hasUncoveredCommits(owner.coverage),
+      isMembershipKnown: owner.isMembershipKnown,
       acknowledged: owner.acknowledged,
       isPlanned: plans,
     });
@@ -261,6 +301,8 @@
     const lost = [...done].filter((each) => !server.log.includes(each));
     expect(lost, `seed ${seed}: ${server.name} is promoted without commits`).toEqual([]);
     promotionCount += 1;
+    // Control has it on record before it is told to lead.
+    recorded.set(server.name, server);
     primary = server;
     term += 1;
     running.length = 0;
@@ -283,18 +325,61 @@
   /** A server ends with its log; another process starts under its name, or a new server joins. */
   function endServer(server: Server | undefined, isRestarted: boolean): void {
     if (!server || server.isDark) return;
+    // It has announced itself by then, and control has recorded it.
+    announce(owner, server);
+    record();
     servers.splice(servers.indexOf(server), 1);
     if (server === primary) primary = undefined;
     const next = addServer(isRestarted ? server.name : `s${nextProcess}`);
     if (!isRestarted) removeServer(owner, server);
-    announce(owner, next);
+    join(next);
+  }
+
+  function join(server: Server): void {
+    server.wasUnknown = random() < 0.5;
+    if (!server.wasUnknown) announce(owner, server);
+  }
+
+  /**
+   * The owner is lost, with or without all control members, right after a server has joined that has taken part in commits.
+   * Often both servers that have these commits go dark with it.
+   */
+  function loseOwnerAfterJoin(areMembersLost: boolean): void {
+    adopt();
+    for (const replica of servers) if (replica !== primary) replicate(replica);
+    nowMs += 2 * STEP_MS * 4;
+    check();
+    record();
+    const joined = addServer(`s${nextProcess}`);
+    join(joined);
+    for (let count = Math.floor(random() * 8); count > 0; count -= 1)
+      pick([
+        commit,
+        () => {
+          replicate(joined);
+        },
+        deliverAnswer,
+        record,
+      ])?.();
+    joined.isDark = random() < 0.8;
+    if (primary) primary.isDark ||= random() < 0.8;
+    owner = startOwner(areMembersLost);
+    if (random() < 0.5) return;
+    startChange();
+    fenceAndChoose(false);
+    promote();
   }
 
   const pickReplica = () => pick(servers.filter((each) => each !== primary && !each.isDark));
 
   const events: readonly (readonly [weight: number, event: () => void])[] = [
     [12, commit],
-    [14, replicate],
+    [
+      14,
+      () => {
+        replicate();
+      },
+    ],
     [10, deliverAnswer],
     [3, record],
     [4, check],
@@ -339,9 +424,12 @@
     [
       1,
       () => {
-        // Servers that have ended count as lost for good after a long silence.
+        // Servers that have ended count as lost for good after a long silence, in which another process under the same
+        // name would have announced itself.
+        const names = new Set(servers.map(({ name }) => name));
         for (const server of owner.servers.values())
-          if (!isAlive(server)) removeServer(owner, server);
+          if (!isAlive(server) && !names.has(server.name)) removeServer(owner, server);
+        owner.isMembershipKnown ||= servers.every((each) => owner.servers.get(each.name) === each);
       },
     ],
     [2, startChange],
@@ -362,7 +450,20 @@
     [
       1,
       () => {
-        owner = startOwner();
+        owner = startOwner(false);
+      },
+    ],
+    [
+      lossWeight,
+      () => {
+        loseOwnerAfterJoin(random() < 0.5);
+      },
+    ],
+    [
+      4,
+      () => {
+        const server = pick(servers);
+        if (server && isReachable(server)) announce(owner, server);
       },
     ],
   ];
@@ -386,11 +487,19 @@
     let commits = 0;
     const seeds = Array.from({ length: SEEDS }, (_, index) => index + 1);
     for (const seed of [...seeds, ...SEEDS_OF_FAULTS]) {
-      const { promotionCount, doneCount } = play(seed, 600);
+      const { promotionCount, doneCount } = play(seed, { steps: 1_000, lossWeight: 0.4 });
       promotions += promotionCount;
       commits += doneCount;
     }
     expect(promotions).toBeGreaterThan(SEEDS);
     expect(commits).toBeGreaterThan(SEEDS * 5);
   });
+
+  // Guards against LOST: after the loss of all processes nothing told the next owner of a replica that had just joined.
+  it('are kept if owners are lost right after servers have joined', () => {
+    let promotions = 0;
+    for (let seed = 1; seed <= SEEDS * 10; seed += 1)
+      promotions += play(seed, { steps: 60, lossWeight: 10 }).promotionCount;
+    expect(promotions).toBeGreaterThan(SEEDS);
+  });
 });
--- a/packages/core/src/promotion/choose-successor.test.ts
+++ b/packages/core/src/promotion/choose-successor.test.ts
@@ -27,6 +27,7 @@
   unfenced: [],
   mayPrimaryReturn: true,
   hasUncoveredCommits: false,
+  isMembershipKnown: true,
   acknowledged: at(10),
   isPlanned: false,
 };
--- a/packages/core/src/promotion/choose-successor.ts
+++ b/packages/core/src/promotion/choose-successor.ts
@@ -8,7 +8,8 @@
  *    - the newest position that the owner knows to be acknowledged, which covers former owners too,
  *    - or the end of the log of the primary, once that has given up its role,
  *    - or the end of the longest log among all replicas that may have received a commit that no other one has. None of
- *      these may still acknowledge commits: each has to be fenced.
+ *      these may still acknowledge commits: each has to be fenced. An owner that may not know all
+ *      replicas, because all processes were lost before it started, needs the primary.
  * 2. A replica that left, restarted or was removed still counts among them, until another one is known to have
  *    received what it had (`Coverage`). So does one that the owner cannot reach, and what a primary had at its start until
  *    a replica is known to have it; the owner records that, because the next one cannot tell.
@@ -41,6 +42,11 @@
   readonly mayPrimaryReturn: boolean;
   /** Whether a replica that is gone may have received commits that no other replica has. */
   readonly hasUncoveredCommits: boolean;
+  /**
+   * Whether the owner knows all replicas of the group that may return. After the loss of all processes, one that had joined
+   * shortly before may be neither on record nor announced.
+   */
+  readonly isMembershipKnown: boolean;
   /** Position up to which commits may be acknowledged; `undefined` if the owner does not know it. */
   readonly acknowledged: LogPosition | undefined;
   /** Whether the primary still leads and is replaced as planned; servers are not fenced then. */
@@ -64,7 +70,11 @@
     }
   | {
       readonly kind: 'wait';
-      readonly reason: 'no-candidate' | 'behind-acknowledged' | 'replica-may-acknowledge';
+      readonly reason:
+        | 'no-candidate'
+        | 'behind-acknowledged'
+        | 'replica-may-acknowledge'
+        | 'replica-may-be-unknown';
     };
 
 /** Places of a successor, best first. */
@@ -93,10 +103,14 @@
   if (demoted && (!acknowledged || coversMark(demoted.position, acknowledged)))
     return promote(demoted, 'is-former-primary');
   if (!best) return { kind: 'wait', reason: 'no-candidate' };
-  if (unfenced.length === 0 && !demoted && !context.mayPrimaryReturn)
-    return promote(best, 'others-are-lost');
-  const isBehind = acknowledged !== undefined || unfenced.length === 0;
-  return { kind: 'wait', reason: isBehind ? 'behind-acknowledged' : 'replica-may-acknowledge' };
+  if (unfenced.length > 0)
+    return {
+      kind: 'wait',
+      reason: acknowledged ? 'behind-acknowledged' : 'replica-may-acknowledge',
+    };
+  if (!context.isMembershipKnown) return { kind: 'wait', reason: 'replica-may-be-unknown' };
+  if (!demoted && !context.mayPrimaryReturn) return promote(best, 'others-are-lost');
+  return { kind: 'wait', reason: 'behind-acknowledged' };
 }
 
 function promote({ server, position }: FencedServer, ground: SuccessorGround): SuccessorChoice {
@@ -107,12 +121,14 @@
   { position }: FencedServer,
   isLongest: boolean,
   demoted: FencedServer | undefined,
-  { acknowledged, unfenced, hasUncoveredCommits, isPlanned }: SuccessorContext,
+  context: SuccessorContext,
 ): SuccessorGround | undefined {
+  const { acknowledged, unfenced, hasUncoveredCommits, isPlanned } = context;
   if (acknowledged && coversMark(position, acknowledged)) return 'reaches-acknowledged';
   if (isPlanned) return undefined;
   if (demoted && coversMark(position, demoted.position)) return 'reaches-former-primary';
-  const isLongestOfAll = isLongest && unfenced.length === 0 && !hasUncoveredCommits;
+  const areAllFenced = context.isMembershipKnown && unfenced.length === 0;
+  const isLongestOfAll = isLongest && areAllFenced && !hasUncoveredCommits;
   return isLongestOfAll ? 'longest-of-all' : undefined;
 }
 
--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -11,6 +11,7 @@
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
 import { changePrimary } from './change-primary.js';
 import { dispatch } from './dispatch.js';
+import { exchangeMembership, LOST_FOR_GOOD_MS } from './membership.js';
 import { acceptStatement } from './owner-app.js';
 import {
   applyServerAnnouncement,
@@ -272,6 +273,7 @@
   it('waits for an unreachable replica, also one that was leaving', async () => {
     near.reachability = 'dark';
     owner = startStatementOwner(owner.group, 2, owner.environment);
+    exchangeMembership(owner, true);
     await delay(7_000);
     expect(promotedServers()).toEqual([]);
     near.reachability = 'up';
@@ -294,8 +296,26 @@
     await expectWaitForPrimary(5_000);
   }, 15_000);
 
+  // Guards against LOST: after the loss of all processes nobody knew of a replica that had joined right before.
+  it('waits for the primary if no control member knows whether there are other replicas', async () => {
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    expect(exchangeMembership(owner, false)).toBe(false);
+    await expectWaitForPrimary(5_000);
+    expect(exchangeMembership(owner, false)).toBe(true);
+  }, 15_000);
+
+  it('does not wait longer than a minute for replicas that nobody knows', async () => {
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    Object.assign(owner, { startedAtMs: performance.now() - LOST_FOR_GOOD_MS + 4_000 });
+    await delay(3_500);
+    expect(promotedServers()).toEqual([]);
+    await until(() => owner.leadership.kind === 'led');
+    expect(promotedServers()).toEqual([near.name]);
+  }, 15_000);
+
   it('promotes the longest log once all replicas are fenced', async () => {
     owner = startStatementOwner(owner.group, 2, owner.environment);
+    exchangeMembership(owner, true);
     await delay(3_500);
     await until(() => owner.leadership.kind === 'led');
     expect(promotedServers()).toEqual([near.name]);
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -23,6 +23,7 @@
   type ServerState,
   type StatementOwner,
 } from './owner-state.js';
+import { isMembershipKnown } from './membership.js';
 import { placementOf } from './placement.js';
 import { dropTransaction } from './transactions.js';
 import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
@@ -275,11 +276,12 @@
 }
 
 function describeContext(context: SuccessorContext) {
-  const { unfenced, mayPrimaryReturn, hasUncoveredCommits: isUncovered, acknowledged } = context;
+  const { unfenced, mayPrimaryReturn, acknowledged } = context;
   return {
     unfenced: unfenced.join(' '),
     mayPrimaryReturn,
-    hasUncoveredCommits: isUncovered,
+    isMembershipKnown: context.isMembershipKnown,
+    hasUncoveredCommits: context.hasUncoveredCommits,
     acknowledged: acknowledged && `${acknowledged.term}.${acknowledged.offset}`,
   };
 }
@@ -351,6 +353,7 @@
       .map(({ announcement }) => announcement.server),
     mayPrimaryReturn: former !== undefined && unreached.includes(former),
     hasUncoveredCommits: hasUncoveredCommits(owner.coverage),
+    isMembershipKnown: isMembershipKnown(owner),
     acknowledged: owner.acknowledgedPositions && newestAcknowledged(owner.acknowledgedPositions),
     isPlanned,
   };
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -78,6 +78,8 @@
    * this entry has received the assignment.
    */
   readonly earlyAnnouncements: Map<ServerName, EarlyAnnouncement>;
+  /** Epochs whose owner has closed after a lost lease, and knew all servers of its group. */
+  readonly knownMemberships: Map<GroupName, number>;
   /** The newest ended epoch of each group; no owner starts under it or an older one again. */
   readonly endedEpochs: Map<GroupName, number>;
 }
@@ -96,6 +98,7 @@
     owners: new Map(),
     closedOwners: new Set(),
     earlyAnnouncements: new Map(),
+    knownMemberships: new Map(),
     endedEpochs: new Map(),
   };
 }
@@ -167,6 +170,7 @@
     propose: (command) => propose(control, command),
   };
   const owner = startStatementOwner(group, epoch, environment);
+  if (registry.knownMemberships.get(group) === epoch) owner.isMembershipKnown = true;
   registry.owners.set(group, owner);
   const receivedSinceMs = performance.now() - EARLY_ANNOUNCEMENT_RETENTION_MS;
   for (const { announcement, receivedAtMs } of registry.earlyAnnouncements.values()) {
@@ -306,10 +310,11 @@
 
 /** Closes all owners after a lost lease; their epochs do not end, because control may renew the lease. */
 export function closeAllStatementOwners(registry: StatementOwnerRegistry): void {
-  const { owners, closedOwners } = registry;
+  const { owners, closedOwners, knownMemberships } = registry;
   for (const former of closedOwners) if (former.running.size === 0) closedOwners.delete(former);
   for (const owner of owners.values()) {
     closeStatementOwner(owner);
+    if (owner.isMembershipKnown) knownMemberships.set(owner.group, owner.epoch);
     if (owner.running.size > 0) closedOwners.add(owner);
   }
   owners.clear();
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -251,6 +251,11 @@
   /** The servers that control has on record. */
   readonly recordedServers: RecordedServers;
   readonly heldCommits: Set<HeldCommit>;
+  /**
+   * Whether this owner knows all replicas: it has led a primary, or a control member that was told by such an owner has run
+   * since then.
+   */
+  isMembershipKnown: boolean;
   readonly queues: Map<number, FairQueue<Job>>;
   /** Slot time of the customers over all priorities under overload control. */
   readonly shareClock: ShareClock;
@@ -317,6 +322,8 @@
     coverage: createCoverage(isPrimaryCovered(environment.groupRecord())),
     recordedServers: createRecordedServers((places ?? []).map(({ server }) => server)),
     heldCommits: new Set(),
+    // No commit is acknowledged before the servers of the group are on record.
+    isMembershipKnown: places === undefined,
     queues: new Map(),
     shareClock: createShareClock(),
     startOrder: createStartOrder(),
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -10,6 +10,7 @@
   sendControlOrderToAll,
   probeServer,
 } from '../target/server-control.js';
+import { LOST_FOR_GOOD_MS } from './membership.js';
 import { isLost, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { plannedReasonFor } from './placement.js';
 import { placeOf, recordServerPlaces } from './server-places.js';
@@ -28,12 +29,7 @@
 const STALLED_WRITE_WINDOW_MS = 1_500;
 /** Stalled commits cause no further change of primary for this long after a promotion, in milliseconds. */
 const MIN_STALL_CHANGE_INTERVAL_MS = 6_000;
-/**
- * An unreachable server that has sent no announcement for this long, in milliseconds, is taken to be lost for good.
- * Until then a change of primary may have to wait for the commits in its log.
- */
-const LOST_FOR_GOOD_MS = 60_000;
-/** The same for a server that has never answered, in milliseconds. */
+/** A server that has never answered is taken to be lost after this time, in milliseconds. */
 const NEVER_REACHED_MS = 12_000;
 
 const PLANNED_REASON_TEXTS: Readonly<Record<PlannedChangeReason, string>> = {
