Break the import circle of the owner's files

Answering statements (end-job.ts) and the waiting ones (job-queue.ts) no longer live beside the dispatcher; the dispatcher goes on by itself when a statement has ended; setting the primary has its own file; what watches the primary is called through the owner. No other change of behaviour is meant.

--- a/packages/core/src/promotion/recorded-servers.ts
+++ b/packages/core/src/promotion/recorded-servers.ts
@@ -6,6 +6,7 @@
  * the owner knows, and that may have received the commit, is on record.
  */
 import type { ServerName } from '../types/ids.js';
+import type { LogPosition } from '../types/position.js';
 
 export interface RecordedServers {
   /** Servers that are on record whatever becomes of the proposals of this owner. */
@@ -16,6 +17,15 @@
   isUncertain: boolean;
 }
 
+/** A commit whose acknowledgement waits until control has servers on record. */
+export interface HeldCommit {
+  readonly position: LogPosition | null;
+  /** Servers that may be the only replicas that have received it. */
+  awaited: ReadonlySet<ServerName>;
+  /** Ends the wait; `isKnown` says whether a server on record has the commit. */
+  readonly end: (isKnown: boolean) => void;
+}
+
 /** @param names the servers on record when the owner starts */
 export function createRecordedServers(names: Iterable<ServerName>): RecordedServers {
   return { confirmed: new Set(names), proposed: undefined, isUncertain: false };
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -19,6 +19,7 @@
 } from '../target/server-control.js';
 import {
   type ChangingLeadership,
+  isActiveOwner,
   primaryOf,
   type ServerState,
   type StatementOwner,
@@ -26,7 +27,7 @@
 import { isMembershipKnown } from './membership.js';
 import { placementOf } from './placement.js';
 import { dropTransaction } from './transactions.js';
-import { newestPrimary, setPrimary, isActiveOwner } from './take-over.js';
+import { newestPrimary, setPrimary } from './set-primary.js';
 import { orderPromotion, awaitPrimaryRole } from './order-promotion.js';
 
 /** Time that open transactions get to commit before a leaving primary is replaced, in milliseconds. */
--- a/packages/statement-entry/src/owner/dispatch.ts
+++ b/packages/statement-entry/src/owner/dispatch.ts
@@ -1,22 +1,19 @@
 /** The owner's queue: assigns waiting statements to servers and expires those that waited too long. */
 import {
-  createFairQueue,
   dequeue,
   enqueue,
-  type FairQueue,
   isQueueFull,
-  newestAcknowledged,
   type QueuedItem,
   removeWaiting,
   type ServerName,
-  type StatementOutcome,
   type TargetView,
   removeExpired,
   takeNext,
   waitingCount,
 } from '@bramleykeel/core';
-import type { LogFields } from '@bramleykeel/link';
 import { judgeArrival, recordWait, removeLate, withoutNeededPrimary } from './admission.js';
+import { endJob, isOverloadControlled, notRun, RETRY_AFTER_MS } from './end-job.js';
+import { hasWaiting, queueOf } from './job-queue.js';
 import type { Job, ServerState, StatementOwner } from './owner-state.js';
 import {
   homesOf,
@@ -38,10 +35,7 @@
 } from './server-choice.js';
 import { dropTransaction } from './transactions.js';
 
-const MAX_WAITING_PER_CUSTOMER = 400;
-/** Retry delay sent to callers with refusals, in milliseconds. */
-const RETRY_AFTER_MS = 200;
-/** The same while a change of primary waits for a server to return, which takes seconds. In milliseconds. */
+/** Retry delay sent to callers while a change of primary waits for a server to return, in milliseconds. */
 const BLOCKED_RETRY_AFTER_MS = 1_000;
 
 /** Why a statement is not queued, and when its caller may try again. */
@@ -97,21 +91,6 @@
   return isFull ? { reason: 'queue-full', retryAfterMs: RETRY_AFTER_MS } : undefined;
 }
 
-function queueOf(owner: StatementOwner, priority: number): FairQueue<Job> {
-  const existing = owner.queues.get(priority);
-  if (existing) return existing;
-  // Under overload control the predicted wait limits what waits.
-  const created = isOverloadControlled(owner)
-    ? createFairQueue<Job>(Number.POSITIVE_INFINITY, owner.shareClock)
-    : createFairQueue<Job>(MAX_WAITING_PER_CUSTOMER);
-  owner.queues.set(priority, created);
-  return created;
-}
-
-export function isOverloadControlled({ environment }: StatementOwner): boolean {
-  return environment.overloadControl === true;
-}
-
 function endOverloaded(owner: StatementOwner, job: Job, retryAfterMs: number): void {
   const { counters } = owner.environment;
   counters.count(`refusal.overloaded.priority-${job.request.priority}`);
@@ -170,6 +149,13 @@
   owner.isDispatching = false;
 }
 
+/** Runs a statement; what it has occupied goes to the next ones. */
+function startJob(owner: StatementOwner, job: Job, server: ServerState | undefined): void {
+  void runJob(owner, job, server).finally(() => {
+    dispatch(owner);
+  });
+}
+
 /** Statements of open transactions go first because they hold a connection while they wait. */
 function startPinned(owner: StatementOwner): void {
   for (const job of [...owner.pinnedWaiting]) {
@@ -181,7 +167,7 @@
     if (server && (freeSlots(owner, server) <= 0 || isHeld(owner, job, server))) continue;
     owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
     if (server) recordStart(owner, server, job);
-    void runJob(owner, job, server);
+    startJob(owner, job, server);
   }
 }
 
@@ -225,7 +211,7 @@
     if (!next || !server) return;
     recordStart(owner, server, next.item);
     if (isOverloadControlled(owner)) recordWait(owner, next.item);
-    void runJob(owner, next.item, server);
+    startJob(owner, next.item, server);
     // A start changes the state of its server alone.
     views.splice(
       views.findIndex((view) => view.server === chosen),
@@ -258,109 +244,6 @@
   }
   for (const job of owner.pinnedWaiting.filter(({ deadlineMs }) => deadlineMs <= nowMs)) {
     owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
-    void runJob(owner, job, undefined);
-  }
-}
-
-/** Returns a statement to the queue under its original deadline, or ends it if that has passed or the owner is closed. */
-export function requeueJob(owner: StatementOwner, job: Job): void {
-  job.attempts += 1;
-  if (job.isEnded) return;
-  if (job.isWithdrawn) {
-    endJob(owner, job, notRun('withdrawn'));
-    return;
-  }
-  owner.environment.log('statement requeued', describeJob(owner, job));
-  if (performance.now() >= job.startByMs || owner.isClosed) {
-    endJob(owner, job, notRun('queue-timeout'));
-    return;
-  }
-  const { customer, priority } = job.request;
-  const queue = queueOf(owner, priority);
-  enqueue(queue, { item: job, customer, deadlineMs: job.startByMs }, performance.now());
-}
-
-/** Ends matching waiting statements with `outcome`, for example after their channel has closed. */
-export function dropWaiting(
-  owner: StatementOwner,
-  isDropped: (job: Job) => boolean,
-  outcome: StatementOutcome,
-): void {
-  for (const queue of owner.queues.values()) {
-    for (const { item } of removeWaiting(queue, isDropped)) endJob(owner, item, outcome);
-  }
-  for (const job of owner.pinnedWaiting.filter(isDropped)) {
-    owner.pinnedWaiting.splice(owner.pinnedWaiting.indexOf(job), 1);
-    endJob(owner, job, outcome);
+    startJob(owner, job, undefined);
   }
 }
-
-/** Answers a statement; later calls do nothing. One that may have run is never answered as `not-run`. */
-export function endJob(owner: StatementOwner, job: Job, proposed: StatementOutcome): void {
-  if (job.isEnded) return;
-  job.isEnded = true;
-  const contradictsExecution = proposed.kind === 'not-run' && job.mayHaveRun;
-  const outcome = contradictsExecution
-    ? ({ kind: 'timed-out' } as const)
-    : withReach(job, proposed);
-  owner.environment.counters.count(
-    outcome.kind === 'not-run' ? `refusal.${outcome.reason}` : `statement.${outcome.kind}`,
-  );
-  if (outcome.kind === 'done') owner.environment.counters.timing('owner.statement', ageOf(job));
-  else {
-    owner.environment.log('statement ended without a result', {
-      ...describeJob(owner, job),
-      outcome: outcome.kind,
-      reason: 'reason' in outcome ? outcome.reason : undefined,
-    });
-  }
-  job.channel.answer(job.request.number, outcome);
-}
-
-function withReach({ hasReachedTarget }: Job, outcome: StatementOutcome): StatementOutcome {
-  const isUntouched = outcome.kind === 'not-run' && !hasReachedTarget;
-  return isUntouched ? { ...outcome, reachedNoTarget: true } : outcome;
-}
-
-function ageOf({ arrivedAtMs }: Job): number {
-  return Math.round(performance.now() - arrivedAtMs);
-}
-
-/** Log fields with the state that the decision depends on. */
-function describeJob(owner: StatementOwner, job: Job): LogFields {
-  const { request, attempts, unansweredRuns, mayHaveRun, transaction } = job;
-  const { leadership } = owner;
-  const newest = owner.acknowledgedPositions && newestAcknowledged(owner.acknowledgedPositions);
-  return {
-    request: request.tag,
-    group: owner.group,
-    epoch: owner.epoch,
-    customer: request.customer,
-    access: request.access,
-    transaction: transaction?.key,
-    attempts,
-    unansweredRuns,
-    mayHaveRun,
-    ageMs: ageOf(job),
-    startWithinMs: Math.round(request.startWithinMs),
-    priority: isOverloadControlled(owner) ? request.priority : undefined,
-    predictedWaitMs: job.predictedWaitMs,
-    leadership: leadership.kind,
-    leadershipSinceMs: Math.round(performance.now() - leadership.sinceMs),
-    primary: leadership.kind === 'led' ? leadership.server : undefined,
-    acknowledged: newest && `${newest.term}.${newest.offset}`,
-  };
-}
-
-export function notRun(
-  reason: Extract<StatementOutcome, { kind: 'not-run' }>['reason'],
-  retryAfterMs = RETRY_AFTER_MS,
-): StatementOutcome {
-  return { kind: 'not-run', reason, retryAfterMs };
-}
-
-/** Whether any statement is waiting for a server. */
-export function hasWaiting(owner: StatementOwner): boolean {
-  if (owner.pinnedWaiting.length > 0) return true;
-  return [...owner.queues.values()].some((queue) => waitingCount(queue) > 0);
-}
--- a/packages/statement-entry/src/owner/explain-statement.ts
+++ b/packages/statement-entry/src/owner/explain-statement.ts
@@ -20,7 +20,8 @@
 } from '../types/explanation.js';
 import { forecastArrival } from './admission.js';
 import { createJob } from './create-job.js';
-import { type ArrivalRefusal, isOverloadControlled, refusalOnArrival } from './dispatch.js';
+import { type ArrivalRefusal, refusalOnArrival } from './dispatch.js';
+import { isOverloadControlled } from './end-job.js';
 import { isHandingOver } from './owner-app.js';
 import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { coldAllowanceOf, isCold, isEvacuated, isHomeOf, requestCountOf } from './placement.js';
--- a/packages/statement-entry/src/owner/hold-commits.ts
+++ b/packages/statement-entry/src/owner/hold-commits.ts
@@ -6,13 +6,14 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   coversMark,
+  type HeldCommit,
   type LogPosition,
   type ServerName,
   uncoveredPlaces,
   unrecordedServers,
 } from '@bramleykeel/core';
 import { sendControlOrder } from '../target/server-control.js';
-import type { HeldCommit, ServerState, StatementOwner } from './owner-state.js';
+import type { ServerState, StatementOwner } from './owner-state.js';
 
 /**
  * Interval at which replicas on record are asked for what they have received while commits are held, in milliseconds. It
--- a/packages/statement-entry/src/owner/order-promotion.ts
+++ b/packages/statement-entry/src/owner/order-promotion.ts
@@ -2,9 +2,8 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { type ServerName } from '@bramleykeel/core';
 import { sendControlOrder, type ServerStatus } from '../target/server-control.js';
-import { type StatementOwner } from './owner-state.js';
+import { isActiveOwner, type StatementOwner } from './owner-state.js';
 import { nextPlacesSequence, placeOf } from './server-places.js';
-import { isActiveOwner } from './take-over.js';
 
 /** Pause before an unanswered call is repeated, in milliseconds. */
 const PROMOTE_RETRY_MS = 80;
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -8,7 +8,9 @@
   type StatementRequest,
 } from '@bramleykeel/core';
 import { createJob } from './create-job.js';
-import { dropWaiting, endJob, notRun, submitJob } from './dispatch.js';
+import { submitJob } from './dispatch.js';
+import { endJob, notRun } from './end-job.js';
+import { dropWaiting } from './job-queue.js';
 import type { Job, OpenTransaction, OwnerChannel, StatementOwner } from './owner-state.js';
 import { dropTransaction, rollBack, transactionKeyOf } from './transactions.js';
 
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -10,7 +10,9 @@
 } from '@bramleykeel/core';
 import { retireServer } from '../target/connection-pool.js';
 import { closeControlConnection } from '../target/server-control.js';
-import { dispatch, dropWaiting, expireWaiting, hasWaiting, notRun } from './dispatch.js';
+import { dispatch, expireWaiting } from './dispatch.js';
+import { notRun } from './end-job.js';
+import { dropWaiting, hasWaiting } from './job-queue.js';
 import { dropHeldCommits } from './hold-commits.js';
 import {
   createServerState,
@@ -21,7 +23,7 @@
 import { abortMisplacedTransactions, followEvacuations } from './placement.js';
 import { loadRecordedServers, recordServerPlaces, UNKNOWN_BORN_MS } from './server-places.js';
 import { dropTransaction } from './transactions.js';
-import { removeServer, watchPrimary } from './watch-primary.js';
+import { removeServer, suspectPrimary, watchPrimary } from './watch-primary.js';
 
 const EXPIRE_EVERY_MS = 25;
 const WATCH_EVERY_MS = 100;
@@ -36,6 +38,9 @@
   environment: OwnerEnvironment,
 ): StatementOwner {
   const owner = createStatementOwner(group, epoch, environment);
+  owner.suspect = (server) => {
+    suspectPrimary(owner, server);
+  };
   loadRecordedServers(owner);
   owner.timers = [
     setInterval(() => {
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -20,6 +20,7 @@
   fateKeyOf,
   isPrimaryCovered,
   type GroupRecord,
+  type HeldCommit,
   type HomeRules,
   type HomesClaim,
   type LogPosition,
@@ -51,11 +52,6 @@
   TargetConnection,
 } from '../types/target-port.js';
 
-/** A server that does not answer counts as lost once connections have failed for this long, in milliseconds. */
-const PROBE_FAILURE_TIMEOUT_MS = 550;
-/** Consecutive refused connections that prove that the server process has ended. */
-const REFUSALS_PROVING_EXIT = 2;
-
 /** What an owner needs from the rest of its entry. */
 export interface OwnerEnvironment {
   readonly entryId: string;
@@ -201,15 +197,6 @@
   isEnded: boolean;
 }
 
-/** A commit whose acknowledgement waits until control has servers on record. */
-export interface HeldCommit {
-  readonly position: LogPosition | null;
-  /** Servers that may be the only replicas that have received it. */
-  awaited: ReadonlySet<ServerName>;
-  /** Ends the wait; `isKnown` says whether a server on record has the commit. */
-  readonly end: (isKnown: boolean) => void;
-}
-
 /** The primary as verified by this owner. */
 export type Leadership =
   | { readonly kind: 'unknown'; readonly sinceMs: number }
@@ -296,6 +283,8 @@
   /** Writes and commits whose answers were recently overdue. */
   stalledCommits: { readonly server: ServerState; readonly atMs: number }[];
   timers: NodeJS.Timeout[];
+  /** Checks a server at once if it is the primary; set by what watches the primary. */
+  suspect: (server: ServerState) => void;
 }
 
 export function createStatementOwner(
@@ -350,6 +339,7 @@
     proposedCoveredTerm: undefined,
     stalledCommits: [],
     timers: [],
+    suspect: () => undefined,
   };
   return owner;
 }
@@ -389,18 +379,13 @@
   recordStarted(fates, fateKeyOf(job.request.number, job.request.tag), performance.now());
 }
 
+/** Whether the owner may acknowledge statements. */
+export function isActiveOwner(owner: StatementOwner): boolean {
+  return !owner.isClosed && owner.environment.holdsLease();
+}
+
 /** The verified primary, if there is one. */
 export function primaryOf(owner: StatementOwner): ServerState | undefined {
   const { leadership } = owner;
   return leadership.kind === 'led' ? owner.servers.get(leadership.server) : undefined;
 }
-
-/**
- * Whether the server counts as lost: refused connections prove that its process has ended, or connections have
- * failed for `PROBE_FAILURE_TIMEOUT_MS`.
- */
-export function isLost({ failingSinceMs, refusedCount }: ServerState): boolean {
-  if (failingSinceMs === undefined) return false;
-  if (refusedCount >= REFUSALS_PROVING_EXIT) return true;
-  return performance.now() - failingSinceMs >= PROBE_FAILURE_TIMEOUT_MS;
-}
--- a/packages/statement-entry/src/owner/placement.ts
+++ b/packages/statement-entry/src/owner/placement.ts
@@ -18,13 +18,8 @@
   recordColdStarts,
   recordEvacuations,
 } from '@bramleykeel/core';
-import {
-  isLost,
-  type Job,
-  primaryOf,
-  type ServerState,
-  type StatementOwner,
-} from './owner-state.js';
+import { isLost } from './is-lost.js';
+import { type Job, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { dropTransaction } from './transactions.js';
 
 function rulesOf({ environment }: StatementOwner): PlacementRules {
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -14,7 +14,8 @@
 } from '../target/connection-setup.js';
 import { sendMeasured } from '../target/measured-order.js';
 import type { TargetAnswer, TargetOrder } from '../types/target-port.js';
-import { dispatch, endJob, notRun, requeueJob } from './dispatch.js';
+import { endJob, notRun } from './end-job.js';
+import { requeueJob } from './job-queue.js';
 import {
   type Job,
   markReached,
@@ -35,7 +36,6 @@
   settleTransactionStatement,
 } from './settle-answer.js';
 import { dropTransaction } from './transactions.js';
-import { suspectPrimary } from './watch-primary.js';
 
 /** Timeout of each order that prepares a connection for a statement, in milliseconds. */
 const SETUP_TIMEOUT_MS = 600;
@@ -66,7 +66,6 @@
     const queue = owner.queues.get(job.request.priority);
     const nowMs = performance.now();
     if (queue && server) recordFinished(queue, job.request.customer, nowMs - startedAtMs, nowMs);
-    dispatch(owner);
   }
 }
 
@@ -83,7 +82,7 @@
   const { customer } = job.request;
   const acquired = await acquireConnection(owner.pools, server, customer, job.valuesKey);
   if (acquired.kind === 'unavailable') {
-    if (server.failingSinceMs !== undefined) suspectPrimary(owner, server);
+    if (server.failingSinceMs !== undefined) owner.suspect(server);
     requeueJob(owner, job);
     return;
   }
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -15,8 +15,9 @@
   releaseConnection,
 } from '../target/connection-pool.js';
 import type { ConnectionState, TargetAnswer, TargetRefusal } from '../types/target-port.js';
-import { endJob, notRun, requeueJob } from './dispatch.js';
+import { endJob, notRun } from './end-job.js';
 import { holdCommit } from './hold-commits.js';
+import { requeueJob } from './job-queue.js';
 import type {
   Job,
   Leadership,
@@ -27,7 +28,6 @@
 } from './owner-state.js';
 import { recordServerPlaces } from './server-places.js';
 import { dropTransaction } from './transactions.js';
-import { suspectPrimary } from './watch-primary.js';
 
 /** Part of the deadline reserved for returning the answer to the caller, in milliseconds. */
 export const ANSWER_MARGIN_MS = 5;
@@ -337,7 +337,7 @@
   });
   if (code === 'busy') server.busyUntilMs = nowMs + BUSY_PAUSE_MS;
   if (code === 'lagging') pauseLagging(server, nowMs);
-  if (code === 'lagging' || code === 'read-only') suspectPrimary(owner, server);
+  if (code === 'lagging' || code === 'read-only') owner.suspect(server);
 }
 
 /** Statements sent together may be refused together, so refusals during a pause do not extend it. */
@@ -371,5 +371,5 @@
   // The server is there, but this connection to it is out of step.
   if (broken.kind === 'foreign') return;
   if (broken.kind === 'lost') recordFailure(server, 'closed', performance.now());
-  suspectPrimary(owner, server);
+  owner.suspect(server);
 }
--- a/packages/statement-entry/src/owner/take-over.ts
+++ b/packages/statement-entry/src/owner/take-over.ts
@@ -1,15 +1,12 @@
 /** Finds the primary when an owner starts, and starts serving from the position that it reports. */
 import { setTimeout as delay } from 'node:timers/promises';
-import {
-  createAcknowledgedPositions,
-  recordPrimaryStart,
-  type ServerName,
-} from '@bramleykeel/core';
+import type { ServerName } from '@bramleykeel/core';
 import { answeredStatuses, sendControlOrder, type ServerStatus } from '../target/server-control.js';
-import { dispatch } from './dispatch.js';
-import { isLost, type StatementOwner } from './owner-state.js';
+import { isLost } from './is-lost.js';
+import { isActiveOwner, type StatementOwner } from './owner-state.js';
 import { orderPromotion } from './order-promotion.js';
 import { changePrimary } from './change-primary.js';
+import { newestPrimary, setPrimary } from './set-primary.js';
 
 /** Time after the start of an owner before a group without a primary gets a new one, in milliseconds. */
 const MISSING_PRIMARY_WAIT_MS = 3_000;
@@ -54,12 +51,6 @@
   return status?.status.role === 'primary' ? status : undefined;
 }
 
-export function newestPrimary(statuses: readonly ServerStatus[]): ServerStatus | undefined {
-  return statuses
-    .filter(({ status }) => status.role === 'primary')
-    .sort((left, right) => right.status.term - left.status.term)[0];
-}
-
 function isPrimaryMissing(owner: StatementOwner): boolean {
   if (owner.servers.size < 2) return false;
   const waitedMs = performance.now() - owner.startedAtMs;
@@ -98,32 +89,3 @@
   const { group, epoch: ownerEpoch } = owner;
   await environment.propose({ kind: 'primary/commit', group, ownerEpoch, term: 1, server: name });
 }
-
-export function setPrimary(
-  owner: StatementOwner,
-  { server, status }: ServerStatus,
-  why: string,
-): void {
-  const nowMs = performance.now();
-  const name = server.announcement.server;
-  server.position = status.position;
-  owner.acknowledgedPositions = createAcknowledgedPositions(status.position, nowMs);
-  owner.isMembershipKnown = true;
-  const { leadership } = owner;
-  const chosenPosition = leadership.kind === 'changing' ? leadership.chosenPosition : undefined;
-  // Within one term no other server can have led in between.
-  if (status.term !== owner.leadershipTerm) owner.leadershipNumber += 1;
-  owner.leadershipTerm = status.term;
-  owner.leadership = { kind: 'led', server: name, sinceMs: nowMs, chosenPosition };
-  recordPrimaryStart(owner.coverage, status.position, nowMs);
-  owner.replicasCheckedMs = Number.NEGATIVE_INFINITY;
-  const { term, position } = status;
-  owner.environment.log(
-    `${name} is primary of ${owner.group} in term ${term} at ${position.term}.${position.offset}: ${why}`,
-  );
-  dispatch(owner);
-}
-
-export function isActiveOwner(owner: StatementOwner): boolean {
-  return !owner.isClosed && owner.environment.holdsLease();
-}
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -11,10 +11,12 @@
   probeServer,
 } from '../target/server-control.js';
 import { LOST_FOR_GOOD_MS } from './membership.js';
-import { isLost, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
+import { isLost } from './is-lost.js';
+import { isActiveOwner, primaryOf, type ServerState, type StatementOwner } from './owner-state.js';
 import { plannedReasonFor } from './placement.js';
 import { placeOf, recordServerPlaces } from './server-places.js';
-import { takeOver, newestPrimary, isActiveOwner } from './take-over.js';
+import { newestPrimary } from './set-primary.js';
+import { takeOver } from './take-over.js';
 import { changePrimary } from './change-primary.js';
 import { handleStalledCommits, checkReplicas } from './watch-replicas.js';
 
--- a/packages/statement-entry/src/owner/watch-replicas.ts
+++ b/packages/statement-entry/src/owner/watch-replicas.ts
@@ -15,8 +15,7 @@
   sendControlOrder,
   type ServerStatus,
 } from '../target/server-control.js';
-import { type ServerState, type StatementOwner } from './owner-state.js';
-import { isActiveOwner } from './take-over.js';
+import { isActiveOwner, type ServerState, type StatementOwner } from './owner-state.js';
 import { changePrimary } from './change-primary.js';
 
 const REPLICA_CHECK_INTERVAL_MS = 2_000;
--- a/packages/statement-entry/src/target/connection-budget.test.ts
+++ b/packages/statement-entry/src/target/connection-budget.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { createReaderOffer } from '../near/reader-offer.js';
 import { createFakeGroup, type FakeGroup } from '../test-support/fake-group.js';
-import { setPrimary } from '../owner/take-over.js';
+import { setPrimary } from '../owner/set-primary.js';
 import type { ServerState } from '../owner/owner-state.js';
 import { watchPrimary } from '../owner/watch-primary.js';
 import { sendControlOrder } from './server-control.js';
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -20,6 +20,7 @@
   type OwnerEnvironment,
   type StatementOwner,
 } from '../owner/owner-state.js';
+import { suspectPrimary } from '../owner/watch-primary.js';
 import {
   type AnswerHistory,
   createAnswerHistory,
@@ -126,6 +127,9 @@
     epoch,
     createEnvironment(() => state),
   );
+  owner.suspect = (server) => {
+    suspectPrimary(owner, server);
+  };
   const fake: FakeGroup = Object.assign(state, { owner });
   const nowMs = performance.now();
   for (const [index, { name, role }] of servers.entries()) {
