Let the pool open its connection before a test counts connections

entry/owner/foreign-answers.test.ts "before its echo does no harm if it is equal to the first" failed at times: 2 sockets, 1 expected.

Cause, shown by runs of the test with a delay before its first statement: 50 ms after the owner has started, its pool opens a connection in advance. A statement that arrives while that is being opened opens another one, as it should. So the test was wrong, not the product.

Change: the test waits until the pool has its connection, and checks the same as before: that this one connection is kept.

--- a/packages/entry/src/owner/foreign-answers.test.ts
+++ b/packages/entry/src/owner/foreign-answers.test.ts
@@ -41,6 +41,8 @@
     const tested = await openSession(
       stutter((text) => (text === 'SELECT x' ? answerTo(text) : undefined)),
     );
+    // A statement that arrives while the pool opens its connection would open another one.
+    await tested.warmUp();
     const { text, refusal } = await tested.run('SELECT x');
     const sockets = [...tested.server.sockets];
     expect(refusal).toBeUndefined();
--- a/packages/entry/src/owner/owner-session.test-support.ts
+++ b/packages/entry/src/owner/owner-session.test-support.ts
@@ -87,6 +87,17 @@
     return { send: (message: FromOwnerMessage) => this.sent.push(message) };
   }
 
+  /** Waits until the owner has an open connection to the server that no request uses. */
+  async warmUp(): Promise<void> {
+    await vi.waitFor(
+      () => {
+        if (this.owner.pools.get(SERVER_NAME)?.idle.length !== 1)
+          throw new Error('the pool has no idle connection');
+      },
+      { timeout: 3_000, interval: 5 },
+    );
+  }
+
   /** Runs a request; resolves to the answer's bytes, its refusal and its status. */
   async run(
     text: string,
