Add members to a group one at a time, once the others have caught up

Callers would see, with the PostgreSQL dialect: acknowledged writes gone, if a group has grown from one server to three and the first one fails before the others have its log.

Cause: a server became a member with its first announcement. The two new ones are a quorum of three without any server that held the writes of the first.

Change: from an even number of members on, a server becomes a member only when a quorum of the present ones has all that was acknowledged before the last one joined. The command names the owner's epoch and the number of members, so that two servers do not join at once and a late command of a former owner does nothing.

--- a/packages/core/src/confirm/write-quorum.test.ts
+++ b/packages/core/src/confirm/write-quorum.test.ts
@@ -2,7 +2,13 @@
 import { createGroupView } from '../route/server-view.js';
 import { toServerName } from '../types/ids.js';
 import type { Announcement } from '../types/target.js';
-import { type ConfirmContext, confirmWrite, type PendingWrite } from './write-quorum.js';
+import {
+  type ConfirmContext,
+  confirmWrite,
+  mayAddMember,
+  type PendingWrite,
+  writeQuorumSize,
+} from './write-quorum.js';
 
 const MEMBERS = ['p', 'r1', 'r2'].map(toServerName);
 
@@ -108,3 +114,50 @@
     expect(confirmWrite(write, context)).toBe(expected);
   });
 });
+
+describe('mayAddMember', () => {
+  const mark = { term: 3, offset: 50 };
+  const two = { members: MEMBERS.slice(0, 2) };
+  const four = { members: ['p', 'r1', 'r2', 'r3'].map(toServerName) };
+  it.each([
+    ['to one member', contextOf({}, { members: MEMBERS.slice(0, 1) }), mark, true],
+    ['to three members', contextOf({}), undefined, true],
+    ['to two, of which the replica has caught up', contextOf({ r1: mark }, two), mark, true],
+    [
+      'to two, of which the replica lacks a write',
+      contextOf({ r1: { term: 3, offset: 49 } }, two),
+      mark,
+      false,
+    ],
+    [
+      'to two, without knowing what was acknowledged',
+      contextOf({ r1: mark }, two),
+      undefined,
+      false,
+    ],
+    ['to four, of which one replica has caught up', contextOf({ r1: mark }, four), mark, false],
+    [
+      'to four, of which two replicas have caught up',
+      contextOf({ r1: mark, r2: mark }, four),
+      mark,
+      true,
+    ],
+    [
+      'to a group without a primary',
+      contextOf({}, { ...two, primary: undefined }),
+      undefined,
+      true,
+    ],
+  ])('%s', (_name, context, heldBefore, expected) => {
+    expect(mayAddMember(heldBefore, context)).toBe(expected);
+  });
+
+  it('lets each quorum of the larger group meet those that hold an acknowledged write', () => {
+    for (let count = 1; count < 10; count += 1) {
+      // Writes that counted before the last member joined are checked for an even number of members alone.
+      const holders =
+        count % 2 === 1 ? writeQuorumSize(Math.max(1, count - 1)) : writeQuorumSize(count);
+      expect(holders + writeQuorumSize(count + 1)).toBeGreaterThan(count + 1);
+    }
+  });
+});
--- a/packages/core/src/confirm/write-quorum.ts
+++ b/packages/core/src/confirm/write-quorum.ts
@@ -62,3 +62,19 @@
   if (!write.needsQuorum || isHeldByQuorum(write.mark, context)) return 'acknowledge';
   return context.nowMs >= write.deadlineMs ? 'not-covered' : 'wait';
 }
+
+/**
+ * Whether another server may join the members of a group. Each quorum of the larger group has to meet the servers that hold an
+ * acknowledged write. A quorum of an odd number of members would miss writes that counted before the last member joined
+ * unless a quorum of the present members has caught up with them.
+ *
+ * @param heldBefore a position that covers all that was acknowledged before the last member joined; `undefined` if none is known
+ *
+ * @example
+ * if (mayAddMember(owner.membership.mark, context)) propose({ kind: 'group/observe', ... });
+ */
+export function mayAddMember(heldBefore: LogPosition | undefined, context: QuorumContext): boolean {
+  const { members, primary } = context;
+  if (primary === undefined || members.length % 2 === 1) return true;
+  return heldBefore !== undefined && isHeldByQuorum(heldBefore, context);
+}
--- a/packages/core/src/control-state/control-state.test.ts
+++ b/packages/core/src/control-state/control-state.test.ts
@@ -275,3 +275,23 @@
     expect(applyCommand(state, 5, { ...late, places: [] }).kind).toBe('superseded');
   });
 });
+
+describe('members of a group', () => {
+  // Guards against lost commits: two servers joined at once, although each would have had to wait for the other.
+  it('are added by an owner one at a time', () => {
+    const state = createControlState();
+    applyCommand(state, 1, assign(1, 'e1'));
+    const observe = (index: number, name: string, ownerEpoch: number, memberCount: number) =>
+      applyCommand(state, index, {
+        ...{ kind: 'group/observe', group: GROUP, server: toServerName(name) },
+        from: { ownerEpoch, memberCount },
+      }).kind;
+    expect(observe(2, 'a', 1, 0)).toBe('done');
+    expect(observe(3, 'b', 1, 1)).toBe('done');
+    expect(observe(4, 'c', 1, 1)).toBe('superseded');
+    expect(observe(5, 'c', 0, 2)).toBe('superseded');
+    expect(observe(6, 'a', 0, 0)).toBe('done');
+    expect(observe(7, 'c', 1, 2)).toBe('done');
+    expect(groupRecordOf(state, GROUP).servers).toEqual(['a', 'b', 'c']);
+  });
+});
--- a/packages/core/src/control-state/control-state.ts
+++ b/packages/core/src/control-state/control-state.ts
@@ -70,9 +70,13 @@
       applyEvacuationChange(state.records, index, change),
     )
     .with({ kind: 'owner/assign' }, (assign) => applyAssignment(state, index, assign))
-    .with({ kind: 'group/observe' }, ({ group, server }) => {
+    .with({ kind: 'group/observe' }, ({ group, server, from }) => {
       const record = groupRecordOf(state, group);
       if (record.servers.includes(server)) return { kind: 'done' };
+      const rejection = from && checkOwnerEpoch(state, group, from.ownerEpoch);
+      if (rejection) return rejection;
+      if (from && from.memberCount !== record.servers.length)
+        return { kind: 'superseded', reason: 'the members of the group have changed' };
       return putGroup(state, index, { ...record, servers: [...record.servers, server] });
     })
     .with({ kind: 'group/forget' }, ({ group, server }) => {
--- a/packages/core/src/control-state/types.ts
+++ b/packages/core/src/control-state/types.ts
@@ -111,7 +111,13 @@
     }
   | { readonly kind: 'evacuation/withdraw'; readonly zone: string; readonly expectedIndex: number }
   | { readonly kind: 'owner/assign'; readonly assignment: Assignment }
-  | { readonly kind: 'group/observe'; readonly group: GroupName; readonly server: ServerName }
+  | {
+      readonly kind: 'group/observe';
+      readonly group: GroupName;
+      readonly server: ServerName;
+      /** The owner that has found that the server may join the members that it knows, and how many these are. */
+      readonly from?: { readonly ownerEpoch: number; readonly memberCount: number };
+    }
   | { readonly kind: 'group/forget'; readonly group: GroupName; readonly server: ServerName }
   | {
       readonly kind: 'group/places';
--- a/packages/entry/src/owner/group-owner.ts
+++ b/packages/entry/src/owner/group-owner.ts
@@ -5,7 +5,6 @@
   type GroupName,
   latestPosition,
   recordAnnouncement,
-  type ServerName,
   waitingCount,
 } from '@bramleykeel/core';
 import { limitLog } from '@bramleykeel/link';
@@ -22,6 +21,7 @@
 import { advanceFailover, probePrimary } from './failover-runner.js';
 import { closeSession, endIdleTransactions, purgeExpiredRequestStatuses } from './owner-app.js';
 import { createGroupOwner, type GroupOwner, type OwnerEnvironment } from './owner-state.js';
+import { registerServer, trackMembership } from './register-server.js';
 import { checkSilentConnections, terminateSuperseded } from './request-run.js';
 import { expireWaiting, requeue, schedule } from './scheduler.js';
 
@@ -75,6 +75,7 @@
 export function handleAnnouncement(owner: GroupOwner, announcement: Announcement): void {
   if (!recordAnnouncement(owner.view, announcement, performance.now())) return;
   owner.highestSeen = latestPosition(owner.highestSeen, announcement.position);
+  trackMembership(owner);
   createOrUpdatePool(owner, announcement);
   registerServer(owner, announcement.server);
   evaluateAcknowledgements(owner);
@@ -119,15 +120,10 @@
   return primary !== undefined && owner.pools.get(primary) === pool;
 }
 
-/** Registers a new server with control, whose server list lets a new owner determine the quorum. */
-function registerServer(owner: GroupOwner, server: ServerName): void {
-  if (owner.environment.groupRecord().servers.includes(server)) return;
-  void owner.environment.propose({ kind: 'group/observe', group: owner.group, server });
-}
-
 /** Re-evaluates pending work after control has changed the group's record, settings or evacuations. */
 export function handleRecordChange(owner: GroupOwner): void {
   trackEvacuations(owner);
+  trackMembership(owner);
   const { term } = owner.environment.groupRecord();
   if (term > owner.lastHandledTerm) {
     owner.lastHandledTerm = term;
--- a/packages/entry/src/owner/owner-state.ts
+++ b/packages/entry/src/owner/owner-state.ts
@@ -124,6 +124,11 @@
   readonly status: TransactionStatus;
 }
 
+export interface Membership {
+  readonly members: readonly ServerName[];
+  readonly mark: LogPosition;
+}
+
 /** Scheduler functions passed to modules that the scheduler itself imports. */
 export interface SchedulerCallbacks {
   /** Starts all waiting requests that can start now. */
@@ -162,6 +167,8 @@
    * primary.
    */
   baseMark: LogPosition | undefined;
+  /** The members on record, and a position that covers all that was acknowledged before they were the members. */
+  membership: Membership | undefined;
   highestSeen: LogPosition;
   readonly pendingAcknowledgements: Set<PendingAcknowledgement>;
   readonly runningByCustomer: Map<string, number>;
@@ -200,6 +207,7 @@
     startedAtMs: performance.now(),
     customerMarks: new Map(),
     baseMark: undefined,
+    membership: undefined,
     highestSeen: ZERO_POSITION,
     pendingAcknowledgements: new Set(),
     runningByCustomer: new Map(),
