Limit how often places are proposed again while control does not apply them

A commit that is held has the places proposed if none are under way. A member that does not lead answers at once, so that each held commit and each check could send a proposal and write a line. There are 50 ms between two such proposals now, and the first failure in a row is logged alone.

The new test of server-places.test.ts covers both the pause and the next attempt.

--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -179,6 +179,23 @@
     expect(proposals()).toHaveLength(3);
   });
 
+  it('are proposed again, but not with each commit, if control has not applied them', async () => {
+    const proposals = () => fake.commands.filter(({ kind }) => kind === 'group/places');
+    fake.appliesCommands = false;
+    joinReplica();
+    const count = proposals().length;
+    await new Promise(setImmediate);
+    expect(fake.owner.recordedServers.isUncertain).toBe(true);
+    for (let round = 0; round < 10; round += 1) recordServerPlaces(fake.owner);
+    expect(proposals()).toHaveLength(count);
+    fake.appliesCommands = true;
+    vi.advanceTimersByTime(60);
+    recordServerPlaces(fake.owner);
+    await vi.waitFor(() => {
+      expect(fake.record.places?.map(({ server }) => server)).toContain('i-3');
+    });
+  });
+
   it('name the successor before it is told to lead', async () => {
     const { server } = addFakeReplica(fake);
     const announced = { ...fake.owner.servers.get('i-1' as ServerName)?.announcement };
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -22,6 +22,9 @@
  */
 const MIN_RECORD_INTERVAL_MS = 2_000;
 
+/** Minimum time from a proposal that control has not applied to the next one, in milliseconds. */
+const RETRY_INTERVAL_MS = 50;
+
 /** Start time of a server whose record has none; any announcement counts as newer. */
 export const UNKNOWN_BORN_MS = 0;
 
@@ -71,7 +74,8 @@
     coveredTerm !== record.coveredTerm && coveredTerm !== owner.proposedCoveredTerm;
   const isUrgent = isNewlyCovered || joined.length > 0 || recordedServers.isUncertain;
   const nowMs = performance.now();
-  if (!isUrgent && nowMs - owner.placesRecordedMs < MIN_RECORD_INTERVAL_MS) return;
+  const pauseMs = recordedServers.isUncertain ? RETRY_INTERVAL_MS : 0;
+  if (nowMs - owner.placesRecordedMs < (isUrgent ? pauseMs : MIN_RECORD_INTERVAL_MS)) return;
   const places = placesToRecord(owner);
   const isSame = JSON.stringify(places) === JSON.stringify(record.places ?? []);
   const isOnRecord = isSame && coveredTerm === record.coveredTerm && !recordedServers.isUncertain;
@@ -107,13 +111,15 @@
   const names = places.map(({ server }) => server);
   const startedAtMs = performance.now();
   const sequence = nextPlacesSequence();
+  const hasFailedBefore = recordedServers.isUncertain;
   beginRecording(recordedServers, names);
   const { kind } = await environment.propose({
     kind: 'group/places',
     ...{ group, ownerEpoch, places, sequence, coveredTerm },
   });
   endRecording(recordedServers, kind === 'done');
-  if (joined.length > 0 || kind !== 'done') {
+  // Control is asked again many times a second while it does not answer.
+  if (kind === 'done' ? joined.length > 0 : !hasFailedBefore) {
     environment.log('proposed the places of the servers to control', {
       outcome: kind,
       servers: names.join(' '),
--- a/packages/statement-entry/src/test-support/fake-group.ts
+++ b/packages/statement-entry/src/test-support/fake-group.ts
@@ -76,6 +76,8 @@
   readonly commands: ControlCommand[];
   /** Control neither applies nor answers commands until this has settled; at once if absent. */
   commandGate?: Promise<unknown>;
+  /** Whether control applies commands; otherwise it rejects them. */
+  appliesCommands: boolean;
   readonly promotions: PromoteRequest[];
   readonly promoteOutcomes: PromoteOutcome[];
   readonly record: {
@@ -110,6 +112,7 @@
   const state: FakeState = {
     servers,
     commands: [],
+    appliesCommands: true,
     promotions: [],
     promoteOutcomes: [],
     record: { term: 0, proposedTerm: 0, primary: undefined },
@@ -215,6 +218,8 @@
       fake().commands.push(command);
       const { commandGate } = fake();
       if (commandGate) await commandGate;
+      if (!fake().appliesCommands)
+        return { kind: 'superseded', reason: 'this member does not lead' };
       if (command.kind === 'group/places') {
         const { places, coveredTerm } = command;
         Object.assign(fake().record, { places, coveredTerm });
