Take a proposal without a result for unanswered

Its proposal would have counted as under way for good, with commits held until their deadlines. It counts as unanswered now, and is repeated.

statement-entry: 383 of 383 tests, without errors.

--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -205,7 +205,7 @@
   const answer = await control.call('control/propose', command);
   if (answer.isLeft()) await delay(PROPOSE_RETRY_MS);
   const unanswered: ApplyResult = { kind: 'superseded', reason: 'control did not answer' };
-  return answer.map((result) => result as ApplyResult).orDefault(unanswered);
+  return (answer.orDefault(undefined) as ApplyResult | undefined) ?? unanswered;
 }
 
 /** The owner of a group under an epoch, if this entry is that owner now. */
