--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.."
+exec node target/review-3/case-11.mjs
--- a/review/stand-in-3/database.ts
+++ b/review/stand-in-3/database.ts
@@ -52,6 +52,8 @@
   heldTerm: number;
   /** Set while the server receives nothing from the primary. */
   isDeaf: boolean;
+  /** Set while the server answers nobody and receives nothing; it keeps its log. */
+  isDark: boolean;
   seq: number;
   readonly bornMs: number;
   readonly sockets: Set<Socket>;
@@ -73,12 +75,15 @@
   readonly servers: DatabaseServer[];
   readonly runs: Run[];
   readonly promote: (id: string) => 200 | 409;
+  readonly join: (zone: string) => Promise<DatabaseServer>;
   readonly close: () => void;
 }
 
 const HEARTBEAT_MS = 1_200;
 const PROMOTE_MS = 300;
-const LAG_MS = 8;
+const LAG_MS = 40;
+const SAME_ZONE_MS = 0.5;
+const OTHER_REGION_MS = 12;
 /** Longer texts and data are kept in part; no case reads them again. */
 const MAX_KEPT_LENGTH = 4_096;
 
@@ -86,8 +91,11 @@
   const { name, ip, zones } = options;
   const runs: Run[] = [];
   const servers: DatabaseServer[] = [];
-  const database: Database = { name, servers, runs, promote, close };
-  for (const [index, zone] of zones.entries()) {
+  const database: Database = { name, servers, runs, promote, join, close };
+  for (const [index, zone] of zones.entries()) await addServer(zone, index);
+  return database;
+
+  async function addServer(zone: string, index: number): Promise<DatabaseServer> {
     const listener = createServer();
     await new Promise<void>((resolve) => listener.listen(0, ip, resolve));
     const bound = listener.address();
@@ -101,6 +109,7 @@
       term: 1,
       heldTerm: 0,
       isDeaf: false,
+      isDark: false,
       seq: 0,
       bornMs: Date.now(),
       sockets: new Set(),
@@ -110,8 +119,16 @@
     listener.on('connection', (socket) => {
       serve(options, database, server, socket);
     });
+    return server;
+  }
+
+  /** Starts a replica that has all commits, and receives from now on. */
+  async function join(zone: string): Promise<DatabaseServer> {
+    const server = await addServer(zone, servers.length);
+    const primary = servers.find(({ role }) => role === 'primary');
+    if (primary) replicate(primary, server);
+    return server;
   }
-  return database;
 
   function promote(id: string): 200 | 409 {
     const chosen = servers.find((server) => server.id === id);
@@ -139,9 +156,10 @@
   }
 }
 
-function replicate(from: DatabaseServer, to: DatabaseServer): boolean {
-  if (from === to || to.isDeaf || to.heldTerm > from.term) return false;
-  to.log = [...from.log];
+function replicate(from: DatabaseServer, to: DatabaseServer, length = from.log.length): boolean {
+  if (from === to || to.isDeaf || to.isDark || to.heldTerm > from.term) return false;
+  if (to.term === from.term && to.log.length >= length) return true;
+  to.log = from.log.slice(0, length);
   to.term = from.term;
   return true;
 }
@@ -180,6 +198,10 @@
   });
 }
 
+function isSilent({ isDark }: DatabaseServer): boolean {
+  return isDark;
+}
+
 function readyLine(server: DatabaseServer, session: Session): string {
   const state = session.hasFailed ? 'E' : session.transaction ? 'T' : 'I';
   return `READY ${state} ${positionOf(server)}\r\n`;
@@ -200,6 +222,7 @@
       socket.end(`ERR MISROUTED ${server.id}\r\n`);
       return;
     }
+    if (server.isDark) return;
     session.tenant = tenant;
     session.isOpen = true;
     socket.write(readyLine(server, session));
@@ -209,9 +232,9 @@
     socket.end();
     return;
   }
-  if (keyword !== 'QUERY') return;
+  if (keyword !== 'QUERY' || server.isDark) return;
   const answer = await answerQuery(options, database, server, session, first, rest);
-  if (socket.destroyed) return;
+  if (socket.destroyed || isSilent(server)) return;
   const isSent = socket.write(answer, 'latin1');
   if (!isSent) await new Promise((resolve) => socket.once('drain', resolve).once('close', resolve));
 }
@@ -349,7 +372,7 @@
   return `${tag}.${id}.${signatureCount}`;
 }
 
-/** Appends a commit; returns once one replica has received it (SyncReplicas 1). */
+/** Appends a commit; returns once one replica has received it (SyncReplicas 1), or the server has lost the lead. */
 async function commit(
   { servers }: Database,
   server: DatabaseServer,
@@ -358,11 +381,21 @@
   server.log.push({ term: server.term, writes });
   const length = server.log.length;
   const { term } = server;
-  for (;;) {
-    await delay(LAG_MS);
-    let received = 0;
+  let received = 0;
+  for (const other of servers) {
+    if (other === server) continue;
+    void delay(other.zone === server.zone ? SAME_ZONE_MS : OTHER_REGION_MS).then(() => {
+      // What a server that goes dark has sent has not arrived yet.
+      if (server.isDark || server.term !== term) return;
+      if (replicate(server, other, length)) received += 1;
+    });
+  }
+  let sinceMs = performance.now();
+  while (received === 0 && server.term === term) {
+    await delay(1);
+    if (server.isDark || performance.now() - sinceMs < LAG_MS) continue;
+    sinceMs = performance.now();
     for (const other of servers) if (replicate(server, other)) received += 1;
-    if (received > 0 || server.term !== term || server.log.length < length) return;
   }
 }
 
@@ -371,10 +404,12 @@
   database: Database,
   controls: readonly string[],
   slots: number,
+  skipped?: (server: DatabaseServer) => boolean,
 ): () => void {
   let turn = 0;
   const beat = () => {
     for (const server of database.servers) {
+      if (server.isDark || skipped?.(server) === true) continue;
       server.seq += 1;
       const body = JSON.stringify({
         ...{ Service: database.name, Addr: server.address, Zone: server.zone, Version: 'v1' },
--- a/review/stand-in-3/deployment.ts
+++ b/review/stand-in-3/deployment.ts
@@ -1,7 +1,13 @@
 /** A small deployment with one database, its operator and the platform, ready to serve. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { type Cluster, ipOf, putConfig, startCluster } from './cluster.js';
-import { announce, type Database, type DatabaseOptions, startDatabase } from './database.js';
+import {
+  announce,
+  type Database,
+  type DatabaseOptions,
+  type DatabaseServer,
+  startDatabase,
+} from './database.js';
 import { newId, openSession } from './client.js';
 import { type CloudApi, startCloud } from './platform.js';
 import { createRecorder, type Recorder } from './record.js';
@@ -13,6 +19,8 @@
   readonly zones: readonly string[];
   readonly tenantCount: number;
   readonly answering?: DatabaseOptions['answering'];
+  /** Servers that send no heartbeats for now. */
+  readonly skipsBeat?: (server: DatabaseServer) => boolean;
 }
 
 export interface Deployment {
@@ -42,7 +50,7 @@
   cloud.databases.push(database);
   const cluster = await startCluster({ net, zones, cloud: cloud.address, recorder });
   const controls = cluster.machines.slice(0, 3).map(({ control }) => control);
-  const stopBeats = announce(database, controls, SLOTS);
+  const stopBeats = announce(database, controls, SLOTS, options.skipsBeat);
   const keys = Array.from({ length: tenantCount }, (_value, index) =>
     `key${index}`.padEnd(20, 'x'),
   );
@@ -61,6 +69,11 @@
   }
 
   setTimeout(() => void end(2), MAX_RUN_MS).unref();
+  process.once('SIGTERM', () => void end(2));
+  process.once('uncaughtException', (error) => {
+    recorder.note(`case: ${String(error)}`);
+    void end(2);
+  });
   const isAcknowledged = await putConfig(cluster, configOf(keys), recorder);
   const [key = ''] = keys;
   const untilMs = performance.now() + READY_TIMEOUT_MS;
