--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -1,6 +1,6 @@
 /**
- * A replica joins. Before its first heartbeat has reached a daemon, the primary and the replica go dark and the owner of
- * the database is killed. Which acknowledged writes does the server have that is promoted?
+ * A replica joins. Before its first heartbeat has reached a daemon, the primary and the replica go dark. Which
+ * acknowledged writes does the server have that is promoted?
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import { newId, openSession } from '../stand-in-3/client.js';
@@ -17,7 +17,6 @@
 /** Callers of `control` move on after a second without an answer. */
 const CALL_TIMEOUT_MS = 1_000;
 const FREEZE_MS = 3_500;
-const ENTRY_DOWN_MS = 3_000;
 const REPLICA_DARK_MS = 4_700;
 const PRIMARY_DARK_MS = 7_000;
 const MAX_PROMOTION_MS = 20_000;
@@ -115,7 +114,6 @@
 if (isTrouble && primary) {
   primary.isDark = true;
   joined.isDark = true;
-  cluster.kill(owner?.name ?? '', 'entry', ENTRY_DOWN_MS);
   const logs = database.servers.map(({ id, log }) => `${id} ${log.length}`).join(', ');
   recorder.note(`database: ${primary.id} and ${joined.id} go dark; lengths of logs: ${logs}`);
   setTimeout(() => {
@@ -142,6 +140,12 @@
 recorder.note(
   `${before.length} writes were acknowledged before, ${lost.length} of them are not in its log: ${lost.join(' ')}`,
 );
+for (const { name } of cluster.machines) {
+  const chosen = /\{[^\n]*chosen as primary of ledger[^\n]*\}/.exec(
+    cluster.logOf(name, 'entry'),
+  )?.[0];
+  if (chosen !== undefined) recorder.note(`${name} entry wrote: ${chosen}`);
+}
 await delay(1_000);
 isOver = true;
 await Promise.all(writers);
--- a/review/stand-in-3/record.ts
+++ b/review/stand-in-3/record.ts
@@ -12,7 +12,7 @@
   return {
     note: (text) => {
       const seconds = ((performance.now() - startedAtMs) / 1_000).toFixed(3);
-      const short = text.length > 200 ? `${copyOfStart(text, 200)}… (${text.length} bytes)` : text;
+      const short = text.length > 600 ? `${copyOfStart(text, 600)}… (${text.length} bytes)` : text;
       lines.push(`${seconds.padStart(8)} ${short}`);
     },
     save: () => {
