--- a/review/stand-in-3/deployment.ts
+++ b/review/stand-in-3/deployment.ts
@@ -41,6 +41,9 @@
 export async function startDeployment(options: DeploymentOptions): Promise<Deployment> {
   const { net, zones, tenantCount, answering } = options;
   const recorder = createRecorder(options.recordFile);
+  // Replaced once there are processes to end.
+  const endAtOnce = () => process.exit(2);
+  process.once('uncaughtException', endAtOnce);
   const cloud = await startCloud(ipOf(net, 99), recorder);
   const database = await startDatabase({
     ...{ name: 'ledger', ip: ipOf(net, 100), zones: [...new Set(zones)].slice(0, 3) },
@@ -70,6 +73,7 @@
 
   setTimeout(() => void end(2), MAX_RUN_MS).unref();
   process.once('SIGTERM', () => void end(2));
+  process.off('uncaughtException', endAtOnce);
   process.once('uncaughtException', (error) => {
     recorder.note(`case: ${String(error)}`);
     void end(2);
