--- a/review/stand-in-3/database.ts
+++ b/review/stand-in-3/database.ts
@@ -58,6 +58,10 @@
   readonly bornMs: number;
   readonly sockets: Set<Socket>;
   readonly listener: Server;
+  /** What its heartbeats say. */
+  state: 'ready' | 'draining';
+  /** When control first acknowledged that it leaves. */
+  leaveAcknowledgedAtMs: number | undefined;
 }
 
 export interface DatabaseOptions {
@@ -114,6 +118,8 @@
       bornMs: Date.now(),
       sockets: new Set(),
       listener,
+      state: 'ready',
+      leaveAcknowledgedAtMs: undefined,
     };
     servers.push(server);
     listener.on('connection', (socket) => {
@@ -413,15 +419,27 @@
       server.seq += 1;
       const body = JSON.stringify({
         ...{ Service: database.name, Addr: server.address, Zone: server.zone, Version: 'v1' },
-        ...{ Slots: slots, State: 'ready', ColdLeftMs: 0, DbRole: server.role, Seq: server.seq },
+        ...{
+          Slots: slots,
+          State: server.state,
+          ColdLeftMs: 0,
+          DbRole: server.role,
+          Seq: server.seq,
+        },
         born: server.bornMs,
       });
       turn += 1;
+      const isLeaving = server.state === 'draining';
       const address = controls[turn % controls.length] ?? '';
-      void call(address, 'PUT', `/-/instances/${server.id}`, body, 1_000).then((reply) => {
+      const noteAcknowledged = (status: number | undefined) => {
+        if (status === 200 && isLeaving) server.leaveAcknowledgedAtMs ??= performance.now();
+      };
+      void call(address, 'PUT', `/-/instances/${server.id}`, body, 1_000).then(async (reply) => {
+        noteAcknowledged(reply?.status);
         if (reply?.status === 200) return;
         const next = controls[(turn + 1) % controls.length] ?? '';
-        void call(next, 'PUT', `/-/instances/${server.id}`, body, 1_000);
+        const second = await call(next, 'PUT', `/-/instances/${server.id}`, body, 1_000);
+        noteAcknowledged(second?.status);
       });
     }
   };
--- a/review/stand-in-3/deployment.ts
+++ b/review/stand-in-3/deployment.ts
@@ -19,6 +19,8 @@
   readonly zones: readonly string[];
   readonly tenantCount: number;
   readonly answering?: DatabaseOptions['answering'];
+  /** Whether there is a database `stock`, whose reads may be up to 1.5 s old. */
+  readonly hasStock?: boolean;
   /** Servers that send no heartbeats for now. */
   readonly skipsBeat?: (server: DatabaseServer) => boolean;
 }
@@ -78,7 +80,11 @@
     recorder.note(`case: ${String(error)}`);
     void end(2);
   });
-  const isAcknowledged = await putConfig(cluster, configOf(keys), recorder);
+  const isAcknowledged = await putConfig(
+    cluster,
+    configOf(keys, options.hasStock === true),
+    recorder,
+  );
   const [key = ''] = keys;
   const untilMs = performance.now() + READY_TIMEOUT_MS;
   for (const { front, name } of cluster.machines) {
@@ -95,13 +101,17 @@
   return { cluster, database, cloud, recorder, keys, end };
 }
 
-function configOf(keys: readonly string[]) {
+function configOf(keys: readonly string[], hasStock: boolean) {
   const route = { Name: 'r-books', Host: 'books', PathPrefix: '/', Type: 'primary' };
   const times = { TimeoutMs: 3000, SloMs: 1200, Prio: 1, MaxAttempts: 2, Public: false };
+  const stock = {
+    ...{ Name: 'r-stock', Host: 'stock', PathPrefix: '/', Type: 'bounded_staleness' },
+    ...{ ...times, Prio: 2, MaxStalenessMs: 1500, Service: 'ledger' },
+  };
   const service = { Name: 'ledger', HealthPath: '/health', MaxConns: 34, Proto: 'h1', Tls: false };
   return {
     Version: 7,
-    Routes: [{ ...route, ...times, Service: 'ledger' }],
+    Routes: [{ ...route, ...times, Service: 'ledger' }, ...(hasStock ? [stock] : [])],
     Services: [{ ...service, SyncReplicas: 1 }],
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 262144, IdleTimeoutMs: 15000, TxIdleMs: 3000 },
     Tenants: keys.map((key, index) => {
