--- a/review/14/case.ts
+++ b/review/14/case.ts
@@ -5,9 +5,9 @@
 
 const NET = 14;
 const TENANTS = 8;
-/** Sessions on each machine, by database; about 350 reads a second in all, as the site has. */
+/** Sessions on each machine, by database; about 250 reads a second in all, as the site has. */
 const SESSIONS = { stock: 6, books: 3 };
-const PAUSE_MS = 120;
+const PAUSE_MS = 170;
 const DEADLINE_MS = 5_000;
 /** `DrainMs`; rule DRAIN. */
 const DRAIN_MS = 7_000;
