Do not promote the longest log while a replica may be unknown

The owner had acknowledged 1.573 itself and promoted a server at 1.568.

Cause: an owner that has led, or that a control member has told so, took its list of servers for complete. A replica acknowledges commits from its start; its announcement may reach nobody before it goes dark with the primary.

Change: no list counts as complete until the group has had no primary for a minute. An owner promotes a log that reaches what it has acknowledged, or the log of the former primary; the exchange 'group/membership' is gone, and with it its tests, which are replaced by tests of what the relay still does. Same cause elsewhere: an owner closed by a lost lease acknowledges nothing more and hands on what it has acknowledged; a new owner recognises a primary that the former one has fenced; a commit that wrote nothing does not count as acknowledged. Groups whose settings allow lost commits do not wait.

One test ("and waits for nothing once...") had a position acknowledged that no known server has; it now says that no unknown one may return. The random orders of events no longer assume that the owner hears of each replica.

--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -52,8 +52,6 @@
 const OWNER_REQUEST_INTERVAL_MS = 400;
 /** Interval at which an owner that has not taken over what this member knows is sent it again. */
 const INTRODUCTION_INTERVAL_MS = 500;
-/** After a pause of this length, in milliseconds, announcements to other members may have been missed. */
-const MAX_REFRESH_GAP_MS = 2_000;
 
 interface StoredAnnouncement {
   readonly announcement: ServerAnnouncement;
@@ -65,11 +63,10 @@
   readonly epoch: number;
   atMs: number;
   hasServers: boolean;
-  hasMembership: boolean;
 }
 
 function createIntroduction(epoch: number): Introduction {
-  return { epoch, atMs: Number.NEGATIVE_INFINITY, hasServers: false, hasMembership: false };
+  return { epoch, atMs: Number.NEGATIVE_INFINITY, hasServers: false };
 }
 
 interface ReportedWork {
@@ -100,10 +97,7 @@
   >();
   const links = new Map<string, LinkClient>();
   const requestedAtMs = new Map<GroupName, number>();
-  /** Groups of whose servers this member has received all announcements since an owner knew all of them. */
-  const knownGroups = new Set<GroupName>();
   const introductions = new Map<GroupName, Introduction>();
-  let refreshedAtMs = performance.now();
   return { announce, store, removeServer, busyTargetsIn, refresh, close };
 
   async function announce(announcement: ServerAnnouncement): Promise<boolean> {
@@ -172,33 +166,21 @@
     getMember()?.notifyMembers('server/keep', kept);
   }
 
-  /**
-   * Sends a new owner the known servers, and says whether these are all. After the loss of the owner and of all members nobody
-   * can tell, until an owner has led a primary again and the members have learnt from it that it knows all servers.
-   */
+  /** Sends a new owner the known servers, until it has accepted all of them. */
   async function introduceServers(group: GroupName, { epoch, entryId }: Assignment): Promise<void> {
     const nowMs = performance.now();
     const last = introductions.get(group);
     const current = last?.epoch === epoch ? last : createIntroduction(epoch);
-    if (current.hasMembership && knownGroups.has(group)) return;
+    if (current.hasServers) return;
     if (nowMs - current.atMs < INTRODUCTION_INTERVAL_MS) return;
     if (current !== last)
       log(`group ${group} has owner ${entryId}, epoch ${epoch}; sending it the known servers`);
     current.atMs = nowMs;
     introductions.set(group, current);
-    if (!current.hasServers) {
-      const pending = [...latestAnnouncements.values()]
-        .filter(({ announcement }) => announcement.group === group)
-        .map(({ announcement }) => sendAnnouncement(announcement));
-      current.hasServers = (await Promise.all(pending)).every((isAccepted) => isAccepted);
-    }
-    if (!current.hasServers) return;
-    const params = [group, epoch, knownGroups.has(group)];
-    const isKnown = await askOwner(group, 'group/membership', params);
-    if (isKnown !== true || ownerOf(group)?.epoch !== epoch) return;
-    if (!knownGroups.has(group)) log(`all servers of group ${group} are known here, by its owner`);
-    knownGroups.add(group);
-    current.hasMembership = true;
+    const pending = [...latestAnnouncements.values()]
+      .filter(({ announcement }) => announcement.group === group)
+      .map(({ announcement }) => sendAnnouncement(announcement));
+    current.hasServers = (await Promise.all(pending)).every((isAccepted) => isAccepted);
   }
 
   async function removeServer(server: ServerName): Promise<void> {
@@ -253,8 +235,6 @@
 
   function refresh(): void {
     const nowMs = performance.now();
-    if (nowMs - refreshedAtMs > MAX_REFRESH_GAP_MS) knownGroups.clear();
-    refreshedAtMs = nowMs;
     for (const [server, { atMs }] of latestAnnouncements) {
       if (nowMs - atMs > ANNOUNCEMENT_RETENTION_MS) latestAnnouncements.delete(server);
     }
--- a/packages/core/src/placement/losses.test.ts
+++ b/packages/core/src/placement/losses.test.ts
@@ -106,7 +106,7 @@
     unfenced: unfenced.map(toServerName),
     mayPrimaryReturn: true,
     hasUncoveredCommits: false,
-    isMembershipKnown: true,
+    mayHaveUnknownReplicas: false,
     acknowledged: at(10),
     isPlanned: false,
   });
--- a/packages/core/src/promotion/acknowledged-commits.test.ts
+++ b/packages/core/src/promotion/acknowledged-commits.test.ts
@@ -18,8 +18,7 @@
  * A group of servers and its owners under random orders of events: commits, replication, servers that go dark, fall deaf,
  * leave, restart without their log or are added, owners that are replaced, losses of all processes at any moment, records that
  * are made late, changes of primary in single steps, and answers that arrive late. A server acknowledges commits from its start,
- * before the owner knows it; unless all processes are lost, the owner has its announcement before it chooses a
- * successor. Checked at each promotion: every commit that a caller has as done is in the log of the successor, or in no
+ * before the owner knows it, and may go dark before anybody has its announcement. Checked at each promotion: every commit that a caller has as done is in the log of the successor, or in no
  * log any more if the owner takes it for lost.
  */
 
@@ -58,7 +57,7 @@
   /** The servers that it knows, including those that have left without its knowledge. */
   readonly servers: Map<string, Server>;
   readonly coverage: ReturnType<typeof createCoverage<Server>>;
-  isMembershipKnown: boolean;
+  mayHaveUnknownReplicas: boolean;
   acknowledged: LogPosition | undefined;
   leader: Server | undefined;
   former: Server | undefined;
@@ -107,7 +106,6 @@
   let recordedPrimary: Server | undefined;
   /** The primary on record, once replicas are recorded to have all commits with which it started. */
   let coveredPrimary: Server | undefined;
-  let isMembershipKnownToMembers = true;
   let owner: Owner;
 
   const addServer = (name: string): Server => {
@@ -139,11 +137,10 @@
       epoch: epochCount,
       servers: new Map(recorded),
       coverage: createCoverage(coveredPrimary !== undefined && coveredPrimary === recordedPrimary),
-      isMembershipKnown: !areMembersLost && isMembershipKnownToMembers,
+      mayHaveUnknownReplicas: true,
       ...{ acknowledged: undefined, leader: undefined, former: undefined },
       ...{ demoted: new Set<Server>(), chosen: undefined, inherited: undefined, leadership: 0 },
     };
-    isMembershipKnownToMembers = started.isMembershipKnown;
     for (const server of servers) {
       const isKnownToMembers = !areMembersLost && (server.wasUnknown || random() < 0.5);
       if (isReachable(server) || isKnownToMembers) announce(started, server);
@@ -227,8 +224,7 @@
     owner.inherited = owner.chosen?.position;
     Object.assign(owner, { former: undefined, chosen: undefined, demoted: new Set() });
     owner.acknowledged = endOf(server);
-    owner.isMembershipKnown = true;
-    isMembershipKnownToMembers = true;
+    owner.mayHaveUnknownReplicas = true;
     recordedPrimary = server;
     if (isNewTerm) coveredPrimary = undefined;
     recordPrimaryStart(owner.coverage, endOf(server), nowMs);
@@ -256,8 +252,7 @@
     const { chosen } = owner;
     if (owner.leader || (chosen && isAlive(chosen.server))) return;
     for (const server of servers)
-      if (isReachable(server) || (owner.isMembershipKnown && server.wasUnknown))
-        announce(owner, server);
+      if (isReachable(server) && random() < 0.8) announce(owner, server);
     const reached = [...owner.servers.values()].filter(isReachable);
     const leads = primary !== undefined && reached.includes(primary);
     const plans = isPlanned && leads && running.length === 0 && answers.length === 0;
@@ -281,7 +276,7 @@
       unfenced: unreached.filter((s) => s !== owner.former).map(({ name }) => toServerName(name)),
       mayPrimaryReturn: owner.former !== undefined && unreached.includes(owner.former),
       hasUncoveredCommits: hasUncoveredCommits(owner.coverage),
-      isMembershipKnown: owner.isMembershipKnown,
+      mayHaveUnknownReplicas: owner.mayHaveUnknownReplicas,
       acknowledged: owner.acknowledged,
       isPlanned: plans,
     });
@@ -429,7 +424,10 @@
         const names = new Set(servers.map(({ name }) => name));
         for (const server of owner.servers.values())
           if (!isAlive(server) && !names.has(server.name)) removeServer(owner, server);
-        owner.isMembershipKnown ||= servers.every((each) => owner.servers.get(each.name) === each);
+        if (owner.leader) return;
+        owner.mayHaveUnknownReplicas = servers.some(
+          (each) => owner.servers.get(each.name) !== each,
+        );
       },
     ],
     [2, startChange],
--- a/packages/core/src/promotion/choose-successor.test.ts
+++ b/packages/core/src/promotion/choose-successor.test.ts
@@ -27,7 +27,7 @@
   unfenced: [],
   mayPrimaryReturn: true,
   hasUncoveredCommits: false,
-  isMembershipKnown: true,
+  mayHaveUnknownReplicas: false,
   acknowledged: at(10),
   isPlanned: false,
 };
@@ -97,6 +97,17 @@
         context: { fenced: [fenced('a', 9)], hasUncoveredCommits: true },
         expected: 'behind-acknowledged',
       },
+      // Guards against LOST: the owner's own acknowledgement shows that a replica is missing, of which it has not heard.
+      {
+        name: 'waits if no known log reaches it and a replica may be unknown',
+        context: { fenced: [fenced('a', 9), fenced('b', 8)], mayHaveUnknownReplicas: true },
+        expected: 'replica-may-be-unknown',
+      },
+      {
+        name: 'does not wait for unknown replicas if a log reaches it',
+        context: { fenced: [fenced('a', 10)], mayHaveUnknownReplicas: true },
+        expected: 'a reaches-acknowledged',
+      },
       {
         name: 'does not wait for commits that nobody can have any more',
         context: { fenced: [fenced('a', 9)], hasUncoveredCommits: true, mayPrimaryReturn: false },
@@ -147,6 +158,20 @@
         context: { acknowledged, fenced: [fenced('a', 9), fenced('p', 12, wasPrimary)] },
         expected: 'a longest-of-all',
       },
+      {
+        name: 'waits while a replica may be unknown',
+        context: { acknowledged, fenced: [fenced('a', 9)], mayHaveUnknownReplicas: true },
+        expected: 'replica-may-be-unknown',
+      },
+      {
+        name: 'takes the former primary, which has returned, while a replica may be unknown',
+        context: {
+          acknowledged,
+          fenced: [fenced('a', 9), fenced('p', 12, wasPrimary)],
+          mayHaveUnknownReplicas: true,
+        },
+        expected: 'p is-former-primary',
+      },
       { name: 'waits if no server answers', context: { acknowledged }, expected: 'no-candidate' },
     ])('$name: $expected', check);
   });
--- a/packages/core/src/promotion/choose-successor.ts
+++ b/packages/core/src/promotion/choose-successor.ts
@@ -8,8 +8,8 @@
  *    - the newest position that the owner knows to be acknowledged, which covers former owners too,
  *    - or the end of the log of the primary, once that has given up its role,
  *    - or the end of the longest log among all replicas that may have received a commit that no other one has. None of
- *      these may still acknowledge commits: each has to be fenced. An owner that may not know all
- *      replicas, because all processes were lost before it started, needs the primary.
+ *      these may still acknowledge commits: each has to be fenced. While a replica may return that the owner has never heard
+ *      of, no log is known to be the longest of all.
  * 2. A replica that left, restarted or was removed still counts among them, until another one is known to have
  *    received what it had (`Coverage`). So does one that the owner cannot reach, and what a primary had at its start until
  *    a replica is known to have it; the owner records that, because the next one cannot tell.
@@ -42,11 +42,8 @@
   readonly mayPrimaryReturn: boolean;
   /** Whether a replica that is gone may have received commits that no other replica has. */
   readonly hasUncoveredCommits: boolean;
-  /**
-   * Whether the owner knows all replicas of the group that may return. After the loss of all processes, one that had joined
-   * shortly before may be neither on record nor announced.
-   */
-  readonly isMembershipKnown: boolean;
+  /** Whether a replica may return that the owner has never heard of, with commits that no known server has. */
+  readonly mayHaveUnknownReplicas: boolean;
   /** Position up to which commits may be acknowledged; `undefined` if the owner does not know it. */
   readonly acknowledged: LogPosition | undefined;
   /** Whether the primary still leads and is replaced as planned; servers are not fenced then. */
@@ -108,7 +105,7 @@
       kind: 'wait',
       reason: acknowledged ? 'behind-acknowledged' : 'replica-may-acknowledge',
     };
-  if (!context.isMembershipKnown) return { kind: 'wait', reason: 'replica-may-be-unknown' };
+  if (context.mayHaveUnknownReplicas) return { kind: 'wait', reason: 'replica-may-be-unknown' };
   if (!demoted && !context.mayPrimaryReturn) return promote(best, 'others-are-lost');
   return { kind: 'wait', reason: 'behind-acknowledged' };
 }
@@ -127,7 +124,7 @@
   if (acknowledged && coversMark(position, acknowledged)) return 'reaches-acknowledged';
   if (isPlanned) return undefined;
   if (demoted && coversMark(position, demoted.position)) return 'reaches-former-primary';
-  const areAllFenced = context.isMembershipKnown && unfenced.length === 0;
+  const areAllFenced = !context.mayHaveUnknownReplicas && unfenced.length === 0;
   const isLongestOfAll = isLongest && areAllFenced && !hasUncoveredCommits;
   return isLongestOfAll ? 'longest-of-all' : undefined;
 }
--- a/packages/statement-entry/src/app.ts
+++ b/packages/statement-entry/src/app.ts
@@ -25,7 +25,6 @@
 } from './near/reader-offer.js';
 import { readAtReplica, releaseServer, type ReplicaReads } from './near/replica-reads.js';
 import { explainStatement } from './owner/explain-statement.js';
-import { exchangeMembership } from './owner/membership.js';
 import {
   acceptRollback,
   acceptStatement,
@@ -115,11 +114,6 @@
     const owner = app.registry.owners.get(announcement.group);
     return (owner && workAtServer(owner, announcement.server)) ?? true;
   },
-  'group/membership': ({ registry }, params) => {
-    const [group, epoch, isKnown] = params as readonly [GroupName, number, boolean];
-    const owner = findStatementOwner(registry, group, epoch);
-    return owner ? exchangeMembership(owner, isKnown) : null;
-  },
   'server/leave': (app, params) => {
     deliverServerLeave(app.registry, params as ServerName);
     return true;
--- a/packages/statement-entry/src/owner/change-primary.test.ts
+++ b/packages/statement-entry/src/owner/change-primary.test.ts
@@ -11,7 +11,7 @@
 import { createFakeGroup, type FakeGroup, type FakeServer } from '../test-support/fake-group.js';
 import { changePrimary } from './change-primary.js';
 import { dispatch } from './dispatch.js';
-import { exchangeMembership, LOST_FOR_GOOD_MS } from './membership.js';
+import { LOST_FOR_GOOD_MS } from './membership.js';
 import { acceptStatement } from './owner-app.js';
 import {
   applyServerAnnouncement,
@@ -124,6 +124,8 @@
     if (owner.acknowledgedPositions)
       recordAcknowledged(owner.acknowledgedPositions, at(51), performance.now());
     primary.reachability = 'dark';
+    // The position is the end of the primary's log, which no replica has reached and none may return with.
+    owner.lastLedMs = performance.now() - LOST_FOR_GOOD_MS;
     void changePrimary(owner, 'the primary does not answer', false);
     await until(() => owner.leadership.kind === 'led');
     expect(promotedServers()).toEqual([near.name]);
@@ -157,6 +159,39 @@
   });
 });
 
+describe('a change of primary while the owner has not heard of a replica that has acknowledged commits', () => {
+  let unknown: FakeServer;
+
+  beforeEach(async () => {
+    for (const server of fake.servers) server.position = at(41);
+    await checkReplicas(owner);
+    unknown = { ...far, name: 'i-9' as ServerName, position: at(50), reachability: 'dark' };
+    fake.servers.push(unknown);
+    acknowledgeAt(unknown, near, 50);
+    primary.reachability = 'dark';
+    void changePrimary(owner, 'the primary does not answer', false);
+  });
+
+  // Guards against LOST: the longest log of the known replicas was promoted, although it lacked acknowledged commits.
+  it('waits for the primary if no known replica reaches what is acknowledged', async () => {
+    await expectWaitForPrimary(1_200);
+  });
+
+  it('promotes a replica that announces itself meanwhile and reaches it', async () => {
+    await delay(1_000);
+    expect(promotedServers()).toEqual([]);
+    unknown.reachability = 'up';
+    const { announcement } = serverState(far);
+    applyServerAnnouncement(owner, {
+      ...announcement,
+      server: unknown.name,
+      address: '10.0.0.9:1',
+    });
+    await until(() => owner.leadership.kind === 'led');
+    expect(promotedServers()).toEqual([unknown.name]);
+  });
+});
+
 describe('a planned change of primary', () => {
   const transaction = { number: 1, isReadOnly: false };
 
@@ -258,6 +293,12 @@
 });
 
 describe('a new owner that finds no primary', () => {
+  /** Starts it when a replica of which nobody has heard would have returned. */
+  function startOwnerAfterSilence(): void {
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    owner.lastLedMs = performance.now() - LOST_FOR_GOOD_MS;
+  }
+
   beforeEach(async () => {
     acknowledgeAt(near, far, 50);
     const leaving = serverState(near);
@@ -272,8 +313,7 @@
   // Guards against LOST: an unreachable replica was given up although the owner knew no acknowledged position.
   it('waits for an unreachable replica, also one that was leaving', async () => {
     near.reachability = 'dark';
-    owner = startStatementOwner(owner.group, 2, owner.environment);
-    exchangeMembership(owner, true);
+    startOwnerAfterSilence();
     await delay(7_000);
     expect(promotedServers()).toEqual([]);
     near.reachability = 'up';
@@ -296,26 +336,43 @@
     await expectWaitForPrimary(5_000);
   }, 15_000);
 
-  // Guards against LOST: after the loss of all processes nobody knew of a replica that had joined right before.
-  it('waits for the primary if no control member knows whether there are other replicas', async () => {
+  // Guards against LOST: nobody knew of a replica that had joined right before, and all known ones were fenced.
+  it('waits for the primary, since a replica may be unknown', async () => {
     owner = startStatementOwner(owner.group, 2, owner.environment);
-    expect(exchangeMembership(owner, false)).toBe(false);
     await expectWaitForPrimary(5_000);
-    expect(exchangeMembership(owner, false)).toBe(true);
+  }, 15_000);
+
+  // Guards against a wait for a server that has answered: the former owner was lost between the fence and the promotion.
+  it('recognises the primary that the former owner has fenced', async () => {
+    Object.assign(primary, { role: 'replica', heldTerm: 4, position: at(52) });
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    await delay(3_100);
+    primary.reachability = 'up';
+    await until(() => owner.leadership.kind === 'led');
+    expect(promotedServers()).toEqual([primary.name]);
+  }, 15_000);
+
+  it('does not take a process for it that has started since the record', async () => {
+    Object.assign(primary, { role: 'replica', heldTerm: 4, position: at(0) });
+    primary.reachability = 'up';
+    owner = startStatementOwner(owner.group, 2, owner.environment);
+    const { announcement } = serverState(primary);
+    applyServerAnnouncement(owner, { ...announcement, bornMs: 2, sequence: 1 });
+    await delay(5_000);
+    expect(promotedServers()).toEqual([]);
   }, 15_000);
 
   it('does not wait longer than a minute for replicas that nobody knows', async () => {
     owner = startStatementOwner(owner.group, 2, owner.environment);
-    Object.assign(owner, { startedAtMs: performance.now() - LOST_FOR_GOOD_MS + 4_000 });
+    owner.lastLedMs = performance.now() - LOST_FOR_GOOD_MS + 4_000;
     await delay(3_500);
     expect(promotedServers()).toEqual([]);
     await until(() => owner.leadership.kind === 'led');
     expect(promotedServers()).toEqual([near.name]);
   }, 15_000);
 
-  it('promotes the longest log once all replicas are fenced', async () => {
-    owner = startStatementOwner(owner.group, 2, owner.environment);
-    exchangeMembership(owner, true);
+  it('promotes the longest log once all replicas are fenced and no other may return', async () => {
+    startOwnerAfterSilence();
     await delay(3_500);
     await until(() => owner.leadership.kind === 'led');
     expect(promotedServers()).toEqual([near.name]);
--- a/packages/statement-entry/src/owner/change-primary.ts
+++ b/packages/statement-entry/src/owner/change-primary.ts
@@ -6,7 +6,6 @@
   coversMark,
   hasUncoveredCommits,
   type LogPosition,
-  newestAcknowledged,
   type SuccessorContext,
   ZERO_POSITION,
 } from '@bramleykeel/core';
@@ -24,7 +23,8 @@
   type ServerState,
   type StatementOwner,
 } from './owner-state.js';
-import { isMembershipKnown } from './membership.js';
+import { endOfDemotedPrimary, recordedPrimary } from './former-primary.js';
+import { mayHaveUnknownReplicas, newestAcknowledgedOf } from './membership.js';
 import { placementOf } from './placement.js';
 import { dropTransaction } from './transactions.js';
 import { newestPrimary, setPrimary } from './set-primary.js';
@@ -117,17 +117,6 @@
     endFormerPrimaryWork(owner, former, isPlanned && !hasFenced);
 }
 
-/**
- * The primary that control has on record. While a promotion is unresolved it may be another server, so that none can be
- * taken for it.
- */
-function recordedPrimary(owner: StatementOwner): ServerState | undefined {
-  const { primary, term, proposedTerm } = owner.environment.groupRecord();
-  if (proposedTerm > term) return undefined;
-  if (primary !== undefined) return owner.servers.get(primary);
-  return [...owner.servers.values()].find(({ announcement }) => announcement.role === 'primary');
-}
-
 function updateChange(owner: StatementOwner, update: Partial<ChangingLeadership>): void {
   const { leadership } = owner;
   if (leadership.kind === 'changing') owner.leadership = { ...leadership, ...update };
@@ -232,14 +221,13 @@
   { isPlanned, isForPlacement, isRevocable, hasFenced, demoted }: PrimaryChange,
   { server, status }: ServerStatus,
 ): boolean {
-  const { leadership, acknowledgedPositions } = owner;
+  const { leadership } = owner;
   const hasChosen = leadership.kind === 'changing' && leadership.chosenPosition !== undefined;
   if (!isRevocable || hasChosen || demoted.has(server)) return false;
   const isCancelled = !isMisplaced(owner, server) || isMovePostponed(owner, server);
   if (isPlanned && (!isForPlacement || hasFenced || !isCancelled)) return false;
-  return (
-    !acknowledgedPositions || coversMark(status.position, newestAcknowledged(acknowledgedPositions))
-  );
+  const acknowledged = newestAcknowledgedOf(owner);
+  return !acknowledged || coversMark(status.position, acknowledged);
 }
 
 /** A primary outside its homes serves the other routes, so it leads on if no server in a home is ready to follow it. */
@@ -281,7 +269,7 @@
   return {
     unfenced: unfenced.join(' '),
     mayPrimaryReturn,
-    isMembershipKnown: context.isMembershipKnown,
+    mayHaveUnknownReplicas: context.mayHaveUnknownReplicas,
     hasUncoveredCommits: context.hasUncoveredCommits,
     acknowledged: acknowledged && `${acknowledged.term}.${acknowledged.offset}`,
   };
@@ -308,12 +296,15 @@
     status.heldTerm,
     status.position.term,
   ]);
-  const acknowledgedTerm = owner.acknowledgedPositions
-    ? newestAcknowledged(owner.acknowledgedPositions).term
-    : 0;
+  const acknowledgedTerm = newestAcknowledgedOf(owner)?.term ?? 0;
   const term = Math.max(0, acknowledgedTerm, ...terms) + 1;
   for (const { server, status } of statuses)
     if (status.role === 'primary') change.demoted.set(server, status.position);
+  // An owner that has led knows what was acknowledged; for another one the log of the primary tells.
+  const demotedBefore = newestAcknowledgedOf(owner)
+    ? undefined
+    : endOfDemotedPrimary(owner, statuses);
+  if (demotedBefore) change.demoted.set(demotedBefore.server, demotedBefore.position);
   const primaries = new Set(
     statuses.filter(({ status }) => status.role === 'primary').map(({ server }) => server),
   );
@@ -354,8 +345,8 @@
       .map(({ announcement }) => announcement.server),
     mayPrimaryReturn: former !== undefined && unreached.includes(former),
     hasUncoveredCommits: hasUncoveredCommits(owner.coverage),
-    isMembershipKnown: isMembershipKnown(owner),
-    acknowledged: owner.acknowledgedPositions && newestAcknowledged(owner.acknowledgedPositions),
+    mayHaveUnknownReplicas: mayHaveUnknownReplicas(owner),
+    acknowledged: newestAcknowledgedOf(owner),
     isPlanned,
   };
 }
--- a/packages/statement-entry/src/owner/membership.ts
+++ b/packages/statement-entry/src/owner/membership.ts
@@ -1,8 +1,9 @@
 /**
- * Whether an owner knows all replicas of its group. An owner that has led a primary does, and so does one that was sent the
- * servers by a control member to which such an owner has said so. After the loss of all processes nobody does: a replica that
- * joined right before may have acknowledged commits, and is neither on record nor announced if it is out of reach.
+ * Whether a replica may return that an owner has never heard of. A replica acknowledges commits from its start, and its first
+ * announcement may be late or lost, so neither the record nor the announcements of a group are ever known to be complete. A
+ * server that returns does so within a minute.
  */
+import { latestPosition, type LogPosition, newestAcknowledged } from '@bramleykeel/core';
 import type { StatementOwner } from './owner-state.js';
 
 /**
@@ -11,23 +12,21 @@
  */
 export const LOST_FOR_GOOD_MS = 60_000;
 
-/** Whether the owner knows all replicas that may still return. */
-export function isMembershipKnown(owner: StatementOwner): boolean {
-  return owner.isMembershipKnown || performance.now() - owner.startedAtMs >= LOST_FOR_GOOD_MS;
+/** Whether an unknown replica may return that has commits which no known server has. */
+export function mayHaveUnknownReplicas(owner: StatementOwner): boolean {
+  // A group that loses commits by its settings gains nothing from the wait.
+  const mayLoseCommits = owner.environment.groupSettings()?.isSynchronous === false;
+  const isWithoutCommits = owner.isFirstOfGroup && owner.acknowledgedPositions === undefined;
+  if (mayLoseCommits || isWithoutCommits) return false;
+  return performance.now() - owner.lastLedMs < LOST_FOR_GOOD_MS;
 }
 
-/**
- * Takes the word of a control member that has sent all servers that it knows.
- *
- * @param isKnownThere whether these were all servers of the group
- * @returns whether this owner knows all servers
- */
-export function exchangeMembership(owner: StatementOwner, isKnownThere: boolean): boolean {
-  if (isKnownThere && !owner.isMembershipKnown) {
-    owner.isMembershipKnown = true;
-    owner.environment.log('a control member knows all servers of the group', {
-      servers: [...owner.servers.keys()].join(' '),
-    });
-  }
-  return owner.isMembershipKnown;
+/** The newest position up to which commits may be acknowledged; `undefined` if this owner cannot know it. */
+export function newestAcknowledgedOf({
+  acknowledgedPositions,
+  acknowledgedBefore,
+}: StatementOwner): LogPosition | undefined {
+  if (!acknowledgedPositions) return acknowledgedBefore;
+  const newest = newestAcknowledged(acknowledgedPositions);
+  return acknowledgedBefore ? latestPosition(newest, acknowledgedBefore) : newest;
 }
--- a/packages/statement-entry/src/owner/owner-app.ts
+++ b/packages/statement-entry/src/owner/owner-app.ts
@@ -74,6 +74,7 @@
     pooled: undefined,
     isBusy: false,
     hasBegun: false,
+    mayHaveWritten: false,
     homesClaim: createHomesClaim(job.homesClaim.subject, job.request.homes),
     lastUsedMs: performance.now(),
   };
--- a/packages/statement-entry/src/owner/owner-registry.test.ts
+++ b/packages/statement-entry/src/owner/owner-registry.test.ts
@@ -1,4 +1,5 @@
 import {
+  createAcknowledgedPositions,
   type GroupName,
   type Resource,
   type ServerAnnouncement,
@@ -125,6 +126,20 @@
     expect(registry.owners.get(group)?.epoch).toBe(4);
   });
 
+  it('know what was acknowledged before under the same epoch, and under no other', () => {
+    const position = { term: 3, offset: 90 };
+    const first = registry.owners.get(group);
+    if (!first) throw new Error('the group has no owner');
+    first.acknowledgedPositions = createAcknowledgedPositions(position, 0);
+    closeAllStatementOwners(registry);
+    reconcileStatementOwners(registry);
+    expect(registry.owners.get(group)?.acknowledgedBefore).toEqual(position);
+    closeAllStatementOwners(registry);
+    assigned = { epoch: 5, incarnation: 'here' };
+    reconcileStatementOwners(registry);
+    expect(registry.owners.get(group)?.acknowledgedBefore).toBeUndefined();
+  });
+
   // Guards against a write that runs twice: entries send statements again that are not named as running at the end.
   it('name statements at the end of their epoch that run since before the lease was lost', () => {
     const job = { request: { number: 7 } } as Job;
--- a/packages/statement-entry/src/owner/owner-registry.ts
+++ b/packages/statement-entry/src/owner/owner-registry.ts
@@ -11,6 +11,7 @@
   homeRulesOf,
   homesOfGroups,
   listAssignments,
+  type LogPosition,
   type PlacementBounds,
   type ReadDistribution,
   type Resource,
@@ -23,6 +24,7 @@
 import type { Counters, Log } from '@bramleykeel/link';
 import type { OpenTarget, PromoteServer, ReadTargetStatus } from '../types/target-port.js';
 import { readerResource } from '../near/locate-reader.js';
+import { newestAcknowledgedOf } from './membership.js';
 import { dropEntryChannel, type EntryChannel } from './owner-app.js';
 import {
   closeStatementOwner,
@@ -68,6 +70,11 @@
   readonly receivedAtMs: number;
 }
 
+interface ClosedAcknowledgement {
+  readonly epoch: number;
+  readonly position: LogPosition;
+}
+
 export interface StatementOwnerRegistry {
   readonly options: RegistryOptions;
   readonly owners: Map<GroupName, StatementOwner>;
@@ -78,8 +85,8 @@
    * this entry has received the assignment.
    */
   readonly earlyAnnouncements: Map<ServerName, EarlyAnnouncement>;
-  /** Epochs whose owner has closed after a lost lease, and knew all servers of its group. */
-  readonly knownMemberships: Map<GroupName, number>;
+  /** What owners had acknowledged that were closed after a lost lease, for the next one under their epoch. */
+  readonly acknowledgedByClosed: Map<GroupName, ClosedAcknowledgement>;
   /** The newest ended epoch of each group; no owner starts under it or an older one again. */
   readonly endedEpochs: Map<GroupName, number>;
 }
@@ -98,7 +105,7 @@
     owners: new Map(),
     closedOwners: new Set(),
     earlyAnnouncements: new Map(),
-    knownMemberships: new Map(),
+    acknowledgedByClosed: new Map(),
     endedEpochs: new Map(),
   };
 }
@@ -170,7 +177,8 @@
     propose: (command) => propose(control, command),
   };
   const owner = startStatementOwner(group, epoch, environment);
-  if (registry.knownMemberships.get(group) === epoch) owner.isMembershipKnown = true;
+  const closed = registry.acknowledgedByClosed.get(group);
+  if (closed?.epoch === epoch) owner.acknowledgedBefore = closed.position;
   registry.owners.set(group, owner);
   const receivedSinceMs = performance.now() - EARLY_ANNOUNCEMENT_RETENTION_MS;
   for (const { announcement, receivedAtMs } of registry.earlyAnnouncements.values()) {
@@ -310,11 +318,12 @@
 
 /** Closes all owners after a lost lease; their epochs do not end, because control may renew the lease. */
 export function closeAllStatementOwners(registry: StatementOwnerRegistry): void {
-  const { owners, closedOwners, knownMemberships } = registry;
+  const { owners, closedOwners, acknowledgedByClosed } = registry;
   for (const former of closedOwners) if (former.running.size === 0) closedOwners.delete(former);
   for (const owner of owners.values()) {
     closeStatementOwner(owner);
-    if (owner.isMembershipKnown) knownMemberships.set(owner.group, owner.epoch);
+    const position = newestAcknowledgedOf(owner);
+    if (position) acknowledgedByClosed.set(owner.group, { epoch: owner.epoch, position });
     if (owner.running.size > 0) closedOwners.add(owner);
   }
   owners.clear();
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -160,6 +160,8 @@
   isBusy: boolean;
   /** Whether a statement was answered in it, which shows that the server has begun it. */
   hasBegun: boolean;
+  /** Whether a write was sent in it, so that its commit waits for a replica. */
+  mayHaveWritten: boolean;
   lastUsedMs: number;
 }
 
@@ -238,11 +240,10 @@
   /** The servers that control has on record. */
   readonly recordedServers: RecordedServers;
   readonly heldCommits: Set<HeldCommit>;
-  /**
-   * Whether this owner knows all replicas: it has led a primary, or a control member that was told by such an owner has run
-   * since then.
-   */
-  isMembershipKnown: boolean;
+  /** Whether no server of the group was on record when this owner started; no commit is acknowledged before. */
+  readonly isFirstOfGroup: boolean;
+  /** When the group was last seen to have a primary, by the monotonic clock; the start of the owner before that. */
+  lastLedMs: number;
   readonly queues: Map<number, FairQueue<Job>>;
   /** Slot time of the customers over all priorities under overload control. */
   readonly shareClock: ShareClock;
@@ -265,6 +266,8 @@
   leadershipTerm: number | undefined;
   /** `undefined` until a position that covers all earlier acknowledged writes is known. */
   acknowledgedPositions: AcknowledgedPositions | undefined;
+  /** What the owner has acknowledged that ran here under this epoch until its lease was lost; `undefined` without one. */
+  acknowledgedBefore: LogPosition | undefined;
   isStopping: boolean;
   /** Whether statements of open transactions start no longer either, because the group is about to be handed over. */
   isFinishing: boolean;
@@ -311,8 +314,8 @@
     coverage: createCoverage(isPrimaryCovered(environment.groupRecord())),
     recordedServers: createRecordedServers((places ?? []).map(({ server }) => server)),
     heldCommits: new Set(),
-    // No commit is acknowledged before the servers of the group are on record.
-    isMembershipKnown: places === undefined,
+    isFirstOfGroup: places === undefined,
+    lastLedMs: nowMs,
     queues: new Map(),
     shareClock: createShareClock(),
     startOrder: createStartOrder(),
@@ -327,6 +330,7 @@
     leadershipNumber: 0,
     leadershipTerm: undefined,
     acknowledgedPositions: undefined,
+    acknowledgedBefore: undefined,
     isStopping: false,
     isFinishing: false,
     isClosed: false,
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -184,6 +184,7 @@
   const { access, transaction } = job.request;
   if (access === 'commit' || (access === 'write' && !transaction))
     job.committedUnder = leadershipNumberOf(owner, pooled.server);
+  if (access === 'write' && job.transaction) job.transaction.mayHaveWritten = true;
   markReached(owner, job);
   const sentAtMs = performance.now();
   const timeoutMs = job.deadlineMs - sentAtMs - ANSWER_MARGIN_MS;
--- a/packages/statement-entry/src/owner/set-primary.ts
+++ b/packages/statement-entry/src/owner/set-primary.ts
@@ -20,7 +20,7 @@
   const name = server.announcement.server;
   server.position = status.position;
   owner.acknowledgedPositions = createAcknowledgedPositions(status.position, nowMs);
-  owner.isMembershipKnown = true;
+  owner.lastLedMs = nowMs;
   const { leadership } = owner;
   const chosenPosition = leadership.kind === 'changing' ? leadership.chosenPosition : undefined;
   // Within one term no other server can have led in between.
--- a/packages/statement-entry/src/owner/settle-answer.ts
+++ b/packages/statement-entry/src/owner/settle-answer.ts
@@ -18,13 +18,14 @@
 import { endJob, notRun } from './end-job.js';
 import { holdCommit } from './hold-commits.js';
 import { requeueJob } from './job-queue.js';
-import type {
-  Job,
-  Leadership,
-  OpenTransaction,
-  PooledConnection,
-  ServerState,
-  StatementOwner,
+import {
+  isActiveOwner,
+  type Job,
+  type Leadership,
+  type OpenTransaction,
+  type PooledConnection,
+  type ServerState,
+  type StatementOwner,
 } from './owner-state.js';
 import { recordServerPlaces } from './server-places.js';
 import { dropTransaction } from './transactions.js';
@@ -265,7 +266,7 @@
  */
 function acknowledgeCommit(
   owner: StatementOwner,
-  { committedUnder }: Job,
+  { committedUnder, transaction }: Job,
   position: LogPosition | null,
 ): boolean {
   const { leadership, leadershipNumber, acknowledgedPositions, environment } = owner;
@@ -273,14 +274,17 @@
   const hasSuccessor = leadership.kind === 'changing' && leadership.chosenPosition !== undefined;
   const wasReplaced = hasSuccessor ? isUnderThis : committedUnder === leadershipNumber - 1;
   const isPassedOn = mayAcknowledge({
-    holdsLease: environment.holdsLease(),
+    // A closed owner's lease may have been renewed since, for another owner under the same epoch.
+    holdsLease: isActiveOwner(owner),
     isFromPrimary: isUnderThis && leadership.kind !== 'unknown' && !hasSuccessor,
     position,
     successorPosition:
       wasReplaced && leadership.kind !== 'unknown' ? leadership.chosenPosition : undefined,
   });
+  // A commit without a write waits for no replica, so its position may include commits that are in no other log.
+  const isReplicated = transaction?.mayHaveWritten !== false;
   if (!isPassedOn) environment.counters.count('commit.unconfirmed');
-  else if (position && acknowledgedPositions)
+  else if (position && acknowledgedPositions && isReplicated)
     recordAcknowledged(acknowledgedPositions, position, performance.now());
   return isPassedOn;
 }
--- a/packages/statement-entry/src/owner/watch-primary.ts
+++ b/packages/statement-entry/src/owner/watch-primary.ts
@@ -61,6 +61,7 @@
       void takeOver(owner);
       return;
     case 'led': {
+      owner.lastLedMs = performance.now();
       const primary = owner.servers.get(leadership.server);
       void checkReplicas(owner);
       void warmUpConnections(owner);
