Put on record which servers leave

Cause: the record of a server did not say that it leaves. A new owner took all recorded servers for present, and sent waiting reads to them as soon as the primary had answered, before control's relay had told it. Ruled out: waiting for the relay, which delays each change of owner and tells nothing after the loss of all members.

Change: the record keeps the number of the announcement that first reported the departure, and is written at once. A new owner sends such servers no reads and ignores announcements from before. Found by random orders of events and fixed too: a second departure while the first was being recorded; a restarted server that leaves, recorded as its former process.

The test 'include servers that are leaving' now lets control answer between two records, since a departure is recorded at once.

--- a/packages/core/src/statements/types.ts
+++ b/packages/core/src/statements/types.ts
@@ -69,6 +69,14 @@
   readonly slots: number;
   /** Wall-clock start time of the server's process, in milliseconds; tells its incarnations apart. */
   readonly bornMs?: number;
+  /** The announcement that first said that the server leaves; `undefined` while it stays. */
+  readonly leavingSince?: AnnouncementNumber | undefined;
+}
+
+/** Orders the announcements under one server name: by the start of the process, then within it. */
+export interface AnnouncementNumber {
+  readonly bornMs: number;
+  readonly sequence: number;
 }
 
 /** A server's announcement of itself, as decoded by the adapter. */
@@ -84,13 +92,28 @@
 
 /** Returns whether `next` is newer than `current`, an announcement of the same server. */
 export function isNewerAnnouncement(
-  next: ServerAnnouncement,
-  current: ServerAnnouncement,
+  next: AnnouncementNumber,
+  current: AnnouncementNumber,
 ): boolean {
   if (next.bornMs !== current.bornMs) return next.bornMs > current.bornMs;
   return next.sequence > current.sequence;
 }
 
+/**
+ * Keeps the first of the announcements that say that a server leaves.
+ *
+ * @param known the first one that is known so far
+ *
+ * @example
+ * leavingSinceOf({ ...announcement, isLeaving: true, bornMs: 1, sequence: 9 }, undefined); // { bornMs: 1, sequence: 9 }
+ */
+export function leavingSinceOf(
+  { isLeaving, bornMs, sequence, leavingSince }: ServerAnnouncement,
+  known: AnnouncementNumber | undefined,
+): AnnouncementNumber | undefined {
+  return isLeaving ? (known ?? leavingSince ?? { bornMs, sequence }) : undefined;
+}
+
 export type StatementAccess = 'read' | 'write' | 'commit';
 
 /** Content of a caller's statement, in the syntax of its protocol. */
--- a/packages/statement-entry/src/owner/owner-lifecycle.ts
+++ b/packages/statement-entry/src/owner/owner-lifecycle.ts
@@ -3,6 +3,7 @@
 import {
   type GroupName,
   isNewerAnnouncement,
+  leavingSinceOf,
   type ServerAnnouncement,
   type ServerName,
   type ServerPlace,
@@ -68,6 +69,8 @@
 ): void {
   const existing = owner.servers.get(announcement.server);
   if (existing && !isNewerAnnouncement(announcement, existing.announcement)) return;
+  // A former owner has heard of the departure; this announcement was sent before it.
+  if (existing?.leavingSince && isNewerAnnouncement(existing.leavingSince, announcement)) return;
   const nowMs = performance.now();
   const isRestarted =
     existing &&
@@ -83,6 +86,7 @@
   const current = owner.servers.get(announcement.server);
   if (current) {
     current.announcement = announcement;
+    current.leavingSince = leavingSinceOf(announcement, current.leavingSince);
     current.lastAnnouncementMs = nowMs;
     current.coldUntilMs = nowMs + (announcement.coldLeftMs ?? 0);
   } else {
@@ -111,7 +115,11 @@
 
 /** Removes a server after its planned shutdown. */
 export function handleServerLeave(owner: StatementOwner, server: ServerName): void {
+  const state = owner.servers.get(server);
+  // The record may have to keep it for its commits.
+  if (state) state.leavingSince ??= state.announcement;
   removeServer(owner, server);
+  recordServerPlaces(owner);
 }
 
 /**
--- a/packages/statement-entry/src/owner/owner-state.ts
+++ b/packages/statement-entry/src/owner/owner-state.ts
@@ -1,5 +1,6 @@
 /** State of the owner of a statement group: servers, connections, queues, transactions and log positions. */
 import {
+  type AnnouncementNumber,
   type ApplyResult,
   type ArrivalRates,
   type Assignment,
@@ -17,17 +18,16 @@
   type FairQueue,
   type FormerHolder,
   type GroupName,
-  fateKeyOf,
   isPrimaryCovered,
   type GroupRecord,
   type HeldCommit,
   type HomeRules,
+  leavingSinceOf,
   type HomesClaim,
   type LogPosition,
   type PlacementBounds,
   type ReadDistribution,
   type RecordedServers,
-  recordStarted,
   type AcknowledgedPositions,
   type ServerAnnouncement,
   type ServerHealth,
@@ -110,6 +110,8 @@
 
 export interface ServerState {
   announcement: ServerAnnouncement;
+  /** The announcement that first said that the server leaves, here or at a former owner; `undefined` while it stays. */
+  leavingSince: AnnouncementNumber | undefined;
   /** When the last announcement arrived; for a server loaded from a record, when it was loaded. */
   lastAnnouncementMs: number;
   readonly idle: PooledConnection[];
@@ -281,6 +283,8 @@
   replicasCheckedMs: number;
   /** When the servers' addresses were last proposed to control. */
   placesRecordedMs: number;
+  /** The servers that were last proposed to control as leaving. */
+  proposedLeaving: string;
   /** The covered term that was last proposed to control with them. */
   proposedCoveredTerm: number | undefined;
   /** Writes and commits whose answers were recently overdue. */
@@ -340,6 +344,7 @@
     hasRestrictedStatements: false,
     replicasCheckedMs: Number.NEGATIVE_INFINITY,
     placesRecordedMs: Number.NEGATIVE_INFINITY,
+    proposedLeaving: '',
     proposedCoveredTerm: undefined,
     stalledCommits: [],
     timers: [],
@@ -351,6 +356,7 @@
 export function createServerState(announcement: ServerAnnouncement, nowMs: number): ServerState {
   return {
     announcement,
+    leavingSince: leavingSinceOf(announcement, undefined),
     lastAnnouncementMs: nowMs,
     idle: [],
     connectionCount: 0,
@@ -375,14 +381,6 @@
   };
 }
 
-/** Records that an order is sent to a server on behalf of a statement. */
-export function markReached({ fates }: StatementOwner, job: Job): void {
-  if (job.hasReachedTarget) return;
-  job.hasReachedTarget = true;
-  if (job.channel.isLocal === true) return;
-  recordStarted(fates, fateKeyOf(job.request.number, job.request.tag), performance.now());
-}
-
 /** Whether the owner may acknowledge statements. */
 export function isActiveOwner(owner: StatementOwner): boolean {
   return !owner.isClosed && owner.environment.holdsLease();
--- a/packages/statement-entry/src/owner/run-job.ts
+++ b/packages/statement-entry/src/owner/run-job.ts
@@ -1,5 +1,11 @@
 /** Runs a statement on a pooled connection or on the connection of its transaction. */
-import { recordFinished, type LogPosition, requiredPosition } from '@bramleykeel/core';
+import {
+  fateKeyOf,
+  type LogPosition,
+  recordFinished,
+  recordStarted,
+  requiredPosition,
+} from '@bramleykeel/core';
 import {
   acquireConnection,
   discardConnection,
@@ -18,7 +24,6 @@
 import { requeueJob } from './job-queue.js';
 import {
   type Job,
-  markReached,
   type OpenTransaction,
   type PooledConnection,
   type ServerState,
@@ -243,3 +248,11 @@
     throw new Error('statement has a transaction reference but no transaction');
   return key;
 }
+
+/** Records that an order is sent to a server on behalf of a statement. */
+function markReached({ fates }: StatementOwner, job: Job): void {
+  if (job.hasReachedTarget) return;
+  job.hasReachedTarget = true;
+  if (job.channel.isLocal === true) return;
+  recordStarted(fates, fateKeyOf(job.request.number, job.request.tag), performance.now());
+}
--- a/packages/statement-entry/src/owner/server-places.test.ts
+++ b/packages/statement-entry/src/owner/server-places.test.ts
@@ -211,11 +211,12 @@
     return announcement;
   }
 
-  it('include servers that are leaving, and those whose commits the others may lack', () => {
+  it('include servers that are leaving, and those whose commits the others may lack', async () => {
     const server = fake.owner.servers.get('i-2' as ServerName);
     if (server) server.announcement = { ...server.announcement, isLeaving: true };
     expect(recordedServers()).toEqual(['i-0', 'i-1', 'i-2']);
     handleServerLeave(fake.owner, 'i-2' as ServerName);
+    await new Promise(setImmediate);
     expect(recordedServers()).toEqual(['i-0', 'i-1', 'i-2']);
     const { coverage } = fake.owner;
     const position = { term: 3, offset: 50 };
--- a/packages/statement-entry/src/owner/server-places.ts
+++ b/packages/statement-entry/src/owner/server-places.ts
@@ -4,6 +4,7 @@
  * announce themselves again.
  */
 import {
+  type AnnouncementNumber,
   beginRecording,
   endRecording,
   type GroupRecord,
@@ -43,26 +44,34 @@
   if (places.length === 0) return;
   owner.environment.log('loaded the recorded server addresses from control', {
     servers: places.map(({ server, address }) => `${server}@${address}`).join(' '),
+    leaving: describeLeaving(places),
   });
 }
 
-/** A recorded server counts as a replica until the server itself has reported its role. */
+/** A recorded server counts as a replica until the server itself has reported its role; one that leaves gets no reads. */
 function announcementOf({ group }: StatementOwner, place: ServerPlace): ServerAnnouncement {
-  const { bornMs = UNKNOWN_BORN_MS } = place;
-  return { ...place, group, role: 'replica', isLeaving: false, bornMs, sequence: -1 };
+  const { bornMs = UNKNOWN_BORN_MS, leavingSince } = place;
+  const isLeaving = leavingSince !== undefined;
+  return { ...place, group, role: 'replica', isLeaving, bornMs, sequence: -1 };
 }
 
-/** Where a server is, and which of its incarnations is meant. */
-export function placeOf({ announcement }: ServerState): ServerPlace {
+/** Where a server is, which of its incarnations is meant, and whether it leaves. */
+export function placeOf({ announcement, leavingSince }: ServerState): ServerPlace {
   const { server, address, zone, slots, bornMs } = announcement;
-  return { server, address, zone, slots, bornMs };
+  const place = { server, address, zone, slots, bornMs };
+  return leavingSince ? { ...place, leavingSince: numberOf(leavingSince) } : place;
+}
+
+function numberOf({ bornMs, sequence }: AnnouncementNumber): AnnouncementNumber {
+  return { bornMs, sequence };
 }
 
 /**
  * Records the servers' addresses in control if they have changed. Servers that are leaving acknowledge commits until they
  * are gone, and those that are gone stay recorded while the others may lack their commits: an owner that finds no primary
  * has to know of them. A server that has joined is recorded at once, because commits that it may have acknowledged are
- * held until then; so is that a replica has all that the primary started with. All else is recorded at a limited rate.
+ * held until then; so is one that leaves, because the next owner must send it no reads, and that a replica has all that the
+ * primary started with. All else is recorded at a limited rate.
  */
 export function recordServerPlaces(owner: StatementOwner): void {
   const { recordedServers } = owner;
@@ -72,27 +81,43 @@
   const joined = unrecordedServersOf(owner);
   const isNewlyCovered =
     coveredTerm !== record.coveredTerm && coveredTerm !== owner.proposedCoveredTerm;
-  const isUrgent = isNewlyCovered || joined.length > 0 || recordedServers.isUncertain;
+  const places = placesToRecord(owner);
+  const leaving = describeLeaving(places);
+  const isNewlyLeaving =
+    leaving !== describeLeaving(record.places ?? []) && leaving !== owner.proposedLeaving;
+  const isUrgent =
+    isNewlyCovered || isNewlyLeaving || joined.length > 0 || recordedServers.isUncertain;
   const nowMs = performance.now();
   const pauseMs = recordedServers.isUncertain ? RETRY_INTERVAL_MS : 0;
   if (nowMs - owner.placesRecordedMs < (isUrgent ? pauseMs : MIN_RECORD_INTERVAL_MS)) return;
-  const places = placesToRecord(owner);
   const isSame = JSON.stringify(places) === JSON.stringify(record.places ?? []);
   const isOnRecord = isSame && coveredTerm === record.coveredTerm && !recordedServers.isUncertain;
   if (places.length === 0 || (isOnRecord && joined.length === 0)) return;
   owner.placesRecordedMs = nowMs;
   owner.proposedCoveredTerm = coveredTerm;
+  owner.proposedLeaving = leaving;
   void proposePlaces(owner, places, coveredTerm, joined);
 }
 
 function placesToRecord({ servers, coverage }: StatementOwner): ServerPlace[] {
-  const present = [...servers.values()].map(placeOf);
-  const byName = new Map(
-    [...present, ...uncoveredPlaces(coverage)].map((place) => [place.server, place]),
-  );
+  const byName = new Map([...servers].map(([name, server]) => [name, placeOf(server)]));
+  for (const { leavingSince, ...former } of uncoveredPlaces(coverage)) {
+    const present = servers.get(former.server);
+    // The former process is recorded for its commits; whether reads may be sent depends on the present one.
+    const since = present ? present.leavingSince && numberOf(present.leavingSince) : leavingSince;
+    byName.set(former.server, since ? { ...former, leavingSince: since } : former);
+  }
   return [...byName.values()].sort((left, right) => (left.server < right.server ? -1 : 1));
 }
 
+function describeLeaving(places: readonly ServerPlace[]): string {
+  return places
+    .flatMap(({ server, leavingSince }) =>
+      leavingSince ? [`${server}@${leavingSince.bornMs}/${leavingSince.sequence}`] : [],
+    )
+    .join(' ');
+}
+
 /** Number of the last command of this process; the owner of an epoch never moves to another process. */
 let lastSequence = 0;
 
@@ -130,7 +155,7 @@
   }
   if (kind !== 'done') return;
   releaseRecordedCommits(owner);
-  if (unrecordedServersOf(owner).length > 0) recordServerPlaces(owner);
+  recordServerPlaces(owner);
 }
 
 /** The term to record as covered; the one on record until that is known of the present primary. */
