Keep the time at which a holder has ended

Cause: endExpiredHolders ended a holder again whose lease endIncarnation had deleted, took it for one of an earlier leader, and recorded a time 1.1 s after the election; each moved rate began with a full bucket. Ruled out: the refill (right without the kill).

Change: the time of a holder that has ended is kept.

--- a/packages/core/src/lease/entry-leases.test.ts
+++ b/packages/core/src/lease/entry-leases.test.ts
@@ -95,6 +95,24 @@
     expect(holderEndedForMs(state, assignmentTo('i1'), 3_000)).toBe(250);
   });
 
+  // Guards against QUOTA: each holder counted as ended since the leader's election, so that a moved rate began with a full bucket.
+  it('keeps the time for a holder that is proven dead', () => {
+    const state = createEntryLeases(TIMING, 0);
+    renewLease(state, renewal('e1', 'i1'), 9_000);
+    endIncarnation(state, toIncarnation('i1'), 9_000);
+    expect(endExpiredHolders(state, [assignmentTo('i1')], 9_000)).toHaveLength(1);
+    expect(endExpiredHolders(state, [assignmentTo('i1')], 10_000)).toHaveLength(1);
+    expect(holderEndedForMs(state, assignmentTo('i1'), 10_000)).toBe(1_000);
+  });
+
+  it('keeps the time for a holder whose lease has expired', () => {
+    const state = createEntryLeases(TIMING, 0);
+    renewLease(state, renewal('e1', 'i1'), 7_000);
+    endExpiredLeases(state, 10_000);
+    endExpiredHolders(state, [assignmentTo('i1')], 10_000);
+    expect(holderEndedForMs(state, assignmentTo('i1'), 10_000)).toBe(250);
+  });
+
   it('counts from the last lease that an earlier leader can have granted', () => {
     const state = createEntryLeases(TIMING, 1_000, 600);
     endExpiredHolders(state, [assignmentTo('i0')], 4_000);
--- a/packages/core/src/lease/entry-leases.ts
+++ b/packages/core/src/lease/entry-leases.ts
@@ -311,7 +311,9 @@
   nowMs: number,
 ): Assignment[] {
   const orphaned = assignments.filter((assignment) => !mayHolderAct(state, assignment, nowMs));
-  for (const assignment of orphaned) {
+  // The time of a holder that has ended is known already, and closer than what a former leader's lease tells.
+  const unended = orphaned.filter(({ incarnation }) => !state.ended.has(incarnation));
+  for (const assignment of unended) {
     const lease = state.leases.get(assignment.incarnation);
     const endedAtMs = lease ? leaseEndMs(state, lease) : formerLeaseEndMs(state, assignment);
     endIncarnation(state, assignment.incarnation, Math.min(nowMs, endedAtMs));
