Repeat the rounds of a test until a transaction has committed

No caller had a foreign answer.

Cause: the server repeats each seventh or eleventh answer, and counts those to the owner's own orders, which are sent by time. In some runs each of the eight transactions is hit, so that none commits and the last check of the test has nothing to look at.

Change: the rounds go on after the eighth until a transaction has committed, 80 at most. All expectations are the same.

--- a/packages/system-tests/src/repeated-answers.test.ts
+++ b/packages/system-tests/src/repeated-answers.test.ts
@@ -14,7 +14,9 @@
   withClient,
 } from './test-cluster.js';
 
-const ROUNDS = 8;
+const MIN_ROUNDS = 8;
+/** Orders of the owner's own count too, so which answers are repeated depends on the time and may hit each transaction. */
+const MAX_ROUNDS = 80;
 /** With the first one alone, no transaction commits in some of the cases. */
 const REPEAT_EVERY = [7, 11];
 const OUTCOME_UNKNOWN = '08007';
@@ -145,7 +147,9 @@
     const seen: Observations = { wrong: [], outcomes: new Map(), inserts: new Map() };
     const client = await connect(cluster, 0);
     const copiesBefore = await setFaults({ repeatsAnswers: 'never' });
-    for (let round = 0; round < ROUNDS; round += 1) {
+    const hasCommitted = () => seen.outcomes.has('commit: answered');
+    const isEnough = (round: number) => round >= MIN_ROUNDS && hasCommitted();
+    for (let round = 0; round < MAX_ROUNDS && !isEnough(round); round += 1) {
       const id = `${moment}-${part}-${round}`;
       const repeatEvery = REPEAT_EVERY[round % REPEAT_EVERY.length];
       await setFaults({ repeatsAnswers: moment, repeatedAnswers: part, repeatEvery });
